Workspace, base package, HTTP client and the headers that the parts agree on

Cause: an empty repository. The parts are to be built side by side, so the public headers of core, node and platform and docs/API.md come first. Conclusion: builds with warnings as errors; base tests pass.

--- /dev/null
+++ b/packages/base/include/lb-clock.h
@@ -0,0 +1,9 @@
+#ifndef LB_CLOCK_H
+#define LB_CLOCK_H
+
+#include "lb-types.h"
+
+LbTime lb_clock_monotonic (void);
+int64_t lb_clock_wall_ms (void);
+
+#endif
--- /dev/null
+++ b/packages/base/include/lb-error.h
@@ -0,0 +1,88 @@
+#ifndef LB_ERROR_H
+#define LB_ERROR_H
+
+#include "lb-types.h"
+
+/* Every failure of the product has one of these types. The table in lb-error.c gives each its name
+ * on the wire, its HTTP status and whether it proves that the request did not run. */
+typedef enum
+{
+  LB_OK = 0,
+  /* bad input */
+  LB_ERROR_BAD_REQUEST,
+  LB_ERROR_BAD_JSON,
+  LB_ERROR_BAD_VALUE,
+  LB_ERROR_UNKNOWN_KEY,
+  LB_ERROR_MISSING_KEY,
+  LB_ERROR_OUT_OF_RANGE,
+  LB_ERROR_BODY_TOO_LARGE,
+  LB_ERROR_HEADER_TOO_LARGE,
+  LB_ERROR_TOO_SLOW,
+  LB_ERROR_UNKNOWN_PATH,
+  LB_ERROR_UNKNOWN_POOL,
+  LB_ERROR_UNKNOWN_SUBSCRIPTION,
+  LB_ERROR_UNKNOWN_SERVICE,
+  LB_ERROR_UNKNOWN_RESOURCE,
+  LB_ERROR_UNKNOWN_STEP,
+  LB_ERROR_UNKNOWN_TICKET,
+  LB_ERROR_BAD_CURSOR,
+  LB_ERROR_BAD_REFERENCE,
+  LB_ERROR_UNAUTHORIZED,
+  LB_ERROR_CONFLICT,
+  /* refused before dispatch: "not run" is true */
+  LB_ERROR_OVERLOADED,
+  LB_ERROR_RATE_LIMITED,
+  LB_ERROR_NO_ENDPOINT,
+  LB_ERROR_DRAINING,
+  LB_ERROR_NOT_READY,
+  LB_ERROR_DEADLINE_BEFORE_START,
+  LB_ERROR_ENDPOINT_REFUSED,
+  LB_ERROR_CANCELLED_BEFORE_START,
+  /* dispatched: the outcome is not known or is a failure that may have run */
+  LB_ERROR_OUTCOME_UNKNOWN,
+  LB_ERROR_STREAM_BROKEN,
+  LB_ERROR_DEADLINE,
+  LB_ERROR_ENDPOINT_FAILED,
+  LB_ERROR_UNLABELLED,
+  /* platform */
+  LB_ERROR_STORE_AWAY,
+  LB_ERROR_STORE_UNKNOWN,
+  LB_ERROR_STORE_BUSY,
+  LB_ERROR_CONDITION_FAILED,
+  LB_ERROR_NOT_FOUND,
+  LB_ERROR_STALE_FENCE,
+  LB_ERROR_STALE_SESSION,
+  LB_ERROR_LEASE_HELD,
+  /* frames between instances */
+  LB_ERROR_FRAME_TOO_LARGE,
+  LB_ERROR_FRAME_GARBLED,
+  LB_ERROR_FRAME_VERSION,
+  LB_ERROR_WRONG_KEY,
+  LB_ERROR_CLOSED,
+  LB_ERROR_TIMEOUT,
+  /* the system itself */
+  LB_ERROR_IO,
+  LB_ERROR_INVARIANT,
+  LB_ERROR_INTERNAL,
+  LB_N_ERRORS
+} LbErrorCode;
+
+typedef struct
+{
+  LbErrorCode code;
+  char where[192];  /* file, line or path of the key; empty when it does not apply */
+  char detail[192]; /* what was found and what was expected */
+} LbError;
+
+const char *lb_error_name (LbErrorCode code);
+LbErrorCode lb_error_from_name (const char *name);
+int lb_error_http_status (LbErrorCode code);
+bool lb_error_is_not_run (LbErrorCode code);
+
+void lb_error_clear (LbError *error);
+/* Sets *error (which may be NULL) and returns false, so that callers can `return lb_error_set
+ * (...)`. */
+bool lb_error_set (LbError *error, LbErrorCode code, const char *where, const char *format, ...)
+    __attribute__ ((format (printf, 4, 5)));
+
+#endif
--- /dev/null
+++ b/packages/base/include/lb-list.h
@@ -0,0 +1,39 @@
+#ifndef LB_LIST_H
+#define LB_LIST_H
+
+#include "lb-types.h"
+
+/* Intrusive doubly linked list: the link lives in the element. */
+typedef struct LbLink
+{
+  struct LbLink *prev;
+  struct LbLink *next;
+} LbLink;
+
+typedef struct
+{
+  LbLink head;
+  size_t length;
+} LbList;
+
+#define LB_CONTAINER(link, type, member) ((type *)((char *)(link)-offsetof (type, member)))
+
+/* Iterates over elements; the current element may be removed inside the loop. */
+#define LB_LIST_FOREACH(list, type, member, item)                                                  \
+  for (LbLink *item##_link = (list)->head.next, *item##_next = item##_link->next;                  \
+       item##_link != &(list)->head; item##_link = item##_next, item##_next = item##_link->next)   \
+    for (type *item = LB_CONTAINER (item##_link, type, member); item; item = NULL)
+
+#define LB_LIST_FIRST(list, type, member)                                                          \
+  (lb_list_is_empty (list) ? NULL : LB_CONTAINER ((list)->head.next, type, member))
+
+void lb_list_init (LbList *list);
+bool lb_list_is_empty (const LbList *list);
+void lb_list_append (LbList *list, LbLink *link);
+void lb_list_prepend (LbList *list, LbLink *link);
+void lb_list_insert_before (LbList *list, LbLink *position, LbLink *link);
+void lb_list_remove (LbList *list, LbLink *link);
+LbLink *lb_list_pop (LbList *list);
+bool lb_link_is_linked (const LbLink *link);
+
+#endif
--- /dev/null
+++ b/packages/base/include/lb-log.h
@@ -0,0 +1,63 @@
+#ifndef LB_LOG_H
+#define LB_LOG_H
+
+#include "lb-error.h"
+
+typedef enum
+{
+  LB_LOG_DEBUG,
+  LB_LOG_INFO,
+  LB_LOG_WARNING,
+  LB_LOG_ERROR,
+  LB_LOG_OFF
+} LbLogLevel;
+
+typedef enum
+{
+  LB_FIELD_END,
+  LB_FIELD_TEXT,
+  LB_FIELD_INT,
+  LB_FIELD_REAL,
+  LB_FIELD_BOOL,
+  LB_FIELD_JSON /* text that already is JSON */
+} LbLogFieldType;
+
+/* One key and value of a log line; build them with the macros below. */
+typedef struct
+{
+  LbLogFieldType type;
+  const char *key;
+  union
+  {
+    const char *text;
+    int64_t integer;
+    double real;
+    bool boolean;
+  } value;
+} LbLogField;
+
+#define LB_TEXT(k, v) ((LbLogField){ .type = LB_FIELD_TEXT, .key = (k), .value.text = (v) })
+#define LB_INT(k, v)                                                                               \
+  ((LbLogField){ .type = LB_FIELD_INT, .key = (k), .value.integer = (int64_t)(v) })
+#define LB_REAL(k, v) ((LbLogField){ .type = LB_FIELD_REAL, .key = (k), .value.real = (v) })
+#define LB_BOOL(k, v) ((LbLogField){ .type = LB_FIELD_BOOL, .key = (k), .value.boolean = (v) })
+#define LB_JSON(k, v) ((LbLogField){ .type = LB_FIELD_JSON, .key = (k), .value.text = (v) })
+
+void lb_log_init (LbLogLevel level, int fd, const char *instance);
+bool lb_log_level_from_name (const char *name, LbLogLevel *level);
+bool lb_log_enabled (LbLogLevel level);
+void lb_log_fields (LbLogLevel level, const char *event, const LbLogField *fields);
+void lb_log_error (LbLogLevel level, const char *event, const LbError *error);
+
+/* lb_log (LB_LOG_INFO, "started", LB_TEXT ("address", a), LB_INT ("port", p)); */
+#define lb_log(level, event, ...)                                                                  \
+  do                                                                                               \
+    {                                                                                              \
+      if (lb_log_enabled (level))                                                                  \
+        lb_log_fields (level, event,                                                               \
+                       (const LbLogField[]){                                                       \
+                           __VA_ARGS__ __VA_OPT__ (, ){ .type = LB_FIELD_END } });                 \
+    }                                                                                              \
+  while (0)
+
+#endif
--- /dev/null
+++ b/packages/base/include/lb-settings.h
@@ -0,0 +1,49 @@
+#ifndef LB_SETTINGS_H
+#define LB_SETTINGS_H
+
+#include "lb-error.h"
+
+struct json_object;
+
+typedef enum
+{
+  LB_SETTING_TEXT,   /* char array of size bytes */
+  LB_SETTING_INT,    /* int64_t in min..max */
+  LB_SETTING_REAL,   /* double in min..max */
+  LB_SETTING_BOOL,   /* bool */
+  LB_SETTING_CHOICE, /* int: index into choices */
+  LB_SETTING_OBJECT, /* struct described by fields */
+  LB_SETTING_ARRAY   /* array of count elements: see LbSettingSpec */
+} LbSettingType;
+
+/* Describes one key of a JSON object and where its value goes in a C struct. An array is stored as
+ * a heap pointer at offset and an element count (size_t) at count_offset; the element is a struct
+ * of size bytes described by fields, or a name (LbName) when fields is NULL. */
+typedef struct LbSettingSpec
+{
+  const char *key;
+  LbSettingType type;
+  size_t offset;
+  size_t size;
+  bool required;
+  double min;
+  double max;
+  const char *const *choices;         /* ended by NULL */
+  const struct LbSettingSpec *fields; /* ended by key NULL */
+  size_t count_offset;
+} LbSettingSpec;
+
+/* Reads JSON with comments. NULL and a typed error (file, line, column) when it is not. */
+struct json_object *
+lb_settings_parse (const char *text, size_t length, const char *file, LbError *error);
+struct json_object *lb_settings_read_file (const char *path, LbError *error);
+
+/* Fills target from the object after checking type, range and unknown names of every key. The error
+ * names file and key path. Keys that are absent leave target as it was (so put defaults first). */
+bool lb_settings_apply (struct json_object *object,
+                        const LbSettingSpec *specs,
+                        void *target,
+                        const char *file,
+                        LbError *error);
+
+#endif
--- /dev/null
+++ b/packages/base/src/lb-counter.c
@@ -0,0 +1,89 @@
+#include "lb-counter.h"
+
+#include "lb-alloc.h"
+#include "lb-error.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static LbMetric *registry;
+
+static LbMetric error_metrics[LB_N_ERRORS];
+static char error_labels[LB_N_ERRORS][64];
+
+/* Keeps metrics of one name side by side, as the text format asks. */
+static void
+register_metric (LbMetric *metric)
+{
+  LbMetric **place = &registry;
+
+  while (*place && strcmp ((*place)->name, metric->name) <= 0)
+    place = &(*place)->next;
+  metric->next = *place;
+  *place = metric;
+  metric->registered = true;
+}
+
+void
+lb_metric_add (LbMetric *metric, int64_t amount)
+{
+  if (!metric->registered)
+    register_metric (metric);
+  metric->value += amount;
+}
+
+void
+lb_metric_set (LbMetric *metric, int64_t value)
+{
+  if (!metric->registered)
+    register_metric (metric);
+  metric->value = value;
+}
+
+void
+lb_metric_count_error (int error_code)
+{
+  LbMetric *metric = &error_metrics[error_code];
+
+  if (!metric->name)
+    {
+      snprintf (error_labels[error_code], sizeof error_labels[error_code], "type=\"%s\"",
+                lb_error_name ((LbErrorCode)error_code));
+      metric->name = "lentilspindle_errors_total";
+      metric->help = "Failures by type";
+      metric->label = error_labels[error_code];
+    }
+  lb_metric_add (metric, 1);
+}
+
+static void
+render_metric (FILE *out, const LbMetric *metric, bool first_of_name)
+{
+  if (first_of_name)
+    fprintf (out, "# HELP %s %s\n# TYPE %s %s\n", metric->name, metric->help, metric->name,
+             metric->kind == LB_GAUGE ? "gauge" : "counter");
+  if (metric->label)
+    fprintf (out, "%s{%s} %lld\n", metric->name, metric->label, (long long)metric->value);
+  else
+    fprintf (out, "%s %lld\n", metric->name, (long long)metric->value);
+}
+
+char *
+lb_metric_render (void)
+{
+  char *text = NULL;
+  size_t size = 0;
+  FILE *out = open_memstream (&text, &size);
+  const char *previous = "";
+
+  if (!out)
+    return lb_strdup ("");
+  for (const LbMetric *metric = registry; metric; metric = metric->next)
+    {
+      render_metric (out, metric, strcmp (previous, metric->name) != 0);
+      previous = metric->name;
+    }
+  fclose (out);
+  return text;
+}
--- /dev/null
+++ b/packages/base/src/lb-settings.c
@@ -0,0 +1,294 @@
+#include "lb-settings.h"
+
+#include "lb-alloc.h"
+
+#include <json-c/json.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define PATH_MAX_BYTES 160
+#define FILE_MAX_BYTES (4 << 20)
+
+static bool apply_object (struct json_object *object,
+                          const LbSettingSpec *specs,
+                          char *target,
+                          const char *file,
+                          const char *path,
+                          LbError *error);
+
+static bool
+fail (LbError *error, LbErrorCode code, const char *file, const char *path, const char *expected)
+{
+  char where[LB_NAME_MAX + PATH_MAX_BYTES + 2];
+
+  snprintf (where, sizeof where, "%s: %s", file, path[0] ? path : "(top)");
+  return lb_error_set (error, code, where, "%s", expected);
+}
+
+static void
+line_and_column (const char *text, size_t offset, int *line, int *column)
+{
+  *line = 1;
+  *column = 1;
+  for (size_t i = 0; i < offset; i++)
+    {
+      bool newline = text[i] == '\n';
+      *line += newline;
+      *column = newline ? 1 : *column + 1;
+    }
+}
+
+struct json_object *
+lb_settings_parse (const char *text, size_t length, const char *file, LbError *error)
+{
+  struct json_tokener *tokener = json_tokener_new ();
+  struct json_object *object = NULL;
+  char where[LB_NAME_MAX + 192];
+  int line, column;
+
+  object = json_tokener_parse_ex (tokener, text, (int)length);
+  size_t end = json_tokener_get_parse_end (tokener);
+  enum json_tokener_error problem = json_tokener_get_error (tokener);
+  if (problem == json_tokener_continue && object == NULL)
+    problem = json_tokener_error_parse_eof;
+  while (end < length && strchr (" \t\r\n", text[end]))
+    end++;
+  if (problem == json_tokener_success && end == length && object)
+    goto out;
+
+  line_and_column (text, end, &line, &column);
+  snprintf (where, sizeof where, "%s:%d:%d", file, line, column);
+  lb_error_set (error, LB_ERROR_BAD_JSON, where, "%s",
+                problem == json_tokener_success ? "expected one JSON value and nothing after it"
+                                                : json_tokener_error_desc (problem));
+  json_object_put (object);
+  object = NULL;
+out:
+  json_tokener_free (tokener);
+  return object;
+}
+
+struct json_object *
+lb_settings_read_file (const char *path, LbError *error)
+{
+  struct json_object *object = NULL;
+  char *text = NULL;
+  FILE *in = fopen (path, "r");
+
+  if (!in)
+    {
+      lb_error_set (error, LB_ERROR_IO, path, "cannot open the file");
+      return NULL;
+    }
+  text = lb_malloc (FILE_MAX_BYTES + 1);
+  size_t length = fread (text, 1, FILE_MAX_BYTES + 1, in);
+  if (ferror (in))
+    lb_error_set (error, LB_ERROR_IO, path, "cannot read the file");
+  else if (length > FILE_MAX_BYTES)
+    lb_error_set (error, LB_ERROR_BODY_TOO_LARGE, path, "expected at most %d bytes",
+                  FILE_MAX_BYTES);
+  else
+    object = lb_settings_parse (text, length, path, error);
+  free (text);
+  fclose (in);
+  return object;
+}
+
+static bool
+apply_text (struct json_object *value,
+            const LbSettingSpec *spec,
+            char *field,
+            const char *file,
+            const char *path,
+            LbError *error)
+{
+  if (!json_object_is_type (value, json_type_string))
+    return fail (error, LB_ERROR_BAD_VALUE, file, path, "expected a text");
+  if ((size_t)json_object_get_string_len (value) >= spec->size)
+    return fail (error, LB_ERROR_OUT_OF_RANGE, file, path, "the text is too long");
+  lb_strlcpy (field, json_object_get_string (value), spec->size);
+  return true;
+}
+
+static bool
+apply_number (struct json_object *value,
+              const LbSettingSpec *spec,
+              char *field,
+              const char *file,
+              const char *path,
+              LbError *error)
+{
+  char expected[96];
+  bool integer = spec->type == LB_SETTING_INT;
+  double number = json_object_get_double (value);
+
+  if (integer ? !json_object_is_type (value, json_type_int)
+              : !json_object_is_type (value, json_type_int)
+                    && !json_object_is_type (value, json_type_double))
+    return fail (error, LB_ERROR_BAD_VALUE, file, path,
+                 integer ? "expected a whole number" : "expected a number");
+  if (!(number >= spec->min && number <= spec->max))
+    {
+      snprintf (expected, sizeof expected, "expected a number from %g to %g", spec->min, spec->max);
+      return fail (error, LB_ERROR_OUT_OF_RANGE, file, path, expected);
+    }
+  if (integer)
+    *(int64_t *)field = json_object_get_int64 (value);
+  else
+    *(double *)field = number;
+  return true;
+}
+
+static bool
+apply_choice (struct json_object *value,
+              const LbSettingSpec *spec,
+              char *field,
+              const char *file,
+              const char *path,
+              LbError *error)
+{
+  char expected[160] = "expected one of:";
+  const char *text
+      = json_object_is_type (value, json_type_string) ? json_object_get_string (value) : "";
+
+  for (int i = 0; spec->choices[i]; i++)
+    {
+      if (strcmp (spec->choices[i], text) == 0)
+        {
+          *(int *)field = i;
+          return true;
+        }
+      size_t used = strlen (expected);
+      snprintf (expected + used, sizeof expected - used, " %s", spec->choices[i]);
+    }
+  return fail (error, LB_ERROR_BAD_VALUE, file, path, expected);
+}
+
+static bool
+apply_array (struct json_object *value,
+             const LbSettingSpec *spec,
+             char *target,
+             const char *file,
+             const char *path,
+             LbError *error)
+{
+  if (!json_object_is_type (value, json_type_array))
+    return fail (error, LB_ERROR_BAD_VALUE, file, path, "expected a list");
+
+  const LbSettingSpec name_spec = { .type = LB_SETTING_TEXT, .size = sizeof (LbName) };
+  size_t count = json_object_array_length (value);
+  size_t element_size = spec->fields ? spec->size : sizeof (LbName);
+  char *elements = lb_calloc (count, element_size);
+
+  free (*(void **)(target + spec->offset));
+  *(void **)(target + spec->offset) = elements;
+  *(size_t *)(target + spec->count_offset) = count;
+  for (size_t i = 0; i < count; i++)
+    {
+      char element_path[PATH_MAX_BYTES];
+      struct json_object *element = json_object_array_get_idx (value, i);
+      char *slot = elements + i * element_size;
+
+      snprintf (element_path, sizeof element_path, "%s[%zu]", path, i);
+      bool ok = spec->fields ? apply_object (element, spec->fields, slot, file, element_path, error)
+                             : apply_text (element, &name_spec, slot, file, element_path, error);
+      if (!ok)
+        return false;
+    }
+  return true;
+}
+
+static bool
+apply_value (struct json_object *value,
+             const LbSettingSpec *spec,
+             char *target,
+             const char *file,
+             const char *path,
+             LbError *error)
+{
+  char *field = target + spec->offset;
+
+  switch (spec->type)
+    {
+    case LB_SETTING_TEXT:
+      return apply_text (value, spec, field, file, path, error);
+    case LB_SETTING_INT:
+    case LB_SETTING_REAL:
+      return apply_number (value, spec, field, file, path, error);
+    case LB_SETTING_BOOL:
+      if (!json_object_is_type (value, json_type_boolean))
+        return fail (error, LB_ERROR_BAD_VALUE, file, path, "expected true or false");
+      *(bool *)field = json_object_get_boolean (value);
+      return true;
+    case LB_SETTING_CHOICE:
+      return apply_choice (value, spec, field, file, path, error);
+    case LB_SETTING_OBJECT:
+      return apply_object (value, spec->fields, field, file, path, error);
+    case LB_SETTING_ARRAY:
+      return apply_array (value, spec, target, file, path, error);
+    }
+  return fail (error, LB_ERROR_INTERNAL, file, path, "no such type of setting");
+}
+
+static const LbSettingSpec *
+find_spec (const LbSettingSpec *specs, const char *key)
+{
+  for (; specs->key; specs++)
+    if (strcmp (specs->key, key) == 0)
+      return specs;
+  return NULL;
+}
+
+static bool
+check_required (struct json_object *object,
+                const LbSettingSpec *specs,
+                const char *file,
+                const char *path,
+                LbError *error)
+{
+  char key_path[PATH_MAX_BYTES];
+
+  for (; specs->key; specs++)
+    if (specs->required && !json_object_object_get_ex (object, specs->key, NULL))
+      {
+        snprintf (key_path, sizeof key_path, "%s%s%s", path, path[0] ? "." : "", specs->key);
+        return fail (error, LB_ERROR_MISSING_KEY, file, key_path, "this key is required");
+      }
+  return true;
+}
+
+static bool
+apply_object (struct json_object *object,
+              const LbSettingSpec *specs,
+              char *target,
+              const char *file,
+              const char *path,
+              LbError *error)
+{
+  if (!json_object_is_type (object, json_type_object))
+    return fail (error, LB_ERROR_BAD_VALUE, file, path, "expected an object");
+
+  json_object_object_foreach (object, key, value)
+  {
+    char key_path[PATH_MAX_BYTES];
+    const LbSettingSpec *spec = find_spec (specs, key);
+
+    snprintf (key_path, sizeof key_path, "%s%s%s", path, path[0] ? "." : "", key);
+    if (!spec)
+      return fail (error, LB_ERROR_UNKNOWN_KEY, file, key_path, "no key of this name is known");
+    if (!apply_value (value, spec, target, file, key_path, error))
+      return false;
+  }
+  return check_required (object, specs, file, path, error);
+}
+
+bool
+lb_settings_apply (struct json_object *object,
+                   const LbSettingSpec *specs,
+                   void *target,
+                   const char *file,
+                   LbError *error)
+{
+  return apply_object (object, specs, target, file, "", error);
+}
--- /dev/null
+++ b/packages/cli/src/lt-command.c
@@ -0,0 +1,54 @@
+#include "lt-command.h"
+
+#include <stdio.h>
+#include <string.h>
+
+static const LtCommand commands[] = {
+  { NULL, NULL, NULL },
+};
+
+static void
+print_usage (FILE *out)
+{
+  fputs ("Usage: lentilspindle COMMAND [OPTION...]\n\nCommands:\n", out);
+  for (const LtCommand *command = commands; command->name; command++)
+    fprintf (out, "  %-10s %s\n", command->name, command->summary);
+  fputs ("\nlentilspindle COMMAND --help tells a command's options.\n", out);
+}
+
+static const LtCommand *
+find_command (const char *name)
+{
+  for (const LtCommand *command = commands; command->name; command++)
+    if (strcmp (command->name, name) == 0)
+      return command;
+  return NULL;
+}
+
+int
+lt_main (int argc, char **argv)
+{
+  if (argc < 2)
+    {
+      print_usage (stderr);
+      return LT_EXIT_USAGE;
+    }
+  if (strcmp (argv[1], "--help") == 0)
+    {
+      print_usage (stdout);
+      return LT_EXIT_OK;
+    }
+  if (strcmp (argv[1], "--version") == 0)
+    {
+      puts ("lentilspindle " LS_VERSION);
+      return LT_EXIT_OK;
+    }
+
+  const LtCommand *command = find_command (argv[1]);
+  if (!command)
+    {
+      fprintf (stderr, "lentilspindle: unknown command '%s'; see lentilspindle --help\n", argv[1]);
+      return LT_EXIT_USAGE;
+    }
+  return command->run (argc - 1, argv + 1);
+}
--- /dev/null
+++ b/packages/core/include/lc-endpoints.h
@@ -0,0 +1,103 @@
+#ifndef LC_ENDPOINTS_H
+#define LC_ENDPOINTS_H
+
+#include "lc-resources.h"
+
+/* What an engine or service says of itself; arrives late. */
+typedef struct
+{
+  char incarnation[40]; /* changes with each start of the endpoint's process */
+  bool leaving;
+  LcVersion version; /* weights that serve now; 0 while a swap goes on or failed */
+  int64_t running;
+  int64_t waiting;
+  double tokens_per_second; /* of one stream at present load; 0: unknown */
+  double kv_used;           /* 0..1 */
+  LbTime at;                /* when the endpoint measured it, on our clock */
+} LcLoadReport;
+
+/* The breaker of an endpoint. */
+typedef enum
+{
+  LC_BREAKER_CLOSED,
+  LC_BREAKER_OPEN,
+  LC_BREAKER_HALF_OPEN
+} LcBreakerState;
+
+/* All this instance knows of one endpoint. Owned by LcEndpoints; read by policies. */
+typedef struct LcEndpoint
+{
+  LcEndpointMember member;
+  uint32_t slot; /* stable index while the endpoint is known */
+  LcLoadReport report;
+  bool leaving;      /* one way for this incarnation, whoever said it first */
+  bool swap_pending; /* weights are about to change or in an unknown state */
+  LbTime swap_until;
+  int64_t in_flight; /* our own requests running there */
+  int64_t in_flight_rollout;
+  int64_t sent_since_report;
+  double concurrency_limit; /* adaptive */
+  double ewma_token_seconds;
+  double ewma_first_byte_seconds;
+  LcBreakerState breaker;
+  LbTime breaker_until;
+  int64_t consecutive_failures;
+  LbTime last_reply;
+  void *belief; /* prefix-cache belief, owned by lc-endpoints */
+} LcEndpoint;
+
+typedef struct LcEndpoints LcEndpoints;
+
+typedef enum
+{
+  LC_LEAVING_RESOURCE,
+  LC_LEAVING_PLATFORM,
+  LC_LEAVING_ENDPOINT,
+  LC_LEAVING_PEER
+} LcLeavingSource;
+
+LcEndpoints *lc_endpoints_new (void);
+void lc_endpoints_free (LcEndpoints *endpoints);
+
+/* commands */
+void lc_endpoints_configure (LcEndpoints *endpoints, const LcResourceSet *set, LbTime now);
+/* A report with a new incarnation clears leaving, breaker and belief. */
+void lc_endpoints_report (LcEndpoints *endpoints,
+                          const char *name,
+                          const LcLoadReport *report,
+                          LbTime now);
+/* Marks this incarnation as leaving; true when it was news. */
+bool lc_endpoints_leaving (LcEndpoints *endpoints,
+                           const char *name,
+                           const char *incarnation,
+                           LcLeavingSource source,
+                           LbTime now);
+void lc_endpoints_swap (
+    LcEndpoints *endpoints, const char *name, bool pending, LbTime until, LbTime now);
+void lc_endpoints_cache_event (LcEndpoints *endpoints,
+                               const char *name,
+                               uint64_t sequence,
+                               bool stored,
+                               uint64_t prefix_hash,
+                               LbTime now);
+void lc_endpoints_sent (LcEndpoint *endpoint, LcRequestKind kind, uint64_t prefix_hash, LbTime now);
+void lc_endpoints_first_byte (LcEndpoint *endpoint, LbTime waited, LbTime now);
+/* ok is false for a failure that speaks against the endpoint (not for a cancel of ours). */
+void lc_endpoints_ended (
+    LcEndpoint *endpoint, LcRequestKind kind, bool ok, int64_t tokens, LbTime took, LbTime now);
+
+/* queries */
+LcEndpoint *lc_endpoints_find (LcEndpoints *endpoints, const char *name);
+size_t lc_endpoints_count (const LcEndpoints *endpoints);
+LcEndpoint *lc_endpoints_at (LcEndpoints *endpoints, size_t index);
+/* Believed share of the prompt found in the endpoint's prefix cache, 0..1. */
+double lc_endpoints_prefix_share (const LcEndpoint *endpoint,
+                                  const uint64_t *prefix_hashes,
+                                  size_t n_hashes,
+                                  LbTime now);
+bool lc_endpoint_may_take (const LcEndpoint *endpoint,
+                           LcRequestKind kind,
+                           double live_reserve,
+                           LbTime now);
+
+#endif
--- /dev/null
+++ b/packages/core/include/lc-label.h
@@ -0,0 +1,14 @@
+#ifndef LC_LABEL_H
+#define LC_LABEL_H
+
+#include "lc-types.h"
+
+void lc_label_init (LcLabel *label);
+/* Adds what an engine said of the tokens offset .. offset + tokens - 1. A gap, an overlap, a
+ * missing version or too many spans make the label final as unlabelled: it is never guessed. */
+void lc_label_add (LcLabel *label, int64_t offset, int64_t tokens, LcVersion version);
+
+bool lc_label_is_complete (const LcLabel *label, int64_t tokens);
+LcVersion lc_label_oldest (const LcLabel *label);
+
+#endif
--- /dev/null
+++ b/packages/core/include/lc-rollouts.h
@@ -0,0 +1,183 @@
+#ifndef LC_ROLLOUTS_H
+#define LC_ROLLOUTS_H
+
+#include "lc-dispatch.h"
+
+/* Steps of trainers: slots, groups, labels, staleness, cursors, hedges. No I/O: commands return
+ * actions for the node, which carries samples to LcDispatch and chunks to trainers. */
+
+typedef struct
+{
+  LbName id;
+  char *prompt; /* owned by the spec */
+  int64_t samples;
+  int64_t max_tokens;
+} LcGroupSpec;
+
+typedef struct
+{
+  LbName subscription;
+  int64_t step;
+  LcVersion version; /* the trainer's own when it asked */
+  LcGroupSpec *groups;
+  size_t n_groups;
+} LcStepSpec;
+
+void lc_step_spec_clear (LcStepSpec *spec);
+
+/* A sample ready for its trainer. Pointers are valid until the next command. */
+typedef struct
+{
+  const char *group;
+  int64_t index;
+  const char *text;
+  const LcLabel *label;
+  bool has_score;
+  double score;
+} LcDelivered;
+
+/* A pull: cursor is the text of the last reply ("" at the start of a step). */
+typedef struct
+{
+  uint64_t id; /* names the waiting reply; chosen by the node */
+  LbName subscription;
+  int64_t step;
+  const char *cursor;
+  LcVersion version; /* what the trainer trains now: staleness is judged against it */
+  int64_t max_samples;
+  LbTime wait_until;
+} LcPull;
+
+typedef enum
+{
+  LC_ROLLOUT_GENERATE, /* submit to the dispatch a sample: request, spec, prompt, resume_text */
+  LC_ROLLOUT_ABANDON,  /* cancel a request of an earlier GENERATE or SCORE */
+  LC_ROLLOUT_SCORE,    /* ask the scorer about a sample */
+  LC_ROLLOUT_LEDGER,   /* write a batched row under its condition */
+  LC_ROLLOUT_REPLY     /* answer a pull */
+} LcRolloutActionType;
+
+typedef struct
+{
+  LbLink link;
+  LcRolloutActionType type;
+  /* GENERATE, SCORE, ABANDON */
+  LcRequestSpec spec; /* spec.id names the request */
+  const char *prompt; /* owned by the step; valid until the next command */
+  int64_t max_tokens;
+  char *resume_text; /* owned by the action; NULL: from the start */
+  LbName scorer;
+  const char *text; /* SCORE: the sample */
+  /* LEDGER */
+  uint64_t write; /* names the write for lc_rollouts_ledger_done */
+  char *row_key;  /* owned */
+  char *row_value;
+  uint64_t session;
+  /* REPLY */
+  uint64_t pull;
+  LbError error; /* code LB_OK: a chunk */
+  LbTime retry_after;
+  LcDelivered *samples; /* owned array */
+  size_t n_samples;
+  char *cursor;      /* owned */
+  int64_t remaining; /* slots not delivered after this chunk */
+} LcRolloutAction;
+
+/* Totals of a step, for status and the measures. */
+typedef struct
+{
+  int64_t slots;
+  int64_t delivered;
+  int64_t ready;
+  int64_t running;
+  int64_t discarded_stale;
+  int64_t discarded_unlabelled;
+  int64_t hedges;
+  int64_t tokens;
+  int64_t wasted_tokens;
+  double staleness_sum;
+  int64_t staleness_max;
+  LbTime opened;
+  LbTime completed; /* 0: not yet */
+} LcStepStatus;
+
+typedef struct
+{
+  LbName instance;
+  uint64_t seed;
+  /* mechanisms, for measuring each alone; all true in the product */
+  bool longest_first;
+  bool hedging;
+  bool resume;
+  bool predict_staleness;
+  bool group_release;
+  bool fair_shares;
+} LcRolloutSettings;
+
+typedef struct LcRollouts LcRollouts;
+
+LcRolloutSettings lc_rollout_settings_default (void);
+LcRollouts *lc_rollouts_new (const LcRolloutSettings *settings);
+void lc_rollouts_free (LcRollouts *rollouts);
+
+/* commands; ids of requests come from next_id so that the node can use the dispatch's numbering */
+void
+lc_rollouts_set_id_source (LcRollouts *rollouts, LcRequestId (*next_id) (void *user), void *user);
+void
+lc_rollouts_configure (LcRollouts *rollouts, const LcResourceSet *set, LbTime now, LbList *actions);
+/* Takes over the spec's content. The same step again with the same content is accepted and changes
+ * nothing; with other content it is a conflict. session is larger for each later owner. */
+bool lc_rollouts_open (LcRollouts *rollouts,
+                       LcStepSpec *spec,
+                       uint64_t session,
+                       LbTime now,
+                       LbList *actions,
+                       LbError *error);
+/* The owner was replaced: stops all work of the step and answers its pulls with STALE_SESSION. */
+void lc_rollouts_lose (
+    LcRollouts *rollouts, const char *subscription, int64_t step, LbTime now, LbList *actions);
+void lc_rollouts_pull (LcRollouts *rollouts, const LcPull *pull, LbTime now, LbList *actions);
+/* The trainer's connection is gone; the chunk stays for its repeat. */
+void lc_rollouts_pull_gone (LcRollouts *rollouts, uint64_t pull);
+/* Each piece of a sample's generation, in order. */
+void lc_rollouts_piece (LcRollouts *rollouts,
+                        LcRequestId request,
+                        const LcPiece *piece,
+                        const char *endpoint,
+                        LbTime now,
+                        LbList *actions);
+/* The end of a request; text is taken over (the generated text, after any resume_text). */
+void lc_rollouts_finished (LcRollouts *rollouts,
+                           LcRequestId request,
+                           LbErrorCode error,
+                           char *text,
+                           LbTime now,
+                           LbList *actions);
+void lc_rollouts_scored (LcRollouts *rollouts,
+                         LcRequestId request,
+                         LbErrorCode error,
+                         double score,
+                         LbTime now,
+                         LbList *actions);
+void lc_rollouts_ledger_done (
+    LcRollouts *rollouts, uint64_t write, LbErrorCode error, LbTime now, LbList *actions);
+/* What the fleet serves now: newest version and seconds between versions, for prediction. */
+void lc_rollouts_versions (LcRollouts *rollouts,
+                           const char *pool,
+                           LcVersion newest,
+                           LbTime cadence,
+                           LbTime now,
+                           LbList *actions);
+void lc_rollouts_drain (LcRollouts *rollouts, LbTime now, LbList *actions);
+void lc_rollouts_tick (LcRollouts *rollouts, LbTime now, LbList *actions);
+void lc_rollout_action_free (LcRolloutAction *action);
+
+/* queries */
+LbTime lc_rollouts_next_tick (const LcRollouts *rollouts);
+bool lc_rollouts_status (const LcRollouts *rollouts,
+                         const char *subscription,
+                         int64_t step,
+                         LcStepStatus *status);
+size_t lc_rollouts_in_progress (const LcRollouts *rollouts);
+
+#endif
--- /dev/null
+++ b/packages/http/src/lh-sse.c
@@ -0,0 +1,77 @@
+#include "lh-sse.h"
+
+#include "lb-alloc.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+void
+lh_sse_init (LhSse *sse, size_t limit)
+{
+  memset (sse, 0, sizeof *sse);
+  sse->limit = limit;
+}
+
+void
+lh_sse_clear (LhSse *sse)
+{
+  free (sse->buffer);
+  memset (sse, 0, sizeof *sse);
+}
+
+static void
+append (LhSse *sse, const char *bytes, size_t length)
+{
+  if (sse->length + length > sse->capacity)
+    {
+      sse->capacity = (sse->length + length) * 2;
+      sse->buffer = lb_realloc (sse->buffer, sse->capacity);
+    }
+  memcpy (sse->buffer + sse->length, bytes, length);
+  sse->length += length;
+}
+
+static void
+handle_line (const char *line, size_t length, LhSseHandler handler, void *user)
+{
+  static const char prefix[] = "data:";
+  const size_t skip = sizeof prefix - 1;
+
+  if (length > 0 && line[length - 1] == '\r')
+    length--;
+  if (length < skip || memcmp (line, prefix, skip) != 0)
+    return;
+  line += skip;
+  length -= skip;
+  if (length > 0 && line[0] == ' ')
+    {
+      line++;
+      length--;
+    }
+  handler (line, length, user);
+}
+
+/* Engines send one data line an event, so each line is an event. */
+bool
+lh_sse_feed (
+    LhSse *sse, const char *bytes, size_t length, LhSseHandler handler, void *user, LbError *error)
+{
+  size_t start = 0;
+
+  append (sse, bytes, length);
+  for (;;)
+    {
+      const char *newline = memchr (sse->buffer + start, '\n', sse->length - start);
+      if (!newline)
+        break;
+      size_t end = (size_t)(newline - sse->buffer);
+      handle_line (sse->buffer + start, end - start, handler, user);
+      start = end + 1;
+    }
+  memmove (sse->buffer, sse->buffer + start, sse->length - start);
+  sse->length -= start;
+  if (sse->length > sse->limit)
+    return lb_error_set (error, LB_ERROR_BODY_TOO_LARGE, "", "an event is over %zu bytes",
+                         sse->limit);
+  return true;
+}
--- /dev/null
+++ b/packages/node/include/ln-messages.h
@@ -0,0 +1,139 @@
+#ifndef LN_MESSAGES_H
+#define LN_MESSAGES_H
+
+#include "lc-dispatch.h"
+#include "lc-resources.h"
+#include "ln-exchange.h"
+#include "ln-task.h"
+
+/* Who posts what to whom. Tasks: "front" (callers' sockets), "calls" (LcDispatch and the sockets to
+ * endpoints), "rollouts" (LcRollouts), "config" (resources and leases), "peers" (frames between
+ * instances), "store" (the platform). */
+typedef enum
+{
+  LN_EXCHANGE,         /* front -> the task of the route */
+  LN_EXCHANGE_GONE,    /* front -> the owner: the caller went away */
+  LN_CONFIG,           /* config -> all: a newer revision is in force here */
+  LN_SAMPLE,           /* rollouts -> calls: generate a sample or ask a scorer */
+  LN_SAMPLE_CANCEL,    /* rollouts -> calls */
+  LN_SAMPLE_PIECE,     /* calls -> rollouts */
+  LN_SAMPLE_DONE,      /* calls -> rollouts */
+  LN_VERSIONS,         /* config -> rollouts: newest version and cadence of a pool */
+  LN_ENDPOINT_REPORT,  /* calls -> config: what an endpoint said of itself */
+  LN_ENDPOINT_LEAVING, /* any -> calls: first that says leaving wins */
+  LN_ENDPOINT_SWAP,    /* config -> calls: weights are about to change */
+  LN_MEMBERS,          /* peers -> all: the view of live instances changed */
+  LN_PEER_SEND,        /* any -> peers: a frame for one instance or all */
+  LN_PEER_FRAME,       /* peers -> the task named in the frame */
+  LN_DRAINING          /* main -> all */
+} LnMessageType;
+
+typedef struct
+{
+  LnMessage base;
+  LnExchange *exchange;
+} LnExchangeMessage;
+
+typedef struct
+{
+  LnMessage base;
+  LcResourceSet *set; /* owned by the message */
+} LnConfigMessage;
+
+typedef struct
+{
+  LnMessage base;
+  LcRequestSpec spec; /* spec.id from ln_calls_new_id; kind SERVICE: a call of a scorer */
+  char *body;         /* owned: JSON for the endpoint */
+  char *resume_text;  /* owned; NULL: from the start */
+} LnSampleMessage;
+
+typedef struct
+{
+  LnMessage base;
+  LcRequestId request;
+} LnSampleCancelMessage;
+
+typedef struct
+{
+  LnMessage base;
+  LcRequestId request;
+  LcPiece piece;
+  LbName endpoint;
+} LnSamplePieceMessage;
+
+typedef struct
+{
+  LnMessage base;
+  LcRequestId request;
+  LbErrorCode error;
+  char *text; /* owned by the message: what was generated, or the service's reply */
+} LnSampleDoneMessage;
+
+typedef struct
+{
+  LnMessage base;
+  LbName pool;
+  LcVersion newest;
+  LbTime cadence;
+} LnVersionsMessage;
+
+typedef struct
+{
+  LnMessage base;
+  LbName endpoint;
+  LcLoadReport report;
+} LnEndpointReportMessage;
+
+typedef struct
+{
+  LnMessage base;
+  LbName endpoint;
+  char incarnation[40]; /* empty: the present one */
+  LcLeavingSource source;
+} LnEndpointLeavingMessage;
+
+typedef struct
+{
+  LnMessage base;
+  LbName endpoint;
+  bool pending;
+  LbTime until;
+} LnEndpointSwapMessage;
+
+/* One instance as this one sees it. */
+typedef struct
+{
+  LbName name;
+  LbName incarnation;
+  LbName data_centre;
+  LbName caller_address; /* where callers connect */
+  LbName peer_address;   /* where instances connect */
+  bool alive;            /* not suspected */
+  bool draining;
+  bool is_self;
+} LnMember;
+
+typedef struct
+{
+  LnMessage base;
+  LnMember *members; /* owned by the message */
+  size_t n_members;
+} LnMembersMessage;
+
+/* The payload is msgpack; topic names the receiving task ("config", "rollouts", "calls"). */
+typedef struct
+{
+  LnMessage base;
+  LbName instance; /* SEND: empty means all; FRAME: the sender */
+  LbName topic;
+  char *payload; /* owned by the message */
+  size_t length;
+} LnPeerMessage;
+
+typedef struct
+{
+  LnMessage base;
+} LnDrainingMessage;
+
+#endif
--- /dev/null
+++ b/packages/node/src/ln-task.c
@@ -0,0 +1,146 @@
+#include "ln-task.h"
+
+#include "lb-alloc.h"
+
+#include <event2/event.h>
+#include <stdlib.h>
+#include <string.h>
+
+struct LnHub
+{
+  struct event_base *base;
+  struct event *wakeup;
+  LbList tasks;
+  LbList mail;
+};
+
+static void
+message_free (LnMessage *message)
+{
+  if (message->clear)
+    message->clear (message);
+  free (message);
+}
+
+static void
+deliver (LnHub *hub, const LnMessage *message)
+{
+  if (message->to)
+    {
+      message->to->klass->receive (message->to, message);
+      return;
+    }
+  LB_LIST_FOREACH (&hub->tasks, LnTask, link, task)
+  {
+    task->klass->receive (task, message);
+  }
+}
+
+/* Handles only what waited at its start, so that messages that answer messages let sockets in. */
+static void
+deliver_waiting (evutil_socket_t fd, short what, void *user)
+{
+  (void)fd;
+  (void)what;
+  LnHub *hub = user;
+
+  for (size_t left = hub->mail.length; left > 0; left--)
+    {
+      LnMessage *message = LB_CONTAINER (lb_list_pop (&hub->mail), LnMessage, link);
+      deliver (hub, message);
+      message_free (message);
+    }
+  if (!lb_list_is_empty (&hub->mail))
+    event_active (hub->wakeup, EV_TIMEOUT, 0);
+}
+
+LnHub *
+ln_hub_new (struct event_base *base)
+{
+  LnHub *hub = LB_NEW (LnHub);
+
+  hub->base = base;
+  hub->wakeup = event_new (base, -1, 0, deliver_waiting, hub);
+  lb_list_init (&hub->tasks);
+  lb_list_init (&hub->mail);
+  return hub;
+}
+
+/* Frees the tasks, last added first. */
+void
+ln_hub_free (LnHub *hub)
+{
+  LbLink *link;
+
+  if (!hub)
+    return;
+  while ((link = lb_list_pop (&hub->mail)))
+    message_free (LB_CONTAINER (link, LnMessage, link));
+  while (!lb_list_is_empty (&hub->tasks))
+    {
+      LnTask *task = LB_CONTAINER (hub->tasks.head.prev, LnTask, link);
+      lb_list_remove (&hub->tasks, &task->link);
+      task->klass->free (task);
+    }
+  while ((link = lb_list_pop (&hub->mail)))
+    message_free (LB_CONTAINER (link, LnMessage, link));
+  event_free (hub->wakeup);
+  free (hub);
+}
+
+struct event_base *
+ln_hub_base (const LnHub *hub)
+{
+  return hub->base;
+}
+
+void
+ln_hub_add (LnHub *hub, LnTask *task)
+{
+  task->hub = hub;
+  lb_list_append (&hub->tasks, &task->link);
+}
+
+LnTask *
+ln_hub_find (const LnHub *hub, const char *name)
+{
+  LB_LIST_FOREACH (&hub->tasks, LnTask, link, task)
+  {
+    if (strcmp (task->klass->name, name) == 0)
+      return task;
+  }
+  return NULL;
+}
+
+void
+ln_post (LnHub *hub, LnTask *to, const LnMessage *message, size_t size)
+{
+  LnMessage *copy = lb_memdup (message, size);
+
+  copy->to = to;
+  lb_list_append (&hub->mail, &copy->link);
+  event_active (hub->wakeup, EV_TIMEOUT, 0);
+}
+
+void
+ln_hub_drain (LnHub *hub)
+{
+  LB_LIST_FOREACH (&hub->tasks, LnTask, link, task)
+  {
+    if (task->klass->drain)
+      task->klass->drain (task);
+  }
+}
+
+bool
+ln_hub_is_idle (const LnHub *hub)
+{
+  if (!lb_list_is_empty (&hub->mail))
+    return false;
+  LB_LIST_FOREACH (&hub->tasks, LnTask, link, task)
+  {
+    if (task->klass->is_idle && !task->klass->is_idle (task))
+      return false;
+  }
+  return true;
+}
--- /dev/null
+++ b/packages/platform/include/lp-platform.h
@@ -0,0 +1,114 @@
+#ifndef LP_PLATFORM_H
+#define LP_PLATFORM_H
+
+#include "lb-error.h"
+
+struct event_base;
+
+/* What the platform gives, behind one vtable: an HTTP kind and an in-memory kind. Every call
+ * answers exactly once through its callback, never from inside the call. */
+typedef struct LpPlatform LpPlatform;
+
+typedef struct
+{
+  const char *key;
+  int64_t version; /* must be the row's present version; 0: the row must be absent */
+} LpCondition;
+
+typedef struct
+{
+  const char *key;
+  const char *value; /* NULL: delete */
+} LpPut;
+
+/* One conditional transaction. token makes it idempotent: the same token is applied once. */
+typedef struct
+{
+  const char *token;
+  const LpCondition *conditions;
+  size_t n_conditions;
+  const LpPut *puts;
+  size_t n_puts;
+} LpTransaction;
+
+typedef struct
+{
+  const char *key;
+  const char *value;
+  int64_t version;
+} LpRow;
+
+/* error: LB_OK, CONDITION_FAILED (row tells the failed key and its present version), STORE_AWAY
+ * (known not applied), STORE_UNKNOWN (may be applied: read back), STORE_BUSY. */
+typedef void (*LpTransactDone) (LbErrorCode error, const LpRow *row, void *user);
+/* error: LB_OK, NOT_FOUND, STORE_AWAY, STORE_BUSY. Rows are valid during the call. */
+typedef void (*LpRowsDone) (LbErrorCode error, const LpRow *rows, size_t n_rows, void *user);
+typedef void (*LpObjectDone) (LbErrorCode error, const char *bytes, size_t length, void *user);
+
+typedef struct
+{
+  const char *name;
+  const char *caller_address;
+  const char *peer_address;
+  const char *data_centre;
+  bool leaving;
+} LpInstance;
+
+typedef struct
+{
+  const LpInstance *instances;
+  size_t n_instances;
+  const char *const *leaving_endpoints;
+  size_t n_leaving_endpoints;
+} LpInstanceList;
+
+typedef void (*LpInstancesDone) (LbErrorCode error, const LpInstanceList *list, void *user);
+typedef void (*LpWeightsDone) (LbErrorCode error, int64_t version, void *user);
+
+/* Which writes go first when the client's own rate is used up. */
+typedef enum
+{
+  LP_PRIORITY_LEASE,
+  LP_PRIORITY_CONFIG,
+  LP_PRIORITY_LEDGER,
+  LP_PRIORITY_STATUS
+} LpPriority;
+
+typedef struct
+{
+  const char *name; /* "memory", "http" */
+  void (*free) (LpPlatform *platform);
+  void (*transact) (LpPlatform *platform,
+                    const LpTransaction *transaction,
+                    LpPriority priority,
+                    LpTransactDone done,
+                    void *user);
+  void (*get) (LpPlatform *platform, const char *key, LpRowsDone done, void *user);
+  void (*scan) (LpPlatform *platform, const char *prefix, LpRowsDone done, void *user);
+  void (*put_object) (LpPlatform *platform,
+                      const char *key,
+                      const char *bytes,
+                      size_t length,
+                      LpObjectDone done,
+                      void *user);
+  void (*get_object) (LpPlatform *platform, const char *key, LpObjectDone done, void *user);
+  void (*instances) (LpPlatform *platform, LpInstancesDone done, void *user);
+  void (*weights) (LpPlatform *platform, const char *pool, LpWeightsDone done, void *user);
+} LpPlatformClass;
+
+struct LpPlatform
+{
+  const LpPlatformClass *klass;
+};
+
+typedef struct
+{
+  LbName address;  /* of the platform's HTTP interface */
+  LbTime deadline; /* of one call */
+  double rate;     /* calls a second this instance allows itself */
+} LpHttpSettings;
+
+LpPlatform *lp_memory_new (struct event_base *base);
+LpPlatform *lp_http_new (struct event_base *base, const LpHttpSettings *settings);
+
+#endif
--- /dev/null
+++ b/packages/platform/src/lp-platform.c
@@ -0,0 +1,1 @@
+#include "lp-platform.h"
--- /dev/null
+++ b/standins/standin.c
@@ -0,0 +1,1 @@
+#include "standin.h"
