--- a/packages/core/include/lc-dispatch.h
+++ b/packages/core/include/lc-dispatch.h
@@ -19,7 +19,7 @@
 
 typedef struct
 {
-  LcRequestId id; /* chosen by the submitter through lc_dispatch_new_id */
+  LcRequestId id; /* chosen by the submitter; never reused in this process */
   LcRequestKind kind;
   LcDelivery delivery;
   LbName pool;   /* pool, or service name */
@@ -103,7 +103,6 @@
 void lc_dispatch_free (LcDispatch *dispatch);
 
 /* commands; actions are appended to the list and owned by the caller (lc_action_free) */
-LcRequestId lc_dispatch_new_id (LcDispatch *dispatch);
 void
 lc_dispatch_configure (LcDispatch *dispatch, const LcResourceSet *set, LbTime now, LbList *actions);
 /* False with a typed "not run" error and *retry_after when it is not admitted. */
--- /dev/null
+++ b/packages/node/include/ln-context.h
@@ -0,0 +1,36 @@
+#ifndef LN_CONTEXT_H
+#define LN_CONTEXT_H
+
+#include "lc-types.h"
+#include "ln-settings.h"
+#include "ln-task.h"
+
+struct event_base;
+struct LhPool;
+struct LpPlatform;
+
+/* What every task is made with. Lives as long as the process. */
+typedef struct
+{
+  struct event_base *base;
+  LnHub *hub;
+  const LnSettings *settings;
+  struct LhPool *http; /* towards endpoints and other instances */
+  struct LpPlatform *platform;
+  LbName instance;       /* name of this instance */
+  char incarnation[40];  /* new at each start of the process */
+  LbName caller_address; /* as bound, with the real port */
+  LbName peer_address;
+  LcRequestId next_request; /* the last id given; see ln_context_next_request */
+} LnContext;
+
+LcRequestId ln_context_next_request (LnContext *context);
+
+/* Makers of the tasks; each is in the .c file of its name. */
+LnTask *ln_front_new (LnContext *context);
+LnTask *ln_calls_new (LnContext *context);
+LnTask *ln_rollouts_new (LnContext *context);
+LnTask *ln_config_new (LnContext *context);
+LnTask *ln_peers_new (LnContext *context);
+
+#endif
--- a/packages/node/include/ln-messages.h
+++ b/packages/node/include/ln-messages.h
@@ -43,7 +43,7 @@
 typedef struct
 {
   LnMessage base;
-  LcRequestSpec spec; /* spec.id from ln_calls_new_id; kind SERVICE: a call of a scorer */
+  LcRequestSpec spec; /* spec.id from ln_context_next_request; kind SERVICE: a call of a scorer */
   char *body;         /* owned: JSON for the endpoint */
   char *resume_text;  /* owned; NULL: from the start */
 } LnSampleMessage;
--- /dev/null
+++ b/packages/node/include/ln-settings.h
@@ -0,0 +1,73 @@
+#ifndef LN_SETTINGS_H
+#define LN_SETTINGS_H
+
+#include "lb-error.h"
+#include "lb-log.h"
+
+typedef enum
+{
+  LN_PLATFORM_MEMORY,
+  LN_PLATFORM_HTTP
+} LnPlatformKind;
+
+/* The settings file of lentilspindled, checked. Every member has a default. */
+typedef struct
+{
+  struct
+  {
+    LbName name; /* empty: made from the caller address */
+    LbName data_centre;
+    LbName caller_address; /* "127.0.0.1:0": port chosen by the kernel */
+    LbName peer_address;
+  } instance;
+  struct
+  {
+    int kind; /* LnPlatformKind */
+    LbName address;
+    int64_t deadline_ms;
+    double rate;
+  } platform;
+  struct
+  {
+    char key[128]; /* shared key of the frames between instances */
+    LbName *seeds; /* peer addresses to begin with */
+    size_t n_seeds;
+  } cluster;
+  struct
+  {
+    int level; /* LbLogLevel */
+  } log;
+  struct
+  {
+    char operator_token[128];
+    int64_t max_body_bytes;
+    int64_t max_header_bytes;
+    int64_t request_read_ms; /* a request must be whole within this time */
+    int64_t max_connections;
+  } http;
+  struct
+  {
+    LbName policy;
+    int64_t queue_limit;
+    int64_t default_deadline_ms;
+    double retry_budget;
+    int64_t hedge_after_ms;
+    int64_t stream_silence_ms; /* an endpoint's stream with no byte for this long is broken */
+    int64_t load_poll_ms;
+  } calls;
+  struct
+  {
+    int64_t drain_ms; /* how long to stay after SIGTERM for callers that hold old addresses */
+    int64_t entry_ttl_ms;
+  } drain;
+  char address_file[256]; /* written with {"caller_address", "peer_address"} once bound; empty: none
+                           */
+  char record[256];       /* trace file; empty: none */
+  uint64_t seed;
+} LnSettings;
+
+void ln_settings_init (LnSettings *settings);
+void ln_settings_clear (LnSettings *settings);
+bool ln_settings_read (LnSettings *settings, const char *path, LbError *error);
+
+#endif
