Rollouts: first working core

LcPiece and LcSpan get kv_reused_version (appended, 0: none); LcRolloutSettings gets pause_limit; new lc_rollouts_recover, lc_rollouts_invariant_failures, lc_step_spec_hash.

--- a/packages/core/include/lc-dispatch.h
+++ b/packages/core/include/lc-dispatch.h
@@ -44,8 +44,9 @@
 {
   int64_t offset; /* index of its first token */
   int64_t tokens;
-  LcVersion version; /* 0: not stated */
-  bool last;         /* explicit end marker */
+  LcVersion version;           /* 0: not stated */
+  bool last;                   /* explicit end marker */
+  LcVersion kv_reused_version; /* the engine said that it reused KV cache of it; 0: no */
 } LcPiece;
 
 typedef enum
--- a/packages/core/include/lc-rollouts.h
+++ b/packages/core/include/lc-rollouts.h
@@ -112,6 +112,9 @@
   bool predict_staleness;
   bool group_release;
   bool fair_shares;
+  /* An owner that found no time to tick for so long may have been replaced meanwhile: it has its
+   * session confirmed by a ledger write before it delivers again. 0: never. */
+  LbTime pause_limit;
 } LcRolloutSettings;
 
 typedef struct LcRollouts LcRollouts;
@@ -133,6 +136,15 @@
                        LbTime now,
                        LbList *actions,
                        LbError *error);
+/* Opens a step that an earlier owner began: ledger is the value of its last ledger row ("" when
+ * there is none). Slots that the ledger names are not generated again. */
+bool lc_rollouts_recover (LcRollouts *rollouts,
+                          LcStepSpec *spec,
+                          uint64_t session,
+                          const char *ledger,
+                          LbTime now,
+                          LbList *actions,
+                          LbError *error);
 /* The owner was replaced: stops all work of the step and answers its pulls with STALE_SESSION. */
 void lc_rollouts_lose (
     LcRollouts *rollouts, const char *subscription, int64_t step, LbTime now, LbList *actions);
@@ -179,5 +191,10 @@
                          int64_t step,
                          LcStepStatus *status);
 size_t lc_rollouts_in_progress (const LcRollouts *rollouts);
+/* Times that a delivery was refused because it would have broken a promise; 0 in a sound program.
+ */
+int64_t lc_rollouts_invariant_failures (const LcRollouts *rollouts);
+/* The content of a step as one number: equal for equal content, on every instance. */
+uint64_t lc_step_spec_hash (const LcStepSpec *spec);
 
 #endif
--- a/packages/core/include/lc-types.h
+++ b/packages/core/include/lc-types.h
@@ -24,6 +24,7 @@
   LcVersion version;
   int64_t first; /* index of the first token */
   int64_t count;
+  LcVersion kv_reused_version; /* KV cache of this version was reused: it counts too; 0: none */
 } LcSpan;
 
 #define LC_MAX_SPANS 16
--- a/packages/core/src/lc-label.c
+++ b/packages/core/src/lc-label.c
@@ -9,29 +9,44 @@
 }
 
 static bool
-extends_last (const LcLabel *label, LcVersion version)
+extends_last (const LcLabel *label, const LcSpan *span)
 {
-  return label->n_spans > 0 && label->spans[label->n_spans - 1].version == version;
+  const LcSpan *last = label->n_spans > 0 ? &label->spans[label->n_spans - 1] : NULL;
+
+  return last && last->version == span->version
+         && last->kv_reused_version == span->kv_reused_version;
 }
 
 void
 lc_label_add (LcLabel *label, int64_t offset, int64_t tokens, LcVersion version)
 {
+  lc_label_add_reused (label, offset, tokens, version, 0);
+}
+
+/* A gap or an overlap means that tokens of two generations would be spliced; a missing version can
+ * not be known from anything else. Either shows later as a sample whose label lies, so the label is
+ * given up for good: nothing that follows can make it whole again. */
+void
+lc_label_add_reused (
+    LcLabel *label, int64_t offset, int64_t tokens, LcVersion version, LcVersion kv_reused_version)
+{
+  LcSpan span = { .version = version, .first = offset, .kv_reused_version = kv_reused_version };
+
   if (label->unlabelled || tokens == 0)
     return;
-  if (offset != label->tokens || tokens < 0 || version <= 0)
+  if (offset != label->tokens || tokens < 0 || version <= 0 || kv_reused_version < 0)
     {
       label->unlabelled = true;
       return;
     }
-  if (!extends_last (label, version))
+  if (!extends_last (label, &span))
     {
       if (label->n_spans == LC_MAX_SPANS)
         {
           label->unlabelled = true;
           return;
         }
-      label->spans[label->n_spans++] = (LcSpan){ .version = version, .first = offset };
+      label->spans[label->n_spans++] = span;
     }
   label->spans[label->n_spans - 1].count += tokens;
   label->tokens += tokens;
@@ -40,7 +55,25 @@
 bool
 lc_label_is_complete (const LcLabel *label, int64_t tokens)
 {
-  return !label->unlabelled && label->n_spans > 0 && label->tokens == tokens;
+  int64_t covered = 0;
+
+  if (label->unlabelled || label->n_spans == 0 || label->tokens != tokens)
+    return false;
+  for (size_t i = 0; i < label->n_spans; i++)
+    {
+      if (label->spans[i].version <= 0 || label->spans[i].first != covered)
+        return false;
+      covered += label->spans[i].count;
+    }
+  return covered == tokens;
+}
+
+static LcVersion
+older (LcVersion a, LcVersion b)
+{
+  if (a == 0 || b == 0)
+    return a + b;
+  return a < b ? a : b;
 }
 
 /* The version that staleness is judged by; 0 for an empty label. */
@@ -50,7 +83,9 @@
   LcVersion oldest = 0;
 
   for (size_t i = 0; i < label->n_spans; i++)
-    if (oldest == 0 || label->spans[i].version < oldest)
-      oldest = label->spans[i].version;
+    {
+      oldest = older (oldest, label->spans[i].version);
+      oldest = older (oldest, label->spans[i].kv_reused_version);
+    }
   return oldest;
 }
--- /dev/null
+++ b/packages/core/src/lc-step.c
@@ -0,0 +1,199 @@
+#include "lc-step.h"
+
+#include "lb-alloc.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+void
+lc_step_spec_clear (LcStepSpec *spec)
+{
+  for (size_t i = 0; i < spec->n_groups; i++)
+    free (spec->groups[i].prompt);
+  free (spec->groups);
+  memset (spec, 0, sizeof *spec);
+}
+
+static void
+hash_text (XXH64_state_t *state, const char *text)
+{
+  XXH64_update (state, text, strlen (text) + 1);
+}
+
+static void
+hash_number (XXH64_state_t *state, int64_t number)
+{
+  XXH64_update (state, &number, sizeof number);
+}
+
+uint64_t
+lc_step_spec_hash (const LcStepSpec *spec)
+{
+  XXH64_state_t *state = XXH64_createState ();
+
+  XXH64_reset (state, 0);
+  hash_text (state, spec->subscription);
+  hash_number (state, spec->step);
+  for (size_t i = 0; i < spec->n_groups; i++)
+    {
+      hash_text (state, spec->groups[i].id);
+      hash_text (state, spec->groups[i].prompt);
+      hash_number (state, spec->groups[i].samples);
+      hash_number (state, spec->groups[i].max_tokens);
+    }
+  uint64_t hash = XXH64_digest (state);
+  XXH64_freeState (state);
+  return hash;
+}
+
+static size_t
+count_slots (const LcStepSpec *spec)
+{
+  size_t count = 0;
+
+  for (size_t i = 0; i < spec->n_groups; i++)
+    count += (size_t)spec->groups[i].samples;
+  return count;
+}
+
+static void
+fill_groups (LcStep *step)
+{
+  size_t next = 0;
+  int64_t longest = 0;
+
+  for (size_t g = 0; g < step->spec.n_groups; g++)
+    {
+      const LcGroupSpec *spec = &step->spec.groups[g];
+
+      step->groups[g] = (LcGroup){ .first = next, .count = (size_t)spec->samples };
+      if (spec->max_tokens > longest)
+        longest = spec->max_tokens;
+      for (int64_t i = 0; i < spec->samples; i++, next++)
+        {
+          step->slots[next].group = g;
+          step->slots[next].index = i;
+          lb_list_init (&step->slots[next].jobs);
+        }
+    }
+  lc_lengths_init (&step->lengths, longest);
+}
+
+LcStep *
+lc_step_new (LcStepSpec *spec, uint64_t session, LcTrash *trash, LbTime now)
+{
+  LcStep *step = LB_NEW (LcStep);
+
+  step->hash = lc_step_spec_hash (spec);
+  step->spec = *spec;
+  memset (spec, 0, sizeof *spec);
+  step->trash = trash;
+  step->session = session;
+  step->retry_at = LB_TIME_NEVER;
+  step->n_slots = count_slots (&step->spec);
+  step->slots = LB_NEW_ARRAY (LcSlot, step->n_slots);
+  step->groups = LB_NEW_ARRAY (LcGroup, step->spec.n_groups);
+  step->n_in_state[LC_SLOT_WAITING] = step->n_slots;
+  step->trainer_version = step->spec.version;
+  step->status.slots = (int64_t)step->n_slots;
+  step->status.opened = now;
+  step->ledger.last = now;
+  fill_groups (step);
+  lc_cursor_init (&step->acked, step->n_slots);
+  lb_list_init (&step->pulls);
+  return step;
+}
+
+void
+lc_trash_add (LcTrash *trash, void *item)
+{
+  if (!item)
+    return;
+  if (trash->n_items == trash->capacity)
+    {
+      trash->capacity = trash->capacity ? 2 * trash->capacity : 64;
+      trash->items = lb_realloc (trash->items, trash->capacity * sizeof *trash->items);
+    }
+  trash->items[trash->n_items++] = item;
+}
+
+void
+lc_trash_empty (LcTrash *trash)
+{
+  for (size_t i = 0; i < trash->n_items; i++)
+    free (trash->items[i]);
+  free (trash->items);
+  memset (trash, 0, sizeof *trash);
+}
+
+void
+lc_chunk_clear (LcChunk *chunk)
+{
+  free (chunk->slots);
+  lc_cursor_clear (&chunk->cursor);
+  memset (chunk, 0, sizeof *chunk);
+}
+
+void
+lc_step_free (LcStep *step)
+{
+  for (size_t i = 0; i < step->n_slots; i++)
+    lc_step_forget_text (step, &step->slots[i]);
+  free (step->slots);
+  free (step->groups);
+  lc_chunk_clear (&step->chunk);
+  lc_cursor_clear (&step->acked);
+  for (size_t i = 0; i < step->spec.n_groups; i++)
+    lc_trash_add (step->trash, step->spec.groups[i].prompt);
+  lc_trash_add (step->trash, step->spec.groups);
+  free (step);
+}
+
+void
+lc_step_set_state (LcStep *step, LcSlot *slot, LcSlotState state)
+{
+  step->n_in_state[slot->state]--;
+  slot->state = state;
+  step->n_in_state[state]++;
+}
+
+void
+lc_step_forget_text (LcStep *step, LcSlot *slot)
+{
+  lc_trash_add (step->trash, slot->text);
+  lc_trash_add (step->trash, slot->label);
+  slot->text = NULL;
+  slot->label = NULL;
+  slot->has_score = false;
+}
+
+void
+lc_step_reset_slot (LcStep *step, LcSlot *slot)
+{
+  lc_step_forget_text (step, slot);
+  lc_step_set_state (step, slot, LC_SLOT_WAITING);
+}
+
+size_t
+lc_step_unsent (const LcStep *step)
+{
+  return step->n_slots - step->n_in_state[LC_SLOT_ACKED] - step->n_in_state[LC_SLOT_SENT];
+}
+
+const LcGroupSpec *
+lc_step_group_spec (const LcStep *step, const LcSlot *slot)
+{
+  return &step->spec.groups[slot->group];
+}
+
+bool
+lc_step_group_is_whole (const LcStep *step, size_t group)
+{
+  const LcGroup *at = &step->groups[group];
+
+  for (size_t i = at->first; i < at->first + at->count; i++)
+    if (step->slots[i].state < LC_SLOT_READY)
+      return false;
+  return true;
+}
