--- a/packages/core/include/lc-label.h
+++ b/packages/core/include/lc-label.h
@@ -14,5 +14,7 @@
 /* All of the first tokens are labelled, without gap or overlap. */
 bool lc_label_is_complete (const LcLabel *label, int64_t tokens);
 LcVersion lc_label_oldest (const LcLabel *label);
+/* Versions between the trainer's and the label's oldest; never below 0. */
+int64_t lc_label_staleness (const LcLabel *label, LcVersion trainer);
 
 #endif
--- a/packages/core/include/lc-rollouts.h
+++ b/packages/core/include/lc-rollouts.h
@@ -63,6 +63,8 @@
   LcRolloutActionType type;
   /* GENERATE, SCORE, ABANDON */
   LcRequestSpec spec; /* spec.id names the request */
+  const char *group;  /* owned by the step; valid until the next command */
+  int64_t index;      /* of the sample in its group; the same for hedges and repeats of one slot */
   const char *prompt; /* owned by the step; valid until the next command */
   int64_t max_tokens;
   char *resume_text; /* owned by the action; NULL: from the start */
@@ -185,11 +187,15 @@
 void lc_rollout_action_free (LcRolloutAction *action);
 
 /* queries */
+/* Whether the step's content and subscription are such that it could be opened here. */
+bool lc_rollouts_may_open (const LcRollouts *rollouts, const LcStepSpec *spec, LbError *error);
 LbTime lc_rollouts_next_tick (const LcRollouts *rollouts);
 bool lc_rollouts_status (const LcRollouts *rollouts,
                          const char *subscription,
                          int64_t step,
                          LcStepStatus *status);
+/* True for a running request that asks a scorer. */
+bool lc_rollouts_is_scoring (const LcRollouts *rollouts, LcRequestId request);
 size_t lc_rollouts_in_progress (const LcRollouts *rollouts);
 /* Times that a delivery was refused because it would have broken a promise; 0 in a sound program.
  */
--- a/packages/core/src/lc-deliver.c
+++ b/packages/core/src/lc-deliver.c
@@ -160,7 +160,7 @@
 static void
 count_delivery (LcStep *step, const LcSlot *slot, LcVersion version)
 {
-  int64_t staleness = lc_staleness_of (slot->label, version);
+  int64_t staleness = lc_label_staleness (slot->label, version);
 
   if (!slot->was_sent)
     step->status.staleness_sum += (double)staleness;
--- a/packages/core/src/lc-generate.c
+++ b/packages/core/src/lc-generate.c
@@ -11,6 +11,8 @@
 
 #define RETRY_FIRST (100 * LB_MSEC)
 #define RETRY_LONGEST (5 * LB_SEC)
+/* A scorer that says nothing for so long is asked again. */
+#define SCORE_DEADLINE (30 * LB_SEC)
 #define HEDGE_INTERVAL (100 * LB_MSEC)
 #define BYTES_PER_TOKEN 4
 #define HIGHEST_PRIORITY 10
@@ -238,7 +240,7 @@
 
   spec->id = job->request;
   spec->kind = LC_KIND_SAMPLE;
-  spec->delivery = LC_DELIVER_WHOLE;
+  spec->delivery = LC_DELIVER_STREAM; /* progress must be seen, for hedges and for resuming */
   LB_COPY (spec->pool, trainer->resource.pool);
   LB_COPY (spec->caller, step->spec.subscription);
   spec->share = trainer->resource.share;
@@ -297,6 +299,8 @@
   pool_of (rollouts, step)->running++;
   lc_rollouts_trainer (rollouts, step->spec.subscription)->running++;
   fill_spec (rollouts, &action->spec, job);
+  action->group = group->id;
+  action->index = slot->index;
   action->prompt = group->prompt;
   action->max_tokens = group->max_tokens;
   action->resume_text = job->prefix ? lb_strdup (job->prefix) : NULL;
@@ -320,8 +324,10 @@
   LB_COPY (action->spec.caller, step->spec.subscription);
   action->spec.share = trainer->resource.share;
   action->spec.repeatable = true;
-  action->spec.deadline = LB_TIME_NEVER;
+  action->spec.deadline = now + SCORE_DEADLINE;
   LB_COPY (action->scorer, trainer->resource.scorer);
+  action->group = lc_step_group_spec (step, slot)->id;
+  action->index = slot->index;
   action->prompt = lc_step_group_spec (step, slot)->prompt;
   action->text = slot->text;
 }
@@ -593,7 +599,7 @@
           LB_TEXT ("subscription", job->step->spec.subscription),
           LB_INT ("step", job->step->spec.step), LB_INT ("slot", (int64_t)job->slot),
           LB_TEXT ("endpoint", job->endpoint), LB_INT ("tokens", job->label.tokens));
-  if (may_keep && made_tokens (job) > 0 && text)
+  if (may_keep && made_tokens (job) > 0 && text && text[0])
     {
       keep_partial (rollouts, job, text, now);
       return;
--- a/packages/core/src/lc-label.c
+++ b/packages/core/src/lc-label.c
@@ -89,3 +89,11 @@
     }
   return oldest;
 }
+
+int64_t
+lc_label_staleness (const LcLabel *label, LcVersion trainer)
+{
+  int64_t lag = trainer - lc_label_oldest (label);
+
+  return lag > 0 ? lag : 0;
+}
--- a/packages/core/src/lc-rollouts.c
+++ b/packages/core/src/lc-rollouts.c
@@ -316,8 +316,8 @@
   return true;
 }
 
-static bool
-may_open (LcRollouts *rollouts, const LcStepSpec *spec, LbError *error)
+bool
+lc_rollouts_may_open (const LcRollouts *rollouts, const LcStepSpec *spec, LbError *error)
 {
   const LcTrainer *trainer = lc_rollouts_trainer (rollouts, spec->subscription);
 
@@ -352,7 +352,7 @@
   begin (rollouts, now);
   if (step)
     return is_same (step, spec, error);
-  if (!may_open (rollouts, spec, error))
+  if (!lc_rollouts_may_open (rollouts, spec, error))
     return false;
   step = lc_step_new (spec, session, &rollouts->trash, now);
   bool ok = lc_cursor_from_text (&cursor, ledger, step->n_slots, step->hash, error);
@@ -624,6 +624,15 @@
   return true;
 }
 
+bool
+lc_rollouts_is_scoring (const LcRollouts *rollouts, LcRequestId request)
+{
+  const LcJob *job = NULL;
+
+  HASH_FIND (hh, rollouts->jobs, &request, sizeof request, job);
+  return job && job->scores;
+}
+
 /* Requests and pulls that are not answered yet. */
 size_t
 lc_rollouts_in_progress (const LcRollouts *rollouts)
--- a/packages/core/src/lc-staleness.c
+++ b/packages/core/src/lc-staleness.c
@@ -2,18 +2,10 @@
 
 #include "lc-label.h"
 
-int64_t
-lc_staleness_of (const LcLabel *label, LcVersion trainer)
-{
-  int64_t lag = trainer - lc_label_oldest (label);
-
-  return lag > 0 ? lag : 0;
-}
-
 bool
 lc_staleness_is_too_old (const LcLabel *label, LcVersion trainer, int64_t max_lag)
 {
-  return lc_staleness_of (label, trainer) > max_lag;
+  return lc_label_staleness (label, trainer) > max_lag;
 }
 
 static int64_t
--- a/packages/core/src/lc-staleness.h
+++ b/packages/core/src/lc-staleness.h
@@ -13,8 +13,6 @@
   LbTime cadence;     /* between versions; 0: unknown */
 } LcFreshness;
 
-/* Versions between the trainer's and the label's oldest; never below 0. */
-int64_t lc_staleness_of (const LcLabel *label, LcVersion trainer);
 bool lc_staleness_is_too_old (const LcLabel *label, LcVersion trainer, int64_t max_lag);
 /* The oldest weights worth starting on, for a sample that takes so many seconds; 0: any. */
 LcVersion lc_staleness_min_version (const LcFreshness *freshness, double seconds);
--- /dev/null
+++ b/packages/node/src/ln-step-call.c
@@ -0,0 +1,344 @@
+#include "ln-step-call.h"
+
+#include "lb-alloc.h"
+#include "lc-label.h"
+
+#include <json-c/json.h>
+#include <limits.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define PREFIX "/v1/subscriptions/"
+#define MOST_WAIT_MS 30000
+#define MOST_SAMPLES_PER_PULL 4096
+#define MOST_TOKENS 10000000
+
+static bool
+split_path (const char *path, LbName subscription, const char **rest, LbError *error)
+{
+  const char *name = path + strlen (PREFIX);
+  const char *slash = strncmp (path, PREFIX, strlen (PREFIX)) == 0 ? strchr (name, '/') : NULL;
+
+  if (!slash || slash == name || slash - name >= LB_NAME_MAX)
+    return lb_error_set (error, LB_ERROR_UNKNOWN_PATH, path, "expected " PREFIX "NAME/...");
+  memcpy (subscription, name, (size_t)(slash - name));
+  subscription[slash - name] = '\0';
+  *rest = slash + 1;
+  return true;
+}
+
+static bool
+read_type (LnStepCall *call, const char *method, const char *rest, LbError *error)
+{
+  bool posted = strcmp (method, "POST") == 0;
+  char *end = NULL;
+
+  if (posted && strcmp (rest, "steps") == 0)
+    call->type = LN_STEP_OPEN;
+  else if (posted && strcmp (rest, "pull") == 0)
+    call->type = LN_STEP_PULL;
+  else if (strcmp (method, "GET") == 0 && strncmp (rest, "steps/", 6) == 0)
+    {
+      call->type = LN_STEP_STATUS;
+      call->key.step = strtoll (rest + 6, &end, 10);
+      if (end == rest + 6 || *end)
+        return lb_error_set (error, LB_ERROR_BAD_VALUE, "step", "expected a number in the path");
+    }
+  else
+    return lb_error_set (error, LB_ERROR_UNKNOWN_PATH, rest, "expected steps, steps/N or pull");
+  return true;
+}
+
+/* An absent key leaves value as it is unless it is required. */
+static bool
+read_integer (struct json_object *object,
+              const char *key,
+              int64_t low,
+              int64_t high,
+              bool required,
+              int64_t *value,
+              LbError *error)
+{
+  struct json_object *member = NULL;
+
+  if (!json_object_object_get_ex (object, key, &member))
+    return !required || lb_error_set (error, LB_ERROR_MISSING_KEY, key, "this key is required");
+  if (!json_object_is_type (member, json_type_int))
+    return lb_error_set (error, LB_ERROR_BAD_VALUE, key, "expected a whole number");
+  *value = json_object_get_int64 (member);
+  if (*value < low || *value > high)
+    return lb_error_set (error, LB_ERROR_OUT_OF_RANGE, key, "expected %lld to %lld", (long long)low,
+                         (long long)high);
+  return true;
+}
+
+static bool
+read_text (struct json_object *object, const char *key, const char **text, LbError *error)
+{
+  struct json_object *member = NULL;
+
+  if (!json_object_object_get_ex (object, key, &member))
+    return lb_error_set (error, LB_ERROR_MISSING_KEY, key, "this key is required");
+  if (!json_object_is_type (member, json_type_string))
+    return lb_error_set (error, LB_ERROR_BAD_VALUE, key, "expected a text");
+  *text = json_object_get_string (member);
+  return true;
+}
+
+static struct json_object *
+parse_body (const char *body, size_t length, LbError *error)
+{
+  struct json_tokener *tokener = json_tokener_new ();
+  struct json_object *object
+      = length > INT_MAX ? NULL : json_tokener_parse_ex (tokener, body, (int)length);
+
+  if (!json_object_is_type (object, json_type_object))
+    {
+      lb_error_set (error, LB_ERROR_BAD_JSON, "body", "expected a JSON object");
+      json_object_put (object);
+      object = NULL;
+    }
+  json_tokener_free (tokener);
+  return object;
+}
+
+static bool
+read_pull (LnStepCall *call, LbTime now, LbError *error)
+{
+  size_t length;
+  const char *body = ln_exchange_body (call->exchange, &length);
+  struct json_object *object = parse_body (body, length, error);
+  const char *cursor = "";
+  int64_t wait_ms = 0;
+  bool ok
+      = object && read_integer (object, "step", 0, INT64_MAX, true, &call->key.step, error)
+        && read_text (object, "cursor", &cursor, error)
+        && read_integer (object, "weight_version", 0, INT64_MAX, true, &call->pull.version, error)
+        && read_integer (object, "max_samples", 1, MOST_SAMPLES_PER_PULL, false,
+                         &call->pull.max_samples, error)
+        && read_integer (object, "wait_ms", 0, MOST_WAIT_MS, false, &wait_ms, error);
+
+  if (ok)
+    {
+      call->cursor = lb_strdup (cursor);
+      call->pull.cursor = call->cursor;
+      call->pull.id = call->id;
+      call->pull.step = call->key.step;
+      call->pull.wait_until = now + wait_ms * LB_MSEC;
+      LB_COPY (call->pull.subscription, call->key.subscription);
+    }
+  json_object_put (object);
+  return ok;
+}
+
+static bool
+read_open (LnStepCall *call, const LcRollouts *core, LbError *error)
+{
+  size_t length;
+  const char *body = ln_exchange_body (call->exchange, &length);
+  LcStepSpec spec = { 0 };
+
+  if (!ln_step_spec_read (&spec, call->key.subscription, body, length, error))
+    return false;
+  /* Before anything is written to the store: a claimed step with bad content could not be opened.
+   */
+  bool ok = lc_rollouts_may_open (core, &spec, error);
+  call->key.step = spec.step;
+  lc_step_spec_clear (&spec);
+  return ok;
+}
+
+LnStepCall *
+ln_step_call_read (LnExchange *exchange, const LcRollouts *core, LbTime now, LbError *error)
+{
+  LnStepCall *call = LB_NEW (LnStepCall);
+  const char *rest = NULL;
+
+  call->exchange = exchange;
+  call->id = ln_exchange_id (exchange);
+  call->pull.max_samples = MOST_SAMPLES_PER_PULL;
+  if (!split_path (ln_exchange_path (exchange), call->key.subscription, &rest, error)
+      || !read_type (call, ln_exchange_method (exchange), rest, error))
+    goto fail;
+  if (call->type == LN_STEP_PULL && !read_pull (call, now, error))
+    goto fail;
+  if (call->type == LN_STEP_OPEN && !read_open (call, core, error))
+    goto fail;
+  return call;
+fail:
+  ln_step_call_free (call);
+  return NULL;
+}
+
+void
+ln_step_call_free (LnStepCall *call)
+{
+  free (call->cursor);
+  free (call);
+}
+
+static bool
+read_group (struct json_object *object, LcGroupSpec *group, LbError *error)
+{
+  const char *id = "";
+  const char *prompt = "";
+
+  if (!json_object_is_type (object, json_type_object))
+    return lb_error_set (error, LB_ERROR_BAD_VALUE, "groups", "expected objects");
+  if (!read_text (object, "id", &id, error) || !read_text (object, "prompt", &prompt, error)
+      || !read_integer (object, "samples", 1, INT32_MAX, true, &group->samples, error)
+      || !read_integer (object, "max_tokens", 1, MOST_TOKENS, true, &group->max_tokens, error))
+    return false;
+  if (strlen (id) >= LB_NAME_MAX)
+    return lb_error_set (error, LB_ERROR_OUT_OF_RANGE, "groups.id", "the text is too long");
+  LB_COPY (group->id, id);
+  group->prompt = lb_strdup (prompt);
+  return true;
+}
+
+static bool
+read_groups (struct json_object *object, LcStepSpec *spec, LbError *error)
+{
+  struct json_object *groups = NULL;
+
+  if (!json_object_object_get_ex (object, "groups", &groups)
+      || !json_object_is_type (groups, json_type_array))
+    return lb_error_set (error, LB_ERROR_MISSING_KEY, "groups", "expected a list of groups");
+  spec->n_groups = json_object_array_length (groups);
+  spec->groups = LB_NEW_ARRAY (LcGroupSpec, spec->n_groups);
+  for (size_t i = 0; i < spec->n_groups; i++)
+    if (!read_group (json_object_array_get_idx (groups, i), &spec->groups[i], error))
+      return false;
+  return true;
+}
+
+/* The spec is to be cleared only on success. */
+bool
+ln_step_spec_read (
+    LcStepSpec *spec, const char *subscription, const char *body, size_t length, LbError *error)
+{
+  struct json_object *object = parse_body (body, length, error);
+  bool ok;
+
+  memset (spec, 0, sizeof *spec);
+  LB_COPY (spec->subscription, subscription);
+  ok = object && read_integer (object, "step", 0, INT64_MAX, true, &spec->step, error)
+       && read_integer (object, "weight_version", 0, INT64_MAX, true, &spec->version, error)
+       && read_groups (object, spec, error);
+  if (!ok)
+    lc_step_spec_clear (spec);
+  json_object_put (object);
+  return ok;
+}
+
+/* Replies. */
+
+void
+ln_step_call_reply_error (LnStepCall *call, const LbError *error, LbTime retry_after)
+{
+  if (call->exchange)
+    ln_exchange_reply_error (call->exchange, error, retry_after);
+  call->exchange = NULL;
+}
+
+static void
+reply (LnStepCall *call, int status, struct json_object *object)
+{
+  if (call->exchange)
+    ln_exchange_reply_json (call->exchange, status, object);
+  else
+    json_object_put (object);
+  call->exchange = NULL;
+}
+
+static void
+add_integer (struct json_object *object, const char *key, int64_t value)
+{
+  json_object_object_add (object, key, json_object_new_int64 (value));
+}
+
+void
+ln_step_call_reply_open (LnStepCall *call, int64_t samples, uint64_t session, bool durable)
+{
+  struct json_object *object = json_object_new_object ();
+
+  add_integer (object, "step", call->key.step);
+  add_integer (object, "samples", samples);
+  add_integer (object, "session", (int64_t)session);
+  json_object_object_add (object, "durable", json_object_new_boolean (durable));
+  reply (call, 202, object);
+}
+
+static struct json_object *
+span_object (const LcSpan *span)
+{
+  struct json_object *object = json_object_new_object ();
+
+  add_integer (object, "version", span->version);
+  add_integer (object, "first", span->first);
+  add_integer (object, "count", span->count);
+  if (span->kv_reused_version)
+    add_integer (object, "kv_reused_version", span->kv_reused_version);
+  return object;
+}
+
+static struct json_object *
+sample_object (const LnStepCall *call, const LcDelivered *sample)
+{
+  struct json_object *object = json_object_new_object ();
+  struct json_object *spans = json_object_new_array ();
+
+  json_object_object_add (object, "group", json_object_new_string (sample->group));
+  add_integer (object, "index", sample->index);
+  json_object_object_add (object, "text", json_object_new_string (sample->text));
+  add_integer (object, "tokens", sample->label->tokens);
+  if (sample->has_score)
+    json_object_object_add (object, "score", json_object_new_double (sample->score));
+  add_integer (object, "staleness", lc_label_staleness (sample->label, call->pull.version));
+  for (size_t i = 0; i < sample->label->n_spans; i++)
+    json_object_array_add (spans, span_object (&sample->label->spans[i]));
+  json_object_object_add (object, "spans", spans);
+  return object;
+}
+
+void
+ln_step_call_reply_chunk (LnStepCall *call, const LcRolloutAction *action)
+{
+  struct json_object *object = json_object_new_object ();
+  struct json_object *samples = json_object_new_array ();
+
+  add_integer (object, "step", call->key.step);
+  json_object_object_add (object, "cursor", json_object_new_string (action->cursor));
+  add_integer (object, "remaining", action->remaining);
+  json_object_object_add (object, "done", json_object_new_boolean (action->remaining == 0));
+  for (size_t i = 0; i < action->n_samples; i++)
+    json_object_array_add (samples, sample_object (call, &action->samples[i]));
+  json_object_object_add (object, "samples", samples);
+  reply (call, 200, object);
+}
+
+void
+ln_step_call_reply_status (LnStepCall *call, const LcStepStatus *status, uint64_t session)
+{
+  struct json_object *object = json_object_new_object ();
+
+  add_integer (object, "step", call->key.step);
+  add_integer (object, "session", (int64_t)session);
+  add_integer (object, "samples", status->slots);
+  add_integer (object, "delivered", status->delivered);
+  add_integer (object, "ready", status->ready);
+  add_integer (object, "running", status->running);
+  add_integer (object, "discarded_stale", status->discarded_stale);
+  add_integer (object, "discarded_unlabelled", status->discarded_unlabelled);
+  add_integer (object, "hedges", status->hedges);
+  add_integer (object, "tokens", status->tokens);
+  add_integer (object, "wasted_tokens", status->wasted_tokens);
+  add_integer (object, "staleness_max", status->staleness_max);
+  json_object_object_add (object, "staleness_mean",
+                          json_object_new_double (
+                              status->delivered ? status->staleness_sum / (double)status->delivered
+                                                : 0));
+  json_object_object_add (object, "done", json_object_new_boolean (status->completed != 0));
+  reply (call, 200, object);
+}
--- /dev/null
+++ b/packages/node/src/ln-step-relay.c
@@ -0,0 +1,100 @@
+#include "ln-step-relay.h"
+
+#include "lb-alloc.h"
+#include "lb-clock.h"
+#include "lb-log.h"
+#include "lh-fetch.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Beyond the time that the trainer itself wants to wait. */
+#define RELAY_SILENCE (3 * LB_SEC)
+
+typedef struct
+{
+  LnStepCall *call;
+  LnStepRelayDone done;
+  void *user;
+} Relay;
+
+static void
+on_done (LhFetch *fetch, const LhResult *result, void *user)
+{
+  Relay *relay = user;
+  LnStepCall *call = relay->call;
+  LnStepRelayDone done = relay->done;
+  void *done_user = relay->user;
+  const char *retry_after = lh_fetch_header (fetch, "x-retry-after-ms");
+
+  free (relay);
+  call->relay = NULL;
+  call->user = NULL;
+  if (result->failure == LB_OK && call->exchange)
+    {
+      if (retry_after)
+        ln_exchange_set_header (call->exchange, "x-retry-after-ms", retry_after);
+      ln_exchange_reply_text (call->exchange, result->status, "application/json", result->body,
+                              result->body_length);
+      call->exchange = NULL;
+    }
+  done (call, result->failure, done_user);
+}
+
+static LbTime
+silence_of (const LnStepCall *call)
+{
+  LbTime wait = call->type == LN_STEP_PULL ? call->pull.wait_until - lb_clock_monotonic () : 0;
+
+  return RELAY_SILENCE + (wait > 0 ? wait : 0);
+}
+
+bool
+ln_step_relay_start (LnContext *context,
+                     LnStepCall *call,
+                     const LnStepOwner *owner,
+                     LnStepRelayDone done,
+                     void *user)
+{
+  static const LhHandlers handlers = { .on_done = on_done };
+  const LhHeader headers[]
+      = { { "Content-Type", "application/json" }, { "x-relayed-by", context->instance } };
+  LbError error = { .code = LB_OK };
+  Relay *relay = LB_NEW (Relay);
+  size_t length;
+  const char *body = ln_exchange_body (call->exchange, &length);
+  const LhRequest request = { .method = ln_exchange_method (call->exchange),
+                              .address = owner->address,
+                              .path = ln_exchange_path (call->exchange),
+                              .headers = headers,
+                              .n_headers = 2,
+                              .body = body,
+                              .body_length = length,
+                              .silence = silence_of (call) };
+
+  *relay = (Relay){ .call = call, .done = done, .user = user };
+  call->relayed_to = *owner;
+  call->user = relay;
+  call->relay = lh_fetch_start (context->http, &request, &handlers, relay, &error);
+  if (call->relay)
+    {
+      lb_log (LB_LOG_INFO, "step-call-relayed", LB_TEXT ("subscription", call->key.subscription),
+              LB_INT ("step", call->key.step), LB_TEXT ("owner", owner->instance));
+      return true;
+    }
+  lb_log_error (LB_LOG_WARNING, "step-call-not-relayed", &error);
+  free (relay);
+  call->user = NULL;
+  return false;
+}
+
+void
+ln_step_relay_cancel (LnStepCall *call)
+{
+  if (!call->relay)
+    return;
+  lh_fetch_cancel (call->relay);
+  free (call->user);
+  call->relay = NULL;
+  call->user = NULL;
+}
