First endpoint table and routers

LcEndpoint loses its unused 'belief' pointer: the table keeps that privately. lc_endpoints_set_peers is added to the header.

--- a/packages/core/include/lc-endpoints.h
+++ b/packages/core/include/lc-endpoints.h
@@ -43,7 +43,6 @@
   LbTime breaker_until;
   int64_t consecutive_failures;
   LbTime last_reply;
-  void *belief; /* prefix-cache belief, owned by lc-endpoints */
 } LcEndpoint;
 
 typedef struct LcEndpoints LcEndpoints;
@@ -60,6 +59,8 @@
 void lc_endpoints_free (LcEndpoints *endpoints);
 
 /* commands */
+/* Number of instances that route by the same load reports, this one included; 1 at first. */
+void lc_endpoints_set_peers (LcEndpoints *endpoints, int64_t count);
 void lc_endpoints_configure (LcEndpoints *endpoints, const LcResourceSet *set, LbTime now);
 /* A report with a new incarnation clears leaving, breaker and belief. */
 void lc_endpoints_report (LcEndpoints *endpoints,
--- /dev/null
+++ b/packages/core/src/lc-breaker.h
@@ -0,0 +1,22 @@
+#ifndef LC_BREAKER_H
+#define LC_BREAKER_H
+
+#include "lc-endpoints.h"
+
+/* Keeps work away from an endpoint that fails, then lets it back a little at a time. */
+typedef struct
+{
+  LcBreakerState state;
+  LbTime until; /* OPEN: when the first trial may go */
+  int64_t consecutive_failures;
+  int64_t openings; /* in a row, without a full return between them */
+  int64_t trials;   /* HALF_OPEN: requests at once */
+} LcBreaker;
+
+void lc_breaker_succeeded (LcBreaker *breaker, LbTime now);
+void lc_breaker_failed (LcBreaker *breaker, LbTime now);
+
+/* Requests at once that it lets through, INT64_MAX when closed. */
+int64_t lc_breaker_allowance (const LcBreaker *breaker, LbTime now);
+
+#endif
--- /dev/null
+++ b/packages/core/src/lc-candidates.c
@@ -0,0 +1,136 @@
+#include "lc-candidates.h"
+
+#include "lc-endpoint-table.h"
+
+#include "lb-alloc.h"
+
+#include <string.h>
+
+typedef struct
+{
+  size_t known;
+  size_t leaving;
+  size_t too_old;
+  size_t avoided;
+} Refusals;
+
+void
+lc_candidates_clear (LcCandidates *candidates)
+{
+  free (candidates->items);
+  memset (candidates, 0, sizeof *candidates);
+}
+
+static void
+add (LcCandidates *candidates, LcEndpoint *endpoint)
+{
+  if (candidates->n_items == candidates->capacity)
+    {
+      candidates->capacity = candidates->capacity ? candidates->capacity * 2 : 16;
+      candidates->items
+          = lb_realloc (candidates->items, candidates->capacity * sizeof *candidates->items);
+    }
+  candidates->items[candidates->n_items++] = (LcCandidate){ .endpoint = endpoint };
+}
+
+static bool
+is_avoided (const LcRouteQuery *query, const LcEndpoint *endpoint)
+{
+  for (size_t i = 0; i < query->n_avoid; i++)
+    if (strcmp (query->avoid[i], endpoint->member.name) == 0)
+      return true;
+  return false;
+}
+
+static bool
+belongs (const LcEndpoint *endpoint, const LcRouteQuery *query)
+{
+  int kind = query->kind == LC_KIND_SERVICE ? LC_ENDPOINT_SERVICE : LC_ENDPOINT_ENGINE;
+
+  return endpoint->member.kind == kind && strcmp (endpoint->member.pool, query->pool) == 0;
+}
+
+static void
+weigh (LcCandidates *candidates,
+       LcEndpoint *endpoint,
+       const LcRouteQuery *query,
+       Refusals *refusals,
+       LbTime now)
+{
+  refusals->known++;
+  if (endpoint->leaving || lc_entry (endpoint)->retired)
+    refusals->leaving++;
+  else if (endpoint->report.version < query->min_version)
+    refusals->too_old++;
+  else if (is_avoided (query, endpoint))
+    refusals->avoided++;
+  else if (lc_endpoint_may_take (endpoint, query->kind, query->live_reserve, now))
+    add (candidates, endpoint);
+}
+
+static const char *
+reason_for_none (const Refusals *refusals)
+{
+  if (refusals->known == 0)
+    return "no-endpoint";
+  if (refusals->leaving == refusals->known)
+    return "all-leaving";
+  if (refusals->leaving + refusals->too_old == refusals->known)
+    return "too-old";
+  if (refusals->leaving + refusals->too_old + refusals->avoided == refusals->known)
+    return "all-avoided";
+  return "no-capacity";
+}
+
+void
+lc_candidates_gather (LcCandidates *candidates,
+                      LcEndpoints *endpoints,
+                      const LcRouteQuery *query,
+                      LbTime now)
+{
+  Refusals refusals = { 0 };
+
+  candidates->n_items = 0;
+  for (size_t i = 0; i < lc_endpoints_count (endpoints); i++)
+    {
+      LcEndpoint *endpoint = lc_endpoints_at (endpoints, i);
+
+      if (belongs (endpoint, query))
+        weigh (candidates, endpoint, query, &refusals, now);
+    }
+  candidates->reason = candidates->n_items > 0 ? NULL : reason_for_none (&refusals);
+}
+
+static void
+show (LcRouteDecision *decision, const LcCandidate *candidate)
+{
+  size_t at = decision->n_shown;
+
+  if (at == LC_MAX_SHOWN && decision->shown[at - 1].score <= candidate->score)
+    return;
+  if (at < LC_MAX_SHOWN)
+    decision->n_shown++;
+  else
+    at--;
+  for (; at > 0 && decision->shown[at - 1].score > candidate->score; at--)
+    decision->shown[at] = decision->shown[at - 1];
+  decision->shown[at] = *candidate;
+}
+
+LcRouteDecision
+lc_candidates_decide (const LcCandidates *candidates, size_t chosen, const char *reason)
+{
+  LcRouteDecision decision = { .endpoint = candidates->items[chosen].endpoint,
+                               .reason = reason,
+                               .n_candidates = candidates->n_items };
+
+  for (size_t i = 0; i < candidates->n_items; i++)
+    show (&decision, &candidates->items[i]);
+  return decision;
+}
+
+LcRouteDecision
+lc_candidates_decide_nobody (const LcCandidates *candidates)
+{
+  return (LcRouteDecision){ .reason = candidates->reason };
+}
