Endpoint table by parts: leaving, breaker, concurrency, prefix belief, flights; all six policies

Candidates come from one filter for all policies. Leaving is kept per incarnation in a ring, so that neither a late report nor a flip between incarnations brings one back; the platform's list, which names no incarnation and lags, only keeps a newer incarnation out while it says so (lc_endpoints_listed_live takes that doubt back).

--- a/packages/core/include/lc-endpoints.h
+++ b/packages/core/include/lc-endpoints.h
@@ -30,7 +30,8 @@
   LcEndpointMember member;
   uint32_t slot; /* stable index while the endpoint is known */
   LcLoadReport report;
-  bool leaving;      /* one way for this incarnation, whoever said it first */
+  bool leaving; /* one way for this incarnation, whoever said it first */
+  LbTime leaving_since;
   bool swap_pending; /* weights are about to change or in an unknown state */
   LbTime swap_until;
   int64_t in_flight; /* our own requests running there */
@@ -61,6 +62,8 @@
 /* commands */
 /* Number of instances that route by the same load reports, this one included; 1 at first. */
 void lc_endpoints_set_peers (LcEndpoints *endpoints, int64_t count);
+/* One-way time between two data centres. */
+void lc_endpoints_set_distance (LcEndpoints *endpoints, LbTime distance);
 void lc_endpoints_configure (LcEndpoints *endpoints, const LcResourceSet *set, LbTime now);
 /* A report with a new incarnation clears leaving, breaker and belief. */
 void lc_endpoints_report (LcEndpoints *endpoints,
@@ -73,6 +76,9 @@
                            const char *incarnation,
                            LcLeavingSource source,
                            LbTime now);
+/* The platform's list names the endpoint and no longer says leaving: ends the doubt that its word
+ * left after a new incarnation came, nothing else. */
+void lc_endpoints_listed_live (LcEndpoints *endpoints, const char *name, LbTime now);
 void lc_endpoints_swap (
     LcEndpoints *endpoints, const char *name, bool pending, LbTime until, LbTime now);
 void lc_endpoints_cache_event (LcEndpoints *endpoints,
--- a/packages/core/src/lc-breaker.c
+++ b/packages/core/src/lc-breaker.c
@@ -1,6 +1,9 @@
 #include "lc-breaker.h"
 
 #define FAILURES_TO_OPEN 5
+#define RATIO_TO_OPEN 0.5
+#define RATIO_WEIGHT 0.1
+#define RESULTS_FOR_RATIO 10
 #define FIRST_WAIT LB_SEC
 #define LONGEST_WAIT (30 * LB_SEC)
 #define TRIALS_TO_CLOSE 32
@@ -18,32 +21,73 @@
   breaker->trials = 0;
 }
 
+static void
+close_breaker (LcBreaker *breaker)
+{
+  breaker->state = LC_BREAKER_CLOSED;
+  breaker->openings = 0;
+  breaker->failure_ratio = 0;
+  breaker->results = 0;
+}
+
+static void
+count_result (LcBreaker *breaker, bool failed)
+{
+  breaker->results++;
+  breaker->failure_ratio += RATIO_WEIGHT * ((failed ? 1 : 0) - breaker->failure_ratio);
+  breaker->consecutive_failures = failed ? breaker->consecutive_failures + 1 : 0;
+}
+
+/* An endpoint that fails every other request never fails five times in a row: the ratio finds it.
+ */
+static bool
+is_bad (const LcBreaker *breaker)
+{
+  return breaker->consecutive_failures >= FAILURES_TO_OPEN
+         || (breaker->results >= RESULTS_FOR_RATIO && breaker->failure_ratio > RATIO_TO_OPEN);
+}
+
 void
-lc_breaker_failed (LcBreaker *breaker, LbTime now)
+lc_breaker_sent (LcBreaker *breaker, LbTime now)
 {
-  breaker->consecutive_failures++;
-  if (breaker->state == LC_BREAKER_OPEN && now < breaker->until)
+  if (breaker->state != LC_BREAKER_OPEN || now < breaker->until)
     return;
-  if (breaker->state != LC_BREAKER_CLOSED || breaker->consecutive_failures >= FAILURES_TO_OPEN)
-    open_breaker (breaker, now);
+  breaker->state = LC_BREAKER_HALF_OPEN;
+  breaker->trials = 1;
+}
+
+/* Results of requests sent before the endpoint was tried again say nothing of how it is now: those
+ * that hung through an outage fail late and would open the breaker again and again. */
+static bool
+is_outdated (const LcBreaker *breaker, LbTime sent_at)
+{
+  return breaker->state != LC_BREAKER_CLOSED && sent_at < breaker->until;
 }
 
-/* Each good answer doubles what may be tried at once. All instances see an endpoint come back at
- * the same moment; full load at once would knock it over again. */
 void
-lc_breaker_succeeded (LcBreaker *breaker, LbTime now)
+lc_breaker_failed (LcBreaker *breaker, LbTime sent_at, LbTime now)
 {
-  breaker->consecutive_failures = 0;
-  if (breaker->state == LC_BREAKER_CLOSED)
+  if (is_outdated (breaker, sent_at))
     return;
-  if (breaker->state == LC_BREAKER_OPEN && now < breaker->until)
+  count_result (breaker, true);
+  if (breaker->state == LC_BREAKER_HALF_OPEN || is_bad (breaker))
+    open_breaker (breaker, now);
+}
+
+/* Each good answer of a trial lets one more go at once. All instances see an endpoint come back in
+ * the same second: when each gives it a full share at once it fails again, and the breakers open
+ * and close in step. */
+void
+lc_breaker_succeeded (LcBreaker *breaker, LbTime sent_at)
+{
+  if (is_outdated (breaker, sent_at))
     return;
-  breaker->state = LC_BREAKER_HALF_OPEN;
-  breaker->trials = breaker->trials > 0 ? breaker->trials * 2 : 2;
-  if (breaker->trials < TRIALS_TO_CLOSE)
+  count_result (breaker, false);
+  if (breaker->state != LC_BREAKER_HALF_OPEN)
     return;
-  breaker->state = LC_BREAKER_CLOSED;
-  breaker->openings = 0;
+  breaker->trials++;
+  if (breaker->trials >= TRIALS_TO_CLOSE)
+    close_breaker (breaker);
 }
 
 int64_t
@@ -51,7 +95,7 @@
 {
   if (breaker->state == LC_BREAKER_CLOSED)
     return INT64_MAX;
-  if (breaker->state == LC_BREAKER_OPEN && now < breaker->until)
-    return 0;
-  return breaker->trials > 0 ? breaker->trials : 1;
+  if (breaker->state == LC_BREAKER_OPEN)
+    return now < breaker->until ? 0 : 1;
+  return breaker->trials;
 }
--- a/packages/core/src/lc-breaker.h
+++ b/packages/core/src/lc-breaker.h
@@ -9,14 +9,20 @@
   LcBreakerState state;
   LbTime until; /* OPEN: when the first trial may go */
   int64_t consecutive_failures;
-  int64_t openings; /* in a row, without a full return between them */
-  int64_t trials;   /* HALF_OPEN: requests at once */
+  double failure_ratio; /* of the last results, recent ones weigh more */
+  int64_t results;      /* since it was closed */
+  int64_t openings;     /* in a row, without a full return between them */
+  int64_t trials;       /* HALF_OPEN: requests at once */
 } LcBreaker;
 
-void lc_breaker_succeeded (LcBreaker *breaker, LbTime now);
-void lc_breaker_failed (LcBreaker *breaker, LbTime now);
+/* commands */
+void lc_breaker_sent (LcBreaker *breaker, LbTime now);
+/* Sent_at is when the request went out whose result this is. */
+void lc_breaker_succeeded (LcBreaker *breaker, LbTime sent_at);
+void lc_breaker_failed (LcBreaker *breaker, LbTime sent_at, LbTime now);
 
-/* Requests at once that it lets through, INT64_MAX when closed. */
+/* queries */
+/* Requests at once that it lets through; INT64_MAX when closed. */
 int64_t lc_breaker_allowance (const LcBreaker *breaker, LbTime now);
 
 #endif
--- a/packages/core/src/lc-candidates.c
+++ b/packages/core/src/lc-candidates.c
@@ -42,23 +42,17 @@
   return false;
 }
 
-static bool
-belongs (const LcEndpoint *endpoint, const LcRouteQuery *query)
-{
-  int kind = query->kind == LC_KIND_SERVICE ? LC_ENDPOINT_SERVICE : LC_ENDPOINT_ENGINE;
-
-  return endpoint->member.kind == kind && strcmp (endpoint->member.pool, query->pool) == 0;
-}
-
 static void
 weigh (LcCandidates *candidates,
-       LcEndpoint *endpoint,
+       LcEntry *entry,
        const LcRouteQuery *query,
        Refusals *refusals,
        LbTime now)
 {
+  LcEndpoint *endpoint = &entry->endpoint;
+
   refusals->known++;
-  if (endpoint->leaving || lc_entry (endpoint)->retired)
+  if (endpoint->leaving || entry->retired)
     refusals->leaving++;
   else if (endpoint->report.version < query->min_version)
     refusals->too_old++;
@@ -88,16 +82,13 @@
                       const LcRouteQuery *query,
                       LbTime now)
 {
+  LcEndpointKind kind = query->kind == LC_KIND_SERVICE ? LC_ENDPOINT_SERVICE : LC_ENDPOINT_ENGINE;
+  const LcEndpointGroup *group = lc_endpoints_group (endpoints, kind, query->pool);
   Refusals refusals = { 0 };
 
   candidates->n_items = 0;
-  for (size_t i = 0; i < lc_endpoints_count (endpoints); i++)
-    {
-      LcEndpoint *endpoint = lc_endpoints_at (endpoints, i);
-
-      if (belongs (endpoint, query))
-        weigh (candidates, endpoint, query, &refusals, now);
-    }
+  for (size_t i = 0; group && i < group->n_members; i++)
+    weigh (candidates, group->members[i], query, &refusals, now);
   candidates->reason = candidates->n_items > 0 ? NULL : reason_for_none (&refusals);
 }
 
--- a/packages/core/src/lc-endpoints.c
+++ b/packages/core/src/lc-endpoints.c
@@ -1,10 +1,13 @@
 #include "lc-endpoint-table.h"
 
 #include "lb-alloc.h"
+#include "lb-log.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 #define EWMA_WEIGHT 0.1
+#define DEFAULT_DISTANCE (LB_MSEC / 2)
 
 LcEndpoints *
 lc_endpoints_new (void)
@@ -12,19 +15,23 @@
   LcEndpoints *endpoints = LB_NEW (LcEndpoints);
 
   endpoints->peers = 1;
+  endpoints->distance = DEFAULT_DISTANCE;
+  endpoints->belief = lc_prefix_belief_new ();
   return endpoints;
 }
 
 static void
-remove_entry (LcEndpoints *endpoints, LcEntry *entry)
+clear_groups (LcEndpoints *endpoints)
 {
-  uint32_t slot = entry->endpoint.slot;
-
-  HASH_DEL (endpoints->by_name, entry);
-  endpoints->n_entries--;
-  endpoints->entries[slot] = endpoints->entries[endpoints->n_entries];
-  endpoints->entries[slot]->endpoint.slot = slot;
-  free (entry);
+  LcEndpointGroup *group = NULL;
+  LcEndpointGroup *next = NULL;
+
+  HASH_ITER (hh, endpoints->groups, group, next)
+  {
+    HASH_DEL (endpoints->groups, group);
+    free (group->members);
+    free (group);
+  }
 }
 
 void
@@ -32,9 +39,14 @@
 {
   if (!endpoints)
     return;
-  while (endpoints->n_entries > 0)
-    remove_entry (endpoints, endpoints->entries[endpoints->n_entries - 1]);
+  clear_groups (endpoints);
+  HASH_CLEAR (hh, endpoints->by_name);
+  for (size_t i = 0; i < endpoints->n_entries; i++)
+    free (endpoints->entries[i]);
   free (endpoints->entries);
+  free (endpoints->views);
+  free (endpoints->data_centres);
+  lc_prefix_belief_free (endpoints->belief);
   free (endpoints);
 }
 
@@ -44,6 +56,13 @@
   endpoints->peers = count > 1 ? count : 1;
 }
 
+/* One-way time between two data centres; within one it is taken to be 0. */
+void
+lc_endpoints_set_distance (LcEndpoints *endpoints, LbTime distance)
+{
+  endpoints->distance = distance;
+}
+
 static LcEntry *
 find_entry (LcEndpoints *endpoints, const char *name)
 {
@@ -53,6 +72,31 @@
   return entry;
 }
 
+static void
+void_belief (LcEntry *entry)
+{
+  entry->cache.epoch = ++entry->table->last_epoch;
+  entry->cache.last_sequence = 0;
+}
+
+static uint32_t
+take_slot (LcEndpoints *endpoints, const LcCacheView *view)
+{
+  uint32_t slot = 0;
+
+  while (slot < endpoints->n_slots && endpoints->views[slot])
+    slot++;
+  if (slot == endpoints->n_slots)
+    {
+      endpoints->n_slots = endpoints->n_slots ? endpoints->n_slots * 2 : 16;
+      endpoints->views
+          = lb_realloc (endpoints->views, endpoints->n_slots * sizeof *endpoints->views);
+      memset (endpoints->views + slot, 0, (endpoints->n_slots - slot) * sizeof *endpoints->views);
+    }
+  endpoints->views[slot] = view;
+  return slot;
+}
+
 static LcEntry *
 add_entry (LcEndpoints *endpoints, const LcEndpointMember *member)
 {
@@ -65,25 +109,77 @@
           = lb_realloc (endpoints->entries, endpoints->capacity * sizeof *endpoints->entries);
     }
   entry->table = endpoints;
+  entry->index = endpoints->n_entries;
   entry->endpoint.member = *member;
-  entry->endpoint.slot = (uint32_t)endpoints->n_entries;
-  entry->endpoint.concurrency_limit = (double)member->concurrency;
+  entry->name_hash = XXH3_64bits (member->name, strlen (member->name));
+  entry->cache.slot = take_slot (endpoints, &entry->cache);
+  entry->endpoint.slot = entry->cache.slot;
+  void_belief (entry);
+  lc_concurrency_init (&entry->concurrency, member->concurrency);
   endpoints->entries[endpoints->n_entries++] = entry;
   HASH_ADD_STR (endpoints->by_name, endpoint.member.name, entry);
   return entry;
 }
 
 static void
-take_member (LcEndpoints *endpoints, const LcEndpointMember *member)
+remove_entry (LcEndpoints *endpoints, LcEntry *entry)
+{
+  HASH_DEL (endpoints->by_name, entry);
+  endpoints->views[entry->cache.slot] = NULL;
+  endpoints->n_entries--;
+  endpoints->entries[entry->index] = endpoints->entries[endpoints->n_entries];
+  endpoints->entries[entry->index]->index = entry->index;
+  free (entry);
+}
+
+/* Makes what the parts of an entry decided readable in its endpoint. */
+static void
+publish (LcEntry *entry, LbTime now)
+{
+  LcEndpoint *endpoint = &entry->endpoint;
+  bool leaving = endpoint->member.leaving || lc_leaving_is_left (&entry->leaving);
+
+  if (leaving && !endpoint->leaving)
+    endpoint->leaving_since = now;
+  endpoint->leaving = leaving;
+  endpoint->breaker = entry->breaker.state;
+  endpoint->breaker_until = entry->breaker.until;
+  endpoint->consecutive_failures = entry->breaker.consecutive_failures;
+  endpoint->concurrency_limit = entry->concurrency.limit;
+}
+
+/* What was learnt of the process behind the endpoint does not hold for the next one. */
+static void
+forget_process (LcEntry *entry)
+{
+  entry->endpoint.swap_pending = false;
+  memset (&entry->breaker, 0, sizeof entry->breaker);
+  lc_concurrency_init (&entry->concurrency, entry->endpoint.member.concurrency);
+  void_belief (entry);
+}
+
+static void
+take_member (LcEndpoints *endpoints, const LcEndpointMember *member, LbTime now)
 {
   LcEntry *entry = find_entry (endpoints, member->name);
 
   if (!entry)
     entry = add_entry (endpoints, member);
+  if (strcmp (entry->endpoint.member.address, member->address) != 0)
+    {
+      memset (&entry->endpoint.report, 0, sizeof entry->endpoint.report);
+      lc_leaving_begin (&entry->leaving, "");
+      forget_process (entry);
+    }
   entry->retired = false;
   entry->endpoint.member = *member;
-  /* A later revision that no longer says leaving does not bring this incarnation back. */
-  entry->endpoint.leaving = entry->endpoint.leaving || member->leaving;
+  lc_concurrency_resize (&entry->concurrency, member->concurrency);
+  /* A later revision that no longer says leaving does not bring this incarnation back: some
+   * instance may still read the earlier one, and work would go to an endpoint that is on its way
+   * out. */
+  if (member->leaving)
+    lc_leaving_say (&entry->leaving, "");
+  publish (entry, now);
 }
 
 static void
@@ -98,27 +194,127 @@
     }
 }
 
+static void
+make_group_key (char *key, size_t size, LcEndpointKind kind, const char *pool)
+{
+  key[0] = kind == LC_ENDPOINT_ENGINE ? 'e' : 's';
+  lb_strlcpy (key + 1, pool, size - 1);
+}
+
+LcEndpointGroup *
+lc_endpoints_group (const LcEndpoints *endpoints, LcEndpointKind kind, const char *pool)
+{
+  LcEndpointGroup *group = NULL;
+  char key[LB_NAME_MAX + 2];
+
+  make_group_key (key, sizeof key, kind, pool);
+  HASH_FIND_STR (endpoints->groups, key, group);
+  return group;
+}
+
+static void
+join_group (LcEndpoints *endpoints, LcEntry *entry)
+{
+  LcEndpointKind kind = (LcEndpointKind)entry->endpoint.member.kind;
+  LcEndpointGroup *group = lc_endpoints_group (endpoints, kind, entry->endpoint.member.pool);
+
+  if (!group)
+    {
+      group = LB_NEW (LcEndpointGroup);
+      make_group_key (group->key, sizeof group->key, kind, entry->endpoint.member.pool);
+      HASH_ADD_STR (endpoints->groups, key, group);
+    }
+  if (group->n_members == group->capacity)
+    {
+      group->capacity = group->capacity ? group->capacity * 2 : 16;
+      group->members = lb_realloc (group->members, group->capacity * sizeof *group->members);
+    }
+  group->members[group->n_members++] = entry;
+}
+
+int
+lc_endpoints_data_centre (const LcEndpoints *endpoints, const char *name)
+{
+  for (int i = 0; i < endpoints->n_data_centres; i++)
+    if (strcmp (endpoints->data_centres[i], name) == 0)
+      return i;
+  return -1;
+}
+
+static int
+add_data_centre (LcEndpoints *endpoints, const char *name)
+{
+  int known = lc_endpoints_data_centre (endpoints, name);
+
+  if (known >= 0)
+    return known;
+  endpoints->data_centres
+      = lb_realloc (endpoints->data_centres,
+                    ((size_t)endpoints->n_data_centres + 1) * sizeof *endpoints->data_centres);
+  LB_COPY (endpoints->data_centres[endpoints->n_data_centres], name);
+  return endpoints->n_data_centres++;
+}
+
+static void
+rebuild_groups (LcEndpoints *endpoints)
+{
+  LcEndpointGroup *group = NULL;
+  LcEndpointGroup *next = NULL;
+
+  HASH_ITER (hh, endpoints->groups, group, next)
+  group->n_members = 0;
+  for (size_t i = 0; i < endpoints->n_entries; i++)
+    {
+      LcEntry *entry = endpoints->entries[i];
+
+      entry->data_centre = add_data_centre (endpoints, entry->endpoint.member.data_centre);
+      join_group (endpoints, entry);
+    }
+}
+
 /* Brings the table in line with the set. An endpoint that the set no longer names takes no new
- * work; it is forgotten at the first later call that finds none of our requests there. */
+ * work; it is forgotten at the first later call that finds none of our requests there, so pointers
+ * to it stay valid until then. */
 void
 lc_endpoints_configure (LcEndpoints *endpoints, const LcResourceSet *set, LbTime now)
 {
-  (void)now;
   for (size_t i = 0; i < endpoints->n_entries; i++)
     endpoints->entries[i]->retired = true;
   for (size_t i = 0; i < set->n_endpoints; i++)
-    take_member (endpoints, &set->endpoints[i]);
+    take_member (endpoints, &set->endpoints[i], now);
   drop_retired (endpoints);
+  rebuild_groups (endpoints);
 }
 
 static void
-begin_incarnation (LcEntry *entry)
+end_swap_if_stated (LcEntry *entry)
 {
-  entry->endpoint.leaving = entry->endpoint.member.leaving;
-  entry->endpoint.swap_pending = false;
-  memset (&entry->breaker, 0, sizeof entry->breaker);
+  LcEndpoint *endpoint = &entry->endpoint;
+  const LcLoadReport *report = &endpoint->report;
+
+  if (report->version > 0 && report->version != entry->version_before_swap
+      && report->at >= entry->swap_since)
+    endpoint->swap_pending = false;
+}
+
+static void
+take_report (LcEntry *entry, const LcLoadReport *report)
+{
+  LcEndpoint *endpoint = &entry->endpoint;
+  const char *known = endpoint->report.incarnation;
+
+  if (known[0] && strcmp (known, report->incarnation) != 0)
+    forget_process (entry);
+  if (report->incarnation[0])
+    lc_leaving_begin (&entry->leaving, report->incarnation);
+  endpoint->report = *report;
+  endpoint->sent_since_report = lc_flight_log_sent_after (&entry->flights, report->at);
+  entry->in_flight_at_report = lc_flight_log_in_flight_at (&entry->flights, report->at);
+  end_swap_if_stated (entry);
 }
 
+/* Reports are ordered by when they were measured: one that comes after a later one is old and
+ * changes nothing, but a "leaving" in it holds for its incarnation. */
 void
 lc_endpoints_report (LcEndpoints *endpoints,
                      const char *name,
@@ -129,20 +325,23 @@
 
   if (!entry)
     return;
-
-  LcEndpoint *endpoint = &entry->endpoint;
-  const char *known = endpoint->report.incarnation;
-
-  if (known[0] && strcmp (known, report->incarnation) != 0)
-    begin_incarnation (entry);
-  endpoint->leaving = endpoint->leaving || report->leaving;
-  endpoint->last_reply = now;
-  endpoint->report = *report;
-  endpoint->sent_since_report = 0;
-  if (report->version > 0 && report->at > entry->swap_since)
-    endpoint->swap_pending = false;
+  entry->endpoint.last_reply = now;
+  if (report->at >= entry->endpoint.report.at)
+    take_report (entry, report);
+  if (report->leaving)
+    lc_leaving_say (&entry->leaving, report->incarnation);
+  publish (entry, now);
 }
 
+static const char *const leaving_sources[] = {
+  [LC_LEAVING_RESOURCE] = "resource",
+  [LC_LEAVING_PLATFORM] = "platform",
+  [LC_LEAVING_ENDPOINT] = "endpoint",
+  [LC_LEAVING_PEER] = "peer",
+};
+
+/* The platform's list names no incarnation; pass "" with it, and call lc_endpoints_listed_live when
+ * the list no longer says leaving. Peers always name the incarnation that they mean. */
 bool
 lc_endpoints_leaving (LcEndpoints *endpoints,
                       const char *name,
@@ -151,18 +350,36 @@
                       LbTime now)
 {
   LcEntry *entry = find_entry (endpoints, name);
+  bool was_leaving = entry && entry->endpoint.leaving;
 
-  (void)source;
-  (void)now;
-  if (!entry || entry->endpoint.leaving)
+  if (!entry)
     return false;
-  if (incarnation[0] && entry->endpoint.report.incarnation[0]
-      && strcmp (incarnation, entry->endpoint.report.incarnation) != 0)
+  if (source == LC_LEAVING_PLATFORM && incarnation[0] == '\0')
+    lc_leaving_list (&entry->leaving, true);
+  else
+    lc_leaving_say (&entry->leaving, incarnation);
+  publish (entry, now);
+  if (was_leaving || !entry->endpoint.leaving)
     return false;
-  entry->endpoint.leaving = true;
+  lb_log (LB_LOG_INFO, "endpoint-leaving", LB_TEXT ("endpoint", name),
+          LB_TEXT ("incarnation", entry->endpoint.report.incarnation),
+          LB_TEXT ("source", leaving_sources[source]));
   return true;
 }
 
+/* The platform's list names the endpoint and does not say leaving. Takes back only a doubt about
+ * which incarnation the list meant, never what was said of the present one. */
+void
+lc_endpoints_listed_live (LcEndpoints *endpoints, const char *name, LbTime now)
+{
+  LcEntry *entry = find_entry (endpoints, name);
+
+  if (!entry)
+    return;
+  lc_leaving_list (&entry->leaving, false);
+  publish (entry, now);
+}
+
 /* Until is when the new weights are expected to serve. */
 void
 lc_endpoints_swap (LcEndpoints *endpoints, const char *name, bool pending, LbTime until, LbTime now)
@@ -171,9 +388,13 @@
 
   if (!entry)
     return;
+  if (pending && !entry->endpoint.swap_pending)
+    {
+      entry->swap_since = now;
+      entry->version_before_swap = entry->endpoint.report.version;
+    }
   entry->endpoint.swap_pending = pending;
   entry->endpoint.swap_until = until;
-  entry->swap_since = now;
 }
 
 void
@@ -184,22 +405,26 @@
                           uint64_t prefix_hash,
                           LbTime now)
 {
-  (void)endpoints;
-  (void)name;
-  (void)sequence;
-  (void)stored;
-  (void)prefix_hash;
-  (void)now;
+  LcEntry *entry = find_entry (endpoints, name);
+
+  if (entry)
+    lc_prefix_belief_event (endpoints->belief, &entry->cache, sequence, stored, prefix_hash, now);
 }
 
+/* Prefix_hash is that of the whole prompt; 0: none. */
 void
 lc_endpoints_sent (LcEndpoint *endpoint, LcRequestKind kind, uint64_t prefix_hash, LbTime now)
 {
-  (void)prefix_hash;
-  (void)now;
+  LcEntry *entry = lc_entry (endpoint);
+
   endpoint->in_flight++;
   endpoint->in_flight_rollout += kind == LC_KIND_SAMPLE;
   endpoint->sent_since_report++;
+  lc_flight_log_add (&entry->flights, endpoint->in_flight, true, now);
+  lc_breaker_sent (&entry->breaker, now);
+  if (prefix_hash != 0)
+    lc_prefix_belief_sent (entry->table->belief, &entry->cache, prefix_hash, now);
+  publish (entry, now);
 }
 
 static void
@@ -208,19 +433,30 @@
   *mean = *mean > 0 ? *mean + EWMA_WEIGHT * (sample - *mean) : sample;
 }
 
+/* Waited is from the sending of the request to its first byte. */
 void
 lc_endpoints_first_byte (LcEndpoint *endpoint, LbTime waited, LbTime now)
 {
+  LcEntry *entry = lc_entry (endpoint);
+  double seconds = (double)waited / LB_SEC;
+
   endpoint->last_reply = now;
-  ewma_add (&endpoint->ewma_first_byte_seconds, (double)waited / LB_SEC);
+  ewma_add (&endpoint->ewma_first_byte_seconds, seconds);
+  lc_concurrency_first_byte (&entry->concurrency, seconds, endpoint->in_flight, now);
+  publish (entry, now);
 }
 
 static void
-publish_breaker (LcEntry *entry)
+learn_service_time (LcEntry *entry, int64_t tokens, LbTime took)
 {
-  entry->endpoint.breaker = entry->breaker.state;
-  entry->endpoint.breaker_until = entry->breaker.until;
-  entry->endpoint.consecutive_failures = entry->breaker.consecutive_failures;
+  LcEndpointMember *member = &entry->endpoint.member;
+  LcEndpointGroup *group
+      = lc_endpoints_group (entry->table, (LcEndpointKind)member->kind, member->pool);
+
+  if (group)
+    ewma_add (&group->service_seconds, (double)took / LB_SEC);
+  if (tokens > 0)
+    ewma_add (&entry->endpoint.ewma_token_seconds, (double)took / LB_SEC / (double)tokens);
 }
 
 void
@@ -231,16 +467,19 @@
 
   endpoint->in_flight--;
   endpoint->in_flight_rollout -= kind == LC_KIND_SAMPLE;
+  lc_flight_log_add (&entry->flights, endpoint->in_flight, false, now);
   if (ok)
     {
       endpoint->last_reply = now;
-      lc_breaker_succeeded (&entry->breaker, now);
-      if (tokens > 0)
-        ewma_add (&endpoint->ewma_token_seconds, (double)took / LB_SEC / (double)tokens);
+      lc_breaker_succeeded (&entry->breaker, now - took);
+      learn_service_time (entry, tokens, took);
     }
   else
-    lc_breaker_failed (&entry->breaker, now);
-  publish_breaker (entry);
+    {
+      lc_breaker_failed (&entry->breaker, now - took, now);
+      lc_concurrency_failed (&entry->concurrency, now);
+    }
+  publish (entry, now);
 }
 
 LcEndpoint *
@@ -250,57 +489,3 @@
 
   return entry ? &entry->endpoint : NULL;
 }
-
-size_t
-lc_endpoints_count (const LcEndpoints *endpoints)
-{
-  return endpoints->n_entries;
-}
-
-LcEndpoint *
-lc_endpoints_at (LcEndpoints *endpoints, size_t index)
-{
-  return &endpoints->entries[index]->endpoint;
-}
-
-double
-lc_endpoints_prefix_share (const LcEndpoint *endpoint,
-                           const uint64_t *prefix_hashes,
-                           size_t n_hashes,
-                           LbTime now)
-{
-  (void)endpoint;
-  (void)prefix_hashes;
-  (void)n_hashes;
-  (void)now;
-  return 0;
-}
-
-static bool
-weights_are_known (const LcEndpoint *endpoint, LbTime now)
-{
-  if (endpoint->member.kind != LC_ENDPOINT_ENGINE)
-    return true;
-  if (endpoint->report.incarnation[0] && endpoint->report.version == 0)
-    return false;
-  return !endpoint->swap_pending || now < endpoint->swap_until;
-}
-
-/* Leaving, open breaker, unknown weights and full endpoints take nothing. */
-bool
-lc_endpoint_may_take (const LcEndpoint *endpoint,
-                      LcRequestKind kind,
-                      double live_reserve,
-                      LbTime now)
-{
-  const LcEntry *entry = lc_entry (endpoint);
-  double limit = endpoint->concurrency_limit;
-
-  if (entry->retired || endpoint->leaving || !weights_are_known (endpoint, now))
-    return false;
-  if (endpoint->in_flight >= lc_breaker_allowance (&entry->breaker, now))
-    return false;
-  if (kind == LC_KIND_SAMPLE)
-    limit *= 1 - live_reserve;
-  return (double)endpoint->in_flight < limit;
-}
--- /dev/null
+++ b/packages/core/src/lc-flight-log.c
@@ -0,0 +1,44 @@
+#include "lc-flight-log.h"
+
+void
+lc_flight_log_add (LcFlightLog *log, int64_t in_flight, bool sent, LbTime now)
+{
+  log->changes[log->n_changes++ % LC_FLIGHT_LOG_LENGTH]
+      = (LcFlightChange){ .at = now, .in_flight = (int32_t)in_flight, .sent = sent };
+}
+
+static size_t
+oldest_kept (const LcFlightLog *log)
+{
+  return log->n_changes > LC_FLIGHT_LOG_LENGTH ? log->n_changes - LC_FLIGHT_LOG_LENGTH : 0;
+}
+
+static const LcFlightChange *
+change (const LcFlightLog *log, size_t i)
+{
+  return &log->changes[i % LC_FLIGHT_LOG_LENGTH];
+}
+
+/* Before the oldest change that is kept the count is taken to be what that change began from. */
+int64_t
+lc_flight_log_in_flight_at (const LcFlightLog *log, LbTime at)
+{
+  size_t oldest = oldest_kept (log);
+
+  if (log->n_changes == 0)
+    return 0;
+  for (size_t i = log->n_changes; i-- > oldest;)
+    if (change (log, i)->at <= at)
+      return change (log, i)->in_flight;
+  return change (log, oldest)->in_flight + (change (log, oldest)->sent ? -1 : 1);
+}
+
+int64_t
+lc_flight_log_sent_after (const LcFlightLog *log, LbTime at)
+{
+  int64_t sent = 0;
+
+  for (size_t i = log->n_changes; i-- > oldest_kept (log) && change (log, i)->at > at;)
+    sent += change (log, i)->sent;
+  return sent;
+}
--- a/packages/core/src/lc-policies.h
+++ b/packages/core/src/lc-policies.h
@@ -1,10 +1,57 @@
 #ifndef LC_POLICIES_H
 #define LC_POLICIES_H
 
-#include "lc-router.h"
+#include "lc-candidates.h"
+#include "lc-endpoint-table.h"
 
-extern const LcRouterClass lc_router_random;
-extern const LcRouterClass lc_router_least_outstanding;
-extern const LcRouterClass lc_router_finish_time;
+#include <gsl/gsl_rng.h>
+
+typedef struct LcPolicy LcPolicy;
+
+/* A policy differs from others only in how it picks among the candidates; who may take the request
+ * at all is decided once for all of them. */
+typedef struct
+{
+  LcRouterClass base;
+  const char *reason;
+  /* Sets the candidates' scores and returns the index of the chosen one; there is at least one. */
+  size_t (*pick) (LcPolicy *policy, LcEndpoints *endpoints, const LcRouteQuery *query, LbTime now);
+} LcPolicyClass;
+
+struct LcPolicy
+{
+  LcRouter base;
+  LcCandidates candidates;
+  gsl_rng *rng;
+  uint64_t turn;  /* round-robin */
+  double *shares; /* by slot, all 0 between decisions */
+  size_t n_shares;
+  double *weights; /* by candidate */
+  size_t n_weights;
+};
+
+extern const LcPolicyClass lc_policy_random;
+extern const LcPolicyClass lc_policy_round_robin;
+extern const LcPolicyClass lc_policy_least_outstanding;
+extern const LcPolicyClass lc_policy_power_of_two;
+extern const LcPolicyClass lc_policy_prefix_affinity;
+extern const LcPolicyClass lc_policy_finish_time;
+
+/* The parts of LcRouterClass that all policies share. */
+LcRouter *lc_policy_new (const LcPolicyClass *klass, uint64_t seed);
+void lc_policy_free (LcRouter *router);
+LcRouteDecision
+lc_policy_choose (LcRouter *router, LcEndpoints *endpoints, const LcRouteQuery *query, LbTime now);
+
+/* The candidate with the least score, and among equals each with the same chance. */
+size_t lc_policy_pick_least (LcPolicy *policy);
+/* Believed shares of the query's prompt, by slot; valid until lc_policy_clear_shares. */
+const double *lc_policy_fill_shares (LcPolicy *policy,
+                                     const LcEndpoints *endpoints,
+                                     const LcRouteQuery *query,
+                                     LbTime now);
+void lc_policy_clear_shares (LcPolicy *policy);
+/* The same pair has the same rank (0 < rank <= 1) on all instances: rendezvous hashing. */
+double lc_policy_rank (const LcEntry *entry, uint64_t key);
 
 #endif
--- /dev/null
+++ b/packages/core/src/lc-prefix-belief.c
@@ -0,0 +1,234 @@
+#include "lc-prefix-belief.h"
+
+#include "lb-alloc.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <uthash.h>
+
+#define MAX_PREFIXES 16384
+#define MAX_HOLDERS 8
+#define CONFIDENCE_SENT 0.8 /* our request went there; the engine may not have kept it */
+#define HALF_LIFE_SECONDS 300.0
+#define LOSS_PER_MISSED_EVENT 0.02
+
+typedef struct
+{
+  LbTime at;
+  double lost; /* of the endpoint when this was learnt */
+  uint32_t slot;
+  uint32_t epoch;
+  bool confirmed; /* by a cache event */
+} Holder;
+
+typedef struct
+{
+  uint64_t hash;
+  UT_hash_handle hh;
+  LbLink recency;
+  uint32_t n_holders;
+  Holder holders[MAX_HOLDERS];
+} Prefix;
+
+struct LcPrefixBelief
+{
+  Prefix *prefixes;
+  LbList recent; /* least recent first */
+};
+
+LcPrefixBelief *
+lc_prefix_belief_new (void)
+{
+  LcPrefixBelief *belief = LB_NEW (LcPrefixBelief);
+
+  lb_list_init (&belief->recent);
+  return belief;
+}
+
+static void
+remove_prefix (LcPrefixBelief *belief, Prefix *prefix)
+{
+  HASH_DEL (belief->prefixes, prefix);
+  lb_list_remove (&belief->recent, &prefix->recency);
+  free (prefix);
+}
+
+void
+lc_prefix_belief_free (LcPrefixBelief *belief)
+{
+  if (!belief)
+    return;
+  HASH_CLEAR (hh, belief->prefixes);
+  LB_LIST_FOREACH (&belief->recent, Prefix, recency, prefix)
+  free (prefix);
+  free (belief);
+}
+
+static Prefix *
+find (const LcPrefixBelief *belief, uint64_t hash)
+{
+  Prefix *prefix = NULL;
+
+  HASH_FIND (hh, belief->prefixes, &hash, sizeof hash, prefix);
+  return prefix;
+}
+
+static Prefix *
+find_or_add (LcPrefixBelief *belief, uint64_t hash)
+{
+  Prefix *prefix = find (belief, hash);
+
+  if (prefix)
+    {
+      lb_list_remove (&belief->recent, &prefix->recency);
+      lb_list_append (&belief->recent, &prefix->recency);
+      return prefix;
+    }
+  if (belief->recent.length == MAX_PREFIXES)
+    remove_prefix (belief, LB_LIST_FIRST (&belief->recent, Prefix, recency));
+  prefix = LB_NEW (Prefix);
+  prefix->hash = hash;
+  HASH_ADD (hh, belief->prefixes, hash, sizeof prefix->hash, prefix);
+  lb_list_append (&belief->recent, &prefix->recency);
+  return prefix;
+}
+
+static Holder *
+find_holder (Prefix *prefix, const LcCacheView *view)
+{
+  for (uint32_t i = 0; i < prefix->n_holders; i++)
+    if (prefix->holders[i].slot == view->slot)
+      return &prefix->holders[i];
+  return NULL;
+}
+
+static Holder *
+oldest_holder (Prefix *prefix)
+{
+  Holder *oldest = &prefix->holders[0];
+
+  for (uint32_t i = 1; i < prefix->n_holders; i++)
+    if (prefix->holders[i].at < oldest->at)
+      oldest = &prefix->holders[i];
+  return oldest;
+}
+
+static void
+learn (LcPrefixBelief *belief, const LcCacheView *view, uint64_t hash, bool confirmed, LbTime now)
+{
+  Prefix *prefix = find_or_add (belief, hash);
+  Holder *holder = find_holder (prefix, view);
+
+  if (!holder)
+    holder = prefix->n_holders < MAX_HOLDERS ? &prefix->holders[prefix->n_holders++]
+                                             : oldest_holder (prefix);
+  *holder = (Holder){
+    .at = now, .lost = view->lost, .slot = view->slot, .epoch = view->epoch, .confirmed = confirmed
+  };
+}
+
+static void
+forget (LcPrefixBelief *belief, const LcCacheView *view, uint64_t hash)
+{
+  Prefix *prefix = find (belief, hash);
+  Holder *holder = prefix ? find_holder (prefix, view) : NULL;
+
+  if (!holder)
+    return;
+  *holder = prefix->holders[--prefix->n_holders];
+  if (prefix->n_holders == 0)
+    remove_prefix (belief, prefix);
+}
+
+/* An event that was missed may have been the eviction of anything believed so far: all of it loses
+ * some weight. An event that comes after a later one was counted as missed and is ignored, since
+ * applying it out of order could turn an eviction back into a stored prefix. */
+void
+lc_prefix_belief_event (LcPrefixBelief *belief,
+                        LcCacheView *view,
+                        uint64_t sequence,
+                        bool stored,
+                        uint64_t prefix,
+                        LbTime now)
+{
+  if (sequence <= view->last_sequence)
+    return;
+  if (view->last_sequence > 0)
+    view->lost += LOSS_PER_MISSED_EVENT * (double)(sequence - view->last_sequence - 1);
+  view->last_sequence = sequence;
+  if (stored)
+    learn (belief, view, prefix, true, now);
+  else
+    forget (belief, view, prefix);
+}
+
+void
+lc_prefix_belief_sent (LcPrefixBelief *belief, const LcCacheView *view, uint64_t prefix, LbTime now)
+{
+  Prefix *known = find (belief, prefix);
+  Holder *holder = known ? find_holder (known, view) : NULL;
+  bool confirmed = holder && holder->epoch == view->epoch && holder->confirmed;
+
+  learn (belief, view, prefix, confirmed, now);
+}
+
+static double
+confidence (const Holder *holder, const LcCacheView *view, LbTime now)
+{
+  double age = (double)(now - holder->at) / LB_SEC;
+
+  return (holder->confirmed ? 1 : CONFIDENCE_SENT)
+         * exp (holder->lost - view->lost - age * M_LN2 / HALF_LIFE_SECONDS);
+}
+
+/* Views are by slot; a slot without an endpoint is NULL. */
+size_t
+lc_prefix_belief_shares (const LcPrefixBelief *belief,
+                         const uint64_t *prefixes,
+                         size_t n_prefixes,
+                         const LcCacheView *const *views,
+                         size_t n_views,
+                         LbTime now,
+                         LcBelievedShare *shares,
+                         size_t max)
+{
+  size_t n = 0;
+
+  for (size_t i = n_prefixes; i-- > 0;)
+    {
+      const Prefix *prefix = find (belief, prefixes[i]);
+
+      for (uint32_t j = 0; prefix && j < prefix->n_holders && n < max; j++)
+        {
+          const Holder *holder = &prefix->holders[j];
+          const LcCacheView *view = holder->slot < n_views ? views[holder->slot] : NULL;
+
+          if (!view || view->epoch != holder->epoch)
+            continue;
+          shares[n++] = (LcBelievedShare){ .slot = holder->slot,
+                                           .share = confidence (holder, view, now) * (double)(i + 1)
+                                                    / (double)n_prefixes };
+        }
+    }
+  return n;
+}
+
+double
+lc_prefix_belief_share (const LcPrefixBelief *belief,
+                        const uint64_t *prefixes,
+                        size_t n_prefixes,
+                        const LcCacheView *view,
+                        LbTime now)
+{
+  double best = 0;
+
+  for (size_t i = n_prefixes; i-- > 0;)
+    {
+      Prefix *prefix = find (belief, prefixes[i]);
+      const Holder *holder = prefix ? find_holder (prefix, view) : NULL;
+
+      if (holder && holder->epoch == view->epoch)
+        best = fmax (best, confidence (holder, view, now) * (double)(i + 1) / (double)n_prefixes);
+    }
+  return best;
+}
--- a/packages/core/src/lc-router-least-outstanding.c
+++ b/packages/core/src/lc-router-least-outstanding.c
@@ -1,73 +1,30 @@
 #include "lc-policies.h"
 
-#include "lc-candidates.h"
-
-#include "lb-alloc.h"
-
-#include <gsl/gsl_rng.h>
-
-typedef struct
-{
-  LcRouter base;
-  LcCandidates candidates;
-  gsl_rng *rng;
-} LeastOutstandingRouter;
-
-static LcRouter *
-create (uint64_t seed)
-{
-  LeastOutstandingRouter *router = LB_NEW (LeastOutstandingRouter);
-
-  router->base.klass = &lc_router_least_outstanding;
-  router->rng = gsl_rng_alloc (gsl_rng_taus2);
-  gsl_rng_set (router->rng, seed);
-  return &router->base;
-}
-
-static void
-destroy (LcRouter *base)
-{
-  LeastOutstandingRouter *router = (LeastOutstandingRouter *)base;
-
-  lc_candidates_clear (&router->candidates);
-  gsl_rng_free (router->rng);
-  free (router);
-}
-
-/* The least, and among equals each with the same chance. */
+/* Baseline: the fewest requests of this instance's own, as a plain balancer counts them. */
 static size_t
-pick_least (LeastOutstandingRouter *router)
+pick (LcPolicy *policy, LcEndpoints *endpoints, const LcRouteQuery *query, LbTime now)
 {
-  LcCandidates *candidates = &router->candidates;
-  size_t best = 0;
-  size_t ties = 1;
+  LcCandidates *candidates = &policy->candidates;
 
-  for (size_t i = 1; i < candidates->n_items; i++)
-    {
-      double score = candidates->items[i].score;
-
-      if (score > candidates->items[best].score)
-        continue;
-      ties = score < candidates->items[best].score ? 1 : ties + 1;
-      if (gsl_rng_uniform_int (router->rng, ties) == 0)
-        best = i;
-    }
-  return best;
+  (void)endpoints;
+  (void)query;
+  (void)now;
+  for (size_t i = 0; i < candidates->n_items; i++)
+    candidates->items[i].score = (double)candidates->items[i].endpoint->in_flight;
+  return lc_policy_pick_least (policy);
 }
 
-static LcRouteDecision
-choose (LcRouter *base, LcEndpoints *endpoints, const LcRouteQuery *query, LbTime now)
+static LcRouter *
+create (uint64_t seed)
 {
-  LeastOutstandingRouter *router = (LeastOutstandingRouter *)base;
-  LcCandidates *candidates = &router->candidates;
-
-  lc_candidates_gather (candidates, endpoints, query, now);
-  if (candidates->reason)
-    return lc_candidates_decide_nobody (candidates);
-  for (size_t i = 0; i < candidates->n_items; i++)
-    candidates->items[i].score = (double)candidates->items[i].endpoint->in_flight;
-  return lc_candidates_decide (candidates, pick_least (router), "least-outstanding");
+  return lc_policy_new (&lc_policy_least_outstanding, seed);
 }
 
-const LcRouterClass lc_router_least_outstanding
-    = { .name = "least-outstanding", .create = create, .destroy = destroy, .choose = choose };
+const LcPolicyClass lc_policy_least_outstanding = {
+  .base = { .name = "least-outstanding",
+            .create = create,
+            .destroy = lc_policy_free,
+            .choose = lc_policy_choose },
+  .reason = "least-outstanding",
+  .pick = pick,
+};
--- /dev/null
+++ b/packages/core/src/lc-router-power-of-two.c
@@ -0,0 +1,40 @@
+#include "lc-policies.h"
+
+static double
+load (const LcEndpoint *endpoint)
+{
+  return (double)(endpoint->report.running + endpoint->report.waiting
+                  + endpoint->sent_since_report);
+}
+
+/* Baseline: two at random, then the one with the shorter queue by its report and our own sends
+ * since. */
+static size_t
+pick (LcPolicy *policy, LcEndpoints *endpoints, const LcRouteQuery *query, LbTime now)
+{
+  LcCandidate *items = policy->candidates.items;
+  size_t a = gsl_rng_uniform_int (policy->rng, policy->candidates.n_items);
+  size_t b = gsl_rng_uniform_int (policy->rng, policy->candidates.n_items);
+
+  (void)endpoints;
+  (void)query;
+  (void)now;
+  items[a].score = load (items[a].endpoint);
+  items[b].score = load (items[b].endpoint);
+  return items[b].score < items[a].score ? b : a;
+}
+
+static LcRouter *
+create (uint64_t seed)
+{
+  return lc_policy_new (&lc_policy_power_of_two, seed);
+}
+
+const LcPolicyClass lc_policy_power_of_two = {
+  .base = { .name = "power-of-two",
+            .create = create,
+            .destroy = lc_policy_free,
+            .choose = lc_policy_choose },
+  .reason = "shorter-of-two",
+  .pick = pick,
+};
--- a/packages/core/src/lc-router-random.c
+++ b/packages/core/src/lc-router-random.c
@@ -1,51 +1,24 @@
 #include "lc-policies.h"
 
-#include "lc-candidates.h"
-
-#include "lb-alloc.h"
-
-#include <gsl/gsl_rng.h>
-
-typedef struct
+/* Baseline: every candidate with the same chance. */
+static size_t
+pick (LcPolicy *policy, LcEndpoints *endpoints, const LcRouteQuery *query, LbTime now)
 {
-  LcRouter base;
-  LcCandidates candidates;
-  gsl_rng *rng;
-} RandomRouter;
+  (void)endpoints;
+  (void)query;
+  (void)now;
+  return gsl_rng_uniform_int (policy->rng, policy->candidates.n_items);
+}
 
 static LcRouter *
 create (uint64_t seed)
 {
-  RandomRouter *router = LB_NEW (RandomRouter);
-
-  router->base.klass = &lc_router_random;
-  router->rng = gsl_rng_alloc (gsl_rng_taus2);
-  gsl_rng_set (router->rng, seed);
-  return &router->base;
-}
-
-static void
-destroy (LcRouter *base)
-{
-  RandomRouter *router = (RandomRouter *)base;
-
-  lc_candidates_clear (&router->candidates);
-  gsl_rng_free (router->rng);
-  free (router);
-}
-
-static LcRouteDecision
-choose (LcRouter *base, LcEndpoints *endpoints, const LcRouteQuery *query, LbTime now)
-{
-  RandomRouter *router = (RandomRouter *)base;
-  LcCandidates *candidates = &router->candidates;
-
-  lc_candidates_gather (candidates, endpoints, query, now);
-  if (candidates->reason)
-    return lc_candidates_decide_nobody (candidates);
-  return lc_candidates_decide (candidates, gsl_rng_uniform_int (router->rng, candidates->n_items),
-                               "random");
+  return lc_policy_new (&lc_policy_random, seed);
 }
 
-const LcRouterClass lc_router_random
-    = { .name = "random", .create = create, .destroy = destroy, .choose = choose };
+const LcPolicyClass lc_policy_random = {
+  .base
+  = { .name = "random", .create = create, .destroy = lc_policy_free, .choose = lc_policy_choose },
+  .reason = "random",
+  .pick = pick,
+};
--- a/packages/core/src/lc-router.c
+++ b/packages/core/src/lc-router.c
@@ -4,23 +4,29 @@
 
 #include <string.h>
 
-static const LcRouterClass *const classes[] = {
-  &lc_router_finish_time,
-  &lc_router_random,
-  &lc_router_least_outstanding,
+static const LcPolicyClass *const classes[] = {
+  &lc_policy_finish_time,       &lc_policy_random,       &lc_policy_round_robin,
+  &lc_policy_least_outstanding, &lc_policy_power_of_two, &lc_policy_prefix_affinity,
 };
 
 #define N_CLASSES (sizeof classes / sizeof classes[0])
 
+static const char *const names[] = {
+  "lentilspindle", "random",          "round-robin", "least-outstanding",
+  "power-of-two",  "prefix-affinity", NULL,
+};
+
+_Static_assert(sizeof names / sizeof names[0] == N_CLASSES + 1, "a name for each policy");
+
 /* An empty name means the product's own policy. */
 LcRouter *
 lc_router_new (const char *policy, uint64_t seed)
 {
   if (policy[0] == '\0')
-    return classes[0]->create (seed);
+    return classes[0]->base.create (seed);
   for (size_t i = 0; i < N_CLASSES; i++)
-    if (strcmp (classes[i]->name, policy) == 0)
-      return classes[i]->create (seed);
+    if (strcmp (classes[i]->base.name, policy) == 0)
+      return classes[i]->base.create (seed);
   return NULL;
 }
 
@@ -40,7 +46,5 @@
 const char *const *
 lc_router_policies (void)
 {
-  static const char *const names[] = { "lentilspindle", "random", "least-outstanding", NULL };
-
   return names;
 }
