--- /dev/null
+++ b/packages/core/src/lc-router-least-outstanding.c
@@ -0,0 +1,30 @@
+#include "lc-policies.h"
+
+/* Baseline: the fewest requests of this instance's own, as a plain balancer counts them. */
+static size_t
+pick (LcPolicy *policy, LcEndpoints *endpoints, const LcRouteQuery *query, LbTime now)
+{
+  LcCandidates *candidates = &policy->candidates;
+
+  (void)endpoints;
+  (void)query;
+  (void)now;
+  for (size_t i = 0; i < candidates->n_items; i++)
+    candidates->items[i].score = (double)candidates->items[i].endpoint->in_flight;
+  return lc_policy_pick_least (policy);
+}
+
+static LcRouter *
+create (uint64_t seed)
+{
+  return lc_policy_new (&lc_policy_least_outstanding, seed);
+}
+
+const LcPolicyClass lc_policy_least_outstanding = {
+  .base = { .name = "least-outstanding",
+            .create = create,
+            .destroy = lc_policy_free,
+            .choose = lc_policy_choose },
+  .reason = "least-outstanding",
+  .pick = pick,
+};
