--- a/packages/core/include/lc-dispatch.h
+++ b/packages/core/include/lc-dispatch.h
@@ -147,5 +147,8 @@
 size_t lc_dispatch_in_progress (const LcDispatch *dispatch);
 size_t lc_dispatch_waiting (const LcDispatch *dispatch, LcRequestKind kind);
 LcEndpoints *lc_dispatch_endpoints (LcDispatch *dispatch);
+/* Actions refused since the start because they would have broken a promise; 0 in a sound program.
+ */
+uint64_t lc_dispatch_invariant_failures (const LcDispatch *dispatch);
 
 #endif
--- /dev/null
+++ b/packages/core/src/lc-dispatch-private.h
@@ -0,0 +1,73 @@
+#ifndef LC_DISPATCH_PRIVATE_H
+#define LC_DISPATCH_PRIVATE_H
+
+#include "lc-request.h"
+#include "lc-retry.h"
+
+/* Waiting requests are tried again at least this often, since breakers, swaps and limits change
+ * with time alone. */
+#define LC_DISPATCH_POLL (20 * LB_MSEC)
+
+typedef enum
+{
+  LC_POOL_ENGINES,
+  LC_POOL_SERVICE,
+  LC_N_POOL_KINDS
+} LcPoolKind;
+
+struct LcDispatch
+{
+  LcDispatchSettings settings;
+  LcEndpoints *endpoints;
+  LcRouter *router;
+  LcRetryBudgets *budgets;
+  gsl_rng *random;
+  LcPoolState *pools[LC_N_POOL_KINDS];
+  LcRequest *requests;
+  LcHeap timers; /* LcRequest by due */
+  LbTime polled_at;
+  uint64_t sequence;
+  uint64_t invariant_failures;
+  bool draining;
+};
+
+static inline LcPoolKind
+lc_pool_kind (LcRequestKind kind)
+{
+  return kind == LC_KIND_SERVICE ? LC_POOL_SERVICE : LC_POOL_ENGINES;
+}
+
+/* lc-timers.c */
+void lc_dispatch_set_timer (LcDispatch *dispatch, LcRequest *request);
+LcRequest *lc_dispatch_due (LcDispatch *dispatch, LbTime now);
+
+/* lc-placement.c */
+bool lc_dispatch_has_endpoint (
+    LcDispatch *dispatch, const char *pool, LbTime start_by, LbTime *retry_after, LbTime now);
+void lc_dispatch_enqueue (LcDispatch *dispatch, LcRequest *request);
+void lc_dispatch_pump (LcDispatch *dispatch, LcPoolState *pool, LbTime now, LbList *actions);
+void lc_dispatch_pump_all (LcDispatch *dispatch, LbTime now, LbList *actions);
+void lc_dispatch_hedge (LcDispatch *dispatch, LcRequest *request, LbTime now, LbList *actions);
+
+/* lc-outcome.c */
+void lc_dispatch_end_attempt (LcDispatch *dispatch,
+                              LcRequest *request,
+                              LcAttempt *attempt,
+                              LcAttemptEnd end,
+                              LbTime now,
+                              LbList *actions);
+void lc_dispatch_cancel_attempt (
+    LcDispatch *dispatch, LcRequest *request, LcAttempt *attempt, LbTime now, LbList *actions);
+void lc_dispatch_forget (LcDispatch *dispatch, LcRequest *request, LbTime now, LbList *actions);
+void lc_dispatch_give_up (LcDispatch *dispatch,
+                          LcRequest *request,
+                          LbErrorCode error,
+                          LbTime retry_after,
+                          LbTime now,
+                          LbList *actions);
+LcAction *lc_action_new (LcActionType type, LcRequestId request, LbList *actions);
+
+/* lc-invariant.c */
+bool lc_dispatch_check (LcDispatch *dispatch, bool holds, const char *promise, LcRequestId request);
+
+#endif
--- /dev/null
+++ b/packages/core/src/lc-dispatch-query.c
@@ -0,0 +1,53 @@
+#include "lc-dispatch-private.h"
+
+static bool
+has_waiting (const LcDispatch *dispatch)
+{
+  for (int kind = 0; kind < LC_N_POOL_KINDS; kind++)
+    for (const LcPoolState *pool = dispatch->pools[kind]; pool; pool = pool->hh.next)
+      if (lc_queue_length (pool->queue) > 0)
+        return true;
+  return false;
+}
+
+/* When lc_dispatch_tick must be called next at the latest; LB_TIME_NEVER when nothing is due. */
+LbTime
+lc_dispatch_next_tick (const LcDispatch *dispatch)
+{
+  const LcHeapNode *node = lc_heap_first (&dispatch->timers);
+  LbTime due = node ? LC_HEAP_ENTRY (node, LcRequest, timer)->due : LB_TIME_NEVER;
+  LbTime poll = has_waiting (dispatch) ? dispatch->polled_at + LC_DISPATCH_POLL : LB_TIME_NEVER;
+
+  return poll < due ? poll : due;
+}
+
+/* Requests admitted that have no final answer yet. */
+size_t
+lc_dispatch_in_progress (const LcDispatch *dispatch)
+{
+  return HASH_COUNT (dispatch->requests);
+}
+
+size_t
+lc_dispatch_waiting (const LcDispatch *dispatch, LcRequestKind kind)
+{
+  size_t waiting = 0;
+
+  for (const LcPoolState *pool = dispatch->pools[lc_pool_kind (kind)]; pool; pool = pool->hh.next)
+    waiting += lc_queue_kind_length (pool->queue, kind);
+  return waiting;
+}
+
+LcEndpoints *
+lc_dispatch_endpoints (LcDispatch *dispatch)
+{
+  return dispatch->endpoints;
+}
+
+/* Actions refused since the start because they would have broken a promise; 0 in a sound program.
+ */
+uint64_t
+lc_dispatch_invariant_failures (const LcDispatch *dispatch)
+{
+  return dispatch->invariant_failures;
+}
--- /dev/null
+++ b/packages/core/src/lc-dispatch.c
@@ -0,0 +1,488 @@
+#include "lc-dispatch-private.h"
+
+#include "lb-alloc.h"
+#include "lb-counter.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define DEFAULT_POLICY "lentilspindle"
+#define DEFAULT_QUEUE_LIMIT 4096
+#define MIN_RETRY_AFTER (100 * LB_MSEC)
+#define DRAIN_RETRY_AFTER (100 * LB_MSEC)
+
+static LbMetric dropped_pieces
+    = LB_COUNTER_INIT ("lentilspindle_pieces_dropped_total",
+                       NULL,
+                       "Pieces of answers that were late, foreign, repeated or out of order");
+static LbMetric refused = LB_COUNTER_INIT ("lentilspindle_requests_refused_total",
+                                           NULL,
+                                           "Requests that were not admitted");
+
+static bool
+timer_before (const LcHeapNode *a, const LcHeapNode *b)
+{
+  const LcRequest *first = LC_HEAP_ENTRY (a, LcRequest, timer);
+  const LcRequest *second = LC_HEAP_ENTRY (b, LcRequest, timer);
+
+  return first->due != second->due ? first->due < second->due : first->id < second->id;
+}
+
+/* NULL when no policy of the settings' name exists. */
+LcDispatch *
+lc_dispatch_new (const LcDispatchSettings *settings)
+{
+  const char *policy = settings->policy[0] ? settings->policy : DEFAULT_POLICY;
+  LcRouter *router = lc_router_new (policy, settings->seed);
+
+  if (!router)
+    return NULL;
+
+  LcDispatch *dispatch = LB_NEW (LcDispatch);
+
+  dispatch->settings = *settings;
+  dispatch->router = router;
+  dispatch->endpoints = lc_endpoints_new ();
+  dispatch->budgets = lc_retry_budgets_new (settings->retry_budget);
+  dispatch->random = gsl_rng_alloc (gsl_rng_taus2);
+  gsl_rng_set (dispatch->random, settings->seed);
+  lc_heap_init (&dispatch->timers, timer_before);
+  return dispatch;
+}
+
+static void
+free_requests (LcDispatch *dispatch)
+{
+  LcRequest *request = NULL;
+  LcRequest *next = NULL;
+
+  HASH_ITER (hh, dispatch->requests, request, next)
+  {
+    HASH_DELETE (hh, dispatch->requests, request);
+    lc_queue_remove (request->pool->queue, &request->waiting);
+    lc_request_free (request);
+  }
+}
+
+static void
+free_pools (LcPoolState *pools)
+{
+  LcPoolState *pool = NULL;
+  LcPoolState *next = NULL;
+
+  HASH_ITER (hh, pools, pool, next)
+  {
+    HASH_DELETE (hh, pools, pool);
+    lc_pool_state_free (pool);
+  }
+}
+
+void
+lc_dispatch_free (LcDispatch *dispatch)
+{
+  if (!dispatch)
+    return;
+  free_requests (dispatch);
+  for (int kind = 0; kind < LC_N_POOL_KINDS; kind++)
+    free_pools (dispatch->pools[kind]);
+  lc_heap_clear (&dispatch->timers);
+  gsl_rng_free (dispatch->random);
+  lc_retry_budgets_free (dispatch->budgets);
+  lc_endpoints_free (dispatch->endpoints);
+  lc_router_free (dispatch->router);
+  free (dispatch);
+}
+
+static LcPoolState *
+find_pool (const LcDispatch *dispatch, LcPoolKind kind, const char *name)
+{
+  LcPoolState *pool = NULL;
+
+  HASH_FIND_STR (dispatch->pools[kind], name, pool);
+  return pool;
+}
+
+static LcPoolState *
+configured_pool (LcDispatch *dispatch, LcPoolKind kind, const char *name)
+{
+  LcPoolState *pool = find_pool (dispatch, kind, name);
+
+  if (!pool)
+    {
+      pool = lc_pool_state_new (name);
+      HASH_ADD_STR (dispatch->pools[kind], name, pool);
+    }
+  pool->configured = true;
+  pool->queue_limit
+      = dispatch->settings.queue_limit > 0 ? dispatch->settings.queue_limit : DEFAULT_QUEUE_LIMIT;
+  return pool;
+}
+
+static void
+configure_pools (LcDispatch *dispatch, const LcResourceSet *set)
+{
+  for (int kind = 0; kind < LC_N_POOL_KINDS; kind++)
+    for (LcPoolState *pool = dispatch->pools[kind]; pool; pool = pool->hh.next)
+      pool->configured = false;
+  for (size_t i = 0; i < set->n_pools; i++)
+    {
+      LcPoolState *pool = configured_pool (dispatch, LC_POOL_ENGINES, set->pools[i].name);
+
+      pool->live_reserve = set->pools[i].live_reserve;
+      if (set->pools[i].queue_limit > 0)
+        pool->queue_limit = set->pools[i].queue_limit;
+    }
+  for (size_t i = 0; i < set->n_endpoints; i++)
+    if (set->endpoints[i].kind == LC_ENDPOINT_SERVICE)
+      configured_pool (dispatch, LC_POOL_SERVICE, set->endpoints[i].pool);
+}
+
+/* Answers all that wait for a pool which nobody serves any more. */
+static void
+fail_stranded (LcDispatch *dispatch, LcPoolState *pool, LbTime now, LbList *actions)
+{
+  LbTime retry_after = 0;
+  LcWaiting *waiting = NULL;
+
+  if (lc_queue_length (pool->queue) == 0
+      || (pool->configured
+          && lc_dispatch_has_endpoint (dispatch, pool->name, LB_TIME_NEVER, &retry_after, now)))
+    return;
+  while ((waiting = lc_queue_first (pool->queue)))
+    {
+      LcRequest *request = LB_CONTAINER (waiting, LcRequest, waiting);
+      LbErrorCode error = request->maybe_run ? request->last_error : LB_ERROR_NO_ENDPOINT;
+
+      lc_dispatch_give_up (dispatch, request, error, LB_SEC, now, actions);
+    }
+}
+
+static void
+fail_all_stranded (LcDispatch *dispatch, LbTime now, LbList *actions)
+{
+  for (int kind = 0; kind < LC_N_POOL_KINDS; kind++)
+    for (LcPoolState *pool = dispatch->pools[kind]; pool; pool = pool->hh.next)
+      fail_stranded (dispatch, pool, now, actions);
+}
+
+/* Takes a newer configuration. Attempts at endpoints that it no longer names run to their end. */
+void
+lc_dispatch_configure (LcDispatch *dispatch, const LcResourceSet *set, LbTime now, LbList *actions)
+{
+  lc_endpoints_configure (dispatch->endpoints, set, now);
+  configure_pools (dispatch, set);
+  fail_all_stranded (dispatch, now, actions);
+  lc_dispatch_pump_all (dispatch, now, actions);
+}
+
+static bool
+refuse (LbErrorCode code, LbTime hint, LbTime *retry_after, const char *pool, LbError *error)
+{
+  *retry_after = hint;
+  lb_metric_add (&refused, 1);
+  return lb_error_set (error, code, pool, "request refused before dispatch");
+}
+
+/* Makes room for a newcomer by giving up what is worth less; false when nothing is. */
+static bool
+make_room (
+    LcDispatch *dispatch, LcPoolState *pool, const LcQueueKey *key, LbTime now, LbList *actions)
+{
+  LcWaiting *victim = lc_queue_victim (pool->queue, key);
+
+  if (!victim)
+    return false;
+
+  LcRequest *request = LB_CONTAINER (victim, LcRequest, waiting);
+  LcQueueKey victim_key = lc_request_key (request);
+  LbTime wait = lc_pool_state_wait (pool, &victim_key);
+
+  if (request->n_attempts > 0)
+    return false;
+  lc_dispatch_give_up (dispatch, request, LB_ERROR_OVERLOADED,
+                       wait > MIN_RETRY_AFTER ? wait : MIN_RETRY_AFTER, now, actions);
+  return true;
+}
+
+/* Refuses early what could not be answered in time anyway, and what finds no place in the queue. */
+static bool
+admit (LcDispatch *dispatch,
+       LcPoolState *pool,
+       const LcRequestSpec *spec,
+       LbTime now,
+       LbList *actions,
+       LbTime *retry_after,
+       LbError *error)
+{
+  LcQueueKey key = {
+    .kind = spec->kind, .priority = spec->priority, .caller = spec->caller, .share = spec->share
+  };
+  LbTime wait = lc_pool_state_wait (pool, &key);
+  LbTime hint = 0;
+
+  if (spec->deadline <= now)
+    return refuse (LB_ERROR_DEADLINE_BEFORE_START, 0, retry_after, spec->pool, error);
+  if (!lc_dispatch_has_endpoint (dispatch, spec->pool, spec->deadline, &hint, now))
+    return refuse (LB_ERROR_NO_ENDPOINT, hint, retry_after, spec->pool, error);
+  if (spec->deadline != LB_TIME_NEVER && wait >= spec->deadline - now)
+    return refuse (LB_ERROR_OVERLOADED, wait, retry_after, spec->pool, error);
+  if (lc_pool_state_is_full (pool) && !make_room (dispatch, pool, &key, now, actions))
+    return refuse (LB_ERROR_OVERLOADED, wait > MIN_RETRY_AFTER ? wait : MIN_RETRY_AFTER,
+                   retry_after, spec->pool, error);
+  return true;
+}
+
+static LcRequest *
+find_request (const LcDispatch *dispatch, LcRequestId id)
+{
+  LcRequest *request = NULL;
+
+  HASH_FIND (hh, dispatch->requests, &id, sizeof id, request);
+  return request;
+}
+
+static LcRequest *
+add_request (LcDispatch *dispatch, const LcRequestSpec *spec, LcPoolState *pool, LbTime now)
+{
+  LcRequest *request = lc_request_new (spec, pool, now);
+
+  request->waiting.sequence = ++dispatch->sequence;
+  if (spec->deadline == LB_TIME_NEVER && spec->kind != LC_KIND_SAMPLE
+      && dispatch->settings.default_deadline > 0)
+    request->start_by = now + dispatch->settings.default_deadline;
+  HASH_ADD (hh, dispatch->requests, id, sizeof request->id, request);
+  pool->n_requests++;
+  return request;
+}
+
+bool
+lc_dispatch_submit (LcDispatch *dispatch,
+                    const LcRequestSpec *spec,
+                    LbTime now,
+                    LbList *actions,
+                    LbTime *retry_after,
+                    LbError *error)
+{
+  LcPoolState *pool = find_pool (dispatch, lc_pool_kind (spec->kind), spec->pool);
+
+  *retry_after = 0;
+  if (dispatch->draining)
+    return refuse (LB_ERROR_DRAINING, DRAIN_RETRY_AFTER, retry_after, spec->pool, error);
+  if (!pool || !pool->configured)
+    return refuse (spec->kind == LC_KIND_SERVICE ? LB_ERROR_UNKNOWN_SERVICE : LB_ERROR_UNKNOWN_POOL,
+                   0, retry_after, spec->pool, error);
+  if (!lc_dispatch_check (dispatch, !find_request (dispatch, spec->id), "request-ids-are-unique",
+                          spec->id))
+    return refuse (LB_ERROR_INVARIANT, 0, retry_after, spec->pool, error);
+  if (!admit (dispatch, pool, spec, now, actions, retry_after, error))
+    return false;
+  lc_dispatch_enqueue (dispatch, add_request (dispatch, spec, pool, now));
+  lc_dispatch_pump (dispatch, pool, now, actions);
+  return true;
+}
+
+void
+lc_dispatch_cancel (LcDispatch *dispatch, LcRequestId id, LbTime now, LbList *actions)
+{
+  LcRequest *request = find_request (dispatch, id);
+
+  if (!request)
+    return;
+
+  LcPoolState *pool = request->pool;
+
+  lc_dispatch_forget (dispatch, request, now, actions);
+  lc_dispatch_pump (dispatch, pool, now, actions);
+}
+
+static LcPieceVerdict
+drop_piece (void)
+{
+  lb_metric_add (&dropped_pieces, 1);
+  return LC_PIECE_DROP;
+}
+
+static void
+first_piece (LcDispatch *dispatch, LcRequest *request, LcAttempt *attempt, LbTime now)
+{
+  LcEndpoint *endpoint = lc_endpoints_find (dispatch->endpoints, attempt->endpoint);
+
+  attempt->heard = true;
+  request->maybe_run = true;
+  if (endpoint)
+    lc_endpoints_first_byte (endpoint, now - attempt->sent_at, now);
+  lc_dispatch_set_timer (dispatch, request);
+}
+
+/* From here on the answer is this attempt's alone; a hedge that is still silent is closed. */
+static void
+make_owner (
+    LcDispatch *dispatch, LcRequest *request, const LcAttempt *owner, LbTime now, LbList *actions)
+{
+  request->owner = owner->number;
+  LB_LIST_FOREACH (&request->attempts, LcAttempt, link, attempt)
+  {
+    if (attempt != owner)
+      lc_dispatch_cancel_attempt (dispatch, request, attempt, now, actions);
+  }
+}
+
+/* A gap means that a piece was lost: what follows can't be joined to what the submitter has. The
+ * attempt ends here as a broken stream and the answer goes on elsewhere or fails. */
+static LcPieceVerdict
+break_at_gap (
+    LcDispatch *dispatch, LcRequest *request, LcAttempt *attempt, LbTime now, LbList *actions)
+{
+  LcAction *action = lc_action_new (LC_ACTION_CANCEL, request->id, actions);
+
+  action->attempt = attempt->number;
+  LB_COPY (action->endpoint, attempt->endpoint);
+  lc_dispatch_end_attempt (dispatch, request, attempt, LC_END_BROKEN, now, actions);
+  return drop_piece ();
+}
+
+static bool
+is_gap (const LcAttempt *attempt, const LcPiece *piece)
+{
+  return piece->offset > attempt->offset
+         || (piece->offset < attempt->offset && piece->offset + piece->tokens > attempt->offset);
+}
+
+LcPieceVerdict
+lc_dispatch_piece (LcDispatch *dispatch,
+                   LcRequestId id,
+                   uint32_t number,
+                   const LcPiece *piece,
+                   LbTime now,
+                   LbList *actions)
+{
+  LcRequest *request = find_request (dispatch, id);
+  LcAttempt *attempt = request ? lc_request_attempt (request, number) : NULL;
+
+  if (!attempt || attempt->whole || piece->tokens < 0)
+    return drop_piece ();
+  if (!attempt->heard)
+    first_piece (dispatch, request, attempt, now);
+  if (is_gap (attempt, piece))
+    return break_at_gap (dispatch, request, attempt, now, actions);
+  if (piece->offset < attempt->offset)
+    return drop_piece ();
+  if (request->delivery == LC_DELIVER_STREAM && request->owner == 0)
+    make_owner (dispatch, request, attempt, now, actions);
+  attempt->offset += piece->tokens;
+  attempt->tokens += piece->tokens;
+  attempt->whole = piece->last;
+  if (request->delivery == LC_DELIVER_STREAM)
+    {
+      if (!lc_dispatch_check (dispatch,
+                              request->owner == number && request->next_token == piece->offset,
+                              "whole-answers", id))
+        return drop_piece ();
+      request->next_token = attempt->offset;
+    }
+  return LC_PIECE_FORWARD;
+}
+
+void
+lc_dispatch_ended (LcDispatch *dispatch,
+                   LcRequestId id,
+                   uint32_t number,
+                   LcAttemptEnd end,
+                   LbTime now,
+                   LbList *actions)
+{
+  LcRequest *request = find_request (dispatch, id);
+  LcAttempt *attempt = request ? lc_request_attempt (request, number) : NULL;
+
+  if (!attempt)
+    return;
+
+  LcPoolState *pool = request->pool;
+
+  if (end == LC_END_REFUSED_LEAVING)
+    lc_dispatch_leaving (dispatch, attempt->endpoint, "", LC_LEAVING_ENDPOINT, now, actions);
+  lc_dispatch_end_attempt (dispatch, request, attempt, end, now, actions);
+  lc_dispatch_pump (dispatch, pool, now, actions);
+}
+
+static LcPoolState *
+pool_of_endpoint (const LcDispatch *dispatch, const char *name)
+{
+  const LcEndpoint *endpoint = lc_endpoints_find (dispatch->endpoints, name);
+
+  if (!endpoint)
+    return NULL;
+  return find_pool (dispatch,
+                    endpoint->member.kind == LC_ENDPOINT_SERVICE ? LC_POOL_SERVICE
+                                                                 : LC_POOL_ENGINES,
+                    endpoint->member.pool);
+}
+
+void
+lc_dispatch_report (LcDispatch *dispatch,
+                    const char *endpoint,
+                    const LcLoadReport *report,
+                    LbTime now,
+                    LbList *actions)
+{
+  LcPoolState *pool = pool_of_endpoint (dispatch, endpoint);
+
+  lc_endpoints_report (dispatch->endpoints, endpoint, report, now);
+  if (!pool)
+    return;
+  lc_dispatch_pump (dispatch, pool, now, actions);
+  fail_stranded (dispatch, pool, now, actions);
+}
+
+void
+lc_dispatch_leaving (LcDispatch *dispatch,
+                     const char *endpoint,
+                     const char *incarnation,
+                     LcLeavingSource source,
+                     LbTime now,
+                     LbList *actions)
+{
+  LcPoolState *pool = pool_of_endpoint (dispatch, endpoint);
+
+  if (lc_endpoints_leaving (dispatch->endpoints, endpoint, incarnation, source, now) && pool)
+    fail_stranded (dispatch, pool, now, actions);
+}
+
+void
+lc_dispatch_drain (LcDispatch *dispatch, LbTime now, LbList *actions)
+{
+  (void)now;
+  (void)actions;
+  dispatch->draining = true;
+}
+
+static void
+run_timer (LcDispatch *dispatch, LcRequest *request, LbTime now, LbList *actions)
+{
+  LbTime start_by = request->start_by < request->deadline ? request->start_by : request->deadline;
+
+  if (now >= request->deadline || (request->state == LC_STATE_WAITING && now >= start_by))
+    {
+      LbErrorCode error = request->maybe_run || request->state == LC_STATE_RUNNING
+                              ? LB_ERROR_DEADLINE
+                              : LB_ERROR_DEADLINE_BEFORE_START;
+      LbTime wait = request->pool->mean_seconds[request->kind] * (double)LB_SEC;
+
+      lc_dispatch_give_up (dispatch, request, error,
+                           wait > MIN_RETRY_AFTER ? wait : MIN_RETRY_AFTER, now, actions);
+    }
+  else if (request->state == LC_STATE_BACKOFF)
+    lc_dispatch_enqueue (dispatch, request);
+  else
+    lc_dispatch_hedge (dispatch, request, now, actions);
+}
+
+void
+lc_dispatch_tick (LcDispatch *dispatch, LbTime now, LbList *actions)
+{
+  LcRequest *request = NULL;
+
+  while ((request = lc_dispatch_due (dispatch, now)))
+    run_timer (dispatch, request, now, actions);
+  lc_dispatch_pump_all (dispatch, now, actions);
+}
--- /dev/null
+++ b/packages/core/src/lc-heap.h
@@ -0,0 +1,39 @@
+#ifndef LC_HEAP_H
+#define LC_HEAP_H
+
+#include "lb-types.h"
+
+/* Intrusive binary heap: the node lives in the element, so that any element can be taken out in
+ * O(log n) without a search. */
+typedef struct
+{
+  size_t place; /* 1-based; 0: in no heap */
+} LcHeapNode;
+
+/* Strict order: true when a must come out before b. */
+typedef bool (*LcHeapBefore) (const LcHeapNode *a, const LcHeapNode *b);
+
+typedef struct
+{
+  LcHeapNode **nodes;
+  size_t length;
+  size_t capacity;
+  LcHeapBefore before;
+} LcHeap;
+
+#define LC_HEAP_ENTRY(node, type, member) ((type *)((char *)(node)-offsetof (type, member)))
+
+void lc_heap_init (LcHeap *heap, LcHeapBefore before);
+void lc_heap_clear (LcHeap *heap);
+void lc_heap_push (LcHeap *heap, LcHeapNode *node);
+void lc_heap_remove (LcHeap *heap, LcHeapNode *node);
+void lc_heap_moved (LcHeap *heap, LcHeapNode *node);
+LcHeapNode *lc_heap_first (const LcHeap *heap);
+
+static inline bool
+lc_heap_holds (const LcHeapNode *node)
+{
+  return node->place != 0;
+}
+
+#endif
--- /dev/null
+++ b/packages/core/src/lc-outcome.c
@@ -0,0 +1,217 @@
+#include "lc-dispatch-private.h"
+
+#include "lb-alloc.h"
+#include "lb-counter.h"
+
+#include <stdlib.h>
+
+#define MAX_ATTEMPTS 6
+
+static LbMetric retries = LB_COUNTER_INIT ("lentilspindle_retries_total",
+                                           NULL,
+                                           "Attempts made after an earlier one failed");
+static LbMetric given_up = LB_COUNTER_INIT ("lentilspindle_requests_given_up_total",
+                                            NULL,
+                                            "Admitted requests that ended with a typed failure");
+static LbMetric answered
+    = LB_COUNTER_INIT ("lentilspindle_requests_answered_total", NULL, "Whole answers given");
+
+/* Appends an action to the list; the list owns it. */
+LcAction *
+lc_action_new (LcActionType type, LcRequestId request, LbList *actions)
+{
+  LcAction *action = LB_NEW (LcAction);
+
+  action->type = type;
+  action->request = request;
+  lb_list_append (actions, &action->link);
+  return action;
+}
+
+void
+lc_action_free (LcAction *action)
+{
+  free (action);
+}
+
+/* Takes the attempt out of all books. */
+static void
+close_attempt (LcDispatch *dispatch, LcRequest *request, LcAttempt *attempt, bool ok, LbTime now)
+{
+  LcEndpoint *endpoint = lc_endpoints_find (dispatch->endpoints, attempt->endpoint);
+  LbTime took = now - attempt->sent_at;
+
+  if (endpoint)
+    lc_endpoints_ended (endpoint, request->kind, ok, attempt->tokens, took, now);
+  lc_pool_state_ended (request->pool, request->kind, attempt->whole ? took : 0);
+  if (request->owner == attempt->number)
+    request->owner = 0;
+  lc_request_drop_attempt (request, attempt);
+}
+
+void
+lc_dispatch_cancel_attempt (
+    LcDispatch *dispatch, LcRequest *request, LcAttempt *attempt, LbTime now, LbList *actions)
+{
+  LcAction *action = lc_action_new (LC_ACTION_CANCEL, request->id, actions);
+
+  action->attempt = attempt->number;
+  LB_COPY (action->endpoint, attempt->endpoint);
+  request->maybe_run = true;
+  close_attempt (dispatch, request, attempt, true, now);
+}
+
+static void
+cancel_attempts (LcDispatch *dispatch, LcRequest *request, LbTime now, LbList *actions)
+{
+  LB_LIST_FOREACH (&request->attempts, LcAttempt, link, attempt)
+  {
+    lc_dispatch_cancel_attempt (dispatch, request, attempt, now, actions);
+  }
+}
+
+/* Out of every queue and table, running attempts cancelled. What the caller is told comes after. */
+static void
+take_out (LcDispatch *dispatch, LcRequest *request, LbTime now, LbList *actions)
+{
+  cancel_attempts (dispatch, request, now, actions);
+  lc_queue_remove (request->pool->queue, &request->waiting);
+  lc_heap_remove (&dispatch->timers, &request->timer);
+  HASH_DELETE (hh, dispatch->requests, request);
+  request->pool->n_requests--;
+}
+
+void
+lc_dispatch_forget (LcDispatch *dispatch, LcRequest *request, LbTime now, LbList *actions)
+{
+  take_out (dispatch, request, now, actions);
+  lc_request_free (request);
+}
+
+/* The final answer of a request that failed. It is taken out of every queue first: a copy that
+ * still waits could run after its caller was told "not run". */
+void
+lc_dispatch_give_up (LcDispatch *dispatch,
+                     LcRequest *request,
+                     LbErrorCode error,
+                     LbTime retry_after,
+                     LbTime now,
+                     LbList *actions)
+{
+  take_out (dispatch, request, now, actions);
+  if (!lc_dispatch_check (dispatch, !lb_error_is_not_run (error) || !request->maybe_run,
+                          "not-run-is-a-proof", request->id))
+    error = LB_ERROR_OUTCOME_UNKNOWN;
+
+  LcAction *action = lc_action_new (LC_ACTION_FINISH, request->id, actions);
+
+  action->error = error;
+  action->retry_after = retry_after;
+  lb_metric_add (&given_up, 1);
+  lc_request_free (request);
+}
+
+static void
+finish_whole (
+    LcDispatch *dispatch, LcRequest *request, LcAttempt *attempt, LbTime now, LbList *actions)
+{
+  uint32_t number = attempt->number;
+  LbName endpoint;
+
+  LB_COPY (endpoint, attempt->endpoint);
+  if (number == 1)
+    {
+      lc_retry_budgets_earn (dispatch->budgets, request->caller);
+      lc_retry_budgets_earn (dispatch->budgets, endpoint);
+    }
+  attempt->whole = true;
+  close_attempt (dispatch, request, attempt, true, now);
+  take_out (dispatch, request, now, actions);
+
+  LcAction *action = lc_action_new (LC_ACTION_FINISH, request->id, actions);
+
+  action->attempt = number;
+  LB_COPY (action->endpoint, endpoint);
+  lb_metric_add (&answered, 1);
+  lc_request_free (request);
+}
+
+/* True for an end that proves that nothing ran at the endpoint. */
+static bool
+proves_not_run (LcAttemptEnd end)
+{
+  return end == LC_END_REFUSED || end == LC_END_REFUSED_LEAVING || end == LC_END_NOT_HANDED;
+}
+
+/* What the submitter is told if nothing follows this failure. */
+static LbErrorCode
+error_of (const LcRequest *request, LcAttemptEnd end)
+{
+  if (!request->maybe_run)
+    return end == LC_END_NOT_HANDED ? LB_ERROR_NO_ENDPOINT : LB_ERROR_ENDPOINT_REFUSED;
+  if (lc_request_has_output (request))
+    return LB_ERROR_STREAM_BROKEN;
+  return end == LC_END_FAILED ? LB_ERROR_ENDPOINT_FAILED : LB_ERROR_OUTCOME_UNKNOWN;
+}
+
+static bool
+may_try_again (const LcRequest *request)
+{
+  if (request->n_attempts >= MAX_ATTEMPTS)
+    return false;
+  if (!request->maybe_run)
+    return true;
+  return request->repeatable && (request->resumable || !lc_request_has_output (request));
+}
+
+/* Goes on after the last running attempt has failed: again at once when the endpoint only said that
+ * it leaves, else after a delay and within the budgets, else the final answer. */
+static void
+try_again (LcDispatch *dispatch, LcRequest *request, LcAttemptEnd end, LbTime now, LbList *actions)
+{
+  LbTime delay = lc_retry_delay (dispatch->random, request->n_retries);
+  bool paid = end != LC_END_REFUSED_LEAVING;
+
+  if (!may_try_again (request) || (paid && now + delay >= request->deadline)
+      || (paid && !lc_retry_budgets_allow (dispatch->budgets, request->caller)))
+    {
+      lc_dispatch_give_up (dispatch, request, request->last_error, LB_SEC, now, actions);
+      return;
+    }
+  request->waiting.cost = 0;
+  lb_metric_add (&retries, 1);
+  if (!paid)
+    {
+      lc_dispatch_enqueue (dispatch, request);
+      return;
+    }
+  lc_retry_budgets_spend (dispatch->budgets, request->caller);
+  request->charged = true;
+  request->n_retries++;
+  request->state = LC_STATE_BACKOFF;
+  request->retry_at = now + delay;
+  lc_dispatch_set_timer (dispatch, request);
+}
+
+/* An attempt is over. The request goes on, or its final answer is appended. */
+void
+lc_dispatch_end_attempt (LcDispatch *dispatch,
+                         LcRequest *request,
+                         LcAttempt *attempt,
+                         LcAttemptEnd end,
+                         LbTime now,
+                         LbList *actions)
+{
+  if (end == LC_END_WHOLE || attempt->whole)
+    {
+      finish_whole (dispatch, request, attempt, now, actions);
+      return;
+    }
+  if (!proves_not_run (end) || attempt->heard)
+    request->maybe_run = true;
+  lc_request_tried (request, attempt->endpoint);
+  close_attempt (dispatch, request, attempt, end == LC_END_REFUSED_LEAVING, now);
+  request->last_error = error_of (request, end);
+  if (lb_list_is_empty (&request->attempts))
+    try_again (dispatch, request, end, now, actions);
+}
--- /dev/null
+++ b/packages/core/src/lc-placement.c
@@ -0,0 +1,191 @@
+#include "lc-dispatch-private.h"
+
+#include "lb-alloc.h"
+
+#include <string.h>
+
+/* Callers that are passed over in one round because their request fits nowhere now. Bounds the cost
+ * of a round while a pool is full. */
+#define MAX_PASSED_OVER 8
+
+static bool
+serves (const LcEndpoint *endpoint, const char *pool)
+{
+  return !endpoint->leaving && strcmp (endpoint->member.pool, pool) == 0;
+}
+
+/* True when some endpoint of the pool may take work before start_by. Else *retry_after is how long
+ * until one may. */
+bool
+lc_dispatch_has_endpoint (
+    LcDispatch *dispatch, const char *pool, LbTime start_by, LbTime *retry_after, LbTime now)
+{
+  *retry_after = LB_SEC;
+  for (size_t i = 0; i < lc_endpoints_count (dispatch->endpoints); i++)
+    {
+      const LcEndpoint *endpoint = lc_endpoints_at (dispatch->endpoints, i);
+
+      if (!serves (endpoint, pool))
+        continue;
+      if (endpoint->breaker != LC_BREAKER_OPEN || endpoint->breaker_until <= start_by)
+        return true;
+      if (endpoint->breaker_until - now > *retry_after)
+        *retry_after = endpoint->breaker_until - now;
+    }
+  return false;
+}
+
+void
+lc_dispatch_enqueue (LcDispatch *dispatch, LcRequest *request)
+{
+  LcQueueKey key = lc_request_key (request);
+
+  request->state = LC_STATE_WAITING;
+  lc_queue_push (request->pool->queue, &key, &request->waiting);
+  lc_dispatch_set_timer (dispatch, request);
+}
+
+static LcRouteDecision
+choose (LcDispatch *dispatch, const LcRequest *request, LbTime now)
+{
+  const char *data_centre = dispatch->settings.data_centre;
+  LcRouteQuery query = lc_request_query (request, data_centre, true);
+  LcRouteDecision decision = lc_router_choose (dispatch->router, dispatch->endpoints, &query, now);
+
+  if (decision.endpoint || request->n_tried == 0)
+    return decision;
+  query = lc_request_query (request, data_centre, false);
+  return lc_router_choose (dispatch->router, dispatch->endpoints, &query, now);
+}
+
+/* The last look before new work goes out. A retry, a hedge, a resume and queued work all pass
+ * here, so an endpoint that is leaving gets none of them even when a policy names it by mistake,
+ * and a call that may not be repeated gets no second attempt while it may have run. */
+static bool
+may_send (LcDispatch *dispatch, const LcRequest *request, const LcEndpoint *endpoint)
+{
+  bool first = lb_list_is_empty (&request->attempts) && !request->maybe_run;
+
+  return lc_dispatch_check (dispatch, !endpoint->leaving, "no-new-work-to-leaving", request->id)
+         && lc_dispatch_check (dispatch, request->repeatable || first, "at-most-once", request->id);
+}
+
+static void
+send_attempt (LcDispatch *dispatch,
+              LcRequest *request,
+              const LcRouteDecision *decision,
+              LbTime now,
+              LbList *actions)
+{
+  LcEndpoint *endpoint = decision->endpoint;
+  LcAttempt *attempt = lc_request_add_attempt (request, endpoint->member.name, now);
+  LcAction *action = lc_action_new (LC_ACTION_SEND, request->id, actions);
+  size_t n_hashes = request->n_prefix_hashes;
+
+  request->state = LC_STATE_RUNNING;
+  action->attempt = attempt->number;
+  action->resume_at = attempt->offset;
+  action->decision = *decision;
+  LB_COPY (action->endpoint, endpoint->member.name);
+  LB_COPY (action->address, endpoint->member.address);
+  lc_pool_state_started (request->pool, request->kind);
+  lc_endpoints_sent (endpoint, request->kind, n_hashes ? request->prefix_hashes[n_hashes - 1] : 0,
+                     now);
+  lc_dispatch_set_timer (dispatch, request);
+}
+
+static bool
+is_choosy (const LcRequest *request)
+{
+  return request->min_version > 0 || request->n_avoid > 0;
+}
+
+/* Sends a request that has been chosen for an endpoint. */
+static void
+place (LcDispatch *dispatch,
+       LcRequest *request,
+       const LcRouteDecision *decision,
+       LbTime now,
+       LbList *actions)
+{
+  const char *endpoint = decision->endpoint->member.name;
+
+  lc_queue_take (request->pool->queue, &request->waiting);
+  if (!may_send (dispatch, request, decision->endpoint))
+    {
+      lc_dispatch_give_up (dispatch, request, LB_ERROR_INVARIANT, 0, now, actions);
+      return;
+    }
+  if (request->charged && !lc_retry_budgets_allow (dispatch->budgets, endpoint))
+    {
+      lc_dispatch_give_up (dispatch, request, request->last_error, LB_SEC, now, actions);
+      return;
+    }
+  if (request->charged)
+    lc_retry_budgets_spend (dispatch->budgets, endpoint);
+  request->charged = false;
+  send_attempt (dispatch, request, decision, now, actions);
+}
+
+/* Sends as many waiting requests of the pool as fit. Ends at the first that fits nowhere, unless
+ * that one is choosy: then those of other callers may still fit. */
+void
+lc_dispatch_pump (LcDispatch *dispatch, LcPoolState *pool, LbTime now, LbList *actions)
+{
+  LcWaiting *waiting = NULL;
+  int passed_over = 0;
+
+  while ((waiting = lc_queue_first (pool->queue)))
+    {
+      LcRequest *request = LB_CONTAINER (waiting, LcRequest, waiting);
+      LcRouteDecision decision = choose (dispatch, request, now);
+
+      if (decision.endpoint)
+        place (dispatch, request, &decision, now, actions);
+      else if (is_choosy (request) && passed_over++ < MAX_PASSED_OVER)
+        lc_queue_set_aside (pool->queue, waiting);
+      else
+        break;
+    }
+  lc_queue_restore (pool->queue);
+}
+
+void
+lc_dispatch_pump_all (LcDispatch *dispatch, LbTime now, LbList *actions)
+{
+  LcPoolState *next = NULL;
+
+  dispatch->polled_at = now;
+  for (int kind = 0; kind < LC_N_POOL_KINDS; kind++)
+    for (LcPoolState *pool = dispatch->pools[kind]; pool; pool = next)
+      {
+        next = pool->hh.next;
+        lc_dispatch_pump (dispatch, pool, now, actions);
+      }
+}
+
+/* A second attempt elsewhere for a repeatable live call that has heard nothing yet. Spends the same
+ * budgets as a retry. */
+void
+lc_dispatch_hedge (LcDispatch *dispatch, LcRequest *request, LbTime now, LbList *actions)
+{
+  const LcAttempt *attempt = LB_LIST_FIRST (&request->attempts, LcAttempt, link);
+
+  request->hedged = true;
+  lc_request_tried (request, attempt->endpoint);
+
+  LcRouteQuery query = lc_request_query (request, dispatch->settings.data_centre, true);
+  LcRouteDecision decision = lc_router_choose (dispatch->router, dispatch->endpoints, &query, now);
+  const char *endpoint = decision.endpoint ? decision.endpoint->member.name : NULL;
+
+  if (endpoint && strcmp (endpoint, attempt->endpoint) != 0
+      && lc_retry_budgets_allow (dispatch->budgets, request->caller)
+      && lc_retry_budgets_allow (dispatch->budgets, endpoint)
+      && may_send (dispatch, request, decision.endpoint))
+    {
+      lc_retry_budgets_spend (dispatch->budgets, request->caller);
+      lc_retry_budgets_spend (dispatch->budgets, endpoint);
+      send_attempt (dispatch, request, &decision, now, actions);
+    }
+  lc_dispatch_set_timer (dispatch, request);
+}
--- /dev/null
+++ b/packages/core/src/lc-pool.h
@@ -0,0 +1,33 @@
+#ifndef LC_POOL_H
+#define LC_POOL_H
+
+#include "lc-queue.h"
+
+#include <uthash.h>
+
+/* What one pool or plain service of this instance has waiting and running, and how fast it goes. */
+typedef struct
+{
+  UT_hash_handle hh;
+  LbName name;
+  LcQueue *queue;
+  bool configured; /* part of the configuration in force */
+  double live_reserve;
+  int64_t queue_limit;
+  size_t n_requests; /* admitted and not finished */
+  int64_t running[LC_N_KINDS];
+  double mean_seconds[LC_N_KINDS]; /* of an attempt; 0: none has ended yet */
+} LcPoolState;
+
+LcPoolState *lc_pool_state_new (const char *name);
+void lc_pool_state_free (LcPoolState *pool);
+
+/* commands */
+void lc_pool_state_started (LcPoolState *pool, LcRequestKind kind);
+void lc_pool_state_ended (LcPoolState *pool, LcRequestKind kind, LbTime took);
+
+/* queries */
+bool lc_pool_state_is_full (const LcPoolState *pool);
+LbTime lc_pool_state_wait (const LcPoolState *pool, const LcQueueKey *key);
+
+#endif
--- /dev/null
+++ b/packages/core/src/lc-request.c
@@ -0,0 +1,153 @@
+#include "lc-request.h"
+
+#include "lb-alloc.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static void *
+copy_or_null (const void *memory, size_t size)
+{
+  return size ? lb_memdup (memory, size) : NULL;
+}
+
+static double
+cost_of (const LcRequestSpec *spec)
+{
+  int64_t tokens = spec->prompt_tokens + spec->expected_tokens;
+
+  return tokens > 0 ? (double)tokens : 1;
+}
+
+LcRequest *
+lc_request_new (const LcRequestSpec *spec, LcPoolState *pool, LbTime now)
+{
+  LcRequest *request = LB_NEW (LcRequest);
+
+  request->id = spec->id;
+  request->pool = pool;
+  request->due = LB_TIME_NEVER;
+  request->submitted = now;
+  request->deadline = spec->deadline;
+  request->start_by = spec->deadline;
+  request->retry_at = LB_TIME_NEVER;
+  LB_COPY (request->caller, spec->caller);
+  request->share = spec->share;
+  request->priority = spec->priority;
+  request->kind = spec->kind;
+  request->delivery = spec->delivery;
+  request->repeatable = spec->repeatable;
+  request->resumable = spec->resumable;
+  request->prompt_tokens = spec->prompt_tokens;
+  request->expected_tokens = spec->expected_tokens;
+  request->min_version = spec->min_version;
+  request->first_token = spec->resume_at;
+  request->next_token = spec->resume_at;
+  request->waiting.cost = cost_of (spec);
+  lb_list_init (&request->attempts);
+  request->n_prefix_hashes
+      = spec->n_prefix_hashes < LC_MAX_PREFIX_HASHES ? spec->n_prefix_hashes : LC_MAX_PREFIX_HASHES;
+  request->prefix_hashes
+      = copy_or_null (spec->prefix_hashes, request->n_prefix_hashes * sizeof (uint64_t));
+  request->n_avoid = spec->n_avoid < LC_MAX_AVOID ? spec->n_avoid : LC_MAX_AVOID;
+  request->avoid = copy_or_null (spec->avoid, request->n_avoid * sizeof (LbName));
+  return request;
+}
+
+void
+lc_request_free (LcRequest *request)
+{
+  if (!request)
+    return;
+  LB_LIST_FOREACH (&request->attempts, LcAttempt, link, attempt)
+  {
+    free (attempt);
+  }
+  free (request->prefix_hashes);
+  free (request->avoid);
+  free (request);
+}
+
+LcAttempt *
+lc_request_add_attempt (LcRequest *request, const char *endpoint, LbTime now)
+{
+  LcAttempt *attempt = LB_NEW (LcAttempt);
+
+  attempt->number = ++request->n_attempts;
+  LB_COPY (attempt->endpoint, endpoint);
+  attempt->sent_at = now;
+  attempt->offset = request->next_token;
+  lb_list_append (&request->attempts, &attempt->link);
+  return attempt;
+}
+
+/* NULL when no such attempt runs. */
+LcAttempt *
+lc_request_attempt (const LcRequest *request, uint32_t number)
+{
+  LB_LIST_FOREACH (&request->attempts, LcAttempt, link, attempt)
+  {
+    if (attempt->number == number)
+      return attempt;
+  }
+  return NULL;
+}
+
+void
+lc_request_drop_attempt (LcRequest *request, LcAttempt *attempt)
+{
+  lb_list_remove (&request->attempts, &attempt->link);
+  free (attempt);
+}
+
+void
+lc_request_tried (LcRequest *request, const char *endpoint)
+{
+  size_t n = request->n_avoid + request->n_tried;
+
+  if (n == LC_MAX_AVOID)
+    return;
+  for (size_t i = 0; i < n; i++)
+    if (strcmp (request->avoid[i], endpoint) == 0)
+      return;
+  request->avoid = lb_realloc (request->avoid, (n + 1) * sizeof (LbName));
+  LB_COPY (request->avoid[n], endpoint);
+  request->n_tried++;
+}
+
+LcQueueKey
+lc_request_key (const LcRequest *request)
+{
+  return (LcQueueKey){ .kind = request->kind,
+                       .priority = request->priority,
+                       .caller = request->caller,
+                       .share = request->share };
+}
+
+LcRouteQuery
+lc_request_query (const LcRequest *request, const char *data_centre, bool avoid_tried)
+{
+  LcRouteQuery query = {
+    .kind = request->kind,
+    .pool = request->pool->name,
+    .data_centre = data_centre,
+    .prefix_hashes = request->prefix_hashes,
+    .n_prefix_hashes = request->n_prefix_hashes,
+    .prompt_tokens = request->prompt_tokens,
+    .expected_tokens = request->expected_tokens,
+    .min_version = request->min_version,
+    .live_reserve = request->pool->live_reserve,
+    .n_avoid = request->n_avoid + (avoid_tried ? request->n_tried : 0),
+  };
+
+  if (query.n_avoid)
+    memcpy (query.avoid, request->avoid, query.n_avoid * sizeof (LbName));
+  return query;
+}
+
+/* True when the submitter has already been given a part of the answer. */
+bool
+lc_request_has_output (const LcRequest *request)
+{
+  return request->delivery == LC_DELIVER_STREAM && request->next_token > request->first_token;
+}
--- /dev/null
+++ b/packages/core/src/lc-timers.c
@@ -0,0 +1,57 @@
+#include "lc-dispatch-private.h"
+
+static LbTime
+earlier (LbTime a, LbTime b)
+{
+  return a < b ? a : b;
+}
+
+/* Time at which a second attempt is worth making; NEVER when none is allowed. */
+static LbTime
+hedge_time (const LcDispatch *dispatch, const LcRequest *request)
+{
+  const LcAttempt *attempt = LB_LIST_FIRST (&request->attempts, LcAttempt, link);
+
+  if (dispatch->settings.hedge_after <= 0 || request->kind != LC_KIND_LIVE || !request->repeatable
+      || request->hedged || !attempt || attempt->heard)
+    return LB_TIME_NEVER;
+  return attempt->sent_at + dispatch->settings.hedge_after;
+}
+
+static LbTime
+due_of (const LcDispatch *dispatch, const LcRequest *request)
+{
+  switch (request->state)
+    {
+    case LC_STATE_WAITING:
+      return earlier (request->start_by, request->deadline);
+    case LC_STATE_BACKOFF:
+      return earlier (request->retry_at, request->deadline);
+    default:
+      return earlier (request->deadline, hedge_time (dispatch, request));
+    }
+}
+
+/* Called after each change of a request's state: one timer a request, so that finding what is due
+ * costs nothing for those that are not. */
+void
+lc_dispatch_set_timer (LcDispatch *dispatch, LcRequest *request)
+{
+  request->due = due_of (dispatch, request);
+  if (request->due == LB_TIME_NEVER)
+    lc_heap_remove (&dispatch->timers, &request->timer);
+  else if (lc_heap_holds (&request->timer))
+    lc_heap_moved (&dispatch->timers, &request->timer);
+  else
+    lc_heap_push (&dispatch->timers, &request->timer);
+}
+
+/* A request whose timer has run out; NULL when there is none. */
+LcRequest *
+lc_dispatch_due (LcDispatch *dispatch, LbTime now)
+{
+  LcHeapNode *node = lc_heap_first (&dispatch->timers);
+  LcRequest *request = node ? LC_HEAP_ENTRY (node, LcRequest, timer) : NULL;
+
+  return request && request->due <= now ? request : NULL;
+}
