--- a/packages/core/src/lc-dispatch-private.h
+++ b/packages/core/src/lc-dispatch-private.h
@@ -8,13 +8,6 @@
  * with time alone. */
 #define LC_DISPATCH_POLL (20 * LB_MSEC)
 
-typedef enum
-{
-  LC_POOL_ENGINES,
-  LC_POOL_SERVICE,
-  LC_N_POOL_KINDS
-} LcPoolKind;
-
 struct LcDispatch
 {
   LcDispatchSettings settings;
@@ -37,13 +30,22 @@
   return kind == LC_KIND_SERVICE ? LC_POOL_SERVICE : LC_POOL_ENGINES;
 }
 
+static inline LcPoolKind
+lc_pool_kind_of (const LcEndpointMember *member)
+{
+  return member->kind == LC_ENDPOINT_SERVICE ? LC_POOL_SERVICE : LC_POOL_ENGINES;
+}
+
 /* lc-timers.c */
 void lc_dispatch_set_timer (LcDispatch *dispatch, LcRequest *request);
 LcRequest *lc_dispatch_due (LcDispatch *dispatch, LbTime now);
 
 /* lc-placement.c */
-bool lc_dispatch_has_endpoint (
-    LcDispatch *dispatch, const char *pool, LbTime start_by, LbTime *retry_after, LbTime now);
+bool lc_dispatch_has_endpoint (LcDispatch *dispatch,
+                               const LcPoolState *pool,
+                               LbTime start_by,
+                               LbTime *retry_after,
+                               LbTime now);
 void lc_dispatch_enqueue (LcDispatch *dispatch, LcRequest *request);
 void lc_dispatch_pump (LcDispatch *dispatch, LcPoolState *pool, LbTime now, LbList *actions);
 void lc_dispatch_pump_all (LcDispatch *dispatch, LbTime now, LbList *actions);
--- a/packages/core/src/lc-dispatch.c
+++ b/packages/core/src/lc-dispatch.c
@@ -109,7 +109,7 @@
 
   if (!pool)
     {
-      pool = lc_pool_state_new (name);
+      pool = lc_pool_state_new (kind, name);
       HASH_ADD_STR (dispatch->pools[kind], name, pool);
     }
   pool->configured = true;
@@ -123,7 +123,10 @@
 {
   for (int kind = 0; kind < LC_N_POOL_KINDS; kind++)
     for (LcPoolState *pool = dispatch->pools[kind]; pool; pool = pool->hh.next)
-      pool->configured = false;
+      {
+        pool->configured = false;
+        pool->n_endpoints = 0;
+      }
   for (size_t i = 0; i < set->n_pools; i++)
     {
       LcPoolState *pool = configured_pool (dispatch, LC_POOL_ENGINES, set->pools[i].name);
@@ -133,8 +136,15 @@
         pool->queue_limit = set->pools[i].queue_limit;
     }
   for (size_t i = 0; i < set->n_endpoints; i++)
-    if (set->endpoints[i].kind == LC_ENDPOINT_SERVICE)
-      configured_pool (dispatch, LC_POOL_SERVICE, set->endpoints[i].pool);
+    {
+      const LcEndpointMember *member = &set->endpoints[i];
+      LcPoolKind kind = lc_pool_kind_of (member);
+      LcPoolState *pool = kind == LC_POOL_SERVICE ? configured_pool (dispatch, kind, member->pool)
+                                                  : find_pool (dispatch, kind, member->pool);
+
+      if (pool)
+        pool->n_endpoints++;
+    }
 }
 
 /* Answers all that wait for a pool which nobody serves any more. */
@@ -145,8 +155,7 @@
   LcWaiting *waiting = NULL;
 
   if (lc_queue_length (pool->queue) == 0
-      || (pool->configured
-          && lc_dispatch_has_endpoint (dispatch, pool->name, LB_TIME_NEVER, &retry_after, now)))
+      || (lc_dispatch_has_endpoint (dispatch, pool, LB_TIME_NEVER, &retry_after, now)))
     return;
   while ((waiting = lc_queue_first (pool->queue)))
     {
@@ -222,7 +231,7 @@
 
   if (spec->deadline <= now)
     return refuse (LB_ERROR_DEADLINE_BEFORE_START, 0, retry_after, spec->pool, error);
-  if (!lc_dispatch_has_endpoint (dispatch, spec->pool, spec->deadline, &hint, now))
+  if (!lc_dispatch_has_endpoint (dispatch, pool, spec->deadline, &hint, now))
     return refuse (LB_ERROR_NO_ENDPOINT, hint, retry_after, spec->pool, error);
   if (spec->deadline != LB_TIME_NEVER && wait >= spec->deadline - now)
     return refuse (LB_ERROR_OVERLOADED, wait, retry_after, spec->pool, error);
@@ -412,10 +421,7 @@
 
   if (!endpoint)
     return NULL;
-  return find_pool (dispatch,
-                    endpoint->member.kind == LC_ENDPOINT_SERVICE ? LC_POOL_SERVICE
-                                                                 : LC_POOL_ENGINES,
-                    endpoint->member.pool);
+  return find_pool (dispatch, lc_pool_kind_of (&endpoint->member), endpoint->member.pool);
 }
 
 void
--- a/packages/core/src/lc-placement.c
+++ b/packages/core/src/lc-placement.c
@@ -9,18 +9,21 @@
 #define MAX_PASSED_OVER 8
 
 static bool
-serves (const LcEndpoint *endpoint, const char *pool)
+serves (const LcEndpoint *endpoint, const LcPoolState *pool)
 {
-  return !endpoint->leaving && strcmp (endpoint->member.pool, pool) == 0;
+  return !endpoint->leaving && lc_pool_kind_of (&endpoint->member) == pool->kind
+         && strcmp (endpoint->member.pool, pool->name) == 0;
 }
 
 /* True when some endpoint of the pool may take work before start_by. Else *retry_after is how long
  * until one may. */
 bool
 lc_dispatch_has_endpoint (
-    LcDispatch *dispatch, const char *pool, LbTime start_by, LbTime *retry_after, LbTime now)
+    LcDispatch *dispatch, const LcPoolState *pool, LbTime start_by, LbTime *retry_after, LbTime now)
 {
   *retry_after = LB_SEC;
+  if (!pool->configured || pool->n_endpoints == 0)
+    return false;
   for (size_t i = 0; i < lc_endpoints_count (dispatch->endpoints); i++)
     {
       const LcEndpoint *endpoint = lc_endpoints_at (dispatch->endpoints, i);
@@ -171,6 +174,8 @@
 {
   const LcAttempt *attempt = LB_LIST_FIRST (&request->attempts, LcAttempt, link);
 
+  if (!attempt)
+    return;
   request->hedged = true;
   lc_request_tried (request, attempt->endpoint);
 
--- a/packages/core/src/lc-pool.c
+++ b/packages/core/src/lc-pool.c
@@ -7,11 +7,12 @@
 #define MEAN_WEIGHT 0.05
 
 LcPoolState *
-lc_pool_state_new (const char *name)
+lc_pool_state_new (LcPoolKind kind, const char *name)
 {
   LcPoolState *pool = LB_NEW (LcPoolState);
 
   LB_COPY (pool->name, name);
+  pool->kind = kind;
   pool->queue = lc_queue_new ();
   return pool;
 }
--- a/packages/core/src/lc-pool.h
+++ b/packages/core/src/lc-pool.h
@@ -5,13 +5,22 @@
 
 #include <uthash.h>
 
+typedef enum
+{
+  LC_POOL_ENGINES,
+  LC_POOL_SERVICE,
+  LC_N_POOL_KINDS
+} LcPoolKind;
+
 /* What one pool or plain service of this instance has waiting and running, and how fast it goes. */
 typedef struct
 {
   UT_hash_handle hh;
   LbName name;
+  LcPoolKind kind;
   LcQueue *queue;
-  bool configured; /* part of the configuration in force */
+  bool configured;    /* part of the configuration in force */
+  size_t n_endpoints; /* that the configuration names */
   double live_reserve;
   int64_t queue_limit;
   size_t n_requests; /* admitted and not finished */
@@ -19,7 +28,7 @@
   double mean_seconds[LC_N_KINDS]; /* of an attempt; 0: none has ended yet */
 } LcPoolState;
 
-LcPoolState *lc_pool_state_new (const char *name);
+LcPoolState *lc_pool_state_new (LcPoolKind kind, const char *name);
 void lc_pool_state_free (LcPoolState *pool);
 
 /* commands */
