Resources and changes to them: read, checked as a whole set, written back

Names, addresses, ranges, references, doubled names and addresses are checked over the whole set; an error names the file and KIND/NAME and key. A change is pure, so that every instance derives the same next set from the same pushed change.

--- /dev/null
+++ b/packages/core/tests/test-resources.c
@@ -0,0 +1,129 @@
+#include "lc-change.h"
+#include "lb-settings.h"
+
+#include <criterion/criterion.h>
+#include <json-c/json.h>
+#include <stdio.h>
+#include <string.h>
+
+#define POOL "{\"kind\":\"pool\",\"name\":\"reader\"}"
+#define SUBSCRIPTION "{\"kind\":\"subscription\",\"name\":\"t\",\"pool\":\"reader\","
+#define ENGINE(name, address)                                                                      \
+  "{\"kind\":\"endpoint\",\"type\":\"engine\",\"name\":\"" name "\",\"pool\":\"reader\","          \
+  "\"address\":\"" address "\"}"
+
+static LcResourceSet *
+parse (const char *list, LbError *error)
+{
+  char text[2048];
+
+  snprintf (text, sizeof text, "{\"revision\": 3, \"resources\": [%s]}", list);
+  struct json_object *object = lb_settings_parse (text, strlen (text), "r.json", error);
+  LcResourceSet *set = object ? lc_resource_set_from_json (object, "r.json", error) : NULL;
+  json_object_put (object);
+  return set;
+}
+
+static LcResourceSet *
+change (const LcResourceSet *set, const char *text, LbError *error)
+{
+  struct json_object *object = json_tokener_parse (text);
+  LcResourceSet *next = lc_change_apply (set, object, "c.json", error);
+
+  json_object_put (object);
+  return next;
+}
+
+Test (resources, go_to_json_and_back_unchanged)
+{
+  LbError error;
+  LcResourceSet *set = parse (POOL "," SUBSCRIPTION "\"preset\":\"staleness\"},"
+                                   "{\"kind\":\"version_bound\",\"name\":\"b\","
+                                   "\"subscription\":\"t\",\"max_lag\":2}," //
+                              ENGINE ("e2", "127.0.0.1:2") "," ENGINE ("e1", "127.0.0.1:1"),
+                              &error);
+  struct json_object *first = lc_resource_set_to_json (set);
+  LcResourceSet *again = lc_resource_set_from_json (first, "again", &error);
+  struct json_object *second = lc_resource_set_to_json (again);
+
+  cr_assert_eq (set->revision, 3);
+  cr_assert_float_eq (lc_resource_set_subscription (set, "t")->idle_weight, 0.1, 1e-9);
+  cr_assert_eq (lc_resource_set_max_lag (set, "t"), 2);
+  cr_assert_str_eq (lc_resource_set_endpoint (set, "e1")->address, "127.0.0.1:1");
+  cr_assert (json_object_equal (first, second));
+  json_object_put (first);
+  json_object_put (second);
+  lc_resource_set_free (set);
+  lc_resource_set_free (again);
+}
+
+Test (resources, each_fault_has_its_type_and_place)
+{
+  static const struct
+  {
+    const char *list;
+    LbErrorCode code;
+    const char *where;
+  } faults[] = {
+    { POOL "," POOL, LB_ERROR_BAD_VALUE, "r.json: pool/reader" },
+    { "{\"kind\":\"pol\",\"name\":\"reader\"}", LB_ERROR_BAD_VALUE, "r.json: pol/reader" },
+    { "{\"name\":\"reader\"}", LB_ERROR_MISSING_KEY, "r.json: resources[0]" },
+    { "7", LB_ERROR_BAD_VALUE, "r.json: resources[0]" },
+    { "{\"kind\":\"pool\",\"name\":\"a/b\"}", LB_ERROR_BAD_VALUE, "r.json: pool/a/b" },
+    { "{\"kind\":\"pool\",\"name\":\"p\",\"live_reserve\":2}", LB_ERROR_OUT_OF_RANGE,
+      "r.json: pool/p: live_reserve" },
+    { "{\"kind\":\"pool\",\"name\":\"p\",\"size\":2}", LB_ERROR_UNKNOWN_KEY,
+      "r.json: pool/p: size" },
+    { SUBSCRIPTION "\"share\":1}", LB_ERROR_BAD_REFERENCE, "r.json: subscription/t" },
+    { POOL "," SUBSCRIPTION "\"scorer\":\"s\"}", LB_ERROR_BAD_REFERENCE, "r.json: subscription/t" },
+    { ENGINE ("e1", "127.0.0.1:1"), LB_ERROR_BAD_REFERENCE, "r.json: endpoint/e1" },
+    { POOL "," ENGINE ("e1", "localhost:1"), LB_ERROR_BAD_VALUE, "r.json: endpoint/e1" },
+    { POOL "," ENGINE ("e1", "127.0.0.1:1") "," ENGINE ("e2", "127.0.0.1:1"),
+      LB_ERROR_BAD_REFERENCE, NULL },
+  };
+
+  for (size_t i = 0; i < sizeof faults / sizeof faults[0]; i++)
+    {
+      LbError error = { .code = LB_OK };
+      cr_assert_null (parse (faults[i].list, &error), "fault %zu", i);
+      cr_assert_eq (error.code, faults[i].code, "fault %zu: %s", i, lb_error_name (error.code));
+      if (faults[i].where)
+        cr_assert_str_eq (error.where, faults[i].where);
+    }
+}
+
+Test (change, replaces_adds_and_deletes_and_counts_up)
+{
+  LbError error;
+  LcResourceSet *set = parse (POOL "," ENGINE ("e1", "127.0.0.1:1"), &error);
+  LcResourceSet *next
+      = change (set,
+                "{\"apply\":[" ENGINE (
+                    "e2", "127.0.0.1:2") ",{\"kind\":\"pool\",\"name\":"
+                                         "\"reader\",\"weight_version\":9}],"
+                                         "\"delete\":[{\"kind\":\"endpoint\",\"name\":\"e1\"}]}",
+                &error);
+
+  cr_assert_eq (next->revision, 4);
+  cr_assert_null (lc_resource_set_endpoint (next, "e1"));
+  cr_assert_not_null (lc_resource_set_endpoint (next, "e2"));
+  cr_assert_eq (lc_resource_set_pool (next, "reader")->weight_version, 9);
+  lc_resource_set_free (set);
+  lc_resource_set_free (next);
+}
+
+Test (change, that_breaks_the_whole_set_is_refused)
+{
+  LbError error;
+  LcResourceSet *set = parse (POOL "," ENGINE ("e1", "127.0.0.1:1"), &error);
+
+  cr_assert_null (change (set, "{\"delete\":[{\"kind\":\"pool\",\"name\":\"reader\"}]}", &error));
+  cr_assert_eq (error.code, LB_ERROR_BAD_REFERENCE);
+  cr_assert_null (change (set, "{\"delete\":[{\"kind\":\"pool\",\"name\":\"x\"}]}", &error));
+  cr_assert_eq (error.code, LB_ERROR_UNKNOWN_RESOURCE);
+  cr_assert_null (change (set, "{\"apply\":[" POOL "," POOL "]}", &error));
+  cr_assert_eq (error.code, LB_ERROR_BAD_VALUE);
+  cr_assert_null (change (set, "{\"aply\":[]}", &error));
+  cr_assert_eq (error.code, LB_ERROR_UNKNOWN_KEY);
+  lc_resource_set_free (set);
+}
