Platform: in-memory store and platform

The table, objects and weights live in LpStore, without I/O, so that the stand-in of the platform serves the same rules over HTTP that lp_memory_new serves inside the process. Versions grow for the whole table: a row deleted and made again never has an old one. Tried with guards broken: without the look-up of the token repeated_token_gets_the_first_answer fails; with versions counted from the number of rows version_is_not_reused_after_a_delete fails.

--- a/packages/platform/include/lp-platform.h
+++ b/packages/platform/include/lp-platform.h
@@ -21,7 +21,9 @@
   const char *value; /* NULL: delete */
 } LpPut;
 
-/* One conditional transaction. token makes it idempotent: the same token is applied once. */
+/* One conditional transaction. token makes it idempotent: the same token is applied once, and a
+ * repeat gets the first answer, CONDITION_FAILED included: a new try needs a new token. Versions of
+ * a row only grow, also after it was deleted and made again; they are not consecutive. */
 typedef struct
 {
   const char *token;
@@ -38,8 +40,9 @@
   int64_t version;
 } LpRow;
 
-/* error: LB_OK, CONDITION_FAILED (row tells the failed key and its present version), STORE_AWAY
- * (known not applied), STORE_UNKNOWN (may be applied: read back), STORE_BUSY. */
+/* error: LB_OK (row tells the first put's key and new version), CONDITION_FAILED (row tells the
+ * failed key and its present version), STORE_AWAY (known not applied), STORE_UNKNOWN (may be
+ * applied: read back), STORE_BUSY. */
 typedef void (*LpTransactDone) (LbErrorCode error, const LpRow *row, void *user);
 /* error: LB_OK, NOT_FOUND, STORE_AWAY, STORE_BUSY. Rows are valid during the call. */
 typedef void (*LpRowsDone) (LbErrorCode error, const LpRow *rows, size_t n_rows, void *user);
@@ -108,6 +111,7 @@
   double rate;     /* calls a second this instance allows itself */
 } LpHttpSettings;
 
+/* See lp-memory.h and lp-http.c. */
 LpPlatform *lp_memory_new (struct event_base *base);
 LpPlatform *lp_http_new (struct event_base *base, const LpHttpSettings *settings);
 
--- /dev/null
+++ b/packages/platform/include/lp-store.h
@@ -0,0 +1,23 @@
+#ifndef LP_STORE_H
+#define LP_STORE_H
+
+#include "lp-platform.h"
+
+/* The table, objects and newest weights themselves, in memory and without I/O: what lp_memory_new
+ * serves, and what the platform's stand-in serves over HTTP. */
+typedef struct LpStore LpStore;
+
+LpStore *lp_store_new (void);
+void lp_store_free (LpStore *store);
+
+LbErrorCode lp_store_transact (LpStore *store, const LpTransaction *transaction, LpRow *row);
+void lp_store_put_object (LpStore *store, const char *key, const char *bytes, size_t length);
+bool lp_store_delete_object (LpStore *store, const char *key);
+void lp_store_set_weights (LpStore *store, const char *pool, int64_t version);
+
+const LpRow *lp_store_get (const LpStore *store, const char *key);
+const LpRow *lp_store_next (const LpStore *store, const char *prefix, const char *after);
+const char *lp_store_get_object (const LpStore *store, const char *key, size_t *length);
+int64_t lp_store_weights (const LpStore *store, const char *pool);
+
+#endif
--- /dev/null
+++ b/packages/platform/src/lp-memory.c
@@ -0,0 +1,266 @@
+#include "lp-memory.h"
+
+#include "lb-alloc.h"
+#include "lb-list.h"
+
+#include <event2/event.h>
+#include <stdlib.h>
+#include <string.h>
+
+typedef enum
+{
+  REPLY_TRANSACT,
+  REPLY_ROWS,
+  REPLY_OBJECT,
+  REPLY_INSTANCES,
+  REPLY_WEIGHTS
+} ReplyType;
+
+/* What is still to be told: a copy, because the store may change before it is told. */
+typedef struct
+{
+  LbLink link;
+  ReplyType type;
+  LbErrorCode error;
+  LpRow *rows; /* keys and values owned */
+  size_t n_rows;
+  char *bytes;
+  size_t length;
+  int64_t version;
+  union
+  {
+    LpTransactDone transact;
+    LpRowsDone rows;
+    LpObjectDone object;
+    LpInstancesDone instances;
+    LpWeightsDone weights;
+  } done;
+  void *user;
+} Reply;
+
+typedef struct
+{
+  LpPlatform platform;
+  LpStore *store;
+  LbList replies;
+  struct event *deliver;
+} LpMemory;
+
+static LpMemory *
+memory_of (LpPlatform *platform)
+{
+  return (LpMemory *)platform;
+}
+
+static void
+reply_free (Reply *reply)
+{
+  for (size_t i = 0; i < reply->n_rows; i++)
+    {
+      free ((char *)reply->rows[i].key);
+      free ((char *)reply->rows[i].value);
+    }
+  free (reply->rows);
+  free (reply->bytes);
+  free (reply);
+}
+
+static void
+reply_add_row (Reply *reply, const LpRow *row)
+{
+  reply->rows = lb_realloc (reply->rows, (reply->n_rows + 1) * sizeof (LpRow));
+  reply->rows[reply->n_rows++] = (LpRow){ .key = lb_strdup (row->key),
+                                          .value = row->value ? lb_strdup (row->value) : NULL,
+                                          .version = row->version };
+}
+
+static Reply *
+reply_new (LpMemory *memory, ReplyType type, void *user)
+{
+  Reply *reply = LB_NEW (Reply);
+
+  reply->type = type;
+  reply->user = user;
+  lb_list_append (&memory->replies, &reply->link);
+  event_active (memory->deliver, EV_TIMEOUT, 0);
+  return reply;
+}
+
+static void
+reply_tell (const Reply *reply)
+{
+  static const LpInstanceList nobody = { 0 };
+
+  switch (reply->type)
+    {
+    case REPLY_TRANSACT:
+      reply->done.transact (reply->error, reply->rows, reply->user);
+      break;
+    case REPLY_ROWS:
+      reply->done.rows (reply->error, reply->rows, reply->n_rows, reply->user);
+      break;
+    case REPLY_OBJECT:
+      reply->done.object (reply->error, reply->bytes, reply->length, reply->user);
+      break;
+    case REPLY_INSTANCES:
+      reply->done.instances (reply->error, &nobody, reply->user);
+      break;
+    case REPLY_WEIGHTS:
+      reply->done.weights (reply->error, reply->version, reply->user);
+      break;
+    }
+}
+
+/* Tells only what waits now: a reply may lead to further calls, which come in the next turn. */
+static void
+deliver (evutil_socket_t fd, short what, void *user)
+{
+  (void)fd;
+  (void)what;
+  LpMemory *memory = user;
+
+  for (size_t n = memory->replies.length; n > 0; n--)
+    {
+      Reply *reply = LB_CONTAINER (lb_list_pop (&memory->replies), Reply, link);
+      reply_tell (reply);
+      reply_free (reply);
+    }
+}
+
+static void
+memory_free (LpPlatform *platform)
+{
+  LpMemory *memory = memory_of (platform);
+  LbLink *link;
+
+  while ((link = lb_list_pop (&memory->replies)))
+    reply_free (LB_CONTAINER (link, Reply, link));
+  event_free (memory->deliver);
+  lp_store_free (memory->store);
+  free (memory);
+}
+
+static void
+memory_transact (LpPlatform *platform,
+                 const LpTransaction *transaction,
+                 LpPriority priority,
+                 LpTransactDone done,
+                 void *user)
+{
+  (void)priority;
+  LpMemory *memory = memory_of (platform);
+  Reply *reply = reply_new (memory, REPLY_TRANSACT, user);
+  LpRow row;
+
+  reply->done.transact = done;
+  reply->error = lp_store_transact (memory->store, transaction, &row);
+  reply_add_row (reply, &row);
+}
+
+static void
+memory_get (LpPlatform *platform, const char *key, LpRowsDone done, void *user)
+{
+  LpMemory *memory = memory_of (platform);
+  Reply *reply = reply_new (memory, REPLY_ROWS, user);
+  const LpRow *row = lp_store_get (memory->store, key);
+
+  reply->done.rows = done;
+  if (row)
+    reply_add_row (reply, row);
+  else
+    reply->error = LB_ERROR_NOT_FOUND;
+}
+
+static void
+memory_scan (LpPlatform *platform, const char *prefix, LpRowsDone done, void *user)
+{
+  LpMemory *memory = memory_of (platform);
+  Reply *reply = reply_new (memory, REPLY_ROWS, user);
+
+  reply->done.rows = done;
+  for (const LpRow *row = lp_store_next (memory->store, prefix, NULL); row;
+       row = lp_store_next (memory->store, prefix, row->key))
+    reply_add_row (reply, row);
+}
+
+static void
+memory_put_object (LpPlatform *platform,
+                   const char *key,
+                   const char *bytes,
+                   size_t length,
+                   LpObjectDone done,
+                   void *user)
+{
+  LpMemory *memory = memory_of (platform);
+  Reply *reply = reply_new (memory, REPLY_OBJECT, user);
+
+  reply->done.object = done;
+  lp_store_put_object (memory->store, key, bytes, length);
+}
+
+static void
+memory_get_object (LpPlatform *platform, const char *key, LpObjectDone done, void *user)
+{
+  LpMemory *memory = memory_of (platform);
+  Reply *reply = reply_new (memory, REPLY_OBJECT, user);
+  const char *bytes = lp_store_get_object (memory->store, key, &reply->length);
+
+  reply->done.object = done;
+  if (bytes)
+    reply->bytes = lb_memdup (bytes, reply->length);
+  else
+    reply->error = LB_ERROR_NOT_FOUND;
+}
+
+static void
+memory_instances (LpPlatform *platform, LpInstancesDone done, void *user)
+{
+  Reply *reply = reply_new (memory_of (platform), REPLY_INSTANCES, user);
+
+  reply->done.instances = done;
+}
+
+static void
+memory_weights (LpPlatform *platform, const char *pool, LpWeightsDone done, void *user)
+{
+  LpMemory *memory = memory_of (platform);
+  Reply *reply = reply_new (memory, REPLY_WEIGHTS, user);
+
+  reply->done.weights = done;
+  reply->version = lp_store_weights (memory->store, pool);
+  if (reply->version == 0)
+    reply->error = LB_ERROR_NOT_FOUND;
+}
+
+static const LpPlatformClass memory_class = {
+  .name = "memory",
+  .free = memory_free,
+  .transact = memory_transact,
+  .get = memory_get,
+  .scan = memory_scan,
+  .put_object = memory_put_object,
+  .get_object = memory_get_object,
+  .instances = memory_instances,
+  .weights = memory_weights,
+};
+
+/* A platform inside this process, for a single instance and for tests: nothing outlives it, and its
+ * list of instances is empty. */
+LpPlatform *
+lp_memory_new (struct event_base *base)
+{
+  LpMemory *memory = LB_NEW (LpMemory);
+
+  memory->platform.klass = &memory_class;
+  memory->store = lp_store_new ();
+  lb_list_init (&memory->replies);
+  memory->deliver = event_new (base, -1, 0, deliver, memory);
+  return &memory->platform;
+}
+
+/* The store behind a platform of lp_memory_new, so that a test can set weights and look at rows. */
+LpStore *
+lp_memory_store (LpPlatform *platform)
+{
+  return memory_of (platform)->store;
+}
--- a/packages/platform/src/lp-platform.c
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "lp-platform.h"
--- /dev/null
+++ b/packages/platform/src/lp-store.c
@@ -0,0 +1,345 @@
+#include "lp-store.h"
+
+#include "lb-alloc.h"
+#include "lb-list.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <uthash.h>
+
+/* Answers are remembered for this many tokens; a repeat comes within seconds of the first. */
+#define MAX_TOKENS 65536
+
+typedef struct
+{
+  LpRow row;
+  char *key;
+  char *value;
+} Entry;
+
+typedef struct
+{
+  UT_hash_handle hh;
+  LbLink link; /* in LpStore.token_order */
+  char *token;
+  char *key;
+  LbErrorCode error;
+  int64_t version;
+} Answer;
+
+typedef struct
+{
+  UT_hash_handle hh;
+  char *key;
+  char *bytes;
+  size_t length;
+} Object;
+
+typedef struct
+{
+  UT_hash_handle hh;
+  char *pool;
+  int64_t version;
+} Weights;
+
+struct LpStore
+{
+  Entry **entries; /* in key order */
+  size_t n_entries;
+  size_t capacity;
+  int64_t last_version;
+  Answer *answers;
+  LbList token_order;
+  Object *objects;
+  Weights *weights;
+};
+
+LpStore *
+lp_store_new (void)
+{
+  LpStore *store = LB_NEW (LpStore);
+
+  lb_list_init (&store->token_order);
+  return store;
+}
+
+static void
+entry_free (Entry *entry)
+{
+  free (entry->key);
+  free (entry->value);
+  free (entry);
+}
+
+static void
+answer_free (LpStore *store, Answer *answer)
+{
+  HASH_DEL (store->answers, answer);
+  lb_list_remove (&store->token_order, &answer->link);
+  free (answer->token);
+  free (answer->key);
+  free (answer);
+}
+
+static void
+object_free (LpStore *store, Object *object)
+{
+  HASH_DEL (store->objects, object);
+  free (object->key);
+  free (object->bytes);
+  free (object);
+}
+
+static void
+weights_free (LpStore *store, Weights *weights)
+{
+  HASH_DEL (store->weights, weights);
+  free (weights->pool);
+  free (weights);
+}
+
+void
+lp_store_free (LpStore *store)
+{
+  Answer *answer, *next_answer;
+  Object *object, *next_object;
+  Weights *weights, *next_weights;
+
+  if (!store)
+    return;
+  for (size_t i = 0; i < store->n_entries; i++)
+    entry_free (store->entries[i]);
+  free (store->entries);
+  HASH_ITER (hh, store->answers, answer, next_answer)
+  answer_free (store, answer);
+  HASH_ITER (hh, store->objects, object, next_object)
+  object_free (store, object);
+  HASH_ITER (hh, store->weights, weights, next_weights)
+  weights_free (store, weights);
+  free (store);
+}
+
+/* Index of the first entry whose key is not before key. */
+static size_t
+lower_bound (const LpStore *store, const char *key)
+{
+  size_t low = 0;
+  size_t high = store->n_entries;
+
+  while (low < high)
+    {
+      size_t middle = low + (high - low) / 2;
+      if (strcmp (store->entries[middle]->key, key) < 0)
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  return low;
+}
+
+static Entry *
+find_entry (const LpStore *store, const char *key)
+{
+  size_t i = lower_bound (store, key);
+
+  if (i < store->n_entries && strcmp (store->entries[i]->key, key) == 0)
+    return store->entries[i];
+  return NULL;
+}
+
+static Entry *
+insert_entry (LpStore *store, const char *key)
+{
+  size_t i = lower_bound (store, key);
+  Entry *entry = LB_NEW (Entry);
+
+  if (store->n_entries == store->capacity)
+    {
+      store->capacity = store->capacity ? store->capacity * 2 : 64;
+      store->entries = lb_realloc (store->entries, store->capacity * sizeof (Entry *));
+    }
+  memmove (store->entries + i + 1, store->entries + i, (store->n_entries - i) * sizeof (Entry *));
+  store->entries[i] = entry;
+  store->n_entries++;
+  entry->key = lb_strdup (key);
+  entry->row.key = entry->key;
+  return entry;
+}
+
+static void
+delete_entry (LpStore *store, const char *key)
+{
+  size_t i = lower_bound (store, key);
+
+  if (i == store->n_entries || strcmp (store->entries[i]->key, key) != 0)
+    return;
+  entry_free (store->entries[i]);
+  store->n_entries--;
+  memmove (store->entries + i, store->entries + i + 1, (store->n_entries - i) * sizeof (Entry *));
+}
+
+static void
+apply_put (LpStore *store, const LpPut *put)
+{
+  if (!put->value)
+    {
+      delete_entry (store, put->key);
+      return;
+    }
+  Entry *entry = find_entry (store, put->key);
+  if (!entry)
+    entry = insert_entry (store, put->key);
+  free (entry->value);
+  entry->value = lb_strdup (put->value);
+  entry->row.value = entry->value;
+  entry->row.version = store->last_version;
+}
+
+static const LpCondition *
+failed_condition (const LpStore *store, const LpTransaction *transaction, int64_t *present)
+{
+  for (size_t i = 0; i < transaction->n_conditions; i++)
+    {
+      const LpCondition *condition = &transaction->conditions[i];
+      const Entry *entry = find_entry (store, condition->key);
+      *present = entry ? entry->row.version : 0;
+      if (*present != condition->version)
+        return condition;
+    }
+  return NULL;
+}
+
+static Answer *
+remember (LpStore *store, const char *token, const char *key, LbErrorCode error, int64_t version)
+{
+  Answer *answer = LB_NEW (Answer);
+
+  answer->token = lb_strdup (token);
+  answer->key = lb_strdup (key);
+  answer->error = error;
+  answer->version = version;
+  HASH_ADD_KEYPTR (hh, store->answers, answer->token, strlen (answer->token), answer);
+  lb_list_append (&store->token_order, &answer->link);
+  if (store->token_order.length > MAX_TOKENS)
+    answer_free (store, LB_CONTAINER (store->token_order.head.next, Answer, link));
+  return answer;
+}
+
+static Answer *
+execute (LpStore *store, const LpTransaction *transaction)
+{
+  int64_t present = 0;
+  const LpCondition *failed = failed_condition (store, transaction, &present);
+
+  if (failed)
+    return remember (store, transaction->token, failed->key, LB_ERROR_CONDITION_FAILED, present);
+  store->last_version++;
+  for (size_t i = 0; i < transaction->n_puts; i++)
+    apply_put (store, &transaction->puts[i]);
+  return remember (store, transaction->token, transaction->n_puts ? transaction->puts[0].key : "",
+                   LB_OK, store->last_version);
+}
+
+/* Applies the transaction whole or not at all. All its puts get the same new version, larger than
+ * any before, so that a row that was deleted and made again never has an old version. *row names
+ * the first put and the new version, or after CONDITION_FAILED the failed key and its present
+ * version; it is valid until the next change. A token seen before changes nothing and gives the
+ * first answer again. */
+LbErrorCode
+lp_store_transact (LpStore *store, const LpTransaction *transaction, LpRow *row)
+{
+  Answer *answer = NULL;
+
+  HASH_FIND_STR (store->answers, transaction->token, answer);
+  if (!answer)
+    answer = execute (store, transaction);
+  *row = (LpRow){ .key = answer->key, .version = answer->version };
+  return answer->error;
+}
+
+void
+lp_store_put_object (LpStore *store, const char *key, const char *bytes, size_t length)
+{
+  lp_store_delete_object (store, key);
+  Object *object = LB_NEW (Object);
+  object->key = lb_strdup (key);
+  object->bytes = lb_memdup (bytes, length);
+  object->length = length;
+  HASH_ADD_KEYPTR (hh, store->objects, object->key, strlen (object->key), object);
+}
+
+/* False when there was none. */
+bool
+lp_store_delete_object (LpStore *store, const char *key)
+{
+  Object *object = NULL;
+
+  HASH_FIND_STR (store->objects, key, object);
+  if (!object)
+    return false;
+  object_free (store, object);
+  return true;
+}
+
+void
+lp_store_set_weights (LpStore *store, const char *pool, int64_t version)
+{
+  Weights *weights = NULL;
+
+  HASH_FIND_STR (store->weights, pool, weights);
+  if (!weights)
+    {
+      weights = LB_NEW (Weights);
+      weights->pool = lb_strdup (pool);
+      HASH_ADD_KEYPTR (hh, store->weights, weights->pool, strlen (weights->pool), weights);
+    }
+  weights->version = version;
+}
+
+/* NULL when absent. Valid until the next change. */
+const LpRow *
+lp_store_get (const LpStore *store, const char *key)
+{
+  const Entry *entry = find_entry (store, key);
+
+  return entry ? &entry->row : NULL;
+}
+
+/* The first row with the prefix after the key `after` (NULL: the first of all); NULL at the end.
+ * Valid until the next change. */
+const LpRow *
+lp_store_next (const LpStore *store, const char *prefix, const char *after)
+{
+  size_t i = lower_bound (store, prefix);
+
+  if (after && strcmp (after, prefix) >= 0)
+    {
+      i = lower_bound (store, after);
+      if (i < store->n_entries && strcmp (store->entries[i]->key, after) == 0)
+        i++;
+    }
+  if (i == store->n_entries || strncmp (store->entries[i]->key, prefix, strlen (prefix)) != 0)
+    return NULL;
+  return &store->entries[i]->row;
+}
+
+/* NULL when absent. Valid until the next change. */
+const char *
+lp_store_get_object (const LpStore *store, const char *key, size_t *length)
+{
+  Object *object = NULL;
+
+  HASH_FIND_STR (store->objects, key, object);
+  *length = object ? object->length : 0;
+  return object ? object->bytes : NULL;
+}
+
+/* The newest version, 0 when none was set. */
+int64_t
+lp_store_weights (const LpStore *store, const char *pool)
+{
+  Weights *weights = NULL;
+
+  HASH_FIND_STR (store->weights, pool, weights);
+  return weights ? weights->version : 0;
+}
