--- /dev/null
+++ b/packages/cli/src/lt-apply.c
@@ -0,0 +1,149 @@
+#include "lt-operator.h"
+
+#include "lc-change.h"
+#include "lt-command.h"
+#include "lt-resources.h"
+
+#include <json-c/json.h>
+
+typedef struct
+{
+  struct arg_file *files;
+  struct arg_str *kind;
+  struct arg_str *name;
+  struct arg_lit *dry_run;
+  struct arg_lit *force;
+  struct arg_int *revision;
+  struct arg_int *wait;
+  LtArguments common;
+} Options;
+
+static void
+init_options (Options *options)
+{
+  options->dry_run = arg_lit0 ("n", "dry-run", "only check the change");
+  options->force = arg_lit0 (NULL, "force", "apply over whatever revision is accepted");
+  options->revision = arg_int0 ("r", "revision", "N",
+                                "the revision that was seen; the present one when not given");
+  options->wait = arg_int0 ("w", "wait", "SECONDS", "wait until it is in force everywhere");
+}
+
+/* Checks the change here first, so that an error names the operator's file, then sends it. */
+static int
+send_change (const Options *options, LtClient *client, struct json_object *change, const char *file)
+{
+  LbError error = { .code = LB_OK };
+  LcResourceSet *next = NULL;
+  int code = LT_EXIT_FAILED;
+  LcResourceSet *set = lt_resources_fetch (client, &error);
+
+  if (!set)
+    {
+      lt_print_error (&error);
+      goto out;
+    }
+  next = lc_change_apply (set, change, file, &error);
+  if (!next)
+    {
+      lt_print_error (&error);
+      code = LT_EXIT_USAGE;
+      goto out;
+    }
+  const LtChange sent
+      = { .client = client,
+          .change = change,
+          .revision = options->revision->count > 0 ? options->revision->ival[0] : set->revision,
+          .force = options->force->count > 0,
+          .dry_run = options->dry_run->count > 0,
+          .json = lt_arguments_wants_json (&options->common),
+          .wait = options->wait->count > 0 ? options->wait->ival[0] * LB_SEC : 0 };
+  code = lt_resources_send (&sent);
+out:
+  lc_resource_set_free (next);
+  lc_resource_set_free (set);
+  return code;
+}
+
+static int
+apply_files (const Options *options)
+{
+  LbError error = { .code = LB_OK };
+  int code = LT_EXIT_USAGE;
+  struct json_object *change
+      = lt_resources_read_files (options->files->filename, (size_t)options->files->count, &error);
+
+  if (!change)
+    {
+      lt_print_error (&error);
+      return LT_EXIT_USAGE;
+    }
+  LtClient *client = lt_arguments_client (&options->common);
+  code = send_change (options, client, change, options->files->filename[0]);
+  lt_client_free (client);
+  json_object_put (change);
+  return code;
+}
+
+int
+lt_apply_run (int argc, char **argv)
+{
+  int code;
+  Options options;
+  void *table[5 + LT_N_ARGUMENTS];
+
+  init_options (&options);
+  options.files = arg_filen ("f", "file", "FILE", 1, 16, "resources, JSON with comments");
+  table[0] = options.files;
+  table[1] = options.dry_run;
+  table[2] = options.force;
+  table[3] = options.revision;
+  table[4] = options.wait;
+  lt_arguments_init (&options.common, table + 5);
+  if (lt_arguments_parse (&options.common, table, 5 + LT_N_ARGUMENTS, argc, argv,
+                          "Adds resources, or replaces those of the same kind and name.", &code))
+    code = apply_files (&options);
+  arg_freetable (table, 5 + LT_N_ARGUMENTS);
+  return code;
+}
+
+static int
+delete_one (const Options *options)
+{
+  struct json_object *change = json_object_new_object ();
+  struct json_object *list = json_object_new_array ();
+  struct json_object *item = json_object_new_object ();
+
+  json_object_object_add (item, "kind", json_object_new_string (options->kind->sval[0]));
+  json_object_object_add (item, "name", json_object_new_string (options->name->sval[0]));
+  json_object_array_add (list, item);
+  json_object_object_add (change, "delete", list);
+  LtClient *client = lt_arguments_client (&options->common);
+  int code = send_change (options, client, change, "delete");
+  lt_client_free (client);
+  json_object_put (change);
+  return code;
+}
+
+int
+lt_delete_run (int argc, char **argv)
+{
+  int code;
+  Options options;
+  void *table[6 + LT_N_ARGUMENTS];
+
+  init_options (&options);
+  options.kind = arg_str1 (NULL, NULL, "KIND", "pool, subscription, version_bound or endpoint");
+  options.name = arg_str1 (NULL, NULL, "NAME", "of the resource");
+  table[0] = options.kind;
+  table[1] = options.name;
+  table[2] = options.dry_run;
+  table[3] = options.force;
+  table[4] = options.revision;
+  table[5] = options.wait;
+  lt_arguments_init (&options.common, table + 6);
+  if (lt_arguments_parse (&options.common, table, 6 + LT_N_ARGUMENTS, argc, argv,
+                          "Deletes one resource.", &code))
+    code = delete_one (&options);
+  arg_freetable (table, 6 + LT_N_ARGUMENTS);
+  return code;
+}
--- /dev/null
+++ b/packages/cli/src/lt-client.c
@@ -0,0 +1,156 @@
+#include "lt-client.h"
+
+#include "lb-alloc.h"
+#include "lh-fetch.h"
+
+#include <event2/event.h>
+#include <json-c/json.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define MAX_HEADERS 6
+
+struct LtClient
+{
+  struct event_base *base;
+  LhPool *pool;
+  LbName address;
+  char *authorization;
+  char *operator_name;
+};
+
+/* What the handlers fill while the loop runs. */
+typedef struct
+{
+  LtClient *client;
+  LtReply *reply;
+  LbErrorCode failure;
+} Exchange;
+
+LtClient *
+lt_client_new (const char *address, const char *token)
+{
+  LtClient *client = LB_NEW (LtClient);
+  const char *user = getenv ("USER");
+
+  client->base = event_base_new ();
+  client->pool = lh_pool_new (client->base);
+  LB_COPY (client->address, address);
+  client->authorization = lb_asprintf ("Bearer %s", token);
+  client->operator_name = lb_strdup (user ? user : "");
+  return client;
+}
+
+void
+lt_client_free (LtClient *client)
+{
+  if (!client)
+    return;
+  lh_pool_free (client->pool);
+  event_base_free (client->base);
+  free (client->authorization);
+  free (client->operator_name);
+  free (client);
+}
+
+void
+lt_reply_clear (LtReply *reply)
+{
+  json_object_put (reply->body);
+  memset (reply, 0, sizeof *reply);
+}
+
+static struct json_object *
+parse_body (const char *body, size_t length)
+{
+  struct json_tokener *tokener = json_tokener_new ();
+  struct json_object *object
+      = length > 0 ? json_tokener_parse_ex (tokener, body, (int)length) : NULL;
+
+  json_tokener_free (tokener);
+  return object;
+}
+
+static void
+on_done (LhFetch *fetch, const LhResult *result, void *user)
+{
+  Exchange *exchange = user;
+  const char *etag = lh_fetch_header (fetch, "ETag");
+
+  exchange->failure = result->failure;
+  exchange->reply->status = result->status;
+  if (result->failure == LB_OK)
+    exchange->reply->body = parse_body (result->body, result->body_length);
+  if (etag)
+    exchange->reply->revision = strtoll (etag + (*etag == '"'), NULL, 10);
+  event_base_loopbreak (exchange->client->base);
+}
+
+static size_t
+fill_headers (const LtClient *client, const LtCall *call, LhHeader *headers)
+{
+  size_t n = 0;
+
+  headers[n++] = (LhHeader){ "authorization", client->authorization };
+  headers[n++] = (LhHeader){ "x-operator", client->operator_name };
+  if (call->if_match)
+    headers[n++] = (LhHeader){ "If-Match", call->if_match };
+  if (call->token)
+    headers[n++] = (LhHeader){ "idempotency-key", call->token };
+  if (call->body)
+    headers[n++] = (LhHeader){ "content-type", "application/json" };
+  return n;
+}
+
+static const char *
+text_at (struct json_object *object, const char *key)
+{
+  struct json_object *value = NULL;
+
+  if (!object || !json_object_object_get_ex (object, key, &value))
+    return "";
+  return json_object_get_string (value);
+}
+
+static bool
+error_of_reply (const LtReply *reply, LbError *error)
+{
+  struct json_object *member = NULL;
+
+  if (!reply->body || !json_object_object_get_ex (reply->body, "error", &member))
+    return lb_error_set (error, LB_ERROR_IO, "", "HTTP status %d with no error in the body",
+                         reply->status);
+  return lb_error_set (error, lb_error_from_name (text_at (member, "type")),
+                       text_at (member, "where"), "%s", text_at (member, "message"));
+}
+
+bool
+lt_client_call (LtClient *client, const LtCall *call, LtReply *reply, LbError *error)
+{
+  LhHeader headers[MAX_HEADERS];
+  Exchange exchange = { .client = client, .reply = reply };
+  const LhHandlers handlers = { .on_done = on_done };
+  LhRequest request = { .method = call->method,
+                        .address = client->address,
+                        .path = call->path,
+                        .headers = headers,
+                        .n_headers = fill_headers (client, call, headers),
+                        .silence = call->silence };
+
+  *reply = (LtReply){ .revision = -1 };
+  if (call->body)
+    {
+      request.body = json_object_to_json_string_ext (call->body, JSON_C_TO_STRING_PLAIN);
+      request.body_length = strlen (request.body);
+    }
+  if (!lh_fetch_start (client->pool, &request, &handlers, &exchange, error))
+    return false;
+  event_base_dispatch (client->base);
+  if (exchange.failure != LB_OK || reply->status == 0)
+    return lb_error_set (error, exchange.failure != LB_OK ? exchange.failure : LB_ERROR_IO,
+                         client->address, "no reply from the instance");
+  if (reply->status / 100 != 2)
+    return error_of_reply (reply, error);
+  return true;
+}
--- a/packages/cli/src/lt-command.c
+++ b/packages/cli/src/lt-command.c
@@ -1,9 +1,18 @@
 #include "lt-command.h"
 
+#include "lt-operator.h"
+
 #include <stdio.h>
 #include <string.h>
 
 static const LtCommand commands[] = {
+  { "apply", "add or replace resources from files", lt_apply_run },
+  { "get", "print the accepted resources", lt_get_run },
+  { "delete", "delete a resource", lt_delete_run },
+  { "diff", "print what files would change", lt_diff_run },
+  { "watch", "follow what is accepted and in force", lt_watch_run },
+  { "history", "print the last changes", lt_history_run },
+  { "status", "print who holds what and what waits", lt_status_run },
   { NULL, NULL, NULL },
 };
 
--- /dev/null
+++ b/packages/cli/src/lt-operator.h
@@ -0,0 +1,13 @@
+#ifndef LT_OPERATOR_H
+#define LT_OPERATOR_H
+
+/* The operators' subcommands; rows of the table in lt-command.c. */
+int lt_apply_run (int argc, char **argv);
+int lt_delete_run (int argc, char **argv);
+int lt_get_run (int argc, char **argv);
+int lt_diff_run (int argc, char **argv);
+int lt_watch_run (int argc, char **argv);
+int lt_history_run (int argc, char **argv);
+int lt_status_run (int argc, char **argv);
+
+#endif
--- /dev/null
+++ b/packages/cli/src/lt-watch.c
@@ -0,0 +1,211 @@
+#include "lt-operator.h"
+
+#include "lt-command.h"
+#include "lt-resources.h"
+
+#include <json-c/json.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+#define WATCH_WAIT_MS 10000
+#define CALL_SILENCE (30 * LB_SEC)
+#define DEFAULT_LIMIT 20
+
+typedef struct
+{
+  struct arg_int *number; /* --after or --limit */
+  struct arg_lit *once;
+  LtArguments common;
+} Options;
+
+static void
+print_names (struct json_object *names)
+{
+  for (size_t i = 0; i < json_object_array_length (names); i++)
+    printf (" %s", json_object_get_string (json_object_array_get_idx (names, i)));
+}
+
+static void
+print_watch (struct json_object *body)
+{
+  struct json_object *in_force = json_object_object_get (body, "in_force");
+
+  json_object_object_foreach (in_force, revision, counts)
+  {
+    printf ("accepted %lld, revision %s in force on %lld of %lld",
+            (long long)lt_integer (body, "accepted"), revision,
+            (long long)lt_integer (counts, "on"), (long long)lt_integer (counts, "of"));
+    struct json_object *behind = json_object_object_get (counts, "behind");
+    if (behind && json_object_array_length (behind) > 0)
+      {
+        fputs (", behind:", stdout);
+        print_names (behind);
+      }
+    putchar ('\n');
+  }
+  fflush (stdout);
+}
+
+static int
+watch (const Options *options)
+{
+  char path[128];
+  LtReply reply;
+  LbError error = { .code = LB_OK };
+  int code = LT_EXIT_OK;
+  bool going = true;
+  long long after = options->number->count > 0 ? options->number->ival[0] : -1;
+  const LtCall call = { .method = "GET", .path = path, .silence = CALL_SILENCE };
+  LtClient *client = lt_arguments_client (&options->common);
+
+  while (going)
+    {
+      /* The first call is answered at once. */
+      snprintf (path, sizeof path, "/v1/resources/watch?after=%lld&wait_ms=%d",
+                after < 0 ? 0 : after, after < 0 ? 0 : WATCH_WAIT_MS);
+      going = lt_client_call (client, &call, &reply, &error);
+      if (!going)
+        code = lt_print_error (&error);
+      else if (lt_arguments_wants_json (&options->common))
+        lt_print_json (reply.body);
+      else
+        print_watch (reply.body);
+      after = going ? lt_integer (reply.body, "accepted") : after;
+      going = going && options->once->count == 0;
+      lt_reply_clear (&reply);
+    }
+  lt_client_free (client);
+  return code;
+}
+
+int
+lt_watch_run (int argc, char **argv)
+{
+  int code;
+  Options options;
+  void *table[2 + LT_N_ARGUMENTS];
+
+  table[0] = options.number
+      = arg_int0 (NULL, "after", "REVISION", "wait for a newer one than this first");
+  table[1] = options.once = arg_lit0 ("1", "once", "print one report and end");
+  lt_arguments_init (&options.common, table + 2);
+  if (lt_arguments_parse (&options.common, table, 2 + LT_N_ARGUMENTS, argc, argv,
+                          "Prints what is accepted, and in force on how many instances.", &code))
+    code = watch (&options);
+  arg_freetable (table, 2 + LT_N_ARGUMENTS);
+  return code;
+}
+
+static void
+print_change (struct json_object *row)
+{
+  char at[32];
+  time_t seconds = (time_t)(lt_integer (row, "at_ms") / 1000);
+  struct tm utc;
+  struct json_object *change = json_object_object_get (row, "change");
+
+  gmtime_r (&seconds, &utc);
+  strftime (at, sizeof at, "%Y-%m-%dT%H:%M:%SZ", &utc);
+  printf ("%-9lld %s %-24s %s\n", (long long)lt_integer (row, "revision"), at, lt_text (row, "who"),
+          json_object_to_json_string_ext (change, JSON_C_TO_STRING_PLAIN));
+}
+
+static void
+print_history (struct json_object *body)
+{
+  struct json_object *rows = json_object_object_get (body, "changes");
+
+  printf ("%-9s %-20s %-24s %s\n", "REVISION", "WHEN", "WHO", "CHANGE");
+  for (size_t i = 0; i < json_object_array_length (rows); i++)
+    print_change (json_object_array_get_idx (rows, i));
+}
+
+static void
+print_list (struct json_object *body, const char *key)
+{
+  struct json_object *list = json_object_object_get (body, key);
+
+  if (!list || !json_object_is_type (list, json_type_array))
+    return;
+  printf ("\n%s\n", key);
+  for (size_t i = 0; i < json_object_array_length (list); i++)
+    {
+      struct json_object *item = json_object_array_get_idx (list, i);
+      fputs (" ", stdout);
+      json_object_object_foreach (item, name, value)
+      {
+        printf (" %s=%s", name, json_object_get_string (value));
+      }
+      putchar ('\n');
+    }
+}
+
+static void
+print_status (struct json_object *body)
+{
+  json_object_object_foreach (body, key, value)
+  {
+    if (!json_object_is_type (value, json_type_array))
+      printf ("%-22s %s\n", key, json_object_get_string (value));
+  }
+  print_list (body, "instances");
+  print_list (body, "leases");
+  print_list (body, "roll_outs");
+}
+
+static int
+show (const Options *options, const char *path, void (*print) (struct json_object *body))
+{
+  LtReply reply;
+  LbError error = { .code = LB_OK };
+  int code = LT_EXIT_OK;
+  const LtCall call = { .method = "GET", .path = path, .silence = CALL_SILENCE };
+  LtClient *client = lt_arguments_client (&options->common);
+
+  if (!lt_client_call (client, &call, &reply, &error))
+    code = lt_print_error (&error);
+  else if (lt_arguments_wants_json (&options->common))
+    lt_print_json (reply.body);
+  else
+    print (reply.body);
+  lt_reply_clear (&reply);
+  lt_client_free (client);
+  return code;
+}
+
+int
+lt_history_run (int argc, char **argv)
+{
+  int code;
+  char path[64];
+  Options options;
+  void *table[1 + LT_N_ARGUMENTS];
+
+  table[0] = options.number = arg_int0 ("l", "limit", "N", "how many; 20");
+  lt_arguments_init (&options.common, table + 1);
+  if (lt_arguments_parse (&options.common, table, 1 + LT_N_ARGUMENTS, argc, argv,
+                          "Prints the last changes: who, when, what.", &code))
+    {
+      snprintf (path, sizeof path, "/v1/history?limit=%d",
+                options.number->count > 0 ? options.number->ival[0] : DEFAULT_LIMIT);
+      code = show (&options, path, print_history);
+    }
+  arg_freetable (table, 1 + LT_N_ARGUMENTS);
+  return code;
+}
+
+int
+lt_status_run (int argc, char **argv)
+{
+  int code;
+  Options options;
+  void *table[LT_N_ARGUMENTS];
+
+  lt_arguments_init (&options.common, table);
+  if (lt_arguments_parse (&options.common, table, LT_N_ARGUMENTS, argc, argv,
+                          "Prints who holds what, which revision is where, and what waits.", &code))
+    code = show (&options, "/v1/status", print_status);
+  arg_freetable (table, LT_N_ARGUMENTS);
+  return code;
+}
--- /dev/null
+++ b/packages/core/src/lc-config.c
@@ -0,0 +1,613 @@
+#include "lc-config.h"
+
+#include "lb-alloc.h"
+#include "lb-counter.h"
+#include "lb-log.h"
+#include "lc-change.h"
+
+#include <gsl/gsl_rng.h>
+#include <json-c/json.h>
+#include <stdlib.h>
+#include <string.h>
+#include <uthash.h>
+
+/* Reads of the head row by all instances together stay under this, of about 2,000 a second. */
+#define HEAD_READS_PER_SECOND 175
+#define POLL_JITTER 0.2
+#define ASK_PERIOD (LB_SEC / 2)
+#define ASKS_PER_PERIOD 20
+/* How long a new process waits for its peers to name a newer revision than the store did. */
+#define SETTLE (LB_SEC / 2)
+
+typedef struct
+{
+  LbName name; /* key */
+  LbName incarnation;
+  bool alive;
+  bool draining;
+  bool listed; /* in the last view of the membership */
+  bool confirmed;
+  int64_t revision;
+  LbTime asked_at;    /* our last ASK */
+  LbTime answered_to; /* asked_at of the youngest ASK that it answered; 0: none */
+  LbTime wanted_at;
+  UT_hash_handle hh;
+} Peer;
+
+struct LcConfig
+{
+  LcConfigSettings settings;
+  gsl_rng *rng;
+  Peer *peers; /* all known but this instance */
+  LcResourceSet *set;
+  bool confirmed; /* some revision of this process was confirmed by store or majority */
+  bool ready;
+  LbTime started_at;
+  LbTime store_confirmed_at; /* -1: never; the youngest known, our clock */
+  LbTime next_poll;
+  LbTime next_ask;
+};
+
+static LbMetric metric_revision
+    = LB_GAUGE_INIT ("lentilspindle_config_revision", NULL, "Revision in force in this process");
+static LbMetric metric_ignored
+    = LB_COUNTER_INIT ("lentilspindle_config_stale_ignored_total",
+                       NULL,
+                       "Older sets, pushes and reads that were not put in force");
+static LbMetric metric_ready
+    = LB_GAUGE_INIT ("lentilspindle_config_ready",
+                     NULL,
+                     "1 when the configuration allows new work to be taken");
+
+static LcConfigAction *
+add_action (LbList *actions, LcConfigActionType type)
+{
+  LcConfigAction *action = LB_NEW (LcConfigAction);
+
+  action->type = type;
+  lb_list_append (actions, &action->link);
+  return action;
+}
+
+void
+lc_config_action_free (LcConfigAction *action)
+{
+  lc_config_message_clear (&action->message);
+  free (action);
+}
+
+static LcResourceSet *
+empty_set (void)
+{
+  return LB_NEW (LcResourceSet);
+}
+
+LcConfig *
+lc_config_new (const LcConfigSettings *settings, LbTime now)
+{
+  LcConfig *config = LB_NEW (LcConfig);
+
+  config->settings = *settings;
+  config->rng = gsl_rng_alloc (gsl_rng_taus2);
+  gsl_rng_set (config->rng, settings->seed);
+  config->set = empty_set ();
+  config->started_at = now;
+  config->store_confirmed_at = -1;
+  config->next_poll = now;
+  config->next_ask = now;
+  return config;
+}
+
+void
+lc_config_free (LcConfig *config)
+{
+  Peer *peer, *next;
+
+  if (!config)
+    return;
+  HASH_ITER (hh, config->peers, peer, next)
+  {
+    HASH_DEL (config->peers, peer);
+    free (peer);
+  }
+  lc_resource_set_free (config->set);
+  gsl_rng_free (config->rng);
+  free (config);
+}
+
+static Peer *
+find_peer (const LcConfig *config, const char *name)
+{
+  Peer *peer;
+
+  HASH_FIND_STR (config->peers, name, peer);
+  return peer;
+}
+
+static Peer *
+ensure_peer (LcConfig *config, const char *name)
+{
+  Peer *peer = find_peer (config, name);
+
+  if (peer)
+    return peer;
+  peer = LB_NEW (Peer);
+  LB_COPY (peer->name, name);
+  HASH_ADD_STR (config->peers, name, peer);
+  return peer;
+}
+
+static LbTime
+poll_period (const LcConfig *config)
+{
+  LbTime period = (LbTime)(HASH_COUNT (config->peers) + 1) * LB_SEC / HEAD_READS_PER_SECOND;
+
+  if (period < config->settings.poll)
+    period = config->settings.poll;
+  return period + (LbTime)(period * POLL_JITTER * (2 * gsl_rng_uniform (config->rng) - 1));
+}
+
+/* With many instances one round of ASK takes longer than the bound. */
+static LbTime
+answer_bound (const LcConfig *config)
+{
+  LbTime rounds = HASH_COUNT (config->peers) / ASKS_PER_PERIOD + 1;
+  LbTime bound = 2 * rounds * ASK_PERIOD;
+
+  return bound > config->settings.confirm_bound ? bound : config->settings.confirm_bound;
+}
+
+static bool
+is_store_confirmed (const LcConfig *config, LbTime now)
+{
+  return config->store_confirmed_at >= 0
+         && now - config->store_confirmed_at <= config->settings.confirm_bound;
+}
+
+/* Peers that answered an ASK which was sent at this time or later. */
+static size_t
+count_answers (const LcConfig *config, LbTime asked_since)
+{
+  size_t answers = 0;
+
+  for (const Peer *peer = config->peers; peer; peer = peer->hh.next)
+    answers += peer->confirmed && peer->answered_to > 0 && peer->answered_to >= asked_since;
+  return answers;
+}
+
+/* True when this instance and those that answered an ASK of asked_since or later are more than half
+ * of all known.
+ *
+ * Guards against a change that is accepted where this instance can't see it: an operator would
+ * see a revision in force while a cut-off part goes on with the one before. A change is accepted
+ * only by an instance that reaches a majority, and two majorities share a member. */
+bool
+lc_config_has_majority (const LcConfig *config, LbTime asked_since)
+{
+  size_t all = HASH_COUNT (config->peers) + 1;
+
+  return 2 * (count_answers (config, asked_since) + 1) > all;
+}
+
+/* A new process knows nothing itself, so only its peers count. */
+static bool
+peers_confirm_new_process (const LcConfig *config, LbTime now)
+{
+  size_t answers = count_answers (config, now - answer_bound (config));
+
+  if (answers == 0 || 2 * answers <= HASH_COUNT (config->peers))
+    return false;
+  for (const Peer *peer = config->peers; peer; peer = peer->hh.next)
+    if (peer->confirmed && peer->revision > config->set->revision)
+      return false;
+  return true;
+}
+
+/* A peer that named a newer revision has yet to send it. */
+static bool
+is_behind_a_peer (const LcConfig *config)
+{
+  for (const Peer *peer = config->peers; peer; peer = peer->hh.next)
+    if (peer->alive && peer->revision > config->set->revision)
+      return true;
+  return false;
+}
+
+static bool
+may_take_work (LcConfig *config, LbTime now)
+{
+  if (config->confirmed)
+    return is_store_confirmed (config, now)
+           || lc_config_has_majority (config, now - answer_bound (config));
+  /* Guards against a stale read by a new process: callers would see a revision go back when an
+   * instance is replaced. Its peers are asked too before the first call is served. */
+  if (is_store_confirmed (config, now))
+    config->confirmed = !is_behind_a_peer (config) && now - config->started_at >= SETTLE;
+  else
+    config->confirmed = peers_confirm_new_process (config, now);
+  return config->confirmed;
+}
+
+static void
+update_ready (LcConfig *config, LbTime now, LbList *actions)
+{
+  bool ready = may_take_work (config, now);
+
+  if (ready == config->ready)
+    return;
+  config->ready = ready;
+  lb_metric_set (&metric_ready, ready);
+  add_action (actions, LC_CONFIG_READY)->ready = ready;
+}
+
+static LcConfigMessage *
+send (LbList *actions, const char *to, LcConfigMessageType type, int64_t revision)
+{
+  LcConfigAction *action = add_action (actions, LC_CONFIG_SEND);
+
+  LB_COPY (action->to, to);
+  action->message.type = type;
+  action->message.revision = revision;
+  action->message.age = -1;
+  return &action->message;
+}
+
+static void
+send_have (LcConfig *config, const char *to, LbTime asked_at, LbTime now, LbList *actions)
+{
+  LcConfigMessage *have = send (actions, to, LC_CONFIG_HAVE, config->set->revision);
+
+  have->asked_at = asked_at;
+  have->confirmed = config->confirmed;
+  have->age = lc_config_confirmation_age (config, now);
+}
+
+/* Puts a set in force unless this process has a newer one.
+ *
+ * Guards against a revision that goes back: an old push that was late on the wire, an old copy of
+ * a peer or a stale read of the store would undo what operators saw accepted. Every way in ends
+ * here, and the number of a revision is given once, under a condition, by the store. */
+static bool
+offer (LcConfig *config, LcResourceSet *set, LbList *actions)
+{
+  if (set->revision <= config->set->revision)
+    {
+      if (set->revision < config->set->revision)
+        lb_metric_add (&metric_ignored, 1);
+      lc_resource_set_free (set);
+      return false;
+    }
+  lc_resource_set_free (config->set);
+  config->set = set;
+  lb_metric_set (&metric_revision, set->revision);
+  add_action (actions, LC_CONFIG_IN_FORCE)->set = set;
+  return true;
+}
+
+/* What the process before had in force says nothing of the new one of the same name. */
+static void
+peer_restarted (Peer *peer, const char *incarnation)
+{
+  if (peer->incarnation[0])
+    {
+      peer->revision = 0;
+      peer->confirmed = false;
+      peer->answered_to = 0;
+    }
+  LB_COPY (peer->incarnation, incarnation);
+}
+
+/* The view of the membership. An instance that is missing from it stays known until
+ * lc_config_forget: one that is cut off must not shrink the majority that the rest needs. */
+void
+lc_config_members (
+    LcConfig *config, const LcConfigMember *members, size_t n_members, LbTime now, LbList *actions)
+{
+  Peer *peer, *next;
+
+  for (peer = config->peers; peer; peer = peer->hh.next)
+    peer->listed = false;
+  for (size_t i = 0; i < n_members; i++)
+    {
+      if (strcmp (members[i].name, config->settings.instance) == 0)
+        continue;
+      peer = ensure_peer (config, members[i].name);
+      if (strcmp (peer->incarnation, members[i].incarnation) != 0)
+        peer_restarted (peer, members[i].incarnation);
+      peer->listed = true;
+      peer->alive = members[i].alive;
+      peer->draining = members[i].draining;
+    }
+  HASH_ITER (hh, config->peers, peer, next)
+  {
+    if (peer->listed)
+      continue;
+    peer->alive = false;
+    if (peer->draining)
+      lc_config_forget (config, peer->name);
+  }
+  if (!config->confirmed)
+    lc_config_ask_all (config, now, actions);
+  update_ready (config, now, actions);
+}
+
+/* The platform says that this instance is gone for good. */
+void
+lc_config_forget (LcConfig *config, const char *instance)
+{
+  Peer *peer = find_peer (config, instance);
+
+  if (!peer)
+    return;
+  HASH_DEL (config->peers, peer);
+  free (peer);
+}
+
+/* The store named its head revision in a read that began at asked_at; set is given (and taken over)
+ * when it is newer than what was in force then. */
+void
+lc_config_store_answered (LcConfig *config,
+                          int64_t revision,
+                          LcResourceSet *set,
+                          LbTime asked_at,
+                          LbTime now,
+                          LbList *actions)
+{
+  if (set)
+    offer (config, set, actions);
+  if (revision < config->set->revision)
+    /* A replica that lags; it says nothing of what is accepted now. */
+    lb_metric_add (&metric_ignored, 1);
+  else if (revision == config->set->revision && asked_at > config->store_confirmed_at)
+    config->store_confirmed_at = asked_at;
+  config->next_poll = now + poll_period (config);
+  update_ready (config, now, actions);
+}
+
+void
+lc_config_store_failed (LcConfig *config, LbTime now, LbList *actions)
+{
+  config->next_poll = now + poll_period (config);
+  update_ready (config, now, actions);
+}
+
+/* This instance committed the change that made set (taken over): in force here, and news for all.
+ */
+void
+lc_config_committed (LcConfig *config,
+                     LcResourceSet *set,
+                     struct json_object *change,
+                     LbTime asked_at,
+                     LbTime now,
+                     LbList *actions)
+{
+  int64_t revision = set->revision;
+
+  if (!offer (config, set, actions))
+    return;
+  if (asked_at > config->store_confirmed_at)
+    config->store_confirmed_at = asked_at;
+  send (actions, "", LC_CONFIG_NEWS, revision)->body = json_object_get (change);
+  update_ready (config, now, actions);
+}
+
+/* A peer has something newer: its whole set, at most once per ASK_PERIOD and peer. */
+static void
+want (LcConfig *config, Peer *peer, LbTime now, LbList *actions)
+{
+  if (peer->wanted_at > 0 && now - peer->wanted_at < ASK_PERIOD)
+    return;
+  peer->wanted_at = now;
+  send (actions, peer->name, LC_CONFIG_WANT, config->set->revision);
+}
+
+static void
+receive_news (
+    LcConfig *config, Peer *peer, const LcConfigMessage *news, LbTime now, LbList *actions)
+{
+  LbError error;
+  LcResourceSet *next = NULL;
+
+  if (news->body && news->revision == config->set->revision + 1)
+    next = lc_change_apply (config->set, news->body, peer->name, &error);
+  if (next)
+    offer (config, next, actions);
+  else if (news->revision > config->set->revision)
+    want (config, peer, now, actions);
+  else if (news->revision < config->set->revision)
+    lb_metric_add (&metric_ignored, 1);
+  if (news->revision <= config->set->revision)
+    send_have (config, peer->name, 0, now, actions);
+}
+
+/* An age counts only in an answer to our own ASK, and from the time we asked: a message that lay in
+ * a socket of a paused process would else make an old confirmation look young. */
+static void
+receive_have (
+    LcConfig *config, Peer *peer, const LcConfigMessage *have, LbTime now, LbList *actions)
+{
+  if (have->asked_at > 0 && have->asked_at <= now && have->asked_at > peer->answered_to)
+    {
+      peer->answered_to = have->asked_at;
+      peer->revision = have->revision;
+      LbTime confirmed_at = have->asked_at - have->age;
+      if (have->age >= 0 && have->revision == config->set->revision
+          && confirmed_at > config->store_confirmed_at)
+        config->store_confirmed_at = confirmed_at;
+    }
+  if (have->revision > config->set->revision && have->confirmed)
+    want (config, peer, now, actions);
+}
+
+static void
+receive_set (
+    LcConfig *config, Peer *peer, const LcConfigMessage *message, LbTime now, LbList *actions)
+{
+  LbError error;
+  LcResourceSet *set
+      = message->body ? lc_resource_set_from_json (message->body, peer->name, &error) : NULL;
+
+  if (!set)
+    {
+      lb_metric_count_error (LB_ERROR_FRAME_GARBLED);
+      return;
+    }
+  if (offer (config, set, actions))
+    send_have (config, peer->name, 0, now, actions);
+}
+
+void
+lc_config_receive (
+    LcConfig *config, const char *from, const LcConfigMessage *message, LbTime now, LbList *actions)
+{
+  Peer *peer = ensure_peer (config, from);
+
+  if (message->revision > peer->revision)
+    peer->revision = message->revision;
+  if (message->type == LC_CONFIG_HAVE)
+    peer->confirmed = message->confirmed;
+  switch (message->type)
+    {
+    case LC_CONFIG_NEWS:
+      receive_news (config, peer, message, now, actions);
+      break;
+    case LC_CONFIG_ASK:
+      send_have (config, from, message->asked_at, now, actions);
+      break;
+    case LC_CONFIG_HAVE:
+      receive_have (config, peer, message, now, actions);
+      break;
+    case LC_CONFIG_WANT:
+      if (message->revision < config->set->revision)
+        send (actions, from, LC_CONFIG_SET, config->set->revision)->body
+            = lc_resource_set_to_json (config->set);
+      break;
+    case LC_CONFIG_SET:
+      receive_set (config, peer, message, now, actions);
+      break;
+    }
+  update_ready (config, now, actions);
+}
+
+static void
+ask (LcConfig *config, Peer *peer, LbTime now, LbList *actions)
+{
+  peer->asked_at = now;
+  send (actions, peer->name, LC_CONFIG_ASK, config->set->revision)->asked_at = now;
+}
+
+/* Asks every known instance at once: before a change is accepted. */
+void
+lc_config_ask_all (LcConfig *config, LbTime now, LbList *actions)
+{
+  for (Peer *peer = config->peers; peer; peer = peer->hh.next)
+    ask (config, peer, now, actions);
+}
+
+/* Asks those that are not known to have the revision in force here. */
+void
+lc_config_ask_behind (LcConfig *config, LbTime now, LbList *actions)
+{
+  for (Peer *peer = config->peers; peer; peer = peer->hh.next)
+    if (peer->revision < config->set->revision)
+      ask (config, peer, now, actions);
+}
+
+/* Asks those first that were asked longest ago. */
+static void
+ask_some (LcConfig *config, LbTime now, LbList *actions)
+{
+  for (size_t n = 0; n < ASKS_PER_PERIOD; n++)
+    {
+      Peer *oldest = NULL;
+      for (Peer *peer = config->peers; peer; peer = peer->hh.next)
+        if (!oldest || peer->asked_at < oldest->asked_at)
+          oldest = peer;
+      if (!oldest || oldest->asked_at == now)
+        return;
+      ask (config, oldest, now, actions);
+    }
+}
+
+void
+lc_config_tick (LcConfig *config, LbTime now, LbList *actions)
+{
+  if (now >= config->next_poll)
+    {
+      config->next_poll = now + poll_period (config);
+      add_action (actions, LC_CONFIG_READ_STORE);
+    }
+  if (now >= config->next_ask)
+    {
+      config->next_ask = now + ASK_PERIOD;
+      bool doubtful = !config->confirmed || config->store_confirmed_at < 0
+                      || now - config->store_confirmed_at > config->settings.confirm_bound / 4;
+      if (doubtful)
+        ask_some (config, now, actions);
+    }
+  update_ready (config, now, actions);
+}
+
+const LcResourceSet *
+lc_config_set (const LcConfig *config)
+{
+  return config->set;
+}
+
+int64_t
+lc_config_revision (const LcConfig *config)
+{
+  return config->set->revision;
+}
+
+/* Whether new work may be taken with the revision in force. */
+bool
+lc_config_is_ready (const LcConfig *config)
+{
+  return config->ready;
+}
+
+/* Age of the youngest confirmation by the store that this instance knows of, its own or a peer's;
+ * -1 when it knows of none. */
+LbTime
+lc_config_confirmation_age (const LcConfig *config, LbTime now)
+{
+  return config->store_confirmed_at < 0 ? -1 : now - config->store_confirmed_at;
+}
+
+/* True when some known instance is neither alive nor known to have left. */
+bool
+lc_config_has_unseen_members (const LcConfig *config)
+{
+  for (const Peer *peer = config->peers; peer; peer = peer->hh.next)
+    if (!peer->alive)
+      return true;
+  return false;
+}
+
+LcInForce
+lc_config_in_force (const LcConfig *config, int64_t revision)
+{
+  LcInForce result = { .on = config->set->revision >= revision, .of = 1 };
+
+  for (const Peer *peer = config->peers; peer; peer = peer->hh.next)
+    {
+      result.on += peer->revision >= revision;
+      result.of++;
+    }
+  return result;
+}
+
+void
+lc_config_visit (const LcConfig *config, LcConfigVisit visit, void *user)
+{
+  visit (config->settings.instance, config->set->revision, true, false, user);
+  for (const Peer *peer = config->peers; peer; peer = peer->hh.next)
+    visit (peer->name, peer->revision, peer->alive, peer->draining, user);
+}
+
+LbTime
+lc_config_next_tick (const LcConfig *config)
+{
+  return config->next_poll < config->next_ask ? config->next_poll : config->next_ask;
+}
--- a/packages/node/include/ln-messages.h
+++ b/packages/node/include/ln-messages.h
@@ -25,7 +25,8 @@
   LN_MEMBERS,          /* peers -> all: the view of live instances changed */
   LN_PEER_SEND,        /* any -> peers: a frame for one instance or all */
   LN_PEER_FRAME,       /* peers -> the task named in the frame */
-  LN_DRAINING          /* main -> all */
+  LN_DRAINING,         /* main -> all */
+  LN_READY             /* config -> all: whether new work may be taken has changed */
 } LnMessageType;
 
 typedef struct
@@ -136,4 +137,12 @@
   LnMessage base;
 } LnDrainingMessage;
 
+/* Until the first one new work is refused as LB_ERROR_NOT_READY: a new process has no confirmed
+ * configuration. It may come back to false when the instance is cut off. */
+typedef struct
+{
+  LnMessage base;
+  bool ready;
+} LnReadyMessage;
+
 #endif
--- /dev/null
+++ b/packages/node/src/ln-config-api.c
@@ -0,0 +1,458 @@
+#include "ln-config-task.h"
+
+#include "lb-alloc.h"
+#include "lb-clock.h"
+#include "lb-counter.h"
+
+#include <json-c/json.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define RESOURCES_PATH "/v1/resources"
+#define WATCH_PATH "/v1/resources/watch"
+#define LONGEST_WATCH (60 * LB_SEC)
+#define WATCH_STEP (200 * LB_MSEC)
+#define DEFAULT_HISTORY 20
+#define MOST_HISTORY 1000
+
+typedef struct
+{
+  LbLink link;
+  LnExchange *exchange;
+  int64_t after;
+  size_t on; /* instances with the accepted revision when the watch began */
+  size_t of;
+  LbTime until;
+  LbTime next_step;
+} LnWatch;
+
+/* A call whose reply waits for the store. */
+typedef struct
+{
+  LnConfigTask *task;
+  LnExchange *exchange;
+} StoreCall;
+
+static LbMetric metric_refused = LB_COUNTER_INIT ("lentilspindle_operator_refused_total",
+                                                  NULL,
+                                                  "Operator calls without the right token");
+
+void
+ln_config_set_etag (LnExchange *exchange, int64_t revision)
+{
+  char etag[32];
+
+  snprintf (etag, sizeof etag, "\"%lld\"", (long long)revision);
+  ln_exchange_set_header (exchange, "ETag", etag);
+}
+
+/* Takes the same time wherever the first difference is. */
+static bool
+is_same_secret (const char *given, const char *secret)
+{
+  size_t length = strlen (secret);
+  unsigned difference = strlen (given) != length;
+
+  for (size_t i = 0; i < length && given[i]; i++)
+    difference |= (unsigned char)given[i] ^ (unsigned char)secret[i];
+  return difference == 0;
+}
+
+static bool
+is_authorized (const LnConfigTask *task, const LnExchange *exchange)
+{
+  static const char scheme[] = "Bearer ";
+  const char *token = task->context->settings->http.operator_token;
+  const char *given = ln_exchange_header (exchange, "authorization");
+
+  return token[0] && given && strncmp (given, scheme, sizeof scheme - 1) == 0
+         && is_same_secret (given + sizeof scheme - 1, token);
+}
+
+static void
+refuse (LnExchange *exchange, LbErrorCode code, const char *where, const char *detail)
+{
+  LbError error;
+
+  lb_error_set (&error, code, where, "%s", detail);
+  lb_metric_count_error (code);
+  ln_exchange_reply_error (exchange, &error, 0);
+}
+
+static int64_t
+query_integer (const LnExchange *exchange, const char *key, int64_t otherwise)
+{
+  char *end = NULL;
+  const char *text = ln_exchange_query (exchange, key);
+  int64_t value = text ? strtoll (text, &end, 10) : otherwise;
+
+  return text && (end == text || *end != '\0' || value < 0) ? otherwise : value;
+}
+
+/* --- GET /v1/resources --- */
+
+typedef struct
+{
+  char kind[32];
+  LbName name;
+} Selection;
+
+/* "", "/KIND" or "/KIND/NAME" after the path of the resources. */
+static bool
+read_selection (const char *path, Selection *selection)
+{
+  LcResourceKind kind;
+  const char *rest = path + strlen (RESOURCES_PATH);
+
+  memset (selection, 0, sizeof *selection);
+  while (*rest == '/')
+    rest++;
+  const char *slash = strchr (rest, '/');
+  size_t length = slash ? (size_t)(slash - rest) : strlen (rest);
+  if (length >= sizeof selection->kind)
+    return false;
+  memcpy (selection->kind, rest, length);
+  if (slash)
+    LB_COPY (selection->name, slash + 1);
+  return !selection->kind[0] || lc_resource_kind_from_name (selection->kind, &kind);
+}
+
+static bool
+is_selected (struct json_object *resource, const Selection *selection)
+{
+  const char *kind = json_object_get_string (json_object_object_get (resource, "kind"));
+  const char *name = json_object_get_string (json_object_object_get (resource, "name"));
+
+  return (!selection->kind[0] || strcmp (selection->kind, kind) == 0)
+         && (!selection->name[0] || strcmp (selection->name, name) == 0);
+}
+
+static struct json_object *
+selected_to_json (const LcResourceSet *set, const Selection *selection)
+{
+  struct json_object *object = lc_resource_set_to_json (set);
+  struct json_object *all = json_object_object_get (object, "resources");
+  struct json_object *list = json_object_new_array ();
+
+  for (size_t i = 0; i < json_object_array_length (all); i++)
+    {
+      struct json_object *resource = json_object_array_get_idx (all, i);
+      if (is_selected (resource, selection))
+        json_object_array_add (list, json_object_get (resource));
+    }
+  json_object_object_add (object, "resources", list);
+  return object;
+}
+
+static void
+reply_resources (const LnConfigTask *task, LnExchange *exchange)
+{
+  char age[32];
+  Selection selection;
+
+  if (!read_selection (ln_exchange_path (exchange), &selection))
+    {
+      refuse (exchange, LB_ERROR_UNKNOWN_RESOURCE, ln_exchange_path (exchange),
+              "expected pool, subscription, version_bound or endpoint");
+      return;
+    }
+  struct json_object *object = selected_to_json (lc_config_set (task->config), &selection);
+  if (selection.name[0]
+      && json_object_array_length (json_object_object_get (object, "resources")) == 0)
+    {
+      json_object_put (object);
+      refuse (exchange, LB_ERROR_UNKNOWN_RESOURCE, ln_exchange_path (exchange),
+              "no such resource is accepted");
+      return;
+    }
+  LbTime confirmed = lc_config_confirmation_age (task->config, lb_clock_monotonic ());
+  snprintf (age, sizeof age, "%lld", (long long)(confirmed < 0 ? -1 : confirmed / LB_MSEC));
+  ln_exchange_set_header (exchange, "x-confirmation-age-ms", age);
+  ln_config_set_etag (exchange, lc_config_revision (task->config));
+  ln_exchange_reply_json (exchange, 200, object);
+}
+
+/* With the store away the last confirmed set is shown, and x-confirmation-age-ms tells its age. */
+static void
+on_read_for_reply (const LnConfigRead *read, void *user)
+{
+  StoreCall *call = user;
+  LnConfigTask *task = call->task;
+  LbTime now = lb_clock_monotonic ();
+  LbList actions;
+
+  lb_list_init (&actions);
+  if (read->error == LB_OK)
+    lc_config_store_answered (task->config, read->revision, read->set, read->asked_at, now,
+                              &actions);
+  ln_config_carry_out (task, &actions);
+  reply_resources (task, call->exchange);
+  free (call);
+}
+
+static StoreCall *
+store_call_new (LnConfigTask *task, LnExchange *exchange)
+{
+  StoreCall *call = LB_NEW (StoreCall);
+
+  call->task = task;
+  call->exchange = exchange;
+  return call;
+}
+
+/* --- GET /v1/resources/watch --- */
+
+typedef struct
+{
+  int64_t revision;
+  struct json_object *behind;
+} BehindSearch;
+
+static void
+add_behind (const char *instance, int64_t revision, bool alive, bool draining, void *user)
+{
+  (void)alive;
+  (void)draining;
+  BehindSearch *search = user;
+
+  if (revision < search->revision)
+    json_object_array_add (search->behind, json_object_new_string (instance));
+}
+
+/* {"on": n, "of": m, "behind": [names]} */
+struct json_object *
+ln_config_in_force_json (const LnConfigTask *task, int64_t revision)
+{
+  struct json_object *object = json_object_new_object ();
+  BehindSearch search = { .revision = revision, .behind = json_object_new_array () };
+  LcInForce in_force = lc_config_in_force (task->config, revision);
+
+  lc_config_visit (task->config, add_behind, &search);
+  json_object_object_add (object, "on", json_object_new_int64 ((int64_t)in_force.on));
+  json_object_object_add (object, "of", json_object_new_int64 ((int64_t)in_force.of));
+  json_object_object_add (object, "behind", search.behind);
+  return object;
+}
+
+static void
+watch_finish (LnConfigTask *task, LnWatch *watch)
+{
+  int64_t revision = lc_config_revision (task->config);
+  char key[32];
+  struct json_object *object = json_object_new_object ();
+  struct json_object *in_force = json_object_new_object ();
+
+  snprintf (key, sizeof key, "%lld", (long long)revision);
+  json_object_object_add (in_force, key, ln_config_in_force_json (task, revision));
+  json_object_object_add (object, "accepted", json_object_new_int64 (revision));
+  json_object_object_add (object, "in_force", in_force);
+  lb_list_remove (&task->watches, &watch->link);
+  ln_exchange_reply_json (watch->exchange, 200, object);
+  free (watch);
+}
+
+static bool
+has_news (const LnConfigTask *task, const LnWatch *watch)
+{
+  int64_t revision = lc_config_revision (task->config);
+  LcInForce in_force = lc_config_in_force (task->config, revision);
+
+  return revision > watch->after || in_force.on != watch->on || in_force.of != watch->of;
+}
+
+static void
+watch_start (LnConfigTask *task, LnExchange *exchange, LbTime now)
+{
+  LnWatch *watch = LB_NEW (LnWatch);
+  int64_t wait_ms = query_integer (exchange, "wait_ms", 0);
+  LcInForce in_force = lc_config_in_force (task->config, lc_config_revision (task->config));
+
+  watch->exchange = exchange;
+  watch->after = query_integer (exchange, "after", 0);
+  watch->on = in_force.on;
+  watch->of = in_force.of;
+  watch->until = now + (wait_ms * LB_MSEC < LONGEST_WATCH ? wait_ms * LB_MSEC : LONGEST_WATCH);
+  lb_list_append (&task->watches, &watch->link);
+}
+
+/* While a watch waits, those that are behind are asked: they confirm to whoever pushed, which need
+ * not be this instance. */
+static void
+watches_tick (LnConfigTask *task, LbTime now)
+{
+  LbList actions;
+  bool ask = false;
+
+  lb_list_init (&actions);
+  LB_LIST_FOREACH (&task->watches, LnWatch, link, watch)
+  {
+    if (now >= watch->until || task->draining || has_news (task, watch))
+      watch_finish (task, watch);
+    else if (now >= watch->next_step)
+      {
+        watch->next_step = now + WATCH_STEP;
+        ask = true;
+      }
+  }
+  if (ask)
+    lc_config_ask_behind (task->config, now, &actions);
+  ln_config_carry_out (task, &actions);
+}
+
+/* --- GET /v1/history --- */
+
+static void
+on_history (LbErrorCode error, struct json_object *rows, void *user)
+{
+  StoreCall *call = user;
+
+  if (error != LB_OK)
+    {
+      json_object_put (rows);
+      refuse (call->exchange, error, "/v1/history", "the history is in the platform's table");
+    }
+  else
+    {
+      struct json_object *object = json_object_new_object ();
+      json_object_object_add (object, "changes", rows);
+      ln_exchange_reply_json (call->exchange, 200, object);
+    }
+  free (call);
+}
+
+static void
+reply_history (LnConfigTask *task, LnExchange *exchange)
+{
+  int64_t limit = query_integer (exchange, "limit", DEFAULT_HISTORY);
+
+  ln_config_store_history (task->store, lc_config_revision (task->config),
+                           (size_t)(limit < MOST_HISTORY ? limit : MOST_HISTORY), on_history,
+                           store_call_new (task, exchange));
+}
+
+/* --- GET /v1/status --- */
+
+static void
+add_instance (const char *instance, int64_t revision, bool alive, bool draining, void *user)
+{
+  struct json_object *object = json_object_new_object ();
+
+  json_object_object_add (object, "name", json_object_new_string (instance));
+  json_object_object_add (object, "revision", json_object_new_int64 (revision));
+  json_object_object_add (object, "alive", json_object_new_boolean (alive));
+  json_object_object_add (object, "draining", json_object_new_boolean (draining));
+  json_object_array_add (user, object);
+}
+
+static void
+reply_status (LnConfigTask *task, LnExchange *exchange)
+{
+  struct json_object *object = json_object_new_object ();
+  struct json_object *instances = json_object_new_array ();
+  LbTime age = lc_config_confirmation_age (task->config, lb_clock_monotonic ());
+
+  lc_config_visit (task->config, add_instance, instances);
+  json_object_object_add (object, "instance", json_object_new_string (task->context->instance));
+  json_object_object_add (object, "revision",
+                          json_object_new_int64 (lc_config_revision (task->config)));
+  json_object_object_add (object, "ready",
+                          json_object_new_boolean (lc_config_is_ready (task->config)));
+  json_object_object_add (object, "confirmation_age_ms",
+                          json_object_new_int64 (age < 0 ? -1 : age / LB_MSEC));
+  json_object_object_add (object, "changes_waiting",
+                          json_object_new_int64 ((int64_t)task->changes.length));
+  json_object_object_add (object, "instances", instances);
+  ln_exchange_reply_json (exchange, 200, object);
+}
+
+/* --- all --- */
+
+static bool
+is_under (const char *path, const char *prefix)
+{
+  size_t length = strlen (prefix);
+
+  return strncmp (path, prefix, length) == 0 && (path[length] == '\0' || path[length] == '/');
+}
+
+static void
+route (LnConfigTask *task, LnExchange *exchange)
+{
+  const char *path = ln_exchange_path (exchange);
+  bool is_get = strcmp (ln_exchange_method (exchange), "GET") == 0;
+  bool is_post = strcmp (ln_exchange_method (exchange), "POST") == 0;
+
+  if (is_post && strcmp (path, RESOURCES_PATH) == 0)
+    ln_config_change_exchange (task, exchange);
+  else if (is_get && strcmp (path, WATCH_PATH) == 0)
+    watch_start (task, exchange, lb_clock_monotonic ());
+  else if (is_get && is_under (path, RESOURCES_PATH))
+    ln_config_store_read (task->store, lc_config_revision (task->config), on_read_for_reply,
+                          store_call_new (task, exchange));
+  else if (is_get && is_under (path, "/v1/history"))
+    reply_history (task, exchange);
+  else if (is_get && is_under (path, "/v1/status"))
+    reply_status (task, exchange);
+  else
+    refuse (exchange, LB_ERROR_UNKNOWN_PATH, path, "no such call of operators");
+}
+
+void
+ln_config_api_exchange (LnConfigTask *task, LnExchange *exchange)
+{
+  ln_exchange_set_owner (exchange, &task->task);
+  if (!is_authorized (task, exchange))
+    {
+      lb_metric_add (&metric_refused, 1);
+      refuse (exchange, LB_ERROR_UNAUTHORIZED, ln_exchange_path (exchange),
+              "expected the header authorization: Bearer TOKEN with the operator's token");
+      return;
+    }
+  route (task, exchange);
+}
+
+/* A call that waits for the store only is answered into the void in a moment. */
+void
+ln_config_api_gone (LnConfigTask *task, LnExchange *exchange)
+{
+  if (ln_config_change_gone (task, exchange))
+    return;
+  LB_LIST_FOREACH (&task->watches, LnWatch, link, watch)
+  {
+    if (watch->exchange != exchange)
+      continue;
+    lb_list_remove (&task->watches, &watch->link);
+    ln_exchange_end (exchange);
+    free (watch);
+  }
+}
+
+void
+ln_config_api_tick (LnConfigTask *task, LbTime now)
+{
+  watches_tick (task, now);
+  ln_config_change_tick (task, now);
+}
+
+bool
+ln_config_api_is_idle (const LnConfigTask *task)
+{
+  return lb_list_is_empty (&task->changes) && lb_list_is_empty (&task->watches);
+}
+
+void
+ln_config_api_drain (LnConfigTask *task)
+{
+  watches_tick (task, lb_clock_monotonic ());
+}
+
+void
+ln_config_api_clear (LnConfigTask *task)
+{
+  LbLink *link;
+
+  while ((link = lb_list_pop (&task->watches)))
+    free (LB_CONTAINER (link, LnWatch, link));
+  ln_config_change_clear (task);
+}
--- /dev/null
+++ b/packages/node/src/ln-config-task.h
@@ -0,0 +1,48 @@
+#ifndef LN_CONFIG_TASK_H
+#define LN_CONFIG_TASK_H
+
+#include "lc-config.h"
+#include "ln-config-store.h"
+#include "ln-context.h"
+#include "ln-exchange.h"
+
+struct event;
+struct json_object;
+
+/* The parts of the task "config" that its files share. */
+typedef struct
+{
+  LnTask task;
+  LnContext *context;
+  LcConfig *config;
+  LnConfigStore *store;
+  struct event *timer;
+  bool reading; /* a read of the head row by poll is on its way */
+  bool listing; /* a read of the platform's list of instances is on its way */
+  LbTime next_listing;
+  LbList changes; /* LnChange, one at a time from the front */
+  LbList watches; /* LnWatch */
+  bool draining;
+} LnConfigTask;
+
+/* ln-config.c: carries out and frees the actions of a command of LcConfig. */
+void ln_config_carry_out (LnConfigTask *task, LbList *actions);
+
+/* ln-config-api.c: operators' calls. */
+void ln_config_api_exchange (LnConfigTask *task, LnExchange *exchange);
+void ln_config_api_gone (LnConfigTask *task, LnExchange *exchange);
+void ln_config_api_tick (LnConfigTask *task, LbTime now);
+bool ln_config_api_is_idle (const LnConfigTask *task);
+void ln_config_api_drain (LnConfigTask *task);
+void ln_config_api_clear (LnConfigTask *task);
+
+/* ln-config-change.c: POST /v1/resources, one change at a time. */
+void ln_config_change_exchange (LnConfigTask *task, LnExchange *exchange);
+bool ln_config_change_gone (LnConfigTask *task, LnExchange *exchange);
+void ln_config_change_tick (LnConfigTask *task, LbTime now);
+void ln_config_change_clear (LnConfigTask *task);
+
+struct json_object *ln_config_in_force_json (const LnConfigTask *task, int64_t revision);
+void ln_config_set_etag (LnExchange *exchange, int64_t revision);
+
+#endif
--- /dev/null
+++ b/packages/node/src/ln-config.c
@@ -0,0 +1,328 @@
+#include "ln-config-task.h"
+
+#include "lb-alloc.h"
+#include "lb-clock.h"
+#include "lb-counter.h"
+#include "lb-log.h"
+#include "lb-settings.h"
+#include "ln-messages.h"
+#include "lp-platform.h"
+
+#include <event2/event.h>
+#include <json-c/json.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define TICK (50 * LB_MSEC)
+#define CONFIRM_BOUND (8 * LB_SEC)
+#define HEAD_POLL LB_SEC
+#define LISTING_PERIOD (10 * LB_SEC)
+#define TOPIC "config"
+
+static LnConfigTask *
+config_task (LnTask *task)
+{
+  return (LnConfigTask *)task;
+}
+
+static void
+clear_config_message (LnMessage *message)
+{
+  lc_resource_set_free (((LnConfigMessage *)message)->set);
+}
+
+static void
+clear_peer_message (LnMessage *message)
+{
+  free (((LnPeerMessage *)message)->payload);
+}
+
+static void
+send_to_peers (LnConfigTask *task, const char *to, struct json_object *object)
+{
+  LnTask *peers = ln_hub_find (task->task.hub, "peers");
+  LnPeerMessage message = { .base = LN_MESSAGE (LN_PEER_SEND), .topic = TOPIC };
+
+  if (peers)
+    {
+      message.base.clear = clear_peer_message;
+      LB_COPY (message.instance, to);
+      message.payload = lb_strdup (json_object_to_json_string_ext (object, JSON_C_TO_STRING_PLAIN));
+      message.length = strlen (message.payload);
+      LN_POST (task->task.hub, peers, message);
+    }
+  json_object_put (object);
+}
+
+static void
+on_head_read (const LnConfigRead *read, void *user)
+{
+  LnConfigTask *task = user;
+  LbTime now = lb_clock_monotonic ();
+  LbList actions;
+
+  task->reading = false;
+  lb_list_init (&actions);
+  if (read->error == LB_OK)
+    lc_config_store_answered (task->config, read->revision, read->set, read->asked_at, now,
+                              &actions);
+  else
+    {
+      lb_metric_count_error (read->error);
+      lc_config_store_failed (task->config, now, &actions);
+    }
+  ln_config_carry_out (task, &actions);
+}
+
+static void
+put_in_force (LnConfigTask *task, const LcResourceSet *set)
+{
+  LnConfigMessage message = { .base = LN_MESSAGE (LN_CONFIG) };
+
+  lb_log (LB_LOG_INFO, "config_in_force", LB_INT ("revision", set->revision),
+          LB_INT ("endpoints", set->n_endpoints), LB_INT ("subscriptions", set->n_subscriptions));
+  message.base.clear = clear_config_message;
+  message.set = lc_resource_set_copy (set);
+  LN_POST (task->task.hub, NULL, message);
+}
+
+static void
+tell_ready (LnConfigTask *task, bool ready)
+{
+  LnReadyMessage message = { .base = LN_MESSAGE (LN_READY), .ready = ready };
+
+  lb_log (ready ? LB_LOG_INFO : LB_LOG_WARNING, "config_ready", LB_BOOL ("ready", ready),
+          LB_INT ("revision", lc_config_revision (task->config)),
+          LB_INT ("confirmation_age_us",
+                  lc_config_confirmation_age (task->config, lb_clock_monotonic ())));
+  LN_POST (task->task.hub, NULL, message);
+}
+
+static void
+carry_out (LnConfigTask *task, const LcConfigAction *action)
+{
+  switch (action->type)
+    {
+    case LC_CONFIG_READ_STORE:
+      if (!task->reading)
+        {
+          task->reading = true;
+          ln_config_store_read (task->store, lc_config_revision (task->config), on_head_read, task);
+        }
+      break;
+    case LC_CONFIG_SEND:
+      send_to_peers (task, action->to, lc_config_message_to_json (&action->message));
+      break;
+    case LC_CONFIG_IN_FORCE:
+      put_in_force (task, action->set);
+      break;
+    case LC_CONFIG_READY:
+      tell_ready (task, action->ready);
+      break;
+    }
+}
+
+void
+ln_config_carry_out (LnConfigTask *task, LbList *actions)
+{
+  LbLink *link;
+
+  while ((link = lb_list_pop (actions)))
+    {
+      LcConfigAction *action = LB_CONTAINER (link, LcConfigAction, link);
+      carry_out (task, action);
+      lc_config_action_free (action);
+    }
+}
+
+static bool
+is_listed (const LpInstanceList *list, const char *name)
+{
+  for (size_t i = 0; i < list->n_instances; i++)
+    if (strcmp (list->instances[i].name, name) == 0)
+      return true;
+  return false;
+}
+
+typedef struct
+{
+  const LpInstanceList *list;
+  LbName gone;
+} GoneSearch;
+
+static void
+search_gone (const char *instance, int64_t revision, bool alive, bool draining, void *user)
+{
+  (void)revision;
+  (void)draining;
+  GoneSearch *search = user;
+
+  if (!alive && !is_listed (search->list, instance))
+    LB_COPY (search->gone, instance);
+}
+
+/* An instance counts as behind, and in the majority, until the platform says that it is gone. */
+static void
+on_instances (LbErrorCode error, const LpInstanceList *list, void *user)
+{
+  LnConfigTask *task = user;
+
+  task->listing = false;
+  if (error != LB_OK || list->n_instances == 0)
+    return;
+  for (;;)
+    {
+      GoneSearch search = { .list = list };
+      lc_config_visit (task->config, search_gone, &search);
+      if (!search.gone[0])
+        return;
+      lb_log (LB_LOG_INFO, "config_instance_gone", LB_TEXT ("gone", search.gone));
+      lc_config_forget (task->config, search.gone);
+    }
+}
+
+static void
+list_instances (LnConfigTask *task, LbTime now)
+{
+  LpPlatform *platform = task->context->platform;
+
+  if (task->listing || now < task->next_listing || !lc_config_has_unseen_members (task->config))
+    return;
+  task->listing = true;
+  task->next_listing = now + LISTING_PERIOD;
+  platform->klass->instances (platform, on_instances, task);
+}
+
+static void
+on_tick (evutil_socket_t fd, short what, void *user)
+{
+  (void)fd;
+  (void)what;
+  LnConfigTask *task = user;
+  LbTime now = lb_clock_monotonic ();
+  LbList actions;
+
+  lb_list_init (&actions);
+  lc_config_tick (task->config, now, &actions);
+  ln_config_carry_out (task, &actions);
+  list_instances (task, now);
+  ln_config_api_tick (task, now);
+}
+
+static void
+receive_members (LnConfigTask *task, const LnMembersMessage *message)
+{
+  LcConfigMember *members = LB_NEW_ARRAY (LcConfigMember, message->n_members);
+  LbList actions;
+
+  for (size_t i = 0; i < message->n_members; i++)
+    members[i] = (LcConfigMember){ .name = message->members[i].name,
+                                   .incarnation = message->members[i].incarnation,
+                                   .alive = message->members[i].alive,
+                                   .draining = message->members[i].draining };
+  lb_list_init (&actions);
+  lc_config_members (task->config, members, message->n_members, lb_clock_monotonic (), &actions);
+  ln_config_carry_out (task, &actions);
+  free (members);
+}
+
+static void
+receive_frame (LnConfigTask *task, const LnPeerMessage *frame)
+{
+  LcConfigMessage message = { 0 };
+  LbError error = { .code = LB_OK };
+  LbTime now = lb_clock_monotonic ();
+  LbList actions;
+  struct json_object *object
+      = lb_settings_parse (frame->payload, frame->length, frame->instance, &error);
+
+  lb_list_init (&actions);
+  if (object && lc_config_message_from_json (object, &message, &error))
+    lc_config_receive (task->config, frame->instance, &message, now, &actions);
+  else
+    {
+      lb_metric_count_error (error.code);
+      lb_log_error (LB_LOG_WARNING, "config_frame_refused", &error);
+    }
+  lc_config_message_clear (&message);
+  json_object_put (object);
+  ln_config_carry_out (task, &actions);
+  ln_config_change_tick (task, now);
+}
+
+static void
+receive (LnTask *base, const LnMessage *message)
+{
+  LnConfigTask *task = config_task (base);
+
+  switch (message->type)
+    {
+    case LN_EXCHANGE:
+      ln_config_api_exchange (task, ((const LnExchangeMessage *)message)->exchange);
+      break;
+    case LN_EXCHANGE_GONE:
+      ln_config_api_gone (task, ((const LnExchangeMessage *)message)->exchange);
+      break;
+    case LN_MEMBERS:
+      receive_members (task, (const LnMembersMessage *)message);
+      break;
+    case LN_PEER_FRAME:
+      receive_frame (task, (const LnPeerMessage *)message);
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+drain (LnTask *base)
+{
+  LnConfigTask *task = config_task (base);
+
+  task->draining = true;
+  ln_config_api_drain (task);
+}
+
+static bool
+is_idle (const LnTask *base)
+{
+  return ln_config_api_is_idle ((const LnConfigTask *)base);
+}
+
+static void
+free_task (LnTask *base)
+{
+  LnConfigTask *task = config_task (base);
+
+  ln_config_api_clear (task);
+  event_free (task->timer);
+  ln_config_store_free (task->store);
+  lc_config_free (task->config);
+  free (task);
+}
+
+static const LnTaskClass config_class = {
+  .name = "config", .receive = receive, .drain = drain, .is_idle = is_idle, .free = free_task
+};
+
+LnTask *
+ln_config_new (LnContext *context)
+{
+  LnConfigTask *task = LB_NEW (LnConfigTask);
+  LcConfigSettings settings = { .confirm_bound = CONFIRM_BOUND,
+                                .poll = HEAD_POLL,
+                                .seed = context->settings->seed ^ (uint64_t)lb_clock_monotonic () };
+  const struct timeval tick = { .tv_usec = TICK };
+
+  LB_COPY (settings.instance, context->instance);
+  task->task.klass = &config_class;
+  task->task.hub = context->hub;
+  task->context = context;
+  task->config = lc_config_new (&settings, lb_clock_monotonic ());
+  task->store = ln_config_store_new (context->base, context->platform);
+  lb_list_init (&task->changes);
+  lb_list_init (&task->watches);
+  task->timer = event_new (context->base, -1, EV_PERSIST, on_tick, task);
+  event_add (task->timer, &tick);
+  return &task->task;
+}
