--- a/packages/core/src/lc-config.c
+++ b/packages/core/src/lc-config.c
@@ -337,7 +337,7 @@
 {
   Peer *peer = find_peer (config, instance);
 
-  if (!peer)
+  if (!peer || !config->peers)
     return;
   HASH_DEL (config->peers, peer);
   free (peer);
