Stand-ins: engine, plain service, platform, trainer

Engine: one step makes one token for each running request and takes longer the larger the batch; token i is a function of prompt, seed and i alone, so that an answer spliced from two engines equals the unbroken one only if spliced right. GET /log counts runs by key, so that a test can prove at most once and not run.

--- /dev/null
+++ b/standins/si-cache.c
@@ -0,0 +1,117 @@
+#include "si-cache.h"
+
+#include "lb-alloc.h"
+#include "si-json.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <uthash.h>
+#include <xxhash.h>
+
+struct SiCacheBlock
+{
+  UT_hash_handle hh;
+  LbLink link;
+  uint64_t prefix;
+};
+
+void
+si_cache_init (SiCache *cache, size_t limit)
+{
+  memset (cache, 0, sizeof *cache);
+  cache->limit = limit;
+  cache->next = 1;
+  lb_list_init (&cache->order);
+}
+
+static void
+add_event (SiCache *cache, uint64_t prefix, bool stored)
+{
+  cache->events[cache->next % SI_CACHE_EVENTS]
+      = (SiCacheEvent){ .sequence = cache->next, .prefix = prefix, .stored = stored };
+  cache->next++;
+}
+
+static void
+remove_block (SiCache *cache, SiCacheBlock *block)
+{
+  add_event (cache, block->prefix, false);
+  lb_list_remove (&cache->order, &block->link);
+  HASH_DEL (cache->blocks, block);
+  free (block);
+}
+
+void
+si_cache_drop (SiCache *cache)
+{
+  LB_LIST_FOREACH (&cache->order, SiCacheBlock, link, block)
+  remove_block (cache, block);
+}
+
+void
+si_cache_clear (SiCache *cache)
+{
+  si_cache_drop (cache);
+}
+
+static bool
+touch_block (SiCache *cache, uint64_t prefix)
+{
+  SiCacheBlock *block = NULL;
+
+  HASH_FIND (hh, cache->blocks, &prefix, sizeof prefix, block);
+  if (block)
+    {
+      lb_list_remove (&cache->order, &block->link);
+      lb_list_append (&cache->order, &block->link);
+      return true;
+    }
+  if (cache->order.length >= cache->limit)
+    remove_block (cache, LB_CONTAINER (cache->order.head.next, SiCacheBlock, link));
+  block = LB_NEW (SiCacheBlock);
+  block->prefix = prefix;
+  HASH_ADD (hh, cache->blocks, prefix, sizeof prefix, block);
+  lb_list_append (&cache->order, &block->link);
+  add_event (cache, prefix, true);
+  return false;
+}
+
+size_t
+si_cache_use (SiCache *cache, const char *prompt)
+{
+  size_t length = strlen (prompt);
+  size_t found = 0;
+
+  if (cache->limit == 0)
+    return 0;
+  for (size_t k = 1; k <= SI_CACHE_MAX_BLOCKS && k * SI_CACHE_BLOCK <= length; k++)
+    if (touch_block (cache, XXH64 (prompt, k * SI_CACHE_BLOCK, 0)))
+      found = k * SI_CACHE_BLOCK;
+  return found;
+}
+
+/* Events from the sequence on, as far as they are still kept. */
+struct json_object *
+si_cache_events_to_json (const SiCache *cache, uint64_t since)
+{
+  struct json_object *object = json_object_new_object ();
+  struct json_object *events = json_object_new_array ();
+  uint64_t oldest = cache->next > SI_CACHE_EVENTS ? cache->next - SI_CACHE_EVENTS : 1;
+  char hex[20];
+
+  for (uint64_t i = since > oldest ? since : oldest; i < cache->next; i++)
+    {
+      const SiCacheEvent *event = &cache->events[i % SI_CACHE_EVENTS];
+      struct json_object *item = json_object_new_object ();
+      snprintf (hex, sizeof hex, "%016" PRIx64, event->prefix);
+      si_json_set_int (item, "sequence", (int64_t)event->sequence);
+      si_json_set_text (item, "type", event->stored ? "stored" : "removed");
+      si_json_set_text (item, "prefix", hex);
+      json_object_array_add (events, item);
+    }
+  si_json_set_int (object, "next", (int64_t)cache->next);
+  json_object_object_add (object, "events", events);
+  return object;
+}
--- /dev/null
+++ b/standins/si-client.c
@@ -0,0 +1,135 @@
+#include "si-client.h"
+
+#include "lb-alloc.h"
+#include "lb-clock.h"
+
+#include <event2/event.h>
+#include <stdlib.h>
+#include <string.h>
+
+typedef struct
+{
+  SiAnswer *answer;
+  bool done;
+} Wait;
+
+void
+si_client_init (SiClient *client)
+{
+  client->base = event_base_new ();
+  client->pool = lh_pool_new (client->base);
+}
+
+void
+si_client_clear (SiClient *client)
+{
+  lh_pool_free (client->pool);
+  event_base_free (client->base);
+}
+
+static void
+on_done (LhFetch *fetch, const LhResult *result, void *user)
+{
+  Wait *wait = user;
+  SiAnswer *answer = wait->answer;
+  const char *retry = lh_fetch_header (fetch, "x-retry-after-ms");
+
+  wait->done = true;
+  answer->failure = result->failure;
+  answer->status = result->status;
+  answer->body = lb_strndup (result->body ? result->body : "", result->body_length);
+  answer->length = result->body_length;
+  answer->not_run = lh_fetch_header (fetch, "x-not-run") != NULL;
+  answer->retry_after = retry ? strtoll (retry, NULL, 10) * LB_MSEC : 0;
+}
+
+void
+si_client_call (SiClient *client, const SiCall *call, SiAnswer *answer)
+{
+  const LhHandlers handlers = { .on_done = on_done };
+  const LhRequest request = { .method = call->method,
+                              .address = call->address,
+                              .path = call->path,
+                              .headers = call->headers,
+                              .n_headers = call->n_headers,
+                              .body = call->body,
+                              .body_length = call->body ? strlen (call->body) : 0,
+                              .silence = call->silence };
+  Wait wait = { .answer = answer };
+  LbTime start = lb_clock_monotonic ();
+  LbError error;
+
+  memset (answer, 0, sizeof *answer);
+  if (!lh_fetch_start (client->pool, &request, &handlers, &wait, &error))
+    {
+      answer->failure = error.code;
+      answer->body = lb_strdup ("");
+      return;
+    }
+  while (!wait.done)
+    event_base_loop (client->base, EVLOOP_ONCE);
+  answer->took = lb_clock_monotonic () - start;
+}
+
+struct json_object *
+si_client_json (SiClient *client, const char *address, const char *path, const char *body)
+{
+  const SiCall call
+      = { .method = body ? "POST" : "GET", .address = address, .path = path, .body = body };
+  struct json_object *object = NULL;
+  SiAnswer answer;
+
+  si_client_call (client, &call, &answer);
+  if (si_answer_is_ok (&answer))
+    object = json_tokener_parse (answer.body);
+  si_answer_clear (&answer);
+  return object;
+}
+
+static void
+on_pause_over (evutil_socket_t fd, short what, void *user)
+{
+  (void)fd;
+  (void)what;
+  *(bool *)user = true;
+}
+
+void
+si_client_pause (SiClient *client, LbTime time)
+{
+  const struct timeval wait = { .tv_sec = time / LB_SEC, .tv_usec = (suseconds_t)(time % LB_SEC) };
+  bool over = false;
+
+  event_base_once (client->base, -1, EV_TIMEOUT, on_pause_over, &over, &wait);
+  while (!over)
+    event_base_loop (client->base, EVLOOP_ONCE);
+}
+
+void
+si_answer_clear (SiAnswer *answer)
+{
+  free (answer->body);
+  answer->body = NULL;
+}
+
+bool
+si_answer_is_ok (const SiAnswer *answer)
+{
+  return answer->failure == LB_OK && answer->status >= 200 && answer->status < 300;
+}
+
+const char *
+si_answer_error (SiAnswer *answer)
+{
+  struct json_object *object, *error;
+
+  if (answer->failure != LB_OK)
+    return lb_error_name (answer->failure);
+  object = json_tokener_parse (answer->body);
+  if (object && json_object_object_get_ex (object, "error", &error))
+    LB_COPY (answer->error, si_json_text (error, "type", "untyped"));
+  else
+    LB_COPY (answer->error, "untyped");
+  json_object_put (object);
+  return answer->error;
+}
--- /dev/null
+++ b/standins/si-engine.c
@@ -0,0 +1,125 @@
+#include "si-engine.h"
+
+#include "lb-clock.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+static void
+reply_load (SiEngine *engine, struct evhttp_request *request)
+{
+  struct json_object *load = json_object_new_object ();
+  const SiEngineSettings *settings = &engine->settings;
+  bool leaving = si_faults_is_on (&engine->faults, SI_FAULT_LEAVING);
+  double used = settings->cache_blocks
+                    ? (double)engine->cache.order.length / (double)settings->cache_blocks
+                    : 0;
+
+  si_json_set_text (load, "incarnation", engine->incarnation);
+  si_json_set_text (load, "state", leaving ? "leaving" : "serving");
+  si_json_set_int (load, "weight_version", engine->version);
+  json_object_object_add (load, "loading", json_object_new_boolean (si_engine_is_loading (engine)));
+  if (engine->failed_version)
+    si_json_set_int (load, "failed_version", engine->failed_version);
+  si_json_set_int (load, "running", (int64_t)engine->running.length);
+  si_json_set_int (load, "waiting", (int64_t)engine->waiting.length);
+  json_object_object_add (load, "tokens_per_second",
+                          json_object_new_double (settings->tokens_per_second));
+  json_object_object_add (load, "kv_used", json_object_new_double (used));
+  si_json_set_int (load, "concurrency", settings->concurrency);
+  si_reply_json (request, 200, load);
+}
+
+static void
+reply_cache_events (SiEngine *engine, struct evhttp_request *request)
+{
+  char *since = si_request_query (request, "since");
+  uint64_t first = since ? strtoull (since, NULL, 10) : 0;
+
+  free (since);
+  si_reply_json (request, 200, si_cache_events_to_json (&engine->cache, first));
+}
+
+static void
+reply_log (SiEngine *engine, struct evhttp_request *request)
+{
+  struct json_object *log = si_runlog_to_json (&engine->log);
+
+  si_json_set_int (log, "tokens", engine->tokens_made);
+  si_json_set_int (log, "fence", engine->fence);
+  si_reply_json (request, 200, log);
+}
+
+static void
+handle_post (SiEngine *engine, struct evhttp_request *request)
+{
+  const char *path = si_request_path (request);
+
+  if (strcmp (path, "/v1/completions") == 0)
+    si_engine_submit (engine, request, false);
+  else if (strcmp (path, "/v1/chat/completions") == 0)
+    si_engine_submit (engine, request, true);
+  else if (strcmp (path, "/orders") == 0)
+    si_engine_order (engine, request);
+  else if (strcmp (path, "/kv/export") == 0)
+    si_engine_export (engine, request);
+  else if (strcmp (path, "/kv/import") == 0)
+    si_engine_import (engine, request);
+  else
+    si_reply_error (request, 404, "unknown_path");
+}
+
+static void
+handle (struct evhttp_request *request, void *user)
+{
+  SiEngine *engine = user;
+
+  if (si_request_is (request, EVHTTP_REQ_POST, "/faults"))
+    {
+      si_faults_handle (&engine->faults, request);
+      if (si_faults_is_on (&engine->faults, SI_FAULT_CRASH)
+          && engine->faults.faults[SI_FAULT_CRASH].tokens == 0)
+        _exit (1);
+    }
+  else if (si_request_is (request, EVHTTP_REQ_GET, "/log"))
+    reply_log (engine, request);
+  else if (si_faults_is_on (&engine->faults, SI_FAULT_DOWN))
+    si_reply_drop (request);
+  else if (si_request_is (request, EVHTTP_REQ_GET, "/load"))
+    reply_load (engine, request);
+  else if (si_request_is (request, EVHTTP_REQ_GET, "/cache_events"))
+    reply_cache_events (engine, request);
+  else if (evhttp_request_get_command (request) == EVHTTP_REQ_POST)
+    handle_post (engine, request);
+  else
+    si_reply_error (request, 404, "unknown_path");
+}
+
+bool
+si_engine_init (SiEngine *engine, const SiEngineSettings *settings, int port)
+{
+  memset (engine, 0, sizeof *engine);
+  engine->settings = *settings;
+  engine->version = settings->version;
+  lb_list_init (&engine->waiting);
+  lb_list_init (&engine->running);
+  si_cache_init (&engine->cache, (size_t)settings->cache_blocks);
+  snprintf (engine->incarnation, sizeof engine->incarnation, "%s-%llx-%x", settings->name,
+            (unsigned long long)settings->seed,
+            (unsigned)((uint64_t)lb_clock_monotonic () ^ ((uint64_t)getpid () << 20)));
+  if (!si_server_init (&engine->server, port, handle, engine))
+    return false;
+  si_engine_start_timers (engine);
+  return true;
+}
+
+void
+si_engine_clear (SiEngine *engine)
+{
+  si_engine_break_all (engine);
+  si_engine_stop_timers (engine);
+  si_server_clear (&engine->server);
+  si_cache_clear (&engine->cache);
+  si_runlog_clear (&engine->log);
+}
--- /dev/null
+++ b/standins/si-faults.c
@@ -0,0 +1,71 @@
+#include "si-faults.h"
+
+#include "si-server.h"
+
+#include <string.h>
+
+static const char *const names[SI_N_FAULTS] = {
+  [SI_FAULT_CRASH] = "crash",
+  [SI_FAULT_REFUSE] = "refuse",
+  [SI_FAULT_BREAK] = "break",
+  [SI_FAULT_HANG] = "hang",
+  [SI_FAULT_OMIT_VERSION] = "omit_version",
+  [SI_FAULT_CONTRADICT] = "contradict",
+  [SI_FAULT_FAIL_SWAP] = "fail_swap",
+  [SI_FAULT_SLOW] = "slow",
+  [SI_FAULT_LEAVING] = "leaving",
+  [SI_FAULT_LOSE_REPLY] = "lose_reply",
+  [SI_FAULT_DOWN] = "down",
+  [SI_FAULT_BUSY] = "busy",
+};
+
+bool
+si_faults_set (SiFaults *faults, struct json_object *order)
+{
+  const char *mode = si_json_text (order, "mode", "");
+
+  if (strcmp (mode, "none") == 0)
+    {
+      memset (faults, 0, sizeof *faults);
+      return true;
+    }
+  for (int i = 0; i < SI_N_FAULTS; i++)
+    if (strcmp (names[i], mode) == 0)
+      {
+        faults->faults[i] = (SiFault){ .remaining = si_json_int (order, "count", -1),
+                                       .tokens = si_json_int (order, "tokens", 0),
+                                       .delay = si_json_int (order, "ms", 0) * LB_MSEC };
+        return true;
+      }
+  return false;
+}
+
+void
+si_faults_handle (SiFaults *faults, struct evhttp_request *request)
+{
+  struct json_object *order = si_request_json (request);
+
+  if (order && si_faults_set (faults, order))
+    si_reply_json (request, 200, json_object_new_object ());
+  else
+    si_reply_error (request, 400, "bad_value");
+  json_object_put (order);
+}
+
+bool
+si_faults_is_on (const SiFaults *faults, SiFaultMode mode)
+{
+  return faults->faults[mode].remaining != 0;
+}
+
+bool
+si_faults_take (SiFaults *faults, SiFaultMode mode)
+{
+  SiFault *fault = &faults->faults[mode];
+
+  if (fault->remaining == 0)
+    return false;
+  if (fault->remaining > 0)
+    fault->remaining--;
+  return true;
+}
--- /dev/null
+++ b/standins/si-json.h
@@ -0,0 +1,16 @@
+#ifndef SI_JSON_H
+#define SI_JSON_H
+
+#include "lb-types.h"
+
+#include <json-c/json.h>
+
+int64_t si_json_int (struct json_object *object, const char *key, int64_t fallback);
+double si_json_real (struct json_object *object, const char *key, double fallback);
+bool si_json_bool (struct json_object *object, const char *key, bool fallback);
+const char *si_json_text (struct json_object *object, const char *key, const char *fallback);
+
+void si_json_set_int (struct json_object *object, const char *key, int64_t value);
+void si_json_set_text (struct json_object *object, const char *key, const char *value);
+
+#endif
--- /dev/null
+++ b/standins/si-server.c
@@ -0,0 +1,188 @@
+#include "si-server.h"
+
+#include "lb-alloc.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/keyvalq_struct.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+
+#define ALL_METHODS                                                                                \
+  (EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE         \
+   | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH)
+
+static void
+on_signal (evutil_socket_t fd, short what, void *user)
+{
+  (void)fd;
+  (void)what;
+  event_base_loopbreak (user);
+}
+
+static struct event_base *
+new_base (void)
+{
+  struct event_config *config = event_config_new ();
+  struct event_base *base;
+
+  event_config_set_flag (config, EVENT_BASE_FLAG_PRECISE_TIMER);
+  base = event_base_new_with_config (config);
+  event_config_free (config);
+  return base;
+}
+
+static void
+read_address (SiServer *server, struct evhttp_bound_socket *socket)
+{
+  struct sockaddr_in bound = { 0 };
+  socklen_t length = sizeof bound;
+
+  getsockname (evhttp_bound_socket_get_fd (socket), (struct sockaddr *)&bound, &length);
+  snprintf (server->address, sizeof server->address, "127.0.0.1:%d", ntohs (bound.sin_port));
+}
+
+bool
+si_server_init (SiServer *server, int port, SiHandler handler, void *user)
+{
+  memset (server, 0, sizeof *server);
+  signal (SIGPIPE, SIG_IGN);
+  server->base = new_base ();
+  server->http = evhttp_new (server->base);
+  evhttp_set_allowed_methods (server->http, ALL_METHODS);
+  evhttp_set_gencb (server->http, handler, user);
+  server->terminate = evsignal_new (server->base, SIGTERM, on_signal, server->base);
+  server->interrupt = evsignal_new (server->base, SIGINT, on_signal, server->base);
+  event_add (server->terminate, NULL);
+  event_add (server->interrupt, NULL);
+  struct evhttp_bound_socket *socket
+      = evhttp_bind_socket_with_handle (server->http, "127.0.0.1", (uint16_t)port);
+  if (!socket)
+    {
+      fprintf (stderr, "can't bind 127.0.0.1:%d\n", port);
+      return false;
+    }
+  read_address (server, socket);
+  return true;
+}
+
+void
+si_server_clear (SiServer *server)
+{
+  evhttp_free (server->http);
+  event_free (server->terminate);
+  event_free (server->interrupt);
+  event_base_free (server->base);
+}
+
+/* One JSON line on standard output tells whoever started the program where to connect. */
+void
+si_server_announce (const SiServer *server, const char *name)
+{
+  printf ("{\"name\": \"%s\", \"address\": \"%s\"}\n", name, server->address);
+  fflush (stdout);
+}
+
+bool
+si_request_is (struct evhttp_request *request, enum evhttp_cmd_type method, const char *path)
+{
+  return evhttp_request_get_command (request) == method
+         && strcmp (si_request_path (request), path) == 0;
+}
+
+const char *
+si_request_path (struct evhttp_request *request)
+{
+  const char *path = evhttp_uri_get_path (evhttp_request_get_evhttp_uri (request));
+
+  return path ? path : "/";
+}
+
+const char *
+si_request_header (struct evhttp_request *request, const char *name)
+{
+  return evhttp_find_header (evhttp_request_get_input_headers (request), name);
+}
+
+/* NULL when absent; the caller frees it. */
+char *
+si_request_query (struct evhttp_request *request, const char *key)
+{
+  const char *query = evhttp_uri_get_query (evhttp_request_get_evhttp_uri (request));
+  struct evkeyvalq values;
+  char *found = NULL;
+
+  if (!query || evhttp_parse_query_str (query, &values) != 0)
+    return NULL;
+  const char *value = evhttp_find_header (&values, key);
+  if (value)
+    found = lb_strdup (value);
+  evhttp_clear_headers (&values);
+  return found;
+}
+
+/* The body ended by NUL; the caller frees it. */
+char *
+si_request_text (struct evhttp_request *request)
+{
+  struct evbuffer *input = evhttp_request_get_input_buffer (request);
+  size_t length = evbuffer_get_length (input);
+  char *text = lb_malloc (length + 1);
+
+  evbuffer_copyout (input, text, length);
+  text[length] = '\0';
+  return text;
+}
+
+/* NULL when the body is not a JSON object. */
+struct json_object *
+si_request_json (struct evhttp_request *request)
+{
+  char *text = si_request_text (request);
+  struct json_object *object = json_tokener_parse (text);
+
+  free (text);
+  if (object && !json_object_is_type (object, json_type_object))
+    {
+      json_object_put (object);
+      return NULL;
+    }
+  return object;
+}
+
+/* Takes the object over. */
+void
+si_reply_json (struct evhttp_request *request, int status, struct json_object *object)
+{
+  struct evbuffer *output = evhttp_request_get_output_buffer (request);
+
+  evhttp_add_header (evhttp_request_get_output_headers (request), "Content-Type",
+                     "application/json");
+  evbuffer_add_printf (output, "%s\n",
+                       json_object_to_json_string_ext (object, JSON_C_TO_STRING_NOSLASHESCAPE));
+  evhttp_send_reply (request, status, NULL, NULL);
+  json_object_put (object);
+}
+
+void
+si_reply_error (struct evhttp_request *request, int status, const char *type)
+{
+  struct json_object *object = json_object_new_object ();
+  struct json_object *error = json_object_new_object ();
+
+  si_json_set_text (error, "type", type);
+  json_object_object_add (object, "error", error);
+  si_reply_json (request, status, object);
+}
+
+void
+si_reply_drop (struct evhttp_request *request)
+{
+  struct evhttp_connection *connection = evhttp_request_get_connection (request);
+
+  evhttp_connection_set_closecb (connection, NULL, NULL);
+  evhttp_connection_free (connection);
+}
--- /dev/null
+++ b/standins/si-server.h
@@ -0,0 +1,38 @@
+#ifndef SI_SERVER_H
+#define SI_SERVER_H
+
+#include "si-json.h"
+
+#include <event2/event.h>
+#include <event2/http.h>
+
+typedef void (*SiHandler) (struct evhttp_request *request, void *user);
+
+/* An HTTP server on 127.0.0.1 with its own event loop, ended by SIGTERM or SIGINT. */
+typedef struct
+{
+  struct event_base *base;
+  struct evhttp *http;
+  struct event *terminate;
+  struct event *interrupt;
+  LbName address;
+} SiServer;
+
+/* port 0: the kernel chooses. False when it can't be bound. */
+bool si_server_init (SiServer *server, int port, SiHandler handler, void *user);
+void si_server_clear (SiServer *server);
+void si_server_announce (const SiServer *server, const char *name);
+
+bool si_request_is (struct evhttp_request *request, enum evhttp_cmd_type method, const char *path);
+const char *si_request_path (struct evhttp_request *request);
+const char *si_request_header (struct evhttp_request *request, const char *name);
+char *si_request_query (struct evhttp_request *request, const char *key);
+char *si_request_text (struct evhttp_request *request);
+struct json_object *si_request_json (struct evhttp_request *request);
+
+void si_reply_json (struct evhttp_request *request, int status, struct json_object *object);
+void si_reply_error (struct evhttp_request *request, int status, const char *type);
+/* Closes the connection without an answer, or with the answer cut off. */
+void si_reply_drop (struct evhttp_request *request);
+
+#endif
--- /dev/null
+++ b/standins/si-table.c
@@ -0,0 +1,133 @@
+#include "si-table.h"
+
+#include "lb-alloc.h"
+
+#include <stdlib.h>
+
+static struct json_object *
+array_of (struct json_object *object, const char *key, size_t *length)
+{
+  struct json_object *array = NULL;
+
+  *length = 0;
+  if (json_object_object_get_ex (object, key, &array)
+      && json_object_is_type (array, json_type_array))
+    *length = json_object_array_length (array);
+  return array;
+}
+
+static LpCondition *
+read_conditions (struct json_object *asked, size_t *n)
+{
+  struct json_object *array = array_of (asked, "conditions", n);
+  LpCondition *conditions = LB_NEW_ARRAY (LpCondition, *n);
+
+  for (size_t i = 0; i < *n; i++)
+    {
+      struct json_object *item = json_object_array_get_idx (array, i);
+      conditions[i].key = si_json_text (item, "key", "");
+      conditions[i].version = si_json_int (item, "version", 0);
+    }
+  return conditions;
+}
+
+static LpPut *
+read_puts (struct json_object *asked, size_t *n)
+{
+  size_t n_puts, n_deletes;
+  struct json_object *array = array_of (asked, "puts", &n_puts);
+  struct json_object *deletes = array_of (asked, "deletes", &n_deletes);
+  LpPut *puts = LB_NEW_ARRAY (LpPut, n_puts + n_deletes);
+
+  for (size_t i = 0; i < n_puts; i++)
+    {
+      struct json_object *item = json_object_array_get_idx (array, i);
+      puts[i].key = si_json_text (item, "key", "");
+      puts[i].value = si_json_text (item, "value", "");
+    }
+  for (size_t i = 0; i < n_deletes; i++)
+    puts[n_puts + i].key = json_object_get_string (json_object_array_get_idx (deletes, i));
+  *n = n_puts + n_deletes;
+  return puts;
+}
+
+static struct json_object *
+new_versions (const LpTransaction *transaction, int64_t version)
+{
+  struct json_object *reply = json_object_new_object ();
+  struct json_object *versions = json_object_new_object ();
+
+  for (size_t i = 0; i < transaction->n_puts; i++)
+    if (transaction->puts[i].value)
+      si_json_set_int (versions, transaction->puts[i].key, version);
+  json_object_object_add (reply, "versions", versions);
+  return reply;
+}
+
+static struct json_object *
+new_failure (const LpRow *row)
+{
+  struct json_object *reply = json_object_new_object ();
+
+  si_json_set_text (reply, "failed", row->key);
+  si_json_set_int (reply, "version", row->version);
+  return reply;
+}
+
+int
+si_table_transact (LpStore *store, struct json_object *asked, struct json_object **reply)
+{
+  LpTransaction transaction = { .token = si_json_text (asked, "token", NULL) };
+  LpRow row;
+
+  if (!transaction.token)
+    {
+      *reply = json_object_new_object ();
+      return 400;
+    }
+  LpCondition *conditions = read_conditions (asked, &transaction.n_conditions);
+  LpPut *puts = read_puts (asked, &transaction.n_puts);
+  transaction.conditions = conditions;
+  transaction.puts = puts;
+  bool ok = lp_store_transact (store, &transaction, &row) == LB_OK;
+  *reply = ok ? new_versions (&transaction, row.version) : new_failure (&row);
+  free (conditions);
+  free (puts);
+  return ok ? 200 : 409;
+}
+
+static struct json_object *
+new_row (const LpRow *row)
+{
+  struct json_object *object = json_object_new_object ();
+
+  si_json_set_text (object, "key", row->key);
+  si_json_set_text (object, "value", row->value);
+  si_json_set_int (object, "version", row->version);
+  return object;
+}
+
+int
+si_table_row (const LpStore *store, const char *key, struct json_object **reply)
+{
+  const LpRow *row = lp_store_get (store, key);
+
+  *reply = row ? new_row (row) : json_object_new_object ();
+  return row ? 200 : 404;
+}
+
+struct json_object *
+si_table_scan (const LpStore *store, const char *prefix, const char *after, int64_t limit)
+{
+  struct json_object *reply = json_object_new_object ();
+  struct json_object *rows = json_object_new_array ();
+  const LpRow *row = lp_store_next (store, prefix, after);
+
+  for (; row && limit > 0; limit--)
+    {
+      json_object_array_add (rows, new_row (row));
+      row = lp_store_next (store, prefix, row->key);
+    }
+  json_object_object_add (reply, "rows", rows);
+  return reply;
+}
--- /dev/null
+++ b/standins/si-table.h
@@ -0,0 +1,13 @@
+#ifndef SI_TABLE_H
+#define SI_TABLE_H
+
+#include "lp-store.h"
+#include "si-json.h"
+
+/* The JSON of the platform's table around an LpStore. Each answers the HTTP status and the body. */
+int si_table_transact (LpStore *store, struct json_object *asked, struct json_object **reply);
+int si_table_row (const LpStore *store, const char *key, struct json_object **reply);
+struct json_object *
+si_table_scan (const LpStore *store, const char *prefix, const char *after, int64_t limit);
+
+#endif
--- /dev/null
+++ b/standins/standin-service.c
@@ -0,0 +1,225 @@
+#include "lb-alloc.h"
+#include "lb-clock.h"
+#include "si-faults.h"
+#include "si-runlog.h"
+#include "si-server.h"
+
+#include <argtable2.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include <xxhash.h>
+
+typedef struct
+{
+  SiServer server;
+  SiFaults faults;
+  SiRunlog log;
+  char incarnation[64];
+  int64_t running;
+  int64_t concurrency;
+  LbTime latency;
+} Service;
+
+/* A call that answers after the service's latency. */
+typedef struct
+{
+  Service *service;
+  struct evhttp_request *request;
+  struct event *timer;
+  struct json_object *reply;
+  bool lose;
+} Call;
+
+static void
+on_due (evutil_socket_t fd, short what, void *user)
+{
+  (void)fd;
+  (void)what;
+  Call *call = user;
+  Service *service = call->service;
+
+  service->running--;
+  service->log.finished++;
+  evhttp_connection_set_closecb (evhttp_request_get_connection (call->request), NULL, NULL);
+  if (call->lose)
+    {
+      si_reply_drop (call->request);
+      json_object_put (call->reply);
+    }
+  else
+    si_reply_json (call->request, 200, call->reply);
+  event_free (call->timer);
+  free (call);
+}
+
+static void
+on_caller_gone (struct evhttp_connection *connection, void *user)
+{
+  (void)connection;
+  Call *call = user;
+
+  call->service->running--;
+  call->service->log.cancelled++;
+  json_object_put (call->reply);
+  event_free (call->timer);
+  free (call);
+}
+
+static void
+answer_later (Service *service, struct evhttp_request *request, struct json_object *reply)
+{
+  Call *call = LB_NEW (Call);
+  LbTime wait = service->latency;
+
+  if (si_faults_take (&service->faults, SI_FAULT_SLOW))
+    wait += service->faults.faults[SI_FAULT_SLOW].delay;
+  call->service = service;
+  call->request = request;
+  call->reply = reply;
+  call->lose = si_faults_take (&service->faults, SI_FAULT_LOSE_REPLY);
+  call->timer = evtimer_new (service->server.base, on_due, call);
+  service->running++;
+  evhttp_connection_set_closecb (evhttp_request_get_connection (request), on_caller_gone, call);
+  const struct timeval at = { .tv_sec = wait / LB_SEC, .tv_usec = (suseconds_t)(wait % LB_SEC) };
+  event_add (call->timer, &at);
+}
+
+/* The score of a text is a fixed function of it, between 0 and 1. */
+static struct json_object *
+new_score (const char *body)
+{
+  struct json_object *asked = json_tokener_parse (body);
+  struct json_object *reply = json_object_new_object ();
+  const char *text = asked ? si_json_text (asked, "text", "") : "";
+  double score = (double)(XXH64 (text, strlen (text), 0) % 1000) / 1000;
+
+  json_object_object_add (reply, "score", json_object_new_double (score));
+  json_object_put (asked);
+  return reply;
+}
+
+static struct json_object *
+new_echo (struct evhttp_request *request, const char *body, const char *key, int64_t runs)
+{
+  struct json_object *reply = json_object_new_object ();
+
+  si_json_set_text (reply, "path", evhttp_request_get_uri (request));
+  si_json_set_text (reply, "body", body);
+  si_json_set_text (reply, "key", key);
+  si_json_set_int (reply, "runs", runs);
+  return reply;
+}
+
+/* A run is counted under the header x-order, or the body when there is none. */
+static void
+run_call (Service *service, struct evhttp_request *request)
+{
+  char *body = si_request_text (request);
+  const char *order = si_request_header (request, "x-order");
+  const char *key = order ? order : body;
+  int64_t runs = si_runlog_start (&service->log, key);
+
+  if (si_faults_take (&service->faults, SI_FAULT_CRASH))
+    _exit (1);
+  if (si_request_is (request, EVHTTP_REQ_POST, "/score"))
+    answer_later (service, request, new_score (body));
+  else if (!si_faults_take (&service->faults, SI_FAULT_HANG))
+    answer_later (service, request, new_echo (request, body, key, runs));
+  free (body);
+}
+
+static void
+reply_load (Service *service, struct evhttp_request *request)
+{
+  struct json_object *load = json_object_new_object ();
+  bool leaving = si_faults_is_on (&service->faults, SI_FAULT_LEAVING);
+
+  si_json_set_text (load, "incarnation", service->incarnation);
+  si_json_set_text (load, "state", leaving ? "leaving" : "serving");
+  si_json_set_int (load, "running", service->running);
+  si_json_set_int (load, "waiting", 0);
+  si_json_set_int (load, "concurrency", service->concurrency);
+  si_reply_json (request, 200, load);
+}
+
+static const char *
+refusal (Service *service)
+{
+  if (si_faults_is_on (&service->faults, SI_FAULT_LEAVING))
+    return "leaving";
+  if (service->running >= service->concurrency
+      || si_faults_take (&service->faults, SI_FAULT_REFUSE))
+    return "not_started";
+  return NULL;
+}
+
+static void
+handle (struct evhttp_request *request, void *user)
+{
+  Service *service = user;
+  const char *refused;
+
+  if (si_request_is (request, EVHTTP_REQ_POST, "/faults"))
+    si_faults_handle (&service->faults, request);
+  else if (si_request_is (request, EVHTTP_REQ_GET, "/log"))
+    si_reply_json (request, 200, si_runlog_to_json (&service->log));
+  else if (si_faults_is_on (&service->faults, SI_FAULT_DOWN))
+    si_reply_drop (request);
+  else if (si_request_is (request, EVHTTP_REQ_GET, "/load"))
+    reply_load (service, request);
+  else if ((refused = refusal (service)))
+    {
+      service->log.refused++;
+      si_reply_error (request, 503, refused);
+    }
+  else
+    run_call (service, request);
+}
+
+static int
+serve (const char *name, int port, int latency_ms, int concurrency)
+{
+  Service service = { .latency = latency_ms * LB_MSEC, .concurrency = concurrency };
+
+  snprintf (service.incarnation, sizeof service.incarnation, "%s-%x", name,
+            (unsigned)((uint64_t)lb_clock_monotonic () ^ ((uint64_t)getpid () << 20)));
+  if (!si_server_init (&service.server, port, handle, &service))
+    return 1;
+  si_server_announce (&service.server, name);
+  event_base_dispatch (service.server.base);
+  si_server_clear (&service.server);
+  si_runlog_clear (&service.log);
+  return 0;
+}
+
+int
+main (int argc, char **argv)
+{
+  struct arg_int *port = arg_int0 (NULL, "port", "N", "port on 127.0.0.1; 0: any free one");
+  struct arg_str *name = arg_str0 (NULL, "name", "NAME", "name in the incarnation");
+  struct arg_int *latency = arg_int0 (NULL, "latency-ms", "N", "time of one call");
+  struct arg_int *concurrency = arg_int0 (NULL, "concurrency", "N", "calls at once");
+  struct arg_lit *help = arg_lit0 (NULL, "help", "show this");
+  struct arg_end *end = arg_end (4);
+  void *table[] = { port, name, latency, concurrency, help, end };
+  int status = 2;
+
+  port->ival[0] = 0;
+  name->sval[0] = "service";
+  latency->ival[0] = 1;
+  concurrency->ival[0] = 64;
+  int errors = arg_parse (argc, argv, table);
+  if (help->count > 0)
+    {
+      arg_print_glossary (stdout, table, "  %-30s %s\n");
+      status = 0;
+    }
+  else if (errors > 0)
+    arg_print_errors (stderr, end, "standin-service");
+  else
+    status = serve (name->sval[0], port->ival[0], latency->ival[0], concurrency->ival[0]);
+  arg_freetable (table, sizeof table / sizeof table[0]);
+  return status;
+}
--- a/standins/standin.c
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "standin.h"
