--- a/packages/http/include/lh-fetch.h
+++ b/packages/http/include/lh-fetch.h
@@ -59,6 +59,9 @@
 void lh_fetch_cancel (LhFetch *fetch);
 /* A header of the reply, NULL when absent. Valid in the handlers. */
 const char *lh_fetch_header (const LhFetch *fetch, const char *name);
+void lh_fetch_each_header (const LhFetch *fetch,
+                           void (*visit) (const char *name, const char *value, void *user),
+                           void *user);
 int lh_fetch_status (const LhFetch *fetch);
 
 #endif
--- a/packages/http/src/lh-fetch.c
+++ b/packages/http/src/lh-fetch.c
@@ -426,6 +426,21 @@
   return evhttp_find_header (evhttp_request_get_input_headers (fetch->request), name);
 }
 
+void
+lh_fetch_each_header (const LhFetch *fetch,
+                      void (*visit) (const char *name, const char *value, void *user),
+                      void *user)
+{
+  struct evkeyval *header;
+
+  if (!fetch->request)
+    return;
+  TAILQ_FOREACH (header, evhttp_request_get_input_headers (fetch->request), next)
+  {
+    visit (header->key, header->value, user);
+  }
+}
+
 int
 lh_fetch_status (const LhFetch *fetch)
 {
--- a/packages/node/main/lentilspindled.c
+++ b/packages/node/main/lentilspindled.c
@@ -1,8 +1,271 @@
+#include "ln-context.h"
+#include "ln-messages.h"
+
+#include "lb-alloc.h"
+#include "lb-clock.h"
+#include "lb-log.h"
+#include "lh-fetch.h"
+#include "lp-platform.h"
+
+#include <argtable2.h>
+#include <event2/event.h>
+#include <json-c/json.h>
+#include <signal.h>
 #include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#define EXIT_USAGE 2
+
+typedef struct
+{
+  const char *config;
+  bool check_only;
+  int exit_code; /* -1: go on */
+} Options;
+
+typedef struct
+{
+  LnContext context;
+  LnSettings settings;
+  struct event *signals[2];
+  struct event *drain_timer; /* runs while draining */
+  LbTime drain_until;
+  bool draining;
+} Daemon;
+
+static void
+print_help (void **table)
+{
+  puts ("Usage: lentilspindled [OPTIONS]\n\n"
+        "One instance of lentilspindle, the rollout service. Runs until SIGTERM or SIGINT, then\n"
+        "finishes what is in progress.\n");
+  arg_print_glossary (stdout, table, "  %-24s %s\n");
+}
+
+static Options
+read_options (int argc, char **argv)
+{
+  struct arg_file *config
+      = arg_file0 ("c", "config", "FILE", "settings, JSON with comments (docs/SETTINGS.md)");
+  struct arg_lit *check = arg_lit0 (NULL, "check", "test the settings file and exit");
+  struct arg_lit *help = arg_lit0 ("h", "help", "show this help and exit");
+  struct arg_lit *version = arg_lit0 ("V", "version", "show the version and exit");
+  struct arg_end *end = arg_end (4);
+  void *table[] = { config, check, help, version, end };
+  Options options = { .exit_code = -1 };
+  int errors = arg_parse (argc, argv, table);
+
+  if (help->count > 0)
+    {
+      print_help (table);
+      options.exit_code = 0;
+    }
+  else if (version->count > 0)
+    {
+      puts ("lentilspindled " LS_VERSION);
+      options.exit_code = 0;
+    }
+  else if (errors > 0)
+    {
+      arg_print_errors (stderr, end, "lentilspindled");
+      options.exit_code = EXIT_USAGE;
+    }
+  else
+    {
+      /* argtable's strings point into argv and outlive the table. */
+      options.config = config->count > 0 ? config->filename[0] : NULL;
+      options.check_only = check->count > 0;
+    }
+  arg_freetable (table, sizeof table / sizeof table[0]);
+  return options;
+}
+
+static bool
+read_settings (LnSettings *settings, const Options *options)
+{
+  LbError error = { 0 };
+
+  ln_settings_init (settings);
+  if (!options->config || ln_settings_read (settings, options->config, &error))
+    return true;
+  fprintf (stderr, "lentilspindled: %s: %s (%s)\n", error.where, error.detail,
+           lb_error_name (error.code));
+  return false;
+}
+
+static void
+name_instance (Daemon *daemon)
+{
+  LnContext *context = &daemon->context;
+  const char *name = daemon->settings.instance.name;
+
+  if (name[0])
+    LB_COPY (context->instance, name);
+  else
+    LB_COPY (context->instance, context->caller_address);
+  snprintf (context->incarnation, sizeof context->incarnation, "%llx-%x",
+            (unsigned long long)lb_clock_wall_ms (), (unsigned)getpid ());
+}
+
+/* Whoever waits for the file must never read half of it. */
+static bool
+write_address_file (const Daemon *daemon, LbError *error)
+{
+  const char *path = daemon->settings.address_file;
+  char *temporary = lb_asprintf ("%s.new", path);
+  FILE *out = fopen (temporary, "w");
+  bool ok = out
+            && fprintf (out, "{\"caller_address\": \"%s\", \"peer_address\": \"%s\"}\n",
+                        daemon->context.caller_address, daemon->context.peer_address)
+                   > 0;
+
+  if (out && fclose (out) != 0)
+    ok = false;
+  ok = ok && rename (temporary, path) == 0;
+  free (temporary);
+  return ok || lb_error_set (error, LB_ERROR_IO, path, "cannot write the address file");
+}
+
+static void
+exit_when_idle (evutil_socket_t fd, short what, void *user)
+{
+  (void)fd;
+  (void)what;
+  Daemon *daemon = user;
+
+  if (lb_clock_monotonic () < daemon->drain_until || !ln_hub_is_idle (daemon->context.hub))
+    return;
+  event_base_loopbreak (daemon->context.base);
+}
+
+/* The first signal begins the drain; a later one changes nothing, since it may not cut a request
+ * in progress. Callers that hold an old address still get an answer for drain_ms. */
+static void
+on_signal (evutil_socket_t number, short what, void *user)
+{
+  (void)what;
+  Daemon *daemon = user;
+  const struct timeval period = { .tv_usec = 20000 };
+  LnDrainingMessage message = { .base = LN_MESSAGE (LN_DRAINING) };
+
+  lb_log (LB_LOG_INFO, "signal", LB_INT ("number", number),
+          LB_BOOL ("already_draining", daemon->draining));
+  if (daemon->draining)
+    return;
+  daemon->draining = true;
+  daemon->drain_until = lb_clock_monotonic () + daemon->settings.drain.drain_ms * LB_MSEC;
+  ln_hub_drain (daemon->context.hub);
+  LN_POST (daemon->context.hub, NULL, message);
+  event_add (daemon->drain_timer, &period);
+}
+
+static LpPlatform *
+make_platform (const LnSettings *settings, struct event_base *base)
+{
+  LpHttpSettings http = { .deadline = settings->platform.deadline_ms * LB_MSEC,
+                          .rate = settings->platform.rate };
+
+  if (settings->platform.kind == LN_PLATFORM_MEMORY)
+    return lp_memory_new (base);
+  LB_COPY (http.address, settings->platform.address);
+  return lp_http_new (base, &http);
+}
+
+static bool
+add_tasks (Daemon *daemon)
+{
+  LnContext *context = &daemon->context;
+  LnTask *(*const makers[]) (LnContext *)
+      = { ln_front_new, ln_calls_new, ln_rollouts_new, ln_peers_new, ln_config_new };
+
+  for (size_t i = 0; i < sizeof makers / sizeof makers[0]; i++)
+    {
+      LnTask *task = makers[i](context);
+      if (!task)
+        return false;
+      ln_hub_add (context->hub, task);
+      if (i == 0)
+        name_instance (daemon);
+    }
+  return true;
+}
+
+static void
+daemon_open (Daemon *daemon)
+{
+  LnContext *context = &daemon->context;
+
+  context->settings = &daemon->settings;
+  context->base = event_base_new ();
+  context->hub = ln_hub_new (context->base);
+  context->http = lh_pool_new (context->base);
+  context->platform = make_platform (&daemon->settings, context->base);
+  daemon->signals[0] = evsignal_new (context->base, SIGTERM, on_signal, daemon);
+  daemon->signals[1] = evsignal_new (context->base, SIGINT, on_signal, daemon);
+  daemon->drain_timer = event_new (context->base, -1, EV_PERSIST, exit_when_idle, daemon);
+  event_add (daemon->signals[0], NULL);
+  event_add (daemon->signals[1], NULL);
+}
+
+static void
+daemon_close (Daemon *daemon)
+{
+  LnContext *context = &daemon->context;
+
+  ln_hub_free (context->hub);
+  context->platform->klass->free (context->platform);
+  lh_pool_free (context->http);
+  event_free (daemon->signals[0]);
+  event_free (daemon->signals[1]);
+  event_free (daemon->drain_timer);
+  event_base_free (context->base);
+}
+
+static int
+run (Daemon *daemon)
+{
+  LbError error = { 0 };
+  int exit_code = EXIT_FAILURE;
+
+  signal (SIGPIPE, SIG_IGN);
+  lb_log_init ((LbLogLevel)daemon->settings.log.level, STDERR_FILENO,
+               daemon->settings.instance.name);
+  daemon_open (daemon);
+  if (!add_tasks (daemon))
+    goto out;
+  lb_log_init ((LbLogLevel)daemon->settings.log.level, STDERR_FILENO, daemon->context.instance);
+  if (daemon->settings.address_file[0] && !write_address_file (daemon, &error))
+    {
+      lb_log_error (LB_LOG_ERROR, "start_failed", &error);
+      goto out;
+    }
+  lb_log (LB_LOG_INFO, "started", LB_TEXT ("caller_address", daemon->context.caller_address),
+          LB_TEXT ("peer_address", daemon->context.peer_address),
+          LB_TEXT ("incarnation", daemon->context.incarnation),
+          LB_TEXT ("version", LS_VERSION));
+  event_base_dispatch (daemon->context.base);
+  lb_log (LB_LOG_INFO, "stopped", LB_BOOL ("drained", daemon->draining));
+  exit_code = EXIT_SUCCESS;
+out:
+  daemon_close (daemon);
+  return exit_code;
+}
 
 int
-main (void)
+main (int argc, char **argv)
 {
-  fputs ("lentilspindled: not built yet\n", stderr);
-  return 1;
+  Daemon daemon = { 0 };
+  Options options = read_options (argc, argv);
+  int exit_code = EXIT_USAGE;
+
+  if (options.exit_code >= 0)
+    return options.exit_code;
+  if (!read_settings (&daemon.settings, &options))
+    goto out;
+  exit_code = options.check_only ? EXIT_SUCCESS : run (&daemon);
+out:
+  ln_settings_clear (&daemon.settings);
+  return exit_code;
 }
--- /dev/null
+++ b/packages/node/src/ln-call.c
@@ -0,0 +1,311 @@
+#include "ln-call.h"
+
+#include "lb-alloc.h"
+#include "lb-clock.h"
+
+#include <event2/buffer.h>
+#include <json-c/json.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+LnCall *
+ln_call_new (LnCallKind kind)
+{
+  LnCall *call = LB_NEW (LnCall);
+
+  call->kind = kind;
+  call->text = evbuffer_new ();
+  lb_list_init (&call->attempts);
+  return call;
+}
+
+void
+ln_call_free (LnCall *call)
+{
+  while (!lb_list_is_empty (&call->attempts))
+    {
+      LnAttempt *attempt = LB_LIST_FIRST (&call->attempts, LnAttempt, link);
+      ln_upstream_cancel (attempt->upstream);
+      ln_attempt_free (attempt);
+    }
+  for (size_t i = 0; i < call->n_headers; i++)
+    {
+      free ((char *)call->headers[i].name);
+      free ((char *)call->headers[i].value);
+    }
+  free (call->headers);
+  free (call->method);
+  free (call->path);
+  free (call->raw_body);
+  free (call->resume_text);
+  evbuffer_free (call->text);
+  json_object_put (call->body);
+  free (call);
+}
+
+bool
+ln_call_is_for_engine (const LnCall *call)
+{
+  return call->kind != LN_CALL_SERVICE && call->kind != LN_CALL_SCORE;
+}
+
+static struct json_object *
+resume_object (LnCall *call, int64_t resume_at)
+{
+  struct json_object *resume = json_object_new_object ();
+  size_t length = evbuffer_get_length (call->text);
+  const char *sent = length > 0 ? (const char *)evbuffer_pullup (call->text, -1) : "";
+  char *text = lb_asprintf ("%s%.*s", call->resume_text ? call->resume_text : "", (int)length,
+                            sent);
+
+  json_object_object_add (resume, "offset", json_object_new_int64 (resume_at));
+  json_object_object_add (resume, "text", json_object_new_string (text));
+  free (text);
+  return resume;
+}
+
+char *
+ln_call_engine_body (LnCall *call, const char *stream_id, int64_t resume_at)
+{
+  json_object_object_add (call->body, "stream", json_object_new_boolean (true));
+  json_object_object_add (call->body, "request_id", json_object_new_string (stream_id));
+  json_object_object_add (call->body, "priority", json_object_new_int (call->spec.priority));
+  json_object_object_del (call->body, "resume");
+  if (resume_at > 0)
+    json_object_object_add (call->body, "resume", resume_object (call, resume_at));
+  return lb_strdup (json_object_to_json_string_ext (call->body, JSON_C_TO_STRING_PLAIN));
+}
+
+LnAttempt *
+ln_attempt_new (LnCall *call)
+{
+  LnAttempt *attempt = LB_NEW (LnAttempt);
+
+  attempt->call = call;
+  attempt->text = evbuffer_new ();
+  lb_list_append (&call->attempts, &attempt->link);
+  return attempt;
+}
+
+void
+ln_attempt_free (LnAttempt *attempt)
+{
+  if (lb_link_is_linked (&attempt->link))
+    lb_list_remove (&attempt->call->attempts, &attempt->link);
+  evbuffer_free (attempt->text);
+  free (attempt->pieces);
+  free (attempt);
+}
+
+LnAttempt *
+ln_call_find_attempt (LnCall *call, uint32_t number)
+{
+  LB_LIST_FOREACH (&call->attempts, LnAttempt, link, attempt)
+  {
+    if (ln_upstream_attempt (attempt->upstream) == number)
+      return attempt;
+  }
+  return NULL;
+}
+
+static void
+add_version (LnAttempt *attempt, LcVersion version)
+{
+  if (version == 0 || attempt->n_versions == LN_MAX_VERSIONS)
+    return;
+  for (size_t i = 0; i < attempt->n_versions; i++)
+    if (attempt->versions[i] == version)
+      return;
+  attempt->versions[attempt->n_versions++] = version;
+}
+
+static void
+note_finish_reason (LnAttempt *attempt, struct json_object *event)
+{
+  struct json_object *choices = NULL;
+  struct json_object *reason = NULL;
+
+  if (json_object_object_get_ex (event, "choices", &choices)
+      && json_object_object_get_ex (json_object_array_get_idx (choices, 0), "finish_reason",
+                                    &reason)
+      && reason)
+    LB_COPY (attempt->finish_reason, json_object_get_string (reason));
+}
+
+void
+ln_attempt_add (LnAttempt *attempt,
+                const LcPiece *piece,
+                struct json_object *event,
+                const char *text)
+{
+  struct json_object *reused = NULL;
+
+  attempt->tokens += piece->tokens;
+  add_version (attempt, piece->version);
+  if (json_object_object_get_ex (event, "kv_reused_version", &reused))
+    add_version (attempt, json_object_get_int64 (reused));
+  note_finish_reason (attempt, event);
+  if (attempt->call->spec.delivery != LC_DELIVER_WHOLE)
+    return;
+  evbuffer_add (attempt->text, text, strlen (text));
+  attempt->pieces = lb_realloc (attempt->pieces, (attempt->n_pieces + 1) * sizeof (LcPiece));
+  attempt->pieces[attempt->n_pieces++] = *piece;
+}
+
+static void
+relabel (LnCall *call, struct json_object *event)
+{
+  const char *type = call->kind == LN_CALL_CHAT ? "chat.completion.chunk" : "text_completion";
+
+  json_object_object_add (event, "id", json_object_new_string (call->stream_id));
+  json_object_object_add (event, "object", json_object_new_string (type));
+  json_object_object_add (event, "created", json_object_new_int64 (lb_clock_wall_ms () / 1000));
+  json_object_object_add (event, "model", json_object_new_string (call->spec.pool));
+}
+
+void
+ln_call_forward (LnCall *call, struct json_object *event, const char *endpoint)
+{
+  if (!call->exchange)
+    return;
+  if (!call->stream_begun)
+    {
+      call->stream_begun = true;
+      ln_exchange_set_header (call->exchange, "x-endpoint", endpoint);
+      ln_exchange_set_header (call->exchange, "Cache-Control", "no-cache");
+      ln_exchange_stream_start (call->exchange, 200, "text/event-stream");
+    }
+  relabel (call, event);
+  char *line = lb_asprintf ("data: %s\n\n",
+                            json_object_to_json_string_ext (event, JSON_C_TO_STRING_PLAIN));
+  ln_exchange_stream_piece (call->exchange, line, strlen (line));
+  free (line);
+}
+
+static void
+set_versions_header (LnExchange *exchange, const LnAttempt *attempt)
+{
+  char text[LN_MAX_VERSIONS * 21 + 1] = "";
+  size_t used = 0;
+
+  for (size_t i = 0; i < attempt->n_versions; i++)
+    used += (size_t)snprintf (text + used, sizeof text - used, "%s%lld", i > 0 ? "," : "",
+                              (long long)attempt->versions[i]);
+  if (used > 0)
+    ln_exchange_set_header (exchange, "x-weight-versions", text);
+}
+
+static struct json_object *
+whole_choice (const LnCall *call, LnAttempt *winner)
+{
+  struct json_object *choice = json_object_new_object ();
+  size_t length = evbuffer_get_length (winner->text);
+  const char *bytes = length > 0 ? (const char *)evbuffer_pullup (winner->text, -1) : "";
+  struct json_object *text = json_object_new_string_len (bytes, (int)length);
+
+  json_object_object_add (choice, "index", json_object_new_int (0));
+  if (call->kind == LN_CALL_CHAT)
+    {
+      struct json_object *message = json_object_new_object ();
+      json_object_object_add (message, "role", json_object_new_string ("assistant"));
+      json_object_object_add (message, "content", text);
+      json_object_object_add (choice, "message", message);
+    }
+  else
+    json_object_object_add (choice, "text", text);
+  json_object_object_add (choice, "finish_reason",
+                          json_object_new_string (winner->finish_reason));
+  return choice;
+}
+
+static void
+reply_whole (LnCall *call, LnAttempt *winner)
+{
+  struct json_object *reply = json_object_new_object ();
+  struct json_object *choices = json_object_new_array ();
+  struct json_object *usage = json_object_new_object ();
+
+  relabel (call, reply);
+  if (call->kind == LN_CALL_CHAT)
+    json_object_object_add (reply, "object", json_object_new_string ("chat.completion"));
+  json_object_array_add (choices, whole_choice (call, winner));
+  json_object_object_add (reply, "choices", choices);
+  json_object_object_add (usage, "completion_tokens", json_object_new_int64 (winner->tokens));
+  json_object_object_add (reply, "usage", usage);
+  ln_exchange_set_header (call->exchange, "x-endpoint", ln_upstream_endpoint (winner->upstream));
+  set_versions_header (call->exchange, winner);
+  ln_exchange_reply_json (call->exchange, 200, reply);
+}
+
+/* Headers that belong to one connection are not passed on. */
+bool
+ln_call_is_hop_header (const char *name)
+{
+  static const char *const names[]
+      = { "Connection",       "Keep-Alive", "Transfer-Encoding", "TE",   "Trailer",
+          "Upgrade",          "Host",       "Content-Length",    "Expect", "Proxy-Connection",
+          "Proxy-Authenticate" };
+
+  for (size_t i = 0; i < sizeof names / sizeof names[0]; i++)
+    if (strcasecmp (name, names[i]) == 0)
+      return true;
+  return false;
+}
+
+static void
+pass_header (const char *name, const char *value, void *user)
+{
+  if (!ln_call_is_hop_header (name))
+    ln_exchange_set_header (user, name, value);
+}
+
+static void
+reply_service (LnCall *call, LnAttempt *winner)
+{
+  size_t length;
+  const char *body = ln_upstream_body (winner->upstream, &length);
+
+  lh_fetch_each_header (ln_upstream_fetch (winner->upstream), pass_header, call->exchange);
+  ln_exchange_set_header (call->exchange, "x-endpoint", ln_upstream_endpoint (winner->upstream));
+  ln_exchange_reply_text (call->exchange, ln_upstream_status (winner->upstream), NULL, body,
+                          length);
+}
+
+void
+ln_call_reply (LnCall *call, LnAttempt *winner)
+{
+  static const char done[] = "data: [DONE]\n\n";
+
+  if (!call->exchange)
+    return;
+  if (call->kind == LN_CALL_SERVICE)
+    reply_service (call, winner);
+  else if (call->wants_stream)
+    {
+      ln_exchange_stream_piece (call->exchange, done, sizeof done - 1);
+      ln_exchange_end (call->exchange);
+    }
+  else
+    reply_whole (call, winner);
+  call->exchange = NULL;
+}
+
+static const char *
+advice (LbErrorCode code)
+{
+  return lb_error_is_not_run (code) ? "the request was not run" : "the request may have run";
+}
+
+void
+ln_call_reply_error (LnCall *call, LbErrorCode code, LbTime retry_after)
+{
+  LbError error = { 0 };
+
+  if (!call->exchange)
+    return;
+  lb_error_set (&error, code, call->spec.pool, "%s", advice (code));
+  ln_exchange_reply_error (call->exchange, &error, retry_after);
+  call->exchange = NULL;
+}
--- /dev/null
+++ b/packages/node/src/ln-call.h
@@ -0,0 +1,87 @@
+#ifndef LN_CALL_H
+#define LN_CALL_H
+
+#include "ln-exchange.h"
+#include "ln-upstream.h"
+
+#include <uthash.h>
+
+struct evbuffer;
+typedef struct LnCall LnCall;
+
+#define LN_MAX_VERSIONS 16
+
+/* What one attempt has brought so far. */
+typedef struct
+{
+  LbLink link; /* in LnCall.attempts */
+  LnCall *call;
+  LnUpstream *upstream;
+  struct evbuffer *text; /* WHOLE: gathered here until one attempt wins */
+  LcPiece *pieces;       /* WHOLE */
+  size_t n_pieces;
+  LcVersion versions[LN_MAX_VERSIONS];
+  size_t n_versions;
+  int64_t tokens;
+  char finish_reason[16];
+} LnAttempt;
+
+typedef enum
+{
+  LN_CALL_COMPLETION,
+  LN_CALL_CHAT,
+  LN_CALL_SERVICE,
+  LN_CALL_SAMPLE,
+  LN_CALL_SCORE
+} LnCallKind;
+
+/* One request under way: what to send to endpoints and where its answer goes. */
+struct LnCall
+{
+  UT_hash_handle hh;          /* by spec.id */
+  UT_hash_handle by_exchange; /* by exchange_id */
+  LnCallKind kind;
+  LcRequestSpec spec;
+  LnExchange *exchange; /* NULL: a sample, or nobody waits any more */
+  uint64_t exchange_id;
+  bool wants_stream;
+  bool stream_begun;
+  char stream_id[96];       /* the id that the caller sees */
+  struct json_object *body; /* for engines */
+  char *method;             /* for services, all owned */
+  char *path;
+  LhHeader *headers;
+  size_t n_headers;
+  char *raw_body;
+  size_t raw_length;
+  char *resume_text;     /* what the submitter has before resume_at; may be NULL */
+  struct evbuffer *text; /* STREAM: what has gone out */
+  LbList attempts;
+  LnAttempt *ended; /* whose end is being handled; it is in attempts no more */
+  void *owner;      /* the task's own */
+};
+
+LnCall *ln_call_new (LnCallKind kind);
+void ln_call_free (LnCall *call);
+bool ln_call_is_for_engine (const LnCall *call);
+/* The JSON for one attempt at an engine; the caller frees it. */
+char *ln_call_engine_body (LnCall *call, const char *stream_id, int64_t resume_at);
+
+bool ln_call_is_hop_header (const char *name);
+
+LnAttempt *ln_attempt_new (LnCall *call);
+void ln_attempt_free (LnAttempt *attempt);
+LnAttempt *ln_call_find_attempt (LnCall *call, uint32_t number);
+/* Keeps what the piece says of the whole answer, and the piece itself when pieces are gathered. */
+void ln_attempt_add (LnAttempt *attempt,
+                     const LcPiece *piece,
+                     struct json_object *event,
+                     const char *text);
+
+/* Passes an engine's event to a caller who streams. */
+void ln_call_forward (LnCall *call, struct json_object *event, const char *endpoint);
+/* The answer of the attempt that won. The exchange is gone afterwards. */
+void ln_call_reply (LnCall *call, LnAttempt *winner);
+void ln_call_reply_error (LnCall *call, LbErrorCode code, LbTime retry_after);
+
+#endif
--- /dev/null
+++ b/packages/node/src/ln-caller.c
@@ -0,0 +1,282 @@
+#include "ln-caller.h"
+
+#include "ln-exchange-private.h"
+#include "ln-linger.h"
+
+#include "lb-alloc.h"
+#include "lb-counter.h"
+
+#include <arpa/inet.h>
+#include <event2/event.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define IDLE_TIME (60 * LB_SEC)
+
+static LbMetric connections
+    = LB_GAUGE_INIT ("lentilspindle_caller_connections", NULL, "Open connections of callers");
+static LbMetric refused_connections
+    = LB_COUNTER_INIT ("lentilspindle_caller_connections_refused_total",
+                       NULL,
+                       "Connections closed at once because too many are open");
+
+void
+ln_callers_init (LnCallers *callers, struct event_base *base)
+{
+  memset (callers, 0, sizeof *callers);
+  callers->base = base;
+  lb_list_init (&callers->callers);
+  lb_list_init (&callers->lingers);
+}
+
+void
+ln_callers_clear (LnCallers *callers)
+{
+  while (!lb_list_is_empty (&callers->callers))
+    evhtp_connection_free (LB_LIST_FIRST (&callers->callers, LnCaller, link)->connection);
+  ln_linger_free_all (&callers->lingers);
+}
+
+static void
+arm (LnCaller *caller, LbTime time)
+{
+  const struct timeval limit = { .tv_sec = time / LB_SEC, .tv_usec = time % LB_SEC };
+
+  evtimer_add (caller->timer, &limit);
+}
+
+static bool
+is_reading (const LnCaller *caller)
+{
+  const evhtp_request_t *request = caller->connection->request;
+
+  return request && !(request->flags & EVHTP_REQ_FLAG_FINISHED);
+}
+
+/* The caller sends its request so slowly, a byte a second say, that it would hold the connection
+ * for ever; evhtp's own timeouts start anew with each byte. The time of a whole request is bounded
+ * instead, from its first byte to its last. A connection between requests is just closed. */
+static void
+on_timer (evutil_socket_t fd, short what, void *user)
+{
+  (void)fd;
+  (void)what;
+  LnCaller *caller = user;
+
+  if (is_reading (caller))
+    caller->refusal = LB_ERROR_TOO_SLOW;
+  evhtp_connection_free (caller->connection);
+}
+
+static LbErrorCode
+refusal_of_parser (const evhtp_connection_t *connection)
+{
+  switch (htparser_get_error (connection->parser))
+    {
+    case htparse_error_none:
+      return LB_OK;
+    case htparse_error_too_big:
+      return LB_ERROR_HEADER_TOO_LARGE;
+    default:
+      return LB_ERROR_BAD_REQUEST;
+    }
+}
+
+static void
+write_refusal (struct bufferevent *bev, LbErrorCode code)
+{
+  int status = lb_error_http_status (code);
+  char *body = lb_asprintf ("{\"error\":{\"type\":\"%s\",\"message\":\"the request was given up\","
+                            "\"where\":\"\",\"not_run\":true}}\n",
+                            lb_error_name (code));
+  char *reply = lb_asprintf ("HTTP/1.1 %d Refused\r\nContent-Type: application/json\r\n"
+                             "Content-Length: %zu\r\nx-not-run: 1\r\nConnection: close\r\n\r\n%s",
+                             status, strlen (body), body);
+
+  evbuffer_add (bufferevent_get_output (bev), reply, strlen (reply));
+  free (reply);
+  free (body);
+  lb_metric_count_error (code);
+}
+
+/* evhtp frees a connection with all that waits to be sent, also when its parser refuses a request,
+ * so the caller would see a closed connection without a reason. This runs before that: it takes
+ * the socket away, adds the typed reply and lets it flush. */
+static evhtp_res
+on_connection_end (evhtp_connection_t *connection, void *user)
+{
+  LnCaller *caller = user;
+  struct bufferevent *bev = connection->bev;
+
+  if (caller->refusal == LB_OK && !caller->exchange)
+    caller->refusal = refusal_of_parser (connection);
+  if (bev && (caller->refusal != LB_OK || caller->flush))
+    {
+      connection->bev = NULL;
+      if (caller->refusal != LB_OK)
+        write_refusal (bev, caller->refusal);
+      ln_linger_start (&caller->callers->lingers, bev);
+    }
+  if (caller->exchange)
+    ln_exchange_connection_lost (caller->exchange);
+  lb_list_remove (&caller->callers->callers, &caller->link);
+  lb_metric_add (&connections, -1);
+  event_free (caller->timer);
+  free (caller);
+  return EVHTP_RES_OK;
+}
+
+static evhtp_res
+on_headers_start (evhtp_request_t *request, void *user)
+{
+  (void)request;
+  LnCaller *caller = user;
+
+  caller->header_bytes = 0;
+  caller->body_bytes = 0;
+  arm (caller, caller->callers->read_time);
+  return EVHTP_RES_OK;
+}
+
+static evhtp_res
+refuse (LnCaller *caller, LbErrorCode code)
+{
+  caller->refusal = code;
+  return EVHTP_RES_ERROR;
+}
+
+static evhtp_res
+on_header (evhtp_request_t *request, evhtp_header_t *header, void *user)
+{
+  (void)request;
+  LnCaller *caller = user;
+
+  caller->header_bytes += header->klen + header->vlen + 4;
+  if (caller->header_bytes > caller->callers->max_header)
+    return refuse (caller, LB_ERROR_HEADER_TOO_LARGE);
+  return EVHTP_RES_OK;
+}
+
+static evhtp_res
+on_headers (evhtp_request_t *request, evhtp_headers_t *headers, void *user)
+{
+  (void)headers;
+  LnCaller *caller = user;
+
+  if (evhtp_request_content_len (request) > caller->callers->max_body)
+    return refuse (caller, LB_ERROR_BODY_TOO_LARGE);
+  return EVHTP_RES_OK;
+}
+
+static evhtp_res
+on_body (evhtp_request_t *request, struct evbuffer *buffer, void *user)
+{
+  (void)request;
+  LnCaller *caller = user;
+
+  caller->body_bytes += evbuffer_get_length (buffer);
+  if (caller->body_bytes > caller->callers->max_body)
+    return refuse (caller, LB_ERROR_BODY_TOO_LARGE);
+  return EVHTP_RES_OK;
+}
+
+static void
+on_error (evhtp_request_t *request, evhtp_error_flags flags, void *user)
+{
+  (void)request;
+  (void)flags;
+  LnCaller *caller = user;
+
+  if (caller->exchange)
+    ln_exchange_caller_gone (caller->exchange);
+}
+
+static void
+set_hooks (evhtp_connection_t *connection, LnCaller *caller)
+{
+  const struct
+  {
+    evhtp_hook_type type;
+    evhtp_hook hook;
+  } hooks[] = { { evhtp_hook_on_headers_start, (evhtp_hook)on_headers_start },
+                { evhtp_hook_on_header, (evhtp_hook)on_header },
+                { evhtp_hook_on_headers, (evhtp_hook)on_headers },
+                { evhtp_hook_on_read, (evhtp_hook)on_body },
+                { evhtp_hook_on_error, (evhtp_hook)on_error },
+                { evhtp_hook_on_connection_fini, (evhtp_hook)on_connection_end } };
+
+  for (size_t i = 0; i < sizeof hooks / sizeof hooks[0]; i++)
+    evhtp_connection_set_hook (connection, hooks[i].type, hooks[i].hook, caller);
+}
+
+static void
+read_peer (LnCaller *caller)
+{
+  const struct sockaddr *address = caller->connection->saddr;
+
+  if (address && address->sa_family == AF_INET)
+    inet_ntop (AF_INET, &((const struct sockaddr_in *)(const void *)address)->sin_addr,
+               caller->peer, sizeof caller->peer);
+  else if (address && address->sa_family == AF_INET6)
+    inet_ntop (AF_INET6, &((const struct sockaddr_in6 *)(const void *)address)->sin6_addr,
+               caller->peer, sizeof caller->peer);
+}
+
+evhtp_res
+ln_caller_accept (evhtp_connection_t *connection, void *user)
+{
+  LnCallers *callers = user;
+
+  if (callers->callers.length >= callers->max_callers)
+    {
+      lb_metric_add (&refused_connections, 1);
+      return EVHTP_RES_ERROR;
+    }
+  LnCaller *caller = LB_NEW (LnCaller);
+  caller->callers = callers;
+  caller->connection = connection;
+  caller->timer = evtimer_new (callers->base, on_timer, caller);
+  lb_list_append (&callers->callers, &caller->link);
+  lb_metric_add (&connections, 1);
+  read_peer (caller);
+  set_hooks (connection, caller);
+  arm (caller, callers->read_time);
+  /* A caller that sends request after request without reading fills no more than this. */
+  bufferevent_setwatermark (connection->bev, EV_READ, 0,
+                            callers->max_body + callers->max_header + 4096);
+  return EVHTP_RES_OK;
+}
+
+LnCaller *
+ln_caller_of (const evhtp_connection_t *connection)
+{
+  return connection->hooks->on_connection_fini_arg;
+}
+
+bool
+ln_caller_is_busy (const LnCaller *caller)
+{
+  struct evbuffer *unsent = bufferevent_get_output (caller->connection->bev);
+
+  return caller->exchange || is_reading (caller) || evbuffer_get_length (unsent) > 0;
+}
+
+void
+ln_caller_replied (LnCaller *caller, evhtp_request_t *request)
+{
+  caller->exchange = NULL;
+  if (!(request->flags & EVHTP_REQ_FLAG_KEEPALIVE))
+    {
+      ln_caller_close (caller);
+      return;
+    }
+  arm (caller, IDLE_TIME);
+  evhtp_request_resume (request);
+}
+
+void
+ln_caller_close (LnCaller *caller)
+{
+  caller->flush = true;
+  evhtp_connection_free (caller->connection);
+}
--- /dev/null
+++ b/packages/node/src/ln-caller.h
@@ -0,0 +1,52 @@
+#ifndef LN_CALLER_H
+#define LN_CALLER_H
+
+#include "lb-error.h"
+#include "lb-list.h"
+
+#include <evhtp/evhtp.h>
+
+typedef struct LnExchange LnExchange;
+typedef struct LnCaller LnCaller;
+
+/* What all connections of callers share; owned by the front task. */
+typedef struct
+{
+  struct event_base *base;
+  LbList callers;
+  LbList lingers;
+  size_t max_callers;
+  size_t max_body;
+  size_t max_header;
+  LbTime read_time; /* a request must be whole within this time */
+  bool draining;    /* replies ask callers to connect elsewhere */
+} LnCallers;
+
+/* One connection of a caller: its limits, and how it ends. */
+struct LnCaller
+{
+  LbLink link;
+  LnCallers *callers;
+  evhtp_connection_t *connection;
+  LnExchange *exchange; /* the request being answered, if any */
+  struct event *timer;
+  size_t header_bytes;
+  size_t body_bytes;
+  LbErrorCode refusal; /* sent when the connection ends: why it was given up */
+  bool flush;          /* what was written goes out before the connection is closed */
+  char peer[64];
+};
+
+void ln_callers_init (LnCallers *callers, struct event_base *base);
+void ln_callers_clear (LnCallers *callers);
+/* evhtp calls this for each new connection. */
+evhtp_res ln_caller_accept (evhtp_connection_t *connection, void *callers);
+LnCaller *ln_caller_of (const evhtp_connection_t *connection);
+/* A request is being read or answered, or a reply has not left yet. */
+bool ln_caller_is_busy (const LnCaller *caller);
+/* The reply has been handed over; the next request may come. */
+void ln_caller_replied (LnCaller *caller, evhtp_request_t *request);
+/* Ends the connection after what was written has left. */
+void ln_caller_close (LnCaller *caller);
+
+#endif
--- /dev/null
+++ b/packages/node/src/ln-calls.c
@@ -0,0 +1,628 @@
+#include "ln-context.h"
+
+#include "ln-call-reader.h"
+#include "ln-call.h"
+#include "ln-exchange-private.h"
+#include "ln-messages.h"
+#include "ln-poller.h"
+
+#include "lb-alloc.h"
+#include "lb-clock.h"
+#include "lb-counter.h"
+#include "lb-log.h"
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <json-c/json.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Every request to an endpoint: owns the dispatch and carries its actions out. */
+typedef struct
+{
+  LnTask task; /* first */
+  LnContext *context;
+  LcDispatch *dispatch;
+  LnPoller *poller;
+  struct event *tick;
+  LnCall *by_id;
+  LnCall *by_exchange;
+  bool draining;
+} LnCalls;
+
+static LbMetric sent = LB_COUNTER_INIT (
+    "lentilspindle_attempts_total", NULL, "Attempts at endpoints, retries and hedges included");
+static LbMetric pieces_dropped
+    = LB_COUNTER_INIT ("lentilspindle_pieces_dropped_total",
+                       NULL,
+                       "Pieces of answers that were repeats, out of order or of a lost attempt");
+
+static void run_actions (LnCalls *calls, LbList *actions);
+
+static LnCall *
+find_call (LnCalls *calls, LcRequestId id)
+{
+  LnCall *call = NULL;
+
+  HASH_FIND (hh, calls->by_id, &id, sizeof id, call);
+  return call;
+}
+
+static void
+keep_call (LnCalls *calls, LnCall *call)
+{
+  HASH_ADD (hh, calls->by_id, spec.id, sizeof call->spec.id, call);
+  if (!call->exchange)
+    return;
+  call->exchange_id = ln_exchange_id (call->exchange);
+  HASH_ADD (by_exchange, calls->by_exchange, exchange_id, sizeof call->exchange_id, call);
+}
+
+static void
+drop_call (LnCalls *calls, LnCall *call)
+{
+  HASH_DELETE (hh, calls->by_id, call);
+  if (call->exchange_id != 0)
+    HASH_DELETE (by_exchange, calls->by_exchange, call);
+  ln_call_free (call);
+}
+
+static void
+on_tick (evutil_socket_t fd, short what, void *user)
+{
+  (void)fd;
+  (void)what;
+  LnCalls *calls = user;
+  LbList actions;
+
+  lb_list_init (&actions);
+  lc_dispatch_tick (calls->dispatch, lb_clock_monotonic (), &actions);
+  run_actions (calls, &actions);
+}
+
+static void
+schedule_tick (LnCalls *calls)
+{
+  LbTime next = lc_dispatch_next_tick (calls->dispatch);
+  LbTime wait = next - lb_clock_monotonic ();
+
+  if (next == LB_TIME_NEVER)
+    {
+      evtimer_del (calls->tick);
+      return;
+    }
+  if (wait < 0)
+    wait = 0;
+  const struct timeval tv = { .tv_sec = wait / LB_SEC, .tv_usec = wait % LB_SEC };
+  evtimer_add (calls->tick, &tv);
+}
+
+static void
+log_decision (const LcAction *action)
+{
+  const LcRouteDecision *decision = &action->decision;
+  struct json_object *shown;
+
+  if (!lb_log_enabled (LB_LOG_INFO))
+    return;
+  shown = json_object_new_array ();
+  for (size_t i = 0; i < decision->n_shown; i++)
+    {
+      struct json_object *candidate = json_object_new_object ();
+      json_object_object_add (
+          candidate, "endpoint",
+          json_object_new_string (decision->shown[i].endpoint->member.name));
+      json_object_object_add (candidate, "score",
+                              json_object_new_double (decision->shown[i].score));
+      json_object_array_add (shown, candidate);
+    }
+  lb_log (LB_LOG_INFO, "route", LB_INT ("request", action->request),
+          LB_INT ("attempt", action->attempt), LB_TEXT ("endpoint", action->endpoint),
+          LB_TEXT ("reason", decision->reason), LB_INT ("of", decision->n_candidates),
+          LB_JSON ("candidates", json_object_to_json_string_ext (shown, JSON_C_TO_STRING_PLAIN)));
+  json_object_put (shown);
+}
+
+static void
+post_piece (LnCalls *calls, LnCall *call, const LcPiece *piece, const char *endpoint)
+{
+  LnSamplePieceMessage message = { .base = LN_MESSAGE (LN_SAMPLE_PIECE),
+                                   .request = call->spec.id,
+                                   .piece = *piece };
+
+  LB_COPY (message.endpoint, endpoint);
+  LN_POST (calls->task.hub, ln_hub_find (calls->task.hub, "rollouts"), message);
+}
+
+static void
+clear_sample_done (LnMessage *message)
+{
+  free (((LnSampleDoneMessage *)message)->text);
+}
+
+static void
+post_done (LnCalls *calls, LcRequestId request, LbErrorCode error, char *text)
+{
+  LnSampleDoneMessage message = { .base = LN_MESSAGE (LN_SAMPLE_DONE),
+                                  .request = request,
+                                  .error = error,
+                                  .text = text };
+
+  message.base.clear = clear_sample_done;
+  LN_POST (calls->task.hub, ln_hub_find (calls->task.hub, "rollouts"), message);
+}
+
+static void
+on_piece (LnUpstream *upstream,
+          const LcPiece *piece,
+          struct json_object *event,
+          const char *text,
+          void *user)
+{
+  LnAttempt *attempt = user;
+  LnCall *call = attempt->call;
+  LnCalls *calls = call->owner;
+  LbList actions;
+
+  lb_list_init (&actions);
+  LcPieceVerdict verdict
+      = lc_dispatch_piece (calls->dispatch, call->spec.id, ln_upstream_attempt (upstream), piece,
+                           lb_clock_monotonic (), &actions);
+  if (verdict == LC_PIECE_DROP)
+    lb_metric_add (&pieces_dropped, 1);
+  else
+    {
+      ln_attempt_add (attempt, piece, event, text);
+      if (call->spec.delivery == LC_DELIVER_STREAM)
+        evbuffer_add (call->text, text, strlen (text));
+      if (call->wants_stream)
+        ln_call_forward (call, event, ln_upstream_endpoint (upstream));
+      else if (call->kind == LN_CALL_SAMPLE && call->spec.delivery == LC_DELIVER_STREAM)
+        post_piece (calls, call, piece, ln_upstream_endpoint (upstream));
+    }
+  run_actions (calls, &actions);
+}
+
+/* The attempt stays only until the actions that its end brings have run: a FINISH among them takes
+ * the answer from it. */
+static void
+on_end (LnUpstream *upstream, LcAttemptEnd end, void *user)
+{
+  LnAttempt *attempt = user;
+  LnCall *call = attempt->call;
+  LnCalls *calls = call->owner;
+  LbList actions;
+
+  lb_list_init (&actions);
+  lb_list_remove (&call->attempts, &attempt->link);
+  call->ended = attempt;
+  LcRequestId id = call->spec.id;
+  lc_dispatch_ended (calls->dispatch, id, ln_upstream_attempt (upstream), end,
+                     lb_clock_monotonic (), &actions);
+  run_actions (calls, &actions);
+  call = find_call (calls, id);
+  if (call)
+    call->ended = NULL;
+  ln_attempt_free (attempt);
+}
+
+static LnUpstream *
+start_engine (LnCalls *calls, LnAttempt *attempt, const LcAction *action, LbError *error)
+{
+  static const LnUpstreamHandlers handlers = { .on_piece = on_piece, .on_end = on_end };
+  static const LhHeader headers[] = { { "Content-Type", "application/json" } };
+  LnCall *call = attempt->call;
+  char stream_id[96];
+
+  snprintf (stream_id, sizeof stream_id, "%s-%llu.%u", calls->context->incarnation,
+            (unsigned long long)action->request, action->attempt);
+  char *body = ln_call_engine_body (call, stream_id, action->resume_at);
+  const LnUpstreamSpec spec
+      = { .request = action->request,
+          .attempt = action->attempt,
+          .endpoint = action->endpoint,
+          .address = action->address,
+          .method = "POST",
+          .path = call->kind == LN_CALL_CHAT ? "/v1/chat/completions" : "/v1/completions",
+          .headers = headers,
+          .n_headers = 1,
+          .body = body,
+          .body_length = strlen (body),
+          .stream_id = stream_id,
+          .silence = calls->context->settings->calls.stream_silence_ms * LB_MSEC };
+  LnUpstream *upstream
+      = ln_upstream_start (calls->context->http, &spec, &handlers, attempt, error);
+  free (body);
+  return upstream;
+}
+
+/* A plain service sends nothing while it works, so its silence is bounded by the deadline. */
+static LbTime
+service_silence (const LnCall *call)
+{
+  LbTime left = call->spec.deadline - lb_clock_monotonic ();
+
+  return left < LB_SEC ? LB_SEC : left;
+}
+
+static LnUpstream *
+start_service (LnCalls *calls, LnAttempt *attempt, const LcAction *action, LbError *error)
+{
+  static const LnUpstreamHandlers handlers = { .on_end = on_end };
+  LnCall *call = attempt->call;
+  const LnUpstreamSpec spec = { .request = action->request,
+                                .attempt = action->attempt,
+                                .endpoint = action->endpoint,
+                                .address = action->address,
+                                .method = call->method,
+                                .path = call->path,
+                                .headers = call->headers,
+                                .n_headers = call->n_headers,
+                                .body = call->raw_body,
+                                .body_length = call->raw_length,
+                                .silence = service_silence (call) };
+
+  return ln_upstream_start (calls->context->http, &spec, &handlers, attempt, error);
+}
+
+static void
+send_attempt (LnCalls *calls, const LcAction *action, LbList *actions)
+{
+  LnCall *call = find_call (calls, action->request);
+  LnAttempt *attempt = NULL;
+  LbError error = { 0 };
+
+  if (!call)
+    return;
+  log_decision (action);
+  lb_metric_add (&sent, 1);
+  attempt = ln_attempt_new (call);
+  attempt->upstream = ln_call_is_for_engine (call)
+                          ? start_engine (calls, attempt, action, &error)
+                          : start_service (calls, attempt, action, &error);
+  if (attempt->upstream)
+    return;
+  ln_attempt_free (attempt);
+  lb_log_error (LB_LOG_WARNING, "attempt_not_started", &error);
+  lc_dispatch_ended (calls->dispatch, action->request, action->attempt, LC_END_NOT_HANDED,
+                     lb_clock_monotonic (), actions);
+}
+
+static void
+cancel_attempt (LnCalls *calls, const LcAction *action)
+{
+  LnCall *call = find_call (calls, action->request);
+  LnAttempt *attempt = call ? ln_call_find_attempt (call, action->attempt) : NULL;
+
+  if (!attempt)
+    return;
+  ln_upstream_cancel (attempt->upstream);
+  ln_attempt_free (attempt);
+}
+
+static char *
+copy_text (struct evbuffer *buffer)
+{
+  size_t length = evbuffer_get_length (buffer);
+  char *text = lb_malloc (length + 1);
+
+  evbuffer_copyout (buffer, text, length);
+  text[length] = '\0';
+  return text;
+}
+
+static void
+finish_sample (LnCalls *calls, LnCall *call, LbErrorCode code)
+{
+  LnAttempt *winner = call->ended;
+  struct evbuffer *text = call->text;
+  size_t length;
+
+  if (call->kind == LN_CALL_SCORE)
+    {
+      const char *body = code == LB_OK ? ln_upstream_body (winner->upstream, &length) : "";
+      post_done (calls, call->spec.id, code, lb_strndup (body, code == LB_OK ? length : 0));
+      return;
+    }
+  if (call->spec.delivery == LC_DELIVER_WHOLE && code == LB_OK)
+    {
+      text = winner->text;
+      for (size_t i = 0; i < winner->n_pieces; i++)
+        post_piece (calls, call, &winner->pieces[i], ln_upstream_endpoint (winner->upstream));
+    }
+  post_done (calls, call->spec.id, code, copy_text (text));
+}
+
+static void
+finish_call (LnCalls *calls, const LcAction *action)
+{
+  LnCall *call = find_call (calls, action->request);
+  LbErrorCode code = action->error;
+
+  if (!call)
+    return;
+  /* A whole answer is taken from the attempt whose end brought this action. */
+  if (code == LB_OK && !call->ended)
+    code = LB_ERROR_INTERNAL;
+  if (call->kind == LN_CALL_SAMPLE || call->kind == LN_CALL_SCORE)
+    finish_sample (calls, call, code);
+  else if (code == LB_OK)
+    ln_call_reply (call, call->ended);
+  else
+    ln_call_reply_error (call, code, action->retry_after);
+  drop_call (calls, call);
+}
+
+static void
+run_actions (LnCalls *calls, LbList *actions)
+{
+  LbLink *link;
+
+  while ((link = lb_list_pop (actions)))
+    {
+      LcAction *action = LB_CONTAINER (link, LcAction, link);
+      switch (action->type)
+        {
+        case LC_ACTION_SEND:
+          send_attempt (calls, action, actions);
+          break;
+        case LC_ACTION_CANCEL:
+          cancel_attempt (calls, action);
+          break;
+        case LC_ACTION_FINISH:
+          finish_call (calls, action);
+          break;
+        }
+      lc_action_free (action);
+    }
+  schedule_tick (calls);
+}
+
+static void
+submit (LnCalls *calls, LnCall *call)
+{
+  LbError error = { 0 };
+  LbTime retry_after = 0;
+  LbList actions;
+
+  lb_list_init (&actions);
+  call->owner = calls;
+  keep_call (calls, call);
+  if (lc_dispatch_submit (calls->dispatch, &call->spec, lb_clock_monotonic (), &actions,
+                          &retry_after, &error))
+    {
+      run_actions (calls, &actions);
+      return;
+    }
+  if (call->exchange)
+    ln_exchange_reply_error (call->exchange, &error, retry_after);
+  else
+    post_done (calls, call->spec.id, error.code, NULL);
+  drop_call (calls, call);
+  run_actions (calls, &actions);
+}
+
+static void
+take_exchange (LnCalls *calls, LnExchange *exchange)
+{
+  LbError error = { 0 };
+  LbTime deadline = calls->context->settings->calls.default_deadline_ms * LB_MSEC;
+  LnCall *call = ln_call_read (exchange, lb_clock_monotonic (), deadline, &error);
+
+  if (!call)
+    {
+      ln_exchange_reply_error (exchange, &error, 0);
+      return;
+    }
+  call->exchange = exchange;
+  call->spec.id = ln_context_next_request (calls->context);
+  snprintf (call->stream_id, sizeof call->stream_id, "cmpl-%s-%llu", calls->context->incarnation,
+            (unsigned long long)call->spec.id);
+  submit (calls, call);
+}
+
+static void
+cancel_call (LnCalls *calls, LnCall *call)
+{
+  LbList actions;
+
+  lb_list_init (&actions);
+  lc_dispatch_cancel (calls->dispatch, call->spec.id, lb_clock_monotonic (), &actions);
+  drop_call (calls, call);
+  run_actions (calls, &actions);
+}
+
+static void
+caller_gone (LnCalls *calls, LnExchange *exchange)
+{
+  uint64_t id = ln_exchange_id (exchange);
+  LnCall *call = NULL;
+
+  HASH_FIND (by_exchange, calls->by_exchange, &id, sizeof id, call);
+  if (!call)
+    return;
+  call->exchange = NULL;
+  ln_exchange_end (exchange);
+  cancel_call (calls, call);
+}
+
+static void
+take_sample (LnCalls *calls, const LnSampleMessage *message)
+{
+  bool is_score = message->spec.kind == LC_KIND_SERVICE;
+  LnCall *call = ln_call_new (is_score ? LN_CALL_SCORE : LN_CALL_SAMPLE);
+
+  call->spec = message->spec;
+  if (is_score)
+    {
+      call->method = lb_strdup ("POST");
+      call->path = lb_strdup ("/score");
+      call->raw_body = lb_strdup (message->body);
+      call->raw_length = strlen (message->body);
+    }
+  else
+    {
+      call->body = json_tokener_parse (message->body);
+      call->resume_text = message->resume_text ? lb_strdup (message->resume_text) : NULL;
+    }
+  submit (calls, call);
+}
+
+static void
+take_leaving (LnCalls *calls, const LnEndpointLeavingMessage *message)
+{
+  LbList actions;
+
+  lb_list_init (&actions);
+  lc_dispatch_leaving (calls->dispatch, message->endpoint, message->incarnation, message->source,
+                       lb_clock_monotonic (), &actions);
+  run_actions (calls, &actions);
+}
+
+static void
+configure (LnCalls *calls, const LcResourceSet *set)
+{
+  LbList actions;
+
+  lb_list_init (&actions);
+  lc_dispatch_configure (calls->dispatch, set, lb_clock_monotonic (), &actions);
+  ln_poller_configure (calls->poller, set);
+  run_actions (calls, &actions);
+}
+
+static void
+on_report (const char *endpoint, const LcLoadReport *report, void *user)
+{
+  LnCalls *calls = user;
+  LnEndpointReportMessage message = { .base = LN_MESSAGE (LN_ENDPOINT_REPORT), .report = *report };
+  LnTask *config = ln_hub_find (calls->task.hub, "config");
+  LbList actions;
+
+  lb_list_init (&actions);
+  lc_dispatch_report (calls->dispatch, endpoint, report, lb_clock_monotonic (), &actions);
+  run_actions (calls, &actions);
+  LB_COPY (message.endpoint, endpoint);
+  if (config)
+    LN_POST (calls->task.hub, config, message);
+}
+
+static void
+on_cache_event (
+    const char *endpoint, uint64_t sequence, bool stored, uint64_t prefix, void *user)
+{
+  LnCalls *calls = user;
+
+  lc_endpoints_cache_event (lc_dispatch_endpoints (calls->dispatch), endpoint, sequence, stored,
+                            prefix, lb_clock_monotonic ());
+}
+
+static void
+receive (LnTask *task, const LnMessage *message)
+{
+  LnCalls *calls = (LnCalls *)task;
+  const LnEndpointSwapMessage *swap;
+  LnCall *call;
+
+  switch ((LnMessageType)message->type)
+    {
+    case LN_EXCHANGE:
+      take_exchange (calls, ((const LnExchangeMessage *)message)->exchange);
+      break;
+    case LN_EXCHANGE_GONE:
+      caller_gone (calls, ((const LnExchangeMessage *)message)->exchange);
+      break;
+    case LN_CONFIG:
+      configure (calls, ((const LnConfigMessage *)message)->set);
+      break;
+    case LN_SAMPLE:
+      take_sample (calls, (const LnSampleMessage *)message);
+      break;
+    case LN_SAMPLE_CANCEL:
+      call = find_call (calls, ((const LnSampleCancelMessage *)message)->request);
+      if (call)
+        cancel_call (calls, call);
+      break;
+    case LN_ENDPOINT_LEAVING:
+      take_leaving (calls, (const LnEndpointLeavingMessage *)message);
+      break;
+    case LN_ENDPOINT_SWAP:
+      swap = (const LnEndpointSwapMessage *)message;
+      lc_endpoints_swap (lc_dispatch_endpoints (calls->dispatch), swap->endpoint, swap->pending,
+                         swap->until, lb_clock_monotonic ());
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+drain (LnTask *task)
+{
+  LnCalls *calls = (LnCalls *)task;
+  LbList actions;
+
+  calls->draining = true;
+  lb_list_init (&actions);
+  lc_dispatch_drain (calls->dispatch, lb_clock_monotonic (), &actions);
+  run_actions (calls, &actions);
+}
+
+static bool
+is_idle (const LnTask *task)
+{
+  return HASH_CNT (hh, ((const LnCalls *)task)->by_id) == 0;
+}
+
+static void
+calls_free (LnTask *task)
+{
+  LnCalls *calls = (LnCalls *)task;
+  LnCall *call, *next;
+
+  HASH_ITER (hh, calls->by_id, call, next)
+  {
+    drop_call (calls, call);
+  }
+  ln_poller_free (calls->poller);
+  event_free (calls->tick);
+  lc_dispatch_free (calls->dispatch);
+  free (calls);
+}
+
+static const LnTaskClass calls_class = {
+  .name = "calls", .receive = receive, .drain = drain, .is_idle = is_idle, .free = calls_free
+};
+
+static LcDispatch *
+make_dispatch (const LnSettings *settings)
+{
+  LcDispatchSettings dispatch
+      = { .queue_limit = settings->calls.queue_limit,
+          .default_deadline = settings->calls.default_deadline_ms * LB_MSEC,
+          .retry_budget = settings->calls.retry_budget,
+          .hedge_after = settings->calls.hedge_after_ms * LB_MSEC,
+          .seed = settings->seed };
+
+  LB_COPY (dispatch.data_centre, settings->instance.data_centre);
+  LB_COPY (dispatch.policy, settings->calls.policy);
+  return lc_dispatch_new (&dispatch);
+}
+
+LnTask *
+ln_calls_new (LnContext *context)
+{
+  static const LnPollerHandlers handlers
+      = { .on_report = on_report, .on_cache_event = on_cache_event };
+  LnCalls *calls = LB_NEW (LnCalls);
+
+  calls->task.klass = &calls_class;
+  calls->task.hub = context->hub;
+  calls->context = context;
+  calls->dispatch = make_dispatch (context->settings);
+  calls->tick = evtimer_new (context->base, on_tick, calls);
+  calls->poller
+      = ln_poller_new (context->base, context->http,
+                       context->settings->calls.load_poll_ms * LB_MSEC, &handlers, calls);
+  return &calls->task;
+}
--- /dev/null
+++ b/packages/node/src/ln-exchange-private.h
@@ -0,0 +1,20 @@
+#ifndef LN_EXCHANGE_PRIVATE_H
+#define LN_EXCHANGE_PRIVATE_H
+
+#include "ln-caller.h"
+#include "ln-exchange.h"
+
+/* The side of an exchange that the front task and the connections see. */
+LnExchange *ln_exchange_new (LnCaller *caller, evhtp_request_t *request, uint64_t id, LnHub *hub);
+void ln_exchange_caller_gone (LnExchange *exchange);
+/* The connection and its request are freed by evhtp. */
+void ln_exchange_connection_lost (LnExchange *exchange);
+/* The query as it came, NULL when there is none. */
+const char *ln_exchange_raw_query (const LnExchange *exchange);
+bool ln_exchange_is_gone (const LnExchange *exchange);
+/* Calls visit for each header of the request. */
+void ln_exchange_each_header (const LnExchange *exchange,
+                              void (*visit) (const char *name, const char *value, void *user),
+                              void *user);
+
+#endif
--- /dev/null
+++ b/packages/node/src/ln-exchange.c
@@ -0,0 +1,330 @@
+#include "ln-exchange-private.h"
+
+#include "ln-messages.h"
+
+#include "lb-alloc.h"
+#include "lb-counter.h"
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <json-c/json.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* A caller that reads this much slower than its answer comes is taken for gone. */
+#define MAX_UNSENT (16 << 20)
+
+struct LnExchange
+{
+  uint64_t id;
+  LnHub *hub;
+  LnTask *owner;
+  LnCaller *caller;         /* NULL once the connection is lost */
+  evhtp_request_t *request; /* NULL once the connection is lost */
+  struct evkeyvalq query;
+  bool gone;
+  bool streaming;
+  char *method;
+  char *path;
+  char *body;
+  size_t body_length;
+  char peer[64];
+};
+
+LnExchange *
+ln_exchange_new (LnCaller *caller, evhtp_request_t *request, uint64_t id, LnHub *hub)
+{
+  LnExchange *exchange = LB_NEW (LnExchange);
+  const char *path = request->uri && request->uri->path ? request->uri->path->full : NULL;
+
+  exchange->id = id;
+  exchange->hub = hub;
+  exchange->caller = caller;
+  exchange->request = request;
+  exchange->method = lb_strdup (htparser_get_methodstr_m (request->method));
+  exchange->path = lb_strdup (path ? path : "/");
+  LB_COPY (exchange->peer, caller->peer);
+  TAILQ_INIT (&exchange->query);
+  if (request->uri && request->uri->query_raw)
+    evhttp_parse_query_str ((const char *)request->uri->query_raw, &exchange->query);
+  exchange->body_length = evbuffer_get_length (request->buffer_in);
+  exchange->body = lb_malloc (exchange->body_length + 1);
+  evbuffer_remove (request->buffer_in, exchange->body, exchange->body_length);
+  exchange->body[exchange->body_length] = '\0';
+  caller->exchange = exchange;
+  evhtp_request_pause (request);
+  return exchange;
+}
+
+static void
+exchange_free (LnExchange *exchange)
+{
+  evhttp_clear_headers (&exchange->query);
+  free (exchange->method);
+  free (exchange->path);
+  free (exchange->body);
+  free (exchange);
+}
+
+/* Tells the owner once. */
+void
+ln_exchange_caller_gone (LnExchange *exchange)
+{
+  LnExchangeMessage message = { .base = LN_MESSAGE (LN_EXCHANGE_GONE), .exchange = exchange };
+
+  if (exchange->gone)
+    return;
+  exchange->gone = true;
+  if (exchange->owner)
+    LN_POST (exchange->hub, exchange->owner, message);
+}
+
+void
+ln_exchange_connection_lost (LnExchange *exchange)
+{
+  exchange->caller = NULL;
+  exchange->request = NULL;
+  ln_exchange_caller_gone (exchange);
+}
+
+uint64_t
+ln_exchange_id (const LnExchange *exchange)
+{
+  return exchange->id;
+}
+
+const char *
+ln_exchange_method (const LnExchange *exchange)
+{
+  return exchange->method;
+}
+
+const char *
+ln_exchange_path (const LnExchange *exchange)
+{
+  return exchange->path;
+}
+
+const char *
+ln_exchange_query (const LnExchange *exchange, const char *key)
+{
+  return evhttp_find_header (&exchange->query, key);
+}
+
+const char *
+ln_exchange_raw_query (const LnExchange *exchange)
+{
+  if (!exchange->request || !exchange->request->uri)
+    return NULL;
+  return (const char *)exchange->request->uri->query_raw;
+}
+
+/* NULL when absent, and also once the caller's connection is lost. */
+const char *
+ln_exchange_header (const LnExchange *exchange, const char *name)
+{
+  return exchange->request ? evhtp_header_find (exchange->request->headers_in, name) : NULL;
+}
+
+void
+ln_exchange_each_header (const LnExchange *exchange,
+                         void (*visit) (const char *name, const char *value, void *user),
+                         void *user)
+{
+  evhtp_kv_t *header;
+
+  if (!exchange->request)
+    return;
+  TAILQ_FOREACH (header, exchange->request->headers_in, next)
+  {
+    visit (header->key, header->val, user);
+  }
+}
+
+const char *
+ln_exchange_body (const LnExchange *exchange, size_t *length)
+{
+  if (length)
+    *length = exchange->body_length;
+  return exchange->body;
+}
+
+const char *
+ln_exchange_peer (const LnExchange *exchange)
+{
+  return exchange->peer;
+}
+
+bool
+ln_exchange_is_gone (const LnExchange *exchange)
+{
+  return exchange->gone;
+}
+
+void
+ln_exchange_set_owner (LnExchange *exchange, LnTask *owner)
+{
+  exchange->owner = owner;
+}
+
+void
+ln_exchange_set_header (LnExchange *exchange, const char *name, const char *value)
+{
+  if (exchange->request)
+    evhtp_headers_add_header (exchange->request->headers_out, evhtp_header_new (name, value, 1, 1));
+}
+
+/* A connection whose caller has gone is not written to: evhtp has marked it to be freed, and frees
+ * it when it is resumed. */
+static bool
+is_writable (const LnExchange *exchange)
+{
+  return exchange->request && !exchange->gone;
+}
+
+static void
+release (LnExchange *exchange)
+{
+  if (exchange->request && exchange->gone)
+    {
+      exchange->caller->exchange = NULL;
+      evhtp_connection_free (exchange->caller->connection);
+    }
+  else if (exchange->request)
+    ln_caller_replied (exchange->caller, exchange->request);
+  exchange_free (exchange);
+}
+
+/* A draining instance asks its callers to connect elsewhere. */
+static void
+mark_drain (LnExchange *exchange)
+{
+  if (!exchange->caller->callers->draining)
+    return;
+  evhtp_request_set_keepalive (exchange->request, 0);
+  ln_exchange_set_header (exchange, "Connection", "close");
+}
+
+void
+ln_exchange_reply_text (
+    LnExchange *exchange, int status, const char *type, const char *text, size_t length)
+{
+  if (is_writable (exchange))
+    {
+      mark_drain (exchange);
+      if (type)
+        ln_exchange_set_header (exchange, "Content-Type", type);
+      evbuffer_add (exchange->request->buffer_out, text, length);
+      evhtp_send_reply (exchange->request, (evhtp_res)status);
+    }
+  release (exchange);
+}
+
+void
+ln_exchange_reply_json (LnExchange *exchange, int status, struct json_object *object)
+{
+  size_t length;
+  const char *text
+      = json_object_to_json_string_length (object, JSON_C_TO_STRING_PLAIN, &length);
+
+  ln_exchange_reply_text (exchange, status, "application/json", text, length);
+  json_object_put (object);
+}
+
+static struct json_object *
+error_object (const LbError *error)
+{
+  struct json_object *outer = json_object_new_object ();
+  struct json_object *inner = json_object_new_object ();
+
+  json_object_object_add (inner, "type", json_object_new_string (lb_error_name (error->code)));
+  json_object_object_add (inner, "message", json_object_new_string (error->detail));
+  json_object_object_add (inner, "where", json_object_new_string (error->where));
+  json_object_object_add (inner, "not_run",
+                          json_object_new_boolean (lb_error_is_not_run (error->code)));
+  json_object_object_add (outer, "error", inner);
+  return outer;
+}
+
+void
+ln_exchange_reply_error (LnExchange *exchange, const LbError *error, LbTime retry_after)
+{
+  char number[32];
+
+  lb_metric_count_error (error->code);
+  if (exchange->streaming)
+    {
+      /* The status is long sent: the error is the last event, and no end marker follows. */
+      struct json_object *object = error_object (error);
+      char *event = lb_asprintf ("data: %s\n\n", json_object_to_json_string_ext (
+                                                     object, JSON_C_TO_STRING_PLAIN));
+      ln_exchange_stream_piece (exchange, event, strlen (event));
+      free (event);
+      json_object_put (object);
+      ln_exchange_end (exchange);
+      return;
+    }
+  if (lb_error_is_not_run (error->code))
+    ln_exchange_set_header (exchange, "x-not-run", "1");
+  if (retry_after > 0)
+    {
+      snprintf (number, sizeof number, "%lld",
+                (long long)((retry_after + LB_SEC - 1) / LB_SEC));
+      ln_exchange_set_header (exchange, "Retry-After", number);
+      snprintf (number, sizeof number, "%lld",
+                (long long)((retry_after + LB_MSEC - 1) / LB_MSEC));
+      ln_exchange_set_header (exchange, "x-retry-after-ms", number);
+    }
+  ln_exchange_reply_json (exchange, lb_error_http_status (error->code), error_object (error));
+}
+
+void
+ln_exchange_stream_start (LnExchange *exchange, int status, const char *type)
+{
+  exchange->streaming = true;
+  if (!is_writable (exchange))
+    return;
+  mark_drain (exchange);
+  ln_exchange_set_header (exchange, "Content-Type", type);
+  evhtp_send_reply_chunk_start (exchange->request, (evhtp_res)status);
+}
+
+void
+ln_exchange_stream_piece (LnExchange *exchange, const char *bytes, size_t length)
+{
+  struct evbuffer *piece;
+
+  if (!is_writable (exchange) || length == 0)
+    return;
+  piece = evbuffer_new ();
+  evbuffer_add (piece, bytes, length);
+  evhtp_send_reply_chunk (exchange->request, piece);
+  evbuffer_free (piece);
+  /* A caller that has stopped reading would fill the memory with its unsent answer. */
+  struct evbuffer *unsent = bufferevent_get_output (exchange->caller->connection->bev);
+  if (evbuffer_get_length (unsent) > MAX_UNSENT)
+    ln_exchange_caller_gone (exchange);
+}
+
+void
+ln_exchange_end (LnExchange *exchange)
+{
+  if (is_writable (exchange))
+    evhtp_send_reply_chunk_end (exchange->request);
+  release (exchange);
+}
+
+void
+ln_exchange_break (LnExchange *exchange)
+{
+  LnCaller *caller = exchange->caller;
+
+  if (caller)
+    {
+      caller->exchange = NULL;
+      ln_caller_close (caller);
+    }
+  exchange_free (exchange);
+}
--- /dev/null
+++ b/packages/node/src/ln-front.c
@@ -0,0 +1,268 @@
+#include "ln-context.h"
+
+#include "ln-exchange-private.h"
+#include "ln-messages.h"
+
+#include "lb-alloc.h"
+#include "lb-counter.h"
+#include "lb-log.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <json-c/json.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define BACKLOG 1024
+
+/* The callers' sockets: reads requests whole, within limits, and posts each to the task of its
+ * route. */
+typedef struct
+{
+  LnTask task; /* first */
+  LnContext *context;
+  evhtp_t *server;
+  LnCallers callers;
+  uint64_t next_exchange;
+  bool ready; /* a revision of the resources is in force */
+  bool draining;
+} LnFront;
+
+static const LnRoute routes[]
+    = { { "POST", "/v1/completions", "calls" },
+        { "POST", "/v1/chat/completions", "calls" },
+        { "POST", "/v1/tickets", "calls" },
+        { NULL, "/services/", "calls" },
+        { NULL, "/v1/subscriptions/", "rollouts" },
+        { "GET", "/v1/entry", "peers" },
+        { NULL, "/v1/resources", "config" },
+        { "GET", "/v1/history", "config" },
+        { "GET", "/v1/status", "config" },
+        { "GET", "/metrics", "front" },
+        { "GET", "/healthz", "front" },
+        { "GET", "/readyz", "front" } };
+
+static LbMetric requests
+    = LB_COUNTER_INIT ("lentilspindle_requests_total", NULL, "Whole requests of callers");
+
+/* A prefix matches whole path segments only: /metricsx is not /metrics. */
+static bool
+route_matches (const LnRoute *route, const char *method, const char *path)
+{
+  size_t length = strlen (route->prefix);
+
+  if (strncmp (path, route->prefix, length) != 0)
+    return false;
+  if (path[length] != '\0' && path[length] != '/' && route->prefix[length - 1] != '/')
+    return false;
+  return !route->method || strcmp (route->method, method) == 0;
+}
+
+static LnTask *
+find_task (const LnFront *front, const LnExchange *exchange)
+{
+  const LnRoute *best = NULL;
+
+  for (size_t i = 0; i < sizeof routes / sizeof routes[0]; i++)
+    if (route_matches (&routes[i], ln_exchange_method (exchange), ln_exchange_path (exchange))
+        && (!best || strlen (routes[i].prefix) > strlen (best->prefix)))
+      best = &routes[i];
+  return best ? ln_hub_find (front->task.hub, best->task) : NULL;
+}
+
+/* Replies are never made from inside evhtp's own callbacks, so what the front answers itself goes
+ * by mail too. */
+static void
+on_request (evhtp_request_t *request, void *user)
+{
+  LnFront *front = user;
+  LnExchange *exchange = ln_exchange_new (ln_caller_of (request->conn), request,
+                                          ++front->next_exchange, front->task.hub);
+  LnTask *task = find_task (front, exchange);
+  LnExchangeMessage message = { .base = LN_MESSAGE (LN_EXCHANGE), .exchange = exchange };
+
+  if (!task)
+    task = &front->task;
+  lb_metric_add (&requests, 1);
+  ln_exchange_set_owner (exchange, task);
+  LN_POST (front->task.hub, task, message);
+}
+
+static void
+reply_ready (LnFront *front, LnExchange *exchange)
+{
+  LbError error = { 0 };
+
+  if (front->ready && !front->draining)
+    {
+      ln_exchange_reply_text (exchange, 200, "text/plain", "ready\n", 6);
+      return;
+    }
+  lb_error_set (&error, front->draining ? LB_ERROR_DRAINING : LB_ERROR_NOT_READY, "",
+                front->draining ? "this instance is shutting down"
+                                : "no revision of the resources is in force yet");
+  ln_exchange_reply_error (exchange, &error, LB_SEC);
+}
+
+static void
+reply_own (LnFront *front, LnExchange *exchange)
+{
+  const char *path = ln_exchange_path (exchange);
+  LbError error = { 0 };
+
+  if (strcmp (path, "/metrics") == 0)
+    {
+      char *text = lb_metric_render ();
+      ln_exchange_reply_text (exchange, 200, "text/plain; version=0.0.4", text, strlen (text));
+      free (text);
+      return;
+    }
+  if (strcmp (path, "/healthz") == 0)
+    {
+      ln_exchange_reply_text (exchange, 200, "text/plain", "alive\n", 6);
+      return;
+    }
+  if (strcmp (path, "/readyz") == 0)
+    {
+      reply_ready (front, exchange);
+      return;
+    }
+  lb_error_set (&error, LB_ERROR_UNKNOWN_PATH, "", "nothing answers %s %.120s",
+                ln_exchange_method (exchange), path);
+  ln_exchange_reply_error (exchange, &error, 0);
+}
+
+static void
+receive (LnTask *task, const LnMessage *message)
+{
+  LnFront *front = (LnFront *)task;
+
+  switch ((LnMessageType)message->type)
+    {
+    case LN_EXCHANGE:
+      reply_own (front, ((const LnExchangeMessage *)message)->exchange);
+      break;
+    case LN_CONFIG:
+      front->ready = true;
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+drain (LnTask *task)
+{
+  LnFront *front = (LnFront *)task;
+
+  front->draining = true;
+  front->callers.draining = true;
+}
+
+static bool
+is_idle (const LnTask *task)
+{
+  const LnFront *front = (const LnFront *)task;
+
+  if (!lb_list_is_empty (&front->callers.lingers))
+    return false;
+  LB_LIST_FOREACH (&front->callers.callers, LnCaller, link, caller)
+  {
+    if (ln_caller_is_busy (caller))
+      return false;
+  }
+  return true;
+}
+
+static void
+front_free (LnTask *task)
+{
+  LnFront *front = (LnFront *)task;
+
+  ln_callers_clear (&front->callers);
+  evhtp_unbind_socket (front->server);
+  evhtp_free (front->server);
+  free (front);
+}
+
+static const LnTaskClass front_class = { .name = "front",
+                                         .receive = receive,
+                                         .drain = drain,
+                                         .is_idle = is_idle,
+                                         .free = front_free };
+
+static bool
+bind_address (LnFront *front, LbError *error)
+{
+  LnContext *context = front->context;
+  const char *wanted = context->settings->instance.caller_address;
+  struct sockaddr_storage bound;
+  int length = sizeof bound;
+
+  if (evutil_parse_sockaddr_port (wanted, (struct sockaddr *)&bound, &length) != 0)
+    return lb_error_set (error, LB_ERROR_BAD_VALUE, "instance.caller_address",
+                         "expected IP:PORT, found %s", wanted);
+  if (evhtp_bind_sockaddr (front->server, (struct sockaddr *)&bound, (size_t)length, BACKLOG) != 0)
+    return lb_error_set (error, LB_ERROR_IO, "instance.caller_address", "cannot listen at %s: %s",
+                         wanted, strerror (errno));
+  return true;
+}
+
+static void
+read_bound_address (LnFront *front)
+{
+  struct sockaddr_storage bound;
+  socklen_t length = sizeof bound;
+  char ip[INET6_ADDRSTRLEN] = "";
+  LnContext *context = front->context;
+
+  if (getsockname (evconnlistener_get_fd (front->server->server), (struct sockaddr *)&bound,
+                   &length)
+      != 0)
+    return;
+  const struct sockaddr_in *v4 = (const struct sockaddr_in *)&bound;
+  const struct sockaddr_in6 *v6 = (const struct sockaddr_in6 *)&bound;
+  if (bound.ss_family == AF_INET)
+    {
+      inet_ntop (AF_INET, &v4->sin_addr, ip, sizeof ip);
+      snprintf (context->caller_address, sizeof context->caller_address, "%s:%u", ip,
+                ntohs (v4->sin_port));
+      return;
+    }
+  inet_ntop (AF_INET6, &v6->sin6_addr, ip, sizeof ip);
+  snprintf (context->caller_address, sizeof context->caller_address, "[%s]:%u", ip,
+            ntohs (v6->sin6_port));
+}
+
+/* Listens at the settings' caller address; context->caller_address holds the real one afterwards.
+ * NULL, with a line in the log, when it cannot. */
+LnTask *
+ln_front_new (LnContext *context)
+{
+  const LnSettings *settings = context->settings;
+  LnFront *front = LB_NEW (LnFront);
+  LbError error = { 0 };
+
+  front->task.klass = &front_class;
+  front->task.hub = context->hub;
+  front->context = context;
+  ln_callers_init (&front->callers, context->base);
+  front->callers.max_callers = (size_t)settings->http.max_connections;
+  front->callers.max_body = (size_t)settings->http.max_body_bytes;
+  front->callers.max_header = (size_t)settings->http.max_header_bytes;
+  front->callers.read_time = settings->http.request_read_ms * LB_MSEC;
+  front->server = evhtp_new (context->base, NULL);
+  evhtp_enable_flag (front->server, EVHTP_FLAG_ENABLE_NODELAY);
+  evhtp_set_post_accept_cb (front->server, ln_caller_accept, &front->callers);
+  evhtp_set_gencb (front->server, on_request, front);
+  if (!bind_address (front, &error))
+    {
+      lb_log_error (LB_LOG_ERROR, "front_cannot_listen", &error);
+      evhtp_free (front->server);
+      free (front);
+      return NULL;
+    }
+  read_bound_address (front);
+  return &front->task;
+}
--- /dev/null
+++ b/packages/node/src/ln-linger.c
@@ -0,0 +1,80 @@
+#include "ln-linger.h"
+
+#include "lb-alloc.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <stdlib.h>
+#include <sys/socket.h>
+
+#define FLUSH_SECONDS 5
+#define WAIT_SECONDS 1
+
+struct LnLinger
+{
+  LbLink link;
+  LbList *lingers;
+  struct bufferevent *bev;
+};
+
+static void
+linger_free (LnLinger *linger)
+{
+  lb_list_remove (linger->lingers, &linger->link);
+  bufferevent_free (linger->bev);
+  free (linger);
+}
+
+static void
+drop_input (struct bufferevent *bev, void *user)
+{
+  (void)user;
+  struct evbuffer *input = bufferevent_get_input (bev);
+
+  evbuffer_drain (input, evbuffer_get_length (input));
+}
+
+static void
+on_flushed (struct bufferevent *bev, void *user)
+{
+  (void)user;
+  const struct timeval wait = { .tv_sec = WAIT_SECONDS };
+
+  shutdown (bufferevent_getfd (bev), SHUT_WR);
+  bufferevent_disable (bev, EV_WRITE);
+  bufferevent_set_timeouts (bev, &wait, NULL);
+}
+
+static void
+on_event (struct bufferevent *bev, short what, void *user)
+{
+  (void)bev;
+  (void)what;
+  linger_free (user);
+}
+
+void
+ln_linger_start (LbList *lingers, struct bufferevent *bev)
+{
+  LnLinger *linger = LB_NEW (LnLinger);
+  const struct timeval flush = { .tv_sec = FLUSH_SECONDS };
+
+  linger->lingers = lingers;
+  linger->bev = bev;
+  lb_list_append (lingers, &linger->link);
+  bufferevent_setcb (bev, drop_input, on_flushed, on_event, linger);
+  bufferevent_set_timeouts (bev, &flush, &flush);
+  bufferevent_setwatermark (bev, EV_READ, 0, 0);
+  bufferevent_enable (bev, EV_READ | EV_WRITE);
+  /* Nothing to write means that no write callback would come. */
+  if (evbuffer_get_length (bufferevent_get_output (bev)) == 0)
+    on_flushed (bev, linger);
+}
+
+void
+ln_linger_free_all (LbList *lingers)
+{
+  while (!lb_list_is_empty (lingers))
+    linger_free (LB_LIST_FIRST (lingers, LnLinger, link));
+}
--- /dev/null
+++ b/packages/node/src/ln-poller.c
@@ -0,0 +1,269 @@
+#include "ln-poller.h"
+
+#include "lb-alloc.h"
+#include "lb-clock.h"
+#include "lb-settings.h"
+
+#include <event2/event.h>
+#include <json-c/json.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+typedef struct
+{
+  LbLink link;
+  LnPoller *poller;
+  LbName name;
+  LbName address;
+  bool is_engine;
+  LhFetch *load;
+  LhFetch *events;
+  int64_t next_event;
+  char incarnation[40];
+  LbTime asked_at;
+  bool known; /* still in the set: for ln_poller_configure */
+} Target;
+
+struct LnPoller
+{
+  struct event *timer;
+  LhPool *pool;
+  LbTime period;
+  LnPollerHandlers handlers;
+  void *user;
+  LbList targets;
+};
+
+static void
+target_free (Target *target)
+{
+  if (target->load)
+    lh_fetch_cancel (target->load);
+  if (target->events)
+    lh_fetch_cancel (target->events);
+  lb_list_remove (&target->poller->targets, &target->link);
+  free (target);
+}
+
+static struct json_object *
+parse_reply (const LhResult *result)
+{
+  struct json_object *object = NULL;
+  LbError error;
+
+  if (result->failure == LB_OK && result->status == 200)
+    object = lb_settings_parse (result->body, result->body_length, "reply", &error);
+  if (object && json_object_is_type (object, json_type_object))
+    return object;
+  json_object_put (object);
+  return NULL;
+}
+
+static struct json_object *
+member (struct json_object *object, const char *key)
+{
+  struct json_object *value = NULL;
+
+  json_object_object_get_ex (object, key, &value);
+  return value;
+}
+
+static const char *
+text_member (struct json_object *object, const char *key)
+{
+  struct json_object *value = member (object, key);
+
+  return json_object_is_type (value, json_type_string) ? json_object_get_string (value) : "";
+}
+
+/* A new incarnation numbers its cache events from the start. */
+static void
+note_incarnation (Target *target, const char *incarnation)
+{
+  if (strcmp (target->incarnation, incarnation) == 0)
+    return;
+  LB_COPY (target->incarnation, incarnation);
+  target->next_event = 0;
+}
+
+static void
+on_load (LhFetch *fetch, const LhResult *result, void *user)
+{
+  (void)fetch;
+  Target *target = user;
+  struct json_object *object = parse_reply (result);
+  LcLoadReport report = { .at = target->asked_at };
+
+  target->load = NULL;
+  if (result->failure == LB_ERROR_TIMEOUT)
+    lh_pool_forget (target->poller->pool, target->address);
+  if (!object)
+    return;
+  LB_COPY (report.incarnation, text_member (object, "incarnation"));
+  report.leaving = strcmp (text_member (object, "state"), "leaving") == 0;
+  report.version = json_object_get_int64 (member (object, "weight_version"));
+  report.running = json_object_get_int64 (member (object, "running"));
+  report.waiting = json_object_get_int64 (member (object, "waiting"));
+  report.tokens_per_second = json_object_get_double (member (object, "tokens_per_second"));
+  report.kv_used = json_object_get_double (member (object, "kv_used"));
+  note_incarnation (target, report.incarnation);
+  json_object_put (object);
+  target->poller->handlers.on_report (target->name, &report, target->poller->user);
+}
+
+static void
+give_events (Target *target, struct json_object *events)
+{
+  LnPoller *poller = target->poller;
+
+  for (size_t i = 0; i < json_object_array_length (events); i++)
+    {
+      struct json_object *event = json_object_array_get_idx (events, i);
+      uint64_t prefix = strtoull (text_member (event, "prefix"), NULL, 16);
+      uint64_t sequence = (uint64_t)json_object_get_int64 (member (event, "sequence"));
+      bool stored = strcmp (text_member (event, "type"), "stored") == 0;
+
+      poller->handlers.on_cache_event (target->name, sequence, stored, prefix, poller->user);
+    }
+}
+
+static void
+on_events (LhFetch *fetch, const LhResult *result, void *user)
+{
+  (void)fetch;
+  Target *target = user;
+  struct json_object *object = parse_reply (result);
+  struct json_object *events = object ? member (object, "events") : NULL;
+
+  target->events = NULL;
+  if (json_object_is_type (events, json_type_array))
+    {
+      target->next_event = json_object_get_int64 (member (object, "next"));
+      give_events (target, events);
+    }
+  json_object_put (object);
+}
+
+static LhFetch *
+get (Target *target,
+     const char *path,
+     void (*on_done) (LhFetch *fetch, const LhResult *result, void *user))
+{
+  const LhHandlers handlers = { .on_done = on_done };
+  LbTime silence = target->poller->period * 4;
+  const LhRequest request = { .method = "GET",
+                              .address = target->address,
+                              .path = path,
+                              .silence = silence < LB_SEC ? LB_SEC : silence };
+
+  return lh_fetch_start (target->poller->pool, &request, &handlers, target, NULL);
+}
+
+static void
+ask (Target *target)
+{
+  char path[64];
+
+  if (!target->load)
+    {
+      target->asked_at = lb_clock_monotonic ();
+      target->load = get (target, "/load", on_load);
+    }
+  if (!target->is_engine || target->events)
+    return;
+  snprintf (path, sizeof path, "/cache_events?since=%lld", (long long)target->next_event);
+  target->events = get (target, path, on_events);
+}
+
+static void
+on_timer (evutil_socket_t fd, short what, void *user)
+{
+  (void)fd;
+  (void)what;
+  LnPoller *poller = user;
+
+  LB_LIST_FOREACH (&poller->targets, Target, link, target)
+  {
+    ask (target);
+  }
+}
+
+LnPoller *
+ln_poller_new (struct event_base *base,
+               LhPool *pool,
+               LbTime period,
+               const LnPollerHandlers *handlers,
+               void *user)
+{
+  LnPoller *poller = LB_NEW (LnPoller);
+  const struct timeval tv = { .tv_sec = period / LB_SEC, .tv_usec = period % LB_SEC };
+
+  poller->pool = pool;
+  poller->period = period;
+  poller->handlers = *handlers;
+  poller->user = user;
+  lb_list_init (&poller->targets);
+  poller->timer = event_new (base, -1, EV_PERSIST, on_timer, poller);
+  event_add (poller->timer, &tv);
+  return poller;
+}
+
+void
+ln_poller_free (LnPoller *poller)
+{
+  if (!poller)
+    return;
+  while (!lb_list_is_empty (&poller->targets))
+    target_free (LB_LIST_FIRST (&poller->targets, Target, link));
+  event_free (poller->timer);
+  free (poller);
+}
+
+static Target *
+find_target (LnPoller *poller, const LcEndpointMember *member)
+{
+  LB_LIST_FOREACH (&poller->targets, Target, link, target)
+  {
+    if (strcmp (target->name, member->name) == 0 && strcmp (target->address, member->address) == 0)
+      return target;
+  }
+  return NULL;
+}
+
+static void
+add_target (LnPoller *poller, const LcEndpointMember *member)
+{
+  Target *target = LB_NEW (Target);
+
+  target->poller = poller;
+  target->known = true;
+  target->is_engine = member->kind == LC_ENDPOINT_ENGINE;
+  LB_COPY (target->name, member->name);
+  LB_COPY (target->address, member->address);
+  lb_list_append (&poller->targets, &target->link);
+  ask (target);
+}
+
+/* Asks endpoints that are new at once, and no longer those that are gone. */
+void
+ln_poller_configure (LnPoller *poller, const LcResourceSet *set)
+{
+  LB_LIST_FOREACH (&poller->targets, Target, link, target)
+  {
+    target->known = false;
+  }
+  for (size_t i = 0; i < set->n_endpoints; i++)
+    {
+      Target *target = find_target (poller, &set->endpoints[i]);
+      if (target)
+        target->known = true;
+      else
+        add_target (poller, &set->endpoints[i]);
+    }
+  LB_LIST_FOREACH (&poller->targets, Target, link, gone)
+  {
+    if (!gone->known)
+      target_free (gone);
+  }
+}
--- /dev/null
+++ b/packages/node/src/ln-settings.c
@@ -0,0 +1,187 @@
+#include "ln-settings.h"
+
+#include "lb-alloc.h"
+#include "lb-settings.h"
+
+#include <json-c/json.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define MAX_MS ((double)(24 * 3600 * 1000))
+
+#define TEXT(k, member)                                                                            \
+  {                                                                                                \
+    .key = (k), .type = LB_SETTING_TEXT, .offset = offsetof (LnSettings, member),                  \
+    .size = sizeof (((LnSettings *)0)->member)                                                     \
+  }
+#define INTEGER(k, member, low, high)                                                              \
+  {                                                                                                \
+    .key = (k), .type = LB_SETTING_INT, .offset = offsetof (LnSettings, member), .min = (low),     \
+    .max = (high)                                                                                  \
+  }
+#define REAL(k, member, low, high)                                                                 \
+  {                                                                                                \
+    .key = (k), .type = LB_SETTING_REAL, .offset = offsetof (LnSettings, member), .min = (low),    \
+    .max = (high)                                                                                  \
+  }
+#define CHOICE(k, member, names)                                                                   \
+  {                                                                                                \
+    .key = (k), .type = LB_SETTING_CHOICE, .offset = offsetof (LnSettings, member),                \
+    .choices = (names)                                                                             \
+  }
+/* Groups of keys are only for the reader: their members lie at offsets of the whole. */
+#define GROUP(k, specs)                                                                            \
+  {                                                                                                \
+    .key = (k), .type = LB_SETTING_OBJECT, .offset = 0, .fields = (specs)                          \
+  }
+#define END                                                                                        \
+  {                                                                                                \
+    .key = NULL                                                                                    \
+  }
+
+static const char *const platform_kinds[] = { "memory", "http", NULL };
+static const char *const log_levels[] = { "debug", "info", "warning", "error", "off", NULL };
+
+static const LbSettingSpec instance_specs[] = { TEXT ("name", instance.name),
+                                                TEXT ("data_centre", instance.data_centre),
+                                                TEXT ("caller_address", instance.caller_address),
+                                                TEXT ("peer_address", instance.peer_address),
+                                                END };
+
+static const LbSettingSpec platform_specs[]
+    = { CHOICE ("kind", platform.kind, platform_kinds), TEXT ("address", platform.address),
+        INTEGER ("deadline_ms", platform.deadline_ms, 10, 60000),
+        REAL ("rate", platform.rate, 0.1, 100000), END };
+
+static const LbSettingSpec cluster_specs[]
+    = { TEXT ("key", cluster.key),
+        { .key = "seeds",
+          .type = LB_SETTING_ARRAY,
+          .offset = offsetof (LnSettings, cluster.seeds),
+          .count_offset = offsetof (LnSettings, cluster.n_seeds) },
+        END };
+
+static const LbSettingSpec log_specs[] = { CHOICE ("level", log.level, log_levels), END };
+
+static const LbSettingSpec http_specs[]
+    = { TEXT ("operator_token", http.operator_token),
+        INTEGER ("max_body_bytes", http.max_body_bytes, 1024, 1 << 30),
+        INTEGER ("max_header_bytes", http.max_header_bytes, 1024, 1 << 20),
+        INTEGER ("request_read_ms", http.request_read_ms, 50, MAX_MS),
+        INTEGER ("max_connections", http.max_connections, 1, 1000000),
+        END };
+
+static const LbSettingSpec calls_specs[]
+    = { TEXT ("policy", calls.policy),
+        INTEGER ("queue_limit", calls.queue_limit, 0, 10000000),
+        INTEGER ("default_deadline_ms", calls.default_deadline_ms, 1, MAX_MS),
+        REAL ("retry_budget", calls.retry_budget, 0, 10),
+        INTEGER ("hedge_after_ms", calls.hedge_after_ms, 0, MAX_MS),
+        INTEGER ("stream_silence_ms", calls.stream_silence_ms, 50, MAX_MS),
+        INTEGER ("load_poll_ms", calls.load_poll_ms, 10, 60000),
+        END };
+
+static const LbSettingSpec drain_specs[]
+    = { INTEGER ("drain_ms", drain.drain_ms, 0, MAX_MS),
+        INTEGER ("entry_ttl_ms", drain.entry_ttl_ms, 100, MAX_MS), END };
+
+static const LbSettingSpec specs[] = { GROUP ("instance", instance_specs),
+                                       GROUP ("platform", platform_specs),
+                                       GROUP ("cluster", cluster_specs),
+                                       GROUP ("log", log_specs),
+                                       GROUP ("http", http_specs),
+                                       GROUP ("calls", calls_specs),
+                                       GROUP ("drain", drain_specs),
+                                       TEXT ("address_file", address_file),
+                                       TEXT ("record", record),
+                                       INTEGER ("seed", seed, 0, 9007199254740992.0),
+                                       END };
+
+void
+ln_settings_init (LnSettings *settings)
+{
+  memset (settings, 0, sizeof *settings);
+  LB_COPY (settings->instance.data_centre, "local");
+  LB_COPY (settings->instance.caller_address, "127.0.0.1:8080");
+  LB_COPY (settings->instance.peer_address, "127.0.0.1:0");
+  settings->platform.kind = LN_PLATFORM_MEMORY;
+  settings->platform.deadline_ms = 1000;
+  settings->platform.rate = 100;
+  settings->log.level = LB_LOG_INFO;
+  settings->http.max_body_bytes = 8 << 20;
+  settings->http.max_header_bytes = 32 << 10;
+  settings->http.request_read_ms = 10000;
+  settings->http.max_connections = 4096;
+  LB_COPY (settings->calls.policy, "lentilspindle");
+  settings->calls.queue_limit = 4096;
+  settings->calls.default_deadline_ms = 120000;
+  settings->calls.retry_budget = 0.1;
+  settings->calls.hedge_after_ms = 0;
+  settings->calls.stream_silence_ms = 2000;
+  settings->calls.load_poll_ms = 500;
+  settings->drain.drain_ms = 16000;
+  settings->drain.entry_ttl_ms = 15000;
+}
+
+void
+ln_settings_clear (LnSettings *settings)
+{
+  free (settings->cluster.seeds);
+  memset (settings, 0, sizeof *settings);
+}
+
+static bool
+fail (LbError *error, const char *path, const char *key, const char *expected)
+{
+  char where[192];
+
+  snprintf (where, sizeof where, "%s: %s", path, key);
+  return lb_error_set (error, LB_ERROR_BAD_VALUE, where, "%s", expected);
+}
+
+static bool
+is_address (const char *address)
+{
+  const char *colon = strrchr (address, ':');
+  char *end = NULL;
+
+  if (!colon || colon == address || colon[1] == '\0')
+    return false;
+  long port = strtol (colon + 1, &end, 10);
+  return *end == '\0' && port >= 0 && port <= 65535;
+}
+
+/* What one key alone can't tell. */
+static bool
+check (const LnSettings *settings, const char *path, LbError *error)
+{
+  static const char address[] = "expected an address of the form IP:PORT";
+
+  if (!is_address (settings->instance.caller_address))
+    return fail (error, path, "instance.caller_address", address);
+  if (!is_address (settings->instance.peer_address))
+    return fail (error, path, "instance.peer_address", address);
+  if (settings->platform.kind == LN_PLATFORM_HTTP && !is_address (settings->platform.address))
+    return fail (error, path, "platform.address", address);
+  for (size_t i = 0; i < settings->cluster.n_seeds; i++)
+    if (!is_address (settings->cluster.seeds[i]))
+      return fail (error, path, "cluster.seeds", address);
+  if (settings->cluster.n_seeds > 0 && settings->cluster.key[0] == '\0')
+    return fail (error, path, "cluster.key", "expected a shared key, since cluster.seeds are given");
+  return true;
+}
+
+/* Reads and checks a settings file over the values that settings holds. */
+bool
+ln_settings_read (LnSettings *settings, const char *path, LbError *error)
+{
+  struct json_object *object = lb_settings_read_file (path, error);
+
+  if (!object)
+    return false;
+  bool ok = lb_settings_apply (object, specs, settings, path, error)
+            && check (settings, path, error);
+  json_object_put (object);
+  return ok;
+}
--- /dev/null
+++ b/packages/node/src/ln-upstream.c
@@ -0,0 +1,318 @@
+#include "ln-upstream.h"
+
+#include "lb-alloc.h"
+#include "lb-counter.h"
+#include "lb-log.h"
+#include "lb-settings.h"
+#include "lh-sse.h"
+
+#include <event2/buffer.h>
+#include <json-c/json.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define MAX_EVENT_BYTES (1 << 20)
+#define MAX_REFUSAL_BYTES (64 << 10)
+
+struct LnUpstream
+{
+  LcRequestId request;
+  uint32_t attempt;
+  LbName endpoint;
+  LbName address;
+  char *stream_id; /* NULL: a plain service */
+  LhPool *pool;
+  LhFetch *fetch;
+  LnUpstreamHandlers handlers;
+  void *user;
+  LhSse sse;
+  struct evbuffer *body; /* a service's reply, or what an engine said beside its stream */
+  int status;
+  bool end_marker;   /* [DONE] has come */
+  bool garbled;      /* what came is not this attempt's answer; nothing more is taken from it */
+  bool in_feed;      /* a cancel now only marks, since the event reader is still at work */
+  bool is_cancelled;
+};
+
+static LbMetric wrong_stream
+    = LB_COUNTER_INIT ("lentilspindle_wrong_stream_total",
+                       NULL,
+                       "Streams ended because they carried another request's answer or no JSON");
+
+static void
+upstream_free (LnUpstream *upstream)
+{
+  lh_sse_clear (&upstream->sse);
+  evbuffer_free (upstream->body);
+  free (upstream->stream_id);
+  free (upstream);
+}
+
+static const char *
+text_of (struct json_object *choice)
+{
+  struct json_object *text = NULL;
+  struct json_object *delta = NULL;
+
+  if (json_object_object_get_ex (choice, "text", &text))
+    return json_object_get_string (text);
+  if (json_object_object_get_ex (choice, "delta", &delta)
+      && json_object_object_get_ex (delta, "content", &text))
+    return json_object_get_string (text);
+  return NULL;
+}
+
+static int64_t
+integer_of (struct json_object *object, const char *key, int64_t absent)
+{
+  struct json_object *value = NULL;
+
+  if (!json_object_object_get_ex (object, key, &value)
+      || !json_object_is_type (value, json_type_int))
+    return absent;
+  return json_object_get_int64 (value);
+}
+
+static struct json_object *
+first_choice (struct json_object *event)
+{
+  struct json_object *choices = NULL;
+
+  if (!json_object_object_get_ex (event, "choices", &choices)
+      || !json_object_is_type (choices, json_type_array))
+    return NULL;
+  return json_object_array_get_idx (choices, 0);
+}
+
+/* An answer that belongs to another request, one that an endpoint or something before it mixed up,
+ * would reach the wrong caller. Each attempt has its own id, and each event must name it. */
+static bool
+is_own (const LnUpstream *upstream, struct json_object *event)
+{
+  struct json_object *id = NULL;
+
+  return json_object_object_get_ex (event, "id", &id)
+         && strcmp (json_object_get_string (id), upstream->stream_id) == 0;
+}
+
+static bool
+handle_event (LnUpstream *upstream, struct json_object *event)
+{
+  struct json_object *finish = NULL;
+  struct json_object *choice = first_choice (event);
+
+  if (!choice || !is_own (upstream, event))
+    return false;
+  const char *text = text_of (choice);
+  LcPiece piece = { .offset = integer_of (event, "offset", -1),
+                    .tokens = integer_of (event, "tokens", -1),
+                    .version = integer_of (event, "weight_version", 0) };
+  if (piece.offset < 0 || piece.tokens < 0)
+    return false;
+  piece.last = json_object_object_get_ex (choice, "finish_reason", &finish) && finish;
+  upstream->handlers.on_piece (upstream, &piece, event, text ? text : "", upstream->user);
+  return true;
+}
+
+static void
+on_event (const char *data, size_t length, void *user)
+{
+  LnUpstream *upstream = user;
+  struct json_object *event = NULL;
+  LbError error;
+
+  if (upstream->is_cancelled || upstream->garbled || upstream->end_marker)
+    return;
+  if (length == 6 && memcmp (data, "[DONE]", 6) == 0)
+    {
+      upstream->end_marker = true;
+      return;
+    }
+  event = lb_settings_parse (data, length, "event", &error);
+  if (!event || !handle_event (upstream, event))
+    {
+      upstream->garbled = true;
+      lb_metric_add (&wrong_stream, 1);
+    }
+  json_object_put (event);
+}
+
+static void
+end (LnUpstream *upstream, LcAttemptEnd how)
+{
+  upstream->handlers.on_end (upstream, how, upstream->user);
+  upstream_free (upstream);
+}
+
+static void
+on_piece (LhFetch *fetch, const char *bytes, size_t length, void *user)
+{
+  LnUpstream *upstream = user;
+  LbError error;
+
+  if (lh_fetch_status (fetch) != 200)
+    {
+      if (evbuffer_get_length (upstream->body) + length <= MAX_REFUSAL_BYTES)
+        evbuffer_add (upstream->body, bytes, length);
+      return;
+    }
+  upstream->in_feed = true;
+  if (!lh_sse_feed (&upstream->sse, bytes, length, on_event, upstream, &error))
+    upstream->garbled = true;
+  upstream->in_feed = false;
+  if (upstream->is_cancelled)
+    {
+      upstream_free (upstream);
+      return;
+    }
+  if (!upstream->garbled)
+    return;
+  lh_fetch_cancel (fetch);
+  end (upstream, LC_END_BROKEN);
+}
+
+/* Only these replies prove that the endpoint did not start. */
+static bool
+refusal (LnUpstream *upstream, LcAttemptEnd *how)
+{
+  struct json_object *object = NULL;
+  struct json_object *inner = NULL;
+  struct json_object *type = NULL;
+  const char *name = "";
+  size_t length;
+  LbError error;
+
+  if (upstream->status != 503 && upstream->status != 429)
+    return false;
+  const char *body = ln_upstream_body (upstream, &length);
+  object = lb_settings_parse (body, length, "refusal", &error);
+  if (object && json_object_object_get_ex (object, "error", &inner)
+      && json_object_object_get_ex (inner, "type", &type))
+    name = json_object_get_string (type);
+  bool leaving = strcmp (name, "leaving") == 0;
+  bool refused = leaving || strcmp (name, "not_started") == 0;
+  *how = leaving ? LC_END_REFUSED_LEAVING : LC_END_REFUSED;
+  json_object_put (object);
+  return refused;
+}
+
+static LcAttemptEnd
+judge (LnUpstream *upstream, const LhResult *result)
+{
+  LcAttemptEnd how = LC_END_FAILED;
+
+  if (upstream->end_marker)
+    return LC_END_WHOLE;
+  if (result->failure != LB_OK)
+    return result->bytes_handed ? LC_END_BROKEN : LC_END_NOT_HANDED;
+  if (refusal (upstream, &how))
+    return how;
+  if (!upstream->stream_id)
+    return LC_END_WHOLE;
+  return upstream->status == 200 ? LC_END_BROKEN : LC_END_FAILED;
+}
+
+static void
+on_done (LhFetch *fetch, const LhResult *result, void *user)
+{
+  LnUpstream *upstream = user;
+
+  upstream->fetch = fetch;
+  upstream->status = result->status;
+  if (result->body_length > 0)
+    evbuffer_add (upstream->body, result->body, result->body_length);
+  LcAttemptEnd how = judge (upstream, result);
+  if (result->failure != LB_OK)
+    {
+      /* Something between the two ends may have lost track of all connections of this age: new
+       * ones work while kept ones swallow what is sent. None of them is used again. */
+      lh_pool_forget (upstream->pool, upstream->address);
+      lb_log (LB_LOG_INFO, "attempt_failed", LB_INT ("request", upstream->request),
+              LB_INT ("attempt", upstream->attempt), LB_TEXT ("endpoint", upstream->endpoint),
+              LB_TEXT ("error", lb_error_name (result->failure)),
+              LB_BOOL ("bytes_handed", result->bytes_handed));
+    }
+  end (upstream, how);
+}
+
+LnUpstream *
+ln_upstream_start (LhPool *pool,
+                   const LnUpstreamSpec *spec,
+                   const LnUpstreamHandlers *handlers,
+                   void *user,
+                   LbError *error)
+{
+  LnUpstream *upstream = LB_NEW (LnUpstream);
+  const LhHandlers fetch_handlers = { .on_piece = spec->stream_id ? on_piece : NULL,
+                                      .on_done = on_done };
+  const LhRequest request = { .method = spec->method,
+                              .address = spec->address,
+                              .path = spec->path,
+                              .headers = spec->headers,
+                              .n_headers = spec->n_headers,
+                              .body = spec->body,
+                              .body_length = spec->body_length,
+                              .silence = spec->silence };
+
+  upstream->request = spec->request;
+  upstream->attempt = spec->attempt;
+  LB_COPY (upstream->endpoint, spec->endpoint);
+  LB_COPY (upstream->address, spec->address);
+  upstream->stream_id = spec->stream_id ? lb_strdup (spec->stream_id) : NULL;
+  upstream->pool = pool;
+  upstream->handlers = *handlers;
+  upstream->user = user;
+  upstream->body = evbuffer_new ();
+  lh_sse_init (&upstream->sse, MAX_EVENT_BYTES);
+  upstream->fetch = lh_fetch_start (pool, &request, &fetch_handlers, upstream, error);
+  if (upstream->fetch)
+    return upstream;
+  upstream_free (upstream);
+  return NULL;
+}
+
+void
+ln_upstream_cancel (LnUpstream *upstream)
+{
+  lh_fetch_cancel (upstream->fetch);
+  upstream->is_cancelled = true;
+  if (!upstream->in_feed)
+    upstream_free (upstream);
+}
+
+LcRequestId
+ln_upstream_request (const LnUpstream *upstream)
+{
+  return upstream->request;
+}
+
+uint32_t
+ln_upstream_attempt (const LnUpstream *upstream)
+{
+  return upstream->attempt;
+}
+
+const char *
+ln_upstream_endpoint (const LnUpstream *upstream)
+{
+  return upstream->endpoint;
+}
+
+const LhFetch *
+ln_upstream_fetch (const LnUpstream *upstream)
+{
+  return upstream->fetch;
+}
+
+int
+ln_upstream_status (const LnUpstream *upstream)
+{
+  return upstream->status;
+}
+
+const char *
+ln_upstream_body (LnUpstream *upstream, size_t *length)
+{
+  *length = evbuffer_get_length (upstream->body);
+  return *length > 0 ? (const char *)evbuffer_pullup (upstream->body, -1) : "";
+}
--- /dev/null
+++ b/packages/node/src/ln-upstream.h
@@ -0,0 +1,57 @@
+#ifndef LN_UPSTREAM_H
+#define LN_UPSTREAM_H
+
+#include "lc-dispatch.h"
+#include "lh-fetch.h"
+
+struct evbuffer;
+struct json_object;
+
+/* One attempt of one request at one endpoint: an engine's stream, or a plain service's reply. */
+typedef struct LnUpstream LnUpstream;
+
+typedef struct
+{
+  LcRequestId request;
+  uint32_t attempt;
+  const char *endpoint;
+  const char *address;
+  const char *method;
+  const char *path;
+  const LhHeader *headers;
+  size_t n_headers;
+  const char *body;
+  size_t body_length;
+  const char *stream_id; /* the request_id sent to an engine; NULL: a plain service */
+  LbTime silence;
+} LnUpstreamSpec;
+
+typedef struct
+{
+  /* A piece of an engine's answer; event is the engine's own, valid during the call. */
+  void (*on_piece) (LnUpstream *upstream,
+                    const LcPiece *piece,
+                    struct json_object *event,
+                    const char *text,
+                    void *user);
+  /* The last call; the upstream is freed after it. */
+  void (*on_end) (LnUpstream *upstream, LcAttemptEnd end, void *user);
+} LnUpstreamHandlers;
+
+LnUpstream *ln_upstream_start (LhPool *pool,
+                               const LnUpstreamSpec *spec,
+                               const LnUpstreamHandlers *handlers,
+                               void *user,
+                               LbError *error);
+/* Closes the connection, which cancels the engine's work; no handler is called any more. */
+void ln_upstream_cancel (LnUpstream *upstream);
+
+LcRequestId ln_upstream_request (const LnUpstream *upstream);
+uint32_t ln_upstream_attempt (const LnUpstream *upstream);
+const char *ln_upstream_endpoint (const LnUpstream *upstream);
+/* A plain service's reply; valid in on_end. */
+const LhFetch *ln_upstream_fetch (const LnUpstream *upstream);
+int ln_upstream_status (const LnUpstream *upstream);
+const char *ln_upstream_body (LnUpstream *upstream, size_t *length);
+
+#endif
