--- a/packages/http/src/lh-fetch.c
+++ b/packages/http/src/lh-fetch.c
@@ -12,6 +12,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/queue.h>
 
 #define DEFAULT_SILENCE (30 * LB_SEC)
 #define MAX_BODY_BYTES (64 << 20)
--- a/packages/node/main/lentilspindled.c
+++ b/packages/node/main/lentilspindled.c
@@ -164,21 +164,15 @@
 static LpPlatform *
 make_platform (const LnSettings *settings, struct event_base *base)
 {
-  LpHttpSettings http = { .deadline = settings->platform.deadline_ms * LB_MSEC,
-                          .rate = settings->platform.rate };
-
-  if (settings->platform.kind == LN_PLATFORM_MEMORY)
-    return lp_memory_new (base);
-  LB_COPY (http.address, settings->platform.address);
-  return lp_http_new (base, &http);
+  (void)settings;
+  return lp_memory_new (base);
 }
 
 static bool
 add_tasks (Daemon *daemon)
 {
   LnContext *context = &daemon->context;
-  LnTask *(*const makers[]) (LnContext *)
-      = { ln_front_new, ln_calls_new, ln_rollouts_new, ln_peers_new, ln_config_new };
+  LnTask *(*const makers[]) (LnContext *) = { ln_front_new, ln_calls_new };
 
   for (size_t i = 0; i < sizeof makers / sizeof makers[0]; i++)
     {
@@ -243,8 +237,7 @@
     }
   lb_log (LB_LOG_INFO, "started", LB_TEXT ("caller_address", daemon->context.caller_address),
           LB_TEXT ("peer_address", daemon->context.peer_address),
-          LB_TEXT ("incarnation", daemon->context.incarnation),
-          LB_TEXT ("version", LS_VERSION));
+          LB_TEXT ("incarnation", daemon->context.incarnation), LB_TEXT ("version", LS_VERSION));
   event_base_dispatch (daemon->context.base);
   lb_log (LB_LOG_INFO, "stopped", LB_BOOL ("drained", daemon->draining));
   exit_code = EXIT_SUCCESS;
--- a/packages/node/src/ln-call-reader.c
+++ b/packages/node/src/ln-call-reader.c
@@ -70,8 +70,7 @@
   int64_t priority = 0;
   int64_t deadline_ms = deadline / LB_MSEC;
 
-  if (!read_integer_header (exchange, "x-priority", -MOST_PRIORITY, MOST_PRIORITY, &priority,
-                            error)
+  if (!read_integer_header (exchange, "x-priority", -MOST_PRIORITY, MOST_PRIORITY, &priority, error)
       || !read_integer_header (exchange, "x-deadline-ms", 0, 86400000, &deadline_ms, error))
     return false;
   if (caller && strlen (caller) >= sizeof spec->caller)
@@ -216,8 +215,8 @@
 static bool
 is_safe_method (const char *method)
 {
-  return strcmp (method, "GET") == 0 || strcmp (method, "HEAD") == 0
-         || strcmp (method, "PUT") == 0 || strcmp (method, "DELETE") == 0;
+  return strcmp (method, "GET") == 0 || strcmp (method, "HEAD") == 0 || strcmp (method, "PUT") == 0
+         || strcmp (method, "DELETE") == 0;
 }
 
 static bool
@@ -233,8 +232,7 @@
     return lb_error_set (error, LB_ERROR_UNKNOWN_SERVICE, "path", "expected /services/NAME/PATH");
   memcpy (call->spec.pool, name, name_length);
   call->method = lb_strdup (ln_exchange_method (exchange));
-  call->path
-      = lb_asprintf ("%s%s%s", slash ? slash : "/", query ? "?" : "", query ? query : "");
+  call->path = lb_asprintf ("%s%s%s", slash ? slash : "/", query ? "?" : "", query ? query : "");
   const char *body = ln_exchange_body (exchange, &length);
   call->raw_body = lb_memdup (body, length + 1);
   call->raw_length = length;
--- a/packages/node/src/ln-call.c
+++ b/packages/node/src/ln-call.c
@@ -57,8 +57,8 @@
   struct json_object *resume = json_object_new_object ();
   size_t length = evbuffer_get_length (call->text);
   const char *sent = length > 0 ? (const char *)evbuffer_pullup (call->text, -1) : "";
-  char *text = lb_asprintf ("%s%.*s", call->resume_text ? call->resume_text : "", (int)length,
-                            sent);
+  char *text
+      = lb_asprintf ("%s%.*s", call->resume_text ? call->resume_text : "", (int)length, sent);
 
   json_object_object_add (resume, "offset", json_object_new_int64 (resume_at));
   json_object_object_add (resume, "text", json_object_new_string (text));
@@ -215,8 +215,7 @@
     }
   else
     json_object_object_add (choice, "text", text);
-  json_object_object_add (choice, "finish_reason",
-                          json_object_new_string (winner->finish_reason));
+  json_object_object_add (choice, "finish_reason", json_object_new_string (winner->finish_reason));
   return choice;
 }
 
@@ -244,8 +243,8 @@
 ln_call_is_hop_header (const char *name)
 {
   static const char *const names[]
-      = { "Connection",       "Keep-Alive", "Transfer-Encoding", "TE",   "Trailer",
-          "Upgrade",          "Host",       "Content-Length",    "Expect", "Proxy-Connection",
+      = { "Connection",        "Keep-Alive", "Transfer-Encoding", "TE",     "Trailer",
+          "Upgrade",           "Host",       "Content-Length",    "Expect", "Proxy-Connection",
           "Proxy-Authenticate" };
 
   for (size_t i = 0; i < sizeof names / sizeof names[0]; i++)
--- a/packages/node/src/ln-caller.c
+++ b/packages/node/src/ln-caller.c
@@ -74,6 +74,7 @@
   switch (htparser_get_error (connection->parser))
     {
     case htparse_error_none:
+    case htparse_error_user: /* a hook of ours stopped it, or paused it to answer */
       return LB_OK;
     case htparse_error_too_big:
       return LB_ERROR_HEADER_TOO_LARGE;
@@ -202,7 +203,7 @@
                 { evhtp_hook_on_header, (evhtp_hook)on_header },
                 { evhtp_hook_on_headers, (evhtp_hook)on_headers },
                 { evhtp_hook_on_read, (evhtp_hook)on_body },
-                { evhtp_hook_on_error, (evhtp_hook)on_error },
+                { evhtp_hook_on_error, (evhtp_hook)(void (*) (void))on_error },
                 { evhtp_hook_on_connection_fini, (evhtp_hook)on_connection_end } };
 
   for (size_t i = 0; i < sizeof hooks / sizeof hooks[0]; i++)
--- a/packages/node/src/ln-calls.c
+++ b/packages/node/src/ln-calls.c
@@ -31,8 +31,9 @@
   bool draining;
 } LnCalls;
 
-static LbMetric sent = LB_COUNTER_INIT (
-    "lentilspindle_attempts_total", NULL, "Attempts at endpoints, retries and hedges included");
+static LbMetric sent = LB_COUNTER_INIT ("lentilspindle_attempts_total",
+                                        NULL,
+                                        "Attempts at endpoints, retries and hedges included");
 static LbMetric pieces_dropped
     = LB_COUNTER_INIT ("lentilspindle_pieces_dropped_total",
                        NULL,
@@ -110,9 +111,8 @@
   for (size_t i = 0; i < decision->n_shown; i++)
     {
       struct json_object *candidate = json_object_new_object ();
-      json_object_object_add (
-          candidate, "endpoint",
-          json_object_new_string (decision->shown[i].endpoint->member.name));
+      json_object_object_add (candidate, "endpoint",
+                              json_object_new_string (decision->shown[i].endpoint->member.name));
       json_object_object_add (candidate, "score",
                               json_object_new_double (decision->shown[i].score));
       json_object_array_add (shown, candidate);
@@ -127,9 +127,8 @@
 static void
 post_piece (LnCalls *calls, LnCall *call, const LcPiece *piece, const char *endpoint)
 {
-  LnSamplePieceMessage message = { .base = LN_MESSAGE (LN_SAMPLE_PIECE),
-                                   .request = call->spec.id,
-                                   .piece = *piece };
+  LnSamplePieceMessage message
+      = { .base = LN_MESSAGE (LN_SAMPLE_PIECE), .request = call->spec.id, .piece = *piece };
 
   LB_COPY (message.endpoint, endpoint);
   LN_POST (calls->task.hub, ln_hub_find (calls->task.hub, "rollouts"), message);
@@ -144,10 +143,8 @@
 static void
 post_done (LnCalls *calls, LcRequestId request, LbErrorCode error, char *text)
 {
-  LnSampleDoneMessage message = { .base = LN_MESSAGE (LN_SAMPLE_DONE),
-                                  .request = request,
-                                  .error = error,
-                                  .text = text };
+  LnSampleDoneMessage message
+      = { .base = LN_MESSAGE (LN_SAMPLE_DONE), .request = request, .error = error, .text = text };
 
   message.base.clear = clear_sample_done;
   LN_POST (calls->task.hub, ln_hub_find (calls->task.hub, "rollouts"), message);
@@ -231,8 +228,7 @@
           .body_length = strlen (body),
           .stream_id = stream_id,
           .silence = calls->context->settings->calls.stream_silence_ms * LB_MSEC };
-  LnUpstream *upstream
-      = ln_upstream_start (calls->context->http, &spec, &handlers, attempt, error);
+  LnUpstream *upstream = ln_upstream_start (calls->context->http, &spec, &handlers, attempt, error);
   free (body);
   return upstream;
 }
@@ -278,9 +274,8 @@
   log_decision (action);
   lb_metric_add (&sent, 1);
   attempt = ln_attempt_new (call);
-  attempt->upstream = ln_call_is_for_engine (call)
-                          ? start_engine (calls, attempt, action, &error)
-                          : start_service (calls, attempt, action, &error);
+  attempt->upstream = ln_call_is_for_engine (call) ? start_engine (calls, attempt, action, &error)
+                                                   : start_service (calls, attempt, action, &error);
   if (attempt->upstream)
     return;
   ln_attempt_free (attempt);
@@ -508,8 +503,7 @@
 }
 
 static void
-on_cache_event (
-    const char *endpoint, uint64_t sequence, bool stored, uint64_t prefix, void *user)
+on_cache_event (const char *endpoint, uint64_t sequence, bool stored, uint64_t prefix, void *user)
 {
   LnCalls *calls = user;
 
@@ -597,12 +591,11 @@
 static LcDispatch *
 make_dispatch (const LnSettings *settings)
 {
-  LcDispatchSettings dispatch
-      = { .queue_limit = settings->calls.queue_limit,
-          .default_deadline = settings->calls.default_deadline_ms * LB_MSEC,
-          .retry_budget = settings->calls.retry_budget,
-          .hedge_after = settings->calls.hedge_after_ms * LB_MSEC,
-          .seed = settings->seed };
+  LcDispatchSettings dispatch = { .queue_limit = settings->calls.queue_limit,
+                                  .default_deadline = settings->calls.default_deadline_ms * LB_MSEC,
+                                  .retry_budget = settings->calls.retry_budget,
+                                  .hedge_after = settings->calls.hedge_after_ms * LB_MSEC,
+                                  .seed = settings->seed };
 
   LB_COPY (dispatch.data_centre, settings->instance.data_centre);
   LB_COPY (dispatch.policy, settings->calls.policy);
@@ -621,8 +614,7 @@
   calls->context = context;
   calls->dispatch = make_dispatch (context->settings);
   calls->tick = evtimer_new (context->base, on_tick, calls);
-  calls->poller
-      = ln_poller_new (context->base, context->http,
-                       context->settings->calls.load_poll_ms * LB_MSEC, &handlers, calls);
+  calls->poller = ln_poller_new (context->base, context->http,
+                                 context->settings->calls.load_poll_ms * LB_MSEC, &handlers, calls);
   return &calls->task;
 }
--- a/packages/node/src/ln-exchange.c
+++ b/packages/node/src/ln-exchange.c
@@ -226,8 +226,7 @@
 ln_exchange_reply_json (LnExchange *exchange, int status, struct json_object *object)
 {
   size_t length;
-  const char *text
-      = json_object_to_json_string_length (object, JSON_C_TO_STRING_PLAIN, &length);
+  const char *text = json_object_to_json_string_length (object, JSON_C_TO_STRING_PLAIN, &length);
 
   ln_exchange_reply_text (exchange, status, "application/json", text, length);
   json_object_put (object);
@@ -258,8 +257,8 @@
     {
       /* The status is long sent: the error is the last event, and no end marker follows. */
       struct json_object *object = error_object (error);
-      char *event = lb_asprintf ("data: %s\n\n", json_object_to_json_string_ext (
-                                                     object, JSON_C_TO_STRING_PLAIN));
+      char *event = lb_asprintf ("data: %s\n\n",
+                                 json_object_to_json_string_ext (object, JSON_C_TO_STRING_PLAIN));
       ln_exchange_stream_piece (exchange, event, strlen (event));
       free (event);
       json_object_put (object);
@@ -270,11 +269,9 @@
     ln_exchange_set_header (exchange, "x-not-run", "1");
   if (retry_after > 0)
     {
-      snprintf (number, sizeof number, "%lld",
-                (long long)((retry_after + LB_SEC - 1) / LB_SEC));
+      snprintf (number, sizeof number, "%lld", (long long)((retry_after + LB_SEC - 1) / LB_SEC));
       ln_exchange_set_header (exchange, "Retry-After", number);
-      snprintf (number, sizeof number, "%lld",
-                (long long)((retry_after + LB_MSEC - 1) / LB_MSEC));
+      snprintf (number, sizeof number, "%lld", (long long)((retry_after + LB_MSEC - 1) / LB_MSEC));
       ln_exchange_set_header (exchange, "x-retry-after-ms", number);
     }
   ln_exchange_reply_json (exchange, lb_error_http_status (error->code), error_object (error));
--- a/packages/node/src/ln-front.c
+++ b/packages/node/src/ln-front.c
@@ -29,19 +29,18 @@
   bool draining;
 } LnFront;
 
-static const LnRoute routes[]
-    = { { "POST", "/v1/completions", "calls" },
-        { "POST", "/v1/chat/completions", "calls" },
-        { "POST", "/v1/tickets", "calls" },
-        { NULL, "/services/", "calls" },
-        { NULL, "/v1/subscriptions/", "rollouts" },
-        { "GET", "/v1/entry", "peers" },
-        { NULL, "/v1/resources", "config" },
-        { "GET", "/v1/history", "config" },
-        { "GET", "/v1/status", "config" },
-        { "GET", "/metrics", "front" },
-        { "GET", "/healthz", "front" },
-        { "GET", "/readyz", "front" } };
+static const LnRoute routes[] = { { "POST", "/v1/completions", "calls" },
+                                  { "POST", "/v1/chat/completions", "calls" },
+                                  { "POST", "/v1/tickets", "calls" },
+                                  { NULL, "/services/", "calls" },
+                                  { NULL, "/v1/subscriptions/", "rollouts" },
+                                  { "GET", "/v1/entry", "peers" },
+                                  { NULL, "/v1/resources", "config" },
+                                  { "GET", "/v1/history", "config" },
+                                  { "GET", "/v1/status", "config" },
+                                  { "GET", "/metrics", "front" },
+                                  { "GET", "/healthz", "front" },
+                                  { "GET", "/readyz", "front" } };
 
 static LbMetric requests
     = LB_COUNTER_INIT ("lentilspindle_requests_total", NULL, "Whole requests of callers");
@@ -186,24 +185,23 @@
   free (front);
 }
 
-static const LnTaskClass front_class = { .name = "front",
-                                         .receive = receive,
-                                         .drain = drain,
-                                         .is_idle = is_idle,
-                                         .free = front_free };
+static const LnTaskClass front_class = {
+  .name = "front", .receive = receive, .drain = drain, .is_idle = is_idle, .free = front_free
+};
 
 static bool
 bind_address (LnFront *front, LbError *error)
 {
   LnContext *context = front->context;
   const char *wanted = context->settings->instance.caller_address;
-  struct sockaddr_storage bound;
-  int length = sizeof bound;
-
-  if (evutil_parse_sockaddr_port (wanted, (struct sockaddr *)&bound, &length) != 0)
-    return lb_error_set (error, LB_ERROR_BAD_VALUE, "instance.caller_address",
-                         "expected IP:PORT, found %s", wanted);
-  if (evhtp_bind_sockaddr (front->server, (struct sockaddr *)&bound, (size_t)length, BACKLOG) != 0)
+  const char *colon = strrchr (wanted, ':');
+  char ip[LB_NAME_MAX] = "";
+
+  if (colon)
+    lb_strlcpy (ip, wanted, (size_t)(colon - wanted) + 1);
+  if (!colon
+      || evhtp_bind_socket (front->server, ip, (uint16_t)strtoul (colon + 1, NULL, 10), BACKLOG)
+             != 0)
     return lb_error_set (error, LB_ERROR_IO, "instance.caller_address", "cannot listen at %s: %s",
                          wanted, strerror (errno));
   return true;
@@ -212,27 +210,17 @@
 static void
 read_bound_address (LnFront *front)
 {
-  struct sockaddr_storage bound;
+  struct sockaddr_in bound;
   socklen_t length = sizeof bound;
-  char ip[INET6_ADDRSTRLEN] = "";
+  char ip[INET_ADDRSTRLEN] = "";
   LnContext *context = front->context;
+  int fd = evconnlistener_get_fd (front->server->server);
 
-  if (getsockname (evconnlistener_get_fd (front->server->server), (struct sockaddr *)&bound,
-                   &length)
-      != 0)
+  if (getsockname (fd, (struct sockaddr *)&bound, &length) != 0)
     return;
-  const struct sockaddr_in *v4 = (const struct sockaddr_in *)&bound;
-  const struct sockaddr_in6 *v6 = (const struct sockaddr_in6 *)&bound;
-  if (bound.ss_family == AF_INET)
-    {
-      inet_ntop (AF_INET, &v4->sin_addr, ip, sizeof ip);
-      snprintf (context->caller_address, sizeof context->caller_address, "%s:%u", ip,
-                ntohs (v4->sin_port));
-      return;
-    }
-  inet_ntop (AF_INET6, &v6->sin6_addr, ip, sizeof ip);
-  snprintf (context->caller_address, sizeof context->caller_address, "[%s]:%u", ip,
-            ntohs (v6->sin6_port));
+  inet_ntop (AF_INET, &bound.sin_addr, ip, sizeof ip);
+  snprintf (context->caller_address, sizeof context->caller_address, "%s:%u", ip,
+            ntohs (bound.sin_port));
 }
 
 /* Listens at the settings' caller address; context->caller_address holds the real one afterwards.
--- a/packages/node/src/ln-settings.c
+++ b/packages/node/src/ln-settings.c
@@ -43,11 +43,10 @@
 static const char *const platform_kinds[] = { "memory", "http", NULL };
 static const char *const log_levels[] = { "debug", "info", "warning", "error", "off", NULL };
 
-static const LbSettingSpec instance_specs[] = { TEXT ("name", instance.name),
-                                                TEXT ("data_centre", instance.data_centre),
-                                                TEXT ("caller_address", instance.caller_address),
-                                                TEXT ("peer_address", instance.peer_address),
-                                                END };
+static const LbSettingSpec instance_specs[]
+    = { TEXT ("name", instance.name), TEXT ("data_centre", instance.data_centre),
+        TEXT ("caller_address", instance.caller_address),
+        TEXT ("peer_address", instance.peer_address), END };
 
 static const LbSettingSpec platform_specs[]
     = { CHOICE ("kind", platform.kind, platform_kinds), TEXT ("address", platform.address),
@@ -168,7 +167,8 @@
     if (!is_address (settings->cluster.seeds[i]))
       return fail (error, path, "cluster.seeds", address);
   if (settings->cluster.n_seeds > 0 && settings->cluster.key[0] == '\0')
-    return fail (error, path, "cluster.key", "expected a shared key, since cluster.seeds are given");
+    return fail (error, path, "cluster.key",
+                 "expected a shared key, since cluster.seeds are given");
   return true;
 }
 
@@ -180,8 +180,8 @@
 
   if (!object)
     return false;
-  bool ok = lb_settings_apply (object, specs, settings, path, error)
-            && check (settings, path, error);
+  bool ok
+      = lb_settings_apply (object, specs, settings, path, error) && check (settings, path, error);
   json_object_put (object);
   return ok;
 }
--- a/packages/node/src/ln-upstream.c
+++ b/packages/node/src/ln-upstream.c
@@ -28,9 +28,9 @@
   LhSse sse;
   struct evbuffer *body; /* a service's reply, or what an engine said beside its stream */
   int status;
-  bool end_marker;   /* [DONE] has come */
-  bool garbled;      /* what came is not this attempt's answer; nothing more is taken from it */
-  bool in_feed;      /* a cancel now only marks, since the event reader is still at work */
+  bool end_marker; /* [DONE] has come */
+  bool garbled;    /* what came is not this attempt's answer; nothing more is taken from it */
+  bool in_feed;    /* a cancel now only marks, since the event reader is still at work */
   bool is_cancelled;
 };
 
@@ -243,8 +243,8 @@
                    LbError *error)
 {
   LnUpstream *upstream = LB_NEW (LnUpstream);
-  const LhHandlers fetch_handlers = { .on_piece = spec->stream_id ? on_piece : NULL,
-                                      .on_done = on_done };
+  const LhHandlers fetch_handlers
+      = { .on_piece = spec->stream_id ? on_piece : NULL, .on_done = on_done };
   const LhRequest request = { .method = spec->method,
                               .address = spec->address,
                               .path = spec->path,
