--- a/packages/http/src/lh-fetch.c
+++ b/packages/http/src/lh-fetch.c
@@ -9,6 +9,7 @@
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -33,20 +34,23 @@
 {
   struct event_base *base;
   struct event *reaper;
+  struct event *closer;
   LbList idle;
   LbList closing; /* freed outside of evhttp's own callbacks */
   LbList fetches;
+  LbList failed; /* fetches that ended inside lh_fetch_start */
 };
 
 struct LhFetch
 {
-  LbLink link; /* in LhPool.fetches */
+  LbLink link; /* in LhPool.fetches, or in LhPool.failed */
   LhPool *pool;
   Connection *connection;
   struct evhttp_request *request;
   LhHandlers handlers;
   void *user;
   bool bytes_handed;
+  bool starting;
   LbErrorCode failure;
 };
 
@@ -104,6 +108,30 @@
     connection_free (LB_CONTAINER (link, Connection, link));
 }
 
+static void
+report_failed (LhPool *pool)
+{
+  LbLink *link;
+
+  while ((link = lb_list_pop (&pool->failed)))
+    {
+      LhFetch *fetch = LB_CONTAINER (link, LhFetch, link);
+      const LhResult result = { .failure = LB_ERROR_IO };
+      fetch->handlers.on_done (fetch, &result, fetch->user);
+      free (fetch);
+    }
+}
+
+static void
+close_now (evutil_socket_t fd, short what, void *user)
+{
+  (void)fd;
+  (void)what;
+
+  free_closing (user);
+  report_failed (user);
+}
+
 static void
 reap (evutil_socket_t fd, short what, void *user)
 {
@@ -134,6 +162,8 @@
   lb_list_init (&pool->idle);
   lb_list_init (&pool->closing);
   lb_list_init (&pool->fetches);
+  lb_list_init (&pool->failed);
+  pool->closer = event_new (base, -1, 0, close_now, pool);
   pool->reaper = event_new (base, -1, EV_PERSIST, reap, pool);
   event_add (pool->reaper, &period);
   return pool;
@@ -149,10 +179,13 @@
     return;
   while (!lb_list_is_empty (&pool->fetches))
     lh_fetch_cancel (LB_CONTAINER (pool->fetches.head.next, LhFetch, link));
+  while ((link = lb_list_pop (&pool->failed)))
+    free (LB_CONTAINER (link, LhFetch, link));
   while ((link = lb_list_pop (&pool->idle)))
     connection_free (LB_CONTAINER (link, Connection, link));
   free_closing (pool);
   event_free (pool->reaper);
+  event_free (pool->closer);
   free (pool);
 }
 
@@ -160,10 +193,9 @@
 close_later (Connection *connection)
 {
   LhPool *pool = connection->pool;
-  const struct timeval at_once = { 0 };
 
   lb_list_append (&pool->closing, &connection->link);
-  event_base_once (pool->base, -1, EV_TIMEOUT, reap, pool, &at_once);
+  event_active (pool->closer, EV_TIMEOUT, 0);
 }
 
 void
@@ -226,7 +258,6 @@
   LB_COPY (connection->address, address);
   connection->evcon
       = evhttp_connection_base_bufferevent_new (pool->base, NULL, NULL, host, (uint16_t)port);
-  evhttp_connection_set_max_body_size (connection->evcon, MAX_BODY_BYTES);
   evhttp_connection_set_max_headers_size (connection->evcon, MAX_HEADER_BYTES);
   evhttp_connection_set_closecb (connection->evcon, on_connection_closed, connection);
   return connection;
@@ -291,6 +322,21 @@
   return !value || strcasecmp (value, "close") != 0;
 }
 
+/* evhttp calls back from inside evhttp_make_request when it can't even open a socket, all file
+ * descriptors being used for example. The starter does not know the fetch yet, so it hears of it
+ * from the event loop. */
+static void
+fail_start (LhFetch *fetch)
+{
+  watch_output (fetch, false);
+  close_later (fetch->connection);
+  fetch->connection = NULL;
+  fetch->request = NULL;
+  lb_list_remove (&fetch->pool->fetches, &fetch->link);
+  lb_list_append (&fetch->pool->failed, &fetch->link);
+  event_active (fetch->pool->closer, EV_TIMEOUT, 0);
+}
+
 static void
 finish (LhFetch *fetch, struct evhttp_request *request)
 {
@@ -317,7 +363,12 @@
 static void
 on_request_done (struct evhttp_request *request, void *user)
 {
-  finish (user, request);
+  LhFetch *fetch = user;
+
+  if (fetch->starting)
+    fetch->failure = LB_ERROR_IO;
+  else
+    finish (fetch, request);
 }
 
 static void
@@ -364,12 +415,17 @@
 add_headers (struct evhttp_request *request, const LhRequest *wanted)
 {
   struct evkeyvalq *headers = evhttp_request_get_output_headers (request);
+  char length[32];
 
   evhttp_add_header (headers, "Host", wanted->address);
   for (size_t i = 0; i < wanted->n_headers; i++)
     evhttp_add_header (headers, wanted->headers[i].name, wanted->headers[i].value);
-  if (wanted->body_length > 0)
-    evbuffer_add (evhttp_request_get_output_buffer (request), wanted->body, wanted->body_length);
+  if (wanted->body_length == 0)
+    return;
+  /* evhttp adds the length itself only for the methods that usually have a body. */
+  snprintf (length, sizeof length, "%zu", wanted->body_length);
+  evhttp_add_header (headers, "Content-Length", length);
+  evbuffer_add (evhttp_request_get_output_buffer (request), wanted->body, wanted->body_length);
 }
 
 /* Starts an exchange; NULL and a typed error only when the request itself is malformed. All else,
@@ -403,13 +459,25 @@
     evhttp_request_set_chunked_cb (fetch->request, on_chunk);
   add_headers (fetch->request, wanted);
   watch_output (fetch, true);
-  evhttp_make_request (connection->evcon, fetch->request, method, wanted->path);
+  evhttp_connection_set_max_body_size (connection->evcon, handlers->on_piece ? -1 : MAX_BODY_BYTES);
+  fetch->starting = true;
+  if (evhttp_make_request (connection->evcon, fetch->request, method, wanted->path) != 0)
+    fetch->failure = LB_ERROR_IO;
+  fetch->starting = false;
+  if (fetch->failure != LB_OK)
+    fail_start (fetch);
   return fetch;
 }
 
 void
 lh_fetch_cancel (LhFetch *fetch)
 {
+  if (!fetch->connection)
+    {
+      lb_list_remove (&fetch->pool->failed, &fetch->link);
+      free (fetch);
+      return;
+    }
   watch_output (fetch, false);
   lb_list_remove (&fetch->pool->fetches, &fetch->link);
   /* Freeing the connection frees its request; a half-read stream can't be reused anyway. */
--- a/packages/http/src/lh-sse.c
+++ b/packages/http/src/lh-sse.c
@@ -58,6 +58,8 @@
 {
   size_t start = 0;
 
+  if (length == 0)
+    return true;
   append (sse, bytes, length);
   for (;;)
     {
