Rollout actions name the slot that they generate

GENERATE and SCORE therefore carry the group and the index (compatible: two more members). They also serve the daemon's log line of a placement.

--- a/packages/core/include/lc-rollouts.h
+++ b/packages/core/include/lc-rollouts.h
@@ -63,6 +63,8 @@
   LcRolloutActionType type;
   /* GENERATE, SCORE, ABANDON */
   LcRequestSpec spec; /* spec.id names the request */
+  const char *group;  /* owned by the step; valid until the next command */
+  int64_t index;      /* of the sample in its group; the same for hedges and repeats of one slot */
   const char *prompt; /* owned by the step; valid until the next command */
   int64_t max_tokens;
   char *resume_text; /* owned by the action; NULL: from the start */
