--- /dev/null
+++ b/packages/sim/include/lx-callers.h
@@ -0,0 +1,53 @@
+#ifndef LX_CALLERS_H
+#define LX_CALLERS_H
+
+#include "lx-text.h"
+
+#include "lc-dispatch.h"
+
+#include <gsl/gsl_rng.h>
+
+struct LxWorld;
+
+/* A live call as its caller sees it. */
+typedef struct LxCall
+{
+  LbLink link;
+  uint64_t job;
+  LcRequestKind kind;
+  LbTime asked;
+  LbTime first_piece; /* 0: none yet */
+  int64_t length;
+  LxText text;
+} LxCall;
+
+/* Live callers: calls at random moments, with prompts that share prefixes by families. */
+typedef struct
+{
+  struct LxWorld *world;
+  gsl_rng *random;
+  LbList open;
+  uint64_t n_calls;
+  int64_t answered;
+  int64_t refused;
+  int64_t failed; /* an honest error that may have run */
+  /* milliseconds, one per answered model call */
+  double *latencies;
+  size_t n_latencies;
+  double *first_pieces;
+  size_t n_first_pieces;
+} LxCallers;
+
+void lx_callers_init (LxCallers *callers, struct LxWorld *world);
+void lx_callers_clear (LxCallers *callers);
+
+/* commands */
+void lx_callers_start (LxCallers *callers);
+void lx_callers_piece (LxCallers *callers, LxCall *call, uint64_t stream, const LcPiece *piece);
+void lx_callers_finish (LxCallers *callers, LxCall *call, LbErrorCode error);
+
+/* queries */
+/* The share-th smallest latency in milliseconds, 0 without calls. Sorts the latencies. */
+double lx_callers_percentile (LxCallers *callers, double share);
+
+#endif
--- /dev/null
+++ b/packages/sim/include/lx-ledger.h
@@ -0,0 +1,91 @@
+#ifndef LX_LEDGER_H
+#define LX_LEDGER_H
+
+#include "lx-text.h"
+
+#include "lc-types.h"
+
+/* What the harness saw from outside of core: what engines really made and ran, held against what
+ * callers and trainers were told. Core can't make these counts zero by itself. */
+
+typedef enum
+{
+  LX_LOST,              /* a step said to be done lacks a sample */
+  LX_DOUBLED,           /* a trainer got a slot twice */
+  LX_STALE,             /* older than the bound at delivery, by the engines' own record */
+  LX_MISLABELLED,       /* the label differs from the engines' record */
+  LX_NOT_WHOLE,         /* an answer said to be whole lacks tokens or mixes generations */
+  LX_RAN_AFTER_NOT_RUN, /* told "not run", but an endpoint started it */
+  LX_RAN_TWICE,         /* a request that may not be repeated started twice */
+  LX_SENT_TO_LEAVING,   /* new work for a leaving endpoint after the bound */
+  LX_CUT_BY_DRAIN,      /* a graceful shutdown cut a request in progress */
+  LX_REVERTED,          /* an older configuration in force after a newer one */
+  LX_STUCK,             /* no answer at all within the harness's patience */
+  LX_CORE_INVARIANT,    /* core's own counter of broken invariants moved */
+  LX_N_BREACHES
+} LxBreach;
+
+/* One thing asked of the system: a call, or one generation of a sample. */
+typedef struct
+{
+  LcRequestKind kind;
+  bool repeatable;
+  bool not_run; /* the asker was told that it did not run */
+  int64_t runs; /* how often an endpoint started it */
+  int64_t length;
+  uint64_t step; /* sample: the harness's number of the step */
+} LxJob;
+
+#define LX_TRUTH_SPANS 12
+
+/* What an engine stream really was made by. */
+typedef struct
+{
+  uint64_t job;
+  LcSpan spans[LX_TRUTH_SPANS];
+  size_t n_spans;
+} LxTruth;
+
+typedef struct
+{
+  int64_t generated;
+  int64_t delivered;
+  bool done;
+} LxStepTokens;
+
+typedef struct
+{
+  int64_t breaches[LX_N_BREACHES];
+  char first[256]; /* the first breach in words */
+  uint64_t first_event;
+  LxJob *jobs;
+  size_t n_jobs;
+  LxTruth *truths;
+  size_t n_truths;
+  LxStepTokens *steps;
+  size_t n_steps;
+} LxLedger;
+
+void lx_ledger_init (LxLedger *ledger);
+void lx_ledger_clear (LxLedger *ledger);
+
+/* commands; numbers of jobs and streams start at 1, those of steps are the caller's */
+void lx_ledger_breach (
+    LxLedger *ledger, LxBreach breach, LbTime now, uint64_t event, const char *format, ...)
+    __attribute__ ((format (printf, 5, 6)));
+uint64_t lx_ledger_add_job (LxLedger *ledger, const LxJob *job);
+uint64_t lx_ledger_add_stream (LxLedger *ledger, uint64_t job);
+void lx_ledger_made (
+    LxLedger *ledger, uint64_t stream, int64_t offset, int64_t tokens, LcVersion version);
+
+LxStepTokens *lx_ledger_step (LxLedger *ledger, uint64_t step);
+
+/* queries */
+LxJob *lx_ledger_job (LxLedger *ledger, uint64_t job);
+int64_t lx_ledger_total (const LxLedger *ledger);
+const char *lx_breach_name (LxBreach breach);
+/* The label that a text must have by the engines' record. */
+void lx_ledger_label (const LxLedger *ledger, const LxText *text, LcLabel *label);
+double lx_ledger_wasted_ratio (const LxLedger *ledger);
+
+#endif
--- /dev/null
+++ b/packages/sim/include/lx-options.h
@@ -0,0 +1,38 @@
+#ifndef LX_OPTIONS_H
+#define LX_OPTIONS_H
+
+#include "lx-site.h"
+
+#include "lc-rollouts.h"
+
+/* What a run is made of. Everything that happens in it follows from these values. */
+typedef struct
+{
+  const LxSite *site;
+  uint64_t seed;
+  LbName policy; /* of the router */
+  LcRolloutSettings rollouts;
+  int64_t n_engines; /* 0: as at the site */
+  LbTime duration;
+  uint64_t max_events; /* 0: no limit */
+  size_t n_trainers;
+  int64_t groups;
+  int64_t samples;
+  LbTime train; /* training on one step */
+  LbTime version_every;
+  double calls_per_second;
+  double service_calls_per_second;
+  double hedge_budget;
+  double idle_weight; /* below 0: as the site's preset says */
+  LbTime hedge_after;
+  bool faults;
+} LxOptions;
+
+void lx_options_init (LxOptions *options, const LxSite *site, uint64_t seed);
+/* "lentilspindle", a router's name, or a router's name + one or more mechanisms: "random+hedging".
+ * False when a part is unknown. */
+bool lx_options_set_policy (LxOptions *options, const char *policy);
+
+const char *const *lx_mechanism_names (void);
+
+#endif
--- /dev/null
+++ b/packages/sim/include/lx-trainer.h
@@ -0,0 +1,79 @@
+#ifndef LX_TRAINER_H
+#define LX_TRAINER_H
+
+#include "lx-options.h"
+
+#include "lc-rollouts.h"
+
+struct LxWorld;
+
+/* A trainer that works one step ahead: while it trains on step k, the samples of step k + 1 are
+ * made. It is idle from the end of its training until the last sample of the next step is there. */
+typedef struct
+{
+  struct LxWorld *world;
+  size_t index;
+  LbName name;
+  size_t owner; /* instance that owns the step */
+  uint64_t session;
+  int64_t step;
+  bool opened;
+  LbTime train_until;
+  /* the pull in progress */
+  uint64_t pull; /* 0: none */
+  uint64_t n_pulls;
+  LcVersion pull_version;
+  LbTime pulled_at;
+  char *cursor;
+  /* what it has of the step */
+  uint8_t *got;
+  int64_t n_got;
+  LbTime opened_at;
+  LbTime last_sample_at;
+  /* measures, without the first step */
+  int64_t steps;
+  LbTime idle;
+  int64_t samples;
+  int64_t staleness_sum;
+  int64_t staleness_max;
+} LxTrainer;
+
+/* A chunk on its way to the trainer; owned by whoever holds it. */
+typedef struct
+{
+  char *group;
+  int64_t index;
+  char *text;
+  LcLabel label;
+} LxChunkSample;
+
+typedef struct
+{
+  size_t trainer;
+  uint64_t pull;
+  int64_t step;
+  LbError error;
+  LbTime retry_after;
+  LxChunkSample *samples;
+  size_t n_samples;
+  char *cursor;
+  int64_t remaining;
+} LxChunk;
+
+void lx_trainer_init (LxTrainer *trainer, struct LxWorld *world, size_t index);
+void lx_trainer_clear (LxTrainer *trainer);
+
+LxChunk *lx_chunk_new (const LcRolloutAction *action);
+void lx_chunk_free (void *chunk);
+
+/* commands */
+void lx_trainer_start (LxTrainer *trainer);
+void lx_trainer_receive (LxTrainer *trainer, LxChunk *chunk);
+/* A new owner of its step, of a larger session. */
+void lx_trainer_move (LxTrainer *trainer, size_t owner);
+
+/* queries */
+int64_t
+lx_sample_length (uint64_t seed, size_t trainer, int64_t step, int64_t group, int64_t index);
+
+#endif
--- /dev/null
+++ b/packages/sim/include/lx-world.h
@@ -0,0 +1,59 @@
+#ifndef LX_WORLD_H
+#define LX_WORLD_H
+
+#include "lx-callers.h"
+#include "lx-instance.h"
+#include "lx-ledger.h"
+#include "lx-options.h"
+#include "lx-swaps.h"
+#include "lx-trainer.h"
+
+#include <gsl/gsl_rng.h>
+
+#define LX_HISTORY 24
+
+/* A run: the instances' decisions among fakes of all that surrounds them, in virtual time. */
+typedef struct LxWorld
+{
+  LxOptions options;
+  LxQueue *queue;
+  gsl_rng *random; /* for the harness alone */
+  LxLedger ledger;
+  LcResourceSet *resources;
+  LxEngine **engines; /* model engines first, then plain services */
+  size_t n_engines;
+  size_t n_endpoints;
+  LxInstance *instances;
+  size_t n_instances;
+  LxTrainer *trainers;
+  LxCallers callers;
+  LxSwaps swaps;
+  int64_t decisions;
+  char history[LX_HISTORY][128]; /* the last decisions, for a failing run */
+  uint64_t n_history;
+} LxWorld;
+
+LxWorld *lx_world_new (const LxOptions *options);
+void lx_world_free (LxWorld *world);
+
+/* commands */
+void lx_world_run (LxWorld *world);
+void lx_world_note (LxWorld *world, const char *format, ...)
+    __attribute__ ((format (printf, 2, 3)));
+/* Handler after a delay; see lx_queue_add. */
+void lx_world_after (LxWorld *world,
+                     LbTime delay,
+                     LxHandler handler,
+                     void *owner,
+                     void *argument,
+                     void (*drop) (void *argument));
+
+/* queries */
+LbTime lx_world_now (const LxWorld *world);
+uint64_t lx_world_event (const LxWorld *world);
+LbTime lx_world_latency (const LxWorld *world, size_t data_centre, size_t other);
+LxEngine *lx_world_engine (LxWorld *world, const char *name);
+LxInstance *lx_world_live_instance (LxWorld *world, size_t preferred);
+size_t lx_world_data_centre (const LxWorld *world, const char *name);
+
+#endif
--- /dev/null
+++ b/packages/sim/src/lx-instance.c
@@ -0,0 +1,840 @@
+#include "lx-instance.h"
+
+#include "lx-world.h"
+
+#include "lb-alloc.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* A store write of the instance: table latency, both ways. */
+#define STORE_TIME (5 * LB_MSEC)
+/* New work may still reach an endpoint for so long after it began to leave. */
+#define LEAVING_BOUND (3 * LB_SEC)
+
+typedef struct
+{
+  LxInstance *instance;
+  uint32_t life;
+  LxInstanceHandler handler;
+  void *argument;
+  void (*drop) (void *argument);
+} Post;
+
+/* A request on its way to an endpoint. */
+typedef struct
+{
+  LxInstance *instance;
+  LxEngine *engine;
+  LxStreamSpec stream;
+} Sending;
+
+typedef struct
+{
+  LxEngine *engine;
+  uint64_t stream;
+} Closing;
+
+static void pump (LxInstance *instance);
+
+static void
+free_request (LxInstance *instance, LxRequest *request)
+{
+  HASH_DEL (instance->requests, request);
+  for (size_t i = 0; i < request->n_attempts; i++)
+    lx_text_clear (&request->attempts[i].text);
+  free (request->attempts);
+  lx_text_clear (&request->text);
+  free (request);
+}
+
+static void
+drop_post (void *argument)
+{
+  Post *post = argument;
+
+  if (post->drop)
+    post->drop (post->argument);
+  free (post);
+}
+
+static void
+on_post (void *owner, void *argument)
+{
+  LxInstance *instance = owner;
+  Post *post = argument;
+  bool lost = !instance->alive || post->life != instance->life;
+
+  if (!lost && instance->paused_until > lx_world_now (instance->world))
+    {
+      lx_queue_add (instance->world->queue, instance->paused_until, on_post, instance, post,
+                    drop_post);
+      return;
+    }
+  if (!lost)
+    post->handler (instance, post->argument);
+  drop_post (post);
+}
+
+void
+lx_instance_post (LxInstance *instance,
+                  LbTime delay,
+                  LxInstanceHandler handler,
+                  void *argument,
+                  void (*drop) (void *argument))
+{
+  Post *post = LB_NEW (Post);
+
+  *post = (Post){ .instance = instance,
+                  .life = instance->life,
+                  .handler = handler,
+                  .argument = argument,
+                  .drop = drop };
+  lx_world_after (instance->world, delay, on_post, instance, post, drop_post);
+}
+
+void
+lx_instance_init (LxInstance *instance, LxWorld *world, size_t index)
+{
+  memset (instance, 0, sizeof *instance);
+  instance->world = world;
+  instance->index = index;
+  instance->data_centre = index % world->options.site->n_data_centres;
+  snprintf (instance->name, sizeof instance->name, "i%zu", index + 1);
+  instance->cache_cursors = LB_NEW_ARRAY (uint64_t, world->n_endpoints);
+  lb_list_init (&instance->actions);
+  lb_list_init (&instance->rollout_actions);
+}
+
+static void
+drop_actions (LxInstance *instance)
+{
+  while (!lb_list_is_empty (&instance->actions))
+    lc_action_free (LB_CONTAINER (lb_list_pop (&instance->actions), LcAction, link));
+  while (!lb_list_is_empty (&instance->rollout_actions))
+    lc_rollout_action_free (
+        LB_CONTAINER (lb_list_pop (&instance->rollout_actions), LcRolloutAction, link));
+}
+
+static void
+stop_process (LxInstance *instance)
+{
+  LxRequest *request, *next;
+
+  drop_actions (instance);
+  HASH_ITER (hh, instance->requests, request, next)
+  {
+    free_request (instance, request);
+  }
+  lc_rollouts_free (instance->rollouts);
+  lc_dispatch_free (instance->dispatch);
+  instance->rollouts = NULL;
+  instance->dispatch = NULL;
+  instance->alive = false;
+}
+
+void
+lx_instance_clear (LxInstance *instance)
+{
+  if (instance->alive)
+    stop_process (instance);
+  free (instance->cache_cursors);
+}
+
+static LcRequestId
+next_request (void *user)
+{
+  LxInstance *instance = user;
+
+  return ++instance->last_request;
+}
+
+static void on_poll (LxInstance *instance, void *argument);
+
+/* A new process of the instance, with the configuration in force. */
+void
+lx_instance_start (LxInstance *instance)
+{
+  const LxOptions *options = &instance->world->options;
+  LcRolloutSettings rollouts = options->rollouts;
+  LcDispatchSettings dispatch = { .queue_limit = 4096,
+                                  .default_deadline = LB_TIME_NEVER,
+                                  .retry_budget = 0.2,
+                                  .hedge_after = options->hedge_after,
+                                  .seed = options->seed * 1000 + instance->index };
+
+  instance->life++;
+  instance->alive = true;
+  instance->draining = false;
+  instance->paused_until = 0;
+  instance->tick_at = LB_TIME_NEVER;
+  LB_COPY (dispatch.data_centre, options->site->data_centres[instance->data_centre]);
+  LB_COPY (dispatch.policy, options->policy);
+  LB_COPY (rollouts.instance, instance->name);
+  rollouts.seed = dispatch.seed;
+  instance->dispatch = lc_dispatch_new (&dispatch);
+  instance->rollouts = lc_rollouts_new (&rollouts);
+  lc_rollouts_set_id_source (instance->rollouts, next_request, instance);
+  memset (instance->cache_cursors, 0, instance->world->n_endpoints * sizeof (uint64_t));
+  lx_instance_configure (instance, instance->world->resources);
+  lx_instance_post (instance, (LbTime)instance->index * 37 * LB_MSEC, on_poll, NULL, NULL);
+}
+
+static void
+on_close (void *owner, void *argument)
+{
+  Closing *closing = argument;
+
+  (void)owner;
+  lx_engine_cancel (closing->engine, closing->stream);
+  free (closing);
+}
+
+/* Closes the connection; the endpoint notices one way later. */
+static void
+close_attempt (LxInstance *instance, LxAttempt *attempt)
+{
+  Closing *closing = LB_NEW (Closing);
+
+  attempt->open = false;
+  *closing = (Closing){ .engine = attempt->engine, .stream = attempt->stream };
+  lx_world_after (instance->world,
+                  lx_world_latency (instance->world, instance->data_centre,
+                                    attempt->engine->data_centre),
+                  on_close, NULL, closing, free);
+}
+
+static void
+close_request (LxInstance *instance, LxRequest *request)
+{
+  for (size_t i = 0; i < request->n_attempts; i++)
+    if (request->attempts[i].open)
+      close_attempt (instance, &request->attempts[i]);
+}
+
+void
+lx_instance_kill (LxInstance *instance)
+{
+  LxRequest *request, *next;
+
+  HASH_ITER (hh, instance->requests, request, next)
+  {
+    close_request (instance, request);
+    if (request->call)
+      lx_callers_finish (&instance->world->callers, request->call, LB_ERROR_STREAM_BROKEN);
+  }
+  stop_process (instance);
+}
+
+static LbTime
+now_of (const LxInstance *instance)
+{
+  return lx_world_now (instance->world);
+}
+
+static LxRequest *
+find_request (LxInstance *instance, LcRequestId id)
+{
+  LxRequest *request;
+
+  HASH_FIND (hh, instance->requests, &id, sizeof id, request);
+  return request;
+}
+
+static LxAttempt *
+find_attempt (LxRequest *request, uint32_t number)
+{
+  for (size_t i = 0; i < request->n_attempts; i++)
+    if (request->attempts[i].number == number)
+      return &request->attempts[i];
+  return NULL;
+}
+
+static void on_delivery (LxInstance *instance, void *argument);
+
+static void
+send_delivery (LxInstance *instance,
+               const LxEngine *engine,
+               const LxStreamSpec *stream,
+               const LxDelivery *delivery,
+               LbTime delay)
+{
+  LxDelivery *copy;
+  LbTime way = lx_world_latency (instance->world, instance->data_centre, engine->data_centre);
+
+  if (stream->instance_life != instance->life || !instance->alive)
+    return;
+  copy = lb_memdup (delivery, sizeof *delivery);
+  copy->request = stream->request;
+  copy->attempt = stream->attempt;
+  lx_instance_post (instance, way + delay, on_delivery, copy, free);
+}
+
+void
+lx_instance_send_piece (LxInstance *instance,
+                        const LxEngine *engine,
+                        const LxStreamSpec *stream,
+                        const LcPiece *piece)
+{
+  send_delivery (instance, engine, stream, &(LxDelivery){ .piece = *piece }, 0);
+}
+
+void
+lx_instance_send_end (LxInstance *instance,
+                      const LxEngine *engine,
+                      const LxStreamSpec *stream,
+                      LcAttemptEnd end,
+                      LbTime delay)
+{
+  send_delivery (instance, engine, stream, &(LxDelivery){ .is_end = true, .end = end }, delay);
+}
+
+static void
+check_start (LxWorld *world, const LxStreamSpec *stream)
+{
+  LxJob *job = lx_ledger_job (&world->ledger, stream->job);
+
+  job->runs++;
+  if (job->not_run)
+    lx_ledger_breach (&world->ledger, LX_RAN_AFTER_NOT_RUN, lx_world_now (world),
+                      lx_world_event (world), "job %" PRIu64 " started late", stream->job);
+  if (!job->repeatable && job->runs > 1)
+    lx_ledger_breach (&world->ledger, LX_RAN_TWICE, lx_world_now (world), lx_world_event (world),
+                      "job %" PRIu64 " started %" PRId64 " times", stream->job, job->runs);
+}
+
+static void
+on_arrival (void *owner, void *argument)
+{
+  Sending *sending = argument;
+  LxInstance *instance = sending->instance;
+  LxEngine *engine = sending->engine;
+
+  (void)owner;
+  if (sending->stream.instance_life != instance->life || !instance->alive)
+    goto out;
+  if (!engine->alive)
+    {
+      lx_instance_send_end (instance, engine, &sending->stream, LC_END_NOT_HANDED, 0);
+      goto out;
+    }
+  if (!lx_engine_submit (engine, &sending->stream))
+    {
+      lx_instance_send_end (instance, engine, &sending->stream,
+                            engine->leaving ? LC_END_REFUSED_LEAVING : LC_END_REFUSED, 0);
+      goto out;
+    }
+  check_start (instance->world, &sending->stream);
+out:
+  free (sending);
+}
+
+/* A resumed attempt goes on from what an earlier one of the request has sent. */
+static void
+take_over_text (LxRequest *request, LxAttempt *attempt, int64_t tokens)
+{
+  for (size_t i = request->n_attempts; i > 0 && tokens > 0; i--)
+    {
+      const LxText *text = &request->attempts[i - 1].text;
+      if (lx_text_tokens (text) < tokens)
+        continue;
+      lx_text_copy (&attempt->text, text);
+      lx_text_cut (&attempt->text, tokens);
+      return;
+    }
+}
+
+static LxAttempt *
+add_attempt (LxInstance *instance, LxRequest *request, const LcAction *action, LxEngine *engine)
+{
+  LxAttempt attempt = { .number = action->attempt, .engine = engine, .open = true };
+
+  attempt.stream = lx_ledger_add_stream (&instance->world->ledger, request->job);
+  take_over_text (request, &attempt, action->resume_at - request->spec.resume_at);
+  request->attempts
+      = lb_realloc (request->attempts, (request->n_attempts + 1) * sizeof (LxAttempt));
+  request->attempts[request->n_attempts] = attempt;
+  return &request->attempts[request->n_attempts++];
+}
+
+static void
+fill_stream (LxInstance *instance,
+             const LxRequest *request,
+             const LxAttempt *attempt,
+             int64_t offset,
+             LxStreamSpec *stream)
+{
+  const LcRequestSpec *spec = &request->spec;
+
+  *stream = (LxStreamSpec){ .id = attempt->stream,
+                            .instance = instance->index,
+                            .instance_life = instance->life,
+                            .request = request->id,
+                            .attempt = attempt->number,
+                            .kind = spec->kind,
+                            .priority = spec->priority,
+                            .prompt_tokens = spec->prompt_tokens,
+                            .n_prefix_hashes = spec->n_prefix_hashes,
+                            .offset = offset,
+                            .job = request->job };
+  stream->length = lx_ledger_job (&instance->world->ledger, request->job)->length;
+  memcpy (stream->prefix_hashes, spec->prefix_hashes, sizeof stream->prefix_hashes);
+}
+
+static void
+send_attempt (LxInstance *instance, const LcAction *action)
+{
+  LxWorld *world = instance->world;
+  LxRequest *request = find_request (instance, action->request);
+  LxEngine *engine = lx_world_engine (world, action->endpoint);
+
+  world->decisions++;
+  lx_world_note (world, "%s sends request %" PRIu64 " attempt %" PRIu32 " to %.20s from %" PRId64,
+                 instance->name, action->request, action->attempt, action->endpoint,
+                 action->resume_at);
+  if (!request || !engine)
+    return;
+  if (engine->leaving && engine->leaving_since + LEAVING_BOUND < now_of (instance))
+    lx_ledger_breach (&world->ledger, LX_SENT_TO_LEAVING, now_of (instance), lx_world_event (world),
+                      "%s by %s", engine->name, instance->name);
+
+  Sending *sending = LB_NEW (Sending);
+  const LxAttempt *attempt = add_attempt (instance, request, action, engine);
+  sending->instance = instance;
+  sending->engine = engine;
+  fill_stream (instance, request, attempt, action->resume_at, &sending->stream);
+  lx_world_after (world, lx_world_latency (world, instance->data_centre, engine->data_centre),
+                  on_arrival, NULL, sending, free);
+}
+
+/* "Not run" is a proof: nothing may have started, and nothing may start later. */
+static void
+check_not_run (LxInstance *instance, uint64_t number, LbErrorCode error)
+{
+  LxWorld *world = instance->world;
+  LxJob *job = lx_ledger_job (&world->ledger, number);
+
+  if (!lb_error_is_not_run (error))
+    return;
+  job->not_run = true;
+  if (job->runs > 0)
+    lx_ledger_breach (&world->ledger, LX_RAN_AFTER_NOT_RUN, now_of (instance),
+                      lx_world_event (world), "job %" PRIu64 " had run when %s answered %s", number,
+                      instance->name, lb_error_name (error));
+}
+
+static void
+finish_request (LxInstance *instance, const LcAction *action)
+{
+  LxRequest *request = find_request (instance, action->request);
+
+  if (!request)
+    return;
+  lx_world_note (instance->world, "%s finishes request %" PRIu64 ": %s", instance->name,
+                 action->request, lb_error_name (action->error));
+  close_request (instance, request);
+  check_not_run (instance, request->job, action->error);
+  if (request->call)
+    {
+      lx_callers_finish (&instance->world->callers, request->call, action->error);
+    }
+  else
+    {
+      if (action->error != LB_OK && request->n_attempts > 0)
+        lx_text_copy (&request->text, &request->attempts[request->n_attempts - 1].text);
+      lc_rollouts_finished (instance->rollouts, request->id, action->error,
+                            lx_text_render (&request->text), now_of (instance),
+                            &instance->rollout_actions);
+    }
+  free_request (instance, request);
+}
+
+static void
+carry_out (LxInstance *instance, const LcAction *action)
+{
+  LxRequest *request = find_request (instance, action->request);
+  LxAttempt *attempt = request ? find_attempt (request, action->attempt) : NULL;
+
+  switch (action->type)
+    {
+    case LC_ACTION_SEND:
+      send_attempt (instance, action);
+      break;
+    case LC_ACTION_CANCEL:
+      if (attempt && attempt->open)
+        close_attempt (instance, attempt);
+      break;
+    case LC_ACTION_FINISH:
+      finish_request (instance, action);
+      break;
+    }
+}
+
+static bool
+submit (LxInstance *instance,
+        const LcRequestSpec *spec,
+        uint64_t job,
+        LxCall *call,
+        LbTime *retry_after,
+        LbError *error)
+{
+  LxRequest *request = LB_NEW (LxRequest);
+
+  request->id = spec->id;
+  request->spec = *spec;
+  request->job = job;
+  request->call = call;
+  HASH_ADD (hh, instance->requests, id, sizeof request->id, request);
+  if (lc_dispatch_submit (instance->dispatch, spec, now_of (instance), &instance->actions,
+                          retry_after, error))
+    return true;
+  check_not_run (instance, job, error->code);
+  free_request (instance, request);
+  return false;
+}
+
+/* Blocks of a sample's prompt: all samples of a group share them. */
+static void
+fill_prompt (LcRequestSpec *spec, const char *prompt)
+{
+  if (spec->prompt_tokens == 0)
+    spec->prompt_tokens = 512;
+  if (spec->n_prefix_hashes > 0)
+    return;
+  spec->n_prefix_hashes = 4;
+  for (size_t i = 0; i < 4; i++)
+    {
+      uint64_t hash = 14695981039346656037u + i;
+      for (const char *c = prompt; *c; c++)
+        hash = (hash ^ (uint8_t)*c) * 1099511628211u;
+      spec->prefix_hashes[i] = hash;
+    }
+}
+
+static uint64_t
+add_sample_job (LxInstance *instance, const LcRolloutAction *action)
+{
+  LxWorld *world = instance->world;
+  size_t trainer = 0;
+  int64_t step = 0;
+  int64_t group = 0;
+
+  if (sscanf (action->prompt, "t%zu/s%" SCNd64 "/g%" SCNd64, &trainer, &step, &group) != 3)
+    abort ();
+
+  LxJob job = { .kind = LC_KIND_SAMPLE, .repeatable = true };
+  job.step = (uint64_t)step * world->options.n_trainers + trainer;
+  job.length = lx_sample_length (world->options.seed, trainer, step, group, action->index);
+  return lx_ledger_add_job (&world->ledger, &job);
+}
+
+static void
+generate (LxInstance *instance, LcRolloutAction *action)
+{
+  LbTime retry_after = 0;
+  LbError error = { 0 };
+  LcRequestId id = action->spec.id;
+
+  fill_prompt (&action->spec, action->prompt);
+  if (submit (instance, &action->spec, add_sample_job (instance, action), NULL, &retry_after,
+              &error))
+    return;
+  lc_rollouts_finished (instance->rollouts, id, error.code, NULL, now_of (instance),
+                        &instance->rollout_actions);
+}
+
+static void
+abandon (LxInstance *instance, LcRequestId id)
+{
+  LxRequest *request = find_request (instance, id);
+
+  lc_dispatch_cancel (instance->dispatch, id, now_of (instance), &instance->actions);
+  if (!request)
+    return;
+  close_request (instance, request);
+  free_request (instance, request);
+}
+
+typedef struct
+{
+  uint64_t write;
+  LbErrorCode error;
+} StoreReply;
+
+static void
+on_store_reply (LxInstance *instance, void *argument)
+{
+  const StoreReply *reply = argument;
+
+  lc_rollouts_ledger_done (instance->rollouts, reply->write, reply->error, now_of (instance),
+                           &instance->rollout_actions);
+  pump (instance);
+}
+
+static void
+write_ledger (LxInstance *instance, const LcRolloutAction *action)
+{
+  StoreReply *reply = LB_NEW (StoreReply);
+
+  reply->write = action->write;
+  lx_instance_post (instance, STORE_TIME, on_store_reply, reply, free);
+}
+
+static void
+on_chunk (void *owner, void *argument)
+{
+  LxWorld *world = owner;
+  LxChunk *chunk = argument;
+
+  lx_trainer_receive (&world->trainers[chunk->trainer], chunk);
+}
+
+static void
+carry_out_rollout (LxInstance *instance, LcRolloutAction *action)
+{
+  switch (action->type)
+    {
+    case LC_ROLLOUT_GENERATE:
+      generate (instance, action);
+      break;
+    case LC_ROLLOUT_ABANDON:
+      abandon (instance, action->spec.id);
+      break;
+    case LC_ROLLOUT_LEDGER:
+      write_ledger (instance, action);
+      break;
+    case LC_ROLLOUT_REPLY:
+      lx_world_after (instance->world, instance->world->options.site->to_clients, on_chunk,
+                      instance->world, lx_chunk_new (action), lx_chunk_free);
+      break;
+    case LC_ROLLOUT_SCORE:
+      break;
+    }
+}
+
+static void
+on_tick (LxInstance *instance, void *argument)
+{
+  LbTime now = now_of (instance);
+
+  (void)argument;
+  if (now < instance->tick_at)
+    return;
+  instance->tick_at = LB_TIME_NEVER;
+  if (lc_dispatch_next_tick (instance->dispatch) <= now)
+    lc_dispatch_tick (instance->dispatch, now, &instance->actions);
+  if (lc_rollouts_next_tick (instance->rollouts) <= now)
+    lc_rollouts_tick (instance->rollouts, now, &instance->rollout_actions);
+  pump (instance);
+}
+
+static void
+plan_tick (LxInstance *instance)
+{
+  LbTime due = lc_dispatch_next_tick (instance->dispatch);
+  LbTime rollouts_due = lc_rollouts_next_tick (instance->rollouts);
+
+  due = rollouts_due < due ? rollouts_due : due;
+  if (due >= instance->tick_at)
+    return;
+  instance->tick_at = due;
+  lx_instance_post (instance, due - now_of (instance), on_tick, NULL, NULL);
+}
+
+static bool
+pump_one (LxInstance *instance)
+{
+  /* All actions of LcRollouts first: their prompts are valid only until its next command. */
+  if (!lb_list_is_empty (&instance->rollout_actions))
+    {
+      LcRolloutAction *action
+          = LB_CONTAINER (lb_list_pop (&instance->rollout_actions), LcRolloutAction, link);
+      carry_out_rollout (instance, action);
+      lc_rollout_action_free (action);
+      return true;
+    }
+  if (!lb_list_is_empty (&instance->actions))
+    {
+      LcAction *action = LB_CONTAINER (lb_list_pop (&instance->actions), LcAction, link);
+      carry_out (instance, action);
+      lc_action_free (action);
+      return true;
+    }
+  return false;
+}
+
+/* Carries out what the last command asked for, and what that leads to. */
+static void
+pump (LxInstance *instance)
+{
+  while (pump_one (instance))
+    continue;
+  plan_tick (instance);
+}
+
+void
+lx_instance_drain (LxInstance *instance)
+{
+  instance->draining = true;
+  lc_dispatch_drain (instance->dispatch, now_of (instance), &instance->actions);
+  lc_rollouts_drain (instance->rollouts, now_of (instance), &instance->rollout_actions);
+  pump (instance);
+}
+
+void
+lx_instance_configure (LxInstance *instance, const LcResourceSet *set)
+{
+  lc_dispatch_configure (instance->dispatch, set, now_of (instance), &instance->actions);
+  lc_rollouts_configure (instance->rollouts, set, now_of (instance), &instance->rollout_actions);
+  pump (instance);
+}
+
+bool
+lx_instance_call (
+    LxInstance *instance, LcRequestSpec *spec, uint64_t job, LxCall *call, LbError *error)
+{
+  LbTime retry_after = 0;
+
+  spec->id = next_request (instance);
+  bool taken = submit (instance, spec, job, call, &retry_after, error);
+  pump (instance);
+  return taken;
+}
+
+static void
+take_piece (LxInstance *instance, LxRequest *request, LxAttempt *attempt, const LcPiece *piece)
+{
+  LcPieceVerdict verdict = lc_dispatch_piece (instance->dispatch, request->id, attempt->number,
+                                              piece, now_of (instance), &instance->actions);
+
+  if (verdict != LC_PIECE_FORWARD)
+    return;
+  lx_text_append (&attempt->text, attempt->stream, piece->offset, piece->tokens);
+  if (request->call)
+    {
+      lx_callers_piece (&instance->world->callers, request->call, attempt->stream, piece);
+      return;
+    }
+  if (piece->last)
+    lx_text_copy (&request->text, &attempt->text);
+  lc_rollouts_piece (instance->rollouts, request->id, piece, attempt->engine->name,
+                     now_of (instance), &instance->rollout_actions);
+}
+
+static void
+on_delivery (LxInstance *instance, void *argument)
+{
+  const LxDelivery *delivery = argument;
+  LxRequest *request = find_request (instance, delivery->request);
+  LxAttempt *attempt = request ? find_attempt (request, delivery->attempt) : NULL;
+
+  if (!attempt || !attempt->open)
+    return;
+  if (delivery->is_end)
+    {
+      attempt->open = false;
+      lc_dispatch_ended (instance->dispatch, request->id, delivery->attempt, delivery->end,
+                         now_of (instance), &instance->actions);
+    }
+  else
+    {
+      take_piece (instance, request, attempt, &delivery->piece);
+    }
+  pump (instance);
+}
+
+static void
+pass_cache_events (LxInstance *instance, size_t index)
+{
+  const LxEngine *engine = instance->world->engines[index];
+  uint64_t *cursor = &instance->cache_cursors[index];
+
+  if (engine->cache_sequence > *cursor + LX_CACHE_LOG)
+    *cursor = engine->cache_sequence - LX_CACHE_LOG;
+  while (*cursor < engine->cache_sequence)
+    {
+      const LxCacheEvent *event = &engine->cache_log[++*cursor % LX_CACHE_LOG];
+      if (event->sequence == *cursor)
+        lc_endpoints_cache_event (lc_dispatch_endpoints (instance->dispatch), engine->name,
+                                  event->sequence, event->stored, event->hash, now_of (instance));
+    }
+}
+
+void
+lx_instance_report (LxInstance *instance, size_t engine, const LcLoadReport *report)
+{
+  pass_cache_events (instance, engine);
+  lc_dispatch_report (instance->dispatch, instance->world->engines[engine]->name, report,
+                      now_of (instance), &instance->actions);
+  pump (instance);
+}
+
+typedef struct
+{
+  size_t engine;
+  LcLoadReport report;
+} Report;
+
+static void
+on_report (LxInstance *instance, void *argument)
+{
+  const Report *report = argument;
+
+  lx_instance_report (instance, report->engine, &report->report);
+}
+
+/* Asks every endpoint for its load; the answer is as old as its way back. */
+static void
+on_poll (LxInstance *instance, void *argument)
+{
+  LxWorld *world = instance->world;
+
+  (void)argument;
+  for (size_t i = 0; i < world->n_endpoints; i++)
+    {
+      if (!world->engines[i]->alive)
+        continue;
+      Report *report = LB_NEW (Report);
+      report->engine = i;
+      lx_engine_report (world->engines[i], &report->report);
+      lx_instance_post (instance,
+                        lx_world_latency (world, instance->data_centre,
+                                          world->engines[i]->data_centre),
+                        on_report, report, free);
+    }
+  lx_instance_post (instance, 500 * LB_MSEC, on_poll, NULL, NULL);
+}
+
+void
+lx_instance_swap (LxInstance *instance, size_t engine, bool pending, LbTime until)
+{
+  lc_endpoints_swap (lc_dispatch_endpoints (instance->dispatch),
+                     instance->world->engines[engine]->name, pending, until, now_of (instance));
+}
+
+void
+lx_instance_versions (LxInstance *instance, LcVersion newest, LbTime cadence)
+{
+  lc_rollouts_versions (instance->rollouts, instance->world->options.site->pool, newest, cadence,
+                        now_of (instance), &instance->rollout_actions);
+  pump (instance);
+}
+
+bool
+lx_instance_open (LxInstance *instance, LcStepSpec *spec, uint64_t session, LbError *error)
+{
+  bool opened = lc_rollouts_open (instance->rollouts, spec, session, now_of (instance),
+                                  &instance->rollout_actions, error);
+
+  pump (instance);
+  return opened;
+}
+
+void
+lx_instance_pull (LxInstance *instance, const LcPull *pull)
+{
+  lc_rollouts_pull (instance->rollouts, pull, now_of (instance), &instance->rollout_actions);
+  pump (instance);
+}
--- /dev/null
+++ b/packages/sim/src/lx-options.c
@@ -0,0 +1,89 @@
+#include "lx-options.h"
+
+#include "lb-alloc.h"
+
+#include <stddef.h>
+#include <string.h>
+
+static const char *const mechanism_names[]
+    = { "longest-first", "hedging",     "resume", "predict-staleness",
+        "group-release", "fair-shares", NULL };
+
+static const size_t mechanism_offsets[] = {
+  offsetof (LcRolloutSettings, longest_first), offsetof (LcRolloutSettings, hedging),
+  offsetof (LcRolloutSettings, resume),        offsetof (LcRolloutSettings, predict_staleness),
+  offsetof (LcRolloutSettings, group_release), offsetof (LcRolloutSettings, fair_shares),
+};
+
+const char *const *
+lx_mechanism_names (void)
+{
+  return mechanism_names;
+}
+
+void
+lx_options_init (LxOptions *options, const LxSite *site, uint64_t seed)
+{
+  *options = (LxOptions){ .site = site,
+                          .seed = seed,
+                          .policy = "lentilspindle",
+                          .rollouts = lc_rollout_settings_default (),
+                          .duration = 900 * LB_SEC,
+                          .n_trainers = 2,
+                          .groups = 128,
+                          .samples = 8,
+                          .train = 30 * LB_SEC,
+                          .version_every = 90 * LB_SEC,
+                          .calls_per_second = 20,
+                          .service_calls_per_second = 10,
+                          .hedge_budget = 0.1,
+                          .idle_weight = -1 };
+}
+
+static bool *
+mechanism (LcRolloutSettings *settings, size_t i)
+{
+  return (bool *)((char *)settings + mechanism_offsets[i]);
+}
+
+static bool
+switch_on (LcRolloutSettings *settings, const char *name)
+{
+  for (size_t i = 0; mechanism_names[i]; i++)
+    if (strcmp (mechanism_names[i], name) == 0)
+      {
+        *mechanism (settings, i) = true;
+        return true;
+      }
+  return false;
+}
+
+static bool
+is_router (const char *name)
+{
+  for (const char *const *policy = lc_router_policies (); *policy; policy++)
+    if (strcmp (*policy, name) == 0)
+      return true;
+  return false;
+}
+
+bool
+lx_options_set_policy (LxOptions *options, const char *policy)
+{
+  char parts[256];
+  char *rest;
+
+  LB_COPY (parts, policy);
+  char *name = strtok_r (parts, "+", &rest);
+  if (!name || !is_router (name))
+    return false;
+  LB_COPY (options->policy, name);
+  if (strcmp (policy, "lentilspindle") == 0)
+    return true;
+  for (size_t i = 0; mechanism_names[i]; i++)
+    *mechanism (&options->rollouts, i) = false;
+  for (char *part = strtok_r (NULL, "+", &rest); part; part = strtok_r (NULL, "+", &rest))
+    if (!switch_on (&options->rollouts, part))
+      return false;
+  return true;
+}
--- /dev/null
+++ b/packages/sim/src/lx-queue.c
@@ -0,0 +1,142 @@
+#include "lx-queue.h"
+
+#include "lb-alloc.h"
+
+#include <stdlib.h>
+
+typedef struct
+{
+  LbTime at;
+  uint64_t sequence;
+  LxHandler handler;
+  void *owner;
+  void *argument;
+  void (*drop) (void *argument);
+} Event;
+
+struct LxQueue
+{
+  Event *heap;
+  size_t length;
+  size_t capacity;
+  LbTime now;
+  uint64_t sequence;
+  uint64_t handled;
+};
+
+/* A queue whose time starts at one second, so that 0 never means a real time. */
+LxQueue *
+lx_queue_new (void)
+{
+  LxQueue *queue = LB_NEW (LxQueue);
+
+  queue->now = LB_SEC;
+  return queue;
+}
+
+/* Drops the arguments of events that never ran. */
+void
+lx_queue_free (LxQueue *queue)
+{
+  if (!queue)
+    return;
+  for (size_t i = 0; i < queue->length; i++)
+    if (queue->heap[i].drop)
+      queue->heap[i].drop (queue->heap[i].argument);
+  free (queue->heap);
+  free (queue);
+}
+
+static bool
+is_before (const Event *a, const Event *b)
+{
+  return a->at != b->at ? a->at < b->at : a->sequence < b->sequence;
+}
+
+static void
+swap (Event *a, Event *b)
+{
+  Event event = *a;
+
+  *a = *b;
+  *b = event;
+}
+
+static void
+sift_up (LxQueue *queue, size_t i)
+{
+  while (i > 0 && is_before (&queue->heap[i], &queue->heap[(i - 1) / 2]))
+    {
+      swap (&queue->heap[i], &queue->heap[(i - 1) / 2]);
+      i = (i - 1) / 2;
+    }
+}
+
+static void
+sift_down (LxQueue *queue, size_t i)
+{
+  for (;;)
+    {
+      size_t first = i;
+
+      for (size_t child = 2 * i + 1; child <= 2 * i + 2 && child < queue->length; child++)
+        if (is_before (&queue->heap[child], &queue->heap[first]))
+          first = child;
+      if (first == i)
+        return;
+      swap (&queue->heap[i], &queue->heap[first]);
+      i = first;
+    }
+}
+
+/* Adds an event; a time that has passed means now. drop (NULL: nothing to drop) frees the argument
+ * of an event that never runs. */
+void
+lx_queue_add (LxQueue *queue,
+              LbTime at,
+              LxHandler handler,
+              void *owner,
+              void *argument,
+              void (*drop) (void *argument))
+{
+  if (queue->length == queue->capacity)
+    {
+      queue->capacity = queue->capacity ? 2 * queue->capacity : 256;
+      queue->heap = lb_realloc (queue->heap, queue->capacity * sizeof (Event));
+    }
+  queue->heap[queue->length] = (Event){ .at = at < queue->now ? queue->now : at,
+                                        .sequence = queue->sequence++,
+                                        .handler = handler,
+                                        .owner = owner,
+                                        .argument = argument,
+                                        .drop = drop };
+  sift_up (queue, queue->length++);
+}
+
+/* Runs the next event if it is due by then; false when there is none. */
+bool
+lx_queue_step (LxQueue *queue, LbTime until)
+{
+  if (queue->length == 0 || queue->heap[0].at > until)
+    return false;
+
+  Event event = queue->heap[0];
+  queue->heap[0] = queue->heap[--queue->length];
+  sift_down (queue, 0);
+  queue->now = event.at;
+  queue->handled++;
+  event.handler (event.owner, event.argument);
+  return true;
+}
+
+LbTime
+lx_queue_now (const LxQueue *queue)
+{
+  return queue->now;
+}
+
+uint64_t
+lx_queue_handled (const LxQueue *queue)
+{
+  return queue->handled;
+}
--- /dev/null
+++ b/packages/sim/src/lx-result.c
@@ -0,0 +1,130 @@
+#include "lx-result.h"
+
+#include "lb-alloc.h"
+
+#include <json-c/json.h>
+#include <stdio.h>
+#include <string.h>
+
+static void
+fill_trainers (LxResult *result, const LxWorld *world)
+{
+  LbTime idle = 0;
+  int64_t samples = 0;
+  int64_t staleness = 0;
+
+  for (size_t i = 0; i < world->options.n_trainers; i++)
+    {
+      const LxTrainer *trainer = &world->trainers[i];
+
+      result->steps += trainer->steps;
+      idle += trainer->idle;
+      samples += trainer->samples;
+      staleness += trainer->staleness_sum;
+      if (trainer->staleness_max > result->staleness_max)
+        result->staleness_max = trainer->staleness_max;
+    }
+  if (result->steps > 0)
+    result->idle_seconds = (double)idle / LB_SEC / (double)result->steps;
+  if (samples > 0)
+    result->staleness_mean = (double)staleness / (double)samples;
+}
+
+static void
+fill_engines (LxResult *result, const LxWorld *world)
+{
+  int64_t sum = 0;
+  int64_t largest = 0;
+  int64_t blocks = 0;
+  int64_t found = 0;
+
+  for (size_t i = 0; i < world->n_engines; i++)
+    {
+      const LxEngine *engine = world->engines[i];
+
+      sum += engine->tokens;
+      largest = engine->tokens > largest ? engine->tokens : largest;
+      blocks += engine->prompt_blocks;
+      found += engine->prompt_blocks_found;
+    }
+  if (sum > 0)
+    result->imbalance = (double)largest * (double)world->n_engines / (double)sum;
+  if (blocks > 0)
+    result->prefix_hits = (double)found / (double)blocks;
+  result->tokens_per_second = (double)sum / ((double)(lx_world_now (world) - LB_SEC) / LB_SEC);
+}
+
+static void
+fill_breaches (LxResult *result, const LxLedger *ledger)
+{
+  result->lost = ledger->breaches[LX_LOST] + ledger->breaches[LX_STUCK];
+  result->doubled = ledger->breaches[LX_DOUBLED];
+  result->stale = ledger->breaches[LX_STALE];
+  result->other_breaches
+      = lx_ledger_total (ledger) - result->lost - result->doubled - result->stale;
+}
+
+void
+lx_result_fill (LxResult *result, LxWorld *world, const char *policy, double real_seconds)
+{
+  memset (result, 0, sizeof *result);
+  LB_COPY (result->policy, policy);
+  result->seed = world->options.seed;
+  fill_trainers (result, world);
+  fill_engines (result, world);
+  fill_breaches (result, &world->ledger);
+  result->live_p50_ms = lx_callers_percentile (&world->callers, 0.5);
+  result->live_p99_ms = lx_callers_percentile (&world->callers, 0.99);
+  result->live_calls = world->callers.answered;
+  result->refused = world->callers.refused;
+  result->failed = world->callers.failed;
+  result->wasted_tokens_ratio = lx_ledger_wasted_ratio (&world->ledger);
+  result->decisions = world->decisions;
+  result->events = lx_world_event (world);
+  if (real_seconds > 0)
+    result->decisions_per_second = (double)world->decisions / real_seconds;
+}
+
+static void
+add_real (struct json_object *object, const char *key, double value)
+{
+  char text[32];
+
+  snprintf (text, sizeof text, "%.4f", value);
+  json_object_object_add (object, key, json_object_new_double_s (value, text));
+}
+
+static void
+add_int (struct json_object *object, const char *key, int64_t value)
+{
+  json_object_object_add (object, key, json_object_new_int64 (value));
+}
+
+struct json_object *
+lx_result_to_json (const LxResult *result)
+{
+  struct json_object *object = json_object_new_object ();
+
+  json_object_object_add (object, "policy", json_object_new_string (result->policy));
+  add_int (object, "seed", (int64_t)result->seed);
+  add_int (object, "steps", result->steps);
+  add_real (object, "idle_seconds", result->idle_seconds);
+  add_real (object, "staleness_mean", result->staleness_mean);
+  add_int (object, "staleness_max", result->staleness_max);
+  add_real (object, "live_p50_ms", result->live_p50_ms);
+  add_real (object, "live_p99_ms", result->live_p99_ms);
+  add_int (object, "live_calls", result->live_calls);
+  add_int (object, "refused", result->refused);
+  add_int (object, "failed", result->failed);
+  add_int (object, "lost", result->lost);
+  add_int (object, "doubled", result->doubled);
+  add_int (object, "stale", result->stale);
+  add_int (object, "other_breaches", result->other_breaches);
+  add_real (object, "wasted_tokens_ratio", result->wasted_tokens_ratio);
+  add_real (object, "imbalance", result->imbalance);
+  add_real (object, "prefix_hits", result->prefix_hits);
+  add_real (object, "tokens_per_second", result->tokens_per_second);
+  add_int (object, "decisions", result->decisions);
+  add_real (object, "decisions_per_second", result->decisions_per_second);
+  return object;
+}
--- /dev/null
+++ b/packages/sim/src/lx-trainer.c
@@ -0,0 +1,417 @@
+#include "lx-trainer.h"
+
+#include "lx-world.h"
+
+#include "lb-alloc.h"
+
+#include <inttypes.h>
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define PULL_WAIT (5 * LB_SEC)
+#define PULL_PATIENCE (8 * LB_SEC) /* then the pull is repeated */
+#define RETRY_TIME (500 * LB_MSEC)
+#define STUCK_TIME (300 * LB_SEC)
+#define MAX_TOKENS 4096
+
+static void ask (LxTrainer *trainer);
+
+/* 0 <= value < 1, the same for the same numbers. */
+static double
+chance (uint64_t seed, const int64_t *numbers, size_t n)
+{
+  return (double)(XXH64 (numbers, n * sizeof (int64_t), seed) >> 11) / 9007199254740992.0;
+}
+
+/* Length of a sample in tokens: 100 to 300, and ten times that for 5% of the samples. Half of those
+ * are in groups whose prompt is hard (one sample in two of one group in twenty). The length
+ * belongs to the slot: a hedge or a repeat of it gets the same, so that no policy can gain by
+ * drawing again until a short one comes. */
+int64_t
+lx_sample_length (uint64_t seed, size_t trainer, int64_t step, int64_t group, int64_t index)
+{
+  const int64_t of_group[] = { (int64_t)trainer, step, group };
+  const int64_t of_slot[] = { (int64_t)trainer, step, group, index };
+  int64_t length = 100 + (int64_t)(200 * chance (seed, of_slot, 4));
+  bool hard = chance (seed, of_group, 3) < 0.05;
+  bool straggler = chance (seed + 1, of_slot, 4) < (hard ? 0.5 : 0.0263);
+
+  return straggler ? 10 * length : length;
+}
+
+void
+lx_trainer_init (LxTrainer *trainer, LxWorld *world, size_t index)
+{
+  memset (trainer, 0, sizeof *trainer);
+  trainer->world = world;
+  trainer->index = index;
+  trainer->owner = index % world->n_instances;
+  trainer->session = 1;
+  snprintf (trainer->name, sizeof trainer->name, "trainer-%zu", index + 1);
+  trainer->got = LB_NEW_ARRAY (uint8_t, (size_t)(world->options.groups * world->options.samples));
+  trainer->cursor = lb_strdup ("");
+}
+
+void
+lx_trainer_clear (LxTrainer *trainer)
+{
+  free (trainer->got);
+  free (trainer->cursor);
+}
+
+/* Copies the reply of a pull, whose pointers live only until the next command. */
+LxChunk *
+lx_chunk_new (const LcRolloutAction *action)
+{
+  LxChunk *chunk = LB_NEW (LxChunk);
+
+  chunk->trainer = (size_t)(action->pull >> 40);
+  chunk->pull = action->pull;
+  chunk->error = action->error;
+  chunk->retry_after = action->retry_after;
+  chunk->cursor = lb_strdup (action->cursor ? action->cursor : "");
+  chunk->remaining = action->remaining;
+  chunk->samples = LB_NEW_ARRAY (LxChunkSample, action->n_samples);
+  chunk->n_samples = action->n_samples;
+  for (size_t i = 0; i < action->n_samples; i++)
+    chunk->samples[i]
+        = (LxChunkSample){ .group = lb_strdup (action->samples[i].group),
+                           .index = action->samples[i].index,
+                           .text
+                           = lb_strdup (action->samples[i].text ? action->samples[i].text : ""),
+                           .label = *action->samples[i].label };
+  return chunk;
+}
+
+void
+lx_chunk_free (void *argument)
+{
+  LxChunk *chunk = argument;
+
+  for (size_t i = 0; i < chunk->n_samples; i++)
+    {
+      free (chunk->samples[i].group);
+      free (chunk->samples[i].text);
+    }
+  free (chunk->samples);
+  free (chunk->cursor);
+  free (chunk);
+}
+
+static void
+fill_spec (const LxTrainer *trainer, LcStepSpec *spec)
+{
+  const LxOptions *options = &trainer->world->options;
+
+  LB_COPY (spec->subscription, trainer->name);
+  spec->step = trainer->step;
+  spec->version = trainer->world->swaps.newest;
+  spec->n_groups = (size_t)options->groups;
+  spec->groups = LB_NEW_ARRAY (LcGroupSpec, spec->n_groups);
+  for (size_t i = 0; i < spec->n_groups; i++)
+    {
+      snprintf (spec->groups[i].id, LB_NAME_MAX, "g%zu", i);
+      spec->groups[i].prompt
+          = lb_asprintf ("t%zu/s%" PRId64 "/g%zu", trainer->index, trainer->step, i);
+      spec->groups[i].samples = options->samples;
+      spec->groups[i].max_tokens = MAX_TOKENS;
+    }
+}
+
+static void
+on_ask (void *owner, void *argument)
+{
+  (void)argument;
+  ask (owner);
+}
+
+static void
+ask_later (LxTrainer *trainer, LbTime delay)
+{
+  lx_world_after (trainer->world, delay, on_ask, trainer, NULL, NULL);
+}
+
+static void
+on_open (LxInstance *instance, void *argument)
+{
+  LxTrainer *trainer = argument;
+  LcStepSpec spec = { 0 };
+  LbError error = { 0 };
+
+  if (trainer->opened || trainer->owner != instance->index)
+    return;
+  fill_spec (trainer, &spec);
+  trainer->opened = lx_instance_open (instance, &spec, trainer->session, &error);
+  lc_step_spec_clear (&spec);
+  lx_world_note (instance->world, "%s opens step %" PRId64 " of %s: %s", instance->name,
+                 trainer->step, trainer->name, lb_error_name (error.code));
+}
+
+static void
+send_open (LxTrainer *trainer)
+{
+  LxWorld *world = trainer->world;
+
+  lx_instance_post (&world->instances[trainer->owner], world->options.site->to_clients, on_open,
+                    trainer, NULL);
+}
+
+typedef struct
+{
+  LcPull pull;
+  char *cursor;
+} Pulling;
+
+static void
+drop_pulling (void *argument)
+{
+  Pulling *pulling = argument;
+
+  free (pulling->cursor);
+  free (pulling);
+}
+
+static void
+on_pull (LxInstance *instance, void *argument)
+{
+  Pulling *pulling = argument;
+
+  pulling->pull.cursor = pulling->cursor;
+  lx_instance_pull (instance, &pulling->pull);
+}
+
+static void
+on_patience (void *owner, void *argument)
+{
+  LxTrainer *trainer = owner;
+
+  if (trainer->pull != (uintptr_t)argument)
+    return;
+  trainer->pull = 0;
+  ask (trainer);
+}
+
+/* Pulls, with the version it trains now and the cursor of the last chunk it has. */
+static void
+send_pull (LxTrainer *trainer)
+{
+  LxWorld *world = trainer->world;
+  Pulling *pulling = LB_NEW (Pulling);
+  static const uint64_t pull_mask = ((uint64_t)1 << 40) - 1;
+
+  trainer->pull = ((uint64_t)trainer->index << 40) | (++trainer->n_pulls & pull_mask);
+  trainer->pull_version = world->swaps.newest;
+  pulling->cursor = lb_strdup (trainer->cursor);
+  pulling->pull = (LcPull){ .id = trainer->pull,
+                            .step = trainer->step,
+                            .version = trainer->pull_version,
+                            .max_samples = world->options.groups * world->options.samples,
+                            .wait_until = lx_world_now (world) + PULL_WAIT };
+  LB_COPY (pulling->pull.subscription, trainer->name);
+  lx_instance_post (&world->instances[trainer->owner], world->options.site->to_clients, on_pull,
+                    pulling, drop_pulling);
+  lx_world_after (world, PULL_PATIENCE, on_patience, trainer, (void *)(uintptr_t)trainer->pull,
+                  NULL);
+}
+
+static void
+check_stuck (LxTrainer *trainer)
+{
+  LxWorld *world = trainer->world;
+  LbTime now = lx_world_now (world);
+  LbTime since = trainer->last_sample_at > trainer->train_until ? trainer->last_sample_at
+                                                                : trainer->train_until;
+
+  if (now - since < STUCK_TIME)
+    return;
+  lx_ledger_breach (&world->ledger, LX_STUCK, now, lx_world_event (world),
+                    "%s got no sample of step %" PRId64 " for %lld s", trainer->name, trainer->step,
+                    (long long)((now - since) / LB_SEC));
+  trainer->last_sample_at = now;
+}
+
+/* Does what the trainer needs next: open the step, or pull once its training is over. */
+static void
+ask (LxTrainer *trainer)
+{
+  LbTime now = lx_world_now (trainer->world);
+
+  check_stuck (trainer);
+  if (trainer->pull != 0)
+    return;
+  if (!trainer->opened)
+    {
+      send_open (trainer);
+      ask_later (trainer, RETRY_TIME);
+    }
+  else if (now < trainer->train_until)
+    {
+      ask_later (trainer, trainer->train_until - now);
+    }
+  else
+    {
+      send_pull (trainer);
+    }
+}
+
+static void
+begin_step (LxTrainer *trainer)
+{
+  const LxOptions *options = &trainer->world->options;
+
+  memset (trainer->got, 0, (size_t)(options->groups * options->samples));
+  trainer->n_got = 0;
+  trainer->opened = false;
+  trainer->opened_at = lx_world_now (trainer->world);
+  free (trainer->cursor);
+  trainer->cursor = lb_strdup ("");
+  ask (trainer);
+}
+
+void
+lx_trainer_start (LxTrainer *trainer)
+{
+  trainer->train_until = lx_world_now (trainer->world);
+  begin_step (trainer);
+}
+
+static uint64_t
+step_number (const LxTrainer *trainer)
+{
+  return (uint64_t)trainer->step * trainer->world->options.n_trainers + trainer->index;
+}
+
+static void
+finish_step (LxTrainer *trainer)
+{
+  LxWorld *world = trainer->world;
+  const LxOptions *options = &world->options;
+  int64_t slots = options->groups * options->samples;
+
+  if (trainer->n_got < slots)
+    lx_ledger_breach (&world->ledger, LX_LOST, lx_world_now (world), lx_world_event (world),
+                      "%s step %" PRId64 " done with %" PRId64 " of %" PRId64 " samples",
+                      trainer->name, trainer->step, trainer->n_got, slots);
+  lx_ledger_step (&world->ledger, step_number (trainer))->done = true;
+  if (trainer->step > 0)
+    {
+      trainer->steps++;
+      trainer->idle += lx_world_now (world) - trainer->train_until;
+    }
+  trainer->step++;
+  trainer->train_until = lx_world_now (world) + options->train;
+  begin_step (trainer);
+}
+
+static bool
+same_label (const LcLabel *a, const LcLabel *b)
+{
+  if (a->unlabelled || b->unlabelled || a->n_spans != b->n_spans || a->tokens != b->tokens)
+    return false;
+  for (size_t i = 0; i < a->n_spans; i++)
+    if (a->spans[i].version != b->spans[i].version || a->spans[i].first != b->spans[i].first
+        || a->spans[i].count != b->spans[i].count)
+      return false;
+  return true;
+}
+
+static void
+check_label (LxTrainer *trainer, const LxChunkSample *sample, const LcLabel *truth, int64_t length)
+{
+  LxWorld *world = trainer->world;
+  int64_t staleness = 0;
+
+  for (size_t i = 0; i < truth->n_spans; i++)
+    if (trainer->pull_version - truth->spans[i].version > staleness)
+      staleness = trainer->pull_version - truth->spans[i].version;
+  if (truth->tokens != length)
+    lx_ledger_breach (&world->ledger, LX_NOT_WHOLE, lx_world_now (world), lx_world_event (world),
+                      "%s %s/%" PRId64 " has %" PRId64 " of %" PRId64 " tokens", trainer->name,
+                      sample->group, sample->index, truth->tokens, length);
+  if (!same_label (truth, &sample->label))
+    lx_ledger_breach (&world->ledger, LX_MISLABELLED, lx_world_now (world), lx_world_event (world),
+                      "%s %s/%" PRId64 ": %s", trainer->name, sample->group, sample->index,
+                      sample->text);
+  if (staleness > world->options.site->max_lag)
+    lx_ledger_breach (&world->ledger, LX_STALE, lx_world_now (world), lx_world_event (world),
+                      "%s %s/%" PRId64 " lags %" PRId64, trainer->name, sample->group,
+                      sample->index, staleness);
+  if (trainer->step == 0)
+    return;
+  trainer->samples++;
+  trainer->staleness_sum += staleness;
+  if (staleness > trainer->staleness_max)
+    trainer->staleness_max = staleness;
+}
+
+static void
+take_sample (LxTrainer *trainer, const LxChunkSample *sample)
+{
+  LxWorld *world = trainer->world;
+  int64_t group = strtoll (sample->group + 1, NULL, 10);
+  size_t slot = (size_t)(group * world->options.samples + sample->index);
+  LxText text = { 0 };
+  LcLabel truth;
+
+  if (trainer->got[slot])
+    {
+      lx_ledger_breach (&world->ledger, LX_DOUBLED, lx_world_now (world), lx_world_event (world),
+                        "%s step %" PRId64 " %s/%" PRId64, trainer->name, trainer->step,
+                        sample->group, sample->index);
+      return;
+    }
+  trainer->got[slot] = 1;
+  trainer->n_got++;
+  trainer->last_sample_at = lx_world_now (world);
+  if (!lx_text_parse (&text, sample->text) || !lx_text_is_contiguous (&text, 0))
+    lx_ledger_breach (&world->ledger, LX_NOT_WHOLE, lx_world_now (world), lx_world_event (world),
+                      "%s %s/%" PRId64 ": %s", trainer->name, sample->group, sample->index,
+                      sample->text);
+  lx_ledger_label (&world->ledger, &text, &truth);
+  check_label (trainer, sample, &truth,
+               lx_sample_length (world->options.seed, trainer->index, trainer->step, group,
+                                 sample->index));
+  lx_ledger_step (&world->ledger, step_number (trainer))->delivered += truth.tokens;
+  lx_text_clear (&text);
+}
+
+/* A reply to its pull; any other, such as one that was given up on, is not looked at. */
+void
+lx_trainer_receive (LxTrainer *trainer, LxChunk *chunk)
+{
+  if (chunk->pull != trainer->pull)
+    goto out;
+  trainer->pull = 0;
+  if (chunk->error.code != LB_OK)
+    {
+      lx_world_note (trainer->world, "%s: pull refused: %s", trainer->name,
+                     lb_error_name (chunk->error.code));
+      if (chunk->error.code == LB_ERROR_UNKNOWN_STEP)
+        trainer->opened = false;
+      ask_later (trainer, chunk->retry_after > RETRY_TIME ? chunk->retry_after : RETRY_TIME);
+      goto out;
+    }
+  for (size_t i = 0; i < chunk->n_samples; i++)
+    take_sample (trainer, &chunk->samples[i]);
+  free (trainer->cursor);
+  trainer->cursor = lb_strdup (chunk->cursor);
+  if (chunk->remaining == 0)
+    finish_step (trainer);
+  else
+    ask (trainer);
+out:
+  lx_chunk_free (chunk);
+}
+
+void
+lx_trainer_move (LxTrainer *trainer, size_t owner)
+{
+  trainer->owner = owner;
+  trainer->session++;
+  trainer->opened = false;
+  trainer->pull = 0;
+  ask (trainer);
+}
--- /dev/null
+++ b/packages/sim/src/lx-world.c
@@ -0,0 +1,296 @@
+#include "lx-world.h"
+
+#include "lb-alloc.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* A 7B model on one accelerator: a token every 12 ms alone, every 16 ms in a batch of 32. */
+static const LxEngineTimes engine_times = { .token = 0.012,
+                                            .token_per_other = 0.000125,
+                                            .prefill = 0.0001,
+                                            .cached_blocks = 192,
+                                            .load = 4 * LB_SEC,
+                                            .pause = 500 * LB_MSEC };
+static const LxEngineTimes service_times = { .token = 0.020, .token_per_other = 0.001 };
+
+enum
+{
+  ENGINE_CONCURRENCY = 32,
+  SERVICE_CONCURRENCY = 64
+};
+
+LbTime
+lx_world_now (const LxWorld *world)
+{
+  return lx_queue_now (world->queue);
+}
+
+uint64_t
+lx_world_event (const LxWorld *world)
+{
+  return lx_queue_handled (world->queue);
+}
+
+LbTime
+lx_world_latency (const LxWorld *world, size_t data_centre, size_t other)
+{
+  return data_centre == other ? world->options.site->inside : world->options.site->between;
+}
+
+void
+lx_world_after (LxWorld *world,
+                LbTime delay,
+                LxHandler handler,
+                void *owner,
+                void *argument,
+                void (*drop) (void *argument))
+{
+  lx_queue_add (world->queue, lx_world_now (world) + delay, handler, owner, argument, drop);
+}
+
+/* Remembers a decision for the report of a failing run. */
+void
+lx_world_note (LxWorld *world, const char *format, ...)
+{
+  char *note = world->history[world->n_history++ % LX_HISTORY];
+  int length
+      = snprintf (note, sizeof world->history[0], "%.6f ", (double)lx_world_now (world) / LB_SEC);
+  va_list arguments;
+
+  va_start (arguments, format);
+  vsnprintf (note + length, sizeof world->history[0] - (size_t)length, format, arguments);
+  va_end (arguments);
+}
+
+LxEngine *
+lx_world_engine (LxWorld *world, const char *name)
+{
+  for (size_t i = 0; i < world->n_endpoints; i++)
+    if (strcmp (world->engines[i]->name, name) == 0)
+      return world->engines[i];
+  return NULL;
+}
+
+/* An instance that serves callers, the preferred one if it does; NULL when none does. */
+LxInstance *
+lx_world_live_instance (LxWorld *world, size_t preferred)
+{
+  LbTime now = lx_world_now (world);
+
+  for (size_t i = 0; i < world->n_instances; i++)
+    {
+      LxInstance *instance = &world->instances[(preferred + i) % world->n_instances];
+      if (instance->alive && !instance->draining && instance->paused_until <= now)
+        return instance;
+    }
+  return NULL;
+}
+
+static void
+on_piece (void *user, LxEngine *engine, const LxStream *stream, const LcPiece *piece)
+{
+  LxWorld *world = user;
+  LxInstance *instance = &world->instances[stream->spec.instance];
+
+  lx_instance_send_piece (instance, engine, &stream->spec, piece);
+}
+
+static void
+on_ended (void *user, LxEngine *engine, const LxStream *stream, LcAttemptEnd end)
+{
+  LxWorld *world = user;
+
+  lx_instance_send_end (&world->instances[stream->spec.instance], engine, &stream->spec, end, 0);
+}
+
+static void
+on_went_silent (void *user, LxEngine *engine, const LxStream *stream)
+{
+  LxWorld *world = user;
+
+  lx_instance_send_end (&world->instances[stream->spec.instance], engine, &stream->spec,
+                        LC_END_BROKEN, LX_STREAM_SILENCE);
+}
+
+static void
+on_made (void *user, LxEngine *engine, const LxStream *stream, int64_t tokens)
+{
+  LxWorld *world = user;
+  uint64_t step = lx_ledger_job (&world->ledger, stream->spec.job)->step;
+
+  if (!engine->is_service)
+    lx_ledger_made (&world->ledger, stream->spec.id, stream->offset - tokens, tokens,
+                    engine->version);
+  if (stream->spec.kind == LC_KIND_SAMPLE)
+    lx_ledger_step (&world->ledger, step)->generated += tokens;
+}
+
+static void
+add_endpoint (LxWorld *world, size_t index, bool is_service)
+{
+  const LxSite *site = world->options.site;
+  size_t number = is_service ? index - world->n_engines : index;
+  LbName name;
+
+  snprintf (name, sizeof name, "%.40s-%zu", is_service ? site->service : site->pool, number + 1);
+  LxEngine *engine
+      = lx_engine_new (name, world->queue, is_service ? &service_times : &engine_times);
+  snprintf (engine->address, LB_NAME_MAX, "127.0.0.1:%zu", 10000 + index);
+  LB_COPY (engine->group, is_service ? site->service : site->pool);
+  engine->data_centre = number % site->n_data_centres;
+  engine->is_service = is_service;
+  engine->concurrency = is_service ? SERVICE_CONCURRENCY : ENGINE_CONCURRENCY;
+  engine->listener = (LxEngineListener){ .piece = on_piece,
+                                         .ended = on_ended,
+                                         .made = on_made,
+                                         .went_silent = on_went_silent,
+                                         .user = world };
+  world->engines[index] = engine;
+}
+
+static void
+add_endpoints (LxWorld *world)
+{
+  const LxOptions *options = &world->options;
+
+  world->n_engines = options->n_engines > 0 ? (size_t)options->n_engines : options->site->n_engines;
+  world->n_endpoints = world->n_engines + options->site->n_services;
+  world->engines = LB_NEW_ARRAY (LxEngine *, world->n_endpoints);
+  for (size_t i = 0; i < world->n_endpoints; i++)
+    add_endpoint (world, i, i >= world->n_engines);
+}
+
+static void
+fill_member (const LxWorld *world, const LxEngine *engine, LcEndpointMember *member)
+{
+  LB_COPY (member->name, engine->name);
+  LB_COPY (member->pool, engine->group);
+  LB_COPY (member->address, engine->address);
+  LB_COPY (member->data_centre, world->options.site->data_centres[engine->data_centre]);
+  member->kind = engine->is_service ? LC_ENDPOINT_SERVICE : LC_ENDPOINT_ENGINE;
+  member->leaving = engine->leaving;
+  member->checks_fence = true;
+  member->concurrency = engine->concurrency;
+}
+
+static void
+fill_subscription (const LxWorld *world, size_t index, LcSubscription *subscription)
+{
+  const LxOptions *options = &world->options;
+
+  snprintf (subscription->name, LB_NAME_MAX, "trainer-%zu", index + 1);
+  LB_COPY (subscription->pool, options->site->pool);
+  subscription->share = 1;
+  subscription->preset = options->site->preset;
+  subscription->idle_weight = options->site->preset == LC_PRESET_IDLE_TIME ? 0.8 : 0.2;
+  if (options->idle_weight >= 0)
+    subscription->idle_weight = options->idle_weight;
+  subscription->hedge_budget = options->hedge_budget;
+}
+
+/* The accepted configuration of the site. */
+static LcResourceSet *
+make_resources (const LxWorld *world)
+{
+  const LxOptions *options = &world->options;
+  LcResourceSet *set = LB_NEW (LcResourceSet);
+
+  set->revision = 1;
+  set->pools = LB_NEW_ARRAY (LcPool, 1);
+  set->n_pools = 1;
+  LB_COPY (set->pools[0].name, options->site->pool);
+  LB_COPY (set->pools[0].model, options->site->pool);
+  set->pools[0].live_reserve = 0.25;
+  set->pools[0].roll_out_percent = 25;
+  set->pools[0].queue_limit = 4096;
+  set->subscriptions = LB_NEW_ARRAY (LcSubscription, options->n_trainers);
+  set->bounds = LB_NEW_ARRAY (LcVersionBound, options->n_trainers);
+  set->n_subscriptions = options->n_trainers;
+  set->n_bounds = options->n_trainers;
+  for (size_t i = 0; i < options->n_trainers; i++)
+    {
+      fill_subscription (world, i, &set->subscriptions[i]);
+      snprintf (set->bounds[i].name, LB_NAME_MAX, "bound-%zu", i + 1);
+      LB_COPY (set->bounds[i].subscription, set->subscriptions[i].name);
+      set->bounds[i].max_lag = options->site->max_lag;
+    }
+  set->endpoints = LB_NEW_ARRAY (LcEndpointMember, world->n_endpoints);
+  set->n_endpoints = world->n_endpoints;
+  for (size_t i = 0; i < world->n_endpoints; i++)
+    fill_member (world, world->engines[i], &set->endpoints[i]);
+  return set;
+}
+
+LxWorld *
+lx_world_new (const LxOptions *options)
+{
+  LxWorld *world = LB_NEW (LxWorld);
+
+  world->options = *options;
+  world->queue = lx_queue_new ();
+  world->random = gsl_rng_alloc (gsl_rng_taus2);
+  gsl_rng_set (world->random, options->seed);
+  lx_ledger_init (&world->ledger);
+  add_endpoints (world);
+  world->resources = make_resources (world);
+  world->n_instances = options->site->n_instances;
+  world->instances = LB_NEW_ARRAY (LxInstance, world->n_instances);
+  for (size_t i = 0; i < world->n_instances; i++)
+    lx_instance_init (&world->instances[i], world, i);
+  world->trainers = LB_NEW_ARRAY (LxTrainer, options->n_trainers);
+  for (size_t i = 0; i < options->n_trainers; i++)
+    lx_trainer_init (&world->trainers[i], world, i);
+  lx_callers_init (&world->callers, world);
+  lx_swaps_init (&world->swaps, world);
+  return world;
+}
+
+void
+lx_world_free (LxWorld *world)
+{
+  if (!world)
+    return;
+  for (size_t i = 0; i < world->n_instances; i++)
+    lx_instance_clear (&world->instances[i]);
+  free (world->instances);
+  lx_queue_free (world->queue);
+  lx_callers_clear (&world->callers);
+  for (size_t i = 0; i < world->options.n_trainers; i++)
+    lx_trainer_clear (&world->trainers[i]);
+  free (world->trainers);
+  for (size_t i = 0; i < world->n_endpoints; i++)
+    lx_engine_free (world->engines[i]);
+  free (world->engines);
+  lc_resource_set_free (world->resources);
+  lx_ledger_clear (&world->ledger);
+  gsl_rng_free (world->random);
+  free (world);
+}
+
+static void
+start (LxWorld *world)
+{
+  for (size_t i = 0; i < world->n_endpoints; i++)
+    lx_engine_start (world->engines[i], world->swaps.newest);
+  for (size_t i = 0; i < world->n_instances; i++)
+    lx_instance_start (&world->instances[i]);
+  lx_swaps_start (&world->swaps);
+  lx_callers_start (&world->callers);
+  for (size_t i = 0; i < world->options.n_trainers; i++)
+    lx_trainer_start (&world->trainers[i]);
+}
+
+/* Runs to the end of the options' duration or number of events. */
+void
+lx_world_run (LxWorld *world)
+{
+  LbTime until = lx_world_now (world) + world->options.duration;
+  uint64_t max = world->options.max_events;
+
+  start (world);
+  while ((max == 0 || lx_world_event (world) < max) && lx_queue_step (world->queue, until))
+    continue;
+}
