--- a/packages/core/src/lc-generate.c
+++ b/packages/core/src/lc-generate.c
@@ -297,6 +297,8 @@
   pool_of (rollouts, step)->running++;
   lc_rollouts_trainer (rollouts, step->spec.subscription)->running++;
   fill_spec (rollouts, &action->spec, job);
+  action->group = group->id;
+  action->index = slot->index;
   action->prompt = group->prompt;
   action->max_tokens = group->max_tokens;
   action->resume_text = job->prefix ? lb_strdup (job->prefix) : NULL;
@@ -322,6 +324,8 @@
   action->spec.repeatable = true;
   action->spec.deadline = LB_TIME_NEVER;
   LB_COPY (action->scorer, trainer->resource.scorer);
+  action->group = lc_step_group_spec (step, slot)->id;
+  action->index = slot->index;
   action->prompt = lc_step_group_spec (step, slot)->prompt;
   action->text = slot->text;
 }
