--- a/packages/core/src/lc-rollouts.c
+++ b/packages/core/src/lc-rollouts.c
@@ -214,17 +214,6 @@
   return window > 0 ? window : 1;
 }
 
-static int64_t
-max_lag_of (const LcResourceSet *set, const char *subscription)
-{
-  int64_t lag = INT64_MAX;
-
-  for (size_t i = 0; i < set->n_bounds; i++)
-    if (strcmp (set->bounds[i].subscription, subscription) == 0 && set->bounds[i].max_lag < lag)
-      lag = set->bounds[i].max_lag;
-  return lag;
-}
-
 static void
 declare_trainer (LcRollouts *rollouts, const LcResourceSet *set, const LcSubscription *resource)
 {
@@ -240,7 +229,7 @@
   LB_COPY (pool, trainer->running > 0 ? trainer->resource.pool : resource->pool);
   trainer->resource = *resource;
   LB_COPY (trainer->resource.pool, pool);
-  trainer->max_lag = max_lag_of (set, resource->name);
+  trainer->max_lag = lc_resource_set_max_lag (set, resource->name);
   trainer->declared = true;
   if (trainer->resource.share <= 0)
     trainer->resource.share = 1;
