--- a/packages/node/src/ln-call-reader.c
+++ b/packages/node/src/ln-call-reader.c
@@ -26,7 +26,7 @@
   if (blocks > LC_MAX_PREFIX_HASHES)
     blocks = LC_MAX_PREFIX_HASHES;
   for (size_t i = 0; i < blocks; i++)
-    spec->prefix_hashes[i] = XXH3_64bits (prompt, (i + 1) * PREFIX_BLOCK_BYTES);
+    spec->prefix_hashes[i] = XXH64 (prompt, (i + 1) * PREFIX_BLOCK_BYTES, 0);
   spec->n_prefix_hashes = blocks;
   spec->prompt_tokens = (int64_t)(length / BYTES_PER_TOKEN) + 1;
 }
--- a/packages/node/src/ln-call.c
+++ b/packages/node/src/ln-call.c
@@ -10,6 +10,8 @@
 #include <string.h>
 #include <strings.h>
 
+#define JSON_FORMAT (JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE)
+
 LnCall *
 ln_call_new (LnCallKind kind)
 {
@@ -75,7 +77,7 @@
   json_object_object_del (call->body, "resume");
   if (resume_at > 0)
     json_object_object_add (call->body, "resume", resume_object (call, resume_at));
-  return lb_strdup (json_object_to_json_string_ext (call->body, JSON_C_TO_STRING_PLAIN));
+  return lb_strdup (json_object_to_json_string_ext (call->body, JSON_FORMAT));
 }
 
 LnAttempt *
@@ -178,8 +180,7 @@
       ln_exchange_stream_start (call->exchange, 200, "text/event-stream");
     }
   relabel (call, event);
-  char *line = lb_asprintf ("data: %s\n\n",
-                            json_object_to_json_string_ext (event, JSON_C_TO_STRING_PLAIN));
+  char *line = lb_asprintf ("data: %s\n\n", json_object_to_json_string_ext (event, JSON_FORMAT));
   ln_exchange_stream_piece (call->exchange, line, strlen (line));
   free (line);
 }
--- a/packages/node/src/ln-caller.c
+++ b/packages/node/src/ln-caller.c
@@ -123,6 +123,7 @@
   lb_list_remove (&caller->callers->callers, &caller->link);
   lb_metric_add (&connections, -1);
   event_free (caller->timer);
+  free (caller->query);
   free (caller);
   return EVHTP_RES_OK;
 }
@@ -163,7 +164,11 @@
 {
   (void)headers;
   LnCaller *caller = user;
+  const unsigned char *query = request->uri ? request->uri->query_raw : NULL;
 
+  /* evhtp puts the body of a form in its place later. */
+  free (caller->query);
+  caller->query = query ? lb_strdup ((const char *)query) : NULL;
   if (evhtp_request_content_len (request) > caller->callers->max_body)
     return refuse (caller, LB_ERROR_BODY_TOO_LARGE);
   return EVHTP_RES_OK;
--- a/packages/node/src/ln-caller.h
+++ b/packages/node/src/ln-caller.h
@@ -35,6 +35,7 @@
   LbErrorCode refusal; /* sent when the connection ends: why it was given up */
   bool flush;          /* what was written goes out before the connection is closed */
   char peer[64];
+  char *query; /* of the request being read, as it came; NULL when there is none */
 };
 
 void ln_callers_init (LnCallers *callers, struct event_base *base);
--- a/packages/node/src/ln-calls.c
+++ b/packages/node/src/ln-calls.c
@@ -28,7 +28,7 @@
   struct event *tick;
   LnCall *by_id;
   LnCall *by_exchange;
-  bool draining;
+  bool ready; /* the resources in force are confirmed */
 } LnCalls;
 
 static LbMetric sent = LB_COUNTER_INIT ("lentilspindle_attempts_total",
@@ -403,8 +403,16 @@
 {
   LbError error = { 0 };
   LbTime deadline = calls->context->settings->calls.default_deadline_ms * LB_MSEC;
-  LnCall *call = ln_call_read (exchange, lb_clock_monotonic (), deadline, &error);
+  LnCall *call;
 
+  /* An instance that can't confirm its resources may route by ones that were replaced long ago. */
+  if (!calls->ready)
+    {
+      lb_error_set (&error, LB_ERROR_NOT_READY, "", "the resources here are not confirmed");
+      ln_exchange_reply_error (exchange, &error, LB_SEC);
+      return;
+    }
+  call = ln_call_read (exchange, lb_clock_monotonic (), deadline, &error);
   if (!call)
     {
       ln_exchange_reply_error (exchange, &error, 0);
@@ -529,6 +537,9 @@
     case LN_CONFIG:
       configure (calls, ((const LnConfigMessage *)message)->set);
       break;
+    case LN_READY:
+      calls->ready = ((const LnReadyMessage *)message)->ready;
+      break;
     case LN_SAMPLE:
       take_sample (calls, (const LnSampleMessage *)message);
       break;
@@ -556,7 +567,6 @@
   LnCalls *calls = (LnCalls *)task;
   LbList actions;
 
-  calls->draining = true;
   lb_list_init (&actions);
   lc_dispatch_drain (calls->dispatch, lb_clock_monotonic (), &actions);
   run_actions (calls, &actions);
--- a/packages/node/src/ln-exchange.c
+++ b/packages/node/src/ln-exchange.c
@@ -13,6 +13,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define JSON_FORMAT (JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE)
+
 /* A caller that reads this much slower than its answer comes is taken for gone. */
 #define MAX_UNSENT (16 << 20)
 
@@ -24,6 +26,7 @@
   LnCaller *caller;         /* NULL once the connection is lost */
   evhtp_request_t *request; /* NULL once the connection is lost */
   struct evkeyvalq query;
+  char *raw_query;
   bool gone;
   bool streaming;
   char *method;
@@ -47,8 +50,10 @@
   exchange->path = lb_strdup (path ? path : "/");
   LB_COPY (exchange->peer, caller->peer);
   TAILQ_INIT (&exchange->query);
-  if (request->uri && request->uri->query_raw)
-    evhttp_parse_query_str ((const char *)request->uri->query_raw, &exchange->query);
+  exchange->raw_query = caller->query;
+  caller->query = NULL;
+  if (exchange->raw_query)
+    evhttp_parse_query_str (exchange->raw_query, &exchange->query);
   exchange->body_length = evbuffer_get_length (request->buffer_in);
   exchange->body = lb_malloc (exchange->body_length + 1);
   evbuffer_remove (request->buffer_in, exchange->body, exchange->body_length);
@@ -62,6 +67,7 @@
 exchange_free (LnExchange *exchange)
 {
   evhttp_clear_headers (&exchange->query);
+  free (exchange->raw_query);
   free (exchange->method);
   free (exchange->path);
   free (exchange->body);
@@ -116,9 +122,7 @@
 const char *
 ln_exchange_raw_query (const LnExchange *exchange)
 {
-  if (!exchange->request || !exchange->request->uri)
-    return NULL;
-  return (const char *)exchange->request->uri->query_raw;
+  return exchange->raw_query;
 }
 
 /* NULL when absent, and also once the caller's connection is lost. */
@@ -226,7 +230,7 @@
 ln_exchange_reply_json (LnExchange *exchange, int status, struct json_object *object)
 {
   size_t length;
-  const char *text = json_object_to_json_string_length (object, JSON_C_TO_STRING_PLAIN, &length);
+  const char *text = json_object_to_json_string_length (object, JSON_FORMAT, &length);
 
   ln_exchange_reply_text (exchange, status, "application/json", text, length);
   json_object_put (object);
@@ -257,8 +261,8 @@
     {
       /* The status is long sent: the error is the last event, and no end marker follows. */
       struct json_object *object = error_object (error);
-      char *event = lb_asprintf ("data: %s\n\n",
-                                 json_object_to_json_string_ext (object, JSON_C_TO_STRING_PLAIN));
+      char *event
+          = lb_asprintf ("data: %s\n\n", json_object_to_json_string_ext (object, JSON_FORMAT));
       ln_exchange_stream_piece (exchange, event, strlen (event));
       free (event);
       json_object_put (object);
--- a/packages/node/src/ln-front.c
+++ b/packages/node/src/ln-front.c
@@ -25,7 +25,7 @@
   evhtp_t *server;
   LnCallers callers;
   uint64_t next_exchange;
-  bool ready; /* a revision of the resources is in force */
+  bool ready; /* the resources in force are confirmed */
   bool draining;
 } LnFront;
 
@@ -99,8 +99,9 @@
       return;
     }
   lb_error_set (&error, front->draining ? LB_ERROR_DRAINING : LB_ERROR_NOT_READY, "",
-                front->draining ? "this instance is shutting down"
-                                : "no revision of the resources is in force yet");
+                front->draining
+                    ? "this instance is shutting down"
+                    : "the resources are not confirmed by the store or by other instances");
   ln_exchange_reply_error (exchange, &error, LB_SEC);
 }
 
@@ -142,8 +143,8 @@
     case LN_EXCHANGE:
       reply_own (front, ((const LnExchangeMessage *)message)->exchange);
       break;
-    case LN_CONFIG:
-      front->ready = true;
+    case LN_READY:
+      front->ready = ((const LnReadyMessage *)message)->ready;
       break;
     default:
       break;
