--- a/standins/si-engine.c
+++ b/standins/si-engine.c
@@ -108,7 +108,7 @@
   snprintf (engine->incarnation, sizeof engine->incarnation, "%s-%llx-%x", settings->name,
             (unsigned long long)settings->seed,
             (unsigned)((uint64_t)lb_clock_monotonic () ^ ((uint64_t)getpid () << 20)));
-  if (!si_server_init (&engine->server, port, handle, engine))
+  if (!si_server_init_program (&engine->server, port, handle, engine))
     return false;
   si_engine_start_timers (engine);
   return true;
--- a/standins/si-server.c
+++ b/standins/si-server.c
@@ -46,18 +46,13 @@
 }
 
 bool
-si_server_init (SiServer *server, int port, SiHandler handler, void *user)
+si_server_init (SiServer *server, struct event_base *base, int port, SiHandler handler, void *user)
 {
   memset (server, 0, sizeof *server);
-  signal (SIGPIPE, SIG_IGN);
-  server->base = new_base ();
-  server->http = evhttp_new (server->base);
+  server->base = base;
+  server->http = evhttp_new (base);
   evhttp_set_allowed_methods (server->http, ALL_METHODS);
   evhttp_set_gencb (server->http, handler, user);
-  server->terminate = evsignal_new (server->base, SIGTERM, on_signal, server->base);
-  server->interrupt = evsignal_new (server->base, SIGINT, on_signal, server->base);
-  event_add (server->terminate, NULL);
-  event_add (server->interrupt, NULL);
   struct evhttp_bound_socket *socket
       = evhttp_bind_socket_with_handle (server->http, "127.0.0.1", (uint16_t)port);
   if (!socket)
@@ -69,10 +64,27 @@
   return true;
 }
 
+bool
+si_server_init_program (SiServer *server, int port, SiHandler handler, void *user)
+{
+  struct event_base *base = new_base ();
+
+  signal (SIGPIPE, SIG_IGN);
+  if (!si_server_init (server, base, port, handler, user))
+    return false;
+  server->terminate = evsignal_new (base, SIGTERM, on_signal, base);
+  server->interrupt = evsignal_new (base, SIGINT, on_signal, base);
+  event_add (server->terminate, NULL);
+  event_add (server->interrupt, NULL);
+  return true;
+}
+
 void
 si_server_clear (SiServer *server)
 {
   evhttp_free (server->http);
+  if (!server->terminate)
+    return;
   event_free (server->terminate);
   event_free (server->interrupt);
   event_base_free (server->base);
--- a/standins/si-server.h
+++ b/standins/si-server.h
@@ -8,18 +8,21 @@
 
 typedef void (*SiHandler) (struct evhttp_request *request, void *user);
 
-/* An HTTP server on 127.0.0.1 with its own event loop, ended by SIGTERM or SIGINT. */
+/* An HTTP server on 127.0.0.1. */
 typedef struct
 {
   struct event_base *base;
   struct evhttp *http;
-  struct event *terminate;
+  struct event *terminate; /* these two and the base: of a program's server only */
   struct event *interrupt;
   LbName address;
 } SiServer;
 
 /* port 0: the kernel chooses. False when it can't be bound. */
-bool si_server_init (SiServer *server, int port, SiHandler handler, void *user);
+bool
+si_server_init (SiServer *server, struct event_base *base, int port, SiHandler handler, void *user);
+/* A server with its own event loop, which SIGTERM and SIGINT end. */
+bool si_server_init_program (SiServer *server, int port, SiHandler handler, void *user);
 void si_server_clear (SiServer *server);
 void si_server_announce (const SiServer *server, const char *name);
 
--- a/standins/standin-service.c
+++ b/standins/standin-service.c
@@ -185,7 +185,7 @@
 
   snprintf (service.incarnation, sizeof service.incarnation, "%s-%x", name,
             (unsigned)((uint64_t)lb_clock_monotonic () ^ ((uint64_t)getpid () << 20)));
-  if (!si_server_init (&service.server, port, handle, &service))
+  if (!si_server_init_program (&service.server, port, handle, &service))
     return 1;
   si_server_announce (&service.server, name);
   event_base_dispatch (service.server.base);
