--- a/packages/core/src/lc-step.h
+++ b/packages/core/src/lc-step.h
@@ -71,7 +71,6 @@
   LcCursor cursor;   /* acknowledges it */
   LcVersion version; /* of the trainer that it was checked against */
   uint64_t change;   /* strict: the ledger change that names it */
-  bool spent;        /* strict: it was given; kept until the next command for its reply */
 } LcChunk;
 
 /* What the reply of this command may still point to; freed at the next one. */
--- a/packages/core/src/lc-straggler.c
+++ b/packages/core/src/lc-straggler.c
@@ -7,6 +7,10 @@
 #define PACE_SMOOTHING 0.1
 /* Fewer ended samples than this say nothing of the tail. */
 #define LENGTHS_ENOUGH 8
+/* Without a first piece for so long, beyond what is usual, a sample counts as stuck; less may only
+ * mean that it waits for a place. */
+#define STUCK_SECONDS 2.0
+#define STUCK_WAITS 4.0
 /* A rate is not judged by fewer tokens than this. */
 #define RATE_TOKENS 8
 
@@ -116,10 +120,11 @@
 seconds_left (const LcLengths *lengths, const LcPace *pace, const LcProgress *progress, LbTime now)
 {
   double left = lc_lengths_remaining (lengths, progress->tokens);
-  double overdue = (double)(now - progress->started) / LB_SEC - 2 * pace->wait_seconds;
+  double waited = (double)(now - progress->started) / LB_SEC;
+  double overdue = waited - STUCK_SECONDS - STUCK_WAITS * pace->wait_seconds;
 
-  if (progress->first_piece == 0 && overdue > 0)
-    return overdue + lc_pace_seconds (pace, lc_lengths_mean (lengths));
+  if (progress->first_piece == 0)
+    return lc_pace_seconds (pace, lc_lengths_mean (lengths)) * (overdue > 0 ? 2 + overdue : 1);
   return left / own_rate (pace, progress, now);
 }
 
--- a/packages/core/tests/rollouts-fixture.h
+++ b/packages/core/tests/rollouts-fixture.h
@@ -29,6 +29,7 @@
   uint64_t write;           /* the last write */
   /* the last reply */
   size_t n_replies;
+  int64_t n_given; /* samples of all replies */
   LbErrorCode reply_error;
   char *cursor;
   int64_t remaining;
@@ -45,6 +46,7 @@
   owner->n_replies++;
   owner->reply_error = action->error.code;
   owner->n_samples = action->n_samples;
+  owner->n_given += (int64_t)action->n_samples;
   owner->remaining = action->remaining;
   free (owner->cursor);
   owner->cursor = lb_strdup (action->cursor ? action->cursor : "");
--- a/packages/node/src/ln-step-call.c
+++ b/packages/node/src/ln-step-call.c
@@ -17,8 +17,9 @@
 static bool
 split_path (const char *path, LbName subscription, const char **rest, LbError *error)
 {
-  const char *name = path + strlen (PREFIX);
-  const char *slash = strncmp (path, PREFIX, strlen (PREFIX)) == 0 ? strchr (name, '/') : NULL;
+  bool fits = path && strncmp (path, PREFIX, strlen (PREFIX)) == 0;
+  const char *name = fits ? path + strlen (PREFIX) : "";
+  const char *slash = strchr (name, '/');
 
   if (!slash || slash == name || slash - name >= LB_NAME_MAX)
     return lb_error_set (error, LB_ERROR_UNKNOWN_PATH, path, "expected " PREFIX "NAME/...");
