--- a/packages/core/tests/test-rollouts-labels.c
+++ b/packages/core/tests/test-rollouts-labels.c
@@ -91,6 +91,7 @@
   owner_pull (owner, "", 40);
   cr_assert_eq (owner->n_samples, 0);
   cr_assert_eq (lc_rollouts_invariant_failures (owner->rollouts), 0);
+  cr_assert_eq (owner_status (owner).discarded_unlabelled, 1);
   expect_regenerated (owner, request);
   owner_free (owner);
 }
