--- /dev/null
+++ b/packages/cli/src/lt-bench.c
@@ -0,0 +1,199 @@
+#include "lt-bench.h"
+
+#include "lt-command.h"
+#include "lt-report.h"
+
+#include "lb-alloc.h"
+#include "lb-clock.h"
+#include "lx-result.h"
+
+#include <argtable2.h>
+#include <inttypes.h>
+#include <json-c/json.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define MAX_POLICIES 64
+
+typedef struct
+{
+  const LxSite *site;
+  uint64_t seed;
+  int64_t n_seeds;
+  const char *policy; /* NULL: all */
+  int64_t samplers;
+  double seconds;
+  double idle_weight;
+  double hedge_budget;
+  double hard_share;
+  double train;
+  bool json;
+  const char *report;
+} Bench;
+
+/* A run of the system without trainers: what live callers get when nothing competes. */
+#define IDLE_SYSTEM "lentilspindle (no trainers)"
+
+static bool
+run_one (const Bench *bench, const char *policy, uint64_t seed, LxResult *result)
+{
+  LxOptions options;
+  bool idle = strcmp (policy, IDLE_SYSTEM) == 0;
+
+  lx_options_init (&options, bench->site, seed);
+  if (!lx_options_set_policy (&options, idle ? "lentilspindle" : policy))
+    return false;
+  if (idle)
+    options.n_trainers = 0;
+  options.n_engines = bench->samplers;
+  options.duration = (LbTime)(bench->seconds * LB_SEC);
+  options.idle_weight = bench->idle_weight;
+  options.train = (LbTime)(bench->train * LB_SEC);
+  if (bench->hard_share >= 0)
+    options.hard_share = bench->hard_share;
+  if (bench->hedge_budget >= 0)
+    options.hedge_budget = bench->hedge_budget;
+
+  LxWorld *world = lx_world_new (&options);
+  LbTime begun = lb_clock_monotonic ();
+  lx_world_run (world);
+  lx_result_fill (result, world, policy, (double)(lb_clock_monotonic () - begun) / LB_SEC);
+  if (lx_ledger_total (&world->ledger) > 0)
+    fprintf (stderr, "%s, seed %" PRIu64 ": %s\n", policy, seed, world->ledger.first);
+  lx_world_free (world);
+  return true;
+}
+
+static void
+print_head (void)
+{
+  printf ("%-36s %5s %6s %9s %6s %6s %4s %8s %8s %8s %6s %5s %5s %5s %7s %7s %6s %9s\n", "policy",
+          "seed", "steps", "idle_s", "floor", "stale~", "max", "p50_ms", "p99_ms", "refused",
+          "lost", "dbl", "stale", "other", "wasted", "imbal", "prefix", "decis/s");
+}
+
+static void
+print_row (const LxResult *r)
+{
+  printf ("%-36s %5" PRIu64 " %6" PRId64 " %9.2f %6.2f %6.3f %4" PRId64 " %8.1f %8.1f %8" PRId64
+          " %6" PRId64 " %5" PRId64 " %5" PRId64 " %5" PRId64 " %7.4f %7.3f %6.3f %9.0f\n",
+          r->policy, r->seed, r->steps, r->idle_seconds, r->idle_floor_seconds, r->staleness_mean,
+          r->staleness_max, r->live_p50_ms, r->live_p99_ms, r->refused, r->lost, r->doubled,
+          r->stale, r->other_breaches, r->wasted_tokens_ratio, r->imbalance, r->prefix_hits,
+          r->decisions_per_second);
+  fflush (stdout);
+}
+
+/* All routers, the plain dispatcher with each mechanism alone, and the idle system. */
+static size_t
+list_policies (char policies[MAX_POLICIES][128])
+{
+  size_t n = 0;
+
+  for (const char *const *policy = lc_router_policies (); *policy && n < MAX_POLICIES; policy++)
+    snprintf (policies[n++], 128, "%s", *policy);
+  for (const char *const *name = lx_mechanism_names (); *name && n < MAX_POLICIES - 1; name++)
+    snprintf (policies[n++], 128, "least-outstanding+%s", *name);
+  snprintf (policies[n++], 128, "%s", IDLE_SYSTEM);
+  return n;
+}
+
+static int
+run_all (const Bench *bench)
+{
+  char policies[MAX_POLICIES][128];
+  size_t n_policies = bench->policy ? 1 : list_policies (policies);
+  LxResult *results = LB_NEW_ARRAY (LxResult, n_policies * (size_t)bench->n_seeds);
+  struct json_object *array = json_object_new_array ();
+  size_t n = 0;
+  int code = LT_EXIT_USAGE;
+
+  if (bench->policy)
+    snprintf (policies[0], 128, "%s", bench->policy);
+  if (!bench->json)
+    print_head ();
+  for (size_t i = 0; i < n_policies; i++)
+    for (int64_t j = 0; j < bench->n_seeds; j++)
+      {
+        LxResult *result = &results[n];
+        if (!run_one (bench, policies[i], bench->seed + (uint64_t)j, result))
+          {
+            fprintf (stderr, "lentilspindle bench: unknown policy '%s'\n", policies[i]);
+            goto out;
+          }
+        n++;
+        json_object_array_add (array, lx_result_to_json (result));
+        if (!bench->json)
+          print_row (result);
+      }
+  if (bench->json)
+    puts (json_object_to_json_string_ext (array, JSON_C_TO_STRING_PRETTY));
+  code = LT_EXIT_OK;
+  if (bench->report && !lt_report_write (bench->report, bench->site->name, results, n))
+    code = LT_EXIT_FAILED;
+out:
+  json_object_put (array);
+  free (results);
+  return code;
+}
+
+/* Compares policies on the same trace: the same arrivals, lengths, versions and endpoints. */
+int
+lt_bench_run (int argc, char **argv)
+{
+  struct arg_str *site = arg_str1 (NULL, "site", "SITE", "kurunegala or hoa-sen");
+  struct arg_int *seed = arg_int0 (NULL, "seed", "N", "first seed, 1 if not given");
+  struct arg_int *seeds = arg_int0 (NULL, "seeds", "N", "how many seeds, 1 if not given");
+  struct arg_str *policy = arg_str0 (NULL, "policy", "P", "one policy; all if not given");
+  struct arg_int *samplers = arg_int0 (NULL, "samplers", "N", "engines; the site's if not given");
+  struct arg_dbl *seconds = arg_dbl0 (NULL, "seconds", "S", "virtual time of a run, 900");
+  struct arg_dbl *weight = arg_dbl0 (NULL, "idle-weight", "W", "0 (staleness) to 1 (idle time)");
+  struct arg_dbl *budget = arg_dbl0 (NULL, "hedge-budget", "B", "share of tokens for hedges, 0.1");
+  struct arg_dbl *hard
+      = arg_dbl0 (NULL, "hard-share", "H", "share of stragglers from hard prompts, 0.5");
+  struct arg_dbl *train = arg_dbl0 (NULL, "train", "S", "seconds of training per step, 45");
+  struct arg_lit *json = arg_lit0 (NULL, "json", "print a JSON array");
+  struct arg_str *report = arg_str0 (NULL, "report", "DIR", "write an HTML page there");
+  struct arg_lit *help = arg_lit0 (NULL, "help", "print this help");
+  struct arg_end *end = arg_end (8);
+  void *table[] = { site,   seed, seeds, policy, samplers, seconds, weight,
+                    budget, hard, train, json,   report,   help,    end };
+  int errors = arg_parse (argc, argv, table);
+  int code = LT_EXIT_USAGE;
+  Bench bench = { .n_seeds = seeds->count ? *seeds->ival : 1,
+                  .seed = seed->count ? (uint64_t)*seed->ival : 1,
+                  .policy = policy->count ? *policy->sval : NULL,
+                  .samplers = samplers->count ? *samplers->ival : 0,
+                  .seconds = seconds->count ? *seconds->dval : 900,
+                  .idle_weight = weight->count ? *weight->dval : -1,
+                  .hedge_budget = budget->count ? *budget->dval : -1,
+                  .train = train->count ? *train->dval : 45,
+                  .hard_share = hard->count ? *hard->dval : -1,
+                  .json = json->count > 0,
+                  .report = report->count ? *report->sval : NULL };
+
+  if (help->count > 0)
+    {
+      arg_print_syntaxv (stdout, table, "\n");
+      arg_print_glossary (stdout, table, "  %-20s %s\n");
+      code = LT_EXIT_OK;
+      goto out;
+    }
+  if (errors > 0)
+    {
+      arg_print_errors (stderr, end, "lentilspindle bench");
+      goto out;
+    }
+  bench.site = lx_site_find (*site->sval);
+  if (!bench.site || bench.n_seeds < 1 || bench.samplers < 0 || bench.seconds <= 0)
+    {
+      fprintf (stderr, "lentilspindle bench: %s\n",
+               bench.site ? "numbers must be positive" : "unknown site");
+      goto out;
+    }
+  code = run_all (&bench);
+out:
+  arg_freetable (table, sizeof table / sizeof table[0]);
+  return code;
+}
--- a/packages/cli/src/lt-command.c
+++ b/packages/cli/src/lt-command.c
@@ -1,9 +1,12 @@
 #include "lt-command.h"
 
+#include "lt-bench.h"
+
 #include <stdio.h>
 #include <string.h>
 
 static const LtCommand commands[] = {
+  { "bench", "compares policies on one trace", lt_bench_run },
   { NULL, NULL, NULL },
 };
 
--- a/packages/sim/include/lx-options.h
+++ b/packages/sim/include/lx-options.h
@@ -22,6 +22,7 @@
   LbTime version_every;
   double calls_per_second;
   double service_calls_per_second;
+  double hard_share; /* share of the stragglers that come from hard prompts, 0..1 */
   double hedge_budget;
   double idle_weight; /* below 0: as the site's preset says */
   LbTime hedge_after;
--- a/packages/sim/include/lx-result.h
+++ b/packages/sim/include/lx-result.h
@@ -9,7 +9,8 @@
   char policy[128];
   uint64_t seed;
   int64_t steps;
-  double idle_seconds; /* of all trainers, mean per step */
+  double idle_seconds;       /* of all trainers, mean per step */
+  double idle_floor_seconds; /* what no policy can take away */
   double staleness_mean;
   int64_t staleness_max;
   double live_p50_ms;
--- a/packages/sim/include/lx-trainer.h
+++ b/packages/sim/include/lx-trainer.h
@@ -33,6 +33,7 @@
   /* measures, without the first step */
   int64_t steps;
   LbTime idle;
+  LbTime idle_floor; /* idle time if the longest sample had run alone from the start */
   int64_t samples;
   int64_t staleness_sum;
   int64_t staleness_max;
@@ -73,7 +74,7 @@
 void lx_trainer_move (LxTrainer *trainer, size_t owner);
 
 /* queries */
-int64_t
-lx_sample_length (uint64_t seed, size_t trainer, int64_t step, int64_t group, int64_t index);
+int64_t lx_sample_length (
+    const LxOptions *options, size_t trainer, int64_t step, int64_t group, int64_t index);
 
 #endif
--- a/packages/sim/src/lx-instance.c
+++ b/packages/sim/src/lx-instance.c
@@ -526,7 +526,7 @@
 
   LxJob job = { .kind = LC_KIND_SAMPLE, .repeatable = true };
   job.step = (uint64_t)step * world->options.n_trainers + trainer;
-  job.length = lx_sample_length (world->options.seed, trainer, step, group, action->index);
+  job.length = lx_sample_length (&world->options, trainer, step, group, action->index);
   return lx_ledger_add_job (&world->ledger, &job);
 }
 
--- a/packages/sim/src/lx-options.c
+++ b/packages/sim/src/lx-options.c
@@ -32,10 +32,11 @@
                           .n_trainers = 2,
                           .groups = 128,
                           .samples = 8,
-                          .train = 30 * LB_SEC,
+                          .train = 45 * LB_SEC,
                           .version_every = 90 * LB_SEC,
                           .calls_per_second = 20,
                           .service_calls_per_second = 10,
+                          .hard_share = 0.5,
                           .hedge_budget = 0.1,
                           .idle_weight = -1 };
 }
--- a/packages/sim/src/lx-result.c
+++ b/packages/sim/src/lx-result.c
@@ -10,6 +10,7 @@
 fill_trainers (LxResult *result, const LxWorld *world)
 {
   LbTime idle = 0;
+  LbTime idle_floor = 0;
   int64_t samples = 0;
   int64_t staleness = 0;
 
@@ -19,13 +20,17 @@
 
       result->steps += trainer->steps;
       idle += trainer->idle;
+      idle_floor += trainer->idle_floor;
       samples += trainer->samples;
       staleness += trainer->staleness_sum;
       if (trainer->staleness_max > result->staleness_max)
         result->staleness_max = trainer->staleness_max;
     }
   if (result->steps > 0)
-    result->idle_seconds = (double)idle / LB_SEC / (double)result->steps;
+    {
+      result->idle_seconds = (double)idle / LB_SEC / (double)result->steps;
+      result->idle_floor_seconds = (double)idle_floor / LB_SEC / (double)result->steps;
+    }
   if (samples > 0)
     result->staleness_mean = (double)staleness / (double)samples;
 }
@@ -109,6 +114,7 @@
   add_int (object, "seed", (int64_t)result->seed);
   add_int (object, "steps", result->steps);
   add_real (object, "idle_seconds", result->idle_seconds);
+  add_real (object, "idle_floor_seconds", result->idle_floor_seconds);
   add_real (object, "staleness_mean", result->staleness_mean);
   add_int (object, "staleness_max", result->staleness_max);
   add_real (object, "live_p50_ms", result->live_p50_ms);
--- a/packages/sim/src/lx-trainer.c
+++ b/packages/sim/src/lx-trainer.c
@@ -16,6 +16,7 @@
 #define RETRY_TIME (500 * LB_MSEC)
 #define STUCK_TIME (300 * LB_SEC)
 #define MAX_TOKENS 4096
+#define STRAGGLERS 0.05
 
 static void ask (LxTrainer *trainer);
 
@@ -26,18 +27,21 @@
   return (double)(XXH64 (numbers, n * sizeof (int64_t), seed) >> 11) / 9007199254740992.0;
 }
 
-/* Length of a sample in tokens: 100 to 300, and ten times that for 5% of the samples. Half of those
- * are in groups whose prompt is hard (one sample in two of one group in twenty). The length
- * belongs to the slot: a hedge or a repeat of it gets the same, so that no policy can gain by
- * drawing again until a short one comes. */
+/* Length of a sample in tokens: 100 to 300, and ten times that for one sample in twenty. A share of
+ * these stragglers, given by the options, are in groups whose prompt is hard, where every second
+ * sample is one. The length belongs to the slot: a hedge or a repeat of it gets the same, so that
+ * no policy can gain by drawing again until a short one comes. */
 int64_t
-lx_sample_length (uint64_t seed, size_t trainer, int64_t step, int64_t group, int64_t index)
+lx_sample_length (
+    const LxOptions *options, size_t trainer, int64_t step, int64_t group, int64_t index)
 {
   const int64_t of_group[] = { (int64_t)trainer, step, group };
   const int64_t of_slot[] = { (int64_t)trainer, step, group, index };
-  int64_t length = 100 + (int64_t)(200 * chance (seed, of_slot, 4));
-  bool hard = chance (seed, of_group, 3) < 0.05;
-  bool straggler = chance (seed + 1, of_slot, 4) < (hard ? 0.5 : 0.0263);
+  double hard_groups = 2 * STRAGGLERS * options->hard_share;
+  double elsewhere = STRAGGLERS * (1 - options->hard_share) / (1 - hard_groups);
+  int64_t length = 100 + (int64_t)(200 * chance (options->seed, of_slot, 4));
+  bool hard = chance (options->seed, of_group, 3) < hard_groups;
+  bool straggler = chance (options->seed + 1, of_slot, 4) < (hard ? 0.5 : elsewhere);
 
   return straggler ? 10 * length : length;
 }
@@ -284,6 +288,26 @@
   return (uint64_t)trainer->step * trainer->world->options.n_trainers + trainer->index;
 }
 
+/* Idle time that no policy can take away: the step's longest sample, alone on an engine from the
+ * moment when the step was opened. */
+static LbTime
+idle_floor (const LxTrainer *trainer)
+{
+  const LxOptions *options = &trainer->world->options;
+  const LxEngineTimes *times = &trainer->world->engines[0]->times;
+  int64_t longest = 0;
+
+  for (int64_t i = 0; i < options->groups * options->samples; i++)
+    {
+      int64_t length = lx_sample_length (options, trainer->index, trainer->step,
+                                         i / options->samples, i % options->samples);
+      longest = length > longest ? length : longest;
+    }
+
+  LbTime needed = (LbTime)((double)longest * times->token * LB_SEC);
+  return needed > options->train ? needed - options->train : 0;
+}
+
 static void
 finish_step (LxTrainer *trainer)
 {
@@ -300,6 +324,7 @@
     {
       trainer->steps++;
       trainer->idle += lx_world_now (world) - trainer->train_until;
+      trainer->idle_floor += idle_floor (trainer);
     }
   trainer->step++;
   trainer->train_until = lx_world_now (world) + options->train;
@@ -372,7 +397,7 @@
                       sample->text);
   lx_ledger_label (&world->ledger, &text, &truth);
   check_label (trainer, sample, &truth,
-               lx_sample_length (world->options.seed, trainer->index, trainer->step, group,
+               lx_sample_length (&world->options, trainer->index, trainer->step, group,
                                  sample->index));
   lx_ledger_step (&world->ledger, step_number (trainer))->delivered += truth.tokens;
   lx_text_clear (&text);
