--- a/packages/cli/src/lt-bench.c
+++ b/packages/cli/src/lt-bench.c
@@ -1,4 +1,4 @@
-#include "lt-bench.h"
+#include "lt-proof.h"
 
 #include "lt-command.h"
 #include "lt-report.h"
--- /dev/null
+++ b/packages/cli/src/lt-proof.h
@@ -0,0 +1,7 @@
+#ifndef LT_PROOF_H
+#define LT_PROOF_H
+
+/* Subcommands that run the decisions of core among fakes; each is an LtCommand's run. */
+int lt_bench_run (int argc, char **argv);
+
+#endif
