--- a/packages/cli/src/lt-command.c
+++ b/packages/cli/src/lt-command.c
@@ -1,6 +1,7 @@
 #include "lt-command.h"
 
 #include "lt-operator.h"
+#include "lt-proof.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -13,6 +14,7 @@
   { "watch", "follow what is accepted and in force", lt_watch_run },
   { "history", "print the last changes", lt_history_run },
   { "status", "print who holds what and what waits", lt_status_run },
+  { "bench", "compares policies on one trace", lt_bench_run },
   { NULL, NULL, NULL },
 };
 
