Hedge slow endpoints, not long samples; lengths remembered across steps

A hedge that starts a long sample again either draws another, shorter one, which would teach the trainer's model to be short, or needs the same tokens again. Lengths are kept per subscription across steps, on a logarithmic scale.

--- a/packages/core/src/lc-generate.c
+++ b/packages/core/src/lc-generate.c
@@ -127,11 +127,25 @@
 
 /* Prediction. */
 
+static const LcLengths *
+lengths_of (const LcRollouts *rollouts, const LcStep *step)
+{
+  return &lc_rollouts_trainer (rollouts, step->spec.subscription)->lengths;
+}
+
+/* Of a sample that runs: what it has and what ended samples say of one that has so much. */
+static double
+expected_length (const LcLengths *lengths, const LcJob *job, int64_t max_tokens)
+{
+  return (double)job->label.tokens + lc_lengths_remaining (lengths, job->label.tokens, max_tokens);
+}
+
 static LcGroupLengths
-group_lengths (const LcStep *step, const LcGroup *group)
+group_lengths (const LcLengths *lengths, const LcStep *step, size_t index)
 {
-  LcGroupLengths lengths = { 0 };
-  double mean = lc_lengths_mean (&step->lengths);
+  LcGroupLengths sums = { 0 };
+  const LcGroup *group = &step->groups[index];
+  int64_t max_tokens = step->spec.groups[index].max_tokens;
 
   for (size_t i = group->first; i < group->first + group->count; i++)
     {
@@ -139,23 +153,36 @@
       const LcJob *job = LB_LIST_FIRST (&slot->jobs, LcJob, link);
 
       if (slot->state >= LC_SLOT_SCORING && slot->label)
-        lengths.sum += (double)slot->label->tokens;
+        sums.sum += (double)slot->label->tokens;
       else if (slot->state == LC_SLOT_RUNNING && job)
-        lengths.sum += fmax ((double)job->label.tokens, mean);
+        sums.sum += expected_length (lengths, job, max_tokens);
       else
         continue;
-      lengths.count++;
+      sums.count++;
     }
-  return lengths;
+  return sums;
+}
+
+/* Expected length of the group's next sample. */
+static double
+predict (const LcRollouts *rollouts, const LcStep *step, size_t group)
+{
+  const LcLengths *lengths = lengths_of (rollouts, step);
+  LcGroupLengths sums = group_lengths (lengths, step, group);
+
+  return lc_lengths_predict (lengths, &sums, step->spec.groups[group].max_tokens);
 }
 
 /* A group of which nothing ran yet goes first: its first sample tells of the others. */
 static double
-urgency (const LcStep *step, size_t group)
+urgency (const LcRollouts *rollouts, const LcStep *step, size_t group)
 {
-  LcGroupLengths lengths = group_lengths (step, &step->groups[group]);
+  const LcGroup *at = &step->groups[group];
 
-  return lengths.count == 0 ? INFINITY : lc_lengths_predict (&step->lengths, &lengths);
+  for (size_t i = at->first; i < at->first + at->count; i++)
+    if (step->slots[i].state != LC_SLOT_WAITING)
+      return predict (rollouts, step, group);
+  return INFINITY;
 }
 
 static bool
@@ -191,7 +218,7 @@
           if (!rollouts->settings.longest_first)
             return slot;
           if (group_urgency < 0)
-            group_urgency = urgency (step, g);
+            group_urgency = urgency (rollouts, step, g);
           double own = slot->label ? INFINITY : group_urgency;
           if (own > best_urgency)
             {
@@ -222,11 +249,11 @@
 }
 
 static int
-priority_of (const LcStep *step, double tokens)
+priority_of (const LcRollouts *rollouts, const LcStep *step, double tokens)
 {
-  double share = tokens / (double)step->lengths.longest;
+  double times = tokens / lc_lengths_mean (lengths_of (rollouts, step), INT64_MAX);
 
-  return (int)(fmin (share, 1.0) * HIGHEST_PRIORITY);
+  return (int)fmin (times, HIGHEST_PRIORITY);
 }
 
 static void
@@ -235,8 +262,7 @@
   const LcStep *step = job->step;
   const LcSlot *slot = slot_of (job);
   const LcTrainer *trainer = lc_rollouts_trainer (rollouts, step->spec.subscription);
-  LcGroupLengths lengths = group_lengths (step, &step->groups[slot->group]);
-  double tokens = lc_lengths_predict (&step->lengths, &lengths);
+  double tokens = predict (rollouts, step, slot->group);
 
   spec->id = job->request;
   spec->kind = LC_KIND_SAMPLE;
@@ -246,7 +272,7 @@
   spec->share = trainer->resource.share;
   spec->repeatable = true;
   spec->resumable = rollouts->settings.resume;
-  spec->priority = rollouts->settings.longest_first ? priority_of (step, tokens) : 0;
+  spec->priority = rollouts->settings.longest_first ? priority_of (rollouts, step, tokens) : 0;
   spec->prompt_tokens
       = (int64_t)strlen (lc_step_group_spec (step, slot)->prompt) / BYTES_PER_TOKEN + 1;
   spec->expected_tokens = (int64_t)tokens;
@@ -411,6 +437,7 @@
 progress_of (const LcJob *job)
 {
   return (LcProgress){ .tokens = job->label.tokens,
+                       .max_tokens = lc_step_group_spec (job->step, slot_of (job))->max_tokens,
                        .started = job->started,
                        .first_piece = job->first_piece };
 }
@@ -431,7 +458,7 @@
         continue;
       LcJob *job = LB_LIST_FIRST (&slot->jobs, LcJob, link);
       LcProgress progress = progress_of (job);
-      double gain = lc_straggler_gain (&step->lengths, &pool->pace, &progress,
+      double gain = lc_straggler_gain (&trainer->lengths, &pool->pace, &progress,
                                        trainer->resource.idle_weight, now);
       if (gain > best_gain)
         {
@@ -467,7 +494,7 @@
       if (!job)
         return;
       LcProgress progress = progress_of (job);
-      int64_t cost = lc_straggler_cost (&step->lengths, &pool->pace, &progress);
+      int64_t cost = lc_straggler_cost (lengths_of (rollouts, step), &pool->pace, &progress, now);
       if (!fits_budget (rollouts, step, cost))
         return;
       LcSlot *slot = slot_of (job);
@@ -617,10 +644,11 @@
 static void
 learn (LcRollouts *rollouts, const LcJob *job, LbTime now)
 {
+  LcTrainer *trainer = lc_rollouts_trainer (rollouts, job->step->spec.subscription);
   LcRolloutPool *pool = pool_of (rollouts, job->step);
   LbTime first = job->first_piece ? job->first_piece : now;
 
-  lc_lengths_add (&job->step->lengths, job->label.tokens);
+  lc_lengths_add (&trainer->lengths, job->label.tokens);
   lc_pace_add (&pool->pace, made_tokens (job), first - job->started, now - first);
 }
 
--- a/packages/core/src/lc-rollouts-state.h
+++ b/packages/core/src/lc-rollouts-state.h
@@ -25,7 +25,8 @@
   LcSubscription resource;
   int64_t max_lag;
   int64_t running; /* generations */
-  bool declared;   /* in the configuration in force */
+  LcLengths lengths;
+  bool declared; /* in the configuration in force */
 } LcTrainer;
 
 typedef struct
--- a/packages/core/src/lc-step.c
+++ b/packages/core/src/lc-step.c
@@ -61,15 +61,12 @@
 fill_groups (LcStep *step)
 {
   size_t next = 0;
-  int64_t longest = 0;
 
   for (size_t g = 0; g < step->spec.n_groups; g++)
     {
       const LcGroupSpec *spec = &step->spec.groups[g];
 
       step->groups[g] = (LcGroup){ .first = next, .count = (size_t)spec->samples };
-      if (spec->max_tokens > longest)
-        longest = spec->max_tokens;
       for (int64_t i = 0; i < spec->samples; i++, next++)
         {
           step->slots[next].group = g;
@@ -77,7 +74,6 @@
           lb_list_init (&step->slots[next].jobs);
         }
     }
-  lc_lengths_init (&step->lengths, longest);
 }
 
 LcStep *
--- a/packages/core/src/lc-step.h
+++ b/packages/core/src/lc-step.h
@@ -95,7 +95,6 @@
   size_t n_slots;
   LcGroup *groups; /* as many as in the spec */
   size_t n_in_state[LC_N_SLOT_STATES];
-  LcLengths lengths;
   LcVersion trainer_version; /* latest stated */
 
   LcCursor acked;
--- a/packages/core/src/lc-straggler.c
+++ b/packages/core/src/lc-straggler.c
@@ -1,85 +1,91 @@
 #include "lc-straggler.h"
 
-#include <string.h>
+#include <math.h>
 
-/* Weight of the step's mean against the group's own samples. */
+#define BUCKETS_PER_DOUBLING 8
+/* Lengths that are remembered: about the last four steps of 2,048 samples. */
+#define LENGTHS_KEPT 8192
+/* Weight of the trainer's mean against the group's own samples. */
 #define PRIOR_SAMPLES 1.0
 #define PACE_SMOOTHING 0.1
-/* Fewer ended samples than this say nothing of the tail. */
+/* Fewer ended samples than this say nothing. */
 #define LENGTHS_ENOUGH 8
 /* Without a first piece for so long, beyond what is usual, a sample counts as stuck; less may only
  * mean that it waits for a place. */
 #define STUCK_SECONDS 2.0
 #define STUCK_WAITS 4.0
-/* A rate is not judged by fewer tokens than this. */
+/* The pace is not learnt from fewer tokens than this. */
 #define RATE_TOKENS 8
+/* So many may be made beside those seen, since engines send several in one piece. */
+#define UNSEEN_TOKENS 32
+/* A second generation must be expected to be so much faster even where only idle time counts. */
+#define LEAST_MARGIN 1.5
 
-void
-lc_lengths_init (LcLengths *lengths, int64_t longest)
+static size_t
+bucket_of (int64_t tokens)
 {
-  memset (lengths, 0, sizeof *lengths);
-  lengths->longest = longest > 0 ? longest : 1;
+  size_t bucket = (size_t)(BUCKETS_PER_DOUBLING * log2 ((double)tokens + 1));
+
+  return bucket < LC_LENGTH_BUCKETS ? bucket : LC_LENGTH_BUCKETS - 1;
 }
 
-static size_t
-bucket_of (const LcLengths *lengths, int64_t tokens)
+static double
+bucket_middle (size_t bucket)
 {
-  int64_t bucket = tokens * LC_LENGTH_BUCKETS / (lengths->longest + 1);
+  return exp2 (((double)bucket + 0.5) / BUCKETS_PER_DOUBLING) - 1;
+}
 
-  return (size_t)(bucket < LC_LENGTH_BUCKETS ? bucket : LC_LENGTH_BUCKETS - 1);
+static void
+fade (LcLengths *lengths)
+{
+  for (size_t i = 0; i < LC_LENGTH_BUCKETS; i++)
+    lengths->buckets[i] /= 2;
+  lengths->count /= 2;
+  lengths->sum /= 2;
 }
 
 void
 lc_lengths_add (LcLengths *lengths, int64_t tokens)
 {
-  lengths->buckets[bucket_of (lengths, tokens)]++;
+  if (lengths->count >= LENGTHS_KEPT)
+    fade (lengths);
+  lengths->buckets[bucket_of (tokens)]++;
   lengths->count++;
-  lengths->sum += tokens;
+  lengths->sum += (double)tokens;
 }
 
 /* Half of the allowed length until samples have ended. */
 double
-lc_lengths_mean (const LcLengths *lengths)
-{
-  if (lengths->count == 0)
-    return (double)lengths->longest / 2;
-  return (double)lengths->sum / (double)lengths->count;
-}
-
-static double
-bucket_middle (const LcLengths *lengths, size_t bucket)
+lc_lengths_mean (const LcLengths *lengths, int64_t max_tokens)
 {
-  return ((double)bucket + 0.5) * (double)(lengths->longest + 1) / LC_LENGTH_BUCKETS;
+  if (lengths->count < 1)
+    return (double)max_tokens / 2;
+  return fmin (lengths->sum / lengths->count, (double)max_tokens);
 }
 
 /* The mean over ended samples that were longer; when none was, the sample is the longest so far and
  * is expected to go as far again, as far as it may. */
 double
-lc_lengths_remaining (const LcLengths *lengths, int64_t tokens)
+lc_lengths_remaining (const LcLengths *lengths, int64_t tokens, int64_t max_tokens)
 {
   double sum = 0;
-  int64_t count = 0;
-  double room = (double)(lengths->longest - tokens);
+  double count = 0;
+  double room = fmax ((double)(max_tokens - tokens), 1);
 
-  if (room < 1)
-    return 1;
-  for (size_t i = bucket_of (lengths, tokens) + 1; i < LC_LENGTH_BUCKETS; i++)
+  for (size_t i = bucket_of (tokens) + 1; i < LC_LENGTH_BUCKETS; i++)
     {
-      sum += bucket_middle (lengths, i) * (double)lengths->buckets[i];
+      sum += bucket_middle (i) * lengths->buckets[i];
       count += lengths->buckets[i];
     }
   if (count > 0)
-    return sum / (double)count - (double)tokens;
-
-  double mean = lc_lengths_mean (lengths);
-  double guess = (double)tokens > mean ? (double)tokens : mean;
-  return guess < room ? guess : room;
+    return fmin (sum / count - (double)tokens, room);
+  return fmin (fmax ((double)tokens, lc_lengths_mean (lengths, max_tokens)), room);
 }
 
 double
-lc_lengths_predict (const LcLengths *lengths, const LcGroupLengths *group)
+lc_lengths_predict (const LcLengths *lengths, const LcGroupLengths *group, int64_t max_tokens)
 {
-  double mean = lc_lengths_mean (lengths);
+  double mean = lc_lengths_mean (lengths, max_tokens);
 
   return (group->sum + PRIOR_SAMPLES * mean) / ((double)group->count + PRIOR_SAMPLES);
 }
@@ -111,21 +117,30 @@
 {
   LbTime streamed = now - progress->first_piece;
 
-  if (progress->first_piece == 0 || progress->tokens < RATE_TOKENS || streamed <= 0)
+  if (progress->first_piece == 0 || streamed <= 0)
     return pace->tokens_per_second;
-  return (double)progress->tokens * LB_SEC / streamed;
+  return fmin ((double)(progress->tokens + UNSEEN_TOKENS) * LB_SEC / streamed,
+               pace->tokens_per_second);
+}
+
+static double
+seconds_again (const LcLengths *lengths, const LcPace *pace, const LcProgress *progress)
+{
+  double left = lc_lengths_remaining (lengths, progress->tokens, progress->max_tokens);
+
+  return lc_pace_seconds (pace, (double)progress->tokens + left);
 }
 
 static double
 seconds_left (const LcLengths *lengths, const LcPace *pace, const LcProgress *progress, LbTime now)
 {
-  double left = lc_lengths_remaining (lengths, progress->tokens);
   double waited = (double)(now - progress->started) / LB_SEC;
   double overdue = waited - STUCK_SECONDS - STUCK_WAITS * pace->wait_seconds;
 
   if (progress->first_piece == 0)
-    return lc_pace_seconds (pace, lc_lengths_mean (lengths)) * (overdue > 0 ? 2 + overdue : 1);
-  return left / own_rate (pace, progress, now);
+    return seconds_again (lengths, pace, progress) * (overdue > 0 ? 2 + overdue : 1);
+  return lc_lengths_remaining (lengths, progress->tokens, progress->max_tokens)
+         / own_rate (pace, progress, now);
 }
 
 double
@@ -135,20 +150,22 @@
                    double idle_weight,
                    LbTime now)
 {
+  double margin = LEAST_MARGIN + (1.0 - idle_weight);
+
   if (lengths->count < LENGTHS_ENOUGH || pace->tokens_per_second <= 0)
     return 0;
-
-  double again = lc_pace_seconds (pace, lc_lengths_mean (lengths));
-  double margin = 1.0 + (1.0 - idle_weight);
-  return seconds_left (lengths, pace, progress, now) - margin * again;
+  return seconds_left (lengths, pace, progress, now)
+         - margin * seconds_again (lengths, pace, progress);
 }
 
+/* The original goes on until the hedge is whole; then its tokens are lost. */
 int64_t
-lc_straggler_cost (const LcLengths *lengths, const LcPace *pace, const LcProgress *progress)
+lc_straggler_cost (const LcLengths *lengths,
+                   const LcPace *pace,
+                   const LcProgress *progress,
+                   LbTime now)
 {
-  double mean = lc_lengths_mean (lengths);
-  double meanwhile = pace->tokens_per_second * pace->wait_seconds + mean;
-  double original = (double)progress->tokens + meanwhile;
+  double meanwhile = own_rate (pace, progress, now) * seconds_again (lengths, pace, progress);
 
-  return (int64_t)(original > mean ? original : mean);
+  return progress->tokens + (int64_t)(progress->first_piece ? meanwhile : 0);
 }
--- a/packages/core/src/lc-straggler.h
+++ b/packages/core/src/lc-straggler.h
@@ -5,18 +5,19 @@
 
 /* Predictions of how long samples get, from those that ended, and the choice of which to hedge. */
 
-#define LC_LENGTH_BUCKETS 64
+#define LC_LENGTH_BUCKETS 192
 
-/* Lengths of the ended samples of a step, in tokens. */
+/* Lengths of a trainer's ended samples, in tokens. Older steps fade, so that a model that learns to
+ * answer at other length is followed. */
 typedef struct
 {
-  int64_t longest; /* max_tokens of the step */
-  int64_t buckets[LC_LENGTH_BUCKETS];
-  int64_t count;
-  int64_t sum;
+  double buckets[LC_LENGTH_BUCKETS]; /* eight for each doubling */
+  double count;
+  double sum;
 } LcLengths;
 
-/* Lengths of a group's samples, ended or so far: siblings share their prompt. */
+/* Lengths of a group's samples, ended or expected of those that run: siblings share their prompt.
+ */
 typedef struct
 {
   int64_t count;
@@ -34,30 +35,36 @@
 typedef struct
 {
   int64_t tokens; /* so far */
+  int64_t max_tokens;
   LbTime started;
   LbTime first_piece; /* 0: none yet */
 } LcProgress;
 
-void lc_lengths_init (LcLengths *lengths, int64_t longest);
 void lc_lengths_add (LcLengths *lengths, int64_t tokens);
-double lc_lengths_mean (const LcLengths *lengths);
+/* Expected length of any sample, at most max_tokens. */
+double lc_lengths_mean (const LcLengths *lengths, int64_t max_tokens);
 /* Expected tokens still to come for a sample that has so many. */
-double lc_lengths_remaining (const LcLengths *lengths, int64_t tokens);
-double lc_lengths_predict (const LcLengths *lengths, const LcGroupLengths *group);
+double lc_lengths_remaining (const LcLengths *lengths, int64_t tokens, int64_t max_tokens);
+double
+lc_lengths_predict (const LcLengths *lengths, const LcGroupLengths *group, int64_t max_tokens);
 
 void lc_pace_add (LcPace *pace, int64_t tokens, LbTime waited, LbTime streamed);
 /* Seconds that a new sample of so many tokens is expected to take. */
 double lc_pace_seconds (const LcPace *pace, double tokens);
 
-/* Seconds that waiting for the running sample is expected to cost more than a second generation of
- * it, where idle time counts by idle_weight (0..1); 0 or less: do not hedge. */
+/* Seconds that the running sample is expected to need longer than a second generation of it from
+ * the start would, where idle time counts by idle_weight (0..1); 0 or less: do not hedge. It is
+ * never the length of a sample that makes it worth a hedge, only the pace of its endpoint: drawing
+ * long samples again until a short one comes would teach the trainer's model to be short. */
 double lc_straggler_gain (const LcLengths *lengths,
                           const LcPace *pace,
                           const LcProgress *progress,
                           double idle_weight,
                           LbTime now);
 /* Tokens that are expected to be thrown away if this one is hedged. */
-int64_t
-lc_straggler_cost (const LcLengths *lengths, const LcPace *pace, const LcProgress *progress);
+int64_t lc_straggler_cost (const LcLengths *lengths,
+                           const LcPace *pace,
+                           const LcProgress *progress,
+                           LbTime now);
 
 #endif
