--- a/packages/core/include/lc-rollouts.h
+++ b/packages/core/include/lc-rollouts.h
@@ -54,14 +54,18 @@
   LC_ROLLOUT_ABANDON,  /* cancel a request of an earlier GENERATE or SCORE */
   LC_ROLLOUT_SCORE,    /* ask the scorer about a sample */
   LC_ROLLOUT_LEDGER,   /* write a batched row under its condition */
-  LC_ROLLOUT_REPLY     /* answer a pull */
+  LC_ROLLOUT_REPLY,    /* answer a pull */
+  /* Stop a request of an earlier GENERATE and report it with lc_rollouts_finished and
+   * LB_ERROR_CLOSED, with the text of exactly those pieces that were reported: another request goes
+   * on from there. */
+  LC_ROLLOUT_RECALL
 } LcRolloutActionType;
 
 typedef struct
 {
   LbLink link;
   LcRolloutActionType type;
-  /* GENERATE, SCORE, ABANDON */
+  /* GENERATE, SCORE, ABANDON, RECALL */
   LcRequestSpec spec; /* spec.id names the request */
   const char *group;  /* owned by the step; valid until the next command */
   int64_t index;      /* of the sample in its group; the same for hedges and repeats of one slot */
@@ -114,6 +118,8 @@
   bool predict_staleness;
   bool group_release;
   bool fair_shares;
+  bool preempt; /* long samples make room for samples of which nothing is known yet */
+  bool migrate; /* samples of slow endpoints go on elsewhere */
   /* An owner that found no time to tick for so long may have been replaced meanwhile: it has its
    * session confirmed by a ledger write before it delivers again. 0: never. */
   LbTime pause_limit;
--- a/packages/core/src/lc-generate.c
+++ b/packages/core/src/lc-generate.c
@@ -13,7 +13,9 @@
 #define RETRY_LONGEST (5 * LB_SEC)
 /* A scorer that says nothing for so long is asked again. */
 #define SCORE_DEADLINE (30 * LB_SEC)
-#define HEDGE_INTERVAL (100 * LB_MSEC)
+#define REVIEW_INTERVAL (100 * LB_MSEC)
+/* A sample that was moved so often stays where it is. */
+#define MOST_MOVES 4
 #define BYTES_PER_TOKEN 4
 #define HIGHEST_PRIORITY 10
 /* So many failures in a row may come from the part itself: the next start is from the beginning. */
@@ -67,6 +69,7 @@
       lc_rollouts_trainer (rollouts, job->step->spec.subscription)->running--;
     }
   job->step->reserved -= job->reserved;
+  job->step->n_recalled -= job->recalled;
   HASH_DELETE (hh, rollouts->jobs, job);
   lb_list_remove (&slot_of (job)->jobs, &job->link);
   lc_trash_add (&rollouts->trash, job->prefix);
@@ -219,7 +222,7 @@
             return slot;
           if (group_urgency < 0)
             group_urgency = urgency (rollouts, step, g);
-          double own = slot->label ? INFINITY : group_urgency;
+          double own = slot->preempted ? 0 : slot->label ? INFINITY : group_urgency;
           if (own > best_urgency)
             {
               best = slot;
@@ -321,7 +324,11 @@
   if (original)
     avoid_endpoint (&action->spec, original->endpoint);
   else
-    take_partial (slot, job);
+    {
+      avoid_endpoint (&action->spec, slot->avoid);
+      take_partial (slot, job);
+      slot->preempted = false;
+    }
   pool_of (rollouts, step)->running++;
   lc_rollouts_trainer (rollouts, step->spec.subscription)->running++;
   fill_spec (rollouts, &action->spec, job);
@@ -431,7 +438,7 @@
   }
 }
 
-/* Hedging. */
+/* Review of what runs. */
 
 static LcProgress
 progress_of (const LcJob *job)
@@ -442,9 +449,23 @@
                        .first_piece = job->first_piece };
 }
 
-/* The running sample for which waiting is expected to cost most; NULL: none is worth a hedge. */
+typedef double (*Gain) (const LcLengths *lengths,
+                        const LcPace *pace,
+                        const LcProgress *progress,
+                        double idle_weight,
+                        LbTime now);
+
+static bool
+may_be_moved (const LcSlot *slot)
+{
+  const LcJob *job = LB_LIST_FIRST (&slot->jobs, LcJob, link);
+
+  return slot->state == LC_SLOT_RUNNING && slot->jobs.length == 1 && !job->recalled;
+}
+
+/* The running sample for which the gain is largest; NULL: there is none for any. */
 static LcJob *
-pick_straggler (LcRollouts *rollouts, LcStep *step, LbTime now)
+pick_straggler (LcRollouts *rollouts, LcStep *step, Gain gain_of, LbTime now)
 {
   const LcTrainer *trainer = lc_rollouts_trainer (rollouts, step->spec.subscription);
   const LcRolloutPool *pool = pool_of (rollouts, step);
@@ -454,12 +475,12 @@
   for (size_t i = 0; i < step->n_slots; i++)
     {
       LcSlot *slot = &step->slots[i];
-      if (slot->state != LC_SLOT_RUNNING || slot->jobs.length != 1)
+      if (!may_be_moved (slot) || (gain_of == lc_straggler_move_gain && slot->moves >= MOST_MOVES))
         continue;
       LcJob *job = LB_LIST_FIRST (&slot->jobs, LcJob, link);
       LcProgress progress = progress_of (job);
-      double gain = lc_straggler_gain (&trainer->lengths, &pool->pace, &progress,
-                                       trainer->resource.idle_weight, now);
+      double gain
+          = gain_of (&trainer->lengths, &pool->pace, &progress, trainer->resource.idle_weight, now);
       if (gain > best_gain)
         {
           best = job;
@@ -478,39 +499,113 @@
   return (double)(step->status.wasted_tokens + step->reserved + cost) <= budget;
 }
 
-/* Only the tail is hedged: while slots wait, a place is worth more to them. */
-void
-lc_generate_hedge (LcRollouts *rollouts, LcStep *step, LbTime now, LbList *actions)
+static void
+log_review (const LcJob *job, const char *event)
 {
-  LcRolloutPool *pool = pool_of (rollouts, step);
+  lb_log (LB_LOG_INFO, event, LB_TEXT ("subscription", job->step->spec.subscription),
+          LB_INT ("step", job->step->spec.step),
+          LB_TEXT ("group", lc_step_group_spec (job->step, slot_of (job))->id),
+          LB_INT ("index", slot_of (job)->index), LB_TEXT ("endpoint", job->endpoint),
+          LB_INT ("tokens", job->label.tokens));
+}
+
+static void
+recall (LcJob *job, LbList *actions)
+{
+  LcRolloutAction *action = lc_rollouts_add_action (actions, LC_ROLLOUT_RECALL);
+
+  action->spec.id = job->request;
+  job->recalled = true;
+  job->step->n_recalled++;
+  slot_of (job)->moves++;
+}
+
+static size_t
+count_unknown (const LcStep *step)
+{
+  size_t count = 0;
+
+  if (step->n_in_state[LC_SLOT_WAITING] == 0)
+    return 0;
+  for (size_t i = 0; i < step->n_slots; i++)
+    count += step->slots[i].state == LC_SLOT_WAITING && !step->slots[i].label;
+  return count;
+}
+
+/* Which samples are long shows only once they run. One of which nothing is known may be as long as
+ * any, so it should begin before a known long one goes on: else the last to begin ends the step. */
+static void
+preempt (LcRollouts *rollouts, LcStep *step, LbList *actions)
+{
+  const LcLengths *lengths = lengths_of (rollouts, step);
+  size_t unknown = count_unknown (step);
 
-  if (!rollouts->settings.hedging || rollouts->draining || now < step->next_hedge
-      || step->n_in_state[LC_SLOT_WAITING] > 0)
+  if (!rollouts->settings.preempt || unknown <= step->n_recalled)
     return;
-  step->next_hedge = now + HEDGE_INTERVAL;
-  while (pool->running < pool->window)
+  for (size_t i = 0; i < step->n_slots && step->n_recalled < unknown; i++)
+    {
+      LcSlot *slot = &step->slots[i];
+      if (!may_be_moved (slot) || slot->moves >= MOST_MOVES)
+        continue;
+      LcJob *job = LB_LIST_FIRST (&slot->jobs, LcJob, link);
+      LcProgress progress = progress_of (job);
+      if (!lc_straggler_is_long (lengths, &progress))
+        continue;
+      slot->preempted = true;
+      recall (job, actions);
+      log_review (job, "sample-preempted");
+    }
+}
+
+static void
+migrate (LcRollouts *rollouts, LcStep *step, LbTime now, LbList *actions)
+{
+  LcJob *job;
+
+  while (rollouts->settings.migrate
+         && (job = pick_straggler (rollouts, step, lc_straggler_move_gain, now)))
+    {
+      LB_COPY (slot_of (job)->avoid, job->endpoint);
+      recall (job, actions);
+      log_review (job, "sample-migrated");
+    }
+}
+
+static void
+hedge (LcRollouts *rollouts, LcStep *step, LbTime now, LbList *actions)
+{
+  LcRolloutPool *pool = pool_of (rollouts, step);
+  LcJob *job;
+
+  while (rollouts->settings.hedging && pool->running < pool->window
+         && (job = pick_straggler (rollouts, step, lc_straggler_gain, now)))
     {
-      LcJob *job = pick_straggler (rollouts, step, now);
-      if (!job)
-        return;
       LcProgress progress = progress_of (job);
       int64_t cost = lc_straggler_cost (lengths_of (rollouts, step), &pool->pace, &progress, now);
       if (!fits_budget (rollouts, step, cost))
         return;
-      LcSlot *slot = slot_of (job);
-      LcJob *hedge = start_generation (rollouts, step, slot, job, now, actions);
-      hedge->reserved = cost;
+      log_review (job, "sample-hedged");
+      LcJob *second = start_generation (rollouts, step, slot_of (job), job, now, actions);
+      second->reserved = cost;
       step->reserved += cost;
       step->status.hedges++;
       lb_metric_add (&hedges_metric, 1);
-      lb_log (LB_LOG_INFO, "sample-hedged", LB_TEXT ("subscription", step->spec.subscription),
-              LB_INT ("step", step->spec.step),
-              LB_TEXT ("group", lc_step_group_spec (step, slot)->id), LB_INT ("index", slot->index),
-              LB_TEXT ("slow_at", job->endpoint), LB_INT ("tokens_so_far", job->label.tokens),
-              LB_INT ("cost_tokens", cost));
     }
 }
 
+/* Only the tail is hedged: while slots wait, a place is worth more to them. */
+void
+lc_generate_review (LcRollouts *rollouts, LcStep *step, LbTime now, LbList *actions)
+{
+  if (rollouts->draining || now < step->next_review || step->n_in_state[LC_SLOT_RUNNING] == 0)
+    return;
+  step->next_review = now + REVIEW_INTERVAL;
+  migrate (rollouts, step, now, actions);
+  preempt (rollouts, step, actions);
+  if (step->n_in_state[LC_SLOT_WAITING] == 0)
+    hedge (rollouts, step, now, actions);
+}
+
 /* What came of it. */
 
 /* Without its twin the slot waits for a new start. */
@@ -606,12 +701,31 @@
 {
   LcStep *step = job->step;
   LcSlot *slot = slot_of (job);
+  bool recalled = job->recalled;
 
   slot->text = join (job->prefix, text);
   slot->label = lb_memdup (&job->label, sizeof job->label);
   lc_step_set_state (step, slot, LC_SLOT_WAITING);
   job_free (rollouts, job);
-  back_off (rollouts, step, slot, now);
+  if (!recalled)
+    back_off (rollouts, step, slot, now);
+}
+
+/* What a recalled request had made; its slot goes on from there as soon as there is a place. */
+static void
+take_recalled (LcRollouts *rollouts, LcJob *job, char *text, LbTime now)
+{
+  LcSlot *slot = slot_of (job);
+  bool alone = slot->jobs.length == 1;
+
+  if (alone && job->label.tokens > 0 && text && (text[0] || made_tokens (job) == 0))
+    {
+      keep_partial (rollouts, job, text, now);
+      return;
+    }
+  free (text);
+  drop_job (rollouts, job, now, false);
+  slot->preempted = false;
 }
 
 static void
@@ -666,6 +780,7 @@
   slot->label = lb_memdup (&job->label, sizeof job->label);
   slot->failures = 0;
   slot->not_before = 0;
+  slot->preempted = false;
   job_free (rollouts, job);
   lc_generate_abandon (rollouts, step, slot, actions);
   lc_step_set_state (step, slot, trainer->resource.scorer[0] ? LC_SLOT_SCORING : LC_SLOT_READY);
@@ -680,6 +795,11 @@
 lc_generate_finished (
     LcRollouts *rollouts, LcJob *job, LbErrorCode error, char *text, LbTime now, LbList *actions)
 {
+  if (error != LB_OK && job->recalled)
+    {
+      take_recalled (rollouts, job, text, now);
+      return;
+    }
   if (error != LB_OK)
     {
       failed (rollouts, job, error, text, now);
--- a/packages/core/src/lc-generate.h
+++ b/packages/core/src/lc-generate.h
@@ -7,8 +7,8 @@
 
 /* Starts as many generations and scorings as the pools have room for. */
 void lc_generate_fill (LcRollouts *rollouts, LbTime now, LbList *actions);
-/* Second generations for the step's tail. */
-void lc_generate_hedge (LcRollouts *rollouts, LcStep *step, LbTime now, LbList *actions);
+/* Looks at what runs: preempts, migrates and hedges. */
+void lc_generate_review (LcRollouts *rollouts, LcStep *step, LbTime now, LbList *actions);
 /* Cancels all that runs for the slot. */
 void lc_generate_abandon (LcRollouts *rollouts, LcStep *step, LcSlot *slot, LbList *actions);
 /* Throws away what is too old for a trainer at this version, ready or running. */
--- a/packages/core/src/lc-rollouts.c
+++ b/packages/core/src/lc-rollouts.c
@@ -33,6 +33,8 @@
                               .predict_staleness = true,
                               .group_release = true,
                               .fair_shares = true,
+                              .preempt = true,
+                              .migrate = true,
                               .pause_limit = DEFAULT_PAUSE_LIMIT };
 }
 
@@ -473,7 +475,7 @@
   LcStep *step = job->step;
   lc_generate_finished (rollouts, job, error, text, now, actions);
   settle (rollouts, step, now, actions);
-  lc_generate_hedge (rollouts, step, now, actions);
+  lc_generate_review (rollouts, step, now, actions);
 }
 
 void
@@ -561,7 +563,7 @@
   lc_generate_fill (rollouts, now, actions);
   LB_LIST_FOREACH (&rollouts->steps, LcStep, link, open)
   {
-    lc_generate_hedge (rollouts, open, now, actions);
+    lc_generate_review (rollouts, open, now, actions);
   }
 }
 
--- a/packages/core/src/lc-step.h
+++ b/packages/core/src/lc-step.h
@@ -30,10 +30,11 @@
   LcRequestId request;
   LcStep *step;
   size_t slot;
-  bool scores;  /* a call of the scorer, not a generation */
-  bool hedge;   /* the second generation of its slot */
-  int64_t base; /* tokens that it was resumed with */
-  char *prefix; /* their text; NULL: none */
+  bool scores;   /* a call of the scorer, not a generation */
+  bool hedge;    /* the second generation of its slot */
+  bool recalled; /* its end was asked for, to go on in another request */
+  int64_t base;  /* tokens that it was resumed with */
+  char *prefix;  /* their text; NULL: none */
   LcLabel label;
   LbTime started;
   LbTime first_piece; /* 0: none yet */
@@ -53,6 +54,9 @@
   bool has_score;
   double score;
   bool was_sent;     /* in some chunk of this session */
+  bool preempted;    /* WAITING: known to be long, goes on when nothing unknown waits */
+  int moves;         /* times that it was preempted or migrated */
+  LbName avoid;      /* endpoint that was slow with it; empty: none */
   int failures;      /* in a row */
   LbTime not_before; /* WAITING, SCORING: no new request earlier */
 } LcSlot;
@@ -104,9 +108,10 @@
   uint64_t must_be_confirmed; /* ledger change without which nothing is delivered */
 
   int64_t reserved; /* tokens that running hedges may waste */
-  LbTime next_hedge;
-  LbTime retry_at; /* earliest not_before that was seen */
-  LbTime closed;   /* when all was acknowledged; 0: not yet */
+  LbTime next_review;
+  size_t n_recalled; /* requests whose end was asked for */
+  LbTime retry_at;   /* earliest not_before that was seen */
+  LbTime closed;     /* when all was acknowledged; 0: not yet */
   LcStepStatus status;
 };
 
--- a/packages/core/src/lc-straggler.c
+++ b/packages/core/src/lc-straggler.c
@@ -20,6 +20,8 @@
 #define UNSEEN_TOKENS 32
 /* A second generation must be expected to be so much faster even where only idle time counts. */
 #define LEAST_MARGIN 1.5
+/* A long sample has so many times the tokens of a usual one still to come. */
+#define LONG_TIMES 2.0
 
 static size_t
 bucket_of (int64_t tokens)
@@ -143,6 +145,18 @@
          / own_rate (pace, progress, now);
 }
 
+static double
+margin (double idle_weight)
+{
+  return LEAST_MARGIN + (1.0 - idle_weight);
+}
+
+static bool
+knows_enough (const LcLengths *lengths, const LcPace *pace)
+{
+  return lengths->count >= LENGTHS_ENOUGH && pace->tokens_per_second > 0;
+}
+
 double
 lc_straggler_gain (const LcLengths *lengths,
                    const LcPace *pace,
@@ -150,12 +164,34 @@
                    double idle_weight,
                    LbTime now)
 {
-  double margin = LEAST_MARGIN + (1.0 - idle_weight);
+  if (!knows_enough (lengths, pace))
+    return 0;
+  return seconds_left (lengths, pace, progress, now)
+         - margin (idle_weight) * seconds_again (lengths, pace, progress);
+}
 
-  if (lengths->count < LENGTHS_ENOUGH || pace->tokens_per_second <= 0)
+double
+lc_straggler_move_gain (const LcLengths *lengths,
+                        const LcPace *pace,
+                        const LcProgress *progress,
+                        double idle_weight,
+                        LbTime now)
+{
+  if (!knows_enough (lengths, pace) || progress->tokens == 0)
     return 0;
+
+  double left = lc_lengths_remaining (lengths, progress->tokens, progress->max_tokens);
   return seconds_left (lengths, pace, progress, now)
-         - margin * seconds_again (lengths, pace, progress);
+         - margin (idle_weight) * lc_pace_seconds (pace, left);
+}
+
+bool
+lc_straggler_is_long (const LcLengths *lengths, const LcProgress *progress)
+{
+  if (lengths->count < LENGTHS_ENOUGH || progress->tokens == 0)
+    return false;
+  return lc_lengths_remaining (lengths, progress->tokens, progress->max_tokens)
+         > LONG_TIMES * lc_lengths_mean (lengths, progress->max_tokens);
 }
 
 /* The original goes on until the hedge is whole; then its tokens are lost. */
--- a/packages/node/include/ln-messages.h
+++ b/packages/node/include/ln-messages.h
@@ -53,6 +53,7 @@
 {
   LnMessage base;
   LcRequestId request;
+  bool keep; /* answer with LN_SAMPLE_DONE, LB_ERROR_CLOSED and the text of the pieces posted */
 } LnSampleCancelMessage;
 
 typedef struct
--- a/packages/node/src/ln-calls.c
+++ b/packages/node/src/ln-calls.c
@@ -472,6 +472,18 @@
   submit (calls, call);
 }
 
+static void
+cancel_sample (LnCalls *calls, const LnSampleCancelMessage *message)
+{
+  LnCall *call = find_call (calls, message->request);
+
+  if (!call)
+    return;
+  if (message->keep)
+    post_done (calls, call->spec.id, LB_ERROR_CLOSED, copy_text (call->text));
+  cancel_call (calls, call);
+}
+
 static void
 take_leaving (LnCalls *calls, const LnEndpointLeavingMessage *message)
 {
@@ -524,7 +536,6 @@
 {
   LnCalls *calls = (LnCalls *)task;
   const LnEndpointSwapMessage *swap;
-  LnCall *call;
 
   switch ((LnMessageType)message->type)
     {
@@ -544,9 +555,7 @@
       take_sample (calls, (const LnSampleMessage *)message);
       break;
     case LN_SAMPLE_CANCEL:
-      call = find_call (calls, ((const LnSampleCancelMessage *)message)->request);
-      if (call)
-        cancel_call (calls, call);
+      cancel_sample (calls, (const LnSampleCancelMessage *)message);
       break;
     case LN_ENDPOINT_LEAVING:
       take_leaving (calls, (const LnEndpointLeavingMessage *)message);
--- a/packages/node/src/ln-rollouts.c
+++ b/packages/node/src/ln-rollouts.c
@@ -519,8 +519,9 @@
 static void
 post_cancel (LnRollouts *rollouts, const LcRolloutAction *action)
 {
-  LnSampleCancelMessage message
-      = { .base = LN_MESSAGE (LN_SAMPLE_CANCEL), .request = action->spec.id };
+  LnSampleCancelMessage message = { .base = LN_MESSAGE (LN_SAMPLE_CANCEL),
+                                    .request = action->spec.id,
+                                    .keep = action->type == LC_ROLLOUT_RECALL };
 
   LN_POST (rollouts->task.hub, ln_hub_find (rollouts->task.hub, "calls"), message);
 }
@@ -608,6 +609,7 @@
       post_sample (rollouts, action);
       break;
     case LC_ROLLOUT_ABANDON:
+    case LC_ROLLOUT_RECALL:
       post_cancel (rollouts, action);
       break;
     case LC_ROLLOUT_LEDGER:
--- a/packages/sim/src/lx-instance.c
+++ b/packages/sim/src/lx-instance.c
@@ -557,6 +557,21 @@
   free_request (instance, request);
 }
 
+/* Ends a request and gives back what its pieces said so far. */
+static void
+recall (LxInstance *instance, LcRequestId id)
+{
+  LxRequest *request = find_request (instance, id);
+
+  if (!request)
+    return;
+  if (request->n_attempts > 0)
+    lx_text_copy (&request->text, &request->attempts[request->n_attempts - 1].text);
+  lc_rollouts_finished (instance->rollouts, id, LB_ERROR_CLOSED, lx_text_render (&request->text),
+                        now_of (instance), &instance->rollout_actions);
+  abandon (instance, id);
+}
+
 typedef struct
 {
   uint64_t write;
@@ -602,6 +617,9 @@
     case LC_ROLLOUT_ABANDON:
       abandon (instance, action->spec.id);
       break;
+    case LC_ROLLOUT_RECALL:
+      recall (instance, action->spec.id);
+      break;
     case LC_ROLLOUT_LEDGER:
       write_ledger (instance, action);
       break;
