Samples of slow endpoints migrate; the making of samples in four small files

Hedges remain for what is stuck before its first piece, or with migrate off.

Tried and taken out: preempting samples that turned out long, so that unknown ones begin earlier.

--- a/packages/core/include/lc-rollouts.h
+++ b/packages/core/include/lc-rollouts.h
@@ -118,7 +118,6 @@
   bool predict_staleness;
   bool group_release;
   bool fair_shares;
-  bool preempt; /* long samples make room for samples of which nothing is known yet */
   bool migrate; /* samples of slow endpoints go on elsewhere */
   /* An owner that found no time to tick for so long may have been replaced meanwhile: it has its
    * session confirmed by a ledger write before it delivers again. 0: never. */
--- a/packages/core/src/lc-deliver.c
+++ b/packages/core/src/lc-deliver.c
@@ -3,8 +3,9 @@
 #include "lb-alloc.h"
 #include "lb-counter.h"
 #include "lb-log.h"
-#include "lc-generate.h"
+#include "lc-job.h"
 #include "lc-label.h"
+#include "lc-result.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -259,7 +260,7 @@
 {
   LcSlot *slot = &step->slots[at];
 
-  lc_generate_abandon (rollouts, step, slot, actions);
+  lc_slot_abandon (rollouts, slot, actions);
   lc_step_forget_text (step, slot);
   lc_step_set_state (step, slot, LC_SLOT_ACKED);
 }
@@ -293,7 +294,7 @@
   if (!stale)
     return;
   take_back_chunk (step);
-  lc_generate_discard_stale (rollouts, step, pull->version, trainer->max_lag, actions);
+  lc_result_discard_stale (rollouts, step, pull->version, trainer->max_lag, actions);
 }
 
 static bool
@@ -315,8 +316,8 @@
     {
       /* Fresh when it was dispatched is not enough: the trainer has gone on since, and shows in
        * this very pull how far. */
-      lc_generate_discard_stale (rollouts, step, pull->version,
-                                 trainer_of (rollouts, step)->max_lag, actions);
+      lc_result_discard_stale (rollouts, step, pull->version, trainer_of (rollouts, step)->max_lag,
+                               actions);
       make_chunk (rollouts, step, pull, now);
     }
   if (!is_confirmed (rollouts, step))
--- a/packages/core/src/lc-generate.c
+++ b/packages/core/src/lc-generate.c
@@ -1,141 +1,18 @@
 #include "lc-generate.h"
 
 #include "lb-alloc.h"
-#include "lb-counter.h"
-#include "lb-log.h"
-#include "lc-label.h"
 
 #include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define RETRY_FIRST (100 * LB_MSEC)
-#define RETRY_LONGEST (5 * LB_SEC)
 /* A scorer that says nothing for so long is asked again. */
 #define SCORE_DEADLINE (30 * LB_SEC)
-#define REVIEW_INTERVAL (100 * LB_MSEC)
-/* A sample that was moved so often stays where it is. */
-#define MOST_MOVES 4
 #define BYTES_PER_TOKEN 4
 #define HIGHEST_PRIORITY 10
-/* So many failures in a row may come from the part itself: the next start is from the beginning. */
-#define RESUME_TRIES 3
-
-static LbMetric hedges_metric
-    = LB_COUNTER_INIT ("lentilspindle_rollout_hedges_total",
-                       NULL,
-                       "Second generations of a sample that were started");
-static LbMetric stale_metric = LB_COUNTER_INIT ("lentilspindle_rollout_discarded_total",
-                                                "reason=\"stale\"",
-                                                "Samples thrown away and generated again");
-static LbMetric unlabelled_metric = LB_COUNTER_INIT ("lentilspindle_rollout_discarded_total",
-                                                     "reason=\"unlabelled\"",
-                                                     "Samples thrown away and generated again");
-
-static LcJob *
-job_new (LcRollouts *rollouts, LcStep *step, LcSlot *slot, LbTime now)
-{
-  LcJob *job = LB_NEW (LcJob);
-
-  job->request = lc_rollouts_next_id (rollouts);
-  job->step = step;
-  job->slot = (size_t)(slot - step->slots);
-  job->started = now;
-  lc_label_init (&job->label);
-  lb_list_append (&slot->jobs, &job->link);
-  HASH_ADD (hh, rollouts->jobs, request, sizeof job->request, job);
-  return job;
-}
-
-static LcSlot *
-slot_of (const LcJob *job)
-{
-  return &job->step->slots[job->slot];
-}
-
-static LcRolloutPool *
-pool_of (LcRollouts *rollouts, const LcStep *step)
-{
-  return lc_rollouts_pool (rollouts,
-                           lc_rollouts_trainer (rollouts, step->spec.subscription)->resource.pool);
-}
-
-static void
-job_free (LcRollouts *rollouts, LcJob *job)
-{
-  if (!job->scores)
-    {
-      pool_of (rollouts, job->step)->running--;
-      lc_rollouts_trainer (rollouts, job->step->spec.subscription)->running--;
-    }
-  job->step->reserved -= job->reserved;
-  job->step->n_recalled -= job->recalled;
-  HASH_DELETE (hh, rollouts->jobs, job);
-  lb_list_remove (&slot_of (job)->jobs, &job->link);
-  lc_trash_add (&rollouts->trash, job->prefix);
-  free (job);
-}
-
-/* Tokens that this job itself made. */
-static int64_t
-made_tokens (const LcJob *job)
-{
-  return job->label.tokens - job->base;
-}
-
-static void
-abandon_job (LcRollouts *rollouts, LcJob *job, LbList *actions)
-{
-  LcRolloutAction *action = lc_rollouts_add_action (actions, LC_ROLLOUT_ABANDON);
-
-  action->spec.id = job->request;
-  job->step->status.wasted_tokens += made_tokens (job);
-  job_free (rollouts, job);
-}
-
-void
-lc_generate_abandon (LcRollouts *rollouts, LcStep *step, LcSlot *slot, LbList *actions)
-{
-  (void)step;
-  LB_LIST_FOREACH (&slot->jobs, LcJob, link, job)
-  {
-    abandon_job (rollouts, job, actions);
-  }
-}
-
-/* Exponential with full jitter, so that what failed together does not come back together. */
-static void
-back_off (LcRollouts *rollouts, LcStep *step, LcSlot *slot, LbTime now)
-{
-  LbTime longest = RETRY_FIRST << (slot->failures < 6 ? slot->failures : 6);
-
-  if (longest > RETRY_LONGEST)
-    longest = RETRY_LONGEST;
-  slot->failures++;
-  slot->not_before = now + (LbTime)(gsl_rng_uniform (rollouts->rng) * (double)longest);
-  if (slot->not_before < step->retry_at)
-    step->retry_at = slot->not_before;
-}
-
-void
-lc_generate_discard_sample (LcStep *step, LcSlot *slot, int64_t *counter, const char *reason)
-{
-  (*counter)++;
-  step->status.wasted_tokens += slot->label ? slot->label->tokens : 0;
-  lb_log (LB_LOG_INFO, "sample-discarded", LB_TEXT ("reason", reason),
-          LB_TEXT ("subscription", step->spec.subscription), LB_INT ("step", step->spec.step),
-          LB_TEXT ("group", lc_step_group_spec (step, slot)->id), LB_INT ("index", slot->index));
-  lc_step_reset_slot (step, slot);
-}
 
 /* Prediction. */
 
-static const LcLengths *
-lengths_of (const LcRollouts *rollouts, const LcStep *step)
-{
-  return &lc_rollouts_trainer (rollouts, step->spec.subscription)->lengths;
-}
-
 /* Of a sample that runs: what it has and what ended samples say of one that has so much. */
 static double
 expected_length (const LcLengths *lengths, const LcJob *job, int64_t max_tokens)
@@ -170,7 +47,7 @@
 static double
 predict (const LcRollouts *rollouts, const LcStep *step, size_t group)
 {
-  const LcLengths *lengths = lengths_of (rollouts, step);
+  const LcLengths *lengths = lc_step_lengths (rollouts, step);
   LcGroupLengths sums = group_lengths (lengths, step, group);
 
   return lc_lengths_predict (lengths, &sums, step->spec.groups[group].max_tokens);
@@ -222,7 +99,7 @@
             return slot;
           if (group_urgency < 0)
             group_urgency = urgency (rollouts, step, g);
-          double own = slot->preempted ? 0 : slot->label ? INFINITY : group_urgency;
+          double own = slot->label ? INFINITY : group_urgency;
           if (own > best_urgency)
             {
               best = slot;
@@ -239,7 +116,7 @@
 min_version (LcRollouts *rollouts, const LcStep *step, double tokens)
 {
   const LcTrainer *trainer = lc_rollouts_trainer (rollouts, step->spec.subscription);
-  const LcRolloutPool *pool = pool_of (rollouts, step);
+  const LcRolloutPool *pool = lc_step_pool (rollouts, step);
   LcFreshness freshness = { .max_lag = trainer->max_lag,
                             .idle_weight = trainer->resource.idle_weight,
                             .trainer = step->trainer_version,
@@ -254,7 +131,7 @@
 static int
 priority_of (const LcRollouts *rollouts, const LcStep *step, double tokens)
 {
-  double times = tokens / lc_lengths_mean (lengths_of (rollouts, step), INT64_MAX);
+  double times = tokens / lc_lengths_mean (lc_step_lengths (rollouts, step), INT64_MAX);
 
   return (int)fmin (times, HIGHEST_PRIORITY);
 }
@@ -263,7 +140,7 @@
 fill_spec (LcRollouts *rollouts, LcRequestSpec *spec, const LcJob *job)
 {
   const LcStep *step = job->step;
-  const LcSlot *slot = slot_of (job);
+  const LcSlot *slot = lc_job_slot (job);
   const LcTrainer *trainer = lc_rollouts_trainer (rollouts, step->spec.subscription);
   double tokens = predict (rollouts, step, slot->group);
 
@@ -308,17 +185,17 @@
   slot->label = NULL;
 }
 
-static LcJob *
-start_generation (LcRollouts *rollouts,
-                  LcStep *step,
-                  LcSlot *slot,
-                  const LcJob *original,
-                  LbTime now,
-                  LbList *actions)
+LcJob *
+lc_generate_start (LcRollouts *rollouts,
+                   LcStep *step,
+                   LcSlot *slot,
+                   const LcJob *original,
+                   LbTime now,
+                   LbList *actions)
 {
   const LcGroupSpec *group = lc_step_group_spec (step, slot);
   LcRolloutAction *action = lc_rollouts_add_action (actions, LC_ROLLOUT_GENERATE);
-  LcJob *job = job_new (rollouts, step, slot, now);
+  LcJob *job = lc_job_new (rollouts, step, slot, now);
 
   job->hedge = original != NULL;
   if (original)
@@ -327,9 +204,8 @@
     {
       avoid_endpoint (&action->spec, slot->avoid);
       take_partial (slot, job);
-      slot->preempted = false;
     }
-  pool_of (rollouts, step)->running++;
+  lc_step_pool (rollouts, step)->running++;
   lc_rollouts_trainer (rollouts, step->spec.subscription)->running++;
   fill_spec (rollouts, &action->spec, job);
   action->group = group->id;
@@ -347,7 +223,7 @@
 {
   const LcTrainer *trainer = lc_rollouts_trainer (rollouts, step->spec.subscription);
   LcRolloutAction *action = lc_rollouts_add_action (actions, LC_ROLLOUT_SCORE);
-  LcJob *job = job_new (rollouts, step, slot, now);
+  LcJob *job = lc_job_new (rollouts, step, slot, now);
 
   job->scores = true;
   action->spec.id = job->request;
@@ -433,444 +309,7 @@
         LcSlot *slot = pick_of_pool (rollouts, pool, &step, now);
         if (!slot)
           break;
-        start_generation (rollouts, step, slot, NULL, now, actions);
+        lc_generate_start (rollouts, step, slot, NULL, now, actions);
       }
   }
 }
-
-/* Review of what runs. */
-
-static LcProgress
-progress_of (const LcJob *job)
-{
-  return (LcProgress){ .tokens = job->label.tokens,
-                       .max_tokens = lc_step_group_spec (job->step, slot_of (job))->max_tokens,
-                       .started = job->started,
-                       .first_piece = job->first_piece };
-}
-
-typedef double (*Gain) (const LcLengths *lengths,
-                        const LcPace *pace,
-                        const LcProgress *progress,
-                        double idle_weight,
-                        LbTime now);
-
-static bool
-may_be_moved (const LcSlot *slot)
-{
-  const LcJob *job = LB_LIST_FIRST (&slot->jobs, LcJob, link);
-
-  return slot->state == LC_SLOT_RUNNING && slot->jobs.length == 1 && !job->recalled;
-}
-
-/* The running sample for which the gain is largest; NULL: there is none for any. */
-static LcJob *
-pick_straggler (LcRollouts *rollouts, LcStep *step, Gain gain_of, LbTime now)
-{
-  const LcTrainer *trainer = lc_rollouts_trainer (rollouts, step->spec.subscription);
-  const LcRolloutPool *pool = pool_of (rollouts, step);
-  LcJob *best = NULL;
-  double best_gain = 0;
-
-  for (size_t i = 0; i < step->n_slots; i++)
-    {
-      LcSlot *slot = &step->slots[i];
-      if (!may_be_moved (slot) || (gain_of == lc_straggler_move_gain && slot->moves >= MOST_MOVES))
-        continue;
-      LcJob *job = LB_LIST_FIRST (&slot->jobs, LcJob, link);
-      LcProgress progress = progress_of (job);
-      double gain
-          = gain_of (&trainer->lengths, &pool->pace, &progress, trainer->resource.idle_weight, now);
-      if (gain > best_gain)
-        {
-          best = job;
-          best_gain = gain;
-        }
-    }
-  return best;
-}
-
-static bool
-fits_budget (const LcRollouts *rollouts, const LcStep *step, int64_t cost)
-{
-  const LcTrainer *trainer = lc_rollouts_trainer (rollouts, step->spec.subscription);
-  double budget = trainer->resource.hedge_budget * (double)step->status.tokens;
-
-  return (double)(step->status.wasted_tokens + step->reserved + cost) <= budget;
-}
-
-static void
-log_review (const LcJob *job, const char *event)
-{
-  lb_log (LB_LOG_INFO, event, LB_TEXT ("subscription", job->step->spec.subscription),
-          LB_INT ("step", job->step->spec.step),
-          LB_TEXT ("group", lc_step_group_spec (job->step, slot_of (job))->id),
-          LB_INT ("index", slot_of (job)->index), LB_TEXT ("endpoint", job->endpoint),
-          LB_INT ("tokens", job->label.tokens));
-}
-
-static void
-recall (LcJob *job, LbList *actions)
-{
-  LcRolloutAction *action = lc_rollouts_add_action (actions, LC_ROLLOUT_RECALL);
-
-  action->spec.id = job->request;
-  job->recalled = true;
-  job->step->n_recalled++;
-  slot_of (job)->moves++;
-}
-
-static size_t
-count_unknown (const LcStep *step)
-{
-  size_t count = 0;
-
-  if (step->n_in_state[LC_SLOT_WAITING] == 0)
-    return 0;
-  for (size_t i = 0; i < step->n_slots; i++)
-    count += step->slots[i].state == LC_SLOT_WAITING && !step->slots[i].label;
-  return count;
-}
-
-/* Which samples are long shows only once they run. One of which nothing is known may be as long as
- * any, so it should begin before a known long one goes on: else the last to begin ends the step. */
-static void
-preempt (LcRollouts *rollouts, LcStep *step, LbList *actions)
-{
-  const LcLengths *lengths = lengths_of (rollouts, step);
-  size_t unknown = count_unknown (step);
-
-  if (!rollouts->settings.preempt || unknown <= step->n_recalled)
-    return;
-  for (size_t i = 0; i < step->n_slots && step->n_recalled < unknown; i++)
-    {
-      LcSlot *slot = &step->slots[i];
-      if (!may_be_moved (slot) || slot->moves >= MOST_MOVES)
-        continue;
-      LcJob *job = LB_LIST_FIRST (&slot->jobs, LcJob, link);
-      LcProgress progress = progress_of (job);
-      if (!lc_straggler_is_long (lengths, &progress))
-        continue;
-      slot->preempted = true;
-      recall (job, actions);
-      log_review (job, "sample-preempted");
-    }
-}
-
-static void
-migrate (LcRollouts *rollouts, LcStep *step, LbTime now, LbList *actions)
-{
-  LcJob *job;
-
-  while (rollouts->settings.migrate
-         && (job = pick_straggler (rollouts, step, lc_straggler_move_gain, now)))
-    {
-      LB_COPY (slot_of (job)->avoid, job->endpoint);
-      recall (job, actions);
-      log_review (job, "sample-migrated");
-    }
-}
-
-static void
-hedge (LcRollouts *rollouts, LcStep *step, LbTime now, LbList *actions)
-{
-  LcRolloutPool *pool = pool_of (rollouts, step);
-  LcJob *job;
-
-  while (rollouts->settings.hedging && pool->running < pool->window
-         && (job = pick_straggler (rollouts, step, lc_straggler_gain, now)))
-    {
-      LcProgress progress = progress_of (job);
-      int64_t cost = lc_straggler_cost (lengths_of (rollouts, step), &pool->pace, &progress, now);
-      if (!fits_budget (rollouts, step, cost))
-        return;
-      log_review (job, "sample-hedged");
-      LcJob *second = start_generation (rollouts, step, slot_of (job), job, now, actions);
-      second->reserved = cost;
-      step->reserved += cost;
-      step->status.hedges++;
-      lb_metric_add (&hedges_metric, 1);
-    }
-}
-
-/* Only the tail is hedged: while slots wait, a place is worth more to them. */
-void
-lc_generate_review (LcRollouts *rollouts, LcStep *step, LbTime now, LbList *actions)
-{
-  if (rollouts->draining || now < step->next_review || step->n_in_state[LC_SLOT_RUNNING] == 0)
-    return;
-  step->next_review = now + REVIEW_INTERVAL;
-  migrate (rollouts, step, now, actions);
-  preempt (rollouts, step, actions);
-  if (step->n_in_state[LC_SLOT_WAITING] == 0)
-    hedge (rollouts, step, now, actions);
-}
-
-/* What came of it. */
-
-/* Without its twin the slot waits for a new start. */
-static void
-drop_job (LcRollouts *rollouts, LcJob *job, LbTime now, bool failed)
-{
-  LcStep *step = job->step;
-  LcSlot *slot = slot_of (job);
-
-  step->status.wasted_tokens += made_tokens (job);
-  job_free (rollouts, job);
-  if (!lb_list_is_empty (&slot->jobs))
-    return;
-  lc_step_reset_slot (step, slot);
-  if (failed)
-    back_off (rollouts, step, slot, now);
-}
-
-static void
-drop_unlabelled (LcRollouts *rollouts, LcJob *job, LbTime now)
-{
-  LcStep *step = job->step;
-
-  step->status.discarded_unlabelled++;
-  lb_metric_add (&unlabelled_metric, 1);
-  lb_log (LB_LOG_WARNING, "sample-unlabelled", LB_TEXT ("subscription", step->spec.subscription),
-          LB_INT ("step", step->spec.step), LB_INT ("slot", (int64_t)job->slot),
-          LB_TEXT ("endpoint", job->endpoint));
-  drop_job (rollouts, job, now, true);
-}
-
-/* An attempt that was broken off and begun again elsewhere starts at the base once more: what was
- * said of the tokens of the first attempt does not count for those of the second. The same endpoint
- * at the base again may as well be one stream that repeats itself, and is left to the label, which
- * takes it as an overlap. */
-static void
-restart_label (LcJob *job)
-{
-  LcLabel *label = &job->label;
-
-  job->step->status.wasted_tokens += made_tokens (job);
-  label->unlabelled = false;
-  while (label->n_spans > 0 && label->spans[label->n_spans - 1].first >= job->base)
-    label->n_spans--;
-  label->tokens = job->base;
-  if (label->n_spans > 0)
-    {
-      LcSpan *last = &label->spans[label->n_spans - 1];
-      last->count = job->base - last->first;
-    }
-}
-
-void
-lc_generate_piece (LcRollouts *rollouts,
-                   LcJob *job,
-                   const LcPiece *piece,
-                   const char *endpoint,
-                   LbTime now,
-                   LbList *actions)
-{
-  bool elsewhere = strcmp (job->endpoint, endpoint) != 0;
-
-  LB_COPY (job->endpoint, endpoint);
-  if (job->first_piece == 0)
-    job->first_piece = now;
-  if (elsewhere && piece->tokens > 0 && piece->offset == job->base && made_tokens (job) > 0)
-    restart_label (job);
-  lc_label_add_reused (&job->label, piece->offset, piece->tokens, piece->version,
-                       piece->kv_reused_version);
-  job->step->status.tokens += piece->tokens > 0 ? piece->tokens : 0;
-  if (!job->label.unlabelled)
-    return;
-
-  LcRolloutAction *action = lc_rollouts_add_action (actions, LC_ROLLOUT_ABANDON);
-  action->spec.id = job->request;
-  drop_unlabelled (rollouts, job, now);
-}
-
-static char *
-join (char *prefix, char *text)
-{
-  if (!prefix)
-    return text;
-
-  char *joined = lb_asprintf ("%s%s", prefix, text);
-  free (text);
-  return joined;
-}
-
-/* Keeps what was generated, so that the next start goes on behind it. */
-static void
-keep_partial (LcRollouts *rollouts, LcJob *job, char *text, LbTime now)
-{
-  LcStep *step = job->step;
-  LcSlot *slot = slot_of (job);
-  bool recalled = job->recalled;
-
-  slot->text = join (job->prefix, text);
-  slot->label = lb_memdup (&job->label, sizeof job->label);
-  lc_step_set_state (step, slot, LC_SLOT_WAITING);
-  job_free (rollouts, job);
-  if (!recalled)
-    back_off (rollouts, step, slot, now);
-}
-
-/* What a recalled request had made; its slot goes on from there as soon as there is a place. */
-static void
-take_recalled (LcRollouts *rollouts, LcJob *job, char *text, LbTime now)
-{
-  LcSlot *slot = slot_of (job);
-  bool alone = slot->jobs.length == 1;
-
-  if (alone && job->label.tokens > 0 && text && (text[0] || made_tokens (job) == 0))
-    {
-      keep_partial (rollouts, job, text, now);
-      return;
-    }
-  free (text);
-  drop_job (rollouts, job, now, false);
-  slot->preempted = false;
-}
-
-static void
-failed (LcRollouts *rollouts, LcJob *job, LbErrorCode error, char *text, LbTime now)
-{
-  LcSlot *slot = slot_of (job);
-  bool may_keep
-      = rollouts->settings.resume && slot->jobs.length == 1 && slot->failures < RESUME_TRIES;
-
-  lb_metric_count_error (error);
-  lb_log (LB_LOG_INFO, "sample-failed", LB_TEXT ("error", lb_error_name (error)),
-          LB_TEXT ("subscription", job->step->spec.subscription),
-          LB_INT ("step", job->step->spec.step), LB_INT ("slot", (int64_t)job->slot),
-          LB_TEXT ("endpoint", job->endpoint), LB_INT ("tokens", job->label.tokens));
-  if (may_keep && made_tokens (job) > 0 && text && text[0])
-    {
-      keep_partial (rollouts, job, text, now);
-      return;
-    }
-  if (may_keep && made_tokens (job) == 0 && job->base > 0)
-    {
-      free (text);
-      keep_partial (rollouts, job, lb_strdup (""), now);
-      return;
-    }
-  free (text);
-  drop_job (rollouts, job, now, true);
-}
-
-static void
-learn (LcRollouts *rollouts, const LcJob *job, LbTime now)
-{
-  LcTrainer *trainer = lc_rollouts_trainer (rollouts, job->step->spec.subscription);
-  LcRolloutPool *pool = pool_of (rollouts, job->step);
-  LbTime first = job->first_piece ? job->first_piece : now;
-
-  lc_lengths_add (&trainer->lengths, job->label.tokens);
-  lc_pace_add (&pool->pace, made_tokens (job), first - job->started, now - first);
-}
-
-/* The first whole sample fills the slot; its twin is cancelled here, and an answer of the twin that
- * was already under way finds no job and is dropped. */
-static void
-fill_slot (LcRollouts *rollouts, LcJob *job, char *text, LbTime now, LbList *actions)
-{
-  LcStep *step = job->step;
-  LcSlot *slot = slot_of (job);
-  const LcTrainer *trainer = lc_rollouts_trainer (rollouts, step->spec.subscription);
-
-  learn (rollouts, job, now);
-  slot->text = join (job->prefix, text);
-  slot->label = lb_memdup (&job->label, sizeof job->label);
-  slot->failures = 0;
-  slot->not_before = 0;
-  slot->preempted = false;
-  job_free (rollouts, job);
-  lc_generate_abandon (rollouts, step, slot, actions);
-  lc_step_set_state (step, slot, trainer->resource.scorer[0] ? LC_SLOT_SCORING : LC_SLOT_READY);
-  if (lc_staleness_is_too_old (slot->label, step->trainer_version, trainer->max_lag))
-    {
-      lb_metric_add (&stale_metric, 1);
-      lc_generate_discard_sample (step, slot, &step->status.discarded_stale, "stale");
-    }
-}
-
-void
-lc_generate_finished (
-    LcRollouts *rollouts, LcJob *job, LbErrorCode error, char *text, LbTime now, LbList *actions)
-{
-  if (error != LB_OK && job->recalled)
-    {
-      take_recalled (rollouts, job, text, now);
-      return;
-    }
-  if (error != LB_OK)
-    {
-      failed (rollouts, job, error, text, now);
-      return;
-    }
-  if (!text || !lc_label_is_complete (&job->label, job->label.tokens))
-    {
-      free (text);
-      drop_unlabelled (rollouts, job, now);
-      return;
-    }
-  fill_slot (rollouts, job, text, now, actions);
-}
-
-void
-lc_generate_scored (LcRollouts *rollouts, LcJob *job, LbErrorCode error, double score, LbTime now)
-{
-  LcStep *step = job->step;
-  LcSlot *slot = slot_of (job);
-
-  job_free (rollouts, job);
-  if (error != LB_OK)
-    {
-      lb_metric_count_error (error);
-      back_off (rollouts, step, slot, now);
-      return;
-    }
-  slot->failures = 0;
-  slot->has_score = true;
-  slot->score = score;
-  lc_step_set_state (step, slot, LC_SLOT_READY);
-}
-
-/* Staleness. */
-
-static void
-abandon_stale_jobs (LcRollouts *rollouts,
-                    LcStep *step,
-                    LcSlot *slot,
-                    LcVersion trainer,
-                    int64_t max_lag,
-                    LbList *actions)
-{
-  LB_LIST_FOREACH (&slot->jobs, LcJob, link, job)
-  {
-    if (job->label.n_spans > 0 && lc_staleness_is_too_old (&job->label, trainer, max_lag))
-      abandon_job (rollouts, job, actions);
-  }
-  if (!lb_list_is_empty (&slot->jobs))
-    return;
-  lb_metric_add (&stale_metric, 1);
-  lc_generate_discard_sample (step, slot, &step->status.discarded_stale, "stale while running");
-}
-
-void
-lc_generate_discard_stale (
-    LcRollouts *rollouts, LcStep *step, LcVersion trainer, int64_t max_lag, LbList *actions)
-{
-  for (size_t i = 0; i < step->n_slots; i++)
-    {
-      LcSlot *slot = &step->slots[i];
-      if (slot->state == LC_SLOT_RUNNING)
-        {
-          abandon_stale_jobs (rollouts, step, slot, trainer, max_lag, actions);
-          continue;
-        }
-      if (slot->state > LC_SLOT_READY || !slot->label
-          || !lc_staleness_is_too_old (slot->label, trainer, max_lag))
-        continue;
-      lc_generate_abandon (rollouts, step, slot, actions);
-      lb_metric_add (&stale_metric, 1);
-      lc_generate_discard_sample (step, slot, &step->status.discarded_stale, "stale");
-    }
-}
--- /dev/null
+++ b/packages/core/src/lc-job.h
@@ -0,0 +1,21 @@
+#ifndef LC_JOB_H
+#define LC_JOB_H
+
+#include "lc-rollouts-state.h"
+
+/* Requests that run for slots, from their start to their end. */
+
+LcJob *lc_job_new (LcRollouts *rollouts, LcStep *step, LcSlot *slot, LbTime now);
+void lc_job_free (LcRollouts *rollouts, LcJob *job);
+/* Cancels the request. */
+void lc_job_abandon (LcRollouts *rollouts, LcJob *job, LbList *actions);
+/* Cancels all that runs for the slot. */
+void lc_slot_abandon (LcRollouts *rollouts, LcSlot *slot, LbList *actions);
+
+LcSlot *lc_job_slot (const LcJob *job);
+/* Tokens that the request itself made, without those that it was resumed with. */
+int64_t lc_job_made_tokens (const LcJob *job);
+LcRolloutPool *lc_step_pool (LcRollouts *rollouts, const LcStep *step);
+const LcLengths *lc_step_lengths (const LcRollouts *rollouts, const LcStep *step);
+
+#endif
--- a/packages/core/src/lc-rollouts.c
+++ b/packages/core/src/lc-rollouts.c
@@ -5,6 +5,8 @@
 #include "lb-log.h"
 #include "lc-deliver.h"
 #include "lc-generate.h"
+#include "lc-result.h"
+#include "lc-review.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -33,7 +35,6 @@
                               .predict_staleness = true,
                               .group_release = true,
                               .fair_shares = true,
-                              .preempt = true,
                               .migrate = true,
                               .pause_limit = DEFAULT_PAUSE_LIMIT };
 }
@@ -146,7 +147,7 @@
 {
   lc_deliver_fail_pulls (step, error, 0, actions);
   for (size_t i = 0; i < step->n_slots; i++)
-    lc_generate_abandon (rollouts, step, &step->slots[i], actions);
+    lc_slot_abandon (rollouts, &step->slots[i], actions);
   lb_list_remove (&rollouts->steps, &step->link);
   lc_step_free (step);
 }
@@ -451,7 +452,7 @@
   begin (rollouts, now);
   if (!job || job->scores)
     return;
-  lc_generate_piece (rollouts, job, piece, endpoint, now, actions);
+  lc_result_piece (rollouts, job, piece, endpoint, now, actions);
   if (!lb_list_is_empty (actions))
     lc_generate_fill (rollouts, now, actions);
 }
@@ -473,9 +474,9 @@
       return;
     }
   LcStep *step = job->step;
-  lc_generate_finished (rollouts, job, error, text, now, actions);
+  lc_result_finished (rollouts, job, error, text, now, actions);
   settle (rollouts, step, now, actions);
-  lc_generate_review (rollouts, step, now, actions);
+  lc_review_step (rollouts, step, now, actions);
 }
 
 void
@@ -492,7 +493,7 @@
   if (!job || !job->scores)
     return;
   LcStep *step = job->step;
-  lc_generate_scored (rollouts, job, error, score, now);
+  lc_result_scored (rollouts, job, error, score, now);
   settle (rollouts, step, now, actions);
 }
 
@@ -563,7 +564,7 @@
   lc_generate_fill (rollouts, now, actions);
   LB_LIST_FOREACH (&rollouts->steps, LcStep, link, open)
   {
-    lc_generate_review (rollouts, open, now, actions);
+    lc_review_step (rollouts, open, now, actions);
   }
 }
 
--- a/packages/core/src/lc-step.h
+++ b/packages/core/src/lc-step.h
@@ -54,8 +54,7 @@
   bool has_score;
   double score;
   bool was_sent;     /* in some chunk of this session */
-  bool preempted;    /* WAITING: known to be long, goes on when nothing unknown waits */
-  int moves;         /* times that it was preempted or migrated */
+  int moves;         /* times that it was migrated */
   LbName avoid;      /* endpoint that was slow with it; empty: none */
   int failures;      /* in a row */
   LbTime not_before; /* WAITING, SCORING: no new request earlier */
@@ -109,9 +108,8 @@
 
   int64_t reserved; /* tokens that running hedges may waste */
   LbTime next_review;
-  size_t n_recalled; /* requests whose end was asked for */
-  LbTime retry_at;   /* earliest not_before that was seen */
-  LbTime closed;     /* when all was acknowledged; 0: not yet */
+  LbTime retry_at; /* earliest not_before that was seen */
+  LbTime closed;   /* when all was acknowledged; 0: not yet */
   LcStepStatus status;
 };
 
--- a/packages/core/src/lc-straggler.c
+++ b/packages/core/src/lc-straggler.c
@@ -20,8 +20,6 @@
 #define UNSEEN_TOKENS 32
 /* A second generation must be expected to be so much faster even where only idle time counts. */
 #define LEAST_MARGIN 1.5
-/* A long sample has so many times the tokens of a usual one still to come. */
-#define LONG_TIMES 2.0
 
 static size_t
 bucket_of (int64_t tokens)
@@ -185,15 +183,6 @@
          - margin (idle_weight) * lc_pace_seconds (pace, left);
 }
 
-bool
-lc_straggler_is_long (const LcLengths *lengths, const LcProgress *progress)
-{
-  if (lengths->count < LENGTHS_ENOUGH || progress->tokens == 0)
-    return false;
-  return lc_lengths_remaining (lengths, progress->tokens, progress->max_tokens)
-         > LONG_TIMES * lc_lengths_mean (lengths, progress->max_tokens);
-}
-
 /* The original goes on until the hedge is whole; then its tokens are lost. */
 int64_t
 lc_straggler_cost (const LcLengths *lengths,
--- a/packages/core/src/lc-straggler.h
+++ b/packages/core/src/lc-straggler.h
@@ -67,8 +67,6 @@
                                const LcProgress *progress,
                                double idle_weight,
                                LbTime now);
-/* It has turned out to be one of the long ones. */
-bool lc_straggler_is_long (const LcLengths *lengths, const LcProgress *progress);
 /* Tokens that are expected to be thrown away if this one is hedged. */
 int64_t lc_straggler_cost (const LcLengths *lengths,
                            const LcPace *pace,
--- a/packages/core/tests/rollouts-fixture.h
+++ b/packages/core/tests/rollouts-fixture.h
@@ -22,6 +22,7 @@
   size_t n_requests;
   size_t n_scores;
   LcRequestId last_abandoned;
+  LcRequestId last_recalled;
   size_t n_abandoned;
   LbErrorCode ledger_error; /* what ledger writes come to */
   bool ledger_silent;       /* writes get no answer */
@@ -104,6 +105,8 @@
         }
       else if (action->type == LC_ROLLOUT_ABANDON)
         owner_take_abandon (owner, action->spec.id);
+      else if (action->type == LC_ROLLOUT_RECALL)
+        owner->last_recalled = action->spec.id;
       else if (action->type == LC_ROLLOUT_LEDGER)
         owner_take_ledger (owner, action);
       else
@@ -146,10 +149,12 @@
 }
 
 static inline Owner *
-owner_new (const LcSubscription *subscription, int64_t max_lag)
+owner_new_with (const LcRolloutSettings *chosen,
+                const LcSubscription *subscription,
+                int64_t max_lag)
 {
   Owner *owner = LB_NEW (Owner);
-  LcRolloutSettings settings = lc_rollout_settings_default ();
+  LcRolloutSettings settings = *chosen;
 
   settings.seed = 7;
   owner->now = LB_SEC;
@@ -160,6 +165,14 @@
   return owner;
 }
 
+static inline Owner *
+owner_new (const LcSubscription *subscription, int64_t max_lag)
+{
+  LcRolloutSettings settings = lc_rollout_settings_default ();
+
+  return owner_new_with (&settings, subscription, max_lag);
+}
+
 static inline void
 owner_free (Owner *owner)
 {
--- a/packages/core/tests/test-rollouts-once.c
+++ b/packages/core/tests/test-rollouts-once.c
@@ -57,10 +57,11 @@
   owner_free (owner);
 }
 
-/* Both of a hedged pair complete: the second one must not be delivered beside the first. */
-Test (rollouts_once, the_second_of_a_hedged_pair_is_dropped)
+/* Ten samples run, nine of them end at a usual pace; the first has a few tokens and then stalls. */
+static Owner *
+with_a_straggler (const LcRolloutSettings *settings)
 {
-  Owner *owner = owner_new (&plain, 5);
+  Owner *owner = owner_new_with (settings, &plain, 5);
 
   owner_open (owner, 10, 1, 1);
   owner_wait (owner, LB_SEC);
@@ -74,6 +75,16 @@
     }
   owner_piece (owner, owner->requests[0].id, 0, 10, 40);
   owner_wait (owner, 10 * LB_SEC);
+  return owner;
+}
+
+/* Both of a hedged pair complete: the second one must not be delivered beside the first. */
+Test (rollouts_once, the_second_of_a_hedged_pair_is_dropped)
+{
+  LcRolloutSettings settings = lc_rollout_settings_default ();
+
+  settings.migrate = false;
+  Owner *owner = with_a_straggler (&settings);
   cr_assert_eq (owner->n_requests, 11);
   cr_assert_eq (owner_status (owner).hedges, 1);
   cr_assert_str_eq (owner->requests[10].avoid[0], "e1");
@@ -92,6 +103,46 @@
   owner_free (owner);
 }
 
+/* A slow endpoint holds the step up with one sample. The sample goes on elsewhere from the tokens
+ * that it has, none of them is made twice; what the slow endpoint says later is nobody's. */
+Test (rollouts_once, a_sample_of_a_slow_endpoint_goes_on_elsewhere)
+{
+  LcRolloutSettings settings = lc_rollout_settings_default ();
+  Owner *owner = with_a_straggler (&settings);
+  LcRequestId original = owner->requests[0].id;
+
+  cr_assert_eq (owner->last_recalled, original);
+  cr_assert_eq (owner->n_requests, 10);
+  owner_finish (owner, original, LB_ERROR_CLOSED, "begun ");
+  cr_assert_eq (owner->n_requests, 11);
+  cr_assert_str_eq (owner->requests[10].avoid[0], "e1");
+  cr_assert_eq (owner->requests[10].resume_at, 10);
+  owner_piece (owner, original, 10, 5, 40);
+  owner_piece (owner, owner->requests[10].id, 10, 20, 41);
+  owner_finish (owner, owner->requests[10].id, LB_OK, "ended");
+  owner_pull (owner, "", 41);
+  cr_assert_eq (owner->n_samples, 10);
+  cr_assert_str_eq (owner->samples[0], "g0/0 begun ended");
+  cr_assert_eq (owner->labels[0].n_spans, 2);
+  cr_assert_eq (owner->labels[0].tokens, 30);
+  cr_assert_eq (owner_status (owner).wasted_tokens, 0);
+  owner_free (owner);
+}
+
+/* The recalled sample was whole before the recall came through: it counts as it is. */
+Test (rollouts_once, a_recall_that_comes_too_late_changes_nothing)
+{
+  LcRolloutSettings settings = lc_rollout_settings_default ();
+  Owner *owner = with_a_straggler (&settings);
+
+  owner_piece (owner, owner->requests[0].id, 10, 5, 40);
+  owner_finish (owner, owner->requests[0].id, LB_OK, "whole");
+  cr_assert_eq (owner->n_requests, 10);
+  owner_pull (owner, "", 41);
+  cr_assert_str_eq (owner->samples[0], "g0/0 whole");
+  owner_free (owner);
+}
+
 /* The owner dies between a chunk and the ledger write about it. The new owner knows less from the
  * ledger than the trainer does; the trainer's cursor must decide, or samples come twice. */
 Test (rollouts_once, a_new_owner_goes_on_from_the_trainers_cursor)
--- a/packages/node/src/ln-step-call.c
+++ b/packages/node/src/ln-step-call.c
@@ -17,7 +17,7 @@
 static bool
 split_path (const char *path, LbName subscription, const char **rest, LbError *error)
 {
-  bool fits = path && strncmp (path, PREFIX, strlen (PREFIX)) == 0;
+  bool fits = strncmp (path, PREFIX, strlen (PREFIX)) == 0;
   const char *name = fits ? path + strlen (PREFIX) : "";
   const char *slash = strchr (name, '/');
 
--- a/packages/sim/src/lx-engine.c
+++ b/packages/sim/src/lx-engine.c
@@ -318,7 +318,10 @@
     {
       double made = (double)stream->piece - (stream->piece_clock - engine->clock);
       if (made >= 1)
-        count_made (engine, stream, (int64_t)made);
+        {
+          stream->offset += (int64_t)made;
+          count_made (engine, stream, (int64_t)made);
+        }
     }
   stream->silent = true;
   end_stream (engine, stream, LC_END_BROKEN);
--- a/packages/sim/src/lx-options.c
+++ b/packages/sim/src/lx-options.c
@@ -6,14 +6,14 @@
 #include <string.h>
 
 static const char *const mechanism_names[]
-    = { "longest-first", "hedging",   "resume", "predict-staleness", "group-release", "fair-shares",
-        "preemption",    "migration", NULL };
+    = { "longest-first", "hedging",     "resume",    "predict-staleness",
+        "group-release", "fair-shares", "migration", NULL };
 
 static const size_t mechanism_offsets[] = {
   offsetof (LcRolloutSettings, longest_first), offsetof (LcRolloutSettings, hedging),
   offsetof (LcRolloutSettings, resume),        offsetof (LcRolloutSettings, predict_staleness),
   offsetof (LcRolloutSettings, group_release), offsetof (LcRolloutSettings, fair_shares),
-  offsetof (LcRolloutSettings, preempt),       offsetof (LcRolloutSettings, migrate),
+  offsetof (LcRolloutSettings, migrate),
 };
 
 const char *const *
