Finish-time policy: fill loads to a level, then add what depends on the prompt

Cause: the draw over the water-filled total score gave an endpoint that holds the prompt's prefix only about twice the chance of each of the 12 others, so prefix hits were half of pure affinity's. Ruled out: a wider gap in the score alone (random draw still dilutes it).

--- a/packages/core/src/lc-policies.c
+++ b/packages/core/src/lc-policies.c
@@ -27,7 +27,7 @@
   lc_candidates_clear (&policy->candidates);
   gsl_rng_free (policy->rng);
   free (policy->shares);
-  free (policy->weights);
+  free (policy->loads);
   free (policy);
 }
 
--- a/packages/core/src/lc-policies.h
+++ b/packages/core/src/lc-policies.h
@@ -18,6 +18,13 @@
   size_t (*pick) (LcPolicy *policy, LcEndpoints *endpoints, const LcRouteQuery *query, LbTime now);
 } LcPolicyClass;
 
+/* What the load of a candidate costs a request, in seconds. */
+typedef struct
+{
+  double seconds;
+  double slope; /* added by each further request */
+} LcLoadPrice;
+
 struct LcPolicy
 {
   LcRouter base;
@@ -26,8 +33,8 @@
   uint64_t turn;  /* round-robin */
   double *shares; /* by slot, all 0 between decisions */
   size_t n_shares;
-  double *weights; /* by candidate */
-  size_t n_weights;
+  LcLoadPrice *loads; /* by candidate */
+  size_t n_loads;
 };
 
 extern const LcPolicyClass lc_policy_random;
--- a/packages/core/src/lc-router-finish-time.c
+++ b/packages/core/src/lc-router-finish-time.c
@@ -12,7 +12,10 @@
 #define DEFAULT_EXPECTED_TOKENS 64
 #define DEFAULT_SERVICE_SECONDS 1.0
 #define PREFILL_TOKENS_PER_SECOND 8000.0
+#define PREFILL_HOLDS_UP 0.5    /* share of its time that each request beside it loses */
 #define FULL_BATCH_SLOWDOWN 1.0 /* a token takes this share longer in a full batch */
+#define INDIFFERENT_SECONDS 0.005
+#define LEAST_SHARE 0.01
 
 /* What all candidates of one decision have in common. */
 typedef struct
@@ -76,64 +79,77 @@
   return (double)(endpoint->swap_until - situation->now) / LB_SEC;
 }
 
+/* What waiting and decoding cost there, and what one more request adds to it. A larger batch slows
+ * all that is in it, so each added request counts twice: for itself and for the others. */
 static double
-expected_seconds (const Situation *situation, const LcEntry *entry, double load, double *slope)
+load_seconds (const Situation *situation, const LcEntry *entry, double load, double *slope)
 {
-  const LcEndpoint *endpoint = &entry->endpoint;
   double most = entry->concurrency.most;
   double alone = token_seconds_when_alone (entry);
   double ahead = fmax (0, load + 1 - most);
   double fill = fmin (load + 1, most) / most;
-  double prefill = (double)situation->query->prompt_tokens / PREFILL_TOKENS_PER_SECOND
-                   * (1 - situation->shares[endpoint->slot]);
-  double distance = situation->data_centre == entry->data_centre
-                        ? 0
-                        : 2 * (double)situation->endpoints->distance / LB_SEC;
-
-  *slope = ahead > 0 ? situation->service_seconds / most
-                     : situation->expected_tokens * alone * FULL_BATCH_SLOWDOWN / most;
-  return distance + swap_seconds (situation, endpoint) + prefill
-         + ahead * situation->service_seconds / most
-         + situation->expected_tokens * alone * (1 + FULL_BATCH_SLOWDOWN * fill);
+  double decode = situation->expected_tokens * alone;
+
+  *slope = ahead > 0 ? situation->service_seconds / most : 2 * decode * FULL_BATCH_SLOWDOWN / most;
+  return ahead * situation->service_seconds / most + decode * (1 + 2 * FULL_BATCH_SLOWDOWN * fill);
+}
+
+/* A prefill also holds up those that decode beside it. */
+static double
+prefill_seconds (const Situation *situation, const LcEntry *entry, double load)
+{
+  double missing = 1 - situation->shares[entry->endpoint.slot];
+  double beside = fmin (load, entry->concurrency.most);
+
+  return (double)situation->query->prompt_tokens / PREFILL_TOKENS_PER_SECOND * missing
+         * (1 + PREFILL_HOLDS_UP * beside);
+}
+
+static double
+way_seconds (const Situation *situation, const LcEntry *entry)
+{
+  if (situation->data_centre == entry->data_centre)
+    return 0;
+  return 2 * (double)situation->endpoints->distance / LB_SEC;
 }
 
 static void
-grow_weights (LcPolicy *policy)
+grow_loads (LcPolicy *policy)
 {
-  if (policy->n_weights >= policy->candidates.n_items)
+  if (policy->n_loads >= policy->candidates.n_items)
     return;
-  policy->n_weights = policy->candidates.n_items;
-  policy->weights = lb_realloc (policy->weights, policy->n_weights * sizeof *policy->weights);
+  policy->n_loads = policy->candidates.n_items;
+  policy->loads = lb_realloc (policy->loads, policy->n_loads * sizeof *policy->loads);
 }
 
-/* Scores all candidates; weights become 1 / slope. Returns how many requests arrived since the
- * reports by the measure that what finished was replaced. */
+/* Fills the loads, and the scores with all that does not depend on the load. Returns how many
+ * requests arrived since the reports by the measure that what finished was replaced. */
 static double
 score_all (LcPolicy *policy, const Situation *situation)
 {
-  LcCandidates *candidates = &policy->candidates;
   double unseen = 0;
 
-  for (size_t i = 0; i < candidates->n_items; i++)
+  for (size_t i = 0; i < policy->candidates.n_items; i++)
     {
-      const LcEntry *entry = lc_entry (candidates->items[i].endpoint);
+      LcCandidate *item = &policy->candidates.items[i];
+      const LcEntry *entry = lc_entry (item->endpoint);
       double others = (double)lc_entry_others (entry);
       double left = others * still_running (situation, entry);
-      double slope = 0;
+      double load = left + (double)entry->endpoint.in_flight;
+      LcLoadPrice *price = &policy->loads[i];
 
       unseen += others - left;
-      candidates->items[i].score
-          = expected_seconds (situation, entry, left + (double)entry->endpoint.in_flight, &slope);
-      policy->weights[i] = 1 / slope;
+      price->seconds = load_seconds (situation, entry, load, &price->slope);
+      item->score = way_seconds (situation, entry) + swap_seconds (situation, item->endpoint)
+                    + prefill_seconds (situation, entry, load);
     }
   return unseen;
 }
 
-/* The score that all endpoints below it are raised to when the arrivals fill the lowest first. */
+/* What the load costs everywhere once the unseen arrivals have filled the least loaded first. */
 static double
 find_level (const LcPolicy *policy, double arrivals)
 {
-  const LcCandidates *candidates = &policy->candidates;
   double level = HUGE_VAL;
 
   for (;;)
@@ -141,33 +157,46 @@
       double weight = 0;
       double sum = arrivals;
 
-      for (size_t i = 0; i < candidates->n_items; i++)
-        if (candidates->items[i].score < level)
+      for (size_t i = 0; i < policy->candidates.n_items; i++)
+        if (policy->loads[i].seconds < level)
           {
-            weight += policy->weights[i];
-            sum += policy->weights[i] * candidates->items[i].score;
+            weight += 1 / policy->loads[i].slope;
+            sum += policy->loads[i].seconds / policy->loads[i].slope;
           }
-      if (sum / weight >= level)
+      if (weight == 0 || sum / weight >= level)
         return level;
       level = sum / weight;
     }
 }
 
-/* All instances see the same old reports. If each sent to the lowest score, that endpoint would get
- * the requests of all of them until the next report, and then another one: herding. The draw gives
- * each endpoint the share of the unseen arrivals that would make the scores equal. */
+static double
+add_level (LcPolicy *policy, double level)
+{
+  double least = HUGE_VAL;
+
+  for (size_t i = 0; i < policy->candidates.n_items; i++)
+    {
+      LcCandidate *item = &policy->candidates.items[i];
+
+      item->score += fmax (level, policy->loads[i].seconds);
+      least = fmin (least, item->score);
+    }
+  return least;
+}
+
+/* Among the candidates nearest to the least score, each by what it lacks to the level. */
 static size_t
-draw (LcPolicy *policy, double level)
+draw (LcPolicy *policy, double level, double least)
 {
-  const LcCandidates *candidates = &policy->candidates;
   double total = 0;
   size_t chosen = 0;
 
-  for (size_t i = 0; i < candidates->n_items; i++)
+  for (size_t i = 0; i < policy->candidates.n_items; i++)
     {
-      double share = (level - candidates->items[i].score) * policy->weights[i];
+      const LcLoadPrice *price = &policy->loads[i];
+      double share = fmax (LEAST_SHARE, (level - price->seconds) / price->slope);
 
-      if (share <= 0)
+      if (policy->candidates.items[i].score > least + INDIFFERENT_SECONDS)
         continue;
       total += share;
       if (gsl_rng_uniform (policy->rng) * total < share)
@@ -176,19 +205,23 @@
   return chosen;
 }
 
+/* All instances see the same old reports. If each sent to the lowest score, that endpoint would get
+ * the requests of all of them until the next report, and then another one: herding. So an endpoint
+ * below the level counts as if the arrivals that no report shows yet had filled it up, which leaves
+ * many equal ones, and the draw gives each its part of those arrivals. */
 static size_t
 pick (LcPolicy *policy, LcEndpoints *endpoints, const LcRouteQuery *query, LbTime now)
 {
   Situation situation = make_situation (policy, endpoints, query, now);
 
-  grow_weights (policy);
+  grow_loads (policy);
 
   double unseen = score_all (policy, &situation);
+  double level = find_level (policy, unseen + 1);
+  double least = add_level (policy, level);
 
   lc_policy_clear_shares (policy);
-  if (unseen < 1)
-    return lc_policy_pick_least (policy);
-  return draw (policy, find_level (policy, unseen + 1));
+  return draw (policy, level, least);
 }
 
 static LcRouter *
