--- a/packages/core/src/lc-endpoint-table.h
+++ b/packages/core/src/lc-endpoint-table.h
@@ -10,6 +10,9 @@
 
 #include <uthash.h>
 
+/* A token takes this share longer in a full batch than alone. */
+#define LC_FULL_BATCH_SLOWDOWN 1.0
+
 /* What the table keeps of an endpoint beside the part that policies and the node read. */
 typedef struct LcEntry
 {
@@ -18,6 +21,7 @@
   int data_centre; /* index among the table's data centres */
   bool retired;    /* no longer in the configuration; kept while requests of ours run there */
   int64_t in_flight_at_report;
+  double alone_token_seconds; /* of one stream with no other beside it */
   LbTime swap_since;
   LcVersion version_before_swap;
   LcBreaker breaker;
--- a/packages/core/src/lc-endpoints.c
+++ b/packages/core/src/lc-endpoints.c
@@ -3,10 +3,12 @@
 #include "lb-alloc.h"
 #include "lb-log.h"
 
+#include <math.h>
 #include <string.h>
 #include <xxhash.h>
 
 #define EWMA_WEIGHT 0.1
+#define DEFAULT_TOKEN_SECONDS 0.02
 #define DEFAULT_DISTANCE (LB_MSEC / 2)
 
 LcEndpoints *
@@ -115,6 +117,7 @@
   entry->cache.slot = take_slot (endpoints, &entry->cache);
   entry->endpoint.slot = entry->cache.slot;
   void_belief (entry);
+  entry->alone_token_seconds = DEFAULT_TOKEN_SECONDS;
   lc_concurrency_init (&entry->concurrency, member->concurrency);
   endpoints->entries[endpoints->n_entries++] = entry;
   HASH_ADD_STR (endpoints->by_name, endpoint.member.name, entry);
@@ -299,6 +302,17 @@
     endpoint->swap_pending = false;
 }
 
+static void
+learn_token_time (LcEntry *entry)
+{
+  const LcLoadReport *report = &entry->endpoint.report;
+  double fill = fmin (1, (double)report->running / entry->concurrency.most);
+
+  if (report->tokens_per_second > 0)
+    entry->alone_token_seconds
+        = 1 / report->tokens_per_second / (1 + LC_FULL_BATCH_SLOWDOWN * fill);
+}
+
 static void
 take_report (LcEntry *entry, const LcLoadReport *report)
 {
@@ -312,6 +326,7 @@
   endpoint->report = *report;
   endpoint->sent_since_report = lc_flight_log_sent_after (&entry->flights, report->at);
   entry->in_flight_at_report = lc_flight_log_in_flight_at (&entry->flights, report->at);
+  learn_token_time (entry);
   end_swap_if_stated (entry);
 }
 
@@ -457,8 +472,11 @@
 
   if (group)
     ewma_add (&group->service_seconds, (double)took / LB_SEC);
-  if (tokens > 0)
-    ewma_add (&entry->endpoint.ewma_token_seconds, (double)took / LB_SEC / (double)tokens);
+  if (tokens == 0)
+    return;
+  ewma_add (&entry->endpoint.ewma_token_seconds, (double)took / LB_SEC / (double)tokens);
+  if (entry->endpoint.report.tokens_per_second <= 0)
+    entry->alone_token_seconds = entry->endpoint.ewma_token_seconds;
 }
 
 void
--- a/packages/core/src/lc-policies.h
+++ b/packages/core/src/lc-policies.h
@@ -22,7 +22,7 @@
 typedef struct
 {
   double seconds;
-  double slope; /* added by each further request */
+  double per_second; /* further requests that make it one second more */
 } LcLoadPrice;
 
 struct LcPolicy
--- a/packages/core/src/lc-router-finish-time.c
+++ b/packages/core/src/lc-router-finish-time.c
@@ -8,12 +8,10 @@
  * arrivals nobody has reported yet may level out, a draw by weight. See
  * docs/design/0002-routing.md. */
 
-#define DEFAULT_TOKEN_SECONDS 0.02
 #define DEFAULT_EXPECTED_TOKENS 64
 #define DEFAULT_SERVICE_SECONDS 1.0
 #define PREFILL_TOKENS_PER_SECOND 8000.0
-#define PREFILL_HOLDS_UP 0.5    /* share of its time that each request beside it loses */
-#define FULL_BATCH_SLOWDOWN 1.0 /* a token takes this share longer in a full batch */
+#define PREFILL_HOLDS_UP 0.5 /* share of its time that each request beside it loses */
 #define INDIFFERENT_SECONDS 0.005
 #define LEAST_SHARE 0.01
 
@@ -57,20 +55,6 @@
   return age > 0 ? 1 / (1 + age / situation->service_seconds) : 1;
 }
 
-static double
-token_seconds_when_alone (const LcEntry *entry)
-{
-  const LcEndpoint *endpoint = &entry->endpoint;
-  const LcLoadReport *report = &endpoint->report;
-  double fill = (double)report->running / entry->concurrency.most;
-
-  if (report->tokens_per_second > 0)
-    return 1 / report->tokens_per_second / (1 + FULL_BATCH_SLOWDOWN * fmin (fill, 1));
-  if (endpoint->ewma_token_seconds > 0)
-    return endpoint->ewma_token_seconds;
-  return DEFAULT_TOKEN_SECONDS;
-}
-
 static double
 swap_seconds (const Situation *situation, const LcEndpoint *endpoint)
 {
@@ -79,19 +63,21 @@
   return (double)(endpoint->swap_until - situation->now) / LB_SEC;
 }
 
-/* What waiting and decoding cost there, and what one more request adds to it. A larger batch slows
- * all that is in it, so each added request counts twice: for itself and for the others. */
-static double
-load_seconds (const Situation *situation, const LcEntry *entry, double load, double *slope)
+/* What waiting and decoding cost there, and how it grows. A larger batch slows all that is in it,
+ * so each added request counts twice: for itself and for the others. */
+static LcLoadPrice
+load_price (const Situation *situation, const LcEntry *entry, double load)
 {
-  double most = entry->concurrency.most;
-  double alone = token_seconds_when_alone (entry);
-  double ahead = fmax (0, load + 1 - most);
-  double fill = fmin (load + 1, most) / most;
-  double decode = situation->expected_tokens * alone;
-
-  *slope = ahead > 0 ? situation->service_seconds / most : 2 * decode * FULL_BATCH_SLOWDOWN / most;
-  return ahead * situation->service_seconds / most + decode * (1 + 2 * FULL_BATCH_SLOWDOWN * fill);
+  double size = entry->concurrency.most;
+  double decode = situation->expected_tokens * entry->alone_token_seconds;
+  double ahead = load + 1 - size;
+  double per_place = 2 * decode * LC_FULL_BATCH_SLOWDOWN;
+
+  if (ahead <= 0)
+    return (LcLoadPrice){ .seconds = decode + per_place * (load + 1) / size,
+                          .per_second = size / per_place };
+  return (LcLoadPrice){ .seconds = decode + per_place + situation->service_seconds * ahead / size,
+                        .per_second = size / situation->service_seconds };
 }
 
 /* A prefill also holds up those that decode beside it. */
@@ -136,10 +122,9 @@
       double others = (double)lc_entry_others (entry);
       double left = others * still_running (situation, entry);
       double load = left + (double)entry->endpoint.in_flight;
-      LcLoadPrice *price = &policy->loads[i];
 
       unseen += others - left;
-      price->seconds = load_seconds (situation, entry, load, &price->slope);
+      policy->loads[i] = load_price (situation, entry, load);
       item->score = way_seconds (situation, entry) + swap_seconds (situation, item->endpoint)
                     + prefill_seconds (situation, entry, load);
     }
@@ -160,8 +145,8 @@
       for (size_t i = 0; i < policy->candidates.n_items; i++)
         if (policy->loads[i].seconds < level)
           {
-            weight += 1 / policy->loads[i].slope;
-            sum += policy->loads[i].seconds / policy->loads[i].slope;
+            weight += policy->loads[i].per_second;
+            sum += policy->loads[i].seconds * policy->loads[i].per_second;
           }
       if (weight == 0 || sum / weight >= level)
         return level;
@@ -194,7 +179,7 @@
   for (size_t i = 0; i < policy->candidates.n_items; i++)
     {
       const LcLoadPrice *price = &policy->loads[i];
-      double share = fmax (LEAST_SHARE, (level - price->seconds) / price->slope);
+      double share = fmax (LEAST_SHARE, (level - price->seconds) * price->per_second);
 
       if (policy->candidates.items[i].score > least + INDIFFERENT_SECONDS)
         continue;
