A summary of each endpoint in one cache line for decisions

Cause: perf put 40% of a decision over 600 endpoints into lc_endpoint_may_take and the gathering of candidates, waiting for memory: each entry of 1400 bytes lies elsewhere.

--- a/packages/core/bench/bench-routing.c
+++ b/packages/core/bench/bench-routing.c
@@ -1,6 +1,6 @@
 /* Compares the routing policies in virtual time: several instances with their own endpoint tables
  * share the same engines, whose load reports lag and whose cache events come late and with gaps.
- * Usage: core-bench-routing [ENDPOINTS [SECONDS [SEEDS [RATE]]]] */
+ * Usage: core-bench-routing [ENDPOINTS [SECONDS [SEEDS [RATE [POLICY]]]]] */
 
 #include "bench-engine.h"
 #include "lc-router.h"
@@ -503,7 +503,7 @@
 }
 
 static void
-compare_policies (int n, double seconds, int seeds, double rate)
+compare_policies (int n, double seconds, int seeds, double rate, const char *only)
 {
   printf ("%d instances, %d endpoints, %.0f s, %d seeds, %.1f requests/s each\n", N_INSTANCES, n,
           seconds, seeds, rate);
@@ -513,6 +513,8 @@
     {
       double sums[sizeof (Measures) / sizeof (double)] = { 0 };
 
+      if (only && strcmp (only, *policy) != 0)
+        continue;
       for (int seed = 1; seed <= seeds; seed++)
         {
           World *world = world_new (*policy, n, seconds, rate, (uint64_t)seed);
@@ -601,7 +603,11 @@
 
   double rate = argc > 4 ? atof (argv[4]) : DEFAULT_RATE;
 
-  compare_policies (n, seconds, seeds, rate);
+  const char *only = argc > 5 ? argv[5] : NULL;
+
+  compare_policies (n, seconds, seeds, rate, only);
+  if (only)
+    return 0;
   printf ("\n%-18s %9s %9s %9s\n", "cost", "endpoints", "us", "bytes/ep");
   for (const char *const *policy = lc_router_policies (); *policy; policy++)
     {
--- a/packages/core/src/lc-candidates.c
+++ b/packages/core/src/lc-candidates.c
@@ -1,7 +1,5 @@
 #include "lc-candidates.h"
 
-#include "lc-endpoint-table.h"
-
 #include "lb-alloc.h"
 
 #include <string.h>
@@ -18,19 +16,25 @@
 lc_candidates_clear (LcCandidates *candidates)
 {
   free (candidates->items);
+  free (candidates->summaries);
   memset (candidates, 0, sizeof *candidates);
 }
 
 static void
-add (LcCandidates *candidates, LcEndpoint *endpoint)
+reserve (LcCandidates *candidates, size_t n)
 {
-  if (candidates->n_items == candidates->capacity)
-    {
-      candidates->capacity = candidates->capacity ? candidates->capacity * 2 : 16;
-      candidates->items
-          = lb_realloc (candidates->items, candidates->capacity * sizeof *candidates->items);
-    }
-  candidates->items[candidates->n_items++] = (LcCandidate){ .endpoint = endpoint };
+  if (candidates->capacity >= n)
+    return;
+  candidates->capacity = n;
+  candidates->items = lb_realloc (candidates->items, n * sizeof *candidates->items);
+  candidates->summaries = lb_realloc (candidates->summaries, n * sizeof *candidates->summaries);
+}
+
+static void
+add (LcCandidates *candidates, const LcSummary *summary)
+{
+  candidates->items[candidates->n_items] = (LcCandidate){ .endpoint = summary->endpoint };
+  candidates->summaries[candidates->n_items++] = summary;
 }
 
 static bool
@@ -44,22 +48,20 @@
 
 static void
 weigh (LcCandidates *candidates,
-       LcEntry *entry,
+       const LcSummary *summary,
        const LcRouteQuery *query,
        Refusals *refusals,
        LbTime now)
 {
-  LcEndpoint *endpoint = &entry->endpoint;
-
   refusals->known++;
-  if (endpoint->leaving || entry->retired)
+  if (summary->is_out)
     refusals->leaving++;
-  else if (endpoint->report.version < query->min_version)
+  else if (summary->version < query->min_version)
     refusals->too_old++;
-  else if (is_avoided (query, endpoint))
+  else if (query->n_avoid > 0 && is_avoided (query, summary->endpoint))
     refusals->avoided++;
-  else if (lc_endpoint_may_take (endpoint, query->kind, query->live_reserve, now))
-    add (candidates, endpoint);
+  else if (lc_summary_may_take (summary, query->kind, query->live_reserve, now))
+    add (candidates, summary);
 }
 
 static const char *
@@ -87,8 +89,9 @@
   Refusals refusals = { 0 };
 
   candidates->n_items = 0;
-  for (size_t i = 0; group && i < group->n_members; i++)
-    weigh (candidates, group->members[i], query, &refusals, now);
+  reserve (candidates, group ? group->n_slots : 0);
+  for (size_t i = 0; group && i < group->n_slots; i++)
+    weigh (candidates, &endpoints->summaries[group->slots[i]], query, &refusals, now);
   candidates->reason = candidates->n_items > 0 ? NULL : reason_for_none (&refusals);
 }
 
--- a/packages/core/src/lc-candidates.h
+++ b/packages/core/src/lc-candidates.h
@@ -1,12 +1,14 @@
 #ifndef LC_CANDIDATES_H
 #define LC_CANDIDATES_H
 
+#include "lc-endpoint-table.h"
 #include "lc-router.h"
 
 /* The endpoints that may take a request, by the same rules for every policy. */
 typedef struct
 {
-  LcCandidate *items; /* scores are 0 */
+  LcCandidate *items;          /* scores are 0 */
+  const LcSummary **summaries; /* of the same candidates */
   size_t n_items;
   size_t capacity;
   const char *reason; /* why there are none; NULL when there are */
--- a/packages/core/src/lc-endpoint-table.h
+++ b/packages/core/src/lc-endpoint-table.h
@@ -13,6 +13,25 @@
 /* A token takes this share longer in a full batch than alone. */
 #define LC_FULL_BATCH_SLOWDOWN 1.0
 
+/* What a decision needs of an endpoint, in one cache line: a decision looks at all endpoints of a
+ * pool, and their entries are spread over memory. Rewritten after each command on the endpoint. */
+typedef struct
+{
+  LcEndpoint *endpoint;
+  LbTime reported_at; /* 0: never */
+  LcVersion version;
+  float size;   /* requests at once it is made for */
+  float limit;  /* requests of ours at once */
+  float load;   /* by the last report, and what we added since as if all instances did */
+  float others; /* requests of others, by the last report */
+  uint32_t slot;
+  int32_t in_flight;         /* ours */
+  int32_t data_centre;       /* index among the table's */
+  float alone_token_seconds; /* of one stream with no other beside it */
+  bool is_out;               /* leaving, or no longer in the configuration */
+  bool is_special;           /* swap, unknown weights or breaker: the entry must be asked */
+} LcSummary;
+
 /* What the table keeps of an endpoint beside the part that policies and the node read. */
 typedef struct LcEntry
 {
@@ -21,7 +40,7 @@
   int data_centre; /* index among the table's data centres */
   bool retired;    /* no longer in the configuration; kept while requests of ours run there */
   int64_t in_flight_at_report;
-  double alone_token_seconds; /* of one stream with no other beside it */
+  double alone_token_seconds;
   LbTime swap_since;
   LcVersion version_before_swap;
   LcBreaker breaker;
@@ -38,8 +57,8 @@
 typedef struct
 {
   char key[LB_NAME_MAX + 2]; /* kind and name */
-  LcEntry **members;
-  size_t n_members;
+  uint32_t *slots;
+  size_t n_slots;
   size_t capacity;
   double service_seconds; /* mean of our own requests there; 0: none ended yet */
   UT_hash_handle hh;
@@ -51,6 +70,7 @@
   LcEntry **entries; /* without holes */
   size_t n_entries;
   size_t capacity;
+  LcSummary *summaries;      /* by slot */
   const LcCacheView **views; /* by slot; NULL: free */
   size_t n_slots;
   LcEndpointGroup *groups;
@@ -73,8 +93,7 @@
 /* -1 when no endpoint is there. */
 int lc_endpoints_data_centre (const LcEndpoints *endpoints, const char *name);
 
-/* Requests at the endpoint that others than this instance sent, as of the last report. */
-int64_t lc_entry_others (const LcEntry *entry);
-bool lc_entry_weights_are_known (const LcEntry *entry, LbTime now);
+bool
+lc_summary_may_take (const LcSummary *summary, LcRequestKind kind, double live_reserve, LbTime now);
 
 #endif
--- a/packages/core/src/lc-endpoints.c
+++ b/packages/core/src/lc-endpoints.c
@@ -31,7 +31,7 @@
   HASH_ITER (hh, endpoints->groups, group, next)
   {
     HASH_DEL (endpoints->groups, group);
-    free (group->members);
+    free (group->slots);
     free (group);
   }
 }
@@ -46,18 +46,13 @@
   for (size_t i = 0; i < endpoints->n_entries; i++)
     free (endpoints->entries[i]);
   free (endpoints->entries);
+  free (endpoints->summaries);
   free (endpoints->views);
   free (endpoints->data_centres);
   lc_prefix_belief_free (endpoints->belief);
   free (endpoints);
 }
 
-void
-lc_endpoints_set_peers (LcEndpoints *endpoints, int64_t count)
-{
-  endpoints->peers = count > 1 ? count : 1;
-}
-
 /* One-way time between two data centres; within one it is taken to be 0. */
 void
 lc_endpoints_set_distance (LcEndpoints *endpoints, LbTime distance)
@@ -93,6 +88,8 @@
       endpoints->n_slots = endpoints->n_slots ? endpoints->n_slots * 2 : 16;
       endpoints->views
           = lb_realloc (endpoints->views, endpoints->n_slots * sizeof *endpoints->views);
+      endpoints->summaries
+          = lb_realloc (endpoints->summaries, endpoints->n_slots * sizeof *endpoints->summaries);
       memset (endpoints->views + slot, 0, (endpoints->n_slots - slot) * sizeof *endpoints->views);
     }
   endpoints->views[slot] = view;
@@ -137,7 +134,68 @@
   free (entry);
 }
 
-/* Makes what the parts of an entry decided readable in its endpoint. */
+static int64_t
+others_by_report (const LcEntry *entry)
+{
+  const LcLoadReport *report = &entry->endpoint.report;
+  int64_t others = report->running + report->waiting - entry->in_flight_at_report;
+
+  return others > 0 ? others : 0;
+}
+
+/* What the endpoint may hold, counting what we sent since the report as if each of the instances
+ * that saw the same report had sent as much. Without the factor all of them fill the same free
+ * place at once, and the endpoint queues or refuses what another would have run. */
+static int64_t
+load_if_all_act_alike (const LcEntry *entry)
+{
+  const LcEndpoint *endpoint = &entry->endpoint;
+  int64_t grown = endpoint->in_flight - entry->in_flight_at_report;
+  int64_t factor = grown > 0 ? entry->table->peers : 1;
+
+  return endpoint->report.running + endpoint->report.waiting + grown * factor;
+}
+
+static bool
+is_special (const LcEntry *entry)
+{
+  const LcEndpoint *endpoint = &entry->endpoint;
+
+  return endpoint->swap_pending || endpoint->breaker != LC_BREAKER_CLOSED
+         || endpoint->report.version == 0;
+}
+
+static void
+summarise (LcEntry *entry)
+{
+  const LcEndpoint *endpoint = &entry->endpoint;
+
+  entry->table->summaries[endpoint->slot] = (LcSummary){
+    .endpoint = &entry->endpoint,
+    .reported_at = endpoint->report.at,
+    .version = endpoint->report.version,
+    .size = (float)entry->concurrency.most,
+    .limit = (float)entry->concurrency.limit,
+    .load = (float)load_if_all_act_alike (entry),
+    .others = (float)others_by_report (entry),
+    .slot = endpoint->slot,
+    .in_flight = (int32_t)endpoint->in_flight,
+    .data_centre = entry->data_centre,
+    .alone_token_seconds = (float)entry->alone_token_seconds,
+    .is_out = endpoint->leaving || entry->retired,
+    .is_special = is_special (entry),
+  };
+}
+
+void
+lc_endpoints_set_peers (LcEndpoints *endpoints, int64_t count)
+{
+  endpoints->peers = count > 1 ? count : 1;
+  for (size_t i = 0; i < endpoints->n_entries; i++)
+    summarise (endpoints->entries[i]);
+}
+
+/* Makes what the parts of an entry decided readable in its endpoint and its summary. */
 static void
 publish (LcEntry *entry, LbTime now)
 {
@@ -151,6 +209,7 @@
   endpoint->breaker_until = entry->breaker.until;
   endpoint->consecutive_failures = entry->breaker.consecutive_failures;
   endpoint->concurrency_limit = entry->concurrency.limit;
+  summarise (entry);
 }
 
 /* What was learnt of the process behind the endpoint does not hold for the next one. */
@@ -164,7 +223,7 @@
 }
 
 static void
-take_member (LcEndpoints *endpoints, const LcEndpointMember *member, LbTime now)
+take_member (LcEndpoints *endpoints, const LcEndpointMember *member)
 {
   LcEntry *entry = find_entry (endpoints, member->name);
 
@@ -184,7 +243,6 @@
    * out. */
   if (member->leaving)
     lc_leaving_say (&entry->leaving, "");
-  publish (entry, now);
 }
 
 static void
@@ -229,12 +287,12 @@
       make_group_key (group->key, sizeof group->key, kind, entry->endpoint.member.pool);
       HASH_ADD_STR (endpoints->groups, key, group);
     }
-  if (group->n_members == group->capacity)
+  if (group->n_slots == group->capacity)
     {
       group->capacity = group->capacity ? group->capacity * 2 : 16;
-      group->members = lb_realloc (group->members, group->capacity * sizeof *group->members);
+      group->slots = lb_realloc (group->slots, group->capacity * sizeof *group->slots);
     }
-  group->members[group->n_members++] = entry;
+  group->slots[group->n_slots++] = entry->endpoint.slot;
 }
 
 int
@@ -261,19 +319,20 @@
 }
 
 static void
-rebuild_groups (LcEndpoints *endpoints)
+rebuild_groups (LcEndpoints *endpoints, LbTime now)
 {
   LcEndpointGroup *group = NULL;
   LcEndpointGroup *next = NULL;
 
   HASH_ITER (hh, endpoints->groups, group, next)
-  group->n_members = 0;
+  group->n_slots = 0;
   for (size_t i = 0; i < endpoints->n_entries; i++)
     {
       LcEntry *entry = endpoints->entries[i];
 
       entry->data_centre = add_data_centre (endpoints, entry->endpoint.member.data_centre);
       join_group (endpoints, entry);
+      publish (entry, now);
     }
 }
 
@@ -286,9 +345,9 @@
   for (size_t i = 0; i < endpoints->n_entries; i++)
     endpoints->entries[i]->retired = true;
   for (size_t i = 0; i < set->n_endpoints; i++)
-    take_member (endpoints, &set->endpoints[i], now);
+    take_member (endpoints, &set->endpoints[i]);
   drop_retired (endpoints);
-  rebuild_groups (endpoints);
+  rebuild_groups (endpoints, now);
 }
 
 static void
@@ -412,6 +471,7 @@
     }
   entry->endpoint.swap_pending = pending;
   entry->endpoint.swap_until = until;
+  publish (entry, now);
 }
 
 void
@@ -479,15 +539,30 @@
     entry->alone_token_seconds = entry->endpoint.ewma_token_seconds;
 }
 
+static void
+count_out (LcEntry *entry, LcRequestKind kind, LbTime now)
+{
+  entry->endpoint.in_flight--;
+  entry->endpoint.in_flight_rollout -= kind == LC_KIND_SAMPLE;
+  lc_flight_log_add (&entry->flights, entry->endpoint.in_flight, false, now);
+}
+
+void
+lc_endpoints_cancelled (LcEndpoint *endpoint, LcRequestKind kind, LbTime now)
+{
+  LcEntry *entry = lc_entry (endpoint);
+
+  count_out (entry, kind, now);
+  publish (entry, now);
+}
+
 void
 lc_endpoints_ended (
     LcEndpoint *endpoint, LcRequestKind kind, bool ok, int64_t tokens, LbTime took, LbTime now)
 {
   LcEntry *entry = lc_entry (endpoint);
 
-  endpoint->in_flight--;
-  endpoint->in_flight_rollout -= kind == LC_KIND_SAMPLE;
-  lc_flight_log_add (&entry->flights, endpoint->in_flight, false, now);
+  count_out (entry, kind, now);
   if (ok)
     {
       endpoint->last_reply = now;
--- a/packages/core/src/lc-router-finish-time.c
+++ b/packages/core/src/lc-router-finish-time.c
@@ -27,6 +27,19 @@
   LbTime now;
 } Situation;
 
+/* Without fmax's rules for NaN, which cost a call for each candidate. */
+static inline double
+larger (double a, double b)
+{
+  return a > b ? a : b;
+}
+
+static inline double
+smaller (double a, double b)
+{
+  return a < b ? a : b;
+}
+
 static Situation
 make_situation (LcPolicy *policy, LcEndpoints *endpoints, const LcRouteQuery *query, LbTime now)
 {
@@ -48,17 +61,19 @@
 
 /* Of what others had running when the report was measured, part has finished since. */
 static double
-still_running (const Situation *situation, const LcEntry *entry)
+still_running (const Situation *situation, const LcSummary *summary)
 {
-  double age = (double)(situation->now - entry->endpoint.report.at) / LB_SEC;
+  double age = (double)(situation->now - summary->reported_at) / LB_SEC;
 
   return age > 0 ? 1 / (1 + age / situation->service_seconds) : 1;
 }
 
 static double
-swap_seconds (const Situation *situation, const LcEndpoint *endpoint)
+swap_seconds (const Situation *situation, const LcSummary *summary)
 {
-  if (!endpoint->swap_pending || endpoint->swap_until <= situation->now)
+  const LcEndpoint *endpoint = summary->endpoint;
+
+  if (!summary->is_special || !endpoint->swap_pending || endpoint->swap_until <= situation->now)
     return 0;
   return (double)(endpoint->swap_until - situation->now) / LB_SEC;
 }
@@ -66,10 +81,12 @@
 /* What waiting and decoding cost there, and how it grows. A larger batch slows all that is in it,
  * so each added request counts twice: for itself and for the others. */
 static LcLoadPrice
-load_price (const Situation *situation, const LcEntry *entry, double load)
+load_price (const Situation *situation, const LcSummary *summary, double load)
 {
-  double size = entry->concurrency.most;
-  double decode = situation->expected_tokens * entry->alone_token_seconds;
+  double size = (double)summary->size;
+  double decode = situation->query->kind == LC_KIND_SERVICE
+                      ? situation->service_seconds
+                      : situation->expected_tokens * (double)summary->alone_token_seconds;
   double ahead = load + 1 - size;
   double per_place = 2 * decode * LC_FULL_BATCH_SLOWDOWN;
 
@@ -82,19 +99,19 @@
 
 /* A prefill also holds up those that decode beside it. */
 static double
-prefill_seconds (const Situation *situation, const LcEntry *entry, double load)
+prefill_seconds (const Situation *situation, const LcSummary *summary, double load)
 {
-  double missing = 1 - situation->shares[entry->endpoint.slot];
-  double beside = fmin (load, entry->concurrency.most);
+  double missing = 1 - situation->shares[summary->slot];
+  double beside = smaller (load, (double)summary->size);
 
   return (double)situation->query->prompt_tokens / PREFILL_TOKENS_PER_SECOND * missing
          * (1 + PREFILL_HOLDS_UP * beside);
 }
 
 static double
-way_seconds (const Situation *situation, const LcEntry *entry)
+way_seconds (const Situation *situation, const LcSummary *summary)
 {
-  if (situation->data_centre == entry->data_centre)
+  if (situation->data_centre == summary->data_centre)
     return 0;
   return 2 * (double)situation->endpoints->distance / LB_SEC;
 }
@@ -118,15 +135,15 @@
   for (size_t i = 0; i < policy->candidates.n_items; i++)
     {
       LcCandidate *item = &policy->candidates.items[i];
-      const LcEntry *entry = lc_entry (item->endpoint);
-      double others = (double)lc_entry_others (entry);
-      double left = others * still_running (situation, entry);
-      double load = left + (double)entry->endpoint.in_flight;
+      const LcSummary *summary = policy->candidates.summaries[i];
+      double others = (double)summary->others;
+      double left = others * still_running (situation, summary);
+      double load = left + summary->in_flight;
 
       unseen += others - left;
-      policy->loads[i] = load_price (situation, entry, load);
-      item->score = way_seconds (situation, entry) + swap_seconds (situation, item->endpoint)
-                    + prefill_seconds (situation, entry, load);
+      policy->loads[i] = load_price (situation, summary, load);
+      item->score = way_seconds (situation, summary) + swap_seconds (situation, summary)
+                    + prefill_seconds (situation, summary, load);
     }
   return unseen;
 }
@@ -143,11 +160,13 @@
       double sum = arrivals;
 
       for (size_t i = 0; i < policy->candidates.n_items; i++)
-        if (policy->loads[i].seconds < level)
-          {
-            weight += policy->loads[i].per_second;
-            sum += policy->loads[i].seconds * policy->loads[i].per_second;
-          }
+        {
+          const LcLoadPrice *price = &policy->loads[i];
+          double part = price->seconds < level ? price->per_second : 0;
+
+          weight += part;
+          sum += part * price->seconds;
+        }
       if (weight == 0 || sum / weight >= level)
         return level;
       level = sum / weight;
@@ -163,8 +182,8 @@
     {
       LcCandidate *item = &policy->candidates.items[i];
 
-      item->score += fmax (level, policy->loads[i].seconds);
-      least = fmin (least, item->score);
+      item->score += larger (level, policy->loads[i].seconds);
+      least = smaller (least, item->score);
     }
   return least;
 }
@@ -179,7 +198,7 @@
   for (size_t i = 0; i < policy->candidates.n_items; i++)
     {
       const LcLoadPrice *price = &policy->loads[i];
-      double share = fmax (LEAST_SHARE, (level - price->seconds) * price->per_second);
+      double share = larger (LEAST_SHARE, (level - price->seconds) * price->per_second);
 
       if (policy->candidates.items[i].score > least + INDIFFERENT_SECONDS)
         continue;
