--- a/packages/platform/include/lp-platform.h
+++ b/packages/platform/include/lp-platform.h
@@ -31,6 +31,9 @@
   size_t n_conditions;
   const LpPut *puts;
   size_t n_puts;
+  /* After an unknown outcome read the first put's row: its value there proves that the transaction
+   * was applied. Only for values that no other transaction writes. */
+  bool read_back;
 } LpTransaction;
 
 typedef struct
@@ -108,7 +111,8 @@
 {
   LbName address;  /* of the platform's HTTP interface */
   LbTime deadline; /* of one call */
-  double rate;     /* calls a second this instance allows itself */
+  double rate;     /* calls a second this instance allows itself; 0: any */
+  uint64_t seed;   /* of the jitter */
 } LpHttpSettings;
 
 /* See lp-memory.h and lp-http.c. */
--- /dev/null
+++ b/packages/platform/src/lp-pacer.c
@@ -0,0 +1,48 @@
+#include "lp-pacer.h"
+
+#define BURST_SECONDS 0.25
+
+/* rate 0: no limit. */
+void
+lp_pacer_init (LpPacer *pacer, double rate, LbTime now)
+{
+  double burst = rate * BURST_SECONDS;
+
+  pacer->rate = rate;
+  pacer->burst = burst > 1 ? burst : 1;
+  pacer->tokens = pacer->burst;
+  pacer->at = now;
+}
+
+static double
+tokens_at (const LpPacer *pacer, LbTime now)
+{
+  double tokens = pacer->tokens + (double)(now - pacer->at) / (double)LB_SEC * pacer->rate;
+
+  return tokens < pacer->burst ? tokens : pacer->burst;
+}
+
+bool
+lp_pacer_take (LpPacer *pacer, LbTime now)
+{
+  if (pacer->rate <= 0)
+    return true;
+  pacer->tokens = tokens_at (pacer, now);
+  pacer->at = now;
+  if (pacer->tokens < 1)
+    return false;
+  pacer->tokens -= 1;
+  return true;
+}
+
+LbTime
+lp_pacer_wait (const LpPacer *pacer, LbTime now)
+{
+  double lacking;
+
+  if (pacer->rate <= 0)
+    return 0;
+  lacking = 1 - tokens_at (pacer, now);
+  /* One microsecond more, so that rounding never asks for a wake-up just too early. */
+  return lacking > 0 ? (LbTime)(lacking / pacer->rate * (double)LB_SEC) + 1 : 0;
+}
--- a/standins/si-faults.c
+++ b/standins/si-faults.c
@@ -1,5 +1,6 @@
 #include "si-faults.h"
 
+#include "lb-alloc.h"
 #include "si-server.h"
 
 #include <string.h>
@@ -35,6 +36,7 @@
         faults->faults[i] = (SiFault){ .remaining = si_json_int (order, "count", -1),
                                        .tokens = si_json_int (order, "tokens", 0),
                                        .delay = si_json_int (order, "ms", 0) * LB_MSEC };
+        LB_COPY (faults->faults[i].path, si_json_text (order, "path", ""));
         return true;
       }
   return false;
@@ -69,3 +71,11 @@
     fault->remaining--;
   return true;
 }
+
+bool
+si_faults_take_at (SiFaults *faults, SiFaultMode mode, const char *path)
+{
+  const char *only = faults->faults[mode].path;
+
+  return strncmp (path, only, strlen (only)) == 0 && si_faults_take (faults, mode);
+}
--- a/standins/si-faults.h
+++ b/standins/si-faults.h
@@ -28,6 +28,7 @@
   int64_t remaining; /* how many times more; -1: until cleared; 0: off */
   int64_t tokens;
   LbTime delay;
+  LbName path; /* only on paths that start so */
 } SiFault;
 
 typedef struct
@@ -35,13 +36,14 @@
   SiFault faults[SI_N_FAULTS];
 } SiFaults;
 
-/* {"mode": "break", "count": 1, "tokens": 5, "ms": 0}; count -1 or absent: until {"mode": "none"}.
- * False when the mode is not known. */
+/* {"mode": "break", "count": 1, "tokens": 5, "ms": 0, "path": "/table"}; count -1 or absent: until
+ * {"mode": "none"}. False when the mode is not known. */
 bool si_faults_set (SiFaults *faults, struct json_object *order);
 /* Answers POST /faults. */
 void si_faults_handle (SiFaults *faults, struct evhttp_request *request);
 bool si_faults_is_on (const SiFaults *faults, SiFaultMode mode);
 /* True when the fault is on; uses one of its times up. */
 bool si_faults_take (SiFaults *faults, SiFaultMode mode);
+bool si_faults_take_at (SiFaults *faults, SiFaultMode mode, const char *path);
 
 #endif
--- a/standins/si-platform.c
+++ b/standins/si-platform.c
@@ -48,13 +48,15 @@
 static void
 answer (SiPlatform *platform, struct evhttp_request *request, int status, struct json_object *reply)
 {
-  if (si_faults_take (&platform->faults, SI_FAULT_LOSE_REPLY))
+  const char *path = si_request_path (request);
+
+  if (si_faults_take_at (&platform->faults, SI_FAULT_LOSE_REPLY, path))
     {
       json_object_put (reply);
       si_reply_drop (request);
       return;
     }
-  if (!si_faults_take (&platform->faults, SI_FAULT_SLOW))
+  if (!si_faults_take_at (&platform->faults, SI_FAULT_SLOW, path))
     {
       si_reply_json (request, status, reply);
       return;
@@ -276,21 +278,16 @@
 }
 
 static void
-handle (struct evhttp_request *request, void *user)
+serve (SiPlatform *platform, struct evhttp_request *request)
 {
-  SiPlatform *platform = user;
+  const char *path = si_request_path (request);
 
-  if (si_request_is (request, EVHTTP_REQ_POST, "/faults"))
-    si_faults_handle (&platform->faults, request);
-  else if (si_request_is (request, EVHTTP_REQ_POST, "/control"))
-    control (platform, request);
-  else if (si_request_is (request, EVHTTP_REQ_GET, "/log"))
-    reply_log (platform, request);
-  else if (si_faults_take (&platform->faults, SI_FAULT_DOWN))
+  platform->seen++;
+  if (si_faults_take_at (&platform->faults, SI_FAULT_DOWN, path))
     si_reply_drop (request);
-  else if (si_faults_take (&platform->faults, SI_FAULT_HANG))
+  else if (si_faults_take_at (&platform->faults, SI_FAULT_HANG, path))
     return;
-  else if (si_faults_take (&platform->faults, SI_FAULT_BUSY) || is_over_rate (platform))
+  else if (si_faults_take_at (&platform->faults, SI_FAULT_BUSY, path) || is_over_rate (platform))
     {
       platform->busy++;
       si_reply_error (request, 503, "busy");
@@ -302,6 +299,21 @@
     }
 }
 
+static void
+handle (struct evhttp_request *request, void *user)
+{
+  SiPlatform *platform = user;
+
+  if (si_request_is (request, EVHTTP_REQ_POST, "/faults"))
+    si_faults_handle (&platform->faults, request);
+  else if (si_request_is (request, EVHTTP_REQ_POST, "/control"))
+    control (platform, request);
+  else if (si_request_is (request, EVHTTP_REQ_GET, "/log"))
+    reply_log (platform, request);
+  else
+    serve (platform, request);
+}
+
 static struct json_object *
 new_empty_instances (void)
 {
--- a/standins/si-platform.h
+++ b/standins/si-platform.h
@@ -19,7 +19,8 @@
   double rate; /* calls a second; 0: any */
   double allowance;
   LbTime allowance_at;
-  int64_t calls;
+  int64_t seen;  /* all that came, what a fault took included */
+  int64_t calls; /* all that were served */
   int64_t writes;
   int64_t busy;
 } SiPlatform;
