--- /dev/null
+++ b/packages/core/src/lc-router-random.c
@@ -0,0 +1,24 @@
+#include "lc-policies.h"
+
+/* Baseline: every candidate with the same chance. */
+static size_t
+pick (LcPolicy *policy, LcEndpoints *endpoints, const LcRouteQuery *query, LbTime now)
+{
+  (void)endpoints;
+  (void)query;
+  (void)now;
+  return gsl_rng_uniform_int (policy->rng, policy->candidates.n_items);
+}
+
+static LcRouter *
+create (uint64_t seed)
+{
+  return lc_policy_new (&lc_policy_random, seed);
+}
+
+const LcPolicyClass lc_policy_random = {
+  .base
+  = { .name = "random", .create = create, .destroy = lc_policy_free, .choose = lc_policy_choose },
+  .reason = "random",
+  .pick = pick,
+};
--- /dev/null
+++ b/packages/core/src/lc-router.c
@@ -0,0 +1,50 @@
+#include "lc-router.h"
+
+#include "lc-policies.h"
+
+#include <string.h>
+
+static const LcPolicyClass *const classes[] = {
+  &lc_policy_finish_time,       &lc_policy_random,       &lc_policy_round_robin,
+  &lc_policy_least_outstanding, &lc_policy_power_of_two, &lc_policy_prefix_affinity,
+};
+
+#define N_CLASSES (sizeof classes / sizeof classes[0])
+
+static const char *const names[] = {
+  "lentilspindle", "random",          "round-robin", "least-outstanding",
+  "power-of-two",  "prefix-affinity", NULL,
+};
+
+_Static_assert(sizeof names / sizeof names[0] == N_CLASSES + 1, "a name for each policy");
+
+/* An empty name means the product's own policy. */
+LcRouter *
+lc_router_new (const char *policy, uint64_t seed)
+{
+  if (policy[0] == '\0')
+    return classes[0]->base.create (seed);
+  for (size_t i = 0; i < N_CLASSES; i++)
+    if (strcmp (classes[i]->base.name, policy) == 0)
+      return classes[i]->base.create (seed);
+  return NULL;
+}
+
+void
+lc_router_free (LcRouter *router)
+{
+  if (router)
+    router->klass->destroy (router);
+}
+
+LcRouteDecision
+lc_router_choose (LcRouter *router, LcEndpoints *endpoints, const LcRouteQuery *query, LbTime now)
+{
+  return router->klass->choose (router, endpoints, query, now);
+}
+
+const char *const *
+lc_router_policies (void)
+{
+  return names;
+}
