--- a/standins/si-server.c
+++ b/standins/si-server.c
@@ -4,7 +4,10 @@
 
 #include <arpa/inet.h>
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/keyvalq_struct.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -23,8 +26,9 @@
   event_base_loopbreak (user);
 }
 
-static struct event_base *
-new_base (void)
+/* Timers to the microsecond: token times are well under a millisecond. */
+struct event_base *
+si_precise_base_new (void)
 {
   struct event_config *config = event_config_new ();
   struct event_base *base;
@@ -45,6 +49,27 @@
   snprintf (server->address, sizeof server->address, "127.0.0.1:%d", ntohs (bound.sin_port));
 }
 
+/* Without it the second small piece of a stream waits for the other side's delayed acknowledgement,
+ * some 40 ms. */
+static void
+send_at_once (struct evhttp_request *request)
+{
+  struct evhttp_connection *connection = evhttp_request_get_connection (request);
+  int fd = bufferevent_getfd (evhttp_connection_get_bufferevent (connection));
+  const int on = 1;
+
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+static void
+on_request (struct evhttp_request *request, void *user)
+{
+  SiServer *server = user;
+
+  send_at_once (request);
+  server->handler (request, server->user);
+}
+
 bool
 si_server_init (SiServer *server, struct event_base *base, int port, SiHandler handler, void *user)
 {
@@ -52,7 +77,9 @@
   server->base = base;
   server->http = evhttp_new (base);
   evhttp_set_allowed_methods (server->http, ALL_METHODS);
-  evhttp_set_gencb (server->http, handler, user);
+  server->handler = handler;
+  server->user = user;
+  evhttp_set_gencb (server->http, on_request, server);
   struct evhttp_bound_socket *socket
       = evhttp_bind_socket_with_handle (server->http, "127.0.0.1", (uint16_t)port);
   if (!socket)
@@ -67,7 +94,7 @@
 bool
 si_server_init_program (SiServer *server, int port, SiHandler handler, void *user)
 {
-  struct event_base *base = new_base ();
+  struct event_base *base = si_precise_base_new ();
 
   signal (SIGPIPE, SIG_IGN);
   if (!si_server_init (server, base, port, handler, user))
--- a/standins/si-server.h
+++ b/standins/si-server.h
@@ -16,8 +16,12 @@
   struct event *terminate; /* these two and the base: of a program's server only */
   struct event *interrupt;
   LbName address;
+  SiHandler handler;
+  void *user;
 } SiServer;
 
+struct event_base *si_precise_base_new (void);
+
 /* port 0: the kernel chooses. False when it can't be bound. */
 bool
 si_server_init (SiServer *server, struct event_base *base, int port, SiHandler handler, void *user);
--- /dev/null
+++ b/standins/si-tally.c
@@ -0,0 +1,140 @@
+#include "si-tally.h"
+
+#include "lb-alloc.h"
+#include "si-json.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <uthash.h>
+
+#define MAX_KEYS 10000
+
+typedef struct SiErrorCount
+{
+  UT_hash_handle hh;
+  LbName type;
+  int64_t count;
+} SiErrorCount;
+
+void
+si_tally_init (SiTally *tally)
+{
+  memset (tally, 0, sizeof *tally);
+  tally->not_run = json_object_new_array ();
+}
+
+void
+si_tally_clear (SiTally *tally)
+{
+  SiErrorCount *error, *next;
+
+  HASH_ITER (hh, tally->errors, error, next)
+  {
+    HASH_DEL (tally->errors, error);
+    free (error);
+  }
+  json_object_put (tally->not_run);
+  free (tally->took);
+  free (tally->first);
+}
+
+static void
+count_error (SiTally *tally, const char *type)
+{
+  SiErrorCount *error = NULL;
+
+  HASH_FIND_STR (tally->errors, type, error);
+  if (!error)
+    {
+      error = LB_NEW (SiErrorCount);
+      LB_COPY (error->type, type);
+      HASH_ADD_STR (tally->errors, type, error);
+    }
+  error->count++;
+}
+
+static void
+add_times (SiTally *tally, const SiLiveResult *result)
+{
+  if ((tally->n_took & (tally->n_took - 1)) == 0)
+    {
+      size_t capacity = tally->n_took > 0 ? tally->n_took * 2 : 1;
+      tally->took = lb_realloc (tally->took, capacity * sizeof (LbTime));
+      tally->first = lb_realloc (tally->first, capacity * sizeof (LbTime));
+    }
+  tally->took[tally->n_took] = result->took;
+  tally->first[tally->n_took] = result->first;
+  tally->n_took++;
+}
+
+void
+si_tally_add (SiTally *tally, const SiLiveResult *result, const char *key)
+{
+  tally->calls++;
+  tally->outcomes[result->outcome]++;
+  if (result->outcome == SI_LIVE_WHOLE)
+    add_times (tally, result);
+  else
+    count_error (tally, result->error[0] != '\0' ? result->error : "none");
+  if (result->outcome == SI_LIVE_NOT_RUN && json_object_array_length (tally->not_run) < MAX_KEYS)
+    json_object_array_add (tally->not_run, json_object_new_string (key));
+}
+
+bool
+si_tally_is_right (const SiTally *tally)
+{
+  return tally->outcomes[SI_LIVE_WRONG] + tally->outcomes[SI_LIVE_CUT] == 0;
+}
+
+static int
+compare_times (const void *a, const void *b)
+{
+  LbTime left = *(const LbTime *)a;
+  LbTime right = *(const LbTime *)b;
+
+  return (left > right) - (left < right);
+}
+
+static void
+add_percentiles (struct json_object *object, const char *key, LbTime *times, size_t n)
+{
+  static const struct
+  {
+    const char *name;
+    double share;
+  } wanted[] = { { "p50", 0.5 }, { "p90", 0.9 }, { "p99", 0.99 }, { "max", 1 } };
+  struct json_object *values = json_object_new_object ();
+
+  qsort (times, n, sizeof (LbTime), compare_times);
+  for (size_t i = 0; n > 0 && i < sizeof wanted / sizeof wanted[0]; i++)
+    {
+      size_t at = (size_t)((double)(n - 1) * wanted[i].share);
+      json_object_object_add (values, wanted[i].name,
+                              json_object_new_double ((double)times[at] / (double)LB_MSEC));
+    }
+  json_object_object_add (object, key, values);
+}
+
+/* Sorts the kept times. */
+struct json_object *
+si_tally_to_json (SiTally *tally)
+{
+  struct json_object *object = json_object_new_object ();
+  struct json_object *errors = json_object_new_object ();
+
+  json_object_object_add (object, "ok", json_object_new_boolean (si_tally_is_right (tally)));
+  si_json_set_int (object, "calls", tally->calls);
+  si_json_set_int (object, "whole", tally->outcomes[SI_LIVE_WHOLE]);
+  si_json_set_int (object, "wrong", tally->outcomes[SI_LIVE_WRONG]);
+  si_json_set_int (object, "cut", tally->outcomes[SI_LIVE_CUT]);
+  si_json_set_int (object, "not_run", tally->outcomes[SI_LIVE_NOT_RUN]);
+  si_json_set_int (object, "failed", tally->outcomes[SI_LIVE_ERROR]);
+  si_json_set_int (object, "retries", tally->retries);
+  for (const SiErrorCount *error = tally->errors; error; error = error->hh.next)
+    si_json_set_int (errors, error->type, error->count);
+  json_object_object_add (object, "errors", errors);
+  add_percentiles (object, "took_ms", tally->took, tally->n_took);
+  add_percentiles (object, "first_ms", tally->first, tally->n_took);
+  json_object_object_add (object, "not_run_keys", json_object_get (tally->not_run));
+  return object;
+}
