--- a/standins/si-cache.c
+++ b/standins/si-cache.c
@@ -87,7 +87,7 @@
   if (cache->limit == 0)
     return 0;
   for (size_t k = 1; k <= SI_CACHE_MAX_BLOCKS && k * SI_CACHE_BLOCK <= length; k++)
-    if (touch_block (cache, XXH64 (prompt, k * SI_CACHE_BLOCK, 0)))
+    if (touch_block (cache, XXH3_64bits (prompt, k * SI_CACHE_BLOCK)))
       found = k * SI_CACHE_BLOCK;
   return found;
 }
--- a/standins/si-cache.h
+++ b/standins/si-cache.h
@@ -5,7 +5,7 @@
 
 struct json_object;
 
-/* Prompts are cached by blocks; the hash of block k is XXH64 with seed 0 of the prompt's first
+/* Prompts are cached by blocks; the hash of block k is XXH3_64bits of the prompt's first
  * k * SI_CACHE_BLOCK bytes. */
 #define SI_CACHE_BLOCK 64
 #define SI_CACHE_MAX_BLOCKS 16
--- a/standins/si-engine-run.c
+++ b/standins/si-engine-run.c
@@ -421,6 +421,18 @@
   run->hung = si_faults_take (faults, SI_FAULT_HANG);
 }
 
+/* How many bytes of the prompt are not in the prefix cache. */
+static size_t
+count_prefill (SiEngine *engine, struct json_object *body, const char *prompt)
+{
+  struct json_object *messages;
+  const char *text = prompt;
+
+  if (json_object_object_get_ex (body, "messages", &messages))
+    text = json_object_to_json_string_ext (messages, JSON_C_TO_STRING_PLAIN);
+  return strlen (text) - si_cache_use (&engine->cache, text);
+}
+
 static Run *
 run_new (SiEngine *engine, struct evhttp_request *request, struct json_object *body, bool chat)
 {
@@ -435,7 +447,7 @@
   run->priority = si_json_int (body, "priority", 0);
   run->last_said = lb_clock_monotonic ();
   si_text_init_from_body (&run->text, body, engine->settings.vary_length);
-  run->prefill = strlen (prompt) - si_cache_use (&engine->cache, prompt);
+  run->prefill = count_prefill (engine, body, prompt);
   take_resume (run, body);
   take_import (run);
   take_faults (run);
