--- a/packages/node/src/ln-call.c
+++ b/packages/node/src/ln-call.c
@@ -26,12 +26,11 @@
 void
 ln_call_free (LnCall *call)
 {
-  while (!lb_list_is_empty (&call->attempts))
-    {
-      LnAttempt *attempt = LB_LIST_FIRST (&call->attempts, LnAttempt, link);
-      ln_upstream_cancel (attempt->upstream);
-      ln_attempt_free (attempt);
-    }
+  LB_LIST_FOREACH (&call->attempts, LnAttempt, link, attempt)
+  {
+    ln_upstream_cancel (attempt->upstream);
+    ln_attempt_free (attempt);
+  }
   for (size_t i = 0; i < call->n_headers; i++)
     {
       free ((char *)call->headers[i].name);
--- a/packages/node/src/ln-caller.c
+++ b/packages/node/src/ln-caller.c
@@ -32,8 +32,10 @@
 void
 ln_callers_clear (LnCallers *callers)
 {
-  while (!lb_list_is_empty (&callers->callers))
-    evhtp_connection_free (LB_LIST_FIRST (&callers->callers, LnCaller, link)->connection);
+  LB_LIST_FOREACH (&callers->callers, LnCaller, link, caller)
+  {
+    evhtp_connection_free (caller->connection);
+  }
   ln_linger_free_all (&callers->lingers);
 }
 
--- a/packages/node/src/ln-calls.c
+++ b/packages/node/src/ln-calls.c
@@ -140,6 +140,7 @@
   free (((LnSampleDoneMessage *)message)->text);
 }
 
+/* Takes the text over. */
 static void
 post_done (LnCalls *calls, LcRequestId request, LbErrorCode error, char *text)
 {
--- a/packages/node/src/ln-linger.c
+++ b/packages/node/src/ln-linger.c
@@ -75,6 +75,8 @@
 void
 ln_linger_free_all (LbList *lingers)
 {
-  while (!lb_list_is_empty (lingers))
-    linger_free (LB_LIST_FIRST (lingers, LnLinger, link));
+  LB_LIST_FOREACH (lingers, LnLinger, link, linger)
+  {
+    linger_free (linger);
+  }
 }
--- a/packages/node/src/ln-poller.c
+++ b/packages/node/src/ln-poller.c
@@ -214,8 +214,10 @@
 {
   if (!poller)
     return;
-  while (!lb_list_is_empty (&poller->targets))
-    target_free (LB_LIST_FIRST (&poller->targets, Target, link));
+  LB_LIST_FOREACH (&poller->targets, Target, link, target)
+  {
+    target_free (target);
+  }
   event_free (poller->timer);
   free (poller);
 }
