--- a/packages/core/src/lc-rollouts.c
+++ b/packages/core/src/lc-rollouts.c
@@ -214,17 +214,6 @@
   return window > 0 ? window : 1;
 }
 
-static int64_t
-max_lag_of (const LcResourceSet *set, const char *subscription)
-{
-  int64_t lag = INT64_MAX;
-
-  for (size_t i = 0; i < set->n_bounds; i++)
-    if (strcmp (set->bounds[i].subscription, subscription) == 0 && set->bounds[i].max_lag < lag)
-      lag = set->bounds[i].max_lag;
-  return lag;
-}
-
 static void
 declare_trainer (LcRollouts *rollouts, const LcResourceSet *set, const LcSubscription *resource)
 {
@@ -240,7 +229,7 @@
   LB_COPY (pool, trainer->running > 0 ? trainer->resource.pool : resource->pool);
   trainer->resource = *resource;
   LB_COPY (trainer->resource.pool, pool);
-  trainer->max_lag = max_lag_of (set, resource->name);
+  trainer->max_lag = lc_resource_set_max_lag (set, resource->name);
   trainer->declared = true;
   if (trainer->resource.share <= 0)
     trainer->resource.share = 1;
@@ -316,8 +305,8 @@
   return true;
 }
 
-static bool
-may_open (LcRollouts *rollouts, const LcStepSpec *spec, LbError *error)
+bool
+lc_rollouts_may_open (const LcRollouts *rollouts, const LcStepSpec *spec, LbError *error)
 {
   const LcTrainer *trainer = lc_rollouts_trainer (rollouts, spec->subscription);
 
@@ -352,7 +341,7 @@
   begin (rollouts, now);
   if (step)
     return is_same (step, spec, error);
-  if (!may_open (rollouts, spec, error))
+  if (!lc_rollouts_may_open (rollouts, spec, error))
     return false;
   step = lc_step_new (spec, session, &rollouts->trash, now);
   bool ok = lc_cursor_from_text (&cursor, ledger, step->n_slots, step->hash, error);
@@ -624,6 +613,15 @@
   return true;
 }
 
+bool
+lc_rollouts_is_scoring (const LcRollouts *rollouts, LcRequestId request)
+{
+  const LcJob *job = NULL;
+
+  HASH_FIND (hh, rollouts->jobs, &request, sizeof request, job);
+  return job && job->scores;
+}
+
 /* Requests and pulls that are not answered yet. */
 size_t
 lc_rollouts_in_progress (const LcRollouts *rollouts)
