Leases with fencing over a conditional table row

The holder counts from before it asked and by the shortest duration, the others from after they saw the renewal and by the longest. A gap in the loop, or a step of the wall clock against the monotonic one, means no order until a renewal went through. An endpoint that checks no fence is ordered only after the life of an earlier order.

--- /dev/null
+++ b/packages/core/tests/test-lease.c
@@ -0,0 +1,440 @@
+#include "lb-alloc.h"
+#include "lc-lease.h"
+
+#include <criterion/criterion.h>
+#include <gsl/gsl_rng.h>
+#include <json-c/json.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define N_HOLDERS 3
+#define MAX_OPERATIONS 256
+#define STEP (10 * LB_MSEC)
+#define TICK (50 * LB_MSEC)
+
+/* One read or write on its way to the table and back. */
+typedef struct
+{
+  int holder; /* -1: free */
+  bool is_write;
+  LcLeaseRow row;
+  int64_t version;
+  LbTime apply_at;
+  LbTime reply_at;
+  bool applied;
+  LbErrorCode result;
+} Operation;
+
+/* A holder with a clock of its own: now = offset + rate x true time. */
+typedef struct
+{
+  LcLease *lease;
+  double rate;
+  LbTime offset;
+  LbTime paused_until;
+  LbTime next_tick;
+  LbTime tick;
+  bool cut_off; /* from the table */
+} Holder;
+
+static Holder holders[N_HOLDERS];
+static Operation operations[MAX_OPERATIONS];
+static LcLeaseRow table_row;
+static int64_t table_version;
+static bool store_away;
+static double lose_replies;
+static LbTime longest_delay;
+static LbTime now; /* true time */
+static gsl_rng *rng;
+
+static LbTime
+clock_of (const Holder *holder)
+{
+  return holder->offset + (LbTime)(holder->rate * now);
+}
+
+static void
+setup (void)
+{
+  static const char *const names[N_HOLDERS] = { "i1", "i2", "i3" };
+  LcLeaseSettings settings;
+
+  now = 1000 * LB_SEC;
+  table_version = 0;
+  store_away = false;
+  lose_replies = 0;
+  longest_delay = 20 * LB_MSEC;
+  rng = gsl_rng_alloc (gsl_rng_taus2);
+  for (int i = 0; i < MAX_OPERATIONS; i++)
+    operations[i].holder = -1;
+  for (int i = 0; i < N_HOLDERS; i++)
+    {
+      lc_lease_settings_init (&settings);
+      LB_COPY (settings.instance, names[i]);
+      LB_COPY (settings.incarnation, "a");
+      holders[i] = (Holder){ .rate = 1.0, .offset = 5 * LB_SEC * i, .tick = TICK };
+      holders[i].lease = lc_lease_new (&settings, clock_of (&holders[i]), now);
+      lc_lease_set_rank (holders[i].lease, i);
+    }
+}
+
+static void
+teardown (void)
+{
+  for (int i = 0; i < N_HOLDERS; i++)
+    lc_lease_free (holders[i].lease);
+  gsl_rng_free (rng);
+}
+
+TestSuite (lease, .init = setup, .fini = teardown);
+
+static LbTime
+delay (void)
+{
+  return 1 + (LbTime)(gsl_rng_uniform (rng) * longest_delay);
+}
+
+static void
+start_operation (int holder, const LcLeaseAction *action)
+{
+  int i = 0;
+
+  while (operations[i].holder >= 0)
+    i++;
+  operations[i] = (Operation){ .holder = holder,
+                               .is_write = action->type == LC_LEASE_WRITE,
+                               .row = action->row,
+                               .version = action->version,
+                               .apply_at = now + delay () };
+  operations[i].reply_at = operations[i].apply_at + delay ();
+}
+
+static void
+carry_out (int holder, LbList *actions)
+{
+  LbLink *link;
+
+  while ((link = lb_list_pop (actions)))
+    {
+      LcLeaseAction *action = LB_CONTAINER (link, LcLeaseAction, link);
+      if (action->type == LC_LEASE_READ || action->type == LC_LEASE_WRITE)
+        start_operation (holder, action);
+      free (action);
+    }
+}
+
+static void
+apply (Operation *operation)
+{
+  operation->applied = true;
+  if (store_away || holders[operation->holder].cut_off)
+    operation->result = operation->is_write ? LB_ERROR_STORE_UNKNOWN : LB_ERROR_STORE_AWAY;
+  else if (!operation->is_write)
+    {
+      operation->result = table_version == 0 ? LB_ERROR_NOT_FOUND : LB_OK;
+      operation->row = table_row;
+      operation->version = table_version;
+    }
+  else if (operation->version != table_version)
+    operation->result = LB_ERROR_CONDITION_FAILED;
+  else
+    {
+      table_row = operation->row;
+      table_version++;
+      bool lost = gsl_rng_uniform (rng) < lose_replies;
+      operation->result = lost ? LB_ERROR_STORE_UNKNOWN : LB_OK;
+    }
+}
+
+static void
+reply (Operation *operation)
+{
+  LbList actions;
+  int i = operation->holder;
+  Holder *holder = &holders[i];
+
+  lb_list_init (&actions);
+  operation->holder = -1;
+  if (operation->is_write)
+    lc_lease_was_written (holder->lease, operation->result, clock_of (holder), &actions);
+  else
+    lc_lease_was_read (holder->lease, operation->result, &operation->row, operation->version,
+                       clock_of (holder), &actions);
+  carry_out (i, &actions);
+}
+
+static void
+step_operations (void)
+{
+  for (int i = 0; i < MAX_OPERATIONS; i++)
+    {
+      Operation *operation = &operations[i];
+      if (operation->holder < 0)
+        continue;
+      if (!operation->applied && now >= operation->apply_at)
+        apply (operation);
+      if (operation->applied && now >= operation->reply_at
+          && now >= holders[operation->holder].paused_until)
+        reply (operation);
+    }
+}
+
+static void
+step_holder (int i)
+{
+  LbList actions;
+  Holder *holder = &holders[i];
+
+  if (now < holder->paused_until || now < holder->next_tick)
+    return;
+  lb_list_init (&actions);
+  holder->next_tick = now + holder->tick;
+  lc_lease_tick (holder->lease, clock_of (holder), now, &actions);
+  carry_out (i, &actions);
+}
+
+static bool
+is_writing (int holder)
+{
+  for (int i = 0; i < MAX_OPERATIONS; i++)
+    if (operations[i].holder == holder && operations[i].is_write)
+      return true;
+  return false;
+}
+
+/* The one that may order now, -1: nobody. A paused one can't even ask. */
+static int
+orderer (void)
+{
+  int who = -1;
+
+  for (int i = 0; i < N_HOLDERS; i++)
+    {
+      if (now < holders[i].paused_until
+          || !lc_lease_may_order (holders[i].lease, false, clock_of (&holders[i])))
+        continue;
+      cr_assert_eq (who, -1, "two holders at %lld", (long long)now);
+      who = i;
+    }
+  return who;
+}
+
+static void
+run (LbTime duration)
+{
+  for (LbTime until = now + duration; now < until; now += STEP)
+    {
+      orderer ();
+      step_operations ();
+      for (int i = 0; i < N_HOLDERS; i++)
+        step_holder (i);
+    }
+}
+
+/* How long until the holder is another one than before. */
+static LbTime
+run_until_other (int before, LbTime limit)
+{
+  LbTime start = now;
+
+  while (now - start < limit && (orderer () == before || orderer () == -1))
+    run (STEP);
+  return now - start;
+}
+
+Test (lease, first_candidate_holds_and_keeps_it)
+{
+  run (3 * LB_SEC);
+  cr_assert_eq (orderer (), 0);
+  int64_t fence = lc_lease_fence (holders[0].lease);
+  for (int i = 0; i < 60; i++)
+    {
+      run (LB_SEC);
+      cr_assert_eq (orderer (), 0);
+    }
+  cr_assert_eq (lc_lease_fence (holders[0].lease), fence);
+}
+
+/* The holder's process dies. Nobody swaps weights until another holds the lease: at most 10 s,
+ * the wait for endpoints that check no fence included. Its number is higher. */
+Test (lease, crash_leaves_no_gap_over_ten_seconds)
+{
+  for (int i = 0; i < 20; i++)
+    {
+      setup ();
+      gsl_rng_set (rng, (unsigned long)i + 1);
+      run (3 * LB_SEC + i * 50 * LB_MSEC);
+      int64_t fence = lc_lease_fence (holders[0].lease);
+      holders[0].paused_until = INT64_MAX;
+      holders[1].paused_until = INT64_MAX;
+      LbTime gap = run_until_other (0, 20 * LB_SEC);
+      cr_assert_leq (gap, 8 * LB_SEC);
+      cr_assert_gt (lc_lease_fence (holders[2].lease), fence);
+      cr_assert_not (lc_lease_may_order (holders[2].lease, true, clock_of (&holders[2])));
+      run (10 * LB_SEC - gap);
+      cr_assert (lc_lease_may_order (holders[2].lease, true, clock_of (&holders[2])));
+      teardown ();
+    }
+  setup ();
+}
+
+/* The holder is paused for longer than its lease and goes on where it was, about to order. Another
+ * one has taken over: an engine would be swapped back. */
+Test (lease, paused_holder_gives_no_order_when_it_wakes)
+{
+  run (3 * LB_SEC);
+  holders[0].paused_until = now + 9 * LB_SEC;
+  run (9 * LB_SEC - STEP);
+  cr_assert_eq (orderer (), 1);
+  now += STEP;
+  cr_assert_not (lc_lease_may_order (holders[0].lease, false, clock_of (&holders[0])));
+  run (5 * LB_SEC);
+  cr_assert_eq (orderer (), 1);
+}
+
+/* The holder's whole machine stands still, its monotonic clock too; when it wakes its lease seems
+ * to have seconds left. The wall clock has made a step. */
+Test (lease, holder_whose_clock_stood_still_confirms_first)
+{
+  run (3 * LB_SEC);
+  holders[0].paused_until = now + 9 * LB_SEC;
+  holders[0].offset -= 9 * LB_SEC;
+  run (9 * LB_SEC);
+  step_holder (0);
+  cr_assert_not (lc_lease_may_order (holders[0].lease, false, clock_of (&holders[0])));
+  run (5 * LB_SEC);
+  cr_assert_eq (orderer (), 1);
+}
+
+/* The machine stands still while a renewal is on its way. Its reply comes after another has taken
+ * over, and must not pass for a renewal that was asked since. */
+Test (lease, reply_from_before_a_standstill_confirms_nothing)
+{
+  longest_delay = LB_SEC;
+  run (3 * LB_SEC);
+  while (!is_writing (0))
+    run (STEP);
+  holders[0].paused_until = now + 9 * LB_SEC;
+  holders[0].offset -= 9 * LB_SEC;
+  run (9 * LB_SEC);
+  step_holder (0);
+  step_operations ();
+  cr_assert_not (lc_lease_may_order (holders[0].lease, false, clock_of (&holders[0])));
+}
+
+/* The holder is cut off from the table, its clock is the slowest and the other's the fastest that
+ * the bound allows. Both would order for a moment. */
+Test (lease, drifting_clocks_leave_no_overlap)
+{
+  for (int i = 0; i < 100; i++)
+    {
+      teardown ();
+      setup ();
+      gsl_rng_set (rng, (unsigned long)i + 1);
+      holders[0].rate = 0.995;
+      holders[1].rate = 1.005;
+      run (3 * LB_SEC + i * 11 * LB_MSEC);
+      lc_lease_set_rank (holders[1].lease, 0);
+      holders[0].cut_off = true;
+      holders[0].tick = STEP;
+      holders[1].tick = STEP;
+      for (int step = 0; step < 600; step++)
+        {
+          lc_lease_hint (holders[1].lease, clock_of (&holders[1]));
+          run (STEP);
+        }
+      cr_assert_eq (orderer (), 1);
+    }
+}
+
+/* The loop of the holder is slow, not paused: its lease ends between two ticks. */
+Test (lease, order_is_checked_against_the_end_itself)
+{
+  run (3 * LB_SEC);
+  holders[0].cut_off = true;
+  holders[0].tick = 9 * LB_SEC / 10;
+  while (orderer () == 0)
+    run (STEP);
+  cr_assert (lc_lease_is_held (holders[0].lease), "no tick has noticed it yet");
+}
+
+/* A process is paused for a moment, shorter than its lease: it goes on as the holder, but only
+ * after a renewal. */
+Test (lease, short_pause_keeps_the_lease_after_a_renewal)
+{
+  run (3 * LB_SEC);
+  holders[0].paused_until = now + 3 * LB_SEC / 2;
+  run (3 * LB_SEC / 2);
+  cr_assert_eq (orderer (), -1, "before its first tick");
+  step_holder (0);
+  cr_assert_eq (orderer (), -1, "after it");
+  run (LB_SEC);
+  cr_assert_eq (orderer (), 0);
+}
+
+/* The holder drains: another holds the lease within a second or two, not after its expiry. */
+Test (lease, hand_over_at_drain_is_quick)
+{
+  LbList actions;
+
+  lb_list_init (&actions);
+  run (3 * LB_SEC);
+  lc_lease_release (holders[0].lease, clock_of (&holders[0]), &actions);
+  carry_out (0, &actions);
+  cr_assert_eq (orderer (), -1);
+  LbTime gap = run_until_other (0, 10 * LB_SEC);
+  cr_assert_leq (gap, 3 * LB_SEC);
+  cr_assert (lc_lease_is_released (holders[0].lease, clock_of (&holders[0])));
+  run (20 * LB_SEC);
+  cr_assert_eq (orderer (), 1);
+}
+
+/* The store is away: the holder stops by itself before its lease can be another's, and goes on
+ * when the store is back. */
+Test (lease, store_away_stops_orders)
+{
+  run (3 * LB_SEC);
+  store_away = true;
+  run (5 * LB_SEC);
+  cr_assert_eq (orderer (), -1);
+  store_away = false;
+  run (6 * LB_SEC);
+  cr_assert_neq (orderer (), -1);
+}
+
+/* The reply to the claim is lost after the write took effect. The holder would wait for its own
+ * lease to expire, and nobody orders in the meantime. */
+Test (lease, lost_reply_to_a_claim_is_read_back)
+{
+  lose_replies = 1.0;
+  run (LB_SEC / 2);
+  cr_assert_eq (orderer (), 0);
+  cr_assert_eq (lc_lease_fence (holders[0].lease), 1);
+}
+
+/* Long randomised run: clocks 1 % apart, replies lost, the store away, slow writes, pauses. run
+ * asserts that there are never two holders, and the number only ever grows. */
+Test (lease, never_two_holders_in_a_long_run)
+{
+  int64_t fence = 0;
+  int held = 0;
+
+  gsl_rng_set (rng, 42);
+  holders[0].rate = 0.995;
+  holders[2].rate = 1.004;
+  lose_replies = 0.1;
+  for (int i = 0; i < 3000; i++)
+    {
+      store_away = gsl_rng_uniform (rng) < 0.05;
+      longest_delay = gsl_rng_uniform (rng) < 0.1 ? 3 * LB_SEC : 20 * LB_MSEC;
+      if (gsl_rng_uniform (rng) < 0.1)
+        holders[gsl_rng_uniform_int (rng, N_HOLDERS)].paused_until
+            = now + (LbTime)(gsl_rng_uniform (rng) * 12 * LB_SEC);
+      run (LB_SEC);
+      held += orderer () >= 0;
+      cr_assert_geq (table_row.fence, fence);
+      fence = table_row.fence;
+    }
+  cr_assert_gt (fence, 20);
+  cr_assert_gt (held, 1500);
+}
