--- a/packages/core/src/lc-dispatch-private.h
+++ b/packages/core/src/lc-dispatch-private.h
@@ -22,6 +22,7 @@
   uint64_t sequence;
   uint64_t invariant_failures;
   bool draining;
+  bool keep_running; /* the present command may not cut what runs */
 };
 
 static inline LcPoolKind
@@ -67,6 +68,10 @@
                           LbTime retry_after,
                           LbTime now,
                           LbList *actions);
+LbTime lc_dispatch_retry_hint (LcDispatch *dispatch,
+                               const LcPoolState *pool,
+                               const LcQueueKey *key,
+                               LbTime now);
 LcAction *lc_action_new (LcActionType type, LcRequestId request, LbList *actions);
 
 /* lc-invariant.c */
--- a/packages/core/src/lc-dispatch.c
+++ b/packages/core/src/lc-dispatch.c
@@ -8,7 +8,6 @@
 
 #define DEFAULT_POLICY "lentilspindle"
 #define DEFAULT_QUEUE_LIMIT 4096
-#define MIN_RETRY_AFTER (100 * LB_MSEC)
 #define DRAIN_RETRY_AFTER (100 * LB_MSEC)
 
 static LbMetric dropped_pieces
@@ -147,41 +146,33 @@
     }
 }
 
-/* Answers all that wait for a pool which nobody serves any more. */
+/* Pools that the configuration no longer names go with their last request. */
 static void
-fail_stranded (LcDispatch *dispatch, LcPoolState *pool, LbTime now, LbList *actions)
+drop_unused_pools (LcDispatch *dispatch)
 {
-  LbTime retry_after = 0;
-  LcWaiting *waiting = NULL;
+  LcPoolState *pool = NULL;
+  LcPoolState *next = NULL;
 
-  if (lc_queue_length (pool->queue) == 0
-      || (lc_dispatch_has_endpoint (dispatch, pool, LB_TIME_NEVER, &retry_after, now)))
-    return;
-  while ((waiting = lc_queue_first (pool->queue)))
+  for (int kind = 0; kind < LC_N_POOL_KINDS; kind++)
+    HASH_ITER (hh, dispatch->pools[kind], pool, next)
     {
-      LcRequest *request = LB_CONTAINER (waiting, LcRequest, waiting);
-      LbErrorCode error = request->maybe_run ? request->last_error : LB_ERROR_NO_ENDPOINT;
-
-      lc_dispatch_give_up (dispatch, request, error, LB_SEC, now, actions);
+      if (pool->configured || pool->n_requests > 0)
+        continue;
+      HASH_DELETE (hh, dispatch->pools[kind], pool);
+      lc_pool_state_free (pool);
     }
 }
 
-static void
-fail_all_stranded (LcDispatch *dispatch, LbTime now, LbList *actions)
-{
-  for (int kind = 0; kind < LC_N_POOL_KINDS; kind++)
-    for (LcPoolState *pool = dispatch->pools[kind]; pool; pool = pool->hh.next)
-      fail_stranded (dispatch, pool, now, actions);
-}
-
 /* Takes a newer configuration. Attempts at endpoints that it no longer names run to their end. */
 void
 lc_dispatch_configure (LcDispatch *dispatch, const LcResourceSet *set, LbTime now, LbList *actions)
 {
+  dispatch->keep_running = true;
   lc_endpoints_configure (dispatch->endpoints, set, now);
   configure_pools (dispatch, set);
-  fail_all_stranded (dispatch, now, actions);
   lc_dispatch_pump_all (dispatch, now, actions);
+  drop_unused_pools (dispatch);
+  dispatch->keep_running = false;
 }
 
 static bool
@@ -203,16 +194,26 @@
     return false;
 
   LcRequest *request = LB_CONTAINER (victim, LcRequest, waiting);
-  LcQueueKey victim_key = lc_request_key (request);
-  LbTime wait = lc_pool_state_wait (pool, &victim_key);
 
   if (request->n_attempts > 0)
     return false;
-  lc_dispatch_give_up (dispatch, request, LB_ERROR_OVERLOADED,
-                       wait > MIN_RETRY_AFTER ? wait : MIN_RETRY_AFTER, now, actions);
+  lc_dispatch_give_up (dispatch, request, LB_ERROR_OVERLOADED, 0, now, actions);
   return true;
 }
 
+/* Latest time of the first attempt: without a deadline of its own a call still waits no longer than
+ * the default one, since somebody sits before it. A stream may then go on for as long as it likes.
+ */
+static LbTime
+start_by (const LcDispatch *dispatch, const LcRequestSpec *spec, LbTime now)
+{
+  LbTime longest = dispatch->settings.default_deadline;
+
+  if (spec->deadline != LB_TIME_NEVER || spec->kind == LC_KIND_SAMPLE || longest <= 0)
+    return spec->deadline;
+  return now + longest;
+}
+
 /* Refuses early what could not be answered in time anyway, and what finds no place in the queue. */
 static bool
 admit (LcDispatch *dispatch,
@@ -223,21 +224,21 @@
        LbTime *retry_after,
        LbError *error)
 {
+  LbTime latest = start_by (dispatch, spec, now);
   LcQueueKey key = {
     .kind = spec->kind, .priority = spec->priority, .caller = spec->caller, .share = spec->share
   };
-  LbTime wait = lc_pool_state_wait (pool, &key);
   LbTime hint = 0;
 
-  if (spec->deadline <= now)
+  if (latest <= now)
     return refuse (LB_ERROR_DEADLINE_BEFORE_START, 0, retry_after, spec->pool, error);
-  if (!lc_dispatch_has_endpoint (dispatch, pool, spec->deadline, &hint, now))
+  if (!lc_dispatch_has_endpoint (dispatch, pool, latest, &hint, now))
     return refuse (LB_ERROR_NO_ENDPOINT, hint, retry_after, spec->pool, error);
-  if (spec->deadline != LB_TIME_NEVER && wait >= spec->deadline - now)
-    return refuse (LB_ERROR_OVERLOADED, wait, retry_after, spec->pool, error);
+  hint = lc_dispatch_retry_hint (dispatch, pool, &key, now);
+  if (latest != LB_TIME_NEVER && lc_pool_state_wait (pool, &key) >= latest - now)
+    return refuse (LB_ERROR_OVERLOADED, hint, retry_after, spec->pool, error);
   if (lc_pool_state_is_full (pool) && !make_room (dispatch, pool, &key, now, actions))
-    return refuse (LB_ERROR_OVERLOADED, wait > MIN_RETRY_AFTER ? wait : MIN_RETRY_AFTER,
-                   retry_after, spec->pool, error);
+    return refuse (LB_ERROR_OVERLOADED, hint, retry_after, spec->pool, error);
   return true;
 }
 
@@ -256,9 +257,7 @@
   LcRequest *request = lc_request_new (spec, pool, now);
 
   request->waiting.sequence = ++dispatch->sequence;
-  if (spec->deadline == LB_TIME_NEVER && spec->kind != LC_KIND_SAMPLE
-      && dispatch->settings.default_deadline > 0)
-    request->start_by = now + dispatch->settings.default_deadline;
+  request->start_by = start_by (dispatch, spec, now);
   HASH_ADD (hh, dispatch->requests, id, sizeof request->id, request);
   pool->n_requests++;
   return request;
@@ -343,10 +342,12 @@
     LcDispatch *dispatch, LcRequest *request, LcAttempt *attempt, LbTime now, LbList *actions)
 {
   LcAction *action = lc_action_new (LC_ACTION_CANCEL, request->id, actions);
+  LcPoolState *pool = request->pool;
 
   action->attempt = attempt->number;
   LB_COPY (action->endpoint, attempt->endpoint);
   lc_dispatch_end_attempt (dispatch, request, attempt, LC_END_BROKEN, now, actions);
+  lc_dispatch_pump (dispatch, pool, now, actions);
   return drop_piece ();
 }
 
@@ -436,8 +437,9 @@
   lc_endpoints_report (dispatch->endpoints, endpoint, report, now);
   if (!pool)
     return;
+  dispatch->keep_running = true;
   lc_dispatch_pump (dispatch, pool, now, actions);
-  fail_stranded (dispatch, pool, now, actions);
+  dispatch->keep_running = false;
 }
 
 void
@@ -450,8 +452,11 @@
 {
   LcPoolState *pool = pool_of_endpoint (dispatch, endpoint);
 
-  if (lc_endpoints_leaving (dispatch->endpoints, endpoint, incarnation, source, now) && pool)
-    fail_stranded (dispatch, pool, now, actions);
+  if (!lc_endpoints_leaving (dispatch->endpoints, endpoint, incarnation, source, now) || !pool)
+    return;
+  dispatch->keep_running = true;
+  lc_dispatch_pump (dispatch, pool, now, actions);
+  dispatch->keep_running = false;
 }
 
 void
@@ -465,17 +470,14 @@
 static void
 run_timer (LcDispatch *dispatch, LcRequest *request, LbTime now, LbList *actions)
 {
-  LbTime start_by = request->start_by < request->deadline ? request->start_by : request->deadline;
+  bool waits = request->state == LC_STATE_WAITING;
 
-  if (now >= request->deadline || (request->state == LC_STATE_WAITING && now >= start_by))
+  if (now >= request->deadline || (waits && now >= request->start_by))
     {
       LbErrorCode error = request->maybe_run || request->state == LC_STATE_RUNNING
                               ? LB_ERROR_DEADLINE
                               : LB_ERROR_DEADLINE_BEFORE_START;
-      LbTime wait = request->pool->mean_seconds[request->kind] * (double)LB_SEC;
-
-      lc_dispatch_give_up (dispatch, request, error,
-                           wait > MIN_RETRY_AFTER ? wait : MIN_RETRY_AFTER, now, actions);
+      lc_dispatch_give_up (dispatch, request, error, 0, now, actions);
     }
   else if (request->state == LC_STATE_BACKOFF)
     lc_dispatch_enqueue (dispatch, request);
--- a/packages/core/src/lc-outcome.c
+++ b/packages/core/src/lc-outcome.c
@@ -6,6 +6,9 @@
 #include <stdlib.h>
 
 #define MAX_ATTEMPTS 6
+/* A request that makes engines fail must not go round all of them. */
+#define MAX_LOST 3
+#define LEAST_HINT (100 * LB_MSEC)
 
 static LbMetric retries = LB_COUNTER_INIT ("lentilspindle_retries_total",
                                            NULL,
@@ -88,7 +91,28 @@
   lc_request_free (request);
 }
 
-/* The final answer of a request that failed. It is taken out of every queue first: a copy that
+/* When a caller had better come back: after the time that a request like its own would wait now,
+ * and not before the breakers of a pool that takes nothing let a trial through. Spread by half, so
+ * that callers who are refused together do not return together. */
+LbTime
+lc_dispatch_retry_hint (LcDispatch *dispatch,
+                        const LcPoolState *pool,
+                        const LcQueueKey *key,
+                        LbTime now)
+{
+  LbTime hint = lc_pool_state_wait (pool, key);
+  LbTime until_endpoint = 0;
+
+  if (!lc_dispatch_has_endpoint (dispatch, pool, now, &until_endpoint, now)
+      && until_endpoint > hint)
+    hint = until_endpoint;
+  if (hint < LEAST_HINT)
+    hint = LEAST_HINT;
+  return hint + (LbTime)(gsl_rng_uniform (dispatch->random) * (double)hint / 2);
+}
+
+/* The final answer of a request that failed, with a hint when to come back (worked out here when
+ * retry_after is 0). It is taken out of every queue first: a copy that
  * still waits could run after its caller was told "not run". */
 void
 lc_dispatch_give_up (LcDispatch *dispatch,
@@ -98,6 +122,14 @@
                      LbTime now,
                      LbList *actions)
 {
+  LcQueueKey key = lc_request_key (request);
+
+  if (!lc_dispatch_check (dispatch,
+                          !dispatch->keep_running || lb_list_is_empty (&request->attempts),
+                          "shutdown-cuts-nothing", request->id))
+    return;
+  if (retry_after == 0)
+    retry_after = lc_dispatch_retry_hint (dispatch, request->pool, &key, now);
   take_out (dispatch, request, now, actions);
   if (!lc_dispatch_check (dispatch, !lb_error_is_not_run (error) || !request->maybe_run,
                           "not-run-is-a-proof", request->id))
@@ -157,7 +189,7 @@
 static bool
 may_try_again (const LcRequest *request)
 {
-  if (request->n_attempts >= MAX_ATTEMPTS)
+  if (request->n_attempts >= MAX_ATTEMPTS || request->n_lost >= MAX_LOST)
     return false;
   if (!request->maybe_run)
     return true;
@@ -175,7 +207,7 @@
   if (!may_try_again (request) || (paid && now + delay >= request->deadline)
       || (paid && !lc_retry_budgets_allow (dispatch->budgets, request->caller)))
     {
-      lc_dispatch_give_up (dispatch, request, request->last_error, LB_SEC, now, actions);
+      lc_dispatch_give_up (dispatch, request, request->last_error, 0, now, actions);
       return;
     }
   request->waiting.cost = 0;
@@ -208,10 +240,15 @@
       return;
     }
   if (!proves_not_run (end) || attempt->heard)
-    request->maybe_run = true;
+    {
+      request->maybe_run = true;
+      request->n_lost = attempt->tokens > 0 ? 0 : request->n_lost + 1;
+    }
   lc_request_tried (request, attempt->endpoint);
   close_attempt (dispatch, request, attempt, end == LC_END_REFUSED_LEAVING, now);
   request->last_error = error_of (request, end);
   if (lb_list_is_empty (&request->attempts))
     try_again (dispatch, request, end, now, actions);
+  else
+    lc_dispatch_set_timer (dispatch, request);
 }
--- a/packages/core/src/lc-placement.c
+++ b/packages/core/src/lc-placement.c
@@ -4,9 +4,9 @@
 
 #include <string.h>
 
-/* Callers that are passed over in one round because their request fits nowhere now. Bounds the cost
- * of a round while a pool is full. */
-#define MAX_PASSED_OVER 8
+/* Requests that are passed over in one round because they fit nowhere now. Bounds the cost of a
+ * round while a pool is full. */
+#define MAX_PASSED_OVER 16
 
 static bool
 serves (const LcEndpoint *endpoint, const LcPoolState *pool)
@@ -121,7 +121,7 @@
     }
   if (request->charged && !lc_retry_budgets_allow (dispatch->budgets, endpoint))
     {
-      lc_dispatch_give_up (dispatch, request, request->last_error, LB_SEC, now, actions);
+      lc_dispatch_give_up (dispatch, request, request->last_error, 0, now, actions);
       return;
     }
   if (request->charged)
@@ -130,8 +130,27 @@
   send_attempt (dispatch, request, decision, now, actions);
 }
 
+/* Answers all that wait for a pool which nobody serves any more. */
+static void
+fail_stranded (LcDispatch *dispatch, LcPoolState *pool, LbTime now, LbList *actions)
+{
+  LbTime retry_after = 0;
+  LcWaiting *waiting = NULL;
+
+  if (lc_queue_length (pool->queue) == 0
+      || lc_dispatch_has_endpoint (dispatch, pool, LB_TIME_NEVER, &retry_after, now))
+    return;
+  while ((waiting = lc_queue_first (pool->queue)))
+    {
+      LcRequest *request = LB_CONTAINER (waiting, LcRequest, waiting);
+      LbErrorCode error = request->maybe_run ? request->last_error : LB_ERROR_NO_ENDPOINT;
+
+      lc_dispatch_give_up (dispatch, request, error, retry_after, now, actions);
+    }
+}
+
 /* Sends as many waiting requests of the pool as fit. Ends at the first that fits nowhere, unless
- * that one is choosy: then those of other callers may still fit. */
+ * that one is choosy: then others may still fit. */
 void
 lc_dispatch_pump (LcDispatch *dispatch, LcPoolState *pool, LbTime now, LbList *actions)
 {
@@ -151,6 +170,7 @@
         break;
     }
   lc_queue_restore (pool->queue);
+  fail_stranded (dispatch, pool, now, actions);
 }
 
 void
--- a/packages/core/src/lc-queue.c
+++ b/packages/core/src/lc-queue.c
@@ -28,10 +28,9 @@
   LcHeapNode active_node;
   LcHeapNode backlog_node;
   LcHeapNode idle_node;
-  LbLink aside_link;
   Band *band;
-  LcHeap firsts; /* the request to take first on top */
-  LcHeap lasts;  /* the request to give up first on top */
+  LcHeap firsts; /* the request to take first on top; without those set aside */
+  LcHeap lasts;  /* the request to give up first on top; all of them */
   double share;
   double start;
   LcRequestKind kind;
@@ -41,7 +40,7 @@
 struct LcQueue
 {
   Band *bands[N_BANDS];
-  LbList aside;
+  LbList aside; /* LcWaiting */
   size_t length;
   size_t kind_length[LC_N_KINDS];
 };
@@ -84,7 +83,7 @@
 static double
 backlog_of (const LcFlow *flow)
 {
-  return (double)flow->firsts.length / flow->share;
+  return (double)flow->lasts.length / flow->share;
 }
 
 static bool
@@ -214,11 +213,11 @@
   if (flow->start < band->virtual_time)
     flow->start = band->virtual_time;
   band->active_share += flow->share;
-  lc_heap_push (&band->active, &flow->active_node);
   lc_heap_push (&band->backlog, &flow->backlog_node);
 }
 
-/* Idle flows whose start the virtual time has passed hold nothing worth keeping. */
+/* Idle flows whose start the virtual time has passed hold nothing worth keeping, and nor does any
+ * when nobody waits. */
 static void
 drop_idle_flows (Band *band)
 {
@@ -228,26 +227,39 @@
     {
       LcFlow *flow = LC_HEAP_ENTRY (node, LcFlow, idle_node);
 
-      if (flow->start > band->virtual_time && band->active.length > 0)
+      if (flow->start > band->virtual_time && band->backlog.length > 0)
         return;
       flow_free (flow);
     }
 }
 
 static void
-flow_deactivate (LcQueue *queue, LcFlow *flow)
+flow_deactivate (LcFlow *flow)
 {
   Band *band = flow->band;
 
   band->active_share -= flow->share;
-  if (lb_link_is_linked (&flow->aside_link))
-    lb_list_remove (&queue->aside, &flow->aside_link);
-  lc_heap_remove (&band->active, &flow->active_node);
   lc_heap_remove (&band->backlog, &flow->backlog_node);
   lc_heap_push (&band->idle, &flow->idle_node);
   drop_idle_flows (band);
 }
 
+static void
+make_takeable (LcFlow *flow, LcWaiting *waiting)
+{
+  lc_heap_push (&flow->firsts, &waiting->first_node);
+  if (!lc_heap_holds (&flow->active_node))
+    lc_heap_push (&flow->band->active, &flow->active_node);
+}
+
+static void
+make_untakeable (LcFlow *flow, LcWaiting *waiting)
+{
+  lc_heap_remove (&flow->firsts, &waiting->first_node);
+  if (flow->firsts.length == 0)
+    lc_heap_remove (&flow->band->active, &flow->active_node);
+}
+
 /* Adds a request. One that comes back for a retry keeps its sequence and brings cost 0, so it goes
  * before the newer ones of its flow and is not charged twice. */
 void
@@ -263,11 +275,11 @@
 
   if (!flow)
     flow = flow_new (band, key);
-  if (flow->firsts.length == 0)
+  if (flow->lasts.length == 0)
     flow_activate (flow, key->share);
   waiting->flow = flow;
   waiting->priority = key->priority;
-  lc_heap_push (&flow->firsts, &waiting->first_node);
+  make_takeable (flow, waiting);
   lc_heap_push (&flow->lasts, &waiting->last_node);
   lc_heap_moved (&band->backlog, &flow->backlog_node);
   band->length++;
@@ -283,14 +295,17 @@
 
   if (!flow)
     return;
-  lc_heap_remove (&flow->firsts, &waiting->first_node);
+  if (lb_link_is_linked (&waiting->aside_link))
+    lb_list_remove (&queue->aside, &waiting->aside_link);
+  else
+    make_untakeable (flow, waiting);
   lc_heap_remove (&flow->lasts, &waiting->last_node);
   waiting->flow = NULL;
   flow->band->length--;
   queue->length--;
   queue->kind_length[flow->kind]--;
-  if (flow->firsts.length == 0)
-    flow_deactivate (queue, flow);
+  if (flow->lasts.length == 0)
+    flow_deactivate (flow);
   else
     lc_heap_moved (&flow->band->backlog, &flow->backlog_node);
 }
@@ -310,15 +325,12 @@
   lc_queue_remove (queue, waiting);
 }
 
-/* Passes over the caller of this request until lc_queue_restore: it can't be placed now, others
- * perhaps can. */
+/* Passes over this request until lc_queue_restore: it can't be placed now, others perhaps can. */
 void
 lc_queue_set_aside (LcQueue *queue, LcWaiting *waiting)
 {
-  LcFlow *flow = waiting->flow;
-
-  lc_heap_remove (&flow->band->active, &flow->active_node);
-  lb_list_append (&queue->aside, &flow->aside_link);
+  make_untakeable (waiting->flow, waiting);
+  lb_list_append (&queue->aside, &waiting->aside_link);
 }
 
 void
@@ -328,9 +340,9 @@
 
   while ((link = lb_list_pop (&queue->aside)))
     {
-      LcFlow *flow = LB_CONTAINER (link, LcFlow, aside_link);
+      LcWaiting *waiting = LB_CONTAINER (link, LcWaiting, aside_link);
 
-      lc_heap_push (&flow->band->active, &flow->active_node);
+      make_takeable (waiting->flow, waiting);
     }
 }
 
@@ -355,7 +367,7 @@
   const LcFlow *flow = find_flow (band, key->caller);
   double share = key->share > 0 ? key->share : 1;
 
-  return ((flow ? (double)flow->firsts.length : 0) + 1) / share;
+  return ((flow ? (double)flow->lasts.length : 0) + 1) / share;
 }
 
 /* The request to give up for a newcomer: the last one of the caller that is furthest over its share
@@ -409,8 +421,8 @@
     return ahead;
 
   const LcFlow *flow = find_flow (band, key->caller);
-  double active = band->active_share + (flow && flow->firsts.length ? 0 : share);
-  double turns = (flow ? (double)flow->firsts.length : 0) * active / share;
+  double active = band->active_share + (flow && flow->lasts.length ? 0 : share);
+  double turns = (flow ? (double)flow->lasts.length : 0) * active / share;
 
   turns += (active - share) / share;
   return ahead + (turns < (double)band->length ? turns : (double)band->length);
--- a/packages/core/src/lc-queue.h
+++ b/packages/core/src/lc-queue.h
@@ -16,6 +16,7 @@
 {
   LcHeapNode first_node;
   LcHeapNode last_node;
+  LbLink aside_link;
   LcFlow *flow; /* NULL: not waiting */
   uint64_t sequence;
   double cost;
--- a/packages/core/src/lc-request.c
+++ b/packages/core/src/lc-request.c
@@ -29,7 +29,6 @@
   request->due = LB_TIME_NEVER;
   request->submitted = now;
   request->deadline = spec->deadline;
-  request->start_by = spec->deadline;
   request->retry_at = LB_TIME_NEVER;
   LB_COPY (request->caller, spec->caller);
   request->share = spec->share;
--- a/packages/core/src/lc-request.h
+++ b/packages/core/src/lc-request.h
@@ -38,7 +38,7 @@
   LbTime due; /* when the timer fires; LB_TIME_NEVER: never */
   LbTime submitted;
   LbTime deadline; /* of the answer */
-  LbTime start_by; /* of the first attempt */
+  LbTime start_by; /* of the first attempt; not after the deadline */
   LbTime retry_at;
   LbName caller;
   double share;
@@ -59,6 +59,7 @@
   uint32_t owner;      /* STREAM: the attempt whose pieces are forwarded; 0: none yet */
   uint32_t n_attempts; /* made so far; the number of the last */
   uint32_t n_retries;
+  uint32_t n_lost;        /* attempts in a row that may have run and brought nothing */
   LbErrorCode last_error; /* what the last failed attempt means if nothing else follows */
   LbList attempts;        /* LcAttempt, those that run */
   size_t n_prefix_hashes;
--- a/packages/core/src/lc-timers.c
+++ b/packages/core/src/lc-timers.c
@@ -24,7 +24,7 @@
   switch (request->state)
     {
     case LC_STATE_WAITING:
-      return earlier (request->start_by, request->deadline);
+      return request->start_by;
     case LC_STATE_BACKOFF:
       return earlier (request->retry_at, request->deadline);
     default:
