An exchange outlives the message that its caller has gone

Cause: the owner could answer between the posting of LN_EXCHANGE_GONE and its delivery, and the message then named freed memory. The message holds a reference now.

--- a/packages/node/src/ln-call.c
+++ b/packages/node/src/ln-call.c
@@ -141,12 +141,9 @@
                 struct json_object *event,
                 const char *text)
 {
-  struct json_object *reused = NULL;
-
   attempt->tokens += piece->tokens;
   add_version (attempt, piece->version);
-  if (json_object_object_get_ex (event, "kv_reused_version", &reused))
-    add_version (attempt, json_object_get_int64 (reused));
+  add_version (attempt, piece->kv_reused_version);
   note_finish_reason (attempt, event);
   if (attempt->call->spec.delivery != LC_DELIVER_WHOLE)
     return;
--- a/packages/node/src/ln-call.h
+++ b/packages/node/src/ln-call.h
@@ -38,12 +38,11 @@
 /* One request under way: what to send to endpoints and where its answer goes. */
 struct LnCall
 {
-  UT_hash_handle hh;          /* by spec.id */
-  UT_hash_handle by_exchange; /* by exchange_id */
+  UT_hash_handle hh; /* by spec.id */
+  LbLink link;       /* in the task's list */
   LnCallKind kind;
   LcRequestSpec spec;
   LnExchange *exchange; /* NULL: a sample, or nobody waits any more */
-  uint64_t exchange_id;
   bool wants_stream;
   bool stream_begun;
   char stream_id[96];       /* the id that the caller sees */
--- a/packages/node/src/ln-caller.c
+++ b/packages/node/src/ln-caller.c
@@ -27,6 +27,7 @@
   callers->base = base;
   lb_list_init (&callers->callers);
   lb_list_init (&callers->lingers);
+  lb_list_init (&callers->exchanges);
 }
 
 void
@@ -37,6 +38,7 @@
     evhtp_connection_free (caller->connection);
   }
   ln_linger_free_all (&callers->lingers);
+  ln_exchange_free_all (&callers->exchanges);
 }
 
 static void
--- a/packages/node/src/ln-caller.h
+++ b/packages/node/src/ln-caller.h
@@ -15,6 +15,7 @@
   struct event_base *base;
   LbList callers;
   LbList lingers;
+  LbList exchanges; /* all that are not answered yet */
   size_t max_callers;
   size_t max_body;
   size_t max_header;
--- a/packages/node/src/ln-calls.c
+++ b/packages/node/src/ln-calls.c
@@ -27,7 +27,7 @@
   LnPoller *poller;
   struct event *tick;
   LnCall *by_id;
-  LnCall *by_exchange;
+  LbList all;
   bool ready; /* the resources in force are confirmed */
 } LnCalls;
 
@@ -54,18 +54,16 @@
 keep_call (LnCalls *calls, LnCall *call)
 {
   HASH_ADD (hh, calls->by_id, spec.id, sizeof call->spec.id, call);
-  if (!call->exchange)
-    return;
-  call->exchange_id = ln_exchange_id (call->exchange);
-  HASH_ADD (by_exchange, calls->by_exchange, exchange_id, sizeof call->exchange_id, call);
+  lb_list_append (&calls->all, &call->link);
+  if (call->exchange)
+    ln_exchange_set_user (call->exchange, call);
 }
 
 static void
 drop_call (LnCalls *calls, LnCall *call)
 {
   HASH_DELETE (hh, calls->by_id, call);
-  if (call->exchange_id != 0)
-    HASH_DELETE (by_exchange, calls->by_exchange, call);
+  lb_list_remove (&calls->all, &call->link);
   ln_call_free (call);
 }
 
@@ -145,8 +143,9 @@
 post_done (LnCalls *calls, LcRequestId request, LbErrorCode error, char *text)
 {
   LnSampleDoneMessage message
-      = { .base = LN_MESSAGE (LN_SAMPLE_DONE), .request = request, .error = error, .text = text };
+      = { .base = LN_MESSAGE (LN_SAMPLE_DONE), .request = request, .error = error };
 
+  message.text = text;
   message.base.clear = clear_sample_done;
   LN_POST (calls->task.hub, ln_hub_find (calls->task.hub, "rollouts"), message);
 }
@@ -440,10 +439,8 @@
 static void
 caller_gone (LnCalls *calls, LnExchange *exchange)
 {
-  uint64_t id = ln_exchange_id (exchange);
-  LnCall *call = NULL;
+  LnCall *call = ln_exchange_user (exchange);
 
-  HASH_FIND (by_exchange, calls->by_exchange, &id, sizeof id, call);
   if (!call)
     return;
   call->exchange = NULL;
@@ -576,18 +573,18 @@
 static bool
 is_idle (const LnTask *task)
 {
-  return HASH_CNT (hh, ((const LnCalls *)task)->by_id) == 0;
+  return lb_list_is_empty (&((const LnCalls *)task)->all);
 }
 
 static void
 calls_free (LnTask *task)
 {
   LnCalls *calls = (LnCalls *)task;
-  LnCall *call, *next;
 
-  HASH_ITER (hh, calls->by_id, call, next)
+  HASH_CLEAR (hh, calls->by_id);
+  LB_LIST_FOREACH (&calls->all, LnCall, link, call)
   {
-    drop_call (calls, call);
+    ln_call_free (call);
   }
   ln_poller_free (calls->poller);
   event_free (calls->tick);
@@ -623,6 +620,7 @@
   calls->task.klass = &calls_class;
   calls->task.hub = context->hub;
   calls->context = context;
+  lb_list_init (&calls->all);
   calls->dispatch = make_dispatch (context->settings);
   calls->tick = evtimer_new (context->base, on_tick, calls);
   calls->poller = ln_poller_new (context->base, context->http,
--- a/packages/node/src/ln-exchange-private.h
+++ b/packages/node/src/ln-exchange-private.h
@@ -9,6 +9,11 @@
 void ln_exchange_caller_gone (LnExchange *exchange);
 /* The connection and its request are freed by evhtp. */
 void ln_exchange_connection_lost (LnExchange *exchange);
+/* At the end of the process: what its owners have not answered. */
+void ln_exchange_free_all (LbList *exchanges);
+/* What the owner wants to find again when the caller goes away. */
+void ln_exchange_set_user (LnExchange *exchange, void *user);
+void *ln_exchange_user (const LnExchange *exchange);
 /* The query as it came, NULL when there is none. */
 const char *ln_exchange_raw_query (const LnExchange *exchange);
 bool ln_exchange_is_gone (const LnExchange *exchange);
--- a/packages/node/src/ln-exchange.c
+++ b/packages/node/src/ln-exchange.c
@@ -20,9 +20,13 @@
 
 struct LnExchange
 {
+  LbLink link; /* in LnCallers.exchanges until it is answered */
+  LbList *all;
+  int references; /* one until it is answered, one for LN_EXCHANGE_GONE on its way */
   uint64_t id;
   LnHub *hub;
   LnTask *owner;
+  void *user;
   LnCaller *caller;         /* NULL once the connection is lost */
   evhtp_request_t *request; /* NULL once the connection is lost */
   struct evkeyvalq query;
@@ -43,6 +47,9 @@
   const char *path = request->uri && request->uri->path ? request->uri->path->full : NULL;
 
   exchange->id = id;
+  exchange->references = 1;
+  exchange->all = &caller->callers->exchanges;
+  lb_list_append (exchange->all, &exchange->link);
   exchange->hub = hub;
   exchange->caller = caller;
   exchange->request = request;
@@ -64,8 +71,10 @@
 }
 
 static void
-exchange_free (LnExchange *exchange)
+exchange_unref (LnExchange *exchange)
 {
+  if (--exchange->references > 0)
+    return;
   evhttp_clear_headers (&exchange->query);
   free (exchange->raw_query);
   free (exchange->method);
@@ -74,6 +83,33 @@
   free (exchange);
 }
 
+/* Its owner is done with it. */
+static void
+exchange_done (LnExchange *exchange)
+{
+  exchange->user = NULL;
+  exchange->request = NULL;
+  exchange->caller = NULL;
+  exchange->gone = true;
+  lb_list_remove (exchange->all, &exchange->link);
+  exchange_unref (exchange);
+}
+
+void
+ln_exchange_free_all (LbList *exchanges)
+{
+  LB_LIST_FOREACH (exchanges, LnExchange, link, exchange)
+  {
+    exchange_done (exchange);
+  }
+}
+
+static void
+clear_gone_message (LnMessage *message)
+{
+  exchange_unref (((LnExchangeMessage *)message)->exchange);
+}
+
 /* Tells the owner once. */
 void
 ln_exchange_caller_gone (LnExchange *exchange)
@@ -83,8 +119,12 @@
   if (exchange->gone)
     return;
   exchange->gone = true;
-  if (exchange->owner)
-    LN_POST (exchange->hub, exchange->owner, message);
+  if (!exchange->owner)
+    return;
+  /* The owner may answer before it reads this message; the exchange it names must still exist. */
+  exchange->references++;
+  message.base.clear = clear_gone_message;
+  LN_POST (exchange->hub, exchange->owner, message);
 }
 
 void
@@ -167,6 +207,18 @@
   return exchange->gone;
 }
 
+void
+ln_exchange_set_user (LnExchange *exchange, void *user)
+{
+  exchange->user = user;
+}
+
+void *
+ln_exchange_user (const LnExchange *exchange)
+{
+  return exchange->user;
+}
+
 void
 ln_exchange_set_owner (LnExchange *exchange, LnTask *owner)
 {
@@ -198,7 +250,7 @@
     }
   else if (exchange->request)
     ln_caller_replied (exchange->caller, exchange->request);
-  exchange_free (exchange);
+  exchange_done (exchange);
 }
 
 /* A draining instance asks its callers to connect elsewhere. */
@@ -327,5 +379,5 @@
       caller->exchange = NULL;
       ln_caller_close (caller);
     }
-  exchange_free (exchange);
+  exchange_done (exchange);
 }
--- a/packages/node/src/ln-front.c
+++ b/packages/node/src/ln-front.c
@@ -211,7 +211,7 @@
 static void
 read_bound_address (LnFront *front)
 {
-  struct sockaddr_in bound;
+  struct sockaddr_in bound = { 0 };
   socklen_t length = sizeof bound;
   char ip[INET_ADDRSTRLEN] = "";
   LnContext *context = front->context;
--- a/packages/node/src/ln-upstream.c
+++ b/packages/node/src/ln-upstream.c
@@ -106,7 +106,8 @@
   const char *text = text_of (choice);
   LcPiece piece = { .offset = integer_of (event, "offset", -1),
                     .tokens = integer_of (event, "tokens", -1),
-                    .version = integer_of (event, "weight_version", 0) };
+                    .version = integer_of (event, "weight_version", 0),
+                    .kv_reused_version = integer_of (event, "kv_reused_version", 0) };
   if (piece.offset < 0 || piece.tokens < 0)
     return false;
   piece.last = json_object_object_get_ex (choice, "finish_reason", &finish) && finish;
