--- /dev/null
+++ b/packages/node/tests/node-fixture.h
@@ -0,0 +1,323 @@
+#ifndef NODE_FIXTURE_H
+#define NODE_FIXTURE_H
+
+#include "ln-context.h"
+#include "ln-messages.h"
+
+#include "lb-alloc.h"
+#include "lb-clock.h"
+#include "lb-log.h"
+#include "lh-fetch.h"
+
+#include <arpa/inet.h>
+#include <criterion/criterion.h>
+#include <errno.h>
+#include <event2/event.h>
+#include <fcntl.h>
+#include <json-c/json.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* The front and calls tasks in one process with the test. The test holds the other ends of all
+ * sockets: it plays the callers and the endpoints byte by byte and runs the loop in between. */
+#define FIXTURE_PATIENCE (20 * LB_SEC)
+
+typedef struct
+{
+  struct event_base *base;
+  LnSettings settings;
+  LnContext context;
+  LnTask *front;
+  LnTask *calls;
+} Fixture;
+
+/* What a test has read from one socket. */
+typedef struct
+{
+  int fd;
+  char text[1 << 16];
+  size_t length;
+  bool closed;
+} Peer;
+
+static inline void
+fixture_init (Fixture *f)
+{
+  memset (f, 0, sizeof *f);
+  signal (SIGPIPE, SIG_IGN);
+  lb_log_init (LB_LOG_OFF, 2, "test");
+  ln_settings_init (&f->settings);
+  LB_COPY (f->settings.instance.caller_address, "127.0.0.1:0");
+  f->settings.calls.load_poll_ms = 60000;
+  f->base = event_base_new ();
+}
+
+static inline void
+fixture_start (Fixture *f)
+{
+  LnReadyMessage ready = { .base = LN_MESSAGE (LN_READY), .ready = true };
+
+  f->context.base = f->base;
+  f->context.settings = &f->settings;
+  f->context.hub = ln_hub_new (f->base);
+  f->context.http = lh_pool_new (f->base);
+  LB_COPY (f->context.instance, "i1");
+  LB_COPY (f->context.incarnation, "a1");
+  f->front = ln_front_new (&f->context);
+  cr_assert (f->front);
+  ln_hub_add (f->context.hub, f->front);
+  f->calls = ln_calls_new (&f->context);
+  ln_hub_add (f->context.hub, f->calls);
+  LN_POST (f->context.hub, NULL, ready);
+}
+
+static inline void
+fixture_clear (Fixture *f)
+{
+  ln_hub_free (f->context.hub);
+  lh_pool_free (f->context.http);
+  ln_settings_clear (&f->settings);
+  event_base_free (f->base);
+}
+
+static inline void
+fixture_pump (Fixture *f)
+{
+  event_base_loop (f->base, EVLOOP_NONBLOCK);
+  usleep (200);
+}
+
+/* Runs the loop until the condition holds; fails the test when it does not for too long. */
+#define FIXTURE_UNTIL(f, condition)                                                                \
+  do                                                                                               \
+    {                                                                                              \
+      LbTime end_ = lb_clock_monotonic () + FIXTURE_PATIENCE;                                      \
+      while (!(condition) && lb_clock_monotonic () < end_)                                         \
+        fixture_pump (f);                                                                          \
+      cr_assert ((condition), "never came true: %s", #condition);                                  \
+    }                                                                                              \
+  while (0)
+
+static inline struct sockaddr_in
+fixture_loopback (const char *address)
+{
+  struct sockaddr_in to = { .sin_family = AF_INET };
+
+  to.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  if (address)
+    to.sin_port = htons ((uint16_t)atoi (strrchr (address, ':') + 1));
+  return to;
+}
+
+/* A listening socket and its address. */
+static inline int
+fixture_listen (LbName address)
+{
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  struct sockaddr_in at = fixture_loopback (NULL);
+  socklen_t length = sizeof at;
+
+  cr_assert_eq (bind (fd, (struct sockaddr *)&at, sizeof at), 0);
+  cr_assert_eq (listen (fd, 16), 0);
+  getsockname (fd, (struct sockaddr *)&at, &length);
+  snprintf (address, LB_NAME_MAX, "127.0.0.1:%d", ntohs (at.sin_port));
+  return fd;
+}
+
+static inline void
+peer_init (Peer *peer, int fd)
+{
+  memset (peer, 0, sizeof *peer);
+  peer->fd = fd;
+  fcntl (fd, F_SETFL, fcntl (fd, F_GETFL) | O_NONBLOCK);
+}
+
+static inline void
+peer_close (Peer *peer)
+{
+  close (peer->fd);
+  peer->fd = -1;
+}
+
+static inline void
+peer_send (Peer *peer, const char *text)
+{
+  size_t length = strlen (text);
+
+  cr_assert_eq (send (peer->fd, text, length, 0), (ssize_t)length);
+}
+
+static inline bool
+peer_read (Peer *peer)
+{
+  ssize_t got = recv (peer->fd, peer->text + peer->length, sizeof peer->text - 1 - peer->length, 0);
+
+  if (got > 0)
+    {
+      peer->length += (size_t)got;
+      peer->text[peer->length] = '\0';
+    }
+  else if (got == 0 || (errno != EAGAIN && errno != EWOULDBLOCK))
+    peer->closed = true;
+  return true;
+}
+
+static inline bool
+peer_has (Peer *peer, const char *needle)
+{
+  peer_read (peer);
+  return strstr (peer->text, needle) != NULL;
+}
+
+static inline bool
+peer_is_closed (Peer *peer)
+{
+  peer_read (peer);
+  return peer->closed;
+}
+
+static inline void
+peer_forget (Peer *peer)
+{
+  peer->length = 0;
+  peer->text[0] = '\0';
+}
+
+/* A caller's connection. */
+static inline void
+caller_open (Fixture *f, Peer *caller)
+{
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  struct sockaddr_in to = fixture_loopback (f->context.caller_address);
+
+  cr_assert_eq (connect (fd, (struct sockaddr *)&to, sizeof to), 0);
+  peer_init (caller, fd);
+}
+
+static inline void
+caller_post (Peer *caller, const char *path, const char *headers, const char *body)
+{
+  char *text = lb_asprintf ("POST %s HTTP/1.1\r\nHost: x\r\n%sContent-Length: %zu\r\n\r\n%s", path,
+                            headers, strlen (body), body);
+
+  peer_send (caller, text);
+  free (text);
+}
+
+/* The next call at an endpoint; reports that the daemon asks for are answered by a close. */
+static inline bool
+endpoint_try_accept (int listener, Peer *peer)
+{
+  if (peer->fd <= 0)
+    {
+      int fd = accept (listener, NULL, NULL);
+      if (fd < 0)
+        return false;
+      peer_init (peer, fd);
+    }
+  peer_read (peer);
+  if (strncmp (peer->text, "GET /load", 9) == 0 || strncmp (peer->text, "GET /cache_e", 12) == 0
+      || peer->closed)
+    {
+      peer_close (peer);
+      return false;
+    }
+  return strstr (peer->text, "\r\n\r\n") != NULL;
+}
+
+static inline void
+endpoint_accept (Fixture *f, int listener, Peer *peer)
+{
+  memset (peer, 0, sizeof *peer);
+  FIXTURE_UNTIL (f, endpoint_try_accept (listener, peer));
+}
+
+static inline void
+endpoint_accept_stream (Fixture *f, int listener, Peer *peer, char id[96])
+{
+  endpoint_accept (f, listener, peer);
+  FIXTURE_UNTIL (f, peer_has (peer, "\"request_id\":\""));
+  FIXTURE_UNTIL (f, peer_has (peer, "}"));
+  sscanf (strstr (peer->text, "\"request_id\":\"") + 14, "%95[^\"]", id);
+}
+
+static inline void
+endpoint_send_head (Peer *peer)
+{
+  peer_send (peer, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                   "Transfer-Encoding: chunked\r\n\r\n");
+}
+
+static inline void
+endpoint_send_chunk (Peer *peer, const char *text)
+{
+  char *chunk = lb_asprintf ("%zx\r\n%s\r\n", strlen (text), text);
+
+  peer_send (peer, chunk);
+  free (chunk);
+}
+
+static inline void
+endpoint_send_token (Peer *peer, const char *id, int offset, const char *text, bool last)
+{
+  char *event = lb_asprintf ("data: {\"id\":\"%s\",\"choices\":[{\"index\":0,\"text\":\"%s\","
+                             "\"finish_reason\":%s}],\"offset\":%d,\"tokens\":1,"
+                             "\"weight_version\":40}\n\n",
+                             id, text, last ? "\"stop\"" : "null", offset);
+
+  endpoint_send_chunk (peer, event);
+  free (event);
+}
+
+static inline void
+endpoint_send_end (Peer *peer)
+{
+  endpoint_send_chunk (peer, "data: [DONE]\n\n");
+  peer_send (peer, "0\r\n\r\n");
+}
+
+/* Puts a pool "p" with one engine for each address in force, and a service "s" likewise. */
+static inline void
+fixture_configure (Fixture *f, const char *const *engines, const char *const *services)
+{
+  LnConfigMessage message = { .base = LN_MESSAGE (LN_CONFIG) };
+  struct json_object *object = json_object_new_object ();
+  struct json_object *resources = json_object_new_array ();
+  LbError error = { 0 };
+  char *text;
+
+  json_object_array_add (resources,
+                         json_tokener_parse ("{\"kind\":\"pool\",\"name\":\"p\",\"model\":\"m\"}"));
+  for (int i = 0; engines && engines[i]; i++)
+    {
+      text = lb_asprintf ("{\"kind\":\"endpoint\",\"name\":\"e%d\",\"type\":\"engine\","
+                          "\"pool\":\"p\",\"address\":\"%s\",\"data_centre\":\"local\","
+                          "\"concurrency\":8}",
+                          i, engines[i]);
+      json_object_array_add (resources, json_tokener_parse (text));
+      free (text);
+    }
+  for (int i = 0; services && services[i]; i++)
+    {
+      text = lb_asprintf ("{\"kind\":\"endpoint\",\"name\":\"s%d\",\"type\":\"service\","
+                          "\"pool\":\"s\",\"address\":\"%s\",\"data_centre\":\"local\","
+                          "\"concurrency\":8}",
+                          i, services[i]);
+      json_object_array_add (resources, json_tokener_parse (text));
+      free (text);
+    }
+  json_object_object_add (object, "revision", json_object_new_int (1));
+  json_object_object_add (object, "resources", resources);
+  message.set = lc_resource_set_from_json (object, "test", &error);
+  cr_assert (message.set, "%s %s", error.where, error.detail);
+  json_object_put (object);
+  ln_post (f->context.hub, NULL, &message.base, sizeof message);
+  fixture_pump (f);
+  lc_resource_set_free (message.set);
+}
+
+#endif
--- /dev/null
+++ b/packages/node/tests/test-front.c
@@ -0,0 +1,170 @@
+#include "node-fixture.h"
+
+static void
+expect_refusal (Fixture *f, const char *request, const char *status, const char *type)
+{
+  Peer caller;
+
+  caller_open (f, &caller);
+  peer_send (&caller, request);
+  FIXTURE_UNTIL (f, peer_has (&caller, "not_run"));
+  cr_assert (strstr (caller.text, status), "expected %s, got %s", status, caller.text);
+  cr_assert (strstr (caller.text, type), "expected %s, got %s", type, caller.text);
+  peer_close (&caller);
+}
+
+/* A caller on a broken link, or one that means harm, sends its request a byte at a time. Each byte
+ * restarts a plain read timeout, so the connection would be held for ever, and enough of them would
+ * use up all connections. The caller sees 408 too_slow after request_read_ms, whatever it sends. */
+Test (front, byte_by_byte_request_is_given_up)
+{
+  Fixture f;
+  Peer caller;
+
+  fixture_init (&f);
+  f.settings.http.request_read_ms = 100;
+  fixture_start (&f);
+  caller_open (&f, &caller);
+  peer_send (&caller, "POST /v1/completions HTTP/1.1\r\nContent-Length: 1000000\r\n\r\n");
+  LbTime end = lb_clock_monotonic () + FIXTURE_PATIENCE;
+  while (!peer_has (&caller, "too_slow") && lb_clock_monotonic () < end)
+    {
+      send (caller.fd, "a", 1, 0);
+      fixture_pump (&f);
+    }
+  cr_assert (strstr (caller.text, "408"), "%s", caller.text);
+  cr_assert (strstr (caller.text, "too_slow"));
+  FIXTURE_UNTIL (&f, peer_is_closed (&caller));
+  peer_close (&caller);
+  fixture_clear (&f);
+}
+
+/* The same before the end of the headers, where no request exists yet for evhtp. */
+Test (front, byte_by_byte_header_is_given_up)
+{
+  Fixture f;
+  Peer caller;
+
+  fixture_init (&f);
+  f.settings.http.request_read_ms = 100;
+  fixture_start (&f);
+  caller_open (&f, &caller);
+  peer_send (&caller, "GET /healthz HTTP/1.1\r\nx-long: ");
+  LbTime end = lb_clock_monotonic () + FIXTURE_PATIENCE;
+  while (!peer_has (&caller, "too_slow") && lb_clock_monotonic () < end)
+    {
+      send (caller.fd, "a", 1, 0);
+      fixture_pump (&f);
+    }
+  cr_assert (strstr (caller.text, "too_slow"), "%s", caller.text);
+  peer_close (&caller);
+  fixture_clear (&f);
+}
+
+/* Bad input of every kind gets a typed error, and the daemon answers the next caller. */
+Test (front, bad_input_gets_typed_errors)
+{
+  Fixture f;
+  char *big = lb_malloc (5000);
+
+  fixture_init (&f);
+  f.settings.http.max_body_bytes = 1024;
+  f.settings.http.max_header_bytes = 1024;
+  fixture_start (&f);
+  fixture_configure (&f, NULL, NULL);
+  expect_refusal (&f, "NONSENSE\r\n\r\n", " 400 ", "bad_request");
+  expect_refusal (&f, "GET /nowhere HTTP/1.1\r\n\r\n", " 404 ", "unknown_path");
+  expect_refusal (&f, "GET /metricsx HTTP/1.1\r\n\r\n", " 404 ", "unknown_path");
+  expect_refusal (&f, "POST /v1/completions HTTP/1.1\r\nContent-Length: 2000\r\n\r\n", " 413 ",
+                  "body_too_large");
+  memset (big, 'a', 4999);
+  big[4999] = '\0';
+  char *chunked = lb_asprintf ("POST /v1/completions HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                               "1387\r\n%s\r\n0\r\n\r\n",
+                               big);
+  expect_refusal (&f, chunked, " 413 ", "body_too_large");
+  free (chunked);
+  char *header = lb_asprintf ("GET /healthz HTTP/1.1\r\nx-a: %s\r\n\r\n", big);
+  expect_refusal (&f, header, " 431 ", "header_too_large");
+  free (header);
+  free (big);
+  expect_refusal (&f, "POST /v1/completions HTTP/1.1\r\nContent-Length: 5\r\n\r\n{\"a\":", " 400 ",
+                  "bad_json");
+  expect_refusal (&f, "POST /v1/completions HTTP/1.1\r\nContent-Length: 2\r\n\r\n[]", " 400 ",
+                  "bad_value");
+  expect_refusal (&f, "POST /v1/completions HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}", " 400 ",
+                  "missing_key");
+  expect_refusal (&f,
+                  "POST /v1/completions HTTP/1.1\r\nContent-Length: 27\r\n\r\n"
+                  "{\"model\":\"no\",\"prompt\":\"a\"}",
+                  " 404 ", "unknown_pool");
+  expect_refusal (&f,
+                  "POST /v1/completions HTTP/1.1\r\nx-priority: 99\r\nContent-Length: 26\r\n\r\n"
+                  "{\"model\":\"p\",\"prompt\":\"a\"}",
+                  " 400 ", "out_of_range");
+  expect_refusal (&f,
+                  "POST /v1/completions HTTP/1.1\r\nContent-Length: 41\r\n\r\n"
+                  "{\"model\":\"p\",\"prompt\":\"a\",\"stream\":\"yes\"}",
+                  " 400 ", "bad_value");
+  expect_refusal (&f, "GET /services/none/x HTTP/1.1\r\n\r\n", " 404 ", "unknown_service");
+  fixture_clear (&f);
+}
+
+Test (front, pipelined_requests_are_answered_in_order)
+{
+  Fixture f;
+  Peer caller;
+
+  fixture_init (&f);
+  fixture_start (&f);
+  caller_open (&f, &caller);
+  peer_send (&caller, "GET /healthz HTTP/1.1\r\n\r\nGET /nowhere HTTP/1.1\r\n\r\n"
+                      "GET /readyz HTTP/1.1\r\nConnection: close\r\n\r\n");
+  FIXTURE_UNTIL (&f, peer_is_closed (&caller));
+  char *alive = strstr (caller.text, "alive");
+  char *unknown = strstr (caller.text, "unknown_path");
+  char *ready = strstr (caller.text, "ready\n");
+  cr_assert (alive && unknown && ready);
+  cr_assert (alive < unknown && unknown < ready);
+  peer_close (&caller);
+  fixture_clear (&f);
+}
+
+/* Connections over the limit are closed at once; the others go on. */
+Test (front, connections_are_bounded)
+{
+  Fixture f;
+  Peer first, second;
+
+  fixture_init (&f);
+  f.settings.http.max_connections = 1;
+  fixture_start (&f);
+  caller_open (&f, &first);
+  peer_send (&first, "GET /healthz HTTP/1.1\r\n\r\n");
+  FIXTURE_UNTIL (&f, peer_has (&first, "alive"));
+  caller_open (&f, &second);
+  FIXTURE_UNTIL (&f, peer_is_closed (&second));
+  peer_forget (&first);
+  peer_send (&first, "GET /healthz HTTP/1.1\r\n\r\n");
+  FIXTURE_UNTIL (&f, peer_has (&first, "alive"));
+  peer_close (&first);
+  peer_close (&second);
+  fixture_clear (&f);
+}
+
+Test (front, not_ready_until_resources_are_confirmed)
+{
+  Fixture f;
+  LnReadyMessage ready = { .base = LN_MESSAGE (LN_READY), .ready = false };
+
+  fixture_init (&f);
+  fixture_start (&f);
+  LN_POST (f.context.hub, NULL, ready);
+  fixture_pump (&f);
+  expect_refusal (&f, "GET /readyz HTTP/1.1\r\n\r\n", " 503 ", "not_ready");
+  expect_refusal (&f,
+                  "POST /v1/completions HTTP/1.1\r\nContent-Length: 26\r\n\r\n"
+                  "{\"model\":\"p\",\"prompt\":\"a\"}",
+                  " 503 ", "not_ready");
+  fixture_clear (&f);
+}
