--- a/packages/node/src/ln-call.c
+++ b/packages/node/src/ln-call.c
@@ -26,12 +26,11 @@
 void
 ln_call_free (LnCall *call)
 {
-  while (!lb_list_is_empty (&call->attempts))
-    {
-      LnAttempt *attempt = LB_LIST_FIRST (&call->attempts, LnAttempt, link);
-      ln_upstream_cancel (attempt->upstream);
-      ln_attempt_free (attempt);
-    }
+  LB_LIST_FOREACH (&call->attempts, LnAttempt, link, attempt)
+  {
+    ln_upstream_cancel (attempt->upstream);
+    ln_attempt_free (attempt);
+  }
   for (size_t i = 0; i < call->n_headers; i++)
     {
       free ((char *)call->headers[i].name);
@@ -142,12 +141,9 @@
                 struct json_object *event,
                 const char *text)
 {
-  struct json_object *reused = NULL;
-
   attempt->tokens += piece->tokens;
   add_version (attempt, piece->version);
-  if (json_object_object_get_ex (event, "kv_reused_version", &reused))
-    add_version (attempt, json_object_get_int64 (reused));
+  add_version (attempt, piece->kv_reused_version);
   note_finish_reason (attempt, event);
   if (attempt->call->spec.delivery != LC_DELIVER_WHOLE)
     return;
