--- a/packages/core/src/lc-dispatch.c
+++ b/packages/core/src/lc-dispatch.c
@@ -234,11 +234,10 @@
     return refuse (LB_ERROR_DEADLINE_BEFORE_START, 0, retry_after, spec->pool, error);
   if (!lc_dispatch_has_endpoint (dispatch, pool, latest, &hint, now))
     return refuse (LB_ERROR_NO_ENDPOINT, hint, retry_after, spec->pool, error);
-  hint = lc_dispatch_retry_hint (dispatch, pool, &key, now);
-  if (latest != LB_TIME_NEVER && lc_pool_state_wait (pool, &key) >= latest - now)
-    return refuse (LB_ERROR_OVERLOADED, hint, retry_after, spec->pool, error);
-  if (lc_pool_state_is_full (pool) && !make_room (dispatch, pool, &key, now, actions))
-    return refuse (LB_ERROR_OVERLOADED, hint, retry_after, spec->pool, error);
+  if ((latest != LB_TIME_NEVER && lc_pool_state_wait (pool, &key) >= latest - now)
+      || (lc_pool_state_is_full (pool) && !make_room (dispatch, pool, &key, now, actions)))
+    return refuse (LB_ERROR_OVERLOADED, lc_dispatch_retry_hint (dispatch, pool, &key, now),
+                   retry_after, spec->pool, error);
   return true;
 }
 
@@ -358,6 +357,20 @@
          || (piece->offset < attempt->offset && piece->offset + piece->tokens > attempt->offset);
 }
 
+/* The last look before a piece is passed on: it is the very next one of the only attempt whose
+ * pieces the submitter gets. */
+static bool
+fits_answer (LcDispatch *dispatch,
+             const LcRequest *request,
+             const LcAttempt *attempt,
+             const LcPiece *piece)
+{
+  bool next = request->owner == attempt->number && request->next_token == piece->offset;
+
+  return lc_dispatch_check (dispatch, request->delivery == LC_DELIVER_WHOLE || next,
+                            "whole-answers", request->id);
+}
+
 LcPieceVerdict
 lc_dispatch_piece (LcDispatch *dispatch,
                    LcRequestId id,
@@ -379,17 +392,16 @@
     return drop_piece ();
   if (request->delivery == LC_DELIVER_STREAM && request->owner == 0)
     make_owner (dispatch, request, attempt, now, actions);
+  if (!fits_answer (dispatch, request, attempt, piece))
+    {
+      lc_dispatch_give_up (dispatch, request, LB_ERROR_STREAM_BROKEN, 0, now, actions);
+      return drop_piece ();
+    }
   attempt->offset += piece->tokens;
   attempt->tokens += piece->tokens;
   attempt->whole = piece->last;
   if (request->delivery == LC_DELIVER_STREAM)
-    {
-      if (!lc_dispatch_check (dispatch,
-                              request->owner == number && request->next_token == piece->offset,
-                              "whole-answers", id))
-        return drop_piece ();
-      request->next_token = attempt->offset;
-    }
+    request->next_token = attempt->offset;
   return LC_PIECE_FORWARD;
 }
 
--- a/packages/core/src/lc-outcome.c
+++ b/packages/core/src/lc-outcome.c
@@ -9,6 +9,7 @@
 /* A request that makes engines fail must not go round all of them. */
 #define MAX_LOST 3
 #define LEAST_HINT (100 * LB_MSEC)
+#define LONG_SILENCE LB_SEC
 
 static LbMetric retries = LB_COUNTER_INIT ("lentilspindle_retries_total",
                                            NULL,
@@ -37,31 +38,63 @@
   free (action);
 }
 
+typedef enum
+{
+  CLOSED_WELL,
+  CLOSED_BADLY, /* speaks against the endpoint */
+  CLOSED_BY_US  /* says nothing of the endpoint */
+} Closing;
+
+static void
+tell_endpoint (
+    LcEndpoint *endpoint, LcRequestKind kind, const LcAttempt *attempt, Closing how, LbTime now)
+{
+  if (how == CLOSED_BY_US)
+    lc_endpoints_cancelled (endpoint, kind, now);
+  else
+    lc_endpoints_ended (endpoint, kind, how == CLOSED_WELL, attempt->tokens, now - attempt->sent_at,
+                        now);
+}
+
 /* Takes the attempt out of all books. */
 static void
-close_attempt (LcDispatch *dispatch, LcRequest *request, LcAttempt *attempt, bool ok, LbTime now)
+close_attempt (
+    LcDispatch *dispatch, LcRequest *request, LcAttempt *attempt, Closing how, LbTime now)
 {
   LcEndpoint *endpoint = lc_endpoints_find (dispatch->endpoints, attempt->endpoint);
   LbTime took = now - attempt->sent_at;
 
   if (endpoint)
-    lc_endpoints_ended (endpoint, request->kind, ok, attempt->tokens, took, now);
+    tell_endpoint (endpoint, request->kind, attempt, how, now);
   lc_pool_state_ended (request->pool, request->kind, attempt->whole ? took : 0);
   if (request->owner == attempt->number)
     request->owner = 0;
   lc_request_drop_attempt (request, attempt);
 }
 
+/* An endpoint that swallows requests never fails one: each ends by our own cancel, at its deadline
+ * or when a hedge won, and the breaker would stay closed. So an attempt that was silent for long
+ * counts against an endpoint from which nobody here has heard since it was sent. */
+static bool
+is_swallowed (LcDispatch *dispatch, const LcAttempt *attempt, LbTime now)
+{
+  const LcEndpoint *endpoint = lc_endpoints_find (dispatch->endpoints, attempt->endpoint);
+
+  return endpoint && !attempt->heard && now - attempt->sent_at >= LONG_SILENCE
+         && endpoint->last_reply <= attempt->sent_at;
+}
+
 void
 lc_dispatch_cancel_attempt (
     LcDispatch *dispatch, LcRequest *request, LcAttempt *attempt, LbTime now, LbList *actions)
 {
   LcAction *action = lc_action_new (LC_ACTION_CANCEL, request->id, actions);
+  Closing how = is_swallowed (dispatch, attempt, now) ? CLOSED_BADLY : CLOSED_BY_US;
 
   action->attempt = attempt->number;
   LB_COPY (action->endpoint, attempt->endpoint);
   request->maybe_run = true;
-  close_attempt (dispatch, request, attempt, true, now);
+  close_attempt (dispatch, request, attempt, how, now);
 }
 
 static void
@@ -148,8 +181,16 @@
     LcDispatch *dispatch, LcRequest *request, LcAttempt *attempt, LbTime now, LbList *actions)
 {
   uint32_t number = attempt->number;
+  bool all_passed_on = request->delivery == LC_DELIVER_WHOLE
+                       || (request->next_token == attempt->offset
+                           && (request->owner == 0 || request->owner == number));
   LbName endpoint;
 
+  if (!lc_dispatch_check (dispatch, all_passed_on, "whole-answers", request->id))
+    {
+      lc_dispatch_give_up (dispatch, request, LB_ERROR_STREAM_BROKEN, 0, now, actions);
+      return;
+    }
   LB_COPY (endpoint, attempt->endpoint);
   if (number == 1)
     {
@@ -157,7 +198,7 @@
       lc_retry_budgets_earn (dispatch->budgets, endpoint);
     }
   attempt->whole = true;
-  close_attempt (dispatch, request, attempt, true, now);
+  close_attempt (dispatch, request, attempt, CLOSED_WELL, now);
   take_out (dispatch, request, now, actions);
 
   LcAction *action = lc_action_new (LC_ACTION_FINISH, request->id, actions);
@@ -239,13 +280,14 @@
       finish_whole (dispatch, request, attempt, now, actions);
       return;
     }
-  if (!proves_not_run (end) || attempt->heard)
+  if (!proves_not_run (end))
     {
       request->maybe_run = true;
       request->n_lost = attempt->tokens > 0 ? 0 : request->n_lost + 1;
     }
   lc_request_tried (request, attempt->endpoint);
-  close_attempt (dispatch, request, attempt, end == LC_END_REFUSED_LEAVING, now);
+  close_attempt (dispatch, request, attempt,
+                 end == LC_END_REFUSED_LEAVING ? CLOSED_BY_US : CLOSED_BADLY, now);
   request->last_error = error_of (request, end);
   if (lb_list_is_empty (&request->attempts))
     try_again (dispatch, request, end, now, actions);
--- /dev/null
+++ b/packages/core/tests/test-dispatch-answers.c
@@ -0,0 +1,226 @@
+#include "dispatch-fixture.h"
+
+static const LcDispatchSettings settings = { .queue_limit = 100, .retry_budget = 0.2, .seed = 1 };
+
+static const LcDispatchSettings hedging
+    = { .queue_limit = 100, .retry_budget = 0.2, .hedge_after = LB_SEC, .seed = 1 };
+
+/* Submits a live call and returns its first attempt. */
+static LcAction
+start (Fixture *f, LcRequestSpec *spec)
+{
+  cr_assert (fixture_submit (f, spec));
+  return fixture_expect (f, LC_ACTION_SEND, spec->id);
+}
+
+/* The next attempt after a failure, when its delay is over. */
+static LcAction
+next_attempt (Fixture *f, const LcRequestSpec *spec)
+{
+  fixture_at (f, f->now + 3 * LB_SEC);
+  return fixture_expect (f, LC_ACTION_SEND, spec->id);
+}
+
+/* A clerk's call is sent to an engine whose connection breaks before the first word, and is sent to
+ * another. Then words of the first arrive after all, from a buffer on the way. Taken for the
+ * second's they would give the clerk an answer mixed from two. */
+Test (answers, late_pieces_of_an_earlier_attempt_are_dropped)
+{
+  Fixture f;
+
+  fixture_init (&f, &settings, 2, 4);
+
+  LcRequestSpec spec = fixture_spec (&f, LC_KIND_LIVE);
+  LcAction first = start (&f, &spec);
+
+  fixture_end (&f, spec.id, 1, LC_END_BROKEN);
+
+  LcAction second = next_attempt (&f, &spec);
+
+  cr_assert_eq (second.attempt, 2);
+  cr_assert_str_neq (second.endpoint, first.endpoint);
+  cr_assert_eq (fixture_piece (&f, spec.id, 1, 0, 2, false), LC_PIECE_DROP);
+  cr_assert_eq (fixture_piece (&f, spec.id, 2, 0, 2, false), LC_PIECE_FORWARD);
+  cr_assert_eq (fixture_piece (&f, spec.id, 1, 2, 2, true), LC_PIECE_DROP);
+  fixture_end (&f, spec.id, 1, LC_END_WHOLE);
+  cr_assert_eq (lc_dispatch_in_progress (f.dispatch), 1);
+  cr_assert_eq (fixture_piece (&f, spec.id, 2, 2, 2, true), LC_PIECE_FORWARD);
+  fixture_end (&f, spec.id, 2, LC_END_WHOLE);
+  cr_assert_eq (fixture_expect (&f, LC_ACTION_FINISH, spec.id).error, LB_OK);
+  cr_assert_eq (fixture_piece (&f, spec.id, 2, 4, 1, false), LC_PIECE_DROP);
+  fixture_clear (&f);
+}
+
+/* A piece comes twice, and later one is missing. What the clerk reads would repeat a word, or jump
+ * over one without anybody noticing. The repeat is dropped; at the gap the stream counts as broken
+ * and goes on elsewhere from the last word that was passed on. */
+Test (answers, repeats_are_dropped_and_gaps_break_the_attempt)
+{
+  Fixture f;
+
+  fixture_init (&f, &settings, 2, 4);
+
+  LcRequestSpec spec = fixture_spec (&f, LC_KIND_LIVE);
+
+  start (&f, &spec);
+  cr_assert_eq (fixture_piece (&f, spec.id, 1, 0, 2, false), LC_PIECE_FORWARD);
+  cr_assert_eq (fixture_piece (&f, spec.id, 1, 0, 2, false), LC_PIECE_DROP);
+  cr_assert_eq (fixture_piece (&f, spec.id, 1, 2, 1, false), LC_PIECE_FORWARD);
+  cr_assert_eq (fixture_piece (&f, spec.id, 1, 5, 1, false), LC_PIECE_DROP);
+  fixture_expect (&f, LC_ACTION_CANCEL, spec.id);
+  cr_assert_eq (next_attempt (&f, &spec).resume_at, 3);
+  cr_assert_eq (fixture_piece (&f, spec.id, 2, 2, 2, false), LC_PIECE_DROP,
+                "a piece that overlaps what was passed on");
+  cr_assert_eq (next_attempt (&f, &spec).resume_at, 3);
+  cr_assert_eq (fixture_piece (&f, spec.id, 3, 3, 1, true), LC_PIECE_FORWARD);
+  fixture_end (&f, spec.id, 3, LC_END_WHOLE);
+  cr_assert_eq (fixture_expect (&f, LC_ACTION_FINISH, spec.id).error, LB_OK);
+  fixture_clear (&f);
+}
+
+/* A shopper reads a reply when its engine crashes. The reply goes on at another engine with the
+ * first word not yet shown. */
+Test (answers, broken_stream_resumes_at_the_last_offset)
+{
+  Fixture f;
+
+  fixture_init (&f, &settings, 2, 4);
+
+  LcRequestSpec spec = fixture_spec (&f, LC_KIND_LIVE);
+  LcAction first = start (&f, &spec);
+
+  fixture_piece (&f, spec.id, 1, 0, 5, false);
+  fixture_end (&f, spec.id, 1, LC_END_BROKEN);
+
+  LcAction second = next_attempt (&f, &spec);
+
+  cr_assert_eq (second.resume_at, 5);
+  cr_assert_str_neq (second.endpoint, first.endpoint);
+  cr_assert_eq (fixture_piece (&f, spec.id, 2, 5, 5, true), LC_PIECE_FORWARD);
+  fixture_end (&f, spec.id, 2, LC_END_WHOLE);
+  cr_assert_eq (fixture_expect (&f, LC_ACTION_FINISH, spec.id).error, LB_OK);
+  fixture_clear (&f);
+}
+
+/* The same with an answer that can't be taken up in the middle. A second generation from the start
+ * would not fit to what the shopper has read: the answer fails at once, saying that it is broken.
+ */
+Test (answers, broken_stream_that_cannot_resume_fails)
+{
+  Fixture f;
+
+  fixture_init (&f, &settings, 2, 4);
+
+  LcRequestSpec spec = fixture_spec (&f, LC_KIND_LIVE);
+
+  spec.resumable = false;
+  start (&f, &spec);
+  fixture_piece (&f, spec.id, 1, 0, 5, false);
+  fixture_end (&f, spec.id, 1, LC_END_BROKEN);
+
+  LcAction finish = fixture_expect (&f, LC_ACTION_FINISH, spec.id);
+
+  cr_assert_eq (finish.error, LB_ERROR_STREAM_BROKEN);
+  cr_assert_gt (finish.retry_after, 0);
+  fixture_clear (&f);
+}
+
+/* The connection closes without the end marker, which looks just like the end of a short answer. It
+ * is none. When the marker did come, the closing afterwards takes nothing away. */
+Test (answers, only_the_end_marker_makes_it_whole)
+{
+  Fixture f;
+
+  fixture_init (&f, &settings, 1, 4);
+
+  LcRequestSpec cut = fixture_spec (&f, LC_KIND_LIVE);
+
+  cut.resumable = false;
+  start (&f, &cut);
+  fixture_piece (&f, cut.id, 1, 0, 10, false);
+  fixture_end (&f, cut.id, 1, LC_END_BROKEN);
+  cr_assert_eq (fixture_expect (&f, LC_ACTION_FINISH, cut.id).error, LB_ERROR_STREAM_BROKEN);
+
+  LcRequestSpec whole = fixture_spec (&f, LC_KIND_LIVE);
+
+  start (&f, &whole);
+  fixture_piece (&f, whole.id, 1, 0, 10, true);
+  cr_assert_eq (fixture_piece (&f, whole.id, 1, 10, 1, false), LC_PIECE_DROP);
+  fixture_end (&f, whole.id, 1, LC_END_BROKEN);
+  cr_assert_eq (fixture_expect (&f, LC_ACTION_FINISH, whole.id).error, LB_OK);
+  fixture_clear (&f);
+}
+
+/* An engine is slow to begin and the call is tried at a second one. Both then begin to answer. The
+ * shopper must read one of the two answers, not words of both in turn. */
+Test (answers, first_of_two_attempts_is_the_only_one)
+{
+  Fixture f;
+
+  fixture_init (&f, &hedging, 2, 4);
+
+  LcRequestSpec spec = fixture_spec (&f, LC_KIND_LIVE);
+  LcAction first = start (&f, &spec);
+
+  fixture_at (&f, f.now + 2 * LB_SEC);
+
+  LcAction second = fixture_expect (&f, LC_ACTION_SEND, spec.id);
+
+  cr_assert_str_neq (second.endpoint, first.endpoint);
+  cr_assert_eq (fixture_piece (&f, spec.id, 2, 0, 1, false), LC_PIECE_FORWARD);
+  cr_assert_eq (fixture_expect (&f, LC_ACTION_CANCEL, spec.id).attempt, 1);
+  cr_assert_eq (fixture_piece (&f, spec.id, 1, 0, 1, false), LC_PIECE_DROP);
+  cr_assert_eq (fixture_piece (&f, spec.id, 1, 1, 1, false), LC_PIECE_DROP);
+  cr_assert_eq (fixture_piece (&f, spec.id, 2, 1, 1, true), LC_PIECE_FORWARD);
+  fixture_end (&f, spec.id, 2, LC_END_WHOLE);
+  cr_assert_eq (fixture_expect (&f, LC_ACTION_FINISH, spec.id).attempt, 2);
+  fixture_clear (&f);
+}
+
+/* Two attempts of a call that is answered in one piece both gather words. The first whole one is
+ * the answer and names its attempt; the other is closed. */
+Test (answers, first_whole_of_two_gathered_attempts_wins)
+{
+  Fixture f;
+
+  fixture_init (&f, &hedging, 2, 4);
+
+  LcRequestSpec spec = fixture_spec (&f, LC_KIND_LIVE);
+
+  spec.delivery = LC_DELIVER_WHOLE;
+  start (&f, &spec);
+  fixture_at (&f, f.now + 2 * LB_SEC);
+  fixture_expect (&f, LC_ACTION_SEND, spec.id);
+  cr_assert_eq (fixture_piece (&f, spec.id, 1, 0, 3, false), LC_PIECE_FORWARD);
+  cr_assert_eq (fixture_piece (&f, spec.id, 2, 0, 4, false), LC_PIECE_FORWARD);
+  cr_assert_eq (fixture_piece (&f, spec.id, 2, 4, 4, true), LC_PIECE_FORWARD);
+  fixture_end (&f, spec.id, 2, LC_END_WHOLE);
+
+  cr_assert_eq (fixture_expect (&f, LC_ACTION_CANCEL, spec.id).attempt, 1);
+
+  LcAction finish = fixture_expect (&f, LC_ACTION_FINISH, spec.id);
+
+  cr_assert_eq (finish.error, LB_OK);
+  cr_assert_eq (finish.attempt, 2);
+  fixture_clear (&f);
+}
+
+/* An answer is still coming at its deadline. The caller is told at once and the engine is freed. */
+Test (answers, deadline_cuts_a_running_answer)
+{
+  Fixture f;
+
+  fixture_init (&f, &settings, 2, 4);
+
+  LcRequestSpec spec = fixture_spec (&f, LC_KIND_LIVE);
+
+  spec.deadline = f.now + 5 * LB_SEC;
+  start (&f, &spec);
+  fixture_piece (&f, spec.id, 1, 0, 1, false);
+  cr_assert_eq (lc_dispatch_next_tick (f.dispatch), spec.deadline);
+  fixture_at (&f, spec.deadline);
+  fixture_expect (&f, LC_ACTION_CANCEL, spec.id);
+  cr_assert_eq (fixture_expect (&f, LC_ACTION_FINISH, spec.id).error, LB_ERROR_DEADLINE);
+  cr_assert_eq (fixture_piece (&f, spec.id, 1, 1, 1, true), LC_PIECE_DROP);
+  fixture_clear (&f);
+}
