--- a/packages/core/src/lc-endpoints.c
+++ b/packages/core/src/lc-endpoints.c
@@ -556,23 +556,6 @@
   publish (entry, now);
 }
 
-static void
-count_out (LcEntry *entry, LcRequestKind kind, LbTime now)
-{
-  entry->endpoint.in_flight--;
-  entry->endpoint.in_flight_rollout -= kind == LC_KIND_SAMPLE;
-  lc_flight_log_add (&entry->flights, entry->endpoint.in_flight, false, now);
-}
-
-void
-lc_endpoints_cancelled (LcEndpoint *endpoint, LcRequestKind kind, LbTime now)
-{
-  LcEntry *entry = lc_entry (endpoint);
-
-  count_out (entry, kind, now);
-  publish (entry, now);
-}
-
 void
 lc_endpoints_ended (
     LcEndpoint *endpoint, LcRequestKind kind, bool ok, int64_t tokens, LbTime took, LbTime now)
