--- /dev/null
+++ b/packages/core/bench/bench-weights.c
@@ -0,0 +1,43 @@
+#include "../tests/fake-engines.h"
+
+#include <stdio.h>
+
+/* Length of a roll-out's plan: the deciding code of the daemon over fake engines in virtual time.
+ * Prints a table; the load times are the fakes', not a measurement of engines. */
+
+#define LIMIT (600 * LB_SEC)
+
+static void
+run_case (size_t engines, int64_t percent, LbTime load_time)
+{
+  FakePool pool;
+
+  fake_pool_init (&pool, engines, percent, 0.25, 40);
+  pool.load_time = load_time;
+  pool.load_jitter = load_time / 4;
+  pool.period = 3 * LB_SEC;
+  pool.swap_period = LB_SEC / 2;
+  fake_pool_run (&pool, 10 * LB_SEC);
+  lc_weights_newest (pool.weights, 41, pool.now);
+  LbTime took = fake_pool_run_until_done (&pool, 41, LIMIT);
+  printf ("%8zu %8lld %9.1f %9.2f %8zu %8zu %8zu\n", engines, (long long)percent,
+          (double)load_time / LB_SEC, (double)took / LB_SEC, pool.orders, pool.most_swapping,
+          pool.most_out);
+  fake_pool_clear (&pool);
+}
+
+int
+main (void)
+{
+  static const size_t sizes[] = { 9, 100, 600 };
+  static const int64_t percents[] = { 10, 25, 50 };
+  static const LbTime loads[] = { LB_SEC / 5, LB_SEC, 2 * LB_SEC, 3 * LB_SEC, 5 * LB_SEC };
+
+  printf ("%8s %8s %9s %9s %8s %8s %8s\n", "engines", "percent", "load s", "plan s", "orders",
+          "swapping", "out");
+  for (size_t i = 0; i < sizeof sizes / sizeof sizes[0]; i++)
+    for (size_t j = 0; j < sizeof percents / sizeof percents[0]; j++)
+      for (size_t k = 0; k < sizeof loads / sizeof loads[0]; k++)
+        run_case (sizes[i], percents[j], loads[k]);
+  return 0;
+}
--- /dev/null
+++ b/packages/core/tests/fake-engines.h
@@ -0,0 +1,222 @@
+#ifndef FAKE_ENGINES_H
+#define FAKE_ENGINES_H
+
+#include "lb-alloc.h"
+#include "lc-weights.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Engines of one pool in virtual time, and the part of the node that orders and reads them. */
+
+#define FAKE_STEP (50 * LB_MSEC)
+
+typedef struct
+{
+  LbName name;
+  LcVersion version;
+  LcVersion loading;
+  LcVersion failed;
+  LbTime loaded_at;
+  LbTime next_report;
+  int incarnation;
+  int fail_loads; /* how many of the next loads fail */
+  bool dead;
+  bool ignores_orders; /* takes the order and does nothing */
+} FakeEngine;
+
+typedef struct
+{
+  LcWeights *weights;
+  LcResourceSet *set;
+  FakeEngine *engines;
+  size_t n;
+  LbTime now;
+  LbTime load_time;
+  LbTime load_jitter; /* engine i takes up to this much longer, evenly spread over the engines */
+  LbTime swap_period; /* between reports of an engine in a swap */
+  LbTime period;      /* of the others */
+  bool fenced;
+  bool unfenced;
+  size_t orders;
+  size_t most_out;      /* engines that served nothing at the same time, at most */
+  size_t most_swapping; /* loading at the same time, at most */
+} FakePool;
+
+static inline void
+fake_pool_init (FakePool *pool, size_t n, int64_t percent, double live_reserve, LcVersion version)
+{
+  LcWeightsSettings settings;
+
+  *pool = (FakePool){ .n = n,
+                      .now = 1000 * LB_SEC,
+                      .load_time = 2 * LB_SEC,
+                      .swap_period = LB_SEC / 4,
+                      .period = LB_SEC,
+                      .fenced = true,
+                      .unfenced = true };
+  pool->engines = LB_NEW_ARRAY (FakeEngine, n);
+  pool->set = LB_NEW (LcResourceSet);
+  pool->set->pools = LB_NEW (LcPool);
+  pool->set->n_pools = 1;
+  *pool->set->pools
+      = (LcPool){ .name = "reader", .live_reserve = live_reserve, .roll_out_percent = percent };
+  pool->set->endpoints = LB_NEW_ARRAY (LcEndpointMember, n);
+  pool->set->n_endpoints = n;
+  for (size_t i = 0; i < n; i++)
+    {
+      LcEndpointMember *member = &pool->set->endpoints[i];
+      *member = (LcEndpointMember){ .pool = "reader", .checks_fence = true, .concurrency = 32 };
+      snprintf (member->name, sizeof member->name, "engine-%04zu", i);
+      LB_COPY (pool->engines[i].name, member->name);
+      pool->engines[i].version = version;
+      pool->engines[i].next_report = pool->now + (LbTime)(i % 20) * FAKE_STEP;
+    }
+  lc_weights_settings_init (&settings, "reader");
+  pool->weights = lc_weights_new (&settings);
+  lc_weights_configure (pool->weights, pool->set, pool->now);
+  lc_weights_restart (pool->weights, pool->now);
+}
+
+static inline void
+fake_pool_clear (FakePool *pool)
+{
+  lc_weights_free (pool->weights);
+  lc_resource_set_free (pool->set);
+  free (pool->engines);
+}
+
+/* Another instance holds the lease from now: it knows nothing but what engines say. */
+static inline void
+fake_pool_new_holder (FakePool *pool, LcVersion newest)
+{
+  LcWeightsSettings settings;
+
+  lc_weights_settings_init (&settings, "reader");
+  lc_weights_free (pool->weights);
+  pool->weights = lc_weights_new (&settings);
+  lc_weights_configure (pool->weights, pool->set, pool->now);
+  lc_weights_restart (pool->weights, pool->now);
+  lc_weights_newest (pool->weights, newest, pool->now);
+}
+
+static inline void
+fake_engine_load (FakePool *pool, size_t i, LcVersion version)
+{
+  FakeEngine *engine = &pool->engines[i];
+
+  engine->loading = version;
+  engine->version = 0;
+  engine->failed = 0;
+  engine->loaded_at = pool->now + pool->load_time + pool->load_jitter * (LbTime)i / (LbTime)pool->n;
+}
+
+static inline void
+fake_pool_drop_actions (LbList *actions)
+{
+  LbLink *link;
+
+  while ((link = lb_list_pop (actions)))
+    free (LB_CONTAINER (link, LcWeightsAction, link));
+}
+
+static inline void
+fake_pool_tick (FakePool *pool)
+{
+  LbList actions;
+
+  lb_list_init (&actions);
+  lc_weights_tick (pool->weights, pool->fenced, pool->unfenced, pool->now, &actions);
+  LB_LIST_FOREACH (&actions, LcWeightsAction, link, action)
+  {
+    size_t i = (size_t)atoi (action->endpoint + strlen ("engine-"));
+    if (action->type != LC_WEIGHTS_ORDER)
+      continue;
+    pool->orders++;
+    pool->engines[i].next_report = pool->now + pool->swap_period;
+    if (pool->engines[i].dead)
+      lc_weights_ordered (pool->weights, action->endpoint, LB_ERROR_CLOSED, pool->now);
+    else if (!pool->engines[i].ignores_orders)
+      fake_engine_load (pool, i, action->version);
+  }
+  fake_pool_drop_actions (&actions);
+}
+
+static inline void
+fake_engine_step (FakePool *pool, FakeEngine *engine)
+{
+  LbList actions;
+  LcWeightReport report = { .asked_at = pool->now };
+
+  if (engine->loading && pool->now >= engine->loaded_at)
+    {
+      bool failed = engine->fail_loads > 0 && engine->fail_loads--;
+      engine->version = failed ? 0 : engine->loading;
+      engine->failed = failed ? engine->loading : 0;
+      engine->loading = 0;
+    }
+  if (engine->dead || pool->now < engine->next_report)
+    return;
+  bool swapping = lc_weights_is_swapping (pool->weights, engine->name);
+  engine->next_report = pool->now + (swapping ? pool->swap_period : pool->period);
+  report.version = engine->version;
+  report.loading = engine->loading != 0;
+  report.failed_version = engine->failed;
+  snprintf (report.incarnation, sizeof report.incarnation, "%d", engine->incarnation);
+  lb_list_init (&actions);
+  lc_weights_report (pool->weights, engine->name, &report, pool->now, &actions);
+  fake_pool_drop_actions (&actions);
+}
+
+static inline void
+fake_pool_measure (FakePool *pool)
+{
+  size_t out = 0, swapping = 0;
+
+  for (size_t i = 0; i < pool->n; i++)
+    {
+      out += pool->engines[i].version == 0 || pool->engines[i].dead;
+      swapping += pool->engines[i].loading != 0;
+    }
+  pool->most_out = out > pool->most_out ? out : pool->most_out;
+  pool->most_swapping = swapping > pool->most_swapping ? swapping : pool->most_swapping;
+}
+
+static inline void
+fake_pool_run (FakePool *pool, LbTime duration)
+{
+  for (LbTime until = pool->now + duration; pool->now < until; pool->now += FAKE_STEP)
+    {
+      for (size_t i = 0; i < pool->n; i++)
+        fake_engine_step (pool, &pool->engines[i]);
+      fake_pool_tick (pool);
+      fake_pool_measure (pool);
+    }
+}
+
+static inline size_t
+fake_pool_count (const FakePool *pool, LcVersion version)
+{
+  size_t n = 0;
+
+  for (size_t i = 0; i < pool->n; i++)
+    n += pool->engines[i].version == version && !pool->engines[i].dead;
+  return n;
+}
+
+/* How long until all engines but the dead ones serve the version; at most limit. */
+static inline LbTime
+fake_pool_run_until_done (FakePool *pool, LcVersion version, LbTime limit)
+{
+  LbTime start = pool->now;
+  size_t dead = 0;
+
+  for (size_t i = 0; i < pool->n; i++)
+    dead += pool->engines[i].dead;
+  while (fake_pool_count (pool, version) < pool->n - dead && pool->now - start < limit)
+    fake_pool_run (pool, FAKE_STEP);
+  return pool->now - start;
+}
+
+#endif
