Membership of instances: core decisions, frames, handshake, peers task, entry addresses

Cause: instances had no view of one another. Each watches the successors of itself on three rings and passes changes on over its connections; a silent connection is replaced by a new one before anybody is suspected. wire now uses core for the one type LcInstance, which frames and decisions share.

--- /dev/null
+++ b/packages/core/bench/fake-peers.c
@@ -0,0 +1,617 @@
+#include "fake-peers.h"
+
+#include "lb-alloc.h"
+#include "lw-message.h"
+
+#include <gsl/gsl_rng.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* TCP and IP headers of a segment with timestamps; a SYN has eight bytes more. */
+#define HEADERS 52
+#define CONNECT_BYTES (60 + 60 + HEADERS + 4 * HEADERS)
+
+typedef enum
+{
+  EVENT_TICK,
+  EVENT_CONNECT,
+  EVENT_REFUSED,
+  EVENT_CLOSED,
+  EVENT_MESSAGE
+} EventType;
+
+typedef struct
+{
+  LbTime at;
+  uint64_t order;
+  EventType type;
+  size_t node; /* whom it reaches */
+  size_t connection;
+  LcLinkId link; /* REFUSED */
+  LwMessage message;
+} Event;
+
+typedef struct
+{
+  size_t nodes[2]; /* the dialler first */
+  LcLinkId links[2];
+  bool silent;
+  bool closed;
+  LbTime closed_at;
+} Connection;
+
+typedef struct
+{
+  LcMembership *membership; /* NULL: not started */
+  FakeState state;
+  int group;
+  int64_t bytes;
+  LbTime tick_at;
+  LbName name;
+} Node;
+
+struct FakePeers
+{
+  LcMembershipSettings settings;
+  Node *nodes;
+  size_t n_nodes;
+  Connection *connections;
+  size_t n_connections;
+  size_t room;
+  Event *heap;
+  size_t n_events;
+  size_t heap_room;
+  uint64_t order;
+  LbTime now;
+  size_t cut[2];
+  bool has_cut;
+  gsl_rng *rng;
+};
+
+static bool
+is_before (const Event *a, const Event *b)
+{
+  return a->at != b->at ? a->at < b->at : a->order < b->order;
+}
+
+static void
+swap_events (FakePeers *peers, size_t a, size_t b)
+{
+  Event kept = peers->heap[a];
+
+  peers->heap[a] = peers->heap[b];
+  peers->heap[b] = kept;
+}
+
+static void
+push (FakePeers *peers, Event event)
+{
+  size_t i = peers->n_events++;
+
+  if (i == peers->heap_room)
+    {
+      peers->heap_room = 2 * peers->heap_room + 64;
+      peers->heap = lb_realloc (peers->heap, peers->heap_room * sizeof *peers->heap);
+    }
+  event.order = peers->order++;
+  peers->heap[i] = event;
+  for (; i > 0 && is_before (&peers->heap[i], &peers->heap[(i - 1) / 2]); i = (i - 1) / 2)
+    swap_events (peers, i, (i - 1) / 2);
+}
+
+static Event
+pop (FakePeers *peers)
+{
+  Event first = peers->heap[0];
+  size_t i = 0;
+
+  peers->heap[0] = peers->heap[--peers->n_events];
+  for (;;)
+    {
+      size_t least = i;
+      for (size_t child = 2 * i + 1; child <= 2 * i + 2 && child < peers->n_events; child++)
+        if (is_before (&peers->heap[child], &peers->heap[least]))
+          least = child;
+      if (least == i)
+        return first;
+      swap_events (peers, i, least);
+      i = least;
+    }
+}
+
+/* 0.5 to 1.5 ms one way. */
+static LbTime
+delay (FakePeers *peers)
+{
+  return (LbTime)(500 + gsl_rng_uniform_int (peers->rng, 1000));
+}
+
+static void
+count_bytes (FakePeers *peers, size_t a, size_t b, int64_t bytes)
+{
+  peers->nodes[a].bytes += bytes;
+  peers->nodes[b].bytes += bytes;
+}
+
+static bool
+is_path_open (const FakePeers *peers, size_t a, size_t b)
+{
+  bool cut = peers->has_cut
+             && ((peers->cut[0] == a && peers->cut[1] == b)
+                 || (peers->cut[0] == b && peers->cut[1] == a));
+
+  return !cut && peers->nodes[a].group == peers->nodes[b].group
+         && peers->nodes[a].state != FAKE_VANISHED && peers->nodes[b].state != FAKE_VANISHED;
+}
+
+static size_t
+node_of_address (const FakePeers *peers, const char *address)
+{
+  size_t index = (size_t)strtoul (address, NULL, 10);
+
+  return index < peers->n_nodes ? index : 0;
+}
+
+/* Nothing under way speaks of a connection that was closed so long ago. */
+static size_t
+find_free (const FakePeers *peers)
+{
+  for (size_t i = 0; i < peers->n_connections; i++)
+    if (peers->connections[i].closed && peers->now - peers->connections[i].closed_at > 60 * LB_SEC)
+      return i;
+  return SIZE_MAX;
+}
+
+static size_t
+add_connection (FakePeers *peers, size_t dialler, size_t acceptor, LcLinkId link)
+{
+  Connection connection = { .nodes = { dialler, acceptor }, .links = { link, 0 } };
+  size_t free_slot = find_free (peers);
+
+  if (free_slot != SIZE_MAX)
+    {
+      peers->connections[free_slot] = connection;
+      return free_slot;
+    }
+  if (peers->n_connections == peers->room)
+    {
+      peers->room = 2 * peers->room + 64;
+      peers->connections
+          = lb_realloc (peers->connections, peers->room * sizeof *peers->connections);
+    }
+  peers->connections[peers->n_connections] = connection;
+  return peers->n_connections++;
+}
+
+static size_t
+find_connection (const FakePeers *peers, size_t node, LcLinkId link)
+{
+  for (size_t i = peers->n_connections; i-- > 0;)
+    for (int end = 0; end < 2; end++)
+      if (peers->connections[i].nodes[end] == node && peers->connections[i].links[end] == link
+          && !peers->connections[i].closed)
+        return i;
+  return SIZE_MAX;
+}
+
+static int
+end_of (const Connection *connection, size_t node)
+{
+  return connection->nodes[0] == node ? 0 : 1;
+}
+
+static void
+dial (FakePeers *peers, size_t node, const LcMembershipAction *action)
+{
+  size_t target = node_of_address (peers, action->address);
+  size_t connection = add_connection (peers, node, target, action->link);
+  LbTime at = peers->now + 3 * delay (peers);
+
+  if (!is_path_open (peers, node, target))
+    return;
+  if (!peers->nodes[target].membership || peers->nodes[target].state == FAKE_KILLED)
+    push (peers, (Event){ .at = at, .type = EVENT_REFUSED, .node = node, .link = action->link });
+  else
+    push (peers,
+          (Event){ .at = at, .type = EVENT_CONNECT, .node = target, .connection = connection });
+}
+
+/* The bytes of the real frame; the segment is acknowledged by another, unless an answer does. */
+static int64_t
+message_bytes (const LwMessage *message)
+{
+  bool answered = message->type == LW_PING;
+  size_t length;
+
+  free (lw_message_encode (message, &length));
+  return (int64_t)length + HEADERS + (answered ? 0 : HEADERS);
+}
+
+static void
+send_on (FakePeers *peers, size_t node, size_t index, const LwMessage *message)
+{
+  const Connection *connection = &peers->connections[index];
+  size_t target = connection->nodes[!end_of (connection, node)];
+  Event event = { .at = peers->now + delay (peers),
+                  .type = EVENT_MESSAGE,
+                  .node = target,
+                  .connection = index,
+                  .message = *message };
+
+  count_bytes (peers, node, target, message_bytes (message));
+  if (connection->silent || !is_path_open (peers, node, target))
+    return;
+  event.message.instances
+      = lb_memdup (message->instances, message->n_instances * sizeof *message->instances);
+  push (peers, event);
+}
+
+static void
+spread (FakePeers *peers, size_t node, const LwMessage *message, LcLinkId except)
+{
+  LcMembership *membership = peers->nodes[node].membership;
+  const char *except_name = lc_membership_link_name (membership, except);
+
+  for (size_t i = 0; i < peers->n_connections; i++)
+    {
+      const Connection *connection = &peers->connections[i];
+      int end = end_of (connection, node);
+      if (connection->nodes[end] != node || connection->closed)
+        continue;
+      const char *name = lc_membership_link_name (membership, connection->links[end]);
+      if (name && (!except_name || strcmp (name, except_name) != 0)
+          && lc_membership_link_to (membership, name) == connection->links[end])
+        send_on (peers, node, i, message);
+    }
+}
+
+static void
+close_connection (FakePeers *peers, size_t node, LcLinkId link)
+{
+  size_t index = find_connection (peers, node, link);
+
+  if (index == SIZE_MAX)
+    return;
+  Connection *connection = &peers->connections[index];
+  int other = !end_of (connection, node);
+  connection->closed = true;
+  connection->closed_at = peers->now;
+  count_bytes (peers, node, connection->nodes[other], 4 * HEADERS);
+  if (connection->links[other] && !connection->silent
+      && is_path_open (peers, node, connection->nodes[other]))
+    push (peers, (Event){ .at = peers->now + delay (peers),
+                          .type = EVENT_CLOSED,
+                          .node = connection->nodes[other],
+                          .link = connection->links[other] });
+}
+
+static void
+carry_out_one (FakePeers *peers, size_t node, const LcMembershipAction *action)
+{
+  LwMessage message = { .type = action->type == LC_MEMBERSHIP_COMPARE ? LW_COMPARE : LW_INSTANCES,
+                        .digest = action->digest,
+                        .instances = action->instances,
+                        .n_instances = action->n_instances,
+                        .answer = action->answer };
+
+  if (action->type == LC_MEMBERSHIP_PING)
+    message.type = LW_PING;
+  switch (action->type)
+    {
+    case LC_MEMBERSHIP_DIAL:
+      dial (peers, node, action);
+      break;
+    case LC_MEMBERSHIP_CLOSE:
+      close_connection (peers, node, action->link);
+      break;
+    case LC_MEMBERSHIP_SPREAD:
+      spread (peers, node, &message, action->link);
+      break;
+    case LC_MEMBERSHIP_PING:
+    case LC_MEMBERSHIP_TELL:
+    case LC_MEMBERSHIP_COMPARE:
+      if (find_connection (peers, node, action->link) != SIZE_MAX)
+        send_on (peers, node, find_connection (peers, node, action->link), &message);
+      break;
+    case LC_MEMBERSHIP_CHANGED:
+      break;
+    }
+}
+
+void
+fake_peers_carry_out (FakePeers *peers, size_t node, LbList *actions)
+{
+  LbLink *link;
+
+  while ((link = lb_list_pop (actions)))
+    {
+      LcMembershipAction *action = LB_CONTAINER (link, LcMembershipAction, link_in_list);
+      carry_out_one (peers, node, action);
+      lc_membership_action_free (action);
+    }
+}
+
+static void
+schedule_tick (FakePeers *peers, size_t node)
+{
+  LbTime at = lc_membership_next_tick (peers->nodes[node].membership);
+  LbTime planned = peers->nodes[node].tick_at;
+
+  if (at <= peers->now)
+    at = peers->now + LB_MSEC;
+  if (planned > peers->now && planned <= at)
+    return;
+  peers->nodes[node].tick_at = at;
+  push (peers, (Event){ .at = at, .type = EVENT_TICK, .node = node });
+}
+
+static void
+connect_both (FakePeers *peers, size_t index, LbList *actions)
+{
+  Connection *connection = &peers->connections[index];
+  size_t dialler = connection->nodes[0];
+  LcMembership *accepting = peers->nodes[connection->nodes[1]].membership;
+  LcMembership *dialling = peers->nodes[dialler].membership;
+
+  if (connection->closed || connection->silent
+      || !is_path_open (peers, dialler, connection->nodes[1]))
+    return;
+  count_bytes (peers, dialler, connection->nodes[1], CONNECT_BYTES + 400);
+  LcInstance self = *lc_membership_self (dialling);
+  connection->links[1] = lc_membership_accepted (accepting, &self, peers->now, actions);
+  fake_peers_carry_out (peers, peers->connections[index].nodes[1], actions);
+  self = *lc_membership_self (accepting);
+  lc_membership_dialled (dialling, peers->connections[index].links[0], &self, peers->now, actions);
+  fake_peers_carry_out (peers, dialler, actions);
+}
+
+static void
+receive (FakePeers *peers, const Event *event, LbList *actions)
+{
+  const Connection *connection = &peers->connections[event->connection];
+  LcMembership *membership = peers->nodes[event->node].membership;
+  LcLinkId link = connection->links[end_of (connection, event->node)];
+  const LwMessage *message = &event->message;
+  LwMessage pong = { .type = LW_PONG };
+
+  if (connection->closed)
+    return;
+  lc_membership_heard (membership, link, peers->now);
+  if (message->type == LW_PING)
+    {
+      pong.digest = lc_membership_digest (membership);
+      send_on (peers, event->node, event->connection, &pong);
+    }
+  else if (message->type == LW_PONG)
+    lc_membership_digest_heard (membership, link, message->digest, peers->now);
+  else if (message->type == LW_INSTANCES)
+    lc_membership_told (membership, link, message->instances, message->n_instances, peers->now,
+                        actions);
+  else
+    lc_membership_compared (membership, link, message->instances, message->n_instances,
+                            message->answer, peers->now, actions);
+}
+
+static bool
+defer_if_paused (FakePeers *peers, Event *event)
+{
+  if (peers->nodes[event->node].state != FAKE_PAUSED)
+    return false;
+  event->at = peers->now + 50 * LB_MSEC;
+  push (peers, *event);
+  return true;
+}
+
+static void
+handle (FakePeers *peers, Event *event)
+{
+  Node *node = &peers->nodes[event->node];
+  LbList actions;
+
+  if (defer_if_paused (peers, event))
+    return;
+  lb_list_init (&actions);
+  if (node->state == FAKE_RUNNING)
+    switch (event->type)
+      {
+      case EVENT_TICK:
+        if (event->at >= node->tick_at)
+          lc_membership_tick (node->membership, peers->now, &actions);
+        break;
+      case EVENT_CONNECT:
+        connect_both (peers, event->connection, &actions);
+        break;
+      case EVENT_REFUSED:
+      case EVENT_CLOSED:
+        lc_membership_closed (node->membership, event->link, peers->now, &actions);
+        break;
+      case EVENT_MESSAGE:
+        receive (peers, event, &actions);
+        break;
+      }
+  fake_peers_carry_out (peers, event->node, &actions);
+  if (node->state == FAKE_RUNNING)
+    schedule_tick (peers, event->node);
+  free (event->message.instances);
+}
+
+FakePeers *
+fake_peers_new (size_t count, const LcMembershipSettings *settings, uint64_t seed)
+{
+  FakePeers *peers = LB_NEW (FakePeers);
+
+  peers->settings = *settings;
+  peers->nodes = LB_NEW_ARRAY (Node, count);
+  peers->n_nodes = count;
+  peers->now = 1000 * LB_SEC;
+  peers->rng = gsl_rng_alloc (gsl_rng_taus2);
+  gsl_rng_set (peers->rng, (unsigned long)seed);
+  for (size_t i = 0; i < count; i++)
+    snprintf (peers->nodes[i].name, LB_NAME_MAX, "instance-%zu", i);
+  return peers;
+}
+
+void
+fake_peers_free (FakePeers *peers)
+{
+  for (size_t i = 0; i < peers->n_nodes; i++)
+    lc_membership_free (peers->nodes[i].membership);
+  for (size_t i = 0; i < peers->n_events; i++)
+    free (peers->heap[i].message.instances);
+  gsl_rng_free (peers->rng);
+  free (peers->nodes);
+  free (peers->connections);
+  free (peers->heap);
+  free (peers);
+}
+
+void
+fake_peers_start (FakePeers *peers, size_t index)
+{
+  LcMembershipSettings settings = peers->settings;
+  bool ticks = peers->nodes[index].membership != NULL;
+
+  lc_membership_free (peers->nodes[index].membership);
+  settings.self = (LcInstance){ .epoch = (uint64_t)peers->now };
+  LB_COPY (settings.self.name, peers->nodes[index].name);
+  snprintf (settings.self.incarnation, LB_NAME_MAX, "%lld", (long long)peers->now);
+  snprintf (settings.self.data_centre, LB_NAME_MAX, "hall-%c", (char)('a' + index % 3));
+  snprintf (settings.self.caller_address, LB_NAME_MAX, "%zu.caller.address", index);
+  snprintf (settings.self.peer_address, LB_NAME_MAX, "%zu.peer.address", index);
+  settings.seed = gsl_rng_get (peers->rng);
+  peers->nodes[index].membership = lc_membership_new (&settings, peers->now);
+  peers->nodes[index].state = FAKE_RUNNING;
+  lc_membership_seed (peers->nodes[index].membership, "0.peer.address", peers->now);
+  if (!ticks)
+    push (peers, (Event){ .at = peers->now + delay (peers), .type = EVENT_TICK, .node = index });
+}
+
+static void
+reset_connections (FakePeers *peers, size_t index)
+{
+  for (size_t i = 0; i < peers->n_connections; i++)
+    {
+      const Connection *connection = &peers->connections[i];
+      int end = end_of (connection, index);
+      if (connection->nodes[end] == index && !connection->closed && connection->links[end])
+        close_connection (peers, index, connection->links[end]);
+    }
+}
+
+void
+fake_peers_set_state (FakePeers *peers, size_t index, FakeState state)
+{
+  if (state == FAKE_KILLED)
+    reset_connections (peers, index);
+  peers->nodes[index].state = state;
+}
+
+void
+fake_peers_set_group (FakePeers *peers, size_t index, int group)
+{
+  peers->nodes[index].group = group;
+}
+
+void
+fake_peers_silence (FakePeers *peers, size_t a, size_t b)
+{
+  for (size_t i = 0; i < peers->n_connections; i++)
+    {
+      Connection *connection = &peers->connections[i];
+      if ((connection->nodes[0] == a && connection->nodes[1] == b)
+          || (connection->nodes[0] == b && connection->nodes[1] == a))
+        connection->silent = true;
+    }
+}
+
+void
+fake_peers_cut_pair (FakePeers *peers, size_t a, size_t b)
+{
+  peers->cut[0] = a;
+  peers->cut[1] = b;
+  peers->has_cut = true;
+}
+
+void
+fake_peers_run (FakePeers *peers, LbTime until)
+{
+  while (peers->n_events > 0 && peers->heap[0].at <= until)
+    {
+      Event event = pop (peers);
+      peers->now = event.at;
+      handle (peers, &event);
+    }
+  peers->now = until;
+}
+
+void
+fake_peers_reset_bytes (FakePeers *peers)
+{
+  for (size_t i = 0; i < peers->n_nodes; i++)
+    peers->nodes[i].bytes = 0;
+}
+
+LbTime
+fake_peers_now (const FakePeers *peers)
+{
+  return peers->now;
+}
+
+LcMembership *
+fake_peers_membership (const FakePeers *peers, size_t index)
+{
+  return peers->nodes[index].membership;
+}
+
+bool
+fake_peers_names (const FakePeers *peers, size_t observer, size_t subject)
+{
+  LcMemberView view;
+
+  return lc_membership_find (peers->nodes[observer].membership, peers->nodes[subject].name, &view)
+         && view.alive && !view.draining;
+}
+
+LcInstanceState
+fake_peers_state_of (const FakePeers *peers, size_t observer, size_t subject)
+{
+  LcMemberView view;
+
+  if (!lc_membership_find (peers->nodes[observer].membership, peers->nodes[subject].name, &view))
+    return LC_INSTANCE_DEAD;
+  return view.instance.state;
+}
+
+size_t
+fake_peers_naming (const FakePeers *peers, size_t subject)
+{
+  size_t naming = 0;
+
+  for (size_t i = 0; i < peers->n_nodes; i++)
+    naming += i != subject && peers->nodes[i].state == FAKE_RUNNING
+              && fake_peers_names (peers, i, subject);
+  return naming;
+}
+
+size_t
+fake_peers_agreeing (const FakePeers *peers)
+{
+  size_t agreeing = 0;
+
+  for (size_t i = 0; i < peers->n_nodes; i++)
+    {
+      bool agrees = peers->nodes[i].membership && peers->nodes[i].state == FAKE_RUNNING;
+      for (size_t j = 0; j < peers->n_nodes && agrees; j++)
+        agrees = fake_peers_names (peers, i, j)
+                 == (peers->nodes[j].membership && peers->nodes[j].state == FAKE_RUNNING);
+      agreeing += agrees;
+    }
+  return agreeing;
+}
+
+int64_t
+fake_peers_bytes (const FakePeers *peers, size_t index)
+{
+  return peers->nodes[index].bytes;
+}
--- /dev/null
+++ b/packages/core/include/lc-entry.h
@@ -0,0 +1,22 @@
+#ifndef LC_ENTRY_H
+#define LC_ENTRY_H
+
+#include "lc-membership.h"
+
+/* Addresses that a caller is given. */
+#define LC_ENTRY_ADDRESSES 3
+
+/* Chooses the instances that a caller shall connect to, in order; indexes into views. */
+typedef struct
+{
+  size_t chosen[LC_ENTRY_ADDRESSES];
+  size_t n_chosen;
+} LcEntry;
+
+void lc_entry_choose (LcEntry *entry,
+                      const LcMemberView *views,
+                      size_t n_views,
+                      const char *caller,
+                      const char *data_centre);
+
+#endif
--- /dev/null
+++ b/packages/core/include/lc-instance.h
@@ -0,0 +1,35 @@
+#ifndef LC_INSTANCE_H
+#define LC_INSTANCE_H
+
+#include "lc-types.h"
+
+typedef enum
+{
+  LC_INSTANCE_ALIVE,
+  LC_INSTANCE_SUSPECT, /* neither an old nor a new connection answers somebody */
+  LC_INSTANCE_DEAD,
+  LC_N_INSTANCE_STATES
+} LcInstanceState;
+
+/* What instances tell one another of one instance. */
+typedef struct
+{
+  LbName name;
+  LbName incarnation; /* new at each start of the process */
+  LbName data_centre;
+  LbName caller_address;
+  LbName peer_address;
+  uint64_t epoch;   /* orders the incarnations of one name */
+  uint64_t version; /* raised only by the instance itself */
+  LcInstanceState state;
+  bool draining;
+  int64_t load; /* share of its processor in use, in steps of LC_INSTANCE_LOAD_STEP per mille */
+} LcInstance;
+
+#define LC_INSTANCE_LOAD_STEP 250
+#define LC_INSTANCE_MAX_LOAD 750
+
+bool lc_instance_supersedes (const LcInstance *news, const LcInstance *known);
+uint64_t lc_instance_digest (const LcInstance *instance);
+
+#endif
--- /dev/null
+++ b/packages/core/src/lc-membership-private.h
@@ -0,0 +1,101 @@
+#ifndef LC_MEMBERSHIP_PRIVATE_H
+#define LC_MEMBERSHIP_PRIVATE_H
+
+#include "lc-detector.h"
+#include "lc-membership.h"
+
+#include <gsl/gsl_rng.h>
+#include <uthash.h>
+
+#define LC_MAX_RINGS 8
+
+typedef struct
+{
+  LcInstance instance;
+  LbTime changed;       /* of state or draining */
+  LbTime introduced;    /* when this epoch was first told: news go in full form for a while */
+  LbTime heard;         /* on any connection */
+  LbTime condemn_at;    /* while SUSPECT */
+  LbTime vouched_until; /* it refuted our suspicion: the fault lies between it and us */
+  LbTime vouch;
+  LbTime wanted_until;
+  LbTime next_dial;
+  bool silent; /* its connection went silent or closed, and no new one is open yet */
+  bool listed;
+  bool listed_leaving;
+  bool pending; /* to be told to all connections */
+  LcLinkId told_by;
+  UT_hash_handle hh;
+} LcMember;
+
+/* A connection, open or being opened. */
+typedef struct
+{
+  LcLinkId id;
+  LbName name; /* empty: not known yet */
+  LbName address;
+  bool dialled;
+  bool open;
+  LbTime started;
+  LbTime next_ping;
+  LbTime unneeded_since; /* 0: needed */
+  LcDetector detector;
+  uint64_t digest;
+  LbTime differs_since; /* 0: both ends have the same view */
+  UT_hash_handle hh;
+} LcPeerLink;
+
+/* An address to try that may belong to an unknown instance: a seed or a listed instance. */
+typedef struct
+{
+  LbName address;
+  bool listed;
+  LbLink link;
+} LcContact;
+
+struct LcMembership
+{
+  LcMembershipSettings settings;
+  LcInstance self;
+  LcMember *members; /* without self */
+  LcPeerLink *links;
+  LbList contacts;
+  LcLinkId last_link;
+  gsl_rng *rng;
+  LbName targets[LC_MAX_RINGS]; /* whom this instance watches */
+  size_t n_targets;
+  bool targets_old;
+  bool view_changed;
+  bool self_pending;
+  bool list_known;
+  LbTime flush_at; /* LB_TIME_NEVER: nothing is pending */
+  LbTime next_contact;
+  LbTime next_compare;
+  LbTime next_load;
+  LbTime last_tick;
+  LcMembershipTotals totals;
+};
+
+LcMember *lc_membership_member (const LcMembership *membership, const char *name);
+LcPeerLink *lc_membership_link (const LcMembership *membership, LcLinkId id);
+LcMembershipAction *lc_membership_act (LbList *actions, LcMembershipActionType type);
+/* Emits CHANGED once when the view is another one. */
+void lc_membership_finish (LcMembership *membership, LbList *actions);
+void lc_membership_tell_one (LcLinkId link, const LcInstance *instance, LbList *actions);
+
+/* lc-membership-news.c */
+void
+lc_membership_learn (LcMembership *membership, LcLinkId link, const LcInstance *news, LbTime now);
+void lc_membership_set_state (LcMembership *membership,
+                              LcMember *member,
+                              LcInstanceState state,
+                              LbTime now);
+void lc_membership_announce_self (LcMembership *membership, LbTime now);
+void lc_membership_compare (LcMembership *membership, LcLinkId link, LbList *actions);
+void lc_membership_flush (LcMembership *membership, LbTime now, LbList *actions);
+
+/* lc-membership-watch.c */
+void lc_membership_choose_targets (LcMembership *membership);
+bool lc_membership_is_target (const LcMembership *membership, const char *name);
+
+#endif
--- /dev/null
+++ b/packages/core/src/lc-membership-watch.c
@@ -0,0 +1,56 @@
+#include "lc-membership-private.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+bool
+lc_membership_is_target (const LcMembership *membership, const char *name)
+{
+  for (size_t i = 0; i < membership->n_targets; i++)
+    if (strcmp (membership->targets[i], name) == 0)
+      return true;
+  return false;
+}
+
+static uint64_t
+place_on_ring (const char *name, size_t ring)
+{
+  return XXH64 (name, strlen (name), ring);
+}
+
+/* The nearest member after this instance on the ring that is not dead and not chosen yet. */
+static const LcMember *
+successor (const LcMembership *membership, size_t ring)
+{
+  uint64_t here = place_on_ring (membership->self.name, ring);
+  const LcMember *nearest = NULL;
+  uint64_t nearest_distance = UINT64_MAX;
+
+  for (const LcMember *member = membership->members; member; member = member->hh.next)
+    {
+      uint64_t distance = place_on_ring (member->instance.name, ring) - here;
+      if (member->instance.state == LC_INSTANCE_DEAD || distance > nearest_distance
+          || lc_membership_is_target (membership, member->instance.name))
+        continue;
+      nearest = member;
+      nearest_distance = distance;
+    }
+  return nearest;
+}
+
+/* A successor on each of several rings: every instance is watched by as many others as it watches,
+ * and news reach all in a few steps, since rings in unlike orders make a graph of small diameter.
+ */
+void
+lc_membership_choose_targets (LcMembership *membership)
+{
+  membership->targets_old = false;
+  membership->n_targets = 0;
+  for (size_t ring = 0; ring < membership->settings.rings; ring++)
+    {
+      const LcMember *member = successor (membership, ring);
+      if (!member)
+        return;
+      memcpy (membership->targets[membership->n_targets++], member->instance.name, LB_NAME_MAX);
+    }
+}
--- /dev/null
+++ b/packages/node/src/ln-entry.c
@@ -0,0 +1,99 @@
+#include "ln-entry.h"
+
+#include "lb-alloc.h"
+#include "lb-counter.h"
+#include "lb-log.h"
+#include "lc-entry.h"
+
+#include <json-c/json.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define RETRY_WITHOUT_ADDRESS (2 * LB_SEC)
+
+static LbMetric answers
+    = LB_COUNTER_INIT ("lentilspindle_entry_answers_total", NULL, "Answers to GET /v1/entry");
+
+/* The caller's name: as it says, else its IP, so that the same caller gets the same addresses. */
+static const char *
+caller_of (const LnExchange *exchange)
+{
+  const char *caller = ln_exchange_query (exchange, "caller");
+
+  if (!caller || !caller[0])
+    caller = ln_exchange_header (exchange, "x-caller");
+  return caller && caller[0] ? caller : ln_exchange_peer (exchange);
+}
+
+static bool
+is_known_data_centre (const LcMemberView *views, size_t n_views, const char *name)
+{
+  for (size_t i = 0; i < n_views; i++)
+    if (strcmp (views[i].instance.data_centre, name) == 0)
+      return true;
+  return false;
+}
+
+static struct json_object *
+addresses_to_json (const LcEntry *entry, const LcMemberView *views)
+{
+  struct json_object *addresses = json_object_new_array ();
+
+  for (size_t i = 0; i < entry->n_chosen; i++)
+    {
+      const LcInstance *instance = &views[entry->chosen[i]].instance;
+      struct json_object *address = json_object_new_object ();
+      json_object_object_add (address, "address",
+                              json_object_new_string (instance->caller_address));
+      json_object_object_add (address, "instance", json_object_new_string (instance->name));
+      json_object_object_add (address, "data_centre",
+                              json_object_new_string (instance->data_centre));
+      json_object_array_add (addresses, address);
+    }
+  return addresses;
+}
+
+static void
+refuse (LnExchange *exchange)
+{
+  LbError error;
+
+  lb_error_set (&error, LB_ERROR_NOT_READY, "entry", "no instance takes new callers now");
+  ln_exchange_reply_error (exchange, &error, RETRY_WITHOUT_ADDRESS);
+}
+
+static void
+reply (LnExchange *exchange,
+       const LcEntry *entry,
+       const LcMemberView *views,
+       int64_t time_to_live_ms)
+{
+  struct json_object *object = json_object_new_object ();
+  struct json_object *addresses = addresses_to_json (entry, views);
+
+  lb_log (LB_LOG_INFO, "entry", LB_TEXT ("caller", caller_of (exchange)),
+          LB_JSON ("addresses", json_object_to_json_string (addresses)));
+  json_object_object_add (object, "ttl_ms", json_object_new_int64 (time_to_live_ms));
+  json_object_object_add (object, "addresses", addresses);
+  ln_exchange_reply_json (exchange, 200, object);
+}
+
+void
+ln_entry_answer (LnExchange *exchange, const LcMembership *membership, int64_t time_to_live_ms)
+{
+  size_t n_views = lc_membership_count (membership);
+  LcMemberView *views = LB_NEW_ARRAY (LcMemberView, n_views);
+  const char *data_centre = ln_exchange_query (exchange, "data_centre");
+  LcEntry entry;
+
+  lc_membership_view (membership, views);
+  if (!data_centre || !is_known_data_centre (views, n_views, data_centre))
+    data_centre = lc_membership_self (membership)->data_centre;
+  lc_entry_choose (&entry, views, n_views, caller_of (exchange), data_centre);
+  lb_metric_add (&answers, 1);
+  if (entry.n_chosen == 0)
+    refuse (exchange);
+  else
+    reply (exchange, &entry, views, time_to_live_ms);
+  free (views);
+}
--- /dev/null
+++ b/packages/node/src/ln-entry.h
@@ -0,0 +1,11 @@
+#ifndef LN_ENTRY_H
+#define LN_ENTRY_H
+
+#include "lc-membership.h"
+#include "ln-exchange.h"
+
+/* Answers GET /v1/entry from the present view. */
+void
+ln_entry_answer (LnExchange *exchange, const LcMembership *membership, int64_t time_to_live_ms);
+
+#endif
--- /dev/null
+++ b/packages/node/src/ln-members.c
@@ -0,0 +1,116 @@
+#include "ln-members.h"
+
+#include "lb-alloc.h"
+#include "lb-counter.h"
+#include "lb-log.h"
+
+#include <json-c/json.h>
+#include <stdlib.h>
+
+static LbMetric members_alive = LB_GAUGE_INIT ("lentilspindle_members_alive",
+                                               NULL,
+                                               "Instances seen alive, this one included");
+static LbMetric members_known
+    = LB_GAUGE_INIT ("lentilspindle_members_known", NULL, "Instances known and not forgotten");
+static LbMetric silent_connections = LB_COUNTER_INIT ("lentilspindle_peer_silent_connections_total",
+                                                      NULL,
+                                                      "Connections given up as silent");
+static LbMetric suspected = LB_COUNTER_INIT ("lentilspindle_members_suspected_total",
+                                             NULL,
+                                             "Suspicions raised by this instance");
+static LbMetric condemned = LB_COUNTER_INIT ("lentilspindle_members_condemned_total",
+                                             NULL,
+                                             "Suspected instances called dead here");
+static LbMetric refuted = LB_COUNTER_INIT ("lentilspindle_members_refuted_total",
+                                           NULL,
+                                           "Suspicions refuted by the suspected instance");
+static LbMetric pauses = LB_COUNTER_INIT ("lentilspindle_own_pauses_total",
+                                          NULL,
+                                          "Gaps in the own loop taken for a pause");
+static LbMetric name_conflicts = LB_COUNTER_INIT ("lentilspindle_name_conflicts_total",
+                                                  NULL,
+                                                  "Another incarnation claimed this name");
+
+void
+ln_members_count (const LcMembership *membership)
+{
+  LcMembershipTotals totals = lc_membership_totals (membership);
+
+  lb_metric_set (&silent_connections, totals.silent_connections);
+  lb_metric_set (&suspected, totals.suspected);
+  lb_metric_set (&condemned, totals.condemned);
+  lb_metric_set (&refuted, totals.refuted);
+  lb_metric_set (&pauses, totals.pauses);
+  lb_metric_set (&name_conflicts, totals.name_conflicts);
+}
+
+static LnMember
+member_of (const LcMemberView *view)
+{
+  LnMember member = { .alive = view->alive, .draining = view->draining, .is_self = view->is_self };
+
+  LB_COPY (member.name, view->instance.name);
+  LB_COPY (member.incarnation, view->instance.incarnation);
+  LB_COPY (member.data_centre, view->instance.data_centre);
+  LB_COPY (member.caller_address, view->instance.caller_address);
+  LB_COPY (member.peer_address, view->instance.peer_address);
+  return member;
+}
+
+static const char *
+state_name (const LcMemberView *view)
+{
+  if (view->instance.state == LC_INSTANCE_DEAD)
+    return "dead";
+  if (!view->alive)
+    return "suspected";
+  return view->draining ? "draining" : NULL;
+}
+
+/* One line for each change, naming whoever is not simply alive. */
+static void
+log_view (const LcMemberView *views, size_t n_views, size_t alive)
+{
+  struct json_object *others = json_object_new_object ();
+
+  for (size_t i = 0; i < n_views; i++)
+    {
+      const char *state = state_name (&views[i]);
+      if (state)
+        json_object_object_add (others, views[i].instance.name, json_object_new_string (state));
+    }
+  lb_log (LB_LOG_INFO, "members", LB_INT ("alive", alive), LB_INT ("known", n_views),
+          LB_JSON ("others", json_object_to_json_string (others)));
+  json_object_put (others);
+}
+
+static void
+members_clear (LnMessage *message)
+{
+  free (((LnMembersMessage *)message)->members);
+}
+
+void
+ln_members_publish (const LcMembership *membership, LnHub *hub)
+{
+  size_t n_views = lc_membership_count (membership);
+  LcMemberView *views = LB_NEW_ARRAY (LcMemberView, n_views);
+  LnMembersMessage message = { .base = LN_MESSAGE (LN_MEMBERS) };
+  size_t alive = 0;
+
+  message.base.clear = members_clear;
+  message.members = LB_NEW_ARRAY (LnMember, n_views);
+  lc_membership_view (membership, views);
+  for (size_t i = 0; i < n_views; i++)
+    {
+      if (views[i].instance.state == LC_INSTANCE_DEAD)
+        continue;
+      alive += views[i].alive;
+      message.members[message.n_members++] = member_of (&views[i]);
+    }
+  log_view (views, n_views, alive);
+  lb_metric_set (&members_alive, (int64_t)alive);
+  lb_metric_set (&members_known, (int64_t)n_views);
+  free (views);
+  LN_POST (hub, NULL, message);
+}
--- /dev/null
+++ b/packages/node/src/ln-outbox.h
@@ -0,0 +1,25 @@
+#ifndef LN_OUTBOX_H
+#define LN_OUTBOX_H
+
+#include "lb-list.h"
+
+/* Frames for instances to which no connection is open yet; bounded in number, bytes and time. */
+typedef struct
+{
+  LbList frames;
+  size_t bytes;
+} LnOutbox;
+
+typedef void (*LnOutboxSend) (const uint8_t *frame, size_t length, void *user);
+
+void ln_outbox_init (LnOutbox *outbox);
+void ln_outbox_clear (LnOutbox *outbox);
+/* Takes the frame over. False (and frees it) when the outbox is full. */
+bool
+ln_outbox_add (LnOutbox *outbox, const char *instance, uint8_t *frame, size_t length, LbTime now);
+/* Hands over the frames that wait for this instance, oldest first. */
+void ln_outbox_flush (LnOutbox *outbox, const char *instance, LnOutboxSend send, void *user);
+/* Frees frames that waited too long; returns how many. */
+size_t ln_outbox_expire (LnOutbox *outbox, LbTime now);
+
+#endif
--- /dev/null
+++ b/packages/wire/include/lw-message.h
@@ -0,0 +1,50 @@
+#ifndef LW_MESSAGE_H
+#define LW_MESSAGE_H
+
+#include "lc-instance.h"
+#include "lw-frame.h"
+
+#define LW_NONCE_BYTES 16
+#define LW_MAC_BYTES 32
+
+typedef enum
+{
+  LW_HELLO = 1, /* dialler: nonce, instance */
+  LW_CHALLENGE, /* acceptor: nonce, instance, mac */
+  LW_PROOF,     /* dialler: mac */
+  LW_PING,      /* digest */
+  LW_PONG,      /* digest */
+  LW_INSTANCES, /* instances */
+  LW_COMPARE,   /* instances in short form, answer */
+  LW_DATA,      /* origin, origin_epoch, sequence, to_all, topic, payload */
+  LW_N_MESSAGES
+} LwMessageType;
+
+/* One message between instances; which members count depends on the type. */
+typedef struct
+{
+  LwMessageType type;
+  uint8_t nonce[LW_NONCE_BYTES];
+  uint8_t mac[LW_MAC_BYTES];
+  LcInstance instance;
+  uint64_t digest;
+  LcInstance *instances; /* owned; no peer_address: short form, without the texts */
+  size_t n_instances;
+  bool answer;
+  LbName origin;
+  uint64_t origin_epoch;
+  uint64_t sequence; /* of the origin's frames */
+  bool to_all;
+  LbName topic;
+  char *payload; /* owned */
+  size_t length;
+} LwMessage;
+
+/* The whole frame, header included; the caller frees it. */
+uint8_t *lw_message_encode (const LwMessage *message, size_t *length);
+bool lw_message_decode (const uint8_t *body, size_t length, LwMessage *message, LbError *error);
+void lw_message_clear (LwMessage *message);
+/* The bytes that a proof of the key covers besides the nonces; the caller frees them. */
+uint8_t *lw_message_encode_instance (const LcInstance *instance, size_t *length);
+
+#endif
--- a/packages/wire/src/lw-frame.c
+++ b/packages/wire/src/lw-frame.c
@@ -1,3 +1,41 @@
 #include "lw-frame.h"
 
-const uint32_t lw_frame_version = LW_FRAME_VERSION;
+void
+lw_frame_write_header (uint8_t header[LW_FRAME_HEADER], size_t body_length)
+{
+  for (int i = 0; i < 4; i++)
+    header[i] = (uint8_t)(body_length >> (24 - 8 * i));
+  header[4] = LW_FRAME_VERSION;
+}
+
+/* Finds the first frame in the bytes. A pure function: it keeps nothing and allocates nothing.
+ * Errors: FRAME_VERSION, FRAME_TOO_LARGE (body over cap). Both are seen from the header alone, so
+ * that a wrong length never makes the reader wait for or store gigabytes. */
+LwFrameResult
+lw_frame_read (const uint8_t *bytes, size_t length, size_t cap, LwFrame *frame, LbError *error)
+{
+  size_t body = 0;
+
+  *frame = (LwFrame){ .consumed = LW_FRAME_HEADER };
+  if (length < LW_FRAME_HEADER)
+    return LW_FRAME_PARTIAL;
+  if (bytes[4] != LW_FRAME_VERSION)
+    {
+      lb_error_set (error, LB_ERROR_FRAME_VERSION, "frame", "version %d, expected %d", bytes[4],
+                    LW_FRAME_VERSION);
+      return LW_FRAME_BAD;
+    }
+  for (int i = 0; i < 4; i++)
+    body = body << 8 | bytes[i];
+  if (body > cap)
+    {
+      lb_error_set (error, LB_ERROR_FRAME_TOO_LARGE, "frame", "%zu bytes, at most %zu", body, cap);
+      return LW_FRAME_BAD;
+    }
+  frame->consumed += body;
+  if (length < frame->consumed)
+    return LW_FRAME_PARTIAL;
+  frame->body = bytes + LW_FRAME_HEADER;
+  frame->length = body;
+  return LW_FRAME_WHOLE;
+}
