--- a/packages/core/include/lc-dispatch.h
+++ b/packages/core/include/lc-dispatch.h
@@ -44,8 +44,9 @@
 {
   int64_t offset; /* index of its first token */
   int64_t tokens;
-  LcVersion version; /* 0: not stated */
-  bool last;         /* explicit end marker */
+  LcVersion version;           /* 0: not stated */
+  bool last;                   /* explicit end marker */
+  LcVersion kv_reused_version; /* the engine said that it reused KV cache of it; 0: no */
 } LcPiece;
 
 typedef enum
@@ -147,5 +148,8 @@
 size_t lc_dispatch_in_progress (const LcDispatch *dispatch);
 size_t lc_dispatch_waiting (const LcDispatch *dispatch, LcRequestKind kind);
 LcEndpoints *lc_dispatch_endpoints (LcDispatch *dispatch);
+/* Actions refused since the start because they would have broken a promise; 0 in a sound program.
+ */
+uint64_t lc_dispatch_invariant_failures (const LcDispatch *dispatch);
 
 #endif
