--- a/packages/node/main/lentilspindled.c
+++ b/packages/node/main/lentilspindled.c
@@ -172,7 +172,8 @@
 add_tasks (Daemon *daemon)
 {
   LnContext *context = &daemon->context;
-  LnTask *(*const makers[]) (LnContext *) = { ln_front_new, ln_calls_new, ln_config_new };
+  LnTask *(*const makers[]) (LnContext *)
+      = { ln_front_new, ln_peers_new, ln_calls_new, ln_config_new };
 
   for (size_t i = 0; i < sizeof makers / sizeof makers[0]; i++)
     {
