Listen for other instances at a port that the kernel chooses

Cause: libevent's address reader refuses port 0, so the daemon with default settings ended at start with exit code 1 and no line in its log once the peers task was part of it; make demo showed it. Conclusion: the address is read here, and a failure to listen is logged with its type.

--- a/packages/node/src/ln-peers.c
+++ b/packages/node/src/ln-peers.c
@@ -10,6 +10,8 @@
 #include "ln-peer-connection.h"
 #include "lp-platform.h"
 
+#include <arpa/inet.h>
+#include <errno.h>
 #include <event2/event.h>
 #include <event2/listener.h>
 #include <event2/util.h>
@@ -684,22 +686,45 @@
             ntohs (bound.sin_port));
 }
 
+/* libevent's own reader of addresses refuses port 0, which asks the kernel to choose one. */
+static bool
+read_listen_address (const char *text, struct sockaddr_in *address)
+{
+  const char *colon = strrchr (text, ':');
+  char ip[INET_ADDRSTRLEN] = "";
+
+  if (!colon || (size_t)(colon - text) >= sizeof ip)
+    return false;
+  memcpy (ip, text, (size_t)(colon - text));
+  address->sin_family = AF_INET;
+  address->sin_port = htons ((uint16_t)strtoul (colon + 1, NULL, 10));
+  return inet_pton (AF_INET, ip, &address->sin_addr) == 1;
+}
+
+static bool
+cannot_listen (const char *address)
+{
+  LbError error;
+
+  lb_error_set (&error, LB_ERROR_IO, "instance.peer_address", "cannot listen at %s: %s", address,
+                strerror (errno));
+  lb_log_error (LB_LOG_ERROR, "start_failed", &error);
+  return false;
+}
+
 static bool
 start_listening (LnPeers *peers)
 {
   const char *address = peers->context->settings->instance.peer_address;
-  struct sockaddr_storage wanted;
-  int length = sizeof wanted;
+  struct sockaddr_in wanted = { 0 };
 
-  if (evutil_parse_sockaddr_port (address[0] ? address : "127.0.0.1:0", (struct sockaddr *)&wanted,
-                                  &length)
-      != 0)
-    return false;
+  if (!read_listen_address (address, &wanted))
+    return cannot_listen (address);
   peers->listener = evconnlistener_new_bind (peers->context->base, on_accept, peers,
                                              LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
-                                             (struct sockaddr *)&wanted, length);
+                                             (struct sockaddr *)&wanted, sizeof wanted);
   if (!peers->listener)
-    return false;
+    return cannot_listen (address);
   note_bound_address (peers);
   return true;
 }
