--- a/packages/core/src/lc-retry.h
+++ b/packages/core/src/lc-retry.h
@@ -19,6 +19,7 @@
 
 /* queries */
 bool lc_retry_budgets_allow (const LcRetryBudgets *budgets, const char *name);
+size_t lc_retry_budgets_count (const LcRetryBudgets *budgets);
 
 LbTime lc_retry_delay (gsl_rng *random, uint32_t n_retries);
 
