Leases and weight roll-outs in the daemon; status shows who holds what

Each pool's lease is watched by three candidates (rendezvous hashing over live instances); the holder reads its engines, orders by the fencing number, tells routing here and at peers of swaps, and tells all instances the newest version and cadence.

--- a/packages/cli/src/lt-client.c
+++ b/packages/cli/src/lt-client.c
@@ -93,7 +93,8 @@
   size_t n = 0;
 
   headers[n++] = (LhHeader){ "authorization", client->authorization };
-  headers[n++] = (LhHeader){ "x-operator", client->operator_name };
+  if (client->operator_name[0])
+    headers[n++] = (LhHeader){ "x-operator", client->operator_name };
   if (call->if_match)
     headers[n++] = (LhHeader){ "If-Match", call->if_match };
   if (call->token)
--- a/packages/cli/src/lt-resources.c
+++ b/packages/cli/src/lt-resources.c
@@ -120,10 +120,10 @@
   LbTime until = lb_clock_monotonic () + wait;
   const LtCall call = { .method = "GET", .path = path, .silence = CALL_SILENCE };
 
-  snprintf (path, sizeof path, "/v1/resources/watch?after=%lld&wait_ms=%d", (long long)revision,
-            WATCH_WAIT_MS);
-  for (;;)
+  for (int wait_ms = 0;; wait_ms = WATCH_WAIT_MS)
     {
+      snprintf (path, sizeof path, "/v1/resources/watch?after=%lld&wait_ms=%d", (long long)revision,
+                wait_ms);
       bool ok = lt_client_call (client, &call, &reply, error);
       bool done = ok && lt_integer (reply.body, "accepted") >= revision
                   && is_in_force_everywhere (reply.body);
--- a/packages/node/src/ln-config-task.h
+++ b/packages/node/src/ln-config-task.h
@@ -22,11 +22,16 @@
   LbTime next_listing;
   LbList changes; /* LnChange, one at a time from the front */
   LbList watches; /* LnWatch */
+  LbList holders; /* LnPoolHolder */
+  uint64_t last_serial;
+  struct json_object *swaps; /* to be told to peers at the end of the tick; NULL: none */
   bool draining;
 } LnConfigTask;
 
 /* ln-config.c: carries out and frees the actions of a command of LcConfig. */
 void ln_config_carry_out (LnConfigTask *task, LbList *actions);
+/* Sends an object (taken over) to the task "config" of an instance, or of all when it is empty. */
+void ln_config_send (LnConfigTask *task, const char *instance, struct json_object *object);
 
 /* ln-config-api.c: operators' calls. */
 void ln_config_api_exchange (LnConfigTask *task, LnExchange *exchange);
@@ -42,6 +47,16 @@
 void ln_config_change_tick (LnConfigTask *task, LbTime now);
 void ln_config_change_clear (LnConfigTask *task);
 
+/* ln-pool-holders.c: leases of pools and roll-outs of weights. */
+void ln_pool_holders_configure (LnConfigTask *task, const LcResourceSet *set);
+void ln_pool_holders_members_changed (LnConfigTask *task);
+void ln_pool_holders_tick (LnConfigTask *task, LbTime now);
+bool ln_pool_holders_receive (LnConfigTask *task, struct json_object *message);
+void ln_pool_holders_add_status (LnConfigTask *task, struct json_object *status);
+void ln_pool_holders_drain (LnConfigTask *task);
+bool ln_pool_holders_are_released (const LnConfigTask *task);
+void ln_pool_holders_clear (LnConfigTask *task);
+
 struct json_object *ln_config_in_force_json (const LnConfigTask *task, int64_t revision);
 void ln_config_set_etag (LnExchange *exchange, int64_t revision);
 
--- a/packages/node/src/ln-config.c
+++ b/packages/node/src/ln-config.c
@@ -37,8 +37,8 @@
   free (((LnPeerMessage *)message)->payload);
 }
 
-static void
-send_to_peers (LnConfigTask *task, const char *to, struct json_object *object)
+void
+ln_config_send (LnConfigTask *task, const char *instance, struct json_object *object)
 {
   LnTask *peers = ln_hub_find (task->task.hub, "peers");
   LnPeerMessage message = { .base = LN_MESSAGE (LN_PEER_SEND), .topic = TOPIC };
@@ -46,7 +46,7 @@
   if (peers)
     {
       message.base.clear = clear_peer_message;
-      LB_COPY (message.instance, to);
+      LB_COPY (message.instance, instance);
       message.payload = lb_strdup (json_object_to_json_string_ext (object, JSON_C_TO_STRING_PLAIN));
       message.length = strlen (message.payload);
       LN_POST (task->task.hub, peers, message);
@@ -84,6 +84,7 @@
   message.base.clear = clear_config_message;
   message.set = lc_resource_set_copy (set);
   LN_POST (task->task.hub, NULL, message);
+  ln_pool_holders_configure (task, set);
 }
 
 static void
@@ -111,7 +112,7 @@
         }
       break;
     case LC_CONFIG_SEND:
-      send_to_peers (task, action->to, lc_config_message_to_json (&action->message));
+      ln_config_send (task, action->to, lc_config_message_to_json (&action->message));
       break;
     case LC_CONFIG_IN_FORCE:
       put_in_force (task, action->set);
@@ -206,6 +207,7 @@
   lc_config_tick (task->config, now, &actions);
   ln_config_carry_out (task, &actions);
   list_instances (task, now);
+  ln_pool_holders_tick (task, now);
   ln_config_api_tick (task, now);
 }
 
@@ -223,6 +225,7 @@
   lb_list_init (&actions);
   lc_config_members (task->config, members, message->n_members, lb_clock_monotonic (), &actions);
   ln_config_carry_out (task, &actions);
+  ln_pool_holders_members_changed (task);
   free (members);
 }
 
@@ -237,6 +240,8 @@
       = lb_settings_parse (frame->payload, frame->length, frame->instance, &error);
 
   lb_list_init (&actions);
+  if (object && ln_pool_holders_receive (task, object))
+    goto out;
   if (object && lc_config_message_from_json (object, &message, &error))
     lc_config_receive (task->config, frame->instance, &message, now, &actions);
   else
@@ -245,9 +250,10 @@
       lb_log_error (LB_LOG_WARNING, "config_frame_refused", &error);
     }
   lc_config_message_clear (&message);
-  json_object_put (object);
   ln_config_carry_out (task, &actions);
   ln_config_change_tick (task, now);
+out:
+  json_object_put (object);
 }
 
 static void
@@ -281,12 +287,15 @@
 
   task->draining = true;
   ln_config_api_drain (task);
+  ln_pool_holders_drain (task);
 }
 
 static bool
 is_idle (const LnTask *base)
 {
-  return ln_config_api_is_idle ((const LnConfigTask *)base);
+  const LnConfigTask *task = (const LnConfigTask *)base;
+
+  return ln_config_api_is_idle (task) && (!task->draining || ln_pool_holders_are_released (task));
 }
 
 static void
@@ -295,6 +304,7 @@
   LnConfigTask *task = config_task (base);
 
   ln_config_api_clear (task);
+  ln_pool_holders_clear (task);
   event_free (task->timer);
   ln_config_store_free (task->store);
   lc_config_free (task->config);
@@ -322,6 +332,7 @@
   task->store = ln_config_store_new (context->base, context->platform);
   lb_list_init (&task->changes);
   lb_list_init (&task->watches);
+  lb_list_init (&task->holders);
   task->timer = event_new (context->base, -1, EV_PERSIST, on_tick, task);
   event_add (task->timer, &tick);
   return &task->task;
--- /dev/null
+++ b/packages/node/src/ln-pool-holder.c
@@ -0,0 +1,507 @@
+#include "ln-pool-holder.h"
+
+#include "lb-alloc.h"
+#include "lb-clock.h"
+#include "lb-counter.h"
+#include "lb-log.h"
+#include "lb-settings.h"
+#include "lh-fetch.h"
+#include "lp-platform.h"
+
+#include <json-c/json.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define NEWEST_PERIOD LB_SEC
+#define TELL_PERIOD (10 * LB_SEC)
+#define LOOK_PERIOD LB_SEC
+#define LOOKS_PER_SECOND 200
+#define SWAP_LOOK_PERIOD (LB_SEC / 4)
+#define LOOK_SILENCE (2 * LB_SEC)
+#define KEY_MAX 96
+
+/* An engine of the pool as the holder orders it and reads it back. */
+typedef struct
+{
+  LbLink link;
+  LnPoolHolder *holder;
+  LbName name;
+  LbName address;
+  LhFetch *look;
+  LhFetch *order;
+  LbTime look_at; /* when the look on its way was asked */
+  LbTime next_look;
+  bool configured;
+} Engine;
+
+/* A read or write of the lease row, or a question to the weight store, on its way. */
+typedef struct
+{
+  LnConfigTask *task;
+  uint64_t serial;
+} Question;
+
+static void
+engine_free (Engine *engine)
+{
+  if (engine->look)
+    lh_fetch_cancel (engine->look);
+  if (engine->order)
+    lh_fetch_cancel (engine->order);
+  lb_list_remove (&engine->holder->engines, &engine->link);
+  free (engine);
+}
+
+static Question *
+question_new (const LnPoolHolder *holder)
+{
+  Question *question = LB_NEW (Question);
+
+  question->task = holder->task;
+  question->serial = holder->serial;
+  return question;
+}
+
+static LnPoolHolder *
+question_end (Question *question)
+{
+  LnPoolHolder *holder = ln_pool_holders_find (question->task, question->serial);
+
+  free (question);
+  return holder;
+}
+
+LnPoolHolder *
+ln_pool_holder_new (LnConfigTask *task, const char *pool, uint64_t serial)
+{
+  LnPoolHolder *holder = LB_NEW (LnPoolHolder);
+  LcLeaseSettings lease;
+  LcWeightsSettings weights;
+
+  lc_lease_settings_init (&lease);
+  LB_COPY (lease.instance, task->context->instance);
+  LB_COPY (lease.incarnation, task->context->incarnation);
+  lc_weights_settings_init (&weights, pool);
+  holder->task = task;
+  holder->serial = serial;
+  LB_COPY (holder->pool, pool);
+  holder->lease = lc_lease_new (&lease, lb_clock_monotonic (), lb_clock_wall_ms () * LB_MSEC);
+  holder->weights = lc_weights_new (&weights);
+  lb_list_init (&holder->engines);
+  return holder;
+}
+
+void
+ln_pool_holder_free (LnPoolHolder *holder)
+{
+  LB_LIST_FOREACH (&holder->engines, Engine, link, engine)
+  {
+    engine_free (engine);
+  }
+  lc_lease_free (holder->lease);
+  lc_weights_free (holder->weights);
+  free (holder);
+}
+
+static Engine *
+find_engine (LnPoolHolder *holder, const char *name)
+{
+  LB_LIST_FOREACH (&holder->engines, Engine, link, engine)
+  {
+    if (strcmp (engine->name, name) == 0)
+      return engine;
+  }
+  return NULL;
+}
+
+static void
+configure_engine (LnPoolHolder *holder, const LcEndpointMember *member)
+{
+  Engine *engine = find_engine (holder, member->name);
+
+  if (!engine)
+    {
+      engine = LB_NEW (Engine);
+      engine->holder = holder;
+      LB_COPY (engine->name, member->name);
+      lb_list_append (&holder->engines, &engine->link);
+    }
+  LB_COPY (engine->address, member->address);
+  engine->configured = true;
+}
+
+void
+ln_pool_holder_configure (LnPoolHolder *holder, const LcResourceSet *set)
+{
+  LB_LIST_FOREACH (&holder->engines, Engine, link, engine)
+  {
+    engine->configured = false;
+  }
+  for (size_t i = 0; i < set->n_endpoints; i++)
+    if (set->endpoints[i].kind == LC_ENDPOINT_ENGINE && !set->endpoints[i].leaving
+        && strcmp (set->endpoints[i].pool, holder->pool) == 0)
+      configure_engine (holder, &set->endpoints[i]);
+  LB_LIST_FOREACH (&holder->engines, Engine, link, engine)
+  {
+    if (!engine->configured)
+      engine_free (engine);
+  }
+  lc_weights_configure (holder->weights, set, lb_clock_monotonic ());
+}
+
+/* --- the lease --- */
+
+static void carry_out_lease (LnPoolHolder *holder, LbList *actions);
+
+static void
+on_lease_read (LbErrorCode error, const LpRow *rows, size_t n_rows, void *user)
+{
+  LnPoolHolder *holder = question_end (user);
+  LcLeaseRow row = { .fence = 0 };
+  int64_t version = 0;
+  LbList actions;
+
+  if (!holder)
+    return;
+  if (error == LB_OK && n_rows == 1)
+    {
+      struct json_object *object = json_tokener_parse (rows[0].value);
+      version = rows[0].version;
+      if (!object || !lc_lease_row_from_json (object, &row))
+        error = LB_ERROR_INTERNAL;
+      json_object_put (object);
+    }
+  lb_list_init (&actions);
+  lc_lease_was_read (holder->lease, error, &row, version, lb_clock_monotonic (), &actions);
+  carry_out_lease (holder, &actions);
+}
+
+static void
+read_lease (LnPoolHolder *holder)
+{
+  char key[KEY_MAX];
+  LpPlatform *platform = holder->task->context->platform;
+
+  snprintf (key, sizeof key, "lease/%s", holder->pool);
+  platform->klass->get (platform, key, on_lease_read, question_new (holder));
+}
+
+static void
+on_lease_written (LbErrorCode error, const LpRow *row, void *user)
+{
+  (void)row;
+  LnPoolHolder *holder = question_end (user);
+  LbTime now = lb_clock_monotonic ();
+  LbList actions;
+
+  if (!holder)
+    return;
+  lb_list_init (&actions);
+  lc_lease_was_written (holder->lease, error, now, &actions);
+  carry_out_lease (holder, &actions);
+  if (error == LB_OK && lc_lease_row (holder->lease)->released)
+    ln_pool_holders_tell_free (holder->task, holder->pool);
+}
+
+static void
+write_lease (LnPoolHolder *holder, const LcLeaseAction *action)
+{
+  char key[KEY_MAX], token[KEY_MAX * 2];
+  LpPlatform *platform = holder->task->context->platform;
+  struct json_object *object = lc_lease_row_to_json (&action->row);
+  const LpCondition condition = { .key = key, .version = action->version };
+  const LpPut put = { .key = key, .value = json_object_to_json_string (object) };
+  const LpTransaction transaction
+      = { .token = token, .conditions = &condition, .n_conditions = 1, .puts = &put, .n_puts = 1 };
+
+  snprintf (key, sizeof key, "lease/%s", holder->pool);
+  snprintf (token, sizeof token, "lease-%s-%s-%llu-%lld", holder->pool, action->row.incarnation,
+            (unsigned long long)holder->serial, (long long)action->row.renewal);
+  platform->klass->transact (platform, &transaction, LP_PRIORITY_LEASE, on_lease_written,
+                             question_new (holder));
+  json_object_put (object);
+}
+
+static void
+note_lease (LnPoolHolder *holder, const LcLeaseAction *action)
+{
+  bool gained = action->type == LC_LEASE_GAINED;
+  LbTime now = lb_clock_monotonic ();
+
+  lb_log (LB_LOG_INFO, gained ? "lease_gained" : "lease_lost", LB_TEXT ("pool", holder->pool),
+          LB_INT ("fence", action->row.fence), LB_TEXT ("holder", action->row.holder));
+  lc_weights_restart (holder->weights, now);
+  holder->next_told = now;
+  LB_LIST_FOREACH (&holder->engines, Engine, link, engine)
+  {
+    engine->next_look = now;
+  }
+}
+
+static void
+carry_out_lease (LnPoolHolder *holder, LbList *actions)
+{
+  LbLink *link;
+
+  while ((link = lb_list_pop (actions)))
+    {
+      LcLeaseAction *action = LB_CONTAINER (link, LcLeaseAction, link);
+      switch (action->type)
+        {
+        case LC_LEASE_READ:
+          read_lease (holder);
+          break;
+        case LC_LEASE_WRITE:
+          write_lease (holder, action);
+          break;
+        case LC_LEASE_GAINED:
+        case LC_LEASE_LOST:
+          note_lease (holder, action);
+          break;
+        }
+      free (action);
+    }
+}
+
+void
+ln_pool_holder_release (LnPoolHolder *holder, LbTime now)
+{
+  LbList actions;
+
+  lb_list_init (&actions);
+  lc_lease_release (holder->lease, now, &actions);
+  carry_out_lease (holder, &actions);
+}
+
+/* --- engines: orders and what they state --- */
+
+static struct json_object *
+parse_reply (const LhResult *result)
+{
+  LbError error;
+
+  if (result->failure != LB_OK || result->body_length == 0)
+    return NULL;
+  return lb_settings_parse (result->body, result->body_length, "reply", &error);
+}
+
+static struct json_object *
+member (struct json_object *object, const char *key)
+{
+  struct json_object *value = NULL;
+
+  json_object_object_get_ex (object, key, &value);
+  return value;
+}
+
+static const char *
+text_member (struct json_object *object, const char *key)
+{
+  struct json_object *value = member (object, key);
+
+  return json_object_is_type (value, json_type_string) ? json_object_get_string (value) : "";
+}
+
+static void
+carry_out_swaps (LnPoolHolder *holder, LbList *actions, LbTime now)
+{
+  LbLink *link;
+
+  while ((link = lb_list_pop (actions)))
+    {
+      LcWeightsAction *action = LB_CONTAINER (link, LcWeightsAction, link);
+      ln_pool_holders_tell_swap (holder->task, action, now);
+      free (action);
+    }
+}
+
+static void
+on_looked (LhFetch *fetch, const LhResult *result, void *user)
+{
+  (void)fetch;
+  Engine *engine = user;
+  LnPoolHolder *holder = engine->holder;
+  LbTime now = lb_clock_monotonic ();
+  LcWeightReport report = { .asked_at = engine->look_at };
+  LbList actions;
+  struct json_object *object = result->status == 200 ? parse_reply (result) : NULL;
+
+  engine->look = NULL;
+  if (!object)
+    return;
+  LB_COPY (report.incarnation, text_member (object, "incarnation"));
+  report.version = json_object_get_int64 (member (object, "weight_version"));
+  report.loading = json_object_get_boolean (member (object, "loading"));
+  report.failed_version = json_object_get_int64 (member (object, "failed_version"));
+  report.leaving = strcmp (text_member (object, "state"), "leaving") == 0;
+  report.running = json_object_get_int64 (member (object, "running"));
+  json_object_put (object);
+  lb_list_init (&actions);
+  lc_weights_report (holder->weights, engine->name, &report, now, &actions);
+  carry_out_swaps (holder, &actions, now);
+}
+
+static void
+look (Engine *engine, LbTime now)
+{
+  const LhHandlers handlers = { .on_done = on_looked };
+  const LhRequest request
+      = { .method = "GET", .address = engine->address, .path = "/load", .silence = LOOK_SILENCE };
+  LbTime period = (LbTime)engine->holder->engines.length * LB_SEC / LOOKS_PER_SECOND;
+
+  if (period < LOOK_PERIOD)
+    period = LOOK_PERIOD;
+  if (lc_weights_is_swapping (engine->holder->weights, engine->name))
+    period = SWAP_LOOK_PERIOD;
+  engine->next_look = now + period;
+  engine->look_at = now;
+  engine->look
+      = lh_fetch_start (engine->holder->task->context->http, &request, &handlers, engine, NULL);
+}
+
+static LbErrorCode
+outcome_of_order (const LhResult *result)
+{
+  LbErrorCode code = LB_ERROR_ENDPOINT_FAILED;
+  struct json_object *object = NULL;
+
+  if (result->failure != LB_OK)
+    return result->failure;
+  if (result->status / 100 == 2)
+    return LB_OK;
+  object = parse_reply (result);
+  if (strcmp (text_member (member (object, "error"), "type"), "stale_fence") == 0)
+    code = LB_ERROR_STALE_FENCE;
+  json_object_put (object);
+  return code;
+}
+
+static void
+on_ordered (LhFetch *fetch, const LhResult *result, void *user)
+{
+  (void)fetch;
+  Engine *engine = user;
+  LnPoolHolder *holder = engine->holder;
+  LbTime now = lb_clock_monotonic ();
+  LbErrorCode code = outcome_of_order (result);
+
+  engine->order = NULL;
+  engine->next_look = now;
+  lc_weights_ordered (holder->weights, engine->name, code, now);
+  if (code == LB_OK)
+    return;
+  lb_metric_count_error (code);
+  lb_log (LB_LOG_WARNING, "weights_order_failed", LB_TEXT ("endpoint", engine->name),
+          LB_TEXT ("error", lb_error_name (code)), LB_INT ("status", result->status));
+  if (code == LB_ERROR_STALE_FENCE)
+    lc_lease_hint (holder->lease, now);
+}
+
+static void
+send_order (LnPoolHolder *holder, const LcWeightsAction *action)
+{
+  Engine *engine = find_engine (holder, action->endpoint);
+  const LhHandlers handlers = { .on_done = on_ordered };
+  LhRequest request = { .method = "POST",
+                        .address = action->address,
+                        .path = "/orders",
+                        .silence = LOOK_SILENCE,
+                        .fresh_connection = true };
+  char *body = lb_asprintf ("{\"order\": \"load_weights\", \"pool\": \"%s\", \"version\": %lld, "
+                            "\"fence\": %lld}",
+                            holder->pool, (long long)action->version,
+                            (long long)lc_lease_fence (holder->lease));
+
+  lb_log (LB_LOG_INFO, "weights_order", LB_TEXT ("pool", holder->pool),
+          LB_TEXT ("endpoint", action->endpoint), LB_INT ("version", action->version),
+          LB_INT ("fence", lc_lease_fence (holder->lease)));
+  request.body = body;
+  request.body_length = strlen (body);
+  if (engine->order)
+    lh_fetch_cancel (engine->order);
+  engine->order = lh_fetch_start (holder->task->context->http, &request, &handlers, engine, NULL);
+  free (body);
+}
+
+static void
+tick_weights (LnPoolHolder *holder, LbTime now)
+{
+  LbLink *link;
+  LbList actions;
+  bool ready = lc_config_is_ready (holder->task->config);
+
+  lb_list_init (&actions);
+  lc_weights_tick (holder->weights, ready && lc_lease_may_order (holder->lease, false, now),
+                   ready && lc_lease_may_order (holder->lease, true, now), now, &actions);
+  while ((link = lb_list_pop (&actions)))
+    {
+      LcWeightsAction *action = LB_CONTAINER (link, LcWeightsAction, link);
+      if (action->type == LC_WEIGHTS_SWAP)
+        ln_pool_holders_tell_swap (holder->task, action, now);
+      else
+        send_order (holder, action);
+      free (action);
+    }
+}
+
+/* --- the newest version --- */
+
+static void
+on_newest (LbErrorCode error, int64_t version, void *user)
+{
+  LnPoolHolder *holder = question_end (user);
+
+  if (!holder)
+    return;
+  holder->asking_newest = false;
+  if (error == LB_OK)
+    lc_weights_newest (holder->weights, version, lb_clock_monotonic ());
+  else if (error != LB_ERROR_NOT_FOUND)
+    lb_metric_count_error (error);
+}
+
+static void
+ask_newest (LnPoolHolder *holder, LbTime now)
+{
+  LpPlatform *platform = holder->task->context->platform;
+
+  if (holder->asking_newest || now < holder->next_newest)
+    return;
+  holder->asking_newest = true;
+  holder->next_newest = now + NEWEST_PERIOD;
+  platform->klass->weights (platform, holder->pool, on_newest, question_new (holder));
+}
+
+static void
+tell_newest (LnPoolHolder *holder, LbTime now)
+{
+  LcWeightsStatus status;
+
+  lc_weights_status (holder->weights, &status);
+  if (status.target == 0 || (status.target == holder->told && now < holder->next_told))
+    return;
+  holder->told = status.target;
+  holder->next_told = now + TELL_PERIOD;
+  ln_pool_holders_tell_newest (holder->task, holder->pool, status.target, status.cadence);
+}
+
+void
+ln_pool_holder_tick (LnPoolHolder *holder, LbTime now)
+{
+  LbList actions;
+
+  lb_list_init (&actions);
+  lc_lease_tick (holder->lease, now, lb_clock_wall_ms () * LB_MSEC, &actions);
+  carry_out_lease (holder, &actions);
+  if (!lc_lease_is_held (holder->lease))
+    return;
+  ask_newest (holder, now);
+  tell_newest (holder, now);
+  LB_LIST_FOREACH (&holder->engines, Engine, link, engine)
+  {
+    if (!engine->look && now >= engine->next_look)
+      look (engine, now);
+  }
+  tick_weights (holder, now);
+}
--- /dev/null
+++ b/packages/node/src/ln-pool-holders.c
@@ -0,0 +1,343 @@
+#include "ln-pool-holder.h"
+
+#include "lb-alloc.h"
+#include "lb-clock.h"
+#include "ln-messages.h"
+
+#include <json-c/json.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define CANDIDATES 3
+
+LnPoolHolder *
+ln_pool_holders_find (LnConfigTask *task, uint64_t serial)
+{
+  LB_LIST_FOREACH (&task->holders, LnPoolHolder, link, holder)
+  {
+    if (holder->serial == serial)
+      return holder;
+  }
+  return NULL;
+}
+
+static LnPoolHolder *
+find_pool (LnConfigTask *task, const char *pool)
+{
+  LB_LIST_FOREACH (&task->holders, LnPoolHolder, link, holder)
+  {
+    if (strcmp (holder->pool, pool) == 0)
+      return holder;
+  }
+  return NULL;
+}
+
+/* --- candidates --- */
+
+static uint64_t
+weight_of (const char *pool, const char *instance)
+{
+  return XXH64 (instance, strlen (instance), XXH64 (pool, strlen (pool), 0));
+}
+
+typedef struct
+{
+  const char *pool;
+  const char *self;
+  int before; /* instances that come before this one */
+} RankSearch;
+
+static void
+count_before (const char *instance, int64_t revision, bool alive, bool draining, void *user)
+{
+  (void)revision;
+  RankSearch *search = user;
+
+  if (alive && !draining && strcmp (instance, search->self) != 0
+      && weight_of (search->pool, instance) > weight_of (search->pool, search->self))
+    search->before++;
+}
+
+/* Rendezvous hashing spreads pools over instances, and only a few of them watch each lease row. */
+static int
+rank_of (const LnConfigTask *task, const char *pool)
+{
+  RankSearch search = { .pool = pool, .self = task->context->instance };
+
+  if (task->draining)
+    return -1;
+  lc_config_visit (task->config, count_before, &search);
+  return search.before < CANDIDATES ? search.before : -1;
+}
+
+static void
+update_ranks (LnConfigTask *task)
+{
+  LB_LIST_FOREACH (&task->holders, LnPoolHolder, link, holder)
+  {
+    lc_lease_set_rank (holder->lease, rank_of (task, holder->pool));
+  }
+}
+
+void
+ln_pool_holders_members_changed (LnConfigTask *task)
+{
+  update_ranks (task);
+}
+
+/* A pool that is deleted has nobody to order; its lease lapses. */
+void
+ln_pool_holders_configure (LnConfigTask *task, const LcResourceSet *set)
+{
+  LB_LIST_FOREACH (&task->holders, LnPoolHolder, link, holder)
+  {
+    if (lc_resource_set_pool (set, holder->pool))
+      continue;
+    lb_list_remove (&task->holders, &holder->link);
+    ln_pool_holder_free (holder);
+  }
+  for (size_t i = 0; i < set->n_pools; i++)
+    {
+      LnPoolHolder *holder = find_pool (task, set->pools[i].name);
+      if (!holder)
+        {
+          holder = ln_pool_holder_new (task, set->pools[i].name, ++task->last_serial);
+          lb_list_append (&task->holders, &holder->link);
+        }
+      ln_pool_holder_configure (holder, set);
+    }
+  update_ranks (task);
+}
+
+void
+ln_pool_holders_tick (LnConfigTask *task, LbTime now)
+{
+  LB_LIST_FOREACH (&task->holders, LnPoolHolder, link, holder)
+  {
+    ln_pool_holder_tick (holder, now);
+  }
+  if (task->swaps)
+    {
+      struct json_object *message = json_object_new_object ();
+      json_object_object_add (message, "type", json_object_new_string ("swaps"));
+      json_object_object_add (message, "swaps", task->swaps);
+      task->swaps = NULL;
+      ln_config_send (task, "", message);
+    }
+}
+
+void
+ln_pool_holders_drain (LnConfigTask *task)
+{
+  LbTime now = lb_clock_monotonic ();
+
+  update_ranks (task);
+  LB_LIST_FOREACH (&task->holders, LnPoolHolder, link, holder)
+  {
+    ln_pool_holder_release (holder, now);
+  }
+}
+
+bool
+ln_pool_holders_are_released (const LnConfigTask *task)
+{
+  LbTime now = lb_clock_monotonic ();
+
+  LB_LIST_FOREACH (&task->holders, LnPoolHolder, link, holder)
+  {
+    if (!lc_lease_is_released (holder->lease, now))
+      return false;
+  }
+  return true;
+}
+
+void
+ln_pool_holders_clear (LnConfigTask *task)
+{
+  LB_LIST_FOREACH (&task->holders, LnPoolHolder, link, holder)
+  {
+    lb_list_remove (&task->holders, &holder->link);
+    ln_pool_holder_free (holder);
+  }
+  json_object_put (task->swaps);
+}
+
+/* --- what other tasks and instances are told --- */
+
+static void
+post_swap (LnConfigTask *task, const char *endpoint, bool pending, LbTime until)
+{
+  LnTask *calls = ln_hub_find (task->task.hub, "calls");
+  LnEndpointSwapMessage message
+      = { .base = LN_MESSAGE (LN_ENDPOINT_SWAP), .pending = pending, .until = until };
+
+  if (!calls)
+    return;
+  LB_COPY (message.endpoint, endpoint);
+  LN_POST (task->task.hub, calls, message);
+}
+
+/* Peers are told once a tick, of all swaps together. */
+void
+ln_pool_holders_tell_swap (LnConfigTask *task, const LcWeightsAction *action, LbTime now)
+{
+  struct json_object *swap = json_object_new_object ();
+
+  post_swap (task, action->endpoint, action->pending, action->until);
+  json_object_object_add (swap, "endpoint", json_object_new_string (action->endpoint));
+  json_object_object_add (swap, "pending", json_object_new_boolean (action->pending));
+  json_object_object_add (swap, "for_ms", json_object_new_int64 ((action->until - now) / LB_MSEC));
+  if (!task->swaps)
+    task->swaps = json_object_new_array ();
+  json_object_array_add (task->swaps, swap);
+}
+
+static void
+post_newest (LnConfigTask *task, const char *pool, LcVersion newest, LbTime cadence)
+{
+  LnTask *rollouts = ln_hub_find (task->task.hub, "rollouts");
+  LnVersionsMessage message
+      = { .base = LN_MESSAGE (LN_VERSIONS), .newest = newest, .cadence = cadence };
+
+  if (!rollouts)
+    return;
+  LB_COPY (message.pool, pool);
+  LN_POST (task->task.hub, rollouts, message);
+}
+
+void
+ln_pool_holders_tell_newest (LnConfigTask *task, const char *pool, LcVersion newest, LbTime cadence)
+{
+  struct json_object *message = json_object_new_object ();
+
+  post_newest (task, pool, newest, cadence);
+  json_object_object_add (message, "type", json_object_new_string ("newest"));
+  json_object_object_add (message, "pool", json_object_new_string (pool));
+  json_object_object_add (message, "version", json_object_new_int64 (newest));
+  json_object_object_add (message, "cadence_ms", json_object_new_int64 (cadence / LB_MSEC));
+  ln_config_send (task, "", message);
+}
+
+void
+ln_pool_holders_tell_free (LnConfigTask *task, const char *pool)
+{
+  struct json_object *message = json_object_new_object ();
+
+  json_object_object_add (message, "type", json_object_new_string ("lease_free"));
+  json_object_object_add (message, "pool", json_object_new_string (pool));
+  ln_config_send (task, "", message);
+}
+
+static const char *
+text_member (struct json_object *object, const char *key)
+{
+  struct json_object *value = NULL;
+
+  if (!json_object_object_get_ex (object, key, &value)
+      || !json_object_is_type (value, json_type_string))
+    return "";
+  return json_object_get_string (value);
+}
+
+static int64_t
+integer_member (struct json_object *object, const char *key)
+{
+  struct json_object *value = NULL;
+
+  return json_object_object_get_ex (object, key, &value) ? json_object_get_int64 (value) : 0;
+}
+
+static void
+receive_swaps (LnConfigTask *task, struct json_object *message, LbTime now)
+{
+  struct json_object *swaps = NULL, *pending = NULL;
+
+  if (!json_object_object_get_ex (message, "swaps", &swaps)
+      || !json_object_is_type (swaps, json_type_array))
+    return;
+  for (size_t i = 0; i < json_object_array_length (swaps); i++)
+    {
+      struct json_object *swap = json_object_array_get_idx (swaps, i);
+      json_object_object_get_ex (swap, "pending", &pending);
+      post_swap (task, text_member (swap, "endpoint"), json_object_get_boolean (pending),
+                 now + integer_member (swap, "for_ms") * LB_MSEC);
+    }
+}
+
+/* False when the message is none of a pool's holder. */
+bool
+ln_pool_holders_receive (LnConfigTask *task, struct json_object *message)
+{
+  const char *type = text_member (message, "type");
+  LbTime now = lb_clock_monotonic ();
+
+  if (strcmp (type, "swaps") == 0)
+    receive_swaps (task, message, now);
+  else if (strcmp (type, "newest") == 0)
+    post_newest (task, text_member (message, "pool"), integer_member (message, "version"),
+                 integer_member (message, "cadence_ms") * LB_MSEC);
+  else if (strcmp (type, "lease_free") == 0)
+    {
+      LnPoolHolder *holder = find_pool (task, text_member (message, "pool"));
+      if (holder)
+        lc_lease_hint (holder->lease, now);
+    }
+  else
+    return false;
+  return true;
+}
+
+/* --- status --- */
+
+static struct json_object *
+lease_json (const LnPoolHolder *holder)
+{
+  struct json_object *object = json_object_new_object ();
+  const LcLeaseRow *row = lc_lease_row (holder->lease);
+
+  json_object_object_add (object, "pool", json_object_new_string (holder->pool));
+  json_object_object_add (object, "holder",
+                          json_object_new_string (row->released ? "" : row->holder));
+  json_object_object_add (object, "fence", json_object_new_int64 (row->fence));
+  json_object_object_add (object, "held_here",
+                          json_object_new_boolean (lc_lease_is_held (holder->lease)));
+  return object;
+}
+
+static struct json_object *
+roll_out_json (const LnPoolHolder *holder)
+{
+  LcWeightsStatus status;
+  struct json_object *object = json_object_new_object ();
+
+  lc_weights_status (holder->weights, &status);
+  json_object_object_add (object, "pool", json_object_new_string (holder->pool));
+  json_object_object_add (object, "version", json_object_new_int64 (status.target));
+  json_object_object_add (object, "engines", json_object_new_int64 ((int64_t)status.engines));
+  json_object_object_add (object, "done", json_object_new_int64 ((int64_t)status.done));
+  json_object_object_add (object, "swapping", json_object_new_int64 ((int64_t)status.swapping));
+  json_object_object_add (object, "failed", json_object_new_int64 ((int64_t)status.failed));
+  json_object_object_add (object, "unknown", json_object_new_int64 ((int64_t)status.unknown));
+  json_object_object_add (object, "cadence_ms", json_object_new_int64 (status.cadence / LB_MSEC));
+  json_object_object_add (object, "waits",
+                          json_object_new_string (lc_weights_wait_name (status.wait)));
+  return object;
+}
+
+/* Adds "leases", and "roll_outs" of those held here. */
+void
+ln_pool_holders_add_status (LnConfigTask *task, struct json_object *status)
+{
+  struct json_object *leases = json_object_new_array ();
+  struct json_object *roll_outs = json_object_new_array ();
+
+  LB_LIST_FOREACH (&task->holders, LnPoolHolder, link, holder)
+  {
+    json_object_array_add (leases, lease_json (holder));
+    if (lc_lease_is_held (holder->lease))
+      json_object_array_add (roll_outs, roll_out_json (holder));
+  }
+  json_object_object_add (status, "leases", leases);
+  json_object_object_add (status, "roll_outs", roll_outs);
+}
