--- a/packages/node/src/ln-caller.c
+++ b/packages/node/src/ln-caller.c
@@ -27,14 +27,18 @@
   callers->base = base;
   lb_list_init (&callers->callers);
   lb_list_init (&callers->lingers);
+  lb_list_init (&callers->exchanges);
 }
 
 void
 ln_callers_clear (LnCallers *callers)
 {
-  while (!lb_list_is_empty (&callers->callers))
-    evhtp_connection_free (LB_LIST_FIRST (&callers->callers, LnCaller, link)->connection);
+  LB_LIST_FOREACH (&callers->callers, LnCaller, link, caller)
+  {
+    evhtp_connection_free (caller->connection);
+  }
   ln_linger_free_all (&callers->lingers);
+  ln_exchange_free_all (&callers->exchanges);
 }
 
 static void
