--- a/packages/node/main/lentilspindled.c
+++ b/packages/node/main/lentilspindled.c
@@ -164,8 +164,13 @@
 static LpPlatform *
 make_platform (const LnSettings *settings, struct event_base *base)
 {
-  (void)settings;
-  return lp_memory_new (base);
+  LpHttpSettings http
+      = { .deadline = settings->platform.deadline_ms * LB_MSEC, .rate = settings->platform.rate };
+
+  if (settings->platform.kind == LN_PLATFORM_MEMORY)
+    return lp_memory_new (base);
+  LB_COPY (http.address, settings->platform.address);
+  return lp_http_new (base, &http);
 }
 
 static bool
