--- /dev/null
+++ b/tests/process/pt-process.c
@@ -0,0 +1,97 @@
+#include "pt-process.h"
+
+#include "lb-alloc.h"
+
+#include <criterion/criterion.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+static void
+become (const char *const *argv, const char *log, int out)
+{
+  char *path = lb_asprintf ("%s/%s", PT_BIN, argv[0]);
+  int errors = open (log, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+
+  /* A test that crashes must leave no program behind. */
+  prctl (PR_SET_PDEATHSIG, SIGKILL);
+  signal (SIGPIPE, SIG_DFL);
+  dup2 (out, STDOUT_FILENO);
+  dup2 (errors, STDERR_FILENO);
+  execv (path, (char *const *)argv);
+  _exit (127);
+}
+
+void
+pt_process_start (PtProcess *process, const char *const *argv, const char *log)
+{
+  int ends[2];
+
+  memset (process, 0, sizeof *process);
+  cr_assert_eq (pipe2 (ends, O_CLOEXEC), 0);
+  process->pid = fork ();
+  cr_assert_geq (process->pid, 0);
+  if (process->pid == 0)
+    become (argv, log, ends[1]);
+  close (ends[1]);
+  fcntl (ends[0], F_SETFL, O_NONBLOCK);
+  process->out = ends[0];
+  process->text = lb_strdup ("");
+}
+
+void
+pt_process_clear (PtProcess *process)
+{
+  if (process->pid == 0)
+    return;
+  if (!process->ended)
+    {
+      kill (process->pid, SIGKILL);
+      waitpid (process->pid, &process->status, 0);
+    }
+  close (process->out);
+  free (process->text);
+  memset (process, 0, sizeof *process);
+}
+
+void
+pt_process_signal (const PtProcess *process, int number)
+{
+  cr_assert (process->pid > 0 && !process->ended);
+  cr_assert_eq (kill (process->pid, number), 0);
+}
+
+static void
+read_output (PtProcess *process)
+{
+  char buffer[4096];
+  ssize_t n;
+
+  while ((n = read (process->out, buffer, sizeof buffer)) > 0)
+    {
+      process->text = lb_realloc (process->text, process->length + (size_t)n + 1);
+      memcpy (process->text + process->length, buffer, (size_t)n);
+      process->length += (size_t)n;
+      process->text[process->length] = '\0';
+    }
+}
+
+void
+pt_process_poll (PtProcess *process)
+{
+  if (process->pid > 0 && !process->ended)
+    process->ended = waitpid (process->pid, &process->status, WNOHANG) == process->pid;
+  if (process->pid > 0)
+    read_output (process);
+}
+
+bool
+pt_process_has_exited (const PtProcess *process, int code)
+{
+  return process->ended && WIFEXITED (process->status) && WEXITSTATUS (process->status) == code;
+}
--- /dev/null
+++ b/tests/process/pt-relay.c
@@ -0,0 +1,144 @@
+#include "pt-relay.h"
+
+#include "lb-alloc.h"
+
+#include <arpa/inet.h>
+#include <criterion/criterion.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* One connection through the relay. */
+typedef struct
+{
+  LbLink link;
+  PtRelay *relay;
+  struct bufferevent *near;
+  struct bufferevent *far;
+  bool silent;
+} Line;
+
+static void
+line_free (Line *line)
+{
+  lb_list_remove (&line->relay->lines, &line->link);
+  bufferevent_free (line->near);
+  bufferevent_free (line->far);
+  free (line);
+}
+
+static void
+on_read (struct bufferevent *from, void *user)
+{
+  Line *line = user;
+  struct evbuffer *input = bufferevent_get_input (from);
+
+  if (line->silent)
+    {
+      evbuffer_drain (input, evbuffer_get_length (input));
+      return;
+    }
+  line->relay->bytes += (int64_t)evbuffer_get_length (input);
+  bufferevent_write_buffer (from == line->near ? line->far : line->near, input);
+}
+
+/* A silent line also keeps a close to itself: the other end never hears of it. */
+static void
+on_event (struct bufferevent *from, short what, void *user)
+{
+  Line *line = user;
+
+  if (what & BEV_EVENT_CONNECTED)
+    return;
+  if (line->silent)
+    bufferevent_disable (from, EV_READ | EV_WRITE);
+  else
+    line_free (line);
+}
+
+static void
+send_at_once (struct bufferevent *end)
+{
+  const int on = 1;
+
+  setsockopt (bufferevent_getfd (end), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+static void
+watch (Line *line, struct bufferevent *end)
+{
+  bufferevent_setcb (end, on_read, NULL, on_event, line);
+  bufferevent_enable (end, EV_READ | EV_WRITE);
+  send_at_once (end);
+}
+
+static void
+on_accept (struct evconnlistener *listener,
+           evutil_socket_t fd,
+           struct sockaddr *address,
+           int length,
+           void *user)
+{
+  (void)listener;
+  (void)address;
+  (void)length;
+  PtRelay *relay = user;
+  Line *line = LB_NEW (Line);
+  struct sockaddr_storage target;
+  int target_length = sizeof target;
+
+  line->relay = relay;
+  lb_list_append (&relay->lines, &line->link);
+  line->near = bufferevent_socket_new (relay->base, fd, BEV_OPT_CLOSE_ON_FREE);
+  line->far = bufferevent_socket_new (relay->base, -1, BEV_OPT_CLOSE_ON_FREE);
+  cr_assert_eq (evutil_parse_sockaddr_port (relay->target, (struct sockaddr *)&target,
+                                            &target_length),
+                0);
+  bufferevent_socket_connect (line->far, (struct sockaddr *)&target, target_length);
+  watch (line, line->near);
+  watch (line, line->far);
+}
+
+void
+pt_relay_init (PtRelay *relay, struct event_base *base, const char *target)
+{
+  struct sockaddr_in any = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  struct sockaddr_in bound = { 0 };
+  socklen_t length = sizeof bound;
+
+  memset (relay, 0, sizeof *relay);
+  relay->base = base;
+  lb_list_init (&relay->lines);
+  LB_COPY (relay->target, target);
+  relay->listener = evconnlistener_new_bind (base, on_accept, relay, LEV_OPT_CLOSE_ON_FREE, -1,
+                                             (struct sockaddr *)&any, sizeof any);
+  cr_assert_not_null (relay->listener);
+  getsockname (evconnlistener_get_fd (relay->listener), (struct sockaddr *)&bound, &length);
+  snprintf (relay->address, sizeof relay->address, "127.0.0.1:%d", ntohs (bound.sin_port));
+}
+
+void
+pt_relay_clear (PtRelay *relay)
+{
+  LB_LIST_FOREACH (&relay->lines, Line, link, line)
+  line_free (line);
+  evconnlistener_free (relay->listener);
+}
+
+void
+pt_relay_lose_track (PtRelay *relay)
+{
+  LB_LIST_FOREACH (&relay->lines, Line, link, line)
+  line->silent = true;
+}
+
+size_t
+pt_relay_connections (const PtRelay *relay)
+{
+  return relay->lines.length;
+}
--- /dev/null
+++ b/tests/process/pt-relay.h
@@ -0,0 +1,28 @@
+#ifndef PT_RELAY_H
+#define PT_RELAY_H
+
+#include "lb-list.h"
+
+struct event_base;
+struct evconnlistener;
+
+/* Stands between two ends of TCP connections and can lose track of those that are open: they stay
+ * open and silent, while new ones work. Runs in the test's event loop. */
+typedef struct
+{
+  struct event_base *base;
+  struct evconnlistener *listener;
+  LbName address; /* where to connect */
+  LbName target;
+  LbList lines;
+  int64_t bytes; /* passed on so far, both ways */
+} PtRelay;
+
+void pt_relay_init (PtRelay *relay, struct event_base *base, const char *target);
+void pt_relay_clear (PtRelay *relay);
+/* Every connection that is open now goes silent for good. */
+void pt_relay_lose_track (PtRelay *relay);
+
+size_t pt_relay_connections (const PtRelay *relay);
+
+#endif
--- /dev/null
+++ b/tests/process/pt-resources.c
@@ -0,0 +1,112 @@
+#include "pt-world.h"
+
+#include "lb-alloc.h"
+
+#include <criterion/criterion.h>
+#include <stdlib.h>
+#include <string.h>
+
+void
+pt_apply (PtWorld *world,
+          PtProgram *instance,
+          const char *changes,
+          const char *if_match,
+          SiAnswer *answer)
+{
+  const LhHeader headers[] = { { "authorization", "Bearer " PT_TOKEN }, { "If-Match", if_match } };
+  const SiCall call = { .method = "POST",
+                        .address = instance->address,
+                        .path = "/v1/resources",
+                        .headers = headers,
+                        .n_headers = if_match ? 2 : 1,
+                        .body = changes };
+
+  si_client_call (&world->client, &call, answer);
+}
+
+static void
+add (struct json_object *apply, const char *text)
+{
+  struct json_object *resource = json_tokener_parse (text);
+
+  cr_assert_not_null (resource, "%s", text);
+  json_object_array_add (apply, resource);
+}
+
+static void
+add_endpoint (struct json_object *apply, const PtProgram *endpoint)
+{
+  bool engine = strncmp (endpoint->name, "engine", 6) == 0;
+  char *text = lb_asprintf (
+      "{\"kind\": \"endpoint\", \"name\": \"%s\", \"type\": \"%s\", \"pool\": \"%s\","
+      " \"address\": \"%s\", \"data_centre\": \"hall-a\", \"concurrency\": 32%s}",
+      endpoint->name, engine ? "engine" : "service", engine ? "reader" : "lookup",
+      endpoint->address, engine ? ", \"checks_fence\": true" : "");
+
+  add (apply, text);
+  free (text);
+}
+
+void
+pt_apply_all (PtWorld *world, PtProgram *instance)
+{
+  struct json_object *changes = json_object_new_object ();
+  struct json_object *apply = json_object_new_array ();
+  SiAnswer answer;
+
+  add (apply, "{\"kind\": \"pool\", \"name\": \"reader\", \"model\": \"reader-7b\"}");
+  add (apply, "{\"kind\": \"pool\", \"name\": \"lookup\", \"model\": \"lookup\"}");
+  add (apply, "{\"kind\": \"subscription\", \"name\": \"reader-trainer\", \"pool\": \"reader\"}");
+  for (size_t i = 0; i < world->n_endpoints; i++)
+    add_endpoint (apply, &world->endpoints[i]);
+  json_object_object_add (changes, "apply", apply);
+  pt_apply (world, instance, json_object_to_json_string (changes), NULL, &answer);
+  cr_assert (si_answer_is_ok (&answer), "%d %s", answer.status, answer.body);
+  si_answer_clear (&answer);
+  json_object_put (changes);
+}
+
+static int64_t
+revision_of (PtWorld *world, const PtProgram *instance)
+{
+  const LhHeader headers[] = { { "authorization", "Bearer " PT_TOKEN } };
+  const SiCall call = { .method = "GET",
+                        .address = instance->address,
+                        .path = "/v1/resources",
+                        .headers = headers,
+                        .n_headers = 1 };
+  SiAnswer answer;
+  int64_t revision = -1;
+
+  si_client_call (&world->client, &call, &answer);
+  struct json_object *object = si_answer_is_ok (&answer) ? json_tokener_parse (answer.body) : NULL;
+  if (object)
+    revision = si_json_int (object, "revision", -1);
+  json_object_put (object);
+  si_answer_clear (&answer);
+  return revision;
+}
+
+static bool
+is_in_force (PtWorld *world, void *user)
+{
+  (void)user;
+  int64_t newest = 0;
+  int64_t oldest = INT64_MAX;
+
+  for (size_t i = 0; i < world->n_instances; i++)
+    {
+      if (world->instances[i].process.ended)
+        continue;
+      int64_t revision = revision_of (world, &world->instances[i]);
+      newest = revision > newest ? revision : newest;
+      oldest = revision < oldest ? revision : oldest;
+    }
+  return newest > 0 && newest == oldest;
+}
+
+void
+pt_wait_in_force (PtWorld *world)
+{
+  pt_wait (world, "the newest revision is in force everywhere", is_in_force, NULL);
+}
--- /dev/null
+++ b/tests/process/pt-world.h
@@ -0,0 +1,83 @@
+#ifndef PT_WORLD_H
+#define PT_WORLD_H
+
+#include "pt-process.h"
+#include "si-client.h"
+#include "si-live.h"
+
+#define PT_MAX_PROGRAMS 16
+#define PT_TOKEN "test-token"
+#define PT_LIMIT (60 * LB_SEC) /* of any wait: generous, since the machine may be busy */
+
+/* A stand-in or an instance, and where it listens. */
+typedef struct
+{
+  PtProcess process;
+  LbName name;
+  LbName address;
+  LbName peer_address; /* of an instance */
+  LbName data_centre;
+} PtProgram;
+
+/* Everything that one test runs. */
+typedef struct
+{
+  char folder[64]; /* of settings and logs; removed at the end */
+  SiClient client;
+  PtProgram platform;
+  PtProgram instances[PT_MAX_PROGRAMS];
+  size_t n_instances;
+  PtProgram endpoints[PT_MAX_PROGRAMS];
+  size_t n_endpoints;
+  int drain_ms;
+  int stream_silence_ms;
+  bool in_memory; /* no platform beside the instance */
+} PtWorld;
+
+typedef bool (*PtCondition) (PtWorld *world, void *user);
+
+void pt_world_init (PtWorld *world);
+void pt_world_clear (PtWorld *world);
+
+void pt_start_platform (PtWorld *world);
+/* options: further arguments, ended by NULL; may be NULL. */
+PtProgram *pt_start_engine (PtWorld *world, const char *name, const char *const *options);
+PtProgram *pt_start_service (PtWorld *world, const char *name, const char *const *options);
+PtProgram *pt_start_instance (PtWorld *world, const char *name, const char *data_centre);
+/* Starts it anew under the same name, as its replacement. */
+void pt_restart_instance (PtWorld *world, PtProgram *instance);
+/* What the platform's lagging list says: every instance that runs. */
+void pt_publish_instances (PtWorld *world);
+
+/* Waits until the condition holds; fails the test with `what` when it never does. */
+void pt_wait (PtWorld *world, const char *what, PtCondition condition, void *user);
+void pt_wait_ready (PtWorld *world, PtProgram *instance);
+void pt_wait_exit (PtWorld *world, PtProcess *process, int code);
+
+/* Resources: pool "reader" with every engine, subscription "reader-trainer", service "lookup". */
+void pt_apply_all (PtWorld *world, PtProgram *instance);
+/* Sends one change; the answer must be cleared. */
+void pt_apply (PtWorld *world,
+               PtProgram *instance,
+               const char *changes,
+               const char *if_match,
+               SiAnswer *answer);
+/* Waits until every running instance has the newest accepted revision in force. */
+void pt_wait_in_force (PtWorld *world);
+
+void pt_fault (PtWorld *world, PtProgram *program, const char *order);
+struct json_object *pt_log (PtWorld *world, PtProgram *program);
+int64_t pt_log_number (PtWorld *world, PtProgram *program, const char *key);
+/* How often the endpoint ran the key. */
+int64_t pt_runs (PtWorld *world, PtProgram *program, const char *key);
+
+/* A trainer with the options, ended by NULL, towards these instances. */
+void pt_start_trainer (PtWorld *world, PtProcess *trainer, const char *const *options);
+void pt_start_load (PtWorld *world, PtProcess *load, const char *const *options);
+/* Waits for a stand-in that prints a summary; the caller puts it. */
+struct json_object *pt_finish (PtWorld *world, PtProcess *process);
+
+/* One live call, waited for. */
+SiLiveResult pt_live (PtWorld *world, const SiLiveSpec *spec);
+
+#endif
