--- a/packages/node/src/ln-caller.c
+++ b/packages/node/src/ln-caller.c
@@ -27,14 +27,18 @@
   callers->base = base;
   lb_list_init (&callers->callers);
   lb_list_init (&callers->lingers);
+  lb_list_init (&callers->exchanges);
 }
 
 void
 ln_callers_clear (LnCallers *callers)
 {
-  while (!lb_list_is_empty (&callers->callers))
-    evhtp_connection_free (LB_LIST_FIRST (&callers->callers, LnCaller, link)->connection);
+  LB_LIST_FOREACH (&callers->callers, LnCaller, link, caller)
+  {
+    evhtp_connection_free (caller->connection);
+  }
   ln_linger_free_all (&callers->lingers);
+  ln_exchange_free_all (&callers->exchanges);
 }
 
 static void
@@ -123,6 +127,7 @@
   lb_list_remove (&caller->callers->callers, &caller->link);
   lb_metric_add (&connections, -1);
   event_free (caller->timer);
+  free (caller->query);
   free (caller);
   return EVHTP_RES_OK;
 }
@@ -163,7 +168,11 @@
 {
   (void)headers;
   LnCaller *caller = user;
+  const unsigned char *query = request->uri ? request->uri->query_raw : NULL;
 
+  /* evhtp puts the body of a form in its place later. */
+  free (caller->query);
+  caller->query = query ? lb_strdup ((const char *)query) : NULL;
   if (evhtp_request_content_len (request) > caller->callers->max_body)
     return refuse (caller, LB_ERROR_BODY_TOO_LARGE);
   return EVHTP_RES_OK;
