--- a/packages/node/src/ln-caller.c
+++ b/packages/node/src/ln-caller.c
@@ -275,7 +275,7 @@
 ln_caller_replied (LnCaller *caller, evhtp_request_t *request)
 {
   caller->exchange = NULL;
-  if (!(request->flags & EVHTP_REQ_FLAG_KEEPALIVE))
+  if (caller->last_reply || !(request->flags & EVHTP_REQ_FLAG_KEEPALIVE))
     {
       ln_caller_close (caller);
       return;
--- a/packages/node/src/ln-caller.h
+++ b/packages/node/src/ln-caller.h
@@ -34,6 +34,7 @@
   size_t header_bytes;
   size_t body_bytes;
   LbErrorCode refusal; /* sent when the connection ends: why it was given up */
+  bool last_reply;     /* the connection ends after the present reply */
   bool flush;          /* what was written goes out before the connection is closed */
   char peer[64];
   char *query; /* of the request being read, as it came; NULL when there is none */
--- a/packages/node/src/ln-exchange.c
+++ b/packages/node/src/ln-exchange.c
@@ -259,7 +259,7 @@
 {
   if (!exchange->caller->callers->draining)
     return;
-  evhtp_request_set_keepalive (exchange->request, 0);
+  exchange->caller->last_reply = true;
   ln_exchange_set_header (exchange, "Connection", "close");
 }
 
--- /dev/null
+++ b/packages/node/tests/test-calls.c
@@ -0,0 +1,408 @@
+#include "node-fixture.h"
+
+#define BODY(extra) "{\"model\":\"p\",\"prompt\":\"hello\",\"max_tokens\":2" extra "}"
+#define STREAM BODY (",\"stream\":true")
+
+typedef struct
+{
+  Fixture f;
+  int listener[2];
+  LbName address[2];
+} Setup;
+
+static void
+setup_init (Setup *s, int n_engines)
+{
+  const char *addresses[3] = { NULL };
+
+  fixture_init (&s->f);
+  for (int i = 0; i < n_engines; i++)
+    {
+      s->listener[i] = fixture_listen (s->address[i]);
+      addresses[i] = s->address[i];
+    }
+  fixture_start (&s->f);
+  fixture_configure (&s->f, addresses, NULL);
+}
+
+static void
+setup_clear (Setup *s)
+{
+  fixture_clear (&s->f);
+}
+
+/* The engine that was chosen among two. */
+static int
+accept_any (Setup *s, Peer *peer, char id[96])
+{
+  Peer tries[2] = { 0 };
+  int chosen = -1;
+
+  FIXTURE_UNTIL (&s->f, (chosen = endpoint_try_accept (s->listener[0], &tries[0])   ? 0
+                                  : endpoint_try_accept (s->listener[1], &tries[1]) ? 1
+                                                                                    : -1)
+                            >= 0);
+  *peer = tries[chosen];
+  FIXTURE_UNTIL (&s->f, peer_has (peer, "\"request_id\":\""));
+  sscanf (strstr (peer->text, "\"request_id\":\"") + 14, "%95[^\"]", id);
+  return chosen;
+}
+
+Test (calls, stream_is_passed_on_under_the_callers_id)
+{
+  Setup s;
+  Peer caller, engine;
+  char id[96];
+
+  setup_init (&s, 1);
+  caller_open (&s.f, &caller);
+  caller_post (&caller, "/v1/completions", "", STREAM);
+  endpoint_accept_stream (&s.f, s.listener[0], &engine, id);
+  endpoint_send_head (&engine);
+  endpoint_send_token (&engine, id, 0, " one", false);
+  FIXTURE_UNTIL (&s.f, peer_has (&caller, " one"));
+  cr_assert_not (strstr (caller.text, id));
+  cr_assert_not (strstr (caller.text, "[DONE]"));
+  endpoint_send_token (&engine, id, 1, " two", true);
+  endpoint_send_end (&engine);
+  FIXTURE_UNTIL (&s.f, peer_has (&caller, "data: [DONE]"));
+  cr_assert (strstr (caller.text, "x-endpoint: e0"));
+  cr_assert (strstr (caller.text, " two"));
+  FIXTURE_UNTIL (&s.f, ln_hub_is_idle (s.f.context.hub));
+  peer_close (&engine);
+  peer_close (&caller);
+  setup_clear (&s);
+}
+
+Test (calls, whole_reply_has_text_usage_and_versions)
+{
+  Setup s;
+  Peer caller, engine;
+  char id[96];
+
+  setup_init (&s, 1);
+  caller_open (&s.f, &caller);
+  caller_post (&caller, "/v1/completions", "", BODY (""));
+  endpoint_accept_stream (&s.f, s.listener[0], &engine, id);
+  endpoint_send_head (&engine);
+  endpoint_send_token (&engine, id, 0, " one", false);
+  endpoint_send_token (&engine, id, 1, " two", true);
+  endpoint_send_end (&engine);
+  FIXTURE_UNTIL (&s.f, peer_has (&caller, "completion_tokens"));
+  cr_assert (strstr (caller.text, "\"text\":\" one two\""), "%s", caller.text);
+  cr_assert (strstr (caller.text, "x-weight-versions: 40"));
+  cr_assert (strstr (caller.text, "\"completion_tokens\":2"));
+  peer_close (&engine);
+  peer_close (&caller);
+  setup_clear (&s);
+}
+
+/* A shopper closes the page while the answer streams. The engine would go on to make tokens that
+ * nobody reads; closing the connection to it cancels them. */
+Test (calls, caller_gone_cancels_the_engines_stream)
+{
+  Setup s;
+  Peer caller, engine;
+  char id[96];
+
+  setup_init (&s, 1);
+  caller_open (&s.f, &caller);
+  caller_post (&caller, "/v1/completions", "", STREAM);
+  endpoint_accept_stream (&s.f, s.listener[0], &engine, id);
+  endpoint_send_head (&engine);
+  endpoint_send_token (&engine, id, 0, " one", false);
+  FIXTURE_UNTIL (&s.f, peer_has (&caller, " one"));
+  peer_close (&caller);
+  FIXTURE_UNTIL (&s.f, peer_is_closed (&engine));
+  FIXTURE_UNTIL (&s.f, ln_hub_is_idle (s.f.context.hub));
+  peer_close (&engine);
+  setup_clear (&s);
+}
+
+/* The caller goes away in the same turn of the loop in which its answer ends, so the message that
+ * it has gone is on its way while the exchange is answered. The memory must outlive both. */
+Test (calls, caller_gone_as_the_answer_ends)
+{
+  Setup s;
+  Peer caller, engine;
+  char id[96];
+
+  setup_init (&s, 1);
+  for (int i = 0; i < 20; i++)
+    {
+      caller_open (&s.f, &caller);
+      caller_post (&caller, "/v1/completions", "", i % 2 ? STREAM : BODY (""));
+      endpoint_accept_stream (&s.f, s.listener[0], &engine, id);
+      endpoint_send_head (&engine);
+      endpoint_send_token (&engine, id, 0, " one", true);
+      endpoint_send_end (&engine);
+      peer_close (&caller);
+      FIXTURE_UNTIL (&s.f, ln_hub_is_idle (s.f.context.hub));
+      peer_close (&engine);
+    }
+  setup_clear (&s);
+}
+
+/* An engine, or something before it, mixes two streams up: the caller would read another caller's
+ * answer. An event with another id ends the attempt, and the text in it reaches nobody. */
+Test (calls, event_of_another_request_reaches_nobody)
+{
+  Setup s;
+  Peer caller, engine;
+  char id[96];
+
+  setup_init (&s, 1);
+  caller_open (&s.f, &caller);
+  caller_post (&caller, "/v1/completions", "x-not-repeatable: 1\r\n", STREAM);
+  endpoint_accept_stream (&s.f, s.listener[0], &engine, id);
+  endpoint_send_head (&engine);
+  endpoint_send_token (&engine, "other-1.1", 0, " secret", false);
+  FIXTURE_UNTIL (&s.f, peer_has (&caller, "error"));
+  cr_assert_not (strstr (caller.text, "secret"));
+  cr_assert (strstr (caller.text, "outcome_unknown"), "%s", caller.text);
+  FIXTURE_UNTIL (&s.f, peer_is_closed (&engine));
+  peer_close (&engine);
+  peer_close (&caller);
+  setup_clear (&s);
+}
+
+/* The connection to the engine goes silent for good in mid-answer: something between the two ends
+ * lost track of it, and no end of the stream will ever come. After stream_silence_ms with not even
+ * a keep-alive the attempt counts as broken, and the answer is resumed on a new connection where it
+ * stopped, so the caller gets the whole of it. */
+Test (calls, silent_stream_is_resumed_where_it_stopped)
+{
+  Setup s;
+  Peer caller, engine, again;
+  char id[96];
+
+  fixture_init (&s.f);
+  s.f.settings.calls.stream_silence_ms = 100;
+  s.f.settings.calls.retry_budget = 1;
+  s.listener[0] = fixture_listen (s.address[0]);
+  s.listener[1] = fixture_listen (s.address[1]);
+  fixture_start (&s.f);
+  fixture_configure (&s.f, (const char *[]){ s.address[0], s.address[1], NULL }, NULL);
+  caller_open (&s.f, &caller);
+  caller_post (&caller, "/v1/completions", "", STREAM);
+  accept_any (&s, &engine, id);
+  endpoint_send_head (&engine);
+  endpoint_send_token (&engine, id, 0, " one", false);
+  FIXTURE_UNTIL (&s.f, peer_has (&caller, " one"));
+  accept_any (&s, &again, id);
+  FIXTURE_UNTIL (&s.f, peer_has (&again, "\"offset\":1"));
+  cr_assert (strstr (again.text, "\"text\":\" one\""), "%s", again.text);
+  endpoint_send_head (&again);
+  endpoint_send_token (&again, id, 1, " two", true);
+  endpoint_send_end (&again);
+  FIXTURE_UNTIL (&s.f, peer_has (&caller, "data: [DONE]"));
+  cr_assert (strstr (caller.text, " two"));
+  peer_close (&engine);
+  peer_close (&again);
+  peer_close (&caller);
+  setup_clear (&s);
+}
+
+/* A stream that ends without its end marker is not whole: the caller must not take half an answer
+ * for the whole one. */
+Test (calls, stream_without_end_marker_is_not_whole)
+{
+  Setup s;
+  Peer caller, engine;
+  char id[96];
+
+  setup_init (&s, 1);
+  caller_open (&s.f, &caller);
+  caller_post (&caller, "/v1/completions", "x-not-repeatable: 1\r\n", STREAM);
+  endpoint_accept_stream (&s.f, s.listener[0], &engine, id);
+  endpoint_send_head (&engine);
+  endpoint_send_token (&engine, id, 0, " one", false);
+  peer_send (&engine, "0\r\n\r\n");
+  FIXTURE_UNTIL (&s.f, peer_has (&caller, "\"error\""));
+  cr_assert_not (strstr (caller.text, "[DONE]"));
+  cr_assert (strstr (caller.text, "\"not_run\":false"));
+  peer_close (&engine);
+  peer_close (&caller);
+  setup_clear (&s);
+}
+
+/* Nothing listens at the endpoint's address any more. No byte left, so "not run" is true, even for
+ * a call that may not be repeated. */
+Test (calls, refused_connection_is_not_run)
+{
+  Setup s;
+  Peer caller;
+
+  setup_init (&s, 1);
+  close (s.listener[0]);
+  caller_open (&s.f, &caller);
+  caller_post (&caller, "/v1/completions", "x-not-repeatable: 1\r\nx-deadline-ms: 1000\r\n",
+               BODY (""));
+  FIXTURE_UNTIL (&s.f, peer_has (&caller, "not_run"));
+  cr_assert (strstr (caller.text, "\"not_run\":true"), "%s", caller.text);
+  cr_assert (strstr (caller.text, "x-not-run: 1"));
+  peer_close (&caller);
+  setup_clear (&s);
+}
+
+/* The engine takes the request and dies before it answers: it may have run. The caller of a call
+ * that may not be repeated hears "outcome unknown", and no other engine sees the call. */
+Test (calls, broken_after_handing_is_outcome_unknown)
+{
+  Setup s;
+  Peer caller, engine;
+  Peer other = { 0 };
+  char id[96];
+
+  setup_init (&s, 2);
+  caller_open (&s.f, &caller);
+  caller_post (&caller, "/v1/completions", "x-not-repeatable: 1\r\n", BODY (""));
+  int chosen = accept_any (&s, &engine, id);
+  peer_close (&engine);
+  FIXTURE_UNTIL (&s.f, peer_has (&caller, "outcome_unknown"));
+  cr_assert (strstr (caller.text, "\"not_run\":false"), "%s", caller.text);
+  cr_assert_not (strstr (caller.text, "x-not-run"));
+  cr_assert_not (endpoint_try_accept (s.listener[1 - chosen], &other));
+  peer_close (&caller);
+  setup_clear (&s);
+}
+
+/* An engine's own refusal before the start is a proof: even a call that may not be repeated goes
+ * on to the next engine. */
+Test (calls, engines_refusal_lets_another_run_it)
+{
+  Setup s;
+  Peer caller, engine, next;
+  char id[96];
+  static const char body[] = "{\"error\":{\"type\":\"not_started\"}}";
+
+  setup_init (&s, 2);
+  caller_open (&s.f, &caller);
+  caller_post (&caller, "/v1/completions", "x-not-repeatable: 1\r\n", BODY (""));
+  accept_any (&s, &engine, id);
+  char *reply
+      = lb_asprintf ("HTTP/1.1 503 Busy\r\nContent-Length: %zu\r\n\r\n%s", sizeof body - 1, body);
+  peer_send (&engine, reply);
+  free (reply);
+  accept_any (&s, &next, id);
+  endpoint_send_head (&next);
+  endpoint_send_token (&next, id, 0, " one", true);
+  endpoint_send_end (&next);
+  FIXTURE_UNTIL (&s.f, peer_has (&caller, "\"text\":\" one\""));
+  peer_close (&engine);
+  peer_close (&next);
+  peer_close (&caller);
+  setup_clear (&s);
+}
+
+static void
+answer_one_token (Setup *s, Peer *engine, const char *id, const char *text)
+{
+  endpoint_send_head (engine);
+  endpoint_send_token (engine, id, 0, text, true);
+  endpoint_send_end (engine);
+  FIXTURE_UNTIL (&s->f, peer_read (engine));
+}
+
+/* Connections that are kept for reuse have gone silent while they were idle, all at once, since
+ * something between the two ends lost track of them. The next request is swallowed, and each retry
+ * would be if it took another kept one. The first silence drops all kept connections to that
+ * address, so the retry opens a new one, which works. */
+Test (calls, silent_kept_connections_are_replaced)
+{
+  Setup s;
+  Peer caller, other, kept[2], fresh;
+  char id[96];
+
+  fixture_init (&s.f);
+  s.f.settings.calls.stream_silence_ms = 300;
+  s.f.settings.calls.retry_budget = 1;
+  s.listener[0] = fixture_listen (s.address[0]);
+  fixture_start (&s.f);
+  fixture_configure (&s.f, (const char *[]){ s.address[0], NULL }, NULL);
+  caller_open (&s.f, &caller);
+  caller_open (&s.f, &other);
+  caller_post (&caller, "/v1/completions", "", BODY (""));
+  endpoint_accept_stream (&s.f, s.listener[0], &kept[0], id);
+  caller_post (&other, "/v1/completions", "", BODY (""));
+  char second[96];
+  endpoint_accept_stream (&s.f, s.listener[0], &kept[1], second);
+  answer_one_token (&s, &kept[0], id, " one");
+  answer_one_token (&s, &kept[1], second, " one");
+  FIXTURE_UNTIL (&s.f, ln_hub_is_idle (s.f.context.hub));
+  peer_forget (&caller);
+  peer_forget (&kept[0]);
+  peer_forget (&kept[1]);
+
+  caller_post (&caller, "/v1/completions", "", BODY (""));
+  FIXTURE_UNTIL (&s.f, peer_has (&kept[0], "POST /v1") || peer_has (&kept[1], "POST /v1"));
+  endpoint_accept_stream (&s.f, s.listener[0], &fresh, id);
+  answer_one_token (&s, &fresh, id, " two");
+  FIXTURE_UNTIL (&s.f, peer_has (&caller, "\"text\":\" two\""));
+  FIXTURE_UNTIL (&s.f, peer_is_closed (&kept[0]) && peer_is_closed (&kept[1]));
+  cr_assert_not (strstr (kept[0].text, "POST") && strstr (kept[1].text, "POST"));
+  peer_close (&kept[0]);
+  peer_close (&kept[1]);
+  peer_close (&fresh);
+  peer_close (&caller);
+  peer_close (&other);
+  setup_clear (&s);
+}
+
+/* The instance is told to shut down while an answer streams. The stream goes on to its end, new
+ * calls are refused "not run", and only then is nothing left in progress. */
+Test (calls, drain_cuts_no_stream)
+{
+  Setup s;
+  Peer caller, late, engine;
+  char id[96];
+
+  setup_init (&s, 1);
+  caller_open (&s.f, &caller);
+  caller_post (&caller, "/v1/completions", "", STREAM);
+  endpoint_accept_stream (&s.f, s.listener[0], &engine, id);
+  endpoint_send_head (&engine);
+  endpoint_send_token (&engine, id, 0, " one", false);
+  FIXTURE_UNTIL (&s.f, peer_has (&caller, " one"));
+  ln_hub_drain (s.f.context.hub);
+  caller_open (&s.f, &late);
+  caller_post (&late, "/v1/completions", "", BODY (""));
+  FIXTURE_UNTIL (&s.f, peer_has (&late, "draining"));
+  cr_assert (strstr (late.text, "x-not-run: 1"));
+  FIXTURE_UNTIL (&s.f, peer_is_closed (&late));
+  cr_assert_not (ln_hub_is_idle (s.f.context.hub));
+  endpoint_send_token (&engine, id, 1, " two", true);
+  endpoint_send_end (&engine);
+  FIXTURE_UNTIL (&s.f, peer_has (&caller, "data: [DONE]"));
+  FIXTURE_UNTIL (&s.f, ln_hub_is_idle (s.f.context.hub));
+  peer_close (&engine);
+  peer_close (&caller);
+  peer_close (&late);
+  setup_clear (&s);
+}
+
+Test (calls, service_call_passes_through)
+{
+  Fixture f;
+  Peer caller, service;
+  LbName address;
+
+  fixture_init (&f);
+  int listener = fixture_listen (address);
+  fixture_start (&f);
+  fixture_configure (&f, NULL, (const char *[]){ address, NULL });
+  caller_open (&f, &caller);
+  caller_post (&caller, "/services/s/orders?shop=4",
+               "x-shop: saigon\r\nContent-Type: application/x-www-form-urlencoded\r\n", "a=b");
+  endpoint_accept (&f, listener, &service);
+  FIXTURE_UNTIL (&f, peer_has (&service, "a=b"));
+  cr_assert (strstr (service.text, "POST /orders?shop=4 HTTP/1.1"), "%s", service.text);
+  cr_assert (strstr (service.text, "x-shop: saigon"));
+  peer_send (&service, "HTTP/1.1 418 Teapot\r\nx-kind: short\r\nContent-Length: 5\r\n\r\nstout");
+  FIXTURE_UNTIL (&f, peer_has (&caller, "stout"));
+  cr_assert (strstr (caller.text, " 418 "));
+  cr_assert (strstr (caller.text, "x-kind: short"));
+  peer_close (&service);
+  peer_close (&caller);
+  fixture_clear (&f);
+}
