--- a/packages/sim/include/lx-callers.h
+++ b/packages/sim/include/lx-callers.h
@@ -18,6 +18,7 @@
   LbTime asked;
   LbTime first_piece; /* 0: none yet */
   int64_t length;
+  bool reported; /* as one without an answer */
   LxText text;
 } LxCall;
 
--- a/packages/sim/include/lx-instance.h
+++ b/packages/sim/include/lx-instance.h
@@ -5,6 +5,7 @@
 #include "lx-engine.h"
 #include "lx-text.h"
 
+#include "lc-config.h"
 #include "lc-rollouts.h"
 
 #include <uthash.h>
@@ -47,9 +48,18 @@
   uint32_t life; /* number of its process */
   bool alive;
   bool draining;
+  LbTime started_at;
+  LbTime drained_at;
+  LbTime paused_at;
   LbTime paused_until;
+  LcConfig *config;
+  LbList config_actions;
+  LbTime config_tick_at;
+  int64_t revision_seen; /* by the check of what is in force */
+  bool was_ready;
   LcDispatch *dispatch;
   LcRollouts *rollouts;
+  int64_t core_failures; /* as counted by core */
   LcRequestId last_request;
   LxRequest *requests;
   LbList actions;
@@ -78,6 +88,8 @@
 /* The process is gone; its connections break. */
 void lx_instance_kill (LxInstance *instance);
 void lx_instance_drain (LxInstance *instance);
+/* Another instance has taken the step over in good order. */
+void lx_instance_lose (LxInstance *instance, const char *subscription, int64_t step);
 /* A message for the instance's present process: it waits while the process is paused and is lost
  * with the process. drop frees the argument, also after the handler has run. */
 void lx_instance_post (LxInstance *instance,
@@ -86,6 +98,8 @@
                        void *argument,
                        void (*drop) (void *argument));
 void lx_instance_configure (LxInstance *instance, const LcResourceSet *set);
+/* An operator's change, for the revision that this instance has. */
+void lx_instance_change (LxInstance *instance, struct json_object *content);
 /* False: refused as "not run" with an error. */
 bool lx_instance_call (
     LxInstance *instance, LcRequestSpec *spec, uint64_t job, LxCall *call, LbError *error);
@@ -102,7 +116,8 @@
 void lx_instance_report (LxInstance *instance, size_t engine, const LcLoadReport *report);
 void lx_instance_swap (LxInstance *instance, size_t engine, bool pending, LbTime until);
 void lx_instance_versions (LxInstance *instance, LcVersion newest, LbTime cadence);
-bool lx_instance_open (LxInstance *instance, LcStepSpec *spec, uint64_t session, LbError *error);
+/* Takes the step over by a new session in the store, then opens it; takes over the spec. */
+void lx_instance_take_step (LxInstance *instance, LcStepSpec *spec, size_t trainer);
 void lx_instance_pull (LxInstance *instance, const LcPull *pull);
 
 #endif
--- a/packages/sim/include/lx-ledger.h
+++ b/packages/sim/include/lx-ledger.h
@@ -20,6 +20,7 @@
   LX_SENT_TO_LEAVING,   /* new work for a leaving endpoint after the bound */
   LX_CUT_BY_DRAIN,      /* a graceful shutdown cut a request in progress */
   LX_REVERTED,          /* an older configuration in force after a newer one */
+  LX_NOT_IN_FORCE,      /* an accepted configuration not in force in time */
   LX_STUCK,             /* no answer at all within the harness's patience */
   LX_CORE_INVARIANT,    /* core's own counter of broken invariants moved */
   LX_N_BREACHES
--- a/packages/sim/include/lx-options.h
+++ b/packages/sim/include/lx-options.h
@@ -26,7 +26,12 @@
   double hedge_budget;
   double idle_weight; /* below 0: as the site's preset says */
   LbTime hedge_after;
-  bool faults;
+  /* soak */
+  uint32_t faults; /* bits by LxFault */
+  LbTime fault_pause;
+  LbTime change_every;     /* operators' changes; 0: none */
+  const uint8_t *left_out; /* strikes that do not happen */
+  size_t n_left_out;
 } LxOptions;
 
 void lx_options_init (LxOptions *options, const LxSite *site, uint64_t seed);
--- /dev/null
+++ b/packages/sim/include/lx-registry.h
@@ -0,0 +1,37 @@
+#ifndef LX_REGISTRY_H
+#define LX_REGISTRY_H
+
+#include "lc-resources.h"
+
+struct json_object;
+struct LxWorld;
+
+#define LX_MAX_REVISIONS 4096
+
+/* The accepted configuration as the store has it, operators who change it, and the check that what
+ * was accepted is in force everywhere in time and never goes back. */
+typedef struct
+{
+  struct LxWorld *world;
+  LcResourceSet *set;
+  LbTime accepted_at[LX_MAX_REVISIONS]; /* by revision */
+  int64_t n_accepted;
+  int64_t n_conflicts;
+} LxRegistry;
+
+/* Takes over the first set. */
+void lx_registry_init (LxRegistry *registry, struct LxWorld *world, LcResourceSet *set);
+void lx_registry_clear (LxRegistry *registry);
+
+/* commands */
+void lx_registry_start (LxRegistry *registry);
+/* A transaction under the condition that revision is the head. NULL: another one was first; else
+ * the next set, owned by the caller. */
+LcResourceSet *
+lx_registry_commit (LxRegistry *registry, int64_t revision, struct json_object *change);
+
+/* queries */
+/* The newest revision that must be in force by now. */
+int64_t lx_registry_due (const LxRegistry *registry, LbTime now);
+
+#endif
--- a/packages/sim/include/lx-trainer.h
+++ b/packages/sim/include/lx-trainer.h
@@ -15,9 +15,9 @@
   size_t index;
   LbName name;
   size_t owner; /* instance that owns the step */
-  uint64_t session;
   int64_t step;
   bool opened;
+  LcVersion opened_version; /* that it stated when it first asked for the step */
   LbTime train_until;
   /* the pull in progress */
   uint64_t pull; /* 0: none */
@@ -70,7 +70,9 @@
 /* commands */
 void lx_trainer_start (LxTrainer *trainer);
 void lx_trainer_receive (LxTrainer *trainer, LxChunk *chunk);
-/* A new owner of its step, of a larger session. */
+/* The instance has its step open. */
+void lx_trainer_opened (LxTrainer *trainer, size_t instance, int64_t step);
+/* It goes to another instance, which will take its step over. */
 void lx_trainer_move (LxTrainer *trainer, size_t owner);
 
 /* queries */
--- a/packages/sim/include/lx-world.h
+++ b/packages/sim/include/lx-world.h
@@ -2,9 +2,12 @@
 #define LX_WORLD_H
 
 #include "lx-callers.h"
+#include "lx-faults.h"
 #include "lx-instance.h"
 #include "lx-ledger.h"
 #include "lx-options.h"
+#include "lx-registry.h"
+#include "lx-store.h"
 #include "lx-swaps.h"
 #include "lx-trainer.h"
 
@@ -19,7 +22,7 @@
   LxQueue *queue;
   gsl_rng *random; /* for the harness alone */
   LxLedger ledger;
-  LcResourceSet *resources;
+  LxRegistry registry;
   LxEngine **engines; /* model engines first, then plain services */
   size_t n_engines;
   size_t n_endpoints;
@@ -28,6 +31,8 @@
   LxTrainer *trainers;
   LxCallers callers;
   LxSwaps swaps;
+  LxStore store;
+  LxFaults faults;
   int64_t decisions;
   char history[LX_HISTORY][128]; /* the last decisions, for a failing run */
   uint64_t n_history;
--- a/packages/sim/src/lx-callers.c
+++ b/packages/sim/src/lx-callers.c
@@ -14,6 +14,8 @@
 #define N_CALLERS 50
 #define SHARED_BLOCKS 3
 #define PROMPT_TOKENS 256
+#define DEADLINE (60 * LB_SEC)
+#define PATIENCE (20 * LB_SEC)
 
 typedef struct
 {
@@ -190,7 +192,7 @@
     fill_service_call (callers, &asking->spec);
   else
     fill_model_call (callers, &asking->spec);
-  asking->spec.deadline = lx_world_now (world) + 60 * LB_SEC;
+  asking->spec.deadline = lx_world_now (world) + DEADLINE;
   snprintf (asking->spec.caller, LB_NAME_MAX, "caller-%lu",
             gsl_rng_uniform_int (callers->random, N_CALLERS));
   call->kind = asking->spec.kind;
@@ -234,9 +236,30 @@
                   on_service_call, callers, NULL, NULL);
 }
 
+/* Every call has a final answer soon after its deadline, whatever happens. */
+static void
+on_check (void *owner, void *argument)
+{
+  LxCallers *callers = owner;
+  LxWorld *world = callers->world;
+  LbTime now = lx_world_now (world);
+
+  (void)argument;
+  LB_LIST_FOREACH (&callers->open, LxCall, link, call)
+  {
+    if (call->reported || call->asked + DEADLINE + PATIENCE > now)
+      continue;
+    call->reported = true;
+    lx_ledger_breach (&world->ledger, LX_STUCK, now, lx_world_event (world),
+                      "call of job %" PRIu64 " has no answer", call->job);
+  }
+  lx_world_after (world, 10 * LB_SEC, on_check, callers, NULL, NULL);
+}
+
 void
 lx_callers_start (LxCallers *callers)
 {
+  lx_world_after (callers->world, LB_SEC, on_check, callers, NULL, NULL);
   lx_world_after (callers->world, LB_SEC, on_model_call, callers, NULL, NULL);
   lx_world_after (callers->world, LB_SEC, on_service_call, callers, NULL, NULL);
 }
--- /dev/null
+++ b/packages/sim/src/lx-faults.c
@@ -0,0 +1,288 @@
+#include "lx-faults.h"
+
+#include "lx-world.h"
+
+#include "lb-alloc.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <xxhash.h>
+
+#define WARM_UP (5 * LB_SEC)
+
+static const char *const fault_names[LX_N_FAULTS]
+    = { "engine-crash",    "streams-break",   "streams-silent",  "pieces-garbled",
+        "version-missing", "swap-fails",      "endpoint-leaves", "instance-killed",
+        "instance-paused", "instance-drains", "owner-replaced",  "store-away",
+        "replies-lost" };
+
+/* One strike's own random numbers. */
+typedef struct
+{
+  LxFaults *faults;
+  uint64_t number;
+  uint64_t draws;
+} Strike;
+
+const char *
+lx_fault_name (LxFault fault)
+{
+  return fault_names[fault];
+}
+
+void
+lx_faults_init (LxFaults *faults, LxWorld *world)
+{
+  const LxOptions *options = &world->options;
+
+  *faults = (LxFaults){ .world = world,
+                        .kinds = options->faults,
+                        .mean_pause = options->fault_pause,
+                        .left_out = options->left_out,
+                        .n_left_out = options->n_left_out };
+}
+
+static double
+uniform (uint64_t seed, uint64_t a, uint64_t b)
+{
+  const uint64_t numbers[] = { a, b };
+
+  return (double)(XXH64 (numbers, sizeof numbers, seed) >> 11) / 9007199254740992.0;
+}
+
+bool
+lx_faults_chance (const LxFaults *faults, double share)
+{
+  const LxWorld *world = faults->world;
+
+  return uniform (world->options.seed, lx_world_event (world), 0xfa) < share;
+}
+
+static double
+draw (Strike *strike)
+{
+  return uniform (strike->faults->world->options.seed, strike->number, ++strike->draws);
+}
+
+static size_t
+draw_index (Strike *strike, size_t n)
+{
+  return (size_t)(draw (strike) * (double)n);
+}
+
+static LbTime
+draw_time (Strike *strike, LbTime shortest, LbTime longest)
+{
+  return shortest + (LbTime)(draw (strike) * (double)(longest - shortest));
+}
+
+static void
+on_engine_back (void *owner, void *argument)
+{
+  (void)argument;
+  lx_engine_start (owner, ((LxEngine *)owner)->is_service ? 1 : 0);
+}
+
+static void
+crash_engine (LxWorld *world, LxEngine *engine, LbTime down)
+{
+  if (!engine->alive)
+    return;
+  lx_engine_crash (engine);
+  lx_world_after (world, down, on_engine_back, engine, NULL, NULL);
+}
+
+static void
+on_left (void *owner, void *argument)
+{
+  LxWorld *world = owner;
+  LxEngine *engine = argument;
+
+  if (!engine->alive || !engine->leaving)
+    return;
+  if (lx_engine_in_progress (engine) > 0)
+    lx_world_after (world, LB_SEC, on_left, world, engine, NULL);
+  else
+    crash_engine (world, engine, 2 * LB_SEC);
+}
+
+static void
+leave (LxWorld *world, LxEngine *engine)
+{
+  if (!engine->alive || engine->leaving)
+    return;
+  engine->leaving = true;
+  engine->leaving_since = lx_world_now (world);
+  lx_world_after (world, 5 * LB_SEC, on_left, world, engine, NULL);
+}
+
+static size_t
+count_serving (const LxWorld *world)
+{
+  size_t serving = 0;
+
+  for (size_t i = 0; i < world->n_instances; i++)
+    serving += world->instances[i].alive && !world->instances[i].draining;
+  return serving;
+}
+
+static void
+on_instance_back (void *owner, void *argument)
+{
+  LxInstance *instance = owner;
+
+  (void)argument;
+  if (!instance->alive)
+    lx_instance_start (instance);
+}
+
+static void
+kill_instance (LxWorld *world, LxInstance *instance, LbTime down)
+{
+  if (!instance->alive || count_serving (world) < 3)
+    return;
+  lx_instance_kill (instance);
+  lx_world_after (world, down, on_instance_back, instance, NULL, NULL);
+}
+
+static void
+drain_instance (LxWorld *world, LxInstance *instance)
+{
+  if (!instance->alive || instance->draining || instance->paused_until > lx_world_now (world)
+      || count_serving (world) < 3)
+    return;
+  lx_instance_drain (instance);
+  for (size_t i = 0; i < world->options.n_trainers; i++)
+    if (world->trainers[i].owner == instance->index)
+      {
+        lx_instance_lose (instance, world->trainers[i].name, world->trainers[i].step);
+        lx_trainer_move (&world->trainers[i], (instance->index + 1) % world->n_instances);
+      }
+}
+
+static void
+strike_endpoint (Strike *strike, LxFault fault)
+{
+  LxWorld *world = strike->faults->world;
+  LxEngine *engine = world->engines[draw_index (strike, world->n_endpoints)];
+  LbTime down = draw_time (strike, LB_SEC, 15 * LB_SEC);
+
+  lx_world_note (world, "STRIKE %s on %.30s", fault_names[fault], engine->name);
+  if (fault == LX_FAULT_ENGINE_CRASH)
+    crash_engine (world, engine, down);
+  else if (fault == LX_FAULT_STREAMS_BREAK)
+    lx_engine_break_streams (engine, false);
+  else if (fault == LX_FAULT_STREAMS_SILENT)
+    lx_engine_break_streams (engine, true);
+  else if (fault == LX_FAULT_SWAP_FAILS)
+    engine->fail_next_load = true;
+  else
+    leave (world, engine);
+}
+
+static void
+strike_instance (Strike *strike, LxFault fault)
+{
+  LxWorld *world = strike->faults->world;
+  LxInstance *instance = &world->instances[draw_index (strike, world->n_instances)];
+  LxTrainer *trainer = &world->trainers[draw_index (strike, world->options.n_trainers)];
+  LbTime time = draw_time (strike, 500 * LB_MSEC, 12 * LB_SEC);
+
+  /* Owners of steps are the worst victims: every second strike hits one. */
+  if (draw (strike) < 0.5)
+    instance = &world->instances[trainer->owner];
+  lx_world_note (world, "STRIKE %s on %s", fault_names[fault], instance->name);
+  if (fault == LX_FAULT_INSTANCE_KILLED)
+    kill_instance (world, instance, time);
+  else if (fault == LX_FAULT_INSTANCE_DRAINS)
+    drain_instance (world, instance);
+  else if (fault == LX_FAULT_OWNER_REPLACED)
+    lx_trainer_move (trainer, instance->index);
+  else if (instance->alive && !instance->draining)
+    {
+      instance->paused_at = lx_world_now (world);
+      instance->paused_until = instance->paused_at + time;
+    }
+}
+
+static void
+strike_links (Strike *strike, LxFault fault)
+{
+  LxFaults *faults = strike->faults;
+  LxWorld *world = faults->world;
+  LbTime until = lx_world_now (world) + draw_time (strike, LB_SEC, 10 * LB_SEC);
+
+  lx_world_note (world, "STRIKE %s", fault_names[fault]);
+  if (fault == LX_FAULT_STORE_AWAY)
+    world->store.away_until = until + draw_time (strike, 0, 30 * LB_SEC);
+  else if (fault == LX_FAULT_REPLIES_LOST)
+    world->store.lose_until = until;
+  else if (fault == LX_FAULT_VERSION_MISSING)
+    faults->versions_missing_until = until;
+  else
+    faults->garbled_until = until;
+}
+
+static void
+strike_once (Strike *strike, LxFault fault)
+{
+  switch (fault)
+    {
+    case LX_FAULT_ENGINE_CRASH:
+    case LX_FAULT_STREAMS_BREAK:
+    case LX_FAULT_STREAMS_SILENT:
+    case LX_FAULT_SWAP_FAILS:
+    case LX_FAULT_ENDPOINT_LEAVES:
+      strike_endpoint (strike, fault);
+      break;
+    case LX_FAULT_INSTANCE_KILLED:
+    case LX_FAULT_INSTANCE_PAUSED:
+    case LX_FAULT_INSTANCE_DRAINS:
+    case LX_FAULT_OWNER_REPLACED:
+      strike_instance (strike, fault);
+      break;
+    default:
+      strike_links (strike, fault);
+      break;
+    }
+}
+
+static LxFault
+draw_fault (Strike *strike)
+{
+  LxFault fault;
+
+  do
+    fault = (LxFault)draw_index (strike, LX_N_FAULTS);
+  while (!(strike->faults->kinds & (1u << fault)));
+  return fault;
+}
+
+static void
+on_strike (void *owner, void *argument)
+{
+  LxFaults *faults = owner;
+  Strike strike = { .faults = faults, .number = faults->n_strikes++ };
+  LxFault fault = draw_fault (&strike);
+  double next = draw (&strike);
+  double again = draw (&strike);
+
+  (void)argument;
+  lx_world_after (faults->world, (LbTime)(-log (1 - next) * (double)faults->mean_pause), on_strike,
+                  faults, NULL, NULL);
+  if (strike.number < faults->n_left_out && faults->left_out[strike.number])
+    return;
+  strike_once (&strike, fault);
+  /* The same once more at another victim, or another fault with it. */
+  if (again < 0.2)
+    strike_once (&strike, fault);
+  else if (again < 0.4)
+    strike_once (&strike, draw_fault (&strike));
+}
+
+void
+lx_faults_start (LxFaults *faults)
+{
+  if (faults->kinds != 0)
+    lx_world_after (faults->world, WARM_UP, on_strike, faults, NULL, NULL);
+}
--- a/packages/sim/src/lx-instance.c
+++ b/packages/sim/src/lx-instance.c
@@ -1,5 +1,6 @@
 #include "lx-instance.h"
 
+#include "lx-instance-config.h"
 #include "lx-world.h"
 
 #include "lb-alloc.h"
@@ -11,8 +12,11 @@
 
 /* A store write of the instance: table latency, both ways. */
 #define STORE_TIME (5 * LB_MSEC)
+#define STORE_DEADLINE LB_SEC
 /* New work may still reach an endpoint for so long after it began to leave. */
 #define LEAVING_BOUND (3 * LB_SEC)
+#define DRAIN_CHECK (200 * LB_MSEC)
+#define DRAIN_PATIENCE (150 * LB_SEC)
 
 typedef struct
 {
@@ -39,6 +43,22 @@
 
 static void pump (LxInstance *instance);
 
+static void
+on_restart (void *owner, void *argument)
+{
+  LxInstance *instance = owner;
+
+  (void)argument;
+  if (!instance->alive)
+    lx_instance_start (instance);
+}
+
+static LbTime
+now_of (const LxInstance *instance)
+{
+  return lx_world_now (instance->world);
+}
+
 static void
 free_request (LxInstance *instance, LxRequest *request)
 {
@@ -106,6 +126,7 @@
   instance->cache_cursors = LB_NEW_ARRAY (uint64_t, world->n_endpoints);
   lb_list_init (&instance->actions);
   lb_list_init (&instance->rollout_actions);
+  lb_list_init (&instance->config_actions);
 }
 
 static void
@@ -118,12 +139,28 @@
         LB_CONTAINER (lb_list_pop (&instance->rollout_actions), LcRolloutAction, link));
 }
 
+/* Core asserts its promises itself; the counts must stay at zero. */
+static void
+check_core (LxInstance *instance)
+{
+  LxWorld *world = instance->world;
+  int64_t failures = lc_rollouts_invariant_failures (instance->rollouts)
+                     + (int64_t)lc_dispatch_invariant_failures (instance->dispatch);
+
+  if (failures > instance->core_failures)
+    lx_ledger_breach (&world->ledger, LX_CORE_INVARIANT, lx_world_now (world),
+                      lx_world_event (world), "%s counts %" PRId64, instance->name, failures);
+  instance->core_failures = failures;
+}
+
 static void
 stop_process (LxInstance *instance)
 {
   LxRequest *request, *next;
 
+  check_core (instance);
   drop_actions (instance);
+  lx_instance_config_stop (instance);
   HASH_ITER (hh, instance->requests, request, next)
   {
     free_request (instance, request);
@@ -168,7 +205,9 @@
   instance->life++;
   instance->alive = true;
   instance->draining = false;
+  instance->started_at = now_of (instance);
   instance->paused_until = 0;
+  instance->core_failures = 0;
   instance->tick_at = LB_TIME_NEVER;
   LB_COPY (dispatch.data_centre, options->site->data_centres[instance->data_centre]);
   LB_COPY (dispatch.policy, options->policy);
@@ -178,7 +217,7 @@
   instance->rollouts = lc_rollouts_new (&rollouts);
   lc_rollouts_set_id_source (instance->rollouts, next_request, instance);
   memset (instance->cache_cursors, 0, instance->world->n_endpoints * sizeof (uint64_t));
-  lx_instance_configure (instance, instance->world->resources);
+  lx_instance_config_start (instance);
   lx_instance_post (instance, (LbTime)instance->index * 37 * LB_MSEC, on_poll, NULL, NULL);
 }
 
@@ -228,12 +267,6 @@
   stop_process (instance);
 }
 
-static LbTime
-now_of (const LxInstance *instance)
-{
-  return lx_world_now (instance->world);
-}
-
 static LxRequest *
 find_request (LxInstance *instance, LcRequestId id)
 {
@@ -254,6 +287,28 @@
 
 static void on_delivery (LxInstance *instance, void *argument);
 
+/* Pieces that come twice, late or without their version. An end marker keeps its place: a node that
+ * has not seen it does not say that an answer is whole. */
+static void
+garble (LxInstance *instance, LxDelivery *delivery, LbTime *delay)
+{
+  LxWorld *world = instance->world;
+  LbTime now = lx_world_now (world);
+
+  if (delivery->is_end)
+    return;
+  if (now < world->faults.versions_missing_until && gsl_rng_uniform (world->random) < 0.05)
+    delivery->piece.version = 0;
+  if (now >= world->faults.garbled_until)
+    return;
+  double lot = gsl_rng_uniform (world->random);
+  if (lot < 0.03)
+    lx_instance_post (instance, *delay + (LbTime)(lot * LB_SEC), on_delivery,
+                      lb_memdup (delivery, sizeof *delivery), free);
+  else if (lot < 0.06 && !delivery->piece.last)
+    *delay += (LbTime)(lot * 5 * LB_SEC);
+}
+
 static void
 send_delivery (LxInstance *instance,
                const LxEngine *engine,
@@ -269,6 +324,7 @@
   copy = lb_memdup (delivery, sizeof *delivery);
   copy->request = stream->request;
   copy->attempt = stream->attempt;
+  garble (instance, copy, &delay);
   lx_instance_post (instance, way + delay, on_delivery, copy, free);
 }
 
@@ -573,13 +629,96 @@
   pump (instance);
 }
 
+static LxWriteFate
+draw_fate (const LxWorld *world)
+{
+  LbTime now = lx_world_now (world);
+
+  if (now < world->store.away_until)
+    return LX_WRITE_AWAY;
+  if (now >= world->store.lose_until || !lx_faults_chance (&world->faults, 0.33))
+    return LX_WRITE_FINE;
+  return lx_world_event (world) % 3 == 0 ? LX_WRITE_LOST : LX_WRITE_REPLY_LOST;
+}
+
 static void
 write_ledger (LxInstance *instance, const LcRolloutAction *action)
 {
   StoreReply *reply = LB_NEW (StoreReply);
+  LxWriteFate fate = draw_fate (instance->world);
 
   reply->write = action->write;
-  lx_instance_post (instance, STORE_TIME, on_store_reply, reply, free);
+  reply->error = lx_store_write (&instance->world->store, action->row_key, action->row_value,
+                                 action->session, fate);
+  lx_instance_post (instance, fate == LX_WRITE_FINE ? STORE_TIME : STORE_DEADLINE, on_store_reply,
+                    reply, free);
+}
+
+typedef struct
+{
+  LcStepSpec spec;
+  size_t trainer;
+  uint64_t session;
+  char *ledger;
+} Taking;
+
+static void
+drop_taking (void *argument)
+{
+  Taking *taking = argument;
+
+  lc_step_spec_clear (&taking->spec);
+  free (taking->ledger);
+  free (taking);
+}
+
+static void
+on_taken (LxInstance *instance, void *argument)
+{
+  Taking *taking = argument;
+  LbError error = { 0 };
+  int64_t step = taking->spec.step;
+  bool opened
+      = lc_rollouts_recover (instance->rollouts, &taking->spec, taking->session, taking->ledger,
+                             now_of (instance), &instance->rollout_actions, &error);
+
+  lx_world_note (instance->world, "%s opens trainer %zu step %" PRId64 " session %" PRIu64 ": %s",
+                 instance->name, taking->trainer + 1, step, taking->session,
+                 lb_error_name (error.code));
+  pump (instance);
+  if (opened)
+    lx_trainer_opened (&instance->world->trainers[taking->trainer], instance->index, step);
+}
+
+void
+lx_instance_take_step (LxInstance *instance, LcStepSpec *spec, size_t trainer)
+{
+  LxWorld *world = instance->world;
+  LcStepStatus status;
+  char key[3 * LB_NAME_MAX];
+
+  if (lc_rollouts_status (instance->rollouts, spec->subscription, spec->step, &status))
+    {
+      lx_trainer_opened (&world->trainers[trainer], instance->index, spec->step);
+      lc_step_spec_clear (spec);
+      return;
+    }
+  snprintf (key, sizeof key, "ledger/%s/%" PRId64, spec->subscription, spec->step);
+  LxWriteFate fate = draw_fate (world);
+  if (fate != LX_WRITE_FINE)
+    {
+      if (fate == LX_WRITE_REPLY_LOST)
+        lx_store_take (&world->store, key);
+      lc_step_spec_clear (spec);
+      return;
+    }
+  Taking *taking = LB_NEW (Taking);
+  taking->spec = *spec;
+  taking->trainer = trainer;
+  taking->session = lx_store_take (&world->store, key);
+  taking->ledger = lb_strdup (lx_store_value (&world->store, key));
+  memset (spec, 0, sizeof *spec);
+  lx_instance_post (instance, STORE_TIME, on_taken, taking, drop_taking);
 }
 
 static void
@@ -674,6 +813,32 @@
   plan_tick (instance);
 }
 
+/* The process of a graceful shutdown ends when nothing is in progress. */
+static void
+on_drained (LxInstance *instance, void *argument)
+{
+  LxWorld *world = instance->world;
+  bool idle = lc_dispatch_in_progress (instance->dispatch) == 0
+              && lc_dispatch_waiting (instance->dispatch, LC_KIND_LIVE) == 0
+              && lc_rollouts_in_progress (instance->rollouts) == 0;
+
+  (void)argument;
+  if (!idle && now_of (instance) - instance->drained_at < DRAIN_PATIENCE)
+    {
+      lx_instance_post (instance, DRAIN_CHECK, on_drained, NULL, NULL);
+      return;
+    }
+  if (!idle)
+    lx_ledger_breach (&world->ledger, LX_STUCK, now_of (instance), lx_world_event (world),
+                      "%s drains without end", instance->name);
+  for (LxRequest *request = instance->requests; request; request = request->hh.next)
+    if (request->call)
+      lx_ledger_breach (&world->ledger, LX_CUT_BY_DRAIN, now_of (instance), lx_world_event (world),
+                        "%s ends with request %" PRIu64, instance->name, request->id);
+  lx_instance_kill (instance);
+  lx_world_after (world, 2 * LB_SEC, on_restart, instance, NULL, NULL);
+}
+
 void
 lx_instance_drain (LxInstance *instance)
 {
@@ -681,6 +846,16 @@
   lc_dispatch_drain (instance->dispatch, now_of (instance), &instance->actions);
   lc_rollouts_drain (instance->rollouts, now_of (instance), &instance->rollout_actions);
   pump (instance);
+  instance->drained_at = now_of (instance);
+  lx_instance_post (instance, DRAIN_CHECK, on_drained, NULL, NULL);
+}
+
+void
+lx_instance_lose (LxInstance *instance, const char *subscription, int64_t step)
+{
+  lc_rollouts_lose (instance->rollouts, subscription, step, now_of (instance),
+                    &instance->rollout_actions);
+  pump (instance);
 }
 
 void
@@ -697,6 +872,8 @@
 {
   LbTime retry_after = 0;
 
+  if (!lc_config_is_ready (instance->config))
+    return lb_error_set (error, LB_ERROR_NOT_READY, instance->name, "no confirmed configuration");
   spec->id = next_request (instance);
   bool taken = submit (instance, spec, job, call, &retry_after, error);
   pump (instance);
@@ -730,7 +907,11 @@
   LxRequest *request = find_request (instance, delivery->request);
   LxAttempt *attempt = request ? find_attempt (request, delivery->attempt) : NULL;
 
-  if (!attempt || !attempt->open)
+  if (!attempt)
+    return;
+  /* A closed connection brings nothing, unless pieces are garbled: core has to drop such ones. */
+  if (!attempt->open
+      && (delivery->is_end || now_of (instance) >= instance->world->faults.garbled_until))
     return;
   if (delivery->is_end)
     {
@@ -804,6 +985,7 @@
                                           world->engines[i]->data_centre),
                         on_report, report, free);
     }
+  check_core (instance);
   lx_instance_post (instance, 500 * LB_MSEC, on_poll, NULL, NULL);
 }
 
@@ -822,16 +1004,6 @@
   pump (instance);
 }
 
-bool
-lx_instance_open (LxInstance *instance, LcStepSpec *spec, uint64_t session, LbError *error)
-{
-  bool opened = lc_rollouts_open (instance->rollouts, spec, session, now_of (instance),
-                                  &instance->rollout_actions, error);
-
-  pump (instance);
-  return opened;
-}
-
 void
 lx_instance_pull (LxInstance *instance, const LcPull *pull)
 {
--- a/packages/sim/src/lx-ledger.c
+++ b/packages/sim/src/lx-ledger.c
@@ -9,9 +9,10 @@
 #include <string.h>
 
 static const char *const breach_names[LX_N_BREACHES]
-    = { "lost",         "doubled",           "stale",     "mislabelled",
-        "not-whole",    "ran-after-not-run", "ran-twice", "sent-to-leaving",
-        "cut-by-drain", "reverted",          "stuck",     "core-invariant" };
+    = { "lost",          "doubled",           "stale",        "mislabelled",
+        "not-whole",     "ran-after-not-run", "ran-twice",    "sent-to-leaving",
+        "cut-by-drain",  "reverted",          "not-in-force", "stuck",
+        "core-invariant" };
 
 void
 lx_ledger_init (LxLedger *ledger)
--- a/packages/sim/src/lx-trainer.c
+++ b/packages/sim/src/lx-trainer.c
@@ -53,7 +53,6 @@
   trainer->world = world;
   trainer->index = index;
   trainer->owner = index % world->n_instances;
-  trainer->session = 1;
   snprintf (trainer->name, sizeof trainer->name, "trainer-%zu", index + 1);
   trainer->got = LB_NEW_ARRAY (uint8_t, (size_t)(world->options.groups * world->options.samples));
   trainer->cursor = lb_strdup ("");
@@ -112,7 +111,7 @@
 
   LB_COPY (spec->subscription, trainer->name);
   spec->step = trainer->step;
-  spec->version = trainer->world->swaps.newest;
+  spec->version = trainer->opened_version;
   spec->n_groups = (size_t)options->groups;
   spec->groups = LB_NEW_ARRAY (LcGroupSpec, spec->n_groups);
   for (size_t i = 0; i < spec->n_groups; i++)
@@ -143,22 +142,30 @@
 {
   LxTrainer *trainer = argument;
   LcStepSpec spec = { 0 };
-  LbError error = { 0 };
 
   if (trainer->opened || trainer->owner != instance->index)
     return;
   fill_spec (trainer, &spec);
-  trainer->opened = lx_instance_open (instance, &spec, trainer->session, &error);
-  lc_step_spec_clear (&spec);
-  lx_world_note (instance->world, "%s opens step %" PRId64 " of %s: %s", instance->name,
-                 trainer->step, trainer->name, lb_error_name (error.code));
+  lx_instance_take_step (instance, &spec, trainer->index);
+}
+
+void
+lx_trainer_opened (LxTrainer *trainer, size_t instance, int64_t step)
+{
+  if (trainer->owner != instance || trainer->step != step)
+    return;
+  trainer->opened = true;
 }
 
 static void
 send_open (LxTrainer *trainer)
 {
   LxWorld *world = trainer->world;
+  const LxInstance *instance = lx_world_live_instance (world, trainer->owner);
 
+  if (!instance)
+    return;
+  trainer->owner = instance->index;
   lx_instance_post (&world->instances[trainer->owner], world->options.site->to_clients, on_open,
                     trainer, NULL);
 }
@@ -195,6 +202,7 @@
   if (trainer->pull != (uintptr_t)argument)
     return;
   trainer->pull = 0;
+  trainer->opened = false;
   ask (trainer);
 }
 
@@ -269,6 +277,7 @@
   memset (trainer->got, 0, (size_t)(options->groups * options->samples));
   trainer->n_got = 0;
   trainer->opened = false;
+  trainer->opened_version = trainer->world->swaps.newest;
   trainer->opened_at = lx_world_now (trainer->world);
   free (trainer->cursor);
   trainer->cursor = lb_strdup ("");
@@ -414,7 +423,8 @@
     {
       lx_world_note (trainer->world, "%s: pull refused: %s", trainer->name,
                      lb_error_name (chunk->error.code));
-      if (chunk->error.code == LB_ERROR_UNKNOWN_STEP)
+      if (chunk->error.code == LB_ERROR_UNKNOWN_STEP || chunk->error.code == LB_ERROR_STALE_SESSION
+          || chunk->error.code == LB_ERROR_DRAINING)
         trainer->opened = false;
       ask_later (trainer, chunk->retry_after > RETRY_TIME ? chunk->retry_after : RETRY_TIME);
       goto out;
@@ -435,7 +445,6 @@
 lx_trainer_move (LxTrainer *trainer, size_t owner)
 {
   trainer->owner = owner;
-  trainer->session++;
   trainer->opened = false;
   trainer->pull = 0;
   ask (trainer);
--- a/packages/sim/src/lx-world.c
+++ b/packages/sim/src/lx-world.c
@@ -235,7 +235,7 @@
   gsl_rng_set (world->random, options->seed);
   lx_ledger_init (&world->ledger);
   add_endpoints (world);
-  world->resources = make_resources (world);
+  lx_registry_init (&world->registry, world, make_resources (world));
   world->n_instances = options->site->n_instances;
   world->instances = LB_NEW_ARRAY (LxInstance, world->n_instances);
   for (size_t i = 0; i < world->n_instances; i++)
@@ -245,6 +245,8 @@
     lx_trainer_init (&world->trainers[i], world, i);
   lx_callers_init (&world->callers, world);
   lx_swaps_init (&world->swaps, world);
+  lx_store_init (&world->store);
+  lx_faults_init (&world->faults, world);
   return world;
 }
 
@@ -264,8 +266,9 @@
   for (size_t i = 0; i < world->n_endpoints; i++)
     lx_engine_free (world->engines[i]);
   free (world->engines);
-  lc_resource_set_free (world->resources);
+  lx_registry_clear (&world->registry);
   lx_ledger_clear (&world->ledger);
+  lx_store_clear (&world->store);
   gsl_rng_free (world->random);
   free (world);
 }
@@ -277,8 +280,10 @@
     lx_engine_start (world->engines[i], world->swaps.newest);
   for (size_t i = 0; i < world->n_instances; i++)
     lx_instance_start (&world->instances[i]);
+  lx_registry_start (&world->registry);
   lx_swaps_start (&world->swaps);
   lx_callers_start (&world->callers);
+  lx_faults_start (&world->faults);
   for (size_t i = 0; i < world->options.n_trainers; i++)
     lx_trainer_start (&world->trainers[i]);
 }
