--- a/packages/core/include/lc-rollouts.h
+++ b/packages/core/include/lc-rollouts.h
@@ -187,11 +187,15 @@
 void lc_rollout_action_free (LcRolloutAction *action);
 
 /* queries */
+/* Whether the step's content and subscription are such that it could be opened here. */
+bool lc_rollouts_may_open (const LcRollouts *rollouts, const LcStepSpec *spec, LbError *error);
 LbTime lc_rollouts_next_tick (const LcRollouts *rollouts);
 bool lc_rollouts_status (const LcRollouts *rollouts,
                          const char *subscription,
                          int64_t step,
                          LcStepStatus *status);
+/* True for a running request that asks a scorer. */
+bool lc_rollouts_is_scoring (const LcRollouts *rollouts, LcRequestId request);
 size_t lc_rollouts_in_progress (const LcRollouts *rollouts);
 /* Times that a delivery was refused because it would have broken a promise; 0 in a sound program.
  */
--- a/packages/core/src/lc-router-finish-time.c
+++ b/packages/core/src/lc-router-finish-time.c
@@ -8,11 +8,12 @@
  * arrivals nobody has reported yet may level out, a draw by weight. See
  * docs/design/0002-routing.md. */
 
-#define DEFAULT_TOKEN_SECONDS 0.02
 #define DEFAULT_EXPECTED_TOKENS 64
 #define DEFAULT_SERVICE_SECONDS 1.0
 #define PREFILL_TOKENS_PER_SECOND 8000.0
-#define FULL_BATCH_SLOWDOWN 1.0 /* a token takes this share longer in a full batch */
+#define PREFILL_HOLDS_UP 0.5 /* share of its time that each request beside it loses */
+#define INDIFFERENT_SECONDS 0.005
+#define LEAST_SHARE 0.01
 
 /* What all candidates of one decision have in common. */
 typedef struct
@@ -26,6 +27,19 @@
   LbTime now;
 } Situation;
 
+/* Without fmax's rules for NaN, which cost a call for each candidate. */
+static inline double
+larger (double a, double b)
+{
+  return a > b ? a : b;
+}
+
+static inline double
+smaller (double a, double b)
+{
+  return a < b ? a : b;
+}
+
 static Situation
 make_situation (LcPolicy *policy, LcEndpoints *endpoints, const LcRouteQuery *query, LbTime now)
 {
@@ -47,93 +61,97 @@
 
 /* Of what others had running when the report was measured, part has finished since. */
 static double
-still_running (const Situation *situation, const LcEntry *entry)
+still_running (const Situation *situation, const LcSummary *summary)
 {
-  double age = (double)(situation->now - entry->endpoint.report.at) / LB_SEC;
+  double age = (double)(situation->now - summary->reported_at) / LB_SEC;
 
   return age > 0 ? 1 / (1 + age / situation->service_seconds) : 1;
 }
 
 static double
-token_seconds_when_alone (const LcEntry *entry)
+swap_seconds (const Situation *situation, const LcSummary *summary)
 {
-  const LcEndpoint *endpoint = &entry->endpoint;
-  const LcLoadReport *report = &endpoint->report;
-  double fill = (double)report->running / entry->concurrency.most;
+  const LcEndpoint *endpoint = summary->endpoint;
+
+  if (!summary->is_special || !endpoint->swap_pending || endpoint->swap_until <= situation->now)
+    return 0;
+  return (double)(endpoint->swap_until - situation->now) / LB_SEC;
+}
 
-  if (report->tokens_per_second > 0)
-    return 1 / report->tokens_per_second / (1 + FULL_BATCH_SLOWDOWN * fmin (fill, 1));
-  if (endpoint->ewma_token_seconds > 0)
-    return endpoint->ewma_token_seconds;
-  return DEFAULT_TOKEN_SECONDS;
+/* What waiting and decoding cost there, and how it grows. A larger batch slows all that is in it,
+ * so each added request counts twice: for itself and for the others. */
+static LcLoadPrice
+load_price (const Situation *situation, const LcSummary *summary, double load)
+{
+  double size = (double)summary->size;
+  double decode = situation->query->kind == LC_KIND_SERVICE
+                      ? situation->service_seconds
+                      : situation->expected_tokens * (double)summary->alone_token_seconds;
+  double ahead = load + 1 - size;
+  double per_place = 2 * decode * LC_FULL_BATCH_SLOWDOWN;
+
+  if (ahead <= 0)
+    return (LcLoadPrice){ .seconds = decode + per_place * (load + 1) / size,
+                          .per_second = size / per_place };
+  return (LcLoadPrice){ .seconds = decode + per_place + situation->service_seconds * ahead / size,
+                        .per_second = size / situation->service_seconds };
 }
 
+/* A prefill also holds up those that decode beside it. */
 static double
-swap_seconds (const Situation *situation, const LcEndpoint *endpoint)
+prefill_seconds (const Situation *situation, const LcSummary *summary, double load)
 {
-  if (!endpoint->swap_pending || endpoint->swap_until <= situation->now)
-    return 0;
-  return (double)(endpoint->swap_until - situation->now) / LB_SEC;
+  double missing = 1 - situation->shares[summary->slot];
+  double beside = smaller (load, (double)summary->size);
+
+  return (double)situation->query->prompt_tokens / PREFILL_TOKENS_PER_SECOND * missing
+         * (1 + PREFILL_HOLDS_UP * beside);
 }
 
 static double
-expected_seconds (const Situation *situation, const LcEntry *entry, double load, double *slope)
-{
-  const LcEndpoint *endpoint = &entry->endpoint;
-  double most = entry->concurrency.most;
-  double alone = token_seconds_when_alone (entry);
-  double ahead = fmax (0, load + 1 - most);
-  double fill = fmin (load + 1, most) / most;
-  double prefill = (double)situation->query->prompt_tokens / PREFILL_TOKENS_PER_SECOND
-                   * (1 - situation->shares[endpoint->slot]);
-  double distance = situation->data_centre == entry->data_centre
-                        ? 0
-                        : 2 * (double)situation->endpoints->distance / LB_SEC;
-
-  *slope = ahead > 0 ? situation->service_seconds / most
-                     : situation->expected_tokens * alone * FULL_BATCH_SLOWDOWN / most;
-  return distance + swap_seconds (situation, endpoint) + prefill
-         + ahead * situation->service_seconds / most
-         + situation->expected_tokens * alone * (1 + FULL_BATCH_SLOWDOWN * fill);
+way_seconds (const Situation *situation, const LcSummary *summary)
+{
+  if (situation->data_centre == summary->data_centre)
+    return 0;
+  return 2 * (double)situation->endpoints->distance / LB_SEC;
 }
 
 static void
-grow_weights (LcPolicy *policy)
+grow_loads (LcPolicy *policy)
 {
-  if (policy->n_weights >= policy->candidates.n_items)
+  if (policy->n_loads >= policy->candidates.n_items)
     return;
-  policy->n_weights = policy->candidates.n_items;
-  policy->weights = lb_realloc (policy->weights, policy->n_weights * sizeof *policy->weights);
+  policy->n_loads = policy->candidates.n_items;
+  policy->loads = lb_realloc (policy->loads, policy->n_loads * sizeof *policy->loads);
 }
 
-/* Scores all candidates; weights become 1 / slope. Returns how many requests arrived since the
- * reports by the measure that what finished was replaced. */
+/* Fills the loads, and the scores with all that does not depend on the load. Returns how many
+ * requests arrived since the reports by the measure that what finished was replaced. */
 static double
 score_all (LcPolicy *policy, const Situation *situation)
 {
-  LcCandidates *candidates = &policy->candidates;
   double unseen = 0;
 
-  for (size_t i = 0; i < candidates->n_items; i++)
+  for (size_t i = 0; i < policy->candidates.n_items; i++)
     {
-      const LcEntry *entry = lc_entry (candidates->items[i].endpoint);
-      double others = (double)lc_entry_others (entry);
-      double left = others * still_running (situation, entry);
-      double slope = 0;
+      LcCandidate *item = &policy->candidates.items[i];
+      const LcSummary *summary = policy->candidates.summaries[i];
+      double others = (double)summary->others;
+      double left = others * still_running (situation, summary);
+      double load = left + summary->in_flight;
 
       unseen += others - left;
-      candidates->items[i].score
-          = expected_seconds (situation, entry, left + (double)entry->endpoint.in_flight, &slope);
-      policy->weights[i] = 1 / slope;
+      policy->loads[i] = load_price (situation, summary, load);
+      item->score = way_seconds (situation, summary) + swap_seconds (situation, summary)
+                    + prefill_seconds (situation, summary, load);
     }
   return unseen;
 }
 
-/* The score that all endpoints below it are raised to when the arrivals fill the lowest first. */
+/* What the load costs everywhere once the unseen arrivals have filled the least loaded first. */
 static double
 find_level (const LcPolicy *policy, double arrivals)
 {
-  const LcCandidates *candidates = &policy->candidates;
   double level = HUGE_VAL;
 
   for (;;)
@@ -141,33 +159,48 @@
       double weight = 0;
       double sum = arrivals;
 
-      for (size_t i = 0; i < candidates->n_items; i++)
-        if (candidates->items[i].score < level)
-          {
-            weight += policy->weights[i];
-            sum += policy->weights[i] * candidates->items[i].score;
-          }
-      if (sum / weight >= level)
+      for (size_t i = 0; i < policy->candidates.n_items; i++)
+        {
+          const LcLoadPrice *price = &policy->loads[i];
+          double part = price->seconds < level ? price->per_second : 0;
+
+          weight += part;
+          sum += part * price->seconds;
+        }
+      if (weight == 0 || sum / weight >= level)
         return level;
       level = sum / weight;
     }
 }
 
-/* All instances see the same old reports. If each sent to the lowest score, that endpoint would get
- * the requests of all of them until the next report, and then another one: herding. The draw gives
- * each endpoint the share of the unseen arrivals that would make the scores equal. */
+static double
+add_level (LcPolicy *policy, double level)
+{
+  double least = HUGE_VAL;
+
+  for (size_t i = 0; i < policy->candidates.n_items; i++)
+    {
+      LcCandidate *item = &policy->candidates.items[i];
+
+      item->score += larger (level, policy->loads[i].seconds);
+      least = smaller (least, item->score);
+    }
+  return least;
+}
+
+/* Among the candidates nearest to the least score, each by what it lacks to the level. */
 static size_t
-draw (LcPolicy *policy, double level)
+draw (LcPolicy *policy, double level, double least)
 {
-  const LcCandidates *candidates = &policy->candidates;
   double total = 0;
   size_t chosen = 0;
 
-  for (size_t i = 0; i < candidates->n_items; i++)
+  for (size_t i = 0; i < policy->candidates.n_items; i++)
     {
-      double share = (level - candidates->items[i].score) * policy->weights[i];
+      const LcLoadPrice *price = &policy->loads[i];
+      double share = larger (LEAST_SHARE, (level - price->seconds) * price->per_second);
 
-      if (share <= 0)
+      if (policy->candidates.items[i].score > least + INDIFFERENT_SECONDS)
         continue;
       total += share;
       if (gsl_rng_uniform (policy->rng) * total < share)
@@ -176,19 +209,23 @@
   return chosen;
 }
 
+/* All instances see the same old reports. If each sent to the lowest score, that endpoint would get
+ * the requests of all of them until the next report, and then another one: herding. So an endpoint
+ * below the level counts as if the arrivals that no report shows yet had filled it up, which leaves
+ * many equal ones, and the draw gives each its part of those arrivals. */
 static size_t
 pick (LcPolicy *policy, LcEndpoints *endpoints, const LcRouteQuery *query, LbTime now)
 {
   Situation situation = make_situation (policy, endpoints, query, now);
 
-  grow_weights (policy);
+  grow_loads (policy);
 
   double unseen = score_all (policy, &situation);
+  double level = find_level (policy, unseen + 1);
+  double least = add_level (policy, level);
 
   lc_policy_clear_shares (policy);
-  if (unseen < 1)
-    return lc_policy_pick_least (policy);
-  return draw (policy, find_level (policy, unseen + 1));
+  return draw (policy, level, least);
 }
 
 static LcRouter *
--- a/packages/node/src/ln-call.c
+++ b/packages/node/src/ln-call.c
@@ -10,6 +10,8 @@
 #include <string.h>
 #include <strings.h>
 
+#define JSON_FORMAT (JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE)
+
 LnCall *
 ln_call_new (LnCallKind kind)
 {
@@ -24,12 +26,11 @@
 void
 ln_call_free (LnCall *call)
 {
-  while (!lb_list_is_empty (&call->attempts))
-    {
-      LnAttempt *attempt = LB_LIST_FIRST (&call->attempts, LnAttempt, link);
-      ln_upstream_cancel (attempt->upstream);
-      ln_attempt_free (attempt);
-    }
+  LB_LIST_FOREACH (&call->attempts, LnAttempt, link, attempt)
+  {
+    ln_upstream_cancel (attempt->upstream);
+    ln_attempt_free (attempt);
+  }
   for (size_t i = 0; i < call->n_headers; i++)
     {
       free ((char *)call->headers[i].name);
@@ -75,7 +76,7 @@
   json_object_object_del (call->body, "resume");
   if (resume_at > 0)
     json_object_object_add (call->body, "resume", resume_object (call, resume_at));
-  return lb_strdup (json_object_to_json_string_ext (call->body, JSON_C_TO_STRING_PLAIN));
+  return lb_strdup (json_object_to_json_string_ext (call->body, JSON_FORMAT));
 }
 
 LnAttempt *
@@ -140,12 +141,9 @@
                 struct json_object *event,
                 const char *text)
 {
-  struct json_object *reused = NULL;
-
   attempt->tokens += piece->tokens;
   add_version (attempt, piece->version);
-  if (json_object_object_get_ex (event, "kv_reused_version", &reused))
-    add_version (attempt, json_object_get_int64 (reused));
+  add_version (attempt, piece->kv_reused_version);
   note_finish_reason (attempt, event);
   if (attempt->call->spec.delivery != LC_DELIVER_WHOLE)
     return;
@@ -178,8 +176,7 @@
       ln_exchange_stream_start (call->exchange, 200, "text/event-stream");
     }
   relabel (call, event);
-  char *line = lb_asprintf ("data: %s\n\n",
-                            json_object_to_json_string_ext (event, JSON_C_TO_STRING_PLAIN));
+  char *line = lb_asprintf ("data: %s\n\n", json_object_to_json_string_ext (event, JSON_FORMAT));
   ln_exchange_stream_piece (call->exchange, line, strlen (line));
   free (line);
 }
--- a/packages/node/src/ln-caller.h
+++ b/packages/node/src/ln-caller.h
@@ -15,6 +15,7 @@
   struct event_base *base;
   LbList callers;
   LbList lingers;
+  LbList exchanges; /* all that are not answered yet */
   size_t max_callers;
   size_t max_body;
   size_t max_header;
@@ -35,6 +36,7 @@
   LbErrorCode refusal; /* sent when the connection ends: why it was given up */
   bool flush;          /* what was written goes out before the connection is closed */
   char peer[64];
+  char *query; /* of the request being read, as it came; NULL when there is none */
 };
 
 void ln_callers_init (LnCallers *callers, struct event_base *base);
--- a/packages/node/src/ln-calls.c
+++ b/packages/node/src/ln-calls.c
@@ -27,8 +27,8 @@
   LnPoller *poller;
   struct event *tick;
   LnCall *by_id;
-  LnCall *by_exchange;
-  bool draining;
+  LbList all;
+  bool ready; /* the resources in force are confirmed */
 } LnCalls;
 
 static LbMetric sent = LB_COUNTER_INIT ("lentilspindle_attempts_total",
@@ -54,18 +54,16 @@
 keep_call (LnCalls *calls, LnCall *call)
 {
   HASH_ADD (hh, calls->by_id, spec.id, sizeof call->spec.id, call);
-  if (!call->exchange)
-    return;
-  call->exchange_id = ln_exchange_id (call->exchange);
-  HASH_ADD (by_exchange, calls->by_exchange, exchange_id, sizeof call->exchange_id, call);
+  lb_list_append (&calls->all, &call->link);
+  if (call->exchange)
+    ln_exchange_set_user (call->exchange, call);
 }
 
 static void
 drop_call (LnCalls *calls, LnCall *call)
 {
   HASH_DELETE (hh, calls->by_id, call);
-  if (call->exchange_id != 0)
-    HASH_DELETE (by_exchange, calls->by_exchange, call);
+  lb_list_remove (&calls->all, &call->link);
   ln_call_free (call);
 }
 
@@ -140,12 +138,14 @@
   free (((LnSampleDoneMessage *)message)->text);
 }
 
+/* Takes the text over. */
 static void
 post_done (LnCalls *calls, LcRequestId request, LbErrorCode error, char *text)
 {
   LnSampleDoneMessage message
-      = { .base = LN_MESSAGE (LN_SAMPLE_DONE), .request = request, .error = error, .text = text };
+      = { .base = LN_MESSAGE (LN_SAMPLE_DONE), .request = request, .error = error };
 
+  message.text = text;
   message.base.clear = clear_sample_done;
   LN_POST (calls->task.hub, ln_hub_find (calls->task.hub, "rollouts"), message);
 }
@@ -403,8 +403,16 @@
 {
   LbError error = { 0 };
   LbTime deadline = calls->context->settings->calls.default_deadline_ms * LB_MSEC;
-  LnCall *call = ln_call_read (exchange, lb_clock_monotonic (), deadline, &error);
+  LnCall *call;
 
+  /* An instance that can't confirm its resources may route by ones that were replaced long ago. */
+  if (!calls->ready)
+    {
+      lb_error_set (&error, LB_ERROR_NOT_READY, "", "the resources here are not confirmed");
+      ln_exchange_reply_error (exchange, &error, LB_SEC);
+      return;
+    }
+  call = ln_call_read (exchange, lb_clock_monotonic (), deadline, &error);
   if (!call)
     {
       ln_exchange_reply_error (exchange, &error, 0);
@@ -431,10 +439,8 @@
 static void
 caller_gone (LnCalls *calls, LnExchange *exchange)
 {
-  uint64_t id = ln_exchange_id (exchange);
-  LnCall *call = NULL;
+  LnCall *call = ln_exchange_user (exchange);
 
-  HASH_FIND (by_exchange, calls->by_exchange, &id, sizeof id, call);
   if (!call)
     return;
   call->exchange = NULL;
@@ -529,6 +535,9 @@
     case LN_CONFIG:
       configure (calls, ((const LnConfigMessage *)message)->set);
       break;
+    case LN_READY:
+      calls->ready = ((const LnReadyMessage *)message)->ready;
+      break;
     case LN_SAMPLE:
       take_sample (calls, (const LnSampleMessage *)message);
       break;
@@ -556,7 +565,6 @@
   LnCalls *calls = (LnCalls *)task;
   LbList actions;
 
-  calls->draining = true;
   lb_list_init (&actions);
   lc_dispatch_drain (calls->dispatch, lb_clock_monotonic (), &actions);
   run_actions (calls, &actions);
@@ -565,18 +573,18 @@
 static bool
 is_idle (const LnTask *task)
 {
-  return HASH_CNT (hh, ((const LnCalls *)task)->by_id) == 0;
+  return lb_list_is_empty (&((const LnCalls *)task)->all);
 }
 
 static void
 calls_free (LnTask *task)
 {
   LnCalls *calls = (LnCalls *)task;
-  LnCall *call, *next;
 
-  HASH_ITER (hh, calls->by_id, call, next)
+  HASH_CLEAR (hh, calls->by_id);
+  LB_LIST_FOREACH (&calls->all, LnCall, link, call)
   {
-    drop_call (calls, call);
+    ln_call_free (call);
   }
   ln_poller_free (calls->poller);
   event_free (calls->tick);
@@ -612,6 +620,7 @@
   calls->task.klass = &calls_class;
   calls->task.hub = context->hub;
   calls->context = context;
+  lb_list_init (&calls->all);
   calls->dispatch = make_dispatch (context->settings);
   calls->tick = evtimer_new (context->base, on_tick, calls);
   calls->poller = ln_poller_new (context->base, context->http,
--- a/packages/node/src/ln-exchange.c
+++ b/packages/node/src/ln-exchange.c
@@ -13,17 +13,24 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define JSON_FORMAT (JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE)
+
 /* A caller that reads this much slower than its answer comes is taken for gone. */
 #define MAX_UNSENT (16 << 20)
 
 struct LnExchange
 {
+  LbLink link; /* in LnCallers.exchanges until it is answered */
+  LbList *all;
+  int references; /* one until it is answered, one for LN_EXCHANGE_GONE on its way */
   uint64_t id;
   LnHub *hub;
   LnTask *owner;
+  void *user;
   LnCaller *caller;         /* NULL once the connection is lost */
   evhtp_request_t *request; /* NULL once the connection is lost */
   struct evkeyvalq query;
+  char *raw_query;
   bool gone;
   bool streaming;
   char *method;
@@ -40,6 +47,9 @@
   const char *path = request->uri && request->uri->path ? request->uri->path->full : NULL;
 
   exchange->id = id;
+  exchange->references = 1;
+  exchange->all = &caller->callers->exchanges;
+  lb_list_append (exchange->all, &exchange->link);
   exchange->hub = hub;
   exchange->caller = caller;
   exchange->request = request;
@@ -47,8 +57,10 @@
   exchange->path = lb_strdup (path ? path : "/");
   LB_COPY (exchange->peer, caller->peer);
   TAILQ_INIT (&exchange->query);
-  if (request->uri && request->uri->query_raw)
-    evhttp_parse_query_str ((const char *)request->uri->query_raw, &exchange->query);
+  exchange->raw_query = caller->query;
+  caller->query = NULL;
+  if (exchange->raw_query)
+    evhttp_parse_query_str (exchange->raw_query, &exchange->query);
   exchange->body_length = evbuffer_get_length (request->buffer_in);
   exchange->body = lb_malloc (exchange->body_length + 1);
   evbuffer_remove (request->buffer_in, exchange->body, exchange->body_length);
@@ -59,15 +71,45 @@
 }
 
 static void
-exchange_free (LnExchange *exchange)
+exchange_unref (LnExchange *exchange)
 {
+  if (--exchange->references > 0)
+    return;
   evhttp_clear_headers (&exchange->query);
+  free (exchange->raw_query);
   free (exchange->method);
   free (exchange->path);
   free (exchange->body);
   free (exchange);
 }
 
+/* Its owner is done with it. */
+static void
+exchange_done (LnExchange *exchange)
+{
+  exchange->user = NULL;
+  exchange->request = NULL;
+  exchange->caller = NULL;
+  exchange->gone = true;
+  lb_list_remove (exchange->all, &exchange->link);
+  exchange_unref (exchange);
+}
+
+void
+ln_exchange_free_all (LbList *exchanges)
+{
+  LB_LIST_FOREACH (exchanges, LnExchange, link, exchange)
+  {
+    exchange_done (exchange);
+  }
+}
+
+static void
+clear_gone_message (LnMessage *message)
+{
+  exchange_unref (((LnExchangeMessage *)message)->exchange);
+}
+
 /* Tells the owner once. */
 void
 ln_exchange_caller_gone (LnExchange *exchange)
@@ -77,8 +119,12 @@
   if (exchange->gone)
     return;
   exchange->gone = true;
-  if (exchange->owner)
-    LN_POST (exchange->hub, exchange->owner, message);
+  if (!exchange->owner)
+    return;
+  /* The owner may answer before it reads this message; the exchange it names must still exist. */
+  exchange->references++;
+  message.base.clear = clear_gone_message;
+  LN_POST (exchange->hub, exchange->owner, message);
 }
 
 void
@@ -116,9 +162,7 @@
 const char *
 ln_exchange_raw_query (const LnExchange *exchange)
 {
-  if (!exchange->request || !exchange->request->uri)
-    return NULL;
-  return (const char *)exchange->request->uri->query_raw;
+  return exchange->raw_query;
 }
 
 /* NULL when absent, and also once the caller's connection is lost. */
@@ -163,6 +207,18 @@
   return exchange->gone;
 }
 
+void
+ln_exchange_set_user (LnExchange *exchange, void *user)
+{
+  exchange->user = user;
+}
+
+void *
+ln_exchange_user (const LnExchange *exchange)
+{
+  return exchange->user;
+}
+
 void
 ln_exchange_set_owner (LnExchange *exchange, LnTask *owner)
 {
@@ -194,7 +250,7 @@
     }
   else if (exchange->request)
     ln_caller_replied (exchange->caller, exchange->request);
-  exchange_free (exchange);
+  exchange_done (exchange);
 }
 
 /* A draining instance asks its callers to connect elsewhere. */
@@ -226,7 +282,7 @@
 ln_exchange_reply_json (LnExchange *exchange, int status, struct json_object *object)
 {
   size_t length;
-  const char *text = json_object_to_json_string_length (object, JSON_C_TO_STRING_PLAIN, &length);
+  const char *text = json_object_to_json_string_length (object, JSON_FORMAT, &length);
 
   ln_exchange_reply_text (exchange, status, "application/json", text, length);
   json_object_put (object);
@@ -257,8 +313,8 @@
     {
       /* The status is long sent: the error is the last event, and no end marker follows. */
       struct json_object *object = error_object (error);
-      char *event = lb_asprintf ("data: %s\n\n",
-                                 json_object_to_json_string_ext (object, JSON_C_TO_STRING_PLAIN));
+      char *event
+          = lb_asprintf ("data: %s\n\n", json_object_to_json_string_ext (object, JSON_FORMAT));
       ln_exchange_stream_piece (exchange, event, strlen (event));
       free (event);
       json_object_put (object);
@@ -323,5 +379,5 @@
       caller->exchange = NULL;
       ln_caller_close (caller);
     }
-  exchange_free (exchange);
+  exchange_done (exchange);
 }
