--- a/packages/cli/src/lt-bench.c
+++ b/packages/cli/src/lt-bench.c
@@ -5,6 +5,7 @@
 
 #include "lb-alloc.h"
 #include "lb-clock.h"
+#include "lb-log.h"
 #include "lx-result.h"
 
 #include <argtable2.h>
@@ -192,6 +193,7 @@
                bench.site ? "numbers must be positive" : "unknown site");
       goto out;
     }
+  lb_log_init (LB_LOG_OFF, 2, NULL);
   code = run_all (&bench);
 out:
   arg_freetable (table, sizeof table / sizeof table[0]);
--- a/packages/sim/include/lx-instance.h
+++ b/packages/sim/include/lx-instance.h
@@ -34,6 +34,7 @@
   uint64_t job;
   LxCall *call; /* NULL for a sample */
   LxText text;
+  uint32_t heard; /* attempt whose piece was passed on last; 0: none */
   LxAttempt *attempts;
   size_t n_attempts;
 } LxRequest;
--- a/packages/sim/include/lx-options.h
+++ b/packages/sim/include/lx-options.h
@@ -18,7 +18,8 @@
   size_t n_trainers;
   int64_t groups;
   int64_t samples;
-  LbTime train; /* training on one step */
+  int64_t shortest; /* sample in tokens; the longest is three times that, a straggler's ten times */
+  LbTime train;     /* training on one step */
   LbTime version_every;
   double calls_per_second;
   double service_calls_per_second;
@@ -28,6 +29,7 @@
   LbTime hedge_after;
   /* soak */
   uint32_t faults; /* bits by LxFault */
+  bool stop_at_breach;
   LbTime fault_pause;
   LbTime change_every;     /* operators' changes; 0: none */
   const uint8_t *left_out; /* strikes that do not happen */
--- a/packages/sim/src/lx-instance.c
+++ b/packages/sim/src/lx-instance.c
@@ -498,8 +498,11 @@
     }
   else
     {
-      if (action->error != LB_OK && request->n_attempts > 0)
-        lx_text_copy (&request->text, &request->attempts[request->n_attempts - 1].text);
+      /* LcRollouts knows the pieces that were passed on; what is left of a failure must be their
+       * text, not that of a later attempt that sent nothing. */
+      LxAttempt *heard = find_attempt (request, request->heard);
+      if (action->error != LB_OK && heard)
+        lx_text_copy (&request->text, &heard->text);
       lc_rollouts_finished (instance->rollouts, request->id, action->error,
                             lx_text_render (&request->text), now_of (instance),
                             &instance->rollout_actions);
@@ -889,6 +892,7 @@
   if (verdict != LC_PIECE_FORWARD)
     return;
   lx_text_append (&attempt->text, attempt->stream, piece->offset, piece->tokens);
+  request->heard = attempt->number;
   if (request->call)
     {
       lx_callers_piece (&instance->world->callers, request->call, attempt->stream, piece);
--- a/packages/sim/src/lx-trainer.c
+++ b/packages/sim/src/lx-trainer.c
@@ -27,10 +27,10 @@
   return (double)(XXH64 (numbers, n * sizeof (int64_t), seed) >> 11) / 9007199254740992.0;
 }
 
-/* Length of a sample in tokens: 100 to 300, and ten times that for one sample in twenty. A share of
- * these stragglers, given by the options, are in groups whose prompt is hard, where every second
- * sample is one. The length belongs to the slot: a hedge or a repeat of it gets the same, so that
- * no policy can gain by drawing again until a short one comes. */
+/* Length of a sample in tokens: one to three times the shortest, and ten times that for one sample
+ * in twenty. A share of these stragglers, given by the options, are in groups whose prompt is hard,
+ * where every second sample is one. The length belongs to the slot: a hedge or a repeat of it gets
+ * the same, so that no policy can gain by drawing again until a short one comes. */
 int64_t
 lx_sample_length (
     const LxOptions *options, size_t trainer, int64_t step, int64_t group, int64_t index)
@@ -39,7 +39,8 @@
   const int64_t of_slot[] = { (int64_t)trainer, step, group, index };
   double hard_groups = 2 * STRAGGLERS * options->hard_share;
   double elsewhere = STRAGGLERS * (1 - options->hard_share) / (1 - hard_groups);
-  int64_t length = 100 + (int64_t)(200 * chance (options->seed, of_slot, 4));
+  double spread = 2 * chance (options->seed, of_slot, 4);
+  int64_t length = (int64_t)((1 + spread) * (double)options->shortest);
   bool hard = chance (options->seed, of_group, 3) < hard_groups;
   bool straggler = chance (options->seed + 1, of_slot, 4) < (hard ? 0.5 : elsewhere);
 
--- a/packages/sim/src/lx-world.c
+++ b/packages/sim/src/lx-world.c
@@ -297,5 +297,6 @@
 
   start (world);
   while ((max == 0 || lx_world_event (world) < max) && lx_queue_step (world->queue, until))
-    continue;
+    if (world->options.stop_at_breach && world->ledger.first[0])
+      return;
 }
