A pull at an instance that does not own the step no longer crashes it

Cause: the question whether a step's owner lives was asked with the wrong user pointer: the claim passes its Ask, the function took it for the task. Seen by hand with three instances, a step opened at one and pulled at another: SIGSEGV; UBSan named the line. Ruled out: the member view itself. After: the relayed pull answers 200 with the 4 samples; the process tests of three instances cover it.

--- a/packages/node/src/ln-rollouts.c
+++ b/packages/node/src/ln-rollouts.c
@@ -220,10 +220,8 @@
 /* An instance that is not in the view, or there as another incarnation, is gone. Should the view be
  * wrong, two owners work for a while and the session in rows and cursors lets one of them count. */
 static bool
-is_alive (const LnStepOwner *owner, void *user)
+is_alive (const LnRollouts *rollouts, const LnStepOwner *owner)
 {
-  const LnRollouts *rollouts = user;
-
   for (size_t i = 0; i < rollouts->n_members; i++)
     {
       const LnMember *member = &rollouts->members[i];
@@ -269,7 +267,7 @@
 {
   LB_LIST_FOREACH (&rollouts->calls, LnStepCall, link, call)
   {
-    if (!call->relay || is_alive (&call->relayed_to, rollouts))
+    if (!call->relay || is_alive (rollouts, &call->relayed_to))
       continue;
     ln_step_relay_cancel (call);
     lb_list_remove (&rollouts->calls, &call->link);
@@ -413,6 +411,14 @@
     settle_new (rollouts, held, &answer);
 }
 
+static bool
+owner_is_alive (const LnStepOwner *owner, void *user)
+{
+  const Ask *ask = user;
+
+  return is_alive (ask->rollouts, owner);
+}
+
 static void
 ask_owner (LnRollouts *rollouts, LnHeldStep *held)
 {
@@ -426,7 +432,7 @@
                                    .content = held->content,
                                    .own_session = held->open ? held->owner.session : 0,
                                    .incarnation = rollouts->context->incarnation,
-                                   .is_alive = is_alive,
+                                   .is_alive = owner_is_alive,
                                    .done = on_answer,
                                    .user = ask });
 }
