--- a/packages/core/src/lc-router-finish-time.c
+++ b/packages/core/src/lc-router-finish-time.c
@@ -12,6 +12,7 @@
 #define DEFAULT_SERVICE_SECONDS 1.0
 #define PREFILL_TOKENS_PER_SECOND 8000.0
 #define PREFILL_HOLDS_UP 0.5 /* share of its time that each request beside it loses */
+#define BOUND_WEIGHT 0.02
 #define INDIFFERENT_SECONDS 0.005
 #define LEAST_SHARE 0.01
 
@@ -23,6 +24,8 @@
   const double *shares;
   double service_seconds;
   double expected_tokens;
+  double whole_prefill_seconds; /* with nothing in the cache */
+  double unseen;                /* requests that arrived since the reports */
   int data_centre;
   LbTime now;
 } Situation;
@@ -97,15 +100,13 @@
                         .per_second = size / situation->service_seconds };
 }
 
-/* A prefill also holds up those that decode beside it. */
+/* A prefill also holds up those that decode beside it: as many as there are at an endpoint on
+ * average, since those that are there by an old report are no ground to prefer one endpoint to
+ * another. */
 static double
-prefill_seconds (const Situation *situation, const LcSummary *summary, double load)
+prefill_seconds (const Situation *situation, const LcSummary *summary)
 {
-  double missing = 1 - situation->shares[summary->slot];
-  double beside = smaller (load, (double)summary->size);
-
-  return (double)situation->query->prompt_tokens / PREFILL_TOKENS_PER_SECOND * missing
-         * (1 + PREFILL_HOLDS_UP * beside);
+  return situation->whole_prefill_seconds * (1 - situation->shares[summary->slot]);
 }
 
 static double
@@ -125,27 +126,27 @@
   policy->loads = lb_realloc (policy->loads, policy->n_loads * sizeof *policy->loads);
 }
 
-/* Fills the loads, and the scores with all that does not depend on the load. Returns how many
- * requests arrived since the reports by the measure that what finished was replaced. */
-static double
-score_all (LcPolicy *policy, const Situation *situation)
+/* Fills the loads' prices and what the situation says of all endpoints together. What finished
+ * since the reports is taken to have been replaced by as many arrivals. */
+static void
+price_loads (LcPolicy *policy, Situation *situation)
 {
-  double unseen = 0;
+  size_t n = policy->candidates.n_items;
+  double prefill = (double)situation->query->prompt_tokens / PREFILL_TOKENS_PER_SECOND;
+  double total = 0;
 
-  for (size_t i = 0; i < policy->candidates.n_items; i++)
+  for (size_t i = 0; i < n; i++)
     {
-      LcCandidate *item = &policy->candidates.items[i];
       const LcSummary *summary = policy->candidates.summaries[i];
       double others = (double)summary->others;
       double left = others * still_running (situation, summary);
       double load = left + summary->in_flight;
 
-      unseen += others - left;
+      situation->unseen += (1 - policy->bound_share) * (others - left);
+      total += others + summary->in_flight;
       policy->loads[i] = load_price (situation, summary, load);
-      item->score = way_seconds (situation, summary) + swap_seconds (situation, summary)
-                    + prefill_seconds (situation, summary, load);
     }
-  return unseen;
+  situation->whole_prefill_seconds = prefill * (1 + PREFILL_HOLDS_UP * total / (double)n);
 }
 
 /* What the load costs everywhere once the unseen arrivals have filled the least loaded first. */
@@ -173,17 +174,20 @@
     }
 }
 
+/* Returns the least score. */
 static double
-add_level (LcPolicy *policy, double level)
+score_all (LcPolicy *policy, const Situation *situation, double level)
 {
   double least = HUGE_VAL;
 
   for (size_t i = 0; i < policy->candidates.n_items; i++)
     {
-      LcCandidate *item = &policy->candidates.items[i];
+      const LcSummary *summary = policy->candidates.summaries[i];
+      double score = larger (level, policy->loads[i].seconds) + way_seconds (situation, summary)
+                     + swap_seconds (situation, summary) + prefill_seconds (situation, summary);
 
-      item->score += larger (level, policy->loads[i].seconds);
-      least = smaller (least, item->score);
+      policy->candidates.items[i].score = score;
+      least = smaller (least, score);
     }
   return least;
 }
@@ -219,13 +223,16 @@
   Situation situation = make_situation (policy, endpoints, query, now);
 
   grow_loads (policy);
+  price_loads (policy, &situation);
 
-  double unseen = score_all (policy, &situation);
-  double level = find_level (policy, unseen + 1);
-  double least = add_level (policy, level);
+  double level = find_level (policy, 1 * situation.unseen + 1);
+  double least = score_all (policy, &situation, level);
+  size_t chosen = draw (policy, level, least);
+  bool is_bound = situation.shares[policy->candidates.summaries[chosen]->slot] > 0;
 
+  policy->bound_share += BOUND_WEIGHT * ((is_bound ? 1 : 0) - policy->bound_share);
   lc_policy_clear_shares (policy);
-  return draw (policy, level, least);
+  return chosen;
 }
 
 static LcRouter *
--- /dev/null
+++ b/packages/core/tests/endpoints-fixture.h
@@ -0,0 +1,87 @@
+#ifndef ENDPOINTS_FIXTURE_H
+#define ENDPOINTS_FIXTURE_H
+
+#include "lc-router.h"
+
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <string.h>
+
+#define FIXTURE_MOST 32
+
+/* Engines e0, e1, ... of pool "reader", each sized for 8 requests at once. */
+typedef struct
+{
+  LcEndpointMember members[FIXTURE_MOST];
+  LcResourceSet set;
+  LcEndpoints *endpoints;
+} Fixture;
+
+static inline void
+fixture_configure (Fixture *f, LbTime now)
+{
+  lc_endpoints_configure (f->endpoints, &f->set, now);
+}
+
+static inline void
+fixture_init (Fixture *f, size_t n)
+{
+  memset (f, 0, sizeof *f);
+  for (size_t i = 0; i < n; i++)
+    {
+      LcEndpointMember *member = &f->members[i];
+
+      snprintf (member->name, sizeof member->name, "e%zu", i);
+      strcpy (member->pool, "reader");
+      strcpy (member->data_centre, "hall-a");
+      member->concurrency = 8;
+    }
+  f->set.endpoints = f->members;
+  f->set.n_endpoints = n;
+  f->endpoints = lc_endpoints_new ();
+  fixture_configure (f, 0);
+}
+
+static inline void
+fixture_clear (Fixture *f)
+{
+  lc_endpoints_free (f->endpoints);
+}
+
+static inline LcEndpoint *
+fixture_find (Fixture *f, const char *name)
+{
+  LcEndpoint *endpoint = lc_endpoints_find (f->endpoints, name);
+
+  cr_assert_not_null (endpoint, "%s", name);
+  return endpoint;
+}
+
+static inline bool
+fixture_may_take (Fixture *f, const char *name, LbTime now)
+{
+  return lc_endpoint_may_take (fixture_find (f, name), LC_KIND_LIVE, 0, now);
+}
+
+/* A report that was measured at its arrival. */
+static inline LcLoadReport
+fixture_report (Fixture *f, const char *name, const char *incarnation, LcVersion version, LbTime at)
+{
+  LcLoadReport report = { .version = version, .at = at };
+
+  strcpy (report.incarnation, incarnation);
+  lc_endpoints_report (f->endpoints, name, &report, at);
+  return report;
+}
+
+static inline LcRouteQuery
+fixture_query (void)
+{
+  return (LcRouteQuery){ .kind = LC_KIND_LIVE,
+                         .pool = "reader",
+                         .data_centre = "hall-a",
+                         .prompt_tokens = 800,
+                         .expected_tokens = 100 };
+}
+
+#endif
--- a/packages/core/tests/test-endpoints.c
+++ b/packages/core/tests/test-endpoints.c
@@ -1,64 +1,237 @@
-#include "lc-endpoints.h"
-#include "lc-router.h"
+#include "endpoints-fixture.h"
 
-#include <criterion/criterion.h>
-#include <string.h>
+/* New work goes to an endpoint that said it was leaving: its own reply said so, then a load report
+ * that it measured earlier arrives late and says that it serves. The cause is a view older than the
+ * word "leaving" being believed. A report of its next process does bring it back. */
+Test (leaving, late_report_does_not_bring_back)
+{
+  Fixture f;
+
+  fixture_init (&f, 2);
+
+  LcLoadReport report = fixture_report (&f, "e0", "a", 1, 10);
+
+  cr_assert (lc_endpoints_leaving (f.endpoints, "e0", "", LC_LEAVING_ENDPOINT, 12));
+  cr_assert_not (lc_endpoints_leaving (f.endpoints, "e0", "a", LC_LEAVING_PEER, 12));
+  lc_endpoints_report (f.endpoints, "e0", &report, 13);
+  fixture_report (&f, "e0", "a", 2, 14);
+  cr_assert_not (fixture_may_take (&f, "e0", 15));
+  fixture_report (&f, "e0", "b", 2, 20);
+  cr_assert (fixture_may_take (&f, "e0", 21));
+  fixture_clear (&f);
+}
+
+/* An operator marks an endpoint as leaving; an instance then takes in a revision in which it does
+ * not leave. Work would go to an endpoint that others already empty, since the word of the earlier
+ * revision was taken back by the later one. A mark that stands holds for the next process too. */
+Test (leaving, later_revision_does_not_bring_back)
+{
+  Fixture f;
+
+  fixture_init (&f, 2);
+  fixture_report (&f, "e0", "a", 1, 10);
+  f.members[0].leaving = true;
+  fixture_configure (&f, 11);
+  cr_assert_not (fixture_may_take (&f, "e0", 11));
+  f.members[0].leaving = false;
+  fixture_configure (&f, 12);
+  cr_assert_not (fixture_may_take (&f, "e0", 12));
+  fixture_report (&f, "e0", "b", 1, 20);
+  cr_assert (fixture_may_take (&f, "e0", 21));
+
+  f.members[0].leaving = true;
+  fixture_configure (&f, 30);
+  fixture_report (&f, "e0", "c", 1, 40);
+  cr_assert_not (fixture_may_take (&f, "e0", 41));
+  fixture_clear (&f);
+}
+
+/* An endpoint restarts. A report of the process before, delayed on its way, arrives after the first
+ * one of the new process: taken as yet another incarnation it would clear what is known, and its
+ * "leaving" would shut out the new process. */
+Test (leaving, report_of_the_process_before_changes_nothing)
+{
+  Fixture f;
+  LcLoadReport old = { .incarnation = "a", .leaving = true, .version = 1, .at = 15 };
+
+  fixture_init (&f, 2);
+  fixture_report (&f, "e0", "a", 1, 10);
+  fixture_report (&f, "e0", "b", 7, 20);
+  lc_endpoints_report (f.endpoints, "e0", &old, 21);
+  cr_assert_eq (fixture_find (&f, "e0")->report.version, 7);
+  cr_assert (fixture_may_take (&f, "e0", 22));
+  fixture_clear (&f);
+}
+
+/* A peer hears first that the next process of an endpoint is leaving; this instance has not seen
+ * that process yet. When its first report comes it must be out at once, not after its own word. */
+Test (leaving, word_about_an_incarnation_not_seen_yet)
+{
+  Fixture f;
+
+  fixture_init (&f, 2);
+  fixture_report (&f, "e0", "a", 1, 10);
+  cr_assert_not (lc_endpoints_leaving (f.endpoints, "e0", "b", LC_LEAVING_PEER, 11));
+  cr_assert (fixture_may_take (&f, "e0", 12));
+  fixture_report (&f, "e0", "b", 1, 20);
+  cr_assert_not (fixture_may_take (&f, "e0", 21));
+  fixture_clear (&f);
+}
+
+/* The platform's list lags: it still says leaving for seconds after the next process came. Believed
+ * for good, that process would get no work until it restarts; not believed, a process that does
+ * leave would get work. So it is out as long as the list says so, and in when the list no longer
+ * does. */
+Test (leaving, lagging_list_keeps_a_new_process_out_only_while_it_says_so)
+{
+  Fixture f;
+
+  fixture_init (&f, 2);
+  fixture_report (&f, "e0", "a", 1, 10);
+  cr_assert (lc_endpoints_leaving (f.endpoints, "e0", "", LC_LEAVING_PLATFORM, 11));
+  lc_endpoints_listed_live (f.endpoints, "e0", 12);
+  cr_assert_not (fixture_may_take (&f, "e0", 13), "the list cannot take back a word on this one");
+  lc_endpoints_leaving (f.endpoints, "e0", "", LC_LEAVING_PLATFORM, 14);
+  fixture_report (&f, "e0", "b", 1, 20);
+  lc_endpoints_leaving (f.endpoints, "e0", "", LC_LEAVING_PLATFORM, 21);
+  cr_assert_not (fixture_may_take (&f, "e0", 22));
+  lc_endpoints_listed_live (f.endpoints, "e0", 23);
+  cr_assert (fixture_may_take (&f, "e0", 24));
+  fixture_clear (&f);
+}
+
+/* An endpoint is taken out of the configuration while a request of ours runs there. A pointer to it
+ * is still in use when the request ends; freed too early, the daemon would crash. */
+Test (membership, an_endpoint_with_work_outlives_its_removal)
+{
+  Fixture f;
+
+  fixture_init (&f, 2);
+
+  LcEndpoint *endpoint = fixture_find (&f, "e1");
 
-static LcEndpoints *
-table_of_two (void)
+  lc_endpoints_sent (endpoint, LC_KIND_SAMPLE, 0, 10);
+  f.set.n_endpoints = 1;
+  fixture_configure (&f, 11);
+  cr_assert_not (fixture_may_take (&f, "e1", 12));
+  lc_endpoints_ended (endpoint, LC_KIND_SAMPLE, true, 5, 10, 20);
+  fixture_configure (&f, 21);
+  cr_assert_null (lc_endpoints_find (f.endpoints, "e1"));
+  fixture_clear (&f);
+}
+
+/* Slots are indices that others keep: taking one endpoint out must not move another. */
+Test (membership, slots_stay_when_another_endpoint_goes)
 {
-  LcEndpointMember members[2] = {
-    { .name = "e1", .kind = LC_ENDPOINT_ENGINE, .pool = "reader", .concurrency = 4 },
-    { .name = "e2", .kind = LC_ENDPOINT_ENGINE, .pool = "reader", .concurrency = 4 },
-  };
-  LcResourceSet set = { .endpoints = members, .n_endpoints = 2 };
-  LcEndpoints *endpoints = lc_endpoints_new ();
-
-  lc_endpoints_configure (endpoints, &set, 0);
-  return endpoints;
+  Fixture f;
+
+  fixture_init (&f, 3);
+
+  uint32_t slot = fixture_find (&f, "e2")->slot;
+
+  f.members[0] = f.members[2];
+  f.set.n_endpoints = 2;
+  fixture_configure (&f, 10);
+  cr_assert_eq (fixture_find (&f, "e2")->slot, slot);
+  cr_assert_eq (lc_endpoints_count (f.endpoints), 2);
+  fixture_clear (&f);
 }
 
-static LcLoadReport
-report_of (const char *incarnation, LcVersion version, LbTime at)
+/* A weight swap fails partway: the engine reports version 0. Samples sent there would come back
+ * with weights that nobody can name. It gets work again with the first report that states a
+ * version. */
+Test (swap, no_work_until_a_version_is_stated)
 {
-  LcLoadReport report = { .version = version, .at = at };
+  Fixture f;
 
-  strcpy (report.incarnation, incarnation);
-  return report;
+  fixture_init (&f, 2);
+  fixture_report (&f, "e0", "a", 4, 10);
+  lc_endpoints_swap (f.endpoints, "e0", true, 100, 20);
+  cr_assert (fixture_may_take (&f, "e0", 30), "the old weights still serve");
+  cr_assert_not (fixture_may_take (&f, "e0", 100), "due, and nobody said what serves");
+  fixture_report (&f, "e0", "a", 0, 110);
+  cr_assert_not (fixture_may_take (&f, "e0", 111));
+  fixture_report (&f, "e0", "a", 5, 120);
+  cr_assert (fixture_may_take (&f, "e0", 121));
+  cr_assert_not (fixture_find (&f, "e0")->swap_pending);
+  fixture_clear (&f);
 }
 
-/* An operator sees new work go to an endpoint that said it was leaving: its own reply said so, then
- * a load report that it measured earlier arrives late and says that it serves. The cause is a view
- * that is older than the word "leaving" being believed. */
-Test (endpoints, a_late_report_does_not_bring_a_leaving_endpoint_back)
+/* A swap is ordered and the engine goes on with the old version, which it states after the swap was
+ * due. It serves: it must not stay out for good. A report measured before the swap was due, but
+ * arriving after it, says nothing of the swap's end. */
+Test (swap, old_version_stated_after_the_swap_was_due_counts)
 {
-  LcEndpoints *endpoints = table_of_two ();
-  LcLoadReport report = report_of ("a", 1, 10);
-
-  lc_endpoints_report (endpoints, "e1", &report, 11);
-  cr_assert (lc_endpoints_leaving (endpoints, "e1", "", LC_LEAVING_ENDPOINT, 12));
-  lc_endpoints_report (endpoints, "e1", &report, 13);
-  cr_assert_not (lc_endpoint_may_take (lc_endpoints_find (endpoints, "e1"), LC_KIND_LIVE, 0, 14));
-
-  report = report_of ("b", 1, 20);
-  lc_endpoints_report (endpoints, "e1", &report, 21);
-  cr_assert (lc_endpoint_may_take (lc_endpoints_find (endpoints, "e1"), LC_KIND_LIVE, 0, 22));
-  lc_endpoints_free (endpoints);
+  Fixture f;
+  LcLoadReport early = { .incarnation = "a", .version = 4, .at = 90 };
+
+  fixture_init (&f, 2);
+  fixture_report (&f, "e0", "a", 4, 10);
+  lc_endpoints_swap (f.endpoints, "e0", true, 100, 20);
+  lc_endpoints_report (f.endpoints, "e0", &early, 105);
+  cr_assert_not (fixture_may_take (&f, "e0", 106));
+  fixture_report (&f, "e0", "a", 4, 110);
+  cr_assert (fixture_may_take (&f, "e0", 111));
+  fixture_clear (&f);
 }
 
-Test (router, every_policy_places_a_request)
+/* Rollouts saturate an engine and a live call finds no place: samples must leave the reserve. */
+Test (limits, samples_leave_the_live_reserve)
 {
-  LcRouteQuery query = { .kind = LC_KIND_LIVE, .pool = "reader", .data_centre = "" };
+  Fixture f;
 
-  for (const char *const *name = lc_router_policies (); *name; name++)
+  fixture_init (&f, 1);
+
+  LcEndpoint *endpoint = fixture_find (&f, "e0");
+
+  for (int i = 0; i < 6; i++)
     {
-      LcEndpoints *endpoints = table_of_two ();
-      LcRouter *router = lc_router_new (*name, 1);
-      LcRouteDecision decision = lc_router_choose (router, endpoints, &query, 1);
-
-      cr_assert_not_null (decision.endpoint, "%s", *name);
-      cr_assert_eq (decision.n_candidates, 2);
-      lc_router_free (router);
-      lc_endpoints_free (endpoints);
+      cr_assert (lc_endpoint_may_take (endpoint, LC_KIND_SAMPLE, 0.25, 1));
+      lc_endpoints_sent (endpoint, LC_KIND_SAMPLE, 0, 1);
     }
+  cr_assert_not (lc_endpoint_may_take (endpoint, LC_KIND_SAMPLE, 0.25, 1));
+  cr_assert (lc_endpoint_may_take (endpoint, LC_KIND_LIVE, 0.25, 1));
+  fixture_clear (&f);
+}
+
+/* Ten instances see the same report of an engine with four free places. Each fills all four, and
+ * the engine gets forty: the cause is that each counts only its own. With the number of peers known
+ * each takes one and waits for the next report. */
+Test (limits, free_places_of_a_report_are_shared_between_instances)
+{
+  Fixture f;
+  LcLoadReport report = { .incarnation = "a", .version = 1, .running = 4, .at = 10 };
+
+  fixture_init (&f, 1);
+  lc_endpoints_report (f.endpoints, "e0", &report, 10);
+
+  LcEndpoint *endpoint = fixture_find (&f, "e0");
+
+  lc_endpoints_sent (endpoint, LC_KIND_LIVE, 0, 11);
+  cr_assert (fixture_may_take (&f, "e0", 12), "alone it may fill them all");
+  lc_endpoints_set_peers (f.endpoints, 10);
+  cr_assert_not (fixture_may_take (&f, "e0", 12));
+  report.running = 5;
+  report.at = 20;
+  lc_endpoints_report (f.endpoints, "e0", &report, 20);
+  cr_assert (fixture_may_take (&f, "e0", 21));
+  fixture_clear (&f);
+}
+
+/* A report takes half a second to arrive. What was sent before it was measured is in it already; if
+ * all sends since the last report counted as new, a busy engine would look twice as busy. */
+Test (limits, a_late_report_already_counts_what_was_sent_before_it)
+{
+  Fixture f;
+  LcLoadReport report = { .incarnation = "a", .version = 1, .running = 3, .at = 20 };
+
+  fixture_init (&f, 1);
+
+  LcEndpoint *endpoint = fixture_find (&f, "e0");
+
+  for (LbTime at = 10; at <= 30; at += 5)
+    lc_endpoints_sent (endpoint, LC_KIND_LIVE, 0, at);
+  lc_endpoints_report (f.endpoints, "e0", &report, 40);
+  cr_assert_eq (endpoint->sent_since_report, 2);
+  fixture_clear (&f);
 }
--- /dev/null
+++ b/packages/core/tests/test-router.c
@@ -0,0 +1,188 @@
+#include "endpoints-fixture.h"
+
+static LcRouteDecision
+choose (LcRouter *router, Fixture *f, const LcRouteQuery *query, LbTime now)
+{
+  return lc_router_choose (router, f->endpoints, query, now);
+}
+
+/* Runs the check with each policy. */
+static void
+with_each_policy (void (*check) (LcRouter *router, const char *policy))
+{
+  for (const char *const *name = lc_router_policies (); *name; name++)
+    {
+      LcRouter *router = lc_router_new (*name, 7);
+
+      cr_assert_not_null (router, "%s", *name);
+      cr_assert_str_eq (router->klass->name, *name);
+      check (router, *name);
+      lc_router_free (router);
+    }
+}
+
+static void
+check_filters (LcRouter *router, const char *policy)
+{
+  LcRouteQuery query = fixture_query ();
+  Fixture f;
+
+  fixture_init (&f, 5);
+  for (int i = 0; i < 5; i++)
+    fixture_report (&f, f.members[i].name, "a", i == 3 ? 1 : 2, 1);
+  lc_endpoints_leaving (f.endpoints, "e1", "a", LC_LEAVING_PEER, 2);
+  strcpy (query.avoid[0], "e2");
+  query.n_avoid = 1;
+  query.min_version = 2;
+  for (int i = 0; i < 7; i++)
+    lc_endpoints_sent (fixture_find (&f, "e4"), LC_KIND_SAMPLE, 0, 2);
+  query.live_reserve = 0.5;
+  query.kind = LC_KIND_SAMPLE;
+  for (int i = 0; i < 20; i++)
+    {
+      LcRouteDecision decision = choose (router, &f, &query, 3);
+
+      cr_assert_eq (decision.n_candidates, 1, "%s", policy);
+      cr_assert_str_eq (decision.endpoint->member.name, "e0", "%s", policy);
+    }
+  fixture_clear (&f);
+}
+
+/* Whatever the policy, a request never goes to an endpoint that leaves, was tried before, has
+ * weights that are too old or is full: a comparison of policies is honest only with the same
+ * filters. */
+Test (router, all_policies_have_the_same_filters)
+{
+  with_each_policy (check_filters);
+}
+
+static void
+expect_reason (LcRouter *router, Fixture *f, const LcRouteQuery *query, const char *reason)
+{
+  LcRouteDecision decision = choose (router, f, query, 10);
+
+  cr_assert_null (decision.endpoint);
+  cr_assert_str_eq (decision.reason, reason);
+}
+
+static void
+check_reasons (LcRouter *router, const char *policy)
+{
+  LcRouteQuery query = fixture_query ();
+  Fixture f;
+
+  (void)policy;
+  fixture_init (&f, 2);
+  query.pool = "other";
+  expect_reason (router, &f, &query, "no-endpoint");
+  query.pool = "reader";
+  query.min_version = 5;
+  expect_reason (router, &f, &query, "too-old");
+  query.min_version = 0;
+  query.n_avoid = 2;
+  strcpy (query.avoid[0], "e0");
+  strcpy (query.avoid[1], "e1");
+  expect_reason (router, &f, &query, "all-avoided");
+  query.n_avoid = 0;
+  for (int i = 0; i < 8; i++)
+    {
+      lc_endpoints_sent (fixture_find (&f, "e0"), LC_KIND_LIVE, 0, 1);
+      lc_endpoints_sent (fixture_find (&f, "e1"), LC_KIND_LIVE, 0, 1);
+    }
+  expect_reason (router, &f, &query, "no-capacity");
+  lc_endpoints_leaving (f.endpoints, "e0", "", LC_LEAVING_ENDPOINT, 2);
+  lc_endpoints_leaving (f.endpoints, "e1", "", LC_LEAVING_ENDPOINT, 2);
+  expect_reason (router, &f, &query, "all-leaving");
+  fixture_clear (&f);
+}
+
+Test (router, says_why_nobody_takes_it)
+{
+  with_each_policy (check_reasons);
+}
+
+Test (router, an_unknown_policy_is_refused_and_an_empty_name_is_the_products_own)
+{
+  LcRouter *router = lc_router_new ("", 1);
+
+  cr_assert_null (lc_router_new ("best", 1));
+  cr_assert_str_eq (router->klass->name, "lentilspindle");
+  lc_router_free (router);
+}
+
+/* Ten instances see the same report: e0 is nearly idle, nine others are half full. Each sends a
+ * request; if all choose e0, it is the fullest before anyone knows, and the next report moves them
+ * all elsewhere at once. */
+Test (finish_time, instances_with_the_same_old_report_do_not_all_choose_the_same)
+{
+  int at_e0 = 0;
+
+  for (uint64_t instance = 0; instance < 100; instance++)
+    {
+      LcRouter *router = lc_router_new ("lentilspindle", instance + 1);
+      LcRouteQuery query = fixture_query ();
+      Fixture f;
+
+      fixture_init (&f, 10);
+      lc_endpoints_set_peers (f.endpoints, 10);
+      for (int i = 0; i < 10; i++)
+        {
+          LcLoadReport report
+              = { .incarnation = "a", .version = 1, .running = i == 0 ? 1 : 4, .at = LB_SEC };
+
+          lc_endpoints_report (f.endpoints, f.members[i].name, &report, 2 * LB_SEC);
+        }
+      at_e0 += strcmp (choose (router, &f, &query, 2 * LB_SEC).endpoint->member.name, "e0") == 0;
+      lc_router_free (router);
+      fixture_clear (&f);
+    }
+  cr_assert_gt (at_e0, 100 / 10, "the emptiest gets more than an even share");
+  cr_assert_lt (at_e0, 50, "but not most");
+}
+
+static const char *
+choose_with_prefix (Fixture *f, uint64_t prefix, LbTime now)
+{
+  LcRouter *router = lc_router_new ("lentilspindle", 3);
+  LcRouteQuery query = fixture_query ();
+
+  query.prefix_hashes = &prefix;
+  query.n_prefix_hashes = 1;
+
+  const char *name = choose (router, f, &query, now).endpoint->member.name;
+
+  lc_router_free (router);
+  return name;
+}
+
+Test (finish_time, goes_where_the_prompt_is_cached_unless_that_is_far_fuller)
+{
+  Fixture f;
+
+  fixture_init (&f, 4);
+  for (int i = 0; i < 4; i++)
+    fixture_report (&f, f.members[i].name, "a", 1, 1);
+  lc_endpoints_cache_event (f.endpoints, "e2", 1, true, 77, 2);
+  cr_assert_str_eq (choose_with_prefix (&f, 77, 3), "e2");
+  for (int i = 0; i < 7; i++)
+    lc_endpoints_sent (fixture_find (&f, "e2"), LC_KIND_LIVE, 0, 3);
+  cr_assert_str_neq (choose_with_prefix (&f, 77, 4), "e2");
+  fixture_clear (&f);
+}
+
+/* A swap of an engine is due in 30 s: a request sent there now would wait behind the load of
+ * weights or be cut from its cache. Another engine that is busier is still the sooner one. */
+Test (finish_time, an_engine_about_to_swap_comes_last)
+{
+  Fixture f;
+
+  fixture_init (&f, 2);
+  fixture_report (&f, "e0", "a", 1, 1);
+  fixture_report (&f, "e1", "a", 1, 1);
+  for (int i = 0; i < 5; i++)
+    lc_endpoints_sent (fixture_find (&f, "e1"), LC_KIND_LIVE, 0, 2);
+  cr_assert_str_eq (choose_with_prefix (&f, 0, 3), "e0");
+  lc_endpoints_swap (f.endpoints, "e0", true, 30 * LB_SEC, 3);
+  cr_assert_str_eq (choose_with_prefix (&f, 0, 4), "e1");
+  fixture_clear (&f);
+}
