Finish-time policy: unseen arrivals at hot prefixes by what we sent there ourselves

Cause: a popular prompt prefix draws all its requests to the few endpoints that hold it; by a report a second old these look as if their finished work was not replaced, and all instances send there again.

--- a/packages/core/src/lc-endpoint-table.h
+++ b/packages/core/src/lc-endpoint-table.h
@@ -25,6 +25,7 @@
   float load;   /* by the last report, and what we added since as if all instances did */
   float others; /* requests of others, by the last report */
   uint32_t slot;
+  int32_t live_since;        /* live requests we sent since the report */
   int32_t in_flight;         /* ours */
   int32_t data_centre;       /* index among the table's */
   float alone_token_seconds; /* of one stream with no other beside it */
@@ -40,6 +41,7 @@
   int data_centre; /* index among the table's data centres */
   bool retired;    /* no longer in the configuration; kept while requests of ours run there */
   int64_t in_flight_at_report;
+  int64_t live_since_report;
   double alone_token_seconds;
   LbTime swap_since;
   LcVersion version_before_swap;
--- a/packages/core/src/lc-endpoints.c
+++ b/packages/core/src/lc-endpoints.c
@@ -179,6 +179,7 @@
     .load = (float)load_if_all_act_alike (entry),
     .others = (float)others_by_report (entry),
     .slot = endpoint->slot,
+    .live_since = (int32_t)entry->live_since_report,
     .in_flight = (int32_t)endpoint->in_flight,
     .data_centre = entry->data_centre,
     .alone_token_seconds = (float)entry->alone_token_seconds,
@@ -384,6 +385,7 @@
     lc_leaving_begin (&entry->leaving, report->incarnation);
   endpoint->report = *report;
   endpoint->sent_since_report = lc_flight_log_sent_after (&entry->flights, report->at);
+  entry->live_since_report = lc_flight_log_live_after (&entry->flights, report->at);
   entry->in_flight_at_report = lc_flight_log_in_flight_at (&entry->flights, report->at);
   learn_token_time (entry);
   end_swap_if_stated (entry);
@@ -497,7 +499,8 @@
   endpoint->in_flight++;
   endpoint->in_flight_rollout += kind == LC_KIND_SAMPLE;
   endpoint->sent_since_report++;
-  lc_flight_log_add (&entry->flights, endpoint->in_flight, true, now);
+  entry->live_since_report += kind != LC_KIND_SAMPLE;
+  lc_flight_log_add (&entry->flights, endpoint->in_flight, true, kind != LC_KIND_SAMPLE, now);
   lc_breaker_sent (&entry->breaker, now);
   if (prefix_hash != 0)
     lc_prefix_belief_sent (entry->table->belief, &entry->cache, prefix_hash, now);
@@ -544,7 +547,7 @@
 {
   entry->endpoint.in_flight--;
   entry->endpoint.in_flight_rollout -= kind == LC_KIND_SAMPLE;
-  lc_flight_log_add (&entry->flights, entry->endpoint.in_flight, false, now);
+  lc_flight_log_add (&entry->flights, entry->endpoint.in_flight, false, false, now);
 }
 
 void
--- a/packages/core/src/lc-flight-log.c
+++ b/packages/core/src/lc-flight-log.c
@@ -1,10 +1,10 @@
 #include "lc-flight-log.h"
 
 void
-lc_flight_log_add (LcFlightLog *log, int64_t in_flight, bool sent, LbTime now)
+lc_flight_log_add (LcFlightLog *log, int64_t in_flight, bool sent, bool live, LbTime now)
 {
   log->changes[log->n_changes++ % LC_FLIGHT_LOG_LENGTH]
-      = (LcFlightChange){ .at = now, .in_flight = (int32_t)in_flight, .sent = sent };
+      = (LcFlightChange){ .at = now, .in_flight = (int32_t)in_flight, .sent = sent, .live = live };
 }
 
 static size_t
@@ -42,3 +42,13 @@
     sent += change (log, i)->sent;
   return sent;
 }
+
+int64_t
+lc_flight_log_live_after (const LcFlightLog *log, LbTime at)
+{
+  int64_t sent = 0;
+
+  for (size_t i = log->n_changes; i-- > oldest_kept (log) && change (log, i)->at > at;)
+    sent += change (log, i)->sent && change (log, i)->live;
+  return sent;
+}
--- a/packages/core/src/lc-flight-log.h
+++ b/packages/core/src/lc-flight-log.h
@@ -10,6 +10,7 @@
   LbTime at;
   int32_t in_flight; /* after the change */
   bool sent;         /* else ended */
+  bool live;
 } LcFlightChange;
 
 /* The last changes of the number of our own requests at an endpoint, to know what a load report
@@ -21,10 +22,11 @@
 } LcFlightLog;
 
 /* commands */
-void lc_flight_log_add (LcFlightLog *log, int64_t in_flight, bool sent, LbTime now);
+void lc_flight_log_add (LcFlightLog *log, int64_t in_flight, bool sent, bool live, LbTime now);
 
 /* queries */
 int64_t lc_flight_log_in_flight_at (const LcFlightLog *log, LbTime at);
 int64_t lc_flight_log_sent_after (const LcFlightLog *log, LbTime at);
+int64_t lc_flight_log_live_after (const LcFlightLog *log, LbTime at);
 
 #endif
--- a/packages/core/src/lc-router-finish-time.c
+++ b/packages/core/src/lc-router-finish-time.c
@@ -12,6 +12,7 @@
 #define DEFAULT_SERVICE_SECONDS 1.0
 #define PREFILL_TOKENS_PER_SECOND 8000.0
 #define PREFILL_HOLDS_UP 0.5 /* share of its time that each request beside it loses */
+#define PRIOR_SENT 0.1
 #define BOUND_WEIGHT 0.02
 #define INDIFFERENT_SECONDS 0.005
 #define LEAST_SHARE 0.01
@@ -25,7 +26,8 @@
   double service_seconds;
   double expected_tokens;
   double whole_prefill_seconds; /* with nothing in the cache */
-  double unseen;                /* requests that arrived since the reports */
+  double unseen;                /* arrivals since the reports that may have gone anywhere */
+  double bound_per_sent;
   int data_centre;
   LbTime now;
 } Situation;
@@ -126,29 +128,46 @@
   policy->loads = lb_realloc (policy->loads, policy->n_loads * sizeof *policy->loads);
 }
 
-/* Fills the loads' prices and what the situation says of all endpoints together. What finished
- * since the reports is taken to have been replaced by as many arrivals. */
+/* What is known of all candidates together. What finished since the reports is taken to have been
+ * replaced by as many arrivals. */
 static void
-price_loads (LcPolicy *policy, Situation *situation)
+count_unseen (LcPolicy *policy, Situation *situation)
 {
   size_t n = policy->candidates.n_items;
   double prefill = (double)situation->query->prompt_tokens / PREFILL_TOKENS_PER_SECOND;
   double total = 0;
+  double unseen = 0;
+  double sent = 0;
 
   for (size_t i = 0; i < n; i++)
     {
       const LcSummary *summary = policy->candidates.summaries[i];
       double others = (double)summary->others;
       double left = others * still_running (situation, summary);
-      double load = left + summary->in_flight;
 
-      situation->unseen += (1 - policy->bound_share) * (others - left);
+      unseen += others - left;
       total += others + summary->in_flight;
-      policy->loads[i] = load_price (situation, summary, load);
+      sent += summary->live_since + PRIOR_SENT;
+      policy->loads[i].seconds = left;
     }
+  situation->unseen = unseen * (1 - policy->bound_share);
+  situation->bound_per_sent = unseen * policy->bound_share / sent;
   situation->whole_prefill_seconds = prefill * (1 + PREFILL_HOLDS_UP * total / (double)n);
 }
 
+static void
+price_loads (LcPolicy *policy, const Situation *situation)
+{
+  for (size_t i = 0; i < policy->candidates.n_items; i++)
+    {
+      const LcSummary *summary = policy->candidates.summaries[i];
+      double bound = situation->bound_per_sent * (summary->live_since + PRIOR_SENT);
+      double load = policy->loads[i].seconds + bound + summary->in_flight;
+
+      policy->loads[i] = load_price (situation, summary, load);
+    }
+}
+
 /* What the load costs everywhere once the unseen arrivals have filled the least loaded first. */
 static double
 find_level (const LcPolicy *policy, double arrivals)
@@ -223,6 +242,7 @@
   Situation situation = make_situation (policy, endpoints, query, now);
 
   grow_loads (policy);
+  count_unseen (policy, &situation);
   price_loads (policy, &situation);
 
   double level = find_level (policy, 1 * situation.unseen + 1);
