Share of cache-bound requests is kept by pool; equal scores by share, not by seconds

A router serves pools and plain services of very different speed: one share for all and a fixed 5 ms would be wrong for a service that answers in 5 ms.

--- a/packages/core/src/lc-endpoint-table.h
+++ b/packages/core/src/lc-endpoint-table.h
@@ -63,6 +63,7 @@
   size_t n_slots;
   size_t capacity;
   double service_seconds; /* mean of our own requests there; 0: none ended yet */
+  double bound_share;     /* of our requests, those that went where their prompt was cached */
   UT_hash_handle hh;
 } LcEndpointGroup;
 
--- a/packages/core/src/lc-policies.h
+++ b/packages/core/src/lc-policies.h
@@ -35,7 +35,6 @@
   size_t n_shares;
   LcLoadPrice *loads; /* by candidate */
   size_t n_loads;
-  double bound_share; /* of the requests that went where their prompt was cached */
 };
 
 extern const LcPolicyClass lc_policy_random;
--- a/packages/core/src/lc-router-finish-time.c
+++ b/packages/core/src/lc-router-finish-time.c
@@ -12,22 +12,23 @@
 #define DEFAULT_SERVICE_SECONDS 1.0
 #define PREFILL_TOKENS_PER_SECOND 8000.0
 #define PREFILL_HOLDS_UP 0.5 /* share of its time that each request beside it loses */
-#define PRIOR_SENT 0.1
-#define BOUND_WEIGHT 0.02
-#define INDIFFERENT_SECONDS 0.005
-#define LEAST_SHARE 0.01
+#define PRIOR_SENT 0.1       /* added to what we sent to each endpoint, which may be nothing yet */
+#define BOUND_WEIGHT 0.02    /* of one decision in the share of those bound to a cache */
+#define INDIFFERENT 0.002    /* scores that differ by less than this share count as equal */
+#define LEAST_SHARE 0.01     /* requests that an endpoint above the level counts for in the draw */
 
 /* What all candidates of one decision have in common. */
 typedef struct
 {
   const LcEndpoints *endpoints;
+  LcEndpointGroup *group; /* of the pool; there is one, since there are candidates */
   const LcRouteQuery *query;
   const double *shares;
   double service_seconds;
   double expected_tokens;
   double whole_prefill_seconds; /* with nothing in the cache */
   double unseen;                /* arrivals since the reports that may have gone anywhere */
-  double bound_per_sent;
+  double bound_per_sent;        /* arrivals at cached prompts for each request that we sent there */
   int data_centre;
   LbTime now;
 } Situation;
@@ -49,12 +50,13 @@
 make_situation (LcPolicy *policy, LcEndpoints *endpoints, const LcRouteQuery *query, LbTime now)
 {
   LcEndpointKind kind = query->kind == LC_KIND_SERVICE ? LC_ENDPOINT_SERVICE : LC_ENDPOINT_ENGINE;
-  const LcEndpointGroup *group = lc_endpoints_group (endpoints, kind, query->pool);
-  double seconds = group ? group->service_seconds : 0;
+  LcEndpointGroup *group = lc_endpoints_group (endpoints, kind, query->pool);
+  double seconds = group->service_seconds;
   int64_t tokens = query->expected_tokens > 0 ? query->expected_tokens : DEFAULT_EXPECTED_TOKENS;
 
   return (Situation){
     .endpoints = endpoints,
+    .group = group,
     .query = query,
     .shares = lc_policy_fill_shares (policy, endpoints, query, now),
     .service_seconds = seconds > 0 ? seconds : DEFAULT_SERVICE_SECONDS,
@@ -150,8 +152,8 @@
       sent += summary->live_since + PRIOR_SENT;
       policy->loads[i].seconds = left;
     }
-  situation->unseen = unseen * (1 - policy->bound_share);
-  situation->bound_per_sent = unseen * policy->bound_share / sent;
+  situation->unseen = unseen * (1 - situation->group->bound_share);
+  situation->bound_per_sent = unseen * situation->group->bound_share / sent;
   situation->whole_prefill_seconds = prefill * (1 + PREFILL_HOLDS_UP * total / (double)n);
 }
 
@@ -223,7 +225,7 @@
       const LcLoadPrice *price = &policy->loads[i];
       double share = larger (LEAST_SHARE, (level - price->seconds) * price->per_second);
 
-      if (policy->candidates.items[i].score > least + INDIFFERENT_SECONDS)
+      if (policy->candidates.items[i].score > least * (1 + INDIFFERENT))
         continue;
       total += share;
       if (gsl_rng_uniform (policy->rng) * total < share)
@@ -245,12 +247,13 @@
   count_unseen (policy, &situation);
   price_loads (policy, &situation);
 
-  double level = find_level (policy, 1 * situation.unseen + 1);
+  double level = find_level (policy, situation.unseen + 1);
   double least = score_all (policy, &situation, level);
   size_t chosen = draw (policy, level, least);
   bool is_bound = situation.shares[policy->candidates.summaries[chosen]->slot] > 0;
 
-  policy->bound_share += BOUND_WEIGHT * ((is_bound ? 1 : 0) - policy->bound_share);
+  situation.group->bound_share
+      += BOUND_WEIGHT * ((is_bound ? 1 : 0) - situation.group->bound_share);
   lc_policy_clear_shares (policy);
   return chosen;
 }
