--- a/packages/core/tests/test-endpoints.c
+++ b/packages/core/tests/test-endpoints.c
@@ -78,6 +78,35 @@
   fixture_clear (&f);
 }
 
+/* An instance starts, learns from a peer's answer that an endpoint is leaving, and only then gets
+ * the endpoint's first report, which was measured before. The name of the incarnation that it
+ * learns with it must not count as a new process. */
+Test (leaving, word_before_the_first_report)
+{
+  Fixture f;
+
+  fixture_init (&f, 2);
+  cr_assert (lc_endpoints_leaving (f.endpoints, "e0", "", LC_LEAVING_ENDPOINT, 5));
+  fixture_report (&f, "e0", "a", 1, 10);
+  cr_assert_not (fixture_may_take (&f, "e0", 11));
+  fixture_clear (&f);
+}
+
+/* Reports of two processes behind one address cross: the old one's, passed on by a slow peer with a
+ * late time, comes after the new one's. The old process was leaving and still is. */
+Test (leaving, an_incarnation_seen_again_is_still_leaving)
+{
+  Fixture f;
+
+  fixture_init (&f, 2);
+  fixture_report (&f, "e0", "a", 1, 10);
+  lc_endpoints_leaving (f.endpoints, "e0", "a", LC_LEAVING_ENDPOINT, 11);
+  fixture_report (&f, "e0", "b", 1, 20);
+  fixture_report (&f, "e0", "a", 1, 30);
+  cr_assert_not (fixture_may_take (&f, "e0", 31));
+  fixture_clear (&f);
+}
+
 /* The platform's list lags: it still says leaving for seconds after the next process came. Believed
  * for good, that process would get no work until it restarts; not believed, a process that does
  * leave would get work. So it is out as long as the list says so, and in when the list no longer
@@ -235,3 +264,19 @@
   cr_assert_eq (endpoint->sent_since_report, 2);
   fixture_clear (&f);
 }
+
+/* An endpoint gets another address in the configuration: another process, which was never reported.
+ * A swap, a breaker and a load of the one before say nothing of it. */
+Test (membership, another_address_is_another_process)
+{
+  Fixture f;
+  LcLoadReport full = { .incarnation = "a", .version = 0, .running = 8, .at = 10 };
+
+  fixture_init (&f, 1);
+  lc_endpoints_report (f.endpoints, "e0", &full, 10);
+  cr_assert_not (fixture_may_take (&f, "e0", 11));
+  strcpy (f.members[0].address, "127.0.0.1:2");
+  fixture_configure (&f, 12);
+  cr_assert (fixture_may_take (&f, "e0", 13));
+  fixture_clear (&f);
+}
