--- a/packages/core/src/lc-endpoint-table.h
+++ b/packages/core/src/lc-endpoint-table.h
@@ -13,12 +13,14 @@
 /* A token takes this share longer in a full batch than alone. */
 #define LC_FULL_BATCH_SLOWDOWN 1.0
 
+#define LC_NEVER_REPORTED ((LbTime)-1)
+
 /* What a decision needs of an endpoint, in one cache line: a decision looks at all endpoints of a
  * pool, and their entries are spread over memory. Rewritten after each command on the endpoint. */
 typedef struct
 {
   LcEndpoint *endpoint;
-  LbTime reported_at; /* 0: never */
+  LbTime reported_at; /* or LC_NEVER_REPORTED */
   LcVersion version;
   float size;   /* requests at once it is made for */
   float limit;  /* requests of ours at once */
@@ -40,6 +42,7 @@
   uint64_t name_hash;
   int data_centre; /* index among the table's data centres */
   bool retired;    /* no longer in the configuration; kept while requests of ours run there */
+  bool is_reported;
   int64_t in_flight_at_report;
   int64_t live_since_report;
   double alone_token_seconds;
--- a/packages/core/src/lc-endpoints-query.c
+++ b/packages/core/src/lc-endpoints-query.c
@@ -35,7 +35,7 @@
 
   if (endpoint->member.kind != LC_ENDPOINT_ENGINE)
     return true;
-  if (endpoint->report.incarnation[0] && endpoint->report.version == 0)
+  if (entry->is_reported && endpoint->report.version == 0)
     return false;
   return !endpoint->swap_pending || now < endpoint->swap_until
          || endpoint->report.at >= endpoint->swap_until;
@@ -61,7 +61,7 @@
     return false;
   if (summary->is_special && !special_may_take (summary->endpoint, now))
     return false;
-  if (summary->reported_at == 0 || now - summary->reported_at > REPORT_TRUSTED_FOR)
+  if (summary->reported_at == LC_NEVER_REPORTED || now - summary->reported_at > REPORT_TRUSTED_FOR)
     return true;
   return summary->load < summary->size * share;
 }
--- a/packages/core/src/lc-endpoints.c
+++ b/packages/core/src/lc-endpoints.c
@@ -172,7 +172,7 @@
 
   entry->table->summaries[endpoint->slot] = (LcSummary){
     .endpoint = &entry->endpoint,
-    .reported_at = endpoint->report.at,
+    .reported_at = entry->is_reported ? endpoint->report.at : LC_NEVER_REPORTED,
     .version = endpoint->report.version,
     .size = (float)entry->concurrency.most,
     .limit = (float)entry->concurrency.limit,
@@ -233,6 +233,7 @@
   if (strcmp (entry->endpoint.member.address, member->address) != 0)
     {
       memset (&entry->endpoint.report, 0, sizeof entry->endpoint.report);
+      entry->is_reported = false;
       lc_leaving_begin (&entry->leaving, "");
       forget_process (entry);
     }
@@ -377,13 +378,17 @@
 take_report (LcEntry *entry, const LcLoadReport *report)
 {
   LcEndpoint *endpoint = &entry->endpoint;
-  const char *known = endpoint->report.incarnation;
+  char known[sizeof endpoint->report.incarnation];
 
-  if (known[0] && strcmp (known, report->incarnation) != 0)
+  LB_COPY (known, endpoint->report.incarnation);
+  if (known[0] && report->incarnation[0] && strcmp (known, report->incarnation) != 0)
     forget_process (entry);
   if (report->incarnation[0])
     lc_leaving_begin (&entry->leaving, report->incarnation);
   endpoint->report = *report;
+  if (!report->incarnation[0])
+    LB_COPY (endpoint->report.incarnation, known);
+  entry->is_reported = true;
   endpoint->sent_since_report = lc_flight_log_sent_after (&entry->flights, report->at);
   entry->live_since_report = lc_flight_log_live_after (&entry->flights, report->at);
   entry->in_flight_at_report = lc_flight_log_in_flight_at (&entry->flights, report->at);
@@ -404,7 +409,7 @@
   if (!entry)
     return;
   entry->endpoint.last_reply = now;
-  if (report->at >= entry->endpoint.report.at)
+  if (!entry->is_reported || report->at >= entry->endpoint.report.at)
     take_report (entry, report);
   if (report->leaving)
     lc_leaving_say (&entry->leaving, report->incarnation);
--- a/packages/core/tests/test-endpoints.c
+++ b/packages/core/tests/test-endpoints.c
@@ -280,3 +280,20 @@
   cr_assert (fixture_may_take (&f, "e0", 13));
   fixture_clear (&f);
 }
+
+/* A plain service names its process in some replies and not in others. Taken as another process
+ * each time, its breaker would close and its "leaving" would be forgotten with every second report.
+ */
+Test (membership, a_report_without_an_incarnation_is_of_the_same_process)
+{
+  Fixture f;
+
+  fixture_init (&f, 1);
+  fixture_report (&f, "e0", "a", 1, 10);
+  lc_endpoints_leaving (f.endpoints, "e0", "a", LC_LEAVING_ENDPOINT, 11);
+  fixture_report (&f, "e0", "", 1, 20);
+  fixture_report (&f, "e0", "a", 1, 30);
+  cr_assert_not (fixture_may_take (&f, "e0", 31));
+  cr_assert_str_eq (fixture_find (&f, "e0")->report.incarnation, "a");
+  fixture_clear (&f);
+}
