--- a/packages/core/src/lc-resources.c
+++ b/packages/core/src/lc-resources.c
@@ -343,21 +343,39 @@
   return ok;
 }
 
+/* The router takes all endpoints of a pool as alike. */
+static bool
+check_mixed (const LcResourceSet *set, const char *file, LbError *error)
+{
+  bool *has_engine = LB_NEW_ARRAY (bool, set->n_pools);
+  bool ok = true;
+
+  for (size_t i = 0; i < set->n_endpoints; i++)
+    if (set->endpoints[i].kind == LC_ENDPOINT_ENGINE)
+      has_engine[lc_resource_set_pool (set, set->endpoints[i].pool) - set->pools] = true;
+  for (size_t i = 0; ok && i < set->n_endpoints; i++)
+    {
+      const LcEndpointMember *endpoint = &set->endpoints[i];
+      const LcPool *pool = lc_resource_set_pool (set, endpoint->pool);
+      if (endpoint->kind == LC_ENDPOINT_SERVICE && pool && has_engine[pool - set->pools])
+        ok = bad_reference (file, LC_RESOURCE_ENDPOINT, endpoint->name,
+                            "pool: a service may not be in a pool that has engines", error);
+    }
+  free (has_engine);
+  return ok;
+}
+
 static bool
 check_endpoints (const LcResourceSet *set, const char *file, LbError *error)
 {
   for (size_t i = 0; i < set->n_endpoints; i++)
     {
       const LcEndpointMember *endpoint = &set->endpoints[i];
-      bool is_pool = lc_resource_set_pool (set, endpoint->pool) != NULL;
-      if (endpoint->kind == LC_ENDPOINT_ENGINE && !is_pool)
+      if (endpoint->kind == LC_ENDPOINT_ENGINE && !lc_resource_set_pool (set, endpoint->pool))
         return bad_reference (file, LC_RESOURCE_ENDPOINT, endpoint->name, "pool: no such pool",
                               error);
-      if (endpoint->kind == LC_ENDPOINT_SERVICE && is_pool)
-        return bad_reference (file, LC_RESOURCE_ENDPOINT, endpoint->name,
-                              "pool: a service may not have the name of a pool", error);
     }
-  return check_addresses (set, file, error);
+  return check_mixed (set, file, error) && check_addresses (set, file, error);
 }
 
 static bool
--- a/packages/core/tests/test-resources.c
+++ b/packages/core/tests/test-resources.c
@@ -80,6 +80,11 @@
     { POOL "," ENGINE ("e1", "localhost:1"), LB_ERROR_BAD_VALUE, "r.json: endpoint/e1" },
     { POOL "," ENGINE ("e1", "127.0.0.1:1") "," ENGINE ("e2", "127.0.0.1:1"),
       LB_ERROR_BAD_REFERENCE, NULL },
+    { POOL
+      "," ENGINE ("e1",
+                  "127.0.0.1:1") ",{\"kind\":\"endpoint\",\"type\":\"service\","
+                                 "\"name\":\"s\",\"pool\":\"reader\",\"address\":\"127.0.0.1:2\"}",
+      LB_ERROR_BAD_REFERENCE, "r.json: endpoint/s" },
   };
 
   for (size_t i = 0; i < sizeof faults / sizeof faults[0]; i++)
--- a/packages/node/src/ln-pool-holders.c
+++ b/packages/node/src/ln-pool-holders.c
@@ -86,13 +86,22 @@
   update_ranks (task);
 }
 
-/* A pool that is deleted has nobody to order; its lease lapses. */
+static bool
+has_engines (const LcResourceSet *set, const char *pool)
+{
+  for (size_t i = 0; i < set->n_endpoints; i++)
+    if (set->endpoints[i].kind == LC_ENDPOINT_ENGINE && strcmp (set->endpoints[i].pool, pool) == 0)
+      return true;
+  return false;
+}
+
+/* A pool that has no engines any more has nobody to order; its lease lapses. */
 void
 ln_pool_holders_configure (LnConfigTask *task, const LcResourceSet *set)
 {
   LB_LIST_FOREACH (&task->holders, LnPoolHolder, link, holder)
   {
-    if (lc_resource_set_pool (set, holder->pool))
+    if (has_engines (set, holder->pool))
       continue;
     lb_list_remove (&task->holders, &holder->link);
     ln_pool_holder_free (holder);
@@ -100,6 +109,8 @@
   for (size_t i = 0; i < set->n_pools; i++)
     {
       LnPoolHolder *holder = find_pool (task, set->pools[i].name);
+      if (!has_engines (set, set->pools[i].name))
+        continue;
       if (!holder)
         {
           holder = ln_pool_holder_new (task, set->pools[i].name, ++task->last_serial);
