A caller that goes away is noticed while its answer is made

Cause: evhtp disables reading on a paused connection (seen: enabled events 4, write only), so the end of the caller's stream was never read, and the engine went on until the next event. Enabling reading once after the pause is not enough, since evhtp pauses again when its callback returns; the error hook is not called for a paused connection even then.

--- a/packages/node/src/ln-caller.c
+++ b/packages/node/src/ln-caller.c
@@ -67,6 +67,11 @@
   (void)what;
   LnCaller *caller = user;
 
+  if (caller->exchange)
+    {
+      bufferevent_enable (caller->connection->bev, EV_READ);
+      return;
+    }
   if (is_reading (caller))
     caller->refusal = LB_ERROR_TOO_SLOW;
   evhtp_connection_free (caller->connection);
@@ -190,14 +195,15 @@
   return EVHTP_RES_OK;
 }
 
+/* A caller goes away while its request is answered. evhtp's error hook is not called for a paused
+ * connection, so the engine would go on for nobody; this hook comes with every event. */
 static void
-on_error (evhtp_request_t *request, evhtp_error_flags flags, void *user)
+on_event (evhtp_connection_t *connection, short events, void *user)
 {
-  (void)request;
-  (void)flags;
+  (void)connection;
   LnCaller *caller = user;
 
-  if (caller->exchange)
+  if (caller->exchange && (events & (BEV_EVENT_EOF | BEV_EVENT_ERROR)))
     ln_exchange_caller_gone (caller->exchange);
 }
 
@@ -212,7 +218,7 @@
                 { evhtp_hook_on_header, (evhtp_hook)on_header },
                 { evhtp_hook_on_headers, (evhtp_hook)on_headers },
                 { evhtp_hook_on_read, (evhtp_hook)on_body },
-                { evhtp_hook_on_error, (evhtp_hook)(void (*) (void))on_error },
+                { evhtp_hook_on_event, (evhtp_hook)(void (*) (void))on_event },
                 { evhtp_hook_on_connection_fini, (evhtp_hook)on_connection_end } };
 
   for (size_t i = 0; i < sizeof hooks / sizeof hooks[0]; i++)
@@ -271,6 +277,15 @@
   return caller->exchange || is_reading (caller) || evbuffer_get_length (unsent) > 0;
 }
 
+/* evhtp stops reading from a paused connection, and so would not see that its caller closes it: the
+ * engine would go on for nobody. It does so once more after its callback returns, so reading starts
+ * again in the loop's next turn, by the timer, which is free while a request is answered. */
+void
+ln_caller_watch (LnCaller *caller)
+{
+  arm (caller, 0);
+}
+
 void
 ln_caller_replied (LnCaller *caller, evhtp_request_t *request)
 {
--- a/packages/node/src/ln-caller.h
+++ b/packages/node/src/ln-caller.h
@@ -47,6 +47,8 @@
 LnCaller *ln_caller_of (const evhtp_connection_t *connection);
 /* A request is being read or answered, or a reply has not left yet. */
 bool ln_caller_is_busy (const LnCaller *caller);
+/* While a request is answered: learns when the caller goes away. */
+void ln_caller_watch (LnCaller *caller);
 /* The reply has been handed over; the next request may come. */
 void ln_caller_replied (LnCaller *caller, evhtp_request_t *request);
 /* Ends the connection after what was written has left. */
--- a/packages/node/src/ln-exchange.c
+++ b/packages/node/src/ln-exchange.c
@@ -67,6 +67,7 @@
   exchange->body[exchange->body_length] = '\0';
   caller->exchange = exchange;
   evhtp_request_pause (request);
+  ln_caller_watch (caller);
   return exchange;
 }
 
--- a/packages/node/tests/test-front.c
+++ b/packages/node/tests/test-front.c
@@ -168,3 +168,29 @@
                   " 503 ", "not_ready");
   fixture_clear (&f);
 }
+
+/* Callers close connections that they no longer need. Each takes a place of max_connections until
+ * it is known to be closed. */
+Test (front, closed_idle_connections_make_room)
+{
+  Fixture f;
+  Peer caller;
+
+  fixture_init (&f);
+  f.settings.http.max_connections = 1;
+  fixture_start (&f);
+  for (int i = 0; i < 3; i++)
+    {
+      caller_open (&f, &caller);
+      peer_send (&caller, "GET /healthz HTTP/1.1\r\n\r\n");
+      FIXTURE_UNTIL (&f, peer_has (&caller, "alive"));
+      errno = EAGAIN;
+      peer_close (&caller);
+      for (int turn = 0; turn < 20; turn++)
+        {
+          errno = EAGAIN;
+          fixture_pump (&f);
+        }
+    }
+  fixture_clear (&f);
+}
