--- a/packages/sim/include/lx-trainer.h
+++ b/packages/sim/include/lx-trainer.h
@@ -15,9 +15,9 @@
   size_t index;
   LbName name;
   size_t owner; /* instance that owns the step */
-  uint64_t session;
   int64_t step;
   bool opened;
+  LcVersion opened_version; /* that it stated when it first asked for the step */
   LbTime train_until;
   /* the pull in progress */
   uint64_t pull; /* 0: none */
@@ -33,6 +33,7 @@
   /* measures, without the first step */
   int64_t steps;
   LbTime idle;
+  LbTime idle_floor; /* idle time if the longest sample had run alone from the start */
   int64_t samples;
   int64_t staleness_sum;
   int64_t staleness_max;
@@ -69,11 +70,13 @@
 /* commands */
 void lx_trainer_start (LxTrainer *trainer);
 void lx_trainer_receive (LxTrainer *trainer, LxChunk *chunk);
-/* A new owner of its step, of a larger session. */
+/* The instance has its step open. */
+void lx_trainer_opened (LxTrainer *trainer, size_t instance, int64_t step);
+/* It goes to another instance, which will take its step over. */
 void lx_trainer_move (LxTrainer *trainer, size_t owner);
 
 /* queries */
-int64_t
-lx_sample_length (uint64_t seed, size_t trainer, int64_t step, int64_t group, int64_t index);
+int64_t lx_sample_length (
+    const LxOptions *options, size_t trainer, int64_t step, int64_t group, int64_t index);
 
 #endif
