--- a/packages/node/src/ln-call.c
+++ b/packages/node/src/ln-call.c
@@ -19,6 +19,7 @@
 
   call->kind = kind;
   call->text = evbuffer_new ();
+  call->kept = evbuffer_new ();
   lb_list_init (&call->attempts);
   return call;
 }
@@ -42,6 +43,7 @@
   free (call->raw_body);
   free (call->resume_text);
   evbuffer_free (call->text);
+  evbuffer_free (call->kept);
   json_object_put (call->body);
   free (call);
 }
@@ -163,21 +165,29 @@
   json_object_object_add (event, "model", json_object_new_string (call->spec.pool));
 }
 
+static void
+begin_stream (LnCall *call, const char *endpoint)
+{
+  call->stream_begun = true;
+  ln_exchange_set_header (call->exchange, "x-endpoint", endpoint);
+  ln_exchange_set_header (call->exchange, "Cache-Control", "no-cache");
+  ln_exchange_stream_start (call->exchange, 200, "text/event-stream");
+}
+
 void
 ln_call_forward (LnCall *call, struct json_object *event, const char *endpoint)
 {
-  if (!call->exchange)
-    return;
-  if (!call->stream_begun)
-    {
-      call->stream_begun = true;
-      ln_exchange_set_header (call->exchange, "x-endpoint", endpoint);
-      ln_exchange_set_header (call->exchange, "Cache-Control", "no-cache");
-      ln_exchange_stream_start (call->exchange, 200, "text/event-stream");
-    }
+  size_t length;
+
   relabel (call, event);
   char *line = lb_asprintf ("data: %s\n\n", json_object_to_json_string_ext (event, JSON_FORMAT));
-  ln_exchange_stream_piece (call->exchange, line, strlen (line));
+  length = strlen (line);
+  if (call->ticketed)
+    evbuffer_add (call->kept, line, length);
+  if (call->exchange && !call->stream_begun)
+    begin_stream (call, endpoint);
+  if (call->exchange)
+    ln_exchange_stream_piece (call->exchange, line, length);
   free (line);
 }
 
@@ -216,8 +226,8 @@
   return choice;
 }
 
-static void
-reply_whole (LnCall *call, LnAttempt *winner)
+static struct json_object *
+whole_object (LnCall *call, LnAttempt *winner)
 {
   struct json_object *reply = json_object_new_object ();
   struct json_object *choices = json_object_new_array ();
@@ -230,9 +240,15 @@
   json_object_object_add (reply, "choices", choices);
   json_object_object_add (usage, "completion_tokens", json_object_new_int64 (winner->tokens));
   json_object_object_add (reply, "usage", usage);
+  return reply;
+}
+
+static void
+reply_whole (LnCall *call, LnAttempt *winner)
+{
   ln_exchange_set_header (call->exchange, "x-endpoint", ln_upstream_endpoint (winner->upstream));
   set_versions_header (call->exchange, winner);
-  ln_exchange_reply_json (call->exchange, 200, reply);
+  ln_exchange_reply_json (call->exchange, 200, whole_object (call, winner));
 }
 
 /* Headers that belong to one connection are not passed on. */
@@ -269,18 +285,63 @@
                           length);
 }
 
+static const char done_event[] = "data: [DONE]\n\n";
+
+static void
+copy_service_answer (LnAttempt *winner, LnAnswer *answer)
+{
+  const char *type = lh_fetch_header (ln_upstream_fetch (winner->upstream), "Content-Type");
+  const char *body = ln_upstream_body (winner->upstream, &answer->length);
+
+  answer->status = ln_upstream_status (winner->upstream);
+  LB_COPY (answer->type, type ? type : "");
+  answer->body = lb_memdup (body, answer->length);
+}
+
+static void
+copy_stream (LnCall *call, LnAnswer *answer)
+{
+  evbuffer_add (call->kept, done_event, sizeof done_event - 1);
+  LB_COPY (answer->type, "text/event-stream");
+  answer->length = evbuffer_get_length (call->kept);
+  answer->body = lb_malloc (answer->length);
+  evbuffer_copyout (call->kept, answer->body, answer->length);
+}
+
+static void
+copy_object (LnCall *call, LnAttempt *winner, LnAnswer *answer)
+{
+  struct json_object *object = whole_object (call, winner);
+
+  LB_COPY (answer->type, "application/json");
+  answer->body = lb_strdup (json_object_to_json_string_ext (object, JSON_FORMAT));
+  answer->length = strlen (answer->body);
+  json_object_put (object);
+}
+
 void
-ln_call_reply (LnCall *call, LnAttempt *winner)
+ln_call_whole_answer (LnCall *call, LnAttempt *winner, LnAnswer *answer)
 {
-  static const char done[] = "data: [DONE]\n\n";
+  memset (answer, 0, sizeof *answer);
+  answer->status = 200;
+  if (call->kind == LN_CALL_SERVICE)
+    copy_service_answer (winner, answer);
+  else if (call->wants_stream)
+    copy_stream (call, answer);
+  else
+    copy_object (call, winner, answer);
+}
 
+void
+ln_call_reply (LnCall *call, LnAttempt *winner)
+{
   if (!call->exchange)
     return;
   if (call->kind == LN_CALL_SERVICE)
     reply_service (call, winner);
   else if (call->wants_stream)
     {
-      ln_exchange_stream_piece (call->exchange, done, sizeof done - 1);
+      ln_exchange_stream_piece (call->exchange, done_event, sizeof done_event - 1);
       ln_exchange_end (call->exchange);
     }
   else
--- a/packages/node/src/ln-call.h
+++ b/packages/node/src/ln-call.h
@@ -1,7 +1,9 @@
 #ifndef LN_CALL_H
 #define LN_CALL_H
 
+#include "ln-answer.h"
 #include "ln-exchange.h"
+#include "ln-holder.h"
 #include "ln-upstream.h"
 
 #include <uthash.h>
@@ -38,11 +40,14 @@
 /* One request under way: what to send to endpoints and where its answer goes. */
 struct LnCall
 {
+  LnHolder holder;   /* first; hears when the caller of exchange goes away */
   UT_hash_handle hh; /* by spec.id */
   LbLink link;       /* in the task's list */
   LnCallKind kind;
   LcRequestSpec spec;
   LnExchange *exchange; /* NULL: a sample, or nobody waits any more */
+  bool submitted;       /* to the dispatch, which will say how it ended */
+  bool ticketed;        /* goes on without its caller, who may come again with the same ticket */
   bool wants_stream;
   bool stream_begun;
   char stream_id[96];       /* the id that the caller sees */
@@ -55,6 +60,7 @@
   size_t raw_length;
   char *resume_text;     /* what the submitter has before resume_at; may be NULL */
   struct evbuffer *text; /* STREAM: what has gone out */
+  struct evbuffer *kept; /* ticketed streams: what has gone out, as it went out */
   LbList attempts;
   LnAttempt *ended; /* whose end is being handled; it is in attempts no more */
   void *owner;      /* the task's own */
@@ -79,6 +85,8 @@
 
 /* Passes an engine's event to a caller who streams. */
 void ln_call_forward (LnCall *call, struct json_object *event, const char *endpoint);
+/* The whole answer as bytes, for others than the caller who began the call. */
+void ln_call_whole_answer (LnCall *call, LnAttempt *winner, LnAnswer *answer);
 /* The answer of the attempt that won. The exchange is gone afterwards. */
 void ln_call_reply (LnCall *call, LnAttempt *winner);
 void ln_call_reply_error (LnCall *call, LbErrorCode code, LbTime retry_after);
--- /dev/null
+++ b/packages/node/src/ln-calls-private.h
@@ -0,0 +1,42 @@
+#ifndef LN_CALLS_PRIVATE_H
+#define LN_CALLS_PRIVATE_H
+
+#include "ln-call.h"
+#include "ln-claims.h"
+#include "ln-context.h"
+#include "ln-messages.h"
+#include "ln-poller.h"
+#include "ln-relay.h"
+#include "ln-ticket-calls.h"
+
+#include <event2/util.h>
+
+/* Every request to an endpoint: owns the dispatch and carries its actions out. */
+typedef struct
+{
+  LnTask task; /* first */
+  LnContext *context;
+  LcDispatch *dispatch;
+  LnPoller *poller;
+  LnTicketCalls *tickets;
+  LnClaims *claims;
+  LnRelays *relays;
+  struct event *tick;
+  LnCall *by_id;
+  LbList all;
+  bool ready; /* the resources in force are confirmed */
+  bool draining;
+} LnCalls;
+
+/* ln-calls-run.c: from submission to the final answer */
+void ln_calls_run (LnCalls *calls, LbList *actions);
+void ln_calls_submit (LnCalls *calls, LnCall *call);
+void ln_calls_cancel (LnCalls *calls, LnCall *call);
+LnCall *ln_calls_find (LnCalls *calls, LcRequestId id);
+void ln_calls_on_tick (evutil_socket_t fd, short what, void *calls);
+void ln_calls_post_done (LnCalls *calls, LcRequestId request, LbErrorCode error, char *text);
+
+/* ln-calls-take.c: from a caller's request to its submission */
+void ln_calls_take (LnCalls *calls, LnExchange *exchange);
+
+#endif
--- /dev/null
+++ b/packages/node/src/ln-calls-run.c
@@ -0,0 +1,410 @@
+#include "ln-calls-private.h"
+
+#include "ln-exchange-private.h"
+
+#include "lb-alloc.h"
+#include "lb-clock.h"
+#include "lb-counter.h"
+#include "lb-log.h"
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <json-c/json.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static LbMetric sent = LB_COUNTER_INIT ("lentilspindle_attempts_total",
+                                        NULL,
+                                        "Attempts at endpoints, retries and hedges included");
+static LbMetric pieces_dropped
+    = LB_COUNTER_INIT ("lentilspindle_pieces_dropped_total",
+                       NULL,
+                       "Pieces of answers that were repeats, out of order or of a lost attempt");
+
+LnCall *
+ln_calls_find (LnCalls *calls, LcRequestId id)
+{
+  LnCall *call = NULL;
+
+  HASH_FIND (hh, calls->by_id, &id, sizeof id, call);
+  return call;
+}
+
+static void
+keep_call (LnCalls *calls, LnCall *call)
+{
+  HASH_ADD (hh, calls->by_id, spec.id, sizeof call->spec.id, call);
+  lb_list_append (&calls->all, &call->link);
+}
+
+static void
+drop_call (LnCalls *calls, LnCall *call)
+{
+  HASH_DELETE (hh, calls->by_id, call);
+  lb_list_remove (&calls->all, &call->link);
+  ln_call_free (call);
+}
+
+void
+ln_calls_on_tick (evutil_socket_t fd, short what, void *user)
+{
+  (void)fd;
+  (void)what;
+  LnCalls *calls = user;
+  LbList actions;
+
+  lb_list_init (&actions);
+  lc_dispatch_tick (calls->dispatch, lb_clock_monotonic (), &actions);
+  ln_calls_run (calls, &actions);
+}
+
+static void
+schedule_tick (LnCalls *calls)
+{
+  LbTime next = lc_dispatch_next_tick (calls->dispatch);
+  LbTime wait = next - lb_clock_monotonic ();
+
+  if (next == LB_TIME_NEVER)
+    {
+      evtimer_del (calls->tick);
+      return;
+    }
+  if (wait < 0)
+    wait = 0;
+  const struct timeval tv = { .tv_sec = wait / LB_SEC, .tv_usec = wait % LB_SEC };
+  evtimer_add (calls->tick, &tv);
+}
+
+static void
+log_decision (const LcAction *action)
+{
+  const LcRouteDecision *decision = &action->decision;
+  struct json_object *shown;
+
+  if (!lb_log_enabled (LB_LOG_INFO))
+    return;
+  shown = json_object_new_array ();
+  for (size_t i = 0; i < decision->n_shown; i++)
+    {
+      struct json_object *candidate = json_object_new_object ();
+      json_object_object_add (candidate, "endpoint",
+                              json_object_new_string (decision->shown[i].endpoint->member.name));
+      json_object_object_add (candidate, "score",
+                              json_object_new_double (decision->shown[i].score));
+      json_object_array_add (shown, candidate);
+    }
+  lb_log (LB_LOG_INFO, "route", LB_INT ("request", action->request),
+          LB_INT ("attempt", action->attempt), LB_TEXT ("endpoint", action->endpoint),
+          LB_TEXT ("reason", decision->reason), LB_INT ("of", decision->n_candidates),
+          LB_JSON ("candidates", json_object_to_json_string_ext (shown, JSON_C_TO_STRING_PLAIN)));
+  json_object_put (shown);
+}
+
+static void
+post_piece (LnCalls *calls, LnCall *call, const LcPiece *piece, const char *endpoint)
+{
+  LnSamplePieceMessage message
+      = { .base = LN_MESSAGE (LN_SAMPLE_PIECE), .request = call->spec.id, .piece = *piece };
+
+  LB_COPY (message.endpoint, endpoint);
+  LN_POST (calls->task.hub, ln_hub_find (calls->task.hub, "rollouts"), message);
+}
+
+static void
+clear_sample_done (LnMessage *message)
+{
+  free (((LnSampleDoneMessage *)message)->text);
+}
+
+/* Takes the text over. */
+void
+ln_calls_post_done (LnCalls *calls, LcRequestId request, LbErrorCode error, char *text)
+{
+  LnSampleDoneMessage message
+      = { .base = LN_MESSAGE (LN_SAMPLE_DONE), .request = request, .error = error };
+
+  message.text = text;
+  message.base.clear = clear_sample_done;
+  LN_POST (calls->task.hub, ln_hub_find (calls->task.hub, "rollouts"), message);
+}
+
+static void
+on_piece (LnUpstream *upstream,
+          const LcPiece *piece,
+          struct json_object *event,
+          const char *text,
+          void *user)
+{
+  LnAttempt *attempt = user;
+  LnCall *call = attempt->call;
+  LnCalls *calls = call->owner;
+  LbList actions;
+
+  lb_list_init (&actions);
+  LcPieceVerdict verdict
+      = lc_dispatch_piece (calls->dispatch, call->spec.id, ln_upstream_attempt (upstream), piece,
+                           lb_clock_monotonic (), &actions);
+  if (verdict == LC_PIECE_DROP)
+    lb_metric_add (&pieces_dropped, 1);
+  else
+    {
+      ln_attempt_add (attempt, piece, event, text);
+      if (call->spec.delivery == LC_DELIVER_STREAM)
+        evbuffer_add (call->text, text, strlen (text));
+      if (call->wants_stream)
+        ln_call_forward (call, event, ln_upstream_endpoint (upstream));
+      else if (call->kind == LN_CALL_SAMPLE && call->spec.delivery == LC_DELIVER_STREAM)
+        post_piece (calls, call, piece, ln_upstream_endpoint (upstream));
+    }
+  ln_calls_run (calls, &actions);
+}
+
+/* The attempt stays only until the actions that its end brings have run: a FINISH among them takes
+ * the answer from it. */
+static void
+on_end (LnUpstream *upstream, LcAttemptEnd end, void *user)
+{
+  LnAttempt *attempt = user;
+  LnCall *call = attempt->call;
+  LnCalls *calls = call->owner;
+  LbList actions;
+
+  lb_list_init (&actions);
+  lb_list_remove (&call->attempts, &attempt->link);
+  call->ended = attempt;
+  LcRequestId id = call->spec.id;
+  lc_dispatch_ended (calls->dispatch, id, ln_upstream_attempt (upstream), end,
+                     lb_clock_monotonic (), &actions);
+  ln_calls_run (calls, &actions);
+  call = ln_calls_find (calls, id);
+  if (call)
+    call->ended = NULL;
+  ln_attempt_free (attempt);
+}
+
+static LnUpstream *
+start_engine (LnCalls *calls, LnAttempt *attempt, const LcAction *action, LbError *error)
+{
+  static const LnUpstreamHandlers handlers = { .on_piece = on_piece, .on_end = on_end };
+  static const LhHeader headers[] = { { "Content-Type", "application/json" } };
+  LnCall *call = attempt->call;
+  char stream_id[96];
+
+  snprintf (stream_id, sizeof stream_id, "%s-%llu.%u", calls->context->incarnation,
+            (unsigned long long)action->request, action->attempt);
+  char *body = ln_call_engine_body (call, stream_id, action->resume_at);
+  const LnUpstreamSpec spec
+      = { .request = action->request,
+          .attempt = action->attempt,
+          .endpoint = action->endpoint,
+          .address = action->address,
+          .method = "POST",
+          .path = call->kind == LN_CALL_CHAT ? "/v1/chat/completions" : "/v1/completions",
+          .headers = headers,
+          .n_headers = 1,
+          .body = body,
+          .body_length = strlen (body),
+          .stream_id = stream_id,
+          .silence = calls->context->settings->calls.stream_silence_ms * LB_MSEC };
+  LnUpstream *upstream = ln_upstream_start (calls->context->http, &spec, &handlers, attempt, error);
+  free (body);
+  return upstream;
+}
+
+/* A plain service sends nothing while it works, so its silence is bounded by the deadline. */
+static LbTime
+service_silence (const LnCall *call)
+{
+  LbTime left = call->spec.deadline - lb_clock_monotonic ();
+
+  return left < LB_SEC ? LB_SEC : left;
+}
+
+static LnUpstream *
+start_service (LnCalls *calls, LnAttempt *attempt, const LcAction *action, LbError *error)
+{
+  static const LnUpstreamHandlers handlers = { .on_end = on_end };
+  LnCall *call = attempt->call;
+  const LnUpstreamSpec spec = { .request = action->request,
+                                .attempt = action->attempt,
+                                .endpoint = action->endpoint,
+                                .address = action->address,
+                                .method = call->method,
+                                .path = call->path,
+                                .headers = call->headers,
+                                .n_headers = call->n_headers,
+                                .body = call->raw_body,
+                                .body_length = call->raw_length,
+                                .silence = service_silence (call) };
+
+  return ln_upstream_start (calls->context->http, &spec, &handlers, attempt, error);
+}
+
+static void
+send_attempt (LnCalls *calls, const LcAction *action, LbList *actions)
+{
+  LnCall *call = ln_calls_find (calls, action->request);
+  LnAttempt *attempt = NULL;
+  LbError error = { 0 };
+
+  if (!call)
+    return;
+  log_decision (action);
+  lb_metric_add (&sent, 1);
+  attempt = ln_attempt_new (call);
+  attempt->upstream = ln_call_is_for_engine (call) ? start_engine (calls, attempt, action, &error)
+                                                   : start_service (calls, attempt, action, &error);
+  if (attempt->upstream)
+    return;
+  ln_attempt_free (attempt);
+  lb_log_error (LB_LOG_WARNING, "attempt_not_started", &error);
+  lc_dispatch_ended (calls->dispatch, action->request, action->attempt, LC_END_NOT_HANDED,
+                     lb_clock_monotonic (), actions);
+}
+
+static void
+cancel_attempt (LnCalls *calls, const LcAction *action)
+{
+  LnCall *call = ln_calls_find (calls, action->request);
+  LnAttempt *attempt = call ? ln_call_find_attempt (call, action->attempt) : NULL;
+
+  if (!attempt)
+    return;
+  ln_upstream_cancel (attempt->upstream);
+  ln_attempt_free (attempt);
+}
+
+static char *
+copy_text (struct evbuffer *buffer)
+{
+  size_t length = evbuffer_get_length (buffer);
+  char *text = lb_malloc (length + 1);
+
+  evbuffer_copyout (buffer, text, length);
+  text[length] = '\0';
+  return text;
+}
+
+static void
+finish_sample (LnCalls *calls, LnCall *call, LbErrorCode code)
+{
+  LnAttempt *winner = call->ended;
+  struct evbuffer *text = call->text;
+  size_t length;
+
+  if (call->kind == LN_CALL_SCORE)
+    {
+      const char *body = code == LB_OK ? ln_upstream_body (winner->upstream, &length) : "";
+      ln_calls_post_done (calls, call->spec.id, code,
+                          lb_strndup (body, code == LB_OK ? length : 0));
+      return;
+    }
+  if (call->spec.delivery == LC_DELIVER_WHOLE && code == LB_OK)
+    {
+      text = winner->text;
+      for (size_t i = 0; i < winner->n_pieces; i++)
+        post_piece (calls, call, &winner->pieces[i], ln_upstream_endpoint (winner->upstream));
+    }
+  ln_calls_post_done (calls, call->spec.id, code, copy_text (text));
+}
+
+static void
+finish_ticket (LnCalls *calls, LnCall *call, LbErrorCode code, LbTime retry_after)
+{
+  LnAnswer answer = { 0 };
+
+  if (code == LB_OK)
+    ln_call_whole_answer (call, call->ended, &answer);
+  ln_ticket_calls_finish (calls->tickets, call->spec.id, code, retry_after,
+                          code == LB_OK ? &answer : NULL);
+  ln_answer_clear (&answer);
+}
+
+static void
+finish_call (LnCalls *calls, const LcAction *action)
+{
+  LnCall *call = ln_calls_find (calls, action->request);
+  LbErrorCode code = action->error;
+
+  if (!call)
+    return;
+  /* A whole answer is taken from the attempt whose end brought this action. */
+  if (code == LB_OK && !call->ended)
+    code = LB_ERROR_INTERNAL;
+  if (call->kind == LN_CALL_SAMPLE || call->kind == LN_CALL_SCORE)
+    finish_sample (calls, call, code);
+  else
+    {
+      if (call->ticketed)
+        finish_ticket (calls, call, code, action->retry_after);
+      if (code == LB_OK)
+        ln_call_reply (call, call->ended);
+      else
+        ln_call_reply_error (call, code, action->retry_after);
+    }
+  drop_call (calls, call);
+}
+
+void
+ln_calls_run (LnCalls *calls, LbList *actions)
+{
+  LbLink *link;
+
+  while ((link = lb_list_pop (actions)))
+    {
+      LcAction *action = LB_CONTAINER (link, LcAction, link);
+      switch (action->type)
+        {
+        case LC_ACTION_SEND:
+          send_attempt (calls, action, actions);
+          break;
+        case LC_ACTION_CANCEL:
+          cancel_attempt (calls, action);
+          break;
+        case LC_ACTION_FINISH:
+          finish_call (calls, action);
+          break;
+        }
+      lc_action_free (action);
+    }
+  schedule_tick (calls);
+}
+
+void
+ln_calls_submit (LnCalls *calls, LnCall *call)
+{
+  LbError error = { 0 };
+  LbTime retry_after = 0;
+  LbList actions;
+
+  lb_list_init (&actions);
+  call->owner = calls;
+  call->submitted = true;
+  keep_call (calls, call);
+  if (lc_dispatch_submit (calls->dispatch, &call->spec, lb_clock_monotonic (), &actions,
+                          &retry_after, &error))
+    {
+      ln_calls_run (calls, &actions);
+      return;
+    }
+  if (call->ticketed)
+    ln_ticket_calls_finish (calls->tickets, call->spec.id, error.code, retry_after, NULL);
+  if (call->exchange)
+    ln_exchange_reply_error (call->exchange, &error, retry_after);
+  else if (!call->ticketed)
+    ln_calls_post_done (calls, call->spec.id, error.code, NULL);
+  drop_call (calls, call);
+  ln_calls_run (calls, &actions);
+}
+
+void
+ln_calls_cancel (LnCalls *calls, LnCall *call)
+{
+  LbList actions;
+
+  lb_list_init (&actions);
+  lc_dispatch_cancel (calls->dispatch, call->spec.id, lb_clock_monotonic (), &actions);
+  drop_call (calls, call);
+  ln_calls_run (calls, &actions);
+}
--- /dev/null
+++ b/packages/node/src/ln-calls-take.c
@@ -0,0 +1,240 @@
+#include "ln-calls-private.h"
+
+#include "ln-call-reader.h"
+#include "ln-exchange-private.h"
+
+#include "lb-alloc.h"
+#include "lb-clock.h"
+
+#include <json-c/json.h>
+#include <stdio.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define TICKET_LIFE_MS 600000
+#define MAX_KEY_BYTES 256
+
+static void
+refuse (LnCalls *calls, LnExchange *exchange, LbErrorCode code, const char *detail)
+{
+  LbError error = { 0 };
+  char hint[4 * LB_NAME_MAX];
+
+  ln_relays_hint (calls->relays, hint, sizeof hint);
+  if (code == LB_ERROR_DRAINING || code == LB_ERROR_NOT_READY)
+    {
+      ln_exchange_set_header (exchange, "x-entry-stale", "1");
+      if (hint[0])
+        ln_exchange_set_header (exchange, "x-entry", hint);
+    }
+  lb_error_set (&error, code, "", "%s", detail);
+  ln_exchange_reply_error (exchange, &error, code == LB_ERROR_NOT_READY ? LB_SEC : 0);
+}
+
+/* A caller that leaves takes its call with it, unless a ticket lets it come back for the answer. */
+static void
+caller_gone (LnHolder *holder)
+{
+  LnCall *call = (LnCall *)holder;
+
+  ln_exchange_end (call->exchange);
+  call->exchange = NULL;
+  if (call->submitted && !call->ticketed)
+    ln_calls_cancel (call->owner, call);
+}
+
+static void
+issue_ticket (LnCalls *calls, LnExchange *exchange)
+{
+  const char *caller = ln_exchange_header (exchange, "x-caller");
+  char text[LC_TICKET_SIZE];
+  LbError error = { 0 };
+
+  if (calls->draining)
+    {
+      refuse (calls, exchange, LB_ERROR_DRAINING, "this instance is shutting down");
+      return;
+    }
+  if (!lc_tickets_issue (ln_ticket_calls_table (calls->tickets),
+                         caller && *caller ? caller : ln_exchange_peer (exchange),
+                         lb_clock_monotonic (), text, &error))
+    {
+      ln_exchange_reply_error (exchange, &error, LB_SEC);
+      return;
+    }
+  struct json_object *reply = json_object_new_object ();
+  json_object_object_add (reply, "ticket", json_object_new_string (text));
+  json_object_object_add (reply, "expires_in_ms", json_object_new_int (TICKET_LIFE_MS));
+  ln_exchange_reply_json (exchange, 200, reply);
+}
+
+/* The same ticket must carry the same call. */
+static uint64_t
+content_hash (const LnExchange *exchange)
+{
+  const char *query = ln_exchange_raw_query (exchange);
+  size_t length;
+  const char *body = ln_exchange_body (exchange, &length);
+  uint64_t hash = XXH3_64bits (body, length);
+
+  hash ^= XXH3_64bits_withSeed (ln_exchange_path (exchange), strlen (ln_exchange_path (exchange)),
+                                1);
+  if (query)
+    hash ^= XXH3_64bits_withSeed (query, strlen (query), 2);
+  return hash
+         ^ XXH3_64bits_withSeed (ln_exchange_method (exchange),
+                                 strlen (ln_exchange_method (exchange)), 3);
+}
+
+static void
+relay (LnCalls *calls, LnCall *call, const char *ticket, const LcTicketVerdict *verdict)
+{
+  const LnRelayTarget target = { .instance = verdict->instance,
+                                 .incarnation = verdict->incarnation,
+                                 .ticket = ticket,
+                                 .caller = call->spec.caller,
+                                 .deadline = call->spec.deadline };
+
+  ln_relays_pass (calls->relays, call->exchange, &target);
+}
+
+static void
+reply_kept (LnExchange *exchange, const LcTicketVerdict *verdict)
+{
+  LnAnswer answer;
+
+  ln_answer_decode (&answer, verdict->status, verdict->answer, verdict->answer_length);
+  ln_answer_reply (&answer, exchange);
+  ln_answer_clear (&answer);
+}
+
+/* Takes the call over. */
+static void
+use_ticket (LnCalls *calls, LnCall *call, const char *ticket)
+{
+  LcTicketVerdict verdict
+      = lc_tickets_use (ln_ticket_calls_table (calls->tickets), ticket, call->spec.caller,
+                        content_hash (call->exchange), call->spec.id, lb_clock_monotonic ());
+  LbError error = { 0 };
+
+  call->ticketed = true;
+  switch (verdict.use)
+    {
+    case LC_TICKET_START:
+      ln_calls_submit (calls, call);
+      return;
+    case LC_TICKET_JOIN:
+      ln_ticket_calls_join (calls->tickets, call->exchange, verdict.request);
+      break;
+    case LC_TICKET_KEPT:
+      reply_kept (call->exchange, &verdict);
+      break;
+    case LC_TICKET_ELSEWHERE:
+      relay (calls, call, ticket, &verdict);
+      break;
+    case LC_TICKET_REFUSED:
+      lb_error_set (&error, verdict.error, "x-ticket", "the ticket can't be used");
+      ln_exchange_reply_error (call->exchange, &error, 0);
+      break;
+    }
+  ln_call_free (call);
+}
+
+static void
+on_claimed (const char *ticket, const LbError *error, void *user)
+{
+  LnCall *call = user;
+  LnCalls *calls = call->owner;
+
+  if (!call->exchange)
+    {
+      ln_call_free (call);
+      return;
+    }
+  if (ticket)
+    {
+      use_ticket (calls, call, ticket);
+      return;
+    }
+  ln_exchange_reply_error (call->exchange, error, LB_SEC);
+  ln_call_free (call);
+}
+
+static void
+claim_key (LnCalls *calls, LnCall *call, const char *key)
+{
+  char ticket[LC_TICKET_SIZE];
+  LbError error = { 0 };
+  bool ok = strlen (key) <= MAX_KEY_BYTES;
+
+  if (!ok)
+    lb_error_set (&error, LB_ERROR_OUT_OF_RANGE, "idempotency-key", "expected at most %d bytes",
+                  MAX_KEY_BYTES);
+  else
+    ok = lc_tickets_issue (ln_ticket_calls_table (calls->tickets), call->spec.caller,
+                           lb_clock_monotonic (), ticket, &error);
+  if (!ok)
+    {
+      ln_exchange_reply_error (call->exchange, &error, 0);
+      ln_call_free (call);
+      return;
+    }
+  ln_claims_take (calls->claims, call->spec.caller, key, ticket, on_claimed, call);
+}
+
+static LnCall *
+read_call (LnCalls *calls, LnExchange *exchange)
+{
+  static const LnHolderClass call_class = { .caller_gone = caller_gone };
+  LbTime deadline = calls->context->settings->calls.default_deadline_ms * LB_MSEC;
+  LbError error = { 0 };
+  LnCall *call = ln_call_read (exchange, lb_clock_monotonic (), deadline, &error);
+
+  if (!call)
+    {
+      ln_exchange_reply_error (exchange, &error, 0);
+      return NULL;
+    }
+  call->holder.klass = &call_class;
+  call->owner = calls;
+  call->exchange = exchange;
+  call->spec.id = ln_context_next_request (calls->context);
+  snprintf (call->stream_id, sizeof call->stream_id, "cmpl-%s-%llu", calls->context->incarnation,
+            (unsigned long long)call->spec.id);
+  ln_exchange_set_user (exchange, call);
+  return call;
+}
+
+void
+ln_calls_take (LnCalls *calls, LnExchange *exchange)
+{
+  const char *ticket = ln_exchange_header (exchange, "x-ticket");
+  const char *key = ln_exchange_header (exchange, "idempotency-key");
+  LnCall *call;
+
+  /* An instance that can't confirm its resources may route by ones that were replaced long ago. */
+  if (!calls->ready)
+    {
+      refuse (calls, exchange, LB_ERROR_NOT_READY, "the resources here are not confirmed");
+      return;
+    }
+  if (strcmp (ln_exchange_path (exchange), "/v1/tickets") == 0)
+    {
+      issue_ticket (calls, exchange);
+      return;
+    }
+  if (calls->draining && !ticket && !key)
+    {
+      refuse (calls, exchange, LB_ERROR_DRAINING, "this instance is shutting down");
+      return;
+    }
+  call = read_call (calls, exchange);
+  if (!call)
+    return;
+  if (ticket)
+    use_ticket (calls, call, ticket);
+  else if (key)
+    claim_key (calls, call, key);
+  else
+    ln_calls_submit (calls, call);
+}
--- a/packages/node/src/ln-calls.c
+++ b/packages/node/src/ln-calls.c
@@ -1,10 +1,6 @@
-#include "ln-context.h"
+#include "ln-calls-private.h"
 
-#include "ln-call-reader.h"
-#include "ln-call.h"
 #include "ln-exchange-private.h"
-#include "ln-messages.h"
-#include "ln-poller.h"
 
 #include "lb-alloc.h"
 #include "lb-clock.h"
@@ -18,434 +14,13 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Every request to an endpoint: owns the dispatch and carries its actions out. */
-typedef struct
-{
-  LnTask task; /* first */
-  LnContext *context;
-  LcDispatch *dispatch;
-  LnPoller *poller;
-  struct event *tick;
-  LnCall *by_id;
-  LbList all;
-  bool ready; /* the resources in force are confirmed */
-} LnCalls;
-
-static LbMetric sent = LB_COUNTER_INIT ("lentilspindle_attempts_total",
-                                        NULL,
-                                        "Attempts at endpoints, retries and hedges included");
-static LbMetric pieces_dropped
-    = LB_COUNTER_INIT ("lentilspindle_pieces_dropped_total",
-                       NULL,
-                       "Pieces of answers that were repeats, out of order or of a lost attempt");
-
-static void run_actions (LnCalls *calls, LbList *actions);
-
-static LnCall *
-find_call (LnCalls *calls, LcRequestId id)
-{
-  LnCall *call = NULL;
-
-  HASH_FIND (hh, calls->by_id, &id, sizeof id, call);
-  return call;
-}
-
-static void
-keep_call (LnCalls *calls, LnCall *call)
-{
-  HASH_ADD (hh, calls->by_id, spec.id, sizeof call->spec.id, call);
-  lb_list_append (&calls->all, &call->link);
-  if (call->exchange)
-    ln_exchange_set_user (call->exchange, call);
-}
-
-static void
-drop_call (LnCalls *calls, LnCall *call)
-{
-  HASH_DELETE (hh, calls->by_id, call);
-  lb_list_remove (&calls->all, &call->link);
-  ln_call_free (call);
-}
-
-static void
-on_tick (evutil_socket_t fd, short what, void *user)
-{
-  (void)fd;
-  (void)what;
-  LnCalls *calls = user;
-  LbList actions;
-
-  lb_list_init (&actions);
-  lc_dispatch_tick (calls->dispatch, lb_clock_monotonic (), &actions);
-  run_actions (calls, &actions);
-}
-
-static void
-schedule_tick (LnCalls *calls)
-{
-  LbTime next = lc_dispatch_next_tick (calls->dispatch);
-  LbTime wait = next - lb_clock_monotonic ();
-
-  if (next == LB_TIME_NEVER)
-    {
-      evtimer_del (calls->tick);
-      return;
-    }
-  if (wait < 0)
-    wait = 0;
-  const struct timeval tv = { .tv_sec = wait / LB_SEC, .tv_usec = wait % LB_SEC };
-  evtimer_add (calls->tick, &tv);
-}
-
-static void
-log_decision (const LcAction *action)
-{
-  const LcRouteDecision *decision = &action->decision;
-  struct json_object *shown;
-
-  if (!lb_log_enabled (LB_LOG_INFO))
-    return;
-  shown = json_object_new_array ();
-  for (size_t i = 0; i < decision->n_shown; i++)
-    {
-      struct json_object *candidate = json_object_new_object ();
-      json_object_object_add (candidate, "endpoint",
-                              json_object_new_string (decision->shown[i].endpoint->member.name));
-      json_object_object_add (candidate, "score",
-                              json_object_new_double (decision->shown[i].score));
-      json_object_array_add (shown, candidate);
-    }
-  lb_log (LB_LOG_INFO, "route", LB_INT ("request", action->request),
-          LB_INT ("attempt", action->attempt), LB_TEXT ("endpoint", action->endpoint),
-          LB_TEXT ("reason", decision->reason), LB_INT ("of", decision->n_candidates),
-          LB_JSON ("candidates", json_object_to_json_string_ext (shown, JSON_C_TO_STRING_PLAIN)));
-  json_object_put (shown);
-}
-
 static void
-post_piece (LnCalls *calls, LnCall *call, const LcPiece *piece, const char *endpoint)
+caller_gone (LnExchange *exchange)
 {
-  LnSamplePieceMessage message
-      = { .base = LN_MESSAGE (LN_SAMPLE_PIECE), .request = call->spec.id, .piece = *piece };
+  LnHolder *holder = ln_exchange_user (exchange);
 
-  LB_COPY (message.endpoint, endpoint);
-  LN_POST (calls->task.hub, ln_hub_find (calls->task.hub, "rollouts"), message);
-}
-
-static void
-clear_sample_done (LnMessage *message)
-{
-  free (((LnSampleDoneMessage *)message)->text);
-}
-
-/* Takes the text over. */
-static void
-post_done (LnCalls *calls, LcRequestId request, LbErrorCode error, char *text)
-{
-  LnSampleDoneMessage message
-      = { .base = LN_MESSAGE (LN_SAMPLE_DONE), .request = request, .error = error };
-
-  message.text = text;
-  message.base.clear = clear_sample_done;
-  LN_POST (calls->task.hub, ln_hub_find (calls->task.hub, "rollouts"), message);
-}
-
-static void
-on_piece (LnUpstream *upstream,
-          const LcPiece *piece,
-          struct json_object *event,
-          const char *text,
-          void *user)
-{
-  LnAttempt *attempt = user;
-  LnCall *call = attempt->call;
-  LnCalls *calls = call->owner;
-  LbList actions;
-
-  lb_list_init (&actions);
-  LcPieceVerdict verdict
-      = lc_dispatch_piece (calls->dispatch, call->spec.id, ln_upstream_attempt (upstream), piece,
-                           lb_clock_monotonic (), &actions);
-  if (verdict == LC_PIECE_DROP)
-    lb_metric_add (&pieces_dropped, 1);
-  else
-    {
-      ln_attempt_add (attempt, piece, event, text);
-      if (call->spec.delivery == LC_DELIVER_STREAM)
-        evbuffer_add (call->text, text, strlen (text));
-      if (call->wants_stream)
-        ln_call_forward (call, event, ln_upstream_endpoint (upstream));
-      else if (call->kind == LN_CALL_SAMPLE && call->spec.delivery == LC_DELIVER_STREAM)
-        post_piece (calls, call, piece, ln_upstream_endpoint (upstream));
-    }
-  run_actions (calls, &actions);
-}
-
-/* The attempt stays only until the actions that its end brings have run: a FINISH among them takes
- * the answer from it. */
-static void
-on_end (LnUpstream *upstream, LcAttemptEnd end, void *user)
-{
-  LnAttempt *attempt = user;
-  LnCall *call = attempt->call;
-  LnCalls *calls = call->owner;
-  LbList actions;
-
-  lb_list_init (&actions);
-  lb_list_remove (&call->attempts, &attempt->link);
-  call->ended = attempt;
-  LcRequestId id = call->spec.id;
-  lc_dispatch_ended (calls->dispatch, id, ln_upstream_attempt (upstream), end,
-                     lb_clock_monotonic (), &actions);
-  run_actions (calls, &actions);
-  call = find_call (calls, id);
-  if (call)
-    call->ended = NULL;
-  ln_attempt_free (attempt);
-}
-
-static LnUpstream *
-start_engine (LnCalls *calls, LnAttempt *attempt, const LcAction *action, LbError *error)
-{
-  static const LnUpstreamHandlers handlers = { .on_piece = on_piece, .on_end = on_end };
-  static const LhHeader headers[] = { { "Content-Type", "application/json" } };
-  LnCall *call = attempt->call;
-  char stream_id[96];
-
-  snprintf (stream_id, sizeof stream_id, "%s-%llu.%u", calls->context->incarnation,
-            (unsigned long long)action->request, action->attempt);
-  char *body = ln_call_engine_body (call, stream_id, action->resume_at);
-  const LnUpstreamSpec spec
-      = { .request = action->request,
-          .attempt = action->attempt,
-          .endpoint = action->endpoint,
-          .address = action->address,
-          .method = "POST",
-          .path = call->kind == LN_CALL_CHAT ? "/v1/chat/completions" : "/v1/completions",
-          .headers = headers,
-          .n_headers = 1,
-          .body = body,
-          .body_length = strlen (body),
-          .stream_id = stream_id,
-          .silence = calls->context->settings->calls.stream_silence_ms * LB_MSEC };
-  LnUpstream *upstream = ln_upstream_start (calls->context->http, &spec, &handlers, attempt, error);
-  free (body);
-  return upstream;
-}
-
-/* A plain service sends nothing while it works, so its silence is bounded by the deadline. */
-static LbTime
-service_silence (const LnCall *call)
-{
-  LbTime left = call->spec.deadline - lb_clock_monotonic ();
-
-  return left < LB_SEC ? LB_SEC : left;
-}
-
-static LnUpstream *
-start_service (LnCalls *calls, LnAttempt *attempt, const LcAction *action, LbError *error)
-{
-  static const LnUpstreamHandlers handlers = { .on_end = on_end };
-  LnCall *call = attempt->call;
-  const LnUpstreamSpec spec = { .request = action->request,
-                                .attempt = action->attempt,
-                                .endpoint = action->endpoint,
-                                .address = action->address,
-                                .method = call->method,
-                                .path = call->path,
-                                .headers = call->headers,
-                                .n_headers = call->n_headers,
-                                .body = call->raw_body,
-                                .body_length = call->raw_length,
-                                .silence = service_silence (call) };
-
-  return ln_upstream_start (calls->context->http, &spec, &handlers, attempt, error);
-}
-
-static void
-send_attempt (LnCalls *calls, const LcAction *action, LbList *actions)
-{
-  LnCall *call = find_call (calls, action->request);
-  LnAttempt *attempt = NULL;
-  LbError error = { 0 };
-
-  if (!call)
-    return;
-  log_decision (action);
-  lb_metric_add (&sent, 1);
-  attempt = ln_attempt_new (call);
-  attempt->upstream = ln_call_is_for_engine (call) ? start_engine (calls, attempt, action, &error)
-                                                   : start_service (calls, attempt, action, &error);
-  if (attempt->upstream)
-    return;
-  ln_attempt_free (attempt);
-  lb_log_error (LB_LOG_WARNING, "attempt_not_started", &error);
-  lc_dispatch_ended (calls->dispatch, action->request, action->attempt, LC_END_NOT_HANDED,
-                     lb_clock_monotonic (), actions);
-}
-
-static void
-cancel_attempt (LnCalls *calls, const LcAction *action)
-{
-  LnCall *call = find_call (calls, action->request);
-  LnAttempt *attempt = call ? ln_call_find_attempt (call, action->attempt) : NULL;
-
-  if (!attempt)
-    return;
-  ln_upstream_cancel (attempt->upstream);
-  ln_attempt_free (attempt);
-}
-
-static char *
-copy_text (struct evbuffer *buffer)
-{
-  size_t length = evbuffer_get_length (buffer);
-  char *text = lb_malloc (length + 1);
-
-  evbuffer_copyout (buffer, text, length);
-  text[length] = '\0';
-  return text;
-}
-
-static void
-finish_sample (LnCalls *calls, LnCall *call, LbErrorCode code)
-{
-  LnAttempt *winner = call->ended;
-  struct evbuffer *text = call->text;
-  size_t length;
-
-  if (call->kind == LN_CALL_SCORE)
-    {
-      const char *body = code == LB_OK ? ln_upstream_body (winner->upstream, &length) : "";
-      post_done (calls, call->spec.id, code, lb_strndup (body, code == LB_OK ? length : 0));
-      return;
-    }
-  if (call->spec.delivery == LC_DELIVER_WHOLE && code == LB_OK)
-    {
-      text = winner->text;
-      for (size_t i = 0; i < winner->n_pieces; i++)
-        post_piece (calls, call, &winner->pieces[i], ln_upstream_endpoint (winner->upstream));
-    }
-  post_done (calls, call->spec.id, code, copy_text (text));
-}
-
-static void
-finish_call (LnCalls *calls, const LcAction *action)
-{
-  LnCall *call = find_call (calls, action->request);
-  LbErrorCode code = action->error;
-
-  if (!call)
-    return;
-  /* A whole answer is taken from the attempt whose end brought this action. */
-  if (code == LB_OK && !call->ended)
-    code = LB_ERROR_INTERNAL;
-  if (call->kind == LN_CALL_SAMPLE || call->kind == LN_CALL_SCORE)
-    finish_sample (calls, call, code);
-  else if (code == LB_OK)
-    ln_call_reply (call, call->ended);
-  else
-    ln_call_reply_error (call, code, action->retry_after);
-  drop_call (calls, call);
-}
-
-static void
-run_actions (LnCalls *calls, LbList *actions)
-{
-  LbLink *link;
-
-  while ((link = lb_list_pop (actions)))
-    {
-      LcAction *action = LB_CONTAINER (link, LcAction, link);
-      switch (action->type)
-        {
-        case LC_ACTION_SEND:
-          send_attempt (calls, action, actions);
-          break;
-        case LC_ACTION_CANCEL:
-          cancel_attempt (calls, action);
-          break;
-        case LC_ACTION_FINISH:
-          finish_call (calls, action);
-          break;
-        }
-      lc_action_free (action);
-    }
-  schedule_tick (calls);
-}
-
-static void
-submit (LnCalls *calls, LnCall *call)
-{
-  LbError error = { 0 };
-  LbTime retry_after = 0;
-  LbList actions;
-
-  lb_list_init (&actions);
-  call->owner = calls;
-  keep_call (calls, call);
-  if (lc_dispatch_submit (calls->dispatch, &call->spec, lb_clock_monotonic (), &actions,
-                          &retry_after, &error))
-    {
-      run_actions (calls, &actions);
-      return;
-    }
-  if (call->exchange)
-    ln_exchange_reply_error (call->exchange, &error, retry_after);
-  else
-    post_done (calls, call->spec.id, error.code, NULL);
-  drop_call (calls, call);
-  run_actions (calls, &actions);
-}
-
-static void
-take_exchange (LnCalls *calls, LnExchange *exchange)
-{
-  LbError error = { 0 };
-  LbTime deadline = calls->context->settings->calls.default_deadline_ms * LB_MSEC;
-  LnCall *call;
-
-  /* An instance that can't confirm its resources may route by ones that were replaced long ago. */
-  if (!calls->ready)
-    {
-      lb_error_set (&error, LB_ERROR_NOT_READY, "", "the resources here are not confirmed");
-      ln_exchange_reply_error (exchange, &error, LB_SEC);
-      return;
-    }
-  call = ln_call_read (exchange, lb_clock_monotonic (), deadline, &error);
-  if (!call)
-    {
-      ln_exchange_reply_error (exchange, &error, 0);
-      return;
-    }
-  call->exchange = exchange;
-  call->spec.id = ln_context_next_request (calls->context);
-  snprintf (call->stream_id, sizeof call->stream_id, "cmpl-%s-%llu", calls->context->incarnation,
-            (unsigned long long)call->spec.id);
-  submit (calls, call);
-}
-
-static void
-cancel_call (LnCalls *calls, LnCall *call)
-{
-  LbList actions;
-
-  lb_list_init (&actions);
-  lc_dispatch_cancel (calls->dispatch, call->spec.id, lb_clock_monotonic (), &actions);
-  drop_call (calls, call);
-  run_actions (calls, &actions);
-}
-
-static void
-caller_gone (LnCalls *calls, LnExchange *exchange)
-{
-  LnCall *call = ln_exchange_user (exchange);
-
-  if (!call)
-    return;
-  call->exchange = NULL;
-  ln_exchange_end (exchange);
-  cancel_call (calls, call);
+  if (holder)
+    holder->klass->caller_gone (holder);
 }
 
 static void
@@ -467,7 +42,7 @@
       call->body = json_tokener_parse (message->body);
       call->resume_text = message->resume_text ? lb_strdup (message->resume_text) : NULL;
     }
-  submit (calls, call);
+  ln_calls_submit (calls, call);
 }
 
 static void
@@ -478,7 +53,7 @@
   lb_list_init (&actions);
   lc_dispatch_leaving (calls->dispatch, message->endpoint, message->incarnation, message->source,
                        lb_clock_monotonic (), &actions);
-  run_actions (calls, &actions);
+  ln_calls_run (calls, &actions);
 }
 
 static void
@@ -489,7 +64,7 @@
   lb_list_init (&actions);
   lc_dispatch_configure (calls->dispatch, set, lb_clock_monotonic (), &actions);
   ln_poller_configure (calls->poller, set);
-  run_actions (calls, &actions);
+  ln_calls_run (calls, &actions);
 }
 
 static void
@@ -502,7 +77,7 @@
 
   lb_list_init (&actions);
   lc_dispatch_report (calls->dispatch, endpoint, report, lb_clock_monotonic (), &actions);
-  run_actions (calls, &actions);
+  ln_calls_run (calls, &actions);
   LB_COPY (message.endpoint, endpoint);
   if (config)
     LN_POST (calls->task.hub, config, message);
@@ -527,14 +102,17 @@
   switch ((LnMessageType)message->type)
     {
     case LN_EXCHANGE:
-      take_exchange (calls, ((const LnExchangeMessage *)message)->exchange);
+      ln_calls_take (calls, ((const LnExchangeMessage *)message)->exchange);
       break;
     case LN_EXCHANGE_GONE:
-      caller_gone (calls, ((const LnExchangeMessage *)message)->exchange);
+      caller_gone (((const LnExchangeMessage *)message)->exchange);
       break;
     case LN_CONFIG:
       configure (calls, ((const LnConfigMessage *)message)->set);
       break;
+    case LN_MEMBERS:
+      ln_relays_set_members (calls->relays, (const LnMembersMessage *)message);
+      break;
     case LN_READY:
       calls->ready = ((const LnReadyMessage *)message)->ready;
       break;
@@ -542,9 +120,9 @@
       take_sample (calls, (const LnSampleMessage *)message);
       break;
     case LN_SAMPLE_CANCEL:
-      call = find_call (calls, ((const LnSampleCancelMessage *)message)->request);
+      call = ln_calls_find (calls, ((const LnSampleCancelMessage *)message)->request);
       if (call)
-        cancel_call (calls, call);
+        ln_calls_cancel (calls, call);
       break;
     case LN_ENDPOINT_LEAVING:
       take_leaving (calls, (const LnEndpointLeavingMessage *)message);
@@ -565,15 +143,19 @@
   LnCalls *calls = (LnCalls *)task;
   LbList actions;
 
+  calls->draining = true;
   lb_list_init (&actions);
   lc_dispatch_drain (calls->dispatch, lb_clock_monotonic (), &actions);
-  run_actions (calls, &actions);
+  ln_calls_run (calls, &actions);
 }
 
 static bool
 is_idle (const LnTask *task)
 {
-  return lb_list_is_empty (&((const LnCalls *)task)->all);
+  const LnCalls *calls = (const LnCalls *)task;
+
+  return lb_list_is_empty (&calls->all) && ln_relays_is_idle (calls->relays)
+         && ln_claims_is_idle (calls->claims) && ln_ticket_calls_is_idle (calls->tickets);
 }
 
 static void
@@ -586,6 +168,9 @@
   {
     ln_call_free (call);
   }
+  ln_relays_free (calls->relays);
+  ln_claims_free (calls->claims);
+  ln_ticket_calls_free (calls->tickets);
   ln_poller_free (calls->poller);
   event_free (calls->tick);
   lc_dispatch_free (calls->dispatch);
@@ -622,7 +207,11 @@
   calls->context = context;
   lb_list_init (&calls->all);
   calls->dispatch = make_dispatch (context->settings);
-  calls->tick = evtimer_new (context->base, on_tick, calls);
+  calls->tickets
+      = ln_ticket_calls_new (context->instance, context->incarnation, context->settings->seed);
+  calls->claims = ln_claims_new (context->platform, context->incarnation);
+  calls->relays = ln_relays_new (context);
+  calls->tick = evtimer_new (context->base, ln_calls_on_tick, calls);
   calls->poller = ln_poller_new (context->base, context->http,
                                  context->settings->calls.load_poll_ms * LB_MSEC, &handlers, calls);
   return &calls->task;
--- /dev/null
+++ b/packages/node/src/ln-relay.c
@@ -0,0 +1,262 @@
+#include "ln-relay.h"
+
+#include "ln-call.h"
+#include "ln-exchange-private.h"
+#include "ln-holder.h"
+
+#include "lb-alloc.h"
+#include "lb-clock.h"
+#include "lb-counter.h"
+#include "lb-log.h"
+#include "lh-fetch.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#define MAX_HINTS 3
+/* Beyond the deadline, so that the other instance's own answer comes first. */
+#define MARGIN (2 * LB_SEC)
+
+typedef struct
+{
+  LnHolder holder; /* first */
+  LbLink link;
+  LnRelays *relays;
+  LnExchange *exchange;
+  LhFetch *fetch;
+  LbName instance;
+} Relay;
+
+struct LnRelays
+{
+  LnContext *context;
+  LnMember *members;
+  size_t n_members;
+  LbList running;
+};
+
+typedef struct
+{
+  LhHeader *items;
+  size_t count;
+} Headers;
+
+static LbMetric relayed
+    = LB_COUNTER_INIT ("lentilspindle_calls_relayed_total",
+                       NULL,
+                       "Calls passed on to the instance that their ticket names");
+
+LnRelays *
+ln_relays_new (LnContext *context)
+{
+  LnRelays *relays = LB_NEW (LnRelays);
+
+  relays->context = context;
+  lb_list_init (&relays->running);
+  return relays;
+}
+
+static void
+relay_free (Relay *relay)
+{
+  lb_list_remove (&relay->relays->running, &relay->link);
+  free (relay);
+}
+
+void
+ln_relays_free (LnRelays *relays)
+{
+  if (!relays)
+    return;
+  LB_LIST_FOREACH (&relays->running, Relay, link, relay)
+  {
+    lh_fetch_cancel (relay->fetch);
+    relay_free (relay);
+  }
+  free (relays->members);
+  free (relays);
+}
+
+void
+ln_relays_set_members (LnRelays *relays, const LnMembersMessage *message)
+{
+  free (relays->members);
+  relays->n_members = message->n_members;
+  relays->members = LB_NEW_ARRAY (LnMember, message->n_members + 1);
+  for (size_t i = 0; i < message->n_members; i++)
+    relays->members[i] = message->members[i];
+}
+
+bool
+ln_relays_is_idle (const LnRelays *relays)
+{
+  return lb_list_is_empty (&relays->running);
+}
+
+void
+ln_relays_hint (const LnRelays *relays, char *text, size_t size)
+{
+  size_t used = 0;
+  int hints = 0;
+
+  text[0] = '\0';
+  for (size_t i = 0; i < relays->n_members && hints < MAX_HINTS; i++)
+    {
+      const LnMember *member = &relays->members[i];
+      if (member->is_self || !member->alive || member->draining)
+        continue;
+      used += (size_t)snprintf (text + used, size - used, "%s%s", hints > 0 ? "," : "",
+                                member->caller_address);
+      hints++;
+    }
+}
+
+static const LnMember *
+find_alive (const LnRelays *relays, const LnRelayTarget *target)
+{
+  for (size_t i = 0; i < relays->n_members; i++)
+    {
+      const LnMember *member = &relays->members[i];
+      if (strcmp (member->name, target->instance) == 0
+          && strcmp (member->incarnation, target->incarnation) == 0 && member->alive)
+        return member;
+    }
+  return NULL;
+}
+
+/* What the ticket's call did is known by the memory of one incarnation alone. Without an answer
+ * from it nothing can be said, not even when no byte of this relay left: the same ticket may have
+ * been used before. */
+static void
+reply_unknown (LnExchange *exchange, const char *instance)
+{
+  LbError error = { 0 };
+
+  lb_error_set (&error, LB_ERROR_OUTCOME_UNKNOWN, "x-ticket", "no answer from instance %s",
+                instance);
+  ln_exchange_reply_error (exchange, &error, 0);
+}
+
+static void
+pass_header (const char *name, const char *value, void *user)
+{
+  if (!ln_call_is_hop_header (name))
+    ln_exchange_set_header (user, name, value);
+}
+
+static void
+on_done (LhFetch *fetch, const LhResult *result, void *user)
+{
+  Relay *relay = user;
+  LnExchange *exchange = relay->exchange;
+
+  if (result->failure != LB_OK)
+    reply_unknown (exchange, relay->instance);
+  else
+    {
+      lh_fetch_each_header (fetch, pass_header, exchange);
+      ln_exchange_reply_text (exchange, result->status, NULL, result->body, result->body_length);
+    }
+  relay_free (relay);
+}
+
+static void
+caller_gone (LnHolder *holder)
+{
+  Relay *relay = (Relay *)holder;
+
+  lh_fetch_cancel (relay->fetch);
+  ln_exchange_end (relay->exchange);
+  relay_free (relay);
+}
+
+static void
+add_header (Headers *headers, const char *name, const char *value)
+{
+  headers->items = lb_realloc (headers->items, (headers->count + 1) * sizeof (LhHeader));
+  headers->items[headers->count++] = (LhHeader){ .name = name, .value = value };
+}
+
+static void
+copy_header (const char *name, const char *value, void *user)
+{
+  static const char *const replaced[]
+      = { "x-ticket", "idempotency-key", "x-caller", "x-relayed-by", "x-deadline-ms" };
+
+  for (size_t i = 0; i < sizeof replaced / sizeof replaced[0]; i++)
+    if (strcasecmp (name, replaced[i]) == 0)
+      return;
+  if (!ln_call_is_hop_header (name))
+    add_header (user, name, value);
+}
+
+static LhFetch *
+send_on (LnRelays *relays,
+         Relay *relay,
+         const LnMember *member,
+         const LnRelayTarget *target,
+         LbError *error)
+{
+  static const LhHandlers handlers = { .on_done = on_done };
+  const char *query = ln_exchange_raw_query (relay->exchange);
+  LbTime left = target->deadline - lb_clock_monotonic ();
+  char left_ms[32];
+  size_t length;
+  Headers headers = { 0 };
+  char *path = lb_asprintf ("%s%s%s", ln_exchange_path (relay->exchange), query ? "?" : "",
+                            query ? query : "");
+
+  snprintf (left_ms, sizeof left_ms, "%lld", (long long)(left > 0 ? left / LB_MSEC : 0));
+  ln_exchange_each_header (relay->exchange, copy_header, &headers);
+  add_header (&headers, "x-ticket", target->ticket);
+  add_header (&headers, "x-caller", target->caller);
+  add_header (&headers, "x-deadline-ms", left_ms);
+  add_header (&headers, "x-relayed-by", relays->context->instance);
+  const char *body = ln_exchange_body (relay->exchange, &length);
+  const LhRequest request = { .method = ln_exchange_method (relay->exchange),
+                              .address = member->caller_address,
+                              .path = path,
+                              .headers = headers.items,
+                              .n_headers = headers.count,
+                              .body = body,
+                              .body_length = length,
+                              .silence = (left > 0 ? left : 0) + MARGIN };
+  LhFetch *fetch = lh_fetch_start (relays->context->http, &request, &handlers, relay, error);
+  free (headers.items);
+  free (path);
+  return fetch;
+}
+
+void
+ln_relays_pass (LnRelays *relays, LnExchange *exchange, const LnRelayTarget *target)
+{
+  static const LnHolderClass relay_class = { .caller_gone = caller_gone };
+  const LnMember *member = find_alive (relays, target);
+  LbError error = { 0 };
+
+  /* A relay that came back would go round for ever. */
+  if (!member || ln_exchange_header (exchange, "x-relayed-by"))
+    {
+      reply_unknown (exchange, target->instance);
+      return;
+    }
+  Relay *relay = LB_NEW (Relay);
+  relay->holder.klass = &relay_class;
+  relay->relays = relays;
+  relay->exchange = exchange;
+  LB_COPY (relay->instance, target->instance);
+  lb_list_append (&relays->running, &relay->link);
+  relay->fetch = send_on (relays, relay, member, target, &error);
+  if (!relay->fetch)
+    {
+      relay_free (relay);
+      ln_exchange_reply_error (exchange, &error, 0);
+      return;
+    }
+  lb_metric_add (&relayed, 1);
+  lb_log (LB_LOG_INFO, "relayed", LB_INT ("exchange", ln_exchange_id (exchange)),
+          LB_TEXT ("to", member->name), LB_TEXT ("reason", "ticket"));
+  ln_exchange_set_user (exchange, relay);
+}
--- /dev/null
+++ b/packages/node/src/ln-ticket-calls.h
@@ -0,0 +1,27 @@
+#ifndef LN_TICKET_CALLS_H
+#define LN_TICKET_CALLS_H
+
+#include "lc-ticket.h"
+#include "ln-answer.h"
+
+typedef struct LnExchange LnExchange;
+
+/* The tickets of this incarnation, and the callers who wait for the answer of a call that another
+ * connection began with the same ticket. */
+typedef struct LnTicketCalls LnTicketCalls;
+
+LnTicketCalls *ln_ticket_calls_new (const char *instance, const char *incarnation, uint64_t seed);
+void ln_ticket_calls_free (LnTicketCalls *calls);
+LcTickets *ln_ticket_calls_table (LnTicketCalls *calls);
+/* The exchange gets the answer of the request when that ends. */
+void ln_ticket_calls_join (LnTicketCalls *calls, LnExchange *exchange, LcRequestId request);
+/* The request ended: answer is given with LB_OK, else NULL. Requests without a ticket are ignored.
+ */
+void ln_ticket_calls_finish (LnTicketCalls *calls,
+                             LcRequestId request,
+                             LbErrorCode error,
+                             LbTime retry_after,
+                             const LnAnswer *answer);
+bool ln_ticket_calls_is_idle (const LnTicketCalls *calls);
+
+#endif
