--- a/packages/sim/src/lx-world.c
+++ b/packages/sim/src/lx-world.c
@@ -65,6 +65,13 @@
   va_end (arguments);
 }
 
+void
+lx_world_strike (LxWorld *world, const char *what, const char *where)
+{
+  snprintf (world->strikes[world->n_strikes++ % LX_HISTORY], sizeof world->strikes[0], "%.6f %s %s",
+            (double)lx_world_now (world) / LB_SEC, what, where);
+}
+
 LxEngine *
 lx_world_engine (LxWorld *world, const char *name)
 {
