--- a/packages/sim/src/lx-registry.c
+++ b/packages/sim/src/lx-registry.c
@@ -62,16 +62,17 @@
   return revision;
 }
 
-/* The newest revision that some instance has had in force for long. One whose commit's reply was lost
- * is not among them before somebody reads it: its operator was told that the outcome is unknown. */
+/* The newest revision that some instance has had in force for long. One whose commit's reply was
+ * lost is not among them before somebody reads it: its operator was told that the outcome is
+ * unknown. */
 static int64_t
 newest_known (const LxRegistry *registry, LbTime now)
 {
   int64_t revision = lx_registry_due (registry, now);
 
-  while (revision > 0
-         && (registry->known_at[revision] == 0
-             || registry->known_at[revision] + IN_FORCE_BOUND > now))
+  while (
+      revision > 0
+      && (registry->known_at[revision] == 0 || registry->known_at[revision] + IN_FORCE_BOUND > now))
     revision--;
   return revision;
 }
