--- a/packages/core/src/lc-dispatch-private.h
+++ b/packages/core/src/lc-dispatch-private.h
@@ -42,11 +42,8 @@
 LcRequest *lc_dispatch_due (LcDispatch *dispatch, LbTime now);
 
 /* lc-placement.c */
-bool lc_dispatch_has_endpoint (LcDispatch *dispatch,
-                               const LcPoolState *pool,
-                               LbTime start_by,
-                               LbTime *retry_after,
-                               LbTime now);
+LbTime lc_dispatch_opens_at (LcDispatch *dispatch, const LcPoolState *pool);
+bool lc_dispatch_may_wait (LcRequestKind kind, LbTime opens_at, LbTime start_by, LbTime now);
 void lc_dispatch_enqueue (LcDispatch *dispatch, LcRequest *request);
 void lc_dispatch_pump (LcDispatch *dispatch, LcPoolState *pool, LbTime now, LbList *actions);
 void lc_dispatch_pump_all (LcDispatch *dispatch, LbTime now, LbList *actions);
--- a/packages/core/src/lc-dispatch.c
+++ b/packages/core/src/lc-dispatch.c
@@ -214,31 +214,26 @@
   return now + longest;
 }
 
-/* Refuses early what could not be answered in time anyway, and what finds no place in the queue. */
-static bool
-admit (LcDispatch *dispatch,
-       LcPoolState *pool,
-       const LcRequestSpec *spec,
-       LbTime now,
-       LbList *actions,
-       LbTime *retry_after,
-       LbError *error)
+/* What can't be answered in time is refused early, and what finds no place in the queue. */
+static LbErrorCode
+reason_to_refuse (LcDispatch *dispatch,
+                  LcPoolState *pool,
+                  const LcRequestSpec *spec,
+                  const LcQueueKey *key,
+                  LbTime now,
+                  LbList *actions)
 {
   LbTime latest = start_by (dispatch, spec, now);
-  LcQueueKey key = {
-    .kind = spec->kind, .priority = spec->priority, .caller = spec->caller, .share = spec->share
-  };
-  LbTime hint = 0;
 
   if (latest <= now)
-    return refuse (LB_ERROR_DEADLINE_BEFORE_START, 0, retry_after, spec->pool, error);
-  if (!lc_dispatch_has_endpoint (dispatch, pool, latest, &hint, now))
-    return refuse (LB_ERROR_NO_ENDPOINT, hint, retry_after, spec->pool, error);
-  if ((latest != LB_TIME_NEVER && lc_pool_state_wait (pool, &key) >= latest - now)
-      || (lc_pool_state_is_full (pool) && !make_room (dispatch, pool, &key, now, actions)))
-    return refuse (LB_ERROR_OVERLOADED, lc_dispatch_retry_hint (dispatch, pool, &key, now),
-                   retry_after, spec->pool, error);
-  return true;
+    return LB_ERROR_DEADLINE_BEFORE_START;
+  if (!lc_dispatch_may_wait (spec->kind, lc_dispatch_opens_at (dispatch, pool), latest, now))
+    return LB_ERROR_NO_ENDPOINT;
+  if (latest != LB_TIME_NEVER && lc_pool_state_wait (pool, key) >= latest - now)
+    return LB_ERROR_OVERLOADED;
+  if (lc_pool_state_is_full (pool) && !make_room (dispatch, pool, key, now, actions))
+    return LB_ERROR_OVERLOADED;
+  return LB_OK;
 }
 
 static LcRequest *
@@ -281,8 +276,15 @@
   if (!lc_dispatch_check (dispatch, !find_request (dispatch, spec->id), "request-ids-are-unique",
                           spec->id))
     return refuse (LB_ERROR_INVARIANT, 0, retry_after, spec->pool, error);
-  if (!admit (dispatch, pool, spec, now, actions, retry_after, error))
-    return false;
+
+  LcQueueKey key = {
+    .kind = spec->kind, .priority = spec->priority, .caller = spec->caller, .share = spec->share
+  };
+  LbErrorCode reason = reason_to_refuse (dispatch, pool, spec, &key, now, actions);
+
+  if (reason != LB_OK)
+    return refuse (reason, lc_dispatch_retry_hint (dispatch, pool, &key, now), retry_after,
+                   spec->pool, error);
   lc_dispatch_enqueue (dispatch, add_request (dispatch, spec, pool, now));
   lc_dispatch_pump (dispatch, pool, now, actions);
   return true;
--- a/packages/core/src/lc-outcome.c
+++ b/packages/core/src/lc-outcome.c
@@ -9,6 +9,7 @@
 /* A request that makes engines fail must not go round all of them. */
 #define MAX_LOST 3
 #define LEAST_HINT (100 * LB_MSEC)
+#define HINT_WITHOUT_ENDPOINT LB_SEC
 #define LONG_SILENCE LB_SEC
 
 static LbMetric retries = LB_COUNTER_INIT ("lentilspindle_retries_total",
@@ -134,11 +135,12 @@
                         LbTime now)
 {
   LbTime hint = lc_pool_state_wait (pool, key);
-  LbTime until_endpoint = 0;
+  LbTime opens_at = lc_dispatch_opens_at (dispatch, pool);
 
-  if (!lc_dispatch_has_endpoint (dispatch, pool, now, &until_endpoint, now)
-      && until_endpoint > hint)
-    hint = until_endpoint;
+  if (opens_at == LB_TIME_NEVER)
+    hint = HINT_WITHOUT_ENDPOINT;
+  else if (opens_at - now > hint)
+    hint = opens_at - now;
   if (hint < LEAST_HINT)
     hint = LEAST_HINT;
   return hint + (LbTime)(gsl_rng_uniform (dispatch->random) * (double)hint / 2);
@@ -192,11 +194,8 @@
       return;
     }
   LB_COPY (endpoint, attempt->endpoint);
-  if (number == 1)
-    {
-      lc_retry_budgets_earn (dispatch->budgets, request->caller);
-      lc_retry_budgets_earn (dispatch->budgets, endpoint);
-    }
+  lc_retry_budgets_earn (dispatch->budgets, request->caller);
+  lc_retry_budgets_earn (dispatch->budgets, endpoint);
   attempt->whole = true;
   close_attempt (dispatch, request, attempt, CLOSED_WELL, now);
   take_out (dispatch, request, now, actions);
--- a/packages/core/src/lc-placement.c
+++ b/packages/core/src/lc-placement.c
@@ -7,6 +7,7 @@
 /* Requests that are passed over in one round because they fit nowhere now. Bounds the cost of a
  * round while a pool is full. */
 #define MAX_PASSED_OVER 16
+#define LONGEST_BLOCKED_WAIT (200 * LB_MSEC)
 
 static bool
 serves (const LcEndpoint *endpoint, const LcPoolState *pool)
@@ -15,27 +16,38 @@
          && strcmp (endpoint->member.pool, pool->name) == 0;
 }
 
-/* True when some endpoint of the pool may take work before start_by. Else *retry_after is how long
- * until one may. */
-bool
-lc_dispatch_has_endpoint (
-    LcDispatch *dispatch, const LcPoolState *pool, LbTime start_by, LbTime *retry_after, LbTime now)
+/* The earliest time at which some endpoint of the pool may take work as far as its breaker goes: 0
+ * for now, LB_TIME_NEVER when nobody serves the pool. */
+LbTime
+lc_dispatch_opens_at (LcDispatch *dispatch, const LcPoolState *pool)
 {
-  *retry_after = LB_SEC;
+  LbTime opens_at = LB_TIME_NEVER;
+
   if (!pool->configured || pool->n_endpoints == 0)
-    return false;
+    return LB_TIME_NEVER;
   for (size_t i = 0; i < lc_endpoints_count (dispatch->endpoints); i++)
     {
       const LcEndpoint *endpoint = lc_endpoints_at (dispatch->endpoints, i);
 
       if (!serves (endpoint, pool))
         continue;
-      if (endpoint->breaker != LC_BREAKER_OPEN || endpoint->breaker_until <= start_by)
-        return true;
-      if (endpoint->breaker_until - now > *retry_after)
-        *retry_after = endpoint->breaker_until - now;
+      if (endpoint->breaker != LC_BREAKER_OPEN)
+        return 0;
+      if (endpoint->breaker_until < opens_at)
+        opens_at = endpoint->breaker_until;
     }
-  return false;
+  return opens_at;
+}
+
+/* Whether a call may wait for a pool that opens then. While every breaker of a pool is open, calls
+ * that wait would pile up and fall on the first endpoint that returns all at once; their callers
+ * are told at once when to come back instead. Samples may wait, since nobody sits before them. */
+bool
+lc_dispatch_may_wait (LcRequestKind kind, LbTime opens_at, LbTime start_by, LbTime now)
+{
+  if (opens_at == LB_TIME_NEVER || opens_at > start_by)
+    return false;
+  return kind == LC_KIND_SAMPLE || opens_at <= now + LONGEST_BLOCKED_WAIT;
 }
 
 void
@@ -130,22 +142,25 @@
   send_attempt (dispatch, request, decision, now, actions);
 }
 
-/* Answers all that wait for a pool which nobody serves any more. */
+/* Answers what waits for a pool that takes nothing for too long. */
 static void
-fail_stranded (LcDispatch *dispatch, LcPoolState *pool, LbTime now, LbList *actions)
+answer_blocked (LcDispatch *dispatch, LcPoolState *pool, LbTime now, LbList *actions)
 {
-  LbTime retry_after = 0;
   LcWaiting *waiting = NULL;
 
-  if (lc_queue_length (pool->queue) == 0
-      || lc_dispatch_has_endpoint (dispatch, pool, LB_TIME_NEVER, &retry_after, now))
+  if (lc_queue_length (pool->queue) == 0)
     return;
+
+  LbTime opens_at = lc_dispatch_opens_at (dispatch, pool);
+
   while ((waiting = lc_queue_first (pool->queue)))
     {
       LcRequest *request = LB_CONTAINER (waiting, LcRequest, waiting);
       LbErrorCode error = request->maybe_run ? request->last_error : LB_ERROR_NO_ENDPOINT;
 
-      lc_dispatch_give_up (dispatch, request, error, retry_after, now, actions);
+      if (lc_dispatch_may_wait (request->kind, opens_at, LB_TIME_NEVER, now))
+        return;
+      lc_dispatch_give_up (dispatch, request, error, 0, now, actions);
     }
 }
 
@@ -170,7 +185,7 @@
         break;
     }
   lc_queue_restore (pool->queue);
-  fail_stranded (dispatch, pool, now, actions);
+  answer_blocked (dispatch, pool, now, actions);
 }
 
 void
--- a/packages/core/src/lc-retry.c
+++ b/packages/core/src/lc-retry.c
@@ -107,6 +107,12 @@
   return (bucket ? bucket->tokens : FIRST_TOKENS) >= 1;
 }
 
+size_t
+lc_retry_budgets_count (const LcRetryBudgets *budgets)
+{
+  return HASH_COUNT (budgets->buckets);
+}
+
 /* Full jitter: uniform between nothing and a bound that doubles with each retry, so that requests
  * which failed together do not come back together. */
 LbTime
--- a/packages/core/src/lc-retry.h
+++ b/packages/core/src/lc-retry.h
@@ -5,8 +5,8 @@
 
 #include <gsl/gsl_rng.h>
 
-/* Budgets of retries and hedges. Every first attempt that succeeds earns its caller and its
- * endpoint a share of a token, every retry or hedge spends a whole one of both. So while nothing
+/* Budgets of retries and hedges. Every attempt that succeeds earns its caller and its endpoint
+ * a share of a token, every retry or hedge spends a whole one of both. So while nothing
  * succeeds, retries stop by themselves. */
 typedef struct LcRetryBudgets LcRetryBudgets;
 
@@ -19,6 +19,7 @@
 
 /* queries */
 bool lc_retry_budgets_allow (const LcRetryBudgets *budgets, const char *name);
+size_t lc_retry_budgets_count (const LcRetryBudgets *budgets);
 
 LbTime lc_retry_delay (gsl_rng *random, uint32_t n_retries);
 
