--- a/packages/core/tests/test-dispatch-leaving.c
+++ b/packages/core/tests/test-dispatch-leaving.c
@@ -167,3 +167,27 @@
   cr_assert_eq (lc_dispatch_in_progress (f.dispatch), 0);
   fixture_clear (&f);
 }
+
+/* An engine takes calls and never says anything, though its connections stay open. Each call ends
+ * by our own cancel at its deadline, so no failure is ever seen, and every call to it is lost. */
+Test (leaving, endpoint_that_swallows_calls_is_found)
+{
+  Fixture f;
+
+  fixture_init (&f, &settings, 1, 10);
+  for (int i = 0; i < 6; i++)
+    {
+      LcRequestSpec spec = fixture_spec (&f, LC_KIND_LIVE);
+
+      spec.deadline = f.now + 2 * LB_SEC;
+      cr_assert (fixture_submit (&f, &spec));
+    }
+  fixture_at (&f, f.now + 2 * LB_SEC);
+  cr_assert_eq (lc_dispatch_in_progress (f.dispatch), 0);
+
+  LcRequestSpec next = fixture_spec (&f, LC_KIND_LIVE);
+
+  cr_assert_not (fixture_submit (&f, &next));
+  cr_assert_eq (f.error.code, LB_ERROR_NO_ENDPOINT);
+  fixture_clear (&f);
+}
