--- a/packages/core/tests/test-retry.c
+++ b/packages/core/tests/test-retry.c
@@ -26,25 +26,15 @@
 /* Every call brings a new caller name. The table of budgets must not grow with them for ever. */
 Test (budget, table_is_bounded)
 {
-<<<<<<< HEAD
   LcRetryBudgets *budgets = lc_retry_budgets_new (1e-9);
   char name[32];
 
   while (lc_retry_budgets_allow (budgets, "busy"))
     lc_retry_budgets_spend (budgets, "busy");
-=======
-  LcRetryBudgets *budgets = lc_retry_budgets_new (0.25);
-  char name[32];
-
->>>>>>> main
   for (int i = 0; i < 100000; i++)
     {
       snprintf (name, sizeof name, "caller-%d", i);
       lc_retry_budgets_earn (budgets, name);
-<<<<<<< HEAD
-=======
-      lc_retry_budgets_spend (budgets, "busy");
->>>>>>> main
       lc_retry_budgets_earn (budgets, "busy");
     }
   cr_assert_leq (lc_retry_budgets_count (budgets), 16384);
@@ -72,7 +62,6 @@
   gsl_rng_free (random);
 }
 
-<<<<<<< HEAD
 /* One caller's calls break every time while another's go well. The first may not use up what the
  * second has earned at the engines: when one of the good calls breaks it must be tried again. */
 Test (budget, belongs_to_the_caller)
@@ -116,8 +105,6 @@
   fixture_clear (&f);
 }
 
-=======
->>>>>>> main
 /* One endpoint in virtual time and callers with a steady stream of calls. */
 
 #define CALLS_PER_SECOND 200
