--- a/packages/core/src/lc-retry.h
+++ b/packages/core/src/lc-retry.h
@@ -5,8 +5,8 @@
 
 #include <gsl/gsl_rng.h>
 
-/* Budgets of retries and hedges. Every first attempt that succeeds earns its caller and its
- * endpoint a share of a token, every retry or hedge spends a whole one of both. So while nothing
+/* Budgets of retries and hedges. Every attempt that succeeds earns its caller and its endpoint
+ * a share of a token, every retry or hedge spends a whole one of both. So while nothing
  * succeeds, retries stop by themselves. */
 typedef struct LcRetryBudgets LcRetryBudgets;
 
