--- a/packages/core/src/lc-dispatch-private.h
+++ b/packages/core/src/lc-dispatch-private.h
@@ -22,6 +22,7 @@
   uint64_t sequence;
   uint64_t invariant_failures;
   bool draining;
+  bool keep_running; /* the present command may not cut what runs */
 };
 
 static inline LcPoolKind
@@ -41,11 +42,8 @@
 LcRequest *lc_dispatch_due (LcDispatch *dispatch, LbTime now);
 
 /* lc-placement.c */
-bool lc_dispatch_has_endpoint (LcDispatch *dispatch,
-                               const LcPoolState *pool,
-                               LbTime start_by,
-                               LbTime *retry_after,
-                               LbTime now);
+LbTime lc_dispatch_opens_at (LcDispatch *dispatch, const LcPoolState *pool);
+bool lc_dispatch_may_wait (LcRequestKind kind, LbTime opens_at, LbTime start_by, LbTime now);
 void lc_dispatch_enqueue (LcDispatch *dispatch, LcRequest *request);
 void lc_dispatch_pump (LcDispatch *dispatch, LcPoolState *pool, LbTime now, LbList *actions);
 void lc_dispatch_pump_all (LcDispatch *dispatch, LbTime now, LbList *actions);
@@ -67,6 +65,10 @@
                           LbTime retry_after,
                           LbTime now,
                           LbList *actions);
+LbTime lc_dispatch_retry_hint (LcDispatch *dispatch,
+                               const LcPoolState *pool,
+                               const LcQueueKey *key,
+                               LbTime now);
 LcAction *lc_action_new (LcActionType type, LcRequestId request, LbList *actions);
 
 /* lc-invariant.c */
--- a/packages/node/main/lentilspindled.c
+++ b/packages/node/main/lentilspindled.c
@@ -164,8 +164,13 @@
 static LpPlatform *
 make_platform (const LnSettings *settings, struct event_base *base)
 {
-  (void)settings;
-  return lp_memory_new (base);
+  LpHttpSettings http
+      = { .deadline = settings->platform.deadline_ms * LB_MSEC, .rate = settings->platform.rate };
+
+  if (settings->platform.kind == LN_PLATFORM_MEMORY)
+    return lp_memory_new (base);
+  LB_COPY (http.address, settings->platform.address);
+  return lp_http_new (base, &http);
 }
 
 static bool
@@ -173,7 +178,7 @@
 {
   LnContext *context = &daemon->context;
   LnTask *(*const makers[]) (LnContext *)
-      = { ln_front_new, ln_calls_new, ln_rollouts_new, ln_config_new };
+      = { ln_front_new, ln_peers_new, ln_calls_new, ln_rollouts_new, ln_config_new };
 
   for (size_t i = 0; i < sizeof makers / sizeof makers[0]; i++)
     {
--- a/packages/node/src/ln-caller.h
+++ b/packages/node/src/ln-caller.h
@@ -15,6 +15,7 @@
   struct event_base *base;
   LbList callers;
   LbList lingers;
+  LbList exchanges; /* all that are not answered yet */
   size_t max_callers;
   size_t max_body;
   size_t max_header;
@@ -33,6 +34,7 @@
   size_t header_bytes;
   size_t body_bytes;
   LbErrorCode refusal; /* sent when the connection ends: why it was given up */
+  bool last_reply;     /* the connection ends after the present reply */
   bool flush;          /* what was written goes out before the connection is closed */
   char peer[64];
   char *query; /* of the request being read, as it came; NULL when there is none */
@@ -45,6 +47,8 @@
 LnCaller *ln_caller_of (const evhtp_connection_t *connection);
 /* A request is being read or answered, or a reply has not left yet. */
 bool ln_caller_is_busy (const LnCaller *caller);
+/* While a request is answered: learns when the caller goes away. */
+void ln_caller_watch (LnCaller *caller);
 /* The reply has been handed over; the next request may come. */
 void ln_caller_replied (LnCaller *caller, evhtp_request_t *request);
 /* Ends the connection after what was written has left. */
--- a/packages/node/src/ln-step-call.c
+++ b/packages/node/src/ln-step-call.c
@@ -154,7 +154,7 @@
 ln_step_call_read (LnExchange *exchange, const LcRollouts *core, LbTime now, LbError *error)
 {
   LnStepCall *call = LB_NEW (LnStepCall);
-  const char *rest = NULL;
+  const char *rest = "";
 
   call->exchange = exchange;
   call->id = ln_exchange_id (exchange);
--- a/packages/sim/include/lx-options.h
+++ b/packages/sim/include/lx-options.h
@@ -18,7 +18,8 @@
   size_t n_trainers;
   int64_t groups;
   int64_t samples;
-  LbTime train; /* training on one step */
+  int64_t shortest; /* sample in tokens; the longest is three times that, a straggler's ten times */
+  LbTime train;     /* training on one step */
   LbTime version_every;
   double calls_per_second;
   double service_calls_per_second;
@@ -26,7 +27,13 @@
   double hedge_budget;
   double idle_weight; /* below 0: as the site's preset says */
   LbTime hedge_after;
-  bool faults;
+  /* soak */
+  uint32_t faults; /* bits by LxFault */
+  bool stop_at_breach;
+  LbTime fault_pause;
+  LbTime change_every;     /* operators' changes; 0: none */
+  const uint8_t *left_out; /* strikes that do not happen */
+  size_t n_left_out;
 } LxOptions;
 
 void lx_options_init (LxOptions *options, const LxSite *site, uint64_t seed);
