--- a/packages/core/include/lc-rollouts.h
+++ b/packages/core/include/lc-rollouts.h
@@ -36,6 +36,15 @@
   double score;
 } LcDelivered;
 
+/* What an earlier owner of a step left. */
+typedef struct
+{
+  uint64_t session;           /* of the new owner */
+  const char *ledger;         /* value of the last ledger row; "": there is none */
+  const LcDelivered *samples; /* that were ready and that the trainer may not have */
+  size_t n_samples;
+} LcRecovery;
+
 /* A pull: cursor is the text of the last reply ("" at the start of a step). */
 typedef struct
 {
@@ -143,8 +152,15 @@
                        LbTime now,
                        LbList *actions,
                        LbError *error);
-/* Opens a step that an earlier owner began: ledger is the value of its last ledger row ("" when
- * there is none). Slots that the ledger names are not generated again. */
+/* Opens a step that an earlier owner began. Slots that the ledger names, or for which a sample is
+ * given, are not generated again. */
+bool lc_rollouts_take_over (LcRollouts *rollouts,
+                            LcStepSpec *spec,
+                            const LcRecovery *recovery,
+                            LbTime now,
+                            LbList *actions,
+                            LbError *error);
+/* The same for an owner that left no samples. */
 bool lc_rollouts_recover (LcRollouts *rollouts,
                           LcStepSpec *spec,
                           uint64_t session,
@@ -199,6 +215,12 @@
                          const char *subscription,
                          int64_t step,
                          LcStepStatus *status);
+/* The step's samples that its trainer has not acknowledged, to be given to the next owner. The
+ * array is the caller's, what it points to is valid until the next command. */
+size_t lc_rollouts_ready_samples (const LcRollouts *rollouts,
+                                  const char *subscription,
+                                  int64_t step,
+                                  LcDelivered **samples);
 /* True for a running request that asks a scorer. */
 bool lc_rollouts_is_scoring (const LcRollouts *rollouts, LcRequestId request);
 size_t lc_rollouts_in_progress (const LcRollouts *rollouts);
--- a/packages/core/src/lc-deliver.c
+++ b/packages/core/src/lc-deliver.c
@@ -78,17 +78,6 @@
   }
 }
 
-static LcDelivered
-delivered (const LcStep *step, const LcSlot *slot)
-{
-  return (LcDelivered){ .group = lc_step_group_spec (step, slot)->id,
-                        .index = slot->index,
-                        .text = slot->text,
-                        .label = slot->label,
-                        .has_score = slot->has_score,
-                        .score = slot->score };
-}
-
 static void
 reply_chunk (const LcRollouts *rollouts, LcStep *step, const LcWaitingPull *pull, LbList *actions)
 {
@@ -99,7 +88,7 @@
   action->n_samples = chunk->n_slots;
   action->samples = LB_NEW_ARRAY (LcDelivered, chunk->n_slots);
   for (size_t i = 0; i < chunk->n_slots; i++)
-    action->samples[i] = delivered (step, &step->slots[chunk->slots[i]]);
+    action->samples[i] = lc_step_delivered (step, &step->slots[chunk->slots[i]]);
   action->cursor = is_strict (rollouts, step) ? lb_strdup ("")
                                               : lc_cursor_to_text (&chunk->cursor, step->hash);
   action->remaining = (int64_t)lc_step_unsent (step);
--- a/packages/core/src/lc-result.c
+++ b/packages/core/src/lc-result.c
@@ -270,6 +270,24 @@
   lc_step_set_state (step, slot, LC_SLOT_READY);
 }
 
+void
+lc_result_take_over (LcRollouts *rollouts, LcStep *step, const LcDelivered *sample)
+{
+  const LcTrainer *trainer = lc_rollouts_trainer (rollouts, step->spec.subscription);
+  LcSlot *slot = lc_step_find_slot (step, sample->group, sample->index);
+
+  if (!slot || slot->state != LC_SLOT_WAITING
+      || !lc_label_is_complete (sample->label, sample->label->tokens))
+    return;
+  slot->text = lb_strdup (sample->text);
+  slot->label = lb_memdup (sample->label, sizeof *sample->label);
+  slot->has_score = sample->has_score;
+  slot->score = sample->score;
+  lc_step_set_state (step, slot,
+                     trainer->resource.scorer[0] && !sample->has_score ? LC_SLOT_SCORING
+                                                                       : LC_SLOT_READY);
+}
+
 /* Staleness. */
 
 static void
--- a/packages/core/src/lc-rollouts.c
+++ b/packages/core/src/lc-rollouts.c
@@ -330,13 +330,12 @@
 }
 
 bool
-lc_rollouts_recover (LcRollouts *rollouts,
-                     LcStepSpec *spec,
-                     uint64_t session,
-                     const char *ledger,
-                     LbTime now,
-                     LbList *actions,
-                     LbError *error)
+lc_rollouts_take_over (LcRollouts *rollouts,
+                       LcStepSpec *spec,
+                       const LcRecovery *recovery,
+                       LbTime now,
+                       LbList *actions,
+                       LbError *error)
 {
   LcStep *step = find_step (rollouts, spec->subscription, spec->step);
   LcCursor cursor = { 0 };
@@ -346,14 +345,16 @@
     return is_same (step, spec, error);
   if (!lc_rollouts_may_open (rollouts, spec, error))
     return false;
-  step = lc_step_new (spec, session, &rollouts->trash, now);
-  bool ok = lc_cursor_from_text (&cursor, ledger, step->n_slots, step->hash, error);
+  step = lc_step_new (spec, recovery->session, &rollouts->trash, now);
+  bool ok = lc_cursor_from_text (&cursor, recovery->ledger, step->n_slots, step->hash, error);
   if (ok)
     {
       lc_deliver_recover (step, &cursor);
+      for (size_t i = 0; i < recovery->n_samples; i++)
+        lc_result_take_over (rollouts, step, &recovery->samples[i]);
       lb_list_append (&rollouts->steps, &step->link);
       lb_log (LB_LOG_INFO, "step-opened", LB_TEXT ("subscription", step->spec.subscription),
-              LB_INT ("step", step->spec.step), LB_INT ("session", session),
+              LB_INT ("step", step->spec.step), LB_INT ("session", recovery->session),
               LB_INT ("slots", step->n_slots),
               LB_INT ("acknowledged", step->n_in_state[LC_SLOT_ACKED]));
       lc_generate_fill (rollouts, now, actions);
@@ -364,6 +365,20 @@
   return ok;
 }
 
+bool
+lc_rollouts_recover (LcRollouts *rollouts,
+                     LcStepSpec *spec,
+                     uint64_t session,
+                     const char *ledger,
+                     LbTime now,
+                     LbList *actions,
+                     LbError *error)
+{
+  const LcRecovery recovery = { .session = session, .ledger = ledger };
+
+  return lc_rollouts_take_over (rollouts, spec, &recovery, now, actions, error);
+}
+
 bool
 lc_rollouts_open (LcRollouts *rollouts,
                   LcStepSpec *spec,
@@ -616,6 +631,25 @@
   return true;
 }
 
+size_t
+lc_rollouts_ready_samples (const LcRollouts *rollouts,
+                           const char *subscription,
+                           int64_t number,
+                           LcDelivered **samples)
+{
+  const LcStep *step = find_step (rollouts, subscription, number);
+  size_t n_samples = 0;
+
+  *samples = LB_NEW_ARRAY (LcDelivered, step ? step->n_slots : 0);
+  for (size_t i = 0; step && i < step->n_slots; i++)
+    {
+      const LcSlot *slot = &step->slots[i];
+      if (slot->state >= LC_SLOT_SCORING && slot->state != LC_SLOT_ACKED && slot->text)
+        (*samples)[n_samples++] = lc_step_delivered (step, slot);
+    }
+  return n_samples;
+}
+
 bool
 lc_rollouts_is_scoring (const LcRollouts *rollouts, LcRequestId request)
 {
--- a/packages/core/src/lc-step.c
+++ b/packages/core/src/lc-step.c
@@ -177,6 +177,31 @@
   return step->n_slots - step->n_in_state[LC_SLOT_ACKED] - step->n_in_state[LC_SLOT_SENT];
 }
 
+LcDelivered
+lc_step_delivered (const LcStep *step, const LcSlot *slot)
+{
+  return (LcDelivered){ .group = lc_step_group_spec (step, slot)->id,
+                        .index = slot->index,
+                        .text = slot->text,
+                        .label = slot->label,
+                        .has_score = slot->has_score,
+                        .score = slot->score };
+}
+
+LcSlot *
+lc_step_find_slot (LcStep *step, const char *group, int64_t index)
+{
+  for (size_t g = 0; g < step->spec.n_groups; g++)
+    {
+      if (strcmp (step->spec.groups[g].id, group) != 0)
+        continue;
+      if (index < 0 || index >= (int64_t)step->groups[g].count)
+        return NULL;
+      return &step->slots[step->groups[g].first + (size_t)index];
+    }
+  return NULL;
+}
+
 const LcGroupSpec *
 lc_step_group_spec (const LcStep *step, const LcSlot *slot)
 {
--- a/packages/core/tests/rollouts-fixture.h
+++ b/packages/core/tests/rollouts-fixture.h
@@ -28,6 +28,8 @@
   bool ledger_silent;       /* writes get no answer */
   char *ledger;             /* the row */
   uint64_t write;           /* the last write */
+  LcDelivered *left;        /* samples that an earlier owner left */
+  size_t n_left;
   /* the last reply */
   size_t n_replies;
   int64_t n_given; /* samples of all replies */
@@ -189,6 +191,9 @@
 owner_open (Owner *owner, size_t n_groups, int64_t samples, uint64_t session)
 {
   LcStepSpec spec = { .step = 1, .version = 40, .n_groups = n_groups };
+  LcRecovery recovery = {
+    .session = session, .ledger = owner->ledger, .samples = owner->left, .n_samples = owner->n_left
+  };
   LbError error;
   bool ok = false;
 
@@ -201,8 +206,8 @@
       spec.groups[i].samples = samples;
       spec.groups[i].max_tokens = 1000;
     }
-  OWNER_DO (owner, ok = lc_rollouts_recover (owner->rollouts, &spec, session, owner->ledger,
-                                             owner->now, &actions, &error));
+  OWNER_DO (owner, ok = lc_rollouts_take_over (owner->rollouts, &spec, &recovery, owner->now,
+                                               &actions, &error));
   cr_assert (ok, "%s: %s", error.where, error.detail);
 }
 
--- a/packages/core/tests/test-rollouts-once.c
+++ b/packages/core/tests/test-rollouts-once.c
@@ -171,6 +171,37 @@
   owner_free (second);
 }
 
+/* The owner shuts down in order with samples that its trainer has not got: they must not be lost to
+ * the work that made them, nor come twice beside those that were acknowledged. */
+Test (rollouts_once, a_new_owner_takes_over_ready_samples)
+{
+  Owner *first = owner_new (&plain, 5);
+  Owner *second = owner_new (&plain, 5);
+
+  owner_open (first, 4, 2, 1);
+  for (size_t i = 0; i < 5; i++)
+    {
+      owner_piece (first, first->requests[i].id, 0, 10, 40);
+      owner_finish (first, first->requests[i].id, LB_OK, "first");
+    }
+  OWNER_DO (first, lc_rollouts_drain (first->rollouts, first->now, &actions));
+  owner_pull (first, "", 40);
+  cr_assert_eq (first->n_samples, 2);
+  second->n_left = lc_rollouts_ready_samples (first->rollouts, "t", 1, &second->left);
+  cr_assert_eq (second->n_left, 5);
+  owner_open (second, 4, 2, 2);
+  cr_assert_eq (owner_running (second), 3);
+  owner_pull (second, first->cursor, 40);
+  cr_assert_eq (second->remaining, 6);
+  owner_finish_all (second, 40);
+  owner_pull (second, second->cursor, 40);
+  cr_assert_eq (second->n_samples, 6);
+  cr_assert_str_eq (second->samples[0], "g1/0 first");
+  free (second->left);
+  owner_free (first);
+  owner_free (second);
+}
+
 /* The owner is stopped for a while and another takes the step over; then it wakes and a pull comes
  * to it. It must not deliver: the trainer has newer chunks from the other. Its ledger write fails
  * on the session, and only after that write would it deliver. */
