--- /dev/null
+++ b/packages/node/src/ln-rollouts-run.c
@@ -0,0 +1,212 @@
+#include "ln-rollouts-private.h"
+
+#include "lb-alloc.h"
+#include "lb-clock.h"
+
+#include <event2/event.h>
+#include <json-c/json.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define DRAIN_TICK (50 * LB_MSEC)
+
+typedef struct
+{
+  LnRollouts *rollouts;
+  uint64_t write;
+} LedgerWrite;
+
+static void
+clear_sample (LnMessage *message)
+{
+  LnSampleMessage *sample = (LnSampleMessage *)message;
+
+  free (sample->body);
+  free (sample->resume_text);
+}
+
+static const char *
+model_of (const LnRollouts *rollouts, const char *pool)
+{
+  const LcPool *resource = rollouts->set ? lc_resource_set_pool (rollouts->set, pool) : NULL;
+
+  return resource && resource->model[0] ? resource->model : pool;
+}
+
+static char *
+generate_body (const LnRollouts *rollouts, const LcRolloutAction *action)
+{
+  struct json_object *object = json_object_new_object ();
+
+  json_object_object_add (object, "model",
+                          json_object_new_string (model_of (rollouts, action->spec.pool)));
+  json_object_object_add (object, "prompt", json_object_new_string (action->prompt));
+  json_object_object_add (object, "max_tokens", json_object_new_int64 (action->max_tokens));
+  json_object_object_add (object, "stream", json_object_new_boolean (true));
+  char *body = lb_strdup (json_object_to_json_string_ext (object, JSON_C_TO_STRING_PLAIN));
+  json_object_put (object);
+  return body;
+}
+
+static char *
+score_body (const LcRolloutAction *action)
+{
+  struct json_object *object = json_object_new_object ();
+
+  json_object_object_add (object, "prompt", json_object_new_string (action->prompt));
+  json_object_object_add (object, "text", json_object_new_string (action->text));
+  char *body = lb_strdup (json_object_to_json_string_ext (object, JSON_C_TO_STRING_PLAIN));
+  json_object_put (object);
+  return body;
+}
+
+static void
+post_sample (LnRollouts *rollouts, LcRolloutAction *action)
+{
+  LnSampleMessage message = { .base = LN_MESSAGE (LN_SAMPLE), .spec = action->spec };
+
+  message.base.clear = clear_sample;
+  message.body
+      = action->type == LC_ROLLOUT_SCORE ? score_body (action) : generate_body (rollouts, action);
+  message.resume_text = action->resume_text;
+  action->resume_text = NULL;
+  LN_POST (rollouts->task.hub, ln_hub_find (rollouts->task.hub, "calls"), message);
+}
+
+static void
+post_cancel (LnRollouts *rollouts, const LcRolloutAction *action)
+{
+  LnSampleCancelMessage message = { .base = LN_MESSAGE (LN_SAMPLE_CANCEL),
+                                    .request = action->spec.id,
+                                    .keep = action->type == LC_ROLLOUT_RECALL };
+
+  LN_POST (rollouts->task.hub, ln_hub_find (rollouts->task.hub, "calls"), message);
+}
+
+static void
+on_ledger_written (LbErrorCode error, void *user)
+{
+  LedgerWrite *write = user;
+  LnRollouts *rollouts = write->rollouts;
+  LbList actions;
+
+  lb_list_init (&actions);
+  lc_rollouts_ledger_done (rollouts->core, write->write, error, lb_clock_monotonic (), &actions);
+  free (write);
+  ln_rollouts_run (rollouts, &actions);
+  ln_rollouts_drop_closed (rollouts);
+}
+
+static LnHeldStep *
+find_ledger_owner (LnRollouts *rollouts, const LcRolloutAction *action)
+{
+  LB_LIST_FOREACH (&rollouts->held, LnHeldStep, link, held)
+  {
+    char *key = lb_asprintf ("ledger/%s/%lld", held->key.subscription, (long long)held->key.step);
+    bool same = strcmp (key, action->row_key) == 0;
+    free (key);
+    if (same && held->open && held->durable)
+      return held;
+  }
+  return NULL;
+}
+
+static void
+write_ledger (LnRollouts *rollouts, const LcRolloutAction *action, LbList *actions)
+{
+  LnHeldStep *held = find_ledger_owner (rollouts, action);
+
+  if (!held)
+    {
+      lc_rollouts_ledger_done (rollouts->core, action->write, LB_ERROR_STORE_AWAY,
+                               lb_clock_monotonic (), actions);
+      return;
+    }
+  LedgerWrite *write = LB_NEW (LedgerWrite);
+  *write = (LedgerWrite){ .rollouts = rollouts, .write = action->write };
+  ln_step_store_write_ledger (rollouts->store, &held->key, &held->owner, action->row_value,
+                              on_ledger_written, write);
+}
+
+/* The step went to another instance meanwhile: the trainer's call follows it there. */
+static void
+follow (LnRollouts *rollouts, LnStepCall *call)
+{
+  lb_list_remove (&rollouts->calls, &call->link);
+  ln_rollouts_drop_closed (rollouts);
+  ln_rollouts_resolve (rollouts, call);
+}
+
+static void
+reply (LnRollouts *rollouts, const LcRolloutAction *action)
+{
+  LnStepCall *call = ln_rollouts_find_call (&rollouts->calls, action->pull);
+
+  if (!call)
+    return;
+  if (action->error.code == LB_ERROR_STALE_SESSION && call->exchange)
+    {
+      follow (rollouts, call);
+      return;
+    }
+  if (action->error.code == LB_OK)
+    ln_step_call_reply_chunk (call, action);
+  else
+    ln_step_call_reply_error (call, &action->error, action->retry_after);
+  ln_rollouts_end_call (rollouts, call);
+}
+
+static void
+run_action (LnRollouts *rollouts, LcRolloutAction *action, LbList *actions)
+{
+  switch (action->type)
+    {
+    case LC_ROLLOUT_GENERATE:
+    case LC_ROLLOUT_SCORE:
+      post_sample (rollouts, action);
+      break;
+    case LC_ROLLOUT_ABANDON:
+    case LC_ROLLOUT_RECALL:
+      post_cancel (rollouts, action);
+      break;
+    case LC_ROLLOUT_LEDGER:
+      write_ledger (rollouts, action, actions);
+      break;
+    case LC_ROLLOUT_REPLY:
+      reply (rollouts, action);
+      break;
+    }
+}
+
+static void
+schedule_tick (LnRollouts *rollouts)
+{
+  LbTime next = lc_rollouts_next_tick (rollouts->core);
+
+  if (rollouts->draining && !lb_list_is_empty (&rollouts->held))
+    next = lb_clock_monotonic () + DRAIN_TICK;
+  if (next == LB_TIME_NEVER)
+    {
+      evtimer_del (rollouts->tick);
+      return;
+    }
+  LbTime wait = next - lb_clock_monotonic ();
+  if (wait < LB_MSEC)
+    wait = LB_MSEC;
+  const struct timeval tv = { .tv_sec = wait / LB_SEC, .tv_usec = wait % LB_SEC };
+  evtimer_add (rollouts->tick, &tv);
+}
+
+void
+ln_rollouts_run (LnRollouts *rollouts, LbList *actions)
+{
+  LbLink *link;
+
+  while ((link = lb_list_pop (actions)))
+    {
+      LcRolloutAction *action = LB_CONTAINER (link, LcRolloutAction, link);
+      run_action (rollouts, action, actions);
+      lc_rollout_action_free (action);
+    }
+  schedule_tick (rollouts);
+}
--- a/packages/node/src/ln-step-call.c
+++ b/packages/node/src/ln-step-call.c
@@ -1,7 +1,8 @@
 #include "ln-step-call.h"
 
+#include "ln-step-samples.h"
+
 #include "lb-alloc.h"
-#include "lc-label.h"
 
 #include <json-c/json.h>
 #include <limits.h>
@@ -271,51 +272,18 @@
   reply (call, 202, object);
 }
 
-static struct json_object *
-span_object (const LcSpan *span)
-{
-  struct json_object *object = json_object_new_object ();
-
-  add_integer (object, "version", span->version);
-  add_integer (object, "first", span->first);
-  add_integer (object, "count", span->count);
-  if (span->kv_reused_version)
-    add_integer (object, "kv_reused_version", span->kv_reused_version);
-  return object;
-}
-
-static struct json_object *
-sample_object (const LnStepCall *call, const LcDelivered *sample)
-{
-  struct json_object *object = json_object_new_object ();
-  struct json_object *spans = json_object_new_array ();
-
-  json_object_object_add (object, "group", json_object_new_string (sample->group));
-  add_integer (object, "index", sample->index);
-  json_object_object_add (object, "text", json_object_new_string (sample->text));
-  add_integer (object, "tokens", sample->label->tokens);
-  if (sample->has_score)
-    json_object_object_add (object, "score", json_object_new_double (sample->score));
-  add_integer (object, "staleness", lc_label_staleness (sample->label, call->pull.version));
-  for (size_t i = 0; i < sample->label->n_spans; i++)
-    json_object_array_add (spans, span_object (&sample->label->spans[i]));
-  json_object_object_add (object, "spans", spans);
-  return object;
-}
-
 void
 ln_step_call_reply_chunk (LnStepCall *call, const LcRolloutAction *action)
 {
   struct json_object *object = json_object_new_object ();
-  struct json_object *samples = json_object_new_array ();
 
   add_integer (object, "step", call->key.step);
   json_object_object_add (object, "cursor", json_object_new_string (action->cursor));
   add_integer (object, "remaining", action->remaining);
   json_object_object_add (object, "done", json_object_new_boolean (action->remaining == 0));
-  for (size_t i = 0; i < action->n_samples; i++)
-    json_object_array_add (samples, sample_object (call, &action->samples[i]));
-  json_object_object_add (object, "samples", samples);
+  json_object_object_add (object, "samples",
+                          ln_step_samples_to_json (action->samples, action->n_samples,
+                                                   call->pull.version));
   reply (call, 200, object);
 }
 
--- a/packages/node/src/ln-step-claim.c
+++ b/packages/node/src/ln-step-claim.c
@@ -38,10 +38,9 @@
 }
 
 static void
-on_loaded (LbErrorCode error, const char *content, size_t length, const char *ledger, void *user)
+on_loaded (LbErrorCode error, const LnStepStored *stored, void *user)
 {
-  LnStepAnswer answer
-      = { .outcome = LN_STEP_OURS, .content = content, .content_length = length, .ledger = ledger };
+  LnStepAnswer answer = { .outcome = LN_STEP_OURS, .stored = *stored };
 
   if (error != LB_OK)
     claim_fail (user, error);
@@ -62,7 +61,7 @@
 {
   Claim *claim = user;
   LnStepOwner seen = claim->owner;
-  LnStepAnswer answer = { .outcome = LN_STEP_OURS, .ledger = "" };
+  LnStepAnswer answer = { .outcome = LN_STEP_OURS };
 
   if (error == LB_ERROR_CONDITION_FAILED && ++claim->rounds < MOST_ROUNDS)
     {
@@ -102,7 +101,7 @@
 on_found (LbErrorCode error, const LnStepOwner *owner, void *user)
 {
   Claim *claim = user;
-  LnStepAnswer answer = { .outcome = LN_STEP_ABSENT, .ledger = "" };
+  LnStepAnswer answer = { .outcome = LN_STEP_ABSENT };
 
   if (error != LB_OK)
     {
@@ -127,6 +126,12 @@
       claim_end (claim, &answer);
       return;
     }
+  if (!claim->ask.may_claim)
+    {
+      answer.outcome = LN_STEP_FREE;
+      claim_end (claim, &answer);
+      return;
+    }
   ln_step_store_claim (claim->store, &claim->ask.key, owner,
                        owner->version == 0 ? claim->content : NULL, on_claimed, claim);
 }
--- a/packages/node/src/ln-step-claim.h
+++ b/packages/node/src/ln-step-claim.h
@@ -10,6 +10,7 @@
   LN_STEP_OURS,      /* this incarnation owns it; content and ledger are given */
   LN_STEP_ELSEWHERE, /* owner is another instance that lives */
   LN_STEP_ABSENT,    /* nobody ever opened it */
+  LN_STEP_FREE,      /* nobody who lives owns it, and the asker may not */
   LN_STEP_FAILED     /* see error */
 } LnStepOutcome;
 
@@ -18,9 +19,7 @@
   LnStepOutcome outcome;
   LbErrorCode error;
   LnStepOwner owner;
-  const char *content; /* valid during the call; NULL when the asker gave it */
-  size_t content_length;
-  const char *ledger;
+  LnStepStored stored; /* valid during the call; no content when the asker gave it */
 } LnStepAnswer;
 
 typedef bool (*LnStepIsAlive) (const LnStepOwner *owner, void *user);
@@ -32,8 +31,9 @@
   const char *content;     /* opens the step with it when it is absent; NULL: only finds it */
   uint64_t own_session;    /* what this incarnation works under already; 0: nothing */
   const char *incarnation; /* of this process */
-  LnStepIsAlive is_alive;  /* asked about other incarnations only */
-  LnStepClaimDone done;    /* once, never from inside the call, unless the store was freed */
+  bool may_claim;
+  LnStepIsAlive is_alive; /* asked about other incarnations only */
+  LnStepClaimDone done;   /* once, never from inside the call, unless the store was freed */
   void *user;
 } LnStepAsk;
 
--- /dev/null
+++ b/packages/node/src/ln-step-samples.c
@@ -0,0 +1,142 @@
+#include "ln-step-samples.h"
+
+#include "lb-alloc.h"
+#include "lc-label.h"
+
+#include <json-c/json.h>
+#include <limits.h>
+#include <stdlib.h>
+#include <string.h>
+
+static void
+add_integer (struct json_object *object, const char *key, int64_t value)
+{
+  json_object_object_add (object, key, json_object_new_int64 (value));
+}
+
+static struct json_object *
+span_object (const LcSpan *span)
+{
+  struct json_object *object = json_object_new_object ();
+
+  add_integer (object, "version", span->version);
+  add_integer (object, "first", span->first);
+  add_integer (object, "count", span->count);
+  if (span->kv_reused_version)
+    add_integer (object, "kv_reused_version", span->kv_reused_version);
+  return object;
+}
+
+static struct json_object *
+sample_object (const LcDelivered *sample, LcVersion trainer)
+{
+  struct json_object *object = json_object_new_object ();
+  struct json_object *spans = json_object_new_array ();
+
+  json_object_object_add (object, "group", json_object_new_string (sample->group));
+  add_integer (object, "index", sample->index);
+  json_object_object_add (object, "text", json_object_new_string (sample->text));
+  add_integer (object, "tokens", sample->label->tokens);
+  if (sample->has_score)
+    json_object_object_add (object, "score", json_object_new_double (sample->score));
+  add_integer (object, "staleness", lc_label_staleness (sample->label, trainer));
+  for (size_t i = 0; i < sample->label->n_spans; i++)
+    json_object_array_add (spans, span_object (&sample->label->spans[i]));
+  json_object_object_add (object, "spans", spans);
+  return object;
+}
+
+struct json_object *
+ln_step_samples_to_json (const LcDelivered *samples, size_t n_samples, LcVersion trainer)
+{
+  struct json_object *array = json_object_new_array ();
+
+  for (size_t i = 0; i < n_samples; i++)
+    json_object_array_add (array, sample_object (&samples[i], trainer));
+  return array;
+}
+
+static int64_t
+get_integer (struct json_object *object, const char *key)
+{
+  struct json_object *value = NULL;
+
+  return json_object_object_get_ex (object, key, &value) ? json_object_get_int64 (value) : 0;
+}
+
+static const char *
+get_text (struct json_object *object, const char *key)
+{
+  struct json_object *value = NULL;
+
+  if (!json_object_object_get_ex (object, key, &value)
+      || !json_object_is_type (value, json_type_string))
+    return NULL;
+  return json_object_get_string (value);
+}
+
+/* Built by the same function that builds it from an engine's pieces, so that no other label than
+ * one of those can come back. */
+static LcLabel *
+read_label (struct json_object *object)
+{
+  struct json_object *spans = NULL;
+  LcLabel *label = LB_NEW (LcLabel);
+
+  lc_label_init (label);
+  json_object_object_get_ex (object, "spans", &spans);
+  size_t n_spans
+      = json_object_is_type (spans, json_type_array) ? json_object_array_length (spans) : 0;
+  for (size_t i = 0; i < n_spans; i++)
+    {
+      struct json_object *span = json_object_array_get_idx (spans, i);
+      lc_label_add_reused (label, get_integer (span, "first"), get_integer (span, "count"),
+                           get_integer (span, "version"), get_integer (span, "kv_reused_version"));
+    }
+  return label;
+}
+
+static bool
+read_sample (struct json_object *object, LcDelivered *sample)
+{
+  struct json_object *score = NULL;
+
+  *sample = (LcDelivered){ .group = get_text (object, "group"),
+                           .index = get_integer (object, "index"),
+                           .text = get_text (object, "text") };
+  sample->has_score = json_object_object_get_ex (object, "score", &score);
+  sample->score = sample->has_score ? json_object_get_double (score) : 0;
+  if (!sample->group || !sample->text)
+    return false;
+  sample->label = read_label (object);
+  return true;
+}
+
+void
+ln_step_samples_read (LnStepSamples *samples, const char *text, size_t length)
+{
+  struct json_tokener *tokener = json_tokener_new ();
+
+  memset (samples, 0, sizeof *samples);
+  if (text && length <= INT_MAX)
+    samples->json = json_tokener_parse_ex (tokener, text, (int)length);
+  json_tokener_free (tokener);
+  if (!json_object_is_type (samples->json, json_type_array))
+    return;
+
+  size_t n = json_object_array_length (samples->json);
+  samples->samples = LB_NEW_ARRAY (LcDelivered, n);
+  for (size_t i = 0; i < n; i++)
+    samples->n_samples += read_sample (json_object_array_get_idx (samples->json, i),
+                                       &samples->samples[samples->n_samples]);
+}
+
+void
+ln_step_samples_clear (LnStepSamples *samples)
+{
+  for (size_t i = 0; i < samples->n_samples; i++)
+    free ((void *)samples->samples[i].label);
+  free (samples->samples);
+  json_object_put (samples->json);
+  memset (samples, 0, sizeof *samples);
+}
--- a/packages/node/src/ln-step-store.c
+++ b/packages/node/src/ln-step-store.c
@@ -31,6 +31,8 @@
   char *row_key;
   char *row_value;
   char *ledger;
+  char *content;
+  size_t content_length;
   LnStepOwnerDone owner_done;
   LnStepLoadDone load_done;
   LnStepWriteDone write_done;
@@ -60,6 +62,7 @@
   free (operation->row_key);
   free (operation->row_value);
   free (operation->ledger);
+  free (operation->content);
   free (operation);
 }
 
@@ -119,6 +122,14 @@
   return lb_asprintf ("steps/%s/%lld/%s", key->subscription, (long long)key->step, owner->content);
 }
 
+/* What the owner of that session left. */
+static char *
+samples_key (const LnStepKey *key, uint64_t session)
+{
+  return lb_asprintf ("steps/%s/%lld/ready-%llu", key->subscription, (long long)key->step,
+                      (unsigned long long)session);
+}
+
 static char *
 owner_to_text (const LnStepOwner *owner)
 {
@@ -313,14 +324,47 @@
 /* Loading. */
 
 static void
-on_object (LbErrorCode error, const char *bytes, size_t length, void *user)
+end_load (Operation *operation, LbErrorCode error, const char *samples, size_t length)
+{
+  const LnStepStored stored = { .content = operation->content,
+                                .content_length = operation->content_length,
+                                .ledger = operation->ledger,
+                                .samples = samples,
+                                .samples_length = length };
+
+  operation->load_done (error, &stored, operation->user);
+  operation_free (operation);
+}
+
+/* Samples are a help only: without them the slots are generated again. */
+static void
+on_samples (LbErrorCode error, const char *bytes, size_t length, void *user)
 {
   Operation *operation = user;
 
   if (is_orphan (operation))
     return;
-  operation->load_done (error, bytes, length, operation->ledger, operation->user);
-  operation_free (operation);
+  end_load (operation, LB_OK, error == LB_OK ? bytes : NULL, error == LB_OK ? length : 0);
+}
+
+static void
+on_content (LbErrorCode error, const char *bytes, size_t length, void *user)
+{
+  Operation *operation = user;
+
+  if (is_orphan (operation))
+    return;
+  if (error != LB_OK)
+    {
+      end_load (operation, error, NULL, 0);
+      return;
+    }
+  LpPlatform *platform = platform_of (operation);
+  char *object = samples_key (&operation->key, operation->owner.session - 1);
+  operation->content = lb_strndup (bytes, length);
+  operation->content_length = length;
+  platform->klass->get_object (platform, object, on_samples, operation);
+  free (object);
 }
 
 static void
@@ -332,14 +376,13 @@
     return;
   if (error != LB_OK && error != LB_ERROR_NOT_FOUND)
     {
-      operation->load_done (error, NULL, 0, NULL, operation->user);
-      operation_free (operation);
+      end_load (operation, error, NULL, 0);
       return;
     }
   LpPlatform *platform = platform_of (operation);
   char *object = object_key (&operation->key, &operation->owner);
   operation->ledger = lb_strdup (error == LB_OK && n_rows > 0 ? rows[0].value : "");
-  platform->klass->get_object (platform, object, on_object, operation);
+  platform->klass->get_object (platform, object, on_content, operation);
   free (object);
 }
 
@@ -427,19 +470,44 @@
   free (owner_key);
 }
 
+static void
+on_samples_stored (LbErrorCode error, const char *bytes, size_t length, void *user)
+{
+  Operation *operation = user;
+
+  (void)bytes;
+  (void)length;
+  if (is_orphan (operation))
+    return;
+  if (error == LB_OK)
+    {
+      write_row (operation, &operation->owner, operation->row_key);
+      return;
+    }
+  operation->write_done (error, operation->user);
+  operation_free (operation);
+}
+
+/* The samples first: once the row says that nobody owns the step, the next owner may look. */
 void
 ln_step_store_release (LnStepStore *store,
                        const LnStepKey *key,
                        const LnStepOwner *own,
+                       const char *samples,
                        LnStepWriteDone done,
                        void *user)
 {
   Operation *operation = operation_new (store, key, user);
+  LpPlatform *platform = platform_of (operation);
   LnStepOwner released = { .session = own->session };
+  char *object = samples_key (key, own->session);
 
   LB_COPY (released.content, own->content);
+  operation->owner = *own;
   operation->write_done = done;
   operation->row_key = step_key (key);
   operation->row_value = owner_to_text (&released);
-  write_row (operation, own, operation->row_key);
+  platform->klass->put_object (platform, object, samples, strlen (samples), on_samples_stored,
+                               operation);
+  free (object);
 }
--- a/packages/node/src/ln-step-store.h
+++ b/packages/node/src/ln-step-store.h
@@ -25,8 +25,17 @@
 
 /* Each callback is called exactly once, never from inside the call, unless the store was freed. */
 typedef void (*LnStepOwnerDone) (LbErrorCode error, const LnStepOwner *owner, void *user);
-typedef void (*LnStepLoadDone) (
-    LbErrorCode error, const char *content, size_t length, const char *ledger, void *user);
+/* What is stored of a step; valid during the call. */
+typedef struct
+{
+  const char *content; /* the body of the trainer's request */
+  size_t content_length;
+  const char *ledger;  /* "": none */
+  const char *samples; /* that the last owner left; NULL: none */
+  size_t samples_length;
+} LnStepStored;
+
+typedef void (*LnStepLoadDone) (LbErrorCode error, const LnStepStored *stored, void *user);
 typedef void (*LnStepWriteDone) (LbErrorCode error, void *user);
 
 LnStepStore *ln_step_store_new (LnContext *context);
@@ -55,10 +64,11 @@
                                  const char *value,
                                  LnStepWriteDone done,
                                  void *user);
-/* Leaves the step to whoever is asked for it next. */
+/* Leaves the step, with samples for its next owner, to whoever is asked for it next. */
 void ln_step_store_release (LnStepStore *store,
                             const LnStepKey *key,
                             const LnStepOwner *own,
+                            const char *samples,
                             LnStepWriteDone done,
                             void *user);
 
