Instances tell one another which endpoints leave; random choices differ between instances

Cause: read through the joints between the tasks. (1) The platform's list of leaving endpoints was read and dropped; (2) an instance that was refused 'leaving' kept it to itself until the others polled; (3) the number of instances never reached the routing policy; (4) all instances drew the same random numbers, since all had the same seed of the settings. After: list every 2 s into the dispatch, the first to learn tells the others once for each incarnation. Guard tried: without the note of what was told, two tests of test-leaving fail.

--- a/packages/node/include/ln-context.h
+++ b/packages/node/include/ln-context.h
@@ -25,6 +25,8 @@
 } LnContext;
 
 LcRequestId ln_context_next_request (LnContext *context);
+/* Seed of this instance's random choices: of the settings, and another one for each instance. */
+uint64_t ln_context_seed (const LnContext *context);
 
 /* Makers of the tasks; each is in the .c file of its name. */
 LnTask *ln_front_new (LnContext *context);
--- a/packages/node/include/ln-messages.h
+++ b/packages/node/include/ln-messages.h
@@ -92,6 +92,7 @@
   LbName endpoint;
   char incarnation[40]; /* empty: the present one */
   LcLeavingSource source;
+  bool stays; /* the platform's list no longer says leaving */
 } LnEndpointLeavingMessage;
 
 typedef struct
--- a/packages/node/src/ln-calls-private.h
+++ b/packages/node/src/ln-calls-private.h
@@ -4,6 +4,7 @@
 #include "ln-call.h"
 #include "ln-claims.h"
 #include "ln-context.h"
+#include "ln-leaving.h"
 #include "ln-messages.h"
 #include "ln-poller.h"
 #include "ln-relay.h"
@@ -21,6 +22,7 @@
   LnTicketCalls *tickets;
   LnClaims *claims;
   LnRelays *relays;
+  LnLeaving *leaving;
   struct event *tick;
   LnCall *by_id;
   LbList all;
@@ -36,6 +38,9 @@
 void ln_calls_on_tick (evutil_socket_t fd, short what, void *calls);
 void ln_calls_post_done (LnCalls *calls, LcRequestId request, LbErrorCode error, char *text);
 
+/* ln-calls.c: tells the other instances when the endpoint leaves */
+void ln_calls_tell_leaving (LnCalls *calls, const char *endpoint);
+
 /* ln-calls-take.c: from a caller's request to its submission */
 void ln_calls_take (LnCalls *calls, LnExchange *exchange);
 
--- a/packages/node/src/ln-calls-run.c
+++ b/packages/node/src/ln-calls-run.c
@@ -177,6 +177,8 @@
   lc_dispatch_ended (calls->dispatch, id, ln_upstream_attempt (upstream), end,
                      lb_clock_monotonic (), &actions);
   ln_calls_run (calls, &actions);
+  if (end == LC_END_REFUSED_LEAVING)
+    ln_calls_tell_leaving (calls, ln_upstream_endpoint (upstream));
   call = ln_calls_find (calls, id);
   if (call)
     call->ended = NULL;
--- a/packages/node/src/ln-calls.c
+++ b/packages/node/src/ln-calls.c
@@ -51,9 +51,43 @@
   LbList actions;
 
   lb_list_init (&actions);
-  lc_dispatch_leaving (calls->dispatch, message->endpoint, message->incarnation, message->source,
-                       lb_clock_monotonic (), &actions);
+  if (message->stays)
+    lc_endpoints_listed_live (lc_dispatch_endpoints (calls->dispatch), message->endpoint,
+                              lb_clock_monotonic ());
+  else
+    lc_dispatch_leaving (calls->dispatch, message->endpoint, message->incarnation, message->source,
+                         lb_clock_monotonic (), &actions);
   ln_calls_run (calls, &actions);
+  ln_calls_tell_leaving (calls, message->endpoint);
+}
+
+void
+ln_calls_tell_leaving (LnCalls *calls, const char *endpoint)
+{
+  ln_leaving_tell (calls->leaving,
+                   lc_endpoints_find (lc_dispatch_endpoints (calls->dispatch), endpoint));
+}
+
+static void
+take_frame (LnCalls *calls, const LnPeerMessage *frame)
+{
+  LnEndpointLeavingMessage heard;
+
+  if (ln_leaving_hear (calls->leaving, frame, &heard))
+    take_leaving (calls, &heard);
+}
+
+/* Without the number of those who route by the same reports each instance would take an idle
+ * endpoint for its own, and all would send to it at once. */
+static void
+take_members (LnCalls *calls, const LnMembersMessage *message)
+{
+  int64_t alive = 0;
+
+  for (size_t i = 0; i < message->n_members; i++)
+    alive += message->members[i].alive;
+  lc_endpoints_set_peers (lc_dispatch_endpoints (calls->dispatch), alive > 0 ? alive : 1);
+  ln_relays_set_members (calls->relays, message);
 }
 
 static void
@@ -78,6 +112,7 @@
   lb_list_init (&actions);
   lc_dispatch_report (calls->dispatch, endpoint, report, lb_clock_monotonic (), &actions);
   ln_calls_run (calls, &actions);
+  ln_calls_tell_leaving (calls, endpoint);
   LB_COPY (message.endpoint, endpoint);
   if (config)
     LN_POST (calls->task.hub, config, message);
@@ -111,7 +146,7 @@
       configure (calls, ((const LnConfigMessage *)message)->set);
       break;
     case LN_MEMBERS:
-      ln_relays_set_members (calls->relays, (const LnMembersMessage *)message);
+      take_members (calls, (const LnMembersMessage *)message);
       break;
     case LN_READY:
       calls->ready = ((const LnReadyMessage *)message)->ready;
@@ -127,6 +162,9 @@
     case LN_ENDPOINT_LEAVING:
       take_leaving (calls, (const LnEndpointLeavingMessage *)message);
       break;
+    case LN_PEER_FRAME:
+      take_frame (calls, (const LnPeerMessage *)message);
+      break;
     case LN_ENDPOINT_SWAP:
       swap = (const LnEndpointSwapMessage *)message;
       lc_endpoints_swap (lc_dispatch_endpoints (calls->dispatch), swap->endpoint, swap->pending,
@@ -169,6 +207,7 @@
     ln_call_free (call);
   }
   ln_relays_free (calls->relays);
+  ln_leaving_free (calls->leaving);
   ln_claims_free (calls->claims);
   ln_ticket_calls_free (calls->tickets);
   ln_poller_free (calls->poller);
@@ -182,13 +221,14 @@
 };
 
 static LcDispatch *
-make_dispatch (const LnSettings *settings)
+make_dispatch (const LnContext *context)
 {
+  const LnSettings *settings = context->settings;
   LcDispatchSettings dispatch = { .queue_limit = settings->calls.queue_limit,
                                   .default_deadline = settings->calls.default_deadline_ms * LB_MSEC,
                                   .retry_budget = settings->calls.retry_budget,
                                   .hedge_after = settings->calls.hedge_after_ms * LB_MSEC,
-                                  .seed = settings->seed };
+                                  .seed = ln_context_seed (context) };
 
   LB_COPY (dispatch.data_centre, settings->instance.data_centre);
   LB_COPY (dispatch.policy, settings->calls.policy);
@@ -206,11 +246,12 @@
   calls->task.hub = context->hub;
   calls->context = context;
   lb_list_init (&calls->all);
-  calls->dispatch = make_dispatch (context->settings);
+  calls->dispatch = make_dispatch (context);
   calls->tickets
       = ln_ticket_calls_new (context->instance, context->incarnation, context->settings->seed);
   calls->claims = ln_claims_new (context->platform, context->incarnation);
   calls->relays = ln_relays_new (context);
+  calls->leaving = ln_leaving_new (&calls->task);
   calls->tick = evtimer_new (context->base, ln_calls_on_tick, calls);
   calls->poller = ln_poller_new (context->base, context->http,
                                  context->settings->calls.load_poll_ms * LB_MSEC, &handlers, calls);
--- a/packages/node/src/ln-peers.c
+++ b/packages/node/src/ln-peers.c
@@ -22,7 +22,7 @@
 #include <sys/resource.h>
 #include <xxhash.h>
 
-#define LIST_EVERY (5 * LB_SEC)
+#define LIST_EVERY (2 * LB_SEC)
 #define LOAD_EVERY (5 * LB_SEC)
 /* A connection opened to send a frame stays open for more of them. */
 #define KEEP_FOR_FRAMES (30 * LB_SEC)
@@ -45,6 +45,8 @@
   LnTask base;
   LnContext *context;
   struct evconnlistener *listener;
+  LbName *leaving; /* endpoints, by the last list of the platform */
+  size_t n_leaving;
   struct event *timer;
   LcMembership *membership; /* NULL until the loop runs and all addresses are known */
   LbList connections;
@@ -445,6 +447,44 @@
   }
 }
 
+static bool
+is_listed (const char *const *names, size_t n_names, const char *name)
+{
+  for (size_t i = 0; i < n_names; i++)
+    if (strcmp (names[i], name) == 0)
+      return true;
+  return false;
+}
+
+static void
+say_leaving (LnPeers *peers, const char *endpoint, bool stays)
+{
+  LnTask *calls = ln_hub_find (peers->base.hub, "calls");
+  LnEndpointLeavingMessage message
+      = { .base = LN_MESSAGE (LN_ENDPOINT_LEAVING), .source = LC_LEAVING_PLATFORM, .stays = stays };
+
+  if (!calls)
+    return;
+  LB_COPY (message.endpoint, endpoint);
+  LN_POST (peers->base.hub, calls, message);
+}
+
+/* Passes on which endpoints the platform's list says are leaving, and which no longer. */
+static void
+take_leaving_endpoints (LnPeers *peers, const LpInstanceList *list)
+{
+  for (size_t i = 0; i < peers->n_leaving; i++)
+    if (!is_listed (list->leaving_endpoints, list->n_leaving_endpoints, peers->leaving[i]))
+      say_leaving (peers, peers->leaving[i], true);
+  peers->leaving = lb_realloc (peers->leaving, list->n_leaving_endpoints * sizeof (LbName));
+  peers->n_leaving = list->n_leaving_endpoints;
+  for (size_t i = 0; i < peers->n_leaving; i++)
+    {
+      say_leaving (peers, list->leaving_endpoints[i], false);
+      LB_COPY (peers->leaving[i], list->leaving_endpoints[i]);
+    }
+}
+
 static void
 take_list (LnPeers *peers, const LpInstanceList *list)
 {
@@ -459,6 +499,7 @@
   lc_membership_listed (peers->membership, listed, list->n_instances, lb_clock_monotonic (),
                         &peers->actions);
   free (listed);
+  take_leaving_endpoints (peers, list);
   carry_out (peers);
 }
 
@@ -664,6 +705,7 @@
   ln_outbox_clear (&peers->outbox);
   ln_frame_window_free (peers->window);
   lc_membership_free (peers->membership);
+  free (peers->leaving);
   if (peers->listener)
     evconnlistener_free (peers->listener);
   event_free (peers->timer);
--- a/packages/node/src/ln-rollouts.c
+++ b/packages/node/src/ln-rollouts.c
@@ -912,7 +912,7 @@
   LnRollouts *rollouts = LB_NEW (LnRollouts);
   LcRolloutSettings settings = lc_rollout_settings_default ();
 
-  settings.seed = context->settings->seed;
+  settings.seed = ln_context_seed (context);
   LB_COPY (settings.instance, context->instance);
   rollouts->task.klass = &rollouts_class;
   rollouts->task.hub = context->hub;
