Batch slowdown is learnt from the load reports of a pool

Cause: the finish-time policy took a token in a full batch to cost twice one alone; the engines of lentilspindle bench cost a third more, which made load three times too dear there.

--- a/packages/core/src/lc-endpoint-table.h
+++ b/packages/core/src/lc-endpoint-table.h
@@ -1,6 +1,7 @@
 #ifndef LC_ENDPOINT_TABLE_H
 #define LC_ENDPOINT_TABLE_H
 
+#include "lc-batch-cost.h"
 #include "lc-breaker.h"
 #include "lc-concurrency.h"
 #include "lc-endpoints.h"
@@ -10,9 +11,6 @@
 
 #include <uthash.h>
 
-/* A token takes this share longer in a full batch than alone. */
-#define LC_FULL_BATCH_SLOWDOWN 1.0
-
 #define LC_NEVER_REPORTED ((LbTime)-1)
 
 /* What a decision needs of an endpoint, in one cache line: a decision looks at all endpoints of a
@@ -66,7 +64,9 @@
   size_t n_slots;
   size_t capacity;
   double service_seconds; /* mean of our own requests there; 0: none ended yet */
-  double bound_share;     /* of our requests, those that went where their prompt was cached */
+  LcBatchCost batch_cost;
+  double slowdown;    /* by it */
+  double bound_share; /* of our requests, those that went where their prompt was cached */
   UT_hash_handle hh;
 } LcEndpointGroup;
 
--- a/packages/core/src/lc-endpoints.c
+++ b/packages/core/src/lc-endpoints.c
@@ -287,6 +287,7 @@
     {
       group = LB_NEW (LcEndpointGroup);
       make_group_key (group->key, sizeof group->key, kind, entry->endpoint.member.pool);
+      group->slowdown = lc_batch_cost_slowdown (&group->batch_cost);
       HASH_ADD_STR (endpoints->groups, key, group);
     }
   if (group->n_slots == group->capacity)
@@ -363,15 +364,26 @@
     endpoint->swap_pending = false;
 }
 
+static LcEndpointGroup *
+group_of (const LcEntry *entry)
+{
+  const LcEndpointMember *member = &entry->endpoint.member;
+
+  return lc_endpoints_group (entry->table, (LcEndpointKind)member->kind, member->pool);
+}
+
 static void
 learn_token_time (LcEntry *entry)
 {
   const LcLoadReport *report = &entry->endpoint.report;
+  LcEndpointGroup *group = group_of (entry);
   double fill = fmin (1, (double)report->running / entry->concurrency.most);
 
-  if (report->tokens_per_second > 0)
-    entry->alone_token_seconds
-        = 1 / report->tokens_per_second / (1 + LC_FULL_BATCH_SLOWDOWN * fill);
+  if (report->tokens_per_second <= 0)
+    return;
+  lc_batch_cost_learn (&group->batch_cost, fill, 1 / report->tokens_per_second);
+  group->slowdown = lc_batch_cost_slowdown (&group->batch_cost);
+  entry->alone_token_seconds = 1 / report->tokens_per_second / (1 + group->slowdown * fill);
 }
 
 static void
@@ -534,12 +546,7 @@
 static void
 learn_service_time (LcEntry *entry, int64_t tokens, LbTime took)
 {
-  LcEndpointMember *member = &entry->endpoint.member;
-  LcEndpointGroup *group
-      = lc_endpoints_group (entry->table, (LcEndpointKind)member->kind, member->pool);
-
-  if (group)
-    ewma_add (&group->service_seconds, (double)took / LB_SEC);
+  ewma_add (&group_of (entry)->service_seconds, (double)took / LB_SEC);
   if (tokens == 0)
     return;
   ewma_add (&entry->endpoint.ewma_token_seconds, (double)took / LB_SEC / (double)tokens);
--- a/packages/core/src/lc-router-finish-time.c
+++ b/packages/core/src/lc-router-finish-time.c
@@ -95,7 +95,7 @@
                       ? situation->service_seconds
                       : situation->expected_tokens * (double)summary->alone_token_seconds;
   double ahead = load + 1 - size;
-  double per_place = 2 * decode * LC_FULL_BATCH_SLOWDOWN;
+  double per_place = 2 * decode * situation->group->slowdown;
 
   if (ahead <= 0)
     return (LcLoadPrice){ .seconds = decode + per_place * (load + 1) / size,
