--- a/packages/core/bench/bench-routing.c
+++ b/packages/core/bench/bench-routing.c
@@ -1,6 +1,8 @@
 /* Compares the routing policies in virtual time: several instances with their own endpoint tables
  * share the same engines, whose load reports lag and whose cache events come late and with gaps.
- * Usage: core-bench-routing [ENDPOINTS [SECONDS [SEEDS [RATE [POLICY]]]]] */
+ * Options, each with a value: --endpoints --seconds --seeds --rate (requests a second for each
+ * endpoint) --policy --lag-ms (of load reports) --lost (share of cache events) --slow (speed of the
+ * first engine) --hot (share of live requests with one and the same prefix). */
 
 #include "bench-engine.h"
 #include "lc-router.h"
@@ -8,6 +10,7 @@
 #include "lb-alloc.h"
 #include "lb-clock.h"
 
+#include <getopt.h>
 #include <gsl/gsl_randist.h>
 #include <malloc.h>
 #include <stdio.h>
@@ -18,12 +21,8 @@
 #define N_INSTANCES 10
 #define STEP (10 * LB_MSEC)
 #define REPORT_EVERY LB_SEC
-#define REPORT_LAG (500 * LB_MSEC)
 #define EVENTS_EVERY (500 * LB_MSEC)
 #define EVENTS_LAG (500 * LB_MSEC)
-#define EVENTS_LOST 0.1
-#define DEFAULT_RATE                                                                               \
-  3.6 /* requests a second for each endpoint; a full batch serves 8 without prefill */
 #define SAMPLE_SHARE 0.6
 #define GROUP_SIZE 8
 #define LIVE_PREFIXES_PER_ENDPOINT 20
@@ -31,6 +30,19 @@
 #define LIVE_RESERVE 0.25
 #define WARM_UP 0.25 /* of the run */
 
+typedef struct
+{
+  int endpoints;
+  double seconds;
+  int seeds;
+  double rate;
+  const char *policy; /* NULL: all, and the cost of a decision */
+  LbTime lag;
+  double lost;
+  double slow;
+  double hot;
+} Options;
+
 typedef struct
 {
   LcEndpoints *endpoints;
@@ -81,7 +93,7 @@
   size_t capacity;
   size_t decisions;
   double queued;
-  double rate;
+  const Options *options;
   LbTime deciding;
 } World;
 
@@ -184,7 +196,9 @@
   BenchRequest *request = make_request (world, (int)gsl_rng_uniform_int (world->rng, N_INSTANCES));
 
   request->live = true;
-  request->prefix = hash_of (1, gsl_ran_discrete (world->rng, world->live_prefixes));
+  request->prefix = hash_of (1, gsl_rng_uniform (world->rng) < world->options->hot
+                                    ? UINT64_MAX
+                                    : gsl_ran_discrete (world->rng, world->live_prefixes));
   request->prefix_share = 0.75;
   submit (world, request);
 }
@@ -208,7 +222,7 @@
 static void
 arrive (World *world)
 {
-  double rate = world->rate * world->n_engines * STEP / LB_SEC;
+  double rate = world->options->rate * world->n_engines * STEP / LB_SEC;
   unsigned live = gsl_ran_poisson (world->rng, rate * (1 - SAMPLE_SHARE));
   unsigned groups = gsl_ran_poisson (world->rng, rate * SAMPLE_SHARE / GROUP_SIZE);
 
@@ -237,7 +251,7 @@
                           .tokens_per_second = bench_engine_tokens_per_second (engine),
                           .at = world->now };
 
-  post (world, (Letter){ .due = world->now + REPORT_LAG,
+  post (world, (Letter){ .due = world->now + world->options->lag,
                          .instance = instance,
                          .endpoint = endpoint,
                          .is_report = true,
@@ -273,7 +287,7 @@
         continue;
       for (size_t k = 0; k < engine->n_events; k++)
         for (int i = 0; i < N_INSTANCES; i++)
-          if (gsl_rng_uniform (world->rng) >= EVENTS_LOST)
+          if (gsl_rng_uniform (world->rng) >= world->options->lost)
             post (world, (Letter){ .due = world->now + EVENTS_LAG,
                                    .instance = i,
                                    .endpoint = j,
@@ -388,8 +402,9 @@
 }
 
 static World *
-world_new (const char *policy, int n, double seconds, double rate, uint64_t seed)
+world_new (const char *policy, const Options *options, uint64_t seed)
 {
+  int n = options->endpoints;
   World *world = LB_NEW (World);
   LcResourceSet set = make_set (n);
   size_t n_prefixes = (size_t)n * LIVE_PREFIXES_PER_ENDPOINT;
@@ -402,12 +417,12 @@
   world->live_prefixes = gsl_ran_discrete_preproc (n_prefixes, popularity);
   free (popularity);
   lb_list_init (&world->letters);
-  world->end = (LbTime)(seconds * LB_SEC);
-  world->rate = rate;
+  world->end = (LbTime)(options->seconds * LB_SEC);
+  world->options = options;
   world->n_engines = n;
   world->engines = LB_NEW_ARRAY (BenchEngine, n);
   for (int i = 0; i < n; i++)
-    bench_engine_init (&world->engines[i], 1);
+    bench_engine_init (&world->engines[i], i == 0 ? options->slow : 1);
   for (int i = 0; i < N_INSTANCES; i++)
     {
       world->instances[i].endpoints = lc_endpoints_new ();
@@ -503,21 +518,23 @@
 }
 
 static void
-compare_policies (int n, double seconds, int seeds, double rate, const char *only)
+compare_policies (const Options *options)
 {
-  printf ("%d instances, %d endpoints, %.0f s, %d seeds, %.1f requests/s each\n", N_INSTANCES, n,
-          seconds, seeds, rate);
+  printf ("%d instances, %d endpoints, %.0f s, %d seeds, %.1f requests/s each, reports lag %d ms, "
+          "%.0f%% of cache events lost, first engine at speed %.1f, %.0f%% of live calls alike\n",
+          N_INSTANCES, options->endpoints, options->seconds, options->seeds, options->rate,
+          (int)(options->lag / LB_MSEC), 100 * options->lost, options->slow, 100 * options->hot);
   printf ("%-18s %9s %9s %9s %9s %9s %9s %9s %9s\n", "policy", "mean_s", "live_p99", "all_p99",
           "imb_tok", "imb_load", "hits", "queued", "us");
   for (const char *const *policy = lc_router_policies (); *policy; policy++)
     {
       double sums[sizeof (Measures) / sizeof (double)] = { 0 };
 
-      if (only && strcmp (only, *policy) != 0)
+      if (options->policy && strcmp (options->policy, *policy) != 0)
         continue;
-      for (int seed = 1; seed <= seeds; seed++)
+      for (int seed = 1; seed <= options->seeds; seed++)
         {
-          World *world = world_new (*policy, n, seconds, rate, (uint64_t)seed);
+          World *world = world_new (*policy, options, (uint64_t)seed);
 
           run (world);
 
@@ -527,7 +544,7 @@
             sums[i] += ((const double *)&measures)[i];
           world_free (world);
         }
-      print_row (*policy, sums, seeds);
+      print_row (*policy, sums, options->seeds);
     }
 }
 
@@ -594,19 +611,68 @@
   gsl_rng_free (rng);
 }
 
+static void
+read_options (int argc, char **argv, Options *options)
+{
+  static const struct option names[] = {
+    { "endpoints", required_argument, NULL, 'e' }, { "seconds", required_argument, NULL, 't' },
+    { "seeds", required_argument, NULL, 'n' },     { "rate", required_argument, NULL, 'r' },
+    { "policy", required_argument, NULL, 'p' },    { "lag-ms", required_argument, NULL, 'l' },
+    { "lost", required_argument, NULL, 'x' },      { "slow", required_argument, NULL, 's' },
+    { "hot", required_argument, NULL, 'h' },       { NULL, 0, NULL, 0 },
+  };
+
+  for (int c = getopt_long (argc, argv, "", names, NULL); c != -1;
+       c = getopt_long (argc, argv, "", names, NULL))
+    switch (c)
+      {
+      case 'e':
+        options->endpoints = atoi (optarg);
+        break;
+      case 't':
+        options->seconds = atof (optarg);
+        break;
+      case 'n':
+        options->seeds = atoi (optarg);
+        break;
+      case 'r':
+        options->rate = atof (optarg);
+        break;
+      case 'p':
+        options->policy = optarg;
+        break;
+      case 'l':
+        options->lag = atoi (optarg) * LB_MSEC;
+        break;
+      case 'x':
+        options->lost = atof (optarg);
+        break;
+      case 's':
+        options->slow = atof (optarg);
+        break;
+      case 'h':
+        options->hot = atof (optarg);
+        break;
+      default:
+        exit (2);
+      }
+}
+
 int
 main (int argc, char **argv)
 {
-  int n = argc > 1 ? atoi (argv[1]) : 13;
-  double seconds = argc > 2 ? atof (argv[2]) : 120;
-  int seeds = argc > 3 ? atoi (argv[3]) : 5;
-
-  double rate = argc > 4 ? atof (argv[4]) : DEFAULT_RATE;
-
-  const char *only = argc > 5 ? argv[5] : NULL;
-
-  compare_policies (n, seconds, seeds, rate, only);
-  if (only)
+  /* A full batch serves 8 requests a second without any prefill. */
+  Options options = { .endpoints = 13,
+                      .seconds = 120,
+                      .seeds = 5,
+                      .rate = 4,
+                      .lag = 500 * LB_MSEC,
+                      .lost = 0.1,
+                      .slow = 1 };
+
+  read_options (argc, argv, &options);
+  compare_policies (&options);
+  if (options.policy)
     return 0;
   printf ("\n%-18s %9s %9s %9s\n", "cost", "endpoints", "us", "bytes/ep");
   for (const char *const *policy = lc_router_policies (); *policy; policy++)
--- a/packages/core/src/lc-prefix-belief.c
+++ b/packages/core/src/lc-prefix-belief.c
@@ -6,7 +6,7 @@
 #include <stdlib.h>
 #include <uthash.h>
 
-#define MAX_PREFIXES 16384
+#define MAX_PREFIXES 65536
 #define MAX_HOLDERS 8
 #define CONFIDENCE_SENT 0.8 /* our request went there; the engine may not have kept it */
 #define HALF_LIFE_SECONDS 300.0
