--- a/packages/node/src/ln-step-call.c
+++ b/packages/node/src/ln-step-call.c
@@ -17,7 +17,7 @@
 static bool
 split_path (const char *path, LbName subscription, const char **rest, LbError *error)
 {
-  bool fits = path && strncmp (path, PREFIX, strlen (PREFIX)) == 0;
+  bool fits = strncmp (path, PREFIX, strlen (PREFIX)) == 0;
   const char *name = fits ? path + strlen (PREFIX) : "";
   const char *slash = strchr (name, '/');
 
@@ -154,7 +154,7 @@
 ln_step_call_read (LnExchange *exchange, const LcRollouts *core, LbTime now, LbError *error)
 {
   LnStepCall *call = LB_NEW (LnStepCall);
-  const char *rest = NULL;
+  const char *rest = "";
 
   call->exchange = exchange;
   call->id = ln_exchange_id (exchange);
