Configuration: a change is announced before it is committed, and doubt of it is kept

Cause: between the answers of a majority and the commit the accepting instance can be cut off, with the store; the majority would go on with the revision before for the whole parting. Now the question carries the announcement; while its outcome is not known and the announcer silent, only the store confirms. The head row is read before the announcement, so that an operator who tries during an outage leaves no doubt behind. Ruled out: holding the answer to the operator until all confirm (one dead instance would hold up every change).

--- a/packages/core/include/lc-config.h
+++ b/packages/core/include/lc-config.h
@@ -23,7 +23,9 @@
   int64_t revision;
   LbTime asked_at; /* ASK: the asker's own clock, echoed by HAVE; 0: unasked */
   LbTime age;      /* HAVE: age of the youngest store confirmation known; -1: none */
-  bool confirmed;  /* HAVE: the sender has a confirmed revision */
+  bool confirmed;  /* HAVE: the sender has a confirmed revision and no doubt of it */
+  int64_t intent;  /* ASK: number of the change that the sender is about to commit, 0: none;
+                      HAVE: number of its last change whose outcome is known */
   struct json_object *body;
 } LcConfigMessage;
 
@@ -96,7 +98,10 @@
                         const LcConfigMessage *message,
                         LbTime now,
                         LbList *actions);
-void lc_config_ask_all (LcConfig *config, LbTime now, LbList *actions);
+/* A change is about to be committed here: every known instance is asked and told so. Followed by
+ * lc_config_committed, lc_config_settle, or neither when the outcome is not known. */
+void lc_config_announce (LcConfig *config, LbTime now, LbList *actions);
+void lc_config_settle (LcConfig *config, LbTime now, LbList *actions);
 void lc_config_ask_behind (LcConfig *config, LbTime now, LbList *actions);
 void lc_config_tick (LcConfig *config, LbTime now, LbList *actions);
 
--- a/packages/core/src/lc-config-message.c
+++ b/packages/core/src/lc-config-message.c
@@ -25,6 +25,7 @@
   json_object_object_add (object, "asked_at", json_object_new_int64 (message->asked_at));
   json_object_object_add (object, "age", json_object_new_int64 (message->age));
   json_object_object_add (object, "confirmed", json_object_new_boolean (message->confirmed));
+  json_object_object_add (object, "intent", json_object_new_int64 (message->intent));
   if (message->body)
     json_object_object_add (object, "body", json_object_get (message->body));
   return object;
@@ -57,7 +58,8 @@
     type++;
   if (type == N_TYPES || !read_integer (object, "revision", &message->revision)
       || !read_integer (object, "asked_at", &message->asked_at)
-      || !read_integer (object, "age", &message->age))
+      || !read_integer (object, "age", &message->age)
+      || !read_integer (object, "intent", &message->intent))
     return lb_error_set (error, LB_ERROR_FRAME_GARBLED, "config",
                          "a key is missing or of the wrong type");
   message->type = (LcConfigMessageType)type;
--- a/packages/core/src/lc-config.c
+++ b/packages/core/src/lc-config.c
@@ -18,6 +18,8 @@
 #define ASKS_PER_PERIOD 20
 /* How long a new process waits for its peers to name a newer revision than the store did. */
 #define SETTLE (LB_SEC / 2)
+/* From the announcement of a change until its transaction can't take effect any more. */
+#define COMMIT_LIFE (10 * LB_SEC)
 
 typedef struct
 {
@@ -31,6 +33,9 @@
   LbTime asked_at;    /* our last ASK */
   LbTime answered_to; /* asked_at of the youngest ASK that it answered; 0: none */
   LbTime wanted_at;
+  int64_t intent;      /* number of the change it announced; 0: none that is unsettled */
+  int64_t intent_base; /* the revision that change was made from */
+  LbTime intent_at;
   UT_hash_handle hh;
 } Peer;
 
@@ -46,6 +51,9 @@
   LbTime store_confirmed_at; /* -1: never; the youngest known, our clock */
   LbTime next_poll;
   LbTime next_ask;
+  int64_t announced; /* changes of this instance */
+  int64_t settled;   /* the last of them whose outcome is known */
+  LbTime announced_at;
 };
 
 static LbMetric metric_revision
@@ -189,6 +197,28 @@
   return 2 * (count_answers (config, asked_since) + 1) > all;
 }
 
+static bool
+is_settled (const LcConfig *config, const Peer *peer)
+{
+  return peer->intent == 0 || config->set->revision > peer->intent_base
+         || config->store_confirmed_at >= peer->intent_at + COMMIT_LIFE;
+}
+
+/* True when an instance has announced a change and was not heard of since.
+ *
+ * Guards against a cut in the moment of acceptance: the majority that let the change pass would go
+ * on with the revision before for as long as the parting lasts, while the operator was told that
+ * the new one is accepted. Until its outcome is known, only the store confirms. */
+static bool
+is_in_doubt (const LcConfig *config, LbTime now)
+{
+  for (const Peer *peer = config->peers; peer; peer = peer->hh.next)
+    if (!is_settled (config, peer) && peer->answered_to < now - answer_bound (config)
+        && peer->intent_at < now - config->settings.confirm_bound)
+      return true;
+  return false;
+}
+
 /* A new process knows nothing itself, so only its peers count. */
 static bool
 peers_confirm_new_process (const LcConfig *config, LbTime now)
@@ -218,7 +248,8 @@
 {
   if (config->confirmed)
     return is_store_confirmed (config, now)
-           || lc_config_has_majority (config, now - answer_bound (config));
+           || (lc_config_has_majority (config, now - answer_bound (config))
+               && !is_in_doubt (config, now));
   /* Guards against a stale read by a new process: callers would see a revision go back when an
    * instance is replaced. Its peers are asked too before the first call is served. */
   if (is_store_confirmed (config, now))
@@ -258,7 +289,9 @@
   LcConfigMessage *have = send (actions, to, LC_CONFIG_HAVE, config->set->revision);
 
   have->asked_at = asked_at;
-  have->confirmed = config->confirmed;
+  have->confirmed
+      = config->confirmed && (is_store_confirmed (config, now) || !is_in_doubt (config, now));
+  have->intent = config->settled;
   have->age = lc_config_confirmation_age (config, now);
 }
 
@@ -284,6 +317,23 @@
   return true;
 }
 
+static LcConfigMessage *
+ask (LcConfig *config, Peer *peer, LbTime now, LbList *actions)
+{
+  LcConfigMessage *message = send (actions, peer->name, LC_CONFIG_ASK, config->set->revision);
+
+  peer->asked_at = now;
+  message->asked_at = now;
+  return message;
+}
+
+static void
+ask_all (LcConfig *config, LbTime now, LbList *actions)
+{
+  for (Peer *peer = config->peers; peer; peer = peer->hh.next)
+    ask (config, peer, now, actions);
+}
+
 /* What the process before had in force says nothing of the new one of the same name. */
 static void
 peer_restarted (Peer *peer, const char *incarnation)
@@ -327,7 +377,7 @@
       lc_config_forget (config, peer->name);
   }
   if (!config->confirmed)
-    lc_config_ask_all (config, now, actions);
+    ask_all (config, now, actions);
   update_ready (config, now, actions);
 }
 
@@ -360,6 +410,8 @@
     lb_metric_add (&metric_ignored, 1);
   else if (revision == config->set->revision && asked_at > config->store_confirmed_at)
     config->store_confirmed_at = asked_at;
+  if (asked_at >= config->announced_at + COMMIT_LIFE)
+    config->settled = config->announced;
   config->next_poll = now + poll_period (config);
   update_ready (config, now, actions);
 }
@@ -387,6 +439,7 @@
     return;
   if (asked_at > config->store_confirmed_at)
     config->store_confirmed_at = asked_at;
+  config->settled = config->announced;
   send (actions, "", LC_CONFIG_NEWS, revision)->body = json_object_get (change);
   update_ready (config, now, actions);
 }
@@ -435,6 +488,8 @@
           && confirmed_at > config->store_confirmed_at)
         config->store_confirmed_at = confirmed_at;
     }
+  if (have->intent >= peer->intent)
+    peer->intent = 0;
   if (have->revision > config->set->revision && have->confirmed)
     want (config, peer, now, actions);
 }
@@ -456,6 +511,14 @@
     send_have (config, peer->name, 0, now, actions);
 }
 
+static void
+note_intent (Peer *peer, const LcConfigMessage *message, LbTime now)
+{
+  peer->intent = message->intent;
+  peer->intent_base = message->revision;
+  peer->intent_at = now;
+}
+
 void
 lc_config_receive (
     LcConfig *config, const char *from, const LcConfigMessage *message, LbTime now, LbList *actions)
@@ -472,6 +535,8 @@
       receive_news (config, peer, message, now, actions);
       break;
     case LC_CONFIG_ASK:
+      if (message->intent > 0)
+        note_intent (peer, message, now);
       send_have (config, from, message->asked_at, now, actions);
       break;
     case LC_CONFIG_HAVE:
@@ -489,19 +554,21 @@
   update_ready (config, now, actions);
 }
 
-static void
-ask (LcConfig *config, Peer *peer, LbTime now, LbList *actions)
+void
+lc_config_announce (LcConfig *config, LbTime now, LbList *actions)
 {
-  peer->asked_at = now;
-  send (actions, peer->name, LC_CONFIG_ASK, config->set->revision)->asked_at = now;
+  config->announced++;
+  config->announced_at = now;
+  for (Peer *peer = config->peers; peer; peer = peer->hh.next)
+    ask (config, peer, now, actions)->intent = config->announced;
 }
 
-/* Asks every known instance at once: before a change is accepted. */
+/* The change that was announced is known not to have been committed. */
 void
-lc_config_ask_all (LcConfig *config, LbTime now, LbList *actions)
+lc_config_settle (LcConfig *config, LbTime now, LbList *actions)
 {
-  for (Peer *peer = config->peers; peer; peer = peer->hh.next)
-    ask (config, peer, now, actions);
+  config->settled = config->announced;
+  send_have (config, "", 0, now, actions);
 }
 
 /* Asks those that are not known to have the revision in force here. */
--- a/packages/core/tests/test-config.c
+++ b/packages/core/tests/test-config.c
@@ -273,6 +273,78 @@
   cr_assert (lc_config_is_ready (config), "the platform says that two are gone");
 }
 
+static void
+announce (const char *from, int64_t intent)
+{
+  receive (from, (LcConfigMessage){ .type = LC_CONFIG_ASK,
+                                    .revision = 4,
+                                    .asked_at = now,
+                                    .age = -1,
+                                    .intent = intent });
+}
+
+/* Passes seconds in which the store is away, i2 and i3 answer, and i4 only if it may. */
+static void
+pass_without_store (int seconds, bool i4_answers)
+{
+  for (int i = 0; i < 2 * seconds; i++)
+    {
+      tick_after (LB_SEC / 2);
+      have ("i2", lc_config_revision (config), now);
+      have ("i3", lc_config_revision (config), now);
+      if (i4_answers)
+        have ("i4", lc_config_revision (config), now);
+    }
+}
+
+/* i4 announces a change, a majority answers, i4 commits it and is cut off from the others in that
+ * moment, with the store. The others would go on with revision 4 for the hour of the parting while
+ * the operator at i4 sees 5 accepted: without the store they must stop. */
+Test (config, cut_in_the_moment_of_acceptance_leaves_a_doubt)
+{
+  see_members (3, 3);
+  become_ready (4);
+  announce ("i4", 1);
+  pass_without_store (5, false);
+  cr_assert (lc_config_is_ready (config));
+  pass_without_store (20, false);
+  cr_assert_not (lc_config_is_ready (config));
+  drop_actions ();
+  announce ("i2", 0);
+  LcConfigAction *answer = LB_LIST_FIRST (&actions, LcConfigAction, link);
+  cr_assert_not (answer->message.confirmed, "a doubtful one is no help to others");
+  store_says (5);
+  pass_without_store (60, false);
+
+  cr_assert (lc_config_is_ready (config), "the outcome is known");
+}
+
+/* The store goes away while i4 commits. As long as i4 answers that it knows of nothing newer,
+ * nobody has anything newer in force, and the service goes on. */
+Test (config, no_doubt_while_the_announcer_answers)
+{
+  see_members (3, 3);
+  become_ready (4);
+  announce ("i4", 1);
+  pass_without_store (60, true);
+
+  cr_assert (lc_config_is_ready (config));
+}
+
+/* The announced change was refused by the store, which goes away later, and i4 with it. */
+Test (config, settled_change_leaves_no_doubt)
+{
+  see_members (3, 3);
+  become_ready (4);
+  announce ("i4", 1);
+  receive ("i4",
+           (LcConfigMessage){
+               .type = LC_CONFIG_HAVE, .revision = 4, .age = -1, .confirmed = true, .intent = 1 });
+  pass_without_store (60, false);
+
+  cr_assert (lc_config_is_ready (config));
+}
+
 /* An instance is paused for a minute; an answer with a young confirmation waits in its socket.
  * Counted from its arrival it would make an old confirmation young. */
 Test (config, age_counts_from_the_question)
--- a/packages/node/src/ln-config-change.c
+++ b/packages/node/src/ln-config-change.c
@@ -39,6 +39,7 @@
   char who[LB_NAME_MAX * 2];
   LbTime asked_at;
   int tries;
+  int64_t head_version;
   LcResourceSet *next;
 } LnChange;
 
@@ -134,6 +135,7 @@
 }
 
 static void change_read (LnChange *change);
+static void settle (LnChange *change);
 
 static void
 on_committed (LbErrorCode error, LbTime asked_at, void *user)
@@ -142,6 +144,8 @@
   LnConfigTask *task = change->task;
   LbList actions;
 
+  if (error != LB_OK && error != LB_ERROR_STORE_UNKNOWN)
+    settle (change);
   if (error == LB_ERROR_CONFLICT)
     {
       /* Another instance was first; the next read says with what. */
@@ -170,30 +174,57 @@
 }
 
 static void
-change_commit (LnChange *change, int64_t head_version)
+change_ask (LnChange *change)
+{
+  LbList actions;
+
+  lb_list_init (&actions);
+  change->state = CHANGE_ASKING;
+  change->asked_at = lb_clock_monotonic ();
+  lc_config_announce (change->task->config, change->asked_at, &actions);
+  ln_config_carry_out (change->task, &actions);
+  ln_config_change_tick (change->task, change->asked_at);
+}
+
+static void
+change_check (LnChange *change, int64_t head_version)
 {
   LbError error;
   const LcResourceSet *set = lc_config_set (change->task->config);
 
   lc_resource_set_free (change->next);
   change->next = lc_change_apply (set, change->body, "change", &error);
+  change->head_version = head_version;
   if (!change->next)
-    {
-      change_fail (change, &error, 0);
-      return;
-    }
-  if (change->dry_run)
-    {
-      change_accepted (change, change->next->revision, true);
-      return;
-    }
+    change_fail (change, &error, 0);
+  else if (change->dry_run)
+    change_accepted (change, change->next->revision, true);
+  else
+    change_ask (change);
+}
+
+static void
+change_commit (LnChange *change)
+{
   char *history = history_text (change);
+
   change->state = CHANGE_COMMITTING;
-  ln_config_store_commit (change->task->store, change->next, head_version, change->token, history,
-                          on_committed, change);
+  ln_config_store_commit (change->task->store, change->next, change->head_version, change->token,
+                          history, on_committed, change);
   free (history);
 }
 
+/* Tells the others that the announced change did not come to be. */
+static void
+settle (LnChange *change)
+{
+  LbList actions;
+
+  lb_list_init (&actions);
+  lc_config_settle (change->task->config, lb_clock_monotonic (), &actions);
+  ln_config_carry_out (change->task, &actions);
+}
+
 /* The operator repeats a change whose reply was lost: the row after the revision it saw carries
  * its token, so it is told again what it was to be told the first time. */
 static void
@@ -237,7 +268,7 @@
     /* A stale read, or many others at the same time. */
     fail_with (change, LB_ERROR_STORE_BUSY, "the head row is behind or in dispute", LB_SEC);
   else if (change->any_revision || change->seen == revision)
-    change_commit (change, read->head_version);
+    change_check (change, read->head_version);
   else if (change->seen < revision)
     ln_config_store_history (task->store, change->seen + 1, 1, on_history, change);
   else
@@ -253,30 +284,13 @@
                         on_head_read, change);
 }
 
-static void
-change_start (LnChange *change)
-{
-  LbList actions;
-
-  if (change->dry_run)
-    {
-      change_read (change);
-      return;
-    }
-  lb_list_init (&actions);
-  change->state = CHANGE_ASKING;
-  change->asked_at = lb_clock_monotonic ();
-  lc_config_ask_all (change->task->config, change->asked_at, &actions);
-  ln_config_carry_out (change->task, &actions);
-}
-
 static void
 start_first (LnConfigTask *task)
 {
   LnChange *change = LB_LIST_FIRST (&task->changes, LnChange, link);
 
   if (change && change->state == CHANGE_WAITING)
-    change_start (change);
+    change_read (change);
 }
 
 static bool
@@ -361,7 +375,7 @@
       continue;
     ln_exchange_end (exchange);
     change->exchange = NULL;
-    if (change->state == CHANGE_WAITING || change->state == CHANGE_ASKING)
+    if (change->state == CHANGE_WAITING)
       change_remove (change);
     return true;
   }
@@ -379,10 +393,14 @@
   if (!change || change->state != CHANGE_ASKING)
     return;
   if (lc_config_has_majority (task->config, change->asked_at))
-    change_read (change);
+    change_commit (change);
   else if (now - change->asked_at > MAJORITY_WAIT)
-    fail_with (change, LB_ERROR_NOT_READY,
-               "a change is accepted by an instance that reaches a majority of the others", LB_SEC);
+    {
+      settle (change);
+      fail_with (change, LB_ERROR_NOT_READY,
+                 "a change is accepted by an instance that reaches a majority of the others",
+                 LB_SEC);
+    }
 }
 
 void
