--- a/packages/core/src/lc-endpoints.c
+++ b/packages/core/src/lc-endpoints.c
@@ -172,13 +172,14 @@
 
   entry->table->summaries[endpoint->slot] = (LcSummary){
     .endpoint = &entry->endpoint,
-    .reported_at = endpoint->report.at,
+    .reported_at = entry->is_reported ? endpoint->report.at : LC_NEVER_REPORTED,
     .version = endpoint->report.version,
     .size = (float)entry->concurrency.most,
     .limit = (float)entry->concurrency.limit,
     .load = (float)load_if_all_act_alike (entry),
     .others = (float)others_by_report (entry),
     .slot = endpoint->slot,
+    .live_since = (int32_t)entry->live_since_report,
     .in_flight = (int32_t)endpoint->in_flight,
     .data_centre = entry->data_centre,
     .alone_token_seconds = (float)entry->alone_token_seconds,
@@ -232,6 +233,7 @@
   if (strcmp (entry->endpoint.member.address, member->address) != 0)
     {
       memset (&entry->endpoint.report, 0, sizeof entry->endpoint.report);
+      entry->is_reported = false;
       lc_leaving_begin (&entry->leaving, "");
       forget_process (entry);
     }
@@ -376,14 +378,19 @@
 take_report (LcEntry *entry, const LcLoadReport *report)
 {
   LcEndpoint *endpoint = &entry->endpoint;
-  const char *known = endpoint->report.incarnation;
+  char known[sizeof endpoint->report.incarnation];
 
-  if (known[0] && strcmp (known, report->incarnation) != 0)
+  LB_COPY (known, endpoint->report.incarnation);
+  if (known[0] && report->incarnation[0] && strcmp (known, report->incarnation) != 0)
     forget_process (entry);
   if (report->incarnation[0])
     lc_leaving_begin (&entry->leaving, report->incarnation);
   endpoint->report = *report;
+  if (!report->incarnation[0])
+    LB_COPY (endpoint->report.incarnation, known);
+  entry->is_reported = true;
   endpoint->sent_since_report = lc_flight_log_sent_after (&entry->flights, report->at);
+  entry->live_since_report = lc_flight_log_live_after (&entry->flights, report->at);
   entry->in_flight_at_report = lc_flight_log_in_flight_at (&entry->flights, report->at);
   learn_token_time (entry);
   end_swap_if_stated (entry);
@@ -402,7 +409,7 @@
   if (!entry)
     return;
   entry->endpoint.last_reply = now;
-  if (report->at >= entry->endpoint.report.at)
+  if (!entry->is_reported || report->at >= entry->endpoint.report.at)
     take_report (entry, report);
   if (report->leaving)
     lc_leaving_say (&entry->leaving, report->incarnation);
@@ -497,7 +504,8 @@
   endpoint->in_flight++;
   endpoint->in_flight_rollout += kind == LC_KIND_SAMPLE;
   endpoint->sent_since_report++;
-  lc_flight_log_add (&entry->flights, endpoint->in_flight, true, now);
+  entry->live_since_report += kind != LC_KIND_SAMPLE;
+  lc_flight_log_add (&entry->flights, endpoint->in_flight, true, kind != LC_KIND_SAMPLE, now);
   lc_breaker_sent (&entry->breaker, now);
   if (prefix_hash != 0)
     lc_prefix_belief_sent (entry->table->belief, &entry->cache, prefix_hash, now);
@@ -544,7 +552,7 @@
 {
   entry->endpoint.in_flight--;
   entry->endpoint.in_flight_rollout -= kind == LC_KIND_SAMPLE;
-  lc_flight_log_add (&entry->flights, entry->endpoint.in_flight, false, now);
+  lc_flight_log_add (&entry->flights, entry->endpoint.in_flight, false, false, now);
 }
 
 void
--- a/packages/core/src/lc-step.h
+++ b/packages/core/src/lc-step.h
@@ -71,7 +71,6 @@
   LcCursor cursor;   /* acknowledges it */
   LcVersion version; /* of the trainer that it was checked against */
   uint64_t change;   /* strict: the ledger change that names it */
-  bool spent;        /* strict: it was given; kept until the next command for its reply */
 } LcChunk;
 
 /* What the reply of this command may still point to; freed at the next one. */
@@ -96,7 +95,6 @@
   size_t n_slots;
   LcGroup *groups; /* as many as in the spec */
   size_t n_in_state[LC_N_SLOT_STATES];
-  LcLengths lengths;
   LcVersion trainer_version; /* latest stated */
 
   LcCursor acked;
