--- a/packages/core/tests/test-config.c
+++ b/packages/core/tests/test-config.c
@@ -345,6 +345,24 @@
   cr_assert (lc_config_is_ready (config));
 }
 
+/* i4 announces a change and crashes. What others learn afterwards settles it: a newer revision, or
+ * the store's word from when the change can't take effect any more. */
+Test (config, later_news_settle_an_announced_change)
+{
+  see_members (3, 3);
+  become_ready (4);
+  announce ("i4", 1);
+  give_set ("i2", 5);
+  pass_without_store (60, false);
+  cr_assert (lc_config_is_ready (config), "by a newer revision");
+
+  receive ("i4", (LcConfigMessage){ .type = LC_CONFIG_ASK, .revision = 5, .age = -1, .intent = 2 });
+  now += 12 * LB_SEC;
+  store_says (5);
+  pass_without_store (60, false);
+  cr_assert (lc_config_is_ready (config), "by the store");
+}
+
 /* An instance is paused for a minute; an answer with a young confirmation waits in its socket.
  * Counted from its arrival it would make an old confirmation young. */
 Test (config, age_counts_from_the_question)
--- a/packages/sim/src/lx-instance-config.c
+++ b/packages/sim/src/lx-instance-config.c
@@ -274,12 +274,15 @@
   LbTime now = now_of (instance);
   bool reply_lost = now < world->store.lose_until && lx_faults_chance (&world->faults, 0.33);
 
-  if (now < world->store.away_until || !lc_config_has_majority (instance->config, change->asked_at))
-    return;
-
-  LcResourceSet *next = lx_registry_commit (&world->registry, change->revision, change->change);
+  LcResourceSet *next = NULL;
+  if (now >= world->store.away_until && lc_config_has_majority (instance->config, change->asked_at))
+    next = lx_registry_commit (&world->registry, change->revision, change->change);
   if (!next)
-    return;
+    {
+      lc_config_settle (instance->config, now, &instance->config_actions);
+      pump_config (instance);
+      return;
+    }
   if (reply_lost)
     {
       /* Committed, but this instance can't know before it reads the head row. */
@@ -303,7 +306,7 @@
   change->change = json_object_get (content);
   change->revision = lc_config_revision (instance->config);
   change->asked_at = now_of (instance);
-  lc_config_ask_all (instance->config, now_of (instance), &instance->config_actions);
+  lc_config_announce (instance->config, now_of (instance), &instance->config_actions);
   pump_config (instance);
   lx_instance_post (instance, ACCEPT_WAIT, on_commit, change, drop_change);
 }
