--- a/packages/core/bench/fake-peers.c
+++ b/packages/core/bench/fake-peers.c
@@ -217,9 +217,8 @@
           (Event){ .at = at, .type = EVENT_CONNECT, .node = target, .connection = connection });
 }
 
-/* The bytes of the real frame; the segment is acknowledged by another, unless an answer does. */
-static int64_t
-message_bytes (const LwMessage *message)
+int64_t
+fake_peers_message_bytes (const LwMessage *message)
 {
   bool answered = message->type == LW_PING;
   size_t length;
@@ -239,7 +238,7 @@
                   .connection = index,
                   .message = *message };
 
-  count_bytes (peers, node, target, message_bytes (message));
+  count_bytes (peers, node, target, fake_peers_message_bytes (message));
   if (connection->silent || !is_path_open (peers, node, target))
     return;
   event.message.instances
--- a/packages/core/bench/fake-peers.h
+++ b/packages/core/bench/fake-peers.h
@@ -2,6 +2,7 @@
 #define FAKE_PEERS_H
 
 #include "lc-membership.h"
+#include "lw-message.h"
 
 /* Instances that run the real LcMembership in virtual time over pretended connections with a delay.
  * For tests and measurements. */
@@ -43,6 +44,9 @@
 size_t fake_peers_naming (const FakePeers *peers, size_t subject);
 /* Running instances that see every running one alive and no other. */
 size_t fake_peers_agreeing (const FakePeers *peers);
+/* The bytes of the real frame with TCP and IP headers; the segment is acknowledged by another one,
+ * unless an answer does that. */
+int64_t fake_peers_message_bytes (const LwMessage *message);
 /* Bytes that an instance sent and got, TCP and IP headers included. */
 int64_t fake_peers_bytes (const FakePeers *peers, size_t index);
 
--- a/packages/core/src/lc-membership-news.c
+++ b/packages/core/src/lc-membership-news.c
@@ -132,6 +132,7 @@
     self->version = news->version + 1;
   else
     return;
+  membership->view_changed = true;
   lc_membership_announce_self (membership, now);
 }
 
--- a/packages/core/src/lc-membership-private.h
+++ b/packages/core/src/lc-membership-private.h
@@ -68,6 +68,7 @@
   bool view_changed;
   bool self_pending;
   bool list_known;
+  uint64_t digest; /* of the view at the end of the last command */
   LbTime flush_at; /* LB_TIME_NEVER: nothing is pending */
   LbTime next_contact;
   LbTime next_compare;
@@ -79,8 +80,9 @@
 LcMember *lc_membership_member (const LcMembership *membership, const char *name);
 LcPeerLink *lc_membership_link (const LcMembership *membership, LcLinkId id);
 LcMembershipAction *lc_membership_act (LbList *actions, LcMembershipActionType type);
-/* Emits CHANGED once when the view is another one. */
+/* At the end of a command: takes the new digest and emits CHANGED once when the view changed. */
 void lc_membership_finish (LcMembership *membership, LbList *actions);
+uint64_t lc_membership_compute_digest (const LcMembership *membership);
 void lc_membership_tell_one (LcLinkId link, const LcInstance *instance, LbList *actions);
 
 /* lc-membership-news.c */
--- a/packages/core/src/lc-membership-query.c
+++ b/packages/core/src/lc-membership-query.c
@@ -36,7 +36,7 @@
 
 /* Stands for the whole view, the dead left out: the time at which they are forgotten differs. */
 uint64_t
-lc_membership_digest (const LcMembership *membership)
+lc_membership_compute_digest (const LcMembership *membership)
 {
   uint64_t digest = lc_instance_digest (&membership->self);
 
@@ -46,6 +46,12 @@
   return digest;
 }
 
+uint64_t
+lc_membership_digest (const LcMembership *membership)
+{
+  return membership->digest;
+}
+
 const LcInstance *
 lc_membership_self (const LcMembership *membership)
 {
--- a/packages/core/src/lc-membership.c
+++ b/packages/core/src/lc-membership.c
@@ -47,6 +47,7 @@
   membership->last_tick = now;
   membership->next_contact = now;
   lb_list_init (&membership->contacts);
+  membership->digest = lc_membership_compute_digest (membership);
   return membership;
 }
 
@@ -98,6 +99,7 @@
   if (!membership->view_changed)
     return;
   membership->view_changed = false;
+  membership->digest = lc_membership_compute_digest (membership);
   lc_membership_act (actions, LC_MEMBERSHIP_CHANGED);
 }
 
