--- a/packages/core/src/lc-placement.c
+++ b/packages/core/src/lc-placement.c
@@ -1,41 +1,50 @@
 #include "lc-dispatch-private.h"
 
+#include "lc-endpoint-table.h"
+
 #include "lb-alloc.h"
 
 #include <string.h>
 
-/* Callers that are passed over in one round because their request fits nowhere now. Bounds the cost
- * of a round while a pool is full. */
-#define MAX_PASSED_OVER 8
+/* Requests that are passed over in one round because they fit nowhere now. Bounds the cost of a
+ * round while a pool is full. */
+#define MAX_PASSED_OVER 16
+#define LONGEST_BLOCKED_WAIT (200 * LB_MSEC)
 
-static bool
-serves (const LcEndpoint *endpoint, const LcPoolState *pool)
+/* The earliest time at which some endpoint of the pool may take work as far as its breaker goes: 0
+ * for now, LB_TIME_NEVER when nobody serves the pool. */
+LbTime
+lc_dispatch_opens_at (LcDispatch *dispatch, const LcPoolState *pool)
 {
-  return !endpoint->leaving && lc_pool_kind_of (&endpoint->member) == pool->kind
-         && strcmp (endpoint->member.pool, pool->name) == 0;
-}
+  LcEndpointKind kind = pool->kind == LC_POOL_SERVICE ? LC_ENDPOINT_SERVICE : LC_ENDPOINT_ENGINE;
+  const LcEndpointGroup *group = lc_endpoints_group (dispatch->endpoints, kind, pool->name);
+  LbTime opens_at = LB_TIME_NEVER;
 
-/* True when some endpoint of the pool may take work before start_by. Else *retry_after is how long
- * until one may. */
-bool
-lc_dispatch_has_endpoint (
-    LcDispatch *dispatch, const LcPoolState *pool, LbTime start_by, LbTime *retry_after, LbTime now)
-{
-  *retry_after = LB_SEC;
-  if (!pool->configured || pool->n_endpoints == 0)
-    return false;
-  for (size_t i = 0; i < lc_endpoints_count (dispatch->endpoints); i++)
+  if (!pool->configured || !group)
+    return LB_TIME_NEVER;
+  for (size_t i = 0; i < group->n_slots; i++)
     {
-      const LcEndpoint *endpoint = lc_endpoints_at (dispatch->endpoints, i);
+      const LcSummary *summary = &dispatch->endpoints->summaries[group->slots[i]];
 
-      if (!serves (endpoint, pool))
+      if (summary->is_out)
         continue;
-      if (endpoint->breaker != LC_BREAKER_OPEN || endpoint->breaker_until <= start_by)
-        return true;
-      if (endpoint->breaker_until - now > *retry_after)
-        *retry_after = endpoint->breaker_until - now;
+      if (summary->endpoint->breaker != LC_BREAKER_OPEN)
+        return 0;
+      if (summary->endpoint->breaker_until < opens_at)
+        opens_at = summary->endpoint->breaker_until;
     }
-  return false;
+  return opens_at;
+}
+
+/* Whether a call may wait for a pool that opens then. While every breaker of a pool is open, calls
+ * that wait would pile up and fall on the first endpoint that returns all at once; their callers
+ * are told at once when to come back instead. Samples may wait, since nobody sits before them. */
+bool
+lc_dispatch_may_wait (LcRequestKind kind, LbTime opens_at, LbTime start_by, LbTime now)
+{
+  if (opens_at == LB_TIME_NEVER || opens_at > start_by)
+    return false;
+  return kind == LC_KIND_SAMPLE || opens_at <= now + LONGEST_BLOCKED_WAIT;
 }
 
 void
@@ -121,7 +130,7 @@
     }
   if (request->charged && !lc_retry_budgets_allow (dispatch->budgets, endpoint))
     {
-      lc_dispatch_give_up (dispatch, request, request->last_error, LB_SEC, now, actions);
+      lc_dispatch_give_up (dispatch, request, request->last_error, 0, now, actions);
       return;
     }
   if (request->charged)
@@ -130,8 +139,30 @@
   send_attempt (dispatch, request, decision, now, actions);
 }
 
+/* Answers what waits for a pool that takes nothing for too long. */
+static void
+answer_blocked (LcDispatch *dispatch, LcPoolState *pool, LbTime now, LbList *actions)
+{
+  LcWaiting *waiting = NULL;
+
+  if (lc_queue_length (pool->queue) == 0)
+    return;
+
+  LbTime opens_at = lc_dispatch_opens_at (dispatch, pool);
+
+  while ((waiting = lc_queue_first (pool->queue)))
+    {
+      LcRequest *request = LB_CONTAINER (waiting, LcRequest, waiting);
+      LbErrorCode error = request->maybe_run ? request->last_error : LB_ERROR_NO_ENDPOINT;
+
+      if (lc_dispatch_may_wait (request->kind, opens_at, LB_TIME_NEVER, now))
+        return;
+      lc_dispatch_give_up (dispatch, request, error, 0, now, actions);
+    }
+}
+
 /* Sends as many waiting requests of the pool as fit. Ends at the first that fits nowhere, unless
- * that one is choosy: then those of other callers may still fit. */
+ * that one is choosy: then others may still fit. */
 void
 lc_dispatch_pump (LcDispatch *dispatch, LcPoolState *pool, LbTime now, LbList *actions)
 {
@@ -151,6 +182,7 @@
         break;
     }
   lc_queue_restore (pool->queue);
+  answer_blocked (dispatch, pool, now, actions);
 }
 
 void
--- a/packages/sim/include/lx-world.h
+++ b/packages/sim/include/lx-world.h
@@ -2,9 +2,12 @@
 #define LX_WORLD_H
 
 #include "lx-callers.h"
+#include "lx-faults.h"
 #include "lx-instance.h"
 #include "lx-ledger.h"
 #include "lx-options.h"
+#include "lx-registry.h"
+#include "lx-store.h"
 #include "lx-swaps.h"
 #include "lx-trainer.h"
 
@@ -19,7 +22,7 @@
   LxQueue *queue;
   gsl_rng *random; /* for the harness alone */
   LxLedger ledger;
-  LcResourceSet *resources;
+  LxRegistry registry;
   LxEngine **engines; /* model engines first, then plain services */
   size_t n_engines;
   size_t n_endpoints;
@@ -28,9 +31,14 @@
   LxTrainer *trainers;
   LxCallers callers;
   LxSwaps swaps;
+  LxStore store;
+  LxFaults faults;
   int64_t decisions;
-  char history[LX_HISTORY][128]; /* the last decisions, for a failing run */
+  /* the last decisions and the last strikes, for a failing run */
+  char history[LX_HISTORY][128];
   uint64_t n_history;
+  char strikes[LX_HISTORY][128];
+  uint64_t n_strikes;
 } LxWorld;
 
 LxWorld *lx_world_new (const LxOptions *options);
@@ -38,6 +46,7 @@
 
 /* commands */
 void lx_world_run (LxWorld *world);
+void lx_world_strike (LxWorld *world, const char *what, const char *where);
 void lx_world_note (LxWorld *world, const char *format, ...)
     __attribute__ ((format (printf, 2, 3)));
 /* Handler after a delay; see lx_queue_add. */
--- a/standins/si-server.c
+++ b/standins/si-server.c
@@ -4,7 +4,10 @@
 
 #include <arpa/inet.h>
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/keyvalq_struct.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -23,8 +26,9 @@
   event_base_loopbreak (user);
 }
 
-static struct event_base *
-new_base (void)
+/* Timers to the microsecond: token times are well under a millisecond. */
+struct event_base *
+si_precise_base_new (void)
 {
   struct event_config *config = event_config_new ();
   struct event_base *base;
@@ -45,19 +49,37 @@
   snprintf (server->address, sizeof server->address, "127.0.0.1:%d", ntohs (bound.sin_port));
 }
 
+/* Without it the second small piece of a stream waits for the other side's delayed acknowledgement,
+ * some 40 ms. */
+static void
+send_at_once (struct evhttp_request *request)
+{
+  struct evhttp_connection *connection = evhttp_request_get_connection (request);
+  int fd = bufferevent_getfd (evhttp_connection_get_bufferevent (connection));
+  const int on = 1;
+
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
+static void
+on_request (struct evhttp_request *request, void *user)
+{
+  SiServer *server = user;
+
+  send_at_once (request);
+  server->handler (request, server->user);
+}
+
 bool
-si_server_init (SiServer *server, int port, SiHandler handler, void *user)
+si_server_init (SiServer *server, struct event_base *base, int port, SiHandler handler, void *user)
 {
   memset (server, 0, sizeof *server);
-  signal (SIGPIPE, SIG_IGN);
-  server->base = new_base ();
-  server->http = evhttp_new (server->base);
+  server->base = base;
+  server->http = evhttp_new (base);
   evhttp_set_allowed_methods (server->http, ALL_METHODS);
-  evhttp_set_gencb (server->http, handler, user);
-  server->terminate = evsignal_new (server->base, SIGTERM, on_signal, server->base);
-  server->interrupt = evsignal_new (server->base, SIGINT, on_signal, server->base);
-  event_add (server->terminate, NULL);
-  event_add (server->interrupt, NULL);
+  server->handler = handler;
+  server->user = user;
+  evhttp_set_gencb (server->http, on_request, server);
   struct evhttp_bound_socket *socket
       = evhttp_bind_socket_with_handle (server->http, "127.0.0.1", (uint16_t)port);
   if (!socket)
@@ -69,10 +91,27 @@
   return true;
 }
 
+bool
+si_server_init_program (SiServer *server, int port, SiHandler handler, void *user)
+{
+  struct event_base *base = si_precise_base_new ();
+
+  signal (SIGPIPE, SIG_IGN);
+  if (!si_server_init (server, base, port, handler, user))
+    return false;
+  server->terminate = evsignal_new (base, SIGTERM, on_signal, base);
+  server->interrupt = evsignal_new (base, SIGINT, on_signal, base);
+  event_add (server->terminate, NULL);
+  event_add (server->interrupt, NULL);
+  return true;
+}
+
 void
 si_server_clear (SiServer *server)
 {
   evhttp_free (server->http);
+  if (!server->terminate)
+    return;
   event_free (server->terminate);
   event_free (server->interrupt);
   event_base_free (server->base);
