--- a/packages/node/main/lentilspindled.c
+++ b/packages/node/main/lentilspindled.c
@@ -15,6 +15,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
+#include <xxhash.h>
 
 #define EXIT_USAGE 2
 
@@ -109,6 +110,19 @@
             (unsigned long long)lb_clock_wall_ms (), (unsigned)getpid ());
 }
 
+/* Instances that draw the same random numbers would choose the same endpoints at the same time. */
+static void
+choose_seed (Daemon *daemon)
+{
+  const LnContext *context = &daemon->context;
+  char text[sizeof context->instance + sizeof context->incarnation];
+
+  if (daemon->settings.seed != 0)
+    return;
+  snprintf (text, sizeof text, "%s %s", context->instance, context->incarnation);
+  daemon->settings.seed = XXH3_64bits (text, strlen (text));
+}
+
 /* Whoever waits for the file must never read half of it. */
 static bool
 write_address_file (const Daemon *daemon, LbError *error)
@@ -187,7 +201,10 @@
         return false;
       ln_hub_add (context->hub, task);
       if (i == 0)
-        name_instance (daemon);
+        {
+          name_instance (daemon);
+          choose_seed (daemon);
+        }
     }
   return true;
 }
--- a/packages/node/src/ln-settings.c
+++ b/packages/node/src/ln-settings.c
@@ -2,6 +2,7 @@
 
 #include "lb-alloc.h"
 #include "lb-settings.h"
+#include "lc-router.h"
 
 #include <json-c/json.h>
 #include <stdio.h>
@@ -151,6 +152,15 @@
   return *end == '\0' && port >= 0 && port <= 65535;
 }
 
+static bool
+is_policy (const char *name)
+{
+  for (const char *const *policy = lc_router_policies (); *policy; policy++)
+    if (strcmp (*policy, name) == 0)
+      return true;
+  return false;
+}
+
 /* What one key alone can't tell. */
 static bool
 check (const LnSettings *settings, const char *path, LbError *error)
@@ -163,6 +173,8 @@
     return fail (error, path, "instance.peer_address", address);
   if (settings->platform.kind == LN_PLATFORM_HTTP && !is_address (settings->platform.address))
     return fail (error, path, "platform.address", address);
+  if (!is_policy (settings->calls.policy))
+    return fail (error, path, "calls.policy", "expected the name of a routing policy");
   for (size_t i = 0; i < settings->cluster.n_seeds; i++)
     if (!is_address (settings->cluster.seeds[i]))
       return fail (error, path, "cluster.seeds", address);
--- /dev/null
+++ b/tools/local.py
@@ -0,0 +1,111 @@
+"""Programs of build/bin on loopback, for tools/demo and tools/bench: started, waited for, and ended
+by whoever started them. Ports are chosen by the kernel."""
+
+import http.client
+import json
+import os
+import subprocess
+import time
+
+TOKEN = "local-token"
+
+
+class Processes:
+    """What one run has started, and nothing else."""
+
+    def __init__(self, build, folder):
+        self.build, self.folder = os.path.abspath(build), folder
+        self.running = []
+
+    def program(self, name):
+        return os.path.join(self.build, "bin", name)
+
+    def start(self, name, program, *arguments):
+        output = os.path.join(self.folder, name + ".out")
+        with open(output, "w") as out, open(os.path.join(self.folder, name + ".log"), "w") as log:
+            process = subprocess.Popen([self.program(program), *arguments], stdout=out, stderr=log)
+        self.running.append((name, process))
+        return process, output
+
+    def stop(self):
+        """Ends everything in the reverse order and returns the exit codes by name."""
+        codes = {}
+        for _, process in reversed(self.running):
+            if process.poll() is None:
+                process.terminate()
+        for name, process in reversed(self.running):
+            try:
+                codes[name] = process.wait(timeout=30)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                codes[name] = process.wait()
+        self.running = []
+        return codes
+
+
+def wait_until(what, condition, seconds=20):
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        value = condition()
+        if value:
+            return value
+        time.sleep(0.02)
+    raise RuntimeError(f"no {what} within {seconds} s")
+
+
+def request(address, method, path, body=None, headers=None, timeout=60):
+    """Status and body of one call."""
+    connection = http.client.HTTPConnection(address, timeout=timeout)
+    try:
+        connection.request(method, path, json.dumps(body) if body is not None else None,
+                           headers or {})
+        reply = connection.getresponse()
+        return reply.status, reply.read().decode()
+    finally:
+        connection.close()
+
+
+def announced_address(output):
+    with open(output) as lines:
+        line = lines.readline()
+    return json.loads(line)["address"] if line.endswith("\n") else None
+
+
+def start_standin(processes, name, program, *arguments):
+    _, output = processes.start(name, program, f"--name={name}", *arguments)
+    return wait_until(name, lambda: announced_address(output))
+
+
+def start_daemon(processes, name="daemon", extra=None):
+    """The process and the address for callers, once it is ready."""
+    address_file = os.path.join(processes.folder, name + ".address")
+    settings = os.path.join(processes.folder, name + ".json")
+    values = {"instance": {"name": name, "data_centre": "hall-a",
+                           "caller_address": "127.0.0.1:0", "peer_address": "127.0.0.1:0"},
+              "platform": {"kind": "memory"},
+              "http": {"operator_token": TOKEN},
+              "calls": {"load_poll_ms": 200},
+              "drain": {"drain_ms": 200},
+              "address_file": address_file}
+    values.update(extra or {})
+    with open(settings, "w") as out:
+        json.dump(values, out)
+    process, _ = processes.start(name, "lentilspindled", "--config", settings)
+    wait_until(name, lambda: os.path.exists(address_file) or process.poll() is not None)
+    with open(address_file) as file:
+        address = json.load(file)["caller_address"]
+    wait_until("ready " + name,
+               lambda: process.poll() is None and request(address, "GET", "/readyz")[0] == 200)
+    return process, address
+
+
+def apply(processes, address, resources):
+    path = os.path.join(processes.folder, "resources.json")
+    with open(path, "w") as out:
+        json.dump({"resources": resources}, out)
+    done = subprocess.run([processes.program("lentilspindle"), "apply", "-f", path,
+                           "--address", address, "--token", TOKEN],
+                          capture_output=True, text=True, check=False)
+    if done.returncode != 0:
+        raise RuntimeError("the resources were not accepted: " + done.stderr.strip())
+    return done.stdout.strip()
