--- a/packages/core/src/lc-endpoint-table.h
+++ b/packages/core/src/lc-endpoint-table.h
@@ -13,18 +13,21 @@
 /* A token takes this share longer in a full batch than alone. */
 #define LC_FULL_BATCH_SLOWDOWN 1.0
 
+#define LC_NEVER_REPORTED ((LbTime)-1)
+
 /* What a decision needs of an endpoint, in one cache line: a decision looks at all endpoints of a
  * pool, and their entries are spread over memory. Rewritten after each command on the endpoint. */
 typedef struct
 {
   LcEndpoint *endpoint;
-  LbTime reported_at; /* 0: never */
+  LbTime reported_at; /* or LC_NEVER_REPORTED */
   LcVersion version;
   float size;   /* requests at once it is made for */
   float limit;  /* requests of ours at once */
   float load;   /* by the last report, and what we added since as if all instances did */
   float others; /* requests of others, by the last report */
   uint32_t slot;
+  int32_t live_since;        /* live requests we sent since the report */
   int32_t in_flight;         /* ours */
   int32_t data_centre;       /* index among the table's */
   float alone_token_seconds; /* of one stream with no other beside it */
@@ -39,7 +42,9 @@
   uint64_t name_hash;
   int data_centre; /* index among the table's data centres */
   bool retired;    /* no longer in the configuration; kept while requests of ours run there */
+  bool is_reported;
   int64_t in_flight_at_report;
+  int64_t live_since_report;
   double alone_token_seconds;
   LbTime swap_since;
   LcVersion version_before_swap;
@@ -61,6 +66,7 @@
   size_t n_slots;
   size_t capacity;
   double service_seconds; /* mean of our own requests there; 0: none ended yet */
+  double bound_share;     /* of our requests, those that went where their prompt was cached */
   UT_hash_handle hh;
 } LcEndpointGroup;
 
--- a/packages/core/src/lc-router-finish-time.c
+++ b/packages/core/src/lc-router-finish-time.c
@@ -12,17 +12,23 @@
 #define DEFAULT_SERVICE_SECONDS 1.0
 #define PREFILL_TOKENS_PER_SECOND 8000.0
 #define PREFILL_HOLDS_UP 0.5 /* share of its time that each request beside it loses */
-#define INDIFFERENT_SECONDS 0.005
-#define LEAST_SHARE 0.01
+#define PRIOR_SENT 0.1       /* added to what we sent to each endpoint, which may be nothing yet */
+#define BOUND_WEIGHT 0.02    /* of one decision in the share of those bound to a cache */
+#define INDIFFERENT 0.002    /* scores that differ by less than this share count as equal */
+#define LEAST_SHARE 0.01     /* requests that an endpoint above the level counts for in the draw */
 
 /* What all candidates of one decision have in common. */
 typedef struct
 {
   const LcEndpoints *endpoints;
+  LcEndpointGroup *group; /* of the pool; there is one, since there are candidates */
   const LcRouteQuery *query;
   const double *shares;
   double service_seconds;
   double expected_tokens;
+  double whole_prefill_seconds; /* with nothing in the cache */
+  double unseen;                /* arrivals since the reports that may have gone anywhere */
+  double bound_per_sent;        /* arrivals at cached prompts for each request that we sent there */
   int data_centre;
   LbTime now;
 } Situation;
@@ -44,12 +50,13 @@
 make_situation (LcPolicy *policy, LcEndpoints *endpoints, const LcRouteQuery *query, LbTime now)
 {
   LcEndpointKind kind = query->kind == LC_KIND_SERVICE ? LC_ENDPOINT_SERVICE : LC_ENDPOINT_ENGINE;
-  const LcEndpointGroup *group = lc_endpoints_group (endpoints, kind, query->pool);
-  double seconds = group ? group->service_seconds : 0;
+  LcEndpointGroup *group = lc_endpoints_group (endpoints, kind, query->pool);
+  double seconds = group->service_seconds;
   int64_t tokens = query->expected_tokens > 0 ? query->expected_tokens : DEFAULT_EXPECTED_TOKENS;
 
   return (Situation){
     .endpoints = endpoints,
+    .group = group,
     .query = query,
     .shares = lc_policy_fill_shares (policy, endpoints, query, now),
     .service_seconds = seconds > 0 ? seconds : DEFAULT_SERVICE_SECONDS,
@@ -97,15 +104,13 @@
                         .per_second = size / situation->service_seconds };
 }
 
-/* A prefill also holds up those that decode beside it. */
+/* A prefill also holds up those that decode beside it: as many as there are at an endpoint on
+ * average, since those that are there by an old report are no ground to prefer one endpoint to
+ * another. */
 static double
-prefill_seconds (const Situation *situation, const LcSummary *summary, double load)
+prefill_seconds (const Situation *situation, const LcSummary *summary)
 {
-  double missing = 1 - situation->shares[summary->slot];
-  double beside = smaller (load, (double)summary->size);
-
-  return (double)situation->query->prompt_tokens / PREFILL_TOKENS_PER_SECOND * missing
-         * (1 + PREFILL_HOLDS_UP * beside);
+  return situation->whole_prefill_seconds * (1 - situation->shares[summary->slot]);
 }
 
 static double
@@ -125,27 +130,44 @@
   policy->loads = lb_realloc (policy->loads, policy->n_loads * sizeof *policy->loads);
 }
 
-/* Fills the loads, and the scores with all that does not depend on the load. Returns how many
- * requests arrived since the reports by the measure that what finished was replaced. */
-static double
-score_all (LcPolicy *policy, const Situation *situation)
+/* What is known of all candidates together. What finished since the reports is taken to have been
+ * replaced by as many arrivals. */
+static void
+count_unseen (LcPolicy *policy, Situation *situation)
 {
+  size_t n = policy->candidates.n_items;
+  double prefill = (double)situation->query->prompt_tokens / PREFILL_TOKENS_PER_SECOND;
+  double total = 0;
   double unseen = 0;
+  double sent = 0;
 
-  for (size_t i = 0; i < policy->candidates.n_items; i++)
+  for (size_t i = 0; i < n; i++)
     {
-      LcCandidate *item = &policy->candidates.items[i];
       const LcSummary *summary = policy->candidates.summaries[i];
       double others = (double)summary->others;
       double left = others * still_running (situation, summary);
-      double load = left + summary->in_flight;
 
       unseen += others - left;
+      total += others + summary->in_flight;
+      sent += summary->live_since + PRIOR_SENT;
+      policy->loads[i].seconds = left;
+    }
+  situation->unseen = unseen * (1 - situation->group->bound_share);
+  situation->bound_per_sent = unseen * situation->group->bound_share / sent;
+  situation->whole_prefill_seconds = prefill * (1 + PREFILL_HOLDS_UP * total / (double)n);
+}
+
+static void
+price_loads (LcPolicy *policy, const Situation *situation)
+{
+  for (size_t i = 0; i < policy->candidates.n_items; i++)
+    {
+      const LcSummary *summary = policy->candidates.summaries[i];
+      double bound = situation->bound_per_sent * (summary->live_since + PRIOR_SENT);
+      double load = policy->loads[i].seconds + bound + summary->in_flight;
+
       policy->loads[i] = load_price (situation, summary, load);
-      item->score = way_seconds (situation, summary) + swap_seconds (situation, summary)
-                    + prefill_seconds (situation, summary, load);
     }
-  return unseen;
 }
 
 /* What the load costs everywhere once the unseen arrivals have filled the least loaded first. */
@@ -173,17 +195,20 @@
     }
 }
 
+/* Returns the least score. */
 static double
-add_level (LcPolicy *policy, double level)
+score_all (LcPolicy *policy, const Situation *situation, double level)
 {
   double least = HUGE_VAL;
 
   for (size_t i = 0; i < policy->candidates.n_items; i++)
     {
-      LcCandidate *item = &policy->candidates.items[i];
+      const LcSummary *summary = policy->candidates.summaries[i];
+      double score = larger (level, policy->loads[i].seconds) + way_seconds (situation, summary)
+                     + swap_seconds (situation, summary) + prefill_seconds (situation, summary);
 
-      item->score += larger (level, policy->loads[i].seconds);
-      least = smaller (least, item->score);
+      policy->candidates.items[i].score = score;
+      least = smaller (least, score);
     }
   return least;
 }
@@ -200,7 +225,7 @@
       const LcLoadPrice *price = &policy->loads[i];
       double share = larger (LEAST_SHARE, (level - price->seconds) * price->per_second);
 
-      if (policy->candidates.items[i].score > least + INDIFFERENT_SECONDS)
+      if (policy->candidates.items[i].score > least * (1 + INDIFFERENT))
         continue;
       total += share;
       if (gsl_rng_uniform (policy->rng) * total < share)
@@ -219,13 +244,18 @@
   Situation situation = make_situation (policy, endpoints, query, now);
 
   grow_loads (policy);
+  count_unseen (policy, &situation);
+  price_loads (policy, &situation);
 
-  double unseen = score_all (policy, &situation);
-  double level = find_level (policy, unseen + 1);
-  double least = add_level (policy, level);
+  double level = find_level (policy, situation.unseen + 1);
+  double least = score_all (policy, &situation, level);
+  size_t chosen = draw (policy, level, least);
+  bool is_bound = situation.shares[policy->candidates.summaries[chosen]->slot] > 0;
 
+  situation.group->bound_share
+      += BOUND_WEIGHT * ((is_bound ? 1 : 0) - situation.group->bound_share);
   lc_policy_clear_shares (policy);
-  return draw (policy, level, least);
+  return chosen;
 }
 
 static LcRouter *
--- a/packages/core/tests/test-retry.c
+++ b/packages/core/tests/test-retry.c
@@ -26,14 +26,15 @@
 /* Every call brings a new caller name. The table of budgets must not grow with them for ever. */
 Test (budget, table_is_bounded)
 {
-  LcRetryBudgets *budgets = lc_retry_budgets_new (0.25);
+  LcRetryBudgets *budgets = lc_retry_budgets_new (1e-9);
   char name[32];
 
+  while (lc_retry_budgets_allow (budgets, "busy"))
+    lc_retry_budgets_spend (budgets, "busy");
   for (int i = 0; i < 100000; i++)
     {
       snprintf (name, sizeof name, "caller-%d", i);
       lc_retry_budgets_earn (budgets, name);
-      lc_retry_budgets_spend (budgets, "busy");
       lc_retry_budgets_earn (budgets, "busy");
     }
   cr_assert_leq (lc_retry_budgets_count (budgets), 16384);
@@ -61,6 +62,49 @@
   gsl_rng_free (random);
 }
 
+/* One caller's calls break every time while another's go well. The first may not use up what the
+ * second has earned at the engines: when one of the good calls breaks it must be tried again. */
+Test (budget, belongs_to_the_caller)
+{
+  const LcDispatchSettings settings = { .queue_limit = 100, .retry_budget = 0.25, .seed = 1 };
+  Fixture f;
+  LcAction action;
+  int n_retries = 0;
+
+  fixture_init (&f, &settings, 4, 10);
+  for (int i = 0; i < 200; i++)
+    {
+      LcRequestSpec good = fixture_spec (&f, LC_KIND_LIVE);
+
+      cr_assert (fixture_submit (&f, &good));
+      fixture_end (&f, good.id, 1, LC_END_WHOLE);
+    }
+  for (int i = 0; i < 4; i++)
+    {
+      LcRequestSpec bad = fixture_spec (&f, LC_KIND_LIVE);
+
+      LB_COPY (bad.caller, "bad");
+      cr_assert (fixture_submit (&f, &bad));
+      fixture_expect (&f, LC_ACTION_SEND, bad.id);
+      for (uint32_t attempt = 1; attempt < 10; attempt++)
+        {
+          fixture_end (&f, bad.id, attempt, LC_END_BROKEN);
+          fixture_at (&f, f.now + 3 * LB_SEC);
+          n_retries += fixture_take (&f, LC_ACTION_SEND, bad.id, &action);
+        }
+    }
+  cr_assert (n_retries > 0 && n_retries <= 3, "%d retries", n_retries);
+
+  LcRequestSpec good = fixture_spec (&f, LC_KIND_LIVE);
+
+  cr_assert (fixture_submit (&f, &good));
+  fixture_end (&f, good.id, 1, LC_END_BROKEN);
+  fixture_drop_actions (&f);
+  fixture_at (&f, f.now + 3 * LB_SEC);
+  fixture_expect (&f, LC_ACTION_SEND, good.id);
+  fixture_clear (&f);
+}
+
 /* One endpoint in virtual time and callers with a steady stream of calls. */
 
 #define CALLS_PER_SECOND 200
