--- /dev/null
+++ b/packages/http/tests/test-fetch.c
@@ -0,0 +1,325 @@
+#include "lh-fetch.h"
+
+#include "lb-alloc.h"
+#include "lb-clock.h"
+
+#include <arpa/inet.h>
+#include <criterion/criterion.h>
+#include <event2/event.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* The test plays the server by hand and runs the loop in between. */
+typedef struct
+{
+  struct event_base *base;
+  LhPool *pool;
+  int listener;
+  LbName address;
+  char request[4096]; /* as the server has read it */
+  size_t length;
+  bool closed;
+  /* what the client was told */
+  int done;
+  LbErrorCode failure;
+  bool bytes_handed;
+  int status;
+  char body[4096];
+  char header[64];
+  LhFetch *cancel_at_piece; /* cancelled by the handler at the first piece */
+  int pieces;
+} World;
+
+static void
+world_init (World *w)
+{
+  struct sockaddr_in at = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  socklen_t length = sizeof at;
+
+  memset (w, 0, sizeof *w);
+  signal (SIGPIPE, SIG_IGN);
+  w->base = event_base_new ();
+  w->pool = lh_pool_new (w->base);
+  w->listener = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  cr_assert_eq (bind (w->listener, (struct sockaddr *)&at, sizeof at), 0);
+  cr_assert_eq (listen (w->listener, 16), 0);
+  getsockname (w->listener, (struct sockaddr *)&at, &length);
+  snprintf (w->address, sizeof w->address, "127.0.0.1:%d", ntohs (at.sin_port));
+}
+
+static void
+world_clear (World *w)
+{
+  lh_pool_free (w->pool);
+  event_base_free (w->base);
+  close (w->listener);
+}
+
+static void
+pump (World *w)
+{
+  event_base_loop (w->base, EVLOOP_NONBLOCK);
+  usleep (200);
+}
+
+#define UNTIL(w, condition)                                                                        \
+  do                                                                                               \
+    {                                                                                              \
+      LbTime end_ = lb_clock_monotonic () + 20 * LB_SEC;                                           \
+      bool met_ = false;                                                                           \
+      while (!(met_ = (condition)) && lb_clock_monotonic () < end_)                                \
+        pump (w);                                                                                  \
+      cr_assert (met_, "never came true: %s", #condition);                                         \
+    }                                                                                              \
+  while (0)
+
+static void
+on_done (LhFetch *fetch, const LhResult *result, void *user)
+{
+  World *w = user;
+  const char *header = lh_fetch_header (fetch, "x-kind");
+
+  w->done++;
+  w->failure = result->failure;
+  w->bytes_handed = result->bytes_handed;
+  w->status = result->status;
+  strncat (w->body, result->body ? result->body : "", result->body_length);
+  LB_COPY (w->header, header ? header : "");
+}
+
+static void
+on_piece (LhFetch *fetch, const char *bytes, size_t length, void *user)
+{
+  World *w = user;
+
+  w->pieces++;
+  strncat (w->body, bytes, length);
+  if (fetch == w->cancel_at_piece)
+    lh_fetch_cancel (fetch);
+}
+
+static LhFetch *
+start (World *w, const char *method, const char *body, bool streams, LbTime silence)
+{
+  const LhRequest request = { .method = method,
+                              .address = w->address,
+                              .path = "/p?q=1",
+                              .body = body,
+                              .body_length = strlen (body),
+                              .silence = silence };
+  const LhHandlers handlers = { .on_piece = streams ? on_piece : NULL, .on_done = on_done };
+  LbError error = { 0 };
+  LhFetch *fetch = lh_fetch_start (w->pool, &request, &handlers, w, &error);
+
+  cr_assert (fetch, "%s", error.detail);
+  cr_assert_eq (w->done, 0, "a handler was called from inside the start");
+  return fetch;
+}
+
+static bool
+server_read (World *w, int fd, const char *needle)
+{
+  ssize_t got = recv (fd, w->request + w->length, sizeof w->request - 1 - w->length, MSG_DONTWAIT);
+
+  if (got > 0)
+    w->length += (size_t)got;
+  w->closed = w->closed || got == 0;
+  w->request[w->length] = '\0';
+  return needle && strstr (w->request, needle);
+}
+
+static int
+server_accept (World *w, const char *needle)
+{
+  int fd = -1;
+
+  w->length = 0;
+  w->request[0] = '\0';
+  UNTIL (w, (fd = accept (w->listener, NULL, NULL)) >= 0);
+  UNTIL (w, server_read (w, fd, needle));
+  return fd;
+}
+
+static void
+server_send (int fd, const char *text)
+{
+  cr_assert_eq (send (fd, text, strlen (text), 0), (ssize_t)strlen (text));
+}
+
+Test (fetch, reply_comes_with_status_headers_and_body)
+{
+  World w;
+
+  world_init (&w);
+  start (&w, "DELETE", "bye", false, 0);
+  int fd = server_accept (&w, "\r\n\r\nbye");
+  cr_assert (strstr (w.request, "DELETE /p?q=1 HTTP/1.1"));
+  cr_assert (strstr (w.request, "Content-Length: 3"));
+  server_send (fd, "HTTP/1.1 404 No\r\nx-kind: short\r\nContent-Length: 4\r\n\r\nnone");
+  UNTIL (&w, w.done);
+  cr_assert_eq (w.failure, LB_OK);
+  cr_assert_eq (w.status, 404);
+  cr_assert_str_eq (w.body, "none");
+  cr_assert_str_eq (w.header, "short");
+  close (fd);
+  world_clear (&w);
+}
+
+Test (fetch, connection_is_reused_and_forgotten)
+{
+  World w;
+
+  world_init (&w);
+  start (&w, "GET", "", false, 0);
+  int fd = server_accept (&w, "\r\n\r\n");
+  server_send (fd, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  UNTIL (&w, w.done);
+  w.done = 0;
+  w.length = 0;
+  start (&w, "GET", "", false, 0);
+  UNTIL (&w, server_read (&w, fd, "\r\n\r\n"));
+  server_send (fd, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  UNTIL (&w, w.done);
+  lh_pool_forget (w.pool, w.address);
+  UNTIL (&w, (server_read (&w, fd, NULL), w.closed));
+  close (fd);
+  world_clear (&w);
+}
+
+/* Nothing listens at the address: no byte was handed to a socket, which is the proof that the
+ * request did not run. */
+Test (fetch, refused_connection_handed_no_byte)
+{
+  World w;
+
+  world_init (&w);
+  close (w.listener);
+  start (&w, "POST", "x", false, 0);
+  UNTIL (&w, w.done);
+  cr_assert_neq (w.failure, LB_OK);
+  cr_assert_not (w.bytes_handed);
+  w.listener = -1;
+  world_clear (&w);
+}
+
+/* The server takes the request and closes: it may have run. */
+Test (fetch, close_after_the_request_handed_bytes)
+{
+  World w;
+
+  world_init (&w);
+  start (&w, "POST", "x", false, 0);
+  int fd = server_accept (&w, "\r\n\r\nx");
+  close (fd);
+  UNTIL (&w, w.done);
+  cr_assert_neq (w.failure, LB_OK);
+  cr_assert (w.bytes_handed);
+  world_clear (&w);
+}
+
+/* The body ends before its stated length: it is not a reply, however much came. */
+Test (fetch, cut_body_is_a_failure)
+{
+  World w;
+
+  world_init (&w);
+  start (&w, "GET", "", false, 0);
+  int fd = server_accept (&w, "\r\n\r\n");
+  server_send (fd, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
+  for (int i = 0; i < 20; i++)
+    pump (&w);
+  close (fd);
+  UNTIL (&w, w.done);
+  cr_assert_neq (w.failure, LB_OK);
+  world_clear (&w);
+}
+
+Test (fetch, silence_is_a_timeout)
+{
+  World w;
+
+  world_init (&w);
+  start (&w, "GET", "", true, 50 * LB_MSEC);
+  int fd = server_accept (&w, "\r\n\r\n");
+  server_send (fd, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\n");
+  UNTIL (&w, w.done);
+  cr_assert_eq (w.failure, LB_ERROR_TIMEOUT);
+  cr_assert_eq (w.done, 1);
+  cr_assert_str_eq (w.body, "one");
+  close (fd);
+  world_clear (&w);
+}
+
+/* The reader of a stream gives up in the middle of a piece. */
+Test (fetch, cancel_inside_a_piece)
+{
+  World w;
+
+  world_init (&w);
+  w.cancel_at_piece = start (&w, "GET", "", true, 0);
+  int fd = server_accept (&w, "\r\n\r\n");
+  server_send (fd, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\none\r\n3\r\ntwo\r\n");
+  UNTIL (&w, w.pieces > 0);
+  UNTIL (&w, (server_read (&w, fd, NULL), w.closed));
+  cr_assert_eq (w.pieces, 1);
+  cr_assert_eq (w.done, 0);
+  close (fd);
+  world_clear (&w);
+}
+
+Test (fetch, cancel_before_the_connection_stands)
+{
+  World w;
+
+  world_init (&w);
+  lh_fetch_cancel (start (&w, "GET", "", true, 0));
+  for (int i = 0; i < 20; i++)
+    pump (&w);
+  cr_assert_eq (w.done, 0);
+  world_clear (&w);
+}
+
+/* All file descriptors are used. The failure comes from the loop, after the start has returned, so
+ * that the starter knows whose it is. */
+Test (fetch, no_descriptor_left_fails_from_the_loop)
+{
+  World w;
+  struct rlimit limit, none;
+
+  world_init (&w);
+  getrlimit (RLIMIT_NOFILE, &limit);
+  none = limit;
+  none.rlim_cur = (rlim_t)dup (0);
+  close ((int)none.rlim_cur);
+  setrlimit (RLIMIT_NOFILE, &none);
+  start (&w, "GET", "", false, 0);
+  lh_fetch_cancel (start (&w, "GET", "", false, 0));
+  UNTIL (&w, w.done);
+  setrlimit (RLIMIT_NOFILE, &limit);
+  cr_assert_eq (w.done, 1);
+  cr_assert_neq (w.failure, LB_OK);
+  cr_assert_not (w.bytes_handed);
+  world_clear (&w);
+}
+
+Test (fetch, malformed_requests_are_typed)
+{
+  World w;
+  LbError error = { 0 };
+  const LhHandlers handlers = { .on_done = on_done };
+  LhRequest request = { .method = "BREW", .address = "127.0.0.1:1", .path = "/" };
+
+  world_init (&w);
+  cr_assert_null (lh_fetch_start (w.pool, &request, &handlers, &w, &error));
+  cr_assert_eq (error.code, LB_ERROR_BAD_VALUE);
+  request.method = "GET";
+  request.address = "nowhere";
+  cr_assert_null (lh_fetch_start (w.pool, &request, &handlers, &w, &error));
+  cr_assert_eq (error.code, LB_ERROR_BAD_VALUE);
+  world_clear (&w);
+}
--- a/packages/node/tests/node-fixture.h
+++ b/packages/node/tests/node-fixture.h
@@ -96,9 +96,10 @@
   do                                                                                               \
     {                                                                                              \
       LbTime end_ = lb_clock_monotonic () + FIXTURE_PATIENCE;                                      \
-      while (!(condition) && lb_clock_monotonic () < end_)                                         \
+      bool met_ = false;                                                                           \
+      while (!(met_ = (condition)) && lb_clock_monotonic () < end_)                                \
         fixture_pump (f);                                                                          \
-      cr_assert ((condition), "never came true: %s", #condition);                                  \
+      cr_assert (met_, "never came true: %s", #condition);                                         \
     }                                                                                              \
   while (0)
 
