A method that evhtp has no name for no longer ends the daemon

Cause: evhtp's parser accepts unknown words as methods, and its name of one is NULL, which was copied. Such a call of a service is refused, since it could not be sent. Paths below /v1/completions are unknown.

--- a/packages/http/include/lh-fetch.h
+++ b/packages/http/include/lh-fetch.h
@@ -48,6 +48,8 @@
   bool fresh_connection; /* do not reuse a kept connection: it may have gone silent */
 } LhRequest;
 
+bool lh_method_is_known (const char *name);
+
 LhPool *lh_pool_new (struct event_base *base);
 void lh_pool_free (LhPool *pool);
 /* Drops kept idle connections to one address, or to all when address is NULL. */
--- a/packages/http/src/lh-fetch.c
+++ b/packages/http/src/lh-fetch.c
@@ -75,6 +75,15 @@
   return false;
 }
 
+/* Whether a request with this method can be sent. */
+bool
+lh_method_is_known (const char *name)
+{
+  enum evhttp_cmd_type method;
+
+  return method_from_name (name, &method);
+}
+
 static bool
 split_address (const char *address, char *host, size_t size, int *port)
 {
--- a/packages/node/src/ln-calls-take.c
+++ b/packages/node/src/ln-calls-take.c
@@ -205,6 +205,15 @@
   return call;
 }
 
+static bool
+is_known_path (const char *path)
+{
+  static const char services[] = "/services/";
+
+  return strcmp (path, "/v1/completions") == 0 || strcmp (path, "/v1/chat/completions") == 0
+         || strncmp (path, services, sizeof services - 1) == 0;
+}
+
 void
 ln_calls_take (LnCalls *calls, LnExchange *exchange)
 {
@@ -223,6 +232,11 @@
       issue_ticket (calls, exchange);
       return;
     }
+  if (!is_known_path (ln_exchange_path (exchange)))
+    {
+      refuse (calls, exchange, LB_ERROR_UNKNOWN_PATH, "nothing answers below this path");
+      return;
+    }
   if (calls->draining && !ticket && !key)
     {
       refuse (calls, exchange, LB_ERROR_DRAINING, "this instance is shutting down");
--- a/packages/node/src/ln-exchange.c
+++ b/packages/node/src/ln-exchange.c
@@ -44,6 +44,7 @@
 ln_exchange_new (LnCaller *caller, evhtp_request_t *request, uint64_t id, LnHub *hub)
 {
   LnExchange *exchange = LB_NEW (LnExchange);
+  const char *method = htparser_get_methodstr_m (request->method);
   const char *path = request->uri && request->uri->path ? request->uri->path->full : NULL;
 
   exchange->id = id;
@@ -53,7 +54,8 @@
   exchange->hub = hub;
   exchange->caller = caller;
   exchange->request = request;
-  exchange->method = lb_strdup (htparser_get_methodstr_m (request->method));
+  /* evhtp's parser lets some words pass as methods that it has no name for. */
+  exchange->method = lb_strdup (method ? method : "UNKNOWN");
   exchange->path = lb_strdup (path ? path : "/");
   LB_COPY (exchange->peer, caller->peer);
   TAILQ_INIT (&exchange->query);
--- a/packages/node/tests/test-front.c
+++ b/packages/node/tests/test-front.c
@@ -106,6 +106,9 @@
                   "POST /v1/completions HTTP/1.1\r\nContent-Length: 41\r\n\r\n"
                   "{\"model\":\"p\",\"prompt\":\"a\",\"stream\":\"yes\"}",
                   " 400 ", "bad_value");
+  expect_refusal (&f, "BREW /pot HTTP/1.1\r\n\r\n", " 404 ", "unknown_path");
+  expect_refusal (&f, "BREW /services/s/pot HTTP/1.1\r\n\r\n", " 400 ", "bad_value");
+  expect_refusal (&f, "POST /v1/completions/more HTTP/1.1\r\n\r\n", " 404 ", "unknown_path");
   expect_refusal (&f, "GET /services/none/x HTTP/1.1\r\n\r\n", " 404 ", "unknown_service");
   fixture_clear (&f);
 }
