Groups of which little is known go first

Cause: one probe of each group left half of the hard groups unknown, and ties went to the first group in order, which started whole.

--- a/packages/core/src/lc-generate.c
+++ b/packages/core/src/lc-generate.c
@@ -10,6 +10,7 @@
 #define SCORE_DEADLINE (30 * LB_SEC)
 #define BYTES_PER_TOKEN 4
 #define HIGHEST_PRIORITY 10
+#define LEARNING_WEIGHT 2.0
 
 /* Prediction. */
 
@@ -53,16 +54,28 @@
   return lc_lengths_predict (lengths, &sums, step->spec.groups[group].max_tokens);
 }
 
-/* A group of which nothing ran yet goes first: its first sample tells of the others. */
-static double
-urgency (const LcRollouts *rollouts, const LcStep *step, size_t group)
+static size_t
+count_started (const LcStep *step, size_t group)
 {
   const LcGroup *at = &step->groups[group];
+  size_t started = 0;
 
   for (size_t i = at->first; i < at->first + at->count; i++)
-    if (step->slots[i].state != LC_SLOT_WAITING)
-      return predict (rollouts, step, group);
-  return INFINITY;
+    started += step->slots[i].state != LC_SLOT_WAITING;
+  return started;
+}
+
+/* The expected length of the group's next sample, and what there is to learn from it: a group of
+ * which little has run tells with one more sample whether its others are long, so that they can
+ * begin early. */
+static double
+urgency (const LcRollouts *rollouts, const LcStep *step, size_t group)
+{
+  double mean
+      = lc_lengths_mean (lc_step_lengths (rollouts, step), step->spec.groups[group].max_tokens);
+
+  return predict (rollouts, step, group)
+         + LEARNING_WEIGHT * mean / (1.0 + (double)count_started (step, group));
 }
 
 static bool
