--- a/packages/node/src/ln-step-call.c
+++ b/packages/node/src/ln-step-call.c
@@ -145,7 +145,7 @@
     return false;
   /* Before anything is written to the store: a claimed step with bad content could not be opened.
    */
-  bool ok = lc_rollouts_may_open (core, &spec, error);
+  bool ok = lc_rollouts_may_open (core, &spec, error) || error->code == LB_ERROR_DRAINING;
   call->key.step = spec.step;
   lc_step_spec_clear (&spec);
   return ok;
--- a/packages/node/tests/test-steps.c
+++ b/packages/node/tests/test-steps.c
@@ -218,3 +218,20 @@
   cr_assert_eq (world->instances[1].calls.samples, 0);
   world_free (world);
 }
+
+/* A step opened at an instance that shuts down goes to one that does not. */
+Test (steps, a_draining_instance_passes_a_new_step_on)
+{
+  World *world = world_new (false);
+
+  world->instances[0].draining = true;
+  world_tell_members (world);
+  ln_hub_drain (world->instances[0].context.hub);
+  world_open (world, 0);
+  cr_assert_eq (world->status, 202, "%s", world->reply);
+  cr_assert_eq (world_pull (world, 0, 4), 4);
+  world_expect_each_once (world);
+  cr_assert_eq (world->instances[0].calls.samples, 0);
+  WORLD_UNTIL (world, ln_hub_is_idle (world->instances[0].context.hub));
+  world_free (world);
+}
