--- a/packages/core/tests/rollouts-fixture.h
+++ b/packages/core/tests/rollouts-fixture.h
@@ -27,8 +27,9 @@
   LbErrorCode ledger_error; /* what ledger writes come to */
   bool ledger_silent;       /* writes get no answer */
   char *ledger;             /* the row */
-  uint64_t write;           /* the last write */
-  LcDelivered *left;        /* samples that an earlier owner left */
+  int n_writes;
+  uint64_t write;    /* the last write */
+  LcDelivered *left; /* samples that an earlier owner left */
   size_t n_left;
   /* the last reply */
   size_t n_replies;
@@ -68,6 +69,7 @@
   LbList more;
 
   owner->write = action->write;
+  owner->n_writes++;
   if (owner->ledger_silent)
     return;
   if (owner->ledger_error == LB_OK)
