--- a/packages/node/src/ln-members.c
+++ b/packages/node/src/ln-members.c
@@ -32,16 +32,17 @@
                                                   "Another incarnation claimed this name");
 
 void
-ln_members_count (const LcMembership *membership)
+ln_members_count (const LcMembership *membership, LcMembershipTotals *counted)
 {
   LcMembershipTotals totals = lc_membership_totals (membership);
 
-  lb_metric_set (&silent_connections, totals.silent_connections);
-  lb_metric_set (&suspected, totals.suspected);
-  lb_metric_set (&condemned, totals.condemned);
-  lb_metric_set (&refuted, totals.refuted);
-  lb_metric_set (&pauses, totals.pauses);
-  lb_metric_set (&name_conflicts, totals.name_conflicts);
+  lb_metric_add (&silent_connections, totals.silent_connections - counted->silent_connections);
+  lb_metric_add (&suspected, totals.suspected - counted->suspected);
+  lb_metric_add (&condemned, totals.condemned - counted->condemned);
+  lb_metric_add (&refuted, totals.refuted - counted->refuted);
+  lb_metric_add (&pauses, totals.pauses - counted->pauses);
+  lb_metric_add (&name_conflicts, totals.name_conflicts - counted->name_conflicts);
+  *counted = totals;
 }
 
 static LnMember
--- a/packages/node/src/ln-peers.c
+++ b/packages/node/src/ln-peers.c
@@ -57,6 +57,7 @@
   LbTime next_list;
   LbTime next_load;
   LbTime used_processor;
+  LcMembershipTotals counted;
 };
 
 static LbMetric connections_open
@@ -251,7 +252,7 @@
       carry_out_one (peers, action);
       lc_membership_action_free (action);
     }
-  ln_members_count (peers->membership);
+  ln_members_count (peers->membership, &peers->counted);
   set_timer (peers);
 }
 
