Fewer bytes when a region is lost or comes back

Cause: every instance told all of every condemnation though all had been told of the suspicion; each first meeting compared whole views with full texts.

--- a/packages/core/bench/bench-membership.c
+++ b/packages/core/bench/bench-membership.c
@@ -273,13 +273,9 @@
   fake_peers_free (peers);
 }
 
-int
-main (int argc, char **argv)
+static void
+bench_all_ways (uint64_t seed, gsl_rng *rng)
 {
-  uint64_t seed = argc > 1 ? strtoull (argv[1], NULL, 10) : 1;
-  gsl_rng *rng = gsl_rng_alloc (gsl_rng_taus2);
-
-  gsl_rng_set (rng, (unsigned long)seed);
   printf ("heartbeat and answer: %.0f bytes\n", exchange_bytes ());
   printf ("%-28s %7s %12s %9s %9s %9s\n", "way", "members", "bytes/s", "mean s", "p99 s", "max s");
   for (size_t i = 0; i < sizeof sizes / sizeof *sizes; i++)
@@ -294,7 +290,21 @@
   bench_regulated_growth (1);
   bench_regulated_growth (10);
   bench_regulated_growth (50);
-  bench_region (350, seed);
+}
+
+/* bench-membership [SEED [ways|region]] */
+int
+main (int argc, char **argv)
+{
+  uint64_t seed = argc > 1 ? strtoull (argv[1], NULL, 10) : 1;
+  const char *part = argc > 2 ? argv[2] : "";
+  gsl_rng *rng = gsl_rng_alloc (gsl_rng_taus2);
+
+  gsl_rng_set (rng, (unsigned long)seed);
+  if (strcmp (part, "region") != 0)
+    bench_all_ways (seed, rng);
+  if (strcmp (part, "ways") != 0)
+    bench_region (350, seed);
   gsl_rng_free (rng);
   return 0;
 }
--- a/packages/core/src/lc-membership-news.c
+++ b/packages/core/src/lc-membership-news.c
@@ -6,8 +6,10 @@
 
 /* News wait so long for others to join them in one frame. */
 #define FLUSH_DELAY (10 * LB_MSEC)
-/* The most news in one frame, so that the loss of a region does not fill a connection at once. */
+/* The failure: a region is lost or comes back, and hundreds of news go to all connections at once.
+ * So many go in one frame, and the rest wait. */
 #define FLUSH_MOST 32
+#define FLUSH_PAUSE (100 * LB_MSEC)
 /* While an incarnation is new, its news carry names and addresses for those who have not heard. */
 #define INTRODUCTION (10 * LB_SEC)
 #define FIRST_VOUCH (5 * LB_SEC)
@@ -45,7 +47,7 @@
     member->condemn_at = now + membership->settings.confirm;
 }
 
-/* A state found out here (not told); passed on to all. */
+/* A state found out here. */
 void
 lc_membership_set_state (LcMembership *membership,
                          LcMember *member,
@@ -54,7 +56,9 @@
 {
   member->instance.state = state;
   note_state (membership, member, now);
-  mark_pending (membership, member, 0, now);
+  /* All were told of the suspicion and condemn by their own clocks; nobody need tell them again. */
+  if (state != LC_INSTANCE_DEAD)
+    mark_pending (membership, member, 0, now);
 }
 
 /* The failure: only the path between this instance and the member is cut. This one suspects, the
@@ -222,7 +226,7 @@
         continue;
       if (count == FLUSH_MOST)
         {
-          wake_flush (membership, now);
+          membership->flush_at = now + FLUSH_PAUSE;
           break;
         }
       member->pending = false;
@@ -274,6 +278,19 @@
                                          : lc_instance_supersedes (known, &theirs);
 }
 
+/* Writes what is known to news when it is later than what was told; 1 when it is. A peer that named
+ * the same epoch knows the texts. */
+static size_t
+add_later (const LcInstance *known, const LcInstance *told, size_t n_told, LcInstance *news)
+{
+  const LcInstance *theirs = find_told (told, n_told, known->name);
+
+  if (!is_news_for_peer (known, theirs))
+    return 0;
+  *news = theirs && theirs->epoch == known->epoch ? short_form (known) : *known;
+  return 1;
+}
+
 static void
 tell_later (const LcMembership *membership,
             LcLinkId link,
@@ -285,11 +302,9 @@
   LcInstance *news = LB_NEW_ARRAY (LcInstance, most);
   size_t count = 0;
 
-  if (is_news_for_peer (&membership->self, find_told (told, n_told, membership->self.name)))
-    news[count++] = membership->self;
+  count += add_later (&membership->self, told, n_told, &news[count]);
   for (LcMember *member = membership->members; member; member = member->hh.next)
-    if (is_news_for_peer (&member->instance, find_told (told, n_told, member->instance.name)))
-      news[count++] = member->instance;
+    count += add_later (&member->instance, told, n_told, &news[count]);
   LcMembershipAction *action = lc_membership_act (actions, LC_MEMBERSHIP_TELL);
   action->link = link;
   action->instances = news;
--- a/packages/core/src/lc-membership.c
+++ b/packages/core/src/lc-membership.c
@@ -17,6 +17,8 @@
 #define CONTACT_EVERY (5 * LB_SEC)
 #define CONTACT_EVERY_ALONE (300 * LB_MSEC)
 #define COMPARE_EVERY LB_SEC
+#define COMPARE_AFTER_PERIODS 4
+#define REUNION_WAIT (3 * LB_SEC)
 #define LOAD_EVERY (60 * LB_SEC)
 #define LOAD_MARGIN 75
 #define FORGET_AFTER (2 * 3600 * LB_SEC)
@@ -342,13 +344,24 @@
   lc_membership_set_state (membership, member, LC_INSTANCE_SUSPECT, now);
 }
 
+/* The failure: a region comes back, and each of hundreds of instances compares its whole view with
+ * the first one it meets. A few comparisons are enough, since their news go to all; so each waits a
+ * random while for such news and compares only if the digests differ still. */
+static void
+await_news (LcMembership *membership, LcPeerLink *link, LbTime now)
+{
+  double wait = (double)REUNION_WAIT * gsl_rng_uniform (membership->rng);
+
+  link->differs_since = now + (LbTime)wait - COMPARE_AFTER_PERIODS * membership->settings.period;
+}
+
 void
 lc_membership_dialled (
     LcMembership *membership, LcLinkId id, const LcInstance *peer, LbTime now, LbList *actions)
 {
   LcPeerLink *link = lc_membership_link (membership, id);
   LcMember *known = lc_membership_member (membership, peer->name);
-  bool reunion = !known || known->instance.state == LC_INSTANCE_DEAD;
+  bool reunion = known && known->instance.state == LC_INSTANCE_DEAD;
 
   if (!link)
     return;
@@ -362,11 +375,13 @@
   /* Its address now belongs to another instance: that is no sign of life of the one meant. */
   if (meant && strcmp (meant->instance.name, peer->name) != 0)
     fail_dial (membership, meant, now);
-  if (reunion && now >= membership->next_compare)
+  if (!known && now >= membership->next_compare)
     {
       membership->next_compare = now + COMPARE_EVERY;
       lc_membership_compare (membership, id, actions);
     }
+  else if (reunion)
+    await_news (membership, link, now);
   lc_membership_finish (membership, actions);
 }
 
@@ -517,7 +532,7 @@
 compare_if_different (LcMembership *membership, LcPeerLink *link, LbTime now, LbList *actions)
 {
   if (link->differs_since == 0 || now < membership->next_compare
-      || now - link->differs_since < 4 * membership->settings.period)
+      || now - link->differs_since < COMPARE_AFTER_PERIODS * membership->settings.period)
     return;
   link->differs_since = 0;
   membership->next_compare = now + COMPARE_EVERY;
