--- a/packages/core/src/lc-dispatch-private.h
+++ b/packages/core/src/lc-dispatch-private.h
@@ -37,6 +37,9 @@
   return member->kind == LC_ENDPOINT_SERVICE ? LC_POOL_SERVICE : LC_POOL_ENGINES;
 }
 
+/* lc-dispatch-query.c */
+LcRequest *lc_dispatch_find (const LcDispatch *dispatch, LcRequestId id);
+
 /* lc-timers.c */
 void lc_dispatch_set_timer (LcDispatch *dispatch, LcRequest *request);
 LcRequest *lc_dispatch_due (LcDispatch *dispatch, LbTime now);
@@ -45,6 +48,7 @@
 LbTime lc_dispatch_opens_at (LcDispatch *dispatch, const LcPoolState *pool);
 bool lc_dispatch_may_wait (LcRequestKind kind, LbTime opens_at, LbTime start_by, LbTime now);
 void lc_dispatch_enqueue (LcDispatch *dispatch, LcRequest *request);
+bool lc_dispatch_may_be_next (const LcRequest *request);
 void lc_dispatch_pump (LcDispatch *dispatch, LcPoolState *pool, LbTime now, LbList *actions);
 void lc_dispatch_pump_all (LcDispatch *dispatch, LbTime now, LbList *actions);
 void lc_dispatch_hedge (LcDispatch *dispatch, LcRequest *request, LbTime now, LbList *actions);
--- a/packages/core/src/lc-dispatch-query.c
+++ b/packages/core/src/lc-dispatch-query.c
@@ -1,5 +1,15 @@
 #include "lc-dispatch-private.h"
 
+/* NULL when the request is not known, or no longer. */
+LcRequest *
+lc_dispatch_find (const LcDispatch *dispatch, LcRequestId id)
+{
+  LcRequest *request = NULL;
+
+  HASH_FIND (hh, dispatch->requests, &id, sizeof id, request);
+  return request;
+}
+
 static bool
 has_waiting (const LcDispatch *dispatch)
 {
--- a/packages/core/src/lc-dispatch.c
+++ b/packages/core/src/lc-dispatch.c
@@ -10,10 +10,6 @@
 #define DEFAULT_QUEUE_LIMIT 4096
 #define DRAIN_RETRY_AFTER (100 * LB_MSEC)
 
-static LbMetric dropped_pieces
-    = LB_COUNTER_INIT ("lentilspindle_pieces_dropped_total",
-                       NULL,
-                       "Pieces of answers that were late, foreign, repeated or out of order");
 static LbMetric refused = LB_COUNTER_INIT ("lentilspindle_requests_refused_total",
                                            NULL,
                                            "Requests that were not admitted");
@@ -226,15 +222,6 @@
   return LB_OK;
 }
 
-static LcRequest *
-find_request (const LcDispatch *dispatch, LcRequestId id)
-{
-  LcRequest *request = NULL;
-
-  HASH_FIND (hh, dispatch->requests, &id, sizeof id, request);
-  return request;
-}
-
 static LcRequest *
 add_request (LcDispatch *dispatch, const LcRequestSpec *spec, LcPoolState *pool, LbTime now)
 {
@@ -263,8 +250,8 @@
   if (!pool || !pool->configured)
     return refuse (spec->kind == LC_KIND_SERVICE ? LB_ERROR_UNKNOWN_SERVICE : LB_ERROR_UNKNOWN_POOL,
                    0, retry_after, spec->pool, error);
-  if (!lc_dispatch_check (dispatch, !find_request (dispatch, spec->id), "request-ids-are-unique",
-                          spec->id))
+  if (!lc_dispatch_check (dispatch, !lc_dispatch_find (dispatch, spec->id),
+                          "request-ids-are-unique", spec->id))
     return refuse (LB_ERROR_INVARIANT, 0, retry_after, spec->pool, error);
 
   LcQueueKey key = {
@@ -275,15 +262,19 @@
   if (reason != LB_OK)
     return refuse (reason, lc_dispatch_retry_hint (dispatch, pool, &key, now), retry_after,
                    spec->pool, error);
-  lc_dispatch_enqueue (dispatch, add_request (dispatch, spec, pool, now));
-  lc_dispatch_pump (dispatch, pool, now, actions);
+
+  LcRequest *request = add_request (dispatch, spec, pool, now);
+
+  lc_dispatch_enqueue (dispatch, request);
+  if (lc_dispatch_may_be_next (request))
+    lc_dispatch_pump (dispatch, pool, now, actions);
   return true;
 }
 
 void
 lc_dispatch_cancel (LcDispatch *dispatch, LcRequestId id, LbTime now, LbList *actions)
 {
-  LcRequest *request = find_request (dispatch, id);
+  LcRequest *request = lc_dispatch_find (dispatch, id);
 
   if (!request)
     return;
@@ -294,109 +285,6 @@
   lc_dispatch_pump (dispatch, pool, now, actions);
 }
 
-static LcPieceVerdict
-drop_piece (void)
-{
-  lb_metric_add (&dropped_pieces, 1);
-  return LC_PIECE_DROP;
-}
-
-static void
-first_piece (LcDispatch *dispatch, LcRequest *request, LcAttempt *attempt, LbTime now)
-{
-  LcEndpoint *endpoint = lc_endpoints_find (dispatch->endpoints, attempt->endpoint);
-
-  attempt->heard = true;
-  request->maybe_run = true;
-  if (endpoint)
-    lc_endpoints_first_byte (endpoint, now - attempt->sent_at, now);
-  lc_dispatch_set_timer (dispatch, request);
-}
-
-/* From here on the answer is this attempt's alone; a hedge that is still silent is closed. */
-static void
-make_owner (
-    LcDispatch *dispatch, LcRequest *request, const LcAttempt *owner, LbTime now, LbList *actions)
-{
-  request->owner = owner->number;
-  LB_LIST_FOREACH (&request->attempts, LcAttempt, link, attempt)
-  {
-    if (attempt != owner)
-      lc_dispatch_cancel_attempt (dispatch, request, attempt, now, actions);
-  }
-}
-
-/* A gap means that a piece was lost: what follows can't be joined to what the submitter has. The
- * attempt ends here as a broken stream and the answer goes on elsewhere or fails. */
-static LcPieceVerdict
-break_at_gap (
-    LcDispatch *dispatch, LcRequest *request, LcAttempt *attempt, LbTime now, LbList *actions)
-{
-  LcAction *action = lc_action_new (LC_ACTION_CANCEL, request->id, actions);
-  LcPoolState *pool = request->pool;
-
-  action->attempt = attempt->number;
-  LB_COPY (action->endpoint, attempt->endpoint);
-  lc_dispatch_end_attempt (dispatch, request, attempt, LC_END_BROKEN, now, actions);
-  lc_dispatch_pump (dispatch, pool, now, actions);
-  return drop_piece ();
-}
-
-static bool
-is_gap (const LcAttempt *attempt, const LcPiece *piece)
-{
-  return piece->offset > attempt->offset
-         || (piece->offset < attempt->offset && piece->offset + piece->tokens > attempt->offset);
-}
-
-/* The last look before a piece is passed on: it is the very next one of the only attempt whose
- * pieces the submitter gets. */
-static bool
-fits_answer (LcDispatch *dispatch,
-             const LcRequest *request,
-             const LcAttempt *attempt,
-             const LcPiece *piece)
-{
-  bool next = request->owner == attempt->number && request->next_token == piece->offset;
-
-  return lc_dispatch_check (dispatch, request->delivery == LC_DELIVER_WHOLE || next,
-                            "whole-answers", request->id);
-}
-
-LcPieceVerdict
-lc_dispatch_piece (LcDispatch *dispatch,
-                   LcRequestId id,
-                   uint32_t number,
-                   const LcPiece *piece,
-                   LbTime now,
-                   LbList *actions)
-{
-  LcRequest *request = find_request (dispatch, id);
-  LcAttempt *attempt = request ? lc_request_attempt (request, number) : NULL;
-
-  if (!attempt || attempt->whole || piece->tokens < 0)
-    return drop_piece ();
-  if (!attempt->heard)
-    first_piece (dispatch, request, attempt, now);
-  if (is_gap (attempt, piece))
-    return break_at_gap (dispatch, request, attempt, now, actions);
-  if (piece->offset < attempt->offset)
-    return drop_piece ();
-  if (request->delivery == LC_DELIVER_STREAM && request->owner == 0)
-    make_owner (dispatch, request, attempt, now, actions);
-  if (!fits_answer (dispatch, request, attempt, piece))
-    {
-      lc_dispatch_give_up (dispatch, request, LB_ERROR_STREAM_BROKEN, 0, now, actions);
-      return drop_piece ();
-    }
-  attempt->offset += piece->tokens;
-  attempt->tokens += piece->tokens;
-  attempt->whole = piece->last;
-  if (request->delivery == LC_DELIVER_STREAM)
-    request->next_token = attempt->offset;
-  return LC_PIECE_FORWARD;
-}
-
 void
 lc_dispatch_ended (LcDispatch *dispatch,
                    LcRequestId id,
@@ -405,7 +293,7 @@
                    LbTime now,
                    LbList *actions)
 {
-  LcRequest *request = find_request (dispatch, id);
+  LcRequest *request = lc_dispatch_find (dispatch, id);
   LcAttempt *attempt = request ? lc_request_attempt (request, number) : NULL;
 
   if (!attempt)
--- a/packages/core/src/lc-placement.c
+++ b/packages/core/src/lc-placement.c
@@ -112,6 +112,16 @@
   return request->min_version > 0 || request->n_avoid > 0;
 }
 
+/* False when a newcomer stands behind one that could be sent nowhere a moment ago, and that asked
+ * for nothing special: then there is no place for the newcomer either. */
+bool
+lc_dispatch_may_be_next (const LcRequest *request)
+{
+  const LcWaiting *first = lc_queue_first (request->pool->queue);
+
+  return first == &request->waiting || is_choosy (LB_CONTAINER (first, LcRequest, waiting));
+}
+
 /* Sends a request that has been chosen for an endpoint. */
 static void
 place (LcDispatch *dispatch,
