--- a/packages/cli/src/lt-bench.c
+++ b/packages/cli/src/lt-bench.c
@@ -24,12 +24,14 @@
   int64_t n_seeds;
   const char *policy; /* NULL: all */
   int64_t samplers;
+  int64_t concurrency;
   double seconds;
   double idle_weight;
   double hedge_budget;
   double hard_share;
   double train;
   bool json;
+  bool explain;
   const char *report;
 } Bench;
 
@@ -50,6 +52,8 @@
   options.n_engines = bench->samplers;
   options.duration = (LbTime)(bench->seconds * LB_SEC);
   options.idle_weight = bench->idle_weight;
+  options.explain = bench->explain;
+  options.concurrency = bench->concurrency;
   options.train = (LbTime)(bench->train * LB_SEC);
   if (bench->hard_share >= 0)
     options.hard_share = bench->hard_share;
@@ -148,6 +152,7 @@
   struct arg_int *seeds = arg_int0 (NULL, "seeds", "N", "how many seeds, 1 if not given");
   struct arg_str *policy = arg_str0 (NULL, "policy", "P", "one policy; all if not given");
   struct arg_int *samplers = arg_int0 (NULL, "samplers", "N", "engines; the site's if not given");
+  struct arg_int *concurrency = arg_int0 (NULL, "concurrency", "N", "of an engine, 32");
   struct arg_dbl *seconds = arg_dbl0 (NULL, "seconds", "S", "virtual time of a run, 900");
   struct arg_dbl *weight = arg_dbl0 (NULL, "idle-weight", "W", "0 (staleness) to 1 (idle time)");
   struct arg_dbl *budget = arg_dbl0 (NULL, "hedge-budget", "B", "share of tokens for hedges, 0.1");
@@ -155,11 +160,12 @@
       = arg_dbl0 (NULL, "hard-share", "H", "share of stragglers from hard prompts, 0.5");
   struct arg_dbl *train = arg_dbl0 (NULL, "train", "S", "seconds of training per step, 45");
   struct arg_lit *json = arg_lit0 (NULL, "json", "print a JSON array");
+  struct arg_lit *explain = arg_lit0 (NULL, "explain", "say what set the end of each step");
   struct arg_str *report = arg_str0 (NULL, "report", "DIR", "write an HTML page there");
   struct arg_lit *help = arg_lit0 (NULL, "help", "print this help");
   struct arg_end *end = arg_end (8);
-  void *table[] = { site,   seed, seeds, policy, samplers, seconds, weight,
-                    budget, hard, train, json,   report,   help,    end };
+  void *table[] = { site,   seed, seeds, policy,  samplers, concurrency, seconds, weight,
+                    budget, hard, train, explain, json,     report,      help,    end };
   int errors = arg_parse (argc, argv, table);
   int code = LT_EXIT_USAGE;
   Bench bench = { .n_seeds = seeds->count ? *seeds->ival : 1,
@@ -171,6 +177,8 @@
                   .hedge_budget = budget->count ? *budget->dval : -1,
                   .train = train->count ? *train->dval : 45,
                   .hard_share = hard->count ? *hard->dval : -1,
+                  .explain = explain->count > 0,
+                  .concurrency = concurrency->count ? *concurrency->ival : 32,
                   .json = json->count > 0,
                   .report = report->count ? *report->sval : NULL };
 
@@ -187,7 +195,8 @@
       goto out;
     }
   bench.site = lx_site_find (*site->sval);
-  if (!bench.site || bench.n_seeds < 1 || bench.samplers < 0 || bench.seconds <= 0)
+  if (!bench.site || bench.n_seeds < 1 || bench.samplers < 0 || bench.concurrency < 1
+      || bench.seconds <= 0)
     {
       fprintf (stderr, "lentilspindle bench: %s\n",
                bench.site ? "numbers must be positive" : "unknown site");
--- a/packages/sim/include/lx-ledger.h
+++ b/packages/sim/include/lx-ledger.h
@@ -43,6 +43,8 @@
 typedef struct
 {
   uint64_t job;
+  LbTime begun;
+  LbTime ended; /* its last tokens so far */
   LcSpan spans[LX_TRUTH_SPANS];
   size_t n_spans;
 } LxTruth;
@@ -75,9 +77,13 @@
     LxLedger *ledger, LxBreach breach, LbTime now, uint64_t event, const char *format, ...)
     __attribute__ ((format (printf, 5, 6)));
 uint64_t lx_ledger_add_job (LxLedger *ledger, const LxJob *job);
-uint64_t lx_ledger_add_stream (LxLedger *ledger, uint64_t job);
-void lx_ledger_made (
-    LxLedger *ledger, uint64_t stream, int64_t offset, int64_t tokens, LcVersion version);
+uint64_t lx_ledger_add_stream (LxLedger *ledger, uint64_t job, LbTime now);
+void lx_ledger_made (LxLedger *ledger,
+                     uint64_t stream,
+                     int64_t offset,
+                     int64_t tokens,
+                     LcVersion version,
+                     LbTime now);
 
 LxStepTokens *lx_ledger_step (LxLedger *ledger, uint64_t step);
 
--- a/packages/sim/include/lx-options.h
+++ b/packages/sim/include/lx-options.h
@@ -12,7 +12,8 @@
   uint64_t seed;
   LbName policy; /* of the router */
   LcRolloutSettings rollouts;
-  int64_t n_engines; /* 0: as at the site */
+  int64_t n_engines;   /* 0: as at the site */
+  int64_t concurrency; /* of an engine */
   LbTime duration;
   uint64_t max_events; /* 0: no limit */
   size_t n_trainers;
@@ -27,6 +28,7 @@
   double hedge_budget;
   double idle_weight; /* below 0: as the site's preset says */
   LbTime hedge_after;
+  bool explain; /* a line on standard error for each step */
   /* soak */
   uint32_t faults; /* bits by LxFault */
   bool stop_at_breach;
--- a/packages/sim/include/lx-trainer.h
+++ b/packages/sim/include/lx-trainer.h
@@ -30,6 +30,8 @@
   int64_t n_got;
   LbTime opened_at;
   LbTime last_sample_at;
+  uint64_t last_stream; /* that ended last among those it has samples of */
+  LbTime last_ended;
   /* measures, without the first step */
   int64_t steps;
   LbTime idle;
--- a/packages/sim/src/lx-instance.c
+++ b/packages/sim/src/lx-instance.c
@@ -407,7 +407,7 @@
 {
   LxAttempt attempt = { .number = action->attempt, .engine = engine, .open = true };
 
-  attempt.stream = lx_ledger_add_stream (&instance->world->ledger, request->job);
+  attempt.stream = lx_ledger_add_stream (&instance->world->ledger, request->job, now_of (instance));
   take_over_text (request, &attempt, action->resume_at - request->spec.resume_at);
   request->attempts
       = lb_realloc (request->attempts, (request->n_attempts + 1) * sizeof (LxAttempt));
--- a/packages/sim/src/lx-ledger.c
+++ b/packages/sim/src/lx-ledger.c
@@ -64,10 +64,10 @@
 }
 
 uint64_t
-lx_ledger_add_stream (LxLedger *ledger, uint64_t job)
+lx_ledger_add_stream (LxLedger *ledger, uint64_t job, LbTime now)
 {
   ledger->truths = grow (ledger->truths, ledger->n_truths, sizeof (LxTruth));
-  ledger->truths[ledger->n_truths++] = (LxTruth){ .job = job };
+  ledger->truths[ledger->n_truths++] = (LxTruth){ .job = job, .begun = now };
   return ledger->n_truths;
 }
 
@@ -84,12 +84,17 @@
 }
 
 void
-lx_ledger_made (
-    LxLedger *ledger, uint64_t stream, int64_t offset, int64_t tokens, LcVersion version)
+lx_ledger_made (LxLedger *ledger,
+                uint64_t stream,
+                int64_t offset,
+                int64_t tokens,
+                LcVersion version,
+                LbTime now)
 {
   LxTruth *truth = &ledger->truths[stream - 1];
   LcSpan *last = truth->n_spans > 0 ? &truth->spans[truth->n_spans - 1] : NULL;
 
+  truth->ended = now;
   if (last && last->version == version)
     {
       last->count += tokens;
--- a/packages/sim/src/lx-options.c
+++ b/packages/sim/src/lx-options.c
@@ -28,6 +28,7 @@
                           .seed = seed,
                           .policy = "lentilspindle",
                           .rollouts = lc_rollout_settings_default (),
+                          .concurrency = 32,
                           .duration = 900 * LB_SEC,
                           .n_trainers = 2,
                           .groups = 128,
--- a/packages/sim/src/lx-trainer.c
+++ b/packages/sim/src/lx-trainer.c
@@ -318,6 +318,24 @@
   return needed > options->train ? needed - options->train : 0;
 }
 
+/* What set the end of the step: the sample whose stream ended last. */
+static void
+explain_step (const LxTrainer *trainer)
+{
+  const LxWorld *world = trainer->world;
+  const LxTruth *truth = &world->ledger.truths[trainer->last_stream - 1];
+  const LxJob *job = &world->ledger.jobs[truth->job - 1];
+  double opened = (double)trainer->opened_at / LB_SEC;
+
+  fprintf (stderr,
+           "%s step %" PRId64
+           ": opened %.1f s, trained until +%.1f, done +%.1f; last sample: %" PRId64
+           " tokens, stream begun +%.1f, ended +%.1f\n",
+           trainer->name, trainer->step, opened, (double)trainer->train_until / LB_SEC - opened,
+           (double)lx_world_now (world) / LB_SEC - opened, job->length,
+           (double)truth->begun / LB_SEC - opened, (double)trainer->last_ended / LB_SEC - opened);
+}
+
 static void
 finish_step (LxTrainer *trainer)
 {
@@ -330,6 +348,8 @@
                       "%s step %" PRId64 " done with %" PRId64 " of %" PRId64 " samples",
                       trainer->name, trainer->step, trainer->n_got, slots);
   lx_ledger_step (&world->ledger, step_number (trainer))->done = true;
+  if (options->explain)
+    explain_step (trainer);
   if (trainer->step > 0)
     {
       trainer->steps++;
@@ -382,6 +402,19 @@
     trainer->staleness_max = staleness;
 }
 
+static void
+note_last_stream (LxTrainer *trainer, const LxText *text)
+{
+  if (text->n_segments == 0)
+    return;
+  uint64_t stream = text->segments[text->n_segments - 1].stream;
+  LbTime ended = trainer->world->ledger.truths[stream - 1].ended;
+  if (ended <= trainer->last_ended)
+    return;
+  trainer->last_stream = stream;
+  trainer->last_ended = ended;
+}
+
 static void
 take_sample (LxTrainer *trainer, const LxChunkSample *sample)
 {
@@ -405,6 +438,7 @@
     lx_ledger_breach (&world->ledger, LX_NOT_WHOLE, lx_world_now (world), lx_world_event (world),
                       "%s %s/%" PRId64 ": %s", trainer->name, sample->group, sample->index,
                       sample->text);
+  note_last_stream (trainer, &text);
   lx_ledger_label (&world->ledger, &text, &truth);
   check_label (trainer, sample, &truth,
                lx_sample_length (&world->options, trainer->index, trainer->step, group,
--- a/packages/sim/src/lx-world.c
+++ b/packages/sim/src/lx-world.c
@@ -16,11 +16,7 @@
                                             .pause = 500 * LB_MSEC };
 static const LxEngineTimes service_times = { .token = 0.020, .token_per_other = 0.001 };
 
-enum
-{
-  ENGINE_CONCURRENCY = 32,
-  SERVICE_CONCURRENCY = 64
-};
+#define SERVICE_CONCURRENCY 64
 
 LbTime
 lx_world_now (const LxWorld *world)
@@ -130,7 +126,7 @@
 
   if (!engine->is_service)
     lx_ledger_made (&world->ledger, stream->spec.id, stream->offset - tokens, tokens,
-                    engine->version);
+                    engine->version, lx_world_now (world));
   if (stream->spec.kind == LC_KIND_SAMPLE)
     lx_ledger_step (&world->ledger, step)->generated += tokens;
 }
@@ -149,7 +145,7 @@
   LB_COPY (engine->group, is_service ? site->service : site->pool);
   engine->data_centre = number % site->n_data_centres;
   engine->is_service = is_service;
-  engine->concurrency = is_service ? SERVICE_CONCURRENCY : ENGINE_CONCURRENCY;
+  engine->concurrency = is_service ? SERVICE_CONCURRENCY : world->options.concurrency;
   engine->listener = (LxEngineListener){ .piece = on_piece,
                                          .ended = on_ended,
                                          .made = on_made,
