--- a/standins/si-live.c
+++ b/standins/si-live.c
@@ -240,7 +240,8 @@
                            { "x-caller", spec->caller },
                            { "idempotency-key", spec->idempotency_key },
                            { "x-ticket", spec->ticket },
-                           { "x-order", spec->order } };
+                           { "x-order", spec->order },
+                           { "x-deadline-ms", spec->deadline_ms } };
   size_t n = 0;
 
   for (size_t i = 0; i < sizeof all / sizeof all[0]; i++)
--- a/standins/si-live.h
+++ b/standins/si-live.h
@@ -25,6 +25,7 @@
   const char *idempotency_key; /* NULL: none */
   const char *ticket;          /* NULL: none */
   const char *order;           /* x-order: what the service counts runs by; NULL: none */
+  const char *deadline_ms;     /* x-deadline-ms; NULL: none */
   LbTime silence;
 } SiLiveSpec;
 
--- /dev/null
+++ b/tests/process/test-endpoints.c
@@ -0,0 +1,171 @@
+#include "pt-world.h"
+
+#include <criterion/criterion.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define LEAVING_BOUND (3 * LB_SEC)
+
+static bool
+has_tokens (PtWorld *world, void *user)
+{
+  return pt_log_number (world, user, "tokens") > 0;
+}
+
+/* Load in the background, one engine told to leave, the other stays. */
+static void
+leave_under_load (PtWorld *world, void (*leave) (PtWorld *world, PtProgram *engine))
+{
+  static const char *const load_options[]
+      = { "--rate",    "60", "--concurrency", "40", "--count",  "100000",
+          "--seconds", "8",  "--max-tokens",  "40", "--stream", "--expect-all",
+          NULL };
+  static const char *const slow[] = { "--tokens-per-second", "100", NULL };
+  PtProcess load;
+
+  world->in_memory = true;
+  PtProgram *leaving = pt_start_engine (world, "engine-1", slow);
+  pt_start_engine (world, "engine-2", slow);
+  PtProgram *instance = pt_start_instance (world, "i1", "hall-a");
+  pt_apply_all (world, instance);
+  pt_wait_ready (world, instance);
+  pt_start_load (world, &load, load_options);
+  pt_wait (world, "the engine that will leave has work", has_tokens, leaving);
+
+  leave (world, leaving);
+  si_client_pause (&world->client, LEAVING_BOUND);
+  int64_t after_bound = pt_log_number (world, leaving, "started");
+  struct json_object *summary = pt_finish (world, &load);
+  cr_assert_eq (pt_log_number (world, leaving, "started"), after_bound);
+  cr_assert_eq (pt_log_number (world, leaving, "cancelled"), 0);
+  cr_assert (pt_process_has_exited (&load, 0), "%s", json_object_to_json_string (summary));
+  cr_assert_gt (si_json_int (summary, "whole", 0), 100);
+  json_object_put (summary);
+  pt_process_clear (&load);
+}
+
+static void
+leave_by_itself (PtWorld *world, PtProgram *engine)
+{
+  pt_fault (world, engine, "{\"mode\": \"leaving\"}");
+}
+
+static void
+leave_by_resource (PtWorld *world, PtProgram *engine)
+{
+  char changes[512];
+  SiAnswer answer;
+
+  snprintf (changes, sizeof changes,
+            "{\"apply\": [{\"kind\": \"endpoint\", \"name\": \"%s\", \"type\": \"engine\","
+            " \"pool\": \"reader\", \"address\": \"%s\", \"data_centre\": \"hall-a\","
+            " \"concurrency\": 32, \"checks_fence\": true, \"leaving\": true}]}",
+            engine->name, engine->address);
+  pt_apply (world, &world->instances[0], changes, NULL, &answer);
+  cr_assert (si_answer_is_ok (&answer), "%s", answer.body);
+  si_answer_clear (&answer);
+}
+
+/* An engine says that it leaves, to be shut down soon. New work that still goes there, by a retry,
+ * an old load report or the queue, dies with it. After 3 s there may be none, and what it had
+ * before must end whole. */
+Test (leaving, engine_that_says_so_gets_no_new_work_after_3_s)
+{
+  PtWorld world;
+
+  pt_world_init (&world);
+  leave_under_load (&world, leave_by_itself);
+  pt_world_clear (&world);
+}
+
+/* The same, told by an operator's resource while the engine itself knows nothing of it. */
+Test (leaving, engine_that_the_operator_retires_gets_no_new_work_after_3_s)
+{
+  PtWorld world;
+
+  pt_world_init (&world);
+  leave_under_load (&world, leave_by_resource);
+  pt_world_clear (&world);
+}
+
+/* None of the calls that were said not to have run has run. */
+static void
+check_not_run (PtWorld *world, struct json_object *summary, PtProgram *one, PtProgram *other)
+{
+  struct json_object *not_run = NULL;
+
+  json_object_object_get_ex (summary, "not_run_keys", &not_run);
+  for (size_t i = 0; i < json_object_array_length (not_run); i++)
+    {
+      const char *key = json_object_get_string (json_object_array_get_idx (not_run, i));
+      cr_assert_eq (pt_runs (world, one, key), 0, "%s", key);
+      cr_assert (!other || pt_runs (world, other, key) == 0, "%s", key);
+    }
+}
+
+/* An engine crashes while clerks read from it. Their answers go on at another engine from the last
+ * word, and never with one word twice or one left out; who does not get the whole answer is told by
+ * a typed error, and "not run" only if no engine began. */
+Test (crash, answers_are_continued_on_another_engine)
+{
+  static const char *const load_options[]
+      = { "--concurrency", "8",  "--count",  "40", "--callers", "40",
+          "--max-tokens",  "60", "--stream", NULL };
+  static const char *const slow[] = { "--tokens-per-second", "100", NULL };
+  PtWorld world;
+  PtProcess load;
+
+  pt_world_init (&world);
+  world.in_memory = true;
+  PtProgram *crashing = pt_start_engine (&world, "engine-1", slow);
+  PtProgram *other = pt_start_engine (&world, "engine-2", slow);
+  PtProgram *instance = pt_start_instance (&world, "i1", "hall-a");
+  pt_apply_all (&world, instance);
+  pt_wait_ready (&world, instance);
+  pt_start_load (&world, &load, load_options);
+  pt_wait (&world, "the engine that will crash has work", has_tokens, crashing);
+  pt_process_signal (&crashing->process, SIGKILL);
+
+  struct json_object *summary = pt_finish (&world, &load);
+  cr_assert (pt_process_has_exited (&load, 0), "%s", json_object_to_json_string (summary));
+  cr_assert_gt (si_json_int (summary, "whole", 0), 20);
+  check_not_run (&world, summary, other, NULL);
+  cr_assert_gt (pt_log_number (&world, other, "resumed"), 0);
+  cr_assert_eq (pt_log_number (&world, other, "resume_mismatches"), 0);
+  json_object_put (summary);
+  pt_process_clear (&load);
+  pt_world_clear (&world);
+}
+
+/* Two faults at once: every stream of one engine breaks after some words, and the other refuses
+ * every second call. Callers still get whole answers or a typed error, and what was said not to
+ * have run has not run. */
+Test (faults, broken_streams_and_refusals_give_whole_answers_or_typed_errors)
+{
+  static const char *const load_options[]
+      = { "--concurrency", "8", "--count", "60", "--max-tokens", "30", "--stream", NULL };
+  static const char *const fast[] = { "--tokens-per-second", "500", NULL };
+  PtWorld world;
+  PtProcess load;
+
+  pt_world_init (&world);
+  world.in_memory = true;
+  PtProgram *breaking = pt_start_engine (&world, "engine-1", fast);
+  PtProgram *refusing = pt_start_engine (&world, "engine-2", fast);
+  PtProgram *instance = pt_start_instance (&world, "i1", "hall-a");
+  pt_apply_all (&world, instance);
+  pt_wait_ready (&world, instance);
+  pt_fault (&world, breaking, "{\"mode\": \"break\", \"count\": 6, \"tokens\": 5}");
+  pt_fault (&world, refusing, "{\"mode\": \"refuse\", \"count\": 4}");
+  pt_start_load (&world, &load, load_options);
+
+  struct json_object *summary = pt_finish (&world, &load);
+  cr_assert (pt_process_has_exited (&load, 0), "%s", json_object_to_json_string (summary));
+  cr_assert_gt (si_json_int (summary, "whole", 0), 30);
+  check_not_run (&world, summary, breaking, refusing);
+  json_object_put (summary);
+  pt_process_clear (&load);
+  pt_world_clear (&world);
+}
