--- a/packages/core/src/lc-outcome.c
+++ b/packages/core/src/lc-outcome.c
@@ -194,11 +194,8 @@
       return;
     }
   LB_COPY (endpoint, attempt->endpoint);
-  if (number == 1)
-    {
-      lc_retry_budgets_earn (dispatch->budgets, request->caller);
-      lc_retry_budgets_earn (dispatch->budgets, endpoint);
-    }
+  lc_retry_budgets_earn (dispatch->budgets, request->caller);
+  lc_retry_budgets_earn (dispatch->budgets, endpoint);
   attempt->whole = true;
   close_attempt (dispatch, request, attempt, CLOSED_WELL, now);
   take_out (dispatch, request, now, actions);
