--- a/standins/standin-trainer.c
+++ b/standins/standin-trainer.c
@@ -13,7 +13,6 @@
 #define MAX_VERSIONS 64
 #define RETRY_PAUSE (100 * LB_MSEC)
 #define PULL_WAIT_MS 1000
-#define CALL_SILENCE (10 * LB_SEC)
 
 typedef struct
 {
@@ -31,6 +30,7 @@
   int64_t chunk;
   LbTime train_time; /* of one sample */
   LbTime timeout;    /* of one step */
+  LbTime silence;    /* of one call */
   bool strict;
   bool vary_length;
 } Settings;
@@ -151,7 +151,7 @@
                             .address = trainer->settings->addresses[trainer->address],
                             .path = path,
                             .body = body,
-                            .silence = CALL_SILENCE };
+                            .silence = trainer->settings->silence };
       si_client_call (&trainer->client, &call, &answer);
       trainer->tally.idle += answer.took;
       if (si_answer_is_ok (&answer))
@@ -440,6 +440,7 @@
   struct arg_int *chunk;
   struct arg_int *train_us;
   struct arg_int *timeout_s;
+  struct arg_int *silence_ms;
   struct arg_lit *strict;
   struct arg_lit *vary;
   struct arg_lit *help;
@@ -461,6 +462,7 @@
   options->chunk->ival[0] = 16;
   options->train_us->ival[0] = 0;
   options->timeout_s->ival[0] = 60;
+  options->silence_ms->ival[0] = 10000;
 }
 
 static Settings
@@ -479,6 +481,7 @@
     .chunk = options->chunk->ival[0],
     .train_time = options->train_us->ival[0],
     .timeout = options->timeout_s->ival[0] * LB_SEC,
+    .silence = options->silence_ms->ival[0] * LB_MSEC,
     .strict = options->strict->count > 0,
     .vary_length = options->vary->count > 0,
   };
@@ -505,6 +508,7 @@
     .chunk = arg_int0 (NULL, "chunk", "N", "samples of a pull at most"),
     .train_us = arg_int0 (NULL, "train-us", "N", "time to train on one sample"),
     .timeout_s = arg_int0 (NULL, "timeout-s", "N", "longest time of a step"),
+    .silence_ms = arg_int0 (NULL, "silence-ms", "N", "longest silence of one call"),
     .strict = arg_lit0 (NULL, "strict", "send no cursor"),
     .vary = arg_lit0 (NULL, "vary-length", "engines run with --vary-length"),
     .help = arg_lit0 (NULL, "help", "show this"),
