Silent engines, nonsense in reports

An engine that hangs with open connections stops reporting; its load was taken to finish, and it drew in all work. Silence longer than that of the others now counts as time to wait; any reply ends it. Reports with a time to come, negative loads or speeds are made sane.

--- a/packages/core/src/lc-endpoints.c
+++ b/packages/core/src/lc-endpoints.c
@@ -9,6 +9,7 @@
 
 #define EWMA_WEIGHT 0.1
 #define DEFAULT_TOKEN_SECONDS 0.02
+#define MOST_TOKENS_PER_SECOND 1e6
 #define DEFAULT_DISTANCE (LB_MSEC / 2)
 
 LcEndpoints *
@@ -408,6 +409,22 @@
   end_swap_if_stated (entry);
 }
 
+/* What an endpoint says of itself may be nonsense: a negative load would draw in all work, and a
+ * time to come would make every later report an old one. */
+static LcLoadReport
+sane_report (const LcLoadReport *report, LbTime now)
+{
+  LcLoadReport sane = *report;
+
+  sane.running = report->running > 0 ? report->running : 0;
+  sane.waiting = report->waiting > 0 ? report->waiting : 0;
+  sane.version = report->version > 0 ? report->version : 0;
+  if (!(report->tokens_per_second > 0 && report->tokens_per_second < MOST_TOKENS_PER_SECOND))
+    sane.tokens_per_second = 0;
+  sane.at = report->at < now ? report->at : now;
+  return sane;
+}
+
 /* Reports are ordered by when they were measured: one that comes after a later one is old and
  * changes nothing, but a "leaving" in it holds for its incarnation. */
 void
@@ -420,9 +437,11 @@
 
   if (!entry)
     return;
+  LcLoadReport sane = sane_report (report, now);
+
   entry->endpoint.last_reply = now;
-  if (!entry->is_reported || report->at >= entry->endpoint.report.at)
-    take_report (entry, report);
+  if (!entry->is_reported || sane.at >= entry->endpoint.report.at)
+    take_report (entry, &sane);
   if (report->leaving)
     lc_leaving_say (&entry->leaving, report->incarnation);
   publish (entry, now);
--- a/packages/core/src/lc-router-finish-time.c
+++ b/packages/core/src/lc-router-finish-time.c
@@ -14,8 +14,10 @@
 #define PREFILL_HOLDS_UP 0.5 /* share of its time that each request beside it loses */
 #define PRIOR_SENT 0.1       /* added to what we sent to each endpoint, which may be nothing yet */
 #define BOUND_WEIGHT 0.02    /* of one decision in the share of those bound to a cache */
-#define INDIFFERENT 0.002    /* scores that differ by less than this share count as equal */
-#define LEAST_SHARE 0.01     /* requests that an endpoint above the level counts for in the draw */
+#define LEAST_SILENCE_SECONDS 2.0
+#define SILENCE_FACTOR 3.0 /* times the mean age of reports */
+#define INDIFFERENT 0.002  /* scores that differ by less than this share count as equal */
+#define LEAST_SHARE 0.01   /* requests that an endpoint above the level counts for in the draw */
 
 /* What all candidates of one decision have in common. */
 typedef struct
@@ -29,6 +31,7 @@
   double whole_prefill_seconds; /* with nothing in the cache */
   double unseen;                /* arrivals since the reports that may have gone anywhere */
   double bound_per_sent;        /* arrivals at cached prompts for each request that we sent there */
+  double silent_after;          /* seconds */
   int data_centre;
   LbTime now;
 } Situation;
@@ -66,13 +69,34 @@
   };
 }
 
+static double
+report_age (const Situation *situation, const LcSummary *summary)
+{
+  if (summary->reported_at == LC_NEVER_REPORTED)
+    return 0;
+  return (double)(situation->now - summary->reported_at) / LB_SEC;
+}
+
 /* Of what others had running when the report was measured, part has finished since. */
 static double
 still_running (const Situation *situation, const LcSummary *summary)
 {
-  double age = (double)(situation->now - summary->reported_at) / LB_SEC;
+  return 1 / (1 + report_age (situation, summary) / situation->service_seconds);
+}
 
-  return age > 0 ? 1 / (1 + age / situation->service_seconds) : 1;
+/* An endpoint that went silent looks emptier with each second, since what it last reported must
+ * have finished, and would draw in the requests of all instances. Silent for longer than the
+ * others, it is expected to stay so for as long again; any reply of it ends that. */
+static double
+silent_seconds (const Situation *situation, const LcSummary *summary)
+{
+  double age = report_age (situation, summary);
+  double heard = 0;
+
+  if (age < situation->silent_after)
+    return 0;
+  heard = (double)(situation->now - summary->endpoint->last_reply) / LB_SEC;
+  return heard < situation->silent_after ? 0 : heard;
 }
 
 static double
@@ -140,6 +164,7 @@
   double total = 0;
   double unseen = 0;
   double sent = 0;
+  double age = 0;
 
   for (size_t i = 0; i < n; i++)
     {
@@ -149,11 +174,13 @@
 
       unseen += others - left;
       total += others + summary->in_flight;
+      age += report_age (situation, summary);
       sent += summary->live_since + PRIOR_SENT;
       policy->loads[i].seconds = left;
     }
   situation->unseen = unseen * (1 - situation->group->bound_share);
   situation->bound_per_sent = unseen * situation->group->bound_share / sent;
+  situation->silent_after = larger (LEAST_SILENCE_SECONDS, SILENCE_FACTOR * age / (double)n);
   situation->whole_prefill_seconds = prefill * (1 + PREFILL_HOLDS_UP * total / (double)n);
 }
 
@@ -205,7 +232,8 @@
     {
       const LcSummary *summary = policy->candidates.summaries[i];
       double score = larger (level, policy->loads[i].seconds) + way_seconds (situation, summary)
-                     + swap_seconds (situation, summary) + prefill_seconds (situation, summary);
+                     + swap_seconds (situation, summary) + silent_seconds (situation, summary)
+                     + prefill_seconds (situation, summary);
 
       policy->candidates.items[i].score = score;
       least = smaller (least, score);
--- a/packages/core/tests/test-endpoints.c
+++ b/packages/core/tests/test-endpoints.c
@@ -291,9 +291,42 @@
   fixture_init (&f, 1);
   fixture_report (&f, "e0", "a", 1, 10);
   lc_endpoints_leaving (f.endpoints, "e0", "a", LC_LEAVING_ENDPOINT, 11);
+  for (int i = 0; i < 5; i++)
+    {
+      lc_endpoints_sent (fixture_find (&f, "e0"), LC_KIND_LIVE, 0, 12);
+      lc_endpoints_ended (fixture_find (&f, "e0"), LC_KIND_LIVE, false, 0, 1, 13);
+    }
   fixture_report (&f, "e0", "", 1, 20);
+  cr_assert_eq (fixture_find (&f, "e0")->breaker, LC_BREAKER_OPEN);
   fixture_report (&f, "e0", "a", 1, 30);
   cr_assert_not (fixture_may_take (&f, "e0", 31));
   cr_assert_str_eq (fixture_find (&f, "e0")->report.incarnation, "a");
   fixture_clear (&f);
 }
+
+/* The clock of an endpoint jumps ahead for one report. If that time were believed, all later
+ * reports would count as old: a load of hours ago, and a version that no longer serves. */
+Test (report, a_time_to_come_does_not_shut_out_later_reports)
+{
+  Fixture f;
+  LcLoadReport ahead = { .incarnation = "a", .version = 1, .at = 3600 * LB_SEC };
+
+  fixture_init (&f, 1);
+  lc_endpoints_report (f.endpoints, "e0", &ahead, 10);
+  fixture_report (&f, "e0", "a", 2, 20);
+  cr_assert_eq (fixture_find (&f, "e0")->report.version, 2);
+  fixture_clear (&f);
+}
+
+Test (report, nonsense_does_not_draw_in_work)
+{
+  Fixture f;
+  LcLoadReport report
+      = { .incarnation = "a", .version = -3, .running = -1000, .tokens_per_second = -5, .at = 10 };
+
+  fixture_init (&f, 1);
+  lc_endpoints_report (f.endpoints, "e0", &report, 10);
+  cr_assert_eq (fixture_find (&f, "e0")->report.running, 0);
+  cr_assert_not (fixture_may_take (&f, "e0", 11), "a version below 1 is none");
+  fixture_clear (&f);
+}
--- a/packages/core/tests/test-router.c
+++ b/packages/core/tests/test-router.c
@@ -186,3 +186,26 @@
   cr_assert_str_eq (choose_with_prefix (&f, 0, 4), "e1");
   fixture_clear (&f);
 }
+
+/* An engine hangs with its connections open. Its last report ages, its load is taken to have
+ * finished, and it looks the emptiest of all: every instance sends it new requests until their
+ * deadlines. */
+Test (finish_time, an_engine_gone_silent_does_not_draw_in_work)
+{
+  Fixture f;
+
+  fixture_init (&f, 4);
+  fixture_report (&f, "e0", "a", 1, LB_SEC);
+  for (LbTime now = LB_SEC; now <= 8 * LB_SEC; now += LB_SEC)
+    for (int i = 1; i < 4; i++)
+      {
+        LcLoadReport report = { .incarnation = "a", .version = 1, .running = 5, .at = now };
+
+        lc_endpoints_report (f.endpoints, f.members[i].name, &report, now);
+      }
+  for (uint64_t prompt = 1; prompt < 50; prompt++)
+    cr_assert_str_neq (choose_with_prefix (&f, prompt, 8 * LB_SEC), "e0");
+  lc_endpoints_first_byte (fixture_find (&f, "e0"), LB_MSEC, 8 * LB_SEC);
+  cr_assert_str_eq (choose_with_prefix (&f, 1, 8 * LB_SEC + 1), "e0");
+  fixture_clear (&f);
+}
