--- a/packages/core/bench/bench-engine.c
+++ b/packages/core/bench/bench-engine.c
@@ -81,7 +81,7 @@
 static void
 admit (BenchEngine *engine)
 {
-  while (engine->running.length < ENGINE_CONCURRENCY && !lb_list_is_empty (&engine->waiting))
+  while (engine->running.length < BENCH_CONCURRENCY && !lb_list_is_empty (&engine->waiting))
     {
       BenchRequest *request = LB_CONTAINER (lb_list_pop (&engine->waiting), BenchRequest, link);
       bool found = touch_cache (engine, request->prefix);
@@ -97,7 +97,7 @@
 static double
 token_seconds (const BenchEngine *engine)
 {
-  double fill = (double)engine->running.length / ENGINE_CONCURRENCY;
+  double fill = (double)engine->running.length / BENCH_CONCURRENCY;
 
   return TOKEN_SECONDS * (1 + fill) / engine->speed;
 }
--- a/packages/core/bench/bench-engine.h
+++ b/packages/core/bench/bench-engine.h
@@ -1,12 +1,11 @@
 #ifndef BENCH_ENGINE_H
 #define BENCH_ENGINE_H
 
-#include "lc-types.h"
+#include "bench-fleet.h"
 
 /* A model engine in virtual time: continuous batching, one prefill at a time that halves the speed
  * of decoding, and a prefix cache of a fixed number of prefixes. */
 
-#define ENGINE_CONCURRENCY 32
 #define ENGINE_CACHE 100
 #define ENGINE_MAX_EVENTS 64
 
--- a/packages/core/bench/bench-routing.c
+++ b/packages/core/bench/bench-routing.c
@@ -5,6 +5,7 @@
  * first engine) --hot (share of live requests with one and the same prefix). */
 
 #include "bench-engine.h"
+#include "bench-fleet.h"
 #include "lc-router.h"
 
 #include "lb-alloc.h"
@@ -12,11 +13,9 @@
 
 #include <getopt.h>
 #include <gsl/gsl_randist.h>
-#include <malloc.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <xxhash.h>
 
 #define N_INSTANCES 10
 #define STEP (10 * LB_MSEC)
@@ -36,7 +35,7 @@
   double seconds;
   int seeds;
   double rate;
-  const char *policy; /* NULL: all, and the cost of a decision */
+  const char *policy; /* NULL: all */
   LbTime lag;
   double lost;
   double slow;
@@ -97,32 +96,6 @@
   LbTime deciding;
 } World;
 
-static LcResourceSet
-make_set (int n)
-{
-  LcResourceSet set = { .endpoints = LB_NEW_ARRAY (LcEndpointMember, n), .n_endpoints = (size_t)n };
-
-  for (int i = 0; i < n; i++)
-    {
-      LcEndpointMember *member = &set.endpoints[i];
-
-      member->kind = LC_ENDPOINT_ENGINE;
-      member->concurrency = ENGINE_CONCURRENCY;
-      snprintf (member->name, sizeof member->name, "engine-%d", i);
-      LB_COPY (member->pool, "reader");
-      snprintf (member->data_centre, sizeof member->data_centre, "hall-%c", 'a' + i % 3);
-    }
-  return set;
-}
-
-static uint64_t
-hash_of (uint64_t a, uint64_t b)
-{
-  uint64_t pair[2] = { a, b };
-
-  return XXH3_64bits (pair, sizeof pair);
-}
-
 static size_t
 fill_hashes (const BenchRequest *request, uint64_t *hashes)
 {
@@ -132,8 +105,8 @@
     hashes[i]
         = i + 1 == shared
               ? request->prefix
-              : hash_of (request->prefix,
-                         i < shared ? i : (uint64_t)request->sent + (uint64_t)request->arrived);
+              : bench_hash (request->prefix,
+                            i < shared ? i : (uint64_t)request->sent + (uint64_t)request->arrived);
   return N_BLOCKS;
 }
 
@@ -196,9 +169,9 @@
   BenchRequest *request = make_request (world, (int)gsl_rng_uniform_int (world->rng, N_INSTANCES));
 
   request->live = true;
-  request->prefix = hash_of (1, gsl_rng_uniform (world->rng) < world->options->hot
-                                    ? UINT64_MAX
-                                    : gsl_ran_discrete (world->rng, world->live_prefixes));
+  request->prefix = bench_hash (1, gsl_rng_uniform (world->rng) < world->options->hot
+                                       ? UINT64_MAX
+                                       : gsl_ran_discrete (world->rng, world->live_prefixes));
   request->prefix_share = 0.75;
   submit (world, request);
 }
@@ -207,7 +180,7 @@
 arrive_group (World *world)
 {
   int instance = (int)gsl_rng_uniform_int (world->rng, N_INSTANCES);
-  uint64_t prefix = hash_of (2, world->groups++);
+  uint64_t prefix = bench_hash (2, world->groups++);
 
   for (int i = 0; i < GROUP_SIZE; i++)
     {
@@ -406,7 +379,7 @@
 {
   int n = options->endpoints;
   World *world = LB_NEW (World);
-  LcResourceSet set = make_set (n);
+  LcResourceSet set = bench_fleet_make (n);
   size_t n_prefixes = (size_t)n * LIVE_PREFIXES_PER_ENDPOINT;
   double *popularity = LB_NEW_ARRAY (double, n_prefixes);
 
@@ -548,69 +521,6 @@
     }
 }
 
-static void
-report_all (LcEndpoints *endpoints, gsl_rng *rng, LbTime now)
-{
-  for (size_t i = 0; i < lc_endpoints_count (endpoints); i++)
-    {
-      LcLoadReport report = { .incarnation = "a",
-                              .version = 1,
-                              .running = (int64_t)gsl_rng_uniform_int (rng, 24),
-                              .tokens_per_second = 30,
-                              .at = now };
-
-      lc_endpoints_report (endpoints, lc_endpoints_at (endpoints, i)->member.name, &report, now);
-    }
-}
-
-/* Microseconds of a decision with 8 prefix hashes, and bytes of an endpoint. */
-static void
-measure_cost (const char *policy, int n)
-{
-  const int rounds = 20000;
-  gsl_rng *rng = gsl_rng_alloc (gsl_rng_taus2);
-  LcResourceSet set = make_set (n);
-  size_t used = mallinfo2 ().uordblks;
-  LcEndpoints *endpoints = lc_endpoints_new ();
-
-  lc_endpoints_configure (endpoints, &set, 0);
-  used = mallinfo2 ().uordblks - used;
-  report_all (endpoints, rng, LB_SEC);
-
-  LcRouter *router = lc_router_new (policy, 1);
-  uint64_t hashes[N_BLOCKS];
-  LcRouteQuery query = { .kind = LC_KIND_LIVE,
-                         .pool = "reader",
-                         .data_centre = "hall-a",
-                         .prefix_hashes = hashes,
-                         .n_prefix_hashes = N_BLOCKS,
-                         .prompt_tokens = 600,
-                         .expected_tokens = 100 };
-  LbTime spent = 0;
-
-  for (int i = 0; i < rounds; i++)
-    {
-      LbTime now = 2 * LB_SEC + i * LB_MSEC;
-
-      for (int j = 0; j < N_BLOCKS; j++)
-        hashes[j] = hash_of ((uint64_t)i % 100, (uint64_t)j);
-
-      LbTime before = lb_clock_monotonic ();
-      LcRouteDecision decision = lc_router_choose (router, endpoints, &query, now);
-
-      spent += lb_clock_monotonic () - before;
-      lc_endpoints_sent (decision.endpoint, LC_KIND_LIVE, hashes[N_BLOCKS - 1], now);
-      lc_endpoints_ended (decision.endpoint, LC_KIND_LIVE, true, 100, LB_SEC, now);
-      if (i % 100 == 0)
-        report_all (endpoints, rng, now);
-    }
-  printf ("%-18s %9d %9.2f %9.0f\n", policy, n, (double)spent / rounds, (double)used / n);
-  lc_router_free (router);
-  lc_endpoints_free (endpoints);
-  free (set.endpoints);
-  gsl_rng_free (rng);
-}
-
 static void
 read_options (int argc, char **argv, Options *options)
 {
@@ -672,14 +582,5 @@
 
   read_options (argc, argv, &options);
   compare_policies (&options);
-  if (options.policy)
-    return 0;
-  printf ("\n%-18s %9s %9s %9s\n", "cost", "endpoints", "us", "bytes/ep");
-  for (const char *const *policy = lc_router_policies (); *policy; policy++)
-    {
-      measure_cost (*policy, 10);
-      measure_cost (*policy, 100);
-      measure_cost (*policy, 600);
-    }
   return 0;
 }
--- a/packages/core/src/lc-endpoint-table.h
+++ b/packages/core/src/lc-endpoint-table.h
@@ -99,6 +99,15 @@
 /* -1 when no endpoint is there. */
 int lc_endpoints_data_centre (const LcEndpoints *endpoints, const char *name);
 
+/* NULL when there is none of this name. */
+LcEntry *lc_endpoints_entry (const LcEndpoints *endpoints, const char *name);
+
+/* commands on one entry */
+void lc_entry_publish (LcEntry *entry, LbTime now);
+void lc_entry_summarise (LcEntry *entry);
+void lc_entry_forget_process (LcEntry *entry);
+void lc_entry_void_belief (LcEntry *entry);
+
 bool
 lc_summary_may_take (const LcSummary *summary, LcRequestKind kind, double live_reserve, LbTime now);
 
--- /dev/null
+++ b/packages/core/src/lc-endpoints-config.c
@@ -0,0 +1,265 @@
+#include "lc-endpoint-table.h"
+
+#include "lb-alloc.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+#define DEFAULT_TOKEN_SECONDS 0.02
+#define DEFAULT_DISTANCE (LB_MSEC / 2)
+
+/* Which endpoints there are: membership, pools, data centres. */
+
+LcEndpoints *
+lc_endpoints_new (void)
+{
+  LcEndpoints *endpoints = LB_NEW (LcEndpoints);
+
+  endpoints->peers = 1;
+  endpoints->distance = DEFAULT_DISTANCE;
+  endpoints->belief = lc_prefix_belief_new ();
+  return endpoints;
+}
+
+static void
+clear_groups (LcEndpoints *endpoints)
+{
+  LcEndpointGroup *group = NULL;
+  LcEndpointGroup *next = NULL;
+
+  HASH_ITER (hh, endpoints->groups, group, next)
+  {
+    HASH_DEL (endpoints->groups, group);
+    free (group->slots);
+    free (group);
+  }
+}
+
+void
+lc_endpoints_free (LcEndpoints *endpoints)
+{
+  if (!endpoints)
+    return;
+  clear_groups (endpoints);
+  HASH_CLEAR (hh, endpoints->by_name);
+  for (size_t i = 0; i < endpoints->n_entries; i++)
+    free (endpoints->entries[i]);
+  free (endpoints->entries);
+  free (endpoints->summaries);
+  free (endpoints->views);
+  free (endpoints->data_centres);
+  lc_prefix_belief_free (endpoints->belief);
+  free (endpoints);
+}
+
+/* One-way time between two data centres; within one it is taken to be 0. */
+void
+lc_endpoints_set_distance (LcEndpoints *endpoints, LbTime distance)
+{
+  endpoints->distance = distance;
+}
+
+void
+lc_endpoints_set_peers (LcEndpoints *endpoints, int64_t count)
+{
+  endpoints->peers = count > 1 ? count : 1;
+  for (size_t i = 0; i < endpoints->n_entries; i++)
+    lc_entry_summarise (endpoints->entries[i]);
+}
+
+LcEntry *
+lc_endpoints_entry (const LcEndpoints *endpoints, const char *name)
+{
+  LcEntry *entry = NULL;
+
+  HASH_FIND_STR (endpoints->by_name, name, entry);
+  return entry;
+}
+
+static uint32_t
+take_slot (LcEndpoints *endpoints, const LcCacheView *view)
+{
+  uint32_t slot = 0;
+
+  while (slot < endpoints->n_slots && endpoints->views[slot])
+    slot++;
+  if (slot == endpoints->n_slots)
+    {
+      endpoints->n_slots = endpoints->n_slots ? endpoints->n_slots * 2 : 16;
+      endpoints->views
+          = lb_realloc (endpoints->views, endpoints->n_slots * sizeof *endpoints->views);
+      endpoints->summaries
+          = lb_realloc (endpoints->summaries, endpoints->n_slots * sizeof *endpoints->summaries);
+      memset (endpoints->views + slot, 0, (endpoints->n_slots - slot) * sizeof *endpoints->views);
+    }
+  endpoints->views[slot] = view;
+  return slot;
+}
+
+static LcEntry *
+add_entry (LcEndpoints *endpoints, const LcEndpointMember *member)
+{
+  LcEntry *entry = LB_NEW (LcEntry);
+
+  if (endpoints->n_entries == endpoints->capacity)
+    {
+      endpoints->capacity = endpoints->capacity ? endpoints->capacity * 2 : 16;
+      endpoints->entries
+          = lb_realloc (endpoints->entries, endpoints->capacity * sizeof *endpoints->entries);
+    }
+  entry->table = endpoints;
+  entry->index = endpoints->n_entries;
+  entry->endpoint.member = *member;
+  entry->name_hash = XXH3_64bits (member->name, strlen (member->name));
+  entry->cache.slot = take_slot (endpoints, &entry->cache);
+  entry->endpoint.slot = entry->cache.slot;
+  lc_entry_void_belief (entry);
+  entry->alone_token_seconds = DEFAULT_TOKEN_SECONDS;
+  lc_concurrency_init (&entry->concurrency, member->concurrency);
+  endpoints->entries[endpoints->n_entries++] = entry;
+  HASH_ADD_STR (endpoints->by_name, endpoint.member.name, entry);
+  return entry;
+}
+
+static void
+remove_entry (LcEndpoints *endpoints, LcEntry *entry)
+{
+  /* The analyzer does not know that the table holds the entry.
+   * NOLINTNEXTLINE(clang-analyzer-core.NullDereference) */
+  HASH_DEL (endpoints->by_name, entry);
+  endpoints->views[entry->cache.slot] = NULL;
+  endpoints->n_entries--;
+  endpoints->entries[entry->index] = endpoints->entries[endpoints->n_entries];
+  endpoints->entries[entry->index]->index = entry->index;
+  free (entry);
+}
+
+static void
+take_member (LcEndpoints *endpoints, const LcEndpointMember *member)
+{
+  LcEntry *entry = lc_endpoints_entry (endpoints, member->name);
+
+  if (!entry)
+    entry = add_entry (endpoints, member);
+  if (strcmp (entry->endpoint.member.address, member->address) != 0)
+    {
+      memset (&entry->endpoint.report, 0, sizeof entry->endpoint.report);
+      entry->is_reported = false;
+      lc_leaving_begin (&entry->leaving, "");
+      lc_entry_forget_process (entry);
+    }
+  entry->retired = false;
+  entry->endpoint.member = *member;
+  lc_concurrency_resize (&entry->concurrency, member->concurrency);
+  /* A later revision that no longer says leaving does not bring this incarnation back: some
+   * instance may still read the earlier one, and work would go to an endpoint that is on its way
+   * out. */
+  if (member->leaving)
+    lc_leaving_say (&entry->leaving, "");
+}
+
+static void
+drop_retired (LcEndpoints *endpoints)
+{
+  for (size_t i = endpoints->n_entries; i-- > 0;)
+    {
+      LcEntry *entry = endpoints->entries[i];
+
+      if (entry->retired && entry->endpoint.in_flight == 0)
+        remove_entry (endpoints, entry);
+    }
+}
+
+static void
+make_group_key (char *key, size_t size, LcEndpointKind kind, const char *pool)
+{
+  key[0] = kind == LC_ENDPOINT_ENGINE ? 'e' : 's';
+  lb_strlcpy (key + 1, pool, size - 1);
+}
+
+LcEndpointGroup *
+lc_endpoints_group (const LcEndpoints *endpoints, LcEndpointKind kind, const char *pool)
+{
+  LcEndpointGroup *group = NULL;
+  char key[LB_NAME_MAX + 2];
+
+  make_group_key (key, sizeof key, kind, pool);
+  HASH_FIND_STR (endpoints->groups, key, group);
+  return group;
+}
+
+static void
+join_group (LcEndpoints *endpoints, LcEntry *entry)
+{
+  LcEndpointKind kind = (LcEndpointKind)entry->endpoint.member.kind;
+  LcEndpointGroup *group = lc_endpoints_group (endpoints, kind, entry->endpoint.member.pool);
+
+  if (!group)
+    {
+      group = LB_NEW (LcEndpointGroup);
+      make_group_key (group->key, sizeof group->key, kind, entry->endpoint.member.pool);
+      group->slowdown = lc_batch_cost_slowdown (&group->batch_cost);
+      HASH_ADD_STR (endpoints->groups, key, group);
+    }
+  if (group->n_slots == group->capacity)
+    {
+      group->capacity = group->capacity ? group->capacity * 2 : 16;
+      group->slots = lb_realloc (group->slots, group->capacity * sizeof *group->slots);
+    }
+  group->slots[group->n_slots++] = entry->endpoint.slot;
+}
+
+int
+lc_endpoints_data_centre (const LcEndpoints *endpoints, const char *name)
+{
+  for (int i = 0; i < endpoints->n_data_centres; i++)
+    if (strcmp (endpoints->data_centres[i], name) == 0)
+      return i;
+  return -1;
+}
+
+static int
+add_data_centre (LcEndpoints *endpoints, const char *name)
+{
+  int known = lc_endpoints_data_centre (endpoints, name);
+
+  if (known >= 0)
+    return known;
+  endpoints->data_centres
+      = lb_realloc (endpoints->data_centres,
+                    ((size_t)endpoints->n_data_centres + 1) * sizeof *endpoints->data_centres);
+  LB_COPY (endpoints->data_centres[endpoints->n_data_centres], name);
+  return endpoints->n_data_centres++;
+}
+
+static void
+rebuild_groups (LcEndpoints *endpoints, LbTime now)
+{
+  LcEndpointGroup *group = NULL;
+  LcEndpointGroup *next = NULL;
+
+  HASH_ITER (hh, endpoints->groups, group, next)
+  group->n_slots = 0;
+  for (size_t i = 0; i < endpoints->n_entries; i++)
+    {
+      LcEntry *entry = endpoints->entries[i];
+
+      entry->data_centre = add_data_centre (endpoints, entry->endpoint.member.data_centre);
+      join_group (endpoints, entry);
+      lc_entry_publish (entry, now);
+    }
+}
+
+/* Brings the table in line with the set. An endpoint that the set no longer names takes no new
+ * work; it is forgotten at the first later call that finds none of our requests there, so pointers
+ * to it stay valid until then. */
+void
+lc_endpoints_configure (LcEndpoints *endpoints, const LcResourceSet *set, LbTime now)
+{
+  for (size_t i = 0; i < endpoints->n_entries; i++)
+    endpoints->entries[i]->retired = true;
+  for (size_t i = 0; i < set->n_endpoints; i++)
+    take_member (endpoints, &set->endpoints[i]);
+  drop_retired (endpoints);
+  rebuild_groups (endpoints, now);
+}
