--- a/packages/core/src/lc-endpoint-entry.c
+++ b/packages/core/src/lc-endpoint-entry.c
@@ -37,7 +37,7 @@
   const LcEndpoint *endpoint = &entry->endpoint;
 
   return endpoint->swap_pending || endpoint->breaker != LC_BREAKER_CLOSED
-         || endpoint->report.version == 0;
+         || (endpoint->member.kind == LC_ENDPOINT_ENGINE && endpoint->report.version == 0);
 }
 
 void
@@ -50,13 +50,14 @@
     .reported_at = entry->is_reported ? endpoint->report.at : LC_NEVER_REPORTED,
     .version = endpoint->report.version,
     .size = (float)entry->concurrency.most,
+    .places_inverse = 1 / (float)entry->concurrency.most,
     .limit = (float)entry->concurrency.limit,
     .load = (float)load_if_all_act_alike (entry),
     .others = (float)others_by_report (entry),
     .slot = endpoint->slot,
     .live_since = (int32_t)entry->live_since_report,
     .in_flight = (int32_t)endpoint->in_flight,
-    .data_centre = entry->data_centre,
+    .data_centre = (int16_t)entry->data_centre,
     .alone_token_seconds = (float)entry->alone_token_seconds,
     .is_out = endpoint->leaving || entry->retired,
     .is_special = is_special (entry),
--- a/packages/core/src/lc-endpoint-table.h
+++ b/packages/core/src/lc-endpoint-table.h
@@ -27,10 +27,11 @@
   uint32_t slot;
   int32_t live_since;        /* live requests we sent since the report */
   int32_t in_flight;         /* ours */
-  int32_t data_centre;       /* index among the table's */
-  float alone_token_seconds; /* of one stream with no other beside it */
+  int16_t data_centre;       /* index among the table's */
   bool is_out;               /* leaving, or no longer in the configuration */
   bool is_special;           /* swap, unknown weights or breaker: the entry must be asked */
+  float alone_token_seconds; /* of one stream with no other beside it */
+  float places_inverse;      /* 1 / size */
 } LcSummary;
 
 /* What the table keeps of an endpoint beside the part that policies and the node read. */
--- a/packages/core/src/lc-policies.c
+++ b/packages/core/src/lc-policies.c
@@ -14,6 +14,7 @@
   LcPolicy *policy = LB_NEW (LcPolicy);
 
   policy->base.klass = &klass->base;
+  policy->level_ratio = 1;
   policy->rng = gsl_rng_alloc (gsl_rng_taus2);
   gsl_rng_set (policy->rng, seed);
   return &policy->base;
--- a/packages/core/src/lc-policies.h
+++ b/packages/core/src/lc-policies.h
@@ -35,6 +35,7 @@
   size_t n_shares;
   LcLoadPrice *loads; /* by candidate */
   size_t n_loads;
+  double level_ratio; /* of the last decision; only saves steps */
 };
 
 extern const LcPolicyClass lc_policy_random;
--- a/packages/core/src/lc-router-finish-time.c
+++ b/packages/core/src/lc-router-finish-time.c
@@ -8,6 +8,7 @@
  * arrivals nobody has reported yet may level out, a draw by weight. See
  * docs/design/0002-routing.md. */
 
+#define SECONDS 1e-6 /* of an LbTime; a product is cheaper than a quotient for each candidate */
 #define DEFAULT_EXPECTED_TOKENS 64
 #define DEFAULT_SERVICE_SECONDS 1.0
 #define PREFILL_TOKENS_PER_SECOND 8000.0
@@ -74,14 +75,15 @@
 {
   if (summary->reported_at == LC_NEVER_REPORTED)
     return 0;
-  return (double)(situation->now - summary->reported_at) / LB_SEC;
+  return (double)(situation->now - summary->reported_at) * SECONDS;
 }
 
 /* Of what others had running when the report was measured, part has finished since. */
 static double
 still_running (const Situation *situation, const LcSummary *summary)
 {
-  return 1 / (1 + report_age (situation, summary) / situation->service_seconds);
+  return situation->service_seconds
+         / (situation->service_seconds + report_age (situation, summary));
 }
 
 /* An endpoint that went silent looks emptier with each second, since what it last reported must
@@ -114,18 +116,16 @@
 static LcLoadPrice
 load_price (const Situation *situation, const LcSummary *summary, double load)
 {
-  double size = (double)summary->size;
+  double places = (double)summary->places_inverse;
   double decode = situation->query->kind == LC_KIND_SERVICE
                       ? situation->service_seconds
                       : situation->expected_tokens * (double)summary->alone_token_seconds;
-  double ahead = load + 1 - size;
-  double per_place = 2 * decode * situation->group->slowdown;
-
-  if (ahead <= 0)
-    return (LcLoadPrice){ .seconds = decode + per_place * (load + 1) / size,
-                          .per_second = size / per_place };
-  return (LcLoadPrice){ .seconds = decode + per_place + situation->service_seconds * ahead / size,
-                        .per_second = size / situation->service_seconds };
+  double full = 2 * decode * situation->group->slowdown;
+  double fill = (load + 1) * places;
+  double slope = fill <= 1 ? full : situation->service_seconds;
+
+  return (LcLoadPrice){ .seconds = decode + full + (fill - 1) * slope,
+                        .per_second = 1 / (slope * places) };
 }
 
 /* A prefill also holds up those that decode beside it: as many as there are at an endpoint on
@@ -184,42 +184,62 @@
   situation->whole_prefill_seconds = prefill * (1 + PREFILL_HOLDS_UP * total / (double)n);
 }
 
-static void
+/* Returns the level if the arrivals filled all of them. */
+static double
 price_loads (LcPolicy *policy, const Situation *situation)
 {
+  double weight = 0;
+  double sum = situation->unseen + 1;
+
   for (size_t i = 0; i < policy->candidates.n_items; i++)
     {
       const LcSummary *summary = policy->candidates.summaries[i];
       double bound = situation->bound_per_sent * (summary->live_since + PRIOR_SENT);
       double load = policy->loads[i].seconds + bound + summary->in_flight;
+      LcLoadPrice price = load_price (situation, summary, load);
+
+      policy->loads[i] = price;
+      weight += price.per_second;
+      sum += price.per_second * price.seconds;
+    }
+  return sum / weight;
+}
+
+/* The level at which the arrivals would stand if they filled those below it, HUGE_VAL when none is.
+ */
+static double
+level_from (const LcPolicy *policy, double arrivals, double level)
+{
+  double weight = 0;
+  double sum = arrivals;
+
+  for (size_t i = 0; i < policy->candidates.n_items; i++)
+    {
+      const LcLoadPrice *price = &policy->loads[i];
+      double part = price->seconds < level ? price->per_second : 0;
 
-      policy->loads[i] = load_price (situation, summary, load);
+      weight += part;
+      sum += part * price->seconds;
     }
+  return weight > 0 ? sum / weight : HUGE_VAL;
 }
 
-/* What the load costs everywhere once the unseen arrivals have filled the least loaded first. */
+/* What the load costs everywhere once the arrivals have filled the least loaded first. Newton's
+ * method on a convex line of pieces: after the first step the level only falls, and the last step
+ * repeats it. The first guess is by the ratio that the decision before found. */
 static double
-find_level (const LcPolicy *policy, double arrivals)
+find_level (LcPolicy *policy, double arrivals, double all_filled)
 {
-  double level = HUGE_VAL;
+  double level = level_from (policy, arrivals, all_filled * policy->level_ratio);
+  double next = level_from (policy, arrivals, level);
 
-  for (;;)
+  while (next < level)
     {
-      double weight = 0;
-      double sum = arrivals;
-
-      for (size_t i = 0; i < policy->candidates.n_items; i++)
-        {
-          const LcLoadPrice *price = &policy->loads[i];
-          double part = price->seconds < level ? price->per_second : 0;
-
-          weight += part;
-          sum += part * price->seconds;
-        }
-      if (weight == 0 || sum / weight >= level)
-        return level;
-      level = sum / weight;
+      level = next;
+      next = level_from (policy, arrivals, level);
     }
+  policy->level_ratio = level / all_filled;
+  return level;
 }
 
 /* Returns the least score. */
@@ -273,9 +293,9 @@
 
   grow_loads (policy);
   count_unseen (policy, &situation);
-  price_loads (policy, &situation);
 
-  double level = find_level (policy, situation.unseen + 1);
+  double all_filled = price_loads (policy, &situation);
+  double level = find_level (policy, situation.unseen + 1, all_filled);
   double least = score_all (policy, &situation, level);
   size_t chosen = draw (policy, level, least);
   bool is_bound = situation.shares[policy->candidates.summaries[chosen]->slot] > 0;
