--- a/packages/core/bench/bench-decision.c
+++ b/packages/core/bench/bench-decision.c
@@ -101,8 +101,8 @@
   print_update ("report", n, began, rounds / n * n);
   began = lb_clock_monotonic ();
   for (int i = 0; i < rounds; i++)
-    lc_endpoints_cache_event (endpoints, set.endpoints[i % n].name, (uint64_t)(i / n + 1), true,
-                              bench_hash ((uint64_t)(i % 100000), 0), i);
+    lc_endpoints_cache_event (endpoints, set.endpoints[i % n].name, (uint64_t)i / (uint64_t)n + 1,
+                              true, bench_hash ((uint64_t)(i % 100000), 0), i);
   print_update ("cache event", n, began, rounds);
   began = lb_clock_monotonic ();
   for (int i = 0; i < rounds; i++)
