--- a/packages/core/src/lc-straggler.c
+++ b/packages/core/src/lc-straggler.c
@@ -143,6 +143,18 @@
          / own_rate (pace, progress, now);
 }
 
+static double
+margin (double idle_weight)
+{
+  return LEAST_MARGIN + (1.0 - idle_weight);
+}
+
+static bool
+knows_enough (const LcLengths *lengths, const LcPace *pace)
+{
+  return lengths->count >= LENGTHS_ENOUGH && pace->tokens_per_second > 0;
+}
+
 double
 lc_straggler_gain (const LcLengths *lengths,
                    const LcPace *pace,
@@ -150,12 +162,25 @@
                    double idle_weight,
                    LbTime now)
 {
-  double margin = LEAST_MARGIN + (1.0 - idle_weight);
+  if (!knows_enough (lengths, pace))
+    return 0;
+  return seconds_left (lengths, pace, progress, now)
+         - margin (idle_weight) * seconds_again (lengths, pace, progress);
+}
 
-  if (lengths->count < LENGTHS_ENOUGH || pace->tokens_per_second <= 0)
+double
+lc_straggler_move_gain (const LcLengths *lengths,
+                        const LcPace *pace,
+                        const LcProgress *progress,
+                        double idle_weight,
+                        LbTime now)
+{
+  if (!knows_enough (lengths, pace) || progress->tokens == 0)
     return 0;
+
+  double left = lc_lengths_remaining (lengths, progress->tokens, progress->max_tokens);
   return seconds_left (lengths, pace, progress, now)
-         - margin * seconds_again (lengths, pace, progress);
+         - margin (idle_weight) * lc_pace_seconds (pace, left);
 }
 
 /* The original goes on until the hedge is whole; then its tokens are lost. */
--- a/packages/node/src/ln-calls.c
+++ b/packages/node/src/ln-calls.c
@@ -45,6 +45,17 @@
   ln_calls_submit (calls, call);
 }
 
+static void
+cancel_sample (LnCalls *calls, const LnSampleCancelMessage *message)
+{
+  LnCall *call = ln_calls_find (calls, message->request);
+
+  if (call && message->keep)
+    ln_calls_recall (calls, call);
+  else if (call)
+    ln_calls_cancel (calls, call);
+}
+
 static void
 take_leaving (LnCalls *calls, const LnEndpointLeavingMessage *message)
 {
@@ -132,7 +143,6 @@
 {
   LnCalls *calls = (LnCalls *)task;
   const LnEndpointSwapMessage *swap;
-  LnCall *call;
 
   switch ((LnMessageType)message->type)
     {
@@ -155,9 +165,7 @@
       take_sample (calls, (const LnSampleMessage *)message);
       break;
     case LN_SAMPLE_CANCEL:
-      call = ln_calls_find (calls, ((const LnSampleCancelMessage *)message)->request);
-      if (call)
-        ln_calls_cancel (calls, call);
+      cancel_sample (calls, (const LnSampleCancelMessage *)message);
       break;
     case LN_ENDPOINT_LEAVING:
       take_leaving (calls, (const LnEndpointLeavingMessage *)message);
--- a/packages/sim/src/lx-instance.c
+++ b/packages/sim/src/lx-instance.c
@@ -407,7 +407,7 @@
 {
   LxAttempt attempt = { .number = action->attempt, .engine = engine, .open = true };
 
-  attempt.stream = lx_ledger_add_stream (&instance->world->ledger, request->job);
+  attempt.stream = lx_ledger_add_stream (&instance->world->ledger, request->job, now_of (instance));
   take_over_text (request, &attempt, action->resume_at - request->spec.resume_at);
   request->attempts
       = lb_realloc (request->attempts, (request->n_attempts + 1) * sizeof (LxAttempt));
@@ -452,6 +452,8 @@
                  action->resume_at);
   if (!request || !engine)
     return;
+  if (engine->leaving)
+    engine->sent_while_leaving = now_of (instance);
   if (engine->leaving && engine->leaving_since + LEAVING_BOUND < now_of (instance))
     lx_ledger_breach (&world->ledger, LX_SENT_TO_LEAVING, now_of (instance), lx_world_event (world),
                       "%s by %s", engine->name, instance->name);
@@ -616,6 +618,21 @@
   free_request (instance, request);
 }
 
+/* Ends a request and gives back what its pieces said so far. */
+static void
+recall (LxInstance *instance, LcRequestId id)
+{
+  LxRequest *request = find_request (instance, id);
+
+  if (!request)
+    return;
+  if (request->n_attempts > 0)
+    lx_text_copy (&request->text, &request->attempts[request->n_attempts - 1].text);
+  lc_rollouts_finished (instance->rollouts, id, LB_ERROR_CLOSED, lx_text_render (&request->text),
+                        now_of (instance), &instance->rollout_actions);
+  abandon (instance, id);
+}
+
 typedef struct
 {
   uint64_t write;
@@ -744,6 +761,9 @@
     case LC_ROLLOUT_ABANDON:
       abandon (instance, action->spec.id);
       break;
+    case LC_ROLLOUT_RECALL:
+      recall (instance, action->spec.id);
+      break;
     case LC_ROLLOUT_LEDGER:
       write_ledger (instance, action);
       break;
@@ -839,6 +859,7 @@
       lx_ledger_breach (&world->ledger, LX_CUT_BY_DRAIN, now_of (instance), lx_world_event (world),
                         "%s ends with request %" PRIu64, instance->name, request->id);
   lx_instance_kill (instance);
+  instance->drain_ended = now_of (instance);
   lx_world_after (world, 2 * LB_SEC, on_restart, instance, NULL, NULL);
 }
 
--- a/packages/sim/src/lx-trainer.c
+++ b/packages/sim/src/lx-trainer.c
@@ -15,7 +15,8 @@
 #define PULL_PATIENCE (8 * LB_SEC) /* then the pull is repeated */
 #define RETRY_TIME (500 * LB_MSEC)
 #define STUCK_TIME (300 * LB_SEC)
-#define MAX_TOKENS 4096
+/* No sample is longer: three times the shortest, ten times that. */
+#define MAX_LENGTH 41
 #define STRAGGLERS 0.05
 
 static void ask (LxTrainer *trainer);
@@ -64,6 +65,7 @@
 {
   free (trainer->got);
   free (trainer->cursor);
+  free (trainer->finished);
 }
 
 /* Copies the reply of a pull, whose pointers live only until the next command. */
@@ -121,7 +123,7 @@
       spec->groups[i].prompt
           = lb_asprintf ("t%zu/s%" PRId64 "/g%zu", trainer->index, trainer->step, i);
       spec->groups[i].samples = options->samples;
-      spec->groups[i].max_tokens = MAX_TOKENS;
+      spec->groups[i].max_tokens = MAX_LENGTH * options->shortest;
     }
 }
 
@@ -286,12 +288,19 @@
 }
 
 void
-lx_trainer_start (LxTrainer *trainer)
+lx_trainer_start (LxTrainer *trainer, int64_t wanted)
 {
+  trainer->wanted = wanted;
   trainer->train_until = lx_world_now (trainer->world);
   begin_step (trainer);
 }
 
+LbTime
+lx_trainer_finished (const LxTrainer *trainer, int64_t step)
+{
+  return step < trainer->step ? trainer->finished[step] : 0;
+}
+
 static uint64_t
 step_number (const LxTrainer *trainer)
 {
@@ -318,6 +327,24 @@
   return needed > options->train ? needed - options->train : 0;
 }
 
+/* What set the end of the step: the sample whose stream ended last. */
+static void
+explain_step (const LxTrainer *trainer)
+{
+  const LxWorld *world = trainer->world;
+  const LxTruth *truth = &world->ledger.truths[trainer->last_stream - 1];
+  const LxJob *job = &world->ledger.jobs[truth->job - 1];
+  double opened = (double)trainer->opened_at / LB_SEC;
+
+  fprintf (stderr,
+           "%s step %" PRId64
+           ": opened %.1f s, trained until +%.1f, done +%.1f; last sample: %" PRId64
+           " tokens, stream begun +%.1f, ended +%.1f\n",
+           trainer->name, trainer->step, opened, (double)trainer->train_until / LB_SEC - opened,
+           (double)lx_world_now (world) / LB_SEC - opened, job->length,
+           (double)truth->begun / LB_SEC - opened, (double)trainer->last_ended / LB_SEC - opened);
+}
+
 static void
 finish_step (LxTrainer *trainer)
 {
@@ -330,14 +357,20 @@
                       "%s step %" PRId64 " done with %" PRId64 " of %" PRId64 " samples",
                       trainer->name, trainer->step, trainer->n_got, slots);
   lx_ledger_step (&world->ledger, step_number (trainer))->done = true;
+  if (options->explain)
+    explain_step (trainer);
   if (trainer->step > 0)
     {
       trainer->steps++;
       trainer->idle += lx_world_now (world) - trainer->train_until;
       trainer->idle_floor += idle_floor (trainer);
     }
+  trainer->finished = lb_realloc (trainer->finished, (size_t)(trainer->step + 1) * sizeof (LbTime));
+  trainer->finished[trainer->step] = lx_world_now (world);
   trainer->step++;
   trainer->train_until = lx_world_now (world) + options->train;
+  if (trainer->step == trainer->wanted)
+    return;
   begin_step (trainer);
 }
 
@@ -374,6 +407,9 @@
     lx_ledger_breach (&world->ledger, LX_STALE, lx_world_now (world), lx_world_event (world),
                       "%s %s/%" PRId64 " lags %" PRId64, trainer->name, sample->group,
                       sample->index, staleness);
+  trainer->mixed += truth->n_spans > 1;
+  if (staleness > trainer->oldest)
+    trainer->oldest = staleness;
   if (trainer->step == 0)
     return;
   trainer->samples++;
@@ -382,6 +418,19 @@
     trainer->staleness_max = staleness;
 }
 
+static void
+note_last_stream (LxTrainer *trainer, const LxText *text)
+{
+  if (text->n_segments == 0)
+    return;
+  uint64_t stream = text->segments[text->n_segments - 1].stream;
+  LbTime ended = trainer->world->ledger.truths[stream - 1].ended;
+  if (ended <= trainer->last_ended)
+    return;
+  trainer->last_stream = stream;
+  trainer->last_ended = ended;
+}
+
 static void
 take_sample (LxTrainer *trainer, const LxChunkSample *sample)
 {
@@ -405,6 +454,7 @@
     lx_ledger_breach (&world->ledger, LX_NOT_WHOLE, lx_world_now (world), lx_world_event (world),
                       "%s %s/%" PRId64 ": %s", trainer->name, sample->group, sample->index,
                       sample->text);
+  note_last_stream (trainer, &text);
   lx_ledger_label (&world->ledger, &text, &truth);
   check_label (trainer, sample, &truth,
                lx_sample_length (&world->options, trainer->index, trainer->step, group,
--- a/packages/sim/src/lx-world.c
+++ b/packages/sim/src/lx-world.c
@@ -16,11 +16,7 @@
                                             .pause = 500 * LB_MSEC };
 static const LxEngineTimes service_times = { .token = 0.020, .token_per_other = 0.001 };
 
-enum
-{
-  ENGINE_CONCURRENCY = 32,
-  SERVICE_CONCURRENCY = 64
-};
+#define SERVICE_CONCURRENCY 64
 
 LbTime
 lx_world_now (const LxWorld *world)
@@ -81,6 +77,15 @@
   return NULL;
 }
 
+LxInstance *
+lx_world_instance (LxWorld *world, const char *name)
+{
+  for (size_t i = 0; i < world->n_instances; i++)
+    if (strcmp (world->instances[i].name, name) == 0)
+      return &world->instances[i];
+  return NULL;
+}
+
 /* An instance that serves callers, the preferred one if it does; NULL when none does. */
 LxInstance *
 lx_world_live_instance (LxWorld *world, size_t preferred)
@@ -130,7 +135,7 @@
 
   if (!engine->is_service)
     lx_ledger_made (&world->ledger, stream->spec.id, stream->offset - tokens, tokens,
-                    engine->version);
+                    engine->version, lx_world_now (world));
   if (stream->spec.kind == LC_KIND_SAMPLE)
     lx_ledger_step (&world->ledger, step)->generated += tokens;
 }
@@ -149,7 +154,7 @@
   LB_COPY (engine->group, is_service ? site->service : site->pool);
   engine->data_centre = number % site->n_data_centres;
   engine->is_service = is_service;
-  engine->concurrency = is_service ? SERVICE_CONCURRENCY : ENGINE_CONCURRENCY;
+  engine->concurrency = is_service ? SERVICE_CONCURRENCY : world->options.concurrency;
   engine->listener = (LxEngineListener){ .piece = on_piece,
                                          .ended = on_ended,
                                          .made = on_made,
@@ -280,8 +285,8 @@
   free (world);
 }
 
-static void
-start (LxWorld *world)
+void
+lx_world_start (LxWorld *world)
 {
   for (size_t i = 0; i < world->n_endpoints; i++)
     lx_engine_start (world->engines[i], world->swaps.newest);
@@ -289,10 +294,12 @@
     lx_instance_start (&world->instances[i]);
   lx_registry_start (&world->registry);
   lx_swaps_start (&world->swaps);
+  if (world->options.scripted)
+    return;
   lx_callers_start (&world->callers);
   lx_faults_start (&world->faults);
   for (size_t i = 0; i < world->options.n_trainers; i++)
-    lx_trainer_start (&world->trainers[i]);
+    lx_trainer_start (&world->trainers[i], 0);
 }
 
 /* Runs to the end of the options' duration or number of events. */
@@ -302,7 +309,7 @@
   LbTime until = lx_world_now (world) + world->options.duration;
   uint64_t max = world->options.max_events;
 
-  start (world);
+  lx_world_start (world);
   while ((max == 0 || lx_world_event (world) < max) && lx_queue_step (world->queue, until))
     if (world->options.stop_at_breach && world->ledger.first[0])
       return;
