Leaving: an instance that slept or lost sight of an endpoint asks before it sends

Ruled out: a detection of the pause by a gap between commands, since an idle instance has such gaps too. Now the view has an age: an endpoint whose last report was asked for more than 2.5 s ago comes after all others, and a pool with none better waits for the next report, at most 2 s. Endpoints that never report are as before.

Guards taken out once: age of the view, end of the hold, choice of another endpoint; each failed a test.

--- a/packages/core/src/lc-placement.c
+++ b/packages/core/src/lc-placement.c
@@ -10,6 +10,8 @@
  * round while a pool is full. */
 #define MAX_PASSED_OVER 16
 #define LONGEST_BLOCKED_WAIT (200 * LB_MSEC)
+#define LONGEST_VIEW (2500 * LB_MSEC)
+#define LONGEST_HOLD (2 * LB_SEC)
 
 /* The earliest time at which some endpoint of the pool may take work as far as its breaker goes: 0
  * for now, LB_TIME_NEVER when nobody serves the pool. */
@@ -57,17 +59,58 @@
   lc_dispatch_set_timer (dispatch, request);
 }
 
+/* An instance that was paused, or cut off from an endpoint, may have missed that the endpoint is
+ * leaving: what it sends on its old view is new work, seconds after it had to stop. A report that
+ * was asked for less than LONGEST_VIEW ago proves that the endpoint was not leaving then. One that
+ * never reported is taken by the word of the configuration and of the platform. */
+static bool
+is_outdated (const LcEndpoint *endpoint, LbTime now)
+{
+  return lc_entry (endpoint)->is_reported && now - endpoint->report.at > LONGEST_VIEW;
+}
+
+/* Holds a pool back whose endpoints all have an old view, until one reports. Reports come within
+ * milliseconds when it was this instance that slept; when none comes for LONGEST_HOLD, endpoints do
+ * not answer for their load and are taken as they are. */
+static LcRouteDecision
+hold_back (LcPoolState *pool, const LcRouteDecision *outdated, LbTime now)
+{
+  if (pool->held_since == 0)
+    pool->held_since = now;
+  if (now - pool->held_since >= LONGEST_HOLD)
+    return *outdated;
+  return (LcRouteDecision){ .reason = "view-too-old" };
+}
+
+static LcRouteDecision
+route (LcDispatch *dispatch, const LcRequest *request, bool avoid_tried, LbTime now)
+{
+  LcRouteQuery query = lc_request_query (request, dispatch->settings.data_centre, avoid_tried);
+  LcRouteDecision first = lc_router_choose (dispatch->router, dispatch->endpoints, &query, now);
+  LcRouteDecision decision = first;
+
+  while (decision.endpoint && is_outdated (decision.endpoint, now) && query.n_avoid < LC_MAX_AVOID)
+    {
+      LB_COPY (query.avoid[query.n_avoid], decision.endpoint->member.name);
+      query.n_avoid++;
+      decision = lc_router_choose (dispatch->router, dispatch->endpoints, &query, now);
+    }
+  if (!first.endpoint)
+    return first;
+  if (!decision.endpoint || is_outdated (decision.endpoint, now))
+    return hold_back (request->pool, &first, now);
+  request->pool->held_since = 0;
+  return decision;
+}
+
 static LcRouteDecision
 choose (LcDispatch *dispatch, const LcRequest *request, LbTime now)
 {
-  const char *data_centre = dispatch->settings.data_centre;
-  LcRouteQuery query = lc_request_query (request, data_centre, true);
-  LcRouteDecision decision = lc_router_choose (dispatch->router, dispatch->endpoints, &query, now);
+  LcRouteDecision decision = route (dispatch, request, true, now);
 
   if (decision.endpoint || request->n_tried == 0)
     return decision;
-  query = lc_request_query (request, data_centre, false);
-  return lc_router_choose (dispatch->router, dispatch->endpoints, &query, now);
+  return route (dispatch, request, false, now);
 }
 
 /* The last look before new work goes out. A retry, a hedge, a resume and queued work all pass
@@ -221,8 +264,7 @@
   request->hedged = true;
   lc_request_tried (request, attempt->endpoint);
 
-  LcRouteQuery query = lc_request_query (request, dispatch->settings.data_centre, true);
-  LcRouteDecision decision = lc_router_choose (dispatch->router, dispatch->endpoints, &query, now);
+  LcRouteDecision decision = route (dispatch, request, true, now);
   const char *endpoint = decision.endpoint ? decision.endpoint->member.name : NULL;
 
   if (endpoint && strcmp (endpoint, attempt->endpoint) != 0
--- a/packages/core/src/lc-pool.h
+++ b/packages/core/src/lc-pool.h
@@ -19,7 +19,8 @@
   LbName name;
   LcPoolKind kind;
   LcQueue *queue;
-  bool configured; /* part of the configuration in force */
+  bool configured;   /* part of the configuration in force */
+  LbTime held_since; /* sends nothing since all views of its endpoints are old; 0: not held */
   double live_reserve;
   int64_t queue_limit;
   size_t n_requests; /* admitted and not finished */
--- a/packages/core/tests/test-dispatch-leaving.c
+++ b/packages/core/tests/test-dispatch-leaving.c
@@ -191,3 +191,72 @@
   cr_assert_eq (f.error.code, LB_ERROR_NO_ENDPOINT);
   fixture_clear (&f);
 }
+
+static void
+report (Fixture *f, const char *endpoint, bool leaving)
+{
+  LcLoadReport load = { .incarnation = "1", .version = 1, .leaving = leaving, .at = f->now };
+
+  lc_dispatch_report (f->dispatch, endpoint, &load, f->now, &f->actions);
+}
+
+/* An instance is paused for five seconds. Meanwhile e1 begins to leave and everybody else hears of
+ * it. The instance wakes with a call in its socket and an old view in which e1 is fine. */
+Test (leaving, instance_that_was_paused_asks_first)
+{
+  Fixture f;
+  LcAction action;
+
+  fixture_init (&f, &settings, 2, 4);
+  report (&f, "e1", false);
+  report (&f, "e2", false);
+  f.now += 5 * LB_SEC;
+
+  LcRequestSpec specs[2];
+
+  for (int i = 0; i < 2; i++)
+    {
+      specs[i] = fixture_spec (&f, LC_KIND_LIVE);
+      cr_assert (fixture_submit (&f, &specs[i]));
+    }
+  cr_assert (lb_list_is_empty (&f.actions));
+  report (&f, "e1", true);
+  report (&f, "e2", false);
+  cr_assert_eq (count_sends (&f, "e1"), 0);
+  cr_assert_eq (count_sends (&f, "e2"), 2);
+  cr_assert_not (fixture_take (&f, LC_ACTION_FINISH, specs[0].id, &action));
+  fixture_clear (&f);
+}
+
+/* Only the way to e1 is lost: its reports stop. Calls go to e2, whose view is fresh. When e2 stops
+ * reporting too, calls are held for a moment and then sent all the same, since endpoints that don't
+ * tell their load must not stop a pool. */
+Test (leaving, endpoint_with_an_old_view_comes_last)
+{
+  Fixture f;
+
+  fixture_init (&f, &settings, 2, 10);
+  report (&f, "e1", false);
+  for (int i = 0; i < 5; i++)
+    {
+      f.now += LB_SEC;
+      report (&f, "e2", false);
+    }
+  for (int i = 0; i < 4; i++)
+    {
+      LcRequestSpec spec = fixture_spec (&f, LC_KIND_LIVE);
+
+      cr_assert (fixture_submit (&f, &spec));
+    }
+  cr_assert_eq (count_sends (&f, "e2"), 4);
+  fixture_drop_actions (&f);
+  f.now += 10 * LB_SEC;
+
+  LcRequestSpec last = fixture_spec (&f, LC_KIND_LIVE);
+
+  cr_assert (fixture_submit (&f, &last));
+  cr_assert (lb_list_is_empty (&f.actions));
+  fixture_at (&f, f.now + 3 * LB_SEC);
+  fixture_expect (&f, LC_ACTION_SEND, last.id);
+  fixture_clear (&f);
+}
