An unknown outcome of a change is read back until it is known

Cause, found by a test that loses every reply and not just one: the read-back came at once, the store client's breaker was open from the lost replies, and the next try wrote again, which opened it for longer; after 5 s the operator was told store_outcome_unknown of a change in force. The retry now repeats the read. Ruled out: the platform client, which answers STORE_UNKNOWN as agreed.

--- a/packages/node/src/ln-config-store.c
+++ b/packages/node/src/ln-config-store.c
@@ -54,6 +54,7 @@
   LbTime started_at;
   LbTime delay;
   bool may_be_applied; /* some attempt's outcome is unknown */
+  bool to_read_back;   /* what the retry is to do: read back, not write again */
   LbErrorCode last;
   LnConfigCommitDone done;
   void *user;
@@ -245,9 +246,25 @@
   return own;
 }
 
+static void
+retry_later (Commit *commit)
+{
+  const struct timeval delay
+      = { .tv_sec = commit->delay / LB_SEC, .tv_usec = (suseconds_t)(commit->delay % LB_SEC) };
+
+  if (lb_clock_monotonic () - commit->started_at >= COMMIT_DEADLINE)
+    {
+      commit_finish (commit, commit->may_be_applied ? LB_ERROR_STORE_UNKNOWN : commit->last);
+      return;
+    }
+  commit->delay = commit->delay * 2 < LONGEST_RETRY ? commit->delay * 2 : LONGEST_RETRY;
+  event_add (commit->retry, &delay);
+}
+
 /* Guards against a reply that is lost after the write took effect: the operator would be told that
  * the change failed, or that another operator was first, while it is in force. The history row of
- * the revision names the transaction that wrote it, so whoever wrote it is known. */
+ * the revision names the transaction that wrote it, so whoever wrote it is known; and while nobody
+ * has, the same transaction may be sent again, since its token lets it take effect once. */
 static void
 on_read_back (LbErrorCode error, const LpRow *rows, size_t n_rows, void *user)
 {
@@ -258,7 +275,10 @@
   else if (error == LB_ERROR_NOT_FOUND && commit->last == LB_ERROR_CONDITION_FAILED)
     commit_finish (commit, LB_ERROR_CONFLICT);
   else
-    commit_finish (commit, LB_ERROR_STORE_UNKNOWN);
+    {
+      commit->to_read_back = error != LB_ERROR_NOT_FOUND;
+      retry_later (commit);
+    }
 }
 
 static void
@@ -275,7 +295,12 @@
 {
   (void)fd;
   (void)what;
-  transact (user);
+  Commit *commit = user;
+
+  if (commit->to_read_back)
+    read_back (commit);
+  else
+    transact (commit);
 }
 
 static void
@@ -288,19 +313,10 @@
   commit->may_be_applied |= error == LB_ERROR_STORE_UNKNOWN;
   if (error == LB_OK)
     commit_finish (commit, LB_OK);
-  else if (error == LB_ERROR_CONDITION_FAILED)
-    read_back (commit);
-  else if (lb_clock_monotonic () - commit->started_at < COMMIT_DEADLINE)
-    {
-      const struct timeval delay
-          = { .tv_sec = commit->delay / LB_SEC, .tv_usec = (suseconds_t)(commit->delay % LB_SEC) };
-      commit->delay = commit->delay * 2 < LONGEST_RETRY ? commit->delay * 2 : LONGEST_RETRY;
-      event_add (commit->retry, &delay);
-    }
-  else if (commit->may_be_applied)
+  else if (error == LB_ERROR_CONDITION_FAILED || error == LB_ERROR_STORE_UNKNOWN)
     read_back (commit);
   else
-    commit_finish (commit, error);
+    retry_later (commit);
 }
 
 static void
--- a/tests/process/test-config.c
+++ b/tests/process/test-config.c
@@ -166,8 +166,8 @@
   cr_assert_eq (metric_of (first, "lentilspindle_operator_refused_total "), 1);
 }
 
-/* The store commits an operator's change and its reply is lost. The operator would be told that it
- * failed, or of a conflict with itself, while it is in force. */
+/* The store commits an operator's change and the reply is lost, and that of each try after it. The
+ * operator would be told that it failed, or of a conflict with itself, while it is in force. */
 Test (config, lost_reply_after_the_commit)
 {
   LbName error;
@@ -175,8 +175,7 @@
   start_instances (2);
   PtProgram *first = &world.instances[0];
   cr_assert_eq (change (first, QUEUE_LIMIT (1), "\"0\"", error), 200, "%s", error);
-  pt_fault (&world, &world.platform,
-            "{\"mode\": \"lose_reply\", \"path\": \"/table/transact\", \"count\": 1}");
+  pt_fault (&world, &world.platform, "{\"mode\": \"lose_reply\", \"path\": \"/table/transact\"}");
   cr_assert_eq (change (first, QUEUE_LIMIT (2), "\"1\"", error), 200, "%s", error);
   pt_wait (&world, "revision 2 at the other", has_revision_2, &world.instances[1]);
   cr_assert_eq (revision_of (first), 2);
@@ -319,22 +318,25 @@
   return search->found;
 }
 
-/* The holder of the lease is paused past its end without knowing. Another one takes over and brings
- * the engines to 41. When the first wakes and goes on, an engine would be ordered by both. */
+/* The holder of the lease is paused in the middle of the roll-out of 41, past its lease. Another
+ * one takes over and brings all engines to 42. The first wakes and goes on where it was: it would
+ * order 41 to engines that have 42, and the one that takes any order would go back. */
 Test (config, paused_lease_holder)
 {
   HolderSearch search;
-  int64_t version = 41;
+  int64_t version = 42;
 
   PtProgram *paused = start_pool (&search);
   int64_t fence = search.fence;
+  publish_weights (41);
+  pt_wait (&world, "an engine loads", some_engine_loads, NULL);
   int64_t orders = metric_of (paused, "lentilspindle_weight_orders_total ");
   pt_process_signal (&paused->process, SIGSTOP);
   publish_weights (version);
   search.but = paused;
   pt_wait (&world, "another holds the lease", find_holder, &search);
   cr_assert_gt (search.fence, fence);
-  pt_wait (&world, "all engines have 41", all_engines_have, &version);
+  pt_wait (&world, "all engines have 42", all_engines_have, &version);
 
   pt_process_signal (&paused->process, SIGCONT);
   pt_wait_ready (&world, paused);
