--- a/packages/core/src/lc-endpoint-table.h
+++ b/packages/core/src/lc-endpoint-table.h
@@ -1,6 +1,7 @@
 #ifndef LC_ENDPOINT_TABLE_H
 #define LC_ENDPOINT_TABLE_H
 
+#include "lc-batch-cost.h"
 #include "lc-breaker.h"
 #include "lc-concurrency.h"
 #include "lc-endpoints.h"
@@ -10,9 +11,6 @@
 
 #include <uthash.h>
 
-/* A token takes this share longer in a full batch than alone. */
-#define LC_FULL_BATCH_SLOWDOWN 1.0
-
 #define LC_NEVER_REPORTED ((LbTime)-1)
 
 /* What a decision needs of an endpoint, in one cache line: a decision looks at all endpoints of a
@@ -29,10 +27,11 @@
   uint32_t slot;
   int32_t live_since;        /* live requests we sent since the report */
   int32_t in_flight;         /* ours */
-  int32_t data_centre;       /* index among the table's */
-  float alone_token_seconds; /* of one stream with no other beside it */
+  int16_t data_centre;       /* index among the table's */
   bool is_out;               /* leaving, or no longer in the configuration */
   bool is_special;           /* swap, unknown weights or breaker: the entry must be asked */
+  float alone_token_seconds; /* of one stream with no other beside it */
+  float places_inverse;      /* 1 / size */
 } LcSummary;
 
 /* What the table keeps of an endpoint beside the part that policies and the node read. */
@@ -66,7 +65,9 @@
   size_t n_slots;
   size_t capacity;
   double service_seconds; /* mean of our own requests there; 0: none ended yet */
-  double bound_share;     /* of our requests, those that went where their prompt was cached */
+  LcBatchCost batch_cost;
+  double slowdown;    /* by it */
+  double bound_share; /* of our requests, those that went where their prompt was cached */
   UT_hash_handle hh;
 } LcEndpointGroup;
 
@@ -99,6 +100,15 @@
 /* -1 when no endpoint is there. */
 int lc_endpoints_data_centre (const LcEndpoints *endpoints, const char *name);
 
+/* NULL when there is none of this name. */
+LcEntry *lc_endpoints_entry (const LcEndpoints *endpoints, const char *name);
+
+/* commands on one entry */
+void lc_entry_publish (LcEntry *entry, LbTime now);
+void lc_entry_summarise (LcEntry *entry);
+void lc_entry_forget_process (LcEntry *entry);
+void lc_entry_void_belief (LcEntry *entry);
+
 bool
 lc_summary_may_take (const LcSummary *summary, LcRequestKind kind, double live_reserve, LbTime now);
 
--- a/packages/core/src/lc-placement.c
+++ b/packages/core/src/lc-placement.c
@@ -1,5 +1,7 @@
 #include "lc-dispatch-private.h"
 
+#include "lc-endpoint-table.h"
+
 #include "lb-alloc.h"
 
 #include <string.h>
@@ -8,33 +10,30 @@
  * round while a pool is full. */
 #define MAX_PASSED_OVER 16
 #define LONGEST_BLOCKED_WAIT (200 * LB_MSEC)
-
-static bool
-serves (const LcEndpoint *endpoint, const LcPoolState *pool)
-{
-  return !endpoint->leaving && lc_pool_kind_of (&endpoint->member) == pool->kind
-         && strcmp (endpoint->member.pool, pool->name) == 0;
-}
+#define LONGEST_VIEW (2500 * LB_MSEC)
+#define LONGEST_HOLD (2 * LB_SEC)
 
 /* The earliest time at which some endpoint of the pool may take work as far as its breaker goes: 0
  * for now, LB_TIME_NEVER when nobody serves the pool. */
 LbTime
 lc_dispatch_opens_at (LcDispatch *dispatch, const LcPoolState *pool)
 {
+  LcEndpointKind kind = pool->kind == LC_POOL_SERVICE ? LC_ENDPOINT_SERVICE : LC_ENDPOINT_ENGINE;
+  const LcEndpointGroup *group = lc_endpoints_group (dispatch->endpoints, kind, pool->name);
   LbTime opens_at = LB_TIME_NEVER;
 
-  if (!pool->configured || pool->n_endpoints == 0)
+  if (!pool->configured || !group)
     return LB_TIME_NEVER;
-  for (size_t i = 0; i < lc_endpoints_count (dispatch->endpoints); i++)
+  for (size_t i = 0; i < group->n_slots; i++)
     {
-      const LcEndpoint *endpoint = lc_endpoints_at (dispatch->endpoints, i);
+      const LcSummary *summary = &dispatch->endpoints->summaries[group->slots[i]];
 
-      if (!serves (endpoint, pool))
+      if (summary->is_out)
         continue;
-      if (endpoint->breaker != LC_BREAKER_OPEN)
+      if (summary->endpoint->breaker != LC_BREAKER_OPEN)
         return 0;
-      if (endpoint->breaker_until < opens_at)
-        opens_at = endpoint->breaker_until;
+      if (summary->endpoint->breaker_until < opens_at)
+        opens_at = summary->endpoint->breaker_until;
     }
   return opens_at;
 }
@@ -60,17 +59,58 @@
   lc_dispatch_set_timer (dispatch, request);
 }
 
+/* An instance that was paused, or cut off from an endpoint, may have missed that the endpoint is
+ * leaving: what it sends on its old view is new work, seconds after it had to stop. A report that
+ * was asked for less than LONGEST_VIEW ago proves that the endpoint was not leaving then. One that
+ * never reported is taken by the word of the configuration and of the platform. */
+static bool
+is_outdated (const LcEndpoint *endpoint, LbTime now)
+{
+  return lc_entry (endpoint)->is_reported && now - endpoint->report.at > LONGEST_VIEW;
+}
+
+/* Holds a pool back whose endpoints all have an old view, until one reports. Reports come within
+ * milliseconds when it was this instance that slept; when none comes for LONGEST_HOLD, endpoints do
+ * not answer for their load and are taken as they are. */
+static LcRouteDecision
+hold_back (LcPoolState *pool, const LcRouteDecision *outdated, LbTime now)
+{
+  if (pool->held_since == 0)
+    pool->held_since = now;
+  if (now - pool->held_since >= LONGEST_HOLD)
+    return *outdated;
+  return (LcRouteDecision){ .reason = "view-too-old" };
+}
+
+static LcRouteDecision
+route (LcDispatch *dispatch, const LcRequest *request, bool avoid_tried, LbTime now)
+{
+  LcRouteQuery query = lc_request_query (request, dispatch->settings.data_centre, avoid_tried);
+  LcRouteDecision first = lc_router_choose (dispatch->router, dispatch->endpoints, &query, now);
+  LcRouteDecision decision = first;
+
+  while (decision.endpoint && is_outdated (decision.endpoint, now) && query.n_avoid < LC_MAX_AVOID)
+    {
+      LB_COPY (query.avoid[query.n_avoid], decision.endpoint->member.name);
+      query.n_avoid++;
+      decision = lc_router_choose (dispatch->router, dispatch->endpoints, &query, now);
+    }
+  if (!first.endpoint)
+    return first;
+  if (!decision.endpoint || is_outdated (decision.endpoint, now))
+    return hold_back (request->pool, &first, now);
+  request->pool->held_since = 0;
+  return decision;
+}
+
 static LcRouteDecision
 choose (LcDispatch *dispatch, const LcRequest *request, LbTime now)
 {
-  const char *data_centre = dispatch->settings.data_centre;
-  LcRouteQuery query = lc_request_query (request, data_centre, true);
-  LcRouteDecision decision = lc_router_choose (dispatch->router, dispatch->endpoints, &query, now);
+  LcRouteDecision decision = route (dispatch, request, true, now);
 
   if (decision.endpoint || request->n_tried == 0)
     return decision;
-  query = lc_request_query (request, data_centre, false);
-  return lc_router_choose (dispatch->router, dispatch->endpoints, &query, now);
+  return route (dispatch, request, false, now);
 }
 
 /* The last look before new work goes out. A retry, a hedge, a resume and queued work all pass
@@ -115,6 +155,16 @@
   return request->min_version > 0 || request->n_avoid > 0;
 }
 
+/* False when a newcomer stands behind one that could be sent nowhere a moment ago, and that asked
+ * for nothing special: then there is no place for the newcomer either. */
+bool
+lc_dispatch_may_be_next (const LcRequest *request)
+{
+  const LcWaiting *first = lc_queue_first (request->pool->queue);
+
+  return first == &request->waiting || is_choosy (LB_CONTAINER (first, LcRequest, waiting));
+}
+
 /* Sends a request that has been chosen for an endpoint. */
 static void
 place (LcDispatch *dispatch,
@@ -214,8 +264,7 @@
   request->hedged = true;
   lc_request_tried (request, attempt->endpoint);
 
-  LcRouteQuery query = lc_request_query (request, dispatch->settings.data_centre, true);
-  LcRouteDecision decision = lc_router_choose (dispatch->router, dispatch->endpoints, &query, now);
+  LcRouteDecision decision = route (dispatch, request, true, now);
   const char *endpoint = decision.endpoint ? decision.endpoint->member.name : NULL;
 
   if (endpoint && strcmp (endpoint, attempt->endpoint) != 0
--- a/packages/node/src/ln-calls-run.c
+++ b/packages/node/src/ln-calls-run.c
@@ -177,6 +177,8 @@
   lc_dispatch_ended (calls->dispatch, id, ln_upstream_attempt (upstream), end,
                      lb_clock_monotonic (), &actions);
   ln_calls_run (calls, &actions);
+  if (end == LC_END_REFUSED_LEAVING)
+    ln_calls_tell_leaving (calls, ln_upstream_endpoint (upstream));
   call = ln_calls_find (calls, id);
   if (call)
     call->ended = NULL;
@@ -408,3 +410,10 @@
   drop_call (calls, call);
   ln_calls_run (calls, &actions);
 }
+
+void
+ln_calls_recall (LnCalls *calls, LnCall *call)
+{
+  ln_calls_post_done (calls, call->spec.id, LB_ERROR_CLOSED, copy_text (call->text));
+  ln_calls_cancel (calls, call);
+}
