--- a/packages/node/src/ln-call.c
+++ b/packages/node/src/ln-call.c
@@ -188,9 +188,21 @@
     begin_stream (call, endpoint);
   if (call->exchange)
     ln_exchange_stream_piece (call->exchange, line, length);
+  call->last_sent = lb_clock_monotonic ();
   free (line);
 }
 
+void
+ln_call_keep_alive (LnCall *call, LbTime before, LbTime now)
+{
+  static const char comment[] = ": keep-alive\n\n";
+
+  if (!call->exchange || !call->stream_begun || call->last_sent > before)
+    return;
+  ln_exchange_stream_piece (call->exchange, comment, sizeof comment - 1);
+  call->last_sent = now;
+}
+
 static void
 set_versions_header (LnExchange *exchange, const LnAttempt *attempt)
 {
--- a/packages/node/src/ln-call.h
+++ b/packages/node/src/ln-call.h
@@ -50,6 +50,7 @@
   bool ticketed;        /* goes on without its caller, who may come again with the same ticket */
   bool wants_stream;
   bool stream_begun;
+  LbTime last_sent;         /* to the caller of a stream */
   char stream_id[96];       /* the id that the caller sees */
   struct json_object *body; /* for engines */
   char *method;             /* for services, all owned */
@@ -85,6 +86,8 @@
 
 /* Passes an engine's event to a caller who streams. */
 void ln_call_forward (LnCall *call, struct json_object *event, const char *endpoint);
+/* A comment line to a caller whose stream has been silent since `before`. */
+void ln_call_keep_alive (LnCall *call, LbTime before, LbTime now);
 /* The whole answer as bytes, for others than the caller who began the call. */
 void ln_call_whole_answer (LnCall *call, LnAttempt *winner, LnAnswer *answer);
 /* The answer of the attempt that won. The exchange is gone afterwards. */
--- a/packages/node/src/ln-calls-private.h
+++ b/packages/node/src/ln-calls-private.h
@@ -24,6 +24,7 @@
   LnRelays *relays;
   LnLeaving *leaving;
   struct event *tick;
+  struct event *keep_alive;
   LnCall *by_id;
   LbList all;
   bool ready; /* the resources in force are confirmed */
@@ -43,5 +44,6 @@
 
 /* ln-calls-take.c: from a caller's request to its submission */
 void ln_calls_take (LnCalls *calls, LnExchange *exchange);
+void ln_calls_add_hints (LnCalls *calls, LnExchange *exchange, LbErrorCode code);
 
 #endif
--- a/packages/node/src/ln-calls-run.c
+++ b/packages/node/src/ln-calls-run.c
@@ -393,7 +393,10 @@
   if (call->ticketed)
     ln_ticket_calls_finish (calls->tickets, call->spec.id, error.code, retry_after, NULL);
   if (call->exchange)
-    ln_exchange_reply_error (call->exchange, &error, retry_after);
+    {
+      ln_calls_add_hints (calls, call->exchange, error.code);
+      ln_exchange_reply_error (call->exchange, &error, retry_after);
+    }
   else if (!call->ticketed)
     ln_calls_post_done (calls, call->spec.id, error.code, NULL);
   drop_call (calls, call);
--- a/packages/node/src/ln-calls-take.c
+++ b/packages/node/src/ln-calls-take.c
@@ -14,19 +14,26 @@
 #define TICKET_LIFE_MS 600000
 #define MAX_KEY_BYTES 256
 
+/* A caller that is turned away by the instance, not by the load, hears where to go instead. */
+void
+ln_calls_add_hints (LnCalls *calls, LnExchange *exchange, LbErrorCode code)
+{
+  char hint[4 * LB_NAME_MAX];
+
+  if (code != LB_ERROR_DRAINING && code != LB_ERROR_NOT_READY)
+    return;
+  ln_exchange_set_header (exchange, "x-entry-stale", "1");
+  ln_relays_hint (calls->relays, hint, sizeof hint);
+  if (hint[0])
+    ln_exchange_set_header (exchange, "x-entry", hint);
+}
+
 static void
 refuse (LnCalls *calls, LnExchange *exchange, LbErrorCode code, const char *detail)
 {
   LbError error = { 0 };
-  char hint[4 * LB_NAME_MAX];
 
-  ln_relays_hint (calls->relays, hint, sizeof hint);
-  if (code == LB_ERROR_DRAINING || code == LB_ERROR_NOT_READY)
-    {
-      ln_exchange_set_header (exchange, "x-entry-stale", "1");
-      if (hint[0])
-        ln_exchange_set_header (exchange, "x-entry", hint);
-    }
+  ln_calls_add_hints (calls, exchange, code);
   lb_error_set (&error, code, "", "%s", detail);
   ln_exchange_reply_error (exchange, &error, code == LB_ERROR_NOT_READY ? LB_SEC : 0);
 }
--- a/packages/node/src/ln-calls.c
+++ b/packages/node/src/ln-calls.c
@@ -14,6 +14,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define KEEP_ALIVE (500 * LB_MSEC)
+
 static void
 caller_gone (LnExchange *exchange)
 {
@@ -212,6 +214,7 @@
   ln_ticket_calls_free (calls->tickets);
   ln_poller_free (calls->poller);
   event_free (calls->tick);
+  event_free (calls->keep_alive);
   lc_dispatch_free (calls->dispatch);
   free (calls);
 }
@@ -235,11 +238,27 @@
   return lc_dispatch_new (&dispatch);
 }
 
+/* Callers, too, must be able to tell a slow answer from a connection that has gone silent. */
+static void
+on_keep_alive (evutil_socket_t fd, short what, void *user)
+{
+  (void)fd;
+  (void)what;
+  LnCalls *calls = user;
+  LbTime now = lb_clock_monotonic ();
+
+  LB_LIST_FOREACH (&calls->all, LnCall, link, call)
+  {
+    ln_call_keep_alive (call, now - KEEP_ALIVE, now);
+  }
+}
+
 LnTask *
 ln_calls_new (LnContext *context)
 {
   static const LnPollerHandlers handlers
       = { .on_report = on_report, .on_cache_event = on_cache_event };
+  const struct timeval keep_alive_period = { .tv_usec = KEEP_ALIVE / 2 };
   LnCalls *calls = LB_NEW (LnCalls);
 
   calls->task.klass = &calls_class;
@@ -255,5 +274,7 @@
   calls->tick = evtimer_new (context->base, ln_calls_on_tick, calls);
   calls->poller = ln_poller_new (context->base, context->http,
                                  context->settings->calls.load_poll_ms * LB_MSEC, &handlers, calls);
+  calls->keep_alive = event_new (context->base, -1, EV_PERSIST, on_keep_alive, calls);
+  event_add (calls->keep_alive, &keep_alive_period);
   return &calls->task;
 }
--- a/packages/node/tests/test-calls.c
+++ b/packages/node/tests/test-calls.c
@@ -381,6 +381,78 @@
   setup_clear (&s);
 }
 
+/* Sends as much as the socket takes. */
+static bool
+send_some (Peer *peer, const char *text, size_t length, size_t *sent)
+{
+  ssize_t n = send (peer->fd, text + *sent, length - *sent, 0);
+
+  if (n > 0)
+    *sent += (size_t)n;
+  return *sent == length;
+}
+
+/* A caller stops reading in the middle of its answer but keeps the connection. What the engine goes
+ * on to send would pile up in the daemon until its memory is used up. Over a bound the caller
+ * counts as gone, and the engine's stream is cancelled. */
+Test (calls, caller_that_stops_reading_is_given_up)
+{
+  Setup s;
+  Peer caller, engine;
+  char id[96];
+  const int text_length = 400000;
+  char *text = lb_malloc ((size_t)text_length + 1);
+  int offset = 0;
+
+  memset (text, 'a', (size_t)text_length);
+  text[text_length] = '\0';
+  setup_init (&s, 1);
+  caller_open (&s.f, &caller);
+  caller_post (&caller, "/v1/completions", "", STREAM);
+  endpoint_accept_stream (&s.f, s.listener[0], &engine, id);
+  endpoint_send_head (&engine);
+  while (!engine.closed && offset < 200)
+    {
+      char *event = lb_asprintf ("data: {\"id\":\"%s\",\"choices\":[{\"index\":0,\"text\":\"%s\","
+                                 "\"finish_reason\":null}],\"offset\":%d,\"tokens\":1,"
+                                 "\"weight_version\":40}\n\n",
+                                 id, text, offset++);
+      char *chunk = lb_asprintf ("%zx\r\n%s\r\n", strlen (event), event);
+      size_t sent = 0;
+      FIXTURE_UNTIL (&s.f,
+                     send_some (&engine, chunk, strlen (chunk), &sent) || peer_is_closed (&engine));
+      free (event);
+      free (chunk);
+    }
+  cr_assert (engine.closed, "the engine's stream went on after %d MB", offset * text_length >> 20);
+  FIXTURE_UNTIL (&s.f, ln_hub_is_idle (s.f.context.hub));
+  free (text);
+  peer_close (&engine);
+  peer_close (&caller);
+  setup_clear (&s);
+}
+
+/* The engine is slow but says that it lives. So does the daemon to its own caller, who can tell the
+ * slow answer from a connection that has gone silent. */
+Test (calls, slow_stream_is_kept_alive)
+{
+  Setup s;
+  Peer caller, engine;
+  char id[96];
+
+  setup_init (&s, 1);
+  caller_open (&s.f, &caller);
+  caller_post (&caller, "/v1/completions", "", STREAM);
+  endpoint_accept_stream (&s.f, s.listener[0], &engine, id);
+  endpoint_send_head (&engine);
+  endpoint_send_token (&engine, id, 0, " one", false);
+  FIXTURE_UNTIL (&s.f, peer_has (&caller, " one"));
+  FIXTURE_UNTIL (&s.f, peer_has (&caller, ": keep-alive"));
+  peer_close (&engine);
+  peer_close (&caller);
+  setup_clear (&s);
+}
+
 Test (calls, service_call_passes_through)
 {
   Fixture f;
