--- a/packages/node/src/ln-calls-run.c
+++ b/packages/node/src/ln-calls-run.c
@@ -413,3 +413,10 @@
   drop_call (calls, call);
   ln_calls_run (calls, &actions);
 }
+
+void
+ln_calls_recall (LnCalls *calls, LnCall *call)
+{
+  ln_calls_post_done (calls, call->spec.id, LB_ERROR_CLOSED, copy_text (call->text));
+  ln_calls_cancel (calls, call);
+}
