--- a/packages/node/src/ln-caller.h
+++ b/packages/node/src/ln-caller.h
@@ -19,8 +19,9 @@
   size_t max_callers;
   size_t max_body;
   size_t max_header;
-  LbTime read_time; /* a request must be whole within this time */
-  bool draining;    /* replies ask callers to connect elsewhere */
+  LbTime read_time;            /* a request must be whole within this time */
+  struct LnRecorder *recorder; /* NULL: nothing is recorded */
+  bool draining;               /* replies ask callers to connect elsewhere */
 } LnCallers;
 
 /* One connection of a caller: its limits, and how it ends. */
--- a/packages/node/src/ln-exchange.c
+++ b/packages/node/src/ln-exchange.c
@@ -1,8 +1,10 @@
 #include "ln-exchange-private.h"
 
 #include "ln-messages.h"
+#include "ln-recorder.h"
 
 #include "lb-alloc.h"
+#include "lb-clock.h"
 #include "lb-counter.h"
 
 #include <event2/buffer.h>
@@ -33,6 +35,7 @@
   char *raw_query;
   bool gone;
   bool streaming;
+  int status; /* of the reply; of the error when a stream ended with one */
   char *method;
   char *path;
   char *body;
@@ -243,9 +246,19 @@
   return exchange->request && !exchange->gone;
 }
 
+static void
+record_whole (const LnExchange *exchange)
+{
+  LnRecorder *recorder = exchange->caller ? exchange->caller->callers->recorder : NULL;
+
+  if (recorder && is_writable (exchange) && exchange->status == 200)
+    ln_recorder_whole (recorder, exchange, lb_clock_monotonic ());
+}
+
 static void
 release (LnExchange *exchange)
 {
+  record_whole (exchange);
   if (exchange->request && exchange->gone)
     {
       exchange->caller->exchange = NULL;
@@ -270,6 +283,7 @@
 ln_exchange_reply_text (
     LnExchange *exchange, int status, const char *type, const char *text, size_t length)
 {
+  exchange->status = status;
   if (is_writable (exchange))
     {
       mark_drain (exchange);
@@ -284,9 +298,12 @@
 void
 ln_exchange_reply_json (LnExchange *exchange, int status, struct json_object *object)
 {
+  LnRecorder *recorder = exchange->caller ? exchange->caller->callers->recorder : NULL;
   size_t length;
   const char *text = json_object_to_json_string_length (object, JSON_FORMAT, &length);
 
+  if (recorder)
+    ln_recorder_reply (recorder, exchange, status, object, lb_clock_monotonic ());
   ln_exchange_reply_text (exchange, status, "application/json", text, length);
   json_object_put (object);
 }
@@ -319,6 +336,7 @@
       char *event
           = lb_asprintf ("data: %s\n\n", json_object_to_json_string_ext (object, JSON_FORMAT));
       ln_exchange_stream_piece (exchange, event, strlen (event));
+      exchange->status = lb_error_http_status (error->code);
       free (event);
       json_object_put (object);
       ln_exchange_end (exchange);
@@ -340,6 +358,7 @@
 ln_exchange_stream_start (LnExchange *exchange, int status, const char *type)
 {
   exchange->streaming = true;
+  exchange->status = status;
   if (!is_writable (exchange))
     return;
   mark_drain (exchange);
--- a/packages/node/src/ln-front.c
+++ b/packages/node/src/ln-front.c
@@ -2,8 +2,10 @@
 
 #include "ln-exchange-private.h"
 #include "ln-messages.h"
+#include "ln-recorder.h"
 
 #include "lb-alloc.h"
+#include "lb-clock.h"
 #include "lb-counter.h"
 #include "lb-log.h"
 
@@ -79,11 +81,14 @@
   LnExchange *exchange = ln_exchange_new (ln_caller_of (request->conn), request,
                                           ++front->next_exchange, front->task.hub);
   LnTask *task = find_task (front, exchange);
+  LnRecorder *recorder = front->callers.recorder;
   LnExchangeMessage message = { .base = LN_MESSAGE (LN_EXCHANGE), .exchange = exchange };
 
   if (!task)
     task = &front->task;
   lb_metric_add (&requests, 1);
+  if (recorder)
+    ln_recorder_request (recorder, exchange, lb_clock_monotonic ());
   ln_exchange_set_owner (exchange, task);
   LN_POST (front->task.hub, task, message);
 }
@@ -181,6 +186,7 @@
   LnFront *front = (LnFront *)task;
 
   ln_callers_clear (&front->callers);
+  ln_recorder_free (front->callers.recorder);
   evhtp_unbind_socket (front->server);
   evhtp_free (front->server);
   free (front);
@@ -253,5 +259,8 @@
       return NULL;
     }
   read_bound_address (front);
+  if (settings->record[0])
+    front->callers.recorder = ln_recorder_new (settings->record, settings->instance.data_centre,
+                                               settings->seed, lb_clock_monotonic ());
   return &front->task;
 }
--- /dev/null
+++ b/packages/node/src/ln-recorder.c
@@ -0,0 +1,423 @@
+#include "ln-recorder.h"
+
+#include "ln-exchange.h"
+
+#include "lb-alloc.h"
+#include "lb-list.h"
+#include "lb-log.h"
+#include "lb-settings.h"
+
+#include <errno.h>
+#include <inttypes.h>
+#include <json-c/json.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define MAX_EVENTS 100000
+#define MAX_TRAINERS 10
+#define MOST_TOKENS 4000
+#define MOST_GROUPS 512
+#define MOST_SAMPLES 64
+#define MOST_SHORTEST 400
+#define DEFAULT_TOKENS 16
+/* A replay has its own engines and latencies: what was answered must be answered there too, but not
+ * in the same time. */
+#define GRACE_MS 60000
+
+typedef enum
+{
+  RECORD_CALL,
+  RECORD_SERVICE,
+  RECORD_STEP
+} RecordType;
+
+typedef struct
+{
+  LbLink link;
+  RecordType type;
+  uint64_t exchange;
+  int64_t at_ms;
+  int64_t whole_ms; /* -1: never */
+  int64_t tokens;
+  int64_t deadline_ms; /* 0: the default */
+  bool repeatable;
+  int trainer;
+  int64_t step;   /* as the trainer named it */
+  int64_t number; /* of this trainer's recorded steps, from 0 */
+  bool accepted;
+} Record;
+
+struct LnRecorder
+{
+  char path[256];
+  const char *site;
+  uint64_t seed;
+  LbTime begun;
+  LbList records;
+  LbName trainers[MAX_TRAINERS];
+  int64_t steps[MAX_TRAINERS];
+  int n_trainers;
+  int64_t groups;
+  int64_t samples;
+  int64_t shortest;
+};
+
+static const char *
+site_of (const char *data_centre)
+{
+  return strncmp (data_centre, "hall-", 5) == 0 || strcmp (data_centre, "local") == 0 ? "kurunegala"
+                                                                                      : "hoa-sen";
+}
+
+LnRecorder *
+ln_recorder_new (const char *path, const char *data_centre, uint64_t seed, LbTime now)
+{
+  LnRecorder *recorder = LB_NEW (LnRecorder);
+
+  LB_COPY (recorder->path, path);
+  recorder->site = site_of (data_centre);
+  recorder->seed = seed % 1000000000000000U;
+  recorder->begun = now;
+  recorder->groups = 8;
+  recorder->samples = 4;
+  recorder->shortest = 20;
+  lb_list_init (&recorder->records);
+  return recorder;
+}
+
+static int64_t
+clamp (int64_t value, int64_t most)
+{
+  if (value < 1)
+    return 1;
+  return value < most ? value : most;
+}
+
+static int64_t
+ms_since_start (const LnRecorder *recorder, LbTime now)
+{
+  return (now - recorder->begun) / LB_MSEC;
+}
+
+static Record *
+add_record (LnRecorder *recorder, RecordType type, const LnExchange *exchange, LbTime now)
+{
+  Record *record;
+
+  if (recorder->records.length >= MAX_EVENTS)
+    return NULL;
+  record = LB_NEW (Record);
+  record->type = type;
+  record->exchange = ln_exchange_id (exchange);
+  record->at_ms = ms_since_start (recorder, now);
+  record->whole_ms = -1;
+  lb_list_append (&recorder->records, &record->link);
+  return record;
+}
+
+static struct json_object *
+read_body (const LnExchange *exchange)
+{
+  size_t length;
+  const char *body = ln_exchange_body (exchange, &length);
+  struct json_object *object = lb_settings_parse (body, length, "body", NULL);
+
+  if (json_object_is_type (object, json_type_object))
+    return object;
+  json_object_put (object);
+  return NULL;
+}
+
+static int64_t
+integer_of (struct json_object *object, const char *key, int64_t absent)
+{
+  struct json_object *value = NULL;
+
+  return json_object_object_get_ex (object, key, &value) ? json_object_get_int64 (value) : absent;
+}
+
+static int64_t
+deadline_of (const LnExchange *exchange)
+{
+  const char *text = ln_exchange_header (exchange, "x-deadline-ms");
+
+  return text ? strtoll (text, NULL, 10) : 0;
+}
+
+static void
+record_call (LnRecorder *recorder, const LnExchange *exchange, LbTime now)
+{
+  struct json_object *body = read_body (exchange);
+  Record *record = body ? add_record (recorder, RECORD_CALL, exchange, now) : NULL;
+
+  if (record)
+    {
+      record->tokens = clamp (integer_of (body, "max_tokens", DEFAULT_TOKENS), MOST_TOKENS);
+      record->deadline_ms = deadline_of (exchange);
+    }
+  json_object_put (body);
+}
+
+static void
+record_service (LnRecorder *recorder, const LnExchange *exchange, LbTime now)
+{
+  Record *record = add_record (recorder, RECORD_SERVICE, exchange, now);
+
+  if (!record)
+    return;
+  record->repeatable = strcmp (ln_exchange_method (exchange), "POST") != 0;
+  record->deadline_ms = deadline_of (exchange);
+}
+
+/* The trainer's number, from 0; -1 when there are too many. */
+static int
+trainer_of (LnRecorder *recorder, const char *path)
+{
+  LbName name = "";
+  const char *begin = path + strlen ("/v1/subscriptions/");
+  size_t length = strcspn (begin, "/");
+
+  if (length < sizeof name)
+    memcpy (name, begin, length);
+  for (int i = 0; i < recorder->n_trainers; i++)
+    if (strcmp (recorder->trainers[i], name) == 0)
+      return i;
+  if (recorder->n_trainers == MAX_TRAINERS)
+    return -1;
+  LB_COPY (recorder->trainers[recorder->n_trainers], name);
+  return recorder->n_trainers++;
+}
+
+static Record *
+find_step (LnRecorder *recorder, int trainer, int64_t step)
+{
+  LB_LIST_FOREACH (&recorder->records, Record, link, record)
+  {
+    if (record->type == RECORD_STEP && record->trainer == trainer && record->step == step)
+      return record;
+  }
+  return NULL;
+}
+
+/* All steps of a trace have one shape: that of the first one. */
+static void
+note_shape (LnRecorder *recorder, struct json_object *body)
+{
+  struct json_object *groups = NULL;
+
+  if (!json_object_object_get_ex (body, "groups", &groups)
+      || !json_object_is_type (groups, json_type_array) || json_object_array_length (groups) == 0)
+    return;
+  struct json_object *first = json_object_array_get_idx (groups, 0);
+  recorder->groups = clamp ((int64_t)json_object_array_length (groups), MOST_GROUPS);
+  recorder->samples = clamp (integer_of (first, "samples", 1), MOST_SAMPLES);
+  recorder->shortest = clamp (integer_of (first, "max_tokens", 60) / 3, MOST_SHORTEST);
+}
+
+static void
+record_step (LnRecorder *recorder, const LnExchange *exchange, LbTime now)
+{
+  struct json_object *body = read_body (exchange);
+  int trainer = body ? trainer_of (recorder, ln_exchange_path (exchange)) : -1;
+  int64_t step = body ? integer_of (body, "step", 0) : 0;
+
+  /* A trainer asks for a step again when it missed the answer. */
+  if (trainer >= 0 && !find_step (recorder, trainer, step))
+    {
+      Record *record = add_record (recorder, RECORD_STEP, exchange, now);
+      if (record)
+        {
+          record->trainer = trainer;
+          record->step = step;
+        }
+      if (recorder->n_trainers == 1 && recorder->steps[0] == 0)
+        note_shape (recorder, body);
+    }
+  json_object_put (body);
+}
+
+static bool
+ends_with (const char *text, const char *end)
+{
+  size_t length = strlen (text);
+  size_t end_length = strlen (end);
+
+  return length >= end_length && strcmp (text + length - end_length, end) == 0;
+}
+
+static bool
+begins_with (const char *text, const char *begin)
+{
+  return strncmp (text, begin, strlen (begin)) == 0;
+}
+
+void
+ln_recorder_request (LnRecorder *recorder, const LnExchange *exchange, LbTime now)
+{
+  const char *path = ln_exchange_path (exchange);
+
+  if (strcmp (path, "/v1/completions") == 0 || strcmp (path, "/v1/chat/completions") == 0)
+    record_call (recorder, exchange, now);
+  else if (begins_with (path, "/services/"))
+    record_service (recorder, exchange, now);
+  else if (begins_with (path, "/v1/subscriptions/") && ends_with (path, "/steps"))
+    record_step (recorder, exchange, now);
+}
+
+static Record *
+find_record (LnRecorder *recorder, uint64_t exchange)
+{
+  /* The newest are last, and most answers come soon. */
+  for (LbLink *link = recorder->records.head.prev; link != &recorder->records.head;
+       link = link->prev)
+    {
+      Record *record = LB_CONTAINER (link, Record, link);
+      if (record->exchange == exchange)
+        return record;
+    }
+  return NULL;
+}
+
+static void
+accept_step (LnRecorder *recorder, const LnExchange *exchange)
+{
+  Record *record = find_record (recorder, ln_exchange_id (exchange));
+
+  if (!record || record->accepted)
+    return;
+  record->accepted = true;
+  record->number = recorder->steps[record->trainer]++;
+}
+
+static void
+note_pull (LnRecorder *recorder, const LnExchange *exchange, struct json_object *reply, LbTime now)
+{
+  struct json_object *done = NULL;
+  int trainer = trainer_of (recorder, ln_exchange_path (exchange));
+  Record *record = find_step (recorder, trainer, integer_of (reply, "step", -1));
+
+  if (!record || !json_object_object_get_ex (reply, "done", &done)
+      || !json_object_get_boolean (done))
+    return;
+  record->whole_ms = ms_since_start (recorder, now);
+}
+
+void
+ln_recorder_reply (LnRecorder *recorder,
+                   const LnExchange *exchange,
+                   int status,
+                   struct json_object *reply,
+                   LbTime now)
+{
+  const char *path = ln_exchange_path (exchange);
+
+  if (!begins_with (path, "/v1/subscriptions/"))
+    return;
+  if (status == 202 && ends_with (path, "/steps"))
+    accept_step (recorder, exchange);
+  else if (status == 200 && ends_with (path, "/pull"))
+    note_pull (recorder, exchange, reply, now);
+}
+
+void
+ln_recorder_whole (LnRecorder *recorder, const LnExchange *exchange, LbTime now)
+{
+  Record *record = find_record (recorder, ln_exchange_id (exchange));
+
+  if (record && record->type != RECORD_STEP)
+    record->whole_ms = ms_since_start (recorder, now);
+}
+
+static void
+write_event (FILE *out, const Record *record)
+{
+  const char *name = record->type == RECORD_CALL ? "call" : "service";
+
+  if (record->type == RECORD_STEP)
+    {
+      if (record->accepted)
+        fprintf (out,
+                 "{ \"at_ms\": %" PRId64 ", \"event\": \"steps\", \"trainer\": \"trainer-%d\", "
+                 "\"count\": 1 }\n",
+                 record->at_ms, record->trainer + 1);
+      return;
+    }
+  fprintf (out, "{ \"at_ms\": %" PRId64 ", \"event\": \"%s\", \"call\": \"c%" PRIu64 "\"",
+           record->at_ms, name, record->exchange);
+  if (record->type == RECORD_CALL)
+    fprintf (out, ", \"tokens\": %" PRId64, record->tokens);
+  else
+    fprintf (out, ", \"repeatable\": %s", record->repeatable ? "true" : "false");
+  if (record->deadline_ms > 0)
+    fprintf (out, ", \"deadline_ms\": %" PRId64, record->deadline_ms);
+  fputs (" }\n", out);
+}
+
+static void
+write_expectation (FILE *out, const Record *record)
+{
+  if (record->whole_ms < 0)
+    return;
+  if (record->type == RECORD_STEP)
+    fprintf (out,
+             "{ \"expect\": \"step-done\", \"trainer\": \"trainer-%d\", \"step\": %" PRId64
+             ", \"by_ms\": %" PRId64 " }\n",
+             record->trainer + 1, record->number, record->whole_ms + GRACE_MS);
+  else
+    fprintf (out, "{ \"expect\": \"whole\", \"call\": \"c%" PRIu64 "\", \"by_ms\": %" PRId64 " }\n",
+             record->exchange, record->whole_ms + GRACE_MS);
+}
+
+static void
+write_trace (const LnRecorder *recorder, FILE *out)
+{
+  fprintf (out,
+           "{ \"format\": 1, \"site\": \"%s\", \"seed\": %" PRIu64
+           ", \"about\": \"recorded by lentilspindled\", \"trainers\": %d, \"groups\": %" PRId64
+           ", \"samples\": %" PRId64 ", \"shortest\": %" PRId64 ", \"train_ms\": 0 }\n",
+           recorder->site, recorder->seed, recorder->n_trainers, recorder->groups,
+           recorder->samples, recorder->shortest);
+  LB_LIST_FOREACH (&recorder->records, Record, link, event)
+  {
+    write_event (out, event);
+  }
+  LB_LIST_FOREACH (&recorder->records, Record, link, expectation)
+  {
+    write_expectation (out, expectation);
+  }
+}
+
+static void
+write_file (const LnRecorder *recorder)
+{
+  FILE *out = fopen (recorder->path, "w");
+  bool ok = out != NULL;
+
+  if (out)
+    {
+      write_trace (recorder, out);
+      ok = ferror (out) == 0;
+      ok = fclose (out) == 0 && ok;
+    }
+  if (ok)
+    lb_log (LB_LOG_INFO, "trace_written", LB_TEXT ("path", recorder->path),
+            LB_INT ("events", recorder->records.length),
+            LB_BOOL ("cut", recorder->records.length == MAX_EVENTS));
+  else
+    lb_log (LB_LOG_ERROR, "trace_not_written", LB_TEXT ("path", recorder->path),
+            LB_TEXT ("error", lb_error_name (LB_ERROR_IO)), LB_TEXT ("detail", strerror (errno)));
+}
+
+void
+ln_recorder_free (LnRecorder *recorder)
+{
+  if (!recorder)
+    return;
+  write_file (recorder);
+  LB_LIST_FOREACH (&recorder->records, Record, link, record)
+  {
+    free (record);
+  }
+  free (recorder);
+}
--- /dev/null
+++ b/packages/node/tests/test-recorder.c
@@ -0,0 +1,59 @@
+#include "node-fixture.h"
+
+static void
+read_trace (const char *path, char *text, size_t size)
+{
+  FILE *in = fopen (path, "r");
+
+  cr_assert (in);
+  text[fread (text, 1, size - 1, in)] = '\0';
+  fclose (in);
+}
+
+/* The trace has each call as it was asked, and expects the whole answer only of those that had one.
+ */
+Test (recorder, calls_and_their_answers)
+{
+  Fixture f;
+  Peer caller, service, engine;
+  LbName addresses[2];
+  char folder[] = "/tmp/lentilspindle-trace-XXXXXX";
+  char text[4096], path[64], id[96];
+
+  cr_assert (mkdtemp (folder));
+  snprintf (path, sizeof path, "%s/trace.jsonl", folder);
+  fixture_init (&f);
+  LB_COPY (f.settings.instance.data_centre, "quan-bay");
+  LB_COPY (f.settings.record, path);
+  int engines = fixture_listen (addresses[0]);
+  int services = fixture_listen (addresses[1]);
+  fixture_start (&f);
+  fixture_configure (&f, (const char *[]){ addresses[0], NULL },
+                     (const char *[]){ addresses[1], NULL });
+  caller_open (&f, &caller);
+  caller_post (&caller, "/v1/completions", "x-deadline-ms: 9000\r\n",
+               "{\"model\":\"p\",\"prompt\":\"a\",\"max_tokens\":7}");
+  endpoint_accept_stream (&f, engines, &engine, id);
+  endpoint_send_head (&engine);
+  endpoint_send_token (&engine, id, 0, " one", true);
+  endpoint_send_end (&engine);
+  FIXTURE_UNTIL (&f, peer_has (&caller, " one"));
+  caller_post (&caller, "/services/s/order", "", "tea");
+  endpoint_accept (&f, services, &service);
+  peer_close (&service);
+  FIXTURE_UNTIL (&f, peer_has (&caller, "outcome_unknown"));
+  peer_close (&engine);
+  peer_close (&caller);
+  fixture_clear (&f);
+
+  read_trace (path, text, sizeof text);
+  cr_assert (strstr (text, "\"site\": \"hoa-sen\""), "%s", text);
+  cr_assert (strstr (text, "\"event\": \"call\", \"call\": \"c1\", \"tokens\": 7, "
+                           "\"deadline_ms\": 9000 }"),
+             "%s", text);
+  cr_assert (strstr (text, "\"event\": \"service\", \"call\": \"c2\", \"repeatable\": false"));
+  cr_assert (strstr (text, "\"expect\": \"whole\", \"call\": \"c1\""));
+  cr_assert_not (strstr (text, "\"expect\": \"whole\", \"call\": \"c2\""));
+  unlink (path);
+  rmdir (folder);
+}
