--- a/packages/node/src/ln-exchange.c
+++ b/packages/node/src/ln-exchange.c
@@ -243,7 +243,7 @@
 static bool
 is_writable (const LnExchange *exchange)
 {
-  return exchange->request && !exchange->gone;
+  return exchange->caller && exchange->request && !exchange->gone;
 }
 
 static void
