--- a/packages/node/src/ln-exchange.c
+++ b/packages/node/src/ln-exchange.c
@@ -258,14 +258,16 @@
 static void
 release (LnExchange *exchange)
 {
+  LnCaller *caller = exchange->caller;
+
   record_whole (exchange);
-  if (exchange->request && exchange->gone)
+  if (caller && exchange->gone)
     {
-      exchange->caller->exchange = NULL;
-      evhtp_connection_free (exchange->caller->connection);
+      caller->exchange = NULL;
+      evhtp_connection_free (caller->connection);
     }
-  else if (exchange->request)
-    ln_caller_replied (exchange->caller, exchange->request);
+  else if (caller)
+    ln_caller_replied (caller, exchange->request);
   exchange_done (exchange);
 }
 
--- /dev/null
+++ b/tests/process/test-tickets.c
@@ -0,0 +1,169 @@
+#include "pt-world.h"
+
+#include "lb-alloc.h"
+
+#include <criterion/criterion.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+typedef struct
+{
+  PtWorld world;
+  PtProgram *service;
+  PtProgram *first;
+  PtProgram *second;
+} Shop;
+
+static bool
+both_named (PtWorld *world, void *user)
+{
+  (void)user;
+  bool all = true;
+
+  for (size_t i = 0; i < world->n_instances && all; i++)
+    {
+      struct json_object *entry = si_client_json (&world->client, world->instances[i].address,
+                                                  "/v1/entry?caller=shop", NULL);
+      struct json_object *addresses = NULL;
+      all = entry && json_object_object_get_ex (entry, "addresses", &addresses)
+            && json_object_array_length (addresses) == 2;
+      json_object_put (entry);
+    }
+  return all;
+}
+
+/* Two instances that know each other, and one service whose calls may not be repeated. */
+static void
+shop_init (Shop *shop)
+{
+  static const char *const options[] = { "--latency-ms", "50", NULL };
+
+  memset (shop, 0, sizeof *shop);
+  pt_world_init (&shop->world);
+  pt_start_platform (&shop->world);
+  shop->service = pt_start_service (&shop->world, "lookup-1", options);
+  shop->first = pt_start_instance (&shop->world, "i1", "hall-a");
+  shop->second = pt_start_instance (&shop->world, "i2", "hall-b");
+  pt_apply_all (&shop->world, shop->first);
+  pt_wait_in_force (&shop->world);
+  pt_wait_ready (&shop->world, shop->first);
+  pt_wait_ready (&shop->world, shop->second);
+  pt_wait (&shop->world, "two instances that name each other", both_named, NULL);
+}
+
+static void
+shop_clear (Shop *shop)
+{
+  pt_world_clear (&shop->world);
+}
+
+static void
+get_ticket (Shop *shop, PtProgram *instance, char ticket[256])
+{
+  const LhHeader headers[] = { { "x-caller", "shop" } };
+  const SiCall call = { .method = "POST",
+                        .address = instance->address,
+                        .path = "/v1/tickets",
+                        .headers = headers,
+                        .n_headers = 1,
+                        .body = "" };
+  SiAnswer answer;
+
+  si_client_call (&shop->world.client, &call, &answer);
+  cr_assert (si_answer_is_ok (&answer), "%s", si_answer_error (&answer));
+  struct json_object *object = json_tokener_parse (answer.body);
+  struct json_object *text = NULL;
+  cr_assert (json_object_object_get_ex (object, "ticket", &text));
+  lb_strlcpy (ticket, json_object_get_string (text), 256);
+  json_object_put (object);
+  si_answer_clear (&answer);
+}
+
+static void
+order (Shop *shop, PtProgram *instance, const char *header, const char *value, SiAnswer *answer)
+{
+  const LhHeader headers[] = { { "x-caller", "shop" }, { "x-order", "tea" }, { header, value } };
+  const SiCall call = { .method = "POST",
+                        .address = instance->address,
+                        .path = "/services/lookup/order",
+                        .headers = headers,
+                        .n_headers = 3,
+                        .body = "one tea" };
+
+  si_client_call (&shop->world.client, &call, answer);
+}
+
+/* A shop makes an order with a ticket of one instance, but connects to another, which passes it on.
+ * The answer is lost, and the first instance dies. The shop asks again at the second: whether the
+ * order was made is no longer known to anyone, so it must neither be made again nor be called "not
+ * run". */
+Test (tickets, dead_instance_leaves_the_outcome_unknown)
+{
+  Shop shop;
+  SiAnswer answer;
+  char ticket[256];
+
+  shop_init (&shop);
+  get_ticket (&shop, shop.first, ticket);
+  order (&shop, shop.second, "x-ticket", ticket, &answer);
+  cr_assert (si_answer_is_ok (&answer), "%s", si_answer_error (&answer));
+  si_answer_clear (&answer);
+  order (&shop, shop.first, "x-ticket", ticket, &answer);
+  cr_assert (si_answer_is_ok (&answer), "%s", si_answer_error (&answer));
+  si_answer_clear (&answer);
+  cr_assert_eq (pt_runs (&shop.world, shop.service, "tea"), 1);
+
+  pt_process_signal (&shop.first->process, SIGKILL);
+  order (&shop, shop.second, "x-ticket", ticket, &answer);
+  cr_assert_str_eq (si_answer_error (&answer), "outcome_unknown");
+  cr_assert_not (answer.not_run);
+  si_answer_clear (&answer);
+  cr_assert_eq (pt_runs (&shop.world, shop.service, "tea"), 1);
+  shop_clear (&shop);
+}
+
+/* The instance claims the shop's key, and the store's reply is lost after the write. It reads the
+ * row back and makes the order. The shop asks again at another instance, which finds the row and
+ * passes the call on: it gets the kept answer. */
+Test (tickets, lost_reply_of_the_store_makes_no_second_order)
+{
+  Shop shop;
+  SiAnswer answer;
+
+  shop_init (&shop);
+  pt_fault (&shop.world, &shop.world.platform,
+            "{\"mode\": \"lose_reply\", \"path\": \"/table/transact\"}");
+  order (&shop, shop.first, "idempotency-key", "k1", &answer);
+  cr_assert (si_answer_is_ok (&answer), "%s", si_answer_error (&answer));
+  si_answer_clear (&answer);
+  pt_fault (&shop.world, &shop.world.platform, "{\"mode\": \"none\"}");
+  order (&shop, shop.second, "idempotency-key", "k1", &answer);
+  cr_assert (si_answer_is_ok (&answer), "%s", si_answer_error (&answer));
+  si_answer_clear (&answer);
+  cr_assert_eq (pt_runs (&shop.world, shop.service, "tea"), 1);
+  shop_clear (&shop);
+}
+
+/* The store is away. An order with a key of the shop's own can't be claimed, and is refused as "not
+ * run", which is true; an order with a ticket needs no store and is made. */
+Test (tickets, store_away_refuses_keys_and_not_tickets)
+{
+  Shop shop;
+  SiAnswer answer;
+  char ticket[256];
+
+  shop_init (&shop);
+  pt_fault (&shop.world, &shop.world.platform, "{\"mode\": \"down\"}");
+  order (&shop, shop.first, "idempotency-key", "k1", &answer);
+  cr_assert (answer.not_run, "%s", si_answer_error (&answer));
+  si_answer_clear (&answer);
+  cr_assert_eq (pt_runs (&shop.world, shop.service, "tea"), 0);
+  get_ticket (&shop, shop.first, ticket);
+  order (&shop, shop.first, "x-ticket", ticket, &answer);
+  cr_assert (si_answer_is_ok (&answer), "%s", si_answer_error (&answer));
+  si_answer_clear (&answer);
+  cr_assert_eq (pt_runs (&shop.world, shop.service, "tea"), 1);
+  shop_clear (&shop);
+}
