--- a/packages/core/src/lc-deliver.c
+++ b/packages/core/src/lc-deliver.c
@@ -3,8 +3,9 @@
 #include "lb-alloc.h"
 #include "lb-counter.h"
 #include "lb-log.h"
-#include "lc-generate.h"
+#include "lc-job.h"
 #include "lc-label.h"
+#include "lc-result.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -77,17 +78,6 @@
   }
 }
 
-static LcDelivered
-delivered (const LcStep *step, const LcSlot *slot)
-{
-  return (LcDelivered){ .group = lc_step_group_spec (step, slot)->id,
-                        .index = slot->index,
-                        .text = slot->text,
-                        .label = slot->label,
-                        .has_score = slot->has_score,
-                        .score = slot->score };
-}
-
 static void
 reply_chunk (const LcRollouts *rollouts, LcStep *step, const LcWaitingPull *pull, LbList *actions)
 {
@@ -98,7 +88,7 @@
   action->n_samples = chunk->n_slots;
   action->samples = LB_NEW_ARRAY (LcDelivered, chunk->n_slots);
   for (size_t i = 0; i < chunk->n_slots; i++)
-    action->samples[i] = delivered (step, &step->slots[chunk->slots[i]]);
+    action->samples[i] = lc_step_delivered (step, &step->slots[chunk->slots[i]]);
   action->cursor = is_strict (rollouts, step) ? lb_strdup ("")
                                               : lc_cursor_to_text (&chunk->cursor, step->hash);
   action->remaining = (int64_t)lc_step_unsent (step);
@@ -259,7 +249,7 @@
 {
   LcSlot *slot = &step->slots[at];
 
-  lc_generate_abandon (rollouts, step, slot, actions);
+  lc_slot_abandon (rollouts, slot, actions);
   lc_step_forget_text (step, slot);
   lc_step_set_state (step, slot, LC_SLOT_ACKED);
 }
@@ -293,7 +283,7 @@
   if (!stale)
     return;
   take_back_chunk (step);
-  lc_generate_discard_stale (rollouts, step, pull->version, trainer->max_lag, actions);
+  lc_result_discard_stale (rollouts, step, pull->version, trainer->max_lag, actions);
 }
 
 static bool
@@ -315,8 +305,8 @@
     {
       /* Fresh when it was dispatched is not enough: the trainer has gone on since, and shows in
        * this very pull how far. */
-      lc_generate_discard_stale (rollouts, step, pull->version,
-                                 trainer_of (rollouts, step)->max_lag, actions);
+      lc_result_discard_stale (rollouts, step, pull->version, trainer_of (rollouts, step)->max_lag,
+                               actions);
       make_chunk (rollouts, step, pull, now);
     }
   if (!is_confirmed (rollouts, step))
--- a/packages/core/src/lc-rollouts.c
+++ b/packages/core/src/lc-rollouts.c
@@ -5,6 +5,8 @@
 #include "lb-log.h"
 #include "lc-deliver.h"
 #include "lc-generate.h"
+#include "lc-result.h"
+#include "lc-review.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -33,6 +35,7 @@
                               .predict_staleness = true,
                               .group_release = true,
                               .fair_shares = true,
+                              .migrate = true,
                               .pause_limit = DEFAULT_PAUSE_LIMIT };
 }
 
@@ -144,7 +147,7 @@
 {
   lc_deliver_fail_pulls (step, error, 0, actions);
   for (size_t i = 0; i < step->n_slots; i++)
-    lc_generate_abandon (rollouts, step, &step->slots[i], actions);
+    lc_slot_abandon (rollouts, &step->slots[i], actions);
   lb_list_remove (&rollouts->steps, &step->link);
   lc_step_free (step);
 }
@@ -327,13 +330,12 @@
 }
 
 bool
-lc_rollouts_recover (LcRollouts *rollouts,
-                     LcStepSpec *spec,
-                     uint64_t session,
-                     const char *ledger,
-                     LbTime now,
-                     LbList *actions,
-                     LbError *error)
+lc_rollouts_take_over (LcRollouts *rollouts,
+                       LcStepSpec *spec,
+                       const LcRecovery *recovery,
+                       LbTime now,
+                       LbList *actions,
+                       LbError *error)
 {
   LcStep *step = find_step (rollouts, spec->subscription, spec->step);
   LcCursor cursor = { 0 };
@@ -343,14 +345,16 @@
     return is_same (step, spec, error);
   if (!lc_rollouts_may_open (rollouts, spec, error))
     return false;
-  step = lc_step_new (spec, session, &rollouts->trash, now);
-  bool ok = lc_cursor_from_text (&cursor, ledger, step->n_slots, step->hash, error);
+  step = lc_step_new (spec, recovery->session, &rollouts->trash, now);
+  bool ok = lc_cursor_from_text (&cursor, recovery->ledger, step->n_slots, step->hash, error);
   if (ok)
     {
       lc_deliver_recover (step, &cursor);
+      for (size_t i = 0; i < recovery->n_samples; i++)
+        lc_result_take_over (rollouts, step, &recovery->samples[i]);
       lb_list_append (&rollouts->steps, &step->link);
       lb_log (LB_LOG_INFO, "step-opened", LB_TEXT ("subscription", step->spec.subscription),
-              LB_INT ("step", step->spec.step), LB_INT ("session", session),
+              LB_INT ("step", step->spec.step), LB_INT ("session", recovery->session),
               LB_INT ("slots", step->n_slots),
               LB_INT ("acknowledged", step->n_in_state[LC_SLOT_ACKED]));
       lc_generate_fill (rollouts, now, actions);
@@ -361,6 +365,20 @@
   return ok;
 }
 
+bool
+lc_rollouts_recover (LcRollouts *rollouts,
+                     LcStepSpec *spec,
+                     uint64_t session,
+                     const char *ledger,
+                     LbTime now,
+                     LbList *actions,
+                     LbError *error)
+{
+  const LcRecovery recovery = { .session = session, .ledger = ledger };
+
+  return lc_rollouts_take_over (rollouts, spec, &recovery, now, actions, error);
+}
+
 bool
 lc_rollouts_open (LcRollouts *rollouts,
                   LcStepSpec *spec,
@@ -449,7 +467,7 @@
   begin (rollouts, now);
   if (!job || job->scores)
     return;
-  lc_generate_piece (rollouts, job, piece, endpoint, now, actions);
+  lc_result_piece (rollouts, job, piece, endpoint, now, actions);
   if (!lb_list_is_empty (actions))
     lc_generate_fill (rollouts, now, actions);
 }
@@ -471,9 +489,9 @@
       return;
     }
   LcStep *step = job->step;
-  lc_generate_finished (rollouts, job, error, text, now, actions);
+  lc_result_finished (rollouts, job, error, text, now, actions);
   settle (rollouts, step, now, actions);
-  lc_generate_hedge (rollouts, step, now, actions);
+  lc_review_step (rollouts, step, now, actions);
 }
 
 void
@@ -490,7 +508,7 @@
   if (!job || !job->scores)
     return;
   LcStep *step = job->step;
-  lc_generate_scored (rollouts, job, error, score, now);
+  lc_result_scored (rollouts, job, error, score, now);
   settle (rollouts, step, now, actions);
 }
 
@@ -561,7 +579,7 @@
   lc_generate_fill (rollouts, now, actions);
   LB_LIST_FOREACH (&rollouts->steps, LcStep, link, open)
   {
-    lc_generate_hedge (rollouts, open, now, actions);
+    lc_review_step (rollouts, open, now, actions);
   }
 }
 
@@ -613,6 +631,25 @@
   return true;
 }
 
+size_t
+lc_rollouts_ready_samples (const LcRollouts *rollouts,
+                           const char *subscription,
+                           int64_t number,
+                           LcDelivered **samples)
+{
+  const LcStep *step = find_step (rollouts, subscription, number);
+  size_t n_samples = 0;
+
+  *samples = LB_NEW_ARRAY (LcDelivered, step ? step->n_slots : 0);
+  for (size_t i = 0; step && i < step->n_slots; i++)
+    {
+      const LcSlot *slot = &step->slots[i];
+      if (slot->state >= LC_SLOT_SCORING && slot->state != LC_SLOT_ACKED && slot->text)
+        (*samples)[n_samples++] = lc_step_delivered (step, slot);
+    }
+  return n_samples;
+}
+
 bool
 lc_rollouts_is_scoring (const LcRollouts *rollouts, LcRequestId request)
 {
--- a/packages/core/tests/rollouts-fixture.h
+++ b/packages/core/tests/rollouts-fixture.h
@@ -22,11 +22,14 @@
   size_t n_requests;
   size_t n_scores;
   LcRequestId last_abandoned;
+  LcRequestId last_recalled;
   size_t n_abandoned;
   LbErrorCode ledger_error; /* what ledger writes come to */
   bool ledger_silent;       /* writes get no answer */
   char *ledger;             /* the row */
   uint64_t write;           /* the last write */
+  LcDelivered *left;        /* samples that an earlier owner left */
+  size_t n_left;
   /* the last reply */
   size_t n_replies;
   int64_t n_given; /* samples of all replies */
@@ -104,6 +107,8 @@
         }
       else if (action->type == LC_ROLLOUT_ABANDON)
         owner_take_abandon (owner, action->spec.id);
+      else if (action->type == LC_ROLLOUT_RECALL)
+        owner->last_recalled = action->spec.id;
       else if (action->type == LC_ROLLOUT_LEDGER)
         owner_take_ledger (owner, action);
       else
@@ -146,10 +151,12 @@
 }
 
 static inline Owner *
-owner_new (const LcSubscription *subscription, int64_t max_lag)
+owner_new_with (const LcRolloutSettings *chosen,
+                const LcSubscription *subscription,
+                int64_t max_lag)
 {
   Owner *owner = LB_NEW (Owner);
-  LcRolloutSettings settings = lc_rollout_settings_default ();
+  LcRolloutSettings settings = *chosen;
 
   settings.seed = 7;
   owner->now = LB_SEC;
@@ -160,6 +167,14 @@
   return owner;
 }
 
+static inline Owner *
+owner_new (const LcSubscription *subscription, int64_t max_lag)
+{
+  LcRolloutSettings settings = lc_rollout_settings_default ();
+
+  return owner_new_with (&settings, subscription, max_lag);
+}
+
 static inline void
 owner_free (Owner *owner)
 {
@@ -176,6 +191,9 @@
 owner_open (Owner *owner, size_t n_groups, int64_t samples, uint64_t session)
 {
   LcStepSpec spec = { .step = 1, .version = 40, .n_groups = n_groups };
+  LcRecovery recovery = {
+    .session = session, .ledger = owner->ledger, .samples = owner->left, .n_samples = owner->n_left
+  };
   LbError error;
   bool ok = false;
 
@@ -188,8 +206,8 @@
       spec.groups[i].samples = samples;
       spec.groups[i].max_tokens = 1000;
     }
-  OWNER_DO (owner, ok = lc_rollouts_recover (owner->rollouts, &spec, session, owner->ledger,
-                                             owner->now, &actions, &error));
+  OWNER_DO (owner, ok = lc_rollouts_take_over (owner->rollouts, &spec, &recovery, owner->now,
+                                               &actions, &error));
   cr_assert (ok, "%s: %s", error.where, error.detail);
 }
 
--- a/packages/node/include/ln-messages.h
+++ b/packages/node/include/ln-messages.h
@@ -53,6 +53,7 @@
 {
   LnMessage base;
   LcRequestId request;
+  bool keep; /* answer with LN_SAMPLE_DONE, LB_ERROR_CLOSED and the text of the pieces posted */
 } LnSampleCancelMessage;
 
 typedef struct
@@ -92,6 +93,7 @@
   LbName endpoint;
   char incarnation[40]; /* empty: the present one */
   LcLeavingSource source;
+  bool stays; /* the platform's list no longer says leaving */
 } LnEndpointLeavingMessage;
 
 typedef struct
--- a/packages/node/src/ln-calls-private.h
+++ b/packages/node/src/ln-calls-private.h
@@ -4,6 +4,7 @@
 #include "ln-call.h"
 #include "ln-claims.h"
 #include "ln-context.h"
+#include "ln-leaving.h"
 #include "ln-messages.h"
 #include "ln-poller.h"
 #include "ln-relay.h"
@@ -21,7 +22,9 @@
   LnTicketCalls *tickets;
   LnClaims *claims;
   LnRelays *relays;
+  LnLeaving *leaving;
   struct event *tick;
+  struct event *keep_alive;
   LnCall *by_id;
   LbList all;
   bool ready; /* the resources in force are confirmed */
@@ -32,11 +35,17 @@
 void ln_calls_run (LnCalls *calls, LbList *actions);
 void ln_calls_submit (LnCalls *calls, LnCall *call);
 void ln_calls_cancel (LnCalls *calls, LnCall *call);
+/* The same, giving back to the rollouts what its pieces said. */
+void ln_calls_recall (LnCalls *calls, LnCall *call);
 LnCall *ln_calls_find (LnCalls *calls, LcRequestId id);
 void ln_calls_on_tick (evutil_socket_t fd, short what, void *calls);
 void ln_calls_post_done (LnCalls *calls, LcRequestId request, LbErrorCode error, char *text);
 
+/* ln-calls.c: tells the other instances when the endpoint leaves */
+void ln_calls_tell_leaving (LnCalls *calls, const char *endpoint);
+
 /* ln-calls-take.c: from a caller's request to its submission */
 void ln_calls_take (LnCalls *calls, LnExchange *exchange);
+void ln_calls_add_hints (LnCalls *calls, LnExchange *exchange, LbErrorCode code);
 
 #endif
--- a/packages/node/src/ln-calls-take.c
+++ b/packages/node/src/ln-calls-take.c
@@ -14,19 +14,26 @@
 #define TICKET_LIFE_MS 600000
 #define MAX_KEY_BYTES 256
 
+/* A caller that is turned away by the instance, not by the load, hears where to go instead. */
+void
+ln_calls_add_hints (LnCalls *calls, LnExchange *exchange, LbErrorCode code)
+{
+  char hint[4 * LB_NAME_MAX];
+
+  if (code != LB_ERROR_DRAINING && code != LB_ERROR_NOT_READY)
+    return;
+  ln_exchange_set_header (exchange, "x-entry-stale", "1");
+  ln_relays_hint (calls->relays, hint, sizeof hint);
+  if (hint[0])
+    ln_exchange_set_header (exchange, "x-entry", hint);
+}
+
 static void
 refuse (LnCalls *calls, LnExchange *exchange, LbErrorCode code, const char *detail)
 {
   LbError error = { 0 };
-  char hint[4 * LB_NAME_MAX];
 
-  ln_relays_hint (calls->relays, hint, sizeof hint);
-  if (code == LB_ERROR_DRAINING || code == LB_ERROR_NOT_READY)
-    {
-      ln_exchange_set_header (exchange, "x-entry-stale", "1");
-      if (hint[0])
-        ln_exchange_set_header (exchange, "x-entry", hint);
-    }
+  ln_calls_add_hints (calls, exchange, code);
   lb_error_set (&error, code, "", "%s", detail);
   ln_exchange_reply_error (exchange, &error, code == LB_ERROR_NOT_READY ? LB_SEC : 0);
 }
@@ -205,6 +212,15 @@
   return call;
 }
 
+static bool
+is_known_path (const char *path)
+{
+  static const char services[] = "/services/";
+
+  return strcmp (path, "/v1/completions") == 0 || strcmp (path, "/v1/chat/completions") == 0
+         || strncmp (path, services, sizeof services - 1) == 0;
+}
+
 void
 ln_calls_take (LnCalls *calls, LnExchange *exchange)
 {
@@ -223,6 +239,11 @@
       issue_ticket (calls, exchange);
       return;
     }
+  if (!is_known_path (ln_exchange_path (exchange)))
+    {
+      refuse (calls, exchange, LB_ERROR_UNKNOWN_PATH, "nothing answers below this path");
+      return;
+    }
   if (calls->draining && !ticket && !key)
     {
       refuse (calls, exchange, LB_ERROR_DRAINING, "this instance is shutting down");
