Leaving: an instance that has just begun asks before it sends

LcDispatchSettings.longest_view sets the age; LB_TIME_NEVER turns it off (tests without reports).

Cost: where endpoints do not answer GET /load, the first call of a pool waits 1.2 s after a start; node-test-calls and node-test-tickets have such fakes and take longer for it.

Guards taken out once: no report, age, end of the hold, its fresh start, choice of another endpoint; each failed a test.

--- a/packages/core/include/lc-dispatch.h
+++ b/packages/core/include/lc-dispatch.h
@@ -95,6 +95,7 @@
   LbTime default_deadline;
   double retry_budget; /* retries and hedges as a share of successes */
   LbTime hedge_after;  /* for repeatable live calls with no first piece; 0: never */
+  LbTime longest_view; /* age of an endpoint's report above which it comes last; 0: 2.5 s */
   uint64_t seed;
 } LcDispatchSettings;
 
--- a/packages/core/src/lc-placement.c
+++ b/packages/core/src/lc-placement.c
@@ -10,8 +10,7 @@
  * round while a pool is full. */
 #define MAX_PASSED_OVER 16
 #define LONGEST_BLOCKED_WAIT (200 * LB_MSEC)
-#define LONGEST_VIEW (2500 * LB_MSEC)
-#define LONGEST_HOLD (2 * LB_SEC)
+#define LONGEST_HOLD (1200 * LB_MSEC) /* a little more than a period of the polls for load */
 
 /* The earliest time at which some endpoint of the pool may take work as far as its breaker goes: 0
  * for now, LB_TIME_NEVER when nobody serves the pool. */
@@ -59,19 +58,22 @@
   lc_dispatch_set_timer (dispatch, request);
 }
 
-/* An instance that was paused, or cut off from an endpoint, may have missed that the endpoint is
- * leaving: what it sends on its old view is new work, seconds after it had to stop. A report that
- * was asked for less than LONGEST_VIEW ago proves that the endpoint was not leaving then. One that
- * never reported is taken by the word of the configuration and of the platform. */
+/* An instance that was paused, was cut off from an endpoint or has just been started may not know
+ * that the endpoint is leaving: what it sends is new work, seconds after the last had to go there.
+ * A report that was asked for a short while ago proves that the endpoint was not leaving then. */
 static bool
-is_outdated (const LcEndpoint *endpoint, LbTime now)
+is_outdated (const LcDispatch *dispatch, const LcEndpoint *endpoint, LbTime now)
 {
-  return lc_entry (endpoint)->is_reported && now - endpoint->report.at > LONGEST_VIEW;
+  LbTime longest = dispatch->settings.longest_view;
+
+  if (longest == LB_TIME_NEVER)
+    return false;
+  return !lc_entry (endpoint)->is_reported || now - endpoint->report.at > longest;
 }
 
-/* Holds a pool back whose endpoints all have an old view, until one reports. Reports come within
- * milliseconds when it was this instance that slept; when none comes for LONGEST_HOLD, endpoints do
- * not answer for their load and are taken as they are. */
+/* Holds a pool back whose endpoints all have an old view or none, until one reports. Reports come
+ * within milliseconds when it was this instance that slept or began; when none comes for
+ * LONGEST_HOLD, endpoints do not answer for their load and are taken as they are. */
 static LcRouteDecision
 hold_back (LcPoolState *pool, const LcRouteDecision *outdated, LbTime now)
 {
@@ -89,7 +91,8 @@
   LcRouteDecision first = lc_router_choose (dispatch->router, dispatch->endpoints, &query, now);
   LcRouteDecision decision = first;
 
-  while (decision.endpoint && is_outdated (decision.endpoint, now) && query.n_avoid < LC_MAX_AVOID)
+  while (decision.endpoint && is_outdated (dispatch, decision.endpoint, now)
+         && query.n_avoid < LC_MAX_AVOID)
     {
       LB_COPY (query.avoid[query.n_avoid], decision.endpoint->member.name);
       query.n_avoid++;
@@ -97,7 +100,7 @@
     }
   if (!first.endpoint)
     return first;
-  if (!decision.endpoint || is_outdated (decision.endpoint, now))
+  if (!decision.endpoint || is_outdated (dispatch, decision.endpoint, now))
     return hold_back (request->pool, &first, now);
   request->pool->held_since = 0;
   return decision;
