--- a/packages/node/src/ln-calls-private.h
+++ b/packages/node/src/ln-calls-private.h
@@ -34,6 +34,8 @@
 void ln_calls_run (LnCalls *calls, LbList *actions);
 void ln_calls_submit (LnCalls *calls, LnCall *call);
 void ln_calls_cancel (LnCalls *calls, LnCall *call);
+/* The same, giving back to the rollouts what its pieces said. */
+void ln_calls_recall (LnCalls *calls, LnCall *call);
 LnCall *ln_calls_find (LnCalls *calls, LcRequestId id);
 void ln_calls_on_tick (evutil_socket_t fd, short what, void *calls);
 void ln_calls_post_done (LnCalls *calls, LcRequestId request, LbErrorCode error, char *text);
