--- a/packages/core/tests/test-retry.c
+++ b/packages/core/tests/test-retry.c
@@ -106,6 +106,30 @@
   fixture_clear (&f);
 }
 
+/* All engines are slow to begin, and each call is tried at a second one too: the load doubles just
+ * when the engines can bear it least. */
+Test (budget, hedges_spend_it_too)
+{
+  const LcDispatchSettings settings = { .longest_view = LB_TIME_NEVER,
+                                        .queue_limit = 100,
+                                        .retry_budget = 0.25,
+                                        .hedge_after = LB_SEC,
+                                        .seed = 1 };
+  Fixture f;
+
+  fixture_init (&f, &settings, 8, 10);
+  for (int i = 0; i < 20; i++)
+    {
+      LcRequestSpec spec = fixture_spec (&f, LC_KIND_LIVE);
+
+      cr_assert (fixture_submit (&f, &spec));
+    }
+  fixture_drop_actions (&f);
+  fixture_at (&f, f.now + 10 * LB_SEC);
+  cr_assert_eq (f.actions.length, 3, "%zu hedges", f.actions.length);
+  fixture_clear (&f);
+}
+
 /* One endpoint in virtual time and callers with a steady stream of calls. */
 
 #define CALLS_PER_SECOND 200
