Own sends are no longer multiplied by the number of instances; an endpoint is heard before it gets work

1. lc_endpoints_set_peers is gone. Cause: with ten peers the filter took each request of ours for ten, closed most endpoints to the next one and left a policy no choice; requests queued here while engines had places and went where their prompt was not cached. Ruled out: a smaller factor (3). Herding is kept off by the level alone, whose test stands. The call in ln-calls.c goes with it.

An endpoint gets no work until its first word, or until 2 s after it was configured.

--- a/packages/core/include/lc-endpoints.h
+++ b/packages/core/include/lc-endpoints.h
@@ -60,8 +60,6 @@
 void lc_endpoints_free (LcEndpoints *endpoints);
 
 /* commands */
-/* Number of instances that route by the same load reports, this one included; 1 at first. */
-void lc_endpoints_set_peers (LcEndpoints *endpoints, int64_t count);
 /* One-way time between two data centres. */
 void lc_endpoints_set_distance (LcEndpoints *endpoints, LbTime distance);
 void lc_endpoints_configure (LcEndpoints *endpoints, const LcResourceSet *set, LbTime now);
--- a/packages/core/src/lc-endpoint-entry.c
+++ b/packages/core/src/lc-endpoint-entry.c
@@ -18,17 +18,15 @@
   return others > 0 ? others : 0;
 }
 
-/* What the endpoint may hold, counting what we sent since the report as if each of the instances
- * that saw the same report had sent as much. Without the factor all of them fill the same free
- * place at once, and the endpoint queues or refuses what another would have run. */
+/* By the report, and what we sent and ended since. To count our own growth once for each instance
+ * that saw the same report was measured and is worse, see docs/design/0002-routing.md. */
 static int64_t
-load_if_all_act_alike (const LcEntry *entry)
+load_by_report (const LcEntry *entry)
 {
   const LcEndpoint *endpoint = &entry->endpoint;
-  int64_t grown = endpoint->in_flight - entry->in_flight_at_report;
-  int64_t factor = grown > 0 ? entry->table->peers : 1;
 
-  return endpoint->report.running + endpoint->report.waiting + grown * factor;
+  return endpoint->report.running + endpoint->report.waiting + endpoint->in_flight
+         - entry->in_flight_at_report;
 }
 
 static bool
@@ -36,12 +34,12 @@
 {
   const LcEndpoint *endpoint = &entry->endpoint;
 
-  return endpoint->swap_pending || endpoint->breaker != LC_BREAKER_CLOSED
+  return !entry->is_reported || endpoint->swap_pending || endpoint->breaker != LC_BREAKER_CLOSED
          || (endpoint->member.kind == LC_ENDPOINT_ENGINE && endpoint->report.version == 0);
 }
 
-void
-lc_entry_summarise (LcEntry *entry)
+static void
+summarise (LcEntry *entry)
 {
   const LcEndpoint *endpoint = &entry->endpoint;
 
@@ -52,7 +50,7 @@
     .size = (float)entry->concurrency.most,
     .places_inverse = 1 / (float)entry->concurrency.most,
     .limit = (float)entry->concurrency.limit,
-    .load = (float)load_if_all_act_alike (entry),
+    .load = (float)load_by_report (entry),
     .others = (float)others_by_report (entry),
     .slot = endpoint->slot,
     .live_since = (int32_t)entry->live_since_report,
@@ -78,7 +76,7 @@
   endpoint->breaker_until = entry->breaker.until;
   endpoint->consecutive_failures = entry->breaker.consecutive_failures;
   endpoint->concurrency_limit = entry->concurrency.limit;
-  lc_entry_summarise (entry);
+  summarise (entry);
 }
 
 /* What was learnt of the process behind the endpoint does not hold for the next one. */
--- a/packages/core/src/lc-endpoint-table.h
+++ b/packages/core/src/lc-endpoint-table.h
@@ -22,7 +22,7 @@
   LcVersion version;
   float size;   /* requests at once it is made for */
   float limit;  /* requests of ours at once */
-  float load;   /* by the last report, and what we added since as if all instances did */
+  float load;   /* by the last report, and what we added since */
   float others; /* requests of others, by the last report */
   uint32_t slot;
   int32_t live_since;        /* live requests we sent since the report */
@@ -42,6 +42,7 @@
   int data_centre; /* index among the table's data centres */
   bool retired;    /* no longer in the configuration; kept while requests of ours run there */
   bool is_reported;
+  LbTime known_since;
   int64_t in_flight_at_report;
   int64_t live_since_report;
   double alone_token_seconds;
@@ -84,7 +85,6 @@
   LbName *data_centres;
   int n_data_centres;
   LbTime distance; /* one way between two data centres */
-  int64_t peers;   /* instances that route by the same reports, this one included */
   uint32_t last_epoch;
   LcPrefixBelief *belief;
 };
@@ -105,7 +105,6 @@
 
 /* commands on one entry */
 void lc_entry_publish (LcEntry *entry, LbTime now);
-void lc_entry_summarise (LcEntry *entry);
 void lc_entry_forget_process (LcEntry *entry);
 void lc_entry_void_belief (LcEntry *entry);
 
--- a/packages/core/src/lc-endpoints-config.c
+++ b/packages/core/src/lc-endpoints-config.c
@@ -15,7 +15,6 @@
 {
   LcEndpoints *endpoints = LB_NEW (LcEndpoints);
 
-  endpoints->peers = 1;
   endpoints->distance = DEFAULT_DISTANCE;
   endpoints->belief = lc_prefix_belief_new ();
   return endpoints;
@@ -59,14 +58,6 @@
   endpoints->distance = distance;
 }
 
-void
-lc_endpoints_set_peers (LcEndpoints *endpoints, int64_t count)
-{
-  endpoints->peers = count > 1 ? count : 1;
-  for (size_t i = 0; i < endpoints->n_entries; i++)
-    lc_entry_summarise (endpoints->entries[i]);
-}
-
 LcEntry *
 lc_endpoints_entry (const LcEndpoints *endpoints, const char *name)
 {
@@ -97,7 +88,7 @@
 }
 
 static LcEntry *
-add_entry (LcEndpoints *endpoints, const LcEndpointMember *member)
+add_entry (LcEndpoints *endpoints, const LcEndpointMember *member, LbTime now)
 {
   LcEntry *entry = LB_NEW (LcEntry);
 
@@ -108,6 +99,7 @@
           = lb_realloc (endpoints->entries, endpoints->capacity * sizeof *endpoints->entries);
     }
   entry->table = endpoints;
+  entry->known_since = now;
   entry->index = endpoints->n_entries;
   entry->endpoint.member = *member;
   entry->name_hash = XXH3_64bits (member->name, strlen (member->name));
@@ -135,16 +127,18 @@
 }
 
 static void
-take_member (LcEndpoints *endpoints, const LcEndpointMember *member)
+take_member (LcEndpoints *endpoints, const LcEndpointMember *member, LbTime now)
 {
   LcEntry *entry = lc_endpoints_entry (endpoints, member->name);
 
   if (!entry)
-    entry = add_entry (endpoints, member);
+    entry = add_entry (endpoints, member, now);
   if (strcmp (entry->endpoint.member.address, member->address) != 0)
     {
       memset (&entry->endpoint.report, 0, sizeof entry->endpoint.report);
       entry->is_reported = false;
+      entry->endpoint.last_reply = 0;
+      entry->known_since = now;
       lc_leaving_begin (&entry->leaving, "");
       lc_entry_forget_process (entry);
     }
@@ -259,7 +253,7 @@
   for (size_t i = 0; i < endpoints->n_entries; i++)
     endpoints->entries[i]->retired = true;
   for (size_t i = 0; i < set->n_endpoints; i++)
-    take_member (endpoints, &set->endpoints[i]);
+    take_member (endpoints, &set->endpoints[i], now);
   drop_retired (endpoints);
   rebuild_groups (endpoints, now);
 }
--- a/packages/core/src/lc-endpoints-query.c
+++ b/packages/core/src/lc-endpoints-query.c
@@ -1,5 +1,6 @@
 #include "lc-endpoint-table.h"
 
+#define UNHEARD_FOR (2 * LB_SEC)
 #define REPORT_TRUSTED_FOR (10 * LB_SEC)
 
 size_t
@@ -41,12 +42,23 @@
          || endpoint->report.at >= endpoint->swap_until;
 }
 
+/* A fresh instance has heard of no endpoint that is leaving; its configuration may still name it,
+ * and the first request would go there seconds after all others stopped. So an endpoint is heard
+ * first. One that states no load at all is used after a while, by when the other sources have
+ * spoken. */
+static bool
+is_heard (const LcEntry *entry, LbTime now)
+{
+  return entry->is_reported || entry->endpoint.last_reply > 0
+         || now - entry->known_since >= UNHEARD_FOR;
+}
+
 static bool
 special_may_take (const LcEndpoint *endpoint, LbTime now)
 {
   const LcEntry *entry = lc_entry (endpoint);
 
-  return weights_are_known (entry, now)
+  return is_heard (entry, now) && weights_are_known (entry, now)
          && endpoint->in_flight < lc_breaker_allowance (&entry->breaker, now);
 }
 
--- a/packages/core/src/lc-router-finish-time.c
+++ b/packages/core/src/lc-router-finish-time.c
@@ -13,7 +13,7 @@
 #define DEFAULT_SERVICE_SECONDS 1.0
 #define PREFILL_TOKENS_PER_SECOND 8000.0
 #define PREFILL_HOLDS_UP 0.5 /* share of its time that each request beside it loses */
-#define PRIOR_SENT 0.1       /* added to what we sent to each endpoint, which may be nothing yet */
+#define PRIOR_SENT 0.02      /* added to what we sent to each endpoint, which may be nothing yet */
 #define BOUND_WEIGHT 0.02    /* of one decision in the share of those bound to a cache */
 #define LEAST_SILENCE_SECONDS 2.0
 #define SILENCE_FACTOR 3.0 /* times the mean age of reports */
--- a/packages/core/tests/dispatch-fixture.h
+++ b/packages/core/tests/dispatch-fixture.h
@@ -33,11 +33,21 @@
   LB_COPY (member->address, "127.0.0.1:9");
 }
 
+/* Each new endpoint states its load once: one that was never heard of gets no work at first. */
 static inline void
 fixture_configure (Fixture *f)
 {
+  LcLoadReport idle = { .version = 1, .at = f->now };
+
   f->set.revision++;
   lc_dispatch_configure (f->dispatch, &f->set, f->now, &f->actions);
+  for (size_t i = 0; i < f->set.n_endpoints; i++)
+    {
+      const char *name = f->members[i].name;
+
+      if (lc_endpoints_find (lc_dispatch_endpoints (f->dispatch), name)->last_reply == 0)
+        lc_dispatch_report (f->dispatch, name, &idle, f->now, &f->actions);
+    }
 }
 
 /* n_engines engines e1.. of the pool, and s1, s2 of the service. */
--- a/packages/node/src/ln-calls.c
+++ b/packages/node/src/ln-calls.c
@@ -88,19 +88,6 @@
     take_leaving (calls, &heard);
 }
 
-/* Without the number of those who route by the same reports each instance would take an idle
- * endpoint for its own, and all would send to it at once. */
-static void
-take_members (LnCalls *calls, const LnMembersMessage *message)
-{
-  int64_t alive = 0;
-
-  for (size_t i = 0; i < message->n_members; i++)
-    alive += message->members[i].alive;
-  lc_endpoints_set_peers (lc_dispatch_endpoints (calls->dispatch), alive > 0 ? alive : 1);
-  ln_relays_set_members (calls->relays, message);
-}
-
 static void
 configure (LnCalls *calls, const LcResourceSet *set)
 {
@@ -156,7 +143,7 @@
       configure (calls, ((const LnConfigMessage *)message)->set);
       break;
     case LN_MEMBERS:
-      take_members (calls, (const LnMembersMessage *)message);
+      ln_relays_set_members (calls->relays, (const LnMembersMessage *)message);
       break;
     case LN_READY:
       calls->ready = ((const LnReadyMessage *)message)->ready;
