--- a/packages/core/src/lc-endpoint-table.h
+++ b/packages/core/src/lc-endpoint-table.h
@@ -22,15 +22,16 @@
   LcVersion version;
   float size;   /* requests at once it is made for */
   float limit;  /* requests of ours at once */
-  float load;   /* by the last report, and what we added since as if all instances did */
+  float load;   /* by the last report, and what we added since */
   float others; /* requests of others, by the last report */
   uint32_t slot;
   int32_t live_since;        /* live requests we sent since the report */
   int32_t in_flight;         /* ours */
-  int32_t data_centre;       /* index among the table's */
-  float alone_token_seconds; /* of one stream with no other beside it */
+  int16_t data_centre;       /* index among the table's */
   bool is_out;               /* leaving, or no longer in the configuration */
   bool is_special;           /* swap, unknown weights or breaker: the entry must be asked */
+  float alone_token_seconds; /* of one stream with no other beside it */
+  float places_inverse;      /* 1 / size */
 } LcSummary;
 
 /* What the table keeps of an endpoint beside the part that policies and the node read. */
@@ -41,6 +42,7 @@
   int data_centre; /* index among the table's data centres */
   bool retired;    /* no longer in the configuration; kept while requests of ours run there */
   bool is_reported;
+  LbTime known_since;
   int64_t in_flight_at_report;
   int64_t live_since_report;
   double alone_token_seconds;
@@ -83,7 +85,6 @@
   LbName *data_centres;
   int n_data_centres;
   LbTime distance; /* one way between two data centres */
-  int64_t peers;   /* instances that route by the same reports, this one included */
   uint32_t last_epoch;
   LcPrefixBelief *belief;
 };
@@ -99,6 +100,14 @@
 /* -1 when no endpoint is there. */
 int lc_endpoints_data_centre (const LcEndpoints *endpoints, const char *name);
 
+/* NULL when there is none of this name. */
+LcEntry *lc_endpoints_entry (const LcEndpoints *endpoints, const char *name);
+
+/* commands on one entry */
+void lc_entry_publish (LcEntry *entry, LbTime now);
+void lc_entry_forget_process (LcEntry *entry);
+void lc_entry_void_belief (LcEntry *entry);
+
 bool
 lc_summary_may_take (const LcSummary *summary, LcRequestKind kind, double live_reserve, LbTime now);
 
