--- a/packages/core/src/lc-placement.c
+++ b/packages/core/src/lc-placement.c
@@ -58,22 +58,20 @@
   lc_dispatch_set_timer (dispatch, request);
 }
 
-/* An instance that was paused, was cut off from an endpoint or has just been started may not know
- * that the endpoint is leaving: what it sends is new work, seconds after the last had to go there.
- * A report that was asked for a short while ago proves that the endpoint was not leaving then. */
+/* An instance that was paused or cut off from an endpoint may not know that the endpoint is
+ * leaving: what it sends is new work, seconds after the last had to go there. A report that was
+ * asked for a short while ago proves that the endpoint was not leaving then. Those that were never
+ * heard of are kept out by the table of endpoints. */
 static bool
 is_outdated (const LcDispatch *dispatch, const LcEndpoint *endpoint, LbTime now)
 {
-  LbTime longest = dispatch->settings.longest_view;
-
-  if (longest == LB_TIME_NEVER)
-    return false;
-  return !lc_entry (endpoint)->is_reported || now - endpoint->report.at > longest;
+  return lc_entry (endpoint)->is_reported
+         && now - endpoint->report.at > dispatch->settings.longest_view;
 }
 
-/* Holds a pool back whose endpoints all have an old view or none, until one reports. Reports come
- * within milliseconds when it was this instance that slept or began; when none comes for
- * LONGEST_HOLD, endpoints do not answer for their load and are taken as they are. */
+/* Holds a pool back whose endpoints all have an old view, until one reports. Reports come within
+ * milliseconds when it was this instance that slept; when none comes for LONGEST_HOLD, endpoints do
+ * not answer for their load and are taken as they are. */
 static LcRouteDecision
 hold_back (LcPoolState *pool, const LcRouteDecision *outdated, LbTime now)
 {
