--- /dev/null
+++ b/packages/cli/src/lt-cost.c
@@ -0,0 +1,587 @@
+#include "lt-proof.h"
+
+#include "lt-command.h"
+
+#include "lb-alloc.h"
+#include "lb-clock.h"
+#include "lb-log.h"
+#include "lc-change.h"
+#include "lc-dispatch.h"
+#include "lc-membership.h"
+#include "lc-rollouts.h"
+#include "lw-message.h"
+
+#include <argtable2.h>
+#include <inttypes.h>
+#include <json-c/json.h>
+#include <malloc.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define DECISIONS 20000
+#define REPEATS 200
+#define STEP_GROUPS 256
+#define GROUP_SAMPLES 8
+#define SAMPLE_TOKENS 365
+#define PIECE_TOKENS 16
+#define WAITING 2000
+
+/* One measured cost: time of one operation and bytes that it sends, or that one thing holds. */
+typedef struct
+{
+  struct json_object *array;
+  bool json;
+} Report;
+
+static void
+add (Report *report, const char *what, size_t size, double microseconds, double bytes)
+{
+  struct json_object *object = json_object_new_object ();
+
+  json_object_object_add (object, "what", json_object_new_string (what));
+  json_object_object_add (object, "size", json_object_new_int64 ((int64_t)size));
+  json_object_object_add (object, "microseconds", json_object_new_double (microseconds));
+  json_object_object_add (object, "bytes", json_object_new_double (bytes));
+  json_object_array_add (report->array, object);
+  if (!report->json)
+    printf ("%-34s %6zu %12.3f us %12.1f bytes\n", what, size, microseconds, bytes);
+}
+
+static double
+held_bytes (void)
+{
+  return (double)mallinfo2 ().uordblks;
+}
+
+static double
+since (LbTime begun, size_t n)
+{
+  return (double)(lb_clock_monotonic () - begun) / (double)n;
+}
+
+static LcResourceSet *
+make_set (size_t n_endpoints)
+{
+  LcResourceSet *set = LB_NEW (LcResourceSet);
+
+  set->revision = 1;
+  set->pools = LB_NEW_ARRAY (LcPool, 1);
+  set->n_pools = 1;
+  set->pools[0] = (LcPool){ .name = "pool",
+                            .model = "model",
+                            .live_reserve = 0.25,
+                            .queue_limit = 4096,
+                            .roll_out_percent = 25 };
+  set->subscriptions = LB_NEW_ARRAY (LcSubscription, 1);
+  set->n_subscriptions = 1;
+  set->subscriptions[0] = (LcSubscription){
+    .name = "trainer", .pool = "pool", .share = 1, .idle_weight = 0.8, .hedge_budget = 0.1
+  };
+  set->endpoints = LB_NEW_ARRAY (LcEndpointMember, n_endpoints);
+  set->n_endpoints = n_endpoints;
+  for (size_t i = 0; i < n_endpoints; i++)
+    {
+      LcEndpointMember *member = &set->endpoints[i];
+      snprintf (member->name, LB_NAME_MAX, "engine-%zu", i);
+      snprintf (member->address, LB_NAME_MAX, "10.0.%zu.%zu:9000", i / 250, i % 250);
+      snprintf (member->data_centre, LB_NAME_MAX, "dc-%zu", i % 7);
+      LB_COPY (member->pool, "pool");
+      member->concurrency = 32;
+      member->checks_fence = true;
+    }
+  return set;
+}
+
+static void
+make_report (size_t i, LbTime now, LcLoadReport *report)
+{
+  *report = (LcLoadReport){ .version = 3,
+                            .running = (int64_t)(i * 7 % 20),
+                            .waiting = (int64_t)(i * 5 % 3),
+                            .tokens_per_second = 60,
+                            .at = now };
+  snprintf (report->incarnation, sizeof report->incarnation, "engine-%zu-1", i);
+}
+
+/* A decision over n endpoints, with what is noted of it there, and an endpoint's memory. */
+static void
+measure_routing (Report *report, size_t n)
+{
+  LcResourceSet *set = make_set (n);
+  double before = held_bytes ();
+  LcEndpoints *endpoints = lc_endpoints_new ();
+  LcRouter *router = lc_router_new ("lentilspindle", 1);
+  LbTime now = LB_SEC;
+  LcRouteQuery query = { .kind = LC_KIND_LIVE,
+                         .pool = "pool",
+                         .data_centre = "dc-1",
+                         .n_prefix_hashes = 4,
+                         .prompt_tokens = 256,
+                         .expected_tokens = 64,
+                         .live_reserve = 0.25 };
+
+  lc_endpoints_configure (endpoints, set, now);
+  for (size_t i = 0; i < n; i++)
+    {
+      LcLoadReport load;
+      make_report (i, now, &load);
+      lc_endpoints_report (endpoints, lc_endpoints_at (endpoints, i)->member.name, &load, now);
+    }
+  double memory = (held_bytes () - before) / (double)n;
+  LbTime begun = lb_clock_monotonic ();
+  for (uint64_t i = 0; i < DECISIONS; i++)
+    {
+      const uint64_t hashes[] = { i % 40 + 1, i % 40 + 1001, i % 40 + 2001, i + 100000 };
+      query.prefix_hashes = hashes;
+      now += 500;
+      LcRouteDecision decision = lc_router_choose (router, endpoints, &query, now);
+      if (!decision.endpoint)
+        continue;
+      lc_endpoints_sent (decision.endpoint, LC_KIND_LIVE, hashes[2], now);
+      lc_endpoints_ended (decision.endpoint, LC_KIND_LIVE, true, 64, LB_SEC, now);
+    }
+  add (report, "routing-decision", n, since (begun, DECISIONS), 0);
+  add (report, "endpoint-memory", n, 0, memory);
+  lc_router_free (router);
+  lc_endpoints_free (endpoints);
+  lc_resource_set_free (set);
+}
+
+/* Reports of n endpoints, one after another. */
+static void
+measure_reports (Report *report, size_t n)
+{
+  LcResourceSet *set = make_set (n);
+  LcDispatchSettings settings = { .policy = "lentilspindle", .queue_limit = 4096 };
+  LcDispatch *dispatch = lc_dispatch_new (&settings);
+  LbTime now = LB_SEC;
+  LbList actions;
+
+  lb_list_init (&actions);
+  lc_dispatch_configure (dispatch, set, now, &actions);
+  LbTime begun = lb_clock_monotonic ();
+  for (size_t i = 0; i < DECISIONS; i++)
+    {
+      LcLoadReport load;
+      now += 100;
+      make_report (i % n, now, &load);
+      lc_dispatch_report (dispatch, set->endpoints[i % n].name, &load, now, &actions);
+    }
+  add (report, "load-report", n, since (begun, DECISIONS), 0);
+  lc_dispatch_free (dispatch);
+  lc_resource_set_free (set);
+}
+
+/* The memory of a request that waits because nobody may take it. */
+static void
+measure_waiting (Report *report)
+{
+  LcResourceSet *set = make_set (10);
+  LcDispatchSettings settings = { .policy = "lentilspindle", .queue_limit = 4096 };
+  LcDispatch *dispatch = lc_dispatch_new (&settings);
+  LbList actions;
+
+  lb_list_init (&actions);
+  lc_dispatch_configure (dispatch, set, LB_SEC, &actions);
+  double before = held_bytes ();
+  LbTime begun = lb_clock_monotonic ();
+  for (uint64_t i = 1; i <= WAITING; i++)
+    {
+      LcRequestSpec spec = { .id = i,
+                             .kind = LC_KIND_LIVE,
+                             .pool = "pool",
+                             .repeatable = true,
+                             .expected_tokens = 64,
+                             .min_version = 1000,
+                             .deadline = LB_TIME_NEVER };
+      LbTime retry_after;
+      LbError error;
+      snprintf (spec.caller, LB_NAME_MAX, "caller-%" PRIu64, i % 50);
+      lc_dispatch_submit (dispatch, &spec, LB_SEC + (LbTime)i, &actions, &retry_after, &error);
+    }
+  size_t waiting = lc_dispatch_waiting (dispatch, LC_KIND_LIVE);
+  if (waiting > 0)
+    add (report, "waiting-request", waiting, since (begun, WAITING),
+         (held_bytes () - before) / (double)waiting);
+  while (!lb_list_is_empty (&actions))
+    lc_action_free (LB_CONTAINER (lb_list_pop (&actions), LcAction, link));
+  lc_dispatch_free (dispatch);
+  lc_resource_set_free (set);
+}
+
+/* A trainer's step through LcRollouts and LcDispatch, with endpoints that answer at once. */
+typedef struct
+{
+  LcDispatch *dispatch;
+  LcRollouts *rollouts;
+  LbList actions;
+  LbList rollout_actions;
+  LbTime now;
+  size_t n_ledger;
+  size_t ledger_bytes;
+  size_t n_samples;
+  size_t n_decisions;
+  char *cursor;
+} Step;
+
+static void
+answer (Step *step, const LcAction *send)
+{
+  for (int64_t offset = 0; offset < SAMPLE_TOKENS; offset += PIECE_TOKENS)
+    {
+      LcPiece piece = { .offset = offset, .tokens = PIECE_TOKENS, .version = 3 };
+      if (offset + PIECE_TOKENS >= SAMPLE_TOKENS)
+        {
+          piece.tokens = SAMPLE_TOKENS - offset;
+          piece.last = true;
+        }
+      step->now += 10;
+      if (lc_dispatch_piece (step->dispatch, send->request, send->attempt, &piece, step->now,
+                             &step->actions)
+          == LC_PIECE_FORWARD)
+        lc_rollouts_piece (step->rollouts, send->request, &piece, send->endpoint, step->now,
+                           &step->rollout_actions);
+    }
+  lc_dispatch_ended (step->dispatch, send->request, send->attempt, LC_END_WHOLE, step->now,
+                     &step->actions);
+}
+
+static void
+carry_out (Step *step, const LcAction *action)
+{
+  if (action->type == LC_ACTION_SEND)
+    {
+      step->n_decisions++;
+      answer (step, action);
+    }
+  else if (action->type == LC_ACTION_FINISH)
+    {
+      lc_rollouts_finished (step->rollouts, action->request, action->error, lb_strdup ("text"),
+                            step->now, &step->rollout_actions);
+    }
+}
+
+static void
+carry_out_rollout (Step *step, const LcRolloutAction *action)
+{
+  LbTime retry_after;
+  LbError error;
+
+  switch (action->type)
+    {
+    case LC_ROLLOUT_GENERATE:
+      lc_dispatch_submit (step->dispatch, &action->spec, step->now, &step->actions, &retry_after,
+                          &error);
+      break;
+    case LC_ROLLOUT_ABANDON:
+      lc_dispatch_cancel (step->dispatch, action->spec.id, step->now, &step->actions);
+      break;
+    case LC_ROLLOUT_LEDGER:
+      step->n_ledger++;
+      step->ledger_bytes = strlen (action->row_value);
+      lc_rollouts_ledger_done (step->rollouts, action->write, LB_OK, step->now,
+                               &step->rollout_actions);
+      break;
+    case LC_ROLLOUT_REPLY:
+      step->n_samples += action->n_samples;
+      free (step->cursor);
+      step->cursor = lb_strdup (action->cursor ? action->cursor : "");
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+pump (Step *step)
+{
+  for (;;)
+    {
+      if (!lb_list_is_empty (&step->rollout_actions))
+        {
+          LcRolloutAction *action
+              = LB_CONTAINER (lb_list_pop (&step->rollout_actions), LcRolloutAction, link);
+          carry_out_rollout (step, action);
+          lc_rollout_action_free (action);
+        }
+      else if (!lb_list_is_empty (&step->actions))
+        {
+          LcAction *action = LB_CONTAINER (lb_list_pop (&step->actions), LcAction, link);
+          carry_out (step, action);
+          lc_action_free (action);
+        }
+      else
+        {
+          return;
+        }
+    }
+}
+
+static void
+fill_step (LcStepSpec *spec)
+{
+  LB_COPY (spec->subscription, "trainer");
+  spec->step = 1;
+  spec->version = 3;
+  spec->n_groups = STEP_GROUPS;
+  spec->groups = LB_NEW_ARRAY (LcGroupSpec, STEP_GROUPS);
+  for (size_t i = 0; i < STEP_GROUPS; i++)
+    {
+      snprintf (spec->groups[i].id, LB_NAME_MAX, "g%zu", i);
+      spec->groups[i].prompt = lb_strdup ("a prompt");
+      spec->groups[i].samples = GROUP_SAMPLES;
+      spec->groups[i].max_tokens = 4096;
+    }
+}
+
+static void
+pull (Step *step, uint64_t number)
+{
+  char *cursor = lb_strdup (step->cursor);
+  LcPull wanted = { .id = number,
+                    .subscription = "trainer",
+                    .step = 1,
+                    .cursor = cursor,
+                    .version = 3,
+                    .max_samples = 64,
+                    .wait_until = step->now + LB_SEC };
+
+  step->now += 100 * LB_MSEC;
+  lc_rollouts_pull (step->rollouts, &wanted, step->now, &step->rollout_actions);
+  pump (step);
+  if (lc_rollouts_next_tick (step->rollouts) <= step->now)
+    lc_rollouts_tick (step->rollouts, step->now, &step->rollout_actions);
+  if (lc_dispatch_next_tick (step->dispatch) <= step->now)
+    lc_dispatch_tick (step->dispatch, step->now, &step->actions);
+  pump (step);
+  free (cursor);
+}
+
+static void
+prepare_step (Step *step, const LcResourceSet *set)
+{
+  LcDispatchSettings dispatch = { .policy = "lentilspindle", .queue_limit = 4096 };
+  LcRolloutSettings rollouts = lc_rollout_settings_default ();
+
+  *step = (Step){ .now = LB_SEC, .cursor = lb_strdup ("") };
+  lb_list_init (&step->actions);
+  lb_list_init (&step->rollout_actions);
+  step->dispatch = lc_dispatch_new (&dispatch);
+  step->rollouts = lc_rollouts_new (&rollouts);
+  lc_dispatch_configure (step->dispatch, set, step->now, &step->actions);
+  lc_rollouts_configure (step->rollouts, set, step->now, &step->rollout_actions);
+  for (size_t i = 0; i < set->n_endpoints; i++)
+    {
+      LcLoadReport load;
+      make_report (i, step->now, &load);
+      load.running = 0;
+      load.waiting = 0;
+      lc_dispatch_report (step->dispatch, set->endpoints[i].name, &load, step->now, &step->actions);
+    }
+}
+
+static void
+measure_step (Report *report, size_t n)
+{
+  const size_t slots = STEP_GROUPS * GROUP_SAMPLES;
+  LcResourceSet *set = make_set (n);
+  LcStepSpec spec = { 0 };
+  LbError error = { 0 };
+  Step step;
+
+  prepare_step (&step, set);
+  fill_step (&spec);
+  double before = held_bytes ();
+  LbTime begun = lb_clock_monotonic ();
+  lc_rollouts_open (step.rollouts, &spec, 1, step.now, &step.rollout_actions, &error);
+  double memory = held_bytes () - before;
+  pump (&step);
+  for (uint64_t i = 1; step.n_samples < slots && i < 10000; i++)
+    pull (&step, i);
+  if (step.n_samples == slots)
+    {
+      add (report, "sample-life", n, since (begun, slots), memory / (double)slots);
+      add (report, "ledger-write", slots, 0, (double)step.ledger_bytes);
+      add (report, "ledger-writes-of-a-step", slots, 0, (double)step.n_ledger);
+    }
+  else
+    {
+      fprintf (stderr, "lentilspindle cost: step ended with %zu of %zu samples\n", step.n_samples,
+               slots);
+    }
+  lc_step_spec_clear (&spec);
+  free (step.cursor);
+  lc_rollouts_free (step.rollouts);
+  lc_dispatch_free (step.dispatch);
+  lc_resource_set_free (set);
+}
+
+static void
+make_instance (size_t i, LcInstance *instance)
+{
+  *instance = (LcInstance){ .epoch = 1700000000000, .version = 3, .state = LC_INSTANCE_ALIVE };
+  snprintf (instance->name, LB_NAME_MAX, "i%zu", i);
+  snprintf (instance->incarnation, LB_NAME_MAX, "i%zu-5f3a91", i);
+  snprintf (instance->data_centre, LB_NAME_MAX, "dc-%zu", i % 7);
+  snprintf (instance->caller_address, LB_NAME_MAX, "10.1.%zu.%zu:8080", i / 250, i % 250);
+  snprintf (instance->peer_address, LB_NAME_MAX, "10.1.%zu.%zu:8081", i / 250, i % 250);
+}
+
+static void
+free_membership_actions (LbList *actions)
+{
+  while (!lb_list_is_empty (actions))
+    lc_membership_action_free (
+        LB_CONTAINER (lb_list_pop (actions), LcMembershipAction, link_in_list));
+}
+
+/* A peer's memory, and the processor time of a second of heartbeats among n instances. */
+static void
+measure_membership (Report *report, size_t n)
+{
+  LcMembershipSettings settings = lc_membership_settings_default ();
+  LcInstance *instances = LB_NEW_ARRAY (LcInstance, n);
+  LbTime now = LB_SEC;
+  LbList actions;
+
+  lb_list_init (&actions);
+  for (size_t i = 0; i < n; i++)
+    make_instance (i, &instances[i]);
+  settings.self = instances[0];
+  double before = held_bytes ();
+  LcMembership *membership = lc_membership_new (&settings, now);
+  LcLinkId link = lc_membership_accepted (membership, &instances[1], now, &actions);
+  lc_membership_told (membership, link, instances, n, now, &actions);
+  free_membership_actions (&actions);
+  add (report, "peer-memory", n, 0, (held_bytes () - before) / (double)n);
+  LbTime begun = lb_clock_monotonic ();
+  for (size_t i = 0; i < REPEATS; i++)
+    {
+      now += LB_SEC / 10;
+      lc_membership_heard (membership, link, now);
+      lc_membership_digest_heard (membership, link, i, now);
+      lc_membership_tick (membership, now, &actions);
+      free_membership_actions (&actions);
+    }
+  add (report, "membership-tick", n, since (begun, REPEATS), 0);
+  lc_membership_free (membership);
+  free (instances);
+}
+
+static void
+measure_frame (Report *report, const char *what, LwMessage *message)
+{
+  size_t length = 0;
+  LbTime begun = lb_clock_monotonic ();
+
+  for (size_t i = 0; i < DECISIONS; i++)
+    {
+      LwMessage back = { 0 };
+      LbError error;
+      uint8_t *frame = lw_message_encode (message, &length);
+      lw_message_decode (frame + LW_FRAME_HEADER, length - LW_FRAME_HEADER, &back, &error);
+      lw_message_clear (&back);
+      free (frame);
+    }
+  add (report, what, 1, since (begun, DECISIONS), (double)length);
+}
+
+static void
+measure_frames (Report *report)
+{
+  LcInstance instance;
+  LwMessage ping = { .type = LW_PING, .digest = 0x123456789abcdefu };
+  LwMessage news = { .type = LW_INSTANCES, .instances = &instance, .n_instances = 1 };
+
+  make_instance (1, &instance);
+  measure_frame (report, "heartbeat-frame", &ping);
+  measure_frame (report, "instance-news-frame", &news);
+}
+
+/* An operator's change of one endpoint among n, as each instance applies it. */
+static void
+measure_change (Report *report, size_t n)
+{
+  static const char text[] = "{\"apply\": [{\"kind\": \"endpoint\", \"name\": \"engine-3\","
+                             "\"type\": \"engine\", \"pool\": \"pool\", \"address\":"
+                             "\"10.0.0.3:9000\", \"data_centre\": \"dc-1\", \"leaving\": true,"
+                             "\"checks_fence\": true, \"concurrency\": 32}]}";
+  LcResourceSet *set = make_set (n);
+  struct json_object *change = json_tokener_parse (text);
+  struct json_object *whole = lc_resource_set_to_json (set);
+  LbError error = { 0 };
+  LbTime begun = lb_clock_monotonic ();
+  double held = 0;
+
+  for (size_t i = 0; i < REPEATS; i++)
+    {
+      double before = held_bytes ();
+      LcResourceSet *next = lc_change_apply (set, change, "cost", &error);
+      held = held_bytes () - before;
+      lc_resource_set_free (next);
+    }
+  add (report, "configuration-change", n, since (begun, REPEATS), (double)strlen (text));
+  add (report, "configuration-memory", n, 0, held);
+  add (report, "configuration-whole-set", n, 0,
+       (double)strlen (json_object_to_json_string_ext (whole, JSON_C_TO_STRING_PLAIN)));
+  json_object_put (whole);
+  json_object_put (change);
+  lc_resource_set_free (set);
+}
+
+static void
+measure_all (Report *report)
+{
+  static const size_t sizes[] = { 10, 100, 600 };
+  static const size_t members[] = { 10, 100, 350 };
+
+  for (size_t i = 0; i < 3; i++)
+    measure_routing (report, sizes[i]);
+  for (size_t i = 0; i < 3; i++)
+    measure_reports (report, sizes[i]);
+  measure_waiting (report);
+  for (size_t i = 0; i < 3; i++)
+    measure_step (report, sizes[i]);
+  for (size_t i = 0; i < 3; i++)
+    measure_membership (report, members[i]);
+  measure_frames (report);
+  for (size_t i = 0; i < 3; i++)
+    measure_change (report, sizes[i]);
+}
+
+/* What decisions cost on this machine: docs/CAPACITY.md is made from it. */
+int
+lt_cost_run (int argc, char **argv)
+{
+  struct arg_lit *json = arg_lit0 (NULL, "json", "print a JSON array");
+  struct arg_lit *help = arg_lit0 (NULL, "help", "print this help");
+  struct arg_end *end = arg_end (8);
+  void *table[] = { json, help, end };
+  int errors = arg_parse (argc, argv, table);
+  int code = LT_EXIT_USAGE;
+  Report report = { .json = json->count > 0 };
+
+  if (help->count > 0)
+    {
+      arg_print_syntaxv (stdout, table, "\n");
+      arg_print_glossary (stdout, table, "  %-20s %s\n");
+      code = LT_EXIT_OK;
+      goto out;
+    }
+  if (errors > 0)
+    {
+      arg_print_errors (stderr, end, "lentilspindle cost");
+      goto out;
+    }
+  lb_log_init (LB_LOG_OFF, 2, NULL);
+  report.array = json_object_new_array ();
+  measure_all (&report);
+  if (report.json)
+    puts (json_object_to_json_string_ext (report.array, JSON_C_TO_STRING_PRETTY));
+  json_object_put (report.array);
+  code = LT_EXIT_OK;
+out:
+  arg_freetable (table, sizeof table / sizeof table[0]);
+  return code;
+}
--- a/packages/cli/src/lt-proof.h
+++ b/packages/cli/src/lt-proof.h
@@ -3,6 +3,7 @@
 
 /* Subcommands that run the decisions of core among fakes; each is an LtCommand's run. */
 int lt_bench_run (int argc, char **argv);
+int lt_cost_run (int argc, char **argv);
 int lt_replay_run (int argc, char **argv);
 int lt_soak_run (int argc, char **argv);
 
--- a/packages/sim/src/lx-registry.c
+++ b/packages/sim/src/lx-registry.c
@@ -15,6 +15,7 @@
 /* An instance or store that was away less long ago than this is still catching up. */
 #define CATCH_UP (20 * LB_SEC)
 #define CHECK_EVERY LB_SEC
+#define BURST_PAUSE (400 * LB_MSEC)
 
 void
 lx_registry_init (LxRegistry *registry, LxWorld *world, LcResourceSet *set)
@@ -171,7 +172,11 @@
   if (other && n % 3 == 0)
     lx_instance_change (other, change);
   json_object_put (change);
-  lx_world_after (world, (LbTime)((0.5 + (double)n / 1000) * (double)world->options.change_every),
+  /* Some changes come in bursts, so that old messages about one meet the next. */
+  lx_world_after (world,
+                  n % 5 < 2
+                      ? BURST_PAUSE
+                      : (LbTime)((0.5 + (double)n / 1000) * (double)world->options.change_every),
                   on_operator, registry, NULL, NULL);
 }
 
