--- a/packages/sim/include/lx-instance.h
+++ b/packages/sim/include/lx-instance.h
@@ -49,6 +49,7 @@
   uint32_t life; /* number of its process */
   bool alive;
   bool draining;
+  bool is_configured; /* this process has put a configuration in force */
   LbTime started_at;
   LbTime drained_at;  /* when its drain began */
   LbTime drain_ended; /* when its last drain ended in good order; 0: never */
--- a/packages/sim/src/lx-instance.c
+++ b/packages/sim/src/lx-instance.c
@@ -188,6 +188,7 @@
   return ++instance->last_request;
 }
 
+static void poll_endpoints (LxInstance *instance);
 static void on_poll (LxInstance *instance, void *argument);
 
 /* A new process of the instance, with the configuration in force. */
@@ -208,6 +209,7 @@
   instance->started_at = now_of (instance);
   instance->paused_until = 0;
   instance->core_failures = 0;
+  instance->is_configured = false;
   instance->tick_at = LB_TIME_NEVER;
   LB_COPY (dispatch.data_centre, options->site->data_centres[instance->data_centre]);
   LB_COPY (dispatch.policy, options->policy);
@@ -452,9 +454,9 @@
                  action->resume_at);
   if (!request || !engine)
     return;
-  if (engine->leaving)
+  if (engine->leaving && engine->alive)
     engine->sent_while_leaving = now_of (instance);
-  if (engine->leaving && engine->leaving_since + LEAVING_BOUND < now_of (instance))
+  if (engine->leaving && engine->alive && engine->leaving_since + LEAVING_BOUND < now_of (instance))
     lx_ledger_breach (&world->ledger, LX_SENT_TO_LEAVING, now_of (instance), lx_world_event (world),
                       "%s by %s", engine->name, instance->name);
 
@@ -717,6 +719,11 @@
   LcStepStatus status;
   char key[3 * LB_NAME_MAX];
 
+  if (!lc_config_is_ready (instance->config))
+    {
+      lc_step_spec_clear (spec);
+      return;
+    }
   if (lc_rollouts_status (instance->rollouts, spec->subscription, spec->step, &status))
     {
       lx_trainer_opened (&world->trainers[trainer], instance->index, spec->step);
@@ -888,6 +895,10 @@
   lc_dispatch_configure (instance->dispatch, set, now_of (instance), &instance->actions);
   lc_rollouts_configure (instance->rollouts, set, now_of (instance), &instance->rollout_actions);
   pump (instance);
+  /* New endpoints are asked at once, as the daemon's poller does. */
+  if (!instance->is_configured)
+    poll_endpoints (instance);
+  instance->is_configured = true;
 }
 
 bool
@@ -993,11 +1004,10 @@
 
 /* Asks every endpoint for its load; the answer is as old as its way back. */
 static void
-on_poll (LxInstance *instance, void *argument)
+poll_endpoints (LxInstance *instance)
 {
   LxWorld *world = instance->world;
 
-  (void)argument;
   for (size_t i = 0; i < world->n_endpoints; i++)
     {
       if (!world->engines[i]->alive)
@@ -1010,6 +1020,13 @@
                                           world->engines[i]->data_centre),
                         on_report, report, free);
     }
+}
+
+static void
+on_poll (LxInstance *instance, void *argument)
+{
+  (void)argument;
+  poll_endpoints (instance);
   check_core (instance);
   lx_instance_post (instance, 500 * LB_MSEC, on_poll, NULL, NULL);
 }
