--- /dev/null
+++ b/standins/si-entry.c
@@ -0,0 +1,109 @@
+#include "si-entry.h"
+
+#include "lb-alloc.h"
+#include "si-json.h"
+
+#include <event2/event.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static void ask (SiEntry *entry);
+
+static void
+ask_later (SiEntry *entry, LbTime wait)
+{
+  const struct timeval at = { .tv_sec = wait / LB_SEC, .tv_usec = (suseconds_t)(wait % LB_SEC) };
+
+  event_add (entry->timer, &at);
+}
+
+static bool
+take_addresses (SiEntry *entry, const LhResult *result)
+{
+  char *text = lb_strndup (result->body ? result->body : "", result->body_length);
+  struct json_object *object = json_tokener_parse (text);
+  struct json_object *list = NULL;
+  size_t n = 0;
+
+  free (text);
+  if (object && json_object_object_get_ex (object, "addresses", &list))
+    n = json_object_array_length (list);
+  for (size_t i = 0; i < n && i < SI_ENTRY_MAX; i++)
+    LB_COPY (entry->addresses[i],
+             si_json_text (json_object_array_get_idx (list, i), "address", ""));
+  if (n > 0)
+    entry->n_addresses = n < SI_ENTRY_MAX ? n : SI_ENTRY_MAX;
+  json_object_put (object);
+  return n > 0;
+}
+
+/* An instance that is gone is passed over: the next address is asked at once. */
+static void
+on_answer (LhFetch *fetch, const LhResult *result, void *user)
+{
+  (void)fetch;
+  SiEntry *entry = user;
+  bool ok = result->failure == LB_OK && result->status == 200 && take_addresses (entry, result);
+
+  entry->fetch = NULL;
+  entry->asked = ok ? 0 : entry->asked + 1;
+  ask_later (entry, ok ? entry->period : LB_MSEC);
+}
+
+static void
+ask (SiEntry *entry)
+{
+  static const LhHandlers handlers = { .on_done = on_answer };
+  const LhRequest request = { .method = "GET",
+                              .address = si_entry_address (entry, entry->asked),
+                              .path = entry->path,
+                              .silence = LB_SEC };
+
+  entry->fetch = lh_fetch_start (entry->pool, &request, &handlers, entry, NULL);
+}
+
+static void
+on_timer (evutil_socket_t fd, short what, void *user)
+{
+  (void)fd;
+  (void)what;
+  ask (user);
+}
+
+void
+si_entry_init (SiEntry *entry,
+               struct event_base *base,
+               LhPool *pool,
+               const char *const *addresses,
+               size_t n_addresses)
+{
+  memset (entry, 0, sizeof *entry);
+  entry->pool = pool;
+  entry->timer = evtimer_new (base, on_timer, entry);
+  entry->n_addresses = n_addresses < SI_ENTRY_MAX ? n_addresses : SI_ENTRY_MAX;
+  for (size_t i = 0; i < entry->n_addresses; i++)
+    LB_COPY (entry->addresses[i], addresses[i]);
+}
+
+void
+si_entry_clear (SiEntry *entry)
+{
+  if (entry->fetch)
+    lh_fetch_cancel (entry->fetch);
+  event_free (entry->timer);
+}
+
+void
+si_entry_keep_asking (SiEntry *entry, const char *caller, LbTime period)
+{
+  snprintf (entry->path, sizeof entry->path, "/v1/entry?caller=%s", caller);
+  entry->period = period;
+  ask (entry);
+}
+
+const char *
+si_entry_address (const SiEntry *entry, size_t n)
+{
+  return entry->addresses[n % entry->n_addresses];
+}
--- a/standins/standin-load.c
+++ b/standins/standin-load.c
@@ -1,5 +1,6 @@
 #include "lb-alloc.h"
 #include "lb-clock.h"
+#include "si-entry.h"
 #include "si-server.h"
 #include "si-tally.h"
 
@@ -23,7 +24,8 @@
   double rate;     /* calls a second; 0: as fast as the concurrency lets */
   int64_t callers; /* names in turn */
   int64_t retries;
-  LbTime limit; /* no call is started after it */
+  LbTime limit;        /* no call is started after it */
+  LbTime entry_period; /* how long entry addresses are kept; 0: never asked for */
 } Settings;
 
 typedef struct
@@ -31,6 +33,7 @@
   Settings settings;
   struct event_base *base;
   LhPool *pool;
+  SiEntry entry;
   struct event *starter;
   SiTally tally;
   int64_t started;
@@ -87,7 +90,7 @@
   LbTime wait = result->retry_after > RETRY_PAUSE ? result->retry_after : RETRY_PAUSE;
   const struct timeval at = { .tv_sec = wait / LB_SEC, .tv_usec = (suseconds_t)(wait % LB_SEC) };
   load->tally.retries++;
-  caller->address = (caller->address + 1) % load->settings.n_addresses;
+  caller->address++;
   event_base_once (load->base, -1, EV_TIMEOUT, on_retry_due, caller, &at);
 }
 
@@ -97,7 +100,7 @@
   Load *load = caller->load;
   SiLiveSpec spec = load->settings.spec;
 
-  spec.address = load->settings.addresses[caller->address];
+  spec.address = si_entry_address (&load->entry, caller->address);
   spec.prompt = caller->prompt;
   spec.caller = caller->name;
   if (spec.kind == SI_LIVE_SERVICE)
@@ -116,7 +119,7 @@
       = lb_asprintf ("%s asks for the %lldth time", load->settings.name, (long long)load->started);
   snprintf (caller->name, sizeof caller->name, "%s-%lld", load->settings.name,
             (long long)(load->started % load->settings.callers));
-  caller->address = (size_t)load->started % load->settings.n_addresses;
+  caller->address = (size_t)load->started;
   load->started++;
   load->running++;
   try_call (caller);
@@ -184,6 +187,9 @@
   signal (SIGPIPE, SIG_IGN);
   load.base = si_precise_base_new ();
   load.pool = lh_pool_new (load.base);
+  si_entry_init (&load.entry, load.base, load.pool, settings->addresses, settings->n_addresses);
+  if (settings->entry_period > 0)
+    si_entry_keep_asking (&load.entry, settings->name, settings->entry_period);
   load.starter = evtimer_new (load.base, on_starter, &load);
   si_tally_init (&load.tally);
   load.begin = lb_clock_monotonic ();
@@ -194,6 +200,7 @@
   bool right = si_tally_is_right (&load.tally) && (all || !expect_all);
   si_tally_clear (&load.tally);
   event_free (load.starter);
+  si_entry_clear (&load.entry);
   lh_pool_free (load.pool);
   event_base_free (load.base);
   return right ? 0 : 1;
@@ -213,6 +220,7 @@
   struct arg_int *callers;
   struct arg_int *retries;
   struct arg_int *silence_s;
+  struct arg_int *entry_ms;
   struct arg_lit *stream;
   struct arg_lit *vary;
   struct arg_lit *expect_all;
@@ -234,6 +242,7 @@
   options->callers->ival[0] = 1;
   options->retries->ival[0] = 0;
   options->silence_s->ival[0] = 20;
+  options->entry_ms->ival[0] = 0;
 }
 
 static bool
@@ -266,6 +275,7 @@
     .callers = options->callers->ival[0] > 0 ? options->callers->ival[0] : 1,
     .retries = options->retries->ival[0],
     .limit = options->seconds->ival[0] * LB_SEC,
+    .entry_period = options->entry_ms->ival[0] * LB_MSEC,
   };
 
   for (int i = 0; i < options->address->count; i++)
@@ -300,6 +310,7 @@
     .callers = arg_int0 (NULL, "callers", "N", "names of callers in turn"),
     .retries = arg_int0 (NULL, "retries", "N", "tries more of a call that surely did not run"),
     .silence_s = arg_int0 (NULL, "silence-s", "N", "longest silence of an answer"),
+    .entry_ms = arg_int0 (NULL, "entry-ms", "N", "ask for entry addresses so often; 0: never"),
     .stream = arg_lit0 (NULL, "stream", "ask for streams"),
     .vary = arg_lit0 (NULL, "vary-length", "engines run with --vary-length"),
     .expect_all = arg_lit0 (NULL, "expect-all", "fail unless every answer is whole"),
--- a/tests/process/pt-world.c
+++ b/tests/process/pt-world.c
@@ -22,6 +22,7 @@
   cr_assert_not_null (mkdtemp (world->folder));
   si_client_init (&world->client);
   world->drain_ms = 300;
+  world->entry_ttl_ms = 300;
   world->stream_silence_ms = 1500;
   world->request_read_ms = 60000;
 }
@@ -195,6 +196,7 @@
   si_json_set_int (calls, "stream_silence_ms", world->stream_silence_ms);
   si_json_set_int (calls, "load_poll_ms", 100);
   si_json_set_int (drain, "drain_ms", world->drain_ms);
+  si_json_set_int (drain, "entry_ttl_ms", world->entry_ttl_ms);
   si_json_set_text (settings, "address_file", address_file);
   return settings;
 }
--- a/tests/process/pt-world.h
+++ b/tests/process/pt-world.h
@@ -30,6 +30,7 @@
   PtProgram endpoints[PT_MAX_PROGRAMS];
   size_t n_endpoints;
   int drain_ms;
+  int entry_ttl_ms;
   int stream_silence_ms;
   int request_read_ms; /* of a request, not of its answer */
   bool in_memory;      /* no platform beside the instance */
--- /dev/null
+++ b/tests/process/test-once.c
@@ -0,0 +1,160 @@
+#include "pt-world.h"
+
+#include "lb-alloc.h"
+
+#include <criterion/criterion.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+typedef struct
+{
+  SiLiveResult result;
+  bool done;
+} Answer;
+
+static void
+on_answer (const SiLiveResult *result, void *user)
+{
+  Answer *answer = user;
+
+  answer->result = *result;
+  answer->done = true;
+}
+
+static bool
+is_answered (PtWorld *world, void *user)
+{
+  (void)world;
+  return ((Answer *)user)->done;
+}
+
+static void
+scene_open (PtWorld *world)
+{
+  static const char *const slow[] = { "--latency-ms", "700", NULL };
+
+  pt_world_init (world);
+  pt_start_platform (world);
+  pt_start_service (world, "lookup-1", slow);
+  pt_start_service (world, "lookup-2", slow);
+  pt_start_instance (world, "i1", "hall-a");
+  pt_start_instance (world, "i2", "hall-b");
+  pt_start_instance (world, "i3", "hall-c");
+  pt_apply_all (world, &world->instances[0]);
+  for (size_t i = 0; i < world->n_instances; i++)
+    pt_wait_ready (world, &world->instances[i]);
+}
+
+static int64_t
+count_runs (PtWorld *world, const char *order)
+{
+  return pt_runs (world, &world->endpoints[0], order)
+         + pt_runs (world, &world->endpoints[1], order);
+}
+
+static bool
+has_run_anywhere (PtWorld *world, void *user)
+{
+  return count_runs (world, user) > 0;
+}
+
+static char *
+take_ticket (PtWorld *world, PtProgram *instance)
+{
+  struct json_object *reply
+      = si_client_json (&world->client, instance->address, "/v1/tickets", "{}");
+
+  cr_assert_not_null (reply);
+  char *ticket = lb_strdup (si_json_text (reply, "ticket", ""));
+  json_object_put (reply);
+  return ticket;
+}
+
+static SiLiveSpec
+order_at (const PtProgram *instance, const char *order)
+{
+  return (SiLiveSpec){ .kind = SI_LIVE_SERVICE,
+                       .address = instance->address,
+                       .model = "/services/lookup/order",
+                       .prompt = "two bags of rice",
+                       .order = order,
+                       .deadline_ms = "20000",
+                       .silence = PT_LIMIT };
+}
+
+/* The instance is killed while the order runs; the shop's application, which sees a closed
+ * connection, sends the same call to the next instance, several times. */
+static void
+kill_and_repeat (PtWorld *world, SiLiveSpec *spec)
+{
+  Answer answer = { .done = false };
+
+  si_live_start (world->client.pool, spec, on_answer, &answer);
+  pt_wait (world, "the order runs", has_run_anywhere, (void *)spec->order);
+  pt_process_signal (&world->instances[0].process, SIGKILL);
+  pt_wait (world, "the connection breaks", is_answered, &answer);
+  cr_assert_eq (answer.result.outcome, SI_LIVE_ERROR, "%s", answer.result.error);
+  for (size_t i = 1; i < world->n_instances; i++)
+    {
+      spec->address = world->instances[i].address;
+      SiLiveResult repeat = pt_live (world, spec);
+      cr_assert_eq (repeat.outcome, SI_LIVE_ERROR, "%d %s", repeat.outcome, repeat.error);
+      cr_assert_str_eq (repeat.error, "outcome_unknown");
+    }
+  cr_assert_eq (count_runs (world, spec->order), 1);
+}
+
+/* A shopper's order message is sent with a ticket of an instance that is killed while it runs. Were
+ * it sent again by the next instance, the shopper would get two orders; were it called "not run",
+ * the merchant would send it himself. */
+Test (once, ticket_of_a_killed_instance_is_never_run_again)
+{
+  PtWorld world;
+
+  scene_open (&world);
+  char *ticket = take_ticket (&world, &world.instances[0]);
+  SiLiveSpec spec = order_at (&world.instances[0], "order-1");
+  spec.ticket = ticket;
+  kill_and_repeat (&world, &spec);
+  free (ticket);
+  pt_world_clear (&world);
+}
+
+/* The same with the application's own idempotency key: what is left of the killed instance is its
+ * claim in the platform's table. */
+Test (once, idempotency_key_claimed_by_a_killed_instance_is_never_run_again)
+{
+  PtWorld world;
+
+  scene_open (&world);
+  SiLiveSpec spec = order_at (&world.instances[0], "order-2");
+  spec.idempotency_key = "key-2";
+  kill_and_repeat (&world, &spec);
+  pt_world_clear (&world);
+}
+
+/* The caller's connection is slow and it sends the same order to two instances at once. The second
+ * joins the call in progress, or gets the kept answer; the order runs once. */
+Test (once, same_ticket_at_two_instances_runs_once_and_answers_both)
+{
+  PtWorld world;
+  Answer first = { .done = false };
+
+  scene_open (&world);
+  char *ticket = take_ticket (&world, &world.instances[0]);
+  SiLiveSpec spec = order_at (&world.instances[0], "order-3");
+  spec.ticket = ticket;
+  si_live_start (world.client.pool, &spec, on_answer, &first);
+  spec.address = world.instances[1].address;
+  SiLiveResult second = pt_live (&world, &spec);
+  pt_wait (&world, "the first is answered", is_answered, &first);
+  cr_assert_eq (first.result.outcome, SI_LIVE_WHOLE, "%s", first.result.error);
+  cr_assert_eq (second.outcome, SI_LIVE_WHOLE, "%d %s", second.outcome, second.error);
+  spec.address = world.instances[2].address;
+  SiLiveResult third = pt_live (&world, &spec);
+  cr_assert_eq (third.outcome, SI_LIVE_WHOLE, "%d %s", third.outcome, third.error);
+  cr_assert_eq (count_runs (&world, "order-3"), 1);
+  free (ticket);
+  pt_world_clear (&world);
+}
--- /dev/null
+++ b/tests/process/test-rolling.c
@@ -0,0 +1,62 @@
+#include "pt-world.h"
+
+#include <criterion/criterion.h>
+#include <signal.h>
+
+#define CALLS "900"
+
+static bool
+has_finished_some (PtWorld *world, void *user)
+{
+  const int64_t *wanted = user;
+
+  return pt_log_number (world, &world->endpoints[0], "finished")
+             + pt_log_number (world, &world->endpoints[1], "finished")
+         >= *wanted;
+}
+
+/* Every instance is replaced, one after the other, while clerks read streamed answers and ask for
+ * entry addresses as they should. A clerk must never see half an answer, nor be told of a failure
+ * that a call at his next address would not mend. Every old process must end by itself, with 0. */
+Test (rolling, restart_of_three_instances_loses_and_cuts_nothing)
+{
+  static const char *const engine_options[] = { "--tokens-per-second", "200", NULL };
+  static const char *const load_options[] = {
+    "--rate",    "60", "--concurrency", "60", "--count",    CALLS, "--max-tokens", "60", "--stream",
+    "--callers", "30", "--retries",     "8",  "--entry-ms", "300", "--expect-all", NULL
+  };
+  PtWorld world;
+  PtProcess load;
+
+  pt_world_init (&world);
+  world.drain_ms = 1500;
+  pt_start_platform (&world);
+  pt_start_engine (&world, "engine-1", engine_options);
+  pt_start_engine (&world, "engine-2", engine_options);
+  pt_start_instance (&world, "i1", "hall-a");
+  pt_start_instance (&world, "i2", "hall-b");
+  pt_start_instance (&world, "i3", "hall-c");
+  pt_apply_all (&world, &world.instances[0]);
+  for (size_t i = 0; i < world.n_instances; i++)
+    pt_wait_ready (&world, &world.instances[i]);
+  pt_start_load (&world, &load, load_options);
+  for (size_t i = 0; i < world.n_instances; i++)
+    {
+      int64_t wanted = 50 * (int64_t)(i + 1);
+      pt_wait (&world, "calls are answered", has_finished_some, &wanted);
+      pt_process_signal (&world.instances[i].process, SIGTERM);
+      pt_wait_exit (&world, &world.instances[i].process, 0);
+      pt_restart_instance (&world, &world.instances[i]);
+      pt_wait_ready (&world, &world.instances[i]);
+    }
+
+  struct json_object *summary = pt_finish (&world, &load);
+  cr_assert (pt_process_has_exited (&load, 0), "%s (logs in %s)",
+             json_object_to_json_string (summary), world.folder);
+  cr_assert_eq (pt_log_number (&world, &world.endpoints[0], "cancelled")
+                    + pt_log_number (&world, &world.endpoints[1], "cancelled"),
+                0);
+  json_object_put (summary);
+  pt_process_clear (&load);
+  pt_world_clear (&world);
+}
