--- a/tests/process/pt-world.c
+++ b/tests/process/pt-world.c
@@ -24,7 +24,7 @@
   world->drain_ms = 300;
   world->entry_ttl_ms = 300;
   world->stream_silence_ms = 1500;
-  world->request_read_ms = 60000;
+  world->request_read_ms = 5000;
 }
 
 static int
--- /dev/null
+++ b/tests/process/test-slow.c
@@ -0,0 +1,43 @@
+#include "pt-world.h"
+
+#include <criterion/criterion.h>
+#include <string.h>
+
+/* A clerk sends a request at once and the answer takes longer than a request may take to be read,
+ * for the model writes slowly. The limit is meant for callers who send a byte a second: it must end
+ * when the request is whole, or the answer is cut, and the clerk told "not run" of a call that ran.
+ */
+Test (slow, answer_longer_than_the_time_to_read_a_request_is_whole)
+{
+  static const char *const engine_options[] = { "--tokens-per-second", "40", NULL };
+  static const char *const service_options[] = { "--latency-ms", "1500", NULL };
+  PtWorld world;
+
+  pt_world_init (&world);
+  world.in_memory = true;
+  world.request_read_ms = 500;
+  pt_start_engine (&world, "engine-1", engine_options);
+  PtProgram *service = pt_start_service (&world, "lookup-1", service_options);
+  PtProgram *instance = pt_start_instance (&world, "i1", "hall-a");
+  pt_apply_all (&world, instance);
+  pt_wait_ready (&world, instance);
+  SiLiveSpec stream = { .address = instance->address,
+                        .model = "reader",
+                        .prompt = "slowly",
+                        .max_tokens = 60,
+                        .stream = true };
+  SiLiveResult result = pt_live (&world, &stream);
+  cr_assert_eq (result.outcome, SI_LIVE_WHOLE, "stream: %d %s", result.outcome, result.error);
+  stream.stream = false;
+  result = pt_live (&world, &stream);
+  cr_assert_eq (result.outcome, SI_LIVE_WHOLE, "whole: %d %s", result.outcome, result.error);
+  SiLiveSpec order = { .kind = SI_LIVE_SERVICE,
+                       .address = instance->address,
+                       .model = "/services/lookup/order",
+                       .prompt = "one",
+                       .order = "order-1" };
+  result = pt_live (&world, &order);
+  cr_assert_eq (result.outcome, SI_LIVE_WHOLE, "service: %d %s", result.outcome, result.error);
+  cr_assert_eq (pt_runs (&world, service, "order-1"), 1);
+  pt_world_clear (&world);
+}
