--- a/tests/process/pt-world.h
+++ b/tests/process/pt-world.h
@@ -30,6 +30,7 @@
   PtProgram endpoints[PT_MAX_PROGRAMS];
   size_t n_endpoints;
   int drain_ms;
+  int entry_ttl_ms;
   int stream_silence_ms;
   int request_read_ms; /* of a request, not of its answer */
   bool in_memory;      /* no platform beside the instance */
@@ -39,6 +40,9 @@
 
 void pt_world_init (PtWorld *world);
 void pt_world_clear (PtWorld *world);
+/* Ends every instance that still runs, gracefully: whatever it went through, it must become idle
+ * and exit with 0 (and, built with sanitizers, have leaked nothing). */
+void pt_world_drain (PtWorld *world);
 
 void pt_start_platform (PtWorld *world);
 /* options: further arguments, ended by NULL; may be NULL. */
