Routing is told when new weights are expected, by the load times seen

Cause: LN_ENDPOINT_SWAP's until is when the new weights are expected to serve (lc-endpoints); it was sent as the time limit of a load, 120 s, so that the router would have weighed each swap as two minutes. Now a mean of the loads seen, 5 s before the first.

--- a/packages/core/include/lc-weights.h
+++ b/packages/core/include/lc-weights.h
@@ -33,7 +33,7 @@
   LbName address;
   LcVersion version;
   bool pending;
-  LbTime until;
+  LbTime until; /* SWAP: when the new weights are expected to serve */
 } LcWeightsAction;
 
 typedef struct
--- a/packages/core/src/lc-weights.c
+++ b/packages/core/src/lc-weights.c
@@ -10,7 +10,8 @@
 #define ACCEPT_GRACE LB_SEC /* from an accepted order until a report must show the load */
 #define FIRST_BACKOFF (2 * LB_SEC)
 #define LONGEST_BACKOFF (60 * LB_SEC)
-#define CADENCE_WEIGHT 0.3
+#define EWMA_WEIGHT 0.3
+#define FIRST_LOAD_TIME (5 * LB_SEC) /* expected until one was seen */
 #define LEAST_FAILED_TO_HALT 2
 #define MOST_FAILED_TO_HALT 5
 
@@ -50,7 +51,8 @@
   int64_t percent;
   LbTime newest_at;
   LbTime cadence;
-  double tokens; /* of the rate's bucket */
+  LbTime load_time; /* mean, from order to report */
+  double tokens;    /* of the rate's bucket */
   LbTime tokens_at;
   LbTime restarted_at;
   LcWeightsWait wait;
@@ -61,7 +63,7 @@
 static LbMetric metric_failures = LB_COUNTER_INIT ("lentilspindle_weight_load_failures_total",
                                                    NULL,
                                                    "Loads that failed or took too long");
-static LbMetric metric_reordered = LB_COUNTER_INIT (
+static LbMetric metric_strays = LB_COUNTER_INIT (
     "lentilspindle_weight_strays_total",
     NULL,
     "Engines that stated another version after a load than they were ordered to");
@@ -87,6 +89,7 @@
 
   weights->settings = *settings;
   weights->tokens = (double)settings->burst;
+  weights->load_time = FIRST_LOAD_TIME;
   return weights;
 }
 
@@ -181,6 +184,12 @@
   update_target (weights);
 }
 
+static LbTime
+mean (LbTime before, LbTime latest)
+{
+  return (LbTime)(EWMA_WEIGHT * latest + (1 - EWMA_WEIGHT) * before);
+}
+
 void
 lc_weights_newest (LcWeights *weights, LcVersion version, LbTime now)
 {
@@ -190,10 +199,7 @@
   if (weights->newest > 0)
     {
       LbTime interval = (now - weights->newest_at) / (version - weights->newest);
-      weights->cadence
-          = weights->cadence == 0
-                ? interval
-                : (LbTime)(CADENCE_WEIGHT * interval + (1 - CADENCE_WEIGHT) * weights->cadence);
+      weights->cadence = weights->cadence == 0 ? interval : mean (weights->cadence, interval);
     }
   weights->newest = version;
   weights->newest_at = now;
@@ -256,15 +262,17 @@
 
 /* The order we gave has come to an end, as the engine states itself. */
 static void
-end_order (Engine *engine, LbTime now)
+end_order (LcWeights *weights, Engine *engine, LbTime now)
 {
   if (engine->ordered == 0)
     return;
-  if (engine->report.version == 0)
+  if (engine->report.version == engine->ordered)
+    weights->load_time = mean (weights->load_time, now - engine->ordered_at);
+  else if (engine->report.version == 0)
     note_failure (engine, now);
-  else if (engine->report.version != engine->ordered)
+  else
     /* Another order came in between, or the engine was started anew: it is ordered again. */
-    lb_metric_add (&metric_reordered, 1);
+    lb_metric_add (&metric_strays, 1);
   engine->ordered = 0;
 }
 
@@ -295,7 +303,7 @@
       set_state (engine, ENGINE_SWAPPING, now);
       return;
     }
-  end_order (engine, now);
+  end_order (weights, engine, now);
   if (report->version == weights->target)
     engine->failures = 0;
   set_state (engine, report->version > 0 ? ENGINE_SERVING : ENGINE_EMPTY, now);
@@ -475,7 +483,7 @@
 {
   LcWeightsAction *action = LB_NEW (LcWeightsAction);
 
-  add_swap (engine, true, now + weights->settings.load_limit, actions);
+  add_swap (engine, true, now + weights->load_time, actions);
   set_state (engine, ENGINE_SWAPPING, now);
   engine->ordered = weights->target;
   engine->ordered_at = now;
--- a/packages/core/tests/test-weights.c
+++ b/packages/core/tests/test-weights.c
@@ -40,6 +40,25 @@
   cr_assert_eq (status ().wait, LC_WEIGHTS_IDLE);
 }
 
+/* Routing weighs an engine by when its new weights are expected; the guess becomes what is seen. */
+Test (weights, expected_end_of_a_swap_follows_the_load_times)
+{
+  LbList actions;
+
+  lc_weights_newest (pool.weights, 41, pool.now);
+  fake_pool_run_until_done (&pool, 41, 60 * LB_SEC);
+  fake_pool_run (&pool, LB_SEC);
+  lc_weights_newest (pool.weights, 42, pool.now);
+  lb_list_init (&actions);
+  lc_weights_tick (pool.weights, true, true, pool.now, &actions);
+  const LcWeightsAction *swap = LB_LIST_FIRST (&actions, LcWeightsAction, link);
+
+  cr_assert_eq (swap->type, LC_WEIGHTS_SWAP);
+  cr_assert_geq (swap->until - pool.now, pool.load_time);
+  cr_assert_lt (swap->until - pool.now, pool.load_time + LB_SEC);
+  fake_pool_drop_actions (&actions);
+}
+
 /* A large part of the pool may be in a swap at once, but the live reserve is larger: callers would
  * be refused while four engines of five load. */
 Test (weights, live_reserve_bounds_what_is_out)
