--- a/packages/node/src/ln-pool-holder.c
+++ b/packages/node/src/ln-pool-holder.c
@@ -483,7 +483,7 @@
     return;
   holder->told = status.target;
   holder->next_told = now + TELL_PERIOD;
-  ln_pool_holders_tell_newest (holder->task, holder->pool, status.target, status.cadence);
+  ln_pool_holders_tell_newest (holder, &status);
 }
 
 void
--- a/packages/node/src/ln-pool-holder.h
+++ b/packages/node/src/ln-pool-holder.h
@@ -19,7 +19,8 @@
   bool asking_newest;
   LbTime next_newest;
   LbTime next_told;
-  LcVersion told; /* the version that the other tasks and instances were told last */
+  LcVersion told;      /* the version that the other tasks and instances were told last */
+  int64_t heard_fence; /* of the youngest holder that told the newest version */
 } LnPoolHolder;
 
 LnPoolHolder *ln_pool_holder_new (LnConfigTask *task, const char *pool, uint64_t serial);
@@ -31,10 +32,7 @@
 /* ln-pool-holders.c */
 LnPoolHolder *ln_pool_holders_find (LnConfigTask *task, uint64_t serial);
 void ln_pool_holders_tell_swap (LnConfigTask *task, const LcWeightsAction *action, LbTime now);
-void ln_pool_holders_tell_newest (LnConfigTask *task,
-                                  const char *pool,
-                                  LcVersion newest,
-                                  LbTime cadence);
+void ln_pool_holders_tell_newest (LnPoolHolder *holder, const LcWeightsStatus *status);
 void ln_pool_holders_tell_free (LnConfigTask *task, const char *pool);
 
 #endif
--- a/packages/node/src/ln-pool-holders.c
+++ b/packages/node/src/ln-pool-holders.c
@@ -218,16 +218,18 @@
 }
 
 void
-ln_pool_holders_tell_newest (LnConfigTask *task, const char *pool, LcVersion newest, LbTime cadence)
+ln_pool_holders_tell_newest (LnPoolHolder *holder, const LcWeightsStatus *status)
 {
   struct json_object *message = json_object_new_object ();
 
-  post_newest (task, pool, newest, cadence);
+  holder->heard_fence = lc_lease_fence (holder->lease);
+  post_newest (holder->task, holder->pool, status->target, status->cadence);
   json_object_object_add (message, "type", json_object_new_string ("newest"));
-  json_object_object_add (message, "pool", json_object_new_string (pool));
-  json_object_object_add (message, "version", json_object_new_int64 (newest));
-  json_object_object_add (message, "cadence_ms", json_object_new_int64 (cadence / LB_MSEC));
-  ln_config_send (task, "", message);
+  json_object_object_add (message, "pool", json_object_new_string (holder->pool));
+  json_object_object_add (message, "fence", json_object_new_int64 (holder->heard_fence));
+  json_object_object_add (message, "version", json_object_new_int64 (status->target));
+  json_object_object_add (message, "cadence_ms", json_object_new_int64 (status->cadence / LB_MSEC));
+  ln_config_send (holder->task, "", message);
 }
 
 void
@@ -276,6 +278,20 @@
     }
 }
 
+/* What an earlier holder tells is old: it may have been paused with the message half sent. */
+static void
+receive_newest (LnConfigTask *task, struct json_object *message)
+{
+  LnPoolHolder *holder = find_pool (task, text_member (message, "pool"));
+  int64_t fence = integer_member (message, "fence");
+
+  if (!holder || fence < holder->heard_fence)
+    return;
+  holder->heard_fence = fence;
+  post_newest (task, holder->pool, integer_member (message, "version"),
+               integer_member (message, "cadence_ms") * LB_MSEC);
+}
+
 /* False when the message is none of a pool's holder. */
 bool
 ln_pool_holders_receive (LnConfigTask *task, struct json_object *message)
@@ -286,8 +302,7 @@
   if (strcmp (type, "swaps") == 0)
     receive_swaps (task, message, now);
   else if (strcmp (type, "newest") == 0)
-    post_newest (task, text_member (message, "pool"), integer_member (message, "version"),
-                 integer_member (message, "cadence_ms") * LB_MSEC);
+    receive_newest (task, message);
   else if (strcmp (type, "lease_free") == 0)
     {
       LnPoolHolder *holder = find_pool (task, text_member (message, "pool"));
--- a/tests/process/test-config.c
+++ b/tests/process/test-config.c
@@ -204,20 +204,26 @@
 }
 
 /* Two of three instances die while the store is away. What is left can't tell whether it is alone
- * with something old: it takes no new work, and goes on as soon as the store confirms. */
+ * with something old: it takes no new work and says "not run", and goes on as soon as the store
+ * confirms. */
 Test (config, left_alone_with_the_store_away)
 {
-  LbName error;
-
   start_instances (3);
+  PtProgram *engine = pt_start_engine (&world, "engine-1", NULL);
   PtProgram *last = &world.instances[2];
-  cr_assert_eq (change (&world.instances[0], QUEUE_LIMIT (1), "\"0\"", error), 200, "%s", error);
+  const SiLiveSpec spec
+      = { .address = last->address, .model = "reader", .prompt = "an envelope", .max_tokens = 4 };
+  pt_apply_all (&world, &world.instances[0]);
+  pt_wait_in_force (&world);
   pt_fault (&world, &world.platform, "{\"mode\": \"down\"}");
   pt_process_clear (&world.instances[0].process);
   pt_process_clear (&world.instances[1].process);
   pt_wait (&world, "the last one stops new work", is_not_ready, last);
+  cr_assert_eq (pt_live (&world, &spec).outcome, SI_LIVE_NOT_RUN);
+  cr_assert_eq (pt_runs (&world, engine, spec.prompt), 0);
   pt_fault (&world, &world.platform, "{\"mode\": \"none\"}");
   pt_wait_ready (&world, last);
+  cr_assert_eq (pt_live (&world, &spec).outcome, SI_LIVE_WHOLE);
 }
 
 /* --- leases and weights --- */
@@ -360,6 +366,28 @@
   pt_wait (&world, "all engines have 41", all_engines_have, &version);
 }
 
+/* A load fails on one engine; later the operator finds the version bad and rolls back, as a new
+ * revision. No engine may be left without weights or with the bad ones. */
+Test (config, failed_load_and_roll_back)
+{
+  HolderSearch search;
+  int64_t version = 41;
+  LbName error;
+
+  start_pool (&search);
+  pt_fault (&world, &world.endpoints[1], "{\"mode\": \"fail_swap\", \"count\": 1}");
+  publish_weights (version);
+  pt_wait (&world, "all engines have 41", all_engines_have, &version);
+
+  version = 40;
+  cr_assert_eq (change (&world.instances[1],
+                        "{\"apply\": [{\"kind\": \"pool\", \"name\": \"reader\", "
+                        "\"weight_version\": 40}]}",
+                        "\"1\"", error),
+                200, "%s", error);
+  pt_wait (&world, "all engines have 40", all_engines_have, &version);
+}
+
 /* The holder drains: another instance holds the lease long before it would lapse. */
 Test (config, lease_is_handed_over_at_drain)
 {
