--- a/packages/core/src/lc-config.c
+++ b/packages/core/src/lc-config.c
@@ -1,60 +1,16 @@
-#include "lc-config.h"
+#include "lc-config-private.h"
 
 #include "lb-alloc.h"
 #include "lb-counter.h"
-#include "lb-log.h"
 #include "lc-change.h"
 
-#include <gsl/gsl_rng.h>
 #include <json-c/json.h>
 #include <stdlib.h>
 #include <string.h>
-#include <uthash.h>
 
 /* Reads of the head row by all instances together stay under this, of about 2,000 a second. */
 #define HEAD_READS_PER_SECOND 175
 #define POLL_JITTER 0.2
-#define ASK_PERIOD (LB_SEC / 2)
-#define ASKS_PER_PERIOD 20
-/* How long a new process waits for its peers to name a newer revision than the store did. */
-#define SETTLE (LB_SEC / 2)
-/* From the announcement of a change until its transaction can't take effect any more. */
-#define COMMIT_LIFE (10 * LB_SEC)
-
-typedef struct
-{
-  LbName name; /* key */
-  LbName incarnation;
-  bool alive;
-  bool draining;
-  bool listed; /* in the last view of the membership */
-  bool confirmed;
-  int64_t revision;
-  LbTime asked_at;    /* our last ASK */
-  LbTime answered_to; /* asked_at of the youngest ASK that it answered; 0: none */
-  LbTime wanted_at;
-  int64_t intent;      /* number of the change it announced; 0: none that is unsettled */
-  int64_t intent_base; /* the revision that change was made from */
-  LbTime intent_at;
-  UT_hash_handle hh;
-} Peer;
-
-struct LcConfig
-{
-  LcConfigSettings settings;
-  gsl_rng *rng;
-  Peer *peers; /* all known but this instance */
-  LcResourceSet *set;
-  bool confirmed; /* some revision of this process was confirmed by store or majority */
-  bool ready;
-  LbTime started_at;
-  LbTime store_confirmed_at; /* -1: never; the youngest known, our clock */
-  LbTime next_poll;
-  LbTime next_ask;
-  int64_t announced; /* changes of this instance */
-  int64_t settled;   /* the last of them whose outcome is known */
-  LbTime announced_at;
-};
 
 static LbMetric metric_revision
     = LB_GAUGE_INIT ("lentilspindle_config_revision", NULL, "Revision in force in this process");
@@ -109,7 +65,7 @@
 void
 lc_config_free (LcConfig *config)
 {
-  Peer *peer, *next;
+  LcConfigPeer *peer, *next;
 
   if (!config)
     return;
@@ -123,23 +79,23 @@
   free (config);
 }
 
-static Peer *
+static LcConfigPeer *
 find_peer (const LcConfig *config, const char *name)
 {
-  Peer *peer;
+  LcConfigPeer *peer;
 
   HASH_FIND_STR (config->peers, name, peer);
   return peer;
 }
 
-static Peer *
+static LcConfigPeer *
 ensure_peer (LcConfig *config, const char *name)
 {
-  Peer *peer = find_peer (config, name);
+  LcConfigPeer *peer = find_peer (config, name);
 
   if (peer)
     return peer;
-  peer = LB_NEW (Peer);
+  peer = LB_NEW (LcConfigPeer);
   LB_COPY (peer->name, name);
   HASH_ADD_STR (config->peers, name, peer);
   return peer;
@@ -155,115 +111,12 @@
   return period + (LbTime)(period * POLL_JITTER * (2 * gsl_rng_uniform (config->rng) - 1));
 }
 
-/* With many instances one round of ASK takes longer than the bound. */
-static LbTime
-answer_bound (const LcConfig *config)
-{
-  LbTime rounds = HASH_COUNT (config->peers) / ASKS_PER_PERIOD + 1;
-  LbTime bound = 2 * rounds * ASK_PERIOD;
-
-  return bound > config->settings.confirm_bound ? bound : config->settings.confirm_bound;
-}
-
-static bool
-is_store_confirmed (const LcConfig *config, LbTime now)
-{
-  return config->store_confirmed_at >= 0
-         && now - config->store_confirmed_at <= config->settings.confirm_bound;
-}
-
-/* Peers that answered an ASK which was sent at this time or later. */
-static size_t
-count_answers (const LcConfig *config, LbTime asked_since)
-{
-  size_t answers = 0;
-
-  for (const Peer *peer = config->peers; peer; peer = peer->hh.next)
-    answers += peer->confirmed && peer->answered_to > 0 && peer->answered_to >= asked_since;
-  return answers;
-}
-
-/* True when this instance and those that answered an ASK of asked_since or later are more than half
- * of all known.
- *
- * Guards against a change that is accepted where this instance can't see it: an operator would
- * see a revision in force while a cut-off part goes on with the one before. A change is accepted
- * only by an instance that reaches a majority, and two majorities share a member. */
-bool
-lc_config_has_majority (const LcConfig *config, LbTime asked_since)
-{
-  size_t all = HASH_COUNT (config->peers) + 1;
-
-  return 2 * (count_answers (config, asked_since) + 1) > all;
-}
-
-static bool
-is_settled (const LcConfig *config, const Peer *peer)
-{
-  return peer->intent == 0 || config->set->revision > peer->intent_base
-         || config->store_confirmed_at >= peer->intent_at + COMMIT_LIFE;
-}
-
-/* True when an instance has announced a change and was not heard of since.
- *
- * Guards against a cut in the moment of acceptance: the majority that let the change pass would go
- * on with the revision before for as long as the parting lasts, while the operator was told that
- * the new one is accepted. Until its outcome is known, only the store confirms. */
-static bool
-is_in_doubt (const LcConfig *config, LbTime now)
-{
-  for (const Peer *peer = config->peers; peer; peer = peer->hh.next)
-    if (!is_settled (config, peer) && peer->answered_to < now - answer_bound (config)
-        && peer->intent_at < now - config->settings.confirm_bound)
-      return true;
-  return false;
-}
-
-/* A new process knows nothing itself, so only its peers count. */
-static bool
-peers_confirm_new_process (const LcConfig *config, LbTime now)
-{
-  size_t answers = count_answers (config, now - answer_bound (config));
-
-  if (answers == 0 || 2 * answers <= HASH_COUNT (config->peers))
-    return false;
-  for (const Peer *peer = config->peers; peer; peer = peer->hh.next)
-    if (peer->confirmed && peer->revision > config->set->revision)
-      return false;
-  return true;
-}
-
-/* A peer that named a newer revision has yet to send it. */
-static bool
-is_behind_a_peer (const LcConfig *config)
-{
-  for (const Peer *peer = config->peers; peer; peer = peer->hh.next)
-    if (peer->alive && peer->revision > config->set->revision)
-      return true;
-  return false;
-}
-
-static bool
-may_take_work (LcConfig *config, LbTime now)
-{
-  if (config->confirmed)
-    return is_store_confirmed (config, now)
-           || (lc_config_has_majority (config, now - answer_bound (config))
-               && !is_in_doubt (config, now));
-  /* Guards against a stale read by a new process: callers would see a revision go back when an
-   * instance is replaced. Its peers are asked too before the first call is served. */
-  if (is_store_confirmed (config, now))
-    config->confirmed = !is_behind_a_peer (config) && now - config->started_at >= SETTLE;
-  else
-    config->confirmed = peers_confirm_new_process (config, now);
-  return config->confirmed;
-}
-
 static void
 update_ready (LcConfig *config, LbTime now, LbList *actions)
 {
-  bool ready = may_take_work (config, now);
+  bool ready = lc_config_may_take_work (config, now);
 
+  config->confirmed |= ready;
   if (ready == config->ready)
     return;
   config->ready = ready;
@@ -290,7 +143,8 @@
 
   have->asked_at = asked_at;
   have->confirmed
-      = config->confirmed && (is_store_confirmed (config, now) || !is_in_doubt (config, now));
+      = config->confirmed
+        && (lc_config_is_store_confirmed (config, now) || !lc_config_is_in_doubt (config, now));
   have->intent = config->settled;
   have->age = lc_config_confirmation_age (config, now);
 }
@@ -318,7 +172,7 @@
 }
 
 static LcConfigMessage *
-ask (LcConfig *config, Peer *peer, LbTime now, LbList *actions)
+ask (LcConfig *config, LcConfigPeer *peer, LbTime now, LbList *actions)
 {
   LcConfigMessage *message = send (actions, peer->name, LC_CONFIG_ASK, config->set->revision);
 
@@ -330,13 +184,13 @@
 static void
 ask_all (LcConfig *config, LbTime now, LbList *actions)
 {
-  for (Peer *peer = config->peers; peer; peer = peer->hh.next)
+  for (LcConfigPeer *peer = config->peers; peer; peer = peer->hh.next)
     ask (config, peer, now, actions);
 }
 
 /* What the process before had in force says nothing of the new one of the same name. */
 static void
-peer_restarted (Peer *peer, const char *incarnation)
+peer_restarted (LcConfigPeer *peer, const char *incarnation)
 {
   if (peer->incarnation[0])
     {
@@ -353,7 +207,7 @@
 lc_config_members (
     LcConfig *config, const LcConfigMember *members, size_t n_members, LbTime now, LbList *actions)
 {
-  Peer *peer, *next;
+  LcConfigPeer *peer, *next;
 
   for (peer = config->peers; peer; peer = peer->hh.next)
     peer->listed = false;
@@ -385,7 +239,7 @@
 void
 lc_config_forget (LcConfig *config, const char *instance)
 {
-  Peer *peer = find_peer (config, instance);
+  LcConfigPeer *peer = find_peer (config, instance);
 
   if (!peer || !config->peers)
     return;
@@ -410,7 +264,7 @@
     lb_metric_add (&metric_ignored, 1);
   else if (revision == config->set->revision && asked_at > config->store_confirmed_at)
     config->store_confirmed_at = asked_at;
-  if (asked_at >= config->announced_at + COMMIT_LIFE)
+  if (asked_at >= config->announced_at + LC_CONFIG_COMMIT_LIFE)
     config->settled = config->announced;
   config->next_poll = now + poll_period (config);
   update_ready (config, now, actions);
@@ -444,11 +298,11 @@
   update_ready (config, now, actions);
 }
 
-/* A peer has something newer: its whole set, at most once per ASK_PERIOD and peer. */
+/* A peer has something newer: its whole set, at most once per LC_CONFIG_ASK_PERIOD and peer. */
 static void
-want (LcConfig *config, Peer *peer, LbTime now, LbList *actions)
+want (LcConfig *config, LcConfigPeer *peer, LbTime now, LbList *actions)
 {
-  if (peer->wanted_at > 0 && now - peer->wanted_at < ASK_PERIOD)
+  if (peer->wanted_at > 0 && now - peer->wanted_at < LC_CONFIG_ASK_PERIOD)
     return;
   peer->wanted_at = now;
   send (actions, peer->name, LC_CONFIG_WANT, config->set->revision);
@@ -456,7 +310,7 @@
 
 static void
 receive_news (
-    LcConfig *config, Peer *peer, const LcConfigMessage *news, LbTime now, LbList *actions)
+    LcConfig *config, LcConfigPeer *peer, const LcConfigMessage *news, LbTime now, LbList *actions)
 {
   LbError error;
   LcResourceSet *next = NULL;
@@ -477,7 +331,7 @@
  * a socket of a paused process would else make an old confirmation look young. */
 static void
 receive_have (
-    LcConfig *config, Peer *peer, const LcConfigMessage *have, LbTime now, LbList *actions)
+    LcConfig *config, LcConfigPeer *peer, const LcConfigMessage *have, LbTime now, LbList *actions)
 {
   if (have->asked_at > 0 && have->asked_at <= now && have->asked_at > peer->answered_to)
     {
@@ -495,8 +349,11 @@
 }
 
 static void
-receive_set (
-    LcConfig *config, Peer *peer, const LcConfigMessage *message, LbTime now, LbList *actions)
+receive_set (LcConfig *config,
+             LcConfigPeer *peer,
+             const LcConfigMessage *message,
+             LbTime now,
+             LbList *actions)
 {
   LbError error;
   LcResourceSet *set
@@ -512,7 +369,7 @@
 }
 
 static void
-note_intent (Peer *peer, const LcConfigMessage *message, LbTime now)
+note_intent (LcConfigPeer *peer, const LcConfigMessage *message, LbTime now)
 {
   peer->intent = message->intent;
   peer->intent_base = message->revision;
@@ -523,7 +380,7 @@
 lc_config_receive (
     LcConfig *config, const char *from, const LcConfigMessage *message, LbTime now, LbList *actions)
 {
-  Peer *peer = ensure_peer (config, from);
+  LcConfigPeer *peer = ensure_peer (config, from);
 
   if (message->revision > peer->revision)
     peer->revision = message->revision;
@@ -559,7 +416,7 @@
 {
   config->announced++;
   config->announced_at = now;
-  for (Peer *peer = config->peers; peer; peer = peer->hh.next)
+  for (LcConfigPeer *peer = config->peers; peer; peer = peer->hh.next)
     ask (config, peer, now, actions)->intent = config->announced;
 }
 
@@ -575,7 +432,7 @@
 void
 lc_config_ask_behind (LcConfig *config, LbTime now, LbList *actions)
 {
-  for (Peer *peer = config->peers; peer; peer = peer->hh.next)
+  for (LcConfigPeer *peer = config->peers; peer; peer = peer->hh.next)
     if (peer->revision < config->set->revision)
       ask (config, peer, now, actions);
 }
@@ -584,10 +441,10 @@
 static void
 ask_some (LcConfig *config, LbTime now, LbList *actions)
 {
-  for (size_t n = 0; n < ASKS_PER_PERIOD; n++)
+  for (size_t n = 0; n < LC_CONFIG_ASKS_PER_PERIOD; n++)
     {
-      Peer *oldest = NULL;
-      for (Peer *peer = config->peers; peer; peer = peer->hh.next)
+      LcConfigPeer *oldest = NULL;
+      for (LcConfigPeer *peer = config->peers; peer; peer = peer->hh.next)
         if (!oldest || peer->asked_at < oldest->asked_at)
           oldest = peer;
       if (!oldest || oldest->asked_at == now)
@@ -606,7 +463,7 @@
     }
   if (now >= config->next_ask)
     {
-      config->next_ask = now + ASK_PERIOD;
+      config->next_ask = now + LC_CONFIG_ASK_PERIOD;
       bool doubtful = !config->confirmed || config->store_confirmed_at < 0
                       || now - config->store_confirmed_at > config->settings.confirm_bound / 4;
       if (doubtful)
@@ -614,67 +471,3 @@
     }
   update_ready (config, now, actions);
 }
-
-const LcResourceSet *
-lc_config_set (const LcConfig *config)
-{
-  return config->set;
-}
-
-int64_t
-lc_config_revision (const LcConfig *config)
-{
-  return config->set->revision;
-}
-
-/* Whether new work may be taken with the revision in force. */
-bool
-lc_config_is_ready (const LcConfig *config)
-{
-  return config->ready;
-}
-
-/* Age of the youngest confirmation by the store that this instance knows of, its own or a peer's;
- * -1 when it knows of none. */
-LbTime
-lc_config_confirmation_age (const LcConfig *config, LbTime now)
-{
-  return config->store_confirmed_at < 0 ? -1 : now - config->store_confirmed_at;
-}
-
-/* True when some known instance is neither alive nor known to have left. */
-bool
-lc_config_has_unseen_members (const LcConfig *config)
-{
-  for (const Peer *peer = config->peers; peer; peer = peer->hh.next)
-    if (!peer->alive)
-      return true;
-  return false;
-}
-
-LcInForce
-lc_config_in_force (const LcConfig *config, int64_t revision)
-{
-  LcInForce result = { .on = config->set->revision >= revision, .of = 1 };
-
-  for (const Peer *peer = config->peers; peer; peer = peer->hh.next)
-    {
-      result.on += peer->revision >= revision;
-      result.of++;
-    }
-  return result;
-}
-
-void
-lc_config_visit (const LcConfig *config, LcConfigVisit visit, void *user)
-{
-  visit (config->settings.instance, config->set->revision, true, false, user);
-  for (const Peer *peer = config->peers; peer; peer = peer->hh.next)
-    visit (peer->name, peer->revision, peer->alive, peer->draining, user);
-}
-
-LbTime
-lc_config_next_tick (const LcConfig *config)
-{
-  return config->next_poll < config->next_ask ? config->next_poll : config->next_ask;
-}
