A change is applied in place, not by way of JSON

Cause: each accepted change stalled the event loop of every instance, since the whole set was written to JSON and read again. Ruled out: sending the set instead (more bytes, and the same parse). The checks of the whole set stay as they were, in lc-resources-check.c; a test compares the outcome with the set read anew.

--- /dev/null
+++ b/packages/core/src/lc-resources-check.c
@@ -0,0 +1,113 @@
+#include "lc-resources-private.h"
+
+#include "lb-alloc.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static bool
+bad_reference (
+    const char *file, LcResourceKind kind, const char *name, const char *text, LbError *error)
+{
+  char where[192];
+
+  lc_resource_format_where (where, sizeof where, file, 0, lc_resource_kind_name (kind), name);
+  return lb_error_set (error, LB_ERROR_BAD_REFERENCE, where, "%s", text);
+}
+
+static bool
+has_service (const LcResourceSet *set, const char *service)
+{
+  for (size_t i = 0; i < set->n_endpoints; i++)
+    if (set->endpoints[i].kind == LC_ENDPOINT_SERVICE
+        && strcmp (set->endpoints[i].pool, service) == 0)
+      return true;
+  return false;
+}
+
+static bool
+check_subscriptions (const LcResourceSet *set, const char *file, LbError *error)
+{
+  for (size_t i = 0; i < set->n_subscriptions; i++)
+    {
+      const LcSubscription *subscription = &set->subscriptions[i];
+      if (!lc_resource_set_pool (set, subscription->pool))
+        return bad_reference (file, LC_RESOURCE_SUBSCRIPTION, subscription->name,
+                              "pool: no such pool", error);
+      if (subscription->scorer[0] && !has_service (set, subscription->scorer))
+        return bad_reference (file, LC_RESOURCE_SUBSCRIPTION, subscription->name,
+                              "scorer: no endpoint of type service has this pool", error);
+    }
+  for (size_t i = 0; i < set->n_bounds; i++)
+    if (!lc_resource_set_subscription (set, set->bounds[i].subscription))
+      return bad_reference (file, LC_RESOURCE_VERSION_BOUND, set->bounds[i].name,
+                            "subscription: no such subscription", error);
+  return true;
+}
+
+static int
+compare_addresses (const void *a, const void *b)
+{
+  const LcEndpointMember *const *first = a, *const *second = b;
+
+  return strcmp ((*first)->address, (*second)->address);
+}
+
+/* One process under two names would be counted as twice its capacity. */
+static bool
+check_addresses (const LcResourceSet *set, const char *file, LbError *error)
+{
+  bool ok = true;
+  const LcEndpointMember **sorted = LB_NEW_ARRAY (const LcEndpointMember *, set->n_endpoints);
+
+  for (size_t i = 0; i < set->n_endpoints; i++)
+    sorted[i] = &set->endpoints[i];
+  qsort (sorted, set->n_endpoints, sizeof *sorted, compare_addresses);
+  for (size_t i = 1; ok && i < set->n_endpoints; i++)
+    if (strcmp (sorted[i - 1]->address, sorted[i]->address) == 0)
+      ok = bad_reference (file, LC_RESOURCE_ENDPOINT, sorted[i]->name,
+                          "address: another endpoint has it", error);
+  free (sorted);
+  return ok;
+}
+
+/* The router takes all endpoints of a pool as alike. */
+static bool
+check_mixed (const LcResourceSet *set, const char *file, LbError *error)
+{
+  bool *has_engine = LB_NEW_ARRAY (bool, set->n_pools);
+  bool ok = true;
+
+  for (size_t i = 0; i < set->n_endpoints; i++)
+    if (set->endpoints[i].kind == LC_ENDPOINT_ENGINE)
+      has_engine[lc_resource_set_pool (set, set->endpoints[i].pool) - set->pools] = true;
+  for (size_t i = 0; ok && i < set->n_endpoints; i++)
+    {
+      const LcEndpointMember *endpoint = &set->endpoints[i];
+      const LcPool *pool = lc_resource_set_pool (set, endpoint->pool);
+      if (endpoint->kind == LC_ENDPOINT_SERVICE && pool && has_engine[pool - set->pools])
+        ok = bad_reference (file, LC_RESOURCE_ENDPOINT, endpoint->name,
+                            "pool: a service may not be in a pool that has engines", error);
+    }
+  free (has_engine);
+  return ok;
+}
+
+static bool
+check_endpoints (const LcResourceSet *set, const char *file, LbError *error)
+{
+  for (size_t i = 0; i < set->n_endpoints; i++)
+    {
+      const LcEndpointMember *endpoint = &set->endpoints[i];
+      if (endpoint->kind == LC_ENDPOINT_ENGINE && !lc_resource_set_pool (set, endpoint->pool))
+        return bad_reference (file, LC_RESOURCE_ENDPOINT, endpoint->name, "pool: no such pool",
+                              error);
+    }
+  return check_mixed (set, file, error) && check_addresses (set, file, error);
+}
+
+bool
+lc_resource_set_check (const LcResourceSet *set, const char *file, LbError *error)
+{
+  return check_subscriptions (set, file, error) && check_endpoints (set, file, error);
+}
--- a/packages/core/src/lc-resources.c
+++ b/packages/core/src/lc-resources.c
@@ -1,4 +1,4 @@
-#include "lc-resources.h"
+#include "lc-resources-private.h"
 
 #include "lb-alloc.h"
 #include "lb-settings.h"
@@ -185,8 +185,8 @@
 }
 
 /* "FILE: KIND/NAME" or, while these are not known, "FILE: resources[INDEX]". */
-static void
-format_where (
+void
+lc_resource_format_where (
     char *where, size_t size, const char *file, size_t index, const char *kind, const char *name)
 {
   if (kind && name)
@@ -233,149 +233,140 @@
   return true;
 }
 
+/* Reads the kind of a resource; where is set for all further errors. */
 static bool
-add_item (
-    LcResourceSet *set, struct json_object *object, size_t index, const char *file, LbError *error)
+read_kind (struct json_object *object,
+           size_t index,
+           const char *file,
+           char *where,
+           size_t size,
+           LcResourceKind *kind,
+           LbError *error)
 {
-  char where[192];
-  LcResourceKind kind;
-  const char *kind_name = text_of (object, "kind");
+  const char *name = text_of (object, "kind");
 
-  format_where (where, sizeof where, file, index, kind_name, text_of (object, "name"));
+  lc_resource_format_where (where, size, file, index, name, text_of (object, "name"));
   if (!json_object_is_type (object, json_type_object))
     return lb_error_set (error, LB_ERROR_BAD_VALUE, where, "expected an object");
-  if (!kind_name)
+  if (!name)
     return lb_error_set (error, LB_ERROR_MISSING_KEY, where, "kind: this key is required");
-  if (!lc_resource_kind_from_name (kind_name, &kind))
+  if (!lc_resource_kind_from_name (name, kind))
     return lb_error_set (error, LB_ERROR_BAD_VALUE, where,
                          "kind: expected one of: pool subscription version_bound endpoint");
-
-  size_t *count = count_of (set, kind);
-  if (*count == kinds[kind].max_count)
-    return lb_error_set (error, LB_ERROR_OUT_OF_RANGE, where, "expected at most %zu of this kind",
-                         kinds[kind].max_count);
-  if (!read_item (object, kind, *items_of (set, kind) + *count * kinds[kind].size, where, error))
-    return false;
-  (*count)++;
   return true;
 }
 
 static bool
-check_doubled (const LcResourceSet *set, LcResourceKind kind, const char *file, LbError *error)
+check_count (const LcResourceSet *set, LcResourceKind kind, const char *where, LbError *error)
 {
-  char where[192];
-  const char *items = *items_of (set, kind);
-
-  for (size_t i = 1; i < *count_of (set, kind); i++)
-    {
-      const char *item = items + i * kinds[kind].size;
-      if (strcmp (item - kinds[kind].size, item) != 0)
-        continue;
-      format_where (where, sizeof where, file, 0, kinds[kind].name, item);
-      return lb_error_set (error, LB_ERROR_BAD_VALUE, where, "name: given twice");
-    }
-  return true;
+  if (*count_of (set, kind) < kinds[kind].max_count)
+    return true;
+  return lb_error_set (error, LB_ERROR_OUT_OF_RANGE, where, "expected at most %zu of this kind",
+                       kinds[kind].max_count);
 }
 
 static bool
-bad_reference (
-    const char *file, LcResourceKind kind, const char *name, const char *text, LbError *error)
+add_item (
+    LcResourceSet *set, struct json_object *object, size_t index, const char *file, LbError *error)
 {
   char where[192];
+  LcResourceKind kind = LC_RESOURCE_POOL;
 
-  format_where (where, sizeof where, file, 0, kinds[kind].name, name);
-  return lb_error_set (error, LB_ERROR_BAD_REFERENCE, where, "%s", text);
+  if (!read_kind (object, index, file, where, sizeof where, &kind, error)
+      || !check_count (set, kind, where, error))
+    return false;
+  size_t *count = count_of (set, kind);
+  if (!read_item (object, kind, *items_of (set, kind) + *count * kinds[kind].size, where, error))
+    return false;
+  (*count)++;
+  return true;
 }
 
-static bool
-has_service (const LcResourceSet *set, const char *service)
+/* The place of the name in order, or where it would be. */
+static size_t
+place_of (const LcResourceSet *set, LcResourceKind kind, const char *name)
 {
-  for (size_t i = 0; i < set->n_endpoints; i++)
-    if (set->endpoints[i].kind == LC_ENDPOINT_SERVICE
-        && strcmp (set->endpoints[i].pool, service) == 0)
-      return true;
-  return false;
-}
+  size_t low = 0, high = *count_of (set, kind);
 
-static bool
-check_subscriptions (const LcResourceSet *set, const char *file, LbError *error)
-{
-  for (size_t i = 0; i < set->n_subscriptions; i++)
+  while (low < high)
     {
-      const LcSubscription *subscription = &set->subscriptions[i];
-      if (!lc_resource_set_pool (set, subscription->pool))
-        return bad_reference (file, LC_RESOURCE_SUBSCRIPTION, subscription->name,
-                              "pool: no such pool", error);
-      if (subscription->scorer[0] && !has_service (set, subscription->scorer))
-        return bad_reference (file, LC_RESOURCE_SUBSCRIPTION, subscription->name,
-                              "scorer: no endpoint of type service has this pool", error);
+      size_t middle = (low + high) / 2;
+      if (strcmp (*items_of (set, kind) + middle * kinds[kind].size, name) < 0)
+        low = middle + 1;
+      else
+        high = middle;
     }
-  for (size_t i = 0; i < set->n_bounds; i++)
-    if (!lc_resource_set_subscription (set, set->bounds[i].subscription))
-      return bad_reference (file, LC_RESOURCE_VERSION_BOUND, set->bounds[i].name,
-                            "subscription: no such subscription", error);
-  return true;
-}
-
-static int
-compare_addresses (const void *a, const void *b)
-{
-  const LcEndpointMember *const *first = a, *const *second = b;
-
-  return strcmp ((*first)->address, (*second)->address);
+  return low;
 }
 
-/* One process under two names would be counted as twice its capacity. */
 static bool
-check_addresses (const LcResourceSet *set, const char *file, LbError *error)
-{
-  bool ok = true;
-  const LcEndpointMember **sorted = LB_NEW_ARRAY (const LcEndpointMember *, set->n_endpoints);
-
-  for (size_t i = 0; i < set->n_endpoints; i++)
-    sorted[i] = &set->endpoints[i];
-  qsort (sorted, set->n_endpoints, sizeof *sorted, compare_addresses);
-  for (size_t i = 1; ok && i < set->n_endpoints; i++)
-    if (strcmp (sorted[i - 1]->address, sorted[i]->address) == 0)
-      ok = bad_reference (file, LC_RESOURCE_ENDPOINT, sorted[i]->name,
-                          "address: another endpoint has it", error);
-  free (sorted);
-  return ok;
+is_at (const LcResourceSet *set, LcResourceKind kind, size_t place, const char *name)
+{
+  return place < *count_of (set, kind)
+         && strcmp (*items_of (set, kind) + place * kinds[kind].size, name) == 0;
 }
 
-/* The router takes all endpoints of a pool as alike. */
-static bool
-check_mixed (const LcResourceSet *set, const char *file, LbError *error)
+bool
+lc_resource_set_put (
+    LcResourceSet *set, struct json_object *object, size_t index, const char *file, LbError *error)
 {
-  bool *has_engine = LB_NEW_ARRAY (bool, set->n_pools);
-  bool ok = true;
+  char where[192];
+  LcResourceKind kind = LC_RESOURCE_POOL;
+  bool ok = false;
 
-  for (size_t i = 0; i < set->n_endpoints; i++)
-    if (set->endpoints[i].kind == LC_ENDPOINT_ENGINE)
-      has_engine[lc_resource_set_pool (set, set->endpoints[i].pool) - set->pools] = true;
-  for (size_t i = 0; ok && i < set->n_endpoints; i++)
+  if (!read_kind (object, index, file, where, sizeof where, &kind, error))
+    return false;
+  size_t size = kinds[kind].size;
+  size_t *count = count_of (set, kind);
+  char *item = lb_calloc (1, size);
+  if (!read_item (object, kind, item, where, error))
+    goto out;
+  size_t place = place_of (set, kind, item);
+  char *slot = *items_of (set, kind) + place * size;
+  if (!is_at (set, kind, place, item))
     {
-      const LcEndpointMember *endpoint = &set->endpoints[i];
-      const LcPool *pool = lc_resource_set_pool (set, endpoint->pool);
-      if (endpoint->kind == LC_ENDPOINT_SERVICE && pool && has_engine[pool - set->pools])
-        ok = bad_reference (file, LC_RESOURCE_ENDPOINT, endpoint->name,
-                            "pool: a service may not be in a pool that has engines", error);
+      if (!check_count (set, kind, where, error))
+        goto out;
+      memmove (slot + size, slot, (*count - place) * size);
+      (*count)++;
     }
-  free (has_engine);
+  memcpy (slot, item, size);
+  ok = true;
+out:
+  free (item);
   return ok;
 }
 
+bool
+lc_resource_set_remove (LcResourceSet *set, LcResourceKind kind, const char *name)
+{
+  size_t size = kinds[kind].size;
+  size_t *count = count_of (set, kind);
+  size_t place = place_of (set, kind, name);
+  char *slot = *items_of (set, kind) + place * size;
+
+  if (!is_at (set, kind, place, name))
+    return false;
+  (*count)--;
+  memmove (slot, slot + size, (*count - place) * size);
+  return true;
+}
+
 static bool
-check_endpoints (const LcResourceSet *set, const char *file, LbError *error)
+check_doubled (const LcResourceSet *set, LcResourceKind kind, const char *file, LbError *error)
 {
-  for (size_t i = 0; i < set->n_endpoints; i++)
+  char where[192];
+  const char *items = *items_of (set, kind);
+
+  for (size_t i = 1; i < *count_of (set, kind); i++)
     {
-      const LcEndpointMember *endpoint = &set->endpoints[i];
-      if (endpoint->kind == LC_ENDPOINT_ENGINE && !lc_resource_set_pool (set, endpoint->pool))
-        return bad_reference (file, LC_RESOURCE_ENDPOINT, endpoint->name, "pool: no such pool",
-                              error);
+      const char *item = items + i * kinds[kind].size;
+      if (strcmp (item - kinds[kind].size, item) != 0)
+        continue;
+      lc_resource_format_where (where, sizeof where, file, 0, kinds[kind].name, item);
+      return lb_error_set (error, LB_ERROR_BAD_VALUE, where, "name: given twice");
     }
-  return check_mixed (set, file, error) && check_addresses (set, file, error);
+  return true;
 }
 
 static bool
@@ -396,7 +387,7 @@
       if (!check_doubled (set, kind, file, error))
         return false;
     }
-  return check_subscriptions (set, file, error) && check_endpoints (set, file, error);
+  return lc_resource_set_check (set, file, error);
 }
 
 /* Faults of the outer object: unknown keys and a revision or list of the wrong type. */
@@ -492,16 +483,27 @@
 }
 
 LcResourceSet *
-lc_resource_set_copy (const LcResourceSet *set)
+lc_resource_set_copy_with_room (const LcResourceSet *set, size_t room)
 {
   LcResourceSet *copy = lb_memdup (set, sizeof *set);
 
   for (int kind = 0; kind < LC_N_RESOURCE_KINDS; kind++)
-    *items_of (copy, kind)
-        = lb_memdup (*items_of (set, kind), *count_of (set, kind) * kinds[kind].size);
+    {
+      size_t used = *count_of (set, kind) * kinds[kind].size;
+      char *items = lb_malloc (used + room * kinds[kind].size);
+      if (used > 0)
+        memcpy (items, *items_of (set, kind), used);
+      *items_of (copy, kind) = items;
+    }
   return copy;
 }
 
+LcResourceSet *
+lc_resource_set_copy (const LcResourceSet *set)
+{
+  return lc_resource_set_copy_with_room (set, 0);
+}
+
 void
 lc_resource_set_free (LcResourceSet *set)
 {
--- a/packages/core/tests/test-resources.c
+++ b/packages/core/tests/test-resources.c
@@ -97,6 +97,40 @@
     }
 }
 
+/* A change is made in place; the outcome must be what reading the whole set would give. */
+static void
+assert_like_read_anew (const LcResourceSet *set)
+{
+  LbError error;
+  struct json_object *object = lc_resource_set_to_json (set);
+  LcResourceSet *again = lc_resource_set_from_json (object, "again", &error);
+  struct json_object *second = lc_resource_set_to_json (again);
+
+  cr_assert (json_object_equal (object, second));
+  json_object_put (object);
+  json_object_put (second);
+  lc_resource_set_free (again);
+}
+
+Test (change, keeps_the_order_of_names)
+{
+  LbError error;
+  LcResourceSet *set
+      = parse (POOL "," ENGINE ("e3", "127.0.0.1:3") "," ENGINE ("e5", "127.0.0.1:5"), &error);
+  LcResourceSet *next
+      = change (set,
+                "{\"apply\":[" ENGINE ("e4", "127.0.0.1:4") "," ENGINE ("e9", "127.0.0.1:9") //
+                "," ENGINE ("e1", "127.0.0.1:1") "," ENGINE ("e3", "127.0.0.1:33") "]}",
+                &error);
+
+  cr_assert_eq (next->n_endpoints, 5);
+  cr_assert_str_eq (lc_resource_set_endpoint (next, "e3")->address, "127.0.0.1:33");
+  cr_assert_str_eq (lc_resource_set_endpoint (next, "e9")->address, "127.0.0.1:9");
+  assert_like_read_anew (next);
+  lc_resource_set_free (set);
+  lc_resource_set_free (next);
+}
+
 Test (change, replaces_adds_and_deletes_and_counts_up)
 {
   LbError error;
@@ -113,6 +147,7 @@
   cr_assert_null (lc_resource_set_endpoint (next, "e1"));
   cr_assert_not_null (lc_resource_set_endpoint (next, "e2"));
   cr_assert_eq (lc_resource_set_pool (next, "reader")->weight_version, 9);
+  assert_like_read_anew (next);
   lc_resource_set_free (set);
   lc_resource_set_free (next);
 }
