--- a/packages/node/src/ln-pool-holder.c
+++ b/packages/node/src/ln-pool-holder.c
@@ -12,6 +12,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <uthash.h>
 
 #define NEWEST_PERIOD LB_SEC
 #define TELL_PERIOD (10 * LB_SEC)
@@ -22,17 +23,17 @@
 #define KEY_MAX 96
 
 /* An engine of the pool as the holder orders it and reads it back. */
-typedef struct
+typedef struct LnPoolEngine
 {
-  LbLink link;
+  LbName name; /* key */
   LnPoolHolder *holder;
-  LbName name;
   LbName address;
   LhFetch *look;
   LhFetch *order;
   LbTime look_at; /* when the look on its way was asked */
   LbTime next_look;
   bool configured;
+  UT_hash_handle hh;
 } Engine;
 
 /* A read or write of the lease row, or a question to the weight store, on its way. */
@@ -49,7 +50,7 @@
     lh_fetch_cancel (engine->look);
   if (engine->order)
     lh_fetch_cancel (engine->order);
-  lb_list_remove (&engine->holder->engines, &engine->link);
+  HASH_DEL (engine->holder->engines, engine);
   free (engine);
 }
 
@@ -88,14 +89,15 @@
   LB_COPY (holder->pool, pool);
   holder->lease = lc_lease_new (&lease, lb_clock_monotonic (), lb_clock_wall_ms () * LB_MSEC);
   holder->weights = lc_weights_new (&weights);
-  lb_list_init (&holder->engines);
   return holder;
 }
 
 void
 ln_pool_holder_free (LnPoolHolder *holder)
 {
-  LB_LIST_FOREACH (&holder->engines, Engine, link, engine)
+  Engine *engine, *next;
+
+  HASH_ITER (hh, holder->engines, engine, next)
   {
     engine_free (engine);
   }
@@ -107,12 +109,10 @@
 static Engine *
 find_engine (LnPoolHolder *holder, const char *name)
 {
-  LB_LIST_FOREACH (&holder->engines, Engine, link, engine)
-  {
-    if (strcmp (engine->name, name) == 0)
-      return engine;
-  }
-  return NULL;
+  Engine *engine;
+
+  HASH_FIND_STR (holder->engines, name, engine);
+  return engine;
 }
 
 static void
@@ -125,7 +125,7 @@
       engine = LB_NEW (Engine);
       engine->holder = holder;
       LB_COPY (engine->name, member->name);
-      lb_list_append (&holder->engines, &engine->link);
+      HASH_ADD_STR (holder->engines, name, engine);
     }
   LB_COPY (engine->address, member->address);
   engine->configured = true;
@@ -134,15 +134,15 @@
 void
 ln_pool_holder_configure (LnPoolHolder *holder, const LcResourceSet *set)
 {
-  LB_LIST_FOREACH (&holder->engines, Engine, link, engine)
-  {
+  Engine *engine, *next;
+
+  for (engine = holder->engines; engine; engine = engine->hh.next)
     engine->configured = false;
-  }
   for (size_t i = 0; i < set->n_endpoints; i++)
     if (set->endpoints[i].kind == LC_ENDPOINT_ENGINE && !set->endpoints[i].leaving
         && strcmp (set->endpoints[i].pool, holder->pool) == 0)
       configure_engine (holder, &set->endpoints[i]);
-  LB_LIST_FOREACH (&holder->engines, Engine, link, engine)
+  HASH_ITER (hh, holder->engines, engine, next)
   {
     if (!engine->configured)
       engine_free (engine);
@@ -233,10 +233,8 @@
           LB_INT ("fence", action->row.fence), LB_TEXT ("holder", action->row.holder));
   lc_weights_restart (holder->weights, now);
   holder->next_told = now;
-  LB_LIST_FOREACH (&holder->engines, Engine, link, engine)
-  {
+  for (Engine *engine = holder->engines; engine; engine = engine->hh.next)
     engine->next_look = now;
-  }
 }
 
 static void
@@ -348,7 +346,7 @@
   const LhHandlers handlers = { .on_done = on_looked };
   const LhRequest request
       = { .method = "GET", .address = engine->address, .path = "/load", .silence = LOOK_SILENCE };
-  LbTime period = (LbTime)engine->holder->engines.length * LB_SEC / LOOKS_PER_SECOND;
+  LbTime period = (LbTime)HASH_COUNT (engine->holder->engines) * LB_SEC / LOOKS_PER_SECOND;
 
   if (period < LOOK_PERIOD)
     period = LOOK_PERIOD;
@@ -498,10 +496,8 @@
     return;
   ask_newest (holder, now);
   tell_newest (holder, now);
-  LB_LIST_FOREACH (&holder->engines, Engine, link, engine)
-  {
+  for (Engine *engine = holder->engines; engine; engine = engine->hh.next)
     if (!engine->look && now >= engine->next_look)
       look (engine, now);
-  }
   tick_weights (holder, now);
 }
--- a/packages/node/src/ln-pool-holder.h
+++ b/packages/node/src/ln-pool-holder.h
@@ -15,7 +15,7 @@
   uint64_t serial; /* a reply of the platform for an earlier holder of this name is dropped */
   LcLease *lease;
   LcWeights *weights;
-  LbList engines; /* Engine of ln-pool-holder.c */
+  struct LnPoolEngine *engines; /* by name; of ln-pool-holder.c */
   bool asking_newest;
   LbTime next_newest;
   LbTime next_told;
