Roll-outs: orders without effect, failed orders and hung loads free their places

Found by a randomised run and by guards whose removal no test noticed: an engine that takes orders and does nothing was ordered again at once, and being the oldest such engines held all places for good (four of twelve: none of the other eight ever got the version; now all eight in under 60 s of virtual time); a load that hung kept its place for ever; three engines that died a moment before halted the roll-out, as if the version were broken. Each end without the version now waits before the next try, and only engines that state a failed load speak against the version.

--- a/packages/core/src/lc-weights.c
+++ b/packages/core/src/lc-weights.c
@@ -30,10 +30,12 @@
   EngineState state;
   LcWeightReport report;
   LbTime reported_at;
-  LbTime out_since; /* when it stopped to serve; 0: serves */
+  LbTime out_since;     /* when it stopped to serve; 0: serves */
+  LbTime loading_since; /* first report of the load in progress; 0: none */
   LcVersion ordered;
   LbTime ordered_at;
-  int failures; /* in a row, of the target */
+  int failures;         /* in a row, of the target */
+  bool refused_version; /* it stated that it failed to load the target */
   LbTime retry_at;
   bool pending; /* routing was told that a swap is pending */
   bool configured;
@@ -151,6 +153,7 @@
   for (Engine *engine = weights->engines; engine; engine = engine->hh.next)
     {
       engine->failures = 0;
+      engine->refused_version = false;
       engine->retry_at = 0;
     }
 }
@@ -218,8 +221,10 @@
     {
       engine->state = ENGINE_UNKNOWN;
       engine->out_since = now;
+      engine->loading_since = 0;
       engine->ordered = 0;
       engine->failures = 0;
+      engine->refused_version = false;
       engine->retry_at = 0;
     }
 }
@@ -260,7 +265,9 @@
   engine->state = state;
 }
 
-/* The order we gave has come to an end, as the engine states itself. */
+/* The order we gave has come to an end, as the engine states itself. One that had no effect (it did
+ * nothing, was started anew, or took another order in between) counts as failed too: without a
+ * pause it would be given again at once, and such engines would use up the places of all others. */
 static void
 end_order (LcWeights *weights, Engine *engine, LbTime now)
 {
@@ -268,14 +275,30 @@
     return;
   if (engine->report.version == engine->ordered)
     weights->load_time = mean (weights->load_time, now - engine->ordered_at);
-  else if (engine->report.version == 0)
-    note_failure (engine, now);
   else
-    /* Another order came in between, or the engine was started anew: it is ordered again. */
-    lb_metric_add (&metric_strays, 1);
+    {
+      lb_metric_add (&metric_strays, engine->report.version > 0);
+      note_failure (engine, now);
+    }
   engine->ordered = 0;
 }
 
+/* A load that never ends must not keep its place in the roll-out for good. */
+static void
+note_loading (const LcWeights *weights, Engine *engine, LbTime now)
+{
+  if (engine->loading_since == 0)
+    engine->loading_since = now;
+  if (now - engine->loading_since <= weights->settings.load_limit)
+    {
+      set_state (engine, ENGINE_SWAPPING, now);
+      return;
+    }
+  if (engine->ordered != 0)
+    note_failure (engine, now);
+  set_state (engine, ENGINE_UNKNOWN, now);
+}
+
 /* A report that was asked for before the order, or before it can have begun, says nothing of it. */
 static bool
 is_before_order (const Engine *engine, const LcWeightReport *report)
@@ -300,12 +323,14 @@
   engine->report = *report;
   if (report->loading)
     {
-      set_state (engine, ENGINE_SWAPPING, now);
+      note_loading (weights, engine, now);
       return;
     }
+  engine->loading_since = 0;
   end_order (weights, engine, now);
   if (report->version == weights->target)
     engine->failures = 0;
+  engine->refused_version = report->failed_version > 0 && report->failed_version == weights->target;
   set_state (engine, report->version > 0 ? ENGINE_SERVING : ENGINE_EMPTY, now);
   if (engine->pending && report->version > 0)
     add_swap (engine, false, now, actions);
@@ -326,16 +351,9 @@
 }
 
 static void
-note_silence (LcWeights *weights, Engine *engine, LbTime now)
+note_silence (const LcWeights *weights, Engine *engine, LbTime now)
 {
-  if (engine->state == ENGINE_SWAPPING && engine->ordered != 0
-      && now - engine->ordered_at > weights->settings.load_limit)
-    {
-      note_failure (engine, now);
-      set_state (engine, ENGINE_UNKNOWN, now);
-    }
-  else if (engine->state != ENGINE_UNKNOWN
-           && now - engine->reported_at > weights->settings.report_limit)
+  if (now - engine->reported_at > weights->settings.report_limit)
     set_state (engine, ENGINE_UNKNOWN, now);
 }
 
@@ -348,6 +366,7 @@
   size_t serving;
   size_t swapping;
   size_t failed;
+  size_t refused; /* the target */
   size_t done;
   size_t unknown;
   bool waits_for_lost; /* an engine that does not serve has been out for less than the patience */
@@ -370,6 +389,7 @@
       view->engines++;
       view->capacity += engine->member.concurrency;
       view->failed += engine->failures > 0;
+      view->refused += engine->refused_version;
       view->swapping += engine->state == ENGINE_SWAPPING || may_be_swapping (weights, engine, now);
       view->unknown += engine->state == ENGINE_UNKNOWN;
       if (engine->state == ENGINE_SERVING)
@@ -392,8 +412,8 @@
 }
 
 /* Guards against a version that no engine can load: one after the other would be taken out of
- * service for nothing until none is left. After a few failures and no success only those that
- * failed are tried again, one at a time. */
+ * service for nothing until none is left. Once a few have stated that they failed and none has the
+ * version, only those are tried again, one at a time. */
 static bool
 is_halted (const LcWeights *weights, const View *view)
 {
@@ -403,7 +423,7 @@
     limit = LEAST_FAILED_TO_HALT;
   if (limit > MOST_FAILED_TO_HALT)
     limit = MOST_FAILED_TO_HALT;
-  return view->done == 0 && view->failed >= limit;
+  return view->done == 0 && view->refused >= limit;
 }
 
 /* Guards against live callers that find no engine while many are in a swap. What serves after this
@@ -461,7 +481,7 @@
     {
       if (!is_wanted (weights, engine))
         continue;
-      if (halted && engine->failures == 0)
+      if (halted && !engine->refused_version)
         {
           *wait = LC_WEIGHTS_HALTED;
           continue;
--- a/packages/core/tests/test-weights.c
+++ b/packages/core/tests/test-weights.c
@@ -1,6 +1,7 @@
 #include "fake-engines.h"
 
 #include <criterion/criterion.h>
+#include <gsl/gsl_rng.h>
 
 static FakePool pool;
 
@@ -301,6 +302,63 @@
   cr_assert_eq (fake_pool_count (&pool, 41), 12);
 }
 
+/* Three engines die a moment before the roll-out, when they still seem to serve. Their orders fail;
+ * they must not hold their places until someone notices. */
+Test (weights, failed_orders_free_their_places_at_once)
+{
+  fake_pool_run (&pool, 2 * LB_SEC);
+  for (size_t i = 0; i < 3; i++)
+    pool.engines[i].dead = true;
+  lc_weights_newest (pool.weights, 41, pool.now);
+
+  cr_assert_lt (fake_pool_run_until_done (&pool, 41, 60 * LB_SEC), 9 * LB_SEC);
+}
+
+/* Three loads hang for ever. After the limit of a load the others get their places. */
+Test (weights, loads_that_hang_do_not_hold_up_the_others)
+{
+  fake_pool_run (&pool, 2 * LB_SEC);
+  pool.load_time = 10000 * LB_SEC;
+  lc_weights_newest (pool.weights, 41, pool.now);
+  fake_pool_run (&pool, LB_SEC);
+  pool.load_time = 2 * LB_SEC;
+  fake_pool_run (&pool, 100 * LB_SEC);
+  cr_assert_eq (fake_pool_count (&pool, 41), 0);
+  fake_pool_run (&pool, 60 * LB_SEC);
+
+  cr_assert_eq (fake_pool_count (&pool, 41), 9);
+}
+
+/* Answers of engines to the holder's questions from before it lost the lease arrive after it has
+ * got it back. They show engines serving that load by now. */
+Test (weights, reports_from_before_the_restart_say_nothing)
+{
+  LbList actions;
+  LcWeightReport report = { .version = 40, .incarnation = "0", .asked_at = pool.now };
+
+  lb_list_init (&actions);
+  pool.now += LB_SEC;
+  lc_weights_newest (pool.weights, 41, pool.now);
+  lc_weights_restart (pool.weights, pool.now);
+  for (size_t i = 0; i < pool.n; i++)
+    lc_weights_report (pool.weights, pool.engines[i].name, &report, pool.now, &actions);
+  fake_pool_tick (&pool);
+
+  cr_assert_eq (pool.orders, 0);
+}
+
+/* Four engines of twelve take orders and do nothing. They are the oldest, and would have all places
+ * in the roll-out for themselves: the others would keep the old version for good. */
+Test (weights, orders_without_effect_do_not_hold_up_the_others)
+{
+  for (size_t i = 0; i < 4; i++)
+    pool.engines[i].ignores_orders = true;
+  lc_weights_newest (pool.weights, 41, pool.now);
+  fake_pool_run (&pool, 60 * LB_SEC);
+
+  cr_assert_eq (fake_pool_count (&pool, 41), 8);
+}
+
 /* An answer of the weight store that was late names an older version: no engine goes back. */
 Test (weights, newest_never_goes_back)
 {
@@ -322,3 +380,65 @@
 
   cr_assert_leq (pool.orders, 60 + 60 + 3);
 }
+
+static void
+strike (gsl_rng *rng, LcVersion *version)
+{
+  FakeEngine *engine = &pool.engines[gsl_rng_uniform_int (rng, pool.n)];
+
+  switch (gsl_rng_uniform_int (rng, 6))
+    {
+    case 0:
+      lc_weights_newest (pool.weights, ++*version, pool.now);
+      break;
+    case 1:
+      fake_pool_new_holder (&pool, *version);
+      break;
+    case 2:
+      engine->fail_loads = 1 + (int)gsl_rng_uniform_int (rng, 3);
+      break;
+    case 3:
+      engine->ignores_orders = !engine->ignores_orders;
+      break;
+    case 4:
+      /* It starts anew with the version that it was started with. */
+      engine->loading = 0;
+      engine->version = 40;
+      engine->incarnation++;
+      break;
+    default:
+      pool.fenced = !pool.fenced;
+      pool.unfenced = pool.fenced;
+      break;
+    }
+}
+
+/* Long randomised run: newer versions, holders that crash, loads that fail, orders without effect,
+ * engines started anew, leases lost. Never are more engines loading than the percent allows, nor
+ * fewer serving than the reserve needs because of orders; and when all is well again, the newest
+ * version comes to every engine. */
+Test (weights, bounds_hold_in_a_long_run)
+{
+  gsl_rng *rng = gsl_rng_alloc (gsl_rng_taus2);
+  LcVersion version = 41;
+
+  gsl_rng_set (rng, 11);
+  lc_weights_newest (pool.weights, version, pool.now);
+  for (int i = 0; i < 2000; i++)
+    {
+      strike (rng, &version);
+      fake_pool_run (&pool, (LbTime)(gsl_rng_uniform (rng) * 4 * LB_SEC));
+      cr_assert_leq (pool.most_swapping, 3, "after strike %d", i);
+    }
+  for (size_t i = 0; i < pool.n; i++)
+    {
+      pool.engines[i].fail_loads = 0;
+      pool.engines[i].ignores_orders = false;
+    }
+  pool.fenced = true;
+  pool.unfenced = true;
+  fake_pool_run_until_done (&pool, version, 200 * LB_SEC);
+  cr_assert_eq (fake_pool_count (&pool, version), pool.n);
+  cr_assert_gt (pool.orders, 1000);
+  gsl_rng_free (rng);
+}
