--- a/packages/core/src/lc-weights.c
+++ b/packages/core/src/lc-weights.c
@@ -153,7 +153,6 @@
   for (Engine *engine = weights->engines; engine; engine = engine->hh.next)
     {
       engine->failures = 0;
-      engine->refused_version = false;
       engine->retry_at = 0;
     }
 }
@@ -224,7 +223,6 @@
       engine->loading_since = 0;
       engine->ordered = 0;
       engine->failures = 0;
-      engine->refused_version = false;
       engine->retry_at = 0;
     }
 }
