Leases: a stale read is asked again soon and shakes no holder

Seen by a new test with 70 % stale reads: the holder was not shaken but renewed too rarely and let the lease lapse, since it waited a whole period after a stale read. Guard taken out once: fails.

--- a/packages/core/src/lc-lease.c
+++ b/packages/core/src/lc-lease.c
@@ -11,6 +11,7 @@
 #define RANK_DELAY (500 * LB_MSEC)
 #define LONGEST_PAUSE LB_SEC
 #define N_REMEMBERED 8
+#define STALE_RETRY (200 * LB_MSEC)
 
 struct LcLease
 {
@@ -300,7 +301,12 @@
   else if (error != LB_OK)
     return;
   else if (version < lease->version)
-    return; /* a replica that lags */
+    {
+      /* Guards against a replica that lags: the holder would see the row of the one before it, and
+       * give up what it holds. */
+      lease->next_read = now + STALE_RETRY;
+      return;
+    }
   else
     note_row (lease, row, version, now);
   if (is_own (lease))
