Belief: sixteen holders of a prefix, smaller loss for a missed event

Cause: a prefix that all live calls share is cached by all 13 engines, but eight holders were remembered: those eight got the calls.

--- a/packages/core/src/lc-prefix-belief.c
+++ b/packages/core/src/lc-prefix-belief.c
@@ -7,15 +7,15 @@
 #include <uthash.h>
 
 #define MAX_PREFIXES 65536
-#define MAX_HOLDERS 8
-#define CONFIDENCE_SENT 0.8 /* our request went there; the engine may not have kept it */
+#define MAX_HOLDERS 16
+#define CONFIDENCE_SENT 0.95 /* our request went there; the engine may not have kept it */
 #define HALF_LIFE_SECONDS 300.0
-#define LOSS_PER_MISSED_EVENT 0.02
+#define LOSS_PER_MISSED_EVENT 0.005 /* every second one evicts one of about a hundred */
 
 typedef struct
 {
   LbTime at;
-  double lost; /* of the endpoint when this was learnt */
+  float lost; /* of the endpoint when this was learnt */
   uint32_t slot;
   uint32_t epoch;
   bool confirmed; /* by a cache event */
@@ -123,9 +123,11 @@
   if (!holder)
     holder = prefix->n_holders < MAX_HOLDERS ? &prefix->holders[prefix->n_holders++]
                                              : oldest_holder (prefix);
-  *holder = (Holder){
-    .at = now, .lost = view->lost, .slot = view->slot, .epoch = view->epoch, .confirmed = confirmed
-  };
+  *holder = (Holder){ .at = now,
+                      .lost = (float)view->lost,
+                      .slot = view->slot,
+                      .epoch = view->epoch,
+                      .confirmed = confirmed };
 }
 
 static void
@@ -179,7 +181,7 @@
   double age = (double)(now - holder->at) / LB_SEC;
 
   return (holder->confirmed ? 1 : CONFIDENCE_SENT)
-         * exp (holder->lost - view->lost - age * M_LN2 / HALF_LIFE_SECONDS);
+         * exp ((double)holder->lost - view->lost - age * M_LN2 / HALF_LIFE_SECONDS);
 }
 
 /* Views are by slot; a slot without an endpoint is NULL. */
