--- a/packages/core/src/lc-endpoints.c
+++ b/packages/core/src/lc-endpoints.c
@@ -80,6 +80,28 @@
   return sane;
 }
 
+static const char *const leaving_sources[] = {
+  [LC_LEAVING_RESOURCE] = "resource",
+  [LC_LEAVING_PLATFORM] = "platform",
+  [LC_LEAVING_ENDPOINT] = "endpoint",
+  [LC_LEAVING_PEER] = "peer",
+};
+
+/* True when it is news that the endpoint is leaving; logged once for each incarnation. */
+static bool
+publish_leaving (LcEntry *entry, LcLeavingSource source, LbTime now)
+{
+  bool was_leaving = entry->endpoint.leaving;
+
+  lc_entry_publish (entry, now);
+  if (was_leaving || !entry->endpoint.leaving)
+    return false;
+  lb_log (LB_LOG_INFO, "endpoint-leaving", LB_TEXT ("endpoint", entry->endpoint.member.name),
+          LB_TEXT ("incarnation", entry->endpoint.report.incarnation),
+          LB_TEXT ("source", leaving_sources[source]));
+  return true;
+}
+
 /* Reports are ordered by when they were measured: one that comes after a later one is old and
  * changes nothing, but a "leaving" in it holds for its incarnation. */
 void
@@ -99,16 +121,9 @@
     take_report (entry, &sane);
   if (report->leaving)
     lc_leaving_say (&entry->leaving, report->incarnation);
-  lc_entry_publish (entry, now);
+  publish_leaving (entry, LC_LEAVING_ENDPOINT, now);
 }
 
-static const char *const leaving_sources[] = {
-  [LC_LEAVING_RESOURCE] = "resource",
-  [LC_LEAVING_PLATFORM] = "platform",
-  [LC_LEAVING_ENDPOINT] = "endpoint",
-  [LC_LEAVING_PEER] = "peer",
-};
-
 /* The platform's list names no incarnation; pass "" with it, and call lc_endpoints_listed_live when
  * the list no longer says leaving. Peers always name the incarnation that they mean. */
 bool
@@ -119,7 +134,6 @@
                       LbTime now)
 {
   LcEntry *entry = lc_endpoints_entry (endpoints, name);
-  bool was_leaving = entry && entry->endpoint.leaving;
 
   if (!entry)
     return false;
@@ -127,13 +141,7 @@
     lc_leaving_list (&entry->leaving, true);
   else
     lc_leaving_say (&entry->leaving, incarnation);
-  lc_entry_publish (entry, now);
-  if (was_leaving || !entry->endpoint.leaving)
-    return false;
-  lb_log (LB_LOG_INFO, "endpoint-leaving", LB_TEXT ("endpoint", name),
-          LB_TEXT ("incarnation", entry->endpoint.report.incarnation),
-          LB_TEXT ("source", leaving_sources[source]));
-  return true;
+  return publish_leaving (entry, source, now);
 }
 
 /* The platform's list names the endpoint and does not say leaving. Takes back only a doubt about
