What was heard before a stop of this process is void

A gap of 2 s without any event of the table, once reports have come regularly, now voids all that was measured before its end. The random test of the dispatch states its endpoints' loads while it drains, as the daemon's poller does: without words there is no work to give.

--- a/packages/core/src/lc-endpoint-entry.c
+++ b/packages/core/src/lc-endpoint-entry.c
@@ -2,6 +2,9 @@
 
 #include <string.h>
 
+#define PAUSE (2 * LB_SEC)
+#define REPEATS_TO_BE_REGULAR 10
+
 void
 lc_entry_void_belief (LcEntry *entry)
 {
@@ -62,6 +65,25 @@
   };
 }
 
+LbTime
+lc_endpoints_void_before (const LcEndpoints *endpoints, LbTime now)
+{
+  bool regular = endpoints->repeats >= REPEATS_TO_BE_REGULAR;
+
+  return regular && now - endpoints->last_event > PAUSE ? now : endpoints->void_before;
+}
+
+/* Every event of the table passes here. A process that was stopped for a while does not know it:
+ * its first act may be to send the retry of a stream that broke meanwhile to an endpoint that said
+ * "leaving" to all others. Reports come several times a second, so a gap without any event shows
+ * the stop, and nothing that was measured before its end is believed. */
+void
+lc_endpoints_note_time (LcEndpoints *endpoints, LbTime now)
+{
+  endpoints->void_before = lc_endpoints_void_before (endpoints, now);
+  endpoints->last_event = now;
+}
+
 /* Makes what the parts of an entry decided readable in its endpoint and its summary. */
 void
 lc_entry_publish (LcEntry *entry, LbTime now)
@@ -69,6 +91,7 @@
   LcEndpoint *endpoint = &entry->endpoint;
   bool leaving = endpoint->member.leaving || lc_leaving_is_left (&entry->leaving);
 
+  lc_endpoints_note_time (entry->table, now);
   if (leaving && !endpoint->leaving)
     endpoint->leaving_since = now;
   endpoint->leaving = leaving;
--- a/packages/core/src/lc-endpoint-table.h
+++ b/packages/core/src/lc-endpoint-table.h
@@ -84,7 +84,10 @@
   LcEndpointGroup *groups;
   LbName *data_centres;
   int n_data_centres;
-  LbTime distance; /* one way between two data centres */
+  LbTime distance;    /* one way between two data centres */
+  LbTime last_event;  /* of any kind; there is one each time a load report comes */
+  LbTime void_before; /* reports measured earlier are not believed */
+  int64_t repeats;    /* reports that were not the first of their endpoint */
   uint32_t last_epoch;
   LcPrefixBelief *belief;
 };
@@ -104,6 +107,9 @@
 LcEntry *lc_endpoints_entry (const LcEndpoints *endpoints, const char *name);
 
 /* commands on one entry */
+/* Reports measured before this are not believed; see lc_endpoints_note_time. */
+LbTime lc_endpoints_void_before (const LcEndpoints *endpoints, LbTime now);
+void lc_endpoints_note_time (LcEndpoints *endpoints, LbTime now);
 void lc_entry_publish (LcEntry *entry, LbTime now);
 void lc_entry_forget_process (LcEntry *entry);
 void lc_entry_void_belief (LcEntry *entry);
--- a/packages/core/src/lc-endpoints-query.c
+++ b/packages/core/src/lc-endpoints-query.c
@@ -62,6 +62,14 @@
          && endpoint->in_flight < lc_breaker_allowance (&entry->breaker, now);
 }
 
+static bool
+is_void (const LcSummary *summary, LbTime now)
+{
+  const LcEndpoints *table = lc_entry (summary->endpoint)->table;
+
+  return summary->reported_at < lc_endpoints_void_before (table, now);
+}
+
 /* Leaving, open breaker, unknown weights and full endpoints take nothing; samples leave the live
  * reserve free. */
 bool
@@ -73,7 +81,11 @@
     return false;
   if (summary->is_special && !special_may_take (summary->endpoint, now))
     return false;
-  if (summary->reported_at == LC_NEVER_REPORTED || now - summary->reported_at > REPORT_TRUSTED_FOR)
+  if (summary->reported_at == LC_NEVER_REPORTED)
+    return true;
+  if (is_void (summary, now))
+    return false;
+  if (now - summary->reported_at > REPORT_TRUSTED_FOR)
     return true;
   return summary->load < summary->size * share;
 }
--- a/packages/core/src/lc-endpoints.c
+++ b/packages/core/src/lc-endpoints.c
@@ -56,6 +56,7 @@
   endpoint->report = *report;
   if (!report->incarnation[0])
     LB_COPY (endpoint->report.incarnation, known);
+  entry->table->repeats += entry->is_reported;
   entry->is_reported = true;
   endpoint->sent_since_report = lc_flight_log_sent_after (&entry->flights, report->at);
   entry->live_since_report = lc_flight_log_live_after (&entry->flights, report->at);
--- a/packages/core/tests/test-dispatch-random.c
+++ b/packages/core/tests/test-dispatch-random.c
@@ -7,6 +7,7 @@
  * says and does is held against the promises after every event. */
 
 #define N_ENDPOINTS 6
+#define STEPS_BETWEEN_LOADS 100 /* about half a second */
 #define N_STEPS 4000
 #define N_SEEDS 200
 #define MAX_FLIGHTS (8 * N_STEPS)
@@ -355,6 +356,22 @@
   carry_out (model);
 }
 
+/* What the node's poller hears several times a second. */
+static void
+state_loads (Model *model)
+{
+  for (int i = 0; i < N_ENDPOINTS; i++)
+    {
+      LcLoadReport report = { .version = 1, .leaving = model->leaving[i], .at = model->f.now };
+
+      if (model->incarnation[i] > 0)
+        snprintf (report.incarnation, sizeof report.incarnation, "%d", model->incarnation[i]);
+      if (i != model->removed)
+        lc_dispatch_report (model->f.dispatch, model->f.members[i].name, &report, model->f.now,
+                            &model->f.actions);
+    }
+}
+
 static void
 run (uint64_t seed)
 {
@@ -373,7 +390,11 @@
     step (model, true);
   lc_dispatch_drain (model->f.dispatch, model->f.now, &model->f.actions);
   for (int i = 0; i < 100 * N_STEPS && lc_dispatch_in_progress (model->f.dispatch); i++)
-    step (model, false);
+    {
+      if (i % STEPS_BETWEEN_LOADS == 0)
+        state_loads (model);
+      step (model, false);
+    }
   cr_assert_eq (lc_dispatch_in_progress (model->f.dispatch), 0);
   for (LcRequestId id = 1; id <= model->f.last_id; id++)
     cr_assert (model->calls[id].done, "no final answer");
--- a/packages/core/tests/test-endpoints.c
+++ b/packages/core/tests/test-endpoints.c
@@ -171,6 +171,31 @@
   fixture_clear (&f);
 }
 
+/* An instance is stopped for ten seconds and goes on. Meanwhile an endpoint said to all that it is
+ * leaving. The first thing the instance sees is a stream that broke, and its retry goes to that
+ * endpoint by a report from before the stop; the report that says "leaving" is read after that. */
+Test (leaving, what_was_heard_before_a_stop_of_this_process_is_void)
+{
+  Fixture f;
+  LbTime now = 0;
+
+  fixture_init (&f, 2);
+  for (int i = 0; i < 10; i++, now += 500 * LB_MSEC)
+    {
+      fixture_report (&f, "e0", "a", 1, now);
+      fixture_report (&f, "e1", "a", 1, now);
+    }
+  cr_assert (fixture_may_take (&f, "e0", now));
+  now += 10 * LB_SEC;
+  cr_assert_not (fixture_may_take (&f, "e0", now), "before any event");
+  lc_endpoints_sent (fixture_find (&f, "e1"), LC_KIND_LIVE, 0, now);
+  cr_assert_not (fixture_may_take (&f, "e0", now), "an event does not make old words true");
+  fixture_report (&f, "e0", "a", 1, now + LB_MSEC);
+  cr_assert (fixture_may_take (&f, "e0", now + LB_MSEC));
+  cr_assert_not (fixture_may_take (&f, "e1", now + LB_MSEC));
+  fixture_clear (&f);
+}
+
 /* Slots are indices that others keep: taking one endpoint out must not move another. */
 Test (membership, slots_stay_when_another_endpoint_goes)
 {
