Connections to endpoints and instances look for silence, as those of callers do

Cause: a plain service says nothing while it works, so a connection that went silent under such a call was noticed only at the deadline. Keep-alive probes and the user timeout let the kernel end it within about six seconds.

--- /dev/null
+++ b/packages/http/include/lh-socket.h
@@ -0,0 +1,7 @@
+#ifndef LH_SOCKET_H
+#define LH_SOCKET_H
+
+/* Makes the kernel find out within about six seconds that a connection has gone silent. */
+void lh_socket_find_silence (int fd);
+
+#endif
--- a/packages/http/src/lh-fetch.c
+++ b/packages/http/src/lh-fetch.c
@@ -2,6 +2,7 @@
 
 #include "lb-alloc.h"
 #include "lb-list.h"
+#include "lh-socket.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -475,6 +476,9 @@
   fetch->starting = false;
   if (fetch->failure != LB_OK)
     fail_start (fetch);
+  else
+    lh_socket_find_silence (
+        bufferevent_getfd (evhttp_connection_get_bufferevent (connection->evcon)));
   return fetch;
 }
 
--- a/packages/http/tests/test-fetch.c
+++ b/packages/http/tests/test-fetch.c
@@ -7,6 +7,8 @@
 #include <criterion/criterion.h>
 #include <event2/event.h>
 #include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
@@ -307,6 +309,37 @@
   world_clear (&w);
 }
 
+/* A service works for a minute without a word, and its instance loses power. Nothing closes the
+ * connection, so only the kernel's own probes can tell, and those must be asked for. */
+Test (fetch, sockets_look_for_silence)
+{
+  World w;
+  int unconfirmed = 0;
+  int found = 0;
+  socklen_t size = sizeof unconfirmed;
+
+  world_init (&w);
+  start (&w, "GET", "", false, 0);
+  int server = server_accept (&w, "\r\n\r\n");
+  for (int fd = 3; fd < 64; fd++)
+    {
+      struct sockaddr_in peer;
+      socklen_t length = sizeof peer;
+      char address[LB_NAME_MAX];
+      if (getpeername (fd, (struct sockaddr *)&peer, &length) != 0 || peer.sin_family != AF_INET)
+        continue;
+      snprintf (address, sizeof address, "127.0.0.1:%d", ntohs (peer.sin_port));
+      if (strcmp (address, w.address) != 0)
+        continue;
+      found++;
+      getsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unconfirmed, &size);
+      cr_assert_eq (unconfirmed, 6000);
+    }
+  cr_assert_eq (found, 1);
+  close (server);
+  world_clear (&w);
+}
+
 Test (fetch, malformed_requests_are_typed)
 {
   World w;
--- a/packages/node/src/ln-caller.c
+++ b/packages/node/src/ln-caller.c
@@ -5,11 +5,10 @@
 
 #include "lb-alloc.h"
 #include "lb-counter.h"
+#include "lh-socket.h"
 
 #include <arpa/inet.h>
 #include <event2/event.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -240,25 +239,6 @@
                caller->peer, sizeof caller->peer);
 }
 
-/* Something between the two ends may lose track of an open connection: it stays silent for good,
- * and the caller seems to wait although it is gone. The kernel then finds out by probes, or by what
- * it sent and nobody confirmed, within about six seconds, and the connection ends with an error. */
-static void
-find_silence (evutil_socket_t fd)
-{
-  const int on = 1;
-  const int idle_seconds = 3;
-  const int probe_seconds = 1;
-  const int probes = 3;
-  const unsigned unconfirmed_ms = 6000;
-
-  setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
-  setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_seconds, sizeof idle_seconds);
-  setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &probe_seconds, sizeof probe_seconds);
-  setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
-  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unconfirmed_ms, sizeof unconfirmed_ms);
-}
-
 evhtp_res
 ln_caller_accept (evhtp_connection_t *connection, void *user)
 {
@@ -276,7 +256,7 @@
   lb_list_append (&callers->callers, &caller->link);
   lb_metric_add (&connections, 1);
   read_peer (caller);
-  find_silence (connection->sock);
+  lh_socket_find_silence (connection->sock);
   set_hooks (connection, caller);
   arm (caller, callers->read_time);
   /* A caller that sends request after request without reading fills no more than this. */
--- a/tools/local.py
+++ b/tools/local.py
@@ -60,7 +60,7 @@
         connection.request(method, path, json.dumps(body) if body is not None else None,
                            headers or {})
         reply = connection.getresponse()
-        return reply.status, reply.read().decode()
+        return reply.status, reply.read().decode(errors="replace")
     finally:
         connection.close()
 
