--- a/packages/node/src/ln-calls-take.c
+++ b/packages/node/src/ln-calls-take.c
@@ -186,7 +186,8 @@
       ln_call_free (call);
       return;
     }
-  ln_claims_take (calls->claims, call->spec.caller, key, ticket, on_claimed, call);
+  ln_claims_take (calls->claims, call->spec.caller, key, ticket,
+                  call->spec.deadline + TICKET_LIFE_MS * LB_MSEC, on_claimed, call);
 }
 
 static LnCall *
--- a/packages/node/src/ln-calls.c
+++ b/packages/node/src/ln-calls.c
@@ -276,7 +276,7 @@
   calls->dispatch = make_dispatch (context);
   calls->tickets
       = ln_ticket_calls_new (context->instance, context->incarnation, context->settings->seed);
-  calls->claims = ln_claims_new (context->platform, context->incarnation);
+  calls->claims = ln_claims_new (context->base, context->platform, context->incarnation);
   calls->relays = ln_relays_new (context);
   calls->leaving = ln_leaving_new (&calls->task);
   calls->tick = evtimer_new (context->base, ln_calls_on_tick, calls);
--- a/packages/node/src/ln-claims.c
+++ b/packages/node/src/ln-claims.c
@@ -1,31 +1,47 @@
 #include "ln-claims.h"
 
 #include "lb-alloc.h"
+#include "lb-clock.h"
 #include "lb-counter.h"
 #include "lb-list.h"
 #include "lb-log.h"
 #include "lc-ticket.h"
 #include "lp-platform.h"
 
+#include <event2/event.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
 
+#define SWEEP_SECONDS 1
+#define SWEEP_ROWS 64
+
 typedef struct
 {
   LbLink link;
   LnClaims *claims;
   char key[64];
   char ticket[LC_TICKET_SIZE];
+  LbTime until;
   LnClaimDone done;
   void *user;
 } Claim;
 
+/* A row that this instance has written and must delete. */
+typedef struct
+{
+  LbLink link;
+  char key[64];
+  LbTime until;
+} OwnRow;
+
 struct LnClaims
 {
   LpPlatform *platform;
+  struct event *sweep;
+  LbList rows;
   LbName incarnation;
   uint64_t writes;
   LbList pending;
@@ -36,11 +52,63 @@
                        NULL,
                        "Idempotency keys that this instance was first to claim");
 
+static LbMetric deleted = LB_COUNTER_INIT ("lentilspindle_key_sweeps_total",
+                                           NULL,
+                                           "Writes that deleted rows of old idempotency keys");
+
+static void
+on_deleted (LbErrorCode error, const LpRow *row, void *user)
+{
+  (void)row;
+  (void)user;
+  if (error == LB_OK)
+    lb_metric_add (&deleted, 1);
+  else
+    lb_metric_count_error (error);
+}
+
+/* Rows of keys would fill the table for ever. Only the instance that wrote a row deletes it, many
+ * in one write, so no condition is needed; what a failed write leaves behind stays. */
+static void
+on_sweep (evutil_socket_t fd, short what, void *user)
+{
+  (void)fd;
+  (void)what;
+  LnClaims *claims = user;
+  LpPut puts[SWEEP_ROWS] = { 0 };
+  char keys[SWEEP_ROWS][sizeof ((OwnRow *)0)->key];
+  char token[LB_NAME_MAX + 40];
+  size_t n = 0;
+  LbTime now = lb_clock_monotonic ();
+
+  LB_LIST_FOREACH (&claims->rows, OwnRow, link, row)
+  {
+    if (row->until > now || n == SWEEP_ROWS)
+      continue;
+    LB_COPY (keys[n], row->key);
+    puts[n].key = keys[n];
+    n++;
+    lb_list_remove (&claims->rows, &row->link);
+    free (row);
+  }
+  if (n == 0)
+    return;
+  snprintf (token, sizeof token, "unclaim-%s-%" PRIu64, claims->incarnation, ++claims->writes);
+  const LpTransaction transaction = { .token = token, .puts = puts, .n_puts = n };
+  claims->platform->klass->transact (claims->platform, &transaction, LP_PRIORITY_STATUS, on_deleted,
+                                     claims);
+}
+
 LnClaims *
-ln_claims_new (struct LpPlatform *platform, const char *incarnation)
+ln_claims_new (struct event_base *base, struct LpPlatform *platform, const char *incarnation)
 {
+  const struct timeval period = { .tv_sec = SWEEP_SECONDS };
   LnClaims *claims = LB_NEW (LnClaims);
 
+  claims->sweep = event_new (base, -1, EV_PERSIST, on_sweep, claims);
+  event_add (claims->sweep, &period);
+  lb_list_init (&claims->rows);
+
   claims->platform = platform;
   LB_COPY (claims->incarnation, incarnation);
   lb_list_init (&claims->pending);
@@ -64,6 +132,11 @@
   {
     claim_free (claim);
   }
+  LB_LIST_FOREACH (&claims->rows, OwnRow, link, row)
+  {
+    free (row);
+  }
+  event_free (claims->sweep);
   free (claims);
 }
 
@@ -73,9 +146,21 @@
   return lb_list_is_empty (&claims->pending);
 }
 
+static void
+own_row (const Claim *claim)
+{
+  OwnRow *row = LB_NEW (OwnRow);
+
+  LB_COPY (row->key, claim->key);
+  row->until = claim->until;
+  lb_list_append (&claim->claims->rows, &row->link);
+}
+
 static void
 finish (Claim *claim, const char *ticket)
 {
+  if (strcmp (ticket, claim->ticket) == 0)
+    own_row (claim);
   claim->done (ticket, NULL, claim->user);
   claim_free (claim);
 }
@@ -145,6 +230,7 @@
                 const char *caller,
                 const char *key,
                 const char *ticket,
+                LbTime until,
                 LnClaimDone done,
                 void *user)
 {
@@ -153,6 +239,7 @@
 
   claim->claims = claims;
   claim->done = done;
+  claim->until = until;
   claim->user = user;
   LB_COPY (claim->ticket, ticket);
   make_key (claim, caller, key);
