--- a/packages/http/src/lh-fetch.c
+++ b/packages/http/src/lh-fetch.c
@@ -1,7 +1,8 @@
 #include "lh-fetch.h"
 
+#include "lh-pool.h"
+
 #include "lb-alloc.h"
-#include "lb-list.h"
 #include "lh-socket.h"
 
 #include <event2/buffer.h>
@@ -18,35 +19,12 @@
 
 #define DEFAULT_SILENCE (30 * LB_SEC)
 #define MAX_BODY_BYTES (64 << 20)
-#define MAX_HEADER_BYTES (64 << 10)
-#define MAX_IDLE_PER_POOL 512
-#define IDLE_LIFE (20 * LB_SEC)
-
-typedef struct
-{
-  LbLink link; /* in LhPool.idle or LhPool.closing */
-  LhPool *pool;
-  struct evhttp_connection *evcon;
-  LbName address;
-  struct timeval idle_since;
-} Connection;
-
-struct LhPool
-{
-  struct event_base *base;
-  struct event *reaper;
-  struct event *closer;
-  LbList idle;
-  LbList closing; /* freed outside of evhttp's own callbacks */
-  LbList fetches;
-  LbList failed; /* fetches that ended inside lh_fetch_start */
-};
 
 struct LhFetch
 {
   LbLink link; /* in LhPool.fetches, or in LhPool.failed */
   LhPool *pool;
-  Connection *connection;
+  LhConnection *connection;
   struct evhttp_request *request;
   LhHandlers handlers;
   void *user;
@@ -85,210 +63,8 @@
   return method_from_name (name, &method);
 }
 
-static bool
-split_address (const char *address, char *host, size_t size, int *port)
-{
-  const char *colon = strrchr (address, ':');
-  char *end = NULL;
-
-  if (!colon || colon == address || (size_t)(colon - address) >= size)
-    return false;
-  long number = strtol (colon + 1, &end, 10);
-  if (*end != '\0' || end == colon + 1 || number < 1 || number > 65535)
-    return false;
-  memcpy (host, address, (size_t)(colon - address));
-  host[colon - address] = '\0';
-  *port = (int)number;
-  return true;
-}
-
-static void
-connection_free (Connection *connection)
-{
-  evhttp_connection_free (connection->evcon);
-  free (connection);
-}
-
-static void
-free_closing (LhPool *pool)
-{
-  LbLink *link;
-
-  while ((link = lb_list_pop (&pool->closing)))
-    connection_free (LB_CONTAINER (link, Connection, link));
-}
-
-static void
-report_failed (LhPool *pool)
-{
-  LbLink *link;
-
-  while ((link = lb_list_pop (&pool->failed)))
-    {
-      LhFetch *fetch = LB_CONTAINER (link, LhFetch, link);
-      const LhResult result = { .failure = LB_ERROR_IO };
-      fetch->handlers.on_done (fetch, &result, fetch->user);
-      free (fetch);
-    }
-}
-
-static void
-close_now (evutil_socket_t fd, short what, void *user)
-{
-  (void)fd;
-  (void)what;
-
-  free_closing (user);
-  report_failed (user);
-}
-
-static void
-reap (evutil_socket_t fd, short what, void *user)
-{
-  (void)fd;
-  (void)what;
-  LhPool *pool = user;
-  struct timeval now;
-
-  event_base_gettimeofday_cached (pool->base, &now);
-  LB_LIST_FOREACH (&pool->idle, Connection, link, connection)
-  {
-    LbTime idle = (LbTime)(now.tv_sec - connection->idle_since.tv_sec) * LB_SEC;
-    if (idle < IDLE_LIFE)
-      continue;
-    lb_list_remove (&pool->idle, &connection->link);
-    lb_list_append (&pool->closing, &connection->link);
-  }
-  free_closing (pool);
-}
-
-LhPool *
-lh_pool_new (struct event_base *base)
-{
-  LhPool *pool = LB_NEW (LhPool);
-  const struct timeval period = { .tv_sec = 5 };
-
-  pool->base = base;
-  lb_list_init (&pool->idle);
-  lb_list_init (&pool->closing);
-  lb_list_init (&pool->fetches);
-  lb_list_init (&pool->failed);
-  pool->closer = event_new (base, -1, 0, close_now, pool);
-  pool->reaper = event_new (base, -1, EV_PERSIST, reap, pool);
-  event_add (pool->reaper, &period);
-  return pool;
-}
-
-/* Cancels what still runs and closes everything. */
-void
-lh_pool_free (LhPool *pool)
-{
-  LbLink *link;
-
-  if (!pool)
-    return;
-  while (!lb_list_is_empty (&pool->fetches))
-    lh_fetch_cancel (LB_CONTAINER (pool->fetches.head.next, LhFetch, link));
-  while ((link = lb_list_pop (&pool->failed)))
-    free (LB_CONTAINER (link, LhFetch, link));
-  while ((link = lb_list_pop (&pool->idle)))
-    connection_free (LB_CONTAINER (link, Connection, link));
-  free_closing (pool);
-  event_free (pool->reaper);
-  event_free (pool->closer);
-  free (pool);
-}
-
 static void
-close_later (Connection *connection)
-{
-  LhPool *pool = connection->pool;
-
-  lb_list_append (&pool->closing, &connection->link);
-  event_active (pool->closer, EV_TIMEOUT, 0);
-}
-
-void
-lh_pool_forget (LhPool *pool, const char *address)
-{
-  LB_LIST_FOREACH (&pool->idle, Connection, link, connection)
-  {
-    if (address && strcmp (connection->address, address) != 0)
-      continue;
-    lb_list_remove (&pool->idle, &connection->link);
-    close_later (connection);
-  }
-}
-
-/* Returning a connection that the other side is closing would fail the next request, so only one
- * whose reply allows keep-alive goes back. */
-static void
-connection_return (Connection *connection, bool reusable)
-{
-  LhPool *pool = connection->pool;
-
-  if (!reusable || pool->idle.length >= MAX_IDLE_PER_POOL)
-    {
-      close_later (connection);
-      return;
-    }
-  event_base_gettimeofday_cached (pool->base, &connection->idle_since);
-  lb_list_prepend (&pool->idle, &connection->link);
-}
-
-/* The peer closed a connection while it was idle in the pool. */
-static void
-on_connection_closed (struct evhttp_connection *evcon, void *user)
-{
-  (void)evcon;
-  Connection *connection = user;
-
-  LB_LIST_FOREACH (&connection->pool->idle, Connection, link, idle)
-  {
-    if (idle != connection)
-      continue;
-    lb_list_remove (&connection->pool->idle, &connection->link);
-    close_later (connection);
-  }
-}
-
-static Connection *
-connection_new (LhPool *pool, const char *address, LbError *error)
-{
-  char host[LB_NAME_MAX];
-  int port;
-
-  if (!split_address (address, host, sizeof host, &port))
-    {
-      lb_error_set (error, LB_ERROR_BAD_VALUE, address, "expected an address of the form IP:PORT");
-      return NULL;
-    }
-  Connection *connection = LB_NEW (Connection);
-  connection->pool = pool;
-  LB_COPY (connection->address, address);
-  connection->evcon
-      = evhttp_connection_base_bufferevent_new (pool->base, NULL, NULL, host, (uint16_t)port);
-  evhttp_connection_set_max_headers_size (connection->evcon, MAX_HEADER_BYTES);
-  evhttp_connection_set_closecb (connection->evcon, on_connection_closed, connection);
-  return connection;
-}
-
-static Connection *
-connection_take (LhPool *pool, const char *address, bool fresh, LbError *error)
-{
-  if (!fresh)
-    LB_LIST_FOREACH (&pool->idle, Connection, link, connection)
-    {
-      if (strcmp (connection->address, address) != 0)
-        continue;
-      lb_list_remove (&pool->idle, &connection->link);
-      return connection;
-    }
-  return connection_new (pool, address, error);
-}
-
-static void
-set_silence (Connection *connection, LbTime silence)
+set_silence (LhConnection *connection, LbTime silence)
 {
   const struct timeval limit
       = { .tv_sec = silence / LB_SEC, .tv_usec = (suseconds_t)(silence % LB_SEC) };
@@ -339,19 +115,19 @@
 fail_start (LhFetch *fetch)
 {
   watch_output (fetch, false);
-  close_later (fetch->connection);
+  lh_pool_close_later (fetch->connection);
   fetch->connection = NULL;
   fetch->request = NULL;
   lb_list_remove (&fetch->pool->fetches, &fetch->link);
   lb_list_append (&fetch->pool->failed, &fetch->link);
-  event_active (fetch->pool->closer, EV_TIMEOUT, 0);
+  lh_pool_wake (fetch->pool);
 }
 
 static void
 finish (LhFetch *fetch, struct evhttp_request *request)
 {
   LhResult result = { .bytes_handed = fetch->bytes_handed };
-  Connection *connection = fetch->connection;
+  LhConnection *connection = fetch->connection;
 
   watch_output (fetch, false);
   lb_list_remove (&fetch->pool->fetches, &fetch->link);
@@ -364,7 +140,7 @@
     }
   else
     result.failure = fetch->failure != LB_OK ? fetch->failure : LB_ERROR_IO;
-  connection_return (connection, result.failure == LB_OK && is_reusable (request));
+  lh_pool_give_back (connection, result.failure == LB_OK && is_reusable (request));
   fetch->request = request;
   fetch->handlers.on_done (fetch, &result, fetch->user);
   free (fetch);
@@ -452,7 +228,7 @@
       lb_error_set (error, LB_ERROR_BAD_VALUE, wanted->method, "expected a known HTTP method");
       return NULL;
     }
-  Connection *connection = connection_take (pool, wanted->address, wanted->fresh_connection, error);
+  LhConnection *connection = lh_pool_take (pool, wanted->address, wanted->fresh_connection, error);
   if (!connection)
     return NULL;
 
@@ -496,10 +272,37 @@
   /* Freeing the connection frees its request; a half-read stream can't be reused anyway. */
   evhttp_request_set_error_cb (fetch->request, NULL);
   evhttp_cancel_request (fetch->request);
-  close_later (fetch->connection);
+  lh_pool_close_later (fetch->connection);
   free (fetch);
 }
 
+void
+lh_fetch_report_failed (LhPool *pool)
+{
+  LbLink *link;
+
+  while ((link = lb_list_pop (&pool->failed)))
+    {
+      LhFetch *fetch = LB_CONTAINER (link, LhFetch, link);
+      const LhResult result = { .failure = LB_ERROR_IO };
+      fetch->handlers.on_done (fetch, &result, fetch->user);
+      free (fetch);
+    }
+}
+
+void
+lh_fetch_drop_all (LhPool *pool)
+{
+  LB_LIST_FOREACH (&pool->fetches, LhFetch, link, running)
+  {
+    lh_fetch_cancel (running);
+  }
+  LB_LIST_FOREACH (&pool->failed, LhFetch, link, failed)
+  {
+    lh_fetch_cancel (failed);
+  }
+}
+
 const char *
 lh_fetch_header (const LhFetch *fetch, const char *name)
 {
--- a/packages/http/tests/test-fetch.c
+++ b/packages/http/tests/test-fetch.c
@@ -323,7 +323,7 @@
   int server = server_accept (&w, "\r\n\r\n");
   for (int fd = 3; fd < 64; fd++)
     {
-      struct sockaddr_in peer;
+      struct sockaddr_in peer = { 0 };
       socklen_t length = sizeof peer;
       char address[LB_NAME_MAX];
       if (getpeername (fd, (struct sockaddr *)&peer, &length) != 0 || peer.sin_family != AF_INET)
