A connection with unread bytes is not used again

Cause: bytes after a reply, the body of a reply to HEAD for example, stayed on a kept connection and were read as the reply to the next request, of another caller. Found by a HEAD call of a service, after which the next call got 502. The test failed before (the second request went out on the same connection) and passes after.

--- a/packages/http/src/lh-fetch.c
+++ b/packages/http/src/lh-fetch.c
@@ -97,12 +97,18 @@
     evbuffer_remove_cb (output, on_output, fetch);
 }
 
+/* What is left unread on a connection would be taken for the reply to its next request, and reach
+ * another caller. A HEAD request is where it happens: some servers send the body all the same. */
 static bool
-is_reusable (struct evhttp_request *request)
+is_reusable (const LhFetch *fetch, struct evhttp_request *request)
 {
+  struct bufferevent *bev = evhttp_connection_get_bufferevent (fetch->connection->evcon);
   const char *value;
 
-  if (!request || evhttp_request_get_response_code (request) == 0)
+  if (evbuffer_get_length (bufferevent_get_input (bev)) > 0)
+    return false;
+  if (!request || evhttp_request_get_response_code (request) == 0
+      || evhttp_request_get_command (request) == EVHTTP_REQ_HEAD)
     return false;
   value = evhttp_find_header (evhttp_request_get_input_headers (request), "Connection");
   return !value || strcasecmp (value, "close") != 0;
@@ -140,7 +146,7 @@
     }
   else
     result.failure = fetch->failure != LB_OK ? fetch->failure : LB_ERROR_IO;
-  lh_pool_give_back (connection, result.failure == LB_OK && is_reusable (request));
+  lh_pool_give_back (connection, result.failure == LB_OK && is_reusable (fetch, request));
   fetch->request = request;
   fetch->handlers.on_done (fetch, &result, fetch->user);
   free (fetch);
--- a/packages/http/tests/test-fetch.c
+++ b/packages/http/tests/test-fetch.c
@@ -193,6 +193,32 @@
   world_clear (&w);
 }
 
+/* An endpoint sends more than its reply, a body to a HEAD request for example. The bytes that are
+ * left on the connection would be read as the reply to the next request, and reach another caller.
+ */
+Test (fetch, connection_with_bytes_left_is_not_reused)
+{
+  World w;
+
+  world_init (&w);
+  start (&w, "GET", "", false, 0);
+  int fd = server_accept (&w, "\r\n\r\n");
+  server_send (fd, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none"
+                   "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nstolen");
+  UNTIL (&w, w.done);
+  cr_assert_str_eq (w.body, "one");
+  w.done = 0;
+  w.body[0] = '\0';
+  start (&w, "GET", "", false, 0);
+  int fresh = server_accept (&w, "\r\n\r\n");
+  server_send (fresh, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ntwo");
+  UNTIL (&w, w.done);
+  cr_assert_str_eq (w.body, "two");
+  close (fd);
+  close (fresh);
+  world_clear (&w);
+}
+
 /* Nothing listens at the address: no byte was handed to a socket, which is the proof that the
  * request did not run. */
 Test (fetch, refused_connection_handed_no_byte)
