--- a/packages/node/src/ln-calls.c
+++ b/packages/node/src/ln-calls.c
@@ -16,6 +16,22 @@
 
 #define KEEP_ALIVE (500 * LB_MSEC)
 
+static LbMetric in_progress
+    = LB_GAUGE_INIT ("lentilspindle_requests_in_progress", NULL, "Requests waiting or running");
+static LbMetric waiting_live = LB_GAUGE_INIT ("lentilspindle_requests_waiting",
+                                              "kind=\"live\"",
+                                              "Requests waiting for an endpoint");
+static LbMetric waiting_samples = LB_GAUGE_INIT ("lentilspindle_requests_waiting",
+                                                 "kind=\"sample\"",
+                                                 "Requests waiting for an endpoint");
+static LbMetric waiting_service = LB_GAUGE_INIT ("lentilspindle_requests_waiting",
+                                                 "kind=\"service\"",
+                                                 "Requests waiting for an endpoint");
+static LbMetric broken_invariants
+    = LB_GAUGE_INIT ("lentilspindle_broken_invariants",
+                     NULL,
+                     "Actions of the dispatch refused because they would have broken a promise");
+
 static void
 caller_gone (LnExchange *exchange)
 {
@@ -42,6 +58,12 @@
   else
     {
       call->body = json_tokener_parse (message->body);
+      if (!json_object_is_type (call->body, json_type_object))
+        {
+          ln_calls_post_done (calls, call->spec.id, LB_ERROR_BAD_JSON, NULL);
+          ln_call_free (call);
+          return;
+        }
       call->resume_text = message->resume_text ? lb_strdup (message->resume_text) : NULL;
     }
   ln_calls_submit (calls, call);
@@ -246,6 +268,16 @@
   return lc_dispatch_new (&dispatch);
 }
 
+static void
+set_gauges (const LnCalls *calls)
+{
+  lb_metric_set (&in_progress, (int64_t)lc_dispatch_in_progress (calls->dispatch));
+  lb_metric_set (&waiting_live, (int64_t)lc_dispatch_waiting (calls->dispatch, LC_KIND_LIVE));
+  lb_metric_set (&waiting_samples, (int64_t)lc_dispatch_waiting (calls->dispatch, LC_KIND_SAMPLE));
+  lb_metric_set (&waiting_service, (int64_t)lc_dispatch_waiting (calls->dispatch, LC_KIND_SERVICE));
+  lb_metric_set (&broken_invariants, (int64_t)lc_dispatch_invariant_failures (calls->dispatch));
+}
+
 /* Callers, too, must be able to tell a slow answer from a connection that has gone silent. */
 static void
 on_keep_alive (evutil_socket_t fd, short what, void *user)
@@ -255,6 +287,7 @@
   LnCalls *calls = user;
   LbTime now = lb_clock_monotonic ();
 
+  set_gauges (calls);
   LB_LIST_FOREACH (&calls->all, LnCall, link, call)
   {
     ln_call_keep_alive (call, now - KEEP_ALIVE, now);
--- a/packages/node/tests/test-calls.c
+++ b/packages/node/tests/test-calls.c
@@ -349,6 +349,32 @@
   setup_clear (&s);
 }
 
+static void
+clear_members (LnMessage *message)
+{
+  free (((LnMembersMessage *)message)->members);
+}
+
+/* This instance, one that lives, one that is suspected and one that drains. */
+static void
+post_members (Setup *s)
+{
+  LnMembersMessage message = { .base = LN_MESSAGE (LN_MEMBERS), .n_members = 4 };
+
+  message.base.clear = clear_members;
+  message.members = LB_NEW_ARRAY (LnMember, 4);
+  for (int i = 0; i < 4; i++)
+    {
+      snprintf (message.members[i].caller_address, sizeof message.members[i].caller_address,
+                "10.0.0.%d:80", i + 1);
+      message.members[i].is_self = i == 0;
+      message.members[i].alive = i != 2;
+      message.members[i].draining = i == 3;
+    }
+  LN_POST (s->f.context.hub, NULL, message);
+  fixture_pump (&s->f);
+}
+
 /* The instance is told to shut down while an answer streams. The stream goes on to its end, new
  * calls are refused "not run", and only then is nothing left in progress. */
 Test (calls, drain_cuts_no_stream)
@@ -364,11 +390,14 @@
   endpoint_send_head (&engine);
   endpoint_send_token (&engine, id, 0, " one", false);
   FIXTURE_UNTIL (&s.f, peer_has (&caller, " one"));
+  post_members (&s);
   ln_hub_drain (s.f.context.hub);
   caller_open (&s.f, &late);
   caller_post (&late, "/v1/completions", "", BODY (""));
   FIXTURE_UNTIL (&s.f, peer_has (&late, "draining"));
   cr_assert (strstr (late.text, "x-not-run: 1"));
+  cr_assert (strstr (late.text, "x-entry-stale: 1"));
+  cr_assert (strstr (late.text, "x-entry: 10.0.0.2:80\r\n"), "%s", late.text);
   FIXTURE_UNTIL (&s.f, peer_is_closed (&late));
   cr_assert_not (ln_hub_is_idle (s.f.context.hub));
   endpoint_send_token (&engine, id, 1, " two", true);
