--- a/packages/node/src/ln-upstream.c
+++ b/packages/node/src/ln-upstream.c
@@ -28,6 +28,7 @@
   LhSse sse;
   struct evbuffer *body; /* a service's reply, or what an engine said beside its stream */
   int status;
+  bool is_head;
   bool end_marker; /* [DONE] has come */
   bool garbled;    /* what came is not this attempt's answer; nothing more is taken from it */
   bool in_feed;    /* a cancel now only marks, since the event reader is still at work */
@@ -197,6 +198,16 @@
   return refused;
 }
 
+/* A reply whose body ends with its connection can't be told from one that was cut there, by a crash
+ * for example, so it does not count as whole. */
+static bool
+states_its_end (const LnUpstream *upstream)
+{
+  return upstream->is_head || upstream->status == 204 || upstream->status == 304
+         || lh_fetch_header (upstream->fetch, "Content-Length")
+         || lh_fetch_header (upstream->fetch, "Transfer-Encoding");
+}
+
 static LcAttemptEnd
 judge (LnUpstream *upstream, const LhResult *result)
 {
@@ -209,7 +220,7 @@
   if (refusal (upstream, &how))
     return how;
   if (!upstream->stream_id)
-    return LC_END_WHOLE;
+    return states_its_end (upstream) ? LC_END_WHOLE : LC_END_BROKEN;
   return upstream->status == 200 ? LC_END_BROKEN : LC_END_FAILED;
 }
 
@@ -261,6 +272,7 @@
   LB_COPY (upstream->address, spec->address);
   upstream->stream_id = spec->stream_id ? lb_strdup (spec->stream_id) : NULL;
   upstream->pool = pool;
+  upstream->is_head = strcmp (spec->method, "HEAD") == 0;
   upstream->handlers = *handlers;
   upstream->user = user;
   upstream->body = evbuffer_new ();
--- a/packages/node/tests/test-calls.c
+++ b/packages/node/tests/test-calls.c
@@ -482,6 +482,29 @@
   setup_clear (&s);
 }
 
+/* A service crashes in the middle of a reply that states no length. What came looks like a reply;
+ * the caller must not take it for the whole of it. */
+Test (calls, reply_without_a_stated_end_is_not_whole)
+{
+  Fixture f;
+  Peer caller, service;
+  LbName address;
+
+  fixture_init (&f);
+  int listener = fixture_listen (address);
+  fixture_start (&f);
+  fixture_configure (&f, NULL, (const char *[]){ address, NULL });
+  caller_open (&f, &caller);
+  caller_post (&caller, "/services/s/orders", "", "a=b");
+  endpoint_accept (&f, listener, &service);
+  peer_send (&service, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf an or");
+  peer_close (&service);
+  FIXTURE_UNTIL (&f, peer_has (&caller, "outcome_unknown"));
+  cr_assert_not (strstr (caller.text, "half"));
+  peer_close (&caller);
+  fixture_clear (&f);
+}
+
 Test (calls, service_call_passes_through)
 {
   Fixture f;
