--- a/packages/node/src/ln-exchange.c
+++ b/packages/node/src/ln-exchange.c
@@ -35,6 +35,7 @@
   char *raw_query;
   bool gone;
   bool streaming;
+  bool chunked;
   int status; /* of the reply; of the error when a stream ended with one */
   char *method;
   char *path;
@@ -365,7 +366,15 @@
     return;
   mark_drain (exchange);
   ln_exchange_set_header (exchange, "Content-Type", type);
-  evhtp_send_reply_chunk_start (exchange->request, (evhtp_res)status);
+  /* HTTP/1.0 has no chunks: there the end of the connection ends the answer. */
+  exchange->chunked = exchange->request->proto != EVHTP_PROTO_10;
+  if (exchange->chunked)
+    evhtp_send_reply_chunk_start (exchange->request, (evhtp_res)status);
+  else
+    {
+      exchange->caller->last_reply = true;
+      evhtp_send_reply_start (exchange->request, (evhtp_res)status);
+    }
 }
 
 void
@@ -377,7 +386,10 @@
     return;
   piece = evbuffer_new ();
   evbuffer_add (piece, bytes, length);
-  evhtp_send_reply_chunk (exchange->request, piece);
+  if (exchange->chunked)
+    evhtp_send_reply_chunk (exchange->request, piece);
+  else
+    evhtp_send_reply_body (exchange->request, piece);
   evbuffer_free (piece);
   /* A caller that has stopped reading would fill the memory with its unsent answer. */
   struct evbuffer *unsent = bufferevent_get_output (exchange->caller->connection->bev);
@@ -388,8 +400,10 @@
 void
 ln_exchange_end (LnExchange *exchange)
 {
-  if (is_writable (exchange))
+  if (is_writable (exchange) && exchange->chunked)
     evhtp_send_reply_chunk_end (exchange->request);
+  else if (is_writable (exchange))
+    evhtp_send_reply_end (exchange->request);
   release (exchange);
 }
 
--- a/packages/node/tests/test-calls.c
+++ b/packages/node/tests/test-calls.c
@@ -74,6 +74,33 @@
   setup_clear (&s);
 }
 
+/* A caller of an old client library would read the framing of chunks as a part of its answer. */
+Test (calls, stream_to_http_1_0_has_no_chunks)
+{
+  Setup s;
+  Peer caller, engine;
+  char id[96];
+
+  setup_init (&s, 1);
+  caller_open (&s.f, &caller);
+  char *text = lb_asprintf ("POST /v1/completions HTTP/1.0\r\nContent-Length: %zu\r\n\r\n%s",
+                            strlen (STREAM), STREAM);
+  peer_send (&caller, text);
+  free (text);
+  endpoint_accept_stream (&s.f, s.listener[0], &engine, id);
+  endpoint_send_head (&engine);
+  endpoint_send_token (&engine, id, 0, " one", true);
+  endpoint_send_end (&engine);
+  FIXTURE_UNTIL (&s.f, peer_is_closed (&caller));
+  cr_assert_not (strstr (caller.text, "chunked"), "%s", caller.text);
+  cr_assert_not (strstr (caller.text, "Content-Length"), "%s", caller.text);
+  cr_assert (strstr (caller.text, "\r\n\r\ndata: {"), "%s", caller.text);
+  cr_assert_str_eq (caller.text + caller.length - strlen ("data: [DONE]\n\n"), "data: [DONE]\n\n");
+  peer_close (&engine);
+  peer_close (&caller);
+  setup_clear (&s);
+}
+
 Test (calls, whole_reply_has_text_usage_and_versions)
 {
   Setup s;
