--- a/packages/node/src/ln-exchange.c
+++ b/packages/node/src/ln-exchange.c
@@ -1,8 +1,10 @@
 #include "ln-exchange-private.h"
 
 #include "ln-messages.h"
+#include "ln-recorder.h"
 
 #include "lb-alloc.h"
+#include "lb-clock.h"
 #include "lb-counter.h"
 
 #include <event2/buffer.h>
@@ -33,6 +35,8 @@
   char *raw_query;
   bool gone;
   bool streaming;
+  bool chunked;
+  int status; /* of the reply; of the error when a stream ended with one */
   char *method;
   char *path;
   char *body;
@@ -240,19 +244,31 @@
 static bool
 is_writable (const LnExchange *exchange)
 {
-  return exchange->request && !exchange->gone;
+  return exchange->caller && exchange->request && !exchange->gone;
+}
+
+static void
+record_whole (const LnExchange *exchange)
+{
+  LnRecorder *recorder = exchange->caller ? exchange->caller->callers->recorder : NULL;
+
+  if (recorder && is_writable (exchange) && exchange->status == 200)
+    ln_recorder_whole (recorder, exchange, lb_clock_monotonic ());
 }
 
 static void
 release (LnExchange *exchange)
 {
-  if (exchange->request && exchange->gone)
+  LnCaller *caller = exchange->caller;
+
+  record_whole (exchange);
+  if (caller && exchange->gone)
     {
-      exchange->caller->exchange = NULL;
-      evhtp_connection_free (exchange->caller->connection);
+      caller->exchange = NULL;
+      evhtp_connection_free (caller->connection);
     }
-  else if (exchange->request)
-    ln_caller_replied (exchange->caller, exchange->request);
+  else if (caller)
+    ln_caller_replied (caller, exchange->request);
   exchange_done (exchange);
 }
 
@@ -270,6 +286,7 @@
 ln_exchange_reply_text (
     LnExchange *exchange, int status, const char *type, const char *text, size_t length)
 {
+  exchange->status = status;
   if (is_writable (exchange))
     {
       mark_drain (exchange);
@@ -284,9 +301,12 @@
 void
 ln_exchange_reply_json (LnExchange *exchange, int status, struct json_object *object)
 {
+  LnRecorder *recorder = exchange->caller ? exchange->caller->callers->recorder : NULL;
   size_t length;
   const char *text = json_object_to_json_string_length (object, JSON_FORMAT, &length);
 
+  if (recorder)
+    ln_recorder_reply (recorder, exchange, status, object, lb_clock_monotonic ());
   ln_exchange_reply_text (exchange, status, "application/json", text, length);
   json_object_put (object);
 }
@@ -319,6 +339,7 @@
       char *event
           = lb_asprintf ("data: %s\n\n", json_object_to_json_string_ext (object, JSON_FORMAT));
       ln_exchange_stream_piece (exchange, event, strlen (event));
+      exchange->status = lb_error_http_status (error->code);
       free (event);
       json_object_put (object);
       ln_exchange_end (exchange);
@@ -340,11 +361,20 @@
 ln_exchange_stream_start (LnExchange *exchange, int status, const char *type)
 {
   exchange->streaming = true;
+  exchange->status = status;
   if (!is_writable (exchange))
     return;
   mark_drain (exchange);
   ln_exchange_set_header (exchange, "Content-Type", type);
-  evhtp_send_reply_chunk_start (exchange->request, (evhtp_res)status);
+  /* HTTP/1.0 has no chunks: there the end of the connection ends the answer. */
+  exchange->chunked = exchange->request->proto != EVHTP_PROTO_10;
+  if (exchange->chunked)
+    evhtp_send_reply_chunk_start (exchange->request, (evhtp_res)status);
+  else
+    {
+      exchange->caller->last_reply = true;
+      evhtp_send_reply_start (exchange->request, (evhtp_res)status);
+    }
 }
 
 void
@@ -356,7 +386,10 @@
     return;
   piece = evbuffer_new ();
   evbuffer_add (piece, bytes, length);
-  evhtp_send_reply_chunk (exchange->request, piece);
+  if (exchange->chunked)
+    evhtp_send_reply_chunk (exchange->request, piece);
+  else
+    evhtp_send_reply_body (exchange->request, piece);
   evbuffer_free (piece);
   /* A caller that has stopped reading would fill the memory with its unsent answer. */
   struct evbuffer *unsent = bufferevent_get_output (exchange->caller->connection->bev);
@@ -367,8 +400,10 @@
 void
 ln_exchange_end (LnExchange *exchange)
 {
-  if (is_writable (exchange))
+  if (is_writable (exchange) && exchange->chunked)
     evhtp_send_reply_chunk_end (exchange->request);
+  else if (is_writable (exchange))
+    evhtp_send_reply_end (exchange->request);
   release (exchange);
 }
 
--- a/tests/process/pt-world.h
+++ b/tests/process/pt-world.h
@@ -30,14 +30,19 @@
   PtProgram endpoints[PT_MAX_PROGRAMS];
   size_t n_endpoints;
   int drain_ms;
+  int entry_ttl_ms;
   int stream_silence_ms;
-  bool in_memory; /* no platform beside the instance */
+  int request_read_ms; /* of a request, not of its answer */
+  bool in_memory;      /* no platform beside the instance */
 } PtWorld;
 
 typedef bool (*PtCondition) (PtWorld *world, void *user);
 
 void pt_world_init (PtWorld *world);
 void pt_world_clear (PtWorld *world);
+/* Ends every instance that still runs, gracefully: whatever it went through, it must become idle
+ * and exit with 0 (and, built with sanitizers, have leaked nothing). */
+void pt_world_drain (PtWorld *world);
 
 void pt_start_platform (PtWorld *world);
 /* options: further arguments, ended by NULL; may be NULL. */
@@ -56,7 +61,7 @@
 
 /* Resources: pool "reader" with every engine, subscription "reader-trainer", service "lookup". */
 void pt_apply_all (PtWorld *world, PtProgram *instance);
-/* Sends one change; the answer must be cleared. */
+/* Sends one change, by default whatever revision is there; the answer must be cleared. */
 void pt_apply (PtWorld *world,
                PtProgram *instance,
                const char *changes,
--- a/tests/process/test-config.c
+++ b/tests/process/test-config.c
@@ -166,8 +166,8 @@
   cr_assert_eq (metric_of (first, "lentilspindle_operator_refused_total "), 1);
 }
 
-/* The store commits an operator's change and its reply is lost. The operator would be told that it
- * failed, or of a conflict with itself, while it is in force. */
+/* The store commits an operator's change and the reply is lost, and that of each try after it. The
+ * operator would be told that it failed, or of a conflict with itself, while it is in force. */
 Test (config, lost_reply_after_the_commit)
 {
   LbName error;
@@ -175,8 +175,7 @@
   start_instances (2);
   PtProgram *first = &world.instances[0];
   cr_assert_eq (change (first, QUEUE_LIMIT (1), "\"0\"", error), 200, "%s", error);
-  pt_fault (&world, &world.platform,
-            "{\"mode\": \"lose_reply\", \"path\": \"/table/transact\", \"count\": 1}");
+  pt_fault (&world, &world.platform, "{\"mode\": \"lose_reply\", \"path\": \"/table/transact\"}");
   cr_assert_eq (change (first, QUEUE_LIMIT (2), "\"1\"", error), 200, "%s", error);
   pt_wait (&world, "revision 2 at the other", has_revision_2, &world.instances[1]);
   cr_assert_eq (revision_of (first), 2);
@@ -205,20 +204,26 @@
 }
 
 /* Two of three instances die while the store is away. What is left can't tell whether it is alone
- * with something old: it takes no new work, and goes on as soon as the store confirms. */
+ * with something old: it takes no new work and says "not run", and goes on as soon as the store
+ * confirms. */
 Test (config, left_alone_with_the_store_away)
 {
-  LbName error;
-
   start_instances (3);
+  PtProgram *engine = pt_start_engine (&world, "engine-1", NULL);
   PtProgram *last = &world.instances[2];
-  cr_assert_eq (change (&world.instances[0], QUEUE_LIMIT (1), "\"0\"", error), 200, "%s", error);
+  const SiLiveSpec spec
+      = { .address = last->address, .model = "reader", .prompt = "an envelope", .max_tokens = 4 };
+  pt_apply_all (&world, &world.instances[0]);
+  pt_wait_in_force (&world);
   pt_fault (&world, &world.platform, "{\"mode\": \"down\"}");
   pt_process_clear (&world.instances[0].process);
   pt_process_clear (&world.instances[1].process);
   pt_wait (&world, "the last one stops new work", is_not_ready, last);
+  cr_assert_eq (pt_live (&world, &spec).outcome, SI_LIVE_NOT_RUN);
+  cr_assert_eq (pt_runs (&world, engine, spec.prompt), 0);
   pt_fault (&world, &world.platform, "{\"mode\": \"none\"}");
   pt_wait_ready (&world, last);
+  cr_assert_eq (pt_live (&world, &spec).outcome, SI_LIVE_WHOLE);
 }
 
 /* --- leases and weights --- */
@@ -319,22 +324,25 @@
   return search->found;
 }
 
-/* The holder of the lease is paused past its end without knowing. Another one takes over and brings
- * the engines to 41. When the first wakes and goes on, an engine would be ordered by both. */
+/* The holder of the lease is paused in the middle of the roll-out of 41, past its lease. Another
+ * one takes over and brings all engines to 42. The first wakes and goes on where it was: it would
+ * order 41 to engines that have 42, and the one that takes any order would go back. */
 Test (config, paused_lease_holder)
 {
   HolderSearch search;
-  int64_t version = 41;
+  int64_t version = 42;
 
   PtProgram *paused = start_pool (&search);
   int64_t fence = search.fence;
+  publish_weights (41);
+  pt_wait (&world, "an engine loads", some_engine_loads, NULL);
   int64_t orders = metric_of (paused, "lentilspindle_weight_orders_total ");
   pt_process_signal (&paused->process, SIGSTOP);
   publish_weights (version);
   search.but = paused;
   pt_wait (&world, "another holds the lease", find_holder, &search);
   cr_assert_gt (search.fence, fence);
-  pt_wait (&world, "all engines have 41", all_engines_have, &version);
+  pt_wait (&world, "all engines have 42", all_engines_have, &version);
 
   pt_process_signal (&paused->process, SIGCONT);
   pt_wait_ready (&world, paused);
@@ -358,6 +366,28 @@
   pt_wait (&world, "all engines have 41", all_engines_have, &version);
 }
 
+/* A load fails on one engine; later the operator finds the version bad and rolls back, as a new
+ * revision. No engine may be left without weights or with the bad ones. */
+Test (config, failed_load_and_roll_back)
+{
+  HolderSearch search;
+  int64_t version = 41;
+  LbName error;
+
+  start_pool (&search);
+  pt_fault (&world, &world.endpoints[1], "{\"mode\": \"fail_swap\", \"count\": 1}");
+  publish_weights (version);
+  pt_wait (&world, "all engines have 41", all_engines_have, &version);
+
+  version = 40;
+  cr_assert_eq (change (&world.instances[1],
+                        "{\"apply\": [{\"kind\": \"pool\", \"name\": \"reader\", "
+                        "\"weight_version\": 40}]}",
+                        "\"1\"", error),
+                200, "%s", error);
+  pt_wait (&world, "all engines have 40", all_engines_have, &version);
+}
+
 /* The holder drains: another instance holds the lease long before it would lapse. */
 Test (config, lease_is_handed_over_at_drain)
 {
