Samples carry the hashes of their prompt, so that siblings find its cache

Seen by reading: only callers' requests got them; every sample looked like a prompt unknown to all caches, so the daemon's samples never counted for prefix affinity.

--- a/packages/node/src/ln-rollouts-run.c
+++ b/packages/node/src/ln-rollouts-run.c
@@ -1,5 +1,7 @@
 #include "ln-rollouts-private.h"
 
+#include "ln-call-reader.h"
+
 #include "lb-alloc.h"
 #include "lb-clock.h"
 
@@ -66,6 +68,9 @@
   LnSampleMessage message = { .base = LN_MESSAGE (LN_SAMPLE), .spec = action->spec };
 
   message.base.clear = clear_sample;
+  /* Siblings share their prompt, so an endpoint that has it in its cache is worth waiting for. */
+  if (action->type == LC_ROLLOUT_GENERATE)
+    ln_call_hash_prompt (&message.spec, action->prompt, strlen (action->prompt));
   message.body
       = action->type == LC_ROLLOUT_SCORE ? score_body (action) : generate_body (rollouts, action);
   message.resume_text = action->resume_text;
--- a/packages/node/tests/steps-fixture.h
+++ b/packages/node/tests/steps-fixture.h
@@ -43,6 +43,7 @@
   LnTask task; /* first */
   bool keeps;
   int samples;
+  size_t n_prefix_hashes; /* of the sample with most */
   LcRequestId kept[MAX_SLOTS];
   size_t n_kept;
 } Calls;
@@ -212,6 +213,9 @@
   if (message->type != LN_SAMPLE)
     return;
   LcRequestId request = ((const LnSampleMessage *)message)->spec.id;
+  const LcRequestSpec *spec = &((const LnSampleMessage *)message)->spec;
+  if (spec->n_prefix_hashes > calls->n_prefix_hashes)
+    calls->n_prefix_hashes = spec->n_prefix_hashes;
   calls->samples++;
   if (calls->keeps)
     calls->kept[calls->n_kept++] = request;
@@ -381,12 +385,19 @@
 }
 
 static inline void
-world_open (World *world, size_t instance)
+world_send_open (World *world, size_t instance)
 {
   world_send (world, instance, "steps",
               "{\"step\":1,\"weight_version\":40,\"groups\":["
-              "{\"id\":\"g0\",\"prompt\":\"p\",\"samples\":2,\"max_tokens\":64},"
+              "{\"id\":\"g0\",\"prompt\":\"Read this smudged envelope and name the village of its "
+              "sender, if it can be read at all: \",\"samples\":2,\"max_tokens\":64},"
               "{\"id\":\"g1\",\"prompt\":\"q\",\"samples\":2,\"max_tokens\":64}]}");
+}
+
+static inline void
+world_open (World *world, size_t instance)
+{
+  world_send_open (world, instance);
   WORLD_UNTIL (world, world->pending == 0);
 }
 
--- a/packages/node/tests/test-steps.c
+++ b/packages/node/tests/test-steps.c
@@ -18,6 +18,7 @@
   cr_assert (strstr (world->reply, "\"delivered\":4"), "%s", world->reply);
   world_expect_each_once (world);
   cr_assert_eq (world->instances[1].calls.samples, 0);
+  cr_assert_eq (world->instances[0].calls.n_prefix_hashes, 1);
   world_free (world);
 }
 
@@ -140,10 +141,7 @@
 {
   World *world = world_new (false);
 
-  world_send (world, 1, "steps",
-              "{\"step\":1,\"weight_version\":40,\"groups\":["
-              "{\"id\":\"g0\",\"prompt\":\"p\",\"samples\":2,\"max_tokens\":64},"
-              "{\"id\":\"g1\",\"prompt\":\"q\",\"samples\":2,\"max_tokens\":64}]}");
+  world_send_open (world, 1);
   world_open (world, 0);
   cr_assert_eq (world->status, 202, "%s", world->reply);
   cr_assert_eq (world_pull (world, 0, 2), 2);
