--- a/packages/core/src/lc-endpoint-table.h
+++ b/packages/core/src/lc-endpoint-table.h
@@ -27,10 +27,11 @@
   uint32_t slot;
   int32_t live_since;        /* live requests we sent since the report */
   int32_t in_flight;         /* ours */
-  int32_t data_centre;       /* index among the table's */
-  float alone_token_seconds; /* of one stream with no other beside it */
+  int16_t data_centre;       /* index among the table's */
   bool is_out;               /* leaving, or no longer in the configuration */
   bool is_special;           /* swap, unknown weights or breaker: the entry must be asked */
+  float alone_token_seconds; /* of one stream with no other beside it */
+  float places_inverse;      /* 1 / size */
 } LcSummary;
 
 /* What the table keeps of an endpoint beside the part that policies and the node read. */
@@ -99,6 +100,15 @@
 /* -1 when no endpoint is there. */
 int lc_endpoints_data_centre (const LcEndpoints *endpoints, const char *name);
 
+/* NULL when there is none of this name. */
+LcEntry *lc_endpoints_entry (const LcEndpoints *endpoints, const char *name);
+
+/* commands on one entry */
+void lc_entry_publish (LcEntry *entry, LbTime now);
+void lc_entry_summarise (LcEntry *entry);
+void lc_entry_forget_process (LcEntry *entry);
+void lc_entry_void_belief (LcEntry *entry);
+
 bool
 lc_summary_may_take (const LcSummary *summary, LcRequestKind kind, double live_reserve, LbTime now);
 
--- a/packages/core/src/lc-router-finish-time.c
+++ b/packages/core/src/lc-router-finish-time.c
@@ -8,14 +8,17 @@
  * arrivals nobody has reported yet may level out, a draw by weight. See
  * docs/design/0002-routing.md. */
 
+#define SECONDS 1e-6 /* of an LbTime; a product is cheaper than a quotient for each candidate */
 #define DEFAULT_EXPECTED_TOKENS 64
 #define DEFAULT_SERVICE_SECONDS 1.0
 #define PREFILL_TOKENS_PER_SECOND 8000.0
 #define PREFILL_HOLDS_UP 0.5 /* share of its time that each request beside it loses */
 #define PRIOR_SENT 0.1       /* added to what we sent to each endpoint, which may be nothing yet */
 #define BOUND_WEIGHT 0.02    /* of one decision in the share of those bound to a cache */
-#define INDIFFERENT 0.002    /* scores that differ by less than this share count as equal */
-#define LEAST_SHARE 0.01     /* requests that an endpoint above the level counts for in the draw */
+#define LEAST_SILENCE_SECONDS 2.0
+#define SILENCE_FACTOR 3.0 /* times the mean age of reports */
+#define INDIFFERENT 0.002  /* scores that differ by less than this share count as equal */
+#define LEAST_SHARE 0.01   /* requests that an endpoint above the level counts for in the draw */
 
 /* What all candidates of one decision have in common. */
 typedef struct
@@ -29,6 +32,7 @@
   double whole_prefill_seconds; /* with nothing in the cache */
   double unseen;                /* arrivals since the reports that may have gone anywhere */
   double bound_per_sent;        /* arrivals at cached prompts for each request that we sent there */
+  double silent_after;          /* seconds */
   int data_centre;
   LbTime now;
 } Situation;
@@ -66,13 +70,35 @@
   };
 }
 
+static double
+report_age (const Situation *situation, const LcSummary *summary)
+{
+  if (summary->reported_at == LC_NEVER_REPORTED)
+    return 0;
+  return (double)(situation->now - summary->reported_at) * SECONDS;
+}
+
 /* Of what others had running when the report was measured, part has finished since. */
 static double
 still_running (const Situation *situation, const LcSummary *summary)
 {
-  double age = (double)(situation->now - summary->reported_at) / LB_SEC;
+  return situation->service_seconds
+         / (situation->service_seconds + report_age (situation, summary));
+}
+
+/* An endpoint that went silent looks emptier with each second, since what it last reported must
+ * have finished, and would draw in the requests of all instances. Silent for longer than the
+ * others, it is expected to stay so for as long again; any reply of it ends that. */
+static double
+silent_seconds (const Situation *situation, const LcSummary *summary)
+{
+  double age = report_age (situation, summary);
+  double heard = 0;
 
-  return age > 0 ? 1 / (1 + age / situation->service_seconds) : 1;
+  if (age < situation->silent_after)
+    return 0;
+  heard = (double)(situation->now - summary->endpoint->last_reply) / LB_SEC;
+  return heard < situation->silent_after ? 0 : heard;
 }
 
 static double
@@ -90,18 +116,16 @@
 static LcLoadPrice
 load_price (const Situation *situation, const LcSummary *summary, double load)
 {
-  double size = (double)summary->size;
+  double places = (double)summary->places_inverse;
   double decode = situation->query->kind == LC_KIND_SERVICE
                       ? situation->service_seconds
                       : situation->expected_tokens * (double)summary->alone_token_seconds;
-  double ahead = load + 1 - size;
-  double per_place = 2 * decode * situation->group->slowdown;
-
-  if (ahead <= 0)
-    return (LcLoadPrice){ .seconds = decode + per_place * (load + 1) / size,
-                          .per_second = size / per_place };
-  return (LcLoadPrice){ .seconds = decode + per_place + situation->service_seconds * ahead / size,
-                        .per_second = size / situation->service_seconds };
+  double full = 2 * decode * situation->group->slowdown;
+  double fill = (load + 1) * places;
+  double slope = fill <= 1 ? full : situation->service_seconds;
+
+  return (LcLoadPrice){ .seconds = decode + full + (fill - 1) * slope,
+                        .per_second = 1 / (slope * places) };
 }
 
 /* A prefill also holds up those that decode beside it: as many as there are at an endpoint on
@@ -140,6 +164,7 @@
   double total = 0;
   double unseen = 0;
   double sent = 0;
+  double age = 0;
 
   for (size_t i = 0; i < n; i++)
     {
@@ -149,50 +174,72 @@
 
       unseen += others - left;
       total += others + summary->in_flight;
+      age += report_age (situation, summary);
       sent += summary->live_since + PRIOR_SENT;
       policy->loads[i].seconds = left;
     }
   situation->unseen = unseen * (1 - situation->group->bound_share);
   situation->bound_per_sent = unseen * situation->group->bound_share / sent;
+  situation->silent_after = larger (LEAST_SILENCE_SECONDS, SILENCE_FACTOR * age / (double)n);
   situation->whole_prefill_seconds = prefill * (1 + PREFILL_HOLDS_UP * total / (double)n);
 }
 
-static void
+/* Returns the level if the arrivals filled all of them. */
+static double
 price_loads (LcPolicy *policy, const Situation *situation)
 {
+  double weight = 0;
+  double sum = situation->unseen + 1;
+
   for (size_t i = 0; i < policy->candidates.n_items; i++)
     {
       const LcSummary *summary = policy->candidates.summaries[i];
       double bound = situation->bound_per_sent * (summary->live_since + PRIOR_SENT);
       double load = policy->loads[i].seconds + bound + summary->in_flight;
+      LcLoadPrice price = load_price (situation, summary, load);
+
+      policy->loads[i] = price;
+      weight += price.per_second;
+      sum += price.per_second * price.seconds;
+    }
+  return sum / weight;
+}
+
+/* The level at which the arrivals would stand if they filled those below it, HUGE_VAL when none is.
+ */
+static double
+level_from (const LcPolicy *policy, double arrivals, double level)
+{
+  double weight = 0;
+  double sum = arrivals;
+
+  for (size_t i = 0; i < policy->candidates.n_items; i++)
+    {
+      const LcLoadPrice *price = &policy->loads[i];
+      double part = price->seconds < level ? price->per_second : 0;
 
-      policy->loads[i] = load_price (situation, summary, load);
+      weight += part;
+      sum += part * price->seconds;
     }
+  return weight > 0 ? sum / weight : HUGE_VAL;
 }
 
-/* What the load costs everywhere once the unseen arrivals have filled the least loaded first. */
+/* What the load costs everywhere once the arrivals have filled the least loaded first. Newton's
+ * method on a convex line of pieces: after the first step the level only falls, and the last step
+ * repeats it. The first guess is by the ratio that the decision before found. */
 static double
-find_level (const LcPolicy *policy, double arrivals)
+find_level (LcPolicy *policy, double arrivals, double all_filled)
 {
-  double level = HUGE_VAL;
+  double level = level_from (policy, arrivals, all_filled * policy->level_ratio);
+  double next = level_from (policy, arrivals, level);
 
-  for (;;)
+  while (next < level)
     {
-      double weight = 0;
-      double sum = arrivals;
-
-      for (size_t i = 0; i < policy->candidates.n_items; i++)
-        {
-          const LcLoadPrice *price = &policy->loads[i];
-          double part = price->seconds < level ? price->per_second : 0;
-
-          weight += part;
-          sum += part * price->seconds;
-        }
-      if (weight == 0 || sum / weight >= level)
-        return level;
-      level = sum / weight;
+      level = next;
+      next = level_from (policy, arrivals, level);
     }
+  policy->level_ratio = level / all_filled;
+  return level;
 }
 
 /* Returns the least score. */
@@ -205,7 +252,8 @@
     {
       const LcSummary *summary = policy->candidates.summaries[i];
       double score = larger (level, policy->loads[i].seconds) + way_seconds (situation, summary)
-                     + swap_seconds (situation, summary) + prefill_seconds (situation, summary);
+                     + swap_seconds (situation, summary) + silent_seconds (situation, summary)
+                     + prefill_seconds (situation, summary);
 
       policy->candidates.items[i].score = score;
       least = smaller (least, score);
@@ -245,9 +293,9 @@
 
   grow_loads (policy);
   count_unseen (policy, &situation);
-  price_loads (policy, &situation);
 
-  double level = find_level (policy, situation.unseen + 1);
+  double all_filled = price_loads (policy, &situation);
+  double level = find_level (policy, situation.unseen + 1, all_filled);
   double least = score_all (policy, &situation, level);
   size_t chosen = draw (policy, level, least);
   bool is_bound = situation.shares[policy->candidates.summaries[chosen]->slot] > 0;
