--- a/packages/core/src/lc-endpoint-entry.c
+++ b/packages/core/src/lc-endpoint-entry.c
@@ -2,6 +2,9 @@
 
 #include <string.h>
 
+#define PAUSE (2 * LB_SEC)
+#define REPEATS_TO_BE_REGULAR 10
+
 void
 lc_entry_void_belief (LcEntry *entry)
 {
@@ -18,17 +21,15 @@
   return others > 0 ? others : 0;
 }
 
-/* What the endpoint may hold, counting what we sent since the report as if each of the instances
- * that saw the same report had sent as much. Without the factor all of them fill the same free
- * place at once, and the endpoint queues or refuses what another would have run. */
+/* By the report, and what we sent and ended since. To count our own growth once for each instance
+ * that saw the same report was measured and is worse, see docs/design/0002-routing.md. */
 static int64_t
-load_if_all_act_alike (const LcEntry *entry)
+load_by_report (const LcEntry *entry)
 {
   const LcEndpoint *endpoint = &entry->endpoint;
-  int64_t grown = endpoint->in_flight - entry->in_flight_at_report;
-  int64_t factor = grown > 0 ? entry->table->peers : 1;
 
-  return endpoint->report.running + endpoint->report.waiting + grown * factor;
+  return endpoint->report.running + endpoint->report.waiting + endpoint->in_flight
+         - entry->in_flight_at_report;
 }
 
 static bool
@@ -36,12 +37,12 @@
 {
   const LcEndpoint *endpoint = &entry->endpoint;
 
-  return endpoint->swap_pending || endpoint->breaker != LC_BREAKER_CLOSED
+  return !entry->is_reported || endpoint->swap_pending || endpoint->breaker != LC_BREAKER_CLOSED
          || (endpoint->member.kind == LC_ENDPOINT_ENGINE && endpoint->report.version == 0);
 }
 
-void
-lc_entry_summarise (LcEntry *entry)
+static void
+summarise (LcEntry *entry)
 {
   const LcEndpoint *endpoint = &entry->endpoint;
 
@@ -52,7 +53,7 @@
     .size = (float)entry->concurrency.most,
     .places_inverse = 1 / (float)entry->concurrency.most,
     .limit = (float)entry->concurrency.limit,
-    .load = (float)load_if_all_act_alike (entry),
+    .load = (float)load_by_report (entry),
     .others = (float)others_by_report (entry),
     .slot = endpoint->slot,
     .live_since = (int32_t)entry->live_since_report,
@@ -64,6 +65,25 @@
   };
 }
 
+LbTime
+lc_endpoints_void_before (const LcEndpoints *endpoints, LbTime now)
+{
+  bool regular = endpoints->repeats >= REPEATS_TO_BE_REGULAR;
+
+  return regular && now - endpoints->last_event > PAUSE ? now : endpoints->void_before;
+}
+
+/* Every event of the table passes here. A process that was stopped for a while does not know it:
+ * its first act may be to send the retry of a stream that broke meanwhile to an endpoint that said
+ * "leaving" to all others. Reports come several times a second, so a gap without any event shows
+ * the stop, and nothing that was measured before its end is believed. */
+void
+lc_endpoints_note_time (LcEndpoints *endpoints, LbTime now)
+{
+  endpoints->void_before = lc_endpoints_void_before (endpoints, now);
+  endpoints->last_event = now;
+}
+
 /* Makes what the parts of an entry decided readable in its endpoint and its summary. */
 void
 lc_entry_publish (LcEntry *entry, LbTime now)
@@ -71,6 +91,7 @@
   LcEndpoint *endpoint = &entry->endpoint;
   bool leaving = endpoint->member.leaving || lc_leaving_is_left (&entry->leaving);
 
+  lc_endpoints_note_time (entry->table, now);
   if (leaving && !endpoint->leaving)
     endpoint->leaving_since = now;
   endpoint->leaving = leaving;
@@ -78,7 +99,7 @@
   endpoint->breaker_until = entry->breaker.until;
   endpoint->consecutive_failures = entry->breaker.consecutive_failures;
   endpoint->concurrency_limit = entry->concurrency.limit;
-  lc_entry_summarise (entry);
+  summarise (entry);
 }
 
 /* What was learnt of the process behind the endpoint does not hold for the next one. */
--- a/packages/core/src/lc-endpoints-query.c
+++ b/packages/core/src/lc-endpoints-query.c
@@ -1,5 +1,6 @@
 #include "lc-endpoint-table.h"
 
+#define UNHEARD_FOR (2 * LB_SEC)
 #define REPORT_TRUSTED_FOR (10 * LB_SEC)
 
 size_t
@@ -41,15 +42,34 @@
          || endpoint->report.at >= endpoint->swap_until;
 }
 
+/* A fresh instance has heard of no endpoint that is leaving; its configuration may still name it,
+ * and the first request would go there seconds after all others stopped. So an endpoint is heard
+ * first. One that states no load at all is used after a while, by when the other sources have
+ * spoken. */
+static bool
+is_heard (const LcEntry *entry, LbTime now)
+{
+  return entry->is_reported || entry->endpoint.last_reply > 0
+         || now - entry->known_since >= UNHEARD_FOR;
+}
+
 static bool
 special_may_take (const LcEndpoint *endpoint, LbTime now)
 {
   const LcEntry *entry = lc_entry (endpoint);
 
-  return weights_are_known (entry, now)
+  return is_heard (entry, now) && weights_are_known (entry, now)
          && endpoint->in_flight < lc_breaker_allowance (&entry->breaker, now);
 }
 
+static bool
+is_void (const LcSummary *summary, LbTime now)
+{
+  const LcEndpoints *table = lc_entry (summary->endpoint)->table;
+
+  return summary->reported_at < lc_endpoints_void_before (table, now);
+}
+
 /* Leaving, open breaker, unknown weights and full endpoints take nothing; samples leave the live
  * reserve free. */
 bool
@@ -61,7 +81,11 @@
     return false;
   if (summary->is_special && !special_may_take (summary->endpoint, now))
     return false;
-  if (summary->reported_at == LC_NEVER_REPORTED || now - summary->reported_at > REPORT_TRUSTED_FOR)
+  if (summary->reported_at == LC_NEVER_REPORTED)
+    return true;
+  if (is_void (summary, now))
+    return false;
+  if (now - summary->reported_at > REPORT_TRUSTED_FOR)
     return true;
   return summary->load < summary->size * share;
 }
--- a/packages/node/tests/test-calls.c
+++ b/packages/node/tests/test-calls.c
@@ -74,6 +74,33 @@
   setup_clear (&s);
 }
 
+/* A caller of an old client library would read the framing of chunks as a part of its answer. */
+Test (calls, stream_to_http_1_0_has_no_chunks)
+{
+  Setup s;
+  Peer caller, engine;
+  char id[96];
+
+  setup_init (&s, 1);
+  caller_open (&s.f, &caller);
+  char *text = lb_asprintf ("POST /v1/completions HTTP/1.0\r\nContent-Length: %zu\r\n\r\n%s",
+                            strlen (STREAM), STREAM);
+  peer_send (&caller, text);
+  free (text);
+  endpoint_accept_stream (&s.f, s.listener[0], &engine, id);
+  endpoint_send_head (&engine);
+  endpoint_send_token (&engine, id, 0, " one", true);
+  endpoint_send_end (&engine);
+  FIXTURE_UNTIL (&s.f, peer_is_closed (&caller));
+  cr_assert_not (strstr (caller.text, "chunked"), "%s", caller.text);
+  cr_assert_not (strstr (caller.text, "Content-Length"), "%s", caller.text);
+  cr_assert (strstr (caller.text, "\r\n\r\ndata: {"), "%s", caller.text);
+  cr_assert_str_eq (caller.text + caller.length - strlen ("data: [DONE]\n\n"), "data: [DONE]\n\n");
+  peer_close (&engine);
+  peer_close (&caller);
+  setup_clear (&s);
+}
+
 Test (calls, whole_reply_has_text_usage_and_versions)
 {
   Setup s;
@@ -349,6 +376,32 @@
   setup_clear (&s);
 }
 
+static void
+clear_members (LnMessage *message)
+{
+  free (((LnMembersMessage *)message)->members);
+}
+
+/* This instance, one that lives, one that is suspected and one that drains. */
+static void
+post_members (Setup *s)
+{
+  LnMembersMessage message = { .base = LN_MESSAGE (LN_MEMBERS), .n_members = 4 };
+
+  message.base.clear = clear_members;
+  message.members = LB_NEW_ARRAY (LnMember, 4);
+  for (int i = 0; i < 4; i++)
+    {
+      snprintf (message.members[i].caller_address, sizeof message.members[i].caller_address,
+                "10.0.0.%d:80", i + 1);
+      message.members[i].is_self = i == 0;
+      message.members[i].alive = i != 2;
+      message.members[i].draining = i == 3;
+    }
+  LN_POST (s->f.context.hub, NULL, message);
+  fixture_pump (&s->f);
+}
+
 /* The instance is told to shut down while an answer streams. The stream goes on to its end, new
  * calls are refused "not run", and only then is nothing left in progress. */
 Test (calls, drain_cuts_no_stream)
@@ -364,11 +417,14 @@
   endpoint_send_head (&engine);
   endpoint_send_token (&engine, id, 0, " one", false);
   FIXTURE_UNTIL (&s.f, peer_has (&caller, " one"));
+  post_members (&s);
   ln_hub_drain (s.f.context.hub);
   caller_open (&s.f, &late);
   caller_post (&late, "/v1/completions", "", BODY (""));
   FIXTURE_UNTIL (&s.f, peer_has (&late, "draining"));
   cr_assert (strstr (late.text, "x-not-run: 1"));
+  cr_assert (strstr (late.text, "x-entry-stale: 1"));
+  cr_assert (strstr (late.text, "x-entry: 10.0.0.2:80\r\n"), "%s", late.text);
   FIXTURE_UNTIL (&s.f, peer_is_closed (&late));
   cr_assert_not (ln_hub_is_idle (s.f.context.hub));
   endpoint_send_token (&engine, id, 1, " two", true);
@@ -453,6 +509,29 @@
   setup_clear (&s);
 }
 
+/* A service crashes in the middle of a reply that states no length. What came looks like a reply;
+ * the caller must not take it for the whole of it. */
+Test (calls, reply_without_a_stated_end_is_not_whole)
+{
+  Fixture f;
+  Peer caller, service;
+  LbName address;
+
+  fixture_init (&f);
+  int listener = fixture_listen (address);
+  fixture_start (&f);
+  fixture_configure (&f, NULL, (const char *[]){ address, NULL });
+  caller_open (&f, &caller);
+  caller_post (&caller, "/services/s/orders", "", "a=b");
+  endpoint_accept (&f, listener, &service);
+  peer_send (&service, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf an or");
+  peer_close (&service);
+  FIXTURE_UNTIL (&f, peer_has (&caller, "outcome_unknown"));
+  cr_assert_not (strstr (caller.text, "half"));
+  peer_close (&caller);
+  fixture_clear (&f);
+}
+
 Test (calls, service_call_passes_through)
 {
   Fixture f;
