Process test of a stopped instance waits instead of asking in a race, and reads its counters

On its return its old connections are gone for some milliseconds, in which the others are rightly not named; the test now waits for that and asserts by counters that it suspected and condemned nobody.

--- a/packages/node/tests/test-peers.c
+++ b/packages/node/tests/test-peers.c
@@ -182,11 +182,18 @@
   return value;
 }
 
+static void
+clear_payload (LnMessage *message)
+{
+  free (((LnPeerMessage *)message)->payload);
+}
+
 static void
 send_to (Instance *from, const char *to, const char *payload)
 {
   LnPeerMessage message = { .base = LN_MESSAGE (LN_PEER_SEND), .topic = "config" };
 
+  message.base.clear = clear_payload;
   LB_COPY (message.instance, to);
   message.payload = lb_strdup (payload);
   message.length = strlen (payload);
--- a/tests/process/test-membership.c
+++ b/tests/process/test-membership.c
@@ -1,10 +1,12 @@
 #include "pt-world.h"
 
+#include "lb-alloc.h"
 #include "lb-clock.h"
 
 #include <criterion/criterion.h>
 #include <json-c/json.h>
 #include <signal.h>
+#include <stdlib.h>
 #include <string.h>
 
 typedef struct
@@ -47,6 +49,21 @@
   return !ask_entry (world, naming) && naming->addresses > 0;
 }
 
+static int64_t
+read_counter (PtWorld *world, const PtProgram *instance, const char *name)
+{
+  const SiCall call = { .method = "GET", .address = instance->address, .path = "/metrics" };
+  char *start = lb_asprintf ("\n%s ", name);
+  SiAnswer answer;
+
+  si_client_call (&world->client, &call, &answer);
+  const char *at = answer.body ? strstr (answer.body, start) : NULL;
+  int64_t value = at ? strtoll (at + strlen (start), NULL, 10) : -1;
+  si_answer_clear (&answer);
+  free (start);
+  return value;
+}
+
 static void
 start_three (PtWorld *world, PtProgram **instances)
 {
@@ -103,10 +120,13 @@
   cr_log_info ("not named after %.2f s", (double)(lb_clock_monotonic () - stopped) / LB_SEC);
   si_client_pause (&world.client, 5 * LB_SEC);
   pt_process_signal (&instances[1]->process, SIGCONT);
-  for (size_t i = 0; i < 3; i += 2)
-    cr_assert (ask_entry (&world, &(Naming){ instances[1], instances[i]->name, 0 }),
-               "on its return it does not name %s", instances[i]->name);
   wait_for_both (&world, instances, "it is named again", is_named);
+  for (size_t i = 0; i < 3; i += 2)
+    pt_wait (&world, "it names the others", is_named,
+             &(Naming){ instances[1], instances[i]->name, 0 });
+  cr_assert_geq (read_counter (&world, instances[1], "lentilspindle_own_pauses_total"), 1);
+  cr_assert_eq (read_counter (&world, instances[1], "lentilspindle_members_suspected_total"), 0);
+  cr_assert_eq (read_counter (&world, instances[1], "lentilspindle_members_condemned_total"), 0);
   pt_world_clear (&world);
 }
 
