--- a/packages/wire/tests/test-frames.c
+++ b/packages/wire/tests/test-frames.c
@@ -125,14 +125,15 @@
                                        { 0x92, 0x06, 0xdd, 0x0a, 0xaa, 0xaa, 0xaa, 0x90 },
                                        { 0xdf, 0x05, 0xff, 0xff, 0xff, 0x01, 0x01 },
                                        { 0x92, 0x04, 0xc6, 0x7f, 0xff, 0xff, 0xff, 0x01 } };
+  static const uint8_t head[] = { 0x92, 0x06, 0xdd, 0x00, 0x3d, 0x09, 0x00 };
   const size_t many = 4000000;
-  uint8_t *list = lb_malloc (many + 7);
+  uint8_t *list = lb_malloc (many + sizeof head);
 
   for (size_t i = 0; i < sizeof bodies / sizeof *bodies; i++)
     refuse_without_memory (bodies[i], sizeof bodies[i]);
-  memset (list, 1, many + 7);
-  memcpy (list, "\x92\x06\xdd\x00\x3d\x09\x00", 7);
-  refuse_without_memory (list, many + 7);
+  memset (list, 1, many + sizeof head);
+  memcpy (list, head, sizeof head);
+  refuse_without_memory (list, many + sizeof head);
   free (list);
 }
 
