Connections for single frames carry no heartbeats; a frame without any answer finds a silent one

Now only targets are watched; elsewhere a heartbeat goes out when something was sent, or nothing heard for 30 s, and no sign of life came. A connection gets a fresh history when it becomes watched.

--- a/packages/core/bench/fake-peers.c
+++ b/packages/core/bench/fake-peers.c
@@ -239,6 +239,9 @@
                   .message = *message };
 
   count_bytes (peers, node, target, fake_peers_message_bytes (message));
+  if (message->type != LW_PING && message->type != LW_PONG)
+    lc_membership_sent (peers->nodes[node].membership, connection->links[end_of (connection, node)],
+                        peers->now);
   if (connection->silent || !is_path_open (peers, node, target))
     return;
   event.message.instances
--- a/packages/core/include/lc-membership.h
+++ b/packages/core/include/lc-membership.h
@@ -98,6 +98,8 @@
     LcMembership *membership, LcLinkId link, const LcInstance *peer, LbTime now, LbList *actions);
 /* The connection failed, was refused or was closed by the other end. */
 void lc_membership_closed (LcMembership *membership, LcLinkId link, LbTime now, LbList *actions);
+/* A frame other than a heartbeat was sent: a sign of life is due. */
+void lc_membership_sent (LcMembership *membership, LcLinkId link, LbTime now);
 /* Any frame came in. */
 void lc_membership_heard (LcMembership *membership, LcLinkId link, LbTime now);
 /* The digest of a heartbeat or of its answer. */
--- a/packages/core/src/lc-membership-private.h
+++ b/packages/core/src/lc-membership-private.h
@@ -36,9 +36,11 @@
   LbName address;
   bool dialled;
   bool open;
+  bool watched; /* heartbeats go out on it and their answers are awaited */
   LbTime started;
   LbTime next_ping;
-  LbTime unneeded_since; /* 0: needed */
+  LbTime unneeded_since;   /* 0: needed */
+  LbTime unanswered_since; /* something was sent and nothing heard since; 0: no */
   LcDetector detector;
   uint64_t digest;
   LbTime differs_since; /* 0: both ends have the same view */
--- a/packages/core/src/lc-membership.c
+++ b/packages/core/src/lc-membership.c
@@ -14,6 +14,8 @@
 #define REDIAL (300 * LB_MSEC)
 #define VOUCHED_REDIAL (2 * LB_SEC)
 #define LINGER (5 * LB_SEC)
+#define IDLE (30 * LB_SEC)
+#define UNANSWERED_PERIODS 3
 #define CONTACT_EVERY (5 * LB_SEC)
 #define CONTACT_EVERY_ALONE (300 * LB_MSEC)
 #define COMPARE_EVERY LB_SEC
@@ -254,6 +256,7 @@
   LcMember *member = lc_membership_member (membership, link->name);
 
   lc_detector_heard (&link->detector, now);
+  link->unanswered_since = 0;
   if (!member)
     return;
   member->heard = now;
@@ -412,6 +415,15 @@
   lc_membership_finish (membership, actions);
 }
 
+void
+lc_membership_sent (LcMembership *membership, LcLinkId id, LbTime now)
+{
+  LcPeerLink *link = lc_membership_link (membership, id);
+
+  if (link && link->unanswered_since == 0)
+    link->unanswered_since = now;
+}
+
 void
 lc_membership_heard (LcMembership *membership, LcLinkId id, LbTime now)
 {
@@ -499,6 +511,8 @@
   for (LcPeerLink *link = membership->links; link; link = link->hh.next)
     {
       link->started += pause;
+      if (link->unanswered_since)
+        link->unanswered_since += pause;
       lc_detector_forgive (&link->detector, pause, now);
     }
   for (LcMember *member = membership->members; member; member = member->hh.next)
@@ -539,22 +553,61 @@
   lc_membership_compare (membership, link->id, actions);
 }
 
+/* This instance sends heartbeats on the connections to those it watches. The failure: connections
+ * opened for single frames add up to all pairs (131 KB/s at 350), so on others a heartbeat is sent
+ * only when something sent there, or a long silence, was followed by no sign of life. */
 static void
-keep_link (LcMembership *membership, LcPeerLink *link, LbTime now, LbList *actions)
+note_watched (const LcMembership *membership, LcPeerLink *link, LbTime now)
 {
-  if (!link->dialled)
-    return;
-  if (is_needed (membership, link, now))
+  bool watched = link->dialled && lc_membership_is_target (membership, link->name);
+
+  /* What was quiet by right until now has no history that could condemn it. */
+  if (watched && !link->watched)
+    lc_detector_init (&link->detector, membership->settings.period, now);
+  link->watched = watched;
+}
+
+static bool
+is_silent (const LcMembership *membership, const LcPeerLink *link, LbTime now)
+{
+  if (link->watched)
+    return lc_detector_is_silent (&link->detector, now);
+  return link->unanswered_since != 0
+         && now - link->unanswered_since >= UNANSWERED_PERIODS * membership->settings.period;
+}
+
+static bool
+is_ping_due (const LcMembership *membership, LcPeerLink *link, LbTime now)
+{
+  if (link->watched)
+    return now >= link->next_ping;
+  if (link->unanswered_since == 0 && now - link->detector.heard >= IDLE)
+    link->unanswered_since = now - membership->settings.period;
+  bool unanswered
+      = link->unanswered_since != 0 && now - link->unanswered_since >= membership->settings.period;
+  return (unanswered || link->differs_since != 0) && now >= link->next_ping;
+}
+
+static bool
+is_over (const LcMembership *membership, LcPeerLink *link, LbTime now)
+{
+  if (!link->dialled || is_needed (membership, link, now))
     link->unneeded_since = 0;
   else if (link->unneeded_since == 0)
     link->unneeded_since = now;
-  else if (now - link->unneeded_since > LINGER)
+  return link->unneeded_since != 0 && now - link->unneeded_since > LINGER;
+}
+
+static void
+keep_link (LcMembership *membership, LcPeerLink *link, LbTime now, LbList *actions)
+{
+  if (is_over (membership, link, now))
     {
       close_link (membership, link, LB_OK, actions);
       return;
     }
   compare_if_different (membership, link, now, actions);
-  if (now >= link->next_ping)
+  if (is_ping_due (membership, link, now))
     send_ping (membership, link, now, actions);
 }
 
@@ -577,7 +630,8 @@
 
   HASH_ITER (hh, membership->links, link, next)
   {
-    bool late = link->open ? lc_detector_is_silent (&link->detector, now)
+    note_watched (membership, link, now);
+    bool late = link->open ? is_silent (membership, link, now)
                            : now - link->started >= membership->settings.dial_timeout;
     if (late)
       time_out_link (membership, link, now, actions);
--- a/packages/node/src/ln-peers.c
+++ b/packages/node/src/ln-peers.c
@@ -116,6 +116,12 @@
     ln_peer_connection_free (LB_CONTAINER (link, LnPeerConnection, link));
 }
 
+static void
+note_sent (const LnPeers *peers, const LnPeerConnection *connection)
+{
+  lc_membership_sent (peers->membership, connection->id, lb_clock_monotonic ());
+}
+
 /* A connection on which too much waits unsent is as good as silent: its end closes it. */
 static void
 send_frame (LnPeers *peers, LnPeerConnection *connection, const uint8_t *frame, size_t length)
@@ -136,6 +142,8 @@
   uint8_t *frame = lw_message_encode (message, &length);
 
   send_frame (peers, connection, frame, length);
+  if (message->type != LW_PING && message->type != LW_PONG)
+    note_sent (peers, connection);
   free (frame);
 }
 
@@ -153,7 +161,10 @@
     const char *name = lc_membership_link_name (peers->membership, connection->id);
     if (name && (!except_name || strcmp (name, except_name) != 0)
         && lc_membership_link_to (peers->membership, name) == connection->id)
-      send_frame (peers, connection, frame, length);
+      {
+        note_sent (peers, connection);
+        send_frame (peers, connection, frame, length);
+      }
   }
   free (frame);
 }
@@ -263,6 +274,7 @@
 {
   LnPeerConnection *connection = user;
 
+  note_sent (connection->user, connection);
   if (!ln_peer_connection_send (connection, frame, length))
     lb_metric_add (&frames_dropped, 1);
 }
