--- a/packages/core/include/lc-membership.h
+++ b/packages/core/include/lc-membership.h
@@ -15,7 +15,7 @@
 
 typedef struct
 {
-  LcInstance self; /* state ALIVE; epoch: wall clock at the start, ms */
+  LcInstance self; /* state ALIVE; epoch: from the wall clock at the start */
   LbTime period;   /* between heartbeats on a connection */
   size_t rings;    /* peers that each instance watches */
   LbTime dial_timeout;
--- a/packages/core/src/lc-membership-news.c
+++ b/packages/core/src/lc-membership-news.c
@@ -12,6 +12,7 @@
 #define FLUSH_PAUSE (100 * LB_MSEC)
 /* While an incarnation is new, its news carry names and addresses for those who have not heard. */
 #define INTRODUCTION (10 * LB_SEC)
+#define CONFLICT_PAUSE (5 * LB_SEC)
 #define FIRST_VOUCH (5 * LB_SEC)
 #define LONGEST_VOUCH (60 * LB_SEC)
 
@@ -128,11 +129,10 @@
     return;
   if (news->epoch > self->epoch || !same)
     {
-      membership->totals.name_conflicts++;
-      self->epoch = news->epoch + 1;
-      self->version = 1;
+      membership->rival_epoch = news->epoch;
+      return;
     }
-  else if (news->state != LC_INSTANCE_ALIVE && news->version >= self->version)
+  if (news->state != LC_INSTANCE_ALIVE && news->version >= self->version)
     self->version = news->version + 1;
   else
     return;
@@ -140,6 +140,24 @@
   lc_membership_announce_self (membership, now);
 }
 
+/* The failure: two live processes have one name by mistake. Each would outbid the other's epoch as
+ * soon as it hears of it, tens of times a second, with a frame to everybody each time. One answers
+ * the first time at once and then only now and then; the count of conflicts shows the operator. */
+void
+lc_membership_outbid_rival (LcMembership *membership, LbTime now)
+{
+  LcInstance *self = &membership->self;
+
+  if (membership->rival_epoch < self->epoch || now < membership->next_conflict)
+    return;
+  membership->next_conflict = now + CONFLICT_PAUSE;
+  membership->totals.name_conflicts++;
+  self->epoch = membership->rival_epoch + 1;
+  self->version = 1;
+  membership->view_changed = true;
+  lc_membership_announce_self (membership, now);
+}
+
 /* Short news lack what a known epoch already said. */
 static bool
 complete_news (LcInstance *news, const LcInstance *known)
--- a/packages/core/src/lc-membership-private.h
+++ b/packages/core/src/lc-membership-private.h
@@ -75,6 +75,8 @@
   LbTime next_contact;
   LbTime next_compare;
   LbTime next_load;
+  uint64_t rival_epoch; /* largest epoch of another incarnation of our name */
+  LbTime next_conflict;
   LbTime last_tick;
   LcMembershipTotals totals;
 };
@@ -94,6 +96,7 @@
                               LcMember *member,
                               LcInstanceState state,
                               LbTime now);
+void lc_membership_outbid_rival (LcMembership *membership, LbTime now);
 void lc_membership_announce_self (LcMembership *membership, LbTime now);
 void lc_membership_compare (LcMembership *membership, LcLinkId link, LbList *actions);
 void lc_membership_flush (LcMembership *membership, LbTime now, LbList *actions);
--- a/packages/core/src/lc-membership.c
+++ b/packages/core/src/lc-membership.c
@@ -757,6 +757,7 @@
   forgive_own_pause (membership, now);
   tick_links (membership, now, actions);
   tick_members (membership, now);
+  lc_membership_outbid_rival (membership, now);
   watch_targets (membership, now, actions);
   contact_one (membership, now, actions);
   if (now >= membership->flush_at)
--- a/packages/core/tests/test-membership.c
+++ b/packages/core/tests/test-membership.c
@@ -285,6 +285,34 @@
   fake_peers_free (peers);
 }
 
+/* Two live processes get the same name by mistake. Each outbids the other's epoch whenever it hears
+ * of it, and all instances pass that on: a storm of frames out of one wrong line of settings. The
+ * first answer must come at once (it may be an honest replacement whose clock is behind), the next
+ * ones seldom, and the conflict be counted. */
+Test (membership, two_of_one_name_make_no_storm)
+{
+  FakePeers *peers = cluster_new (6);
+  LcMembership *first = fake_peers_membership (peers, 0);
+  LbList actions;
+
+  lb_list_init (&actions);
+  for (int i = 0; i < 300; i++)
+    {
+      LcInstance rival = *lc_membership_self (first);
+      LB_COPY (rival.incarnation, "rival");
+      rival.epoch++;
+      lc_membership_told (first, 0, &rival, 1, fake_peers_now (peers), &actions);
+      run_for (peers, 10 * LB_MSEC);
+      if (i == 50)
+        cr_assert_eq (lc_membership_totals (first).name_conflicts, 1);
+    }
+  cr_assert_eq (lc_membership_totals (first).name_conflicts, 1);
+  run_for (peers, 10 * LB_SEC);
+  cr_assert_eq (lc_membership_totals (first).name_conflicts, 2);
+  cr_assert_eq (fake_peers_agreeing (peers), 6);
+  fake_peers_free (peers);
+}
+
 /* Instances whose seeds are all gone start at the same time, each alone. Each serves callers with
  * itself as the only address. The platform's list, late as it is, must bring them together. */
 Test (membership, the_platform_list_brings_lone_instances_together)
--- a/packages/node/src/ln-peers.c
+++ b/packages/node/src/ln-peers.c
@@ -568,10 +568,21 @@
   peers->next_load = now + LOAD_EVERY;
 }
 
+/* The failure: two processes of one name start in the same millisecond and have the same epoch;
+ * then nobody sees that they are two. So the epoch has sixteen bits of the incarnation below the
+ * clock. */
+static uint64_t
+make_epoch (const char *incarnation)
+{
+  uint64_t hash = XXH64 (incarnation, strlen (incarnation), 0);
+
+  return (uint64_t)lb_clock_wall_ms () << 16 | (hash & 0xffff);
+}
+
 static LcInstance
 describe_self (const LnContext *context)
 {
-  LcInstance self = { .epoch = (uint64_t)lb_clock_wall_ms () };
+  LcInstance self = { .epoch = make_epoch (context->incarnation) };
 
   LB_COPY (self.name, context->instance);
   LB_COPY (self.incarnation, context->incarnation);
