No work to an endpoint before its first word, whatever it takes

Ruled out: a longer grace, which only moves the moment. Now the first word is waited for. A plain service without /load is heard by any answer to it (ln-poller.c).

--- a/packages/core/src/lc-endpoint-table.h
+++ b/packages/core/src/lc-endpoint-table.h
@@ -42,7 +42,6 @@
   int data_centre; /* index among the table's data centres */
   bool retired;    /* no longer in the configuration; kept while requests of ours run there */
   bool is_reported;
-  LbTime known_since;
   int64_t in_flight_at_report;
   int64_t live_since_report;
   double alone_token_seconds;
--- a/packages/core/src/lc-endpoints-config.c
+++ b/packages/core/src/lc-endpoints-config.c
@@ -88,7 +88,7 @@
 }
 
 static LcEntry *
-add_entry (LcEndpoints *endpoints, const LcEndpointMember *member, LbTime now)
+add_entry (LcEndpoints *endpoints, const LcEndpointMember *member)
 {
   LcEntry *entry = LB_NEW (LcEntry);
 
@@ -99,7 +99,6 @@
           = lb_realloc (endpoints->entries, endpoints->capacity * sizeof *endpoints->entries);
     }
   entry->table = endpoints;
-  entry->known_since = now;
   entry->index = endpoints->n_entries;
   entry->endpoint.member = *member;
   entry->name_hash = XXH3_64bits (member->name, strlen (member->name));
@@ -127,18 +126,17 @@
 }
 
 static void
-take_member (LcEndpoints *endpoints, const LcEndpointMember *member, LbTime now)
+take_member (LcEndpoints *endpoints, const LcEndpointMember *member)
 {
   LcEntry *entry = lc_endpoints_entry (endpoints, member->name);
 
   if (!entry)
-    entry = add_entry (endpoints, member, now);
+    entry = add_entry (endpoints, member);
   if (strcmp (entry->endpoint.member.address, member->address) != 0)
     {
       memset (&entry->endpoint.report, 0, sizeof entry->endpoint.report);
       entry->is_reported = false;
       entry->endpoint.last_reply = 0;
-      entry->known_since = now;
       lc_leaving_begin (&entry->leaving, "");
       lc_entry_forget_process (entry);
     }
@@ -253,7 +251,7 @@
   for (size_t i = 0; i < endpoints->n_entries; i++)
     endpoints->entries[i]->retired = true;
   for (size_t i = 0; i < set->n_endpoints; i++)
-    take_member (endpoints, &set->endpoints[i], now);
+    take_member (endpoints, &set->endpoints[i]);
   drop_retired (endpoints);
   rebuild_groups (endpoints, now);
 }
--- a/packages/core/src/lc-endpoints-query.c
+++ b/packages/core/src/lc-endpoints-query.c
@@ -1,6 +1,5 @@
 #include "lc-endpoint-table.h"
 
-#define UNHEARD_FOR (2 * LB_SEC)
 #define REPORT_TRUSTED_FOR (10 * LB_SEC)
 
 size_t
@@ -44,13 +43,11 @@
 
 /* A fresh instance has heard of no endpoint that is leaving; its configuration may still name it,
  * and the first request would go there seconds after all others stopped. So an endpoint is heard
- * first. One that states no load at all is used after a while, by when the other sources have
- * spoken. */
+ * before it gets work. */
 static bool
-is_heard (const LcEntry *entry, LbTime now)
+is_heard (const LcEntry *entry)
 {
-  return entry->is_reported || entry->endpoint.last_reply > 0
-         || now - entry->known_since >= UNHEARD_FOR;
+  return entry->is_reported || entry->endpoint.last_reply > 0;
 }
 
 static bool
@@ -58,7 +55,7 @@
 {
   const LcEntry *entry = lc_entry (endpoint);
 
-  return is_heard (entry, now) && weights_are_known (entry, now)
+  return is_heard (entry) && weights_are_known (entry, now)
          && endpoint->in_flight < lc_breaker_allowance (&entry->breaker, now);
 }
 
--- a/packages/core/tests/endpoints-fixture.h
+++ b/packages/core/tests/endpoints-fixture.h
@@ -23,8 +23,15 @@
   lc_endpoints_configure (f->endpoints, &f->set, now);
 }
 
-/* Long ago, so that they get work without having been heard of. */
-#define FIXTURE_KNOWN_SINCE (-3600 * LB_SEC)
+/* First words, without an incarnation. */
+static inline void
+fixture_hear_all (Fixture *f)
+{
+  LcLoadReport report = { .version = 1 };
+
+  for (size_t i = 0; i < f->set.n_endpoints; i++)
+    lc_endpoints_report (f->endpoints, f->members[i].name, &report, 0);
+}
 
 static inline void
 fixture_init (Fixture *f, size_t n)
@@ -42,7 +49,8 @@
   f->set.endpoints = f->members;
   f->set.n_endpoints = n;
   f->endpoints = lc_endpoints_new ();
-  fixture_configure (f, FIXTURE_KNOWN_SINCE);
+  fixture_configure (f, 0);
+  fixture_hear_all (f);
 }
 
 static inline void
--- a/packages/core/tests/test-endpoints.c
+++ b/packages/core/tests/test-endpoints.c
@@ -165,7 +165,7 @@
   f.set.n_endpoints = 2;
   fixture_configure (&f, start);
   cr_assert_not (fixture_may_take (&f, "fresh", start + LB_SEC));
-  cr_assert (fixture_may_take (&f, "fresh", start + 2 * LB_SEC));
+  cr_assert_not (fixture_may_take (&f, "fresh", start + 60 * LB_SEC));
   fixture_report (&f, "fresh", "a", 1, start + LB_SEC);
   cr_assert (fixture_may_take (&f, "fresh", start + LB_SEC));
   fixture_clear (&f);
@@ -319,7 +319,8 @@
   strcpy (f.members[0].address, "127.0.0.1:2");
   fixture_configure (&f, 12);
   cr_assert_not (fixture_may_take (&f, "e0", 13), "not heard yet");
-  cr_assert (fixture_may_take (&f, "e0", 13 + 2 * LB_SEC));
+  fixture_report (&f, "e0", "b", 1, 14);
+  cr_assert (fixture_may_take (&f, "e0", 15));
   fixture_clear (&f);
 }
 
--- a/packages/node/src/ln-poller.c
+++ b/packages/node/src/ln-poller.c
@@ -98,6 +98,9 @@
   target->load = NULL;
   if (result->failure == LB_ERROR_TIMEOUT)
     lh_pool_forget (target->poller->pool, target->address);
+  /* A plain service without a load to state is known to live by any answer. */
+  if (!object && !target->is_engine && result->failure == LB_OK)
+    target->poller->handlers.on_report (target->name, &report, target->poller->user);
   if (!object)
     return;
   LB_COPY (report.incarnation, text_member (object, "incarnation"));
--- a/packages/node/tests/node-fixture.h
+++ b/packages/node/tests/node-fixture.h
@@ -209,7 +209,20 @@
   free (text);
 }
 
-/* The next call at an endpoint; reports that the daemon asks for are answered by a close. */
+static inline void
+endpoint_state_load (Peer *peer)
+{
+  const char *load = "{\"incarnation\":\"e\",\"state\":\"serving\",\"weight_version\":40}";
+  char *text = lb_asprintf ("HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n"
+                            "Connection: close\r\n\r\n%s",
+                            strlen (load), load);
+
+  peer_send (peer, text);
+  free (text);
+}
+
+/* The next call at an endpoint. Its load is stated on the way, since the daemon sends no work to an
+ * endpoint that it has not heard; cache events are answered by a close. */
 static inline bool
 endpoint_try_accept (int listener, Peer *peer)
 {
@@ -221,6 +234,8 @@
       peer_init (peer, fd);
     }
   peer_read (peer);
+  if (strncmp (peer->text, "GET /load", 9) == 0)
+    endpoint_state_load (peer);
   if (strncmp (peer->text, "GET /load", 9) == 0 || strncmp (peer->text, "GET /cache_e", 12) == 0
       || peer->closed)
     {
