--- a/packages/core/src/lc-candidates.c
+++ b/packages/core/src/lc-candidates.c
@@ -51,6 +51,7 @@
        const LcSummary *summary,
        const LcRouteQuery *query,
        Refusals *refusals,
+       LbTime void_before,
        LbTime now)
 {
   refusals->known++;
@@ -60,7 +61,7 @@
     refusals->too_old++;
   else if (query->n_avoid > 0 && is_avoided (query, summary->endpoint))
     refusals->avoided++;
-  else if (lc_summary_may_take (summary, query->kind, query->live_reserve, now))
+  else if (lc_summary_may_take (summary, query->kind, query->live_reserve, void_before, now))
     add (candidates, summary);
 }
 
@@ -86,12 +87,13 @@
 {
   LcEndpointKind kind = query->kind == LC_KIND_SERVICE ? LC_ENDPOINT_SERVICE : LC_ENDPOINT_ENGINE;
   const LcEndpointGroup *group = lc_endpoints_group (endpoints, kind, query->pool);
+  LbTime void_before = lc_endpoints_void_before (endpoints, now);
   Refusals refusals = { 0 };
 
   candidates->n_items = 0;
   reserve (candidates, group ? group->n_slots : 0);
   for (size_t i = 0; group && i < group->n_slots; i++)
-    weigh (candidates, &endpoints->summaries[group->slots[i]], query, &refusals, now);
+    weigh (candidates, &endpoints->summaries[group->slots[i]], query, &refusals, void_before, now);
   candidates->reason = candidates->n_items > 0 ? NULL : reason_for_none (&refusals);
 }
 
--- a/packages/core/src/lc-endpoint-table.h
+++ b/packages/core/src/lc-endpoint-table.h
@@ -113,7 +113,11 @@
 void lc_entry_forget_process (LcEntry *entry);
 void lc_entry_void_belief (LcEntry *entry);
 
-bool
-lc_summary_may_take (const LcSummary *summary, LcRequestKind kind, double live_reserve, LbTime now);
+/* Void_before: lc_endpoints_void_before, which is the same for all of a decision. */
+bool lc_summary_may_take (const LcSummary *summary,
+                          LcRequestKind kind,
+                          double live_reserve,
+                          LbTime void_before,
+                          LbTime now);
 
 #endif
--- a/packages/core/src/lc-endpoints-query.c
+++ b/packages/core/src/lc-endpoints-query.c
@@ -59,18 +59,14 @@
          && endpoint->in_flight < lc_breaker_allowance (&entry->breaker, now);
 }
 
-static bool
-is_void (const LcSummary *summary, LbTime now)
-{
-  const LcEndpoints *table = lc_entry (summary->endpoint)->table;
-
-  return summary->reported_at < lc_endpoints_void_before (table, now);
-}
-
 /* Leaving, open breaker, unknown weights and full endpoints take nothing; samples leave the live
- * reserve free. */
+ * reserve free. Reads no entry unless something is special, so that 600 of them stay unread. */
 bool
-lc_summary_may_take (const LcSummary *summary, LcRequestKind kind, double live_reserve, LbTime now)
+lc_summary_may_take (const LcSummary *summary,
+                     LcRequestKind kind,
+                     double live_reserve,
+                     LbTime void_before,
+                     LbTime now)
 {
   float share = kind == LC_KIND_SAMPLE ? 1 - (float)live_reserve : 1;
 
@@ -80,7 +76,7 @@
     return false;
   if (summary->reported_at == LC_NEVER_REPORTED)
     return true;
-  if (is_void (summary, now))
+  if (summary->reported_at < void_before)
     return false;
   if (now - summary->reported_at > REPORT_TRUSTED_FOR)
     return true;
@@ -95,5 +91,6 @@
 {
   const LcEndpoints *table = lc_entry (endpoint)->table;
 
-  return lc_summary_may_take (&table->summaries[endpoint->slot], kind, live_reserve, now);
+  return lc_summary_may_take (&table->summaries[endpoint->slot], kind, live_reserve,
+                              lc_endpoints_void_before (table, now), now);
 }
