--- a/packages/core/src/lc-endpoints-query.c
+++ b/packages/core/src/lc-endpoints-query.c
@@ -1,6 +1,5 @@
 #include "lc-endpoint-table.h"
 
-#define UNHEARD_FOR (2 * LB_SEC)
 #define REPORT_TRUSTED_FOR (10 * LB_SEC)
 
 size_t
@@ -44,13 +43,11 @@
 
 /* A fresh instance has heard of no endpoint that is leaving; its configuration may still name it,
  * and the first request would go there seconds after all others stopped. So an endpoint is heard
- * first. One that states no load at all is used after a while, by when the other sources have
- * spoken. */
+ * before it gets work. */
 static bool
-is_heard (const LcEntry *entry, LbTime now)
+is_heard (const LcEntry *entry)
 {
-  return entry->is_reported || entry->endpoint.last_reply > 0
-         || now - entry->known_since >= UNHEARD_FOR;
+  return entry->is_reported || entry->endpoint.last_reply > 0;
 }
 
 static bool
@@ -58,22 +55,18 @@
 {
   const LcEntry *entry = lc_entry (endpoint);
 
-  return is_heard (entry, now) && weights_are_known (entry, now)
+  return is_heard (entry) && weights_are_known (entry, now)
          && endpoint->in_flight < lc_breaker_allowance (&entry->breaker, now);
 }
 
-static bool
-is_void (const LcSummary *summary, LbTime now)
-{
-  const LcEndpoints *table = lc_entry (summary->endpoint)->table;
-
-  return summary->reported_at < lc_endpoints_void_before (table, now);
-}
-
 /* Leaving, open breaker, unknown weights and full endpoints take nothing; samples leave the live
- * reserve free. */
+ * reserve free. Reads no entry unless something is special, so that 600 of them stay unread. */
 bool
-lc_summary_may_take (const LcSummary *summary, LcRequestKind kind, double live_reserve, LbTime now)
+lc_summary_may_take (const LcSummary *summary,
+                     LcRequestKind kind,
+                     double live_reserve,
+                     LbTime void_before,
+                     LbTime now)
 {
   float share = kind == LC_KIND_SAMPLE ? 1 - (float)live_reserve : 1;
 
@@ -83,7 +76,7 @@
     return false;
   if (summary->reported_at == LC_NEVER_REPORTED)
     return true;
-  if (is_void (summary, now))
+  if (summary->reported_at < void_before)
     return false;
   if (now - summary->reported_at > REPORT_TRUSTED_FOR)
     return true;
@@ -98,5 +91,6 @@
 {
   const LcEndpoints *table = lc_entry (endpoint)->table;
 
-  return lc_summary_may_take (&table->summaries[endpoint->slot], kind, live_reserve, now);
+  return lc_summary_may_take (&table->summaries[endpoint->slot], kind, live_reserve,
+                              lc_endpoints_void_before (table, now), now);
 }
