--- a/standins/standin-load.c
+++ b/standins/standin-load.c
@@ -25,6 +25,7 @@
   int64_t callers; /* names in turn */
   int64_t retries;
   LbTime limit;        /* no call is started after it */
+  bool keys;           /* each call with an idempotency key of its own */
   LbTime entry_period; /* how long entry addresses are kept; 0: never asked for */
 } Settings;
 
@@ -105,6 +106,8 @@
   spec.caller = caller->name;
   if (spec.kind == SI_LIVE_SERVICE)
     spec.order = caller->prompt;
+  if (load->settings.keys)
+    spec.idempotency_key = caller->prompt;
   caller->tries++;
   si_live_start (load->pool, &spec, on_result, caller);
 }
@@ -219,8 +222,10 @@
   struct arg_int *max_tokens;
   struct arg_int *callers;
   struct arg_int *retries;
+  struct arg_str *deadline_ms;
   struct arg_int *silence_s;
   struct arg_int *entry_ms;
+  struct arg_lit *keys;
   struct arg_lit *stream;
   struct arg_lit *vary;
   struct arg_lit *expect_all;
@@ -267,6 +272,7 @@
               .max_tokens = options->max_tokens->ival[0],
               .stream = options->stream->count > 0,
               .vary_length = options->vary->count > 0,
+              .deadline_ms = options->deadline_ms->count > 0 ? options->deadline_ms->sval[0] : NULL,
               .silence = options->silence_s->ival[0] * LB_SEC },
     .name = options->name->sval[0],
     .count = options->count->ival[0],
@@ -275,6 +281,7 @@
     .callers = options->callers->ival[0] > 0 ? options->callers->ival[0] : 1,
     .retries = options->retries->ival[0],
     .limit = options->seconds->ival[0] * LB_SEC,
+    .keys = options->keys->count > 0,
     .entry_period = options->entry_ms->ival[0] * LB_MSEC,
   };
 
@@ -309,8 +316,10 @@
     .max_tokens = arg_int0 (NULL, "max-tokens", "N", "of an answer"),
     .callers = arg_int0 (NULL, "callers", "N", "names of callers in turn"),
     .retries = arg_int0 (NULL, "retries", "N", "tries more of a call that surely did not run"),
+    .deadline_ms = arg_str0 (NULL, "deadline-ms", "N", "x-deadline-ms of each call"),
     .silence_s = arg_int0 (NULL, "silence-s", "N", "longest silence of an answer"),
     .entry_ms = arg_int0 (NULL, "entry-ms", "N", "ask for entry addresses so often; 0: never"),
+    .keys = arg_lit0 (NULL, "keys", "an idempotency key for each call"),
     .stream = arg_lit0 (NULL, "stream", "ask for streams"),
     .vary = arg_lit0 (NULL, "vary-length", "engines run with --vary-length"),
     .expect_all = arg_lit0 (NULL, "expect-all", "fail unless every answer is whole"),
