--- a/packages/core/src/lc-weights.c
+++ b/packages/core/src/lc-weights.c
@@ -10,7 +10,8 @@
 #define ACCEPT_GRACE LB_SEC /* from an accepted order until a report must show the load */
 #define FIRST_BACKOFF (2 * LB_SEC)
 #define LONGEST_BACKOFF (60 * LB_SEC)
-#define CADENCE_WEIGHT 0.3
+#define EWMA_WEIGHT 0.3
+#define FIRST_LOAD_TIME (5 * LB_SEC) /* expected until one was seen */
 #define LEAST_FAILED_TO_HALT 2
 #define MOST_FAILED_TO_HALT 5
 
@@ -29,10 +30,12 @@
   EngineState state;
   LcWeightReport report;
   LbTime reported_at;
-  LbTime out_since; /* when it stopped to serve; 0: serves */
+  LbTime out_since;     /* when it stopped to serve; 0: serves */
+  LbTime loading_since; /* first report of the load in progress; 0: none */
   LcVersion ordered;
   LbTime ordered_at;
-  int failures; /* in a row, of the target */
+  int failures;         /* in a row, of the target */
+  bool refused_version; /* it stated that it failed to load the target */
   LbTime retry_at;
   bool pending; /* routing was told that a swap is pending */
   bool configured;
@@ -50,7 +53,8 @@
   int64_t percent;
   LbTime newest_at;
   LbTime cadence;
-  double tokens; /* of the rate's bucket */
+  LbTime load_time; /* mean, from order to report */
+  double tokens;    /* of the rate's bucket */
   LbTime tokens_at;
   LbTime restarted_at;
   LcWeightsWait wait;
@@ -61,7 +65,7 @@
 static LbMetric metric_failures = LB_COUNTER_INIT ("lentilspindle_weight_load_failures_total",
                                                    NULL,
                                                    "Loads that failed or took too long");
-static LbMetric metric_reordered = LB_COUNTER_INIT (
+static LbMetric metric_strays = LB_COUNTER_INIT (
     "lentilspindle_weight_strays_total",
     NULL,
     "Engines that stated another version after a load than they were ordered to");
@@ -87,6 +91,7 @@
 
   weights->settings = *settings;
   weights->tokens = (double)settings->burst;
+  weights->load_time = FIRST_LOAD_TIME;
   return weights;
 }
 
@@ -181,6 +186,12 @@
   update_target (weights);
 }
 
+static LbTime
+mean (LbTime before, LbTime latest)
+{
+  return (LbTime)(EWMA_WEIGHT * latest + (1 - EWMA_WEIGHT) * before);
+}
+
 void
 lc_weights_newest (LcWeights *weights, LcVersion version, LbTime now)
 {
@@ -190,10 +201,7 @@
   if (weights->newest > 0)
     {
       LbTime interval = (now - weights->newest_at) / (version - weights->newest);
-      weights->cadence
-          = weights->cadence == 0
-                ? interval
-                : (LbTime)(CADENCE_WEIGHT * interval + (1 - CADENCE_WEIGHT) * weights->cadence);
+      weights->cadence = weights->cadence == 0 ? interval : mean (weights->cadence, interval);
     }
   weights->newest = version;
   weights->newest_at = now;
@@ -212,6 +220,7 @@
     {
       engine->state = ENGINE_UNKNOWN;
       engine->out_since = now;
+      engine->loading_since = 0;
       engine->ordered = 0;
       engine->failures = 0;
       engine->retry_at = 0;
@@ -254,20 +263,40 @@
   engine->state = state;
 }
 
-/* The order we gave has come to an end, as the engine states itself. */
+/* The order we gave has come to an end, as the engine states itself. One that had no effect (it did
+ * nothing, was started anew, or took another order in between) counts as failed too: without a
+ * pause it would be given again at once, and such engines would use up the places of all others. */
 static void
-end_order (Engine *engine, LbTime now)
+end_order (LcWeights *weights, Engine *engine, LbTime now)
 {
   if (engine->ordered == 0)
     return;
-  if (engine->report.version == 0)
-    note_failure (engine, now);
-  else if (engine->report.version != engine->ordered)
-    /* Another order came in between, or the engine was started anew: it is ordered again. */
-    lb_metric_add (&metric_reordered, 1);
+  if (engine->report.version == engine->ordered)
+    weights->load_time = mean (weights->load_time, now - engine->ordered_at);
+  else
+    {
+      lb_metric_add (&metric_strays, engine->report.version > 0);
+      note_failure (engine, now);
+    }
   engine->ordered = 0;
 }
 
+/* A load that never ends must not keep its place in the roll-out for good. */
+static void
+note_loading (const LcWeights *weights, Engine *engine, LbTime now)
+{
+  if (engine->loading_since == 0)
+    engine->loading_since = now;
+  if (now - engine->loading_since <= weights->settings.load_limit)
+    {
+      set_state (engine, ENGINE_SWAPPING, now);
+      return;
+    }
+  if (engine->ordered != 0)
+    note_failure (engine, now);
+  set_state (engine, ENGINE_UNKNOWN, now);
+}
+
 /* A report that was asked for before the order, or before it can have begun, says nothing of it. */
 static bool
 is_before_order (const Engine *engine, const LcWeightReport *report)
@@ -292,12 +321,14 @@
   engine->report = *report;
   if (report->loading)
     {
-      set_state (engine, ENGINE_SWAPPING, now);
+      note_loading (weights, engine, now);
       return;
     }
-  end_order (engine, now);
+  engine->loading_since = 0;
+  end_order (weights, engine, now);
   if (report->version == weights->target)
     engine->failures = 0;
+  engine->refused_version = report->failed_version > 0 && report->failed_version == weights->target;
   set_state (engine, report->version > 0 ? ENGINE_SERVING : ENGINE_EMPTY, now);
   if (engine->pending && report->version > 0)
     add_swap (engine, false, now, actions);
@@ -318,16 +349,9 @@
 }
 
 static void
-note_silence (LcWeights *weights, Engine *engine, LbTime now)
+note_silence (const LcWeights *weights, Engine *engine, LbTime now)
 {
-  if (engine->state == ENGINE_SWAPPING && engine->ordered != 0
-      && now - engine->ordered_at > weights->settings.load_limit)
-    {
-      note_failure (engine, now);
-      set_state (engine, ENGINE_UNKNOWN, now);
-    }
-  else if (engine->state != ENGINE_UNKNOWN
-           && now - engine->reported_at > weights->settings.report_limit)
+  if (now - engine->reported_at > weights->settings.report_limit)
     set_state (engine, ENGINE_UNKNOWN, now);
 }
 
@@ -340,6 +364,7 @@
   size_t serving;
   size_t swapping;
   size_t failed;
+  size_t refused; /* the target */
   size_t done;
   size_t unknown;
   bool waits_for_lost; /* an engine that does not serve has been out for less than the patience */
@@ -362,6 +387,7 @@
       view->engines++;
       view->capacity += engine->member.concurrency;
       view->failed += engine->failures > 0;
+      view->refused += engine->refused_version;
       view->swapping += engine->state == ENGINE_SWAPPING || may_be_swapping (weights, engine, now);
       view->unknown += engine->state == ENGINE_UNKNOWN;
       if (engine->state == ENGINE_SERVING)
@@ -384,8 +410,8 @@
 }
 
 /* Guards against a version that no engine can load: one after the other would be taken out of
- * service for nothing until none is left. After a few failures and no success only those that
- * failed are tried again, one at a time. */
+ * service for nothing until none is left. Once a few have stated that they failed and none has the
+ * version, only those are tried again, one at a time. */
 static bool
 is_halted (const LcWeights *weights, const View *view)
 {
@@ -395,7 +421,7 @@
     limit = LEAST_FAILED_TO_HALT;
   if (limit > MOST_FAILED_TO_HALT)
     limit = MOST_FAILED_TO_HALT;
-  return view->done == 0 && view->failed >= limit;
+  return view->done == 0 && view->refused >= limit;
 }
 
 /* Guards against live callers that find no engine while many are in a swap. What serves after this
@@ -453,7 +479,7 @@
     {
       if (!is_wanted (weights, engine))
         continue;
-      if (halted && engine->failures == 0)
+      if (halted && !engine->refused_version)
         {
           *wait = LC_WEIGHTS_HALTED;
           continue;
@@ -475,7 +501,7 @@
 {
   LcWeightsAction *action = LB_NEW (LcWeightsAction);
 
-  add_swap (engine, true, now + weights->settings.load_limit, actions);
+  add_swap (engine, true, now + weights->load_time, actions);
   set_state (engine, ENGINE_SWAPPING, now);
   engine->ordered = weights->target;
   engine->ordered_at = now;
--- a/packages/node/src/ln-caller.c
+++ b/packages/node/src/ln-caller.c
@@ -5,6 +5,7 @@
 
 #include "lb-alloc.h"
 #include "lb-counter.h"
+#include "lh-socket.h"
 
 #include <arpa/inet.h>
 #include <event2/event.h>
@@ -255,6 +256,7 @@
   lb_list_append (&callers->callers, &caller->link);
   lb_metric_add (&connections, 1);
   read_peer (caller);
+  lh_socket_find_silence (connection->sock);
   set_hooks (connection, caller);
   arm (caller, callers->read_time);
   /* A caller that sends request after request without reading fills no more than this. */
