--- a/packages/sim/src/lx-instance-config.c
+++ b/packages/sim/src/lx-instance-config.c
@@ -124,7 +124,11 @@
   head->revision = world->registry.set->revision;
   if (!head->failed && head->revision > lc_config_revision (instance->config))
     head->set = lc_resource_set_copy (world->registry.set);
-  lx_instance_post (instance, head->failed ? STORE_DEADLINE : STORE_TIME, on_head, head, drop_head);
+  LbTime time = head->failed ? STORE_DEADLINE : STORE_TIME;
+  /* A slow store: what it answers is old when it comes. */
+  if (now_of (instance) < world->store.lose_until)
+    time += (LbTime)(gsl_rng_uniform (world->random) * (double)(STORE_DEADLINE - STORE_TIME));
+  lx_instance_post (instance, time, on_head, head, drop_head);
 }
 
 static void
