Old views are not used at all while another endpoint of the pool has a current one

Before, an old view only came last: with the others full it was used. Now requests wait for those that have a current view.

Guard taken out once: the test failed.

--- a/packages/core/src/lc-placement.c
+++ b/packages/core/src/lc-placement.c
@@ -12,13 +12,20 @@
 #define LONGEST_BLOCKED_WAIT (200 * LB_MSEC)
 #define LONGEST_HOLD (1200 * LB_MSEC) /* a little more than a period of the polls for load */
 
+static const LcEndpointGroup *
+group_of (const LcDispatch *dispatch, const LcPoolState *pool)
+{
+  LcEndpointKind kind = pool->kind == LC_POOL_SERVICE ? LC_ENDPOINT_SERVICE : LC_ENDPOINT_ENGINE;
+
+  return lc_endpoints_group (dispatch->endpoints, kind, pool->name);
+}
+
 /* The earliest time at which some endpoint of the pool may take work as far as its breaker goes: 0
  * for now, LB_TIME_NEVER when nobody serves the pool. */
 LbTime
 lc_dispatch_opens_at (LcDispatch *dispatch, const LcPoolState *pool)
 {
-  LcEndpointKind kind = pool->kind == LC_POOL_SERVICE ? LC_ENDPOINT_SERVICE : LC_ENDPOINT_ENGINE;
-  const LcEndpointGroup *group = lc_endpoints_group (dispatch->endpoints, kind, pool->name);
+  const LcEndpointGroup *group = group_of (dispatch, pool);
   LbTime opens_at = LB_TIME_NEVER;
 
   if (!pool->configured || !group)
@@ -58,28 +65,51 @@
   lc_dispatch_set_timer (dispatch, request);
 }
 
-/* An instance that was paused or cut off from an endpoint may not know that the endpoint is
- * leaving: what it sends is new work, seconds after the last had to go there. A report that was
- * asked for a short while ago proves that the endpoint was not leaving then. Those that were never
- * heard of are kept out by the table of endpoints. */
+/* An instance that was paused, was cut off from an endpoint or has just begun may not know that the
+ * endpoint is leaving: what it sends is new work, seconds after the last had to go there. A report
+ * that was asked for a short while ago proves that the endpoint was not leaving then; one that
+ * never came is of time 0. */
 static bool
 is_outdated (const LcDispatch *dispatch, const LcEndpoint *endpoint, LbTime now)
 {
-  return lc_entry (endpoint)->is_reported
-         && now - endpoint->report.at > dispatch->settings.longest_view;
+  return now - endpoint->report.at > dispatch->settings.longest_view;
+}
+
+static bool
+has_current_view (const LcDispatch *dispatch, const LcPoolState *pool, LbTime now)
+{
+  const LcEndpointGroup *group = group_of (dispatch, pool);
+
+  for (size_t i = 0; group && i < group->n_slots; i++)
+    {
+      const LcSummary *summary = &dispatch->endpoints->summaries[group->slots[i]];
+
+      if (!summary->is_out && !is_outdated (dispatch, summary->endpoint, now))
+        return true;
+    }
+  return false;
 }
 
-/* Holds a pool back whose endpoints all have an old view, until one reports. Reports come within
+/* Holds a request back for which only endpoints with an old view have a place. While others have a
+ * current one it waits for those. While none has it waits for a report: they come within
  * milliseconds when it was this instance that slept; when none comes for LONGEST_HOLD, endpoints do
- * not answer for their load and are taken as they are. */
+ * not answer for their load and are taken as they are. Those that were never heard of have been
+ * kept out by the table of endpoints for as long already. */
 static LcRouteDecision
-hold_back (LcPoolState *pool, const LcRouteDecision *outdated, LbTime now)
+hold_back (const LcDispatch *dispatch,
+           LcPoolState *pool,
+           const LcRouteDecision *outdated,
+           LbTime now)
 {
+  LcRouteDecision nobody = { .reason = "view-too-old" };
+
+  if (has_current_view (dispatch, pool, now))
+    return nobody;
+  if (!lc_entry (outdated->endpoint)->is_reported)
+    return *outdated;
   if (pool->held_since == 0)
     pool->held_since = now;
-  if (now - pool->held_since >= LONGEST_HOLD)
-    return *outdated;
-  return (LcRouteDecision){ .reason = "view-too-old" };
+  return now - pool->held_since >= LONGEST_HOLD ? *outdated : nobody;
 }
 
 static LcRouteDecision
@@ -99,7 +129,7 @@
   if (!first.endpoint)
     return first;
   if (!decision.endpoint || is_outdated (dispatch, decision.endpoint, now))
-    return hold_back (request->pool, &first, now);
+    return hold_back (dispatch, request->pool, &first, now);
   request->pool->held_since = 0;
   return decision;
 }
--- a/packages/core/tests/test-dispatch-leaving.c
+++ b/packages/core/tests/test-dispatch-leaving.c
@@ -267,6 +267,37 @@
   fixture_clear (&f);
 }
 
+/* The same while e2, whose view is fresh, has no place free: calls wait for it and are not sent to
+ * e1 on an old view. Nor to e3, which has just been named and not been heard of. */
+Test (leaving, no_old_view_is_used_while_another_is_fresh)
+{
+  Fixture f;
+
+  fixture_init (&f, &asking, 2, 1);
+  for (int i = 0; i < 5; i++)
+    {
+      f.now += LB_SEC;
+      report (&f, "e2", false);
+    }
+  fixture_member (&f, "e3", LC_ENDPOINT_ENGINE, "reader", 1);
+  lc_dispatch_configure (f.dispatch, &f.set, f.now, &f.actions);
+  for (int i = 0; i < 3; i++)
+    {
+      LcRequestSpec spec = fixture_spec (&f, LC_KIND_LIVE);
+
+      cr_assert (fixture_submit (&f, &spec));
+    }
+  for (int i = 0; i < 5; i++)
+    {
+      fixture_at (&f, f.now + LB_SEC);
+      report (&f, "e2", false);
+    }
+  cr_assert_eq (count_sends (&f, "e1"), 0);
+  cr_assert_eq (count_sends (&f, "e2"), 1);
+  cr_assert_eq (count_sends (&f, "e3"), 0);
+  fixture_clear (&f);
+}
+
 /* An instance sleeps twice, an hour apart. That it was held back after the first sleep must not
  * count as having waited long enough after the second. */
 Test (leaving, each_sleep_is_waited_out_afresh)
