--- a/packages/core/tests/test-dispatch-leaving.c
+++ b/packages/core/tests/test-dispatch-leaving.c
@@ -298,6 +298,26 @@
   fixture_clear (&f);
 }
 
+/* A plain service has no page for its load. Its first call waits until the other sources have
+ * spoken of it, and not a second time for a report that never comes. */
+Test (leaving, service_that_states_no_load_is_used)
+{
+  Fixture f;
+
+  fixture_init (&f, &asking, 1, 1);
+  fixture_member (&f, "m1", LC_ENDPOINT_SERVICE, "mute", 4);
+  lc_dispatch_configure (f.dispatch, &f.set, f.now, &f.actions);
+
+  LcRequestSpec spec = fixture_spec (&f, LC_KIND_SERVICE);
+
+  LB_COPY (spec.pool, "mute");
+  cr_assert (fixture_submit (&f, &spec));
+  cr_assert (lb_list_is_empty (&f.actions));
+  fixture_at (&f, f.now + 2 * LB_SEC);
+  fixture_expect (&f, LC_ACTION_SEND, spec.id);
+  fixture_clear (&f);
+}
+
 /* An instance sleeps twice, an hour apart. That it was held back after the first sleep must not
  * count as having waited long enough after the second. */
 Test (leaving, each_sleep_is_waited_out_afresh)
