--- a/tests/process/pt-world.c
+++ b/tests/process/pt-world.c
@@ -22,8 +22,9 @@
   cr_assert_not_null (mkdtemp (world->folder));
   si_client_init (&world->client);
   world->drain_ms = 300;
+  world->entry_ttl_ms = 300;
   world->stream_silence_ms = 1500;
-  world->request_read_ms = 60000;
+  world->request_read_ms = 5000;
 }
 
 static int
@@ -195,6 +196,7 @@
   si_json_set_int (calls, "stream_silence_ms", world->stream_silence_ms);
   si_json_set_int (calls, "load_poll_ms", 100);
   si_json_set_int (drain, "drain_ms", world->drain_ms);
+  si_json_set_int (drain, "entry_ttl_ms", world->entry_ttl_ms);
   si_json_set_text (settings, "address_file", address_file);
   return settings;
 }
@@ -444,3 +446,14 @@
   pt_wait (world, "the answer of a live call", live_is_done, &wait);
   return wait.result;
 }
+
+void
+pt_world_drain (PtWorld *world)
+{
+  for (size_t i = 0; i < world->n_instances; i++)
+    if (is_running (&world->instances[i]))
+      pt_process_signal (&world->instances[i].process, SIGTERM);
+  for (size_t i = 0; i < world->n_instances; i++)
+    if (is_running (&world->instances[i]))
+      pt_wait_exit (world, &world->instances[i].process, 0);
+}
