--- a/packages/core/src/lc-placement.c
+++ b/packages/core/src/lc-placement.c
@@ -90,47 +90,42 @@
   return false;
 }
 
-/* Holds a request back for which only endpoints with an old view have a place. While others have a
- * current one it waits for those. While none has it waits for a report: they come within
- * milliseconds when it was this instance that slept; when none comes for LONGEST_HOLD, endpoints do
- * not answer for their load and are taken as they are. Those that were never heard of have been
- * kept out by the table of endpoints for as long already. */
+/* Holds a pool back none of whose endpoints has a current view, until one reports. Reports come
+ * within milliseconds when it was this instance that slept; when none comes for LONGEST_HOLD,
+ * endpoints do not answer for their load and are taken as they are. Those that were never heard of
+ * have been kept out by the table of endpoints for as long already. */
 static LcRouteDecision
-hold_back (const LcDispatch *dispatch,
-           LcPoolState *pool,
-           const LcRouteDecision *outdated,
-           LbTime now)
+hold_back (LcPoolState *pool, const LcRouteDecision *outdated, LbTime now)
 {
-  LcRouteDecision nobody = { .reason = "view-too-old" };
-
-  if (has_current_view (dispatch, pool, now))
-    return nobody;
   if (!lc_entry (outdated->endpoint)->is_reported)
     return *outdated;
   if (pool->held_since == 0)
     pool->held_since = now;
-  return now - pool->held_since >= LONGEST_HOLD ? *outdated : nobody;
+  if (now - pool->held_since >= LONGEST_HOLD)
+    return *outdated;
+  return (LcRouteDecision){ .reason = "view-too-old" };
 }
 
+/* Chooses among the endpoints with a current view as long as there is one, be they full. */
 static LcRouteDecision
 route (LcDispatch *dispatch, const LcRequest *request, bool avoid_tried, LbTime now)
 {
   LcRouteQuery query = lc_request_query (request, dispatch->settings.data_centre, avoid_tried);
-  LcRouteDecision first = lc_router_choose (dispatch->router, dispatch->endpoints, &query, now);
-  LcRouteDecision decision = first;
+  LcRouteDecision decision = lc_router_choose (dispatch->router, dispatch->endpoints, &query, now);
 
-  while (decision.endpoint && is_outdated (dispatch, decision.endpoint, now)
-         && query.n_avoid < LC_MAX_AVOID)
+  if (decision.endpoint && is_outdated (dispatch, decision.endpoint, now)
+      && !has_current_view (dispatch, request->pool, now))
+    return hold_back (request->pool, &decision, now);
+  while (decision.endpoint && is_outdated (dispatch, decision.endpoint, now))
     {
+      if (query.n_avoid == LC_MAX_AVOID)
+        return (LcRouteDecision){ .reason = "view-too-old" };
       LB_COPY (query.avoid[query.n_avoid], decision.endpoint->member.name);
       query.n_avoid++;
       decision = lc_router_choose (dispatch->router, dispatch->endpoints, &query, now);
     }
-  if (!first.endpoint)
-    return first;
-  if (!decision.endpoint || is_outdated (dispatch, decision.endpoint, now))
-    return hold_back (dispatch, request->pool, &first, now);
-  request->pool->held_since = 0;
+  if (decision.endpoint)
+    request->pool->held_since = 0;
   return decision;
 }
 
