Old views are passed over by the router, however many there are

Cause: the dispatch set endpoints with an old view aside one by one, through the list of endpoints to avoid, which has eight places. With the way to a data centre lost, more than eight idle-looking endpoints hid the ones that were well: no call was sent at all. LcRouteQuery.reported_since (new, 0: any) lets the gathering of candidates pass them over. The new test failed before (0 of 5 calls sent), and passes now.

--- a/packages/core/include/lc-router.h
+++ b/packages/core/include/lc-router.h
@@ -16,6 +16,7 @@
   int64_t prompt_tokens;
   int64_t expected_tokens;
   LcVersion min_version; /* weights older than this are of no use; 0: any */
+  LbTime reported_since; /* endpoints whose last report is older take nothing; 0: any do */
   double live_reserve;
   LbName avoid[LC_MAX_AVOID]; /* tried before */
   size_t n_avoid;
--- a/packages/core/src/lc-candidates.c
+++ b/packages/core/src/lc-candidates.c
@@ -9,6 +9,7 @@
   size_t known;
   size_t leaving;
   size_t too_old;
+  size_t unseen;
   size_t avoided;
 } Refusals;
 
@@ -58,6 +59,8 @@
     refusals->leaving++;
   else if (summary->version < query->min_version)
     refusals->too_old++;
+  else if (query->reported_since > 0 && summary->reported_at < query->reported_since)
+    refusals->unseen++;
   else if (query->n_avoid > 0 && is_avoided (query, summary->endpoint))
     refusals->avoided++;
   else if (lc_summary_may_take (summary, query->kind, query->live_reserve, now))
@@ -73,7 +76,10 @@
     return "all-leaving";
   if (refusals->leaving + refusals->too_old == refusals->known)
     return "too-old";
-  if (refusals->leaving + refusals->too_old + refusals->avoided == refusals->known)
+  if (refusals->leaving + refusals->too_old + refusals->unseen == refusals->known)
+    return "view-too-old";
+  if (refusals->leaving + refusals->too_old + refusals->unseen + refusals->avoided
+      == refusals->known)
     return "all-avoided";
   return "no-capacity";
 }
--- a/packages/core/src/lc-placement.c
+++ b/packages/core/src/lc-placement.c
@@ -67,16 +67,17 @@
 
 /* An instance that was paused, was cut off from an endpoint or has just begun may not know that the
  * endpoint is leaving: what it sends is new work, seconds after the last had to go there. A report
- * that was asked for a short while ago proves that the endpoint was not leaving then; one that
- * never came is of time 0. */
-static bool
-is_outdated (const LcDispatch *dispatch, const LcEndpoint *endpoint, LbTime now)
+ * that was asked for since this time proves that the endpoint was not leaving a short while ago. */
+static LbTime
+views_count_since (const LcDispatch *dispatch, LbTime now)
 {
-  return now - endpoint->report.at > dispatch->settings.longest_view;
+  LbTime longest = dispatch->settings.longest_view;
+
+  return longest < now ? now - longest : 0;
 }
 
 static bool
-has_current_view (const LcDispatch *dispatch, const LcPoolState *pool, LbTime now)
+has_view (const LcDispatch *dispatch, const LcPoolState *pool, LbTime since)
 {
   const LcEndpointGroup *group = group_of (dispatch, pool);
 
@@ -84,7 +85,7 @@
     {
       const LcSummary *summary = &dispatch->endpoints->summaries[group->slots[i]];
 
-      if (!summary->is_out && !is_outdated (dispatch, summary->endpoint, now))
+      if (!summary->is_out && summary->reported_at >= since)
         return true;
     }
   return false;
@@ -111,22 +112,18 @@
 route (LcDispatch *dispatch, const LcRequest *request, bool avoid_tried, LbTime now)
 {
   LcRouteQuery query = lc_request_query (request, dispatch->settings.data_centre, avoid_tried);
+
+  query.reported_since = views_count_since (dispatch, now);
+
   LcRouteDecision decision = lc_router_choose (dispatch->router, dispatch->endpoints, &query, now);
 
-  if (decision.endpoint && is_outdated (dispatch, decision.endpoint, now)
-      && !has_current_view (dispatch, request->pool, now))
-    return hold_back (request->pool, &decision, now);
-  while (decision.endpoint && is_outdated (dispatch, decision.endpoint, now))
-    {
-      if (query.n_avoid == LC_MAX_AVOID)
-        return (LcRouteDecision){ .reason = "view-too-old" };
-      LB_COPY (query.avoid[query.n_avoid], decision.endpoint->member.name);
-      query.n_avoid++;
-      decision = lc_router_choose (dispatch->router, dispatch->endpoints, &query, now);
-    }
   if (decision.endpoint)
     request->pool->held_since = 0;
-  return decision;
+  if (decision.endpoint || has_view (dispatch, request->pool, query.reported_since))
+    return decision;
+  query.reported_since = 0;
+  decision = lc_router_choose (dispatch->router, dispatch->endpoints, &query, now);
+  return decision.endpoint ? hold_back (request->pool, &decision, now) : decision;
 }
 
 static LcRouteDecision
--- a/packages/core/tests/test-dispatch-leaving.c
+++ b/packages/core/tests/test-dispatch-leaving.c
@@ -298,6 +298,28 @@
   fixture_clear (&f);
 }
 
+/* The way to a whole data centre is lost, eleven engines of twelve. By their last reports they are
+ * idle, so a policy prefers them. Calls must still find the twelfth. */
+Test (leaving, many_old_views_hide_no_fresh_one)
+{
+  Fixture f;
+
+  fixture_init (&f, &asking, 12, 10);
+  for (int i = 0; i < 5; i++)
+    {
+      f.now += LB_SEC;
+      report (&f, "e12", false);
+    }
+  for (int i = 0; i < 5; i++)
+    {
+      LcRequestSpec spec = fixture_spec (&f, LC_KIND_LIVE);
+
+      cr_assert (fixture_submit (&f, &spec));
+    }
+  cr_assert_eq (count_sends (&f, "e12"), 5);
+  fixture_clear (&f);
+}
+
 /* A plain service has no page for its load. Its first call waits until the other sources have
  * spoken of it, and not a second time for a report that never comes. */
 Test (leaving, service_that_states_no_load_is_used)
