--- a/packages/core/tests/test-dispatch-leaving.c
+++ b/packages/core/tests/test-dispatch-leaving.c
@@ -267,6 +267,79 @@
   fixture_clear (&f);
 }
 
+/* The same while e2, whose view is fresh, has no place free: calls wait for it and are not sent to
+ * e1 on an old view. Nor to e3, which has just been named and not been heard of. */
+Test (leaving, no_old_view_is_used_while_another_is_fresh)
+{
+  Fixture f;
+
+  fixture_init (&f, &asking, 2, 1);
+  for (int i = 0; i < 5; i++)
+    {
+      f.now += LB_SEC;
+      report (&f, "e2", false);
+    }
+  fixture_member (&f, "e3", LC_ENDPOINT_ENGINE, "reader", 1);
+  lc_dispatch_configure (f.dispatch, &f.set, f.now, &f.actions);
+  for (int i = 0; i < 3; i++)
+    {
+      LcRequestSpec spec = fixture_spec (&f, LC_KIND_LIVE);
+
+      cr_assert (fixture_submit (&f, &spec));
+    }
+  for (int i = 0; i < 5; i++)
+    {
+      fixture_at (&f, f.now + LB_SEC);
+      report (&f, "e2", false);
+    }
+  cr_assert_eq (count_sends (&f, "e1"), 0);
+  cr_assert_eq (count_sends (&f, "e2"), 1);
+  cr_assert_eq (count_sends (&f, "e3"), 0);
+  fixture_clear (&f);
+}
+
+/* The way to a whole data centre is lost, eleven engines of twelve. By their last reports they are
+ * idle, so a policy prefers them. Calls must still find the twelfth. */
+Test (leaving, many_old_views_hide_no_fresh_one)
+{
+  Fixture f;
+
+  fixture_init (&f, &asking, 12, 10);
+  for (int i = 0; i < 5; i++)
+    {
+      f.now += LB_SEC;
+      report (&f, "e12", false);
+    }
+  for (int i = 0; i < 5; i++)
+    {
+      LcRequestSpec spec = fixture_spec (&f, LC_KIND_LIVE);
+
+      cr_assert (fixture_submit (&f, &spec));
+    }
+  cr_assert_eq (count_sends (&f, "e12"), 5);
+  fixture_clear (&f);
+}
+
+/* A plain service has no page for its load. Its first call waits until the other sources have
+ * spoken of it, and not a second time for a report that never comes. */
+Test (leaving, service_that_states_no_load_is_used)
+{
+  Fixture f;
+
+  fixture_init (&f, &asking, 1, 1);
+  fixture_member (&f, "m1", LC_ENDPOINT_SERVICE, "mute", 4);
+  lc_dispatch_configure (f.dispatch, &f.set, f.now, &f.actions);
+
+  LcRequestSpec spec = fixture_spec (&f, LC_KIND_SERVICE);
+
+  LB_COPY (spec.pool, "mute");
+  cr_assert (fixture_submit (&f, &spec));
+  cr_assert (lb_list_is_empty (&f.actions));
+  fixture_at (&f, f.now + 2 * LB_SEC);
+  fixture_expect (&f, LC_ACTION_SEND, spec.id);
+  fixture_clear (&f);
+}
+
 /* An instance sleeps twice, an hour apart. That it was held back after the first sleep must not
  * count as having waited long enough after the second. */
 Test (leaving, each_sleep_is_waited_out_afresh)
