A step on engines of unknown versions starts; a drain does not wait for what never began

Now only the bound is asked for while the newest version is unknown, and a drain cancels what has no first piece. Each guard taken out once: caught by its test.

--- a/packages/core/src/lc-rollouts.c
+++ b/packages/core/src/lc-rollouts.c
@@ -548,9 +548,21 @@
 void
 lc_rollouts_drain (LcRollouts *rollouts, LbTime now, LbList *actions)
 {
-  (void)actions;
+  LcJob *job, *next;
+
   begin (rollouts, now);
   rollouts->draining = true;
+  /* What has not begun may never begin here; the step's next owner starts it. */
+  HASH_ITER (hh, rollouts->jobs, job, next)
+  {
+    LcSlot *slot = lc_job_slot (job);
+    if (job->scores || job->first_piece != 0)
+      continue;
+    LcStep *step = job->step;
+    lc_job_abandon (rollouts, job, actions);
+    if (lb_list_is_empty (&slot->jobs))
+      lc_step_reset_slot (step, slot);
+  }
 }
 
 static bool
--- a/packages/core/src/lc-staleness.c
+++ b/packages/core/src/lc-staleness.c
@@ -24,6 +24,9 @@
 {
   if (freshness->max_lag == INT64_MAX || freshness->trainer == 0)
     return 0;
+  /* Not known what the engines serve: more than the bound needs might be nowhere to be had. */
+  if (freshness->newest == 0)
+    return freshness->trainer > freshness->max_lag ? freshness->trainer - freshness->max_lag : 0;
 
   int64_t lag = freshness->max_lag - versions_meanwhile (freshness, seconds);
   lag = lag > 0 ? (int64_t)((double)lag * freshness->idle_weight + 0.5) : 0;
--- a/packages/core/tests/test-rollouts.c
+++ b/packages/core/tests/test-rollouts.c
@@ -108,3 +108,30 @@
   cr_assert_geq (of_second, 11);
   owner_free (owner);
 }
+
+/* A shutdown never ends: samples that no engine takes were waited for. They are left to the next
+ * owner; those that have begun are finished. */
+Test (rollouts, a_drain_waits_only_for_what_has_begun)
+{
+  Owner *owner = owner_new (&plain, 2);
+
+  owner_open (owner, 2, 1, 1);
+  owner_piece (owner, owner->requests[0].id, 0, 10, 40);
+  OWNER_DO (owner, lc_rollouts_drain (owner->rollouts, owner->now, &actions));
+  cr_assert_eq (owner_running (owner), 1);
+  cr_assert_eq (lc_rollouts_in_progress (owner->rollouts), 1);
+  owner_free (owner);
+}
+
+/* A step never begins: the bound allows the weights that serve, but staleness weighs so much that
+ * newer ones were asked for than any engine is known to have. */
+Test (rollouts, unknown_versions_are_not_asked_for)
+{
+  LcSubscription fresh = plain;
+
+  fresh.idle_weight = 0;
+  Owner *owner = owner_new (&fresh, 2);
+  owner_open (owner, 1, 1, 1);
+  cr_assert_eq (owner->requests[0].min_version, 38);
+  owner_free (owner);
+}
--- a/packages/node/tests/steps-fixture.h
+++ b/packages/node/tests/steps-fixture.h
@@ -191,18 +191,23 @@
                                              .get_object = store_get_object };
 
 static inline void
-calls_answer (Calls *calls, LcRequestId request)
+calls_begin (Calls *calls, LcRequestId request)
 {
   LnSamplePieceMessage piece = { .base = LN_MESSAGE (LN_SAMPLE_PIECE),
                                  .request = request,
                                  .piece = { .tokens = 10, .version = 40 },
                                  .endpoint = "e1" };
+
+  LN_POST (calls->task.hub, ln_hub_find (calls->task.hub, "rollouts"), piece);
+}
+
+static inline void
+calls_end (Calls *calls, LcRequestId request)
+{
   LnSampleDoneMessage done = { .base = LN_MESSAGE (LN_SAMPLE_DONE), .request = request };
-  LnTask *rollouts = ln_hub_find (calls->task.hub, "rollouts");
 
   done.text = "text";
-  LN_POST (calls->task.hub, rollouts, piece);
-  LN_POST (calls->task.hub, rollouts, done);
+  LN_POST (calls->task.hub, ln_hub_find (calls->task.hub, "rollouts"), done);
 }
 
 static inline void
@@ -220,7 +225,10 @@
   if (calls->keeps)
     calls->kept[calls->n_kept++] = request;
   else
-    calls_answer (calls, request);
+    {
+      calls_begin (calls, request);
+      calls_end (calls, request);
+    }
 }
 
 static inline void
--- a/packages/node/tests/test-steps.c
+++ b/packages/node/tests/test-steps.c
@@ -197,7 +197,11 @@
   first->calls.keeps = true;
   world_open (world, 0);
   WORLD_UNTIL (world, first->calls.n_kept == 4);
-  calls_answer (&first->calls, first->calls.kept[0]);
+  for (size_t i = 0; i < 4; i++)
+    calls_begin (&first->calls, first->calls.kept[i]);
+  calls_end (&first->calls, first->calls.kept[0]);
+  for (int i = 0; i < 10; i++)
+    world_pump (world);
   first->draining = true;
   world_tell_members (world);
   ln_hub_drain (first->context.hub);
@@ -207,7 +211,7 @@
   WORLD_UNTIL (world, lb_clock_monotonic () > until);
   cr_assert_not (ln_hub_is_idle (first->context.hub));
   for (size_t i = 1; i < 4; i++)
-    calls_answer (&first->calls, first->calls.kept[i]);
+    calls_end (&first->calls, first->calls.kept[i]);
   WORLD_UNTIL (world, world->pending == 0);
   world_take (world);
   WORLD_UNTIL (world, ln_hub_is_idle (first->context.hub));
