Drain: a trainer that stays is turned away when the drain time is over

Cause: a draining instance passes the pulls of steps that moved on to their new owner. The trainer, well served, keeps its address, so one call is nearly always in progress and the process ends only when a 20 ms look falls into a gap between two pulls.

A step that is not held here is refused as draining (not run) once drain_ms is over; one that is held goes on being served until it is left. Guard taken out: the new test fails (never turned away within its limit).

--- a/packages/node/src/ln-rollouts.c
+++ b/packages/node/src/ln-rollouts.c
@@ -35,12 +35,32 @@
   return held && held->open;
 }
 
+/* A trainer stays at the address that answers it. Were its calls passed on for as long as it makes
+ * them, one would always be in progress and a drain would never end; refused, it turns to another
+ * instance. A step that is still held here goes on being served. */
+static bool
+turns_away (LnRollouts *rollouts, const LnStepCall *call, LbTime now)
+{
+  LbTime drain = rollouts->context->settings->drain.drain_ms * LB_MSEC;
+
+  return rollouts->draining && now - rollouts->draining_since > drain
+         && !is_open_here (rollouts, call);
+}
+
 static void
 take_exchange (LnRollouts *rollouts, LnExchange *exchange)
 {
   LbError error = { .code = LB_OK };
-  LnStepCall *call = ln_step_call_read (exchange, rollouts->core, lb_clock_monotonic (), &error);
+  LbTime now = lb_clock_monotonic ();
+  LnStepCall *call = ln_step_call_read (exchange, rollouts->core, now, &error);
 
+  if (call && turns_away (rollouts, call, now))
+    {
+      lb_error_set (&error, LB_ERROR_DRAINING, "", "this instance is shutting down");
+      ln_exchange_reply_error (exchange, &error, LB_SEC);
+      ln_step_call_free (call);
+      return;
+    }
   if (call && (rollouts->ready || is_open_here (rollouts, call)))
     {
       ln_rollouts_resolve (rollouts, call);
--- a/tests/process/test-drain.c
+++ b/tests/process/test-drain.c
@@ -32,6 +32,12 @@
   return pt_log_number (world, user, "started") > 0;
 }
 
+static bool
+stream_has_started (PtWorld *world, void *user)
+{
+  return pt_runs (world, user, "a long envelope") > 0;
+}
+
 /* An instance is replaced while a clerk reads a long answer. If the process ends at SIGTERM, or
  * when its drain time is over, the clerk sees half an envelope. The stream must end whole, new
  * calls must be refused as not run, and only then does the process end, with 0. */
@@ -69,3 +75,61 @@
   pt_wait_exit (&world, &instance->process, 0);
   pt_world_clear (&world);
 }
+
+static bool
+pull_is_turned_away (PtWorld *world, void *user)
+{
+  const PtProgram *instance = user;
+  const SiCall call = { .method = "POST",
+                        .address = instance->address,
+                        .path = "/v1/subscriptions/reader-trainer/pull",
+                        .body = "{\"step\": 1, \"cursor\": \"\", \"weight_version\": 1, "
+                                "\"max_samples\": 1, \"wait_ms\": 10}",
+                        .silence = LB_SEC };
+  SiAnswer answer;
+
+  si_client_call (&world->client, &call, &answer);
+  bool turned_away = strcmp (si_answer_error (&answer), "draining") == 0;
+  si_answer_clear (&answer);
+  return turned_away;
+}
+
+/* An instance is replaced while a trainer pulls through it a step that another one owns. Every
+ * pull is passed on, so the trainer, well served, stays: a call is nearly always in progress and
+ * the old process stays too, for a quarter of a minute where it was seen. Once its drain time is
+ * over it must turn the trainer away. A long stream keeps it alive here, so that it can answer. */
+Test (drain, trainer_that_stays_is_turned_away)
+{
+  static const char *const slow[] = { "--tokens-per-second", "20", NULL };
+  PtWorld world;
+  Answer answer = { .done = false };
+
+  pt_world_init (&world);
+  pt_start_platform (&world);
+  PtProgram *engine = pt_start_engine (&world, "engine-1", slow);
+  PtProgram *leaving = pt_start_instance (&world, "i1", "hall-a");
+  PtProgram *owner = pt_start_instance (&world, "i2", "hall-b");
+  pt_apply_all (&world, leaving);
+  pt_wait_ready (&world, leaving);
+  pt_wait_ready (&world, owner);
+  json_object_put (si_client_json (
+      &world.client, owner->address, "/v1/subscriptions/reader-trainer/steps",
+      "{\"step\": 1, \"weight_version\": 1, \"groups\": [{\"id\": \"g0\", \"prompt\": \"p\", "
+      "\"samples\": 1, \"max_tokens\": 120}]}"));
+  pt_wait (&world, "the step runs", engine_has_started, engine);
+  const SiLiveSpec spec = { .address = leaving->address,
+                            .model = "reader",
+                            .prompt = "a long envelope",
+                            .max_tokens = 120,
+                            .stream = true };
+  si_live_start (world.client.pool, &spec, on_answer, &answer);
+  pt_wait (&world, "the stream runs", stream_has_started, engine);
+
+  pt_process_signal (&leaving->process, SIGTERM);
+  pt_wait (&world, "the trainer is turned away", pull_is_turned_away, leaving);
+  pt_wait (&world, "the stream ends", is_answered, &answer);
+  cr_assert_eq (answer.result.outcome, SI_LIVE_WHOLE);
+  pt_wait_exit (&world, &leaving->process, 0);
+  pt_world_drain (&world);
+  pt_world_clear (&world);
+}
