Steps: a cursor of an owner that the store never knew counts

Cause: a step opened while the store is away lives only in its owner (durable: false). When that owner dies the step is gone: pulls get 404 unknown_step for ever, and a step posted again is opened under the same session 1, whose owner refused the trainer's cursor (bad_cursor: samples that were not given), so the trainer could neither go on nor begin again without doubling its samples. The same holds for two owners that both opened the step while the store was away.

The first session takes any cursor of the step's content that includes what is acknowledged; later sessions are claimed in the store and keep the check. The API says to post again and to keep the cursor, and the stand-in trainer does. Guard taken out: the new core test fails with bad_cursor.

--- a/packages/core/src/lc-deliver.c
+++ b/packages/core/src/lc-deliver.c
@@ -342,13 +342,18 @@
 
 /* Acknowledgement. */
 
+/* Later sessions are claimed in the store and belong to one owner each. The first may have had
+ * another owner, which opened the step while the store was away and died or lost it: were the
+ * cursors that it gave refused, the trainer could never go on with the step. */
+#define FIRST_SESSION 1
+
 static bool
 may_acknowledge (const LcStep *step, const LcCursor *cursor, LbError *error)
 {
   if (!lc_cursor_includes (cursor, &step->acked))
     return lb_error_set (error, LB_ERROR_BAD_CURSOR, "cursor",
                          "a later cursor of this step was already used");
-  if (cursor->session != step->session)
+  if (cursor->session != step->session || step->session == FIRST_SESSION)
     return true;
   for (size_t i = 0; i < step->n_slots; i++)
     if (lc_cursor_has (cursor, i) && !lc_cursor_has (&step->acked, i) && !step->slots[i].was_sent)
--- a/packages/core/tests/test-rollouts-once.c
+++ b/packages/core/tests/test-rollouts-once.c
@@ -42,6 +42,32 @@
   owner_free (owner);
 }
 
+/* A step begins while the store is away, the trainer takes a chunk of it, and its owner dies before
+ * the store knows of the step. The trainer posts it again and pulls with the cursor that it has. If
+ * the new owner, whose session is the first one too, refuses this cursor the trainer waits for
+ * ever; if it ignores the cursor the trainer gets the chunk's samples twice. */
+Test (rollouts_once, a_cursor_of_an_owner_that_the_store_never_knew_counts)
+{
+  Owner *first = owner_new (&plain, 5);
+  Owner *second = owner_new (&plain, 5);
+
+  owner_open (first, 4, 2, 1);
+  owner_pull_id (first, 1, "", 40, 10 * LB_SEC);
+  owner_finish_all (first, 40);
+  cr_assert_gt (first->n_samples, 0);
+  cr_assert_gt (first->remaining, 0);
+  owner_open (second, 4, 2, 1);
+  owner_finish_all (second, 40);
+  owner_pull (second, first->cursor, 40);
+  cr_assert_eq (second->reply_error, LB_OK);
+  cr_assert_eq (first->n_samples + second->n_samples, 8);
+  for (size_t i = 0; i < second->n_samples; i++)
+    for (size_t j = 0; j < first->n_samples; j++)
+      cr_assert_str_neq (second->samples[i], first->samples[j]);
+  owner_free (first);
+  owner_free (second);
+}
+
 /* A pull that was held up in the network arrives after later ones. Answered from the present state
  * it would give samples that the trainer already has. */
 Test (rollouts_once, a_late_pull_with_an_older_cursor_is_refused)
--- a/packages/node/src/ln-rollouts-owners.c
+++ b/packages/node/src/ln-rollouts-owners.c
@@ -304,8 +304,8 @@
 }
 
 /* A step may begin while the store is away: its row follows when the store is back. Until then a
- * second instance that is asked to open it does not know of this one; the cursors of the two do not
- * fit each other, so the trainer stays with one. */
+ * second instance that is asked to open it does not know of this one; each takes the cursors of the
+ * other, which name what the trainer has. */
 static bool
 opens_without_store (const LnHeldStep *held, const LnStepAnswer *answer)
 {
--- a/standins/standin-trainer.c
+++ b/standins/standin-trainer.c
@@ -137,6 +137,15 @@
   si_client_pause (&trainer->client, RETRY_PAUSE);
 }
 
+/* The owner died before the store knew of the step: it is posted again, and the cursor kept. */
+static bool
+has_lost_step (const char *what, SiAnswer *answer)
+{
+  return strcmp (what, "pull") == 0 && strcmp (si_answer_error (answer), "unknown_step") == 0;
+}
+
+static bool post_step (Trainer *trainer);
+
 /* Repeats the call, at another address each time it fails, until it is answered with 2xx. NULL when
  * the step's time is over. */
 static struct json_object *
@@ -157,7 +166,11 @@
       if (si_answer_is_ok (&answer))
         reply = json_tokener_parse (answer.body);
       else
-        turn_to_next (trainer, what, &answer);
+        {
+          turn_to_next (trainer, what, &answer);
+          if (has_lost_step (what, &answer))
+            post_step (trainer);
+        }
       si_answer_clear (&answer);
     }
   return reply;
