Exit: what waits for the platform is forgotten with its task

Cause: the list of instances and the questions of the lease holder were kept for a callback that never comes, since the platform is freed right after the tasks and drops what it has not answered. At the exit they leaked (8 and 16 bytes; exit code 23 under the sanitizers, so a graceful exit failed). Now the peers task is the call's own user and the questions end with their task, as the reads of the config store do.

--- a/packages/node/src/ln-config-task.h
+++ b/packages/node/src/ln-config-task.h
@@ -20,9 +20,10 @@
   bool reading; /* a read of the head row by poll is on its way */
   bool listing; /* a read of the platform's list of instances is on its way */
   LbTime next_listing;
-  LbList changes; /* LnChange, one at a time from the front */
-  LbList watches; /* LnWatch */
-  LbList holders; /* LnPoolHolder */
+  LbList changes;   /* LnChange, one at a time from the front */
+  LbList watches;   /* LnWatch */
+  LbList holders;   /* LnPoolHolder */
+  LbList questions; /* LnPoolQuestion */
   uint64_t last_serial;
   struct json_object *swaps; /* to be told to peers at the end of the tick; NULL: none */
   bool draining;
--- a/packages/node/src/ln-config.c
+++ b/packages/node/src/ln-config.c
@@ -333,6 +333,7 @@
   lb_list_init (&task->changes);
   lb_list_init (&task->watches);
   lb_list_init (&task->holders);
+  lb_list_init (&task->questions);
   task->timer = event_new (context->base, -1, EV_PERSIST, on_tick, task);
   event_add (task->timer, &tick);
   return &task->task;
--- a/packages/node/src/ln-peers.c
+++ b/packages/node/src/ln-peers.c
@@ -34,12 +34,6 @@
 
 typedef struct LnPeers LnPeers;
 
-/* A call of the platform may answer after the task has ended. */
-typedef struct
-{
-  LnPeers *peers; /* NULL: the task has ended */
-} ListCall;
-
 struct LnPeers
 {
   LnTask base;
@@ -55,7 +49,7 @@
   LnFrameWindow *window;
   LnOutbox outbox;
   uint64_t sequence;
-  ListCall *list_call; /* NULL: none in progress */
+  bool listing; /* a call for the list is in progress */
   LbTime next_list;
   LbTime next_load;
   LbTime used_processor;
@@ -507,28 +501,25 @@
 static void
 on_list (LbErrorCode error, const LpInstanceList *list, void *user)
 {
-  ListCall *call = user;
-  LnPeers *peers = call->peers;
+  LnPeers *peers = user;
 
-  free (call);
-  if (!peers)
-    return;
-  peers->list_call = NULL;
+  peers->listing = false;
   if (error == LB_OK)
     take_list (peers, list);
 }
 
+/* The platform is freed right after the tasks and drops what it has not answered: on_list never
+ * sees a task that has ended, and an unanswered call leaves nothing behind. */
 static void
 ask_for_list (LnPeers *peers, LbTime now)
 {
   LpPlatform *platform = peers->context->platform;
 
-  if (now < peers->next_list || peers->list_call || !platform)
+  if (now < peers->next_list || peers->listing || !platform)
     return;
   peers->next_list = now + LIST_EVERY;
-  peers->list_call = LB_NEW (ListCall);
-  peers->list_call->peers = peers;
-  platform->klass->instances (platform, on_list, peers->list_call);
+  peers->listing = true;
+  platform->klass->instances (platform, on_list, peers);
 }
 
 static LbTime
@@ -697,8 +688,6 @@
   LnPeers *peers = (LnPeers *)task;
   LbLink *link;
 
-  if (peers->list_call)
-    peers->list_call->peers = NULL;
   free_all (&peers->connections);
   free_all (&peers->closed);
   while ((link = lb_list_pop (&peers->actions)))
--- a/packages/node/src/ln-pool-holder.c
+++ b/packages/node/src/ln-pool-holder.c
@@ -36,13 +36,6 @@
   UT_hash_handle hh;
 } Engine;
 
-/* A read or write of the lease row, or a question to the weight store, on its way. */
-typedef struct
-{
-  LnConfigTask *task;
-  uint64_t serial;
-} Question;
-
 static void
 engine_free (Engine *engine)
 {
@@ -54,21 +47,23 @@
   free (engine);
 }
 
-static Question *
+static LnPoolQuestion *
 question_new (const LnPoolHolder *holder)
 {
-  Question *question = LB_NEW (Question);
+  LnPoolQuestion *question = LB_NEW (LnPoolQuestion);
 
   question->task = holder->task;
   question->serial = holder->serial;
+  lb_list_append (&holder->task->questions, &question->link);
   return question;
 }
 
 static LnPoolHolder *
-question_end (Question *question)
+question_end (LnPoolQuestion *question)
 {
   LnPoolHolder *holder = ln_pool_holders_find (question->task, question->serial);
 
+  lb_list_remove (&question->task->questions, &question->link);
   free (question);
   return holder;
 }
--- a/packages/node/src/ln-pool-holder.h
+++ b/packages/node/src/ln-pool-holder.h
@@ -23,6 +23,15 @@
   int64_t heard_fence; /* of the youngest holder that told the newest version */
 } LnPoolHolder;
 
+/* A read or write of the lease row, or a question to the weight store, on its way. It outlives its
+ * holder, and ends with the task: the platform drops what it has not answered. */
+typedef struct
+{
+  LbLink link;
+  LnConfigTask *task;
+  uint64_t serial;
+} LnPoolQuestion;
+
 LnPoolHolder *ln_pool_holder_new (LnConfigTask *task, const char *pool, uint64_t serial);
 void ln_pool_holder_free (LnPoolHolder *holder);
 void ln_pool_holder_configure (LnPoolHolder *holder, const LcResourceSet *set);
--- a/packages/node/src/ln-pool-holders.c
+++ b/packages/node/src/ln-pool-holders.c
@@ -166,11 +166,15 @@
 void
 ln_pool_holders_clear (LnConfigTask *task)
 {
+  LbLink *link;
+
   LB_LIST_FOREACH (&task->holders, LnPoolHolder, link, holder)
   {
     lb_list_remove (&task->holders, &holder->link);
     ln_pool_holder_free (holder);
   }
+  while ((link = lb_list_pop (&task->questions)))
+    free (LB_CONTAINER (link, LnPoolQuestion, link));
   json_object_put (task->swaps);
 }
 
--- a/tests/process/test-drain.c
+++ b/tests/process/test-drain.c
@@ -133,3 +133,24 @@
   pt_world_drain (&world);
   pt_world_clear (&world);
 }
+
+/* An instance is replaced while the store answers nothing. What waits for the store is dropped at
+ * the exit; under the sanitizers each forgotten piece of it shows as a leak and as an exit code
+ * that is not 0, and so would one that is used after its task has ended. */
+Test (drain, store_that_answers_nothing_does_not_spoil_the_exit)
+{
+  static const char *const engine_options[] = { "--version", "1", NULL };
+  PtWorld world;
+
+  pt_world_init (&world);
+  pt_start_platform (&world);
+  pt_start_engine (&world, "engine-1", engine_options);
+  pt_start_instance (&world, "i1", "hall-a");
+  pt_start_instance (&world, "i2", "hall-b");
+  pt_apply_all (&world, &world.instances[0]);
+  pt_wait_ready (&world, &world.instances[0]);
+  pt_wait_ready (&world, &world.instances[1]);
+  pt_fault (&world, &world.platform, "{\"mode\": \"hang\"}");
+  pt_world_drain (&world);
+  pt_world_clear (&world);
+}
