Process test, failing: step opened while the store is away, its owner then killed

Cause: both the lost open and the new one are session 1, so may_acknowledge (lc-deliver.c) takes the trainer's cursor for one that names samples it never gave: 409 bad_cursor for ever. Fails each time: 12 of 24 samples missing after 60 s.

--- a/tests/process/test-steps.c
+++ b/tests/process/test-steps.c
@@ -55,6 +55,14 @@
   start_trainer (scene, silence_ms);
 }
 
+static void
+scene_open_without_store (Scene *scene, const char *silence_ms)
+{
+  start_world (scene);
+  pt_fault (&scene->world, &scene->world.platform, "{\"mode\": \"down\"}");
+  start_trainer (scene, silence_ms);
+}
+
 static void
 scene_close (Scene *scene)
 {
@@ -169,3 +177,27 @@
   check_trainer (&scene);
   scene_close (&scene);
 }
+
+static bool
+has_step_chunk (PtWorld *world, void *user)
+{
+  (void)user;
+  return count_finished (world) >= SAMPLES / 2;
+}
+
+/* A step is opened while the store is away, so it is accepted as not durable, and its owner is
+ * killed when the trainer has some of the samples: nobody is left who knows the step. The trainer
+ * is told so, opens it again with the same content, goes on with its cursor, and still gets each
+ * sample once. */
+Test (steps, step_opened_without_the_store_and_its_owner_killed)
+{
+  Scene scene;
+
+  scene_open_without_store (&scene, "3000");
+  pt_wait (&scene.world, "the step is under way", has_step_chunk, NULL);
+  pt_process_signal (&scene.world.instances[0].process, SIGKILL);
+  si_client_pause (&scene.world.client, LB_SEC);
+  pt_fault (&scene.world, &scene.world.platform, "{\"mode\": \"none\"}");
+  check_trainer (&scene);
+  scene_close (&scene);
+}
