A broken stream that goes on behind its words is not paid for; breakers wait at most 5 s

A resume repeats no generated token, so it can't amplify; MAX_ATTEMPTS bounds it. Breakers doubled their wait to 30 s, so a pool with all breakers open came back up to half a minute after its engines; 5 s now. Guard tried: with the exemption off, answers/crash_under_many_streams_leaves_none_broken fails.

--- a/packages/core/src/lc-breaker.c
+++ b/packages/core/src/lc-breaker.c
@@ -5,7 +5,7 @@
 #define RATIO_WEIGHT 0.1
 #define RESULTS_FOR_RATIO 10
 #define FIRST_WAIT LB_SEC
-#define LONGEST_WAIT (30 * LB_SEC)
+#define LONGEST_WAIT (5 * LB_SEC)
 #define TRIALS_TO_CLOSE 32
 
 static void
--- a/packages/core/src/lc-outcome.c
+++ b/packages/core/src/lc-outcome.c
@@ -236,15 +236,33 @@
   return request->repeatable && (request->resumable || !lc_request_has_output (request));
 }
 
+/* A stream that broke after some words and goes on behind them repeats no work, so it can't make a
+ * storm; MAX_ATTEMPTS bounds it. Were it paid for, the crash of an engine with many streams would
+ * use up the budget with the first few, and all other callers would be left with half an answer
+ * although another engine is free. */
+static bool
+continues (const LcRequest *request, const LcAttempt *attempt, LcAttemptEnd end)
+{
+  return end == LC_END_BROKEN && attempt->tokens > 0 && request->delivery == LC_DELIVER_STREAM
+         && request->resumable;
+}
+
 /* Goes on after the last running attempt has failed: again at once when the endpoint only said that
- * it leaves, else after a delay and within the budgets, else the final answer. */
+ * it leaves, else after a delay and (unless it continues) within the budgets, else the final
+ * answer. */
 static void
-try_again (LcDispatch *dispatch, LcRequest *request, LcAttemptEnd end, LbTime now, LbList *actions)
+try_again (LcDispatch *dispatch,
+           LcRequest *request,
+           LcAttemptEnd end,
+           bool continued,
+           LbTime now,
+           LbList *actions)
 {
   LbTime delay = lc_retry_delay (dispatch->random, request->n_retries);
-  bool paid = end != LC_END_REFUSED_LEAVING;
+  bool at_once = end == LC_END_REFUSED_LEAVING;
+  bool paid = !at_once && !continued;
 
-  if (!may_try_again (request) || (paid && now + delay >= request->deadline)
+  if (!may_try_again (request) || (!at_once && now + delay >= request->deadline)
       || (paid && !lc_retry_budgets_allow (dispatch->budgets, request->caller)))
     {
       lc_dispatch_give_up (dispatch, request, request->last_error, 0, now, actions);
@@ -252,13 +270,14 @@
     }
   request->waiting.cost = 0;
   lb_metric_add (&retries, 1);
-  if (!paid)
+  if (at_once)
     {
       lc_dispatch_enqueue (dispatch, request);
       return;
     }
-  lc_retry_budgets_spend (dispatch->budgets, request->caller);
-  request->charged = true;
+  if (paid)
+    lc_retry_budgets_spend (dispatch->budgets, request->caller);
+  request->charged = paid;
   request->n_retries++;
   request->state = LC_STATE_BACKOFF;
   request->retry_at = now + delay;
@@ -284,12 +303,14 @@
       request->maybe_run = true;
       request->n_lost = attempt->tokens > 0 ? 0 : request->n_lost + 1;
     }
+  bool continued = continues (request, attempt, end);
+
   lc_request_tried (request, attempt->endpoint);
   close_attempt (dispatch, request, attempt,
                  end == LC_END_REFUSED_LEAVING ? CLOSED_BY_US : CLOSED_BADLY, now);
   request->last_error = error_of (request, end);
   if (lb_list_is_empty (&request->attempts))
-    try_again (dispatch, request, end, now, actions);
+    try_again (dispatch, request, end, continued, now, actions);
   else
     lc_dispatch_set_timer (dispatch, request);
 }
--- a/packages/core/tests/test-dispatch-answers.c
+++ b/packages/core/tests/test-dispatch-answers.c
@@ -228,3 +228,42 @@
   cr_assert_eq (fixture_piece (&f, spec.id, 1, 1, 1, true), LC_PIECE_DROP);
   fixture_clear (&f);
 }
+
+/* An engine crashes with fifteen streams on it while another engine is free. Each stream has words
+ * at its caller already. Were the resumes bounded like retries, the budget would be gone after
+ * three and twelve callers would keep half an answer. */
+Test (answers, crash_under_many_streams_leaves_none_broken)
+{
+  Fixture f;
+  LcRequestSpec specs[30];
+  int moved = 0;
+
+  fixture_init (&f, &settings, 2, 30);
+  for (int i = 0; i < 30; i++)
+    {
+      specs[i] = fixture_spec (&f, LC_KIND_LIVE);
+      cr_assert (fixture_submit (&f, &specs[i]));
+    }
+  bool on_first[30];
+  for (int i = 0; i < 30; i++)
+    on_first[i] = strcmp (fixture_expect (&f, LC_ACTION_SEND, specs[i].id).endpoint, "e1") == 0;
+  for (int i = 0; i < 30; i++)
+    fixture_piece (&f, specs[i].id, 1, 0, 5, false);
+  for (int i = 0; i < 30; i++)
+    if (on_first[i])
+      fixture_end (&f, specs[i].id, 1, LC_END_BROKEN);
+  fixture_drop_actions (&f);
+  fixture_at (&f, f.now + 2 * LB_SEC);
+  LB_LIST_FOREACH (&f.actions, LcAction, link, action)
+  {
+    cr_assert_neq (action->type, LC_ACTION_FINISH);
+    moved += action->type == LC_ACTION_SEND && strcmp (action->endpoint, "e2") == 0
+             && action->resume_at == 5;
+  }
+  int expected = 0;
+  for (int i = 0; i < 30; i++)
+    expected += on_first[i];
+  cr_assert_geq (expected, 10);
+  cr_assert_eq (moved, expected);
+  fixture_clear (&f);
+}
