The platform's list is read less often the more instances there are; store pauses differ

Cause: docs/CAPACITY.md: the list every 2 s costs 22.9 KB/s an instance at 350, over the 14 KB/s for all control. Now members x 200 ms, 2 s to 30 s, spread; the first to read tells the others who leaves. The HTTP platform had the same seed in all instances, so their retries came back together.

--- a/packages/node/main/lentilspindled.c
+++ b/packages/node/main/lentilspindled.c
@@ -181,6 +181,9 @@
   LpHttpSettings http
       = { .deadline = settings->platform.deadline_ms * LB_MSEC, .rate = settings->platform.rate };
 
+  /* Instances that pause alike after a failure of the store would all come back at once. */
+  http.seed = settings->seed ^ (uint64_t)lb_clock_monotonic () ^ (uint64_t)getpid () << 32;
+
   if (settings->platform.kind == LN_PLATFORM_MEMORY)
     return lp_memory_new (base);
   LB_COPY (http.address, settings->platform.address);
--- a/packages/node/src/ln-peers.c
+++ b/packages/node/src/ln-peers.c
@@ -22,7 +22,9 @@
 #include <sys/resource.h>
 #include <xxhash.h>
 
-#define LIST_EVERY (2 * LB_SEC)
+#define LIST_LEAST (2 * LB_SEC)
+#define LIST_MOST (30 * LB_SEC)
+#define LIST_PER_INSTANCE (200 * LB_MSEC)
 #define LOAD_EVERY (5 * LB_SEC)
 /* A connection opened to send a frame stays open for more of them. */
 #define KEEP_FOR_FRAMES (30 * LB_SEC)
@@ -522,6 +524,22 @@
 
 /* The platform is freed right after the tasks and drops what it has not answered: on_list never
  * sees a task that has ended, and an unanswered call leaves nothing behind. */
+/* The list grows with the instances and each instance reads it, so the pause grows with them too:
+ * some instance still reads it every LIST_PER_INSTANCE and tells the others who leaves. Spread, so
+ * that instances that started together do not read together. */
+static LbTime
+list_pause (const LnPeers *peers, LbTime now)
+{
+  LbTime pause = (LbTime)lc_membership_count (peers->membership) * LIST_PER_INSTANCE;
+  LbTime spread = (LbTime)(XXH64 (&now, sizeof now, peers->context->settings->seed) % 512);
+
+  if (pause < LIST_LEAST)
+    pause = LIST_LEAST;
+  if (pause > LIST_MOST)
+    pause = LIST_MOST;
+  return pause - pause * spread / 2048;
+}
+
 static void
 ask_for_list (LnPeers *peers, LbTime now)
 {
@@ -529,7 +547,7 @@
 
   if (now < peers->next_list || peers->listing || !platform)
     return;
-  peers->next_list = now + LIST_EVERY;
+  peers->next_list = now + list_pause (peers, now);
   peers->listing = true;
   platform->klass->instances (platform, on_list, peers);
 }
