--- a/packages/cli/src/lt-arguments.c
+++ b/packages/cli/src/lt-arguments.c
@@ -27,8 +27,8 @@
   table[4] = arguments->end;
 }
 
-static void
-print_help (void **table, const char *command, const char *summary)
+void
+lt_print_help (void **table, const char *command, const char *summary)
 {
   printf ("Usage: lentilspindle %s", command);
   arg_print_syntax (stdout, table, "\n");
@@ -53,7 +53,7 @@
   int faults = arg_parse (argc, argv, table);
   if (arguments->help->count > 0)
     {
-      print_help (table, argv[0], summary);
+      lt_print_help (table, argv[0], summary);
       *exit_code = LT_EXIT_OK;
       return false;
     }
--- a/packages/cli/src/lt-arguments.h
+++ b/packages/cli/src/lt-arguments.h
@@ -21,6 +21,9 @@
  */
 void lt_arguments_init (LtArguments *arguments, void **table);
 
+/* Usage, what the command does and its options, on standard output. The table ends with arg_end. */
+void lt_print_help (void **table, const char *command, const char *summary);
+
 /* True when the command shall run; else *exit_code tells how to end, and the help or the faults
  * have been printed. table has n entries in all. */
 bool lt_arguments_parse (LtArguments *arguments,
--- a/packages/cli/src/lt-bench.c
+++ b/packages/cli/src/lt-bench.c
@@ -1,5 +1,7 @@
 #include "lt-proof.h"
 
+#include "lt-arguments.h"
+
 #include "lt-command.h"
 #include "lt-report.h"
 
@@ -184,8 +186,8 @@
 
   if (help->count > 0)
     {
-      arg_print_syntaxv (stdout, table, "\n");
-      arg_print_glossary (stdout, table, "  %-20s %s\n");
+      lt_print_help (table, "bench",
+                     "Compares policies on the same arrivals, lengths, versions and limits.");
       code = LT_EXIT_OK;
       goto out;
     }
--- a/packages/cli/src/lt-cost.c
+++ b/packages/cli/src/lt-cost.c
@@ -1,5 +1,7 @@
 #include "lt-proof.h"
 
+#include "lt-arguments.h"
+
 #include "lt-command.h"
 
 #include "lb-alloc.h"
@@ -564,8 +566,7 @@
 
   if (help->count > 0)
     {
-      arg_print_syntaxv (stdout, table, "\n");
-      arg_print_glossary (stdout, table, "  %-20s %s\n");
+      lt_print_help (table, "cost", "Measures what decisions cost in microseconds and bytes.");
       code = LT_EXIT_OK;
       goto out;
     }
--- a/packages/cli/src/lt-replay.c
+++ b/packages/cli/src/lt-replay.c
@@ -1,5 +1,7 @@
 #include "lt-proof.h"
 
+#include "lt-arguments.h"
+
 #include "lt-command.h"
 
 #include "lb-log.h"
@@ -39,8 +41,8 @@
 
   if (help->count > 0)
     {
-      arg_print_syntaxv (stdout, table, "\n");
-      arg_print_glossary (stdout, table, "  %-20s %s\n");
+      lt_print_help (table, "replay",
+                     "Runs traces against the outcomes that they state (docs/TRACES.md).");
       code = LT_EXIT_OK;
       goto out;
     }
--- a/packages/cli/src/lt-soak.c
+++ b/packages/cli/src/lt-soak.c
@@ -1,5 +1,7 @@
 #include "lt-proof.h"
 
+#include "lt-arguments.h"
+
 #include "lt-command.h"
 
 #include "lb-log.h"
@@ -53,8 +55,9 @@
 
   if (help->count > 0)
     {
-      arg_print_syntaxv (stdout, table, "\n");
-      arg_print_glossary (stdout, table, "  %-20s %s\n");
+      lt_print_help (
+          table, "soak",
+          "Runs random faults for long and checks all promises; the same seed is the same run.");
       code = LT_EXIT_OK;
       goto out;
     }
