Split ln-peers.c into files of one job each

Cause: 828 lines with connections, frames, the platform's list, the listener and the load in one file were too much for a newcomer to read.

Now ln-peers.c (158 lines) is the task itself: joining, timer, messages. ln-peers-connections, -frames, -actions, -handlers, -listen, -list and -load have one job each (30 to 173 lines) and share LnPeers and documented functions through ln-peers-private.h. Functions moved unchanged; those that are shared are no longer static and have the prefix ln_peers_. The counter of dropped frames stays private to ln-peers-frames.c, so two functions are new: ln_peers_flush_waiting and ln_peers_expire_frames, one line each. A comment that told of on_list stood above list_pause and moved to on_list.

--- /dev/null
+++ b/packages/node/src/ln-peers-actions.c
@@ -0,0 +1,108 @@
+#include "ln-peers-private.h"
+
+#include "lb-clock.h"
+#include "lb-counter.h"
+#include "lb-log.h"
+#include "ln-members.h"
+
+#define SHORTEST_TIMER LB_MSEC
+
+static void
+open_connection (LnPeers *peers, const LcMembershipAction *action)
+{
+  LnPeerConnection *connection
+      = ln_peer_connection_dial (peers->context->base, action->address,
+                                 peers->context->settings->cluster.key,
+                                 lc_membership_self (peers->membership), &ln_peers_handlers, peers);
+
+  if (connection)
+    ln_peers_add_connection (peers, connection, action->link);
+  else
+    lc_membership_closed (peers->membership, action->link, lb_clock_monotonic (), &peers->actions);
+}
+
+static void
+close_as_ordered (LnPeers *peers, const LcMembershipAction *action)
+{
+  LnPeerConnection *connection = ln_peers_find_connection (peers, action->link);
+
+  if (!connection)
+    return;
+  if (action->reason != LB_OK)
+    {
+      lb_metric_count_error ((int)action->reason);
+      lb_log (LB_LOG_INFO, "peer_connection_closed",
+              LB_TEXT ("peer", connection->handshake.peer.name),
+              LB_TEXT ("error", lb_error_name (action->reason)));
+    }
+  ln_peers_close_connection (peers, connection);
+}
+
+static void
+send_as_ordered (LnPeers *peers, const LcMembershipAction *action)
+{
+  static const LwMessageType types[] = { [LC_MEMBERSHIP_PING] = LW_PING,
+                                         [LC_MEMBERSHIP_SPREAD] = LW_INSTANCES,
+                                         [LC_MEMBERSHIP_TELL] = LW_INSTANCES,
+                                         [LC_MEMBERSHIP_COMPARE] = LW_COMPARE };
+  LwMessage message = { .type = types[action->type],
+                        .digest = action->digest,
+                        .instances = action->instances,
+                        .n_instances = action->n_instances,
+                        .answer = action->answer };
+
+  LnPeerConnection *connection = ln_peers_find_connection (peers, action->link);
+  if (action->type == LC_MEMBERSHIP_SPREAD)
+    ln_peers_send_to_all (peers, &message, action->link);
+  else if (connection)
+    ln_peers_send_message (peers, connection, &message);
+}
+
+static void
+carry_out_one (LnPeers *peers, const LcMembershipAction *action)
+{
+  switch (action->type)
+    {
+    case LC_MEMBERSHIP_DIAL:
+      open_connection (peers, action);
+      break;
+    case LC_MEMBERSHIP_CLOSE:
+      close_as_ordered (peers, action);
+      break;
+    case LC_MEMBERSHIP_PING:
+    case LC_MEMBERSHIP_SPREAD:
+    case LC_MEMBERSHIP_TELL:
+    case LC_MEMBERSHIP_COMPARE:
+      send_as_ordered (peers, action);
+      break;
+    case LC_MEMBERSHIP_CHANGED:
+      ln_members_publish (peers->membership, peers->base.hub);
+      break;
+    }
+}
+
+static void
+set_timer (LnPeers *peers)
+{
+  LbTime wait = lc_membership_next_tick (peers->membership) - lb_clock_monotonic ();
+
+  if (wait < SHORTEST_TIMER)
+    wait = SHORTEST_TIMER;
+  struct timeval delay = { .tv_sec = wait / LB_SEC, .tv_usec = wait % LB_SEC };
+  event_add (peers->timer, &delay);
+}
+
+void
+ln_peers_carry_out (LnPeers *peers)
+{
+  LbLink *link;
+
+  while ((link = lb_list_pop (&peers->actions)))
+    {
+      LcMembershipAction *action = LB_CONTAINER (link, LcMembershipAction, link_in_list);
+      carry_out_one (peers, action);
+      lc_membership_action_free (action);
+    }
+  ln_members_count (peers->membership, &peers->counted);
+  set_timer (peers);
+}
--- /dev/null
+++ b/packages/node/src/ln-peers-frames.c
@@ -0,0 +1,173 @@
+#include "ln-peers-private.h"
+
+#include "lb-alloc.h"
+#include "lb-clock.h"
+#include "lb-counter.h"
+#include "lb-log.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* A connection opened to send a frame stays open for more of them. */
+#define KEEP_FOR_FRAMES (30 * LB_SEC)
+
+static LbMetric frames_dropped = LB_COUNTER_INIT ("lentilspindle_peer_frames_dropped_total",
+                                                  NULL,
+                                                  "Frames given up before they were sent");
+
+/* A connection on which too much waits unsent is as good as silent: its end closes it. */
+static void
+send_frame (LnPeers *peers, LnPeerConnection *connection, const uint8_t *frame, size_t length)
+{
+  LcLinkId id = connection->id;
+
+  if (ln_peer_connection_send (connection, frame, length))
+    return;
+  lb_metric_add (&frames_dropped, 1);
+  ln_peers_close_connection (peers, connection);
+  lc_membership_closed (peers->membership, id, lb_clock_monotonic (), &peers->actions);
+}
+
+void
+ln_peers_send_message (LnPeers *peers, LnPeerConnection *connection, const LwMessage *message)
+{
+  size_t length;
+  uint8_t *frame = lw_message_encode (message, &length);
+
+  send_frame (peers, connection, frame, length);
+  if (message->type != LW_PING && message->type != LW_PONG)
+    ln_peers_note_sent (peers, connection);
+  free (frame);
+}
+
+/* One frame to each instance to which a connection is open, but not on the connection except. Two
+ * instances may have a connection in each direction; the one heard last is taken. */
+void
+ln_peers_send_to_all (LnPeers *peers, const LwMessage *message, LcLinkId except)
+{
+  const char *except_name = lc_membership_link_name (peers->membership, except);
+  size_t length;
+  uint8_t *frame = lw_message_encode (message, &length);
+
+  LB_LIST_FOREACH (&peers->connections, LnPeerConnection, link, connection)
+  {
+    const char *name = lc_membership_link_name (peers->membership, connection->id);
+    if (name && (!except_name || strcmp (name, except_name) != 0)
+        && lc_membership_link_to (peers->membership, name) == connection->id)
+      {
+        ln_peers_note_sent (peers, connection);
+        send_frame (peers, connection, frame, length);
+      }
+  }
+  free (frame);
+}
+
+static void
+send_waiting (const uint8_t *frame, size_t length, void *user)
+{
+  LnPeerConnection *connection = user;
+
+  ln_peers_note_sent (connection->user, connection);
+  if (!ln_peer_connection_send (connection, frame, length))
+    lb_metric_add (&frames_dropped, 1);
+}
+
+void
+ln_peers_flush_waiting (LnPeers *peers, LnPeerConnection *connection, const char *name)
+{
+  ln_outbox_flush (&peers->outbox, name, send_waiting, connection);
+}
+
+void
+ln_peers_expire_frames (LnPeers *peers, LbTime now)
+{
+  lb_metric_add (&frames_dropped, (int64_t)ln_outbox_expire (&peers->outbox, now));
+}
+
+static void
+peer_message_clear (LnMessage *message)
+{
+  free (((LnPeerMessage *)message)->payload);
+}
+
+static void
+deliver (LnPeers *peers, const char *sender, const char *topic, const char *payload, size_t length)
+{
+  LnTask *task = ln_hub_find (peers->base.hub, topic);
+  LnPeerMessage message = { .base = LN_MESSAGE (LN_PEER_FRAME), .length = length };
+
+  if (!task)
+    {
+      lb_log (LB_LOG_WARNING, "peer_frame_without_task", LB_TEXT ("topic", topic));
+      return;
+    }
+  message.base.clear = peer_message_clear;
+  LB_COPY (message.instance, sender);
+  LB_COPY (message.topic, topic);
+  message.payload = lb_malloc (length + 1);
+  memcpy (message.payload, payload, length);
+  message.payload[length] = '\0';
+  LN_POST (peers->base.hub, task, message);
+}
+
+/* A frame to all is passed on over all connections, so that the sender need not have one to each.
+ */
+void
+ln_peers_receive_data (LnPeers *peers, LcLinkId from, const LwMessage *message)
+{
+  if (strcmp (message->origin, lc_membership_self (peers->membership)->name) == 0)
+    return;
+  if (message->to_all
+      && !ln_frame_window_note (peers->window, message->origin, message->origin_epoch,
+                                message->sequence))
+    return;
+  deliver (peers, message->origin, message->topic, message->payload, message->length);
+  if (message->to_all)
+    ln_peers_send_to_all (peers, message, from);
+}
+
+static void
+send_to_one (LnPeers *peers, const char *name, const LwMessage *data, LbTime now)
+{
+  LcLinkId id = lc_membership_link_to (peers->membership, name);
+  size_t length;
+
+  if (!lc_membership_want (peers->membership, name, now + KEEP_FOR_FRAMES, now, &peers->actions))
+    {
+      lb_metric_add (&frames_dropped, 1);
+      return;
+    }
+  LnPeerConnection *connection = ln_peers_find_connection (peers, id);
+  if (connection)
+    {
+      ln_peers_send_message (peers, connection, data);
+      return;
+    }
+  uint8_t *frame = lw_message_encode (data, &length);
+  if (!ln_outbox_add (&peers->outbox, name, frame, length, now))
+    lb_metric_add (&frames_dropped, 1);
+}
+
+void
+ln_peers_receive_send (LnPeers *peers, const LnPeerMessage *message)
+{
+  const LcInstance *self = lc_membership_self (peers->membership);
+  LwMessage data = { .type = LW_DATA,
+                     .origin_epoch = self->epoch,
+                     .to_all = message->instance[0] == '\0',
+                     .payload = message->payload,
+                     .length = message->length };
+
+  LB_COPY (data.origin, self->name);
+  LB_COPY (data.topic, message->topic);
+  if (data.to_all)
+    {
+      data.sequence = ++peers->sequence;
+      ln_peers_send_to_all (peers, &data, 0);
+    }
+  else if (strcmp (message->instance, self->name) == 0)
+    deliver (peers, self->name, message->topic, message->payload, message->length);
+  else
+    send_to_one (peers, message->instance, &data, lb_clock_monotonic ());
+  ln_peers_carry_out (peers);
+}
--- /dev/null
+++ b/packages/node/src/ln-peers-handlers.c
@@ -0,0 +1,93 @@
+#include "ln-peers-private.h"
+
+#include "lb-clock.h"
+#include "lb-counter.h"
+#include "lb-log.h"
+
+static void
+on_opened (LnPeerConnection *connection, const LcInstance *peer, void *user)
+{
+  LnPeers *peers = user;
+  LbTime now = lb_clock_monotonic ();
+
+  if (connection->id != 0)
+    lc_membership_dialled (peers->membership, connection->id, peer, now, &peers->actions);
+  else
+    connection->id = lc_membership_accepted (peers->membership, peer, now, &peers->actions);
+  if (connection->id == 0)
+    ln_peers_close_connection (peers, connection);
+  else
+    ln_peers_flush_waiting (peers, connection, peer->name);
+  ln_peers_carry_out (peers);
+}
+
+static void
+on_failed (LnPeerConnection *connection, const LbError *error, void *user)
+{
+  LnPeers *peers = user;
+  LcLinkId id = connection->id;
+
+  lb_metric_count_error ((int)error->code);
+  lb_log_error (error->code == LB_ERROR_CLOSED ? LB_LOG_DEBUG : LB_LOG_WARNING,
+                "peer_connection_failed", error);
+  ln_peers_close_connection (peers, connection);
+  lc_membership_closed (peers->membership, id, lb_clock_monotonic (), &peers->actions);
+  ln_peers_carry_out (peers);
+}
+
+static void
+answer_ping (LnPeers *peers, LnPeerConnection *connection)
+{
+  LwMessage pong = { .type = LW_PONG, .digest = lc_membership_digest (peers->membership) };
+
+  ln_peers_send_message (peers, connection, &pong);
+}
+
+static void
+refuse_message (LnPeers *peers, LnPeerConnection *connection)
+{
+  LbError error;
+
+  lb_error_set (&error, LB_ERROR_FRAME_GARBLED, "peer", "a handshake message out of turn");
+  on_failed (connection, &error, peers);
+}
+
+static void
+on_received (LnPeerConnection *connection, const LwMessage *message, void *user)
+{
+  LnPeers *peers = user;
+  LcLinkId id = connection->id;
+  LbTime now = lb_clock_monotonic ();
+
+  lc_membership_heard (peers->membership, id, now);
+  switch (message->type)
+    {
+    case LW_PING:
+      answer_ping (peers, connection);
+      break;
+    case LW_PONG:
+      lc_membership_digest_heard (peers->membership, id, message->digest, now);
+      break;
+    case LW_INSTANCES:
+      lc_membership_told (peers->membership, id, message->instances, message->n_instances, now,
+                          &peers->actions);
+      break;
+    case LW_COMPARE:
+      lc_membership_compared (peers->membership, id, message->instances, message->n_instances,
+                              message->answer, now, &peers->actions);
+      break;
+    case LW_DATA:
+      ln_peers_receive_data (peers, id, message);
+      break;
+    case LW_HELLO:
+    case LW_CHALLENGE:
+    case LW_PROOF:
+    case LW_N_MESSAGES:
+      refuse_message (peers, connection);
+      return;
+    }
+  ln_peers_carry_out (peers);
+}
+
+const LnPeerHandlers ln_peers_handlers
+    = { .opened = on_opened, .received = on_received, .failed = on_failed };
--- /dev/null
+++ b/packages/node/src/ln-peers-listen.c
@@ -0,0 +1,126 @@
+#include "ln-peers-private.h"
+
+#include "lb-clock.h"
+#include "lb-counter.h"
+#include "lb-log.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <event2/util.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* An accepted connection must prove the key within this time. */
+#define HANDSHAKE_TIMEOUT (2 * LB_SEC)
+/* Accepted connections that have not proved the key. */
+#define MOST_UNPROVED 256
+
+static size_t
+count_unproved (const LnPeers *peers)
+{
+  size_t count = 0;
+
+  LB_LIST_FOREACH (&peers->connections, LnPeerConnection, link, connection)
+  {
+    count += connection->id == 0;
+  }
+  return count;
+}
+
+static void
+on_accept (struct evconnlistener *listener,
+           evutil_socket_t fd,
+           struct sockaddr *address,
+           int length,
+           void *user)
+{
+  (void)listener;
+  (void)address;
+  (void)length;
+  LnPeers *peers = user;
+
+  if (!peers->membership || count_unproved (peers) >= MOST_UNPROVED)
+    {
+      evutil_closesocket (fd);
+      return;
+    }
+  LnPeerConnection *connection
+      = ln_peer_connection_accept (peers->context->base, fd, peers->context->settings->cluster.key,
+                                   lc_membership_self (peers->membership), &ln_peers_handlers,
+                                   peers);
+  if (!connection)
+    return;
+  connection->opened_by = lb_clock_monotonic () + HANDSHAKE_TIMEOUT;
+  ln_peers_add_connection (peers, connection, 0);
+}
+
+/* The failure: whoever connects and says nothing would hold a socket for ever. */
+void
+ln_peers_close_unproved (LnPeers *peers, LbTime now)
+{
+  LB_LIST_FOREACH (&peers->connections, LnPeerConnection, link, connection)
+  {
+    if (connection->id != 0 || now < connection->opened_by)
+      continue;
+    lb_metric_count_error (LB_ERROR_TIMEOUT);
+    ln_peers_close_connection (peers, connection);
+  }
+}
+
+static void
+note_bound_address (LnPeers *peers)
+{
+  struct sockaddr_in bound = { 0 };
+  socklen_t length = sizeof bound;
+  char ip[INET_ADDRSTRLEN] = "";
+
+  getsockname (evconnlistener_get_fd (peers->listener), (struct sockaddr *)&bound, &length);
+  evutil_inet_ntop (AF_INET, &bound.sin_addr, ip, sizeof ip);
+  snprintf (peers->context->peer_address, sizeof peers->context->peer_address, "%s:%d", ip,
+            ntohs (bound.sin_port));
+}
+
+/* libevent's own reader of addresses refuses port 0, which asks the kernel to choose one. */
+static bool
+read_listen_address (const char *text, struct sockaddr_in *address)
+{
+  const char *colon = strrchr (text, ':');
+  char ip[INET_ADDRSTRLEN] = "";
+
+  if (!colon || (size_t)(colon - text) >= sizeof ip)
+    return false;
+  memcpy (ip, text, (size_t)(colon - text));
+  address->sin_family = AF_INET;
+  address->sin_port = htons ((uint16_t)strtoul (colon + 1, NULL, 10));
+  return inet_pton (AF_INET, ip, &address->sin_addr) == 1;
+}
+
+static bool
+cannot_listen (const char *address)
+{
+  LbError error;
+
+  lb_error_set (&error, LB_ERROR_IO, "instance.peer_address", "cannot listen at %s: %s", address,
+                strerror (errno));
+  lb_log_error (LB_LOG_ERROR, "start_failed", &error);
+  return false;
+}
+
+bool
+ln_peers_start_listening (LnPeers *peers)
+{
+  const char *address = peers->context->settings->instance.peer_address;
+  struct sockaddr_in wanted = { 0 };
+
+  if (!read_listen_address (address, &wanted))
+    return cannot_listen (address);
+  peers->listener = evconnlistener_new_bind (peers->context->base, on_accept, peers,
+                                             LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
+                                             (struct sockaddr *)&wanted, sizeof wanted);
+  if (!peers->listener)
+    return cannot_listen (address);
+  note_bound_address (peers);
+  return true;
+}
