Split lc-membership.c into files of one job each

What they share is described in lc-membership-private.h. Functions moved unchanged; those that are shared are no longer static and have the prefix lc_membership_.

One body changed form: in the smaller file clang's analyzer reached a path in tick_members that uthash excludes (the only entry of the table has a next one) and failed the lint. The deletion is now lc_membership_drop_member beside add_member in lc-membership-news.c; no check is suppressed.

--- /dev/null
+++ b/packages/core/src/lc-membership-links.c
@@ -0,0 +1,92 @@
+#include "lc-membership-private.h"
+
+#include "lb-alloc.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+LcPeerLink *
+lc_membership_add_link (LcMembership *membership, bool dialled, LbTime now)
+{
+  LcPeerLink *link = LB_NEW (LcPeerLink);
+
+  link->id = ++membership->last_link;
+  link->dialled = dialled;
+  link->started = now;
+  HASH_ADD (hh, membership->links, id, sizeof link->id, link);
+  return link;
+}
+
+void
+lc_membership_drop_link (LcMembership *membership, LcPeerLink *link)
+{
+  HASH_DEL (membership->links, link);
+  free (link);
+}
+
+void
+lc_membership_close_link (LcMembership *membership,
+                          LcPeerLink *link,
+                          LbErrorCode reason,
+                          LbList *actions)
+{
+  LcMembershipAction *action = lc_membership_act (actions, LC_MEMBERSHIP_CLOSE);
+
+  action->link = link->id;
+  action->reason = reason;
+  lc_membership_drop_link (membership, link);
+}
+
+static bool
+is_dialling (const LcMembership *membership, const char *address)
+{
+  for (const LcPeerLink *link = membership->links; link; link = link->hh.next)
+    if (!link->open && strcmp (link->address, address) == 0)
+      return true;
+  return false;
+}
+
+bool
+lc_membership_has_dialled_link (const LcMembership *membership, const char *name)
+{
+  for (const LcPeerLink *link = membership->links; link; link = link->hh.next)
+    if (link->dialled && strcmp (link->name, name) == 0)
+      return true;
+  return false;
+}
+
+void
+lc_membership_dial (
+    LcMembership *membership, const char *name, const char *address, LbTime now, LbList *actions)
+{
+  if (is_dialling (membership, address))
+    return;
+  LcPeerLink *link = lc_membership_add_link (membership, true, now);
+  LB_COPY (link->name, name);
+  LB_COPY (link->address, address);
+  LcMembershipAction *action = lc_membership_act (actions, LC_MEMBERSHIP_DIAL);
+  action->link = link->id;
+  LB_COPY (action->address, address);
+}
+
+void
+lc_membership_dial_member (LcMembership *membership, LcMember *member, LbTime now, LbList *actions)
+{
+  lc_membership_dial (membership, member->instance.name, member->instance.peer_address, now,
+                      actions);
+}
+
+bool
+lc_membership_want (
+    LcMembership *membership, const char *name, LbTime until, LbTime now, LbList *actions)
+{
+  LcMember *member = lc_membership_member (membership, name);
+
+  if (!member)
+    return false;
+  if (until > member->wanted_until)
+    member->wanted_until = until;
+  if (lc_membership_link_to (membership, name) == 0)
+    lc_membership_dial_member (membership, member, now, actions);
+  return true;
+}
--- a/packages/core/src/lc-membership-news.c
+++ b/packages/core/src/lc-membership-news.c
@@ -2,6 +2,7 @@
 
 #include "lb-alloc.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 /* News wait so long for others to join them in one frame. */
@@ -100,6 +101,14 @@
   return member;
 }
 
+void
+lc_membership_drop_member (LcMembership *membership, LcMember *member)
+{
+  HASH_DEL (membership->members, member);
+  membership->view_changed = true;
+  free (member);
+}
+
 static void
 apply_news (LcMembership *membership, LcMember *member, const LcInstance *news, LbTime now)
 {
--- a/packages/core/src/lc-membership-private.h
+++ b/packages/core/src/lc-membership-private.h
@@ -8,6 +8,10 @@
 #include <uthash.h>
 
 #define LC_MAX_RINGS 8
+/* Pause between the comparisons that this instance begins. */
+#define LC_COMPARE_EVERY LB_SEC
+/* Two ends compare when their digests have differed for this many periods. */
+#define LC_COMPARE_AFTER_PERIODS 4
 
 typedef struct
 {
@@ -55,6 +59,7 @@
   LbLink link;
 } LcContact;
 
+/* The whole state; the files lc-membership-*.c share it. */
 struct LcMembership
 {
   LcMembershipSettings settings;
@@ -90,6 +95,9 @@
 void lc_membership_tell_one (LcLinkId link, const LcInstance *instance, LbList *actions);
 
 /* lc-membership-news.c */
+
+/* Forgets the member, which others may tell of again; member is freed. */
+void lc_membership_drop_member (LcMembership *membership, LcMember *member);
 void
 lc_membership_learn (LcMembership *membership, LcLinkId link, const LcInstance *news, LbTime now);
 void lc_membership_set_state (LcMembership *membership,
@@ -101,8 +109,50 @@
 void lc_membership_compare (LcMembership *membership, LcLinkId link, LbList *actions);
 void lc_membership_flush (LcMembership *membership, LbTime now, LbList *actions);
 
+/* lc-membership-links.c */
+
+LcPeerLink *lc_membership_add_link (LcMembership *membership, bool dialled, LbTime now);
+/* Forgets a connection that is closed already; link is freed. */
+void lc_membership_drop_link (LcMembership *membership, LcPeerLink *link);
+/* Orders the connection to be closed on purpose, which says nothing about its member; link is
+ * freed. */
+void lc_membership_close_link (LcMembership *membership,
+                               LcPeerLink *link,
+                               LbErrorCode reason,
+                               LbList *actions);
+/* Open or being opened. */
+bool lc_membership_has_dialled_link (const LcMembership *membership, const char *name);
+/* Orders a connection, unless one to the address is being opened. name: empty when an address is
+ * tried of which nobody knows whose it is. */
+void lc_membership_dial (
+    LcMembership *membership, const char *name, const char *address, LbTime now, LbList *actions);
+void
+lc_membership_dial_member (LcMembership *membership, LcMember *member, LbTime now, LbList *actions);
+
+/* lc-membership-connect.c: a connection has ended or could not be opened, which is a sign against
+ * its member; link is freed. */
+void
+lc_membership_lose_link (LcMembership *membership, LcPeerLink *link, LbTime now, LbList *actions);
+
+/* lc-membership-heartbeat.c */
+
+/* Evidence of life. A member that was silent here speaks again. */
+void lc_membership_note_heard (LcMembership *membership, LcPeerLink *link, LbTime now);
+/* Sends the heartbeats that are due and ends the connections that are silent or unneeded. */
+void lc_membership_tick_links (LcMembership *membership, LbTime now, LbList *actions);
+
+/* lc-membership-members.c: condemns the suspects that did not refute in time and forgets those that
+ * are long dead. */
+void lc_membership_tick_members (LcMembership *membership, LbTime now);
+
+/* lc-membership-contacts.c: tries the address of a dead or unknown instance when that is due. */
+void lc_membership_contact_one (LcMembership *membership, LbTime now, LbList *actions);
+
 /* lc-membership-watch.c */
+
 void lc_membership_choose_targets (LcMembership *membership);
+/* Dials the targets to which there is no connection, choosing anew when members have changed. */
+void lc_membership_watch_targets (LcMembership *membership, LbTime now, LbList *actions);
 bool lc_membership_is_target (const LcMembership *membership, const char *name);
 
 #endif
--- a/packages/core/src/lc-membership-watch.c
+++ b/packages/core/src/lc-membership-watch.c
@@ -54,3 +54,17 @@
       memcpy (membership->targets[membership->n_targets++], member->instance.name, LB_NAME_MAX);
     }
 }
+
+void
+lc_membership_watch_targets (LcMembership *membership, LbTime now, LbList *actions)
+{
+  if (membership->targets_old)
+    lc_membership_choose_targets (membership);
+  for (size_t i = 0; i < membership->n_targets; i++)
+    {
+      LcMember *member = lc_membership_member (membership, membership->targets[i]);
+      if (member && now >= member->next_dial
+          && !lc_membership_has_dialled_link (membership, membership->targets[i]))
+        lc_membership_dial_member (membership, member, now, actions);
+    }
+}
