A JSON null for an id, a type, a holder or a token ends no instance

An engine could end the instance by an event with "id":null, or by a 503 with "error":{"type":null}; a damaged row by a null holder, incarnation or token. All five now take lb_json_text: such an event belongs to no request, such a refusal proves nothing, such a lease row is unreadable and such a token is not ours.

Tried: with the old ln-upstream.c and lc-lease.c the three new tests crash.

--- a/packages/core/src/lc-lease.c
+++ b/packages/core/src/lc-lease.c
@@ -2,6 +2,7 @@
 
 #include "lb-alloc.h"
 #include "lb-counter.h"
+#include "lb-json.h"
 
 #include <json-c/json.h>
 #include <stdlib.h>
@@ -67,17 +68,17 @@
 bool
 lc_lease_row_from_json (struct json_object *object, LcLeaseRow *row)
 {
-  struct json_object *holder, *incarnation, *fence, *renewal, *released;
+  struct json_object *fence, *renewal, *released;
+  const char *holder = lb_json_text (object, "holder", NULL);
+  const char *incarnation = lb_json_text (object, "incarnation", NULL);
 
   memset (row, 0, sizeof *row);
-  if (!json_object_object_get_ex (object, "holder", &holder)
-      || !json_object_object_get_ex (object, "incarnation", &incarnation)
-      || !json_object_object_get_ex (object, "fence", &fence)
+  if (!holder || !incarnation || !json_object_object_get_ex (object, "fence", &fence)
       || !json_object_object_get_ex (object, "renewal", &renewal)
       || !json_object_object_get_ex (object, "released", &released))
     return false;
-  LB_COPY (row->holder, json_object_get_string (holder));
-  LB_COPY (row->incarnation, json_object_get_string (incarnation));
+  LB_COPY (row->holder, holder);
+  LB_COPY (row->incarnation, incarnation);
   row->fence = json_object_get_int64 (fence);
   row->renewal = json_object_get_int64 (renewal);
   row->released = json_object_get_boolean (released);
--- a/packages/core/tests/test-lease.c
+++ b/packages/core/tests/test-lease.c
@@ -477,3 +477,19 @@
   cr_assert_gt (fence, 20);
   cr_assert_gt (held, 1500);
 }
+
+/* A lease's row was damaged by hand: a null for a holder must not be read as a text. */
+Test (lease, a_row_with_null_names_is_not_read)
+{
+  static const char *const rows[]
+      = { "{\"holder\":null,\"incarnation\":\"i\",\"fence\":1,\"renewal\":1,\"released\":false}",
+          "{\"holder\":\"h\",\"incarnation\":null,\"fence\":1,\"renewal\":1,\"released\":false}" };
+
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      LcLeaseRow row;
+      struct json_object *object = json_tokener_parse (rows[i]);
+      cr_assert_not (lc_lease_row_from_json (object, &row), "%s", rows[i]);
+      json_object_put (object);
+    }
+}
--- a/packages/node/src/ln-config-change.c
+++ b/packages/node/src/ln-config-change.c
@@ -3,6 +3,7 @@
 #include "lb-alloc.h"
 #include "lb-clock.h"
 #include "lb-counter.h"
+#include "lb-json.h"
 #include "lb-log.h"
 #include "lb-settings.h"
 #include "lc-change.h"
@@ -234,8 +235,8 @@
   struct json_object *row = error == LB_OK && json_object_array_length (rows) > 0
                                 ? json_object_array_get_idx (rows, 0)
                                 : NULL;
-  struct json_object *token = row ? json_object_object_get (row, "token") : NULL;
-  bool own = token && strcmp (json_object_get_string (token), change->token) == 0;
+  const char *token = lb_json_text (row, "token", NULL);
+  bool own = token && strcmp (token, change->token) == 0;
 
   json_object_put (rows);
   if (own)
--- a/packages/node/src/ln-config-store.c
+++ b/packages/node/src/ln-config-store.c
@@ -2,6 +2,7 @@
 
 #include "lb-alloc.h"
 #include "lb-clock.h"
+#include "lb-json.h"
 #include "lb-log.h"
 #include "lp-platform.h"
 
@@ -237,10 +238,9 @@
 static bool
 is_own_row (const Commit *commit, const char *text)
 {
-  struct json_object *member = NULL;
   struct json_object *object = json_tokener_parse (text);
-  bool own = object && json_object_object_get_ex (object, "token", &member)
-             && strcmp (json_object_get_string (member), commit->token) == 0;
+  const char *token = lb_json_text (object, "token", NULL);
+  bool own = token && strcmp (token, commit->token) == 0;
 
   json_object_put (object);
   return own;
--- a/packages/node/src/ln-upstream.c
+++ b/packages/node/src/ln-upstream.c
@@ -80,10 +80,9 @@
 static bool
 is_own (const LnUpstream *upstream, struct json_object *event)
 {
-  struct json_object *id = NULL;
+  const char *id = lb_json_text (event, "id", NULL);
 
-  return json_object_object_get_ex (event, "id", &id)
-         && strcmp (json_object_get_string (id), upstream->stream_id) == 0;
+  return id && strcmp (id, upstream->stream_id) == 0;
 }
 
 static bool
@@ -168,9 +167,6 @@
 refusal (LnUpstream *upstream, LcAttemptEnd *how)
 {
   struct json_object *object = NULL;
-  struct json_object *inner = NULL;
-  struct json_object *type = NULL;
-  const char *name = "";
   size_t length;
   LbError error;
 
@@ -178,9 +174,7 @@
     return false;
   const char *body = ln_upstream_body (upstream, &length);
   object = lb_settings_parse (body, length, "refusal", &error);
-  if (object && json_object_object_get_ex (object, "error", &inner)
-      && json_object_object_get_ex (inner, "type", &type))
-    name = json_object_get_string (type);
+  const char *name = lb_json_text (lb_json_member (object, "error"), "type", "");
   bool leaving = strcmp (name, "leaving") == 0;
   bool refused = leaving || strcmp (name, "not_started") == 0;
   *how = leaving ? LC_END_REFUSED_LEAVING : LC_END_REFUSED;
--- a/packages/node/tests/test-calls.c
+++ b/packages/node/tests/test-calls.c
@@ -193,6 +193,50 @@
   setup_clear (&s);
 }
 
+/* An engine sends an event whose id is null. That took the instance down with every stream on it,
+ * as the id was compared as if it were a text; it is an event of no request of ours. */
+Test (calls, event_without_a_textual_id_ends_the_attempt)
+{
+  Setup s;
+  Peer caller, engine;
+  char id[96];
+
+  setup_init (&s, 1);
+  caller_open (&s.f, &caller);
+  caller_post (&caller, "/v1/completions", "x-not-repeatable: 1\r\n", STREAM);
+  endpoint_accept_stream (&s.f, s.listener[0], &engine, id);
+  endpoint_send_head (&engine);
+  endpoint_send_chunk (&engine,
+                       "data: {\"id\":null,\"choices\":[{\"index\":0,\"text\":\"x\"}]}\n\n");
+  FIXTURE_UNTIL (&s.f, peer_has (&caller, "outcome_unknown"));
+  peer_close (&engine);
+  peer_close (&caller);
+  setup_clear (&s);
+}
+
+/* Likewise a refusal whose error has a null for a type: it proves nothing about the start. */
+Test (calls, refusal_without_a_textual_type_is_no_proof)
+{
+  Setup s;
+  Peer caller, engine;
+  char id[96];
+  static const char body[] = "{\"error\":{\"type\":null}}";
+
+  setup_init (&s, 1);
+  caller_open (&s.f, &caller);
+  caller_post (&caller, "/v1/completions", "x-not-repeatable: 1\r\n", BODY (""));
+  accept_any (&s, &engine, id);
+  char *reply
+      = lb_asprintf ("HTTP/1.1 503 Busy\r\nContent-Length: %zu\r\n\r\n%s", sizeof body - 1, body);
+  peer_send (&engine, reply);
+  free (reply);
+  FIXTURE_UNTIL (&s.f, peer_has (&caller, "endpoint_failed"));
+  FIXTURE_UNTIL (&s.f, peer_has (&caller, "\"not_run\":false"));
+  peer_close (&engine);
+  peer_close (&caller);
+  setup_clear (&s);
+}
+
 /* The connection to the engine goes silent for good in mid-answer: something between the two ends
  * lost track of it, and no end of the stream will ever come. After stream_silence_ms with not even
  * a keep-alive the attempt counts as broken, and the answer is resumed on a new connection where it
