--- a/packages/cli/src/lt-client.c
+++ b/packages/cli/src/lt-client.c
@@ -1,6 +1,7 @@
 #include "lt-client.h"
 
 #include "lb-alloc.h"
+#include "lb-json.h"
 #include "lh-fetch.h"
 
 #include <event2/event.h>
@@ -104,16 +105,6 @@
   return n;
 }
 
-static const char *
-text_at (struct json_object *object, const char *key)
-{
-  struct json_object *value = NULL;
-
-  if (!object || !json_object_object_get_ex (object, key, &value))
-    return "";
-  return json_object_get_string (value);
-}
-
 static bool
 error_of_reply (const LtReply *reply, LbError *error)
 {
@@ -122,8 +113,9 @@
   if (!reply->body || !json_object_object_get_ex (reply->body, "error", &member))
     return lb_error_set (error, LB_ERROR_IO, "", "HTTP status %d with no error in the body",
                          reply->status);
-  return lb_error_set (error, lb_error_from_name (text_at (member, "type")),
-                       text_at (member, "where"), "%s", text_at (member, "message"));
+  return lb_error_set (error, lb_error_from_name (lb_json_text (member, "type", "")),
+                       lb_json_text (member, "where", ""), "%s",
+                       lb_json_text (member, "message", ""));
 }
 
 bool
--- a/packages/cli/src/lt-resources.c
+++ b/packages/cli/src/lt-resources.c
@@ -20,7 +20,7 @@
   puts (json_object_to_json_string_ext (object, JSON_C_TO_STRING_PRETTY | JSON_C_TO_STRING_SPACED));
 }
 
-/* "" when the key is absent. */
+/* "" when the key is absent or null. */
 const char *
 lt_text (struct json_object *object, const char *key)
 {
@@ -28,7 +28,9 @@
 
   if (!object || !json_object_object_get_ex (object, key, &value))
     return "";
-  return json_object_get_string (value);
+
+  const char *text = json_object_get_string (value);
+  return text ? text : "";
 }
 
 int64_t
