--- a/packages/cli/src/lt-apply.c
+++ b/packages/cli/src/lt-apply.c
@@ -64,11 +64,22 @@
   return code;
 }
 
+/* Takes the change over. */
+static int
+connect_and_send (const Options *options, struct json_object *change, const char *source)
+{
+  LtClient *client = lt_arguments_client (&options->common);
+  int code = send_change (options, client, change, source);
+
+  lt_client_free (client);
+  json_object_put (change);
+  return code;
+}
+
 static int
 apply_files (const Options *options)
 {
   LbError error = { .code = LB_OK };
-  int code = LT_EXIT_USAGE;
   struct json_object *change
       = lt_resources_read_files (options->files->filename, (size_t)options->files->count, &error);
 
@@ -77,11 +88,7 @@
       lt_print_error (&error);
       return LT_EXIT_USAGE;
     }
-  LtClient *client = lt_arguments_client (&options->common);
-  code = send_change (options, client, change, options->files->filename[0]);
-  lt_client_free (client);
-  json_object_put (change);
-  return code;
+  return connect_and_send (options, change, options->files->filename[0]);
 }
 
 int
@@ -117,11 +124,7 @@
   json_object_object_add (item, "name", json_object_new_string (options->name->sval[0]));
   json_object_array_add (list, item);
   json_object_object_add (change, "delete", list);
-  LtClient *client = lt_arguments_client (&options->common);
-  int code = send_change (options, client, change, "delete");
-  lt_client_free (client);
-  json_object_put (change);
-  return code;
+  return connect_and_send (options, change, "delete");
 }
 
 int
