--- a/packages/base/include/lb-error.h
+++ b/packages/base/include/lb-error.h
@@ -43,6 +43,7 @@
   LB_ERROR_STREAM_BROKEN,
   LB_ERROR_DEADLINE,
   LB_ERROR_ENDPOINT_FAILED,
+  LB_ERROR_REJECTED, /* the endpoint says that this request can never be done */
   LB_ERROR_UNLABELLED,
   /* platform */
   LB_ERROR_STORE_AWAY,
--- a/packages/base/src/lb-error.c
+++ b/packages/base/src/lb-error.c
@@ -47,6 +47,7 @@
   [LB_ERROR_STREAM_BROKEN] = { "stream_broken", 502, false },
   [LB_ERROR_DEADLINE] = { "deadline", 504, false },
   [LB_ERROR_ENDPOINT_FAILED] = { "endpoint_failed", 502, false },
+  [LB_ERROR_REJECTED] = { "rejected", 422, false },
   [LB_ERROR_UNLABELLED] = { "unlabelled", 502, false },
   [LB_ERROR_STORE_AWAY] = { "store_away", 503, false },
   [LB_ERROR_STORE_UNKNOWN] = { "store_outcome_unknown", 503, false },
--- /dev/null
+++ b/packages/core/include/lc-batch-head.h
@@ -0,0 +1,33 @@
+#ifndef LC_BATCH_HEAD_H
+#define LC_BATCH_HEAD_H
+
+#include "lc-types.h"
+
+struct json_object;
+
+/* The row that stands for an accepted batch: it exists exactly if the batch was accepted, and every
+ * result is written under the condition that it has not changed. So an owner that was replaced, or
+ * that missed the end of the batch, can list nothing more. */
+typedef struct
+{
+  LbName batch;
+  LbName owner; /* instance that runs it; empty: given up, anyone may take it */
+  LbName incarnation;
+  int64_t epoch; /* one more with each owner */
+  bool ended;
+  int64_t total; /* items */
+  LbName host;   /* of its route */
+  char path[128];
+} LcBatchHead;
+
+struct json_object *lc_batch_head_to_json (const LcBatchHead *head);
+bool lc_batch_head_from_json (struct json_object *object, LcBatchHead *head);
+
+/* Position of an instance in the order in which instances may take the batch over; the same
+ * everywhere, and another one for each batch. */
+size_t lc_batch_head_rank (const char *batch,
+                           const char *self,
+                           const LbName *candidates,
+                           size_t n_candidates);
+
+#endif
--- /dev/null
+++ b/packages/core/include/lc-batch.h
@@ -0,0 +1,126 @@
+#ifndef LC_BATCH_H
+#define LC_BATCH_H
+
+#include "lc-dispatch.h"
+#include "lc-outgoing.h"
+
+/* A batch of samples at the instance that owns it: which item runs, which result comes at which
+ * position, what is tried again and what is given up. No I/O: commands append actions. */
+
+typedef struct
+{
+  LbName group; /* items of one group share their prompt */
+  LcOutgoing request;
+  int64_t prompt_tokens;
+  int64_t max_tokens;
+  int64_t expected_tokens; /* of the whole text, by its trainer's estimate; 0: not known */
+  uint64_t prefix_hashes[LC_MAX_PREFIX_HASHES];
+  size_t n_prefix_hashes;
+  bool has_scorer;
+  LcOutgoing scorer;
+} LcItemSpec;
+
+typedef struct
+{
+  LbName id;
+  LbName model;
+  int64_t step;
+  LcVersion min_version; /* older weights may not make any of its text */
+  int64_t target_groups; /* whole groups that the trainer waits for */
+  LcItemSpec *items;
+  size_t n_items;
+} LcBatchSpec;
+
+void lc_batch_spec_clear (LcBatchSpec *spec);
+
+#define LC_MAX_RESULT_VERSIONS 16
+
+/* What is listed of an item, at a position that never changes. Owned texts. */
+typedef struct
+{
+  LbName item;
+  bool completed; /* else it was given up */
+  char *text;
+  char *score;
+  LcVersion versions[LC_MAX_RESULT_VERSIONS];
+  size_t n_versions;
+} LcBatchResult;
+
+void lc_batch_result_clear (LcBatchResult *result);
+
+typedef enum
+{
+  LC_BATCH_RUN,   /* submit the item to the dispatch under the id `request` */
+  LC_BATCH_SCORE, /* the same for the item's scorer */
+  LC_BATCH_STOP,  /* cancel `request` */
+  LC_BATCH_WRITE  /* write results from `position` on; answer with lc_batch_written */
+} LcBatchActionType;
+
+typedef struct
+{
+  LbLink link;
+  LcBatchActionType type;
+  LcRequestId request;
+  size_t item; /* index into the spec's items */
+  /* RUN */
+  int64_t resume_at;  /* events that the text so far holds */
+  const char *resume; /* the text so far; NULL: none; valid until the next command */
+  /* WRITE: valid until lc_batch_written */
+  int64_t position;
+  const LcBatchResult *const *results;
+  size_t n_results;
+} LcBatchAction;
+
+void lc_batch_action_free (LcBatchAction *action);
+
+typedef struct
+{
+  int64_t attempts;       /* failures of an item at engines after which it is given up */
+  int64_t score_attempts; /* the same for its scorer */
+  bool resumable;
+  bool single_version;
+  LbTime give_up_at; /* what is not done by then is given up; LB_TIME_NEVER: never */
+  LcRequestId (*next_id) (void *user);
+  void *user;
+} LcBatchSettings;
+
+typedef struct LcBatch LcBatch;
+
+/* Takes over the spec's content. */
+LcBatch *lc_batch_new (LcBatchSpec *spec, const LcBatchSettings *settings);
+void lc_batch_free (LcBatch *batch);
+
+/* commands */
+/* An earlier owner listed the item; before lc_batch_start. */
+void lc_batch_was_listed (LcBatch *batch, const char *item);
+void lc_batch_start (LcBatch *batch, LbTime now, LbList *actions);
+/* One event of a running item's text. */
+void lc_batch_piece (LcBatch *batch, LcRequestId request, LcVersion version);
+/* The end of a run; text is taken over: the events of this run, without what it resumed from. */
+void lc_batch_ran (LcBatch *batch,
+                   LcRequestId request,
+                   LbErrorCode error,
+                   char *text,
+                   LbTime now,
+                   LbList *actions);
+void lc_batch_scored (LcBatch *batch,
+                      LcRequestId request,
+                      LbErrorCode error,
+                      const char *score,
+                      LbTime now,
+                      LbList *actions);
+/* How the last WRITE ended; a failed one is asked again with the same results at the same
+ * positions. */
+void lc_batch_written (LcBatch *batch, bool ok, LbTime now, LbList *actions);
+void lc_batch_tick (LcBatch *batch, LbTime now, LbList *actions);
+/* Ends all work; nothing is written any more. */
+void lc_batch_stop (LcBatch *batch, LbList *actions);
+
+/* queries */
+const LcBatchSpec *lc_batch_spec (const LcBatch *batch);
+int64_t lc_batch_listed (const LcBatch *batch);
+bool lc_batch_is_done (const LcBatch *batch);
+bool lc_batch_has_request (const LcBatch *batch, LcRequestId request);
+LbTime lc_batch_next_tick (const LcBatch *batch);
+
+#endif
--- /dev/null
+++ b/packages/core/include/lc-desired.h
@@ -0,0 +1,84 @@
+#ifndef LC_DESIRED_H
+#define LC_DESIRED_H
+
+#include "lc-resources.h"
+
+/* The routes and services that the operators of a shared platform declare for the whole
+ * deployment. Immutable once built, shared by reference. */
+
+typedef enum
+{
+  LC_ROUTE_REPEATABLE, /* a call that may run more than once */
+  LC_ROUTE_ONCE,       /* a call that runs at most once */
+  LC_ROUTE_STREAM,     /* a streamed answer */
+  LC_ROUTE_BATCH       /* a batch of samples, accepted now and run later */
+} LcRouteKind;
+
+#define LC_MAX_ROUTE_TARGETS 8
+
+typedef struct
+{
+  LbName service;
+  int64_t weight;
+} LcRouteTarget;
+
+typedef struct
+{
+  LbName name;
+  LbName host;
+  char prefix[128];
+  LcRouteKind kind;
+  LbTime timeout; /* longest time that a caller is kept waiting; 0: its deadline alone counts */
+  LbTime goal;    /* an answer within it is worth most */
+  LbTime give_up; /* BATCH: an item may be given up so long after the submission; 0: never */
+  LbTime due;     /* BATCH: all results are wanted so long after the submission */
+  int64_t attempts; /* most endpoints that one request is sent to */
+  int priority;     /* larger first */
+  bool resumable;
+  bool single_version; /* BATCH: a result must be of one weight version */
+  LcRouteTarget targets[LC_MAX_ROUTE_TARGETS];
+  size_t n_targets;
+} LcRoute;
+
+typedef struct
+{
+  LbName name;
+  int64_t max_connections;  /* of one endpoint, from all instances together */
+  int64_t tokens_per_event; /* of an engine's stream; 0: not known, or a plain service */
+} LcService;
+
+/* What callers may send, and how slowly. */
+typedef struct
+{
+  int64_t max_header_bytes;
+  int64_t max_body_bytes;
+  LbTime header_time;
+  LbTime idle_time;
+} LcCallerLimits;
+
+typedef struct
+{
+  int references;
+  int64_t version;
+  LcRoute *routes; /* longest prefix first */
+  size_t n_routes;
+  LcService *services;
+  size_t n_services;
+  LcCallerLimits limits;
+} LcDesired;
+
+LcDesired *lc_desired_new (int64_t version);
+LcDesired *lc_desired_ref (LcDesired *desired);
+void lc_desired_unref (LcDesired *desired);
+/* Both copy; lc_desired_sort comes after the last. */
+void lc_desired_add_route (LcDesired *desired, const LcRoute *route);
+void lc_desired_add_service (LcDesired *desired, const LcService *service);
+void lc_desired_sort (LcDesired *desired);
+
+/* The route with the longest prefix that begins the path; NULL: none. */
+const LcRoute *lc_desired_route (const LcDesired *desired, const char *host, const char *path);
+const LcService *lc_desired_service (const LcDesired *desired, const char *name);
+/* One of the route's services by weight; draw is in 0..1. */
+const char *lc_route_service (const LcRoute *route, double draw);
+
+#endif
--- a/packages/core/include/lc-dispatch.h
+++ b/packages/core/include/lc-dispatch.h
@@ -27,6 +27,8 @@
   double share;  /* weight of the caller among its kind; 0: 1 */
   bool repeatable;
   bool resumable; /* a broken stream may go on elsewhere at the last offset */
+  bool failure_is_final; /* the submitter counts failures of endpoints: each one is an answer */
+  int64_t max_attempts;  /* 0: the dispatch's own limit */
   int priority;   /* larger first within a kind */
   int64_t prompt_tokens;
   int64_t expected_tokens;
@@ -63,6 +65,7 @@
   LC_END_REFUSED_LEAVING, /* the same, because it is leaving */
   LC_END_NOT_HANDED,      /* no byte was handed to a socket */
   LC_END_BROKEN,          /* connection lost or silent after bytes were handed */
+  LC_END_REJECTED,        /* the endpoint answered that the request can never be done */
   LC_END_FAILED           /* the endpoint answered with a failure after it may have run */
 } LcAttemptEnd;
 
--- /dev/null
+++ b/packages/core/include/lc-fleet.h
@@ -0,0 +1,49 @@
+#ifndef LC_FLEET_H
+#define LC_FLEET_H
+
+#include "lc-types.h"
+
+struct json_object;
+
+/* Instances that find one another through rows of a shared store: each renews its own row, and one
+ * whose row stands still for too long is taken for dead. No I/O. */
+
+typedef struct
+{
+  LbName name;
+  LbName incarnation;
+  LbName data_centre;
+  LbName caller_address;
+  bool ready;
+  bool draining;
+  int64_t renewals; /* of the row by this incarnation */
+} LcFleetRow;
+
+struct json_object *lc_fleet_row_to_json (const LcFleetRow *row);
+bool lc_fleet_row_from_json (struct json_object *object, LcFleetRow *row);
+
+typedef struct
+{
+  LcFleetRow row;
+  int64_t version;   /* of the row in the store */
+  LbTime renewed_at; /* when this version was first seen; 0: before this instance began to look */
+  bool alive;
+  bool seen; /* in the list being taken */
+} LcFleetMember;
+
+typedef struct LcFleet LcFleet;
+
+LcFleet *lc_fleet_new (const char *self);
+void lc_fleet_free (LcFleet *fleet);
+
+/* commands */
+/* A whole list begins at `now`; rows follow; true when who is alive, or what they say, changed. */
+void lc_fleet_begin (LcFleet *fleet, LbTime now);
+void lc_fleet_add (LcFleet *fleet, const LcFleetRow *row, int64_t version, LbTime now);
+bool lc_fleet_end (LcFleet *fleet, LbTime now);
+
+/* queries */
+size_t lc_fleet_count (const LcFleet *fleet);
+const LcFleetMember *lc_fleet_at (const LcFleet *fleet, size_t index);
+
+#endif
--- /dev/null
+++ b/packages/core/include/lc-roster.h
@@ -0,0 +1,52 @@
+#ifndef LC_ROSTER_H
+#define LC_ROSTER_H
+
+#include "lc-resources.h"
+
+/* The endpoints that register themselves in the store, as this instance believes them to be, and
+ * which model each engine is used for. No I/O. */
+
+#define LC_MAX_MODELS 8
+
+typedef struct
+{
+  LbName name;
+  LcVersion version;
+} LcModelState;
+
+/* One endpoint as its own entry in the store tells. A new start of it has a new name. */
+typedef struct
+{
+  LbName name;
+  LbName address;
+  LbName data_centre;
+  LbName service;
+  int64_t slots; /* requests that it works on at once */
+  int64_t orders; /* that it has accepted since its start */
+  bool leaving;
+  LcModelState models[LC_MAX_MODELS]; /* none: a plain service */
+  size_t n_models;
+} LcListed;
+
+typedef struct LcRoster LcRoster;
+
+LcRoster *lc_roster_new (void);
+void lc_roster_free (LcRoster *roster);
+
+/* commands */
+/* A whole list that the store gave at asked_at; true when the resource set has changed. */
+bool lc_roster_update (
+    LcRoster *roster, const LcListed *list, size_t n_list, LbTime asked_at, LbTime now);
+
+/* queries */
+size_t lc_roster_count (const LcRoster *roster);
+const LcListed *lc_roster_at (const LcRoster *roster, size_t index);
+const LcListed *lc_roster_find (const LcRoster *roster, const char *name);
+/* The model that the engine is used for; "" for a plain service. */
+const char *lc_roster_model (const LcRoster *roster, size_t index);
+/* The version that the engine has of the model it is used for; 0: none. */
+LcVersion lc_roster_version (const LcRoster *roster, size_t index);
+/* A pool for each model and each endpoint in its pool. */
+LcResourceSet *lc_roster_resources (const LcRoster *roster, int64_t revision);
+
+#endif
--- /dev/null
+++ b/packages/core/src/lc-batch-head.c
@@ -0,0 +1,59 @@
+#include "lc-batch-head.h"
+
+#include "lb-alloc.h"
+#include "lb-json.h"
+
+#include <json-c/json.h>
+#include <string.h>
+#include <xxhash.h>
+
+struct json_object *
+lc_batch_head_to_json (const LcBatchHead *head)
+{
+  struct json_object *object = json_object_new_object ();
+
+  json_object_object_add (object, "batch", json_object_new_string (head->batch));
+  json_object_object_add (object, "owner", json_object_new_string (head->owner));
+  json_object_object_add (object, "incarnation", json_object_new_string (head->incarnation));
+  json_object_object_add (object, "epoch", json_object_new_int64 (head->epoch));
+  json_object_object_add (object, "ended", json_object_new_boolean (head->ended));
+  json_object_object_add (object, "total", json_object_new_int64 (head->total));
+  json_object_object_add (object, "host", json_object_new_string (head->host));
+  json_object_object_add (object, "path", json_object_new_string (head->path));
+  return object;
+}
+
+bool
+lc_batch_head_from_json (struct json_object *object, LcBatchHead *head)
+{
+  memset (head, 0, sizeof *head);
+  LB_COPY (head->batch, lb_json_text (object, "batch", ""));
+  LB_COPY (head->owner, lb_json_text (object, "owner", ""));
+  LB_COPY (head->incarnation, lb_json_text (object, "incarnation", ""));
+  head->epoch = lb_json_int (object, "epoch", 0);
+  head->ended = lb_json_bool (object, "ended", false);
+  head->total = lb_json_int (object, "total", 0);
+  LB_COPY (head->host, lb_json_text (object, "host", ""));
+  LB_COPY (head->path, lb_json_text (object, "path", ""));
+  return head->batch[0] && head->epoch > 0 && head->total > 0;
+}
+
+static uint64_t
+weight (const char *batch, const char *instance)
+{
+  return XXH3_64bits_withSeed (instance, strlen (instance), XXH3_64bits (batch, strlen (batch)));
+}
+
+size_t
+lc_batch_head_rank (const char *batch,
+                    const char *self,
+                    const LbName *candidates,
+                    size_t n_candidates)
+{
+  uint64_t own = weight (batch, self);
+  size_t rank = 0;
+
+  for (size_t i = 0; i < n_candidates; i++)
+    rank += strcmp (candidates[i], self) != 0 && weight (batch, candidates[i]) > own;
+  return rank;
+}
--- /dev/null
+++ b/packages/core/src/lc-batch.c
@@ -0,0 +1,507 @@
+#include "lc-batch.h"
+
+#include "lb-alloc.h"
+#include "lb-log.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define FIRST_DELAY (50 * LB_MSEC) /* before a failed run is tried again; doubles each time */
+#define LONGEST_DELAY (800 * LB_MSEC)
+#define WRITE_RETRY (100 * LB_MSEC)
+#define MAX_RESULTS_PER_WRITE 40       /* the store takes at most 100 entries in a transaction */
+#define MAX_BYTES_PER_WRITE (400 << 10) /* of text; the store takes 1 MB, encoded */
+
+typedef enum
+{
+  ITEM_WAITING,
+  ITEM_RUNNING,
+  ITEM_GENERATED, /* waits to be scored */
+  ITEM_SCORING,
+  ITEM_READY, /* its result waits to be written */
+  ITEM_LISTED
+} ItemState;
+
+typedef struct
+{
+  LbLink ready; /* in LcBatch.ready */
+  ItemState state;
+  LcRequestId request;
+  LbTime retry_at;
+  int64_t failures; /* answers that said that the endpoint failed */
+  int64_t score_failures;
+  int retries; /* since the last progress */
+  int64_t events;
+  bool unusable; /* its text mixes what may not be mixed: made again from the start */
+  LcBatchResult result;
+} Item;
+
+struct LcBatch
+{
+  LcBatchSpec spec;
+  LcBatchSettings settings;
+  Item *items;
+  LbList ready;
+  int64_t n_listed;
+  const LcBatchResult **writing;
+  size_t n_writing; /* first ones of ready */
+  bool is_writing;
+  LbTime write_at; /* a failed write is asked again */
+  bool is_started;
+  bool is_stopped;
+};
+
+void
+lc_batch_spec_clear (LcBatchSpec *spec)
+{
+  for (size_t i = 0; i < spec->n_items; i++)
+    {
+      lc_outgoing_clear (&spec->items[i].request);
+      lc_outgoing_clear (&spec->items[i].scorer);
+    }
+  free (spec->items);
+  memset (spec, 0, sizeof *spec);
+}
+
+void
+lc_batch_result_clear (LcBatchResult *result)
+{
+  free (result->text);
+  free (result->score);
+  memset (result, 0, sizeof *result);
+}
+
+void
+lc_batch_action_free (LcBatchAction *action)
+{
+  free (action);
+}
+
+LcBatch *
+lc_batch_new (LcBatchSpec *spec, const LcBatchSettings *settings)
+{
+  LcBatch *batch = LB_NEW (LcBatch);
+
+  batch->spec = *spec;
+  memset (spec, 0, sizeof *spec);
+  batch->settings = *settings;
+  batch->items = LB_NEW_ARRAY (Item, batch->spec.n_items);
+  batch->write_at = LB_TIME_NEVER;
+  lb_list_init (&batch->ready);
+  for (size_t i = 0; i < batch->spec.n_items; i++)
+    LB_COPY (batch->items[i].result.item, batch->spec.items[i].request.id);
+  return batch;
+}
+
+void
+lc_batch_free (LcBatch *batch)
+{
+  if (!batch)
+    return;
+  for (size_t i = 0; i < batch->spec.n_items; i++)
+    lc_batch_result_clear (&batch->items[i].result);
+  lc_batch_spec_clear (&batch->spec);
+  free (batch->items);
+  free (batch->writing);
+  free (batch);
+}
+
+static LcBatchAction *
+add_action (LbList *actions, LcBatchActionType type)
+{
+  LcBatchAction *action = LB_NEW (LcBatchAction);
+
+  action->type = type;
+  lb_list_append (actions, &action->link);
+  return action;
+}
+
+static size_t
+index_of (const LcBatch *batch, const Item *item)
+{
+  return (size_t)(item - batch->items);
+}
+
+static Item *
+find_request (const LcBatch *batch, LcRequestId request)
+{
+  for (size_t i = 0; request != 0 && i < batch->spec.n_items; i++)
+    if (batch->items[i].request == request)
+      return &batch->items[i];
+  return NULL;
+}
+
+void
+lc_batch_was_listed (LcBatch *batch, const char *name)
+{
+  batch->n_listed++;
+  for (size_t i = 0; i < batch->spec.n_items; i++)
+    if (strcmp (batch->spec.items[i].request.id, name) == 0)
+      batch->items[i].state = ITEM_LISTED;
+}
+
+/* --- writing --- */
+
+/* One write is on its way at a time, with all that got ready meanwhile: the position of a result is
+ * fixed by the first write that names it, and a write whose answer was lost is repeated with the
+ * same content, since it may still be carried out. */
+static void
+write_ready (LcBatch *batch, LbList *actions)
+{
+  size_t bytes = 0;
+
+  if (batch->is_writing || batch->is_stopped || lb_list_is_empty (&batch->ready))
+    return;
+  if (batch->n_writing == 0)
+    {
+      batch->writing
+          = lb_realloc (batch->writing, MAX_RESULTS_PER_WRITE * sizeof *batch->writing);
+      LB_LIST_FOREACH (&batch->ready, Item, ready, item)
+      {
+        bytes += item->result.text ? strlen (item->result.text) : 0;
+        if (batch->n_writing == MAX_RESULTS_PER_WRITE
+            || (batch->n_writing > 0 && bytes > MAX_BYTES_PER_WRITE))
+          break;
+        batch->writing[batch->n_writing++] = &item->result;
+      }
+    }
+  LcBatchAction *action = add_action (actions, LC_BATCH_WRITE);
+  batch->is_writing = true;
+  batch->write_at = LB_TIME_NEVER;
+  action->position = batch->n_listed;
+  action->results = batch->writing;
+  action->n_results = batch->n_writing;
+}
+
+void
+lc_batch_written (LcBatch *batch, bool ok, LbTime now, LbList *actions)
+{
+  batch->is_writing = false;
+  if (!ok)
+    {
+      batch->write_at = now + WRITE_RETRY;
+      return;
+    }
+  for (; batch->n_writing > 0; batch->n_writing--)
+    {
+      Item *item = LB_CONTAINER (lb_list_pop (&batch->ready), Item, ready);
+      item->state = ITEM_LISTED;
+      lc_batch_result_clear (&item->result);
+      batch->n_listed++;
+    }
+  write_ready (batch, actions);
+}
+
+static void
+make_ready (LcBatch *batch, Item *item, bool completed, LbList *actions)
+{
+  item->state = ITEM_READY;
+  item->request = 0;
+  item->result.completed = completed;
+  if (!completed)
+    {
+      free (item->result.text);
+      item->result.text = NULL;
+      item->result.n_versions = 0;
+    }
+  LB_COPY (item->result.item, batch->spec.items[index_of (batch, item)].request.id);
+  lb_list_append (&batch->ready, &item->ready);
+  write_ready (batch, actions);
+}
+
+/* --- running --- */
+
+static void
+run (LcBatch *batch, Item *item, LbList *actions)
+{
+  LcBatchAction *action = add_action (actions, LC_BATCH_RUN);
+
+  item->state = ITEM_RUNNING;
+  item->request = batch->settings.next_id (batch->settings.user);
+  action->request = item->request;
+  action->item = index_of (batch, item);
+  action->resume_at = item->events;
+  action->resume = item->result.text;
+}
+
+static void
+score (LcBatch *batch, Item *item, LbList *actions)
+{
+  LcBatchAction *action = add_action (actions, LC_BATCH_SCORE);
+
+  item->state = ITEM_SCORING;
+  item->request = batch->settings.next_id (batch->settings.user);
+  action->request = item->request;
+  action->item = index_of (batch, item);
+}
+
+void
+lc_batch_start (LcBatch *batch, LbTime now, LbList *actions)
+{
+  batch->is_started = true;
+  for (size_t i = 0; i < batch->spec.n_items; i++)
+    if (batch->items[i].state == ITEM_WAITING && batch->items[i].retry_at <= now)
+      run (batch, &batch->items[i], actions);
+}
+
+static void
+restart_text (Item *item)
+{
+  free (item->result.text);
+  item->result.text = NULL;
+  item->result.n_versions = 0;
+  item->events = 0;
+  item->unusable = false;
+}
+
+static void
+try_later (Item *item, ItemState state, LbTime now)
+{
+  LbTime delay = FIRST_DELAY;
+
+  for (int i = 0; i < item->retries && delay < LONGEST_DELAY; i++)
+    delay *= 2;
+  item->retries++;
+  item->state = state;
+  item->request = 0;
+  item->retry_at = now + (delay < LONGEST_DELAY ? delay : LONGEST_DELAY);
+}
+
+static void
+note_version (LcBatch *batch, Item *item, LcVersion version)
+{
+  LcBatchResult *result = &item->result;
+
+  /* A text that names no version, or one that is too old, could not be labelled honestly. */
+  if (version <= 0 || version < batch->spec.min_version)
+    item->unusable = true;
+  for (size_t i = 0; i < result->n_versions; i++)
+    if (result->versions[i] == version)
+      return;
+  if (result->n_versions == LC_MAX_RESULT_VERSIONS
+      || (batch->settings.single_version && result->n_versions > 0))
+    {
+      item->unusable = true;
+      return;
+    }
+  result->versions[result->n_versions++] = version;
+}
+
+void
+lc_batch_piece (LcBatch *batch, LcRequestId request, LcVersion version)
+{
+  Item *item = find_request (batch, request);
+
+  if (!item || item->state != ITEM_RUNNING)
+    return;
+  item->events++;
+  item->retries = 0;
+  note_version (batch, item, version);
+}
+
+/* The events of two runs of which the second went on behind the first. */
+static void
+append_text (Item *item, char *text)
+{
+  char *before = item->result.text;
+
+  if (!before || before[0] == '\0')
+    {
+      free (before);
+      item->result.text = text;
+      return;
+    }
+  if (text && text[0])
+    {
+      item->result.text = lb_asprintf ("%s\n%s", before, text);
+      free (before);
+    }
+  free (text);
+}
+
+static void
+finish_text (LcBatch *batch, Item *item, LbTime now, LbList *actions)
+{
+  if (item->unusable || item->events == 0)
+    {
+      restart_text (item);
+      try_later (item, ITEM_WAITING, now);
+      return;
+    }
+  item->retries = 0;
+  if (batch->spec.items[index_of (batch, item)].has_scorer)
+    score (batch, item, actions);
+  else
+    make_ready (batch, item, true, actions);
+}
+
+void
+lc_batch_ran (LcBatch *batch,
+              LcRequestId request,
+              LbErrorCode error,
+              char *text,
+              LbTime now,
+              LbList *actions)
+{
+  Item *item = find_request (batch, request);
+
+  if (!item || item->state != ITEM_RUNNING)
+    {
+      free (text);
+      return;
+    }
+  append_text (item, text);
+  if (error == LB_OK)
+    {
+      finish_text (batch, item, now, actions);
+      return;
+    }
+  item->failures += error == LB_ERROR_ENDPOINT_FAILED;
+  if (error == LB_ERROR_REJECTED || item->failures >= batch->settings.attempts)
+    {
+      lb_log (LB_LOG_INFO, "item_given_up", LB_TEXT ("batch", batch->spec.id),
+              LB_TEXT ("item", item->result.item), LB_TEXT ("error", lb_error_name (error)),
+              LB_INT ("failures", item->failures));
+      make_ready (batch, item, false, actions);
+      return;
+    }
+  if (item->unusable || !batch->settings.resumable)
+    restart_text (item);
+  try_later (item, ITEM_WAITING, now);
+}
+
+void
+lc_batch_scored (LcBatch *batch,
+                 LcRequestId request,
+                 LbErrorCode error,
+                 const char *value,
+                 LbTime now,
+                 LbList *actions)
+{
+  Item *item = find_request (batch, request);
+
+  if (!item || item->state != ITEM_SCORING)
+    return;
+  if (error == LB_OK)
+    {
+      item->result.score = lb_strdup (value);
+      make_ready (batch, item, true, actions);
+      return;
+    }
+  item->score_failures += error == LB_ERROR_ENDPOINT_FAILED;
+  if (item->score_failures >= batch->settings.score_attempts)
+    {
+      lb_log (LB_LOG_INFO, "item_not_scored", LB_TEXT ("batch", batch->spec.id),
+              LB_TEXT ("item", item->result.item), LB_INT ("failures", item->score_failures));
+      make_ready (batch, item, false, actions);
+      return;
+    }
+  try_later (item, ITEM_GENERATED, now);
+}
+
+static bool
+is_open (const Item *item)
+{
+  return item->state != ITEM_READY && item->state != ITEM_LISTED;
+}
+
+static void
+stop_request (Item *item, LbList *actions)
+{
+  if (item->request == 0)
+    return;
+  add_action (actions, LC_BATCH_STOP)->request = item->request;
+  item->request = 0;
+}
+
+/* What has not come by the time that the operator sets is given up, so that the trainer does not
+ * wait for it for ever. */
+static void
+give_up_all (LcBatch *batch, LbList *actions)
+{
+  for (size_t i = 0; i < batch->spec.n_items; i++)
+    {
+      Item *item = &batch->items[i];
+      if (!is_open (item))
+        continue;
+      stop_request (item, actions);
+      make_ready (batch, item, false, actions);
+    }
+}
+
+void
+lc_batch_tick (LcBatch *batch, LbTime now, LbList *actions)
+{
+  if (batch->is_stopped || !batch->is_started)
+    return;
+  if (now >= batch->settings.give_up_at)
+    give_up_all (batch, actions);
+  for (size_t i = 0; i < batch->spec.n_items; i++)
+    {
+      Item *item = &batch->items[i];
+      if (now < item->retry_at)
+        continue;
+      if (item->state == ITEM_WAITING)
+        run (batch, item, actions);
+      else if (item->state == ITEM_GENERATED)
+        score (batch, item, actions);
+    }
+  if (now >= batch->write_at)
+    write_ready (batch, actions);
+}
+
+void
+lc_batch_stop (LcBatch *batch, LbList *actions)
+{
+  batch->is_stopped = true;
+  for (size_t i = 0; i < batch->spec.n_items; i++)
+    stop_request (&batch->items[i], actions);
+}
+
+const LcBatchSpec *
+lc_batch_spec (const LcBatch *batch)
+{
+  return &batch->spec;
+}
+
+int64_t
+lc_batch_listed (const LcBatch *batch)
+{
+  return batch->n_listed;
+}
+
+bool
+lc_batch_is_done (const LcBatch *batch)
+{
+  return batch->n_listed >= (int64_t)batch->spec.n_items;
+}
+
+bool
+lc_batch_has_request (const LcBatch *batch, LcRequestId request)
+{
+  return find_request (batch, request) != NULL;
+}
+
+static LbTime
+earlier (LbTime a, LbTime b)
+{
+  return a < b ? a : b;
+}
+
+LbTime
+lc_batch_next_tick (const LcBatch *batch)
+{
+  LbTime next = batch->write_at;
+  bool any_open = false;
+
+  if (batch->is_stopped || !batch->is_started)
+    return LB_TIME_NEVER;
+  for (size_t i = 0; i < batch->spec.n_items; i++)
+    {
+      const Item *item = &batch->items[i];
+      any_open |= is_open (item);
+      if (item->state == ITEM_WAITING || item->state == ITEM_GENERATED)
+        next = earlier (next, item->retry_at);
+    }
+  return any_open ? earlier (next, batch->settings.give_up_at) : next;
+}
--- /dev/null
+++ b/packages/core/src/lc-desired.c
@@ -0,0 +1,113 @@
+#include "lc-desired.h"
+
+#include "lb-alloc.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+LcDesired *
+lc_desired_new (int64_t version)
+{
+  LcDesired *desired = LB_NEW (LcDesired);
+
+  desired->references = 1;
+  desired->version = version;
+  return desired;
+}
+
+LcDesired *
+lc_desired_ref (LcDesired *desired)
+{
+  if (desired)
+    desired->references++;
+  return desired;
+}
+
+void
+lc_desired_unref (LcDesired *desired)
+{
+  if (!desired || --desired->references > 0)
+    return;
+  free (desired->routes);
+  free (desired->services);
+  free (desired);
+}
+
+void
+lc_desired_add_route (LcDesired *desired, const LcRoute *route)
+{
+  desired->routes = lb_realloc (desired->routes, (desired->n_routes + 1) * sizeof *route);
+  desired->routes[desired->n_routes++] = *route;
+}
+
+void
+lc_desired_add_service (LcDesired *desired, const LcService *service)
+{
+  desired->services = lb_realloc (desired->services, (desired->n_services + 1) * sizeof *service);
+  desired->services[desired->n_services++] = *service;
+}
+
+static int
+by_prefix_length (const void *a, const void *b)
+{
+  size_t first = strlen (((const LcRoute *)a)->prefix);
+  size_t second = strlen (((const LcRoute *)b)->prefix);
+
+  return first < second ? 1 : first > second ? -1 : 0;
+}
+
+void
+lc_desired_sort (LcDesired *desired)
+{
+  if (desired->n_routes > 0)
+    qsort (desired->routes, desired->n_routes, sizeof *desired->routes, by_prefix_length);
+}
+
+/* The port that a caller may name beside the host selects nothing. */
+static bool
+host_matches (const LcRoute *route, const char *host)
+{
+  size_t length = strlen (route->host);
+
+  return strncasecmp (route->host, host, length) == 0
+         && (host[length] == '\0' || host[length] == ':');
+}
+
+const LcRoute *
+lc_desired_route (const LcDesired *desired, const char *host, const char *path)
+{
+  for (size_t i = 0; i < desired->n_routes; i++)
+    {
+      const LcRoute *route = &desired->routes[i];
+      if (host_matches (route, host) && strncmp (path, route->prefix, strlen (route->prefix)) == 0)
+        return route;
+    }
+  return NULL;
+}
+
+const LcService *
+lc_desired_service (const LcDesired *desired, const char *name)
+{
+  for (size_t i = 0; i < desired->n_services; i++)
+    if (strcmp (desired->services[i].name, name) == 0)
+      return &desired->services[i];
+  return NULL;
+}
+
+const char *
+lc_route_service (const LcRoute *route, double draw)
+{
+  int64_t total = 0;
+
+  for (size_t i = 0; i < route->n_targets; i++)
+    total += route->targets[i].weight;
+  double left = draw * (double)total;
+  for (size_t i = 0; i < route->n_targets; i++)
+    {
+      left -= (double)route->targets[i].weight;
+      if (left < 0)
+        return route->targets[i].service;
+    }
+  return route->n_targets > 0 ? route->targets[route->n_targets - 1].service : "";
+}
--- /dev/null
+++ b/packages/core/src/lc-fleet.c
@@ -0,0 +1,171 @@
+#include "lc-fleet.h"
+
+#include "lb-alloc.h"
+#include "lb-json.h"
+#include "lb-log.h"
+
+#include <json-c/json.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Rows are renewed every second; three missed renewals and the time of a list. */
+#define SILENCE (3200 * LB_MSEC)
+/* Lists come more often than this; a longer gap means that the store was away, and nobody could
+ * renew its row. */
+#define AWAY (1500 * LB_MSEC)
+
+struct LcFleet
+{
+  LbName self;
+  LcFleetMember *members;
+  size_t n_members;
+  LbTime last_list;
+  bool changed;
+};
+
+struct json_object *
+lc_fleet_row_to_json (const LcFleetRow *row)
+{
+  struct json_object *object = json_object_new_object ();
+
+  json_object_object_add (object, "name", json_object_new_string (row->name));
+  json_object_object_add (object, "incarnation", json_object_new_string (row->incarnation));
+  json_object_object_add (object, "data_centre", json_object_new_string (row->data_centre));
+  json_object_object_add (object, "callers", json_object_new_string (row->caller_address));
+  json_object_object_add (object, "ready", json_object_new_boolean (row->ready));
+  json_object_object_add (object, "draining", json_object_new_boolean (row->draining));
+  json_object_object_add (object, "renewals", json_object_new_int64 (row->renewals));
+  return object;
+}
+
+bool
+lc_fleet_row_from_json (struct json_object *object, LcFleetRow *row)
+{
+  memset (row, 0, sizeof *row);
+  LB_COPY (row->name, lb_json_text (object, "name", ""));
+  LB_COPY (row->incarnation, lb_json_text (object, "incarnation", ""));
+  LB_COPY (row->data_centre, lb_json_text (object, "data_centre", ""));
+  LB_COPY (row->caller_address, lb_json_text (object, "callers", ""));
+  row->ready = lb_json_bool (object, "ready", false);
+  row->draining = lb_json_bool (object, "draining", false);
+  row->renewals = lb_json_int (object, "renewals", 0);
+  return row->name[0] && row->incarnation[0] && row->caller_address[0];
+}
+
+LcFleet *
+lc_fleet_new (const char *self)
+{
+  LcFleet *fleet = LB_NEW (LcFleet);
+
+  LB_COPY (fleet->self, self);
+  return fleet;
+}
+
+void
+lc_fleet_free (LcFleet *fleet)
+{
+  if (!fleet)
+    return;
+  free (fleet->members);
+  free (fleet);
+}
+
+static LcFleetMember *
+find (const LcFleet *fleet, const char *name)
+{
+  for (size_t i = 0; i < fleet->n_members; i++)
+    if (strcmp (fleet->members[i].row.name, name) == 0)
+      return &fleet->members[i];
+  return NULL;
+}
+
+/* While the store is away no row is renewed, and all instances would be taken for dead the moment it
+ * answers again: the time without lists does not count. */
+void
+lc_fleet_begin (LcFleet *fleet, LbTime now)
+{
+  LbTime gap = fleet->last_list > 0 ? now - fleet->last_list : 0;
+
+  for (size_t i = 0; i < fleet->n_members; i++)
+    {
+      fleet->members[i].seen = false;
+      if (gap > AWAY)
+        fleet->members[i].renewed_at += gap;
+    }
+  fleet->last_list = now;
+  fleet->changed = false;
+}
+
+static bool
+says_the_same (const LcFleetRow *a, const LcFleetRow *b)
+{
+  return strcmp (a->incarnation, b->incarnation) == 0 && a->ready == b->ready
+         && a->draining == b->draining && strcmp (a->caller_address, b->caller_address) == 0;
+}
+
+void
+lc_fleet_add (LcFleet *fleet, const LcFleetRow *row, int64_t version, LbTime now)
+{
+  LcFleetMember *member = find (fleet, row->name);
+
+  if (!member)
+    {
+      fleet->members
+          = lb_realloc (fleet->members, (fleet->n_members + 1) * sizeof *fleet->members);
+      member = &fleet->members[fleet->n_members++];
+      *member = (LcFleetMember){ .row = *row, .version = version, .renewed_at = now };
+      fleet->changed = true;
+    }
+  member->seen = true;
+  if (version <= member->version)
+    return;
+  fleet->changed |= !says_the_same (&member->row, row);
+  member->row = *row;
+  member->version = version;
+  member->renewed_at = now;
+}
+
+static void
+drop_unseen (LcFleet *fleet)
+{
+  for (size_t i = fleet->n_members; i-- > 0;)
+    if (!fleet->members[i].seen)
+      {
+        fleet->members[i] = fleet->members[--fleet->n_members];
+        fleet->changed = true;
+      }
+}
+
+bool
+lc_fleet_end (LcFleet *fleet, LbTime now)
+{
+  drop_unseen (fleet);
+  for (size_t i = 0; i < fleet->n_members; i++)
+    {
+      LcFleetMember *member = &fleet->members[i];
+      bool is_self = strcmp (member->row.name, fleet->self) == 0;
+      bool alive = is_self || now - member->renewed_at < SILENCE;
+      if (alive != member->alive)
+        {
+          lb_log (LB_LOG_INFO, alive ? "instance_alive" : "instance_lost",
+                  LB_TEXT ("peer", member->row.name),
+                  LB_TEXT ("incarnation", member->row.incarnation),
+                  LB_INT ("silent_us", now - member->renewed_at));
+          fleet->changed = true;
+        }
+      member->alive = alive;
+    }
+  return fleet->changed;
+}
+
+size_t
+lc_fleet_count (const LcFleet *fleet)
+{
+  return fleet->n_members;
+}
+
+const LcFleetMember *
+lc_fleet_at (const LcFleet *fleet, size_t index)
+{
+  return &fleet->members[index];
+}
--- a/packages/core/src/lc-outcome.c
+++ b/packages/core/src/lc-outcome.c
@@ -221,6 +221,10 @@
 {
   if (!request->maybe_run)
     return end == LC_END_NOT_HANDED ? LB_ERROR_NO_ENDPOINT : LB_ERROR_ENDPOINT_REFUSED;
+  if (end == LC_END_REJECTED)
+    return LB_ERROR_REJECTED;
+  if (end == LC_END_FAILED && request->failure_is_final)
+    return LB_ERROR_ENDPOINT_FAILED;
   if (lc_request_has_output (request))
     return LB_ERROR_STREAM_BROKEN;
   return end == LC_END_FAILED ? LB_ERROR_ENDPOINT_FAILED : LB_ERROR_OUTCOME_UNKNOWN;
@@ -229,7 +233,11 @@
 static bool
 may_try_again (const LcRequest *request)
 {
-  if (request->n_attempts >= MAX_ATTEMPTS || request->n_lost >= MAX_LOST)
+  uint32_t most = request->max_attempts > 0 && request->max_attempts < MAX_ATTEMPTS
+                      ? request->max_attempts
+                      : MAX_ATTEMPTS;
+
+  if (request->n_attempts >= most || request->n_lost >= MAX_LOST)
     return false;
   if (!request->maybe_run)
     return true;
@@ -247,6 +255,13 @@
          && request->resumable;
 }
 
+/* The endpoint's answer settles the request. */
+static bool
+is_final (const LcRequest *request, LcAttemptEnd end)
+{
+  return end == LC_END_REJECTED || (end == LC_END_FAILED && request->failure_is_final);
+}
+
 /* Goes on after the last running attempt has failed: again at once when the endpoint only said that
  * it leaves, else after a delay and (unless it continues) within the budgets, else the final
  * answer. */
@@ -262,7 +277,7 @@
   bool at_once = end == LC_END_REFUSED_LEAVING;
   bool paid = !at_once && !continued;
 
-  if (!may_try_again (request) || (!at_once && now + delay >= request->deadline)
+  if (is_final (request, end) || !may_try_again (request) || (!at_once && now + delay >= request->deadline)
       || (paid && !lc_retry_budgets_allow (dispatch->budgets, request->caller)))
     {
       lc_dispatch_give_up (dispatch, request, request->last_error, 0, now, actions);
--- /dev/null
+++ b/packages/core/src/lc-outgoing.c
@@ -0,0 +1,63 @@
+#include "lc-outgoing.h"
+
+#include "lb-alloc.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+void
+lc_outgoing_add_header (LcOutgoing *outgoing, const char *name, const char *value)
+{
+  size_t size = (outgoing->n_headers + 1) * sizeof *outgoing->headers;
+
+  outgoing->headers = lb_realloc (outgoing->headers, size);
+  outgoing->headers[outgoing->n_headers++]
+      = (LcHeader){ .name = lb_strdup (name), .value = lb_strdup (value) };
+}
+
+/* NULL when absent. */
+const char *
+lc_outgoing_header (const LcOutgoing *outgoing, const char *name)
+{
+  for (size_t i = 0; i < outgoing->n_headers; i++)
+    if (strcasecmp (outgoing->headers[i].name, name) == 0)
+      return outgoing->headers[i].value;
+  return NULL;
+}
+
+static char *
+copy_text (const char *text)
+{
+  return text ? lb_strdup (text) : NULL;
+}
+
+void
+lc_outgoing_copy (LcOutgoing *target, const LcOutgoing *source)
+{
+  memset (target, 0, sizeof *target);
+  LB_COPY (target->id, source->id);
+  target->method = copy_text (source->method);
+  target->host = copy_text (source->host);
+  target->path = copy_text (source->path);
+  for (size_t i = 0; i < source->n_headers; i++)
+    lc_outgoing_add_header (target, source->headers[i].name, source->headers[i].value);
+  target->body = source->body ? lb_memdup (source->body, source->body_length + 1) : NULL;
+  target->body_length = source->body_length;
+}
+
+void
+lc_outgoing_clear (LcOutgoing *outgoing)
+{
+  for (size_t i = 0; i < outgoing->n_headers; i++)
+    {
+      free (outgoing->headers[i].name);
+      free (outgoing->headers[i].value);
+    }
+  free (outgoing->headers);
+  free (outgoing->method);
+  free (outgoing->host);
+  free (outgoing->path);
+  free (outgoing->body);
+  memset (outgoing, 0, sizeof *outgoing);
+}
--- a/packages/core/src/lc-request.c
+++ b/packages/core/src/lc-request.c
@@ -37,6 +37,8 @@
   request->delivery = spec->delivery;
   request->repeatable = spec->repeatable;
   request->resumable = spec->resumable;
+  request->failure_is_final = spec->failure_is_final;
+  request->max_attempts = (uint32_t)spec->max_attempts;
   request->prompt_tokens = spec->prompt_tokens;
   request->expected_tokens = spec->expected_tokens;
   request->min_version = spec->min_version;
--- a/packages/core/src/lc-request.h
+++ b/packages/core/src/lc-request.h
@@ -48,6 +48,7 @@
   LcRequestState state;
   bool repeatable;
   bool resumable;
+  bool failure_is_final;
   bool maybe_run; /* some attempt may have run; never becomes false again */
   bool hedged;
   bool charged; /* the next attempt is a retry that its caller has paid for */
@@ -58,6 +59,7 @@
   int64_t next_token;  /* STREAM: the one to be forwarded next */
   uint32_t owner;      /* STREAM: the attempt whose pieces are forwarded; 0: none yet */
   uint32_t n_attempts; /* made so far; the number of the last */
+  uint32_t max_attempts; /* 0: the dispatch's own limit */
   uint32_t n_retries;
   uint32_t n_lost;        /* attempts in a row that may have run and brought nothing */
   LbErrorCode last_error; /* what the last failed attempt means if nothing else follows */
--- /dev/null
+++ b/packages/core/src/lc-roster.c
@@ -0,0 +1,295 @@
+#include "lc-roster.h"
+
+#include "lb-alloc.h"
+#include "lb-log.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+/* A list that comes so long after the one before shows that the store was away, for this instance
+ * at least: several times the interval at which lists are read. */
+#define AWAY (1500 * LB_MSEC)
+/* Entries that lapsed while the store was away come back within two seconds of its return if the
+ * endpoint lives; a little more for the list that shows them. */
+#define RETURN_GRACE (2400 * LB_MSEC)
+/* Share of a pool's engines that may load weights at once. More at once slow one another down: on
+ * the sizes known, a little over a fifth of the engines load at full speed together. */
+#define ROLL_OUT_PERCENT 23
+#define POOL_QUEUE_LIMIT 100000
+
+typedef struct
+{
+  LcListed listed;
+  size_t model; /* index into listed.models that the engine is used for */
+  bool seen;    /* in the list being taken */
+} Entry;
+
+struct LcRoster
+{
+  Entry *entries;
+  size_t n_entries;
+  LbTime last_list; /* when the last list was asked for; 0: none came yet */
+  LbTime grace_until;
+};
+
+LcRoster *
+lc_roster_new (void)
+{
+  return LB_NEW (LcRoster);
+}
+
+void
+lc_roster_free (LcRoster *roster)
+{
+  if (!roster)
+    return;
+  free (roster->entries);
+  free (roster);
+}
+
+static Entry *
+find (const LcRoster *roster, const char *name)
+{
+  for (size_t i = 0; i < roster->n_entries; i++)
+    if (strcmp (roster->entries[i].listed.name, name) == 0)
+      return &roster->entries[i];
+  return NULL;
+}
+
+static bool
+is_same_member (const LcListed *a, const LcListed *b)
+{
+  if (a->n_models != b->n_models || a->leaving != b->leaving || a->slots != b->slots
+      || strcmp (a->address, b->address) != 0 || strcmp (a->service, b->service) != 0)
+    return false;
+  for (size_t i = 0; i < a->n_models; i++)
+    if (strcmp (a->models[i].name, b->models[i].name) != 0)
+      return false;
+  return true;
+}
+
+static void
+log_entry (const char *event, const LcListed *listed)
+{
+  lb_log (LB_LOG_INFO, event, LB_TEXT ("endpoint", listed->name),
+          LB_TEXT ("address", listed->address), LB_TEXT ("service", listed->service),
+          LB_BOOL ("leaving", listed->leaving));
+}
+
+static bool
+take_entry (LcRoster *roster, const LcListed *listed)
+{
+  Entry *entry = find (roster, listed->name);
+  bool changed = !entry || !is_same_member (&entry->listed, listed);
+
+  if (!entry)
+    {
+      roster->entries
+          = lb_realloc (roster->entries, (roster->n_entries + 1) * sizeof *roster->entries);
+      entry = &roster->entries[roster->n_entries++];
+      memset (entry, 0, sizeof *entry);
+      log_entry ("endpoint_listed", listed);
+    }
+  else if (listed->leaving && !entry->listed.leaving)
+    log_entry ("endpoint_lists_leaving", listed);
+  entry->listed = *listed;
+  entry->seen = true;
+  return changed;
+}
+
+/* While the store was away it dropped the entries of endpoints that could not renew them, although
+ * they live. Were those taken for gone, all work would fall on the few that are left, or on none. */
+static bool
+drop_missing (LcRoster *roster, LbTime now)
+{
+  bool changed = false;
+
+  if (now < roster->grace_until)
+    return false;
+  for (size_t i = roster->n_entries; i-- > 0;)
+    if (!roster->entries[i].seen)
+      {
+        log_entry ("endpoint_gone", &roster->entries[i].listed);
+        memmove (&roster->entries[i], &roster->entries[i + 1],
+                 (roster->n_entries - i - 1) * sizeof *roster->entries);
+        roster->n_entries--;
+        changed = true;
+      }
+  return changed;
+}
+
+static int
+by_name (const void *a, const void *b)
+{
+  return strcmp (((const Entry *)a)->listed.name, ((const Entry *)b)->listed.name);
+}
+
+static uint64_t
+affinity (const char *engine, const char *model)
+{
+  return XXH3_64bits_withSeed (engine, strlen (engine), XXH3_64bits (model, strlen (model)));
+}
+
+static size_t
+engines_of_service (const LcRoster *roster, const Entry *entry)
+{
+  size_t count = 0;
+
+  for (size_t i = 0; i < roster->n_entries; i++)
+    count += !roster->entries[i].listed.leaving && roster->entries[i].listed.n_models > 0
+             && strcmp (roster->entries[i].listed.service, entry->listed.service) == 0;
+  return count;
+}
+
+static size_t
+engines_of_model (const LcRoster *roster, size_t before, const Entry *entry, size_t model)
+{
+  size_t count = 0;
+
+  for (size_t i = 0; i < before; i++)
+    count += !roster->entries[i].listed.leaving && roster->entries[i].listed.n_models > model
+             && strcmp (roster->entries[i].listed.service, entry->listed.service) == 0
+             && roster->entries[i].model == model;
+  return count;
+}
+
+static void
+choose_model (LcRoster *roster, size_t index)
+{
+  Entry *entry = &roster->entries[index];
+  size_t n_models = entry->listed.n_models;
+  size_t most = (engines_of_service (roster, entry) + n_models - 1) / n_models;
+  uint64_t best = 0;
+  bool chosen = false;
+
+  for (size_t model = 0; model < n_models; model++)
+    {
+      uint64_t score = affinity (entry->listed.name, entry->listed.models[model].name);
+      if (engines_of_model (roster, index, entry, model) >= most && !entry->listed.leaving)
+        continue;
+      if (!chosen || score > best)
+        {
+          entry->model = model;
+          best = score;
+        }
+      chosen = true;
+    }
+}
+
+/* Engines that hold several models are divided among them: each new version of a model is then
+ * loaded by its own engines only, not by all. Every instance finds the same division from the same
+ * list, since the engine's and the model's names alone decide, within an equal share for each
+ * model; one that leaves changes the place of few others. */
+static void
+divide_engines (LcRoster *roster)
+{
+  if (roster->n_entries > 0)
+    qsort (roster->entries, roster->n_entries, sizeof *roster->entries, by_name);
+  for (size_t i = 0; i < roster->n_entries; i++)
+    if (roster->entries[i].listed.n_models > 0)
+      choose_model (roster, i);
+}
+
+bool
+lc_roster_update (
+    LcRoster *roster, const LcListed *list, size_t n_list, LbTime asked_at, LbTime now)
+{
+  bool changed = roster->last_list == 0;
+
+  if (roster->last_list > 0 && asked_at - roster->last_list > AWAY)
+    roster->grace_until = now + RETURN_GRACE;
+  roster->last_list = asked_at;
+  for (size_t i = 0; i < roster->n_entries; i++)
+    roster->entries[i].seen = false;
+  for (size_t i = 0; i < n_list; i++)
+    changed |= take_entry (roster, &list[i]);
+  changed |= drop_missing (roster, now);
+  if (changed)
+    divide_engines (roster);
+  return changed;
+}
+
+size_t
+lc_roster_count (const LcRoster *roster)
+{
+  return roster->n_entries;
+}
+
+const LcListed *
+lc_roster_at (const LcRoster *roster, size_t index)
+{
+  return &roster->entries[index].listed;
+}
+
+const LcListed *
+lc_roster_find (const LcRoster *roster, const char *name)
+{
+  const Entry *entry = find (roster, name);
+
+  return entry ? &entry->listed : NULL;
+}
+
+const char *
+lc_roster_model (const LcRoster *roster, size_t index)
+{
+  const Entry *entry = &roster->entries[index];
+
+  return entry->listed.n_models > 0 ? entry->listed.models[entry->model].name : "";
+}
+
+LcVersion
+lc_roster_version (const LcRoster *roster, size_t index)
+{
+  const Entry *entry = &roster->entries[index];
+
+  return entry->listed.n_models > 0 ? entry->listed.models[entry->model].version : 0;
+}
+
+static void
+add_pool (LcResourceSet *set, const char *model)
+{
+  if (lc_resource_set_pool (set, model))
+    return;
+  set->pools = lb_realloc (set->pools, (set->n_pools + 1) * sizeof *set->pools);
+  LcPool *pool = &set->pools[set->n_pools++];
+  memset (pool, 0, sizeof *pool);
+  LB_COPY (pool->name, model);
+  LB_COPY (pool->model, model);
+  pool->roll_out_percent = ROLL_OUT_PERCENT;
+  pool->queue_limit = POOL_QUEUE_LIMIT;
+}
+
+static void
+fill_member (const LcRoster *roster, size_t index, LcEndpointMember *member)
+{
+  const LcListed *listed = &roster->entries[index].listed;
+  const char *model = lc_roster_model (roster, index);
+
+  member->kind = listed->n_models > 0 ? LC_ENDPOINT_ENGINE : LC_ENDPOINT_SERVICE;
+  LB_COPY (member->name, listed->name);
+  LB_COPY (member->pool, listed->n_models > 0 ? model : listed->service);
+  LB_COPY (member->address, listed->address);
+  LB_COPY (member->data_centre, listed->data_centre);
+  member->leaving = listed->leaving;
+  member->checks_fence = true;
+  member->concurrency = listed->slots;
+}
+
+LcResourceSet *
+lc_roster_resources (const LcRoster *roster, int64_t revision)
+{
+  LcResourceSet *set = LB_NEW (LcResourceSet);
+
+  set->revision = revision;
+  set->n_endpoints = roster->n_entries;
+  set->endpoints = LB_NEW_ARRAY (LcEndpointMember, roster->n_entries);
+  for (size_t i = 0; i < roster->n_entries; i++)
+    {
+      const LcListed *listed = &roster->entries[i].listed;
+      for (size_t model = 0; model < listed->n_models; model++)
+        add_pool (set, listed->models[model].name);
+      fill_member (roster, i, &set->endpoints[i]);
+    }
+  return set;
+}
--- a/packages/http/src/lh-fetch.c
+++ b/packages/http/src/lh-fetch.c
@@ -209,7 +209,7 @@
   struct evkeyvalq *headers = evhttp_request_get_output_headers (request);
   char length[32];
 
-  evhttp_add_header (headers, "Host", wanted->address);
+  evhttp_add_header (headers, "Host", wanted->host ? wanted->host : wanted->address);
   for (size_t i = 0; i < wanted->n_headers; i++)
     evhttp_add_header (headers, wanted->headers[i].name, wanted->headers[i].value);
   if (wanted->body_length == 0)
--- a/packages/http/src/lh-sse.c
+++ b/packages/http/src/lh-sse.c
@@ -31,14 +31,20 @@
   sse->length += length;
 }
 
+typedef struct
+{
+  LhSseHandler handler;
+  void *user;
+} DataReader;
+
+/* Engines send one data line an event, so each such line is an event. */
 static void
-handle_line (const char *line, size_t length, LhSseHandler handler, void *user)
+handle_line (const char *line, size_t length, void *user)
 {
   static const char prefix[] = "data:";
   const size_t skip = sizeof prefix - 1;
+  const DataReader *reader = user;
 
-  if (length > 0 && line[length - 1] == '\r')
-    length--;
   if (length < skip || memcmp (line, prefix, skip) != 0)
     return;
   line += skip;
@@ -48,13 +54,25 @@
       line++;
       length--;
     }
-  handler (line, length, user);
+  reader->handler (line, length, reader->user);
 }
 
-/* Engines send one data line an event, so each line is an event. */
 bool
 lh_sse_feed (
     LhSse *sse, const char *bytes, size_t length, LhSseHandler handler, void *user, LbError *error)
+{
+  DataReader reader = { .handler = handler, .user = user };
+
+  return lh_sse_feed_lines (sse, bytes, length, handle_line, &reader, error);
+}
+
+bool
+lh_sse_feed_lines (LhSse *sse,
+                   const char *bytes,
+                   size_t length,
+                   LhSseLineHandler handler,
+                   void *user,
+                   LbError *error)
 {
   size_t start = 0;
 
@@ -67,7 +85,10 @@
       if (!newline)
         break;
       size_t end = (size_t)(newline - sse->buffer);
-      handle_line (sse->buffer + start, end - start, handler, user);
+      size_t line_length = end - start;
+      if (line_length > 0 && sse->buffer[end - 1] == '\r')
+        line_length--;
+      handler (sse->buffer + start, line_length, user);
       start = end + 1;
     }
   memmove (sse->buffer, sse->buffer + start, sse->length - start);
--- a/packages/node/include/ln-context.h
+++ b/packages/node/include/ln-context.h
@@ -8,6 +8,7 @@
 struct event_base;
 struct LhPool;
 struct LpPlatform;
+struct LnDialect;
 
 /* What every task is made with. Lives as long as the process. */
 typedef struct
@@ -17,6 +18,7 @@
   const LnSettings *settings;
   struct LhPool *http; /* towards endpoints and other instances */
   struct LpPlatform *platform;
+  const struct LnDialect *dialect; /* of a shared platform; NULL: the product's own interface */
   LbName instance;       /* name of this instance */
   char incarnation[40];  /* new at each start of the process */
   LbName caller_address; /* as bound, with the real port */
@@ -34,5 +36,9 @@
 LnTask *ln_rollouts_new (LnContext *context);
 LnTask *ln_config_new (LnContext *context);
 LnTask *ln_peers_new (LnContext *context);
+/* Those of an instance on a shared platform, in place of rollouts, config and peers. */
+LnTask *ln_batches_new (LnContext *context);
+LnTask *ln_desired_new (LnContext *context);
+LnTask *ln_fleet_new (LnContext *context);
 
 #endif
--- a/packages/node/include/ln-messages.h
+++ b/packages/node/include/ln-messages.h
@@ -1,6 +1,8 @@
 #ifndef LN_MESSAGES_H
 #define LN_MESSAGES_H
 
+#include "lc-batch.h"
+#include "lc-desired.h"
 #include "lc-dispatch.h"
 #include "lc-resources.h"
 #include "ln-exchange.h"
@@ -26,6 +28,8 @@
   LN_PEER_SEND,        /* any -> peers: a frame for one instance or all */
   LN_PEER_FRAME,       /* peers -> the task named in the frame */
   LN_DRAINING,         /* main -> all */
+  LN_DESIRED,          /* config -> all: routes and services of the shared platform */
+  LN_LISTED,           /* config -> calls: an endpoint is still listed, with this version */
   LN_READY             /* config -> all: whether new work may be taken has changed */
 } LnMessageType;
 
@@ -47,6 +51,8 @@
   LcRequestSpec spec; /* spec.id from ln_context_next_request; kind SERVICE: a call of a scorer */
   char *body;         /* owned: JSON for the endpoint */
   char *resume_text;  /* owned; NULL: from the start */
+  /* In a dialect: what to send, owned, in place of body and resume_text. */
+  LcOutgoing *outgoing;
 } LnSampleMessage;
 
 typedef struct
@@ -104,6 +110,19 @@
   LbTime until;
 } LnEndpointSwapMessage;
 
+typedef struct
+{
+  LnMessage base;
+  LcDesired *desired; /* a reference, owned by the message */
+} LnDesiredMessage;
+
+typedef struct
+{
+  LnMessage base;
+  LbName endpoint;
+  LcVersion version; /* of the model that it is used for; 0: a plain service */
+} LnListedMessage;
+
 /* One instance as this one sees it. */
 typedef struct
 {
--- a/packages/node/include/ln-settings.h
+++ b/packages/node/include/ln-settings.h
@@ -7,7 +7,8 @@
 typedef enum
 {
   LN_PLATFORM_MEMORY,
-  LN_PLATFORM_HTTP
+  LN_PLATFORM_HTTP,
+  LN_PLATFORM_SHARED /* routes, endpoints and batches are those of a shared platform */
 } LnPlatformKind;
 
 /* The settings file of lentilspindled, checked. Every member has a default. */
@@ -19,6 +20,8 @@
     LbName data_centre;
     LbName caller_address; /* "127.0.0.1:0": port chosen by the kernel */
     LbName peer_address;
+    LbName entry_address; /* further addresses to listen at; empty: none */
+    LbName ready_address;
   } instance;
   struct
   {
--- a/packages/node/main/lentilspindled.c
+++ b/packages/node/main/lentilspindled.c
@@ -1,4 +1,5 @@
 #include "ln-context.h"
+#include "ln-dialect.h"
 #include "ln-messages.h"
 
 #include "lb-alloc.h"
@@ -6,6 +7,8 @@
 #include "lb-log.h"
 #include "lh-fetch.h"
 #include "lp-platform.h"
+#include "pf-dialect.h"
+#include "pf-store.h"
 
 #include <argtable2.h>
 #include <event2/event.h>
@@ -187,6 +190,8 @@
   if (settings->platform.kind == LN_PLATFORM_MEMORY)
     return lp_memory_new (base);
   LB_COPY (http.address, settings->platform.address);
+  if (settings->platform.kind == LN_PLATFORM_SHARED)
+    return pf_store_new (base, &http);
   return lp_http_new (base, &http);
 }
 
@@ -194,10 +199,13 @@
 add_tasks (Daemon *daemon)
 {
   LnContext *context = &daemon->context;
-  LnTask *(*const makers[]) (LnContext *)
+  LnTask *(*const own[]) (LnContext *)
       = { ln_front_new, ln_peers_new, ln_calls_new, ln_rollouts_new, ln_config_new };
+  LnTask *(*const shared[]) (LnContext *)
+      = { ln_front_new, ln_fleet_new, ln_calls_new, ln_batches_new, ln_desired_new };
+  LnTask *(*const *makers) (LnContext *) = context->dialect ? shared : own;
 
-  for (size_t i = 0; i < sizeof makers / sizeof makers[0]; i++)
+  for (size_t i = 0; i < sizeof own / sizeof own[0]; i++)
     {
       LnTask *task = makers[i](context);
       if (!task)
@@ -221,6 +229,8 @@
   context->base = event_base_new ();
   context->hub = ln_hub_new (context->base);
   context->http = lh_pool_new (context->base);
+  if (daemon->settings.platform.kind == LN_PLATFORM_SHARED)
+    context->dialect = pf_dialect ();
   context->platform = make_platform (&daemon->settings, context->base);
   daemon->signals[0] = evsignal_new (context->base, SIGTERM, on_signal, daemon);
   daemon->signals[1] = evsignal_new (context->base, SIGINT, on_signal, daemon);
--- /dev/null
+++ b/packages/node/src/ln-batch-owner.c
@@ -0,0 +1,553 @@
+#include "lp-platform.h"
+
+#include "ln-batches-private.h"
+
+#include "lb-alloc.h"
+#include "lb-clock.h"
+#include "lb-counter.h"
+#include "lb-json.h"
+#include "lb-log.h"
+
+#include <json-c/json.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define LOAD_RETRY (200 * LB_MSEC)
+#define DEFAULT_ATTEMPTS 3
+#define DEFAULT_EVENTS 8 /* of a text whose length nobody estimated */
+#define SCORE_TIME (2 * LB_SEC) /* for a scorer whose route states no time */
+#define MAX_PUTS 64
+
+static LbMetric listed = LB_COUNTER_INIT ("lentilspindle_batch_results_total",
+                                          NULL,
+                                          "Results of items that were written to the store");
+
+/* --- results as rows --- */
+
+static char *
+result_to_text (const LcBatchResult *result)
+{
+  struct json_object *object = json_object_new_object ();
+  struct json_object *versions = json_object_new_array ();
+
+  json_object_object_add (object, "item", json_object_new_string (result->item));
+  json_object_object_add (object, "completed", json_object_new_boolean (result->completed));
+  json_object_object_add (object, "text",
+                          json_object_new_string (result->text ? result->text : ""));
+  for (size_t i = 0; i < result->n_versions; i++)
+    json_object_array_add (versions, json_object_new_int64 (result->versions[i]));
+  json_object_object_add (object, "versions", versions);
+  if (result->score)
+    json_object_object_add (object, "score", json_object_new_string (result->score));
+  char *text = lb_strdup (json_object_to_json_string_ext (
+      object, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE));
+  json_object_put (object);
+  return text;
+}
+
+bool
+ln_batch_result_from_row (const LpRow *row, LcBatchResult *result)
+{
+  struct json_object *object = row->value ? json_tokener_parse (row->value) : NULL;
+  struct json_object *versions = lb_json_member (object, "versions");
+  const char *score = lb_json_text (object, "score", NULL);
+
+  memset (result, 0, sizeof *result);
+  LB_COPY (result->item, lb_json_text (object, "item", ""));
+  result->completed = lb_json_bool (object, "completed", false);
+  result->text = lb_strdup (lb_json_text (object, "text", ""));
+  result->score = score ? lb_strdup (score) : NULL;
+  for (size_t i = 0; json_object_is_type (versions, json_type_array)
+                     && i < json_object_array_length (versions)
+                     && result->n_versions < LC_MAX_RESULT_VERSIONS;
+       i++)
+    result->versions[result->n_versions++]
+        = json_object_get_int64 (json_object_array_get_idx (versions, i));
+  json_object_put (object);
+  return result->item[0] != '\0';
+}
+
+/* --- requests --- */
+
+static void
+remember (LnBatch *batch, LcRequestId id, bool is_score)
+{
+  LnBatchRequest *request = LB_NEW (LnBatchRequest);
+
+  request->request = id;
+  request->batch = batch;
+  request->is_score = is_score;
+  HASH_ADD (hh, batch->batches->requests, request, sizeof request->request, request);
+}
+
+static LnBatchRequest *
+find_request (LnBatches *batches, LcRequestId id)
+{
+  LnBatchRequest *request = NULL;
+
+  HASH_FIND (hh, batches->requests, &id, sizeof id, request);
+  return request;
+}
+
+static void
+forget (LnBatches *batches, LnBatchRequest *request)
+{
+  HASH_DEL (batches->requests, request);
+  free (request);
+}
+
+static const LcRoute *
+route_of (const LnBatch *batch)
+{
+  const LcDesired *desired = batch->batches->desired;
+
+  return desired ? lc_desired_route (desired, batch->head.host, batch->head.path) : NULL;
+}
+
+/* Lengths count in events, the pieces in which engines hand out a text. */
+static int64_t
+expected_events (const LnBatch *batch, const LcItemSpec *item)
+{
+  const LcRoute *route = route_of (batch);
+  const LcService *service
+      = route ? lc_desired_service (batch->batches->desired, lc_route_service (route, 0)) : NULL;
+  int64_t per_event = service && service->tokens_per_event > 0 ? service->tokens_per_event : 1;
+  int64_t tokens = item->expected_tokens > 0 ? item->expected_tokens : item->max_tokens;
+
+  return tokens > 0 ? (tokens + per_event - 1) / per_event : DEFAULT_EVENTS;
+}
+
+static void
+clear_sample (LnMessage *base)
+{
+  LnSampleMessage *message = (LnSampleMessage *)base;
+
+  if (message->outgoing)
+    lc_outgoing_clear (message->outgoing);
+  free (message->outgoing);
+}
+
+static void
+submit (LnBatch *batch, const LcRequestSpec *spec, const LcOutgoing *outgoing, const char *host)
+{
+  LnSampleMessage message = { .base = LN_MESSAGE (LN_SAMPLE), .spec = *spec };
+  LnTask *calls = ln_hub_find (batch->batches->task.hub, "calls");
+
+  message.outgoing = LB_NEW (LcOutgoing);
+  lc_outgoing_copy (message.outgoing, outgoing);
+  if (!message.outgoing->host)
+    message.outgoing->host = lb_strdup (host);
+  message.base.clear = clear_sample;
+  LN_POST (batch->batches->task.hub, calls, message);
+}
+
+/* The longest first: what is begun last decides when the step is whole. */
+static void
+run_item (LnBatch *batch, const LcBatchAction *action)
+{
+  const LcBatchSpec *spec = lc_batch_spec (batch->run);
+  const LcItemSpec *item = &spec->items[action->item];
+  int64_t events = expected_events (batch, item);
+  LcRequestSpec request = { .id = action->request,
+                            .kind = LC_KIND_SAMPLE,
+                            .delivery = LC_DELIVER_STREAM,
+                            .repeatable = true,
+                            .resumable = true,
+                            .failure_is_final = true,
+                            .priority = (int)events,
+                            .prompt_tokens = item->prompt_tokens,
+                            .expected_tokens = events,
+                            .min_version = spec->min_version,
+                            .deadline = LB_TIME_NEVER,
+                            .resume_at = action->resume_at,
+                            .n_prefix_hashes = item->n_prefix_hashes };
+
+  LB_COPY (request.pool, spec->model);
+  LB_COPY (request.caller, batch->id);
+  memcpy (request.prefix_hashes, item->prefix_hashes, sizeof request.prefix_hashes);
+  remember (batch, action->request, false);
+  submit (batch, &request, &item->request, batch->head.host);
+}
+
+static void
+fail_request (LnBatch *batch, LcRequestId id, LbErrorCode code)
+{
+  LnSampleDoneMessage message
+      = { .base = LN_MESSAGE (LN_SAMPLE_DONE), .request = id, .error = code };
+
+  LN_POST (batch->batches->task.hub, &batch->batches->task, message);
+}
+
+static void
+score_item (LnBatch *batch, const LcBatchAction *action)
+{
+  const LcItemSpec *item = &lc_batch_spec (batch->run)->items[action->item];
+  const LcDesired *desired = batch->batches->desired;
+  const LcRoute *route
+      = desired ? lc_desired_route (desired, item->scorer.host, item->scorer.path) : NULL;
+  LcRequestSpec request = { .id = action->request,
+                            .kind = LC_KIND_SERVICE,
+                            .delivery = LC_DELIVER_WHOLE,
+                            .repeatable = true,
+                            .expected_tokens = 1 };
+
+  remember (batch, action->request, true);
+  if (!route)
+    {
+      fail_request (batch, action->request, LB_ERROR_UNKNOWN_PATH);
+      return;
+    }
+  request.priority = route->priority;
+  request.max_attempts = route->attempts;
+  request.deadline
+      = lb_clock_monotonic () + (route->timeout > 0 ? route->timeout : SCORE_TIME);
+  LB_COPY (request.caller, route->name);
+  LB_COPY (request.pool, lc_route_service (route, (double)(rand () % 10000) / 10000));
+  submit (batch, &request, &item->scorer, item->scorer.host);
+}
+
+static void
+stop_request (LnBatch *batch, LcRequestId id)
+{
+  LnSampleCancelMessage message = { .base = LN_MESSAGE (LN_SAMPLE_CANCEL), .request = id };
+  LnBatchRequest *request = find_request (batch->batches, id);
+
+  if (!request)
+    return;
+  forget (batch->batches, request);
+  LN_POST (batch->batches->task.hub, ln_hub_find (batch->batches->task.hub, "calls"), message);
+}
+
+/* --- writing results --- */
+
+static void carry_out (LnBatch *batch, LbList *actions);
+
+/* A write on its way. The batch may be lost, and even be owned again, before it is answered: then the
+ * answer is about another run's results. */
+typedef struct
+{
+  LnBatch *batch;
+  const LcBatch *run;
+  int64_t epoch;
+} Write;
+
+static void
+finish_write (Write *write, bool ok)
+{
+  LnBatch *batch = write->batch;
+  LbList actions;
+
+  if (batch->run && batch->run == write->run && batch->head.epoch == write->epoch)
+    {
+      lb_list_init (&actions);
+      lc_batch_written (batch->run, ok, lb_clock_monotonic (), &actions);
+      carry_out (batch, &actions);
+    }
+  free (write);
+}
+
+/* The row of the batch is as it was, so the condition that failed is that the positions are free:
+ * an earlier try of this very write was carried out. Nobody else can have written there. */
+static void
+on_head_read (LbErrorCode error, const LpRow *rows, size_t n_rows, void *user)
+{
+  Write *write = user;
+  LnBatch *batch = write->batch;
+  bool unchanged = error == LB_OK && n_rows > 0 && rows[0].version == batch->version;
+
+  if (error == LB_OK && n_rows > 0 && !unchanged)
+    ln_batch_heads_take (batch->batches, &rows[0]);
+  finish_write (write, unchanged);
+}
+
+static void
+on_results_written (LbErrorCode error, const LpRow *row, void *user)
+{
+  (void)row;
+  Write *write = user;
+  LnBatch *batch = write->batch;
+  LpPlatform *platform = batch->batches->context->platform;
+  char key[LN_BATCH_KEY_SIZE];
+
+  if (error == LB_ERROR_CONDITION_FAILED)
+    {
+      ln_batch_head_key (batch->id, key);
+      platform->klass->get (platform, key, on_head_read, write);
+      return;
+    }
+  if (error != LB_OK)
+    lb_log (LB_LOG_WARNING, "results_not_written", LB_TEXT ("batch", batch->id),
+            LB_TEXT ("error", lb_error_name (error)));
+  finish_write (write, error == LB_OK);
+}
+
+static void
+write_results (LnBatch *batch, const LcBatchAction *action)
+{
+  LpPlatform *platform = batch->batches->context->platform;
+  char prefix[LN_BATCH_KEY_SIZE];
+  char head[LN_BATCH_KEY_SIZE];
+  size_t n = action->n_results < MAX_PUTS ? action->n_results : MAX_PUTS;
+  LpPut puts[MAX_PUTS];
+  LpCondition conditions[MAX_PUTS + 1];
+  Write *write = LB_NEW (Write);
+
+  *write = (Write){ .batch = batch, .run = batch->run, .epoch = batch->head.epoch };
+  ln_batch_result_prefix (batch->id, prefix);
+  ln_batch_head_key (batch->id, head);
+  conditions[0] = (LpCondition){ .key = head, .version = batch->version };
+  for (size_t i = 0; i < n; i++)
+    {
+      puts[i].key = lb_asprintf ("%s%06lld", prefix, (long long)(action->position + (int64_t)i));
+      puts[i].value = result_to_text (action->results[i]);
+      conditions[i + 1] = (LpCondition){ .key = puts[i].key, .version = 0 };
+    }
+  const LpTransaction transaction = { .token = "",
+                                      .conditions = conditions,
+                                      .n_conditions = n + 1,
+                                      .puts = puts,
+                                      .n_puts = n };
+  lb_metric_add (&listed, (int64_t)n);
+  platform->klass->transact (platform, &transaction, LP_PRIORITY_LEDGER, on_results_written, write);
+  for (size_t i = 0; i < n; i++)
+    {
+      free ((char *)puts[i].key);
+      free ((char *)puts[i].value);
+    }
+}
+
+static void
+carry_out (LnBatch *batch, LbList *actions)
+{
+  LbLink *link;
+
+  while ((link = lb_list_pop (actions)))
+    {
+      LcBatchAction *action = LB_CONTAINER (link, LcBatchAction, link);
+      switch (action->type)
+        {
+        case LC_BATCH_RUN:
+          run_item (batch, action);
+          break;
+        case LC_BATCH_SCORE:
+          score_item (batch, action);
+          break;
+        case LC_BATCH_STOP:
+          stop_request (batch, action->request);
+          break;
+        case LC_BATCH_WRITE:
+          write_results (batch, action);
+          break;
+        }
+      lc_batch_action_free (action);
+    }
+}
+
+/* --- from owning to running --- */
+
+static LcRequestId
+next_id (void *user)
+{
+  return ln_context_next_request (user);
+}
+
+void
+ln_batch_owner_run (LnBatch *batch, LcBatchSpec *spec, size_t n_listed, const LbName *names)
+{
+  const LcRoute *route = route_of (batch);
+  LcBatchSettings settings = { .attempts = route ? route->attempts : DEFAULT_ATTEMPTS,
+                               .score_attempts = DEFAULT_ATTEMPTS + 1,
+                               .resumable = !route || route->resumable,
+                               .single_version = route && route->single_version,
+                               .give_up_at = LB_TIME_NEVER,
+                               .next_id = next_id,
+                               .user = batch->batches->context };
+  LbList actions;
+
+  if (route && route->give_up > 0)
+    settings.give_up_at = batch->first_seen + route->give_up;
+  lb_log (LB_LOG_INFO, "batch_running", LB_TEXT ("batch", batch->id),
+          LB_TEXT ("model", spec->model), LB_INT ("step", spec->step),
+          LB_INT ("min_version", spec->min_version), LB_INT ("items", spec->n_items),
+          LB_INT ("listed", n_listed), LB_INT ("epoch", batch->head.epoch));
+  batch->held = LN_HELD_RUNNING;
+  batch->run = lc_batch_new (spec, &settings);
+  for (size_t i = 0; i < n_listed; i++)
+    lc_batch_was_listed (batch->run, names[i]);
+  lb_list_init (&actions);
+  lc_batch_start (batch->run, lb_clock_monotonic (), &actions);
+  carry_out (batch, &actions);
+}
+
+void
+ln_batch_owner_stop (LnBatch *batch)
+{
+  LnBatchRequest *request, *next;
+  LbList actions;
+
+  batch->held = LN_HELD_NOT;
+  if (!batch->run)
+    return;
+  lb_log (LB_LOG_INFO, "batch_stopped", LB_TEXT ("batch", batch->id),
+          LB_INT ("listed", lc_batch_listed (batch->run)), LB_BOOL ("ended", batch->head.ended));
+  lb_list_init (&actions);
+  lc_batch_stop (batch->run, &actions);
+  carry_out (batch, &actions);
+  HASH_ITER (hh, batch->batches->requests, request, next)
+  {
+    if (request->batch == batch)
+      forget (batch->batches, request);
+  }
+  lc_batch_free (batch->run);
+  batch->run = NULL;
+}
+
+/* What is read of a batch that was taken over: first its content, then what is listed. */
+typedef struct
+{
+  LnBatch *batch;
+  int64_t epoch;
+  LcBatchSpec spec;
+} Loading;
+
+static void
+loading_free (Loading *loading)
+{
+  lc_batch_spec_clear (&loading->spec);
+  free (loading);
+}
+
+static bool
+is_outdated (const Loading *loading)
+{
+  return loading->batch->held != LN_HELD_LOADING || loading->batch->head.epoch != loading->epoch;
+}
+
+static void
+load_again (Loading *loading, LbErrorCode error)
+{
+  lb_log (LB_LOG_WARNING, "batch_not_loaded", LB_TEXT ("batch", loading->batch->id),
+          LB_TEXT ("error", lb_error_name (error)));
+  loading->batch->retry_at = lb_clock_monotonic () + LOAD_RETRY;
+  loading_free (loading);
+}
+
+static void
+on_results_listed (LbErrorCode error, const LpRow *rows, size_t n_rows, int64_t version, void *user)
+{
+  (void)version;
+  Loading *loading = user;
+  LbName *names = NULL;
+
+  if (is_outdated (loading))
+    {
+      loading_free (loading);
+      return;
+    }
+  if (error != LB_OK)
+    {
+      load_again (loading, error);
+      return;
+    }
+  names = LB_NEW_ARRAY (LbName, n_rows + 1);
+  for (size_t i = 0; i < n_rows; i++)
+    {
+      LcBatchResult result;
+      ln_batch_result_from_row (&rows[i], &result);
+      lb_strlcpy (names[i], result.item, LB_NAME_MAX);
+      lc_batch_result_clear (&result);
+    }
+  ln_batch_owner_run (loading->batch, &loading->spec, n_rows, names);
+  free (names);
+  loading_free (loading);
+}
+
+static void
+on_content (LbErrorCode error, const char *bytes, size_t length, void *user)
+{
+  Loading *loading = user;
+  LnBatch *batch = loading->batch;
+  LpPlatform *platform = batch->batches->context->platform;
+  char prefix[LN_BATCH_KEY_SIZE];
+  LbError problem = { 0 };
+
+  if (is_outdated (loading))
+    {
+      loading_free (loading);
+      return;
+    }
+  if (error == LB_OK
+      && !batch->batches->context->dialect->read_batch (bytes, length, batch->id, &loading->spec,
+                                                        &problem))
+    error = problem.code;
+  if (error != LB_OK)
+    {
+      load_again (loading, error);
+      return;
+    }
+  ln_batch_result_prefix (batch->id, prefix);
+  platform->klass->list (platform, prefix, NULL, 0, on_results_listed, loading);
+}
+
+void
+ln_batch_owner_load (LnBatch *batch)
+{
+  LpPlatform *platform = batch->batches->context->platform;
+  Loading *loading = LB_NEW (Loading);
+  char key[LN_BATCH_KEY_SIZE];
+
+  batch->held = LN_HELD_LOADING;
+  batch->retry_at = LB_TIME_NEVER;
+  loading->batch = batch;
+  loading->epoch = batch->head.epoch;
+  snprintf (key, sizeof key, "batch-%s", batch->id);
+  platform->klass->get_object (platform, key, on_content, loading);
+}
+
+void
+ln_batch_owner_tick (LnBatch *batch, LbTime now)
+{
+  LbList actions;
+
+  if (batch->held == LN_HELD_LOADING && now >= batch->retry_at)
+    ln_batch_owner_load (batch);
+  if (batch->held != LN_HELD_RUNNING || now < lc_batch_next_tick (batch->run))
+    return;
+  lb_list_init (&actions);
+  lc_batch_tick (batch->run, now, &actions);
+  carry_out (batch, &actions);
+}
+
+void
+ln_batch_owner_piece (LnBatches *batches, const LnSamplePieceMessage *message)
+{
+  const LnBatchRequest *request = find_request (batches, message->request);
+
+  if (request && request->batch->run)
+    lc_batch_piece (request->batch->run, message->request, message->piece.version);
+}
+
+void
+ln_batch_owner_done (LnBatches *batches, const LnSampleDoneMessage *message)
+{
+  LnBatchRequest *request = find_request (batches, message->request);
+  LnBatch *batch = request ? request->batch : NULL;
+  bool is_score = request && request->is_score;
+  LbTime now = lb_clock_monotonic ();
+  LbList actions;
+
+  if (!request)
+    return;
+  forget (batches, request);
+  if (!batch->run)
+    return;
+  lb_list_init (&actions);
+  if (is_score)
+    lc_batch_scored (batch->run, message->request, message->error,
+                     message->text ? message->text : "", now, &actions);
+  else
+    lc_batch_ran (batch->run, message->request, message->error,
+                  message->text ? lb_strdup (message->text) : NULL, now, &actions);
+  carry_out (batch, &actions);
+}
--- /dev/null
+++ b/packages/node/src/ln-batches-private.h
@@ -0,0 +1,102 @@
+#ifndef LN_BATCHES_PRIVATE_H
+#define LN_BATCHES_PRIVATE_H
+
+#include "lc-batch-head.h"
+#include "lc-batch.h"
+#include "ln-context.h"
+#include "ln-dialect.h"
+#include "ln-messages.h"
+
+#include <event2/util.h>
+#include <uthash.h>
+
+#define LN_BATCH_KEY_SIZE 160
+/* When to come back after a refusal because the store does not answer: its short outages last some
+ * seconds, and a batch is worth little when it comes much later. */
+#define LN_BATCH_STORE_RETRY (400 * LB_MSEC)
+
+typedef struct LnBatches LnBatches;
+
+typedef enum
+{
+  LN_HELD_NOT,     /* another instance owns it, or nobody does */
+  LN_HELD_TAKING,  /* the row that makes it ours is being written */
+  LN_HELD_LOADING, /* ours; its content and what is listed are being read */
+  LN_HELD_RUNNING,
+  LN_HELD_RELEASING
+} LnHeld;
+
+/* A batch as the store's row tells, and the work on it while this instance owns it. */
+typedef struct
+{
+  LbName id; /* key */
+  LnBatches *batches;
+  LcBatchHead head;
+  int64_t version; /* of the row */
+  LnHeld held;
+  LcBatch *run;        /* RUNNING */
+  LbTime first_seen;
+  LbTime orphan_since; /* when its owner was first missed; 0: it has one */
+  LbTime retry_at;     /* LOADING: after a failure */
+  UT_hash_handle hh;
+} LnBatch;
+
+/* A request of the dispatch on behalf of an item. */
+typedef struct
+{
+  LcRequestId request; /* key */
+  LnBatch *batch;
+  bool is_score;
+  UT_hash_handle hh;
+} LnBatchRequest;
+
+struct LnBatches
+{
+  LnTask task; /* first */
+  LnContext *context;
+  struct event *timer;
+  LcDesired *desired;
+  LnMember *members;
+  size_t n_members;
+  bool members_known;
+  LnBatch *by_id;
+  LnBatchRequest *requests;
+  LbList exchanges; /* LnBatchExchange that are being answered */
+  bool listed;      /* all rows were read once */
+  bool watching;
+  int64_t table_version;
+  size_t parts_left; /* of the list in progress */
+  bool list_failed;
+  int64_t list_version;
+  LbTime next_watch;
+  bool draining;
+};
+
+/* ln-batches.c */
+LnBatch *ln_batches_find (LnBatches *batches, const char *id);
+LnBatch *ln_batches_ensure (LnBatches *batches, const char *id);
+
+/* ln-batch-heads.c: the rows of batches, whose owner is gone, and taking them over */
+void ln_batch_head_key (const char *id, char *key);
+/* Takes a row that was read or written; false when it can't be read. */
+bool ln_batch_heads_take (LnBatches *batches, const LpRow *row);
+void ln_batch_heads_tick (LnBatches *batches, LbTime now);
+void ln_batch_heads_release (LnBatch *batch);
+
+/* ln-batch-owner.c: running what is owned */
+void ln_batch_owner_load (LnBatch *batch);
+void ln_batch_owner_run (LnBatch *batch, LcBatchSpec *spec, size_t n_listed, const LbName *listed);
+void ln_batch_owner_stop (LnBatch *batch);
+void ln_batch_owner_tick (LnBatch *batch, LbTime now);
+void ln_batch_owner_piece (LnBatches *batches, const LnSamplePieceMessage *message);
+void ln_batch_owner_done (LnBatches *batches, const LnSampleDoneMessage *message);
+void ln_batch_result_prefix (const char *id, char *key);
+bool ln_batch_result_from_row (const LpRow *row, LcBatchResult *result);
+
+/* ln-batch-calls.c: callers' requests about batches */
+void ln_batch_calls_take (LnBatches *batches, LnExchange *exchange);
+void ln_batch_calls_gone (LnBatches *batches, LnExchange *exchange);
+void ln_batch_calls_tick (LnBatches *batches, LbTime now);
+void ln_batch_calls_clear (LnBatches *batches);
+
+#endif
--- /dev/null
+++ b/packages/node/src/ln-batches.c
@@ -0,0 +1,165 @@
+#include "lp-platform.h"
+
+#include "ln-batches-private.h"
+
+#include "lb-alloc.h"
+#include "lb-clock.h"
+#include "lb-counter.h"
+
+#include <event2/event.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define TICK (50 * LB_MSEC)
+
+static LbMetric owned
+    = LB_GAUGE_INIT ("lentilspindle_batches_owned", NULL, "Batches that this instance runs");
+
+LnBatch *
+ln_batches_find (LnBatches *batches, const char *id)
+{
+  LnBatch *batch = NULL;
+
+  HASH_FIND_STR (batches->by_id, id, batch);
+  return batch;
+}
+
+LnBatch *
+ln_batches_ensure (LnBatches *batches, const char *id)
+{
+  LnBatch *batch = ln_batches_find (batches, id);
+
+  if (batch)
+    return batch;
+  batch = LB_NEW (LnBatch);
+  batch->batches = batches;
+  batch->first_seen = lb_clock_monotonic ();
+  LB_COPY (batch->id, id);
+  HASH_ADD_STR (batches->by_id, id, batch);
+  return batch;
+}
+
+static void
+take_members (LnBatches *batches, const LnMembersMessage *message)
+{
+  free (batches->members);
+  batches->members = lb_memdup (message->members, (message->n_members + 1) * sizeof (LnMember));
+  batches->n_members = message->n_members;
+  batches->members_known = true;
+}
+
+static void
+receive (LnTask *base, const LnMessage *message)
+{
+  LnBatches *batches = (LnBatches *)base;
+
+  switch ((LnMessageType)message->type)
+    {
+    case LN_EXCHANGE:
+      ln_batch_calls_take (batches, ((const LnExchangeMessage *)message)->exchange);
+      break;
+    case LN_EXCHANGE_GONE:
+      ln_batch_calls_gone (batches, ((const LnExchangeMessage *)message)->exchange);
+      break;
+    case LN_DESIRED:
+      lc_desired_unref (batches->desired);
+      batches->desired = lc_desired_ref (((const LnDesiredMessage *)message)->desired);
+      break;
+    case LN_MEMBERS:
+      take_members (batches, (const LnMembersMessage *)message);
+      break;
+    case LN_SAMPLE_PIECE:
+      ln_batch_owner_piece (batches, (const LnSamplePieceMessage *)message);
+      break;
+    case LN_SAMPLE_DONE:
+      ln_batch_owner_done (batches, (const LnSampleDoneMessage *)message);
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+on_tick (evutil_socket_t fd, short what, void *user)
+{
+  (void)fd;
+  (void)what;
+  LnBatches *batches = user;
+  LbTime now = lb_clock_monotonic ();
+  int64_t n_owned = 0;
+
+  ln_batch_heads_tick (batches, now);
+  for (LnBatch *batch = batches->by_id; batch; batch = batch->hh.next)
+    {
+      ln_batch_owner_tick (batch, now);
+      n_owned += batch->held == LN_HELD_RUNNING;
+    }
+  ln_batch_calls_tick (batches, now);
+  lb_metric_set (&owned, n_owned);
+}
+
+static void
+drain (LnTask *base)
+{
+  LnBatches *batches = (LnBatches *)base;
+
+  batches->draining = true;
+  for (LnBatch *batch = batches->by_id; batch; batch = batch->hh.next)
+    ln_batch_heads_release (batch);
+}
+
+static bool
+is_idle (const LnTask *base)
+{
+  const LnBatches *batches = (const LnBatches *)base;
+
+  for (const LnBatch *batch = batches->by_id; batch; batch = batch->hh.next)
+    if (batch->held != LN_HELD_NOT)
+      return false;
+  return lb_list_is_empty (&batches->exchanges);
+}
+
+static void
+free_task (LnTask *base)
+{
+  LnBatches *batches = (LnBatches *)base;
+  LnBatch *batch, *next;
+  LnBatchRequest *request, *next_request;
+
+  ln_batch_calls_clear (batches);
+  HASH_ITER (hh, batches->requests, request, next_request)
+  {
+    HASH_DEL (batches->requests, request);
+    free (request);
+  }
+  HASH_ITER (hh, batches->by_id, batch, next)
+  {
+    HASH_DEL (batches->by_id, batch);
+    lc_batch_free (batch->run);
+    free (batch);
+  }
+  lc_desired_unref (batches->desired);
+  free (batches->members);
+  event_free (batches->timer);
+  free (batches);
+}
+
+static const LnTaskClass batches_class = {
+  .name = "rollouts", .receive = receive, .drain = drain, .is_idle = is_idle, .free = free_task
+};
+
+/* Batches of samples on a shared platform. Runs as the task "rollouts". */
+LnTask *
+ln_batches_new (LnContext *context)
+{
+  const struct timeval tick = { .tv_usec = TICK };
+  LnBatches *batches = LB_NEW (LnBatches);
+
+  batches->task.klass = &batches_class;
+  batches->task.hub = context->hub;
+  batches->context = context;
+  lb_list_init (&batches->exchanges);
+  batches->timer = event_new (context->base, -1, EV_PERSIST, on_tick, batches);
+  event_add (batches->timer, &tick);
+  return &batches->task;
+}
--- a/packages/node/src/ln-call.c
+++ b/packages/node/src/ln-call.c
@@ -42,6 +42,7 @@
   free (call->path);
   free (call->raw_body);
   free (call->resume_text);
+  lc_outgoing_clear (&call->outgoing);
   evbuffer_free (call->text);
   evbuffer_free (call->kept);
   json_object_put (call->body);
@@ -81,6 +82,14 @@
   return lb_strdup (json_object_to_json_string_ext (call->body, JSON_FORMAT));
 }
 
+void
+ln_call_add_text (LnCall *call, const char *text)
+{
+  if (call->outgoing.path && evbuffer_get_length (call->text) > 0)
+    evbuffer_add (call->text, "\n", 1);
+  evbuffer_add (call->text, text, strlen (text));
+}
+
 LnAttempt *
 ln_attempt_new (LnCall *call)
 {
@@ -292,7 +301,9 @@
   const char *body = ln_upstream_body (winner->upstream, &length);
 
   lh_fetch_each_header (ln_upstream_fetch (winner->upstream), pass_header, call->exchange);
-  ln_exchange_set_header (call->exchange, "x-endpoint", ln_upstream_endpoint (winner->upstream));
+  if (!call->outgoing.path)
+    ln_exchange_set_header (call->exchange, "x-endpoint",
+                            ln_upstream_endpoint (winner->upstream));
   ln_exchange_reply_text (call->exchange, ln_upstream_status (winner->upstream), NULL, body,
                           length);
 }
--- a/packages/node/src/ln-call.h
+++ b/packages/node/src/ln-call.h
@@ -59,6 +59,7 @@
   size_t n_headers;
   char *raw_body;
   size_t raw_length;
+  LcOutgoing outgoing;   /* in a dialect: what is sent to endpoints, in place of all these */
   char *resume_text;     /* what the submitter has before resume_at; may be NULL */
   struct evbuffer *text; /* STREAM: what has gone out */
   struct evbuffer *kept; /* ticketed streams: what has gone out, as it went out */
@@ -73,6 +74,8 @@
 /* The JSON for one attempt at an engine; the caller frees it. */
 char *ln_call_engine_body (LnCall *call, const char *stream_id, int64_t resume_at);
 
+/* One more piece of a stream's text; in a dialect each piece is a line. */
+void ln_call_add_text (LnCall *call, const char *text);
 bool ln_call_is_hop_header (const char *name);
 
 LnAttempt *ln_attempt_new (LnCall *call);
--- a/packages/node/src/ln-caller.h
+++ b/packages/node/src/ln-caller.h
@@ -21,6 +21,7 @@
   size_t max_header;
   LbTime read_time;            /* a request must be whole within this time */
   struct LnRecorder *recorder; /* NULL: nothing is recorded */
+  bool exact_retry_after;      /* callers read Retry-After with fractions of a second */
   bool draining;               /* replies ask callers to connect elsewhere */
 } LnCallers;
 
--- a/packages/node/src/ln-calls-private.h
+++ b/packages/node/src/ln-calls-private.h
@@ -25,6 +25,7 @@
   LnLeaving *leaving;
   struct event *tick;
   struct event *keep_alive;
+  LcDesired *desired; /* routes of a shared platform; NULL: none are known */
   LnCall *by_id;
   LbList all;
   bool ready; /* the resources in force are confirmed */
@@ -44,8 +45,13 @@
 /* ln-calls.c: tells the other instances when the endpoint leaves */
 void ln_calls_tell_leaving (LnCalls *calls, const char *endpoint);
 
-/* ln-calls-take.c: from a caller's request to its submission */
+/* ln-calls-take.c: a caller that leaves takes its call with it */
+void ln_calls_caller_gone (LnHolder *holder);
+/* The same file: from a caller's request to its submission */
 void ln_calls_take (LnCalls *calls, LnExchange *exchange);
 void ln_calls_add_hints (LnCalls *calls, LnExchange *exchange, LbErrorCode code);
 
+/* ln-routed.c: the same on a shared platform, by the routes that its operators declare */
+void ln_routed_take (LnCalls *calls, LnExchange *exchange);
+
 #endif
--- a/packages/node/src/ln-calls-run.c
+++ b/packages/node/src/ln-calls-run.c
@@ -151,7 +151,7 @@
     {
       ln_attempt_add (attempt, piece, event, text);
       if (call->spec.delivery == LC_DELIVER_STREAM)
-        evbuffer_add (call->text, text, strlen (text));
+        ln_call_add_text (call, text);
       if (call->wants_stream)
         ln_call_forward (call, event, ln_upstream_endpoint (upstream));
       else if (call->kind == LN_CALL_SAMPLE && call->spec.delivery == LC_DELIVER_STREAM)
@@ -160,6 +160,27 @@
   ln_calls_run (calls, &actions);
 }
 
+/* The endpoint's own word on its load comes with its replies, so it costs no question. */
+static void
+note_load (LnCalls *calls, const LnUpstream *upstream)
+{
+  const LcEndpoint *endpoint = lc_endpoints_find (lc_dispatch_endpoints (calls->dispatch),
+                                                  ln_upstream_endpoint (upstream));
+  LcLoadReport report = { 0 };
+  LnStatedLoad load;
+
+  ln_upstream_load (upstream, &load);
+  if (!load.stated || !endpoint)
+    return;
+  LB_COPY (report.incarnation, endpoint->member.name);
+  report.version = endpoint->report.version;
+  report.running = load.running;
+  report.waiting = load.waiting;
+  report.at = lb_clock_monotonic ();
+  lc_endpoints_report (lc_dispatch_endpoints (calls->dispatch), endpoint->member.name, &report,
+                       report.at);
+}
+
 /* The attempt stays only until the actions that its end brings have run: a FINISH among them takes
  * the answer from it. */
 static void
@@ -171,6 +192,7 @@
   LbList actions;
 
   lb_list_init (&actions);
+  note_load (calls, upstream);
   lb_list_remove (&call->attempts, &attempt->link);
   call->ended = attempt;
   LcRequestId id = call->spec.id;
@@ -243,6 +265,76 @@
   return ln_upstream_start (calls->context->http, &spec, &handlers, attempt, error);
 }
 
+static LhHeader *
+join_headers (const LcOutgoing *a, const LcOutgoing *b, size_t *n)
+{
+  LhHeader *headers = LB_NEW_ARRAY (LhHeader, a->n_headers + b->n_headers);
+
+  *n = 0;
+  for (size_t i = 0; i < a->n_headers; i++)
+    headers[(*n)++] = (LhHeader){ a->headers[i].name, a->headers[i].value };
+  for (size_t i = 0; i < b->n_headers; i++)
+    headers[(*n)++] = (LhHeader){ b->headers[i].name, b->headers[i].value };
+  return headers;
+}
+
+/* What is left of the time that the caller gave, so that the endpoint stops when nobody waits. */
+static LbTime
+time_left (const LnCall *call)
+{
+  LbTime left = call->spec.deadline - lb_clock_monotonic ();
+
+  if (call->kind == LN_CALL_SAMPLE || call->spec.deadline == LB_TIME_NEVER)
+    return 0;
+  return left < LB_MSEC ? LB_MSEC : left;
+}
+
+static LnUpstream *
+start_in_dialect (LnCalls *calls, LnAttempt *attempt, const LcAction *action, LbError *error)
+{
+  static const LnUpstreamHandlers handlers = { .on_piece = on_piece, .on_end = on_end };
+  LnCall *call = attempt->call;
+  const LnDialect *dialect = calls->context->dialect;
+  bool is_stream = ln_call_is_for_engine (call);
+  LbTime stream_silence = calls->context->settings->calls.stream_silence_ms * LB_MSEC;
+  const LnAttemptWords words = { .time_left = time_left (call),
+                                 .endpoint = action->endpoint,
+                                 .resume_at = action->resume_at,
+                                 .is_sample = call->kind != LN_CALL_SERVICE };
+  LcOutgoing added = { 0 };
+  LnUpstreamSpec spec = { .request = action->request,
+                          .attempt = action->attempt,
+                          .endpoint = action->endpoint,
+                          .address = action->address,
+                          .method = call->outgoing.method,
+                          .path = call->outgoing.path,
+                          .host = call->outgoing.host,
+                          .body = call->outgoing.body,
+                          .body_length = call->outgoing.body_length,
+                          .dialect = dialect,
+                          .name = call->outgoing.id,
+                          .is_stream = is_stream,
+                          .silence = is_stream ? stream_silence : service_silence (call) };
+
+  LB_COPY (added.id, call->outgoing.id);
+  dialect->write_words (&words, &added);
+  LhHeader *headers = join_headers (&call->outgoing, &added, &spec.n_headers);
+  spec.headers = headers;
+  LnUpstream *upstream = ln_upstream_start (calls->context->http, &spec, &handlers, attempt, error);
+  free (headers);
+  lc_outgoing_clear (&added);
+  return upstream;
+}
+
+static LnUpstream *
+start_upstream (LnCalls *calls, LnAttempt *attempt, const LcAction *action, LbError *error)
+{
+  if (calls->context->dialect)
+    return start_in_dialect (calls, attempt, action, error);
+  return ln_call_is_for_engine (attempt->call) ? start_engine (calls, attempt, action, error)
+                                               : start_service (calls, attempt, action, error);
+}
+
 static void
 send_attempt (LnCalls *calls, const LcAction *action, LbList *actions)
 {
@@ -255,8 +347,7 @@
   log_decision (action);
   lb_metric_add (&sent, 1);
   attempt = ln_attempt_new (call);
-  attempt->upstream = ln_call_is_for_engine (call) ? start_engine (calls, attempt, action, &error)
-                                                   : start_service (calls, attempt, action, &error);
+  attempt->upstream = start_upstream (calls, attempt, action, &error);
   if (attempt->upstream)
     return;
   ln_attempt_free (attempt);
@@ -295,6 +386,14 @@
   struct evbuffer *text = call->text;
   size_t length;
 
+  if (call->kind == LN_CALL_SCORE && calls->context->dialect)
+    {
+      const char *score = code == LB_OK ? ln_upstream_score (winner->upstream) : NULL;
+      if (code == LB_OK && !score)
+        code = LB_ERROR_ENDPOINT_FAILED;
+      ln_calls_post_done (calls, call->spec.id, code, lb_strdup (score ? score : ""));
+      return;
+    }
   if (call->kind == LN_CALL_SCORE)
     {
       const char *body = code == LB_OK ? ln_upstream_body (winner->upstream, &length) : "";
--- a/packages/node/src/ln-calls-take.c
+++ b/packages/node/src/ln-calls-take.c
@@ -39,8 +39,8 @@
 }
 
 /* A caller that leaves takes its call with it, unless a ticket lets it come back for the answer. */
-static void
-caller_gone (LnHolder *holder)
+void
+ln_calls_caller_gone (LnHolder *holder)
 {
   LnCall *call = (LnCall *)holder;
 
@@ -193,7 +193,7 @@
 static LnCall *
 read_call (LnCalls *calls, LnExchange *exchange)
 {
-  static const LnHolderClass call_class = { .caller_gone = caller_gone };
+  static const LnHolderClass call_class = { .caller_gone = ln_calls_caller_gone };
   LbTime deadline = calls->context->settings->calls.default_deadline_ms * LB_MSEC;
   LbError error = { 0 };
   LnCall *call = ln_call_read (exchange, lb_clock_monotonic (), deadline, &error);
@@ -229,6 +229,11 @@
   const char *key = ln_exchange_header (exchange, "idempotency-key");
   LnCall *call;
 
+  if (calls->context->dialect)
+    {
+      ln_routed_take (calls, exchange);
+      return;
+    }
   /* An instance that can't confirm its resources may route by ones that were replaced long ago. */
   if (!calls->ready)
     {
--- a/packages/node/src/ln-calls.c
+++ b/packages/node/src/ln-calls.c
@@ -48,7 +48,9 @@
   LnCall *call = ln_call_new (is_score ? LN_CALL_SCORE : LN_CALL_SAMPLE);
 
   call->spec = message->spec;
-  if (is_score)
+  if (message->outgoing)
+    lc_outgoing_copy (&call->outgoing, message->outgoing);
+  else if (is_score)
     {
       call->method = lb_strdup ("POST");
       call->path = lb_strdup ("/score");
@@ -103,6 +105,25 @@
                    lc_endpoints_find (lc_dispatch_endpoints (calls->dispatch), endpoint));
 }
 
+/* The store's list tells that the endpoint lives and which weights it has, but not its load: what
+ * this instance has running there stands in until a reply states it. */
+static void
+take_listed (LnCalls *calls, const LnListedMessage *message)
+{
+  LcEndpoint *endpoint
+      = lc_endpoints_find (lc_dispatch_endpoints (calls->dispatch), message->endpoint);
+  LcLoadReport report = { .version = message->version, .at = lb_clock_monotonic () };
+  LbList actions;
+
+  if (!endpoint)
+    return;
+  LB_COPY (report.incarnation, message->endpoint);
+  report.running = endpoint->in_flight;
+  lb_list_init (&actions);
+  lc_dispatch_report (calls->dispatch, message->endpoint, &report, report.at, &actions);
+  ln_calls_run (calls, &actions);
+}
+
 static void
 take_frame (LnCalls *calls, const LnPeerMessage *frame)
 {
@@ -119,7 +140,8 @@
 
   lb_list_init (&actions);
   lc_dispatch_configure (calls->dispatch, set, lb_clock_monotonic (), &actions);
-  ln_poller_configure (calls->poller, set);
+  if (calls->poller)
+    ln_poller_configure (calls->poller, set);
   ln_calls_run (calls, &actions);
 }
 
@@ -184,6 +206,13 @@
     case LN_PEER_FRAME:
       take_frame (calls, (const LnPeerMessage *)message);
       break;
+    case LN_DESIRED:
+      lc_desired_unref (calls->desired);
+      calls->desired = lc_desired_ref (((const LnDesiredMessage *)message)->desired);
+      break;
+    case LN_LISTED:
+      take_listed (calls, (const LnListedMessage *)message);
+      break;
     case LN_ENDPOINT_SWAP:
       swap = (const LnEndpointSwapMessage *)message;
       lc_endpoints_swap (lc_dispatch_endpoints (calls->dispatch), swap->endpoint, swap->pending,
@@ -201,6 +230,10 @@
   LbList actions;
 
   calls->draining = true;
+  /* On a shared platform callers hold this instance's address for seconds after it has stopped
+   * being ready, and are served as long as it lives. */
+  if (calls->context->dialect)
+    return;
   lb_list_init (&actions);
   lc_dispatch_drain (calls->dispatch, lb_clock_monotonic (), &actions);
   ln_calls_run (calls, &actions);
@@ -233,6 +266,7 @@
   event_free (calls->tick);
   event_free (calls->keep_alive);
   lc_dispatch_free (calls->dispatch);
+  lc_desired_unref (calls->desired);
   free (calls);
 }
 
@@ -300,7 +334,8 @@
   calls->relays = ln_relays_new (context);
   calls->leaving = ln_leaving_new (&calls->task);
   calls->tick = evtimer_new (context->base, ln_calls_on_tick, calls);
-  calls->poller = ln_poller_new (context->base, context->http,
+  if (!context->dialect)
+    calls->poller = ln_poller_new (context->base, context->http,
                                  context->settings->calls.load_poll_ms * LB_MSEC, &handlers, calls);
   calls->keep_alive = event_new (context->base, -1, EV_PERSIST, on_keep_alive, calls);
   event_add (calls->keep_alive, &keep_alive_period);
--- /dev/null
+++ b/packages/node/src/ln-desired.c
@@ -0,0 +1,345 @@
+#include "ln-context.h"
+
+#include "ln-dialect.h"
+#include "ln-messages.h"
+#include "ln-weight-orders.h"
+
+#include "lb-alloc.h"
+#include "lb-clock.h"
+#include "lb-counter.h"
+#include "lb-log.h"
+#include "lp-platform.h"
+
+#include <event2/event.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define TICK (50 * LB_MSEC)
+/* A change must be in force within 2 s also when the connection of the watch has gone silent: the
+ * silence is found after this wait and the store client's slack, and one more watch brings it. */
+#define WATCH_WAIT (700 * LB_MSEC)
+#define WATCH_RETRY (100 * LB_MSEC)
+/* Each list costs every instance one call; an endpoint that leaves gets no new work 2 s after it
+ * said so, which this leaves time to spare for. */
+#define LIST_PERIOD (400 * LB_MSEC)
+/* A tick that comes so late tells that this process stood still: what it believes of endpoints is
+ * not confirmed again before the store has been asked. */
+#define LONGEST_PAUSE LB_SEC
+
+/* What the operators, the trainers and the endpoints wrote into the shared platform's store: the
+ * routes in force, the endpoints listed, the versions named. Runs as the task "config". */
+typedef struct
+{
+  LnTask task; /* first */
+  LnContext *context;
+  struct event *timer;
+  LcDesired *desired;
+  LcRoster *roster;
+  LnWeightOrders *orders;
+  int64_t revision;      /* of the resource set made from the roster */
+  int64_t table_version; /* of the operators' table as last seen; 0: it has to be listed */
+  bool watching;
+  LbTime next_watch;
+  bool listing;
+  bool listed; /* at least once */
+  LbTime list_asked;
+  LbTime next_list;
+  LbTime last_tick;
+  bool ready;
+  bool draining;
+} Desired;
+
+static LbMetric desired_version = LB_GAUGE_INIT (
+    "lentilspindle_desired_version", NULL, "Version of the routes in force in this instance");
+
+static void
+clear_desired (LnMessage *message)
+{
+  lc_desired_unref (((LnDesiredMessage *)message)->desired);
+}
+
+static void
+tell_ready (Desired *task)
+{
+  LnReadyMessage message = { .base = LN_MESSAGE (LN_READY), .ready = true };
+
+  if (task->ready || !task->desired || !task->listed)
+    return;
+  task->ready = true;
+  lb_log (LB_LOG_INFO, "ready", LB_INT ("desired", task->desired->version),
+          LB_INT ("endpoints", lc_roster_count (task->roster)));
+  LN_POST (task->task.hub, NULL, message);
+}
+
+/* An older version never replaces a newer one: a store that answers from a moment ago, or an answer
+ * that was held up on its way, would otherwise bring back what was changed. */
+static void
+take_desired (Desired *task, const char *text)
+{
+  LnDesiredMessage message = { .base = LN_MESSAGE (LN_DESIRED) };
+  LbError error = { 0 };
+  LcDesired *desired = task->context->dialect->read_desired (text, &error);
+
+  if (!desired)
+    {
+      lb_log_error (LB_LOG_ERROR, "desired_unreadable", &error);
+      return;
+    }
+  if (task->desired && desired->version <= task->desired->version)
+    {
+      lc_desired_unref (desired);
+      return;
+    }
+  lb_log (LB_LOG_INFO, "desired_in_force", LB_INT ("version", desired->version),
+          LB_INT ("before", task->desired ? task->desired->version : 0),
+          LB_INT ("routes", desired->n_routes));
+  lc_desired_unref (task->desired);
+  task->desired = desired;
+  lb_metric_set (&desired_version, desired->version);
+  message.desired = lc_desired_ref (desired);
+  message.base.clear = clear_desired;
+  LN_POST (task->task.hub, NULL, message);
+  tell_ready (task);
+}
+
+static void
+take_version (Desired *task, const char *text)
+{
+  LnVersionsMessage message = { .base = LN_MESSAGE (LN_VERSIONS) };
+  LbError error = { 0 };
+  LnTask *rollouts = ln_hub_find (task->task.hub, "rollouts");
+
+  if (!task->context->dialect->read_version (text, message.pool, &message.newest, &error))
+    {
+      lb_log_error (LB_LOG_ERROR, "version_unreadable", &error);
+      return;
+    }
+  lb_log (LB_LOG_INFO, "version_named", LB_TEXT ("model", message.pool),
+          LB_INT ("version", message.newest));
+  ln_weight_orders_newest (task->orders, message.pool, message.newest, lb_clock_monotonic ());
+  if (rollouts)
+    LN_POST (task->task.hub, rollouts, message);
+}
+
+static void
+take_operator_rows (Desired *task, const LpRow *rows, size_t n_rows)
+{
+  for (size_t i = 0; i < n_rows; i++)
+    {
+      LnOperatorRow kind = task->context->dialect->operator_row (rows[i].key);
+      if (kind == LN_ROW_DESIRED && rows[i].value)
+        take_desired (task, rows[i].value);
+      else if (kind == LN_ROW_VERSION && rows[i].value)
+        take_version (task, rows[i].value);
+    }
+}
+
+/* Answers both the list of the table and its watch. A history that is gone means that changes were
+ * missed: the table is listed again. */
+static void
+on_operator_rows (
+    LbErrorCode error, const LpRow *rows, size_t n_rows, int64_t version, void *user)
+{
+  Desired *task = user;
+  LbTime now = lb_clock_monotonic ();
+
+  task->watching = false;
+  if (error == LB_OK)
+    {
+      take_operator_rows (task, rows, n_rows);
+      task->table_version = version;
+      task->next_watch = now;
+      return;
+    }
+  if (error == LB_ERROR_NOT_FOUND)
+    task->table_version = 0;
+  lb_log (LB_LOG_WARNING, "desired_not_read", LB_TEXT ("error", lb_error_name (error)),
+          LB_INT ("after", task->table_version));
+  task->next_watch = now + WATCH_RETRY;
+}
+
+static void
+watch (Desired *task)
+{
+  LpPlatform *platform = task->context->platform;
+  const char *table = task->context->dialect->operator_table;
+  char *prefix = NULL;
+
+  task->watching = true;
+  if (task->table_version > 0)
+    {
+      platform->klass->watch (platform, table, task->table_version, WATCH_WAIT, on_operator_rows,
+                              task);
+      return;
+    }
+  prefix = lb_asprintf ("%s//", table);
+  platform->klass->list (platform, prefix, NULL, 0, on_operator_rows, task);
+  free (prefix);
+}
+
+/* --- endpoints --- */
+
+static void
+clear_config (LnMessage *message)
+{
+  lc_resource_set_free (((LnConfigMessage *)message)->set);
+}
+
+static void
+publish_endpoints (Desired *task)
+{
+  LnConfigMessage message = { .base = LN_MESSAGE (LN_CONFIG) };
+
+  message.set = lc_roster_resources (task->roster, ++task->revision);
+  message.base.clear = clear_config;
+  ln_weight_orders_configure (task->orders, message.set);
+  LN_POST (task->task.hub, NULL, message);
+}
+
+static void
+confirm_endpoints (Desired *task)
+{
+  LnTask *calls = ln_hub_find (task->task.hub, "calls");
+
+  for (size_t i = 0; calls && i < lc_roster_count (task->roster); i++)
+    {
+      LnListedMessage message = { .base = LN_MESSAGE (LN_LISTED),
+                                  .version = lc_roster_version (task->roster, i) };
+      LB_COPY (message.endpoint, lc_roster_at (task->roster, i)->name);
+      LN_POST (task->task.hub, calls, message);
+    }
+}
+
+static LcListed *
+read_list (Desired *task, const LpRow *rows, size_t n_rows, size_t *n_listed)
+{
+  LcListed *list = LB_NEW_ARRAY (LcListed, n_rows + 1);
+  LbError error = { 0 };
+
+  *n_listed = 0;
+  for (size_t i = 0; i < n_rows; i++)
+    if (task->context->dialect->read_listed (rows[i].key, rows[i].value, &list[*n_listed], &error))
+      (*n_listed)++;
+    else
+      lb_log_error (LB_LOG_WARNING, "endpoint_unreadable", &error);
+  return list;
+}
+
+static void
+on_list (LbErrorCode error, const LpRow *rows, size_t n_rows, int64_t version, void *user)
+{
+  (void)version;
+  Desired *task = user;
+  LbTime now = lb_clock_monotonic ();
+  size_t n_listed;
+
+  task->listing = false;
+  if (error != LB_OK)
+    {
+      lb_log (LB_LOG_WARNING, "endpoints_not_listed", LB_TEXT ("error", lb_error_name (error)));
+      confirm_endpoints (task);
+      return;
+    }
+  LcListed *list = read_list (task, rows, n_rows, &n_listed);
+  task->listed = true;
+  if (lc_roster_update (task->roster, list, n_listed, task->list_asked, now))
+    publish_endpoints (task);
+  ln_weight_orders_listed (task->orders, task->roster, task->list_asked, now);
+  confirm_endpoints (task);
+  tell_ready (task);
+  free (list);
+}
+
+static void
+list_endpoints (Desired *task, LbTime now)
+{
+  LpPlatform *platform = task->context->platform;
+
+  task->listing = true;
+  task->list_asked = now;
+  task->next_list = now + LIST_PERIOD;
+  platform->klass->list (platform, task->context->dialect->endpoint_rows, NULL, 0, on_list, task);
+}
+
+static void
+on_tick (evutil_socket_t fd, short what, void *user)
+{
+  (void)fd;
+  (void)what;
+  Desired *task = user;
+  LbTime now = lb_clock_monotonic ();
+
+  if (!task->watching && now >= task->next_watch)
+    watch (task);
+  if (!task->listing && now >= task->next_list)
+    list_endpoints (task, now);
+  else if (task->listing && now - task->list_asked > LIST_PERIOD && now >= task->next_list
+           && now - task->last_tick < LONGEST_PAUSE)
+    {
+      /* The store does not answer: the endpoints are believed to be as they were. */
+      task->next_list = now + LIST_PERIOD;
+      confirm_endpoints (task);
+    }
+  task->last_tick = now;
+  ln_weight_orders_tick (task->orders, now);
+}
+
+static void
+receive (LnTask *base, const LnMessage *message)
+{
+  Desired *task = (Desired *)base;
+
+  if (message->type == LN_MEMBERS && !task->draining)
+    ln_weight_orders_members (task->orders, (const LnMembersMessage *)message);
+}
+
+static void
+drain (LnTask *base)
+{
+  Desired *task = (Desired *)base;
+
+  task->draining = true;
+  ln_weight_orders_release (task->orders, lb_clock_monotonic ());
+}
+
+static bool
+is_idle (const LnTask *base)
+{
+  const Desired *task = (const Desired *)base;
+
+  return !task->draining || ln_weight_orders_is_released (task->orders, lb_clock_monotonic ());
+}
+
+static void
+free_task (LnTask *base)
+{
+  Desired *task = (Desired *)base;
+
+  event_free (task->timer);
+  ln_weight_orders_free (task->orders);
+  lc_roster_free (task->roster);
+  lc_desired_unref (task->desired);
+  free (task);
+}
+
+static const LnTaskClass desired_class = {
+  .name = "config", .receive = receive, .drain = drain, .is_idle = is_idle, .free = free_task
+};
+
+LnTask *
+ln_desired_new (LnContext *context)
+{
+  const struct timeval tick = { .tv_usec = TICK };
+  Desired *task = LB_NEW (Desired);
+
+  task->task.klass = &desired_class;
+  task->task.hub = context->hub;
+  task->context = context;
+  task->roster = lc_roster_new ();
+  task->orders = ln_weight_orders_new (context);
+  task->last_tick = lb_clock_monotonic ();
+  task->timer = event_new (context->base, -1, EV_PERSIST, on_tick, task);
+  event_add (task->timer, &tick);
+  event_active (task->timer, EV_TIMEOUT, 0);
+  return &task->task;
+}
--- a/packages/node/src/ln-exchange.c
+++ b/packages/node/src/ln-exchange.c
@@ -343,7 +343,10 @@
     ln_exchange_set_header (exchange, "x-not-run", "1");
   if (retry_after > 0)
     {
-      snprintf (number, sizeof number, "%lld", (long long)((retry_after + LB_SEC - 1) / LB_SEC));
+      if (exchange->caller && exchange->caller->callers->exact_retry_after)
+        snprintf (number, sizeof number, "%.3f", (double)retry_after / LB_SEC);
+      else
+        snprintf (number, sizeof number, "%lld", (long long)((retry_after + LB_SEC - 1) / LB_SEC));
       ln_exchange_set_header (exchange, "Retry-After", number);
       snprintf (number, sizeof number, "%lld", (long long)((retry_after + LB_MSEC - 1) / LB_MSEC));
       ln_exchange_set_header (exchange, "x-retry-after-ms", number);
--- /dev/null
+++ b/packages/node/src/ln-fleet.c
@@ -0,0 +1,261 @@
+#include "ln-context.h"
+
+#include "ln-dialect.h"
+#include "ln-messages.h"
+
+#include "lb-alloc.h"
+#include "lb-clock.h"
+#include "lb-log.h"
+#include "lc-fleet.h"
+#include "lp-platform.h"
+
+#include <event2/event.h>
+#include <json-c/json.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define TICK (100 * LB_MSEC)
+#define RENEW_PERIOD LB_SEC
+#define LIST_PERIOD (700 * LB_MSEC)
+#define ROWS "instance//"
+#define MAX_ENTRY_ADDRESSES 64
+#define RETRY_WITHOUT_ADDRESS (300 * LB_MSEC)
+
+/* Instances of a shared platform and the addresses that callers are given. Runs as the task
+ * "peers". */
+typedef struct
+{
+  LnTask task; /* first */
+  LnContext *context;
+  struct event *timer;
+  LcFleet *fleet;
+  LcFleetRow own;
+  bool renewing;
+  bool renew_again; /* the row has changed while it was being written */
+  LbTime next_renewal;
+  bool listing;
+  LbTime next_list;
+} Fleet;
+
+static void
+clear_members (LnMessage *message)
+{
+  free (((LnMembersMessage *)message)->members);
+}
+
+static void
+publish (Fleet *task)
+{
+  LnMembersMessage message = { .base = LN_MESSAGE (LN_MEMBERS) };
+
+  message.n_members = lc_fleet_count (task->fleet);
+  message.members = LB_NEW_ARRAY (LnMember, message.n_members + 1);
+  message.base.clear = clear_members;
+  for (size_t i = 0; i < message.n_members; i++)
+    {
+      const LcFleetMember *known = lc_fleet_at (task->fleet, i);
+      LnMember *member = &message.members[i];
+      LB_COPY (member->name, known->row.name);
+      LB_COPY (member->incarnation, known->row.incarnation);
+      LB_COPY (member->data_centre, known->row.data_centre);
+      LB_COPY (member->caller_address, known->row.caller_address);
+      member->alive = known->alive;
+      member->draining = known->row.draining;
+      member->is_self = strcmp (known->row.name, task->context->instance) == 0;
+    }
+  LN_POST (task->task.hub, NULL, message);
+}
+
+static void
+on_list (LbErrorCode error, const LpRow *rows, size_t n_rows, int64_t version, void *user)
+{
+  (void)version;
+  Fleet *task = user;
+  LbTime now = lb_clock_monotonic ();
+
+  task->listing = false;
+  if (error != LB_OK)
+    return;
+  lc_fleet_begin (task->fleet, now);
+  for (size_t i = 0; i < n_rows; i++)
+    {
+      struct json_object *object = json_tokener_parse (rows[i].value);
+      LcFleetRow row;
+      if (object && lc_fleet_row_from_json (object, &row))
+        lc_fleet_add (task->fleet, &row, rows[i].version, now);
+      else
+        lb_log (LB_LOG_WARNING, "instance_row_unreadable", LB_TEXT ("key", rows[i].key));
+      json_object_put (object);
+    }
+  if (lc_fleet_end (task->fleet, now))
+    publish (task);
+}
+
+static void renew (Fleet *task, LbTime now);
+
+static void
+on_renewed (LbErrorCode error, const LpRow *row, void *user)
+{
+  (void)row;
+  Fleet *task = user;
+
+  task->renewing = false;
+  if (error != LB_OK)
+    lb_log (LB_LOG_WARNING, "instance_not_renewed", LB_TEXT ("error", lb_error_name (error)));
+  if (task->renew_again)
+    renew (task, lb_clock_monotonic ());
+}
+
+static void
+renew (Fleet *task, LbTime now)
+{
+  LpPlatform *platform = task->context->platform;
+  struct json_object *object = NULL;
+  char key[LB_NAME_MAX + sizeof ROWS];
+
+  task->renew_again = task->renewing;
+  if (task->renewing)
+    return;
+  task->renewing = true;
+  task->next_renewal = now + RENEW_PERIOD;
+  task->own.renewals++;
+  object = lc_fleet_row_to_json (&task->own);
+  snprintf (key, sizeof key, ROWS "%s", task->own.name);
+  const LpPut put = { .key = key, .value = json_object_to_json_string (object) };
+  const LpTransaction transaction = { .token = "", .puts = &put, .n_puts = 1 };
+  platform->klass->transact (platform, &transaction, LP_PRIORITY_STATUS, on_renewed, task);
+  json_object_put (object);
+}
+
+static void
+on_tick (evutil_socket_t fd, short what, void *user)
+{
+  (void)fd;
+  (void)what;
+  Fleet *task = user;
+  LbTime now = lb_clock_monotonic ();
+  LpPlatform *platform = task->context->platform;
+
+  if (now >= task->next_renewal)
+    renew (task, now);
+  if (task->listing || now < task->next_list)
+    return;
+  task->listing = true;
+  task->next_list = now + LIST_PERIOD;
+  platform->klass->list (platform, ROWS, NULL, 0, on_list, task);
+}
+
+/* --- the addresses that callers are given --- */
+
+static void
+add_address (const char **addresses, size_t *n, const char *address)
+{
+  for (size_t i = 0; i < *n; i++)
+    if (strcmp (addresses[i], address) == 0)
+      return;
+  if (*n < MAX_ENTRY_ADDRESSES)
+    addresses[(*n)++] = address;
+}
+
+/* This instance itself knows best whether it is ready; near ones come first, since only so many are
+ * told. */
+static size_t
+choose_addresses (const Fleet *task, const char **addresses)
+{
+  size_t n = 0;
+
+  if (task->own.ready && !task->own.draining)
+    add_address (addresses, &n, task->own.caller_address);
+  for (int near = 1; near >= 0; near--)
+    for (size_t i = 0; i < lc_fleet_count (task->fleet); i++)
+      {
+        const LcFleetMember *member = lc_fleet_at (task->fleet, i);
+        bool is_near = strcmp (member->row.data_centre, task->own.data_centre) == 0;
+        if (member->alive && member->row.ready && !member->row.draining && is_near == (near == 1)
+            && strcmp (member->row.name, task->own.name) != 0)
+          add_address (addresses, &n, member->row.caller_address);
+      }
+  return n;
+}
+
+static void
+answer_entry (Fleet *task, LnExchange *exchange)
+{
+  const char *addresses[MAX_ENTRY_ADDRESSES];
+  size_t n = choose_addresses (task, addresses);
+  LbTime ttl = task->context->settings->drain.entry_ttl_ms * LB_MSEC;
+  LbError error = { 0 };
+
+  if (n == 0)
+    {
+      lb_error_set (&error, LB_ERROR_NOT_READY, "", "no instance is known to be ready");
+      ln_exchange_reply_error (exchange, &error, RETRY_WITHOUT_ADDRESS);
+      return;
+    }
+  char *text = task->context->dialect->write_entry (addresses, n, ttl);
+  ln_exchange_reply_text (exchange, 200, "application/json", text, strlen (text));
+  free (text);
+}
+
+static void
+receive (LnTask *base, const LnMessage *message)
+{
+  Fleet *task = (Fleet *)base;
+
+  switch ((LnMessageType)message->type)
+    {
+    case LN_EXCHANGE:
+      answer_entry (task, ((const LnExchangeMessage *)message)->exchange);
+      break;
+    case LN_READY:
+      task->own.ready = ((const LnReadyMessage *)message)->ready;
+      renew (task, lb_clock_monotonic ());
+      break;
+    default:
+      break;
+    }
+}
+
+/* Told at once, so that callers go elsewhere from their next look on. */
+static void
+drain (LnTask *base)
+{
+  Fleet *task = (Fleet *)base;
+
+  task->own.draining = true;
+  renew (task, lb_clock_monotonic ());
+}
+
+static void
+free_task (LnTask *base)
+{
+  Fleet *task = (Fleet *)base;
+
+  event_free (task->timer);
+  lc_fleet_free (task->fleet);
+  free (task);
+}
+
+static const LnTaskClass fleet_class
+    = { .name = "peers", .receive = receive, .drain = drain, .free = free_task };
+
+LnTask *
+ln_fleet_new (LnContext *context)
+{
+  const struct timeval tick = { .tv_usec = TICK };
+  Fleet *task = LB_NEW (Fleet);
+
+  task->task.klass = &fleet_class;
+  task->task.hub = context->hub;
+  task->context = context;
+  task->fleet = lc_fleet_new (context->instance);
+  LB_COPY (task->own.name, context->instance);
+  LB_COPY (task->own.incarnation, context->incarnation);
+  LB_COPY (task->own.data_centre, context->settings->instance.data_centre);
+  LB_COPY (task->own.caller_address, context->caller_address);
+  task->timer = event_new (context->base, -1, EV_PERSIST, on_tick, task);
+  event_add (task->timer, &tick);
+  event_active (task->timer, EV_TIMEOUT, 0);
+  return &task->task;
+}
--- a/packages/node/src/ln-front.c
+++ b/packages/node/src/ln-front.c
@@ -1,5 +1,6 @@
 #include "ln-context.h"
 
+#include "ln-dialect.h"
 #include "ln-exchange-private.h"
 #include "ln-messages.h"
 #include "ln-recorder.h"
@@ -17,6 +18,7 @@
 #include <string.h>
 
 #define BACKLOG 1024
+#define MAX_LISTENERS 3 /* callers', entry's and readiness' addresses */
 
 /* The callers' sockets: reads requests whole, within limits, and posts each to the task of its
  * route. */
@@ -24,7 +26,8 @@
 {
   LnTask task; /* first */
   LnContext *context;
-  evhtp_t *server;
+  evhtp_t *servers[MAX_LISTENERS];
+  size_t n_servers;
   LnCallers callers;
   uint64_t next_exchange;
   bool ready; /* the resources in force are confirmed */
@@ -60,11 +63,27 @@
   return !route->method || strcmp (route->method, method) == 0;
 }
 
+static LnTask *
+find_task_in_dialect (const LnFront *front, const LnExchange *exchange)
+{
+  static const char *const tasks[] = {
+    [LN_INBOUND_ENTRY] = "peers",       [LN_INBOUND_READY] = "front", [LN_INBOUND_METRICS] = "front",
+    [LN_INBOUND_RESULTS] = "rollouts",  [LN_INBOUND_ITEM] = "rollouts",
+    [LN_INBOUND_END] = "rollouts",      [LN_INBOUND_ROUTED] = "calls",
+  };
+  LnInbound inbound;
+
+  front->context->dialect->read_inbound (exchange, &inbound);
+  return ln_hub_find (front->task.hub, tasks[inbound.kind]);
+}
+
 static LnTask *
 find_task (const LnFront *front, const LnExchange *exchange)
 {
   const LnRoute *best = NULL;
 
+  if (front->context->dialect)
+    return find_task_in_dialect (front, exchange);
   for (size_t i = 0; i < sizeof routes / sizeof routes[0]; i++)
     if (route_matches (&routes[i], ln_exchange_method (exchange), ln_exchange_path (exchange))
         && (!best || strlen (routes[i].prefix) > strlen (best->prefix)))
@@ -115,7 +134,15 @@
 {
   const char *path = ln_exchange_path (exchange);
   LbError error = { 0 };
+  LnInbound inbound = { .kind = LN_INBOUND_ROUTED };
 
+  if (front->context->dialect)
+    front->context->dialect->read_inbound (exchange, &inbound);
+  if (inbound.kind == LN_INBOUND_READY)
+    {
+      reply_ready (front, exchange);
+      return;
+    }
   if (strcmp (path, "/metrics") == 0)
     {
       char *text = lb_metric_render ();
@@ -180,6 +207,18 @@
   return true;
 }
 
+static void
+free_servers (LnFront *front)
+{
+  for (size_t i = 0; i < front->n_servers; i++)
+    {
+      if (front->servers[i]->server)
+        evhtp_unbind_socket (front->servers[i]);
+      evhtp_free (front->servers[i]);
+    }
+  front->n_servers = 0;
+}
+
 static void
 front_free (LnTask *task)
 {
@@ -187,8 +226,7 @@
 
   ln_callers_clear (&front->callers);
   ln_recorder_free (front->callers.recorder);
-  evhtp_unbind_socket (front->server);
-  evhtp_free (front->server);
+  free_servers (front);
   free (front);
 }
 
@@ -196,24 +234,48 @@
   .name = "front", .receive = receive, .drain = drain, .is_idle = is_idle, .free = front_free
 };
 
+static evhtp_t *
+add_server (LnFront *front)
+{
+  evhtp_t *server = evhtp_new (front->context->base, NULL);
+
+  evhtp_enable_flag (server, EVHTP_FLAG_ENABLE_NODELAY);
+  evhtp_set_post_accept_cb (server, ln_caller_accept, &front->callers);
+  evhtp_set_gencb (server, on_request, front);
+  front->servers[front->n_servers++] = server;
+  return server;
+}
+
 static bool
-bind_address (LnFront *front, LbError *error)
+listen_at (LnFront *front, const char *wanted, const char *key, LbError *error)
 {
-  LnContext *context = front->context;
-  const char *wanted = context->settings->instance.caller_address;
   const char *colon = strrchr (wanted, ':');
   char ip[LB_NAME_MAX] = "";
 
   if (colon)
     lb_strlcpy (ip, wanted, (size_t)(colon - wanted) + 1);
   if (!colon
-      || evhtp_bind_socket (front->server, ip, (uint16_t)strtoul (colon + 1, NULL, 10), BACKLOG)
+      || evhtp_bind_socket (add_server (front), ip, (uint16_t)strtoul (colon + 1, NULL, 10),
+                            BACKLOG)
              != 0)
-    return lb_error_set (error, LB_ERROR_IO, "instance.caller_address", "cannot listen at %s: %s",
-                         wanted, strerror (errno));
+    return lb_error_set (error, LB_ERROR_IO, key, "cannot listen at %s: %s", wanted,
+                         strerror (errno));
   return true;
 }
 
+/* The callers' address first: it is the one that read_bound_address looks at. */
+static bool
+listen_at_all (LnFront *front, LbError *error)
+{
+  const LnSettings *settings = front->context->settings;
+  const char *entry = settings->instance.entry_address;
+  const char *ready = settings->instance.ready_address;
+
+  return listen_at (front, settings->instance.caller_address, "instance.caller_address", error)
+         && (!entry[0] || listen_at (front, entry, "instance.entry_address", error))
+         && (!ready[0] || listen_at (front, ready, "instance.ready_address", error));
+}
+
 static void
 read_bound_address (LnFront *front)
 {
@@ -221,7 +283,7 @@
   socklen_t length = sizeof bound;
   char ip[INET_ADDRSTRLEN] = "";
   LnContext *context = front->context;
-  int fd = evconnlistener_get_fd (front->server->server);
+  int fd = evconnlistener_get_fd (front->servers[0]->server);
 
   if (getsockname (fd, (struct sockaddr *)&bound, &length) != 0)
     return;
@@ -247,14 +309,11 @@
   front->callers.max_body = (size_t)settings->http.max_body_bytes;
   front->callers.max_header = (size_t)settings->http.max_header_bytes;
   front->callers.read_time = settings->http.request_read_ms * LB_MSEC;
-  front->server = evhtp_new (context->base, NULL);
-  evhtp_enable_flag (front->server, EVHTP_FLAG_ENABLE_NODELAY);
-  evhtp_set_post_accept_cb (front->server, ln_caller_accept, &front->callers);
-  evhtp_set_gencb (front->server, on_request, front);
-  if (!bind_address (front, &error))
+  front->callers.exact_retry_after = context->dialect != NULL;
+  if (!listen_at_all (front, &error))
     {
       lb_log_error (LB_LOG_ERROR, "front_cannot_listen", &error);
-      evhtp_free (front->server);
+      free_servers (front);
       free (front);
       return NULL;
     }
--- a/packages/node/src/ln-settings.c
+++ b/packages/node/src/ln-settings.c
@@ -41,13 +41,16 @@
     .key = NULL                                                                                    \
   }
 
-static const char *const platform_kinds[] = { "memory", "http", NULL };
+static const char *const platform_kinds[] = { "memory", "http", "shared", NULL };
 static const char *const log_levels[] = { "debug", "info", "warning", "error", "off", NULL };
 
 static const LbSettingSpec instance_specs[]
     = { TEXT ("name", instance.name), TEXT ("data_centre", instance.data_centre),
         TEXT ("caller_address", instance.caller_address),
-        TEXT ("peer_address", instance.peer_address), END };
+        TEXT ("peer_address", instance.peer_address),
+        TEXT ("entry_address", instance.entry_address),
+        TEXT ("ready_address", instance.ready_address),
+        END };
 
 static const LbSettingSpec platform_specs[]
     = { CHOICE ("kind", platform.kind, platform_kinds), TEXT ("address", platform.address),
@@ -171,7 +174,11 @@
     return fail (error, path, "instance.caller_address", address);
   if (!is_address (settings->instance.peer_address))
     return fail (error, path, "instance.peer_address", address);
-  if (settings->platform.kind == LN_PLATFORM_HTTP && !is_address (settings->platform.address))
+  if (settings->instance.entry_address[0] && !is_address (settings->instance.entry_address))
+    return fail (error, path, "instance.entry_address", address);
+  if (settings->instance.ready_address[0] && !is_address (settings->instance.ready_address))
+    return fail (error, path, "instance.ready_address", address);
+  if (settings->platform.kind != LN_PLATFORM_MEMORY && !is_address (settings->platform.address))
     return fail (error, path, "platform.address", address);
   if (!is_policy (settings->calls.policy))
     return fail (error, path, "calls.policy", "expected the name of a routing policy");
--- a/packages/node/src/ln-upstream.c
+++ b/packages/node/src/ln-upstream.c
@@ -29,6 +29,10 @@
   LhSse sse;
   struct evbuffer *body; /* a service's reply, or what an engine said beside its stream */
   int status;
+  const LnDialect *dialect; /* NULL: the product's own */
+  char *name;               /* of the request, in a dialect */
+  LnStreamReader *reader;   /* of a stream in a dialect */
+  LcVersion version;        /* of the stream's last event */
   bool is_head;
   bool end_marker; /* [DONE] has come */
   bool garbled;    /* what came is not this attempt's answer; nothing more is taken from it */
@@ -45,6 +49,9 @@
 upstream_free (LnUpstream *upstream)
 {
   lh_sse_clear (&upstream->sse);
+  if (upstream->reader)
+    upstream->dialect->stream_free (upstream->reader);
+  free (upstream->name);
   evbuffer_free (upstream->body);
   free (upstream->stream_id);
   free (upstream);
@@ -135,12 +142,59 @@
   upstream_free (upstream);
 }
 
+static const char *
+header_of (const void *source, const char *name)
+{
+  return lh_fetch_header (source, name);
+}
+
+/* An engine that hands out a late answer to another request first must not have it taken for this
+ * one's: the caller would read another's text. */
+static bool
+is_named (const LnUpstream *upstream, const LhFetch *fetch)
+{
+  return upstream->dialect->is_reply_to (upstream->name, header_of, fetch);
+}
+
 static void
-on_piece (LhFetch *fetch, const char *bytes, size_t length, void *user)
+on_stream_event (const LnStreamEvent *event, void *user)
 {
   LnUpstream *upstream = user;
+  char *text = NULL;
+
+  if (upstream->is_cancelled || upstream->garbled)
+    return;
+  if (event->version > 0)
+    upstream->version = event->version;
+  const LcPiece piece
+      = { .offset = event->number - 1, .tokens = 1, .version = upstream->version };
+  text = lb_strndup (event->data, event->length);
+  upstream->handlers.on_piece (upstream, &piece, NULL, text, upstream->user);
+  free (text);
+}
+
+static bool
+feed (LnUpstream *upstream, const LhFetch *fetch, const char *bytes, size_t length)
+{
   LbError error;
 
+  if (!upstream->dialect)
+    return lh_sse_feed (&upstream->sse, bytes, length, on_event, upstream, &error);
+  if (!is_named (upstream, fetch))
+    {
+      lb_metric_add (&wrong_stream, 1);
+      return false;
+    }
+  if (upstream->version == 0)
+    upstream->version = upstream->dialect->read_first_version (header_of, fetch);
+  return upstream->dialect->stream_feed (upstream->reader, bytes, length);
+}
+
+static void
+on_piece (LhFetch *fetch, const char *bytes, size_t length, void *user)
+{
+  LnUpstream *upstream = user;
+
   if (lh_fetch_status (fetch) != 200)
     {
       if (evbuffer_get_length (upstream->body) + length <= MAX_REFUSAL_BYTES)
@@ -148,7 +202,8 @@
       return;
     }
   upstream->in_feed = true;
-  if (!lh_sse_feed (&upstream->sse, bytes, length, on_event, upstream, &error))
+  upstream->fetch = fetch;
+  if (!feed (upstream, fetch, bytes, length))
     upstream->garbled = true;
   upstream->in_feed = false;
   if (upstream->is_cancelled)
@@ -192,11 +247,41 @@
          || lh_fetch_header (upstream->fetch, "Transfer-Encoding");
 }
 
+/* The endpoint's own failure of a plain call is its answer, which the caller gets as it is; that of
+ * a stream is none, since a sample is whole or nothing. */
+static LcAttemptEnd
+judge_in_dialect (const LnUpstream *upstream, const LhResult *result)
+{
+  if (result->failure != LB_OK)
+    return result->bytes_handed ? LC_END_BROKEN : LC_END_NOT_HANDED;
+  if (!is_named (upstream, upstream->fetch))
+    return LC_END_BROKEN;
+  switch (upstream->dialect->judge (upstream->status, header_of, upstream->fetch))
+    {
+    case LN_REPLY_NOT_RUN:
+      return LC_END_REFUSED;
+    case LN_REPLY_OTHER_ENDPOINT:
+      return LC_END_REFUSED_LEAVING;
+    case LN_REPLY_NEVER:
+      return upstream->reader ? LC_END_REJECTED : LC_END_WHOLE;
+    case LN_REPLY_FAILURE:
+      return upstream->reader ? LC_END_FAILED : LC_END_WHOLE;
+    case LN_REPLY_ANSWER:
+      break;
+    }
+  if (upstream->reader && upstream->status != 200)
+    return LC_END_FAILED;
+  return LC_END_WHOLE;
+}
+
 static LcAttemptEnd
 judge (LnUpstream *upstream, const LhResult *result)
 {
   LcAttemptEnd how = LC_END_FAILED;
 
+  if (upstream->dialect)
+    return judge_in_dialect (upstream, result);
+
   if (upstream->end_marker)
     return LC_END_WHOLE;
   if (result->failure != LB_OK)
@@ -240,10 +325,11 @@
 {
   LnUpstream *upstream = LB_NEW (LnUpstream);
   const LhHandlers fetch_handlers
-      = { .on_piece = spec->stream_id ? on_piece : NULL, .on_done = on_done };
+      = { .on_piece = spec->stream_id || spec->is_stream ? on_piece : NULL, .on_done = on_done };
   const LhRequest request = { .method = spec->method,
                               .address = spec->address,
                               .path = spec->path,
+                              .host = spec->host,
                               .headers = spec->headers,
                               .n_headers = spec->n_headers,
                               .body = spec->body,
@@ -256,6 +342,10 @@
   LB_COPY (upstream->address, spec->address);
   upstream->stream_id = spec->stream_id ? lb_strdup (spec->stream_id) : NULL;
   upstream->pool = pool;
+  upstream->dialect = spec->dialect;
+  upstream->name = spec->name ? lb_strdup (spec->name) : NULL;
+  if (spec->dialect && spec->is_stream)
+    upstream->reader = spec->dialect->stream_new (on_stream_event, upstream);
   upstream->is_head = strcmp (spec->method, "HEAD") == 0;
   upstream->handlers = *handlers;
   upstream->user = user;
@@ -277,6 +367,22 @@
     upstream_free (upstream);
 }
 
+void
+ln_upstream_load (const LnUpstream *upstream, LnStatedLoad *load)
+{
+  memset (load, 0, sizeof *load);
+  if (upstream->dialect && upstream->fetch)
+    upstream->dialect->read_load (header_of, upstream->fetch, load);
+}
+
+const char *
+ln_upstream_score (const LnUpstream *upstream)
+{
+  if (!upstream->dialect || upstream->status / 100 != 2)
+    return NULL;
+  return upstream->dialect->read_score (header_of, upstream->fetch);
+}
+
 uint32_t
 ln_upstream_attempt (const LnUpstream *upstream)
 {
--- a/packages/node/src/ln-upstream.h
+++ b/packages/node/src/ln-upstream.h
@@ -3,6 +3,7 @@
 
 #include "lc-dispatch.h"
 #include "lh-fetch.h"
+#include "ln-dialect.h"
 
 struct evbuffer;
 struct json_object;
@@ -24,6 +25,11 @@
   size_t body_length;
   const char *stream_id; /* the request_id sent to an engine; NULL: a plain service */
   LbTime silence;
+  /* In a dialect: */
+  const LnDialect *dialect;
+  const char *host;
+  const char *name; /* of the request, which the reply names too */
+  bool is_stream;
 } LnUpstreamSpec;
 
 typedef struct
@@ -46,6 +52,10 @@
 /* Closes the connection, which cancels the engine's work; no handler is called any more. */
 void ln_upstream_cancel (LnUpstream *upstream);
 
+/* What the reply states of the endpoint's load, as far as it came. */
+void ln_upstream_load (const LnUpstream *upstream, LnStatedLoad *load);
+/* The score in a scorer's reply; NULL: there is none. */
+const char *ln_upstream_score (const LnUpstream *upstream);
 uint32_t ln_upstream_attempt (const LnUpstream *upstream);
 const char *ln_upstream_endpoint (const LnUpstream *upstream);
 /* A plain service's reply; valid in on_end. */
--- /dev/null
+++ b/packages/node/src/ln-weight-orders.c
@@ -0,0 +1,528 @@
+#include "ln-weight-orders.h"
+
+#include "ln-dialect.h"
+
+#include "lb-alloc.h"
+#include "lb-clock.h"
+#include "lb-log.h"
+#include "lc-lease.h"
+#include "lc-weights.h"
+#include "lh-fetch.h"
+#include "lp-platform.h"
+
+#include <json-c/json.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <uthash.h>
+
+#define LEASE_KEY "lease/weights"
+#define LEASE_DURATION (3 * LB_SEC)     /* orders of two holders may not alternate within it */
+#define LEASE_PERIOD (800 * LB_MSEC)    /* three renewals within its duration */
+#define LEASE_WATCH_PERIOD (10 * LB_SEC) /* of those that are no candidates */
+#define N_CANDIDATES 3
+#define ORDER_SILENCE (1200 * LB_MSEC) /* an order without an answer counts as lost then */
+#define LOAD_LIMIT (6 * LB_SEC)        /* several times the load of an engine on its own */
+#define FIRST_LOOK (900 * LB_MSEC)     /* after an order: a load takes that long at least */
+#define LOOK_PERIOD (200 * LB_MSEC)    /* later; what engines state is some 200 ms old */
+
+typedef struct Engine Engine;
+
+/* The roll-out of one model. */
+typedef struct
+{
+  LbLink link;
+  LnWeightOrders *orders;
+  LbName name;
+  LcWeights *weights;
+  bool configured;
+} Model;
+
+struct Engine
+{
+  LbName name; /* key */
+  LnWeightOrders *orders;
+  LbName address;
+  LbName model;
+  int64_t orders_accepted; /* that it is known to have accepted */
+  LcVersion version;
+  LcVersion ordered; /* by the order that has not taken effect yet; 0: none */
+  LbTime ordered_at;
+  LbTime look_at;
+  LbTime asked_at; /* when the look on its way was sent */
+  LhFetch *order;
+  LhFetch *look;
+  bool configured;
+  UT_hash_handle hh;
+};
+
+struct LnWeightOrders
+{
+  LnContext *context;
+  LcLease *lease;
+  LbList models;
+  Engine *engines;
+};
+
+LnWeightOrders *
+ln_weight_orders_new (LnContext *context)
+{
+  LnWeightOrders *orders = LB_NEW (LnWeightOrders);
+  LcLeaseSettings settings;
+
+  lc_lease_settings_init (&settings);
+  settings.duration = LEASE_DURATION;
+  settings.period = LEASE_PERIOD;
+  settings.watch_period = LEASE_WATCH_PERIOD;
+  LB_COPY (settings.instance, context->instance);
+  LB_COPY (settings.incarnation, context->incarnation);
+  orders->context = context;
+  orders->lease = lc_lease_new (&settings, lb_clock_monotonic (), lb_clock_wall_ms () * LB_MSEC);
+  lb_list_init (&orders->models);
+  return orders;
+}
+
+static void
+engine_free (Engine *engine)
+{
+  if (engine->order)
+    lh_fetch_cancel (engine->order);
+  if (engine->look)
+    lh_fetch_cancel (engine->look);
+  HASH_DEL (engine->orders->engines, engine);
+  free (engine);
+}
+
+void
+ln_weight_orders_free (LnWeightOrders *orders)
+{
+  Engine *engine, *next;
+
+  HASH_ITER (hh, orders->engines, engine, next)
+  {
+    engine_free (engine);
+  }
+  LB_LIST_FOREACH (&orders->models, Model, link, model)
+  {
+    lc_weights_free (model->weights);
+    free (model);
+  }
+  lc_lease_free (orders->lease);
+  free (orders);
+}
+
+static Model *
+find_model (const LnWeightOrders *orders, const char *name)
+{
+  LB_LIST_FOREACH (&orders->models, Model, link, model)
+  {
+    if (strcmp (model->name, name) == 0)
+      return model;
+  }
+  return NULL;
+}
+
+static Model *
+ensure_model (LnWeightOrders *orders, const char *name)
+{
+  Model *model = find_model (orders, name);
+  LcWeightsSettings settings;
+
+  if (model)
+    return model;
+  model = LB_NEW (Model);
+  lc_weights_settings_init (&settings, name);
+  settings.load_limit = LOAD_LIMIT;
+  model->orders = orders;
+  model->weights = lc_weights_new (&settings);
+  LB_COPY (model->name, name);
+  lb_list_append (&orders->models, &model->link);
+  return model;
+}
+
+static Engine *
+find_engine (const LnWeightOrders *orders, const char *name)
+{
+  Engine *engine = NULL;
+
+  HASH_FIND_STR (orders->engines, name, engine);
+  return engine;
+}
+
+static void
+configure_engine (LnWeightOrders *orders, const LcEndpointMember *member)
+{
+  Engine *engine = find_engine (orders, member->name);
+
+  if (!engine)
+    {
+      engine = LB_NEW (Engine);
+      engine->orders = orders;
+      LB_COPY (engine->name, member->name);
+      HASH_ADD_STR (orders->engines, name, engine);
+    }
+  engine->configured = true;
+  LB_COPY (engine->address, member->address);
+  if (strcmp (engine->model, member->pool) != 0)
+    engine->ordered = 0;
+  LB_COPY (engine->model, member->pool);
+}
+
+void
+ln_weight_orders_configure (LnWeightOrders *orders, const LcResourceSet *set)
+{
+  Engine *engine, *next;
+
+  for (engine = orders->engines; engine; engine = engine->hh.next)
+    engine->configured = false;
+  for (size_t i = 0; i < set->n_endpoints; i++)
+    if (set->endpoints[i].kind == LC_ENDPOINT_ENGINE && !set->endpoints[i].leaving)
+      configure_engine (orders, &set->endpoints[i]);
+  HASH_ITER (hh, orders->engines, engine, next)
+  {
+    if (!engine->configured)
+      engine_free (engine);
+  }
+  for (size_t i = 0; i < set->n_pools; i++)
+    ensure_model (orders, set->pools[i].name);
+  LB_LIST_FOREACH (&orders->models, Model, link, model)
+  {
+    lc_weights_configure (model->weights, set, lb_clock_monotonic ());
+  }
+}
+
+void
+ln_weight_orders_newest (LnWeightOrders *orders, const char *model, LcVersion version, LbTime now)
+{
+  lc_weights_newest (ensure_model (orders, model)->weights, version, now);
+}
+
+/* --- what engines have --- */
+
+/* Takes what the engine stated when it was asked at asked_at. An order that was given counts as
+ * being carried out until the version shows, or for so long that it must have failed. */
+static void
+take_state (Engine *engine, LcVersion version, int64_t accepted, LbTime asked_at, LbTime now)
+{
+  Model *model = find_model (engine->orders, engine->model);
+  LcWeightReport report = { .version = version, .asked_at = asked_at };
+  LbLink *link;
+  LbList actions;
+
+  if (!model)
+    return;
+  if (accepted > engine->orders_accepted)
+    engine->orders_accepted = accepted;
+  engine->version = version;
+  if (engine->ordered != 0 && (version >= engine->ordered || now - engine->ordered_at > LOAD_LIMIT))
+    engine->ordered = 0;
+  report.loading = engine->ordered != 0;
+  LB_COPY (report.incarnation, engine->name);
+  lb_list_init (&actions);
+  lc_weights_report (model->weights, engine->name, &report, now, &actions);
+  while ((link = lb_list_pop (&actions)))
+    free (LB_CONTAINER (link, LcWeightsAction, link));
+}
+
+void
+ln_weight_orders_listed (LnWeightOrders *orders, const LcRoster *roster, LbTime asked_at, LbTime now)
+{
+  for (size_t i = 0; i < lc_roster_count (roster); i++)
+    {
+      const LcListed *listed = lc_roster_at (roster, i);
+      Engine *engine = find_engine (orders, listed->name);
+      LcVersion version = lc_roster_version (roster, i);
+      /* The list lags behind what the engine stated itself. */
+      if (engine)
+        take_state (engine, version > engine->version ? version : engine->version, listed->orders,
+                    asked_at, now);
+    }
+}
+
+static void
+on_looked (LhFetch *fetch, const LhResult *result, void *user)
+{
+  (void)fetch;
+  Engine *engine = user;
+  LbTime now = lb_clock_monotonic ();
+  LnEngineState state;
+  LbError error = { 0 };
+
+  engine->look = NULL;
+  engine->look_at = now + LOOK_PERIOD;
+  if (result->failure != LB_OK || result->status != 200)
+    return;
+  if (!engine->orders->context->dialect->read_state (result->body, result->body_length,
+                                                     engine->model, &state, &error))
+    {
+      lb_log_error (LB_LOG_WARNING, "engine_state_unreadable", &error);
+      return;
+    }
+  take_state (engine, state.version, state.orders, engine->asked_at, now);
+}
+
+static void
+look (Engine *engine, LbTime now)
+{
+  const LhHandlers handlers = { .on_done = on_looked };
+  const LhRequest request = { .method = "GET",
+                              .address = engine->address,
+                              .path = engine->orders->context->dialect->state_path,
+                              .silence = ORDER_SILENCE };
+
+  engine->asked_at = now;
+  engine->look
+      = lh_fetch_start (engine->orders->context->http, &request, &handlers, engine, NULL);
+}
+
+/* --- orders --- */
+
+static LbErrorCode
+error_of (LnOrderOutcome outcome)
+{
+  switch (outcome)
+    {
+    case LN_ORDER_ACCEPTED:
+    case LN_ORDER_HOLDS:
+      return LB_OK;
+    case LN_ORDER_STALE_FENCE:
+      return LB_ERROR_STALE_FENCE;
+    case LN_ORDER_BUSY:
+      return LB_ERROR_CONFLICT;
+    case LN_ORDER_REFUSED:
+      break;
+    }
+  return LB_ERROR_ENDPOINT_FAILED;
+}
+
+static void
+on_ordered (LhFetch *fetch, const LhResult *result, void *user)
+{
+  (void)fetch;
+  Engine *engine = user;
+  LnWeightOrders *orders = engine->orders;
+  Model *model = find_model (orders, engine->model);
+  LbTime now = lb_clock_monotonic ();
+  LbErrorCode error = result->failure != LB_OK
+                          ? result->failure
+                          : error_of (orders->context->dialect->judge_order (result->status));
+
+  engine->order = NULL;
+  engine->look_at = now + FIRST_LOOK;
+  lb_log (error == LB_OK ? LB_LOG_INFO : LB_LOG_WARNING, "weights_ordered",
+          LB_TEXT ("endpoint", engine->name), LB_TEXT ("outcome", lb_error_name (error)),
+          LB_INT ("status", result->status), LB_INT ("version", engine->ordered));
+  if (error == LB_OK)
+    {
+      engine->orders_accepted += result->status == 202;
+      return;
+    }
+  /* It may have been accepted, and be carried out later: the engine is asked what it has. */
+  engine->ordered = 0;
+  engine->look_at = now;
+  if (model)
+    lc_weights_ordered (model->weights, engine->name, error, now);
+  if (error == LB_ERROR_STALE_FENCE)
+    lc_lease_hint (orders->lease, now);
+}
+
+static void
+send_order (LnWeightOrders *orders, const LcWeightsAction *action, LbTime now)
+{
+  Engine *engine = find_engine (orders, action->endpoint);
+  const LhHandlers handlers = { .on_done = on_ordered };
+  LcOutgoing outgoing;
+  LnWeightsOrder order = { .endpoint = action->endpoint,
+                           .version = action->version,
+                           .holder = orders->context->instance,
+                           .fence = lc_lease_fence (orders->lease),
+                           .mode = LN_SWAP_KEEPS };
+
+  if (!engine)
+    return;
+  order.model = engine->model;
+  order.orders_before = engine->orders_accepted;
+  engine->ordered = action->version;
+  engine->ordered_at = now;
+  engine->look_at = now + FIRST_LOOK;
+  orders->context->dialect->write_order (&order, &outgoing);
+  LhHeader *headers = LB_NEW_ARRAY (LhHeader, outgoing.n_headers);
+  for (size_t i = 0; i < outgoing.n_headers; i++)
+    headers[i] = (LhHeader){ outgoing.headers[i].name, outgoing.headers[i].value };
+  const LhRequest request = { .method = outgoing.method,
+                              .address = engine->address,
+                              .path = outgoing.path,
+                              .headers = headers,
+                              .n_headers = outgoing.n_headers,
+                              .body = outgoing.body,
+                              .body_length = outgoing.body_length,
+                              .silence = ORDER_SILENCE };
+  if (engine->order)
+    lh_fetch_cancel (engine->order);
+  lb_log (LB_LOG_INFO, "weights_order", LB_TEXT ("endpoint", engine->name),
+          LB_TEXT ("model", engine->model), LB_INT ("version", order.version),
+          LB_INT ("fence", order.fence), LB_INT ("orders_before", order.orders_before));
+  engine->order = lh_fetch_start (orders->context->http, &request, &handlers, engine, NULL);
+  free (headers);
+  lc_outgoing_clear (&outgoing);
+}
+
+static void
+tick_model (Model *model, LbTime now)
+{
+  LcLease *lease = model->orders->lease;
+  LbLink *link;
+  LbList actions;
+
+  lb_list_init (&actions);
+  lc_weights_tick (model->weights, lc_lease_may_order (lease, false, now),
+                   lc_lease_may_order (lease, true, now), now, &actions);
+  while ((link = lb_list_pop (&actions)))
+    {
+      LcWeightsAction *action = LB_CONTAINER (link, LcWeightsAction, link);
+      if (action->type == LC_WEIGHTS_ORDER)
+        send_order (model->orders, action, now);
+      free (action);
+    }
+}
+
+/* --- the lease --- */
+
+static void carry_out (LnWeightOrders *orders, LbList *actions);
+
+static void
+on_read (LbErrorCode error, const LpRow *rows, size_t n_rows, void *user)
+{
+  LnWeightOrders *orders = user;
+  LcLeaseRow row = { .fence = 0 };
+  int64_t version = 0;
+  LbList actions;
+
+  if (error == LB_OK && n_rows == 1)
+    {
+      struct json_object *object = json_tokener_parse (rows[0].value);
+      version = rows[0].version;
+      if (!object || !lc_lease_row_from_json (object, &row))
+        error = LB_ERROR_INTERNAL;
+      json_object_put (object);
+    }
+  lb_list_init (&actions);
+  lc_lease_was_read (orders->lease, error, &row, version, lb_clock_monotonic (), &actions);
+  carry_out (orders, &actions);
+}
+
+static void
+on_written (LbErrorCode error, const LpRow *row, void *user)
+{
+  (void)row;
+  LnWeightOrders *orders = user;
+  LbList actions;
+
+  lb_list_init (&actions);
+  lc_lease_was_written (orders->lease, error, lb_clock_monotonic (), &actions);
+  carry_out (orders, &actions);
+}
+
+static void
+write_row (LnWeightOrders *orders, const LcLeaseAction *action)
+{
+  LpPlatform *platform = orders->context->platform;
+  struct json_object *object = lc_lease_row_to_json (&action->row);
+  const LpCondition condition = { .key = LEASE_KEY, .version = action->version };
+  const LpPut put = { .key = LEASE_KEY, .value = json_object_to_json_string (object) };
+  const LpTransaction transaction
+      = { .token = "", .conditions = &condition, .n_conditions = 1, .puts = &put, .n_puts = 1 };
+
+  platform->klass->transact (platform, &transaction, LP_PRIORITY_LEASE, on_written, orders);
+  json_object_put (object);
+}
+
+static void
+note_change (LnWeightOrders *orders, const LcLeaseAction *action, LbTime now)
+{
+  bool gained = action->type == LC_LEASE_GAINED;
+
+  lb_log (LB_LOG_INFO, gained ? "lease_gained" : "lease_lost", LB_INT ("fence", action->row.fence),
+          LB_TEXT ("holder", action->row.holder));
+  for (Engine *engine = orders->engines; engine; engine = engine->hh.next)
+    engine->ordered = 0;
+  LB_LIST_FOREACH (&orders->models, Model, link, model)
+  {
+    lc_weights_restart (model->weights, now);
+  }
+}
+
+static void
+carry_out (LnWeightOrders *orders, LbList *actions)
+{
+  LpPlatform *platform = orders->context->platform;
+  LbLink *link;
+
+  while ((link = lb_list_pop (actions)))
+    {
+      LcLeaseAction *action = LB_CONTAINER (link, LcLeaseAction, link);
+      switch (action->type)
+        {
+        case LC_LEASE_READ:
+          platform->klass->get (platform, LEASE_KEY, on_read, orders);
+          break;
+        case LC_LEASE_WRITE:
+          write_row (orders, action);
+          break;
+        case LC_LEASE_GAINED:
+        case LC_LEASE_LOST:
+          note_change (orders, action, lb_clock_monotonic ());
+          break;
+        }
+      free (action);
+    }
+}
+
+/* The first instances by name are candidates, each a little later than the one before. */
+void
+ln_weight_orders_members (LnWeightOrders *orders, const LnMembersMessage *members)
+{
+  int before = 0;
+
+  for (size_t i = 0; i < members->n_members; i++)
+    {
+      const LnMember *member = &members->members[i];
+      before += member->alive && !member->draining && !member->is_self
+                && strcmp (member->name, orders->context->instance) < 0;
+    }
+  lc_lease_set_rank (orders->lease, before < N_CANDIDATES ? before : -1);
+}
+
+void
+ln_weight_orders_tick (LnWeightOrders *orders, LbTime now)
+{
+  LbList actions;
+
+  lb_list_init (&actions);
+  lc_lease_tick (orders->lease, now, lb_clock_wall_ms () * LB_MSEC, &actions);
+  carry_out (orders, &actions);
+  LB_LIST_FOREACH (&orders->models, Model, link, model)
+  {
+    tick_model (model, now);
+  }
+  for (Engine *engine = orders->engines; engine; engine = engine->hh.next)
+    if (engine->ordered != 0 && !engine->order && !engine->look && now >= engine->look_at)
+      look (engine, now);
+}
+
+void
+ln_weight_orders_release (LnWeightOrders *orders, LbTime now)
+{
+  LbList actions;
+
+  lb_list_init (&actions);
+  lc_lease_set_rank (orders->lease, -1);
+  lc_lease_release (orders->lease, now, &actions);
+  carry_out (orders, &actions);
+}
+
+bool
+ln_weight_orders_is_released (const LnWeightOrders *orders, LbTime now)
+{
+  return lc_lease_is_released (orders->lease, now);
+}
--- a/packages/platform/include/lp-platform.h
+++ b/packages/store/include/lp-platform.h
@@ -80,6 +80,14 @@
   LP_PRIORITY_STATUS
 } LpPriority;
 
+/* error: LB_OK, STORE_AWAY, STORE_BUSY; rows in key order. version is that of the whole table at the
+ * moment of the list: a watch goes on from there. */
+typedef void (*LpListDone) (
+    LbErrorCode error, const LpRow *rows, size_t n_rows, int64_t version, void *user);
+/* The same for rows that changed, in order; a row without a value was deleted. LB_ERROR_NOT_FOUND:
+ * the history that was asked for is gone, the rows have to be listed. */
+typedef LpListDone LpWatchDone;
+
 typedef struct
 {
   const char *name; /* "memory", "http" */
@@ -98,6 +106,22 @@
                       LpObjectDone done,
                       void *user);
   void (*get_object) (LpPlatform *platform, const char *key, LpObjectDone done, void *user);
+  /* Rows whose keys begin with prefix, from prefix with `from` behind it on; limit 0: all of them.
+   * Keys are "TABLE/PART/REST", or "TABLE/REST" in the table's unnamed part; a prefix names the
+   * table and the part. NULL where the kind has no such call. */
+  void (*list) (LpPlatform *platform,
+                const char *prefix,
+                const char *from,
+                int64_t limit,
+                LpListDone done,
+                void *user);
+  /* Answers as soon as rows of the table have changed after the version, or after `wait`. */
+  void (*watch) (LpPlatform *platform,
+                 const char *table,
+                 int64_t after,
+                 LbTime wait,
+                 LpWatchDone done,
+                 void *user);
   void (*instances) (LpPlatform *platform, LpInstancesDone done, void *user);
   void (*weights) (LpPlatform *platform, const char *pool, LpWeightsDone done, void *user);
 } LpPlatformClass;
