--- a/packages/core/include/lc-roster.h
+++ b/packages/core/include/lc-roster.h
@@ -22,7 +22,6 @@
   LbName data_centre;
   LbName service;
   int64_t slots; /* requests that it works on at once */
-  int64_t orders; /* that it has accepted since its start */
   bool leaving;
   LcModelState models[LC_MAX_MODELS]; /* none: a plain service */
   size_t n_models;
--- a/packages/node/src/ln-batch-calls.c
+++ b/packages/node/src/ln-batch-calls.c
@@ -130,11 +130,12 @@
   lb_metric_add (&accepted, 1);
   lb_log (LB_LOG_INFO, "batch_accepted", LB_TEXT ("batch", call->id),
           LB_INT ("items", call->spec.n_items), LB_INT ("tries", call->tries));
-  if (version <= batch->version)
-    return;
-  batch->head = call->head;
-  batch->version = version;
-  if (batch->held != LN_HELD_NOT)
+  if (version > batch->version)
+    {
+      batch->head = call->head;
+      batch->version = version;
+    }
+  if (batch->held != LN_HELD_NOT || batch->version != version)
     return;
   ln_batch_owner_run (batch, &call->spec, 0, NULL);
   if (batches->draining)
@@ -157,8 +158,11 @@
 on_head_written (LbErrorCode error, const LpRow *row, void *user)
 {
   Call *call = user;
+  LnBatch *batch = ln_batches_ensure (call->batches, call->id);
 
   call->waits_for_store = false;
+  if (batch->held == LN_HELD_TAKING)
+    batch->held = LN_HELD_NOT;
   if (error == LB_OK)
     {
       own_and_run (call, row->version);
@@ -175,13 +179,17 @@
     {
       call->maybe_accepted |= error == LB_ERROR_STORE_UNKNOWN;
       if (!may_try_again (call))
-        give_up_submission (call);
+        {
+          ln_batch_heads_review (batch);
+          give_up_submission (call);
+        }
     }
 }
 
 static void
 write_head (Call *call)
 {
+  LnBatch *batch = ln_batches_ensure (call->batches, call->id);
   struct json_object *object = lc_batch_head_to_json (&call->head);
   char key[LN_BATCH_KEY_SIZE];
   const LpCondition condition = { .key = key, .version = 0 };
@@ -189,6 +197,9 @@
   const LpTransaction transaction
       = { .token = "", .conditions = &condition, .n_conditions = 1, .puts = &put, .n_puts = 1 };
 
+  /* The watch may show the row before the write is answered. */
+  if (batch->held == LN_HELD_NOT)
+    batch->held = LN_HELD_TAKING;
   ln_batch_head_key (call->id, key);
   call->waits_for_store = true;
   platform_of (call)->klass->transact (platform_of (call), &transaction, LP_PRIORITY_LEDGER,
--- a/packages/node/src/ln-batch-heads.c
+++ b/packages/node/src/ln-batch-heads.c
@@ -60,6 +60,13 @@
   ln_batch_owner_load (batch);
 }
 
+void
+ln_batch_heads_review (LnBatch *batch)
+{
+  if (batch->held == LN_HELD_NOT && is_ours (batch) && !batch->head.ended)
+    adopt (batch);
+}
+
 static void
 note_change (LnBatch *batch, const LcBatchHead *before)
 {
@@ -75,8 +82,7 @@
         ln_batch_owner_stop (batch);
       return;
     }
-  if (batch->held == LN_HELD_NOT && is_ours (batch) && !batch->head.ended)
-    adopt (batch);
+  ln_batch_heads_review (batch);
 }
 
 bool
--- a/packages/node/src/ln-batches-private.h
+++ b/packages/node/src/ln-batches-private.h
@@ -80,6 +80,8 @@
 void ln_batch_head_key (const char *id, char *key);
 /* Takes a row that was read or written; false when it can't be read. */
 bool ln_batch_heads_take (LnBatches *batches, const LpRow *row);
+/* Begins to run the batch if its row says that it is ours and nothing runs. */
+void ln_batch_heads_review (LnBatch *batch);
 void ln_batch_heads_tick (LnBatches *batches, LbTime now);
 void ln_batch_heads_release (LnBatch *batch);
 
--- a/packages/node/src/ln-weight-orders.c
+++ b/packages/node/src/ln-weight-orders.c
@@ -44,7 +44,7 @@
   LnWeightOrders *orders;
   LbName address;
   LbName model;
-  int64_t orders_accepted; /* that it is known to have accepted */
+  int64_t orders_accepted; /* as it stated; -1: it has to be asked before it is ordered */
   LcVersion version;
   LcVersion ordered; /* by the order that has not taken effect yet; 0: none */
   LbTime ordered_at;
@@ -158,6 +158,7 @@
     {
       engine = LB_NEW (Engine);
       engine->orders = orders;
+      engine->orders_accepted = -1;
       LB_COPY (engine->name, member->name);
       HASH_ADD_STR (orders->engines, name, engine);
     }
@@ -202,7 +203,7 @@
 /* Takes what the engine stated when it was asked at asked_at. An order that was given counts as
  * being carried out until the version shows, or for so long that it must have failed. */
 static void
-take_state (Engine *engine, LcVersion version, int64_t accepted, LbTime asked_at, LbTime now)
+take_state (Engine *engine, LcVersion version, LbTime asked_at, LbTime now)
 {
   Model *model = find_model (engine->orders, engine->model);
   LcWeightReport report = { .version = version, .asked_at = asked_at };
@@ -211,8 +212,6 @@
 
   if (!model)
     return;
-  if (accepted > engine->orders_accepted)
-    engine->orders_accepted = accepted;
   engine->version = version;
   if (engine->ordered != 0 && (version >= engine->ordered || now - engine->ordered_at > LOAD_LIMIT))
     engine->ordered = 0;
@@ -233,9 +232,8 @@
       Engine *engine = find_engine (orders, listed->name);
       LcVersion version = lc_roster_version (roster, i);
       /* The list lags behind what the engine stated itself. */
-      if (engine)
-        take_state (engine, version > engine->version ? version : engine->version, listed->orders,
-                    asked_at, now);
+      if (engine && engine->orders_accepted >= 0)
+        take_state (engine, version > engine->version ? version : engine->version, asked_at, now);
     }
 }
 
@@ -258,7 +256,8 @@
       lb_log_error (LB_LOG_WARNING, "engine_state_unreadable", &error);
       return;
     }
-  take_state (engine, state.version, state.orders, engine->asked_at, now);
+  engine->orders_accepted = state.orders;
+  take_state (engine, state.version, engine->asked_at, now);
 }
 
 static void
@@ -319,7 +318,8 @@
     }
   /* It may have been accepted, and be carried out later: the engine is asked what it has. */
   engine->ordered = 0;
-  engine->look_at = now;
+  engine->orders_accepted = -1;
+  engine->look_at = now + LOOK_PERIOD;
   if (model)
     lc_weights_ordered (model->weights, engine->name, error, now);
   if (error == LB_ERROR_STALE_FENCE)
@@ -445,7 +445,11 @@
   lb_log (LB_LOG_INFO, gained ? "lease_gained" : "lease_lost", LB_INT ("fence", action->row.fence),
           LB_TEXT ("holder", action->row.holder));
   for (Engine *engine = orders->engines; engine; engine = engine->hh.next)
-    engine->ordered = 0;
+    {
+      engine->ordered = 0;
+      engine->orders_accepted = -1;
+      engine->look_at = now;
+    }
   LB_LIST_FOREACH (&orders->models, Model, link, model)
   {
     lc_weights_restart (model->weights, now);
@@ -493,6 +497,14 @@
   lc_lease_set_rank (orders->lease, before < N_CANDIDATES ? before : -1);
 }
 
+/* The list lags by a second or more: an engine in a swap is asked itself, and so is one whose count
+ * of orders is not known, since each order names the count before it. */
+static bool
+wants_look (const LnWeightOrders *orders, const Engine *engine)
+{
+  return lc_lease_is_held (orders->lease) && (engine->ordered != 0 || engine->orders_accepted < 0);
+}
+
 void
 ln_weight_orders_tick (LnWeightOrders *orders, LbTime now)
 {
@@ -506,7 +518,7 @@
     tick_model (model, now);
   }
   for (Engine *engine = orders->engines; engine; engine = engine->hh.next)
-    if (engine->ordered != 0 && !engine->order && !engine->look && now >= engine->look_at)
+    if (wants_look (orders, engine) && !engine->order && !engine->look && now >= engine->look_at)
       look (engine, now);
 }
 
