--- a/packages/core/include/lc-desired.h
+++ b/packages/core/include/lc-desired.h
@@ -28,10 +28,10 @@
   LbName host;
   char prefix[128];
   LcRouteKind kind;
-  LbTime timeout; /* longest time that a caller is kept waiting; 0: its deadline alone counts */
-  LbTime goal;    /* an answer within it is worth most */
-  LbTime give_up; /* BATCH: an item may be given up so long after the submission; 0: never */
-  LbTime due;     /* BATCH: all results are wanted so long after the submission */
+  LbTime timeout;   /* longest time that a caller is kept waiting; 0: its deadline alone counts */
+  LbTime goal;      /* an answer within it is worth most */
+  LbTime give_up;   /* BATCH: an item may be given up so long after the submission; 0: never */
+  LbTime due;       /* BATCH: all results are wanted so long after the submission */
   int64_t attempts; /* most endpoints that one request is sent to */
   int priority;     /* larger first */
   bool resumable;
--- a/packages/core/include/lc-dispatch.h
+++ b/packages/core/include/lc-dispatch.h
@@ -26,10 +26,10 @@
   LbName caller; /* live caller or subscription: the unit of fair shares and budgets */
   double share;  /* weight of the caller among its kind; 0: 1 */
   bool repeatable;
-  bool resumable; /* a broken stream may go on elsewhere at the last offset */
+  bool resumable;        /* a broken stream may go on elsewhere at the last offset */
   bool failure_is_final; /* the submitter counts failures of endpoints: each one is an answer */
   int64_t max_attempts;  /* 0: the dispatch's own limit */
-  int priority;   /* larger first within a kind */
+  int priority;          /* larger first within a kind */
   int64_t prompt_tokens;
   int64_t expected_tokens;
   uint64_t prefix_hashes[LC_MAX_PREFIX_HASHES];
--- a/packages/core/src/lc-batch.c
+++ b/packages/core/src/lc-batch.c
@@ -9,7 +9,7 @@
 #define FIRST_DELAY (50 * LB_MSEC) /* before a failed run is tried again; doubles each time */
 #define LONGEST_DELAY (800 * LB_MSEC)
 #define WRITE_RETRY (100 * LB_MSEC)
-#define MAX_RESULTS_PER_WRITE 40       /* the store takes at most 100 entries in a transaction */
+#define MAX_RESULTS_PER_WRITE 40        /* the store takes at most 100 entries in a transaction */
 #define MAX_BYTES_PER_WRITE (400 << 10) /* of text; the store takes 1 MB, encoded */
 
 typedef enum
@@ -154,8 +154,7 @@
     return;
   if (batch->n_writing == 0)
     {
-      batch->writing
-          = lb_realloc (batch->writing, MAX_RESULTS_PER_WRITE * sizeof *batch->writing);
+      batch->writing = lb_realloc (batch->writing, MAX_RESULTS_PER_WRITE * sizeof *batch->writing);
       LB_LIST_FOREACH (&batch->ready, Item, ready, item)
       {
         bytes += item->result.text ? strlen (item->result.text) : 0;
@@ -336,12 +335,8 @@
 }
 
 void
-lc_batch_ran (LcBatch *batch,
-              LcRequestId request,
-              LbErrorCode error,
-              char *text,
-              LbTime now,
-              LbList *actions)
+lc_batch_ran (
+    LcBatch *batch, LcRequestId request, LbErrorCode error, char *text, LbTime now, LbList *actions)
 {
   Item *item = find_request (batch, request);
 
--- a/packages/core/src/lc-fleet.c
+++ b/packages/core/src/lc-fleet.c
@@ -79,8 +79,8 @@
   return NULL;
 }
 
-/* While the store is away no row is renewed, and all instances would be taken for dead the moment it
- * answers again: the time without lists does not count. */
+/* While the store is away no row is renewed, and all instances would be taken for dead the moment
+ * it answers again: the time without lists does not count. */
 void
 lc_fleet_begin (LcFleet *fleet, LbTime now)
 {
@@ -110,8 +110,7 @@
 
   if (!member)
     {
-      fleet->members
-          = lb_realloc (fleet->members, (fleet->n_members + 1) * sizeof *fleet->members);
+      fleet->members = lb_realloc (fleet->members, (fleet->n_members + 1) * sizeof *fleet->members);
       member = &fleet->members[fleet->n_members++];
       *member = (LcFleetMember){ .row = *row, .version = version, .renewed_at = now };
       fleet->changed = true;
--- a/packages/core/src/lc-outcome.c
+++ b/packages/core/src/lc-outcome.c
@@ -277,7 +277,8 @@
   bool at_once = end == LC_END_REFUSED_LEAVING;
   bool paid = !at_once && !continued;
 
-  if (is_final (request, end) || !may_try_again (request) || (!at_once && now + delay >= request->deadline)
+  if (is_final (request, end) || !may_try_again (request)
+      || (!at_once && now + delay >= request->deadline)
       || (paid && !lc_retry_budgets_allow (dispatch->budgets, request->caller)))
     {
       lc_dispatch_give_up (dispatch, request, request->last_error, 0, now, actions);
--- a/packages/core/src/lc-roster.c
+++ b/packages/core/src/lc-roster.c
@@ -99,7 +99,8 @@
 }
 
 /* While the store was away it dropped the entries of endpoints that could not renew them, although
- * they live. Were those taken for gone, all work would fall on the few that are left, or on none. */
+ * they live. Were those taken for gone, all work would fall on the few that are left, or on none.
+ */
 static bool
 drop_missing (LcRoster *roster, LbTime now)
 {
--- a/packages/http/include/lh-fetch.h
+++ b/packages/http/include/lh-fetch.h
@@ -40,7 +40,7 @@
   const char *method;  /* "GET", "POST", "PUT", "DELETE" */
   const char *address; /* "127.0.0.1:8080" */
   const char *path;    /* with the query */
-  const char *host; /* NULL: the address */
+  const char *host;    /* NULL: the address */
   const LhHeader *headers;
   size_t n_headers;
   const char *body;
--- a/packages/http/include/lh-sse.h
+++ b/packages/http/include/lh-sse.h
@@ -23,7 +23,8 @@
  * error when an event is longer than the limit. */
 bool lh_sse_feed (
     LhSse *sse, const char *bytes, size_t length, LhSseHandler handler, void *user, LbError *error);
-/* The same for readers that need more of an event than its data: calls the handler for each line. */
+/* The same for readers that need more of an event than its data: calls the handler for each line.
+ */
 bool lh_sse_feed_lines (LhSse *sse,
                         const char *bytes,
                         size_t length,
--- a/packages/node/include/ln-context.h
+++ b/packages/node/include/ln-context.h
@@ -19,9 +19,9 @@
   struct LhPool *http; /* towards endpoints and other instances */
   struct LpPlatform *platform;
   const struct LnDialect *dialect; /* of a shared platform; NULL: the product's own interface */
-  LbName instance;       /* name of this instance */
-  char incarnation[40];  /* new at each start of the process */
-  LbName caller_address; /* as bound, with the real port */
+  LbName instance;                 /* name of this instance */
+  char incarnation[40];            /* new at each start of the process */
+  LbName caller_address;           /* as bound, with the real port */
   LbName peer_address;
   LcRequestId next_request; /* the last id given; see ln_context_next_request */
 } LnContext;
--- a/packages/node/include/ln-dialect.h
+++ b/packages/node/include/ln-dialect.h
@@ -7,16 +7,16 @@
 #include "ln-exchange.h"
 
 /* How a deployment's callers, endpoints and store spell what this product means: names, formats and
- * calls, and nothing that decides. With a dialect the node runs on a shared platform; without one it
- * speaks its own interface (docs/API.md). All functions are pure translations. */
+ * calls, and nothing that decides. With a dialect the node runs on a shared platform; without one
+ * it speaks its own interface (docs/API.md). All functions are pure translations. */
 
 struct LhFetch;
 struct evbuffer;
 
 typedef enum
 {
-  LN_INBOUND_ENTRY,   /* which instances a caller shall connect to */
-  LN_INBOUND_READY,   /* whether this instance may be sent callers */
+  LN_INBOUND_ENTRY, /* which instances a caller shall connect to */
+  LN_INBOUND_READY, /* whether this instance may be sent callers */
   LN_INBOUND_METRICS,
   LN_INBOUND_RESULTS, /* the results of a batch */
   LN_INBOUND_ITEM,    /* the body of a batch's item */
@@ -43,9 +43,9 @@
 /* One attempt's own words beside what its caller wrote. */
 typedef struct
 {
-  LbTime time_left;       /* 0: nothing is said */
-  const char *endpoint;   /* that alone may run it */
-  int64_t resume_at;      /* events that came before; 0: from the start */
+  LbTime time_left;     /* 0: nothing is said */
+  const char *endpoint; /* that alone may run it */
+  int64_t resume_at;    /* events that came before; 0: from the start */
   bool is_sample;
 } LnAttemptWords;
 
@@ -84,8 +84,8 @@
 typedef enum
 {
   LN_ORDER_ACCEPTED,
-  LN_ORDER_HOLDS,      /* the endpoint already has what was ordered */
-  LN_ORDER_BUSY,       /* another order is in progress, or one came in between */
+  LN_ORDER_HOLDS, /* the endpoint already has what was ordered */
+  LN_ORDER_BUSY,  /* another order is in progress, or one came in between */
   LN_ORDER_STALE_FENCE,
   LN_ORDER_REFUSED
 } LnOrderOutcome;
--- a/packages/node/main/lentilspindled.c
+++ b/packages/node/main/lentilspindled.c
@@ -21,6 +21,7 @@
 #include <xxhash.h>
 
 #define EXIT_USAGE 2
+#define N_SIGNALS 3
 
 typedef struct
 {
@@ -33,7 +34,8 @@
 {
   LnContext context;
   LnSettings settings;
-  struct event *signals[2];
+  struct event *signals[N_SIGNALS];
+  const char *config;        /* path of the settings file; NULL: none */
   struct event *drain_timer; /* runs while draining */
   LbTime drain_until;
   bool draining;
@@ -178,6 +180,32 @@
   event_add (daemon->drain_timer, &period);
 }
 
+/* Settings that can change while the process runs are taken over; addresses and the platform stay
+ * as they were bound, so no connection is cut. A file that can't be read changes nothing. */
+static void
+on_reload (evutil_socket_t number, short what, void *user)
+{
+  (void)number;
+  (void)what;
+  Daemon *daemon = user;
+  LnSettings fresh;
+  LbError error = { 0 };
+
+  ln_settings_init (&fresh);
+  if (daemon->config && !ln_settings_read (&fresh, daemon->config, &error))
+    {
+      lb_log_error (LB_LOG_ERROR, "settings_not_reloaded", &error);
+      ln_settings_clear (&fresh);
+      return;
+    }
+  daemon->settings.log.level = fresh.log.level;
+  daemon->settings.drain = fresh.drain;
+  lb_log_init ((LbLogLevel)fresh.log.level, STDERR_FILENO, daemon->context.instance);
+  lb_log (LB_LOG_INFO, "settings_reloaded", LB_INT ("log_level", fresh.log.level),
+          LB_INT ("drain_ms", fresh.drain.drain_ms));
+  ln_settings_clear (&fresh);
+}
+
 static LpPlatform *
 make_platform (const LnSettings *settings, struct event_base *base)
 {
@@ -234,9 +262,10 @@
   context->platform = make_platform (&daemon->settings, context->base);
   daemon->signals[0] = evsignal_new (context->base, SIGTERM, on_signal, daemon);
   daemon->signals[1] = evsignal_new (context->base, SIGINT, on_signal, daemon);
+  daemon->signals[2] = evsignal_new (context->base, SIGHUP, on_reload, daemon);
   daemon->drain_timer = event_new (context->base, -1, EV_PERSIST, exit_when_idle, daemon);
-  event_add (daemon->signals[0], NULL);
-  event_add (daemon->signals[1], NULL);
+  for (int i = 0; i < N_SIGNALS; i++)
+    event_add (daemon->signals[i], NULL);
 }
 
 static void
@@ -247,8 +276,8 @@
   ln_hub_free (context->hub);
   context->platform->klass->free (context->platform);
   lh_pool_free (context->http);
-  event_free (daemon->signals[0]);
-  event_free (daemon->signals[1]);
+  for (int i = 0; i < N_SIGNALS; i++)
+    event_free (daemon->signals[i]);
   event_free (daemon->drain_timer);
   event_base_free (context->base);
 }
@@ -293,6 +322,7 @@
     return options.exit_code;
   if (!read_settings (&daemon.settings, &options))
     goto out;
+  daemon.config = options.config;
   exit_code = options.check_only ? EXIT_SUCCESS : run (&daemon);
 out:
   ln_settings_clear (&daemon.settings);
--- a/packages/node/src/ln-batch-calls.c
+++ b/packages/node/src/ln-batch-calls.c
@@ -15,8 +15,9 @@
 #include <string.h>
 
 #define MAX_TRIES 4
-#define RETRY_PERIOD (80 * LB_MSEC) /* the store takes a few tens of milliseconds at most when it is well */
-#define POLL (150 * LB_MSEC)     /* between looks for a result that somebody waits for */
+#define RETRY_PERIOD                                                                               \
+  (80 * LB_MSEC) /* the store takes a few tens of milliseconds at most when it is well */
+#define POLL (150 * LB_MSEC) /* between looks for a result that somebody waits for */
 #define LONGEST_WAIT LB_SEC
 #define PAGE_ROWS 200
 
@@ -31,8 +32,8 @@
   CALL_END
 } CallKind;
 
-/* A caller's request about a batch, answered from the store alone: any instance can answer, and none
- * can say what is not kept. */
+/* A caller's request about a batch, answered from the store alone: any instance can answer, and
+ * none can say what is not kept. */
 typedef struct
 {
   LbLink link; /* in LnBatches.exchanges */
@@ -142,8 +143,8 @@
     ln_batch_heads_release (batch);
 }
 
-/* "Not run" may only be said when the row is known not to be there: a write without an answer may be
- * carried out seconds later, and its batch would run. */
+/* "Not run" may only be said when the row is known not to be there: a write without an answer may
+ * be carried out seconds later, and its batch would run. */
 static void
 give_up_submission (Call *call)
 {
@@ -288,8 +289,8 @@
 
   while (n < n_rows && ln_batch_result_from_row (&rows[n], &results[n]))
     n++;
-  char *text = dialect_of (call)->write_results (batch->head.total, call->position, results, n,
-                                                 &length);
+  char *text
+      = dialect_of (call)->write_results (batch->head.total, call->position, results, n, &length);
   for (size_t i = 0; i <= n && i < n_rows; i++)
     lc_batch_result_clear (&results[i]);
   free (results);
--- a/packages/node/src/ln-batch-heads.c
+++ b/packages/node/src/ln-batch-heads.c
@@ -16,8 +16,9 @@
  * parts because each takes a bounded number of writes a second. */
 #define N_PARTS 16
 #define TABLE "head"
-#define WATCH_WAIT (800 * LB_MSEC) /* an end must reach the owner within 3 s, also over a silent
-                                    * connection, which is found after this wait */
+#define WATCH_WAIT                                                                                 \
+  (800 * LB_MSEC) /* an end must reach the owner within 3 s, also over a silent                    \
+                   * connection, which is found after this wait */
 #define WATCH_RETRY (150 * LB_MSEC)
 /* Instances take a batch over in turn, one after the other, so that they do not all write. */
 #define RANK_DELAY (400 * LB_MSEC)
--- a/packages/node/src/ln-batch-owner.c
+++ b/packages/node/src/ln-batch-owner.c
@@ -15,7 +15,7 @@
 
 #define LOAD_RETRY (200 * LB_MSEC)
 #define DEFAULT_ATTEMPTS 3
-#define DEFAULT_EVENTS 8 /* of a text whose length nobody estimated */
+#define DEFAULT_EVENTS 8        /* of a text whose length nobody estimated */
 #define SCORE_TIME (2 * LB_SEC) /* for a scorer whose route states no time */
 #define MAX_PUTS 64
 
@@ -40,8 +40,9 @@
   json_object_object_add (object, "versions", versions);
   if (result->score)
     json_object_object_add (object, "score", json_object_new_string (result->score));
-  char *text = lb_strdup (json_object_to_json_string_ext (
-      object, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE));
+  char *text
+      = lb_strdup (json_object_to_json_string_ext (object, JSON_C_TO_STRING_PLAIN
+                                                               | JSON_C_TO_STRING_NOSLASHESCAPE));
   json_object_put (object);
   return text;
 }
@@ -58,9 +59,9 @@
   result->completed = lb_json_bool (object, "completed", false);
   result->text = lb_strdup (lb_json_text (object, "text", ""));
   result->score = score ? lb_strdup (score) : NULL;
-  for (size_t i = 0; json_object_is_type (versions, json_type_array)
-                     && i < json_object_array_length (versions)
-                     && result->n_versions < LC_MAX_RESULT_VERSIONS;
+  for (size_t i = 0;
+       json_object_is_type (versions, json_type_array) && i < json_object_array_length (versions)
+       && result->n_versions < LC_MAX_RESULT_VERSIONS;
        i++)
     result->versions[result->n_versions++]
         = json_object_get_int64 (json_object_array_get_idx (versions, i));
@@ -200,8 +201,7 @@
     }
   request.priority = route->priority;
   request.max_attempts = route->attempts;
-  request.deadline
-      = lb_clock_monotonic () + (route->timeout > 0 ? route->timeout : SCORE_TIME);
+  request.deadline = lb_clock_monotonic () + (route->timeout > 0 ? route->timeout : SCORE_TIME);
   LB_COPY (request.caller, route->name);
   LB_COPY (request.pool, lc_route_service (route, (double)(rand () % 10000) / 10000));
   submit (batch, &request, &item->scorer, item->scorer.host);
@@ -223,8 +223,8 @@
 
 static void carry_out (LnBatch *batch, LbList *actions);
 
-/* A write on its way. The batch may be lost, and even be owned again, before it is answered: then the
- * answer is about another run's results. */
+/* A write on its way. The batch may be lost, and even be owned again, before it is answered: then
+ * the answer is about another run's results. */
 typedef struct
 {
   LnBatch *batch;
@@ -303,11 +303,8 @@
       puts[i].value = result_to_text (action->results[i]);
       conditions[i + 1] = (LpCondition){ .key = puts[i].key, .version = 0 };
     }
-  const LpTransaction transaction = { .token = "",
-                                      .conditions = conditions,
-                                      .n_conditions = n + 1,
-                                      .puts = puts,
-                                      .n_puts = n };
+  const LpTransaction transaction
+      = { .token = "", .conditions = conditions, .n_conditions = n + 1, .puts = puts, .n_puts = n };
   lb_metric_add (&listed, (int64_t)n);
   platform->klass->transact (platform, &transaction, LP_PRIORITY_LEDGER, on_results_written, write);
   for (size_t i = 0; i < n; i++)
--- a/packages/node/src/ln-batches-private.h
+++ b/packages/node/src/ln-batches-private.h
@@ -34,7 +34,7 @@
   LcBatchHead head;
   int64_t version; /* of the row */
   LnHeld held;
-  LcBatch *run;        /* RUNNING */
+  LcBatch *run; /* RUNNING */
   LbTime first_seen;
   LbTime orphan_since; /* when its owner was first missed; 0: it has one */
   LbTime retry_at;     /* LOADING: after a failure */
--- a/packages/node/src/ln-call.c
+++ b/packages/node/src/ln-call.c
@@ -302,8 +302,7 @@
 
   lh_fetch_each_header (ln_upstream_fetch (winner->upstream), pass_header, call->exchange);
   if (!call->outgoing.path)
-    ln_exchange_set_header (call->exchange, "x-endpoint",
-                            ln_upstream_endpoint (winner->upstream));
+    ln_exchange_set_header (call->exchange, "x-endpoint", ln_upstream_endpoint (winner->upstream));
   ln_exchange_reply_text (call->exchange, ln_upstream_status (winner->upstream), NULL, body,
                           length);
 }
--- a/packages/node/src/ln-calls.c
+++ b/packages/node/src/ln-calls.c
@@ -335,8 +335,9 @@
   calls->leaving = ln_leaving_new (&calls->task);
   calls->tick = evtimer_new (context->base, ln_calls_on_tick, calls);
   if (!context->dialect)
-    calls->poller = ln_poller_new (context->base, context->http,
-                                 context->settings->calls.load_poll_ms * LB_MSEC, &handlers, calls);
+    calls->poller
+        = ln_poller_new (context->base, context->http,
+                         context->settings->calls.load_poll_ms * LB_MSEC, &handlers, calls);
   calls->keep_alive = event_new (context->base, -1, EV_PERSIST, on_keep_alive, calls);
   event_add (calls->keep_alive, &keep_alive_period);
   return &calls->task;
--- a/packages/node/src/ln-desired.c
+++ b/packages/node/src/ln-desired.c
@@ -49,8 +49,9 @@
   bool draining;
 } Desired;
 
-static LbMetric desired_version = LB_GAUGE_INIT (
-    "lentilspindle_desired_version", NULL, "Version of the routes in force in this instance");
+static LbMetric desired_version = LB_GAUGE_INIT ("lentilspindle_desired_version",
+                                                 NULL,
+                                                 "Version of the routes in force in this instance");
 
 static void
 clear_desired (LnMessage *message)
@@ -137,8 +138,7 @@
 /* Answers both the list of the table and its watch. A history that is gone means that changes were
  * missed: the table is listed again. */
 static void
-on_operator_rows (
-    LbErrorCode error, const LpRow *rows, size_t n_rows, int64_t version, void *user)
+on_operator_rows (LbErrorCode error, const LpRow *rows, size_t n_rows, int64_t version, void *user)
 {
   Desired *task = user;
   LbTime now = lb_clock_monotonic ();
@@ -203,8 +203,8 @@
 
   for (size_t i = 0; calls && i < lc_roster_count (task->roster); i++)
     {
-      LnListedMessage message = { .base = LN_MESSAGE (LN_LISTED),
-                                  .version = lc_roster_version (task->roster, i) };
+      LnListedMessage message
+          = { .base = LN_MESSAGE (LN_LISTED), .version = lc_roster_version (task->roster, i) };
       LB_COPY (message.endpoint, lc_roster_at (task->roster, i)->name);
       LN_POST (task->task.hub, calls, message);
     }
--- a/packages/node/src/ln-front.c
+++ b/packages/node/src/ln-front.c
@@ -67,9 +67,10 @@
 find_task_in_dialect (const LnFront *front, const LnExchange *exchange)
 {
   static const char *const tasks[] = {
-    [LN_INBOUND_ENTRY] = "peers",       [LN_INBOUND_READY] = "front", [LN_INBOUND_METRICS] = "front",
-    [LN_INBOUND_RESULTS] = "rollouts",  [LN_INBOUND_ITEM] = "rollouts",
-    [LN_INBOUND_END] = "rollouts",      [LN_INBOUND_ROUTED] = "calls",
+    [LN_INBOUND_ENTRY] = "peers",   [LN_INBOUND_READY] = "front",
+    [LN_INBOUND_METRICS] = "front", [LN_INBOUND_RESULTS] = "rollouts",
+    [LN_INBOUND_ITEM] = "rollouts", [LN_INBOUND_END] = "rollouts",
+    [LN_INBOUND_ROUTED] = "calls",
   };
   LnInbound inbound;
 
--- a/packages/node/src/ln-routed.c
+++ b/packages/node/src/ln-routed.c
@@ -58,8 +58,8 @@
 
   LB_COPY (call->outgoing.id, in->id ? in->id : "");
   call->outgoing.method = lb_strdup (ln_exchange_method (exchange));
-  call->outgoing.path = lb_asprintf ("%s%s%s", ln_exchange_path (exchange), query ? "?" : "",
-                                     query ? query : "");
+  call->outgoing.path
+      = lb_asprintf ("%s%s%s", ln_exchange_path (exchange), query ? "?" : "", query ? query : "");
   call->outgoing.host = lb_strdup (in->host);
   call->outgoing.body = lb_memdup (body, length + 1);
   call->outgoing.body_length = length;
--- a/packages/node/src/ln-settings.c
+++ b/packages/node/src/ln-settings.c
@@ -44,13 +44,13 @@
 static const char *const platform_kinds[] = { "memory", "http", "shared", NULL };
 static const char *const log_levels[] = { "debug", "info", "warning", "error", "off", NULL };
 
-static const LbSettingSpec instance_specs[]
-    = { TEXT ("name", instance.name), TEXT ("data_centre", instance.data_centre),
-        TEXT ("caller_address", instance.caller_address),
-        TEXT ("peer_address", instance.peer_address),
-        TEXT ("entry_address", instance.entry_address),
-        TEXT ("ready_address", instance.ready_address),
-        END };
+static const LbSettingSpec instance_specs[] = { TEXT ("name", instance.name),
+                                                TEXT ("data_centre", instance.data_centre),
+                                                TEXT ("caller_address", instance.caller_address),
+                                                TEXT ("peer_address", instance.peer_address),
+                                                TEXT ("entry_address", instance.entry_address),
+                                                TEXT ("ready_address", instance.ready_address),
+                                                END };
 
 static const LbSettingSpec platform_specs[]
     = { CHOICE ("kind", platform.kind, platform_kinds), TEXT ("address", platform.address),
--- a/packages/node/src/ln-upstream.c
+++ b/packages/node/src/ln-upstream.c
@@ -166,8 +166,7 @@
     return;
   if (event->version > 0)
     upstream->version = event->version;
-  const LcPiece piece
-      = { .offset = event->number - 1, .tokens = 1, .version = upstream->version };
+  const LcPiece piece = { .offset = event->number - 1, .tokens = 1, .version = upstream->version };
   text = lb_strndup (event->data, event->length);
   upstream->handlers.on_piece (upstream, &piece, NULL, text, upstream->user);
   free (text);
--- a/packages/node/src/ln-weight-orders.c
+++ b/packages/node/src/ln-weight-orders.c
@@ -17,8 +17,8 @@
 #include <uthash.h>
 
 #define LEASE_KEY "lease/weights"
-#define LEASE_DURATION (3 * LB_SEC)     /* orders of two holders may not alternate within it */
-#define LEASE_PERIOD (800 * LB_MSEC)    /* three renewals within its duration */
+#define LEASE_DURATION (3 * LB_SEC)      /* orders of two holders may not alternate within it */
+#define LEASE_PERIOD (800 * LB_MSEC)     /* three renewals within its duration */
 #define LEASE_WATCH_PERIOD (10 * LB_SEC) /* of those that are no candidates */
 #define N_CANDIDATES 3
 #define ORDER_SILENCE (1200 * LB_MSEC) /* an order without an answer counts as lost then */
@@ -224,7 +224,10 @@
 }
 
 void
-ln_weight_orders_listed (LnWeightOrders *orders, const LcRoster *roster, LbTime asked_at, LbTime now)
+ln_weight_orders_listed (LnWeightOrders *orders,
+                         const LcRoster *roster,
+                         LbTime asked_at,
+                         LbTime now)
 {
   for (size_t i = 0; i < lc_roster_count (roster); i++)
     {
@@ -270,8 +273,7 @@
                               .silence = ORDER_SILENCE };
 
   engine->asked_at = now;
-  engine->look
-      = lh_fetch_start (engine->orders->context->http, &request, &handlers, engine, NULL);
+  engine->look = lh_fetch_start (engine->orders->context->http, &request, &handlers, engine, NULL);
 }
 
 /* --- orders --- */
--- a/packages/node/src/ln-weight-orders.h
+++ b/packages/node/src/ln-weight-orders.h
@@ -5,8 +5,8 @@
 #include "ln-context.h"
 #include "ln-messages.h"
 
-/* Who orders engines to load weights on a shared platform, and the orders: one lease for all models,
- * and for each model the roll-out that LcWeights decides. */
+/* Who orders engines to load weights on a shared platform, and the orders: one lease for all
+ * models, and for each model the roll-out that LcWeights decides. */
 typedef struct LnWeightOrders LnWeightOrders;
 
 LnWeightOrders *ln_weight_orders_new (LnContext *context);
@@ -14,8 +14,10 @@
 
 void ln_weight_orders_configure (LnWeightOrders *orders, const LcResourceSet *set);
 /* What the store's list told at asked_at. */
-void
-ln_weight_orders_listed (LnWeightOrders *orders, const LcRoster *roster, LbTime asked_at, LbTime now);
+void ln_weight_orders_listed (LnWeightOrders *orders,
+                              const LcRoster *roster,
+                              LbTime asked_at,
+                              LbTime now);
 void
 ln_weight_orders_newest (LnWeightOrders *orders, const char *model, LcVersion version, LbTime now);
 void ln_weight_orders_members (LnWeightOrders *orders, const LnMembersMessage *members);
--- a/packages/store/include/lp-platform.h
+++ b/packages/store/include/lp-platform.h
@@ -80,8 +80,8 @@
   LP_PRIORITY_STATUS
 } LpPriority;
 
-/* error: LB_OK, STORE_AWAY, STORE_BUSY; rows in key order. version is that of the whole table at the
- * moment of the list: a watch goes on from there. */
+/* error: LB_OK, STORE_AWAY, STORE_BUSY; rows in key order. version is that of the whole table at
+ * the moment of the list: a watch goes on from there. */
 typedef void (*LpListDone) (
     LbErrorCode error, const LpRow *rows, size_t n_rows, int64_t version, void *user);
 /* The same for rows that changed, in order; a row without a value was deleted. LB_ERROR_NOT_FOUND:
