One instance runs all batches of a model; a view that is older than the batch's row takes nothing over

Cause: each batch was run by whichever instance accepted it, over new connections to all engines; and a member list older than the row made a restarted owner look gone, so a batch was taken from it 60 ms after it took it. Change: the acceptor offers the batch to the instance chosen by the model's name, and runs it itself when that does not take it within 300 ms.

--- a/packages/core/include/lc-batch-head.h
+++ b/packages/core/include/lc-batch-head.h
@@ -16,13 +16,20 @@
   int64_t epoch; /* one more with each owner */
   bool ended;
   int64_t total; /* items */
-  LbName host;   /* of its route */
+  LbName model;
+  /* Instance that shall run it, so that one instance runs all batches of a model and keeps its
+   * connections to the engines; it takes the batch from the one that accepted it. */
+  LbName preferred;
+  LbName host; /* of its route */
   char path[128];
 } LcBatchHead;
 
 struct json_object *lc_batch_head_to_json (const LcBatchHead *head);
 bool lc_batch_head_from_json (struct json_object *object, LcBatchHead *head);
 
+/* The instance that the batches of a model go to; "" when there is no candidate. */
+const char *
+lc_batch_head_choose (const char *model, const LbName *candidates, size_t n_candidates);
 /* Position of an instance in the order in which instances may take the batch over; the same
  * everywhere, and another one for each batch. */
 size_t lc_batch_head_rank (const char *batch,
--- a/packages/core/src/lc-batch-head.c
+++ b/packages/core/src/lc-batch-head.c
@@ -18,6 +18,8 @@
   json_object_object_add (object, "epoch", json_object_new_int64 (head->epoch));
   json_object_object_add (object, "ended", json_object_new_boolean (head->ended));
   json_object_object_add (object, "total", json_object_new_int64 (head->total));
+  json_object_object_add (object, "model", json_object_new_string (head->model));
+  json_object_object_add (object, "preferred", json_object_new_string (head->preferred));
   json_object_object_add (object, "host", json_object_new_string (head->host));
   json_object_object_add (object, "path", json_object_new_string (head->path));
   return object;
@@ -33,6 +35,8 @@
   head->epoch = lb_json_int (object, "epoch", 0);
   head->ended = lb_json_bool (object, "ended", false);
   head->total = lb_json_int (object, "total", 0);
+  LB_COPY (head->model, lb_json_text (object, "model", ""));
+  LB_COPY (head->preferred, lb_json_text (object, "preferred", ""));
   LB_COPY (head->host, lb_json_text (object, "host", ""));
   LB_COPY (head->path, lb_json_text (object, "path", ""));
   return head->batch[0] && head->epoch > 0 && head->total > 0;
@@ -44,6 +48,17 @@
   return XXH3_64bits_withSeed (instance, strlen (instance), XXH3_64bits (batch, strlen (batch)));
 }
 
+const char *
+lc_batch_head_choose (const char *model, const LbName *candidates, size_t n_candidates)
+{
+  const char *best = "";
+
+  for (size_t i = 0; i < n_candidates; i++)
+    if (best[0] == '\0' || weight (model, candidates[i]) > weight (model, best))
+      best = candidates[i];
+  return best;
+}
+
 size_t
 lc_batch_head_rank (const char *batch,
                     const char *self,
--- a/packages/node/include/ln-messages.h
+++ b/packages/node/include/ln-messages.h
@@ -128,6 +128,7 @@
 {
   LbName name;
   LbName incarnation;
+  int64_t version; /* of its row in the shared platform's store, when there is one */
   LbName data_centre;
   LbName caller_address; /* where callers connect */
   LbName peer_address;   /* where instances connect */
--- a/packages/node/src/ln-batch-calls.c
+++ b/packages/node/src/ln-batch-calls.c
@@ -136,7 +136,8 @@
       batch->head = call->head;
       batch->version = version;
     }
-  if (batch->held != LN_HELD_NOT || batch->version != version)
+  if (batch->held != LN_HELD_NOT || batch->version != version
+      || ln_batch_heads_offer (batch, lb_clock_monotonic ()))
     return;
   ln_batch_owner_run (batch, &call->spec, 0, NULL);
   if (batches->draining)
@@ -246,6 +247,16 @@
     store_content (call);
 }
 
+static void
+choose_owner (Call *call)
+{
+  size_t n;
+  LbName *names = ln_batches_candidates (call->batches, &n);
+
+  LB_COPY (call->head.preferred, lc_batch_head_choose (call->spec.model, names, n));
+  free (names);
+}
+
 static void
 begin_submission (Call *call, const LnInbound *in)
 {
@@ -272,6 +283,8 @@
   LB_COPY (call->head.incarnation, context->incarnation);
   LB_COPY (call->head.host, in->host);
   LB_COPY (call->head.path, ln_exchange_path (call->exchange));
+  LB_COPY (call->head.model, call->spec.model);
+  choose_owner (call);
   call->head.epoch = 1;
   call->head.total = (int64_t)call->spec.n_items;
   store_content (call);
--- a/packages/node/src/ln-batch-heads.c
+++ b/packages/node/src/ln-batch-heads.c
@@ -20,6 +20,7 @@
   (800 * LB_MSEC) /* an end must reach the owner within 3 s, also over a silent                    \
                    * connection, which is found after this wait */
 #define WATCH_RETRY (150 * LB_MSEC)
+#define OFFER_TIME (300 * LB_MSEC) /* several round trips to the store */
 /* Instances take a batch over in turn, one after the other, so that they do not all write. */
 #define RANK_DELAY (400 * LB_MSEC)
 
@@ -61,6 +62,13 @@
   ln_batch_owner_load (batch);
 }
 
+static bool
+is_held (const LnBatch *batch)
+{
+  return batch->held == LN_HELD_RUNNING || batch->held == LN_HELD_LOADING
+         || batch->held == LN_HELD_OFFERED;
+}
+
 void
 ln_batch_heads_review (LnBatch *batch)
 {
@@ -68,21 +76,27 @@
     adopt (batch);
 }
 
+static void take_over (LnBatch *batch);
+
+/* The first owner offers the batch to the instance that shall run it. */
+static bool
+is_offered_here (const LnBatch *batch)
+{
+  return batch->head.epoch == 1 && !batch->head.ended && !batch->batches->draining
+         && strcmp (batch->head.preferred, batch->batches->context->instance) == 0;
+}
+
 static void
 note_change (LnBatch *batch, const LcBatchHead *before)
 {
-  bool same_owner = batch->head.epoch == before->epoch;
-
   if (batch->head.ended && !before->ended)
     lb_log (LB_LOG_INFO, "batch_ended", LB_TEXT ("batch", batch->id));
-  if (!same_owner)
+  if (batch->head.epoch != before->epoch)
     batch->orphan_since = 0;
-  if (batch->held == LN_HELD_RUNNING || batch->held == LN_HELD_LOADING)
-    {
-      if (batch->head.ended || !is_ours (batch))
-        ln_batch_owner_stop (batch);
-      return;
-    }
+  if (is_held (batch) && (batch->head.ended || !is_ours (batch)))
+    ln_batch_owner_stop (batch);
+  if (batch->held == LN_HELD_NOT && !is_ours (batch) && is_offered_here (batch))
+    take_over (batch);
   ln_batch_heads_review (batch);
 }
 
@@ -111,6 +125,8 @@
 
 /* --- taking over --- */
 
+/* An owner that runs under another incarnation now has lost the batch, if its present row is younger
+ * than the batch's: else it is this instance's view of it that is old. */
 static bool
 owner_is_alive (const LnBatch *batch)
 {
@@ -120,26 +136,47 @@
     {
       const LnMember *member = &batches->members[i];
       if (strcmp (member->name, batch->head.owner) == 0)
-        return member->alive && strcmp (member->incarnation, batch->head.incarnation) == 0;
+        return member->alive
+               && (strcmp (member->incarnation, batch->head.incarnation) == 0
+                   || member->version < batch->version);
     }
   return false;
 }
 
-static size_t
-own_rank (const LnBatch *batch)
+LbName *
+ln_batches_candidates (const LnBatches *batches, size_t *n)
 {
-  const LnBatches *batches = batch->batches;
-  LbName *alive = LB_NEW_ARRAY (LbName, batches->n_members + 1);
-  size_t n = 0;
+  LbName *names = LB_NEW_ARRAY (LbName, batches->n_members + 1);
 
+  *n = 0;
   for (size_t i = 0; i < batches->n_members; i++)
     if (batches->members[i].alive && !batches->members[i].draining)
-      lb_strlcpy (alive[n++], batches->members[i].name, LB_NAME_MAX);
-  size_t rank = lc_batch_head_rank (batch->id, batches->context->instance, alive, n);
-  free (alive);
+      lb_strlcpy (names[(*n)++], batches->members[i].name, LB_NAME_MAX);
+  return names;
+}
+
+static size_t
+own_rank (const LnBatch *batch)
+{
+  size_t n;
+  LbName *names = ln_batches_candidates (batch->batches, &n);
+  size_t rank = lc_batch_head_rank (batch->id, batch->batches->context->instance, names, n);
+
+  free (names);
   return rank;
 }
 
+/* The batch's row as it is now that the write went through; the watch may have shown it, or a later
+ * one, already. */
+static void
+note_written (LnBatch *batch, int64_t version)
+{
+  if (version <= batch->version)
+    return;
+  batch->version = version;
+  batch->head = batch->written;
+}
+
 static void
 on_taken (LbErrorCode error, const LpRow *row, void *user)
 {
@@ -148,20 +185,14 @@
   if (batch->held != LN_HELD_TAKING)
     return;
   batch->held = LN_HELD_NOT;
+  batch->orphan_since = 0;
   lb_log (LB_LOG_INFO, "batch_taken_over", LB_TEXT ("batch", batch->id),
-          LB_TEXT ("from", batch->head.owner), LB_INT ("epoch", batch->head.epoch + 1),
-          LB_TEXT ("outcome", lb_error_name (error)));
+          LB_INT ("epoch", batch->written.epoch), LB_TEXT ("outcome", lb_error_name (error)));
   if (error == LB_OK)
-    {
-      batch->version = row->version;
-      batch->head.epoch++;
-      LB_COPY (batch->head.owner, batch->batches->context->instance);
-      LB_COPY (batch->head.incarnation, batch->batches->context->incarnation);
-      ln_batch_owner_load (batch);
-    }
+    note_written (batch, row->version);
   else if (error == LB_ERROR_CONDITION_FAILED && row->value)
     ln_batch_heads_take (batch->batches, row);
-  batch->orphan_since = 0;
+  ln_batch_heads_review (batch);
 }
 
 /* Writes the row with another owner under the condition that it is as this instance knows it. */
@@ -190,6 +221,7 @@
   head.epoch++;
   LB_COPY (head.owner, batch->batches->context->instance);
   LB_COPY (head.incarnation, batch->batches->context->incarnation);
+  batch->written = head;
   write_head (batch, &head, on_taken);
 }
 
@@ -198,6 +230,11 @@
 static void
 look_after (LnBatch *batch, LbTime now)
 {
+  if (batch->held == LN_HELD_OFFERED && now >= batch->offered_until)
+    {
+      batch->held = LN_HELD_NOT;
+      ln_batch_heads_review (batch);
+    }
   if (batch->held != LN_HELD_NOT || batch->head.ended || batch->version == 0
       || !batch->batches->members_known || batch->batches->draining || owner_is_alive (batch))
     {
@@ -216,7 +253,7 @@
   LnBatch *batch = user;
 
   if (error == LB_OK)
-    batch->version = row->version;
+    note_written (batch, row->version);
   lb_log (LB_LOG_INFO, "batch_released", LB_TEXT ("batch", batch->id),
           LB_TEXT ("outcome", lb_error_name (error)));
   batch->held = LN_HELD_NOT;
@@ -228,15 +265,29 @@
 {
   LcBatchHead head = batch->head;
 
-  if (batch->held != LN_HELD_RUNNING && batch->held != LN_HELD_LOADING)
+  if (!is_held (batch))
     return;
   ln_batch_owner_stop (batch);
   batch->held = LN_HELD_RELEASING;
   LB_COPY (head.owner, "");
   LB_COPY (head.incarnation, "");
+  batch->written = head;
   write_head (batch, &head, on_released);
 }
 
+/* An instance that was killed a moment ago is still taken for alive: whoever accepted the batch runs
+ * it itself when the offer is not taken at once. */
+bool
+ln_batch_heads_offer (LnBatch *batch, LbTime now)
+{
+  if (!batch->head.preferred[0]
+      || strcmp (batch->head.preferred, batch->batches->context->instance) == 0)
+    return false;
+  batch->held = LN_HELD_OFFERED;
+  batch->offered_until = now + OFFER_TIME;
+  return true;
+}
+
 /* --- all rows --- */
 
 static void
--- a/packages/node/src/ln-batch-owner.c
+++ b/packages/node/src/ln-batch-owner.c
@@ -299,7 +299,7 @@
   conditions[0] = (LpCondition){ .key = head, .version = batch->version };
   for (size_t i = 0; i < n; i++)
     {
-      puts[i].key = lb_asprintf ("%s%06lld", prefix, (long long)(action->position + (int64_t)i));
+      puts[i].key = lb_asprintf ("%s%06lld", prefix, (long long)action->position + (long long)i);
       puts[i].value = result_to_text (action->results[i]);
       conditions[i + 1] = (LpCondition){ .key = puts[i].key, .version = 0 };
     }
--- a/packages/node/src/ln-batches-private.h
+++ b/packages/node/src/ln-batches-private.h
@@ -21,6 +21,7 @@
 {
   LN_HELD_NOT,     /* another instance owns it, or nobody does */
   LN_HELD_TAKING,  /* the row that makes it ours is being written */
+  LN_HELD_OFFERED, /* ours, until the instance that shall run it takes it */
   LN_HELD_LOADING, /* ours; its content and what is listed are being read */
   LN_HELD_RUNNING,
   LN_HELD_RELEASING
@@ -32,12 +33,14 @@
   LbName id; /* key */
   LnBatches *batches;
   LcBatchHead head;
-  int64_t version; /* of the row */
+  int64_t version;     /* of the row */
+  LcBatchHead written; /* TAKING, RELEASING: what is being written */
   LnHeld held;
   LcBatch *run; /* RUNNING */
   LbTime first_seen;
   LbTime orphan_since; /* when its owner was first missed; 0: it has one */
   LbTime retry_at;     /* LOADING: after a failure */
+  LbTime offered_until;
   UT_hash_handle hh;
 } LnBatch;
 
@@ -84,6 +87,10 @@
 void ln_batch_heads_review (LnBatch *batch);
 void ln_batch_heads_tick (LnBatches *batches, LbTime now);
 void ln_batch_heads_release (LnBatch *batch);
+/* Accepted here: offers it to the instance that shall run it. False: there is none but this one. */
+bool ln_batch_heads_offer (LnBatch *batch, LbTime now);
+/* Alive instances that take new work; the caller frees. */
+LbName *ln_batches_candidates (const LnBatches *batches, size_t *n);
 
 /* ln-batch-owner.c: running what is owned */
 void ln_batch_owner_load (LnBatch *batch);
--- a/packages/node/src/ln-fleet.c
+++ b/packages/node/src/ln-fleet.c
@@ -60,6 +60,7 @@
       LB_COPY (member->incarnation, known->row.incarnation);
       LB_COPY (member->data_centre, known->row.data_centre);
       LB_COPY (member->caller_address, known->row.caller_address);
+      member->version = known->version;
       member->alive = known->alive;
       member->draining = known->row.draining;
       member->is_self = strcmp (known->row.name, task->context->instance) == 0;
