An idle connection keeps for its own time, not for the silence limit of its last exchange

Cause: evhttp goes on applying the exchange's read timeout to a kept connection, so 1,300 of them were closed by us after 1 to 2.5 s idle, though engines state 10 s. Ruled out: closing by the engines (their own closes are few).

--- a/packages/http/src/lh-pool.c
+++ b/packages/http/src/lh-pool.c
@@ -148,6 +148,7 @@
 void
 lh_pool_give_back (LhConnection *connection, bool reusable)
 {
+  static const struct timeval idle_limit = { .tv_sec = 2 * IDLE_LIFE / LB_SEC };
   LhPool *pool = connection->pool;
 
   if (!reusable || pool->idle.length >= MAX_IDLE_PER_POOL)
@@ -155,6 +156,8 @@
       lh_pool_close_later (connection);
       return;
     }
+  /* evhttp keeps the silence limit of the last exchange on an idle connection and closes it then. */
+  evhttp_connection_set_timeout_tv (connection->evcon, &idle_limit);
   connection->idle_since = lb_clock_monotonic ();
   connection->is_idle = true;
   lb_list_prepend (&pool->idle, &connection->link);
