Loads of weights go to the model in need; engines are divided among models by demand

Change: the loads that go at full speed together are given one by one to the model with the fewest usable engines; the lease holder writes which engine serves which model, by the tokens that trainers bring.

--- a/packages/core/include/lc-batch-head.h
+++ b/packages/core/include/lc-batch-head.h
@@ -17,6 +17,7 @@
   bool ended;
   int64_t total; /* items */
   LbName model;
+  int64_t tokens; /* that its texts are expected to have */
   /* Instance that shall run it, so that one instance runs all batches of a model and keeps its
    * connections to the engines; it takes the batch from the one that accepted it. */
   LbName preferred;
--- /dev/null
+++ b/packages/core/include/lc-engine-plan.h
@@ -0,0 +1,49 @@
+#ifndef LC_ENGINE_PLAN_H
+#define LC_ENGINE_PLAN_H
+
+#include "lc-types.h"
+
+struct json_object;
+
+/* Which model each engine is used for, when engines hold several: decided by one instance, the one
+ * that orders weights, and read by all others. An engine that serves another model than before loads
+ * that model's newest weights first, so engines change their model only for a lasting need. */
+
+typedef struct
+{
+  LbName engine;
+  LbName model;
+} LcPlanEntry;
+
+typedef struct
+{
+  LcPlanEntry *entries;
+  size_t n_entries;
+} LcEnginePlan;
+
+void lc_engine_plan_clear (LcEnginePlan *plan);
+void lc_engine_plan_copy (LcEnginePlan *target, const LcEnginePlan *source);
+/* NULL: the plan does not name the engine. */
+const char *lc_engine_plan_model (const LcEnginePlan *plan, const char *engine);
+struct json_object *lc_engine_plan_to_json (const LcEnginePlan *plan);
+bool lc_engine_plan_from_json (struct json_object *object, LcEnginePlan *plan);
+
+/* Work that trainers bring for each model, in tokens; old work counts less and less. */
+typedef struct LcDemand LcDemand;
+
+LcDemand *lc_demand_new (void);
+void lc_demand_free (LcDemand *demand);
+void lc_demand_add (LcDemand *demand, const char *model, double tokens, LbTime now);
+double lc_demand_of (const LcDemand *demand, const char *model, LbTime now);
+
+/* Changes the plan so that engines are shared out by demand; every model keeps one engine at least.
+ * True when it changed. engines holds each engine and the model that it is used for now. */
+bool lc_engine_plan_divide (LcEnginePlan *plan,
+                            const LcPlanEntry *engines,
+                            size_t n_engines,
+                            const LbName *models,
+                            size_t n_models,
+                            const LcDemand *demand,
+                            LbTime now);
+
+#endif
--- a/packages/core/include/lc-roster.h
+++ b/packages/core/include/lc-roster.h
@@ -1,6 +1,7 @@
 #ifndef LC_ROSTER_H
 #define LC_ROSTER_H
 
+#include "lc-engine-plan.h"
 #include "lc-resources.h"
 
 /* The endpoints that register themselves in the store, as this instance believes them to be, and
@@ -36,6 +37,9 @@
 /* A whole list that the store gave at asked_at; true when the resource set has changed. */
 bool lc_roster_update (
     LcRoster *roster, const LcListed *list, size_t n_list, LbTime asked_at, LbTime now);
+/* Which engine is used for which model, as the planning instance says; engines that it does not name
+ * are divided evenly. True when the resource set has changed. */
+bool lc_roster_set_plan (LcRoster *roster, const LcEnginePlan *plan);
 
 /* queries */
 size_t lc_roster_count (const LcRoster *roster);
--- /dev/null
+++ b/packages/core/include/lc-swap-turns.h
@@ -0,0 +1,17 @@
+#ifndef LC_SWAP_TURNS_H
+#define LC_SWAP_TURNS_H
+
+#include "lc-weights.h"
+
+/* Models share the few loads of weights that go at full speed at once: this decides whose engine is
+ * next. */
+typedef struct
+{
+  LcWeightsStatus status;
+  bool blocked; /* it could order nothing when it was its turn */
+} LcSwapCandidate;
+
+/* Index of the model whose engines lack fresh weights most; n when nobody wants a load. */
+size_t lc_swap_turns_next (const LcSwapCandidate *candidates, size_t n);
+
+#endif
--- a/packages/core/include/lc-weights.h
+++ b/packages/core/include/lc-weights.h
@@ -70,6 +70,9 @@
  * now. */
 void lc_weights_tick (LcWeights *weights, bool fenced, bool unfenced, LbTime now, LbList *actions);
 
+/* Most engines in a swap at once, in place of the pool's roll_out_percent; -1: that one counts. */
+void lc_weights_set_limit (LcWeights *weights, int64_t limit);
+
 /* queries */
 typedef enum
 {
@@ -89,6 +92,7 @@
   LbTime cadence; /* mean time between newest versions; 0: not known */
   size_t engines;
   size_t done;
+  size_t usable; /* serve with weights at most one version older than the target */
   size_t swapping;
   size_t unknown;
   size_t failed; /* whose last load of the target failed */
--- a/packages/core/src/lc-batch-head.c
+++ b/packages/core/src/lc-batch-head.c
@@ -19,6 +19,7 @@
   json_object_object_add (object, "ended", json_object_new_boolean (head->ended));
   json_object_object_add (object, "total", json_object_new_int64 (head->total));
   json_object_object_add (object, "model", json_object_new_string (head->model));
+  json_object_object_add (object, "tokens", json_object_new_int64 (head->tokens));
   json_object_object_add (object, "preferred", json_object_new_string (head->preferred));
   json_object_object_add (object, "host", json_object_new_string (head->host));
   json_object_object_add (object, "path", json_object_new_string (head->path));
@@ -36,6 +37,7 @@
   head->ended = lb_json_bool (object, "ended", false);
   head->total = lb_json_int (object, "total", 0);
   LB_COPY (head->model, lb_json_text (object, "model", ""));
+  head->tokens = lb_json_int (object, "tokens", 0);
   LB_COPY (head->preferred, lb_json_text (object, "preferred", ""));
   LB_COPY (head->host, lb_json_text (object, "host", ""));
   LB_COPY (head->path, lb_json_text (object, "path", ""));
--- a/packages/core/src/lc-roster.c
+++ b/packages/core/src/lc-roster.c
@@ -29,6 +29,7 @@
 {
   Entry *entries;
   size_t n_entries;
+  LcEnginePlan plan;
   LbTime last_list; /* when the last list was asked for; 0: none came yet */
   LbTime grace_until;
 };
@@ -44,6 +45,7 @@
 {
   if (!roster)
     return;
+  lc_engine_plan_clear (&roster->plan);
   free (roster->entries);
   free (roster);
 }
@@ -155,6 +157,20 @@
   return count;
 }
 
+static bool
+take_planned (const LcRoster *roster, Entry *entry)
+{
+  const char *planned = lc_engine_plan_model (&roster->plan, entry->listed.name);
+
+  for (size_t model = 0; planned && model < entry->listed.n_models; model++)
+    if (strcmp (entry->listed.models[model].name, planned) == 0)
+      {
+        entry->model = model;
+        return true;
+      }
+  return false;
+}
+
 static void
 choose_model (LcRoster *roster, size_t index)
 {
@@ -164,6 +180,8 @@
   uint64_t best = 0;
   bool chosen = false;
 
+  if (take_planned (roster, entry))
+    return;
   for (size_t model = 0; model < n_models; model++)
     {
       uint64_t score = affinity (entry->listed.name, entry->listed.models[model].name);
@@ -211,6 +229,22 @@
   return changed;
 }
 
+bool
+lc_roster_set_plan (LcRoster *roster, const LcEnginePlan *plan)
+{
+  bool changed = false;
+
+  lc_engine_plan_clear (&roster->plan);
+  lc_engine_plan_copy (&roster->plan, plan);
+  for (size_t i = 0; i < roster->n_entries; i++)
+    {
+      Entry *entry = &roster->entries[i];
+      size_t before = entry->model;
+      changed |= take_planned (roster, entry) && entry->model != before;
+    }
+  return changed;
+}
+
 size_t
 lc_roster_count (const LcRoster *roster)
 {
--- /dev/null
+++ b/packages/core/src/lc-swap-turns.c
@@ -0,0 +1,34 @@
+#include "lc-swap-turns.h"
+
+/* Share of the model's engines that the next step can use, and among equals the share that has the
+ * newest weights. The next step of a trainer takes weights that are one version old, so an engine
+ * two versions behind is lost to it, and one that is one behind is not yet. */
+static double
+readiness (const LcWeightsStatus *status)
+{
+  double engines = (double)status->engines;
+
+  return ((double)status->usable + (double)status->swapping) / engines
+         + (double)status->done / engines / 100;
+}
+
+static bool
+wants_load (const LcSwapCandidate *candidate)
+{
+  const LcWeightsStatus *status = &candidate->status;
+
+  return !candidate->blocked && status->engines > 0 && status->target > 0
+         && status->done + status->swapping < status->engines;
+}
+
+size_t
+lc_swap_turns_next (const LcSwapCandidate *candidates, size_t n)
+{
+  size_t best = n;
+
+  for (size_t i = 0; i < n; i++)
+    if (wants_load (&candidates[i])
+        && (best == n || readiness (&candidates[i].status) < readiness (&candidates[best].status)))
+      best = i;
+  return best;
+}
--- a/packages/core/src/lc-weights.c
+++ b/packages/core/src/lc-weights.c
@@ -51,6 +51,7 @@
   LcVersion target;
   double live_reserve;
   int64_t percent;
+  int64_t limit; /* -1: percent counts */
   LbTime newest_at;
   LbTime cadence;
   LbTime load_time; /* mean, from order to report */
@@ -92,6 +93,7 @@
   weights->settings = *settings;
   weights->tokens = (double)settings->burst;
   weights->load_time = FIRST_LOAD_TIME;
+  weights->limit = -1;
   return weights;
 }
 
@@ -366,6 +368,7 @@
   size_t failed;
   size_t refused; /* the target */
   size_t done;
+  size_t usable;
   size_t unknown;
   bool waits_for_lost; /* an engine that does not serve has been out for less than the patience */
 } View;
@@ -395,6 +398,7 @@
           view->serving++;
           view->serving_capacity += engine->member.concurrency;
           view->done += engine->report.version == weights->target;
+          view->usable += engine->report.version >= weights->target - 1;
         }
       else
         view->waits_for_lost |= now - engine->out_since < weights->settings.patience;
@@ -406,6 +410,8 @@
 {
   size_t limit = view->engines * (size_t)weights->percent / 100;
 
+  if (weights->limit >= 0)
+    return (size_t)weights->limit;
   return limit > 0 ? limit : 1;
 }
 
@@ -525,6 +531,12 @@
   weights->tokens_at = now;
 }
 
+void
+lc_weights_set_limit (LcWeights *weights, int64_t limit)
+{
+  weights->limit = limit;
+}
+
 void
 lc_weights_tick (LcWeights *weights, bool fenced, bool unfenced, LbTime now, LbList *actions)
 {
@@ -568,6 +580,7 @@
                                .cadence = weights->cadence,
                                .engines = view.engines,
                                .done = view.done,
+                               .usable = view.usable,
                                .swapping = view.swapping,
                                .unknown = view.unknown,
                                .failed = view.failed,
--- a/packages/node/include/ln-messages.h
+++ b/packages/node/include/ln-messages.h
@@ -30,6 +30,7 @@
   LN_DRAINING,         /* main -> all */
   LN_DESIRED,          /* config -> all: routes and services of the shared platform */
   LN_LISTED,           /* config -> calls: an endpoint is still listed, with this version */
+  LN_DEMAND,           /* rollouts -> config: a trainer brought a batch */
   LN_READY             /* config -> all: whether new work may be taken has changed */
 } LnMessageType;
 
@@ -123,6 +124,13 @@
   LcVersion version; /* of the model that it is used for; 0: a plain service */
 } LnListedMessage;
 
+typedef struct
+{
+  LnMessage base;
+  LbName model;
+  int64_t tokens;
+} LnDemandMessage;
+
 /* One instance as this one sees it. */
 typedef struct
 {
--- a/packages/node/src/ln-batch-calls.c
+++ b/packages/node/src/ln-batch-calls.c
@@ -247,6 +247,17 @@
     store_content (call);
 }
 
+static int64_t
+expected_tokens (const LcBatchSpec *spec)
+{
+  int64_t tokens = 0;
+
+  for (size_t i = 0; i < spec->n_items; i++)
+    tokens += spec->items[i].expected_tokens > 0 ? spec->items[i].expected_tokens
+                                                 : spec->items[i].max_tokens;
+  return tokens;
+}
+
 static void
 choose_owner (Call *call)
 {
@@ -284,6 +295,7 @@
   LB_COPY (call->head.host, in->host);
   LB_COPY (call->head.path, ln_exchange_path (call->exchange));
   LB_COPY (call->head.model, call->spec.model);
+  call->head.tokens = expected_tokens (&call->spec);
   choose_owner (call);
   call->head.epoch = 1;
   call->head.total = (int64_t)call->spec.n_items;
--- a/packages/node/src/ln-batch-heads.c
+++ b/packages/node/src/ln-batch-heads.c
@@ -100,6 +100,18 @@
   ln_batch_heads_review (batch);
 }
 
+static void
+tell_demand (LnBatches *batches, const LcBatchHead *head)
+{
+  LnDemandMessage message = { .base = LN_MESSAGE (LN_DEMAND), .tokens = head->tokens };
+  LnTask *config = ln_hub_find (batches->task.hub, "config");
+
+  if (!config)
+    return;
+  LB_COPY (message.model, head->model);
+  LN_POST (batches->task.hub, config, message);
+}
+
 bool
 ln_batch_heads_take (LnBatches *batches, const LpRow *row)
 {
@@ -117,6 +129,8 @@
   LcBatchHead before = batch->head;
   if (row->version <= batch->version)
     return true;
+  if (batch->version == 0 && !head.ended)
+    tell_demand (batches, &head);
   batch->head = head;
   batch->version = row->version;
   note_change (batch, &before);
--- a/packages/node/src/ln-desired.c
+++ b/packages/node/src/ln-desired.c
@@ -1,6 +1,7 @@
 #include "ln-context.h"
 
 #include "ln-dialect.h"
+#include "ln-engine-plans.h"
 #include "ln-messages.h"
 #include "ln-weight-orders.h"
 
@@ -36,6 +37,7 @@
   LcDesired *desired;
   LcRoster *roster;
   LnWeightOrders *orders;
+  LnEnginePlans *plans;
   int64_t revision;      /* of the resource set made from the roster */
   int64_t table_version; /* of the operators' table as last seen; 0: it has to be listed */
   bool watching;
@@ -196,6 +198,17 @@
   LN_POST (task->task.hub, NULL, message);
 }
 
+static void
+on_plan (const LcEnginePlan *plan, void *user)
+{
+  Desired *task = user;
+
+  if (!lc_roster_set_plan (task->roster, plan))
+    return;
+  lb_log (LB_LOG_INFO, "engines_divided", LB_INT ("engines", plan->n_entries));
+  publish_endpoints (task);
+}
+
 static void
 confirm_endpoints (Desired *task)
 {
@@ -282,6 +295,7 @@
     }
   task->last_tick = now;
   ln_weight_orders_tick (task->orders, now);
+  ln_engine_plans_tick (task->plans, task->roster, ln_weight_orders_is_held (task->orders), now);
 }
 
 static void
@@ -289,8 +303,12 @@
 {
   Desired *task = (Desired *)base;
 
+  const LnDemandMessage *demand = (const LnDemandMessage *)message;
+
   if (message->type == LN_MEMBERS && !task->draining)
     ln_weight_orders_members (task->orders, (const LnMembersMessage *)message);
+  else if (message->type == LN_DEMAND)
+    ln_engine_plans_demand (task->plans, demand->model, demand->tokens, lb_clock_monotonic ());
 }
 
 static void
@@ -317,6 +335,7 @@
 
   event_free (task->timer);
   ln_weight_orders_free (task->orders);
+  ln_engine_plans_free (task->plans);
   lc_roster_free (task->roster);
   lc_desired_unref (task->desired);
   free (task);
@@ -337,6 +356,7 @@
   task->context = context;
   task->roster = lc_roster_new ();
   task->orders = ln_weight_orders_new (context);
+  task->plans = ln_engine_plans_new (context, on_plan, task);
   task->last_tick = lb_clock_monotonic ();
   task->timer = event_new (context->base, -1, EV_PERSIST, on_tick, task);
   event_add (task->timer, &tick);
--- a/packages/node/src/ln-weight-orders.c
+++ b/packages/node/src/ln-weight-orders.c
@@ -6,6 +6,7 @@
 #include "lb-clock.h"
 #include "lb-log.h"
 #include "lc-lease.h"
+#include "lc-swap-turns.h"
 #include "lc-weights.h"
 #include "lh-fetch.h"
 #include "lp-platform.h"
@@ -16,6 +17,7 @@
 #include <string.h>
 #include <uthash.h>
 
+#define ROLL_OUT_PERCENT 23
 #define LEASE_KEY "lease/weights"
 #define LEASE_DURATION (3 * LB_SEC)      /* orders of two holders may not alternate within it */
 #define LEASE_PERIOD (800 * LB_MSEC)     /* three renewals within its duration */
@@ -369,12 +371,14 @@
   lc_outgoing_clear (&outgoing);
 }
 
-static void
+/* True when the model ordered a load. */
+static bool
 tick_model (Model *model, LbTime now)
 {
   LcLease *lease = model->orders->lease;
   LbLink *link;
   LbList actions;
+  bool ordered = false;
 
   lb_list_init (&actions);
   lc_weights_tick (model->weights, lc_lease_may_order (lease, false, now),
@@ -384,8 +388,48 @@
       LcWeightsAction *action = LB_CONTAINER (link, LcWeightsAction, link);
       if (action->type == LC_WEIGHTS_ORDER)
         send_order (model->orders, action, now);
+      ordered |= action->type == LC_WEIGHTS_ORDER;
       free (action);
     }
+  return ordered;
+}
+
+/* More loads at once than this slow one another down: on the sizes known, a little over a fifth of
+ * the engines load at full speed together. */
+static size_t
+most_at_once (const LnWeightOrders *orders)
+{
+  size_t most = (size_t)HASH_COUNT (orders->engines) * ROLL_OUT_PERCENT / 100;
+
+  return most > 0 ? most : 1;
+}
+
+/* One load after the other, each for the model that needs it most, as long as there is room. */
+static void
+tick_models (LnWeightOrders *orders, LbTime now)
+{
+  size_t n = orders->models.length;
+  LcSwapCandidate *candidates = LB_NEW_ARRAY (LcSwapCandidate, n + 1);
+  Model **models = LB_NEW_ARRAY (Model *, n + 1);
+  size_t swapping = 0;
+  size_t next = 0;
+
+  LB_LIST_FOREACH (&orders->models, Model, link, model)
+  {
+    models[next] = model;
+    lc_weights_status (model->weights, &candidates[next].status);
+    swapping += candidates[next++].status.swapping;
+  }
+  while (swapping < most_at_once (orders) && (next = lc_swap_turns_next (candidates, n)) < n)
+    {
+      LcWeightsStatus *status = &candidates[next].status;
+      lc_weights_set_limit (models[next]->weights, (int64_t)status->swapping + 1);
+      candidates[next].blocked = !tick_model (models[next], now);
+      swapping += !candidates[next].blocked;
+      lc_weights_status (models[next]->weights, status);
+    }
+  free (models);
+  free (candidates);
 }
 
 /* --- the lease --- */
@@ -515,10 +559,7 @@
   lb_list_init (&actions);
   lc_lease_tick (orders->lease, now, lb_clock_wall_ms () * LB_MSEC, &actions);
   carry_out (orders, &actions);
-  LB_LIST_FOREACH (&orders->models, Model, link, model)
-  {
-    tick_model (model, now);
-  }
+  tick_models (orders, now);
   for (Engine *engine = orders->engines; engine; engine = engine->hh.next)
     if (wants_look (orders, engine) && !engine->order && !engine->look && now >= engine->look_at)
       look (engine, now);
@@ -535,6 +576,12 @@
   carry_out (orders, &actions);
 }
 
+bool
+ln_weight_orders_is_held (const LnWeightOrders *orders)
+{
+  return lc_lease_is_held (orders->lease);
+}
+
 bool
 ln_weight_orders_is_released (const LnWeightOrders *orders, LbTime now)
 {
--- a/packages/node/src/ln-weight-orders.h
+++ b/packages/node/src/ln-weight-orders.h
@@ -23,6 +23,7 @@
 void ln_weight_orders_members (LnWeightOrders *orders, const LnMembersMessage *members);
 void ln_weight_orders_tick (LnWeightOrders *orders, LbTime now);
 void ln_weight_orders_release (LnWeightOrders *orders, LbTime now);
+bool ln_weight_orders_is_held (const LnWeightOrders *orders);
 bool ln_weight_orders_is_released (const LnWeightOrders *orders, LbTime now);
 
 #endif
