Texts at engines that turned slow go on elsewhere from what they have

Cause: with a fifth of the engines 3 times slower, a step waits for its slowest texts. LcStraggler's choice, made for subscriptions, is used for batches too.

--- a/packages/core/include/lc-batch.h
+++ b/packages/core/include/lc-batch.h
@@ -53,6 +53,9 @@
   LC_BATCH_RUN,   /* submit the item to the dispatch under the id `request` */
   LC_BATCH_SCORE, /* the same for the item's scorer */
   LC_BATCH_STOP,  /* cancel `request` */
+  /* Stop `request` and report it with lc_batch_ran and LB_ERROR_CLOSED, with the text of exactly the
+   * pieces that were reported: it goes on elsewhere from there. */
+  LC_BATCH_RECALL,
   LC_BATCH_WRITE  /* write results from `position` on; answer with lc_batch_written */
 } LcBatchActionType;
 
@@ -65,6 +68,7 @@
   /* RUN */
   int64_t resume_at;  /* events that the text so far holds */
   const char *resume; /* the text so far; NULL: none; valid until the next command */
+  const char *avoid;  /* endpoint that was too slow; "": none; valid until the next command */
   /* WRITE: valid until lc_batch_written */
   int64_t position;
   const LcBatchResult *const *results;
@@ -73,8 +77,16 @@
 
 void lc_batch_action_free (LcBatchAction *action);
 
+/* What earlier batches of the same model taught of lengths and pace; outlives the batches. */
+typedef struct LcBatchHistory LcBatchHistory;
+
+LcBatchHistory *lc_batch_history_new (void);
+void lc_batch_history_free (LcBatchHistory *history);
+
 typedef struct
 {
+  LcBatchHistory *history;  /* not owned */
+  int64_t tokens_per_event; /* 0: not known */
   int64_t attempts;       /* failures of an item at engines after which it is given up */
   int64_t score_attempts; /* the same for its scorer */
   bool resumable;
@@ -95,7 +107,8 @@
 void lc_batch_was_listed (LcBatch *batch, const char *item);
 void lc_batch_start (LcBatch *batch, LbTime now, LbList *actions);
 /* One event of a running item's text. */
-void lc_batch_piece (LcBatch *batch, LcRequestId request, LcVersion version);
+void lc_batch_piece (
+    LcBatch *batch, LcRequestId request, LcVersion version, const char *endpoint, LbTime now);
 /* The end of a run; text is taken over: the events of this run, without what it resumed from. */
 void lc_batch_ran (LcBatch *batch,
                    LcRequestId request,
--- a/packages/core/src/lc-batch.c
+++ b/packages/core/src/lc-batch.c
@@ -1,5 +1,7 @@
 #include "lc-batch.h"
 
+#include "lc-straggler.h"
+
 #include "lb-alloc.h"
 #include "lb-log.h"
 
@@ -12,6 +14,21 @@
 #define MAX_RESULTS_PER_WRITE 40        /* the store takes at most 100 entries in a transaction */
 #define MAX_BYTES_PER_WRITE (400 << 10) /* of text; the store takes 1 MB, encoded */
 
+/* Between looks for texts that come too slowly. */
+#define REVIEW_PERIOD (100 * LB_MSEC)
+/* An item that was moved so often stays where it is. */
+#define MOST_MOVES 3
+/* The pace of a stream with fewer intervals between events is mostly noise. */
+#define INTERVALS_TO_LEARN 4
+/* Only the time counts by which the trainer waits longer. */
+#define IDLE_WEIGHT 1.0
+
+struct LcBatchHistory
+{
+  LcLengths lengths;
+  LcPace pace;
+};
+
 typedef enum
 {
   ITEM_WAITING,
@@ -32,6 +49,13 @@
   int64_t score_failures;
   int retries; /* since the last progress */
   int64_t events;
+  LbTime started;     /* of the present run */
+  LbTime first_piece; /* of the present run; 0: none yet */
+  int64_t run_events; /* of the present run */
+  LbName endpoint;    /* of the last piece */
+  LbName avoid;       /* endpoint that it was moved away from */
+  int moves;
+  bool recalled;
   bool unusable; /* its text mixes what may not be mixed: made again from the start */
   LcBatchResult result;
 } Item;
@@ -46,6 +70,7 @@
   const LcBatchResult **writing;
   size_t n_writing; /* first ones of ready */
   bool is_writing;
+  LbTime next_review;
   LbTime write_at; /* a failed write is asked again */
   bool is_started;
   bool is_stopped;
@@ -77,6 +102,18 @@
   free (action);
 }
 
+LcBatchHistory *
+lc_batch_history_new (void)
+{
+  return LB_NEW (LcBatchHistory);
+}
+
+void
+lc_batch_history_free (LcBatchHistory *history)
+{
+  free (history);
+}
+
 LcBatch *
 lc_batch_new (LcBatchSpec *spec, const LcBatchSettings *settings)
 {
@@ -211,16 +248,21 @@
 /* --- running --- */
 
 static void
-run (LcBatch *batch, Item *item, LbList *actions)
+run (LcBatch *batch, Item *item, LbTime now, LbList *actions)
 {
   LcBatchAction *action = add_action (actions, LC_BATCH_RUN);
 
   item->state = ITEM_RUNNING;
+  item->started = now;
+  item->first_piece = 0;
+  item->run_events = 0;
+  item->recalled = false;
   item->request = batch->settings.next_id (batch->settings.user);
   action->request = item->request;
   action->item = index_of (batch, item);
   action->resume_at = item->events;
   action->resume = item->result.text;
+  action->avoid = item->avoid;
 }
 
 static void
@@ -240,7 +282,7 @@
   batch->is_started = true;
   for (size_t i = 0; i < batch->spec.n_items; i++)
     if (batch->items[i].state == ITEM_WAITING && batch->items[i].retry_at <= now)
-      run (batch, &batch->items[i], actions);
+      run (batch, &batch->items[i], now, actions);
 }
 
 static void
@@ -287,14 +329,19 @@
 }
 
 void
-lc_batch_piece (LcBatch *batch, LcRequestId request, LcVersion version)
+lc_batch_piece (
+    LcBatch *batch, LcRequestId request, LcVersion version, const char *endpoint, LbTime now)
 {
   Item *item = find_request (batch, request);
 
   if (!item || item->state != ITEM_RUNNING)
     return;
   item->events++;
+  item->run_events++;
   item->retries = 0;
+  if (item->first_piece == 0)
+    item->first_piece = now;
+  LB_COPY (item->endpoint, endpoint);
   note_version (batch, item, version);
 }
 
@@ -318,6 +365,28 @@
   free (text);
 }
 
+static int64_t
+tokens_of (const LcBatch *batch, int64_t events)
+{
+  int64_t per_event = batch->settings.tokens_per_event;
+
+  return events * (per_event > 0 ? per_event : 1);
+}
+
+static void
+learn (LcBatch *batch, const Item *item, LbTime now)
+{
+  LcBatchHistory *history = batch->settings.history;
+
+  if (!history || item->first_piece == 0)
+    return;
+  lc_lengths_add (&history->lengths, tokens_of (batch, item->events));
+  /* The first event comes at the beginning of the time that is measured. */
+  if (item->run_events > INTERVALS_TO_LEARN)
+    lc_pace_add (&history->pace, tokens_of (batch, item->run_events - 1),
+                 item->first_piece - item->started, now - item->first_piece);
+}
+
 static void
 finish_text (LcBatch *batch, Item *item, LbTime now, LbList *actions)
 {
@@ -328,6 +397,7 @@
       return;
     }
   item->retries = 0;
+  learn (batch, item, now);
   if (batch->spec.items[index_of (batch, item)].has_scorer)
     score (batch, item, actions);
   else
@@ -351,6 +421,11 @@
       finish_text (batch, item, now, actions);
       return;
     }
+  if (error == LB_ERROR_CLOSED && item->recalled)
+    {
+      run (batch, item, now, actions);
+      return;
+    }
   item->failures += error == LB_ERROR_ENDPOINT_FAILED;
   if (error == LB_ERROR_REJECTED || item->failures >= batch->settings.attempts)
     {
@@ -424,6 +499,48 @@
     }
 }
 
+/* Seconds that are won if the running item goes on at another endpoint. */
+static double
+move_gain (const LcBatch *batch, const Item *item, LbTime now)
+{
+  const LcBatchHistory *history = batch->settings.history;
+  const LcProgress progress
+      = { .tokens = tokens_of (batch, item->run_events),
+          .max_tokens = batch->spec.items[index_of (batch, item)].max_tokens,
+          .started = item->started,
+          .first_piece = item->first_piece };
+
+  if (item->state != ITEM_RUNNING || item->recalled || item->moves >= MOST_MOVES
+      || item->unusable || item->run_events <= INTERVALS_TO_LEARN)
+    return 0;
+  return lc_straggler_move_gain (&history->lengths, &history->pace, &progress, IDLE_WEIGHT, now);
+}
+
+/* The step is whole only when its slowest texts are. An engine that turned slow makes its streams
+ * take several times as long, so the trainer waits for them although other engines have room: such
+ * an item goes on elsewhere from what it has. */
+static void
+move_slow_ones (LcBatch *batch, LbTime now, LbList *actions)
+{
+  batch->next_review = now + REVIEW_PERIOD;
+  if (!batch->settings.history || !batch->settings.resumable)
+    return;
+  for (size_t i = 0; i < batch->spec.n_items; i++)
+    {
+      Item *item = &batch->items[i];
+      double gain = move_gain (batch, item, now);
+      if (gain <= 0)
+        continue;
+      item->recalled = true;
+      item->moves++;
+      LB_COPY (item->avoid, item->endpoint);
+      add_action (actions, LC_BATCH_RECALL)->request = item->request;
+      lb_log (LB_LOG_INFO, "item_moved", LB_TEXT ("batch", batch->spec.id),
+              LB_TEXT ("item", item->result.item), LB_TEXT ("from", item->endpoint),
+              LB_INT ("events", item->events), LB_REAL ("gain_seconds", gain));
+    }
+}
+
 void
 lc_batch_tick (LcBatch *batch, LbTime now, LbList *actions)
 {
@@ -437,10 +554,12 @@
       if (now < item->retry_at)
         continue;
       if (item->state == ITEM_WAITING)
-        run (batch, item, actions);
+        run (batch, item, now, actions);
       else if (item->state == ITEM_GENERATED)
         score (batch, item, actions);
     }
+  if (now >= batch->next_review)
+    move_slow_ones (batch, now, actions);
   if (now >= batch->write_at)
     write_ready (batch, actions);
 }
@@ -498,5 +617,5 @@
       if (item->state == ITEM_WAITING || item->state == ITEM_GENERATED)
         next = earlier (next, item->retry_at);
     }
-  return any_open ? earlier (next, batch->settings.give_up_at) : next;
+  return any_open ? earlier (earlier (next, batch->next_review), batch->settings.give_up_at) : next;
 }
--- a/packages/node/src/ln-batch-owner.c
+++ b/packages/node/src/ln-batch-owner.c
@@ -106,14 +106,21 @@
   return desired ? lc_desired_route (desired, batch->head.host, batch->head.path) : NULL;
 }
 
-/* Lengths count in events, the pieces in which engines hand out a text. */
 static int64_t
-expected_events (const LnBatch *batch, const LcItemSpec *item)
+tokens_per_event (const LnBatch *batch)
 {
   const LcRoute *route = route_of (batch);
   const LcService *service
       = route ? lc_desired_service (batch->batches->desired, lc_route_service (route, 0)) : NULL;
-  int64_t per_event = service && service->tokens_per_event > 0 ? service->tokens_per_event : 1;
+
+  return service && service->tokens_per_event > 0 ? service->tokens_per_event : 1;
+}
+
+/* Lengths count in events, the pieces in which engines hand out a text. */
+static int64_t
+expected_events (const LnBatch *batch, const LcItemSpec *item)
+{
+  int64_t per_event = tokens_per_event (batch);
   int64_t tokens = item->expected_tokens > 0 ? item->expected_tokens : item->max_tokens;
 
   return tokens > 0 ? (tokens + per_event - 1) / per_event : DEFAULT_EVENTS;
@@ -162,10 +169,12 @@
                             .min_version = spec->min_version,
                             .deadline = LB_TIME_NEVER,
                             .resume_at = action->resume_at,
+                            .n_avoid = action->avoid[0] ? 1 : 0,
                             .n_prefix_hashes = item->n_prefix_hashes };
 
   LB_COPY (request.pool, spec->model);
   LB_COPY (request.caller, batch->id);
+  LB_COPY (request.avoid[0], action->avoid);
   memcpy (request.prefix_hashes, item->prefix_hashes, sizeof request.prefix_hashes);
   remember (batch, action->request, false);
   submit (batch, &request, &item->request, batch->head.host);
@@ -207,6 +216,16 @@
   submit (batch, &request, &item->scorer, item->scorer.host);
 }
 
+/* The text so far comes back with the answer. */
+static void
+recall_request (LnBatch *batch, LcRequestId id)
+{
+  LnSampleCancelMessage message
+      = { .base = LN_MESSAGE (LN_SAMPLE_CANCEL), .request = id, .keep = true };
+
+  LN_POST (batch->batches->task.hub, ln_hub_find (batch->batches->task.hub, "calls"), message);
+}
+
 static void
 stop_request (LnBatch *batch, LcRequestId id)
 {
@@ -333,6 +352,9 @@
         case LC_BATCH_STOP:
           stop_request (batch, action->request);
           break;
+        case LC_BATCH_RECALL:
+          recall_request (batch, action->request);
+          break;
         case LC_BATCH_WRITE:
           write_results (batch, action);
           break;
@@ -353,7 +375,9 @@
 ln_batch_owner_run (LnBatch *batch, LcBatchSpec *spec, size_t n_listed, const LbName *names)
 {
   const LcRoute *route = route_of (batch);
-  LcBatchSettings settings = { .attempts = route ? route->attempts : DEFAULT_ATTEMPTS,
+  LcBatchSettings settings = { .history = ln_batches_history (batch->batches, spec->model),
+                               .tokens_per_event = tokens_per_event (batch),
+                               .attempts = route ? route->attempts : DEFAULT_ATTEMPTS,
                                .score_attempts = DEFAULT_ATTEMPTS + 1,
                                .resumable = !route || route->resumable,
                                .single_version = route && route->single_version,
@@ -522,7 +546,8 @@
   const LnBatchRequest *request = find_request (batches, message->request);
 
   if (request && request->batch->run)
-    lc_batch_piece (request->batch->run, message->request, message->piece.version);
+    lc_batch_piece (request->batch->run, message->request, message->piece.version,
+                    message->endpoint, lb_clock_monotonic ());
 }
 
 void
--- a/packages/node/src/ln-batches-private.h
+++ b/packages/node/src/ln-batches-private.h
@@ -63,6 +63,7 @@
   size_t n_members;
   bool members_known;
   LnBatch *by_id;
+  struct LnModelHistory *histories;
   LnBatchRequest *requests;
   LbList exchanges; /* LnBatchExchange that are being answered */
   bool listed;      /* all rows were read once */
@@ -77,6 +78,7 @@
 
 /* ln-batches.c */
 LnBatch *ln_batches_find (LnBatches *batches, const char *id);
+LcBatchHistory *ln_batches_history (LnBatches *batches, const char *model);
 LnBatch *ln_batches_ensure (LnBatches *batches, const char *id);
 
 /* ln-batch-heads.c: the rows of batches, whose owner is gone, and taking them over */
--- a/packages/node/src/ln-batches.c
+++ b/packages/node/src/ln-batches.c
@@ -15,6 +15,30 @@
 static LbMetric owned
     = LB_GAUGE_INIT ("lentilspindle_batches_owned", NULL, "Batches that this instance runs");
 
+/* What the batches of one model taught. */
+typedef struct LnModelHistory
+{
+  LbName model; /* key */
+  LcBatchHistory *history;
+  UT_hash_handle hh;
+} LnModelHistory;
+
+LcBatchHistory *
+ln_batches_history (LnBatches *batches, const char *model)
+{
+  LnModelHistory *entry = NULL;
+
+  HASH_FIND_STR (batches->histories, model, entry);
+  if (!entry)
+    {
+      entry = LB_NEW (LnModelHistory);
+      entry->history = lc_batch_history_new ();
+      LB_COPY (entry->model, model);
+      HASH_ADD_STR (batches->histories, model, entry);
+    }
+  return entry->history;
+}
+
 LnBatch *
 ln_batches_find (LnBatches *batches, const char *id)
 {
@@ -125,6 +149,7 @@
   LnBatches *batches = (LnBatches *)base;
   LnBatch *batch, *next;
   LnBatchRequest *request, *next_request;
+  LnModelHistory *history, *next_history;
 
   ln_batch_calls_clear (batches);
   HASH_ITER (hh, batches->requests, request, next_request)
@@ -138,6 +163,12 @@
     lc_batch_free (batch->run);
     free (batch);
   }
+  HASH_ITER (hh, batches->histories, history, next_history)
+  {
+    HASH_DEL (batches->histories, history);
+    lc_batch_history_free (history->history);
+    free (history);
+  }
   lc_desired_unref (batches->desired);
   free (batches->members);
   event_free (batches->timer);
