--- a/packages/core/include/lc-endpoints.h
+++ b/packages/core/include/lc-endpoints.h
@@ -90,6 +90,8 @@
 /* ok is false for a failure that speaks against the endpoint (not for a cancel of ours). */
 void lc_endpoints_ended (
     LcEndpoint *endpoint, LcRequestKind kind, bool ok, int64_t tokens, LbTime took, LbTime now);
+/* The endpoint said that it did not start the request. */
+void lc_endpoints_refused (LcEndpoint *endpoint, LcRequestKind kind, LbTime now);
 /* We closed the attempt ourselves, which says nothing of the endpoint. */
 void lc_endpoints_cancelled (LcEndpoint *endpoint, LcRequestKind kind, LbTime now);
 
--- a/packages/core/include/lc-lease.h
+++ b/packages/core/include/lc-lease.h
@@ -71,6 +71,10 @@
 void lc_lease_was_written (LcLease *lease, LbErrorCode error, LbTime now, LbList *actions);
 /* No more orders from now on; the lease is given up so that another can claim it at once. */
 void lc_lease_release (LcLease *lease, LbTime now, LbList *actions);
+/* The process that holds the lease by the row of this version is known to have ended, for another one
+ * runs under its name: nobody waits for the end of its term. Orders of it that are still on their way
+ * are refused by the younger fencing number, or outlived, see lc_lease_may_order. */
+void lc_lease_holder_ended (LcLease *lease, int64_t version, LbTime now);
 /* Another instance says that it gave the lease up: look now. */
 void lc_lease_hint (LcLease *lease, LbTime now);
 
@@ -82,6 +86,8 @@
 bool lc_lease_is_held (const LcLease *lease);
 /* True when nothing of the lease is left to give up. */
 bool lc_lease_is_released (const LcLease *lease, LbTime now);
+/* Version of the last row that was seen; 0: there is none. */
+int64_t lc_lease_version (const LcLease *lease);
 /* The last row that was seen; holder is empty when there is none. */
 const LcLeaseRow *lc_lease_row (const LcLease *lease);
 
--- a/packages/core/include/lc-resources.h
+++ b/packages/core/include/lc-resources.h
@@ -70,6 +70,9 @@
   bool leaving;
   bool checks_fence;   /* refuses an order that carries an old fencing number */
   int64_t concurrency; /* requests at once the endpoint is sized for */
+  /* The endpoint itself states `concurrency`: one that refuses a request below it is busy with
+   * something else, an order for example, and is not smaller than it says. */
+  bool states_size;
 } LcEndpointMember;
 
 /* A whole accepted configuration, immutable once built. */
--- a/packages/core/src/lc-endpoint-entry.c
+++ b/packages/core/src/lc-endpoint-entry.c
@@ -37,7 +37,8 @@
 {
   const LcEndpoint *endpoint = &entry->endpoint;
 
-  return !entry->is_reported || endpoint->swap_pending || endpoint->breaker != LC_BREAKER_CLOSED
+  return !entry->is_reported || endpoint->swap_pending || entry->refused_until > 0
+         || endpoint->breaker != LC_BREAKER_CLOSED
          || (endpoint->member.kind == LC_ENDPOINT_ENGINE && endpoint->report.version == 0);
 }
 
--- a/packages/core/src/lc-endpoints.c
+++ b/packages/core/src/lc-endpoints.c
@@ -7,6 +7,8 @@
 #include <string.h>
 
 #define EWMA_WEIGHT 0.1
+/* A load takes about a second; one request in this time finds out that it is over. */
+#define REFUSED_FOR (120 * LB_MSEC)
 #define MOST_TOKENS_PER_SECOND 1e6
 
 static void
@@ -275,6 +277,24 @@
   lc_entry_publish (entry, now);
 }
 
+/* An engine refuses all new requests while it loads weights. Were each refusal a failure, its breaker
+ * would open and let it have one request, then two, long after the load: as often as weights change,
+ * half of the engines would stand idle. One that states its size is asked again shortly instead. */
+void
+lc_endpoints_refused (LcEndpoint *endpoint, LcRequestKind kind, LbTime now)
+{
+  LcEntry *entry = lc_entry (endpoint);
+
+  if (!endpoint->member.states_size)
+    {
+      lc_endpoints_ended (endpoint, kind, false, 0, 0, now);
+      return;
+    }
+  count_out (entry, kind, now);
+  entry->refused_until = now + REFUSED_FOR;
+  lc_entry_publish (entry, now);
+}
+
 LcEndpoint *
 lc_endpoints_find (LcEndpoints *endpoints, const char *name)
 {
--- a/packages/core/src/lc-lease.c
+++ b/packages/core/src/lc-lease.c
@@ -21,6 +21,7 @@
   LcLeaseRow row;       /* as last read */
   int64_t version;      /* of row; 0: absent */
   bool seen;            /* the row was read at least once */
+  int64_t ended_version; /* of the row whose holder is known to have ended */
   LbTime version_since; /* when this version was first seen */
   bool reading;
   LbTime read_at; /* when the read on its way was asked */
@@ -226,7 +227,7 @@
 {
   if (lease->releasing || lease->rank < 0)
     return false;
-  if (lease->version == 0 || lease->row.released)
+  if (lease->version == 0 || lease->row.released || lease->ended_version == lease->version)
     return now >= lease->version_since + lease->rank * RANK_DELAY;
   return lease->read_at >= others_end (lease) + lease->rank * RANK_DELAY;
 }
@@ -346,6 +347,21 @@
   lose (lease, actions);
 }
 
+void
+lc_lease_holder_ended (LcLease *lease, int64_t version, LbTime now)
+{
+  if (version == 0 || version != lease->version || lease->ended_version == version)
+    return;
+  lease->ended_version = version;
+  lease->next_read = now;
+}
+
+int64_t
+lc_lease_version (const LcLease *lease)
+{
+  return lease->version;
+}
+
 void
 lc_lease_hint (LcLease *lease, LbTime now)
 {
--- a/packages/core/src/lc-outcome.c
+++ b/packages/core/src/lc-outcome.c
@@ -43,6 +43,7 @@
 {
   CLOSED_WELL,
   CLOSED_BADLY, /* speaks against the endpoint */
+  CLOSED_REFUSED,
   CLOSED_BY_US  /* says nothing of the endpoint */
 } Closing;
 
@@ -52,6 +53,8 @@
 {
   if (how == CLOSED_BY_US)
     lc_endpoints_cancelled (endpoint, kind, now);
+  else if (how == CLOSED_REFUSED)
+    lc_endpoints_refused (endpoint, kind, now);
   else
     lc_endpoints_ended (endpoint, kind, how == CLOSED_WELL, attempt->tokens, now - attempt->sent_at,
                         now);
@@ -300,6 +303,14 @@
   lc_dispatch_set_timer (dispatch, request);
 }
 
+static Closing
+closing_of (LcAttemptEnd end)
+{
+  if (end == LC_END_REFUSED_LEAVING)
+    return CLOSED_BY_US;
+  return end == LC_END_REFUSED ? CLOSED_REFUSED : CLOSED_BADLY;
+}
+
 /* An attempt is over. The request goes on, or its final answer is appended. */
 void
 lc_dispatch_end_attempt (LcDispatch *dispatch,
@@ -322,8 +333,7 @@
   bool continued = continues (request, attempt, end);
 
   lc_request_tried (request, attempt->endpoint);
-  close_attempt (dispatch, request, attempt,
-                 end == LC_END_REFUSED_LEAVING ? CLOSED_BY_US : CLOSED_BADLY, now);
+  close_attempt (dispatch, request, attempt, closing_of (end), now);
   request->last_error = error_of (request, end);
   if (lb_list_is_empty (&request->attempts))
     try_again (dispatch, request, end, continued, now, actions);
--- a/packages/core/src/lc-roster.c
+++ b/packages/core/src/lc-roster.c
@@ -308,6 +308,7 @@
   LB_COPY (member->data_centre, listed->data_centre);
   member->leaving = listed->leaving;
   member->checks_fence = true;
+  member->states_size = true;
   member->concurrency = listed->slots;
 }
 
--- a/packages/node/src/ln-call.h
+++ b/packages/node/src/ln-call.h
@@ -25,6 +25,7 @@
   LcVersion versions[LN_MAX_VERSIONS];
   size_t n_versions;
   int64_t tokens;
+  LbTime sent_at;
   char finish_reason[16];
 } LnAttempt;
 
@@ -46,6 +47,7 @@
   LnCallKind kind;
   LcRequestSpec spec;
   LnExchange *exchange; /* NULL: a sample, or nobody waits any more */
+  LbTime submitted_at;
   bool submitted;       /* to the dispatch, which will say how it ended */
   bool ticketed;        /* goes on without its caller, who may come again with the same ticket */
   bool wants_stream;
--- a/packages/node/src/ln-calls-run.c
+++ b/packages/node/src/ln-calls-run.c
@@ -77,7 +77,7 @@
 }
 
 static void
-log_decision (const LcAction *action)
+log_decision (const LnCall *call, const LcAction *action)
 {
   const LcRouteDecision *decision = &action->decision;
   struct json_object *shown;
@@ -95,7 +95,9 @@
       json_object_array_add (shown, candidate);
     }
   lb_log (LB_LOG_INFO, "route", LB_INT ("request", action->request),
-          LB_INT ("attempt", action->attempt), LB_TEXT ("endpoint", action->endpoint),
+          LB_TEXT ("id", call->outgoing.id), LB_TEXT ("caller", call->spec.caller),
+          LB_INT ("attempt", action->attempt), LB_INT ("resume_at", action->resume_at),
+          LB_INT ("waited_us", lb_clock_monotonic () - call->submitted_at), LB_TEXT ("endpoint", action->endpoint),
           LB_TEXT ("reason", decision->reason), LB_INT ("of", decision->n_candidates),
           LB_JSON ("candidates", json_object_to_json_string_ext (shown, JSON_C_TO_STRING_PLAIN)));
   json_object_put (shown);
@@ -160,6 +162,27 @@
   ln_calls_run (calls, &actions);
 }
 
+static void
+log_end (const LnAttempt *attempt, LcAttemptEnd end)
+{
+  static const char *const names[] = {
+    [LC_END_WHOLE] = "whole",           [LC_END_REFUSED] = "refused",
+    [LC_END_REFUSED_LEAVING] = "gone",  [LC_END_NOT_HANDED] = "not_handed",
+    [LC_END_BROKEN] = "broken",         [LC_END_REJECTED] = "rejected",
+    [LC_END_FAILED] = "failed",
+  };
+  const LnCall *call = attempt->call;
+
+  lb_log (LB_LOG_INFO, "attempt_ended", LB_INT ("request", call->spec.id),
+          LB_TEXT ("id", call->outgoing.id),
+          LB_INT ("attempt", ln_upstream_attempt (attempt->upstream)),
+          LB_TEXT ("endpoint", ln_upstream_endpoint (attempt->upstream)),
+          LB_TEXT ("outcome", names[end]),
+          LB_INT ("status", ln_upstream_status (attempt->upstream)),
+          LB_INT ("pieces", attempt->tokens),
+          LB_INT ("took_us", lb_clock_monotonic () - attempt->sent_at));
+}
+
 /* The endpoint's own word on its load comes with its replies, so it costs no question. */
 static void
 note_load (LnCalls *calls, const LnUpstream *upstream)
@@ -195,6 +218,7 @@
   note_load (calls, upstream);
   lb_list_remove (&call->attempts, &attempt->link);
   call->ended = attempt;
+  log_end (attempt, end);
   LcRequestId id = call->spec.id;
   lc_dispatch_ended (calls->dispatch, id, ln_upstream_attempt (upstream), end,
                      lb_clock_monotonic (), &actions);
@@ -344,9 +368,10 @@
 
   if (!call)
     return;
-  log_decision (action);
+  log_decision (call, action);
   lb_metric_add (&sent, 1);
   attempt = ln_attempt_new (call);
+  attempt->sent_at = lb_clock_monotonic ();
   attempt->upstream = start_upstream (calls, attempt, action, &error);
   if (attempt->upstream)
     return;
@@ -482,6 +507,7 @@
   lb_list_init (&actions);
   call->owner = calls;
   call->submitted = true;
+  call->submitted_at = lb_clock_monotonic ();
   keep_call (calls, call);
   if (lc_dispatch_submit (calls->dispatch, &call->spec, lb_clock_monotonic (), &actions,
                           &retry_after, &error))
--- a/packages/node/src/ln-weight-orders.c
+++ b/packages/node/src/ln-weight-orders.c
@@ -25,8 +25,9 @@
 #define N_CANDIDATES 3
 #define ORDER_SILENCE (1200 * LB_MSEC) /* an order without an answer counts as lost then */
 #define LOAD_LIMIT (6 * LB_SEC)        /* several times the load of an engine on its own */
-#define FIRST_LOOK (900 * LB_MSEC)     /* after an order: a load takes that long at least */
-#define LOOK_PERIOD (200 * LB_MSEC)    /* later; what engines state is some 200 ms old */
+/* After an order: a load takes 0.9 s at least, and what engines state is some 200 ms old. */
+#define FIRST_LOOK (1100 * LB_MSEC)
+#define LOOK_PERIOD (120 * LB_MSEC)
 
 typedef struct Engine Engine;
 
@@ -62,6 +63,8 @@
 {
   LnContext *context;
   LcLease *lease;
+  LnMember *members;
+  size_t n_members;
   LbList models;
   Engine *engines;
 };
@@ -79,7 +82,7 @@
   LB_COPY (settings.instance, context->instance);
   LB_COPY (settings.incarnation, context->incarnation);
   orders->context = context;
-  orders->lease = lc_lease_new (&settings, lb_clock_monotonic (), lb_clock_wall_ms () * LB_MSEC);
+  orders->lease = lc_lease_new (&settings, lb_clock_monotonic (), lb_clock_boot ());
   lb_list_init (&orders->models);
   return orders;
 }
@@ -110,6 +113,7 @@
     free (model);
   }
   lc_lease_free (orders->lease);
+  free (orders->members);
   free (orders);
 }
 
@@ -541,6 +545,25 @@
                 && strcmp (member->name, orders->context->instance) < 0;
     }
   lc_lease_set_rank (orders->lease, before < N_CANDIDATES ? before : -1);
+  free (orders->members);
+  orders->members = lb_memdup (members->members, (members->n_members + 1) * sizeof (LnMember));
+  orders->n_members = members->n_members;
+}
+
+/* A holder that was killed and started again has a younger row under its name. */
+static void
+look_for_ended_holder (LnWeightOrders *orders, LbTime now)
+{
+  const LcLeaseRow *row = lc_lease_row (orders->lease);
+  int64_t version = lc_lease_version (orders->lease);
+
+  for (size_t i = 0; i < orders->n_members; i++)
+    {
+      const LnMember *member = &orders->members[i];
+      if (strcmp (member->name, row->holder) == 0 && member->version > version
+          && strcmp (member->incarnation, row->incarnation) != 0)
+        lc_lease_holder_ended (orders->lease, version, now);
+    }
 }
 
 /* The list lags by a second or more: an engine in a swap is asked itself, and so is one whose count
@@ -556,8 +579,9 @@
 {
   LbList actions;
 
+  look_for_ended_holder (orders, now);
   lb_list_init (&actions);
-  lc_lease_tick (orders->lease, now, lb_clock_wall_ms () * LB_MSEC, &actions);
+  lc_lease_tick (orders->lease, now, lb_clock_boot (), &actions);
   carry_out (orders, &actions);
   tick_models (orders, now);
   for (Engine *engine = orders->engines; engine; engine = engine->hh.next)
