Texts so far are kept for the next owner of a batch; a dead instance is missed sooner

Change: what has come is written once a second beside the batch's row, and with the row when an instance stops; rows of instances are renewed each 0.5 s and missed after 2.3 s. Ruled out: handing over between instances, which a cut instance can't.

--- a/packages/core/include/lc-batch.h
+++ b/packages/core/include/lc-batch.h
@@ -48,6 +48,16 @@
 
 void lc_batch_result_clear (LcBatchResult *result);
 
+/* The text so far of an item that is not done. Not owned texts. */
+typedef struct
+{
+  const char *item;
+  int64_t events;
+  const char *text;
+  const LcVersion *versions;
+  size_t n_versions;
+} LcBatchPart;
+
 typedef enum
 {
   LC_BATCH_RUN,   /* submit the item to the dispatch under the id `request` */
@@ -56,7 +66,8 @@
   /* Stop `request` and report it with lc_batch_ran and LB_ERROR_CLOSED, with the text of exactly the
    * pieces that were reported: it goes on elsewhere from there. */
   LC_BATCH_RECALL,
-  LC_BATCH_WRITE  /* write results from `position` on; answer with lc_batch_written */
+  LC_BATCH_WRITE, /* write results from `position` on; answer with lc_batch_written */
+  LC_BATCH_KEEP   /* write the texts so far, for the next owner; needs no answer */
 } LcBatchActionType;
 
 typedef struct
@@ -66,9 +77,11 @@
   LcRequestId request;
   size_t item; /* index into the spec's items */
   /* RUN */
-  int64_t resume_at;  /* events that the text so far holds */
-  const char *resume; /* the text so far; NULL: none; valid until the next command */
+  int64_t resume_at; /* events that the text so far holds */
   const char *avoid;  /* endpoint that was too slow; "": none; valid until the next command */
+  /* KEEP: items and how far each has come; valid until the next command */
+  LcBatchPart *parts;
+  size_t n_parts;
   /* WRITE: valid until lc_batch_written */
   int64_t position;
   const LcBatchResult *const *results;
@@ -106,16 +119,18 @@
 /* An earlier owner listed the item; before lc_batch_start. */
 void lc_batch_was_listed (LcBatch *batch, const char *item);
 void lc_batch_start (LcBatch *batch, LbTime now, LbList *actions);
+/* An earlier owner has come so far with the item; before lc_batch_start. */
+void lc_batch_restore (LcBatch *batch, const LcBatchPart *part);
 /* One event of a running item's text. */
-void lc_batch_piece (
-    LcBatch *batch, LcRequestId request, LcVersion version, const char *endpoint, LbTime now);
-/* The end of a run; text is taken over: the events of this run, without what it resumed from. */
-void lc_batch_ran (LcBatch *batch,
-                   LcRequestId request,
-                   LbErrorCode error,
-                   char *text,
-                   LbTime now,
-                   LbList *actions);
+void lc_batch_piece (LcBatch *batch,
+                     LcRequestId request,
+                     LcVersion version,
+                     const char *endpoint,
+                     const char *text,
+                     LbTime now);
+/* The end of a run. */
+void lc_batch_ran (
+    LcBatch *batch, LcRequestId request, LbErrorCode error, LbTime now, LbList *actions);
 void lc_batch_scored (LcBatch *batch,
                       LcRequestId request,
                       LbErrorCode error,
@@ -126,6 +141,8 @@
  * positions. */
 void lc_batch_written (LcBatch *batch, bool ok, LbTime now, LbList *actions);
 void lc_batch_tick (LcBatch *batch, LbTime now, LbList *actions);
+/* Appends a KEEP with what has come since the last one; none when there is little. */
+void lc_batch_keep (LcBatch *batch, LbTime now, LbList *actions);
 /* Ends all work; nothing is written any more. */
 void lc_batch_stop (LcBatch *batch, LbList *actions);
 
--- a/packages/core/include/lc-fleet.h
+++ b/packages/core/include/lc-fleet.h
@@ -17,6 +17,7 @@
   bool ready;
   bool draining;
   int64_t renewals; /* of the row by this incarnation */
+  LbTime period;    /* between them */
 } LcFleetRow;
 
 struct json_object *lc_fleet_row_to_json (const LcFleetRow *row);
--- a/packages/core/src/lc-batch.c
+++ b/packages/core/src/lc-batch.c
@@ -16,6 +16,10 @@
 
 /* Between looks for texts that come too slowly. */
 #define REVIEW_PERIOD (100 * LB_MSEC)
+/* Between two writes of the texts so far: what an owner that ends loses at most. */
+#define KEEP_PERIOD LB_SEC
+/* Shorter additions cost more to write than to make again. */
+#define EVENTS_TO_KEEP 8
 /* An item that was moved so often stays where it is. */
 #define MOST_MOVES 3
 /* The pace of a stream with fewer intervals between events is mostly noise. */
@@ -49,6 +53,9 @@
   int64_t score_failures;
   int retries; /* since the last progress */
   int64_t events;
+  size_t length;      /* of the text so far */
+  size_t capacity;
+  int64_t kept;       /* events at the last KEEP */
   LbTime started;     /* of the present run */
   LbTime first_piece; /* of the present run; 0: none yet */
   int64_t run_events; /* of the present run */
@@ -71,6 +78,7 @@
   size_t n_writing; /* first ones of ready */
   bool is_writing;
   LbTime next_review;
+  LbTime next_keep;
   LbTime write_at; /* a failed write is asked again */
   bool is_started;
   bool is_stopped;
@@ -99,6 +107,7 @@
 void
 lc_batch_action_free (LcBatchAction *action)
 {
+  free (action->parts);
   free (action);
 }
 
@@ -261,7 +270,6 @@
   action->request = item->request;
   action->item = index_of (batch, item);
   action->resume_at = item->events;
-  action->resume = item->result.text;
   action->avoid = item->avoid;
 }
 
@@ -276,10 +284,70 @@
   action->item = index_of (batch, item);
 }
 
+void
+lc_batch_restore (LcBatch *batch, const LcBatchPart *part)
+{
+  for (size_t i = 0; i < batch->spec.n_items; i++)
+    {
+      Item *item = &batch->items[i];
+      if (item->state != ITEM_WAITING || strcmp (batch->spec.items[i].request.id, part->item) != 0
+          || part->n_versions > LC_MAX_RESULT_VERSIONS)
+        continue;
+      item->result.text = lb_strdup (part->text);
+      item->length = strlen (part->text);
+      item->capacity = item->length + 1;
+      item->events = part->events;
+      item->kept = part->events;
+      memcpy (item->result.versions, part->versions, part->n_versions * sizeof *part->versions);
+      item->result.n_versions = part->n_versions;
+    }
+}
+
+static bool
+is_worth_keeping (const Item *item)
+{
+  return item->state == ITEM_RUNNING && !item->unusable
+         && item->events - item->kept >= EVENTS_TO_KEEP;
+}
+
+/* An owner that is killed or cut off would take all running texts with it, and the longest, on which
+ * the step waits, would begin again. The next owner goes on from what was kept. */
+void
+lc_batch_keep (LcBatch *batch, LbTime now, LbList *actions)
+{
+  LcBatchPart *parts = LB_NEW_ARRAY (LcBatchPart, MAX_RESULTS_PER_WRITE);
+  size_t bytes = 0;
+  size_t n = 0;
+
+  batch->next_keep = now + KEEP_PERIOD;
+  for (size_t i = 0; i < batch->spec.n_items && n < MAX_RESULTS_PER_WRITE; i++)
+    {
+      Item *item = &batch->items[i];
+      if (!is_worth_keeping (item) || bytes + item->length > MAX_BYTES_PER_WRITE)
+        continue;
+      bytes += item->length;
+      item->kept = item->events;
+      parts[n++] = (LcBatchPart){ .item = batch->spec.items[i].request.id,
+                                  .events = item->events,
+                                  .text = item->result.text,
+                                  .versions = item->result.versions,
+                                  .n_versions = item->result.n_versions };
+    }
+  if (n == 0)
+    {
+      free (parts);
+      return;
+    }
+  LcBatchAction *action = add_action (actions, LC_BATCH_KEEP);
+  action->parts = parts;
+  action->n_parts = n;
+}
+
 void
 lc_batch_start (LcBatch *batch, LbTime now, LbList *actions)
 {
   batch->is_started = true;
+  batch->next_keep = now + KEEP_PERIOD;
   for (size_t i = 0; i < batch->spec.n_items; i++)
     if (batch->items[i].state == ITEM_WAITING && batch->items[i].retry_at <= now)
       run (batch, &batch->items[i], now, actions);
@@ -291,6 +359,9 @@
   free (item->result.text);
   item->result.text = NULL;
   item->result.n_versions = 0;
+  item->length = 0;
+  item->capacity = 0;
+  item->kept = 0;
   item->events = 0;
   item->unusable = false;
 }
@@ -328,14 +399,37 @@
   result->versions[result->n_versions++] = version;
 }
 
+/* Each event is a line. */
+static void
+append_text (Item *item, const char *text)
+{
+  size_t length = strlen (text);
+  size_t needed = item->length + length + 2;
+
+  if (needed > item->capacity)
+    {
+      item->capacity = 2 * needed;
+      item->result.text = lb_realloc (item->result.text, item->capacity);
+    }
+  if (item->events > 0)
+    item->result.text[item->length++] = '\n';
+  memcpy (item->result.text + item->length, text, length + 1);
+  item->length += length;
+}
+
 void
-lc_batch_piece (
-    LcBatch *batch, LcRequestId request, LcVersion version, const char *endpoint, LbTime now)
+lc_batch_piece (LcBatch *batch,
+                LcRequestId request,
+                LcVersion version,
+                const char *endpoint,
+                const char *text,
+                LbTime now)
 {
   Item *item = find_request (batch, request);
 
   if (!item || item->state != ITEM_RUNNING)
     return;
+  append_text (item, text);
   item->events++;
   item->run_events++;
   item->retries = 0;
@@ -345,26 +439,6 @@
   note_version (batch, item, version);
 }
 
-/* The events of two runs of which the second went on behind the first. */
-static void
-append_text (Item *item, char *text)
-{
-  char *before = item->result.text;
-
-  if (!before || before[0] == '\0')
-    {
-      free (before);
-      item->result.text = text;
-      return;
-    }
-  if (text && text[0])
-    {
-      item->result.text = lb_asprintf ("%s\n%s", before, text);
-      free (before);
-    }
-  free (text);
-}
-
 static int64_t
 tokens_of (const LcBatch *batch, int64_t events)
 {
@@ -406,16 +480,12 @@
 
 void
 lc_batch_ran (
-    LcBatch *batch, LcRequestId request, LbErrorCode error, char *text, LbTime now, LbList *actions)
+    LcBatch *batch, LcRequestId request, LbErrorCode error, LbTime now, LbList *actions)
 {
   Item *item = find_request (batch, request);
 
   if (!item || item->state != ITEM_RUNNING)
-    {
-      free (text);
-      return;
-    }
-  append_text (item, text);
+    return;
   if (error == LB_OK)
     {
       finish_text (batch, item, now, actions);
@@ -560,6 +630,8 @@
     }
   if (now >= batch->next_review)
     move_slow_ones (batch, now, actions);
+  if (now >= batch->next_keep)
+    lc_batch_keep (batch, now, actions);
   if (now >= batch->write_at)
     write_ready (batch, actions);
 }
--- a/packages/core/src/lc-fleet.c
+++ b/packages/core/src/lc-fleet.c
@@ -8,8 +8,11 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Rows are renewed every second; three missed renewals and the time of a list. */
-#define SILENCE (3200 * LB_MSEC)
+/* Renewals that an instance may miss, and the time of a list: answers of the store may be lost, and
+ * then the next renewal shows the row. */
+#define MISSED_RENEWALS 4
+#define LIST_TIME (300 * LB_MSEC)
+#define DEFAULT_PERIOD LB_SEC
 /* Lists come more often than this; a longer gap means that the store was away, and nobody could
  * renew its row. */
 #define AWAY (1500 * LB_MSEC)
@@ -35,6 +38,7 @@
   json_object_object_add (object, "ready", json_object_new_boolean (row->ready));
   json_object_object_add (object, "draining", json_object_new_boolean (row->draining));
   json_object_object_add (object, "renewals", json_object_new_int64 (row->renewals));
+  json_object_object_add (object, "period_ms", json_object_new_int64 (row->period / LB_MSEC));
   return object;
 }
 
@@ -49,6 +53,7 @@
   row->ready = lb_json_bool (object, "ready", false);
   row->draining = lb_json_bool (object, "draining", false);
   row->renewals = lb_json_int (object, "renewals", 0);
+  row->period = lb_json_int (object, "period_ms", DEFAULT_PERIOD / LB_MSEC) * LB_MSEC;
   return row->name[0] && row->incarnation[0] && row->caller_address[0];
 }
 
@@ -143,7 +148,7 @@
     {
       LcFleetMember *member = &fleet->members[i];
       bool is_self = strcmp (member->row.name, fleet->self) == 0;
-      bool alive = is_self || now - member->renewed_at < SILENCE;
+      bool alive = is_self || now - member->renewed_at < member->row.period * MISSED_RENEWALS + LIST_TIME;
       if (alive != member->alive)
         {
           lb_log (LB_LOG_INFO, alive ? "instance_alive" : "instance_lost",
--- a/packages/node/include/ln-messages.h
+++ b/packages/node/include/ln-messages.h
@@ -69,6 +69,7 @@
   LcRequestId request;
   LcPiece piece;
   LbName endpoint;
+  char *text; /* owned; in a dialect only: NULL else */
 } LnSamplePieceMessage;
 
 typedef struct
--- a/packages/node/src/ln-batch-calls.c
+++ b/packages/node/src/ln-batch-calls.c
@@ -127,6 +127,7 @@
 {
   LnBatches *batches = call->batches;
   LnBatch *batch = ln_batches_ensure (batches, call->id);
+  const LnBatchPast nothing = { 0 };
 
   lb_metric_add (&accepted, 1);
   lb_log (LB_LOG_INFO, "batch_accepted", LB_TEXT ("batch", call->id),
@@ -139,7 +140,7 @@
   if (batch->held != LN_HELD_NOT || batch->version != version
       || ln_batch_heads_offer (batch, lb_clock_monotonic ()))
     return;
-  ln_batch_owner_run (batch, &call->spec, 0, NULL);
+  ln_batch_owner_run (batch, &call->spec, &nothing);
   if (batches->draining)
     ln_batch_heads_release (batch);
 }
--- a/packages/node/src/ln-batch-heads.c
+++ b/packages/node/src/ln-batch-heads.c
@@ -16,6 +16,7 @@
  * parts because each takes a bounded number of writes a second. */
 #define N_PARTS 16
 #define TABLE "head"
+#define MAX_PUTS 60
 #define WATCH_WAIT                                                                                 \
   (800 * LB_MSEC) /* an end must reach the owner within 3 s, also over a silent                    \
                    * connection, which is found after this wait */
@@ -42,6 +43,12 @@
   snprintf (key, LN_BATCH_KEY_SIZE, "result/%02x/%s:", part_of (id), id);
 }
 
+void
+ln_batch_part_prefix (const char *id, char *key)
+{
+  snprintf (key, LN_BATCH_KEY_SIZE, "part/%02x/%s:", part_of (id), id);
+}
+
 static bool
 is_ours (const LnBatch *batch)
 {
@@ -209,18 +216,28 @@
   ln_batch_heads_review (batch);
 }
 
-/* Writes the row with another owner under the condition that it is as this instance knows it. */
+/* Writes the row with another owner, and further rows beside it, under the condition that it is as
+ * this instance knows it. */
 static void
-write_head (LnBatch *batch, const LcBatchHead *head, LpTransactDone done)
+write_rows (LnBatch *batch,
+            const LcBatchHead *head,
+            const LpPut *more,
+            size_t n_more,
+            LpTransactDone done)
 {
   LpPlatform *platform = batch->batches->context->platform;
   struct json_object *object = lc_batch_head_to_json (head);
   char key[LN_BATCH_KEY_SIZE];
   const LpCondition condition = { .key = key, .version = batch->version };
-  const LpPut put = { .key = key, .value = json_object_to_json_string (object) };
-  const LpTransaction transaction
-      = { .token = "", .conditions = &condition, .n_conditions = 1, .puts = &put, .n_puts = 1 };
-
+  LpPut puts[MAX_PUTS + 1] = { { .key = key, .value = json_object_to_json_string (object) } };
+  const LpTransaction transaction = { .token = "",
+                                      .conditions = &condition,
+                                      .n_conditions = 1,
+                                      .puts = puts,
+                                      .n_puts = n_more + 1 };
+
+  for (size_t i = 0; i < n_more; i++)
+    puts[i + 1] = more[i];
   ln_batch_head_key (batch->id, key);
   platform->klass->transact (platform, &transaction, LP_PRIORITY_LEDGER, done, batch);
   json_object_put (object);
@@ -236,7 +253,7 @@
   LB_COPY (head.owner, batch->batches->context->instance);
   LB_COPY (head.incarnation, batch->batches->context->incarnation);
   batch->written = head;
-  write_head (batch, &head, on_taken);
+  write_rows (batch, &head, NULL, 0, on_taken);
 }
 
 /* A batch whose owner is gone is run by the next instance in the order of this batch. An owner that
@@ -273,20 +290,35 @@
   batch->held = LN_HELD_NOT;
 }
 
-/* This instance stops: another one shall not wait until it is missed. */
+/* This instance stops: another one shall not wait until it is missed, and gets the texts so far. */
 void
 ln_batch_heads_release (LnBatch *batch)
 {
   LcBatchHead head = batch->head;
 
+  LpPut puts[MAX_PUTS];
+  size_t n = 0;
+  LbList actions;
+  LbLink *link;
+
   if (!is_held (batch))
     return;
+  lb_list_init (&actions);
+  if (batch->run)
+    lc_batch_keep (batch->run, lb_clock_monotonic (), &actions);
+  while ((link = lb_list_pop (&actions)))
+    {
+      LcBatchAction *action = LB_CONTAINER (link, LcBatchAction, link);
+      n = ln_batch_owner_puts (batch, action, puts, MAX_PUTS);
+      lc_batch_action_free (action);
+    }
   ln_batch_owner_stop (batch);
   batch->held = LN_HELD_RELEASING;
   LB_COPY (head.owner, "");
   LB_COPY (head.incarnation, "");
   batch->written = head;
-  write_head (batch, &head, on_released);
+  write_rows (batch, &head, puts, n, on_released);
+  ln_batch_owner_clear_puts (puts, n);
 }
 
 /* An instance that was killed a moment ago is still taken for alive: whoever accepted the batch runs
--- a/packages/node/src/ln-batch-owner.c
+++ b/packages/node/src/ln-batch-owner.c
@@ -18,6 +18,7 @@
 #define DEFAULT_EVENTS 8        /* of a text whose length nobody estimated */
 #define SCORE_TIME (2 * LB_SEC) /* for a scorer whose route states no time */
 #define MAX_PUTS 64
+#define MAX_ROW_BYTES (60 << 10) /* the store takes 64 KiB; the rest is its frame */
 
 static LbMetric listed = LB_COUNTER_INIT ("lentilspindle_batch_results_total",
                                           NULL,
@@ -333,6 +334,82 @@
     }
 }
 
+static char *
+part_to_text (const LcBatchPart *part)
+{
+  struct json_object *object = json_object_new_object ();
+  struct json_object *versions = json_object_new_array ();
+
+  for (size_t i = 0; i < part->n_versions; i++)
+    json_object_array_add (versions, json_object_new_int64 (part->versions[i]));
+  json_object_object_add (object, "item", json_object_new_string (part->item));
+  json_object_object_add (object, "events", json_object_new_int64 (part->events));
+  json_object_object_add (object, "versions", versions);
+  json_object_object_add (object, "text", json_object_new_string (part->text));
+  char *text = lb_strdup (json_object_to_json_string_ext (
+      object, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE));
+  json_object_put (object);
+  return text;
+}
+
+size_t
+ln_batch_owner_puts (const LnBatch *batch, const LcBatchAction *action, LpPut *puts, size_t max)
+{
+  char prefix[LN_BATCH_KEY_SIZE];
+  size_t n = 0;
+
+  ln_batch_part_prefix (batch->id, prefix);
+  for (size_t i = 0; i < action->n_parts && n < max; i++)
+    {
+      char *value = part_to_text (&action->parts[i]);
+      if (strlen (value) > MAX_ROW_BYTES)
+        {
+          free (value);
+          continue;
+        }
+      puts[n].key = lb_asprintf ("%s%s", prefix, action->parts[i].item);
+      puts[n++].value = value;
+    }
+  return n;
+}
+
+void
+ln_batch_owner_clear_puts (LpPut *puts, size_t n)
+{
+  for (size_t i = 0; i < n; i++)
+    {
+      free ((char *)puts[i].key);
+      free ((char *)puts[i].value);
+    }
+}
+
+/* The texts so far are a convenience: a write that fails is made good by the next. */
+static void
+on_kept (LbErrorCode error, const LpRow *row, void *user)
+{
+  (void)row;
+  (void)user;
+  if (error != LB_OK)
+    lb_log (LB_LOG_DEBUG, "texts_not_kept", LB_TEXT ("error", lb_error_name (error)));
+}
+
+static void
+keep_parts (LnBatch *batch, const LcBatchAction *action)
+{
+  LpPlatform *platform = batch->batches->context->platform;
+  char head[LN_BATCH_KEY_SIZE];
+  LpPut puts[MAX_PUTS];
+  size_t n = ln_batch_owner_puts (batch, action, puts, MAX_PUTS);
+  const LpCondition condition = { .key = head, .version = batch->version };
+  const LpTransaction transaction
+      = { .token = "", .conditions = &condition, .n_conditions = 1, .puts = puts, .n_puts = n };
+
+  ln_batch_head_key (batch->id, head);
+  if (n > 0)
+    platform->klass->transact (platform, &transaction, LP_PRIORITY_STATUS, on_kept, batch);
+  ln_batch_owner_clear_puts (puts, n);
+}
+
 static void
 carry_out (LnBatch *batch, LbList *actions)
 {
@@ -355,6 +432,9 @@
         case LC_BATCH_RECALL:
           recall_request (batch, action->request);
           break;
+        case LC_BATCH_KEEP:
+          keep_parts (batch, action);
+          break;
         case LC_BATCH_WRITE:
           write_results (batch, action);
           break;
@@ -372,7 +452,7 @@
 }
 
 void
-ln_batch_owner_run (LnBatch *batch, LcBatchSpec *spec, size_t n_listed, const LbName *names)
+ln_batch_owner_run (LnBatch *batch, LcBatchSpec *spec, const LnBatchPast *past)
 {
   const LcRoute *route = route_of (batch);
   LcBatchSettings settings = { .history = ln_batches_history (batch->batches, spec->model),
@@ -391,11 +471,13 @@
   lb_log (LB_LOG_INFO, "batch_running", LB_TEXT ("batch", batch->id),
           LB_TEXT ("model", spec->model), LB_INT ("step", spec->step),
           LB_INT ("min_version", spec->min_version), LB_INT ("items", spec->n_items),
-          LB_INT ("listed", n_listed), LB_INT ("epoch", batch->head.epoch));
+          LB_INT ("listed", past->n_listed), LB_INT ("begun", past->n_parts), LB_INT ("epoch", batch->head.epoch));
   batch->held = LN_HELD_RUNNING;
   batch->run = lc_batch_new (spec, &settings);
-  for (size_t i = 0; i < n_listed; i++)
-    lc_batch_was_listed (batch->run, names[i]);
+  for (size_t i = 0; i < past->n_listed; i++)
+    lc_batch_was_listed (batch->run, past->listed[i]);
+  for (size_t i = 0; i < past->n_parts; i++)
+    lc_batch_restore (batch->run, &past->parts[i]);
   lb_list_init (&actions);
   lc_batch_start (batch->run, lb_clock_monotonic (), &actions);
   carry_out (batch, &actions);
@@ -424,18 +506,34 @@
   batch->run = NULL;
 }
 
-/* What is read of a batch that was taken over: first its content, then what is listed. */
+/* What is read of a batch that was taken over: its content, then what is listed, then the texts that
+ * the owner before had begun. */
 typedef struct
 {
   LnBatch *batch;
   int64_t epoch;
   LcBatchSpec spec;
+  LnBatchPast past;
 } Loading;
 
+static void
+past_clear (LnBatchPast *past)
+{
+  for (size_t i = 0; i < past->n_parts; i++)
+    {
+      free ((char *)past->parts[i].item);
+      free ((char *)past->parts[i].text);
+      free ((LcVersion *)past->parts[i].versions);
+    }
+  free (past->parts);
+  free (past->listed);
+}
+
 static void
 loading_free (Loading *loading)
 {
   lc_batch_spec_clear (&loading->spec);
+  past_clear (&loading->past);
   free (loading);
 }
 
@@ -454,12 +552,59 @@
   loading_free (loading);
 }
 
+static bool
+part_from_row (const LpRow *row, LcBatchPart *part)
+{
+  struct json_object *object = row->value ? json_tokener_parse (row->value) : NULL;
+  struct json_object *versions = lb_json_member (object, "versions");
+  size_t n
+      = json_object_is_type (versions, json_type_array) ? json_object_array_length (versions) : 0;
+  LcVersion *numbers = LB_NEW_ARRAY (LcVersion, n + 1);
+
+  for (size_t i = 0; i < n; i++)
+    numbers[i] = json_object_get_int64 (json_object_array_get_idx (versions, i));
+  *part = (LcBatchPart){ .item = lb_strdup (lb_json_text (object, "item", "")),
+                         .events = lb_json_int (object, "events", 0),
+                         .text = lb_strdup (lb_json_text (object, "text", "")),
+                         .versions = numbers,
+                         .n_versions = n };
+  json_object_put (object);
+  return part->item[0] && part->events > 0 && n > 0;
+}
+
+static void
+on_parts (LbErrorCode error, const LpRow *rows, size_t n_rows, int64_t version, void *user)
+{
+  (void)version;
+  Loading *loading = user;
+  LnBatchPast *past = &loading->past;
+
+  if (is_outdated (loading))
+    {
+      loading_free (loading);
+      return;
+    }
+  if (error != LB_OK)
+    {
+      load_again (loading, error);
+      return;
+    }
+  past->parts = LB_NEW_ARRAY (LcBatchPart, n_rows + 1);
+  for (size_t i = 0; i < n_rows; i++)
+    if (!part_from_row (&rows[i], &past->parts[past->n_parts++]))
+      lb_log (LB_LOG_WARNING, "text_so_far_unreadable", LB_TEXT ("key", rows[i].key));
+  ln_batch_owner_run (loading->batch, &loading->spec, past);
+  loading_free (loading);
+}
+
 static void
 on_results_listed (LbErrorCode error, const LpRow *rows, size_t n_rows, int64_t version, void *user)
 {
   (void)version;
   Loading *loading = user;
-  LbName *names = NULL;
+  LpPlatform *platform = loading->batch->batches->context->platform;
+  LnBatchPast *past = &loading->past;
+  char prefix[LN_BATCH_KEY_SIZE];
 
   if (is_outdated (loading))
     {
@@ -471,17 +616,16 @@
       load_again (loading, error);
       return;
     }
-  names = LB_NEW_ARRAY (LbName, n_rows + 1);
+  past->listed = LB_NEW_ARRAY (LbName, n_rows + 1);
   for (size_t i = 0; i < n_rows; i++)
     {
       LcBatchResult result;
       ln_batch_result_from_row (&rows[i], &result);
-      lb_strlcpy (names[i], result.item, LB_NAME_MAX);
+      lb_strlcpy (past->listed[past->n_listed++], result.item, LB_NAME_MAX);
       lc_batch_result_clear (&result);
     }
-  ln_batch_owner_run (loading->batch, &loading->spec, n_rows, names);
-  free (names);
-  loading_free (loading);
+  ln_batch_part_prefix (loading->batch->id, prefix);
+  platform->klass->list (platform, prefix, NULL, 0, on_parts, loading);
 }
 
 static void
@@ -547,7 +691,8 @@
 
   if (request && request->batch->run)
     lc_batch_piece (request->batch->run, message->request, message->piece.version,
-                    message->endpoint, lb_clock_monotonic ());
+                    message->endpoint, message->text ? message->text : "",
+                    lb_clock_monotonic ());
 }
 
 void
@@ -569,7 +714,6 @@
     lc_batch_scored (batch->run, message->request, message->error,
                      message->text ? message->text : "", now, &actions);
   else
-    lc_batch_ran (batch->run, message->request, message->error,
-                  message->text ? lb_strdup (message->text) : NULL, now, &actions);
+    lc_batch_ran (batch->run, message->request, message->error, now, &actions);
   carry_out (batch, &actions);
 }
--- a/packages/node/src/ln-batches-private.h
+++ b/packages/node/src/ln-batches-private.h
@@ -7,6 +7,8 @@
 #include "ln-dialect.h"
 #include "ln-messages.h"
 
+#include "lp-platform.h"
+
 #include <event2/util.h>
 #include <uthash.h>
 
@@ -44,6 +46,15 @@
   UT_hash_handle hh;
 } LnBatch;
 
+/* What earlier owners of a batch left. */
+typedef struct
+{
+  LbName *listed; /* items, by position */
+  size_t n_listed;
+  LcBatchPart *parts;
+  size_t n_parts;
+} LnBatchPast;
+
 /* A request of the dispatch on behalf of an item. */
 typedef struct
 {
@@ -96,12 +107,19 @@
 
 /* ln-batch-owner.c: running what is owned */
 void ln_batch_owner_load (LnBatch *batch);
-void ln_batch_owner_run (LnBatch *batch, LcBatchSpec *spec, size_t n_listed, const LbName *listed);
+void ln_batch_owner_run (LnBatch *batch, LcBatchSpec *spec, const LnBatchPast *past);
+/* Rows for the parts of a KEEP; returns how many. Cleared by ln_batch_owner_clear_puts. */
+size_t ln_batch_owner_puts (const LnBatch *batch,
+                            const LcBatchAction *action,
+                            LpPut *puts,
+                            size_t max);
+void ln_batch_owner_clear_puts (LpPut *puts, size_t n);
 void ln_batch_owner_stop (LnBatch *batch);
 void ln_batch_owner_tick (LnBatch *batch, LbTime now);
 void ln_batch_owner_piece (LnBatches *batches, const LnSamplePieceMessage *message);
 void ln_batch_owner_done (LnBatches *batches, const LnSampleDoneMessage *message);
 void ln_batch_result_prefix (const char *id, char *key);
+void ln_batch_part_prefix (const char *id, char *key);
 bool ln_batch_result_from_row (const LpRow *row, LcBatchResult *result);
 
 /* ln-batch-calls.c: callers' requests about batches */
--- a/packages/node/src/ln-call.c
+++ b/packages/node/src/ln-call.c
@@ -82,14 +82,6 @@
   return lb_strdup (json_object_to_json_string_ext (call->body, JSON_FORMAT));
 }
 
-void
-ln_call_add_text (LnCall *call, const char *text)
-{
-  if (call->outgoing.path && evbuffer_get_length (call->text) > 0)
-    evbuffer_add (call->text, "\n", 1);
-  evbuffer_add (call->text, text, strlen (text));
-}
-
 LnAttempt *
 ln_attempt_new (LnCall *call)
 {
--- a/packages/node/src/ln-call.h
+++ b/packages/node/src/ln-call.h
@@ -76,8 +76,6 @@
 /* The JSON for one attempt at an engine; the caller frees it. */
 char *ln_call_engine_body (LnCall *call, const char *stream_id, int64_t resume_at);
 
-/* One more piece of a stream's text; in a dialect each piece is a line. */
-void ln_call_add_text (LnCall *call, const char *text);
 bool ln_call_is_hop_header (const char *name);
 
 LnAttempt *ln_attempt_new (LnCall *call);
--- a/packages/node/src/ln-calls-run.c
+++ b/packages/node/src/ln-calls-run.c
@@ -104,12 +104,24 @@
 }
 
 static void
-post_piece (LnCalls *calls, LnCall *call, const LcPiece *piece, const char *endpoint)
+clear_piece (LnMessage *message)
+{
+  free (((LnSamplePieceMessage *)message)->text);
+}
+
+static void
+post_piece (LnCalls *calls,
+            const LnCall *call,
+            const LcPiece *piece,
+            const char *endpoint,
+            const char *text)
 {
   LnSamplePieceMessage message
       = { .base = LN_MESSAGE (LN_SAMPLE_PIECE), .request = call->spec.id, .piece = *piece };
 
   LB_COPY (message.endpoint, endpoint);
+  message.text = calls->context->dialect ? lb_strdup (text) : NULL;
+  message.base.clear = clear_piece;
   LN_POST (calls->task.hub, ln_hub_find (calls->task.hub, "rollouts"), message);
 }
 
@@ -152,12 +164,12 @@
   else
     {
       ln_attempt_add (attempt, piece, event, text);
-      if (call->spec.delivery == LC_DELIVER_STREAM)
-        ln_call_add_text (call, text);
+      if (call->spec.delivery == LC_DELIVER_STREAM && !calls->context->dialect)
+        evbuffer_add (call->text, text, strlen (text));
       if (call->wants_stream)
         ln_call_forward (call, event, ln_upstream_endpoint (upstream));
       else if (call->kind == LN_CALL_SAMPLE && call->spec.delivery == LC_DELIVER_STREAM)
-        post_piece (calls, call, piece, ln_upstream_endpoint (upstream));
+        post_piece (calls, call, piece, ln_upstream_endpoint (upstream), text);
     }
   ln_calls_run (calls, &actions);
 }
@@ -430,7 +442,7 @@
     {
       text = winner->text;
       for (size_t i = 0; i < winner->n_pieces; i++)
-        post_piece (calls, call, &winner->pieces[i], ln_upstream_endpoint (winner->upstream));
+        post_piece (calls, call, &winner->pieces[i], ln_upstream_endpoint (winner->upstream), "");
     }
   ln_calls_post_done (calls, call->spec.id, code, copy_text (text));
 }
--- a/packages/node/src/ln-fleet.c
+++ b/packages/node/src/ln-fleet.c
@@ -16,8 +16,13 @@
 #include <string.h>
 
 #define TICK (100 * LB_MSEC)
-#define RENEW_PERIOD LB_SEC
-#define LIST_PERIOD (700 * LB_MSEC)
+/* Batches of an instance that died wait until it is missed, four renewals later. Renewals and lists of
+ * all instances together stay within a bounded number of calls a second. */
+#define RENEW_PERIOD (500 * LB_MSEC)
+#define RENEW_PERIOD_PER_INSTANCE (8 * LB_MSEC)
+#define LIST_PERIOD (350 * LB_MSEC)
+#define LIST_PERIOD_PER_INSTANCE (6 * LB_MSEC)
+#define MAX_RENEWALS_ON_THEIR_WAY 3
 #define ROWS "instance//"
 #define MAX_ENTRY_ADDRESSES 64
 #define RETRY_WITHOUT_ADDRESS (300 * LB_MSEC)
@@ -31,8 +36,7 @@
   struct event *timer;
   LcFleet *fleet;
   LcFleetRow own;
-  bool renewing;
-  bool renew_again; /* the row has changed while it was being written */
+  int renewing; /* renewals on their way */
   LbTime next_renewal;
   bool listing;
   LbTime next_list;
@@ -93,19 +97,23 @@
     publish (task);
 }
 
-static void renew (Fleet *task, LbTime now);
+static LbTime
+longer (LbTime a, LbTime b)
+{
+  return a > b ? a : b;
+}
 
+/* A renewal whose answer was lost holds up no later one: they may come in any order, since each only
+ * shows that this instance lives. */
 static void
 on_renewed (LbErrorCode error, const LpRow *row, void *user)
 {
   (void)row;
   Fleet *task = user;
 
-  task->renewing = false;
+  task->renewing--;
   if (error != LB_OK)
     lb_log (LB_LOG_WARNING, "instance_not_renewed", LB_TEXT ("error", lb_error_name (error)));
-  if (task->renew_again)
-    renew (task, lb_clock_monotonic ());
 }
 
 static void
@@ -114,12 +122,13 @@
   LpPlatform *platform = task->context->platform;
   struct json_object *object = NULL;
   char key[LB_NAME_MAX + sizeof ROWS];
+  LbTime n = (LbTime)lc_fleet_count (task->fleet);
 
-  task->renew_again = task->renewing;
-  if (task->renewing)
+  if (task->renewing >= MAX_RENEWALS_ON_THEIR_WAY)
     return;
-  task->renewing = true;
-  task->next_renewal = now + RENEW_PERIOD;
+  task->renewing++;
+  task->own.period = longer (RENEW_PERIOD, n * RENEW_PERIOD_PER_INSTANCE);
+  task->next_renewal = now + task->own.period;
   task->own.renewals++;
   object = lc_fleet_row_to_json (&task->own);
   snprintf (key, sizeof key, ROWS "%s", task->own.name);
@@ -143,7 +152,8 @@
   if (task->listing || now < task->next_list)
     return;
   task->listing = true;
-  task->next_list = now + LIST_PERIOD;
+  task->next_list
+      = now + longer (LIST_PERIOD, (LbTime)lc_fleet_count (task->fleet) * LIST_PERIOD_PER_INSTANCE);
   platform->klass->list (platform, ROWS, NULL, 0, on_list, task);
 }
 
