The lease holder tells versions and loads of engines through a watched row

Cause: an engine's own entry shows a load one to two seconds late, and nobody but the lease holder knew that an engine was loading, so requests went there and came back.

--- a/packages/core/include/lc-engine-plan.h
+++ b/packages/core/include/lc-engine-plan.h
@@ -13,6 +13,8 @@
 {
   LbName engine;
   LbName model;
+  LcVersion version; /* that it has of the model, as the planning instance knows; 0: not known */
+  bool loading;      /* it was ordered to load, and takes no new requests meanwhile */
 } LcPlanEntry;
 
 typedef struct
@@ -24,7 +26,12 @@
 void lc_engine_plan_clear (LcEnginePlan *plan);
 void lc_engine_plan_copy (LcEnginePlan *target, const LcEnginePlan *source);
 /* NULL: the plan does not name the engine. */
-const char *lc_engine_plan_model (const LcEnginePlan *plan, const char *engine);
+const LcPlanEntry *lc_engine_plan_find (const LcEnginePlan *plan, const char *engine);
+/* Notes what became of an engine; true when that is news. */
+bool lc_engine_plan_note (LcEnginePlan *plan, const LcPlanEntry *entry);
+/* Takes out engines that are not among these. */
+bool lc_engine_plan_retain (LcEnginePlan *plan, const LcPlanEntry *engines, size_t n_engines);
+bool lc_engine_plan_is_same (const LcEnginePlan *a, const LcEnginePlan *b);
 struct json_object *lc_engine_plan_to_json (const LcEnginePlan *plan);
 bool lc_engine_plan_from_json (struct json_object *object, LcEnginePlan *plan);
 
--- a/packages/core/include/lc-roster.h
+++ b/packages/core/include/lc-roster.h
@@ -47,7 +47,8 @@
 const LcListed *lc_roster_find (const LcRoster *roster, const char *name);
 /* The model that the engine is used for; "" for a plain service. */
 const char *lc_roster_model (const LcRoster *roster, size_t index);
-/* The version that the engine has of the model it is used for; 0: none. */
+/* The version that the engine has of the model it is used for, by the list or by the plan, whichever
+ * knows of the later one; 0: none. */
 LcVersion lc_roster_version (const LcRoster *roster, size_t index);
 /* A pool for each model and each endpoint in its pool. */
 LcResourceSet *lc_roster_resources (const LcRoster *roster, int64_t revision);
--- a/packages/core/src/lc-engine-plan.c
+++ b/packages/core/src/lc-engine-plan.c
@@ -29,45 +29,104 @@
   target->entries = lb_memdup (source->entries, source->n_entries * sizeof *source->entries);
 }
 
-const char *
-lc_engine_plan_model (const LcEnginePlan *plan, const char *engine)
+const LcPlanEntry *
+lc_engine_plan_find (const LcEnginePlan *plan, const char *engine)
 {
   for (size_t i = 0; i < plan->n_entries; i++)
     if (strcmp (plan->entries[i].engine, engine) == 0)
-      return plan->entries[i].model;
+      return &plan->entries[i];
   return NULL;
 }
 
+static bool
+is_same_entry (const LcPlanEntry *a, const LcPlanEntry *b)
+{
+  return strcmp (a->engine, b->engine) == 0 && strcmp (a->model, b->model) == 0
+         && a->version == b->version && a->loading == b->loading;
+}
+
+bool
+lc_engine_plan_note (LcEnginePlan *plan, const LcPlanEntry *entry)
+{
+  for (size_t i = 0; i < plan->n_entries; i++)
+    {
+      LcPlanEntry *known = &plan->entries[i];
+      if (strcmp (known->engine, entry->engine) != 0)
+        continue;
+      bool changed = !is_same_entry (known, entry);
+      *known = *entry;
+      return changed;
+    }
+  plan->entries = lb_realloc (plan->entries, (plan->n_entries + 1) * sizeof *plan->entries);
+  plan->entries[plan->n_entries++] = *entry;
+  return true;
+}
+
+static bool
+is_among (const LcPlanEntry *entry, const LcPlanEntry *engines, size_t n_engines)
+{
+  for (size_t i = 0; i < n_engines; i++)
+    if (strcmp (engines[i].engine, entry->engine) == 0)
+      return true;
+  return false;
+}
+
+bool
+lc_engine_plan_retain (LcEnginePlan *plan, const LcPlanEntry *engines, size_t n_engines)
+{
+  size_t before = plan->n_entries;
+
+  for (size_t i = plan->n_entries; i-- > 0;)
+    if (!is_among (&plan->entries[i], engines, n_engines))
+      plan->entries[i] = plan->entries[--plan->n_entries];
+  return plan->n_entries != before;
+}
+
+bool
+lc_engine_plan_is_same (const LcEnginePlan *a, const LcEnginePlan *b)
+{
+  if (a->n_entries != b->n_entries)
+    return false;
+  for (size_t i = 0; i < a->n_entries; i++)
+    {
+      const LcPlanEntry *other = lc_engine_plan_find (b, a->entries[i].engine);
+      if (!other || !is_same_entry (&a->entries[i], other))
+        return false;
+    }
+  return true;
+}
+
 struct json_object *
 lc_engine_plan_to_json (const LcEnginePlan *plan)
 {
   struct json_object *object = json_object_new_object ();
 
   for (size_t i = 0; i < plan->n_entries; i++)
-    json_object_object_add (object, plan->entries[i].engine,
-                            json_object_new_string (plan->entries[i].model));
+    {
+      const LcPlanEntry *entry = &plan->entries[i];
+      struct json_object *item = json_object_new_object ();
+      json_object_object_add (item, "model", json_object_new_string (entry->model));
+      json_object_object_add (item, "version", json_object_new_int64 (entry->version));
+      json_object_object_add (item, "loading", json_object_new_boolean (entry->loading));
+      json_object_object_add (object, entry->engine, item);
+    }
   return object;
 }
 
-static void
-add_entry (LcEnginePlan *plan, const char *engine, const char *model)
-{
-  plan->entries = lb_realloc (plan->entries, (plan->n_entries + 1) * sizeof *plan->entries);
-  LcPlanEntry *entry = &plan->entries[plan->n_entries++];
-  LB_COPY (entry->engine, engine);
-  LB_COPY (entry->model, model);
-}
-
 bool
 lc_engine_plan_from_json (struct json_object *object, LcEnginePlan *plan)
 {
   memset (plan, 0, sizeof *plan);
   if (!json_object_is_type (object, json_type_object))
     return false;
-  json_object_object_foreach (object, engine, model)
+  json_object_object_foreach (object, engine, item)
   {
-    if (json_object_is_type (model, json_type_string))
-      add_entry (plan, engine, json_object_get_string (model));
+    LcPlanEntry entry = { .version = lb_json_int (item, "version", 0),
+                          .loading = lb_json_bool (item, "loading", false) };
+    LB_COPY (entry.engine, engine);
+    LB_COPY (entry.model, lb_json_text (item, "model", ""));
+    if (entry.model[0])
+      lc_engine_plan_note (plan, &entry);
   }
   return true;
 }
@@ -214,18 +273,23 @@
       }
 }
 
+/* What is known of weights does not hold for another model. */
 static bool
-is_same (const LcEnginePlan *plan, const LcPlanEntry *engines, size_t n_engines)
+apply (LcEnginePlan *plan, const LcPlanEntry *engines, size_t n_engines)
 {
-  if (plan->n_entries != n_engines)
-    return false;
+  bool changed = lc_engine_plan_retain (plan, engines, n_engines);
+
   for (size_t i = 0; i < n_engines; i++)
     {
-      const char *model = lc_engine_plan_model (plan, engines[i].engine);
-      if (!model || strcmp (model, engines[i].model) != 0)
-        return false;
+      const LcPlanEntry *known = lc_engine_plan_find (plan, engines[i].engine);
+      LcPlanEntry entry = { .version = 0 };
+      if (known && strcmp (known->model, engines[i].model) == 0)
+        continue;
+      LB_COPY (entry.engine, engines[i].engine);
+      LB_COPY (entry.model, engines[i].model);
+      changed |= lc_engine_plan_note (plan, &entry);
     }
-  return true;
+  return changed;
 }
 
 bool
@@ -241,31 +305,26 @@
   LcPlanEntry *wanted = lb_memdup (engines, (n_engines + 1) * sizeof *engines);
   size_t to = 0;
   size_t from = 0;
-  bool changed = false;
 
-  if (n_models < 2 || n_engines <= n_models
-      || !fill_shares (shares, models, n_models, n_engines, demand, now))
-    goto out;
-  for (size_t i = 0; i < n_engines; i++)
-    {
-      size_t model = find_share (shares, n_models, engines[i].model);
-      if (model < n_models)
-        shares[model].has++;
-    }
-  while (find_move (shares, n_models, &to, &from))
-    {
-      move_one (wanted, n_engines, shares[from].name, shares[to].name);
-      shares[from].has--;
-      shares[to].has++;
-    }
-  changed = !is_same (plan, wanted, n_engines);
-  if (changed)
+  for (size_t i = 0; i < n_models; i++)
+    shares[i].name = models[i];
+  if (n_models > 1 && n_engines > n_models
+      && fill_shares (shares, models, n_models, n_engines, demand, now))
     {
-      lc_engine_plan_clear (plan);
       for (size_t i = 0; i < n_engines; i++)
-        add_entry (plan, wanted[i].engine, wanted[i].model);
+        {
+          size_t model = find_share (shares, n_models, engines[i].model);
+          if (model < n_models)
+            shares[model].has++;
+        }
+      while (find_move (shares, n_models, &to, &from))
+        {
+          move_one (wanted, n_engines, shares[from].name, shares[to].name);
+          shares[from].has--;
+          shares[to].has++;
+        }
     }
-out:
+  bool changed = apply (plan, wanted, n_engines);
   free (wanted);
   free (shares);
   return changed;
--- a/packages/core/src/lc-roster.c
+++ b/packages/core/src/lc-roster.c
@@ -160,10 +160,10 @@
 static bool
 take_planned (const LcRoster *roster, Entry *entry)
 {
-  const char *planned = lc_engine_plan_model (&roster->plan, entry->listed.name);
+  const LcPlanEntry *planned = lc_engine_plan_find (&roster->plan, entry->listed.name);
 
   for (size_t model = 0; planned && model < entry->listed.n_models; model++)
-    if (strcmp (entry->listed.models[model].name, planned) == 0)
+    if (strcmp (entry->listed.models[model].name, planned->model) == 0)
       {
         entry->model = model;
         return true;
@@ -278,7 +278,12 @@
 {
   const Entry *entry = &roster->entries[index];
 
-  return entry->listed.n_models > 0 ? entry->listed.models[entry->model].version : 0;
+  const LcPlanEntry *planned = lc_engine_plan_find (&roster->plan, entry->listed.name);
+  LcVersion listed
+      = entry->listed.n_models > 0 ? entry->listed.models[entry->model].version : 0;
+  bool is_told = planned && strcmp (planned->model, lc_roster_model (roster, index)) == 0;
+
+  return is_told && planned->version > listed ? planned->version : listed;
 }
 
 static void
--- a/packages/node/src/ln-desired.c
+++ b/packages/node/src/ln-desired.c
@@ -23,6 +23,8 @@
 /* Each list costs every instance one call; an endpoint that leaves gets no new work 2 s after it
  * said so, which this leaves time to spare for. */
 #define LIST_PERIOD (400 * LB_MSEC)
+/* After it an engine is taken to have loaded, or failed to, unless it is said to be loading still. */
+#define LONGEST_LOAD (1500 * LB_MSEC)
 /* A tick that comes so late tells that this process stood still: what it believes of endpoints is
  * not confirmed again before the store has been asked. */
 #define LONGEST_PAUSE LB_SEC
@@ -198,15 +200,43 @@
   LN_POST (task->task.hub, NULL, message);
 }
 
+/* An engine that loads weights refuses what is new; its requests would be sent and come back. */
+static void
+tell_swap (Desired *task, const LcPlanEntry *entry)
+{
+  LnTask *calls = ln_hub_find (task->task.hub, "calls");
+  LnEndpointSwapMessage message = { .base = LN_MESSAGE (LN_ENDPOINT_SWAP),
+                                    .pending = entry->loading,
+                                    .until = lb_clock_monotonic () + LONGEST_LOAD };
+
+  LB_COPY (message.endpoint, entry->engine);
+  if (calls)
+    LN_POST (task->task.hub, calls, message);
+}
+
+static void confirm_endpoints (Desired *task);
+
 static void
 on_plan (const LcEnginePlan *plan, void *user)
 {
   Desired *task = user;
 
-  if (!lc_roster_set_plan (task->roster, plan))
-    return;
-  lb_log (LB_LOG_INFO, "engines_divided", LB_INT ("engines", plan->n_entries));
-  publish_endpoints (task);
+  if (lc_roster_set_plan (task->roster, plan))
+    {
+      lb_log (LB_LOG_INFO, "engines_divided", LB_INT ("engines", plan->n_entries));
+      publish_endpoints (task);
+    }
+  for (size_t i = 0; i < plan->n_entries; i++)
+    tell_swap (task, &plan->entries[i]);
+  confirm_endpoints (task);
+}
+
+static void
+on_engine (const LcPlanEntry *entry, void *user)
+{
+  Desired *task = user;
+
+  ln_engine_plans_note (task->plans, entry);
 }
 
 static void
@@ -355,7 +385,7 @@
   task->task.hub = context->hub;
   task->context = context;
   task->roster = lc_roster_new ();
-  task->orders = ln_weight_orders_new (context);
+  task->orders = ln_weight_orders_new (context, on_engine, task);
   task->plans = ln_engine_plans_new (context, on_plan, task);
   task->last_tick = lb_clock_monotonic ();
   task->timer = event_new (context->base, -1, EV_PERSIST, on_tick, task);
--- a/packages/node/src/ln-engine-plans.c
+++ b/packages/node/src/ln-engine-plans.c
@@ -9,8 +9,12 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define TABLE "plan"
 #define KEY "plan//engines"
-#define READ_PERIOD (600 * LB_MSEC)
+#define WATCH_WAIT (900 * LB_MSEC) /* a watch whose connection went silent is given up after it */
+#define WATCH_RETRY (200 * LB_MSEC)
+/* Loads begin and end several times a second where there are many engines; one write tells of all. */
+#define WRITE_PERIOD (150 * LB_MSEC)
 /* Between two divisions; batches come every few seconds, and each brings the demand up to date. */
 #define DIVIDE_PERIOD (2 * LB_SEC)
 
@@ -19,13 +23,17 @@
   LnContext *context;
   void (*on_plan) (const LcEnginePlan *plan, void *user);
   void *user;
-  LcEnginePlan plan;
-  int64_t version; /* of the row */
+  LcEnginePlan plan;   /* as the row says */
+  LcEnginePlan wanted; /* as it shall say, where this instance writes it */
+  bool is_writer;
+  int64_t version;       /* of the row */
+  int64_t table_version; /* of the watch; 0: the row has to be read */
   LcDemand *demand;
   bool reading;
   bool writing;
   bool read; /* at least once */
   LbTime next_read;
+  LbTime next_write;
   LbTime next_division;
 };
 
@@ -47,6 +55,7 @@
 ln_engine_plans_free (LnEnginePlans *plans)
 {
   lc_engine_plan_clear (&plans->plan);
+  lc_engine_plan_clear (&plans->wanted);
   lc_demand_free (plans->demand);
   free (plans);
 }
@@ -78,41 +87,78 @@
   json_object_put (object);
 }
 
+/* Answers both the list and the watch. */
 static void
-on_read (LbErrorCode error, const LpRow *rows, size_t n_rows, void *user)
+on_rows (LbErrorCode error, const LpRow *rows, size_t n_rows, int64_t version, void *user)
 {
   LnEnginePlans *plans = user;
+  LbTime now = lb_clock_monotonic ();
 
   plans->reading = false;
-  plans->read |= error == LB_OK || error == LB_ERROR_NOT_FOUND;
-  if (error == LB_OK && n_rows > 0)
-    take_row (plans, &rows[0]);
+  if (error != LB_OK)
+    {
+      if (error == LB_ERROR_NOT_FOUND)
+        plans->table_version = 0;
+      plans->next_read = now + WATCH_RETRY;
+      return;
+    }
+  plans->read = true;
+  plans->next_read = now;
+  plans->table_version = version;
+  for (size_t i = 0; i < n_rows; i++)
+    if (strcmp (rows[i].key, KEY) == 0)
+      take_row (plans, &rows[i]);
+}
+
+static void
+read_rows (LnEnginePlans *plans)
+{
+  LpPlatform *platform = plans->context->platform;
+
+  plans->reading = true;
+  if (plans->table_version == 0)
+    platform->klass->list (platform, TABLE "//", NULL, 0, on_rows, plans);
+  else
+    platform->klass->watch (platform, TABLE, plans->table_version, WATCH_WAIT, on_rows, plans);
 }
 
 static void
 on_written (LbErrorCode error, const LpRow *row, void *user)
 {
-  (void)row;
   LnEnginePlans *plans = user;
 
   plans->writing = false;
-  plans->next_read = lb_clock_monotonic ();
-  lb_log (LB_LOG_INFO, "engine_plan_written", LB_TEXT ("outcome", lb_error_name (error)));
+  if (error == LB_OK && row->version > plans->version)
+    plans->version = row->version;
+  if (error != LB_OK)
+    lb_log (LB_LOG_WARNING, "engine_plan_not_written", LB_TEXT ("error", lb_error_name (error)));
 }
 
 static void
-write_plan (LnEnginePlans *plans, const LcEnginePlan *plan)
+write_plan (LnEnginePlans *plans, LbTime now)
 {
   LpPlatform *platform = plans->context->platform;
-  struct json_object *object = lc_engine_plan_to_json (plan);
+  struct json_object *object = lc_engine_plan_to_json (&plans->wanted);
   const LpCondition condition = { .key = KEY, .version = plans->version };
   const LpPut put = { .key = KEY, .value = json_object_to_json_string (object) };
   const LpTransaction transaction
       = { .token = "", .conditions = &condition, .n_conditions = 1, .puts = &put, .n_puts = 1 };
 
   plans->writing = true;
+  plans->next_write = now + WRITE_PERIOD;
   platform->klass->transact (platform, &transaction, LP_PRIORITY_STATUS, on_written, plans);
   json_object_put (object);
+  /* This instance need not wait for its own row. */
+  lc_engine_plan_clear (&plans->plan);
+  lc_engine_plan_copy (&plans->plan, &plans->wanted);
+  plans->on_plan (&plans->plan, plans->user);
+}
+
+void
+ln_engine_plans_note (LnEnginePlans *plans, const LcPlanEntry *entry)
+{
+  if (plans->is_writer)
+    lc_engine_plan_note (&plans->wanted, entry);
 }
 
 static size_t
@@ -131,7 +177,6 @@
 {
   LcPlanEntry *engines = LB_NEW_ARRAY (LcPlanEntry, lc_roster_count (roster) + 1);
   LbName models[LC_MAX_MODELS];
-  LcEnginePlan plan;
   size_t n_engines = 0;
   size_t n_models = 0;
 
@@ -146,26 +191,36 @@
       for (size_t model = 0; model < listed->n_models; model++)
         n_models = add_model (models, n_models, listed->models[model].name);
     }
-  lc_engine_plan_copy (&plan, &plans->plan);
-  if (lc_engine_plan_divide (&plan, engines, n_engines, models, n_models, plans->demand, now))
-    write_plan (plans, &plan);
-  lc_engine_plan_clear (&plan);
+  lc_engine_plan_divide (&plans->wanted, engines, n_engines, models, n_models, plans->demand, now);
   free (engines);
 }
 
+/* The writer begins with what the one before it wrote. */
+static void
+set_writer (LnEnginePlans *plans, bool is_writer)
+{
+  if (is_writer && !plans->is_writer)
+    {
+      lc_engine_plan_clear (&plans->wanted);
+      lc_engine_plan_copy (&plans->wanted, &plans->plan);
+    }
+  plans->is_writer = is_writer;
+}
+
 void
 ln_engine_plans_tick (LnEnginePlans *plans, const LcRoster *roster, bool may_write, LbTime now)
 {
-  LpPlatform *platform = plans->context->platform;
-
   if (!plans->reading && now >= plans->next_read)
+    read_rows (plans);
+  set_writer (plans, may_write && plans->read);
+  if (!plans->is_writer)
+    return;
+  if (now >= plans->next_division)
     {
-      plans->reading = true;
-      plans->next_read = now + READ_PERIOD;
-      platform->klass->get (platform, KEY, on_read, plans);
+      plans->next_division = now + DIVIDE_PERIOD;
+      divide (plans, roster, now);
     }
-  if (!may_write || !plans->read || plans->writing || now < plans->next_division)
-    return;
-  plans->next_division = now + DIVIDE_PERIOD;
-  divide (plans, roster, now);
+  if (!plans->writing && now >= plans->next_write
+      && !lc_engine_plan_is_same (&plans->wanted, &plans->plan))
+    write_plan (plans, now);
 }
--- a/packages/node/src/ln-engine-plans.h
+++ b/packages/node/src/ln-engine-plans.h
@@ -4,8 +4,9 @@
 #include "lc-roster.h"
 #include "ln-context.h"
 
-/* The division of the engines among models: read by every instance from a row of the store, written
- * by the one that orders weights. */
+/* What the instance that orders weights decides and knows of the engines: which model each one is
+ * used for, which version it has, whether it is loading. Written by that instance into a row of the
+ * store, and watched by all: the engines' own entries lag by a second or two. */
 typedef struct LnEnginePlans LnEnginePlans;
 
 /* on_plan: the row has changed. */
@@ -14,6 +15,8 @@
                                     void *user);
 void ln_engine_plans_free (LnEnginePlans *plans);
 void ln_engine_plans_demand (LnEnginePlans *plans, const char *model, int64_t tokens, LbTime now);
+/* What this instance learnt of an engine that it ordered. */
+void ln_engine_plans_note (LnEnginePlans *plans, const LcPlanEntry *entry);
 void
 ln_engine_plans_tick (LnEnginePlans *plans, const LcRoster *roster, bool may_write, LbTime now);
 
--- a/packages/node/src/ln-weight-orders.c
+++ b/packages/node/src/ln-weight-orders.c
@@ -62,6 +62,8 @@
 struct LnWeightOrders
 {
   LnContext *context;
+  void (*on_engine) (const LcPlanEntry *entry, void *user);
+  void *user;
   LcLease *lease;
   LnMember *members;
   size_t n_members;
@@ -70,7 +72,9 @@
 };
 
 LnWeightOrders *
-ln_weight_orders_new (LnContext *context)
+ln_weight_orders_new (LnContext *context,
+                      void (*on_engine) (const LcPlanEntry *entry, void *user),
+                      void *user)
 {
   LnWeightOrders *orders = LB_NEW (LnWeightOrders);
   LcLeaseSettings settings;
@@ -82,6 +86,8 @@
   LB_COPY (settings.instance, context->instance);
   LB_COPY (settings.incarnation, context->incarnation);
   orders->context = context;
+  orders->on_engine = on_engine;
+  orders->user = user;
   orders->lease = lc_lease_new (&settings, lb_clock_monotonic (), lb_clock_boot ());
   lb_list_init (&orders->models);
   return orders;
@@ -206,6 +212,16 @@
 
 /* --- what engines have --- */
 
+static void
+tell_engine (const Engine *engine)
+{
+  LcPlanEntry entry = { .version = engine->version, .loading = engine->ordered != 0 };
+
+  LB_COPY (entry.engine, engine->name);
+  LB_COPY (entry.model, engine->model);
+  engine->orders->on_engine (&entry, engine->orders->user);
+}
+
 /* Takes what the engine stated when it was asked at asked_at. An order that was given counts as
  * being carried out until the version shows, or for so long that it must have failed. */
 static void
@@ -221,6 +237,7 @@
   engine->version = version;
   if (engine->ordered != 0 && (version >= engine->ordered || now - engine->ordered_at > LOAD_LIMIT))
     engine->ordered = 0;
+  tell_engine (engine);
   report.loading = engine->ordered != 0;
   LB_COPY (report.incarnation, engine->name);
   lb_list_init (&actions);
@@ -367,6 +384,7 @@
                               .silence = ORDER_SILENCE };
   if (engine->order)
     lh_fetch_cancel (engine->order);
+  tell_engine (engine);
   lb_log (LB_LOG_INFO, "weights_order", LB_TEXT ("endpoint", engine->name),
           LB_TEXT ("model", engine->model), LB_INT ("version", order.version),
           LB_INT ("fence", order.fence), LB_INT ("orders_before", order.orders_before));
--- a/packages/node/src/ln-weight-orders.h
+++ b/packages/node/src/ln-weight-orders.h
@@ -9,7 +9,10 @@
  * models, and for each model the roll-out that LcWeights decides. */
 typedef struct LnWeightOrders LnWeightOrders;
 
-LnWeightOrders *ln_weight_orders_new (LnContext *context);
+/* on_engine: what was learnt of an engine, or that it was ordered. */
+LnWeightOrders *ln_weight_orders_new (LnContext *context,
+                                      void (*on_engine) (const LcPlanEntry *entry, void *user),
+                                      void *user);
 void ln_weight_orders_free (LnWeightOrders *orders);
 
 void ln_weight_orders_configure (LnWeightOrders *orders, const LcResourceSet *set);
