--- /dev/null
+++ b/packages/core/tests/test-desired.c
@@ -0,0 +1,64 @@
+#include "lc-desired.h"
+
+#include "lb-alloc.h"
+
+#include <criterion/criterion.h>
+#include <string.h>
+
+static void
+add_route (LcDesired *desired, const char *name, const char *host, const char *prefix)
+{
+  LcRoute route = { .kind = LC_ROUTE_REPEATABLE };
+
+  LB_COPY (route.name, name);
+  LB_COPY (route.host, host);
+  LB_COPY (route.prefix, prefix);
+  lc_desired_add_route (desired, &route);
+}
+
+static const char *
+route_of (const LcDesired *desired, const char *host, const char *path)
+{
+  const LcRoute *route = lc_desired_route (desired, host, path);
+
+  return route ? route->name : "";
+}
+
+/* A split route and a route below it: callers of the longer prefix must not reach the service of the
+ * shorter one, in whatever order the operator listed them. */
+Test (desired, longest_prefix_of_the_host_wins)
+{
+  LcDesired *desired = lc_desired_new (3);
+
+  add_route (desired, "short", "shop.example", "/a/");
+  add_route (desired, "long", "shop.example", "/a/b/");
+  add_route (desired, "other", "mail.example", "/a/b/c/");
+  lc_desired_sort (desired);
+  cr_assert_str_eq (route_of (desired, "shop.example", "/a/x"), "short");
+  cr_assert_str_eq (route_of (desired, "shop.example", "/a/b/c/d"), "long");
+  cr_assert_str_eq (route_of (desired, "SHOP.example:8080", "/a/b/"), "long");
+  cr_assert_str_eq (route_of (desired, "shop.example.org", "/a/b/"), "");
+  cr_assert_str_eq (route_of (desired, "shop.example", "/b/"), "");
+  lc_desired_unref (desired);
+}
+
+Test (desired, lives_as_long_as_somebody_holds_it)
+{
+  LcDesired *desired = lc_desired_new (1);
+  LcDesired *second = lc_desired_ref (desired);
+
+  add_route (desired, "r", "h", "/");
+  lc_desired_unref (desired);
+  cr_assert_str_eq (route_of (second, "h", "/x"), "r");
+  lc_desired_unref (second);
+}
+
+Test (desired, splits_by_weight)
+{
+  LcRoute route = { .n_targets = 2, .targets = { { "a", 90 }, { "b", 10 } } };
+
+  cr_assert_str_eq (lc_route_service (&route, 0), "a");
+  cr_assert_str_eq (lc_route_service (&route, 0.89), "a");
+  cr_assert_str_eq (lc_route_service (&route, 0.91), "b");
+  cr_assert_str_eq (lc_route_service (&route, 1), "b");
+}
--- a/packages/core/tests/test-dispatch-answers.c
+++ b/packages/core/tests/test-dispatch-answers.c
@@ -267,3 +267,68 @@
   cr_assert_eq (moved, expected);
   fixture_clear (&f);
 }
+
+/* A submitter that counts the failures of endpoints itself must hear of each one: were the dispatch to
+ * try again by itself, an item would run more often than its route allows. */
+Test (dispatch_answers, a_failure_is_final_for_who_counts_failures)
+{
+  Fixture f;
+  LcAction send;
+  LcAction finish;
+  const LcDispatchSettings eager = { .retry_budget = 1, .seed = 1 };
+
+  fixture_init (&f, &eager, 2, 4);
+  LcRequestSpec spec = fixture_spec (&f, LC_KIND_SAMPLE);
+  spec.failure_is_final = true;
+  cr_assert (fixture_submit (&f, &spec));
+  cr_assert (fixture_take (&f, LC_ACTION_SEND, spec.id, &send));
+  lc_dispatch_ended (f.dispatch, spec.id, send.attempt, LC_END_FAILED, f.now, &f.actions);
+  cr_assert (fixture_take (&f, LC_ACTION_FINISH, spec.id, &finish));
+  cr_assert_eq (finish.error, LB_ERROR_ENDPOINT_FAILED);
+  fixture_clear (&f);
+}
+
+/* An engine says that the request can never be done: no other engine is asked. */
+Test (dispatch_answers, a_rejection_is_final)
+{
+  Fixture f;
+  LcAction send;
+  LcAction finish;
+  const LcDispatchSettings eager = { .retry_budget = 1, .seed = 1 };
+
+  fixture_init (&f, &eager, 2, 4);
+  LcRequestSpec spec = fixture_spec (&f, LC_KIND_SAMPLE);
+  cr_assert (fixture_submit (&f, &spec));
+  cr_assert (fixture_take (&f, LC_ACTION_SEND, spec.id, &send));
+  lc_dispatch_ended (f.dispatch, spec.id, send.attempt, LC_END_REJECTED, f.now, &f.actions);
+  cr_assert (fixture_take (&f, LC_ACTION_FINISH, spec.id, &finish));
+  cr_assert_eq (finish.error, LB_ERROR_REJECTED);
+  fixture_clear (&f);
+}
+
+/* The operator allows two endpoints for one request: a third attempt would break that, however many
+ * retries the budgets hold. */
+Test (dispatch_answers, no_more_attempts_than_the_request_allows)
+{
+  Fixture f;
+  LcAction action;
+  const LcDispatchSettings eager = { .retry_budget = 10, .seed = 1 };
+  int sent = 0;
+
+  fixture_init (&f, &eager, 4, 4);
+  LcRequestSpec spec = fixture_spec (&f, LC_KIND_SAMPLE);
+  spec.max_attempts = 2;
+  cr_assert (fixture_submit (&f, &spec));
+  for (int i = 0; i < 20; i++)
+    {
+      while (fixture_take (&f, LC_ACTION_SEND, spec.id, &action))
+        {
+          sent++;
+          lc_dispatch_ended (f.dispatch, spec.id, action.attempt, LC_END_BROKEN, f.now, &f.actions);
+        }
+      f.now += 100 * LB_MSEC;
+      lc_dispatch_tick (f.dispatch, f.now, &f.actions);
+    }
+  cr_assert_eq (sent, 2);
+  fixture_clear (&f);
+}
--- a/packages/core/tests/test-endpoints.c
+++ b/packages/core/tests/test-endpoints.c
@@ -373,3 +373,46 @@
   cr_assert_not (fixture_may_take (&f, "e0", 11), "a version below 1 is none");
   fixture_clear (&f);
 }
+
+/* An engine refuses new requests for the second that it loads weights. Five refusals opened its
+ * breaker, which then let in one request, two, three, long after the load; with weights every few
+ * seconds half of the engines stood idle while samples waited for seconds. */
+Test (endpoints, refusals_of_an_endpoint_that_states_its_size_open_no_breaker)
+{
+  Fixture f;
+  LbTime now = LB_SEC;
+
+  fixture_init (&f, 1);
+  f.members[0].states_size = true;
+  fixture_configure (&f, now);
+  LcEndpoint *engine = lc_endpoints_find (f.endpoints, "e0");
+  for (int i = 0; i < 8; i++)
+    {
+      lc_endpoints_sent (engine, LC_KIND_SAMPLE, 0, now);
+      lc_endpoints_refused (engine, LC_KIND_SAMPLE, now);
+      cr_assert_not (lc_endpoint_may_take (engine, LC_KIND_SAMPLE, 0, now));
+      now += 150 * LB_MSEC;
+      cr_assert (lc_endpoint_may_take (engine, LC_KIND_SAMPLE, 0, now), "it is asked again shortly");
+    }
+  cr_assert_eq (engine->breaker, LC_BREAKER_CLOSED);
+  cr_assert_eq (engine->concurrency_limit, 8);
+  cr_assert_eq (engine->in_flight, 0);
+  fixture_clear (&f);
+}
+
+/* While it is known to load it gets nothing at all; one that only guesses sizes is still asked. */
+Test (endpoints, an_endpoint_that_states_its_size_takes_nothing_during_a_swap)
+{
+  Fixture f;
+  LbTime now = LB_SEC;
+
+  fixture_init (&f, 2);
+  f.members[0].states_size = true;
+  fixture_configure (&f, now);
+  for (int i = 0; i < 2; i++)
+    lc_endpoints_swap (f.endpoints, f.members[i].name, true, now + LB_SEC, now);
+  cr_assert_not (
+      lc_endpoint_may_take (lc_endpoints_find (f.endpoints, "e0"), LC_KIND_SAMPLE, 0, now));
+  cr_assert (lc_endpoint_may_take (lc_endpoints_find (f.endpoints, "e1"), LC_KIND_SAMPLE, 0, now));
+  fixture_clear (&f);
+}
--- /dev/null
+++ b/packages/core/tests/test-fleet.c
@@ -0,0 +1,97 @@
+#include "lc-fleet.h"
+
+#include "lb-alloc.h"
+
+#include <criterion/criterion.h>
+#include <json-c/json.h>
+#include <string.h>
+
+#define PERIOD (500 * LB_MSEC)
+
+static LcFleetRow
+row (const char *name, const char *incarnation)
+{
+  LcFleetRow row = { .ready = true, .period = PERIOD };
+
+  LB_COPY (row.name, name);
+  LB_COPY (row.incarnation, incarnation);
+  LB_COPY (row.caller_address, "10.0.0.1:80");
+  return row;
+}
+
+static bool
+list (LcFleet *fleet, int64_t version_a, int64_t version_b, LbTime now)
+{
+  LcFleetRow a = row ("a", "1");
+  LcFleetRow b = row ("b", "1");
+
+  lc_fleet_begin (fleet, now);
+  lc_fleet_add (fleet, &a, version_a, now);
+  lc_fleet_add (fleet, &b, version_b, now);
+  return lc_fleet_end (fleet, now);
+}
+
+static bool
+is_alive (const LcFleet *fleet, const char *name)
+{
+  for (size_t i = 0; i < lc_fleet_count (fleet); i++)
+    if (strcmp (lc_fleet_at (fleet, i)->row.name, name) == 0)
+      return lc_fleet_at (fleet, i)->alive;
+  return false;
+}
+
+/* A machine loses power. Its row stands still; after four renewals that did not come it is dead, and
+ * what it ran is taken over. */
+Test (fleet, an_instance_whose_row_stands_still_is_dead)
+{
+  LcFleet *fleet = lc_fleet_new ("a");
+  LbTime now = LB_SEC;
+  int64_t version = 10;
+
+  list (fleet, version, 5, now);
+  cr_assert (is_alive (fleet, "b"));
+  for (LbTime past = 0; past < 4 * PERIOD; past += PERIOD)
+    {
+      now += PERIOD;
+      list (fleet, ++version, 5, now);
+      cr_assert (is_alive (fleet, "b"));
+    }
+  now += PERIOD;
+  cr_assert (list (fleet, ++version, 5, now));
+  cr_assert_not (is_alive (fleet, "b"));
+  cr_assert (is_alive (fleet, "a"));
+  lc_fleet_free (fleet);
+}
+
+/* The store is away for six seconds and nobody can renew. When it answers again all instances would
+ * look dead to one another, and every batch would change its owner. */
+Test (fleet, time_without_the_store_does_not_count)
+{
+  LcFleet *fleet = lc_fleet_new ("a");
+  LbTime now = LB_SEC;
+
+  list (fleet, 1, 2, now);
+  now += 6 * LB_SEC;
+  list (fleet, 1, 2, now);
+  cr_assert (is_alive (fleet, "b"));
+  lc_fleet_free (fleet);
+}
+
+Test (fleet, a_row_says_the_same_after_a_round_trip)
+{
+  LcFleetRow first = row ("a", "17");
+  LcFleetRow second;
+
+  first.draining = true;
+  first.renewals = 9;
+  struct json_object *object = lc_fleet_row_to_json (&first);
+  cr_assert (lc_fleet_row_from_json (object, &second));
+  cr_assert_str_eq (second.incarnation, "17");
+  cr_assert (second.draining);
+  cr_assert_eq (second.renewals, 9);
+  cr_assert_eq (second.period, PERIOD);
+  json_object_put (object);
+  object = json_tokener_parse ("{\"name\": 3}");
+  cr_assert_not (lc_fleet_row_from_json (object, &second));
+  json_object_put (object);
+}
--- a/packages/core/tests/test-lease.c
+++ b/packages/core/tests/test-lease.c
@@ -493,3 +493,64 @@
       json_object_put (object);
     }
 }
+
+static LcLease *
+make_candidate (void)
+{
+  LcLeaseSettings settings;
+
+  lc_lease_settings_init (&settings);
+  LB_COPY (settings.instance, "b");
+  LB_COPY (settings.incarnation, "b-1");
+  LcLease *lease = lc_lease_new (&settings, LB_SEC, 0);
+  lc_lease_set_rank (lease, 0);
+  return lease;
+}
+
+/* True when the candidate claims after it has read the row of holder "a". */
+static bool
+claims_at (LcLease *lease, int64_t version, LbTime at)
+{
+  LcLeaseRow row = { .fence = 4 };
+  LbList actions;
+  LbLink *link;
+  bool claims = false;
+
+  LB_COPY (row.holder, "a");
+  LB_COPY (row.incarnation, "a-1");
+  lb_list_init (&actions);
+  lc_lease_tick (lease, at, 0, &actions);
+  lc_lease_was_read (lease, LB_OK, &row, version, at, &actions);
+  while ((link = lb_list_pop (&actions)))
+    {
+      LcLeaseAction *action = LB_CONTAINER (link, LcLeaseAction, link);
+      claims |= action->type == LC_LEASE_WRITE && action->row.fence == 5;
+      free (action);
+    }
+  return claims;
+}
+
+/* All processes are killed and start again. Nobody ordered weights until the term of the dead holder
+ * was over, four seconds in which trainers' steps found no engine with weights young enough. */
+Test (lease, is_claimed_at_once_from_a_holder_that_is_known_to_have_ended)
+{
+  LcLease *lease = make_candidate ();
+
+  cr_assert_not (claims_at (lease, 7, 2 * LB_SEC));
+  lc_lease_holder_ended (lease, 6, 2 * LB_SEC);
+  cr_assert_not (claims_at (lease, 7, 2100 * LB_MSEC), "that was said of an older row");
+  lc_lease_holder_ended (lease, 7, 2200 * LB_MSEC);
+  cr_assert (claims_at (lease, 7, 2300 * LB_MSEC));
+  lc_lease_free (lease);
+}
+
+/* It was said of one row: a later renewal shows that somebody holds the lease after all. */
+Test (lease, a_later_row_is_waited_for_again)
+{
+  LcLease *lease = make_candidate ();
+
+  cr_assert_not (claims_at (lease, 7, 2 * LB_SEC));
+  lc_lease_holder_ended (lease, 7, 2 * LB_SEC);
+  cr_assert_not (claims_at (lease, 8, 2100 * LB_MSEC));
+  lc_lease_free (lease);
+}
--- /dev/null
+++ b/packages/core/tests/test-roster.c
@@ -0,0 +1,150 @@
+#include "lc-roster.h"
+
+#include "lb-alloc.h"
+
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <string.h>
+
+#define N_ENGINES 9
+
+static LcListed
+engine (int number)
+{
+  LcListed listed = { .slots = 8, .n_models = 2 };
+
+  snprintf (listed.name, sizeof listed.name, "i-%d", number);
+  snprintf (listed.address, sizeof listed.address, "10.0.0.%d:80", number);
+  LB_COPY (listed.service, "engines");
+  LB_COPY (listed.models[0].name, "reader");
+  LB_COPY (listed.models[1].name, "writer");
+  listed.models[0].version = 1;
+  listed.models[1].version = 1;
+  return listed;
+}
+
+static void
+list_engines (LcListed *list, int n)
+{
+  for (int i = 0; i < n; i++)
+    list[i] = engine (i);
+}
+
+static int
+count_model (const LcRoster *roster, const char *model)
+{
+  int count = 0;
+
+  for (size_t i = 0; i < lc_roster_count (roster); i++)
+    count += strcmp (lc_roster_model (roster, i), model) == 0;
+  return count;
+}
+
+/* The store is away for four seconds; nobody can renew an entry, and the store drops them all. The
+ * first list after its return is empty. Were it believed, all engines would be gone at once although
+ * they serve. */
+Test (roster, entries_that_lapsed_with_the_store_count_as_alive_for_a_while)
+{
+  LcRoster *roster = lc_roster_new ();
+  LcListed list[N_ENGINES];
+  LbTime now = 10 * LB_SEC;
+
+  list_engines (list, N_ENGINES);
+  cr_assert (lc_roster_update (roster, list, N_ENGINES, now, now));
+  now += 4 * LB_SEC;
+  lc_roster_update (roster, list, 0, now, now);
+  cr_assert_eq (lc_roster_count (roster), N_ENGINES);
+  now += 400 * LB_MSEC;
+  lc_roster_update (roster, list, 4, now, now);
+  cr_assert_eq (lc_roster_count (roster), N_ENGINES);
+  for (int i = 0; i < 6; i++)
+    {
+      now += 400 * LB_MSEC;
+      lc_roster_update (roster, list, 4, now, now);
+    }
+  cr_assert_eq (lc_roster_count (roster), 4, "what has not come back by then is gone");
+  lc_roster_free (roster);
+}
+
+/* An engine is lost while the store answers as always: it takes no work from the next list on. */
+Test (roster, an_entry_that_goes_while_the_store_answers_is_gone)
+{
+  LcRoster *roster = lc_roster_new ();
+  LcListed list[N_ENGINES];
+
+  list_engines (list, N_ENGINES);
+  lc_roster_update (roster, list, N_ENGINES, LB_SEC, LB_SEC);
+  cr_assert (lc_roster_update (roster, list, N_ENGINES - 1, 1400 * LB_MSEC, 1400 * LB_MSEC));
+  cr_assert_eq (lc_roster_count (roster), N_ENGINES - 1);
+  lc_roster_free (roster);
+}
+
+/* Two models on nine engines: each instance must find the same division by itself, or weights would
+ * be loaded where nobody asks for them. */
+Test (roster, engines_are_divided_alike_whatever_the_order_of_the_list)
+{
+  LcRoster *first = lc_roster_new ();
+  LcRoster *second = lc_roster_new ();
+  LcListed list[N_ENGINES];
+  LcListed reversed[N_ENGINES];
+
+  list_engines (list, N_ENGINES);
+  for (int i = 0; i < N_ENGINES; i++)
+    reversed[i] = list[N_ENGINES - 1 - i];
+  lc_roster_update (first, list, N_ENGINES, LB_SEC, LB_SEC);
+  lc_roster_update (second, reversed, N_ENGINES, LB_SEC, LB_SEC);
+  for (size_t i = 0; i < N_ENGINES; i++)
+    {
+      cr_assert_str_eq (lc_roster_at (first, i)->name, lc_roster_at (second, i)->name);
+      cr_assert_str_eq (lc_roster_model (first, i), lc_roster_model (second, i));
+    }
+  cr_assert_geq (count_model (first, "reader"), 4);
+  cr_assert_geq (count_model (first, "writer"), 4);
+  lc_roster_free (first);
+  lc_roster_free (second);
+}
+
+/* The plan says more than the engine's own entry, which lags: its model, and that it has loaded. */
+Test (roster, the_plan_goes_before_the_own_division)
+{
+  LcRoster *roster = lc_roster_new ();
+  LcListed list[N_ENGINES];
+  LcEnginePlan plan = { 0 };
+  LcPlanEntry entry = { .version = 7 };
+
+  list_engines (list, N_ENGINES);
+  lc_roster_update (roster, list, N_ENGINES, LB_SEC, LB_SEC);
+  LB_COPY (entry.model, "writer");
+  for (int i = 0; i < N_ENGINES; i++)
+    {
+      snprintf (entry.engine, sizeof entry.engine, "i-%d", i);
+      lc_engine_plan_note (&plan, &entry);
+    }
+  cr_assert (lc_roster_set_plan (roster, &plan));
+  cr_assert_eq (count_model (roster, "writer"), N_ENGINES);
+  cr_assert_eq (lc_roster_version (roster, 0), 7);
+  cr_assert_not (lc_roster_set_plan (roster, &plan), "the same plan again is no news");
+  lc_engine_plan_clear (&plan);
+  lc_roster_free (roster);
+}
+
+Test (roster, resources_hold_a_pool_for_each_model_and_every_endpoint)
+{
+  LcRoster *roster = lc_roster_new ();
+  LcListed list[2] = { engine (1), { .slots = 6 } };
+
+  LB_COPY (list[1].name, "i-lookup");
+  LB_COPY (list[1].address, "10.0.0.9:80");
+  LB_COPY (list[1].service, "lookup");
+  list[1].leaving = true;
+  lc_roster_update (roster, list, 2, LB_SEC, LB_SEC);
+  LcResourceSet *set = lc_roster_resources (roster, 5);
+  cr_assert_eq (set->n_pools, 2);
+  cr_assert_eq (set->n_endpoints, 2);
+  const LcEndpointMember *lookup = lc_resource_set_endpoint (set, "i-lookup");
+  cr_assert_eq (lookup->kind, LC_ENDPOINT_SERVICE);
+  cr_assert_str_eq (lookup->pool, "lookup");
+  cr_assert (lookup->leaving);
+  lc_resource_set_free (set);
+  lc_roster_free (roster);
+}
--- /dev/null
+++ b/packages/core/tests/test-swap-turns.c
@@ -0,0 +1,38 @@
+#include "lc-swap-turns.h"
+
+#include <criterion/criterion.h>
+
+static LcSwapCandidate
+candidate (size_t engines, size_t usable, size_t done, size_t swapping)
+{
+  return (LcSwapCandidate){ .status = { .target = 5,
+                                        .engines = engines,
+                                        .usable = usable,
+                                        .done = done,
+                                        .swapping = swapping } };
+}
+
+/* After a fault one trainer catches up, with a version every two seconds, and the few loads that go at
+ * full speed together are shared evenly: its engines fall two versions behind and its steps find
+ * nobody, while the other trainer's engines are all up to date. */
+Test (swap_turns, the_model_with_the_fewest_usable_engines_is_next)
+{
+  const LcSwapCandidate candidates[] = { candidate (5, 5, 3, 0), candidate (5, 1, 0, 0) };
+
+  cr_assert_eq (lc_swap_turns_next (candidates, 2), 1);
+}
+
+Test (swap_turns, among_equals_the_one_with_the_fewest_new_weights_is_next)
+{
+  const LcSwapCandidate candidates[] = { candidate (5, 5, 3, 0), candidate (5, 5, 1, 0) };
+
+  cr_assert_eq (lc_swap_turns_next (candidates, 2), 1);
+}
+
+Test (swap_turns, nobody_is_next_when_all_have_or_load_the_newest)
+{
+  LcSwapCandidate candidates[] = { candidate (5, 5, 4, 1), candidate (5, 2, 1, 0) };
+
+  candidates[1].blocked = true;
+  cr_assert_eq (lc_swap_turns_next (candidates, 2), 2);
+}
--- /dev/null
+++ b/standins/si-rows.c
@@ -0,0 +1,538 @@
+#include "si-rows.h"
+
+#include "si-json.h"
+
+#include "lb-alloc.h"
+#include "lb-clock.h"
+
+#include <event2/buffer.h>
+#include <json-c/json.h>
+#include <openssl/evp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define MOST_ROWS_AT_ONCE 500
+#define WAKE_PERIOD (20 * LB_MSEC)
+
+/* A row, also after its removal, so that watches hear of it. */
+typedef struct
+{
+  LbLink link;
+  char *table;
+  char *part;
+  char *key;
+  char *value; /* as it came, encoded; NULL: removed */
+  int64_t version;
+} Row;
+
+typedef struct
+{
+  LbLink link;
+  char *name;
+  char *bytes;
+  size_t length;
+} Object;
+
+typedef struct
+{
+  LbLink link;
+  SiRows *rows;
+  struct evhttp_request *request;
+  char *table;
+  int64_t after;
+  LbTime until;
+} Watch;
+
+static void
+row_free (SiRows *rows, Row *row)
+{
+  lb_list_remove (&rows->rows, &row->link);
+  free (row->table);
+  free (row->part);
+  free (row->key);
+  free (row->value);
+  free (row);
+}
+
+static int
+compare (const Row *row, const char *table, const char *part, const char *key)
+{
+  int order = strcmp (row->table, table);
+
+  if (order == 0)
+    order = strcmp (row->part, part);
+  return order != 0 ? order : strcmp (row->key, key);
+}
+
+static Row *
+find (const SiRows *rows, const char *table, const char *part, const char *key)
+{
+  LB_LIST_FOREACH (&rows->rows, Row, link, row)
+  {
+    if (compare (row, table, part, key) == 0)
+      return row;
+  }
+  return NULL;
+}
+
+static Row *
+ensure (SiRows *rows, const char *table, const char *part, const char *key)
+{
+  Row *row = find (rows, table, part, key);
+  LbLink *before = &rows->rows.head;
+
+  if (row)
+    return row;
+  row = LB_NEW (Row);
+  row->table = lb_strdup (table);
+  row->part = lb_strdup (part);
+  row->key = lb_strdup (key);
+  LB_LIST_FOREACH (&rows->rows, Row, link, other)
+  {
+    if (before == &rows->rows.head && compare (other, table, part, key) > 0)
+      before = &other->link;
+  }
+  lb_list_insert_before (&rows->rows, before, &row->link);
+  return row;
+}
+
+static int64_t
+present_version (const SiRows *rows, const char *table, const char *part, const char *key)
+{
+  const Row *row = find (rows, table, part, key);
+
+  return row && row->value ? row->version : 0;
+}
+
+/* --- JSON --- */
+
+static const char *
+text_of (struct json_object *object, const char *key)
+{
+  struct json_object *value = NULL;
+
+  return json_object_object_get_ex (object, key, &value) ? json_object_get_string (value) : "";
+}
+
+static struct json_object *
+row_to_json (const Row *row)
+{
+  struct json_object *object = json_object_new_object ();
+
+  si_json_set_text (object, "table", row->table);
+  si_json_set_text (object, "part", row->part);
+  si_json_set_text (object, "key", row->key);
+  json_object_object_add (object, "ver", json_object_new_int64 (row->version));
+  if (row->value)
+    si_json_set_text (object, "value", row->value);
+  else
+    json_object_object_add (object, "deleted", json_object_new_boolean (true));
+  return object;
+}
+
+static struct json_object *
+new_answer (const SiRows *rows)
+{
+  struct json_object *object = json_object_new_object ();
+
+  json_object_object_add (object, "ver", json_object_new_int64 (rows->version));
+  json_object_object_add (object, "nowMs",
+                          json_object_new_int64 (lb_clock_monotonic () / LB_MSEC));
+  return object;
+}
+
+/* --- transactions --- */
+
+static struct json_object *
+array_of (struct json_object *object, const char *key)
+{
+  struct json_object *array = NULL;
+
+  json_object_object_get_ex (object, key, &array);
+  return json_object_is_type (array, json_type_array) ? array : NULL;
+}
+
+static bool
+holds (const SiRows *rows, struct json_object *expected)
+{
+  for (size_t i = 0; expected && i < json_object_array_length (expected); i++)
+    {
+      struct json_object *item = json_object_array_get_idx (expected, i);
+      struct json_object *version = NULL;
+      json_object_object_get_ex (item, "ver", &version);
+      if (present_version (rows, text_of (item, "table"), text_of (item, "part"),
+                           text_of (item, "key"))
+          != json_object_get_int64 (version))
+        return false;
+    }
+  return true;
+}
+
+static void
+apply (SiRows *rows, struct json_object *entries, bool remove)
+{
+  for (size_t i = 0; entries && i < json_object_array_length (entries); i++)
+    {
+      struct json_object *item = json_object_array_get_idx (entries, i);
+      Row *row
+          = ensure (rows, text_of (item, "table"), text_of (item, "part"), text_of (item, "key"));
+      free (row->value);
+      row->value = remove ? NULL : lb_strdup (text_of (item, "value"));
+      row->version = rows->version;
+    }
+}
+
+static void
+add_present (const SiRows *rows, struct json_object *answer, struct json_object *expected)
+{
+  struct json_object *array = json_object_new_array ();
+
+  for (size_t i = 0; expected && i < json_object_array_length (expected); i++)
+    {
+      struct json_object *item = json_object_array_get_idx (expected, i);
+      const Row *row
+          = find (rows, text_of (item, "table"), text_of (item, "part"), text_of (item, "key"));
+      if (row && row->value)
+        json_object_array_add (array, row_to_json (row));
+    }
+  json_object_object_add (answer, "rows", array);
+}
+
+static void
+transact (SiRows *rows, struct evhttp_request *request)
+{
+  struct json_object *body = si_request_json (request);
+  struct json_object *expected = array_of (body, "expected");
+  bool ok = holds (rows, expected);
+
+  if (ok)
+    {
+      rows->version++;
+      rows->writes++;
+      apply (rows, array_of (body, "writes"), false);
+      apply (rows, array_of (body, "remove"), true);
+    }
+  if (rows->mode == SI_ROWS_LOSES_REPLY)
+    si_reply_drop (request);
+  else
+    {
+      struct json_object *answer = new_answer (rows);
+      if (!ok)
+        add_present (rows, answer, expected);
+      si_reply_json (request, ok ? 200 : 412, answer);
+    }
+  json_object_put (body);
+}
+
+/* --- lists and watches --- */
+
+static char *
+query_of (struct evhttp_request *request, const char *key)
+{
+  char *value = si_request_query (request, key);
+
+  return value ? value : lb_strdup ("");
+}
+
+static void
+list (SiRows *rows, struct evhttp_request *request)
+{
+  char *table = query_of (request, "table");
+  char *part = query_of (request, "part");
+  char *from = query_of (request, "from");
+  char *to = query_of (request, "to");
+  char *limit_text = query_of (request, "limit");
+  size_t limit = limit_text[0] ? (size_t)atoi (limit_text) : MOST_ROWS_AT_ONCE;
+  struct json_object *array = json_object_new_array ();
+  struct json_object *answer = new_answer (rows);
+  bool more = false;
+
+  LB_LIST_FOREACH (&rows->rows, Row, link, row)
+  {
+    if (!row->value || strcmp (row->table, table) != 0 || strcmp (row->part, part) != 0
+        || strcmp (row->key, from) < 0 || (to[0] && strcmp (row->key, to) >= 0))
+      continue;
+    if (json_object_array_length (array) < limit)
+      json_object_array_add (array, row_to_json (row));
+    else
+      more = true;
+  }
+  json_object_object_add (answer, "rows", array);
+  json_object_object_add (answer, "morePages", json_object_new_boolean (more));
+  si_reply_json (request, 200, answer);
+  free (limit_text);
+  free (to);
+  free (from);
+  free (part);
+  free (table);
+}
+
+static int
+by_version (const void *a, const void *b)
+{
+  struct json_object *const *first = a;
+  struct json_object *const *second = b;
+  struct json_object *one = NULL;
+  struct json_object *two = NULL;
+
+  json_object_object_get_ex (*first, "ver", &one);
+  json_object_object_get_ex (*second, "ver", &two);
+  return json_object_get_int64 (one) < json_object_get_int64 (two) ? -1 : 1;
+}
+
+static struct json_object *
+changes (const SiRows *rows, const char *table, int64_t after)
+{
+  struct json_object *array = json_object_new_array ();
+
+  LB_LIST_FOREACH (&rows->rows, Row, link, row)
+  {
+    if (row->version > after && strcmp (row->table, table) == 0)
+      json_object_array_add (array, row_to_json (row));
+  }
+  json_object_array_sort (array, by_version);
+  return array;
+}
+
+static void
+on_watch_closed (struct evhttp_connection *connection, void *user)
+{
+  (void)connection;
+  Watch *watch = user;
+
+  lb_list_remove (&watch->rows->watches, &watch->link);
+  free (watch->table);
+  free (watch);
+}
+
+static void
+end_watch (Watch *watch, struct json_object *array)
+{
+  struct json_object *answer = new_answer (watch->rows);
+
+  evhttp_connection_set_closecb (evhttp_request_get_connection (watch->request), NULL, NULL);
+  json_object_object_add (answer, "rows", array);
+  si_reply_json (watch->request, 200, answer);
+  lb_list_remove (&watch->rows->watches, &watch->link);
+  free (watch->table);
+  free (watch);
+}
+
+static void
+on_wake (evutil_socket_t fd, short what, void *user)
+{
+  (void)fd;
+  (void)what;
+  SiRows *rows = user;
+
+  if (rows->mode != SI_ROWS_WELL && rows->mode != SI_ROWS_LOSES_REPLY)
+    return;
+  LB_LIST_FOREACH (&rows->watches, Watch, link, watch)
+  {
+    struct json_object *array = changes (rows, watch->table, watch->after);
+    if (json_object_array_length (array) > 0 || lb_clock_monotonic () >= watch->until)
+      end_watch (watch, array);
+    else
+      json_object_put (array);
+  }
+}
+
+static void
+start_watch (SiRows *rows, struct evhttp_request *request)
+{
+  char *after = query_of (request, "after");
+  char *wait = query_of (request, "waitMs");
+  Watch *watch = LB_NEW (Watch);
+
+  watch->rows = rows;
+  watch->request = request;
+  watch->table = query_of (request, "table");
+  watch->after = atoll (after);
+  watch->until = lb_clock_monotonic () + atoll (wait) * LB_MSEC;
+  lb_list_append (&rows->watches, &watch->link);
+  evhttp_connection_set_closecb (evhttp_request_get_connection (request), on_watch_closed, watch);
+  if (watch->after < rows->history_from)
+    {
+      evhttp_connection_set_closecb (evhttp_request_get_connection (request), NULL, NULL);
+      on_watch_closed (NULL, watch);
+      si_reply_json (request, 410, new_answer (rows));
+    }
+  free (wait);
+  free (after);
+}
+
+/* --- objects --- */
+
+static Object *
+find_object (const SiRows *rows, const char *name)
+{
+  LB_LIST_FOREACH (&rows->objects, Object, link, object)
+  {
+    if (strcmp (object->name, name) == 0)
+      return object;
+  }
+  return NULL;
+}
+
+static void
+put_object (SiRows *rows, struct evhttp_request *request, const char *name)
+{
+  struct evbuffer *input = evhttp_request_get_input_buffer (request);
+  Object *object = find_object (rows, name);
+
+  if (!object)
+    {
+      object = LB_NEW (Object);
+      object->name = lb_strdup (name);
+      lb_list_append (&rows->objects, &object->link);
+    }
+  free (object->bytes);
+  object->bytes = si_request_text (request);
+  object->length = evbuffer_get_length (input);
+  si_reply_json (request, 200, new_answer (rows));
+}
+
+static void
+get_object (SiRows *rows, struct evhttp_request *request, const char *name)
+{
+  const Object *object = find_object (rows, name);
+
+  if (!object)
+    {
+      si_reply_error (request, 404, "not_found");
+      return;
+    }
+  evbuffer_add (evhttp_request_get_output_buffer (request), object->bytes, object->length);
+  evhttp_send_reply (request, 200, NULL, NULL);
+}
+
+/* --- the server --- */
+
+static bool
+path_begins (const char *path, const char *start, const char **rest)
+{
+  size_t length = strlen (start);
+
+  *rest = path + length;
+  return strncmp (path, start, length) == 0;
+}
+
+static void
+on_request (struct evhttp_request *request, void *user)
+{
+  SiRows *rows = user;
+  const char *path = si_request_path (request);
+  const char *name = NULL;
+
+  if (rows->mode == SI_ROWS_SILENT)
+    return;
+  if (rows->mode == SI_ROWS_AWAY)
+    {
+      si_reply_error (request, 503, "away");
+      return;
+    }
+  if (strcmp (path, "/-/rows-tx") == 0)
+    transact (rows, request);
+  else if (strcmp (path, "/-/rows-get") == 0)
+    list (rows, request);
+  else if (strcmp (path, "/-/rows-feed") == 0)
+    start_watch (rows, request);
+  else if (path_begins (path, "/-/blob-put/", &name))
+    put_object (rows, request, name);
+  else if (path_begins (path, "/-/blob-get/", &name))
+    get_object (rows, request, name);
+  else
+    si_reply_error (request, 404, "unknown_path");
+}
+
+static void
+begin (SiRows *rows)
+{
+  const struct timeval period = { .tv_usec = WAKE_PERIOD };
+
+  lb_list_init (&rows->rows);
+  lb_list_init (&rows->objects);
+  lb_list_init (&rows->watches);
+  rows->version = 1;
+  rows->wake = event_new (rows->server.base, -1, EV_PERSIST, on_wake, rows);
+  event_add (rows->wake, &period);
+}
+
+bool
+si_rows_init (SiRows *rows, struct event_base *base, int port)
+{
+  memset (rows, 0, sizeof *rows);
+  if (!si_server_init (&rows->server, base, port, on_request, rows))
+    return false;
+  begin (rows);
+  return true;
+}
+
+bool
+si_rows_init_program (SiRows *rows, int port)
+{
+  memset (rows, 0, sizeof *rows);
+  if (!si_server_init_program (&rows->server, port, on_request, rows))
+    return false;
+  begin (rows);
+  return true;
+}
+
+void
+si_rows_clear (SiRows *rows)
+{
+  event_free (rows->wake);
+  LB_LIST_FOREACH (&rows->watches, Watch, link, watch)
+  {
+    evhttp_connection_set_closecb (evhttp_request_get_connection (watch->request), NULL, NULL);
+    on_watch_closed (NULL, watch);
+  }
+  LB_LIST_FOREACH (&rows->rows, Row, link, row)
+  {
+    row_free (rows, row);
+  }
+  LB_LIST_FOREACH (&rows->objects, Object, link, object)
+  {
+    lb_list_remove (&rows->objects, &object->link);
+    free (object->name);
+    free (object->bytes);
+    free (object);
+  }
+  si_server_clear (&rows->server);
+}
+
+void
+si_rows_put (
+    SiRows *rows, const char *table, const char *part, const char *key, const char *value)
+{
+  Row *row = ensure (rows, table, part, key);
+
+  free (row->value);
+  row->value = NULL;
+  row->version = ++rows->version;
+  if (!value)
+    return;
+  row->value = lb_malloc ((strlen (value) + 2) / 3 * 4 + 1);
+  EVP_EncodeBlock ((unsigned char *)row->value, (const unsigned char *)value, (int)strlen (value));
+}
+
+const char *
+si_rows_get (const SiRows *rows, const char *table, const char *part, const char *key)
+{
+  const Row *row = find (rows, table, part, key);
+
+  return row ? row->value : NULL;
+}
+
+size_t
+si_rows_count (const SiRows *rows, const char *table)
+{
+  size_t count = 0;
+
+  LB_LIST_FOREACH (&rows->rows, Row, link, row)
+  {
+    count += row->value && strcmp (row->table, table) == 0;
+  }
+  return count;
+}
