An instance that can't reach the store goes through another one

Cause: a machine that is cut off from the store, or that the store turns away while it serves the others, could list no result and lost its batches after 2.3 s.

--- a/packages/core/include/lc-fleet.h
+++ b/packages/core/include/lc-fleet.h
@@ -14,6 +14,7 @@
   LbName incarnation;
   LbName data_centre;
   LbName caller_address;
+  LbName peer_address; /* where it carries out calls to the store for others; empty: nowhere */
   bool ready;
   bool draining;
   int64_t renewals; /* of the row by this incarnation */
--- a/packages/core/src/lc-fleet.c
+++ b/packages/core/src/lc-fleet.c
@@ -35,6 +35,7 @@
   json_object_object_add (object, "incarnation", json_object_new_string (row->incarnation));
   json_object_object_add (object, "data_centre", json_object_new_string (row->data_centre));
   json_object_object_add (object, "callers", json_object_new_string (row->caller_address));
+  json_object_object_add (object, "peers", json_object_new_string (row->peer_address));
   json_object_object_add (object, "ready", json_object_new_boolean (row->ready));
   json_object_object_add (object, "draining", json_object_new_boolean (row->draining));
   json_object_object_add (object, "renewals", json_object_new_int64 (row->renewals));
@@ -50,6 +51,7 @@
   LB_COPY (row->incarnation, lb_json_text (object, "incarnation", ""));
   LB_COPY (row->data_centre, lb_json_text (object, "data_centre", ""));
   LB_COPY (row->caller_address, lb_json_text (object, "callers", ""));
+  LB_COPY (row->peer_address, lb_json_text (object, "peers", ""));
   row->ready = lb_json_bool (object, "ready", false);
   row->draining = lb_json_bool (object, "draining", false);
   row->renewals = lb_json_int (object, "renewals", 0);
--- a/packages/node/include/ln-context.h
+++ b/packages/node/include/ln-context.h
@@ -10,6 +10,9 @@
 struct LpPlatform;
 struct LnDialect;
 
+/* Where an instance of a shared platform carries out store calls of others that can't reach it. */
+#define LN_STORE_PATH "/v1/store"
+
 /* What every task is made with. Lives as long as the process. */
 typedef struct
 {
--- a/packages/node/src/ln-fleet.c
+++ b/packages/node/src/ln-fleet.c
@@ -7,6 +7,7 @@
 #include "lb-clock.h"
 #include "lb-log.h"
 #include "lc-fleet.h"
+#include "lh-fetch.h"
 #include "lp-platform.h"
 
 #include <event2/event.h>
@@ -25,6 +26,7 @@
 #define MAX_RENEWALS_ON_THEIR_WAY 3
 #define ROWS "instance//"
 #define MAX_ENTRY_ADDRESSES 64
+#define MAX_PEERS 64
 #define RETRY_WITHOUT_ADDRESS (300 * LB_MSEC)
 
 /* Instances of a shared platform and the addresses that callers are given. Runs as the task
@@ -72,6 +74,25 @@
   LN_POST (task->task.hub, NULL, message);
 }
 
+/* Others through which the store can be reached. */
+static void
+tell_peers (Fleet *task)
+{
+  LpPlatform *platform = task->context->platform;
+  LbName addresses[MAX_PEERS];
+  size_t n = 0;
+
+  for (size_t i = 0; i < lc_fleet_count (task->fleet) && n < MAX_PEERS; i++)
+    {
+      const LcFleetMember *member = lc_fleet_at (task->fleet, i);
+      if (member->alive && member->row.peer_address[0]
+          && strcmp (member->row.name, task->own.name) != 0)
+        lb_strlcpy (addresses[n++], member->row.peer_address, LB_NAME_MAX);
+    }
+  if (platform->klass->set_peers)
+    platform->klass->set_peers (platform, addresses, n);
+}
+
 static void
 on_list (LbErrorCode error, const LpRow *rows, size_t n_rows, int64_t version, void *user)
 {
@@ -94,7 +115,10 @@
       json_object_put (object);
     }
   if (lc_fleet_end (task->fleet, now))
-    publish (task);
+    {
+      publish (task);
+      tell_peers (task);
+    }
 }
 
 static LbTime
@@ -209,6 +233,64 @@
   free (text);
 }
 
+/* --- calls to the store for others --- */
+
+typedef struct
+{
+  LnExchange *exchange;
+} PeerCall;
+
+static void
+on_carried_out (LbErrorCode error, int status, const char *body, size_t length, void *user)
+{
+  PeerCall *call = user;
+  LbError problem = { 0 };
+
+  if (status != 0)
+    ln_exchange_reply_text (call->exchange, status, "application/json", body, length);
+  else
+    {
+      /* 503 tells the asker that nothing was done; a status that promises nothing, that it may have
+       * been. */
+      lb_error_set (&problem,
+                    error == LB_ERROR_STORE_AWAY ? LB_ERROR_STORE_AWAY : LB_ERROR_OUTCOME_UNKNOWN,
+                    "", "the store did not answer here either");
+      ln_exchange_reply_error (call->exchange, &problem, 0);
+    }
+  free (call);
+}
+
+static void
+carry_out_for_peer (Fleet *task, LnExchange *exchange)
+{
+  LpPlatform *platform = task->context->platform;
+  const char *method = ln_exchange_header (exchange, "x-store-method");
+  const char *path = ln_exchange_header (exchange, "x-store-path");
+  PeerCall *call = NULL;
+  LbError error = { 0 };
+  size_t length;
+  const char *body = ln_exchange_body (exchange, &length);
+
+  if (!method || !path || !lh_method_is_known (method) || !platform->klass->carry_out)
+    {
+      lb_error_set (&error, LB_ERROR_BAD_REQUEST, "x-store-path", "expected a call to the store");
+      ln_exchange_reply_error (exchange, &error, 0);
+      return;
+    }
+  call = LB_NEW (PeerCall);
+  call->exchange = exchange;
+  platform->klass->carry_out (platform, method, path, body, length, on_carried_out, call);
+}
+
+static void
+take_exchange (Fleet *task, LnExchange *exchange)
+{
+  if (strcmp (ln_exchange_path (exchange), LN_STORE_PATH) == 0)
+    carry_out_for_peer (task, exchange);
+  else
+    answer_entry (task, exchange);
+}
+
 static void
 receive (LnTask *base, const LnMessage *message)
 {
@@ -217,7 +299,7 @@
   switch ((LnMessageType)message->type)
     {
     case LN_EXCHANGE:
-      answer_entry (task, ((const LnExchangeMessage *)message)->exchange);
+      take_exchange (task, ((const LnExchangeMessage *)message)->exchange);
       break;
     case LN_READY:
       task->own.ready = ((const LnReadyMessage *)message)->ready;
@@ -265,6 +347,7 @@
   LB_COPY (task->own.incarnation, context->incarnation);
   LB_COPY (task->own.data_centre, context->settings->instance.data_centre);
   LB_COPY (task->own.caller_address, context->caller_address);
+  LB_COPY (task->own.peer_address, context->peer_address);
   task->timer = event_new (context->base, -1, EV_PERSIST, on_tick, task);
   event_add (task->timer, &tick);
   event_active (task->timer, EV_TIMEOUT, 0);
--- a/packages/node/src/ln-front.c
+++ b/packages/node/src/ln-front.c
@@ -18,7 +18,7 @@
 #include <string.h>
 
 #define BACKLOG 1024
-#define MAX_LISTENERS 3 /* callers', entry's and readiness' addresses */
+#define MAX_LISTENERS 4 /* callers', entry's, readiness' and, on a shared platform, peers' */
 
 /* The callers' sockets: reads requests whole, within limits, and posts each to the task of its
  * route. */
@@ -28,6 +28,7 @@
   LnContext *context;
   evhtp_t *servers[MAX_LISTENERS];
   size_t n_servers;
+  evhtp_t *peer_server; /* of servers; NULL: the peers task listens */
   LnCallers callers;
   uint64_t next_exchange;
   bool ready; /* the resources in force are confirmed */
@@ -63,8 +64,9 @@
   return !route->method || strcmp (route->method, method) == 0;
 }
 
+/* Only instances are let through to the store; callers do not reach the peers' address. */
 static LnTask *
-find_task_in_dialect (const LnFront *front, const LnExchange *exchange)
+find_task_in_dialect (const LnFront *front, const LnExchange *exchange, bool is_from_peer)
 {
   static const char *const tasks[] = {
     [LN_INBOUND_ENTRY] = "peers",   [LN_INBOUND_READY] = "front",
@@ -74,17 +76,19 @@
   };
   LnInbound inbound;
 
+  if (is_from_peer && strcmp (ln_exchange_path (exchange), LN_STORE_PATH) == 0)
+    return ln_hub_find (front->task.hub, "peers");
   front->context->dialect->read_inbound (exchange, &inbound);
   return ln_hub_find (front->task.hub, tasks[inbound.kind]);
 }
 
 static LnTask *
-find_task (const LnFront *front, const LnExchange *exchange)
+find_task (const LnFront *front, const LnExchange *exchange, bool is_from_peer)
 {
   const LnRoute *best = NULL;
 
   if (front->context->dialect)
-    return find_task_in_dialect (front, exchange);
+    return find_task_in_dialect (front, exchange, is_from_peer);
   for (size_t i = 0; i < sizeof routes / sizeof routes[0]; i++)
     if (route_matches (&routes[i], ln_exchange_method (exchange), ln_exchange_path (exchange))
         && (!best || strlen (routes[i].prefix) > strlen (best->prefix)))
@@ -100,7 +104,8 @@
   LnFront *front = user;
   LnExchange *exchange = ln_exchange_new (ln_caller_of (request->conn), request,
                                           ++front->next_exchange, front->task.hub);
-  LnTask *task = find_task (front, exchange);
+  bool is_from_peer = front->peer_server && request->conn->htp == front->peer_server;
+  LnTask *task = find_task (front, exchange, is_from_peer);
   LnRecorder *recorder = front->callers.recorder;
   LnExchangeMessage message = { .base = LN_MESSAGE (LN_EXCHANGE), .exchange = exchange };
 
@@ -264,33 +269,49 @@
   return true;
 }
 
-/* The callers' address first: it is the one that read_bound_address looks at. */
-static bool
-listen_at_all (LnFront *front, LbError *error)
-{
-  const LnSettings *settings = front->context->settings;
-  const char *entry = settings->instance.entry_address;
-  const char *ready = settings->instance.ready_address;
-
-  return listen_at (front, settings->instance.caller_address, "instance.caller_address", error)
-         && (!entry[0] || listen_at (front, entry, "instance.entry_address", error))
-         && (!ready[0] || listen_at (front, ready, "instance.ready_address", error));
-}
-
+/* The address as bound, with the port that the kernel chose. */
 static void
-read_bound_address (LnFront *front)
+read_bound_address (const evhtp_t *server, LbName address)
 {
   struct sockaddr_in bound = { 0 };
   socklen_t length = sizeof bound;
   char ip[INET_ADDRSTRLEN] = "";
-  LnContext *context = front->context;
-  int fd = evconnlistener_get_fd (front->servers[0]->server);
+  int fd = evconnlistener_get_fd (server->server);
 
   if (getsockname (fd, (struct sockaddr *)&bound, &length) != 0)
     return;
   inet_ntop (AF_INET, &bound.sin_addr, ip, sizeof ip);
-  snprintf (context->caller_address, sizeof context->caller_address, "%s:%u", ip,
-            ntohs (bound.sin_port));
+  snprintf (address, LB_NAME_MAX, "%s:%u", ip, ntohs (bound.sin_port));
+}
+
+/* On a shared platform instances speak HTTP to one another, too; else the peers task listens. */
+static bool
+listen_for_peers (LnFront *front, LbError *error)
+{
+  LnContext *context = front->context;
+
+  if (!context->dialect)
+    return true;
+  if (!listen_at (front, context->settings->instance.peer_address, "instance.peer_address", error))
+    return false;
+  front->peer_server = front->servers[front->n_servers - 1];
+  read_bound_address (front->peer_server, context->peer_address);
+  return true;
+}
+
+static bool
+listen_at_all (LnFront *front, LbError *error)
+{
+  const LnSettings *settings = front->context->settings;
+  const char *entry = settings->instance.entry_address;
+  const char *ready = settings->instance.ready_address;
+
+  if (!listen_at (front, settings->instance.caller_address, "instance.caller_address", error))
+    return false;
+  read_bound_address (front->servers[0], front->context->caller_address);
+  return (!entry[0] || listen_at (front, entry, "instance.entry_address", error))
+         && (!ready[0] || listen_at (front, ready, "instance.ready_address", error))
+         && listen_for_peers (front, error);
 }
 
 /* Listens at the settings' caller address; context->caller_address holds the real one afterwards.
@@ -318,7 +339,6 @@
       free (front);
       return NULL;
     }
-  read_bound_address (front);
   if (settings->record[0])
     front->callers.recorder = ln_recorder_new (settings->record, settings->instance.data_centre,
                                                settings->seed, lb_clock_monotonic ());
--- a/packages/store/include/lp-platform.h
+++ b/packages/store/include/lp-platform.h
@@ -87,6 +87,8 @@
 /* The same for rows that changed, in order; a row without a value was deleted. LB_ERROR_NOT_FOUND:
  * the history that was asked for is gone, the rows have to be listed. */
 typedef LpListDone LpWatchDone;
+typedef void (*LpCarriedOut) (
+    LbErrorCode error, int status, const char *body, size_t length, void *user);
 
 typedef struct
 {
@@ -122,6 +124,18 @@
                  LbTime wait,
                  LpWatchDone done,
                  void *user);
+  /* Other instances through which calls go while this one can't reach the store; where the kind can
+   * do that. */
+  void (*set_peers) (LpPlatform *platform, const LbName *addresses, size_t n_addresses);
+  /* Carries out a peer's call, never through another one. status 0: no answer came, and the call may
+   * have been carried out or not as error says. */
+  void (*carry_out) (LpPlatform *platform,
+                     const char *method,
+                     const char *path,
+                     const char *body,
+                     size_t length,
+                     LpCarriedOut done,
+                     void *user);
   void (*instances) (LpPlatform *platform, LpInstancesDone done, void *user);
   void (*weights) (LpPlatform *platform, const char *pool, LpWeightsDone done, void *user);
 } LpPlatformClass;
