--- a/packages/base/include/lb-log.h
+++ b/packages/base/include/lb-log.h
@@ -44,6 +44,14 @@
 #define LB_JSON(k, v) ((LbLogField){ .type = LB_FIELD_JSON, .key = (k), .value.text = (v) })
 
 void lb_log_init (LbLogLevel level, int fd, const char *instance);
+/* From here on lines gather in memory and go out by lb_log_flush, which never waits for the reader:
+ * whoever calls it regularly keeps the log from delaying anything. What does not fit is dropped and
+ * counted; warnings and errors have room of their own. */
+void lb_log_buffer (void);
+/* Writes as much as the reader takes now. */
+void lb_log_flush (void);
+/* Lines dropped since the start. */
+int64_t lb_log_dropped (void);
 bool lb_log_enabled (LbLogLevel level);
 void lb_log_fields (LbLogLevel level, const char *event, const LbLogField *fields);
 void lb_log_error (LbLogLevel level, const char *event, const LbError *error);
--- a/packages/base/src/lb-counter.c
+++ b/packages/base/src/lb-counter.c
@@ -2,6 +2,7 @@
 
 #include "lb-alloc.h"
 #include "lb-error.h"
+#include "lb-histogram.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -84,6 +85,7 @@
       render_metric (out, metric, strcmp (previous, metric->name) != 0);
       previous = metric->name;
     }
+  lb_histogram_render_all (out);
   fclose (out);
   return text;
 }
--- /dev/null
+++ b/packages/base/src/lb-histogram.c
@@ -0,0 +1,62 @@
+#include "lb-histogram.h"
+
+#include <float.h>
+#include <gsl/gsl_histogram.h>
+
+/* Upper bounds in seconds: about two for each doubling where answers are wanted, fewer above. */
+static const double bounds[]
+    = { 0,   0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1,
+        0.15, 0.25, 0.5,    1,     2.5,  5,     10,   DBL_MAX };
+#define N_BOUNDS (sizeof bounds / sizeof bounds[0])
+
+static LbHistogram *registry;
+
+static void
+register_histogram (LbHistogram *histogram)
+{
+  histogram->buckets = gsl_histogram_alloc (N_BOUNDS - 1);
+  gsl_histogram_set_ranges (histogram->buckets, bounds, N_BOUNDS);
+  histogram->next = registry;
+  registry = histogram;
+}
+
+void
+lb_histogram_add (LbHistogram *histogram, LbTime time)
+{
+  double seconds = time > 0 ? (double)time / LB_SEC : 0;
+
+  if (!histogram->buckets)
+    register_histogram (histogram);
+  gsl_histogram_increment (histogram->buckets, seconds);
+  histogram->sum += seconds;
+}
+
+int64_t
+lb_histogram_count (const LbHistogram *histogram)
+{
+  return histogram->buckets ? (int64_t)gsl_histogram_sum (histogram->buckets) : 0;
+}
+
+static void
+render (FILE *out, const LbHistogram *histogram)
+{
+  double below = 0;
+
+  fprintf (out, "# HELP %s %s\n# TYPE %s histogram\n", histogram->name, histogram->help,
+           histogram->name);
+  for (size_t i = 0; i + 2 < N_BOUNDS; i++)
+    {
+      below += gsl_histogram_get (histogram->buckets, i);
+      fprintf (out, "%s_bucket{le=\"%g\"} %.0f\n", histogram->name, bounds[i + 1], below);
+    }
+  fprintf (out, "%s_bucket{le=\"+Inf\"} %lld\n%s_sum %g\n%s_count %lld\n", histogram->name,
+           (long long)lb_histogram_count (histogram), histogram->name, histogram->sum,
+           histogram->name, (long long)lb_histogram_count (histogram));
+}
+
+void
+lb_histogram_render_all (FILE *out)
+{
+  for (const LbHistogram *histogram = registry; histogram; histogram = histogram->next)
+    render (out, histogram);
+}
--- a/packages/base/src/lb-log.c
+++ b/packages/base/src/lb-log.c
@@ -4,11 +4,23 @@
 #include "lb-clock.h"
 
 #include <json-c/json.h>
+#include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
+/* Memory for lines that the reader has not taken yet. A quarter of it is left to warnings and errors,
+ * which explain what went wrong when there is most to say. */
+#define BUFFER_BYTES ((size_t)(256 << 10))
+#define ORDINARY_BYTES (BUFFER_BYTES / 4 * 3)
+/* Of one second: several times what an instance says under full load, and little enough that a storm
+ * of refusals does not cost its processor. */
+#define LINES_PER_SECOND 2000
+#define BYTES_PER_SECOND (1 << 20)
+/* A write to a pipe that is said to be writable does not wait when it is no longer than this. */
+#define WRITE_BYTES ((size_t)4096)
+
 static const char *const level_names[] = { "debug", "info", "warning", "error", "off" };
 
 static struct
@@ -16,6 +28,14 @@
   LbLogLevel level;
   int fd;
   LbName instance;
+  /* buffered */
+  char *buffer; /* NULL: lines are written at once */
+  size_t length;
+  int64_t dropped;
+  int64_t dropped_said; /* in a line of its own */
+  int64_t lines;        /* in the present second */
+  int64_t bytes;
+  LbTime second;
 } log_state = { .level = LB_LOG_WARNING, .fd = 2 };
 
 /* Sets the lowest level that is written, where to (a file descriptor that stays the caller's) and
@@ -28,6 +48,19 @@
   LB_COPY (log_state.instance, instance ? instance : "");
 }
 
+void
+lb_log_buffer (void)
+{
+  if (!log_state.buffer)
+    log_state.buffer = lb_malloc (BUFFER_BYTES);
+}
+
+int64_t
+lb_log_dropped (void)
+{
+  return log_state.dropped;
+}
+
 bool
 lb_log_enabled (LbLogLevel level)
 {
@@ -71,6 +104,79 @@
     }
 }
 
+static bool
+is_within_rate (size_t length)
+{
+  LbTime second = lb_clock_monotonic () / LB_SEC;
+
+  if (second != log_state.second)
+    {
+      log_state.second = second;
+      log_state.lines = 0;
+      log_state.bytes = 0;
+    }
+  log_state.lines++;
+  log_state.bytes += (int64_t)length;
+  return log_state.lines <= LINES_PER_SECOND && log_state.bytes <= BYTES_PER_SECOND;
+}
+
+/* A reader that stops reading must not hold up requests: what it does not take is dropped. */
+static void
+keep_line (LbLogLevel level, const char *line, size_t length)
+{
+  bool is_urgent = level >= LB_LOG_WARNING;
+  size_t room = is_urgent ? BUFFER_BYTES : ORDINARY_BYTES;
+
+  if (log_state.length + length > room || (!is_within_rate (length) && !is_urgent))
+    {
+      log_state.dropped++;
+      return;
+    }
+  memcpy (log_state.buffer + log_state.length, line, length);
+  log_state.length += length;
+}
+
+static void
+say_dropped (void)
+{
+  int64_t dropped = log_state.dropped - log_state.dropped_said;
+
+  if (dropped == 0 || log_state.length > ORDINARY_BYTES)
+    return;
+  log_state.dropped_said = log_state.dropped;
+  lb_log (LB_LOG_WARNING, "log_lines_dropped", LB_INT ("lines", dropped),
+          LB_INT ("in_all", log_state.dropped));
+}
+
+static bool
+reader_takes_more (void)
+{
+  struct pollfd ready = { .fd = log_state.fd, .events = POLLOUT };
+
+  return poll (&ready, 1, 0) > 0 && (ready.revents & POLLOUT);
+}
+
+void
+lb_log_flush (void)
+{
+  size_t done = 0;
+
+  if (!log_state.buffer)
+    return;
+  say_dropped ();
+  while (done < log_state.length && reader_takes_more ())
+    {
+      size_t left = log_state.length - done;
+      ssize_t written = write (log_state.fd, log_state.buffer + done,
+                               left < WRITE_BYTES ? left : WRITE_BYTES);
+      if (written <= 0)
+        break;
+      done += (size_t)written;
+    }
+  memmove (log_state.buffer, log_state.buffer + done, log_state.length - done);
+  log_state.length -= done;
+}
+
 /* Writes one JSON line: time (ms since 1970), level, instance, event and the fields. */
 void
 lb_log_fields (LbLogLevel level, const char *event, const LbLogField *fields)
@@ -85,9 +191,13 @@
   for (; fields->type != LB_FIELD_END; fields++)
     json_object_object_add (line, fields->key, field_value (fields));
 
-  const char *text = json_object_to_json_string_ext (line, JSON_C_TO_STRING_PLAIN);
+  size_t length;
+  const char *text = json_object_to_json_string_length (line, JSON_C_TO_STRING_PLAIN, &length);
   char *with_newline = lb_asprintf ("%s\n", text);
-  write_all (with_newline, strlen (with_newline));
+  if (log_state.buffer)
+    keep_line (level, with_newline, length + 1);
+  else
+    write_all (with_newline, length + 1);
   free (with_newline);
   json_object_put (line);
 }
--- a/packages/cli/src/lt-command.c
+++ b/packages/cli/src/lt-command.c
@@ -15,6 +15,7 @@
   { "history", "print the last changes", lt_history_run },
   { "status", "print who holds what and what waits", lt_status_run },
   { "cost", "measures what decisions cost here", lt_cost_run },
+  { "explain", "tells what became of a request, from logs", lt_explain_run },
   { "replay", "runs traces against what they state", lt_replay_run },
   { "soak", "runs at random with faults and checks every promise", lt_soak_run },
   { "bench", "compares policies on one trace", lt_bench_run },
--- a/packages/cli/src/lt-proof.h
+++ b/packages/cli/src/lt-proof.h
@@ -7,4 +7,6 @@
 int lt_replay_run (int argc, char **argv);
 int lt_soak_run (int argc, char **argv);
 
+int lt_explain_run (int argc, char **argv);
+
 #endif
--- /dev/null
+++ b/packages/cli/tests/test-story.c
@@ -0,0 +1,86 @@
+#include "lt-story.h"
+
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+static void
+write_log (char *path, const char *lines)
+{
+  strcpy (path, "/tmp/lentilspindle-story-XXXXXX");
+  int fd = mkstemp (path);
+  cr_assert_geq (fd, 0);
+  cr_assert_eq (write (fd, lines, strlen (lines)), (ssize_t)strlen (lines));
+  close (fd);
+}
+
+static char *
+tell (const char *id, const char *first, const char *second)
+{
+  char paths[2][64];
+  char *text = NULL;
+  size_t size = 0;
+  LbError error;
+  LtStory *story = lt_story_new (id);
+  FILE *out = open_memstream (&text, &size);
+
+  write_log (paths[0], first);
+  write_log (paths[1], second);
+  for (int i = 0; i < 2; i++)
+    {
+      cr_assert (lt_story_read (story, paths[i], &error));
+      unlink (paths[i]);
+    }
+  lt_story_print (story, out);
+  fclose (out);
+  lt_story_free (story);
+  return text;
+}
+
+/* A clerk's lookup failed. Its id stands in the line that placed it; the end of that attempt and the
+ * loss of the endpoint stand in lines that do not name it, one of them in another instance's log. */
+Test (story, follows_a_request_and_what_was_believed)
+{
+  char *text = tell (
+      "c1",
+      "{\"time\":1000,\"instance\":\"a\",\"event\":\"started\"}\n"
+      "{\"time\":9000,\"instance\":\"a\",\"event\":\"store_lost\",\"status\":503}\n"
+      "12.5 a {\"time\":9500,\"instance\":\"a\",\"event\":\"route\",\"request\":7,\"id\":\"c1\"}\n"
+      "{\"time\":9700,\"instance\":\"a\",\"event\":\"attempt_ended\",\"request\":7,"
+      "\"outcome\":\"broken\"}\n"
+      "not a line of ours\n",
+      "{\"time\":9600,\"instance\":\"b\",\"event\":\"attempt_ended\",\"request\":7}\n"
+      "{\"time\":9650,\"instance\":\"b\",\"event\":\"store_lost\"}\n");
+
+  char *lost = strstr (text, "store_lost");
+  char *route = strstr (text, "route");
+  char *ended = strstr (text, "outcome=broken");
+  cr_assert (lost && route && ended && lost < route && route < ended, "%s", text);
+  cr_assert_null (strstr (text, "started"), "too long ago to explain anything");
+  cr_assert_null (strstr (text, " b "), "another process's request of the same number");
+  cr_assert (strstr (text, "1 lines could not be read"));
+  free (text);
+}
+
+Test (story, finds_an_item_by_its_batch)
+{
+  char *text = tell ("b1",
+                     "{\"time\":1,\"instance\":\"a\",\"event\":\"batch_accepted\",\"batch\":\"b1\"}\n",
+                     "{\"time\":2,\"instance\":\"b\",\"event\":\"route\",\"request\":3,\"id\":\"i9\","
+                     "\"caller\":\"b1\"}\n"
+                     "{\"time\":3,\"instance\":\"b\",\"event\":\"attempt_ended\",\"request\":3}\n");
+
+  cr_assert (strstr (text, "batch_accepted"));
+  cr_assert (strstr (text, "attempt_ended"));
+  free (text);
+}
+
+Test (story, says_when_no_line_names_the_id)
+{
+  LtStory *story = lt_story_new ("nobody");
+
+  cr_assert_not (lt_story_print (story, stdout));
+  lt_story_free (story);
+}
--- a/packages/core/include/lc-desired.h
+++ b/packages/core/include/lc-desired.h
@@ -78,6 +78,8 @@
 /* The route with the longest prefix that begins the path; NULL: none. */
 const LcRoute *lc_desired_route (const LcDesired *desired, const char *host, const char *path);
 const LcService *lc_desired_service (const LcDesired *desired, const char *name);
+/* When a repeatable call that has heard nothing is worth a second attempt elsewhere; 0: never. */
+LbTime lc_route_hedge_after (const LcRoute *route);
 /* One of the route's services by weight; draw is in 0..1. */
 const char *lc_route_service (const LcRoute *route, double draw);
 
--- a/packages/core/src/lc-desired.c
+++ b/packages/core/src/lc-desired.c
@@ -6,6 +6,8 @@
 #include <string.h>
 #include <strings.h>
 
+#define HEDGE_PERCENT 70 /* of the goal */
+
 LcDesired *
 lc_desired_new (int64_t version)
 {
@@ -95,6 +97,15 @@
   return NULL;
 }
 
+/* An endpoint that swallows a request, or has turned slow, makes its caller wait until the deadline. A
+ * second attempt after this part of the goal still answers within it as a rule, and few ordinary calls
+ * take so long. */
+LbTime
+lc_route_hedge_after (const LcRoute *route)
+{
+  return route->kind == LC_ROUTE_REPEATABLE ? route->goal * HEDGE_PERCENT / 100 : 0;
+}
+
 const char *
 lc_route_service (const LcRoute *route, double draw)
 {
--- a/packages/core/src/lc-request.h
+++ b/packages/core/src/lc-request.h
@@ -59,6 +59,7 @@
   int64_t next_token;    /* STREAM: the one to be forwarded next */
   uint32_t owner;        /* STREAM: the attempt whose pieces are forwarded; 0: none yet */
   uint32_t n_attempts;   /* made so far; the number of the last */
+  LbTime hedge_after;    /* 0: the dispatch's own, for live calls */
   uint32_t max_attempts; /* 0: the dispatch's own limit */
   uint32_t n_retries;
   uint32_t n_lost;        /* attempts in a row that may have run and brought nothing */
--- a/packages/core/src/lc-timers.c
+++ b/packages/core/src/lc-timers.c
@@ -12,10 +12,14 @@
 {
   const LcAttempt *attempt = LB_LIST_FIRST (&request->attempts, LcAttempt, link);
 
-  if (dispatch->settings.hedge_after <= 0 || request->kind != LC_KIND_LIVE || !request->repeatable
-      || request->hedged || !attempt || attempt->heard)
+  LbTime after = request->hedge_after;
+
+  if (after == 0 && request->kind == LC_KIND_LIVE)
+    after = dispatch->settings.hedge_after;
+  if (after <= 0 || !request->repeatable || request->hedged || !attempt || attempt->heard
+      || (request->max_attempts > 0 && request->n_attempts >= request->max_attempts))
     return LB_TIME_NEVER;
-  return attempt->sent_at + dispatch->settings.hedge_after;
+  return attempt->sent_at + after;
 }
 
 static LbTime
--- a/packages/core/tests/test-dispatch-answers.c
+++ b/packages/core/tests/test-dispatch-answers.c
@@ -332,3 +332,30 @@
   cr_assert_eq (sent, 2);
   fixture_clear (&f);
 }
+
+/* A plain service swallows a lookup. The clerk waited until the deadline; a second endpoint is asked
+ * once most of the time is gone in which the answer is worth most. */
+Test (dispatch_answers, a_repeatable_call_of_a_service_is_hedged_by_its_own_time)
+{
+  Fixture f;
+  LcAction first;
+  LcAction second;
+  const LcDispatchSettings eager = { .retry_budget = 1, .seed = 1 };
+
+  fixture_init (&f, &eager, 1, 4);
+  LcRequestSpec spec = fixture_spec (&f, LC_KIND_SERVICE);
+  spec.hedge_after = 100 * LB_MSEC;
+  spec.max_attempts = 2;
+  spec.deadline = f.now + 2 * LB_SEC;
+  cr_assert (fixture_submit (&f, &spec));
+  cr_assert (fixture_take (&f, LC_ACTION_SEND, spec.id, &first));
+  f.now += 50 * LB_MSEC;
+  lc_dispatch_tick (f.dispatch, f.now, &f.actions);
+  cr_assert_not (fixture_take (&f, LC_ACTION_SEND, spec.id, &second));
+  f.now += 60 * LB_MSEC;
+  lc_dispatch_tick (f.dispatch, f.now, &f.actions);
+  cr_assert (fixture_take (&f, LC_ACTION_SEND, spec.id, &second));
+  cr_assert_str_neq (first.endpoint, second.endpoint);
+  lc_dispatch_ended (f.dispatch, spec.id, second.attempt, LC_END_WHOLE, f.now, &f.actions);
+  fixture_clear (&f);
+}
--- a/packages/http/include/lh-fetch.h
+++ b/packages/http/include/lh-fetch.h
@@ -45,6 +45,7 @@
   size_t n_headers;
   const char *body;
   size_t body_length;
+  LbTime connect_time;   /* longest time until the request can be handed over; 0: silence counts */
   LbTime silence;        /* longest time with no byte in either direction; 0: 30 s */
   bool fresh_connection; /* do not reuse a kept connection: it may have gone silent */
 } LhRequest;
--- a/packages/http/src/lh-fetch.c
+++ b/packages/http/src/lh-fetch.c
@@ -28,6 +28,7 @@
   struct evhttp_request *request;
   LhHandlers handlers;
   void *user;
+  struct event *connect_timer; /* NULL: none */
   bool bytes_handed;
   bool starting;
   LbErrorCode failure;
@@ -72,6 +73,14 @@
   evhttp_connection_set_timeout_tv (connection->evcon, &limit);
 }
 
+static void
+drop_connect_timer (LhFetch *fetch)
+{
+  if (fetch->connect_timer)
+    event_free (fetch->connect_timer);
+  fetch->connect_timer = NULL;
+}
+
 /* "Not run" is a proof: it needs to know whether any byte was handed to the socket. evhttp fills
  * the output buffer only once connected, so the first byte added there is the first that may have
  * left. */
@@ -81,8 +90,10 @@
   (void)buffer;
   LhFetch *fetch = user;
 
-  if (info->n_added > 0)
-    fetch->bytes_handed = true;
+  if (info->n_added == 0)
+    return;
+  fetch->bytes_handed = true;
+  drop_connect_timer (fetch);
 }
 
 static void
@@ -129,6 +140,41 @@
   lh_pool_wake (fetch->pool);
 }
 
+/* A machine that lost power answers no opening packet, and the caller's whole time would pass before
+ * anybody learned it. Nothing was handed over yet, so the request can go elsewhere. */
+static void
+on_connect_time (evutil_socket_t fd, short what, void *user)
+{
+  (void)fd;
+  (void)what;
+  LhFetch *fetch = user;
+  const LhResult result = { .failure = LB_ERROR_TIMEOUT };
+  LhHandlers handlers = fetch->handlers;
+  void *fetch_user = fetch->user;
+
+  drop_connect_timer (fetch);
+  watch_output (fetch, false);
+  lb_list_remove (&fetch->pool->fetches, &fetch->link);
+  evhttp_request_set_error_cb (fetch->request, NULL);
+  evhttp_cancel_request (fetch->request);
+  lh_pool_close_later (fetch->connection);
+  fetch->connection = NULL;
+  fetch->request = NULL;
+  handlers.on_done (fetch, &result, fetch_user);
+  free (fetch);
+}
+
+static void
+start_connect_timer (LhFetch *fetch, LbTime time)
+{
+  const struct timeval tv = { .tv_sec = time / LB_SEC, .tv_usec = time % LB_SEC };
+
+  if (time <= 0 || fetch->bytes_handed)
+    return;
+  fetch->connect_timer = evtimer_new (fetch->pool->base, on_connect_time, fetch);
+  evtimer_add (fetch->connect_timer, &tv);
+}
+
 static void
 finish (LhFetch *fetch, struct evhttp_request *request)
 {
@@ -136,6 +182,7 @@
   LhConnection *connection = fetch->connection;
 
   watch_output (fetch, false);
+  drop_connect_timer (fetch);
   lb_list_remove (&fetch->pool->fetches, &fetch->link);
   if (request && evhttp_request_get_response_code (request) != 0 && fetch->failure == LB_OK)
     {
@@ -259,8 +306,11 @@
   if (fetch->failure != LB_OK)
     fail_start (fetch);
   else
-    lh_socket_find_silence (
-        bufferevent_getfd (evhttp_connection_get_bufferevent (connection->evcon)));
+    {
+      lh_socket_find_silence (
+          bufferevent_getfd (evhttp_connection_get_bufferevent (connection->evcon)));
+      start_connect_timer (fetch, wanted->connect_time);
+    }
   return fetch;
 }
 
@@ -274,6 +324,7 @@
       return;
     }
   watch_output (fetch, false);
+  drop_connect_timer (fetch);
   lb_list_remove (&fetch->pool->fetches, &fetch->link);
   /* Freeing the connection frees its request; a half-read stream can't be reused anyway. */
   evhttp_request_set_error_cb (fetch->request, NULL);
--- a/packages/http/tests/test-fetch.c
+++ b/packages/http/tests/test-fetch.c
@@ -424,3 +424,43 @@
   close (fd);
   world_clear (&w);
 }
+
+/* A machine lost power: nobody answers the opening packet. A caller with two seconds waited for all of
+ * them and got no answer, though other endpoints were idle. The request is known not to have been
+ * handed over, so it goes elsewhere after the time to connect. */
+Test (fetch, a_connection_that_does_not_open_is_given_up_early)
+{
+  World w;
+  int fillers[64];
+  int n = 0;
+  struct sockaddr_in at = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  socklen_t length = sizeof at;
+
+  world_init (&w);
+  /* A listener whose queue is full drops further opening packets. */
+  int full = socket (AF_INET, SOCK_STREAM, 0);
+  cr_assert_eq (bind (full, (struct sockaddr *)&at, sizeof at), 0);
+  cr_assert_eq (listen (full, 0), 0);
+  getsockname (full, (struct sockaddr *)&at, &length);
+  for (; n < 8; n++)
+    {
+      fillers[n] = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+      connect (fillers[n], (struct sockaddr *)&at, sizeof at);
+    }
+  usleep (100000);
+  snprintf (w.address, sizeof w.address, "127.0.0.1:%d", ntohs (at.sin_port));
+  const LhRequest request = { .method = "GET",
+                              .address = w.address,
+                              .path = "/",
+                              .connect_time = 200 * LB_MSEC,
+                              .silence = 60 * LB_SEC };
+  const LhHandlers handlers = { .on_done = on_done };
+  lh_fetch_start (w.pool, &request, &handlers, &w, NULL);
+  UNTIL (&w, w.done);
+  cr_assert_eq (w.failure, LB_ERROR_TIMEOUT);
+  cr_assert_not (w.bytes_handed);
+  while (n > 0)
+    close (fillers[--n]);
+  close (full);
+  world_clear (&w);
+}
--- a/packages/node/main/lentilspindled.c
+++ b/packages/node/main/lentilspindled.c
@@ -37,6 +37,7 @@
   struct event *signals[N_SIGNALS];
   const char *config;        /* path of the settings file; NULL: none */
   struct event *drain_timer; /* runs while draining */
+  struct event *log_timer;
   LbTime drain_until;
   bool draining;
 } Daemon;
@@ -200,12 +201,24 @@
     }
   daemon->settings.log.level = fresh.log.level;
   daemon->settings.drain = fresh.drain;
-  lb_log_init ((LbLogLevel)fresh.log.level, STDERR_FILENO, daemon->context.instance);
+  lb_log_init ((LbLogLevel)fresh.log.level, STDOUT_FILENO, daemon->context.instance);
   lb_log (LB_LOG_INFO, "settings_reloaded", LB_INT ("log_level", fresh.log.level),
           LB_INT ("drain_ms", fresh.drain.drain_ms));
   ln_settings_clear (&fresh);
 }
 
+/* Lines wait for it at most this long; a write for each line would cost more than making it. */
+#define LOG_PERIOD (50 * LB_MSEC)
+
+static void
+on_log_timer (evutil_socket_t fd, short what, void *user)
+{
+  (void)fd;
+  (void)what;
+  (void)user;
+  lb_log_flush ();
+}
+
 static LpPlatform *
 make_platform (const LnSettings *settings, struct event_base *base)
 {
@@ -251,6 +264,7 @@
 static void
 daemon_open (Daemon *daemon)
 {
+  const struct timeval log_period = { .tv_usec = LOG_PERIOD };
   LnContext *context = &daemon->context;
 
   context->settings = &daemon->settings;
@@ -263,6 +277,8 @@
   daemon->signals[0] = evsignal_new (context->base, SIGTERM, on_signal, daemon);
   daemon->signals[1] = evsignal_new (context->base, SIGINT, on_signal, daemon);
   daemon->signals[2] = evsignal_new (context->base, SIGHUP, on_reload, daemon);
+  daemon->log_timer = event_new (context->base, -1, EV_PERSIST, on_log_timer, daemon);
+  event_add (daemon->log_timer, &log_period);
   daemon->drain_timer = event_new (context->base, -1, EV_PERSIST, exit_when_idle, daemon);
   for (int i = 0; i < N_SIGNALS; i++)
     event_add (daemon->signals[i], NULL);
@@ -279,6 +295,7 @@
   for (int i = 0; i < N_SIGNALS; i++)
     event_free (daemon->signals[i]);
   event_free (daemon->drain_timer);
+  event_free (daemon->log_timer);
   event_base_free (context->base);
 }
 
@@ -289,12 +306,13 @@
   int exit_code = EXIT_FAILURE;
 
   signal (SIGPIPE, SIG_IGN);
-  lb_log_init ((LbLogLevel)daemon->settings.log.level, STDERR_FILENO,
+  lb_log_buffer ();
+  lb_log_init ((LbLogLevel)daemon->settings.log.level, STDOUT_FILENO,
                daemon->settings.instance.name);
   daemon_open (daemon);
   if (!add_tasks (daemon))
     goto out;
-  lb_log_init ((LbLogLevel)daemon->settings.log.level, STDERR_FILENO, daemon->context.instance);
+  lb_log_init ((LbLogLevel)daemon->settings.log.level, STDOUT_FILENO, daemon->context.instance);
   if (daemon->settings.address_file[0] && !write_address_file (daemon, &error))
     {
       lb_log_error (LB_LOG_ERROR, "start_failed", &error);
@@ -308,6 +326,7 @@
   exit_code = EXIT_SUCCESS;
 out:
   daemon_close (daemon);
+  lb_log_flush ();
   return exit_code;
 }
 
--- a/packages/node/src/ln-batch-owner.c
+++ b/packages/node/src/ln-batch-owner.c
@@ -211,6 +211,7 @@
     }
   request.priority = route->priority;
   request.max_attempts = route->attempts;
+  request.hedge_after = lc_route_hedge_after (route);
   request.deadline = lb_clock_monotonic () + (route->timeout > 0 ? route->timeout : SCORE_TIME);
   LB_COPY (request.caller, route->name);
   LB_COPY (request.pool, lc_route_service (route, (double)(rand () % 10000) / 10000));
--- a/packages/node/src/ln-calls-run.c
+++ b/packages/node/src/ln-calls-run.c
@@ -5,6 +5,7 @@
 #include "lb-alloc.h"
 #include "lb-clock.h"
 #include "lb-counter.h"
+#include "lb-histogram.h"
 #include "lb-log.h"
 
 #include <event2/buffer.h>
@@ -14,6 +15,12 @@
 #include <stdlib.h>
 #include <string.h>
 
+static LbHistogram queue_time = LB_HISTOGRAM_INIT ("lentilspindle_queue_seconds",
+                                                  "From a request's admission to its first attempt");
+static LbHistogram attempt_time
+    = LB_HISTOGRAM_INIT ("lentilspindle_attempt_seconds", "Attempts at endpoints, whole or not");
+static LbHistogram request_time = LB_HISTOGRAM_INIT (
+    "lentilspindle_request_seconds", "From a caller's request to its answer, whatever it was");
 static LbMetric sent = LB_COUNTER_INIT ("lentilspindle_attempts_total",
                                         NULL,
                                         "Attempts at endpoints, retries and hedges included");
@@ -186,6 +193,7 @@
   };
   const LnCall *call = attempt->call;
 
+  lb_histogram_add (&attempt_time, lb_clock_monotonic () - attempt->sent_at);
   lb_log (LB_LOG_INFO, "attempt_ended", LB_INT ("request", call->spec.id),
           LB_TEXT ("id", call->outgoing.id),
           LB_INT ("attempt", ln_upstream_attempt (attempt->upstream)),
@@ -382,6 +390,8 @@
   if (!call)
     return;
   log_decision (call, action);
+  if (action->attempt == 1)
+    lb_histogram_add (&queue_time, lb_clock_monotonic () - call->submitted_at);
   lb_metric_add (&sent, 1);
   attempt = ln_attempt_new (call);
   attempt->sent_at = lb_clock_monotonic ();
@@ -460,6 +470,17 @@
   ln_answer_clear (&answer);
 }
 
+/* The last word on a request that got no answer. */
+static void
+log_given_up (const LnCall *call, LbErrorCode code, LbTime retry_after)
+{
+  lb_log (LB_LOG_INFO, "request_given_up", LB_INT ("request", call->spec.id),
+          LB_TEXT ("id", call->outgoing.id), LB_TEXT ("pool", call->spec.pool),
+          LB_TEXT ("caller", call->spec.caller), LB_TEXT ("error", lb_error_name (code)),
+          LB_INT ("retry_after_us", retry_after),
+          LB_INT ("after_us", lb_clock_monotonic () - call->submitted_at));
+}
+
 static void
 finish_call (LnCalls *calls, const LcAction *action)
 {
@@ -471,6 +492,10 @@
   /* A whole answer is taken from the attempt whose end brought this action. */
   if (code == LB_OK && !call->ended)
     code = LB_ERROR_INTERNAL;
+  if (call->exchange)
+    lb_histogram_add (&request_time, lb_clock_monotonic () - call->submitted_at);
+  if (code != LB_OK)
+    log_given_up (call, code, action->retry_after);
   if (call->kind == LN_CALL_SAMPLE || call->kind == LN_CALL_SCORE)
     finish_sample (calls, call, code);
   else
@@ -528,6 +553,7 @@
       ln_calls_run (calls, &actions);
       return;
     }
+  log_given_up (call, error.code, retry_after);
   if (call->ticketed)
     ln_ticket_calls_finish (calls->tickets, call->spec.id, error.code, retry_after, NULL);
   if (call->exchange)
--- a/packages/node/src/ln-desired.c
+++ b/packages/node/src/ln-desired.c
@@ -158,7 +158,7 @@
     }
   if (error == LB_ERROR_NOT_FOUND)
     task->table_version = 0;
-  lb_log (LB_LOG_WARNING, "desired_not_read", LB_TEXT ("error", lb_error_name (error)),
+  lb_log (LB_LOG_DEBUG, "desired_not_read", LB_TEXT ("error", lb_error_name (error)),
           LB_INT ("after", task->table_version));
   task->next_watch = now + WATCH_RETRY;
 }
@@ -280,7 +280,7 @@
   task->listing = false;
   if (error != LB_OK)
     {
-      lb_log (LB_LOG_WARNING, "endpoints_not_listed", LB_TEXT ("error", lb_error_name (error)));
+      lb_log (LB_LOG_DEBUG, "endpoints_not_listed", LB_TEXT ("error", lb_error_name (error)));
       confirm_endpoints (task);
       return;
     }
--- a/packages/node/src/ln-fleet.c
+++ b/packages/node/src/ln-fleet.c
@@ -137,7 +137,7 @@
 
   task->renewing--;
   if (error != LB_OK)
-    lb_log (LB_LOG_WARNING, "instance_not_renewed", LB_TEXT ("error", lb_error_name (error)));
+    lb_log (LB_LOG_DEBUG, "instance_not_renewed", LB_TEXT ("error", lb_error_name (error)));
 }
 
 static void
--- a/packages/node/src/ln-routed.c
+++ b/packages/node/src/ln-routed.c
@@ -95,6 +95,7 @@
   call->spec.repeatable = route->kind == LC_ROUTE_REPEATABLE;
   call->spec.priority = route->priority;
   call->spec.max_attempts = route->attempts;
+  call->spec.hedge_after = lc_route_hedge_after (route);
   call->spec.expected_tokens = 1;
   call->spec.deadline = deadline_of (calls, route, in, lb_clock_monotonic ());
   LB_COPY (call->spec.caller, route->name);
--- a/packages/node/src/ln-upstream.c
+++ b/packages/node/src/ln-upstream.c
@@ -13,6 +13,9 @@
 #include <string.h>
 
 #define MAX_EVENT_BYTES (1 << 20)
+/* A hundred round trips between data centres: an endpoint that has not taken a connection by then is
+ * not there, or has no room for one. */
+#define CONNECT_TIME (250 * LB_MSEC)
 #define MAX_REFUSAL_BYTES (64 << 10)
 
 struct LnUpstream
@@ -333,6 +336,7 @@
                               .n_headers = spec->n_headers,
                               .body = spec->body,
                               .body_length = spec->body_length,
+                              .connect_time = CONNECT_TIME,
                               .silence = spec->silence };
 
   upstream->request = spec->request;
--- a/tools/local.py
+++ b/tools/local.py
@@ -23,7 +23,10 @@
     def start(self, name, program, *arguments):
         output = os.path.join(self.folder, name + ".out")
         with open(output, "w") as out, open(os.path.join(self.folder, name + ".log"), "w") as log:
-            process = subprocess.Popen([self.program(program), *arguments], stdout=out, stderr=log)
+            # The daemon logs on standard output; what the others say there is their result.
+            streams = (log, subprocess.STDOUT) if program == "lentilspindled" else (out, log)
+            process = subprocess.Popen([self.program(program), *arguments], stdout=streams[0],
+                                       stderr=streams[1])
         self.running.append((name, process))
         return process, output
 
