--- a/packages/core/include/lc-roster.h
+++ b/packages/core/include/lc-roster.h
@@ -50,6 +50,8 @@
 /* The version that the engine has of the model it is used for, by the list or by the plan,
  * whichever knows of the later one; 0: none. */
 LcVersion lc_roster_version (const LcRoster *roster, size_t index);
+/* The same by the engine's own entry alone. */
+LcVersion lc_roster_listed_version (const LcRoster *roster, size_t index);
 /* A pool for each model and each endpoint in its pool. */
 LcResourceSet *lc_roster_resources (const LcRoster *roster, int64_t revision);
 
--- a/packages/core/src/lc-batch.c
+++ b/packages/core/src/lc-batch.c
@@ -584,6 +584,25 @@
   return lc_straggler_move_gain (&history->lengths, &history->pace, &progress, IDLE_WEIGHT, now);
 }
 
+/* A text that can't be used is not awaited: it is made again at once. */
+static void
+restart_unusable (LcBatch *batch, LbTime now, LbList *actions)
+{
+  for (size_t i = 0; i < batch->spec.n_items; i++)
+    {
+      Item *item = &batch->items[i];
+      if (item->state != ITEM_RUNNING || !item->unusable || item->recalled)
+        continue;
+      lb_log (LB_LOG_WARNING, "text_unusable", LB_TEXT ("batch", batch->spec.id),
+              LB_TEXT ("item", item->result.item), LB_TEXT ("endpoint", item->endpoint),
+              LB_INT ("version", item->result.n_versions > 0 ? item->result.versions[0] : 0),
+              LB_INT ("min_version", batch->spec.min_version));
+      stop_request (item, actions);
+      restart_text (item);
+      try_later (item, ITEM_WAITING, now);
+    }
+}
+
 /* The step is whole only when its slowest texts are. An engine that turned slow makes its streams
  * take several times as long, so the trainer waits for them although other engines have room: such
  * an item goes on elsewhere from what it has. */
@@ -627,7 +646,10 @@
         score (batch, item, actions);
     }
   if (now >= batch->next_review)
-    move_slow_ones (batch, now, actions);
+    {
+      restart_unusable (batch, now, actions);
+      move_slow_ones (batch, now, actions);
+    }
   if (now >= batch->next_keep)
     lc_batch_keep (batch, now, actions);
   if (now >= batch->write_at)
--- a/packages/core/src/lc-roster.c
+++ b/packages/core/src/lc-roster.c
@@ -274,12 +274,19 @@
 }
 
 LcVersion
-lc_roster_version (const LcRoster *roster, size_t index)
+lc_roster_listed_version (const LcRoster *roster, size_t index)
 {
   const Entry *entry = &roster->entries[index];
 
+  return entry->listed.n_models > 0 ? entry->listed.models[entry->model].version : 0;
+}
+
+LcVersion
+lc_roster_version (const LcRoster *roster, size_t index)
+{
+  const Entry *entry = &roster->entries[index];
   const LcPlanEntry *planned = lc_engine_plan_find (&roster->plan, entry->listed.name);
-  LcVersion listed = entry->listed.n_models > 0 ? entry->listed.models[entry->model].version : 0;
+  LcVersion listed = lc_roster_listed_version (roster, index);
   bool is_told = planned && strcmp (planned->model, lc_roster_model (roster, index)) == 0;
 
   return is_told && planned->version > listed ? planned->version : listed;
--- a/packages/core/tests/test-batch.c
+++ b/packages/core/tests/test-batch.c
@@ -220,6 +220,24 @@
   fixture_clear (&f);
 }
 
+/* The first event shows that the weights are too old. The rest of the text, six seconds of it, is not
+ * awaited. */
+Test (batch, a_text_that_cannot_be_used_is_stopped_early)
+{
+  Fixture f;
+
+  fixture_init (&f, 1, false, (LcBatchSettings){ .resumable = true });
+  start (&f);
+  LcRequestId first = f.running[0];
+  piece (&f, 0, 3, "a");
+  tick (&f, 200 * LB_MSEC);
+  cr_assert_eq (f.stopped, 1);
+  tick (&f, LB_SEC);
+  cr_assert_neq (f.running[0], first);
+  cr_assert_eq (f.resume_at[0], 0);
+  fixture_clear (&f);
+}
+
 Test (batch, a_text_of_two_versions_is_made_again_where_one_is_asked_for)
 {
   Fixture f;
--- a/packages/node/src/ln-calls-run.c
+++ b/packages/node/src/ln-calls-run.c
@@ -151,6 +151,25 @@
   LN_POST (calls->task.hub, ln_hub_find (calls->task.hub, "rollouts"), message);
 }
 
+/* An engine's own event is the best word on its weights: the list lags, and the plan may be wrong. */
+static void
+note_version (LnCalls *calls, const LnUpstream *upstream, LcVersion version)
+{
+  LcEndpoints *endpoints = lc_dispatch_endpoints (calls->dispatch);
+  const LcEndpoint *endpoint = lc_endpoints_find (endpoints, ln_upstream_endpoint (upstream));
+  LcLoadReport report = { 0 };
+
+  if (!endpoint || version <= 0 || endpoint->report.version == version)
+    return;
+  lb_log (LB_LOG_INFO, "endpoint_version", LB_TEXT ("endpoint", endpoint->member.name),
+          LB_INT ("believed", endpoint->report.version), LB_INT ("stated", version));
+  report = endpoint->report;
+  report.version = version;
+  report.at = lb_clock_monotonic ();
+  report.running = endpoint->in_flight;
+  lc_endpoints_report (endpoints, endpoint->member.name, &report, report.at);
+}
+
 static void
 on_piece (LnUpstream *upstream,
           const LcPiece *piece,
@@ -164,6 +183,8 @@
   LbList actions;
 
   lb_list_init (&actions);
+  if (calls->context->dialect)
+    note_version (calls, upstream, piece->version);
   LcPieceVerdict verdict
       = lc_dispatch_piece (calls->dispatch, call->spec.id, ln_upstream_attempt (upstream), piece,
                            lb_clock_monotonic (), &actions);
--- a/packages/node/src/ln-engine-plans.c
+++ b/packages/node/src/ln-engine-plans.c
@@ -158,7 +158,10 @@
 void
 ln_engine_plans_note (LnEnginePlans *plans, const LcPlanEntry *entry)
 {
-  if (plans->is_writer)
+  const LcPlanEntry *wanted = lc_engine_plan_find (&plans->wanted, entry->engine);
+
+  /* What was learnt of the model that the engine served before does not bring it back. */
+  if (plans->is_writer && (!wanted || strcmp (wanted->model, entry->model) == 0))
     lc_engine_plan_note (&plans->wanted, entry);
 }
 
--- a/packages/node/src/ln-weight-orders.c
+++ b/packages/node/src/ln-weight-orders.c
@@ -176,8 +176,13 @@
     }
   engine->configured = true;
   LB_COPY (engine->address, member->address);
+  /* What is known of one model's weights says nothing of another's: requests would go to weights that
+   * the engine does not have, and their texts be thrown away for their age. */
   if (strcmp (engine->model, member->pool) != 0)
-    engine->ordered = 0;
+    {
+      engine->ordered = 0;
+      engine->version = 0;
+    }
   LB_COPY (engine->model, member->pool);
 }
 
@@ -256,7 +261,7 @@
     {
       const LcListed *listed = lc_roster_at (roster, i);
       Engine *engine = find_engine (orders, listed->name);
-      LcVersion version = lc_roster_version (roster, i);
+      LcVersion version = lc_roster_listed_version (roster, i);
       /* The list lags behind what the engine stated itself. */
       if (engine && engine->orders_accepted >= 0)
         take_state (engine, version > engine->version ? version : engine->version, asked_at, now);
