An engine that changes its pool states its version anew; engines move only for a lasting need

Cause: between the change of pool and the next list an engine's old report counted for its new model, and streams of the old model raised it again; the division followed each batch's lengths and moved engines each 2 s.

--- a/packages/core/src/lc-endpoints-config.c
+++ b/packages/core/src/lc-endpoints-config.c
@@ -125,6 +125,15 @@
   free (entry);
 }
 
+/* What it stated is the version of the pool's model that it served before. Were it believed for the new
+ * one, requests would go to weights that are too old for them. */
+static void
+forget_weights (LcEntry *entry)
+{
+  entry->endpoint.report.version = 0;
+  entry->endpoint.swap_pending = false;
+}
+
 static void
 take_member (LcEndpoints *endpoints, const LcEndpointMember *member)
 {
@@ -140,6 +149,8 @@
       lc_leaving_begin (&entry->leaving, "");
       lc_entry_forget_process (entry);
     }
+  if (strcmp (entry->endpoint.member.pool, member->pool) != 0)
+    forget_weights (entry);
   entry->retired = false;
   entry->endpoint.member = *member;
   lc_concurrency_resize (&entry->concurrency, member->concurrency);
--- a/packages/core/src/lc-engine-plan.c
+++ b/packages/core/src/lc-engine-plan.c
@@ -9,11 +9,15 @@
 #include <string.h>
 #include <uthash.h>
 
-/* Trainers bring a batch every few seconds: this long ago they brought half as much as counts. */
-#define HALF_LIFE (8 * LB_SEC)
-/* Engines by which a model must lack its share before one is moved: less is noise of the lengths of
- * texts, and each move costs a load of weights and the engine's cache. */
-#define LEAST_LACK 0.8
+/* Trainers bring a batch every few seconds, of very different lengths: the mean is over several. */
+#define HALF_LIFE (20 * LB_SEC)
+/* Engines by which a model must lack its share before one is moved, and beside them a part of an even
+ * share: less is noise of the lengths of texts, and each move costs a load of weights and the engine's
+ * cache. */
+#define LEAST_LACK 1.0
+#define LEAST_LACK_PART 0.08
+/* Once engines are moved at all, the division becomes as even as whole engines allow. */
+#define LACK_TO_GO_ON 0.5
 
 void
 lc_engine_plan_clear (LcEnginePlan *plan)
@@ -246,7 +250,7 @@
 
 /* The model that lacks most, and the one that has most to spare. */
 static bool
-find_move (const Share *shares, size_t n, size_t *to, size_t *from)
+find_move (const Share *shares, size_t n, double least_lack, size_t *to, size_t *from)
 {
   *to = 0;
   *from = 0;
@@ -257,7 +261,7 @@
       if (shares[i].has - shares[i].share > shares[*from].has - shares[*from].share)
         *from = i;
     }
-  return shares[*to].share - shares[*to].has >= LEAST_LACK && shares[*from].has > 1
+  return shares[*to].share - shares[*to].has >= least_lack && shares[*from].has > 1
          && shares[*from].has - shares[*from].share > 0;
 }
 
@@ -316,7 +320,8 @@
           if (model < n_models)
             shares[model].has++;
         }
-      while (find_move (shares, n_models, &to, &from))
+      double least_lack = LEAST_LACK + LEAST_LACK_PART * (double)n_engines / (double)n_models;
+      for (; find_move (shares, n_models, least_lack, &to, &from); least_lack = LACK_TO_GO_ON)
         {
           move_one (wanted, n_engines, shares[from].name, shares[to].name);
           shares[from].has--;
--- a/packages/core/tests/test-endpoints.c
+++ b/packages/core/tests/test-endpoints.c
@@ -417,3 +417,26 @@
   cr_assert (lc_endpoint_may_take (lc_endpoints_find (f.endpoints, "e1"), LC_KIND_SAMPLE, 0, now));
   fixture_clear (&f);
 }
+
+/* An engine that holds two models is used for the other one from now on. It has version 7 of the first
+ * and version 1 of the second; samples that need version 6 went there and were thrown away. */
+Test (endpoints, an_engine_that_changes_its_pool_is_not_believed_to_have_its_weights)
+{
+  Fixture f;
+  LcLoadReport report = { .version = 7 };
+  LbTime now = LB_SEC;
+
+  fixture_init (&f, 1);
+  report.at = now;
+  lc_endpoints_report (f.endpoints, "e0", &report, now);
+  strcpy (f.members[0].pool, "writer");
+  fixture_configure (&f, now);
+  LcEndpoint *engine = lc_endpoints_find (f.endpoints, "e0");
+  cr_assert_not (lc_endpoint_may_take (engine, LC_KIND_SAMPLE, 0, now));
+  report.version = 1;
+  report.at = now + LB_MSEC;
+  lc_endpoints_report (f.endpoints, "e0", &report, now + LB_MSEC);
+  cr_assert (lc_endpoint_may_take (engine, LC_KIND_SAMPLE, 0, now + LB_MSEC));
+  cr_assert_eq (engine->report.version, 1);
+  fixture_clear (&f);
+}
--- a/packages/node/src/ln-calls-run.c
+++ b/packages/node/src/ln-calls-run.c
@@ -153,13 +153,14 @@
 
 /* An engine's own event is the best word on its weights: the list lags, and the plan may be wrong. */
 static void
-note_version (LnCalls *calls, const LnUpstream *upstream, LcVersion version)
+note_version (LnCalls *calls, const LnCall *call, const LnUpstream *upstream, LcVersion version)
 {
   LcEndpoints *endpoints = lc_dispatch_endpoints (calls->dispatch);
   const LcEndpoint *endpoint = lc_endpoints_find (endpoints, ln_upstream_endpoint (upstream));
   LcLoadReport report = { 0 };
 
-  if (!endpoint || version <= 0 || endpoint->report.version == version)
+  if (!endpoint || version <= 0 || endpoint->report.version == version
+      || strcmp (endpoint->member.pool, call->spec.pool) != 0)
     return;
   lb_log (LB_LOG_INFO, "endpoint_version", LB_TEXT ("endpoint", endpoint->member.name),
           LB_INT ("believed", endpoint->report.version), LB_INT ("stated", version));
@@ -184,7 +185,7 @@
 
   lb_list_init (&actions);
   if (calls->context->dialect)
-    note_version (calls, upstream, piece->version);
+    note_version (calls, call, upstream, piece->version);
   LcPieceVerdict verdict
       = lc_dispatch_piece (calls->dispatch, call->spec.id, ln_upstream_attempt (upstream), piece,
                            lb_clock_monotonic (), &actions);
