Wire names stay in platform/, checked by lint; the daemon's log is looked for on standard output

test-daemon read the log from standard error, where it no longer goes; it now asks for the same line on standard output, after the same exit code.

--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,7 @@
 	clang-format-14 -i $(SOURCES)
 
 lint: all
+	tools/check-wire-names
 	clang-format-14 --dry-run --Werror $(SOURCES)
 	printf '%s\n' $(C_FILES) | xargs -P $(JOBS) -n 4 clang-tidy-14 -quiet --extra-arg=-Wno-unknown-warning-option -p $(BUILD)
 
--- a/packages/base/include/lb-histogram.h
+++ b/packages/base/include/lb-histogram.h
@@ -6,10 +6,8 @@
 #include <gsl/gsl_histogram.h>
 #include <stdio.h>
 
-
-
-/* Times in buckets from a millisecond to ten seconds. A static in the module that measures; it joins
- * the registry at its first use, as metrics do. */
+/* Times in buckets from a millisecond to ten seconds. A static in the module that measures; it
+ * joins the registry at its first use, as metrics do. */
 typedef struct LbHistogram
 {
   const char *name; /* lentilspindle_..._seconds */
--- a/packages/base/src/lb-histogram.c
+++ b/packages/base/src/lb-histogram.c
@@ -5,8 +5,7 @@
 
 /* Upper bounds in seconds: about two for each doubling where answers are wanted, fewer above. */
 static const double bounds[]
-    = { 0,   0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1,
-        0.15, 0.25, 0.5,    1,     2.5,  5,     10,   DBL_MAX };
+    = { 0, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1, 2.5, 5, 10, DBL_MAX };
 #define N_BOUNDS (sizeof bounds / sizeof bounds[0])
 
 static LbHistogram *registry;
--- a/packages/base/src/lb-log.c
+++ b/packages/base/src/lb-log.c
@@ -10,12 +10,12 @@
 #include <string.h>
 #include <unistd.h>
 
-/* Memory for lines that the reader has not taken yet. A quarter of it is left to warnings and errors,
- * which explain what went wrong when there is most to say. */
+/* Memory for lines that the reader has not taken yet. A quarter of it is left to warnings and
+ * errors, which explain what went wrong when there is most to say. */
 #define BUFFER_BYTES ((size_t)(256 << 10))
 #define ORDINARY_BYTES (BUFFER_BYTES / 4 * 3)
-/* Of one second: several times what an instance says under full load, and little enough that a storm
- * of refusals does not cost its processor. */
+/* Of one second: several times what an instance says under full load, and little enough that a
+ * storm of refusals does not cost its processor. */
 #define LINES_PER_SECOND 2000
 #define BYTES_PER_SECOND (1 << 20)
 /* A write to a pipe that is said to be writable does not wait when it is no longer than this. */
@@ -167,8 +167,8 @@
   while (done < log_state.length && reader_takes_more ())
     {
       size_t left = log_state.length - done;
-      ssize_t written = write (log_state.fd, log_state.buffer + done,
-                               left < WRITE_BYTES ? left : WRITE_BYTES);
+      ssize_t written
+          = write (log_state.fd, log_state.buffer + done, left < WRITE_BYTES ? left : WRITE_BYTES);
       if (written <= 0)
         break;
       done += (size_t)written;
--- a/packages/base/tests/test-log.c
+++ b/packages/base/tests/test-log.c
@@ -44,8 +44,9 @@
   lb_log_buffer ();
 }
 
-/* Whoever reads the log stops reading. The pipe fills after 64 KiB; a write would wait for ever, and
- * every request with it. The lines are dropped instead, counted, and the log says so afterwards. */
+/* Whoever reads the log stops reading. The pipe fills after 64 KiB; a write would wait for ever,
+ * and every request with it. The lines are dropped instead, counted, and the log says so
+ * afterwards. */
 Test (log, a_reader_that_stops_holds_up_nothing)
 {
   int ends[2];
@@ -76,8 +77,8 @@
   cr_assert_geq (count_lines ("log_lines_dropped"), 0);
 }
 
-/* A storm of refusals says the same thing ten thousand times a second; the rest of the log has to stay
- * readable, and the processor is for requests. */
+/* A storm of refusals says the same thing ten thousand times a second; the rest of the log has to
+ * stay readable, and the processor is for requests. */
 Test (log, a_storm_is_bounded)
 {
   int ends[2];
--- a/packages/cli/src/lt-story.c
+++ b/packages/cli/src/lt-story.c
@@ -37,11 +37,11 @@
 };
 
 static const char *const beliefs[]
-    = { "endpoint_listed", "endpoint_lists_leaving", "endpoint_gone",  "endpoint-leaving",
-        "instance_alive",  "instance_lost",          "store_lost",     "store_back",
-        "desired_in_force", "engines_divided",       "lease_gained",   "lease_lost",
-        "version_named",   "weights_ordered",        "started",        "stopped",
-        "signal",          "batch_taken_over",       "batch_released", "log_lines_dropped" };
+    = { "endpoint_listed",  "endpoint_lists_leaving", "endpoint_gone",  "endpoint-leaving",
+        "instance_alive",   "instance_lost",          "store_lost",     "store_back",
+        "desired_in_force", "engines_divided",        "lease_gained",   "lease_lost",
+        "version_named",    "weights_ordered",        "started",        "stopped",
+        "signal",           "batch_taken_over",       "batch_released", "log_lines_dropped" };
 
 LtStory *
 lt_story_new (const char *id)
@@ -71,9 +71,8 @@
       story->capacity = story->capacity ? story->capacity * 2 : 1024;
       story->lines = lb_realloc (story->lines, story->capacity * sizeof *story->lines);
     }
-  story->lines[story->n_lines] = (Line){ .time = lb_json_int (object, "time", 0),
-                                         .order = story->n_lines,
-                                         .line = object };
+  story->lines[story->n_lines]
+      = (Line){ .time = lb_json_int (object, "time", 0), .order = story->n_lines, .line = object };
   story->n_lines++;
 }
 
@@ -139,8 +138,7 @@
 
   if (request < 0 || is_own_request (story, line))
     return;
-  story->requests
-      = lb_realloc (story->requests, (story->n_requests + 1) * sizeof *story->requests);
+  story->requests = lb_realloc (story->requests, (story->n_requests + 1) * sizeof *story->requests);
   RequestName *name = &story->requests[story->n_requests++];
   name->request = request;
   LB_COPY (name->instance, lb_json_text (line, "instance", ""));
@@ -207,9 +205,8 @@
 {
   static const char *const shown_already[] = { "time", "level", "instance", "event" };
 
-  fprintf (out, "%c %+9.3f s  %-20s %-22s", is_own ? ' ' : '~',
-           (double)(line->time - first) / 1000, lb_json_text (line->line, "instance", "?"),
-           lb_json_text (line->line, "event", "?"));
+  fprintf (out, "%c %+9.3f s  %-20s %-22s", is_own ? ' ' : '~', (double)(line->time - first) / 1000,
+           lb_json_text (line->line, "instance", "?"), lb_json_text (line->line, "event", "?"));
   json_object_object_foreach (line->line, key, value)
   {
     bool skip = false;
--- a/packages/cli/src/lt-story.h
+++ b/packages/cli/src/lt-story.h
@@ -10,11 +10,11 @@
 
 LtStory *lt_story_new (const char *id);
 void lt_story_free (LtStory *story);
-/* Reads a log: JSON lines, each with whatever stands before its first brace left out. Lines that are
- * none are passed over and counted. */
+/* Reads a log: JSON lines, each with whatever stands before its first brace left out. Lines that
+ * are none are passed over and counted. */
 bool lt_story_read (LtStory *story, const char *path, LbError *error);
-/* Prints, in the order of time, the lines that name the id, those of the requests that were made for
- * it, and what the instances came to believe meanwhile. False when no line names the id. */
+/* Prints, in the order of time, the lines that name the id, those of the requests that were made
+ * for it, and what the instances came to believe meanwhile. False when no line names the id. */
 bool lt_story_print (LtStory *story, FILE *out);
 
 #endif
--- a/packages/cli/tests/test-story.c
+++ b/packages/cli/tests/test-story.c
@@ -39,8 +39,9 @@
   return text;
 }
 
-/* A clerk's lookup failed. Its id stands in the line that placed it; the end of that attempt and the
- * loss of the endpoint stand in lines that do not name it, one of them in another instance's log. */
+/* A clerk's lookup failed. Its id stands in the line that placed it; the end of that attempt and
+ * the loss of the endpoint stand in lines that do not name it, one of them in another instance's
+ * log. */
 Test (story, follows_a_request_and_what_was_believed)
 {
   char *text = tell (
@@ -66,11 +67,12 @@
 
 Test (story, finds_an_item_by_its_batch)
 {
-  char *text = tell ("b1",
-                     "{\"time\":1,\"instance\":\"a\",\"event\":\"batch_accepted\",\"batch\":\"b1\"}\n",
-                     "{\"time\":2,\"instance\":\"b\",\"event\":\"route\",\"request\":3,\"id\":\"i9\","
-                     "\"caller\":\"b1\"}\n"
-                     "{\"time\":3,\"instance\":\"b\",\"event\":\"attempt_ended\",\"request\":3}\n");
+  char *text
+      = tell ("b1",
+              "{\"time\":1,\"instance\":\"a\",\"event\":\"batch_accepted\",\"batch\":\"b1\"}\n",
+              "{\"time\":2,\"instance\":\"b\",\"event\":\"route\",\"request\":3,\"id\":\"i9\","
+              "\"caller\":\"b1\"}\n"
+              "{\"time\":3,\"instance\":\"b\",\"event\":\"attempt_ended\",\"request\":3}\n");
 
   cr_assert (strstr (text, "batch_accepted"));
   cr_assert (strstr (text, "attempt_ended"));
--- a/packages/core/include/lc-dispatch.h
+++ b/packages/core/include/lc-dispatch.h
@@ -29,8 +29,9 @@
   bool resumable;        /* a broken stream may go on elsewhere at the last offset */
   bool failure_is_final; /* the submitter counts failures of endpoints: each one is an answer */
   int64_t max_attempts;  /* 0: the dispatch's own limit */
-  LbTime hedge_after;    /* if repeatable, with no first piece; 0: the dispatch's own, for live calls */
-  int priority;          /* larger first within a kind */
+  LbTime
+      hedge_after; /* if repeatable, with no first piece; 0: the dispatch's own, for live calls */
+  int priority;    /* larger first within a kind */
   int64_t prompt_tokens;
   int64_t expected_tokens;
   uint64_t prefix_hashes[LC_MAX_PREFIX_HASHES];
--- a/packages/core/src/lc-desired.c
+++ b/packages/core/src/lc-desired.c
@@ -97,9 +97,9 @@
   return NULL;
 }
 
-/* An endpoint that swallows a request, or has turned slow, makes its caller wait until the deadline. A
- * second attempt after this part of the goal still answers within it as a rule, and few ordinary calls
- * take so long. */
+/* An endpoint that swallows a request, or has turned slow, makes its caller wait until the
+ * deadline. A second attempt after this part of the goal still answers within it as a rule, and few
+ * ordinary calls take so long. */
 LbTime
 lc_route_hedge_after (const LcRoute *route)
 {
--- a/packages/core/src/lc-endpoints-config.c
+++ b/packages/core/src/lc-endpoints-config.c
@@ -125,8 +125,8 @@
   free (entry);
 }
 
-/* What it stated is the version of the pool's model that it served before. Were it believed for the new
- * one, requests would go to weights that are too old for them. */
+/* What it stated is the version of the pool's model that it served before. Were it believed for the
+ * new one, requests would go to weights that are too old for them. */
 static void
 forget_weights (LcEntry *entry)
 {
--- a/packages/core/src/lc-engine-plan.c
+++ b/packages/core/src/lc-engine-plan.c
@@ -11,9 +11,9 @@
 
 /* Trainers bring a batch every few seconds, of very different lengths: the mean is over several. */
 #define HALF_LIFE (20 * LB_SEC)
-/* Engines by which a model must lack its share before one is moved, and beside them a part of an even
- * share: less is noise of the lengths of texts, and each move costs a load of weights and the engine's
- * cache. */
+/* Engines by which a model must lack its share before one is moved, and beside them a part of an
+ * even share: less is noise of the lengths of texts, and each move costs a load of weights and the
+ * engine's cache. */
 #define LEAST_LACK 1.0
 #define LEAST_LACK_PART 0.08
 /* Once engines are moved at all, the division becomes as even as whole engines allow. */
--- a/packages/core/tests/test-batch.c
+++ b/packages/core/tests/test-batch.c
@@ -220,8 +220,8 @@
   fixture_clear (&f);
 }
 
-/* The first event shows that the weights are too old. The rest of the text, six seconds of it, is not
- * awaited. */
+/* The first event shows that the weights are too old. The rest of the text, six seconds of it, is
+ * not awaited. */
 Test (batch, a_text_that_cannot_be_used_is_stopped_early)
 {
   Fixture f;
--- a/packages/core/tests/test-dispatch-answers.c
+++ b/packages/core/tests/test-dispatch-answers.c
@@ -333,8 +333,8 @@
   fixture_clear (&f);
 }
 
-/* A plain service swallows a lookup. The clerk waited until the deadline; a second endpoint is asked
- * once most of the time is gone in which the answer is worth most. */
+/* A plain service swallows a lookup. The clerk waited until the deadline; a second endpoint is
+ * asked once most of the time is gone in which the answer is worth most. */
 Test (dispatch_answers, a_repeatable_call_of_a_service_is_hedged_by_its_own_time)
 {
   Fixture f;
--- a/packages/core/tests/test-endpoints.c
+++ b/packages/core/tests/test-endpoints.c
@@ -418,8 +418,9 @@
   fixture_clear (&f);
 }
 
-/* An engine that holds two models is used for the other one from now on. It has version 7 of the first
- * and version 1 of the second; samples that need version 6 went there and were thrown away. */
+/* An engine that holds two models is used for the other one from now on. It has version 7 of the
+ * first and version 1 of the second; samples that need version 6 went there and were thrown away.
+ */
 Test (endpoints, an_engine_that_changes_its_pool_is_not_believed_to_have_its_weights)
 {
   Fixture f;
--- a/packages/http/src/lh-fetch.c
+++ b/packages/http/src/lh-fetch.c
@@ -140,8 +140,8 @@
   lh_pool_wake (fetch->pool);
 }
 
-/* A machine that lost power answers no opening packet, and the caller's whole time would pass before
- * anybody learned it. Nothing was handed over yet, so the request can go elsewhere. */
+/* A machine that lost power answers no opening packet, and the caller's whole time would pass
+ * before anybody learned it. Nothing was handed over yet, so the request can go elsewhere. */
 static void
 on_connect_time (evutil_socket_t fd, short what, void *user)
 {
--- a/packages/http/tests/test-fetch.c
+++ b/packages/http/tests/test-fetch.c
@@ -425,9 +425,9 @@
   world_clear (&w);
 }
 
-/* A machine lost power: nobody answers the opening packet. A caller with two seconds waited for all of
- * them and got no answer, though other endpoints were idle. The request is known not to have been
- * handed over, so it goes elsewhere after the time to connect. */
+/* A machine lost power: nobody answers the opening packet. A caller with two seconds waited for all
+ * of them and got no answer, though other endpoints were idle. The request is known not to have
+ * been handed over, so it goes elsewhere after the time to connect. */
 Test (fetch, a_connection_that_does_not_open_is_given_up_early)
 {
   World w;
@@ -445,7 +445,7 @@
   for (; n < 8; n++)
     {
       fillers[n] = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-      connect (fillers[n], (struct sockaddr *)&at, sizeof at);
+      (void)connect (fillers[n], (struct sockaddr *)&at, sizeof at);
     }
   usleep (100000);
   snprintf (w.address, sizeof w.address, "127.0.0.1:%d", ntohs (at.sin_port));
--- a/packages/node/src/ln-calls-run.c
+++ b/packages/node/src/ln-calls-run.c
@@ -15,12 +15,14 @@
 #include <stdlib.h>
 #include <string.h>
 
-static LbHistogram queue_time = LB_HISTOGRAM_INIT ("lentilspindle_queue_seconds",
-                                                  "From a request's admission to its first attempt");
+static LbHistogram queue_time
+    = LB_HISTOGRAM_INIT ("lentilspindle_queue_seconds",
+                         "From a request's admission to its first attempt");
 static LbHistogram attempt_time
     = LB_HISTOGRAM_INIT ("lentilspindle_attempt_seconds", "Attempts at endpoints, whole or not");
-static LbHistogram request_time = LB_HISTOGRAM_INIT (
-    "lentilspindle_request_seconds", "From a caller's request to its answer, whatever it was");
+static LbHistogram request_time
+    = LB_HISTOGRAM_INIT ("lentilspindle_request_seconds",
+                         "From a caller's request to its answer, whatever it was");
 static LbMetric sent = LB_COUNTER_INIT ("lentilspindle_attempts_total",
                                         NULL,
                                         "Attempts at endpoints, retries and hedges included");
@@ -151,7 +153,8 @@
   LN_POST (calls->task.hub, ln_hub_find (calls->task.hub, "rollouts"), message);
 }
 
-/* An engine's own event is the best word on its weights: the list lags, and the plan may be wrong. */
+/* An engine's own event is the best word on its weights: the list lags, and the plan may be wrong.
+ */
 static void
 note_version (LnCalls *calls, const LnCall *call, const LnUpstream *upstream, LcVersion version)
 {
--- a/packages/node/src/ln-upstream.c
+++ b/packages/node/src/ln-upstream.c
@@ -13,8 +13,8 @@
 #include <string.h>
 
 #define MAX_EVENT_BYTES (1 << 20)
-/* A hundred round trips between data centres: an endpoint that has not taken a connection by then is
- * not there, or has no room for one. */
+/* A hundred round trips between data centres: an endpoint that has not taken a connection by then
+ * is not there, or has no room for one. */
 #define CONNECT_TIME (250 * LB_MSEC)
 #define MAX_REFUSAL_BYTES (64 << 10)
 
--- a/packages/node/src/ln-weight-orders.c
+++ b/packages/node/src/ln-weight-orders.c
@@ -176,8 +176,8 @@
     }
   engine->configured = true;
   LB_COPY (engine->address, member->address);
-  /* What is known of one model's weights says nothing of another's: requests would go to weights that
-   * the engine does not have, and their texts be thrown away for their age. */
+  /* What is known of one model's weights says nothing of another's: requests would go to weights
+   * that the engine does not have, and their texts be thrown away for their age. */
   if (strcmp (engine->model, member->pool) != 0)
     {
       engine->ordered = 0;
--- a/packages/store/include/lp-path.h
+++ b/packages/store/include/lp-path.h
@@ -3,8 +3,8 @@
 
 #include "lb-error.h"
 
-/* How an instance reaches the store: by itself, or through another instance while its own way is cut
- * or the store turns it away and serves the others. No I/O. */
+/* How an instance reaches the store: by itself, or through another instance while its own way is
+ * cut or the store turns it away and serves the others. No I/O. */
 
 #define LP_MAX_PEERS 64
 
--- a/packages/store/include/lp-platform.h
+++ b/packages/store/include/lp-platform.h
@@ -127,8 +127,8 @@
   /* Other instances through which calls go while this one can't reach the store; where the kind can
    * do that. */
   void (*set_peers) (LpPlatform *platform, const LbName *addresses, size_t n_addresses);
-  /* Carries out a peer's call, never through another one. status 0: no answer came, and the call may
-   * have been carried out or not as error says. */
+  /* Carries out a peer's call, never through another one. status 0: no answer came, and the call
+   * may have been carried out or not as error says. */
   void (*carry_out) (LpPlatform *platform,
                      const char *method,
                      const char *path,
--- a/tests/process/test-daemon.c
+++ b/tests/process/test-daemon.c
@@ -10,8 +10,10 @@
 
 #define PATIENCE (30 * LB_SEC)
 
+/* Runs a program to its end: its exit code, and what it wrote on standard output when `output`
+ * is given. */
 static int
-exit_code_of (const char *const *argv, const char *log)
+run_to_end (const char *const *argv, const char *log, char *output, size_t size)
 {
   PtProcess process = { 0 };
   LbTime end = lb_clock_monotonic () + PATIENCE;
@@ -26,10 +28,18 @@
   for (int i = 0; i < 4; i++)
     if (pt_process_has_exited (&process, i))
       code = i;
+  if (output)
+    snprintf (output, size, "%s", process.text ? process.text : "");
   pt_process_clear (&process);
   return code;
 }
 
+static int
+exit_code_of (const char *const *argv, const char *log)
+{
+  return run_to_end (argv, log, NULL, 0);
+}
+
 static void
 read_file (const char *path, char *text, size_t size)
 {
@@ -104,10 +114,8 @@
   port = atoi (address + strlen ("127.0.0.1:"));
   snprintf (line, sizeof line, "{\"instance\": {\"caller_address\": \"127.0.0.1:%d\"}}", port);
   write_file (settings, line);
-  cr_assert_eq (exit_code_of ((const char *[]){ "lentilspindled", "--config", settings, NULL },
-                              log),
-                1);
-  read_file (log, text, sizeof text);
+  const char *const second[] = { "lentilspindled", "--config", settings, NULL };
+  cr_assert_eq (run_to_end (second, log, text, sizeof text), 1);
   cr_assert (strstr (text, "front_cannot_listen"), "%s", text);
   pt_process_clear (&first);
   unlink (settings);
