Each line on a request names its id; explain goes by ids alone

Ends of attempts carry id and caller, so the number is not needed. The test that joined by number now asks for the same lines by id, and that the same number after a restart stays out. Callers of the own interface get the id in x-request-id.

--- a/packages/cli/src/lt-story.c
+++ b/packages/cli/src/lt-story.c
@@ -7,8 +7,12 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* A list of all candidates would fill the screen. */
+#define LONGEST_VALUE 160
 /* Beliefs that were formed so long before the first line of the story still explain it. */
 #define BELIEFS_BEFORE_MS 5000
+/* Lines that one message brings are written within this time. */
+#define SAME_NEWS_MS 5
 
 typedef struct
 {
@@ -18,13 +22,6 @@
   bool chosen;
 } Line;
 
-/* A request inside one process. */
-typedef struct
-{
-  LbName instance;
-  int64_t request;
-} RequestName;
-
 struct LtStory
 {
   char *id;
@@ -32,16 +29,14 @@
   size_t n_lines;
   size_t capacity;
   size_t n_unreadable;
-  RequestName *requests;
-  size_t n_requests;
 };
 
 static const char *const beliefs[]
-    = { "endpoint_listed",  "endpoint_lists_leaving", "endpoint_gone",  "endpoint-leaving",
-        "instance_alive",   "instance_lost",          "store_lost",     "store_back",
-        "desired_in_force", "engines_divided",        "lease_gained",   "lease_lost",
-        "version_named",    "weights_ordered",        "started",        "stopped",
-        "signal",           "batch_taken_over",       "batch_released", "log_lines_dropped" };
+    = { "endpoint_listed",  "endpoint_lists_leaving", "endpoint_gone", "endpoint-leaving",
+        "instance_alive",   "instance_lost",          "store_lost",    "store_back",
+        "desired_in_force", "engines_divided",        "lease_gained",  "lease_lost",
+        "version_named",    "weights_ordered",        "started",       "stopped",
+        "signal",           "log_lines_dropped" };
 
 LtStory *
 lt_story_new (const char *id)
@@ -58,7 +53,6 @@
   for (size_t i = 0; i < story->n_lines; i++)
     json_object_put (story->lines[i].line);
   free (story->lines);
-  free (story->requests);
   free (story->id);
   free (story);
 }
@@ -118,32 +112,6 @@
   return false;
 }
 
-static bool
-is_own_request (const LtStory *story, struct json_object *line)
-{
-  int64_t request = lb_json_int (line, "request", -1);
-  const char *instance = lb_json_text (line, "instance", "");
-
-  for (size_t i = 0; i < story->n_requests; i++)
-    if (story->requests[i].request == request
-        && strcmp (story->requests[i].instance, instance) == 0)
-      return true;
-  return false;
-}
-
-static void
-note_request (LtStory *story, struct json_object *line)
-{
-  int64_t request = lb_json_int (line, "request", -1);
-
-  if (request < 0 || is_own_request (story, line))
-    return;
-  story->requests = lb_realloc (story->requests, (story->n_requests + 1) * sizeof *story->requests);
-  RequestName *name = &story->requests[story->n_requests++];
-  name->request = request;
-  LB_COPY (name->instance, lb_json_text (line, "instance", ""));
-}
-
 static bool
 is_belief (struct json_object *line)
 {
@@ -184,13 +152,10 @@
 {
   bool found = false;
 
-  for (size_t i = 0; i < story->n_lines; i++)
-    if (names_id (story, story->lines[i].line))
-      note_request (story, story->lines[i].line);
   for (size_t i = 0; i < story->n_lines; i++)
     {
       Line *line = &story->lines[i];
-      line->chosen = names_id (story, line->line) || is_own_request (story, line->line);
+      line->chosen = names_id (story, line->line);
       if (!line->chosen)
         continue;
       *first = !found || line->time < *first ? line->time : *first;
@@ -212,15 +177,55 @@
     bool skip = false;
     for (size_t i = 0; i < sizeof shown_already / sizeof shown_already[0]; i++)
       skip |= strcmp (key, shown_already[i]) == 0;
-    if (!skip)
-      fprintf (out, " %s=%s", key,
-               json_object_is_type (value, json_type_string)
-                   ? json_object_get_string (value)
-                   : json_object_to_json_string_ext (value, JSON_C_TO_STRING_PLAIN));
+    if (skip)
+      continue;
+    const char *text = json_object_is_type (value, json_type_string)
+                           ? json_object_get_string (value)
+                           : json_object_to_json_string_ext (value, JSON_C_TO_STRING_PLAIN);
+    bool is_long = strlen (text) > LONGEST_VALUE;
+    fprintf (out, " %s=%.*s%s", key, LONGEST_VALUE, text, is_long ? "..." : "");
   }
   fputc ('\n', out);
 }
 
+/* Whether `line` tells the same kind of news of the same instance and moment as `last` did, as when
+ * an instance reads the whole list of endpoints. */
+static bool
+is_more_of (const Line *line, const Line *last)
+{
+  return last && !line->chosen && !last->chosen && line->time - last->time <= SAME_NEWS_MS
+         && strcmp (lb_json_text (line->line, "event", ""), lb_json_text (last->line, "event", ""))
+                == 0
+         && strcmp (lb_json_text (line->line, "instance", ""),
+                    lb_json_text (last->line, "instance", ""))
+                == 0;
+}
+
+static void
+print_lines (const LtStory *story, int64_t first, int64_t last, FILE *out)
+{
+  const Line *shown = NULL;
+  size_t n_more = 0;
+
+  for (size_t i = 0; i < story->n_lines; i++)
+    {
+      const Line *line = &story->lines[i];
+      bool in_time = line->time >= first - BELIEFS_BEFORE_MS && line->time <= last;
+      if (!line->chosen && !(in_time && is_belief (line->line) && is_involved (story, line->line)))
+        continue;
+      if (is_more_of (line, shown))
+        {
+          n_more++;
+          continue;
+        }
+      if (n_more > 0)
+        fprintf (out, "~ and %zu more of these\n", n_more);
+      n_more = 0;
+      shown = line;
+      print_line (line, line->chosen, first, out);
+    }
+}
+
 bool
 lt_story_print (LtStory *story, FILE *out)
 {
@@ -233,13 +238,7 @@
     qsort (story->lines, story->n_lines, sizeof *story->lines, by_time);
   fprintf (out, "%s: %.3f s; lines of the story, and marked ~ what its instances came to believe\n",
            story->id, (double)(last - first) / 1000);
-  for (size_t i = 0; i < story->n_lines; i++)
-    {
-      const Line *line = &story->lines[i];
-      bool in_time = line->time >= first - BELIEFS_BEFORE_MS && line->time <= last;
-      if (line->chosen || (in_time && is_belief (line->line) && is_involved (story, line->line)))
-        print_line (line, line->chosen, first, out);
-    }
+  print_lines (story, first, last, out);
   if (story->n_unreadable > 0)
     fprintf (out, "%zu lines could not be read\n", story->n_unreadable);
   return true;
--- a/packages/cli/tests/test-story.c
+++ b/packages/cli/tests/test-story.c
@@ -39,9 +39,9 @@
   return text;
 }
 
-/* A clerk's lookup failed. Its id stands in the line that placed it; the end of that attempt and
- * the loss of the endpoint stand in lines that do not name it, one of them in another instance's
- * log. */
+/* A clerk's lookup failed. Its id stands in the lines that placed it and ended it; why the
+ * endpoint was chosen stands in a line that does not name it. Another process, and the same one
+ * after a restart, give the same number to other requests. */
 Test (story, follows_a_request_and_what_was_believed)
 {
   char *text = tell (
@@ -50,9 +50,11 @@
       "{\"time\":9000,\"instance\":\"a\",\"event\":\"store_lost\",\"status\":503}\n"
       "12.5 a {\"time\":9500,\"instance\":\"a\",\"event\":\"route\",\"request\":7,\"id\":\"c1\"}\n"
       "{\"time\":9700,\"instance\":\"a\",\"event\":\"attempt_ended\",\"request\":7,"
-      "\"outcome\":\"broken\"}\n"
+      "\"id\":\"c1\",\"outcome\":\"broken\"}\n"
+      "{\"time\":9900,\"instance\":\"a\",\"event\":\"route\",\"request\":7,\"id\":\"c2\"}\n"
       "not a line of ours\n",
-      "{\"time\":9600,\"instance\":\"b\",\"event\":\"attempt_ended\",\"request\":7}\n"
+      "{\"time\":9600,\"instance\":\"b\",\"event\":\"attempt_ended\",\"request\":7,"
+      "\"id\":\"c3\"}\n"
       "{\"time\":9650,\"instance\":\"b\",\"event\":\"store_lost\"}\n");
 
   char *lost = strstr (text, "store_lost");
@@ -61,6 +63,7 @@
   cr_assert (lost && route && ended && lost < route && route < ended, "%s", text);
   cr_assert_null (strstr (text, "started"), "too long ago to explain anything");
   cr_assert_null (strstr (text, " b "), "another process's request of the same number");
+  cr_assert_null (strstr (text, "c2"), "the same number after a restart");
   cr_assert (strstr (text, "1 lines could not be read"));
   free (text);
 }
@@ -72,7 +75,8 @@
               "{\"time\":1,\"instance\":\"a\",\"event\":\"batch_accepted\",\"batch\":\"b1\"}\n",
               "{\"time\":2,\"instance\":\"b\",\"event\":\"route\",\"request\":3,\"id\":\"i9\","
               "\"caller\":\"b1\"}\n"
-              "{\"time\":3,\"instance\":\"b\",\"event\":\"attempt_ended\",\"request\":3}\n");
+              "{\"time\":3,\"instance\":\"b\",\"event\":\"attempt_ended\",\"request\":3,"
+              "\"id\":\"i9\",\"caller\":\"b1\"}\n");
 
   cr_assert (strstr (text, "batch_accepted"));
   cr_assert (strstr (text, "attempt_ended"));
--- a/packages/node/src/ln-batch-calls.c
+++ b/packages/node/src/ln-batch-calls.c
@@ -32,6 +32,13 @@
   CALL_END
 } CallKind;
 
+static const char *const kind_names[] = {
+  [CALL_SUBMIT] = "submit",
+  [CALL_RESULTS] = "results",
+  [CALL_ITEM] = "item",
+  [CALL_END] = "end",
+};
+
 /* A caller's request about a batch, answered from the store alone: any instance can answer, and
  * none can say what is not kept. */
 typedef struct
@@ -91,7 +98,7 @@
   LbError error = { 0 };
 
   lb_log (LB_LOG_INFO, "batch_call_failed", LB_TEXT ("batch", call->id),
-          LB_INT ("kind", call->kind), LB_TEXT ("error", lb_error_name (code)),
+          LB_TEXT ("call", kind_names[call->kind]), LB_TEXT ("error", lb_error_name (code)),
           LB_INT ("tries", call->tries));
   lb_error_set (&error, code, call->id, "%s", detail);
   if (call->exchange)
--- a/packages/node/src/ln-calls-run.c
+++ b/packages/node/src/ln-calls-run.c
@@ -220,7 +220,7 @@
 
   lb_histogram_add (&attempt_time, lb_clock_monotonic () - attempt->sent_at);
   lb_log (LB_LOG_INFO, "attempt_ended", LB_INT ("request", call->spec.id),
-          LB_TEXT ("id", call->outgoing.id),
+          LB_TEXT ("id", call->outgoing.id), LB_TEXT ("caller", call->spec.caller),
           LB_INT ("attempt", ln_upstream_attempt (attempt->upstream)),
           LB_TEXT ("endpoint", ln_upstream_endpoint (attempt->upstream)),
           LB_TEXT ("outcome", names[end]),
@@ -300,6 +300,7 @@
           .body = body,
           .body_length = strlen (body),
           .stream_id = stream_id,
+          .name = call->outgoing.id,
           .silence = calls->context->settings->calls.stream_silence_ms * LB_MSEC };
   LnUpstream *upstream = ln_upstream_start (calls->context->http, &spec, &handlers, attempt, error);
   free (body);
@@ -330,6 +331,7 @@
                                 .n_headers = call->n_headers,
                                 .body = call->raw_body,
                                 .body_length = call->raw_length,
+                                .name = call->outgoing.id,
                                 .silence = service_silence (call) };
 
   return ln_upstream_start (calls->context->http, &spec, &handlers, attempt, error);
--- a/packages/node/src/ln-calls-take.c
+++ b/packages/node/src/ln-calls-take.c
@@ -209,6 +209,8 @@
   call->spec.id = ln_context_next_request (calls->context);
   snprintf (call->stream_id, sizeof call->stream_id, "cmpl-%s-%llu", calls->context->incarnation,
             (unsigned long long)call->spec.id);
+  LB_COPY (call->outgoing.id, call->stream_id);
+  ln_exchange_set_header (exchange, "x-request-id", call->outgoing.id);
   ln_exchange_set_user (exchange, call);
   return call;
 }
--- a/packages/node/src/ln-upstream.c
+++ b/packages/node/src/ln-upstream.c
@@ -33,7 +33,7 @@
   struct evbuffer *body; /* a service's reply, or what an engine said beside its stream */
   int status;
   const LnDialect *dialect; /* NULL: the product's own */
-  char *name;               /* of the request, in a dialect */
+  char *name;               /* of the request */
   LnStreamReader *reader;   /* of a stream in a dialect */
   LcVersion version;        /* of the stream's last event */
   bool is_head;
@@ -311,7 +311,8 @@
        * ones work while kept ones swallow what is sent. None of them is used again. */
       lh_pool_forget (upstream->pool, upstream->address);
       lb_log (LB_LOG_INFO, "attempt_failed", LB_INT ("request", upstream->request),
-              LB_INT ("attempt", upstream->attempt), LB_TEXT ("endpoint", upstream->endpoint),
+              LB_TEXT ("id", upstream->name), LB_INT ("attempt", upstream->attempt),
+              LB_TEXT ("endpoint", upstream->endpoint),
               LB_TEXT ("error", lb_error_name (result->failure)),
               LB_BOOL ("bytes_handed", result->bytes_handed));
     }
--- a/packages/node/src/ln-upstream.h
+++ b/packages/node/src/ln-upstream.h
@@ -25,10 +25,10 @@
   size_t body_length;
   const char *stream_id; /* the request_id sent to an engine; NULL: a plain service */
   LbTime silence;
+  const char *name; /* of the request, in logs; in a dialect the reply names it too */
   /* In a dialect: */
   const LnDialect *dialect;
   const char *host;
-  const char *name; /* of the request, which the reply names too */
   bool is_stream;
 } LnUpstreamSpec;
 
