--- a/packages/node/include/ln-context.h
+++ b/packages/node/include/ln-context.h
@@ -25,6 +25,7 @@
   LbName instance;                 /* name of this instance */
   char incarnation[40];            /* new at each start of the process */
   LbName caller_address;           /* as bound, with the real port */
+  LbName metrics_address;          /* as bound; empty: none of its own */
   LbName peer_address;
   LcRequestId next_request; /* the last id given; see ln_context_next_request */
 } LnContext;
--- a/packages/node/include/ln-dialect.h
+++ b/packages/node/include/ln-dialect.h
@@ -15,9 +15,8 @@
 
 typedef enum
 {
-  LN_INBOUND_ENTRY, /* which instances a caller shall connect to */
-  LN_INBOUND_READY, /* whether this instance may be sent callers */
-  LN_INBOUND_METRICS,
+  LN_INBOUND_ENTRY,   /* which instances a caller shall connect to */
+  LN_INBOUND_READY,   /* whether this instance may be sent callers */
   LN_INBOUND_RESULTS, /* the results of a batch */
   LN_INBOUND_ITEM,    /* the body of a batch's item */
   LN_INBOUND_END,     /* ends a batch */
--- a/packages/node/include/ln-settings.h
+++ b/packages/node/include/ln-settings.h
@@ -22,6 +22,8 @@
     LbName peer_address;
     LbName entry_address; /* further addresses to listen at; empty: none */
     LbName ready_address;
+    LbName
+        metrics_address; /* empty: only at the callers' address, and on a shared platform nowhere */
   } instance;
   struct
   {
--- a/packages/node/main/lentilspindled.c
+++ b/packages/node/main/lentilspindled.c
@@ -137,8 +137,11 @@
   char *temporary = lb_asprintf ("%s.new", path);
   FILE *out = fopen (temporary, "w");
   bool ok = out
-            && fprintf (out, "{\"caller_address\": \"%s\", \"peer_address\": \"%s\"}\n",
-                        daemon->context.caller_address, daemon->context.peer_address)
+            && fprintf (out,
+                        "{\"caller_address\": \"%s\", \"peer_address\": \"%s\","
+                        " \"metrics_address\": \"%s\"}\n",
+                        daemon->context.caller_address, daemon->context.peer_address,
+                        daemon->context.metrics_address)
                    > 0;
 
   if (out && fclose (out) != 0)
--- a/packages/node/src/ln-front.c
+++ b/packages/node/src/ln-front.c
@@ -18,7 +18,8 @@
 #include <string.h>
 
 #define BACKLOG 1024
-#define MAX_LISTENERS 4 /* callers', entry's, readiness' and, on a shared platform, peers' */
+#define MAX_LISTENERS                                                                              \
+  5 /* callers', entry's, readiness', metrics' and, on a shared platform, peers' */
 
 /* The callers' sockets: reads requests whole, within limits, and posts each to the task of its
  * route. */
@@ -28,7 +29,8 @@
   LnContext *context;
   evhtp_t *servers[MAX_LISTENERS];
   size_t n_servers;
-  evhtp_t *peer_server; /* of servers; NULL: the peers task listens */
+  evhtp_t *peer_server;    /* of servers; NULL: the peers task listens */
+  evhtp_t *metrics_server; /* of servers; NULL: none of its own */
   LnCallers callers;
   uint64_t next_exchange;
   bool ready; /* the resources in force are confirmed */
@@ -69,10 +71,9 @@
 find_task_in_dialect (const LnFront *front, const LnExchange *exchange, bool is_from_peer)
 {
   static const char *const tasks[] = {
-    [LN_INBOUND_ENTRY] = "peers",   [LN_INBOUND_READY] = "front",
-    [LN_INBOUND_METRICS] = "front", [LN_INBOUND_RESULTS] = "rollouts",
-    [LN_INBOUND_ITEM] = "rollouts", [LN_INBOUND_END] = "rollouts",
-    [LN_INBOUND_ROUTED] = "calls",
+    [LN_INBOUND_ENTRY] = "peers",      [LN_INBOUND_READY] = "front",
+    [LN_INBOUND_RESULTS] = "rollouts", [LN_INBOUND_ITEM] = "rollouts",
+    [LN_INBOUND_END] = "rollouts",     [LN_INBOUND_ROUTED] = "calls",
   };
   LnInbound inbound;
 
@@ -105,7 +106,8 @@
   LnExchange *exchange = ln_exchange_new (ln_caller_of (request->conn), request,
                                           ++front->next_exchange, front->task.hub);
   bool is_from_peer = front->peer_server && request->conn->htp == front->peer_server;
-  LnTask *task = find_task (front, exchange, is_from_peer);
+  bool is_from_operator = front->metrics_server && request->conn->htp == front->metrics_server;
+  LnTask *task = is_from_operator ? &front->task : find_task (front, exchange, is_from_peer);
   LnRecorder *recorder = front->callers.recorder;
   LnExchangeMessage message = { .base = LN_MESSAGE (LN_EXCHANGE), .exchange = exchange };
 
@@ -299,6 +301,22 @@
   return true;
 }
 
+/* An address of its own: on a shared platform every path at the callers' address may be a route. */
+static bool
+listen_for_metrics (LnFront *front, LbError *error)
+{
+  LnContext *context = front->context;
+  const char *wanted = context->settings->instance.metrics_address;
+
+  if (!wanted[0])
+    return true;
+  if (!listen_at (front, wanted, "instance.metrics_address", error))
+    return false;
+  front->metrics_server = front->servers[front->n_servers - 1];
+  read_bound_address (front->metrics_server, context->metrics_address);
+  return true;
+}
+
 static bool
 listen_at_all (LnFront *front, LbError *error)
 {
@@ -311,7 +329,7 @@
   read_bound_address (front->servers[0], front->context->caller_address);
   return (!entry[0] || listen_at (front, entry, "instance.entry_address", error))
          && (!ready[0] || listen_at (front, ready, "instance.ready_address", error))
-         && listen_for_peers (front, error);
+         && listen_for_metrics (front, error) && listen_for_peers (front, error);
 }
 
 /* Listens at the settings' caller address; context->caller_address holds the real one afterwards.
--- a/packages/node/src/ln-settings.c
+++ b/packages/node/src/ln-settings.c
@@ -50,6 +50,7 @@
                                                 TEXT ("peer_address", instance.peer_address),
                                                 TEXT ("entry_address", instance.entry_address),
                                                 TEXT ("ready_address", instance.ready_address),
+                                                TEXT ("metrics_address", instance.metrics_address),
                                                 END };
 
 static const LbSettingSpec platform_specs[]
@@ -178,6 +179,8 @@
     return fail (error, path, "instance.entry_address", address);
   if (settings->instance.ready_address[0] && !is_address (settings->instance.ready_address))
     return fail (error, path, "instance.ready_address", address);
+  if (settings->instance.metrics_address[0] && !is_address (settings->instance.metrics_address))
+    return fail (error, path, "instance.metrics_address", address);
   if (settings->platform.kind != LN_PLATFORM_MEMORY && !is_address (settings->platform.address))
     return fail (error, path, "platform.address", address);
   if (!is_policy (settings->calls.policy))
--- a/tests/process/test-shared.c
+++ b/tests/process/test-shared.c
@@ -27,6 +27,7 @@
   PtProcess process;
   LbName name;
   LbName address;
+  LbName metrics_address;
 } Instance;
 
 typedef struct
@@ -200,7 +201,8 @@
   cr_assert (out);
   fprintf (out,
            "{\"instance\": {\"name\": \"%s\", \"data_centre\": \"hall-a\","
-           " \"caller_address\": \"127.0.0.1:0\"},"
+           " \"caller_address\": \"127.0.0.1:0\","
+           " \"metrics_address\": \"127.0.0.1:0\"},"
            " \"platform\": {\"kind\": \"shared\", \"address\": \"%s\", \"deadline_ms\": 1000},"
            " \"drain\": {\"drain_ms\": 300, \"entry_ttl_ms\": 2000},"
            " \"address_file\": \"%s/%s.addr\"}",
@@ -216,10 +218,25 @@
   snprintf (path, sizeof path, "%s/%s.addr", w->folder, instance->name);
   struct json_object *object = json_object_from_file (path);
   LB_COPY (instance->address, object ? lb_json_text (object, "caller_address", "") : "");
+  LB_COPY (instance->metrics_address, object ? lb_json_text (object, "metrics_address", "") : "");
   json_object_put (object);
   return instance->address[0] != '\0';
 }
 
+static void
+read_metrics (World *w, size_t instance)
+{
+  const LhHandlers handlers = { .on_done = on_done };
+  const LhRequest request = { .method = "GET",
+                              .address = w->instances[instance].metrics_address,
+                              .path = "/metrics",
+                              .fresh_connection = true };
+  int before = w->answers;
+
+  lh_fetch_start (w->pool, &request, &handlers, w, NULL);
+  UNTIL (w, w->answers > before);
+}
+
 static bool
 is_ready (World *w, size_t instance)
 {
@@ -404,6 +421,29 @@
   world_clear (&w);
 }
 
+/* A service of the platform has a path /metrics of its own. Its callers got the counters of the
+ * instance instead, since the front answered that path before it looked at the routes. */
+Test (shared, metrics_have_an_address_of_their_own)
+{
+  World w;
+
+  world_init (&w);
+  put_config (&w, 1,
+              ", {\"name\": \"counts\", \"host\": \"h.example\", \"prefix\": \"/metrics\","
+              " \"kind\": \"safe\", \"timeoutMs\": 20000, \"service\": \"lookups\","
+              " \"attempts\": 3}");
+  start_instance (&w);
+  call (&w, 0, "GET", "/metrics", "c1", "");
+  cr_assert_eq (w.status, 200);
+  cr_assert_null (strstr (w.body, "lentilspindle_requests_total"), "%s", w.body);
+  cr_assert_eq (w.lookup.calls, 1);
+  read_metrics (&w, 0);
+  cr_assert_eq (w.status, 200);
+  cr_assert (strstr (w.body, "lentilspindle_requests_total"));
+  cr_assert (strstr (w.body, "lentilspindle_request_seconds_bucket"));
+  world_clear (&w);
+}
+
 /* The instance that runs a batch is killed in the middle. The trainer reads on at the other one:
  * every sample comes, none twice, and what stood at a position before still stands there. */
 Test (shared, a_batch_outlives_its_owner)
@@ -431,7 +471,7 @@
   size_t survivor = 0;
   for (size_t i = 0; i < 2; i++)
     {
-      call (&w, i, "GET", "/metrics", "", "");
+      read_metrics (&w, i);
       if (strstr (w.body, "lentilspindle_batches_owned 1"))
         survivor = 1 - i;
     }
