--- a/packages/node/src/ln-caller.c
+++ b/packages/node/src/ln-caller.c
@@ -12,8 +12,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define IDLE_TIME (60 * LB_SEC)
-
 static LbMetric connections
     = LB_GAUGE_INIT ("lentilspindle_caller_connections", NULL, "Open connections of callers");
 static LbMetric refused_connections
@@ -297,7 +295,7 @@
       ln_caller_close (caller);
       return;
     }
-  arm (caller, IDLE_TIME);
+  arm (caller, caller->callers->idle_time);
   evhtp_request_resume (request);
 }
 
--- a/packages/node/src/ln-caller.h
+++ b/packages/node/src/ln-caller.h
@@ -6,6 +6,8 @@
 
 #include <evhtp/evhtp.h>
 
+#define LN_CALLER_IDLE_TIME (60 * LB_SEC)
+
 typedef struct LnExchange LnExchange;
 typedef struct LnCaller LnCaller;
 
@@ -20,6 +22,7 @@
   size_t max_body;
   size_t max_header;
   LbTime read_time;            /* a request must be whole within this time */
+  LbTime idle_time;            /* between two requests of a connection */
   struct LnRecorder *recorder; /* NULL: nothing is recorded */
   bool exact_retry_after;      /* callers read Retry-After with fractions of a second */
   bool draining;               /* replies ask callers to connect elsewhere */
--- a/packages/node/src/ln-front.c
+++ b/packages/node/src/ln-front.c
@@ -173,6 +173,27 @@
   ln_exchange_reply_error (exchange, &error, 0);
 }
 
+static int64_t
+larger (int64_t a, int64_t b)
+{
+  return a > b ? a : b;
+}
+
+/* The operators of a shared platform tell callers what they may send and how long connections stay
+ * usable. Where that is more than this instance's settings allow, it must be allowed: a refusal of
+ * what the operators permit would be wrong, and a connection closed early fails the request that
+ * is just being written to it. */
+static void
+widen_limits (LnFront *front, const LcCallerLimits *limits)
+{
+  const LnSettings *settings = front->context->settings;
+  LnCallers *callers = &front->callers;
+
+  callers->max_body = (size_t)larger (settings->http.max_body_bytes, limits->max_body_bytes);
+  callers->max_header = (size_t)larger (settings->http.max_header_bytes, limits->max_header_bytes);
+  callers->idle_time = larger (LN_CALLER_IDLE_TIME, limits->idle_time);
+}
+
 static void
 receive (LnTask *task, const LnMessage *message)
 {
@@ -186,6 +207,9 @@
     case LN_READY:
       front->ready = ((const LnReadyMessage *)message)->ready;
       break;
+    case LN_DESIRED:
+      widen_limits (front, &((const LnDesiredMessage *)message)->desired->limits);
+      break;
     default:
       break;
     }
@@ -348,6 +372,7 @@
   front->callers.max_callers = (size_t)settings->http.max_connections;
   front->callers.max_body = (size_t)settings->http.max_body_bytes;
   front->callers.max_header = (size_t)settings->http.max_header_bytes;
+  front->callers.idle_time = LN_CALLER_IDLE_TIME;
   front->callers.read_time = settings->http.request_read_ms * LB_MSEC;
   front->callers.exact_retry_after = context->dialect != NULL;
   if (!listen_at_all (front, &error))
--- a/tests/process/test-shared.c
+++ b/tests/process/test-shared.c
@@ -57,7 +57,8 @@
       "{\"name\": \"steps\", \"host\": \"h.example\", \"prefix\": \"/steps/\","
       " \"kind\": \"weight_rollout\", \"service\": \"engines\", \"attempts\": 3}%s],"
       "\"services\": [{\"name\": \"engines\", \"maxConns\": 100, \"engine\": {\"stride\": 1}},"
-      " {\"name\": \"lookups\", \"maxConns\": 100}], \"limits\": {}}";
+      " {\"name\": \"lookups\", \"maxConns\": 100}],"
+      "\"limits\": {\"maxBodyBytes\": 12582912}}";
 
 static void
 turn (World *w)
@@ -421,6 +422,24 @@
   world_clear (&w);
 }
 
+/* The operators allow bodies of 12 MiB. A caller's body of 9 MiB was refused as too large, since
+ * the instance went by the bound of its own settings, 8 MiB. */
+Test (shared, the_desired_state_says_how_much_callers_may_send)
+{
+  World w;
+  size_t length = (size_t)9 << 20;
+  char *body = lb_malloc (length + 1);
+
+  memset (body, 'x', length);
+  body[length] = '\0';
+  world_init (&w);
+  start_instance (&w);
+  call (&w, 0, "GET", "/lookup/1", "c1", body);
+  cr_assert_eq (w.status, 200, "%d %s", w.status, w.body);
+  free (body);
+  world_clear (&w);
+}
+
 /* A service of the platform has a path /metrics of its own. Its callers got the counters of the
  * instance instead, since the front answered that path before it looked at the routes. */
 Test (shared, metrics_have_an_address_of_their_own)
