--- a/packages/node/src/ln-batch-heads.c
+++ b/packages/node/src/ln-batch-heads.c
@@ -73,7 +73,7 @@
 is_held (const LnBatch *batch)
 {
   return batch->held == LN_HELD_RUNNING || batch->held == LN_HELD_LOADING
-         || batch->held == LN_HELD_OFFERED;
+         || batch->held == LN_HELD_OFFERED || batch->held == LN_HELD_ASKING;
 }
 
 void
@@ -251,16 +251,41 @@
   write_rows (batch, &head, NULL, 0, on_taken);
 }
 
+/* Without an answer the batch is run here: nobody else may have been able to take it. */
+static void
+on_offer_read (LbErrorCode error, const LpRow *rows, size_t n_rows, void *user)
+{
+  LnBatch *batch = user;
+
+  if (error == LB_OK && n_rows > 0)
+    ln_batch_heads_take (batch->batches, &rows[0]);
+  if (batch->held != LN_HELD_ASKING)
+    return;
+  batch->held = LN_HELD_NOT;
+  ln_batch_heads_review (batch);
+}
+
+/* The watch that tells of a taken offer may be late, when this instance's way to the store is slow.
+ * A run begun here then makes each text a second time, on engines that others wait for, and can
+ * list nothing. So the row itself is asked first. */
+static void
+end_offer (LnBatch *batch)
+{
+  LpPlatform *platform = batch->batches->context->platform;
+  char key[LN_BATCH_KEY_SIZE];
+
+  batch->held = LN_HELD_ASKING;
+  ln_batch_head_key (batch->id, key);
+  platform->klass->get (platform, key, on_offer_read, batch);
+}
+
 /* A batch whose owner is gone is run by the next instance in the order of this batch. An owner that
  * was only paused finds its row changed, and lists nothing more. */
 static void
 look_after (LnBatch *batch, LbTime now)
 {
   if (batch->held == LN_HELD_OFFERED && now >= batch->offered_until)
-    {
-      batch->held = LN_HELD_NOT;
-      ln_batch_heads_review (batch);
-    }
+    end_offer (batch);
   if (batch->held != LN_HELD_NOT || batch->head.ended || batch->version == 0
       || !batch->batches->members_known || batch->batches->draining || owner_is_alive (batch))
     {
--- a/standins/si-rows.c
+++ b/standins/si-rows.c
@@ -42,6 +42,7 @@
   char *table;
   int64_t after;
   LbTime until;
+  bool is_late;
 } Watch;
 
 static void
@@ -330,7 +331,8 @@
   LB_LIST_FOREACH (&rows->watches, Watch, link, watch)
   {
     struct json_object *array = changes (rows, watch->table, watch->after);
-    if (json_object_array_length (array) > 0 || lb_clock_monotonic () >= watch->until)
+    bool has_news = json_object_array_length (array) > 0 && !watch->is_late;
+    if (has_news || lb_clock_monotonic () >= watch->until)
       end_watch (watch, array);
     else
       json_object_put (array);
@@ -338,7 +340,7 @@
 }
 
 static void
-start_watch (SiRows *rows, struct evhttp_request *request)
+start_watch (SiRows *rows, struct evhttp_request *request, bool is_late)
 {
   char *after = query_of (request, "after");
   char *wait = query_of (request, "waitMs");
@@ -346,6 +348,7 @@
 
   watch->rows = rows;
   watch->request = request;
+  watch->is_late = is_late;
   watch->table = query_of (request, "table");
   watch->after = atoll (after);
   watch->until = lb_clock_monotonic () + atoll (wait) * LB_MSEC;
@@ -418,9 +421,8 @@
 }
 
 static void
-on_request (struct evhttp_request *request, void *user)
+answer (SiRows *rows, struct evhttp_request *request, bool is_late)
 {
-  SiRows *rows = user;
   const char *path = si_request_path (request);
   const char *name = NULL;
 
@@ -436,7 +438,7 @@
   else if (strcmp (path, "/-/rows-get") == 0)
     list (rows, request);
   else if (strcmp (path, "/-/rows-feed") == 0)
-    start_watch (rows, request);
+    start_watch (rows, request, is_late);
   else if (path_begins (path, "/-/blob-put/", &name))
     put_object (rows, request, name);
   else if (path_begins (path, "/-/blob-get/", &name))
@@ -445,6 +447,22 @@
     si_reply_error (request, 404, "unknown_path");
 }
 
+static void
+on_request (struct evhttp_request *request, void *user)
+{
+  SiRows *rows = user;
+
+  answer (rows, request, rows->late == &rows->server);
+}
+
+static void
+on_far_request (struct evhttp_request *request, void *user)
+{
+  SiRows *rows = user;
+
+  answer (rows, request, rows->late == &rows->far);
+}
+
 static void
 begin (SiRows *rows)
 {
@@ -462,7 +480,8 @@
 si_rows_init (SiRows *rows, struct event_base *base, int port)
 {
   memset (rows, 0, sizeof *rows);
-  if (!si_server_init (&rows->server, base, port, on_request, rows))
+  if (!si_server_init (&rows->server, base, port, on_request, rows)
+      || !si_server_init (&rows->far, base, 0, on_far_request, rows))
     return false;
   begin (rows);
   return true;
@@ -498,6 +517,8 @@
     free (object->bytes);
     free (object);
   }
+  if (rows->far.http)
+    si_server_clear (&rows->far);
   si_server_clear (&rows->server);
 }
 
--- a/standins/si-rows.h
+++ b/standins/si-rows.h
@@ -18,7 +18,9 @@
 typedef struct
 {
   SiServer server;
-  LbList rows; /* by table, part and key */
+  SiServer far;         /* another way to the same rows */
+  const SiServer *late; /* its watches hear of changes only at the end of their time; NULL: none */
+  LbList rows;          /* by table, part and key */
   LbList objects;
   LbList watches;
   struct event *wake;
--- a/tests/process/test-shared.c
+++ b/tests/process/test-shared.c
@@ -192,9 +192,16 @@
 
 /* --- instances --- */
 
+static const SiServer *
+store_of (const World *w, size_t instance)
+{
+  return instance == 0 ? &w->rows.server : &w->rows.far;
+}
+
 static void
 write_settings (World *w, const Instance *instance)
 {
+  const SiServer *store = store_of (w, (size_t)(instance - w->instances));
   char path[128];
 
   snprintf (path, sizeof path, "%s/%s.json", w->folder, instance->name);
@@ -207,7 +214,7 @@
            " \"platform\": {\"kind\": \"shared\", \"address\": \"%s\", \"deadline_ms\": 1000},"
            " \"drain\": {\"drain_ms\": 300, \"entry_ttl_ms\": 2000},"
            " \"address_file\": \"%s/%s.addr\"}",
-           instance->name, w->rows.server.address, w->folder, instance->name);
+           instance->name, store->address, w->folder, instance->name);
   fclose (out);
 }
 
@@ -369,6 +376,30 @@
   json_object_put (page);
 }
 
+static size_t
+count_runs (const World *w)
+{
+  size_t n = 0;
+
+  for (int i = 0; i < N_ENGINES; i++)
+    n += w->engines[i].n_runs;
+  return n;
+}
+
+static size_t
+find_owner (World *w)
+{
+  size_t owner = w->n_instances;
+
+  for (size_t i = 0; i < w->n_instances; i++)
+    {
+      read_metrics (w, i);
+      if (strstr (w->body, "lentilspindle_batches_owned 1"))
+        owner = i;
+    }
+  return owner;
+}
+
 Test (shared, a_step_and_a_call_go_the_whole_way)
 {
   World w;
@@ -514,7 +545,6 @@
 {
   World w;
   char *body = make_batch (6);
-  size_t runs = 0;
 
   world_init (&w);
   start_instance (&w);
@@ -527,13 +557,39 @@
   cr_assert_eq (si_rows_count (&w.rows, "head"), 1);
   UNTIL (&w, count_listed (&w, 0, "b1") == 6);
   assert_all_listed (&w, 1, "b1", 6);
-  for (int i = 0; i < N_ENGINES; i++)
-    runs += w.engines[i].n_runs;
-  cr_assert_eq (runs, 6);
+  cr_assert_eq (count_runs (&w), 6);
   free (body);
   world_clear (&w);
 }
 
+/* Each text of a step is generated twice, and the engines are busy for twice as long. The instance
+ * that accepted the batch hears late that another one took it, so it thinks that its offer was not
+ * taken and begins a run of its own, which can list nothing. */
+Test (shared, an_offer_that_was_taken_is_not_run_twice)
+{
+  World w;
+  size_t owner;
+
+  world_init (&w);
+  for (int i = 0; i < N_ENGINES; i++)
+    w.engines[i].event_time = 100 * LB_MSEC;
+  start_instance (&w);
+  start_instance (&w);
+  submit (&w, 0, "b1", 4);
+  UNTIL (&w, (owner = find_owner (&w)) < 2);
+  UNTIL (&w, count_listed (&w, 0, "b1") == 4);
+  w.rows.late = store_of (&w, 1 - owner);
+  /* A watch that began before is over. */
+  LbTime end = lb_clock_monotonic () + LB_SEC;
+  UNTIL (&w, lb_clock_monotonic () >= end);
+  size_t before = count_runs (&w);
+  submit (&w, 1 - owner, "b2", 6);
+  cr_assert_eq (w.status, 202);
+  UNTIL (&w, count_listed (&w, owner, "b2") == 6);
+  cr_assert_eq (count_runs (&w) - before, 6);
+  world_clear (&w);
+}
+
 /* The store takes the row of a batch and its answer is lost. "Refused" would be a lie: the batch
  * runs. The instance asks again, and the row tells it. */
 Test (shared, a_lost_answer_of_the_store_is_no_refusal)
@@ -666,14 +722,14 @@
     }
   start_instance (&w);
   submit (&w, 0, "b1", 6);
-  UNTIL (&w, w.engines[0].n_runs + w.engines[1].n_runs + w.engines[2].n_runs >= 6);
+  UNTIL (&w, count_runs (&w) >= 6);
   call (&w, 0, "DELETE", "/-/lots/b1", "", "");
   cr_assert_eq (w.status, 200);
   UNTIL (&w, w.engines[0].cancelled + w.engines[1].cancelled + w.engines[2].cancelled == 6);
-  size_t runs = w.engines[0].n_runs + w.engines[1].n_runs + w.engines[2].n_runs;
+  size_t runs = count_runs (&w);
   for (int i = 0; i < 100; i++)
     turn (&w);
-  cr_assert_eq (w.engines[0].n_runs + w.engines[1].n_runs + w.engines[2].n_runs, runs);
+  cr_assert_eq (count_runs (&w), runs);
   world_clear (&w);
 }
 
