What an ended batch left in the store is removed

Nothing in the store expires and it refuses writes when it is full (400 MB here): after some 2,000 batches none would be accepted. Results, parts, content and at last the batch's own row go, in the turn of one instance, batches.keep_ended_s after the end; memory of the batch goes with its row. Test: what_an_ended_batch_left_is_removed.

--- a/packages/node/include/ln-settings.h
+++ b/packages/node/include/ln-settings.h
@@ -65,6 +65,10 @@
     int64_t drain_ms; /* how long to stay after SIGTERM for callers that hold old addresses */
     int64_t entry_ttl_ms;
   } drain;
+  struct
+  {
+    int64_t keep_ended_s; /* how long an ended batch can still be read */
+  } batches;
   char address_file[256]; /* written with {"caller_address", "peer_address"} once bound; empty: none
                            */
   char record[256];       /* trace file; empty: none */
--- a/packages/node/src/ln-batch-calls.c
+++ b/packages/node/src/ln-batch-calls.c
@@ -240,7 +240,7 @@
 {
   char key[LN_BATCH_KEY_SIZE];
 
-  snprintf (key, sizeof key, "batch-%s", call->id);
+  ln_batch_object_key (call->id, key);
   call->waits_for_store = true;
   platform_of (call)->klass->put_object (platform_of (call), key, call->body, call->body_length,
                                          on_content_stored, call);
@@ -402,7 +402,7 @@
 {
   char key[LN_BATCH_KEY_SIZE];
 
-  snprintf (key, sizeof key, "batch-%s", call->id);
+  ln_batch_object_key (call->id, key);
   call->waits_for_store = true;
   platform_of (call)->klass->get_object (platform_of (call), key, on_content, call);
 }
--- a/packages/node/src/ln-batch-heads.c
+++ b/packages/node/src/ln-batch-heads.c
@@ -49,6 +49,12 @@
   snprintf (key, LN_BATCH_KEY_SIZE, "part/%02x/%s:", part_of (id), id);
 }
 
+void
+ln_batch_object_key (const char *id, char *key)
+{
+  snprintf (key, LN_BATCH_KEY_SIZE, "batch-%s", id);
+}
+
 static bool
 is_ours (const LnBatch *batch)
 {
@@ -97,7 +103,10 @@
 note_change (LnBatch *batch, const LcBatchHead *before)
 {
   if (batch->head.ended && !before->ended)
-    lb_log (LB_LOG_INFO, "batch_ended", LB_TEXT ("batch", batch->id));
+    {
+      batch->ended_at = lb_clock_monotonic ();
+      lb_log (LB_LOG_INFO, "batch_ended", LB_TEXT ("batch", batch->id));
+    }
   if (batch->head.epoch != before->epoch)
     batch->orphan_since = 0;
   if (is_held (batch) && (batch->head.ended || !is_ours (batch)))
@@ -176,8 +185,8 @@
   return names;
 }
 
-static size_t
-own_rank (const LnBatch *batch)
+size_t
+ln_batch_heads_rank (const LnBatch *batch)
 {
   size_t n;
   LbName *names = ln_batches_candidates (batch->batches, &n);
@@ -294,7 +303,7 @@
     }
   if (batch->orphan_since == 0)
     batch->orphan_since = now;
-  if (now - batch->orphan_since >= (LbTime)own_rank (batch) * RANK_DELAY)
+  if (now - batch->orphan_since >= (LbTime)ln_batch_heads_rank (batch) * RANK_DELAY)
     take_over (batch);
 }
 
@@ -393,6 +402,19 @@
     }
 }
 
+/* A row that is gone belonged to a batch that was ended long ago. */
+static void
+take_change (LnBatches *batches, const LpRow *row)
+{
+  const char *id = strrchr (row->key, '/');
+  LnBatch *batch = id ? ln_batches_find (batches, id + 1) : NULL;
+
+  if (row->value)
+    ln_batch_heads_take (batches, row);
+  else if (batch && batch != batches->cleaned && batch->held == LN_HELD_NOT)
+    ln_batches_forget (batch);
+}
+
 static void
 on_changes (LbErrorCode error, const LpRow *rows, size_t n_rows, int64_t version, void *user)
 {
@@ -404,8 +426,7 @@
   if (error == LB_OK)
     {
       for (size_t i = 0; i < n_rows; i++)
-        if (rows[i].value)
-          ln_batch_heads_take (batches, &rows[i]);
+        take_change (batches, &rows[i]);
       batches->table_version = version;
       return;
     }
--- a/packages/node/src/ln-batch-owner.c
+++ b/packages/node/src/ln-batch-owner.c
@@ -669,7 +669,7 @@
   batch->retry_at = LB_TIME_NEVER;
   loading->batch = batch;
   loading->epoch = batch->head.epoch;
-  snprintf (key, sizeof key, "batch-%s", batch->id);
+  ln_batch_object_key (batch->id, key);
   platform->klass->get_object (platform, key, on_content, loading);
 }
 
--- a/packages/node/src/ln-batches-private.h
+++ b/packages/node/src/ln-batches-private.h
@@ -30,6 +30,14 @@
   LN_HELD_RELEASING
 } LnHeld;
 
+/* What of an ended batch is removed next. */
+typedef enum
+{
+  LN_CLEAN_RESULTS,
+  LN_CLEAN_PARTS,
+  LN_CLEAN_OBJECT
+} LnCleanStep;
+
 /* A batch as the store's row tells, and the work on it while this instance owns it. */
 typedef struct
 {
@@ -44,6 +52,9 @@
   LbTime orphan_since; /* when its owner was first missed; 0: it has one */
   LbTime retry_at;     /* LOADING: after a failure */
   LbTime offered_until;
+  LbTime ended_at; /* when this instance saw that it is ended; 0: it is not */
+  LbTime clean_at; /* not before, after a failure */
+  LnCleanStep clean_step;
   UT_hash_handle hh;
 } LnBatch;
 
@@ -75,6 +86,7 @@
   size_t n_members;
   bool members_known;
   LnBatch *by_id;
+  LnBatch *cleaned; /* whose rows are being removed; NULL: none */
   struct LnModelHistory *histories;
   LnBatchRequest *requests;
   LbList exchanges; /* LnBatchExchange that are being answered */
@@ -92,9 +104,13 @@
 LnBatch *ln_batches_find (LnBatches *batches, const char *id);
 LcBatchHistory *ln_batches_history (LnBatches *batches, const char *model);
 LnBatch *ln_batches_ensure (LnBatches *batches, const char *id);
+void ln_batches_forget (LnBatch *batch);
 
 /* ln-batch-heads.c: the rows of batches, whose owner is gone, and taking them over */
 void ln_batch_head_key (const char *id, char *key);
+void ln_batch_object_key (const char *id, char *key);
+/* The place of this instance among those that may take the batch over; 0: the first. */
+size_t ln_batch_heads_rank (const LnBatch *batch);
 /* Takes a row that was read or written; false when it can't be read. */
 bool ln_batch_heads_take (LnBatches *batches, const LpRow *row);
 /* Begins to run the batch if its row says that it is ours and nothing runs. */
@@ -121,6 +137,9 @@
 void ln_batch_part_prefix (const char *id, char *key);
 bool ln_batch_result_from_row (const LpRow *row, LcBatchResult *result);
 
+/* ln-batch-cleanup.c: what ended batches left in the store */
+void ln_batch_cleanup_tick (LnBatches *batches, LbTime now);
+
 /* ln-batch-calls.c: callers' requests about batches */
 void ln_batch_calls_take (LnBatches *batches, LnExchange *exchange);
 void ln_batch_calls_gone (LnBatches *batches, LnExchange *exchange);
--- a/packages/node/src/ln-batches.c
+++ b/packages/node/src/ln-batches.c
@@ -63,6 +63,13 @@
   return batch;
 }
 
+void
+ln_batches_forget (LnBatch *batch)
+{
+  HASH_DEL (batch->batches->by_id, batch);
+  free (batch);
+}
+
 static void
 take_members (LnBatches *batches, const LnMembersMessage *message)
 {
@@ -119,6 +126,7 @@
       n_owned += batch->held == LN_HELD_RUNNING;
     }
   ln_batch_calls_tick (batches, now);
+  ln_batch_cleanup_tick (batches, now);
   lb_metric_set (&owned, n_owned);
 }
 
--- a/packages/node/src/ln-settings.c
+++ b/packages/node/src/ln-settings.c
@@ -90,6 +90,9 @@
     = { INTEGER ("drain_ms", drain.drain_ms, 0, MAX_MS),
         INTEGER ("entry_ttl_ms", drain.entry_ttl_ms, 100, MAX_MS), END };
 
+static const LbSettingSpec batches_specs[]
+    = { INTEGER ("keep_ended_s", batches.keep_ended_s, 5, 86400 * 30), END };
+
 static const LbSettingSpec specs[] = { GROUP ("instance", instance_specs),
                                        GROUP ("platform", platform_specs),
                                        GROUP ("cluster", cluster_specs),
@@ -97,6 +100,7 @@
                                        GROUP ("http", http_specs),
                                        GROUP ("calls", calls_specs),
                                        GROUP ("drain", drain_specs),
+                                       GROUP ("batches", batches_specs),
                                        TEXT ("address_file", address_file),
                                        TEXT ("record", record),
                                        INTEGER ("seed", seed, 0, 9007199254740992.0),
@@ -124,6 +128,7 @@
   settings->calls.hedge_after_ms = 0;
   settings->calls.stream_silence_ms = 2000;
   settings->calls.load_poll_ms = 500;
+  settings->batches.keep_ended_s = 600;
   settings->drain.drain_ms = 16000;
   settings->drain.entry_ttl_ms = 15000;
 }
--- a/packages/store/include/lp-platform.h
+++ b/packages/store/include/lp-platform.h
@@ -108,6 +108,8 @@
                       LpObjectDone done,
                       void *user);
   void (*get_object) (LpPlatform *platform, const char *key, LpObjectDone done, void *user);
+  /* error: LB_OK, NOT_FOUND, STORE_AWAY, STORE_BUSY. NULL where the kind has no such call. */
+  void (*remove_object) (LpPlatform *platform, const char *key, LpObjectDone done, void *user);
   /* Rows whose keys begin with prefix, from prefix with `from` behind it on; limit 0: all of them.
    * Keys are "TABLE/PART/REST", or "TABLE/REST" in the table's unnamed part; a prefix names the
    * table and the part. NULL where the kind has no such call. */
--- a/standins/si-rows.c
+++ b/standins/si-rows.c
@@ -366,6 +366,15 @@
 
 /* --- objects --- */
 
+static void
+object_free (SiRows *rows, Object *object)
+{
+  lb_list_remove (&rows->objects, &object->link);
+  free (object->name);
+  free (object->bytes);
+  free (object);
+}
+
 static Object *
 find_object (const SiRows *rows, const char *name)
 {
@@ -409,6 +418,20 @@
   evhttp_send_reply (request, 200, NULL, NULL);
 }
 
+static void
+remove_object (SiRows *rows, struct evhttp_request *request, const char *name)
+{
+  Object *object = find_object (rows, name);
+
+  if (!object)
+    {
+      si_reply_error (request, 404, "not_found");
+      return;
+    }
+  object_free (rows, object);
+  si_reply_json (request, 200, new_answer (rows));
+}
+
 /* --- the server --- */
 
 static bool
@@ -443,6 +466,8 @@
     put_object (rows, request, name);
   else if (path_begins (path, "/-/blob-get/", &name))
     get_object (rows, request, name);
+  else if (path_begins (path, "/-/blob-drop/", &name))
+    remove_object (rows, request, name);
   else
     si_reply_error (request, 404, "unknown_path");
 }
@@ -512,10 +537,7 @@
   }
   LB_LIST_FOREACH (&rows->objects, Object, link, object)
   {
-    lb_list_remove (&rows->objects, &object->link);
-    free (object->name);
-    free (object->bytes);
-    free (object);
+    object_free (rows, object);
   }
   if (rows->far.http)
     si_server_clear (&rows->far);
@@ -544,6 +566,12 @@
   return row ? row->value : NULL;
 }
 
+size_t
+si_rows_count_objects (const SiRows *rows)
+{
+  return rows->objects.length;
+}
+
 size_t
 si_rows_count (const SiRows *rows, const char *table)
 {
--- a/standins/si-rows.h
+++ b/standins/si-rows.h
@@ -39,6 +39,7 @@
 si_rows_put (SiRows *rows, const char *table, const char *part, const char *key, const char *value);
 /* NULL when there is none; valid until the next change. */
 const char *si_rows_get (const SiRows *rows, const char *table, const char *part, const char *key);
+size_t si_rows_count_objects (const SiRows *rows);
 /* Rows of the table, in all parts. */
 size_t si_rows_count (const SiRows *rows, const char *table);
 
--- a/tests/process/test-shared.c
+++ b/tests/process/test-shared.c
@@ -212,6 +212,7 @@
            " \"caller_address\": \"127.0.0.1:0\","
            " \"metrics_address\": \"127.0.0.1:0\"},"
            " \"platform\": {\"kind\": \"shared\", \"address\": \"%s\", \"deadline_ms\": 1000},"
+           " \"batches\": {\"keep_ended_s\": 5},"
            " \"drain\": {\"drain_ms\": 300, \"entry_ttl_ms\": 2000},"
            " \"address_file\": \"%s/%s.addr\"}",
            instance->name, store->address, w->folder, instance->name);
@@ -590,6 +591,30 @@
   world_clear (&w);
 }
 
+/* After some hours every batch is refused: the store is full of batches that ended long ago, since
+ * nothing in it expires. What an ended batch left is removed; one that is open stays. */
+Test (shared, what_an_ended_batch_left_is_removed)
+{
+  World w;
+
+  world_init (&w);
+  start_instance (&w);
+  start_instance (&w);
+  submit (&w, 0, "b1", 6);
+  submit (&w, 1, "b2", 3);
+  UNTIL (&w, count_listed (&w, 0, "b1") == 6);
+  UNTIL (&w, count_listed (&w, 0, "b2") == 3);
+  call (&w, 1, "DELETE", "/-/lots/b1", "", "");
+  cr_assert_eq (w.status, 200);
+  UNTIL (&w, si_rows_count (&w.rows, "head") == 1);
+  cr_assert_eq (si_rows_count (&w.rows, "result"), 3);
+  cr_assert_eq (si_rows_count_objects (&w.rows), 1);
+  UNTIL (&w, (call (&w, 0, "GET", "/-/lots/b1", "", ""), w.status == 404));
+  UNTIL (&w, (call (&w, 1, "GET", "/-/lots/b1", "", ""), w.status == 404));
+  assert_all_listed (&w, 0, "b2", 3);
+  world_clear (&w);
+}
+
 /* The store takes the row of a batch and its answer is lost. "Refused" would be a lie: the batch
  * runs. The instance asks again, and the row tells it. */
 Test (shared, a_lost_answer_of_the_store_is_no_refusal)
