Texts longer than a row are listed; a read past the end in the division of engines; a call about a removed batch

A result above 64 KiB was refused by the store again and again, and all results behind it waited: its text goes in pieces beside the row, in the same transaction. Test first (never listed). make check-sanitize found lc_engine_plan_divide copying one entry too many (two more of the kind in tasks), and test-batch writing past its arrays. A call that waits for the store while its batch is removed gets 'no such batch' instead of a crash.

--- a/packages/core/src/lc-engine-plan.c
+++ b/packages/core/src/lc-engine-plan.c
@@ -305,7 +305,7 @@
                        LbTime now)
 {
   Share *shares = LB_NEW_ARRAY (Share, n_models + 1);
-  LcPlanEntry *wanted = lb_memdup (engines, (n_engines + 1) * sizeof *engines);
+  LcPlanEntry *wanted = lb_memdup (engines, n_engines * sizeof *engines);
   size_t to = 0;
   size_t from = 0;
 
--- a/packages/core/tests/test-batch.c
+++ b/packages/core/tests/test-batch.c
@@ -6,7 +6,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#define MAX_ITEMS 8
+#define MAX_ITEMS 9
 
 /* A batch, and the last thing that it asked for each item. */
 typedef struct
@@ -376,10 +376,10 @@
   LcBatchHistory *history = lc_batch_history_new ();
   Fixture f;
 
-  fixture_init (&f, MAX_ITEMS + 1, false,
+  fixture_init (&f, MAX_ITEMS, false,
                 (LcBatchSettings){ .resumable = true, .history = history, .tokens_per_event = 50 });
   start (&f);
-  for (int item = 0; item < MAX_ITEMS; item++)
+  for (int item = 0; item < MAX_ITEMS - 1; item++)
     {
       for (int event = 0; event < 20; event++)
         {
--- a/packages/node/src/ln-batch-calls.c
+++ b/packages/node/src/ln-batch-calls.c
@@ -54,6 +54,8 @@
   LbTime give_up_at; /* RESULTS: when to answer although there is none */
   LbTime retry_at;   /* LB_TIME_NEVER: not waiting */
   int tries;
+  LcBatchResult long_result; /* RESULTS: whose text is being read, from so many rows */
+  size_t n_pieces;
   /* SUBMIT */
   char *body;
   size_t body_length;
@@ -68,6 +70,7 @@
 {
   lb_list_remove (&call->batches->exchanges, &call->link);
   lc_batch_spec_clear (&call->spec);
+  lc_batch_result_clear (&call->long_result);
   free (call->body);
   free (call);
 }
@@ -310,25 +313,87 @@
   store_content (call);
 }
 
+/* The batch, or NULL after a reply that there is none: what an ended batch left may be removed
+ * while a call about it waits for the store. */
+static LnBatch *
+find_batch_or_reply (Call *call)
+{
+  LnBatch *batch = ln_batches_find (call->batches, call->id);
+
+  if (!batch)
+    reply_error (call, LB_ERROR_NOT_FOUND, "no such batch", 0);
+  return batch;
+}
+
 /* --- results are read --- */
 
 static void
-reply_results (Call *call, const LpRow *rows, size_t n_rows)
+reply_results (Call *call, const LcBatchResult *results, size_t n_results)
+{
+  const LnBatch *batch = find_batch_or_reply (call);
+  size_t length;
+
+  if (!batch)
+    return;
+  char *text = dialect_of (call)->write_results (batch->head.total, call->position, results,
+                                                 n_results, &length);
+  reply_status (call, 200, text, length, "application/json");
+  free (text);
+}
+
+/* Up to the first whose text lies elsewhere: that one is answered by itself. */
+static void
+reply_rows (Call *call, const LpRow *rows, size_t n_rows)
 {
-  const LnBatch *batch = ln_batches_find (call->batches, call->id);
   LcBatchResult *results = LB_NEW_ARRAY (LcBatchResult, n_rows + 1);
   size_t n = 0;
-  size_t length;
 
-  while (n < n_rows && ln_batch_result_from_row (&rows[n], &results[n]))
+  while (n < n_rows && ln_batch_result_pieces (&rows[n]) == 0
+         && ln_batch_result_from_row (&rows[n], &results[n]))
     n++;
-  char *text
-      = dialect_of (call)->write_results (batch->head.total, call->position, results, n, &length);
-  for (size_t i = 0; i <= n && i < n_rows; i++)
+  reply_results (call, results, n);
+  for (size_t i = 0; i <= n; i++)
     lc_batch_result_clear (&results[i]);
   free (results);
-  reply_status (call, 200, text, length, "application/json");
-  free (text);
+}
+
+static void
+on_pieces (LbErrorCode error, const LpRow *rows, size_t n_rows, int64_t version, void *user)
+{
+  (void)version;
+  Call *call = user;
+  size_t length = 0;
+
+  call->waits_for_store = false;
+  if (error != LB_OK || n_rows < call->n_pieces)
+    {
+      if (!may_try_again (call))
+        reply_store_away (call);
+      return;
+    }
+  for (size_t i = 0; i < n_rows; i++)
+    length += strlen (rows[i].value);
+  char *text = lb_malloc (length + 1);
+  text[0] = '\0';
+  char *end = text;
+  for (size_t i = 0; i < n_rows; i++)
+    end = stpcpy (end, rows[i].value);
+  free (call->long_result.text);
+  call->long_result.text = text;
+  reply_results (call, &call->long_result, 1);
+}
+
+static void
+read_pieces (Call *call, const LpRow *row)
+{
+  char prefix[LN_BATCH_KEY_SIZE];
+
+  lc_batch_result_clear (&call->long_result);
+  ln_batch_result_from_row (row, &call->long_result);
+  call->n_pieces = ln_batch_result_pieces (row);
+  ln_batch_text_prefix (call->id, call->position, prefix);
+  call->waits_for_store = true;
+  platform_of (call)->klass->list (platform_of (call), prefix, NULL, 0, on_pieces, call);
 }
 
 static void
@@ -347,8 +412,10 @@
     }
   if (n_rows == 0 && now < call->give_up_at && call->exchange)
     call->retry_at = now + POLL;
+  else if (n_rows > 0 && ln_batch_result_pieces (&rows[0]) > 0)
+    read_pieces (call, &rows[0]);
   else
-    reply_results (call, rows, n_rows);
+    reply_rows (call, rows, n_rows);
 }
 
 static void
@@ -445,19 +512,20 @@
 static void
 end_batch (Call *call)
 {
-  const LnBatch *batch = ln_batches_find (call->batches, call->id);
-  LcBatchHead head = batch->head;
-  struct json_object *object = NULL;
+  const LnBatch *batch = find_batch_or_reply (call);
   char key[LN_BATCH_KEY_SIZE];
-  const LpCondition condition = { .key = key, .version = batch->version };
 
+  if (!batch)
+    return;
+  LcBatchHead head = batch->head;
+  const LpCondition condition = { .key = key, .version = batch->version };
   if (batch->head.ended)
     {
       reply_ended (call);
       return;
     }
   head.ended = true;
-  object = lc_batch_head_to_json (&head);
+  struct json_object *object = lc_batch_head_to_json (&head);
   const LpPut put = { .key = key, .value = json_object_to_json_string (object) };
   const LpTransaction transaction
       = { .token = "", .conditions = &condition, .n_conditions = 1, .puts = &put, .n_puts = 1 };
--- a/packages/node/src/ln-batch-cleanup.c
+++ b/packages/node/src/ln-batch-cleanup.c
@@ -154,14 +154,22 @@
   LpPlatform *platform = platform_of (batch);
   char prefix[LN_BATCH_KEY_SIZE];
 
-  if (batch->clean_step == LN_CLEAN_RESULTS)
-    ln_batch_result_prefix (batch->id, prefix);
-  else
-    ln_batch_part_prefix (batch->id, prefix);
-  if (batch->clean_step == LN_CLEAN_OBJECT)
-    remove_object (batch);
-  else
-    platform->klass->list (platform, prefix, NULL, ROWS_AT_ONCE, on_rows, batch);
+  switch (batch->clean_step)
+    {
+    case LN_CLEAN_RESULTS:
+      ln_batch_result_prefix (batch->id, prefix);
+      break;
+    case LN_CLEAN_TEXTS:
+      ln_batch_texts_prefix (batch->id, prefix);
+      break;
+    case LN_CLEAN_PARTS:
+      ln_batch_part_prefix (batch->id, prefix);
+      break;
+    case LN_CLEAN_OBJECT:
+      remove_object (batch);
+      return;
+    }
+  platform->klass->list (platform, prefix, NULL, ROWS_AT_ONCE, on_rows, batch);
 }
 
 static bool
--- a/packages/node/src/ln-batch-heads.c
+++ b/packages/node/src/ln-batch-heads.c
@@ -49,6 +49,18 @@
   snprintf (key, LN_BATCH_KEY_SIZE, "part/%02x/%s:", part_of (id), id);
 }
 
+void
+ln_batch_texts_prefix (const char *id, char *key)
+{
+  snprintf (key, LN_BATCH_KEY_SIZE, "more/%02x/%s:", part_of (id), id);
+}
+
+void
+ln_batch_text_prefix (const char *id, int64_t position, char *key)
+{
+  snprintf (key, LN_BATCH_KEY_SIZE, "more/%02x/%s:%06lld:", part_of (id), id, (long long)position);
+}
+
 void
 ln_batch_object_key (const char *id, char *key)
 {
--- a/packages/node/src/ln-batch-owner.c
+++ b/packages/node/src/ln-batch-owner.c
@@ -15,7 +15,11 @@
 #define DEFAULT_EVENTS 8        /* of a text whose length nobody estimated */
 #define SCORE_TIME (2 * LB_SEC) /* for a scorer whose route states no time */
 #define MAX_PUTS 64
-#define MAX_ROW_BYTES (60 << 10) /* the store takes 64 KiB; the rest is its frame */
+/* Of one transaction, by the store. LcBatch gives at most 40 results at once, and 400 KiB of text
+ * or a single one: 81 rows and conditions and at most 13 pieces. */
+#define MAX_ENTRIES 100
+/* What one transaction can carry: 1 MB, of which encoding takes a quarter. */
+#define MAX_TEXT_BYTES ((size_t)(700 << 10))
 
 static LbMetric listed = LB_COUNTER_INIT ("lentilspindle_batch_results_total",
                                           NULL,
@@ -254,36 +258,92 @@
   finish_write (write, error == LB_OK);
 }
 
+typedef struct
+{
+  LpPut puts[MAX_ENTRIES];
+  size_t n_puts;
+  LpCondition conditions[MAX_ENTRIES];
+  size_t n_conditions;
+} Entries;
+
+static void
+entries_clear (Entries *entries)
+{
+  ln_batch_owner_clear_puts (entries->puts, entries->n_puts);
+}
+
+/* A text that one row can't hold goes in pieces beside its result's row, in the same transaction.
+ */
+static size_t
+add_pieces (Entries *entries, const LnBatch *batch, int64_t position, const char *text)
+{
+  size_t length = strlen (text);
+  size_t n = 0;
+  char prefix[LN_BATCH_KEY_SIZE];
+
+  ln_batch_text_prefix (batch->id, position, prefix);
+  for (size_t start = 0; start < length; start += LN_BATCH_ROW_BYTES, n++)
+    entries->puts[entries->n_puts++]
+        = (LpPut){ .key = lb_asprintf ("%s%02zu", prefix, n),
+                   .value = lb_strndup (text + start, LN_BATCH_ROW_BYTES) };
+  return n;
+}
+
+/* Without a place for it the batch would never be whole, and nothing behind it would be listed. */
+static char *
+give_up_text (const LnBatch *batch, const LcBatchResult *result)
+{
+  LcBatchResult failed = *result;
+
+  lb_log (LB_LOG_ERROR, "item_given_up", LB_TEXT ("batch", batch->id),
+          LB_TEXT ("item", result->item), LB_TEXT ("error", "text_too_long"),
+          LB_INT ("bytes", strlen (result->text)));
+  failed.completed = false;
+  failed.text = NULL;
+  return ln_batch_result_to_text (&failed);
+}
+
+static void
+add_result (Entries *entries, const LnBatch *batch, int64_t position, const LcBatchResult *result)
+{
+  char prefix[LN_BATCH_KEY_SIZE];
+  char *value = ln_batch_result_to_text (result);
+
+  if (strlen (value) > LN_BATCH_ROW_BYTES)
+    {
+      free (value);
+      value = strlen (result->text) > MAX_TEXT_BYTES
+                  ? give_up_text (batch, result)
+                  : ln_batch_result_without_text (result, add_pieces (entries, batch, position,
+                                                                      result->text));
+    }
+  ln_batch_result_prefix (batch->id, prefix);
+  char *key = lb_asprintf ("%s%06lld", prefix, (long long)position);
+  entries->puts[entries->n_puts++] = (LpPut){ .key = key, .value = value };
+  entries->conditions[entries->n_conditions++] = (LpCondition){ .key = key, .version = 0 };
+}
+
 static void
 write_results (LnBatch *batch, const LcBatchAction *action)
 {
   LpPlatform *platform = batch->batches->context->platform;
-  char prefix[LN_BATCH_KEY_SIZE];
   char head[LN_BATCH_KEY_SIZE];
-  size_t n = action->n_results < MAX_PUTS ? action->n_results : MAX_PUTS;
-  LpPut puts[MAX_PUTS];
-  LpCondition conditions[MAX_PUTS + 1];
   Write *write = LB_NEW (Write);
+  Entries entries = { .n_conditions = 1 };
 
   *write = (Write){ .batch = batch, .run = batch->run, .epoch = batch->head.epoch };
-  ln_batch_result_prefix (batch->id, prefix);
   ln_batch_head_key (batch->id, head);
-  conditions[0] = (LpCondition){ .key = head, .version = batch->version };
-  for (size_t i = 0; i < n; i++)
-    {
-      puts[i].key = lb_asprintf ("%s%06lld", prefix, (long long)action->position + (long long)i);
-      puts[i].value = ln_batch_result_to_text (action->results[i]);
-      conditions[i + 1] = (LpCondition){ .key = puts[i].key, .version = 0 };
-    }
-  const LpTransaction transaction
-      = { .token = "", .conditions = conditions, .n_conditions = n + 1, .puts = puts, .n_puts = n };
-  lb_metric_add (&listed, (int64_t)n);
+  entries.conditions[0] = (LpCondition){ .key = head, .version = batch->version };
+  for (size_t i = 0; i < action->n_results; i++)
+    add_result (&entries, batch, action->position + (int64_t)i, action->results[i]);
+  const LpTransaction transaction = { .token = "",
+                                      .conditions = entries.conditions,
+                                      .n_conditions = entries.n_conditions,
+                                      .puts = entries.puts,
+                                      .n_puts = entries.n_puts };
+  lb_metric_add (&listed, (int64_t)action->n_results);
   platform->klass->transact (platform, &transaction, LP_PRIORITY_LEDGER, on_results_written, write);
-  for (size_t i = 0; i < n; i++)
-    {
-      free ((char *)puts[i].key);
-      free ((char *)puts[i].value);
-    }
+  entries_clear (&entries);
 }
 
 size_t
@@ -296,7 +356,7 @@
   for (size_t i = 0; i < action->n_parts && n < max; i++)
     {
       char *value = ln_batch_part_to_text (&action->parts[i]);
-      if (strlen (value) > MAX_ROW_BYTES)
+      if (strlen (value) > LN_BATCH_ROW_BYTES)
         {
           free (value);
           continue;
--- a/packages/node/src/ln-batch-rows.c
+++ b/packages/node/src/ln-batch-rows.c
@@ -30,22 +30,50 @@
   return text;
 }
 
-char *
-ln_batch_result_to_text (const LcBatchResult *result)
+/* Everything but the text. */
+static struct json_object *
+result_to_json (const LcBatchResult *result)
 {
   struct json_object *object = json_object_new_object ();
 
   json_object_object_add (object, "item", json_object_new_string (result->item));
   json_object_object_add (object, "completed", json_object_new_boolean (result->completed));
-  json_object_object_add (object, "text",
-                          json_object_new_string (result->text ? result->text : ""));
   json_object_object_add (object, "versions",
                           versions_to_json (result->versions, result->n_versions));
   if (result->score)
     json_object_object_add (object, "score", json_object_new_string (result->score));
+  return object;
+}
+
+char *
+ln_batch_result_to_text (const LcBatchResult *result)
+{
+  struct json_object *object = result_to_json (result);
+
+  json_object_object_add (object, "text",
+                          json_object_new_string (result->text ? result->text : ""));
   return to_text (object);
 }
 
+char *
+ln_batch_result_without_text (const LcBatchResult *result, size_t n_pieces)
+{
+  struct json_object *object = result_to_json (result);
+
+  json_object_object_add (object, "pieces", json_object_new_int64 ((int64_t)n_pieces));
+  return to_text (object);
+}
+
+size_t
+ln_batch_result_pieces (const LpRow *row)
+{
+  struct json_object *object = row->value ? json_tokener_parse (row->value) : NULL;
+  int64_t n = lb_json_int (object, "pieces", 0);
+
+  json_object_put (object);
+  return n > 0 ? (size_t)n : 0;
+}
+
 bool
 ln_batch_result_from_row (const LpRow *row, LcBatchResult *result)
 {
--- a/packages/node/src/ln-batches-private.h
+++ b/packages/node/src/ln-batches-private.h
@@ -13,6 +13,7 @@
 #include <uthash.h>
 
 #define LN_BATCH_KEY_SIZE 160
+#define LN_BATCH_ROW_BYTES ((size_t)(60 << 10)) /* the store takes 64 KiB */
 /* When to come back after a refusal because the store does not answer: its short outages last some
  * seconds, and a batch is worth little when it comes much later. */
 #define LN_BATCH_STORE_RETRY (400 * LB_MSEC)
@@ -34,6 +35,7 @@
 typedef enum
 {
   LN_CLEAN_RESULTS,
+  LN_CLEAN_TEXTS, /* in rows of their own */
   LN_CLEAN_PARTS,
   LN_CLEAN_OBJECT
 } LnCleanStep;
@@ -111,6 +113,9 @@
 void ln_batch_object_key (const char *id, char *key);
 void ln_batch_result_prefix (const char *id, char *key);
 void ln_batch_part_prefix (const char *id, char *key);
+/* Of the pieces of all long texts, and of the one at a position. */
+void ln_batch_texts_prefix (const char *id, char *key);
+void ln_batch_text_prefix (const char *id, int64_t position, char *key);
 /* The place of this instance among those that may take the batch over; 0: the first. */
 size_t ln_batch_heads_rank (const LnBatch *batch);
 /* Takes a row that was read or written; false when it can't be read. */
@@ -128,6 +133,10 @@
  * can't be read, whose result still has to be cleared. */
 char *ln_batch_result_to_text (const LcBatchResult *result);
 bool ln_batch_result_from_row (const LpRow *row, LcBatchResult *result);
+/* The same for a result whose text lies in n_pieces rows of its own, since one row can't hold it. */
+char *ln_batch_result_without_text (const LcBatchResult *result, size_t n_pieces);
+/* 0: the text is in the result's row. */
+size_t ln_batch_result_pieces (const LpRow *row);
 char *ln_batch_part_to_text (const LcBatchPart *part);
 bool ln_batch_part_from_row (const LpRow *row, LcBatchPart *part);
 
--- a/packages/node/src/ln-batches.c
+++ b/packages/node/src/ln-batches.c
@@ -74,7 +74,7 @@
 take_members (LnBatches *batches, const LnMembersMessage *message)
 {
   free (batches->members);
-  batches->members = lb_memdup (message->members, (message->n_members + 1) * sizeof (LnMember));
+  batches->members = lb_memdup (message->members, message->n_members * sizeof (LnMember));
   batches->n_members = message->n_members;
   batches->members_known = true;
 }
--- a/packages/node/src/ln-weight-orders.c
+++ b/packages/node/src/ln-weight-orders.c
@@ -567,7 +567,7 @@
     }
   lc_lease_set_rank (orders->lease, before < N_CANDIDATES ? before : -1);
   free (orders->members);
-  orders->members = lb_memdup (members->members, (members->n_members + 1) * sizeof (LnMember));
+  orders->members = lb_memdup (members->members, members->n_members * sizeof (LnMember));
   orders->n_members = members->n_members;
 }
 
--- a/standins/si-rows.c
+++ b/standins/si-rows.c
@@ -13,6 +13,7 @@
 #include <string.h>
 
 #define MOST_ROWS_AT_ONCE 500
+#define MAX_VALUE_LENGTH ((size_t)(64 << 10) / 3 * 4) /* 64 KiB, encoded */
 #define WAKE_PERIOD (20 * LB_MSEC)
 
 /* A row, also after its removal, so that watches hear of it. */
@@ -199,6 +200,15 @@
   json_object_object_add (answer, "rows", array);
 }
 
+static bool
+has_large_value (struct json_object *entries)
+{
+  for (size_t i = 0; entries && i < json_object_array_length (entries); i++)
+    if (strlen (text_of (json_object_array_get_idx (entries, i), "value")) > MAX_VALUE_LENGTH)
+      return true;
+  return false;
+}
+
 static void
 transact (SiRows *rows, struct evhttp_request *request)
 {
@@ -206,6 +216,12 @@
   struct json_object *expected = array_of (body, "expected");
   bool ok = holds (rows, expected);
 
+  if (has_large_value (array_of (body, "writes")))
+    {
+      json_object_put (body);
+      si_reply_error (request, 400, "value_too_large");
+      return;
+    }
   if (ok)
     {
       rows->version++;
--- a/standins/si-sampler.c
+++ b/standins/si-sampler.c
@@ -75,8 +75,8 @@
   if (stream->version != sampler->version)
     evbuffer_add_printf (event, "weight-versions: %lld\n", (long long)sampler->version);
   stream->version = sampler->version;
-  evbuffer_add_printf (event, "id: %lld\ndata: %s.%lld\n\n", (long long)stream->next,
-                       stream->run->id, (long long)stream->next);
+  evbuffer_add_printf (event, "id: %lld\ndata: %s.%lld%*s\n\n", (long long)stream->next,
+                       stream->run->id, (long long)stream->next, sampler->padding, "");
   evhttp_send_reply_chunk (stream->request, event);
   evbuffer_free (event);
   stream->next++;
--- a/standins/si-sampler.h
+++ b/standins/si-sampler.h
@@ -29,6 +29,7 @@
   int64_t last_fence;
   bool leaving;
   int events;        /* of each text */
+  int padding;       /* further bytes in each event */
   LbTime event_time; /* between two events */
   LbTime load_time;  /* of weights */
   struct event *beat;
--- a/tests/process/test-shared.c
+++ b/tests/process/test-shared.c
@@ -615,6 +615,48 @@
   world_clear (&w);
 }
 
+static bool
+is_long_text_listed (World *w, size_t instance, int position, size_t length)
+{
+  char path[64];
+
+  snprintf (path, sizeof path, "/-/lots/b1?after=%d", position);
+  call (w, instance, "GET", path, "", "");
+  struct json_object *page = json_tokener_parse (w->body);
+  struct json_object *results = lb_json_member (page, "results");
+  bool is_listed
+      = json_object_is_type (results, json_type_array) && json_object_array_length (results) > 0;
+  if (is_listed)
+    {
+      struct json_object *result = json_object_array_get_idx (results, 0);
+      cr_assert_str_eq (lb_json_text (result, "state", ""), "completed");
+      cr_assert_gt (strlen (lb_json_text (result, "text", "")), length);
+      cr_assert_eq (lb_json_int (page, "next", 0), position + 1);
+    }
+  json_object_put (page);
+  return is_listed;
+}
+
+/* A trainer waits in vain for a step with one text of 120 KB: a row of the store holds 64 KiB, the
+ * write of that result was refused again and again, and all results behind it waited. */
+Test (shared, a_text_longer_than_a_row_is_listed)
+{
+  World w;
+
+  world_init (&w);
+  for (int i = 0; i < N_ENGINES; i++)
+    w.engines[i].padding = 40000;
+  start_instance (&w);
+  start_instance (&w);
+  submit (&w, 0, "b1", 4);
+  for (int i = 0; i < 4; i++)
+    UNTIL (&w, is_long_text_listed (&w, (size_t)i % 2, i, (size_t)w.engines[0].events * 40000));
+  call (&w, 0, "DELETE", "/-/lots/b1", "", "");
+  UNTIL (&w, si_rows_count (&w.rows, "head") == 0);
+  cr_assert_eq (si_rows_count (&w.rows, "result") + si_rows_count (&w.rows, "more"), 0);
+  world_clear (&w);
+}
+
 /* The store takes the row of a batch and its answer is lost. "Refused" would be a lie: the batch
  * runs. The instance asks again, and the row tells it. */
 Test (shared, a_lost_answer_of_the_store_is_no_refusal)
