--- a/packages/node/src/ln-batches-private.h
+++ b/packages/node/src/ln-batches-private.h
@@ -133,7 +133,8 @@
  * can't be read, whose result still has to be cleared. */
 char *ln_batch_result_to_text (const LcBatchResult *result);
 bool ln_batch_result_from_row (const LpRow *row, LcBatchResult *result);
-/* The same for a result whose text lies in n_pieces rows of its own, since one row can't hold it. */
+/* The same for a result whose text lies in n_pieces rows of its own, since one row can't hold it.
+ */
 char *ln_batch_result_without_text (const LcBatchResult *result, size_t n_pieces);
 /* 0: the text is in the result's row. */
 size_t ln_batch_result_pieces (const LpRow *row);
