--- a/packages/core/src/lc-engine-plan.c
+++ b/packages/core/src/lc-engine-plan.c
@@ -295,6 +295,28 @@
   return changed;
 }
 
+/* Gives engines of models with too many to those with too few, one after the other. */
+static void
+move_by_demand (LcPlanEntry *engines, size_t n_engines, Share *shares, size_t n_models)
+{
+  double least_lack = LEAST_LACK + LEAST_LACK_PART * (double)n_engines / (double)n_models;
+  size_t to = 0;
+  size_t from = 0;
+
+  for (size_t i = 0; i < n_engines; i++)
+    {
+      size_t model = find_share (shares, n_models, engines[i].model);
+      if (model < n_models)
+        shares[model].has++;
+    }
+  for (; find_move (shares, n_models, least_lack, &to, &from); least_lack = LACK_TO_GO_ON)
+    {
+      move_one (engines, n_engines, shares[from].name, shares[to].name);
+      shares[from].has--;
+      shares[to].has++;
+    }
+}
+
 bool
 lc_engine_plan_divide (LcEnginePlan *plan,
                        const LcPlanEntry *engines,
@@ -306,28 +328,10 @@
 {
   Share *shares = LB_NEW_ARRAY (Share, n_models + 1);
   LcPlanEntry *wanted = lb_memdup (engines, n_engines * sizeof *engines);
-  size_t to = 0;
-  size_t from = 0;
 
-  for (size_t i = 0; i < n_models; i++)
-    shares[i].name = models[i];
   if (n_models > 1 && n_engines > n_models
       && fill_shares (shares, models, n_models, n_engines, demand, now))
-    {
-      for (size_t i = 0; i < n_engines; i++)
-        {
-          size_t model = find_share (shares, n_models, engines[i].model);
-          if (model < n_models)
-            shares[model].has++;
-        }
-      double least_lack = LEAST_LACK + LEAST_LACK_PART * (double)n_engines / (double)n_models;
-      for (; find_move (shares, n_models, least_lack, &to, &from); least_lack = LACK_TO_GO_ON)
-        {
-          move_one (wanted, n_engines, shares[from].name, shares[to].name);
-          shares[from].has--;
-          shares[to].has++;
-        }
-    }
+    move_by_demand (wanted, n_engines, shares, n_models);
   bool changed = apply (plan, wanted, n_engines);
   free (wanted);
   free (shares);
--- a/packages/core/src/lc-roster.c
+++ b/packages/core/src/lc-roster.c
@@ -13,9 +13,6 @@
 /* Entries that lapsed while the store was away come back within two seconds of its return if the
  * endpoint lives; a little more for the list that shows them. */
 #define RETURN_GRACE (2400 * LB_MSEC)
-/* Share of a pool's engines that may load weights at once. More at once slow one another down: on
- * the sizes known, a little over a fifth of the engines load at full speed together. */
-#define ROLL_OUT_PERCENT 23
 #define POOL_QUEUE_LIMIT 100000
 
 typedef struct
@@ -302,7 +299,7 @@
   memset (pool, 0, sizeof *pool);
   LB_COPY (pool->name, model);
   LB_COPY (pool->model, model);
-  pool->roll_out_percent = ROLL_OUT_PERCENT;
+  pool->roll_out_percent = LC_ROSTER_ROLL_OUT_PERCENT;
   pool->queue_limit = POOL_QUEUE_LIMIT;
 }
 
--- a/packages/node/src/ln-weight-orders.c
+++ b/packages/node/src/ln-weight-orders.c
@@ -17,7 +17,6 @@
 #include <string.h>
 #include <uthash.h>
 
-#define ROLL_OUT_PERCENT 23
 #define LEASE_KEY "lease/weights"
 #define LEASE_DURATION (3 * LB_SEC)      /* orders of two holders may not alternate within it */
 #define LEASE_PERIOD (800 * LB_MSEC)     /* three renewals within its duration */
@@ -280,7 +279,13 @@
   engine->look = NULL;
   engine->look_at = now + LOOK_PERIOD;
   if (result->failure != LB_OK || result->status != 200)
-    return;
+    {
+      /* It is asked again, and its load counts as failed when its time is over. */
+      lb_log (LB_LOG_INFO, "engine_state_not_read", LB_TEXT ("endpoint", engine->name),
+              LB_TEXT ("error", lb_error_name (result->failure)),
+              LB_INT ("status", result->status));
+      return;
+    }
   if (!engine->orders->context->dialect->read_state (result->body, result->body_length,
                                                      engine->model, &state, &error))
     {
@@ -421,12 +426,11 @@
   return ordered;
 }
 
-/* More loads at once than this slow one another down: on the sizes known, a little over a fifth of
- * the engines load at full speed together. */
+/* Of all models together. */
 static size_t
 most_at_once (const LnWeightOrders *orders)
 {
-  size_t most = (size_t)HASH_COUNT (orders->engines) * ROLL_OUT_PERCENT / 100;
+  size_t most = (size_t)HASH_COUNT (orders->engines) * LC_ROSTER_ROLL_OUT_PERCENT / 100;
 
   return most > 0 ? most : 1;
 }
