Dead code out: four functions nobody calls, a copy of the item's name, a distance that was a constant

lc_batch_has_request, lc_roster_find, lc_endpoints_set_distance, lx_breach_name had no caller. The item's name is set when the batch is made and cleared only after the item was listed, so make_ready need not set it again. No behaviour changed.

--- a/packages/core/include/lc-batch.h
+++ b/packages/core/include/lc-batch.h
@@ -150,7 +150,6 @@
 const LcBatchSpec *lc_batch_spec (const LcBatch *batch);
 int64_t lc_batch_listed (const LcBatch *batch);
 bool lc_batch_is_done (const LcBatch *batch);
-bool lc_batch_has_request (const LcBatch *batch, LcRequestId request);
 LbTime lc_batch_next_tick (const LcBatch *batch);
 
 #endif
--- a/packages/core/include/lc-endpoints.h
+++ b/packages/core/include/lc-endpoints.h
@@ -60,8 +60,6 @@
 void lc_endpoints_free (LcEndpoints *endpoints);
 
 /* commands */
-/* One-way time between two data centres. */
-void lc_endpoints_set_distance (LcEndpoints *endpoints, LbTime distance);
 void lc_endpoints_configure (LcEndpoints *endpoints, const LcResourceSet *set, LbTime now);
 /* A report with a new incarnation clears leaving, breaker and belief. */
 void lc_endpoints_report (LcEndpoints *endpoints,
--- a/packages/core/include/lc-roster.h
+++ b/packages/core/include/lc-roster.h
@@ -48,7 +48,6 @@
 /* queries */
 size_t lc_roster_count (const LcRoster *roster);
 const LcListed *lc_roster_at (const LcRoster *roster, size_t index);
-const LcListed *lc_roster_find (const LcRoster *roster, const char *name);
 /* The model that the engine is used for; "" for a plain service. */
 const char *lc_roster_model (const LcRoster *roster, size_t index);
 /* The version that the engine has of the model it is used for, by the list or by the plan,
--- a/packages/core/src/lc-batch.c
+++ b/packages/core/src/lc-batch.c
@@ -249,7 +249,6 @@
       item->result.text = NULL;
       item->result.n_versions = 0;
     }
-  LB_COPY (item->result.item, batch->spec.items[index_of (batch, item)].request.id);
   lb_list_append (&batch->ready, &item->ready);
   write_ready (batch, actions);
 }
@@ -682,12 +681,6 @@
   return batch->n_listed >= (int64_t)batch->spec.n_items;
 }
 
-bool
-lc_batch_has_request (const LcBatch *batch, LcRequestId request)
-{
-  return find_request (batch, request) != NULL;
-}
-
 static LbTime
 earlier (LbTime a, LbTime b)
 {
--- a/packages/core/src/lc-endpoint-table.h
+++ b/packages/core/src/lc-endpoint-table.h
@@ -84,7 +84,6 @@
   LcEndpointGroup *groups;
   LbName *data_centres;
   int n_data_centres;
-  LbTime distance;    /* one way between two data centres */
   LbTime last_event;  /* of any kind; there is one each time a load report comes */
   LbTime void_before; /* reports measured earlier are not believed */
   int64_t repeats;    /* reports that were not the first of their endpoint */
--- a/packages/core/src/lc-endpoints-config.c
+++ b/packages/core/src/lc-endpoints-config.c
@@ -6,7 +6,6 @@
 #include <xxhash.h>
 
 #define DEFAULT_TOKEN_SECONDS 0.02
-#define DEFAULT_DISTANCE (LB_MSEC / 2)
 
 /* Which endpoints there are: membership, pools, data centres. */
 
@@ -15,7 +14,6 @@
 {
   LcEndpoints *endpoints = LB_NEW (LcEndpoints);
 
-  endpoints->distance = DEFAULT_DISTANCE;
   endpoints->belief = lc_prefix_belief_new ();
   return endpoints;
 }
@@ -51,13 +49,6 @@
   free (endpoints);
 }
 
-/* One-way time between two data centres; within one it is taken to be 0. */
-void
-lc_endpoints_set_distance (LcEndpoints *endpoints, LbTime distance)
-{
-  endpoints->distance = distance;
-}
-
 LcEntry *
 lc_endpoints_entry (const LcEndpoints *endpoints, const char *name)
 {
--- a/packages/core/src/lc-roster.c
+++ b/packages/core/src/lc-roster.c
@@ -254,14 +254,6 @@
   return &roster->entries[index].listed;
 }
 
-const LcListed *
-lc_roster_find (const LcRoster *roster, const char *name)
-{
-  const Entry *entry = find (roster, name);
-
-  return entry ? &entry->listed : NULL;
-}
-
 const char *
 lc_roster_model (const LcRoster *roster, size_t index)
 {
--- a/packages/sim/include/lx-ledger.h
+++ b/packages/sim/include/lx-ledger.h
@@ -90,7 +90,6 @@
 /* queries */
 LxJob *lx_ledger_job (LxLedger *ledger, uint64_t job);
 int64_t lx_ledger_total (const LxLedger *ledger);
-const char *lx_breach_name (LxBreach breach);
 /* The label that a text must have by the engines' record. */
 void lx_ledger_label (const LxLedger *ledger, const LxText *text, LcLabel *label);
 double lx_ledger_wasted_ratio (const LxLedger *ledger);
--- a/packages/sim/src/lx-ledger.c
+++ b/packages/sim/src/lx-ledger.c
@@ -121,12 +121,6 @@
   return total;
 }
 
-const char *
-lx_breach_name (LxBreach breach)
-{
-  return breach_names[breach];
-}
-
 static void
 add_part (LcLabel *label, const LcSpan *span, const LxSegment *segment)
 {
