--- a/packages/core/src/lc-router-finish-time.c
+++ b/packages/core/src/lc-router-finish-time.c
@@ -10,7 +10,7 @@
 
 #define SECONDS 1e-6 /* of an LbTime; a product is cheaper than a quotient for each candidate */
 /* One way; within one it is taken to be 0. */
-#define DATA_CENTRE_DISTANCE (LB_MSEC / 2)
+#define DATA_CENTRE_DISTANCE ((double)LB_MSEC / 2)
 #define DEFAULT_EXPECTED_TOKENS 64
 #define DEFAULT_SERVICE_SECONDS 1.0
 #define PREFILL_TOKENS_PER_SECOND 8000.0
@@ -144,7 +144,7 @@
 {
   if (situation->data_centre == summary->data_centre)
     return 0;
-  return 2 * (double)DATA_CENTRE_DISTANCE / LB_SEC;
+  return 2 * DATA_CENTRE_DISTANCE / LB_SEC;
 }
 
 static void
