--- a/packages/base/include/lb-json.h
+++ b/packages/base/include/lb-json.h
@@ -2,6 +2,7 @@
 #define LB_JSON_H
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 struct json_object;
@@ -11,4 +12,10 @@
 int64_t lb_json_int (struct json_object *object, const char *key, int64_t fallback);
 bool lb_json_bool (struct json_object *object, const char *key, bool fallback);
 
+struct json_object *lb_json_from_integers (const int64_t *numbers, size_t n);
+/* Of an array; at most max of them. 0 when there is no array. */
+size_t lb_json_integers (struct json_object *object, const char *key, int64_t *numbers, size_t max);
+/* Text of the object, in the form that json-c's flags say; takes the object. */
+char *lb_json_take_text (struct json_object *object, int flags);
+
 #endif
--- a/packages/base/src/lb-json.c
+++ b/packages/base/src/lb-json.c
@@ -1,7 +1,8 @@
 #include "lb-json.h"
 
+#include "lb-alloc.h"
+
 #include <json-c/json.h>
-#include <stddef.h>
 
 /* The member stays owned by object. NULL when object is not a JSON object or the key is absent or
  * null. */
@@ -41,3 +42,35 @@
   return json_object_is_type (value, json_type_boolean) ? json_object_get_boolean (value)
                                                         : fallback;
 }
+
+struct json_object *
+lb_json_from_integers (const int64_t *numbers, size_t n)
+{
+  struct json_object *array = json_object_new_array ();
+
+  for (size_t i = 0; i < n; i++)
+    json_object_array_add (array, json_object_new_int64 (numbers[i]));
+  return array;
+}
+
+size_t
+lb_json_integers (struct json_object *object, const char *key, int64_t *numbers, size_t max)
+{
+  struct json_object *array = lb_json_member (object, key);
+  size_t n = 0;
+
+  if (!json_object_is_type (array, json_type_array))
+    return 0;
+  for (; n < json_object_array_length (array) && n < max; n++)
+    numbers[n] = json_object_get_int64 (json_object_array_get_idx (array, n));
+  return n;
+}
+
+char *
+lb_json_take_text (struct json_object *object, int flags)
+{
+  char *text = lb_strdup (json_object_to_json_string_ext (object, flags));
+
+  json_object_put (object);
+  return text;
+}
--- a/packages/node/src/ln-call.c
+++ b/packages/node/src/ln-call.c
@@ -2,6 +2,7 @@
 
 #include "lb-alloc.h"
 #include "lb-clock.h"
+#include "lb-json.h"
 
 #include <event2/buffer.h>
 #include <json-c/json.h>
@@ -328,9 +329,8 @@
   struct json_object *object = whole_object (call, winner);
 
   LB_COPY (answer->type, "application/json");
-  answer->body = lb_strdup (json_object_to_json_string_ext (object, JSON_FORMAT));
+  answer->body = lb_json_take_text (object, JSON_FORMAT);
   answer->length = strlen (answer->body);
-  json_object_put (object);
 }
 
 void
--- a/packages/node/src/ln-config-change.c
+++ b/packages/node/src/ln-config-change.c
@@ -130,9 +130,7 @@
                           json_object_new_string (change->task->context->instance));
   json_object_object_add (object, "token", json_object_new_string (change->token));
   json_object_object_add (object, "change", json_object_get (change->body));
-  char *text = lb_strdup (json_object_to_json_string_ext (object, JSON_C_TO_STRING_PLAIN));
-  json_object_put (object);
-  return text;
+  return lb_json_take_text (object, JSON_C_TO_STRING_PLAIN);
 }
 
 static void change_read (LnChange *change);
--- a/packages/node/src/ln-config-store.c
+++ b/packages/node/src/ln-config-store.c
@@ -356,21 +356,19 @@
                         void *user)
 {
   Commit *commit = LB_NEW (Commit);
-  struct json_object *object = lc_resource_set_to_json (set);
 
   commit->store = store;
   commit->revision = set->revision;
   commit->head_version = head_version;
   commit->token = lb_strdup (token);
   commit->head = lb_asprintf ("{\"revision\": %lld}", (long long)set->revision);
-  commit->set = lb_strdup (json_object_to_json_string_ext (object, JSON_C_TO_STRING_PLAIN));
+  commit->set = lb_json_take_text (lc_resource_set_to_json (set), JSON_C_TO_STRING_PLAIN);
   commit->history = lb_strdup (history);
   commit->retry = event_new (store->base, -1, 0, on_retry, commit);
   commit->started_at = lb_clock_monotonic ();
   commit->delay = FIRST_RETRY;
   commit->done = done;
   commit->user = user;
-  json_object_put (object);
   lb_list_append (&store->commits, &commit->link);
   transact (commit);
 }
--- a/packages/node/src/ln-rollouts-run.c
+++ b/packages/node/src/ln-rollouts-run.c
@@ -4,6 +4,7 @@
 
 #include "lb-alloc.h"
 #include "lb-clock.h"
+#include "lb-json.h"
 
 #include <event2/event.h>
 #include <json-c/json.h>
@@ -45,9 +46,7 @@
   json_object_object_add (object, "prompt", json_object_new_string (action->prompt));
   json_object_object_add (object, "max_tokens", json_object_new_int64 (action->max_tokens));
   json_object_object_add (object, "stream", json_object_new_boolean (true));
-  char *body = lb_strdup (json_object_to_json_string_ext (object, JSON_C_TO_STRING_PLAIN));
-  json_object_put (object);
-  return body;
+  return lb_json_take_text (object, JSON_C_TO_STRING_PLAIN);
 }
 
 static char *
@@ -57,9 +56,7 @@
 
   json_object_object_add (object, "prompt", json_object_new_string (action->prompt));
   json_object_object_add (object, "text", json_object_new_string (action->text));
-  char *body = lb_strdup (json_object_to_json_string_ext (object, JSON_C_TO_STRING_PLAIN));
-  json_object_put (object);
-  return body;
+  return lb_json_take_text (object, JSON_C_TO_STRING_PLAIN);
 }
 
 static void
--- a/packages/node/src/ln-step-store.c
+++ b/packages/node/src/ln-step-store.c
@@ -141,9 +141,7 @@
   json_object_object_add (object, "address", json_object_new_string (owner->address));
   json_object_object_add (object, "content", json_object_new_string (owner->content));
   json_object_object_add (object, "session", json_object_new_int64 ((int64_t)owner->session));
-  char *text = lb_strdup (json_object_to_json_string_ext (object, JSON_C_TO_STRING_PLAIN));
-  json_object_put (object);
-  return text;
+  return lb_json_take_text (object, JSON_C_TO_STRING_PLAIN);
 }
 
 static void
--- a/standins/standin-trainer.c
+++ b/standins/standin-trainer.c
@@ -1,5 +1,6 @@
 #include "lb-alloc.h"
 #include "lb-clock.h"
+#include "lb-json.h"
 #include "si-client.h"
 #include "si-text.h"
 
@@ -100,9 +101,7 @@
   si_json_set_int (body, "step", trainer->step);
   si_json_set_int (body, "weight_version", trainer->version);
   json_object_object_add (body, "groups", groups);
-  char *text = lb_strdup (json_object_to_json_string_ext (body, JSON_C_TO_STRING_PLAIN));
-  json_object_put (body);
-  return text;
+  return lb_json_take_text (body, JSON_C_TO_STRING_PLAIN);
 }
 
 static char *
@@ -115,9 +114,7 @@
   si_json_set_int (body, "weight_version", trainer->version);
   si_json_set_int (body, "max_samples", trainer->settings->chunk);
   si_json_set_int (body, "wait_ms", PULL_WAIT_MS);
-  char *text = lb_strdup (json_object_to_json_string_ext (body, JSON_C_TO_STRING_PLAIN));
-  json_object_put (body);
-  return text;
+  return lb_json_take_text (body, JSON_C_TO_STRING_PLAIN);
 }
 
 static bool
