Routes by weight draw with the instance's own seed; names of store calls between instances stand once

The path and headers of a store call for another instance, and the number of peers, were written in the adapter and in ln-fleet.

--- a/packages/node/include/ln-context.h
+++ b/packages/node/include/ln-context.h
@@ -5,14 +5,13 @@
 #include "ln-settings.h"
 #include "ln-task.h"
 
+#include <gsl/gsl_rng.h>
+
 struct event_base;
 struct LhPool;
 struct LpPlatform;
 struct LnDialect;
 
-/* Where an instance of a shared platform carries out store calls of others that can't reach it. */
-#define LN_STORE_PATH "/v1/store"
-
 /* What every task is made with. Lives as long as the process. */
 typedef struct
 {
@@ -28,11 +27,15 @@
   LbName metrics_address;          /* as bound; empty: none of its own */
   LbName peer_address;
   LcRequestId next_request; /* the last id given; see ln_context_next_request */
+  gsl_rng *random;          /* NULL before the first draw */
 } LnContext;
 
 LcRequestId ln_context_next_request (LnContext *context);
 /* Seed of this instance's random choices: of the settings, and another one for each instance. */
 uint64_t ln_context_seed (const LnContext *context);
+/* From 0 to below 1. */
+double ln_context_draw (LnContext *context);
+void ln_context_clear (LnContext *context);
 
 /* Makers of the tasks; each is in the .c file of its name. */
 LnTask *ln_front_new (LnContext *context);
--- a/packages/node/main/lentilspindled.c
+++ b/packages/node/main/lentilspindled.c
@@ -295,6 +295,7 @@
   ln_hub_free (context->hub);
   context->platform->klass->free (context->platform);
   lh_pool_free (context->http);
+  ln_context_clear (context);
   for (int i = 0; i < N_SIGNALS; i++)
     event_free (daemon->signals[i]);
   event_free (daemon->drain_timer);
--- a/packages/node/src/ln-context.c
+++ b/packages/node/src/ln-context.c
@@ -16,3 +16,22 @@
 {
   return XXH64 (context->instance, strlen (context->instance), context->settings->seed);
 }
+
+double
+ln_context_draw (LnContext *context)
+{
+  if (!context->random)
+    {
+      context->random = gsl_rng_alloc (gsl_rng_taus2);
+      gsl_rng_set (context->random, (unsigned long)ln_context_seed (context));
+    }
+  return gsl_rng_uniform (context->random);
+}
+
+void
+ln_context_clear (LnContext *context)
+{
+  if (context->random)
+    gsl_rng_free (context->random);
+  context->random = NULL;
+}
--- a/packages/node/src/ln-fleet.c
+++ b/packages/node/src/ln-fleet.c
@@ -8,6 +8,7 @@
 #include "lb-log.h"
 #include "lc-fleet.h"
 #include "lh-fetch.h"
+#include "lp-path.h"
 #include "lp-platform.h"
 
 #include <event2/event.h>
@@ -26,7 +27,6 @@
 #define MAX_RENEWALS_ON_THEIR_WAY 3
 #define ROWS "instance//"
 #define MAX_ENTRY_ADDRESSES 64
-#define MAX_PEERS 64
 #define RETRY_WITHOUT_ADDRESS (300 * LB_MSEC)
 
 /* Instances of a shared platform and the addresses that callers are given. Runs as the task
@@ -79,10 +79,10 @@
 tell_peers (Fleet *task)
 {
   LpPlatform *platform = task->context->platform;
-  LbName addresses[MAX_PEERS];
+  LbName addresses[LP_MAX_PEERS];
   size_t n = 0;
 
-  for (size_t i = 0; i < lc_fleet_count (task->fleet) && n < MAX_PEERS; i++)
+  for (size_t i = 0; i < lc_fleet_count (task->fleet) && n < LP_MAX_PEERS; i++)
     {
       const LcFleetMember *member = lc_fleet_at (task->fleet, i);
       if (member->alive && member->row.peer_address[0]
@@ -264,8 +264,8 @@
 carry_out_for_peer (Fleet *task, LnExchange *exchange)
 {
   LpPlatform *platform = task->context->platform;
-  const char *method = ln_exchange_header (exchange, "x-store-method");
-  const char *path = ln_exchange_header (exchange, "x-store-path");
+  const char *method = ln_exchange_header (exchange, LP_PEER_METHOD_HEADER);
+  const char *path = ln_exchange_header (exchange, LP_PEER_PATH_HEADER);
   PeerCall *call = NULL;
   LbError error = { 0 };
   size_t length;
@@ -273,7 +273,8 @@
 
   if (!method || !path || !lh_method_is_known (method) || !platform->klass->carry_out)
     {
-      lb_error_set (&error, LB_ERROR_BAD_REQUEST, "x-store-path", "expected a call to the store");
+      lb_error_set (&error, LB_ERROR_BAD_REQUEST, LP_PEER_PATH_HEADER,
+                    "expected a call to the store");
       ln_exchange_reply_error (exchange, &error, 0);
       return;
     }
@@ -285,7 +286,7 @@
 static void
 take_exchange (Fleet *task, LnExchange *exchange)
 {
-  if (strcmp (ln_exchange_path (exchange), LN_STORE_PATH) == 0)
+  if (strcmp (ln_exchange_path (exchange), LP_PEER_PATH) == 0)
     carry_out_for_peer (task, exchange);
   else
     answer_entry (task, exchange);
--- a/packages/node/src/ln-front.c
+++ b/packages/node/src/ln-front.c
@@ -9,6 +9,7 @@
 #include "lb-clock.h"
 #include "lb-counter.h"
 #include "lb-log.h"
+#include "lp-path.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -77,7 +78,7 @@
   };
   LnInbound inbound;
 
-  if (is_from_peer && strcmp (ln_exchange_path (exchange), LN_STORE_PATH) == 0)
+  if (is_from_peer && strcmp (ln_exchange_path (exchange), LP_PEER_PATH) == 0)
     return ln_hub_find (front->task.hub, "peers");
   front->context->dialect->read_inbound (exchange, &inbound);
   return ln_hub_find (front->task.hub, tasks[inbound.kind]);
--- a/packages/node/src/ln-routed.c
+++ b/packages/node/src/ln-routed.c
@@ -84,7 +84,6 @@
 {
   static const LnHolderClass call_class = { .caller_gone = ln_calls_caller_gone };
   LnCall *call = ln_call_new (LN_CALL_SERVICE);
-  double draw = (double)(rand () % 10000) / 10000;
 
   call->holder.klass = &call_class;
   call->owner = calls;
@@ -99,7 +98,7 @@
   call->spec.expected_tokens = 1;
   call->spec.deadline = deadline_of (calls, route, in, lb_clock_monotonic ());
   LB_COPY (call->spec.caller, route->name);
-  LB_COPY (call->spec.pool, lc_route_service (route, draw));
+  LB_COPY (call->spec.pool, lc_route_service (route, ln_context_draw (calls->context)));
   copy_request (calls, call, exchange, in);
   ln_exchange_set_user (exchange, call);
   return call;
--- a/packages/store/include/lp-path.h
+++ b/packages/store/include/lp-path.h
@@ -3,6 +3,12 @@
 
 #include "lb-error.h"
 
+/* How an instance carries out store calls of others: the path at its peers' address, and the
+ * headers that name the call. */
+#define LP_PEER_PATH "/v1/store"
+#define LP_PEER_METHOD_HEADER "x-store-method"
+#define LP_PEER_PATH_HEADER "x-store-path"
+
 /* How an instance reaches the store: by itself, or through another instance while its own way is
  * cut or the store turns it away and serves the others. No I/O. */
 
