Batches: rows parsed once, one write under the batch's own row, one answer to a failed read

Each result that a trainer reads was parsed twice, for its pieces and for itself. Five writes built the same condition on the batch's row; six reads ended with the same try-again-or-refuse; three steps of loading began with the same two checks.

--- a/packages/node/src/ln-batch-calls.c
+++ b/packages/node/src/ln-batch-calls.c
@@ -124,6 +124,13 @@
   return true;
 }
 
+static void
+try_again_or_refuse (Call *call)
+{
+  if (!may_try_again (call))
+    reply_store_away (call);
+}
+
 /* --- a batch is submitted --- */
 
 static void
@@ -233,8 +240,8 @@
       call->stored = true;
       write_head (call);
     }
-  else if (!may_try_again (call))
-    reply_store_away (call);
+  else
+    try_again_or_refuse (call);
 }
 
 /* The content first: a row without it would be a batch that nobody can run. */
@@ -341,22 +348,6 @@
   free (text);
 }
 
-/* Up to the first whose text lies elsewhere: that one is answered by itself. */
-static void
-reply_rows (Call *call, const LpRow *rows, size_t n_rows)
-{
-  LcBatchResult *results = LB_NEW_ARRAY (LcBatchResult, n_rows + 1);
-  size_t n = 0;
-
-  while (n < n_rows && ln_batch_result_pieces (&rows[n]) == 0
-         && ln_batch_result_from_row (&rows[n], &results[n]))
-    n++;
-  reply_results (call, results, n);
-  for (size_t i = 0; i <= n; i++)
-    lc_batch_result_clear (&results[i]);
-  free (results);
-}
-
 static void
 on_pieces (LbErrorCode error, const LpRow *rows, size_t n_rows, int64_t version, void *user)
 {
@@ -367,8 +358,7 @@
   call->waits_for_store = false;
   if (error != LB_OK || n_rows < call->n_pieces)
     {
-      if (!may_try_again (call))
-        reply_store_away (call);
+      try_again_or_refuse (call);
       return;
     }
   for (size_t i = 0; i < n_rows; i++)
@@ -383,19 +373,40 @@
   reply_results (call, &call->long_result, 1);
 }
 
+/* The result is answered by itself; its text lies in further rows. */
 static void
-read_pieces (Call *call, const LpRow *row)
+read_pieces (Call *call, LcBatchResult *result, size_t n_pieces)
 {
   char prefix[LN_BATCH_KEY_SIZE];
 
   lc_batch_result_clear (&call->long_result);
-  ln_batch_result_from_row (row, &call->long_result);
-  call->n_pieces = ln_batch_result_pieces (row);
+  call->long_result = *result;
+  memset (result, 0, sizeof *result);
+  call->n_pieces = n_pieces;
   ln_batch_text_prefix (call->id, call->position, prefix);
   call->waits_for_store = true;
   platform_of (call)->klass->list (platform_of (call), prefix, NULL, 0, on_pieces, call);
 }
 
+/* Up to the first whose text lies elsewhere. */
+static void
+answer_rows (Call *call, const LpRow *rows, size_t n_rows)
+{
+  LcBatchResult *results = LB_NEW_ARRAY (LcBatchResult, n_rows + 1);
+  size_t n_pieces = 0;
+  size_t n = 0;
+
+  while (n < n_rows && ln_batch_result_from_row (&rows[n], &results[n], &n_pieces) && n_pieces == 0)
+    n++;
+  if (n == 0 && n_pieces > 0)
+    read_pieces (call, &results[0], n_pieces);
+  else
+    reply_results (call, results, n);
+  for (size_t i = 0; i <= n; i++)
+    lc_batch_result_clear (&results[i]);
+  free (results);
+}
+
 static void
 on_results (LbErrorCode error, const LpRow *rows, size_t n_rows, int64_t version, void *user)
 {
@@ -406,16 +417,13 @@
   call->waits_for_store = false;
   if (error != LB_OK)
     {
-      if (!may_try_again (call))
-        reply_store_away (call);
+      try_again_or_refuse (call);
       return;
     }
   if (n_rows == 0 && now < call->give_up_at && call->exchange)
     call->retry_at = now + POLL;
-  else if (n_rows > 0 && ln_batch_result_pieces (&rows[0]) > 0)
-    read_pieces (call, &rows[0]);
   else
-    reply_rows (call, rows, n_rows);
+    answer_rows (call, rows, n_rows);
 }
 
 static void
@@ -449,8 +457,7 @@
     error = problem.code;
   if (error != LB_OK)
     {
-      if (!may_try_again (call))
-        reply_store_away (call);
+      try_again_or_refuse (call);
       return;
     }
   for (size_t i = 0; i < call->spec.n_items; i++)
@@ -505,8 +512,7 @@
     }
   if (error == LB_ERROR_CONDITION_FAILED && row->value)
     ln_batch_heads_take (call->batches, row);
-  if (!may_try_again (call))
-    reply_store_away (call);
+  try_again_or_refuse (call);
 }
 
 static void
@@ -518,7 +524,6 @@
   if (!batch)
     return;
   LcBatchHead head = batch->head;
-  const LpCondition condition = { .key = key, .version = batch->version };
   if (batch->head.ended)
     {
       reply_ended (call);
@@ -527,12 +532,9 @@
   head.ended = true;
   struct json_object *object = lc_batch_head_to_json (&head);
   const LpPut put = { .key = key, .value = json_object_to_json_string (object) };
-  const LpTransaction transaction
-      = { .token = "", .conditions = &condition, .n_conditions = 1, .puts = &put, .n_puts = 1 };
   ln_batch_head_key (call->id, key);
   call->waits_for_store = true;
-  platform_of (call)->klass->transact (platform_of (call), &transaction, LP_PRIORITY_LEDGER,
-                                       on_ended, call);
+  ln_batch_heads_transact (batch, &put, 1, LP_PRIORITY_LEDGER, on_ended, call);
   json_object_put (object);
 }
 
@@ -576,8 +578,7 @@
       go_on (call);
       return;
     }
-  if (!may_try_again (call))
-    reply_store_away (call);
+  try_again_or_refuse (call);
 }
 
 static void
--- a/packages/node/src/ln-batch-cleanup.c
+++ b/packages/node/src/ln-batch-cleanup.c
@@ -65,15 +65,11 @@
 static void
 remove_head (LnBatch *batch)
 {
-  LpPlatform *platform = platform_of (batch);
   char key[LN_BATCH_KEY_SIZE];
-  const LpCondition condition = { .key = key, .version = batch->version };
   const LpPut put = { .key = key };
-  const LpTransaction transaction
-      = { .token = "", .conditions = &condition, .n_conditions = 1, .puts = &put, .n_puts = 1 };
 
   ln_batch_head_key (batch->id, key);
-  platform->klass->transact (platform, &transaction, LP_PRIORITY_STATUS, on_head_removed, batch);
+  ln_batch_heads_transact (batch, &put, 1, LP_PRIORITY_STATUS, on_head_removed, batch);
 }
 
 static void
@@ -114,18 +110,11 @@
 static void
 remove_rows (LnBatch *batch, const LpRow *rows, size_t n_rows)
 {
-  LpPlatform *platform = platform_of (batch);
-  char key[LN_BATCH_KEY_SIZE];
   LpPut puts[ROWS_AT_ONCE];
-  const LpCondition condition = { .key = key, .version = batch->version };
-  const LpTransaction transaction = {
-    .token = "", .conditions = &condition, .n_conditions = 1, .puts = puts, .n_puts = n_rows
-  };
 
-  ln_batch_head_key (batch->id, key);
   for (size_t i = 0; i < n_rows; i++)
     puts[i] = (LpPut){ .key = rows[i].key };
-  platform->klass->transact (platform, &transaction, LP_PRIORITY_STATUS, on_rows_removed, batch);
+  ln_batch_heads_transact (batch, puts, n_rows, LP_PRIORITY_STATUS, on_rows_removed, batch);
 }
 
 static void
--- a/packages/node/src/ln-batch-heads.c
+++ b/packages/node/src/ln-batch-heads.c
@@ -237,25 +237,38 @@
   ln_batch_heads_review (batch);
 }
 
-/* Writes the row with another owner, and further rows beside it, under the condition that it is as
- * this instance knows it. */
+void
+ln_batch_heads_transact (const LnBatch *batch,
+                         const LpPut *puts,
+                         size_t n_puts,
+                         LpPriority priority,
+                         LpTransactDone done,
+                         void *user)
+{
+  LpPlatform *platform = batch->batches->context->platform;
+  char key[LN_BATCH_KEY_SIZE];
+  const LpCondition condition = { .key = key, .version = batch->version };
+  const LpTransaction transaction = {
+    .token = "", .conditions = &condition, .n_conditions = 1, .puts = puts, .n_puts = n_puts
+  };
+
+  ln_batch_head_key (batch->id, key);
+  platform->klass->transact (platform, &transaction, priority, done, user);
+}
+
+/* Writes the row with another owner, and further rows beside it. */
 static void
 write_rows (
     LnBatch *batch, const LcBatchHead *head, const LpPut *more, size_t n_more, LpTransactDone done)
 {
-  LpPlatform *platform = batch->batches->context->platform;
   struct json_object *object = lc_batch_head_to_json (head);
   char key[LN_BATCH_KEY_SIZE];
-  const LpCondition condition = { .key = key, .version = batch->version };
   LpPut puts[MAX_PUTS + 1] = { { .key = key, .value = json_object_to_json_string (object) } };
-  const LpTransaction transaction = {
-    .token = "", .conditions = &condition, .n_conditions = 1, .puts = puts, .n_puts = n_more + 1
-  };
 
   for (size_t i = 0; i < n_more; i++)
     puts[i + 1] = more[i];
   ln_batch_head_key (batch->id, key);
-  platform->klass->transact (platform, &transaction, LP_PRIORITY_LEDGER, done, batch);
+  ln_batch_heads_transact (batch, puts, n_more + 1, LP_PRIORITY_LEDGER, done, batch);
   json_object_put (object);
 }
 
--- a/packages/node/src/ln-batch-load.c
+++ b/packages/node/src/ln-batch-load.c
@@ -58,6 +58,21 @@
   loading_free (loading);
 }
 
+/* False: this read is of no use any more, or failed, and ends here. */
+static bool
+goes_on (Loading *loading, LbErrorCode error)
+{
+  if (is_outdated (loading))
+    {
+      loading_free (loading);
+      return false;
+    }
+  if (error == LB_OK)
+    return true;
+  load_again (loading, error);
+  return false;
+}
+
 static void
 on_parts (LbErrorCode error, const LpRow *rows, size_t n_rows, int64_t version, void *user)
 {
@@ -65,16 +80,8 @@
   Loading *loading = user;
   LnBatchPast *past = &loading->past;
 
-  if (is_outdated (loading))
-    {
-      loading_free (loading);
-      return;
-    }
-  if (error != LB_OK)
-    {
-      load_again (loading, error);
-      return;
-    }
+  if (!goes_on (loading, error))
+    return;
   past->parts = LB_NEW_ARRAY (LcBatchPart, n_rows + 1);
   for (size_t i = 0; i < n_rows; i++)
     if (!ln_batch_part_from_row (&rows[i], &past->parts[past->n_parts++]))
@@ -92,21 +99,14 @@
   LnBatchPast *past = &loading->past;
   char prefix[LN_BATCH_KEY_SIZE];
 
-  if (is_outdated (loading))
-    {
-      loading_free (loading);
-      return;
-    }
-  if (error != LB_OK)
-    {
-      load_again (loading, error);
-      return;
-    }
+  if (!goes_on (loading, error))
+    return;
   past->listed = LB_NEW_ARRAY (LbName, n_rows + 1);
   for (size_t i = 0; i < n_rows; i++)
     {
       LcBatchResult result;
-      ln_batch_result_from_row (&rows[i], &result);
+      size_t n_pieces;
+      ln_batch_result_from_row (&rows[i], &result, &n_pieces);
       lb_strlcpy (past->listed[past->n_listed++], result.item, LB_NAME_MAX);
       lc_batch_result_clear (&result);
     }
@@ -123,18 +123,12 @@
   char prefix[LN_BATCH_KEY_SIZE];
   LbError problem = { 0 };
 
-  if (is_outdated (loading))
-    {
-      loading_free (loading);
-      return;
-    }
-  if (error == LB_OK
-      && !batch->batches->context->dialect->read_batch (bytes, length, batch->id, &loading->spec,
-                                                        &problem))
-    error = problem.code;
-  if (error != LB_OK)
+  if (!goes_on (loading, error))
+    return;
+  if (!batch->batches->context->dialect->read_batch (bytes, length, batch->id, &loading->spec,
+                                                     &problem))
     {
-      load_again (loading, error);
+      load_again (loading, problem.code);
       return;
     }
   ln_batch_result_prefix (batch->id, prefix);
--- a/packages/node/src/ln-batch-owner.c
+++ b/packages/node/src/ln-batch-owner.c
@@ -169,7 +169,7 @@
   request.hedge_after = lc_route_hedge_after (route);
   request.deadline = lb_clock_monotonic () + (route->timeout > 0 ? route->timeout : SCORE_TIME);
   LB_COPY (request.caller, route->name);
-  LB_COPY (request.pool, lc_route_service (route, (double)(rand () % 10000) / 10000));
+  LB_COPY (request.pool, lc_route_service (route, ln_context_draw (batch->batches->context)));
   submit (batch, &request, &item->scorer, item->scorer.host);
 }
 
@@ -390,17 +390,11 @@
 static void
 keep_parts (LnBatch *batch, const LcBatchAction *action)
 {
-  LpPlatform *platform = batch->batches->context->platform;
-  char head[LN_BATCH_KEY_SIZE];
   LpPut puts[MAX_PUTS];
   size_t n = ln_batch_owner_puts (batch, action, puts, MAX_PUTS);
-  const LpCondition condition = { .key = head, .version = batch->version };
-  const LpTransaction transaction
-      = { .token = "", .conditions = &condition, .n_conditions = 1, .puts = puts, .n_puts = n };
 
-  ln_batch_head_key (batch->id, head);
   if (n > 0)
-    platform->klass->transact (platform, &transaction, LP_PRIORITY_STATUS, on_kept, batch);
+    ln_batch_heads_transact (batch, puts, n, LP_PRIORITY_STATUS, on_kept, batch);
   ln_batch_owner_clear_puts (puts, n);
 }
 
--- a/packages/node/src/ln-batches-private.h
+++ b/packages/node/src/ln-batches-private.h
@@ -118,6 +118,13 @@
 void ln_batch_text_prefix (const char *id, int64_t position, char *key);
 /* The place of this instance among those that may take the batch over; 0: the first. */
 size_t ln_batch_heads_rank (const LnBatch *batch);
+/* Writes rows under the condition that the batch's own row is as this instance knows it. */
+void ln_batch_heads_transact (const LnBatch *batch,
+                              const LpPut *puts,
+                              size_t n_puts,
+                              LpPriority priority,
+                              LpTransactDone done,
+                              void *user);
 /* Takes a row that was read or written; false when it can't be read. */
 bool ln_batch_heads_take (LnBatches *batches, const LpRow *row);
 /* Begins to run the batch if its row says that it is ours and nothing runs. */
@@ -132,12 +139,11 @@
 /* ln-batch-rows.c: what the rows of a batch hold. Texts are the caller's to free; false: a row that
  * can't be read, whose result still has to be cleared. */
 char *ln_batch_result_to_text (const LcBatchResult *result);
-bool ln_batch_result_from_row (const LpRow *row, LcBatchResult *result);
 /* The same for a result whose text lies in n_pieces rows of its own, since one row can't hold it.
  */
 char *ln_batch_result_without_text (const LcBatchResult *result, size_t n_pieces);
-/* 0: the text is in the result's row. */
-size_t ln_batch_result_pieces (const LpRow *row);
+/* *n_pieces is 0 when the text is in this row. */
+bool ln_batch_result_from_row (const LpRow *row, LcBatchResult *result, size_t *n_pieces);
 char *ln_batch_part_to_text (const LcBatchPart *part);
 bool ln_batch_part_from_row (const LpRow *row, LcBatchPart *part);
 
