Stand-ins read their arguments in one place

Five programs printed help and faults by the same eight lines. Exit codes and texts are as before (--help 0, unknown option 2, tried on each).

--- a/standins/standin-engine.c
+++ b/standins/standin-engine.c
@@ -1,3 +1,4 @@
+#include "si-arguments.h"
 #include "si-engine.h"
 
 #include <argtable2.h>
@@ -92,18 +93,11 @@
     .end = arg_end (4),
   };
   void **table = (void **)&options;
-  int status = 2;
+  int status;
 
   set_defaults (&options);
-  int errors = arg_parse (argc, argv, table);
-  if (options.help->count > 0)
-    {
-      arg_print_glossary (stdout, table, "  %-30s %s\n");
-      status = 0;
-    }
-  else if (errors > 0)
-    arg_print_errors (stderr, options.end, "standin-engine");
-  else
+  if (si_arguments_parse (argc, argv, table, sizeof options / sizeof (void *), "standin-engine",
+                          &status))
     status = serve (&options);
   arg_freetable (table, sizeof options / sizeof (void *));
   return status;
--- a/standins/standin-load.c
+++ b/standins/standin-load.c
@@ -1,5 +1,6 @@
 #include "lb-alloc.h"
 #include "lb-clock.h"
+#include "si-arguments.h"
 #include "si-entry.h"
 #include "si-server.h"
 #include "si-tally.h"
@@ -327,18 +328,11 @@
     .end = arg_end (4),
   };
   void **table = (void **)&options;
-  int status = 2;
+  int status;
 
   set_defaults (&options);
-  int errors = arg_parse (argc, argv, table);
-  if (options.help->count > 0)
-    {
-      arg_print_glossary (stdout, table, "  %-30s %s\n");
-      status = 0;
-    }
-  else if (errors > 0)
-    arg_print_errors (stderr, options.end, "standin-load");
-  else
+  if (si_arguments_parse (argc, argv, table, sizeof options / sizeof (void *), "standin-load",
+                          &status))
     status = run_options (&options);
   arg_freetable (table, sizeof options / sizeof (void *));
   return status;
--- a/standins/standin-platform.c
+++ b/standins/standin-platform.c
@@ -1,3 +1,4 @@
+#include "si-arguments.h"
 #include "si-platform.h"
 
 #include <argtable2.h>
@@ -27,20 +28,13 @@
   struct arg_lit *help = arg_lit0 (NULL, "help", "show this");
   struct arg_end *end = arg_end (4);
   void *table[] = { port, rate, lag, help, end };
-  int status = 2;
+  int status;
 
   port->ival[0] = 0;
   rate->dval[0] = 0;
   lag->ival[0] = 0;
-  int errors = arg_parse (argc, argv, table);
-  if (help->count > 0)
-    {
-      arg_print_glossary (stdout, table, "  %-30s %s\n");
-      status = 0;
-    }
-  else if (errors > 0)
-    arg_print_errors (stderr, end, "standin-platform");
-  else
+  if (si_arguments_parse (argc, argv, table, sizeof table / sizeof table[0], "standin-platform",
+                          &status))
     status = serve (port->ival[0], rate->dval[0], lag->ival[0]);
   arg_freetable (table, sizeof table / sizeof table[0]);
   return status;
--- a/standins/standin-service.c
+++ b/standins/standin-service.c
@@ -1,5 +1,6 @@
 #include "lb-alloc.h"
 #include "lb-clock.h"
+#include "si-arguments.h"
 #include "si-faults.h"
 #include "si-runlog.h"
 #include "si-server.h"
@@ -204,21 +205,14 @@
   struct arg_lit *help = arg_lit0 (NULL, "help", "show this");
   struct arg_end *end = arg_end (4);
   void *table[] = { port, name, latency, concurrency, help, end };
-  int status = 2;
+  int status;
 
   port->ival[0] = 0;
   name->sval[0] = "service";
   latency->ival[0] = 1;
   concurrency->ival[0] = 64;
-  int errors = arg_parse (argc, argv, table);
-  if (help->count > 0)
-    {
-      arg_print_glossary (stdout, table, "  %-30s %s\n");
-      status = 0;
-    }
-  else if (errors > 0)
-    arg_print_errors (stderr, end, "standin-service");
-  else
+  if (si_arguments_parse (argc, argv, table, sizeof table / sizeof table[0], "standin-service",
+                          &status))
     status = serve (name->sval[0], port->ival[0], latency->ival[0], concurrency->ival[0]);
   arg_freetable (table, sizeof table / sizeof table[0]);
   return status;
--- a/standins/standin-trainer.c
+++ b/standins/standin-trainer.c
@@ -1,6 +1,7 @@
 #include "lb-alloc.h"
 #include "lb-clock.h"
 #include "lb-json.h"
+#include "si-arguments.h"
 #include "si-client.h"
 #include "si-text.h"
 
@@ -526,18 +527,11 @@
     .end = arg_end (4),
   };
   void **table = (void **)&options;
-  int status = 2;
+  int status;
 
   set_defaults (&options);
-  int errors = arg_parse (argc, argv, table);
-  if (options.help->count > 0)
-    {
-      arg_print_glossary (stdout, table, "  %-30s %s\n");
-      status = 0;
-    }
-  else if (errors > 0)
-    arg_print_errors (stderr, options.end, "standin-trainer");
-  else
+  if (si_arguments_parse (argc, argv, table, sizeof options / sizeof (void *), "standin-trainer",
+                          &status))
     {
       const Settings settings = settings_from (&options);
       status = train (&settings);
