--- /dev/null
+++ b/packages/node/src/ln-lease.c
@@ -0,0 +1,43 @@
+#include "ln-lease.h"
+
+#include <json-c/json.h>
+
+/* A row that can't be read is a failure of the store: nobody claims a lease on the strength of it.
+ */
+void
+ln_lease_was_read (LcLease *lease,
+                   LbErrorCode error,
+                   const LpRow *rows,
+                   size_t n_rows,
+                   LbTime now,
+                   LbList *actions)
+{
+  LcLeaseRow row = { .fence = 0 };
+  int64_t version = 0;
+
+  if (error == LB_OK && n_rows == 1)
+    {
+      version = rows[0].version;
+      if (!lc_lease_row_from_text (rows[0].value, &row))
+        error = LB_ERROR_INTERNAL;
+    }
+  lc_lease_was_read (lease, error, &row, version, now, actions);
+}
+
+void
+ln_lease_write (LpPlatform *platform,
+                const char *key,
+                const char *token,
+                const LcLeaseAction *action,
+                LpTransactDone done,
+                void *user)
+{
+  struct json_object *object = lc_lease_row_to_json (&action->row);
+  const LpCondition condition = { .key = key, .version = action->version };
+  const LpPut put = { .key = key, .value = json_object_to_json_string (object) };
+  const LpTransaction transaction
+      = { .token = token, .conditions = &condition, .n_conditions = 1, .puts = &put, .n_puts = 1 };
+
+  platform->klass->transact (platform, &transaction, LP_PRIORITY_LEASE, done, user);
+  json_object_put (object);
+}
--- a/packages/node/src/ln-pool-holder.c
+++ b/packages/node/src/ln-pool-holder.c
@@ -1,5 +1,7 @@
 #include "ln-pool-holder.h"
 
+#include "ln-lease.h"
+
 #include "lb-alloc.h"
 #include "lb-clock.h"
 #include "lb-counter.h"
@@ -154,20 +156,12 @@
 on_lease_read (LbErrorCode error, const LpRow *rows, size_t n_rows, void *user)
 {
   LnPoolHolder *holder = question_end (user);
-  LcLeaseRow row = { .fence = 0 };
-  int64_t version = 0;
   LbList actions;
 
   if (!holder)
     return;
-  if (error == LB_OK && n_rows == 1)
-    {
-      version = rows[0].version;
-      if (!lc_lease_row_from_text (rows[0].value, &row))
-        error = LB_ERROR_INTERNAL;
-    }
   lb_list_init (&actions);
-  lc_lease_was_read (holder->lease, error, &row, version, lb_clock_monotonic (), &actions);
+  ln_lease_was_read (holder->lease, error, rows, n_rows, lb_clock_monotonic (), &actions);
   carry_out_lease (holder, &actions);
 }
 
@@ -202,19 +196,12 @@
 write_lease (LnPoolHolder *holder, const LcLeaseAction *action)
 {
   char key[KEY_MAX], token[KEY_MAX * 2];
-  LpPlatform *platform = holder->task->context->platform;
-  struct json_object *object = lc_lease_row_to_json (&action->row);
-  const LpCondition condition = { .key = key, .version = action->version };
-  const LpPut put = { .key = key, .value = json_object_to_json_string (object) };
-  const LpTransaction transaction
-      = { .token = token, .conditions = &condition, .n_conditions = 1, .puts = &put, .n_puts = 1 };
 
   snprintf (key, sizeof key, "lease/%s", holder->pool);
   snprintf (token, sizeof token, "lease-%s-%s-%llu-%lld", holder->pool, action->row.incarnation,
             (unsigned long long)holder->serial, (long long)action->row.renewal);
-  platform->klass->transact (platform, &transaction, LP_PRIORITY_LEASE, on_lease_written,
-                             question_new (holder));
-  json_object_put (object);
+  ln_lease_write (holder->task->context->platform, key, token, action, on_lease_written,
+                  question_new (holder));
 }
 
 static void
--- a/packages/node/src/ln-weight-orders.c
+++ b/packages/node/src/ln-weight-orders.c
@@ -1,6 +1,7 @@
 #include "ln-weight-orders.h"
 
 #include "ln-dialect.h"
+#include "ln-lease.h"
 
 #include "lb-alloc.h"
 #include "lb-clock.h"
@@ -11,8 +12,6 @@
 #include "lh-fetch.h"
 #include "lp-platform.h"
 
-#include <json-c/json.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <uthash.h>
@@ -471,18 +470,10 @@
 on_read (LbErrorCode error, const LpRow *rows, size_t n_rows, void *user)
 {
   LnWeightOrders *orders = user;
-  LcLeaseRow row = { .fence = 0 };
-  int64_t version = 0;
   LbList actions;
 
-  if (error == LB_OK && n_rows == 1)
-    {
-      version = rows[0].version;
-      if (!lc_lease_row_from_text (rows[0].value, &row))
-        error = LB_ERROR_INTERNAL;
-    }
   lb_list_init (&actions);
-  lc_lease_was_read (orders->lease, error, &row, version, lb_clock_monotonic (), &actions);
+  ln_lease_was_read (orders->lease, error, rows, n_rows, lb_clock_monotonic (), &actions);
   carry_out (orders, &actions);
 }
 
@@ -498,20 +489,6 @@
   carry_out (orders, &actions);
 }
 
-static void
-write_row (LnWeightOrders *orders, const LcLeaseAction *action)
-{
-  LpPlatform *platform = orders->context->platform;
-  struct json_object *object = lc_lease_row_to_json (&action->row);
-  const LpCondition condition = { .key = LEASE_KEY, .version = action->version };
-  const LpPut put = { .key = LEASE_KEY, .value = json_object_to_json_string (object) };
-  const LpTransaction transaction
-      = { .token = "", .conditions = &condition, .n_conditions = 1, .puts = &put, .n_puts = 1 };
-
-  platform->klass->transact (platform, &transaction, LP_PRIORITY_LEASE, on_written, orders);
-  json_object_put (object);
-}
-
 static void
 note_change (LnWeightOrders *orders, const LcLeaseAction *action, LbTime now)
 {
@@ -546,7 +523,7 @@
           platform->klass->get (platform, LEASE_KEY, on_read, orders);
           break;
         case LC_LEASE_WRITE:
-          write_row (orders, action);
+          ln_lease_write (platform, LEASE_KEY, "", action, on_written, orders);
           break;
         case LC_LEASE_GAINED:
         case LC_LEASE_LOST:
