Tables are followed in one place: list, watch, list again when the history is gone

The debug line desired_not_read is table_not_read with the table now. A removed row names its batch behind the part, also if the id has a slash.

--- a/packages/node/include/ln-dialect.h
+++ b/packages/node/include/ln-dialect.h
@@ -158,6 +158,7 @@
 
   /* the store */
   const char *operator_table;
+  const char *operator_rows; /* what the keys of that table's rows begin with */
   const char *endpoint_rows; /* what the keys of endpoints begin with */
   LnOperatorRow (*operator_row) (const char *key);
   LcDesired *(*read_desired) (const char *text, LbError *error);
--- a/packages/node/src/ln-batch-heads.c
+++ b/packages/node/src/ln-batch-heads.c
@@ -390,89 +390,50 @@
 
 /* --- all rows --- */
 
+/* A row that is gone belonged to a batch that was ended long ago. */
 static void
-on_part (LbErrorCode error, const LpRow *rows, size_t n_rows, int64_t version, void *user)
-{
-  LnBatches *batches = user;
-
-  if (error != LB_OK)
-    batches->list_failed = true;
-  else if (batches->list_version == 0 || version < batches->list_version)
-    batches->list_version = version;
-  for (size_t i = 0; i < n_rows; i++)
-    ln_batch_heads_take (batches, &rows[i]);
-  if (--batches->parts_left > 0)
-    return;
-  batches->watching = false;
-  batches->next_watch = lb_clock_monotonic () + (batches->list_failed ? WATCH_RETRY : 0);
-  if (batches->list_failed)
-    return;
-  batches->listed = true;
-  batches->table_version = batches->list_version;
-}
-
-static void
-list_all (LnBatches *batches)
+take_change (LnBatches *batches, const LpRow *row)
 {
-  LpPlatform *platform = batches->context->platform;
-  char prefix[32];
+  LnBatch *batch = NULL;
 
-  batches->parts_left = N_PARTS;
-  batches->list_failed = false;
-  batches->list_version = 0;
-  for (unsigned part = 0; part < N_PARTS; part++)
+  if (row->value)
     {
-      snprintf (prefix, sizeof prefix, TABLE "/%02x/", part);
-      platform->klass->list (platform, prefix, NULL, 0, on_part, batches);
+      ln_batch_heads_take (batches, row);
+      return;
     }
+  batch = ln_batches_find (batches, row->key + strlen (TABLE "/00/"));
+  if (batch && batch != batches->cleaned && batch->held == LN_HELD_NOT)
+    ln_batches_forget (batch);
 }
 
-/* A row that is gone belonged to a batch that was ended long ago. */
 static void
-take_change (LnBatches *batches, const LpRow *row)
+on_rows (const LpRow *rows, size_t n_rows, void *user)
 {
-  const char *id = strrchr (row->key, '/');
-  LnBatch *batch = id ? ln_batches_find (batches, id + 1) : NULL;
-
-  if (row->value)
-    ln_batch_heads_take (batches, row);
-  else if (batch && batch != batches->cleaned && batch->held == LN_HELD_NOT)
-    ln_batches_forget (batch);
+  for (size_t i = 0; i < n_rows; i++)
+    take_change (user, &rows[i]);
 }
 
-static void
-on_changes (LbErrorCode error, const LpRow *rows, size_t n_rows, int64_t version, void *user)
+void
+ln_batch_heads_follow (LnBatches *batches)
 {
-  LnBatches *batches = user;
-  LbTime now = lb_clock_monotonic ();
+  static const char *const parts[]
+      = { TABLE "/00/", TABLE "/01/", TABLE "/02/", TABLE "/03/", TABLE "/04/", TABLE "/05/",
+          TABLE "/06/", TABLE "/07/", TABLE "/08/", TABLE "/09/", TABLE "/0a/", TABLE "/0b/",
+          TABLE "/0c/", TABLE "/0d/", TABLE "/0e/", TABLE "/0f/" };
+  const LpFollowSettings settings = { .table = TABLE,
+                                      .prefixes = parts,
+                                      .n_prefixes = N_PARTS,
+                                      .wait = WATCH_WAIT,
+                                      .retry = WATCH_RETRY };
 
-  batches->watching = false;
-  batches->next_watch = now;
-  if (error == LB_OK)
-    {
-      for (size_t i = 0; i < n_rows; i++)
-        take_change (batches, &rows[i]);
-      batches->table_version = version;
-      return;
-    }
-  if (error == LB_ERROR_NOT_FOUND)
-    batches->table_version = 0;
-  batches->next_watch = now + WATCH_RETRY;
+  _Static_assert(sizeof parts / sizeof parts[0] == N_PARTS, "a prefix for each part");
+  batches->rows = lp_follow_new (batches->context->platform, &settings, on_rows, batches);
 }
 
 void
 ln_batch_heads_tick (LnBatches *batches, LbTime now)
 {
-  LpPlatform *platform = batches->context->platform;
-
   for (LnBatch *batch = batches->by_id; batch; batch = batch->hh.next)
     look_after (batch, now);
-  if (batches->watching || now < batches->next_watch)
-    return;
-  batches->watching = true;
-  if (batches->table_version == 0)
-    list_all (batches);
-  else
-    platform->klass->watch (platform, TABLE, batches->table_version, WATCH_WAIT, on_changes,
-                            batches);
+  lp_follow_tick (batches->rows, now);
 }
--- a/packages/node/src/ln-batches-private.h
+++ b/packages/node/src/ln-batches-private.h
@@ -7,7 +7,7 @@
 #include "ln-dialect.h"
 #include "ln-messages.h"
 
-#include "lp-platform.h"
+#include "lp-follow.h"
 
 #include <event2/util.h>
 #include <uthash.h>
@@ -92,13 +92,7 @@
   struct LnModelHistory *histories;
   LnBatchRequest *requests;
   LbList exchanges; /* LnBatchExchange that are being answered */
-  bool listed;      /* all rows were read once */
-  bool watching;
-  int64_t table_version;
-  size_t parts_left; /* of the list in progress */
-  bool list_failed;
-  int64_t list_version;
-  LbTime next_watch;
+  LpFollow *rows;   /* of all batches */
   bool draining;
 };
 
@@ -129,6 +123,7 @@
 bool ln_batch_heads_take (LnBatches *batches, const LpRow *row);
 /* Begins to run the batch if its row says that it is ours and nothing runs. */
 void ln_batch_heads_review (LnBatch *batch);
+void ln_batch_heads_follow (LnBatches *batches);
 void ln_batch_heads_tick (LnBatches *batches, LbTime now);
 void ln_batch_heads_release (LnBatch *batch);
 /* Accepted here: offers it to the instance that shall run it. False: there is none but this one. */
--- a/packages/node/src/ln-batches.c
+++ b/packages/node/src/ln-batches.c
@@ -177,6 +177,7 @@
     lc_batch_history_free (history->history);
     free (history);
   }
+  lp_follow_free (batches->rows);
   lc_desired_unref (batches->desired);
   free (batches->members);
   event_free (batches->timer);
@@ -198,6 +199,7 @@
   batches->task.hub = context->hub;
   batches->context = context;
   lb_list_init (&batches->exchanges);
+  ln_batch_heads_follow (batches);
   batches->timer = event_new (context->base, -1, EV_PERSIST, on_tick, batches);
   event_add (batches->timer, &tick);
   return &batches->task;
--- a/packages/node/src/ln-desired.c
+++ b/packages/node/src/ln-desired.c
@@ -9,7 +9,7 @@
 #include "lb-clock.h"
 #include "lb-counter.h"
 #include "lb-log.h"
-#include "lp-platform.h"
+#include "lp-follow.h"
 
 #include <event2/event.h>
 #include <stdlib.h>
@@ -41,10 +41,8 @@
   LcRoster *roster;
   LnWeightOrders *orders;
   LnEnginePlans *plans;
-  int64_t revision;      /* of the resource set made from the roster */
-  int64_t table_version; /* of the operators' table as last seen; 0: it has to be listed */
-  bool watching;
-  LbTime next_watch;
+  int64_t revision; /* of the resource set made from the roster */
+  LpFollow *rows;   /* of the operators and trainers */
   bool listing;
   bool listed; /* at least once */
   LbTime list_asked;
@@ -128,8 +126,10 @@
 }
 
 static void
-take_operator_rows (Desired *task, const LpRow *rows, size_t n_rows)
+on_operator_rows (const LpRow *rows, size_t n_rows, void *user)
 {
+  Desired *task = user;
+
   for (size_t i = 0; i < n_rows; i++)
     {
       LnOperatorRow kind = task->context->dialect->operator_row (rows[i].key);
@@ -140,48 +140,6 @@
     }
 }
 
-/* Answers both the list of the table and its watch. A history that is gone means that changes were
- * missed: the table is listed again. */
-static void
-on_operator_rows (LbErrorCode error, const LpRow *rows, size_t n_rows, int64_t version, void *user)
-{
-  Desired *task = user;
-  LbTime now = lb_clock_monotonic ();
-
-  task->watching = false;
-  if (error == LB_OK)
-    {
-      take_operator_rows (task, rows, n_rows);
-      task->table_version = version;
-      task->next_watch = now;
-      return;
-    }
-  if (error == LB_ERROR_NOT_FOUND)
-    task->table_version = 0;
-  lb_log (LB_LOG_DEBUG, "desired_not_read", LB_TEXT ("error", lb_error_name (error)),
-          LB_INT ("after", task->table_version));
-  task->next_watch = now + WATCH_RETRY;
-}
-
-static void
-watch (Desired *task)
-{
-  LpPlatform *platform = task->context->platform;
-  const char *table = task->context->dialect->operator_table;
-  char *prefix = NULL;
-
-  task->watching = true;
-  if (task->table_version > 0)
-    {
-      platform->klass->watch (platform, table, task->table_version, WATCH_WAIT, on_operator_rows,
-                              task);
-      return;
-    }
-  prefix = lb_asprintf ("%s//", table);
-  platform->klass->list (platform, prefix, NULL, 0, on_operator_rows, task);
-  free (prefix);
-}
-
 /* --- endpoints --- */
 
 static void
@@ -313,8 +271,7 @@
   Desired *task = user;
   LbTime now = lb_clock_monotonic ();
 
-  if (!task->watching && now >= task->next_watch)
-    watch (task);
+  lp_follow_tick (task->rows, now);
   if (!task->listing && now >= task->next_list)
     list_endpoints (task, now);
   else if (task->listing && now - task->list_asked > LIST_PERIOD && now >= task->next_list
@@ -368,6 +325,7 @@
   ln_weight_orders_free (task->orders);
   ln_engine_plans_free (task->plans);
   lc_roster_free (task->roster);
+  lp_follow_free (task->rows);
   lc_desired_unref (task->desired);
   free (task);
 }
@@ -380,6 +338,11 @@
 ln_desired_new (LnContext *context)
 {
   const struct timeval tick = { .tv_usec = TICK };
+  const LpFollowSettings rows = { .table = context->dialect->operator_table,
+                                  .prefixes = &context->dialect->operator_rows,
+                                  .n_prefixes = 1,
+                                  .wait = WATCH_WAIT,
+                                  .retry = WATCH_RETRY };
   Desired *task = LB_NEW (Desired);
 
   task->task.klass = &desired_class;
@@ -388,6 +351,7 @@
   task->roster = lc_roster_new ();
   task->orders = ln_weight_orders_new (context, on_engine, task);
   task->plans = ln_engine_plans_new (context, on_plan, task);
+  task->rows = lp_follow_new (context->platform, &rows, on_operator_rows, task);
   task->last_tick = lb_clock_monotonic ();
   task->timer = event_new (context->base, -1, EV_PERSIST, on_tick, task);
   event_add (task->timer, &tick);
--- a/packages/node/src/ln-engine-plans.c
+++ b/packages/node/src/ln-engine-plans.c
@@ -3,7 +3,7 @@
 #include "lb-alloc.h"
 #include "lb-clock.h"
 #include "lb-log.h"
-#include "lp-platform.h"
+#include "lp-follow.h"
 
 #include <json-c/json.h>
 #include <stdlib.h>
@@ -27,46 +27,14 @@
   LcEnginePlan plan;   /* as the row says */
   LcEnginePlan wanted; /* as it shall say, where this instance writes it */
   bool is_writer;
-  int64_t version;       /* of the row */
-  int64_t table_version; /* of the watch; 0: the row has to be read */
+  int64_t version; /* of the row */
+  LpFollow *rows;
   LcDemand *demand;
-  bool reading;
   bool writing;
-  bool read; /* at least once */
-  LbTime next_read;
   LbTime next_write;
   LbTime next_division;
 };
 
-LnEnginePlans *
-ln_engine_plans_new (LnContext *context,
-                     void (*on_plan) (const LcEnginePlan *plan, void *user),
-                     void *user)
-{
-  LnEnginePlans *plans = LB_NEW (LnEnginePlans);
-
-  plans->context = context;
-  plans->on_plan = on_plan;
-  plans->user = user;
-  plans->demand = lc_demand_new ();
-  return plans;
-}
-
-void
-ln_engine_plans_free (LnEnginePlans *plans)
-{
-  lc_engine_plan_clear (&plans->plan);
-  lc_engine_plan_clear (&plans->wanted);
-  lc_demand_free (plans->demand);
-  free (plans);
-}
-
-void
-ln_engine_plans_demand (LnEnginePlans *plans, const char *model, int64_t tokens, LbTime now)
-{
-  lc_demand_add (plans->demand, model, (double)tokens, now);
-}
-
 static void
 take_row (LnEnginePlans *plans, const LpRow *row)
 {
@@ -88,39 +56,47 @@
   json_object_put (object);
 }
 
-/* Answers both the list and the watch. */
 static void
-on_rows (LbErrorCode error, const LpRow *rows, size_t n_rows, int64_t version, void *user)
+on_rows (const LpRow *rows, size_t n_rows, void *user)
 {
-  LnEnginePlans *plans = user;
-  LbTime now = lb_clock_monotonic ();
-
-  plans->reading = false;
-  if (error != LB_OK)
-    {
-      if (error == LB_ERROR_NOT_FOUND)
-        plans->table_version = 0;
-      plans->next_read = now + WATCH_RETRY;
-      return;
-    }
-  plans->read = true;
-  plans->next_read = now;
-  plans->table_version = version;
   for (size_t i = 0; i < n_rows; i++)
     if (strcmp (rows[i].key, KEY) == 0)
-      take_row (plans, &rows[i]);
+      take_row (user, &rows[i]);
 }
 
-static void
-read_rows (LnEnginePlans *plans)
+LnEnginePlans *
+ln_engine_plans_new (LnContext *context,
+                     void (*on_plan) (const LcEnginePlan *plan, void *user),
+                     void *user)
 {
-  LpPlatform *platform = plans->context->platform;
+  static const char *const prefixes[] = { TABLE "//" };
+  const LpFollowSettings settings = {
+    .table = TABLE, .prefixes = prefixes, .n_prefixes = 1, .wait = WATCH_WAIT, .retry = WATCH_RETRY
+  };
+  LnEnginePlans *plans = LB_NEW (LnEnginePlans);
+
+  plans->context = context;
+  plans->on_plan = on_plan;
+  plans->user = user;
+  plans->demand = lc_demand_new ();
+  plans->rows = lp_follow_new (context->platform, &settings, on_rows, plans);
+  return plans;
+}
 
-  plans->reading = true;
-  if (plans->table_version == 0)
-    platform->klass->list (platform, TABLE "//", NULL, 0, on_rows, plans);
-  else
-    platform->klass->watch (platform, TABLE, plans->table_version, WATCH_WAIT, on_rows, plans);
+void
+ln_engine_plans_free (LnEnginePlans *plans)
+{
+  lc_engine_plan_clear (&plans->plan);
+  lc_engine_plan_clear (&plans->wanted);
+  lc_demand_free (plans->demand);
+  lp_follow_free (plans->rows);
+  free (plans);
+}
+
+void
+ln_engine_plans_demand (LnEnginePlans *plans, const char *model, int64_t tokens, LbTime now)
+{
+  lc_demand_add (plans->demand, model, (double)tokens, now);
 }
 
 static void
@@ -214,9 +190,8 @@
 void
 ln_engine_plans_tick (LnEnginePlans *plans, const LcRoster *roster, bool may_write, LbTime now)
 {
-  if (!plans->reading && now >= plans->next_read)
-    read_rows (plans);
-  set_writer (plans, may_write && plans->read);
+  lp_follow_tick (plans->rows, now);
+  set_writer (plans, may_write && lp_follow_has_listed (plans->rows));
   if (!plans->is_writer)
     return;
   if (now >= plans->next_division)
--- /dev/null
+++ b/packages/store/include/lp-follow.h
@@ -0,0 +1,36 @@
+#ifndef LP_FOLLOW_H
+#define LP_FOLLOW_H
+
+#include "lp-platform.h"
+
+/* Follows the rows of a table: lists them, then watches for changes, and lists them again when the
+ * store no longer has the history since the last one. */
+typedef struct LpFollow LpFollow;
+
+typedef struct
+{
+  const char *table;           /* that is watched, all parts of it */
+  const char *const *prefixes; /* that are listed; together all rows of interest */
+  size_t n_prefixes;
+  LbTime wait;  /* of one watch: a silent connection is found after it */
+  LbTime retry; /* after a call that failed */
+} LpFollowSettings;
+
+/* Rows that were listed or have changed; one without a value was deleted. */
+typedef void (*LpFollowRows) (const LpRow *rows, size_t n_rows, void *user);
+
+/* The settings' texts stay the caller's, and the platform outlives the follower's calls. */
+LpFollow *lp_follow_new (LpPlatform *platform,
+                         const LpFollowSettings *settings,
+                         LpFollowRows on_rows,
+                         void *user);
+void lp_follow_free (LpFollow *follow);
+
+/* commands */
+void lp_follow_tick (LpFollow *follow, LbTime now);
+
+/* queries */
+/* All rows were listed, at least once. */
+bool lp_follow_has_listed (const LpFollow *follow);
+
+#endif
--- a/packages/store/include/lp-platform.h
+++ b/packages/store/include/lp-platform.h
@@ -100,6 +100,7 @@
                     LpTransactDone done,
                     void *user);
   void (*get) (LpPlatform *platform, const char *key, LpRowsDone done, void *user);
+  /* scan, instances and weights: NULL on a shared platform, whose instances list rows instead. */
   void (*scan) (LpPlatform *platform, const char *prefix, LpRowsDone done, void *user);
   void (*put_object) (LpPlatform *platform,
                       const char *key,
--- /dev/null
+++ b/packages/store/src/lp-follow.c
@@ -0,0 +1,132 @@
+#include "lp-follow.h"
+
+#include "lb-alloc.h"
+#include "lb-clock.h"
+#include "lb-log.h"
+
+#include <stdlib.h>
+
+struct LpFollow
+{
+  LpPlatform *platform;
+  LpFollowSettings settings;
+  LpFollowRows on_rows;
+  void *user;
+  int64_t version;    /* of the table, as last seen; 0: the rows have to be listed */
+  size_t n_waiting;   /* calls on their way */
+  LbErrorCode failed; /* one of the lists on their way; LB_OK: none so far */
+  int64_t oldest;     /* version of the lists on their way that were answered; 0: none was */
+  LbTime next_call;
+  bool has_listed;
+};
+
+LpFollow *
+lp_follow_new (LpPlatform *platform,
+               const LpFollowSettings *settings,
+               LpFollowRows on_rows,
+               void *user)
+{
+  LpFollow *follow = LB_NEW (LpFollow);
+
+  follow->platform = platform;
+  follow->settings = *settings;
+  follow->on_rows = on_rows;
+  follow->user = user;
+  return follow;
+}
+
+void
+lp_follow_free (LpFollow *follow)
+{
+  free (follow);
+}
+
+static void
+fail (LpFollow *follow, LbErrorCode error)
+{
+  lb_log (LB_LOG_DEBUG, "table_not_read", LB_TEXT ("table", follow->settings.table),
+          LB_TEXT ("error", lb_error_name (error)), LB_INT ("after", follow->version));
+  if (error == LB_ERROR_NOT_FOUND)
+    follow->version = 0;
+  follow->next_call = lb_clock_monotonic () + follow->settings.retry;
+}
+
+/* The watch goes on from the oldest of the lists: a change between two of them is heard twice
+ * rather than not at all. */
+static void
+on_list (LbErrorCode error, const LpRow *rows, size_t n_rows, int64_t version, void *user)
+{
+  LpFollow *follow = user;
+
+  if (error != LB_OK)
+    follow->failed = error;
+  else if (follow->oldest == 0 || version < follow->oldest)
+    follow->oldest = version;
+  if (n_rows > 0)
+    follow->on_rows (rows, n_rows, follow->user);
+  if (--follow->n_waiting > 0)
+    return;
+  if (follow->failed != LB_OK)
+    {
+      fail (follow, follow->failed);
+      return;
+    }
+  follow->version = follow->oldest;
+  follow->has_listed = true;
+}
+
+static void
+list (LpFollow *follow)
+{
+  const LpFollowSettings *settings = &follow->settings;
+
+  follow->failed = LB_OK;
+  follow->oldest = 0;
+  follow->n_waiting = settings->n_prefixes;
+  for (size_t i = 0; i < settings->n_prefixes; i++)
+    follow->platform->klass->list (follow->platform, settings->prefixes[i], NULL, 0, on_list,
+                                   follow);
+}
+
+static void
+on_changes (LbErrorCode error, const LpRow *rows, size_t n_rows, int64_t version, void *user)
+{
+  LpFollow *follow = user;
+
+  follow->n_waiting = 0;
+  if (error != LB_OK)
+    {
+      fail (follow, error);
+      return;
+    }
+  follow->version = version;
+  if (n_rows > 0)
+    follow->on_rows (rows, n_rows, follow->user);
+}
+
+static void
+watch (LpFollow *follow)
+{
+  const LpFollowSettings *settings = &follow->settings;
+
+  follow->n_waiting = 1;
+  follow->platform->klass->watch (follow->platform, settings->table, follow->version,
+                                  settings->wait, on_changes, follow);
+}
+
+void
+lp_follow_tick (LpFollow *follow, LbTime now)
+{
+  if (follow->n_waiting > 0 || now < follow->next_call)
+    return;
+  if (follow->version == 0)
+    list (follow);
+  else
+    watch (follow);
+}
+
+bool
+lp_follow_has_listed (const LpFollow *follow)
+{
+  return follow->has_listed;
+}
