An instance that is cut off from the store keeps the peer that answers, and cut peers refuse at once

Each call went to the next peer of one list, the same for all; one that is cut off as well held the call for a whole deadline; and each 1.5 s a call was spent on the direct way. Ruled out: the store (other instances had the rows within 50 ms). Change: a peer that answers is kept and one that does not is left by all calls; instances begin with different peers; a peer that is cut itself refuses at once; the direct way is asked by a probe each 0.5 s, no call is spent on it.

--- a/packages/node/src/ln-fleet.c
+++ b/packages/node/src/ln-fleet.c
@@ -260,6 +260,20 @@
   free (call);
 }
 
+/* Guards against a peer that asks an instance which is cut off as well: it would wait here for a
+ * whole deadline, and hears at once instead that it has to ask another one. */
+static bool
+refuse_when_cut (const LpPlatform *platform, LnExchange *exchange)
+{
+  LbError error = { 0 };
+
+  if (!platform->klass->is_reached || platform->klass->is_reached (platform))
+    return false;
+  lb_error_set (&error, LB_ERROR_STORE_AWAY, "", "the store can't be reached from here either");
+  ln_exchange_reply_error (exchange, &error, 0);
+  return true;
+}
+
 static void
 carry_out_for_peer (Fleet *task, LnExchange *exchange)
 {
@@ -278,6 +292,8 @@
       ln_exchange_reply_error (exchange, &error, 0);
       return;
     }
+  if (refuse_when_cut (platform, exchange))
+    return;
   call = LB_NEW (PeerCall);
   call->exchange = exchange;
   platform->klass->carry_out (platform, method, path, body, length, on_carried_out, call);
--- a/packages/store/include/lp-path.h
+++ b/packages/store/include/lp-path.h
@@ -18,18 +18,23 @@
 {
   LbName peers[LP_MAX_PEERS];
   size_t n_peers;
-  size_t next_peer;
-  int failures;        /* of the direct way, in a row */
-  LbTime direct_again; /* when the direct way is tried again; 0: it is well */
+  size_t current;    /* of the peers: the one that calls go through */
+  uint64_t seed;     /* which peer comes first */
+  int failures;      /* of the direct way, in a row */
+  LbTime next_probe; /* of the direct way while it is cut */
 } LpPath;
 
 /* Addresses of other instances that are alive. */
 void lp_path_set_peers (LpPath *path, const LbName *peers, size_t n_peers);
 /* NULL: the direct way; else the peer to ask. */
-const char *lp_path_choose (LpPath *path, LbTime now);
-/* Another peer, for a call that failed; NULL: there is none. */
-const char *lp_path_next_peer (LpPath *path);
+const char *lp_path_choose (const LpPath *path);
+/* The peer that calls go through; NULL: there is none. */
+const char *lp_path_peer (const LpPath *path);
 void lp_path_direct_ended (LpPath *path, bool reached, LbTime now);
+/* A call through the peer got no answer of the store. */
+void lp_path_peer_failed (LpPath *path, const char *peer);
+/* True when it is time to ask the store itself whether the direct way is well again. */
+bool lp_path_take_probe (LpPath *path, LbTime now);
 /* Whether the direct way counts as cut. */
 bool lp_path_is_cut (const LpPath *path);
 
--- a/packages/store/include/lp-platform.h
+++ b/packages/store/include/lp-platform.h
@@ -130,6 +130,9 @@
   /* Other instances through which calls go while this one can't reach the store; where the kind can
    * do that. */
   void (*set_peers) (LpPlatform *platform, const LbName *addresses, size_t n_addresses);
+  /* Whether this instance reaches the store without the help of others; NULL where the kind can't
+   * tell. */
+  bool (*is_reached) (const LpPlatform *platform);
   /* Carries out a peer's call, never through another one. status 0: no answer came, and the call
    * may have been carried out or not as error says. */
   void (*carry_out) (LpPlatform *platform,
--- a/packages/store/src/lp-path.c
+++ b/packages/store/src/lp-path.c
@@ -2,23 +2,43 @@
 
 #include "lb-alloc.h"
 
+#include <string.h>
+
 /* One lost answer proves nothing; two in a row are worth a detour. */
 #define FAILURES_TO_CUT 2
-/* A call that tries the direct way while it is cut is lost for a deadline, so few do. */
-#define TRY_AGAIN_AFTER (1500 * LB_MSEC)
+/* A probe costs the store one read; instances come back to their own way within this time. */
+#define PROBE_PERIOD (500 * LB_MSEC)
 
+static size_t
+find_peer (const LpPath *path, const char *peer)
+{
+  for (size_t i = 0; i < path->n_peers; i++)
+    if (strcmp (path->peers[i], peer) == 0)
+      return i;
+  return path->n_peers;
+}
+
+/* The peer in use stays in use. Instances begin with different ones: when many are cut off at once,
+ * one peer would have to carry out the calls of all. */
 void
 lp_path_set_peers (LpPath *path, const LbName *peers, size_t n_peers)
 {
+  LbName in_use = "";
+
+  if (path->n_peers > 0)
+    LB_COPY (in_use, path->peers[path->current]);
   path->n_peers = n_peers < LP_MAX_PEERS ? n_peers : LP_MAX_PEERS;
   for (size_t i = 0; i < path->n_peers; i++)
     LB_COPY (path->peers[i], peers[i]);
+  path->current = find_peer (path, in_use);
+  if (path->current == path->n_peers && path->n_peers > 0)
+    path->current = path->seed % path->n_peers;
 }
 
 const char *
-lp_path_next_peer (LpPath *path)
+lp_path_peer (const LpPath *path)
 {
-  return path->n_peers > 0 ? path->peers[path->next_peer++ % path->n_peers] : NULL;
+  return path->n_peers > 0 ? path->peers[path->current] : NULL;
 }
 
 bool
@@ -28,28 +48,34 @@
 }
 
 const char *
-lp_path_choose (LpPath *path, LbTime now)
+lp_path_choose (const LpPath *path)
 {
-  if (!lp_path_is_cut (path) || path->n_peers == 0)
-    return NULL;
-  if (now >= path->direct_again)
-    {
-      path->direct_again = now + TRY_AGAIN_AFTER;
-      return NULL;
-    }
-  return lp_path_next_peer (path);
+  return lp_path_is_cut (path) ? lp_path_peer (path) : NULL;
 }
 
 void
 lp_path_direct_ended (LpPath *path, bool reached, LbTime now)
 {
-  if (reached)
-    {
-      path->failures = 0;
-      path->direct_again = 0;
-      return;
-    }
-  path->failures++;
+  path->failures = reached ? 0 : path->failures + 1;
   if (path->failures == FAILURES_TO_CUT)
-    path->direct_again = now + TRY_AGAIN_AFTER;
+    path->next_probe = now + PROBE_PERIOD;
+}
+
+/* Guards against peers that are cut off as well: an instance that went through all peers in turn
+ * lost a second at each of these, again and again, and with that the lease it held. A peer that
+ * answers is kept, and one that does not is left by all calls at once. */
+void
+lp_path_peer_failed (LpPath *path, const char *peer)
+{
+  if (path->n_peers > 0 && strcmp (path->peers[path->current], peer) == 0)
+    path->current = (path->current + 1) % path->n_peers;
+}
+
+bool
+lp_path_take_probe (LpPath *path, LbTime now)
+{
+  if (!lp_path_is_cut (path) || path->n_peers == 0 || now < path->next_probe)
+    return false;
+  path->next_probe = now + PROBE_PERIOD;
+  return true;
 }
