An engine that turns slow or stops shows by what its streams bring of late

A text was moved by the mean over its whole run, which hides a late change; new texts went to slow engines until the long ones there had ended; and a stream that stopped was waited for two seconds. Ruled out: queueing (they started at 0.2 s), a load of weights (texts keep their pace during one). Change: LcStreamPace, seconds and tokens of the last second of streaming, for each running text and each endpoint. A silence counts as it goes on; pieces read late make up for it; looks that come late because this instance stood still move nothing. What was not seen for 4 s is tried again. A move no longer counts the mean wait of all texts as its own, which is mostly that of short ones. Tests fail without it: a late change and a stop are not noticed; without the look at its own pause an instance moves all its texts.

--- a/packages/core/include/lc-endpoints.h
+++ b/packages/core/include/lc-endpoints.h
@@ -85,6 +85,8 @@
                                LbTime now);
 void lc_endpoints_sent (LcEndpoint *endpoint, LcRequestKind kind, uint64_t prefix_hash, LbTime now);
 void lc_endpoints_first_byte (LcEndpoint *endpoint, LbTime waited, LbTime now);
+/* What a stream of ours brought there since its last piece. */
+void lc_endpoints_streamed (LcEndpoint *endpoint, int64_t tokens, LbTime interval, LbTime now);
 /* ok is false for a failure that speaks against the endpoint (not for a cancel of ours). */
 void lc_endpoints_ended (
     LcEndpoint *endpoint, LcRequestKind kind, bool ok, int64_t tokens, LbTime took, LbTime now);
--- a/packages/core/src/lc-batch.c
+++ b/packages/core/src/lc-batch.c
@@ -1,6 +1,7 @@
 #include "lc-batch.h"
 
 #include "lc-straggler.h"
+#include "lc-stream-pace.h"
 
 #include "lb-alloc.h"
 #include "lb-log.h"
@@ -24,6 +25,10 @@
 #define MOST_MOVES 3
 /* The pace of a stream with fewer intervals between events is mostly noise. */
 #define INTERVALS_TO_LEARN 4
+/* A stream that is silent for longer has stopped, for eight times the usual interval at least. */
+#define STOPPED (400 * LB_MSEC)
+/* Looks for slow texts come this late only when this instance itself stood still. */
+#define OWN_PAUSE (300 * LB_MSEC)
 /* Only the time counts by which the trainer waits longer. */
 #define IDLE_WEIGHT 1.0
 
@@ -58,6 +63,8 @@
   int64_t kept;       /* events at the last KEEP */
   LbTime started;     /* of the present run */
   LbTime first_piece; /* of the present run; 0: none yet */
+  LbTime last_piece;  /* of the present run */
+  LcStreamPace pace;  /* of the present run */
   int64_t run_events; /* of the present run */
   LbName endpoint;    /* of the last piece */
   LbName avoid;       /* endpoint that it was moved away from */
@@ -78,6 +85,7 @@
   size_t n_writing; /* first ones of ready */
   bool is_writing;
   LbTime next_review;
+  LbTime last_tick;
   LbTime next_keep;
   LbTime write_at; /* a failed write is asked again */
   bool is_started;
@@ -264,6 +272,7 @@
   item->started = now;
   item->first_piece = 0;
   item->run_events = 0;
+  item->pace = (LcStreamPace){ 0 };
   item->recalled = false;
   item->request = batch->settings.next_id (batch->settings.user);
   action->request = item->request;
@@ -416,6 +425,14 @@
   item->length += length;
 }
 
+static int64_t
+tokens_of (const LcBatch *batch, int64_t events)
+{
+  int64_t per_event = batch->settings.tokens_per_event;
+
+  return events * (per_event > 0 ? per_event : 1);
+}
+
 void
 lc_batch_piece (LcBatch *batch,
                 LcRequestId request,
@@ -434,18 +451,13 @@
   item->retries = 0;
   if (item->first_piece == 0)
     item->first_piece = now;
+  else
+    lc_stream_pace_add (&item->pace, tokens_of (batch, 1), now - item->last_piece);
+  item->last_piece = now;
   LB_COPY (item->endpoint, endpoint);
   note_version (batch, item, version);
 }
 
-static int64_t
-tokens_of (const LcBatch *batch, int64_t events)
-{
-  int64_t per_event = batch->settings.tokens_per_event;
-
-  return events * (per_event > 0 ? per_event : 1);
-}
-
 static void
 learn (LcBatch *batch, const Item *item, LbTime now)
 {
@@ -567,6 +579,17 @@
     }
 }
 
+/* A silence counts as it goes on, so that a stream which stopped is not waited for. */
+static double
+token_seconds_of_late (const Item *item, LbTime now)
+{
+  LcStreamPace pace = item->pace;
+
+  if (now - item->last_piece > STOPPED)
+    lc_stream_pace_add (&pace, 0, now - item->last_piece);
+  return lc_stream_pace_token_seconds (&pace);
+}
+
 /* Seconds that are won if the running item goes on at another endpoint. */
 static double
 move_gain (const LcBatch *batch, const Item *item, LbTime now)
@@ -575,7 +598,8 @@
   const LcProgress progress = { .tokens = tokens_of (batch, item->run_events),
                                 .max_tokens = batch->spec.items[index_of (batch, item)].max_tokens,
                                 .started = item->started,
-                                .first_piece = item->first_piece };
+                                .first_piece = item->first_piece,
+                                .token_seconds = token_seconds_of_late (item, now) };
 
   if (item->state != ITEM_RUNNING || item->recalled || item->moves >= MOST_MOVES || item->unusable
       || item->run_events <= INTERVALS_TO_LEARN)
@@ -627,9 +651,20 @@
     }
 }
 
+/* Guards against an instance that stood still itself: all its streams look silent before it has
+ * read what came meanwhile, and it would move every text. */
+static void
+note_own_pause (LcBatch *batch, LbTime now)
+{
+  if (batch->last_tick > 0 && now - batch->last_tick > REVIEW_PERIOD + OWN_PAUSE)
+    batch->next_review = now + OWN_PAUSE;
+  batch->last_tick = now;
+}
+
 void
 lc_batch_tick (LcBatch *batch, LbTime now, LbList *actions)
 {
+  note_own_pause (batch, now);
   if (batch->is_stopped || !batch->is_started)
     return;
   if (now >= batch->settings.give_up_at)
--- a/packages/core/src/lc-endpoint-table.h
+++ b/packages/core/src/lc-endpoint-table.h
@@ -8,6 +8,7 @@
 #include "lc-flight-log.h"
 #include "lc-leaving.h"
 #include "lc-prefix-belief.h"
+#include "lc-stream-pace.h"
 
 #include <uthash.h>
 
@@ -46,6 +47,8 @@
   int64_t in_flight_at_report;
   int64_t live_since_report;
   double alone_token_seconds;
+  LcStreamPace pace; /* of our streams there */
+  LbTime paced_at;   /* when it was last seen; 0: never */
   LbTime swap_since;
   LcVersion version_before_swap;
   LcBreaker breaker;
@@ -68,6 +71,7 @@
   double service_seconds; /* mean of our own requests there; 0: none ended yet */
   LcBatchCost batch_cost;
   double slowdown;    /* by it */
+  LbTime pace_review; /* when paces that were not seen for long are forgotten next */
   double bound_share; /* of our requests, those that went where their prompt was cached */
   UT_hash_handle hh;
 } LcEndpointGroup;
--- a/packages/core/src/lc-endpoints.c
+++ b/packages/core/src/lc-endpoints.c
@@ -10,6 +10,10 @@
 /* A load takes about a second; one request in this time finds out that it is over. */
 #define REFUSED_FOR (120 * LB_MSEC)
 #define MOST_TOKENS_PER_SECOND 1e6
+/* An endpoint of which no stream was seen for so long is tried again as if it were well: engines
+ * turn slow for five to ten seconds. */
+#define PACE_KEPT (4 * LB_SEC)
+#define PACE_REVIEW (500 * LB_MSEC)
 
 static void
 end_swap_if_stated (LcEntry *entry)
@@ -228,6 +232,69 @@
   lc_entry_publish (entry, now);
 }
 
+/* Seconds of one token at the fastest endpoint of the group; 0: none is known. */
+static double
+fastest_pace (const LcEntry *entry, const LcEndpointGroup *group)
+{
+  double fastest = 0;
+
+  for (size_t i = 0; i < group->n_slots; i++)
+    {
+      const LcEntry *other = lc_entry (entry->table->summaries[group->slots[i]].endpoint);
+      double seconds = other->paced_at > 0 ? lc_stream_pace_token_seconds (&other->pace) : 0;
+      if (seconds > 0 && (fastest == 0 || seconds < fastest))
+        fastest = seconds;
+    }
+  return fastest;
+}
+
+static void
+forget_pace (LcEntry *entry, double token_seconds, LbTime now)
+{
+  entry->pace = (LcStreamPace){ 0 };
+  entry->paced_at = 0;
+  entry->alone_token_seconds = token_seconds;
+  lc_entry_publish (entry, now);
+}
+
+/* An engine that was slow gets no requests as long as others have room, so nothing would ever show
+ * that it is well again. */
+static void
+review_paces (LcEntry *entry, LcEndpointGroup *group, LbTime now)
+{
+  double fastest = 0;
+
+  if (now < group->pace_review)
+    return;
+  group->pace_review = now + PACE_REVIEW;
+  fastest = fastest_pace (entry, group);
+  for (size_t i = 0; fastest > 0 && i < group->n_slots; i++)
+    {
+      LcEntry *other = lc_entry (entry->table->summaries[group->slots[i]].endpoint);
+      if (other->paced_at > 0 && now - other->paced_at > PACE_KEPT)
+        forget_pace (other, fastest, now);
+    }
+}
+
+/* Guards against an engine that turns slow: it is known by the whole time of requests that ended
+ * there, and until its long texts end, several seconds later, it gets as many new ones as before.
+ */
+void
+lc_endpoints_streamed (LcEndpoint *endpoint, int64_t tokens, LbTime interval, LbTime now)
+{
+  LcEntry *entry = lc_entry (endpoint);
+  double seconds = 0;
+
+  lc_stream_pace_add (&entry->pace, tokens, interval);
+  entry->paced_at = now;
+  seconds = lc_stream_pace_token_seconds (&entry->pace);
+  review_paces (entry, group_of (entry), now);
+  if (seconds == 0 || endpoint->report.tokens_per_second > 0)
+    return;
+  entry->alone_token_seconds = seconds;
+  lc_entry_publish (entry, now);
+}
+
 static void
 learn_service_time (LcEntry *entry, int64_t tokens, LbTime took)
 {
@@ -235,7 +302,7 @@
   if (tokens == 0)
     return;
   ewma_add (&entry->endpoint.ewma_token_seconds, (double)took / LB_SEC / (double)tokens);
-  if (entry->endpoint.report.tokens_per_second <= 0)
+  if (entry->endpoint.report.tokens_per_second <= 0 && entry->paced_at == 0)
     entry->alone_token_seconds = entry->endpoint.ewma_token_seconds;
 }
 
--- a/packages/core/src/lc-outcome.c
+++ b/packages/core/src/lc-outcome.c
@@ -88,6 +88,17 @@
          && endpoint->last_reply <= attempt->sent_at;
 }
 
+/* A stream that we leave because it stopped says so of its engine: the next text is not to wait
+ * there as well. */
+static void
+note_silence (LcDispatch *dispatch, const LcAttempt *attempt, LbTime now)
+{
+  LcEndpoint *endpoint = lc_endpoints_find (dispatch->endpoints, attempt->endpoint);
+
+  if (endpoint && attempt->piece_at > 0)
+    lc_endpoints_streamed (endpoint, 0, now - attempt->piece_at, now);
+}
+
 void
 lc_dispatch_cancel_attempt (
     LcDispatch *dispatch, LcRequest *request, LcAttempt *attempt, LbTime now, LbList *actions)
@@ -98,6 +109,7 @@
   action->attempt = attempt->number;
   LB_COPY (action->endpoint, attempt->endpoint);
   request->maybe_run = true;
+  note_silence (dispatch, attempt, now);
   close_attempt (dispatch, request, attempt, how, now);
 }
 
--- a/packages/core/src/lc-pieces.c
+++ b/packages/core/src/lc-pieces.c
@@ -77,6 +77,16 @@
                             "whole-answers", request->id);
 }
 
+static void
+note_pace (LcDispatch *dispatch, LcAttempt *attempt, const LcPiece *piece, LbTime now)
+{
+  LcEndpoint *endpoint = lc_endpoints_find (dispatch->endpoints, attempt->endpoint);
+
+  if (endpoint && attempt->piece_at > 0)
+    lc_endpoints_streamed (endpoint, piece->tokens, now - attempt->piece_at, now);
+  attempt->piece_at = now;
+}
+
 LcPieceVerdict
 lc_dispatch_piece (LcDispatch *dispatch,
                    LcRequestId id,
@@ -103,6 +113,8 @@
       lc_dispatch_give_up (dispatch, request, LB_ERROR_STREAM_BROKEN, 0, now, actions);
       return drop_piece ();
     }
+  if (request->delivery == LC_DELIVER_STREAM)
+    note_pace (dispatch, attempt, piece, now);
   attempt->offset += piece->tokens;
   attempt->tokens += piece->tokens;
   attempt->whole = piece->last;
--- a/packages/core/src/lc-request.h
+++ b/packages/core/src/lc-request.h
@@ -13,10 +13,11 @@
   uint32_t number;
   LbName endpoint;
   LbTime sent_at;
-  int64_t offset; /* next token expected */
-  int64_t tokens; /* received */
-  bool heard;     /* a piece came */
-  bool whole;     /* the end marker came as a piece */
+  LbTime piece_at; /* when the last piece came; 0: none has */
+  int64_t offset;  /* next token expected */
+  int64_t tokens;  /* received */
+  bool heard;      /* a piece came */
+  bool whole;      /* the end marker came as a piece */
 } LcAttempt;
 
 typedef enum
--- a/packages/core/src/lc-straggler.c
+++ b/packages/core/src/lc-straggler.c
@@ -119,6 +119,8 @@
 
   if (progress->first_piece == 0 || streamed <= 0)
     return pace->tokens_per_second;
+  if (progress->token_seconds > 0)
+    return fmin (1 / progress->token_seconds, pace->tokens_per_second);
   return fmin ((double)(progress->tokens + UNSEEN_TOKENS) * LB_SEC / streamed,
                pace->tokens_per_second);
 }
@@ -168,6 +170,16 @@
          - margin (idle_weight) * seconds_again (lengths, pace, progress);
 }
 
+/* The sample waited for a place once; with the same urgency it waits no longer now. The mean over
+ * all samples is mostly that of the short ones, which go last. */
+static double
+wait_again (const LcPace *pace, const LcProgress *progress)
+{
+  double waited = (double)(progress->first_piece - progress->started) / LB_SEC;
+
+  return fmin (waited, pace->wait_seconds);
+}
+
 double
 lc_straggler_move_gain (const LcLengths *lengths,
                         const LcPace *pace,
@@ -179,8 +191,8 @@
     return 0;
 
   double left = lc_lengths_remaining (lengths, progress->tokens, progress->max_tokens);
-  return seconds_left (lengths, pace, progress, now)
-         - margin (idle_weight) * lc_pace_seconds (pace, left);
+  return seconds_left (lengths, pace, progress, now) - wait_again (pace, progress)
+         - margin (idle_weight) * left / pace->tokens_per_second;
 }
 
 /* The original goes on until the hedge is whole; then its tokens are lost. */
--- a/packages/core/src/lc-straggler.h
+++ b/packages/core/src/lc-straggler.h
@@ -37,7 +37,8 @@
   int64_t tokens; /* so far */
   int64_t max_tokens;
   LbTime started;
-  LbTime first_piece; /* 0: none yet */
+  LbTime first_piece;   /* 0: none yet */
+  double token_seconds; /* of late; 0: not known, then the whole run counts */
 } LcProgress;
 
 void lc_lengths_add (LcLengths *lengths, int64_t tokens);
--- a/packages/core/tests/test-batch.c
+++ b/packages/core/tests/test-batch.c
@@ -48,7 +48,7 @@
     {
       snprintf (spec.items[i].request.id, LB_NAME_MAX, "item-%zu", i);
       spec.items[i].has_scorer = scored;
-      spec.items[i].max_tokens = 1000;
+      spec.items[i].max_tokens = 10000;
     }
   return spec;
 }
@@ -369,11 +369,10 @@
   fixture_clear (&f);
 }
 
-/* One engine in five has turned five times slower. The step would wait for the texts there; they go
- * on elsewhere, each from what it has. */
-Test (batch, texts_at_a_slow_engine_are_recalled)
+/* A batch whose texts were all well: 20 events, one each 20 ms. */
+static void
+teach (LcBatchHistory *history)
 {
-  LcBatchHistory *history = lc_batch_history_new ();
   Fixture f;
 
   fixture_init (&f, MAX_ITEMS, false,
@@ -389,16 +388,37 @@
       end (&f, item, LB_OK);
     }
   fixture_clear (&f);
+}
 
-  fixture_init (&f, 2, false,
+/* Another batch after it, with looks for slow texts each 100 ms. */
+static void
+start_taught (Fixture *f, LcBatchHistory *history)
+{
+  fixture_init (f, 2, false,
                 (LcBatchSettings){ .resumable = true, .history = history, .tokens_per_event = 50 });
-  start (&f);
-  for (int event = 0; event < 6; event++)
+  start (f);
+}
+
+static void
+stream (Fixture *f, int events, LbTime interval)
+{
+  for (int event = 0; event < events; event++)
     {
-      f.now += 200 * LB_MSEC;
-      piece (&f, 0, 4, "w");
+      tick (f, interval);
+      piece (f, 0, 4, "w");
     }
-  tick (&f, 200 * LB_MSEC);
+}
+
+/* One engine in five has turned five times slower. The step would wait for the texts there; they go
+ * on elsewhere, each from what it has. */
+Test (batch, texts_at_a_slow_engine_are_recalled)
+{
+  LcBatchHistory *history = lc_batch_history_new ();
+  Fixture f;
+
+  teach (history);
+  start_taught (&f, history);
+  stream (&f, 6, 200 * LB_MSEC);
   cr_assert_eq (f.recalled, 1);
   LcRequestId before = f.running[0];
   end (&f, 0, LB_ERROR_CLOSED);
@@ -408,6 +428,64 @@
   lc_batch_history_free (history);
 }
 
+/* An engine turns four times slower when a long text has run there for two seconds. By the mean
+ * over its whole run the text looks well for seconds more, and the step comes late by what is left
+ * of it. What came of late counts. */
+Test (batch, a_text_whose_engine_turns_slow_late_is_recalled_soon)
+{
+  LcBatchHistory *history = lc_batch_history_new ();
+  Fixture f;
+
+  teach (history);
+  start_taught (&f, history);
+  stream (&f, 100, 20 * LB_MSEC);
+  cr_assert_eq (f.recalled, 0);
+  stream (&f, 12, 80 * LB_MSEC);
+  cr_assert_eq (f.recalled, 1);
+  fixture_clear (&f);
+  lc_batch_history_free (history);
+}
+
+/* An engine goes dark: its connections stay open and nothing comes. The text waited there for the
+ * two seconds after which a stream counts as broken. */
+Test (batch, a_text_that_stopped_is_recalled_soon)
+{
+  LcBatchHistory *history = lc_batch_history_new ();
+  Fixture f;
+
+  teach (history);
+  start_taught (&f, history);
+  stream (&f, 20, 20 * LB_MSEC);
+  for (int i = 0; i < 3; i++)
+    tick (&f, 100 * LB_MSEC);
+  cr_assert_eq (f.recalled, 0, "a short silence proves nothing");
+  for (int i = 0; i < 5; i++)
+    tick (&f, 100 * LB_MSEC);
+  cr_assert_eq (f.recalled, 1);
+  fixture_clear (&f);
+  lc_batch_history_free (history);
+}
+
+/* The instance itself is frozen for two seconds. When it wakes its timer comes before what its
+ * streams brought meanwhile: all of them look silent, and it would move every text. */
+Test (batch, an_own_pause_moves_no_text)
+{
+  LcBatchHistory *history = lc_batch_history_new ();
+  Fixture f;
+
+  teach (history);
+  start_taught (&f, history);
+  stream (&f, 20, 20 * LB_MSEC);
+  tick (&f, 2 * LB_SEC);
+  for (int event = 0; event < 100; event++)
+    piece (&f, 0, 4, "w");
+  for (int i = 0; i < 3; i++)
+    tick (&f, 100 * LB_MSEC);
+  cr_assert_eq (f.recalled, 0);
+  fixture_clear (&f);
+  lc_batch_history_free (history);
+}
+
 /* The trainer ends the step: nothing of it may start any more, and nothing more is listed. */
 Test (batch, an_ended_batch_stops_its_work_and_writes_nothing)
 {
