A route whose endpoints are not known yet is answered 503, not 404

Cause: an instance that starts while its way to the store is slow has the routes for some 0.2 s before it has the list of endpoints; calls in between were given up as unknown_service, 404, which tells their callers not to come back. The same holds for a service that a new desired state names first. Change: such calls are refused as not_ready with a time to come back. Test: fails with 404 without it.

--- a/packages/core/include/lc-dispatch.h
+++ b/packages/core/include/lc-dispatch.h
@@ -150,6 +150,8 @@
 void lc_action_free (LcAction *action);
 
 /* queries */
+/* Whether the resources that were configured name the plain service. */
+bool lc_dispatch_knows_service (const LcDispatch *dispatch, const char *service);
 LbTime lc_dispatch_next_tick (const LcDispatch *dispatch);
 size_t lc_dispatch_in_progress (const LcDispatch *dispatch);
 size_t lc_dispatch_waiting (const LcDispatch *dispatch, LcRequestKind kind);
--- a/packages/core/src/lc-dispatch.c
+++ b/packages/core/src/lc-dispatch.c
@@ -225,6 +225,14 @@
   return LB_OK;
 }
 
+bool
+lc_dispatch_knows_service (const LcDispatch *dispatch, const char *service)
+{
+  const LcPoolState *pool = find_pool (dispatch, lc_pool_kind (LC_KIND_SERVICE), service);
+
+  return pool && pool->configured;
+}
+
 static LcRequest *
 add_request (LcDispatch *dispatch, const LcRequestSpec *spec, LcPoolState *pool, LbTime now)
 {
--- a/packages/node/src/ln-routed.c
+++ b/packages/node/src/ln-routed.c
@@ -80,7 +80,11 @@
 }
 
 static LnCall *
-make_call (LnCalls *calls, LnExchange *exchange, const LcRoute *route, const LnInbound *in)
+make_call (LnCalls *calls,
+           LnExchange *exchange,
+           const LcRoute *route,
+           const char *service,
+           const LnInbound *in)
 {
   static const LnHolderClass call_class = { .caller_gone = ln_calls_caller_gone };
   LnCall *call = ln_call_new (LN_CALL_SERVICE);
@@ -98,12 +102,27 @@
   call->spec.expected_tokens = 1;
   call->spec.deadline = deadline_of (calls, route, in, lb_clock_monotonic ());
   LB_COPY (call->spec.caller, route->name);
-  LB_COPY (call->spec.pool, lc_route_service (route, ln_context_draw (calls->context)));
+  LB_COPY (call->spec.pool, service);
   copy_request (calls, call, exchange, in);
   ln_exchange_set_user (exchange, call);
   return call;
 }
 
+/* Guards against a "not found" for a route that is there: an instance that has just started, or
+ * just heard of a new service, knows the routes before it has the list of endpoints, and the caller
+ * would not come back. */
+static void
+submit (LnCalls *calls, LnExchange *exchange, const LcRoute *route, const LnInbound *in)
+{
+  const char *service = lc_route_service (route, ln_context_draw (calls->context));
+
+  if (lc_dispatch_knows_service (calls->dispatch, service))
+    ln_calls_submit (calls, make_call (calls, exchange, route, service, in));
+  else
+    refuse (exchange, LB_ERROR_NOT_READY, "the endpoints of the route are not known here yet",
+            RETRY_WITHOUT_ROUTES);
+}
+
 void
 ln_routed_take (LnCalls *calls, LnExchange *exchange)
 {
@@ -133,5 +152,5 @@
   if (route->kind == LC_ROUTE_BATCH)
     pass_on (calls, exchange, "rollouts");
   else
-    ln_calls_submit (calls, make_call (calls, exchange, route, &in));
+    submit (calls, exchange, route, &in);
 }
--- a/standins/si-rows.c
+++ b/standins/si-rows.c
@@ -262,6 +262,7 @@
   size_t limit = limit_text[0] ? (size_t)atoi (limit_text) : MOST_ROWS_AT_ONCE;
   struct json_object *array = json_object_new_array ();
   struct json_object *answer = new_answer (rows);
+  bool is_away = rows->away_table && strcmp (table, rows->away_table) == 0;
   bool more = false;
 
   LB_LIST_FOREACH (&rows->rows, Row, link, row)
@@ -276,7 +277,7 @@
   }
   json_object_object_add (answer, "rows", array);
   json_object_object_add (answer, "morePages", json_object_new_boolean (more));
-  si_reply_json (request, 200, answer);
+  si_reply_json (request, is_away ? 503 : 200, answer);
   free (limit_text);
   free (to);
   free (from);
--- a/standins/si-rows.h
+++ b/standins/si-rows.h
@@ -24,6 +24,7 @@
   LbList objects;
   LbList watches;
   struct event *wake;
+  const char *away_table; /* lists of it are refused; NULL: none */
   int64_t version;
   int64_t history_from; /* older versions can't be watched from */
   SiRowsMode mode;
--- a/tests/process/test-shared.c
+++ b/tests/process/test-shared.c
@@ -454,6 +454,34 @@
   world_clear (&w);
 }
 
+/* An instance starts while the store is slow: it has the routes and not yet the endpoints. Its
+ * first callers were told that there is no such route (404), and did not come back. */
+Test (shared, a_route_whose_endpoints_are_not_known_yet_is_not_missing)
+{
+  World w;
+
+  world_init (&w);
+  start_instance (&w);
+  w.rows.away_table = "servers";
+  Instance *instance = &w.instances[w.n_instances++];
+  LB_COPY (instance->name, "n1");
+  write_settings (&w, instance);
+  start_process (&w, instance);
+  UNTIL (&w, read_address (&w, instance));
+  LbTime end = lb_clock_monotonic () + LB_SEC;
+  while (lb_clock_monotonic () < end)
+    {
+      call (&w, 1, "POST", "/lookup/1", "c1", "hello");
+      cr_assert_eq (w.status, 503, "%s", w.body);
+      cr_assert_neq (w.retry_after[0], '\0');
+    }
+  w.rows.away_table = NULL;
+  UNTIL (&w, is_ready (&w, 1));
+  call (&w, 1, "POST", "/lookup/1", "c2", "hello");
+  cr_assert_eq (w.status, 200);
+  world_clear (&w);
+}
+
 /* The operators allow bodies of 12 MiB. A caller's body of 9 MiB was refused as too large, since
  * the instance went by the bound of its own settings, 8 MiB. */
 Test (shared, the_desired_state_says_how_much_callers_may_send)
