A fault soak of the real programs: processes, store, endpoints and operator under drawn faults

Instances run as processes; store, engines, plain services, callers and a trainer live in the soak, each instance's way to the store and each way to an endpoint is a relay that loses, delays, resets or goes silent.

--- a/standins/si-sampler.c
+++ b/standins/si-sampler.c
@@ -75,8 +75,11 @@
   if (stream->version != sampler->version)
     evbuffer_add_printf (event, "weight-versions: %lld\n", (long long)sampler->version);
   stream->version = sampler->version;
-  evbuffer_add_printf (event, "id: %lld\ndata: %s.%lld%*s\n\n", (long long)stream->next,
+  evbuffer_add_printf (event, "id: %lld\ndata: %s.%lld%*s", (long long)stream->next,
                        stream->run->id, (long long)stream->next, sampler->padding, "");
+  if (sampler->tells_version)
+    evbuffer_add_printf (event, " v%lld", (long long)sampler->version);
+  evbuffer_add_printf (event, "\n\n");
   evhttp_send_reply_chunk (stream->request, event);
   evbuffer_free (event);
   stream->next++;
@@ -122,6 +125,8 @@
   add_header (request, "Attempt-Id", stream->run->id);
   add_header (request, "Content-Type", "text/event-stream");
   add_number (request, "Weight-Versions", sampler->version);
+  if (sampler->listener && sampler->listener->on_run)
+    sampler->listener->on_run (sampler, stream->run->id, sampler->user);
   evhttp_send_reply_start (request, 200, NULL);
   set_timer (stream->timer, sampler->event_time);
 }
@@ -155,6 +160,9 @@
     status = 409;
   else if (version == sampler->version)
     status = 200;
+  if (sampler->listener && sampler->listener->on_order)
+    sampler->listener->on_order (sampler, si_json_text (order, "holder", ""), fence, status == 202,
+                                 sampler->user);
   json_object_put (order);
   if (status == 202)
     {
@@ -204,13 +212,36 @@
   return expected && strcmp (expected, sampler->name) != 0;
 }
 
+/* A call whose answer takes its time. */
+typedef struct
+{
+  LbLink link;
+  struct evhttp_request *request;
+  struct event *timer;
+  SiSampler *sampler;
+} Call;
+
 static void
-answer_call (SiSampler *sampler, struct evhttp_request *request)
+call_free (Call *call)
+{
+  lb_list_remove (&call->sampler->calls_running, &call->link);
+  event_free (call->timer);
+  free (call);
+}
+
+static void
+on_call_closed (struct evhttp_connection *connection, void *user)
+{
+  (void)connection;
+  call_free (user);
+}
+
+static void
+send_answer (struct evhttp_request *request)
 {
   const char *id = si_request_header (request, "Attempt-Id");
   char stamp[LB_NAME_MAX + 8];
 
-  sampler->calls++;
   snprintf (stamp, sizeof stamp, "stamp-%s", id ? id : "");
   add_header (request, "Attempt-Id", id ? id : "");
   add_header (request, "Server-Stamp", stamp);
@@ -219,6 +250,41 @@
   evhttp_send_reply (request, 200, NULL, NULL);
 }
 
+static void
+on_call_time (evutil_socket_t fd, short what, void *user)
+{
+  (void)fd;
+  (void)what;
+  Call *call = user;
+
+  evhttp_connection_set_closecb (evhttp_request_get_connection (call->request), NULL, NULL);
+  send_answer (call->request);
+  call_free (call);
+}
+
+static void
+answer_call (SiSampler *sampler, struct evhttp_request *request)
+{
+  const char *id = si_request_header (request, "Attempt-Id");
+  Call *call = NULL;
+
+  sampler->calls++;
+  if (sampler->listener && sampler->listener->on_call)
+    sampler->listener->on_call (sampler, id ? id : "", sampler->user);
+  if (sampler->call_time == 0)
+    {
+      send_answer (request);
+      return;
+    }
+  call = LB_NEW (Call);
+  call->sampler = sampler;
+  call->request = request;
+  call->timer = evtimer_new (sampler->server.base, on_call_time, call);
+  lb_list_append (&sampler->calls_running, &call->link);
+  evhttp_connection_set_closecb (evhttp_request_get_connection (request), on_call_closed, call);
+  set_timer (call->timer, sampler->call_time);
+}
+
 static void
 on_request (struct evhttp_request *request, void *user)
 {
@@ -248,16 +314,38 @@
 void
 si_sampler_register (SiSampler *sampler)
 {
+  const struct timeval period = { .tv_usec = BEAT_PERIOD };
   struct json_object *object = json_object_new_object ();
 
   si_json_set_text (object, "service", sampler->service);
-  si_json_set_text (object, "address", sampler->server.address);
+  si_json_set_text (object, "address",
+                    sampler->reached_at[0] ? sampler->reached_at : sampler->server.address);
   si_json_set_text (object, "zone", "hall-a");
   si_json_set_int (object, "slots", 8);
   si_json_set_text (object, "state", sampler->leaving ? "draining" : "ready");
   json_object_object_add (object, "models", models_to_json (sampler));
   si_rows_put (sampler->rows, "servers", "", sampler->name, json_object_to_json_string (object));
   json_object_put (object);
+  event_add (sampler->beat, &period);
+}
+
+void
+si_sampler_unregister (SiSampler *sampler)
+{
+  event_del (sampler->beat);
+  si_rows_put (sampler->rows, "servers", "", sampler->name, NULL);
+}
+
+void
+si_sampler_break_streams (SiSampler *sampler)
+{
+  LB_LIST_FOREACH (&sampler->streams, Stream, link, stream)
+  {
+    struct evhttp_connection *connection = evhttp_request_get_connection (stream->request);
+    evhttp_connection_set_closecb (connection, NULL, NULL);
+    stream_free (stream);
+    evhttp_connection_free (connection);
+  }
 }
 
 static void
@@ -276,8 +364,6 @@
                  const char *service,
                  const char *model)
 {
-  const struct timeval period = { .tv_usec = BEAT_PERIOD };
-
   memset (sampler, 0, sizeof *sampler);
   if (!si_server_init (&sampler->server, base, 0, on_request, sampler))
     return false;
@@ -290,9 +376,9 @@
   sampler->event_time = 10 * LB_MSEC;
   sampler->load_time = 200 * LB_MSEC;
   lb_list_init (&sampler->streams);
+  lb_list_init (&sampler->calls_running);
   sampler->loaded = evtimer_new (base, on_loaded, sampler);
   sampler->beat = event_new (base, -1, EV_PERSIST, on_beat, sampler);
-  event_add (sampler->beat, &period);
   si_sampler_register (sampler);
   return true;
 }
@@ -305,6 +391,11 @@
     evhttp_connection_set_closecb (evhttp_request_get_connection (stream->request), NULL, NULL);
     stream_free (stream);
   }
+  LB_LIST_FOREACH (&sampler->calls_running, Call, link, call)
+  {
+    evhttp_connection_set_closecb (evhttp_request_get_connection (call->request), NULL, NULL);
+    call_free (call);
+  }
   event_free (sampler->beat);
   event_free (sampler->loaded);
   si_server_clear (&sampler->server);
--- a/standins/si-sampler.h
+++ b/standins/si-sampler.h
@@ -14,9 +14,21 @@
   bool whole;
 } SiRun;
 
+/* What a test wants to hear of an endpoint; any may be NULL. */
+typedef struct SiSampler SiSampler;
+
+typedef struct
+{
+  void (*on_call) (SiSampler *sampler, const char *id, void *user); /* of a plain service */
+  void (*on_run) (SiSampler *sampler, const char *id, void *user);  /* a text begins or goes on */
+  /* accepted: 202 was answered */
+  void (*on_order) (
+      SiSampler *sampler, const char *holder, int64_t fence, bool accepted, void *user);
+} SiSamplerListener;
+
 /* An engine, or a plain service, of a shared platform: registers itself in the store, streams
  * texts, takes orders. */
-typedef struct
+struct SiSampler
 {
   SiServer server;
   SiRows *rows;
@@ -35,13 +47,19 @@
   struct event *beat;
   struct event *loaded;
   LbList streams;
+  LbList calls_running; /* of a plain service */
   SiRun runs[SI_MAX_RUNS];
   size_t n_runs;
-  int refused;   /* while it loaded */
-  int misplaced; /* requests for another endpoint */
-  int calls;     /* of a plain service */
-  int cancelled; /* streams whose caller went away */
-} SiSampler;
+  int refused;        /* while it loaded */
+  int misplaced;      /* requests for another endpoint */
+  int calls;          /* of a plain service */
+  int cancelled;      /* streams whose caller went away */
+  bool tells_version; /* events say with which weights they were made */
+  LbName reached_at;  /* where callers are told to connect; empty: the server itself */
+  LbTime call_time;   /* of a plain service's answer */
+  const SiSamplerListener *listener; /* NULL: none */
+  void *user;
+};
 
 bool si_sampler_init (SiSampler *sampler,
                       struct event_base *base,
@@ -52,5 +70,10 @@
 void si_sampler_clear (SiSampler *sampler);
 /* Tells the store what it is now. */
 void si_sampler_register (SiSampler *sampler);
+/* Its entry goes and is not written again, as when it is gone; si_sampler_register brings it back.
+ */
+void si_sampler_unregister (SiSampler *sampler);
+/* Breaks all its streams off, as when its process ends. */
+void si_sampler_break_streams (SiSampler *sampler);
 
 #endif
--- a/tests/process/pt-relay.c
+++ b/tests/process/pt-relay.c
@@ -13,6 +13,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define BEHIND_ANOTHER (2 * LB_MSEC) /* until a chunk looks again whether it is the first */
+
 /* One connection through the relay. */
 typedef struct
 {
@@ -21,30 +23,93 @@
   struct bufferevent *near;
   struct bufferevent *far;
   bool silent;
+  LbList delayed; /* Chunk */
 } Line;
 
+/* Bytes on their way for a while. */
+typedef struct
+{
+  LbLink link;
+  Line *line;
+  struct evbuffer *bytes;
+  struct bufferevent *to;
+  struct event *timer;
+} Chunk;
+
+static void
+chunk_free (Chunk *chunk)
+{
+  lb_list_remove (&chunk->line->delayed, &chunk->link);
+  event_free (chunk->timer);
+  evbuffer_free (chunk->bytes);
+  free (chunk);
+}
+
 static void
 line_free (Line *line)
 {
   lb_list_remove (&line->relay->lines, &line->link);
+  LB_LIST_FOREACH (&line->delayed, Chunk, link, chunk)
+  chunk_free (chunk);
   bufferevent_free (line->near);
   bufferevent_free (line->far);
   free (line);
 }
 
+static void
+on_chunk_time (evutil_socket_t fd, short what, void *user)
+{
+  (void)fd;
+  (void)what;
+  Chunk *chunk = user;
+  const struct timeval again = { .tv_usec = BEHIND_ANOTHER };
+
+  /* One that came before with a longer delay goes first. */
+  if (chunk->line->delayed.head.next != &chunk->link)
+    {
+      evtimer_add (chunk->timer, &again);
+      return;
+    }
+  bufferevent_write_buffer (chunk->to, chunk->bytes);
+  chunk_free (chunk);
+}
+
+static void
+pass_on_later (Line *line, struct evbuffer *input, struct bufferevent *to)
+{
+  LbTime delay = line->relay->fault.delay;
+  const struct timeval tv = { .tv_sec = delay / LB_SEC, .tv_usec = delay % LB_SEC };
+  Chunk *chunk = LB_NEW (Chunk);
+
+  chunk->line = line;
+  chunk->to = to;
+  chunk->bytes = evbuffer_new ();
+  evbuffer_add_buffer (chunk->bytes, input);
+  chunk->timer = evtimer_new (line->relay->base, on_chunk_time, chunk);
+  evtimer_add (chunk->timer, &tv);
+  lb_list_append (&line->delayed, &chunk->link);
+}
+
 static void
 on_read (struct bufferevent *from, void *user)
 {
   Line *line = user;
   struct evbuffer *input = bufferevent_get_input (from);
+  const PtRelayFault *fault = &line->relay->fault;
+  bool to_target = from == line->near;
 
+  /* Bytes that were lost once are missing in the middle: such a line delivers nothing more. */
+  line->silent |= to_target ? fault->loses_to_target : fault->loses_from_target;
   if (line->silent)
     {
       evbuffer_drain (input, evbuffer_get_length (input));
       return;
     }
   line->relay->bytes += (int64_t)evbuffer_get_length (input);
-  bufferevent_write_buffer (from == line->near ? line->far : line->near, input);
+  if (fault->delay > 0 || !lb_list_is_empty (&line->delayed))
+    pass_on_later (line, input, to_target ? line->far : line->near);
+  else
+    bufferevent_write_buffer (to_target ? line->far : line->near, input);
 }
 
 /* A silent line also keeps a close to itself: the other end never hears of it. */
@@ -93,6 +158,7 @@
   int target_length = sizeof target;
 
   line->relay = relay;
+  lb_list_init (&line->delayed);
   lb_list_append (&relay->lines, &line->link);
   line->near = bufferevent_socket_new (relay->base, fd, BEV_OPT_CLOSE_ON_FREE);
   line->far = bufferevent_socket_new (relay->base, -1, BEV_OPT_CLOSE_ON_FREE);
@@ -137,6 +203,26 @@
   line->silent = true;
 }
 
+/* A close that lingers for no time is a reset. */
+static void
+reset_at_close (struct bufferevent *end)
+{
+  const struct linger at_once = { .l_onoff = 1 };
+
+  setsockopt (bufferevent_getfd (end), SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+}
+
+void
+pt_relay_reset (PtRelay *relay)
+{
+  LB_LIST_FOREACH (&relay->lines, Line, link, line)
+  {
+    reset_at_close (line->near);
+    reset_at_close (line->far);
+    line_free (line);
+  }
+}
+
 size_t
 pt_relay_connections (const PtRelay *relay)
 {
--- a/tests/process/pt-relay.h
+++ b/tests/process/pt-relay.h
@@ -6,10 +6,19 @@
 struct event_base;
 struct evconnlistener;
 
+/* What is wrong with a way for now, for open and new connections alike. */
+typedef struct
+{
+  bool loses_to_target;   /* bytes towards the target vanish */
+  bool loses_from_target; /* bytes from the target vanish */
+  LbTime delay;           /* of bytes in both directions */
+} PtRelayFault;
+
 /* Stands between two ends of TCP connections and can lose track of those that are open: they stay
  * open and silent, while new ones work. Runs in the test's event loop. */
 typedef struct
 {
+  PtRelayFault fault;
   struct event_base *base;
   struct evconnlistener *listener;
   LbName address; /* where to connect */
@@ -23,6 +32,9 @@
 /* Every connection that is open now goes silent for good. */
 void pt_relay_lose_track (PtRelay *relay);
 
+/* Every connection that is open now is reset. */
+void pt_relay_reset (PtRelay *relay);
+
 size_t pt_relay_connections (const PtRelay *relay);
 
 #endif
--- /dev/null
+++ b/tests/soak/soak-processes.c
@@ -0,0 +1,203 @@
+#include "sk-callers.h"
+#include "sk-faults.h"
+#include "sk-trainer.h"
+
+#include "lb-clock.h"
+#include "si-arguments.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define START_LIMIT (20 * LB_SEC)
+#define SETTLE_LIMIT (60 * LB_SEC)
+#define STOP_LIMIT (25 * LB_SEC)
+
+typedef struct
+{
+  int seconds;
+  int instances;
+  int engines;
+  const char *only; /* NULL: any fault */
+  bool verbose;
+  bool keep_logs;
+} Options;
+
+typedef struct
+{
+  SkWorld world;
+  SkCallers *callers;
+  SkTrainer *trainer;
+} Run;
+
+static bool
+all_run (const SkWorld *world)
+{
+  for (size_t i = 0; i < world->n_instances; i++)
+    if (!sk_instance_runs (&world->instances[i]) || world->instances[i].stopping)
+      return false;
+  return true;
+}
+
+static void
+turn (Run *run)
+{
+  LbTime now = lb_clock_monotonic ();
+
+  sk_callers_tick (run->callers, now);
+  sk_trainer_tick (run->trainer, now);
+  sk_world_turn (&run->world);
+}
+
+static void
+wait_for_start (Run *run)
+{
+  LbTime end = lb_clock_monotonic () + START_LIMIT;
+
+  while (!all_run (&run->world) && lb_clock_monotonic () < end)
+    sk_world_turn (&run->world);
+  if (!all_run (&run->world))
+    sk_fail (&run->world, "starts", "not all instances told their addresses");
+}
+
+static void
+strike (Run *run, const Options *options)
+{
+  LbTime end = lb_clock_monotonic () + options->seconds * LB_SEC;
+  LbTime next = lb_clock_monotonic () + LB_SEC;
+
+  for (LbTime now = 0; (now = lb_clock_monotonic ()) < end;)
+    {
+      sk_faults_tick (&run->world, options->only, &next, now);
+      turn (run);
+    }
+}
+
+/* All is mended: the trainer gets the whole of its last step, and all instances show it alike. */
+static void
+settle (Run *run)
+{
+  SkWorld *world = &run->world;
+  LbTime end = lb_clock_monotonic () + SETTLE_LIMIT;
+
+  sk_faults_end (world);
+  sk_trainer_stop (run->trainer);
+  while ((!sk_trainer_is_done (run->trainer) || !all_run (world)) && lb_clock_monotonic () < end)
+    turn (run);
+  if (!sk_trainer_is_done (run->trainer))
+    sk_fail (world, "every sample to its trainer", "the last step is not whole after %.0f s",
+             (double)SETTLE_LIMIT / LB_SEC);
+  sk_callers_stop (run->callers);
+  for (size_t i = 0; i < world->n_instances && sk_trainer_is_done (run->trainer); i++)
+    {
+      sk_trainer_read_again (run->trainer, &world->instances[i]);
+      while (sk_trainer_is_reading (run->trainer))
+        turn (run);
+    }
+}
+
+/* Every instance becomes idle and ends by itself, whatever it went through. */
+static void
+stop_all (Run *run)
+{
+  SkWorld *world = &run->world;
+  LbTime end = lb_clock_monotonic () + STOP_LIMIT;
+  size_t n_running = world->n_instances;
+
+  for (size_t i = 0; i < world->n_instances; i++)
+    sk_instance_stop (&world->instances[i]);
+  while (n_running > 0 && lb_clock_monotonic () < end)
+    {
+      turn (run);
+      n_running = 0;
+      for (size_t i = 0; i < world->n_instances; i++)
+        {
+          n_running += world->instances[i].process.pid > 0;
+          world->instances[i].restart_at = LB_TIME_NEVER;
+        }
+    }
+  if (n_running > 0)
+    sk_fail (world, "shutdown ends in time", "%zu instances still run", n_running);
+}
+
+static int
+play (const Options *options, uint64_t seed)
+{
+  Run run = { 0 };
+  SkWorld *world = &run.world;
+  int failures = 0;
+
+  sk_world_init (world, seed, (size_t)options->instances, (size_t)options->engines);
+  world->verbose = options->verbose;
+  run.callers = sk_callers_new (world);
+  run.trainer = sk_trainer_new (world);
+  wait_for_start (&run);
+  strike (&run, options);
+  settle (&run);
+  stop_all (&run);
+  failures = world->failures;
+  printf ("seed %llu: %s, %lld faults, %lld calls (%lld served, %lld refused, %lld failed),"
+          " %lld batches, %lld results, %.1f s\n",
+          (unsigned long long)seed, failures ? "BROKEN" : "held", (long long)world->n_faults,
+          (long long)world->n_calls, (long long)world->n_served, (long long)world->n_refused,
+          (long long)world->n_failed, (long long)world->n_batches, (long long)world->n_results,
+          (double)(lb_clock_monotonic () - world->started) / LB_SEC);
+  fflush (stdout);
+  sk_callers_free (run.callers);
+  sk_trainer_free (run.trainer);
+  sk_world_clear (world, failures > 0 || options->keep_logs);
+  return failures;
+}
+
+static bool
+is_known (const char *name)
+{
+  for (const SkFault *fault = sk_faults; fault->name; fault++)
+    if (strcmp (fault->name, name) == 0)
+      return true;
+  fprintf (stderr, "soak-processes: --only: no fault is called \"%s\"\n", name);
+  return false;
+}
+
+int
+main (int argc, char **argv)
+{
+  struct arg_int *seed = arg_int0 (NULL, "seed", "N", "first seed; 1 by default");
+  struct arg_int *seeds = arg_int0 (NULL, "seeds", "N", "how many; 1 by default");
+  struct arg_int *seconds = arg_int0 (NULL, "seconds", "N", "of faults; 12 by default");
+  struct arg_int *instances = arg_int0 (NULL, "instances", "N", "1 to 64; 4 by default");
+  struct arg_int *engines = arg_int0 (NULL, "engines", "N", "2 to 32; 5 by default");
+  struct arg_str *only = arg_str0 (NULL, "only", "FAULT", "strike with one kind alone");
+  struct arg_lit *verbose = arg_lit0 (NULL, "verbose", "tell what is done, on standard error");
+  struct arg_lit *keep = arg_lit0 (NULL, "keep-logs", "also of seeds that held");
+  struct arg_lit *help = arg_lit0 (NULL, "help", "show this");
+  struct arg_end *end = arg_end (4);
+  void *table[] = { seed, seeds, seconds, instances, engines, only, verbose, keep, help, end };
+  Options options = { 0 };
+  int status = 0;
+
+  seed->ival[0] = 1;
+  seeds->ival[0] = 1;
+  seconds->ival[0] = 12;
+  instances->ival[0] = 4;
+  engines->ival[0] = 5;
+  if (!si_arguments_parse (argc, argv, table, sizeof table / sizeof table[0], "soak-processes",
+                           &status))
+    goto out;
+  options = (Options){ .seconds = seconds->ival[0],
+                       .instances = instances->ival[0],
+                       .engines = engines->ival[0],
+                       .only = only->count > 0 ? only->sval[0] : NULL,
+                       .verbose = verbose->count > 0,
+                       .keep_logs = keep->count > 0 };
+  status = 2;
+  if (options.instances < 1 || options.instances > SK_MAX_INSTANCES || options.engines < 2
+      || options.engines > 32 || options.seconds < 1 || (options.only && !is_known (options.only)))
+    goto out;
+  status = 0;
+  for (int i = 0; i < seeds->ival[0]; i++)
+    status |= play (&options, (uint64_t)(seed->ival[0] + i)) > 0;
+
+out:
+  arg_freetable (table, sizeof table / sizeof table[0]);
+  return status;
+}
