--- a/packages/core/src/lc-fleet.c
+++ b/packages/core/src/lc-fleet.c
@@ -38,6 +38,7 @@
   json_object_object_add (object, "peers", json_object_new_string (row->peer_address));
   json_object_object_add (object, "ready", json_object_new_boolean (row->ready));
   json_object_object_add (object, "draining", json_object_new_boolean (row->draining));
+  json_object_object_add (object, "cut", json_object_new_boolean (row->cut));
   json_object_object_add (object, "renewals", json_object_new_int64 (row->renewals));
   json_object_object_add (object, "period_ms", json_object_new_int64 (row->period / LB_MSEC));
   return object;
@@ -54,6 +55,7 @@
   LB_COPY (row->peer_address, lb_json_text (object, "peers", ""));
   row->ready = lb_json_bool (object, "ready", false);
   row->draining = lb_json_bool (object, "draining", false);
+  row->cut = lb_json_bool (object, "cut", false);
   row->renewals = lb_json_int (object, "renewals", 0);
   row->period = lb_json_int (object, "period_ms", DEFAULT_PERIOD / LB_MSEC) * LB_MSEC;
   return row->name[0] && row->incarnation[0] && row->caller_address[0];
@@ -107,7 +109,8 @@
 says_the_same (const LcFleetRow *a, const LcFleetRow *b)
 {
   return strcmp (a->incarnation, b->incarnation) == 0 && a->ready == b->ready
-         && a->draining == b->draining && strcmp (a->caller_address, b->caller_address) == 0;
+         && a->draining == b->draining && a->cut == b->cut
+         && strcmp (a->caller_address, b->caller_address) == 0;
 }
 
 void
--- a/packages/node/include/ln-messages.h
+++ b/packages/node/include/ln-messages.h
@@ -143,6 +143,7 @@
   LbName peer_address;   /* where instances connect */
   bool alive;            /* not suspected */
   bool draining;
+  bool cut; /* reaches the store only with the help of others */
   bool is_self;
 } LnMember;
 
--- a/packages/node/src/ln-batch-heads.c
+++ b/packages/node/src/ln-batch-heads.c
@@ -91,7 +91,7 @@
 is_held (const LnBatch *batch)
 {
   return batch->held == LN_HELD_RUNNING || batch->held == LN_HELD_LOADING
-         || batch->held == LN_HELD_OFFERED || batch->held == LN_HELD_ASKING;
+         || batch->held == LN_HELD_OFFERED;
 }
 
 void
@@ -121,7 +121,10 @@
     }
   if (batch->head.epoch != before->epoch)
     batch->orphan_since = 0;
-  if (is_held (batch) && (batch->head.ended || !is_ours (batch)))
+  /* A younger row of ours: a write that was taken for lost was carried out after all, and what runs
+   * here could list nothing more under the row before. */
+  if (is_held (batch)
+      && (batch->head.ended || !is_ours (batch) || batch->head.epoch != before->epoch))
     ln_batch_owner_stop (batch);
   if (batch->held == LN_HELD_NOT && !is_ours (batch) && is_offered_here (batch))
     take_over (batch);
@@ -185,15 +188,30 @@
   return false;
 }
 
+static size_t
+add_candidates (const LnBatches *batches, bool cut, LbName *names)
+{
+  size_t n = 0;
+
+  for (size_t i = 0; i < batches->n_members; i++)
+    {
+      const LnMember *member = &batches->members[i];
+      if (member->alive && !member->draining && member->cut == cut)
+        lb_strlcpy (names[n++], member->name, LB_NAME_MAX);
+    }
+  return n;
+}
+
+/* Guards against an owner that can't reach the store: it hears late of the batch, and each list of
+ * results goes through another instance. Only when all are cut are cut ones taken. */
 LbName *
 ln_batches_candidates (const LnBatches *batches, size_t *n)
 {
   LbName *names = LB_NEW_ARRAY (LbName, batches->n_members + 1);
 
-  *n = 0;
-  for (size_t i = 0; i < batches->n_members; i++)
-    if (batches->members[i].alive && !batches->members[i].draining)
-      lb_strlcpy (names[(*n)++], batches->members[i].name, LB_NAME_MAX);
+  *n = add_candidates (batches, false, names);
+  if (*n == 0)
+    *n = add_candidates (batches, true, names);
   return names;
 }
 
@@ -285,32 +303,16 @@
   write_rows (batch, &head, NULL, 0, on_taken);
 }
 
-/* Without an answer the batch is run here: nobody else may have been able to take it. */
-static void
-on_offer_read (LbErrorCode error, const LpRow *rows, size_t n_rows, void *user)
-{
-  LnBatch *batch = user;
-
-  if (error == LB_OK && n_rows > 0)
-    ln_batch_heads_take (batch->batches, &rows[0]);
-  if (batch->held != LN_HELD_ASKING)
-    return;
-  batch->held = LN_HELD_NOT;
-  ln_batch_heads_review (batch);
-}
-
-/* The watch that tells of a taken offer may be late, when this instance's way to the store is slow.
- * A run begun here then makes each text a second time, on engines that others wait for, and can
- * list nothing. So the row itself is asked first. */
+/* The offer's time is over: this instance takes the batch back by a write of its own, before it
+ * runs it. Guards against two late ones. The watch that tells of a taken offer may be late here: a
+ * run would make each text a second time and could list nothing; the write's condition fails
+ * instead. And the instance that it was offered to may hear of it late, when it is cut off: it
+ * would take the batch in the middle of the run, with the loss of all texts that were not kept.
+ * Without an answer the batch is run here: nobody else may have been able to take it. */
 static void
 end_offer (LnBatch *batch)
 {
-  LpPlatform *platform = batch->batches->context->platform;
-  char key[LN_BATCH_KEY_SIZE];
-
-  batch->held = LN_HELD_ASKING;
-  ln_batch_head_key (batch->id, key);
-  platform->klass->get (platform, key, on_offer_read, batch);
+  take_over (batch);
 }
 
 /* A batch whose owner is gone is run by the next instance in the order of this batch. An owner that
--- a/packages/node/src/ln-batches-private.h
+++ b/packages/node/src/ln-batches-private.h
@@ -25,7 +25,6 @@
   LN_HELD_NOT,     /* another instance owns it, or nobody does */
   LN_HELD_TAKING,  /* the row that makes it ours is being written */
   LN_HELD_OFFERED, /* ours, until the instance that shall run it takes it */
-  LN_HELD_ASKING,  /* the offer's time is over; the row tells whether it was taken */
   LN_HELD_LOADING, /* ours; its content and what is listed are being read */
   LN_HELD_RUNNING,
   LN_HELD_RELEASING
--- a/packages/node/src/ln-fleet.c
+++ b/packages/node/src/ln-fleet.c
@@ -69,6 +69,7 @@
       member->version = known->version;
       member->alive = known->alive;
       member->draining = known->row.draining;
+      member->cut = known->row.cut;
       member->is_self = strcmp (known->row.name, task->context->instance) == 0;
     }
   LN_POST (task->task.hub, NULL, message);
@@ -162,6 +163,19 @@
   json_object_put (object);
 }
 
+/* Others give this instance no batches while it is cut, so it tells them at once. */
+static void
+note_reach (Fleet *task, LbTime now)
+{
+  const LpPlatform *platform = task->context->platform;
+  bool cut = platform->klass->is_reached && !platform->klass->is_reached (platform);
+
+  if (cut == task->own.cut)
+    return;
+  task->own.cut = cut;
+  task->next_renewal = now;
+}
+
 static void
 on_tick (evutil_socket_t fd, short what, void *user)
 {
@@ -171,6 +185,7 @@
   LbTime now = lb_clock_monotonic ();
   LpPlatform *platform = task->context->platform;
 
+  note_reach (task, now);
   if (now >= task->next_renewal)
     renew (task, now);
   if (task->listing || now < task->next_list)
--- a/packages/node/src/ln-weight-orders.c
+++ b/packages/node/src/ln-weight-orders.c
@@ -534,6 +534,12 @@
     }
 }
 
+static bool
+may_hold (const LnMember *member)
+{
+  return member->alive && !member->draining && !member->cut;
+}
+
 /* The first instances by name are candidates, each a little later than the one before. */
 void
 ln_weight_orders_members (LnWeightOrders *orders, const LnMembersMessage *members)
@@ -543,7 +549,7 @@
   for (size_t i = 0; i < members->n_members; i++)
     {
       const LnMember *member = &members->members[i];
-      before += member->alive && !member->draining && !member->is_self
+      before += may_hold (member) && !member->is_self
                 && strcmp (member->name, orders->context->instance) < 0;
     }
   lc_lease_set_rank (orders->lease, before < N_CANDIDATES ? before : -1);
--- a/tests/process/test-shared.c
+++ b/tests/process/test-shared.c
@@ -619,6 +619,35 @@
   world_clear (&w);
 }
 
+/* The instance that a batch is offered to is cut off and hears of it two seconds late. The acceptor
+ * runs the batch by then; the other took it away in the middle, and what its texts had got was made
+ * again, at engines that others waited for. */
+Test (shared, an_offer_that_is_heard_late_is_not_taken)
+{
+  World w;
+  size_t preferred;
+
+  world_init (&w);
+  for (int i = 0; i < N_ENGINES; i++)
+    w.engines[i].event_time = 150 * LB_MSEC;
+  start_instance (&w);
+  start_instance (&w);
+  submit (&w, 0, "b1", 2);
+  UNTIL (&w, (preferred = find_owner (&w)) < 2);
+  UNTIL (&w, count_listed (&w, 0, "b1") == 2);
+  w.rows.late = store_of (&w, preferred);
+  /* A watch that began before is over. */
+  LbTime end = lb_clock_monotonic () + LB_SEC;
+  UNTIL (&w, lb_clock_monotonic () >= end);
+  size_t before = count_runs (&w);
+  submit (&w, 1 - preferred, "b2", 6);
+  cr_assert_eq (w.status, 202);
+  UNTIL (&w, count_listed (&w, 1 - preferred, "b2") == 6);
+  assert_all_listed (&w, 1 - preferred, "b2", 6);
+  cr_assert_eq (count_runs (&w) - before, 6);
+  world_clear (&w);
+}
+
 /* After some hours every batch is refused: the store is full of batches that ended long ago, since
  * nothing in it expires. What an ended batch left is removed; one that is open stays. */
 Test (shared, what_an_ended_batch_left_is_removed)
