--- a/packages/core/include/lc-fleet.h
+++ b/packages/core/include/lc-fleet.h
@@ -17,7 +17,7 @@
   LbName peer_address; /* where it carries out calls to the store for others; empty: nowhere */
   bool ready;
   bool draining;
-  bool cut; /* reaches the store only with the help of others */
+  bool cut;         /* reaches the store only with the help of others */
   int64_t renewals; /* of the row by this incarnation */
   LbTime period;    /* between them */
 } LcFleetRow;
