--- a/tests/soak/sk-faults.c
+++ b/tests/soak/sk-faults.c
@@ -276,25 +276,33 @@
 static const SkFault *
 draw_fault (SkWorld *world, const char *only)
 {
-  int64_t n = 0;
+  unsigned long n = 0;
 
   while (sk_faults[n].name)
     n++;
-  const SkFault *drawn = &sk_faults[sk_draw (world, 0, n - 1)];
+  const SkFault *drawn = &sk_faults[gsl_rng_uniform_int (world->plan, n)];
   for (const SkFault *fault = sk_faults; only && fault->name; fault++)
     if (strcmp (fault->name, only) == 0)
       return fault;
   return drawn;
 }
 
+/* Traffic draws from the same numbers as the details of a strike, and how much there is depends on
+ * the machine. So each strike begins anew from the plan. */
 void
 sk_faults_tick (SkWorld *world, const char *only, LbTime *next, LbTime now)
 {
+  const SkFault *fault = NULL;
+
   if (now < *next)
     return;
-  *next = now + draw_ms (world, SHORTEST_GAP, LONGEST_GAP);
+  *next
+      += (SHORTEST_GAP + (LbTime)gsl_rng_uniform_int (world->plan, LONGEST_GAP - SHORTEST_GAP + 1))
+         * LB_MSEC;
+  fault = draw_fault (world, only);
+  gsl_rng_set (world->rng, gsl_rng_get (world->plan));
   world->n_faults++;
-  draw_fault (world, only)->strike (world);
+  fault->strike (world);
 }
 
 void
--- a/tests/soak/sk-world.c
+++ b/tests/soak/sk-world.c
@@ -510,6 +510,8 @@
   world->store_heal_at = LB_TIME_NEVER;
   world->rng = gsl_rng_alloc (gsl_rng_taus2);
   gsl_rng_set (world->rng, seed);
+  world->plan = gsl_rng_alloc (gsl_rng_taus2);
+  gsl_rng_set (world->plan, seed);
   world->base = si_precise_base_new ();
   world->pool = lh_pool_new (world->base);
   if (!si_rows_init (&world->rows, world->base, 0))
@@ -585,6 +587,7 @@
   }
   event_base_free (world->base);
   gsl_rng_free (world->rng);
+  gsl_rng_free (world->plan);
   if (!keep_logs)
     remove_folder (world);
 }
--- a/tests/soak/sk-world.h
+++ b/tests/soak/sk-world.h
@@ -69,7 +69,8 @@
 {
   struct event_base *base;
   LhPool *pool;
-  gsl_rng *rng;
+  gsl_rng *plan;   /* kinds and times of the faults, the same for a seed */
+  gsl_rng *rng;    /* all else */
   char folder[64]; /* of settings and logs */
   SiRows rows;
   SkInstance instances[SK_MAX_INSTANCES];
