Texts of a trainer go in the order of their latest start; texts so far are kept each 400 ms

Cause: with two steps of a trainer open each took turns with the other, so long texts of the second began behind short ones of the first that had seconds to spare; a text taken over counted by its whole length, not by what is left. An owner that ended took up to a second of each text with it. Change: LcBatch says when an item has to begin (when the step is due, less what is left of it at the pace seen); all steps of a model share as one flow, the earliest latest start first. Tests: what has to begin first goes first, in LcBatch and in the dispatch.

--- a/packages/core/include/lc-batch.h
+++ b/packages/core/include/lc-batch.h
@@ -77,8 +77,10 @@
   LcRequestId request;
   size_t item; /* index into the spec's items */
   /* RUN */
-  int64_t resume_at; /* events that the text so far holds */
-  const char *avoid; /* endpoint that was too slow; "": none; valid until the next command */
+  int64_t resume_at;       /* events that the text so far holds */
+  const char *avoid;       /* endpoint that was too slow; "": none; valid until the next command */
+  int64_t expected_events; /* still to come */
+  LbTime latest_start;     /* so that it is whole when the trainer wants it */
   /* KEEP: items and how far each has come; valid until the next command */
   LcBatchPart *parts;
   size_t n_parts;
@@ -104,6 +106,7 @@
   int64_t score_attempts;   /* the same for its scorer */
   bool resumable;
   bool single_version;
+  LbTime due_at;     /* when the trainer wants all of it */
   LbTime give_up_at; /* what is not done by then is given up; LB_TIME_NEVER: never */
   LcRequestId (*next_id) (void *user);
   void *user;
--- a/packages/core/include/lc-dispatch.h
+++ b/packages/core/include/lc-dispatch.h
@@ -24,6 +24,7 @@
   LcDelivery delivery;
   LbName pool;   /* pool, or service name */
   LbName caller; /* live caller or subscription: the unit of fair shares and budgets */
+  LbName flow;   /* callers of one flow share as one; empty: the caller alone */
   double share;  /* weight of the caller among its kind; 0: 1 */
   bool repeatable;
   bool resumable;        /* a broken stream may go on elsewhere at the last offset */
@@ -32,6 +33,9 @@
   LbTime
       hedge_after; /* if repeatable, with no first piece; 0: the dispatch's own, for live calls */
   int priority;    /* larger first within a kind */
+  /* When it has to begin in order to end in time; of equal priority the earlier one goes first. 0:
+   * none. */
+  LbTime latest_start;
   int64_t prompt_tokens;
   int64_t expected_tokens;
   uint64_t prefix_hashes[LC_MAX_PREFIX_HASHES];
--- a/packages/core/src/lc-batch.c
+++ b/packages/core/src/lc-batch.c
@@ -15,10 +15,14 @@
 #define MAX_RESULTS_PER_WRITE 40        /* the store takes at most 100 entries in a transaction */
 #define MAX_BYTES_PER_WRITE (400 << 10) /* of text; the store takes 1 MB, encoded */
 
+#define DEFAULT_EVENTS 8           /* of a text whose length nobody estimated */
+#define DEFAULT_EVENT_SECONDS 0.05 /* until the pace of a model is known: a usual engine's */
+#define LEAST_PART_LEFT 4          /* a fourth of its length is expected of any text */
 /* Between looks for texts that come too slowly. */
 #define REVIEW_PERIOD (100 * LB_MSEC)
-/* Between two writes of the texts so far: what an owner that ends loses at most. */
-#define KEEP_PERIOD LB_SEC
+/* Between two writes of the texts so far: what an owner that ends loses at most. An engine that
+ * sends twenty events a second brings EVENTS_TO_KEEP in it. */
+#define KEEP_PERIOD (400 * LB_MSEC)
 /* Shorter additions cost more to write than to make again. */
 #define EVENTS_TO_KEEP 8
 /* An item that was moved so often stays where it is. */
@@ -263,6 +267,35 @@
 
 /* --- running --- */
 
+/* Half of a text's estimated length, or more than that, is still to come when it has got longer
+ * than most of that length. */
+static int64_t
+expected_events (const LcBatch *batch, const Item *item)
+{
+  const LcItemSpec *spec = &batch->spec.items[index_of (batch, item)];
+  int64_t tokens = spec->expected_tokens > 0 ? spec->expected_tokens : spec->max_tokens;
+  int64_t per_event = batch->settings.tokens_per_event > 0 ? batch->settings.tokens_per_event : 1;
+  int64_t events = tokens > 0 ? (tokens + per_event - 1) / per_event : DEFAULT_EVENTS;
+  int64_t left = events - item->events;
+
+  return left > events / LEAST_PART_LEFT ? left : events / LEAST_PART_LEFT + 1;
+}
+
+/* Guards against a text that begins last and decides when its step is whole. The longest of a step
+ * begins first, and with two steps of a trainer open the long texts of the second go before the
+ * short ones of the first, which have time. */
+static LbTime
+latest_start (const LcBatch *batch, int64_t events)
+{
+  const LcBatchHistory *history = batch->settings.history;
+  double rate = history ? history->pace.tokens_per_second : 0;
+  int64_t per_event = batch->settings.tokens_per_event > 0 ? batch->settings.tokens_per_event : 1;
+  double seconds
+      = rate > 0 ? (double)(events * per_event) / rate : (double)events * DEFAULT_EVENT_SECONDS;
+
+  return batch->settings.due_at - (LbTime)(seconds * LB_SEC);
+}
+
 static void
 run (LcBatch *batch, Item *item, LbTime now, LbList *actions)
 {
@@ -279,6 +312,8 @@
   action->item = index_of (batch, item);
   action->resume_at = item->events;
   action->avoid = item->avoid;
+  action->expected_events = expected_events (batch, item);
+  action->latest_start = latest_start (batch, action->expected_events);
 }
 
 static void
--- a/packages/core/src/lc-dispatch.c
+++ b/packages/core/src/lc-dispatch.c
@@ -266,7 +266,10 @@
     return refuse (LB_ERROR_INVARIANT, 0, retry_after, spec->pool, error);
 
   LcQueueKey key = {
-    .kind = spec->kind, .priority = spec->priority, .caller = spec->caller, .share = spec->share
+    .kind = spec->kind,
+    .priority = spec->priority,
+    .caller = spec->flow[0] ? spec->flow : spec->caller,
+    .share = spec->share,
   };
   LbErrorCode reason = reason_to_refuse (dispatch, pool, spec, &key, now, actions);
 
--- a/packages/core/src/lc-queue.c
+++ b/packages/core/src/lc-queue.c
@@ -50,6 +50,8 @@
 {
   if (a->priority != b->priority)
     return a->priority > b->priority;
+  if (a->latest_start != b->latest_start)
+    return a->latest_start < b->latest_start;
   return a->sequence < b->sequence;
 }
 
--- a/packages/core/src/lc-queue.h
+++ b/packages/core/src/lc-queue.h
@@ -7,7 +7,8 @@
 /* The waiting requests of one pool. Bands come strictly one after the other: live calls by
  * priority, then calls of services by priority, then samples. Inside a band callers share by
  * start-time fair queueing: each caller's flow carries a virtual start time that grows by cost over
- * share for every request taken. Inside a flow the larger priority goes first, then the older. */
+ * share for every request taken. Inside a flow the larger priority goes first, then the earlier
+ * latest start, then the older. */
 typedef struct LcQueue LcQueue;
 typedef struct LcFlow LcFlow;
 
@@ -21,6 +22,7 @@
   uint64_t sequence;
   double cost;
   int priority;
+  LbTime latest_start; /* 0: none */
 } LcWaiting;
 
 typedef struct
--- a/packages/core/src/lc-request.c
+++ b/packages/core/src/lc-request.c
@@ -31,6 +31,7 @@
   request->deadline = spec->deadline;
   request->retry_at = LB_TIME_NEVER;
   LB_COPY (request->caller, spec->caller);
+  LB_COPY (request->flow, spec->flow[0] ? spec->flow : spec->caller);
   request->share = spec->share;
   request->priority = spec->priority;
   request->kind = spec->kind;
@@ -46,6 +47,7 @@
   request->first_token = spec->resume_at;
   request->next_token = spec->resume_at;
   request->waiting.cost = cost_of (spec);
+  request->waiting.latest_start = spec->latest_start;
   lb_list_init (&request->attempts);
   request->n_prefix_hashes
       = spec->n_prefix_hashes < LC_MAX_PREFIX_HASHES ? spec->n_prefix_hashes : LC_MAX_PREFIX_HASHES;
@@ -122,7 +124,7 @@
 {
   return (LcQueueKey){ .kind = request->kind,
                        .priority = request->priority,
-                       .caller = request->caller,
+                       .caller = request->flow,
                        .share = request->share };
 }
 
--- a/packages/core/src/lc-request.h
+++ b/packages/core/src/lc-request.h
@@ -42,6 +42,7 @@
   LbTime start_by; /* of the first attempt; not after the deadline */
   LbTime retry_at;
   LbName caller;
+  LbName flow;
   double share;
   int priority;
   LcRequestKind kind;
--- a/packages/core/tests/test-admission.c
+++ b/packages/core/tests/test-admission.c
@@ -84,6 +84,33 @@
   fixture_clear (&f);
 }
 
+/* Two steps of one trainer wait for the same engine. They took turns, and the long text of the
+ * second began behind short ones of the first that had seconds to spare. In one flow what has to
+ * begin first goes first, whoever asks. */
+Test (admission, in_one_flow_what_has_to_begin_first_goes_first)
+{
+  static const LbTime latest[] = { 30 * LB_SEC, 10 * LB_SEC, 20 * LB_SEC };
+  LcRequestId ids[3];
+  Fixture f;
+
+  fixture_init (&f, &settings, 1, 1);
+
+  LcRequestId running = fill (&f, 1);
+
+  for (int i = 0; i < 3; i++)
+    {
+      LcRequestSpec spec = spec_of (&f, LC_KIND_SAMPLE, i == 1 ? "step-2" : "step-1", 1);
+      LB_COPY (spec.flow, "trainer");
+      spec.latest_start = latest[i];
+      ids[i] = spec.id;
+      cr_assert (fixture_submit (&f, &spec));
+    }
+  cr_assert_eq (running = turn (&f, running), ids[1]);
+  cr_assert_eq (running = turn (&f, running), ids[2]);
+  cr_assert_eq (running = turn (&f, running), ids[0]);
+  fixture_clear (&f);
+}
+
 /* One trainer sends 300 samples, then two others send 100 each, one of them with twice the share.
  * First come, first served would leave both idle until the 300 are done. */
 Test (admission, shares_are_fair_and_weighted)
--- a/packages/core/tests/test-batch.c
+++ b/packages/core/tests/test-batch.c
@@ -17,6 +17,7 @@
   LbTime now;
   LcRequestId running[MAX_ITEMS]; /* 0: none */
   int64_t resume_at[MAX_ITEMS];
+  LbTime latest_start[MAX_ITEMS];
   LcRequestId scoring[MAX_ITEMS];
   int stopped;
   int recalled;
@@ -79,6 +80,7 @@
         case LC_BATCH_RUN:
           f->running[action->item] = action->request;
           f->resume_at[action->item] = action->resume_at;
+          f->latest_start[action->item] = action->latest_start;
           break;
         case LC_BATCH_SCORE:
           f->scoring[action->item] = action->request;
@@ -369,6 +371,40 @@
   fixture_clear (&f);
 }
 
+/* A step of two texts, the first ten times as long as the second. */
+static void
+start_step (Fixture *f, LbTime due_at)
+{
+  LcBatchSpec spec = make_spec (2, false);
+  LcBatchSettings settings = {
+    .due_at = due_at, .attempts = 3, .give_up_at = LB_TIME_NEVER, .next_id = next_id, .user = f
+  };
+
+  memset (f, 0, sizeof *f);
+  lb_list_init (&f->actions);
+  spec.items[0].expected_tokens = 100;
+  spec.items[1].expected_tokens = 10;
+  f->batch = lc_batch_new (&spec, &settings);
+  start (f);
+}
+
+/* A trainer that is behind submits a step a second after another. The long texts of the second
+ * began after the short ones of the first, which had seconds to spare, and its step was late. What
+ * has to begin first goes first, whichever step it is of. */
+Test (batch, what_has_to_begin_first_goes_first)
+{
+  Fixture first;
+  Fixture second;
+
+  start_step (&first, 7 * LB_SEC);
+  start_step (&second, 8 * LB_SEC);
+  cr_assert_lt (first.latest_start[0], first.latest_start[1], "the longest of a step");
+  cr_assert_lt (second.latest_start[0], first.latest_start[1]);
+  cr_assert_lt (first.latest_start[0], second.latest_start[0]);
+  fixture_clear (&first);
+  fixture_clear (&second);
+}
+
 /* A batch whose texts were all well: 20 events, one each 20 ms. */
 static void
 teach (LcBatchHistory *history)
--- a/packages/node/src/ln-batch-owner.c
+++ b/packages/node/src/ln-batch-owner.c
@@ -12,7 +12,6 @@
 #include <string.h>
 
 #define DEFAULT_ATTEMPTS 3
-#define DEFAULT_EVENTS 8        /* of a text whose length nobody estimated */
 #define SCORE_TIME (2 * LB_SEC) /* for a scorer whose route states no time */
 #define MAX_PUTS 64
 /* Of one transaction, by the store. LcBatch gives at most 40 results at once, and 400 KiB of text
@@ -72,16 +71,6 @@
   return service && service->tokens_per_event > 0 ? service->tokens_per_event : 1;
 }
 
-/* Lengths count in events, the pieces in which engines hand out a text. */
-static int64_t
-expected_events (const LnBatch *batch, const LcItemSpec *item)
-{
-  int64_t per_event = tokens_per_event (batch);
-  int64_t tokens = item->expected_tokens > 0 ? item->expected_tokens : item->max_tokens;
-
-  return tokens > 0 ? (tokens + per_event - 1) / per_event : DEFAULT_EVENTS;
-}
-
 static void
 clear_sample (LnMessage *base)
 {
@@ -106,22 +95,22 @@
   LN_POST (batch->batches->task.hub, calls, message);
 }
 
-/* The longest first: what is begun last decides when the step is whole. */
+/* All steps of a trainer share as one, so that the order is by what is wanted first. Lengths count
+ * in events, the pieces in which engines hand out a text. */
 static void
 run_item (LnBatch *batch, const LcBatchAction *action)
 {
   const LcBatchSpec *spec = lc_batch_spec (batch->run);
   const LcItemSpec *item = &spec->items[action->item];
-  int64_t events = expected_events (batch, item);
   LcRequestSpec request = { .id = action->request,
                             .kind = LC_KIND_SAMPLE,
                             .delivery = LC_DELIVER_STREAM,
                             .repeatable = true,
                             .resumable = true,
                             .failure_is_final = true,
-                            .priority = (int)events,
+                            .latest_start = action->latest_start,
                             .prompt_tokens = item->prompt_tokens,
-                            .expected_tokens = events,
+                            .expected_tokens = action->expected_events,
                             .min_version = spec->min_version,
                             .deadline = LB_TIME_NEVER,
                             .resume_at = action->resume_at,
@@ -130,6 +119,7 @@
 
   LB_COPY (request.pool, spec->model);
   LB_COPY (request.caller, batch->id);
+  LB_COPY (request.flow, spec->model);
   LB_COPY (request.avoid[0], action->avoid);
   memcpy (request.prefix_hashes, item->prefix_hashes, sizeof request.prefix_hashes);
   remember (batch, action->request, false);
@@ -449,6 +439,7 @@
                                .score_attempts = DEFAULT_ATTEMPTS + 1,
                                .resumable = !route || route->resumable,
                                .single_version = route && route->single_version,
+                               .due_at = batch->first_seen + (route ? route->due : 0),
                                .give_up_at = LB_TIME_NEVER,
                                .next_id = next_id,
                                .user = batch->batches->context };
