Calls of a plain service keep to endpoints with an open connection, as long as they are no busier

Cause: an instance among 84 sends a call each six seconds, each to another endpoint of ten, whose connection was closed meanwhile: most calls opened one. Test: the endpoint used last is chosen while it is free, another when it is busy.

--- a/packages/core/src/lc-router-finish-time.c
+++ b/packages/core/src/lc-router-finish-time.c
@@ -18,6 +18,11 @@
 #define PRIOR_SENT 0.02      /* added to what we sent to each endpoint, which may be nothing yet */
 #define BOUND_WEIGHT 0.02    /* of one decision in the share of those bound to a cache */
 #define LEAST_SILENCE_SECONDS 2.0
+/* A connection to a plain service that is opened first: a round trip, and the endpoint's own work.
+ */
+#define CONNECT_SECONDS 0.003
+/* Endpoints close connections that nobody used for some seconds. */
+#define CONNECTION_KEPT (5 * LB_SEC)
 #define SILENCE_FACTOR 3.0 /* times the mean age of reports */
 #define INDIFFERENT 0.002  /* scores that differ by less than this share count as equal */
 #define LEAST_SHARE 0.01   /* requests that an endpoint above the level counts for in the draw */
@@ -139,6 +144,17 @@
   return situation->whole_prefill_seconds * (1 - situation->shares[summary->slot]);
 }
 
+/* An instance that sends a call now and then to each endpoint in turn finds its connection closed
+ * each time; and of many instances each takes one of the connections that the endpoint allows. So
+ * it keeps to those that it used of late, as long as they are no busier. */
+static double
+connect_seconds (const Situation *situation, const LcSummary *summary)
+{
+  if (situation->query->kind != LC_KIND_SERVICE)
+    return 0;
+  return situation->now - summary->endpoint->last_reply < CONNECTION_KEPT ? 0 : CONNECT_SECONDS;
+}
+
 static double
 way_seconds (const Situation *situation, const LcSummary *summary)
 {
@@ -254,8 +270,8 @@
     {
       const LcSummary *summary = policy->candidates.summaries[i];
       double score = larger (level, policy->loads[i].seconds) + way_seconds (situation, summary)
-                     + swap_seconds (situation, summary) + silent_seconds (situation, summary)
-                     + prefill_seconds (situation, summary);
+                     + connect_seconds (situation, summary) + swap_seconds (situation, summary)
+                     + silent_seconds (situation, summary) + prefill_seconds (situation, summary);
 
       policy->candidates.items[i].score = score;
       least = smaller (least, score);
