Dead owners and holders are missed in 1.1 s; leases of 2 s; equal models take turns with loads

Change: an instance with a duty (batches, the lease) renews its row each 300 ms and is missed after three renewals and what the store's answers take now (a slow store makes nobody dead); a renewal goes through another instance after 0.5 s. A lease lasts 2 s, and that of a missed holder is claimed at once where endpoints refuse orders of an old one. Loads on their way count in the turns of models. Tests: three missed renewals, a slow store, a missed holder with and without checked orders, turns.

--- a/packages/core/include/lc-fleet.h
+++ b/packages/core/include/lc-fleet.h
@@ -34,14 +34,22 @@
   bool seen; /* in the list being taken */
 } LcFleetMember;
 
+/* A whole list of the rows. */
+typedef struct
+{
+  LbTime at;
+  LbTime took;   /* from the question to the answer */
+  LbTime period; /* between two lists */
+} LcFleetList;
+
 typedef struct LcFleet LcFleet;
 
 LcFleet *lc_fleet_new (const char *self);
 void lc_fleet_free (LcFleet *fleet);
 
 /* commands */
-/* A whole list begins at `now`; rows follow; true when who is alive, or what they say, changed. */
-void lc_fleet_begin (LcFleet *fleet, LbTime now);
+/* A whole list begins; rows follow; true when who is alive, or what they say, changed. */
+void lc_fleet_begin (LcFleet *fleet, const LcFleetList *list);
 void lc_fleet_add (LcFleet *fleet, const LcFleetRow *row, int64_t version, LbTime now);
 bool lc_fleet_end (LcFleet *fleet, LbTime now);
 
--- a/packages/core/include/lc-lease.h
+++ b/packages/core/include/lc-lease.h
@@ -75,6 +75,15 @@
  * one runs under its name: nobody waits for the end of its term. Orders of it that are still on
  * their way are refused by the younger fencing number, or outlived, see lc_lease_may_order. */
 void lc_lease_holder_ended (LcLease *lease, int64_t version, LbTime now);
+/* What another instance's row shows of the one that holds the lease. */
+typedef struct
+{
+  const char *incarnation;
+  int64_t version;     /* of its row */
+  bool alive;          /* its row is renewed */
+  bool checked_orders; /* every endpoint refuses an order with an old fencing number */
+} LcHolderView;
+
 /* Another instance says that it gave the lease up: look now. */
 void lc_lease_hint (LcLease *lease, LbTime now);
 
@@ -90,5 +99,7 @@
 int64_t lc_lease_version (const LcLease *lease);
 /* The last row that was seen; holder is empty when there is none. */
 const LcLeaseRow *lc_lease_row (const LcLease *lease);
+/* Whether the lease may be claimed before the end of its term, by what is seen of its holder. */
+bool lc_lease_holder_has_ended (const LcLease *lease, const LcHolderView *view);
 
 #endif
--- a/packages/core/src/lc-fleet.c
+++ b/packages/core/src/lc-fleet.c
@@ -8,14 +8,17 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Renewals that an instance may miss, and the time of a list: answers of the store may be lost, and
- * then the next renewal shows the row. */
-#define MISSED_RENEWALS 4
-#define LIST_TIME (300 * LB_MSEC)
+/* Renewals that an instance may miss: the answer to one may be lost, and the next goes through
+ * another instance when this one was just cut off. */
+#define MISSED_RENEWALS 3
+/* From a renewal's turn to the list that shows it, when the store answers at once. */
+#define LIST_TIME (200 * LB_MSEC)
+/* Answers of a slow store that lie between: to the renewal, which counts twice since rows of one
+ * part are written one after the other, and to the list. */
+#define SLOW_ANSWERS 3
 #define DEFAULT_PERIOD LB_SEC
-/* Lists come more often than this; a longer gap means that the store was away, and nobody could
- * renew its row. */
-#define AWAY (1500 * LB_MSEC)
+/* A list that comes so much later than its turn shows that the store was away. */
+#define LATE_LIST (300 * LB_MSEC)
 
 struct LcFleet
 {
@@ -23,6 +26,7 @@
   LcFleetMember *members;
   size_t n_members;
   LbTime last_list;
+  LbTime allowance; /* beside the missed renewals, as the store answers now */
   bool changed;
 };
 
@@ -91,17 +95,20 @@
 /* While the store is away no row is renewed, and all instances would be taken for dead the moment
  * it answers again: the time without lists does not count. */
 void
-lc_fleet_begin (LcFleet *fleet, LbTime now)
+lc_fleet_begin (LcFleet *fleet, const LcFleetList *list)
 {
-  LbTime gap = fleet->last_list > 0 ? now - fleet->last_list : 0;
+  LbTime gap = fleet->last_list > 0 ? list->at - fleet->last_list : 0;
+  bool was_away = gap > 2 * list->period + list->took + LATE_LIST;
+
+  fleet->allowance = LIST_TIME + SLOW_ANSWERS * list->took;
 
   for (size_t i = 0; i < fleet->n_members; i++)
     {
       fleet->members[i].seen = false;
-      if (gap > AWAY)
+      if (was_away)
         fleet->members[i].renewed_at += gap;
     }
-  fleet->last_list = now;
+  fleet->last_list = list->at;
   fleet->changed = false;
 }
 
@@ -154,7 +161,8 @@
       LcFleetMember *member = &fleet->members[i];
       bool is_self = strcmp (member->row.name, fleet->self) == 0;
       bool alive
-          = is_self || now - member->renewed_at < member->row.period * MISSED_RENEWALS + LIST_TIME;
+          = is_self
+            || now - member->renewed_at < member->row.period * MISSED_RENEWALS + fleet->allowance;
       if (alive != member->alive)
         {
           lb_log (LB_LOG_INFO, alive ? "instance_alive" : "instance_lost",
--- a/packages/core/src/lc-lease.c
+++ b/packages/core/src/lc-lease.c
@@ -366,6 +366,17 @@
   lease->next_read = now;
 }
 
+/* A holder that was killed and started again has a younger row under its name. One that is missed
+ * need not be dead, it may only be cut off; but endpoints that have heard of the next holder refuse
+ * its orders, and it stops by itself when its term is over. */
+bool
+lc_lease_holder_has_ended (const LcLease *lease, const LcHolderView *view)
+{
+  if (strcmp (view->incarnation, lease->row.incarnation) != 0)
+    return view->version > lease->version;
+  return !view->alive && view->checked_orders;
+}
+
 int64_t
 lc_lease_version (const LcLease *lease)
 {
--- a/packages/core/src/lc-swap-turns.c
+++ b/packages/core/src/lc-swap-turns.c
@@ -1,15 +1,17 @@
 #include "lc-swap-turns.h"
 
 /* Share of the model's engines that the next step can use, and among equals the share that has the
- * newest weights. The next step of a trainer takes weights that are one version old, so an engine
- * two versions behind is lost to it, and one that is one behind is not yet. */
+ * newest weights or gets them. The next step of a trainer takes weights that are one version old,
+ * so an engine two versions behind is lost to it, and one that is one behind is not yet. Loads on
+ * their way count in both: else the first of equal models gets all loads that go at full speed
+ * together, and the next step of another finds none of its engines ready. */
 static double
 readiness (const LcWeightsStatus *status)
 {
   double engines = (double)status->engines;
 
   return ((double)status->usable + (double)status->swapping) / engines
-         + (double)status->done / engines / 100;
+         + ((double)status->done + (double)status->swapping) / engines / 100;
 }
 
 static bool
--- a/packages/core/tests/test-fleet.c
+++ b/packages/core/tests/test-fleet.c
@@ -19,13 +19,15 @@
   return row;
 }
 
+static LbTime took;
+
 static bool
 list (LcFleet *fleet, int64_t version_a, int64_t version_b, LbTime now)
 {
   LcFleetRow a = row ("a", "1");
   LcFleetRow b = row ("b", "1");
 
-  lc_fleet_begin (fleet, now);
+  lc_fleet_begin (fleet, &(LcFleetList){ .at = now, .took = took, .period = PERIOD });
   lc_fleet_add (fleet, &a, version_a, now);
   lc_fleet_add (fleet, &b, version_b, now);
   return lc_fleet_end (fleet, now);
@@ -40,8 +42,9 @@
   return false;
 }
 
-/* A machine loses power. Its row stands still; after four renewals that did not come it is dead,
- * and what it ran is taken over. */
+/* A machine loses power. Its row stands still; after three renewals that did not come it is dead,
+ * and what it ran is taken over. With four, steps whose longest text takes most of their time were
+ * late after each such loss. */
 Test (fleet, an_instance_whose_row_stands_still_is_dead)
 {
   LcFleet *fleet = lc_fleet_new ("a");
@@ -50,7 +53,7 @@
 
   list (fleet, version, 5, now);
   cr_assert (is_alive (fleet, "b"));
-  for (LbTime past = 0; past < 4 * PERIOD; past += PERIOD)
+  for (LbTime past = 0; past < 3 * PERIOD; past += PERIOD)
     {
       now += PERIOD;
       list (fleet, ++version, 5, now);
@@ -63,6 +66,27 @@
   lc_fleet_free (fleet);
 }
 
+/* The store answers sixty times slower. Rows show late, all of them: nobody is dead. */
+Test (fleet, a_slow_store_kills_nobody)
+{
+  LcFleet *fleet = lc_fleet_new ("a");
+  LbTime now = LB_SEC;
+
+  took = 250 * LB_MSEC;
+  list (fleet, 1, 5, now);
+  for (int i = 0; i < 4; i++)
+    {
+      now += PERIOD;
+      list (fleet, 2 + i, 5, now);
+      cr_assert (is_alive (fleet, "b"));
+    }
+  now += PERIOD;
+  list (fleet, 8, 5, now);
+  cr_assert_not (is_alive (fleet, "b"), "but it may be dead all the same");
+  took = 0;
+  lc_fleet_free (fleet);
+}
+
 /* The store is away for six seconds and nobody can renew. When it answers again all instances would
  * look dead to one another, and every batch would change its owner. */
 Test (fleet, time_without_the_store_does_not_count)
--- a/packages/core/tests/test-lease.c
+++ b/packages/core/tests/test-lease.c
@@ -554,3 +554,35 @@
   cr_assert_not (claims_at (lease, 8, 2100 * LB_MSEC));
   lc_lease_free (lease);
 }
+
+/* The holder loses power for good while two trainers name new weights. Nobody ordered any for four
+ * seconds, the rest of its term, and steps found no engine young enough. Its instance's row stands
+ * still: that is enough where endpoints refuse orders of an old holder, and nowhere else. */
+Test (lease, a_missed_holder_has_ended_where_orders_are_checked)
+{
+  LcLease *lease = make_candidate ();
+  LcHolderView view = { .incarnation = "a-1", .version = 9, .checked_orders = true };
+
+  cr_assert_not (claims_at (lease, 7, 2 * LB_SEC));
+  cr_assert (lc_lease_holder_has_ended (lease, &view));
+  view.checked_orders = false;
+  cr_assert_not (lc_lease_holder_has_ended (lease, &view));
+  view.checked_orders = true;
+  view.alive = true;
+  cr_assert_not (lc_lease_holder_has_ended (lease, &view));
+  lc_lease_free (lease);
+}
+
+/* Another process under the holder's name ended it, unless what is seen of it is older than the
+ * lease. */
+Test (lease, a_younger_process_of_the_holder_has_ended_it)
+{
+  LcLease *lease = make_candidate ();
+  LcHolderView view = { .incarnation = "a-2", .version = 9, .alive = true };
+
+  cr_assert_not (claims_at (lease, 7, 2 * LB_SEC));
+  cr_assert (lc_lease_holder_has_ended (lease, &view));
+  view.version = 6;
+  cr_assert_not (lc_lease_holder_has_ended (lease, &view));
+  lc_lease_free (lease);
+}
--- a/packages/core/tests/test-swap-turns.c
+++ b/packages/core/tests/test-swap-turns.c
@@ -28,6 +28,16 @@
   cr_assert_eq (lc_swap_turns_next (candidates, 2), 1);
 }
 
+/* Two trainers name weights a second apart, each with engines that its next step can still use. All
+ * loads went to the first one's engines; the other's next step came before any of its engines was
+ * ready, and its texts waited for a whole load. */
+Test (swap_turns, equal_models_take_turns)
+{
+  const LcSwapCandidate candidates[] = { candidate (8, 6, 0, 2), candidate (8, 8, 0, 0) };
+
+  cr_assert_eq (lc_swap_turns_next (candidates, 2), 1);
+}
+
 Test (swap_turns, nobody_is_next_when_all_have_or_load_the_newest)
 {
   LcSwapCandidate candidates[] = { candidate (5, 5, 4, 1), candidate (5, 2, 1, 0) };
--- a/packages/node/include/ln-messages.h
+++ b/packages/node/include/ln-messages.h
@@ -31,6 +31,7 @@
   LN_DESIRED,          /* config -> all: routes and services of the shared platform */
   LN_LISTED,           /* config -> calls: an endpoint is still listed, with this version */
   LN_DEMAND,           /* rollouts -> config: a trainer brought a batch */
+  LN_DUTY,             /* rollouts, config -> peers: whether this instance has a duty has changed */
   LN_READY             /* config -> all: whether new work may be taken has changed */
 } LnMessageType;
 
@@ -177,4 +178,19 @@
   bool ready;
 } LnReadyMessage;
 
+/* What others have to take over when this instance dies. */
+typedef enum
+{
+  LN_DUTY_BATCHES, /* it runs some */
+  LN_DUTY_ORDERS,  /* it holds the lease to order weights */
+  LN_N_DUTIES
+} LnDuty;
+
+typedef struct
+{
+  LnMessage base;
+  LnDuty duty;
+  bool held;
+} LnDutyMessage;
+
 #endif
--- a/packages/node/src/ln-batches-private.h
+++ b/packages/node/src/ln-batches-private.h
@@ -92,6 +92,7 @@
   LnBatchRequest *requests;
   LbList exchanges; /* LnBatchExchange that are being answered */
   LpFollow *rows;   /* of all batches */
+  bool owns;        /* as the peers task was told */
   bool draining;
 };
 
--- a/packages/node/src/ln-batches.c
+++ b/packages/node/src/ln-batches.c
@@ -110,6 +110,17 @@
     }
 }
 
+static void
+note_owned (LnBatches *batches, bool owns)
+{
+  LnDutyMessage message = { .base = LN_MESSAGE (LN_DUTY), .duty = LN_DUTY_BATCHES, .held = owns };
+
+  if (owns == batches->owns)
+    return;
+  batches->owns = owns;
+  LN_POST (batches->task.hub, NULL, message);
+}
+
 static void
 on_tick (evutil_socket_t fd, short what, void *user)
 {
@@ -128,6 +139,7 @@
   ln_batch_calls_tick (batches, now);
   ln_batch_cleanup_tick (batches, now);
   lb_metric_set (&owned, n_owned);
+  note_owned (batches, n_owned > 0);
 }
 
 static void
--- a/packages/node/src/ln-desired.c
+++ b/packages/node/src/ln-desired.c
@@ -49,6 +49,7 @@
   LbTime next_list;
   LbTime last_tick;
   bool ready;
+  bool orders_weights; /* as the others were told */
   bool draining;
 } Desired;
 
@@ -263,6 +264,18 @@
   platform->klass->list (platform, task->context->dialect->endpoint_rows, NULL, 0, on_list, task);
 }
 
+static void
+note_orders (Desired *task)
+{
+  bool held = ln_weight_orders_is_held (task->orders);
+  LnDutyMessage message = { .base = LN_MESSAGE (LN_DUTY), .duty = LN_DUTY_ORDERS, .held = held };
+
+  if (held == task->orders_weights)
+    return;
+  task->orders_weights = held;
+  LN_POST (task->task.hub, NULL, message);
+}
+
 static void
 on_tick (evutil_socket_t fd, short what, void *user)
 {
@@ -283,6 +296,7 @@
     }
   task->last_tick = now;
   ln_weight_orders_tick (task->orders, now);
+  note_orders (task);
   ln_engine_plans_tick (task->plans, task->roster, ln_weight_orders_is_held (task->orders), now);
 }
 
--- a/packages/node/src/ln-fleet.c
+++ b/packages/node/src/ln-fleet.c
@@ -21,8 +21,14 @@
 /* Batches of an instance that died wait until it is missed, four renewals later. Renewals and lists
  * of all instances together stay within a bounded number of calls a second. */
 #define RENEW_PERIOD (500 * LB_MSEC)
+/* Of an instance that runs batches or orders weights, which are few: until it is missed its texts
+ * stand still, and the longest of a step have a second or two to spare. */
+#define DUTY_PERIOD (300 * LB_MSEC)
+#define DUTY_FOR (10 * LB_SEC) /* after its last batch: the next step comes soon */
+/* Without an answer for so long a renewal goes through another instance, before it is missed. */
+#define RENEWAL_TIME (500 * LB_MSEC)
 #define RENEW_PERIOD_PER_INSTANCE (8 * LB_MSEC)
-#define LIST_PERIOD (350 * LB_MSEC)
+#define LIST_PERIOD (250 * LB_MSEC)
 #define LIST_PERIOD_PER_INSTANCE (6 * LB_MSEC)
 #define MAX_RENEWALS_ON_THEIR_WAY 3
 #define ROWS "instance//"
@@ -40,7 +46,10 @@
   LcFleetRow own;
   int renewing; /* renewals on their way */
   LbTime next_renewal;
+  bool duties[LN_N_DUTIES];
+  LbTime duty_until; /* counts as having one until then */
   bool listing;
+  LbTime listed_at; /* when the list on its way was asked */
   LbTime next_list;
 } Fleet;
 
@@ -94,17 +103,31 @@
     platform->klass->set_peers (platform, addresses, n);
 }
 
+static LbTime
+longer (LbTime a, LbTime b)
+{
+  return a > b ? a : b;
+}
+
+static LbTime
+list_period (const Fleet *task)
+{
+  return longer (LIST_PERIOD, (LbTime)lc_fleet_count (task->fleet) * LIST_PERIOD_PER_INSTANCE);
+}
+
 static void
 on_list (LbErrorCode error, const LpRow *rows, size_t n_rows, int64_t version, void *user)
 {
   (void)version;
   Fleet *task = user;
   LbTime now = lb_clock_monotonic ();
+  const LcFleetList list
+      = { .at = now, .took = now - task->listed_at, .period = list_period (task) };
 
   task->listing = false;
   if (error != LB_OK)
     return;
-  lc_fleet_begin (task->fleet, now);
+  lc_fleet_begin (task->fleet, &list);
   for (size_t i = 0; i < n_rows; i++)
     {
       struct json_object *object = json_tokener_parse (rows[i].value);
@@ -122,12 +145,6 @@
     }
 }
 
-static LbTime
-longer (LbTime a, LbTime b)
-{
-  return a > b ? a : b;
-}
-
 /* A renewal whose answer was lost holds up no later one: they may come in any order, since each
  * only shows that this instance lives. */
 static void
@@ -141,24 +158,43 @@
     lb_log (LB_LOG_DEBUG, "instance_not_renewed", LB_TEXT ("error", lb_error_name (error)));
 }
 
+static bool
+has_duty (const Fleet *task)
+{
+  for (int duty = 0; duty < LN_N_DUTIES; duty++)
+    if (task->duties[duty])
+      return true;
+  return false;
+}
+
+static LbTime
+renew_period (const Fleet *task, LbTime now)
+{
+  LbTime n = (LbTime)lc_fleet_count (task->fleet);
+
+  return has_duty (task) || now < task->duty_until
+             ? DUTY_PERIOD
+             : longer (RENEW_PERIOD, n * RENEW_PERIOD_PER_INSTANCE);
+}
+
 static void
 renew (Fleet *task, LbTime now)
 {
   LpPlatform *platform = task->context->platform;
   struct json_object *object = NULL;
   char key[LB_NAME_MAX + sizeof ROWS];
-  LbTime n = (LbTime)lc_fleet_count (task->fleet);
 
   if (task->renewing >= MAX_RENEWALS_ON_THEIR_WAY)
     return;
   task->renewing++;
-  task->own.period = longer (RENEW_PERIOD, n * RENEW_PERIOD_PER_INSTANCE);
+  task->own.period = renew_period (task, now);
   task->next_renewal = now + task->own.period;
   task->own.renewals++;
   object = lc_fleet_row_to_json (&task->own);
   snprintf (key, sizeof key, ROWS "%s", task->own.name);
   const LpPut put = { .key = key, .value = json_object_to_json_string (object) };
-  const LpTransaction transaction = { .token = "", .puts = &put, .n_puts = 1 };
+  const LpTransaction transaction
+      = { .token = "", .puts = &put, .n_puts = 1, .time = RENEWAL_TIME };
   platform->klass->transact (platform, &transaction, LP_PRIORITY_STATUS, on_renewed, task);
   json_object_put (object);
 }
@@ -191,8 +227,8 @@
   if (task->listing || now < task->next_list)
     return;
   task->listing = true;
-  task->next_list
-      = now + longer (LIST_PERIOD, (LbTime)lc_fleet_count (task->fleet) * LIST_PERIOD_PER_INSTANCE);
+  task->listed_at = now;
+  task->next_list = now + list_period (task);
   platform->klass->list (platform, ROWS, NULL, 0, on_list, task);
 }
 
@@ -323,6 +359,16 @@
     answer_entry (task, exchange);
 }
 
+/* Told at once: the others go by the period that the row names. */
+static void
+note_duty (Fleet *task, const LnDutyMessage *message, LbTime now)
+{
+  task->duties[message->duty] = message->held;
+  task->duty_until = now + DUTY_FOR;
+  if (message->held)
+    renew (task, now);
+}
+
 static void
 receive (LnTask *base, const LnMessage *message)
 {
@@ -333,6 +379,9 @@
     case LN_EXCHANGE:
       take_exchange (task, ((const LnExchangeMessage *)message)->exchange);
       break;
+    case LN_DUTY:
+      note_duty (task, (const LnDutyMessage *)message, lb_clock_monotonic ());
+      break;
     case LN_READY:
       task->own.ready = ((const LnReadyMessage *)message)->ready;
       renew (task, lb_clock_monotonic ());
--- a/packages/node/src/ln-weight-orders.c
+++ b/packages/node/src/ln-weight-orders.c
@@ -17,8 +17,10 @@
 #include <uthash.h>
 
 #define LEASE_KEY "lease/weights"
-#define LEASE_DURATION (3 * LB_SEC)      /* orders of two holders may not alternate within it */
-#define LEASE_PERIOD (800 * LB_MSEC)     /* three renewals within its duration */
+/* Without a holder no engine gets new weights, and trainers move on meanwhile. A renewal reads the
+ * row and writes it, half a second together at a store that is sixty times slower than usual. */
+#define LEASE_DURATION (2 * LB_SEC)
+#define LEASE_PERIOD (500 * LB_MSEC)     /* three renewals within its duration */
 #define LEASE_WATCH_PERIOD (10 * LB_SEC) /* of those that are no candidates */
 #define N_CANDIDATES 3
 #define ORDER_SILENCE (1200 * LB_MSEC) /* an order without an answer counts as lost then */
@@ -63,6 +65,7 @@
   void (*on_engine) (const LcPlanEntry *entry, void *user);
   void *user;
   LcLease *lease;
+  bool all_check_fences; /* all engines refuse an order with an old fencing number */
   LnMember *members;
   size_t n_members;
   LbList models;
@@ -191,9 +194,15 @@
 
   for (engine = orders->engines; engine; engine = engine->hh.next)
     engine->configured = false;
+  orders->all_check_fences = true;
   for (size_t i = 0; i < set->n_endpoints; i++)
-    if (set->endpoints[i].kind == LC_ENDPOINT_ENGINE && !set->endpoints[i].leaving)
-      configure_engine (orders, &set->endpoints[i]);
+    {
+      const LcEndpointMember *member = &set->endpoints[i];
+      if (member->kind != LC_ENDPOINT_ENGINE || member->leaving)
+        continue;
+      orders->all_check_fences &= member->checks_fence;
+      configure_engine (orders, member);
+    }
   HASH_ITER (hh, orders->engines, engine, next)
   {
     if (!engine->configured)
@@ -558,19 +567,21 @@
   orders->n_members = members->n_members;
 }
 
-/* A holder that was killed and started again has a younger row under its name. */
 static void
 look_for_ended_holder (LnWeightOrders *orders, LbTime now)
 {
   const LcLeaseRow *row = lc_lease_row (orders->lease);
-  int64_t version = lc_lease_version (orders->lease);
 
   for (size_t i = 0; i < orders->n_members; i++)
     {
       const LnMember *member = &orders->members[i];
-      if (strcmp (member->name, row->holder) == 0 && member->version > version
-          && strcmp (member->incarnation, row->incarnation) != 0)
-        lc_lease_holder_ended (orders->lease, version, now);
+      const LcHolderView view = { .incarnation = member->incarnation,
+                                  .version = member->version,
+                                  .alive = member->alive,
+                                  .checked_orders = orders->all_check_fences };
+      if (strcmp (member->name, row->holder) == 0
+          && lc_lease_holder_has_ended (orders->lease, &view))
+        lc_lease_holder_ended (orders->lease, lc_lease_version (orders->lease), now);
     }
 }
 
--- a/packages/store/include/lp-platform.h
+++ b/packages/store/include/lp-platform.h
@@ -34,6 +34,7 @@
   /* After an unknown outcome read the first put's row: its value there proves that the transaction
    * was applied. Only for values that no other transaction writes. */
   bool read_back;
+  LbTime time; /* longest for an answer; 0: that of the platform's calls */
 } LpTransaction;
 
 typedef struct
