--- a/tests/soak/sk-trainer.c
+++ b/tests/soak/sk-trainer.c
@@ -231,6 +231,21 @@
          && sk_instance_is_calm (trainer->asked, since) && trainer->world->disturbed_at < since;
 }
 
+/* The row that stands for the batch, in whichever part. */
+static bool
+is_stored (const SkTrainer *trainer)
+{
+  char part[8];
+
+  for (int i = 0; i < 256; i++)
+    {
+      snprintf (part, sizeof part, "%02x", i);
+      if (si_rows_get (&trainer->world->rows, "head", part, trainer->batch))
+        return true;
+    }
+  return false;
+}
+
 static void
 on_submitted (SkTrainer *trainer, const LhResult *result, LbTime now)
 {
@@ -238,6 +253,9 @@
     return;
   sk_tell (trainer->world, "%s accepted by %s", trainer->batch, trainer->asked->name);
   trainer->world->n_batches++;
+  if (!is_stored (trainer))
+    sk_fail (trainer->world, "an accepted batch is kept", "%s was accepted by %s and is not stored",
+             trainer->batch, trainer->asked->name);
   trainer->accepted_at = now;
   trainer->state = TRAINER_READS;
 }
