The batches of a model stay with the instance that ran the last one

When an instance was away for a moment its models' batches went to another and then back to it, and each move opens a connection for each place of each engine. Test: the next batch stays with the last runner while that one is a candidate.

--- a/packages/core/include/lc-batch-head.h
+++ b/packages/core/include/lc-batch-head.h
@@ -28,8 +28,15 @@
 struct json_object *lc_batch_head_to_json (const LcBatchHead *head);
 bool lc_batch_head_from_json (struct json_object *object, LcBatchHead *head);
 
-/* The instance that the batches of a model go to; "" when there is no candidate. */
-const char *lc_batch_head_choose (const char *model, const LbName *candidates, size_t n_candidates);
+/* The instance that runs the batch, or shall. */
+const char *lc_batch_head_runner (const LcBatchHead *head);
+/* The instance that the next batch of a model goes to; last: where the one before went, "": none
+ * did.
+ * "" when there is no candidate. */
+const char *lc_batch_head_choose (const char *model,
+                                  const char *last,
+                                  const LbName *candidates,
+                                  size_t n_candidates);
 /* Position of an instance in the order in which instances may take the batch over; the same
  * everywhere, and another one for each batch. */
 size_t lc_batch_head_rank (const char *batch,
--- a/packages/core/src/lc-batch-head.c
+++ b/packages/core/src/lc-batch-head.c
@@ -51,10 +51,24 @@
 }
 
 const char *
-lc_batch_head_choose (const char *model, const LbName *candidates, size_t n_candidates)
+lc_batch_head_runner (const LcBatchHead *head)
+{
+  return head->epoch == 1 && head->preferred[0] ? head->preferred : head->owner;
+}
+
+/* Guards against batches that move back to an instance which was away: each move opens a connection
+ * for each place of each engine, and gains nothing. Only where nobody has them is one drawn. */
+const char *
+lc_batch_head_choose (const char *model,
+                      const char *last,
+                      const LbName *candidates,
+                      size_t n_candidates)
 {
   const char *best = "";
 
+  for (size_t i = 0; i < n_candidates; i++)
+    if (strcmp (candidates[i], last) == 0)
+      return candidates[i];
   for (size_t i = 0; i < n_candidates; i++)
     if (best[0] == '\0' || weight (model, candidates[i]) > weight (model, best))
       best = candidates[i];
--- a/packages/node/src/ln-batch-calls.c
+++ b/packages/node/src/ln-batch-calls.c
@@ -276,13 +276,26 @@
   return tokens;
 }
 
+/* Where the model's youngest batch went; "" when none is known. */
+static const char *
+last_runner (const LnBatches *batches, const char *model)
+{
+  const LnBatch *last = NULL;
+
+  for (const LnBatch *batch = batches->by_id; batch; batch = batch->hh.next)
+    if (strcmp (batch->head.model, model) == 0 && (!last || batch->version > last->version))
+      last = batch;
+  return last ? lc_batch_head_runner (&last->head) : "";
+}
+
 static void
 choose_owner (Call *call)
 {
   size_t n;
   LbName *names = ln_batches_candidates (call->batches, &n);
+  const char *last = last_runner (call->batches, call->spec.model);
 
-  LB_COPY (call->head.preferred, lc_batch_head_choose (call->spec.model, names, n));
+  LB_COPY (call->head.preferred, lc_batch_head_choose (call->spec.model, last, names, n));
   free (names);
 }
 
