Instances, lease and plan have parts of the store to themselves

A part of the store takes 200 writes a second, over all tables; the unnamed one took 125 renewals (168 after a start), the heartbeats of 54 endpoints (45), the plan and the lease. Change: instance rows in four parts of their own, lease and plan in another. Test: process-test-shared, nothing of ours lies in the unnamed part (failed before).

--- a/packages/node/src/ln-engine-plans.c
+++ b/packages/node/src/ln-engine-plans.c
@@ -10,7 +10,8 @@
 #include <string.h>
 
 #define TABLE "plan"
-#define KEY "plan//engines"
+/* With the lease, away from the unnamed part, to which endpoints and operators write. */
+#define KEY TABLE "/weights/engines"
 #define WATCH_WAIT (900 * LB_MSEC) /* a watch whose connection went silent is given up after it */
 #define WATCH_RETRY (200 * LB_MSEC)
 /* Loads begin and end several times a second where there are many engines; one write tells of all.
@@ -69,7 +70,7 @@
                      void (*on_plan) (const LcEnginePlan *plan, void *user),
                      void *user)
 {
-  static const char *const prefixes[] = { TABLE "//" };
+  static const char *const prefixes[] = { TABLE "/weights/" };
   const LpFollowSettings settings = {
     .table = TABLE, .prefixes = prefixes, .n_prefixes = 1, .wait = WATCH_WAIT, .retry = WATCH_RETRY
   };
--- a/packages/node/src/ln-fleet.c
+++ b/packages/node/src/ln-fleet.c
@@ -16,6 +16,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #define TICK (100 * LB_MSEC)
 /* Batches of an instance that died wait until it is missed, four renewals later. Renewals and lists
@@ -31,7 +32,12 @@
 #define LIST_PERIOD (250 * LB_MSEC)
 #define LIST_PERIOD_PER_INSTANCE (6 * LB_MSEC)
 #define MAX_RENEWALS_ON_THEIR_WAY 3
-#define ROWS "instance//"
+/* Guards against a store that takes so many writes a second in each part: in the unnamed one, to
+ * which endpoints and operators write as well, renewals of 84 instances waited for a second, and
+ * instances were missed in turn, with the batches and the lease they had. Each part is a list of
+ * its own, so there are few: 350 instances write some 40 rows a second to each. */
+#define N_PARTS 4
+#define TABLE "instance"
 #define MAX_ENTRY_ADDRESSES 64
 #define RETRY_WITHOUT_ADDRESS (300 * LB_MSEC)
 
@@ -48,7 +54,9 @@
   LbTime next_renewal;
   bool duties[LN_N_DUTIES];
   LbTime duty_until; /* counts as having one until then */
-  bool listing;
+  int lists_waiting; /* parts that were asked for and did not answer */
+  bool list_begun;
+  bool list_failed;
   LbTime listed_at; /* when the list on its way was asked */
   LbTime next_list;
 } Fleet;
@@ -116,18 +124,8 @@
 }
 
 static void
-on_list (LbErrorCode error, const LpRow *rows, size_t n_rows, int64_t version, void *user)
+add_rows (Fleet *task, const LpRow *rows, size_t n_rows, LbTime now)
 {
-  (void)version;
-  Fleet *task = user;
-  LbTime now = lb_clock_monotonic ();
-  const LcFleetList list
-      = { .at = now, .took = now - task->listed_at, .period = list_period (task) };
-
-  task->listing = false;
-  if (error != LB_OK)
-    return;
-  lc_fleet_begin (task->fleet, &list);
   for (size_t i = 0; i < n_rows; i++)
     {
       struct json_object *object = json_tokener_parse (rows[i].value);
@@ -138,13 +136,66 @@
         lb_log (LB_LOG_WARNING, "instance_row_unreadable", LB_TEXT ("key", rows[i].key));
       json_object_put (object);
     }
-  if (lc_fleet_end (task->fleet, now))
+}
+
+static void
+end_list (Fleet *task, LbTime now)
+{
+  if (!lc_fleet_end (task->fleet, now))
+    return;
+  publish (task);
+  tell_peers (task);
+}
+
+/* Only all parts together tell who is there; when one is missing the others count with the next
+ * list. */
+static void
+on_list (LbErrorCode error, const LpRow *rows, size_t n_rows, int64_t version, void *user)
+{
+  (void)version;
+  Fleet *task = user;
+  LbTime now = lb_clock_monotonic ();
+  const LcFleetList list
+      = { .at = now, .took = now - task->listed_at, .period = list_period (task) };
+
+  task->lists_waiting--;
+  task->list_failed |= error != LB_OK;
+  if (task->list_failed)
+    return;
+  if (!task->list_begun)
+    lc_fleet_begin (task->fleet, &list);
+  task->list_begun = true;
+  add_rows (task, rows, n_rows, now);
+  if (task->lists_waiting == 0)
+    end_list (task, now);
+}
+
+static void
+list_all (Fleet *task, LbTime now)
+{
+  LpPlatform *platform = task->context->platform;
+  char prefix[sizeof TABLE + 8];
+
+  task->lists_waiting = N_PARTS;
+  task->list_failed = false;
+  task->list_begun = false;
+  task->listed_at = now;
+  task->next_list = now + list_period (task);
+  for (int part = 0; part < N_PARTS; part++)
     {
-      publish (task);
-      tell_peers (task);
+      snprintf (prefix, sizeof prefix, TABLE "/%d/", part);
+      platform->klass->list (platform, prefix, NULL, 0, on_list, task);
     }
 }
 
+static void
+own_key (const Fleet *task, char *key, size_t size)
+{
+  uint64_t hash = XXH3_64bits (task->own.name, strlen (task->own.name));
+
+  snprintf (key, size, TABLE "/%d/%s", (int)(hash % N_PARTS), task->own.name);
+}
+
 /* A renewal whose answer was lost holds up no later one: they may come in any order, since each
  * only shows that this instance lives. */
 static void
@@ -182,7 +233,7 @@
 {
   LpPlatform *platform = task->context->platform;
   struct json_object *object = NULL;
-  char key[LB_NAME_MAX + sizeof ROWS];
+  char key[LB_NAME_MAX + sizeof TABLE + 8];
 
   if (task->renewing >= MAX_RENEWALS_ON_THEIR_WAY)
     return;
@@ -191,7 +242,7 @@
   task->next_renewal = now + task->own.period;
   task->own.renewals++;
   object = lc_fleet_row_to_json (&task->own);
-  snprintf (key, sizeof key, ROWS "%s", task->own.name);
+  own_key (task, key, sizeof key);
   const LpPut put = { .key = key, .value = json_object_to_json_string (object) };
   const LpTransaction transaction
       = { .token = "", .puts = &put, .n_puts = 1, .time = RENEWAL_TIME };
@@ -219,17 +270,12 @@
   (void)what;
   Fleet *task = user;
   LbTime now = lb_clock_monotonic ();
-  LpPlatform *platform = task->context->platform;
 
   note_reach (task, now);
   if (now >= task->next_renewal)
     renew (task, now);
-  if (task->listing || now < task->next_list)
-    return;
-  task->listing = true;
-  task->listed_at = now;
-  task->next_list = now + list_period (task);
-  platform->klass->list (platform, ROWS, NULL, 0, on_list, task);
+  if (task->lists_waiting == 0 && now >= task->next_list)
+    list_all (task, now);
 }
 
 /* --- the addresses that callers are given --- */
--- a/packages/node/src/ln-weight-orders.c
+++ b/packages/node/src/ln-weight-orders.c
@@ -16,7 +16,7 @@
 #include <string.h>
 #include <uthash.h>
 
-#define LEASE_KEY "lease/weights"
+#define LEASE_KEY "lease/weights/holder"
 /* Without a holder no engine gets new weights, and trainers move on meanwhile. A renewal reads the
  * row and writes it, half a second together at a store that is sixty times slower than usual. */
 #define LEASE_DURATION (2 * LB_SEC)
--- a/tests/process/test-shared.c
+++ b/tests/process/test-shared.c
@@ -654,6 +654,25 @@
   world_clear (&w);
 }
 
+/* With 84 instances the store is busy and instances are taken for dead in turn, with their batches:
+ * a part of the store takes 200 writes a second, and renewals, lease and plan lay in the unnamed
+ * part with the heartbeats of all endpoints. None of ours lies there. */
+Test (shared, nothing_of_ours_lies_where_endpoints_write)
+{
+  static const char *const names[] = { "n0", "n1" };
+  World w;
+
+  world_init (&w);
+  start_instance (&w);
+  start_instance (&w);
+  UNTIL (&w, si_rows_count (&w.rows, "instance") == 2);
+  UNTIL (&w, si_rows_count (&w.rows, "lease") == 1);
+  for (size_t i = 0; i < 2; i++)
+    cr_assert_null (si_rows_get (&w.rows, "instance", "", names[i]));
+  cr_assert_null (si_rows_get (&w.rows, "lease", "", "weights"));
+  world_clear (&w);
+}
+
 /* After some hours every batch is refused: the store is full of batches that ended long ago, since
  * nothing in it expires. What an ended batch left is removed; one that is open stays. */
 Test (shared, what_an_ended_batch_left_is_removed)
