--- a/tests/soak/sk-world.c
+++ b/tests/soak/sk-world.c
@@ -422,7 +422,7 @@
   endpoint->sampler.tells_version = true;
   endpoint->sampler.listener = &listener;
   endpoint->sampler.user = endpoint;
-  endpoint->sampler.call_time = 20 * LB_MSEC;
+  endpoint->sampler.call_time = 80 * LB_MSEC; /* many are on their way when a connection breaks */
   endpoint->sampler.event_time = 25 * LB_MSEC;
   endpoint->sampler.events = 24;
   si_sampler_register (&endpoint->sampler);
