Whether engines check the fencing number of an order comes from the settings

Cause: the roster took it for granted; in a deployment whose engines obey anyone the next holder of the lease would order at once what the last order of the one before may still change. Change: weights.endpoints_check_fence, filled in from the platform's settings; where it is false a holder waits for the whole term, which is longer there, and for the life of an order. Test: core-test-roster.

--- a/packages/core/include/lc-roster.h
+++ b/packages/core/include/lc-roster.h
@@ -55,7 +55,8 @@
 LcVersion lc_roster_version (const LcRoster *roster, size_t index);
 /* The same by the engine's own entry alone. */
 LcVersion lc_roster_listed_version (const LcRoster *roster, size_t index);
-/* A pool for each model and each endpoint in its pool. */
-LcResourceSet *lc_roster_resources (const LcRoster *roster, int64_t revision);
+/* A pool for each model and each endpoint in its pool. checks_fence: whether engines refuse orders
+ * with an old fencing number, which the list does not say. */
+LcResourceSet *lc_roster_resources (const LcRoster *roster, int64_t revision, bool checks_fence);
 
 #endif
--- a/packages/core/src/lc-roster.c
+++ b/packages/core/src/lc-roster.c
@@ -296,7 +296,7 @@
 }
 
 static void
-fill_member (const LcRoster *roster, size_t index, LcEndpointMember *member)
+fill_member (const LcRoster *roster, size_t index, bool checks_fence, LcEndpointMember *member)
 {
   const LcListed *listed = &roster->entries[index].listed;
   const char *model = lc_roster_model (roster, index);
@@ -307,13 +307,13 @@
   LB_COPY (member->address, listed->address);
   LB_COPY (member->data_centre, listed->data_centre);
   member->leaving = listed->leaving;
-  member->checks_fence = true;
+  member->checks_fence = checks_fence;
   member->states_size = true;
   member->concurrency = listed->slots;
 }
 
 LcResourceSet *
-lc_roster_resources (const LcRoster *roster, int64_t revision)
+lc_roster_resources (const LcRoster *roster, int64_t revision, bool checks_fence)
 {
   LcResourceSet *set = LB_NEW (LcResourceSet);
 
@@ -325,7 +325,7 @@
       const LcListed *listed = &roster->entries[i].listed;
       for (size_t model = 0; model < listed->n_models; model++)
         add_pool (set, listed->models[model].name);
-      fill_member (roster, i, &set->endpoints[i]);
+      fill_member (roster, i, checks_fence, &set->endpoints[i]);
     }
   return set;
 }
--- a/packages/core/tests/test-roster.c
+++ b/packages/core/tests/test-roster.c
@@ -138,7 +138,7 @@
   LB_COPY (list[1].service, "lookup");
   list[1].leaving = true;
   lc_roster_update (roster, list, 2, LB_SEC, LB_SEC);
-  LcResourceSet *set = lc_roster_resources (roster, 5);
+  LcResourceSet *set = lc_roster_resources (roster, 5, true);
   cr_assert_eq (set->n_pools, 2);
   cr_assert_eq (set->n_endpoints, 2);
   const LcEndpointMember *lookup = lc_resource_set_endpoint (set, "i-lookup");
@@ -148,3 +148,20 @@
   lc_resource_set_free (set);
   lc_roster_free (roster);
 }
+
+/* A deployment whose engines obey any holder of the lease: believed to check, they would be ordered
+ * by the next holder while the last order of the one before is on its way. */
+Test (roster, engines_check_orders_only_where_the_operators_say_so)
+{
+  for (int checks = 0; checks < 2; checks++)
+    {
+      LcRoster *roster = lc_roster_new ();
+      LcListed listed = engine (1);
+
+      lc_roster_update (roster, &listed, 1, LB_SEC, LB_SEC);
+      LcResourceSet *set = lc_roster_resources (roster, 1, checks);
+      cr_assert_eq (set->endpoints[0].checks_fence, checks);
+      lc_resource_set_free (set);
+      lc_roster_free (roster);
+    }
+}
--- a/packages/node/include/ln-settings.h
+++ b/packages/node/include/ln-settings.h
@@ -69,6 +69,10 @@
   {
     int64_t keep_ended_s; /* how long an ended batch can still be read */
   } batches;
+  struct
+  {
+    bool endpoints_check_fence; /* they refuse orders with an old fencing number */
+  } weights;
   char address_file[256]; /* written with {"caller_address", "peer_address"} once bound; empty: none
                            */
   char record[256];       /* trace file; empty: none */
--- a/packages/node/src/ln-desired.c
+++ b/packages/node/src/ln-desired.c
@@ -154,7 +154,8 @@
 {
   LnConfigMessage message = { .base = LN_MESSAGE (LN_CONFIG) };
 
-  message.set = lc_roster_resources (task->roster, ++task->revision);
+  message.set = lc_roster_resources (task->roster, ++task->revision,
+                                     task->context->settings->weights.endpoints_check_fence);
   message.base.clear = clear_config;
   ln_weight_orders_configure (task->orders, message.set);
   LN_POST (task->task.hub, NULL, message);
--- a/packages/node/src/ln-settings.c
+++ b/packages/node/src/ln-settings.c
@@ -26,6 +26,10 @@
     .key = (k), .type = LB_SETTING_REAL, .offset = offsetof (LnSettings, member), .min = (low),    \
     .max = (high)                                                                                  \
   }
+#define FLAG(k, member)                                                                            \
+  {                                                                                                \
+    .key = (k), .type = LB_SETTING_BOOL, .offset = offsetof (LnSettings, member)                   \
+  }
 #define CHOICE(k, member, names)                                                                   \
   {                                                                                                \
     .key = (k), .type = LB_SETTING_CHOICE, .offset = offsetof (LnSettings, member),                \
@@ -93,6 +97,9 @@
 static const LbSettingSpec batches_specs[]
     = { INTEGER ("keep_ended_s", batches.keep_ended_s, 5, 86400 * 30), END };
 
+static const LbSettingSpec weights_specs[]
+    = { FLAG ("endpoints_check_fence", weights.endpoints_check_fence), END };
+
 static const LbSettingSpec specs[] = { GROUP ("instance", instance_specs),
                                        GROUP ("platform", platform_specs),
                                        GROUP ("cluster", cluster_specs),
@@ -101,6 +108,7 @@
                                        GROUP ("calls", calls_specs),
                                        GROUP ("drain", drain_specs),
                                        GROUP ("batches", batches_specs),
+                                       GROUP ("weights", weights_specs),
                                        TEXT ("address_file", address_file),
                                        TEXT ("record", record),
                                        INTEGER ("seed", seed, 0, 9007199254740992.0),
@@ -128,6 +136,7 @@
   settings->calls.hedge_after_ms = 0;
   settings->calls.stream_silence_ms = 2000;
   settings->calls.load_poll_ms = 500;
+  settings->weights.endpoints_check_fence = true;
   settings->batches.keep_ended_s = 600;
   settings->drain.drain_ms = 16000;
   settings->drain.entry_ttl_ms = 15000;
--- a/packages/node/src/ln-weight-orders.c
+++ b/packages/node/src/ln-weight-orders.c
@@ -20,6 +20,8 @@
 /* Without a holder no engine gets new weights, and trainers move on meanwhile. A renewal reads the
  * row and writes it, half a second together at a store that is sixty times slower than usual. */
 #define LEASE_DURATION (2 * LB_SEC)
+/* Where engines take orders of any holder, those of two may not alternate within three seconds. */
+#define UNCHECKED_LEASE_DURATION (3200 * LB_MSEC)
 #define LEASE_PERIOD (500 * LB_MSEC)     /* three renewals within its duration */
 #define LEASE_WATCH_PERIOD (10 * LB_SEC) /* of those that are no candidates */
 #define N_CANDIDATES 3
@@ -81,7 +83,8 @@
   LcLeaseSettings settings;
 
   lc_lease_settings_init (&settings);
-  settings.duration = LEASE_DURATION;
+  settings.duration = context->settings->weights.endpoints_check_fence ? LEASE_DURATION
+                                                                       : UNCHECKED_LEASE_DURATION;
   settings.period = LEASE_PERIOD;
   settings.watch_period = LEASE_WATCH_PERIOD;
   LB_COPY (settings.instance, context->instance);
