--- /dev/null
+++ b/packages/core/src/lc-batch-item.c
@@ -0,0 +1,98 @@
+#include "lc-batch-item.h"
+
+#include "lb-alloc.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Of a text whose length nobody estimated. */
+#define DEFAULT_EVENTS 8
+/* Estimates are right at the median and often far off: a text that got longer than its own is taken
+ * to go on for this part of it. */
+#define LEAST_PART_LEFT 4
+/* Shorter additions cost more to write than to make again. */
+#define EVENTS_TO_KEEP 8
+/* A stream that is silent for longer has stopped, for eight times the usual interval at least. */
+#define STOPPED (400 * LB_MSEC)
+
+/* Each event is a line. */
+void
+lc_batch_item_append (LcBatchItem *item, const char *text)
+{
+  size_t length = strlen (text);
+  size_t needed = item->length + length + 2;
+
+  if (needed > item->capacity)
+    {
+      item->capacity = 2 * needed;
+      item->result.text = lb_realloc (item->result.text, item->capacity);
+    }
+  if (item->events > 0)
+    item->result.text[item->length++] = '\n';
+  memcpy (item->result.text + item->length, text, length + 1);
+  item->length += length;
+}
+
+void
+lc_batch_item_note_version (LcBatchItem *item,
+                            LcVersion version,
+                            LcVersion min_version,
+                            bool single_version)
+{
+  LcBatchResult *result = &item->result;
+
+  /* A text that names no version, or one that is too old, could not be labelled honestly. */
+  if (version <= 0 || version < min_version)
+    item->unusable = true;
+  for (size_t i = 0; i < result->n_versions; i++)
+    if (result->versions[i] == version)
+      return;
+  if (result->n_versions == LC_MAX_RESULT_VERSIONS || (single_version && result->n_versions > 0))
+    {
+      item->unusable = true;
+      return;
+    }
+  result->versions[result->n_versions++] = version;
+}
+
+void
+lc_batch_item_restart (LcBatchItem *item)
+{
+  free (item->result.text);
+  item->result.text = NULL;
+  item->result.n_versions = 0;
+  item->length = 0;
+  item->capacity = 0;
+  item->kept = 0;
+  item->events = 0;
+  item->unusable = false;
+}
+
+/* What is left of the estimated length, and a part of it at least. */
+int64_t
+lc_batch_item_expected_events (const LcBatchItem *item, const LcItemSpec *spec, int64_t per_event)
+{
+  int64_t tokens = spec->expected_tokens > 0 ? spec->expected_tokens : spec->max_tokens;
+  int64_t events = tokens > 0 ? (tokens + per_event - 1) / per_event : DEFAULT_EVENTS;
+  int64_t left = events - item->events;
+
+  return left > events / LEAST_PART_LEFT ? left : events / LEAST_PART_LEFT + 1;
+}
+
+/* A silence counts as it goes on, so that a stream which stopped is not waited for. */
+double
+lc_batch_item_token_seconds (const LcBatchItem *item, LbTime now)
+{
+  LcStreamPace pace = item->pace;
+
+  if (now - item->last_piece > STOPPED)
+    lc_stream_pace_add (&pace, 0, now - item->last_piece);
+  return lc_stream_pace_token_seconds (&pace);
+}
+
+bool
+lc_batch_item_is_worth_keeping (const LcBatchItem *item)
+{
+  return item->state == ITEM_RUNNING && !item->unusable
+         && item->events - item->kept >= EVENTS_TO_KEEP;
+}
--- /dev/null
+++ b/packages/core/src/lc-batch-item.h
@@ -0,0 +1,65 @@
+#ifndef LC_BATCH_ITEM_H
+#define LC_BATCH_ITEM_H
+
+#include "lc-batch.h"
+#include "lc-stream-pace.h"
+
+/* One item of a batch: how far it is, and its text so far. Private to LcBatch. */
+
+typedef enum
+{
+  ITEM_WAITING,
+  ITEM_RUNNING,
+  ITEM_GENERATED, /* waits to be scored */
+  ITEM_SCORING,
+  ITEM_READY, /* its result waits to be written */
+  ITEM_LISTED
+} LcBatchItemState;
+
+typedef struct
+{
+  LbLink ready; /* in LcBatch.ready */
+  LcBatchItemState state;
+  LcRequestId request;
+  LbTime retry_at;
+  int64_t failures; /* answers that said that the endpoint failed */
+  int64_t score_failures;
+  int retries; /* since the last progress */
+  int64_t events;
+  size_t length; /* of the text so far */
+  size_t capacity;
+  int64_t kept;       /* events at the last KEEP */
+  LbTime started;     /* of the present run */
+  LbTime first_piece; /* of the present run; 0: none yet */
+  LbTime last_piece;  /* of the present run */
+  LcStreamPace pace;  /* of the present run */
+  int64_t run_events; /* of the present run */
+  LbName endpoint;    /* of the last piece */
+  LbName avoid;       /* endpoint that it was moved away from */
+  int moves;
+  bool recalled;
+  bool unusable; /* its text mixes what may not be mixed: made again from the start */
+  LcBatchResult result;
+} LcBatchItem;
+
+/* commands */
+/* One event of the text. */
+void lc_batch_item_append (LcBatchItem *item, const char *text);
+/* Notes which weights made an event; the text can't be used when they may not have. */
+void lc_batch_item_note_version (LcBatchItem *item,
+                                 LcVersion version,
+                                 LcVersion min_version,
+                                 bool single_version);
+/* The text is made again from its first event. */
+void lc_batch_item_restart (LcBatchItem *item);
+
+/* queries */
+/* Events that are still to come. */
+int64_t
+lc_batch_item_expected_events (const LcBatchItem *item, const LcItemSpec *spec, int64_t per_event);
+/* Of late; 0: not known yet. */
+double lc_batch_item_token_seconds (const LcBatchItem *item, LbTime now);
+/* Enough has come since the text was kept last. */
+bool lc_batch_item_is_worth_keeping (const LcBatchItem *item);
+
+#endif
--- a/packages/core/src/lc-batch.c
+++ b/packages/core/src/lc-batch.c
@@ -1,7 +1,7 @@
 #include "lc-batch.h"
 
+#include "lc-batch-item.h"
 #include "lc-straggler.h"
-#include "lc-stream-pace.h"
 
 #include "lb-alloc.h"
 #include "lb-log.h"
@@ -15,22 +15,17 @@
 #define MAX_RESULTS_PER_WRITE 40        /* the store takes at most 100 entries in a transaction */
 #define MAX_BYTES_PER_WRITE (400 << 10) /* of text; the store takes 1 MB, encoded */
 
-#define DEFAULT_EVENTS 8           /* of a text whose length nobody estimated */
-#define DEFAULT_EVENT_SECONDS 0.05 /* until the pace of a model is known: a usual engine's */
-#define LEAST_PART_LEFT 4          /* a fourth of its length is expected of any text */
+/* Until the pace of a model is known: that of a usual engine. */
+#define DEFAULT_EVENT_SECONDS 0.05
 /* Between looks for texts that come too slowly. */
 #define REVIEW_PERIOD (100 * LB_MSEC)
 /* Between two writes of the texts so far: what an owner that ends loses at most. An engine that
- * sends twenty events a second brings EVENTS_TO_KEEP in it. */
+ * sends twenty events a second brings enough in it to be worth a write. */
 #define KEEP_PERIOD (400 * LB_MSEC)
-/* Shorter additions cost more to write than to make again. */
-#define EVENTS_TO_KEEP 8
 /* An item that was moved so often stays where it is. */
 #define MOST_MOVES 3
 /* The pace of a stream with fewer intervals between events is mostly noise. */
 #define INTERVALS_TO_LEARN 4
-/* A stream that is silent for longer has stopped, for eight times the usual interval at least. */
-#define STOPPED (400 * LB_MSEC)
 /* Looks for slow texts come this late only when this instance itself stood still. */
 #define OWN_PAUSE (300 * LB_MSEC)
 /* Only the time counts by which the trainer waits longer. */
@@ -42,47 +37,11 @@
   LcPace pace;
 };
 
-typedef enum
-{
-  ITEM_WAITING,
-  ITEM_RUNNING,
-  ITEM_GENERATED, /* waits to be scored */
-  ITEM_SCORING,
-  ITEM_READY, /* its result waits to be written */
-  ITEM_LISTED
-} ItemState;
-
-typedef struct
-{
-  LbLink ready; /* in LcBatch.ready */
-  ItemState state;
-  LcRequestId request;
-  LbTime retry_at;
-  int64_t failures; /* answers that said that the endpoint failed */
-  int64_t score_failures;
-  int retries; /* since the last progress */
-  int64_t events;
-  size_t length; /* of the text so far */
-  size_t capacity;
-  int64_t kept;       /* events at the last KEEP */
-  LbTime started;     /* of the present run */
-  LbTime first_piece; /* of the present run; 0: none yet */
-  LbTime last_piece;  /* of the present run */
-  LcStreamPace pace;  /* of the present run */
-  int64_t run_events; /* of the present run */
-  LbName endpoint;    /* of the last piece */
-  LbName avoid;       /* endpoint that it was moved away from */
-  int moves;
-  bool recalled;
-  bool unusable; /* its text mixes what may not be mixed: made again from the start */
-  LcBatchResult result;
-} Item;
-
 struct LcBatch
 {
   LcBatchSpec spec;
   LcBatchSettings settings;
-  Item *items;
+  LcBatchItem *items;
   LbList ready;
   int64_t n_listed;
   const LcBatchResult **writing;
@@ -143,7 +102,7 @@
   batch->spec = *spec;
   memset (spec, 0, sizeof *spec);
   batch->settings = *settings;
-  batch->items = LB_NEW_ARRAY (Item, batch->spec.n_items);
+  batch->items = LB_NEW_ARRAY (LcBatchItem, batch->spec.n_items);
   batch->write_at = LB_TIME_NEVER;
   lb_list_init (&batch->ready);
   for (size_t i = 0; i < batch->spec.n_items; i++)
@@ -175,12 +134,12 @@
 }
 
 static size_t
-index_of (const LcBatch *batch, const Item *item)
+index_of (const LcBatch *batch, const LcBatchItem *item)
 {
   return (size_t)(item - batch->items);
 }
 
-static Item *
+static LcBatchItem *
 find_request (const LcBatch *batch, LcRequestId request)
 {
   for (size_t i = 0; request != 0 && i < batch->spec.n_items; i++)
@@ -213,7 +172,7 @@
   if (batch->n_writing == 0)
     {
       batch->writing = lb_realloc (batch->writing, MAX_RESULTS_PER_WRITE * sizeof *batch->writing);
-      LB_LIST_FOREACH (&batch->ready, Item, ready, item)
+      LB_LIST_FOREACH (&batch->ready, LcBatchItem, ready, item)
       {
         bytes += item->result.text ? strlen (item->result.text) : 0;
         if (batch->n_writing == MAX_RESULTS_PER_WRITE
@@ -241,7 +200,7 @@
     }
   for (; batch->n_writing > 0; batch->n_writing--)
     {
-      Item *item = LB_CONTAINER (lb_list_pop (&batch->ready), Item, ready);
+      LcBatchItem *item = LB_CONTAINER (lb_list_pop (&batch->ready), LcBatchItem, ready);
       item->state = ITEM_LISTED;
       lc_batch_result_clear (&item->result);
       batch->n_listed++;
@@ -250,7 +209,7 @@
 }
 
 static void
-make_ready (LcBatch *batch, Item *item, bool completed, LbList *actions)
+make_ready (LcBatch *batch, LcBatchItem *item, bool completed, LbList *actions)
 {
   item->state = ITEM_READY;
   item->request = 0;
@@ -267,18 +226,12 @@
 
 /* --- running --- */
 
-/* Half of a text's estimated length, or more than that, is still to come when it has got longer
- * than most of that length. */
 static int64_t
-expected_events (const LcBatch *batch, const Item *item)
+tokens_of (const LcBatch *batch, int64_t events)
 {
-  const LcItemSpec *spec = &batch->spec.items[index_of (batch, item)];
-  int64_t tokens = spec->expected_tokens > 0 ? spec->expected_tokens : spec->max_tokens;
-  int64_t per_event = batch->settings.tokens_per_event > 0 ? batch->settings.tokens_per_event : 1;
-  int64_t events = tokens > 0 ? (tokens + per_event - 1) / per_event : DEFAULT_EVENTS;
-  int64_t left = events - item->events;
+  int64_t per_event = batch->settings.tokens_per_event;
 
-  return left > events / LEAST_PART_LEFT ? left : events / LEAST_PART_LEFT + 1;
+  return events * (per_event > 0 ? per_event : 1);
 }
 
 /* Guards against a text that begins last and decides when its step is whole. The longest of a step
@@ -289,15 +242,14 @@
 {
   const LcBatchHistory *history = batch->settings.history;
   double rate = history ? history->pace.tokens_per_second : 0;
-  int64_t per_event = batch->settings.tokens_per_event > 0 ? batch->settings.tokens_per_event : 1;
-  double seconds
-      = rate > 0 ? (double)(events * per_event) / rate : (double)events * DEFAULT_EVENT_SECONDS;
+  double seconds = rate > 0 ? (double)tokens_of (batch, events) / rate
+                            : (double)events * DEFAULT_EVENT_SECONDS;
 
   return batch->settings.due_at - (LbTime)(seconds * LB_SEC);
 }
 
 static void
-run (LcBatch *batch, Item *item, LbTime now, LbList *actions)
+run (LcBatch *batch, LcBatchItem *item, LbTime now, LbList *actions)
 {
   LcBatchAction *action = add_action (actions, LC_BATCH_RUN);
 
@@ -312,12 +264,14 @@
   action->item = index_of (batch, item);
   action->resume_at = item->events;
   action->avoid = item->avoid;
-  action->expected_events = expected_events (batch, item);
+  action->expected_events
+      = lc_batch_item_expected_events (item, &batch->spec.items[index_of (batch, item)],
+                                       tokens_of (batch, 1));
   action->latest_start = latest_start (batch, action->expected_events);
 }
 
 static void
-score (LcBatch *batch, Item *item, LbList *actions)
+score (LcBatch *batch, LcBatchItem *item, LbList *actions)
 {
   LcBatchAction *action = add_action (actions, LC_BATCH_SCORE);
 
@@ -332,7 +286,7 @@
 {
   for (size_t i = 0; i < batch->spec.n_items; i++)
     {
-      Item *item = &batch->items[i];
+      LcBatchItem *item = &batch->items[i];
       if (item->state != ITEM_WAITING || strcmp (batch->spec.items[i].request.id, part->item) != 0
           || part->n_versions > LC_MAX_RESULT_VERSIONS)
         continue;
@@ -346,13 +300,6 @@
     }
 }
 
-static bool
-is_worth_keeping (const Item *item)
-{
-  return item->state == ITEM_RUNNING && !item->unusable
-         && item->events - item->kept >= EVENTS_TO_KEEP;
-}
-
 /* An owner that is killed or cut off would take all running texts with it, and the longest, on
  * which the step waits, would begin again. The next owner goes on from what was kept. */
 void
@@ -365,8 +312,8 @@
   batch->next_keep = now + KEEP_PERIOD;
   for (size_t i = 0; i < batch->spec.n_items && n < MAX_RESULTS_PER_WRITE; i++)
     {
-      Item *item = &batch->items[i];
-      if (!is_worth_keeping (item) || bytes + item->length > MAX_BYTES_PER_WRITE)
+      LcBatchItem *item = &batch->items[i];
+      if (!lc_batch_item_is_worth_keeping (item) || bytes + item->length > MAX_BYTES_PER_WRITE)
         continue;
       bytes += item->length;
       item->kept = item->events;
@@ -397,20 +344,7 @@
 }
 
 static void
-restart_text (Item *item)
-{
-  free (item->result.text);
-  item->result.text = NULL;
-  item->result.n_versions = 0;
-  item->length = 0;
-  item->capacity = 0;
-  item->kept = 0;
-  item->events = 0;
-  item->unusable = false;
-}
-
-static void
-try_later (Item *item, ItemState state, LbTime now)
+try_later (LcBatchItem *item, LcBatchItemState state, LbTime now)
 {
   LbTime delay = FIRST_DELAY;
 
@@ -422,52 +356,6 @@
   item->retry_at = now + (delay < LONGEST_DELAY ? delay : LONGEST_DELAY);
 }
 
-static void
-note_version (LcBatch *batch, Item *item, LcVersion version)
-{
-  LcBatchResult *result = &item->result;
-
-  /* A text that names no version, or one that is too old, could not be labelled honestly. */
-  if (version <= 0 || version < batch->spec.min_version)
-    item->unusable = true;
-  for (size_t i = 0; i < result->n_versions; i++)
-    if (result->versions[i] == version)
-      return;
-  if (result->n_versions == LC_MAX_RESULT_VERSIONS
-      || (batch->settings.single_version && result->n_versions > 0))
-    {
-      item->unusable = true;
-      return;
-    }
-  result->versions[result->n_versions++] = version;
-}
-
-/* Each event is a line. */
-static void
-append_text (Item *item, const char *text)
-{
-  size_t length = strlen (text);
-  size_t needed = item->length + length + 2;
-
-  if (needed > item->capacity)
-    {
-      item->capacity = 2 * needed;
-      item->result.text = lb_realloc (item->result.text, item->capacity);
-    }
-  if (item->events > 0)
-    item->result.text[item->length++] = '\n';
-  memcpy (item->result.text + item->length, text, length + 1);
-  item->length += length;
-}
-
-static int64_t
-tokens_of (const LcBatch *batch, int64_t events)
-{
-  int64_t per_event = batch->settings.tokens_per_event;
-
-  return events * (per_event > 0 ? per_event : 1);
-}
-
 void
 lc_batch_piece (LcBatch *batch,
                 LcRequestId request,
@@ -476,11 +364,11 @@
                 const char *text,
                 LbTime now)
 {
-  Item *item = find_request (batch, request);
+  LcBatchItem *item = find_request (batch, request);
 
   if (!item || item->state != ITEM_RUNNING)
     return;
-  append_text (item, text);
+  lc_batch_item_append (item, text);
   item->events++;
   item->run_events++;
   item->retries = 0;
@@ -490,11 +378,12 @@
     lc_stream_pace_add (&item->pace, tokens_of (batch, 1), now - item->last_piece);
   item->last_piece = now;
   LB_COPY (item->endpoint, endpoint);
-  note_version (batch, item, version);
+  lc_batch_item_note_version (item, version, batch->spec.min_version,
+                              batch->settings.single_version);
 }
 
 static void
-learn (LcBatch *batch, const Item *item, LbTime now)
+learn (LcBatch *batch, const LcBatchItem *item, LbTime now)
 {
   LcBatchHistory *history = batch->settings.history;
 
@@ -508,11 +397,11 @@
 }
 
 static void
-finish_text (LcBatch *batch, Item *item, LbTime now, LbList *actions)
+finish_text (LcBatch *batch, LcBatchItem *item, LbTime now, LbList *actions)
 {
   if (item->unusable || item->events == 0)
     {
-      restart_text (item);
+      lc_batch_item_restart (item);
       try_later (item, ITEM_WAITING, now);
       return;
     }
@@ -527,7 +416,7 @@
 void
 lc_batch_ran (LcBatch *batch, LcRequestId request, LbErrorCode error, LbTime now, LbList *actions)
 {
-  Item *item = find_request (batch, request);
+  LcBatchItem *item = find_request (batch, request);
 
   if (!item || item->state != ITEM_RUNNING)
     return;
@@ -551,7 +440,7 @@
       return;
     }
   if (item->unusable || !batch->settings.resumable)
-    restart_text (item);
+    lc_batch_item_restart (item);
   try_later (item, ITEM_WAITING, now);
 }
 
@@ -563,7 +452,7 @@
                  LbTime now,
                  LbList *actions)
 {
-  Item *item = find_request (batch, request);
+  LcBatchItem *item = find_request (batch, request);
 
   if (!item || item->state != ITEM_SCORING)
     return;
@@ -585,13 +474,13 @@
 }
 
 static bool
-is_open (const Item *item)
+is_open (const LcBatchItem *item)
 {
   return item->state != ITEM_READY && item->state != ITEM_LISTED;
 }
 
 static void
-stop_request (Item *item, LbList *actions)
+stop_request (LcBatchItem *item, LbList *actions)
 {
   if (item->request == 0)
     return;
@@ -606,7 +495,7 @@
 {
   for (size_t i = 0; i < batch->spec.n_items; i++)
     {
-      Item *item = &batch->items[i];
+      LcBatchItem *item = &batch->items[i];
       if (!is_open (item))
         continue;
       stop_request (item, actions);
@@ -614,27 +503,16 @@
     }
 }
 
-/* A silence counts as it goes on, so that a stream which stopped is not waited for. */
-static double
-token_seconds_of_late (const Item *item, LbTime now)
-{
-  LcStreamPace pace = item->pace;
-
-  if (now - item->last_piece > STOPPED)
-    lc_stream_pace_add (&pace, 0, now - item->last_piece);
-  return lc_stream_pace_token_seconds (&pace);
-}
-
 /* Seconds that are won if the running item goes on at another endpoint. */
 static double
-move_gain (const LcBatch *batch, const Item *item, LbTime now)
+move_gain (const LcBatch *batch, const LcBatchItem *item, LbTime now)
 {
   const LcBatchHistory *history = batch->settings.history;
   const LcProgress progress = { .tokens = tokens_of (batch, item->run_events),
                                 .max_tokens = batch->spec.items[index_of (batch, item)].max_tokens,
                                 .started = item->started,
                                 .first_piece = item->first_piece,
-                                .token_seconds = token_seconds_of_late (item, now) };
+                                .token_seconds = lc_batch_item_token_seconds (item, now) };
 
   if (item->state != ITEM_RUNNING || item->recalled || item->moves >= MOST_MOVES || item->unusable
       || item->run_events <= INTERVALS_TO_LEARN)
@@ -648,7 +526,7 @@
 {
   for (size_t i = 0; i < batch->spec.n_items; i++)
     {
-      Item *item = &batch->items[i];
+      LcBatchItem *item = &batch->items[i];
       if (item->state != ITEM_RUNNING || !item->unusable || item->recalled)
         continue;
       lb_log (LB_LOG_WARNING, "text_unusable", LB_TEXT ("batch", batch->spec.id),
@@ -656,7 +534,7 @@
               LB_INT ("version", item->result.n_versions > 0 ? item->result.versions[0] : 0),
               LB_INT ("min_version", batch->spec.min_version));
       stop_request (item, actions);
-      restart_text (item);
+      lc_batch_item_restart (item);
       try_later (item, ITEM_WAITING, now);
     }
 }
@@ -672,7 +550,7 @@
     return;
   for (size_t i = 0; i < batch->spec.n_items; i++)
     {
-      Item *item = &batch->items[i];
+      LcBatchItem *item = &batch->items[i];
       double gain = move_gain (batch, item, now);
       if (gain <= 0)
         continue;
@@ -706,7 +584,7 @@
     give_up_all (batch, actions);
   for (size_t i = 0; i < batch->spec.n_items; i++)
     {
-      Item *item = &batch->items[i];
+      LcBatchItem *item = &batch->items[i];
       if (now < item->retry_at)
         continue;
       if (item->state == ITEM_WAITING)
@@ -767,7 +645,7 @@
     return LB_TIME_NEVER;
   for (size_t i = 0; i < batch->spec.n_items; i++)
     {
-      const Item *item = &batch->items[i];
+      const LcBatchItem *item = &batch->items[i];
       any_open |= is_open (item);
       if (item->state == ITEM_WAITING || item->state == ITEM_GENERATED)
         next = earlier (next, item->retry_at);
--- a/tests/soak/sk-one-shot.c
+++ b/tests/soak/sk-one-shot.c
@@ -10,7 +10,6 @@
 #define N_ITEMS 3
 #define PERIOD (400 * LB_MSEC)
 #define PREFIX "once"
-#define CALL_TIME (4 * LB_SEC)
 /* An ended batch may begin work for so long after its end was acknowledged, and a little more on a
  * busy machine. */
 #define CANCEL_TIME (3 * LB_SEC)
@@ -115,30 +114,6 @@
   shot->ended_at = lb_clock_monotonic ();
 }
 
-static void
-call (Shot *shot,
-      const char *method,
-      const char *path,
-      const char *id,
-      const char *body,
-      void (*on_done) (LhFetch *fetch, const LhResult *result, void *user))
-{
-  const LhHeader headers[] = { { "Attempt-Id", id }, { "Deadline-Ms", "4000" } };
-  const LhHandlers handlers = { .on_done = on_done };
-  const LhRequest request = { .method = method,
-                              .address = shot->instance->address,
-                              .path = path,
-                              .host = SK_HOST,
-                              .headers = headers,
-                              .n_headers = 2,
-                              .body = body,
-                              .body_length = strlen (body),
-                              .silence = CALL_TIME,
-                              .fresh_connection = true };
-
-  shot->fetch = lh_fetch_start (shot->shots->world->pool, &request, &handlers, shot, NULL);
-}
-
 /* Every second one is ended as soon as it was accepted. */
 static void
 end_shot (Shot *shot)
@@ -149,7 +124,7 @@
     return;
   shot->state = SHOT_ENDING;
   snprintf (path, sizeof path, "/-/lots/" PREFIX "%lld", (long long)shot->number);
-  call (shot, "DELETE", path, "", "", on_ended);
+  shot->fetch = sk_call_batches (shot->instance, "DELETE", path, "", "", on_ended, shot);
 }
 
 static void
@@ -175,7 +150,7 @@
                                 " \"group\": \"g\"}",
                                 i ? "," : "", id, i);
   snprintf (body + length, sizeof body - length, "]}");
-  call (shot, "POST", "/steps/1", id, body, on_submitted);
+  shot->fetch = sk_call_batches (instance, "POST", "/steps/1", id, body, on_submitted, shot);
 }
 
 void
--- a/tests/soak/sk-trainer.c
+++ b/tests/soak/sk-trainer.c
@@ -12,7 +12,6 @@
 #define N_ITEMS 24
 #define RETRY (120 * LB_MSEC)
 #define READ_PERIOD (150 * LB_MSEC)
-#define CALL_TIME (4 * LB_SEC)
 /* A step that is not whole after so long although all is well again counts as lost. */
 #define MOST_STEP_TIME (40 * LB_SEC)
 
@@ -331,22 +330,9 @@
      const char *path,
      const char *body)
 {
-  const LhHeader headers[] = { { "Attempt-Id", trainer->batch }, { "Deadline-Ms", "4000" } };
-  const LhHandlers handlers = { .on_done = on_done };
-  const LhRequest request = { .method = method,
-                              .address = instance->address,
-                              .path = path,
-                              .host = SK_HOST,
-                              .headers = headers,
-                              .n_headers = 2,
-                              .body = body,
-                              .body_length = strlen (body),
-                              .silence = CALL_TIME,
-                              .fresh_connection = true };
-
   trainer->asked = instance;
   trainer->asked_start = instance->starts;
-  trainer->fetch = lh_fetch_start (trainer->world->pool, &request, &handlers, trainer, NULL);
+  trainer->fetch = sk_call_batches (instance, method, path, trainer->batch, body, on_done, trainer);
 }
 
 static SkInstance *
--- a/tests/soak/sk-world.c
+++ b/tests/soak/sk-world.c
@@ -17,6 +17,7 @@
 
 #define TURN_PAUSE 300 /* us; of a loop with nothing to do */
 #define N_SERVICES 2
+#define BATCH_CALL_TIME (4 * LB_SEC)
 /* A service that leaves, or an engine, is gone so long after its word at the earliest. */
 #define LEAVE_TIME (4 * LB_SEC)
 /* Longest time until a stopped process has ended: its drain time, its callers' and its batches'. */
@@ -343,6 +344,31 @@
     }
 }
 
+LhFetch *
+sk_call_batches (SkInstance *instance,
+                 const char *method,
+                 const char *path,
+                 const char *id,
+                 const char *body,
+                 void (*on_done) (LhFetch *fetch, const LhResult *result, void *user),
+                 void *user)
+{
+  const LhHeader headers[] = { { "Attempt-Id", id }, { "Deadline-Ms", "4000" } };
+  const LhHandlers handlers = { .on_done = on_done };
+  const LhRequest request = { .method = method,
+                              .address = instance->address,
+                              .path = path,
+                              .host = SK_HOST,
+                              .headers = headers,
+                              .n_headers = 2,
+                              .body = body,
+                              .body_length = strlen (body),
+                              .silence = BATCH_CALL_TIME,
+                              .fresh_connection = true };
+
+  return lh_fetch_start (instance->world->pool, &request, &handlers, user, NULL);
+}
+
 /* --- endpoints --- */
 
 static void
--- a/tests/soak/sk-world.h
+++ b/tests/soak/sk-world.h
@@ -120,6 +120,15 @@
 void sk_config_put (SkWorld *world);
 void sk_version_put (SkWorld *world, int64_t version);
 
+/* A call about batches, on a new connection. */
+LhFetch *sk_call_batches (SkInstance *instance,
+                          const char *method,
+                          const char *path,
+                          const char *id,
+                          const char *body,
+                          void (*on_done) (LhFetch *fetch, const LhResult *result, void *user),
+                          void *user);
+
 /* queries */
 bool sk_instance_runs (const SkInstance *instance);
 /* The instance that wrote last that it runs the trainer's batch; NULL: none has. */
