--- a/packages/core/src/lc-outcome.c
+++ b/packages/core/src/lc-outcome.c
@@ -277,9 +277,18 @@
   return end == LC_END_REJECTED || (end == LC_END_FAILED && request->failure_is_final);
 }
 
-/* Goes on after the last running attempt has failed: again at once when the endpoint only said that
- * it leaves, else after a delay and (unless it continues) within the budgets, else the final
- * answer. */
+/* Guards against a long text that waits for an engine which loads weights: it refuses at once,
+ * looks idle, and was asked again and again while others had room. A refusal costs next to nothing,
+ * so a sample goes to another engine at once; the attempts are bounded all the same. */
+static bool
+goes_on_at_once (const LcRequest *request, LcAttemptEnd end)
+{
+  return end == LC_END_REFUSED_LEAVING
+         || (end == LC_END_REFUSED && request->kind == LC_KIND_SAMPLE);
+}
+
+/* Goes on after the last running attempt has failed: again at once when the endpoint only refused,
+ * else after a delay and (unless it continues) within the budgets, else the final answer. */
 static void
 try_again (LcDispatch *dispatch,
            LcRequest *request,
@@ -289,7 +298,7 @@
            LbList *actions)
 {
   LbTime delay = lc_retry_delay (dispatch->random, request->n_retries);
-  bool at_once = end == LC_END_REFUSED_LEAVING;
+  bool at_once = goes_on_at_once (request, end);
   bool paid = !at_once && !continued;
 
   if (is_final (request, end) || !may_try_again (request)
--- a/packages/core/tests/test-retry.c
+++ b/packages/core/tests/test-retry.c
@@ -329,3 +329,25 @@
 {
   expect_no_storm (OUTAGE_PARTIAL);
 }
+
+/* An engine loads weights and refuses what comes. It looks idle, so a long text was sent there
+ * again each 50 to 800 ms, and began a second late although another engine had room. It goes there
+ * at once, and a budget without anything left does not stop it. */
+Test (retry, a_sample_that_is_refused_goes_to_another_engine_at_once)
+{
+  const LcDispatchSettings no_budget = {
+    .longest_view = LB_TIME_NEVER, .queue_limit = 100, .default_deadline = 30 * LB_SEC, .seed = 1
+  };
+  Fixture f;
+
+  fixture_init (&f, &no_budget, 2, 4);
+
+  LcRequestSpec spec = fixture_spec (&f, LC_KIND_SAMPLE);
+
+  cr_assert (fixture_submit (&f, &spec));
+  LcAction first = fixture_expect (&f, LC_ACTION_SEND, spec.id);
+  fixture_end (&f, spec.id, 1, LC_END_REFUSED);
+  LcAction second = fixture_expect (&f, LC_ACTION_SEND, spec.id);
+  cr_assert_str_neq (second.endpoint, first.endpoint);
+  fixture_clear (&f);
+}
