--- a/tests/soak/sk-world.c
+++ b/tests/soak/sk-world.c
@@ -17,6 +17,8 @@
 
 #define TURN_PAUSE 300 /* us; of a loop with nothing to do */
 #define N_SERVICES 2
+/* An order may wait so long in a harmed way, or in the sockets of a paused instance. */
+#define ORDER_ON_ITS_WAY (1500 * LB_MSEC)
 #define BATCH_CALL_TIME (4 * LB_SEC)
 /* A service that leaves, or an engine, is gone so long after its word at the earliest. */
 #define LEAVE_TIME (4 * LB_SEC)
@@ -404,6 +406,24 @@
              (double)(now - endpoint->leaving_since) / LB_SEC);
 }
 
+/* Engines would refuse it, but a holder that was replaced for so long knows it. */
+static void
+check_old_holder (SkWorld *world, const char *engine, const char *holder, int64_t fence)
+{
+  LbTime now = lb_clock_monotonic ();
+
+  if (fence > world->highest_fence)
+    {
+      world->highest_fence = fence;
+      world->fence_at = now;
+    }
+  if (fence < world->highest_fence && now - world->fence_at > ORDER_ON_ITS_WAY)
+    sk_fail (world, "one holder",
+             "%s orders %s with fencing number %lld, %.3f s after %lld was used", holder, engine,
+             (long long)fence, (double)(now - world->fence_at) / LB_SEC,
+             (long long)world->highest_fence);
+}
+
 /* Two holders with one fencing number would both be obeyed. */
 static void
 on_order (SiSampler *sampler, const char *holder, int64_t fence, bool accepted, void *user)
@@ -424,6 +444,7 @@
     sk_fail (endpoint->world, "one holder", "%s and %s order %s with fencing number %lld",
              holder_of[fence], holder, sampler->name, (long long)fence);
   LB_COPY (holder_of[fence], holder);
+  check_old_holder (endpoint->world, sampler->name, holder, fence);
   (void)accepted;
 }
 
--- a/tests/soak/sk-world.h
+++ b/tests/soak/sk-world.h
@@ -79,6 +79,8 @@
   size_t n_endpoints;
   int n_engines_made; /* numbers their names */
   SkRequest *requests;
+  int64_t highest_fence;        /* of the orders that engines got */
+  LbTime fence_at;              /* when it was seen first */
   struct SkOneShots *one_shots; /* that hear of runs; NULL: none yet */
   LbName batch;                 /* that the trainer waits for */
   int64_t config_version;
