An idle connection is not used near the end its server stated in Keep-Alive

Cause: idle connections were kept for 20 s whatever the reply's Keep-Alive header said. A server that closes after 5 s was met half-closed now and then: a request that may not run twice was answered 502 though nobody ran it. Ruled out: waiting for the close callback alone; it comes after the request is written. The test fails before the change (fetch waits on the old connection for the whole 20 s of the test) and passes with it.

--- a/packages/http/src/lh-fetch.c
+++ b/packages/http/src/lh-fetch.c
@@ -108,21 +108,27 @@
     evbuffer_remove_cb (output, on_output, fetch);
 }
 
-/* What is left unread on a connection would be taken for the reply to its next request, and reach
+/* How long the connection may lie idle before its next request, 0 for no next request.
+ *
+ * What is left unread on a connection would be taken for the reply to its next request, and reach
  * another caller. A HEAD request is where it happens: some servers send the body all the same. */
-static bool
-is_reusable (const LhFetch *fetch, struct evhttp_request *request)
+static LbTime
+idle_life (const LhFetch *fetch, struct evhttp_request *request)
 {
   struct bufferevent *bev = evhttp_connection_get_bufferevent (fetch->connection->evcon);
+  struct evkeyvalq *headers;
   const char *value;
 
   if (evbuffer_get_length (bufferevent_get_input (bev)) > 0)
-    return false;
+    return 0;
   if (!request || evhttp_request_get_response_code (request) == 0
       || evhttp_request_get_command (request) == EVHTTP_REQ_HEAD)
-    return false;
-  value = evhttp_find_header (evhttp_request_get_input_headers (request), "Connection");
-  return !value || strcasecmp (value, "close") != 0;
+    return 0;
+  headers = evhttp_request_get_input_headers (request);
+  value = evhttp_find_header (headers, "Connection");
+  if (value && strcasecmp (value, "close") == 0)
+    return 0;
+  return lh_pool_idle_life (evhttp_find_header (headers, "Keep-Alive"));
 }
 
 /* evhttp calls back from inside evhttp_make_request when it can't even open a socket, all file
@@ -193,7 +199,7 @@
     }
   else
     result.failure = fetch->failure != LB_OK ? fetch->failure : LB_ERROR_IO;
-  lh_pool_give_back (connection, result.failure == LB_OK && is_reusable (fetch, request));
+  lh_pool_give_back (connection, result.failure == LB_OK ? idle_life (fetch, request) : 0);
   fetch->request = request;
   fetch->handlers.on_done (fetch, &result, fetch->user);
   free (fetch);
--- a/packages/http/src/lh-pool.c
+++ b/packages/http/src/lh-pool.c
@@ -11,6 +11,9 @@
 #define MAX_HEADER_BYTES (64 << 10)
 #define MAX_IDLE_PER_POOL 512
 #define IDLE_LIFE (20 * LB_SEC)
+/* A stated idle time ends this much earlier here: the next request travels for a while, and the
+ * server counts from when it wrote its reply. Half the shortest time the header can state. */
+#define IDLE_MARGIN (500 * LB_MSEC)
 #define REAP_SECONDS 5
 
 static bool
@@ -63,6 +66,13 @@
   lb_list_remove (&connection->pool->idle, &connection->link);
 }
 
+/* Whether the server may be closing the connection by now. */
+static bool
+has_idled_out (const LhConnection *connection, LbTime now)
+{
+  return now - connection->idle_since >= connection->idle_life;
+}
+
 static void
 reap (evutil_socket_t fd, short what, void *user)
 {
@@ -73,7 +83,7 @@
 
   LB_LIST_FOREACH (&pool->idle, LhConnection, link, connection)
   {
-    if (now - connection->idle_since < IDLE_LIFE)
+    if (!has_idled_out (connection, now))
       continue;
     leave_idle (connection);
     lb_list_append (&pool->closing, &connection->link);
@@ -143,15 +153,28 @@
   }
 }
 
+LbTime
+lh_pool_idle_life (const char *keep_alive)
+{
+  const char *timeout = keep_alive ? strcasestr (keep_alive, "timeout=") : NULL;
+  const char *digits = timeout ? timeout + strlen ("timeout=") : "";
+  char *end = NULL;
+  long seconds = strtol (digits, &end, 10);
+
+  if (end == digits || seconds < 0 || seconds > IDLE_LIFE / LB_SEC)
+    return IDLE_LIFE;
+  return seconds * LB_SEC - IDLE_MARGIN;
+}
+
 /* Returning a connection that the other side is closing would fail the next request, so only one
- * whose reply allows keep-alive goes back. */
+ * whose reply allows keep-alive goes back, for as long as its server keeps it. */
 void
-lh_pool_give_back (LhConnection *connection, bool reusable)
+lh_pool_give_back (LhConnection *connection, LbTime idle_life)
 {
   static const struct timeval idle_limit = { .tv_sec = 2 * IDLE_LIFE / LB_SEC };
   LhPool *pool = connection->pool;
 
-  if (!reusable || pool->idle.length >= MAX_IDLE_PER_POOL)
+  if (idle_life <= 0 || pool->idle.length >= MAX_IDLE_PER_POOL)
     {
       lh_pool_close_later (connection);
       return;
@@ -160,6 +183,7 @@
    */
   evhttp_connection_set_timeout_tv (connection->evcon, &idle_limit);
   connection->idle_since = lb_clock_monotonic ();
+  connection->idle_life = idle_life;
   connection->is_idle = true;
   lb_list_prepend (&pool->idle, &connection->link);
 }
@@ -201,10 +225,12 @@
 LhConnection *
 lh_pool_take (LhPool *pool, const char *address, bool fresh, LbError *error)
 {
+  LbTime now = lb_clock_monotonic ();
+
   if (!fresh)
     LB_LIST_FOREACH (&pool->idle, LhConnection, link, connection)
     {
-      if (strcmp (connection->address, address) != 0)
+      if (strcmp (connection->address, address) != 0 || has_idled_out (connection, now))
         continue;
       leave_idle (connection);
       return connection;
--- a/packages/http/src/lh-pool.h
+++ b/packages/http/src/lh-pool.h
@@ -14,6 +14,7 @@
   LbName address;
   bool is_idle; /* in LhPool.idle */
   LbTime idle_since;
+  LbTime idle_life; /* not used after lying idle for so long */
 } LhConnection;
 
 struct LhPool
@@ -29,7 +30,10 @@
 
 /* A kept connection to the address, or a new one; NULL for a malformed address. */
 LhConnection *lh_pool_take (LhPool *pool, const char *address, bool fresh, LbError *error);
-void lh_pool_give_back (LhConnection *connection, bool reusable);
+/* Keeps the connection for reuse within idle_life; closes it when that is not positive. */
+void lh_pool_give_back (LhConnection *connection, LbTime idle_life);
+/* How long a connection may lie idle by the reply's Keep-Alive header; NULL for no header. */
+LbTime lh_pool_idle_life (const char *keep_alive);
 void lh_pool_close_later (LhConnection *connection);
 /* Frees what closes and reports what failed, in the loop's next turn. */
 void lh_pool_wake (LhPool *pool);
--- a/packages/http/tests/test-fetch.c
+++ b/packages/http/tests/test-fetch.c
@@ -409,6 +409,30 @@
   world_clear (&w);
 }
 
+/* An engine closes idle connections after the second its Keep-Alive header states. A request that
+ * is sent just then meets the close, and one that must not run twice is answered 502 although the
+ * engine never saw it. */
+Test (fetch, an_idle_connection_is_not_used_near_the_end_its_server_stated)
+{
+  World w;
+  LbTime end = 0;
+
+  world_init (&w);
+  start (&w, "GET", "", false, 0);
+  int fd = server_accept (&w, "\r\n\r\n");
+  server_send (fd, "HTTP/1.1 200 OK\r\nKeep-Alive: max=9, timeout=1\r\nContent-Length: 0\r\n\r\n");
+  UNTIL (&w, w.done);
+  end = lb_clock_monotonic () + 800 * LB_MSEC;
+  while (lb_clock_monotonic () < end)
+    pump (&w);
+  w.done = 0;
+  start (&w, "GET", "", false, 0);
+  int fresh = server_accept (&w, "\r\n\r\n");
+  close (fd);
+  close (fresh);
+  world_clear (&w);
+}
+
 /* The route's host is part of what the endpoint is asked. */
 Test (fetch, the_host_may_differ_from_the_address)
 {
