--- a/packages/core/include/lc-rollouts.h
+++ b/packages/core/include/lc-rollouts.h
@@ -208,6 +208,8 @@
 void lc_rollout_action_free (LcRolloutAction *action);
 
 /* queries */
+/* Whether the resources have a subscription of this name. */
+bool lc_rollouts_declares (const LcRollouts *rollouts, const char *subscription);
 /* Whether the step's content and subscription are such that it could be opened here. */
 bool lc_rollouts_may_open (const LcRollouts *rollouts, const LcStepSpec *spec, LbError *error);
 LbTime lc_rollouts_next_tick (const LcRollouts *rollouts);
--- a/packages/core/src/lc-rollouts.c
+++ b/packages/core/src/lc-rollouts.c
@@ -309,11 +309,17 @@
 }
 
 bool
-lc_rollouts_may_open (const LcRollouts *rollouts, const LcStepSpec *spec, LbError *error)
+lc_rollouts_declares (const LcRollouts *rollouts, const char *subscription)
 {
-  const LcTrainer *trainer = lc_rollouts_trainer (rollouts, spec->subscription);
+  const LcTrainer *trainer = lc_rollouts_trainer (rollouts, subscription);
+
+  return trainer && trainer->declared;
+}
 
-  if (!trainer || !trainer->declared)
+bool
+lc_rollouts_may_open (const LcRollouts *rollouts, const LcStepSpec *spec, LbError *error)
+{
+  if (!lc_rollouts_declares (rollouts, spec->subscription))
     return lb_error_set (error, LB_ERROR_UNKNOWN_SUBSCRIPTION, spec->subscription,
                          "no subscription of this name is declared");
   if (rollouts->draining)
--- a/packages/node/src/ln-rollouts-owners.c
+++ b/packages/node/src/ln-rollouts-owners.c
@@ -96,6 +96,16 @@
   ln_rollouts_end_call (rollouts, call);
 }
 
+static void
+fail_absent (LnRollouts *rollouts, LnStepCall *call)
+{
+  if (lc_rollouts_declares (rollouts->core, call->key.subscription))
+    fail_call (rollouts, call, LB_ERROR_UNKNOWN_STEP, "this step was never opened");
+  else
+    fail_call (rollouts, call, LB_ERROR_UNKNOWN_SUBSCRIPTION,
+               "no subscription of this name is declared");
+}
+
 LnStepCall *
 ln_rollouts_find_call (LbList *calls, uint64_t id)
 {
@@ -296,7 +306,7 @@
       else if (answer->outcome == LN_STEP_FREE)
         pass_on (rollouts, call);
       else if (answer->outcome == LN_STEP_ABSENT)
-        fail_call (rollouts, call, LB_ERROR_UNKNOWN_STEP, "this step was never opened");
+        fail_absent (rollouts, call);
       else
         fail_call (rollouts, call, answer->error ? answer->error : LB_ERROR_NOT_READY,
                    "the step's owner is not known");
--- a/packages/node/tests/steps-fixture.h
+++ b/packages/node/tests/steps-fixture.h
@@ -376,10 +376,11 @@
 
 /* Sends a call of the trainer without waiting for the answer. */
 static inline void
-world_send (World *world, size_t instance, const char *what, const char *body)
+world_send_to (
+    World *world, size_t instance, const char *subscription, const char *what, const char *body)
 {
   static const LhHandlers handlers = { .on_done = world_on_done };
-  char *path = lb_asprintf ("/v1/subscriptions/t/%s", what);
+  char *path = lb_asprintf ("/v1/subscriptions/%s/%s", subscription, what);
   const LhRequest request = { .method = body ? "POST" : "GET",
                               .address = world->instances[instance].context.caller_address,
                               .path = path,
@@ -392,6 +393,12 @@
   free (path);
 }
 
+static inline void
+world_send (World *world, size_t instance, const char *what, const char *body)
+{
+  world_send_to (world, instance, "t", what, body);
+}
+
 static inline void
 world_send_open (World *world, size_t instance)
 {
--- a/packages/node/tests/test-steps.c
+++ b/packages/node/tests/test-steps.c
@@ -45,6 +45,18 @@
   world_free (world);
 }
 
+/* A trainer misspells its subscription. Told that its step is unknown, it would post the step again
+ * and again; told that the subscription is, it knows what to mend. */
+Test (steps, an_unknown_subscription_is_not_called_an_unknown_step)
+{
+  World *world = world_new (false);
+
+  world_send_to (world, 0, "tt", "pull", "{\"step\":9,\"cursor\":\"\",\"weight_version\":1}");
+  WORLD_UNTIL (world, world->pending == 0);
+  cr_assert (strstr (world->reply, "unknown_subscription"), "%s", world->reply);
+  world_free (world);
+}
+
 /* The owner dies with half of the step given. The trainer asks another instance, which must go on
  * exactly behind what the trainer has, although the ledger knows nothing of it yet. */
 Test (steps, the_owner_dies_and_another_goes_on)
