--- /dev/null
+++ b/packages/node/src/ln-batch-call.c
@@ -0,0 +1,86 @@
+#include "lp-platform.h"
+
+#include "ln-batch-call.h"
+
+#include "lb-clock.h"
+#include "lb-log.h"
+
+#include <stdlib.h>
+
+#define MAX_TRIES 4
+/* The store takes a few tens of milliseconds at most when it is well. */
+#define RETRY_PERIOD (80 * LB_MSEC)
+
+static const char *const kind_names[] = {
+  [LN_BATCH_CALL_SUBMIT] = "submit",
+  [LN_BATCH_CALL_RESULTS] = "results",
+  [LN_BATCH_CALL_ITEM] = "item",
+  [LN_BATCH_CALL_END] = "end",
+};
+
+void
+ln_batch_call_free (LnBatchCall *call)
+{
+  lb_list_remove (&call->batches->exchanges, &call->link);
+  lc_batch_spec_clear (&call->spec);
+  lc_batch_result_clear (&call->long_result);
+  free (call->body);
+  free (call);
+}
+
+LpPlatform *
+ln_batch_call_platform (const LnBatchCall *call)
+{
+  return call->batches->context->platform;
+}
+
+const LnDialect *
+ln_batch_call_dialect (const LnBatchCall *call)
+{
+  return call->batches->context->dialect;
+}
+
+void
+ln_batch_call_reply (
+    LnBatchCall *call, int status, const char *text, size_t length, const char *type)
+{
+  if (call->exchange)
+    ln_exchange_reply_text (call->exchange, status, type, text, length);
+  ln_batch_call_free (call);
+}
+
+void
+ln_batch_call_fail (LnBatchCall *call, LbErrorCode code, const char *detail, LbTime retry_after)
+{
+  LbError error = { 0 };
+
+  lb_log (LB_LOG_INFO, "batch_call_failed", LB_TEXT ("batch", call->id),
+          LB_TEXT ("call", kind_names[call->kind]), LB_TEXT ("error", lb_error_name (code)),
+          LB_INT ("tries", call->tries));
+  lb_error_set (&error, code, call->id, "%s", detail);
+  if (call->exchange)
+    ln_exchange_reply_error (call->exchange, &error, retry_after);
+  ln_batch_call_free (call);
+}
+
+void
+ln_batch_call_fail_store_away (LnBatchCall *call)
+{
+  ln_batch_call_fail (call, LB_ERROR_STORE_AWAY, "the store does not answer", LN_BATCH_STORE_RETRY);
+}
+
+bool
+ln_batch_call_schedule_retry (LnBatchCall *call)
+{
+  if (++call->tries >= MAX_TRIES || !call->exchange)
+    return false;
+  call->retry_at = lb_clock_monotonic () + RETRY_PERIOD;
+  return true;
+}
+
+void
+ln_batch_call_try_again_or_fail (LnBatchCall *call)
+{
+  if (!ln_batch_call_schedule_retry (call))
+    ln_batch_call_fail_store_away (call);
+}
