The next batch of a model joins what runs, rather than what ended last

An end writes the row anew, so the youngest row was the ended one's. Each of the two opens a connection for each place of each engine. Test: core-test-batch-head.

--- a/packages/core/include/lc-batch-head.h
+++ b/packages/core/include/lc-batch-head.h
@@ -30,9 +30,13 @@
 
 /* The instance that runs the batch, or shall. */
 const char *lc_batch_head_runner (const LcBatchHead *head);
+/* Whether a's instance rather than b's is where the next batch of their model goes. */
+bool lc_batch_head_is_later (const LcBatchHead *a,
+                             int64_t version_a,
+                             const LcBatchHead *b,
+                             int64_t version_b);
 /* The instance that the next batch of a model goes to; last: where the one before went, "": none
- * did.
- * "" when there is no candidate. */
+ * did. "" when there is no candidate. */
 const char *lc_batch_head_choose (const char *model,
                                   const char *last,
                                   const LbName *candidates,
--- a/packages/core/src/lc-batch-head.c
+++ b/packages/core/src/lc-batch-head.c
@@ -56,6 +56,18 @@
   return head->epoch == 1 && head->preferred[0] ? head->preferred : head->owner;
 }
 
+/* Guards against two instances that run a model's batches in turn: an end writes the row anew, so
+ * by versions alone the next batch went to whoever's had just ended, beside the one that runs. Each
+ * of the two held a connection for each place of each engine. */
+bool
+lc_batch_head_is_later (const LcBatchHead *a,
+                        int64_t version_a,
+                        const LcBatchHead *b,
+                        int64_t version_b)
+{
+  return a->ended != b->ended ? b->ended : version_a > version_b;
+}
+
 /* Guards against batches that move back to an instance which was away: each move opens a connection
  * for each place of each engine, and gains nothing. Only where nobody has them is one drawn. */
 const char *
--- a/packages/core/tests/test-batch-head.c
+++ b/packages/core/tests/test-batch-head.c
@@ -81,3 +81,17 @@
   head.epoch = 2;
   cr_assert_str_eq (lc_batch_head_runner (&head), "a");
 }
+
+/* Two steps of a model run on two instances, since an owner died. The first one ends, which writes
+ * its row anew; the third step must join the second. It went to the first one's instance, the
+ * fourth to the second one's, and both kept connections to all engines for good. */
+Test (batch_head, the_next_batch_joins_what_runs_rather_than_what_ended_last)
+{
+  const LcBatchHead ended = { .ended = true };
+  const LcBatchHead runs = { .ended = false };
+
+  cr_assert (lc_batch_head_is_later (&runs, 5, &ended, 9));
+  cr_assert_not (lc_batch_head_is_later (&ended, 9, &runs, 5));
+  cr_assert (lc_batch_head_is_later (&runs, 9, &runs, 5));
+  cr_assert (lc_batch_head_is_later (&ended, 9, &ended, 5));
+}
--- a/packages/node/src/ln-batch-submit.c
+++ b/packages/node/src/ln-batch-submit.c
@@ -160,15 +160,20 @@
   return tokens;
 }
 
-/* Where the model's youngest batch went; "" when none is known. */
+/* Where the model's latest batch went; "" when none is known. */
 static const char *
 last_runner (const LnBatches *batches, const char *model)
 {
   const LnBatch *last = NULL;
 
   for (const LnBatch *batch = batches->by_id; batch; batch = batch->hh.next)
-    if (strcmp (batch->head.model, model) == 0 && (!last || batch->version > last->version))
-      last = batch;
+    {
+      if (strcmp (batch->head.model, model) != 0)
+        continue;
+      if (!last
+          || lc_batch_head_is_later (&batch->head, batch->version, &last->head, last->version))
+        last = batch;
+    }
   return last ? lc_batch_head_runner (&last->head) : "";
 }
 
