--- a/standins/si-rows.c
+++ b/standins/si-rows.c
@@ -240,7 +240,8 @@
     }
   if (ok && rows->lost_replies > 0 && touches_table (array_of (body, "writes"), "head"))
     {
-      rows->lost_replies--;
+      if (--rows->lost_replies == 0 && rows->away_once_lost)
+        rows->mode = SI_ROWS_AWAY;
       si_reply_drop (request);
     }
   else if (rows->mode == SI_ROWS_LOSES_REPLY)
--- a/standins/si-rows.h
+++ b/standins/si-rows.h
@@ -28,8 +28,9 @@
   int64_t version;
   int64_t history_from; /* older versions can't be watched from */
   SiRowsMode mode;
-  int lost_replies; /* of writes of batches' rows: so many more are lost, whatever the mode */
-  int64_t writes;   /* that were carried out */
+  int lost_replies;    /* of writes of batches' rows: so many more are lost, whatever the mode */
+  bool away_once_lost; /* refuses every call after the last of those */
+  int64_t writes;      /* that were carried out */
 } SiRows;
 
 bool si_rows_init (SiRows *rows, struct event_base *base, int port);
--- a/tests/process/test-shared.c
+++ b/tests/process/test-shared.c
@@ -789,6 +789,26 @@
   world_clear (&w);
 }
 
+/* The store takes the row of a batch, its answer is lost, and it refuses all calls after that. Told
+ * "not run" the trainer would submit its step anew, and the batch that was taken would run beside
+ * it as soon as the store is back. */
+Test (shared, a_batch_whose_row_may_stand_is_not_called_refused)
+{
+  World w;
+
+  world_init (&w);
+  start_instance (&w);
+  w.rows.lost_replies = 1;
+  w.rows.away_once_lost = true;
+  submit (&w, 0, "b1", 3);
+  cr_assert_eq (w.status, 502);
+  cr_assert_eq (si_rows_count (&w.rows, "head"), 1);
+  w.rows.mode = SI_ROWS_WELL;
+  UNTIL (&w, count_listed (&w, 0, "b1") == 3);
+  assert_all_listed (&w, 0, "b1", 3);
+  world_clear (&w);
+}
+
 /* Without the store nothing can be accepted. The trainer hears so at once, with a time to come
  * back, and nothing of the batch runs; calls of plain services go on. */
 Test (shared, without_the_store_batches_are_refused_and_calls_served)
