--- a/tests/soak/sk-world.h
+++ b/tests/soak/sk-world.h
@@ -13,8 +13,9 @@
  * the shared store, engines, a plain service, callers, a trainer. What callers and endpoints see is
  * checked against the promises while faults come from outside. */
 
-#define SK_MAX_INSTANCES 64
-#define SK_MAX_ENDPOINTS 64
+#define SK_MAX_INSTANCES 200
+#define SK_MAX_ENGINES 64
+#define SK_MAX_ENDPOINTS 128 /* engines, services, and those that take the place of others */
 #define SK_HOST "h.example"
 #define SK_MODEL "m"
 
--- a/tests/soak/soak-processes.c
+++ b/tests/soak/soak-processes.c
@@ -13,6 +13,8 @@
 #define SETTLE_LIMIT (60 * LB_SEC)
 #define STOP_LIMIT (25 * LB_SEC)
 
+#define LONGEST_SECONDS 3600
+
 typedef struct
 {
   int seconds;
@@ -178,14 +180,31 @@
   return false;
 }
 
+static bool
+is_in_range (const char *option, int value, int least, int most)
+{
+  if (value >= least && value <= most)
+    return true;
+  fprintf (stderr, "soak-processes: --%s: expected %d to %d\n", option, least, most);
+  return false;
+}
+
+static bool
+is_possible (const Options *options)
+{
+  return is_in_range ("instances", options->instances, 1, SK_MAX_INSTANCES)
+         && is_in_range ("engines", options->engines, 2, SK_MAX_ENGINES)
+         && is_in_range ("seconds", options->seconds, 1, LONGEST_SECONDS);
+}
+
 int
 main (int argc, char **argv)
 {
   struct arg_int *seed = arg_int0 (NULL, "seed", "N", "first seed; 1 by default");
   struct arg_int *seeds = arg_int0 (NULL, "seeds", "N", "how many; 1 by default");
   struct arg_int *seconds = arg_int0 (NULL, "seconds", "N", "of faults; 12 by default");
-  struct arg_int *instances = arg_int0 (NULL, "instances", "N", "1 to 64; 4 by default");
-  struct arg_int *engines = arg_int0 (NULL, "engines", "N", "2 to 32; 5 by default");
+  struct arg_int *instances = arg_int0 (NULL, "instances", "N", "1 to 200; 4 by default");
+  struct arg_int *engines = arg_int0 (NULL, "engines", "N", "2 to 64; 5 by default");
   struct arg_str *only = arg_str0 (NULL, "only", "FAULT", "strike with one kind alone");
   struct arg_lit *verbose = arg_lit0 (NULL, "verbose", "tell what is done, on standard error");
   struct arg_lit *keep = arg_lit0 (NULL, "keep-logs", "also of seeds that held");
@@ -210,8 +229,7 @@
                        .verbose = verbose->count > 0,
                        .keep_logs = keep->count > 0 };
   status = 2;
-  if (options.instances < 1 || options.instances > SK_MAX_INSTANCES || options.engines < 2
-      || options.engines > 32 || options.seconds < 1 || (options.only && !is_known (options.only)))
+  if (!is_possible (&options) || (options.only && !is_known (options.only)))
     goto out;
   status = 0;
   for (int i = 0; i < seeds->ival[0]; i++)
