--- a/standins/si-rows.c
+++ b/standins/si-rows.c
@@ -333,6 +333,7 @@
   (void)connection;
   Watch *watch = user;
 
+  si_request_closed (watch->request);
   lb_list_remove (&watch->rows->watches, &watch->link);
   free (watch->table);
   free (watch);
--- a/standins/si-sampler.c
+++ b/standins/si-sampler.c
@@ -63,6 +63,7 @@
   Stream *stream = user;
 
   stream->sampler->cancelled++;
+  si_request_closed (stream->request);
   stream_free (stream);
 }
 
@@ -233,7 +234,10 @@
 on_call_closed (struct evhttp_connection *connection, void *user)
 {
   (void)connection;
-  call_free (user);
+  Call *call = user;
+
+  si_request_closed (call->request);
+  call_free (call);
 }
 
 static void
--- a/standins/si-server.c
+++ b/standins/si-server.c
@@ -217,6 +217,16 @@
   si_reply_json (request, status, object);
 }
 
+/* evhttp leaves a request that nobody has answered to whoever meant to, when its connection is
+ * gone.
+ */
+void
+si_request_closed (struct evhttp_request *request)
+{
+  if (!evhttp_request_get_connection (request))
+    evhttp_request_free (request);
+}
+
 void
 si_reply_drop (struct evhttp_request *request)
 {
--- a/standins/si-server.h
+++ b/standins/si-server.h
@@ -39,6 +39,8 @@
 
 void si_reply_json (struct evhttp_request *request, int status, struct json_object *object);
 void si_reply_error (struct evhttp_request *request, int status, const char *type);
+/* To be called when the connection of a request that is not answered yet has closed. */
+void si_request_closed (struct evhttp_request *request);
 /* Closes the connection without an answer, or with the answer cut off. */
 void si_reply_drop (struct evhttp_request *request);
 
