Times become timevals, and are compared, in one place

The conversion of a duration to a struct timeval stood in 19 places of packages, stand-ins and tests, the earlier of two times in three, the later in one. They are lb-time now.

--- /dev/null
+++ b/packages/base/include/lb-time.h
@@ -0,0 +1,13 @@
+#ifndef LB_TIME_H
+#define LB_TIME_H
+
+#include "lb-types.h"
+
+#include <sys/time.h>
+
+LbTime lb_time_earlier (LbTime a, LbTime b);
+LbTime lb_time_later (LbTime a, LbTime b);
+/* A duration as libevent takes it. */
+struct timeval lb_time_to_timeval (LbTime time);
+
+#endif
--- a/packages/core/src/lc-batch.c
+++ b/packages/core/src/lc-batch.c
@@ -5,6 +5,7 @@
 
 #include "lb-alloc.h"
 #include "lb-log.h"
+#include "lb-time.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -629,12 +630,6 @@
   return batch->n_listed >= (int64_t)batch->spec.n_items;
 }
 
-static LbTime
-earlier (LbTime a, LbTime b)
-{
-  return a < b ? a : b;
-}
-
 LbTime
 lc_batch_next_tick (const LcBatch *batch)
 {
@@ -648,7 +643,9 @@
       const LcBatchItem *item = &batch->items[i];
       any_open |= is_open (item);
       if (item->state == ITEM_WAITING || item->state == ITEM_GENERATED)
-        next = earlier (next, item->retry_at);
+        next = lb_time_earlier (next, item->retry_at);
     }
-  return any_open ? earlier (earlier (next, batch->next_review), batch->settings.give_up_at) : next;
+  return any_open ? lb_time_earlier (lb_time_earlier (next, batch->next_review),
+                                     batch->settings.give_up_at)
+                  : next;
 }
--- a/packages/core/src/lc-rollouts.c
+++ b/packages/core/src/lc-rollouts.c
@@ -3,6 +3,7 @@
 #include "lb-alloc.h"
 #include "lb-counter.h"
 #include "lb-log.h"
+#include "lb-time.h"
 #include "lc-deliver.h"
 #include "lc-generate.h"
 #include "lc-result.h"
@@ -601,12 +602,6 @@
   }
 }
 
-static LbTime
-earlier (LbTime a, LbTime b)
-{
-  return a < b ? a : b;
-}
-
 /* An open step is looked at several times within the pause limit, else silence would look like a
  * pause of this process. */
 LbTime
@@ -616,14 +611,14 @@
 
   LB_LIST_FOREACH (&rollouts->steps, LcStep, link, step)
   {
-    next = earlier (next, step->retry_at);
-    next = earlier (next,
-                    step->closed ? step->closed + KEEP_CLOSED + 1 : rollouts->last_seen + TICK);
+    next = lb_time_earlier (next, step->retry_at);
+    next = lb_time_earlier (next, step->closed ? step->closed + KEEP_CLOSED + 1
+                                               : rollouts->last_seen + TICK);
     if (!step->closed || step->ledger.confirmed != step->ledger.wanted)
-      next = earlier (next, lc_ledger_due (&step->ledger));
+      next = lb_time_earlier (next, lc_ledger_due (&step->ledger));
     LB_LIST_FOREACH (&step->pulls, LcWaitingPull, link, pull)
     {
-      next = earlier (next, pull->wait_until);
+      next = lb_time_earlier (next, pull->wait_until);
     }
   }
   return next;
--- a/packages/core/src/lc-timers.c
+++ b/packages/core/src/lc-timers.c
@@ -1,10 +1,6 @@
 #include "lc-dispatch-private.h"
 
-static LbTime
-earlier (LbTime a, LbTime b)
-{
-  return a < b ? a : b;
-}
+#include "lb-time.h"
 
 /* Time at which a second attempt is worth making; NEVER when none is allowed. */
 static LbTime
@@ -30,9 +26,9 @@
     case LC_STATE_WAITING:
       return request->start_by;
     case LC_STATE_BACKOFF:
-      return earlier (request->retry_at, request->deadline);
+      return lb_time_earlier (request->retry_at, request->deadline);
     default:
-      return earlier (request->deadline, hedge_time (dispatch, request));
+      return lb_time_earlier (request->deadline, hedge_time (dispatch, request));
     }
 }
 
--- a/packages/http/src/lh-fetch.c
+++ b/packages/http/src/lh-fetch.c
@@ -3,6 +3,7 @@
 #include "lh-pool.h"
 
 #include "lb-alloc.h"
+#include "lb-time.h"
 #include "lh-socket.h"
 
 #include <event2/buffer.h>
@@ -67,8 +68,7 @@
 static void
 set_silence (LhConnection *connection, LbTime silence)
 {
-  const struct timeval limit
-      = { .tv_sec = silence / LB_SEC, .tv_usec = (suseconds_t)(silence % LB_SEC) };
+  const struct timeval limit = lb_time_to_timeval (silence);
 
   evhttp_connection_set_timeout_tv (connection->evcon, &limit);
 }
@@ -173,7 +173,7 @@
 static void
 start_connect_timer (LhFetch *fetch, LbTime time)
 {
-  const struct timeval tv = { .tv_sec = time / LB_SEC, .tv_usec = time % LB_SEC };
+  const struct timeval tv = lb_time_to_timeval (time);
 
   if (time <= 0 || fetch->bytes_handed)
     return;
--- a/packages/node/src/ln-caller.c
+++ b/packages/node/src/ln-caller.c
@@ -5,6 +5,7 @@
 
 #include "lb-alloc.h"
 #include "lb-counter.h"
+#include "lb-time.h"
 #include "lh-socket.h"
 
 #include <arpa/inet.h>
@@ -46,7 +47,7 @@
 static void
 arm (LnCaller *caller, LbTime time)
 {
-  const struct timeval limit = { .tv_sec = time / LB_SEC, .tv_usec = time % LB_SEC };
+  const struct timeval limit = lb_time_to_timeval (time);
 
   evtimer_add (caller->timer, &limit);
 }
--- a/packages/node/src/ln-calls-run.c
+++ b/packages/node/src/ln-calls-run.c
@@ -7,6 +7,7 @@
 #include "lb-counter.h"
 #include "lb-histogram.h"
 #include "lb-log.h"
+#include "lb-time.h"
 
 #include <event2/buffer.h>
 #include <event2/event.h>
@@ -81,7 +82,7 @@
     }
   if (wait < 0)
     wait = 0;
-  const struct timeval tv = { .tv_sec = wait / LB_SEC, .tv_usec = wait % LB_SEC };
+  const struct timeval tv = lb_time_to_timeval (wait);
   evtimer_add (calls->tick, &tv);
 }
 
--- a/packages/node/src/ln-config-store.c
+++ b/packages/node/src/ln-config-store.c
@@ -4,6 +4,7 @@
 #include "lb-clock.h"
 #include "lb-json.h"
 #include "lb-log.h"
+#include "lb-time.h"
 #include "lp-platform.h"
 
 #include <event2/event.h>
@@ -249,8 +250,7 @@
 static void
 retry_later (Commit *commit)
 {
-  const struct timeval delay
-      = { .tv_sec = commit->delay / LB_SEC, .tv_usec = (suseconds_t)(commit->delay % LB_SEC) };
+  const struct timeval delay = lb_time_to_timeval (commit->delay);
 
   if (lb_clock_monotonic () - commit->started_at >= COMMIT_DEADLINE)
     {
--- a/packages/node/src/ln-fleet.c
+++ b/packages/node/src/ln-fleet.c
@@ -6,6 +6,7 @@
 #include "lb-alloc.h"
 #include "lb-clock.h"
 #include "lb-log.h"
+#include "lb-time.h"
 #include "lc-fleet.h"
 #include "lh-fetch.h"
 #include "lp-path.h"
@@ -111,16 +112,11 @@
     platform->klass->set_peers (platform, addresses, n);
 }
 
-static LbTime
-longer (LbTime a, LbTime b)
-{
-  return a > b ? a : b;
-}
-
 static LbTime
 list_period (const Fleet *task)
 {
-  return longer (LIST_PERIOD, (LbTime)lc_fleet_count (task->fleet) * LIST_PERIOD_PER_INSTANCE);
+  return lb_time_later (LIST_PERIOD,
+                        (LbTime)lc_fleet_count (task->fleet) * LIST_PERIOD_PER_INSTANCE);
 }
 
 static void
@@ -225,7 +221,7 @@
 
   return has_duty (task) || now < task->duty_until
              ? DUTY_PERIOD
-             : longer (RENEW_PERIOD, n * RENEW_PERIOD_PER_INSTANCE);
+             : lb_time_later (RENEW_PERIOD, n * RENEW_PERIOD_PER_INSTANCE);
 }
 
 static void
--- a/packages/node/src/ln-peers-actions.c
+++ b/packages/node/src/ln-peers-actions.c
@@ -3,6 +3,7 @@
 #include "lb-clock.h"
 #include "lb-counter.h"
 #include "lb-log.h"
+#include "lb-time.h"
 #include "ln-members.h"
 
 #define SHORTEST_TIMER LB_MSEC
@@ -88,7 +89,7 @@
 
   if (wait < SHORTEST_TIMER)
     wait = SHORTEST_TIMER;
-  struct timeval delay = { .tv_sec = wait / LB_SEC, .tv_usec = wait % LB_SEC };
+  struct timeval delay = lb_time_to_timeval (wait);
   event_add (peers->timer, &delay);
 }
 
--- a/packages/node/src/ln-poller.c
+++ b/packages/node/src/ln-poller.c
@@ -4,6 +4,7 @@
 #include "lb-clock.h"
 #include "lb-json.h"
 #include "lb-settings.h"
+#include "lb-time.h"
 
 #include <event2/event.h>
 #include <json-c/json.h>
@@ -184,7 +185,7 @@
                void *user)
 {
   LnPoller *poller = LB_NEW (LnPoller);
-  const struct timeval tv = { .tv_sec = period / LB_SEC, .tv_usec = period % LB_SEC };
+  const struct timeval tv = lb_time_to_timeval (period);
 
   poller->pool = pool;
   poller->period = period;
--- a/packages/node/src/ln-rollouts-run.c
+++ b/packages/node/src/ln-rollouts-run.c
@@ -5,6 +5,7 @@
 #include "lb-alloc.h"
 #include "lb-clock.h"
 #include "lb-json.h"
+#include "lb-time.h"
 
 #include <event2/event.h>
 #include <json-c/json.h>
@@ -195,7 +196,7 @@
   LbTime wait = next - lb_clock_monotonic ();
   if (wait < LB_MSEC)
     wait = LB_MSEC;
-  const struct timeval tv = { .tv_sec = wait / LB_SEC, .tv_usec = wait % LB_SEC };
+  const struct timeval tv = lb_time_to_timeval (wait);
   evtimer_add (rollouts->tick, &tv);
 }
 
--- a/packages/store/src/lp-client.c
+++ b/packages/store/src/lp-client.c
@@ -5,6 +5,7 @@
 #include "lb-counter.h"
 #include "lb-list.h"
 #include "lb-log.h"
+#include "lb-time.h"
 #include "lh-fetch.h"
 #include "lp-breaker.h"
 #include "lp-pacer.h"
@@ -74,12 +75,6 @@
                                                NULL,
                                                "Calls that wait for the own rate.");
 
-static struct timeval
-timeval_of (LbTime time)
-{
-  return (struct timeval){ .tv_sec = time / LB_SEC, .tv_usec = (suseconds_t)(time % LB_SEC) };
-}
-
 static void
 move (Call *call, LbList *list)
 {
@@ -129,7 +124,7 @@
 static void
 wake (LpClient *client, LbTime wait)
 {
-  const struct timeval at = timeval_of (wait);
+  const struct timeval at = lb_time_to_timeval (wait);
 
   event_add (client->pump, &at);
 }
@@ -178,7 +173,7 @@
       give_up (call);
       return;
     }
-  const struct timeval at = timeval_of (rest);
+  const struct timeval at = lb_time_to_timeval (rest);
   move (call, &client->resting);
   event_add (call->rest_timer, &at);
 }
@@ -404,7 +399,7 @@
 lp_client_call (LpClient *client, const LpClientCall *wanted, LpClientDone done, void *user)
 {
   Call *call = LB_NEW (Call);
-  const struct timeval limit = timeval_of (client->settings.deadline);
+  const struct timeval limit = lb_time_to_timeval (client->settings.deadline);
 
   call->client = client;
   call->method = lb_strdup (wanted->method);
--- a/standins/si-client.c
+++ b/standins/si-client.c
@@ -2,6 +2,7 @@
 
 #include "lb-alloc.h"
 #include "lb-clock.h"
+#include "lb-time.h"
 
 #include <event2/event.h>
 #include <stdlib.h>
@@ -97,7 +98,7 @@
 void
 si_client_pause (SiClient *client, LbTime time)
 {
-  const struct timeval wait = { .tv_sec = time / LB_SEC, .tv_usec = (suseconds_t)(time % LB_SEC) };
+  const struct timeval wait = lb_time_to_timeval (time);
   bool over = false;
 
   event_base_once (client->base, -1, EV_TIMEOUT, on_pause_over, &over, &wait);
--- a/standins/si-engine-orders.c
+++ b/standins/si-engine-orders.c
@@ -1,6 +1,7 @@
 #include "si-engine.h"
 
 #include "lb-alloc.h"
+#include "lb-time.h"
 
 #include <string.h>
 
@@ -15,8 +16,7 @@
 static void
 start_load (SiEngine *engine, int64_t version)
 {
-  const struct timeval wait = { .tv_sec = engine->settings.load_time / LB_SEC,
-                                .tv_usec = (suseconds_t)(engine->settings.load_time % LB_SEC) };
+  const struct timeval wait = lb_time_to_timeval (engine->settings.load_time);
 
   engine->loading_version = version;
   engine->version = 0;
--- a/standins/si-engine-run.c
+++ b/standins/si-engine-run.c
@@ -2,6 +2,7 @@
 
 #include "lb-alloc.h"
 #include "lb-clock.h"
+#include "lb-time.h"
 #include "si-text.h"
 
 #include <event2/buffer.h>
@@ -268,7 +269,7 @@
   if (engine->step_due || si_engine_is_loading (engine) || lb_list_is_empty (&engine->running))
     return;
   LbTime wait = step_time (engine);
-  const struct timeval at = { .tv_sec = wait / LB_SEC, .tv_usec = (suseconds_t)(wait % LB_SEC) };
+  const struct timeval at = lb_time_to_timeval (wait);
   event_add (engine->step, &at);
   engine->step_due = true;
 }
--- a/standins/si-entry.c
+++ b/standins/si-entry.c
@@ -1,6 +1,7 @@
 #include "si-entry.h"
 
 #include "lb-alloc.h"
+#include "lb-time.h"
 #include "si-json.h"
 
 #include <event2/event.h>
@@ -13,7 +14,7 @@
 static void
 ask_later (SiEntry *entry, LbTime wait)
 {
-  const struct timeval at = { .tv_sec = wait / LB_SEC, .tv_usec = (suseconds_t)(wait % LB_SEC) };
+  const struct timeval at = lb_time_to_timeval (wait);
 
   event_add (entry->timer, &at);
 }
--- a/standins/si-platform.c
+++ b/standins/si-platform.c
@@ -2,6 +2,7 @@
 
 #include "lb-alloc.h"
 #include "lb-clock.h"
+#include "lb-time.h"
 #include "si-table.h"
 
 #include <event2/buffer.h>
@@ -62,7 +63,7 @@
       return;
     }
   LbTime wait = platform->faults.faults[SI_FAULT_SLOW].delay;
-  const struct timeval at = { .tv_sec = wait / LB_SEC, .tv_usec = (suseconds_t)(wait % LB_SEC) };
+  const struct timeval at = lb_time_to_timeval (wait);
   Held *held = LB_NEW (Held);
   *held = (Held){ .request = request, .reply = reply, .status = status };
   evhttp_connection_set_closecb (evhttp_request_get_connection (request), on_held_gone, held);
--- a/standins/si-sampler.c
+++ b/standins/si-sampler.c
@@ -3,6 +3,7 @@
 #include "si-json.h"
 
 #include "lb-alloc.h"
+#include "lb-time.h"
 
 #include <event2/buffer.h>
 #include <json-c/json.h>
@@ -41,7 +42,7 @@
 static void
 set_timer (struct event *timer, LbTime time)
 {
-  const struct timeval tv = { .tv_sec = time / LB_SEC, .tv_usec = time % LB_SEC };
+  const struct timeval tv = lb_time_to_timeval (time);
 
   evtimer_add (timer, &tv);
 }
--- a/standins/standin-load.c
+++ b/standins/standin-load.c
@@ -1,5 +1,6 @@
 #include "lb-alloc.h"
 #include "lb-clock.h"
+#include "lb-time.h"
 #include "si-arguments.h"
 #include "si-entry.h"
 #include "si-server.h"
@@ -90,7 +91,7 @@
       return;
     }
   LbTime wait = result->retry_after > RETRY_PAUSE ? result->retry_after : RETRY_PAUSE;
-  const struct timeval at = { .tv_sec = wait / LB_SEC, .tv_usec = (suseconds_t)(wait % LB_SEC) };
+  const struct timeval at = lb_time_to_timeval (wait);
   load->tally.retries++;
   caller->address++;
   event_base_once (load->base, -1, EV_TIMEOUT, on_retry_due, caller, &at);
@@ -158,7 +159,7 @@
       return;
     }
   LbTime wait = next_due (load) > now ? next_due (load) - now : 10 * LB_MSEC;
-  const struct timeval at = { .tv_sec = wait / LB_SEC, .tv_usec = (suseconds_t)(wait % LB_SEC) };
+  const struct timeval at = lb_time_to_timeval (wait);
   event_add (load->starter, &at);
 }
 
--- a/standins/standin-service.c
+++ b/standins/standin-service.c
@@ -1,5 +1,6 @@
 #include "lb-alloc.h"
 #include "lb-clock.h"
+#include "lb-time.h"
 #include "si-arguments.h"
 #include "si-faults.h"
 #include "si-runlog.h"
@@ -83,7 +84,7 @@
   call->timer = evtimer_new (service->server.base, on_due, call);
   service->running++;
   evhttp_connection_set_closecb (evhttp_request_get_connection (request), on_caller_gone, call);
-  const struct timeval at = { .tv_sec = wait / LB_SEC, .tv_usec = (suseconds_t)(wait % LB_SEC) };
+  const struct timeval at = lb_time_to_timeval (wait);
   event_add (call->timer, &at);
 }
 
--- a/tests/process/pt-relay.c
+++ b/tests/process/pt-relay.c
@@ -1,6 +1,7 @@
 #include "pt-relay.h"
 
 #include "lb-alloc.h"
+#include "lb-time.h"
 
 #include <arpa/inet.h>
 #include <criterion/criterion.h>
@@ -78,7 +79,7 @@
 pass_on_later (Line *line, struct evbuffer *input, struct bufferevent *to)
 {
   LbTime delay = line->relay->fault.delay;
-  const struct timeval tv = { .tv_sec = delay / LB_SEC, .tv_usec = delay % LB_SEC };
+  const struct timeval tv = lb_time_to_timeval (delay);
   Chunk *chunk = LB_NEW (Chunk);
 
   chunk->line = line;
