The other stand-ins free requests whose connection closed; two functions that nobody called go

si-platform, si-engine-run and standin-service had the leak that si-sampler and si-rows had: evhttp leaves an unanswered request to whoever meant to answer. si_rows_init_program and sk_callers_running had no callers. The comment on the platform's vtable names its third kind.

--- a/packages/store/include/lp-platform.h
+++ b/packages/store/include/lp-platform.h
@@ -5,8 +5,8 @@
 
 struct event_base;
 
-/* What the platform gives, behind one vtable: an HTTP kind and an in-memory kind. Every call
- * answers exactly once through its callback, never from inside the call. */
+/* What the platform gives, behind one vtable: an HTTP kind, an in-memory kind, and the shared
+ * platform's. Every call answers exactly once through its callback, never from inside the call. */
 typedef struct LpPlatform LpPlatform;
 
 typedef struct
@@ -93,7 +93,7 @@
 
 typedef struct
 {
-  const char *name; /* "memory", "http" */
+  const char *name; /* "memory", "http", "shared" */
   void (*free) (LpPlatform *platform);
   void (*transact) (LpPlatform *platform,
                     const LpTransaction *transaction,
--- a/standins/si-engine-run.c
+++ b/standins/si-engine-run.c
@@ -66,6 +66,7 @@
   SiEngine *engine = run->engine;
 
   engine->log.cancelled++;
+  si_request_closed (run->request);
   run_free (run);
   si_engine_wake (engine);
 }
--- a/standins/si-platform.c
+++ b/standins/si-platform.c
@@ -25,6 +25,7 @@
   (void)connection;
   Held *held = user;
 
+  si_request_closed (held->request);
   held->request = NULL;
 }
 
--- a/standins/si-rows.c
+++ b/standins/si-rows.c
@@ -545,16 +545,6 @@
   return true;
 }
 
-bool
-si_rows_init_program (SiRows *rows, int port)
-{
-  memset (rows, 0, sizeof *rows);
-  if (!si_server_init_program (&rows->server, port, on_request, rows))
-    return false;
-  begin (rows);
-  return true;
-}
-
 void
 si_rows_clear (SiRows *rows)
 {
--- a/standins/si-rows.h
+++ b/standins/si-rows.h
@@ -34,7 +34,6 @@
 } SiRows;
 
 bool si_rows_init (SiRows *rows, struct event_base *base, int port);
-bool si_rows_init_program (SiRows *rows, int port);
 void si_rows_clear (SiRows *rows);
 
 /* As an operator or an endpoint writes; value NULL: removes. */
--- a/standins/standin-service.c
+++ b/standins/standin-service.c
@@ -62,6 +62,7 @@
   (void)connection;
   Call *call = user;
 
+  si_request_closed (call->request);
   call->service->running--;
   call->service->log.cancelled++;
   json_object_put (call->reply);
--- a/tests/soak/sk-callers.c
+++ b/tests/soak/sk-callers.c
@@ -272,9 +272,3 @@
 {
   callers->stopped = true;
 }
-
-size_t
-sk_callers_running (const SkCallers *callers)
-{
-  return callers->calls.length;
-}
--- a/tests/soak/sk-callers.h
+++ b/tests/soak/sk-callers.h
@@ -14,7 +14,5 @@
 void sk_callers_tick (SkCallers *callers, LbTime now);
 /* No more calls from now on. */
 void sk_callers_stop (SkCallers *callers);
-/* Calls that wait for their answers. */
-size_t sk_callers_running (const SkCallers *callers);
 
 #endif
