Division of engines ends: a move is made only where it brings the division nearer to the demand

Cause: once the lack to go on with was 0.5, a model that lacked 0.7 took an engine from one that had 0.2 to spare, which then lacked 0.8 and took it back, for ever. The instance that plans the engines stood still at once, each successor 2 to 4 s after it gained the lease; no engine was ordered and all trainers waited. Ruled out: rounding (the cycle has a gap of 0.5) and the number of models alone (two suffice, more make it likely).

--- a/packages/core/src/lc-engine-plan.c
+++ b/packages/core/src/lc-engine-plan.c
@@ -16,8 +16,13 @@
  * engine's cache. */
 #define LEAST_LACK 1.0
 #define LEAST_LACK_PART 0.08
-/* Once engines are moved at all, the division becomes as even as whole engines allow. */
-#define LACK_TO_GO_ON 0.5
+/* Once engines are moved at all, the division becomes as even as whole engines allow. A move
+ * changes the sum of the squares of what models lack by 2 - 2 x (lack of the one + spare of the
+ * other), so it brings the division nearer to the demand only where these two are over 1 together;
+ * the hundredth is far above what rounding adds. Each move then lowers that sum, so the moves end.
+ * Without it, two models with a lack of 0.7 and a spare of 0.2 took the same engine from each other
+ * for ever, and the instance stood still. */
+#define LEAST_GAIN 1.01
 
 void
 lc_engine_plan_clear (LcEnginePlan *plan)
@@ -282,10 +287,14 @@
   return total > 0;
 }
 
-/* The model that lacks most, and the one that has most to spare. */
+/* The model that lacks most, and the one that has most to spare; true when an engine moved between
+ * them brings the division nearer to the demand. */
 static bool
 find_move (const Share *shares, size_t n, double least_lack, size_t *to, size_t *from)
 {
+  double lack;
+  double spare;
+
   *to = 0;
   *from = 0;
   for (size_t i = 1; i < n; i++)
@@ -295,8 +304,9 @@
       if (shares[i].has - shares[i].share > shares[*from].has - shares[*from].share)
         *from = i;
     }
-  return shares[*to].share - shares[*to].has >= least_lack && shares[*from].has > 1
-         && shares[*from].has - shares[*from].share > 0;
+  lack = shares[*to].share - shares[*to].has;
+  spare = shares[*from].has - shares[*from].share;
+  return lack >= least_lack && lack + spare >= LEAST_GAIN && shares[*from].has > 1;
 }
 
 static void
@@ -343,7 +353,7 @@
       if (model < n_models)
         shares[model].has++;
     }
-  for (; find_move (shares, n_models, least_lack, &to, &from); least_lack = LACK_TO_GO_ON)
+  for (; find_move (shares, n_models, least_lack, &to, &from); least_lack = 0)
     {
       move_one (engines, n_engines, shares[from].name, shares[to].name);
       shares[from].has--;
--- a/packages/core/tests/test-engine-plan.c
+++ b/packages/core/tests/test-engine-plan.c
@@ -3,6 +3,7 @@
 #include "lb-alloc.h"
 
 #include <criterion/criterion.h>
+#include <gsl/gsl_rng.h>
 #include <json-c/json.h>
 #include <stdio.h>
 #include <string.h>
@@ -160,3 +161,92 @@
   cr_assert_null (lc_engine_plan_find (&plan, "i-5"));
   lc_engine_plan_clear (&plan);
 }
+
+/* --- any number of models, engines and any demand --- */
+
+#define MOST_MODELS 10
+#define MOST_ENGINES 100
+#define N_DRAWS 4000
+
+typedef struct
+{
+  LbName models[MOST_MODELS];
+  size_t n_models;
+  LcPlanEntry engines[MOST_ENGINES];
+  size_t n_engines;
+  double tokens[MOST_MODELS];
+  LcDemand *demand;
+} Draw;
+
+static void
+draw_init (Draw *draw, gsl_rng *random)
+{
+  memset (draw, 0, sizeof *draw);
+  draw->demand = lc_demand_new ();
+  draw->n_models = 1 + gsl_rng_uniform_int (random, MOST_MODELS);
+  draw->n_engines = 1 + gsl_rng_uniform_int (random, MOST_ENGINES);
+  for (size_t i = 0; i < draw->n_models; i++)
+    {
+      snprintf (draw->models[i], LB_NAME_MAX, "model-%zu", i);
+      draw->tokens[i] = gsl_rng_uniform (random) * (gsl_rng_uniform_int (random, 4) == 0 ? 0 : 1e5);
+      lc_demand_add (draw->demand, draw->models[i], draw->tokens[i], LB_SEC);
+    }
+  for (size_t i = 0; i < draw->n_engines; i++)
+    {
+      snprintf (draw->engines[i].engine, LB_NAME_MAX, "i-%03zu", i);
+      LB_COPY (draw->engines[i].model, draw->models[gsl_rng_uniform_int (random, draw->n_models)]);
+    }
+}
+
+/* How far the division is from what demand is worth, as the division itself states it. */
+static double
+unevenness (const Draw *draw, const LcEnginePlan *plan)
+{
+  double total = 0;
+  double sum = 0;
+
+  for (size_t i = 0; i < draw->n_models; i++)
+    total += draw->tokens[i];
+  for (size_t i = 0; i < draw->n_models && total > 0; i++)
+    {
+      double share = 1 + draw->tokens[i] / total * (double)(draw->n_engines - draw->n_models);
+      double lack = share - count (plan, draw->models[i]);
+      sum += lack * lack;
+    }
+  return sum;
+}
+
+/* The trainers of all models wait without end: the instance that plans the engines falls silent,
+ * its successor gains the lease, plans in its turn and falls silent as well. With three models and
+ * more two of them took the same engine from each other for ever. */
+Test (engine_plan, a_division_ends_whatever_is_asked, .timeout = 20)
+{
+  gsl_rng *random = gsl_rng_alloc (gsl_rng_taus2);
+
+  for (unsigned long seed = 1; seed <= N_DRAWS; seed++)
+    {
+      Draw draw;
+      LcEnginePlan before = { 0 };
+      LcEnginePlan after = { 0 };
+      gsl_rng_set (random, seed);
+      draw_init (&draw, random);
+      for (size_t i = 0; i < draw.n_engines; i++)
+        lc_engine_plan_note (&before, &draw.engines[i]);
+      lc_engine_plan_divide (&after, draw.engines, draw.n_engines, draw.models, draw.n_models,
+                             draw.demand, LB_SEC);
+      cr_assert_eq (after.n_entries, draw.n_engines, "seed %lu", seed);
+      if (draw.n_engines > draw.n_models && draw.n_models > 1)
+        cr_assert_leq (unevenness (&draw, &after), unevenness (&draw, &before) + 1e-6, "seed %lu",
+                       seed);
+      for (size_t i = 0; i < draw.n_models; i++)
+        cr_assert (count (&after, draw.models[i]) > 0 || count (&before, draw.models[i]) == 0,
+                   "seed %lu: a model lost its last engine", seed);
+      cr_assert_not (lc_engine_plan_divide (&after, after.entries, after.n_entries, draw.models,
+                                            draw.n_models, draw.demand, LB_SEC),
+                     "seed %lu: the same again moves nothing", seed);
+      lc_engine_plan_clear (&before);
+      lc_engine_plan_clear (&after);
+      lc_demand_free (draw.demand);
+    }
+  gsl_rng_free (random);
+}
