Beliefs about an endpoint belong to one start of it; rows of other writers name none

Cause: nothing read 'born'. An endpoint that starts again under its id held and knew nothing of before, while its load, pace, count of orders, cache and version were still believed; a row with fields missing or of another type was taken with defaults, and said so in the log at each list. Change: the adapter makes one name of id and start, so every belief keyed by it ends with the start; a start at the same address ends the one before, also while lapsed entries are kept, and keeps its model in the plan; what an engine states is taken only from the start that was asked. Entries are checked field by field, services that the operators do not name are ruled out, each unusable row is logged once.

--- a/packages/core/include/lc-roster.h
+++ b/packages/core/include/lc-roster.h
@@ -19,7 +19,8 @@
   LcVersion version;
 } LcModelState;
 
-/* One endpoint as its own entry in the store tells. A new start of it has a new name. */
+/* One start of an endpoint as its own entry in the store tells: a new start has a new name, also
+ * where it kept its id, so that no belief outlives the start that it is about. */
 typedef struct
 {
   LbName name;
--- a/packages/core/src/lc-roster.c
+++ b/packages/core/src/lc-roster.c
@@ -118,6 +118,65 @@
   return changed;
 }
 
+static const Entry *
+find_address (const LcRoster *roster, const char *address)
+{
+  for (size_t i = 0; i < roster->n_entries; i++)
+    if (roster->entries[i].seen && strcmp (roster->entries[i].listed.address, address) == 0)
+      return &roster->entries[i];
+  return NULL;
+}
+
+/* Whether the list names another endpoint at the address of the one that it does not name: then
+ * that one has ended, whatever the store lost while it was away. */
+static const Entry *
+successor_of (const LcRoster *roster, const Entry *missing)
+{
+  return missing->seen ? NULL : find_address (roster, missing->listed.address);
+}
+
+/* An engine that started again keeps the model that it was used for: divided anew it would have to
+ * load another one's weights in the middle of a step. What it has is not known until it says so. */
+static void
+hand_on_model (LcRoster *roster, const Entry *before, const Entry *after)
+{
+  const LcPlanEntry *planned = lc_engine_plan_find (&roster->plan, before->listed.name);
+  LcPlanEntry entry = { .version = 0 };
+
+  if (!planned || strcmp (before->listed.service, after->listed.service) != 0)
+    return;
+  LB_COPY (entry.engine, after->listed.name);
+  LB_COPY (entry.model, planned->model);
+  lc_engine_plan_note (&roster->plan, &entry);
+}
+
+static void
+remove_entry (LcRoster *roster, size_t index)
+{
+  log_entry ("endpoint_gone", &roster->entries[index].listed);
+  memmove (&roster->entries[index], &roster->entries[index + 1],
+           (roster->n_entries - index - 1) * sizeof *roster->entries);
+  roster->n_entries--;
+}
+
+/* Those whose address another one has taken. */
+static bool
+drop_succeeded (LcRoster *roster)
+{
+  bool changed = false;
+
+  for (size_t i = roster->n_entries; i-- > 0;)
+    {
+      const Entry *after = successor_of (roster, &roster->entries[i]);
+      if (!after)
+        continue;
+      hand_on_model (roster, &roster->entries[i], after);
+      remove_entry (roster, i);
+      changed = true;
+    }
+  return changed;
+}
+
 /* While the store was away it dropped the entries of endpoints that could not renew them, although
  * they live. Were those taken for gone, all work would fall on the few that are left, or on none.
  */
@@ -131,10 +190,7 @@
   for (size_t i = roster->n_entries; i-- > 0;)
     if (!roster->entries[i].seen)
       {
-        log_entry ("endpoint_gone", &roster->entries[i].listed);
-        memmove (&roster->entries[i], &roster->entries[i + 1],
-                 (roster->n_entries - i - 1) * sizeof *roster->entries);
-        roster->n_entries--;
+        remove_entry (roster, i);
         changed = true;
       }
   return changed;
@@ -242,6 +298,7 @@
     roster->entries[i].seen = false;
   for (size_t i = 0; i < n_list; i++)
     changed |= take_entry (roster, &list[i], n_sorted);
+  changed |= drop_succeeded (roster);
   changed |= drop_missing (roster, now);
   if (changed)
     divide_engines (roster);
--- a/packages/core/tests/test-roster.c
+++ b/packages/core/tests/test-roster.c
@@ -210,3 +210,54 @@
   free (list);
   lc_roster_free (roster);
 }
+
+/* An engine restarts within a second under its id while the store is away. Were its start before
+ * kept as alive until the grace is over, requests would be planned for both, its load, its pace and
+ * its cache be believed of a process that has ended. */
+Test (roster, a_start_at_the_same_address_ends_the_one_before)
+{
+  LcRoster *roster = lc_roster_new ();
+  LcListed list[N_ENGINES];
+  LbTime now = 10 * LB_SEC;
+
+  list_engines (list, N_ENGINES);
+  lc_roster_update (roster, list, N_ENGINES, now, now);
+  now += 4 * LB_SEC;
+  LB_COPY (list[3].name, "i-3@2");
+  cr_assert (lc_roster_update (roster, list, 4, now, now));
+  cr_assert_eq (lc_roster_count (roster), N_ENGINES, "those that lapsed are kept for a while");
+  for (size_t i = 0; i < lc_roster_count (roster); i++)
+    cr_assert_str_neq (lc_roster_at (roster, i)->name, "i-3");
+  lc_roster_free (roster);
+}
+
+/* The model that the plan has for it stays: else the engine would load another one's weights in the
+ * middle of a step. Its version is not known until it says so. */
+Test (roster, a_start_keeps_the_model_of_the_one_before)
+{
+  static const char *const pools[] = { "reader", "writer" };
+
+  for (int i = 0; i < 2; i++)
+    {
+      LcRoster *roster = lc_roster_new ();
+      LcListed list[N_ENGINES];
+      LcEnginePlan plan = { 0 };
+      LcPlanEntry planned = { .version = 7 };
+      list_engines (list, N_ENGINES);
+      lc_roster_update (roster, list, N_ENGINES, LB_SEC, LB_SEC);
+      LB_COPY (planned.engine, "i-3");
+      LB_COPY (planned.model, pools[i]);
+      lc_engine_plan_note (&plan, &planned);
+      lc_roster_set_plan (roster, &plan);
+      LB_COPY (list[3].name, "i-3@2");
+      cr_assert (lc_roster_update (roster, list, N_ENGINES, 2 * LB_SEC, 2 * LB_SEC));
+      for (size_t at = 0; at < lc_roster_count (roster); at++)
+        if (strcmp (lc_roster_at (roster, at)->name, "i-3@2") == 0)
+          {
+            cr_assert_str_eq (lc_roster_model (roster, at), pools[i]);
+            cr_assert_eq (lc_roster_version (roster, at), 1, "as it says itself");
+          }
+      lc_engine_plan_clear (&plan);
+      lc_roster_free (roster);
+    }
+}
--- a/packages/node/include/ln-dialect.h
+++ b/packages/node/include/ln-dialect.h
@@ -108,6 +108,13 @@
   int64_t orders_before; /* that the endpoint has accepted; another count there refuses this one */
 } LnWeightsOrder;
 
+/* Which start of an engine was asked, and of what. */
+typedef struct
+{
+  const char *endpoint;
+  const char *model;
+} LnStateQuestion;
+
 typedef struct
 {
   LcVersion version; /* 0: the engine does not have the model */
@@ -153,8 +160,11 @@
   LnOrderOutcome (*judge_order) (int status);
   /* What an engine states of a model when asked at state_path. */
   const char *state_path;
-  bool (*read_state) (
-      const char *text, size_t length, const char *model, LnEngineState *state, LbError *error);
+  bool (*read_state) (const LnStateQuestion *question,
+                      const char *text,
+                      size_t length,
+                      LnEngineState *state,
+                      LbError *error);
 
   /* the store */
   const char *operator_table;
--- a/packages/node/main/lentilspindled.c
+++ b/packages/node/main/lentilspindled.c
@@ -300,6 +300,9 @@
     event_free (daemon->signals[i]);
   event_free (daemon->drain_timer);
   event_free (daemon->log_timer);
+  /* Connections that were just freed are still held by work that libevent put off: it is lost with
+   * the base, and what it holds with it. One turn carries it out. */
+  event_base_loop (context->base, EVLOOP_NONBLOCK);
   event_base_free (context->base);
 }
 
--- a/packages/node/src/ln-desired.c
+++ b/packages/node/src/ln-desired.c
@@ -3,6 +3,7 @@
 #include "ln-dialect.h"
 #include "ln-engine-plans.h"
 #include "ln-messages.h"
+#include "ln-unreadable-rows.h"
 #include "ln-weight-orders.h"
 
 #include "lb-alloc.h"
@@ -36,6 +37,7 @@
   struct event *timer;
   LcDesired *desired;
   LcRoster *roster;
+  LnUnreadableRows *unreadable; /* among the endpoints' */
   LnWeightOrders *orders;
   LnEnginePlans *plans;
   int64_t revision; /* of the resource set made from the roster */
@@ -211,6 +213,18 @@
     }
 }
 
+/* An endpoint of a service that the operators do not name serves no route, and an engine of it
+ * would be given weights and texts. Before the routes are known nothing is ruled out. */
+static bool
+read_endpoint (const Desired *task, const LpRow *row, LcListed *listed, LbError *error)
+{
+  if (!task->context->dialect->read_listed (row->key, row->value, listed, error))
+    return false;
+  return !task->desired || lc_desired_service (task->desired, listed->service)
+         || lb_error_set (error, LB_ERROR_UNKNOWN_SERVICE, row->key, "no such service: %s",
+                          listed->service);
+}
+
 static LcListed *
 read_list (Desired *task, const LpRow *rows, size_t n_rows, size_t *n_listed)
 {
@@ -218,11 +232,13 @@
   LbError error = { 0 };
 
   *n_listed = 0;
+  ln_unreadable_rows_begin (task->unreadable);
   for (size_t i = 0; i < n_rows; i++)
-    if (task->context->dialect->read_listed (rows[i].key, rows[i].value, &list[*n_listed], &error))
+    if (read_endpoint (task, &rows[i], &list[*n_listed], &error))
       (*n_listed)++;
     else
-      lb_log_error (LB_LOG_WARNING, "endpoint_unreadable", &error);
+      ln_unreadable_rows_note (task->unreadable, rows[i].key, &error);
+  ln_unreadable_rows_end (task->unreadable);
   return list;
 }
 
@@ -338,6 +354,7 @@
   ln_weight_orders_free (task->orders);
   ln_engine_plans_free (task->plans);
   lc_roster_free (task->roster);
+  ln_unreadable_rows_free (task->unreadable);
   lp_follow_free (task->rows);
   lc_desired_unref (task->desired);
   free (task);
@@ -362,6 +379,7 @@
   task->task.hub = context->hub;
   task->context = context;
   task->roster = lc_roster_new ();
+  task->unreadable = ln_unreadable_rows_new ();
   task->orders = ln_weight_orders_new (context, on_engine, task);
   task->plans = ln_engine_plans_new (context, on_plan, task);
   task->rows = lp_follow_new (context->platform, &rows, on_operator_rows, task);
--- /dev/null
+++ b/packages/node/src/ln-unreadable-rows.c
@@ -0,0 +1,80 @@
+#include "ln-unreadable-rows.h"
+
+#include "lb-alloc.h"
+#include "lb-log.h"
+
+#include <stdlib.h>
+#include <uthash.h>
+
+typedef struct
+{
+  char *key;
+  bool seen; /* in the list being read */
+  UT_hash_handle hh;
+} Row;
+
+struct LnUnreadableRows
+{
+  Row *by_key;
+};
+
+LnUnreadableRows *
+ln_unreadable_rows_new (void)
+{
+  return LB_NEW (LnUnreadableRows);
+}
+
+static void
+forget (LnUnreadableRows *rows, Row *row)
+{
+  HASH_DEL (rows->by_key, row);
+  free (row->key);
+  free (row);
+}
+
+void
+ln_unreadable_rows_free (LnUnreadableRows *rows)
+{
+  Row *row, *next;
+
+  HASH_ITER (hh, rows->by_key, row, next)
+  {
+    forget (rows, row);
+  }
+  free (rows);
+}
+
+void
+ln_unreadable_rows_begin (LnUnreadableRows *rows)
+{
+  for (Row *row = rows->by_key; row; row = row->hh.next)
+    row->seen = false;
+}
+
+void
+ln_unreadable_rows_note (LnUnreadableRows *rows, const char *key, const LbError *reason)
+{
+  Row *row = NULL;
+
+  HASH_FIND_STR (rows->by_key, key, row);
+  if (!row)
+    {
+      row = LB_NEW (Row);
+      row->key = lb_strdup (key);
+      HASH_ADD_KEYPTR (hh, rows->by_key, row->key, strlen (row->key), row);
+      lb_log_error (LB_LOG_WARNING, "endpoint_unreadable", reason);
+    }
+  row->seen = true;
+}
+
+void
+ln_unreadable_rows_end (LnUnreadableRows *rows)
+{
+  Row *row, *next;
+
+  HASH_ITER (hh, rows->by_key, row, next)
+  {
+    if (!row->seen)
+      forget (rows, row);
+  }
+}
--- a/packages/node/src/ln-weight-orders.c
+++ b/packages/node/src/ln-weight-orders.c
@@ -297,8 +297,9 @@
               LB_INT ("status", result->status));
       return;
     }
-  if (!engine->orders->context->dialect->read_state (result->body, result->body_length,
-                                                     engine->model, &state, &error))
+  const LnStateQuestion question = { .endpoint = engine->name, .model = engine->model };
+  if (!engine->orders->context->dialect->read_state (&question, result->body, result->body_length,
+                                                     &state, &error))
     {
       lb_log_error (LB_LOG_WARNING, "engine_state_unreadable", &error);
       return;
--- a/standins/si-sampler.c
+++ b/standins/si-sampler.c
@@ -12,6 +12,7 @@
 #include <string.h>
 
 #define BEAT_PERIOD (300 * LB_MSEC)
+#define FIRST_START 1700000000000 /* Unix ms; any will do */
 
 typedef struct
 {
@@ -201,6 +202,7 @@
   json_object_object_add (object, "models", models_to_json (sampler));
   json_object_object_add (object, "busy", json_object_new_boolean (sampler->next_version != 0));
   si_json_set_int (object, "seq", sampler->orders);
+  si_json_set_int (object, "born", sampler->born);
   si_reply_json (request, 200, object);
 }
 
@@ -326,7 +328,11 @@
   si_json_set_text (object, "address",
                     sampler->reached_at[0] ? sampler->reached_at : sampler->server.address);
   si_json_set_text (object, "zone", "hall-a");
+  si_json_set_text (object, "version", "v1");
   si_json_set_int (object, "slots", 8);
+  si_json_set_int (object, "coldLeftMs", 0);
+  si_json_set_int (object, "seq", ++sampler->beats);
+  si_json_set_int (object, "born", sampler->born);
   si_json_set_text (object, "state", sampler->leaving ? "draining" : "ready");
   json_object_object_add (object, "models", models_to_json (sampler));
   si_rows_put (sampler->rows, "servers", "", sampler->name, json_object_to_json_string (object));
@@ -334,6 +340,17 @@
   event_add (sampler->beat, &period);
 }
 
+void
+si_sampler_start_again (SiSampler *sampler)
+{
+  si_sampler_break_streams (sampler);
+  sampler->born++;
+  sampler->orders = 0;
+  sampler->last_fence = 0;
+  sampler->next_version = 0;
+  si_sampler_register (sampler);
+}
+
 void
 si_sampler_unregister (SiSampler *sampler)
 {
@@ -377,6 +394,7 @@
   LB_COPY (sampler->service, service);
   LB_COPY (sampler->model, model);
   sampler->version = 1;
+  sampler->born = FIRST_START;
   sampler->events = 10;
   sampler->event_time = 10 * LB_MSEC;
   sampler->load_time = 200 * LB_MSEC;
--- a/standins/si-sampler.h
+++ b/standins/si-sampler.h
@@ -38,6 +38,8 @@
   int64_t version;
   int64_t next_version; /* being loaded; 0: none */
   int64_t orders;
+  int64_t born;  /* Unix ms of its start; another one for each start */
+  int64_t beats; /* entries that it wrote */
   int64_t last_fence;
   bool leaving;
   int events;        /* of each text */
@@ -73,6 +75,9 @@
 /* Its entry goes and is not written again, as when it is gone; si_sampler_register brings it back.
  */
 void si_sampler_unregister (SiSampler *sampler);
+/* A new process under the same id and at the same address: it holds and knows nothing of before but
+ * its weights. */
+void si_sampler_start_again (SiSampler *sampler);
 /* Breaks all its streams off, as when its process ends. */
 void si_sampler_break_streams (SiSampler *sampler);
 
--- a/tests/process/test-shared.c
+++ b/tests/process/test-shared.c
@@ -460,6 +460,76 @@
   world_clear (&w);
 }
 
+/* How often the instance's log holds the text. */
+static int
+count_logged (const World *w, size_t instance, const char *text)
+{
+  const char *at = w->instances[instance].process.text;
+  int count = 0;
+
+  while (at && (at = strstr (at, text)))
+    {
+      at += strlen (text);
+      count++;
+    }
+  return count;
+}
+
+/* An engine is killed and starts again under its id at once, between two of a trainer's versions.
+ * Its count of orders is zero again. Were the count of its start before kept, it would refuse each
+ * order for its count, keep its old weights, and the trainer's texts would be thrown away for their
+ * age. */
+Test (shared, an_engine_that_started_again_under_its_id_takes_the_next_weights)
+{
+  World w;
+
+  world_init (&w);
+  start_instance (&w);
+  for (int version = 2; version <= 6; version++)
+    {
+      char row[64];
+      snprintf (row, sizeof row, "{\"model\": \"m\", \"version\": %d}", version);
+      si_rows_put (&w.rows, "op", "", "version/m", row);
+      UNTIL (&w, w.engines[0].version == version && w.engines[1].version == version
+                     && w.engines[2].version == version);
+      si_sampler_start_again (&w.engines[version % N_ENGINES]);
+    }
+  cr_assert_eq (w.engines[0].misplaced, 0);
+  world_clear (&w);
+}
+
+/* Other writers leave rows in the endpoints' table. Calls go to the endpoints that are there, no
+ * engine that nobody named is given weights, and the log tells each such row once. */
+Test (shared, rows_of_other_writers_name_no_endpoint)
+{
+  static const char stray[]
+      = "{\"service\": \"strangers\", \"address\": \"127.0.0.1:1\", \"zone\": \"hall-a\","
+        " \"version\": \"v1\", \"slots\": 8, \"state\": \"ready\", \"coldLeftMs\": 0, \"seq\": 1,"
+        " \"models\": [{\"name\": \"m\", \"version\": 1}]}";
+  LbTime enough;
+  World w;
+
+  world_init (&w);
+  si_rows_put (&w.rows, "servers", "", "i-stray", stray);
+  si_rows_put (&w.rows, "servers", "", "i-half", "{\"service\": \"lookups\", \"slots\": \"many\"}");
+  si_rows_put (&w.rows, "servers", "", "i-bytes", "\x01\x02");
+  size_t a = start_instance (&w);
+  si_rows_put (&w.rows, "op", "", "version/m", "{\"model\": \"m\", \"version\": 2}");
+  UNTIL (&w, w.engines[0].version == 2 && w.engines[1].version == 2 && w.engines[2].version == 2);
+  for (int i = 0; i < 10; i++)
+    {
+      char id[16];
+      snprintf (id, sizeof id, "c%d", i);
+      call (&w, a, "GET", "/lookup/x", id, "");
+      cr_assert_eq (w.status, 200);
+    }
+  enough = lb_clock_monotonic () + 2 * LB_SEC;
+  UNTIL (&w, lb_clock_monotonic () > enough);
+  cr_assert_eq (count_logged (&w, a, "endpoint_unreadable"), 3);
+  cr_assert_eq (count_logged (&w, a, "weights_order\",\"endpoint\":\"i-stray"), 0);
+  world_clear (&w);
+}
+
 /* An instance starts while the store is slow: it has the routes and not yet the endpoints. Its
  * first callers were told that there is no such route (404), and did not come back. */
 Test (shared, a_route_whose_endpoints_are_not_known_yet_is_not_missing)
