Texts of groups that were not whole go on in the batch that asks for them again

Cause: a trainer that has enough whole groups ends its step and asks for the others again, under the same ids, in a later one. There each of their texts began anew, also those that were whole, and the one that was too long for the first step was late again.

--- a/packages/core/include/lc-batch.h
+++ b/packages/core/include/lc-batch.h
@@ -1,6 +1,7 @@
 #ifndef LC_BATCH_H
 #define LC_BATCH_H
 
+#include "lc-carried.h"
 #include "lc-dispatch.h"
 #include "lc-outgoing.h"
 
@@ -101,6 +102,7 @@
 typedef struct
 {
   LcBatchHistory *history;  /* not owned */
+  LcCarried *carried;       /* not owned; NULL: every text is made anew */
   int64_t tokens_per_event; /* 0: not known */
   int64_t attempts;         /* failures of an item at engines after which it is given up */
   int64_t score_attempts;   /* the same for its scorer */
@@ -146,8 +148,9 @@
 void lc_batch_tick (LcBatch *batch, LbTime now, LbList *actions);
 /* Appends a KEEP with what has come since the last one; none when there is little. */
 void lc_batch_keep (LcBatch *batch, LbTime now, LbList *actions);
-/* Ends all work; nothing is written any more. */
-void lc_batch_stop (LcBatch *batch, LbList *actions);
+/* Ends all work; nothing is written any more. Texts of groups that are not whole are left for the
+ * batch that asks for them again. */
+void lc_batch_stop (LcBatch *batch, LbTime now, LbList *actions);
 
 /* queries */
 const LcBatchSpec *lc_batch_spec (const LcBatch *batch);
--- a/packages/core/src/lc-batch-item.c
+++ b/packages/core/src/lc-batch-item.c
@@ -33,6 +33,22 @@
   item->length += length;
 }
 
+void
+lc_batch_item_begin_with (LcBatchItem *item,
+                          const char *text,
+                          int64_t events,
+                          const LcVersion *versions,
+                          size_t n_versions)
+{
+  item->result.text = lb_strdup (text);
+  item->length = strlen (text);
+  item->capacity = item->length + 1;
+  item->events = events;
+  item->kept = events;
+  memcpy (item->result.versions, versions, n_versions * sizeof *versions);
+  item->result.n_versions = n_versions;
+}
+
 void
 lc_batch_item_note_version (LcBatchItem *item,
                             LcVersion version,
@@ -68,14 +84,18 @@
   item->unusable = false;
 }
 
-/* What is left of the estimated length, and a part of it at least. */
+/* What is left of the estimated length, and a part of it at least; of a text that an earlier batch
+ * saw, its own length goes before the estimate. */
 int64_t
 lc_batch_item_expected_events (const LcBatchItem *item, const LcItemSpec *spec, int64_t per_event)
 {
   int64_t tokens = spec->expected_tokens > 0 ? spec->expected_tokens : spec->max_tokens;
   int64_t events = tokens > 0 ? (tokens + per_event - 1) / per_event : DEFAULT_EVENTS;
-  int64_t left = events - item->events;
+  int64_t left = 0;
 
+  if (item->least_is_all || item->least > events)
+    events = item->least;
+  left = events - item->events;
   return left > events / LEAST_PART_LEFT ? left : events / LEAST_PART_LEFT + 1;
 }
 
--- a/packages/core/src/lc-batch-item.h
+++ b/packages/core/src/lc-batch-item.h
@@ -29,9 +29,12 @@
   size_t length; /* of the text so far */
   size_t capacity;
   int64_t kept;       /* events at the last KEEP */
+  int64_t least;      /* events that the whole text has, as an earlier batch saw; 0: not known */
+  bool least_is_all;  /* it was whole then */
   LbTime started;     /* of the present run */
   LbTime first_piece; /* of the present run; 0: none yet */
   LbTime last_piece;  /* of the present run */
+  LbTime listed_at;
   LcStreamPace pace;  /* of the present run */
   int64_t run_events; /* of the present run */
   LbName endpoint;    /* of the last piece */
@@ -45,6 +48,12 @@
 /* commands */
 /* One event of the text. */
 void lc_batch_item_append (LcBatchItem *item, const char *text);
+/* Begins with a text that was made before, for an item that has none. */
+void lc_batch_item_begin_with (LcBatchItem *item,
+                               const char *text,
+                               int64_t events,
+                               const LcVersion *versions,
+                               size_t n_versions);
 /* Notes which weights made an event; the text can't be used when they may not have. */
 void lc_batch_item_note_version (LcBatchItem *item,
                                  LcVersion version,
--- a/packages/core/src/lc-batch.c
+++ b/packages/core/src/lc-batch.c
@@ -1,5 +1,6 @@
 #include "lc-batch.h"
 
+#include "lc-batch-carry.h"
 #include "lc-batch-item.h"
 #include "lc-straggler.h"
 
@@ -38,6 +39,10 @@
   LcPace pace;
 };
 
+/* Of texts that are listed and kept for a later batch that asks for their groups again: four times
+ * the texts of a step of 2,048 samples of 2 KB. */
+#define MOST_LISTED_BYTES ((size_t)(16 << 20))
+
 struct LcBatch
 {
   LcBatchSpec spec;
@@ -45,6 +50,7 @@
   LcBatchItem *items;
   LbList ready;
   int64_t n_listed;
+  size_t listed_bytes; /* of their texts that are still held */
   const LcBatchResult **writing;
   size_t n_writing; /* first ones of ready */
   bool is_writing;
@@ -190,6 +196,17 @@
   action->n_results = batch->n_writing;
 }
 
+/* The text is asked for again if its group does not get whole. */
+static void
+hold_listed (LcBatch *batch, LcBatchItem *item)
+{
+  batch->listed_bytes += item->length;
+  if (batch->listed_bytes <= MOST_LISTED_BYTES)
+    return;
+  batch->listed_bytes -= item->length;
+  lc_batch_result_clear (&item->result);
+}
+
 void
 lc_batch_written (LcBatch *batch, bool ok, LbTime now, LbList *actions)
 {
@@ -203,7 +220,8 @@
     {
       LcBatchItem *item = LB_CONTAINER (lb_list_pop (&batch->ready), LcBatchItem, ready);
       item->state = ITEM_LISTED;
-      lc_batch_result_clear (&item->result);
+      item->listed_at = now;
+      hold_listed (batch, item);
       batch->n_listed++;
     }
   write_ready (batch, actions);
@@ -282,6 +300,16 @@
   action->item = index_of (batch, item);
 }
 
+/* The text is whole. */
+static void
+after_text (LcBatch *batch, LcBatchItem *item, LbList *actions)
+{
+  if (batch->spec.items[index_of (batch, item)].has_scorer && !item->result.score)
+    score (batch, item, actions);
+  else
+    make_ready (batch, item, true, actions);
+}
+
 void
 lc_batch_restore (LcBatch *batch, const LcBatchPart *part)
 {
@@ -291,13 +319,7 @@
       if (item->state != ITEM_WAITING || strcmp (batch->spec.items[i].request.id, part->item) != 0
           || part->n_versions > LC_MAX_RESULT_VERSIONS)
         continue;
-      item->result.text = lb_strdup (part->text);
-      item->length = strlen (part->text);
-      item->capacity = item->length + 1;
-      item->events = part->events;
-      item->kept = part->events;
-      memcpy (item->result.versions, part->versions, part->n_versions * sizeof *part->versions);
-      item->result.n_versions = part->n_versions;
+      lc_batch_item_begin_with (item, part->text, part->events, part->versions, part->n_versions);
     }
 }
 
@@ -334,11 +356,34 @@
   action->n_parts = n;
 }
 
+/* Of groups that an earlier batch did not get whole. */
+static void
+take_carried (LcBatch *batch, LbList *actions)
+{
+  size_t n_whole = 0;
+  size_t n_begun = 0;
+
+  for (size_t i = 0; batch->settings.carried && i < batch->spec.n_items; i++)
+    {
+      LcBatchItem *item = &batch->items[i];
+      if (!lc_batch_carry_take (&batch->spec, i, item, &batch->settings))
+        continue;
+      n_whole += item->state == ITEM_GENERATED;
+      n_begun += item->state == ITEM_WAITING;
+      if (item->state == ITEM_GENERATED)
+        after_text (batch, item, actions);
+    }
+  if (n_whole + n_begun > 0)
+    lb_log (LB_LOG_INFO, "texts_carried_on", LB_TEXT ("batch", batch->spec.id),
+            LB_INT ("whole", n_whole), LB_INT ("begun", n_begun));
+}
+
 void
 lc_batch_start (LcBatch *batch, LbTime now, LbList *actions)
 {
   batch->is_started = true;
   batch->next_keep = now + KEEP_PERIOD;
+  take_carried (batch, actions);
   for (size_t i = 0; i < batch->spec.n_items; i++)
     if (batch->items[i].state == ITEM_WAITING && batch->items[i].retry_at <= now)
       run (batch, &batch->items[i], now, actions);
@@ -408,10 +453,7 @@
     }
   item->retries = 0;
   learn (batch, item, now);
-  if (batch->spec.items[index_of (batch, item)].has_scorer)
-    score (batch, item, actions);
-  else
-    make_ready (batch, item, true, actions);
+  after_text (batch, item, actions);
 }
 
 void
@@ -605,9 +647,11 @@
 }
 
 void
-lc_batch_stop (LcBatch *batch, LbList *actions)
+lc_batch_stop (LcBatch *batch, LbTime now, LbList *actions)
 {
   batch->is_stopped = true;
+  if (batch->settings.carried)
+    lc_batch_carry_leave (&batch->spec, batch->items, batch->settings.carried, now);
   for (size_t i = 0; i < batch->spec.n_items; i++)
     stop_request (&batch->items[i], actions);
 }
--- a/packages/core/tests/test-batch.c
+++ b/packages/core/tests/test-batch.c
@@ -530,7 +530,7 @@
   fixture_init (&f, 3, false, (LcBatchSettings){ .resumable = true });
   start (&f);
   end (&f, 0, LB_ERROR_NO_ENDPOINT);
-  lc_batch_stop (f.batch, &f.actions);
+  lc_batch_stop (f.batch, f.now, &f.actions);
   take_actions (&f);
   cr_assert_eq (f.stopped, 2);
   memset (f.running, 0, sizeof f.running);
@@ -540,3 +540,105 @@
   cr_assert_eq (lc_batch_next_tick (f.batch), LB_TIME_NEVER);
   fixture_clear (&f);
 }
+
+/* --- texts that go from one batch to the next --- */
+
+/* A second batch of the same model, with what the first one left. */
+static void
+begin_next (Fixture *f, LcCarried *carried, LcVersion min_version, size_t n_items)
+{
+  const LcBatchSettings settings = { .attempts = 3,
+                                     .score_attempts = 3,
+                                     .resumable = true,
+                                     .carried = carried,
+                                     .next_id = next_id,
+                                     .user = f };
+  LcBatchSpec spec = make_spec (n_items, true);
+
+  lc_batch_stop (f->batch, f->now, &f->actions);
+  take_actions (f);
+  lc_batch_free (f->batch);
+  memset (f->running, 0, sizeof f->running);
+  memset (f->scoring, 0, sizeof f->scoring);
+  f->writes = 0;
+  spec.min_version = min_version;
+  f->batch = lc_batch_new (&spec, &settings);
+  lc_batch_start (f->batch, f->now, &f->actions);
+  take_actions (f);
+}
+
+static void
+add_pieces (Fixture *f, size_t item, int n, LcVersion version)
+{
+  for (int i = 0; i < n; i++)
+    lc_batch_piece (f->batch, f->running[item], version, "engine-1", "x", f->now);
+}
+
+/* A trainer ends its step when most groups are whole and asks for the others again, under the same
+ * ids, in its next one. The long text on which it waited began from its first event there, and was
+ * late again; texts of its group that were whole were made a second time. */
+Test (batch, a_text_goes_on_in_the_batch_that_asks_for_it_again)
+{
+  Fixture f;
+  LcCarried *carried = lc_carried_new (1 << 20);
+
+  fixture_init (&f, 3, true, (LcBatchSettings){ .resumable = true, .carried = carried });
+  start (&f);
+  add_pieces (&f, 0, 5, 6);
+  add_pieces (&f, 1, 2, 6);
+  lc_batch_ran (f.batch, f.running[1], LB_OK, f.now, &f.actions);
+  take_actions (&f);
+  lc_batch_scored (f.batch, f.scoring[1], LB_OK, "stamp", f.now, &f.actions);
+  take_actions (&f);
+  lc_batch_written (f.batch, true, f.now, &f.actions);
+  begin_next (&f, carried, 5, 3);
+  cr_assert_eq (f.resume_at[0], 5);
+  cr_assert_neq (f.running[0], 0);
+  cr_assert_eq (f.running[1], 0, "it is whole");
+  cr_assert_eq (f.scoring[1], 0, "and has its score");
+  cr_assert_eq (f.n_written, 1);
+  cr_assert_str_eq (f.written[0], "item-1");
+  cr_assert_eq (f.resume_at[2], 0);
+  lc_batch_free (f.batch);
+  lc_carried_free (carried);
+}
+
+/* The next batch takes no weights as old as those that made the text: a part of it would break the
+ * bound of staleness. Its length is known all the same. */
+Test (batch, a_text_of_weights_that_are_too_old_is_made_again)
+{
+  Fixture f;
+  LcCarried *carried = lc_carried_new (1 << 20);
+
+  fixture_init (&f, 2, true, (LcBatchSettings){ .resumable = true, .carried = carried });
+  start (&f);
+  add_pieces (&f, 0, 3, 5);
+  add_pieces (&f, 0, 40, 6);
+  lc_batch_ran (f.batch, f.running[0], LB_OK, f.now, &f.actions);
+  take_actions (&f);
+  begin_next (&f, carried, 6, 2);
+  cr_assert_eq (f.resume_at[0], 0);
+  cr_assert_gt (f.latest_start[0], f.latest_start[1], "it is shorter than its estimate");
+  lc_batch_free (f.batch);
+  lc_carried_free (carried);
+}
+
+/* What a group that was whole and read long ago left is of no use, and holds memory. */
+Test (batch, texts_of_whole_groups_are_not_kept)
+{
+  Fixture f;
+  LcCarried *carried = lc_carried_new (1 << 20);
+
+  fixture_init (&f, 1, false, (LcBatchSettings){ .resumable = true, .carried = carried });
+  start (&f);
+  add_pieces (&f, 0, 3, 6);
+  lc_batch_ran (f.batch, f.running[0], LB_OK, f.now, &f.actions);
+  take_actions (&f);
+  lc_batch_written (f.batch, true, f.now, &f.actions);
+  f.now += 5 * LB_SEC;
+  lc_batch_stop (f.batch, f.now, &f.actions);
+  take_actions (&f);
+  cr_assert_eq (lc_carried_bytes (carried), 0);
+  lc_batch_free (f.batch);
+  lc_carried_free (carried);
+}
--- a/packages/node/src/ln-batch-owner.c
+++ b/packages/node/src/ln-batch-owner.c
@@ -434,6 +434,7 @@
 {
   const LcRoute *route = route_of (batch);
   LcBatchSettings settings = { .history = ln_batches_history (batch->batches, spec->model),
+                               .carried = ln_batches_carried (batch->batches, spec->model),
                                .tokens_per_event = tokens_per_event (batch),
                                .attempts = route ? route->attempts : DEFAULT_ATTEMPTS,
                                .score_attempts = DEFAULT_ATTEMPTS + 1,
@@ -475,7 +476,7 @@
   lb_log (LB_LOG_INFO, "batch_stopped", LB_TEXT ("batch", batch->id),
           LB_INT ("listed", lc_batch_listed (batch->run)), LB_BOOL ("ended", batch->head.ended));
   lb_list_init (&actions);
-  lc_batch_stop (batch->run, &actions);
+  lc_batch_stop (batch->run, lb_clock_monotonic (), &actions);
   carry_out (batch, &actions);
   HASH_ITER (hh, batch->batches->requests, request, next)
   {
--- a/packages/node/src/ln-batches-private.h
+++ b/packages/node/src/ln-batches-private.h
@@ -99,6 +99,7 @@
 /* ln-batches.c */
 LnBatch *ln_batches_find (LnBatches *batches, const char *id);
 LcBatchHistory *ln_batches_history (LnBatches *batches, const char *model);
+LcCarried *ln_batches_carried (LnBatches *batches, const char *model);
 LnBatch *ln_batches_ensure (LnBatches *batches, const char *id);
 void ln_batches_forget (LnBatch *batch);
 
--- a/packages/node/src/ln-batches.c
+++ b/packages/node/src/ln-batches.c
@@ -15,16 +15,21 @@
 static LbMetric owned
     = LB_GAUGE_INIT ("lentilspindle_batches_owned", NULL, "Batches that this instance runs");
 
-/* What the batches of one model taught. */
+/* Texts of a model's groups that were not whole, held for the next steps: a few steps of 2,048
+ * samples of 2 KB, of which less than half may come again. */
+#define MOST_CARRIED_BYTES ((size_t)(16 << 20))
+
+/* What the batches of one model taught and left. */
 typedef struct LnModelHistory
 {
   LbName model; /* key */
   LcBatchHistory *history;
+  LcCarried *carried;
   UT_hash_handle hh;
 } LnModelHistory;
 
-LcBatchHistory *
-ln_batches_history (LnBatches *batches, const char *model)
+static LnModelHistory *
+ensure_model (LnBatches *batches, const char *model)
 {
   LnModelHistory *entry = NULL;
 
@@ -33,10 +38,23 @@
     {
       entry = LB_NEW (LnModelHistory);
       entry->history = lc_batch_history_new ();
+      entry->carried = lc_carried_new (MOST_CARRIED_BYTES);
       LB_COPY (entry->model, model);
       HASH_ADD_STR (batches->histories, model, entry);
     }
-  return entry->history;
+  return entry;
+}
+
+LcBatchHistory *
+ln_batches_history (LnBatches *batches, const char *model)
+{
+  return ensure_model (batches, model)->history;
+}
+
+LcCarried *
+ln_batches_carried (LnBatches *batches, const char *model)
+{
+  return ensure_model (batches, model)->carried;
 }
 
 LnBatch *
@@ -138,6 +156,8 @@
     }
   ln_batch_calls_tick (batches, now);
   ln_batch_cleanup_tick (batches, now);
+  for (LnModelHistory *model = batches->histories; model; model = model->hh.next)
+    lc_carried_expire (model->carried, now);
   lb_metric_set (&owned, n_owned);
   note_owned (batches, n_owned > 0);
 }
@@ -187,6 +207,7 @@
   {
     HASH_DEL (batches->histories, history);
     lc_batch_history_free (history->history);
+    lc_carried_free (history->carried);
     free (history);
   }
   lp_follow_free (batches->rows);
