A request whose end is ambiguous is refused with 400, and its connection ends

Cause: two Content-Length headers, and Content-Length beside Transfer-Encoding, were taken: a caller could hide a request in the body of another one. So were codings other than chunked, names with a space before the colon, and two Hosts. Change: headers that say where a request ends, and for whom it is, are looked at as a whole before anything is passed on. Test: at the socket, eleven kinds; it fails without the change.

--- a/packages/node/src/ln-caller.c
+++ b/packages/node/src/ln-caller.c
@@ -1,6 +1,7 @@
 #include "ln-caller.h"
 
 #include "ln-exchange-private.h"
+#include "ln-framing.h"
 #include "ln-linger.h"
 
 #include "lb-alloc.h"
@@ -174,16 +175,26 @@
   return EVHTP_RES_OK;
 }
 
+static int
+add_to_framing (evhtp_header_t *header, void *user)
+{
+  ln_framing_add (user, header->key, header->klen, header->val, header->vlen);
+  return 0;
+}
+
 static evhtp_res
 on_headers (evhtp_request_t *request, evhtp_headers_t *headers, void *user)
 {
-  (void)headers;
   LnCaller *caller = user;
+  LnFraming framing = { 0 };
   const unsigned char *query = request->uri ? request->uri->query_raw : NULL;
 
   /* evhtp puts the body of a form in its place later. */
   free (caller->query);
   caller->query = query ? lb_strdup ((const char *)query) : NULL;
+  evhtp_kvs_for_each (headers, add_to_framing, &framing);
+  if (ln_framing_is_ambiguous (&framing))
+    return refuse (caller, LB_ERROR_BAD_REQUEST);
   if (evhtp_request_content_len (request) > caller->callers->max_body)
     return refuse (caller, LB_ERROR_BODY_TOO_LARGE);
   return EVHTP_RES_OK;
--- a/packages/node/tests/test-front.c
+++ b/packages/node/tests/test-front.c
@@ -122,6 +122,45 @@
   fixture_clear (&f);
 }
 
+/* A caller hides a second request in the body of the first: of two lengths, or of a length and a
+ * coding, this daemon takes the one and the service behind it the other, and the hidden request
+ * runs there with nobody having looked at it. Nothing of it is passed on, and the connection ends.
+ */
+Test (front, a_request_of_two_lengths_is_refused)
+{
+  static const char *const headers[]
+      = { "Content-Length: 5\r\nContent-Length: 40",
+          "Content-Length: 5\r\nContent-Length: 5",
+          "Content-Length: 5, 5",
+          "Content-Length: +5",
+          "Content-Length: 5\r\nTransfer-Encoding: chunked",
+          "Transfer-Encoding: chunked\r\nContent-Length: 5",
+          "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity",
+          "Transfer-Encoding: gzip, chunked",
+          "Transfer-Encoding: xchunked",
+          "Content-Length : 5",
+          "Host: a\r\nHost: b" };
+  Fixture f;
+
+  fixture_init (&f);
+  fixture_start (&f);
+  for (size_t i = 0; i < sizeof headers / sizeof headers[0]; i++)
+    {
+      Peer caller;
+      char *request = lb_asprintf ("POST /services/none/x HTTP/1.1\r\n%s\r\n\r\n"
+                                   "0\r\n\r\nGET /services/none/hidden HTTP/1.1\r\n\r\n",
+                                   headers[i]);
+      caller_open (&f, &caller);
+      peer_send (&caller, request);
+      FIXTURE_UNTIL (&f, peer_is_closed (&caller));
+      cr_assert (strstr (caller.text, " 400 "), "%s: %s", headers[i], caller.text);
+      cr_assert_not (strstr (caller.text, " 404 "), "%s: %s", headers[i], caller.text);
+      peer_close (&caller);
+      free (request);
+    }
+  fixture_clear (&f);
+}
+
 Test (front, pipelined_requests_are_answered_in_order)
 {
   Fixture f;
