--- a/packages/base/src/lb-settings.c
+++ b/packages/base/src/lb-settings.c
@@ -1,6 +1,7 @@
 #include "lb-settings.h"
 
 #include "lb-alloc.h"
+#include "lb-json-keys.h"
 
 #include <json-c/json.h>
 #include <stdio.h>
@@ -69,6 +70,21 @@
   return object;
 }
 
+static bool
+has_each_key_once (const char *text, size_t length, const char *path, LbError *error)
+{
+  char where[LB_NAME_MAX + 192];
+  size_t offset;
+  int line, column;
+
+  if (!lb_json_find_duplicate_key (text, length, &offset))
+    return true;
+  line_and_column (text, offset, &line, &column);
+  snprintf (where, sizeof where, "%s:%d:%d", path, line, column);
+  return lb_error_set (error, LB_ERROR_BAD_JSON, where,
+                       "expected each key once in an object; this one stands there before");
+}
+
 struct json_object *
 lb_settings_read_file (const char *path, LbError *error)
 {
@@ -90,6 +106,11 @@
                   FILE_MAX_BYTES);
   else
     object = lb_settings_parse (text, length, path, error);
+  if (object && !has_each_key_once (text, length, path, error))
+    {
+      json_object_put (object);
+      object = NULL;
+    }
   free (text);
   fclose (in);
   return object;
--- a/packages/base/tests/test-json.c
+++ b/packages/base/tests/test-json.c
@@ -1,4 +1,5 @@
 #include "lb-json.h"
+#include "lb-json-keys.h"
 
 #include <criterion/criterion.h>
 #include <json-c/json.h>
@@ -65,3 +66,28 @@
       cr_assert (lb_json_bool (others[i], "bool", true));
     }
 }
+
+static void
+expect_duplicate (const char *text, long expected)
+{
+  size_t offset = 0;
+  bool found = lb_json_find_duplicate_key (text, strlen (text), &offset);
+
+  cr_assert_eq (found, expected >= 0, "%s", text);
+  if (found)
+    cr_assert_eq ((long)offset, expected, "%s: at %zu", text, offset);
+}
+
+/* An operator copies a block of the settings, changes the first of the two, and nothing happens:
+ * the parser takes the later one without a word. */
+Test (keys, a_key_that_stands_twice_is_found)
+{
+  expect_duplicate ("{\"a\": 1, \"b\": 2, \"a\": 3}", 17);
+  expect_duplicate ("{\"o\": {\"x\": 1, \"x\": 2}}", 15);
+  expect_duplicate ("{\"a\": [1, {\"b\": 1 /* \"b\": */, \"b\" : 2}]}", 30);
+  expect_duplicate ("{\"a\": {\"a\": {\"a\": 1}}, \"b\": {\"a\": 1}}", -1);
+  expect_duplicate ("{\"a\": \"a\", \"b\": [\"a\", \"a\"]}", -1);
+  expect_duplicate ("{\"a\": 1, // \"a\": 2\n \"b\\\"\": 1, \"b\": 2}", -1);
+  expect_duplicate ("{\"a\": \"unended", -1);
+  expect_duplicate ("]]}{\"a\"", -1);
+}
--- a/packages/node/src/ln-settings.c
+++ b/packages/node/src/ln-settings.c
@@ -201,6 +201,9 @@
     return fail (error, path, "instance.peer_address", address);
   if (settings->instance.entry_address[0] && !is_address (settings->instance.entry_address))
     return fail (error, path, "instance.entry_address", address);
+  if (settings->platform.kind == LN_PLATFORM_SHARED
+      && is_wildcard (settings->instance.caller_address))
+    return fail (error, path, "instance.caller_address", reachable);
   if (is_wildcard (settings->instance.peer_address))
     return fail (error, path, "instance.peer_address", reachable);
   if (is_wildcard (settings->instance.entry_address))
