An event loop that stands still is seen, and ends its process

Cause: the hang in the division of engines left no line: the instance answered nothing, and only its leases told. Change: how late the loop comes is a histogram; a turn half a second late is a line; a turn that uses 3 s of processor time ends the process with a line that names what it was doing, and the platform starts it anew. Paused or waiting processes use none. Weighed: an alarm by the wall's clock would end processes that were only paused; a thread would cost each turn a lock.

--- a/packages/node/main/lentilspindled.c
+++ b/packages/node/main/lentilspindled.c
@@ -1,3 +1,4 @@
+#include "ln-stall.h"
 #include "ln-context.h"
 #include "ln-dialect.h"
 #include "ln-messages.h"
@@ -38,6 +39,7 @@
   const char *config;        /* path of the settings file; NULL: none */
   struct event *drain_timer; /* runs while draining */
   struct event *log_timer;
+  LnStall *stall;
   LbTime drain_until;
   bool draining;
 } Daemon;
@@ -282,6 +284,7 @@
   daemon->signals[2] = evsignal_new (context->base, SIGHUP, on_reload, daemon);
   daemon->log_timer = event_new (context->base, -1, EV_PERSIST, on_log_timer, daemon);
   event_add (daemon->log_timer, &log_period);
+  daemon->stall = ln_stall_new (context->base, LN_STALL_CPU_LIMIT);
   daemon->drain_timer = event_new (context->base, -1, EV_PERSIST, exit_when_idle, daemon);
   for (int i = 0; i < N_SIGNALS; i++)
     event_add (daemon->signals[i], NULL);
@@ -299,6 +302,7 @@
   for (int i = 0; i < N_SIGNALS; i++)
     event_free (daemon->signals[i]);
   event_free (daemon->drain_timer);
+  ln_stall_free (daemon->stall);
   event_free (daemon->log_timer);
   /* Connections that were just freed are still held by work that libevent put off: it is lost with
    * the base, and what it holds with it. One turn carries it out. */
--- a/packages/node/src/ln-batches.c
+++ b/packages/node/src/ln-batches.c
@@ -1,6 +1,7 @@
 #include "lp-platform.h"
 
 #include "ln-batches-private.h"
+#include "ln-stall.h"
 
 #include "lb-alloc.h"
 #include "lb-clock.h"
@@ -148,6 +149,7 @@
   LbTime now = lb_clock_monotonic ();
   int64_t n_owned = 0;
 
+  ln_stall_note ("tick of rollouts");
   ln_batch_heads_tick (batches, now);
   for (LnBatch *batch = batches->by_id; batch; batch = batch->hh.next)
     {
--- a/packages/node/src/ln-desired.c
+++ b/packages/node/src/ln-desired.c
@@ -3,6 +3,7 @@
 #include "ln-dialect.h"
 #include "ln-engine-plans.h"
 #include "ln-messages.h"
+#include "ln-stall.h"
 #include "ln-unreadable-rows.h"
 #include "ln-weight-orders.h"
 
@@ -299,6 +300,7 @@
   LbTime now = lb_clock_monotonic ();
   LbTime period = lc_roster_list_period (task->roster);
 
+  ln_stall_note ("tick of config");
   lp_follow_tick (task->rows, now);
   if (!task->listing && now >= task->next_list)
     list_endpoints (task, now);
--- a/packages/node/src/ln-engine-plans.c
+++ b/packages/node/src/ln-engine-plans.c
@@ -1,5 +1,7 @@
 #include "ln-engine-plans.h"
 
+#include "ln-stall.h"
+
 #include "lb-alloc.h"
 #include "lb-clock.h"
 #include "lb-log.h"
@@ -172,6 +174,7 @@
       for (size_t model = 0; model < listed->n_models; model++)
         n_models = add_model (models, n_models, listed->models[model].name);
     }
+  ln_stall_note ("division of engines");
   lc_engine_plan_divide (&plans->wanted, engines, n_engines, models, n_models, plans->demand, now);
   free (engines);
 }
--- a/packages/node/src/ln-task.c
+++ b/packages/node/src/ln-task.c
@@ -1,5 +1,7 @@
 #include "ln-task.h"
 
+#include "ln-stall.h"
+
 #include "lb-alloc.h"
 
 #include <event2/event.h>
@@ -26,11 +28,13 @@
 {
   if (message->to)
     {
+      ln_stall_note (message->to->klass->name);
       message->to->klass->receive (message->to, message);
       return;
     }
   LB_LIST_FOREACH (&hub->tasks, LnTask, link, task)
   {
+    ln_stall_note (task->klass->name);
     task->klass->receive (task, message);
   }
 }
