Engines are divided by the imbalance of both sides, by all known steps, and evenly before the first

Ruled out: hints as a measure of demand (their sums agree with the events within a tenth after three steps). Change: lack and spare count together (1.4 and a tenth of an even share), ended batches count as demand at a start, and with no demand the division is even.

--- a/packages/core/include/lc-engine-plan.h
+++ b/packages/core/include/lc-engine-plan.h
@@ -42,9 +42,11 @@
 LcDemand *lc_demand_new (void);
 void lc_demand_free (LcDemand *demand);
 void lc_demand_add (LcDemand *demand, const char *model, double tokens, LbTime now);
+bool lc_demand_is_empty (const LcDemand *demand); /* nobody has brought anything yet */
 double lc_demand_of (const LcDemand *demand, const char *model, LbTime now);
 
-/* Changes the plan so that engines are shared out by demand; every model keeps one engine at least.
+/* Changes the plan so that engines are shared out by demand, evenly while there is none; every model
+ * keeps one engine at least.
  * True when it changed. engines holds each engine and the model that it is used for now. */
 bool lc_engine_plan_divide (LcEnginePlan *plan,
                             const LcPlanEntry *engines,
--- a/packages/core/src/lc-engine-plan.c
+++ b/packages/core/src/lc-engine-plan.c
@@ -11,11 +11,12 @@
 
 /* Trainers bring a batch every few seconds, of very different lengths: the mean is over several. */
 #define HALF_LIFE (20 * LB_SEC)
-/* Engines by which a model must lack its share before one is moved, and beside them a part of an
- * even share: less is noise of the lengths of texts, and each move costs a load of weights and the
+/* Engines by which one model must lack its share and another have too many, together, before one is
+ * moved, and beside them a part of an even share: less is noise of the lengths of texts, which in
+ * five steps of 40 texts is a tenth of the share, and each move costs a load of weights and the
  * engine's cache. */
-#define LEAST_LACK 1.0
-#define LEAST_LACK_PART 0.08
+#define LEAST_IMBALANCE 1.4
+#define LEAST_IMBALANCE_PART 0.1
 /* Once engines are moved at all, the division becomes as even as whole engines allow. A move
  * changes the sum of the squares of what models lack by 2 - 2 x (lack of the one + spare of the
  * other), so it brings the division nearer to the demand only where these two are over 1 together;
@@ -240,6 +241,12 @@
   work->at = now;
 }
 
+bool
+lc_demand_is_empty (const LcDemand *demand)
+{
+  return demand->by_model == NULL;
+}
+
 double
 lc_demand_of (const LcDemand *demand, const char *model, LbTime now)
 {
@@ -266,8 +273,9 @@
   return n;
 }
 
-/* Each model has one engine; the others go by demand. */
-static bool
+/* Each model has one engine; the others go by demand, or evenly as long as there is none: engines
+ * that were listed one after the other may be divided 5, 3 and 1, and the first steps wait. */
+static void
 fill_shares (Share *shares,
              const LbName *models,
              size_t n_models,
@@ -281,16 +289,16 @@
     total += lc_demand_of (demand, models[i], now);
   for (size_t i = 0; i < n_models; i++)
     {
-      double part = total > 0 ? lc_demand_of (demand, models[i], now) / total : 0;
+      double part
+          = total > 0 ? lc_demand_of (demand, models[i], now) / total : 1 / (double)n_models;
       shares[i] = (Share){ .name = models[i], .share = 1 + part * (double)(n_engines - n_models) };
     }
-  return total > 0;
 }
 
 /* The model that lacks most, and the one that has most to spare; true when an engine moved between
  * them brings the division nearer to the demand. */
 static bool
-find_move (const Share *shares, size_t n, double least_lack, size_t *to, size_t *from)
+find_move (const Share *shares, size_t n, double least, size_t *to, size_t *from)
 {
   double lack;
   double spare;
@@ -306,7 +314,7 @@
     }
   lack = shares[*to].share - shares[*to].has;
   spare = shares[*from].has - shares[*from].share;
-  return lack >= least_lack && lack + spare >= LEAST_GAIN && shares[*from].has > 1;
+  return lack + spare >= least && shares[*from].has > 1;
 }
 
 static void
@@ -343,7 +351,7 @@
 static void
 move_by_demand (LcPlanEntry *engines, size_t n_engines, Share *shares, size_t n_models)
 {
-  double least_lack = LEAST_LACK + LEAST_LACK_PART * (double)n_engines / (double)n_models;
+  double least = LEAST_IMBALANCE + LEAST_IMBALANCE_PART * (double)n_engines / (double)n_models;
   size_t to = 0;
   size_t from = 0;
 
@@ -353,7 +361,7 @@
       if (model < n_models)
         shares[model].has++;
     }
-  for (; find_move (shares, n_models, least_lack, &to, &from); least_lack = 0)
+  for (; find_move (shares, n_models, least, &to, &from); least = LEAST_GAIN)
     {
       move_one (engines, n_engines, shares[from].name, shares[to].name);
       shares[from].has--;
@@ -373,9 +381,11 @@
   Share *shares = LB_NEW_ARRAY (Share, n_models + 1);
   LcPlanEntry *wanted = lb_memdup (engines, n_engines * sizeof *engines);
 
-  if (n_models > 1 && n_engines > n_models
-      && fill_shares (shares, models, n_models, n_engines, demand, now))
-    move_by_demand (wanted, n_engines, shares, n_models);
+  if (n_models > 1 && n_engines > n_models)
+    {
+      fill_shares (shares, models, n_models, n_engines, demand, now);
+      move_by_demand (wanted, n_engines, shares, n_models);
+    }
   bool changed = apply (plan, wanted, n_engines);
   free (wanted);
   free (shares);
--- a/packages/core/tests/test-engine-plan.c
+++ b/packages/core/tests/test-engine-plan.c
@@ -250,3 +250,56 @@
     }
   gsl_rng_free (random);
 }
+
+/* Three trainers of unlike demand. By the hash of their names the lightest model has four engines
+ * and the heaviest two, whose texts wait in two waves: each step of it ends a second or two late,
+ * all day, and its trainer falls a step behind. Both sides of the imbalance count. */
+Test (engine_plan, the_heaviest_model_does_not_keep_the_fewest_engines)
+{
+  static const LbName three[] = { "light", "heavy", "middle" };
+  static const char uses[9] = { 0, 0, 0, 0, 1, 1, 2, 2, 2 };
+  LcDemand *demand = lc_demand_new ();
+  LcEnginePlan plan = { 0 };
+  LcPlanEntry engines[9];
+
+  for (int i = 0; i < 9; i++)
+    {
+      engines[i] = (LcPlanEntry){ .version = 0 };
+      snprintf (engines[i].engine, LB_NAME_MAX, "i-%d", i);
+      LB_COPY (engines[i].model, three[(int)uses[i]]);
+    }
+  lc_demand_add (demand, "light", 800, LB_SEC);
+  lc_demand_add (demand, "heavy", 1150, LB_SEC);
+  lc_demand_add (demand, "middle", 1179, LB_SEC);
+  lc_engine_plan_divide (&plan, engines, 9, three, 3, demand, LB_SEC);
+  cr_assert_eq (count (&plan, "light"), 3);
+  cr_assert_eq (count (&plan, "heavy"), 3);
+  cr_assert_eq (count (&plan, "middle"), 3);
+  lc_engine_plan_clear (&plan);
+  lc_demand_free (demand);
+}
+
+/* Endpoints register one after the other, and each list divides those that it names. The first
+ * steps of a trainer wait for its one engine while another trainer has five. */
+Test (engine_plan, without_demand_the_division_is_even)
+{
+  static const LbName three[] = { "a", "b", "c" };
+  static const char uses[9] = { 0, 0, 0, 0, 0, 1, 1, 1, 2 };
+  LcDemand *demand = lc_demand_new ();
+  LcEnginePlan plan = { 0 };
+  LcPlanEntry engines[9];
+
+  for (int i = 0; i < 9; i++)
+    {
+      engines[i] = (LcPlanEntry){ .version = 0 };
+      snprintf (engines[i].engine, LB_NAME_MAX, "i-%d", i);
+      LB_COPY (engines[i].model, three[(int)uses[i]]);
+    }
+  cr_assert (lc_demand_is_empty (demand));
+  lc_engine_plan_divide (&plan, engines, 9, three, 3, demand, LB_SEC);
+  cr_assert_eq (count (&plan, "a"), 3);
+  cr_assert_eq (count (&plan, "b"), 3);
+  cr_assert_eq (count (&plan, "c"), 3);
+  lc_engine_plan_clear (&plan);
+  lc_demand_free (demand);
+}
--- a/packages/node/src/ln-batch-heads.c
+++ b/packages/node/src/ln-batch-heads.c
@@ -160,7 +160,9 @@
   LcBatchHead before = batch->head;
   if (row->version <= batch->version)
     return true;
-  if (batch->version == 0 && !head.ended)
+  /* Ended ones count as well: an instance that has just begun, and divides the engines, would know
+   * the one or two steps alone that are open, and move engines for the lengths of their texts. */
+  if (batch->version == 0)
     tell_demand (batches, &head);
   batch->head = head;
   batch->version = row->version;
--- a/packages/node/src/ln-engine-plans.c
+++ b/packages/node/src/ln-engine-plans.c
@@ -21,6 +21,8 @@
 #define WRITE_PERIOD (150 * LB_MSEC)
 /* Between two divisions; batches come every few seconds, and each brings the demand up to date. */
 #define DIVIDE_PERIOD (2 * LB_SEC)
+/* A writer that knows of no step may just not have read the rows of batches yet. */
+#define LISTING_TIME (3 * LB_SEC)
 
 struct LnEnginePlans
 {
@@ -30,6 +32,7 @@
   LcEnginePlan plan;   /* as the row says */
   LcEnginePlan wanted; /* as it shall say, where this instance writes it */
   bool is_writer;
+  LbTime writer_since;
   int64_t version; /* of the row */
   LpFollow *rows;
   LcDemand *demand;
@@ -155,6 +158,12 @@
   return n;
 }
 
+static bool
+knows_demand (const LnEnginePlans *plans, LbTime now)
+{
+  return !lc_demand_is_empty (plans->demand) || now - plans->writer_since >= LISTING_TIME;
+}
+
 static void
 divide (LnEnginePlans *plans, const LcRoster *roster, LbTime now)
 {
@@ -181,12 +190,13 @@
 
 /* The writer begins with what the one before it wrote. */
 static void
-set_writer (LnEnginePlans *plans, bool is_writer)
+set_writer (LnEnginePlans *plans, bool is_writer, LbTime now)
 {
   if (is_writer && !plans->is_writer)
     {
       lc_engine_plan_clear (&plans->wanted);
       lc_engine_plan_copy (&plans->wanted, &plans->plan);
+      plans->writer_since = now;
     }
   plans->is_writer = is_writer;
 }
@@ -195,10 +205,10 @@
 ln_engine_plans_tick (LnEnginePlans *plans, const LcRoster *roster, bool may_write, LbTime now)
 {
   lp_follow_tick (plans->rows, now);
-  set_writer (plans, may_write && lp_follow_has_listed (plans->rows));
+  set_writer (plans, may_write && lp_follow_has_listed (plans->rows), now);
   if (!plans->is_writer)
     return;
-  if (now >= plans->next_division)
+  if (now >= plans->next_division && knows_demand (plans, now))
     {
       plans->next_division = now + DIVIDE_PERIOD;
       divide (plans, roster, now);
