--- /dev/null
+++ b/packages/base/src/lb-switch.c
@@ -0,0 +1,65 @@
+#include "lb-switch.h"
+
+#include <string.h>
+
+static const char *const names[LB_N_SWITCHES] = {
+  [LB_SWITCH_HEDGING] = "hedging",
+  [LB_SWITCH_MOVES] = "moves",
+  [LB_SWITCH_PACE] = "pace",
+  [LB_SWITCH_FULL_PACE] = "full_pace",
+  [LB_SWITCH_LATEST_START] = "latest_start",
+  [LB_SWITCH_KEPT_TEXTS] = "kept_texts",
+  [LB_SWITCH_CARRIED_TEXTS] = "carried_texts",
+  [LB_SWITCH_DIVISION] = "division",
+  [LB_SWITCH_LOADS_IN_TURN] = "loads_in_turn",
+  [LB_SWITCH_OFFERS] = "offers",
+  [LB_SWITCH_WAY_THROUGH_PEERS] = "way_through_peers",
+  [LB_SWITCH_SENT_AGAIN] = "sent_again",
+  [LB_SWITCH_BREAKERS] = "breakers",
+  [LB_SWITCH_PREFIX_AFFINITY] = "prefix_affinity",
+  [LB_SWITCH_IDLE_CONNECTIONS] = "idle_connections",
+};
+
+static bool is_off[LB_N_SWITCHES];
+
+const char *
+lb_switch_name (LbSwitch number)
+{
+  return names[number];
+}
+
+static int
+find (const char *name)
+{
+  for (int i = 0; i < LB_N_SWITCHES; i++)
+    if (strcmp (names[i], name) == 0)
+      return i;
+  return -1;
+}
+
+bool
+lb_switch_is_known (const char *name)
+{
+  return find (name) >= 0;
+}
+
+void
+lb_switch_set_off (const char *name)
+{
+  int number = find (name);
+
+  if (number >= 0)
+    is_off[number] = true;
+}
+
+bool
+lb_switch_is_on (LbSwitch number)
+{
+  return !is_off[number];
+}
+
+void
+lb_switch_reset (void)
+{
+  memset (is_off, 0, sizeof is_off);
+}
--- /dev/null
+++ b/packages/base/tests/test-switch.c
@@ -0,0 +1,23 @@
+#include "lb-switch.h"
+
+#include <criterion/criterion.h>
+#include <string.h>
+
+Test (switches, all_are_on_until_one_is_named)
+{
+  for (int i = 0; i < LB_N_SWITCHES; i++)
+    cr_assert (lb_switch_is_on ((LbSwitch)i));
+  lb_switch_set_off ("moves");
+  cr_assert_not (lb_switch_is_on (LB_SWITCH_MOVES));
+  cr_assert (lb_switch_is_on (LB_SWITCH_HEDGING));
+  lb_switch_reset ();
+  cr_assert (lb_switch_is_on (LB_SWITCH_MOVES));
+}
+
+Test (switches, each_has_a_name_of_its_own)
+{
+  for (int i = 0; i < LB_N_SWITCHES; i++)
+    for (int j = 0; j < i; j++)
+      cr_assert_str_neq (lb_switch_name ((LbSwitch)i), lb_switch_name ((LbSwitch)j));
+  cr_assert_not (lb_switch_is_known ("no-such-mechanism"));
+}
--- a/packages/core/src/lc-batch.c
+++ b/packages/core/src/lc-batch.c
@@ -6,6 +6,7 @@
 
 #include "lb-alloc.h"
 #include "lb-log.h"
+#include "lb-switch.h"
 #include "lb-time.h"
 
 #include <stdlib.h>
@@ -261,6 +262,8 @@
 {
   const LcBatchHistory *history = batch->settings.history;
   double rate = history ? history->pace.tokens_per_second : 0;
+  if (!lb_switch_is_on (LB_SWITCH_LATEST_START))
+    return 0;
   double seconds = rate > 0 ? (double)tokens_of (batch, events) / rate
                             : (double)events * DEFAULT_EVENT_SECONDS;
 
@@ -329,11 +332,14 @@
 void
 lc_batch_keep (LcBatch *batch, LbTime now, LbList *actions)
 {
-  LcBatchPart *parts = LB_NEW_ARRAY (LcBatchPart, MAX_RESULTS_PER_WRITE);
+  LcBatchPart *parts = NULL;
   size_t bytes = 0;
   size_t n = 0;
 
   batch->next_keep = now + KEEP_PERIOD;
+  if (!lb_switch_is_on (LB_SWITCH_KEPT_TEXTS))
+    return;
+  parts = LB_NEW_ARRAY (LcBatchPart, MAX_RESULTS_PER_WRITE);
   for (size_t i = 0; i < batch->spec.n_items && n < MAX_RESULTS_PER_WRITE; i++)
     {
       LcBatchItem *item = &batch->items[i];
@@ -590,7 +596,7 @@
 move_slow_ones (LcBatch *batch, LbTime now, LbList *actions)
 {
   batch->next_review = now + REVIEW_PERIOD;
-  if (!batch->settings.history || !batch->settings.resumable)
+  if (!batch->settings.history || !batch->settings.resumable || !lb_switch_is_on (LB_SWITCH_MOVES))
     return;
   for (size_t i = 0; i < batch->spec.n_items; i++)
     {
--- a/packages/core/src/lc-breaker.c
+++ b/packages/core/src/lc-breaker.c
@@ -1,5 +1,7 @@
 #include "lc-breaker.h"
 
+#include "lb-switch.h"
+
 #define FAILURES_TO_OPEN 5
 #define RATIO_TO_OPEN 0.5
 #define RATIO_WEIGHT 0.1
@@ -67,7 +69,7 @@
 void
 lc_breaker_failed (LcBreaker *breaker, LbTime sent_at, LbTime now)
 {
-  if (is_outdated (breaker, sent_at))
+  if (is_outdated (breaker, sent_at) || !lb_switch_is_on (LB_SWITCH_BREAKERS))
     return;
   count_result (breaker, true);
   if (breaker->state == LC_BREAKER_HALF_OPEN || is_bad (breaker))
--- a/packages/core/src/lc-candidates.c
+++ b/packages/core/src/lc-candidates.c
@@ -1,6 +1,7 @@
 #include "lc-candidates.h"
 
 #include "lb-alloc.h"
+#include "lb-switch.h"
 
 #include <string.h>
 
@@ -76,7 +77,8 @@
   double waited = (double)(scales->now - query->submitted) / LB_SEC;
   double left = (double)(query->wanted_by - scales->now) / LB_SEC;
 
-  if (query->wanted_by == 0 || scales->fastest <= 0 || pace < SLOW * scales->fastest)
+  if (!lb_switch_is_on (LB_SWITCH_FULL_PACE) || query->wanted_by == 0 || scales->fastest <= 0
+      || pace < SLOW * scales->fastest)
     return false;
   return tokens * pace > left && tokens * (pace - scales->fastest) > waited;
 }
--- a/packages/core/src/lc-desired.c
+++ b/packages/core/src/lc-desired.c
@@ -1,6 +1,7 @@
 #include "lc-desired.h"
 
 #include "lb-alloc.h"
+#include "lb-switch.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -103,6 +104,8 @@
 LbTime
 lc_route_hedge_after (const LcRoute *route)
 {
+  if (!lb_switch_is_on (LB_SWITCH_HEDGING))
+    return 0;
   return route->kind == LC_ROUTE_REPEATABLE ? route->goal * HEDGE_PERCENT / 100 : 0;
 }
 
--- a/packages/core/src/lc-endpoints.c
+++ b/packages/core/src/lc-endpoints.c
@@ -2,6 +2,7 @@
 
 #include "lb-alloc.h"
 #include "lb-log.h"
+#include "lb-switch.h"
 
 #include <math.h>
 #include <string.h>
@@ -286,6 +287,8 @@
   LcEntry *entry = lc_entry (endpoint);
   double seconds = 0;
 
+  if (!lb_switch_is_on (LB_SWITCH_PACE))
+    return;
   lc_stream_pace_add (&entry->pace, tokens, interval);
   entry->paced_at = now;
   seconds = lc_stream_pace_token_seconds (&entry->pace);
--- a/packages/core/src/lc-engine-plan.c
+++ b/packages/core/src/lc-engine-plan.c
@@ -2,6 +2,7 @@
 
 #include "lb-alloc.h"
 #include "lb-json.h"
+#include "lb-switch.h"
 
 #include <json-c/json.h>
 #include <math.h>
@@ -381,7 +382,7 @@
   Share *shares = LB_NEW_ARRAY (Share, n_models + 1);
   LcPlanEntry *wanted = lb_memdup (engines, n_engines * sizeof *engines);
 
-  if (n_models > 1 && n_engines > n_models)
+  if (n_models > 1 && n_engines > n_models && lb_switch_is_on (LB_SWITCH_DIVISION))
     {
       fill_shares (shares, models, n_models, n_engines, demand, now);
       move_by_demand (wanted, n_engines, shares, n_models);
--- a/packages/core/src/lc-router-finish-time.c
+++ b/packages/core/src/lc-router-finish-time.c
@@ -1,6 +1,7 @@
 #include "lc-policies.h"
 
 #include "lb-alloc.h"
+#include "lb-switch.h"
 
 #include <math.h>
 
@@ -141,6 +142,8 @@
 static double
 prefill_seconds (const Situation *situation, const LcSummary *summary)
 {
+  if (!lb_switch_is_on (LB_SWITCH_PREFIX_AFFINITY))
+    return situation->whole_prefill_seconds;
   return situation->whole_prefill_seconds * (1 - situation->shares[summary->slot]);
 }
 
--- a/packages/core/src/lc-swap-turns.c
+++ b/packages/core/src/lc-swap-turns.c
@@ -1,5 +1,7 @@
 #include "lc-swap-turns.h"
 
+#include "lb-switch.h"
+
 /* Share of the model's engines that the next step can use, and among equals the share that has the
  * newest weights or gets them. The next step of a trainer takes weights that are one version old,
  * so an engine two versions behind is lost to it, and one that is one behind is not yet. Loads on
@@ -38,5 +40,7 @@
 size_t
 lc_swap_turns_most (size_t n_engines)
 {
+  if (!lb_switch_is_on (LB_SWITCH_LOADS_IN_TURN))
+    return n_engines;
   return (n_engines * LC_SWAP_TURNS_PERCENT + 99) / 100;
 }
--- a/packages/http/src/lh-pool.c
+++ b/packages/http/src/lh-pool.c
@@ -2,6 +2,7 @@
 
 #include "lb-alloc.h"
 #include "lb-clock.h"
+#include "lb-switch.h"
 
 #include <event2/event.h>
 #include <event2/http.h>
@@ -174,7 +175,8 @@
   static const struct timeval idle_limit = { .tv_sec = 2 * IDLE_LIFE / LB_SEC };
   LhPool *pool = connection->pool;
 
-  if (idle_life <= 0 || pool->idle.length >= MAX_IDLE_PER_POOL)
+  if (!lb_switch_is_on (LB_SWITCH_IDLE_CONNECTIONS) || idle_life <= 0
+      || pool->idle.length >= MAX_IDLE_PER_POOL)
     {
       lh_pool_close_later (connection);
       return;
--- a/packages/node/include/ln-settings.h
+++ b/packages/node/include/ln-settings.h
@@ -39,6 +39,11 @@
     size_t n_seeds;
   } cluster;
   struct
+  {
+    LbName *off; /* names of mechanisms, see lb-switch.h */
+    size_t n_off;
+  } measure;
+  struct
   {
     int level; /* LbLogLevel */
   } log;
--- a/packages/node/main/lentilspindled.c
+++ b/packages/node/main/lentilspindled.c
@@ -6,6 +6,7 @@
 #include "lb-alloc.h"
 #include "lb-clock.h"
 #include "lb-log.h"
+#include "lb-switch.h"
 #include "lh-fetch.h"
 #include "lp-platform.h"
 #include "pf-dialect.h"
@@ -273,6 +274,8 @@
   LnContext *context = &daemon->context;
 
   context->settings = &daemon->settings;
+  for (size_t i = 0; i < daemon->settings.measure.n_off; i++)
+    lb_switch_set_off (daemon->settings.measure.off[i]);
   context->base = event_base_new ();
   context->hub = ln_hub_new (context->base);
   context->http = lh_pool_new (context->base);
--- a/packages/node/src/ln-batch-heads.c
+++ b/packages/node/src/ln-batch-heads.c
@@ -5,6 +5,7 @@
 #include "lb-alloc.h"
 #include "lb-clock.h"
 #include "lb-log.h"
+#include "lb-switch.h"
 
 #include <json-c/json.h>
 #include <stdio.h>
@@ -384,7 +385,7 @@
 bool
 ln_batch_heads_offer (LnBatch *batch, LbTime now)
 {
-  if (!batch->head.preferred[0]
+  if (!batch->head.preferred[0] || !lb_switch_is_on (LB_SWITCH_OFFERS)
       || strcmp (batch->head.preferred, batch->batches->context->instance) == 0)
     return false;
   batch->held = LN_HELD_OFFERED;
--- a/packages/node/src/ln-batch-owner.c
+++ b/packages/node/src/ln-batch-owner.c
@@ -6,6 +6,7 @@
 #include "lb-clock.h"
 #include "lb-counter.h"
 #include "lb-log.h"
+#include "lb-switch.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -435,7 +436,9 @@
 {
   const LcRoute *route = route_of (batch);
   LcBatchSettings settings = { .history = ln_batches_history (batch->batches, spec->model),
-                               .carried = ln_batches_carried (batch->batches, spec->model),
+                               .carried = lb_switch_is_on (LB_SWITCH_CARRIED_TEXTS)
+                                              ? ln_batches_carried (batch->batches, spec->model)
+                                              : NULL,
                                .tokens_per_event = tokens_per_event (batch),
                                .attempts = route ? route->attempts : DEFAULT_ATTEMPTS,
                                .score_attempts = DEFAULT_ATTEMPTS + 1,
--- a/packages/node/src/ln-settings.c
+++ b/packages/node/src/ln-settings.c
@@ -2,6 +2,7 @@
 
 #include "lb-alloc.h"
 #include "lb-settings.h"
+#include "lb-switch.h"
 #include "lc-router.h"
 
 #include <json-c/json.h>
@@ -70,6 +71,13 @@
           .count_offset = offsetof (LnSettings, cluster.n_seeds) },
         END };
 
+static const LbSettingSpec measure_specs[]
+    = { { .key = "off",
+          .type = LB_SETTING_ARRAY,
+          .offset = offsetof (LnSettings, measure.off),
+          .count_offset = offsetof (LnSettings, measure.n_off) },
+        END };
+
 static const LbSettingSpec log_specs[] = { CHOICE ("level", log.level, log_levels), END };
 
 static const LbSettingSpec http_specs[]
@@ -103,6 +111,7 @@
 static const LbSettingSpec specs[] = { GROUP ("instance", instance_specs),
                                        GROUP ("platform", platform_specs),
                                        GROUP ("cluster", cluster_specs),
+                                       GROUP ("measure", measure_specs),
                                        GROUP ("log", log_specs),
                                        GROUP ("http", http_specs),
                                        GROUP ("calls", calls_specs),
@@ -146,6 +155,7 @@
 ln_settings_clear (LnSettings *settings)
 {
   free (settings->cluster.seeds);
+  free (settings->measure.off);
   memset (settings, 0, sizeof *settings);
 }
 
@@ -219,6 +229,9 @@
   for (size_t i = 0; i < settings->cluster.n_seeds; i++)
     if (!is_address (settings->cluster.seeds[i]))
       return fail (error, path, "cluster.seeds", address);
+  for (size_t i = 0; i < settings->measure.n_off; i++)
+    if (!lb_switch_is_known (settings->measure.off[i]))
+      return fail (error, path, "measure.off", "expected names of mechanisms");
   if (settings->cluster.n_seeds > 0 && settings->cluster.key[0] == '\0')
     return fail (error, path, "cluster.key",
                  "expected a shared key, since cluster.seeds are given");
--- a/packages/store/src/lp-path.c
+++ b/packages/store/src/lp-path.c
@@ -1,6 +1,7 @@
 #include "lp-path.h"
 
 #include "lb-alloc.h"
+#include "lb-switch.h"
 
 #include <string.h>
 
@@ -42,6 +43,8 @@
 const char *
 lp_path_peer (const LpPath *path)
 {
+  if (!lb_switch_is_on (LB_SWITCH_WAY_THROUGH_PEERS))
+    return NULL;
   return path->n_peers > 0 ? path->peers[path->current] : NULL;
 }
 
