--- a/packages/core/tests/test-engine-plan.c
+++ b/packages/core/tests/test-engine-plan.c
@@ -251,6 +251,18 @@
   gsl_rng_free (random);
 }
 
+/* Nine engines, used for the models of these numbers. */
+static void
+make_nine (LcPlanEntry *engines, const LbName *names, const char *uses)
+{
+  for (int i = 0; i < 9; i++)
+    {
+      engines[i] = (LcPlanEntry){ .version = 0 };
+      snprintf (engines[i].engine, LB_NAME_MAX, "i-%d", i);
+      LB_COPY (engines[i].model, names[(int)uses[i]]);
+    }
+}
+
 /* Three trainers of unlike demand. By the hash of their names the lightest model has four engines
  * and the heaviest two, whose texts wait in two waves: each step of it ends a second or two late,
  * all day, and its trainer falls a step behind. Both sides of the imbalance count. */
@@ -262,12 +274,7 @@
   LcEnginePlan plan = { 0 };
   LcPlanEntry engines[9];
 
-  for (int i = 0; i < 9; i++)
-    {
-      engines[i] = (LcPlanEntry){ .version = 0 };
-      snprintf (engines[i].engine, LB_NAME_MAX, "i-%d", i);
-      LB_COPY (engines[i].model, three[(int)uses[i]]);
-    }
+  make_nine (engines, three, uses);
   lc_demand_add (demand, "light", 800, LB_SEC);
   lc_demand_add (demand, "heavy", 1150, LB_SEC);
   lc_demand_add (demand, "middle", 1179, LB_SEC);
@@ -289,12 +296,7 @@
   LcEnginePlan plan = { 0 };
   LcPlanEntry engines[9];
 
-  for (int i = 0; i < 9; i++)
-    {
-      engines[i] = (LcPlanEntry){ .version = 0 };
-      snprintf (engines[i].engine, LB_NAME_MAX, "i-%d", i);
-      LB_COPY (engines[i].model, three[(int)uses[i]]);
-    }
+  make_nine (engines, three, uses);
   cr_assert (lc_demand_is_empty (demand));
   lc_engine_plan_divide (&plan, engines, 9, three, 3, demand, LB_SEC);
   cr_assert_eq (count (&plan, "a"), 3);
