A connection that does not open uses up no attempt of the route

Cause: with half of a service's endpoints restarting, a lookup with 1.5 s to spare was given up after 6 ms: its route allows two endpoints, and two connections had not opened, while two endpoints were idle. Change: the route's limit bounds how many are asked; connections of which no byte left count only in the dispatch's own bound of six. Retries cost their budget as before. Test: core, fails without the change (two attempts).

--- a/packages/core/src/lc-outcome.c
+++ b/packages/core/src/lc-outcome.c
@@ -245,14 +245,24 @@
   return end == LC_END_FAILED ? LB_ERROR_ENDPOINT_FAILED : LB_ERROR_OUTCOME_UNKNOWN;
 }
 
+/* Guards against a route's limit that is used up by endpoints that are gone: with half of a
+ * service's endpoints restarting, a call with 1.5 s to spare was given up after 6 ms and two
+ * connections that did not open, while the other half was idle. The limit bounds how many are
+ * asked; the dispatch's own bounds all attempts. */
 static bool
-may_try_again (const LcRequest *request)
+has_attempts_left (const LcRequest *request)
 {
-  uint32_t most = request->max_attempts > 0 && request->max_attempts < MAX_ATTEMPTS
-                      ? request->max_attempts
-                      : MAX_ATTEMPTS;
+  uint32_t asked = request->n_attempts - request->n_not_handed;
+
+  if (request->n_attempts >= MAX_ATTEMPTS)
+    return false;
+  return request->max_attempts == 0 || asked < request->max_attempts;
+}
 
-  if (request->n_attempts >= most || request->n_lost >= MAX_LOST)
+static bool
+may_try_again (const LcRequest *request)
+{
+  if (!has_attempts_left (request) || request->n_lost >= MAX_LOST)
     return false;
   if (!request->maybe_run)
     return true;
@@ -346,6 +356,7 @@
       finish_whole (dispatch, request, attempt, now, actions);
       return;
     }
+  request->n_not_handed += end == LC_END_NOT_HANDED;
   if (!proves_not_run (end))
     {
       request->maybe_run = true;
--- a/packages/core/src/lc-request.h
+++ b/packages/core/src/lc-request.h
@@ -64,6 +64,7 @@
   uint32_t n_attempts;   /* made so far; the number of the last */
   LbTime hedge_after;    /* 0: the dispatch's own, for live calls */
   uint32_t max_attempts; /* 0: the dispatch's own limit */
+  uint32_t n_not_handed; /* of these, those of which no byte left: nobody was asked */
   uint32_t n_retries;
   uint32_t n_lost;        /* attempts in a row that may have run and brought nothing */
   LbErrorCode last_error; /* what the last failed attempt means if nothing else follows */
--- a/packages/core/tests/test-dispatch-not-run.c
+++ b/packages/core/tests/test-dispatch-not-run.c
@@ -261,3 +261,26 @@
       fixture_clear (&f);
     }
 }
+
+/* Half of a service's endpoints restart at the same moment. A caller's lookup that may be sent to
+ * two of them meets two that do not open a connection and is given up after some milliseconds,
+ * though nobody was asked and the others are idle. */
+Test (not_run, connections_that_do_not_open_use_up_no_attempt_of_the_route)
+{
+  Fixture f;
+  int n_attempts = 0;
+
+  fixture_init (&f, &settings, 0, 4);
+
+  LcRequestSpec spec = fixture_spec (&f, LC_KIND_SERVICE);
+
+  spec.max_attempts = 2;
+  cr_assert (fixture_submit (&f, &spec));
+
+  LcAction finish = fail_until_answered (&f, &spec, LC_END_NOT_HANDED, &n_attempts);
+
+  cr_assert (lb_error_is_not_run (finish.error));
+  cr_assert_gt (n_attempts, 2);
+  cr_assert_leq (n_attempts, 6, "the dispatch's own bound");
+  fixture_clear (&f);
+}
