A hedge that could not connect is made elsewhere

Cause: a lookup waited out its last 1.1 s at an endpoint that had gone dark: its second try could not connect within 250 ms, and the one hedge that a request has was spent. Change: a try that proves that nobody was asked leaves the hedge open; the request's own bound of attempts holds for it too. Test: core, fails without the change.

--- a/packages/core/src/lc-outcome.c
+++ b/packages/core/src/lc-outcome.c
@@ -5,7 +5,6 @@
 
 #include <stdlib.h>
 
-#define MAX_ATTEMPTS 6
 /* A request that makes engines fail must not go round all of them. */
 #define MAX_LOST 3
 #define LEAST_HINT (100 * LB_MSEC)
@@ -245,24 +244,10 @@
   return end == LC_END_FAILED ? LB_ERROR_ENDPOINT_FAILED : LB_ERROR_OUTCOME_UNKNOWN;
 }
 
-/* Guards against a route's limit that is used up by endpoints that are gone: with half of a
- * service's endpoints restarting, a call with 1.5 s to spare was given up after 6 ms and two
- * connections that did not open, while the other half was idle. The limit bounds how many are
- * asked; the dispatch's own bounds all attempts. */
-static bool
-has_attempts_left (const LcRequest *request)
-{
-  uint32_t asked = request->n_attempts - request->n_not_handed;
-
-  if (request->n_attempts >= MAX_ATTEMPTS)
-    return false;
-  return request->max_attempts == 0 || asked < request->max_attempts;
-}
-
 static bool
 may_try_again (const LcRequest *request)
 {
-  if (!has_attempts_left (request) || request->n_lost >= MAX_LOST)
+  if (!lc_request_has_attempts_left (request) || request->n_lost >= MAX_LOST)
     return false;
   if (!request->maybe_run)
     return true;
@@ -368,7 +353,13 @@
   close_attempt (dispatch, request, attempt, closing_of (end), now);
   request->last_error = error_of (request, end);
   if (lb_list_is_empty (&request->attempts))
-    try_again (dispatch, request, end, continued, now, actions);
-  else
-    lc_dispatch_set_timer (dispatch, request);
+    {
+      try_again (dispatch, request, end, continued, now, actions);
+      return;
+    }
+  /* Guards against a hedge that asked nobody: the first attempt hung at an endpoint gone dark, the
+   * second could not connect, and the caller waited out its deadline though others were idle. */
+  if (proves_not_run (end))
+    request->hedged = false;
+  lc_dispatch_set_timer (dispatch, request);
 }
--- a/packages/core/src/lc-request.c
+++ b/packages/core/src/lc-request.c
@@ -5,6 +5,10 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Of one request, whatever its route allows: a few endpoints that are gone, and bounded in a storm.
+ */
+#define MAX_ATTEMPTS 6
+
 static void *
 copy_or_null (const void *memory, size_t size)
 {
@@ -158,3 +162,17 @@
 {
   return request->delivery == LC_DELIVER_STREAM && request->next_token > request->first_token;
 }
+
+/* Guards against a route's limit that is used up by endpoints that are gone: with half of a
+ * service's endpoints restarting, a call with 1.5 s to spare was given up after 6 ms and two
+ * connections that did not open, while the other half was idle. The limit bounds how many are
+ * asked; the dispatch's own bounds all attempts. */
+bool
+lc_request_has_attempts_left (const LcRequest *request)
+{
+  uint32_t asked = request->n_attempts - request->n_not_handed;
+
+  if (request->n_attempts >= MAX_ATTEMPTS)
+    return false;
+  return request->max_attempts == 0 || asked < request->max_attempts;
+}
--- a/packages/core/src/lc-request.h
+++ b/packages/core/src/lc-request.h
@@ -87,6 +87,8 @@
 
 LcQueueKey lc_request_key (const LcRequest *request);
 LcRouteQuery lc_request_query (const LcRequest *request, const char *data_centre, bool avoid_tried);
+/* Whether one more attempt may be made. */
+bool lc_request_has_attempts_left (const LcRequest *request);
 bool lc_request_has_output (const LcRequest *request);
 
 #endif
--- a/packages/core/src/lc-timers.c
+++ b/packages/core/src/lc-timers.c
@@ -13,8 +13,7 @@
   if (after == 0 && request->kind == LC_KIND_LIVE)
     after = dispatch->settings.hedge_after;
   if (after <= 0 || !request->repeatable || request->hedged || !attempt || attempt->heard
-      || (request->max_attempts > 0
-          && request->n_attempts - request->n_not_handed >= request->max_attempts))
+      || !lc_request_has_attempts_left (request))
     return LB_TIME_NEVER;
   return attempt->sent_at + after;
 }
--- a/packages/core/tests/test-dispatch-answers.c
+++ b/packages/core/tests/test-dispatch-answers.c
@@ -359,3 +359,36 @@
   lc_dispatch_ended (f.dispatch, spec.id, second.attempt, LC_END_WHOLE, f.now, &f.actions);
   fixture_clear (&f);
 }
+
+/* A service has one endpoint that has gone dark and one that is gone. A lookup hangs at the first;
+ * its second try can't connect, and the clerk waits out the deadline although the third endpoint is
+ * idle. A try that asked nobody leaves the hedge open. */
+Test (dispatch_answers, a_hedge_that_could_not_connect_is_made_elsewhere)
+{
+  Fixture f;
+  LcAction first;
+  LcAction second;
+  LcAction third;
+  const LcDispatchSettings eager = { .retry_budget = 1, .seed = 1 };
+
+  fixture_init (&f, &eager, 1, 4);
+  fixture_member (&f, "s3", LC_ENDPOINT_SERVICE, "lookup", 4);
+  fixture_configure (&f);
+  LcRequestSpec spec = fixture_spec (&f, LC_KIND_SERVICE);
+  spec.hedge_after = 100 * LB_MSEC;
+  spec.max_attempts = 2;
+  spec.deadline = f.now + 2 * LB_SEC;
+  cr_assert (fixture_submit (&f, &spec));
+  cr_assert (fixture_take (&f, LC_ACTION_SEND, spec.id, &first));
+  f.now += 110 * LB_MSEC;
+  lc_dispatch_tick (f.dispatch, f.now, &f.actions);
+  cr_assert (fixture_take (&f, LC_ACTION_SEND, spec.id, &second));
+  f.now += 250 * LB_MSEC;
+  lc_dispatch_ended (f.dispatch, spec.id, second.attempt, LC_END_NOT_HANDED, f.now, &f.actions);
+  lc_dispatch_tick (f.dispatch, f.now, &f.actions);
+  cr_assert (fixture_take (&f, LC_ACTION_SEND, spec.id, &third));
+  cr_assert_str_neq (third.endpoint, first.endpoint);
+  cr_assert_str_neq (third.endpoint, second.endpoint);
+  lc_dispatch_ended (f.dispatch, spec.id, third.attempt, LC_END_WHOLE, f.now, &f.actions);
+  fixture_clear (&f);
+}
