--- a/packages/core/include/lc-engine-plan.h
+++ b/packages/core/include/lc-engine-plan.h
@@ -45,9 +45,9 @@
 bool lc_demand_is_empty (const LcDemand *demand); /* nobody has brought anything yet */
 double lc_demand_of (const LcDemand *demand, const char *model, LbTime now);
 
-/* Changes the plan so that engines are shared out by demand, evenly while there is none; every model
- * keeps one engine at least.
- * True when it changed. engines holds each engine and the model that it is used for now. */
+/* Changes the plan so that engines are shared out by demand, evenly while there is none; every
+ * model keeps one engine at least. True when it changed. engines holds each engine and the model
+ * that it is used for now. */
 bool lc_engine_plan_divide (LcEnginePlan *plan,
                             const LcPlanEntry *engines,
                             size_t n_engines,
