--- a/packages/core/src/lc-fleet.c
+++ b/packages/core/src/lc-fleet.c
@@ -19,6 +19,9 @@
 #define DEFAULT_PERIOD LB_SEC
 /* A list that comes so much later than its turn shows that the store was away. */
 #define LATE_LIST (300 * LB_MSEC)
+/* After it an instance's renewals, of which a few were swallowed, are through again: each waits for
+ * half a second before the next one goes out, by itself or through another instance. */
+#define RETURN_TIME (800 * LB_MSEC)
 
 struct LcFleet
 {
@@ -106,7 +109,7 @@
     {
       fleet->members[i].seen = false;
       if (was_away)
-        fleet->members[i].renewed_at += gap;
+        fleet->members[i].renewed_at += gap + RETURN_TIME;
     }
   fleet->last_list = list->at;
   fleet->changed = false;
--- a/packages/core/tests/test-fleet.c
+++ b/packages/core/tests/test-fleet.c
@@ -101,6 +101,27 @@
   lc_fleet_free (fleet);
 }
 
+/* The store is silent for four seconds. One instance is the first to hear of its return and lists
+ * the others 50 ms later; their renewals were swallowed, and the next ones come most of a second
+ * after that. It took the owner of a step for dead, and the step began anew elsewhere. */
+Test (fleet, others_have_time_to_renew_when_the_store_is_back)
+{
+  LcFleet *fleet = lc_fleet_new ("a");
+  LbTime now = LB_SEC;
+
+  list (fleet, 1, 2, now);
+  now += 4 * LB_SEC;
+  for (int i = 0; i < 5; i++, now += PERIOD)
+    {
+      list (fleet, 1, 2, now);
+      cr_assert (is_alive (fleet, "b"), "%d periods after the return", i);
+    }
+  now += PERIOD;
+  list (fleet, 1, 2, now);
+  cr_assert_not (is_alive (fleet, "b"), "it does not come back");
+  lc_fleet_free (fleet);
+}
+
 Test (fleet, a_row_says_the_same_after_a_round_trip)
 {
   LcFleetRow first = row ("a", "17");
