--- a/standins/si-rows.c
+++ b/standins/si-rows.c
@@ -266,6 +266,17 @@
   return value ? value : lb_strdup ("");
 }
 
+/* Some parts of a store may be silent while others answer. */
+static bool
+is_silent (const SiRows *rows, struct evhttp_request *request)
+{
+  char *table = query_of (request, "table");
+  bool silent = rows->silent_table && strcmp (table, rows->silent_table) == 0;
+
+  free (table);
+  return silent;
+}
+
 static void
 list (SiRows *rows, struct evhttp_request *request)
 {
@@ -482,7 +493,7 @@
   const char *path = si_request_path (request);
   const char *name = NULL;
 
-  if (rows->mode == SI_ROWS_SILENT)
+  if (rows->mode == SI_ROWS_SILENT || is_silent (rows, request))
     return;
   if (rows->mode == SI_ROWS_AWAY)
     {
--- a/standins/si-rows.h
+++ b/standins/si-rows.h
@@ -24,7 +24,8 @@
   LbList objects;
   LbList watches;
   struct event *wake;
-  const char *away_table; /* lists of it are refused; NULL: none */
+  const char *away_table;   /* lists of it are refused; NULL: none */
+  const char *silent_table; /* lists of it are not answered; NULL: none */
   int64_t version;
   int64_t history_from; /* older versions can't be watched from */
   SiRowsMode mode;
