Texts so far are kept as additions, four times a second

Cause: an owner kept the whole text of each running item, 40 of them and 400 KiB at most in a write, the first items first. Ruled out: the write's condition (no texts_not_kept in the logs) and the time of the kill (2.7 s after the start). Change: a KEEP holds only what came since the last one that was kept, is answered, and is asked again from there when it fails; parts lie in a table of their own, by item, run and first event, and the next owner joins them up to the first gap.

--- a/packages/core/include/lc-batch.h
+++ b/packages/core/include/lc-batch.h
@@ -49,13 +49,15 @@
 
 void lc_batch_result_clear (LcBatchResult *result);
 
-/* The text so far of an item that is not done. Not owned texts. */
+/* Some events of the text so far of an item that is not done. Not owned texts. */
 typedef struct
 {
   const char *item;
-  int64_t events;
+  int64_t run;    /* of the item's texts: one more each time that it was begun anew */
+  int64_t first;  /* events of the text before these */
+  int64_t events; /* in `text`, with a line feed between two */
   const char *text;
-  const LcVersion *versions;
+  const LcVersion *versions; /* of the text up to here */
   size_t n_versions;
 } LcBatchPart;
 
@@ -68,7 +70,9 @@
    * the pieces that were reported: it goes on elsewhere from there. */
   LC_BATCH_RECALL,
   LC_BATCH_WRITE, /* write results from `position` on; answer with lc_batch_written */
-  LC_BATCH_KEEP   /* write the texts so far, for the next owner; needs no answer */
+  /* Write what the texts have more than at the last KEEP, for the next owner; answer with
+   * lc_batch_kept. */
+  LC_BATCH_KEEP
 } LcBatchActionType;
 
 typedef struct
@@ -83,7 +87,7 @@
   int64_t expected_events; /* still to come */
   LbTime wanted_by;        /* by the trainer */
   LbTime latest_start;     /* so that it is whole when the trainer wants it */
-  /* KEEP: items and how far each has come; valid until the next command */
+  /* KEEP: valid until the next command */
   LcBatchPart *parts;
   size_t n_parts;
   /* WRITE: valid until lc_batch_written */
@@ -125,7 +129,8 @@
 /* An earlier owner listed the item; before lc_batch_start. */
 void lc_batch_was_listed (LcBatch *batch, const char *item);
 void lc_batch_start (LcBatch *batch, LbTime now, LbList *actions);
-/* An earlier owner has come so far with the item; before lc_batch_start. */
+/* An earlier owner has kept this of the item; before lc_batch_start. The parts of an item come in
+ * the order of their run and first event. */
 void lc_batch_restore (LcBatch *batch, const LcBatchPart *part);
 /* One event of a running item's text. */
 void lc_batch_piece (LcBatch *batch,
@@ -147,8 +152,10 @@
  * positions. */
 void lc_batch_written (LcBatch *batch, bool ok, LbTime now, LbList *actions);
 void lc_batch_tick (LcBatch *batch, LbTime now, LbList *actions);
-/* Appends a KEEP with what has come since the last one; none when there is little. */
+/* Appends a KEEP with what has come since the last one that was kept; none when there is little. */
 void lc_batch_keep (LcBatch *batch, LbTime now, LbList *actions);
+/* How the last KEEP ended. */
+void lc_batch_kept (LcBatch *batch, bool ok);
 /* Ends all work; nothing is written any more. Texts of groups that are not whole are left for the
  * batch that asks for them again. */
 void lc_batch_stop (LcBatch *batch, LbTime now, LbList *actions);
--- a/packages/core/src/lc-batch-item.c
+++ b/packages/core/src/lc-batch-item.c
@@ -12,8 +12,9 @@
 /* Estimates are right at the median and often far off: a text that got longer than its own is taken
  * to go on for this part of it. */
 #define LEAST_PART_LEFT 4
-/* Shorter additions cost more to write than to make again. */
-#define EVENTS_TO_KEEP 8
+/* Of an addition to what is kept of a text: fewer cost more to write and to read than to make
+ * again, a quarter of a second at an engine that makes twelve events a second. */
+#define EVENTS_TO_KEEP 3
 /* A stream that is silent for longer has stopped, for eight times the usual interval at least. */
 #define STOPPED (400 * LB_MSEC)
 
@@ -33,6 +34,7 @@
     item->result.text[item->length++] = '\n';
   memcpy (item->result.text + item->length, text, length + 1);
   item->length += length;
+  item->events++;
 }
 
 void
@@ -46,11 +48,40 @@
   item->length = strlen (text);
   item->capacity = item->length + 1;
   item->events = events;
-  item->kept = events;
   memcpy (item->result.versions, versions, n_versions * sizeof *versions);
   item->result.n_versions = n_versions;
 }
 
+static bool
+follows (const LcBatchItem *item, const LcBatchPart *part)
+{
+  return part->run == item->run && part->first == item->events;
+}
+
+void
+lc_batch_item_restore (LcBatchItem *item, const LcBatchPart *part)
+{
+  if (part->run > item->newest_run)
+    item->newest_run = part->run;
+  if (part->run > item->run && part->first == 0)
+    {
+      lc_batch_item_restart (item);
+      item->run = part->run;
+      item->has_gap = false;
+    }
+  if (!follows (item, part))
+    {
+      item->has_gap = true;
+      return;
+    }
+  lc_batch_item_append (item, part->text);
+  item->events = part->first + part->events;
+  item->kept = item->events;
+  item->kept_length = item->length;
+  memcpy (item->result.versions, part->versions, part->n_versions * sizeof *part->versions);
+  item->result.n_versions = part->n_versions;
+}
+
 void
 lc_batch_item_note_version (LcBatchItem *item,
                             LcVersion version,
@@ -81,11 +112,29 @@
   item->result.n_versions = 0;
   item->length = 0;
   item->capacity = 0;
+  item->run++;
   item->kept = 0;
+  item->kept_length = 0;
+  item->keeping = 0;
   item->events = 0;
   item->unusable = false;
 }
 
+/* Guards against parts of two texts in one: a write whose answer was lost may have shortened what
+ * another one kept, and behind the gap stand events of a text that nobody goes on with. What
+ * follows a gap is not taken, and the text goes on under a new number, beside which all older parts
+ * count no more. */
+void
+lc_batch_item_end_restore (LcBatchItem *item)
+{
+  if (!item->has_gap)
+    return;
+  item->has_gap = false;
+  item->run = item->newest_run + 1;
+  item->kept = 0;
+  item->kept_length = 0;
+}
+
 /* What is left of the estimated length, and a part of it at least; of a text that an earlier batch
  * saw, its own length goes before the estimate. */
 int64_t
@@ -119,6 +168,44 @@
          && item->events - item->kept >= EVENTS_TO_KEEP;
 }
 
+/* The line feed before the first of the new events is not part of them. */
+static size_t
+keep_from (const LcBatchItem *item)
+{
+  return item->kept > 0 ? item->kept_length + 1 : 0;
+}
+
+size_t
+lc_batch_item_keep_bytes (const LcBatchItem *item)
+{
+  return item->length - keep_from (item);
+}
+
+LcBatchPart
+lc_batch_item_keep (LcBatchItem *item)
+{
+  item->keeping = item->events;
+  item->keeping_length = item->length;
+  return (LcBatchPart){ .item = item->result.item,
+                        .run = item->run,
+                        .first = item->kept,
+                        .events = item->events - item->kept,
+                        .text = item->result.text + keep_from (item),
+                        .versions = item->result.versions,
+                        .n_versions = item->result.n_versions };
+}
+
+void
+lc_batch_item_kept (LcBatchItem *item, bool ok)
+{
+  if (ok && item->keeping > 0)
+    {
+      item->kept = item->keeping;
+      item->kept_length = item->keeping_length;
+    }
+  item->keeping = 0;
+}
+
 void
 lc_batch_item_try_later (LcBatchItem *item, LcBatchItemState state, LbTime now)
 {
--- a/packages/core/src/lc-batch-item.h
+++ b/packages/core/src/lc-batch-item.h
@@ -28,7 +28,13 @@
   int64_t events;
   size_t length; /* of the text so far */
   size_t capacity;
-  int64_t kept;       /* events at the last KEEP */
+  int64_t run;        /* of its texts: one more each time that it is begun anew */
+  int64_t newest_run; /* among the parts that were restored */
+  bool has_gap;       /* some of these do not join */
+  int64_t kept;       /* events of it that the store holds */
+  size_t kept_length; /* of the text up to there */
+  int64_t keeping;    /* events with the KEEP on its way; 0: none */
+  size_t keeping_length;
   int64_t least;      /* events that the whole text has, as an earlier batch saw; 0: not known */
   bool least_is_all;  /* it was whole then */
   LbTime started;     /* of the present run */
@@ -48,7 +54,7 @@
 /* commands */
 /* One event of the text. */
 void lc_batch_item_append (LcBatchItem *item, const char *text);
-/* Begins with a text that was made before, for an item that has none. */
+/* Begins with a text that an earlier batch made, for an item that has none. */
 void lc_batch_item_begin_with (LcBatchItem *item,
                                const char *text,
                                int64_t events,
@@ -59,8 +65,16 @@
                                  LcVersion version,
                                  LcVersion min_version,
                                  bool single_version);
+/* Takes the next part of what an earlier owner of the batch kept. */
+void lc_batch_item_restore (LcBatchItem *item, const LcBatchPart *part);
+/* There are no more parts. */
+void lc_batch_item_end_restore (LcBatchItem *item);
 /* The text is made again from its first event. */
 void lc_batch_item_restart (LcBatchItem *item);
+/* Takes what the text has more than is kept, as a part to keep. */
+LcBatchPart lc_batch_item_keep (LcBatchItem *item);
+/* How keeping it ended. */
+void lc_batch_item_kept (LcBatchItem *item, bool ok);
 /* After a failure: it waits in this state, longer after each one in a row. */
 void lc_batch_item_try_later (LcBatchItem *item, LcBatchItemState state, LbTime now);
 
@@ -72,5 +86,7 @@
 double lc_batch_item_token_seconds (const LcBatchItem *item, LbTime now);
 /* Enough has come since the text was kept last. */
 bool lc_batch_item_is_worth_keeping (const LcBatchItem *item);
+/* Bytes that the next part to keep has. */
+size_t lc_batch_item_keep_bytes (const LcBatchItem *item);
 
 #endif
--- a/packages/core/src/lc-batch-private.h
+++ b/packages/core/src/lc-batch-private.h
@@ -34,6 +34,7 @@
   LbTime next_review;
   LbTime last_tick;
   LbTime next_keep;
+  bool is_keeping;
   LbTime write_at; /* a failed write is asked again */
   bool is_started;
   bool is_stopped;
--- a/packages/core/src/lc-batch.c
+++ b/packages/core/src/lc-batch.c
@@ -15,9 +15,11 @@
 
 /* Until the pace of a model is known: that of a usual engine. */
 #define DEFAULT_EVENT_SECONDS 0.05
-/* Between two writes of the texts so far: what an owner that ends loses at most. An engine that
- * sends twenty events a second brings enough in it to be worth a write. */
-#define KEEP_PERIOD (400 * LB_MSEC)
+/* Between two writes of the texts so far: what an owner that ends loses at most, beside the write
+ * itself. Four writes a second for each open step. */
+#define KEEP_PERIOD (250 * LB_MSEC)
+/* The store takes 100 entries in a transaction, of which two may stand for the batch's own row. */
+#define MAX_PARTS_PER_KEEP 90
 
 void
 lc_batch_spec_clear (LcBatchSpec *spec)
@@ -197,15 +199,16 @@
   for (size_t i = 0; i < batch->spec.n_items; i++)
     {
       LcBatchItem *item = &batch->items[i];
-      if (item->state != ITEM_WAITING || strcmp (batch->spec.items[i].request.id, part->item) != 0
-          || part->n_versions > LC_MAX_RESULT_VERSIONS)
-        continue;
-      lc_batch_item_begin_with (item, part->text, part->events, part->versions, part->n_versions);
+      if (item->state == ITEM_WAITING && strcmp (batch->spec.items[i].request.id, part->item) == 0
+          && part->n_versions <= LC_MAX_RESULT_VERSIONS)
+        lc_batch_item_restore (item, part);
     }
 }
 
 /* An owner that is killed or cut off would take all running texts with it, and the longest, on
- * which the step waits, would begin again. The next owner goes on from what was kept. */
+ * which the step waits, would begin again. The next owner goes on from what was kept. Only what is
+ * new is written: many long texts that are written whole do not fit in one transaction, and those
+ * of the last items were never kept. */
 void
 lc_batch_keep (LcBatch *batch, LbTime now, LbList *actions)
 {
@@ -216,20 +219,15 @@
   batch->next_keep = now + KEEP_PERIOD;
   if (!lb_switch_is_on (LB_SWITCH_KEPT_TEXTS))
     return;
-  parts = LB_NEW_ARRAY (LcBatchPart, LC_BATCH_MAX_RESULTS_PER_WRITE);
-  for (size_t i = 0; i < batch->spec.n_items && n < LC_BATCH_MAX_RESULTS_PER_WRITE; i++)
+  parts = LB_NEW_ARRAY (LcBatchPart, MAX_PARTS_PER_KEEP);
+  for (size_t i = 0; i < batch->spec.n_items && n < MAX_PARTS_PER_KEEP; i++)
     {
       LcBatchItem *item = &batch->items[i];
       if (!lc_batch_item_is_worth_keeping (item)
-          || bytes + item->length > LC_BATCH_MAX_BYTES_PER_WRITE)
+          || bytes + lc_batch_item_keep_bytes (item) > LC_BATCH_MAX_BYTES_PER_WRITE)
         continue;
-      bytes += item->length;
-      item->kept = item->events;
-      parts[n++] = (LcBatchPart){ .item = batch->spec.items[i].request.id,
-                                  .events = item->events,
-                                  .text = item->result.text,
-                                  .versions = item->result.versions,
-                                  .n_versions = item->result.n_versions };
+      bytes += lc_batch_item_keep_bytes (item);
+      parts[n++] = lc_batch_item_keep (item);
     }
   if (n == 0)
     {
@@ -239,6 +237,15 @@
   LcBatchAction *action = lc_batch_add_action (actions, LC_BATCH_KEEP);
   action->parts = parts;
   action->n_parts = n;
+  batch->is_keeping = true;
+}
+
+void
+lc_batch_kept (LcBatch *batch, bool ok)
+{
+  batch->is_keeping = false;
+  for (size_t i = 0; i < batch->spec.n_items; i++)
+    lc_batch_item_kept (&batch->items[i], ok);
 }
 
 /* Of groups that an earlier batch did not get whole. */
@@ -268,6 +275,8 @@
 {
   batch->is_started = true;
   batch->next_keep = now + KEEP_PERIOD;
+  for (size_t i = 0; i < batch->spec.n_items; i++)
+    lc_batch_item_end_restore (&batch->items[i]);
   take_carried (batch, actions);
   for (size_t i = 0; i < batch->spec.n_items; i++)
     if (batch->items[i].state == ITEM_WAITING && batch->items[i].retry_at <= now)
@@ -287,7 +296,6 @@
   if (!item || item->state != ITEM_RUNNING)
     return;
   lc_batch_item_append (item, text);
-  item->events++;
   item->run_events++;
   item->retries = 0;
   if (item->first_piece == 0)
@@ -438,7 +446,7 @@
     }
   if (now >= batch->next_review)
     lc_batch_review (batch, now, actions);
-  if (now >= batch->next_keep)
+  if (now >= batch->next_keep && !batch->is_keeping)
     lc_batch_keep (batch, now, actions);
   if (now >= batch->write_at)
     lc_batch_write_ready (batch, actions);
--- a/packages/core/tests/test-batch.c
+++ b/packages/core/tests/test-batch.c
@@ -366,6 +366,7 @@
   cr_assert_eq (f.part_events, 9);
   cr_assert_str_eq (f.part_text, "w\nw\nw\nw\nw\nw\nw\nw\nw");
   f.n_parts = 0;
+  lc_batch_kept (f.batch, true);
   tick (&f, 2 * LB_SEC);
   cr_assert_eq (f.n_parts, 0, "nothing has come since");
   fixture_clear (&f);
--- a/packages/node/src/ln-batch-heads.c
+++ b/packages/node/src/ln-batch-heads.c
@@ -17,7 +17,6 @@
  * parts because each takes a bounded number of writes a second. */
 #define N_PARTS 16
 #define TABLE "head"
-#define MAX_PUTS 60
 #define WATCH_WAIT                                                                                 \
   (800 * LB_MSEC) /* an end must reach the owner within 3 s, also over a silent                    \
                    * connection, which is found after this wait */
@@ -47,7 +46,7 @@
 void
 ln_batch_part_prefix (const char *id, char *key)
 {
-  snprintf (key, LN_BATCH_KEY_SIZE, "part/%02x/%s:", part_of (id), id);
+  snprintf (key, LN_BATCH_KEY_SIZE, "begun/%02x/%s:", part_of (id), id);
 }
 
 void
@@ -284,7 +283,8 @@
 {
   struct json_object *object = lc_batch_head_to_json (head);
   char key[LN_BATCH_KEY_SIZE];
-  LpPut puts[MAX_PUTS + 1] = { { .key = key, .value = json_object_to_json_string (object) } };
+  LpPut puts[LN_BATCH_MAX_PARTS + 1]
+      = { { .key = key, .value = json_object_to_json_string (object) } };
 
   for (size_t i = 0; i < n_more; i++)
     puts[i + 1] = more[i];
@@ -355,7 +355,7 @@
 {
   LcBatchHead head = batch->head;
 
-  LpPut puts[MAX_PUTS];
+  LpPut puts[LN_BATCH_MAX_PARTS];
   size_t n = 0;
   LbList actions;
   LbLink *link;
@@ -368,7 +368,7 @@
   while ((link = lb_list_pop (&actions)))
     {
       LcBatchAction *action = LB_CONTAINER (link, LcBatchAction, link);
-      n = ln_batch_owner_puts (batch, action, puts, MAX_PUTS);
+      n = ln_batch_owner_puts (batch, action, puts, LN_BATCH_MAX_PARTS);
       lc_batch_action_free (action);
     }
   ln_batch_owner_stop (batch);
--- a/packages/node/src/ln-batch-owner.c
+++ b/packages/node/src/ln-batch-owner.c
@@ -14,7 +14,6 @@
 
 #define DEFAULT_ATTEMPTS 3
 #define SCORE_TIME (2 * LB_SEC) /* for a scorer whose route states no time */
-#define MAX_PUTS 64
 /* Of one transaction, by the store. LcBatch gives at most 40 results at once, and 400 KiB of text
  * or a single one: 81 rows and conditions and at most 13 pieces. */
 #define MAX_ENTRIES 100
@@ -200,13 +199,31 @@
   int64_t epoch;
 } Write;
 
+static Write *
+write_new (LnBatch *batch)
+{
+  Write *write = LB_NEW (Write);
+
+  *write = (Write){ .batch = batch, .run = batch->run, .epoch = batch->head.epoch };
+  return write;
+}
+
+/* Whether its answer is about what runs now. */
+static bool
+is_current (const Write *write)
+{
+  const LnBatch *batch = write->batch;
+
+  return batch->run && batch->run == write->run && batch->head.epoch == write->epoch;
+}
+
 static void
 finish_write (Write *write, bool ok)
 {
   LnBatch *batch = write->batch;
   LbList actions;
 
-  if (batch->run && batch->run == write->run && batch->head.epoch == write->epoch)
+  if (is_current (write))
     {
       lb_list_init (&actions);
       lc_batch_written (batch->run, ok, lb_clock_monotonic (), &actions);
@@ -320,10 +337,9 @@
 {
   LpPlatform *platform = batch->batches->context->platform;
   char head[LN_BATCH_KEY_SIZE];
-  Write *write = LB_NEW (Write);
+  Write *write = write_new (batch);
   Entries entries = { .n_conditions = 1 };
 
-  *write = (Write){ .batch = batch, .run = batch->run, .epoch = batch->head.epoch };
   ln_batch_head_key (batch->id, head);
   entries.conditions[0] = (LpCondition){ .key = head, .version = batch->version };
   for (size_t i = 0; i < action->n_results; i++)
@@ -353,7 +369,9 @@
           free (value);
           continue;
         }
-      puts[n].key = lb_asprintf ("%s%s", prefix, action->parts[i].item);
+      puts[n].key
+          = lb_asprintf ("%s%s:%04lld:%06lld", prefix, action->parts[i].item,
+                         (long long)action->parts[i].run, (long long)action->parts[i].first);
       puts[n++].value = value;
     }
   return n;
@@ -374,19 +392,25 @@
 on_kept (LbErrorCode error, const LpRow *row, void *user)
 {
   (void)row;
-  (void)user;
+  Write *write = user;
+
   if (error != LB_OK)
     lb_log (LB_LOG_DEBUG, "texts_not_kept", LB_TEXT ("error", lb_error_name (error)));
+  if (is_current (write))
+    lc_batch_kept (write->batch->run, error == LB_OK);
+  free (write);
 }
 
 static void
 keep_parts (LnBatch *batch, const LcBatchAction *action)
 {
-  LpPut puts[MAX_PUTS];
-  size_t n = ln_batch_owner_puts (batch, action, puts, MAX_PUTS);
+  LpPut puts[LN_BATCH_MAX_PARTS];
+  size_t n = ln_batch_owner_puts (batch, action, puts, LN_BATCH_MAX_PARTS);
 
   if (n > 0)
-    ln_batch_heads_transact (batch, puts, n, LP_PRIORITY_STATUS, on_kept, batch);
+    ln_batch_heads_transact (batch, puts, n, LP_PRIORITY_STATUS, on_kept, write_new (batch));
+  else
+    lc_batch_kept (batch->run, true);
   ln_batch_owner_clear_puts (puts, n);
 }
 
--- a/packages/node/src/ln-batches-private.h
+++ b/packages/node/src/ln-batches-private.h
@@ -14,6 +14,9 @@
 
 #define LN_BATCH_KEY_SIZE 160
 #define LN_BATCH_ROW_BYTES ((size_t)(60 << 10)) /* the store takes 64 KiB */
+/* Parts of texts in a transaction, which takes 100 entries, with the batch's row as its condition
+ * and as one of its writes. */
+#define LN_BATCH_MAX_PARTS 90
 /* When to come back after a refusal because the store does not answer: its short outages last some
  * seconds, and a batch is worth little when it comes much later. */
 #define LN_BATCH_STORE_RETRY (400 * LB_MSEC)
@@ -148,7 +151,8 @@
 
 /* ln-batch-owner.c: running what is owned */
 void ln_batch_owner_run (LnBatch *batch, LcBatchSpec *spec, const LnBatchPast *past);
-/* Rows for the parts of a KEEP; returns how many. Cleared by ln_batch_owner_clear_puts. */
+/* Rows for the parts of a KEEP; returns how many. A part too long for a row is left out: the next
+ * owner goes on from what stands before it. Cleared by ln_batch_owner_clear_puts. */
 size_t
 ln_batch_owner_puts (const LnBatch *batch, const LcBatchAction *action, LpPut *puts, size_t max);
 void ln_batch_owner_clear_puts (LpPut *puts, size_t n);
