Engines that do not answer take no places of loads

Cause: after an outage of the store the lease is gained anew, and each engine that has not told its state since counted as one that an earlier holder had ordered. Change: an engine that has not answered 0.4 s after the lease became ours is not taken to load.

--- a/packages/core/include/lc-weights.h
+++ b/packages/core/include/lc-weights.h
@@ -43,6 +43,8 @@
   int64_t burst;
   LbTime load_limit;   /* a load that takes longer has failed */
   LbTime report_limit; /* an engine with no report for this long is not known */
+  LbTime answer_limit; /* one that has not told its state for this long since the lease became ours
+                        * is not taken to load by an earlier holder's order */
   LbTime patience;     /* see lc-weights.c: how long a lost engine holds up the others */
 } LcWeightsSettings;
 
--- a/packages/core/src/lc-weights.c
+++ b/packages/core/src/lc-weights.c
@@ -81,6 +81,7 @@
                                    .burst = 60,
                                    .load_limit = 120 * LB_SEC,
                                    .report_limit = 10 * LB_SEC,
+                                   .answer_limit = 10 * LB_SEC,
                                    .patience = 30 * LB_SEC };
   LB_COPY (settings->pool, pool);
 }
@@ -373,12 +374,14 @@
   bool waits_for_lost; /* an engine that does not serve has been out for less than the patience */
 } View;
 
-/* Not asked yet since the lease became ours, so that a holder before may have ordered it. */
+/* Not asked yet since the lease became ours, so that a holder before may have ordered it. For a
+ * while only: engines that load answer like others, and those that do not answer at all took the
+ * places of loads from those that do. */
 static bool
 may_be_swapping (const LcWeights *weights, const Engine *engine, LbTime now)
 {
   return engine->state == ENGINE_UNKNOWN && engine->reported_at < weights->restarted_at
-         && now - weights->restarted_at < weights->settings.report_limit;
+         && now - weights->restarted_at < weights->settings.answer_limit;
 }
 
 static void
--- a/packages/core/tests/fake-engines.h
+++ b/packages/core/tests/fake-engines.h
@@ -34,9 +34,10 @@
   size_t n;
   LbTime now;
   LbTime load_time;
-  LbTime load_jitter; /* engine i takes up to this much longer, evenly spread over the engines */
-  LbTime swap_period; /* between reports of an engine in a swap */
-  LbTime period;      /* of the others */
+  LbTime load_jitter;  /* engine i takes up to this much longer, evenly spread over the engines */
+  LbTime swap_period;  /* between reports of an engine in a swap */
+  LbTime period;       /* of the others */
+  LbTime answer_limit; /* of the next holder; 0: the default */
   bool fenced;
   bool unfenced;
   size_t orders;
@@ -94,6 +95,8 @@
   LcWeightsSettings settings;
 
   lc_weights_settings_init (&settings, "reader");
+  if (pool->answer_limit > 0)
+    settings.answer_limit = pool->answer_limit;
   lc_weights_free (pool->weights);
   pool->weights = lc_weights_new (&settings);
   lc_weights_configure (pool->weights, pool->set, pool->now);
--- a/packages/core/tests/test-weights.c
+++ b/packages/core/tests/test-weights.c
@@ -347,6 +347,34 @@
   cr_assert_eq (pool.orders, 0);
 }
 
+/* The store was away for some seconds, and the lease is gained anew. Meanwhile 13 engines of 70
+ * went dark; they are listed until their entries lapse. Taken for engines that load, they had all
+ * places but one of the loads, so that for three seconds hardly any of the others got the weights
+ * that the trainers' next steps need. */
+Test (weights, engines_that_went_dark_take_no_places_of_loads)
+{
+  enum
+  {
+    N_ENGINES = 70,
+    N_DARK = 13,
+    PERCENT = 20
+  };
+
+  fake_pool_clear (&pool);
+  fake_pool_init (&pool, N_ENGINES, PERCENT, 0, 40);
+  pool.load_time = LB_SEC;
+  pool.period = LB_SEC / 10;
+  pool.answer_limit = 400 * LB_MSEC;
+  fake_pool_run (&pool, LB_SEC);
+  for (size_t i = 0; i < N_DARK; i++)
+    pool.engines[i].dead = true;
+  fake_pool_new_holder (&pool, 41);
+  fake_pool_run (&pool, LB_SEC);
+  cr_assert_eq (pool.orders, N_ENGINES * PERCENT / 100);
+  fake_pool_run (&pool, 5 * LB_SEC);
+  cr_assert_eq (fake_pool_count (&pool, 41), N_ENGINES - N_DARK);
+}
+
 /* Four engines of twelve take orders and do nothing. They are the oldest, and would have all places
  * in the roll-out for themselves: the others would keep the old version for good. */
 Test (weights, orders_without_effect_do_not_hold_up_the_others)
--- a/packages/node/src/ln-weight-orders.c
+++ b/packages/node/src/ln-weight-orders.c
@@ -30,6 +30,9 @@
 /* After an order: a load takes 0.9 s at least, and what engines state is some 100 ms old. */
 #define FIRST_LOOK (1010 * LB_MSEC)
 #define LOOK_PERIOD (120 * LB_MSEC)
+/* All engines are asked as soon as the lease is held, and answer within some 10 ms, loading or not.
+ */
+#define ANSWER_LIMIT (400 * LB_MSEC)
 
 typedef struct Engine Engine;
 
@@ -149,6 +152,7 @@
   model = LB_NEW (Model);
   lc_weights_settings_init (&settings, name);
   settings.load_limit = LOAD_LIMIT;
+  settings.answer_limit = ANSWER_LIMIT;
   model->orders = orders;
   model->weights = lc_weights_new (&settings);
   LB_COPY (model->name, name);
