Duties go to the machines that can bear them, all batches of a model to one instance

Cause: who runs a model's batches, who takes them over and who orders weights was drawn among all instances alike, or by name. Ruled out: the store (answers in 4 ms) and the claim (0.05 s). Change: instances state their strength (share of a processor x link, from the settings) in their row; a duty is drawn by weighted rendezvous hashing (lc-duty), takeovers by the model in place of the batch, candidates of the lease likewise.

--- a/packages/core/include/lc-batch-head.h
+++ b/packages/core/include/lc-batch-head.h
@@ -35,17 +35,5 @@
                              int64_t version_a,
                              const LcBatchHead *b,
                              int64_t version_b);
-/* The instance that the next batch of a model goes to; last: where the one before went, "": none
- * did. "" when there is no candidate. */
-const char *lc_batch_head_choose (const char *model,
-                                  const char *last,
-                                  const LbName *candidates,
-                                  size_t n_candidates);
-/* Position of an instance in the order in which instances may take the batch over; the same
- * everywhere, and another one for each batch. */
-size_t lc_batch_head_rank (const char *batch,
-                           const char *self,
-                           const LbName *candidates,
-                           size_t n_candidates);
 
 #endif
--- a/packages/core/include/lc-fleet.h
+++ b/packages/core/include/lc-fleet.h
@@ -18,6 +18,7 @@
   bool ready;
   bool draining;
   bool cut;         /* reaches the store only with the help of others */
+  int64_t strength; /* of its machine, see lc-duty.h; 0: it does not say */
   int64_t renewals; /* of the row by this incarnation */
   LbTime period;    /* between them */
 } LcFleetRow;
--- a/packages/core/src/lc-batch-head.c
+++ b/packages/core/src/lc-batch-head.c
@@ -5,7 +5,6 @@
 
 #include <json-c/json.h>
 #include <string.h>
-#include <xxhash.h>
 
 struct json_object *
 lc_batch_head_to_json (const LcBatchHead *head)
@@ -44,12 +43,6 @@
   return head->batch[0] && head->epoch > 0 && head->total > 0;
 }
 
-static uint64_t
-weight (const char *batch, const char *instance)
-{
-  return XXH3_64bits_withSeed (instance, strlen (instance), XXH3_64bits (batch, strlen (batch)));
-}
-
 const char *
 lc_batch_head_runner (const LcBatchHead *head)
 {
@@ -67,36 +60,3 @@
 {
   return a->ended != b->ended ? b->ended : version_a > version_b;
 }
-
-/* Guards against batches that move back to an instance which was away: each move opens a connection
- * for each place of each engine, and gains nothing. Only where nobody has them is one drawn. */
-const char *
-lc_batch_head_choose (const char *model,
-                      const char *last,
-                      const LbName *candidates,
-                      size_t n_candidates)
-{
-  const char *best = "";
-
-  for (size_t i = 0; i < n_candidates; i++)
-    if (strcmp (candidates[i], last) == 0)
-      return candidates[i];
-  for (size_t i = 0; i < n_candidates; i++)
-    if (best[0] == '\0' || weight (model, candidates[i]) > weight (model, best))
-      best = candidates[i];
-  return best;
-}
-
-size_t
-lc_batch_head_rank (const char *batch,
-                    const char *self,
-                    const LbName *candidates,
-                    size_t n_candidates)
-{
-  uint64_t own = weight (batch, self);
-  size_t rank = 0;
-
-  for (size_t i = 0; i < n_candidates; i++)
-    rank += strcmp (candidates[i], self) != 0 && weight (batch, candidates[i]) > own;
-  return rank;
-}
--- a/packages/core/src/lc-fleet.c
+++ b/packages/core/src/lc-fleet.c
@@ -46,6 +46,7 @@
   json_object_object_add (object, "ready", json_object_new_boolean (row->ready));
   json_object_object_add (object, "draining", json_object_new_boolean (row->draining));
   json_object_object_add (object, "cut", json_object_new_boolean (row->cut));
+  json_object_object_add (object, "strength", json_object_new_int64 (row->strength));
   json_object_object_add (object, "renewals", json_object_new_int64 (row->renewals));
   json_object_object_add (object, "period_ms", json_object_new_int64 (row->period / LB_MSEC));
   return object;
@@ -63,6 +64,7 @@
   row->ready = lb_json_bool (object, "ready", false);
   row->draining = lb_json_bool (object, "draining", false);
   row->cut = lb_json_bool (object, "cut", false);
+  row->strength = lb_json_int (object, "strength", 0);
   row->renewals = lb_json_int (object, "renewals", 0);
   row->period = lb_json_int (object, "period_ms", DEFAULT_PERIOD / LB_MSEC) * LB_MSEC;
   return row->name[0] && row->incarnation[0] && row->caller_address[0];
--- a/packages/core/tests/test-batch-head.c
+++ b/packages/core/tests/test-batch-head.c
@@ -6,8 +6,6 @@
 #include <json-c/json.h>
 #include <string.h>
 
-static const LbName instances[] = { "a", "b", "c", "d" };
-
 Test (batch_head, says_the_same_after_a_round_trip)
 {
   LcBatchHead head = { .epoch = 2, .total = 64, .tokens = 900, .ended = true };
@@ -39,38 +37,6 @@
     }
 }
 
-/* All instances miss the owner at the same moment; each waits for its turn, and exactly one of them
- * is the first. */
-Test (batch_head, candidates_have_an_order_of_their_own_for_each_batch)
-{
-  bool seen[4] = { false };
-
-  for (size_t i = 0; i < 4; i++)
-    seen[lc_batch_head_rank ("b1", instances[i], instances, 4)] = true;
-  for (size_t i = 0; i < 4; i++)
-    cr_assert (seen[i]);
-}
-
-Test (batch_head, the_batches_of_a_model_go_to_one_instance)
-{
-  const LbName others[] = { "d", "b", "a", "c" };
-  const char *chosen = lc_batch_head_choose ("reader", "", instances, 4);
-
-  cr_assert_str_eq (lc_batch_head_choose ("reader", "", others, 4), chosen);
-  cr_assert_str_eq (lc_batch_head_choose ("reader", "", instances, 0), "");
-}
-
-/* The instance that ran a model's batches is away for a moment, another one takes them. When it is
- * back they went back to it, and it opened a connection for each place of each engine anew. They
- * stay where they are as long as that instance is a candidate. */
-Test (batch_head, the_next_batch_stays_where_the_last_one_went)
-{
-  for (size_t i = 0; i < 4; i++)
-    cr_assert_str_eq (lc_batch_head_choose ("reader", instances[i], instances, 4), instances[i]);
-  cr_assert_str_eq (lc_batch_head_choose ("reader", "gone", instances, 4),
-                    lc_batch_head_choose ("reader", "", instances, 4));
-}
-
 /* A batch that was offered a moment ago goes to the one it was offered to; one that changed its
  * owner is where that one is. */
 Test (batch_head, the_runner_is_who_was_offered_it_until_another_takes_it)
--- a/packages/node/include/ln-messages.h
+++ b/packages/node/include/ln-messages.h
@@ -144,7 +144,8 @@
   LbName peer_address;   /* where instances connect */
   bool alive;            /* not suspected */
   bool draining;
-  bool cut; /* reaches the store only with the help of others */
+  bool cut;         /* reaches the store only with the help of others */
+  int64_t strength; /* of its machine, see lc-duty.h */
   bool is_self;
 } LnMember;
 
--- a/packages/node/include/ln-settings.h
+++ b/packages/node/include/ln-settings.h
@@ -24,6 +24,8 @@
     LbName ready_address;
     LbName
         metrics_address; /* empty: only at the callers' address, and on a shared platform nowhere */
+    double processor_share; /* of a core, that its machine has */
+    double link_mbps;       /* of its machine */
   } instance;
   struct
   {
--- a/packages/node/src/ln-batch-cleanup.c
+++ b/packages/node/src/ln-batch-cleanup.c
@@ -170,7 +170,7 @@
   if (!batch->head.ended || batch->held != LN_HELD_NOT || batch->ended_at == 0
       || now < batch->clean_at || now < batch->ended_at + keep)
     return false;
-  LbTime turn = (LbTime)ln_batch_heads_rank (batch) * RANK_DELAY;
+  LbTime turn = (LbTime)ln_batch_heads_rank (batch, batch->id) * RANK_DELAY;
   return now >= batch->ended_at + keep + turn;
 }
 
--- a/packages/node/src/ln-batch-heads.c
+++ b/packages/node/src/ln-batch-heads.c
@@ -191,40 +191,42 @@
 }
 
 static size_t
-add_candidates (const LnBatches *batches, bool cut, LbName *names)
+add_candidates (const LnBatches *batches, bool cut, LcDutyCandidate *candidates)
 {
   size_t n = 0;
 
   for (size_t i = 0; i < batches->n_members; i++)
     {
       const LnMember *member = &batches->members[i];
-      if (member->alive && !member->draining && member->cut == cut)
-        lb_strlcpy (names[n++], member->name, LB_NAME_MAX);
+      if (!member->alive || member->draining || member->cut != cut)
+        continue;
+      LB_COPY (candidates[n].name, member->name);
+      candidates[n++].strength = member->strength;
     }
   return n;
 }
 
 /* Guards against an owner that can't reach the store: it hears late of the batch, and each list of
  * results goes through another instance. Only when all are cut are cut ones taken. */
-LbName *
+LcDutyCandidate *
 ln_batches_candidates (const LnBatches *batches, size_t *n)
 {
-  LbName *names = LB_NEW_ARRAY (LbName, batches->n_members + 1);
+  LcDutyCandidate *candidates = LB_NEW_ARRAY (LcDutyCandidate, batches->n_members + 1);
 
-  *n = add_candidates (batches, false, names);
+  *n = add_candidates (batches, false, candidates);
   if (*n == 0)
-    *n = add_candidates (batches, true, names);
-  return names;
+    *n = add_candidates (batches, true, candidates);
+  return candidates;
 }
 
 size_t
-ln_batch_heads_rank (const LnBatch *batch)
+ln_batch_heads_rank (const LnBatch *batch, const char *duty)
 {
   size_t n;
-  LbName *names = ln_batches_candidates (batch->batches, &n);
-  size_t rank = lc_batch_head_rank (batch->id, batch->batches->context->instance, names, n);
+  LcDutyCandidate *candidates = ln_batches_candidates (batch->batches, &n);
+  size_t rank = lc_duty_rank (duty, batch->batches->context->instance, candidates, n);
 
-  free (names);
+  free (candidates);
   return rank;
 }
 
@@ -318,8 +320,9 @@
   take_over (batch);
 }
 
-/* A batch whose owner is gone is run by the next instance in the order of this batch. An owner that
- * was only paused finds its row changed, and lists nothing more. */
+/* A batch whose owner is gone is run by the next instance in the order of its model, so that all
+ * batches of the model go to one instance, which opens one set of connections to the engines. An
+ * owner that was only paused finds its row changed, and lists nothing more. */
 static void
 look_after (LnBatch *batch, LbTime now)
 {
@@ -333,7 +336,8 @@
     }
   if (batch->orphan_since == 0)
     batch->orphan_since = now;
-  if (now - batch->orphan_since >= (LbTime)ln_batch_heads_rank (batch) * RANK_DELAY)
+  if (now - batch->orphan_since
+      >= (LbTime)ln_batch_heads_rank (batch, batch->head.model) * RANK_DELAY)
     take_over (batch);
 }
 
--- a/packages/node/src/ln-batch-submit.c
+++ b/packages/node/src/ln-batch-submit.c
@@ -181,11 +181,11 @@
 choose_owner (LnBatchCall *call)
 {
   size_t n;
-  LbName *names = ln_batches_candidates (call->batches, &n);
+  LcDutyCandidate *candidates = ln_batches_candidates (call->batches, &n);
   const char *last = last_runner (call->batches, call->spec.model);
 
-  LB_COPY (call->head.preferred, lc_batch_head_choose (call->spec.model, last, names, n));
-  free (names);
+  LB_COPY (call->head.preferred, lc_duty_choose (call->spec.model, last, candidates, n));
+  free (candidates);
 }
 
 void
--- a/packages/node/src/ln-batches-private.h
+++ b/packages/node/src/ln-batches-private.h
@@ -3,6 +3,7 @@
 
 #include "lc-batch-head.h"
 #include "lc-batch.h"
+#include "lc-duty.h"
 #include "ln-context.h"
 #include "ln-dialect.h"
 #include "ln-messages.h"
@@ -114,8 +115,8 @@
 /* Of the pieces of all long texts, and of the one at a position. */
 void ln_batch_texts_prefix (const char *id, char *key);
 void ln_batch_text_prefix (const char *id, int64_t position, char *key);
-/* The place of this instance among those that may take the batch over; 0: the first. */
-size_t ln_batch_heads_rank (const LnBatch *batch);
+/* The place of this instance among those that may do the duty for the batch; 0: the first. */
+size_t ln_batch_heads_rank (const LnBatch *batch, const char *duty);
 /* Writes rows under the condition that the batch's own row is as this instance knows it. */
 void ln_batch_heads_transact (const LnBatch *batch,
                               const LpPut *puts,
@@ -133,7 +134,7 @@
 /* Accepted here: offers it to the instance that shall run it. False: there is none but this one. */
 bool ln_batch_heads_offer (LnBatch *batch, LbTime now);
 /* Alive instances that take new work; the caller frees. */
-LbName *ln_batches_candidates (const LnBatches *batches, size_t *n);
+LcDutyCandidate *ln_batches_candidates (const LnBatches *batches, size_t *n);
 
 /* ln-batch-rows.c: what the rows of a batch hold. Texts are the caller's to free; false: a row that
  * can't be read, whose result still has to be cleared. */
--- a/packages/node/src/ln-fleet.c
+++ b/packages/node/src/ln-fleet.c
@@ -7,6 +7,7 @@
 #include "lb-clock.h"
 #include "lb-log.h"
 #include "lb-time.h"
+#include "lc-duty.h"
 #include "lc-fleet.h"
 #include "lh-fetch.h"
 #include "lp-path.h"
@@ -88,6 +89,7 @@
       member->alive = known->alive;
       member->draining = known->row.draining;
       member->cut = known->row.cut;
+      member->strength = known->row.strength;
       member->is_self = strcmp (known->row.name, task->context->instance) == 0;
     }
   LN_POST (task->task.hub, NULL, message);
@@ -471,6 +473,8 @@
   LB_COPY (task->own.data_centre, context->settings->instance.data_centre);
   LB_COPY (task->own.caller_address, context->caller_address);
   LB_COPY (task->own.peer_address, context->peer_address);
+  task->own.strength = lc_duty_strength (context->settings->instance.processor_share,
+                                         context->settings->instance.link_mbps);
   task->timer = event_new (context->base, -1, EV_PERSIST, on_tick, task);
   event_add (task->timer, &tick);
   event_active (task->timer, EV_TIMEOUT, 0);
--- a/packages/node/src/ln-settings.c
+++ b/packages/node/src/ln-settings.c
@@ -49,14 +49,17 @@
 static const char *const platform_kinds[] = { "memory", "http", "shared", NULL };
 static const char *const log_levels[] = { "debug", "info", "warning", "error", "off", NULL };
 
-static const LbSettingSpec instance_specs[] = { TEXT ("name", instance.name),
-                                                TEXT ("data_centre", instance.data_centre),
-                                                TEXT ("caller_address", instance.caller_address),
-                                                TEXT ("peer_address", instance.peer_address),
-                                                TEXT ("entry_address", instance.entry_address),
-                                                TEXT ("ready_address", instance.ready_address),
-                                                TEXT ("metrics_address", instance.metrics_address),
-                                                END };
+static const LbSettingSpec instance_specs[]
+    = { TEXT ("name", instance.name),
+        TEXT ("data_centre", instance.data_centre),
+        TEXT ("caller_address", instance.caller_address),
+        TEXT ("peer_address", instance.peer_address),
+        TEXT ("entry_address", instance.entry_address),
+        TEXT ("ready_address", instance.ready_address),
+        TEXT ("metrics_address", instance.metrics_address),
+        REAL ("processor_share", instance.processor_share, 0.001, 1024),
+        REAL ("link_mbps", instance.link_mbps, 0.001, 1e6),
+        END };
 
 static const LbSettingSpec platform_specs[]
     = { CHOICE ("kind", platform.kind, platform_kinds), TEXT ("address", platform.address),
@@ -130,6 +133,8 @@
   LB_COPY (settings->instance.data_centre, "local");
   LB_COPY (settings->instance.caller_address, "127.0.0.1:8080");
   LB_COPY (settings->instance.peer_address, "127.0.0.1:0");
+  settings->instance.processor_share = 1;
+  settings->instance.link_mbps = 1000;
   settings->platform.kind = LN_PLATFORM_MEMORY;
   settings->platform.deadline_ms = 1000;
   settings->platform.rate = 100;
--- a/packages/node/src/ln-weight-orders.c
+++ b/packages/node/src/ln-weight-orders.c
@@ -6,6 +6,7 @@
 #include "lb-alloc.h"
 #include "lb-clock.h"
 #include "lb-log.h"
+#include "lc-duty.h"
 #include "lc-lease.h"
 #include "lc-swap-turns.h"
 #include "lc-weights.h"
@@ -25,6 +26,7 @@
 #define LEASE_PERIOD (500 * LB_MSEC)     /* three renewals within its duration */
 #define LEASE_WATCH_PERIOD (10 * LB_SEC) /* of those that are no candidates */
 #define N_CANDIDATES 3
+#define DUTY "weights"
 #define ORDER_SILENCE (1200 * LB_MSEC) /* an order without an answer counts as lost then */
 #define LOAD_LIMIT (6 * LB_SEC)        /* several times the load of an engine on its own */
 /* After an order: a load takes 0.9 s at least, and what engines state is some 100 ms old. */
@@ -549,19 +551,34 @@
   return member->alive && !member->draining && !member->cut;
 }
 
-/* The first instances by name are candidates, each a little later than the one before. */
-void
-ln_weight_orders_members (LnWeightOrders *orders, const LnMembersMessage *members)
+/* This instance counts as one also where it may not hold the lease now: a holder that is cut off
+ * for a moment does not give it up. */
+static size_t
+add_candidates (const LnMembersMessage *members, LcDutyCandidate *candidates)
 {
-  int before = 0;
+  size_t n = 0;
 
   for (size_t i = 0; i < members->n_members; i++)
     {
       const LnMember *member = &members->members[i];
-      before += may_hold (member) && !member->is_self
-                && strcmp (member->name, orders->context->instance) < 0;
+      if (!may_hold (member) && !member->is_self)
+        continue;
+      LB_COPY (candidates[n].name, member->name);
+      candidates[n++].strength = member->strength;
     }
-  lc_lease_set_rank (orders->lease, before < N_CANDIDATES ? before : -1);
+  return n;
+}
+
+/* The first few instances are candidates, each a little later than the one before. */
+void
+ln_weight_orders_members (LnWeightOrders *orders, const LnMembersMessage *members)
+{
+  LcDutyCandidate *candidates = LB_NEW_ARRAY (LcDutyCandidate, members->n_members + 1);
+  size_t n = add_candidates (members, candidates);
+  size_t rank = lc_duty_rank (DUTY, orders->context->instance, candidates, n);
+
+  lc_lease_set_rank (orders->lease, rank < N_CANDIDATES ? (int)rank : -1);
+  free (candidates);
   free (orders->members);
   orders->members = lb_memdup (members->members, members->n_members * sizeof (LnMember));
   orders->n_members = members->n_members;
