Instances on duty have a row of their own, listed each 0.3 s

Cause: all instances are listed together, each 6 ms x their number, and an owner that died is missed by these lists. Ruled out: its renewals (each 0.3 s) and the next owner's turn (first in the order). Change: an instance on duty renews a second row, in a part that is listed each 0.3 s; it goes before the other row of the same start. The lists of all come each 8 ms x their number. Callers are told the instances that missed no renewal first. One log line for all instances that are new in a list (295 before, in each of 295 instances).

--- a/packages/core/include/lc-fleet.h
+++ b/packages/core/include/lc-fleet.h
@@ -32,7 +32,9 @@
   int64_t version;   /* of the row in the store */
   LbTime renewed_at; /* when this version was first seen; 0: before this instance began to look */
   bool alive;
-  bool seen; /* in the list being taken */
+  bool fresh;  /* it missed no renewal yet, as far as the last list can tell */
+  bool seen;   /* in the list being taken */
+  bool is_new; /* first seen in it */
 } LcFleetMember;
 
 /* A whole list of the rows. */
@@ -55,6 +57,10 @@
 bool lc_fleet_end (LcFleet *fleet, LbTime now);
 
 /* queries */
+/* Instances that run batches or order weights are listed more often than all, in rows of their own,
+ * which go before their others. Fills `members`, which has room for those
+ * of both, and returns how many there are. */
+size_t lc_fleet_join (const LcFleet *all, const LcFleet *on_duty, LcFleetMember *members);
 size_t lc_fleet_count (const LcFleet *fleet);
 const LcFleetMember *lc_fleet_at (const LcFleet *fleet, size_t index);
 
--- a/packages/core/src/lc-fleet.c
+++ b/packages/core/src/lc-fleet.c
@@ -28,6 +28,7 @@
   LbName self;
   LcFleetMember *members;
   size_t n_members;
+  size_t next; /* where the next row's member probably is: lists come in the same order */
   LbTime last_list;
   LbTime allowance; /* beside the missed renewals, as the store answers now */
   bool changed;
@@ -88,13 +89,24 @@
   free (fleet);
 }
 
-static LcFleetMember *
-find (const LcFleet *fleet, const char *name)
+static size_t
+index_of (const LcFleet *fleet, const char *name, size_t hint)
 {
+  if (hint < fleet->n_members && strcmp (fleet->members[hint].row.name, name) == 0)
+    return hint;
   for (size_t i = 0; i < fleet->n_members; i++)
     if (strcmp (fleet->members[i].row.name, name) == 0)
-      return &fleet->members[i];
-  return NULL;
+      return i;
+  return fleet->n_members;
+}
+
+static LcFleetMember *
+find (LcFleet *fleet, const char *name)
+{
+  size_t index = index_of (fleet, name, fleet->next);
+
+  fleet->next = index + 1;
+  return index < fleet->n_members ? &fleet->members[index] : NULL;
 }
 
 /* While the store is away no row is renewed, and all instances would be taken for dead the moment
@@ -134,7 +146,8 @@
     {
       fleet->members = lb_realloc (fleet->members, (fleet->n_members + 1) * sizeof *fleet->members);
       member = &fleet->members[fleet->n_members++];
-      *member = (LcFleetMember){ .row = *row, .version = version, .renewed_at = now };
+      *member
+          = (LcFleetMember){ .row = *row, .version = version, .renewed_at = now, .is_new = true };
       fleet->changed = true;
     }
   member->seen = true;
@@ -157,30 +170,80 @@
       }
 }
 
+static void
+set_alive (LcFleet *fleet, LcFleetMember *member, bool alive, LbTime now)
+{
+  if (alive == member->alive)
+    return;
+  member->alive = alive;
+  fleet->changed = true;
+  if (!alive || !member->is_new)
+    lb_log (LB_LOG_INFO, alive ? "instance_alive" : "instance_lost",
+            LB_TEXT ("peer", member->row.name), LB_TEXT ("incarnation", member->row.incarnation),
+            LB_INT ("silent_us", now - member->renewed_at));
+}
+
+/* One line for all that are new: a site of 300 instances that starts would write 300 in each. */
+static void
+log_new (const LcFleet *fleet)
+{
+  int64_t n_new = 0;
+
+  for (size_t i = 0; i < fleet->n_members; i++)
+    n_new += fleet->members[i].is_new;
+  if (n_new > 0)
+    lb_log (LB_LOG_INFO, "instances_listed", LB_INT ("new", n_new),
+            LB_INT ("known", fleet->n_members));
+}
+
 bool
 lc_fleet_end (LcFleet *fleet, LbTime now)
 {
   drop_unseen (fleet);
+  log_new (fleet);
   for (size_t i = 0; i < fleet->n_members; i++)
     {
       LcFleetMember *member = &fleet->members[i];
       bool is_self = strcmp (member->row.name, fleet->self) == 0;
-      bool alive
-          = is_self
-            || now - member->renewed_at < member->row.period * MISSED_RENEWALS + fleet->allowance;
-      if (alive != member->alive)
-        {
-          lb_log (LB_LOG_INFO, alive ? "instance_alive" : "instance_lost",
-                  LB_TEXT ("peer", member->row.name),
-                  LB_TEXT ("incarnation", member->row.incarnation),
-                  LB_INT ("silent_us", now - member->renewed_at));
-          fleet->changed = true;
-        }
-      member->alive = alive;
+      LbTime silence = now - member->renewed_at;
+      member->fresh = is_self || silence < member->row.period + fleet->allowance;
+      set_alive (fleet, member,
+                 is_self || silence < member->row.period * MISSED_RENEWALS + fleet->allowance, now);
+      member->is_new = false;
     }
   return fleet->changed;
 }
 
+/* Of the same start the row on duty tells, since it is renewed more often: an instance that died
+ * just after the other one was renewed would be missed as late as any. Of two starts the younger
+ * row does.
+ */
+static bool
+tells (const LcFleetMember *on_duty, const LcFleetMember *other)
+{
+  return strcmp (on_duty->row.incarnation, other->row.incarnation) == 0
+         || on_duty->version > other->version;
+}
+
+size_t
+lc_fleet_join (const LcFleet *all, const LcFleet *on_duty, LcFleetMember *members)
+{
+  size_t n = all->n_members;
+
+  if (n > 0)
+    memcpy (members, all->members, n * sizeof *members);
+  for (size_t i = 0; i < on_duty->n_members; i++)
+    {
+      const LcFleetMember *member = &on_duty->members[i];
+      size_t index = index_of (all, member->row.name, all->n_members);
+      if (index == all->n_members)
+        members[n++] = *member;
+      else if (tells (member, &members[index]))
+        members[index] = *member;
+    }
+  return n;
+}
+
 size_t
 lc_fleet_count (const LcFleet *fleet)
 {
--- a/packages/core/tests/test-fleet.c
+++ b/packages/core/tests/test-fleet.c
@@ -122,6 +122,102 @@
   lc_fleet_free (fleet);
 }
 
+static const LcFleetMember *
+find (const LcFleetMember *members, size_t n, const char *name)
+{
+  for (size_t i = 0; i < n; i++)
+    if (strcmp (members[i].row.name, name) == 0)
+      return &members[i];
+  return NULL;
+}
+
+/* A site of 295 instances renews and lists all of them each few seconds. The owner of a step loses
+ * power: by these lists it was missed after 2.5 s, with all texts of its step. Its second row is
+ * listed each 0.3 s and shows it sooner. */
+Test (fleet, an_owner_is_missed_by_its_row_on_duty)
+{
+  enum
+  {
+    ALL_MS = 2360,
+    DUTY_MS = 300
+  };
+  LcFleet *all = lc_fleet_new ("a");
+  LcFleet *on_duty = lc_fleet_new ("a");
+  LcFleetRow idle = row ("b", "1");
+  LcFleetRow busy = row ("b", "1");
+  LcFleetMember members[4];
+  LbTime now = LB_SEC;
+  LbTime missed_at = 0;
+
+  idle.period = ALL_MS * LB_MSEC;
+  busy.period = DUTY_MS * LB_MSEC;
+  for (int ms = 0; ms <= 5000 && missed_at == 0; ms += DUTY_MS, now += DUTY_MS * LB_MSEC)
+    {
+      if (ms % ALL_MS < DUTY_MS)
+        {
+          lc_fleet_begin (all, &(LcFleetList){ .at = now, .period = ALL_MS * LB_MSEC });
+          lc_fleet_add (all, &idle, 5, now);
+          lc_fleet_end (all, now);
+        }
+      lc_fleet_begin (on_duty, &(LcFleetList){ .at = now, .period = DUTY_MS * LB_MSEC });
+      lc_fleet_add (on_duty, &busy, 4, now);
+      lc_fleet_end (on_duty, now);
+      size_t n = lc_fleet_join (all, on_duty, members);
+      if (!find (members, n, "b")->alive)
+        missed_at = now;
+    }
+  cr_assert_gt (missed_at, 0);
+  cr_assert_leq (missed_at - LB_SEC, 1200 * LB_MSEC);
+  lc_fleet_free (all);
+  lc_fleet_free (on_duty);
+}
+
+/* An owner was killed and has started again, without a duty. Its second row is that of the start
+ * before, and stands still for good: the younger one tells that it lives. */
+Test (fleet, a_row_on_duty_of_an_earlier_start_does_not_count)
+{
+  LcFleet *all = lc_fleet_new ("a");
+  LcFleet *on_duty = lc_fleet_new ("a");
+  LcFleetRow new_start = row ("b", "2");
+  LcFleetRow old_start = row ("b", "1");
+  LcFleetRow newcomer = row ("c", "1");
+  LcFleetMember members[4];
+
+  for (LbTime now = LB_SEC; now < 6 * LB_SEC; now += PERIOD)
+    {
+      lc_fleet_begin (all, &(LcFleetList){ .at = now, .period = PERIOD });
+      lc_fleet_add (all, &new_start, 10 + now, now);
+      lc_fleet_end (all, now);
+      lc_fleet_begin (on_duty, &(LcFleetList){ .at = now, .period = PERIOD });
+      lc_fleet_add (on_duty, &old_start, 4, now);
+      lc_fleet_add (on_duty, &newcomer, 11 + now, now);
+      lc_fleet_end (on_duty, now);
+    }
+  size_t n = lc_fleet_join (all, on_duty, members);
+  cr_assert_eq (n, 2);
+  cr_assert (find (members, n, "b")->alive);
+  cr_assert_str_eq (find (members, n, "b")->row.incarnation, "2");
+  cr_assert (find (members, n, "c")->alive, "it has no other row yet");
+  lc_fleet_free (all);
+  lc_fleet_free (on_duty);
+}
+
+/* Callers are told the addresses of instances; one that died is told until it is missed, and those
+ * who connect to it wait. One missed renewal is enough to be told last. */
+Test (fleet, an_instance_that_missed_a_renewal_is_not_fresh)
+{
+  LcFleet *fleet = lc_fleet_new ("a");
+  LbTime now = LB_SEC;
+
+  list (fleet, 1, 5, now);
+  cr_assert (lc_fleet_at (fleet, 1)->fresh);
+  now += 2 * PERIOD;
+  list (fleet, 2, 5, now);
+  cr_assert (lc_fleet_at (fleet, 1)->alive);
+  cr_assert_not (lc_fleet_at (fleet, 1)->fresh);
+  lc_fleet_free (fleet);
+}
+
 Test (fleet, a_row_says_the_same_after_a_round_trip)
 {
   LcFleetRow first = row ("a", "17");
--- /dev/null
+++ b/packages/node/src/ln-fleet-lists.c
@@ -0,0 +1,217 @@
+#include "ln-fleet-lists.h"
+
+#include "lb-alloc.h"
+#include "lb-clock.h"
+#include "lb-log.h"
+#include "lb-time.h"
+#include "lp-platform.h"
+
+#include <json-c/json.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define TABLE "instance"
+/* Guards against a store that takes so many writes a second in each part: in the unnamed one, to
+ * which endpoints and operators write as well, renewals of 84 instances waited for a second, and
+ * instances were missed in turn, with the batches and the lease they had. Each part is a list of
+ * its own, so there are few: 350 instances write some 40 rows a second to each. */
+#define N_PARTS 4
+#define DUTY_PART "duty"
+
+/* Between two lists of all instances: at most some hundred rows a second. */
+#define LIST_PERIOD (250 * LB_MSEC)
+#define LIST_PERIOD_PER_INSTANCE (8 * LB_MSEC)
+/* Between two lists of those on duty, a dozen: with a renewal each 0.3 s a dead owner is missed 1.5
+ * s after its last one, and not after 2.5 s as by the lists of 295 instances. On small sites all
+ * are listed more often. */
+#define DUTY_LIST_PERIOD (300 * LB_MSEC)
+
+/* The rows of some parts, listed together. */
+typedef struct
+{
+  LnFleetLists *lists;
+  const char *const *prefixes;
+  size_t n_prefixes;
+  LcFleet *fleet;
+  size_t waiting; /* parts that were asked for and did not answer */
+  bool begun;
+  bool failed;
+  LbTime asked_at; /* of the list on its way */
+  LbTime next;
+} Listing;
+
+struct LnFleetLists
+{
+  LpPlatform *platform;
+  Listing all;
+  Listing on_duty;
+  LcFleetMember *members; /* of both */
+  size_t n_members;
+  void (*on_change) (void *user);
+  void *user;
+};
+
+static const char *const all_prefixes[N_PARTS]
+    = { TABLE "/0/", TABLE "/1/", TABLE "/2/", TABLE "/3/" };
+static const char *const duty_prefixes[] = { TABLE "/" DUTY_PART "/" };
+
+void
+ln_fleet_key (const char *instance, bool on_duty, char *key)
+{
+  uint64_t hash = XXH3_64bits (instance, strlen (instance));
+
+  if (on_duty)
+    snprintf (key, LN_FLEET_KEY_SIZE, "%s%s", duty_prefixes[0], instance);
+  else
+    snprintf (key, LN_FLEET_KEY_SIZE, "%s%s", all_prefixes[hash % N_PARTS], instance);
+}
+
+static void
+listing_init (Listing *listing,
+              LnFleetLists *lists,
+              const char *self,
+              const char *const *prefixes,
+              size_t n_prefixes)
+{
+  listing->lists = lists;
+  listing->fleet = lc_fleet_new (self);
+  listing->prefixes = prefixes;
+  listing->n_prefixes = n_prefixes;
+}
+
+LnFleetLists *
+ln_fleet_lists_new (LpPlatform *platform,
+                    const char *self,
+                    void (*on_change) (void *user),
+                    void *user)
+{
+  LnFleetLists *lists = LB_NEW (LnFleetLists);
+
+  lists->platform = platform;
+  lists->on_change = on_change;
+  lists->user = user;
+  listing_init (&lists->all, lists, self, all_prefixes, N_PARTS);
+  listing_init (&lists->on_duty, lists, self, duty_prefixes, 1);
+  return lists;
+}
+
+void
+ln_fleet_lists_free (LnFleetLists *lists)
+{
+  lc_fleet_free (lists->all.fleet);
+  lc_fleet_free (lists->on_duty.fleet);
+  free (lists->members);
+  free (lists);
+}
+
+static LbTime
+period_of (const Listing *listing)
+{
+  LbTime n = (LbTime)lc_fleet_count (listing->fleet);
+
+  return listing == &listing->lists->on_duty
+             ? DUTY_LIST_PERIOD
+             : lb_time_later (LIST_PERIOD, n * LIST_PERIOD_PER_INSTANCE);
+}
+
+static void
+add_rows (Listing *listing, const LpRow *rows, size_t n_rows, LbTime now)
+{
+  for (size_t i = 0; i < n_rows; i++)
+    {
+      struct json_object *object = json_tokener_parse (rows[i].value);
+      LcFleetRow row;
+      if (object && lc_fleet_row_from_json (object, &row))
+        lc_fleet_add (listing->fleet, &row, rows[i].version, now);
+      else
+        lb_log (LB_LOG_WARNING, "instance_row_unreadable", LB_TEXT ("key", rows[i].key));
+      json_object_put (object);
+    }
+}
+
+static void
+join (LnFleetLists *lists)
+{
+  size_t most = lc_fleet_count (lists->all.fleet) + lc_fleet_count (lists->on_duty.fleet);
+
+  lists->members = lb_realloc (lists->members, (most + 1) * sizeof *lists->members);
+  lists->n_members = lc_fleet_join (lists->all.fleet, lists->on_duty.fleet, lists->members);
+}
+
+/* Only all parts together tell who is there; when one is missing the others count with the next
+ * list. */
+static void
+on_list (LbErrorCode error, const LpRow *rows, size_t n_rows, int64_t version, void *user)
+{
+  (void)version;
+  Listing *listing = user;
+  LbTime now = lb_clock_monotonic ();
+  const LcFleetList list
+      = { .at = now, .took = now - listing->asked_at, .period = period_of (listing) };
+
+  listing->waiting--;
+  listing->failed |= error != LB_OK;
+  if (listing->failed)
+    return;
+  if (!listing->begun)
+    lc_fleet_begin (listing->fleet, &list);
+  listing->begun = true;
+  add_rows (listing, rows, n_rows, now);
+  if (listing->waiting > 0)
+    return;
+  bool changed = lc_fleet_end (listing->fleet, now);
+  join (listing->lists);
+  if (changed)
+    listing->lists->on_change (listing->lists->user);
+}
+
+static void
+tick (Listing *listing, LbTime now)
+{
+  LpPlatform *platform = listing->lists->platform;
+
+  if (listing->waiting > 0 || now < listing->next)
+    return;
+  listing->waiting = listing->n_prefixes;
+  listing->failed = false;
+  listing->begun = false;
+  listing->asked_at = now;
+  listing->next = now + period_of (listing);
+  for (size_t i = 0; i < listing->n_prefixes; i++)
+    platform->klass->list (platform, listing->prefixes[i], NULL, 0, on_list, listing);
+}
+
+void
+ln_fleet_lists_tick (LnFleetLists *lists, LbTime now)
+{
+  tick (&lists->all, now);
+  tick (&lists->on_duty, now);
+}
+
+bool
+ln_fleet_lists_shows_on_duty (const LnFleetLists *lists, const LcFleetRow *self)
+{
+  const LcFleet *fleet = lists->on_duty.fleet;
+
+  for (size_t i = 0; i < lc_fleet_count (fleet); i++)
+    {
+      const LcFleetRow *row = &lc_fleet_at (fleet, i)->row;
+      if (strcmp (row->name, self->name) == 0 && strcmp (row->incarnation, self->incarnation) == 0)
+        return true;
+    }
+  return false;
+}
+
+size_t
+ln_fleet_lists_count (const LnFleetLists *lists)
+{
+  return lists->n_members;
+}
+
+const LcFleetMember *
+ln_fleet_lists_at (const LnFleetLists *lists, size_t index)
+{
+  return &lists->members[index];
+}
--- /dev/null
+++ b/packages/node/src/ln-fleet-lists.h
@@ -0,0 +1,33 @@
+#ifndef LN_FLEET_LISTS_H
+#define LN_FLEET_LISTS_H
+
+#include "lc-fleet.h"
+
+struct LpPlatform;
+
+/* Reads the rows of instances in a shared store: all of them now and then, those that run batches
+ * or order weights often, since a dead one of these is to be missed soon. */
+
+/* Key of the row of an instance, with or without a duty. */
+#define LN_FLEET_KEY_SIZE (LB_NAME_MAX + 32)
+void ln_fleet_key (const char *instance, bool on_duty, char *key);
+
+typedef struct LnFleetLists LnFleetLists;
+
+/* on_change: who is there or what they say has changed; see ln_fleet_lists_at. */
+LnFleetLists *ln_fleet_lists_new (struct LpPlatform *platform,
+                                  const char *self,
+                                  void (*on_change) (void *user),
+                                  void *user);
+void ln_fleet_lists_free (LnFleetLists *lists);
+
+/* commands */
+void ln_fleet_lists_tick (LnFleetLists *lists, LbTime now);
+
+/* queries */
+/* The last list of those on duty shows this start of this instance. */
+bool ln_fleet_lists_shows_on_duty (const LnFleetLists *lists, const LcFleetRow *self);
+size_t ln_fleet_lists_count (const LnFleetLists *lists);
+const LcFleetMember *ln_fleet_lists_at (const LnFleetLists *lists, size_t index);
+
+#endif
--- /dev/null
+++ b/packages/node/src/ln-fleet-renewal.h
@@ -0,0 +1,29 @@
+#ifndef LN_FLEET_RENEWAL_H
+#define LN_FLEET_RENEWAL_H
+
+#include "lc-fleet.h"
+
+struct LpPlatform;
+
+/* Renews the row of this instance in a shared store, by which the others see that it lives. One
+ * that runs batches or orders weights has a second row, which is renewed and listed more often. */
+
+typedef struct LnFleetRenewal LnFleetRenewal;
+
+/* What the row says of this instance is the caller's to change, in `row`, before it tells so. */
+LnFleetRenewal *ln_fleet_renewal_new (struct LpPlatform *platform, LcFleetRow *row);
+void ln_fleet_renewal_free (LnFleetRenewal *renewal);
+
+/* commands */
+/* n_instances: of the site; duty_row_listed: the second row of this instance was seen in the store.
+ */
+void ln_fleet_renewal_tick (LnFleetRenewal *renewal,
+                            size_t n_instances,
+                            bool duty_row_listed,
+                            LbTime now);
+/* The row says something new: it is written at once. */
+void ln_fleet_renewal_tell (LnFleetRenewal *renewal, LbTime now);
+/* This instance has got a duty, or ended one. */
+void ln_fleet_renewal_set_duty (LnFleetRenewal *renewal, bool has_duty, LbTime now);
+
+#endif
--- /dev/null
+++ b/packages/node/tests/test-fleet-renewal.c
@@ -0,0 +1,159 @@
+#include "ln-fleet-lists.h"
+#include "ln-fleet-renewal.h"
+
+#include "lb-alloc.h"
+#include "lp-platform.h"
+
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <string.h>
+
+#define MAX_WRITES 64
+
+typedef struct
+{
+  char key[LN_FLEET_KEY_SIZE];
+  bool removes;
+  LpTransactDone done;
+  void *user;
+} Write;
+
+/* A store that answers when the test says so. */
+typedef struct
+{
+  LpPlatform platform; /* first */
+  Write writes[MAX_WRITES];
+  size_t n_writes;
+  size_t n_answered;
+} Store;
+
+static void
+store_transact (LpPlatform *platform,
+                const LpTransaction *transaction,
+                LpPriority priority,
+                LpTransactDone done,
+                void *user)
+{
+  (void)priority;
+  Store *store = (Store *)platform;
+
+  cr_assert_lt (store->n_writes, MAX_WRITES);
+  Write *write = &store->writes[store->n_writes++];
+  *write = (Write){ .removes = !transaction->puts[0].value, .done = done, .user = user };
+  snprintf (write->key, sizeof write->key, "%s", transaction->puts[0].key);
+}
+
+static const LpPlatformClass store_class = { .name = "test", .transact = store_transact };
+
+static void
+answer_all (Store *store, LbErrorCode error)
+{
+  while (store->n_answered < store->n_writes)
+    {
+      Write *write = &store->writes[store->n_answered++];
+      write->done (error, NULL, write->user);
+    }
+}
+
+typedef struct
+{
+  Store store;
+  LcFleetRow row;
+  LnFleetRenewal *renewal;
+  LbTime now;
+  bool listed; /* the row on duty */
+} Setup;
+
+static void
+setup_init (Setup *s)
+{
+  memset (s, 0, sizeof *s);
+  s->store.platform.klass = &store_class;
+  LB_COPY (s->row.name, "a");
+  LB_COPY (s->row.incarnation, "1");
+  s->renewal = ln_fleet_renewal_new (&s->store.platform, &s->row);
+  s->now = 100 * LB_SEC;
+}
+
+/* Ticks each 100 ms, with answers. */
+static void
+run (Setup *s, LbTime time)
+{
+  for (LbTime end = s->now + time; s->now < end; s->now += 100 * LB_MSEC)
+    {
+      ln_fleet_renewal_tick (s->renewal, 295, s->listed, s->now);
+      answer_all (&s->store, LB_OK);
+    }
+}
+
+static size_t
+count (Setup *s, bool on_duty, bool removes)
+{
+  char key[LN_FLEET_KEY_SIZE];
+  size_t n = 0;
+
+  ln_fleet_key ("a", on_duty, key);
+  for (size_t i = 0; i < s->store.n_writes; i++)
+    n += strcmp (s->store.writes[i].key, key) == 0 && s->store.writes[i].removes == removes;
+  return n;
+}
+
+Test (fleet_renewal, an_instance_on_duty_renews_a_second_row)
+{
+  Setup s;
+
+  setup_init (&s);
+  run (&s, 3 * LB_SEC);
+  cr_assert_eq (count (&s, false, false), 2);
+  cr_assert_eq (count (&s, true, false), 0);
+  ln_fleet_renewal_set_duty (s.renewal, true, s.now);
+  run (&s, 3 * LB_SEC);
+  cr_assert_geq (count (&s, true, false), 10);
+  cr_assert_leq (count (&s, false, false), 3);
+  ln_fleet_renewal_free (s.renewal);
+}
+
+/* An instance ran batches and runs none any more. Its second row stands still from then on; were it
+ * left there, the others would take the instance for dead. The first removal has no answer. */
+Test (fleet_renewal, the_second_row_goes_with_the_duty)
+{
+  Setup s;
+
+  setup_init (&s);
+  ln_fleet_renewal_set_duty (s.renewal, true, s.now);
+  run (&s, LB_SEC);
+  ln_fleet_renewal_set_duty (s.renewal, false, s.now);
+  run (&s, 10 * LB_SEC);
+  cr_assert_eq (count (&s, true, true), 0, "the next step comes soon");
+  s.now += LB_SEC;
+  ln_fleet_renewal_tick (s.renewal, 295, true, s.now);
+  answer_all (&s.store, LB_OK);
+  s.now += 100 * LB_MSEC;
+  ln_fleet_renewal_tick (s.renewal, 295, true, s.now);
+  cr_assert_eq (count (&s, true, true), 1);
+  answer_all (&s.store, LB_ERROR_STORE_UNKNOWN);
+  run (&s, LB_SEC);
+  cr_assert_eq (count (&s, true, true), 2);
+  run (&s, 5 * LB_SEC);
+  cr_assert_eq (count (&s, true, true), 2, "it is known to be gone");
+  ln_fleet_renewal_free (s.renewal);
+}
+
+/* The second row was removed. A renewal of before, whose answer was lost, is carried out after
+ * that: the row is back, older with each second. */
+Test (fleet_renewal, a_second_row_that_comes_back_is_removed_again)
+{
+  Setup s;
+
+  setup_init (&s);
+  ln_fleet_renewal_set_duty (s.renewal, true, s.now);
+  run (&s, LB_SEC);
+  ln_fleet_renewal_set_duty (s.renewal, false, s.now);
+  run (&s, 12 * LB_SEC);
+  cr_assert_eq (count (&s, true, true), 1);
+  s.listed = true;
+  run (&s, LB_SEC);
+  s.listed = false;
+  cr_assert_geq (count (&s, true, true), 2);
+  ln_fleet_renewal_free (s.renewal);
+}
