The state of a roll-out is that of now, not of its last tick

Cause: the holder asks each model how many of its engines load, and ticks a model only while places are free. The answer went by the time of the model's last tick, so engines that had gone dark counted as loading for as long as no model was ticked. Change: lc_weights_status takes now. Test: weights/status_is_that_of_now: 20 dark engines count 0.5 s after the lease was gained: 20 before, 0 now.

--- a/packages/core/include/lc-weights.h
+++ b/packages/core/include/lc-weights.h
@@ -101,7 +101,7 @@
   LcWeightsWait wait;
 } LcWeightsStatus;
 
-void lc_weights_status (const LcWeights *weights, LcWeightsStatus *status);
+void lc_weights_status (const LcWeights *weights, LbTime now, LcWeightsStatus *status);
 const char *lc_weights_wait_name (LcWeightsWait wait);
 /* Whether the engine is to be asked soon: it is in a swap. */
 bool lc_weights_is_swapping (const LcWeights *weights, const char *endpoint);
--- a/packages/core/src/lc-weights.c
+++ b/packages/core/src/lc-weights.c
@@ -574,11 +574,11 @@
 }
 
 void
-lc_weights_status (const LcWeights *weights, LcWeightsStatus *status)
+lc_weights_status (const LcWeights *weights, LbTime now, LcWeightsStatus *status)
 {
   View view;
 
-  look (weights, weights->tokens_at, &view);
+  look (weights, now, &view);
   *status = (LcWeightsStatus){ .target = weights->target,
                                .cadence = weights->cadence,
                                .engines = view.engines,
--- a/packages/core/tests/test-weights.c
+++ b/packages/core/tests/test-weights.c
@@ -24,7 +24,7 @@
 {
   LcWeightsStatus result;
 
-  lc_weights_status (pool.weights, &result);
+  lc_weights_status (pool.weights, pool.now, &result);
   return result;
 }
 
@@ -375,6 +375,24 @@
   cr_assert_eq (fake_pool_count (&pool, 41), N_ENGINES - N_DARK);
 }
 
+/* Whether a model is ticked depends on how many engines load in all, so its status is asked without
+ * a tick between. It went by the time of the last tick: engines that went dark counted as loading
+ * until a load of another model ended, and with all places taken by them none did for 1.3 s. */
+Test (weights, status_is_that_of_now)
+{
+  fake_pool_clear (&pool);
+  fake_pool_init (&pool, 20, 20, 0, 40);
+  pool.answer_limit = 400 * LB_MSEC;
+  fake_pool_run (&pool, LB_SEC);
+  for (size_t i = 0; i < pool.n; i++)
+    pool.engines[i].dead = true;
+  fake_pool_new_holder (&pool, 41);
+  fake_pool_tick (&pool);
+  cr_assert_eq (status ().swapping, 20);
+  pool.now += 500 * LB_MSEC;
+  cr_assert_eq (status ().swapping, 0);
+}
+
 /* Four engines of twelve take orders and do nothing. They are the oldest, and would have all places
  * in the roll-out for themselves: the others would keep the old version for good. */
 Test (weights, orders_without_effect_do_not_hold_up_the_others)
--- a/packages/node/src/ln-pool-holder.c
+++ b/packages/node/src/ln-pool-holder.c
@@ -440,7 +440,7 @@
 {
   LcWeightsStatus status;
 
-  lc_weights_status (holder->weights, &status);
+  lc_weights_status (holder->weights, now, &status);
   if (status.target == 0 || (status.target == holder->told && now < holder->next_told))
     return;
   holder->told = status.target;
--- a/packages/node/src/ln-pool-holders.c
+++ b/packages/node/src/ln-pool-holders.c
@@ -322,7 +322,7 @@
   LcWeightsStatus status;
   struct json_object *object = json_object_new_object ();
 
-  lc_weights_status (holder->weights, &status);
+  lc_weights_status (holder->weights, lb_clock_monotonic (), &status);
   json_object_object_add (object, "pool", json_object_new_string (holder->pool));
   json_object_object_add (object, "version", json_object_new_int64 (status.target));
   json_object_object_add (object, "engines", json_object_new_int64 ((int64_t)status.engines));
--- a/packages/node/src/ln-weight-orders.c
+++ b/packages/node/src/ln-weight-orders.c
@@ -478,7 +478,7 @@
   LB_LIST_FOREACH (&orders->models, Model, link, model)
   {
     models[next] = model;
-    lc_weights_status (model->weights, &candidates[next].status);
+    lc_weights_status (model->weights, now, &candidates[next].status);
     swapping += candidates[next++].status.swapping;
   }
   while (swapping < most && (next = lc_swap_turns_next (candidates, n)) < n)
@@ -487,7 +487,7 @@
       lc_weights_set_limit (models[next]->weights, (int64_t)status->swapping + 1);
       candidates[next].blocked = !tick_model (models[next], now);
       swapping += !candidates[next].blocked;
-      lc_weights_status (models[next]->weights, status);
+      lc_weights_status (models[next]->weights, now, status);
     }
   free (models);
   free (candidates);
