Rows that say what they said before are not taken apart

Cause: endpoints and instances write their rows each second or two to show that they live, and each instance lists all of them, the endpoints' 2.5 times a second: each row was parsed each time. Change: LnRowCache keeps a row's text and what it says; a row of the same version, or whose text differs in the count of its writes alone, is not parsed. Used for the lists of endpoints and of instances. Test: test-row-cache; four lists of a row whose count moves are one read (four before).

--- a/packages/node/include/ln-dialect.h
+++ b/packages/node/include/ln-dialect.h
@@ -174,6 +174,7 @@
   LcDesired *(*read_desired) (const char *text, LbError *error);
   bool (*read_version) (const char *text, LbName model, LcVersion *version, LbError *error);
   bool (*read_listed) (const char *key, const char *text, LcListed *listed, LbError *error);
+  const char *listed_count_mark; /* before the number in it that counts its writes */
 } LnDialect;
 
 #endif
--- a/packages/node/src/ln-desired.c
+++ b/packages/node/src/ln-desired.c
@@ -3,6 +3,7 @@
 #include "ln-dialect.h"
 #include "ln-engine-plans.h"
 #include "ln-messages.h"
+#include "ln-row-cache.h"
 #include "ln-stall.h"
 #include "ln-unreadable-rows.h"
 #include "ln-weight-orders.h"
@@ -38,7 +39,9 @@
   struct event *timer;
   LcDesired *desired;
   LcRoster *roster;
-  LnUnreadableRows *unreadable; /* among the endpoints' */
+  LnRowCacheClass entries_class;
+  LnRowCache *entries;          /* of the endpoints */
+  LnUnreadableRows *unreadable; /* among them */
   LnWeightOrders *orders;
   LnEnginePlans *plans;
   int64_t revision; /* of the resource set made from the roster */
@@ -214,13 +217,24 @@
     }
 }
 
+static bool
+read_entry (const LpRow *row, void *content, LbError *error, void *user)
+{
+  const Desired *task = user;
+
+  return task->context->dialect->read_listed (row->key, row->value, content, error);
+}
+
 /* An endpoint of a service that the operators do not name serves no route, and an engine of it
  * would be given weights and texts. Before the routes are known nothing is ruled out. */
 static bool
 read_endpoint (const Desired *task, const LpRow *row, LcListed *listed, LbError *error)
 {
-  if (!task->context->dialect->read_listed (row->key, row->value, listed, error))
+  const LcListed *known = ln_row_cache_read (task->entries, row, error);
+
+  if (!known)
     return false;
+  *listed = *known;
   return !task->desired || lc_desired_service (task->desired, listed->service)
          || lb_error_set (error, LB_ERROR_UNKNOWN_SERVICE, row->key, "no such service: %s",
                           listed->service);
@@ -234,12 +248,14 @@
 
   *n_listed = 0;
   ln_unreadable_rows_begin (task->unreadable);
+  ln_row_cache_begin (task->entries);
   for (size_t i = 0; i < n_rows; i++)
     if (read_endpoint (task, &rows[i], &list[*n_listed], &error))
       (*n_listed)++;
     else
       ln_unreadable_rows_note (task->unreadable, rows[i].key, &error);
   ln_unreadable_rows_end (task->unreadable);
+  ln_row_cache_end (task->entries);
   return list;
 }
 
@@ -357,6 +373,7 @@
   ln_engine_plans_free (task->plans);
   lc_roster_free (task->roster);
   ln_unreadable_rows_free (task->unreadable);
+  ln_row_cache_free (task->entries);
   lp_follow_free (task->rows);
   lc_desired_unref (task->desired);
   free (task);
@@ -381,6 +398,10 @@
   task->task.hub = context->hub;
   task->context = context;
   task->roster = lc_roster_new ();
+  task->entries_class = (LnRowCacheClass){ .size = sizeof (LcListed),
+                                           .read = read_entry,
+                                           .count_mark = context->dialect->listed_count_mark };
+  task->entries = ln_row_cache_new (&task->entries_class, task);
   task->unreadable = ln_unreadable_rows_new ();
   task->orders = ln_weight_orders_new (context, on_engine, task);
   task->plans = ln_engine_plans_new (context, on_plan, task);
--- a/packages/node/src/ln-fleet-lists.c
+++ b/packages/node/src/ln-fleet-lists.c
@@ -1,5 +1,7 @@
 #include "ln-fleet-lists.h"
 
+#include "ln-row-cache.h"
+
 #include "lb-alloc.h"
 #include "lb-clock.h"
 #include "lb-log.h"
@@ -35,6 +37,7 @@
   const char *const *prefixes;
   size_t n_prefixes;
   LcFleet *fleet;
+  LnRowCache *rows;
   size_t waiting; /* parts that were asked for and did not answer */
   bool begun;
   bool failed;
@@ -68,6 +71,21 @@
     snprintf (key, LN_FLEET_KEY_SIZE, "%s%s", all_prefixes[hash % N_PARTS], instance);
 }
 
+static bool
+read_row (const LpRow *row, void *content, LbError *error, void *user)
+{
+  (void)user;
+  struct json_object *object = row->value ? json_tokener_parse (row->value) : NULL;
+  bool ok = object && lc_fleet_row_from_json (object, content);
+
+  json_object_put (object);
+  return ok
+         || lb_error_set (error, LB_ERROR_BAD_VALUE, row->key, "expected the row of an instance");
+}
+
+static const LnRowCacheClass rows_class
+    = { .size = sizeof (LcFleetRow), .read = read_row, .count_mark = "\"renewals\":" };
+
 static void
 listing_init (Listing *listing,
               LnFleetLists *lists,
@@ -77,6 +95,7 @@
 {
   listing->lists = lists;
   listing->fleet = lc_fleet_new (self);
+  listing->rows = ln_row_cache_new (&rows_class, NULL);
   listing->prefixes = prefixes;
   listing->n_prefixes = n_prefixes;
 }
@@ -102,6 +121,8 @@
 {
   lc_fleet_free (lists->all.fleet);
   lc_fleet_free (lists->on_duty.fleet);
+  ln_row_cache_free (lists->all.rows);
+  ln_row_cache_free (lists->on_duty.rows);
   free (lists->members);
   free (lists);
 }
@@ -119,15 +140,15 @@
 static void
 add_rows (Listing *listing, const LpRow *rows, size_t n_rows, LbTime now)
 {
+  LbError error = { 0 };
+
   for (size_t i = 0; i < n_rows; i++)
     {
-      struct json_object *object = json_tokener_parse (rows[i].value);
-      LcFleetRow row;
-      if (object && lc_fleet_row_from_json (object, &row))
-        lc_fleet_add (listing->fleet, &row, rows[i].version, now);
+      const LcFleetRow *row = ln_row_cache_read (listing->rows, &rows[i], &error);
+      if (row)
+        lc_fleet_add (listing->fleet, row, rows[i].version, now);
       else
         lb_log (LB_LOG_WARNING, "instance_row_unreadable", LB_TEXT ("key", rows[i].key));
-      json_object_put (object);
     }
 }
 
@@ -156,11 +177,15 @@
   if (listing->failed)
     return;
   if (!listing->begun)
-    lc_fleet_begin (listing->fleet, &list);
+    {
+      lc_fleet_begin (listing->fleet, &list);
+      ln_row_cache_begin (listing->rows);
+    }
   listing->begun = true;
   add_rows (listing, rows, n_rows, now);
   if (listing->waiting > 0)
     return;
+  ln_row_cache_end (listing->rows);
   bool changed = lc_fleet_end (listing->fleet, now);
   join (listing->lists);
   if (changed)
