--- a/packages/core/include/lc-load-time.h
+++ b/packages/core/include/lc-load-time.h
@@ -3,9 +3,9 @@
 
 #include "lb-error.h"
 
-/* When an engine that loads weights is asked whether it has them. What engines state of themselves is
- * some 100 ms old, and how long loads take differs from site to site and with their number: it is
- * learned from the loads before. Asked late, the next engine's load begins late; asked often, it
+/* When an engine that loads weights is asked whether it has them. What engines state of themselves
+ * is some 100 ms old, and how long loads take differs from site to site and with their number: it
+ * is learned from the loads before. Asked late, the next engine's load begins late; asked often, it
  * costs questions. No I/O. */
 
 typedef struct
--- a/packages/core/src/lc-catalog.c
+++ b/packages/core/src/lc-catalog.c
@@ -330,10 +330,10 @@
 }
 
 static void
-add_put (LcCatalogWrite *write, char *key, char *value)
+add_put (LcCatalogWrite *write, LcCatalogPut put)
 {
   write->puts = lb_realloc (write->puts, (write->n_puts + 1) * sizeof *write->puts);
-  write->puts[write->n_puts++] = (LcCatalogPut){ .key = key, .value = value };
+  write->puts[write->n_puts++] = put;
 }
 
 void
@@ -374,7 +374,8 @@
         continue;
       if (write->n_puts > MAX_CHANGES)
         return false;
-      add_put (write, lb_strdup (item->key), lb_strdup (item->text));
+      add_put (write,
+               (LcCatalogPut){ .key = lb_strdup (item->key), .value = lb_strdup (item->text) });
     }
   return true;
 }
@@ -406,7 +407,7 @@
       HASH_FIND_STR (listed, entry->key, key);
       whole = key || write->n_puts <= MAX_CHANGES;
       if (!key && whole)
-        add_put (write, lb_strdup (entry->key), NULL);
+        add_put (write, (LcCatalogPut){ .key = lb_strdup (entry->key), .value = NULL });
     }
   HASH_CLEAR (hh, listed);
   free (keys);
@@ -444,7 +445,7 @@
   memset (write, 0, sizeof *write);
   if (!may_write (catalog, now))
     return false;
-  add_put (write, lb_strdup (PUBLISHER_KEY), NULL);
+  add_put (write, (LcCatalogPut){ .key = lb_strdup (PUBLISHER_KEY), .value = NULL });
   bool whole = add_all (catalog, write);
   write->puts[0].value = publisher_to_text (catalog, whole);
   write->condition = catalog->version;
--- a/packages/node/src/ln-row-cache.h
+++ b/packages/node/src/ln-row-cache.h
@@ -4,10 +4,10 @@
 #include "lb-error.h"
 #include "lp-platform.h"
 
-/* What rows of a table say, read once. Instances and endpoints write their rows each second or so to
- * show that they live, and each instance lists all of them several times a second: nearly always a
- * row says what it said before, but for the count of its writes. Then its text is compared and not
- * taken apart. */
+/* What rows of a table say, read once. Instances and endpoints write their rows each second or so
+ * to show that they live, and each instance lists all of them several times a second: nearly always
+ * a row says what it said before, but for the count of its writes. Then its text is compared and
+ * not taken apart. */
 
 typedef struct
 {
