A list of the store is no reply of the endpoints that it names

Cause: where endpoints are known by lists, each list (2.5 a second) noted a reply of every endpoint that it names. So all seemed to have an open connection, and calls of a plain service went round all of them, each time over a new one; and an endpoint that swallows requests never counted as silent. Found by reading what the finish-time router takes for a kept connection.

Change: a report says whether it is the list's; the time of the last reply moves by replies alone. How long an endpoint has been silent counts from whichever is younger, so that one that is listed counts as alive as before.

--- a/packages/core/include/lc-endpoints.h
+++ b/packages/core/include/lc-endpoints.h
@@ -14,6 +14,7 @@
   double tokens_per_second; /* of one stream at present load; 0: unknown */
   double kv_used;           /* 0..1 */
   LbTime at;                /* when the endpoint measured it, on our clock */
+  bool is_listed;           /* by the store; the endpoint itself said nothing */
 } LcLoadReport;
 
 /* The breaker of an endpoint. */
--- a/packages/core/src/lc-endpoints.c
+++ b/packages/core/src/lc-endpoints.c
@@ -124,7 +124,8 @@
     return;
   LcLoadReport sane = sane_report (report, now);
 
-  entry->endpoint.last_reply = now;
+  if (!report->is_listed)
+    entry->endpoint.last_reply = now;
   if (!entry->is_reported || sane.at >= entry->endpoint.report.at)
     take_report (entry, &sane);
   if (report->leaving)
--- a/packages/core/src/lc-router-finish-time.c
+++ b/packages/core/src/lc-router-finish-time.c
@@ -106,6 +106,7 @@
   if (age < situation->silent_after)
     return 0;
   heard = (double)(situation->now - summary->endpoint->last_reply) / LB_SEC;
+  heard = heard < age ? heard : age;
   return heard < situation->silent_after ? 0 : heard;
 }
 
--- a/packages/core/tests/test-router.c
+++ b/packages/core/tests/test-router.c
@@ -209,6 +209,34 @@
   fixture_clear (&f);
 }
 
+/* Where endpoints are known by the store's list, each list counted as an answer of every endpoint:
+ * all seemed to have an open connection, and calls went round them as before. */
+Test (router, a_list_of_the_store_opens_no_connection)
+{
+  LcRouteQuery query = fixture_query ();
+  LcRouter *router = lc_router_new ("lentilspindle", 7);
+  LbTime now = 100 * LB_SEC;
+  Fixture f;
+
+  fixture_init (&f, 4);
+  for (int i = 0; i < 4; i++)
+    f.members[i].kind = LC_ENDPOINT_SERVICE;
+  fixture_configure (&f, 1);
+  query.kind = LC_KIND_SERVICE;
+  lc_endpoints_sent (fixture_find (&f, "e2"), LC_KIND_SERVICE, 0, now);
+  lc_endpoints_first_byte (fixture_find (&f, "e2"), 20 * LB_MSEC, now);
+  lc_endpoints_ended (fixture_find (&f, "e2"), LC_KIND_SERVICE, true, 0, 20 * LB_MSEC, now);
+  for (int i = 0; i < 4; i++)
+    {
+      LcLoadReport listed = { .incarnation = "a", .is_listed = true, .at = now + LB_SEC };
+      lc_endpoints_report (f.endpoints, f.members[i].name, &listed, now + LB_SEC);
+    }
+  for (int i = 0; i < 40; i++)
+    cr_assert_str_eq (choose (router, &f, &query, now + LB_SEC).endpoint->member.name, "e2");
+  fixture_clear (&f);
+  lc_router_free (router);
+}
+
 /* Eighty instances send a call to a service now and then. Each time it went to another endpoint,
  * whose connection had been closed meanwhile: two of three calls opened one, and endpoints ran out
  * of them. An instance keeps to the endpoint that it used of late, unless that one is busier. */
--- a/packages/node/src/ln-calls.c
+++ b/packages/node/src/ln-calls.c
@@ -112,7 +112,8 @@
 {
   LcEndpoint *endpoint
       = lc_endpoints_find (lc_dispatch_endpoints (calls->dispatch), message->endpoint);
-  LcLoadReport report = { .version = message->version, .at = lb_clock_monotonic () };
+  LcLoadReport report
+      = { .version = message->version, .at = lb_clock_monotonic (), .is_listed = true };
   LbList actions;
 
   if (!endpoint)
