Only the holder of the weights looks after the engines

Cause: each instance went over all members and over all engines of all models forty times a second, although only the holder orders and only three candidates may follow it. And each instance that heard of the holder's end read its row at once, 295 reads in one moment. Change: candidates alone look for an ended holder; models are ticked and engines asked while the lease is held. On gaining it all beliefs begin anew, as before.

--- a/packages/node/src/ln-weight-orders.c
+++ b/packages/node/src/ln-weight-orders.c
@@ -625,23 +625,28 @@
 /* The list lags by a second or more: an engine in a swap is asked itself, and so is one whose count
  * of orders is not known, since each order names the count before it. */
 static bool
-wants_look (const LnWeightOrders *orders, const Engine *engine)
+wants_look (const Engine *engine)
 {
-  return lc_lease_is_held (orders->lease) && (engine->ordered != 0 || engine->orders_accepted < 0);
+  return engine->ordered != 0 || engine->orders_accepted < 0;
 }
 
+/* Whoever is neither the holder nor a candidate has nothing to do for the engines; there may be
+ * hundreds of such instances, and this runs forty times a second. */
 void
 ln_weight_orders_tick (LnWeightOrders *orders, LbTime now)
 {
   LbList actions;
 
-  look_for_ended_holder (orders, now);
+  if (lc_lease_rank (orders->lease) >= 0)
+    look_for_ended_holder (orders, now);
   lb_list_init (&actions);
   lc_lease_tick (orders->lease, now, lb_clock_boot (), &actions);
   carry_out (orders, &actions);
+  if (!lc_lease_is_held (orders->lease))
+    return;
   tick_models (orders, now);
   for (Engine *engine = orders->engines; engine; engine = engine->hh.next)
-    if (wants_look (orders, engine) && !engine->order && !engine->look && now >= engine->look_at)
+    if (wants_look (engine) && !engine->order && !engine->look && now >= engine->look_at)
       look (engine, now);
 }
 
