A text without its first event goes to a second engine

Ruled out: a shorter stream silence (an engine three and a half times slower sends each 0.27 s, one that queues nothing for seconds); the moves of slow texts (they need events to judge by).

Change: texts are hedged like calls, after 0.6 s or four times the usual first event, whichever is later; without the budgets of retries, which three texts would use up, but only where a place is free, and tried again each 0.1 s while none is. Not after a pause of this instance. The silent engine is told apart by its last reply, which pieces move now: texts that it swallowed count against it, so that it draws no more.

--- a/packages/core/src/lc-endpoints.c
+++ b/packages/core/src/lc-endpoints.c
@@ -288,6 +288,8 @@
   LcEntry *entry = lc_entry (endpoint);
   double seconds = 0;
 
+  if (tokens > 0)
+    endpoint->last_reply = now;
   if (!lb_switch_is_on (LB_SWITCH_PACE))
     return;
   lc_stream_pace_add (&entry->pace, tokens, interval);
--- a/packages/core/src/lc-outcome.c
+++ b/packages/core/src/lc-outcome.c
@@ -10,6 +10,8 @@
 #define LEAST_HINT (100 * LB_MSEC)
 #define HINT_WITHOUT_ENDPOINT LB_SEC
 #define LONG_SILENCE LB_SEC
+/* Of a text, whose first piece comes a few times sooner than this. */
+#define LONG_SILENCE_OF_TEXT (500 * LB_MSEC)
 
 static LbMetric retries = LB_COUNTER_INIT ("lentilspindle_retries_total",
                                            NULL,
@@ -79,11 +81,12 @@
  * or when a hedge won, and the breaker would stay closed. So an attempt that was silent for long
  * counts against an endpoint from which nobody here has heard since it was sent. */
 static bool
-is_swallowed (LcDispatch *dispatch, const LcAttempt *attempt, LbTime now)
+is_swallowed (LcDispatch *dispatch, const LcRequest *request, const LcAttempt *attempt, LbTime now)
 {
   const LcEndpoint *endpoint = lc_endpoints_find (dispatch->endpoints, attempt->endpoint);
+  LbTime silence = request->kind == LC_KIND_SAMPLE ? LONG_SILENCE_OF_TEXT : LONG_SILENCE;
 
-  return endpoint && !attempt->heard && now - attempt->sent_at >= LONG_SILENCE
+  return endpoint && !attempt->heard && now - attempt->sent_at >= silence
          && endpoint->last_reply <= attempt->sent_at;
 }
 
@@ -103,7 +106,7 @@
     LcDispatch *dispatch, LcRequest *request, LcAttempt *attempt, LbTime now, LbList *actions)
 {
   LcAction *action = lc_action_new (LC_ACTION_CANCEL, request->id, actions);
-  Closing how = is_swallowed (dispatch, attempt, now) ? CLOSED_BADLY : CLOSED_BY_US;
+  Closing how = is_swallowed (dispatch, request, attempt, now) ? CLOSED_BADLY : CLOSED_BY_US;
 
   action->attempt = attempt->number;
   LB_COPY (action->endpoint, attempt->endpoint);
--- a/packages/core/src/lc-pieces.c
+++ b/packages/core/src/lc-pieces.c
@@ -22,6 +22,7 @@
 
   attempt->heard = true;
   request->maybe_run = true;
+  lc_pool_state_heard (request->pool, request->kind, now - attempt->sent_at);
   if (endpoint)
     lc_endpoints_first_byte (endpoint, now - attempt->sent_at, now);
   lc_dispatch_set_timer (dispatch, request);
--- a/packages/core/src/lc-placement.c
+++ b/packages/core/src/lc-placement.c
@@ -10,6 +10,10 @@
  * round while a pool is full. */
 #define MAX_PASSED_OVER 16
 #define LONGEST_BLOCKED_WAIT (200 * LB_MSEC)
+/* A timer that is later shows that this instance itself stood still. */
+#define OWN_PAUSE (300 * LB_MSEC)
+/* Until a second attempt that found no place is tried again. */
+#define HEDGE_AGAIN (100 * LB_MSEC)
 #define LONGEST_HOLD (1200 * LB_MSEC) /* a little more than a period of the polls for load */
 
 static const LcEndpointGroup *
@@ -275,28 +279,68 @@
       }
 }
 
-/* A second attempt elsewhere for a repeatable live call that has heard nothing yet. Spends the same
- * budgets as a retry. */
+/* What a second attempt of a call costs is bounded by the budgets of retries. A text takes a place
+ * that is free, once, and leaves it when either engine begins; were it paid for, the texts that
+ * hang at an engine gone dark would use up the budget with the first three. */
+static bool
+may_hedge_at (LcDispatch *dispatch, const LcRequest *request, const LcEndpoint *endpoint)
+{
+  const char *name = endpoint->member.name;
+
+  return request->kind == LC_KIND_SAMPLE
+         || (lc_retry_budgets_allow (dispatch->budgets, request->caller)
+             && lc_retry_budgets_allow (dispatch->budgets, name));
+}
+
+static void
+pay_for_hedge (LcDispatch *dispatch, const LcRequest *request, const LcEndpoint *endpoint)
+{
+  if (request->kind == LC_KIND_SAMPLE)
+    return;
+  lc_retry_budgets_spend (dispatch->budgets, request->caller);
+  lc_retry_budgets_spend (dispatch->budgets, endpoint->member.name);
+}
+
+static void
+postpone_hedge (LcDispatch *dispatch, LcRequest *request, const LcAttempt *attempt, LbTime now)
+{
+  request->hedged = false;
+  request->hedge_after = now - attempt->sent_at + HEDGE_AGAIN;
+  lc_dispatch_set_timer (dispatch, request);
+}
+
+/* A second attempt elsewhere for a repeatable call that has heard nothing yet. Guards against an
+ * instance that stood still itself: its timer is late then, and the first pieces of its texts, of
+ * which it has hundreds, may be there, unread. */
 void
 lc_dispatch_hedge (LcDispatch *dispatch, LcRequest *request, LbTime now, LbList *actions)
 {
   const LcAttempt *attempt = LB_LIST_FIRST (&request->attempts, LcAttempt, link);
+  LbTime due = request->due;
 
-  if (!attempt)
+  /* What is usual may have changed since the timer was set. */
+  lc_dispatch_set_timer (dispatch, request);
+  if (!attempt || request->due > now)
     return;
+  if (request->kind == LC_KIND_SAMPLE && now - due > OWN_PAUSE)
+    {
+      postpone_hedge (dispatch, request, attempt, now);
+      return;
+    }
   request->hedged = true;
   lc_request_tried (request, attempt->endpoint);
 
   LcRouteDecision decision = route (dispatch, request, true, now);
-  const char *endpoint = decision.endpoint ? decision.endpoint->member.name : NULL;
+  const LcEndpoint *endpoint = decision.endpoint;
 
-  if (endpoint && strcmp (endpoint, attempt->endpoint) != 0
-      && lc_retry_budgets_allow (dispatch->budgets, request->caller)
-      && lc_retry_budgets_allow (dispatch->budgets, endpoint)
-      && may_send (dispatch, request, decision.endpoint))
+  if (!endpoint || strcmp (endpoint->member.name, attempt->endpoint) == 0)
+    {
+      postpone_hedge (dispatch, request, attempt, now);
+      return;
+    }
+  if (may_hedge_at (dispatch, request, endpoint) && may_send (dispatch, request, endpoint))
     {
-      lc_retry_budgets_spend (dispatch->budgets, request->caller);
-      lc_retry_budgets_spend (dispatch->budgets, endpoint);
+      pay_for_hedge (dispatch, request, endpoint);
       send_attempt (dispatch, request, &decision, now, actions);
     }
   lc_dispatch_set_timer (dispatch, request);
--- a/packages/core/src/lc-pool.c
+++ b/packages/core/src/lc-pool.c
@@ -32,16 +32,27 @@
   pool->running[kind]++;
 }
 
+static void
+add_to_mean (double *mean, LbTime sample)
+{
+  double seconds = (double)sample / (double)LB_SEC;
+
+  *mean = *mean > 0 ? *mean + MEAN_WEIGHT * (seconds - *mean) : seconds;
+}
+
+void
+lc_pool_state_heard (LcPoolState *pool, LcRequestKind kind, LbTime waited)
+{
+  add_to_mean (&pool->first_piece_seconds[kind], waited);
+}
+
 /* took: how long a whole answer needed; 0 when the attempt says nothing about that. */
 void
 lc_pool_state_ended (LcPoolState *pool, LcRequestKind kind, LbTime took)
 {
-  double seconds = (double)took / (double)LB_SEC;
-  double *mean = &pool->mean_seconds[kind];
-
   pool->running[kind]--;
   if (took > 0)
-    *mean = *mean > 0 ? *mean + MEAN_WEIGHT * (seconds - *mean) : seconds;
+    add_to_mean (&pool->mean_seconds[kind], took);
 }
 
 bool
--- a/packages/core/src/lc-pool.h
+++ b/packages/core/src/lc-pool.h
@@ -25,7 +25,8 @@
   int64_t queue_limit;
   size_t n_requests; /* admitted and not finished */
   int64_t running[LC_N_KINDS];
-  double mean_seconds[LC_N_KINDS]; /* of an attempt; 0: none has ended yet */
+  double mean_seconds[LC_N_KINDS];        /* of an attempt; 0: none has ended yet */
+  double first_piece_seconds[LC_N_KINDS]; /* usually, from sending to it; 0: not known yet */
 } LcPoolState;
 
 LcPoolState *lc_pool_state_new (LcPoolKind kind, const char *name);
@@ -33,6 +34,8 @@
 
 /* commands */
 void lc_pool_state_started (LcPoolState *pool, LcRequestKind kind);
+/* waited: from the sending of an attempt to its first piece. */
+void lc_pool_state_heard (LcPoolState *pool, LcRequestKind kind, LbTime waited);
 void lc_pool_state_ended (LcPoolState *pool, LcRequestKind kind, LbTime took);
 
 /* queries */
--- a/packages/core/src/lc-timers.c
+++ b/packages/core/src/lc-timers.c
@@ -2,16 +2,30 @@
 
 #include "lb-time.h"
 
+/* The first piece of a text comes later at engines that are slow, or that queue: only one that is
+ * this many times as late as usual speaks against its engine. */
+#define USUAL_FIRST_PIECES 4.0
+
+static LbTime
+hedge_delay (const LcDispatch *dispatch, const LcRequest *request)
+{
+  LbTime usual = (LbTime)(request->pool->first_piece_seconds[request->kind] * USUAL_FIRST_PIECES
+                          * (double)LB_SEC);
+
+  if (request->hedge_after == 0)
+    return request->kind == LC_KIND_LIVE ? dispatch->settings.hedge_after : 0;
+  if (request->kind != LC_KIND_SAMPLE)
+    return request->hedge_after;
+  return usual > request->hedge_after ? usual : request->hedge_after;
+}
+
 /* Time at which a second attempt is worth making; NEVER when none is allowed. */
 static LbTime
 hedge_time (const LcDispatch *dispatch, const LcRequest *request)
 {
   const LcAttempt *attempt = LB_LIST_FIRST (&request->attempts, LcAttempt, link);
+  LbTime after = hedge_delay (dispatch, request);
 
-  LbTime after = request->hedge_after;
-
-  if (after == 0 && request->kind == LC_KIND_LIVE)
-    after = dispatch->settings.hedge_after;
   if (after <= 0 || !request->repeatable || request->hedged || !attempt || attempt->heard
       || !lc_request_has_attempts_left (request))
     return LB_TIME_NEVER;
--- a/packages/core/tests/test-dispatch-answers.c
+++ b/packages/core/tests/test-dispatch-answers.c
@@ -392,3 +392,158 @@
   lc_dispatch_ended (f.dispatch, spec.id, third.attempt, LC_END_WHOLE, f.now, &f.actions);
   fixture_clear (&f);
 }
+
+static LcRequestSpec
+text_spec (Fixture *f)
+{
+  LcRequestSpec spec = fixture_spec (f, LC_KIND_SAMPLE);
+
+  spec.delivery = LC_DELIVER_STREAM;
+  spec.hedge_after = 600 * LB_MSEC;
+  return spec;
+}
+
+/* The next SEND of any request; all actions before it are dropped. */
+static bool
+take_send (Fixture *f, LcAction *action)
+{
+  LbLink *link = NULL;
+  bool found = false;
+
+  while (!found && (link = lb_list_pop (&f->actions)))
+    {
+      LcAction *next = LB_CONTAINER (link, LcAction, link);
+      found = next->type == LC_ACTION_SEND;
+      *action = *next;
+      lc_action_free (next);
+    }
+  return found;
+}
+
+/* Ticks as often as an instance does. */
+static void
+run_for (Fixture *f, LbTime time)
+{
+  for (LbTime end = f->now + time; f->now < end;)
+    fixture_at (f, f->now + 20 * LB_MSEC);
+}
+
+/* The text begins to come. */
+static void
+begin_text (Fixture *f, const LcAction *sent)
+{
+  cr_assert_eq (fixture_piece (f, sent->request, sent->attempt, 0, 1, false), LC_PIECE_FORWARD);
+}
+
+/* Sends one text to each place and returns how many of them went to the engine. */
+static int
+send_texts (Fixture *f, LcAction *sent, int n, const char *engine)
+{
+  int count = 0;
+
+  for (int i = 0; i < n; i++)
+    {
+      LcRequestSpec spec = text_spec (f);
+      cr_assert (fixture_submit (f, &spec));
+      cr_assert (fixture_take (f, LC_ACTION_SEND, spec.id, &sent[i]));
+      count += strcmp (sent[i].endpoint, engine) == 0;
+    }
+  return count;
+}
+
+/* An engine goes dark just before a step's texts are sent: it takes them and answers nothing. The
+ * trainer waited for two of the step's eight seconds until their streams counted as broken, and the
+ * engine, which then looked the emptiest, got the next ones. */
+Test (dispatch_answers, texts_at_an_engine_gone_dark_go_on_elsewhere)
+{
+  LcAction sent[12];
+  LcAction second;
+  Fixture f;
+
+  fixture_init (&f, &settings, 3, 6);
+  f.pool.live_reserve = 0;
+  fixture_configure (&f);
+  int dark = send_texts (&f, sent, 12, "e1");
+  cr_assert_gt (dark, 3);
+  f.now += 100 * LB_MSEC;
+  for (int i = 0; i < 12; i++)
+    if (strcmp (sent[i].endpoint, "e1") != 0)
+      begin_text (&f, &sent[i]);
+  run_for (&f, 520 * LB_MSEC);
+  int hedged = 0;
+  while (take_send (&f, &second))
+    {
+      cr_assert_str_neq (second.endpoint, "e1");
+      begin_text (&f, &second);
+      hedged++;
+    }
+  cr_assert_eq (hedged, dark, "%d of %d", hedged, dark);
+  cr_assert_eq (lc_endpoints_find (lc_dispatch_endpoints (f.dispatch), "e1")->consecutive_failures,
+                dark);
+  fixture_clear (&f);
+}
+
+/* All other engines are full when the text is missed. One becomes free a moment later: the text was
+ * not tried there, since its only second attempt had been made and found no place. */
+Test (dispatch_answers, a_text_that_found_no_second_place_is_tried_again)
+{
+  LcAction sent[4];
+  LcAction second;
+  Fixture f;
+
+  fixture_init (&f, &settings, 2, 2);
+  send_texts (&f, sent, 4, "e1");
+  f.now += 100 * LB_MSEC;
+  for (int i = 1; i < 4; i++)
+    begin_text (&f, &sent[i]);
+  run_for (&f, 520 * LB_MSEC);
+  cr_assert_not (take_send (&f, &second));
+  for (int i = 1; i < 4; i++)
+    if (strcmp (sent[i].endpoint, sent[0].endpoint) != 0)
+      lc_dispatch_ended (f.dispatch, sent[i].request, sent[i].attempt, LC_END_WHOLE, f.now,
+                         &f.actions);
+  run_for (&f, 120 * LB_MSEC);
+  cr_assert (take_send (&f, &second));
+  fixture_clear (&f);
+}
+
+/* This instance stands still for a second. All its texts seem to be silent, and each of them was
+ * made twice; their first pieces wait to be read. */
+Test (dispatch_answers, a_pause_of_this_instance_makes_no_text_twice)
+{
+  LcAction sent[4];
+  LcAction second;
+  Fixture f;
+
+  fixture_init (&f, &settings, 3, 6);
+  send_texts (&f, sent, 4, "e1");
+  f.now += 2 * LB_SEC;
+  lc_dispatch_tick (f.dispatch, f.now, &f.actions);
+  for (int i = 0; i < 4; i++)
+    {
+      cr_assert_not (take_send (&f, &second));
+      begin_text (&f, &sent[i]);
+    }
+  run_for (&f, LB_SEC);
+  cr_assert (lb_list_is_empty (&f.actions));
+  fixture_clear (&f);
+}
+
+/* Engines take long to begin. A text is missed only once it is several times as late as usual. */
+Test (dispatch_answers, texts_of_slow_engines_are_not_made_twice)
+{
+  LcAction sent[8];
+  LcAction second;
+  Fixture f;
+
+  fixture_init (&f, &settings, 3, 6);
+  send_texts (&f, sent, 8, "e1");
+  f.now += 500 * LB_MSEC;
+  for (int i = 0; i < 7; i++)
+    begin_text (&f, &sent[i]);
+  run_for (&f, LB_SEC);
+  cr_assert_not (take_send (&f, &second));
+  run_for (&f, LB_SEC);
+  cr_assert (take_send (&f, &second));
+  fixture_clear (&f);
+}
--- a/packages/node/src/ln-batch-owner.c
+++ b/packages/node/src/ln-batch-owner.c
@@ -13,6 +13,9 @@
 #include <string.h>
 
 #define DEFAULT_ATTEMPTS 3
+/* A text without its first event goes to a second engine: several times the usual 0.15 s. An engine
+ * that has gone dark would hold it until its stream counts as broken, 2 s of a step's 8. */
+#define TEXT_HEDGE (600 * LB_MSEC)
 #define SCORE_TIME (2 * LB_SEC) /* for a scorer whose route states no time */
 /* Of one transaction, by the store. LcBatch gives at most 40 results at once, and 400 KiB of text
  * or a single one: 81 rows and conditions and at most 13 pieces. */
@@ -108,6 +111,7 @@
                             .repeatable = true,
                             .resumable = true,
                             .failure_is_final = true,
+                            .hedge_after = lb_switch_is_on (LB_SWITCH_HEDGING) ? TEXT_HEDGE : 0,
                             .latest_start = action->latest_start,
                             .wanted_by = action->wanted_by,
                             .prompt_tokens = item->prompt_tokens,
