A routing decision says by whose list of endpoints it went, and how old that was

Cause: with the catalog most instances go by a list that another one asked for; the line of a decision did not say so, and explain could not show it. Change: the lines carry lister and list_age_ms; explain shows changes of the publisher.

--- a/packages/cli/src/lt-story.c
+++ b/packages/cli/src/lt-story.c
@@ -32,11 +32,11 @@
 };
 
 static const char *const beliefs[]
-    = { "endpoint_listed",  "endpoint_lists_leaving", "endpoint_gone", "endpoint-leaving",
-        "instance_alive",   "instance_lost",          "store_lost",    "store_back",
-        "desired_in_force", "engines_divided",        "lease_gained",  "lease_lost",
-        "version_named",    "weights_ordered",        "started",       "stopped",
-        "signal",           "log_lines_dropped" };
+    = { "endpoint_listed",  "endpoint_lists_leaving", "endpoint_gone",    "endpoint-leaving",
+        "instance_alive",   "instance_lost",          "store_lost",       "store_back",
+        "desired_in_force", "engines_divided",        "lease_gained",     "lease_lost",
+        "version_named",    "weights_ordered",        "started",          "stopped",
+        "signal",           "log_lines_dropped",      "catalog_publisher" };
 
 LtStory *
 lt_story_new (const char *id)
--- a/packages/node/include/ln-messages.h
+++ b/packages/node/include/ln-messages.h
@@ -33,6 +33,7 @@
   LN_PEER_FRAME,       /* peers -> the task named in the frame */
   LN_DRAINING,         /* main -> all */
   LN_DESIRED,          /* config -> all: routes and services of the shared platform */
+  LN_LIST_TAKEN,       /* config -> calls: which list of the endpoints is gone by */
   LN_LISTED,           /* config -> calls: an endpoint is still listed, with this version */
   LN_DEMAND,           /* rollouts -> config: a trainer brought a batch */
   LN_DUTY,             /* rollouts, config -> all: whether this instance has a duty has changed */
@@ -123,6 +124,13 @@
   LcDesired *desired; /* a reference, owned by the message */
 } LnDesiredMessage;
 
+typedef struct
+{
+  LnMessage base;
+  LbTime asked_at;
+  LbName lister; /* the instance that asked for it */
+} LnListTakenMessage;
+
 typedef struct
 {
   LnMessage base;
--- a/packages/node/src/ln-calls-private.h
+++ b/packages/node/src/ln-calls-private.h
@@ -25,7 +25,9 @@
   LnLeaving *leaving;
   struct event *tick;
   struct event *keep_alive;
-  LcDesired *desired; /* routes of a shared platform; NULL: none are known */
+  LcDesired *desired;   /* routes of a shared platform; NULL: none are known */
+  LbTime list_asked_at; /* of the list of endpoints that is gone by; 0: there is none */
+  LbName lister;        /* the instance that asked for it */
   LnCall *by_id;
   LbList all;
   bool ready; /* the resources in force are confirmed */
--- a/packages/node/src/ln-calls-run.c
+++ b/packages/node/src/ln-calls-run.c
@@ -87,9 +87,11 @@
 }
 
 static void
-log_decision (const LnCall *call, const LcAction *action)
+log_decision (const LnCalls *calls, const LnCall *call, const LcAction *action)
 {
   const LcRouteDecision *decision = &action->decision;
+  LbTime now = lb_clock_monotonic ();
+  LbTime list_age = calls->list_asked_at > 0 ? now - calls->list_asked_at : 0;
   struct json_object *shown;
 
   if (!lb_log_enabled (LB_LOG_INFO))
@@ -107,9 +109,9 @@
   lb_log (LB_LOG_INFO, "route", LB_INT ("request", action->request),
           LB_TEXT ("id", call->outgoing.id), LB_TEXT ("caller", call->spec.caller),
           LB_INT ("attempt", action->attempt), LB_INT ("resume_at", action->resume_at),
-          LB_INT ("waited_us", lb_clock_monotonic () - call->submitted_at),
-          LB_TEXT ("endpoint", action->endpoint), LB_TEXT ("reason", decision->reason),
-          LB_INT ("of", decision->n_candidates),
+          LB_INT ("waited_us", now - call->submitted_at), LB_TEXT ("lister", calls->lister),
+          LB_INT ("list_age_ms", list_age / LB_MSEC), LB_TEXT ("endpoint", action->endpoint),
+          LB_TEXT ("reason", decision->reason), LB_INT ("of", decision->n_candidates),
           LB_JSON ("candidates", json_object_to_json_string_ext (shown, JSON_C_TO_STRING_PLAIN)));
   json_object_put (shown);
 }
@@ -417,7 +419,7 @@
 
   if (!call)
     return;
-  log_decision (call, action);
+  log_decision (calls, call, action);
   if (action->attempt == 1)
     lb_histogram_add (&queue_time, lb_clock_monotonic () - call->submitted_at);
   lb_metric_add (&sent, 1);
--- a/packages/node/src/ln-calls.c
+++ b/packages/node/src/ln-calls.c
@@ -125,6 +125,13 @@
   ln_calls_run (calls, &actions);
 }
 
+static void
+take_list (LnCalls *calls, const LnListTakenMessage *message)
+{
+  calls->list_asked_at = message->asked_at;
+  LB_COPY (calls->lister, message->lister);
+}
+
 static void
 take_frame (LnCalls *calls, const LnPeerMessage *frame)
 {
@@ -211,6 +218,9 @@
       lc_desired_unref (calls->desired);
       calls->desired = lc_desired_ref (((const LnDesiredMessage *)message)->desired);
       break;
+    case LN_LIST_TAKEN:
+      take_list (calls, (const LnListTakenMessage *)message);
+      break;
     case LN_LISTED:
       take_listed (calls, (const LnListedMessage *)message);
       break;
--- a/packages/node/src/ln-catalog.c
+++ b/packages/node/src/ln-catalog.c
@@ -421,3 +421,9 @@
 {
   return catalog->is_used && lc_catalog_is_publisher (catalog->catalog);
 }
+
+const char *
+ln_catalog_publisher (const LnCatalog *catalog)
+{
+  return lc_catalog_publisher (catalog->catalog);
+}
--- a/packages/node/src/ln-catalog.h
+++ b/packages/node/src/ln-catalog.h
@@ -44,5 +44,7 @@
 bool ln_catalog_wants_fleet (const LnCatalog *catalog, LbTime now);
 /* Others wait for this instance's lists. */
 bool ln_catalog_is_publisher (const LnCatalog *catalog);
+/* The instance that publishes; "": none has. */
+const char *ln_catalog_publisher (const LnCatalog *catalog);
 
 #endif
--- a/packages/node/src/ln-desired.c
+++ b/packages/node/src/ln-desired.c
@@ -245,6 +245,17 @@
                           listed->service);
 }
 
+static void
+tell_list (Desired *task, const char *lister, LbTime asked_at)
+{
+  LnTask *calls = ln_hub_find (task->task.hub, "calls");
+  LnListTakenMessage message = { .base = LN_MESSAGE (LN_LIST_TAKEN), .asked_at = asked_at };
+
+  LB_COPY (message.lister, lister);
+  if (calls)
+    LN_POST (task->task.hub, calls, message);
+}
+
 static bool wants_list (const Desired *task, LbTime now);
 
 /* An instance that lists the endpoints itself knows more of them. */
@@ -262,6 +273,7 @@
   for (size_t i = 0; i < n_list; i++)
     if (!task->desired || lc_desired_service (task->desired, list[i].service))
       known[n_known++] = list[i];
+  tell_list (task, ln_catalog_publisher (task->catalog), asked_at);
   if (lc_roster_update (task->roster, known, n_known, asked_at, now))
     publish_endpoints (task);
   confirm_endpoints (task);
@@ -338,6 +350,7 @@
   LcListed *list = read_list (task, rows, n_rows, &n_listed);
   task->listed = true;
   ln_catalog_listed (task->catalog, list, n_listed, task->list_asked, now);
+  tell_list (task, task->context->instance, task->list_asked);
   if (lc_roster_update (task->roster, list, n_listed, task->list_asked, now))
     publish_endpoints (task);
   ln_weight_orders_listed (task->orders, task->roster, task->list_asked, now);
--- a/tests/process/test-shared.c
+++ b/tests/process/test-shared.c
@@ -567,6 +567,25 @@
   return w->n_instances;
 }
 
+/* A decision's line tells whose list it went by. Whoever has a duty at the engines lists for
+ * itself, so it is looked for among all but the publisher. */
+static bool
+some_decision_names (World *w, size_t publisher)
+{
+  char *text = lb_asprintf ("\"lister\":\"%s\"", w->instances[publisher].name);
+  int found = 0;
+
+  for (size_t i = 0; i < w->n_instances; i++)
+    {
+      call (w, i, "POST", "/lookup/1", "c1", "hello");
+      cr_assert_eq (w->status, 200);
+      if (i != publisher)
+        found += count_logged (w, i, text);
+    }
+  free (text);
+  return found > 0;
+}
+
 /* A site with many endpoints. One of three instances lists them for all; an endpoint that leaves is
  * heard of by the two others all the same. That one is killed, and another one goes on. */
 Test (shared, one_instance_lists_the_endpoints_for_all)
@@ -581,6 +600,7 @@
     start_instance (&w);
   UNTIL (&w, (publisher = find_publisher (&w, 3)) < w.n_instances);
   UNTIL (&w, some_only_follows (&w));
+  UNTIL (&w, some_decision_names (&w, publisher));
   put_other (&w, 7, "draining");
   for (size_t i = 0; i < 3; i++)
     UNTIL (&w, count_logged (&w, i, "endpoint_lists_leaving") == 1);
