--- a/packages/node/src/ln-batch-cleanup.c
+++ b/packages/node/src/ln-batch-cleanup.c
@@ -180,7 +180,7 @@
 void
 ln_batch_cleanup_tick (LnBatches *batches, LbTime now)
 {
-  if (batches->cleaned || batches->draining || !batches->members_known
+  if (batches->cleaned || batches->draining || batches->members_change == 0
       || !batches->context->platform->klass->remove_object)
     return;
   for (LnBatch *batch = batches->by_id; batch; batch = batch->hh.next)
--- a/packages/node/src/ln-batch-heads.c
+++ b/packages/node/src/ln-batch-heads.c
@@ -175,7 +175,7 @@
 /* An owner that runs under another incarnation now has lost the batch, if its present row is
  * younger than the batch's: else it is this instance's view of it that is old. */
 static bool
-owner_is_alive (const LnBatch *batch)
+find_living_owner (const LnBatch *batch)
 {
   const LnBatches *batches = batch->batches;
 
@@ -190,6 +190,19 @@
   return false;
 }
 
+/* Asked for each batch twenty times a second, of hundreds of members, which change seldom. */
+static bool
+owner_is_alive (LnBatch *batch)
+{
+  const LnBatches *batches = batch->batches;
+
+  if (batch->owner_members != batches->members_change || batch->owner_version != batch->version)
+    batch->owner_is_alive = find_living_owner (batch);
+  batch->owner_members = batches->members_change;
+  batch->owner_version = batch->version;
+  return batch->owner_is_alive;
+}
+
 static size_t
 add_candidates (const LnBatches *batches, bool cut, LcDutyCandidate *candidates)
 {
@@ -357,7 +370,7 @@
   if (batch->held == LN_HELD_OFFERED && now >= batch->offered_until)
     end_offer (batch);
   if (batch->held != LN_HELD_NOT || batch->head.ended || batch->version == 0
-      || !batch->batches->members_known || batch->batches->draining || owner_is_alive (batch))
+      || batch->batches->members_change == 0 || batch->batches->draining || owner_is_alive (batch))
     {
       batch->orphan_since = 0;
       return;
--- a/packages/node/src/ln-batches-private.h
+++ b/packages/node/src/ln-batches-private.h
@@ -54,6 +54,9 @@
   LnHeld held;
   LcBatch *run; /* RUNNING */
   LbTime first_seen;
+  bool owner_is_alive; /* by these members and this version of the row: */
+  int64_t owner_members;
+  int64_t owner_version;
   LbTime orphan_since; /* when its owner was first missed; 0: it has one */
   LbTime retry_at;     /* LOADING: after a failure */
   LbTime offered_until;
@@ -89,7 +92,7 @@
   LcDesired *desired;
   LnMember *members;
   size_t n_members;
-  bool members_known;
+  int64_t members_change; /* counts the lists of members that came; 0: none is known */
   LnBatch *by_id;
   LnBatch *cleaned; /* whose rows are being removed; NULL: none */
   struct LnModelHistory *histories;
--- a/packages/node/src/ln-batches.c
+++ b/packages/node/src/ln-batches.c
@@ -95,7 +95,7 @@
   free (batches->members);
   batches->members = lb_memdup (message->members, message->n_members * sizeof (LnMember));
   batches->n_members = message->n_members;
-  batches->members_known = true;
+  batches->members_change++;
 }
 
 static void
