House: the lease of the weights is a type of its own

ln-weight-orders.c did two jobs in 680 lines: who may order, and the orders. LnWeightsLease has the first, with one way out (on_change). Nothing that it does is changed; 541 and 241 lines.

--- a/packages/node/src/ln-weight-orders.c
+++ b/packages/node/src/ln-weight-orders.c
@@ -1,13 +1,11 @@
 #include "ln-weight-orders.h"
 
 #include "ln-dialect.h"
-#include "ln-lease.h"
+#include "ln-weights-lease.h"
 
 #include "lb-alloc.h"
 #include "lb-clock.h"
 #include "lb-log.h"
-#include "lc-duty.h"
-#include "lc-lease.h"
 #include "lc-load-time.h"
 #include "lc-swap-turns.h"
 #include "lc-weights.h"
@@ -18,16 +16,6 @@
 #include <string.h>
 #include <uthash.h>
 
-#define LEASE_KEY "lease/weights/holder"
-/* Without a holder no engine gets new weights, and trainers move on meanwhile. A renewal reads the
- * row and writes it, half a second together at a store that is sixty times slower than usual. */
-#define LEASE_DURATION (2 * LB_SEC)
-/* Where engines take orders of any holder, those of two may not alternate within three seconds. */
-#define UNCHECKED_LEASE_DURATION (3200 * LB_MSEC)
-#define LEASE_PERIOD (500 * LB_MSEC)     /* three renewals within its duration */
-#define LEASE_WATCH_PERIOD (10 * LB_SEC) /* of those that are no candidates */
-#define N_CANDIDATES 3
-#define DUTY "weights"
 #define ORDER_SILENCE (1200 * LB_MSEC) /* an order without an answer counts as lost then */
 #define LOAD_LIMIT (6 * LB_SEC)        /* several times the load of an engine on its own */
 #define LOOK_RETRY (120 * LB_MSEC)     /* after a question or an order that failed */
@@ -70,34 +58,42 @@
   LnContext *context;
   void (*on_engine) (const LcPlanEntry *entry, void *user);
   void *user;
-  LcLease *lease;
+  LnWeightsLease *lease;
   LcLoadTime load_time;
   bool all_check_fences; /* all engines refuse an order with an old fencing number */
-  LnMember *members;
-  size_t n_members;
   LbList models;
   Engine *engines;
 };
 
+/* What the holder before knew of an engine, and of its own orders, is not known here. */
+static void
+begin_anew (LbTime now, void *user)
+{
+  LnWeightOrders *orders = user;
+
+  for (Engine *engine = orders->engines; engine; engine = engine->hh.next)
+    {
+      engine->ordered = 0;
+      engine->orders_accepted = -1;
+      engine->look_at = now;
+    }
+  LB_LIST_FOREACH (&orders->models, Model, link, model)
+  {
+    lc_weights_restart (model->weights, now);
+  }
+}
+
 LnWeightOrders *
 ln_weight_orders_new (LnContext *context,
                       void (*on_engine) (const LcPlanEntry *entry, void *user),
                       void *user)
 {
   LnWeightOrders *orders = LB_NEW (LnWeightOrders);
-  LcLeaseSettings settings;
-
-  lc_lease_settings_init (&settings);
-  settings.duration = context->settings->weights.endpoints_check_fence ? LEASE_DURATION
-                                                                       : UNCHECKED_LEASE_DURATION;
-  settings.period = LEASE_PERIOD;
-  settings.watch_period = LEASE_WATCH_PERIOD;
-  LB_COPY (settings.instance, context->instance);
-  LB_COPY (settings.incarnation, context->incarnation);
+
   orders->context = context;
   orders->on_engine = on_engine;
   orders->user = user;
-  orders->lease = lc_lease_new (&settings, lb_clock_monotonic (), lb_clock_boot ());
+  orders->lease = ln_weights_lease_new (context, begin_anew, orders);
   lb_list_init (&orders->models);
   return orders;
 }
@@ -127,8 +123,7 @@
     lc_weights_free (model->weights);
     free (model);
   }
-  lc_lease_free (orders->lease);
-  free (orders->members);
+  ln_weights_lease_free (orders->lease);
   free (orders);
 }
 
@@ -396,7 +391,7 @@
   if (model)
     lc_weights_ordered (model->weights, engine->name, error, now);
   if (error == LB_ERROR_STALE_FENCE)
-    lc_lease_hint (orders->lease, now);
+    ln_weights_lease_doubt (orders->lease, now);
 }
 
 static void
@@ -408,7 +403,7 @@
   LnWeightsOrder order = { .endpoint = action->endpoint,
                            .version = action->version,
                            .holder = orders->context->instance,
-                           .fence = lc_lease_fence (orders->lease),
+                           .fence = ln_weights_lease_fence (orders->lease),
                            .mode = LN_SWAP_KEEPS };
 
   if (!engine)
@@ -445,14 +440,14 @@
 static bool
 tick_model (Model *model, LbTime now)
 {
-  LcLease *lease = model->orders->lease;
+  const LnWeightsLease *lease = model->orders->lease;
   LbLink *link;
   LbList actions;
   bool ordered = false;
 
   lb_list_init (&actions);
-  lc_weights_tick (model->weights, lc_lease_may_order (lease, false, now),
-                   lc_lease_may_order (lease, true, now), now, &actions);
+  lc_weights_tick (model->weights, ln_weights_lease_may_order (lease, false, now),
+                   ln_weights_lease_may_order (lease, true, now), now, &actions);
   while ((link = lb_list_pop (&actions)))
     {
       LcWeightsAction *action = LB_CONTAINER (link, LcWeightsAction, link);
@@ -493,135 +488,6 @@
   free (candidates);
 }
 
-/* --- the lease --- */
-
-static void carry_out (LnWeightOrders *orders, LbList *actions);
-
-static void
-on_read (LbErrorCode error, const LpRow *rows, size_t n_rows, void *user)
-{
-  LnWeightOrders *orders = user;
-  LbList actions;
-
-  lb_list_init (&actions);
-  ln_lease_was_read (orders->lease, error, rows, n_rows, lb_clock_monotonic (), &actions);
-  carry_out (orders, &actions);
-}
-
-static void
-on_written (LbErrorCode error, const LpRow *row, void *user)
-{
-  (void)row;
-  LnWeightOrders *orders = user;
-  LbList actions;
-
-  lb_list_init (&actions);
-  lc_lease_was_written (orders->lease, error, lb_clock_monotonic (), &actions);
-  carry_out (orders, &actions);
-}
-
-static void
-note_change (LnWeightOrders *orders, const LcLeaseAction *action, LbTime now)
-{
-  bool gained = action->type == LC_LEASE_GAINED;
-
-  lb_log (LB_LOG_INFO, gained ? "lease_gained" : "lease_lost", LB_INT ("fence", action->row.fence),
-          LB_TEXT ("holder", action->row.holder));
-  for (Engine *engine = orders->engines; engine; engine = engine->hh.next)
-    {
-      engine->ordered = 0;
-      engine->orders_accepted = -1;
-      engine->look_at = now;
-    }
-  LB_LIST_FOREACH (&orders->models, Model, link, model)
-  {
-    lc_weights_restart (model->weights, now);
-  }
-}
-
-static void
-carry_out (LnWeightOrders *orders, LbList *actions)
-{
-  LpPlatform *platform = orders->context->platform;
-  LbLink *link;
-
-  while ((link = lb_list_pop (actions)))
-    {
-      LcLeaseAction *action = LB_CONTAINER (link, LcLeaseAction, link);
-      switch (action->type)
-        {
-        case LC_LEASE_READ:
-          platform->klass->get (platform, LEASE_KEY, on_read, orders);
-          break;
-        case LC_LEASE_WRITE:
-          ln_lease_write (platform, LEASE_KEY, "", action, on_written, orders);
-          break;
-        case LC_LEASE_GAINED:
-        case LC_LEASE_LOST:
-          note_change (orders, action, lb_clock_monotonic ());
-          break;
-        }
-      free (action);
-    }
-}
-
-static bool
-may_hold (const LnMember *member)
-{
-  return member->alive && !member->draining && !member->cut;
-}
-
-/* This instance counts as one also where it may not hold the lease now: a holder that is cut off
- * for a moment does not give it up. */
-static size_t
-add_candidates (const LnMembersMessage *members, LcDutyCandidate *candidates)
-{
-  size_t n = 0;
-
-  for (size_t i = 0; i < members->n_members; i++)
-    {
-      const LnMember *member = &members->members[i];
-      if (!may_hold (member) && !member->is_self)
-        continue;
-      LB_COPY (candidates[n].name, member->name);
-      candidates[n++].strength = member->strength;
-    }
-  return n;
-}
-
-/* The first few instances are candidates, each a little later than the one before. */
-void
-ln_weight_orders_members (LnWeightOrders *orders, const LnMembersMessage *members)
-{
-  LcDutyCandidate *candidates = LB_NEW_ARRAY (LcDutyCandidate, members->n_members + 1);
-  size_t n = add_candidates (members, candidates);
-  size_t rank = lc_duty_rank (DUTY, orders->context->instance, candidates, n);
-
-  lc_lease_set_rank (orders->lease, rank < N_CANDIDATES ? (int)rank : -1);
-  free (candidates);
-  free (orders->members);
-  orders->members = lb_memdup (members->members, members->n_members * sizeof (LnMember));
-  orders->n_members = members->n_members;
-}
-
-static void
-look_for_ended_holder (LnWeightOrders *orders, LbTime now)
-{
-  const LcLeaseRow *row = lc_lease_row (orders->lease);
-
-  for (size_t i = 0; i < orders->n_members; i++)
-    {
-      const LnMember *member = &orders->members[i];
-      const LcHolderView view = { .incarnation = member->incarnation,
-                                  .version = member->version,
-                                  .alive = member->alive,
-                                  .checked_orders = orders->all_check_fences };
-      if (strcmp (member->name, row->holder) == 0
-          && lc_lease_holder_has_ended (orders->lease, &view))
-        lc_lease_holder_ended (orders->lease, lc_lease_version (orders->lease), now);
-    }
-}
-
 /* The list lags by a second or more: an engine in a swap is asked itself, and so is one whose count
  * of orders is not known, since each order names the count before it. */
 static bool
@@ -630,19 +496,13 @@
   return engine->ordered != 0 || engine->orders_accepted < 0;
 }
 
-/* Whoever is neither the holder nor a candidate has nothing to do for the engines; there may be
- * hundreds of such instances, and this runs forty times a second. */
+/* Whoever does not hold the lease has nothing to do for the engines; there may be hundreds of such
+ * instances, and this runs forty times a second. */
 void
 ln_weight_orders_tick (LnWeightOrders *orders, LbTime now)
 {
-  LbList actions;
-
-  if (lc_lease_rank (orders->lease) >= 0)
-    look_for_ended_holder (orders, now);
-  lb_list_init (&actions);
-  lc_lease_tick (orders->lease, now, lb_clock_boot (), &actions);
-  carry_out (orders, &actions);
-  if (!lc_lease_is_held (orders->lease))
+  ln_weights_lease_tick (orders->lease, orders->all_check_fences, now);
+  if (!ln_weights_lease_is_held (orders->lease))
     return;
   tick_models (orders, now);
   for (Engine *engine = orders->engines; engine; engine = engine->hh.next)
@@ -651,30 +511,31 @@
 }
 
 void
-ln_weight_orders_release (LnWeightOrders *orders, LbTime now)
+ln_weight_orders_members (LnWeightOrders *orders, const LnMembersMessage *members)
 {
-  LbList actions;
+  ln_weights_lease_members (orders->lease, members);
+}
 
-  lb_list_init (&actions);
-  lc_lease_set_rank (orders->lease, -1);
-  lc_lease_release (orders->lease, now, &actions);
-  carry_out (orders, &actions);
+void
+ln_weight_orders_release (LnWeightOrders *orders, LbTime now)
+{
+  ln_weights_lease_release (orders->lease, now);
 }
 
 bool
 ln_weight_orders_is_held (const LnWeightOrders *orders)
 {
-  return lc_lease_is_held (orders->lease);
+  return ln_weights_lease_is_held (orders->lease);
 }
 
 bool
 ln_weight_orders_is_candidate (const LnWeightOrders *orders)
 {
-  return lc_lease_rank (orders->lease) >= 0;
+  return ln_weights_lease_is_candidate (orders->lease);
 }
 
 bool
 ln_weight_orders_is_released (const LnWeightOrders *orders, LbTime now)
 {
-  return lc_lease_is_released (orders->lease, now);
+  return ln_weights_lease_is_released (orders->lease, now);
 }
--- /dev/null
+++ b/packages/node/src/ln-weights-lease.c
@@ -0,0 +1,241 @@
+#include "ln-weights-lease.h"
+
+#include "ln-lease.h"
+
+#include "lb-alloc.h"
+#include "lb-clock.h"
+#include "lb-log.h"
+#include "lc-duty.h"
+#include "lc-lease.h"
+#include "lp-platform.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define LEASE_KEY "lease/weights/holder"
+/* Without a holder no engine gets new weights, and trainers move on meanwhile. A renewal reads the
+ * row and writes it, half a second together at a store that is sixty times slower than usual. */
+#define LEASE_DURATION (2 * LB_SEC)
+/* Where engines take orders of any holder, those of two may not alternate within three seconds. */
+#define UNCHECKED_LEASE_DURATION (3200 * LB_MSEC)
+#define LEASE_PERIOD (500 * LB_MSEC)     /* three renewals within its duration */
+#define LEASE_WATCH_PERIOD (10 * LB_SEC) /* of those that are no candidates */
+#define N_CANDIDATES 3
+#define DUTY "weights"
+
+struct LnWeightsLease
+{
+  LnContext *context;
+  void (*on_change) (LbTime now, void *user);
+  void *user;
+  LcLease *lease;
+  LnMember *members;
+  size_t n_members;
+};
+
+LnWeightsLease *
+ln_weights_lease_new (LnContext *context, void (*on_change) (LbTime now, void *user), void *user)
+{
+  LnWeightsLease *lease = LB_NEW (LnWeightsLease);
+  LcLeaseSettings settings;
+
+  lc_lease_settings_init (&settings);
+  settings.duration = context->settings->weights.endpoints_check_fence ? LEASE_DURATION
+                                                                       : UNCHECKED_LEASE_DURATION;
+  settings.period = LEASE_PERIOD;
+  settings.watch_period = LEASE_WATCH_PERIOD;
+  LB_COPY (settings.instance, context->instance);
+  LB_COPY (settings.incarnation, context->incarnation);
+  lease->context = context;
+  lease->on_change = on_change;
+  lease->user = user;
+  lease->lease = lc_lease_new (&settings, lb_clock_monotonic (), lb_clock_boot ());
+  return lease;
+}
+
+void
+ln_weights_lease_free (LnWeightsLease *lease)
+{
+  lc_lease_free (lease->lease);
+  free (lease->members);
+  free (lease);
+}
+
+static void carry_out (LnWeightsLease *lease, LbList *actions);
+
+static void
+on_read (LbErrorCode error, const LpRow *rows, size_t n_rows, void *user)
+{
+  LnWeightsLease *lease = user;
+  LbList actions;
+
+  lb_list_init (&actions);
+  ln_lease_was_read (lease->lease, error, rows, n_rows, lb_clock_monotonic (), &actions);
+  carry_out (lease, &actions);
+}
+
+static void
+on_written (LbErrorCode error, const LpRow *row, void *user)
+{
+  (void)row;
+  LnWeightsLease *lease = user;
+  LbList actions;
+
+  lb_list_init (&actions);
+  lc_lease_was_written (lease->lease, error, lb_clock_monotonic (), &actions);
+  carry_out (lease, &actions);
+}
+
+static void
+note_change (LnWeightsLease *lease, const LcLeaseAction *action)
+{
+  bool gained = action->type == LC_LEASE_GAINED;
+
+  lb_log (LB_LOG_INFO, gained ? "lease_gained" : "lease_lost", LB_INT ("fence", action->row.fence),
+          LB_TEXT ("holder", action->row.holder));
+  lease->on_change (lb_clock_monotonic (), lease->user);
+}
+
+static void
+carry_out (LnWeightsLease *lease, LbList *actions)
+{
+  LpPlatform *platform = lease->context->platform;
+  LbLink *link;
+
+  while ((link = lb_list_pop (actions)))
+    {
+      LcLeaseAction *action = LB_CONTAINER (link, LcLeaseAction, link);
+      switch (action->type)
+        {
+        case LC_LEASE_READ:
+          platform->klass->get (platform, LEASE_KEY, on_read, lease);
+          break;
+        case LC_LEASE_WRITE:
+          ln_lease_write (platform, LEASE_KEY, "", action, on_written, lease);
+          break;
+        case LC_LEASE_GAINED:
+        case LC_LEASE_LOST:
+          note_change (lease, action);
+          break;
+        }
+      free (action);
+    }
+}
+
+static bool
+may_hold (const LnMember *member)
+{
+  return member->alive && !member->draining && !member->cut;
+}
+
+/* This instance counts as one also where it may not hold the lease now: a holder that is cut off
+ * for a moment does not give it up. */
+static size_t
+add_candidates (const LnMembersMessage *members, LcDutyCandidate *candidates)
+{
+  size_t n = 0;
+
+  for (size_t i = 0; i < members->n_members; i++)
+    {
+      const LnMember *member = &members->members[i];
+      if (!may_hold (member) && !member->is_self)
+        continue;
+      LB_COPY (candidates[n].name, member->name);
+      candidates[n++].strength = member->strength;
+    }
+  return n;
+}
+
+/* The first few instances are candidates, each a little later than the one before. */
+void
+ln_weights_lease_members (LnWeightsLease *lease, const LnMembersMessage *members)
+{
+  LcDutyCandidate *candidates = LB_NEW_ARRAY (LcDutyCandidate, members->n_members + 1);
+  size_t n = add_candidates (members, candidates);
+  size_t rank = lc_duty_rank (DUTY, lease->context->instance, candidates, n);
+
+  lc_lease_set_rank (lease->lease, rank < N_CANDIDATES ? (int)rank : -1);
+  free (candidates);
+  free (lease->members);
+  lease->members = lb_memdup (members->members, members->n_members * sizeof (LnMember));
+  lease->n_members = members->n_members;
+}
+
+static void
+look_for_ended_holder (LnWeightsLease *lease, bool all_check_fences, LbTime now)
+{
+  const LcLeaseRow *row = lc_lease_row (lease->lease);
+
+  for (size_t i = 0; i < lease->n_members; i++)
+    {
+      const LnMember *member = &lease->members[i];
+      const LcHolderView view = { .incarnation = member->incarnation,
+                                  .version = member->version,
+                                  .alive = member->alive,
+                                  .checked_orders = all_check_fences };
+      if (strcmp (member->name, row->holder) == 0
+          && lc_lease_holder_has_ended (lease->lease, &view))
+        lc_lease_holder_ended (lease->lease, lc_lease_version (lease->lease), now);
+    }
+}
+
+/* Only candidates look for a holder that has ended: all others would read its row in the same
+ * moment, hundreds at once on a large site. */
+void
+ln_weights_lease_tick (LnWeightsLease *lease, bool all_check_fences, LbTime now)
+{
+  LbList actions;
+
+  if (ln_weights_lease_is_candidate (lease))
+    look_for_ended_holder (lease, all_check_fences, now);
+  lb_list_init (&actions);
+  lc_lease_tick (lease->lease, now, lb_clock_boot (), &actions);
+  carry_out (lease, &actions);
+}
+
+void
+ln_weights_lease_doubt (LnWeightsLease *lease, LbTime now)
+{
+  lc_lease_hint (lease->lease, now);
+}
+
+void
+ln_weights_lease_release (LnWeightsLease *lease, LbTime now)
+{
+  LbList actions;
+
+  lb_list_init (&actions);
+  lc_lease_set_rank (lease->lease, -1);
+  lc_lease_release (lease->lease, now, &actions);
+  carry_out (lease, &actions);
+}
+
+bool
+ln_weights_lease_is_held (const LnWeightsLease *lease)
+{
+  return lc_lease_is_held (lease->lease);
+}
+
+bool
+ln_weights_lease_is_candidate (const LnWeightsLease *lease)
+{
+  return lc_lease_rank (lease->lease) >= 0;
+}
+
+bool
+ln_weights_lease_is_released (const LnWeightsLease *lease, LbTime now)
+{
+  return lc_lease_is_released (lease->lease, now);
+}
+
+bool
+ln_weights_lease_may_order (const LnWeightsLease *lease, bool unfenced, LbTime now)
+{
+  return lc_lease_may_order (lease->lease, unfenced, now);
+}
+
+int64_t
+ln_weights_lease_fence (const LnWeightsLease *lease)
+{
+  return lc_lease_fence (lease->lease);
+}
