Sight: what a request asks for, and whether an endpoint has ended under it

Two requests that ask the same could not be told in the logs, and an endpoint that ended looked like one that cut an answer. attempt_ended and request_given_up name the content (method, host, path and body as one number); a request that broke before it brought anything is followed by one new connection to its endpoint and a line endpoint_checked: refused, open or silent. explain CONTENT collects all requests of one content.

--- a/packages/cli/src/lt-story.c
+++ b/packages/cli/src/lt-story.c
@@ -32,11 +32,11 @@
 };
 
 static const char *const beliefs[]
-    = { "endpoint_listed",  "endpoint_lists_leaving", "endpoint_gone",    "endpoint-leaving",
-        "instance_alive",   "instance_lost",          "store_lost",       "store_back",
-        "desired_in_force", "engines_divided",        "lease_gained",     "lease_lost",
-        "version_named",    "weights_ordered",        "started",          "stopped",
-        "signal",           "log_lines_dropped",      "catalog_publisher" };
+    = { "endpoint_listed",  "endpoint_lists_leaving", "endpoint_gone",     "endpoint-leaving",
+        "instance_alive",   "instance_lost",          "store_lost",        "store_back",
+        "desired_in_force", "engines_divided",        "lease_gained",      "lease_lost",
+        "version_named",    "weights_ordered",        "started",           "stopped",
+        "signal",           "log_lines_dropped",      "catalog_publisher", "endpoint_checked" };
 
 LtStory *
 lt_story_new (const char *id)
@@ -104,7 +104,7 @@
 static bool
 names_id (const LtStory *story, struct json_object *line)
 {
-  static const char *const keys[] = { "id", "batch", "item", "caller" };
+  static const char *const keys[] = { "id", "batch", "item", "caller", "content" };
 
   for (size_t i = 0; i < sizeof keys / sizeof keys[0]; i++)
     if (strcmp (lb_json_text (line, keys[i], ""), story->id) == 0)
--- a/packages/core/include/lc-dispatch.h
+++ b/packages/core/include/lc-dispatch.h
@@ -1,6 +1,7 @@
 #ifndef LC_DISPATCH_H
 #define LC_DISPATCH_H
 
+#include "lc-content.h"
 #include "lc-router.h"
 
 /* The life of every request of this instance: admission, queue, attempts, retries, hedges, the
@@ -20,6 +21,7 @@
 typedef struct
 {
   LcRequestId id; /* chosen by the submitter; never reused in this process */
+  LcContent content; /* what it asks for */
   LcRequestKind kind;
   LcDelivery delivery;
   LbName pool;   /* pool, or service name */
--- /dev/null
+++ b/packages/core/src/lc-content.c
@@ -0,0 +1,44 @@
+#include "lc-content.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define HEX_DIGITS "0123456789abcdef"
+
+static XXH64_hash_t
+add (XXH64_hash_t seed, const char *bytes, size_t length)
+{
+  return XXH3_64bits_withSeed (bytes, length, seed);
+}
+
+/* The caller is not part of it: what ends an endpoint is what it is given, whoever gives it. Nor
+ * are headers, among which ids and times differ with each attempt. */
+LcContent
+lc_content_new (
+    const char *method, const char *host, const char *path, const char *body, size_t body_length)
+{
+  XXH64_hash_t hash = add (0, method, strlen (method));
+
+  hash = add (hash, host ? host : "", host ? strlen (host) : 0);
+  hash = add (hash, path, strlen (path));
+  hash = add (hash, body, body_length);
+  return hash ? hash : 1;
+}
+
+void
+lc_content_to_text (LcContent content, char text[LC_CONTENT_SIZE])
+{
+  snprintf (text, LC_CONTENT_SIZE, "%016llx", (unsigned long long)content);
+}
+
+LcContent
+lc_content_from_text (const char *text)
+{
+  bool is_whole = strlen (text) == LC_CONTENT_SIZE - 1;
+
+  if (!is_whole || strspn (text, HEX_DIGITS) != LC_CONTENT_SIZE - 1)
+    return 0;
+  return strtoull (text, NULL, 16);
+}
--- /dev/null
+++ b/packages/core/tests/test-content.c
@@ -0,0 +1,34 @@
+#include "lc-content.h"
+
+#include <criterion/criterion.h>
+#include <string.h>
+
+static LcContent
+content (const char *host, const char *path, const char *body)
+{
+  return lc_content_new ("POST", host, path, body, strlen (body));
+}
+
+Test (content, is_that_of_all_parts)
+{
+  LcContent first = content ("h", "/a", "x");
+
+  cr_assert_eq (first, content ("h", "/a", "x"));
+  cr_assert_neq (first, content ("g", "/a", "x"));
+  cr_assert_neq (first, content ("h", "/b", "x"));
+  cr_assert_neq (first, content ("h", "/a", "y"));
+  cr_assert_neq (first, content (NULL, "/a", "x"));
+  cr_assert_neq (first, lc_content_new ("PUT", "h", "/a", "x", 1));
+  cr_assert_neq (content ("h", "/a", "bc"), content ("h", "/ab", "c"));
+}
+
+Test (content, survives_its_text)
+{
+  char text[LC_CONTENT_SIZE];
+
+  lc_content_to_text (content ("h", "/a", "x"), text);
+  cr_assert_eq (lc_content_from_text (text), content ("h", "/a", "x"));
+  cr_assert_eq (lc_content_from_text (""), 0);
+  cr_assert_eq (lc_content_from_text ("0123456789abcde"), 0);
+  cr_assert_eq (lc_content_from_text ("0123456789abcdeg"), 0);
+}
--- /dev/null
+++ b/packages/http/src/lh-reach.c
@@ -0,0 +1,110 @@
+#include "lh-reach.h"
+
+#include "lb-alloc.h"
+#include "lb-time.h"
+
+#include <errno.h>
+#include <event2/event.h>
+#include <event2/util.h>
+#include <netinet/in.h>
+#include <stdlib.h>
+#include <sys/socket.h>
+
+struct LhReach
+{
+  evutil_socket_t fd;
+  struct event *event;
+  LhReachDone done;
+  void *user;
+  int connect_error; /* of the connect itself; 0: it is on its way */
+};
+
+static void
+reach_free (LhReach *reach)
+{
+  if (reach->event)
+    event_free (reach->event);
+  evutil_closesocket (reach->fd);
+  free (reach);
+}
+
+void
+lh_reach_cancel (LhReach *reach)
+{
+  reach_free (reach);
+}
+
+static int
+error_of (const LhReach *reach)
+{
+  int error = reach->connect_error;
+  socklen_t length = sizeof error;
+
+  if (error == 0)
+    getsockopt (reach->fd, SOL_SOCKET, SO_ERROR, &error, &length);
+  return error;
+}
+
+static LhReachOutcome
+outcome_of (const LhReach *reach, short what)
+{
+  int error = error_of (reach);
+
+  if (error == ECONNREFUSED || error == ECONNRESET)
+    return LH_REACH_REFUSED;
+  return error == 0 && (what & EV_WRITE) ? LH_REACH_OPEN : LH_REACH_SILENT;
+}
+
+static void
+on_event (evutil_socket_t fd, short what, void *user)
+{
+  (void)fd;
+  LhReach *reach = user;
+  LhReachOutcome outcome = outcome_of (reach, what);
+  LhReachDone done = reach->done;
+  void *done_user = reach->user;
+
+  reach_free (reach);
+  done (outcome, done_user);
+}
+
+/* A connect that fails at once is reported from the loop too. */
+static void
+begin (LhReach *reach, const struct sockaddr_in *target, LbTime time)
+{
+  const struct timeval wait = lb_time_to_timeval (time);
+
+  if (connect (reach->fd, (const struct sockaddr *)target, sizeof *target) == 0)
+    event_active (reach->event, EV_WRITE, 0);
+  else if (errno == EINPROGRESS)
+    event_add (reach->event, &wait);
+  else
+    {
+      reach->connect_error = errno;
+      event_active (reach->event, EV_WRITE, 0);
+    }
+}
+
+LhReach *
+lh_reach_start (
+    struct event_base *base, const char *address, LbTime time, LhReachDone done, void *user)
+{
+  struct sockaddr_in target = { 0 };
+  int length = sizeof target;
+  LhReach *reach = NULL;
+  int fd = -1;
+
+  if (evutil_parse_sockaddr_port (address, (struct sockaddr *)&target, &length) != 0
+      || target.sin_family != AF_INET)
+    return NULL;
+  fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0)
+    return NULL;
+  reach = LB_NEW (LhReach);
+  reach->fd = fd;
+  reach->done = done;
+  reach->user = user;
+  reach->event = event_new (base, fd, EV_WRITE, on_event, reach);
+  begin (reach, &target, time);
+  return reach;
+}
--- a/packages/node/src/ln-call.c
+++ b/packages/node/src/ln-call.c
@@ -56,6 +56,27 @@
   return call->kind != LN_CALL_SERVICE && call->kind != LN_CALL_SCORE;
 }
 
+const char *
+ln_call_engine_path (const LnCall *call)
+{
+  return call->kind == LN_CALL_CHAT ? "/v1/chat/completions" : "/v1/completions";
+}
+
+LcContent
+ln_call_content (const LnCall *call)
+{
+  const LcOutgoing *outgoing = &call->outgoing;
+  const char *text = NULL;
+
+  if (outgoing->path)
+    return lc_content_new (outgoing->method, outgoing->host, outgoing->path, outgoing->body,
+                           outgoing->body_length);
+  if (!ln_call_is_for_engine (call))
+    return lc_content_new (call->method, NULL, call->path, call->raw_body, call->raw_length);
+  text = json_object_to_json_string_ext (call->body, JSON_FORMAT);
+  return lc_content_new ("POST", NULL, ln_call_engine_path (call), text, strlen (text));
+}
+
 static struct json_object *
 resume_object (LnCall *call, int64_t resume_at)
 {
--- a/packages/node/src/ln-calls-private.h
+++ b/packages/node/src/ln-calls-private.h
@@ -4,6 +4,7 @@
 #include "ln-call.h"
 #include "ln-claims.h"
 #include "ln-context.h"
+#include "ln-endpoint-checks.h"
 #include "ln-leaving.h"
 #include "ln-messages.h"
 #include "ln-poller.h"
@@ -23,6 +24,7 @@
   LnClaims *claims;
   LnRelays *relays;
   LnLeaving *leaving;
+  LnEndpointChecks *checks;
   struct event *tick;
   struct event *keep_alive;
   LcDesired *desired;   /* routes of a shared platform; NULL: none are known */
--- a/packages/node/src/ln-calls-run.c
+++ b/packages/node/src/ln-calls-run.c
@@ -220,11 +220,13 @@
     [LC_END_FAILED] = "failed",
   };
   const LnCall *call = attempt->call;
+  char content[LC_CONTENT_SIZE];
 
+  lc_content_to_text (call->spec.content, content);
   lb_histogram_add (&attempt_time, lb_clock_monotonic () - attempt->sent_at);
   lb_log (LB_LOG_INFO, "attempt_ended", LB_INT ("request", call->spec.id),
           LB_TEXT ("id", call->outgoing.id), LB_TEXT ("caller", call->spec.caller),
-          LB_INT ("attempt", ln_upstream_attempt (attempt->upstream)),
+          LB_TEXT ("content", content), LB_INT ("attempt", ln_upstream_attempt (attempt->upstream)),
           LB_TEXT ("endpoint", ln_upstream_endpoint (attempt->upstream)),
           LB_TEXT ("outcome", names[end]),
           LB_INT ("status", ln_upstream_status (attempt->upstream)),
@@ -253,6 +255,19 @@
                        report.at);
 }
 
+/* An endpoint that ended under a request looks like one that cut an answer. What had brought a part
+ * of the text goes on behind it and is not asked again for the same. */
+static void
+note_broken (LnCalls *calls, const LnAttempt *attempt, LcAttemptEnd end)
+{
+  const LnUpstream *upstream = attempt->upstream;
+
+  if (end != LC_END_BROKEN || attempt->tokens > 0)
+    return;
+  ln_endpoint_checks_broken (calls->checks, ln_upstream_endpoint (upstream),
+                             ln_upstream_address (upstream), attempt->call->spec.content);
+}
+
 /* The attempt stays only until the actions that its end brings have run: a FINISH among them takes
  * the answer from it. */
 static void
@@ -268,6 +283,7 @@
   lb_list_remove (&call->attempts, &attempt->link);
   call->ended = attempt;
   log_end (attempt, end);
+  note_broken (calls, attempt, end);
   LcRequestId id = call->spec.id;
   lc_dispatch_ended (calls->dispatch, id, ln_upstream_attempt (upstream), end,
                      lb_clock_monotonic (), &actions);
@@ -297,7 +313,7 @@
           .endpoint = action->endpoint,
           .address = action->address,
           .method = "POST",
-          .path = call->kind == LN_CALL_CHAT ? "/v1/chat/completions" : "/v1/completions",
+          .path = ln_call_engine_path (call),
           .headers = headers,
           .n_headers = 1,
           .body = body,
@@ -504,10 +520,13 @@
 static void
 log_given_up (const LnCall *call, LbErrorCode code, LbTime retry_after)
 {
+  char content[LC_CONTENT_SIZE];
+
+  lc_content_to_text (call->spec.content, content);
   lb_log (LB_LOG_INFO, "request_given_up", LB_INT ("request", call->spec.id),
           LB_TEXT ("id", call->outgoing.id), LB_TEXT ("pool", call->spec.pool),
-          LB_TEXT ("caller", call->spec.caller), LB_TEXT ("error", lb_error_name (code)),
-          LB_INT ("retry_after_us", retry_after),
+          LB_TEXT ("content", content), LB_TEXT ("caller", call->spec.caller),
+          LB_TEXT ("error", lb_error_name (code)), LB_INT ("retry_after_us", retry_after),
           LB_INT ("after_us", lb_clock_monotonic () - call->submitted_at));
 }
 
@@ -576,6 +595,7 @@
   call->owner = calls;
   call->submitted = true;
   call->submitted_at = lb_clock_monotonic ();
+  call->spec.content = ln_call_content (call);
   keep_call (calls, call);
   if (lc_dispatch_submit (calls->dispatch, &call->spec, lb_clock_monotonic (), &actions,
                           &retry_after, &error))
--- a/packages/node/src/ln-calls.c
+++ b/packages/node/src/ln-calls.c
@@ -271,6 +271,7 @@
   }
   ln_relays_free (calls->relays);
   ln_leaving_free (calls->leaving);
+  ln_endpoint_checks_free (calls->checks);
   ln_claims_free (calls->claims);
   ln_ticket_calls_free (calls->tickets);
   ln_poller_free (calls->poller);
@@ -344,6 +345,7 @@
   calls->claims = ln_claims_new (context->base, context->platform, context->incarnation);
   calls->relays = ln_relays_new (context);
   calls->leaving = ln_leaving_new (&calls->task);
+  calls->checks = ln_endpoint_checks_new (context);
   calls->tick = evtimer_new (context->base, ln_calls_on_tick, calls);
   if (!context->dialect)
     calls->poller
--- /dev/null
+++ b/packages/node/src/ln-endpoint-checks.c
@@ -0,0 +1,140 @@
+#include "ln-endpoint-checks.h"
+
+#include "lb-alloc.h"
+#include "lb-clock.h"
+#include "lb-counter.h"
+#include "lb-list.h"
+#include "lb-log.h"
+#include "lh-reach.h"
+
+#include <json-c/json.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Of one check: a hundred round trips between data centres. */
+#define CHECK_TIME (250 * LB_MSEC)
+/* Of one endpoint: several times what it works on at once. What breaks beyond is not looked at. */
+#define MAX_CONTENTS 64
+
+typedef struct
+{
+  LbLink link;
+  LnEndpointChecks *owner;
+  LhReach *reach;
+  LbName endpoint;
+  LbTime broken_at; /* the first of them */
+  LcContent contents[MAX_CONTENTS];
+  size_t n_contents;
+} Check;
+
+struct LnEndpointChecks
+{
+  LnContext *context;
+  LbList running;
+};
+
+static LbMetric crashed = LB_COUNTER_INIT ("lentilspindle_endpoint_crashes_seen_total",
+                                           NULL,
+                                           "Endpoints that ended under requests of this instance");
+
+LnEndpointChecks *
+ln_endpoint_checks_new (LnContext *context)
+{
+  LnEndpointChecks *checks = LB_NEW (LnEndpointChecks);
+
+  checks->context = context;
+  lb_list_init (&checks->running);
+  return checks;
+}
+
+static void
+check_free (Check *check)
+{
+  lb_list_remove (&check->owner->running, &check->link);
+  free (check);
+}
+
+void
+ln_endpoint_checks_free (LnEndpointChecks *checks)
+{
+  LB_LIST_FOREACH (&checks->running, Check, link, check)
+  {
+    lh_reach_cancel (check->reach);
+    check_free (check);
+  }
+  free (checks);
+}
+
+static void
+log_outcome (const Check *check, LhReachOutcome outcome)
+{
+  static const char *const names[]
+      = { [LH_REACH_OPEN] = "open", [LH_REACH_REFUSED] = "refused", [LH_REACH_SILENT] = "silent" };
+  struct json_object *contents = json_object_new_array ();
+  char text[LC_CONTENT_SIZE];
+
+  for (size_t i = 0; i < check->n_contents; i++)
+    {
+      lc_content_to_text (check->contents[i], text);
+      json_object_array_add (contents, json_object_new_string (text));
+    }
+  lb_log (LB_LOG_INFO, "endpoint_checked", LB_TEXT ("endpoint", check->endpoint),
+          LB_TEXT ("connections", names[outcome]),
+          LB_INT ("took_us", lb_clock_monotonic () - check->broken_at),
+          LB_JSON ("broken", json_object_to_json_string_ext (contents, JSON_C_TO_STRING_PLAIN)));
+  json_object_put (contents);
+}
+
+static void
+on_checked (LhReachOutcome outcome, void *user)
+{
+  Check *check = user;
+
+  log_outcome (check, outcome);
+  if (outcome == LH_REACH_REFUSED)
+    lb_metric_add (&crashed, 1);
+  check_free (check);
+}
+
+static Check *
+find (LnEndpointChecks *checks, const char *endpoint)
+{
+  LB_LIST_FOREACH (&checks->running, Check, link, check)
+  {
+    if (strcmp (check->endpoint, endpoint) == 0)
+      return check;
+  }
+  return NULL;
+}
+
+static Check *
+start (LnEndpointChecks *checks, const char *endpoint, const char *address)
+{
+  Check *check = LB_NEW (Check);
+
+  check->owner = checks;
+  check->broken_at = lb_clock_monotonic ();
+  LB_COPY (check->endpoint, endpoint);
+  lb_list_append (&checks->running, &check->link);
+  check->reach = lh_reach_start (checks->context->base, address, CHECK_TIME, on_checked, check);
+  if (check->reach)
+    return check;
+  lb_log (LB_LOG_WARNING, "endpoint_not_checked", LB_TEXT ("endpoint", endpoint),
+          LB_TEXT ("address", address));
+  check_free (check);
+  return NULL;
+}
+
+void
+ln_endpoint_checks_broken (LnEndpointChecks *checks,
+                           const char *endpoint,
+                           const char *address,
+                           LcContent content)
+{
+  Check *check = find (checks, endpoint);
+
+  if (!check)
+    check = start (checks, endpoint, address);
+  if (check && check->n_contents < MAX_CONTENTS)
+    check->contents[check->n_contents++] = content;
+}
--- /dev/null
+++ b/packages/node/src/ln-endpoint-checks.h
@@ -0,0 +1,21 @@
+#ifndef LN_ENDPOINT_CHECKS_H
+#define LN_ENDPOINT_CHECKS_H
+
+#include "lc-content.h"
+#include "ln-context.h"
+
+/* Tells an endpoint that has ended from one that cut a single answer: both close the connection of
+ * a request, but only the first one takes no new connection right after. */
+typedef struct LnEndpointChecks LnEndpointChecks;
+
+LnEndpointChecks *ln_endpoint_checks_new (LnContext *context);
+void ln_endpoint_checks_free (LnEndpointChecks *checks);
+
+/* A request broke at the endpoint before it brought anything. Requests that break there while the
+ * check runs share its outcome. */
+void ln_endpoint_checks_broken (LnEndpointChecks *checks,
+                                const char *endpoint,
+                                const char *address,
+                                LcContent content);
+
+#endif
--- a/packages/node/src/ln-upstream.c
+++ b/packages/node/src/ln-upstream.c
@@ -399,6 +399,12 @@
   return upstream->endpoint;
 }
 
+const char *
+ln_upstream_address (const LnUpstream *upstream)
+{
+  return upstream->address;
+}
+
 const LhFetch *
 ln_upstream_fetch (const LnUpstream *upstream)
 {
