--- a/packages/core/include/lc-dispatch.h
+++ b/packages/core/include/lc-dispatch.h
@@ -20,7 +20,7 @@
 
 typedef struct
 {
-  LcRequestId id; /* chosen by the submitter; never reused in this process */
+  LcRequestId id;    /* chosen by the submitter; never reused in this process */
   LcContent content; /* what it asks for */
   LcRequestKind kind;
   LcDelivery delivery;
