--- a/standins/si-sampler.c
+++ b/standins/si-sampler.c
@@ -12,6 +12,8 @@
 #include <string.h>
 
 #define BEAT_PERIOD (300 * LB_MSEC)
+#define CRASH_AFTER (20 * LB_MSEC)
+#define DOWN_TIME (400 * LB_MSEC)
 #define FIRST_START 1700000000000 /* Unix ms; any will do */
 
 typedef struct
@@ -269,27 +271,106 @@
   call_free (call);
 }
 
+static Call *
+call_new (SiSampler *sampler, struct evhttp_request *request)
+{
+  Call *call = LB_NEW (Call);
+
+  call->sampler = sampler;
+  call->request = request;
+  call->timer = evtimer_new (sampler->server.base, on_call_time, call);
+  lb_list_append (&sampler->calls_running, &call->link);
+  evhttp_connection_set_closecb (evhttp_request_get_connection (request), on_call_closed, call);
+  return call;
+}
+
 static void
 answer_call (SiSampler *sampler, struct evhttp_request *request)
 {
   const char *id = si_request_header (request, "Attempt-Id");
-  Call *call = NULL;
 
   sampler->calls++;
   if (sampler->listener && sampler->listener->on_call)
     sampler->listener->on_call (sampler, id ? id : "", sampler->user);
   if (sampler->call_time == 0)
+    send_answer (request);
+  else
+    set_timer (call_new (sampler, request)->timer, sampler->call_time);
+}
+
+/* --- requests that end it --- */
+
+static bool
+ends_it (const SiSampler *sampler, struct evhttp_request *request)
+{
+  char *body = sampler->crashes_on ? si_request_text (request) : NULL;
+  bool ends = body && strcmp (body, sampler->crashes_on) == 0;
+
+  free (body);
+  return ends;
+}
+
+/* It works on it for a while and ends without a word. */
+static void
+run_to_the_end (SiSampler *sampler, struct evhttp_request *request)
+{
+  sampler->crash_runs++;
+  call_new (sampler, request);
+  if (!evtimer_pending (sampler->crash, NULL))
+    set_timer (sampler->crash, CRASH_AFTER);
+}
+
+static void
+drop_all (SiSampler *sampler)
+{
+  LB_LIST_FOREACH (&sampler->streams, Stream, link, stream)
+  {
+    evhttp_connection_set_closecb (evhttp_request_get_connection (stream->request), NULL, NULL);
+    stream_free (stream);
+  }
+  LB_LIST_FOREACH (&sampler->calls_running, Call, link, call)
+  {
+    evhttp_connection_set_closecb (evhttp_request_get_connection (call->request), NULL, NULL);
+    call_free (call);
+  }
+}
+
+/* Its entry stays until it starts again: the store does not know of its end yet. */
+static void
+on_crash (evutil_socket_t fd, short what, void *user)
+{
+  (void)fd;
+  (void)what;
+  SiSampler *sampler = user;
+
+  sampler->crashes++;
+  drop_all (sampler);
+  event_del (sampler->beat);
+  si_server_crash (&sampler->server);
+  set_timer (sampler->restart, sampler->down_time);
+}
+
+static void
+on_restart (evutil_socket_t fd, short what, void *user)
+{
+  (void)fd;
+  (void)what;
+  SiSampler *sampler = user;
+  LbName name;
+
+  if (!si_server_resume (&sampler->server))
     {
-      send_answer (request);
+      set_timer (sampler->restart, sampler->down_time);
       return;
     }
-  call = LB_NEW (Call);
-  call->sampler = sampler;
-  call->request = request;
-  call->timer = evtimer_new (sampler->server.base, on_call_time, call);
-  lb_list_append (&sampler->calls_running, &call->link);
-  evhttp_connection_set_closecb (evhttp_request_get_connection (request), on_call_closed, call);
-  set_timer (call->timer, sampler->call_time);
+  si_sampler_unregister (sampler);
+  snprintf (name, sizeof name, "%.*s.%d", (int)strcspn (sampler->name, "."), sampler->name,
+            sampler->crashes);
+  LB_COPY (sampler->name, name);
+  sampler->orders = 0;
+  sampler->last_fence = 0;
+  sampler->next_version = 0;
+  si_sampler_register (sampler);
 }
 
 static void
@@ -306,6 +387,8 @@
     take_order (sampler, request);
   else if (si_request_is (request, EVHTTP_REQ_GET, "/-/report"))
     tell_state (sampler, request);
+  else if (ends_it (sampler, request))
+    run_to_the_end (sampler, request);
   else if (!sampler->model[0])
     answer_call (sampler, request);
   else if (sampler->next_version != 0)
@@ -401,6 +484,9 @@
   lb_list_init (&sampler->streams);
   lb_list_init (&sampler->calls_running);
   sampler->loaded = evtimer_new (base, on_loaded, sampler);
+  sampler->down_time = DOWN_TIME;
+  sampler->crash = evtimer_new (base, on_crash, sampler);
+  sampler->restart = evtimer_new (base, on_restart, sampler);
   sampler->beat = event_new (base, -1, EV_PERSIST, on_beat, sampler);
   si_sampler_register (sampler);
   return true;
@@ -409,16 +495,9 @@
 void
 si_sampler_clear (SiSampler *sampler)
 {
-  LB_LIST_FOREACH (&sampler->streams, Stream, link, stream)
-  {
-    evhttp_connection_set_closecb (evhttp_request_get_connection (stream->request), NULL, NULL);
-    stream_free (stream);
-  }
-  LB_LIST_FOREACH (&sampler->calls_running, Call, link, call)
-  {
-    evhttp_connection_set_closecb (evhttp_request_get_connection (call->request), NULL, NULL);
-    call_free (call);
-  }
+  drop_all (sampler);
+  event_free (sampler->crash);
+  event_free (sampler->restart);
   event_free (sampler->beat);
   event_free (sampler->loaded);
   si_server_clear (&sampler->server);
--- a/standins/si-sampler.h
+++ b/standins/si-sampler.h
@@ -52,13 +52,19 @@
   LbList calls_running; /* of a plain service */
   SiRun runs[SI_MAX_RUNS];
   size_t n_runs;
-  int refused;        /* while it loaded */
-  int misplaced;      /* requests for another endpoint */
-  int calls;          /* of a plain service */
-  int cancelled;      /* streams whose caller went away */
-  bool tells_version; /* events say with which weights they were made */
-  LbName reached_at;  /* where callers are told to connect; empty: the server itself */
-  LbTime call_time;   /* of a plain service's answer */
+  int refused;            /* while it loaded */
+  int misplaced;          /* requests for another endpoint */
+  int calls;              /* of a plain service */
+  int cancelled;          /* streams whose caller went away */
+  bool tells_version;     /* events say with which weights they were made */
+  LbName reached_at;      /* where callers are told to connect; empty: the server itself */
+  LbTime call_time;       /* of a plain service's answer */
+  const char *crashes_on; /* a request with this body ends it; NULL: none does */
+  LbTime down_time;       /* from such an end to its next start, under another id */
+  int crash_runs;         /* requests with that body that it began */
+  int crashes;
+  struct event *crash;
+  struct event *restart;
   const SiSamplerListener *listener; /* NULL: none */
   void *user;
 };
--- a/standins/si-server.c
+++ b/standins/si-server.c
@@ -70,15 +70,11 @@
   server->handler (request, server->user);
 }
 
-bool
-si_server_init (SiServer *server, struct event_base *base, int port, SiHandler handler, void *user)
+static bool
+bind_to (SiServer *server, int port)
 {
-  memset (server, 0, sizeof *server);
-  server->base = base;
-  server->http = evhttp_new (base);
+  server->http = evhttp_new (server->base);
   evhttp_set_allowed_methods (server->http, ALL_METHODS);
-  server->handler = handler;
-  server->user = user;
   evhttp_set_gencb (server->http, on_request, server);
   struct evhttp_bound_socket *socket
       = evhttp_bind_socket_with_handle (server->http, "127.0.0.1", (uint16_t)port);
@@ -91,6 +87,29 @@
   return true;
 }
 
+bool
+si_server_init (SiServer *server, struct event_base *base, int port, SiHandler handler, void *user)
+{
+  memset (server, 0, sizeof *server);
+  server->base = base;
+  server->handler = handler;
+  server->user = user;
+  return bind_to (server, port);
+}
+
+void
+si_server_crash (SiServer *server)
+{
+  evhttp_free (server->http);
+  server->http = NULL;
+}
+
+bool
+si_server_resume (SiServer *server)
+{
+  return bind_to (server, atoi (strchr (server->address, ':') + 1));
+}
+
 bool
 si_server_init_program (SiServer *server, int port, SiHandler handler, void *user)
 {
@@ -109,7 +128,8 @@
 void
 si_server_clear (SiServer *server)
 {
-  evhttp_free (server->http);
+  if (server->http)
+    evhttp_free (server->http);
   if (!server->terminate)
     return;
   event_free (server->terminate);
--- a/standins/si-server.h
+++ b/standins/si-server.h
@@ -28,6 +28,11 @@
 /* A server with its own event loop, which SIGTERM and SIGINT end. */
 bool si_server_init_program (SiServer *server, int port, SiHandler handler, void *user);
 void si_server_clear (SiServer *server);
+/* As when its process ends: all its connections are reset, and its address refuses new ones until
+ * it resumes. Requests that are not answered are freed; nobody may hold one. */
+void si_server_crash (SiServer *server);
+/* At the same address; false when that is taken. */
+bool si_server_resume (SiServer *server);
 void si_server_announce (const SiServer *server, const char *name);
 
 bool si_request_is (struct evhttp_request *request, enum evhttp_cmd_type method, const char *path);
--- /dev/null
+++ b/tests/process/test-crashing.c
@@ -0,0 +1,294 @@
+#include "pt-shared.h"
+
+#include "lb-alloc.h"
+#include "lb-json.h"
+
+#include <json-c/json.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* A caller sends a request that ends every endpoint which begins it, and sends it again, under a new
+ * id, at whatever instance it is told of. Each instance counted what one request had broken only as
+ * long as that request lived, and told nobody, so it went to the endpoints again as soon as they
+ * were back: a service lost nine starts of its three endpoints within twelve seconds, and the
+ * requests of everybody else failed with them. What settled it, from the instances' logs:
+ *
+ *   n0 attempt_ended id=c0 content=777f26cc65beacb0 attempt=1 endpoint=i-lookup-c outcome=broken
+ *   n0 endpoint_checked endpoint=i-lookup-c connections=refused broken=[777f26cc65beacb0]
+ *   n1 attempt_ended id=c4 content=777f26cc65beacb0 attempt=1 endpoint=i-lookup-c.1 outcome=broken
+ *   n2 attempt_ended id=c322 content=777f26cc65beacb0 attempt=1 endpoint=i-lookup-c.2 outcome=broken
+ */
+
+#define N_LOOKUPS 3
+#define BAD "BAD"
+#define BAD_ENCODED "QkFE" /* base64 */
+/* From the third endpoint's end until every instance has to know. */
+#define LEARN_TIME (3 * LB_SEC)
+#define MOST_AFTER 3 /* times that the request may reach endpoints after that */
+#define REPEATS 12
+#define BATCH_ITEMS 6
+#define BATCH_TIME (8 * LB_SEC) /* in which an item was tried again more than MOST_AFTER times */
+
+typedef struct
+{
+  PsWorld base;
+  SiSampler more[N_LOOKUPS - 1];
+  SiSampler *lookups[N_LOOKUPS];
+  int sent;
+} World;
+
+static const char once_route[]
+    = ", {\"name\": \"once\", \"host\": \"h.example\", \"prefix\": \"/once/\", \"kind\":"
+      " \"unsafe\", \"timeoutMs\": 20000, \"service\": \"lookups\", \"attempts\": 3}";
+
+static void
+world_init (World *w)
+{
+  static const char *const names[] = { "i-lookup-b", "i-lookup-c" };
+
+  w->sent = 0;
+  ps_world_init (&w->base);
+  ps_put_config (&w->base, 1, once_route);
+  w->lookups[0] = &w->base.lookup;
+  for (int i = 0; i < N_LOOKUPS - 1; i++)
+    {
+      cr_assert (
+          si_sampler_init (&w->more[i], w->base.base, &w->base.rows, names[i], "lookups", ""));
+      w->lookups[i + 1] = &w->more[i];
+    }
+  for (int i = 0; i < N_LOOKUPS; i++)
+    w->lookups[i]->crashes_on = BAD;
+  for (int i = 0; i < PS_N_ENGINES; i++)
+    w->base.engines[i].crashes_on = BAD;
+  for (int i = 0; i < PS_MAX_INSTANCES; i++)
+    ps_start_instance (&w->base);
+}
+
+static void
+world_clear (World *w)
+{
+  for (int i = 0; i < N_LOOKUPS - 1; i++)
+    si_sampler_clear (&w->more[i]);
+  ps_world_clear (&w->base);
+}
+
+static void
+pause_for (World *w, LbTime time)
+{
+  LbTime end = lb_clock_monotonic () + time;
+
+  while (lb_clock_monotonic () < end)
+    ps_turn (&w->base);
+}
+
+/* Each time under another id. */
+static void
+send_to (World *w, size_t instance, const char *path, const char *body)
+{
+  char id[32];
+
+  snprintf (id, sizeof id, "c%d", w->sent++);
+  ps_call (&w->base, instance, "POST", path, id, body);
+}
+
+static bool
+is_served (World *w, size_t instance, const char *path, const char *body)
+{
+  send_to (w, instance, path, body);
+  return w->base.status == 200;
+}
+
+static int
+lookup_crashes (const World *w)
+{
+  int n = 0;
+
+  for (int i = 0; i < N_LOOKUPS; i++)
+    n += w->lookups[i]->crashes;
+  return n;
+}
+
+static int
+lookup_runs (const World *w)
+{
+  int n = 0;
+
+  for (int i = 0; i < N_LOOKUPS; i++)
+    n += w->lookups[i]->crash_runs;
+  return n;
+}
+
+static int
+engine_crashes (const World *w)
+{
+  int n = 0;
+
+  for (int i = 0; i < PS_N_ENGINES; i++)
+    n += w->base.engines[i].crashes;
+  return n;
+}
+
+static int
+engine_runs (const World *w)
+{
+  int n = 0;
+
+  for (int i = 0; i < PS_N_ENGINES; i++)
+    n += w->base.engines[i].crash_runs;
+  return n;
+}
+
+/* Sent at one instance after the other. */
+static void
+crash_three (World *w, const char *path)
+{
+  for (size_t i = 0; lookup_crashes (w) < 3; i++)
+    {
+      send_to (w, i % PS_MAX_INSTANCES, path, BAD);
+      pause_for (w, 10 * LB_MSEC);
+    }
+}
+
+/* Sends it again and again, at one instance after the other, each time once that instance reaches
+ * endpoints: it serves another request. */
+static void
+repeat (World *w, const char *path)
+{
+  for (size_t i = 0; i < REPEATS; i++)
+    {
+      size_t instance = i % PS_MAX_INSTANCES;
+      PS_UNTIL (&w->base, is_served (w, instance, "/lookup/8", "GOOD"));
+      send_to (w, instance, path, BAD);
+    }
+}
+
+static void
+assert_refused (const World *w)
+{
+  cr_assert_eq (w->base.status, 503, "%d %s", w->base.status, w->base.body);
+  cr_assert_neq (w->base.retry_after[0], '\0');
+}
+
+/* The caller learns that it was not run and when to come back, and others are served meanwhile,
+ * also with the same path or the same body. */
+Test (crashing, a_call_that_comes_again_stops_going_round)
+{
+  World w;
+
+  world_init (&w);
+  crash_three (&w, "/lookup/7");
+  pause_for (&w, LEARN_TIME);
+  int before = lookup_runs (&w);
+  repeat (&w, "/lookup/7");
+  cr_assert_leq (lookup_runs (&w) - before, MOST_AFTER);
+  assert_refused (&w);
+  cr_assert (is_served (&w, 0, "/lookup/7", "GOOD"));
+  cr_assert (is_served (&w, 1, "/lookup/9", "BAD?"));
+  world_clear (&w);
+}
+
+/* The same for a call that may run once only: each repeat is a request of its own. */
+Test (crashing, a_call_that_runs_once_stops_going_round)
+{
+  World w;
+
+  world_init (&w);
+  crash_three (&w, "/once/7");
+  pause_for (&w, LEARN_TIME);
+  int before = lookup_runs (&w);
+  repeat (&w, "/once/7");
+  cr_assert_leq (lookup_runs (&w) - before, MOST_AFTER);
+  assert_refused (&w);
+  world_clear (&w);
+}
+
+/* All instances are killed and start again, and know nothing of what they saw. */
+Test (crashing, a_restart_of_all_instances_forgets_nothing)
+{
+  World w;
+
+  world_init (&w);
+  crash_three (&w, "/lookup/7");
+  pause_for (&w, LEARN_TIME);
+  int before = lookup_runs (&w);
+  for (size_t i = 0; i < PS_MAX_INSTANCES; i++)
+    pt_process_clear (&w.base.instances[i].process);
+  for (size_t i = 0; i < PS_MAX_INSTANCES; i++)
+    ps_restart_instance (&w.base, i);
+  repeat (&w, "/lookup/7");
+  cr_assert_leq (lookup_runs (&w) - before, MOST_AFTER);
+  assert_refused (&w);
+  world_clear (&w);
+}
+
+/* The store is away while the endpoints end under requests of one instance. What it has seen has to
+ * reach the others once the store is back. */
+Test (crashing, what_is_seen_without_the_store_is_told_when_it_is_back)
+{
+  World w;
+
+  world_init (&w);
+  w.base.rows.mode = SI_ROWS_AWAY;
+  PS_UNTIL (&w.base,
+            (ps_call (&w.base, 0, "POST", "/lookup/7", "c", BAD), lookup_crashes (&w) >= 3));
+  w.base.rows.mode = SI_ROWS_WELL;
+  pause_for (&w, LEARN_TIME);
+  int before = lookup_runs (&w);
+  repeat (&w, "/lookup/7");
+  cr_assert_leq (lookup_runs (&w) - before, MOST_AFTER);
+  world_clear (&w);
+}
+
+/* --- batches --- */
+
+/* A step of which one item, or the scorer of one, ends whatever begins it. */
+static void
+submit_bad (World *w, bool bad_scorer)
+{
+  char *text = ps_make_batch (BATCH_ITEMS);
+  struct json_object *batch = json_tokener_parse (text);
+  struct json_object *items = lb_json_member (batch, "requests");
+  struct json_object *item = json_object_array_get_idx (items, 2);
+  struct json_object *bad = bad_scorer ? lb_json_member (item, "scorer") : item;
+
+  json_object_object_add (bad, "body", json_object_new_string (BAD_ENCODED));
+  ps_call (&w->base, 0, "POST", "/steps/1", "b1", json_object_to_json_string (batch));
+  cr_assert_eq (w->base.status, 202);
+  json_object_put (batch);
+  free (text);
+}
+
+/* The trainer's other samples come, and the engines stay. */
+Test (crashing, a_sample_stops_going_round)
+{
+  World w;
+
+  world_init (&w);
+  submit_bad (&w, false);
+  PS_UNTIL (&w.base, engine_crashes (&w) >= 3);
+  pause_for (&w, LEARN_TIME);
+  int before = engine_runs (&w);
+  pause_for (&w, BATCH_TIME);
+  cr_assert_leq (engine_runs (&w) - before, MOST_AFTER);
+  PS_UNTIL (&w.base, ps_count_listed (&w.base, 1, "b1") == BATCH_ITEMS - 1);
+  ps_submit (&w.base, 1, "b2", BATCH_ITEMS);
+  PS_UNTIL (&w.base, ps_count_listed (&w.base, 2, "b2") == BATCH_ITEMS);
+  world_clear (&w);
+}
+
+/* The same for the call that scores a sample, which the instance makes on its own. */
+Test (crashing, a_scorer_call_stops_going_round)
+{
+  World w;
+
+  world_init (&w);
+  submit_bad (&w, true);
+  PS_UNTIL (&w.base, lookup_crashes (&w) >= 3);
+  pause_for (&w, LEARN_TIME);
+  int before = lookup_runs (&w);
+  pause_for (&w, BATCH_TIME);
+  cr_assert_leq (lookup_runs (&w) - before, MOST_AFTER);
+  PS_UNTIL (&w.base, ps_count_listed (&w.base, 1, "b1") == BATCH_ITEMS - 1);
+  world_clear (&w);
+}
