A request under which three endpoints ended is kept from endpoints, at every instance

Cause: what a request has broken was counted for the life of that request, at one instance. A caller sends the same again under a new id, to any instance, and each began at zero.

LcQuarantine goes by reports of all instances: which endpoint ended, and the contents that broke with it. The content that is under the most ends is blamed first and its ends count against nobody else, so what ran beside it goes on; an answer clears a content. The verdict depends on the reports alone, so all instances come to the same one in any order. LnCrashes keeps the reports in the store's table crash and follows it; without a store that can be followed they go by frames. The dispatch refuses such a request as not run with the time left, at admission, in the queue, before a retry or a hedge.

--- a/packages/base/include/lb-error.h
+++ b/packages/base/include/lb-error.h
@@ -38,6 +38,7 @@
   LB_ERROR_DEADLINE_BEFORE_START,
   LB_ERROR_ENDPOINT_REFUSED,
   LB_ERROR_CANCELLED_BEFORE_START,
+  LB_ERROR_QUARANTINED, /* endpoints ended under requests that ask the same */
   /* dispatched: the outcome is not known or is a failure that may have run */
   LB_ERROR_OUTCOME_UNKNOWN,
   LB_ERROR_STREAM_BROKEN,
--- a/packages/base/src/lb-error.c
+++ b/packages/base/src/lb-error.c
@@ -42,6 +42,7 @@
   [LB_ERROR_NOT_READY] = { "not_ready", 503, true },
   [LB_ERROR_DEADLINE_BEFORE_START] = { "deadline_before_start", 504, true },
   [LB_ERROR_ENDPOINT_REFUSED] = { "endpoint_refused", 503, true },
+  [LB_ERROR_QUARANTINED] = { "quarantined", 503, true },
   [LB_ERROR_CANCELLED_BEFORE_START] = { "cancelled_before_start", 499, true },
   [LB_ERROR_OUTCOME_UNKNOWN] = { "outcome_unknown", 502, false },
   [LB_ERROR_STREAM_BROKEN] = { "stream_broken", 502, false },
--- a/packages/core/include/lc-dispatch.h
+++ b/packages/core/include/lc-dispatch.h
@@ -1,7 +1,7 @@
 #ifndef LC_DISPATCH_H
 #define LC_DISPATCH_H
 
-#include "lc-content.h"
+#include "lc-quarantine.h"
 #include "lc-router.h"
 
 /* The life of every request of this instance: admission, queue, attempts, retries, hedges, the
@@ -163,6 +163,7 @@
 size_t lc_dispatch_in_progress (const LcDispatch *dispatch);
 size_t lc_dispatch_waiting (const LcDispatch *dispatch, LcRequestKind kind);
 LcEndpoints *lc_dispatch_endpoints (LcDispatch *dispatch);
+LcQuarantine *lc_dispatch_quarantine (LcDispatch *dispatch);
 /* Actions refused since the start because they would have broken a promise; 0 in a sound program.
  */
 uint64_t lc_dispatch_invariant_failures (const LcDispatch *dispatch);
--- a/packages/core/src/lc-dispatch-private.h
+++ b/packages/core/src/lc-dispatch-private.h
@@ -14,6 +14,7 @@
   LcEndpoints *endpoints;
   LcRouter *router;
   LcRetryBudgets *budgets;
+  LcQuarantine *quarantine;
   gsl_rng *random;
   LcPoolState *pools[LC_N_POOL_KINDS];
   LcRequest *requests;
@@ -40,6 +41,10 @@
 /* lc-dispatch-query.c */
 LcRequest *lc_dispatch_find (const LcDispatch *dispatch, LcRequestId id);
 
+/* Until when the request is kept from endpoints, since some ended under its content; 0: it may go.
+ */
+LbTime lc_dispatch_kept_until (const LcDispatch *dispatch, LcContent content, LbTime now);
+
 /* lc-timers.c */
 void lc_dispatch_set_timer (LcDispatch *dispatch, LcRequest *request);
 LcRequest *lc_dispatch_due (LcDispatch *dispatch, LbTime now);
--- a/packages/core/src/lc-dispatch-query.c
+++ b/packages/core/src/lc-dispatch-query.c
@@ -48,6 +48,20 @@
   return waiting;
 }
 
+LbTime
+lc_dispatch_kept_until (const LcDispatch *dispatch, LcContent content, LbTime now)
+{
+  LbTime until = lc_quarantine_until (dispatch->quarantine, content);
+
+  return until > now ? until : 0;
+}
+
+LcQuarantine *
+lc_dispatch_quarantine (LcDispatch *dispatch)
+{
+  return dispatch->quarantine;
+}
+
 LcEndpoints *
 lc_dispatch_endpoints (LcDispatch *dispatch)
 {
--- a/packages/core/src/lc-dispatch.c
+++ b/packages/core/src/lc-dispatch.c
@@ -42,6 +42,7 @@
   dispatch->router = router;
   dispatch->endpoints = lc_endpoints_new ();
   dispatch->budgets = lc_retry_budgets_new (settings->retry_budget);
+  dispatch->quarantine = lc_quarantine_new ();
   dispatch->random = gsl_rng_alloc (gsl_rng_taus2);
   gsl_rng_set (dispatch->random, settings->seed);
   lc_heap_init (&dispatch->timers, timer_before);
@@ -86,6 +87,7 @@
   lc_heap_clear (&dispatch->timers);
   gsl_rng_free (dispatch->random);
   lc_retry_budgets_free (dispatch->budgets);
+  lc_quarantine_free (dispatch->quarantine);
   lc_endpoints_free (dispatch->endpoints);
   lc_router_free (dispatch->router);
   free (dispatch);
@@ -261,6 +263,10 @@
   if (!pool || !pool->configured)
     return refuse (spec->kind == LC_KIND_SERVICE ? LB_ERROR_UNKNOWN_SERVICE : LB_ERROR_UNKNOWN_POOL,
                    0, retry_after, spec->pool, error);
+  /* Endpoints ended under requests like this one, sent by any instance: the next one would too. */
+  LbTime kept_until = lc_dispatch_kept_until (dispatch, spec->content, now);
+  if (kept_until > 0)
+    return refuse (LB_ERROR_QUARANTINED, kept_until - now, retry_after, spec->pool, error);
   if (!lc_dispatch_check (dispatch, !lc_dispatch_find (dispatch, spec->id),
                           "request-ids-are-unique", spec->id))
     return refuse (LB_ERROR_INVARIANT, 0, retry_after, spec->pool, error);
--- a/packages/core/src/lc-outcome.c
+++ b/packages/core/src/lc-outcome.c
@@ -264,8 +264,7 @@
 static bool
 continues (const LcRequest *request, const LcAttempt *attempt, LcAttemptEnd end)
 {
-  return end == LC_END_BROKEN && attempt->tokens > 0 && request->delivery == LC_DELIVER_STREAM
-         && request->resumable;
+  return end == LC_END_BROKEN && attempt->tokens > 0 && lc_request_keeps_pieces (request);
 }
 
 /* The endpoint's answer settles the request. */
@@ -330,6 +329,13 @@
   return end == LC_END_REFUSED ? CLOSED_REFUSED : CLOSED_BADLY;
 }
 
+/* The endpoint has answered it, be it with a failure, and still runs. */
+static bool
+was_survived (LcAttemptEnd end)
+{
+  return end == LC_END_WHOLE || end == LC_END_REJECTED || end == LC_END_FAILED;
+}
+
 /* An attempt is over. The request goes on, or its final answer is appended. */
 void
 lc_dispatch_end_attempt (LcDispatch *dispatch,
@@ -339,6 +345,8 @@
                          LbTime now,
                          LbList *actions)
 {
+  if (was_survived (end))
+    lc_quarantine_survived (dispatch->quarantine, request->content, now);
   if (end == LC_END_WHOLE || attempt->whole)
     {
       finish_whole (dispatch, request, attempt, now, actions);
--- a/packages/core/src/lc-placement.c
+++ b/packages/core/src/lc-placement.c
@@ -192,6 +192,15 @@
   return first == &request->waiting || is_choosy (LB_CONTAINER (first, LcRequest, waiting));
 }
 
+/* What waited while endpoints ended under the same content, here or at other instances. */
+static void
+keep_out (LcDispatch *dispatch, LcRequest *request, LbTime until, LbTime now, LbList *actions)
+{
+  LbErrorCode error = request->maybe_run ? request->last_error : LB_ERROR_QUARANTINED;
+
+  lc_dispatch_give_up (dispatch, request, error, until - now, now, actions);
+}
+
 /* Sends a request that has been chosen for an endpoint. */
 static void
 place (LcDispatch *dispatch,
@@ -201,8 +210,14 @@
        LbList *actions)
 {
   const char *endpoint = decision->endpoint->member.name;
+  LbTime kept_until = lc_dispatch_kept_until (dispatch, request->content, now);
 
   lc_queue_take (request->pool->queue, &request->waiting);
+  if (kept_until > 0)
+    {
+      keep_out (dispatch, request, kept_until, now, actions);
+      return;
+    }
   if (!may_send (dispatch, request, decision->endpoint))
     {
       lc_dispatch_give_up (dispatch, request, LB_ERROR_INVARIANT, 0, now, actions);
@@ -322,6 +337,11 @@
   lc_dispatch_set_timer (dispatch, request);
   if (!attempt || request->due > now)
     return;
+  if (lc_dispatch_kept_until (dispatch, request->content, now) > 0)
+    {
+      postpone_hedge (dispatch, request, attempt, now);
+      return;
+    }
   if (request->kind == LC_KIND_SAMPLE && now - due > OWN_PAUSE)
     {
       postpone_hedge (dispatch, request, attempt, now);
--- /dev/null
+++ b/packages/core/src/lc-quarantine.c
@@ -0,0 +1,574 @@
+#include "lc-quarantine.h"
+
+#include "lb-alloc.h"
+#include "lb-counter.h"
+#include "lb-list.h"
+#include "lb-log.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <uthash.h>
+
+/* Ends of endpoints under one content before it is kept from them. One or two may be chance: the
+ * endpoint to which a request goes next may have ended for another reason. */
+#define CRASHES_TO_BLAME 3
+/* How long a report counts: a caller that sends the same for hours costs three starts an hour, and
+ * what was blamed wrongly, or was mended, runs again within the hour. */
+#define TERM (3600 * LB_SEC)
+/* Reports of one end differ by the time until each instance notices its broken connection. */
+#define SAME_END (2 * LB_SEC)
+/* An answer clears the content of ends that come shortly after it: many callers may ask the same,
+ * and all endpoints may end at once for another reason. */
+#define CLEARED_FOR (2 * LB_SEC)
+/* Of answers given here, a few seconds' worth at two hundred a second. */
+#define MAX_ANSWERED 1024
+#define MAX_REPORTS 512
+
+typedef struct
+{
+  LbLink link; /* in End.reports */
+  LcCrash crash;
+} Report;
+
+/* The end of an endpoint, of which several instances may tell. */
+typedef struct
+{
+  LbLink link;
+  LbList reports;
+  LbTime at;      /* the earliest of its reports */
+  bool explained; /* by a content that is blamed */
+} End;
+
+/* A content that a report names. */
+typedef struct
+{
+  UT_hash_handle hh;
+  LcContent content;
+  int n_ends;      /* that no blamed content explains */
+  const End *last; /* of these */
+  LbTime full_at;  /* of the end that made them enough to blame it */
+  LbTime until;    /* kept from endpoints; 0: not */
+} Suspect;
+
+typedef struct
+{
+  UT_hash_handle hh;
+  LcContent content;
+  LbTime at;
+} Clearance;
+
+typedef struct
+{
+  LcContent content;
+  LbTime at;
+} Answered;
+
+struct LcQuarantine
+{
+  LbList ends; /* by time */
+  size_t n_reports;
+  Suspect *suspects;
+  Clearance *clearances;
+  Answered answered[MAX_ANSWERED]; /* a ring */
+  size_t next_answered;
+  LbList to_tell; /* ToTell */
+};
+
+typedef struct
+{
+  LbLink link;
+  LcContent content;
+  LbTime at;
+} ToTell;
+
+static LbMetric in_quarantine = LB_GAUGE_INIT ("lentilspindle_quarantined_requests",
+                                               NULL,
+                                               "Contents of requests that are kept from endpoints");
+
+LcQuarantine *
+lc_quarantine_new (void)
+{
+  LcQuarantine *quarantine = LB_NEW (LcQuarantine);
+
+  lb_list_init (&quarantine->ends);
+  lb_list_init (&quarantine->to_tell);
+  return quarantine;
+}
+
+static void
+drop_suspects (LcQuarantine *quarantine)
+{
+  Suspect *suspect, *next;
+
+  HASH_ITER (hh, quarantine->suspects, suspect, next)
+  {
+    HASH_DELETE (hh, quarantine->suspects, suspect);
+    free (suspect);
+  }
+}
+
+static void
+drop_report (LcQuarantine *quarantine, End *end, Report *report)
+{
+  lb_list_remove (&end->reports, &report->link);
+  free (report);
+  quarantine->n_reports--;
+  if (!lb_list_is_empty (&end->reports))
+    return;
+  lb_list_remove (&quarantine->ends, &end->link);
+  free (end);
+}
+
+static void
+drop_end (LcQuarantine *quarantine, End *end)
+{
+  for (size_t n = end->reports.length; n > 0; n--)
+    drop_report (quarantine, end, LB_LIST_FIRST (&end->reports, Report, link));
+}
+
+static void
+drop_clearance (LcQuarantine *quarantine, Clearance *clearance)
+{
+  HASH_DELETE (hh, quarantine->clearances, clearance);
+  free (clearance);
+}
+
+void
+lc_quarantine_free (LcQuarantine *quarantine)
+{
+  Clearance *clearance, *next;
+  LbLink *link;
+
+  if (!quarantine)
+    return;
+  drop_suspects (quarantine);
+  HASH_ITER (hh, quarantine->clearances, clearance, next)
+  {
+    drop_clearance (quarantine, clearance);
+  }
+  LB_LIST_FOREACH (&quarantine->ends, End, link, end)
+  {
+    drop_end (quarantine, end);
+  }
+  while ((link = lb_list_pop (&quarantine->to_tell)))
+    free (LB_CONTAINER (link, ToTell, link));
+  free (quarantine);
+}
+
+/* --- who is blamed --- */
+
+static Suspect *
+find_suspect (const LcQuarantine *quarantine, LcContent content)
+{
+  Suspect *suspect = NULL;
+
+  HASH_FIND (hh, quarantine->suspects, &content, sizeof content, suspect);
+  return suspect;
+}
+
+static Clearance *
+find_clearance (const LcQuarantine *quarantine, LcContent content)
+{
+  Clearance *clearance = NULL;
+
+  HASH_FIND (hh, quarantine->clearances, &content, sizeof content, clearance);
+  return clearance;
+}
+
+static bool
+is_cleared (const LcQuarantine *quarantine, LcContent content, LbTime end_at)
+{
+  const Clearance *clearance = find_clearance (quarantine, content);
+
+  return clearance && end_at <= clearance->at + CLEARED_FOR;
+}
+
+static Suspect *
+add_suspect (LcQuarantine *quarantine, LcContent content)
+{
+  Suspect *suspect = find_suspect (quarantine, content);
+
+  if (suspect)
+    return suspect;
+  suspect = LB_NEW (Suspect);
+  suspect->content = content;
+  HASH_ADD (hh, quarantine->suspects, content, sizeof suspect->content, suspect);
+  return suspect;
+}
+
+static void
+count_end (Suspect *suspect, const End *end)
+{
+  if (suspect->last == end)
+    return;
+  suspect->last = end;
+  suspect->n_ends++;
+  if (suspect->n_ends == CRASHES_TO_BLAME)
+    suspect->full_at = end->at;
+}
+
+static void
+count_contents (LcQuarantine *quarantine, const End *end)
+{
+  LB_LIST_FOREACH (&end->reports, Report, link, report)
+  {
+    const LcCrash *crash = &report->crash;
+    for (size_t i = 0; i < crash->n_contents; i++)
+      if (!is_cleared (quarantine, crash->contents[i], end->at))
+        count_end (add_suspect (quarantine, crash->contents[i]), end);
+  }
+}
+
+/* Counts the ends under each content anew, without those that a blamed one explains. */
+static void
+count_ends (LcQuarantine *quarantine)
+{
+  for (Suspect *suspect = quarantine->suspects; suspect; suspect = suspect->hh.next)
+    {
+      suspect->n_ends = 0;
+      suspect->last = NULL;
+    }
+  LB_LIST_FOREACH (&quarantine->ends, End, link, end)
+  {
+    if (!end->explained)
+      count_contents (quarantine, end);
+  }
+}
+
+/* Positive: a is blamed before b. 0: nothing tells them apart. */
+static int
+compare (const Suspect *a, const Suspect *b)
+{
+  if (a->n_ends != b->n_ends)
+    return a->n_ends > b->n_ends ? 1 : -1;
+  if (a->full_at != b->full_at)
+    return a->full_at < b->full_at ? 1 : -1;
+  return 0;
+}
+
+/* NULL: nobody has enough ends. */
+static const Suspect *
+find_worst (const LcQuarantine *quarantine)
+{
+  const Suspect *worst = NULL;
+
+  for (const Suspect *suspect = quarantine->suspects; suspect; suspect = suspect->hh.next)
+    if (suspect->n_ends >= CRASHES_TO_BLAME && (!worst || compare (suspect, worst) > 0))
+      worst = suspect;
+  return worst;
+}
+
+static bool
+is_under (const LcQuarantine *quarantine, const End *end, LcContent content)
+{
+  if (is_cleared (quarantine, content, end->at))
+    return false;
+  LB_LIST_FOREACH (&end->reports, Report, link, report)
+  {
+    for (size_t i = 0; i < report->crash.n_contents; i++)
+      if (report->crash.contents[i] == content)
+        return true;
+  }
+  return false;
+}
+
+static void
+blame (LcQuarantine *quarantine, Suspect *suspect)
+{
+  LB_LIST_FOREACH (&quarantine->ends, End, link, end)
+  {
+    if (!is_under (quarantine, end, suspect->content))
+      continue;
+    end->explained = true;
+    suspect->until = end->at + TERM;
+  }
+}
+
+static void
+blame_all_like (LcQuarantine *quarantine, const Suspect *worst)
+{
+  const Suspect like = *worst;
+
+  for (Suspect *suspect = quarantine->suspects; suspect; suspect = suspect->hh.next)
+    if (compare (suspect, &like) == 0)
+      blame (quarantine, suspect);
+}
+
+/* Guards against requests that are kept out for what another one did: an endpoint works on several
+ * at once, all of them break with it, and those that are tried again meet the bad one again at the
+ * next endpoint. The bad one is under every end, the others under some; so the one with the most
+ * ends is blamed first, of several the one that had enough of them first, and its ends do not count
+ * against anybody else. */
+static void
+judge (LcQuarantine *quarantine)
+{
+  const Suspect *worst;
+
+  drop_suspects (quarantine);
+  LB_LIST_FOREACH (&quarantine->ends, End, link, end)
+  {
+    end->explained = false;
+  }
+  count_ends (quarantine);
+  while ((worst = find_worst (quarantine)))
+    {
+      blame_all_like (quarantine, worst);
+      count_ends (quarantine);
+    }
+  lb_metric_set (&in_quarantine, (int64_t)lc_quarantine_count (quarantine));
+}
+
+/* --- reports --- */
+
+static Report *
+find_report (const LcQuarantine *quarantine, const char *id, End **its_end)
+{
+  LB_LIST_FOREACH (&quarantine->ends, End, link, end)
+  {
+    LB_LIST_FOREACH (&end->reports, Report, link, report)
+    {
+      *its_end = end;
+      if (strcmp (report->crash.id, id) == 0)
+        return report;
+    }
+  }
+  return NULL;
+}
+
+static bool
+is_about (const End *end, const LcCrash *crash)
+{
+  const Report *first = LB_LIST_FIRST (&end->reports, Report, link);
+
+  return strcmp (first->crash.endpoint, crash->endpoint) == 0
+         && llabs (first->crash.at - crash->at) <= SAME_END;
+}
+
+/* Before the first one that was later. */
+static void
+insert_end (LcQuarantine *quarantine, End *end)
+{
+  LB_LIST_FOREACH (&quarantine->ends, End, link, other)
+  {
+    if (other->at <= end->at)
+      continue;
+    lb_list_insert_before (&quarantine->ends, &other->link, &end->link);
+    return;
+  }
+  lb_list_append (&quarantine->ends, &end->link);
+}
+
+static End *
+take_out_end (LcQuarantine *quarantine, const LcCrash *crash)
+{
+  End *fresh = NULL;
+
+  LB_LIST_FOREACH (&quarantine->ends, End, link, end)
+  {
+    if (!is_about (end, crash))
+      continue;
+    lb_list_remove (&quarantine->ends, &end->link);
+    return end;
+  }
+  fresh = LB_NEW (End);
+  lb_list_init (&fresh->reports);
+  fresh->at = crash->at;
+  return fresh;
+}
+
+static void
+add_report (LcQuarantine *quarantine, const LcCrash *crash)
+{
+  Report *report = LB_NEW (Report);
+  End *end = take_out_end (quarantine, crash);
+
+  report->crash = *crash;
+  lb_list_append (&end->reports, &report->link);
+  quarantine->n_reports++;
+  if (crash->at < end->at)
+    end->at = crash->at;
+  insert_end (quarantine, end);
+}
+
+/* The oldest end, of those that keep nobody out if there are any. */
+static void
+make_room (LcQuarantine *quarantine)
+{
+  End *oldest = LB_LIST_FIRST (&quarantine->ends, End, link);
+
+  LB_LIST_FOREACH (&quarantine->ends, End, link, end)
+  {
+    if (oldest->explained && !end->explained)
+      oldest = end;
+  }
+  lb_log (LB_LOG_WARNING, "crash_reports_dropped", LB_INT ("reports", oldest->reports.length),
+          LB_TEXT ("endpoint", LB_LIST_FIRST (&oldest->reports, Report, link)->crash.endpoint));
+  drop_end (quarantine, oldest);
+}
+
+static void clear (LcQuarantine *quarantine, LcContent content, LbTime at);
+
+/* What was answered here shortly before, or since, speaks for the content. */
+static void
+clear_answered (LcQuarantine *quarantine, const LcCrash *crash)
+{
+  for (size_t i = 0; i < MAX_ANSWERED; i++)
+    {
+      const Answered *answered = &quarantine->answered[i];
+      for (size_t k = 0; answered->content && k < crash->n_contents; k++)
+        if (crash->contents[k] == answered->content && crash->at <= answered->at + CLEARED_FOR)
+          clear (quarantine, answered->content, answered->at);
+    }
+}
+
+static void
+log_quarantined (const LcQuarantine *quarantine, const LcCrash *crash, LbTime now)
+{
+  char content[LC_CONTENT_SIZE];
+
+  for (size_t i = 0; i < crash->n_contents; i++)
+    {
+      LbTime until = lc_quarantine_until (quarantine, crash->contents[i]);
+      if (until == 0)
+        continue;
+      lc_content_to_text (crash->contents[i], content);
+      lb_log (LB_LOG_WARNING, "request_quarantined", LB_TEXT ("content", content),
+              LB_TEXT ("endpoint", crash->endpoint), LB_TEXT ("report", crash->id),
+              LB_INT ("crashes_to_blame", CRASHES_TO_BLAME),
+              LB_INT ("for_s", (until - now) / LB_SEC));
+    }
+}
+
+void
+lc_quarantine_crashed (LcQuarantine *quarantine, const LcCrash *crash, LbTime now)
+{
+  End *end = NULL;
+
+  if (crash->at + TERM <= now || find_report (quarantine, crash->id, &end))
+    return;
+  if (quarantine->n_reports >= MAX_REPORTS)
+    make_room (quarantine);
+  add_report (quarantine, crash);
+  clear_answered (quarantine, crash);
+  judge (quarantine);
+  log_quarantined (quarantine, crash, now);
+}
+
+void
+lc_quarantine_withdraw (LcQuarantine *quarantine, const char *id)
+{
+  End *end = NULL;
+  Report *report = find_report (quarantine, id, &end);
+
+  if (!report)
+    return;
+  drop_report (quarantine, end, report);
+  judge (quarantine);
+}
+
+/* --- answers --- */
+
+void
+lc_quarantine_cleared (LcQuarantine *quarantine, LcContent content, LbTime at)
+{
+  Clearance *clearance = find_clearance (quarantine, content);
+
+  if (!clearance)
+    {
+      clearance = LB_NEW (Clearance);
+      clearance->content = content;
+      HASH_ADD (hh, quarantine->clearances, content, sizeof clearance->content, clearance);
+    }
+  if (at > clearance->at)
+    clearance->at = at;
+  judge (quarantine);
+}
+
+static void
+clear (LcQuarantine *quarantine, LcContent content, LbTime at)
+{
+  const Clearance *known = find_clearance (quarantine, content);
+  ToTell *to_tell = NULL;
+
+  if (known && known->at >= at)
+    return;
+  to_tell = LB_NEW (ToTell);
+  to_tell->content = content;
+  to_tell->at = at;
+  lb_list_append (&quarantine->to_tell, &to_tell->link);
+  lc_quarantine_cleared (quarantine, content, at);
+}
+
+void
+lc_quarantine_survived (LcQuarantine *quarantine, LcContent content, LbTime now)
+{
+  if (content == 0)
+    return;
+  quarantine->answered[quarantine->next_answered] = (Answered){ content, now };
+  quarantine->next_answered = (quarantine->next_answered + 1) % MAX_ANSWERED;
+  if (find_suspect (quarantine, content))
+    clear (quarantine, content, now);
+}
+
+bool
+lc_quarantine_next_clearance (LcQuarantine *quarantine, LcContent *content, LbTime *answered_at)
+{
+  LbLink *link = lb_list_pop (&quarantine->to_tell);
+  ToTell *to_tell = NULL;
+
+  if (!link)
+    return false;
+  to_tell = LB_CONTAINER (link, ToTell, link);
+  *content = to_tell->content;
+  *answered_at = to_tell->at;
+  free (to_tell);
+  return true;
+}
+
+/* --- time --- */
+
+void
+lc_quarantine_expire (LcQuarantine *quarantine, LbTime now)
+{
+  Clearance *clearance, *next;
+  bool changed = false;
+
+  LB_LIST_FOREACH (&quarantine->ends, End, link, end)
+  {
+    if (end->at + TERM > now)
+      continue;
+    drop_end (quarantine, end);
+    changed = true;
+  }
+  HASH_ITER (hh, quarantine->clearances, clearance, next)
+  {
+    if (clearance->at + TERM <= now)
+      drop_clearance (quarantine, clearance);
+  }
+  if (changed)
+    judge (quarantine);
+}
+
+LbTime
+lc_quarantine_until (const LcQuarantine *quarantine, LcContent content)
+{
+  const Suspect *suspect = find_suspect (quarantine, content);
+
+  return suspect ? suspect->until : 0;
+}
+
+size_t
+lc_quarantine_count (const LcQuarantine *quarantine)
+{
+  size_t n = 0;
+
+  for (const Suspect *suspect = quarantine->suspects; suspect; suspect = suspect->hh.next)
+    n += suspect->until > 0;
+  return n;
+}
+
+LbTime
+lc_quarantine_term (void)
+{
+  return TERM;
+}
--- a/packages/core/src/lc-request.c
+++ b/packages/core/src/lc-request.c
@@ -38,6 +38,7 @@
   LB_COPY (request->flow, spec->flow[0] ? spec->flow : spec->caller);
   request->share = spec->share;
   request->priority = spec->priority;
+  request->content = spec->content;
   request->kind = spec->kind;
   request->delivery = spec->delivery;
   request->repeatable = spec->repeatable;
@@ -163,6 +164,12 @@
   return request->delivery == LC_DELIVER_STREAM && request->next_token > request->first_token;
 }
 
+bool
+lc_request_keeps_pieces (const LcRequest *request)
+{
+  return request->delivery == LC_DELIVER_STREAM && request->resumable;
+}
+
 /* Guards against a route's limit that is used up by endpoints that are gone: with half of a
  * service's endpoints restarting, a call with 1.5 s to spare was given up after 6 ms and two
  * connections that did not open, while the other half was idle. The limit bounds how many are
--- a/packages/core/src/lc-request.h
+++ b/packages/core/src/lc-request.h
@@ -46,6 +46,7 @@
   LbName flow;
   double share;
   int priority;
+  LcContent content;
   LcRequestKind kind;
   LcDelivery delivery;
   LcRequestState state;
@@ -90,5 +91,7 @@
 /* Whether one more attempt may be made. */
 bool lc_request_has_attempts_left (const LcRequest *request);
 bool lc_request_has_output (const LcRequest *request);
+/* Whether an attempt that breaks is followed by one that goes on behind its pieces. */
+bool lc_request_keeps_pieces (const LcRequest *request);
 
 #endif
--- a/packages/node/src/ln-calls-private.h
+++ b/packages/node/src/ln-calls-private.h
@@ -4,6 +4,7 @@
 #include "ln-call.h"
 #include "ln-claims.h"
 #include "ln-context.h"
+#include "ln-crashes.h"
 #include "ln-endpoint-checks.h"
 #include "ln-leaving.h"
 #include "ln-messages.h"
@@ -25,6 +26,7 @@
   LnRelays *relays;
   LnLeaving *leaving;
   LnEndpointChecks *checks;
+  LnCrashes *crashes;
   struct event *tick;
   struct event *keep_alive;
   LcDesired *desired;   /* routes of a shared platform; NULL: none are known */
--- a/packages/node/src/ln-calls-run.c
+++ b/packages/node/src/ln-calls-run.c
@@ -255,17 +255,18 @@
                        report.at);
 }
 
-/* An endpoint that ended under a request looks like one that cut an answer. What had brought a part
- * of the text goes on behind it and is not asked again for the same. */
+/* An endpoint that ended under a request looks like one that cut an answer. A text that had begun
+ * goes on behind its last piece and is not asked for the same again. */
 static void
 note_broken (LnCalls *calls, const LnAttempt *attempt, LcAttemptEnd end)
 {
   const LnUpstream *upstream = attempt->upstream;
+  const LcRequestSpec *spec = &attempt->call->spec;
+  bool goes_on = attempt->tokens > 0 && spec->resumable && spec->delivery == LC_DELIVER_STREAM;
 
-  if (end != LC_END_BROKEN || attempt->tokens > 0)
-    return;
-  ln_endpoint_checks_broken (calls->checks, ln_upstream_endpoint (upstream),
-                             ln_upstream_address (upstream), attempt->call->spec.content);
+  if (end == LC_END_BROKEN && !goes_on)
+    ln_endpoint_checks_broken (calls->checks, ln_upstream_endpoint (upstream),
+                               ln_upstream_address (upstream), spec->content);
 }
 
 /* The attempt stays only until the actions that its end brings have run: a FINISH among them takes
@@ -288,6 +289,7 @@
   lc_dispatch_ended (calls->dispatch, id, ln_upstream_attempt (upstream), end,
                      lb_clock_monotonic (), &actions);
   ln_calls_run (calls, &actions);
+  ln_crashes_tell (calls->crashes);
   if (end == LC_END_REFUSED_LEAVING)
     ln_calls_tell_leaving (calls, ln_upstream_endpoint (upstream));
   call = ln_calls_find (calls, id);
--- a/packages/node/src/ln-calls.c
+++ b/packages/node/src/ln-calls.c
@@ -137,6 +137,8 @@
 {
   LnEndpointLeavingMessage heard;
 
+  if (ln_crashes_hear (calls->crashes, frame))
+    return;
   if (ln_leaving_hear (calls->leaving, frame, &heard))
     take_leaving (calls, &heard);
 }
@@ -170,6 +172,18 @@
     LN_POST (calls->task.hub, config, message);
 }
 
+static void
+on_crashed (const char *endpoint,
+            LbTime broken_at,
+            const LcContent *contents,
+            size_t n_contents,
+            void *user)
+{
+  LnCalls *calls = user;
+
+  ln_crashes_seen (calls->crashes, endpoint, broken_at, contents, n_contents);
+}
+
 static void
 on_cache_event (const char *endpoint, uint64_t sequence, bool stored, uint64_t prefix, void *user)
 {
@@ -272,6 +286,7 @@
   ln_relays_free (calls->relays);
   ln_leaving_free (calls->leaving);
   ln_endpoint_checks_free (calls->checks);
+  ln_crashes_free (calls->crashes);
   ln_claims_free (calls->claims);
   ln_ticket_calls_free (calls->tickets);
   ln_poller_free (calls->poller);
@@ -321,6 +336,7 @@
   LbTime now = lb_clock_monotonic ();
 
   set_gauges (calls);
+  ln_crashes_tick (calls->crashes, now);
   LB_LIST_FOREACH (&calls->all, LnCall, link, call)
   {
     ln_call_keep_alive (call, now - KEEP_ALIVE, now);
@@ -345,7 +361,8 @@
   calls->claims = ln_claims_new (context->base, context->platform, context->incarnation);
   calls->relays = ln_relays_new (context);
   calls->leaving = ln_leaving_new (&calls->task);
-  calls->checks = ln_endpoint_checks_new (context);
+  calls->crashes = ln_crashes_new (context, lc_dispatch_quarantine (calls->dispatch));
+  calls->checks = ln_endpoint_checks_new (context, on_crashed, calls);
   calls->tick = evtimer_new (context->base, ln_calls_on_tick, calls);
   if (!context->dialect)
     calls->poller
--- /dev/null
+++ b/packages/node/src/ln-crashes.c
@@ -0,0 +1,489 @@
+#include "lp-platform.h"
+
+#include "ln-crashes.h"
+
+#include "lb-alloc.h"
+#include "lb-clock.h"
+#include "lb-list.h"
+#include "lb-log.h"
+#include "ln-crash-row.h"
+#include "lp-follow.h"
+
+#include <msgpack.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define TABLE "crash"
+#define PREFIX TABLE "/all/"
+#define TOPIC "calls"
+#define FRAME_KIND "crash"
+#define N_FIELDS 3 /* of a frame: kind, key, text */
+/* Of one watch. A connection that went silent is found after it, in less than the three seconds in
+ * which a bad request has to be known everywhere; a shorter one costs calls of the store, half a
+ * second each of every instance. */
+#define WATCH_WAIT (2 * LB_SEC)
+#define RETRY (100 * LB_MSEC)
+/* Of a row whose reports no longer count; spread, so that not all instances remove the same. */
+#define LONGEST_REMOVAL_WAIT (600 * LB_SEC)
+/* Rows that are remembered here, to be removed one day. */
+#define MAX_ROWS 1024
+/* Rows that the store has not taken yet. Each is about one endpoint's end. */
+#define MAX_UNWRITTEN 64
+
+/* A row that stands in the store. */
+typedef struct
+{
+  LbLink link;
+  char *key;
+  LbTime remove_at;
+} Row;
+
+/* A row on its way to the store. */
+typedef struct
+{
+  LbLink link;
+  LnCrashes *owner;
+  char *key;
+  char *text; /* NULL: it is removed */
+  bool is_sent;
+} Unwritten;
+
+struct LnCrashes
+{
+  LnContext *context;
+  LcQuarantine *quarantine;
+  LpFollow *follow; /* NULL: the platform's rows can't be followed; see is_scanned */
+  LbList rows;
+  LbList unwritten;
+  uint64_t n_told;
+  LbTime store_offset; /* from the own clock to the store's */
+  bool knows_store_time;
+  bool is_scanned; /* the rows of before were read */
+  bool is_scanning;
+};
+
+/* --- times --- */
+
+static void
+note_store_time (LnCrashes *crashes)
+{
+  LpPlatform *platform = crashes->context->platform;
+  int64_t ms = platform->klass->store_ms ? platform->klass->store_ms (platform) : 0;
+
+  if (ms == 0)
+    return;
+  crashes->store_offset = ms * LB_MSEC - lb_clock_monotonic ();
+  crashes->knows_store_time = true;
+}
+
+static int64_t
+to_store_ms (const LnCrashes *crashes, LbTime at)
+{
+  return crashes->knows_store_time ? (at + crashes->store_offset) / LB_MSEC : 0;
+}
+
+/* What can't be placed in time happened now: it counts for longer rather than not at all. */
+static LbTime
+from_store_ms (const LnCrashes *crashes, int64_t ms, LbTime now)
+{
+  LbTime at = ms * LB_MSEC - crashes->store_offset;
+
+  return ms > 0 && crashes->knows_store_time && at < now ? at : now;
+}
+
+/* --- rows heard --- */
+
+static Row *
+find_row (const LnCrashes *crashes, const char *key)
+{
+  LB_LIST_FOREACH (&crashes->rows, Row, link, row)
+  {
+    if (strcmp (row->key, key) == 0)
+      return row;
+  }
+  return NULL;
+}
+
+static void
+drop_row (LnCrashes *crashes, Row *row)
+{
+  lb_list_remove (&crashes->rows, &row->link);
+  free (row->key);
+  free (row);
+}
+
+static void
+remember_row (LnCrashes *crashes, const char *key, LbTime at)
+{
+  double draw = ln_context_draw (crashes->context);
+  Row *row = find_row (crashes, key);
+
+  if (row)
+    return;
+  if (crashes->rows.length >= MAX_ROWS)
+    drop_row (crashes, LB_LIST_FIRST (&crashes->rows, Row, link));
+  row = LB_NEW (Row);
+  row->key = lb_strdup (key);
+  row->remove_at
+      = at + lc_quarantine_term () + (LbTime)(draw * (double)LONGEST_REMOVAL_WAIT) + LB_SEC;
+  lb_list_append (&crashes->rows, &row->link);
+}
+
+static void
+hear (LnCrashes *crashes, const char *key, const char *text, LbTime now)
+{
+  LnCrashRow row;
+  LbError error = { 0 };
+
+  if (!ln_crash_row_from_text (text, &row, &error))
+    {
+      lb_log_error (LB_LOG_WARNING, "crash_row_not_read", &error);
+      return;
+    }
+  row.crash.at = from_store_ms (crashes, row.at_ms, now);
+  LB_COPY (row.crash.id, key);
+  remember_row (crashes, key, row.crash.at);
+  if (row.is_clearance)
+    lc_quarantine_cleared (crashes->quarantine, row.crash.contents[0], row.crash.at);
+  else
+    lc_quarantine_crashed (crashes->quarantine, &row.crash, now);
+}
+
+/* A row is removed when it is too old to count, or by the operators, who let a request run again.
+ */
+static void
+hear_removal (LnCrashes *crashes, const char *key)
+{
+  Row *row = find_row (crashes, key);
+
+  lc_quarantine_withdraw (crashes->quarantine, key);
+  if (row)
+    drop_row (crashes, row);
+}
+
+static void
+take_rows (LnCrashes *crashes, const LpRow *rows, size_t n_rows)
+{
+  LbTime now = lb_clock_monotonic ();
+
+  note_store_time (crashes);
+  for (size_t i = 0; i < n_rows; i++)
+    if (rows[i].value)
+      hear (crashes, rows[i].key, rows[i].value, now);
+    else
+      hear_removal (crashes, rows[i].key);
+  ln_crashes_tell (crashes);
+}
+
+static void
+on_rows (const LpRow *rows, size_t n_rows, void *user)
+{
+  take_rows (user, rows, n_rows);
+}
+
+static void
+on_base (void *user)
+{
+  note_store_time (user);
+}
+
+static void
+on_scanned (LbErrorCode error, const LpRow *rows, size_t n_rows, void *user)
+{
+  LnCrashes *crashes = user;
+
+  crashes->is_scanning = false;
+  crashes->is_scanned = error == LB_OK || error == LB_ERROR_NOT_FOUND;
+  if (error == LB_OK)
+    take_rows (crashes, rows, n_rows);
+}
+
+/* --- rows told --- */
+
+static void
+drop_unwritten (LnCrashes *crashes, Unwritten *row)
+{
+  lb_list_remove (&crashes->unwritten, &row->link);
+  free (row->key);
+  free (row->text);
+  free (row);
+}
+
+static void
+on_written (LbErrorCode error, const LpRow *answer, void *user)
+{
+  (void)answer;
+  Unwritten *row = user;
+
+  if (error == LB_OK)
+    {
+      drop_unwritten (row->owner, row);
+      return;
+    }
+  lb_log (LB_LOG_INFO, "crash_row_not_written", LB_TEXT ("key", row->key),
+          LB_TEXT ("error", lb_error_name (error)));
+  row->is_sent = false;
+}
+
+static void
+send_row (Unwritten *row)
+{
+  LpPlatform *platform = row->owner->context->platform;
+  const LpPut put = { .key = row->key, .value = row->text };
+  char *token = lb_asprintf ("%s%s", row->key, row->text ? "" : "-removed");
+  const LpTransaction transaction = { .token = token, .puts = &put, .n_puts = 1 };
+
+  row->is_sent = true;
+  platform->klass->transact (platform, &transaction, LP_PRIORITY_LEDGER, on_written, row);
+  free (token);
+}
+
+/* The oldest that is not on its way makes room: what came later is about the present. */
+static void
+make_room (LnCrashes *crashes)
+{
+  LB_LIST_FOREACH (&crashes->unwritten, Unwritten, link, row)
+  {
+    if (row->is_sent)
+      continue;
+    lb_log (LB_LOG_WARNING, "crash_row_dropped", LB_TEXT ("key", row->key));
+    drop_unwritten (crashes, row);
+    return;
+  }
+}
+
+/* Takes the text over. */
+static void
+write_row (LnCrashes *crashes, const char *key, char *text)
+{
+  Unwritten *row = LB_NEW (Unwritten);
+
+  if (crashes->unwritten.length >= MAX_UNWRITTEN)
+    make_room (crashes);
+  row->owner = crashes;
+  row->key = lb_strdup (key);
+  row->text = text;
+  lb_list_append (&crashes->unwritten, &row->link);
+  send_row (row);
+}
+
+static void
+pack_text (msgpack_packer *packer, const char *text)
+{
+  msgpack_pack_str (packer, strlen (text));
+  msgpack_pack_str_body (packer, text, strlen (text));
+}
+
+static void
+clear_frame (LnMessage *message)
+{
+  free (((LnPeerMessage *)message)->payload);
+}
+
+/* Where rows can't be followed, instances that run hear of them by frames. */
+static void
+send_frame (LnCrashes *crashes, const char *key, const char *text)
+{
+  LnTask *peers = ln_hub_find (crashes->context->hub, "peers");
+  LnPeerMessage message = { .base = LN_MESSAGE (LN_PEER_SEND), .topic = TOPIC };
+  msgpack_sbuffer buffer;
+  msgpack_packer packer;
+
+  if (!peers)
+    return;
+  msgpack_sbuffer_init (&buffer);
+  msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
+  msgpack_pack_array (&packer, N_FIELDS);
+  pack_text (&packer, FRAME_KIND);
+  pack_text (&packer, key);
+  pack_text (&packer, text);
+  message.base.clear = clear_frame;
+  message.payload = lb_memdup (buffer.data, buffer.size);
+  message.length = buffer.size;
+  msgpack_sbuffer_destroy (&buffer);
+  LN_POST (crashes->context->hub, peers, message);
+}
+
+static void
+tell (LnCrashes *crashes, const char *key, const LnCrashRow *row)
+{
+  char *text = ln_crash_row_to_text (row);
+
+  remember_row (crashes, key, row->crash.at);
+  if (!crashes->follow)
+    send_frame (crashes, key, text);
+  write_row (crashes, key, text);
+}
+
+void
+ln_crashes_seen (LnCrashes *crashes,
+                 const char *endpoint,
+                 LbTime at,
+                 const LcContent *contents,
+                 size_t n_contents)
+{
+  const LnContext *context = crashes->context;
+  LnCrashRow row = { .at_ms = to_store_ms (crashes, at) };
+  LcCrash *crash = &row.crash;
+
+  LB_COPY (crash->endpoint, endpoint);
+  crash->at = at;
+  crash->n_contents = n_contents < LC_MAX_CRASH_CONTENTS ? n_contents : LC_MAX_CRASH_CONTENTS;
+  memcpy (crash->contents, contents, crash->n_contents * sizeof *contents);
+  snprintf (crash->id, sizeof crash->id, "%s%s:%s:%s-%llu", PREFIX, endpoint, context->instance,
+            context->incarnation, (unsigned long long)++crashes->n_told);
+  tell (crashes, crash->id, &row);
+  lc_quarantine_crashed (crashes->quarantine, crash, lb_clock_monotonic ());
+  ln_crashes_tell (crashes);
+}
+
+void
+ln_crashes_tell (LnCrashes *crashes)
+{
+  LnCrashRow row = { .is_clearance = true };
+  char content[LC_CONTENT_SIZE];
+  char key[sizeof PREFIX + LC_CONTENT_SIZE + sizeof "answered:"];
+
+  row.crash.n_contents = 1;
+  while (lc_quarantine_next_clearance (crashes->quarantine, &row.crash.contents[0], &row.crash.at))
+    {
+      lc_content_to_text (row.crash.contents[0], content);
+      snprintf (key, sizeof key, "%sanswered:%s", PREFIX, content);
+      row.at_ms = to_store_ms (crashes, row.crash.at);
+      tell (crashes, key, &row);
+    }
+}
+
+static bool
+read_text (const msgpack_object *object, char *text, size_t size)
+{
+  if (object->type != MSGPACK_OBJECT_STR || object->via.str.size >= size)
+    return false;
+  memcpy (text, object->via.str.ptr, object->via.str.size);
+  text[object->via.str.size] = '\0';
+  return true;
+}
+
+static bool
+is_kind (const msgpack_object *object)
+{
+  char kind[sizeof FRAME_KIND];
+
+  return object->type == MSGPACK_OBJECT_ARRAY && object->via.array.size == N_FIELDS
+         && read_text (&object->via.array.ptr[0], kind, sizeof kind)
+         && strcmp (kind, FRAME_KIND) == 0;
+}
+
+static void
+hear_fields (LnCrashes *crashes, const msgpack_object *fields)
+{
+  char key[LC_CRASH_ID_SIZE];
+  char text[LC_CRASH_ID_SIZE + LC_MAX_CRASH_CONTENTS * (LC_CONTENT_SIZE + 3)];
+
+  if (read_text (&fields[1], key, sizeof key) && read_text (&fields[2], text, sizeof text))
+    hear (crashes, key, text, lb_clock_monotonic ());
+  else
+    lb_log (LB_LOG_WARNING, "crash_frame_not_read");
+  ln_crashes_tell (crashes);
+}
+
+bool
+ln_crashes_hear (LnCrashes *crashes, const LnPeerMessage *frame)
+{
+  msgpack_unpacked unpacked;
+  size_t offset = 0;
+  bool is_ours;
+
+  msgpack_unpacked_init (&unpacked);
+  is_ours = msgpack_unpack_next (&unpacked, frame->payload, frame->length, &offset)
+                == MSGPACK_UNPACK_SUCCESS
+            && is_kind (&unpacked.data);
+  if (is_ours)
+    hear_fields (crashes, unpacked.data.via.array.ptr);
+  msgpack_unpacked_destroy (&unpacked);
+  return is_ours;
+}
+
+/* --- */
+
+static void
+remove_old (LnCrashes *crashes, LbTime now)
+{
+  LB_LIST_FOREACH (&crashes->rows, Row, link, row)
+  {
+    if (row->remove_at > now)
+      continue;
+    write_row (crashes, row->key, NULL);
+    drop_row (crashes, row);
+  }
+}
+
+static void
+write_again (LnCrashes *crashes)
+{
+  LB_LIST_FOREACH (&crashes->unwritten, Unwritten, link, row)
+  {
+    if (!row->is_sent)
+      send_row (row);
+  }
+}
+
+static void
+scan (LnCrashes *crashes)
+{
+  LpPlatform *platform = crashes->context->platform;
+
+  if (crashes->is_scanned || crashes->is_scanning)
+    return;
+  crashes->is_scanning = true;
+  platform->klass->scan (platform, PREFIX, on_scanned, crashes);
+}
+
+void
+ln_crashes_tick (LnCrashes *crashes, LbTime now)
+{
+  if (crashes->follow)
+    lp_follow_tick (crashes->follow, now);
+  else
+    scan (crashes);
+  lc_quarantine_expire (crashes->quarantine, now);
+  write_again (crashes);
+  remove_old (crashes, now);
+}
+
+LnCrashes *
+ln_crashes_new (LnContext *context, LcQuarantine *quarantine)
+{
+  static const char *const prefixes[] = { PREFIX };
+  const LpFollowSettings settings = { .table = TABLE,
+                                      .prefixes = prefixes,
+                                      .n_prefixes = 1,
+                                      .wait = WATCH_WAIT,
+                                      .retry = RETRY,
+                                      .on_base = on_base };
+  LnCrashes *crashes = LB_NEW (LnCrashes);
+
+  crashes->context = context;
+  crashes->quarantine = quarantine;
+  lb_list_init (&crashes->rows);
+  lb_list_init (&crashes->unwritten);
+  if (context->platform->klass->watch)
+    crashes->follow = lp_follow_new (context->platform, &settings, on_rows, crashes);
+  return crashes;
+}
+
+void
+ln_crashes_free (LnCrashes *crashes)
+{
+  LB_LIST_FOREACH (&crashes->rows, Row, link, row)
+  {
+    drop_row (crashes, row);
+  }
+  LB_LIST_FOREACH (&crashes->unwritten, Unwritten, link, unwritten)
+  {
+    drop_unwritten (crashes, unwritten);
+  }
+  lp_follow_free (crashes->follow);
+  free (crashes);
+}
--- a/packages/node/src/ln-endpoint-checks.c
+++ b/packages/node/src/ln-endpoint-checks.c
@@ -14,7 +14,7 @@
 /* Of one check: a hundred round trips between data centres. */
 #define CHECK_TIME (250 * LB_MSEC)
 /* Of one endpoint: several times what it works on at once. What breaks beyond is not looked at. */
-#define MAX_CONTENTS 64
+#define MAX_CONTENTS LC_MAX_CRASH_CONTENTS
 
 typedef struct
 {
@@ -30,6 +30,8 @@
 struct LnEndpointChecks
 {
   LnContext *context;
+  LnEndpointCrashed on_crashed;
+  void *user;
   LbList running;
 };
 
@@ -38,11 +40,13 @@
                                            "Endpoints that ended under requests of this instance");
 
 LnEndpointChecks *
-ln_endpoint_checks_new (LnContext *context)
+ln_endpoint_checks_new (LnContext *context, LnEndpointCrashed on_crashed, void *user)
 {
   LnEndpointChecks *checks = LB_NEW (LnEndpointChecks);
 
   checks->context = context;
+  checks->on_crashed = on_crashed;
+  checks->user = user;
   lb_list_init (&checks->running);
   return checks;
 }
@@ -89,10 +93,15 @@
 on_checked (LhReachOutcome outcome, void *user)
 {
   Check *check = user;
+  const LnEndpointChecks *checks = check->owner;
 
   log_outcome (check, outcome);
   if (outcome == LH_REACH_REFUSED)
-    lb_metric_add (&crashed, 1);
+    {
+      lb_metric_add (&crashed, 1);
+      checks->on_crashed (check->endpoint, check->broken_at, check->contents, check->n_contents,
+                          checks->user);
+    }
   check_free (check);
 }
 
@@ -125,6 +134,15 @@
   return NULL;
 }
 
+static bool
+has (const Check *check, LcContent content)
+{
+  for (size_t i = 0; i < check->n_contents; i++)
+    if (check->contents[i] == content)
+      return true;
+  return false;
+}
+
 void
 ln_endpoint_checks_broken (LnEndpointChecks *checks,
                            const char *endpoint,
@@ -135,6 +153,6 @@
 
   if (!check)
     check = start (checks, endpoint, address);
-  if (check && check->n_contents < MAX_CONTENTS)
+  if (check && check->n_contents < MAX_CONTENTS && !has (check, content))
     check->contents[check->n_contents++] = content;
 }
