Soak: a caller whose request ends every service that begins it, at any instance, among all other faults

A service that ends refuses connections; sockets of the relays are no longer inherited by the instances, which kept the port open.

--- a/standins/si-sampler.c
+++ b/standins/si-sampler.c
@@ -314,9 +314,13 @@
 static void
 run_to_the_end (SiSampler *sampler, struct evhttp_request *request)
 {
+  const char *id = si_request_header (request, "Attempt-Id");
+
   sampler->crash_runs++;
   call_new (sampler, request);
-  if (!evtimer_pending (sampler->crash, NULL))
+  if (sampler->listener && sampler->listener->on_fatal)
+    sampler->listener->on_fatal (sampler, id ? id : "", sampler->user);
+  else if (!evtimer_pending (sampler->crash, NULL))
     set_timer (sampler->crash, CRASH_AFTER);
 }
 
--- a/standins/si-sampler.h
+++ b/standins/si-sampler.h
@@ -21,6 +21,8 @@
 {
   void (*on_call) (SiSampler *sampler, const char *id, void *user); /* of a plain service */
   void (*on_run) (SiSampler *sampler, const char *id, void *user);  /* a text begins or goes on */
+  /* Such a request begins; who hears of it ends the sampler, which does not by itself then. */
+  void (*on_fatal) (SiSampler *sampler, const char *id, void *user);
   /* accepted: 202 was answered */
   void (*on_order) (
       SiSampler *sampler, const char *holder, int64_t fence, bool accepted, void *user);
--- a/tests/process/pt-relay.c
+++ b/tests/process/pt-relay.c
@@ -171,10 +171,22 @@
   watch (line, line->far);
 }
 
+/* port 0: any free one. Programs that the test starts must not keep the socket open. */
+static void
+listen_at (PtRelay *relay, uint16_t port)
+{
+  const unsigned flags = LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE;
+  struct sockaddr_in at = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+
+  at.sin_port = htons (port);
+  relay->listener = evconnlistener_new_bind (relay->base, on_accept, relay, flags, -1,
+                                             (struct sockaddr *)&at, sizeof at);
+  cr_assert_not_null (relay->listener);
+}
+
 void
 pt_relay_init (PtRelay *relay, struct event_base *base, const char *target)
 {
-  struct sockaddr_in any = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
   struct sockaddr_in bound = { 0 };
   socklen_t length = sizeof bound;
 
@@ -182,19 +194,32 @@
   relay->base = base;
   lb_list_init (&relay->lines);
   LB_COPY (relay->target, target);
-  relay->listener = evconnlistener_new_bind (base, on_accept, relay, LEV_OPT_CLOSE_ON_FREE, -1,
-                                             (struct sockaddr *)&any, sizeof any);
-  cr_assert_not_null (relay->listener);
+  listen_at (relay, 0);
   getsockname (evconnlistener_get_fd (relay->listener), (struct sockaddr *)&bound, &length);
   snprintf (relay->address, sizeof relay->address, "127.0.0.1:%d", ntohs (bound.sin_port));
 }
 
+void
+pt_relay_refuse (PtRelay *relay)
+{
+  if (relay->listener)
+    evconnlistener_free (relay->listener);
+  relay->listener = NULL;
+}
+
+void
+pt_relay_accept (PtRelay *relay)
+{
+  if (!relay->listener)
+    listen_at (relay, (uint16_t)atoi (strchr (relay->address, ':') + 1));
+}
+
 void
 pt_relay_clear (PtRelay *relay)
 {
   LB_LIST_FOREACH (&relay->lines, Line, link, line)
   line_free (line);
-  evconnlistener_free (relay->listener);
+  pt_relay_refuse (relay);
 }
 
 void
--- a/tests/process/pt-relay.h
+++ b/tests/process/pt-relay.h
@@ -35,6 +35,10 @@
 /* Every connection that is open now is reset. */
 void pt_relay_reset (PtRelay *relay);
 
+/* New connections are refused, as where no process listens, until they are accepted again. */
+void pt_relay_refuse (PtRelay *relay);
+void pt_relay_accept (PtRelay *relay);
+
 size_t pt_relay_connections (const PtRelay *relay);
 
 #endif
--- a/tests/soak/sk-world.c
+++ b/tests/soak/sk-world.c
@@ -1,5 +1,6 @@
 #include "sk-world.h"
 
+#include "sk-crasher.h"
 #include "sk-one-shot.h"
 
 #include "lb-alloc.h"
@@ -17,6 +18,7 @@
 
 #define TURN_PAUSE 300 /* us; of a loop with nothing to do */
 #define N_SERVICES 2
+#define ENDS_AFTER (20 * LB_MSEC) /* from the start of a request that ends a service */
 /* An order may wait so long in a harmed way, or in the sockets of a paused instance. */
 #define ORDER_ON_ITS_WAY (1500 * LB_MSEC)
 #define BATCH_CALL_TIME (4 * LB_SEC)
@@ -448,8 +450,19 @@
   (void)accepted;
 }
 
+static void
+on_fatal (SiSampler *sampler, const char *id, void *user)
+{
+  SkEndpoint *endpoint = user;
+
+  if (endpoint->ends_at == LB_TIME_NEVER)
+    endpoint->ends_at = lb_clock_monotonic () + ENDS_AFTER;
+  if (endpoint->world->crasher)
+    sk_crasher_note_run (endpoint->world->crasher, id, sampler->name);
+}
+
 static const SiSamplerListener listener
-    = { .on_call = on_call, .on_run = on_run, .on_order = on_order };
+    = { .on_call = on_call, .on_run = on_run, .on_fatal = on_fatal, .on_order = on_order };
 
 static SkEndpoint *
 add_endpoint (SkWorld *world, const char *name, const char *service, const char *model)
@@ -462,12 +475,14 @@
   *endpoint = (SkEndpoint){ .world = world, .is_used = true };
   endpoint->heal_at = LB_TIME_NEVER;
   endpoint->return_at = LB_TIME_NEVER;
+  endpoint->ends_at = LB_TIME_NEVER;
   if (!si_sampler_init (&endpoint->sampler, world->base, &world->rows, name, service, model))
     abort ();
   pt_relay_init (&endpoint->way, world->base, endpoint->sampler.server.address);
   LB_COPY (endpoint->sampler.reached_at, endpoint->way.address);
   endpoint->sampler.tells_version = true;
   endpoint->sampler.listener = &listener;
+  endpoint->sampler.crashes_on = SK_CRASHER_BODY;
   endpoint->sampler.user = endpoint;
   endpoint->sampler.call_time = 80 * LB_MSEC; /* many are on their way when a connection breaks */
   endpoint->sampler.event_time = 25 * LB_MSEC;
@@ -492,21 +507,38 @@
   return endpoint;
 }
 
-void
-sk_endpoint_crash (SkEndpoint *endpoint, LbTime return_after)
+static void
+take_away (SkEndpoint *endpoint, LbTime return_after)
 {
-  if (endpoint->is_gone)
-    return;
-  sk_tell (endpoint->world, "crash %s", endpoint->sampler.name);
   endpoint->is_gone = true;
+  endpoint->ends_at = LB_TIME_NEVER;
   endpoint->return_at
       = return_after == LB_TIME_NEVER ? LB_TIME_NEVER : lb_clock_monotonic () + return_after;
   si_sampler_break_streams (&endpoint->sampler);
   si_sampler_unregister (&endpoint->sampler);
-  endpoint->way.fault = (PtRelayFault){ .loses_to_target = true };
   pt_relay_reset (&endpoint->way);
 }
 
+void
+sk_endpoint_crash (SkEndpoint *endpoint, LbTime return_after)
+{
+  if (endpoint->is_gone)
+    return;
+  sk_tell (endpoint->world, "crash %s", endpoint->sampler.name);
+  endpoint->way.fault = (PtRelayFault){ .loses_to_target = true };
+  take_away (endpoint, return_after);
+}
+
+void
+sk_endpoint_end (SkEndpoint *endpoint, LbTime return_after)
+{
+  if (endpoint->is_gone)
+    return;
+  sk_tell (endpoint->world, "end %s", endpoint->sampler.name);
+  pt_relay_refuse (&endpoint->way);
+  take_away (endpoint, return_after);
+}
+
 void
 sk_endpoint_leave (SkEndpoint *endpoint)
 {
@@ -527,12 +559,16 @@
       endpoint->way.fault = (PtRelayFault){ 0 };
       endpoint->sampler.event_time = 25 * LB_MSEC;
     }
+  if (now >= endpoint->ends_at)
+    sk_endpoint_end (endpoint, sk_draw (endpoint->world, 400, 1200) * LB_MSEC);
   if (now >= endpoint->return_at)
     {
       sk_tell (endpoint->world, "%s is back", endpoint->sampler.name);
       endpoint->return_at = LB_TIME_NEVER;
       endpoint->is_gone = false;
       endpoint->way.fault = (PtRelayFault){ 0 };
+      pt_relay_accept (&endpoint->way);
+      endpoint->sampler.born++;
       endpoint->sampler.orders = 0;
       endpoint->sampler.last_fence = 0;
       si_sampler_register (&endpoint->sampler);
--- a/tests/soak/sk-world.h
+++ b/tests/soak/sk-world.h
@@ -21,6 +21,7 @@
 
 typedef struct SkWorld SkWorld;
 struct SkOneShots;
+struct SkCrasher;
 
 /* An instance: a process, and its own way to the store. */
 typedef struct
@@ -52,6 +53,7 @@
   bool is_used;
   bool is_gone;         /* its process has ended */
   LbTime heal_at;       /* of the way or of its pace; LB_TIME_NEVER: all is well */
+  LbTime ends_at;       /* it has begun a request that ends it; LB_TIME_NEVER: it has not */
   LbTime return_at;     /* of one that crashed; LB_TIME_NEVER: it is there, or gone for good */
   LbTime leaving_since; /* 0: it does not leave */
 } SkEndpoint;
@@ -83,6 +85,7 @@
   int64_t highest_fence;        /* of the orders that engines got */
   LbTime fence_at;              /* when it was seen first */
   struct SkOneShots *one_shots; /* that hear of runs; NULL: none yet */
+  struct SkCrasher *crasher;    /* the same */
   LbName batch;                 /* that the trainer waits for */
   int64_t config_version;
   int64_t n_routes; /* that were added */
@@ -118,7 +121,10 @@
 void sk_instance_pause (SkInstance *instance, LbTime time);
 void sk_instance_stop (SkInstance *instance);
 SkEndpoint *sk_engine_add (SkWorld *world);
+/* Its machine is gone, and answers nothing. */
 void sk_endpoint_crash (SkEndpoint *endpoint, LbTime return_after);
+/* Its process ends; the machine refuses connections. */
+void sk_endpoint_end (SkEndpoint *endpoint, LbTime return_after);
 void sk_endpoint_leave (SkEndpoint *endpoint);
 void sk_config_put (SkWorld *world);
 void sk_version_put (SkWorld *world, int64_t version);
--- a/tests/soak/soak-processes.c
+++ b/tests/soak/soak-processes.c
@@ -1,4 +1,5 @@
 #include "sk-callers.h"
+#include "sk-crasher.h"
 #include "sk-faults.h"
 #include "sk-one-shot.h"
 #include "sk-trainer.h"
@@ -31,6 +32,7 @@
   SkCallers *callers;
   SkTrainer *trainer;
   SkOneShots *one_shots;
+  SkCrasher *crasher;
 } Run;
 
 static bool
@@ -50,6 +52,7 @@
   sk_callers_tick (run->callers, now);
   sk_trainer_tick (run->trainer, now);
   sk_one_shots_tick (run->one_shots, now);
+  sk_crasher_tick (run->crasher, now);
   sk_world_turn (&run->world);
 }
 
@@ -106,6 +109,7 @@
              (double)SETTLE_LIMIT / LB_SEC);
   sk_callers_stop (run->callers);
   sk_one_shots_stop (run->one_shots);
+  sk_crasher_stop (run->crasher);
   for (size_t i = 0; i < world->n_instances && sk_trainer_is_done (run->trainer); i++)
     {
       sk_trainer_read_again (run->trainer, &world->instances[i]);
@@ -151,6 +155,8 @@
   run.trainer = sk_trainer_new (world);
   run.one_shots = sk_one_shots_new (world);
   world->one_shots = run.one_shots;
+  run.crasher = sk_crasher_new (world);
+  world->crasher = run.crasher;
   wait_for_start (&run);
   strike (&run, options);
   settle (&run);
@@ -166,6 +172,7 @@
   sk_callers_free (run.callers);
   sk_trainer_free (run.trainer);
   sk_one_shots_free (run.one_shots);
+  sk_crasher_free (run.crasher);
   sk_world_clear (world, failures > 0 || options->keep_logs);
   return failures;
 }
