--- a/packages/core/src/lc-quarantine.c
+++ b/packages/core/src/lc-quarantine.c
@@ -1,4 +1,4 @@
-#include "lc-quarantine.h"
+#include "lc-crash-log.h"
 
 #include "lb-alloc.h"
 #include "lb-counter.h"
@@ -15,40 +15,21 @@
 /* How long a report counts: a caller that sends the same for hours costs three starts an hour, and
  * what was blamed wrongly, or was mended, runs again within the hour. */
 #define TERM (3600 * LB_SEC)
-/* Reports of one end differ by the time until each instance notices its broken connection. */
-#define SAME_END (2 * LB_SEC)
 /* An answer clears the content of ends that come shortly after it: many callers may ask the same,
  * and all endpoints may end at once for another reason. */
 #define CLEARED_FOR (2 * LB_SEC)
 /* Of answers given here, a few seconds' worth at two hundred a second. */
 #define MAX_ANSWERED 1024
-#define MAX_REPORTS 512
-
-typedef struct
-{
-  LbLink link; /* in End.reports */
-  LcCrash crash;
-} Report;
-
-/* The end of an endpoint, of which several instances may tell. */
-typedef struct
-{
-  LbLink link;
-  LbList reports;
-  LbName endpoint;
-  LbTime at;      /* of the earliest report */
-  bool explained; /* by a content that is blamed */
-} End;
 
 /* A content that a report names. */
 typedef struct
 {
   UT_hash_handle hh;
   LcContent content;
-  int n_ends;      /* that no blamed content explains */
-  const End *last; /* of these */
-  LbTime full_at;  /* of the end that made them enough to blame it */
-  LbTime until;    /* kept from endpoints; 0: not */
+  int n_ends;             /* that no blamed content explains */
+  const LcCrashEnd *last; /* of these */
+  LbTime full_at;         /* of the end that made them enough to blame it */
+  LbTime until;           /* kept from endpoints; 0: not */
 } Suspect;
 
 typedef struct
@@ -66,8 +47,7 @@
 
 struct LcQuarantine
 {
-  LbList ends; /* by time */
-  size_t n_reports;
+  LcCrashLog log;
   Suspect *suspects;
   Clearance *clearances;
   Answered answered[MAX_ANSWERED]; /* a ring */
@@ -91,7 +71,7 @@
 {
   LcQuarantine *quarantine = LB_NEW (LcQuarantine);
 
-  lb_list_init (&quarantine->ends);
+  lc_crash_log_init (&quarantine->log);
   lb_list_init (&quarantine->to_tell);
   return quarantine;
 }
@@ -108,28 +88,6 @@
   }
 }
 
-static void
-drop_end (LcQuarantine *quarantine, End *end)
-{
-  LbLink *link;
-
-  lb_list_remove (&quarantine->ends, &end->link);
-  quarantine->n_reports -= end->reports.length;
-  while ((link = lb_list_pop (&end->reports)))
-    free (LB_CONTAINER (link, Report, link));
-  free (end);
-}
-
-static void
-drop_report (LcQuarantine *quarantine, End *end, Report *report)
-{
-  lb_list_remove (&end->reports, &report->link);
-  free (report);
-  quarantine->n_reports--;
-  if (lb_list_is_empty (&end->reports))
-    drop_end (quarantine, end);
-}
-
 static void
 drop_clearance (LcQuarantine *quarantine, Clearance *clearance)
 {
@@ -150,10 +108,7 @@
   {
     drop_clearance (quarantine, clearance);
   }
-  LB_LIST_FOREACH (&quarantine->ends, End, link, end)
-  {
-    drop_end (quarantine, end);
-  }
+  lc_crash_log_clear (&quarantine->log);
   while ((link = lb_list_pop (&quarantine->to_tell)))
     free (LB_CONTAINER (link, ToTell, link));
   free (quarantine);
@@ -201,7 +156,7 @@
 }
 
 static void
-count_end (Suspect *suspect, const End *end)
+count_end (Suspect *suspect, const LcCrashEnd *end)
 {
   if (suspect->last == end)
     return;
@@ -212,9 +167,9 @@
 }
 
 static void
-count_contents (LcQuarantine *quarantine, const End *end)
+count_contents (LcQuarantine *quarantine, const LcCrashEnd *end)
 {
-  LB_LIST_FOREACH (&end->reports, Report, link, report)
+  LB_LIST_FOREACH (&end->reports, LcCrashReport, link, report)
   {
     const LcCrash *crash = &report->crash;
     for (size_t i = 0; i < crash->n_contents; i++)
@@ -232,7 +187,7 @@
       suspect->n_ends = 0;
       suspect->last = NULL;
     }
-  LB_LIST_FOREACH (&quarantine->ends, End, link, end)
+  LB_LIST_FOREACH (&quarantine->log.ends, LcCrashEnd, link, end)
   {
     if (!end->explained)
       count_contents (quarantine, end);
@@ -262,26 +217,13 @@
   return worst;
 }
 
-static bool
-is_under (const LcQuarantine *quarantine, const End *end, LcContent content)
-{
-  if (is_cleared (quarantine, content, end->at))
-    return false;
-  LB_LIST_FOREACH (&end->reports, Report, link, report)
-  {
-    for (size_t i = 0; i < report->crash.n_contents; i++)
-      if (report->crash.contents[i] == content)
-        return true;
-  }
-  return false;
-}
-
 static void
 blame (LcQuarantine *quarantine, Suspect *suspect)
 {
-  LB_LIST_FOREACH (&quarantine->ends, End, link, end)
+  LB_LIST_FOREACH (&quarantine->log.ends, LcCrashEnd, link, end)
   {
-    if (!is_under (quarantine, end, suspect->content))
+    if (!lc_crash_end_names (end, suspect->content)
+        || is_cleared (quarantine, suspect->content, end->at))
       continue;
     end->explained = true;
     suspect->until = end->at + TERM;
@@ -309,7 +251,7 @@
   const Suspect *worst;
 
   drop_suspects (quarantine);
-  LB_LIST_FOREACH (&quarantine->ends, End, link, end)
+  LB_LIST_FOREACH (&quarantine->log.ends, LcCrashEnd, link, end)
   {
     end->explained = false;
   }
@@ -324,92 +266,6 @@
 
 /* --- reports --- */
 
-static Report *
-find_report (const LcQuarantine *quarantine, const char *id, End **its_end)
-{
-  LB_LIST_FOREACH (&quarantine->ends, End, link, end)
-  {
-    LB_LIST_FOREACH (&end->reports, Report, link, report)
-    {
-      *its_end = end;
-      if (strcmp (report->crash.id, id) == 0)
-        return report;
-    }
-  }
-  return NULL;
-}
-
-static bool
-is_about (const End *end, const LcCrash *crash)
-{
-  return strcmp (end->endpoint, crash->endpoint) == 0 && llabs (end->at - crash->at) <= SAME_END;
-}
-
-/* Before the first one that was later. */
-static void
-insert_end (LcQuarantine *quarantine, End *end)
-{
-  LB_LIST_FOREACH (&quarantine->ends, End, link, other)
-  {
-    if (other->at <= end->at)
-      continue;
-    lb_list_insert_before (&quarantine->ends, &other->link, &end->link);
-    return;
-  }
-  lb_list_append (&quarantine->ends, &end->link);
-}
-
-static End *
-take_out_end (LcQuarantine *quarantine, const LcCrash *crash)
-{
-  End *fresh = NULL;
-
-  LB_LIST_FOREACH (&quarantine->ends, End, link, end)
-  {
-    if (!is_about (end, crash))
-      continue;
-    lb_list_remove (&quarantine->ends, &end->link);
-    return end;
-  }
-  fresh = LB_NEW (End);
-  lb_list_init (&fresh->reports);
-  LB_COPY (fresh->endpoint, crash->endpoint);
-  fresh->at = crash->at;
-  return fresh;
-}
-
-static void
-add_report (LcQuarantine *quarantine, const LcCrash *crash)
-{
-  Report *report = LB_NEW (Report);
-  End *end = take_out_end (quarantine, crash);
-
-  report->crash = *crash;
-  lb_list_append (&end->reports, &report->link);
-  quarantine->n_reports++;
-  if (crash->at < end->at)
-    end->at = crash->at;
-  insert_end (quarantine, end);
-}
-
-/* The oldest end, of those that keep nobody out if there are any. */
-static void
-make_room (LcQuarantine *quarantine)
-{
-  End *oldest = NULL;
-
-  LB_LIST_FOREACH (&quarantine->ends, End, link, end)
-  {
-    if (!oldest || (oldest->explained && !end->explained))
-      oldest = end;
-  }
-  if (!oldest)
-    return;
-  lb_log (LB_LOG_WARNING, "crash_reports_dropped", LB_INT ("reports", oldest->reports.length),
-          LB_TEXT ("endpoint", oldest->endpoint));
-  drop_end (quarantine, oldest);
-}
-
 static void clear (LcQuarantine *quarantine, LcContent content, LbTime at);
 
 /* What was answered here shortly before, or since, speaks for the content. */
@@ -446,13 +302,8 @@
 void
 lc_quarantine_crashed (LcQuarantine *quarantine, const LcCrash *crash, LbTime now)
 {
-  End *end = NULL;
-
-  if (crash->at + TERM <= now || find_report (quarantine, crash->id, &end))
+  if (crash->at + TERM <= now || !lc_crash_log_add (&quarantine->log, crash))
     return;
-  if (quarantine->n_reports >= MAX_REPORTS)
-    make_room (quarantine);
-  add_report (quarantine, crash);
   clear_answered (quarantine, crash);
   judge (quarantine);
   log_quarantined (quarantine, crash, now);
@@ -461,13 +312,8 @@
 void
 lc_quarantine_withdraw (LcQuarantine *quarantine, const char *id)
 {
-  End *end = NULL;
-  Report *report = find_report (quarantine, id, &end);
-
-  if (!report)
-    return;
-  drop_report (quarantine, end, report);
-  judge (quarantine);
+  if (lc_crash_log_withdraw (&quarantine->log, id))
+    judge (quarantine);
 }
 
 /* --- answers --- */
@@ -535,21 +381,13 @@
 lc_quarantine_expire (LcQuarantine *quarantine, LbTime now)
 {
   Clearance *clearance, *next;
-  bool changed = false;
 
-  LB_LIST_FOREACH (&quarantine->ends, End, link, end)
-  {
-    if (end->at + TERM > now)
-      continue;
-    drop_end (quarantine, end);
-    changed = true;
-  }
   HASH_ITER (hh, quarantine->clearances, clearance, next)
   {
     if (clearance->at + TERM <= now)
       drop_clearance (quarantine, clearance);
   }
-  if (changed)
+  if (lc_crash_log_expire (&quarantine->log, now - TERM))
     judge (quarantine);
 }
 
--- a/packages/node/src/ln-calls-run.c
+++ b/packages/node/src/ln-calls-run.c
@@ -264,7 +264,7 @@
   const LcRequestSpec *spec = &attempt->call->spec;
   bool goes_on = attempt->tokens > 0 && spec->resumable && spec->delivery == LC_DELIVER_STREAM;
 
-  if (end == LC_END_BROKEN && !goes_on)
+  if (end == LC_END_BROKEN && !goes_on && ln_upstream_was_closed (upstream))
     ln_endpoint_checks_broken (calls->checks, ln_upstream_endpoint (upstream),
                                ln_upstream_address (upstream), spec->content);
 }
--- /dev/null
+++ b/packages/node/src/ln-crash-frame.c
@@ -0,0 +1,67 @@
+#include "ln-crash-frame.h"
+
+#include "lb-alloc.h"
+#include "ln-pack.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define TOPIC "calls"
+#define KIND "crash"
+#define N_FIELDS 3 /* kind, key, text */
+
+static void
+clear_frame (LnMessage *message)
+{
+  free (((LnPeerMessage *)message)->payload);
+}
+
+void
+ln_crash_frame_send (LnHub *hub, const char *key, const char *text)
+{
+  LnTask *peers = ln_hub_find (hub, "peers");
+  LnPeerMessage message = { .base = LN_MESSAGE (LN_PEER_SEND), .topic = TOPIC };
+  msgpack_sbuffer buffer;
+  msgpack_packer packer;
+
+  if (!peers)
+    return;
+  msgpack_sbuffer_init (&buffer);
+  msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
+  msgpack_pack_array (&packer, N_FIELDS);
+  ln_pack_text (&packer, KIND);
+  ln_pack_text (&packer, key);
+  ln_pack_text (&packer, text);
+  message.base.clear = clear_frame;
+  message.payload = lb_memdup (buffer.data, buffer.size);
+  message.length = buffer.size;
+  msgpack_sbuffer_destroy (&buffer);
+  LN_POST (hub, peers, message);
+}
+
+static bool
+read_fields (const msgpack_object *object, LnCrashFrame *told)
+{
+  const msgpack_object *fields = object->via.array.ptr;
+  char kind[sizeof KIND];
+
+  return object->type == MSGPACK_OBJECT_ARRAY && object->via.array.size == N_FIELDS
+         && ln_unpack_text (&fields[0], kind, sizeof kind) && strcmp (kind, KIND) == 0
+         && ln_unpack_text (&fields[1], told->key, sizeof told->key)
+         && ln_unpack_text (&fields[2], told->text, sizeof told->text);
+}
+
+bool
+ln_crash_frame_read (const LnPeerMessage *frame, LnCrashFrame *told)
+{
+  msgpack_unpacked unpacked;
+  size_t offset = 0;
+  bool ok;
+
+  msgpack_unpacked_init (&unpacked);
+  ok = msgpack_unpack_next (&unpacked, frame->payload, frame->length, &offset)
+           == MSGPACK_UNPACK_SUCCESS
+       && read_fields (&unpacked.data, told);
+  msgpack_unpacked_destroy (&unpacked);
+  return ok;
+}
--- a/packages/node/src/ln-crashes.c
+++ b/packages/node/src/ln-crashes.c
@@ -6,19 +6,17 @@
 #include "lb-clock.h"
 #include "lb-list.h"
 #include "lb-log.h"
+#include "ln-crash-frame.h"
 #include "ln-crash-row.h"
+#include "ln-unwritten-rows.h"
 #include "lp-follow.h"
 
-#include <msgpack.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #define TABLE "crash"
 #define PREFIX TABLE "/all/"
-#define TOPIC "calls"
-#define FRAME_KIND "crash"
-#define N_FIELDS 3 /* of a frame: kind, key, text */
 /* Of one watch. A connection that went silent is found after it, in less than the three seconds in
  * which a bad request has to be known everywhere; a shorter one costs calls of the store, half a
  * second each of every instance. */
@@ -32,8 +30,6 @@
 #define SETTLED_AFTER (10 * LB_SEC)
 /* Rows that are remembered here, to be removed one day. */
 #define MAX_ROWS 1024
-/* Rows that the store has not taken yet. Each is about one endpoint's end. */
-#define MAX_UNWRITTEN 64
 
 /* A row that stands in the store. */
 typedef struct
@@ -44,23 +40,13 @@
   LbTime remove_at;
 } Row;
 
-/* A row on its way to the store. */
-typedef struct
-{
-  LbLink link;
-  LnCrashes *owner;
-  char *key;
-  char *text; /* NULL: it is removed */
-  bool is_sent;
-} Unwritten;
-
 struct LnCrashes
 {
   LnContext *context;
   LcQuarantine *quarantine;
   LpFollow *follow; /* NULL: the platform's rows can't be followed, and are scanned */
   LbList rows;
-  LbList unwritten;
+  LnUnwrittenRows *unwritten;
   uint64_t n_told;
   LbTime store_offset; /* from the own clock to the store's */
   bool knows_store_time;
@@ -241,110 +227,7 @@
 
 /* --- rows told --- */
 
-static void
-drop_unwritten (LnCrashes *crashes, Unwritten *row)
-{
-  lb_list_remove (&crashes->unwritten, &row->link);
-  free (row->key);
-  free (row->text);
-  free (row);
-}
-
-static void
-on_written (LbErrorCode error, const LpRow *answer, void *user)
-{
-  (void)answer;
-  Unwritten *row = user;
-
-  if (error == LB_OK)
-    {
-      drop_unwritten (row->owner, row);
-      return;
-    }
-  lb_log (LB_LOG_INFO, "crash_row_not_written", LB_TEXT ("key", row->key),
-          LB_TEXT ("error", lb_error_name (error)));
-  row->is_sent = false;
-}
-
-static void
-send_row (Unwritten *row)
-{
-  LpPlatform *platform = row->owner->context->platform;
-  const LpPut put = { .key = row->key, .value = row->text };
-  char *token = lb_asprintf ("%s%s", row->key, row->text ? "" : "-removed");
-  const LpTransaction transaction = { .token = token, .puts = &put, .n_puts = 1 };
-
-  row->is_sent = true;
-  platform->klass->transact (platform, &transaction, LP_PRIORITY_LEDGER, on_written, row);
-  free (token);
-}
-
-/* The oldest that is not on its way makes room: what came later is about the present. */
-static void
-make_room (LnCrashes *crashes)
-{
-  LB_LIST_FOREACH (&crashes->unwritten, Unwritten, link, row)
-  {
-    if (row->is_sent)
-      continue;
-    lb_log (LB_LOG_WARNING, "crash_row_dropped", LB_TEXT ("key", row->key));
-    drop_unwritten (crashes, row);
-    return;
-  }
-}
-
-/* Takes the text over. */
-static void
-write_row (LnCrashes *crashes, const char *key, char *text)
-{
-  Unwritten *row = LB_NEW (Unwritten);
-
-  if (crashes->unwritten.length >= MAX_UNWRITTEN)
-    make_room (crashes);
-  row->owner = crashes;
-  row->key = lb_strdup (key);
-  row->text = text;
-  lb_list_append (&crashes->unwritten, &row->link);
-  send_row (row);
-}
-
-static void
-pack_text (msgpack_packer *packer, const char *text)
-{
-  msgpack_pack_str (packer, strlen (text));
-  msgpack_pack_str_body (packer, text, strlen (text));
-}
-
-static void
-clear_frame (LnMessage *message)
-{
-  free (((LnPeerMessage *)message)->payload);
-}
-
 /* Where rows can't be followed, instances that run hear of them by frames. */
-static void
-send_frame (LnCrashes *crashes, const char *key, const char *text)
-{
-  LnTask *peers = ln_hub_find (crashes->context->hub, "peers");
-  LnPeerMessage message = { .base = LN_MESSAGE (LN_PEER_SEND), .topic = TOPIC };
-  msgpack_sbuffer buffer;
-  msgpack_packer packer;
-
-  if (!peers)
-    return;
-  msgpack_sbuffer_init (&buffer);
-  msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
-  msgpack_pack_array (&packer, N_FIELDS);
-  pack_text (&packer, FRAME_KIND);
-  pack_text (&packer, key);
-  pack_text (&packer, text);
-  message.base.clear = clear_frame;
-  message.payload = lb_memdup (buffer.data, buffer.size);
-  message.length = buffer.size;
-  msgpack_sbuffer_destroy (&buffer);
-  LN_POST (crashes->context->hub, peers, message);
-}
-
 static void
 tell (LnCrashes *crashes, const char *key, const LnCrashRow *row)
 {
@@ -352,8 +235,8 @@
 
   remember_row (crashes, key, row->crash.at);
   if (!crashes->follow)
-    send_frame (crashes, key, text);
-  write_row (crashes, key, text);
+    ln_crash_frame_send (crashes->context->hub, key, text);
+  ln_unwritten_rows_add (crashes->unwritten, key, text);
 }
 
 void
@@ -395,54 +278,16 @@
     }
 }
 
-static bool
-read_text (const msgpack_object *object, char *text, size_t size)
-{
-  if (object->type != MSGPACK_OBJECT_STR || object->via.str.size >= size)
-    return false;
-  memcpy (text, object->via.str.ptr, object->via.str.size);
-  text[object->via.str.size] = '\0';
-  return true;
-}
-
-static bool
-is_kind (const msgpack_object *object)
-{
-  char kind[sizeof FRAME_KIND];
-
-  return object->type == MSGPACK_OBJECT_ARRAY && object->via.array.size == N_FIELDS
-         && read_text (&object->via.array.ptr[0], kind, sizeof kind)
-         && strcmp (kind, FRAME_KIND) == 0;
-}
-
-static void
-hear_fields (LnCrashes *crashes, const msgpack_object *fields)
-{
-  char key[LC_CRASH_ID_SIZE];
-  char text[LC_CRASH_ID_SIZE + LC_MAX_CRASH_CONTENTS * (LC_CONTENT_SIZE + 3)];
-
-  if (read_text (&fields[1], key, sizeof key) && read_text (&fields[2], text, sizeof text))
-    hear (crashes, key, text, lb_clock_monotonic ());
-  else
-    lb_log (LB_LOG_WARNING, "crash_frame_not_read");
-  ln_crashes_tell (crashes);
-}
-
 bool
 ln_crashes_hear (LnCrashes *crashes, const LnPeerMessage *frame)
 {
-  msgpack_unpacked unpacked;
-  size_t offset = 0;
-  bool is_ours;
-
-  msgpack_unpacked_init (&unpacked);
-  is_ours = msgpack_unpack_next (&unpacked, frame->payload, frame->length, &offset)
-                == MSGPACK_UNPACK_SUCCESS
-            && is_kind (&unpacked.data);
-  if (is_ours)
-    hear_fields (crashes, unpacked.data.via.array.ptr);
-  msgpack_unpacked_destroy (&unpacked);
-  return is_ours;
+  LnCrashFrame told;
+
+  if (!ln_crash_frame_read (frame, &told))
+    return false;
+  hear (crashes, told.key, told.text, lb_clock_monotonic ());
+  ln_crashes_tell (crashes);
+  return true;
 }
 
 /* --- */
@@ -454,21 +299,11 @@
   {
     if (row->remove_at > now)
       continue;
-    write_row (crashes, row->key, NULL);
+    ln_unwritten_rows_add (crashes->unwritten, row->key, NULL);
     drop_row (crashes, row);
   }
 }
 
-static void
-write_again (LnCrashes *crashes)
-{
-  LB_LIST_FOREACH (&crashes->unwritten, Unwritten, link, row)
-  {
-    if (!row->is_sent)
-      send_row (row);
-  }
-}
-
 static void
 scan (LnCrashes *crashes, LbTime now)
 {
@@ -488,7 +323,7 @@
   else
     scan (crashes, now);
   lc_quarantine_expire (crashes->quarantine, now);
-  write_again (crashes);
+  ln_unwritten_rows_try_again (crashes->unwritten);
   remove_old (crashes, now);
 }
 
@@ -507,7 +342,7 @@
   crashes->context = context;
   crashes->quarantine = quarantine;
   lb_list_init (&crashes->rows);
-  lb_list_init (&crashes->unwritten);
+  crashes->unwritten = ln_unwritten_rows_new (context->platform, context->incarnation);
   if (context->platform->klass->watch)
     crashes->follow = lp_follow_new (context->platform, &settings, on_rows, crashes);
   return crashes;
@@ -520,10 +355,7 @@
   {
     drop_row (crashes, row);
   }
-  LB_LIST_FOREACH (&crashes->unwritten, Unwritten, link, unwritten)
-  {
-    drop_unwritten (crashes, unwritten);
-  }
+  ln_unwritten_rows_free (crashes->unwritten);
   lp_follow_free (crashes->follow);
   free (crashes);
 }
--- a/packages/node/src/ln-leaving.c
+++ b/packages/node/src/ln-leaving.c
@@ -3,6 +3,7 @@
 #include "lb-alloc.h"
 #include "lb-counter.h"
 #include "lb-log.h"
+#include "ln-pack.h"
 
 #include <msgpack.h>
 #include <stdlib.h>
@@ -67,13 +68,6 @@
   return true;
 }
 
-static void
-pack_text (msgpack_packer *packer, const char *text)
-{
-  msgpack_pack_str (packer, strlen (text));
-  msgpack_pack_str_body (packer, text, strlen (text));
-}
-
 static void
 clear_peer_message (LnMessage *message)
 {
@@ -90,8 +84,8 @@
   msgpack_sbuffer_init (&buffer);
   msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
   msgpack_pack_array (&packer, N_FIELDS);
-  pack_text (&packer, endpoint->member.name);
-  pack_text (&packer, endpoint->report.incarnation);
+  ln_pack_text (&packer, endpoint->member.name);
+  ln_pack_text (&packer, endpoint->report.incarnation);
   message.base.clear = clear_peer_message;
   message.payload = lb_memdup (buffer.data, buffer.size);
   message.length = buffer.size;
@@ -114,22 +108,13 @@
     send_to_all (peers, endpoint);
 }
 
-static bool
-read_text (const msgpack_object *object, char *text, size_t size)
-{
-  if (object->type != MSGPACK_OBJECT_STR || object->via.str.size >= size)
-    return false;
-  memcpy (text, object->via.str.ptr, object->via.str.size);
-  text[object->via.str.size] = '\0';
-  return true;
-}
-
 static bool
 read_fields (const msgpack_object *object, LnEndpointLeavingMessage *heard)
 {
   return object->type == MSGPACK_OBJECT_ARRAY && object->via.array.size == N_FIELDS
-         && read_text (&object->via.array.ptr[0], heard->endpoint, sizeof heard->endpoint)
-         && read_text (&object->via.array.ptr[1], heard->incarnation, sizeof heard->incarnation);
+         && ln_unpack_text (&object->via.array.ptr[0], heard->endpoint, sizeof heard->endpoint)
+         && ln_unpack_text (&object->via.array.ptr[1], heard->incarnation,
+                            sizeof heard->incarnation);
 }
 
 bool
--- /dev/null
+++ b/packages/node/src/ln-pack.h
@@ -0,0 +1,12 @@
+#ifndef LN_PACK_H
+#define LN_PACK_H
+
+#include <msgpack.h>
+#include <stdbool.h>
+
+/* Texts in the msgpack payload of a frame. */
+void ln_pack_text (msgpack_packer *packer, const char *text);
+/* False when the object is no text, or does not fit. */
+bool ln_unpack_text (const msgpack_object *object, char *text, size_t size);
+
+#endif
--- a/packages/node/src/ln-upstream.c
+++ b/packages/node/src/ln-upstream.c
@@ -32,6 +32,7 @@
   LhSse sse;
   struct evbuffer *body; /* a service's reply, or what an engine said beside its stream */
   int status;
+  bool was_closed;          /* by the other end, or on the way, before the whole reply had come */
   const LnDialect *dialect; /* NULL: the product's own */
   char *name;               /* of the request */
   LnStreamReader *reader;   /* of a stream in a dialect */
@@ -302,6 +303,7 @@
 
   upstream->fetch = fetch;
   upstream->status = result->status;
+  upstream->was_closed = result->failure == LB_ERROR_CLOSED || result->failure == LB_ERROR_IO;
   if (result->body_length > 0)
     evbuffer_add (upstream->body, result->body, result->body_length);
   LcAttemptEnd how = judge (upstream, result);
@@ -405,6 +407,12 @@
   return upstream->address;
 }
 
+bool
+ln_upstream_was_closed (const LnUpstream *upstream)
+{
+  return upstream->was_closed;
+}
+
 const LhFetch *
 ln_upstream_fetch (const LnUpstream *upstream)
 {
--- a/packages/node/src/ln-upstream.h
+++ b/packages/node/src/ln-upstream.h
@@ -59,6 +59,8 @@
 uint32_t ln_upstream_attempt (const LnUpstream *upstream);
 const char *ln_upstream_endpoint (const LnUpstream *upstream);
 const char *ln_upstream_address (const LnUpstream *upstream);
+/* The connection was lost before the whole reply had come; not: it was silent for too long. */
+bool ln_upstream_was_closed (const LnUpstream *upstream);
 /* A plain service's reply; valid in on_end. */
 const LhFetch *ln_upstream_fetch (const LnUpstream *upstream);
 int ln_upstream_status (const LnUpstream *upstream);
