House: a report and the crash that it is about have names of their own; reports keep their times where the store has no clock

An instance that started read three crashes of one service, told at different times, as one: without the store's clock all rows were taken for new (node-test-crashes, keep_their_times_where_the_store_has_no_clock, fails before). They go by the time of day there.

--- a/packages/core/include/lc-quarantine.h
+++ b/packages/core/include/lc-quarantine.h
@@ -4,30 +4,30 @@
 #include "lc-content.h"
 #include "lc-types.h"
 
-/* Requests that are kept from endpoints since endpoints ended under them. It goes by reports of all
- * instances: which endpoint ended, and what it was given. No I/O; the verdict depends on the
+/* Requests that are kept from endpoints since endpoints crashed under them. It goes by reports of
+ * all instances: which endpoint crashed, and what it was given. No I/O; the verdict depends on the
  * reports alone, not on their order, so all instances come to the same one. */
 typedef struct LcQuarantine LcQuarantine;
 
-#define LC_CRASH_ID_SIZE 256
-#define LC_MAX_CRASH_CONTENTS 64
+#define LC_REPORT_ID_SIZE 256
+#define LC_MAX_REPORT_CONTENTS 64
 
-/* What one instance saw of the end of an endpoint. */
+/* What one instance saw of an endpoint that crashed. */
 typedef struct
 {
-  char id[LC_CRASH_ID_SIZE]; /* of the report, the same wherever it is heard */
-  LbName endpoint;           /* with its start, where that is known */
+  char id[LC_REPORT_ID_SIZE]; /* of the report, the same wherever it is heard */
+  LbName endpoint;            /* with its start, where that is known */
   LbTime at;
-  LcContent contents[LC_MAX_CRASH_CONTENTS]; /* of the requests that broke with it */
+  LcContent contents[LC_MAX_REPORT_CONTENTS]; /* of the requests that broke with it */
   size_t n_contents;
-} LcCrash;
+} LcCrashReport;
 
 LcQuarantine *lc_quarantine_new (void);
 void lc_quarantine_free (LcQuarantine *quarantine);
 
 /* commands */
 /* A report that is known already changes nothing. */
-void lc_quarantine_crashed (LcQuarantine *quarantine, const LcCrash *crash, LbTime now);
+void lc_quarantine_report (LcQuarantine *quarantine, const LcCrashReport *report, LbTime now);
 /* The report was taken back. */
 void lc_quarantine_withdraw (LcQuarantine *quarantine, const char *id);
 /* An endpoint has answered the content, here. */
--- a/packages/core/src/lc-crash-log.c
+++ b/packages/core/src/lc-crash-log.c
@@ -6,46 +6,46 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Reports of one end differ by the time until each instance notices its broken connection. */
-#define SAME_END (2 * LB_SEC)
-/* Half a megabyte; some fifty ends of endpoints that ten instances were working with. */
+/* Reports of one crash differ by the time until each instance notices its broken connection. */
+#define SAME_CRASH (2 * LB_SEC)
+/* Half a megabyte; some fifty crashes of endpoints that ten instances were working with. */
 #define MAX_REPORTS 512
 
 void
 lc_crash_log_init (LcCrashLog *log)
 {
-  lb_list_init (&log->ends);
+  lb_list_init (&log->crashes);
   log->n_reports = 0;
 }
 
 static void
-drop_end (LcCrashLog *log, LcCrashEnd *end)
+drop_crash (LcCrashLog *log, LcCrash *crash)
 {
   LbLink *link;
 
-  lb_list_remove (&log->ends, &end->link);
-  log->n_reports -= end->reports.length;
-  while ((link = lb_list_pop (&end->reports)))
-    free (LB_CONTAINER (link, LcCrashReport, link));
-  free (end);
+  lb_list_remove (&log->crashes, &crash->link);
+  log->n_reports -= crash->entries.length;
+  while ((link = lb_list_pop (&crash->entries)))
+    free (LB_CONTAINER (link, LcReportEntry, link));
+  free (crash);
 }
 
 void
 lc_crash_log_clear (LcCrashLog *log)
 {
-  LB_LIST_FOREACH (&log->ends, LcCrashEnd, link, end)
+  LB_LIST_FOREACH (&log->crashes, LcCrash, link, crash)
   {
-    drop_end (log, end);
+    drop_crash (log, crash);
   }
 }
 
-static LcCrashReport *
-find_in (const LcCrashEnd *end, const char *id)
+static LcReportEntry *
+find_in (const LcCrash *crash, const char *id)
 {
-  LB_LIST_FOREACH (&end->reports, LcCrashReport, link, report)
+  LB_LIST_FOREACH (&crash->entries, LcReportEntry, link, entry)
   {
-    if (strcmp (report->crash.id, id) == 0)
-      return report;
+    if (strcmp (entry->report.id, id) == 0)
+      return entry;
   }
   return NULL;
 }
@@ -53,112 +53,113 @@
 static bool
 is_known (const LcCrashLog *log, const char *id)
 {
-  LB_LIST_FOREACH (&log->ends, LcCrashEnd, link, end)
+  LB_LIST_FOREACH (&log->crashes, LcCrash, link, crash)
   {
-    if (find_in (end, id))
+    if (find_in (crash, id))
       return true;
   }
   return false;
 }
 
-/* The oldest end, of those that keep nobody out if there are any. */
+/* The oldest crash, of those that keep nobody out if there are any. */
 static void
 make_room (LcCrashLog *log)
 {
-  LcCrashEnd *oldest = NULL;
+  LcCrash *oldest = NULL;
 
-  LB_LIST_FOREACH (&log->ends, LcCrashEnd, link, end)
+  LB_LIST_FOREACH (&log->crashes, LcCrash, link, crash)
   {
-    if (!oldest || (oldest->explained && !end->explained))
-      oldest = end;
+    if (!oldest || (oldest->explained && !crash->explained))
+      oldest = crash;
   }
   if (!oldest)
     return;
-  lb_log (LB_LOG_WARNING, "crash_reports_dropped", LB_INT ("reports", oldest->reports.length),
+  lb_log (LB_LOG_WARNING, "crash_reports_dropped", LB_INT ("reports", oldest->entries.length),
           LB_TEXT ("endpoint", oldest->endpoint));
-  drop_end (log, oldest);
+  drop_crash (log, oldest);
 }
 
 static bool
-is_about (const LcCrashEnd *end, const LcCrash *crash)
+is_about (const LcCrash *crash, const LcCrashReport *report)
 {
-  return strcmp (end->endpoint, crash->endpoint) == 0 && llabs (end->at - crash->at) <= SAME_END;
+  return strcmp (crash->endpoint, report->endpoint) == 0
+         && llabs (crash->at - report->at) <= SAME_CRASH;
 }
 
-/* The end that the report is about, outside the list: its place there may change. */
-static LcCrashEnd *
-take_out (LcCrashLog *log, const LcCrash *crash)
+/* The crash that the report is about, outside the list: its place there may change. */
+static LcCrash *
+take_out (LcCrashLog *log, const LcCrashReport *report)
 {
-  LcCrashEnd *fresh = NULL;
+  LcCrash *fresh = NULL;
 
-  LB_LIST_FOREACH (&log->ends, LcCrashEnd, link, end)
+  LB_LIST_FOREACH (&log->crashes, LcCrash, link, crash)
   {
-    if (!is_about (end, crash))
+    if (!is_about (crash, report))
       continue;
-    lb_list_remove (&log->ends, &end->link);
-    return end;
+    lb_list_remove (&log->crashes, &crash->link);
+    return crash;
   }
-  fresh = LB_NEW (LcCrashEnd);
-  lb_list_init (&fresh->reports);
-  LB_COPY (fresh->endpoint, crash->endpoint);
-  fresh->at = crash->at;
+  fresh = LB_NEW (LcCrash);
+  lb_list_init (&fresh->entries);
+  LB_COPY (fresh->endpoint, report->endpoint);
+  fresh->at = report->at;
   return fresh;
 }
 
 /* Before the first one that was later. */
 static void
-insert (LcCrashLog *log, LcCrashEnd *end)
+insert (LcCrashLog *log, LcCrash *crash)
 {
-  LB_LIST_FOREACH (&log->ends, LcCrashEnd, link, other)
+  LB_LIST_FOREACH (&log->crashes, LcCrash, link, other)
   {
-    if (other->at <= end->at)
+    if (other->at <= crash->at)
       continue;
-    lb_list_insert_before (&log->ends, &other->link, &end->link);
+    lb_list_insert_before (&log->crashes, &other->link, &crash->link);
     return;
   }
-  lb_list_append (&log->ends, &end->link);
+  lb_list_append (&log->crashes, &crash->link);
 }
 
 bool
-lc_crash_log_add (LcCrashLog *log, const LcCrash *crash)
+lc_crash_log_add (LcCrashLog *log, const LcCrashReport *report)
 {
-  LcCrashReport *report = NULL;
-  LcCrashEnd *end = NULL;
+  LcReportEntry *entry = NULL;
+  LcCrash *crash = NULL;
 
-  if (is_known (log, crash->id))
+  if (is_known (log, report->id))
     return false;
   if (log->n_reports >= MAX_REPORTS)
     make_room (log);
-  report = LB_NEW (LcCrashReport);
-  report->crash = *crash;
-  end = take_out (log, crash);
-  lb_list_append (&end->reports, &report->link);
+  entry = LB_NEW (LcReportEntry);
+  entry->report = *report;
+  crash = take_out (log, report);
+  lb_list_append (&crash->entries, &entry->link);
   log->n_reports++;
-  if (crash->at < end->at)
-    end->at = crash->at;
-  insert (log, end);
+  if (report->at < crash->at)
+    crash->at = report->at;
+  insert (log, crash);
   return true;
 }
 
 static void
-drop_report (LcCrashLog *log, LcCrashEnd *end, LcCrashReport *report)
+drop_entry (LcCrashLog *log, LcCrash *crash, LcReportEntry *entry)
 {
-  lb_list_remove (&end->reports, &report->link);
-  free (report);
+  lb_list_remove (&crash->entries, &entry->link);
+  free (entry);
   log->n_reports--;
-  if (lb_list_is_empty (&end->reports))
-    drop_end (log, end);
+  if (lb_list_is_empty (&crash->entries))
+    drop_crash (log, crash);
 }
 
 bool
 lc_crash_log_withdraw (LcCrashLog *log, const char *id)
 {
-  LB_LIST_FOREACH (&log->ends, LcCrashEnd, link, end)
+  LB_LIST_FOREACH (&log->crashes, LcCrash, link, crash)
   {
-    LcCrashReport *report = find_in (end, id);
-    if (!report)
+    LcReportEntry *entry = find_in (crash, id);
+    if (!entry)
       continue;
-    drop_report (log, end, report);
+    drop_entry (log, crash, entry);
     return true;
   }
   return false;
@@ -169,23 +170,23 @@
 {
   bool any = false;
 
-  LB_LIST_FOREACH (&log->ends, LcCrashEnd, link, end)
+  LB_LIST_FOREACH (&log->crashes, LcCrash, link, crash)
   {
-    if (end->at > before)
+    if (crash->at > before)
       continue;
-    drop_end (log, end);
+    drop_crash (log, crash);
     any = true;
   }
   return any;
 }
 
 bool
-lc_crash_end_names (const LcCrashEnd *end, LcContent content)
+lc_crash_names (const LcCrash *crash, LcContent content)
 {
-  LB_LIST_FOREACH (&end->reports, LcCrashReport, link, report)
+  LB_LIST_FOREACH (&crash->entries, LcReportEntry, link, entry)
   {
-    for (size_t i = 0; i < report->crash.n_contents; i++)
-      if (report->crash.contents[i] == content)
+    for (size_t i = 0; i < entry->report.n_contents; i++)
+      if (entry->report.contents[i] == content)
         return true;
   }
   return false;
--- a/packages/core/src/lc-crash-log.h
+++ b/packages/core/src/lc-crash-log.h
@@ -3,28 +3,28 @@
 
 #include "lc-quarantine.h"
 
-/* The reports that a quarantine goes by, put together by the end of an endpoint that they are
+/* The reports that a quarantine goes by, put together by the crash of an endpoint that they are
  * about. */
 
 typedef struct
 {
-  LbLink link; /* in LcCrashEnd.reports */
-  LcCrash crash;
-} LcCrashReport;
+  LbLink link; /* in LcCrash.entries */
+  LcCrashReport report;
+} LcReportEntry;
 
-/* The end of an endpoint, of which several instances may tell. */
+/* An endpoint ended, and one instance or several told so. */
 typedef struct
 {
   LbLink link;
-  LbList reports;
+  LbList entries; /* LcReportEntry; one at least */
   LbName endpoint;
   LbTime at;      /* of the earliest report */
   bool explained; /* by a content that is blamed; the quarantine's */
-} LcCrashEnd;
+} LcCrash;
 
 typedef struct
 {
-  LbList ends; /* by time */
+  LbList crashes; /* LcCrash, by time */
   size_t n_reports;
 } LcCrashLog;
 
@@ -32,12 +32,12 @@
 void lc_crash_log_clear (LcCrashLog *log);
 
 /* False when the report is known already. */
-bool lc_crash_log_add (LcCrashLog *log, const LcCrash *crash);
+bool lc_crash_log_add (LcCrashLog *log, const LcCrashReport *report);
 /* False when there is no such report. */
 bool lc_crash_log_withdraw (LcCrashLog *log, const char *id);
-/* Forgets ends that are not later than this; false when there is none. */
+/* Forgets crashes that are not later than this; false when there is none. */
 bool lc_crash_log_expire (LcCrashLog *log, LbTime before);
 
-bool lc_crash_end_names (const LcCrashEnd *end, LcContent content);
+bool lc_crash_names (const LcCrash *crash, LcContent content);
 
 #endif
--- a/packages/core/src/lc-quarantine.c
+++ b/packages/core/src/lc-quarantine.c
@@ -9,14 +9,14 @@
 #include <string.h>
 #include <uthash.h>
 
-/* Ends of endpoints under one content before it is kept from them. One or two may be chance: the
- * endpoint to which a request goes next may have ended for another reason. */
+/* Endpoints that crash under one content before it is kept from them. One or two may be chance: the
+ * endpoint to which a request goes next may crash for another reason. */
 #define CRASHES_TO_BLAME 3
 /* How long a report counts: a caller that sends the same for hours costs three starts an hour, and
  * what was blamed wrongly, or was mended, runs again within the hour. */
 #define TERM (3600 * LB_SEC)
-/* An answer clears the content of ends that come shortly after it: many callers may ask the same,
- * and all endpoints may end at once for another reason. */
+/* An answer clears the content of crashes that come shortly after it: many callers may ask the
+ * same, and all endpoints may crash at once for another reason. */
 #define CLEARED_FOR (2 * LB_SEC)
 /* Of answers given here, a few seconds' worth at two hundred a second. */
 #define MAX_ANSWERED 1024
@@ -26,10 +26,10 @@
 {
   UT_hash_handle hh;
   LcContent content;
-  int n_ends;             /* that no blamed content explains */
-  const LcCrashEnd *last; /* of these */
-  LbTime full_at;         /* of the end that made them enough to blame it */
-  LbTime until;           /* kept from endpoints; 0: not */
+  int n_crashes;       /* that no blamed content explains */
+  const LcCrash *last; /* of these */
+  LbTime full_at;      /* of the crash that made them enough to blame it */
+  LbTime until;        /* kept from endpoints; 0: not */
 } Suspect;
 
 typedef struct
@@ -135,11 +135,11 @@
 }
 
 static bool
-is_cleared (const LcQuarantine *quarantine, LcContent content, LbTime end_at)
+is_cleared (const LcQuarantine *quarantine, LcContent content, LbTime crashed_at)
 {
   const Clearance *clearance = find_clearance (quarantine, content);
 
-  return clearance && end_at <= clearance->at + CLEARED_FOR;
+  return clearance && crashed_at <= clearance->at + CLEARED_FOR;
 }
 
 static Suspect *
@@ -156,41 +156,41 @@
 }
 
 static void
-count_end (Suspect *suspect, const LcCrashEnd *end)
+count_crash (Suspect *suspect, const LcCrash *crash)
 {
-  if (suspect->last == end)
+  if (suspect->last == crash)
     return;
-  suspect->last = end;
-  suspect->n_ends++;
-  if (suspect->n_ends == CRASHES_TO_BLAME)
-    suspect->full_at = end->at;
+  suspect->last = crash;
+  suspect->n_crashes++;
+  if (suspect->n_crashes == CRASHES_TO_BLAME)
+    suspect->full_at = crash->at;
 }
 
 static void
-count_contents (LcQuarantine *quarantine, const LcCrashEnd *end)
+count_contents (LcQuarantine *quarantine, const LcCrash *crash)
 {
-  LB_LIST_FOREACH (&end->reports, LcCrashReport, link, report)
+  LB_LIST_FOREACH (&crash->entries, LcReportEntry, link, entry)
   {
-    const LcCrash *crash = &report->crash;
-    for (size_t i = 0; i < crash->n_contents; i++)
-      if (!is_cleared (quarantine, crash->contents[i], end->at))
-        count_end (add_suspect (quarantine, crash->contents[i]), end);
+    const LcCrashReport *report = &entry->report;
+    for (size_t i = 0; i < report->n_contents; i++)
+      if (!is_cleared (quarantine, report->contents[i], crash->at))
+        count_crash (add_suspect (quarantine, report->contents[i]), crash);
   }
 }
 
-/* Counts the ends under each content anew, without those that a blamed one explains. */
+/* Counts the crashes under each content anew, without those that a blamed one explains. */
 static void
-count_ends (LcQuarantine *quarantine)
+count_crashes (LcQuarantine *quarantine)
 {
   for (Suspect *suspect = quarantine->suspects; suspect; suspect = suspect->hh.next)
     {
-      suspect->n_ends = 0;
+      suspect->n_crashes = 0;
       suspect->last = NULL;
     }
-  LB_LIST_FOREACH (&quarantine->log.ends, LcCrashEnd, link, end)
+  LB_LIST_FOREACH (&quarantine->log.crashes, LcCrash, link, crash)
   {
-    if (!end->explained)
-      count_contents (quarantine, end);
+    if (!crash->explained)
+      count_contents (quarantine, crash);
   }
 }
 
@@ -198,21 +198,21 @@
 static int
 compare (const Suspect *a, const Suspect *b)
 {
-  if (a->n_ends != b->n_ends)
-    return a->n_ends > b->n_ends ? 1 : -1;
+  if (a->n_crashes != b->n_crashes)
+    return a->n_crashes > b->n_crashes ? 1 : -1;
   if (a->full_at != b->full_at)
     return a->full_at < b->full_at ? 1 : -1;
   return 0;
 }
 
-/* NULL: nobody has enough ends. */
+/* NULL: nobody has enough crashes. */
 static const Suspect *
 find_worst (const LcQuarantine *quarantine)
 {
   const Suspect *worst = NULL;
 
   for (const Suspect *suspect = quarantine->suspects; suspect; suspect = suspect->hh.next)
-    if (suspect->n_ends >= CRASHES_TO_BLAME && (!worst || compare (suspect, worst) > 0))
+    if (suspect->n_crashes >= CRASHES_TO_BLAME && (!worst || compare (suspect, worst) > 0))
       worst = suspect;
   return worst;
 }
@@ -220,13 +220,13 @@
 static void
 blame (LcQuarantine *quarantine, Suspect *suspect)
 {
-  LB_LIST_FOREACH (&quarantine->log.ends, LcCrashEnd, link, end)
+  LB_LIST_FOREACH (&quarantine->log.crashes, LcCrash, link, crash)
   {
-    if (!lc_crash_end_names (end, suspect->content)
-        || is_cleared (quarantine, suspect->content, end->at))
+    if (!lc_crash_names (crash, suspect->content)
+        || is_cleared (quarantine, suspect->content, crash->at))
       continue;
-    end->explained = true;
-    suspect->until = end->at + TERM;
+    crash->explained = true;
+    suspect->until = crash->at + TERM;
   }
 }
 
@@ -242,24 +242,24 @@
 
 /* Guards against requests that are kept out for what another one did: an endpoint works on several
  * at once, all of them break with it, and those that are tried again meet the bad one again at the
- * next endpoint. The bad one is under every end, the others under some; so the one with the most
- * ends is blamed first, of several the one that had enough of them first, and its ends do not count
- * against anybody else. */
+ * next endpoint. The bad one is under every crash, the others under some; so the one with the most
+ * crashes is blamed first, of several the one that had enough of them first, and its crashes do not
+ * count against anybody else. */
 static void
 judge (LcQuarantine *quarantine)
 {
   const Suspect *worst;
 
   drop_suspects (quarantine);
-  LB_LIST_FOREACH (&quarantine->log.ends, LcCrashEnd, link, end)
+  LB_LIST_FOREACH (&quarantine->log.crashes, LcCrash, link, crash)
   {
-    end->explained = false;
+    crash->explained = false;
   }
-  count_ends (quarantine);
+  count_crashes (quarantine);
   while ((worst = find_worst (quarantine)))
     {
       blame_all_like (quarantine, worst);
-      count_ends (quarantine);
+      count_crashes (quarantine);
     }
   lb_metric_set (&in_quarantine, (int64_t)lc_quarantine_count (quarantine));
 }
@@ -270,43 +270,43 @@
 
 /* What was answered here shortly before, or since, speaks for the content. */
 static void
-clear_answered (LcQuarantine *quarantine, const LcCrash *crash)
+clear_answered (LcQuarantine *quarantine, const LcCrashReport *report)
 {
   for (size_t i = 0; i < MAX_ANSWERED; i++)
     {
       const Answered *answered = &quarantine->answered[i];
-      for (size_t k = 0; answered->content && k < crash->n_contents; k++)
-        if (crash->contents[k] == answered->content && crash->at <= answered->at + CLEARED_FOR)
+      for (size_t k = 0; answered->content && k < report->n_contents; k++)
+        if (report->contents[k] == answered->content && report->at <= answered->at + CLEARED_FOR)
           clear (quarantine, answered->content, answered->at);
     }
 }
 
 static void
-log_quarantined (const LcQuarantine *quarantine, const LcCrash *crash, LbTime now)
+log_quarantined (const LcQuarantine *quarantine, const LcCrashReport *report, LbTime now)
 {
   char content[LC_CONTENT_SIZE];
 
-  for (size_t i = 0; i < crash->n_contents; i++)
+  for (size_t i = 0; i < report->n_contents; i++)
     {
-      LbTime until = lc_quarantine_until (quarantine, crash->contents[i]);
+      LbTime until = lc_quarantine_until (quarantine, report->contents[i]);
       if (until == 0)
         continue;
-      lc_content_to_text (crash->contents[i], content);
+      lc_content_to_text (report->contents[i], content);
       lb_log (LB_LOG_WARNING, "request_quarantined", LB_TEXT ("content", content),
-              LB_TEXT ("endpoint", crash->endpoint), LB_TEXT ("report", crash->id),
+              LB_TEXT ("endpoint", report->endpoint), LB_TEXT ("report", report->id),
               LB_INT ("crashes_to_blame", CRASHES_TO_BLAME),
               LB_INT ("for_s", (until - now) / LB_SEC));
     }
 }
 
 void
-lc_quarantine_crashed (LcQuarantine *quarantine, const LcCrash *crash, LbTime now)
+lc_quarantine_report (LcQuarantine *quarantine, const LcCrashReport *report, LbTime now)
 {
-  if (crash->at + TERM <= now || !lc_crash_log_add (&quarantine->log, crash))
+  if (report->at + TERM <= now || !lc_crash_log_add (&quarantine->log, report))
     return;
-  clear_answered (quarantine, crash);
+  clear_answered (quarantine, report);
   judge (quarantine);
-  log_quarantined (quarantine, crash, now);
+  log_quarantined (quarantine, report, now);
 }
 
 void
--- a/packages/core/tests/test-dispatch-quarantine.c
+++ b/packages/core/tests/test-dispatch-quarantine.c
@@ -7,13 +7,13 @@
 static void
 hear_ends (Fixture *f, LcContent content, int n)
 {
-  LcCrash crash = { .at = f->now, .contents = { content }, .n_contents = 1 };
+  LcCrashReport crash = { .at = f->now, .contents = { content }, .n_contents = 1 };
 
   for (int i = 0; i < n; i++)
     {
       snprintf (crash.id, sizeof crash.id, "%lu-%d", (unsigned long)content, i);
       snprintf (crash.endpoint, sizeof crash.endpoint, "%lu-gone-%d", (unsigned long)content, i);
-      lc_quarantine_crashed (lc_dispatch_quarantine (f->dispatch), &crash, f->now);
+      lc_quarantine_report (lc_dispatch_quarantine (f->dispatch), &crash, f->now);
     }
 }
 
--- a/packages/core/tests/test-quarantine.c
+++ b/packages/core/tests/test-quarantine.c
@@ -14,10 +14,10 @@
 #define GOOD 100
 #define MAX_REPORTS 64
 
-static LcCrash
+static LcCrashReport
 report (const char *id, const char *endpoint, LbTime at, LcContent first, LcContent second)
 {
-  LcCrash crash = { .at = at, .contents = { first, second }, .n_contents = second ? 2 : 1 };
+  LcCrashReport crash = { .at = at, .contents = { first, second }, .n_contents = second ? 2 : 1 };
 
   LB_COPY (crash.id, id);
   LB_COPY (crash.endpoint, endpoint);
@@ -31,8 +31,8 @@
   char name[16];
 
   snprintf (name, sizeof name, "e%d", n);
-  LcCrash crash = report (name, name, START + n * LB_SEC, first, second);
-  lc_quarantine_crashed (quarantine, &crash, crash.at);
+  LcCrashReport crash = report (name, name, START + n * LB_SEC, first, second);
+  lc_quarantine_report (quarantine, &crash, crash.at);
 }
 
 static bool
@@ -62,14 +62,14 @@
 Test (quarantine, reports_of_one_end_count_once)
 {
   LcQuarantine *quarantine = lc_quarantine_new ();
-  const LcCrash first = report ("a", "e1", START, BAD, 0);
-  const LcCrash second = report ("b", "e1", START + 30 * LB_MSEC, BAD, 0);
-  const LcCrash other = report ("c", "e2", START + LB_SEC, BAD, 0);
-
-  lc_quarantine_crashed (quarantine, &first, START + LB_SEC);
-  lc_quarantine_crashed (quarantine, &other, START + LB_SEC);
-  lc_quarantine_crashed (quarantine, &second, START + LB_SEC);
-  lc_quarantine_crashed (quarantine, &second, START + LB_SEC);
+  const LcCrashReport first = report ("a", "e1", START, BAD, 0);
+  const LcCrashReport second = report ("b", "e1", START + 30 * LB_MSEC, BAD, 0);
+  const LcCrashReport other = report ("c", "e2", START + LB_SEC, BAD, 0);
+
+  lc_quarantine_report (quarantine, &first, START + LB_SEC);
+  lc_quarantine_report (quarantine, &other, START + LB_SEC);
+  lc_quarantine_report (quarantine, &second, START + LB_SEC);
+  lc_quarantine_report (quarantine, &second, START + LB_SEC);
   cr_assert_not (is_kept_out (quarantine, BAD));
   lc_quarantine_free (quarantine);
 }
@@ -105,9 +105,9 @@
   for (int n = 1; n <= 4; n++)
     {
       snprintf (id, sizeof id, "late%d", n);
-      LcCrash late = report (id, n == 1 ? "e1" : "e2", START + n * LB_SEC, BAD, 0);
+      LcCrashReport late = report (id, n == 1 ? "e1" : "e2", START + n * LB_SEC, BAD, 0);
       snprintf (late.endpoint, sizeof late.endpoint, "e%d", n);
-      lc_quarantine_crashed (quarantine, &late, START + 5 * LB_SEC);
+      lc_quarantine_report (quarantine, &late, START + 5 * LB_SEC);
     }
   cr_assert (is_kept_out (quarantine, BAD));
   cr_assert_not (is_kept_out (quarantine, GOOD));
@@ -128,9 +128,9 @@
     {
       char name[16];
       snprintf (name, sizeof name, "e%d", n);
-      LcCrash crash = report (name, name, START + LB_SEC, GOOD, 0);
-      lc_quarantine_crashed (here, &crash, crash.at);
-      lc_quarantine_crashed (elsewhere, &crash, crash.at);
+      LcCrashReport crash = report (name, name, START + LB_SEC, GOOD, 0);
+      lc_quarantine_report (here, &crash, crash.at);
+      lc_quarantine_report (elsewhere, &crash, crash.at);
     }
   cr_assert_not (is_kept_out (here, GOOD));
   cr_assert (is_kept_out (elsewhere, GOOD));
@@ -213,7 +213,7 @@
 
 typedef struct
 {
-  LcCrash reports[MAX_REPORTS];
+  LcCrashReport reports[MAX_REPORTS];
   size_t n;
 } Reports;
 
@@ -231,8 +231,8 @@
           LcContent beside = GOOD + gsl_rng_uniform_int (random, 6);
           char name[24];
           snprintf (name, sizeof name, "e%d", end);
-          LcCrash crash = report ("", name, START + end * 5 * LB_SEC + part * LB_MSEC,
-                                  part == 0 ? BAD : beside, beside);
+          LcCrashReport crash = report ("", name, START + end * 5 * LB_SEC + part * LB_MSEC,
+                                        part == 0 ? BAD : beside, beside);
           snprintf (crash.id, sizeof crash.id, "e%d-%d", end, part);
           if (end == 0)
             crash.n_contents = 1;
@@ -247,7 +247,7 @@
   LcQuarantine *quarantine = lc_quarantine_new ();
 
   for (size_t i = 0; i < reports->n; i++)
-    lc_quarantine_crashed (quarantine, &reports->reports[i], START + 100 * LB_SEC);
+    lc_quarantine_report (quarantine, &reports->reports[i], START + 100 * LB_SEC);
   return quarantine;
 }
 
--- a/packages/node/src/ln-crash-row.c
+++ b/packages/node/src/ln-crash-row.c
@@ -9,14 +9,14 @@
 #define JSON_FORMAT (JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE)
 
 static struct json_object *
-contents_to_json (const LcCrash *crash)
+contents_to_json (const LcCrashReport *report)
 {
   struct json_object *array = json_object_new_array ();
   char text[LC_CONTENT_SIZE];
 
-  for (size_t i = 0; i < crash->n_contents; i++)
+  for (size_t i = 0; i < report->n_contents; i++)
     {
-      lc_content_to_text (crash->contents[i], text);
+      lc_content_to_text (report->contents[i], text);
       json_object_array_add (array, json_object_new_string (text));
     }
   return array;
@@ -28,27 +28,27 @@
   struct json_object *object = json_object_new_object ();
 
   if (!row->is_clearance)
-    json_object_object_add (object, "endpoint", json_object_new_string (row->crash.endpoint));
+    json_object_object_add (object, "endpoint", json_object_new_string (row->report.endpoint));
   json_object_object_add (object, "at_ms", json_object_new_int64 (row->at_ms));
-  json_object_object_add (object, "contents", contents_to_json (&row->crash));
+  json_object_object_add (object, "contents", contents_to_json (&row->report));
   return lb_json_take_text (object, JSON_FORMAT);
 }
 
 static bool
-read_contents (struct json_object *object, LcCrash *crash)
+read_contents (struct json_object *object, LcCrashReport *report)
 {
   struct json_object *array = lb_json_member (object, "contents");
   size_t n = json_object_is_type (array, json_type_array) ? json_object_array_length (array) : 0;
 
-  for (size_t i = 0; i < n && i < LC_MAX_CRASH_CONTENTS; i++)
+  for (size_t i = 0; i < n && i < LC_MAX_REPORT_CONTENTS; i++)
     {
       const char *text = json_object_get_string (json_object_array_get_idx (array, i));
       LcContent content = text ? lc_content_from_text (text) : 0;
       if (content == 0)
         return false;
-      crash->contents[crash->n_contents++] = content;
+      report->contents[report->n_contents++] = content;
     }
-  return crash->n_contents > 0;
+  return report->n_contents > 0;
 }
 
 bool
@@ -61,8 +61,8 @@
   memset (row, 0, sizeof *row);
   row->is_clearance = !endpoint;
   row->at_ms = lb_json_int (object, "at_ms", 0);
-  LB_COPY (row->crash.endpoint, endpoint ? endpoint : "");
-  ok = json_object_is_type (object, json_type_object) && read_contents (object, &row->crash);
+  LB_COPY (row->report.endpoint, endpoint ? endpoint : "");
+  ok = json_object_is_type (object, json_type_object) && read_contents (object, &row->report);
   json_object_put (object);
   return ok || lb_error_set (error, LB_ERROR_BAD_VALUE, "contents", "expected contents in hex");
 }
--- a/packages/node/src/ln-crash-row.h
+++ b/packages/node/src/ln-crash-row.h
@@ -6,14 +6,14 @@
 /* What an instance tells the others of requests under which endpoints ended, as a row's text. */
 typedef struct
 {
-  bool is_clearance; /* of crash.contents[0]: an endpoint has answered it at crash.at */
-  LcCrash crash;     /* else the report; its id is not part of the text */
-  int64_t at_ms;     /* crash.at by the store's clock; 0: not known */
+  bool is_clearance;    /* of report.contents[0]: an endpoint has answered it at report.at */
+  LcCrashReport report; /* else the report; its id is not part of the text */
+  int64_t at_ms;        /* report.at by the store's clock; 0: not known */
 } LnCrashRow;
 
 /* The caller frees it. */
 char *ln_crash_row_to_text (const LnCrashRow *row);
-/* Without crash.id and crash.at. */
+/* Without report.id and report.at. */
 bool ln_crash_row_from_text (const char *text, LnCrashRow *row, LbError *error);
 
 #endif
--- a/packages/node/src/ln-crashes.c
+++ b/packages/node/src/ln-crashes.c
@@ -18,8 +18,8 @@
 #define TABLE "crash"
 #define PREFIX TABLE "/all/"
 /* Of one watch. A connection that went silent is found after it, in less than the three seconds in
- * which a bad request has to be known everywhere; a shorter one costs calls of the store, half a
- * second each of every instance. */
+ * which a bad request has to be known everywhere; a shorter one costs more than half a call of
+ * the store a second, of every instance. */
 #define WATCH_WAIT (2 * LB_SEC)
 #define RETRY (100 * LB_MSEC)
 /* Of a row whose reports no longer count; spread, so that not all instances remove the same. */
@@ -57,11 +57,14 @@
 
 /* --- times --- */
 
+/* Times in rows are by the store's steady clock, which all instances hear of in its answers; where
+ * the store has none, by the time of day. That is good enough for terms of an hour. */
 static void
 note_store_time (LnCrashes *crashes)
 {
   LpPlatform *platform = crashes->context->platform;
-  int64_t ms = platform->klass->store_ms ? platform->klass->store_ms (platform) : 0;
+  int64_t ms
+      = platform->klass->store_ms ? platform->klass->store_ms (platform) : lb_clock_wall_ms ();
 
   if (ms == 0)
     return;
@@ -135,13 +138,13 @@
       lb_log_error (LB_LOG_WARNING, "crash_row_not_read", &error);
       return;
     }
-  row.crash.at = from_store_ms (crashes, row.at_ms, now);
-  LB_COPY (row.crash.id, key);
-  remember_row (crashes, key, row.crash.at);
+  row.report.at = from_store_ms (crashes, row.at_ms, now);
+  LB_COPY (row.report.id, key);
+  remember_row (crashes, key, row.report.at);
   if (row.is_clearance)
-    lc_quarantine_cleared (crashes->quarantine, row.crash.contents[0], row.crash.at);
+    lc_quarantine_cleared (crashes->quarantine, row.report.contents[0], row.report.at);
   else
-    lc_quarantine_crashed (crashes->quarantine, &row.crash, now);
+    lc_quarantine_report (crashes->quarantine, &row.report, now);
 }
 
 /* A row is removed when it is too old to count, or by the operators, who let a request run again.
@@ -233,7 +236,7 @@
 {
   char *text = ln_crash_row_to_text (row);
 
-  remember_row (crashes, key, row->crash.at);
+  remember_row (crashes, key, row->report.at);
   if (!crashes->follow)
     ln_crash_frame_send (crashes->context->hub, key, text);
   ln_unwritten_rows_add (crashes->unwritten, key, text);
@@ -248,16 +251,16 @@
 {
   const LnContext *context = crashes->context;
   LnCrashRow row = { .at_ms = to_store_ms (crashes, at) };
-  LcCrash *crash = &row.crash;
+  LcCrashReport *report = &row.report;
 
-  LB_COPY (crash->endpoint, endpoint);
-  crash->at = at;
-  crash->n_contents = n_contents < LC_MAX_CRASH_CONTENTS ? n_contents : LC_MAX_CRASH_CONTENTS;
-  memcpy (crash->contents, contents, crash->n_contents * sizeof *contents);
-  snprintf (crash->id, sizeof crash->id, "%s%s:%s:%s-%llu", PREFIX, endpoint, context->instance,
+  LB_COPY (report->endpoint, endpoint);
+  report->at = at;
+  report->n_contents = n_contents < LC_MAX_REPORT_CONTENTS ? n_contents : LC_MAX_REPORT_CONTENTS;
+  memcpy (report->contents, contents, report->n_contents * sizeof *contents);
+  snprintf (report->id, sizeof report->id, "%s%s:%s:%s-%llu", PREFIX, endpoint, context->instance,
             context->incarnation, (unsigned long long)++crashes->n_told);
-  tell (crashes, crash->id, &row);
-  lc_quarantine_crashed (crashes->quarantine, crash, lb_clock_monotonic ());
+  tell (crashes, report->id, &row);
+  lc_quarantine_report (crashes->quarantine, report, lb_clock_monotonic ());
   ln_crashes_tell (crashes);
 }
 
@@ -268,12 +271,13 @@
   char content[LC_CONTENT_SIZE];
   char key[sizeof PREFIX + LC_CONTENT_SIZE + sizeof "answered:"];
 
-  row.crash.n_contents = 1;
-  while (lc_quarantine_next_clearance (crashes->quarantine, &row.crash.contents[0], &row.crash.at))
+  row.report.n_contents = 1;
+  while (
+      lc_quarantine_next_clearance (crashes->quarantine, &row.report.contents[0], &row.report.at))
     {
-      lc_content_to_text (row.crash.contents[0], content);
+      lc_content_to_text (row.report.contents[0], content);
       snprintf (key, sizeof key, "%sanswered:%s", PREFIX, content);
-      row.at_ms = to_store_ms (crashes, row.crash.at);
+      row.at_ms = to_store_ms (crashes, row.report.at);
       tell (crashes, key, &row);
     }
 }
@@ -321,7 +325,10 @@
   if (crashes->follow)
     lp_follow_tick (crashes->follow, now);
   else
-    scan (crashes, now);
+    {
+      note_store_time (crashes);
+      scan (crashes, now);
+    }
   lc_quarantine_expire (crashes->quarantine, now);
   ln_unwritten_rows_try_again (crashes->unwritten);
   remove_old (crashes, now);
--- a/packages/node/src/ln-endpoint-checks.c
+++ b/packages/node/src/ln-endpoint-checks.c
@@ -14,7 +14,7 @@
 /* Of one check: a hundred round trips between data centres. */
 #define CHECK_TIME (250 * LB_MSEC)
 /* Of one endpoint: several times what it works on at once. What breaks beyond is not looked at. */
-#define MAX_CONTENTS LC_MAX_CRASH_CONTENTS
+#define MAX_CONTENTS LC_MAX_REPORT_CONTENTS
 
 typedef struct
 {
--- a/packages/node/tests/test-crashes.c
+++ b/packages/node/tests/test-crashes.c
@@ -430,6 +430,31 @@
   event_base_free (base);
 }
 
+/* One service that its supervisor starts again under its name crashes three times under a request,
+ * ten seconds apart. An instance that starts afterwards must not take that for one crash. */
+Test (crashes, keep_their_times_where_the_store_has_no_clock)
+{
+  struct event_base *base = event_base_new ();
+  LpPlatform *platform = lp_memory_new (base);
+  Instance a, fresh;
+  const LcContent content = BAD;
+  LbTime now = lb_clock_monotonic ();
+
+  instance_init (&a, base, platform, "a");
+  tick (&a);
+  for (int i = 2; i >= 0; i--)
+    ln_crashes_seen (a.crashes, "e1", now - i * 10 * LB_SEC, &content, 1);
+  cr_assert (is_kept_out (&a, BAD));
+  instance_init (&fresh, base, platform, "b");
+  tick (&fresh);
+  event_base_loop (base, EVLOOP_NONBLOCK);
+  cr_assert (is_kept_out (&fresh, BAD));
+  instance_clear (&fresh);
+  instance_clear (&a);
+  platform->klass->free (platform);
+  event_base_free (base);
+}
+
 /* A frame was lost with its connection: the next scan tells what it said. */
 Test (crashes, a_scan_makes_good_what_frames_did_not_tell)
 {
