--- a/packages/cli/tests/test-story.c
+++ b/packages/cli/tests/test-story.c
@@ -83,6 +83,31 @@
   free (text);
 }
 
+/* Requests of two callers ask the same, and endpoints crash under them. Asked for what they have in
+ * common, the story shows both, what was found of their endpoints, and the verdict. */
+Test (story, finds_all_requests_of_one_content)
+{
+  char *text = tell (
+      "777f26cc65beacb0",
+      "{\"time\":1,\"instance\":\"a\",\"event\":\"attempt_ended\",\"request\":3,\"id\":\"c1\","
+      "\"content\":\"777f26cc65beacb0\",\"outcome\":\"broken\"}\n"
+      "{\"time\":2,\"instance\":\"a\",\"event\":\"endpoint_checked\",\"endpoint\":\"e1\","
+      "\"connections\":\"refused\"}\n",
+      "{\"time\":5,\"instance\":\"b\",\"event\":\"request_quarantined\","
+      "\"content\":\"777f26cc65beacb0\"}\n"
+      "{\"time\":6,\"instance\":\"b\",\"event\":\"request_given_up\",\"request\":9,\"id\":\"c2\","
+      "\"content\":\"777f26cc65beacb0\",\"error\":\"quarantined\"}\n"
+      "{\"time\":7,\"instance\":\"b\",\"event\":\"request_given_up\",\"request\":10,\"id\":\"c3\","
+      "\"content\":\"0000000000000001\",\"error\":\"overloaded\"}\n");
+
+  cr_assert (strstr (text, "outcome=broken"), "%s", text);
+  cr_assert (strstr (text, "endpoint_checked"), "%s", text);
+  cr_assert (strstr (text, "request_quarantined"), "%s", text);
+  cr_assert (strstr (text, "error=quarantined"), "%s", text);
+  cr_assert_null (strstr (text, "overloaded"), "%s", text);
+  free (text);
+}
+
 Test (story, says_when_no_line_names_the_id)
 {
   LtStory *story = lt_story_new ("nobody");
--- a/tests/process/pt-world.c
+++ b/tests/process/pt-world.c
@@ -288,9 +288,9 @@
   for (size_t i = 0; i < world->n_instances; i++)
     {
       PtProgram *instance = &world->instances[i];
-      struct json_object *item = json_object_new_object ();
       if (!is_running (instance))
         continue;
+      struct json_object *item = json_object_new_object ();
       si_json_set_text (item, "name", instance->name);
       si_json_set_text (item, "caller_address", instance->address);
       si_json_set_text (item, "peer_address", instance->peer_address);
