--- a/packages/node/tests/test-front.c
+++ b/packages/node/tests/test-front.c
@@ -62,6 +62,85 @@
   fixture_clear (&f);
 }
 
+/* Sends a request in two pieces, the first of them of this length, and expects that the reply names
+ * the whole path. */
+static void
+expect_path (Fixture *f, Peer *caller, const char *path, size_t first)
+{
+  char *request = lb_asprintf ("GET %s HTTP/1.1\r\nHost: h\r\n\r\n", path);
+  char *named = lb_asprintf ("GET %s\"", path);
+  char *begin = lb_strndup (request, first);
+
+  peer_send (caller, begin);
+  for (int i = 0; i < 5; i++)
+    fixture_pump (f);
+  peer_send (caller, request + first);
+  FIXTURE_UNTIL (f, peer_has (caller, "not_run"));
+  cr_assert (strstr (caller->text, named), "cut after \"%s\": %s", begin, caller->text);
+  peer_forget (caller);
+  free (request);
+  free (named);
+  free (begin);
+}
+
+/* A caller's request line arrives in two segments, on a connection that was used before. evhtp's
+ * parser skipped one place of its buffer where the second segment began: the path got a letter of
+ * the path before it, "/serv3ices/", and a service ran what nobody had asked for. */
+Test (front, a_request_line_in_two_pieces_keeps_its_path)
+{
+  static const char *const paths[] = { "/nowhere/0123456789/abcdef", "/elsewhere/zyxwvut/98765" };
+  Fixture f;
+  Peer caller;
+
+  fixture_init (&f);
+  fixture_start (&f);
+  fixture_configure (&f, NULL, NULL);
+  caller_open (&f, &caller);
+  for (size_t first = 1; first < strlen (paths[0]) + 20; first++)
+    expect_path (&f, &caller, paths[first % 2], first);
+  peer_close (&caller);
+  fixture_clear (&f);
+}
+
+/* The same where the first piece comes before the reply to the request before it. */
+Test (front, a_piece_of_the_next_request_line_waits_for_the_rest)
+{
+  Fixture f;
+  Peer caller;
+
+  fixture_init (&f);
+  fixture_start (&f);
+  fixture_configure (&f, NULL, NULL);
+  caller_open (&f, &caller);
+  peer_send (&caller, "GET /nowhere/0123456789 HTTP/1.1\r\nHost: h\r\n\r\nGET /elsew");
+  FIXTURE_UNTIL (&f, peer_has (&caller, "GET /nowhere/0123456789\""));
+  peer_forget (&caller);
+  for (int i = 0; i < 5; i++)
+    fixture_pump (&f);
+  peer_send (&caller, "here/zyx HTTP/1.1\r\nHost: h\r\n\r\n");
+  FIXTURE_UNTIL (&f, peer_has (&caller, "not_run"));
+  cr_assert (strstr (caller.text, "GET /elsewhere/zyx\""), "%s", caller.text);
+  peer_close (&caller);
+  fixture_clear (&f);
+}
+
+/* A request line that never ends is given up like any other request, with a reason. */
+Test (front, half_a_request_line_is_given_up)
+{
+  Fixture f;
+  Peer caller;
+
+  fixture_init (&f);
+  f.settings.http.request_read_ms = 100;
+  fixture_start (&f);
+  caller_open (&f, &caller);
+  peer_send (&caller, "GET /health");
+  FIXTURE_UNTIL (&f, peer_has (&caller, "too_slow"));
+  cr_assert (strstr (caller.text, "408"), "%s", caller.text);
+  peer_close (&caller);
+  fixture_clear (&f);
+}
+
 /* Bad input of every kind gets a typed error, and the daemon answers the next caller. */
 Test (front, bad_input_gets_typed_errors)
 {
