The parser is not woken before a request line is whole

Cause: evhtp's parser skips a place of its own buffer where the path goes on in a second piece, so a service may run a path with a letter of the request before it.

The bytes of a request line wait in the socket's buffer until its end is there, by the low mark of the buffer; behind a request that is being answered its reply is not followed by a resume before.

--- a/packages/node/src/ln-caller.c
+++ b/packages/node/src/ln-caller.c
@@ -62,6 +62,26 @@
   return request && !(request->flags & EVHTP_REQ_FLAG_FINISHED);
 }
 
+/* Bytes of a request line that is kept from the parser until its end has come. */
+static size_t
+half_line (const LnCaller *caller)
+{
+  size_t length = ln_request_bytes_half_line (&caller->bytes);
+
+  return caller->bytes.is_bad || length >= PARSER_LINE_MAX ? 0 : length;
+}
+
+/* The request behind an answered one has its whole request line now. */
+static void
+go_on (LnCaller *caller)
+{
+  evhtp_request_t *answered = caller->answered;
+
+  caller->answered = NULL;
+  arm (caller, caller->callers->read_time);
+  evhtp_request_resume (answered);
+}
+
 /* The caller sends its request so slowly, a byte a second say, that it would hold the connection
  * for ever; evhtp's own timeouts start anew with each byte. The time of a whole request is bounded
  * instead, from its first byte to its last. A connection between requests is just closed. */
@@ -77,9 +97,14 @@
       bufferevent_enable (caller->connection->bev, EV_READ);
       return;
     }
+  if (caller->answered && half_line (caller) == 0 && !caller->bytes.is_bad)
+    {
+      go_on (caller);
+      return;
+    }
   if (caller->bytes.is_bad)
     caller->refusal = LB_ERROR_BAD_REQUEST;
-  else if (is_reading (caller))
+  else if (is_reading (caller) || half_line (caller) > 0)
     caller->refusal = LB_ERROR_TOO_SLOW;
   evhtp_connection_free (caller->connection);
 }
@@ -149,6 +174,13 @@
   return EVHTP_RES_OK;
 }
 
+/* A caller that sends request after request without reading fills no more than this. */
+static size_t
+most_unread (const LnCallers *callers)
+{
+  return callers->max_body + callers->max_header + 4096;
+}
+
 static evhtp_res
 on_headers_start (evhtp_request_t *request, void *user)
 {
@@ -157,7 +189,11 @@
 
   caller->header_bytes = 0;
   caller->body_bytes = 0;
-  arm (caller, caller->bytes.is_bad ? 0 : caller->callers->read_time);
+  if (caller->bytes.is_bad)
+    arm (caller, 0);
+  else if (!caller->is_timed)
+    arm (caller, caller->callers->read_time);
+  caller->is_timed = false;
   return EVHTP_RES_OK;
 }
 
@@ -231,6 +267,38 @@
     ln_exchange_caller_gone (caller->exchange);
 }
 
+static void
+wait_for (LnCaller *caller, size_t n_bytes)
+{
+  const LnCallers *callers = caller->callers;
+
+  bufferevent_setwatermark (caller->connection->bev, EV_READ, n_bytes, most_unread (callers));
+}
+
+/* Guards against paths that nobody sent: evhtp's parser skips a place of its buffer, with what it
+ * held before, where a request line goes on in a second piece. "/services/" became "/serv3ices/",
+ * the 3 of the request before it, and a service ran it. So the parser is not woken before the line
+ * is whole. */
+static void
+hold_half_line (LnCaller *caller, struct evbuffer *input, size_t n_added)
+{
+  size_t half = half_line (caller);
+
+  if (caller->answered)
+    {
+      if (half == 0)
+        arm (caller, 0);
+      return;
+    }
+  if (caller->exchange)
+    return;
+  wait_for (caller, half > 0 && half == evbuffer_get_length (input) ? half + 1 : 0);
+  if (half == 0 || half > n_added)
+    return;
+  arm (caller, caller->callers->read_time);
+  caller->is_timed = true;
+}
+
 /* Runs before the library's parser sees the bytes. What is no request is refused once the requests
  * before it are answered; the parser may be waiting for more of it, so it is not left to it. */
 static void
@@ -252,6 +320,7 @@
       if (left > 0 && evbuffer_ptr_set (input, &at, length, EVBUFFER_PTR_ADD) != 0)
         break;
     }
+  hold_half_line (caller, input, info->n_added);
   if (caller->bytes.is_bad && !caller->exchange)
     arm (caller, 0);
 }
@@ -308,9 +377,7 @@
   set_hooks (connection, caller);
   arm (caller, callers->read_time);
   caller->on_input = evbuffer_add_cb (bufferevent_get_input (connection->bev), on_input, caller);
-  /* A caller that sends request after request without reading fills no more than this. */
-  bufferevent_setwatermark (connection->bev, EV_READ, 0,
-                            callers->max_body + callers->max_header + 4096);
+  wait_for (caller, 0);
   return EVHTP_RES_OK;
 }
 
@@ -325,7 +392,8 @@
 {
   struct evbuffer *unsent = bufferevent_get_output (caller->connection->bev);
 
-  return caller->exchange || is_reading (caller) || evbuffer_get_length (unsent) > 0;
+  return caller->exchange || is_reading (caller) || half_line (caller) > 0
+         || evbuffer_get_length (unsent) > 0;
 }
 
 /* evhtp stops reading from a paused connection, and so would not see that its caller closes it: the
@@ -346,6 +414,13 @@
       ln_caller_close (caller);
       return;
     }
+  if (half_line (caller) > 0)
+    {
+      caller->answered = request;
+      arm (caller, caller->callers->read_time);
+      bufferevent_enable (caller->connection->bev, EV_READ);
+      return;
+    }
   arm (caller, caller->bytes.is_bad ? 0 : caller->callers->idle_time);
   evhtp_request_resume (request);
 }
--- a/packages/node/src/ln-caller.h
+++ b/packages/node/src/ln-caller.h
@@ -48,6 +48,8 @@
   LnRequestBytes bytes; /* all that came */
   uint64_t heads;       /* requests whose headers the library has handed over */
   struct evbuffer_cb_entry *on_input;
+  bool is_timed; /* since the first piece of its request line; the parser has not seen it yet */
+  evhtp_request_t *answered; /* half a request line has come behind it, and waits for the rest */
 };
 
 void ln_callers_init (LnCallers *callers, struct event_base *base);
--- a/packages/node/src/ln-request-bytes.c
+++ b/packages/node/src/ln-request-bytes.c
@@ -36,6 +36,7 @@
 {
   bytes->state = state;
   bytes->length = 0;
+  bytes->line_bytes = 0;
   bytes->line[0] = '\0';
 }
 
@@ -124,9 +125,7 @@
 end_request_line (LnRequestBytes *bytes)
 {
   /* Empty lines before a request do no harm. */
-  if (bytes->length == 0)
-    return true;
-  begin_line (bytes, HEADER_LINE);
+  begin_line (bytes, bytes->length == 0 ? REQUEST_LINE : HEADER_LINE);
   return true;
 }
 
@@ -179,6 +178,7 @@
 {
   bool is_header = bytes->state == HEADER_LINE || bytes->state == TRAILER_LINE;
 
+  bytes->line_bytes++;
   if (c == '\n')
     {
       if (bytes->state == REQUEST_LINE)
@@ -211,6 +211,12 @@
   return n;
 }
 
+size_t
+ln_request_bytes_half_line (const LnRequestBytes *bytes)
+{
+  return bytes->state == REQUEST_LINE ? bytes->line_bytes : 0;
+}
+
 bool
 ln_request_bytes_take (LnRequestBytes *bytes, const char *data, size_t length)
 {
--- a/packages/node/src/ln-request-bytes.h
+++ b/packages/node/src/ln-request-bytes.h
@@ -13,8 +13,9 @@
 typedef struct
 {
   int state;
-  char line[96]; /* its beginning; what is looked for is shorter */
-  size_t length; /* of the line, all of it */
+  char line[96];     /* its beginning; what is looked for is shorter */
+  size_t length;     /* of the line, all of it but its end */
+  size_t line_bytes; /* the same with what its end has so far */
   bool has_host;
   bool is_old; /* HTTP/1.0, which needs no host */
   bool is_chunked;
@@ -23,6 +24,8 @@
   bool is_bad;
 } LnRequestBytes;
 
+/* How many bytes of a request line have come whose end has not; 0: none waits. */
+size_t ln_request_bytes_half_line (const LnRequestBytes *bytes);
 /* Takes the next bytes; false once something was found that is no request. */
 bool ln_request_bytes_take (LnRequestBytes *bytes, const char *data, size_t length);
 
