--- a/packages/node/src/ln-calls-take.c
+++ b/packages/node/src/ln-calls-take.c
@@ -242,6 +242,13 @@
       refuse (calls, exchange, LB_ERROR_NOT_READY, "the resources here are not confirmed");
       return;
     }
+  /* A busy instance that has just started may have its resources first, and would crash one more
+   * endpoint with a request that all others refuse. */
+  if (!ln_crashes_is_known (calls->crashes, lb_clock_monotonic ()))
+    {
+      refuse (calls, exchange, LB_ERROR_NOT_READY, "crashed endpoints are not known here yet");
+      return;
+    }
   if (strcmp (ln_exchange_path (exchange), "/v1/tickets") == 0)
     {
       issue_ticket (calls, exchange);
--- a/packages/node/src/ln-crashes.c
+++ b/packages/node/src/ln-crashes.c
@@ -28,6 +28,8 @@
 #define SCAN_PERIOD (5 * LB_SEC)
 /* A row that was told so recently may be missing in a list that was asked for before. */
 #define SETTLED_AFTER (10 * LB_SEC)
+/* How long a new instance waits for the rows of before: some answers of a store that is slow. */
+#define LONGEST_START (2 * LB_SEC)
 /* Rows that are remembered here, to be removed one day. */
 #define MAX_ROWS 1024
 
@@ -53,6 +55,8 @@
   LbTime next_scan;
   bool is_scanning;
   bool is_base; /* the rows that follow are all there are */
+  bool has_scanned;
+  LbTime started;
 };
 
 /* --- times --- */
@@ -224,6 +228,7 @@
   if (error != LB_OK && error != LB_ERROR_NOT_FOUND)
     return;
   crashes->next_scan = lb_clock_monotonic () + SCAN_PERIOD;
+  crashes->has_scanned = true;
   crashes->is_base = true;
   take_rows (crashes, rows, error == LB_OK ? n_rows : 0);
 }
@@ -308,6 +313,14 @@
   }
 }
 
+bool
+ln_crashes_is_known (const LnCrashes *crashes, LbTime now)
+{
+  bool has_read = crashes->follow ? lp_follow_has_listed (crashes->follow) : crashes->has_scanned;
+
+  return has_read || now - crashes->started >= LONGEST_START;
+}
+
 static void
 scan (LnCrashes *crashes, LbTime now)
 {
@@ -348,6 +361,7 @@
 
   crashes->context = context;
   crashes->quarantine = quarantine;
+  crashes->started = lb_clock_monotonic ();
   lb_list_init (&crashes->rows);
   crashes->unwritten = ln_unwritten_rows_new (context->platform, context->incarnation);
   if (context->platform->klass->watch)
--- a/packages/node/src/ln-crashes.h
+++ b/packages/node/src/ln-crashes.h
@@ -23,6 +23,8 @@
                       size_t n_contents);
 /* Tells what the quarantine wants the others to hear. */
 void ln_crashes_tell (LnCrashes *crashes);
+/* What was told before this instance started is known, or could not be had in good time. */
+bool ln_crashes_is_known (const LnCrashes *crashes, LbTime now);
 /* A frame of another instance; false when it is not one of these. */
 bool ln_crashes_hear (LnCrashes *crashes, const LnPeerMessage *frame);
 
