An instance that was gone when this one started is named to no caller

Cause: rows of instances stay in the store for good, and an instance that starts sees each for the first time and takes it for alive until three renewals are missed. Ruled out: the catalog (it says what its publisher knows, and that one had started as well). Change: a row says when it was renewed by the store's clock; one that is first seen when it is older than three renewals is confirmed only by its next renewal, and callers are sent to confirmed instances alone. It counts as alive as before, since after an outage of the store all rows are old and batches would be taken from living owners. Before: process-test-shared a_started_instance_names_nobody_who_is_long_gone failed 1 of 1. After: passes.

--- a/packages/core/include/lc-fleet.h
+++ b/packages/core/include/lc-fleet.h
@@ -17,10 +17,10 @@
   LbName peer_address; /* where it carries out calls to the store for others; empty: nowhere */
   bool ready;
   bool draining;
-  bool cut;         /* reaches the store only with the help of others */
-  int64_t strength; /* of its machine, see lc-duty.h; 0: it does not say */
-  int64_t renewals; /* of the row by this incarnation */
-  LbTime period;    /* between them */
+  bool cut;           /* reaches the store only with the help of others */
+  int64_t strength;   /* of its machine, see lc-duty.h; 0: it does not say */
+  int64_t renewed_ms; /* the store's clock when it renewed the row, by itself; 0: not known */
+  LbTime period;      /* between them */
 } LcFleetRow;
 
 struct json_object *lc_fleet_row_to_json (const LcFleetRow *row);
@@ -32,7 +32,9 @@
   int64_t version;   /* of the row in the store */
   LbTime renewed_at; /* when this version was first seen; 0: before this instance began to look */
   bool alive;
-  bool fresh;  /* it missed no renewal yet, as far as the last list can tell */
+  bool fresh; /* it missed no renewal yet, as far as the last list can tell */
+  /* It is known to have renewed its row lately, see lc_fleet_add. */
+  bool confirmed;
   bool seen;   /* in the list being taken */
   bool is_new; /* first seen in it */
 } LcFleetMember;
@@ -46,8 +48,9 @@
 typedef struct
 {
   LbTime at;
-  LbTime took;   /* from the question to the answer */
-  LbTime period; /* between two lists */
+  LbTime took;      /* from the question to the answer */
+  int64_t store_ms; /* the store's clock then; 0: not known */
+  LbTime period;    /* between two lists */
 } LcFleetList;
 
 typedef struct LcFleet LcFleet;
--- a/packages/core/src/lc-fleet.c
+++ b/packages/core/src/lc-fleet.c
@@ -31,6 +31,7 @@
   size_t next; /* where the next row's member probably is: lists come in the same order */
   LbTime last_list;
   LbTime allowance; /* beside the missed renewals, as the store answers now */
+  int64_t store_ms; /* the store's clock at the list being taken; 0: not known */
   bool changed;
 };
 
@@ -48,7 +49,7 @@
   json_object_object_add (object, "draining", json_object_new_boolean (row->draining));
   json_object_object_add (object, "cut", json_object_new_boolean (row->cut));
   json_object_object_add (object, "strength", json_object_new_int64 (row->strength));
-  json_object_object_add (object, "renewals", json_object_new_int64 (row->renewals));
+  json_object_object_add (object, "renewed_ms", json_object_new_int64 (row->renewed_ms));
   json_object_object_add (object, "period_ms", json_object_new_int64 (row->period / LB_MSEC));
   return object;
 }
@@ -66,7 +67,7 @@
   row->draining = lb_json_bool (object, "draining", false);
   row->cut = lb_json_bool (object, "cut", false);
   row->strength = lb_json_int (object, "strength", 0);
-  row->renewals = lb_json_int (object, "renewals", 0);
+  row->renewed_ms = lb_json_int (object, "renewed_ms", 0);
   row->period = lb_json_int (object, "period_ms", DEFAULT_PERIOD / LB_MSEC) * LB_MSEC;
   return row->name[0] && row->incarnation[0] && row->caller_address[0];
 }
@@ -76,11 +77,12 @@
 {
   struct json_object *object = lc_fleet_row_to_json (&member->row);
 
-  json_object_object_del (object, "renewals");
+  json_object_object_del (object, "renewed_ms");
   json_object_object_del (object, "period_ms");
   json_object_object_add (object, "version", json_object_new_int64 (member->version));
   json_object_object_add (object, "alive", json_object_new_boolean (member->alive));
   json_object_object_add (object, "fresh", json_object_new_boolean (member->fresh));
+  json_object_object_add (object, "confirmed", json_object_new_boolean (member->confirmed));
   return lb_json_take_text (object, JSON_C_TO_STRING_PLAIN);
 }
 
@@ -94,6 +96,7 @@
   member->version = lb_json_int (object, "version", 0);
   member->alive = lb_json_bool (object, "alive", false);
   member->fresh = lb_json_bool (object, "fresh", false);
+  member->confirmed = lb_json_bool (object, "confirmed", false);
   json_object_put (object);
   return ok;
 }
@@ -145,7 +148,7 @@
   bool was_away = gap > 2 * list->period + list->took + LATE_LIST;
 
   fleet->allowance = LIST_TIME + SLOW_ANSWERS * list->took;
-
+  fleet->store_ms = list->store_ms;
   for (size_t i = 0; i < fleet->n_members; i++)
     {
       fleet->members[i].seen = false;
@@ -164,6 +167,21 @@
          && strcmp (a->caller_address, b->caller_address) == 0;
 }
 
+/* Whether a row that was never seen before was written lately. */
+static bool
+is_young (const LcFleet *fleet, const LcFleetRow *row)
+{
+  LbTime age = (fleet->store_ms - row->renewed_ms) * LB_MSEC;
+
+  return fleet->store_ms > 0 && row->renewed_ms > 0
+         && age < row->period * MISSED_RENEWALS + fleet->allowance;
+}
+
+/* Guards against callers that are sent to an instance which is gone: its row stays in the store for
+ * good, and one that has just started sees it for the first time and takes it for alive until it
+ * misses its renewals. Such an instance is confirmed by the age of its row, or by its next renewal.
+ * That it counts as alive until then is wanted: after an outage of the store all rows are old, and
+ * batches would be taken from owners that live. */
 void
 lc_fleet_add (LcFleet *fleet, const LcFleetRow *row, int64_t version, LbTime now)
 {
@@ -173,14 +191,18 @@
     {
       fleet->members = lb_realloc (fleet->members, (fleet->n_members + 1) * sizeof *fleet->members);
       member = &fleet->members[fleet->n_members++];
-      *member
-          = (LcFleetMember){ .row = *row, .version = version, .renewed_at = now, .is_new = true };
+      *member = (LcFleetMember){ .row = *row,
+                                 .version = version,
+                                 .renewed_at = now,
+                                 .confirmed = is_young (fleet, row),
+                                 .is_new = true };
       fleet->changed = true;
     }
   member->seen = true;
   if (version <= member->version)
     return;
-  fleet->changed |= !says_the_same (&member->row, row);
+  fleet->changed |= !says_the_same (&member->row, row) || !member->confirmed;
+  member->confirmed = true;
   member->row = *row;
   member->version = version;
   member->renewed_at = now;
--- a/packages/core/tests/test-fleet.c
+++ b/packages/core/tests/test-fleet.c
@@ -218,18 +218,78 @@
   lc_fleet_free (fleet);
 }
 
+static bool
+is_confirmed (const LcFleet *fleet, const char *name)
+{
+  for (size_t i = 0; i < lc_fleet_count (fleet); i++)
+    if (strcmp (lc_fleet_at (fleet, i)->row.name, name) == 0)
+      return lc_fleet_at (fleet, i)->confirmed;
+  return false;
+}
+
+/* The first list of an instance that has just started; the store's clock stands at 100,000 ms. */
+static LcFleet *
+list_first (int64_t renewed_ms_of_b)
+{
+  LcFleet *fleet = lc_fleet_new ("a");
+  LcFleetRow b = row ("b", "1");
+
+  b.renewed_ms = renewed_ms_of_b;
+  lc_fleet_begin (fleet, &(LcFleetList){ .at = LB_SEC, .store_ms = 100000, .period = PERIOD });
+  lc_fleet_add (fleet, &b, 5, LB_SEC);
+  lc_fleet_end (fleet, LB_SEC);
+  return fleet;
+}
+
+/* All processes are killed and start again. One machine was taken away 47 s before, and its row
+ * still stands in the store. A started instance sees the row for the first time and named that
+ * machine to callers, which went to where nobody listens. */
+Test (fleet, an_old_row_seen_for_the_first_time_is_not_confirmed)
+{
+  LcFleet *fleet = list_first (100000 - 47000);
+
+  cr_assert_not (is_confirmed (fleet, "b"));
+  cr_assert (is_alive (fleet, "b"),
+             "its batches are not taken from it on the strength of one list");
+  lc_fleet_free (fleet);
+}
+
+/* All processes are killed and start again within a second. Callers need their addresses at once,
+ * before each has renewed its row again. */
+Test (fleet, a_young_row_seen_for_the_first_time_is_confirmed)
+{
+  LcFleet *fleet = list_first (100000 - 900);
+
+  cr_assert (is_confirmed (fleet, "b"));
+  lc_fleet_free (fleet);
+}
+
+/* The row of an instance that had not heard from the store yet does not say when it was written. */
+Test (fleet, a_renewal_that_is_seen_confirms)
+{
+  LcFleet *fleet = list_first (0);
+  LcFleetRow b = row ("b", "1");
+
+  cr_assert_not (is_confirmed (fleet, "b"));
+  lc_fleet_begin (fleet, &(LcFleetList){ .at = 2 * LB_SEC, .period = PERIOD });
+  lc_fleet_add (fleet, &b, 6, 2 * LB_SEC);
+  cr_assert (lc_fleet_end (fleet, 2 * LB_SEC), "others are told");
+  cr_assert (is_confirmed (fleet, "b"));
+  lc_fleet_free (fleet);
+}
+
 Test (fleet, a_row_says_the_same_after_a_round_trip)
 {
   LcFleetRow first = row ("a", "17");
   LcFleetRow second;
 
   first.draining = true;
-  first.renewals = 9;
+  first.renewed_ms = 9;
   struct json_object *object = lc_fleet_row_to_json (&first);
   cr_assert (lc_fleet_row_from_json (object, &second));
   cr_assert_str_eq (second.incarnation, "17");
   cr_assert (second.draining);
-  cr_assert_eq (second.renewals, 9);
+  cr_assert_eq (second.renewed_ms, 9);
   cr_assert_eq (second.period, PERIOD);
   json_object_put (object);
   object = json_tokener_parse ("{\"name\": 3}");
--- a/packages/node/src/ln-fleet-lists.c
+++ b/packages/node/src/ln-fleet-lists.c
@@ -86,7 +86,7 @@
 }
 
 static const LnRowCacheClass rows_class
-    = { .size = sizeof (LcFleetRow), .read = read_row, .count_mark = "\"renewals\":" };
+    = { .size = sizeof (LcFleetRow), .read = read_row, .count_mark = "\"renewed_ms\":" };
 
 static void
 listing_init (Listing *listing,
@@ -171,8 +171,12 @@
   (void)version;
   Listing *listing = user;
   LbTime now = lb_clock_monotonic ();
+  const LpPlatform *platform = listing->lists->platform;
   const LcFleetList list
-      = { .at = now, .took = now - listing->asked_at, .period = period_of (listing) };
+      = { .at = now,
+          .took = now - listing->asked_at,
+          .store_ms = platform->klass->store_ms ? platform->klass->store_ms (platform) : 0,
+          .period = period_of (listing) };
 
   listing->waiting--;
   listing->failed |= error != LB_OK;
--- a/packages/node/src/ln-fleet-renewal.c
+++ b/packages/node/src/ln-fleet-renewal.c
@@ -85,15 +85,17 @@
 }
 
 static void
-renew_row (LnFleetRenewal *renewal, bool on_duty, LbTime period)
+renew_row (LnFleetRenewal *renewal, bool on_duty, LbTime period, LbTime now)
 {
+  const LpPlatform *platform = renewal->platform;
   struct json_object *object = NULL;
 
   if (renewal->on_their_way >= MAX_RENEWALS_ON_THEIR_WAY)
     return;
   renewal->on_their_way++;
   renewal->row->period = period;
-  renewal->row->renewals++;
+  renewal->row->renewed_ms
+      = platform->klass->store_ms_at ? platform->klass->store_ms_at (platform, now) : 0;
   object = lc_fleet_row_to_json (renewal->row);
   write_row (renewal, on_duty, json_object_to_json_string (object), on_renewed);
   json_object_put (object);
@@ -103,7 +105,7 @@
 renew (LnFleetRenewal *renewal, LbTime now)
 {
   renewal->next = now + renewal->period;
-  renew_row (renewal, false, renewal->period);
+  renew_row (renewal, false, renewal->period, now);
 }
 
 static void
@@ -111,7 +113,7 @@
 {
   renewal->next_on_duty = now + DUTY_PERIOD;
   renewal->has_duty_row = true;
-  renew_row (renewal, true, DUTY_PERIOD);
+  renew_row (renewal, true, DUTY_PERIOD, now);
 }
 
 static void
--- a/packages/node/src/ln-fleet.c
+++ b/packages/node/src/ln-fleet.c
@@ -161,6 +161,13 @@
     addresses[(*n)++] = address;
 }
 
+/* Whether callers may be sent there. */
+static bool
+may_be_named (const LcFleetMember *member)
+{
+  return member->alive && member->confirmed && member->row.ready && !member->row.draining;
+}
+
 /* Of the other instances: those that missed no renewal or all, near ones or far ones. */
 static void
 add_others (const Fleet *task, bool fresh, bool near, const char **addresses, size_t *n)
@@ -169,8 +176,8 @@
     {
       const LcFleetMember *member = ln_fleet_lists_at (task->lists, i);
       bool is_near = strcmp (member->row.data_centre, task->own.data_centre) == 0;
-      if (member->alive && member->row.ready && !member->row.draining && member->fresh >= fresh
-          && is_near == near && strcmp (member->row.name, task->own.name) != 0)
+      if (may_be_named (member) && member->fresh >= fresh && is_near == near
+          && strcmp (member->row.name, task->own.name) != 0)
         add_address (addresses, n, member->row.caller_address);
     }
 }
--- a/packages/store/include/lp-platform.h
+++ b/packages/store/include/lp-platform.h
@@ -137,6 +137,8 @@
   /* The store's own steady clock in the answer that is being handed on, in ms; 0: it named none.
    * NULL where the kind has no such clock. */
   int64_t (*store_ms) (const LpPlatform *platform);
+  /* The same clock at the moment `now` of this process, by the last answer; 0: not known. */
+  int64_t (*store_ms_at) (const LpPlatform *platform, LbTime now);
   /* Carries out a peer's call, never through another one. status 0: no answer came, and the call
    * may have been carried out or not as error says. */
   void (*carry_out) (LpPlatform *platform,
--- a/tests/process/test-shared.c
+++ b/tests/process/test-shared.c
@@ -712,3 +712,26 @@
   cr_assert_eq (w.engines[0].n_runs, runs);
   ps_world_clear (&w);
 }
+
+/* A machine was taken away; its row stays in the store. An instance that starts afterwards saw that
+ * row for the first time and named the machine to its callers until three renewals were missed. */
+Test (shared, a_started_instance_names_nobody_who_is_long_gone)
+{
+  static const char gone[]
+      = "{\"name\": \"gone\", \"incarnation\": \"1\", \"data_centre\": \"hall-a\","
+        " \"callers\": \"127.0.0.9:9\", \"peers\": \"\", \"ready\": true, \"renewed_ms\": 1,"
+        " \"renewals\": 7, \"period_ms\": 20000}";
+  PsWorld w;
+
+  ps_world_init (&w);
+  si_rows_put (&w.rows, "instance", "0", "gone", gone);
+  size_t a = ps_start_instance (&w);
+  PS_UNTIL (&w, ps_count_logged (&w, a, "instances_listed") > 0);
+  for (int i = 0; i < 50; i++)
+    {
+      ps_call (&w, a, "GET", "/-/resolve?name=h.example", "", "");
+      cr_assert (strstr (w.body, w.instances[a].address));
+      cr_assert_not (strstr (w.body, "127.0.0.9:9"), "it names a machine that is gone");
+    }
+  ps_world_clear (&w);
+}
