--- a/packages/cli/src/lt-story.c
+++ b/packages/cli/src/lt-story.c
@@ -101,13 +101,22 @@
   return true;
 }
 
+/* A batch that belongs to an organisation is named by its id and, behind a '~', a hash. */
+static bool
+is_id (const LtStory *story, const char *name)
+{
+  size_t length = strlen (story->id);
+
+  return strncmp (name, story->id, length) == 0 && (name[length] == '\0' || name[length] == '~');
+}
+
 static bool
 names_id (const LtStory *story, struct json_object *line)
 {
   static const char *const keys[] = { "id", "batch", "item", "caller", "content" };
 
   for (size_t i = 0; i < sizeof keys / sizeof keys[0]; i++)
-    if (strcmp (lb_json_text (line, keys[i], ""), story->id) == 0)
+    if (is_id (story, lb_json_text (line, keys[i], "")))
       return true;
   return false;
 }
--- /dev/null
+++ b/packages/core/include/lc-admission.h
@@ -0,0 +1,46 @@
+#ifndef LC_ADMISSION_H
+#define LC_ADMISSION_H
+
+#include "lc-organisations.h"
+
+/* Whose call it is, decided before anything else of it is looked at. No I/O. */
+
+/* Whether a key that is still held may be taken for one when this instance can't ask any more. */
+typedef struct
+{
+  bool refuses_unconfirmed; /* then not, once the configuration was not confirmed for: */
+  LbTime longest_unconfirmed;
+} LcAdmissionRules;
+
+/* What a call brings. */
+typedef struct
+{
+  const char *key; /* NULL: none */
+  size_t n_keys;   /* that it brings */
+  bool needs_none; /* its route is open to all */
+} LcAdmissionCall;
+
+/* What this instance goes by. */
+typedef struct
+{
+  const LcOrganisations *organisations; /* NULL: none are declared, and no call needs a key */
+  LbTime confirmed_at;                  /* when they were last known to be the newest */
+} LcAdmissionBelief;
+
+typedef struct
+{
+  LbErrorCode error;           /* LB_OK: it is admitted */
+  const char *reason;          /* for the log and the caller; NULL when it is admitted */
+  LbTime retry_after;          /* 0: there is no use in coming back */
+  LcOrganisation organisation; /* whose call it is; without a name: nobody's in particular */
+  bool has_digest;
+  LcKeyDigest digest; /* of the key */
+} LcAdmission;
+
+void lc_admission_decide (const LcAdmissionRules *rules,
+                          const LcAdmissionBelief *belief,
+                          const LcAdmissionCall *call,
+                          LbTime now,
+                          LcAdmission *admission);
+
+#endif
--- a/packages/core/include/lc-batch-head.h
+++ b/packages/core/include/lc-batch-head.h
@@ -21,7 +21,9 @@
   /* Instance that shall run it, so that one instance runs all batches of a model and keeps its
    * connections to the engines; it takes the batch from the one that accepted it. */
   LbName preferred;
-  LbName host; /* of its route */
+  LbName organisation;           /* that it belongs to; empty: to nobody in particular */
+  int64_t organisation_priority; /* when it was accepted; larger first */
+  LbName host;                   /* of its route */
   char path[128];
 } LcBatchHead;
 
--- a/packages/core/include/lc-batch.h
+++ b/packages/core/include/lc-batch.h
@@ -25,6 +25,7 @@
 {
   LbName id;
   LbName model;
+  LbName organisation; /* that it belongs to; empty: to nobody in particular */
   int64_t step;
   LcVersion min_version; /* older weights may not make any of its text */
   int64_t target_groups; /* whole groups that the trainer waits for */
--- a/packages/core/include/lc-content.h
+++ b/packages/core/include/lc-content.h
@@ -9,9 +9,13 @@
 
 #define LC_CONTENT_SIZE 17 /* of its text, with the NUL */
 
-/* host may be NULL. */
-LcContent lc_content_new (
-    const char *method, const char *host, const char *path, const char *body, size_t body_length);
+/* host may be NULL; organisation: whose request it is, "" when it is nobody's in particular. */
+LcContent lc_content_new (const char *organisation,
+                          const char *method,
+                          const char *host,
+                          const char *path,
+                          const char *body,
+                          size_t body_length);
 
 /* 16 hexadecimal digits. */
 void lc_content_to_text (LcContent content, char text[LC_CONTENT_SIZE]);
--- a/packages/core/include/lc-desired.h
+++ b/packages/core/include/lc-desired.h
@@ -1,6 +1,7 @@
 #ifndef LC_DESIRED_H
 #define LC_DESIRED_H
 
+#include "lc-organisations.h"
 #include "lc-resources.h"
 
 /* The routes and services that the operators of a shared platform declare for the whole
@@ -35,6 +36,7 @@
   int64_t attempts; /* most endpoints that one request is sent to */
   int priority;     /* larger first */
   bool resumable;
+  bool is_public;      /* needs no key where organisations are declared */
   bool single_version; /* BATCH: a result must be of one weight version */
   LcRouteTarget targets[LC_MAX_ROUTE_TARGETS];
   size_t n_targets;
@@ -64,6 +66,7 @@
   size_t n_routes;
   LcService *services;
   size_t n_services;
+  LcOrganisations *organisations; /* NULL: none are declared, and no call needs a key */
   LcCallerLimits limits;
 } LcDesired;
 
--- a/packages/core/include/lc-dispatch.h
+++ b/packages/core/include/lc-dispatch.h
@@ -34,7 +34,8 @@
   int64_t max_attempts;  /* 0: the dispatch's own limit */
   LbTime
       hedge_after; /* if repeatable, with no first piece; 0: the dispatch's own, for live calls */
-  int priority;    /* larger first within a kind */
+  int organisation_priority; /* larger first within a kind */
+  int priority;              /* larger first among those of one organisation_priority */
   /* When it has to begin in order to end in time; of equal priority the earlier one goes first. 0:
    * none. */
   LbTime latest_start;
--- a/packages/core/src/lc-batch-carry.c
+++ b/packages/core/src/lc-batch-carry.c
@@ -27,10 +27,13 @@
   return XXH3_64bits_withSeed (request->body ? request->body : "", request->body_length, hash);
 }
 
+/* The organisation is part of it: a text of another one's item under the same id is none of its
+ * business. */
 static uint64_t
-content_of (const LcItemSpec *item)
+content_of (const LcBatchSpec *spec, const LcItemSpec *item)
 {
-  uint64_t hash = add_request (0, &item->request);
+  uint64_t seed = XXH3_64bits (spec->organisation, strlen (spec->organisation));
+  uint64_t hash = add_request (seed, &item->request);
 
   if (!item->has_scorer)
     return hash;
@@ -70,9 +73,13 @@
 }
 
 static void
-leave (const LcItemSpec *spec, const LcBatchItem *item, LcCarried *carried, LbTime now)
+leave (const LcBatchSpec *spec,
+       const LcItemSpec *wanted,
+       const LcBatchItem *item,
+       LcCarried *carried,
+       LbTime now)
 {
-  LcCarriedText text = { .content = content_of (spec),
+  LcCarriedText text = { .content = content_of (spec, wanted),
                          .whole = item->state >= ITEM_GENERATED,
                          .events = item->events,
                          .text = item->result.text,
@@ -84,7 +91,7 @@
 
   if (given_up || item->unusable || item->events == 0 || !item->result.text)
     return;
-  LB_COPY (text.item, spec->request.id);
+  LB_COPY (text.item, wanted->request.id);
   lc_carried_put (carried, &text, now);
 }
 
@@ -99,7 +106,7 @@
 
   for (size_t i = 0; i < spec->n_items; i++)
     if (!ensure_group (&groups, spec->items[i].group)->is_whole)
-      leave (&spec->items[i], &items[i], carried, now);
+      leave (spec, &spec->items[i], &items[i], carried, now);
   HASH_ITER (hh, groups, group, next)
   {
     HASH_DEL (groups, group);
@@ -123,7 +130,7 @@
                      const LcBatchSettings *settings)
 {
   const LcItemSpec *wanted = &spec->items[index];
-  uint64_t content = content_of (wanted);
+  uint64_t content = content_of (spec, wanted);
   LcCarriedText text;
 
   if (item->state != ITEM_WAITING)
--- a/packages/core/src/lc-batch-head.c
+++ b/packages/core/src/lc-batch-head.c
@@ -20,6 +20,12 @@
   json_object_object_add (object, "model", json_object_new_string (head->model));
   json_object_object_add (object, "tokens", json_object_new_int64 (head->tokens));
   json_object_object_add (object, "preferred", json_object_new_string (head->preferred));
+  if (head->organisation[0])
+    {
+      json_object_object_add (object, "organisation", json_object_new_string (head->organisation));
+      json_object_object_add (object, "organisation_priority",
+                              json_object_new_int64 (head->organisation_priority));
+    }
   json_object_object_add (object, "host", json_object_new_string (head->host));
   json_object_object_add (object, "path", json_object_new_string (head->path));
   return object;
@@ -38,6 +44,8 @@
   LB_COPY (head->model, lb_json_text (object, "model", ""));
   head->tokens = lb_json_int (object, "tokens", 0);
   LB_COPY (head->preferred, lb_json_text (object, "preferred", ""));
+  LB_COPY (head->organisation, lb_json_text (object, "organisation", ""));
+  head->organisation_priority = lb_json_int (object, "organisation_priority", 0);
   LB_COPY (head->host, lb_json_text (object, "host", ""));
   LB_COPY (head->path, lb_json_text (object, "path", ""));
   return head->batch[0] && head->epoch > 0 && head->total > 0;
--- a/packages/core/src/lc-content.c
+++ b/packages/core/src/lc-content.c
@@ -13,13 +13,19 @@
   return XXH3_64bits_withSeed (bytes, length, seed);
 }
 
-/* The caller is not part of it: what ends an endpoint is what it is given, whoever gives it. Nor
- * are headers, among which ids and times differ with each attempt. */
+/* The caller is not part of it: what ends an endpoint is what it is given, whichever caller gives
+ * it. Its organisation is: what one of them sends must not be the reason to refuse another. Nor are
+ * headers, among which ids and times differ with each attempt. */
 LcContent
-lc_content_new (
-    const char *method, const char *host, const char *path, const char *body, size_t body_length)
+lc_content_new (const char *organisation,
+                const char *method,
+                const char *host,
+                const char *path,
+                const char *body,
+                size_t body_length)
 {
-  XXH64_hash_t hash = add (0, method, strlen (method));
+  XXH64_hash_t seed = organisation[0] ? add (0, organisation, strlen (organisation)) : 0;
+  XXH64_hash_t hash = add (seed, method, strlen (method));
 
   hash = add (hash, host ? host : "", host ? strlen (host) : 0);
   hash = add (hash, path, strlen (path));
--- a/packages/core/src/lc-desired.c
+++ b/packages/core/src/lc-desired.c
@@ -34,6 +34,7 @@
     return;
   free (desired->routes);
   free (desired->services);
+  lc_organisations_free (desired->organisations);
   free (desired);
 }
 
--- a/packages/core/src/lc-dispatch.c
+++ b/packages/core/src/lc-dispatch.c
@@ -273,6 +273,7 @@
 
   LcQueueKey key = {
     .kind = spec->kind,
+    .organisation_priority = spec->organisation_priority,
     .priority = spec->priority,
     .caller = spec->flow[0] ? spec->flow : spec->caller,
     .share = spec->share,
--- a/packages/core/src/lc-queue.c
+++ b/packages/core/src/lc-queue.c
@@ -7,11 +7,18 @@
 #include <uthash.h>
 
 #define PRIORITY_MAX 10
-#define N_LEVELS (2 * PRIORITY_MAX + 1)
-#define N_BANDS (2 * N_LEVELS + 1)
 
+/* Place of a band among the others: the smaller one comes first, number by number. */
 typedef struct
 {
+  int kind;
+  int organisation;
+  int level;
+} BandRank;
+
+typedef struct
+{
+  BandRank rank;
   LcHeap active;  /* flows with requests, by virtual start time */
   LcHeap backlog; /* the same flows, largest backlog for its share first */
   LcHeap idle;    /* flows without requests that are still ahead of the virtual time */
@@ -39,7 +46,8 @@
 
 struct LcQueue
 {
-  Band *bands[N_BANDS];
+  Band **bands; /* by rank; a band stays when it has become empty */
+  size_t n_bands;
   LbList aside; /* LcWaiting */
   size_t length;
   size_t kind_length[LC_N_KINDS];
@@ -105,26 +113,53 @@
   return PRIORITY_MAX - priority;
 }
 
-/* Samples share one band, so that no trainer can pass another by a priority of its own. */
+/* Samples of organisations with the same priority share one band, so that no trainer can pass
+ * another by a priority of its own. */
+static BandRank
+rank_of (const LcQueueKey *key)
+{
+  static const int kinds[] = { [LC_KIND_LIVE] = 0, [LC_KIND_SERVICE] = 1, [LC_KIND_SAMPLE] = 2 };
+
+  return (BandRank){ .kind = kinds[key->kind],
+                     .organisation = level_of (key->organisation_priority),
+                     .level = key->kind == LC_KIND_SAMPLE ? 0 : level_of (key->priority) };
+}
+
+static bool
+rank_before (const BandRank *a, const BandRank *b)
+{
+  if (a->kind != b->kind)
+    return a->kind < b->kind;
+  if (a->organisation != b->organisation)
+    return a->organisation < b->organisation;
+  return a->level < b->level;
+}
+
+/* Index of the first band that does not come before the rank. */
 static size_t
-band_index (LcRequestKind kind, int priority)
+band_index (const LcQueue *queue, const BandRank *rank)
 {
-  switch (kind)
-    {
-    case LC_KIND_LIVE:
-      return (size_t)level_of (priority);
-    case LC_KIND_SERVICE:
-      return (size_t)(N_LEVELS + level_of (priority));
-    default:
-      return N_BANDS - 1;
-    }
+  size_t index = 0;
+
+  while (index < queue->n_bands && rank_before (&queue->bands[index]->rank, rank))
+    index++;
+  return index;
 }
 
 static Band *
-band_new (void)
+band_at (const LcQueue *queue, size_t index, const BandRank *rank)
+{
+  Band *band = index < queue->n_bands ? queue->bands[index] : NULL;
+
+  return band && !rank_before (rank, &band->rank) ? band : NULL;
+}
+
+static Band *
+band_new (const BandRank *rank)
 {
   Band *band = LB_NEW (Band);
 
+  band->rank = *rank;
   lc_heap_init (&band->active, active_before);
   lc_heap_init (&band->backlog, backlog_before);
   lc_heap_init (&band->idle, idle_before);
@@ -147,8 +182,6 @@
   LcFlow *flow = NULL;
   LcFlow *next = NULL;
 
-  if (!band)
-    return;
   HASH_ITER (hh, band->flows, flow, next)
   {
     flow_free (flow);
@@ -174,8 +207,9 @@
 {
   if (!queue)
     return;
-  for (size_t i = 0; i < N_BANDS; i++)
+  for (size_t i = 0; i < queue->n_bands; i++)
     band_free (queue->bands[i]);
+  free (queue->bands);
   free (queue);
 }
 
@@ -262,17 +296,29 @@
     lc_heap_remove (&flow->band->active, &flow->active_node);
 }
 
+static Band *
+ensure_band (LcQueue *queue, const LcQueueKey *key)
+{
+  BandRank rank = rank_of (key);
+  size_t index = band_index (queue, &rank);
+  Band *band = band_at (queue, index, &rank);
+
+  if (band)
+    return band;
+  queue->bands = lb_realloc (queue->bands, (queue->n_bands + 1) * sizeof (Band *));
+  memmove (&queue->bands[index + 1], &queue->bands[index],
+           (queue->n_bands - index) * sizeof (Band *));
+  queue->n_bands++;
+  queue->bands[index] = band_new (&rank);
+  return queue->bands[index];
+}
+
 /* Adds a request. One that comes back for a retry keeps its sequence and brings cost 0, so it goes
  * before the newer ones of its flow and is not charged twice. */
 void
 lc_queue_push (LcQueue *queue, const LcQueueKey *key, LcWaiting *waiting)
 {
-  size_t index = band_index (key->kind, key->priority);
-
-  if (!queue->bands[index])
-    queue->bands[index] = band_new ();
-
-  Band *band = queue->bands[index];
+  Band *band = ensure_band (queue, key);
   LcFlow *flow = find_flow (band, key->caller);
 
   if (!flow)
@@ -352,9 +398,9 @@
 LcWaiting *
 lc_queue_first (const LcQueue *queue)
 {
-  for (size_t i = 0; i < N_BANDS; i++)
+  for (size_t i = 0; i < queue->n_bands; i++)
     {
-      LcHeapNode *node = queue->bands[i] ? lc_heap_first (&queue->bands[i]->active) : NULL;
+      LcHeapNode *node = lc_heap_first (&queue->bands[i]->active);
 
       if (node)
         return LC_HEAP_ENTRY (lc_heap_first (&LC_HEAP_ENTRY (node, LcFlow, active_node)->firsts),
@@ -377,18 +423,20 @@
 LcWaiting *
 lc_queue_victim (const LcQueue *queue, const LcQueueKey *key)
 {
-  size_t own = band_index (key->kind, key->priority);
+  BandRank rank = rank_of (key);
+  size_t own = band_index (queue, &rank);
+  const Band *own_band = band_at (queue, own, &rank);
 
-  for (size_t i = N_BANDS; i-- > own;)
+  for (size_t i = queue->n_bands; i-- > own;)
     {
       const Band *band = queue->bands[i];
 
-      if (!band || band->length == 0)
+      if (band->length == 0)
         continue;
 
       LcFlow *flow = LC_HEAP_ENTRY (lc_heap_first (&band->backlog), LcFlow, backlog_node);
 
-      if (i == own && backlog_of (flow) <= backlog_with_one_more (band, key))
+      if (band == own_band && backlog_of (flow) <= backlog_with_one_more (band, key))
         return NULL;
       return LC_HEAP_ENTRY (lc_heap_first (&flow->lasts), LcWaiting, last_node);
     }
@@ -412,13 +460,14 @@
 double
 lc_queue_ahead (const LcQueue *queue, const LcQueueKey *key)
 {
-  size_t own = band_index (key->kind, key->priority);
-  const Band *band = queue->bands[own];
+  BandRank rank = rank_of (key);
+  size_t own = band_index (queue, &rank);
+  const Band *band = band_at (queue, own, &rank);
   double share = key->share > 0 ? key->share : 1;
   double ahead = 0;
 
   for (size_t i = 0; i < own; i++)
-    ahead += queue->bands[i] ? (double)queue->bands[i]->length : 0;
+    ahead += (double)queue->bands[i]->length;
   if (!band)
     return ahead;
 
--- a/packages/core/src/lc-queue.h
+++ b/packages/core/src/lc-queue.h
@@ -4,8 +4,9 @@
 #include "lc-heap.h"
 #include "lc-types.h"
 
-/* The waiting requests of one pool. Bands come strictly one after the other: live calls by
- * priority, then calls of services by priority, then samples. Inside a band callers share by
+/* The waiting requests of one pool. Bands come strictly one after the other: live calls, then calls
+ * of services, then samples; of one kind by the priority of their organisation, then by their own.
+ * Inside a band callers share by
  * start-time fair queueing: each caller's flow carries a virtual start time that grows by cost over
  * share for every request taken. Inside a flow the larger priority goes first, then the earlier
  * latest start, then the older. */
@@ -28,6 +29,7 @@
 typedef struct
 {
   LcRequestKind kind;
+  int organisation_priority;
   int priority;
   const char *caller;
   double share; /* weight among the callers of the kind; 0: 1 */
--- a/packages/core/src/lc-request.c
+++ b/packages/core/src/lc-request.c
@@ -37,6 +37,7 @@
   LB_COPY (request->caller, spec->caller);
   LB_COPY (request->flow, spec->flow[0] ? spec->flow : spec->caller);
   request->share = spec->share;
+  request->organisation_priority = spec->organisation_priority;
   request->priority = spec->priority;
   request->content = spec->content;
   request->kind = spec->kind;
@@ -129,6 +130,7 @@
 lc_request_key (const LcRequest *request)
 {
   return (LcQueueKey){ .kind = request->kind,
+                       .organisation_priority = request->organisation_priority,
                        .priority = request->priority,
                        .caller = request->flow,
                        .share = request->share };
--- a/packages/core/src/lc-request.h
+++ b/packages/core/src/lc-request.h
@@ -45,6 +45,7 @@
   LbName caller;
   LbName flow;
   double share;
+  int organisation_priority;
   int priority;
   LcContent content;
   LcRequestKind kind;
--- a/packages/core/tests/test-content.c
+++ b/packages/core/tests/test-content.c
@@ -6,7 +6,7 @@
 static LcContent
 content (const char *host, const char *path, const char *body)
 {
-  return lc_content_new ("POST", host, path, body, strlen (body));
+  return lc_content_new ("", "POST", host, path, body, strlen (body));
 }
 
 Test (content, is_that_of_all_parts)
@@ -18,7 +18,8 @@
   cr_assert_neq (first, content ("h", "/b", "x"));
   cr_assert_neq (first, content ("h", "/a", "y"));
   cr_assert_neq (first, content (NULL, "/a", "x"));
-  cr_assert_neq (first, lc_content_new ("PUT", "h", "/a", "x", 1));
+  cr_assert_neq (first, lc_content_new ("", "PUT", "h", "/a", "x", 1));
+  cr_assert_neq (first, lc_content_new ("mill", "POST", "h", "/a", "x", 1));
   cr_assert_neq (content ("h", "/a", "bc"), content ("h", "/ab", "c"));
 }
 
--- a/packages/node/include/ln-dialect.h
+++ b/packages/node/include/ln-dialect.h
@@ -28,6 +28,8 @@
 {
   LnInboundKind kind;
   const char *id;   /* of the request, chosen by its caller; NULL: none */
+  const char *key;  /* by which its organisation is known; NULL: none */
+  size_t n_keys;    /* that it brings */
   const char *host; /* that selects the route; "" when absent */
   LbTime deadline;  /* from now; 0: none was stated */
   const char *model;
@@ -42,9 +44,10 @@
 /* One attempt's own words beside what its caller wrote. */
 typedef struct
 {
-  LbTime time_left;     /* 0: nothing is said */
-  const char *endpoint; /* that alone may run it */
-  int64_t resume_at;    /* events that came before; 0: from the start */
+  LbTime time_left;         /* 0: nothing is said */
+  const char *endpoint;     /* that alone may run it */
+  int64_t resume_at;        /* events that came before; 0: from the start */
+  const char *organisation; /* whose request it is; NULL or "": nobody's in particular */
   bool is_sample;
 } LnAttemptWords;
 
@@ -145,7 +148,8 @@
   char *(*write_entry) (const char *const *addresses, size_t n_addresses, LbTime ttl);
 
   /* endpoints */
-  bool (*is_own_header) (const char *name); /* set anew for each attempt, or of one connection */
+  /* Set anew for each attempt, of one connection, or meant for this system alone. */
+  bool (*is_own_header) (const char *name);
   void (*write_words) (const LnAttemptWords *words, LcOutgoing *outgoing);
   LnReplyMeaning (*judge) (int status, LnHeaderSource header, const void *source);
   /* Whether the reply names this request; one that names another belongs to that one. */
--- a/packages/node/include/ln-exchange.h
+++ b/packages/node/include/ln-exchange.h
@@ -24,6 +24,8 @@
 const char *ln_exchange_path (const LnExchange *exchange);                   /* without the query */
 const char *ln_exchange_query (const LnExchange *exchange, const char *key); /* NULL when absent */
 const char *ln_exchange_header (const LnExchange *exchange, const char *name);
+/* How often the request has the header. */
+size_t ln_exchange_count_header (const LnExchange *exchange, const char *name);
 const char *ln_exchange_body (const LnExchange *exchange, size_t *length); /* ended by NUL */
 const char *ln_exchange_peer (const LnExchange *exchange);                 /* IP of the caller */
 void ln_exchange_set_owner (LnExchange *exchange, LnTask *owner);
--- a/packages/node/include/ln-messages.h
+++ b/packages/node/include/ln-messages.h
@@ -14,30 +14,31 @@
  * instances), "store" (the platform). */
 typedef enum
 {
-  LN_EXCHANGE,         /* front -> the task of the route */
-  LN_EXCHANGE_GONE,    /* front -> the owner: the caller went away */
-  LN_CONFIG,           /* config -> all: a newer revision is in force here */
-  LN_SAMPLE,           /* rollouts -> calls: generate a sample or ask a scorer */
-  LN_SAMPLE_CANCEL,    /* rollouts -> calls */
-  LN_SAMPLE_PIECE,     /* calls -> rollouts */
-  LN_SAMPLE_DONE,      /* calls -> rollouts */
-  LN_VERSIONS,         /* config -> rollouts: newest version and cadence of a pool */
-  LN_ENDPOINT_REPORT,  /* calls -> config: what an endpoint said of itself */
-  LN_ENDPOINT_LEAVING, /* any -> calls: first that says leaving wins */
-  LN_ENDPOINT_SWAP,    /* config -> calls: weights are about to change */
-  LN_MEMBERS,          /* peers -> all: the view of live instances changed */
-  LN_FLEET,            /* peers -> config: the same with all that their rows say */
-  LN_FLEET_HEARD,      /* config -> peers: what the catalog tells of the instances */
-  LN_FLEET_FOLLOWED,   /* config -> peers: whether the catalog is followed has changed */
-  LN_PEER_SEND,        /* any -> peers: a frame for one instance or all */
-  LN_PEER_FRAME,       /* peers -> the task named in the frame */
-  LN_DRAINING,         /* main -> all */
-  LN_DESIRED,          /* config -> all: routes and services of the shared platform */
-  LN_LIST_TAKEN,       /* config -> calls: which list of the endpoints is gone by */
-  LN_LISTED,           /* config -> calls: an endpoint is still listed, with this version */
-  LN_DEMAND,           /* rollouts -> config: a trainer brought a batch */
-  LN_DUTY,             /* rollouts, config -> all: whether this instance has a duty has changed */
-  LN_READY             /* config -> all: whether new work may be taken has changed */
+  LN_EXCHANGE,          /* front -> the task of the route */
+  LN_EXCHANGE_GONE,     /* front -> the owner: the caller went away */
+  LN_CONFIG,            /* config -> all: a newer revision is in force here */
+  LN_SAMPLE,            /* rollouts -> calls: generate a sample or ask a scorer */
+  LN_SAMPLE_CANCEL,     /* rollouts -> calls */
+  LN_SAMPLE_PIECE,      /* calls -> rollouts */
+  LN_SAMPLE_DONE,       /* calls -> rollouts */
+  LN_VERSIONS,          /* config -> rollouts: newest version and cadence of a pool */
+  LN_ENDPOINT_REPORT,   /* calls -> config: what an endpoint said of itself */
+  LN_ENDPOINT_LEAVING,  /* any -> calls: first that says leaving wins */
+  LN_ENDPOINT_SWAP,     /* config -> calls: weights are about to change */
+  LN_MEMBERS,           /* peers -> all: the view of live instances changed */
+  LN_FLEET,             /* peers -> config: the same with all that their rows say */
+  LN_FLEET_HEARD,       /* config -> peers: what the catalog tells of the instances */
+  LN_FLEET_FOLLOWED,    /* config -> peers: whether the catalog is followed has changed */
+  LN_PEER_SEND,         /* any -> peers: a frame for one instance or all */
+  LN_PEER_FRAME,        /* peers -> the task named in the frame */
+  LN_DRAINING,          /* main -> all */
+  LN_DESIRED,           /* config -> all: routes and services of the shared platform */
+  LN_DESIRED_CONFIRMED, /* config -> all: the last LN_DESIRED is still the newest */
+  LN_LIST_TAKEN,        /* config -> calls: which list of the endpoints is gone by */
+  LN_LISTED,            /* config -> calls: an endpoint is still listed, with this version */
+  LN_DEMAND,            /* rollouts -> config: a trainer brought a batch */
+  LN_DUTY,              /* rollouts, config -> all: whether this instance has a duty has changed */
+  LN_READY              /* config -> all: whether new work may be taken has changed */
 } LnMessageType;
 
 typedef struct
@@ -60,6 +61,7 @@
   char *resume_text;  /* owned; NULL: from the start */
   /* In a dialect: what to send, owned, in place of body and resume_text. */
   LcOutgoing *outgoing;
+  LbName organisation; /* whose request it is; "": nobody's in particular */
 } LnSampleMessage;
 
 typedef struct
@@ -124,6 +126,12 @@
   LcDesired *desired; /* a reference, owned by the message */
 } LnDesiredMessage;
 
+typedef struct
+{
+  LnMessage base;
+  LbTime at;
+} LnDesiredConfirmedMessage;
+
 typedef struct
 {
   LnMessage base;
--- a/packages/node/include/ln-settings.h
+++ b/packages/node/include/ln-settings.h
@@ -77,6 +77,13 @@
     int64_t keep_ended_s; /* how long an ended batch can still be read */
   } batches;
   struct
+  {
+    /* Whether the key of an organisation stops working where this instance could not ask for so
+     * long whether it was taken away. */
+    bool refuse_unconfirmed;
+    int64_t longest_unconfirmed_ms;
+  } keys;
+  struct
   {
     bool endpoints_check_fence; /* they refuse orders with an old fencing number */
   } weights;
--- /dev/null
+++ b/packages/node/src/ln-admission.h
@@ -0,0 +1,29 @@
+#ifndef LN_ADMISSION_H
+#define LN_ADMISSION_H
+
+#include "lc-admission.h"
+#include "lc-desired.h"
+#include "ln-context.h"
+#include "ln-dialect.h"
+
+/* Whose call a caller's request is, by the configuration in force here. */
+
+/* What a task goes by: the desired state, and when it was last known to be the newest. */
+typedef struct
+{
+  LcDesired *desired; /* a reference; NULL: none is known */
+  LbTime confirmed_at;
+} LnAdmissionBelief;
+
+void ln_admission_check (const LnContext *context,
+                         const LnAdmissionBelief *belief,
+                         bool is_public,
+                         const LnInbound *in,
+                         LcAdmission *admission);
+/* Final answer to a call that is not admitted; the exchange is gone afterwards. */
+void ln_admission_refuse (LnExchange *exchange,
+                          const LnAdmissionBelief *belief,
+                          const LnInbound *in,
+                          const LcAdmission *admission);
+
+#endif
--- a/packages/node/src/ln-batch-call.c
+++ b/packages/node/src/ln-batch-call.c
@@ -69,6 +69,18 @@
   ln_batch_call_fail (call, LB_ERROR_STORE_AWAY, "the store does not answer", LN_BATCH_STORE_RETRY);
 }
 
+/* Guards against a caller without a good key who learns from the answer which batches there are. */
+void
+ln_batch_call_fail_not_found (LnBatchCall *call, const char *what)
+{
+  const LcAdmission *admission = &call->admission;
+
+  if (admission->error == LB_OK)
+    ln_batch_call_fail (call, LB_ERROR_NOT_FOUND, what, 0);
+  else
+    ln_batch_call_fail (call, admission->error, admission->reason, admission->retry_after);
+}
+
 bool
 ln_batch_call_schedule_retry (LnBatchCall *call)
 {
--- a/packages/node/src/ln-batch-call.h
+++ b/packages/node/src/ln-batch-call.h
@@ -22,7 +22,12 @@
   LnExchange *exchange; /* NULL: the caller is gone */
   LnBatchCallKind kind;
   bool waits_for_store;
-  LbName id;
+  LbName id; /* name of the batch, see ln-batch-name.h */
+  /* Its name if it belongs to nobody in particular, where that is looked for as well; "": no more.
+   */
+  LbName open_id;
+  LcAdmission
+      admission; /* of the caller; without an error unless it may find an open batch alone */
   LbName item;
   int64_t position;
   LbTime give_up_at; /* RESULTS: when to answer although there is none */
@@ -49,6 +54,8 @@
 void
 ln_batch_call_fail (LnBatchCall *call, LbErrorCode code, const char *detail, LbTime retry_after);
 void ln_batch_call_fail_store_away (LnBatchCall *call);
+/* Nothing is there that this caller may see. */
+void ln_batch_call_fail_not_found (LnBatchCall *call, const char *what);
 
 /* Carries the call on in a moment; false when it was the last of its few tries, or its caller is
  * gone. */
--- a/packages/node/src/ln-batch-calls.c
+++ b/packages/node/src/ln-batch-calls.c
@@ -2,6 +2,8 @@
 
 #include "ln-batch-call.h"
 
+#include "ln-batch-name.h"
+
 #include "lb-alloc.h"
 #include "lb-clock.h"
 
@@ -14,6 +16,22 @@
 #define LONGEST_WAIT LB_SEC
 #define PAGE_ROWS 200
 
+static void begin (LnBatchCall *call);
+
+/* There is none under the name; perhaps there is one that belongs to nobody in particular. */
+static void
+look_further (LnBatchCall *call)
+{
+  if (call->open_id[0] == '\0')
+    {
+      ln_batch_call_fail_not_found (call, "no such batch");
+      return;
+    }
+  LB_COPY (call->id, call->open_id);
+  call->open_id[0] = '\0';
+  begin (call);
+}
+
 /* The batch, or NULL after a reply that there is none: what an ended batch left may be removed
  * while a call about it waits for the store. */
 static LnBatch *
@@ -22,7 +40,7 @@
   LnBatch *batch = ln_batches_find (call->batches, call->id);
 
   if (!batch)
-    ln_batch_call_fail (call, LB_ERROR_NOT_FOUND, "no such batch", 0);
+    ln_batch_call_fail_not_found (call, "no such batch");
   return batch;
 }
 
@@ -145,7 +163,7 @@
   call->waits_for_store = false;
   if (error == LB_ERROR_NOT_FOUND)
     {
-      ln_batch_call_fail (call, LB_ERROR_NOT_FOUND, "no such batch", 0);
+      look_further (call);
       return;
     }
   if (error == LB_OK
@@ -165,7 +183,7 @@
                            "application/octet-stream");
       return;
     }
-  ln_batch_call_fail (call, LB_ERROR_NOT_FOUND, "no such item", 0);
+  ln_batch_call_fail_not_found (call, "no such item");
 }
 
 static void
@@ -268,7 +286,7 @@
   call->waits_for_store = false;
   if (error == LB_ERROR_NOT_FOUND)
     {
-      ln_batch_call_fail (call, LB_ERROR_NOT_FOUND, "no such batch", 0);
+      look_further (call);
       return;
     }
   if (error == LB_OK && n_rows > 0 && ln_batch_heads_take (call->batches, &rows[0]))
@@ -313,25 +331,84 @@
     }
 }
 
+/* An instance that does not know yet which organisations there are can't tell whose a batch is. */
+static void
+refuse_not_ready (LnExchange *exchange)
+{
+  LbError error = { 0 };
+
+  lb_error_set (&error, LB_ERROR_NOT_READY, "", "no organisations are known here yet");
+  ln_exchange_reply_error (exchange, &error, LN_BATCH_STORE_RETRY);
+}
+
+/* Only a submission has a route that may be open; of all other calls the batch itself tells. */
+static bool
+is_public (const LnBatches *batches, const LnExchange *exchange, const LnInbound *in)
+{
+  const LcRoute *route = NULL;
+
+  if (kind_of (in->kind) == LN_BATCH_CALL_SUBMIT)
+    route = lc_desired_route (batches->belief.desired, in->host, ln_exchange_path (exchange));
+  return route && route->is_public;
+}
+
+/* False after a refusal. A caller without a good key still finds batches that belong to nobody in
+ * particular. */
+static bool
+check_admission (const LnBatches *batches,
+                 LnExchange *exchange,
+                 const LnInbound *in,
+                 LcAdmission *admission)
+{
+  const LnAdmissionBelief *belief = &batches->belief;
+
+  if (!belief->desired)
+    {
+      refuse_not_ready (exchange);
+      return false;
+    }
+  ln_admission_check (batches->context, belief, is_public (batches, exchange, in), in, admission);
+  if (admission->error == LB_OK || kind_of (in->kind) != LN_BATCH_CALL_SUBMIT)
+    return true;
+  ln_admission_refuse (exchange, belief, in, admission);
+  return false;
+}
+
+static bool
+name_batch (LnBatchCall *call, const LnInbound *in)
+{
+  bool is_submission = call->kind == LN_BATCH_CALL_SUBMIT;
+  const char *organisation = call->admission.organisation.name;
+  const char *id = is_submission ? (in->id ? in->id : "") : in->batch;
+
+  if (organisation[0] && !is_submission && !ln_batch_name ("", id, call->open_id))
+    return false;
+  return ln_batch_name (organisation, id, call->id);
+}
+
 void
 ln_batch_calls_take (LnBatches *batches, LnExchange *exchange)
 {
-  LnBatchCall *call = LB_NEW (LnBatchCall);
+  LnBatchCall *call = NULL;
+  LcAdmission admission;
   LnInbound in;
   LbTime now = lb_clock_monotonic ();
 
   batches->context->dialect->read_inbound (exchange, &in);
+  if (!check_admission (batches, exchange, &in, &admission))
+    return;
+  call = LB_NEW (LnBatchCall);
+  call->admission = admission;
   call->batches = batches;
   call->exchange = exchange;
   call->kind = kind_of (in.kind);
   call->position = in.position;
   call->give_up_at = now + (in.wait < LONGEST_WAIT ? in.wait : LONGEST_WAIT);
   call->retry_at = LB_TIME_NEVER;
-  LB_COPY (call->id, call->kind == LN_BATCH_CALL_SUBMIT ? (in.id ? in.id : "") : in.batch);
   LB_COPY (call->item, in.item ? in.item : "");
   ln_exchange_set_user (exchange, call);
   lb_list_append (&batches->exchanges, &call->link);
-  if (call->id[0] == '\0' || strchr (call->id, '/'))
+  if (!name_batch (call, &in))
     ln_batch_call_fail (call, LB_ERROR_BAD_VALUE, "expected the id of a batch", 0);
   else if (call->kind == LN_BATCH_CALL_SUBMIT)
     ln_batch_submit (call, &in);
--- a/packages/node/src/ln-batch-owner.c
+++ b/packages/node/src/ln-batch-owner.c
@@ -59,7 +59,7 @@
 static const LcRoute *
 route_of (const LnBatch *batch)
 {
-  const LcDesired *desired = batch->batches->desired;
+  const LcDesired *desired = batch->batches->belief.desired;
 
   return desired ? lc_desired_route (desired, batch->head.host, batch->head.path) : NULL;
 }
@@ -69,7 +69,8 @@
 {
   const LcRoute *route = route_of (batch);
   const LcService *service
-      = route ? lc_desired_service (batch->batches->desired, lc_route_service (route, 0)) : NULL;
+      = route ? lc_desired_service (batch->batches->belief.desired, lc_route_service (route, 0))
+              : NULL;
 
   return service && service->tokens_per_event > 0 ? service->tokens_per_event : 1;
 }
@@ -84,8 +85,12 @@
   free (message->outgoing);
 }
 
+/* organisation: whose name the endpoint is told; "": none. */
 static void
-submit (LnBatch *batch, const LcRequestSpec *spec, const LcOutgoing *outgoing, const char *host)
+submit (LnBatch *batch,
+        const LcRequestSpec *spec,
+        const LcOutgoing *outgoing,
+        const char *organisation)
 {
   LnSampleMessage message = { .base = LN_MESSAGE (LN_SAMPLE), .spec = *spec };
   LnTask *calls = ln_hub_find (batch->batches->task.hub, "calls");
@@ -93,7 +98,8 @@
   message.outgoing = LB_NEW (LcOutgoing);
   lc_outgoing_copy (message.outgoing, outgoing);
   if (!message.outgoing->host)
-    message.outgoing->host = lb_strdup (host);
+    message.outgoing->host = lb_strdup (batch->head.host);
+  LB_COPY (message.organisation, organisation);
   message.base.clear = clear_sample;
   LN_POST (batch->batches->task.hub, calls, message);
 }
@@ -112,6 +118,7 @@
                             .resumable = true,
                             .failure_is_final = true,
                             .hedge_after = lb_switch_is_on (LB_SWITCH_HEDGING) ? TEXT_HEDGE : 0,
+                            .organisation_priority = (int)batch->head.organisation_priority,
                             .latest_start = action->latest_start,
                             .wanted_by = action->wanted_by,
                             .prompt_tokens = item->prompt_tokens,
@@ -128,7 +135,7 @@
   LB_COPY (request.avoid[0], action->avoid);
   memcpy (request.prefix_hashes, item->prefix_hashes, sizeof request.prefix_hashes);
   remember (batch, action->request, false);
-  submit (batch, &request, &item->request, batch->head.host);
+  submit (batch, &request, &item->request, batch->head.organisation);
 }
 
 static void
@@ -144,7 +151,7 @@
 score_item (LnBatch *batch, const LcBatchAction *action)
 {
   const LcItemSpec *item = &lc_batch_spec (batch->run)->items[action->item];
-  const LcDesired *desired = batch->batches->desired;
+  const LcDesired *desired = batch->batches->belief.desired;
   const LcRoute *route
       = desired ? lc_desired_route (desired, item->scorer.host, item->scorer.path) : NULL;
   LcRequestSpec request = { .id = action->request,
@@ -165,7 +172,7 @@
   request.deadline = lb_clock_monotonic () + (route->timeout > 0 ? route->timeout : SCORE_TIME);
   LB_COPY (request.caller, route->name);
   LB_COPY (request.pool, lc_route_service (route, ln_context_draw (batch->batches->context)));
-  submit (batch, &request, &item->scorer, item->scorer.host);
+  submit (batch, &request, &item->scorer, "");
 }
 
 /* The text so far comes back with the answer. */
@@ -485,6 +492,7 @@
           LB_INT ("min_version", spec->min_version), LB_INT ("items", spec->n_items),
           LB_INT ("listed", past->n_listed), LB_INT ("begun", past->n_parts),
           LB_INT ("epoch", batch->head.epoch));
+  LB_COPY (spec->organisation, batch->head.organisation);
   batch->held = LN_HELD_RUNNING;
   ln_batches_note_owned (batch->batches, true);
   batch->run = lc_batch_new (spec, &settings);
--- a/packages/node/src/ln-batch-submit.c
+++ b/packages/node/src/ln-batch-submit.c
@@ -222,6 +222,8 @@
   LB_COPY (call->head.batch, call->id);
   LB_COPY (call->head.owner, context->instance);
   LB_COPY (call->head.incarnation, context->incarnation);
+  LB_COPY (call->head.organisation, call->admission.organisation.name);
+  call->head.organisation_priority = call->admission.organisation.priority;
   LB_COPY (call->head.host, in->host);
   LB_COPY (call->head.path, ln_exchange_path (call->exchange));
   LB_COPY (call->head.model, call->spec.model);
--- a/packages/node/src/ln-batches-private.h
+++ b/packages/node/src/ln-batches-private.h
@@ -1,6 +1,8 @@
 #ifndef LN_BATCHES_PRIVATE_H
 #define LN_BATCHES_PRIVATE_H
 
+#include "ln-admission.h"
+
 #include "lc-batch-head.h"
 #include "lc-batch.h"
 #include "lc-duty.h"
@@ -89,7 +91,7 @@
   LnTask task; /* first */
   LnContext *context;
   struct event *timer;
-  LcDesired *desired;
+  LnAdmissionBelief belief; /* desired state */
   LnMember *members;
   size_t n_members;
   int64_t members_change; /* counts the lists of members that came; 0: none is known */
--- a/packages/node/src/ln-batches.c
+++ b/packages/node/src/ln-batches.c
@@ -112,8 +112,12 @@
       ln_batch_calls_gone (batches, ((const LnExchangeMessage *)message)->exchange);
       break;
     case LN_DESIRED:
-      lc_desired_unref (batches->desired);
-      batches->desired = lc_desired_ref (((const LnDesiredMessage *)message)->desired);
+      lc_desired_unref (batches->belief.desired);
+      batches->belief.desired = lc_desired_ref (((const LnDesiredMessage *)message)->desired);
+      batches->belief.confirmed_at = lb_clock_monotonic ();
+      break;
+    case LN_DESIRED_CONFIRMED:
+      batches->belief.confirmed_at = ((const LnDesiredConfirmedMessage *)message)->at;
       break;
     case LN_MEMBERS:
       take_members (batches, (const LnMembersMessage *)message);
@@ -215,7 +219,7 @@
     free (history);
   }
   lp_follow_free (batches->rows);
-  lc_desired_unref (batches->desired);
+  lc_desired_unref (batches->belief.desired);
   free (batches->members);
   event_free (batches->timer);
   free (batches);
--- a/packages/node/src/ln-call.h
+++ b/packages/node/src/ln-call.h
@@ -6,6 +6,8 @@
 #include "ln-holder.h"
 #include "ln-upstream.h"
 
+#include "lc-organisations.h"
+
 #include <uthash.h>
 
 struct evbuffer;
@@ -61,6 +63,10 @@
   size_t n_headers;
   char *raw_body;
   size_t raw_length;
+  LbName organisation; /* whose call it is; "": nobody's in particular */
+  bool was_sent;       /* an attempt was made */
+  bool has_key;
+  LcKeyDigest key;       /* by which its organisation was known */
   LcOutgoing outgoing;   /* in a dialect: what is sent to endpoints, in place of all these */
   char *resume_text;     /* what the submitter has before resume_at; may be NULL */
   struct evbuffer *text; /* STREAM: what has gone out */
--- a/packages/node/src/ln-calls-private.h
+++ b/packages/node/src/ln-calls-private.h
@@ -1,6 +1,7 @@
 #ifndef LN_CALLS_PRIVATE_H
 #define LN_CALLS_PRIVATE_H
 
+#include "ln-admission.h"
 #include "ln-call.h"
 #include "ln-claims.h"
 #include "ln-context.h"
@@ -29,9 +30,9 @@
   LnCrashes *crashes;
   struct event *tick;
   struct event *keep_alive;
-  LcDesired *desired;   /* routes of a shared platform; NULL: none are known */
-  LbTime list_asked_at; /* of the list of endpoints that is gone by; 0: there is none */
-  LbName lister;        /* the instance that asked for it */
+  LnAdmissionBelief belief; /* routes and organisations of a shared platform */
+  LbTime list_asked_at;     /* of the list of endpoints that is gone by; 0: there is none */
+  LbName lister;            /* the instance that asked for it */
   LnCall *by_id;
   LbList all;
   bool ready; /* the resources in force are confirmed */
@@ -59,5 +60,7 @@
 
 /* ln-routed.c: the same on a shared platform, by the routes that its operators declare */
 void ln_routed_take (LnCalls *calls, LnExchange *exchange);
+/* Another desired state is in force: calls that wait under a key which is held no more end. */
+void ln_routed_review (LnCalls *calls);
 
 #endif
--- a/packages/node/src/ln-calls-run.c
+++ b/packages/node/src/ln-calls-run.c
@@ -108,10 +108,11 @@
     }
   lb_log (LB_LOG_INFO, "route", LB_INT ("request", action->request),
           LB_TEXT ("id", call->outgoing.id), LB_TEXT ("caller", call->spec.caller),
-          LB_INT ("attempt", action->attempt), LB_INT ("resume_at", action->resume_at),
-          LB_INT ("waited_us", now - call->submitted_at), LB_TEXT ("lister", calls->lister),
-          LB_INT ("list_age_ms", list_age / LB_MSEC), LB_TEXT ("endpoint", action->endpoint),
-          LB_TEXT ("reason", decision->reason), LB_INT ("of", decision->n_candidates),
+          LB_TEXT ("organisation", call->organisation), LB_INT ("attempt", action->attempt),
+          LB_INT ("resume_at", action->resume_at), LB_INT ("waited_us", now - call->submitted_at),
+          LB_TEXT ("lister", calls->lister), LB_INT ("list_age_ms", list_age / LB_MSEC),
+          LB_TEXT ("endpoint", action->endpoint), LB_TEXT ("reason", decision->reason),
+          LB_INT ("of", decision->n_candidates),
           LB_JSON ("candidates", json_object_to_json_string_ext (shown, JSON_C_TO_STRING_PLAIN)));
   json_object_put (shown);
 }
@@ -393,6 +394,7 @@
   const LnAttemptWords words = { .time_left = time_left (call),
                                  .endpoint = action->endpoint,
                                  .resume_at = action->resume_at,
+                                 .organisation = call->organisation,
                                  .is_sample = call->kind != LN_CALL_SERVICE };
   LcOutgoing added = { 0 };
   LnUpstreamSpec spec = { .request = action->request,
@@ -438,6 +440,7 @@
   if (!call)
     return;
   log_decision (calls, call, action);
+  call->was_sent = true;
   if (action->attempt == 1)
     lb_histogram_add (&queue_time, lb_clock_monotonic () - call->submitted_at);
   lb_metric_add (&sent, 1);
--- a/packages/node/src/ln-calls.c
+++ b/packages/node/src/ln-calls.c
@@ -48,6 +48,7 @@
   LnCall *call = ln_call_new (is_score ? LN_CALL_SCORE : LN_CALL_SAMPLE);
 
   call->spec = message->spec;
+  LB_COPY (call->organisation, message->organisation);
   if (message->outgoing)
     lc_outgoing_copy (&call->outgoing, message->outgoing);
   else if (is_score)
@@ -229,8 +230,13 @@
       take_frame (calls, (const LnPeerMessage *)message);
       break;
     case LN_DESIRED:
-      lc_desired_unref (calls->desired);
-      calls->desired = lc_desired_ref (((const LnDesiredMessage *)message)->desired);
+      lc_desired_unref (calls->belief.desired);
+      calls->belief.desired = lc_desired_ref (((const LnDesiredMessage *)message)->desired);
+      calls->belief.confirmed_at = lb_clock_monotonic ();
+      ln_routed_review (calls);
+      break;
+    case LN_DESIRED_CONFIRMED:
+      calls->belief.confirmed_at = ((const LnDesiredConfirmedMessage *)message)->at;
       break;
     case LN_LIST_TAKEN:
       take_list (calls, (const LnListTakenMessage *)message);
@@ -293,7 +299,7 @@
   event_free (calls->tick);
   event_free (calls->keep_alive);
   lc_dispatch_free (calls->dispatch);
-  lc_desired_unref (calls->desired);
+  lc_desired_unref (calls->belief.desired);
   free (calls);
 }
 
--- a/packages/node/src/ln-desired.c
+++ b/packages/node/src/ln-desired.c
@@ -47,8 +47,9 @@
   LnCatalog *catalog;
   LnWeightOrders *orders;
   LnEnginePlans *plans;
-  int64_t revision; /* of the resource set made from the roster */
-  LpFollow *rows;   /* of the operators and trainers */
+  int64_t revision;    /* of the resource set made from the roster */
+  LpFollow *rows;      /* of the operators and trainers */
+  LbTime confirmed_at; /* as the others were told */
   bool listing;
   bool listed; /* at least once */
   LbTime list_asked;
@@ -407,6 +408,19 @@
   platform->klass->list (platform, task->context->dialect->endpoint_rows, NULL, 0, on_list, task);
 }
 
+/* Others need to know for how long they may go by the desired state. */
+static void
+note_confirmed (Desired *task)
+{
+  LnDesiredConfirmedMessage message
+      = { .base = LN_MESSAGE (LN_DESIRED_CONFIRMED), .at = lp_follow_heard_at (task->rows) };
+
+  if (message.at == task->confirmed_at || !task->desired)
+    return;
+  task->confirmed_at = message.at;
+  LN_POST (task->task.hub, NULL, message);
+}
+
 static void
 note_orders (Desired *task)
 {
@@ -430,6 +444,7 @@
 
   ln_stall_note ("tick of config");
   lp_follow_tick (task->rows, now);
+  note_confirmed (task);
   ln_catalog_tick (task->catalog, lc_roster_count (task->roster), now);
   note_followed (task, now);
   if (!task->listing && now >= task->next_list && wants_list (task, now))
--- a/packages/node/src/ln-exchange.c
+++ b/packages/node/src/ln-exchange.c
@@ -14,6 +14,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 #define JSON_FORMAT (JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE)
 
@@ -179,6 +180,21 @@
   return exchange->request ? evhtp_header_find (exchange->request->headers_in, name) : NULL;
 }
 
+size_t
+ln_exchange_count_header (const LnExchange *exchange, const char *name)
+{
+  const evhtp_kv_t *header;
+  size_t n = 0;
+
+  if (!exchange->request)
+    return 0;
+  TAILQ_FOREACH (header, exchange->request->headers_in, next)
+  {
+    n += strcasecmp (header->key, name) == 0;
+  }
+  return n;
+}
+
 void
 ln_exchange_each_header (const LnExchange *exchange,
                          void (*visit) (const char *name, const char *value, void *user),
--- a/packages/node/src/ln-routed.c
+++ b/packages/node/src/ln-routed.c
@@ -79,10 +79,24 @@
   return now + wait;
 }
 
+/* Callers of one organisation share the endpoints of a service as one, however many they are. */
+static void
+set_organisation (LnCall *call, const LcAdmission *admission)
+{
+  if (!admission->organisation.name[0])
+    return;
+  LB_COPY (call->organisation, admission->organisation.name);
+  LB_COPY (call->spec.flow, admission->organisation.name);
+  call->spec.organisation_priority = admission->organisation.priority;
+  call->has_key = true;
+  call->key = admission->digest;
+}
+
 static LnCall *
 make_call (LnCalls *calls,
            LnExchange *exchange,
            const LcRoute *route,
+           const LcAdmission *admission,
            const char *service,
            const LnInbound *in)
 {
@@ -103,6 +117,7 @@
   call->spec.deadline = deadline_of (calls, route, in, lb_clock_monotonic ());
   LB_COPY (call->spec.caller, route->name);
   LB_COPY (call->spec.pool, service);
+  set_organisation (call, admission);
   copy_request (calls, call, exchange, in);
   ln_exchange_set_user (exchange, call);
   return call;
@@ -112,12 +127,16 @@
  * just heard of a new service, knows the routes before it has the list of endpoints, and the caller
  * would not come back. */
 static void
-submit (LnCalls *calls, LnExchange *exchange, const LcRoute *route, const LnInbound *in)
+submit (LnCalls *calls,
+        LnExchange *exchange,
+        const LcRoute *route,
+        const LcAdmission *admission,
+        const LnInbound *in)
 {
   const char *service = lc_route_service (route, ln_context_draw (calls->context));
 
   if (lc_dispatch_knows_service (calls->dispatch, service))
-    ln_calls_submit (calls, make_call (calls, exchange, route, service, in));
+    ln_calls_submit (calls, make_call (calls, exchange, route, admission, service, in));
   else
     refuse (exchange, LB_ERROR_NOT_READY, "the endpoints of the route are not known here yet",
             RETRY_WITHOUT_ROUTES);
@@ -126,24 +145,31 @@
 void
 ln_routed_take (LnCalls *calls, LnExchange *exchange)
 {
+  const LcDesired *desired = calls->belief.desired;
   const LcRoute *route = NULL;
+  LcAdmission admission;
   LnInbound in;
 
   calls->context->dialect->read_inbound (exchange, &in);
-  if (!calls->desired)
+  if (!desired)
     {
       refuse (exchange, LB_ERROR_NOT_READY, "no routes are known here yet", RETRY_WITHOUT_ROUTES);
       return;
     }
-  route = lc_desired_route (calls->desired, in.host, ln_exchange_path (exchange));
+  route = lc_desired_route (desired, in.host, ln_exchange_path (exchange));
   if (!route)
     {
       lb_log (LB_LOG_INFO, "no_route", LB_TEXT ("id", in.id), LB_TEXT ("host", in.host),
-              LB_TEXT ("path", ln_exchange_path (exchange)),
-              LB_INT ("desired", calls->desired->version));
+              LB_TEXT ("path", ln_exchange_path (exchange)), LB_INT ("desired", desired->version));
       refuse (exchange, LB_ERROR_UNKNOWN_PATH, "no route leads there", 0);
       return;
     }
+  ln_admission_check (calls->context, &calls->belief, route->is_public, &in, &admission);
+  if (admission.error != LB_OK)
+    {
+      ln_admission_refuse (exchange, &calls->belief, &in, &admission);
+      return;
+    }
   if (!lh_method_is_known (ln_exchange_method (exchange)))
     {
       refuse (exchange, LB_ERROR_BAD_VALUE, "this method can't be passed on", 0);
@@ -152,5 +178,48 @@
   if (route->kind == LC_ROUTE_BATCH)
     pass_on (calls, exchange, "rollouts");
   else
-    submit (calls, exchange, route, &in);
+    submit (calls, exchange, route, &admission, &in);
+}
+
+/* Not yet given to any endpoint, so that "not run" is true. */
+static bool
+waits_under_lost_key (const LnCall *call, const LcDesired *desired)
+{
+  const LcOrganisation *holder = NULL;
+
+  if (!call->has_key || !call->exchange || call->was_sent)
+    return false;
+  if (desired->organisations)
+    holder = lc_organisations_holder (desired->organisations, &call->key);
+  return !holder || strcmp (holder->name, call->organisation) != 0;
+}
+
+/* The first one; the end of a call may end others, so the list is looked through anew after each.
+ */
+static LnCall *
+find_under_lost_key (const LnCalls *calls)
+{
+  LB_LIST_FOREACH (&calls->all, LnCall, link, call)
+  {
+    if (waits_under_lost_key (call, calls->belief.desired))
+      return call;
+  }
+  return NULL;
+}
+
+/* Guards against a key that was taken away and still works for what waits: under load that is
+ * seconds. */
+void
+ln_routed_review (LnCalls *calls)
+{
+  LnCall *call = NULL;
+
+  while ((call = find_under_lost_key (calls)))
+    {
+      lb_log (LB_LOG_INFO, "request_given_up", LB_INT ("request", call->spec.id),
+              LB_TEXT ("id", call->outgoing.id), LB_TEXT ("organisation", call->organisation),
+              LB_TEXT ("error", lb_error_name (LB_ERROR_UNAUTHORIZED)));
+      ln_call_reply_error (call, LB_ERROR_UNAUTHORIZED, 0);
+      ln_calls_cancel (calls, call);
+    }
 }
--- a/packages/node/src/ln-settings.c
+++ b/packages/node/src/ln-settings.c
@@ -111,6 +111,10 @@
 static const LbSettingSpec weights_specs[]
     = { FLAG ("endpoints_check_fence", weights.endpoints_check_fence), END };
 
+static const LbSettingSpec keys_specs[]
+    = { FLAG ("refuse_unconfirmed", keys.refuse_unconfirmed),
+        INTEGER ("longest_unconfirmed_ms", keys.longest_unconfirmed_ms, 500, MAX_MS), END };
+
 static const LbSettingSpec specs[] = { GROUP ("instance", instance_specs),
                                        GROUP ("platform", platform_specs),
                                        GROUP ("cluster", cluster_specs),
@@ -121,6 +125,7 @@
                                        GROUP ("drain", drain_specs),
                                        GROUP ("batches", batches_specs),
                                        GROUP ("weights", weights_specs),
+                                       GROUP ("keys", keys_specs),
                                        TEXT ("address_file", address_file),
                                        TEXT ("record", record),
                                        INTEGER ("seed", seed, 0, 9007199254740992.0),
@@ -152,6 +157,7 @@
   settings->calls.load_poll_ms = 500;
   settings->weights.endpoints_check_fence = true;
   settings->batches.keep_ended_s = 600;
+  settings->keys.longest_unconfirmed_ms = 5000;
   settings->drain.drain_ms = 16000;
   settings->drain.entry_ttl_ms = 15000;
 }
--- a/packages/node/tests/test-calls-start.c
+++ b/packages/node/tests/test-calls-start.c
@@ -35,7 +35,7 @@
   char content[LC_CONTENT_SIZE];
   LpRow rows[3];
 
-  lc_content_to_text (lc_content_new ("POST", NULL, path, body, strlen (body)), content);
+  lc_content_to_text (lc_content_new ("", "POST", NULL, path, body, strlen (body)), content);
   for (int i = 0; i < 3; i++)
     rows[i] = (LpRow){ .key = lb_asprintf ("crash/all/e%d", i),
                        .value
--- a/packages/store/include/lp-follow.h
+++ b/packages/store/include/lp-follow.h
@@ -37,6 +37,8 @@
 void lp_follow_set_pause (LpFollow *follow, LbTime pause, LbTime now);
 
 /* queries */
+/* When the store last answered: what was handed on was all there was then. 0: it has not yet. */
+LbTime lp_follow_heard_at (const LpFollow *follow);
 /* All rows were listed, at least once. */
 bool lp_follow_has_listed (const LpFollow *follow);
 
--- a/packages/store/src/lp-follow.c
+++ b/packages/store/src/lp-follow.c
@@ -17,6 +17,7 @@
   LbErrorCode failed; /* one of the lists on their way; LB_OK: none so far */
   int64_t oldest;     /* version of the lists on their way that were answered; 0: none was */
   LbTime next_call;
+  LbTime heard_at;
   LbTime pause; /* between lists; 0: the table is watched */
   bool has_listed;
 };
@@ -76,6 +77,7 @@
     }
   follow->version = follow->oldest;
   follow->has_listed = true;
+  follow->heard_at = lb_clock_monotonic ();
   if (follow->pause > 0)
     follow->next_call = lb_clock_monotonic () + follow->pause;
 }
@@ -105,6 +107,7 @@
       return;
     }
   follow->version = version;
+  follow->heard_at = lb_clock_monotonic ();
   if (n_rows > 0)
     follow->on_rows (rows, n_rows, follow->user);
 }
@@ -138,6 +141,12 @@
     watch (follow);
 }
 
+LbTime
+lp_follow_heard_at (const LpFollow *follow)
+{
+  return follow->heard_at;
+}
+
 bool
 lp_follow_has_listed (const LpFollow *follow)
 {
--- a/standins/si-sampler.c
+++ b/standins/si-sampler.c
@@ -6,10 +6,13 @@
 #include "lb-time.h"
 
 #include <event2/buffer.h>
+#include <event2/keyvalq_struct.h>
 #include <json-c/json.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
+#include <sys/queue.h>
 
 #define BEAT_PERIOD (300 * LB_MSEC)
 #define CRASH_AFTER (20 * LB_MSEC)
@@ -210,6 +213,22 @@
 
 /* --- the server --- */
 
+static void
+note_identity (SiSampler *sampler, struct evhttp_request *request)
+{
+  const struct evkeyval *header;
+  char names[LB_NAME_MAX] = "";
+  size_t length = 0;
+
+  TAILQ_FOREACH (header, evhttp_request_get_input_headers (request), next)
+  {
+    sampler->keys += strcasecmp (header->key, "Api-Key") == 0;
+    if (strcasecmp (header->key, "Tenant") == 0 && length < sizeof names)
+      length += (size_t)snprintf (names + length, sizeof names - length, "%s", header->value);
+  }
+  LB_COPY (sampler->organisation, names);
+}
+
 static bool
 is_misplaced (const SiSampler *sampler, struct evhttp_request *request)
 {
@@ -377,6 +396,24 @@
   si_sampler_register (sampler);
 }
 
+static void
+take_work (SiSampler *sampler, struct evhttp_request *request)
+{
+  note_identity (sampler, request);
+  if (ends_it (sampler, request))
+    run_to_the_end (sampler, request);
+  else if (!sampler->model[0])
+    answer_call (sampler, request);
+  else if (sampler->next_version != 0)
+    {
+      sampler->refused++;
+      add_header (request, "Not-Run", "1");
+      evhttp_send_reply (request, 503, NULL, NULL);
+    }
+  else
+    start_stream (sampler, request);
+}
+
 static void
 on_request (struct evhttp_request *request, void *user)
 {
@@ -391,18 +428,8 @@
     take_order (sampler, request);
   else if (si_request_is (request, EVHTTP_REQ_GET, "/-/report"))
     tell_state (sampler, request);
-  else if (ends_it (sampler, request))
-    run_to_the_end (sampler, request);
-  else if (!sampler->model[0])
-    answer_call (sampler, request);
-  else if (sampler->next_version != 0)
-    {
-      sampler->refused++;
-      add_header (request, "Not-Run", "1");
-      evhttp_send_reply (request, 503, NULL, NULL);
-    }
   else
-    start_stream (sampler, request);
+    take_work (sampler, request);
 }
 
 void
--- a/standins/si-sampler.h
+++ b/standins/si-sampler.h
@@ -54,8 +54,11 @@
   LbList calls_running; /* of a plain service */
   SiRun runs[SI_MAX_RUNS];
   size_t n_runs;
-  int refused;            /* while it loaded */
-  int misplaced;          /* requests for another endpoint */
+  int refused;   /* while it loaded */
+  int misplaced; /* requests for another endpoint */
+  /* Whose its last request was, as it says; the names that it gives, one after the other. */
+  LbName organisation;
+  int keys;               /* requests that gave a caller's key away */
   int calls;              /* of a plain service */
   int cancelled;          /* streams whose caller went away */
   bool tells_version;     /* events say with which weights they were made */
--- a/tests/process/pt-shared.c
+++ b/tests/process/pt-shared.c
@@ -11,6 +11,8 @@
 #include <string.h>
 #include <unistd.h>
 
+#define MAX_HEADERS 8
+
 static const char config[]
     = "{\"version\": %d, \"routes\": ["
       "{\"name\": \"lookup\", \"host\": \"h.example\", \"prefix\": \"/lookup/\", \"kind\": "
@@ -20,7 +22,7 @@
       " \"kind\": \"weight_rollout\", \"service\": \"engines\", \"attempts\": 3}%s],"
       "\"services\": [{\"name\": \"engines\", \"maxConns\": 100, \"engine\": {\"stride\": 1}},"
       " {\"name\": \"lookups\", \"maxConns\": 100}, {\"name\": \"others\"}],"
-      "\"limits\": {\"maxBodyBytes\": 12582912}}";
+      "\"limits\": {\"maxBodyBytes\": 12582912}%s}";
 
 void
 ps_turn (PsWorld *w)
@@ -34,7 +36,7 @@
 void
 ps_put_config (PsWorld *w, int version, const char *more_routes)
 {
-  char *text = lb_asprintf (config, version, more_routes);
+  char *text = lb_asprintf (config, version, more_routes, w->organisations ? w->organisations : "");
 
   si_rows_put (&w->rows, "op", "", "config", text);
   free (text);
@@ -107,6 +109,21 @@
   LB_COPY (w->stamp, stamp ? stamp : "");
 }
 
+static size_t
+add_identity (const PsWorld *w, LhHeader *headers, size_t n)
+{
+  if (w->key)
+    headers[n++] = (LhHeader){ "Api-Key", w->key };
+  if (w->more_key)
+    headers[n++] = (LhHeader){ "Api-Key", w->more_key };
+  if (w->claims)
+    {
+      headers[n++] = (LhHeader){ "Tenant", w->claims };
+      headers[n++] = (LhHeader){ "TENANT", w->claims };
+    }
+  return n;
+}
+
 LhFetch *
 ps_begin_call (PsWorld *w,
                size_t instance,
@@ -115,14 +132,15 @@
                const char *id,
                const char *body)
 {
-  const LhHeader headers[] = { { "Attempt-Id", id }, { "Deadline-Ms", "20000" } };
+  LhHeader headers[MAX_HEADERS] = { { "Attempt-Id", id }, { "Deadline-Ms", "20000" } };
+  size_t n_headers = 2;
   const LhHandlers handlers = { .on_done = on_done };
   const LhRequest request = { .method = method,
                               .address = w->instances[instance].address,
                               .path = path,
                               .host = "h.example",
                               .headers = headers,
-                              .n_headers = 2,
+                              .n_headers = add_identity (w, headers, n_headers),
                               .body = body,
                               .body_length = strlen (body),
                               .fresh_connection = true };
--- a/tests/process/pt-shared.h
+++ b/tests/process/pt-shared.h
@@ -36,6 +36,11 @@
   SiSampler lookup;
   PsInstance instances[PS_MAX_INSTANCES];
   size_t n_instances;
+  const char *organisations; /* more of the desired state; NULL: it declares none */
+  /* what callers bring */
+  const char *key;      /* NULL: none */
+  const char *more_key; /* a second one in the same call; NULL: none */
+  const char *claims;   /* the organisation that they say they are; NULL: they don't */
   /* the last answer to a caller */
   int answers;
   LbErrorCode failure;
