An endpoint that is just ending does not count as alive

Traced by its logs: two causes. (1) The check after a broken request found "connections: open" at a service that ended: a process loses its connections before it stops listening, and on a busy machine the new one was taken between the two. The crash was not counted, and one more endpoint ended. Now the connection is held for 300 ms; one that is closed meanwhile is followed by a second one, which tells an end (refused) from an endpoint that drops what is too much. No further connection where it stays open. (2) The test killed both instances before the third report was in the store; it waits for the row now, and checks all it did. A crash that one instance alone saw within the last milliseconds before its own end is lost, as PROMISES says.

--- a/packages/http/include/lh-reach.h
+++ b/packages/http/include/lh-reach.h
@@ -5,21 +5,31 @@
 
 struct event_base;
 
-/* Whether an address takes connections: opens one, sends nothing and closes it. */
+/* Whether an address takes connections: opens one, sends nothing, and closes it after a while. */
 typedef struct LhReach LhReach;
 
 typedef enum
 {
   LH_REACH_OPEN,    /* it takes connections */
+  LH_REACH_CLOSED,  /* it took this one, and closed it at once */
   LH_REACH_REFUSED, /* the machine answers, and no process listens there */
   LH_REACH_SILENT   /* no answer in time: nothing can be told */
 } LhReachOutcome;
 
 typedef void (*LhReachDone) (LhReachOutcome outcome, void *user);
 
+typedef struct
+{
+  LbTime open; /* longest until the connection is taken or refused */
+  LbTime hold; /* how long it has to stay open; 0: taken is enough */
+} LhReachTimes;
+
 /* Calls done once, never from inside; NULL for a malformed address. */
-LhReach *lh_reach_start (
-    struct event_base *base, const char *address, LbTime time, LhReachDone done, void *user);
+LhReach *lh_reach_start (struct event_base *base,
+                         const char *address,
+                         const LhReachTimes *times,
+                         LhReachDone done,
+                         void *user);
 /* No call of done follows. */
 void lh_reach_cancel (LhReach *reach);
 
--- a/packages/http/src/lh-reach.c
+++ b/packages/http/src/lh-reach.c
@@ -12,8 +12,10 @@
 
 struct LhReach
 {
+  struct event_base *base;
   evutil_socket_t fd;
   struct event *event;
+  LbTime hold;
   LhReachDone done;
   void *user;
   int connect_error; /* of the connect itself; 0: it is on its way */
@@ -56,11 +58,8 @@
 }
 
 static void
-on_event (evutil_socket_t fd, short what, void *user)
+finish (LhReach *reach, LhReachOutcome outcome)
 {
-  (void)fd;
-  LhReach *reach = user;
-  LhReachOutcome outcome = outcome_of (reach, what);
   LhReachDone done = reach->done;
   void *done_user = reach->user;
 
@@ -68,6 +67,39 @@
   done (outcome, done_user);
 }
 
+/* Whoever listens there has nothing to say before it is asked: only an end can be read. */
+static void
+on_held (evutil_socket_t fd, short what, void *user)
+{
+  char byte;
+  bool is_over = (what & EV_READ) && recv (fd, &byte, sizeof byte, 0) <= 0;
+
+  finish (user, is_over ? LH_REACH_CLOSED : LH_REACH_OPEN);
+}
+
+static void
+hold (LhReach *reach)
+{
+  const struct timeval wait = lb_time_to_timeval (reach->hold);
+
+  event_free (reach->event);
+  reach->event = event_new (reach->base, reach->fd, EV_READ, on_held, reach);
+  event_add (reach->event, &wait);
+}
+
+static void
+on_event (evutil_socket_t fd, short what, void *user)
+{
+  (void)fd;
+  LhReach *reach = user;
+  LhReachOutcome outcome = outcome_of (reach, what);
+
+  if (outcome == LH_REACH_OPEN && reach->hold > 0)
+    hold (reach);
+  else
+    finish (reach, outcome);
+}
+
 /* A connect that fails at once is reported from the loop too. */
 static void
 begin (LhReach *reach, const struct sockaddr_in *target, LbTime time)
@@ -86,8 +118,11 @@
 }
 
 LhReach *
-lh_reach_start (
-    struct event_base *base, const char *address, LbTime time, LhReachDone done, void *user)
+lh_reach_start (struct event_base *base,
+                const char *address,
+                const LhReachTimes *times,
+                LhReachDone done,
+                void *user)
 {
   struct sockaddr_in target = { 0 };
   int length = sizeof target;
@@ -101,10 +136,12 @@
   if (fd < 0)
     return NULL;
   reach = LB_NEW (LhReach);
+  reach->base = base;
   reach->fd = fd;
+  reach->hold = times->hold;
   reach->done = done;
   reach->user = user;
   reach->event = event_new (base, fd, EV_WRITE, on_event, reach);
-  begin (reach, &target, time);
+  begin (reach, &target, times->open);
   return reach;
 }
--- a/packages/http/tests/test-reach.c
+++ b/packages/http/tests/test-reach.c
@@ -52,14 +52,22 @@
 }
 
 static void
-check (World *w, LbTime time)
+check_held (World *w, LbTime time, LbTime hold)
 {
-  cr_assert (lh_reach_start (w->base, w->address, time, on_done, w));
+  const LhReachTimes times = { .open = time, .hold = hold };
+
+  cr_assert (lh_reach_start (w->base, w->address, &times, on_done, w));
   cr_assert_eq (w->calls, 0, "not from inside");
   event_base_dispatch (w->base);
   cr_assert_eq (w->calls, 1);
 }
 
+static void
+check (World *w, LbTime time)
+{
+  check_held (w, time, 0);
+}
+
 Test (reach, tells_a_listener)
 {
   World w;
@@ -105,13 +113,51 @@
   world_clear (&w);
 }
 
+static void
+on_close_time (evutil_socket_t fd, short what, void *user)
+{
+  (void)fd;
+  (void)what;
+  World *w = user;
+
+  close (w->listener);
+  w->listener = -1;
+}
+
+/* A process that ends on a busy machine loses its connections first and stops listening a moment
+ * later. A connection opened between the two is taken, and reset. */
+Test (reach, tells_a_listener_that_is_about_to_end)
+{
+  const struct timeval soon = { .tv_usec = 20000 };
+  World w;
+
+  world_init (&w, 8);
+  struct event *timer = evtimer_new (w.base, on_close_time, &w);
+  event_add (timer, &soon);
+  check_held (&w, 10 * LB_SEC, 10 * LB_SEC);
+  cr_assert_eq (w.outcome, LH_REACH_CLOSED);
+  event_free (timer);
+  world_clear (&w);
+}
+
+Test (reach, tells_a_listener_that_stays)
+{
+  World w;
+
+  world_init (&w, 8);
+  check_held (&w, 10 * LB_SEC, 30 * LB_MSEC);
+  cr_assert_eq (w.outcome, LH_REACH_OPEN);
+  world_clear (&w);
+}
+
 Test (reach, refuses_what_is_no_address_and_can_be_cancelled)
 {
+  const LhReachTimes times = { .open = LB_SEC };
   World w;
 
   world_init (&w, 8);
-  cr_assert_null (lh_reach_start (w.base, "nonsense", LB_SEC, on_done, &w));
-  lh_reach_cancel (lh_reach_start (w.base, w.address, LB_SEC, on_done, &w));
+  cr_assert_null (lh_reach_start (w.base, "nonsense", &times, on_done, &w));
+  lh_reach_cancel (lh_reach_start (w.base, w.address, &times, on_done, &w));
   event_base_dispatch (w.base);
   cr_assert_eq (w.calls, 0);
   world_clear (&w);
--- a/packages/node/src/ln-endpoint-checks.c
+++ b/packages/node/src/ln-endpoint-checks.c
@@ -13,6 +13,9 @@
 
 /* Of one check: a hundred round trips between data centres. */
 #define CHECK_TIME (250 * LB_MSEC)
+/* A process that ends loses its connections before it stops listening; on a busy machine there lie
+ * some ten milliseconds between. */
+#define HOLD_TIME (300 * LB_MSEC)
 /* Of one endpoint: several times what it works on at once. What breaks beyond is not looked at. */
 #define MAX_CONTENTS LC_MAX_REPORT_CONTENTS
 
@@ -22,6 +25,7 @@
   LnEndpointChecks *owner;
   LhReach *reach;
   LbName endpoint;
+  LbName address;
   LbTime broken_at; /* the first of them */
   LcContent contents[MAX_CONTENTS];
   size_t n_contents;
@@ -72,8 +76,10 @@
 static void
 log_outcome (const Check *check, LhReachOutcome outcome)
 {
-  static const char *const names[]
-      = { [LH_REACH_OPEN] = "open", [LH_REACH_REFUSED] = "refused", [LH_REACH_SILENT] = "silent" };
+  static const char *const names[] = { [LH_REACH_OPEN] = "open",
+                                       [LH_REACH_CLOSED] = "closed",
+                                       [LH_REACH_REFUSED] = "refused",
+                                       [LH_REACH_SILENT] = "silent" };
   struct json_object *contents = json_object_new_array ();
   char text[LC_CONTENT_SIZE];
 
@@ -89,6 +95,11 @@
   json_object_put (contents);
 }
 
+static bool look (Check *check, LbTime hold);
+
+/* Guards against an endpoint that is just ending and counts as alive: it takes the connection and
+ * drops it when it stops listening, which a second one then shows. An endpoint that lives drops
+ * connections as well where it has too many. */
 static void
 on_checked (LhReachOutcome outcome, void *user)
 {
@@ -96,6 +107,8 @@
   const LnEndpointChecks *checks = check->owner;
 
   log_outcome (check, outcome);
+  if (outcome == LH_REACH_CLOSED && look (check, 0))
+    return;
   if (outcome == LH_REACH_REFUSED)
     {
       lb_metric_add (&crashed, 1);
@@ -116,6 +129,16 @@
   return NULL;
 }
 
+static bool
+look (Check *check, LbTime hold)
+{
+  const LhReachTimes times = { .open = CHECK_TIME, .hold = hold };
+
+  check->reach
+      = lh_reach_start (check->owner->context->base, check->address, &times, on_checked, check);
+  return check->reach != NULL;
+}
+
 static Check *
 start (LnEndpointChecks *checks, const char *endpoint, const char *address)
 {
@@ -124,9 +147,9 @@
   check->owner = checks;
   check->broken_at = lb_clock_monotonic ();
   LB_COPY (check->endpoint, endpoint);
+  LB_COPY (check->address, address);
   lb_list_append (&checks->running, &check->link);
-  check->reach = lh_reach_start (checks->context->base, address, CHECK_TIME, on_checked, check);
-  if (check->reach)
+  if (look (check, HOLD_TIME))
     return check;
   lb_log (LB_LOG_WARNING, "endpoint_not_checked", LB_TEXT ("endpoint", endpoint),
           LB_TEXT ("address", address));
--- a/tests/process/test-crashing-services.c
+++ b/tests/process/test-crashing-services.c
@@ -73,6 +73,20 @@
     }
 }
 
+static bool
+are_reported (PtWorld *world, void *user)
+{
+  (void)user;
+  struct json_object *answer = si_client_json (&world->client, world->platform.address,
+                                               "/table/scan?prefix=crash/all/", NULL);
+  struct json_object *rows = NULL;
+  bool all = json_object_object_get_ex (answer, "rows", &rows)
+             && json_object_array_length (rows) == N_ENDS;
+
+  json_object_put (answer);
+  return all;
+}
+
 static void
 assert_one_is_left (PtWorld *world)
 {
@@ -99,13 +113,15 @@
   pt_world_clear (&world);
 }
 
-/* Both instances start again and have seen nothing themselves. */
+/* Both instances are killed once their reports stand in the store; killed before, they take the
+ * last one with them. They start again and have seen nothing themselves. */
 Test (crashing_services, a_restart_of_all_instances_forgets_nothing)
 {
   PtWorld world;
 
   scene_open (&world);
   end_three (&world);
+  pt_wait (&world, "all reports stand in the store", are_reported, NULL);
   for (size_t i = 0; i < world.n_instances; i++)
     pt_process_signal (&world.instances[i].process, SIGKILL);
   for (size_t i = 0; i < world.n_instances; i++)
