Usage of organisations is reported by one instance, each window once

Change: the lease of the weights is one for any duty (LnDutyLease); a new task holds that of the calls to the platform. What nobody reported is caught up. Time is that of the store's clock and the median of all instances' leads over it, so that a few clocks that jump change nothing. A holder that got its lease back from another one gives no order for 3.2 s. Weighed for the way of counts to the holder: rows of their own (chosen); counts in the rows that are renewed (a new start of an instance overwrites them, and every list of instances carries them); frames (lost with a killed instance).

--- a/packages/core/include/lc-fleet.h
+++ b/packages/core/include/lc-fleet.h
@@ -17,10 +17,11 @@
   LbName peer_address; /* where it carries out calls to the store for others; empty: nowhere */
   bool ready;
   bool draining;
-  bool cut;           /* reaches the store only with the help of others */
-  int64_t strength;   /* of its machine, see lc-duty.h; 0: it does not say */
-  int64_t renewed_ms; /* the store's clock when it renewed the row, by itself; 0: not known */
-  LbTime period;      /* between them */
+  bool cut;              /* reaches the store only with the help of others */
+  int64_t strength;      /* of its machine, see lc-duty.h; 0: it does not say */
+  int64_t clock_lead_ms; /* see lc-true-time.h; 0: it does not say */
+  int64_t renewed_ms;    /* the store's clock when it renewed the row, by itself; 0: not known */
+  LbTime period;         /* between them */
 } LcFleetRow;
 
 struct json_object *lc_fleet_row_to_json (const LcFleetRow *row);
--- a/packages/core/include/lc-lease.h
+++ b/packages/core/include/lc-lease.h
@@ -5,7 +5,8 @@
 
 struct json_object;
 
-/* The right to order weights, roles and adapters of one pool, over a row of the conditional table.
+/* The right to do what only one instance may do at a time, for example to order the weights of a
+ * pool, over a row of the conditional table.
  * No I/O: commands append actions that the caller carries out; every READ and WRITE is answered
  * once by lc_lease_was_read or lc_lease_was_written. */
 
@@ -46,7 +47,10 @@
   LbTime period;         /* between renewals, and between looks at another's lease */
   LbTime watch_period;   /* between looks of an instance that is no candidate */
   LbTime order_lifetime; /* longest time that an order may be on its way */
-  double drift;          /* most by which two clocks differ in rate, as a share */
+  /* A holder that got the lease back from another one gives no order for so long after it lost it.
+   * 0: at once. */
+  LbTime turn_time;
+  double drift; /* most by which two clocks differ in rate, as a share */
 } LcLeaseSettings;
 
 void lc_lease_settings_init (LcLeaseSettings *settings);
--- a/packages/core/src/lc-fleet.c
+++ b/packages/core/src/lc-fleet.c
@@ -49,6 +49,8 @@
   json_object_object_add (object, "draining", json_object_new_boolean (row->draining));
   json_object_object_add (object, "cut", json_object_new_boolean (row->cut));
   json_object_object_add (object, "strength", json_object_new_int64 (row->strength));
+  if (row->clock_lead_ms != 0)
+    json_object_object_add (object, "clock_lead_ms", json_object_new_int64 (row->clock_lead_ms));
   json_object_object_add (object, "renewed_ms", json_object_new_int64 (row->renewed_ms));
   json_object_object_add (object, "period_ms", json_object_new_int64 (row->period / LB_MSEC));
   return object;
@@ -67,6 +69,7 @@
   row->draining = lb_json_bool (object, "draining", false);
   row->cut = lb_json_bool (object, "cut", false);
   row->strength = lb_json_int (object, "strength", 0);
+  row->clock_lead_ms = lb_json_int (object, "clock_lead_ms", 0);
   row->renewed_ms = lb_json_int (object, "renewed_ms", 0);
   row->period = lb_json_int (object, "period_ms", DEFAULT_PERIOD / LB_MSEC) * LB_MSEC;
   return row->name[0] && row->incarnation[0] && row->caller_address[0];
@@ -163,7 +166,7 @@
 says_the_same (const LcFleetRow *a, const LcFleetRow *b)
 {
   return strcmp (a->incarnation, b->incarnation) == 0 && a->ready == b->ready
-         && a->draining == b->draining && a->cut == b->cut
+         && a->draining == b->draining && a->cut == b->cut && a->clock_lead_ms == b->clock_lead_ms
          && strcmp (a->caller_address, b->caller_address) == 0;
 }
 
--- a/packages/core/src/lc-lease.c
+++ b/packages/core/src/lc-lease.c
@@ -33,8 +33,10 @@
   int64_t renewals; /* number of the last write */
   bool held;
   LbTime valid_until; /* on our clock; no order from then on */
+  LbTime lost_at;     /* 0: it never was */
   LbTime gained_at;   /* when gained_fence was */
   int64_t gained_fence;
+  bool from_another; /* whoever held it when gained_fence was gained */
   bool must_confirm; /* paused: no order until a renewal asked after it went through */
   LbTime paused_at;
   bool releasing;
@@ -162,11 +164,12 @@
 }
 
 static void
-lose (LcLease *lease, LbList *actions)
+lose (LcLease *lease, LbTime now, LbList *actions)
 {
   if (!lease->held)
     return;
   lease->held = false;
+  lease->lost_at = now;
   lb_metric_add (&metric_lost, 1);
   add_action (actions, LC_LEASE_LOST)->row = lease->row;
 }
@@ -212,7 +215,10 @@
     return;
   lease->held = true;
   if (row->fence != lease->gained_fence)
-    lease->gained_at = now;
+    {
+      lease->gained_at = now;
+      lease->from_another = row->fence != lease->gained_fence + 1;
+    }
   lease->gained_fence = row->fence;
   lb_metric_add (&metric_gained, 1);
   add_action (actions, LC_LEASE_GAINED)->row = *row;
@@ -275,7 +281,7 @@
 {
   notice_pause (lease, now, wall);
   if (lease->held && now >= lease->valid_until)
-    lose (lease, actions);
+    lose (lease, now, actions);
   if (now < lease->next_read || lease->reading || lease->writing)
     return;
   lease->reading = true;
@@ -327,7 +333,7 @@
       renew_or_release (lease, now, actions);
       return;
     }
-  lose (lease, actions);
+  lose (lease, now, actions);
   if (may_claim (lease, now))
     claim (lease, now, actions);
 }
@@ -343,7 +349,7 @@
       confirm (lease, &lease->written, now, actions);
       lease->row = lease->written;
       if (lease->written.released)
-        lose (lease, actions);
+        lose (lease, now, actions);
     }
   else if (error == LB_ERROR_CONDITION_FAILED || error == LB_ERROR_STORE_UNKNOWN)
     lease->next_read = now;
@@ -354,7 +360,7 @@
 {
   lease->releasing = true;
   lease->next_read = now;
-  lose (lease, actions);
+  lose (lease, now, actions);
 }
 
 void
@@ -389,6 +395,15 @@
   lease->next_read = now;
 }
 
+/* Guards against two holders that order in turn, each for a moment: what they order can't be told
+ * from an old order that comes late. The fencing number shows that another one held it between. */
+static bool
+takes_turns (const LcLease *lease, LbTime now)
+{
+  return lease->from_another && lease->lost_at > 0
+         && now < lease->lost_at + lease->settings.turn_time;
+}
+
 /* Guards against an order of an earlier holder that was still on its way, at an endpoint that takes
  * any: it would come after ours and undo it. Such an endpoint is ordered only after that order's
  * life has run out; what it then states is read back. */
@@ -397,7 +412,7 @@
 {
   if (!lease->held || lease->must_confirm || lease->releasing || now >= lease->valid_until)
     return false;
-  if (now - lease->last_tick > LONGEST_PAUSE)
+  if (now - lease->last_tick > LONGEST_PAUSE || takes_turns (lease, now))
     return false;
   return !unfenced || now >= lease->gained_at + lease->settings.order_lifetime;
 }
--- /dev/null
+++ b/packages/core/src/lc-usage.c
@@ -0,0 +1,258 @@
+#include "lc-usage.h"
+
+#include "lb-alloc.h"
+#include "lb-json.h"
+#include "lb-list.h"
+
+#include <json-c/json.h>
+#include <stdlib.h>
+#include <string.h>
+#include <uthash.h>
+
+typedef struct
+{
+  LbName organisation; /* key */
+  int64_t requests;
+  UT_hash_handle hh;
+} Count;
+
+struct LcUsageCounts
+{
+  Count *all;
+};
+
+typedef struct
+{
+  LbLink link;
+  int64_t number;
+  LcUsageCounts *counts;
+  bool changed; /* since the last row that was handed out */
+  bool writing;
+  LbTime next_row;
+} Window;
+
+struct LcUsage
+{
+  int64_t window_ms;
+  LbList windows;
+};
+
+LcUsageCounts *
+lc_usage_counts_new (void)
+{
+  return LB_NEW (LcUsageCounts);
+}
+
+void
+lc_usage_counts_free (LcUsageCounts *counts)
+{
+  Count *count, *next;
+
+  if (!counts)
+    return;
+  HASH_ITER (hh, counts->all, count, next)
+  {
+    HASH_DEL (counts->all, count);
+    free (count);
+  }
+  free (counts);
+}
+
+static Count *
+find (const LcUsageCounts *counts, const char *organisation)
+{
+  Count *count = NULL;
+
+  HASH_FIND_STR (counts->all, organisation, count);
+  return count;
+}
+
+static Count *
+ensure (LcUsageCounts *counts, const char *organisation)
+{
+  Count *count = find (counts, organisation);
+
+  if (count)
+    return count;
+  count = LB_NEW (Count);
+  LB_COPY (count->organisation, organisation);
+  HASH_ADD_STR (counts->all, organisation, count);
+  return count;
+}
+
+void
+lc_usage_counts_add (LcUsageCounts *counts, const char *organisation, int64_t requests)
+{
+  ensure (counts, organisation)->requests += requests;
+}
+
+void
+lc_usage_counts_raise (LcUsageCounts *counts, const LcUsageCounts *others)
+{
+  for (const Count *other = others->all; other; other = other->hh.next)
+    {
+      Count *count = ensure (counts, other->organisation);
+      if (other->requests > count->requests)
+        count->requests = other->requests;
+    }
+}
+
+void
+lc_usage_counts_add_all (LcUsageCounts *counts, const LcUsageCounts *others)
+{
+  for (const Count *other = others->all; other; other = other->hh.next)
+    lc_usage_counts_add (counts, other->organisation, other->requests);
+}
+
+int64_t
+lc_usage_counts_of (const LcUsageCounts *counts, const char *organisation)
+{
+  const Count *count = find (counts, organisation);
+
+  return count ? count->requests : 0;
+}
+
+bool
+lc_usage_counts_add_text (LcUsageCounts *counts, const char *text, LbError *error)
+{
+  struct json_object *object = json_tokener_parse (text);
+  bool ok = json_object_is_type (object, json_type_object);
+
+  if (!ok)
+    lb_error_set (error, LB_ERROR_BAD_JSON, "usage", "expected counts by organisation");
+  else
+    {
+      json_object_object_foreach (object, name, value)
+      {
+        lc_usage_counts_add (counts, name, json_object_get_int64 (value));
+      }
+    }
+  json_object_put (object);
+  return ok;
+}
+
+static int
+by_name (const Count *a, const Count *b)
+{
+  return strcmp (a->organisation, b->organisation);
+}
+
+char *
+lc_usage_counts_to_text (LcUsageCounts *counts)
+{
+  struct json_object *object = json_object_new_object ();
+
+  HASH_SRT (hh, counts->all, by_name);
+  for (const Count *count = counts->all; count; count = count->hh.next)
+    json_object_object_add (object, count->organisation, json_object_new_int64 (count->requests));
+  return lb_json_take_text (object, JSON_C_TO_STRING_PLAIN);
+}
+
+/* --- the windows of an instance --- */
+
+LcUsage *
+lc_usage_new (int64_t window_ms)
+{
+  LcUsage *usage = LB_NEW (LcUsage);
+
+  usage->window_ms = window_ms;
+  lb_list_init (&usage->windows);
+  return usage;
+}
+
+static void
+drop (LcUsage *usage, Window *window)
+{
+  lb_list_remove (&usage->windows, &window->link);
+  lc_usage_counts_free (window->counts);
+  free (window);
+}
+
+void
+lc_usage_free (LcUsage *usage)
+{
+  if (!usage)
+    return;
+  LB_LIST_FOREACH (&usage->windows, Window, link, window)
+  {
+    drop (usage, window);
+  }
+  free (usage);
+}
+
+static Window *
+find_window (const LcUsage *usage, int64_t number)
+{
+  LB_LIST_FOREACH (&usage->windows, Window, link, window)
+  {
+    if (window->number == number)
+      return window;
+  }
+  return NULL;
+}
+
+void
+lc_usage_began (LcUsage *usage, const char *organisation, int64_t true_ms)
+{
+  int64_t number = true_ms / usage->window_ms;
+  Window *window = find_window (usage, number);
+
+  if (!window)
+    {
+      window = LB_NEW (Window);
+      window->number = number;
+      window->counts = lc_usage_counts_new ();
+      lb_list_append (&usage->windows, &window->link);
+    }
+  lc_usage_counts_add (window->counts, organisation, 1);
+  window->changed = true;
+}
+
+bool
+lc_usage_next_row (LcUsage *usage, LbTime period, LbTime now, LcUsageRow *row)
+{
+  LB_LIST_FOREACH (&usage->windows, Window, link, window)
+  {
+    if (!window->changed || window->writing || now < window->next_row)
+      continue;
+    window->changed = false;
+    window->writing = true;
+    window->next_row = now + period;
+    row->window = window->number;
+    row->text = lc_usage_counts_to_text (window->counts);
+    return true;
+  }
+  return false;
+}
+
+void
+lc_usage_written (LcUsage *usage, int64_t number, bool ok)
+{
+  Window *window = find_window (usage, number);
+
+  if (!window)
+    return;
+  window->writing = false;
+  window->changed |= !ok;
+}
+
+void
+lc_usage_forget (LcUsage *usage, int64_t before)
+{
+  LB_LIST_FOREACH (&usage->windows, Window, link, window)
+  {
+    if (window->number < before && !window->writing)
+      drop (usage, window);
+  }
+}
+
+bool
+lc_usage_is_written (const LcUsage *usage)
+{
+  LB_LIST_FOREACH (&usage->windows, Window, link, window)
+  {
+    if (window->changed || window->writing)
+      return false;
+  }
+  return true;
+}
--- a/packages/node/include/ln-context.h
+++ b/packages/node/include/ln-context.h
@@ -47,5 +47,6 @@
 LnTask *ln_batches_new (LnContext *context);
 LnTask *ln_desired_new (LnContext *context);
 LnTask *ln_fleet_new (LnContext *context);
+LnTask *ln_duties_new (LnContext *context);
 
 #endif
--- a/packages/node/include/ln-dialect.h
+++ b/packages/node/include/ln-dialect.h
@@ -125,6 +125,37 @@
   bool busy;         /* an order is in progress */
 } LnEngineState;
 
+/* Calls to the platform that only one instance may make at a time. */
+typedef enum
+{
+  LN_PLATFORM_USAGE, /* reports how much each organisation used */
+  LN_PLATFORM_SCALE, /* orders endpoints */
+  LN_PLATFORM_OTHER  /* nothing that this product knows */
+} LnPlatformDuty;
+
+typedef struct
+{
+  const char *holder;
+  int64_t fence;
+} LnDutyWords;
+
+/* How many endpoints a service shall have in one data centre. */
+typedef struct
+{
+  const char *service;
+  const char *data_centre;
+  int64_t endpoints;
+  bool is_cheap; /* of the kind that costs less and may be taken away */
+} LnScaleOrder;
+
+typedef enum
+{
+  LN_DUTY_DONE,
+  LN_DUTY_UNANSWERED, /* it may have been carried out, or be later */
+  LN_DUTY_BUSY,       /* too many calls, or the platform is not well */
+  LN_DUTY_REFUSED     /* a younger holder was there, or what is asked for can't be had */
+} LnDutyOutcome;
+
 /* What a row of the operators' table holds. */
 typedef enum
 {
@@ -170,6 +201,16 @@
                       LnEngineState *state,
                       LbError *error);
 
+  /* the platform beside its store */
+  LnPlatformDuty (*duty) (const char *name);
+  /* counts: JSON, requests by organisation. */
+  void (*write_usage) (const LnDutyWords *words,
+                       int64_t window,
+                       const char *counts,
+                       LcOutgoing *outgoing);
+  void (*write_scale) (const LnDutyWords *words, const LnScaleOrder *order, LcOutgoing *outgoing);
+  LnDutyOutcome (*judge_duty) (int status);
+
   /* the store */
   const char *operator_table;
   const char *operator_rows; /* what the keys of that table's rows begin with */
--- a/packages/node/include/ln-messages.h
+++ b/packages/node/include/ln-messages.h
@@ -38,6 +38,7 @@
   LN_LISTED,            /* config -> calls: an endpoint is still listed, with this version */
   LN_DEMAND,            /* rollouts -> config: a trainer brought a batch */
   LN_DUTY,              /* rollouts, config -> all: whether this instance has a duty has changed */
+  LN_BEGAN,             /* calls -> duties: an organisation's request began to run */
   LN_READY              /* config -> all: whether new work may be taken has changed */
 } LnMessageType;
 
@@ -164,8 +165,9 @@
   LbName peer_address;   /* where instances connect */
   bool alive;            /* not suspected */
   bool draining;
-  bool cut;         /* reaches the store only with the help of others */
-  int64_t strength; /* of its machine, see lc-duty.h */
+  bool cut;              /* reaches the store only with the help of others */
+  int64_t strength;      /* of its machine, see lc-duty.h */
+  int64_t clock_lead_ms; /* of its time of day over the store's clock; 0: it does not say */
   bool is_self;
 } LnMember;
 
@@ -199,6 +201,13 @@
   size_t length;
 } LnPeerMessage;
 
+typedef struct
+{
+  LnMessage base;
+  LbName organisation;
+  LbTime at;
+} LnBeganMessage;
+
 typedef struct
 {
   LnMessage base;
@@ -217,6 +226,7 @@
 {
   LN_DUTY_BATCHES, /* it runs some */
   LN_DUTY_ORDERS,  /* it holds the lease to order weights */
+  LN_DUTY_CALLS,   /* it holds the lease to call the platform */
   LN_N_DUTIES
 } LnDuty;
 
--- a/packages/node/include/ln-settings.h
+++ b/packages/node/include/ln-settings.h
@@ -84,6 +84,15 @@
     int64_t longest_unconfirmed_ms;
   } keys;
   struct
+  {
+    LbName address; /* of the platform beside its store; empty: it has no such calls */
+    LbName *kinds;  /* of calls that it wants, as it names them */
+    size_t n_kinds;
+    bool platform_checks_fence; /* it refuses calls with an old fencing number */
+    int64_t usage_window_s;
+    int64_t usage_due_s; /* after the end of a window */
+  } duties;
+  struct
   {
     bool endpoints_check_fence; /* they refuse orders with an old fencing number */
   } weights;
--- a/packages/node/main/lentilspindled.c
+++ b/packages/node/main/lentilspindled.c
@@ -247,12 +247,13 @@
 {
   LnContext *context = &daemon->context;
   LnTask *(*const own[]) (LnContext *)
-      = { ln_front_new, ln_peers_new, ln_calls_new, ln_rollouts_new, ln_config_new };
+      = { ln_front_new, ln_peers_new, ln_calls_new, ln_rollouts_new, ln_config_new, NULL };
   LnTask *(*const shared[]) (LnContext *)
-      = { ln_front_new, ln_fleet_new, ln_calls_new, ln_batches_new, ln_desired_new };
+      = { ln_front_new,   ln_fleet_new,  ln_calls_new, ln_batches_new,
+          ln_desired_new, ln_duties_new, NULL };
   LnTask *(*const *makers) (LnContext *) = context->dialect ? shared : own;
 
-  for (size_t i = 0; i < sizeof own / sizeof own[0]; i++)
+  for (size_t i = 0; makers[i]; i++)
     {
       LnTask *task = makers[i](context);
       if (!task)
--- a/packages/node/src/ln-call.h
+++ b/packages/node/src/ln-call.h
@@ -65,6 +65,7 @@
   size_t raw_length;
   LbName organisation; /* whose call it is; "": nobody's in particular */
   bool was_sent;       /* an attempt was made */
+  bool is_counted;     /* as one that began to run */
   bool has_key;
   LcKeyDigest key;       /* by which its organisation was known */
   LcOutgoing outgoing;   /* in a dialect: what is sent to endpoints, in place of all these */
--- a/packages/node/src/ln-calls-run.c
+++ b/packages/node/src/ln-calls-run.c
@@ -256,6 +256,28 @@
                        report.at);
 }
 
+/* Usage counts a request once, from when it was first at an endpoint that did not refuse it: plain
+ * services begin to work on what they take at once. */
+static void
+count_began (LnCalls *calls, const LnAttempt *attempt)
+{
+  LnCall *call = attempt->call;
+  LnTask *duties = ln_hub_find (calls->task.hub, "duties");
+  LnBeganMessage message = { .base = LN_MESSAGE (LN_BEGAN), .at = attempt->sent_at };
+
+  if (call->is_counted || call->kind != LN_CALL_SERVICE || !call->organisation[0] || !duties)
+    return;
+  call->is_counted = true;
+  LB_COPY (message.organisation, call->organisation);
+  LN_POST (calls->task.hub, duties, message);
+}
+
+static bool
+may_have_begun (LcAttemptEnd end)
+{
+  return end != LC_END_REFUSED && end != LC_END_REFUSED_LEAVING && end != LC_END_NOT_HANDED;
+}
+
 /* An endpoint that ended under a request looks like one that cut an answer. A text that had begun
  * goes on behind its last piece and is not asked for the same again. */
 static void
@@ -285,6 +307,8 @@
   lb_list_remove (&call->attempts, &attempt->link);
   call->ended = attempt;
   log_end (attempt, end);
+  if (may_have_begun (end))
+    count_began (calls, attempt);
   note_broken (calls, attempt, end);
   LcRequestId id = call->spec.id;
   lc_dispatch_ended (calls->dispatch, id, ln_upstream_attempt (upstream), end,
@@ -463,6 +487,7 @@
 
   if (!attempt)
     return;
+  count_began (calls, attempt);
   ln_upstream_cancel (attempt->upstream);
   ln_attempt_free (attempt);
 }
--- a/packages/node/src/ln-weights-lease.c
+++ b/packages/node/src/ln-duty-lease.c
@@ -1,4 +1,4 @@
-#include "ln-weights-lease.h"
+#include "ln-duty-lease.h"
 
 #include "ln-lease.h"
 
@@ -9,10 +9,10 @@
 #include "lc-lease.h"
 #include "lp-platform.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define LEASE_KEY "lease/weights/holder"
 /* Without a holder no engine gets new weights, and trainers move on meanwhile. A renewal reads the
  * row and writes it, half a second together at a store that is sixty times slower than usual. */
 #define LEASE_DURATION (2 * LB_SEC)
@@ -21,11 +21,16 @@
 #define LEASE_PERIOD (500 * LB_MSEC)     /* three renewals within its duration */
 #define LEASE_WATCH_PERIOD (10 * LB_SEC) /* of those that are no candidates */
 #define N_CANDIDATES 3
-#define DUTY "weights"
+/* Receivers that hear from one holder, from another and from the first again within three seconds
+ * can't tell which of them to believe. */
+#define TURN_TIME (3200 * LB_MSEC)
+#define KEY_SIZE 64
 
-struct LnWeightsLease
+struct LnDutyLease
 {
   LnContext *context;
+  const char *duty;
+  char key[KEY_SIZE]; /* of the row */
   void (*on_change) (LbTime now, void *user);
   void *user;
   LcLease *lease;
@@ -33,20 +38,26 @@
   size_t n_members;
 };
 
-LnWeightsLease *
-ln_weights_lease_new (LnContext *context, void (*on_change) (LbTime now, void *user), void *user)
+LnDutyLease *
+ln_duty_lease_new (LnContext *context,
+                   const char *duty,
+                   bool receivers_check_fence,
+                   void (*on_change) (LbTime now, void *user),
+                   void *user)
 {
-  LnWeightsLease *lease = LB_NEW (LnWeightsLease);
+  LnDutyLease *lease = LB_NEW (LnDutyLease);
   LcLeaseSettings settings;
 
   lc_lease_settings_init (&settings);
-  settings.duration = context->settings->weights.endpoints_check_fence ? LEASE_DURATION
-                                                                       : UNCHECKED_LEASE_DURATION;
+  settings.duration = receivers_check_fence ? LEASE_DURATION : UNCHECKED_LEASE_DURATION;
+  settings.turn_time = TURN_TIME;
   settings.period = LEASE_PERIOD;
   settings.watch_period = LEASE_WATCH_PERIOD;
   LB_COPY (settings.instance, context->instance);
   LB_COPY (settings.incarnation, context->incarnation);
   lease->context = context;
+  lease->duty = duty;
+  snprintf (lease->key, sizeof lease->key, "lease/%s/holder", duty);
   lease->on_change = on_change;
   lease->user = user;
   lease->lease = lc_lease_new (&settings, lb_clock_monotonic (), lb_clock_boot ());
@@ -54,19 +65,19 @@
 }
 
 void
-ln_weights_lease_free (LnWeightsLease *lease)
+ln_duty_lease_free (LnDutyLease *lease)
 {
   lc_lease_free (lease->lease);
   free (lease->members);
   free (lease);
 }
 
-static void carry_out (LnWeightsLease *lease, LbList *actions);
+static void carry_out (LnDutyLease *lease, LbList *actions);
 
 static void
 on_read (LbErrorCode error, const LpRow *rows, size_t n_rows, void *user)
 {
-  LnWeightsLease *lease = user;
+  LnDutyLease *lease = user;
   LbList actions;
 
   lb_list_init (&actions);
@@ -78,7 +89,7 @@
 on_written (LbErrorCode error, const LpRow *row, void *user)
 {
   (void)row;
-  LnWeightsLease *lease = user;
+  LnDutyLease *lease = user;
   LbList actions;
 
   lb_list_init (&actions);
@@ -87,17 +98,17 @@
 }
 
 static void
-note_change (LnWeightsLease *lease, const LcLeaseAction *action)
+note_change (LnDutyLease *lease, const LcLeaseAction *action)
 {
   bool gained = action->type == LC_LEASE_GAINED;
 
-  lb_log (LB_LOG_INFO, gained ? "lease_gained" : "lease_lost", LB_INT ("fence", action->row.fence),
-          LB_TEXT ("holder", action->row.holder));
+  lb_log (LB_LOG_INFO, gained ? "lease_gained" : "lease_lost", LB_TEXT ("duty", lease->duty),
+          LB_INT ("fence", action->row.fence), LB_TEXT ("holder", action->row.holder));
   lease->on_change (lb_clock_monotonic (), lease->user);
 }
 
 static void
-carry_out (LnWeightsLease *lease, LbList *actions)
+carry_out (LnDutyLease *lease, LbList *actions)
 {
   LpPlatform *platform = lease->context->platform;
   LbLink *link;
@@ -108,10 +119,10 @@
       switch (action->type)
         {
         case LC_LEASE_READ:
-          platform->klass->get (platform, LEASE_KEY, on_read, lease);
+          platform->klass->get (platform, lease->key, on_read, lease);
           break;
         case LC_LEASE_WRITE:
-          ln_lease_write (platform, LEASE_KEY, "", action, on_written, lease);
+          ln_lease_write (platform, lease->key, "", action, on_written, lease);
           break;
         case LC_LEASE_GAINED:
         case LC_LEASE_LOST:
@@ -148,11 +159,11 @@
 
 /* The first few instances are candidates, each a little later than the one before. */
 void
-ln_weights_lease_members (LnWeightsLease *lease, const LnMembersMessage *members)
+ln_duty_lease_members (LnDutyLease *lease, const LnMembersMessage *members)
 {
   LcDutyCandidate *candidates = LB_NEW_ARRAY (LcDutyCandidate, members->n_members + 1);
   size_t n = add_candidates (members, candidates);
-  size_t rank = lc_duty_rank (DUTY, lease->context->instance, candidates, n);
+  size_t rank = lc_duty_rank (lease->duty, lease->context->instance, candidates, n);
 
   lc_lease_set_rank (lease->lease, rank < N_CANDIDATES ? (int)rank : -1);
   free (candidates);
@@ -162,7 +173,7 @@
 }
 
 static void
-look_for_ended_holder (LnWeightsLease *lease, bool all_check_fences, LbTime now)
+look_for_ended_holder (LnDutyLease *lease, bool all_check_fences, LbTime now)
 {
   const LcLeaseRow *row = lc_lease_row (lease->lease);
 
@@ -182,11 +193,11 @@
 /* Only candidates look for a holder that has ended: all others would read its row in the same
  * moment, hundreds at once on a large site. */
 void
-ln_weights_lease_tick (LnWeightsLease *lease, bool all_check_fences, LbTime now)
+ln_duty_lease_tick (LnDutyLease *lease, bool all_check_fences, LbTime now)
 {
   LbList actions;
 
-  if (ln_weights_lease_is_candidate (lease))
+  if (ln_duty_lease_is_candidate (lease))
     look_for_ended_holder (lease, all_check_fences, now);
   lb_list_init (&actions);
   lc_lease_tick (lease->lease, now, lb_clock_boot (), &actions);
@@ -194,13 +205,13 @@
 }
 
 void
-ln_weights_lease_doubt (LnWeightsLease *lease, LbTime now)
+ln_duty_lease_doubt (LnDutyLease *lease, LbTime now)
 {
   lc_lease_hint (lease->lease, now);
 }
 
 void
-ln_weights_lease_release (LnWeightsLease *lease, LbTime now)
+ln_duty_lease_release (LnDutyLease *lease, LbTime now)
 {
   LbList actions;
 
@@ -211,31 +222,31 @@
 }
 
 bool
-ln_weights_lease_is_held (const LnWeightsLease *lease)
+ln_duty_lease_is_held (const LnDutyLease *lease)
 {
   return lc_lease_is_held (lease->lease);
 }
 
 bool
-ln_weights_lease_is_candidate (const LnWeightsLease *lease)
+ln_duty_lease_is_candidate (const LnDutyLease *lease)
 {
   return lc_lease_rank (lease->lease) >= 0;
 }
 
 bool
-ln_weights_lease_is_released (const LnWeightsLease *lease, LbTime now)
+ln_duty_lease_is_released (const LnDutyLease *lease, LbTime now)
 {
   return lc_lease_is_released (lease->lease, now);
 }
 
 bool
-ln_weights_lease_may_order (const LnWeightsLease *lease, bool unfenced, LbTime now)
+ln_duty_lease_may_order (const LnDutyLease *lease, bool unfenced, LbTime now)
 {
   return lc_lease_may_order (lease->lease, unfenced, now);
 }
 
 int64_t
-ln_weights_lease_fence (const LnWeightsLease *lease)
+ln_duty_lease_fence (const LnDutyLease *lease)
 {
   return lc_lease_fence (lease->lease);
 }
--- a/packages/node/src/ln-fleet.c
+++ b/packages/node/src/ln-fleet.c
@@ -4,6 +4,7 @@
 #include "ln-fleet-lists.h"
 #include "ln-fleet-renewal.h"
 #include "ln-messages.h"
+#include "ln-true-time.h"
 
 #include "lb-alloc.h"
 #include "lb-clock.h"
@@ -19,6 +20,7 @@
 
 #define TICK (100 * LB_MSEC)
 #define MAX_ENTRY_ADDRESSES 64
+#define CLOCK_TOLERANCE_MS 25
 #define RETRY_WITHOUT_ADDRESS (300 * LB_MSEC)
 
 /* Instances of a shared platform and the addresses that callers are given. Runs as the task
@@ -61,6 +63,7 @@
       member->draining = known->row.draining;
       member->cut = known->row.cut;
       member->strength = known->row.strength;
+      member->clock_lead_ms = known->row.clock_lead_ms;
       member->is_self = strcmp (known->row.name, task->context->instance) == 0;
     }
   LN_POST (task->task.hub, NULL, message);
@@ -135,6 +138,19 @@
   ln_fleet_renewal_tell (task->renewal, now);
 }
 
+/* Told anew only when it has changed by more than answers of the store may vary: each change of a
+ * row is read by all. */
+static void
+note_clock (Fleet *task, LbTime now)
+{
+  int64_t lead = ln_true_time_own_lead (task->context, now);
+
+  if (task->context->settings->duties.n_kinds == 0 || lead == 0)
+    return;
+  if (llabs (lead - task->own.clock_lead_ms) > CLOCK_TOLERANCE_MS)
+    task->own.clock_lead_ms = lead;
+}
+
 static void
 on_tick (evutil_socket_t fd, short what, void *user)
 {
@@ -144,6 +160,7 @@
   LbTime now = lb_clock_monotonic ();
 
   note_reach (task, now);
+  note_clock (task, now);
   ln_fleet_renewal_tick (task->renewal, ln_fleet_lists_count (task->lists),
                          ln_fleet_lists_shows_on_duty (task->lists, task->own.name), now);
   ln_fleet_lists_tick (task->lists, now);
--- /dev/null
+++ b/packages/node/src/ln-platform-call.c
@@ -0,0 +1,104 @@
+#include "ln-platform-call.h"
+
+#include "lb-alloc.h"
+#include "lb-clock.h"
+#include "lb-log.h"
+#include "lh-fetch.h"
+
+#include <stdlib.h>
+
+/* Without an answer for so long a call counts as lost: ten times what a slow platform takes. */
+#define SILENCE (2 * LB_SEC)
+#define CONNECT_TIME (500 * LB_MSEC)
+
+typedef struct
+{
+  LbLink link;
+  LbList *calls; /* that it stands in */
+  const LnContext *context;
+  LhFetch *fetch;
+  LnPlatformCalled called;
+  void *user;
+  LbTime sent_at;
+  LbName path;
+} Call;
+
+static void
+finish (Call *call, LnDutyOutcome outcome)
+{
+  lb_list_remove (call->calls, &call->link);
+  call->called (outcome, call->user);
+  free (call);
+}
+
+static LnDutyOutcome
+outcome_of (const Call *call, const LhResult *result)
+{
+  if (result->failure == LB_OK)
+    return call->context->dialect->judge_duty (result->status);
+  return result->bytes_handed ? LN_DUTY_UNANSWERED : LN_DUTY_BUSY;
+}
+
+static void
+on_done (LhFetch *fetch, const LhResult *result, void *user)
+{
+  (void)fetch;
+  Call *call = user;
+
+  lb_log (result->failure == LB_OK && result->status == 200 ? LB_LOG_INFO : LB_LOG_WARNING,
+          "platform_called", LB_TEXT ("path", call->path), LB_INT ("status", result->status),
+          LB_TEXT ("error", lb_error_name (result->failure)),
+          LB_INT ("took_us", lb_clock_monotonic () - call->sent_at));
+  finish (call, outcome_of (call, result));
+}
+
+/* Each on a connection of its own: calls are seconds apart, and one that was kept may have gone
+ * silent meanwhile. */
+void
+ln_platform_call (const LnContext *context,
+                  LbList *calls,
+                  const LcOutgoing *outgoing,
+                  LnPlatformCalled called,
+                  void *user)
+{
+  const LhHandlers handlers = { .on_done = on_done };
+  LhHeader *headers = LB_NEW_ARRAY (LhHeader, outgoing->n_headers + 1);
+  const LhRequest request = { .method = outgoing->method,
+                              .address = context->settings->duties.address,
+                              .path = outgoing->path,
+                              .headers = headers,
+                              .n_headers = outgoing->n_headers,
+                              .body = outgoing->body,
+                              .body_length = outgoing->body_length,
+                              .connect_time = CONNECT_TIME,
+                              .silence = SILENCE,
+                              .fresh_connection = true };
+  Call *call = LB_NEW (Call);
+  LbError error = { 0 };
+
+  for (size_t i = 0; i < outgoing->n_headers; i++)
+    headers[i] = (LhHeader){ outgoing->headers[i].name, outgoing->headers[i].value };
+  *call = (Call){ .calls = calls,
+                  .context = context,
+                  .called = called,
+                  .user = user,
+                  .sent_at = lb_clock_monotonic () };
+  LB_COPY (call->path, outgoing->path);
+  lb_list_append (calls, &call->link);
+  call->fetch = lh_fetch_start (context->http, &request, &handlers, call, &error);
+  free (headers);
+  if (call->fetch)
+    return;
+  lb_log_error (LB_LOG_WARNING, "platform_not_called", &error);
+  finish (call, LN_DUTY_BUSY);
+}
+
+void
+ln_platform_calls_clear (LbList *calls)
+{
+  LB_LIST_FOREACH (calls, Call, link, call)
+  {
+    lh_fetch_cancel (call->fetch);
+    finish (call, LN_DUTY_UNANSWERED);
+  }
+}
--- a/packages/node/src/ln-settings.c
+++ b/packages/node/src/ln-settings.c
@@ -115,6 +115,17 @@
     = { FLAG ("refuse_unconfirmed", keys.refuse_unconfirmed),
         INTEGER ("longest_unconfirmed_ms", keys.longest_unconfirmed_ms, 500, MAX_MS), END };
 
+static const LbSettingSpec duties_specs[]
+    = { TEXT ("address", duties.address),
+        { .key = "kinds",
+          .type = LB_SETTING_ARRAY,
+          .offset = offsetof (LnSettings, duties.kinds),
+          .count_offset = offsetof (LnSettings, duties.n_kinds) },
+        FLAG ("platform_checks_fence", duties.platform_checks_fence),
+        INTEGER ("usage_window_s", duties.usage_window_s, 1, 86400),
+        INTEGER ("usage_due_s", duties.usage_due_s, 1, 86400),
+        END };
+
 static const LbSettingSpec specs[] = { GROUP ("instance", instance_specs),
                                        GROUP ("platform", platform_specs),
                                        GROUP ("cluster", cluster_specs),
@@ -126,6 +137,7 @@
                                        GROUP ("batches", batches_specs),
                                        GROUP ("weights", weights_specs),
                                        GROUP ("keys", keys_specs),
+                                       GROUP ("duties", duties_specs),
                                        TEXT ("address_file", address_file),
                                        TEXT ("record", record),
                                        INTEGER ("seed", seed, 0, 9007199254740992.0),
@@ -158,6 +170,9 @@
   settings->weights.endpoints_check_fence = true;
   settings->batches.keep_ended_s = 600;
   settings->keys.longest_unconfirmed_ms = 5000;
+  settings->duties.platform_checks_fence = true;
+  settings->duties.usage_window_s = 5;
+  settings->duties.usage_due_s = 10;
   settings->drain.drain_ms = 16000;
   settings->drain.entry_ttl_ms = 15000;
 }
@@ -167,6 +182,7 @@
 {
   free (settings->cluster.seeds);
   free (settings->measure.off);
+  free (settings->duties.kinds);
   memset (settings, 0, sizeof *settings);
 }
 
@@ -235,6 +251,8 @@
     return fail (error, path, "instance.metrics_address", address);
   if (settings->platform.kind != LN_PLATFORM_MEMORY && !is_address (settings->platform.address))
     return fail (error, path, "platform.address", address);
+  if (settings->duties.address[0] && !is_address (settings->duties.address))
+    return fail (error, path, "duties.address", address);
   if (!is_policy (settings->calls.policy))
     return fail (error, path, "calls.policy", "expected the name of a routing policy");
   for (size_t i = 0; i < settings->cluster.n_seeds; i++)
--- /dev/null
+++ b/packages/node/src/ln-usage-rows.c
@@ -0,0 +1,149 @@
+#include "ln-usage-rows.h"
+
+#include "lb-alloc.h"
+#include "lb-clock.h"
+#include "lb-log.h"
+#include "lb-time.h"
+#include "lc-usage.h"
+#include "lp-platform.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define TABLE "usage"
+/* Between two rows of one window: what a killed instance began since the last one is not counted.
+ * All instances together make a bounded number of writes. */
+#define PERIOD (200 * LB_MSEC)
+#define PERIOD_PER_INSTANCE (4 * LB_MSEC)
+/* Windows that this instance may still write. */
+#define MOST_BEHIND 24
+
+struct LnUsageRows
+{
+  LnContext *context;
+  LcUsage *usage;
+  int64_t window_ms;
+  int64_t generation; /* of the keys */
+};
+
+typedef struct
+{
+  LnUsageRows *rows;
+  int64_t window;
+} Write;
+
+void
+ln_usage_part_prefix (size_t part, char *key)
+{
+  snprintf (key, LN_USAGE_KEY_SIZE, TABLE "/%zu/", part);
+}
+
+void
+ln_usage_window_prefix (size_t part, int64_t window, char *key)
+{
+  snprintf (key, LN_USAGE_KEY_SIZE, TABLE "/%zu/%012lld:", part, (long long)window);
+}
+
+int64_t
+ln_usage_window_of_key (const char *key)
+{
+  const char *number = strrchr (key, '/');
+  char *end = NULL;
+
+  if (!number)
+    return -1;
+  long long window = strtoll (number + 1, &end, 10);
+  return end != number + 1 && *end == ':' ? window : -1;
+}
+
+size_t
+ln_usage_start_length (const char *key)
+{
+  const char *colon = strrchr (key, ':');
+
+  return colon ? (size_t)(colon - key) : 0;
+}
+
+LnUsageRows *
+ln_usage_rows_new (LnContext *context, int64_t window_ms)
+{
+  LnUsageRows *rows = LB_NEW (LnUsageRows);
+
+  rows->context = context;
+  rows->usage = lc_usage_new (window_ms);
+  rows->window_ms = window_ms;
+  return rows;
+}
+
+void
+ln_usage_rows_free (LnUsageRows *rows)
+{
+  lc_usage_free (rows->usage);
+  free (rows);
+}
+
+void
+ln_usage_rows_began (LnUsageRows *rows, const char *organisation, int64_t true_ms)
+{
+  lc_usage_began (rows->usage, organisation, true_ms);
+}
+
+static void
+on_written (LbErrorCode error, const LpRow *row, void *user)
+{
+  (void)row;
+  Write *write = user;
+
+  /* It may be carried out later, over a newer row of the same key. */
+  if (error == LB_ERROR_STORE_UNKNOWN)
+    write->rows->generation++;
+  if (error != LB_OK)
+    lb_log (LB_LOG_INFO, "usage_row_not_written", LB_INT ("window", write->window),
+            LB_TEXT ("error", lb_error_name (error)));
+  lc_usage_written (write->rows->usage, write->window, error == LB_OK);
+  free (write);
+}
+
+/* Each row holds all that this start of the instance counted in the window. Guards against a write
+ * without an answer that is carried out after the next one, and would take counts back: after such
+ * a write the next rows have another key, and the largest counts are gone by. */
+static void
+write_row (LnUsageRows *rows, const LcUsageRow *row)
+{
+  const LnContext *context = rows->context;
+  LpPlatform *platform = context->platform;
+  size_t part = XXH3_64bits (context->instance, strlen (context->instance)) % LN_USAGE_N_PARTS;
+  char prefix[LN_USAGE_KEY_SIZE];
+  Write *write = LB_NEW (Write);
+
+  *write = (Write){ .rows = rows, .window = row->window };
+  ln_usage_window_prefix (part, row->window, prefix);
+  char *key = lb_asprintf ("%s%s:%s:%lld", prefix, context->instance, context->incarnation,
+                           (long long)rows->generation);
+  const LpPut put = { .key = key, .value = row->text };
+  const LpTransaction transaction = { .token = "", .puts = &put, .n_puts = 1 };
+  platform->klass->transact (platform, &transaction, LP_PRIORITY_LEDGER, on_written, write);
+  free (key);
+}
+
+void
+ln_usage_rows_tick (LnUsageRows *rows, size_t n_instances, int64_t true_ms, LbTime now)
+{
+  LbTime period = lb_time_later (PERIOD, (LbTime)n_instances * PERIOD_PER_INSTANCE);
+  LcUsageRow row;
+
+  while (lc_usage_next_row (rows->usage, period, now, &row))
+    {
+      write_row (rows, &row);
+      free (row.text);
+    }
+  lc_usage_forget (rows->usage, true_ms / rows->window_ms - MOST_BEHIND);
+}
+
+bool
+ln_usage_rows_is_written (const LnUsageRows *rows)
+{
+  return lc_usage_is_written (rows->usage);
+}
--- a/packages/node/src/ln-weight-orders.c
+++ b/packages/node/src/ln-weight-orders.c
@@ -1,7 +1,7 @@
 #include "ln-weight-orders.h"
 
 #include "ln-dialect.h"
-#include "ln-weights-lease.h"
+#include "ln-duty-lease.h"
 
 #include "lb-alloc.h"
 #include "lb-clock.h"
@@ -16,6 +16,7 @@
 #include <string.h>
 #include <uthash.h>
 
+#define DUTY "weights"
 #define ORDER_SILENCE (1200 * LB_MSEC) /* an order without an answer counts as lost then */
 #define LOAD_LIMIT (6 * LB_SEC)        /* several times the load of an engine on its own */
 #define LOOK_RETRY (120 * LB_MSEC)     /* after a question or an order that failed */
@@ -58,7 +59,7 @@
   LnContext *context;
   void (*on_engine) (const LcPlanEntry *entry, void *user);
   void *user;
-  LnWeightsLease *lease;
+  LnDutyLease *lease;
   LcLoadTime load_time;
   bool all_check_fences; /* all engines refuse an order with an old fencing number */
   LbList models;
@@ -93,7 +94,9 @@
   orders->context = context;
   orders->on_engine = on_engine;
   orders->user = user;
-  orders->lease = ln_weights_lease_new (context, begin_anew, orders);
+  orders->lease
+      = ln_duty_lease_new (context, DUTY, context->settings->weights.endpoints_check_fence,
+                           begin_anew, orders);
   lb_list_init (&orders->models);
   return orders;
 }
@@ -123,7 +126,7 @@
     lc_weights_free (model->weights);
     free (model);
   }
-  ln_weights_lease_free (orders->lease);
+  ln_duty_lease_free (orders->lease);
   free (orders);
 }
 
@@ -391,7 +394,7 @@
   if (model)
     lc_weights_ordered (model->weights, engine->name, error, now);
   if (error == LB_ERROR_STALE_FENCE)
-    ln_weights_lease_doubt (orders->lease, now);
+    ln_duty_lease_doubt (orders->lease, now);
 }
 
 static void
@@ -403,7 +406,7 @@
   LnWeightsOrder order = { .endpoint = action->endpoint,
                            .version = action->version,
                            .holder = orders->context->instance,
-                           .fence = ln_weights_lease_fence (orders->lease),
+                           .fence = ln_duty_lease_fence (orders->lease),
                            .mode = LN_SWAP_KEEPS };
 
   if (!engine)
@@ -440,14 +443,14 @@
 static bool
 tick_model (Model *model, LbTime now)
 {
-  const LnWeightsLease *lease = model->orders->lease;
+  const LnDutyLease *lease = model->orders->lease;
   LbLink *link;
   LbList actions;
   bool ordered = false;
 
   lb_list_init (&actions);
-  lc_weights_tick (model->weights, ln_weights_lease_may_order (lease, false, now),
-                   ln_weights_lease_may_order (lease, true, now), now, &actions);
+  lc_weights_tick (model->weights, ln_duty_lease_may_order (lease, false, now),
+                   ln_duty_lease_may_order (lease, true, now), now, &actions);
   while ((link = lb_list_pop (&actions)))
     {
       LcWeightsAction *action = LB_CONTAINER (link, LcWeightsAction, link);
@@ -501,8 +504,8 @@
 void
 ln_weight_orders_tick (LnWeightOrders *orders, LbTime now)
 {
-  ln_weights_lease_tick (orders->lease, orders->all_check_fences, now);
-  if (!ln_weights_lease_is_held (orders->lease))
+  ln_duty_lease_tick (orders->lease, orders->all_check_fences, now);
+  if (!ln_duty_lease_is_held (orders->lease))
     return;
   tick_models (orders, now);
   for (Engine *engine = orders->engines; engine; engine = engine->hh.next)
@@ -513,29 +516,29 @@
 void
 ln_weight_orders_members (LnWeightOrders *orders, const LnMembersMessage *members)
 {
-  ln_weights_lease_members (orders->lease, members);
+  ln_duty_lease_members (orders->lease, members);
 }
 
 void
 ln_weight_orders_release (LnWeightOrders *orders, LbTime now)
 {
-  ln_weights_lease_release (orders->lease, now);
+  ln_duty_lease_release (orders->lease, now);
 }
 
 bool
 ln_weight_orders_is_held (const LnWeightOrders *orders)
 {
-  return ln_weights_lease_is_held (orders->lease);
+  return ln_duty_lease_is_held (orders->lease);
 }
 
 bool
 ln_weight_orders_is_candidate (const LnWeightOrders *orders)
 {
-  return ln_weights_lease_is_candidate (orders->lease);
+  return ln_duty_lease_is_candidate (orders->lease);
 }
 
 bool
 ln_weight_orders_is_released (const LnWeightOrders *orders, LbTime now)
 {
-  return ln_weights_lease_is_released (orders->lease, now);
+  return ln_duty_lease_is_released (orders->lease, now);
 }
--- a/tests/process/pt-shared.c
+++ b/tests/process/pt-shared.c
@@ -60,6 +60,7 @@
       cr_assert (si_sampler_init (&w->engines[i], w->base, &w->rows, name, "engines", "m"));
     }
   cr_assert (si_sampler_init (&w->lookup, w->base, &w->rows, "i-lookup", "lookups", ""));
+  cr_assert (si_cloud_init (&w->cloud, w->base));
   ps_put_config (w, 1, "");
 }
 
@@ -77,6 +78,7 @@
   for (int i = 0; i < PS_N_ENGINES; i++)
     si_sampler_clear (&w->engines[i]);
   si_sampler_clear (&w->lookup);
+  si_cloud_clear (&w->cloud);
   si_rows_clear (&w->rows);
   event_base_free (w->base);
   free (w->body);
@@ -170,12 +172,25 @@
   return instance == 0 ? &w->rows.server : &w->rows.far;
 }
 
+/* NULL: the platform wants no calls. Windows of a second, so that no test waits long for one. */
+static char *
+duties_of (const PsWorld *w)
+{
+  if (!w->has_duties)
+    return NULL;
+  return lb_asprintf (" \"duties\": {\"address\": \"%s\", \"usage_window_s\": 1,"
+                      " \"usage_due_s\": 10, \"kinds\": [\"usage_report\", \"autoscale\"]},",
+                      w->cloud.server.address);
+}
+
 static void
 write_settings (PsWorld *w, PsInstance *instance)
 {
   const SiServer *store = ps_store_of (w, (size_t)(instance - w->instances));
   char path[128];
 
+  char *duties = duties_of (w);
+
   pt_relay_init (&instance->to_store, w->base, store->address);
   snprintf (path, sizeof path, "%s/%s.json", w->folder, instance->name);
   FILE *out = fopen (path, "w");
@@ -185,11 +200,13 @@
            " \"caller_address\": \"127.0.0.1:0\", \"peer_address\": \"127.0.0.1:0\","
            " \"metrics_address\": \"127.0.0.1:0\"},"
            " \"platform\": {\"kind\": \"shared\", \"address\": \"%s\", \"deadline_ms\": 1000},"
-           " \"batches\": {\"keep_ended_s\": 5},"
+           " \"batches\": {\"keep_ended_s\": 5},%s"
            " \"drain\": {\"drain_ms\": 300, \"entry_ttl_ms\": 2000},"
            " \"address_file\": \"%s/%s.addr\"}",
-           instance->name, instance->to_store.address, w->folder, instance->name);
+           instance->name, instance->to_store.address, duties ? duties : "", w->folder,
+           instance->name);
   fclose (out);
+  free (duties);
 }
 
 static bool
--- a/tests/process/pt-shared.h
+++ b/tests/process/pt-shared.h
@@ -3,6 +3,7 @@
 
 #include "pt-process.h"
 #include "pt-relay.h"
+#include "si-cloud.h"
 #include "si-sampler.h"
 
 #include "lb-clock.h"
@@ -34,6 +35,8 @@
   SiRows rows;
   SiSampler engines[PS_N_ENGINES];
   SiSampler lookup;
+  SiCloud cloud; /* the platform beside its store; instances call it where has_duties is set */
+  bool has_duties;
   PsInstance instances[PS_MAX_INSTANCES];
   size_t n_instances;
   const char *organisations; /* more of the desired state; NULL: it declares none */
--- /dev/null
+++ b/tests/process/test-duties.c
@@ -0,0 +1,139 @@
+#include "pt-shared.h"
+
+#include "lb-alloc.h"
+
+#include <criterion/criterion.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+/* Two organisations call at two instances; one of these reports to the platform how much each of
+ * them used. */
+
+#define ORGANISATIONS                                                                              \
+  ", \"tenants\": [{\"name\": \"post\", \"apiKeys\": [\"post-1\"], \"priority\": 0},"              \
+  " {\"name\": \"mill\", \"apiKeys\": [\"mill-1\"], \"priority\": 1}]"
+#define N_INSTANCES 2
+
+static void
+begin (PsWorld *w)
+{
+  ps_world_init (w);
+  w->organisations = ORGANISATIONS;
+  w->has_duties = true;
+  ps_put_config (w, 2, "");
+  for (int i = 0; i < N_INSTANCES; i++)
+    ps_start_instance (w);
+  PS_UNTIL (w, w->cloud.calls > 0);
+}
+
+static void
+call (PsWorld *w, size_t instance, const char *key, int n)
+{
+  static int number;
+  char id[16];
+
+  w->key = key;
+  for (int i = 0; i < n; i++)
+    {
+      snprintf (id, sizeof id, "c%d", ++number);
+      ps_call (w, instance, "POST", "/lookup/1", id, "");
+      cr_assert_eq (w->status, 200);
+    }
+}
+
+static bool
+is_reported (const PsWorld *w, int64_t post, int64_t mill)
+{
+  return si_cloud_requests_of (&w->cloud, "post") == post
+         && si_cloud_requests_of (&w->cloud, "mill") == mill;
+}
+
+static size_t
+holder (PsWorld *w)
+{
+  for (size_t i = 0; i < w->n_instances; i++)
+    if (w->cloud.n_reports > 0
+        && strcmp (w->cloud.reports[w->cloud.n_reports - 1].holder, w->instances[i].name) == 0)
+      return i;
+  return w->n_instances;
+}
+
+static void
+end (PsWorld *w)
+{
+  cr_assert_eq (w->cloud.differing, 0);
+  cr_assert_eq (w->cloud.without_one, 0);
+  ps_world_clear (w);
+}
+
+Test (duties, all_instances_usage_is_reported_by_one)
+{
+  PsWorld w;
+
+  begin (&w);
+  call (&w, 0, "post-1", 5);
+  call (&w, 1, "post-1", 2);
+  call (&w, 1, "mill-1", 3);
+  PS_UNTIL (&w, is_reported (&w, 7, 3));
+  cr_assert_eq (w.cloud.stale, 0);
+  end (&w);
+}
+
+/* The instance that served the calls and the one that reports are killed a moment later. What they
+ * counted is in the store by then, and another one reports it; no window is reported twice with
+ * other figures. */
+Test (duties, usage_outlives_its_instances)
+{
+  PsWorld w;
+
+  begin (&w);
+  PS_UNTIL (&w, holder (&w) < w.n_instances);
+  size_t killed = holder (&w);
+  call (&w, killed, "post-1", 4);
+  PS_UNTIL (&w, si_rows_count (&w.rows, "usage") > 0);
+  for (LbTime until = lb_clock_monotonic () + 300 * LB_MSEC; lb_clock_monotonic () < until;)
+    ps_turn (&w);
+  pt_process_signal (&w.instances[killed].process, SIGKILL);
+  call (&w, 1 - killed, "mill-1", 2);
+  PS_UNTIL (&w, is_reported (&w, 4, 2));
+  end (&w);
+}
+
+/* The platform carries reports out and its answers are lost, then it refuses calls. Reports are
+ * repeated as they were until they are taken. */
+Test (duties, a_platform_that_is_not_well_gets_each_report_once)
+{
+  PsWorld w;
+
+  begin (&w);
+  w.cloud.mode = SI_CLOUD_LOSES_REPLY;
+  call (&w, 0, "post-1", 3);
+  int calls = w.cloud.calls;
+  PS_UNTIL (&w, w.cloud.calls >= calls + 4);
+  w.cloud.mode = SI_CLOUD_BUSY;
+  calls = w.cloud.calls;
+  PS_UNTIL (&w, w.cloud.calls >= calls + 4);
+  w.cloud.mode = SI_CLOUD_WELL;
+  call (&w, 1, "post-1", 1);
+  PS_UNTIL (&w, is_reported (&w, 4, 0));
+  end (&w);
+}
+
+/* The holder is stopped as planned: it gives the lease up, and the next one goes on at once. What
+ * the stopped one served until its end is reported as well. */
+Test (duties, a_planned_stop_hands_the_duty_over)
+{
+  PsWorld w;
+
+  begin (&w);
+  PS_UNTIL (&w, holder (&w) < w.n_instances);
+  size_t stopped = holder (&w);
+  call (&w, stopped, "post-1", 2);
+  pt_process_signal (&w.instances[stopped].process, SIGTERM);
+  call (&w, stopped, "post-1", 1);
+  PS_UNTIL (&w, w.instances[stopped].process.ended);
+  PS_UNTIL (&w, is_reported (&w, 3, 0));
+  PS_UNTIL (&w, holder (&w) == 1 - stopped);
+  end (&w);
+}
