Who left while another instance listed is not taken for alive

When it lists again, as the next publisher, it remembered who lived half a minute before, and took the time without lists for an outage of the store, in which nobody could renew. Ruled out by a log of all instances: a start of the instance that named it (it had run since the beginning). Change: what was listed is forgotten when another instance begins to list; duties and batches go to confirmed instances. Before: node-test-fleet-lists failed.

--- a/packages/core/tests/test-usage-reports.c
+++ b/packages/core/tests/test-usage-reports.c
@@ -149,7 +149,7 @@
 apply (Call *call)
 {
   LbTime away_until = goes_to_platform (call) ? w.platform_away_until : w.store_away_until;
-  char **row = call->window < N_WINDOWS ? &w.decided[call->window] : NULL;
+  char **row = &w.decided[call->window];
 
   call->applied = true;
   call->ok = w.now >= away_until;
--- a/packages/node/include/ln-messages.h
+++ b/packages/node/include/ln-messages.h
@@ -164,6 +164,7 @@
   LbName caller_address; /* where callers connect */
   LbName peer_address;   /* where instances connect */
   bool alive;            /* not suspected */
+  bool confirmed;        /* known to have lived lately; may be false of one that has just started */
   bool draining;
   bool cut;              /* reaches the store only with the help of others */
   int64_t strength;      /* of its machine, see lc-duty.h */
--- a/packages/node/src/ln-batch-heads.c
+++ b/packages/node/src/ln-batch-heads.c
@@ -211,7 +211,7 @@
   for (size_t i = 0; i < batches->n_members; i++)
     {
       const LnMember *member = &batches->members[i];
-      if (!member->alive || member->draining || member->cut != cut)
+      if (!member->alive || !member->confirmed || member->draining || member->cut != cut)
         continue;
       LB_COPY (candidates[n].name, member->name);
       candidates[n++].strength = member->strength;
--- a/packages/node/src/ln-catalog.c
+++ b/packages/node/src/ln-catalog.c
@@ -256,7 +256,7 @@
   for (size_t i = 0; i < catalog->n_members; i++)
     {
       const LcFleetMember *member = &catalog->members[i];
-      if (!member->alive || member->row.draining || member->row.cut
+      if (!member->alive || !member->confirmed || member->row.draining || member->row.cut
           || strcmp (member->row.name, publisher) == 0)
         continue;
       LB_COPY (candidates[n].name, member->row.name);
--- a/packages/node/src/ln-duty-lease.c
+++ b/packages/node/src/ln-duty-lease.c
@@ -136,7 +136,7 @@
 static bool
 may_hold (const LnMember *member)
 {
-  return member->alive && !member->draining && !member->cut;
+  return member->alive && member->confirmed && !member->draining && !member->cut;
 }
 
 /* This instance counts as one also where it may not hold the lease now: a holder that is cut off
--- a/packages/node/src/ln-fleet-lists.c
+++ b/packages/node/src/ln-fleet-lists.c
@@ -48,6 +48,7 @@
 struct LnFleetLists
 {
   LpPlatform *platform;
+  LbName self;
   Listing all;
   Listing on_duty;
   LcFleetMember *members; /* of both, or as heard */
@@ -111,6 +112,7 @@
   LnFleetLists *lists = LB_NEW (LnFleetLists);
 
   lists->platform = platform;
+  LB_COPY (lists->self, self);
   lists->on_change = on_change;
   lists->user = user;
   listing_init (&lists->all, lists, self, all_prefixes, N_PARTS);
@@ -217,10 +219,28 @@
     platform->klass->list (platform, listing->prefixes[i], NULL, 0, on_list, listing);
 }
 
+static void
+forget (Listing *listing, const char *self)
+{
+  lc_fleet_free (listing->fleet);
+  ln_row_cache_free (listing->rows);
+  listing->fleet = lc_fleet_new (self);
+  listing->rows = ln_row_cache_new (&rows_class, NULL);
+  listing->begun = false;
+  listing->failed = listing->waiting > 0;
+}
+
+/* Guards against what was listed long ago: the time without lists looks like an outage of the
+ * store, in which nobody could renew, and whoever left meanwhile would count as alive. */
 void
 ln_fleet_lists_set_followed (LnFleetLists *lists, bool followed)
 {
   lists->is_unsaid |= lists->followed && !followed;
+  if (followed && !lists->followed)
+    {
+      forget (&lists->all, lists->self);
+      forget (&lists->on_duty, lists->self);
+    }
   lists->followed = followed;
 }
 
--- a/packages/node/src/ln-fleet.c
+++ b/packages/node/src/ln-fleet.c
@@ -65,6 +65,7 @@
       member->strength = known->row.strength;
       member->clock_lead_ms = known->row.clock_lead_ms;
       member->is_self = strcmp (known->row.name, task->context->instance) == 0;
+      member->confirmed = known->confirmed || member->is_self;
     }
   LN_POST (task->task.hub, NULL, message);
 }
