Cheaper engines are ordered so that each text of a step finds a place

Change: LcScaling (core) works out from what trainers ask how many endpoints of the cheaper kind a service needs so that one step of each model has a place for each text; the holder of the platform's calls orders them, the cheapest data centre first, elsewhere when refused, fewer only after ten seconds, again after an order without an answer. Engines of the full price stay as they are, since the cheaper ones may be taken away all at once. Switch: measure.off scaling. Ruled out: fewer engines of the full price (they hold what is due when the others go).

--- a/packages/base/include/lb-switch.h
+++ b/packages/base/include/lb-switch.h
@@ -23,6 +23,7 @@
   LB_SWITCH_BREAKERS,
   LB_SWITCH_PREFIX_AFFINITY,
   LB_SWITCH_IDLE_CONNECTIONS, /* kept for the next request */
+  LB_SWITCH_SCALING,          /* cheaper endpoints by what trainers ask */
   LB_N_SWITCHES
 } LbSwitch;
 
--- a/packages/base/src/lb-switch.c
+++ b/packages/base/src/lb-switch.c
@@ -18,6 +18,7 @@
   [LB_SWITCH_BREAKERS] = "breakers",
   [LB_SWITCH_PREFIX_AFFINITY] = "prefix_affinity",
   [LB_SWITCH_IDLE_CONNECTIONS] = "idle_connections",
+  [LB_SWITCH_SCALING] = "scaling",
 };
 
 static bool is_off[LB_N_SWITCHES];
--- a/packages/core/include/lc-desired.h
+++ b/packages/core/include/lc-desired.h
@@ -42,9 +42,28 @@
   size_t n_targets;
 } LcRoute;
 
+typedef struct
+{
+  LbName data_centre;
+  double price; /* of an endpoint there, against others */
+} LcDataCentrePrice;
+
+#define LC_MAX_DATA_CENTRES 16
+
+/* What may be ordered of a service's endpoints. */
+typedef struct
+{
+  int64_t min;        /* in each data centre, of both kinds together */
+  int64_t max;        /* the same; 0: none may be ordered */
+  double cheap_price; /* of those that may be taken away, against the others; 0: there are none */
+  LcDataCentrePrice prices[LC_MAX_DATA_CENTRES];
+  size_t n_prices;
+} LcScalingLimits;
+
 typedef struct
 {
   LbName name;
+  LcScalingLimits scaling;
   int64_t max_connections;  /* of one endpoint, from all instances together */
   int64_t tokens_per_event; /* of an engine's stream; 0: not known, or a plain service */
 } LcService;
--- a/packages/core/include/lc-roster.h
+++ b/packages/core/include/lc-roster.h
@@ -25,6 +25,7 @@
   LbName service;
   int64_t slots; /* requests that it works on at once */
   bool leaving;
+  bool is_cheap;                      /* of the kind that costs less and may be taken away */
   LcModelState models[LC_MAX_MODELS]; /* none: a plain service */
   size_t n_models;
 } LcListed;
--- a/packages/core/src/lc-listed.c
+++ b/packages/core/src/lc-listed.c
@@ -20,6 +20,8 @@
   json_object_object_add (object, "service", json_object_new_string (listed->service));
   json_object_object_add (object, "slots", json_object_new_int64 (listed->slots));
   json_object_object_add (object, "leaving", json_object_new_boolean (listed->leaving));
+  if (listed->is_cheap)
+    json_object_object_add (object, "cheap", json_object_new_boolean (true));
   json_object_object_add (object, "models", models);
   return lb_json_take_text (object, JSON_C_TO_STRING_PLAIN);
 }
@@ -54,6 +56,7 @@
   LB_COPY (listed->service, lb_json_text (object, "service", ""));
   listed->slots = lb_json_int (object, "slots", 0);
   listed->leaving = lb_json_bool (object, "leaving", true);
+  listed->is_cheap = lb_json_bool (object, "cheap", false);
   bool ok = read_models (lb_json_member (object, "models"), listed) && listed->name[0]
             && listed->address[0] && listed->service[0] && listed->slots > 0;
   json_object_put (object);
--- a/packages/core/src/lc-roster.c
+++ b/packages/core/src/lc-roster.c
@@ -475,7 +475,9 @@
   member->kind = listed->n_models > 0 ? LC_ENDPOINT_ENGINE : LC_ENDPOINT_SERVICE;
   LB_COPY (member->name, listed->name);
   LB_COPY (member->pool, listed->n_models > 0 ? model : listed->service);
+  LB_COPY (member->service, listed->service);
   LB_COPY (member->address, listed->address);
+  member->is_cheap = listed->is_cheap;
   LB_COPY (member->data_centre, listed->data_centre);
   member->leaving = listed->leaving;
   member->checks_fence = checks_fence;
--- a/packages/node/include/ln-messages.h
+++ b/packages/node/include/ln-messages.h
@@ -36,7 +36,7 @@
   LN_DESIRED_CONFIRMED, /* config -> all: the last LN_DESIRED is still the newest */
   LN_LIST_TAKEN,        /* config -> calls: which list of the endpoints is gone by */
   LN_LISTED,            /* config -> calls: an endpoint is still listed, with this version */
-  LN_DEMAND,            /* rollouts -> config: a trainer brought a batch */
+  LN_DEMAND,            /* rollouts -> config, duties: a trainer brought a batch */
   LN_DUTY,              /* rollouts, config -> all: whether this instance has a duty has changed */
   LN_BEGAN,             /* calls -> duties: an organisation's request began to run */
   LN_READY              /* config -> all: whether new work may be taken has changed */
@@ -152,6 +152,7 @@
   LnMessage base;
   LbName model;
   int64_t tokens;
+  int64_t texts;
 } LnDemandMessage;
 
 /* One instance as this one sees it. */
--- a/packages/node/src/ln-batch-heads.c
+++ b/packages/node/src/ln-batch-heads.c
@@ -131,16 +131,20 @@
   ln_batch_heads_review (batch);
 }
 
-static void
-tell_demand (LnBatches *batches, const LcBatchHead *head)
+void
+ln_batch_heads_tell_demand (LnBatches *batches, const LcBatchHead *head)
 {
-  LnDemandMessage message = { .base = LN_MESSAGE (LN_DEMAND), .tokens = head->tokens };
-  LnTask *config = ln_hub_find (batches->task.hub, "config");
+  static const char *const tasks[] = { "config", "duties" };
+  LnDemandMessage message
+      = { .base = LN_MESSAGE (LN_DEMAND), .tokens = head->tokens, .texts = head->total };
 
-  if (!config)
-    return;
   LB_COPY (message.model, head->model);
-  LN_POST (batches->task.hub, config, message);
+  for (size_t i = 0; i < sizeof tasks / sizeof tasks[0]; i++)
+    {
+      LnTask *task = ln_hub_find (batches->task.hub, tasks[i]);
+      if (task)
+        LN_POST (batches->task.hub, task, message);
+    }
 }
 
 bool
@@ -163,7 +167,7 @@
   /* Ended ones count as well: an instance that has just begun, and divides the engines, would know
    * the one or two steps alone that are open, and move engines for the lengths of their texts. */
   if (batch->version == 0)
-    tell_demand (batches, &head);
+    ln_batch_heads_tell_demand (batches, &head);
   batch->head = head;
   batch->version = row->version;
   note_change (batch, &before);
--- a/packages/node/src/ln-batch-submit.c
+++ b/packages/node/src/ln-batch-submit.c
@@ -30,6 +30,8 @@
   lb_metric_add (&accepted, 1);
   lb_log (LB_LOG_INFO, "batch_accepted", LB_TEXT ("batch", call->id),
           LB_INT ("items", call->spec.n_items), LB_INT ("tries", call->tries));
+  if (batch->version == 0)
+    ln_batch_heads_tell_demand (batches, &call->head);
   if (version > batch->version)
     {
       batch->head = call->head;
--- a/packages/node/src/ln-batches-private.h
+++ b/packages/node/src/ln-batches-private.h
@@ -131,6 +131,8 @@
                               LpPriority priority,
                               LpTransactDone done,
                               void *user);
+/* A trainer brought the batch: engines are divided, and ordered, by what is asked for. */
+void ln_batch_heads_tell_demand (LnBatches *batches, const LcBatchHead *head);
 /* Takes a row that was read or written; false when it can't be read. */
 bool ln_batch_heads_take (LnBatches *batches, const LpRow *row);
 /* Begins to run the batch if its row says that it is ours and nothing runs. */
--- a/packages/node/src/ln-duties.c
+++ b/packages/node/src/ln-duties.c
@@ -3,12 +3,14 @@
 #include "ln-dialect.h"
 #include "ln-duty-lease.h"
 #include "ln-messages.h"
+#include "ln-scaler.h"
 #include "ln-true-time.h"
 #include "ln-usage-reporter.h"
 #include "ln-usage-rows.h"
 
 #include "lb-alloc.h"
 #include "lb-clock.h"
+#include "lb-switch.h"
 #include "lb-time.h"
 
 #include <event2/event.h>
@@ -31,6 +33,7 @@
   LnDutyLease *lease;
   LnUsageRows *rows;         /* NULL: the platform wants no reports of usage */
   LnUsageReporter *reporter; /* the same */
+  LnScaler *scaler;          /* NULL: it takes no orders of endpoints */
   size_t n_members;
   bool was_held;         /* as the others were told */
   LbTime draining_since; /* 0: it is not */
@@ -56,6 +59,8 @@
 
   if (duties->reporter)
     ln_usage_reporter_set_held (duties->reporter, held);
+  if (duties->scaler)
+    ln_scaler_set_held (duties->scaler, held);
   tell_held (duties, held);
 }
 
@@ -69,10 +74,13 @@
   int64_t true_ms = ln_true_time_ms (duties->time, now);
 
   ln_duty_lease_tick (duties->lease, duties->context->settings->duties.platform_checks_fence, now);
-  if (!duties->rows)
-    return;
-  ln_usage_rows_tick (duties->rows, duties->n_members, true_ms, now);
-  ln_usage_reporter_tick (duties->reporter, true_ms, now);
+  if (duties->rows)
+    {
+      ln_usage_rows_tick (duties->rows, duties->n_members, true_ms, now);
+      ln_usage_reporter_tick (duties->reporter, true_ms, now);
+    }
+  if (duties->scaler)
+    ln_scaler_tick (duties->scaler, now);
 }
 
 static void
@@ -84,6 +92,17 @@
     ln_duty_lease_members (duties->lease, message);
 }
 
+static void
+tell_scaler (LnScaler *scaler, const LnMessage *message)
+{
+  if (message->type == LN_DEMAND)
+    ln_scaler_demand (scaler, (const LnDemandMessage *)message, lb_clock_monotonic ());
+  else if (message->type == LN_DESIRED)
+    ln_scaler_desired (scaler, ((const LnDesiredMessage *)message)->desired);
+  else if (message->type == LN_CONFIG)
+    ln_scaler_endpoints (scaler, ((const LnConfigMessage *)message)->set);
+}
+
 static void
 receive (LnTask *task, const LnMessage *message)
 {
@@ -95,6 +114,8 @@
   else if (message->type == LN_BEGAN && duties->rows)
     ln_usage_rows_began (duties->rows, began->organisation,
                          ln_true_time_ms (duties->time, began->at));
+  else if (duties->scaler)
+    tell_scaler (duties->scaler, message);
 }
 
 static void
@@ -129,6 +150,8 @@
       ln_usage_reporter_free (duties->reporter);
       ln_usage_rows_free (duties->rows);
     }
+  if (duties->scaler)
+    ln_scaler_free (duties->scaler);
   ln_duty_lease_free (duties->lease);
   ln_true_time_free (duties->time);
   free (duties);
@@ -155,6 +178,7 @@
 {
   const struct timeval tick = lb_time_to_timeval (TICK);
   bool reports = wants (context, LN_PLATFORM_USAGE);
+  bool scales = wants (context, LN_PLATFORM_SCALE) && lb_switch_is_on (LB_SWITCH_SCALING);
   Duties *duties = LB_NEW (Duties);
 
   duties->task.klass = &duties_class;
@@ -168,8 +192,10 @@
       duties->rows = ln_usage_rows_new (context, context->settings->duties.usage_window_s * 1000);
       duties->reporter = ln_usage_reporter_new (context, duties->lease);
     }
+  if (scales)
+    duties->scaler = ln_scaler_new (context, duties->lease);
   duties->timer = event_new (context->base, -1, EV_PERSIST, on_tick, duties);
-  if (reports)
+  if (reports || scales)
     event_add (duties->timer, &tick);
   return &duties->task;
 }
--- /dev/null
+++ b/packages/node/src/ln-scaler.c
@@ -0,0 +1,146 @@
+#include "ln-scaler.h"
+
+#include "ln-dialect.h"
+#include "ln-platform-call.h"
+
+#include "lb-alloc.h"
+#include "lb-clock.h"
+#include "lb-log.h"
+#include "lc-scaling.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+struct LnScaler
+{
+  LnContext *context;
+  LnDutyLease *lease;
+  LcScaling *scaling;
+  LcDesired *desired; /* NULL: none is known */
+  LcResourceSet *set; /* the endpoints; NULL: none is known */
+  LbList calls;
+  int64_t epoch; /* counts the times that the duty was gained or lost */
+};
+
+typedef struct
+{
+  LnScaler *scaler;
+  LcScalingOrder order;
+  int64_t epoch;
+} Call;
+
+LnScaler *
+ln_scaler_new (LnContext *context, LnDutyLease *lease)
+{
+  LnScaler *scaler = LB_NEW (LnScaler);
+
+  scaler->context = context;
+  scaler->lease = lease;
+  scaler->scaling = lc_scaling_new ();
+  lb_list_init (&scaler->calls);
+  return scaler;
+}
+
+void
+ln_scaler_free (LnScaler *scaler)
+{
+  ln_platform_calls_clear (&scaler->calls);
+  lc_scaling_free (scaler->scaling);
+  lc_desired_unref (scaler->desired);
+  lc_resource_set_free (scaler->set);
+  free (scaler);
+}
+
+void
+ln_scaler_set_held (LnScaler *scaler, bool held)
+{
+  scaler->epoch++;
+  if (held)
+    lc_scaling_restart (scaler->scaling);
+}
+
+void
+ln_scaler_demand (LnScaler *scaler, const LnDemandMessage *demand, LbTime now)
+{
+  lc_scaling_demand (scaler->scaling, demand->model, demand->texts, now);
+}
+
+void
+ln_scaler_desired (LnScaler *scaler, LcDesired *desired)
+{
+  lc_desired_unref (scaler->desired);
+  scaler->desired = lc_desired_ref (desired);
+}
+
+void
+ln_scaler_endpoints (LnScaler *scaler, const LcResourceSet *set)
+{
+  lc_resource_set_free (scaler->set);
+  scaler->set = lc_resource_set_copy (set);
+}
+
+static LcScalingOutcome
+outcome_of (LnDutyOutcome outcome)
+{
+  switch (outcome)
+    {
+    case LN_DUTY_DONE:
+      return LC_SCALING_TAKEN;
+    case LN_DUTY_UNANSWERED:
+      return LC_SCALING_UNKNOWN;
+    case LN_DUTY_REFUSED:
+    case LN_DUTY_BUSY:
+      break;
+    }
+  return LC_SCALING_REFUSED;
+}
+
+/* A refusal may mean that a younger holder was there: the lease is looked at, and tells. */
+static void
+on_ordered (LnDutyOutcome outcome, void *user)
+{
+  Call *call = user;
+  LnScaler *scaler = call->scaler;
+  LbTime now = lb_clock_monotonic ();
+
+  if (outcome == LN_DUTY_REFUSED)
+    ln_duty_lease_doubt (scaler->lease, now);
+  if (call->epoch == scaler->epoch)
+    lc_scaling_ordered (scaler->scaling, &call->order, outcome_of (outcome), now);
+  free (call);
+}
+
+static void
+order (LnScaler *scaler, const LcScalingOrder *wanted)
+{
+  const LnContext *context = scaler->context;
+  const LnDutyWords words
+      = { .holder = context->instance, .fence = ln_duty_lease_fence (scaler->lease) };
+  const LnScaleOrder scale = { .service = wanted->service,
+                               .data_centre = wanted->data_centre,
+                               .endpoints = wanted->endpoints,
+                               .is_cheap = true };
+  Call *call = LB_NEW (Call);
+  LcOutgoing outgoing;
+
+  *call = (Call){ .scaler = scaler, .order = *wanted, .epoch = scaler->epoch };
+  context->dialect->write_scale (&words, &scale, &outgoing);
+  lb_log (LB_LOG_INFO, "endpoints_ordered", LB_TEXT ("service", wanted->service),
+          LB_TEXT ("data_centre", wanted->data_centre), LB_INT ("endpoints", wanted->endpoints),
+          LB_INT ("fence", words.fence));
+  ln_platform_call (context, &scaler->calls, &outgoing, on_ordered, call);
+  lc_outgoing_clear (&outgoing);
+}
+
+void
+ln_scaler_tick (LnScaler *scaler, LbTime now)
+{
+  bool unfenced = !scaler->context->settings->duties.platform_checks_fence;
+  LcScalingOrder wanted;
+
+  if (!scaler->desired || !scaler->set)
+    return;
+  while (ln_duty_lease_may_order (scaler->lease, unfenced, now)
+         && lc_scaling_next (scaler->scaling, scaler->desired, scaler->set, now, &wanted))
+    order (scaler, &wanted);
+}
--- /dev/null
+++ b/packages/node/src/ln-scaler.h
@@ -0,0 +1,23 @@
+#ifndef LN_SCALER_H
+#define LN_SCALER_H
+
+#include "ln-context.h"
+#include "ln-duty-lease.h"
+#include "ln-messages.h"
+
+/* Orders endpoints of the platform while this instance has the duty: carries out what LcScaling
+ * decides. */
+typedef struct LnScaler LnScaler;
+
+/* The lease stays the caller's. */
+LnScaler *ln_scaler_new (LnContext *context, LnDutyLease *lease);
+void ln_scaler_free (LnScaler *scaler);
+
+/* commands */
+void ln_scaler_set_held (LnScaler *scaler, bool held);
+void ln_scaler_demand (LnScaler *scaler, const LnDemandMessage *demand, LbTime now);
+void ln_scaler_desired (LnScaler *scaler, LcDesired *desired);
+void ln_scaler_endpoints (LnScaler *scaler, const LcResourceSet *set);
+void ln_scaler_tick (LnScaler *scaler, LbTime now);
+
+#endif
