--- a/packages/core/tests/test-lease.c
+++ b/packages/core/tests/test-lease.c
@@ -586,3 +586,67 @@
   cr_assert_not (lc_lease_holder_has_ended (lease, &view));
   lc_lease_free (lease);
 }
+
+/* One instance's view of a table that the test plays: reads the row of `holder` with the fencing
+ * number, and carries out the claim that follows, if there is one. */
+static void
+see_row (LcLease *lease, const char *holder, int64_t fence, LbTime at)
+{
+  LcLeaseRow row = { .fence = fence, .released = strcmp (holder, "nobody") == 0 };
+  LbList actions;
+  LbLink *link;
+  bool claims = false;
+
+  LB_COPY (row.holder, holder);
+  LB_COPY (row.incarnation, holder);
+  lb_list_init (&actions);
+  lc_lease_tick (lease, at, 0, &actions);
+  lc_lease_was_read (lease, LB_OK, &row, fence, at, &actions);
+  while ((link = lb_list_pop (&actions)))
+    {
+      LcLeaseAction *action = LB_CONTAINER (link, LcLeaseAction, link);
+      claims |= action->type == LC_LEASE_WRITE;
+      free (action);
+    }
+  if (claims)
+    lc_lease_was_written (lease, LB_OK, at, &actions);
+  while ((link = lb_list_pop (&actions)))
+    free (LB_CONTAINER (link, LcLeaseAction, link));
+}
+
+static LcLease *
+make_turn_taker (void)
+{
+  LcLeaseSettings settings;
+
+  lc_lease_settings_init (&settings);
+  settings.turn_time = 3 * LB_SEC;
+  LB_COPY (settings.instance, "b");
+  LB_COPY (settings.incarnation, "b");
+  LcLease *lease = lc_lease_new (&settings, LB_SEC, 0);
+  lc_lease_set_rank (lease, 0);
+  return lease;
+}
+
+/* A holder loses the lease to another instance, which gives it up a second later. Were the first
+ * one to order again at once, receivers would hear the two in turn within three seconds, and could
+ * not tell its orders from old ones that come late. */
+Test (lease, a_holder_that_gets_it_back_waits_its_turn)
+{
+  LcLease *lease = make_turn_taker ();
+
+  see_row (lease, "nobody", 4, 2 * LB_SEC);
+  cr_assert (lc_lease_may_order (lease, false, 2 * LB_SEC));
+  see_row (lease, "a", 6, 4 * LB_SEC);
+  cr_assert_not (lc_lease_is_held (lease));
+  see_row (lease, "nobody", 7, 5 * LB_SEC);
+  cr_assert (lc_lease_is_held (lease));
+  for (LbTime at = 5 * LB_SEC; at < 7 * LB_SEC; at += LB_SEC / 2)
+    {
+      see_row (lease, "b", 8, at);
+      cr_assert_not (lc_lease_may_order (lease, false, at), "at %lld", (long long)at);
+    }
+  see_row (lease, "b", 8, 7 * LB_SEC);
+  cr_assert (lc_lease_may_order (lease, false, 7100 * LB_MSEC), "three seconds after it lost it");
+  lc_lease_free (lease);
+}
--- a/tests/soak/sk-callers.c
+++ b/tests/soak/sk-callers.c
@@ -207,14 +207,16 @@
   Call *call = LB_NEW (Call);
   char path[32];
   char deadline[16];
-  const LhHeader headers[] = { { "Attempt-Id", call->id }, { "Deadline-Ms", deadline } };
+  const LhHeader headers[] = { { "Attempt-Id", call->id },
+                               { "Deadline-Ms", deadline },
+                               { "Api-Key", SK_CALLERS_KEY } };
   const LhHandlers handlers = { .on_done = on_done };
   const LhRequest request = { .method = "POST",
                               .address = instance->address,
                               .path = path,
                               .host = SK_HOST,
                               .headers = headers,
-                              .n_headers = 2,
+                              .n_headers = 3,
                               .body = "hello",
                               .body_length = 5,
                               .silence = DEADLINE + 2 * ANSWER_SLACK,
--- a/tests/soak/sk-crasher.c
+++ b/tests/soak/sk-crasher.c
@@ -81,14 +81,16 @@
 send_to (SkCrasher *crasher, SkInstance *instance)
 {
   Call *call = LB_NEW (Call);
-  const LhHeader headers[] = { { "Attempt-Id", call->id }, { "Deadline-Ms", DEADLINE_MS } };
+  const LhHeader headers[] = { { "Attempt-Id", call->id },
+                               { "Deadline-Ms", DEADLINE_MS },
+                               { "Api-Key", SK_CALLERS_KEY } };
   const LhHandlers handlers = { .on_done = on_done };
   const LhRequest request = { .method = "POST",
                               .address = instance->address,
                               .path = "/lookup/again",
                               .host = SK_HOST,
                               .headers = headers,
-                              .n_headers = 2,
+                              .n_headers = 3,
                               .body = SK_CRASHER_BODY,
                               .body_length = strlen (SK_CRASHER_BODY),
                               .silence = LONGEST_SILENCE,
--- a/tests/soak/sk-trainer.c
+++ b/tests/soak/sk-trainer.c
@@ -8,6 +8,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #define N_ITEMS 24
 #define RETRY (120 * LB_MSEC)
@@ -230,16 +231,21 @@
          && sk_instance_is_calm (trainer->asked, since) && trainer->world->disturbed_at < since;
 }
 
-/* The row that stands for the batch, in whichever part. */
+/* The row that stands for the batch, in whichever part, under its id and a hash of its organisation.
+ */
 static bool
 is_stored (const SkTrainer *trainer)
 {
   char part[8];
+  char name[LB_NAME_MAX];
+
+  snprintf (name, sizeof name, "%s~%016llx", trainer->batch,
+            (unsigned long long)XXH3_64bits (SK_TRAINER, strlen (SK_TRAINER)));
 
   for (int i = 0; i < 256; i++)
     {
       snprintf (part, sizeof part, "%02x", i);
-      if (si_rows_get (&trainer->world->rows, "head", part, trainer->batch))
+      if (si_rows_get (&trainer->world->rows, "head", part, name))
         return true;
     }
   return false;
--- a/tests/soak/sk-world.c
+++ b/tests/soak/sk-world.c
@@ -123,6 +123,11 @@
                           json_tokener_parse ("[{\"name\": \"engines\", \"maxConns\": 200,"
                                               " \"engine\": {\"stride\": 1}},"
                                               " {\"name\": \"lookups\", \"maxConns\": 200}]"));
+  json_object_object_add (
+      object, "tenants",
+      json_tokener_parse ("[{\"name\": \"" SK_CALLERS "\", \"apiKeys\": [\"" SK_CALLERS_KEY
+                          "\"], \"priority\": 0}, {\"name\": \"" SK_TRAINER
+                          "\", \"apiKeys\": [\"" SK_TRAINER_KEY "\"], \"priority\": 1}]"));
   si_rows_put (&world->rows, "op", "", "config", json_object_to_json_string (object));
   json_object_put (object);
   world->config_at = lb_clock_monotonic ();
@@ -187,9 +192,11 @@
            " \"platform\": {\"kind\": \"shared\", \"address\": \"%s\", \"deadline_ms\": 1000},"
            " \"calls\": {\"stream_silence_ms\": 2000},"
            " \"drain\": {\"drain_ms\": 2500, \"entry_ttl_ms\": 1000},"
+           " \"duties\": {\"address\": \"%s\", \"usage_window_s\": 1, \"kinds\":"
+           " [\"usage_report\"]},"
            " \"address_file\": \"%s/%s.addr\"}",
            instance->name, 'a' + (int)(instance->index % 3), instance->to_store.address,
-           instance->world->folder, instance->name);
+           instance->world->cloud.server.address, instance->world->folder, instance->name);
   fclose (out);
 }
 
@@ -357,14 +364,16 @@
                  void (*on_done) (LhFetch *fetch, const LhResult *result, void *user),
                  void *user)
 {
-  const LhHeader headers[] = { { "Attempt-Id", id }, { "Deadline-Ms", "4000" } };
+  const LhHeader headers[] = { { "Attempt-Id", id },
+                               { "Deadline-Ms", "4000" },
+                               { "Api-Key", SK_TRAINER_KEY } };
   const LhHandlers handlers = { .on_done = on_done };
   const LhRequest request = { .method = method,
                               .address = instance->address,
                               .path = path,
                               .host = SK_HOST,
                               .headers = headers,
-                              .n_headers = 2,
+                              .n_headers = 3,
                               .body = body,
                               .body_length = strlen (body),
                               .silence = BATCH_CALL_TIME,
@@ -375,6 +384,19 @@
 
 /* --- endpoints --- */
 
+/* An endpoint hears whose a request is, and never by which key that is known. */
+static void
+check_identity (const SkEndpoint *endpoint, const char *id, const char *organisation)
+{
+  const SiSampler *sampler = &endpoint->sampler;
+
+  if (strcmp (sampler->organisation, organisation) != 0)
+    sk_fail (endpoint->world, "whose it is", "%s reached %s as that of \"%s\", not \"%s\"", id,
+             sampler->name, sampler->organisation, organisation);
+  if (sampler->keys > 0)
+    sk_fail (endpoint->world, "keys are not passed on", "%s saw a key", sampler->name);
+}
+
 static void
 on_call (SiSampler *sampler, const char *id, void *user)
 {
@@ -382,6 +404,7 @@
   SkEndpoint *endpoint = user;
   SkRequest *request = sk_request_find (endpoint->world, id);
 
+  check_identity (endpoint, id, request ? SK_CALLERS : "");
   if (!request)
     return; /* a scorer's */
   request->runs++;
@@ -398,6 +421,7 @@
   LbTime now = lb_clock_monotonic ();
   LbTime limit = endpoint->leaving_since + DRAIN_TIME + DRAIN_SLACK;
 
+  check_identity (endpoint, id, SK_TRAINER);
   if (endpoint->world->one_shots)
     sk_one_shots_note_run (endpoint->world->one_shots, id);
   if (endpoint->leaving_since > 0 && now > limit
@@ -597,7 +621,7 @@
   gsl_rng_set (world->plan, seed);
   world->base = si_precise_base_new ();
   world->pool = lh_pool_new (world->base);
-  if (!si_rows_init (&world->rows, world->base, 0))
+  if (!si_rows_init (&world->rows, world->base, 0) || !si_cloud_init (&world->cloud, world->base))
     abort ();
   sk_config_put (world);
   for (size_t i = 0; i < n_engines; i++)
@@ -662,6 +686,7 @@
       pt_relay_clear (&world->endpoints[i].way);
       si_sampler_clear (&world->endpoints[i].sampler);
     }
+  si_cloud_clear (&world->cloud);
   si_rows_clear (&world->rows);
   HASH_ITER (hh, world->requests, request, next)
   {
@@ -675,6 +700,16 @@
     remove_folder (world);
 }
 
+/* Whoever reports a window again, another holder too, repeats what was reported. */
+static void
+check_reports (SkWorld *world)
+{
+  if (world->cloud.differing > 0)
+    sk_fail (world, "one report of a window", "%d reports differ from an earlier one",
+             world->cloud.differing);
+  world->cloud.differing = 0;
+}
+
 void
 sk_world_turn (SkWorld *world)
 {
@@ -686,6 +721,7 @@
     turn_instance (&world->instances[i], now);
   for (size_t i = 0; i < world->n_endpoints; i++)
     turn_endpoint (&world->endpoints[i], now);
+  check_reports (world);
   if (world->store_heal_at != LB_TIME_NEVER)
     world->store_disturbed_at = now;
   if (now >= world->store_heal_at)
--- a/tests/soak/sk-world.h
+++ b/tests/soak/sk-world.h
@@ -4,6 +4,7 @@
 #include "lh-fetch.h"
 #include "pt-process.h"
 #include "pt-relay.h"
+#include "si-cloud.h"
 #include "si-sampler.h"
 
 #include <gsl/gsl_rng.h>
@@ -68,6 +69,12 @@
   UT_hash_handle hh;
 } SkRequest;
 
+/* Two organisations and their keys. */
+#define SK_CALLERS "post"
+#define SK_CALLERS_KEY "key-of-post"
+#define SK_TRAINER "mill"
+#define SK_TRAINER_KEY "key-of-mill"
+
 struct SkWorld
 {
   struct event_base *base;
@@ -76,6 +83,7 @@
   gsl_rng *rng;    /* all else */
   char folder[64]; /* of settings and logs */
   SiRows rows;
+  SiCloud cloud; /* takes reports of usage */
   SkInstance instances[SK_MAX_INSTANCES];
   size_t n_instances;
   SkEndpoint endpoints[SK_MAX_ENDPOINTS];
