--- a/packages/core/include/lc-content.h
+++ b/packages/core/include/lc-content.h
@@ -19,6 +19,7 @@
 
 /* 16 hexadecimal digits. */
 void lc_content_to_text (LcContent content, char text[LC_CONTENT_SIZE]);
+bool lc_content_is_among (LcContent content, const LcContent *contents, size_t n_contents);
 /* 0 when the text is none. */
 LcContent lc_content_from_text (const char *text);
 
--- a/packages/core/src/lc-content.c
+++ b/packages/core/src/lc-content.c
@@ -39,6 +39,15 @@
   snprintf (text, LC_CONTENT_SIZE, "%016llx", (unsigned long long)content);
 }
 
+bool
+lc_content_is_among (LcContent content, const LcContent *contents, size_t n_contents)
+{
+  for (size_t i = 0; i < n_contents; i++)
+    if (contents[i] == content)
+      return true;
+  return false;
+}
+
 LcContent
 lc_content_from_text (const char *text)
 {
--- a/packages/core/src/lc-crash-log.c
+++ b/packages/core/src/lc-crash-log.c
@@ -185,9 +185,8 @@
 {
   LB_LIST_FOREACH (&crash->entries, LcReportEntry, link, entry)
   {
-    for (size_t i = 0; i < entry->report.n_contents; i++)
-      if (entry->report.contents[i] == content)
-        return true;
+    if (lc_content_is_among (content, entry->report.contents, entry->report.n_contents))
+      return true;
   }
   return false;
 }
--- a/packages/core/src/lc-quarantine.c
+++ b/packages/core/src/lc-quarantine.c
@@ -275,9 +275,9 @@
   for (size_t i = 0; i < MAX_ANSWERED; i++)
     {
       const Answered *answered = &quarantine->answered[i];
-      for (size_t k = 0; answered->content && k < report->n_contents; k++)
-        if (report->contents[k] == answered->content && report->at <= answered->at + CLEARED_FOR)
-          clear (quarantine, answered->content, answered->at);
+      if (answered->content && report->at <= answered->at + CLEARED_FOR
+          && lc_content_is_among (answered->content, report->contents, report->n_contents))
+        clear (quarantine, answered->content, answered->at);
     }
 }
 
--- a/packages/node/src/ln-crash-row.c
+++ b/packages/node/src/ln-crash-row.c
@@ -8,15 +8,15 @@
 
 #define JSON_FORMAT (JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE)
 
-static struct json_object *
-contents_to_json (const LcCrashReport *report)
+struct json_object *
+ln_crash_contents_to_json (const LcContent *contents, size_t n_contents)
 {
   struct json_object *array = json_object_new_array ();
   char text[LC_CONTENT_SIZE];
 
-  for (size_t i = 0; i < report->n_contents; i++)
+  for (size_t i = 0; i < n_contents; i++)
     {
-      lc_content_to_text (report->contents[i], text);
+      lc_content_to_text (contents[i], text);
       json_object_array_add (array, json_object_new_string (text));
     }
   return array;
@@ -30,7 +30,8 @@
   if (!row->is_clearance)
     json_object_object_add (object, "endpoint", json_object_new_string (row->report.endpoint));
   json_object_object_add (object, "at_ms", json_object_new_int64 (row->at_ms));
-  json_object_object_add (object, "contents", contents_to_json (&row->report));
+  json_object_object_add (object, "contents",
+                          ln_crash_contents_to_json (row->report.contents, row->report.n_contents));
   return lb_json_take_text (object, JSON_FORMAT);
 }
 
--- a/packages/node/src/ln-crash-row.h
+++ b/packages/node/src/ln-crash-row.h
@@ -11,6 +11,10 @@
   int64_t at_ms;        /* report.at by the store's clock; 0: not known */
 } LnCrashRow;
 
+struct json_object;
+
+/* Their texts, as rows and log lines name them. */
+struct json_object *ln_crash_contents_to_json (const LcContent *contents, size_t n_contents);
 /* The caller frees it. */
 char *ln_crash_row_to_text (const LnCrashRow *row);
 /* Without report.id and report.at. */
--- a/packages/node/src/ln-endpoint-checks.c
+++ b/packages/node/src/ln-endpoint-checks.c
@@ -1,5 +1,7 @@
 #include "ln-endpoint-checks.h"
 
+#include "ln-crash-row.h"
+
 #include "lb-alloc.h"
 #include "lb-clock.h"
 #include "lb-counter.h"
@@ -39,9 +41,10 @@
   LbList running;
 };
 
-static LbMetric crashed = LB_COUNTER_INIT ("lentilspindle_endpoint_crashes_seen_total",
-                                           NULL,
-                                           "Endpoints that ended under requests of this instance");
+static LbMetric crashed
+    = LB_COUNTER_INIT ("lentilspindle_endpoint_crashes_seen_total",
+                       NULL,
+                       "Endpoints that crashed under requests of this instance");
 
 LnEndpointChecks *
 ln_endpoint_checks_new (LnContext *context, LnEndpointCrashed on_crashed, void *user)
@@ -80,14 +83,8 @@
                                        [LH_REACH_CLOSED] = "closed",
                                        [LH_REACH_REFUSED] = "refused",
                                        [LH_REACH_SILENT] = "silent" };
-  struct json_object *contents = json_object_new_array ();
-  char text[LC_CONTENT_SIZE];
+  struct json_object *contents = ln_crash_contents_to_json (check->contents, check->n_contents);
 
-  for (size_t i = 0; i < check->n_contents; i++)
-    {
-      lc_content_to_text (check->contents[i], text);
-      json_object_array_add (contents, json_object_new_string (text));
-    }
   lb_log (LB_LOG_INFO, "endpoint_checked", LB_TEXT ("endpoint", check->endpoint),
           LB_TEXT ("connections", names[outcome]),
           LB_INT ("took_us", lb_clock_monotonic () - check->broken_at),
@@ -157,15 +154,6 @@
   return NULL;
 }
 
-static bool
-has (const Check *check, LcContent content)
-{
-  for (size_t i = 0; i < check->n_contents; i++)
-    if (check->contents[i] == content)
-      return true;
-  return false;
-}
-
 void
 ln_endpoint_checks_broken (LnEndpointChecks *checks,
                            const char *endpoint,
@@ -176,6 +164,7 @@
 
   if (!check)
     check = start (checks, endpoint, address);
-  if (check && check->n_contents < MAX_CONTENTS && !has (check, content))
+  if (check && check->n_contents < MAX_CONTENTS
+      && !lc_content_is_among (content, check->contents, check->n_contents))
     check->contents[check->n_contents++] = content;
 }
--- a/tests/soak/sk-callers.c
+++ b/tests/soak/sk-callers.c
@@ -207,9 +207,8 @@
   Call *call = LB_NEW (Call);
   char path[32];
   char deadline[16];
-  const LhHeader headers[] = { { "Attempt-Id", call->id },
-                               { "Deadline-Ms", deadline },
-                               { "Api-Key", SK_CALLERS_KEY } };
+  const LhHeader headers[]
+      = { { "Attempt-Id", call->id }, { "Deadline-Ms", deadline }, { "Api-Key", SK_CALLERS_KEY } };
   const LhHandlers handlers = { .on_done = on_done };
   const LhRequest request = { .method = "POST",
                               .address = instance->address,
--- a/tests/soak/sk-trainer.c
+++ b/tests/soak/sk-trainer.c
@@ -231,7 +231,8 @@
          && sk_instance_is_calm (trainer->asked, since) && trainer->world->disturbed_at < since;
 }
 
-/* The row that stands for the batch, in whichever part, under its id and a hash of its organisation.
+/* The row that stands for the batch, in whichever part, under its id and a hash of its
+ * organisation.
  */
 static bool
 is_stored (const SkTrainer *trainer)
--- a/tests/soak/sk-world.c
+++ b/tests/soak/sk-world.c
@@ -123,11 +123,11 @@
                           json_tokener_parse ("[{\"name\": \"engines\", \"maxConns\": 200,"
                                               " \"engine\": {\"stride\": 1}},"
                                               " {\"name\": \"lookups\", \"maxConns\": 200}]"));
-  json_object_object_add (
-      object, "tenants",
-      json_tokener_parse ("[{\"name\": \"" SK_CALLERS "\", \"apiKeys\": [\"" SK_CALLERS_KEY
-                          "\"], \"priority\": 0}, {\"name\": \"" SK_TRAINER
-                          "\", \"apiKeys\": [\"" SK_TRAINER_KEY "\"], \"priority\": 1}]"));
+  json_object_object_add (object, "tenants",
+                          json_tokener_parse (
+                              "[{\"name\": \"" SK_CALLERS "\", \"apiKeys\": [\"" SK_CALLERS_KEY
+                              "\"], \"priority\": 0}, {\"name\": \"" SK_TRAINER
+                              "\", \"apiKeys\": [\"" SK_TRAINER_KEY "\"], \"priority\": 1}]"));
   si_rows_put (&world->rows, "op", "", "config", json_object_to_json_string (object));
   json_object_put (object);
   world->config_at = lb_clock_monotonic ();
@@ -364,9 +364,8 @@
                  void (*on_done) (LhFetch *fetch, const LhResult *result, void *user),
                  void *user)
 {
-  const LhHeader headers[] = { { "Attempt-Id", id },
-                               { "Deadline-Ms", "4000" },
-                               { "Api-Key", SK_TRAINER_KEY } };
+  const LhHeader headers[]
+      = { { "Attempt-Id", id }, { "Deadline-Ms", "4000" }, { "Api-Key", SK_TRAINER_KEY } };
   const LhHandlers handlers = { .on_done = on_done };
   const LhRequest request = { .method = method,
                               .address = instance->address,
