--- a/packages/core/tests/test-usage-reports.c
+++ b/packages/core/tests/test-usage-reports.c
@@ -362,3 +362,37 @@
       world_clear ();
     }
 }
+
+static const char *
+next_text (LcUsageReports *reports, LcUsageActionType type, LbTime now)
+{
+  LcUsageAction action;
+
+  cr_assert (lc_usage_reports_next (reports, 8 * 1000, now, &action));
+  cr_assert_eq (action.type, type);
+  cr_assert_eq (action.window, type == LC_USAGE_READ ? action.window : 0);
+  return action.text;
+}
+
+/* Two instances take themselves for the holder, and add a window up at different moments. The one
+ * whose decision comes second finds the other's in the store, and sends that. */
+Test (usage_reports, the_decision_that_stands_is_sent)
+{
+  const LcUsageReportSettings settings
+      = { .window_ms = WINDOW_MS, .settle_ms = SETTLE_MS, .latest_ms = LATEST_MS };
+  LcUsageReports *reports = lc_usage_reports_new (&settings);
+  LcUsageCounts *counts = lc_usage_counts_new ();
+
+  lc_usage_counts_add (counts, "post", 5);
+  lc_usage_reports_begin (reports);
+  next_text (reports, LC_USAGE_READ, 0);
+  lc_usage_reports_has_rows (reports, 0);
+  lc_usage_reports_was_read (reports, true, 0);
+  next_text (reports, LC_USAGE_COUNT, 0);
+  lc_usage_reports_counted (reports, 0, counts, 0);
+  cr_assert_str_eq (next_text (reports, LC_USAGE_DECIDE, 0), "{\"post\":5}");
+  lc_usage_reports_decided (reports, 0, false, "{\"post\":3}", 0);
+  cr_assert_str_eq (next_text (reports, LC_USAGE_SEND, 0), "{\"post\":3}");
+  lc_usage_counts_free (counts);
+  lc_usage_reports_free (reports);
+}
