--- a/packages/core/tests/test-lease.c
+++ b/packages/core/tests/test-lease.c
@@ -273,6 +273,7 @@
 {
   for (int i = 0; i < 20; i++)
     {
+      teardown ();
       setup ();
       gsl_rng_set (rng, (unsigned long)i + 1);
       run (3 * LB_SEC + i * 50 * LB_MSEC);
@@ -285,9 +286,7 @@
       cr_assert_not (lc_lease_may_order (holders[2].lease, true, clock_of (&holders[2])));
       run (10 * LB_SEC - gap);
       cr_assert (lc_lease_may_order (holders[2].lease, true, clock_of (&holders[2])));
-      teardown ();
     }
-  setup ();
 }
 
 /* The holder is paused for longer than its lease and goes on where it was, about to order. Another
