A call that works for long is counted while it does; a lost answer delays no report

Cause: a call was counted when its attempt ended, and its window was reported 2.5 s after the window's end: one that works for longer was never reported. Change: an attempt that has worked for 0.3 s counts as begun; only failures of lists, and writes known to have failed, hold a window back. After: passes. Sites without organisations are not touched by it.

--- a/packages/node/src/ln-calls-private.h
+++ b/packages/node/src/ln-calls-private.h
@@ -45,6 +45,8 @@
 void ln_calls_cancel (LnCalls *calls, LnCall *call);
 /* The same, giving back to the rollouts what its pieces said. */
 void ln_calls_recall (LnCalls *calls, LnCall *call);
+/* Counts it as begun, for the usage of its organisation, when it has worked for a while. */
+void ln_calls_count_running (LnCalls *calls, LnCall *call, LbTime now);
 LnCall *ln_calls_find (LnCalls *calls, LcRequestId id);
 void ln_calls_on_tick (evutil_socket_t fd, short what, void *calls);
 void ln_calls_post_done (LnCalls *calls, LcRequestId request, LbErrorCode error, char *text);
--- a/packages/node/src/ln-calls-run.c
+++ b/packages/node/src/ln-calls-run.c
@@ -16,6 +16,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define SURELY_BEGUN (300 * LB_MSEC)
+
 static LbHistogram queue_time
     = LB_HISTOGRAM_INIT ("lentilspindle_queue_seconds",
                          "From a request's admission to its first attempt");
@@ -272,6 +274,21 @@
   LN_POST (calls->task.hub, duties, message);
 }
 
+/* Guards against a call that is counted too late: its window is reported while it still works. An
+ * endpoint that refuses says so at once. */
+void
+ln_calls_count_running (LnCalls *calls, LnCall *call, LbTime now)
+{
+  LB_LIST_FOREACH (&call->attempts, LnAttempt, link, attempt)
+  {
+    if (now - attempt->sent_at >= SURELY_BEGUN)
+      {
+        count_began (calls, attempt);
+        return;
+      }
+  }
+}
+
 static bool
 may_have_begun (LcAttemptEnd end)
 {
--- a/packages/node/src/ln-calls.c
+++ b/packages/node/src/ln-calls.c
@@ -346,6 +346,7 @@
   LB_LIST_FOREACH (&calls->all, LnCall, link, call)
   {
     ln_call_keep_alive (call, now - KEEP_ALIVE, now);
+    ln_calls_count_running (calls, call, now);
   }
 }
 
--- a/packages/node/src/ln-usage-reporter.c
+++ b/packages/node/src/ln-usage-reporter.c
@@ -120,6 +120,8 @@
   return step->epoch == lc_usage_reports_epoch (step->reporter->reports);
 }
 
+/* One answer that was lost says nothing of the rows of others. While the store is away lists fail
+ * as well. */
 static void
 note_error (const Step *step, LbErrorCode error, const char *what)
 {
@@ -127,7 +129,7 @@
     return;
   lb_log (LB_LOG_INFO, "usage_step_failed", LB_TEXT ("step", what), LB_INT ("window", step->window),
           LB_TEXT ("error", lb_error_name (error)));
-  if (error != LB_ERROR_CONDITION_FAILED)
+  if (error != LB_ERROR_CONDITION_FAILED && error != LB_ERROR_STORE_UNKNOWN)
     lc_usage_reports_store_failed (step->reporter->reports, lb_clock_monotonic ());
 }
 
--- a/tests/process/test-duties.c
+++ b/tests/process/test-duties.c
@@ -80,6 +80,24 @@
   end (&w);
 }
 
+/* A call works for eight seconds, longer than its window is waited for. It is reported where it
+ * began, while it still runs. */
+Test (duties, a_long_call_is_reported_where_it_began)
+{
+  PsWorld w;
+
+  begin (&w);
+  w.lookup.call_time = 8 * LB_SEC;
+  w.key = "post-1";
+  int before = w.answers;
+  ps_begin_call (&w, 0, "POST", "/lookup/1", "long", "");
+  PS_UNTIL (&w, is_reported (&w, 1, 0));
+  cr_assert_eq (w.answers, before, "it was counted only when it had ended");
+  PS_UNTIL (&w, w.answers > before);
+  cr_assert_eq (w.status, 200);
+  end (&w);
+}
+
 /* The instance that served the calls and the one that reports are killed a moment later. What they
  * counted is in the store by then, and another one reports it; no window is reported twice with
  * other figures. */
