--- a/packages/core/src/lc-scaling.c
+++ b/packages/core/src/lc-scaling.c
@@ -168,7 +168,7 @@
 }
 
 static int64_t
-places_of_one (const LcResourceSet *set, const char *service)
+slots_of_one (const LcResourceSet *set, const char *service)
 {
   for (size_t i = 0; i < set->n_endpoints; i++)
     if (strcmp (set->endpoints[i].service, service) == 0 && set->endpoints[i].concurrency > 0)
@@ -183,7 +183,7 @@
               const LcResourceSet *set,
               LbTime now)
 {
-  int64_t slots = places_of_one (set, service->name);
+  int64_t slots = slots_of_one (set, service->name);
   int64_t wanted = 0;
 
   if (slots == 0)
--- a/packages/node/src/ln-usage-reporter.c
+++ b/packages/node/src/ln-usage-reporter.c
@@ -402,25 +402,32 @@
 /* --- a window is closed --- */
 
 /* Rows that stay are no harm: the window's report is decided. */
+static void
+log_not_removed (LbErrorCode error)
+{
+  lb_log (LB_LOG_INFO, "usage_rows_not_removed", LB_TEXT ("error", lb_error_name (error)));
+}
+
 static void
 on_removed (LbErrorCode error, const LpRow *row, void *user)
 {
   (void)row;
   (void)user;
   if (error != LB_OK)
-    lb_log (LB_LOG_INFO, "usage_rows_not_removed", LB_TEXT ("error", lb_error_name (error)));
+    log_not_removed (error);
 }
 
 static void
 on_rows_to_remove (LbErrorCode error, const LpRow *rows, size_t n_rows, int64_t version, void *user)
 {
-  (void)error;
   (void)version;
   LnUsageReporter *reporter = user;
   LpPlatform *platform = reporter->context->platform;
   LpPut puts[MOST_REMOVED];
   size_t n = n_rows < MOST_REMOVED ? n_rows : MOST_REMOVED;
 
+  if (error != LB_OK)
+    log_not_removed (error);
   for (size_t i = 0; i < n; i++)
     puts[i] = (LpPut){ .key = rows[i].key };
   const LpTransaction transaction = { .token = "", .puts = puts, .n_puts = n };
