House: what a kind of platform can't tell is asked in one place

Seven places checked for themselves whether the optional functions of the platform's class (its clock, whether it is reached) are there. lp-platform.c does so for all; ln-crashes keeps its own, since it takes the wall clock instead. No behaviour changes.

--- a/packages/node/src/ln-catalog.c
+++ b/packages/node/src/ln-catalog.c
@@ -64,9 +64,7 @@
 static int64_t
 store_ms (const LnCatalog *catalog)
 {
-  const LpPlatform *platform = catalog->context->platform;
-
-  return platform->klass->store_ms ? platform->klass->store_ms (platform) : 0;
+  return lp_platform_store_ms (catalog->context->platform);
 }
 
 static void
@@ -293,7 +291,7 @@
 find_rank (LnCatalog *catalog)
 {
   LpPlatform *platform = catalog->context->platform;
-  bool is_cut = platform->klass->is_reached && !platform->klass->is_reached (platform);
+  bool is_cut = !lp_platform_is_reached (platform);
 
   if (catalog->draining || is_cut || !lp_follow_has_listed (catalog->rows))
     return -1;
--- a/packages/node/src/ln-fleet-lists.c
+++ b/packages/node/src/ln-fleet-lists.c
@@ -174,11 +174,10 @@
   Listing *listing = user;
   LbTime now = lb_clock_monotonic ();
   const LpPlatform *platform = listing->lists->platform;
-  const LcFleetList list
-      = { .at = now,
-          .took = now - listing->asked_at,
-          .store_ms = platform->klass->store_ms ? platform->klass->store_ms (platform) : 0,
-          .period = period_of (listing) };
+  const LcFleetList list = { .at = now,
+                             .took = now - listing->asked_at,
+                             .store_ms = lp_platform_store_ms (platform),
+                             .period = period_of (listing) };
 
   listing->waiting--;
   listing->failed |= error != LB_OK;
--- a/packages/node/src/ln-fleet-renewal.c
+++ b/packages/node/src/ln-fleet-renewal.c
@@ -87,15 +87,13 @@
 static void
 renew_row (LnFleetRenewal *renewal, bool on_duty, LbTime period, LbTime now)
 {
-  const LpPlatform *platform = renewal->platform;
   struct json_object *object = NULL;
 
   if (renewal->on_their_way >= MAX_RENEWALS_ON_THEIR_WAY)
     return;
   renewal->on_their_way++;
   renewal->row->period = period;
-  renewal->row->renewed_ms
-      = platform->klass->store_ms_at ? platform->klass->store_ms_at (platform, now) : 0;
+  renewal->row->renewed_ms = lp_platform_store_ms_at (renewal->platform, now);
   object = lc_fleet_row_to_json (renewal->row);
   write_row (renewal, on_duty, json_object_to_json_string (object), on_renewed);
   json_object_put (object);
--- a/packages/node/src/ln-fleet.c
+++ b/packages/node/src/ln-fleet.c
@@ -131,7 +131,7 @@
 note_reach (Fleet *task, LbTime now)
 {
   const LpPlatform *platform = task->context->platform;
-  bool cut = platform->klass->is_reached && !platform->klass->is_reached (platform);
+  bool cut = !lp_platform_is_reached (platform);
 
   if (cut == task->own.cut)
     return;
@@ -270,7 +270,7 @@
 {
   LbError error = { 0 };
 
-  if (!platform->klass->is_reached || platform->klass->is_reached (platform))
+  if (lp_platform_is_reached (platform))
     return false;
   lb_error_set (&error, LB_ERROR_STORE_AWAY, "", "the store can't be reached from here either");
   ln_exchange_reply_error (exchange, &error, 0);
--- a/packages/node/src/ln-true-time.c
+++ b/packages/node/src/ln-true-time.c
@@ -42,19 +42,11 @@
   free (leads);
 }
 
-static int64_t
-store_ms_at (const LnContext *context, LbTime at)
-{
-  const LpPlatform *platform = context->platform;
-
-  return platform->klass->store_ms_at ? platform->klass->store_ms_at (platform, at) : 0;
-}
-
 /* Before others are known, and without a store that has a clock, the own time of day has to do. */
 int64_t
 ln_true_time_ms (const LnTrueTime *time, LbTime at)
 {
-  int64_t store_ms = store_ms_at (time->context, at);
+  int64_t store_ms = lp_platform_store_ms_at (time->context->platform, at);
 
   if (store_ms == 0 || time->lead == 0)
     return lb_clock_wall_ms () - (lb_clock_monotonic () - at) / LB_MSEC;
@@ -64,7 +56,7 @@
 int64_t
 ln_true_time_own_lead (const LnContext *context, LbTime now)
 {
-  int64_t store_ms = store_ms_at (context, now);
+  int64_t store_ms = lp_platform_store_ms_at (context->platform, now);
 
   return store_ms == 0 ? 0 : lb_clock_wall_ms () - store_ms;
 }
--- a/packages/store/include/lp-platform.h
+++ b/packages/store/include/lp-platform.h
@@ -157,6 +157,12 @@
   const LpPlatformClass *klass;
 };
 
+/* The optional functions of the class, also where the kind has none: no clock is 0, and a store
+ * whose kind can't tell counts as reached. */
+int64_t lp_platform_store_ms (const LpPlatform *platform);
+int64_t lp_platform_store_ms_at (const LpPlatform *platform, LbTime at);
+bool lp_platform_is_reached (const LpPlatform *platform);
+
 typedef struct
 {
   LbName address;  /* of the platform's HTTP interface */
--- /dev/null
+++ b/packages/store/src/lp-platform.c
@@ -0,0 +1,19 @@
+#include "lp-platform.h"
+
+int64_t
+lp_platform_store_ms (const LpPlatform *platform)
+{
+  return platform->klass->store_ms ? platform->klass->store_ms (platform) : 0;
+}
+
+int64_t
+lp_platform_store_ms_at (const LpPlatform *platform, LbTime at)
+{
+  return platform->klass->store_ms_at ? platform->klass->store_ms_at (platform, at) : 0;
+}
+
+bool
+lp_platform_is_reached (const LpPlatform *platform)
+{
+  return !platform->klass->is_reached || platform->klass->is_reached (platform);
+}
