House: requests that the dialect wrote are sent by one function; a belief takes a new desired state by one

ln-platform-call built the same request from an LcOutgoing as ln-weight-orders: both call ln_fetch_outgoing.

--- a/packages/node/src/ln-admission.c
+++ b/packages/node/src/ln-admission.c
@@ -9,6 +9,14 @@
                        NULL,
                        "Calls refused for the key that they brought, or did not");
 
+void
+ln_admission_belief_take (LnAdmissionBelief *belief, const LnDesiredMessage *message)
+{
+  lc_desired_unref (belief->desired);
+  belief->desired = lc_desired_ref (message->desired);
+  belief->confirmed_at = lb_clock_monotonic ();
+}
+
 void
 ln_admission_check (const LnContext *context,
                     const LnAdmissionBelief *belief,
--- a/packages/node/src/ln-admission.h
+++ b/packages/node/src/ln-admission.h
@@ -5,6 +5,7 @@
 #include "lc-desired.h"
 #include "ln-context.h"
 #include "ln-dialect.h"
+#include "ln-messages.h"
 
 /* Whose call a caller's request is, by the configuration in force here. */
 
@@ -15,6 +16,9 @@
   LbTime confirmed_at;
 } LnAdmissionBelief;
 
+/* Another desired state is in force. */
+void ln_admission_belief_take (LnAdmissionBelief *belief, const LnDesiredMessage *message);
+
 void ln_admission_check (const LnContext *context,
                          const LnAdmissionBelief *belief,
                          bool is_public,
--- a/packages/node/src/ln-batches.c
+++ b/packages/node/src/ln-batches.c
@@ -112,9 +112,7 @@
       ln_batch_calls_gone (batches, ((const LnExchangeMessage *)message)->exchange);
       break;
     case LN_DESIRED:
-      lc_desired_unref (batches->belief.desired);
-      batches->belief.desired = lc_desired_ref (((const LnDesiredMessage *)message)->desired);
-      batches->belief.confirmed_at = lb_clock_monotonic ();
+      ln_admission_belief_take (&batches->belief, (const LnDesiredMessage *)message);
       break;
     case LN_DESIRED_CONFIRMED:
       batches->belief.confirmed_at = ((const LnDesiredConfirmedMessage *)message)->at;
--- a/packages/node/src/ln-calls.c
+++ b/packages/node/src/ln-calls.c
@@ -230,9 +230,7 @@
       take_frame (calls, (const LnPeerMessage *)message);
       break;
     case LN_DESIRED:
-      lc_desired_unref (calls->belief.desired);
-      calls->belief.desired = lc_desired_ref (((const LnDesiredMessage *)message)->desired);
-      calls->belief.confirmed_at = lb_clock_monotonic ();
+      ln_admission_belief_take (&calls->belief, (const LnDesiredMessage *)message);
       ln_routed_review (calls);
       break;
     case LN_DESIRED_CONFIRMED:
--- /dev/null
+++ b/packages/node/src/ln-fetch-outgoing.c
@@ -0,0 +1,30 @@
+#include "ln-fetch-outgoing.h"
+
+#include "lb-alloc.h"
+
+#include <stdlib.h>
+
+LhFetch *
+ln_fetch_outgoing (const LnContext *context,
+                   const LcOutgoing *outgoing,
+                   const LhRequest *request,
+                   const LhHandlers *handlers,
+                   void *user,
+                   LbError *error)
+{
+  LhHeader *headers = LB_NEW_ARRAY (LhHeader, outgoing->n_headers + 1);
+  LhRequest whole = *request;
+  LhFetch *fetch = NULL;
+
+  for (size_t i = 0; i < outgoing->n_headers; i++)
+    headers[i] = (LhHeader){ outgoing->headers[i].name, outgoing->headers[i].value };
+  whole.method = outgoing->method;
+  whole.path = outgoing->path;
+  whole.headers = headers;
+  whole.n_headers = outgoing->n_headers;
+  whole.body = outgoing->body;
+  whole.body_length = outgoing->body_length;
+  fetch = lh_fetch_start (context->http, &whole, handlers, user, error);
+  free (headers);
+  return fetch;
+}
--- a/packages/node/src/ln-platform-call.c
+++ b/packages/node/src/ln-platform-call.c
@@ -1,5 +1,7 @@
 #include "ln-platform-call.h"
 
+#include "ln-fetch-outgoing.h"
+
 #include "lb-alloc.h"
 #include "lb-clock.h"
 #include "lb-log.h"
@@ -62,22 +64,13 @@
                   void *user)
 {
   const LhHandlers handlers = { .on_done = on_done };
-  LhHeader *headers = LB_NEW_ARRAY (LhHeader, outgoing->n_headers + 1);
-  const LhRequest request = { .method = outgoing->method,
-                              .address = context->settings->duties.address,
-                              .path = outgoing->path,
-                              .headers = headers,
-                              .n_headers = outgoing->n_headers,
-                              .body = outgoing->body,
-                              .body_length = outgoing->body_length,
+  const LhRequest request = { .address = context->settings->duties.address,
                               .connect_time = CONNECT_TIME,
                               .silence = SILENCE,
                               .fresh_connection = true };
   Call *call = LB_NEW (Call);
   LbError error = { 0 };
 
-  for (size_t i = 0; i < outgoing->n_headers; i++)
-    headers[i] = (LhHeader){ outgoing->headers[i].name, outgoing->headers[i].value };
   *call = (Call){ .calls = calls,
                   .context = context,
                   .called = called,
@@ -85,8 +78,7 @@
                   .sent_at = lb_clock_monotonic () };
   LB_COPY (call->path, outgoing->path);
   lb_list_append (calls, &call->link);
-  call->fetch = lh_fetch_start (context->http, &request, &handlers, call, &error);
-  free (headers);
+  call->fetch = ln_fetch_outgoing (context, outgoing, &request, &handlers, call, &error);
   if (call->fetch)
     return;
   lb_log_error (LB_LOG_WARNING, "platform_not_called", &error);
--- a/packages/node/src/ln-weight-orders.c
+++ b/packages/node/src/ln-weight-orders.c
@@ -2,6 +2,7 @@
 
 #include "ln-dialect.h"
 #include "ln-duty-lease.h"
+#include "ln-fetch-outgoing.h"
 
 #include "lb-alloc.h"
 #include "lb-clock.h"
@@ -402,6 +403,7 @@
 {
   Engine *engine = find_engine (orders, action->endpoint);
   const LhHandlers handlers = { .on_done = on_ordered };
+  LhRequest request = { .silence = ORDER_SILENCE };
   LcOutgoing outgoing;
   LnWeightsOrder order = { .endpoint = action->endpoint,
                            .version = action->version,
@@ -411,31 +413,20 @@
 
   if (!engine)
     return;
+  request.address = engine->address;
   order.model = engine->model;
   order.orders_before = engine->orders_accepted;
   engine->ordered = action->version;
   engine->ordered_at = now;
   engine->look_at = now + lc_load_time_first (&orders->load_time);
   orders->context->dialect->write_order (&order, &outgoing);
-  LhHeader *headers = LB_NEW_ARRAY (LhHeader, outgoing.n_headers);
-  for (size_t i = 0; i < outgoing.n_headers; i++)
-    headers[i] = (LhHeader){ outgoing.headers[i].name, outgoing.headers[i].value };
-  const LhRequest request = { .method = outgoing.method,
-                              .address = engine->address,
-                              .path = outgoing.path,
-                              .headers = headers,
-                              .n_headers = outgoing.n_headers,
-                              .body = outgoing.body,
-                              .body_length = outgoing.body_length,
-                              .silence = ORDER_SILENCE };
   if (engine->order)
     lh_fetch_cancel (engine->order);
   tell_engine (engine);
   lb_log (LB_LOG_INFO, "weights_order", LB_TEXT ("endpoint", engine->name),
           LB_TEXT ("model", engine->model), LB_INT ("version", order.version),
           LB_INT ("fence", order.fence), LB_INT ("orders_before", order.orders_before));
-  engine->order = lh_fetch_start (orders->context->http, &request, &handlers, engine, NULL);
-  free (headers);
+  engine->order = ln_fetch_outgoing (orders->context, &outgoing, &request, &handlers, engine, NULL);
   lc_outgoing_clear (&outgoing);
 }
 
