--- a/tests/process/pt-process.c
+++ b/tests/process/pt-process.c
@@ -1,8 +1,9 @@
 #include "pt-process.h"
 
+#include "pt-assert.h"
+
 #include "lb-alloc.h"
 
-#include <criterion/criterion.h>
 #include <errno.h>
 #include <fcntl.h>
 #include <signal.h>
@@ -33,9 +34,9 @@
   int ends[2];
 
   memset (process, 0, sizeof *process);
-  cr_assert_eq (pipe2 (ends, O_CLOEXEC), 0);
+  PT_ASSERT (pipe2 (ends, O_CLOEXEC) == 0);
   process->pid = fork ();
-  cr_assert_geq (process->pid, 0);
+  PT_ASSERT (process->pid >= 0);
   if (process->pid == 0)
     become (argv, log, ends[1]);
   close (ends[1]);
@@ -62,8 +63,8 @@
 void
 pt_process_signal (const PtProcess *process, int number)
 {
-  cr_assert (process->pid > 0 && !process->ended);
-  cr_assert_eq (kill (process->pid, number), 0);
+  PT_ASSERT (process->pid > 0 && !process->ended);
+  PT_ASSERT (kill (process->pid, number) == 0);
 }
 
 static void
--- a/tests/process/pt-relay.c
+++ b/tests/process/pt-relay.c
@@ -1,10 +1,11 @@
 #include "pt-relay.h"
 
+#include "pt-assert.h"
+
 #include "lb-alloc.h"
 #include "lb-time.h"
 
 #include <arpa/inet.h>
-#include <criterion/criterion.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -163,9 +164,8 @@
   lb_list_append (&relay->lines, &line->link);
   line->near = bufferevent_socket_new (relay->base, fd, BEV_OPT_CLOSE_ON_FREE);
   line->far = bufferevent_socket_new (relay->base, -1, BEV_OPT_CLOSE_ON_FREE);
-  cr_assert_eq (evutil_parse_sockaddr_port (relay->target, (struct sockaddr *)&target,
-                                            &target_length),
-                0);
+  PT_ASSERT (evutil_parse_sockaddr_port (relay->target, (struct sockaddr *)&target, &target_length)
+             == 0);
   bufferevent_socket_connect (line->far, (struct sockaddr *)&target, target_length);
   watch (line, line->near);
   watch (line, line->far);
@@ -181,7 +181,7 @@
   at.sin_port = htons (port);
   relay->listener = evconnlistener_new_bind (relay->base, on_accept, relay, flags, -1,
                                              (struct sockaddr *)&at, sizeof at);
-  cr_assert_not_null (relay->listener);
+  PT_ASSERT (relay->listener != NULL);
 }
 
 void
--- a/tests/process/pt-resources.c
+++ b/tests/process/pt-resources.c
@@ -1,8 +1,9 @@
 #include "pt-world.h"
 
+#include "pt-assert.h"
+
 #include "lb-alloc.h"
 
-#include <criterion/criterion.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -33,7 +34,7 @@
 {
   struct json_object *resource = json_tokener_parse (text);
 
-  cr_assert_not_null (resource, "%s", text);
+  PT_ASSERT_MSG (resource != NULL, "%s", text);
   json_object_array_add (apply, resource);
 }
 
@@ -66,8 +67,8 @@
 
   pt_apply (world, change->instance, change->changes, "*", &answer);
   bool accepted = si_answer_is_ok (&answer);
-  cr_assert (accepted || answer.status == 503 || answer.failure != LB_OK, "%d %s", answer.status,
-             answer.body);
+  PT_ASSERT_MSG (accepted || answer.status == 503 || answer.failure != LB_OK, "%d %s",
+                 answer.status, answer.body);
   si_answer_clear (&answer);
   return accepted;
 }
--- a/tests/process/pt-shared.c
+++ b/tests/process/pt-shared.c
@@ -1,5 +1,7 @@
 #include "pt-shared.h"
 
+#include "pt-assert.h"
+
 #include "lb-alloc.h"
 #include "lb-json.h"
 
@@ -50,17 +52,17 @@
   memset (w, 0, sizeof *w);
   signal (SIGPIPE, SIG_IGN);
   snprintf (w->folder, sizeof w->folder, "/tmp/lentilspindle-shared-XXXXXX");
-  cr_assert (mkdtemp (w->folder));
+  PT_ASSERT (mkdtemp (w->folder));
   w->base = event_base_new ();
   w->pool = lh_pool_new (w->base);
-  cr_assert (si_rows_init (&w->rows, w->base, 0));
+  PT_ASSERT (si_rows_init (&w->rows, w->base, 0));
   for (int i = 0; i < PS_N_ENGINES; i++)
     {
       snprintf (name, sizeof name, "i-engine-%d", i);
-      cr_assert (si_sampler_init (&w->engines[i], w->base, &w->rows, name, "engines", "m"));
+      PT_ASSERT (si_sampler_init (&w->engines[i], w->base, &w->rows, name, "engines", "m"));
     }
-  cr_assert (si_sampler_init (&w->lookup, w->base, &w->rows, "i-lookup", "lookups", ""));
-  cr_assert (si_cloud_init (&w->cloud, w->base));
+  PT_ASSERT (si_sampler_init (&w->lookup, w->base, &w->rows, "i-lookup", "lookups", ""));
+  PT_ASSERT (si_cloud_init (&w->cloud, w->base));
   ps_put_config (w, 1, "");
 }
 
@@ -194,7 +196,7 @@
   pt_relay_init (&instance->to_store, w->base, store->address);
   snprintf (path, sizeof path, "%s/%s.json", w->folder, instance->name);
   FILE *out = fopen (path, "w");
-  cr_assert (out);
+  PT_ASSERT (out);
   fprintf (out,
            "{\"instance\": {\"name\": \"%s\", \"data_centre\": \"hall-a\","
            " \"caller_address\": \"127.0.0.1:0\", \"peer_address\": \"127.0.0.1:0\","
@@ -373,17 +375,17 @@
   int seen[64] = { 0 };
   char score[64];
 
-  cr_assert_eq (json_object_array_length (results), n_items);
+  PT_ASSERT (json_object_array_length (results) == n_items);
   for (int i = 0; i < n_items; i++)
     {
       struct json_object *result = json_object_array_get_idx (results, (size_t)i);
       const char *item = lb_json_text (result, "id", "");
       int number = atoi (item + strlen ("item"));
       snprintf (score, sizeof score, "stamp-score%d", number);
-      cr_assert_str_eq (lb_json_text (result, "state", ""), "completed");
-      cr_assert (is_whole_text (item, lb_json_text (result, "text", ""), w->engines[0].events));
-      cr_assert_str_eq (lb_json_text (result, "score", ""), score);
-      cr_assert_eq (seen[number]++, 0, "%s stands twice", item);
+      PT_ASSERT (strcmp (lb_json_text (result, "state", ""), "completed") == 0);
+      PT_ASSERT (is_whole_text (item, lb_json_text (result, "text", ""), w->engines[0].events));
+      PT_ASSERT (strcmp (lb_json_text (result, "score", ""), score) == 0);
+      PT_ASSERT_MSG (seen[number]++ == 0, "%s stands twice", item);
     }
   json_object_put (page);
 }
--- a/tests/process/pt-world.c
+++ b/tests/process/pt-world.c
@@ -1,9 +1,10 @@
 #include "pt-world.h"
 
+#include "pt-assert.h"
+
 #include "lb-alloc.h"
 #include "lb-clock.h"
 
-#include <criterion/criterion.h>
 #include <ftw.h>
 #include <signal.h>
 #include <stdio.h>
@@ -19,7 +20,7 @@
   memset (world, 0, sizeof *world);
   signal (SIGPIPE, SIG_IGN);
   strcpy (world->folder, "/tmp/lentilspindle-test-XXXXXX");
-  cr_assert_not_null (mkdtemp (world->folder));
+  PT_ASSERT (mkdtemp (world->folder) != NULL);
   si_client_init (&world->client);
   world->drain_ms = 300;
   world->entry_ttl_ms = 300;
@@ -67,7 +68,8 @@
 
   while (!condition (world, user))
     {
-      cr_assert_lt (lb_clock_monotonic (), give_up, "never: %s (logs in %s)", what, world->folder);
+      PT_ASSERT_MSG (lb_clock_monotonic () < give_up, "never: %s (logs in %s)", what,
+                     world->folder);
       si_client_pause (&world->client, POLL);
       poll_all (world);
     }
@@ -90,7 +92,7 @@
   struct json_object *line;
 
   pt_process_poll (&program->process);
-  cr_assert_not (program->process.ended, "%s ended at its start", program->name);
+  PT_ASSERT_MSG (!program->process.ended, "%s ended at its start", program->name);
   if (!strchr (program->process.text, '\n'))
     return false;
   line = json_tokener_parse (program->process.text);
@@ -226,7 +228,7 @@
   struct json_object *addresses = json_object_from_file (path);
 
   pt_process_poll (&instance->process);
-  cr_assert_not (instance->process.ended, "%s ended at its start (logs in %s)", instance->name,
+  PT_ASSERT_MSG (!instance->process.ended, "%s ended at its start (logs in %s)", instance->name,
                  world->folder);
   if (addresses)
     {
@@ -247,7 +249,7 @@
   struct json_object *settings = new_settings (world, instance, address_file);
 
   unlink (address_file);
-  cr_assert_eq (json_object_to_file (file, settings), 0);
+  PT_ASSERT (json_object_to_file (file, settings) == 0);
   json_object_put (settings);
   start (world, &instance->process, instance->name, argv);
   pt_wait (world, "addresses of an instance", has_address_file, instance);
@@ -346,8 +348,8 @@
   Ending ending = { process };
 
   pt_wait (world, "a process ends", has_ended, &ending);
-  cr_assert (pt_process_has_exited (process, code), "status %x, not exit %d (logs in %s)",
-             (unsigned)process->status, code, world->folder);
+  PT_ASSERT_MSG (pt_process_has_exited (process, code), "status %x, not exit %d (logs in %s)",
+                 (unsigned)process->status, code, world->folder);
 }
 
 void
@@ -355,7 +357,7 @@
 {
   struct json_object *reply = si_client_json (&world->client, program->address, "/faults", order);
 
-  cr_assert_not_null (reply, "fault not taken: %s", order);
+  PT_ASSERT_MSG (reply != NULL, "fault not taken: %s", order);
   json_object_put (reply);
 }
 
@@ -364,7 +366,7 @@
 {
   struct json_object *log = si_client_json (&world->client, program->address, "/log", NULL);
 
-  cr_assert_not_null (log, "%s has no log", program->name);
+  PT_ASSERT_MSG (log != NULL, "%s has no log", program->name);
   return log;
 }
 
@@ -428,7 +430,7 @@
 
   pt_wait (world, "a stand-in ends", has_ended, &ending);
   struct json_object *summary = json_tokener_parse (process->text);
-  cr_assert_not_null (summary, "no summary (logs in %s)", world->folder);
+  PT_ASSERT_MSG (summary != NULL, "no summary (logs in %s)", world->folder);
   return summary;
 }
 
