endpoint-list: an instance knows a subset of the endpoints of each service

Cause: each list read, kept and published all endpoints. At 10,000 endpoints a list is 20 pages and 5 MB each 0.4 to 0.9 s, for the publisher and for each instance that has not heard of one; what is kept takes over 100 MB of a machine that has 160. Ruled out: the table's changes in place of lists (1 MB/s of heartbeats for each reader, and all is still kept); a subset of its own for each instance (owners of batches and the holder of the weights have to know the same engines). Change: lc-subset, pure: rows come in the order of random names, so the first ones are a sample; of each service those up to a bound are known, 48 endpoints of a service or of each model, or as many as two steps of the largest batch need. Pages are read until each service that the operators name has enough. Bounds go with the catalog. Figures: core-test-subset: 10,000 and 20,000 endpoints cost one page and 336 known endpoints. Small tables are known whole.

--- a/packages/node/src/ln-catalog.c
+++ b/packages/node/src/ln-catalog.c
@@ -20,6 +20,7 @@
 #define DUTY TABLE
 #define ENDPOINTS "e:"
 #define INSTANCES "i:"
+#define BOUNDS "b:"                /* of the subset of the endpoints, by service */
 #define WATCH_WAIT (700 * LB_MSEC) /* a silent connection is found after it */
 #define WATCH_RETRY (100 * LB_MSEC)
 /* Of a write: what comes later is told by the next list. */
@@ -224,7 +225,7 @@
   catalog->rank = -1;
   catalog->handed_on = -1;
   catalog->catalog = lc_catalog_new (context->instance, context->incarnation,
-                                     ln_context_draw (context), lb_clock_monotonic ());
+                                     ln_context_seed (context), lb_clock_monotonic ());
   catalog->rows = lp_follow_new (context->platform, &settings, on_rows, catalog);
   catalog->endpoints = ln_row_cache_new (&endpoints_class, NULL);
   catalog->instances = ln_row_cache_new (&instances_class, NULL);
@@ -445,6 +446,45 @@
   write_next (catalog, now);
 }
 
+typedef struct
+{
+  LcCatalogItem *items;
+  size_t n;
+} Bounds;
+
+static void
+add_bound (const char *service, const char *bound, void *user)
+{
+  Bounds *bounds = user;
+
+  bounds->items = lb_realloc (bounds->items, (bounds->n + 1) * sizeof *bounds->items);
+  bounds->items[bounds->n++]
+      = (LcCatalogItem){ .key = lb_asprintf (BOUNDS "%s", service), .text = lb_strdup (bound) };
+}
+
+void
+ln_catalog_bounds (LnCatalog *catalog, const LcSubset *subset)
+{
+  Bounds bounds = { 0 };
+
+  lc_subset_each_bound (subset, add_bound, &bounds);
+  if (catalog->is_used && bounds.n > 0)
+    lc_catalog_listed (catalog->catalog, BOUNDS, bounds.items, bounds.n, 0);
+}
+
+static void
+take_bound (const char *service, const char *bound, int64_t version, void *user)
+{
+  (void)version;
+  lc_subset_set_bound (user, service, bound);
+}
+
+void
+ln_catalog_take_bounds (const LnCatalog *catalog, LcSubset *subset)
+{
+  lc_catalog_each (catalog->catalog, BOUNDS, take_bound, subset);
+}
+
 bool
 ln_catalog_wants_list (const LnCatalog *catalog, LbTime now)
 {
--- a/packages/node/src/ln-catalog.h
+++ b/packages/node/src/ln-catalog.h
@@ -4,6 +4,7 @@
 #include "lc-catalog.h"
 #include "lc-fleet.h"
 #include "lc-roster.h"
+#include "lc-subset.h"
 #include "ln-context.h"
 #include "ln-messages.h"
 
@@ -40,8 +41,12 @@
 /* This instance has listed the endpoints itself; asked_at: on its own clock. */
 void ln_catalog_listed (
     LnCatalog *catalog, const LcListed *list, size_t n_list, LbTime asked_at, LbTime now);
+/* The bounds of the subset that this instance has listed, for those who list it next. */
+void ln_catalog_bounds (LnCatalog *catalog, const LcSubset *subset);
 
 /* queries */
+/* Sets the bounds that the publisher has told. */
+void ln_catalog_take_bounds (const LnCatalog *catalog, LcSubset *subset);
 /* The endpoints have to be listed here. */
 bool ln_catalog_wants_list (const LnCatalog *catalog, LbTime now);
 /* The instances have to be listed here: also by those who publish next, so that they know at once
--- a/packages/node/src/ln-desired.c
+++ b/packages/node/src/ln-desired.c
@@ -2,11 +2,10 @@
 #include "ln-context.h"
 
 #include "ln-dialect.h"
+#include "ln-endpoint-list.h"
 #include "ln-engine-plans.h"
 #include "ln-messages.h"
-#include "ln-row-cache.h"
 #include "ln-stall.h"
-#include "ln-unreadable-rows.h"
 #include "ln-weight-orders.h"
 
 #include "lb-alloc.h"
@@ -41,18 +40,14 @@
   struct event *timer;
   LcDesired *desired;
   LcRoster *roster;
-  LnRowCacheClass entries_class;
-  LnRowCache *entries;          /* of the endpoints */
-  LnUnreadableRows *unreadable; /* among them */
+  LnEndpointList *list;
   LnCatalog *catalog;
   LnWeightOrders *orders;
   LnEnginePlans *plans;
   int64_t revision;    /* of the resource set made from the roster */
   LpFollow *rows;      /* of the operators and trainers */
   LbTime confirmed_at; /* as the others were told */
-  bool listing;
-  bool listed; /* at least once */
-  LbTime list_asked;
+  bool listed;         /* at least once */
   LbTime next_list;
   LbTime last_tick;
   bool ready;
@@ -110,6 +105,7 @@
   lc_desired_unref (task->desired);
   task->desired = desired;
   /* Which endpoints are gone by depends on the services that it names. */
+  ln_endpoint_list_set_desired (task->list, desired);
   ln_catalog_forget_list (task->catalog);
   lb_metric_set (&desired_version, desired->version);
   message.desired = lc_desired_ref (desired);
@@ -225,29 +221,6 @@
     }
 }
 
-static bool
-read_entry (const LpRow *row, void *content, LbError *error, void *user)
-{
-  const Desired *task = user;
-
-  return task->context->dialect->read_listed (row->key, row->value, content, error);
-}
-
-/* An endpoint of a service that the operators do not name serves no route, and an engine of it
- * would be given weights and texts. Before the routes are known nothing is ruled out. */
-static bool
-read_endpoint (const Desired *task, const LpRow *row, LcListed *listed, LbError *error)
-{
-  const LcListed *known = ln_row_cache_read (task->entries, row, error);
-
-  if (!known)
-    return false;
-  *listed = *known;
-  return !task->desired || lc_desired_service (task->desired, listed->service)
-         || lb_error_set (error, LB_ERROR_UNKNOWN_SERVICE, row->key, "no such service: %s",
-                          listed->service);
-}
-
 static void
 tell_list (Desired *task, const char *lister, LbTime asked_at)
 {
@@ -334,50 +307,27 @@
   LN_POST (task->task.hub, peers, message);
 }
 
-static LcListed *
-read_list (Desired *task, const LpRow *rows, size_t n_rows, size_t *n_listed)
-{
-  LcListed *list = LB_NEW_ARRAY (LcListed, n_rows + 1);
-  LbError error = { 0 };
-
-  *n_listed = 0;
-  ln_unreadable_rows_begin (task->unreadable);
-  ln_row_cache_begin (task->entries);
-  for (size_t i = 0; i < n_rows; i++)
-    if (read_endpoint (task, &rows[i], &list[*n_listed], &error))
-      (*n_listed)++;
-    else
-      ln_unreadable_rows_note (task->unreadable, rows[i].key, &error);
-  ln_unreadable_rows_end (task->unreadable);
-  ln_row_cache_end (task->entries);
-  return list;
-}
-
 static void
-on_list (LbErrorCode error, const LpRow *rows, size_t n_rows, int64_t version, void *user)
+on_listed (const LcListed *list, size_t n_list, LbTime asked_at, void *user)
 {
-  (void)version;
   Desired *task = user;
   LbTime now = lb_clock_monotonic ();
-  size_t n_listed;
 
-  task->listing = false;
-  if (error != LB_OK)
-    {
-      lb_log (LB_LOG_DEBUG, "endpoints_not_listed", LB_TEXT ("error", lb_error_name (error)));
-      confirm_endpoints (task);
-      return;
-    }
-  LcListed *list = read_list (task, rows, n_rows, &n_listed);
   task->listed = true;
-  ln_catalog_listed (task->catalog, list, n_listed, task->list_asked, now);
-  tell_list (task, task->context->instance, task->list_asked);
-  if (lc_roster_update (task->roster, list, n_listed, task->list_asked, now))
+  ln_catalog_bounds (task->catalog, ln_endpoint_list_subset (task->list));
+  ln_catalog_listed (task->catalog, list, n_list, asked_at, now);
+  tell_list (task, task->context->instance, asked_at);
+  if (lc_roster_update (task->roster, list, n_list, asked_at, now))
     publish_endpoints (task);
-  ln_weight_orders_listed (task->orders, task->roster, task->list_asked, now);
+  ln_weight_orders_listed (task->orders, task->roster, asked_at, now);
   confirm_endpoints (task);
   tell_ready (task);
-  free (list);
+}
+
+static void
+on_not_listed (void *user)
+{
+  confirm_endpoints (user);
 }
 
 /* Others go by the publisher's lists, and by nothing when it is silent. */
@@ -400,12 +350,12 @@
 static void
 list_endpoints (Desired *task, LbTime now)
 {
-  LpPlatform *platform = task->context->platform;
+  LcSubset *subset = ln_endpoint_list_subset (task->list);
 
-  task->listing = true;
-  task->list_asked = now;
   task->next_list = now + list_period (task);
-  platform->klass->list (platform, task->context->dialect->endpoint_rows, NULL, 0, on_list, task);
+  if (!ln_catalog_is_publisher (task->catalog))
+    ln_catalog_take_bounds (task->catalog, subset);
+  ln_endpoint_list_ask (task->list, now);
 }
 
 /* Others need to know for how long they may go by the desired state. */
@@ -447,10 +397,11 @@
   note_confirmed (task);
   ln_catalog_tick (task->catalog, lc_roster_count (task->roster), now);
   note_followed (task, now);
-  if (!task->listing && now >= task->next_list && wants_list (task, now))
+  bool listing = ln_endpoint_list_is_asked (task->list);
+  if (!listing && now >= task->next_list && wants_list (task, now))
     list_endpoints (task, now);
-  else if (task->listing && now - task->list_asked > period && now >= task->next_list
-           && now - task->last_tick < LONGEST_PAUSE)
+  else if (listing && now - ln_endpoint_list_asked_at (task->list) > period
+           && now >= task->next_list && now - task->last_tick < LONGEST_PAUSE)
     {
       /* The store does not answer: the endpoints are believed to be as they were. */
       task->next_list = now + period;
@@ -473,6 +424,13 @@
     task->owns_batches = message->held;
 }
 
+static void
+note_demand (Desired *task, const LnDemandMessage *demand, LbTime now)
+{
+  ln_engine_plans_demand (task->plans, demand->model, demand->tokens, now);
+  lc_subset_set_demand (ln_endpoint_list_subset (task->list), demand->model, demand->texts);
+}
+
 static void
 receive (LnTask *base, const LnMessage *message)
 {
@@ -489,7 +447,7 @@
   else if (message->type == LN_DUTY)
     note_duty (task, (const LnDutyMessage *)message);
   else if (message->type == LN_DEMAND)
-    ln_engine_plans_demand (task->plans, demand->model, demand->tokens, lb_clock_monotonic ());
+    note_demand (task, demand, lb_clock_monotonic ());
 }
 
 static void
@@ -519,8 +477,7 @@
   ln_weight_orders_free (task->orders);
   ln_engine_plans_free (task->plans);
   lc_roster_free (task->roster);
-  ln_unreadable_rows_free (task->unreadable);
-  ln_row_cache_free (task->entries);
+  ln_endpoint_list_free (task->list);
   ln_catalog_free (task->catalog);
   lp_follow_free (task->rows);
   lc_desired_unref (task->desired);
@@ -537,6 +494,8 @@
   static const LnCatalogHandlers catalog_handlers = { .on_endpoints = on_catalog_endpoints,
                                                       .on_same_endpoints = on_same_endpoints,
                                                       .on_fleet = on_catalog_fleet };
+  static const LnEndpointListHandlers list_handlers
+      = { .on_listed = on_listed, .on_failed = on_not_listed };
   const struct timeval tick = { .tv_usec = TICK };
   const LpFollowSettings rows = { .table = context->dialect->operator_table,
                                   .prefixes = &context->dialect->operator_rows,
@@ -549,11 +508,7 @@
   task->task.hub = context->hub;
   task->context = context;
   task->roster = lc_roster_new ();
-  task->entries_class = (LnRowCacheClass){ .size = sizeof (LcListed),
-                                           .read = read_entry,
-                                           .count_mark = context->dialect->listed_count_mark };
-  task->entries = ln_row_cache_new (&task->entries_class, task);
-  task->unreadable = ln_unreadable_rows_new ();
+  task->list = ln_endpoint_list_new (context, &list_handlers, task);
   task->catalog = ln_catalog_new (context, &catalog_handlers, task);
   task->orders = ln_weight_orders_new (context, on_engine, task);
   task->plans = ln_engine_plans_new (context, on_plan, task);
