engine-plans: the plan of the engines lies in 16 rows

Cause: one row holds 65,536 bytes, some 800 engines; a plan of more can't be written, and each load wrote all engines anew. Change: parts by the engines' names; a write touches the parts that changed, under the version of each. A part whose write failed is written again at once, not with its next change. Test: core-test-engine-plan, 7,000 engines fit.

--- a/packages/core/include/lc-engine-plan.h
+++ b/packages/core/include/lc-engine-plan.h
@@ -33,6 +33,14 @@
 /* Takes out engines that are not among these. */
 bool lc_engine_plan_retain (LcEnginePlan *plan, const LcPlanEntry *engines, size_t n_engines);
 bool lc_engine_plan_is_same (const LcEnginePlan *a, const LcEnginePlan *b);
+
+/* A plan is kept in parts, by the engines' names, since a row of the store holds some 800 engines.
+ */
+#define LC_ENGINE_PLAN_PARTS 16
+/* Entries of one part; the caller clears. */
+void lc_engine_plan_part (const LcEnginePlan *plan, size_t index, LcEnginePlan *part);
+/* All parts together; the caller clears. */
+void lc_engine_plan_join (const LcEnginePlan *parts, LcEnginePlan *plan);
 struct json_object *lc_engine_plan_to_json (const LcEnginePlan *plan);
 bool lc_engine_plan_from_json (struct json_object *object, LcEnginePlan *plan);
 
--- a/packages/core/src/lc-engine-plan.c
+++ b/packages/core/src/lc-engine-plan.c
@@ -9,6 +9,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <uthash.h>
+#include <xxhash.h>
 
 /* Trainers bring a batch every few seconds, of very different lengths: the mean is over several. */
 #define HALF_LIFE (20 * LB_SEC)
@@ -141,6 +142,47 @@
   return true;
 }
 
+static size_t
+part_of (const char *engine)
+{
+  return XXH3_64bits (engine, strlen (engine)) % LC_ENGINE_PLAN_PARTS;
+}
+
+static void
+append (LcEnginePlan *plan, const LcPlanEntry *entries, size_t n_entries)
+{
+  plan->entries
+      = lb_realloc (plan->entries, (plan->n_entries + n_entries + 1) * sizeof *plan->entries);
+  memcpy (&plan->entries[plan->n_entries], entries, n_entries * sizeof *entries);
+  plan->n_entries += n_entries;
+}
+
+void
+lc_engine_plan_part (const LcEnginePlan *plan, size_t index, LcEnginePlan *part)
+{
+  memset (part, 0, sizeof *part);
+  for (size_t i = 0; i < plan->n_entries; i++)
+    if (part_of (plan->entries[i].engine) == index)
+      append (part, &plan->entries[i], 1);
+}
+
+static int
+by_engine (const void *a, const void *b)
+{
+  return strcmp (((const LcPlanEntry *)a)->engine, ((const LcPlanEntry *)b)->engine);
+}
+
+void
+lc_engine_plan_join (const LcEnginePlan *parts, LcEnginePlan *plan)
+{
+  memset (plan, 0, sizeof *plan);
+  for (size_t i = 0; i < LC_ENGINE_PLAN_PARTS; i++)
+    if (parts[i].n_entries > 0)
+      append (plan, parts[i].entries, parts[i].n_entries);
+  if (plan->n_entries > 0)
+    qsort (plan->entries, plan->n_entries, sizeof *plan->entries, by_engine);
+}
+
 struct json_object *
 lc_engine_plan_to_json (const LcEnginePlan *plan)
 {
--- a/packages/core/tests/test-engine-plan.c
+++ b/packages/core/tests/test-engine-plan.c
@@ -305,3 +305,40 @@
   lc_engine_plan_clear (&plan);
   lc_demand_free (demand);
 }
+
+/* Guards against a plan that outgrows a row of the store. */
+Test (engine_plan, a_part_of_the_size_to_come_fits_a_row)
+{
+  enum
+  {
+    N_ENGINES = 7000,
+    ROW_BYTES = 65536
+  };
+  LcEnginePlan plan = { 0 };
+  LcEnginePlan parts[LC_ENGINE_PLAN_PARTS];
+  LcEnginePlan joined;
+
+  plan.entries = LB_NEW_ARRAY (LcPlanEntry, N_ENGINES);
+  plan.n_entries = N_ENGINES;
+  for (int i = 0; i < N_ENGINES; i++)
+    {
+      LcPlanEntry *entry = &plan.entries[i];
+      snprintf (entry->engine, sizeof entry->engine, "i-%08x", i);
+      LB_COPY (entry->model, "model-of-this-length");
+      entry->version = 1000;
+    }
+  for (size_t i = 0; i < LC_ENGINE_PLAN_PARTS; i++)
+    {
+      lc_engine_plan_part (&plan, i, &parts[i]);
+      struct json_object *object = lc_engine_plan_to_json (&parts[i]);
+      cr_assert_lt (strlen (json_object_to_json_string_ext (object, JSON_C_TO_STRING_PLAIN)),
+                    ROW_BYTES);
+      json_object_put (object);
+    }
+  lc_engine_plan_join (parts, &joined);
+  cr_assert (lc_engine_plan_is_same (&plan, &joined));
+  for (size_t i = 0; i < LC_ENGINE_PLAN_PARTS; i++)
+    lc_engine_plan_clear (&parts[i]);
+  lc_engine_plan_clear (&plan);
+  lc_engine_plan_clear (&joined);
+}
--- a/packages/node/src/ln-engine-plans.c
+++ b/packages/node/src/ln-engine-plans.c
@@ -8,16 +8,18 @@
 #include "lp-follow.h"
 
 #include <json-c/json.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #define TABLE "plan"
 /* With the lease, away from the unnamed part, to which endpoints and operators write. */
-#define KEY TABLE "/weights/engines"
+#define PREFIX TABLE "/weights/"
+#define KEY_SIZE 32
 #define WATCH_WAIT (900 * LB_MSEC) /* a watch whose connection went silent is given up after it */
 #define WATCH_RETRY (200 * LB_MSEC)
-/* Of an instance that sends nothing to engines: the row changes with each load, several times a
- * second, and was an eighth of the bytes that each of 295 instances read (24 of 196 kB/s). */
+/* Of an instance that sends nothing to engines: rows change with each load, several times a second.
+ */
 #define IDLE_PAUSE (5 * LB_SEC)
 /* Loads begin and end several times a second where there are many engines; one write tells of all.
  */
@@ -32,45 +34,81 @@
   LnContext *context;
   void (*on_plan) (const LcEnginePlan *plan, void *user);
   void *user;
-  LcEnginePlan plan;   /* as the row says */
-  LcEnginePlan wanted; /* as it shall say, where this instance writes it */
+  LcEnginePlan parts[LC_ENGINE_PLAN_PARTS]; /* as the rows say */
+  int64_t versions[LC_ENGINE_PLAN_PARTS];
+  LcEnginePlan plan;   /* of all parts */
+  LcEnginePlan wanted; /* as it shall be, where this instance writes it */
   bool is_writer;
   LbTime writer_since;
-  int64_t version; /* of the row */
   LpFollow *rows;
   LcDemand *demand;
   bool writing;
+  bool writes_again;                     /* the last write failed */
+  bool is_written[LC_ENGINE_PLAN_PARTS]; /* by the write on its way, or the last */
   LbTime next_write;
   LbTime next_division;
 };
 
 static void
+part_key (size_t index, char *key)
+{
+  snprintf (key, KEY_SIZE, PREFIX "%02zx", index);
+}
+
+/* Index of the part that the row holds; LC_ENGINE_PLAN_PARTS: none. */
+static size_t
+part_of_key (const char *key)
+{
+  char known[KEY_SIZE];
+
+  for (size_t i = 0; i < LC_ENGINE_PLAN_PARTS; i++)
+    {
+      part_key (i, known);
+      if (strcmp (key, known) == 0)
+        return i;
+    }
+  return LC_ENGINE_PLAN_PARTS;
+}
+
+/* True when it is news. */
+static bool
 take_row (LnEnginePlans *plans, const LpRow *row)
 {
+  size_t index = part_of_key (row->key);
   struct json_object *object = row->value ? json_tokener_parse (row->value) : NULL;
-  LcEnginePlan plan;
+  LcEnginePlan part;
+  bool is_taken = false;
 
-  if (row->version <= plans->version)
+  if (index == LC_ENGINE_PLAN_PARTS || row->version <= plans->versions[index])
     goto out;
-  plans->version = row->version;
-  if (!lc_engine_plan_from_json (object, &plan))
+  plans->versions[index] = row->version;
+  is_taken = lc_engine_plan_from_json (object, &part);
+  if (!is_taken)
     {
-      lb_log (LB_LOG_WARNING, "engine_plan_unreadable", LB_INT ("version", row->version));
+      lb_log (LB_LOG_WARNING, "engine_plan_unreadable", LB_TEXT ("key", row->key),
+              LB_INT ("version", row->version));
       goto out;
     }
-  lc_engine_plan_clear (&plans->plan);
-  plans->plan = plan;
-  plans->on_plan (&plans->plan, plans->user);
+  lc_engine_plan_clear (&plans->parts[index]);
+  plans->parts[index] = part;
 out:
   json_object_put (object);
+  return is_taken;
 }
 
 static void
 on_rows (const LpRow *rows, size_t n_rows, void *user)
 {
+  LnEnginePlans *plans = user;
+  bool is_taken = false;
+
   for (size_t i = 0; i < n_rows; i++)
-    if (strcmp (rows[i].key, KEY) == 0)
-      take_row (user, &rows[i]);
+    is_taken |= take_row (plans, &rows[i]);
+  if (!is_taken)
+    return;
+  lc_engine_plan_clear (&plans->plan);
+  lc_engine_plan_join (plans->parts, &plans->plan);
+  plans->on_plan (&plans->plan, plans->user);
 }
 
 LnEnginePlans *
@@ -78,7 +116,7 @@
                      void (*on_plan) (const LcEnginePlan *plan, void *user),
                      void *user)
 {
-  static const char *const prefixes[] = { TABLE "/weights/" };
+  static const char *const prefixes[] = { PREFIX };
   const LpFollowSettings settings = {
     .table = TABLE, .prefixes = prefixes, .n_prefixes = 1, .wait = WATCH_WAIT, .retry = WATCH_RETRY
   };
@@ -101,6 +139,8 @@
 void
 ln_engine_plans_free (LnEnginePlans *plans)
 {
+  for (size_t i = 0; i < LC_ENGINE_PLAN_PARTS; i++)
+    lc_engine_plan_clear (&plans->parts[i]);
   lc_engine_plan_clear (&plans->plan);
   lc_engine_plan_clear (&plans->wanted);
   lc_demand_free (plans->demand);
@@ -114,33 +154,87 @@
   lc_demand_add (plans->demand, model, (double)tokens, now);
 }
 
+/* Guards against a part whose write failed and that says what no row says until it changes. */
+static void
+forget_part (LnEnginePlans *plans, size_t index)
+{
+  lc_engine_plan_clear (&plans->parts[index]);
+  plans->writes_again = true;
+}
+
 static void
 on_written (LbErrorCode error, const LpRow *row, void *user)
 {
   LnEnginePlans *plans = user;
 
   plans->writing = false;
-  if (error == LB_OK && row->version > plans->version)
-    plans->version = row->version;
+  for (size_t i = 0; i < LC_ENGINE_PLAN_PARTS; i++)
+    if (plans->is_written[i] && error != LB_OK)
+      forget_part (plans, i);
+    else if (plans->is_written[i] && row->version > plans->versions[i])
+      plans->versions[i] = row->version;
   if (error != LB_OK)
     lb_log (LB_LOG_WARNING, "engine_plan_not_written", LB_TEXT ("error", lb_error_name (error)));
 }
 
+typedef struct
+{
+  char keys[LC_ENGINE_PLAN_PARTS][KEY_SIZE];
+  struct json_object *objects[LC_ENGINE_PLAN_PARTS];
+  LpCondition conditions[LC_ENGINE_PLAN_PARTS];
+  LpPut puts[LC_ENGINE_PLAN_PARTS];
+  size_t n;
+} Write;
+
+/* This instance need not wait for its own row. */
+static void
+add_part (LnEnginePlans *plans, size_t index, LcEnginePlan *part, Write *write)
+{
+  size_t n = write->n++;
+
+  part_key (index, write->keys[n]);
+  write->objects[n] = lc_engine_plan_to_json (part);
+  write->conditions[n] = (LpCondition){ .key = write->keys[n], .version = plans->versions[index] };
+  write->puts[n] = (LpPut){ .key = write->keys[n],
+                            .value = json_object_to_json_string_ext (write->objects[n],
+                                                                     JSON_C_TO_STRING_PLAIN) };
+  lc_engine_plan_clear (&plans->parts[index]);
+  plans->parts[index] = *part;
+}
+
+static void
+add_changed_parts (LnEnginePlans *plans, Write *write)
+{
+  for (size_t i = 0; i < LC_ENGINE_PLAN_PARTS; i++)
+    {
+      LcEnginePlan part;
+      lc_engine_plan_part (&plans->wanted, i, &part);
+      plans->is_written[i] = !lc_engine_plan_is_same (&part, &plans->parts[i]);
+      if (plans->is_written[i])
+        add_part (plans, i, &part, write);
+      else
+        lc_engine_plan_clear (&part);
+    }
+}
+
 static void
 write_plan (LnEnginePlans *plans, LbTime now)
 {
   LpPlatform *platform = plans->context->platform;
-  struct json_object *object = lc_engine_plan_to_json (&plans->wanted);
-  const LpCondition condition = { .key = KEY, .version = plans->version };
-  const LpPut put = { .key = KEY, .value = json_object_to_json_string (object) };
-  const LpTransaction transaction
-      = { .token = "", .conditions = &condition, .n_conditions = 1, .puts = &put, .n_puts = 1 };
+  Write write = { .n = 0 };
 
+  add_changed_parts (plans, &write);
+  const LpTransaction transaction = { .token = "",
+                                      .conditions = write.conditions,
+                                      .n_conditions = write.n,
+                                      .puts = write.puts,
+                                      .n_puts = write.n };
   plans->writing = true;
+  plans->writes_again = false;
   plans->next_write = now + WRITE_PERIOD;
   platform->klass->transact (platform, &transaction, LP_PRIORITY_STATUS, on_written, plans);
-  json_object_put (object);
-  /* This instance need not wait for its own row. */
+  for (size_t i = 0; i < write.n; i++)
+    json_object_put (write.objects[i]);
   lc_engine_plan_clear (&plans->plan);
   lc_engine_plan_copy (&plans->plan, &plans->wanted);
   plans->on_plan (&plans->plan, plans->user);
@@ -223,6 +317,6 @@
       divide (plans, roster, now);
     }
   if (!plans->writing && now >= plans->next_write
-      && !lc_engine_plan_is_same (&plans->wanted, &plans->plan))
+      && (plans->writes_again || !lc_engine_plan_is_same (&plans->wanted, &plans->plan)))
     write_plan (plans, now);
 }
