--- a/packages/node/src/ln-batch-heads.c
+++ b/packages/node/src/ln-batch-heads.c
@@ -22,6 +22,9 @@
                    * connection, which is found after this wait */
 #define WATCH_RETRY (150 * LB_MSEC)
 #define OFFER_TIME (300 * LB_MSEC) /* several round trips to the store */
+/* An owner that no list shows may have just got its first duty: its row on duty is written, listed
+ * and published within this time. */
+#define UNKNOWN_OWNER_TIME (2500 * LB_MSEC)
 /* Instances take a batch over in turn, one after the other, so that they do not all write. */
 #define RANK_DELAY (400 * LB_MSEC)
 
@@ -170,6 +173,7 @@
     ln_batch_heads_tell_demand (batches, &head);
   batch->head = head;
   batch->version = row->version;
+  batch->version_at = lb_clock_monotonic ();
   note_change (batch, &before);
   return true;
 }
@@ -178,33 +182,38 @@
 
 /* An owner that runs under another incarnation now has lost the batch, if its present row is
  * younger than the batch's: else it is this instance's view of it that is old. */
-static bool
-find_living_owner (const LnBatch *batch)
+static LnOwnerState
+find_owner (const LnBatch *batch)
 {
   const LnBatches *batches = batch->batches;
 
   for (size_t i = 0; i < batches->n_members; i++)
     {
       const LnMember *member = &batches->members[i];
-      if (strcmp (member->name, batch->head.owner) == 0)
-        return member->alive
-               && (strcmp (member->incarnation, batch->head.incarnation) == 0
-                   || member->version < batch->version);
+      if (strcmp (member->name, batch->head.owner) != 0)
+        continue;
+      return member->alive
+                     && (strcmp (member->incarnation, batch->head.incarnation) == 0
+                         || member->version < batch->version)
+                 ? LN_OWNER_ALIVE
+                 : LN_OWNER_GONE;
     }
-  return false;
+  return LN_OWNER_UNKNOWN;
 }
 
 /* Asked for each batch twenty times a second, of hundreds of members, which change seldom. */
 static bool
-owner_is_alive (LnBatch *batch)
+owner_is_alive (LnBatch *batch, LbTime now)
 {
   const LnBatches *batches = batch->batches;
 
   if (batch->owner_members != batches->members_change || batch->owner_version != batch->version)
-    batch->owner_is_alive = find_living_owner (batch);
+    batch->owner_state = find_owner (batch);
   batch->owner_members = batches->members_change;
   batch->owner_version = batch->version;
-  return batch->owner_is_alive;
+  return batch->owner_state == LN_OWNER_ALIVE
+         || (batch->owner_state == LN_OWNER_UNKNOWN
+             && now - batch->version_at < UNKNOWN_OWNER_TIME);
 }
 
 static size_t
@@ -374,7 +383,8 @@
   if (batch->held == LN_HELD_OFFERED && now >= batch->offered_until)
     end_offer (batch);
   if (batch->held != LN_HELD_NOT || batch->head.ended || batch->version == 0
-      || batch->batches->members_change == 0 || batch->batches->draining || owner_is_alive (batch))
+      || batch->batches->members_change == 0 || batch->batches->draining
+      || owner_is_alive (batch, now))
     {
       batch->orphan_since = 0;
       return;
@@ -478,7 +488,8 @@
                                       .prefixes = parts,
                                       .n_prefixes = N_PARTS,
                                       .wait = WATCH_WAIT,
-                                      .retry = WATCH_RETRY };
+                                      .retry = WATCH_RETRY,
+                                      .tries_history = true };
 
   _Static_assert(sizeof parts / sizeof parts[0] == N_PARTS, "a prefix for each part");
   batches->rows = lp_follow_new (batches->context->platform, &settings, on_rows, batches);
--- a/packages/node/src/ln-batches-private.h
+++ b/packages/node/src/ln-batches-private.h
@@ -36,6 +36,13 @@
   LN_HELD_RELEASING
 } LnHeld;
 
+typedef enum
+{
+  LN_OWNER_UNKNOWN, /* no list of instances shows it */
+  LN_OWNER_ALIVE,
+  LN_OWNER_GONE
+} LnOwnerState;
+
 /* What of an ended batch is removed next. */
 typedef enum
 {
@@ -56,9 +63,10 @@
   LnHeld held;
   LcBatch *run; /* RUNNING */
   LbTime first_seen;
-  bool owner_is_alive; /* by these members and this version of the row: */
+  LnOwnerState owner_state; /* by these members and this version of the row: */
   int64_t owner_members;
   int64_t owner_version;
+  LbTime version_at;   /* when this version was first seen */
   LbTime orphan_since; /* when its owner was first missed; 0: it has one */
   LbTime retry_at;     /* LOADING: after a failure */
   LbTime offered_until;
--- a/packages/store/include/lp-follow.h
+++ b/packages/store/include/lp-follow.h
@@ -12,8 +12,9 @@
   const char *table;           /* that is watched, all parts of it */
   const char *const *prefixes; /* that are listed; together all rows of interest */
   size_t n_prefixes;
-  LbTime wait;  /* of one watch: a silent connection is found after it */
-  LbTime retry; /* after a call that failed */
+  LbTime wait;        /* of one watch: a silent connection is found after it */
+  bool tries_history; /* the table may be young: its history is asked for before it is listed */
+  LbTime retry;       /* after a call that failed */
   /* All rows are about to be handed on anew, in one list; NULL: who follows need not know. Only for
    * one prefix. */
   void (*on_base) (void *user);
--- a/packages/store/include/lp-path.h
+++ b/packages/store/include/lp-path.h
@@ -22,6 +22,7 @@
   uint64_t seed;     /* which peer comes first */
   int failures;      /* of the direct way, in a row */
   LbTime next_probe; /* of the direct way while it is cut */
+  LbTime reached_at; /* by the direct way; 0: never */
 } LpPath;
 
 /* Addresses of other instances that are alive. */
@@ -35,6 +36,8 @@
 void lp_path_peer_failed (LpPath *path, const char *peer);
 /* True when it is time to ask the store itself whether the direct way is well again. */
 bool lp_path_take_probe (LpPath *path, LbTime now);
+/* Whether the store answered by the direct way since then. */
+bool lp_path_was_reached (const LpPath *path, LbTime since);
 /* Whether the direct way counts as cut. */
 bool lp_path_is_cut (const LpPath *path);
 
--- a/packages/store/src/lp-follow.c
+++ b/packages/store/src/lp-follow.c
@@ -4,8 +4,11 @@
 #include "lb-clock.h"
 #include "lb-log.h"
 
+#include <event2/util.h>
 #include <stdlib.h>
 
+#define MAX_DOUBLINGS 4 /* of the time between two calls that a busy store refused */
+
 struct LpFollow
 {
   LpPlatform *platform;
@@ -20,6 +23,8 @@
   LbTime heard_at;
   LbTime pause; /* between lists; 0: the table is watched */
   bool has_listed;
+  bool has_no_history; /* since the table began */
+  int refusals;        /* in a row, by a store that is busy */
 };
 
 LpFollow *
@@ -43,14 +48,46 @@
   free (follow);
 }
 
+static LbTime
+jitter (LbTime most)
+{
+  uint64_t bits;
+
+  evutil_secure_rng_get_bytes (&bits, sizeof bits);
+  return (LbTime)(bits % (uint64_t)most);
+}
+
+/* A store that is busy refuses calls of many instances at once: they come back later each time, and
+ * not together. */
+static LbTime
+retry_time (LpFollow *follow, LbErrorCode error)
+{
+  LbTime retry = follow->settings.retry;
+
+  if (error != LB_ERROR_STORE_BUSY)
+    {
+      follow->refusals = 0;
+      return retry;
+    }
+  for (int i = 0; i < follow->refusals; i++)
+    retry *= 2;
+  if (follow->refusals < MAX_DOUBLINGS)
+    follow->refusals++;
+  return retry + jitter (retry);
+}
+
 static void
 fail (LpFollow *follow, LbErrorCode error)
 {
   lb_log (LB_LOG_DEBUG, "table_not_read", LB_TEXT ("table", follow->settings.table),
           LB_TEXT ("error", lb_error_name (error)), LB_INT ("after", follow->version));
-  if (error == LB_ERROR_NOT_FOUND)
-    follow->version = 0;
-  follow->next_call = lb_clock_monotonic () + follow->settings.retry;
+  follow->next_call = lb_clock_monotonic () + retry_time (follow, error);
+  if (error != LB_ERROR_NOT_FOUND)
+    return;
+  if (!follow->has_listed)
+    follow->next_call = 0;
+  follow->version = 0;
+  follow->has_no_history = true;
 }
 
 /* The watch goes on from the oldest of the lists: a change between two of them is heard twice
@@ -76,6 +113,7 @@
       return;
     }
   follow->version = follow->oldest;
+  follow->refusals = 0;
   follow->has_listed = true;
   follow->heard_at = lb_clock_monotonic ();
   if (follow->pause > 0)
@@ -107,11 +145,21 @@
       return;
     }
   follow->version = version;
+  follow->refusals = 0;
+  follow->has_listed = true;
   follow->heard_at = lb_clock_monotonic ();
   if (n_rows > 0)
     follow->on_rows (rows, n_rows, follow->user);
 }
 
+/* All that was ever written is one call where the store still has it, and a list is one for each
+ * part. */
+static bool
+may_read_history (const LpFollow *follow)
+{
+  return follow->settings.tries_history && !follow->has_listed && !follow->has_no_history;
+}
+
 void
 lp_follow_set_pause (LpFollow *follow, LbTime pause, LbTime now)
 {
@@ -127,7 +175,7 @@
 
   follow->n_waiting = 1;
   follow->platform->klass->watch (follow->platform, settings->table, follow->version,
-                                  settings->wait, on_changes, follow);
+                                  follow->version > 0 ? settings->wait : 0, on_changes, follow);
 }
 
 void
@@ -135,7 +183,9 @@
 {
   if (follow->n_waiting > 0 || now < follow->next_call)
     return;
-  if (follow->version == 0 || follow->pause > 0)
+  if (may_read_history (follow))
+    watch (follow);
+  else if (follow->version == 0 || follow->pause > 0)
     list (follow);
   else
     watch (follow);
--- a/packages/store/src/lp-path.c
+++ b/packages/store/src/lp-path.c
@@ -72,10 +72,18 @@
 lp_path_direct_ended (LpPath *path, bool reached, LbTime now)
 {
   path->failures = reached ? 0 : path->failures + 1;
+  if (reached)
+    path->reached_at = now;
   if (path->failures == FAILURES_TO_CUT)
     path->next_probe = now + probe_period (path);
 }
 
+bool
+lp_path_was_reached (const LpPath *path, LbTime since)
+{
+  return path->reached_at > 0 && path->reached_at >= since;
+}
+
 /* Guards against peers that are cut off as well: an instance that went through all peers in turn
  * lost a second at each of these, again and again, and with that the lease it held. A peer that
  * answers is kept, and one that does not is left by all calls at once. */
