fleet-lists: the directory, at most 192 instances, strong ones first

Cause: the renewal interval, the time to notice a death and what is listed, published and kept grew with the instances: 8 ms each, so that 985 renewed each 8 s and a dead one was noticed after 25 s. Ruled out: gossip (each instance would still keep all others, and nobody needs them); a constant interval for all (500 writes a second for rows that nobody needs). Change: keys of the rows begin with a place drawn by name and strength; lists take the first 24 rows of each of 8 parts. An instance without a place renews each 10 s. Rows of instances dead for a minute are removed. Peers and entry addresses begin at another place of the directory for each instance.

--- a/packages/core/include/lc-duty.h
+++ b/packages/core/include/lc-duty.h
@@ -16,6 +16,11 @@
  * x Mbit/s. */
 int64_t lc_duty_strength (double processor_share, double link_mbps);
 
+/* Place of an instance in an order in which strong machines come first, by its own name and
+ * strength alone; smaller is earlier. In 0 .. LC_DUTY_MAX_ORDER. */
+#define LC_DUTY_MAX_ORDER INT64_C (999999999999999999)
+int64_t lc_duty_order (const char *duty, const LcDutyCandidate *candidate);
+
 /* Position of an instance in the order in which candidates take the duty; 0: it is the first. */
 size_t lc_duty_rank (const char *duty,
                      const char *self,
--- a/packages/core/src/lc-duty.c
+++ b/packages/core/src/lc-duty.c
@@ -36,6 +36,15 @@
   return -(double)strength * (double)strength / log (draw (duty, candidate->name));
 }
 
+/* The scores span the squares of all strengths, from a thousandth of a core with 1 Mbit/s on. */
+int64_t
+lc_duty_order (const char *duty, const LcDutyCandidate *candidate)
+{
+  double order = (double)LC_DUTY_MAX_ORDER / score (duty, candidate);
+
+  return order < (double)LC_DUTY_MAX_ORDER ? (int64_t)order : LC_DUTY_MAX_ORDER;
+}
+
 /* By name where two scores are equal, so that no two candidates have the same position. */
 static bool
 is_before (const char *duty, const LcDutyCandidate *a, const LcDutyCandidate *b)
--- a/packages/core/src/lc-fleet.c
+++ b/packages/core/src/lc-fleet.c
@@ -17,6 +17,9 @@
  * part are written one after the other, and to the list. */
 #define SLOW_ANSWERS 3
 #define DEFAULT_PERIOD LB_SEC
+/* A row that is renewed less often tells nothing of the last seconds: callers are not sent there
+ * before its next renewal. */
+#define MAX_YOUNG_PERIOD (2500 * LB_MSEC)
 /* A list that comes so much later than its turn shows that the store was away. */
 #define LATE_LIST (300 * LB_MSEC)
 /* After it an instance's renewals, of which a few were swallowed, are through again: each waits for
@@ -175,9 +178,10 @@
 is_young (const LcFleet *fleet, const LcFleetRow *row)
 {
   LbTime age = (fleet->store_ms - row->renewed_ms) * LB_MSEC;
+  LbTime period = row->period < MAX_YOUNG_PERIOD ? row->period : MAX_YOUNG_PERIOD;
 
   return fleet->store_ms > 0 && row->renewed_ms > 0
-         && age < row->period * MISSED_RENEWALS + fleet->allowance;
+         && age < period * MISSED_RENEWALS + fleet->allowance;
 }
 
 /* Guards against callers that are sent to an instance which is gone: its row stays in the store for
--- a/packages/node/src/ln-fleet-lists.c
+++ b/packages/node/src/ln-fleet-lists.c
@@ -6,6 +6,7 @@
 #include "lb-clock.h"
 #include "lb-log.h"
 #include "lb-time.h"
+#include "lc-duty.h"
 #include "lp-platform.h"
 
 #include <json-c/json.h>
@@ -18,9 +19,14 @@
 /* Guards against a store that takes so many writes a second in each part: in the unnamed one, to
  * which endpoints and operators write as well, renewals of 84 instances waited for a second, and
  * instances were missed in turn, with the batches and the lease they had. Each part is a list of
- * its own, so there are few: 350 instances write some 40 rows a second to each. */
-#define N_PARTS 4
+ * its own, so there are few. */
+#define N_PARTS 8
 #define DUTY_PART "duty"
+#define MAX_ROWS_OF_PART (LN_FLEET_DIRECTORY_MAX / N_PARTS)
+#define FULL_PERCENT 90 /* of the directory's places, since rows of dead instances take some */
+/* Rows of instances that have been dead for so long are removed: they would fill the directory. */
+#define REMOVE_AFTER (60 * LB_SEC)
+#define REMOVE_SPREAD (30 * LB_SEC) /* so that not all who list remove the same rows */
 
 /* Between two lists of all instances: at most some hundred rows a second. */
 #define LIST_PERIOD (250 * LB_MSEC)
@@ -36,6 +42,7 @@
   LnFleetLists *lists;
   const char *const *prefixes;
   size_t n_prefixes;
+  int64_t limit; /* rows of each part; 0: all */
   LcFleet *fleet;
   LnRowCache *rows;
   size_t waiting; /* parts that were asked for and did not answer */
@@ -60,18 +67,22 @@
 };
 
 static const char *const all_prefixes[N_PARTS]
-    = { TABLE "/0/", TABLE "/1/", TABLE "/2/", TABLE "/3/" };
+    = { TABLE "/0/", TABLE "/1/", TABLE "/2/", TABLE "/3/",
+        TABLE "/4/", TABLE "/5/", TABLE "/6/", TABLE "/7/" };
 static const char *const duty_prefixes[] = { TABLE "/" DUTY_PART "/" };
 
 void
-ln_fleet_key (const char *instance, bool on_duty, char *key)
+ln_fleet_key (const LcFleetRow *row, bool on_duty, char *key)
 {
-  uint64_t hash = XXH3_64bits (instance, strlen (instance));
+  uint64_t hash = XXH3_64bits (row->name, strlen (row->name));
+  LcDutyCandidate candidate = { .strength = row->strength };
 
+  LB_COPY (candidate.name, row->name);
   if (on_duty)
-    snprintf (key, LN_FLEET_KEY_SIZE, "%s%s", duty_prefixes[0], instance);
+    snprintf (key, LN_FLEET_KEY_SIZE, "%s%s", duty_prefixes[0], row->name);
   else
-    snprintf (key, LN_FLEET_KEY_SIZE, "%s%s", all_prefixes[hash % N_PARTS], instance);
+    snprintf (key, LN_FLEET_KEY_SIZE, "%s%018lld-%s", all_prefixes[hash % N_PARTS],
+              (long long)lc_duty_order (TABLE, &candidate), row->name);
 }
 
 static bool
@@ -94,13 +105,15 @@
               LnFleetLists *lists,
               const char *self,
               const char *const *prefixes,
-              size_t n_prefixes)
+              size_t n_prefixes,
+              int64_t limit)
 {
   listing->lists = lists;
   listing->fleet = lc_fleet_new (self);
   listing->rows = ln_row_cache_new (&rows_class, NULL);
   listing->prefixes = prefixes;
   listing->n_prefixes = n_prefixes;
+  listing->limit = limit;
 }
 
 LnFleetLists *
@@ -115,8 +128,8 @@
   LB_COPY (lists->self, self);
   lists->on_change = on_change;
   lists->user = user;
-  listing_init (&lists->all, lists, self, all_prefixes, N_PARTS);
-  listing_init (&lists->on_duty, lists, self, duty_prefixes, 1);
+  listing_init (&lists->all, lists, self, all_prefixes, N_PARTS, MAX_ROWS_OF_PART);
+  listing_init (&lists->on_duty, lists, self, duty_prefixes, 1, 0);
   return lists;
 }
 
@@ -165,6 +178,48 @@
   lists->n_members = lc_fleet_join (lists->all.fleet, lists->on_duty.fleet, lists->members);
 }
 
+static void
+on_removed (LbErrorCode error, const LpRow *row, void *user)
+{
+  (void)user;
+
+  lb_log (LB_LOG_INFO, "instance_row_removed", LB_TEXT ("key", row->key),
+          LB_TEXT ("outcome", lb_error_name (error)));
+}
+
+static void
+remove_row (const LnFleetLists *lists, const LcFleetMember *member)
+{
+  char key[LN_FLEET_KEY_SIZE];
+  const LpCondition condition = { .key = key, .version = member->version };
+  const LpPut put = { .key = key };
+  const LpTransaction transaction
+      = { .token = "", .conditions = &condition, .n_conditions = 1, .puts = &put, .n_puts = 1 };
+
+  ln_fleet_key (&member->row, false, key);
+  lists->platform->klass->transact (lists->platform, &transaction, LP_PRIORITY_STATUS, on_removed,
+                                    NULL);
+}
+
+/* Only one of each list, so that a fleet that lost its power is not read as a fleet of rows to
+ * remove. */
+static void
+remove_dead (const Listing *listing, LbTime now)
+{
+  LbTime wait = REMOVE_AFTER
+                + (LbTime)(XXH3_64bits (listing->lists->self, strlen (listing->lists->self))
+                           % REMOVE_SPREAD);
+
+  for (size_t i = 0; i < lc_fleet_count (listing->fleet); i++)
+    {
+      const LcFleetMember *member = lc_fleet_at (listing->fleet, i);
+      if (member->alive || now - member->renewed_at < wait)
+        continue;
+      remove_row (listing->lists, member);
+      return;
+    }
+}
+
 /* Only all parts together tell who is there; when one is missing the others count with the next
  * list. */
 static void
@@ -194,6 +249,8 @@
     return;
   ln_row_cache_end (listing->rows);
   bool changed = lc_fleet_end (listing->fleet, now);
+  if (listing == &listing->lists->all)
+    remove_dead (listing, now);
   if (listing->lists->followed)
     return;
   join (listing->lists);
@@ -215,7 +272,7 @@
   listing->asked_at = now;
   listing->next = now + period_of (listing);
   for (size_t i = 0; i < listing->n_prefixes; i++)
-    platform->klass->list (platform, listing->prefixes[i], NULL, 0, on_list, listing);
+    platform->klass->list (platform, listing->prefixes[i], NULL, listing->limit, on_list, listing);
 }
 
 static void
@@ -275,6 +332,17 @@
   return false;
 }
 
+bool
+ln_fleet_lists_leaves_out (const LnFleetLists *lists, const char *instance)
+{
+  if (lists->n_members * 100 < (size_t)LN_FLEET_DIRECTORY_MAX * FULL_PERCENT)
+    return false;
+  for (size_t i = 0; i < lists->n_members; i++)
+    if (strcmp (lists->members[i].row.name, instance) == 0)
+      return false;
+  return true;
+}
+
 size_t
 ln_fleet_lists_count (const LnFleetLists *lists)
 {
--- a/packages/node/src/ln-fleet-lists.h
+++ b/packages/node/src/ln-fleet-lists.h
@@ -5,12 +5,16 @@
 
 struct LpPlatform;
 
-/* Reads the rows of instances in a shared store: all of them now and then, those that run batches
- * or order weights often, since a dead one of these is to be missed soon. */
+/* Reads the rows of instances in a shared store: the directory now and then, those that run batches
+ * or order weights often, since a dead one of these is to be missed soon. The directory is all
+ * instances of a small fleet, and of a large one a sample in which strong machines come first. */
 
-/* Key of the row of an instance, with or without a duty. */
+/* Instances that the directory holds at most; those on duty come beside them. */
+#define LN_FLEET_DIRECTORY_MAX 192
+
+/* Key of the row of an instance, with or without a duty. Rows are in the order of the directory. */
 #define LN_FLEET_KEY_SIZE (LB_NAME_MAX + 32)
-void ln_fleet_key (const char *instance, bool on_duty, char *key);
+void ln_fleet_key (const LcFleetRow *row, bool on_duty, char *key);
 
 typedef struct LnFleetLists LnFleetLists;
 
@@ -28,6 +32,8 @@
 void ln_fleet_lists_hear (LnFleetLists *lists, const LcFleetMember *members, size_t n_members);
 
 /* queries */
+/* The directory is full, and does not hold the instance. */
+bool ln_fleet_lists_leaves_out (const LnFleetLists *lists, const char *instance);
 /* The last list of those on duty shows the instance, this start of it or an earlier one. */
 bool ln_fleet_lists_shows_on_duty (const LnFleetLists *lists, const char *instance);
 size_t ln_fleet_lists_count (const LnFleetLists *lists);
--- a/packages/node/src/ln-fleet-renewal.c
+++ b/packages/node/src/ln-fleet-renewal.c
@@ -13,6 +13,8 @@
 /* Renewals and lists of all instances together stay within a bounded number of calls a second. */
 #define RENEW_PERIOD (500 * LB_MSEC)
 #define RENEW_PERIOD_PER_INSTANCE (8 * LB_MSEC)
+/* Of an instance that nobody lists. */
+#define LEFT_OUT_PERIOD (10 * LB_SEC)
 /* Of an instance on duty, of which there are few: until it is missed its texts stand still, and the
  * longest of a step have a second or two to spare. */
 #define DUTY_PERIOD (300 * LB_MSEC)
@@ -66,7 +68,7 @@
   const LpTransaction transaction
       = { .token = "", .puts = &put, .n_puts = 1, .time = RENEWAL_TIME };
 
-  ln_fleet_key (renewal->row->name, on_duty, key);
+  ln_fleet_key (renewal->row, on_duty, key);
   renewal->platform->klass->transact (renewal->platform, &transaction, LP_PRIORITY_STATUS, done,
                                       renewal);
 }
@@ -139,14 +141,24 @@
   write_row (renewal, true, NULL, on_duty_row_removed);
 }
 
+static LbTime
+period_of (const LnFleetListing *listing)
+{
+  if (listing->is_left_out)
+    return LEFT_OUT_PERIOD;
+  return lb_time_later (RENEW_PERIOD, (LbTime)listing->n_instances * RENEW_PERIOD_PER_INSTANCE);
+}
+
 void
-ln_fleet_renewal_tick (LnFleetRenewal *renewal,
-                       size_t n_instances,
-                       bool duty_row_listed,
-                       LbTime now)
+ln_fleet_renewal_tick (LnFleetRenewal *renewal, const LnFleetListing *listing, LbTime now)
 {
-  renewal->has_duty_row |= duty_row_listed;
-  renewal->period = lb_time_later (RENEW_PERIOD, (LbTime)n_instances * RENEW_PERIOD_PER_INSTANCE);
+  LbTime period = period_of (listing);
+
+  renewal->has_duty_row |= listing->has_duty_row;
+  /* An instance that has just got a place shows at once that it lives. */
+  if (period < renewal->period && renewal->next > now + period)
+    renewal->next = now + period;
+  renewal->period = period;
   if (now >= renewal->next)
     renew (renewal, now);
   if (now < renewal->next_on_duty || renewal->removes_duty_row)
--- a/packages/node/src/ln-fleet-renewal.h
+++ b/packages/node/src/ln-fleet-renewal.h
@@ -15,12 +15,15 @@
 void ln_fleet_renewal_free (LnFleetRenewal *renewal);
 
 /* commands */
-/* n_instances: of the site; duty_row_listed: the second row of this instance was seen in the store.
- */
-void ln_fleet_renewal_tick (LnFleetRenewal *renewal,
-                            size_t n_instances,
-                            bool duty_row_listed,
-                            LbTime now);
+/* What the lists of the instances show. */
+typedef struct
+{
+  size_t n_instances;
+  bool is_left_out; /* the directory has no place for this instance */
+  bool has_duty_row;
+} LnFleetListing;
+
+void ln_fleet_renewal_tick (LnFleetRenewal *renewal, const LnFleetListing *listing, LbTime now);
 /* The row says something new: it is written at once. */
 void ln_fleet_renewal_tell (LnFleetRenewal *renewal, LbTime now);
 /* This instance has got a duty, or ended one. */
--- a/packages/node/src/ln-fleet.c
+++ b/packages/node/src/ln-fleet.c
@@ -90,6 +90,15 @@
   LN_POST (task->task.hub, config, message);
 }
 
+/* Each instance begins elsewhere, so that no few are named by all. */
+static const LcFleetMember *
+member_from (const Fleet *task, size_t index)
+{
+  size_t n = ln_fleet_lists_count (task->lists);
+
+  return ln_fleet_lists_at (task->lists, (ln_context_seed (task->context) % n + index) % n);
+}
+
 /* Others through which the store can be reached. */
 static void
 tell_peers (Fleet *task)
@@ -100,7 +109,7 @@
 
   for (size_t i = 0; i < ln_fleet_lists_count (task->lists) && n < LP_MAX_PEERS; i++)
     {
-      const LcFleetMember *member = ln_fleet_lists_at (task->lists, i);
+      const LcFleetMember *member = member_from (task, i);
       if (member->alive && member->row.peer_address[0]
           && strcmp (member->row.name, task->own.name) != 0)
         lb_strlcpy (addresses[n++], member->row.peer_address, LB_NAME_MAX);
@@ -136,7 +145,8 @@
   if (cut == task->own.cut)
     return;
   task->own.cut = cut;
-  ln_fleet_renewal_tell (task->renewal, now);
+  if (!ln_fleet_lists_leaves_out (task->lists, task->own.name))
+    ln_fleet_renewal_tell (task->renewal, now);
 }
 
 /* Told anew only when it has changed by more than answers of the store may vary: each change of a
@@ -162,8 +172,11 @@
 
   note_reach (task, now);
   note_clock (task, now);
-  ln_fleet_renewal_tick (task->renewal, ln_fleet_lists_count (task->lists),
-                         ln_fleet_lists_shows_on_duty (task->lists, task->own.name), now);
+  const LnFleetListing listing
+      = { .n_instances = ln_fleet_lists_count (task->lists),
+          .is_left_out = ln_fleet_lists_leaves_out (task->lists, task->own.name),
+          .has_duty_row = ln_fleet_lists_shows_on_duty (task->lists, task->own.name) };
+  ln_fleet_renewal_tick (task->renewal, &listing, now);
   ln_fleet_lists_tick (task->lists, now);
 }
 
@@ -192,7 +205,7 @@
 {
   for (size_t i = 0; i < ln_fleet_lists_count (task->lists); i++)
     {
-      const LcFleetMember *member = ln_fleet_lists_at (task->lists, i);
+      const LcFleetMember *member = member_from (task, i);
       bool is_near = strcmp (member->row.data_centre, task->own.data_centre) == 0;
       if (may_be_named (member) && member->fresh >= fresh && is_near == near
           && strcmp (member->row.name, task->own.name) != 0)
--- a/packages/node/tests/test-fleet-renewal.c
+++ b/packages/node/tests/test-fleet-renewal.c
@@ -62,6 +62,7 @@
   LnFleetRenewal *renewal;
   LbTime now;
   bool listed; /* the row on duty */
+  bool is_left_out;
 } Setup;
 
 static void
@@ -75,13 +76,22 @@
   s->now = 100 * LB_SEC;
 }
 
+static void
+tick (Setup *s)
+{
+  const LnFleetListing listing
+      = { .n_instances = 295, .is_left_out = s->is_left_out, .has_duty_row = s->listed };
+
+  ln_fleet_renewal_tick (s->renewal, &listing, s->now);
+}
+
 /* Ticks each 100 ms, with answers. */
 static void
 run (Setup *s, LbTime time)
 {
   for (LbTime end = s->now + time; s->now < end; s->now += 100 * LB_MSEC)
     {
-      ln_fleet_renewal_tick (s->renewal, 295, s->listed, s->now);
+      tick (s);
       answer_all (&s->store, LB_OK);
     }
 }
@@ -92,7 +102,7 @@
   char key[LN_FLEET_KEY_SIZE];
   size_t n = 0;
 
-  ln_fleet_key ("a", on_duty, key);
+  ln_fleet_key (&s->row, on_duty, key);
   for (size_t i = 0; i < s->store.n_writes; i++)
     n += strcmp (s->store.writes[i].key, key) == 0 && s->store.writes[i].removes == removes;
   return n;
@@ -125,11 +135,13 @@
   ln_fleet_renewal_set_duty (s.renewal, false, s.now);
   run (&s, 10 * LB_SEC);
   cr_assert_eq (count (&s, true, true), 0, "the next step comes soon");
+  s.listed = true;
   s.now += LB_SEC;
-  ln_fleet_renewal_tick (s.renewal, 295, true, s.now);
+  tick (&s);
   answer_all (&s.store, LB_OK);
   s.now += 100 * LB_MSEC;
-  ln_fleet_renewal_tick (s.renewal, 295, true, s.now);
+  tick (&s);
+  s.listed = false;
   cr_assert_eq (count (&s, true, true), 1);
   answer_all (&s.store, LB_ERROR_STORE_UNKNOWN);
   run (&s, LB_SEC);
@@ -157,3 +169,19 @@
   cr_assert_geq (count (&s, true, true), 2);
   ln_fleet_renewal_free (s.renewal);
 }
+
+/* Guards against renewals that grow with the fleet: nobody lists an instance without a place. */
+Test (fleet_renewal, an_instance_left_out_renews_seldom_until_it_has_a_place)
+{
+  Setup s;
+
+  setup_init (&s);
+  s.is_left_out = true;
+  run (&s, 30 * LB_SEC);
+  cr_assert_leq (count (&s, false, false), 4);
+  size_t before = count (&s, false, false);
+  s.is_left_out = false;
+  run (&s, 2500 * LB_MSEC);
+  cr_assert_geq (count (&s, false, false), before + 1);
+  ln_fleet_renewal_free (s.renewal);
+}
