--- a/packages/store/tests/test-follow.c
+++ b/packages/store/tests/test-follow.c
@@ -178,3 +178,61 @@
   cr_assert_eq (fake.lists, 4);
   lp_follow_free (follow);
 }
+
+/* Guards against a fleet that starts with one call for each part and instance. */
+Test (follow, a_young_table_is_read_by_its_history)
+{
+  LpFollowSettings history = settings;
+  Fake fake = { .platform.klass = &fake_class };
+
+  history.tries_history = true;
+  LpFollow *follow = lp_follow_new (&fake.platform, &history, on_rows, &fake);
+  lp_follow_tick (follow, LB_SEC);
+  cr_assert_eq (fake.watches, 1);
+  cr_assert_eq (fake.watched_after, 0);
+  answer (&fake, LB_OK, 2, 9);
+  cr_assert (lp_follow_has_listed (follow));
+  lp_follow_tick (follow, LB_SEC);
+  cr_assert_eq (fake.watched_after, 9);
+  cr_assert_eq (fake.lists, 0);
+  lp_follow_free (follow);
+}
+
+/* Guards against rows of before that no history tells. */
+Test (follow, an_old_table_is_listed_at_once)
+{
+  LpFollowSettings history = settings;
+  Fake fake = { .platform.klass = &fake_class };
+
+  history.tries_history = true;
+  LpFollow *follow = lp_follow_new (&fake.platform, &history, on_rows, &fake);
+  LbTime now = lb_clock_monotonic ();
+  lp_follow_tick (follow, now);
+  answer (&fake, LB_ERROR_NOT_FOUND, 0, 0);
+  cr_assert_not (lp_follow_has_listed (follow));
+  lp_follow_tick (follow, now);
+  cr_assert_eq (fake.lists, 2);
+  lp_follow_free (follow);
+}
+
+/* Guards against refused calls that come back at the same rate and are refused again. */
+Test (follow, calls_to_a_busy_store_come_back_later_each_time)
+{
+  Fake fake = { .platform.klass = &fake_class };
+  LpFollow *follow = lp_follow_new (&fake.platform, &settings, on_rows, &fake);
+  LbTime now = lb_clock_monotonic ();
+
+  for (int refused = 1; refused <= 4; refused++)
+    {
+      LbTime retry = settings.retry << (refused - 1);
+      lp_follow_tick (follow, now);
+      cr_assert_eq (fake.lists, 2 * refused);
+      now = lb_clock_monotonic ();
+      answer (&fake, LB_ERROR_STORE_BUSY, 0, 0);
+      answer (&fake, LB_ERROR_STORE_BUSY, 0, 0);
+      lp_follow_tick (follow, now + retry - 1);
+      cr_assert_eq (fake.lists, 2 * refused, "before its time");
+      now += 2 * retry + LB_SEC;
+    }
+  lp_follow_free (follow);
+}
--- a/tests/process/pt-shared.c
+++ b/tests/process/pt-shared.c
@@ -375,7 +375,7 @@
   int seen[64] = { 0 };
   char score[64];
 
-  PT_ASSERT (json_object_array_length (results) == n_items);
+  PT_ASSERT (json_object_array_length (results) == (size_t)n_items);
   for (int i = 0; i < n_items; i++)
     {
       struct json_object *result = json_object_array_get_idx (results, (size_t)i);
