--- a/packages/cli/src/lt-story.c
+++ b/packages/cli/src/lt-story.c
@@ -8,7 +8,7 @@
 #include <string.h>
 
 /* A list of all candidates would fill the screen. */
-#define LONGEST_VALUE 160
+#define MAX_VALUE 160
 /* Beliefs that were formed so long before the first line of the story still explain it. */
 #define BELIEFS_BEFORE_MS 5000
 /* Lines that one message brings are written within this time. */
@@ -191,8 +191,8 @@
     const char *text = json_object_is_type (value, json_type_string)
                            ? json_object_get_string (value)
                            : json_object_to_json_string_ext (value, JSON_C_TO_STRING_PLAIN);
-    bool is_long = strlen (text) > LONGEST_VALUE;
-    fprintf (out, " %s=%.*s%s", key, LONGEST_VALUE, text, is_long ? "..." : "");
+    bool is_long = strlen (text) > MAX_VALUE;
+    fprintf (out, " %s=%.*s%s", key, MAX_VALUE, text, is_long ? "..." : "");
   }
   fputc ('\n', out);
 }
--- a/packages/core/bench/bench-membership.c
+++ b/packages/core/bench/bench-membership.c
@@ -17,8 +17,8 @@
 #define BUDGET 14000.0
 #define TRIALS 20
 #define SECONDS_OF_HISTORY 60
-#define SHORTEST_PERIOD (500 * LB_MSEC)
-#define LONGEST_PERIOD (30 * LB_SEC)
+#define MIN_PERIOD (500 * LB_MSEC)
+#define MAX_PERIOD (30 * LB_SEC)
 
 static const size_t sizes[] = { 10, 100, 350 };
 
@@ -111,9 +111,9 @@
   double capacity = BUDGET / 2 / exchange_bytes ();
   LbTime period = (LbTime)((double)(members - 1) / capacity * LB_SEC);
 
-  if (period < SHORTEST_PERIOD)
-    return SHORTEST_PERIOD;
-  return period > LONGEST_PERIOD ? LONGEST_PERIOD : period;
+  if (period < MIN_PERIOD)
+    return MIN_PERIOD;
+  return period > MAX_PERIOD ? MAX_PERIOD : period;
 }
 
 static void
--- a/packages/core/src/lc-batch-cost.c
+++ b/packages/core/src/lc-batch-cost.c
@@ -4,9 +4,9 @@
 
 #define PRIOR_SLOWDOWN 1.0
 #define PRIOR_VARIANCE 0.002 /* of the fill; reports that hardly differ in it say little */
-#define LEAST_WEIGHT 0.005   /* of a new report */
-#define LEAST_SLOWDOWN 0.05
-#define MOST_SLOWDOWN 5.0
+#define MIN_WEIGHT 0.005     /* of a new report */
+#define MIN_SLOWDOWN 0.05
+#define MAX_SLOWDOWN 5.0
 
 static void
 mix (double *mean, double value, double weight)
@@ -17,7 +17,7 @@
 void
 lc_batch_cost_learn (LcBatchCost *cost, double fill, double token_seconds)
 {
-  double weight = fmax (LEAST_WEIGHT, 1 / (cost->reports + 1));
+  double weight = fmax (MIN_WEIGHT, 1 / (cost->reports + 1));
 
   cost->reports++;
   mix (&cost->fill, fill, weight);
@@ -38,6 +38,6 @@
   if (cost->reports == 0)
     return PRIOR_SLOWDOWN;
   if (alone <= 0)
-    return MOST_SLOWDOWN;
-  return fmin (MOST_SLOWDOWN, fmax (LEAST_SLOWDOWN, slope / alone));
+    return MAX_SLOWDOWN;
+  return fmin (MAX_SLOWDOWN, fmax (MIN_SLOWDOWN, slope / alone));
 }
--- a/packages/core/src/lc-batch-item.c
+++ b/packages/core/src/lc-batch-item.c
@@ -6,12 +6,12 @@
 #include <string.h>
 
 #define FIRST_DELAY (50 * LB_MSEC) /* before a failed run is tried again; doubles each time */
-#define LONGEST_DELAY (800 * LB_MSEC)
+#define MAX_DELAY (800 * LB_MSEC)
 /* Of a text whose length nobody estimated. */
 #define DEFAULT_EVENTS 8
 /* Estimates are right at the median and often far off: a text that got longer than its own is taken
  * to go on for this part of it. */
-#define LEAST_PART_LEFT 4
+#define MIN_PART_LEFT 4
 /* Of an addition to what is kept of a text: fewer cost more to write and to read than to make
  * again, a quarter of a second at an engine that makes twelve events a second. */
 #define EVENTS_TO_KEEP 3
@@ -147,7 +147,7 @@
   if (item->least_is_all || item->least > events)
     events = item->least;
   left = events - item->events;
-  return left > events / LEAST_PART_LEFT ? left : events / LEAST_PART_LEFT + 1;
+  return left > events / MIN_PART_LEFT ? left : events / MIN_PART_LEFT + 1;
 }
 
 /* A silence counts as it goes on, so that a stream which stopped is not waited for. */
@@ -211,10 +211,10 @@
 {
   LbTime delay = FIRST_DELAY;
 
-  for (int i = 0; i < item->retries && delay < LONGEST_DELAY; i++)
+  for (int i = 0; i < item->retries && delay < MAX_DELAY; i++)
     delay *= 2;
   item->retries++;
   item->state = state;
   item->request = 0;
-  item->retry_at = now + (delay < LONGEST_DELAY ? delay : LONGEST_DELAY);
+  item->retry_at = now + (delay < MAX_DELAY ? delay : MAX_DELAY);
 }
--- a/packages/core/src/lc-batch-review.c
+++ b/packages/core/src/lc-batch-review.c
@@ -7,7 +7,7 @@
 /* Between looks for texts that come too slowly. */
 #define REVIEW_PERIOD (100 * LB_MSEC)
 /* An item that was moved so often stays where it is. */
-#define MOST_MOVES 3
+#define MAX_MOVES 3
 /* Looks for slow texts come this late only when this instance itself stood still. */
 #define OWN_PAUSE (300 * LB_MSEC)
 /* Only the time counts by which the trainer waits longer. */
@@ -25,7 +25,7 @@
           .first_piece = item->first_piece,
           .token_seconds = lc_batch_item_token_seconds (item, now) };
 
-  if (item->state != ITEM_RUNNING || item->recalled || item->moves >= MOST_MOVES || item->unusable
+  if (item->state != ITEM_RUNNING || item->recalled || item->moves >= MAX_MOVES || item->unusable
       || item->run_events <= LC_BATCH_INTERVALS_TO_LEARN)
     return 0;
   return lc_straggler_move_gain (&history->lengths, &history->pace, &progress, IDLE_WEIGHT, now);
--- a/packages/core/src/lc-batch-write.c
+++ b/packages/core/src/lc-batch-write.c
@@ -9,7 +9,7 @@
 #define WRITE_RETRY (100 * LB_MSEC)
 /* Of texts that are listed and kept for a later batch that asks for their groups again: four times
  * the texts of a step of 2,048 samples of 2 KB. */
-#define MOST_LISTED_BYTES ((size_t)(16 << 20))
+#define MAX_LISTED_BYTES ((size_t)(16 << 20))
 
 /* One write is on its way at a time, with all that got ready meanwhile: the position of a result is
  * fixed by the first write that names it, and a write whose answer was lost is repeated with the
@@ -47,7 +47,7 @@
 hold_listed (LcBatch *batch, LcBatchItem *item)
 {
   batch->listed_bytes += item->length;
-  if (batch->listed_bytes <= MOST_LISTED_BYTES)
+  if (batch->listed_bytes <= MAX_LISTED_BYTES)
     return;
   batch->listed_bytes -= item->length;
   lc_batch_result_clear (&item->result);
--- a/packages/core/src/lc-breaker.c
+++ b/packages/core/src/lc-breaker.c
@@ -7,7 +7,7 @@
 #define RATIO_WEIGHT 0.1
 #define RESULTS_FOR_RATIO 10
 #define FIRST_WAIT LB_SEC
-#define LONGEST_WAIT (5 * LB_SEC)
+#define MAX_WAIT (5 * LB_SEC)
 #define TRIALS_TO_CLOSE 32
 
 static void
@@ -15,10 +15,10 @@
 {
   LbTime wait = FIRST_WAIT;
 
-  for (int64_t i = 0; i < breaker->openings && wait < LONGEST_WAIT; i++)
+  for (int64_t i = 0; i < breaker->openings && wait < MAX_WAIT; i++)
     wait *= 2;
   breaker->state = LC_BREAKER_OPEN;
-  breaker->until = now + (wait < LONGEST_WAIT ? wait : LONGEST_WAIT);
+  breaker->until = now + (wait < MAX_WAIT ? wait : MAX_WAIT);
   breaker->openings++;
   breaker->trials = 0;
 }
--- a/packages/core/src/lc-candidates.c
+++ b/packages/core/src/lc-candidates.c
@@ -10,7 +10,7 @@
 #define SLOW 1.5
 /* Of a text for an engine at full pace. An engine of eight places with texts of a second has room
  * each 0.13 s on average; what is not placed by then stands behind texts as long as itself. */
-#define LONGEST_WAIT_SECONDS 2.5
+#define MAX_WAIT_SECONDS 2.5
 
 typedef struct
 {
@@ -85,7 +85,7 @@
       || pace < SLOW * scales->fastest)
     return false;
   return tokens * pace > left
-         && waited < fmin (LONGEST_WAIT_SECONDS, tokens * (pace - scales->fastest));
+         && waited < fmin (MAX_WAIT_SECONDS, tokens * (pace - scales->fastest));
 }
 
 static void
--- a/packages/core/src/lc-carried.c
+++ b/packages/core/src/lc-carried.c
@@ -9,7 +9,7 @@
 
 /* A group that was not whole comes again in one of its trainer's next steps, which are some seconds
  * apart; after this time its weights are too old as a rule. */
-#define LONGEST_TIME (60 * LB_SEC)
+#define MAX_TIME (60 * LB_SEC)
 
 typedef struct
 {
@@ -121,7 +121,7 @@
 {
   Entry *entry;
 
-  while ((entry = oldest (carried)) && now - entry->at > LONGEST_TIME)
+  while ((entry = oldest (carried)) && now - entry->at > MAX_TIME)
     remove_entry (carried, entry);
 }
 
--- a/packages/core/src/lc-catalog.c
+++ b/packages/core/src/lc-catalog.c
@@ -16,7 +16,7 @@
 #define MISSED_AFTER (600 * LB_MSEC)
 #define RANK_DELAY (250 * LB_MSEC)
 /* A belief that was already so old when it was heard is not gone by: its write came late. */
-#define MOST_AGE_MS 1000
+#define MAX_AGE_MS 1000
 /* Without an answer for so long a write counts as lost; the table tells what became of it. */
 #define WRITE_TIME LB_SEC
 /* Of a write, beside the publisher's row: the store takes 100 entries in a transaction, one of
@@ -232,7 +232,7 @@
     return false;
   catalog->news = false;
   catalog->moved_at = now;
-  if (!catalog->whole || age_ms < 0 || age_ms > MOST_AGE_MS)
+  if (!catalog->whole || age_ms < 0 || age_ms > MAX_AGE_MS)
     return false;
   put_in_order (catalog);
   catalog->heard_at = now;
--- a/packages/core/src/lc-dispatch.c
+++ b/packages/core/src/lc-dispatch.c
@@ -7,7 +7,7 @@
 #include <string.h>
 
 #define DEFAULT_POLICY "lentilspindle"
-#define LONGEST_VIEW (2500 * LB_MSEC)
+#define MAX_VIEW (2500 * LB_MSEC)
 #define DEFAULT_QUEUE_LIMIT 4096
 #define DRAIN_RETRY_AFTER (100 * LB_MSEC)
 
@@ -38,7 +38,7 @@
 
   dispatch->settings = *settings;
   if (settings->longest_view == 0)
-    dispatch->settings.longest_view = LONGEST_VIEW;
+    dispatch->settings.longest_view = MAX_VIEW;
   dispatch->router = router;
   dispatch->endpoints = lc_endpoints_new ();
   dispatch->budgets = lc_retry_budgets_new (settings->retry_budget);
--- a/packages/core/src/lc-duty.c
+++ b/packages/core/src/lc-duty.c
@@ -5,7 +5,7 @@
 #include <xxhash.h>
 
 /* Of machines that do not say what they bear. */
-#define LEAST_STRENGTH 1
+#define MIN_STRENGTH 1
 
 /* Both bind: texts of a step are taken apart by the processor and go through the link twice. */
 int64_t
@@ -31,7 +31,7 @@
 static double
 score (const char *duty, const LcDutyCandidate *candidate)
 {
-  int64_t strength = candidate->strength > LEAST_STRENGTH ? candidate->strength : LEAST_STRENGTH;
+  int64_t strength = candidate->strength > MIN_STRENGTH ? candidate->strength : MIN_STRENGTH;
 
   return -(double)strength * (double)strength / log (draw (duty, candidate->name));
 }
--- a/packages/core/src/lc-endpoints.c
+++ b/packages/core/src/lc-endpoints.c
@@ -10,7 +10,7 @@
 #define EWMA_WEIGHT 0.1
 /* A load takes about a second; one request in this time finds out that it is over. */
 #define REFUSED_FOR (120 * LB_MSEC)
-#define MOST_TOKENS_PER_SECOND 1e6
+#define MAX_TOKENS_PER_SECOND 1e6
 /* An endpoint of which no stream was seen for so long is tried again as if it were well: engines
  * turn slow for five to ten seconds. */
 #define PACE_KEPT (4 * LB_SEC)
@@ -82,7 +82,7 @@
   sane.running = report->running > 0 ? report->running : 0;
   sane.waiting = report->waiting > 0 ? report->waiting : 0;
   sane.version = report->version > 0 ? report->version : 0;
-  if (!(report->tokens_per_second > 0 && report->tokens_per_second < MOST_TOKENS_PER_SECOND))
+  if (!(report->tokens_per_second > 0 && report->tokens_per_second < MAX_TOKENS_PER_SECOND))
     sane.tokens_per_second = 0;
   sane.at = report->at < now ? report->at : now;
   return sane;
--- a/packages/core/src/lc-engine-plan.c
+++ b/packages/core/src/lc-engine-plan.c
@@ -17,15 +17,15 @@
  * moved, and beside them a part of an even share: less is noise of the lengths of texts, which in
  * five steps of 40 texts is a tenth of the share, and each move costs a load of weights and the
  * engine's cache. */
-#define LEAST_IMBALANCE 1.4
-#define LEAST_IMBALANCE_PART 0.1
+#define MIN_IMBALANCE 1.4
+#define MIN_IMBALANCE_PART 0.1
 /* Once engines are moved at all, the division becomes as even as whole engines allow. A move
  * changes the sum of the squares of what models lack by 2 - 2 x (lack of the one + spare of the
  * other), so it brings the division nearer to the demand only where these two are over 1 together;
  * the hundredth is far above what rounding adds. Each move then lowers that sum, so the moves end.
  * Without it, two models with a lack of 0.7 and a spare of 0.2 took the same engine from each other
  * for ever, and the instance stood still. */
-#define LEAST_GAIN 1.01
+#define MIN_GAIN 1.01
 
 void
 lc_engine_plan_clear (LcEnginePlan *plan)
@@ -394,7 +394,7 @@
 static void
 move_by_demand (LcPlanEntry *engines, size_t n_engines, Share *shares, size_t n_models)
 {
-  double least = LEAST_IMBALANCE + LEAST_IMBALANCE_PART * (double)n_engines / (double)n_models;
+  double least = MIN_IMBALANCE + MIN_IMBALANCE_PART * (double)n_engines / (double)n_models;
   size_t to = 0;
   size_t from = 0;
 
@@ -404,7 +404,7 @@
       if (model < n_models)
         shares[model].has++;
     }
-  for (; find_move (shares, n_models, least, &to, &from); least = LEAST_GAIN)
+  for (; find_move (shares, n_models, least, &to, &from); least = MIN_GAIN)
     {
       move_one (engines, n_engines, shares[from].name, shares[to].name);
       shares[from].has--;
--- a/packages/core/src/lc-lease.c
+++ b/packages/core/src/lc-lease.c
@@ -10,7 +10,7 @@
 
 #define MARGIN (100 * LB_MSEC)
 #define RANK_DELAY (500 * LB_MSEC)
-#define LONGEST_PAUSE LB_SEC
+#define MAX_PAUSE LB_SEC
 #define N_REMEMBERED 8
 #define STALE_RETRY (200 * LB_MSEC)
 
@@ -267,7 +267,7 @@
 
   lease->last_tick = now;
   lease->last_wall = wall;
-  if (elapsed <= LONGEST_PAUSE && elapsed_wall - elapsed <= LONGEST_PAUSE)
+  if (elapsed <= MAX_PAUSE && elapsed_wall - elapsed <= MAX_PAUSE)
     return;
   if (lease->held)
     lb_metric_add (&metric_paused, 1);
@@ -412,7 +412,7 @@
 {
   if (!lease->held || lease->must_confirm || lease->releasing || now >= lease->valid_until)
     return false;
-  if (now - lease->last_tick > LONGEST_PAUSE || takes_turns (lease, now))
+  if (now - lease->last_tick > MAX_PAUSE || takes_turns (lease, now))
     return false;
   return !unfenced || now >= lease->gained_at + lease->settings.order_lifetime;
 }
--- a/packages/core/src/lc-load-time.c
+++ b/packages/core/src/lc-load-time.c
@@ -13,7 +13,7 @@
 #define FIRST_PART 0.96
 #define NEXT_PART 0.045
 /* Less is no use: the answer itself takes some ms. */
-#define LEAST_NEXT (40 * LB_MSEC)
+#define MIN_NEXT (40 * LB_MSEC)
 
 void
 lc_load_time_add (LcLoadTime *load, LbTime time)
@@ -38,5 +38,5 @@
 LbTime
 lc_load_time_next (const LcLoadTime *load)
 {
-  return lb_time_later ((LbTime)(NEXT_PART * (double)mean_of (load)), LEAST_NEXT);
+  return lb_time_later ((LbTime)(NEXT_PART * (double)mean_of (load)), MIN_NEXT);
 }
--- a/packages/core/src/lc-membership-news.c
+++ b/packages/core/src/lc-membership-news.c
@@ -15,7 +15,7 @@
 #define INTRODUCTION (10 * LB_SEC)
 #define CONFLICT_PAUSE (5 * LB_SEC)
 #define FIRST_VOUCH (5 * LB_SEC)
-#define LONGEST_VOUCH (60 * LB_SEC)
+#define MAX_VOUCH (60 * LB_SEC)
 
 static void
 wake_flush (LcMembership *membership, LbTime now)
@@ -73,8 +73,8 @@
   membership->totals.refuted++;
   member->silent = false;
   member->vouch = member->vouch ? 2 * member->vouch : FIRST_VOUCH;
-  if (member->vouch > LONGEST_VOUCH)
-    member->vouch = LONGEST_VOUCH;
+  if (member->vouch > MAX_VOUCH)
+    member->vouch = MAX_VOUCH;
   member->vouched_until = now + member->vouch;
 }
 
--- a/packages/core/src/lc-outcome.c
+++ b/packages/core/src/lc-outcome.c
@@ -7,7 +7,7 @@
 
 /* A request that makes engines fail must not go round all of them. */
 #define MAX_LOST 3
-#define LEAST_HINT (100 * LB_MSEC)
+#define MIN_HINT (100 * LB_MSEC)
 #define HINT_WITHOUT_ENDPOINT LB_SEC
 #define LONG_SILENCE LB_SEC
 /* Of a text, whose first piece comes a few times sooner than this. */
@@ -158,8 +158,8 @@
     hint = HINT_WITHOUT_ENDPOINT;
   else if (opens_at - now > hint)
     hint = opens_at - now;
-  if (hint < LEAST_HINT)
-    hint = LEAST_HINT;
+  if (hint < MIN_HINT)
+    hint = MIN_HINT;
   return hint + (LbTime)(gsl_rng_uniform (dispatch->random) * (double)hint / 2);
 }
 
--- a/packages/core/src/lc-placement.c
+++ b/packages/core/src/lc-placement.c
@@ -9,12 +9,12 @@
 /* Requests that are passed over in one round because they fit nowhere now. Bounds the cost of a
  * round while a pool is full. */
 #define MAX_PASSED_OVER 16
-#define LONGEST_BLOCKED_WAIT (200 * LB_MSEC)
+#define MAX_BLOCKED_WAIT (200 * LB_MSEC)
 /* A timer that is later shows that this instance itself stood still. */
 #define OWN_PAUSE (300 * LB_MSEC)
 /* Until a second attempt that found no place is tried again. */
 #define HEDGE_AGAIN (100 * LB_MSEC)
-#define LONGEST_HOLD (1200 * LB_MSEC) /* a little more than a period of the polls for load */
+#define MAX_HOLD (1200 * LB_MSEC) /* a little more than a period of the polls for load */
 
 static const LcEndpointGroup *
 group_of (const LcDispatch *dispatch, const LcPoolState *pool)
@@ -56,7 +56,7 @@
 {
   if (opens_at == LB_TIME_NEVER || opens_at > start_by)
     return false;
-  return kind == LC_KIND_SAMPLE || opens_at <= now + LONGEST_BLOCKED_WAIT;
+  return kind == LC_KIND_SAMPLE || opens_at <= now + MAX_BLOCKED_WAIT;
 }
 
 void
@@ -96,7 +96,7 @@
 }
 
 /* Holds a pool back none of whose endpoints has a current view, until one reports. Reports come
- * within milliseconds when it was this instance that slept; when none comes for LONGEST_HOLD,
+ * within milliseconds when it was this instance that slept; when none comes for MAX_HOLD,
  * endpoints do not answer for their load and are taken as they are. Those that were never heard of
  * have been kept out by the table of endpoints for as long already. */
 static LcRouteDecision
@@ -106,7 +106,7 @@
     return *outdated;
   if (pool->held_since == 0)
     pool->held_since = now;
-  if (now - pool->held_since >= LONGEST_HOLD)
+  if (now - pool->held_since >= MAX_HOLD)
     return *outdated;
   return (LcRouteDecision){ .reason = "view-too-old" };
 }
--- a/packages/core/src/lc-review.c
+++ b/packages/core/src/lc-review.c
@@ -7,7 +7,7 @@
 
 #define REVIEW_INTERVAL (100 * LB_MSEC)
 /* A sample that was moved so often stays where it is. */
-#define MOST_MOVES 4
+#define MAX_MOVES 4
 
 static LbMetric hedges_metric
     = LB_COUNTER_INIT ("lentilspindle_rollout_hedges_total",
@@ -49,7 +49,7 @@
   for (size_t i = 0; i < step->n_slots; i++)
     {
       LcSlot *slot = &step->slots[i];
-      if (!may_be_moved (slot) || (gain_of == lc_straggler_move_gain && slot->moves >= MOST_MOVES))
+      if (!may_be_moved (slot) || (gain_of == lc_straggler_move_gain && slot->moves >= MAX_MOVES))
         continue;
       LcJob *job = LB_LIST_FIRST (&slot->jobs, LcJob, link);
       LcProgress progress = progress_of (job);
--- a/packages/core/src/lc-roster.c
+++ b/packages/core/src/lc-roster.c
@@ -21,7 +21,7 @@
 #define LIST_PERIOD_PER_ENDPOINT (LB_SEC / 400)
 /* An endpoint that leaves gets no new work 2 s after it said so: this period, the list's answer and
  * its taking fit, with half a second to spare. */
-#define LONGEST_LIST_PERIOD (900 * LB_MSEC)
+#define MAX_LIST_PERIOD (900 * LB_MSEC)
 #define FIRST_CAPACITY 16
 /* Endpoints that a list adds or removes with a line for each; of more one line tells the number. */
 #define MAX_LINES 16
@@ -435,7 +435,7 @@
 
   if (period < LIST_PERIOD)
     return LIST_PERIOD;
-  return period < LONGEST_LIST_PERIOD ? period : LONGEST_LIST_PERIOD;
+  return period < MAX_LIST_PERIOD ? period : MAX_LIST_PERIOD;
 }
 
 size_t
--- a/packages/core/src/lc-router-finish-time.c
+++ b/packages/core/src/lc-router-finish-time.c
@@ -18,7 +18,7 @@
 #define PREFILL_HOLDS_UP 0.5 /* share of its time that each request beside it loses */
 #define PRIOR_SENT 0.02      /* added to what we sent to each endpoint, which may be nothing yet */
 #define BOUND_WEIGHT 0.02    /* of one decision in the share of those bound to a cache */
-#define LEAST_SILENCE_SECONDS 2.0
+#define MIN_SILENCE_SECONDS 2.0
 /* A connection to a plain service that is opened first: a round trip, and the endpoint's own work.
  */
 #define CONNECT_SECONDS 0.003
@@ -26,7 +26,7 @@
 #define CONNECTION_KEPT (5 * LB_SEC)
 #define SILENCE_FACTOR 3.0 /* times the mean age of reports */
 #define INDIFFERENT 0.002  /* scores that differ by less than this share count as equal */
-#define LEAST_SHARE 0.01   /* requests that an endpoint above the level counts for in the draw */
+#define MIN_SHARE 0.01     /* requests that an endpoint above the level counts for in the draw */
 
 /* What all candidates of one decision have in common. */
 typedef struct
@@ -202,7 +202,7 @@
     }
   situation->unseen = unseen * (1 - situation->group->bound_share);
   situation->bound_per_sent = unseen * situation->group->bound_share / sent;
-  situation->silent_after = larger (LEAST_SILENCE_SECONDS, SILENCE_FACTOR * age / (double)n);
+  situation->silent_after = larger (MIN_SILENCE_SECONDS, SILENCE_FACTOR * age / (double)n);
   situation->whole_prefill_seconds = prefill * (1 + PREFILL_HOLDS_UP * total / (double)n);
 }
 
@@ -293,7 +293,7 @@
   for (size_t i = 0; i < policy->candidates.n_items; i++)
     {
       const LcLoadPrice *price = &policy->loads[i];
-      double share = larger (LEAST_SHARE, (level - price->seconds) * price->per_second);
+      double share = larger (MIN_SHARE, (level - price->seconds) * price->per_second);
 
       if (policy->candidates.items[i].score > least * (1 + INDIFFERENT))
         continue;
--- a/packages/core/src/lc-straggler.c
+++ b/packages/core/src/lc-straggler.c
@@ -19,7 +19,7 @@
 /* So many may be made beside those seen, since engines send several in one piece. */
 #define UNSEEN_TOKENS 32
 /* A second generation must be expected to be so much faster even where only idle time counts. */
-#define LEAST_MARGIN 1.5
+#define MIN_MARGIN 1.5
 
 static size_t
 bucket_of (int64_t tokens)
@@ -148,7 +148,7 @@
 static double
 margin (double idle_weight)
 {
-  return LEAST_MARGIN + (1.0 - idle_weight);
+  return MIN_MARGIN + (1.0 - idle_weight);
 }
 
 static bool
--- a/packages/core/src/lc-usage-reports.c
+++ b/packages/core/src/lc-usage-reports.c
@@ -11,7 +11,7 @@
 /* Instances write what they could not, and rows that were on their way arrive. */
 #define STORE_RETURN (1500 * LB_MSEC)
 /* Windows that ended without a holder and are caught up; older ones are long overdue. */
-#define MOST_BEHIND 24
+#define MAX_BEHIND 24
 
 typedef enum
 {
@@ -231,8 +231,8 @@
 {
   if (reports->first < 0)
     reports->first = present;
-  if (reports->first < present - MOST_BEHIND)
-    reports->first = present - MOST_BEHIND;
+  if (reports->first < present - MAX_BEHIND)
+    reports->first = present - MAX_BEHIND;
   for (int64_t number = reports->first; number <= present; number++)
     if (!find (reports, number))
       add (reports, number);
--- a/packages/core/src/lc-weights.c
+++ b/packages/core/src/lc-weights.c
@@ -9,11 +9,11 @@
 
 #define ACCEPT_GRACE LB_SEC /* from an accepted order until a report must show the load */
 #define FIRST_BACKOFF (2 * LB_SEC)
-#define LONGEST_BACKOFF (60 * LB_SEC)
+#define MAX_BACKOFF (60 * LB_SEC)
 #define EWMA_WEIGHT 0.3
 #define FIRST_LOAD_TIME (5 * LB_SEC) /* expected until one was seen */
-#define LEAST_FAILED_TO_HALT 2
-#define MOST_FAILED_TO_HALT 5
+#define MIN_FAILED_TO_HALT 2
+#define MAX_FAILED_TO_HALT 5
 
 typedef enum
 {
@@ -248,11 +248,11 @@
 {
   LbTime backoff = FIRST_BACKOFF;
 
-  for (int i = 0; i < engine->failures && backoff < LONGEST_BACKOFF; i++)
+  for (int i = 0; i < engine->failures && backoff < MAX_BACKOFF; i++)
     backoff *= 2;
   engine->failures++;
   engine->ordered = 0;
-  engine->retry_at = now + (backoff < LONGEST_BACKOFF ? backoff : LONGEST_BACKOFF);
+  engine->retry_at = now + (backoff < MAX_BACKOFF ? backoff : MAX_BACKOFF);
   lb_metric_add (&metric_failures, 1);
 }
 
@@ -426,10 +426,10 @@
 {
   size_t limit = swap_limit (weights, view);
 
-  if (limit < LEAST_FAILED_TO_HALT)
-    limit = LEAST_FAILED_TO_HALT;
-  if (limit > MOST_FAILED_TO_HALT)
-    limit = MOST_FAILED_TO_HALT;
+  if (limit < MIN_FAILED_TO_HALT)
+    limit = MIN_FAILED_TO_HALT;
+  if (limit > MAX_FAILED_TO_HALT)
+    limit = MAX_FAILED_TO_HALT;
   return view->done == 0 && view->refused >= limit;
 }
 
--- a/packages/core/tests/test-batch-keep.c
+++ b/packages/core/tests/test-batch-keep.c
@@ -333,7 +333,7 @@
     EVENT_MS = 76,
     WRITE_MS = 40,
     LENGTH_MS = 6000,
-    MOST_LOST = 7 /* events, in 0.53 s */
+    MAX_LOST = 7 /* events, in 0.53 s */
   };
   char event[401];
   Owner owner;
@@ -365,7 +365,7 @@
       Owner next;
       hand_on (&owner, &next, N_TEXTS, now);
       for (int i = 0; i < N_TEXTS; i++)
-        cr_assert_geq (next.resume_at[i], made - MOST_LOST,
+        cr_assert_geq (next.resume_at[i], made - MAX_LOST,
                        "item %d has %lld of %lld events at %d ms", i, (long long)next.resume_at[i],
                        (long long)made, ms);
       owner_clear (&next);
--- a/packages/core/tests/test-catalog.c
+++ b/packages/core/tests/test-catalog.c
@@ -22,7 +22,7 @@
 #define MAX_ROWS (MAX_ENDPOINTS + 2)
 #define MAX_INSTANCES 300
 /* An endpoint that leaves gets nothing new this long after its entry said so. */
-#define MOST_LATE (1900 * LB_MSEC)
+#define MAX_LATE (1900 * LB_MSEC)
 
 typedef struct
 {
@@ -480,7 +480,7 @@
       const Endpoint *endpoint = &w->endpoints[i];
       LbTime known_since
           = endpoint->changed_at > instance->since ? endpoint->changed_at : instance->since;
-      if ((endpoint->listed.leaving || !endpoint->exists) && w->now - known_since > MOST_LATE)
+      if ((endpoint->listed.leaving || !endpoint->exists) && w->now - known_since > MAX_LATE)
         cr_assert (believes_leaving (instance, endpoint->listed.name),
                    "seed %lu: %s is not known to leave %lld ms later", seed, endpoint->listed.name,
                    (long long)((w->now - known_since) / LB_MSEC));
--- a/packages/core/tests/test-engine-plan.c
+++ b/packages/core/tests/test-engine-plan.c
@@ -164,17 +164,17 @@
 
 /* --- any number of models, engines and any demand --- */
 
-#define MOST_MODELS 10
-#define MOST_ENGINES 100
+#define MAX_MODELS 10
+#define MAX_ENGINES 100
 #define N_DRAWS 4000
 
 typedef struct
 {
-  LbName models[MOST_MODELS];
+  LbName models[MAX_MODELS];
   size_t n_models;
-  LcPlanEntry engines[MOST_ENGINES];
+  LcPlanEntry engines[MAX_ENGINES];
   size_t n_engines;
-  double tokens[MOST_MODELS];
+  double tokens[MAX_MODELS];
   LcDemand *demand;
 } Draw;
 
@@ -183,8 +183,8 @@
 {
   memset (draw, 0, sizeof *draw);
   draw->demand = lc_demand_new ();
-  draw->n_models = 1 + gsl_rng_uniform_int (random, MOST_MODELS);
-  draw->n_engines = 1 + gsl_rng_uniform_int (random, MOST_ENGINES);
+  draw->n_models = 1 + gsl_rng_uniform_int (random, MAX_MODELS);
+  draw->n_engines = 1 + gsl_rng_uniform_int (random, MAX_ENGINES);
   for (size_t i = 0; i < draw->n_models; i++)
     {
       snprintf (draw->models[i], LB_NAME_MAX, "model-%zu", i);
--- a/packages/core/tests/test-scaling.c
+++ b/packages/core/tests/test-scaling.c
@@ -7,7 +7,7 @@
 #include <string.h>
 
 #define SLOTS 6
-#define MOST_ENDPOINTS 128
+#define MAX_ENDPOINTS 128
 
 /* Engines of one service in three data centres, of which b is the dearest and a the cheapest; four
  * of the full price in each. */
@@ -16,7 +16,7 @@
   LcScaling *scaling;
   LcDesired *desired;
   LcResourceSet set;
-  LcEndpointMember endpoints[MOST_ENDPOINTS];
+  LcEndpointMember endpoints[MAX_ENDPOINTS];
   LbTime now;
 } Scene;
 
--- a/packages/node/src/ln-batch-calls.c
+++ b/packages/node/src/ln-batch-calls.c
@@ -13,7 +13,7 @@
 #include <string.h>
 
 #define POLL (150 * LB_MSEC) /* between looks for a result that somebody waits for */
-#define LONGEST_WAIT LB_SEC
+#define MAX_WAIT LB_SEC
 #define PAGE_ROWS 200
 
 static void begin (LnBatchCall *call);
@@ -403,7 +403,7 @@
   call->exchange = exchange;
   call->kind = kind_of (in.kind);
   call->position = in.position;
-  call->give_up_at = now + (in.wait < LONGEST_WAIT ? in.wait : LONGEST_WAIT);
+  call->give_up_at = now + (in.wait < MAX_WAIT ? in.wait : MAX_WAIT);
   call->retry_at = LB_TIME_NEVER;
   LB_COPY (call->item, in.item ? in.item : "");
   ln_exchange_set_user (exchange, call);
--- a/packages/node/src/ln-batches.c
+++ b/packages/node/src/ln-batches.c
@@ -18,7 +18,7 @@
 
 /* Texts of a model's groups that were not whole, held for the next steps: a few steps of 2,048
  * samples of 2 KB, of which less than half may come again. */
-#define MOST_CARRIED_BYTES ((size_t)(16 << 20))
+#define MAX_CARRIED_BYTES ((size_t)(16 << 20))
 
 /* What the batches of one model taught and left. */
 typedef struct LnModelHistory
@@ -39,7 +39,7 @@
     {
       entry = LB_NEW (LnModelHistory);
       entry->history = lc_batch_history_new ();
-      entry->carried = lc_carried_new (MOST_CARRIED_BYTES);
+      entry->carried = lc_carried_new (MAX_CARRIED_BYTES);
       LB_COPY (entry->model, model);
       HASH_ADD_STR (batches->histories, model, entry);
     }
--- a/packages/node/src/ln-call-reader.c
+++ b/packages/node/src/ln-call-reader.c
@@ -16,8 +16,8 @@
 #define PREFIX_BLOCK_BYTES 64
 #define BYTES_PER_TOKEN 4
 #define DEFAULT_MAX_TOKENS 16
-#define MOST_TOKENS 1000000
-#define MOST_PRIORITY 10
+#define MAX_TOKENS 1000000
+#define MAX_PRIORITY 10
 
 void
 ln_call_hash_prompt (LcRequestSpec *spec, const char *prompt, size_t length)
@@ -71,7 +71,7 @@
   int64_t priority = 0;
   int64_t deadline_ms = deadline / LB_MSEC;
 
-  if (!read_integer_header (exchange, "x-priority", -MOST_PRIORITY, MOST_PRIORITY, &priority, error)
+  if (!read_integer_header (exchange, "x-priority", -MAX_PRIORITY, MAX_PRIORITY, &priority, error)
       || !read_integer_header (exchange, "x-deadline-ms", 0, 86400000, &deadline_ms, error))
     return false;
   if (caller && strlen (caller) >= sizeof spec->caller)
@@ -115,9 +115,9 @@
       if (!json_object_is_type (max_tokens, json_type_int))
         return lb_error_set (error, LB_ERROR_BAD_VALUE, "max_tokens", "expected a whole number");
       call->spec.expected_tokens = json_object_get_int64 (max_tokens);
-      if (call->spec.expected_tokens < 1 || call->spec.expected_tokens > MOST_TOKENS)
+      if (call->spec.expected_tokens < 1 || call->spec.expected_tokens > MAX_TOKENS)
         return lb_error_set (error, LB_ERROR_OUT_OF_RANGE, "max_tokens",
-                             "expected a number from 1 to %d", MOST_TOKENS);
+                             "expected a number from 1 to %d", MAX_TOKENS);
     }
   if (stream && !json_object_is_type (stream, json_type_boolean))
     return lb_error_set (error, LB_ERROR_BAD_VALUE, "stream", "expected true or false");
--- a/packages/node/src/ln-catalog.c
+++ b/packages/node/src/ln-catalog.c
@@ -28,7 +28,7 @@
 #define N_CANDIDATES 3
 /* Fewer are listed for less than what following costs: 12 endpoints are 16 kB/s at 2.5 lists a
  * second, 90 are 114. */
-#define LEAST_ENDPOINTS 41
+#define MIN_ENDPOINTS 41
 
 struct LnCatalog
 {
@@ -135,7 +135,7 @@
     }
   if (reading->n == reading->capacity)
     {
-      reading->capacity = reading->capacity > 0 ? 2 * reading->capacity : LEAST_ENDPOINTS;
+      reading->capacity = reading->capacity > 0 ? 2 * reading->capacity : MIN_ENDPOINTS;
       reading->items = lb_realloc (reading->items, reading->capacity * reading->size);
     }
   memcpy (reading->items + reading->n++ * reading->size, content, reading->size);
@@ -422,7 +422,7 @@
 void
 ln_catalog_tick (LnCatalog *catalog, size_t n_endpoints, LbTime now)
 {
-  catalog->is_used |= n_endpoints >= LEAST_ENDPOINTS;
+  catalog->is_used |= n_endpoints >= MIN_ENDPOINTS;
   if (!catalog->is_used)
     return;
   lp_follow_tick (catalog->rows, now);
--- a/packages/node/src/ln-config-api.c
+++ b/packages/node/src/ln-config-api.c
@@ -11,10 +11,10 @@
 
 #define RESOURCES_PATH "/v1/resources"
 #define WATCH_PATH "/v1/resources/watch"
-#define LONGEST_WATCH (60 * LB_SEC)
+#define MAX_WATCH (60 * LB_SEC)
 #define WATCH_STEP (200 * LB_MSEC)
 #define DEFAULT_HISTORY 20
-#define MOST_HISTORY 1000
+#define MAX_HISTORY 1000
 
 typedef struct
 {
@@ -272,7 +272,7 @@
   watch->after = query_integer (exchange, "after", 0);
   watch->on = in_force.on;
   watch->of = in_force.of;
-  watch->until = now + (wait_ms * LB_MSEC < LONGEST_WATCH ? wait_ms * LB_MSEC : LONGEST_WATCH);
+  watch->until = now + (wait_ms * LB_MSEC < MAX_WATCH ? wait_ms * LB_MSEC : MAX_WATCH);
   lb_list_append (&task->watches, &watch->link);
 }
 
@@ -327,7 +327,7 @@
   int64_t limit = query_integer (exchange, "limit", DEFAULT_HISTORY);
 
   ln_config_store_history (task->store, lc_config_revision (task->config),
-                           (size_t)(limit < MOST_HISTORY ? limit : MOST_HISTORY), on_history,
+                           (size_t)(limit < MAX_HISTORY ? limit : MAX_HISTORY), on_history,
                            store_call_new (task, exchange));
 }
 
--- a/packages/node/src/ln-config-change.c
+++ b/packages/node/src/ln-config-change.c
@@ -13,7 +13,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define MOST_WAITING 64
+#define MAX_WAITING 64
 #define MAJORITY_WAIT LB_SEC
 #define MAX_TRIES 5
 
@@ -340,8 +340,8 @@
   change->body = lb_settings_parse (text, length, "body", error);
   if (!change->body || !read_if_match (change, error))
     return false;
-  if (change->task->changes.length > MOST_WAITING)
-    return lb_error_set (error, LB_ERROR_OVERLOADED, "", "%d changes wait", MOST_WAITING);
+  if (change->task->changes.length > MAX_WAITING)
+    return lb_error_set (error, LB_ERROR_OVERLOADED, "", "%d changes wait", MAX_WAITING);
   if (change->task->draining)
     return lb_error_set (error, LB_ERROR_DRAINING, "", "this instance is leaving");
   return true;
--- a/packages/node/src/ln-config-store.c
+++ b/packages/node/src/ln-config-store.c
@@ -20,7 +20,7 @@
 #define HISTORY_BLOCK 100 /* rows that share all but the last two digits of their key */
 #define COMMIT_DEADLINE (5 * LB_SEC)
 #define FIRST_RETRY (50 * LB_MSEC)
-#define LONGEST_RETRY LB_SEC
+#define MAX_RETRY LB_SEC
 
 struct LnConfigStore
 {
@@ -257,7 +257,7 @@
       commit_finish (commit, commit->may_be_applied ? LB_ERROR_STORE_UNKNOWN : commit->last);
       return;
     }
-  commit->delay = commit->delay * 2 < LONGEST_RETRY ? commit->delay * 2 : LONGEST_RETRY;
+  commit->delay = commit->delay * 2 < MAX_RETRY ? commit->delay * 2 : MAX_RETRY;
   event_add (commit->retry, &delay);
 }
 
--- a/packages/node/src/ln-crashes.c
+++ b/packages/node/src/ln-crashes.c
@@ -23,13 +23,13 @@
 #define WATCH_WAIT (2 * LB_SEC)
 #define RETRY (100 * LB_MSEC)
 /* Of a row whose reports no longer count; spread, so that not all instances remove the same. */
-#define LONGEST_REMOVAL_WAIT (600 * LB_SEC)
+#define MAX_REMOVAL_WAIT (600 * LB_SEC)
 /* Where rows can't be followed: a frame may be lost with its connection. */
 #define SCAN_PERIOD (5 * LB_SEC)
 /* A row that was told so recently may be missing in a list that was asked for before. */
 #define SETTLED_AFTER (10 * LB_SEC)
 /* How long a new instance waits for the rows of before: some answers of a store that is slow. */
-#define LONGEST_START (2 * LB_SEC)
+#define MAX_START (2 * LB_SEC)
 /* Rows that are remembered here, to be removed one day. */
 #define MAX_ROWS 1024
 
@@ -126,8 +126,7 @@
   row = LB_NEW (Row);
   row->key = lb_strdup (key);
   row->heard_at = lb_clock_monotonic ();
-  row->remove_at
-      = at + lc_quarantine_term () + (LbTime)(draw * (double)LONGEST_REMOVAL_WAIT) + LB_SEC;
+  row->remove_at = at + lc_quarantine_term () + (LbTime)(draw * (double)MAX_REMOVAL_WAIT) + LB_SEC;
   lb_list_append (&crashes->rows, &row->link);
 }
 
@@ -318,7 +317,7 @@
 {
   bool has_read = crashes->follow ? lp_follow_has_listed (crashes->follow) : crashes->has_scanned;
 
-  return has_read || now - crashes->started >= LONGEST_START;
+  return has_read || now - crashes->started >= MAX_START;
 }
 
 static void
--- a/packages/node/src/ln-desired.c
+++ b/packages/node/src/ln-desired.c
@@ -26,10 +26,10 @@
 #define PUBLISHER_LIST_PERIOD (400 * LB_MSEC) /* of the instance by whose lists the others go */
 /* After it an engine is taken to have loaded, or failed to, unless it is said to be loading still.
  */
-#define LONGEST_LOAD (1500 * LB_MSEC)
+#define MAX_LOAD (1500 * LB_MSEC)
 /* A tick that comes so late tells that this process stood still: what it believes of endpoints is
  * not confirmed again before the store has been asked. */
-#define LONGEST_PAUSE LB_SEC
+#define MAX_PAUSE LB_SEC
 
 /* What the operators, the trainers and the endpoints wrote into the shared platform's store: the
  * routes in force, the endpoints listed, the versions named. Runs as the task "config". */
@@ -175,7 +175,7 @@
   LnTask *calls = ln_hub_find (task->task.hub, "calls");
   LnEndpointSwapMessage message = { .base = LN_MESSAGE (LN_ENDPOINT_SWAP),
                                     .pending = entry->loading,
-                                    .until = lb_clock_monotonic () + LONGEST_LOAD };
+                                    .until = lb_clock_monotonic () + MAX_LOAD };
 
   LB_COPY (message.endpoint, entry->engine);
   if (calls)
@@ -401,7 +401,7 @@
   if (!listing && now >= task->next_list && wants_list (task, now))
     list_endpoints (task, now);
   else if (listing && now - ln_endpoint_list_asked_at (task->list) > period
-           && now >= task->next_list && now - task->last_tick < LONGEST_PAUSE)
+           && now >= task->next_list && now - task->last_tick < MAX_PAUSE)
     {
       /* The store does not answer: the endpoints are believed to be as they were. */
       task->next_list = now + period;
--- a/packages/node/src/ln-duties.c
+++ b/packages/node/src/ln-duties.c
@@ -20,7 +20,7 @@
 #define DUTY "platform"
 /* What an instance counted is in the store within this time after it began to leave, or the store
  * is away and its exit is not held up for it. */
-#define LONGEST_GOODBYE (7 * LB_SEC)
+#define MAX_GOODBYE (7 * LB_SEC)
 
 /* What only one instance may do at a time towards the shared platform, and what each one counts for
  * it. Runs as the task "duties". */
@@ -133,7 +133,7 @@
   const Duties *duties = (const Duties *)task;
   LbTime now = lb_clock_monotonic ();
 
-  if (duties->draining_since == 0 || now - duties->draining_since >= LONGEST_GOODBYE)
+  if (duties->draining_since == 0 || now - duties->draining_since >= MAX_GOODBYE)
     return true;
   return ln_duty_lease_is_released (duties->lease, now)
          && (!duties->rows || ln_usage_rows_is_written (duties->rows));
--- a/packages/node/src/ln-outbox.c
+++ b/packages/node/src/ln-outbox.c
@@ -5,9 +5,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define MOST_FRAMES 1024
-#define MOST_BYTES ((size_t)16 << 20)
-#define LONGEST_WAIT (5 * LB_SEC)
+#define MAX_FRAMES 1024
+#define MAX_BYTES ((size_t)16 << 20)
+#define MAX_WAIT (5 * LB_SEC)
 
 typedef struct
 {
@@ -46,7 +46,7 @@
 bool
 ln_outbox_add (LnOutbox *outbox, const char *instance, uint8_t *frame, size_t length, LbTime now)
 {
-  if (outbox->frames.length >= MOST_FRAMES || outbox->bytes + length > MOST_BYTES)
+  if (outbox->frames.length >= MAX_FRAMES || outbox->bytes + length > MAX_BYTES)
     {
       free (frame);
       return false;
@@ -55,7 +55,7 @@
   LB_COPY (waiting->instance, instance);
   waiting->frame = frame;
   waiting->length = length;
-  waiting->until = now + LONGEST_WAIT;
+  waiting->until = now + MAX_WAIT;
   outbox->bytes += length;
   lb_list_append (&outbox->frames, &waiting->link);
   return true;
--- a/packages/node/src/ln-peer-connection.c
+++ b/packages/node/src/ln-peer-connection.c
@@ -15,7 +15,7 @@
 #include <sys/socket.h>
 
 /* Bytes that may wait unsent on one connection: two of the largest frames. */
-#define MOST_UNSENT (2 * LW_FRAME_CAP)
+#define MAX_UNSENT (2 * LW_FRAME_CAP)
 
 static LbMetric bytes_sent = LB_COUNTER_INIT ("lentilspindle_peer_bytes_sent_total",
                                               NULL,
@@ -234,7 +234,7 @@
   if (connection->closed)
     return true;
   struct evbuffer *output = bufferevent_get_output (connection->stream);
-  if (evbuffer_get_length (output) + length > MOST_UNSENT)
+  if (evbuffer_get_length (output) + length > MAX_UNSENT)
     return false;
   lb_metric_add (&bytes_sent, (int64_t)length);
   return bufferevent_write (connection->stream, frame, length) == 0;
--- a/packages/node/src/ln-peers-actions.c
+++ b/packages/node/src/ln-peers-actions.c
@@ -6,7 +6,7 @@
 #include "lb-time.h"
 #include "ln-members.h"
 
-#define SHORTEST_TIMER LB_MSEC
+#define MIN_TIMER LB_MSEC
 
 static void
 open_connection (LnPeers *peers, const LcMembershipAction *action)
@@ -87,8 +87,8 @@
 {
   LbTime wait = lc_membership_next_tick (peers->membership) - lb_clock_monotonic ();
 
-  if (wait < SHORTEST_TIMER)
-    wait = SHORTEST_TIMER;
+  if (wait < MIN_TIMER)
+    wait = MIN_TIMER;
   struct timeval delay = lb_time_to_timeval (wait);
   event_add (peers->timer, &delay);
 }
--- a/packages/node/src/ln-peers-listen.c
+++ b/packages/node/src/ln-peers-listen.c
@@ -15,7 +15,7 @@
 /* An accepted connection must prove the key within this time. */
 #define HANDSHAKE_TIMEOUT (2 * LB_SEC)
 /* Accepted connections that have not proved the key. */
-#define MOST_UNPROVED 256
+#define MAX_UNPROVED 256
 
 static size_t
 count_unproved (const LnPeers *peers)
@@ -41,7 +41,7 @@
   (void)length;
   LnPeers *peers = user;
 
-  if (!peers->membership || count_unproved (peers) >= MOST_UNPROVED)
+  if (!peers->membership || count_unproved (peers) >= MAX_UNPROVED)
     {
       evutil_closesocket (fd);
       return;
--- a/packages/node/src/ln-recorder.c
+++ b/packages/node/src/ln-recorder.c
@@ -16,10 +16,10 @@
 
 #define MAX_EVENTS 100000
 #define MAX_TRAINERS 10
-#define MOST_TOKENS 4000
-#define MOST_GROUPS 512
-#define MOST_SAMPLES 64
-#define MOST_SHORTEST 400
+#define MAX_TOKENS 4000
+#define MAX_GROUPS 512
+#define MAX_SAMPLES 64
+#define MAX_SHORTEST 400
 #define DEFAULT_TOKENS 16
 /* A replay has its own engines and latencies: what was answered must be answered there too, but not
  * in the same time. */
@@ -154,7 +154,7 @@
 
   if (record)
     {
-      record->tokens = clamp (integer_of (body, "max_tokens", DEFAULT_TOKENS), MOST_TOKENS);
+      record->tokens = clamp (integer_of (body, "max_tokens", DEFAULT_TOKENS), MAX_TOKENS);
       record->deadline_ms = deadline_of (exchange);
     }
   json_object_put (body);
@@ -211,9 +211,9 @@
       || !json_object_is_type (groups, json_type_array) || json_object_array_length (groups) == 0)
     return;
   struct json_object *first = json_object_array_get_idx (groups, 0);
-  recorder->groups = clamp ((int64_t)json_object_array_length (groups), MOST_GROUPS);
-  recorder->samples = clamp (integer_of (first, "samples", 1), MOST_SAMPLES);
-  recorder->shortest = clamp (integer_of (first, "max_tokens", 60) / 3, MOST_SHORTEST);
+  recorder->groups = clamp ((int64_t)json_object_array_length (groups), MAX_GROUPS);
+  recorder->samples = clamp (integer_of (first, "samples", 1), MAX_SAMPLES);
+  recorder->shortest = clamp (integer_of (first, "max_tokens", 60) / 3, MAX_SHORTEST);
 }
 
 static void
--- a/packages/node/src/ln-rollouts-owners.c
+++ b/packages/node/src/ln-rollouts-owners.c
@@ -13,7 +13,7 @@
 #include <string.h>
 
 #define RETRY_AFTER (500 * LB_MSEC)
-#define MOST_ROUNDS 3
+#define MAX_ROUNDS 3
 /* How often a write that failed is tried again: of a step that was opened while the store was away,
  * and of one that is left. */
 #define WRITE_INTERVAL LB_SEC
@@ -445,7 +445,7 @@
       serve_here (rollouts, call, held);
       return;
     }
-  if (++call->rounds > MOST_ROUNDS)
+  if (++call->rounds > MAX_ROUNDS)
     {
       fail_call (rollouts, call, LB_ERROR_NOT_READY, "the step moves between instances");
       return;
--- a/packages/node/src/ln-step-call.c
+++ b/packages/node/src/ln-step-call.c
@@ -11,9 +11,9 @@
 #include <string.h>
 
 #define PREFIX "/v1/subscriptions/"
-#define MOST_WAIT_MS 30000
-#define MOST_SAMPLES_PER_PULL 4096
-#define MOST_TOKENS 10000000
+#define MAX_WAIT_MS 30000
+#define MAX_SAMPLES_PER_PULL 4096
+#define MAX_TOKENS 10000000
 
 static bool
 split_path (const char *path, LbName subscription, const char **rest, LbError *error)
@@ -117,9 +117,9 @@
       = object && read_integer (object, "step", 0, INT64_MAX, true, &call->key.step, error)
         && read_text (object, "cursor", &cursor, error)
         && read_integer (object, "weight_version", 0, INT64_MAX, true, &call->pull.version, error)
-        && read_integer (object, "max_samples", 1, MOST_SAMPLES_PER_PULL, false,
+        && read_integer (object, "max_samples", 1, MAX_SAMPLES_PER_PULL, false,
                          &call->pull.max_samples, error)
-        && read_integer (object, "wait_ms", 0, MOST_WAIT_MS, false, &wait_ms, error);
+        && read_integer (object, "wait_ms", 0, MAX_WAIT_MS, false, &wait_ms, error);
 
   if (ok)
     {
@@ -159,7 +159,7 @@
 
   call->exchange = exchange;
   call->id = ln_exchange_id (exchange);
-  call->pull.max_samples = MOST_SAMPLES_PER_PULL;
+  call->pull.max_samples = MAX_SAMPLES_PER_PULL;
   if (!split_path (ln_exchange_path (exchange), call->key.subscription, &rest, error)
       || !read_type (call, ln_exchange_method (exchange), rest, error))
     goto fail;
@@ -190,7 +190,7 @@
     return lb_error_set (error, LB_ERROR_BAD_VALUE, "groups", "expected objects");
   if (!read_text (object, "id", &id, error) || !read_text (object, "prompt", &prompt, error)
       || !read_integer (object, "samples", 1, INT32_MAX, true, &group->samples, error)
-      || !read_integer (object, "max_tokens", 1, MOST_TOKENS, true, &group->max_tokens, error))
+      || !read_integer (object, "max_tokens", 1, MAX_TOKENS, true, &group->max_tokens, error))
     return false;
   if (strlen (id) >= LB_NAME_MAX)
     return lb_error_set (error, LB_ERROR_OUT_OF_RANGE, "groups.id", "the text is too long");
--- a/packages/node/src/ln-step-claim.c
+++ b/packages/node/src/ln-step-claim.c
@@ -7,7 +7,7 @@
 #include <string.h>
 
 /* Races with other instances for one step end within a few rounds: one of them has won. */
-#define MOST_ROUNDS 4
+#define MAX_ROUNDS 4
 
 typedef struct
 {
@@ -63,7 +63,7 @@
   LnStepOwner seen = claim->owner;
   LnStepAnswer answer = { .outcome = LN_STEP_OURS };
 
-  if (error == LB_ERROR_CONDITION_FAILED && ++claim->rounds < MOST_ROUNDS)
+  if (error == LB_ERROR_CONDITION_FAILED && ++claim->rounds < MAX_ROUNDS)
     {
       find (claim);
       return;
--- a/packages/node/src/ln-usage-reporter.c
+++ b/packages/node/src/ln-usage-reporter.c
@@ -22,7 +22,7 @@
 /* Reports that stay in the store: all that a later holder may look for, and some more. */
 #define KEPT_REPORTS 48
 /* The store takes 100 entries in a transaction. */
-#define MOST_REMOVED 90
+#define MAX_REMOVED 90
 /* After a window's end: instances write their last rows within a second and a half, a little later
  * on large sites, and the clocks by which they count differ by some ten milliseconds. */
 #define SETTLE_MS 2500
@@ -423,8 +423,8 @@
   (void)version;
   LnUsageReporter *reporter = user;
   LpPlatform *platform = reporter->context->platform;
-  LpPut puts[MOST_REMOVED];
-  size_t n = n_rows < MOST_REMOVED ? n_rows : MOST_REMOVED;
+  LpPut puts[MAX_REMOVED];
+  size_t n = n_rows < MAX_REMOVED ? n_rows : MAX_REMOVED;
 
   if (error != LB_OK)
     log_not_removed (error);
@@ -444,7 +444,7 @@
   for (size_t part = 0; part < LN_USAGE_N_PARTS; part++)
     {
       ln_usage_window_prefix (part, window, prefix);
-      platform->klass->list (platform, prefix, NULL, MOST_REMOVED, on_rows_to_remove, reporter);
+      platform->klass->list (platform, prefix, NULL, MAX_REMOVED, on_rows_to_remove, reporter);
     }
 }
 
--- a/packages/node/src/ln-usage-rows.c
+++ b/packages/node/src/ln-usage-rows.c
@@ -18,7 +18,7 @@
 #define PERIOD (200 * LB_MSEC)
 #define PERIOD_PER_INSTANCE (4 * LB_MSEC)
 /* Windows that this instance may still write. */
-#define MOST_BEHIND 24
+#define MAX_BEHIND 24
 
 struct LnUsageRows
 {
@@ -139,7 +139,7 @@
       write_row (rows, &row);
       free (row.text);
     }
-  lc_usage_forget (rows->usage, true_ms / rows->window_ms - MOST_BEHIND);
+  lc_usage_forget (rows->usage, true_ms / rows->window_ms - MAX_BEHIND);
 }
 
 bool
--- a/packages/node/tests/test-peers.c
+++ b/packages/node/tests/test-peers.c
@@ -25,13 +25,13 @@
 
 #define PATIENCE (30 * LB_SEC)
 /* More than one instance has connections to, so that frames to all have to be passed on. */
-#define MOST_INSTANCES 10
+#define MAX_INSTANCES 10
 
 /* A task that notes what the peers task of its instance tells. */
 typedef struct
 {
   LnTask base;
-  LnMember members[MOST_INSTANCES];
+  LnMember members[MAX_INSTANCES];
   size_t n_members;
   size_t frames;
   char last_payload[64];
@@ -49,7 +49,7 @@
 typedef struct
 {
   struct event_base *base;
-  Instance instances[MOST_INSTANCES];
+  Instance instances[MAX_INSTANCES];
   size_t n_instances;
 } World;
 
@@ -57,7 +57,7 @@
 note_members (Listener *listener, const LnMembersMessage *message)
 {
   listener->n_members = message->n_members;
-  for (size_t i = 0; i < message->n_members && i < MOST_INSTANCES; i++)
+  for (size_t i = 0; i < message->n_members && i < MAX_INSTANCES; i++)
     listener->members[i] = message->members[i];
 }
 
@@ -207,14 +207,14 @@
   world_init (&world);
   Instance *first = start (&world, "key", NULL);
   pump (&world);
-  while (world.n_instances < MOST_INSTANCES)
+  while (world.n_instances < MAX_INSTANCES)
     start (&world, "key", first->context.peer_address);
-  for (size_t i = 0; i < MOST_INSTANCES; i++)
-    UNTIL (&world, count_alive (&world.instances[i]) == MOST_INSTANCES);
+  for (size_t i = 0; i < MAX_INSTANCES; i++)
+    UNTIL (&world, count_alive (&world.instances[i]) == MAX_INSTANCES);
 
   Instance *sender = &world.instances[5];
   send_to (sender, "", "to all");
-  for (size_t i = 0; i < MOST_INSTANCES; i++)
+  for (size_t i = 0; i < MAX_INSTANCES; i++)
     UNTIL (&world, i == 5 || world.instances[i].listener->frames == 1);
   send_to (&world.instances[1], "i4", "to one");
   UNTIL (&world, world.instances[3].listener->frames == 2);
@@ -222,11 +222,11 @@
   cr_assert_str_eq (world.instances[3].listener->last_sender, "i2");
   for (int i = 0; i < 200; i++)
     pump (&world);
-  for (size_t i = 0; i < MOST_INSTANCES; i++)
+  for (size_t i = 0; i < MAX_INSTANCES; i++)
     cr_assert_eq (world.instances[i].listener->frames, i == 5 ? 0 : i == 3 ? 2 : 1);
 
   ln_hub_drain (first->context.hub);
-  for (size_t i = 1; i < MOST_INSTANCES; i++)
+  for (size_t i = 1; i < MAX_INSTANCES; i++)
     UNTIL (&world, sees_draining (&world.instances[i], "i1"));
   world_clear (&world);
 }
--- a/packages/sim/src/lx-trace.c
+++ b/packages/sim/src/lx-trace.c
@@ -10,7 +10,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define LONGEST_MS 86400000.0
+#define MAX_MS 86400000.0
 #define MAX_FILE ((size_t)16 << 20)
 
 typedef struct
@@ -60,9 +60,9 @@
     .type = LB_SETTING_CHOICE,
     .offset = offsetof (LxTraceLine, expect),
     .choices = expect_names },
-  INT_KEY (LxTraceLine, at_ms, 0, LONGEST_MS),
-  INT_KEY (LxTraceLine, by_ms, 0, LONGEST_MS),
-  INT_KEY (LxTraceLine, after_ms, 0, LONGEST_MS),
+  INT_KEY (LxTraceLine, at_ms, 0, MAX_MS),
+  INT_KEY (LxTraceLine, by_ms, 0, MAX_MS),
+  INT_KEY (LxTraceLine, after_ms, 0, MAX_MS),
   TEXT_KEY (LxTraceLine, call),
   TEXT_KEY (LxTraceLine, trainer),
   TEXT_KEY (LxTraceLine, instance),
@@ -71,9 +71,9 @@
   INT_KEY (LxTraceLine, step, 0, 1000),
   INT_KEY (LxTraceLine, count, 0, 100000),
   INT_KEY (LxTraceLine, tokens, 1, 4000),
-  INT_KEY (LxTraceLine, for_ms, 0, LONGEST_MS),
+  INT_KEY (LxTraceLine, for_ms, 0, MAX_MS),
   INT_KEY (LxTraceLine, revision, 1, 4000),
-  INT_KEY (LxTraceLine, deadline_ms, 1, LONGEST_MS),
+  INT_KEY (LxTraceLine, deadline_ms, 1, MAX_MS),
   { .key = "repeatable", .type = LB_SETTING_BOOL, .offset = offsetof (LxTraceLine, repeatable) },
   { .key = "live_reserve",
     .type = LB_SETTING_REAL,
@@ -150,7 +150,7 @@
     LxTrace *trace, struct json_object *object, int number, const char *where, LbError *error)
 {
   LxTraceLine line = { .line = number,
-                       .by_ms = (int64_t)LONGEST_MS,
+                       .by_ms = (int64_t)MAX_MS,
                        .count = 1,
                        .tokens = 64,
                        .repeatable = true,
--- a/packages/store/src/lp-breaker.c
+++ b/packages/store/src/lp-breaker.c
@@ -4,7 +4,7 @@
 
 #define FAILURES_TO_OPEN 5
 #define FIRST_OPEN (200 * LB_MSEC)
-#define LONGEST_OPEN (2 * LB_SEC)
+#define MAX_OPEN (2 * LB_SEC)
 
 void
 lp_breaker_init (LpBreaker *breaker)
@@ -41,7 +41,7 @@
   if (breaker->failures < FAILURES_TO_OPEN && !breaker->probing)
     return false;
   LbTime longer = breaker->open_for > 0 ? breaker->open_for * 2 : FIRST_OPEN;
-  breaker->open_for = longer < LONGEST_OPEN ? longer : LONGEST_OPEN;
+  breaker->open_for = longer < MAX_OPEN ? longer : MAX_OPEN;
   breaker->open_until
       = now + breaker->open_for / 2 + (LbTime)(jitter * (double)breaker->open_for / 2);
   breaker->probing = false;
--- a/packages/store/src/lp-client.c
+++ b/packages/store/src/lp-client.c
@@ -18,7 +18,7 @@
 #define N_PRIORITIES (LP_PRIORITY_STATUS + 1)
 #define ATTEMPTS_IN_DEADLINE 3
 #define FIRST_BACKOFF (20 * LB_MSEC)
-#define LONGEST_BACKOFF (500 * LB_MSEC)
+#define MAX_BACKOFF (500 * LB_MSEC)
 #define MAX_IN_FLIGHT 128
 
 struct LpClient
@@ -165,8 +165,8 @@
   LpClient *client = call->client;
   LbTime longest = FIRST_BACKOFF << (call->attempts < 6 ? call->attempts : 6);
 
-  if (longest > LONGEST_BACKOFF)
-    longest = LONGEST_BACKOFF;
+  if (longest > MAX_BACKOFF)
+    longest = MAX_BACKOFF;
   LbTime rest = (LbTime)(gsl_rng_uniform (client->rng) * (double)longest) + 1;
   if (lb_clock_monotonic () + rest >= call->deadline)
     {
--- a/packages/wire/src/lw-message.c
+++ b/packages/wire/src/lw-message.c
@@ -10,7 +10,7 @@
 #define SHORT_FIELDS 6
 /* An instance is hundreds of bytes here but may be one byte in a frame: without this, eight million
  * such bytes would ask for gigabytes. */
-#define MOST_INSTANCES 8192
+#define MAX_INSTANCES 8192
 
 static void
 pack_text (msgpack_packer *packer, const char *text)
@@ -277,7 +277,7 @@
 {
   Fields inner = take_array (fields);
 
-  if (inner.left > MOST_INSTANCES)
+  if (inner.left > MAX_INSTANCES)
     {
       fields->bad = true;
       return;
--- a/standins/si-rows.c
+++ b/standins/si-rows.c
@@ -12,7 +12,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define MOST_ROWS_AT_ONCE 500
+#define MAX_ROWS_AT_ONCE 500
 #define MAX_VALUE_LENGTH ((size_t)(64 << 10) / 3 * 4) /* 64 KiB, encoded */
 #define WAKE_PERIOD (20 * LB_MSEC)
 
@@ -285,7 +285,7 @@
   char *from = query_of (request, "from");
   char *to = query_of (request, "to");
   char *limit_text = query_of (request, "limit");
-  size_t limit = limit_text[0] ? (size_t)atoi (limit_text) : MOST_ROWS_AT_ONCE;
+  size_t limit = limit_text[0] ? (size_t)atoi (limit_text) : MAX_ROWS_AT_ONCE;
   struct json_object *array = json_object_new_array ();
   struct json_object *answer = new_answer (rows);
   bool is_away = rows->away_table && strcmp (table, rows->away_table) == 0;
--- a/tests/process/test-crashing.c
+++ b/tests/process/test-crashing.c
@@ -26,10 +26,10 @@
 #define BAD_ENCODED "QkFE" /* base64 */
 /* From the third endpoint's end until every instance has to know. */
 #define LEARN_TIME (3 * LB_SEC)
-#define MOST_AFTER 3 /* times that the request may reach endpoints after that */
+#define MAX_AFTER 3 /* times that the request may reach endpoints after that */
 #define REPEATS 12
 #define BATCH_ITEMS 6
-#define BATCH_TIME (8 * LB_SEC) /* in which an item was tried again more than MOST_AFTER times */
+#define BATCH_TIME (8 * LB_SEC) /* in which an item was tried again more than MAX_AFTER times */
 
 typedef struct
 {
@@ -182,7 +182,7 @@
   pause_for (&w, LEARN_TIME);
   int before = lookup_runs (&w);
   repeat (&w, "/lookup/7");
-  cr_assert_leq (lookup_runs (&w) - before, MOST_AFTER);
+  cr_assert_leq (lookup_runs (&w) - before, MAX_AFTER);
   assert_refused (&w);
   cr_assert (is_served (&w, 0, "/lookup/7", "GOOD"));
   cr_assert (is_served (&w, 1, "/lookup/9", "BAD?"));
@@ -199,7 +199,7 @@
   pause_for (&w, LEARN_TIME);
   int before = lookup_runs (&w);
   repeat (&w, "/once/7");
-  cr_assert_leq (lookup_runs (&w) - before, MOST_AFTER);
+  cr_assert_leq (lookup_runs (&w) - before, MAX_AFTER);
   assert_refused (&w);
   world_clear (&w);
 }
@@ -218,7 +218,7 @@
   for (size_t i = 0; i < PS_MAX_INSTANCES; i++)
     ps_restart_instance (&w.base, i);
   repeat (&w, "/lookup/7");
-  cr_assert_leq (lookup_runs (&w) - before, MOST_AFTER);
+  cr_assert_leq (lookup_runs (&w) - before, MAX_AFTER);
   assert_refused (&w);
   world_clear (&w);
 }
@@ -237,7 +237,7 @@
   pause_for (&w, LEARN_TIME);
   int before = lookup_runs (&w);
   repeat (&w, "/lookup/7");
-  cr_assert_leq (lookup_runs (&w) - before, MOST_AFTER);
+  cr_assert_leq (lookup_runs (&w) - before, MAX_AFTER);
   world_clear (&w);
 }
 
@@ -271,7 +271,7 @@
   pause_for (&w, LEARN_TIME);
   int before = engine_runs (&w);
   pause_for (&w, BATCH_TIME);
-  cr_assert_leq (engine_runs (&w) - before, MOST_AFTER);
+  cr_assert_leq (engine_runs (&w) - before, MAX_AFTER);
   PS_UNTIL (&w.base, ps_count_listed (&w.base, 1, "b1") == BATCH_ITEMS - 1);
   ps_submit (&w.base, 1, "b2", BATCH_ITEMS);
   PS_UNTIL (&w.base, ps_count_listed (&w.base, 2, "b2") == BATCH_ITEMS);
@@ -289,7 +289,7 @@
   pause_for (&w, LEARN_TIME);
   int before = lookup_runs (&w);
   pause_for (&w, BATCH_TIME);
-  cr_assert_leq (lookup_runs (&w) - before, MOST_AFTER);
+  cr_assert_leq (lookup_runs (&w) - before, MAX_AFTER);
   PS_UNTIL (&w.base, ps_count_listed (&w.base, 1, "b1") == BATCH_ITEMS - 1);
   world_clear (&w);
 }
--- a/tests/soak/sk-callers.c
+++ b/tests/soak/sk-callers.c
@@ -9,7 +9,7 @@
 
 #define CALL_PERIOD (12 * LB_MSEC)
 #define PROBE_PERIOD (150 * LB_MSEC)
-#define MOST_RUNNING 200
+#define MAX_RUNNING 200
 #define DEADLINE (3 * LB_SEC)
 /* After its deadline a call has its final answer, but for the time of a busy machine. */
 #define ANSWER_SLACK LB_SEC
@@ -254,7 +254,7 @@
 {
   SkInstance *instance = NULL;
 
-  if (callers->stopped || callers->calls.length > MOST_RUNNING)
+  if (callers->stopped || callers->calls.length > MAX_RUNNING)
     return;
   if (now >= callers->next_call && (instance = choose_instance (callers->world)))
     {
--- a/tests/soak/sk-crasher.c
+++ b/tests/soak/sk-crasher.c
@@ -7,15 +7,15 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define LEAST_PAUSE_MS 100
-#define MOST_PAUSE_MS 500
+#define MIN_PAUSE_MS 100
+#define MAX_PAUSE_MS 500
 #define ENDS_TO_LEARN 3
 /* After the third end every instance has to know, if nothing else is wrong for as long. */
 #define LEARN_TIME (3 * LB_SEC)
 #define LEARN_SLACK (500 * LB_MSEC) /* this machine may be busy */
-#define MOST_LATE_RUNS 3
+#define MAX_LATE_RUNS 3
 #define DEADLINE_MS "2000"
-#define LONGEST_SILENCE (3 * LB_SEC)
+#define MAX_SILENCE (3 * LB_SEC)
 
 typedef struct
 {
@@ -93,7 +93,7 @@
                               .n_headers = 3,
                               .body = SK_CRASHER_BODY,
                               .body_length = strlen (SK_CRASHER_BODY),
-                              .silence = LONGEST_SILENCE,
+                              .silence = MAX_SILENCE,
                               .fresh_connection = true };
 
   call->crasher = crasher;
@@ -111,7 +111,7 @@
 
   if (crasher->stopped || now < crasher->next_call)
     return;
-  crasher->next_call = now + sk_draw (world, LEAST_PAUSE_MS, MOST_PAUSE_MS) * LB_MSEC;
+  crasher->next_call = now + sk_draw (world, MIN_PAUSE_MS, MAX_PAUSE_MS) * LB_MSEC;
   instance = &world->instances[sk_draw (world, 0, (int64_t)world->n_instances - 1)];
   if (sk_instance_runs (instance))
     send_to (crasher, instance);
@@ -148,7 +148,7 @@
       || !sk_instance_is_calm (call->instance, now - LEARN_TIME - LEARN_SLACK))
     return;
   crasher->n_late++;
-  if (crasher->n_late > MOST_LATE_RUNS)
+  if (crasher->n_late > MAX_LATE_RUNS)
     sk_fail (crasher->world, "a request that ends endpoints stops going round",
              "%s of %s begins at %s, the %dth run that late, %d in all", id, call->instance->name,
              service, crasher->n_late, crasher->n_ends);
--- a/tests/soak/sk-faults.c
+++ b/tests/soak/sk-faults.c
@@ -7,11 +7,11 @@
 #include <string.h>
 
 /* Between two strikes: short enough that most overlap with the one before. */
-#define SHORTEST_GAP 50
-#define LONGEST_GAP 900
+#define MIN_GAP 50
+#define MAX_GAP 900
 #define SLOW_EVENT (125 * LB_MSEC) /* five times the usual */
-#define LEAST_ENGINES 2
-#define MOST_ROUTES 60
+#define MIN_ENGINES 2
+#define MAX_ROUTES 60
 
 static SkInstance *
 pick_instance (SkWorld *world)
@@ -45,7 +45,7 @@
   SkEndpoint *endpoint = pick_endpoint (world);
 
   return endpoint && endpoint->sampler.model[0] && endpoint->leaving_since == 0
-                 && count_engines (world) > LEAST_ENGINES
+                 && count_engines (world) > MIN_ENGINES
              ? endpoint
              : NULL;
 }
@@ -247,7 +247,7 @@
 static void
 change_config (SkWorld *world)
 {
-  if (world->n_routes < MOST_ROUTES)
+  if (world->n_routes < MAX_ROUTES)
     world->n_routes++;
   sk_config_put (world);
   sk_tell (world, "desired state %lld", (long long)world->config_version);
@@ -296,9 +296,7 @@
 
   if (now < *next)
     return;
-  *next
-      += (SHORTEST_GAP + (LbTime)gsl_rng_uniform_int (world->plan, LONGEST_GAP - SHORTEST_GAP + 1))
-         * LB_MSEC;
+  *next += (MIN_GAP + (LbTime)gsl_rng_uniform_int (world->plan, MAX_GAP - MIN_GAP + 1)) * LB_MSEC;
   fault = draw_fault (world, only);
   gsl_rng_set (world->rng, gsl_rng_get (world->plan));
   world->n_faults++;
--- a/tests/soak/sk-trainer.c
+++ b/tests/soak/sk-trainer.c
@@ -14,7 +14,7 @@
 #define RETRY (120 * LB_MSEC)
 #define READ_PERIOD (150 * LB_MSEC)
 /* A step that is not whole after so long although all is well again counts as lost. */
-#define MOST_STEP_TIME (40 * LB_SEC)
+#define MAX_STEP_TIME (40 * LB_SEC)
 
 typedef enum
 {
@@ -406,7 +406,7 @@
 
   if (trainer->fetch || trainer->state == TRAINER_DONE || now < trainer->next)
     return;
-  if (trainer->began > 0 && now - trainer->began > MOST_STEP_TIME)
+  if (trainer->began > 0 && now - trainer->began > MAX_STEP_TIME)
     {
       sk_fail (trainer->world, "every sample to its trainer", "%s has %lld of %d after %.0f s",
                trainer->batch, (long long)trainer->n_read, N_ITEMS,
--- a/tests/soak/soak-processes.c
+++ b/tests/soak/soak-processes.c
@@ -14,7 +14,7 @@
 #define SETTLE_LIMIT (60 * LB_SEC)
 #define STOP_LIMIT (25 * LB_SEC)
 
-#define LONGEST_SECONDS 3600
+#define MAX_SECONDS 3600
 
 typedef struct
 {
@@ -201,7 +201,7 @@
 {
   return is_in_range ("instances", options->instances, 1, SK_MAX_INSTANCES)
          && is_in_range ("engines", options->engines, 2, SK_MAX_ENGINES)
-         && is_in_range ("seconds", options->seconds, 1, LONGEST_SECONDS);
+         && is_in_range ("seconds", options->seconds, 1, MAX_SECONDS);
 }
 
 int
