--- a/fuzz/fuzz-answer.c
+++ b/fuzz/fuzz-answer.c
@@ -6,7 +6,7 @@
 
 int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
 
-/* What the store, or whoever stands in its place, answers to a list. */
+/* What the store, or a peer in its place, answers to a list. */
 int
 LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
 {
--- a/packages/base/include/lb-log.h
+++ b/packages/base/include/lb-log.h
@@ -45,7 +45,7 @@
 
 void lb_log_init (LbLogLevel level, int fd, const char *instance);
 /* From here on lines gather in memory and go out by lb_log_flush, which never waits for the reader:
- * whoever calls it regularly keeps the log from delaying anything. What does not fit is dropped and
+ * a regular caller keeps the log from delaying anything. What does not fit is dropped and
  * counted; warnings and errors have room of their own. */
 void lb_log_buffer (void);
 /* Writes as much as the reader takes now. */
--- a/packages/base/tests/test-log.c
+++ b/packages/base/tests/test-log.c
@@ -44,7 +44,7 @@
   lb_log_buffer ();
 }
 
-/* Whoever reads the log stops reading. The pipe fills after 64 KiB; a write would wait for ever,
+/* The reader of the log stops reading. The pipe fills after 64 KiB; a write would wait for ever,
  * and every request with it. The lines are dropped instead, counted, and the log says so
  * afterwards. */
 Test (log, a_reader_that_stops_holds_up_nothing)
--- a/packages/core/include/lc-admission.h
+++ b/packages/core/include/lc-admission.h
@@ -20,7 +20,7 @@
   bool needs_none; /* its route is open to all */
 } LcAdmissionCall;
 
-/* What this instance goes by. */
+/* What this instance believes. */
 typedef struct
 {
   const LcOrganisations *organisations; /* NULL: none are declared, and no call needs a key */
--- a/packages/core/include/lc-catalog.h
+++ b/packages/core/include/lc-catalog.h
@@ -8,10 +8,10 @@
  * two, and to list all of them several times a second is too much for each of hundreds of machines;
  * so one of them, the publisher, lists them and writes what has changed into a table that all
  * others follow. It writes one row anew with each list, which tells the others how old their belief
- * is, and which is the condition of each of its writes: whoever was replaced can write nothing
- * more. When that row stands still, another instance takes over, and whoever has not heard of it
- * for a second reads the lists itself. Nothing here is kept beyond what the rows themselves say. No
- * I/O. */
+ * is, and which is the condition of each of its writes: a publisher that was replaced can write
+ * nothing more. When that row stands still, another instance takes over, and an instance that has
+ * not heard of it for a second reads the lists itself. Nothing here is kept beyond what the rows
+ * themselves say. No I/O. */
 
 /* The longest time for which an instance relies on a belief that nobody renews: with the list
  * before it and its own list after it, it knows of an endpoint that leaves within 1.7 s. */
--- a/packages/core/include/lc-dispatch.h
+++ b/packages/core/include/lc-dispatch.h
@@ -10,7 +10,7 @@
 
 #define LC_MAX_PREFIX_HASHES 16
 
-/* How pieces of an answer reach whoever asked. */
+/* How pieces of an answer reach the caller. */
 typedef enum
 {
   LC_DELIVER_STREAM, /* pieces go out as they come; the first attempt that sends one is the only one
--- a/packages/core/include/lc-endpoints.h
+++ b/packages/core/include/lc-endpoints.h
@@ -31,7 +31,7 @@
   LcEndpointMember member;
   uint32_t slot; /* stable index while the endpoint is known */
   LcLoadReport report;
-  bool leaving; /* one way for this incarnation, whoever said it first */
+  bool leaving; /* one way for this incarnation, from whichever source */
   LbTime leaving_since;
   bool swap_pending; /* weights are about to change or in an unknown state */
   LbTime swap_until;
--- a/packages/core/include/lc-quarantine.h
+++ b/packages/core/include/lc-quarantine.h
@@ -4,7 +4,7 @@
 #include "lc-content.h"
 #include "lc-types.h"
 
-/* Requests that are kept from endpoints since endpoints crashed under them. It goes by reports of
+/* Requests that are kept from endpoints since endpoints crashed under them. It relies on reports of
  * all instances: which endpoint crashed, and what it was given. No I/O; the verdict depends on the
  * reports alone, not on their order, so all instances come to the same one. */
 typedef struct LcQuarantine LcQuarantine;
--- a/packages/core/include/lc-usage-reports.h
+++ b/packages/core/include/lc-usage-reports.h
@@ -3,8 +3,8 @@
 
 #include "lc-usage.h"
 
-/* The reports of usage as whoever has the duty makes them: which window is due, from which rows it
- * is added up, and what is sent. What is sent for a window is decided once: it is written to the
+/* The reports of usage as the holder of the duty makes them: which window is due, from which rows
+ * it is added up, and what is sent. What is sent for a window is decided once: it is written to the
  * store under the condition that nothing stands there, before it is sent for the first time, and
  * every later holder repeats just that. So there are never two reports of one window that differ.
  * No I/O: each action is answered once by the command of its name. */
@@ -75,7 +75,7 @@
 
 /* queries */
 /* Another one each time that this instance gets the duty; 0: it does not have it. An answer to an
- * action of an earlier one must not be handed on: it would be taken for that of the present one. */
+ * action of an earlier one must not be passed on: it would be taken for that of the present one. */
 int64_t lc_usage_reports_epoch (const LcUsageReports *reports);
 
 #endif
--- a/packages/core/include/lc-usage.h
+++ b/packages/core/include/lc-usage.h
@@ -6,7 +6,7 @@
 struct json_object;
 
 /* How many requests of each organisation began to run, by windows of true time. Each instance
- * counts its own and writes them to rows of a shared store; whoever has the duty adds them up. No
+ * counts its own and writes them to rows of a shared store; the holder of the duty adds them up. No
  * I/O. */
 
 /* Counts of one window. */
--- a/packages/core/src/lc-batch-head.c
+++ b/packages/core/src/lc-batch-head.c
@@ -58,8 +58,8 @@
 }
 
 /* Guards against two instances that run a model's batches in turn: an end writes the row anew, so
- * by versions alone the next batch went to whoever's had just ended, beside the one that runs. Each
- * of the two held a connection for each place of each engine. */
+ * by versions alone the next batch went to the owner whose batch had just ended, beside the one
+ * that runs. Each of the two held a connection for each place of each engine. */
 bool
 lc_batch_head_is_later (const LcBatchHead *a,
                         int64_t version_a,
--- a/packages/core/src/lc-catalog.c
+++ b/packages/core/src/lc-catalog.c
@@ -11,11 +11,11 @@
 #define PUBLISHER_KEY "publisher"
 /* Spread over which instances that hear nothing begin to list for themselves. */
 #define SPREAD (300 * LB_MSEC)
-/* A publisher is missed when its row stood still for so long, twice its period and a half, and the
- * next one in the order follows so much later: nobody has to list for himself meanwhile. */
+/* A publisher counts as dead when its row stood still for so long, twice its period and a half, and
+ * the next one in the order follows so much later: nobody has to list for himself meanwhile. */
 #define MISSED_AFTER (600 * LB_MSEC)
 #define RANK_DELAY (250 * LB_MSEC)
-/* A belief that was already so old when it was heard is not gone by: its write came late. */
+/* A belief that was already so old when it was heard does not count: its write came late. */
 #define MAX_AGE_MS 1000
 /* Without an answer for so long a write counts as lost; the table tells what became of it. */
 #define WRITE_TIME LB_SEC
@@ -300,7 +300,7 @@
   return catalog->publisher;
 }
 
-/* Whoever publishes, or nobody, has not been heard of for this instance's turn. */
+/* The publisher, if there is one, has not been heard of for this instance's turn. */
 static bool
 may_claim (const LcCatalog *catalog, LbTime now)
 {
--- a/packages/core/src/lc-crash-log.h
+++ b/packages/core/src/lc-crash-log.h
@@ -3,7 +3,7 @@
 
 #include "lc-quarantine.h"
 
-/* The reports that a quarantine goes by, put together by the crash of an endpoint that they are
+/* The reports that a quarantine relies on, put together by the crash of an endpoint that they are
  * about. */
 
 typedef struct
--- a/packages/core/src/lc-lease.c
+++ b/packages/core/src/lc-lease.c
@@ -36,7 +36,7 @@
   LbTime lost_at;     /* 0: it never was */
   LbTime gained_at;   /* when gained_fence was */
   int64_t gained_fence;
-  bool from_another; /* whoever held it when gained_fence was gained */
+  bool from_another; /* the one that held it when gained_fence was gained */
   bool must_confirm; /* paused: no order until a renewal asked after it went through */
   LbTime paused_at;
   bool releasing;
--- a/packages/core/src/lc-membership-contacts.c
+++ b/packages/core/src/lc-membership-contacts.c
@@ -110,7 +110,7 @@
 }
 
 /* The failure: two regions that were cut off from one another have condemned each other's members;
- * when the cut is mended nobody would ever speak to them again. One dead or unknown address is
+ * when the cut has ended nobody would ever speak to them again. One dead or unknown address is
  * tried from time to time, by each instance another one. */
 void
 lc_membership_contact_one (LcMembership *membership, LbTime now, LbList *actions)
--- a/packages/core/src/lc-quarantine.c
+++ b/packages/core/src/lc-quarantine.c
@@ -13,7 +13,7 @@
  * endpoint to which a request goes next may crash for another reason. */
 #define CRASHES_TO_BLAME 3
 /* How long a report counts: a caller that sends the same for hours costs three starts an hour, and
- * what was blamed wrongly, or was mended, runs again within the hour. */
+ * what was blamed wrongly, or was repaired, runs again within the hour. */
 #define TERM (3600 * LB_SEC)
 /* An answer clears the content of crashes that come shortly after it: many callers may ask the
  * same, and all endpoints may crash at once for another reason. */
--- a/packages/core/src/lc-roster.c
+++ b/packages/core/src/lc-roster.c
@@ -202,7 +202,7 @@
 /* An engine that started again keeps the model that it was used for: divided anew it would have to
  * load another one's weights in the middle of a step. What it has is not known until it says so. */
 static void
-hand_on_model (LcRoster *roster, const Entry *before, const Entry *after)
+keep_model (LcRoster *roster, const Entry *before, const Entry *after)
 {
   const LcPlanEntry *planned = lc_engine_plan_find (&roster->plan, before->listed.name);
   LcPlanEntry entry = { .version = 0 };
@@ -234,7 +234,7 @@
       const Entry *after = successor_of (roster, &roster->entries[i]);
       if (!after)
         continue;
-      hand_on_model (roster, &roster->entries[i], after);
+      keep_model (roster, &roster->entries[i], after);
       remove_entry (roster, i, &removed);
     }
   log_rest (roster, &removed);
--- a/packages/core/src/lc-ticket.c
+++ b/packages/core/src/lc-ticket.c
@@ -292,8 +292,8 @@
   lb_list_append (&tickets->kept, &ticket->kept_link);
 }
 
-/* The call of this request has ended. A proof that it did not run makes the ticket good again; an
- * answer is kept for whoever comes with the same ticket; anything else spends it. Requests that
+/* The call of this request has ended. A proof that it did not run makes the ticket valid again; an
+ * answer is kept for the next call with the same ticket; anything else spends it. Requests that
  * carry no ticket are ignored. */
 void
 lc_tickets_finish (LcTickets *tickets,
--- a/packages/core/tests/test-admission.c
+++ b/packages/core/tests/test-admission.c
@@ -86,7 +86,7 @@
 
 /* Two steps of one trainer wait for the same engine. They took turns, and the long text of the
  * second began behind short ones of the first that had seconds to spare. In one flow what has to
- * begin first goes first, whoever asks. */
+ * begin first goes first, for all callers. */
 Test (admission, in_one_flow_what_has_to_begin_first_goes_first)
 {
   static const LbTime latest[] = { 30 * LB_SEC, 10 * LB_SEC, 20 * LB_SEC };
--- a/packages/core/tests/test-batch-keep.c
+++ b/packages/core/tests/test-batch-keep.c
@@ -194,7 +194,7 @@
 
 /* The owner is gone: the next one reads what was kept. */
 static void
-hand_on (Owner *before, Owner *next, size_t n_items, LbTime now)
+take_over (Owner *before, Owner *next, size_t n_items, LbTime now)
 {
   owner_init (next, n_items);
   qsort (before->rows, before->n_rows, sizeof *before->rows, by_key);
@@ -267,7 +267,7 @@
   pieces (&first, 0, 4, "b", 2 * LB_SEC);
   tick (&first, 3 * LB_SEC);
   carry_out_keep (&first, true);
-  hand_on (&first, &second, 2, 4 * LB_SEC);
+  take_over (&first, &second, 2, 4 * LB_SEC);
   cr_assert_eq (second.resume_at[0], 7);
   cr_assert_eq (second.resume_at[1], 3);
   pieces (&second, 0, 3, "c", 4 * LB_SEC);
@@ -276,7 +276,7 @@
   for (size_t i = 0; i < second.n_asked; i++)
     put_row (&first, &second.asked[i]);
   second.n_asked = 0;
-  hand_on (&first, &third, 2, 6 * LB_SEC);
+  take_over (&first, &third, 2, 6 * LB_SEC);
   cr_assert_eq (third.resume_at[0], 10);
   owner_clear (&first);
   owner_clear (&second);
@@ -306,7 +306,7 @@
   tick (&first, 4 * LB_SEC);
   carry_out_keep (&first, true);
   put_row (&first, &late);
-  hand_on (&first, &second, 1, 5 * LB_SEC);
+  take_over (&first, &second, 1, 5 * LB_SEC);
   cr_assert_eq (second.resume_at[0], 3);
   pieces (&second, 0, 3, "d", 5 * LB_SEC);
   tick (&second, 6 * LB_SEC);
@@ -315,7 +315,7 @@
   for (size_t i = 0; i < second.n_asked; i++)
     put_row (&first, &second.asked[i]);
   second.n_asked = 0;
-  hand_on (&first, &third, 1, 7 * LB_SEC);
+  take_over (&first, &third, 1, 7 * LB_SEC);
   cr_assert_eq (third.resume_at[0], 6, "what stood behind the gap is not taken");
   owner_clear (&first);
   owner_clear (&second);
@@ -363,7 +363,7 @@
       if (ms % 500 != 0)
         continue;
       Owner next;
-      hand_on (&owner, &next, N_TEXTS, now);
+      take_over (&owner, &next, N_TEXTS, now);
       for (int i = 0; i < N_TEXTS; i++)
         cr_assert_geq (next.resume_at[i], made - MAX_LOST,
                        "item %d has %lld of %lld events at %d ms", i, (long long)next.resume_at[i],
--- a/packages/core/tests/test-catalog.c
+++ b/packages/core/tests/test-catalog.c
@@ -650,7 +650,7 @@
   "\",\"address\":\"10.0.0.1:80\",\"service\":\"s\",\"slots\":1,\"leaving\":false}"
 
 /* A publisher's write was held up on its way for two seconds. What it tells is as old, though it
- * comes now: nobody goes by it. */
+ * comes now: it is not used. */
 Test (catalog, a_belief_that_comes_late_is_not_gone_by)
 {
   LcCatalog *catalog = lc_catalog_new ("a", "1", 0, LB_SEC);
--- a/packages/http/src/lh-reach.c
+++ b/packages/http/src/lh-reach.c
@@ -67,7 +67,7 @@
   done (outcome, done_user);
 }
 
-/* Whoever listens there has nothing to say before it is asked: only an end can be read. */
+/* A listener has nothing to say before it is asked: only an end can be read. */
 static void
 on_held (evutil_socket_t fd, short what, void *user)
 {
--- a/packages/node/include/ln-messages.h
+++ b/packages/node/include/ln-messages.h
@@ -34,7 +34,7 @@
   LN_DRAINING,          /* main -> all */
   LN_DESIRED,           /* config -> all: routes and services of the shared platform */
   LN_DESIRED_CONFIRMED, /* config -> all: the last LN_DESIRED is still the newest */
-  LN_LIST_TAKEN,        /* config -> calls: which list of the endpoints is gone by */
+  LN_LIST_TAKEN,        /* config -> calls: which list of the endpoints is in use */
   LN_LISTED,            /* config -> calls: an endpoint is still listed, with this version */
   LN_DEMAND,            /* rollouts -> config, duties: a trainer brought a batch */
   LN_DUTY,              /* rollouts, config -> all: whether this instance has a duty has changed */
--- a/packages/node/main/lentilspindled.c
+++ b/packages/node/main/lentilspindled.c
@@ -132,7 +132,7 @@
   daemon->settings.seed = XXH3_64bits (text, strlen (text));
 }
 
-/* Whoever waits for the file must never read half of it. */
+/* A reader that waits for the file must never read half of it. */
 static bool
 write_address_file (const Daemon *daemon, LbError *error)
 {
--- a/packages/node/src/ln-admission.h
+++ b/packages/node/src/ln-admission.h
@@ -9,7 +9,7 @@
 
 /* Whose call a caller's request is, by the configuration in force here. */
 
-/* What a task goes by: the desired state, and when it was last known to be the newest. */
+/* What a task believes: the desired state, and when it was last known to be the newest. */
 typedef struct
 {
   LcDesired *desired; /* a reference; NULL: none is known */
--- a/packages/node/src/ln-batch-heads.c
+++ b/packages/node/src/ln-batch-heads.c
@@ -439,8 +439,8 @@
   ln_batch_owner_clear_puts (puts, n);
 }
 
-/* An instance that was killed a moment ago is still taken for alive: whoever accepted the batch
- * runs it itself when the offer is not taken at once. */
+/* An instance that was killed a moment ago is still taken for alive: the instance that accepted the
+ * batch runs it itself when the offer is not taken at once. */
 bool
 ln_batch_heads_offer (LnBatch *batch, LbTime now)
 {
--- a/packages/node/src/ln-calls-private.h
+++ b/packages/node/src/ln-calls-private.h
@@ -31,7 +31,7 @@
   struct event *tick;
   struct event *keep_alive;
   LnAdmissionBelief belief; /* routes and organisations of a shared platform */
-  LbTime list_asked_at;     /* of the list of endpoints that is gone by; 0: there is none */
+  LbTime list_asked_at;     /* of the list of endpoints in use; 0: there is none */
   LbName lister;            /* the instance that asked for it */
   LnCall *by_id;
   LbList all;
--- a/packages/node/src/ln-catalog.c
+++ b/packages/node/src/ln-catalog.c
@@ -39,7 +39,7 @@
   LpFollow *rows;
   LnRowCache *endpoints; /* that are followed */
   LnRowCache *instances;
-  int64_t handed_on;         /* the changes up to which endpoints were; -1: no list is gone by */
+  int64_t passed_on;         /* the changes up to which endpoints were; -1: no list is in use */
   int64_t instances_read;    /* the changes up to which instances were read */
   int64_t instances_version; /* newest row of the instances in the last belief */
   size_t n_instances;        /* in it */
@@ -150,7 +150,7 @@
 }
 
 static void
-hand_on_endpoints (LnCatalog *catalog)
+pass_endpoints (LnCatalog *catalog)
 {
   Reading reading = { .cache = catalog->endpoints, .size = sizeof (LcListed) };
   LbTime asked_at = lc_catalog_asked_at (catalog->catalog);
@@ -158,7 +158,7 @@
 
   if (asked_at <= catalog->own_asked_at)
     return;
-  if (catalog->handed_on == changes)
+  if (catalog->passed_on == changes)
     {
       catalog->handlers.on_same_endpoints (asked_at, catalog->user);
       return;
@@ -166,12 +166,12 @@
   read_items (catalog, ENDPOINTS, &reading);
   bool is_taken = catalog->handlers.on_endpoints ((const LcListed *)reading.items, reading.n,
                                                   asked_at, catalog->user);
-  catalog->handed_on = is_taken ? changes : -1;
+  catalog->passed_on = is_taken ? changes : -1;
   free (reading.items);
 }
 
 static void
-hand_on_instances (LnCatalog *catalog)
+pass_instances (LnCatalog *catalog)
 {
   Reading reading = { .cache = catalog->instances, .size = sizeof (LcFleetMember) };
   int64_t changes = lc_catalog_changes (catalog->catalog);
@@ -203,8 +203,8 @@
   if (!lc_catalog_end (catalog->catalog, store_ms (catalog), lb_clock_monotonic ()))
     return;
   lb_metric_add (&beliefs, 1);
-  hand_on_endpoints (catalog);
-  hand_on_instances (catalog);
+  pass_endpoints (catalog);
+  pass_instances (catalog);
 }
 
 LnCatalog *
@@ -223,7 +223,7 @@
   catalog->handlers = *handlers;
   catalog->user = user;
   catalog->rank = -1;
-  catalog->handed_on = -1;
+  catalog->passed_on = -1;
   catalog->catalog = lc_catalog_new (context->instance, context->incarnation,
                                      ln_context_seed (context), lb_clock_monotonic ());
   catalog->rows = lp_follow_new (context->platform, &settings, on_rows, catalog);
@@ -398,7 +398,7 @@
 void
 ln_catalog_forget_list (LnCatalog *catalog)
 {
-  catalog->handed_on = -1;
+  catalog->passed_on = -1;
 }
 
 void
--- a/packages/node/src/ln-catalog.h
+++ b/packages/node/src/ln-catalog.h
@@ -17,10 +17,10 @@
 /* What is heard of through the catalog. */
 typedef struct
 {
-  /* A list of the endpoints, younger than this instance's own last one. False: it is not gone by,
-   * and the next one is handed on whole, whether it says anything new or not. */
+  /* A list of the endpoints, younger than this instance's own last one. False: it was not used,
+   * and the next one is passed on whole, whether it says anything new or not. */
   bool (*on_endpoints) (const LcListed *list, size_t n_list, LbTime asked_at, void *user);
-  /* The list that was last gone by was true at asked_at as well. */
+  /* The list that was last used was true at asked_at as well. */
   void (*on_same_endpoints) (LbTime asked_at, void *user);
   /* What is known of the instances has changed. */
   void (*on_fleet) (const LcFleetMember *members, size_t n_members, void *user);
@@ -34,7 +34,7 @@
 void ln_catalog_tick (LnCatalog *catalog, size_t n_endpoints, LbTime now);
 /* What this instance knows of all instances, itself included. */
 void ln_catalog_fleet (LnCatalog *catalog, const LcFleetMember *members, size_t n_members);
-/* The next list is handed on whole. */
+/* The next list is passed on whole. */
 void ln_catalog_forget_list (LnCatalog *catalog);
 /* This instance ends: it publishes nothing more. */
 void ln_catalog_drain (LnCatalog *catalog);
--- a/packages/node/src/ln-config-api.c
+++ b/packages/node/src/ln-config-api.c
@@ -276,7 +276,7 @@
   lb_list_append (&task->watches, &watch->link);
 }
 
-/* While a watch waits, those that are behind are asked: they confirm to whoever pushed, which need
+/* While a watch waits, those that are behind are asked: they confirm to the sender, which need
  * not be this instance. */
 static void
 watches_tick (LnConfigTask *task, LbTime now)
--- a/packages/node/src/ln-config-store.c
+++ b/packages/node/src/ln-config-store.c
@@ -263,7 +263,7 @@
 
 /* Guards against a reply that is lost after the write took effect: the operator would be told that
  * the change failed, or that another operator was first, while it is in force. The history row of
- * the revision names the transaction that wrote it, so whoever wrote it is known; and while nobody
+ * the revision names the transaction that wrote it, so the writer is known; and while nobody
  * has, the same transaction may be sent again, since its token lets it take effect once. */
 static void
 on_read_back (LbErrorCode error, const LpRow *rows, size_t n_rows, void *user)
--- a/packages/node/src/ln-desired.c
+++ b/packages/node/src/ln-desired.c
@@ -104,7 +104,7 @@
           LB_INT ("routes", desired->n_routes));
   lc_desired_unref (task->desired);
   task->desired = desired;
-  /* Which endpoints are gone by depends on the services that it names. */
+  /* Which endpoints are used depends on the services that it names. */
   ln_endpoint_list_set_desired (task->list, desired);
   ln_catalog_forget_list (task->catalog);
   lb_metric_set (&desired_version, desired->version);
--- a/packages/node/src/ln-duty-lease.h
+++ b/packages/node/src/ln-duty-lease.h
@@ -9,8 +9,9 @@
  * instances are candidates, by what their machines can bear. */
 typedef struct LnDutyLease LnDutyLease;
 
-/* duty: its name, which stays the caller's; receivers_check_fence: whoever the holder calls refuses
- * an old fencing number; on_change: gained or lost; what was believed before holds no more. */
+/* duty: its name, which stays the caller's; receivers_check_fence: the receivers of the holder's
+ * calls refuse an old fencing number; on_change: gained or lost; what was believed before holds no
+ * more. */
 LnDutyLease *ln_duty_lease_new (LnContext *context,
                                 const char *duty,
                                 bool receivers_check_fence,
--- a/packages/node/src/ln-fleet-lists.c
+++ b/packages/node/src/ln-fleet-lists.c
@@ -287,7 +287,7 @@
 }
 
 /* Guards against what was listed long ago: the time without lists looks like an outage of the
- * store, in which nobody could renew, and whoever left meanwhile would count as alive. */
+ * store, in which nobody could renew, and one that left meanwhile would count as alive. */
 void
 ln_fleet_lists_set_followed (LnFleetLists *lists, bool followed)
 {
--- a/packages/node/src/ln-members.c
+++ b/packages/node/src/ln-members.c
@@ -68,7 +68,7 @@
   return view->draining ? "draining" : NULL;
 }
 
-/* One line for each change, naming whoever is not simply alive. */
+/* One line for each change, naming those that are not simply alive. */
 static void
 log_view (const LcMemberView *views, size_t n_views, size_t alive)
 {
--- a/packages/node/src/ln-peers-listen.c
+++ b/packages/node/src/ln-peers-listen.c
@@ -56,7 +56,7 @@
   ln_peers_add_connection (peers, connection, 0);
 }
 
-/* The failure: whoever connects and says nothing would hold a socket for ever. */
+/* The failure: a client that connects and says nothing would hold a socket for ever. */
 void
 ln_peers_close_unproved (LnPeers *peers, LbTime now)
 {
--- a/packages/node/src/ln-request-bytes.h
+++ b/packages/node/src/ln-request-bytes.h
@@ -7,7 +7,7 @@
 
 /* The bytes of a caller's requests as they come, before the HTTP library reads them. It takes some
  * of what the standard forbids for something else: a NUL ends the target for it, a folded header
- * line and a chunk size that is too large make it wait for ever. Whoever is behind this daemon may
+ * line and a chunk size that is too large make it wait for ever. A server behind this daemon may
  * read the same bytes in another way, so such a request is refused (RFC 9112, 2.2, 3.2, 5.2, 7.1).
  */
 typedef struct
--- a/packages/node/src/ln-step-store.h
+++ b/packages/node/src/ln-step-store.h
@@ -64,7 +64,7 @@
                                  const char *value,
                                  LnStepWriteDone done,
                                  void *user);
-/* Leaves the step, with samples for its next owner, to whoever is asked for it next. */
+/* Leaves the step, with samples for its next owner, to the instance that is asked for it next. */
 void ln_step_store_release (LnStepStore *store,
                             const LnStepKey *key,
                             const LnStepOwner *own,
--- a/packages/node/src/ln-usage-rows.c
+++ b/packages/node/src/ln-usage-rows.c
@@ -108,7 +108,7 @@
 
 /* Each row holds all that this start of the instance counted in the window. Guards against a write
  * without an answer that is carried out after the next one, and would take counts back: after such
- * a write the next rows have another key, and the largest counts are gone by. */
+ * a write the next rows have another key, and the largest counts are used. */
 static void
 write_row (LnUsageRows *rows, const LcUsageRow *row)
 {
--- a/packages/node/src/ln-weight-orders.c
+++ b/packages/node/src/ln-weight-orders.c
@@ -490,7 +490,7 @@
   return engine->ordered != 0 || engine->orders_accepted < 0;
 }
 
-/* Whoever does not hold the lease has nothing to do for the engines; there may be hundreds of such
+/* An instance without the lease has nothing to do for the engines; there may be hundreds of such
  * instances, and this runs forty times a second. */
 void
 ln_weight_orders_tick (LnWeightOrders *orders, LbTime now)
--- a/packages/node/tests/test-fleet-lists.c
+++ b/packages/node/tests/test-fleet-lists.c
@@ -107,7 +107,7 @@
   return NULL;
 }
 
-/* An instance lists the others when it starts, then goes by what another one lists. A machine is
+/* An instance lists the others when it starts, then relies on what another one lists. A machine is
  * taken away. Half a minute later the instance lists for itself again: it remembered the machine as
  * one that lived, took the time without lists for an outage of the store, and named the machine to
  * all callers. */
--- a/packages/sim/include/lx-text.h
+++ b/packages/sim/include/lx-text.h
@@ -4,7 +4,7 @@
 #include "lb-types.h"
 
 /* Which tokens of which engine stream an answer is made of. Fakes pass this in place of words, so
- * that whoever gets an answer can hold it against what the engines really did. */
+ * that the receiver of an answer can hold it against what the engines really did. */
 typedef struct
 {
   uint64_t stream;
--- a/packages/sim/include/lx-trainer.h
+++ b/packages/sim/include/lx-trainer.h
@@ -45,7 +45,7 @@
   int64_t oldest; /* largest staleness of all steps, the first too */
 } LxTrainer;
 
-/* A chunk on its way to the trainer; owned by whoever holds it. */
+/* A chunk on its way to the trainer; owned by its holder. */
 typedef struct
 {
   char *group;
--- a/packages/store/include/lp-follow.h
+++ b/packages/store/include/lp-follow.h
@@ -15,8 +15,8 @@
   LbTime wait;        /* of one watch: a silent connection is found after it */
   bool tries_history; /* the table may be young: its history is asked for before it is listed */
   LbTime retry;       /* after a call that failed */
-  /* All rows are about to be handed on anew, in one list; NULL: who follows need not know. Only for
-   * one prefix. */
+  /* All rows are about to be passed on anew, in one list; NULL: the follower need not know. Only
+   * for one prefix. */
   void (*on_base) (void *user);
 } LpFollowSettings;
 
@@ -38,7 +38,7 @@
 void lp_follow_set_pause (LpFollow *follow, LbTime pause, LbTime now);
 
 /* queries */
-/* When the store last answered: what was handed on was all there was then. 0: it has not yet. */
+/* When the store last answered: what was passed on was all there was then. 0: it has not yet. */
 LbTime lp_follow_heard_at (const LpFollow *follow);
 /* All rows were listed, at least once. */
 bool lp_follow_has_listed (const LpFollow *follow);
--- a/packages/store/include/lp-platform.h
+++ b/packages/store/include/lp-platform.h
@@ -134,7 +134,7 @@
   /* Whether this instance reaches the store without the help of others; NULL where the kind can't
    * tell. */
   bool (*is_reached) (const LpPlatform *platform);
-  /* The store's own steady clock in the answer that is being handed on, in ms; 0: it named none.
+  /* The store's own steady clock in the answer that is being passed on, in ms; 0: it named none.
    * NULL where the kind has no such clock. */
   int64_t (*store_ms) (const LpPlatform *platform);
   /* The same clock at the moment `now` of this process, by the last answer; 0: not known. */
--- a/packages/store/tests/test-follow.c
+++ b/packages/store/tests/test-follow.c
@@ -16,7 +16,7 @@
   int lists;
   int watches;
   int64_t watched_after;
-  int rows; /* that the follower handed on */
+  int rows; /* that the follower passed on */
 } Fake;
 
 static void
--- a/standins/si-server.c
+++ b/standins/si-server.c
@@ -137,7 +137,7 @@
   event_base_free (server->base);
 }
 
-/* One JSON line on standard output tells whoever started the program where to connect. */
+/* One JSON line on standard output tells the parent process where to connect. */
 void
 si_server_announce (const SiServer *server, const char *name)
 {
@@ -237,7 +237,7 @@
   si_reply_json (request, status, object);
 }
 
-/* evhttp leaves a request that nobody has answered to whoever meant to, when its connection is
+/* evhttp leaves a request that nobody has answered to the one that meant to, when its connection is
  * gone.
  */
 void
--- a/tests/process/test-organisations.c
+++ b/tests/process/test-organisations.c
@@ -139,7 +139,8 @@
 }
 
 /* A batch belongs to the organisation that brought it. Another one gets what an unknown id gets,
- * whoever has no key learns nothing, and its own other keys may do with it what the first one may.
+ * a caller without a key learns nothing, and its own other keys may do with it what the first one
+ * may.
  */
 Test (organisations, a_batch_is_its_organisations_alone)
 {
--- a/tests/process/test-shared.c
+++ b/tests/process/test-shared.c
@@ -126,7 +126,7 @@
   return lists_of_endpoints (w, instance) <= lists;
 }
 
-/* Whoever orders the weights lists the endpoints as well. */
+/* The instance that orders the weights lists the endpoints as well. */
 static bool
 some_only_follows (PsWorld *w)
 {
@@ -147,7 +147,7 @@
   return w->n_instances;
 }
 
-/* A decision's line tells whose list it went by. Whoever has a duty at the engines lists for
+/* A decision's line tells whose list it used. An instance with a duty at the engines lists for
  * itself, so it is looked for among all but the publisher. */
 static bool
 some_decision_names (PsWorld *w, size_t publisher)
--- a/tests/soak/sk-faults.h
+++ b/tests/soak/sk-faults.h
@@ -15,7 +15,7 @@
 
 /* Strikes when it is time; only: name of the one kind to strike with, NULL: any. */
 void sk_faults_tick (SkWorld *world, const char *only, LbTime *next, LbTime now);
-/* All that is wrong is mended, and what was killed is started. */
+/* All faults end, and what was killed is started. */
 void sk_faults_end (SkWorld *world);
 
 #endif
--- a/tests/soak/sk-world.c
+++ b/tests/soak/sk-world.c
@@ -699,7 +699,7 @@
     remove_folder (world);
 }
 
-/* Whoever reports a window again, another holder too, repeats what was reported. */
+/* A holder that reports a window again, another holder too, repeats what was reported. */
 static void
 check_reports (SkWorld *world)
 {
--- a/tests/soak/soak-processes.c
+++ b/tests/soak/soak-processes.c
@@ -93,7 +93,8 @@
     }
 }
 
-/* All is mended: the trainer gets the whole of its last step, and all instances show it alike. */
+/* All faults have ended: the trainer gets the whole of its last step, and all instances show it
+ * alike. */
 static void
 settle (Run *run)
 {
