--- /dev/null
+++ b/packages/node/tests/test-fleet-directory.c
@@ -0,0 +1,176 @@
+#include "ln-fleet-lists.h"
+
+#include "lb-alloc.h"
+#include "lb-clock.h"
+#include "lc-duty.h"
+#include "lp-platform.h"
+
+#include <criterion/criterion.h>
+#include <json-c/json.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define N_STRONG 200
+
+typedef struct
+{
+  char key[LN_FLEET_KEY_SIZE];
+  char *value;
+} Row;
+
+/* A store with the rows of a fleet, which answers at once and counts what it gives. */
+typedef struct
+{
+  LpPlatform platform; /* first */
+  Row *rows;           /* by key */
+  size_t n_rows;
+  size_t n_lists;
+  size_t n_given;
+} Store;
+
+static int64_t
+store_ms (const LpPlatform *platform)
+{
+  (void)platform;
+  return lb_clock_monotonic () / LB_MSEC;
+}
+
+static void
+store_list (LpPlatform *platform,
+            const char *prefix,
+            const char *from,
+            int64_t limit,
+            LpListDone done,
+            void *user)
+{
+  (void)from;
+  Store *store = (Store *)platform;
+  LpRow *rows = LB_NEW_ARRAY (LpRow, store->n_rows + 1);
+  size_t n = 0;
+
+  for (size_t i = 0; i < store->n_rows && (limit == 0 || n < (size_t)limit); i++)
+    if (strncmp (store->rows[i].key, prefix, strlen (prefix)) == 0)
+      rows[n++] = (LpRow){ .key = store->rows[i].key,
+                           .value = store->rows[i].value,
+                           .version = (int64_t)i + 1 };
+  store->n_lists++;
+  store->n_given += n;
+  done (LB_OK, rows, n, (int64_t)store->n_rows, user);
+  free (rows);
+}
+
+static const LpPlatformClass store_class
+    = { .name = "test", .list = store_list, .store_ms = store_ms };
+
+static int
+by_key (const void *a, const void *b)
+{
+  return strcmp (((const Row *)a)->key, ((const Row *)b)->key);
+}
+
+static void
+name_instance (size_t index, char *name)
+{
+  snprintf (name, LB_NAME_MAX, "front-%zu", index);
+}
+
+static void
+store_init (Store *store, size_t n_instances)
+{
+  *store = (Store){ .platform.klass = &store_class,
+                    .rows = LB_NEW_ARRAY (Row, n_instances),
+                    .n_rows = n_instances };
+  for (size_t i = 0; i < n_instances; i++)
+    {
+      LcFleetRow row = { .ready = true, .period = LB_SEC };
+      row.strength = i < N_STRONG ? lc_duty_strength (0.5, 600) : lc_duty_strength (0.12, 60);
+      row.renewed_ms = store_ms (&store->platform);
+      name_instance (i, row.name);
+      LB_COPY (row.incarnation, "1");
+      LB_COPY (row.caller_address, "10.0.0.1:80");
+      ln_fleet_key (&row, false, store->rows[i].key);
+      struct json_object *object = lc_fleet_row_to_json (&row);
+      store->rows[i].value = lb_strdup (json_object_to_json_string (object));
+      json_object_put (object);
+    }
+  qsort (store->rows, n_instances, sizeof *store->rows, by_key);
+}
+
+static void
+store_clear (Store *store)
+{
+  for (size_t i = 0; i < store->n_rows; i++)
+    free (store->rows[i].value);
+  free (store->rows);
+}
+
+static void
+on_change (void *user)
+{
+  (void)user;
+}
+
+static size_t
+count_strong (const LnFleetLists *lists)
+{
+  size_t n = 0;
+
+  for (size_t i = 0; i < ln_fleet_lists_count (lists); i++)
+    n += ln_fleet_lists_at (lists, i)->row.strength == lc_duty_strength (0.5, 600);
+  return n;
+}
+
+/* Guards against rows read and instances kept that grow with the fleet. */
+Test (fleet_directory, one_thousand_cost_what_two_thousand_cost)
+{
+  const size_t sizes[] = { 1000, 2000 };
+
+  for (size_t i = 0; i < 2; i++)
+    {
+      Store store;
+      store_init (&store, sizes[i]);
+      LnFleetLists *lists = ln_fleet_lists_new (&store.platform, "front-0", on_change, NULL);
+      ln_fleet_lists_tick (lists, lb_clock_monotonic ());
+      cr_assert_eq (store.n_given, LN_FLEET_DIRECTORY_MAX);
+      cr_assert_leq (store.n_lists, 9);
+      cr_assert_eq (ln_fleet_lists_count (lists), LN_FLEET_DIRECTORY_MAX);
+      cr_assert_geq (count_strong (lists) * 100, LN_FLEET_DIRECTORY_MAX * 80);
+      ln_fleet_lists_free (lists);
+      store_clear (&store);
+    }
+}
+
+/* Guards against a small fleet of which not all are known. */
+Test (fleet_directory, a_small_fleet_is_known_whole)
+{
+  Store store;
+
+  store_init (&store, 100);
+  LnFleetLists *lists = ln_fleet_lists_new (&store.platform, "front-0", on_change, NULL);
+  ln_fleet_lists_tick (lists, lb_clock_monotonic ());
+  cr_assert_eq (ln_fleet_lists_count (lists), 100);
+  cr_assert_not (ln_fleet_lists_leaves_out (lists, "front-99"));
+  cr_assert_not (ln_fleet_lists_leaves_out (lists, "unknown"));
+  ln_fleet_lists_free (lists);
+  store_clear (&store);
+}
+
+Test (fleet_directory, those_without_a_place_know_it)
+{
+  Store store;
+  size_t n_left_out = 0;
+  LbName name;
+
+  store_init (&store, 1000);
+  LnFleetLists *lists = ln_fleet_lists_new (&store.platform, "front-0", on_change, NULL);
+  ln_fleet_lists_tick (lists, lb_clock_monotonic ());
+  for (size_t i = 0; i < 1000; i++)
+    {
+      name_instance (i, name);
+      n_left_out += ln_fleet_lists_leaves_out (lists, name);
+    }
+  cr_assert_eq (n_left_out, 1000 - LN_FLEET_DIRECTORY_MAX);
+  ln_fleet_lists_free (lists);
+  store_clear (&store);
+}
