--- a/packages/node/src/membership/ln-fleet-lists.c
+++ b/packages/node/src/membership/ln-fleet-lists.c
@@ -31,6 +31,10 @@
 /* Between two lists of all instances: at most some hundred rows a second. */
 #define LIST_PERIOD (250 * LB_MSEC)
 #define LIST_PERIOD_PER_INSTANCE (8 * LB_MSEC)
+/* After a list that a busy store refused, and spread over the instances: a fleet that starts asks
+ * more than the store takes. */
+#define BUSY_PAUSE (300 * LB_MSEC)
+#define BUSY_SPREAD LB_SEC
 /* Between two lists of those on duty, a dozen: with a renewal each 0.3 s a dead owner is missed 1.5
  * s after its last one, and not after 2.5 s as by the lists of 295 instances. On small sites all
  * are listed more often. */
@@ -201,14 +205,19 @@
                                     NULL);
 }
 
+/* A part of `most` by this instance's name. */
+static LbTime
+draw_of (const LnFleetLists *lists, LbTime most)
+{
+  return (LbTime)(XXH3_64bits (lists->self, strlen (lists->self)) % (uint64_t)most);
+}
+
 /* Only one of each list, so that a fleet that lost its power is not read as a fleet of rows to
  * remove. */
 static void
 remove_dead (const Listing *listing, LbTime now)
 {
-  LbTime wait = REMOVE_AFTER
-                + (LbTime)(XXH3_64bits (listing->lists->self, strlen (listing->lists->self))
-                           % REMOVE_SPREAD);
+  LbTime wait = REMOVE_AFTER + draw_of (listing->lists, REMOVE_SPREAD);
 
   for (size_t i = 0; i < lc_fleet_count (listing->fleet); i++)
     {
@@ -236,6 +245,8 @@
 
   listing->waiting--;
   listing->failed |= error != LB_OK;
+  if (error == LB_ERROR_STORE_BUSY)
+    listing->next = now + BUSY_PAUSE + draw_of (listing->lists, BUSY_SPREAD);
   if (listing->failed)
     return;
   if (!listing->begun)
