subset: grows with the load

Cause: 48 endpoints of a service may be too few for a load that nobody states beforehand. Change: replies state requests and places; an instance whose endpoints of a service are over 60% full says so in its row, and the publisher extends the subset by half, at most each 3 s. Tests: core-test-crowding, core-test-subset.

--- a/packages/core/include/lc-fleet.h
+++ b/packages/core/include/lc-fleet.h
@@ -22,6 +22,7 @@
   int64_t clock_lead_ms; /* see lc-true-time.h; 0: it does not say */
   int64_t renewed_ms;    /* the store's clock when it renewed the row, by itself; 0: not known */
   LbTime period;         /* between them */
+  LbName crowded;        /* service whose known endpoints are nearly full; "": none */
 } LcFleetRow;
 
 struct json_object *lc_fleet_row_to_json (const LcFleetRow *row);
--- a/packages/core/include/lc-subset.h
+++ b/packages/core/include/lc-subset.h
@@ -45,6 +45,9 @@
 /* Requests that run at once for one model, at the most. */
 void lc_subset_set_demand (LcSubset *subset, const char *model, int64_t requests);
 
+/* Its endpoints are nearly full: the subset gets more of them, at most once in a few seconds. */
+void lc_subset_grow (LcSubset *subset, const char *service, LbTime now);
+
 /* queries */
 /* Rows to ask for at first: as many as the last list needed. */
 int64_t lc_subset_page_size (const LcSubset *subset);
--- a/packages/core/src/endpoints/lc-subset.c
+++ b/packages/core/src/endpoints/lc-subset.c
@@ -13,6 +13,9 @@
 #define LOW_PERCENT 75
 /* Places for each request that runs at once: a request takes one while the next step's begin. */
 #define SLOTS_PER_REQUEST 2
+/* Between two extensions by load: the calls go to the new endpoints, and replies tell of it. */
+#define GROW_PERIOD (3 * LB_SEC)
+#define GROW_FACTOR 1.5
 
 typedef struct
 {
@@ -21,6 +24,8 @@
   size_t ready;  /* in service, in the list being read */
   size_t models; /* that its engines hold, at the most; 0: a plain service */
   int64_t slots; /* of one endpoint, as the last row told */
+  double growth; /* of what is needed, by load; 0: none */
+  LbTime grown_at;
   bool is_expected;
   bool is_extended; /* in the list being read */
   UT_hash_handle hh;
@@ -94,10 +99,10 @@
   int64_t slots = service->slots > 0 ? service->slots : 1;
   size_t of_model = (size_t)((subset->max_requests * SLOTS_PER_REQUEST + slots - 1) / slots);
 
-  if (service->models == 0)
-    return LC_SUBSET_MIN_ENDPOINTS;
-  return service->models
-         * (of_model > LC_SUBSET_MIN_ENDPOINTS ? of_model : LC_SUBSET_MIN_ENDPOINTS);
+  if (of_model < LC_SUBSET_MIN_ENDPOINTS || service->models == 0)
+    of_model = LC_SUBSET_MIN_ENDPOINTS;
+  return (size_t)((double)(of_model * (service->models > 0 ? service->models : 1))
+                  * (1 + service->growth));
 }
 
 static bool
@@ -226,6 +231,19 @@
       subset->max_requests = known->requests;
 }
 
+void
+lc_subset_grow (LcSubset *subset, const char *name, LbTime now)
+{
+  Service *service = ensure_service (subset, name);
+
+  if (service->bound[0] == '\0')
+    return;
+  if (service->grown_at > 0 && now - service->grown_at < GROW_PERIOD)
+    return;
+  service->grown_at = now;
+  service->growth = (1 + service->growth) * GROW_FACTOR - 1;
+}
+
 int64_t
 lc_subset_page_size (const LcSubset *subset)
 {
--- a/packages/core/tests/test-subset.c
+++ b/packages/core/tests/test-subset.c
@@ -218,3 +218,26 @@
   lc_subset_free (subset);
   free (table.rows);
 }
+
+/* Guards against a load that outgrows the subset while other endpoints are idle. */
+Test (subset, grows_while_its_endpoints_are_crowded)
+{
+  LcSubset *subset = subset_new ();
+  Table table;
+  LbTime now = LB_SEC;
+
+  table_init (&table, 10000);
+  list (subset, &table);
+  lc_subset_grow (subset, "plain", now);
+  lc_subset_grow (subset, "plain", now + LB_SEC);
+  list (subset, &table);
+  size_t held = count_held (&table, "plain");
+  cr_assert_geq (held, LC_SUBSET_MIN_ENDPOINTS * 3 / 2 - 1);
+  cr_assert_leq (held, LC_SUBSET_MIN_ENDPOINTS * 3 / 2 + 1, "once in a few seconds");
+  for (int i = 1; i <= 10; i++)
+    lc_subset_grow (subset, "plain", now + i * 4 * LB_SEC);
+  list (subset, &table);
+  cr_assert_geq (count_held (&table, "plain"), 1900);
+  lc_subset_free (subset);
+  free (table.rows);
+}
--- a/packages/node/include/ln-messages.h
+++ b/packages/node/include/ln-messages.h
@@ -39,6 +39,7 @@
   LN_DEMAND,            /* rollouts -> config, duties: a trainer brought a batch */
   LN_DUTY,              /* rollouts, config -> all: whether this instance has a duty has changed */
   LN_BEGAN,             /* calls -> duties: an organisation's request began to run */
+  LN_CROWDED,           /* calls -> peers: which service's endpoints are nearly full has changed */
   LN_READY              /* config -> all: whether new work may be taken has changed */
 } LnMessageType;
 
@@ -155,6 +156,12 @@
   int64_t texts;
 } LnDemandMessage;
 
+typedef struct
+{
+  LnMessage base;
+  LbName service; /* "": none */
+} LnCrowdedMessage;
+
 /* One instance as this one sees it. */
 typedef struct
 {
--- a/packages/node/src/calls/ln-calls-private.h
+++ b/packages/node/src/calls/ln-calls-private.h
@@ -1,6 +1,7 @@
 #ifndef LN_CALLS_PRIVATE_H
 #define LN_CALLS_PRIVATE_H
 
+#include "lc-crowding.h"
 #include "ln-admission.h"
 #include "ln-call.h"
 #include "ln-claims.h"
@@ -31,6 +32,8 @@
   struct event *tick;
   struct event *keep_alive;
   LnAdmissionBelief belief; /* routes and organisations of a shared platform */
+  LcCrowding *crowding;
+  LbName crowded; /* as the peers task was told */
   LbTime list_asked_at;     /* of the list of endpoints in use; 0: there is none */
   LbName lister;            /* the instance that asked for it */
   LnCall *by_id;
--- a/packages/node/src/calls/ln-calls-run.c
+++ b/packages/node/src/calls/ln-calls-run.c
@@ -254,6 +254,8 @@
   report.running = load.running;
   report.waiting = load.waiting;
   report.at = lb_clock_monotonic ();
+  lc_crowding_note (calls->crowding, endpoint->member.service, load.running + load.waiting,
+                    endpoint->member.concurrency);
   lc_endpoints_report (lc_dispatch_endpoints (calls->dispatch), endpoint->member.name, &report,
                        report.at);
 }
--- a/packages/node/src/calls/ln-calls.c
+++ b/packages/node/src/calls/ln-calls.c
@@ -298,6 +298,7 @@
   event_free (calls->keep_alive);
   lc_dispatch_free (calls->dispatch);
   lc_desired_unref (calls->belief.desired);
+  lc_crowding_free (calls->crowding);
   free (calls);
 }
 
@@ -330,6 +331,22 @@
   lb_metric_set (&broken_invariants, (int64_t)lc_dispatch_invariant_failures (calls->dispatch));
 }
 
+static void
+tell_crowded (LnCalls *calls)
+{
+  const char *service = lc_crowding_service (calls->crowding);
+  LnTask *peers = ln_hub_find (calls->task.hub, "peers");
+  LnCrowdedMessage message = { .base = LN_MESSAGE (LN_CROWDED) };
+
+  if (!peers || strcmp (service, calls->crowded) == 0)
+    return;
+  lb_log (LB_LOG_INFO, "service_crowded", LB_TEXT ("service", service),
+          LB_TEXT ("before", calls->crowded));
+  LB_COPY (calls->crowded, service);
+  LB_COPY (message.service, service);
+  LN_POST (calls->task.hub, peers, message);
+}
+
 /* Callers, too, must be able to tell a slow answer from a connection that has gone silent. */
 static void
 on_keep_alive (evutil_socket_t fd, short what, void *user)
@@ -340,6 +357,7 @@
   LbTime now = lb_clock_monotonic ();
 
   set_gauges (calls);
+  tell_crowded (calls);
   ln_crashes_tick (calls->crashes, now);
   LB_LIST_FOREACH (&calls->all, LnCall, link, call)
   {
@@ -361,6 +379,7 @@
   calls->context = context;
   lb_list_init (&calls->all);
   calls->dispatch = make_dispatch (context);
+  calls->crowding = lc_crowding_new ();
   calls->tickets
       = ln_ticket_calls_new (context->instance, context->incarnation, context->settings->seed);
   calls->claims = ln_claims_new (context->base, context->platform, context->incarnation);
--- a/packages/node/src/config/ln-desired.c
+++ b/packages/node/src/config/ln-desired.c
@@ -348,13 +348,21 @@
 }
 
 static void
-list_endpoints (Desired *task, LbTime now)
+grow (const char *service, void *user)
 {
-  LcSubset *subset = ln_endpoint_list_subset (task->list);
+  Desired *task = user;
+
+  lc_subset_grow (ln_endpoint_list_subset (task->list), service, lb_clock_monotonic ());
+}
 
+static void
+list_endpoints (Desired *task, LbTime now)
+{
   task->next_list = now + list_period (task);
-  if (!ln_catalog_is_publisher (task->catalog))
-    ln_catalog_take_bounds (task->catalog, subset);
+  if (ln_catalog_is_publisher (task->catalog))
+    ln_catalog_each_crowded (task->catalog, grow, task);
+  else
+    ln_catalog_take_bounds (task->catalog, ln_endpoint_list_subset (task->list));
   ln_endpoint_list_ask (task->list, now);
 }
 
--- a/packages/node/src/membership/ln-catalog.c
+++ b/packages/node/src/membership/ln-catalog.c
@@ -446,6 +446,16 @@
   write_next (catalog, now);
 }
 
+void
+ln_catalog_each_crowded (const LnCatalog *catalog,
+                         void (*take) (const char *service, void *user),
+                         void *user)
+{
+  for (size_t i = 0; i < catalog->n_members; i++)
+    if (catalog->members[i].alive && catalog->members[i].row.crowded[0])
+      take (catalog->members[i].row.crowded, user);
+}
+
 typedef struct
 {
   LcCatalogItem *items;
--- a/packages/node/src/membership/ln-catalog.h
+++ b/packages/node/src/membership/ln-catalog.h
@@ -45,6 +45,10 @@
 void ln_catalog_bounds (LnCatalog *catalog, const LcSubset *subset);
 
 /* queries */
+/* Calls back for each service that an instance tells to be crowded. */
+void ln_catalog_each_crowded (const LnCatalog *catalog,
+                              void (*take) (const char *service, void *user),
+                              void *user);
 /* Sets the bounds that the publisher has told. */
 void ln_catalog_take_bounds (const LnCatalog *catalog, LcSubset *subset);
 /* The endpoints have to be listed here. */
--- a/packages/node/src/membership/ln-fleet.c
+++ b/packages/node/src/membership/ln-fleet.c
@@ -352,6 +352,9 @@
       ln_fleet_lists_hear (task->lists, ((const LnFleetMessage *)message)->members,
                            ((const LnFleetMessage *)message)->n_members);
       break;
+    case LN_CROWDED:
+      LB_COPY (task->own.crowded, ((const LnCrowdedMessage *)message)->service);
+      break;
     case LN_READY:
       task->own.ready = ((const LnReadyMessage *)message)->ready;
       ln_fleet_renewal_tell (task->renewal, lb_clock_monotonic ());
