--- a/packages/core/include/lc-endpoints.h
+++ b/packages/core/include/lc-endpoints.h
@@ -45,6 +45,8 @@
   LbTime breaker_until;
   int64_t consecutive_failures;
   LbTime last_reply;
+  size_t idle_connections; /* of ours, kept open, when this was last told */
+  LbTime idle_at;
 } LcEndpoint;
 
 typedef struct LcEndpoints LcEndpoints;
@@ -91,6 +93,8 @@
 /* ok is false for a failure that speaks against the endpoint (not for a cancel of ours). */
 void lc_endpoints_ended (
     LcEndpoint *endpoint, LcRequestKind kind, bool ok, int64_t tokens, LbTime took, LbTime now);
+/* Connections of ours to it that are open and idle now. */
+void lc_endpoints_connections (LcEndpoint *endpoint, size_t n_idle, LbTime now);
 /* The endpoint said that it did not start the request. */
 void lc_endpoints_refused (LcEndpoint *endpoint, LcRequestKind kind, LbTime now);
 /* We closed the attempt ourselves, which says nothing of the endpoint. */
--- a/packages/core/src/dispatch/lc-router-finish-time.c
+++ b/packages/core/src/dispatch/lc-router-finish-time.c
@@ -283,10 +283,36 @@
   return least;
 }
 
-/* Among the candidates nearest to the least score, each by what it lacks to the level. */
+static bool
+is_connected (const LcEndpoint *endpoint, LbTime now)
+{
+  return endpoint->idle_connections > 0 && now - endpoint->idle_at < CONNECTION_KEPT;
+}
+
+static bool
+is_near (const LcPolicy *policy, size_t index, double least)
+{
+  return policy->candidates.items[index].score <= least * (1 + INDIFFERENT);
+}
+
+/* Whether a candidate near the least score has an idle connection of ours. */
+static bool
+has_connected (const LcPolicy *policy, double least, LbTime now)
+{
+  for (size_t i = 0; i < policy->candidates.n_items; i++)
+    if (is_near (policy, i, least)
+        && is_connected (policy->candidates.summaries[i]->endpoint, now))
+      return true;
+  return false;
+}
+
+/* Among the candidates nearest to the least score, each by what it lacks to the level. A step's texts
+ * begin together: where many endpoints are as good, those with an idle connection spare the others
+ * a new one. */
 static size_t
-draw (LcPolicy *policy, double level, double least)
+draw (LcPolicy *policy, double level, double least, LbTime now)
 {
+  bool connected = has_connected (policy, least, now);
   double total = 0;
   size_t chosen = 0;
 
@@ -295,7 +321,8 @@
       const LcLoadPrice *price = &policy->loads[i];
       double share = larger (MIN_SHARE, (level - price->seconds) * price->per_second);
 
-      if (policy->candidates.items[i].score > least * (1 + INDIFFERENT))
+      if (!is_near (policy, i, least)
+          || (connected && !is_connected (policy->candidates.summaries[i]->endpoint, now)))
         continue;
       total += share;
       if (gsl_rng_uniform (policy->rng) * total < share)
@@ -319,7 +346,7 @@
   double all_filled = price_loads (policy, &situation);
   double level = find_level (policy, situation.unseen + 1, all_filled);
   double least = score_all (policy, &situation, level);
-  size_t chosen = draw (policy, level, least);
+  size_t chosen = draw (policy, level, least, now);
   bool is_bound = situation.shares[policy->candidates.summaries[chosen]->slot] > 0;
 
   situation.group->bound_share
--- a/packages/core/src/endpoints/lc-endpoints.c
+++ b/packages/core/src/endpoints/lc-endpoints.c
@@ -321,6 +321,13 @@
   lc_flight_log_add (&entry->flights, entry->endpoint.in_flight, false, false, now);
 }
 
+void
+lc_endpoints_connections (LcEndpoint *endpoint, size_t n_idle, LbTime now)
+{
+  endpoint->idle_connections = n_idle;
+  endpoint->idle_at = now;
+}
+
 void
 lc_endpoints_cancelled (LcEndpoint *endpoint, LcRequestKind kind, LbTime now)
 {
--- a/packages/http/include/lh-fetch.h
+++ b/packages/http/include/lh-fetch.h
@@ -56,6 +56,8 @@
 void lh_pool_free (LhPool *pool);
 /* Drops kept idle connections to one address, or to all when address is NULL. */
 void lh_pool_forget (LhPool *pool, const char *address);
+/* Kept connections to the address that the next requests would use. */
+size_t lh_pool_count_idle (const LhPool *pool, const char *address);
 
 LhFetch *lh_fetch_start (
     LhPool *pool, const LhRequest *request, const LhHandlers *handlers, void *user, LbError *error);
--- a/packages/http/src/lh-pool.c
+++ b/packages/http/src/lh-pool.c
@@ -224,6 +224,19 @@
   return connection;
 }
 
+size_t
+lh_pool_count_idle (const LhPool *pool, const char *address)
+{
+  LbTime now = lb_clock_monotonic ();
+  size_t n = 0;
+
+  LB_LIST_FOREACH (&pool->idle, LhConnection, link, connection)
+  {
+    n += strcmp (connection->address, address) == 0 && !has_idled_out (connection, now);
+  }
+  return n;
+}
+
 LhConnection *
 lh_pool_take (LhPool *pool, const char *address, bool fresh, LbError *error)
 {
--- a/packages/node/src/calls/ln-calls-run.c
+++ b/packages/node/src/calls/ln-calls-run.c
@@ -237,6 +237,18 @@
           LB_INT ("took_us", lb_clock_monotonic () - attempt->sent_at));
 }
 
+/* Placement prefers, among equals, an endpoint with an idle connection. */
+static void
+note_connections (LnCalls *calls, const char *name)
+{
+  LcEndpoint *endpoint = lc_endpoints_find (lc_dispatch_endpoints (calls->dispatch), name);
+
+  if (endpoint)
+    lc_endpoints_connections (endpoint,
+                              lh_pool_count_idle (calls->context->http, endpoint->member.address),
+                              lb_clock_monotonic ());
+}
+
 /* The endpoint's own word on its load comes with its replies, so it costs no question. */
 static void
 note_load (LnCalls *calls, const LnUpstream *upstream)
@@ -323,6 +335,7 @@
 
   lb_list_init (&actions);
   note_load (calls, upstream);
+  note_connections (calls, ln_upstream_endpoint (upstream));
   lb_list_remove (&call->attempts, &attempt->link);
   call->ended = attempt;
   log_end (attempt, end);
@@ -467,10 +480,16 @@
 static LnUpstream *
 start_upstream (LnCalls *calls, LnAttempt *attempt, const LcAction *action, LbError *error)
 {
+  LnUpstream *upstream = NULL;
+
   if (calls->context->dialect)
-    return start_in_dialect (calls, attempt, action, error);
-  return ln_call_is_for_engine (attempt->call) ? start_engine (calls, attempt, action, error)
-                                               : start_service (calls, attempt, action, error);
+    upstream = start_in_dialect (calls, attempt, action, error);
+  else if (ln_call_is_for_engine (attempt->call))
+    upstream = start_engine (calls, attempt, action, error);
+  else
+    upstream = start_service (calls, attempt, action, error);
+  note_connections (calls, action->endpoint);
+  return upstream;
 }
 
 static void
