catalog, follow: fewer answers of the store for instances of a large fleet

Cause: each write of the publisher (0.4 s) and each change of a batch is an answer of the store for each instance: 12 calls a second each, most of them to instances that run nothing. Change: the publisher tells its period, and all times of the followers are multiples of it; where the directory is full it is a fifth of the time allowed for an endpoint that leaves (setting drain.endpoint_ms), at most 1 s. An instance outside the directory reads the rows of batches at most each 2 s (a call about a batch that it does not know asks the store) and waits 1.5 s in a watch of the desired state. Tests: core-test-catalog, store-test-follow.

--- a/packages/core/include/lc-catalog.h
+++ b/packages/core/include/lc-catalog.h
@@ -13,9 +13,11 @@
  * not heard of it for a second reads the lists itself. Nothing here is kept beyond what the rows
  * themselves say. No I/O. */
 
-/* The longest time for which an instance relies on a belief that nobody renews: with the list
- * before it and its own list after it, it knows of an endpoint that leaves within 1.7 s. */
-#define LC_CATALOG_SILENCE (900 * LB_MSEC)
+/* Between two lists of the publisher. The longest time for which an instance relies on a belief that
+ * nobody renews is 9 / 4 of it: with the list before it and its own list after it, it knows of an
+ * endpoint that leaves within some four periods. */
+#define LC_CATALOG_PERIOD (400 * LB_MSEC)
+#define LC_CATALOG_SILENCE (LC_CATALOG_PERIOD * 9 / 4)
 
 typedef struct LcCatalog LcCatalog;
 
@@ -33,6 +35,8 @@
 bool lc_catalog_end (LcCatalog *catalog, int64_t store_ms, LbTime now);
 
 /* commands: publishing */
+/* Between two lists of this instance, when it publishes; it tells the others. */
+void lc_catalog_set_period (LcCatalog *catalog, LbTime period);
 /* Place among those that may publish, without the one that does; 0: the first; negative: this
  * instance may not. */
 void lc_catalog_set_rank (LcCatalog *catalog, int rank);
@@ -80,6 +84,8 @@
 /* This instance has to read the lists: it publishes, is about to, or hears of nobody who does. */
 bool lc_catalog_wants_list (const LcCatalog *catalog, LbTime now);
 bool lc_catalog_is_publisher (const LcCatalog *catalog);
+/* Between two lists of the publisher, as it told. */
+LbTime lc_catalog_period (const LcCatalog *catalog);
 /* Name of the instance that published last; "": none did. */
 const char *lc_catalog_publisher (const LcCatalog *catalog);
 /* When the belief was true at least. */
--- a/packages/core/src/membership/lc-catalog.c
+++ b/packages/core/src/membership/lc-catalog.c
@@ -9,12 +9,15 @@
 #include <uthash.h>
 
 #define PUBLISHER_KEY "publisher"
-/* Spread over which instances that hear nothing begin to list for themselves. */
+/* Spread over which instances that hear nothing begin to list for themselves, for a publisher that
+ * lists each LC_CATALOG_PERIOD. */
 #define SPREAD (300 * LB_MSEC)
 /* A publisher counts as dead when its row stood still for so long, twice its period and a half, and
  * the next one in the order follows so much later: nobody has to list for himself meanwhile. */
 #define MISSED_AFTER (600 * LB_MSEC)
 #define RANK_DELAY (250 * LB_MSEC)
+#define MIN_PERIOD (100 * LB_MSEC)
+#define MAX_PERIOD (10 * LB_SEC)
 /* A belief that was already so old when it was heard does not count: its write came late. */
 #define MAX_AGE_MS 1000
 /* Without an answer for so long a write counts as lost; the table tells what became of it. */
@@ -54,6 +57,8 @@
   LbName publisher;
   LbName publisher_incarnation;
   int64_t epoch;     /* one more with each publisher */
+  LbTime period;     /* between its lists */
+  LbTime own_period; /* of this instance, when it publishes */
   int64_t listed_ms; /* the store's clock at the list that the rows are those of */
   bool whole;        /* no change of that list is left to be written */
   bool news;         /* it has changed since the last belief */
@@ -79,6 +84,8 @@
   LB_COPY (catalog->incarnation, incarnation);
   catalog->spread = (LbTime)(draw % (uint64_t)SPREAD);
   catalog->rank = -1;
+  catalog->period = LC_CATALOG_PERIOD;
+  catalog->own_period = LC_CATALOG_PERIOD;
   catalog->moved_at = now;
   catalog->own_is_written = true;
   catalog->written_at_version = -1;
@@ -184,6 +191,22 @@
   entry->version = version;
 }
 
+static LbTime
+sane_period (struct json_object *object)
+{
+  LbTime period
+      = lb_json_int (object, "period_ms", LC_CATALOG_PERIOD / LB_MSEC) * LB_MSEC;
+
+  return period < MIN_PERIOD || period > MAX_PERIOD ? LC_CATALOG_PERIOD : period;
+}
+
+/* All times are multiples of the publisher's period; these are for the shortest one. */
+static LbTime
+scaled (const LcCatalog *catalog, LbTime time)
+{
+  return time * catalog->period / LC_CATALOG_PERIOD;
+}
+
 /* A row that can't be read is that of no publisher: it stands still, and is replaced. */
 static void
 take_publisher (LcCatalog *catalog, const char *value, int64_t version)
@@ -194,6 +217,7 @@
   LB_COPY (catalog->publisher, lb_json_text (object, "publisher", ""));
   LB_COPY (catalog->publisher_incarnation, lb_json_text (object, "incarnation", ""));
   catalog->epoch = lb_json_int (object, "epoch", 0);
+  catalog->period = sane_period (object);
   catalog->listed_ms = lb_json_int (object, "listed_ms", 0);
   catalog->whole = lb_json_bool (object, "whole", false);
   catalog->news = true;
@@ -232,7 +256,7 @@
     return false;
   catalog->news = false;
   catalog->moved_at = now;
-  if (!catalog->whole || age_ms < 0 || age_ms > MAX_AGE_MS)
+  if (!catalog->whole || age_ms < 0 || age_ms * LB_MSEC > scaled (catalog, MAX_AGE_MS * LB_MSEC))
     return false;
   put_in_order (catalog);
   catalog->heard_at = now;
@@ -243,7 +267,8 @@
 bool
 lc_catalog_is_fresh (const LcCatalog *catalog, LbTime now)
 {
-  return catalog->heard_at > 0 && now - catalog->heard_at < LC_CATALOG_SILENCE + catalog->spread;
+  return catalog->heard_at > 0
+         && now - catalog->heard_at < scaled (catalog, LC_CATALOG_SILENCE + catalog->spread);
 }
 
 LbTime
@@ -281,6 +306,18 @@
 
 /* --- publishing --- */
 
+void
+lc_catalog_set_period (LcCatalog *catalog, LbTime period)
+{
+  catalog->own_period = period;
+}
+
+LbTime
+lc_catalog_period (const LcCatalog *catalog)
+{
+  return catalog->period;
+}
+
 void
 lc_catalog_set_rank (LcCatalog *catalog, int rank)
 {
@@ -305,7 +342,8 @@
 may_claim (const LcCatalog *catalog, LbTime now)
 {
   return catalog->rank >= 0
-         && now - catalog->moved_at >= MISSED_AFTER + (LbTime)catalog->rank * RANK_DELAY;
+         && now - catalog->moved_at
+                >= scaled (catalog, MISSED_AFTER + (LbTime)catalog->rank * RANK_DELAY);
 }
 
 bool
@@ -384,6 +422,8 @@
   json_object_object_add (object, "incarnation", json_object_new_string (catalog->incarnation));
   json_object_object_add (object, "epoch", json_object_new_int64 (catalog->epoch + is_new));
   json_object_object_add (object, "listed_ms", json_object_new_int64 (own_ms (catalog)));
+  json_object_object_add (object, "period_ms",
+                          json_object_new_int64 (catalog->own_period / LB_MSEC));
   json_object_object_add (object, "whole", json_object_new_boolean (whole));
   return lb_json_take_text (object, JSON_C_TO_STRING_PLAIN);
 }
--- a/packages/core/tests/test-catalog.c
+++ b/packages/core/tests/test-catalog.c
@@ -789,3 +789,22 @@
   for (size_t i = 0; i < sizeof texts / sizeof texts[0]; i++)
     cr_assert_not (lc_listed_from_text (texts[i], &listed), "%s", texts[i]);
 }
+
+/* Guards against followers that list for themselves between two lists of a slow publisher. */
+Test (catalog, the_publisher_s_period_stretches_all_times)
+{
+  LcCatalog *catalog = lc_catalog_new ("a", "1", 0, LB_SEC);
+
+  lc_catalog_take (catalog, lc_catalog_publisher_key (),
+                   "{\"publisher\":\"b\",\"incarnation\":\"1\",\"epoch\":1,"
+                   "\"listed_ms\":1000,\"period_ms\":1000,\"whole\":true}",
+                   5);
+  cr_assert (lc_catalog_end (catalog, 1000 + 2000, LB_SEC), "not too old");
+  cr_assert_eq (lc_catalog_period (catalog), LB_SEC);
+  cr_assert (lc_catalog_is_fresh (catalog, LB_SEC + 2 * LB_SEC));
+  cr_assert_not (lc_catalog_is_fresh (catalog, LB_SEC + 2300 * LB_MSEC));
+  lc_catalog_set_rank (catalog, 0);
+  cr_assert_not (lc_catalog_wants_list (catalog, LB_SEC + 1400 * LB_MSEC));
+  cr_assert (lc_catalog_wants_list (catalog, LB_SEC + 1600 * LB_MSEC));
+  lc_catalog_free (catalog);
+}
--- a/packages/node/include/ln-messages.h
+++ b/packages/node/include/ln-messages.h
@@ -185,6 +185,7 @@
   LnMessage base;
   LnMember *members; /* owned by the message */
   size_t n_members;
+  bool is_left_out; /* the directory is full, and this instance is not in it */
 } LnMembersMessage;
 
 typedef struct
--- a/packages/node/include/ln-settings.h
+++ b/packages/node/include/ln-settings.h
@@ -71,6 +71,7 @@
   {
     int64_t drain_ms; /* how long to stay after SIGTERM for callers that hold old addresses */
     int64_t entry_ttl_ms;
+    int64_t endpoint_ms; /* within which an endpoint that leaves gets no new work */
   } drain;
   struct
   {
--- a/packages/node/src/batch/ln-batches.c
+++ b/packages/node/src/batch/ln-batches.c
@@ -12,6 +12,8 @@
 #include <string.h>
 
 #define TICK (50 * LB_MSEC)
+/* Between two reads of the batches' rows by an instance outside the directory. */
+#define IDLE_GAP (2 * LB_SEC)
 
 static LbMetric owned
     = LB_GAUGE_INIT ("lentilspindle_batches_owned", NULL, "Batches that this instance runs");
@@ -96,6 +98,8 @@
   batches->members = lb_memdup (message->members, message->n_members * sizeof (LnMember));
   batches->n_members = message->n_members;
   batches->members_change++;
+  /* Nobody offers it batches; a call about one that it does not know asks the store. */
+  lp_follow_set_gap (batches->rows, message->is_left_out && !batches->owns ? IDLE_GAP : 0);
 }
 
 static void
--- a/packages/node/src/config/ln-desired.c
+++ b/packages/node/src/config/ln-desired.c
@@ -23,7 +23,9 @@
  * silence is found after this wait and the store client's slack, and one more watch brings it. */
 #define WATCH_WAIT (700 * LB_MSEC)
 #define WATCH_RETRY (100 * LB_MSEC)
-#define PUBLISHER_LIST_PERIOD (400 * LB_MSEC) /* of the instance by whose lists the others go */
+/* Of an instance outside the directory, which orders no weights and runs no batches: the silence of a
+ * connection is found later, within the time for a change all the same. */
+#define LEFT_OUT_WATCH_WAIT (1500 * LB_MSEC)
 /* After it an engine is taken to have loaded, or failed to, unless it is said to be loading still.
  */
 #define MAX_LOAD (1500 * LB_MSEC)
@@ -334,7 +336,7 @@
 static LbTime
 list_period (const Desired *task)
 {
-  return ln_catalog_is_publisher (task->catalog) ? PUBLISHER_LIST_PERIOD
+  return ln_catalog_is_publisher (task->catalog) ? ln_catalog_period (task->catalog)
                                                  : lc_roster_list_period (task->roster);
 }
 
@@ -439,6 +441,14 @@
   lc_subset_set_demand (ln_endpoint_list_subset (task->list), demand->model, demand->texts);
 }
 
+static void
+take_members (Desired *task, const LnMembersMessage *message)
+{
+  lp_follow_set_wait (task->rows, message->is_left_out ? LEFT_OUT_WATCH_WAIT : WATCH_WAIT);
+  if (!task->draining)
+    ln_weight_orders_members (task->orders, message);
+}
+
 static void
 receive (LnTask *base, const LnMessage *message)
 {
@@ -448,8 +458,8 @@
 
   const LnFleetMessage *fleet = (const LnFleetMessage *)message;
 
-  if (message->type == LN_MEMBERS && !task->draining)
-    ln_weight_orders_members (task->orders, (const LnMembersMessage *)message);
+  if (message->type == LN_MEMBERS)
+    take_members (task, (const LnMembersMessage *)message);
   else if (message->type == LN_FLEET)
     ln_catalog_fleet (task->catalog, fleet->members, fleet->n_members);
   else if (message->type == LN_DUTY)
--- a/packages/node/src/membership/ln-catalog.c
+++ b/packages/node/src/membership/ln-catalog.c
@@ -9,6 +9,7 @@
 #include "lc-duty.h"
 #include "lc-listed.h"
 #include "lp-follow.h"
+#include "ln-fleet-lists.h"
 #include "ln-row-cache.h"
 
 #include <stdlib.h>
@@ -29,6 +30,9 @@
 /* Fewer are listed for less than what following costs: 12 endpoints are 16 kB/s at 2.5 lists a
  * second, 90 are 114. */
 #define MIN_ENDPOINTS 41
+/* Instances known from which on each write of the catalog costs hundreds of answers. */
+#define FULL_DIRECTORY (LN_FLEET_DIRECTORY_MAX * 9 / 10)
+#define MAX_PERIOD LB_SEC
 
 struct LnCatalog
 {
@@ -384,12 +388,25 @@
   lc_catalog_listed (catalog->catalog, INSTANCES, items, catalog->n_members, 0);
 }
 
+/* A list each fifth of the time allowed keeps within it also when the publisher ends; where the fleet
+ * is small more often costs little. */
+static LbTime
+choose_period (const LnCatalog *catalog)
+{
+  LbTime period = catalog->context->settings->drain.endpoint_ms * LB_MSEC / 5;
+
+  if (catalog->n_members < FULL_DIRECTORY || period < LC_CATALOG_PERIOD)
+    return LC_CATALOG_PERIOD;
+  return period < MAX_PERIOD ? period : MAX_PERIOD;
+}
+
 void
 ln_catalog_fleet (LnCatalog *catalog, const LcFleetMember *members, size_t n_members)
 {
   free (catalog->members);
   catalog->members = lb_memdup (members, n_members * sizeof *members);
   catalog->n_members = n_members;
+  lc_catalog_set_period (catalog->catalog, choose_period (catalog));
   catalog->is_drawn = false;
   if (catalog->is_used && catalog->rank >= 0)
     give_fleet (catalog);
@@ -507,6 +524,12 @@
   return catalog->rank >= 0 || ln_catalog_wants_list (catalog, now);
 }
 
+LbTime
+ln_catalog_period (const LnCatalog *catalog)
+{
+  return lc_catalog_period (catalog->catalog);
+}
+
 bool
 ln_catalog_is_publisher (const LnCatalog *catalog)
 {
--- a/packages/node/src/membership/ln-catalog.h
+++ b/packages/node/src/membership/ln-catalog.h
@@ -56,6 +56,8 @@
 /* The instances have to be listed here: also by those who publish next, so that they know at once
  * of one that died together with the publisher. */
 bool ln_catalog_wants_fleet (const LnCatalog *catalog, LbTime now);
+/* Between two lists of the publisher. */
+LbTime ln_catalog_period (const LnCatalog *catalog);
 /* Others wait for this instance's lists. */
 bool ln_catalog_is_publisher (const LnCatalog *catalog);
 /* The instance that publishes; "": none has. */
--- a/packages/node/src/membership/ln-fleet.c
+++ b/packages/node/src/membership/ln-fleet.c
@@ -48,6 +48,7 @@
   LnMembersMessage message = { .base = LN_MESSAGE (LN_MEMBERS) };
 
   message.n_members = ln_fleet_lists_count (task->lists);
+  message.is_left_out = ln_fleet_lists_leaves_out (task->lists, task->own.name);
   message.members = LB_NEW_ARRAY (LnMember, message.n_members + 1);
   message.base.clear = clear_members;
   for (size_t i = 0; i < message.n_members; i++)
--- a/packages/node/src/task/ln-settings.c
+++ b/packages/node/src/task/ln-settings.c
@@ -103,7 +103,8 @@
 
 static const LbSettingSpec drain_specs[]
     = { INTEGER ("drain_ms", drain.drain_ms, 0, MAX_MS),
-        INTEGER ("entry_ttl_ms", drain.entry_ttl_ms, 100, MAX_MS), END };
+        INTEGER ("entry_ttl_ms", drain.entry_ttl_ms, 100, MAX_MS),
+        INTEGER ("endpoint_ms", drain.endpoint_ms, 100, MAX_MS), END };
 
 static const LbSettingSpec batches_specs[]
     = { INTEGER ("keep_ended_s", batches.keep_ended_s, 5, 86400 * 30), END };
@@ -175,6 +176,7 @@
   settings->duties.usage_due_s = 10;
   settings->drain.drain_ms = 16000;
   settings->drain.entry_ttl_ms = 15000;
+  settings->drain.endpoint_ms = 2000;
 }
 
 void
--- a/packages/store/include/lp-follow.h
+++ b/packages/store/include/lp-follow.h
@@ -37,6 +37,12 @@
  * at first: they are watched. */
 void lp_follow_set_pause (LpFollow *follow, LbTime pause, LbTime now);
 
+/* At least so long between an answer and the next watch: changes that come together are one answer.
+ * 0, as it is at first: the next watch follows at once. */
+void lp_follow_set_gap (LpFollow *follow, LbTime gap);
+/* Of one watch, in place of the settings'. */
+void lp_follow_set_wait (LpFollow *follow, LbTime wait);
+
 /* queries */
 /* When the store last answered: what was passed on was all there was then. 0: it has not yet. */
 LbTime lp_follow_heard_at (const LpFollow *follow);
--- a/packages/store/src/lp-follow.c
+++ b/packages/store/src/lp-follow.c
@@ -22,6 +22,7 @@
   LbTime next_call;
   LbTime heard_at;
   LbTime pause; /* between lists; 0: the table is watched */
+  LbTime gap;   /* between an answer and the next watch */
   bool has_listed;
   bool has_no_history; /* since the table began */
   int refusals;        /* in a row, by a store that is busy */
@@ -146,6 +147,8 @@
     }
   follow->version = version;
   follow->refusals = 0;
+  if (follow->gap > 0)
+    follow->next_call = lb_clock_monotonic () + follow->gap;
   follow->has_listed = true;
   follow->heard_at = lb_clock_monotonic ();
   if (n_rows > 0)
@@ -168,6 +171,18 @@
   follow->pause = pause;
 }
 
+void
+lp_follow_set_gap (LpFollow *follow, LbTime gap)
+{
+  follow->gap = gap;
+}
+
+void
+lp_follow_set_wait (LpFollow *follow, LbTime wait)
+{
+  follow->settings.wait = wait;
+}
+
 static void
 watch (LpFollow *follow)
 {
--- a/packages/store/tests/test-follow.c
+++ b/packages/store/tests/test-follow.c
@@ -236,3 +236,24 @@
     }
   lp_follow_free (follow);
 }
+
+/* Guards against an answer for each change of a table, of each instance of a fleet. */
+Test (follow, changes_within_the_gap_are_one_answer)
+{
+  Fake fake = { .platform.klass = &fake_class };
+  LpFollow *follow = lp_follow_new (&fake.platform, &settings, on_rows, &fake);
+
+  lp_follow_set_gap (follow, 2 * LB_SEC);
+  lp_follow_tick (follow, LB_SEC);
+  answer (&fake, LB_OK, 0, 7);
+  answer (&fake, LB_OK, 0, 7);
+  lp_follow_tick (follow, LB_SEC);
+  cr_assert_eq (fake.watches, 1);
+  LbTime now = lb_clock_monotonic ();
+  answer (&fake, LB_OK, 1, 8);
+  lp_follow_tick (follow, now + LB_SEC);
+  cr_assert_eq (fake.watches, 1);
+  lp_follow_tick (follow, now + 3 * LB_SEC);
+  cr_assert_eq (fake.watches, 2);
+  lp_follow_free (follow);
+}
