--- a/packages/http/src/lh-pool.c
+++ b/packages/http/src/lh-pool.c
@@ -167,6 +167,16 @@
   return seconds * LB_SEC - IDLE_MARGIN;
 }
 
+/* The one used last is the likeliest to be used again. */
+static void
+close_oldest (LhPool *pool)
+{
+  LhConnection *oldest = LB_CONTAINER (pool->idle.head.prev, LhConnection, link);
+
+  leave_idle (oldest);
+  lh_pool_close_later (oldest);
+}
+
 /* Returning a connection that the other side is closing would fail the next request, so only one
  * whose reply allows keep-alive goes back, for as long as its server keeps it. */
 void
@@ -175,12 +185,13 @@
   static const struct timeval idle_limit = { .tv_sec = 2 * IDLE_LIFE / LB_SEC };
   LhPool *pool = connection->pool;
 
-  if (!lb_switch_is_on (LB_SWITCH_IDLE_CONNECTIONS) || idle_life <= 0
-      || pool->idle.length >= MAX_IDLE_PER_POOL)
+  if (!lb_switch_is_on (LB_SWITCH_IDLE_CONNECTIONS) || idle_life <= 0)
     {
       lh_pool_close_later (connection);
       return;
     }
+  if (pool->idle.length >= MAX_IDLE_PER_POOL)
+    close_oldest (pool);
   /* evhttp keeps the silence limit of the last exchange on an idle connection and closes it then.
    */
   evhttp_connection_set_timeout_tv (connection->evcon, &idle_limit);
--- a/packages/node/src/calls/ln-calls-run.c
+++ b/packages/node/src/calls/ln-calls-run.c
@@ -251,7 +251,7 @@
 
 /* The endpoint's own word on its load comes with its replies, so it costs no question. */
 static void
-note_load (LnCalls *calls, const LnUpstream *upstream)
+note_load (LnCalls *calls, const LnCall *call, const LnUpstream *upstream)
 {
   const LcEndpoint *endpoint = lc_endpoints_find (lc_dispatch_endpoints (calls->dispatch),
                                                   ln_upstream_endpoint (upstream));
@@ -266,8 +266,10 @@
   report.running = load.running;
   report.waiting = load.waiting;
   report.at = lb_clock_monotonic ();
-  lc_crowding_note (calls->crowding, endpoint->member.service, load.running + load.waiting,
-                    endpoint->member.concurrency);
+  /* How many texts of batches run is known beforehand, and they fill engines on purpose. */
+  if (call->kind != LN_CALL_SAMPLE)
+    lc_crowding_note (calls->crowding, endpoint->member.service, load.running + load.waiting,
+                      endpoint->member.concurrency);
   lc_endpoints_report (lc_dispatch_endpoints (calls->dispatch), endpoint->member.name, &report,
                        report.at);
 }
@@ -334,7 +336,7 @@
   LbList actions;
 
   lb_list_init (&actions);
-  note_load (calls, upstream);
+  note_load (calls, call, upstream);
   note_connections (calls, ln_upstream_endpoint (upstream));
   lb_list_remove (&call->attempts, &attempt->link);
   call->ended = attempt;
