--- a/packages/node/src/calls/ln-calls-private.h
+++ b/packages/node/src/calls/ln-calls-private.h
@@ -33,9 +33,9 @@
   struct event *keep_alive;
   LnAdmissionBelief belief; /* routes and organisations of a shared platform */
   LcCrowding *crowding;
-  LbName crowded; /* as the peers task was told */
-  LbTime list_asked_at;     /* of the list of endpoints in use; 0: there is none */
-  LbName lister;            /* the instance that asked for it */
+  LbName crowded;       /* as the peers task was told */
+  LbTime list_asked_at; /* of the list of endpoints in use; 0: there is none */
+  LbName lister;        /* the instance that asked for it */
   LnCall *by_id;
   LbList all;
   bool ready; /* the resources in force are confirmed */
@@ -48,12 +48,24 @@
 void ln_calls_cancel (LnCalls *calls, LnCall *call);
 /* The same, giving back to the rollouts what its pieces said. */
 void ln_calls_recall (LnCalls *calls, LnCall *call);
-/* Counts it as begun, for the usage of its organisation, when it has worked for a while. */
-void ln_calls_count_running (LnCalls *calls, LnCall *call, LbTime now);
 LnCall *ln_calls_find (LnCalls *calls, LcRequestId id);
 void ln_calls_on_tick (evutil_socket_t fd, short what, void *calls);
 void ln_calls_post_done (LnCalls *calls, LcRequestId request, LbErrorCode error, char *text);
 
+/* ln-calls-attempts.c: one attempt at an endpoint, from its request to its end */
+LnUpstream *
+ln_calls_start_attempt (LnCalls *calls, LnAttempt *attempt, const LcAction *action, LbError *error);
+/* A sample's piece goes to the rollouts. */
+void ln_calls_post_piece (LnCalls *calls,
+                          const LnCall *call,
+                          const LcPiece *piece,
+                          const char *endpoint,
+                          const char *text);
+/* Counts it as begun, for the usage of its organisation; the second one when it has worked for a
+ * while. */
+void ln_calls_count_began (LnCalls *calls, const LnAttempt *attempt);
+void ln_calls_count_running (LnCalls *calls, LnCall *call, LbTime now);
+
 /* ln-calls.c: tells the other instances when the endpoint leaves */
 void ln_calls_tell_leaving (LnCalls *calls, const char *endpoint);
 
--- a/packages/node/src/calls/ln-calls-run.c
+++ b/packages/node/src/calls/ln-calls-run.c
@@ -16,23 +16,15 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define SURELY_BEGUN (300 * LB_MSEC)
-
 static LbHistogram queue_time
     = LB_HISTOGRAM_INIT ("lentilspindle_queue_seconds",
                          "From a request's admission to its first attempt");
-static LbHistogram attempt_time
-    = LB_HISTOGRAM_INIT ("lentilspindle_attempt_seconds", "Attempts at endpoints, whole or not");
 static LbHistogram request_time
     = LB_HISTOGRAM_INIT ("lentilspindle_request_seconds",
                          "From a caller's request to its answer, whatever it was");
 static LbMetric sent = LB_COUNTER_INIT ("lentilspindle_attempts_total",
                                         NULL,
                                         "Attempts at endpoints, retries and hedges included");
-static LbMetric pieces_dropped
-    = LB_COUNTER_INIT ("lentilspindle_pieces_dropped_total",
-                       NULL,
-                       "Pieces of answers that were repeats, out of order or of a lost attempt");
 
 LnCall *
 ln_calls_find (LnCalls *calls, LcRequestId id)
@@ -119,28 +111,6 @@
   json_object_put (shown);
 }
 
-static void
-clear_piece (LnMessage *message)
-{
-  free (((LnSamplePieceMessage *)message)->text);
-}
-
-static void
-post_piece (LnCalls *calls,
-            const LnCall *call,
-            const LcPiece *piece,
-            const char *endpoint,
-            const char *text)
-{
-  LnSamplePieceMessage message
-      = { .base = LN_MESSAGE (LN_SAMPLE_PIECE), .request = call->spec.id, .piece = *piece };
-
-  LB_COPY (message.endpoint, endpoint);
-  message.text = calls->context->dialect ? lb_strdup (text) : NULL;
-  message.base.clear = clear_piece;
-  LN_POST (calls->task.hub, ln_hub_find (calls->task.hub, "rollouts"), message);
-}
-
 static void
 clear_sample_done (LnMessage *message)
 {
@@ -159,341 +129,6 @@
   LN_POST (calls->task.hub, ln_hub_find (calls->task.hub, "rollouts"), message);
 }
 
-/* An engine's own event is the best word on its weights: the list lags, and the plan may be wrong.
- */
-static void
-note_version (LnCalls *calls, const LnCall *call, const LnUpstream *upstream, LcVersion version)
-{
-  LcEndpoints *endpoints = lc_dispatch_endpoints (calls->dispatch);
-  const LcEndpoint *endpoint = lc_endpoints_find (endpoints, ln_upstream_endpoint (upstream));
-  LcLoadReport report = { 0 };
-
-  if (!endpoint || version <= 0 || endpoint->report.version == version
-      || strcmp (endpoint->member.pool, call->spec.pool) != 0)
-    return;
-  lb_log (LB_LOG_INFO, "endpoint_version", LB_TEXT ("endpoint", endpoint->member.name),
-          LB_INT ("believed", endpoint->report.version), LB_INT ("stated", version));
-  report = endpoint->report;
-  report.version = version;
-  report.at = lb_clock_monotonic ();
-  report.running = endpoint->in_flight;
-  lc_endpoints_report (endpoints, endpoint->member.name, &report, report.at);
-}
-
-static void
-on_piece (LnUpstream *upstream,
-          const LcPiece *piece,
-          struct json_object *event,
-          const char *text,
-          void *user)
-{
-  LnAttempt *attempt = user;
-  LnCall *call = attempt->call;
-  LnCalls *calls = call->owner;
-  LbList actions;
-
-  lb_list_init (&actions);
-  if (calls->context->dialect)
-    note_version (calls, call, upstream, piece->version);
-  LcPieceVerdict verdict
-      = lc_dispatch_piece (calls->dispatch, call->spec.id, ln_upstream_attempt (upstream), piece,
-                           lb_clock_monotonic (), &actions);
-  if (verdict == LC_PIECE_DROP)
-    lb_metric_add (&pieces_dropped, 1);
-  else
-    {
-      ln_attempt_add (attempt, piece, event, text);
-      if (call->spec.delivery == LC_DELIVER_STREAM && !calls->context->dialect)
-        evbuffer_add (call->text, text, strlen (text));
-      if (call->wants_stream)
-        ln_call_forward (call, event, ln_upstream_endpoint (upstream));
-      else if (call->kind == LN_CALL_SAMPLE && call->spec.delivery == LC_DELIVER_STREAM)
-        post_piece (calls, call, piece, ln_upstream_endpoint (upstream), text);
-    }
-  ln_calls_run (calls, &actions);
-}
-
-static void
-log_end (const LnAttempt *attempt, LcAttemptEnd end)
-{
-  static const char *const names[] = {
-    [LC_END_WHOLE] = "whole",          [LC_END_REFUSED] = "refused",
-    [LC_END_REFUSED_LEAVING] = "gone", [LC_END_NOT_HANDED] = "not_handed",
-    [LC_END_BROKEN] = "broken",        [LC_END_REJECTED] = "rejected",
-    [LC_END_FAILED] = "failed",
-  };
-  const LnCall *call = attempt->call;
-  char content[LC_CONTENT_SIZE];
-
-  lc_content_to_text (call->spec.content, content);
-  lb_histogram_add (&attempt_time, lb_clock_monotonic () - attempt->sent_at);
-  lb_log (LB_LOG_INFO, "attempt_ended", LB_INT ("request", call->spec.id),
-          LB_TEXT ("id", call->outgoing.id), LB_TEXT ("caller", call->spec.caller),
-          LB_TEXT ("content", content), LB_INT ("attempt", ln_upstream_attempt (attempt->upstream)),
-          LB_TEXT ("endpoint", ln_upstream_endpoint (attempt->upstream)),
-          LB_TEXT ("outcome", names[end]),
-          LB_INT ("status", ln_upstream_status (attempt->upstream)),
-          LB_INT ("pieces", attempt->tokens),
-          LB_INT ("took_us", lb_clock_monotonic () - attempt->sent_at));
-}
-
-/* Placement prefers, among equals, an endpoint with an idle connection. */
-static void
-note_connections (LnCalls *calls, const char *name)
-{
-  LcEndpoint *endpoint = lc_endpoints_find (lc_dispatch_endpoints (calls->dispatch), name);
-
-  if (endpoint)
-    lc_endpoints_connections (endpoint,
-                              lh_pool_count_idle (calls->context->http, endpoint->member.address),
-                              lb_clock_monotonic ());
-}
-
-/* The endpoint's own word on its load comes with its replies, so it costs no question. */
-static void
-note_load (LnCalls *calls, const LnCall *call, const LnUpstream *upstream)
-{
-  const LcEndpoint *endpoint = lc_endpoints_find (lc_dispatch_endpoints (calls->dispatch),
-                                                  ln_upstream_endpoint (upstream));
-  LcLoadReport report = { 0 };
-  LnStatedLoad load;
-
-  ln_upstream_load (upstream, &load);
-  if (!load.stated || !endpoint)
-    return;
-  LB_COPY (report.incarnation, endpoint->member.name);
-  report.version = endpoint->report.version;
-  report.running = load.running;
-  report.waiting = load.waiting;
-  report.at = lb_clock_monotonic ();
-  /* How many texts of batches run is known beforehand, and they fill engines on purpose. */
-  if (call->kind != LN_CALL_SAMPLE)
-    lc_crowding_note (calls->crowding, endpoint->member.service, load.running + load.waiting,
-                      endpoint->member.concurrency);
-  lc_endpoints_report (lc_dispatch_endpoints (calls->dispatch), endpoint->member.name, &report,
-                       report.at);
-}
-
-/* Usage counts a request once, from when it was first at an endpoint that did not refuse it: plain
- * services begin to work on what they take at once. */
-static void
-count_began (LnCalls *calls, const LnAttempt *attempt)
-{
-  LnCall *call = attempt->call;
-  LnTask *duties = ln_hub_find (calls->task.hub, "duties");
-  LnBeganMessage message = { .base = LN_MESSAGE (LN_BEGAN), .at = attempt->sent_at };
-
-  if (call->is_counted || call->kind != LN_CALL_SERVICE || !call->organisation[0] || !duties)
-    return;
-  call->is_counted = true;
-  LB_COPY (message.organisation, call->organisation);
-  LN_POST (calls->task.hub, duties, message);
-}
-
-/* Guards against a call that is counted too late: its window is reported while it still works. An
- * endpoint that refuses says so at once. */
-void
-ln_calls_count_running (LnCalls *calls, LnCall *call, LbTime now)
-{
-  LB_LIST_FOREACH (&call->attempts, LnAttempt, link, attempt)
-  {
-    if (now - attempt->sent_at >= SURELY_BEGUN)
-      {
-        count_began (calls, attempt);
-        return;
-      }
-  }
-}
-
-static bool
-may_have_begun (LcAttemptEnd end)
-{
-  return end != LC_END_REFUSED && end != LC_END_REFUSED_LEAVING && end != LC_END_NOT_HANDED;
-}
-
-/* An endpoint that ended under a request looks like one that cut an answer. A text that had begun
- * goes on behind its last piece and is not asked for the same again. */
-static void
-note_broken (LnCalls *calls, const LnAttempt *attempt, LcAttemptEnd end)
-{
-  const LnUpstream *upstream = attempt->upstream;
-  const LcRequestSpec *spec = &attempt->call->spec;
-  bool goes_on = attempt->tokens > 0 && spec->resumable && spec->delivery == LC_DELIVER_STREAM;
-
-  if (end == LC_END_BROKEN && !goes_on && ln_upstream_was_closed (upstream))
-    ln_endpoint_checks_broken (calls->checks, ln_upstream_endpoint (upstream),
-                               ln_upstream_address (upstream), spec->content);
-}
-
-/* The attempt stays only until the actions that its end brings have run: a FINISH among them takes
- * the answer from it. */
-static void
-on_end (LnUpstream *upstream, LcAttemptEnd end, void *user)
-{
-  LnAttempt *attempt = user;
-  LnCall *call = attempt->call;
-  LnCalls *calls = call->owner;
-  LbList actions;
-
-  lb_list_init (&actions);
-  note_load (calls, call, upstream);
-  note_connections (calls, ln_upstream_endpoint (upstream));
-  lb_list_remove (&call->attempts, &attempt->link);
-  call->ended = attempt;
-  log_end (attempt, end);
-  if (may_have_begun (end))
-    count_began (calls, attempt);
-  note_broken (calls, attempt, end);
-  LcRequestId id = call->spec.id;
-  lc_dispatch_ended (calls->dispatch, id, ln_upstream_attempt (upstream), end,
-                     lb_clock_monotonic (), &actions);
-  ln_calls_run (calls, &actions);
-  ln_crashes_tell (calls->crashes);
-  if (end == LC_END_REFUSED_LEAVING)
-    ln_calls_tell_leaving (calls, ln_upstream_endpoint (upstream));
-  call = ln_calls_find (calls, id);
-  if (call)
-    call->ended = NULL;
-  ln_attempt_free (attempt);
-}
-
-static LnUpstream *
-start_engine (LnCalls *calls, LnAttempt *attempt, const LcAction *action, LbError *error)
-{
-  static const LnUpstreamHandlers handlers = { .on_piece = on_piece, .on_end = on_end };
-  static const LhHeader headers[] = { { "Content-Type", "application/json" } };
-  LnCall *call = attempt->call;
-  char stream_id[96];
-
-  snprintf (stream_id, sizeof stream_id, "%s-%llu.%u", calls->context->incarnation,
-            (unsigned long long)action->request, action->attempt);
-  char *body = ln_call_engine_body (call, stream_id, action->resume_at);
-  const LnUpstreamSpec spec
-      = { .request = action->request,
-          .attempt = action->attempt,
-          .endpoint = action->endpoint,
-          .address = action->address,
-          .method = "POST",
-          .path = ln_call_engine_path (call),
-          .headers = headers,
-          .n_headers = 1,
-          .body = body,
-          .body_length = strlen (body),
-          .stream_id = stream_id,
-          .name = call->outgoing.id,
-          .silence = calls->context->settings->calls.stream_silence_ms * LB_MSEC };
-  LnUpstream *upstream = ln_upstream_start (calls->context->http, &spec, &handlers, attempt, error);
-  free (body);
-  return upstream;
-}
-
-/* A plain service sends nothing while it works, so its silence is bounded by the deadline. */
-static LbTime
-service_silence (const LnCall *call)
-{
-  LbTime left = call->spec.deadline - lb_clock_monotonic ();
-
-  return left < LB_SEC ? LB_SEC : left;
-}
-
-static LnUpstream *
-start_service (LnCalls *calls, LnAttempt *attempt, const LcAction *action, LbError *error)
-{
-  static const LnUpstreamHandlers handlers = { .on_end = on_end };
-  LnCall *call = attempt->call;
-  const LnUpstreamSpec spec = { .request = action->request,
-                                .attempt = action->attempt,
-                                .endpoint = action->endpoint,
-                                .address = action->address,
-                                .method = call->method,
-                                .path = call->path,
-                                .headers = call->headers,
-                                .n_headers = call->n_headers,
-                                .body = call->raw_body,
-                                .body_length = call->raw_length,
-                                .name = call->outgoing.id,
-                                .silence = service_silence (call) };
-
-  return ln_upstream_start (calls->context->http, &spec, &handlers, attempt, error);
-}
-
-static LhHeader *
-join_headers (const LcOutgoing *a, const LcOutgoing *b, size_t *n)
-{
-  LhHeader *headers = LB_NEW_ARRAY (LhHeader, a->n_headers + b->n_headers);
-
-  *n = 0;
-  for (size_t i = 0; i < a->n_headers; i++)
-    headers[(*n)++] = (LhHeader){ a->headers[i].name, a->headers[i].value };
-  for (size_t i = 0; i < b->n_headers; i++)
-    headers[(*n)++] = (LhHeader){ b->headers[i].name, b->headers[i].value };
-  return headers;
-}
-
-/* What is left of the time that the caller gave, so that the endpoint stops when nobody waits. */
-static LbTime
-time_left (const LnCall *call)
-{
-  LbTime left = call->spec.deadline - lb_clock_monotonic ();
-
-  if (call->kind == LN_CALL_SAMPLE || call->spec.deadline == LB_TIME_NEVER)
-    return 0;
-  return left < LB_MSEC ? LB_MSEC : left;
-}
-
-static LnUpstream *
-start_in_dialect (LnCalls *calls, LnAttempt *attempt, const LcAction *action, LbError *error)
-{
-  static const LnUpstreamHandlers handlers = { .on_piece = on_piece, .on_end = on_end };
-  LnCall *call = attempt->call;
-  const LnDialect *dialect = calls->context->dialect;
-  bool is_stream = ln_call_is_for_engine (call);
-  LbTime stream_silence = calls->context->settings->calls.stream_silence_ms * LB_MSEC;
-  const LnAttemptWords words = { .time_left = time_left (call),
-                                 .endpoint = action->endpoint,
-                                 .resume_at = action->resume_at,
-                                 .organisation = call->organisation,
-                                 .is_sample = call->kind != LN_CALL_SERVICE };
-  LcOutgoing added = { 0 };
-  LnUpstreamSpec spec = { .request = action->request,
-                          .attempt = action->attempt,
-                          .endpoint = action->endpoint,
-                          .address = action->address,
-                          .method = call->outgoing.method,
-                          .path = call->outgoing.path,
-                          .host = call->outgoing.host,
-                          .body = call->outgoing.body,
-                          .body_length = call->outgoing.body_length,
-                          .dialect = dialect,
-                          .name = call->outgoing.id,
-                          .is_stream = is_stream,
-                          .silence = is_stream ? stream_silence : service_silence (call) };
-
-  LB_COPY (added.id, call->outgoing.id);
-  dialect->write_words (&words, &added);
-  LhHeader *headers = join_headers (&call->outgoing, &added, &spec.n_headers);
-  spec.headers = headers;
-  LnUpstream *upstream = ln_upstream_start (calls->context->http, &spec, &handlers, attempt, error);
-  free (headers);
-  lc_outgoing_clear (&added);
-  return upstream;
-}
-
-static LnUpstream *
-start_upstream (LnCalls *calls, LnAttempt *attempt, const LcAction *action, LbError *error)
-{
-  LnUpstream *upstream = NULL;
-
-  if (calls->context->dialect)
-    upstream = start_in_dialect (calls, attempt, action, error);
-  else if (ln_call_is_for_engine (attempt->call))
-    upstream = start_engine (calls, attempt, action, error);
-  else
-    upstream = start_service (calls, attempt, action, error);
-  note_connections (calls, action->endpoint);
-  return upstream;
-}
-
 static void
 send_attempt (LnCalls *calls, const LcAction *action, LbList *actions)
 {
@@ -510,7 +145,7 @@
   lb_metric_add (&sent, 1);
   attempt = ln_attempt_new (call);
   attempt->sent_at = lb_clock_monotonic ();
-  attempt->upstream = start_upstream (calls, attempt, action, &error);
+  attempt->upstream = ln_calls_start_attempt (calls, attempt, action, &error);
   if (attempt->upstream)
     return;
   ln_attempt_free (attempt);
@@ -527,7 +162,7 @@
 
   if (!attempt)
     return;
-  count_began (calls, attempt);
+  ln_calls_count_began (calls, attempt);
   ln_upstream_cancel (attempt->upstream);
   ln_attempt_free (attempt);
 }
@@ -569,7 +204,8 @@
     {
       text = winner->text;
       for (size_t i = 0; i < winner->n_pieces; i++)
-        post_piece (calls, call, &winner->pieces[i], ln_upstream_endpoint (winner->upstream), "");
+        ln_calls_post_piece (calls, call, &winner->pieces[i],
+                             ln_upstream_endpoint (winner->upstream), "");
     }
   ln_calls_post_done (calls, call->spec.id, code, copy_text (text));
 }
