ticker: one timer for all tasks, slower in an instance outside the directory

Change: LnTicker calls the tasks that look at the time in one turn of 50 ms; in an instance that has no place in the directory, no duty and no call of a batch in the last 5 s it turns each 250 ms. Test: node-test-ticker.

--- a/packages/node/include/ln-context.h
+++ b/packages/node/include/ln-context.h
@@ -28,6 +28,7 @@
   LbName peer_address;
   LcRequestId next_request; /* the last id given; see ln_context_next_request */
   gsl_rng *random;          /* NULL before the first draw */
+  struct LnTicker *ticker;  /* NULL before it is asked for */
 } LnContext;
 
 LcRequestId ln_context_next_request (LnContext *context);
@@ -35,6 +36,8 @@
 uint64_t ln_context_seed (const LnContext *context);
 /* From 0 to below 1. */
 double ln_context_draw (LnContext *context);
+/* The timer of all tasks. */
+struct LnTicker *ln_context_ticker (LnContext *context);
 void ln_context_clear (LnContext *context);
 
 /* Makers of the tasks; each is in the .c file of its name. */
--- a/packages/node/main/lentilspindled.c
+++ b/packages/node/main/lentilspindled.c
@@ -1,4 +1,5 @@
 #include "ln-stall.h"
+#include "ln-ticker.h"
 #include "ln-context.h"
 #include "ln-dialect.h"
 #include "ln-messages.h"
@@ -39,7 +40,7 @@
   struct event *signals[N_SIGNALS];
   const char *config;        /* path of the settings file; NULL: none */
   struct event *drain_timer; /* runs while draining */
-  struct event *log_timer;
+  LnTick log_tick;
   LnStall *stall;
   LbTime drain_until;
   bool draining;
@@ -217,10 +218,8 @@
 #define LOG_PERIOD (50 * LB_MSEC)
 
 static void
-on_log_timer (evutil_socket_t fd, short what, void *user)
+flush_log (void *user)
 {
-  (void)fd;
-  (void)what;
   (void)user;
   lb_log_flush ();
 }
@@ -271,7 +270,6 @@
 static void
 daemon_open (Daemon *daemon)
 {
-  const struct timeval log_period = { .tv_usec = LOG_PERIOD };
   LnContext *context = &daemon->context;
 
   context->settings = &daemon->settings;
@@ -286,8 +284,8 @@
   daemon->signals[0] = evsignal_new (context->base, SIGTERM, on_signal, daemon);
   daemon->signals[1] = evsignal_new (context->base, SIGINT, on_signal, daemon);
   daemon->signals[2] = evsignal_new (context->base, SIGHUP, on_reload, daemon);
-  daemon->log_timer = event_new (context->base, -1, EV_PERSIST, on_log_timer, daemon);
-  event_add (daemon->log_timer, &log_period);
+  daemon->log_tick = (LnTick){ .period = LOG_PERIOD, .call = flush_log };
+  ln_ticker_add (ln_context_ticker (context), &daemon->log_tick);
   daemon->stall = ln_stall_new (context->base, LN_STALL_CPU_LIMIT);
   daemon->drain_timer = event_new (context->base, -1, EV_PERSIST, exit_when_idle, daemon);
   for (int i = 0; i < N_SIGNALS; i++)
@@ -307,7 +305,6 @@
     event_free (daemon->signals[i]);
   event_free (daemon->drain_timer);
   ln_stall_free (daemon->stall);
-  event_free (daemon->log_timer);
   /* Connections that were just freed are still held by work that libevent put off: it is lost with
    * the base, and what it holds with it. One turn carries it out. */
   event_base_loop (context->base, EVLOOP_NONBLOCK);
--- a/packages/node/src/batch/ln-batches-private.h
+++ b/packages/node/src/batch/ln-batches-private.h
@@ -9,6 +9,7 @@
 #include "ln-context.h"
 #include "ln-dialect.h"
 #include "ln-messages.h"
+#include "ln-ticker.h"
 
 #include "lp-follow.h"
 
@@ -98,7 +99,7 @@
 {
   LnTask task; /* first */
   LnContext *context;
-  struct event *timer;
+  LnTick tick;
   LnAdmissionBelief belief; /* desired state */
   LnMember *members;
   size_t n_members;
--- a/packages/node/src/batch/ln-batches.c
+++ b/packages/node/src/batch/ln-batches.c
@@ -7,7 +7,6 @@
 #include "lb-clock.h"
 #include "lb-counter.h"
 
-#include <event2/event.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -110,6 +109,7 @@
   switch ((LnMessageType)message->type)
     {
     case LN_EXCHANGE:
+      ln_ticker_note_work (ln_context_ticker (batches->context), lb_clock_monotonic ());
       ln_batch_calls_take (batches, ((const LnExchangeMessage *)message)->exchange);
       break;
     case LN_EXCHANGE_GONE:
@@ -147,10 +147,8 @@
 }
 
 static void
-on_tick (evutil_socket_t fd, short what, void *user)
+on_tick (void *user)
 {
-  (void)fd;
-  (void)what;
   LnBatches *batches = user;
   LbTime now = lb_clock_monotonic ();
   int64_t n_owned = 0;
@@ -223,7 +221,7 @@
   lp_follow_free (batches->rows);
   lc_desired_unref (batches->belief.desired);
   free (batches->members);
-  event_free (batches->timer);
+  ln_ticker_remove (ln_context_ticker (batches->context), &batches->tick);
   free (batches);
 }
 
@@ -235,7 +233,6 @@
 LnTask *
 ln_batches_new (LnContext *context)
 {
-  const struct timeval tick = { .tv_usec = TICK };
   LnBatches *batches = LB_NEW (LnBatches);
 
   batches->task.klass = &batches_class;
@@ -243,7 +240,7 @@
   batches->context = context;
   lb_list_init (&batches->exchanges);
   ln_batch_heads_follow (batches);
-  batches->timer = event_new (context->base, -1, EV_PERSIST, on_tick, batches);
-  event_add (batches->timer, &tick);
+  batches->tick = (LnTick){ .period = TICK, .call = on_tick, .user = batches };
+  ln_ticker_add (ln_context_ticker (context), &batches->tick);
   return &batches->task;
 }
--- a/packages/node/src/calls/ln-calls-private.h
+++ b/packages/node/src/calls/ln-calls-private.h
@@ -12,6 +12,7 @@
 #include "ln-messages.h"
 #include "ln-poller.h"
 #include "ln-relay.h"
+#include "ln-ticker.h"
 #include "ln-ticket-calls.h"
 
 #include <event2/util.h>
@@ -30,7 +31,7 @@
   LnEndpointChecks *checks;
   LnCrashes *crashes;
   struct event *tick;
-  struct event *keep_alive;
+  LnTick keep_alive;
   LnAdmissionBelief belief; /* routes and organisations of a shared platform */
   LcCrowding *crowding;
   LbName crowded;       /* as the peers task was told */
--- a/packages/node/src/calls/ln-calls.c
+++ b/packages/node/src/calls/ln-calls.c
@@ -295,7 +295,7 @@
   ln_ticket_calls_free (calls->tickets);
   ln_poller_free (calls->poller);
   event_free (calls->tick);
-  event_free (calls->keep_alive);
+  ln_ticker_remove (ln_context_ticker (calls->context), &calls->keep_alive);
   lc_dispatch_free (calls->dispatch);
   lc_desired_unref (calls->belief.desired);
   lc_crowding_free (calls->crowding);
@@ -349,10 +349,8 @@
 
 /* Callers, too, must be able to tell a slow answer from a connection that has gone silent. */
 static void
-on_keep_alive (evutil_socket_t fd, short what, void *user)
+on_keep_alive (void *user)
 {
-  (void)fd;
-  (void)what;
   LnCalls *calls = user;
   LbTime now = lb_clock_monotonic ();
 
@@ -371,7 +369,6 @@
 {
   static const LnPollerHandlers handlers
       = { .on_report = on_report, .on_cache_event = on_cache_event };
-  const struct timeval keep_alive_period = { .tv_usec = KEEP_ALIVE / 2 };
   LnCalls *calls = LB_NEW (LnCalls);
 
   calls->task.klass = &calls_class;
@@ -394,7 +391,8 @@
     calls->poller
         = ln_poller_new (context->base, context->http,
                          context->settings->calls.load_poll_ms * LB_MSEC, &handlers, calls);
-  calls->keep_alive = event_new (context->base, -1, EV_PERSIST, on_keep_alive, calls);
-  event_add (calls->keep_alive, &keep_alive_period);
+  calls->keep_alive
+      = (LnTick){ .period = KEEP_ALIVE / 2, .call = on_keep_alive, .user = calls };
+  ln_ticker_add (ln_context_ticker (context), &calls->keep_alive);
   return &calls->task;
 }
--- a/packages/node/src/config/ln-desired.c
+++ b/packages/node/src/config/ln-desired.c
@@ -6,6 +6,7 @@
 #include "ln-engine-plans.h"
 #include "ln-messages.h"
 #include "ln-stall.h"
+#include "ln-ticker.h"
 #include "ln-weight-orders.h"
 
 #include "lb-alloc.h"
@@ -14,7 +15,6 @@
 #include "lb-log.h"
 #include "lp-follow.h"
 
-#include <event2/event.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -39,7 +39,7 @@
 {
   LnTask task; /* first */
   LnContext *context;
-  struct event *timer;
+  LnTick tick;
   LcDesired *desired;
   LcRoster *roster;
   LnEndpointList *list;
@@ -394,10 +394,8 @@
 }
 
 static void
-on_tick (evutil_socket_t fd, short what, void *user)
+on_tick (void *user)
 {
-  (void)fd;
-  (void)what;
   Desired *task = user;
   LbTime now = lb_clock_monotonic ();
   LbTime period = list_period (task);
@@ -491,7 +489,7 @@
 {
   Desired *task = (Desired *)base;
 
-  event_free (task->timer);
+  ln_ticker_remove (ln_context_ticker (task->context), &task->tick);
   ln_weight_orders_free (task->orders);
   ln_engine_plans_free (task->plans);
   lc_roster_free (task->roster);
@@ -514,7 +512,6 @@
                                                       .on_fleet = on_catalog_fleet };
   static const LnEndpointListHandlers list_handlers
       = { .on_listed = on_listed, .on_failed = on_not_listed };
-  const struct timeval tick = { .tv_usec = TICK };
   const LpFollowSettings rows = { .table = context->dialect->operator_table,
                                   .prefixes = &context->dialect->operator_rows,
                                   .n_prefixes = 1,
@@ -532,8 +529,7 @@
   task->plans = ln_engine_plans_new (context, on_plan, task);
   task->rows = lp_follow_new (context->platform, &rows, on_operator_rows, task);
   task->last_tick = lb_clock_monotonic ();
-  task->timer = event_new (context->base, -1, EV_PERSIST, on_tick, task);
-  event_add (task->timer, &tick);
-  event_active (task->timer, EV_TIMEOUT, 0);
+  task->tick = (LnTick){ .period = TICK, .call = on_tick, .user = task };
+  ln_ticker_add (ln_context_ticker (context), &task->tick);
   return &task->task;
 }
--- a/packages/node/src/membership/ln-fleet.c
+++ b/packages/node/src/membership/ln-fleet.c
@@ -4,6 +4,7 @@
 #include "ln-fleet-lists.h"
 #include "ln-fleet-renewal.h"
 #include "ln-messages.h"
+#include "ln-ticker.h"
 #include "ln-true-time.h"
 
 #include "lb-alloc.h"
@@ -14,7 +15,6 @@
 #include "lp-path.h"
 #include "lp-platform.h"
 
-#include <event2/event.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -29,7 +29,7 @@
 {
   LnTask task; /* first */
   LnContext *context;
-  struct event *timer;
+  LnTick tick;
   LcFleetRow own;
   LnFleetRenewal *renewal; /* of own */
   LnFleetLists *lists;
@@ -164,10 +164,8 @@
 }
 
 static void
-on_tick (evutil_socket_t fd, short what, void *user)
+on_tick (void *user)
 {
-  (void)fd;
-  (void)what;
   Fleet *task = user;
   LbTime now = lb_clock_monotonic ();
 
@@ -178,6 +176,8 @@
           .is_left_out = ln_fleet_lists_leaves_out (task->lists, task->own.name),
           .has_duty_row = ln_fleet_lists_shows_on_duty (task->lists, task->own.name) };
   ln_fleet_renewal_tick (task->renewal, &listing, now);
+  ln_ticker_set_idle (ln_context_ticker (task->context),
+                      listing.is_left_out && !has_duty (task) && !task->own.draining);
   ln_fleet_lists_tick (task->lists, now);
 }
 
@@ -380,7 +380,7 @@
 {
   Fleet *task = (Fleet *)base;
 
-  event_free (task->timer);
+  ln_ticker_remove (ln_context_ticker (task->context), &task->tick);
   ln_fleet_renewal_free (task->renewal);
   ln_fleet_lists_free (task->lists);
   free (task);
@@ -392,7 +392,6 @@
 LnTask *
 ln_fleet_new (LnContext *context)
 {
-  const struct timeval tick = { .tv_usec = TICK };
   Fleet *task = LB_NEW (Fleet);
 
   task->task.klass = &fleet_class;
@@ -407,8 +406,7 @@
                                          context->settings->instance.link_mbps);
   task->renewal = ln_fleet_renewal_new (context->platform, &task->own);
   task->lists = ln_fleet_lists_new (context->platform, context->instance, on_change, task);
-  task->timer = event_new (context->base, -1, EV_PERSIST, on_tick, task);
-  event_add (task->timer, &tick);
-  event_active (task->timer, EV_TIMEOUT, 0);
+  task->tick = (LnTick){ .period = TICK, .call = on_tick, .user = task };
+  ln_ticker_add (ln_context_ticker (context), &task->tick);
   return &task->task;
 }
--- a/packages/node/src/task/ln-context.c
+++ b/packages/node/src/task/ln-context.c
@@ -1,5 +1,7 @@
 #include "ln-context.h"
 
+#include "ln-ticker.h"
+
 #include <string.h>
 #include <xxhash.h>
 
@@ -28,9 +30,19 @@
   return gsl_rng_uniform (context->random);
 }
 
+LnTicker *
+ln_context_ticker (LnContext *context)
+{
+  if (!context->ticker)
+    context->ticker = ln_ticker_new (context->base);
+  return context->ticker;
+}
+
 void
 ln_context_clear (LnContext *context)
 {
+  ln_ticker_free (context->ticker);
+  context->ticker = NULL;
   if (context->random)
     gsl_rng_free (context->random);
   context->random = NULL;
