subset: is cut when the endpoints within its bounds multiply

Change: a service with more than twice what it needs within its bound gets the bound at which there were enough. Test: core-test-subset fails without it (2,000 and more engines held).

--- a/packages/core/src/endpoints/lc-subset.c
+++ b/packages/core/src/endpoints/lc-subset.c
@@ -11,6 +11,9 @@
 #define SPARE_ROWS 32
 /* A subset is extended when it holds less than this part of what is needed. */
 #define LOW_PERCENT 75
+/* It is cut when it holds more than this part: endpoints of a deployment that starts come one after the
+ * other, and the bound of the first ones takes in all that come later. */
+#define HIGH_PERCENT 200
 /* Places for each request that runs at once: a request takes one while the next step's begin. */
 #define SLOTS_PER_REQUEST 2
 /* Between two extensions by load: the calls go to the new endpoints, and replies tell of it. */
@@ -28,6 +31,7 @@
   LbTime grown_at;
   bool is_expected;
   bool is_extended; /* in the list being read */
+  LbName enough_at; /* key in the list being read at which there were enough; "": not yet */
   UT_hash_handle hh;
 } Service;
 
@@ -118,6 +122,7 @@
     {
       service->ready = 0;
       service->is_extended = false;
+      service->enough_at[0] = '\0';
     }
   subset->n_rows = 0;
   subset->n_read = 0;
@@ -151,8 +156,10 @@
     return false;
   subset->n_rows = subset->n_read;
   service->ready += !endpoint->leaving;
-  if (service->bound[0] == '\0' && service->ready >= needed (subset, service))
-    LB_COPY (service->bound, key);
+  if (service->enough_at[0] == '\0' && service->ready >= needed (subset, service))
+    LB_COPY (service->enough_at, key);
+  if (service->bound[0] == '\0')
+    LB_COPY (service->bound, service->enough_at);
   return true;
 }
 
@@ -176,17 +183,28 @@
   return is_whole || rows > MAX_PAGE_ROWS ? MAX_PAGE_ROWS : (int64_t)rows;
 }
 
+/* From the next list on. */
+static void
+cut_high (LcSubset *subset)
+{
+  for (Service *service = subset->services; service; service = service->hh.next)
+    if (service->ready * 100 > needed (subset, service) * HIGH_PERCENT)
+      LB_COPY (service->bound, service->enough_at);
+}
+
 bool
 lc_subset_end_page (LcSubset *subset, const char *last_key, bool is_last)
 {
   if (is_last)
     {
+      cut_high (subset);
       subset->page_size = next_page_size (subset, subset->n_rows == subset->n_read);
       return false;
     }
   for (const Service *service = subset->services; service; service = service->hh.next)
     if (wants_more (subset, service, last_key))
       return true;
+  cut_high (subset);
   subset->page_size = next_page_size (subset, false);
   return false;
 }
--- a/packages/core/tests/test-subset.c
+++ b/packages/core/tests/test-subset.c
@@ -241,3 +241,26 @@
   lc_subset_free (subset);
   free (table.rows);
 }
+
+/* Guards against a subset that was chosen while endpoints still registered, and takes in all that come
+ * later. */
+Test (subset, is_cut_when_the_endpoints_between_its_bounds_multiply)
+{
+  LcSubset *subset = subset_new ();
+  Table few;
+  Table all;
+
+  table_init (&few, 800);
+  list (subset, &few);
+  table_init (&all, 10000);
+  list (subset, &all);
+  cr_assert_gt (count_held (&all, "engines"), 2000);
+  list (subset, &all);
+  cr_assert_eq (count_held (&all, "engines"), 6 * LC_SUBSET_MIN_ENDPOINTS);
+  cr_assert_eq (count_held (&all, "plain"), LC_SUBSET_MIN_ENDPOINTS);
+  list (subset, &all);
+  cr_assert_eq (all.n_pages, 1);
+  lc_subset_free (subset);
+  free (few.rows);
+  free (all.rows);
+}
