--- a/packages/core/include/lc-subset.h
+++ b/packages/core/include/lc-subset.h
@@ -30,7 +30,7 @@
 void lc_subset_free (LcSubset *subset);
 
 /* commands: a list, page by page */
-void lc_subset_begin (LcSubset *subset);
+void lc_subset_begin (LcSubset *subset, LbTime now);
 /* A row, in the order of the keys; true: the endpoint belongs to the subset. */
 bool lc_subset_add (LcSubset *subset, const char *key, const LcSubsetEndpoint *endpoint);
 /* A page ends with this key; true: the next one has to be read. is_last: there is none. */
--- a/packages/core/src/endpoints/lc-subset.c
+++ b/packages/core/src/endpoints/lc-subset.c
@@ -16,6 +16,8 @@
 #define HIGH_PERCENT 200
 /* Places for each request that runs at once: a request takes one while the next step's begin. */
 #define SLOTS_PER_REQUEST 2
+/* Between two lists of the whole table for a service without any endpoint. */
+#define ABSENT_PERIOD (10 * LB_SEC)
 /* Between two extensions by load: the calls go to the new endpoints, and replies tell of it. */
 #define GROW_PERIOD (3 * LB_SEC)
 #define GROW_FACTOR 1.5
@@ -30,6 +32,8 @@
   double growth; /* of what is needed, by load; 0: none */
   LbTime grown_at;
   bool is_expected;
+  bool is_listed; /* a row of the list being read is of it */
+  bool is_absent; /* the last list of the whole table had no row of it */
   bool is_extended; /* in the list being read */
   LbName enough_at; /* key in the list being read at which there were enough; "": not yet */
   UT_hash_handle hh;
@@ -50,6 +54,8 @@
   size_t n_rows;        /* of the list being read, up to the last one that was needed */
   size_t n_read;
   int64_t page_size;
+  LbTime begun_at;
+  LbTime whole_at; /* when the last list of the whole table began */
 };
 
 LcSubset *
@@ -116,11 +122,16 @@
 }
 
 void
-lc_subset_begin (LcSubset *subset)
+lc_subset_begin (LcSubset *subset, LbTime now)
 {
+  bool looks_again = now - subset->whole_at >= ABSENT_PERIOD;
+
+  subset->begun_at = now;
   for (Service *service = subset->services; service; service = service->hh.next)
     {
       service->ready = 0;
+      service->is_listed = false;
+      service->is_absent &= !looks_again;
       service->is_extended = false;
       service->enough_at[0] = '\0';
     }
@@ -148,6 +159,7 @@
   Service *service = ensure_service (subset, endpoint->service);
 
   subset->n_read++;
+  service->is_listed = true;
   if (endpoint->n_models > service->models)
     service->models = endpoint->n_models;
   if (endpoint->slots > 0)
@@ -166,7 +178,7 @@
 static bool
 wants_more (const LcSubset *subset, const Service *service, const char *last_key)
 {
-  if (!service->is_expected)
+  if (!service->is_expected || service->is_absent)
     return false;
   if (service->bound[0] == '\0')
     return true;
@@ -183,6 +195,14 @@
   return is_whole || rows > MAX_PAGE_ROWS ? MAX_PAGE_ROWS : (int64_t)rows;
 }
 
+static void
+note_whole (LcSubset *subset)
+{
+  subset->whole_at = subset->begun_at;
+  for (Service *service = subset->services; service; service = service->hh.next)
+    service->is_absent = !service->is_listed;
+}
+
 /* From the next list on. */
 static void
 cut_high (LcSubset *subset)
@@ -197,6 +217,7 @@
 {
   if (is_last)
     {
+      note_whole (subset);
       cut_high (subset);
       subset->page_size = next_page_size (subset, subset->n_rows == subset->n_read);
       return false;
@@ -213,7 +234,10 @@
 lc_subset_expect_none (LcSubset *subset)
 {
   for (Service *service = subset->services; service; service = service->hh.next)
-    service->is_expected = false;
+    {
+      service->is_expected = false;
+      service->is_absent = false;
+    }
 }
 
 void
--- a/packages/core/tests/test-subset.c
+++ b/packages/core/tests/test-subset.c
@@ -53,12 +53,15 @@
   qsort (table->rows, n_rows, sizeof *table->rows, by_key);
 }
 
+static LbTime now = LB_SEC;
+
 static void
 list (LcSubset *subset, Table *table)
 {
   bool more = true;
 
-  lc_subset_begin (subset);
+  now += LB_SEC;
+  lc_subset_begin (subset, now);
   table->n_read = 0;
   table->n_pages = 0;
   for (size_t i = 0; i < table->n_rows; i++)
@@ -224,7 +227,6 @@
 {
   LcSubset *subset = subset_new ();
   Table table;
-  LbTime now = LB_SEC;
 
   table_init (&table, 10000);
   list (subset, &table);
@@ -264,3 +266,26 @@
   free (few.rows);
   free (all.rows);
 }
+
+/* Guards against lists of the whole table, one after the other, for a service that has no endpoint. */
+Test (subset, a_service_without_endpoints_is_looked_for_now_and_then)
+{
+  LcSubset *subset = subset_new ();
+  Table table;
+  size_t n_whole = 0;
+
+  table_init (&table, 10000);
+  lc_subset_expect (subset, "absent");
+  for (int i = 0; i < 30; i++)
+    {
+      list (subset, &table);
+      n_whole += table.n_pages > 1;
+    }
+  cr_assert_leq (n_whole, 4);
+  table.rows[9990].endpoint.service = "absent";
+  for (int i = 0; i < 11; i++)
+    list (subset, &table);
+  cr_assert (table.rows[9990].held);
+  lc_subset_free (subset);
+  free (table.rows);
+}
--- a/packages/node/src/endpoints/ln-endpoint-list.c
+++ b/packages/node/src/endpoints/ln-endpoint-list.c
@@ -24,6 +24,8 @@
   bool is_asked;
   LbTime asked_at;
   int64_t page_size;
+  size_t n_pages;
+  size_t told_pages; /* in the log */
   LcListed *listed; /* of the pages so far */
   size_t n_listed;
   size_t capacity;
@@ -124,6 +126,10 @@
   ln_unreadable_rows_end (list->unreadable);
   ln_row_cache_end (list->rows);
   list->is_asked = false;
+  if (list->n_pages != list->told_pages)
+    lb_log (LB_LOG_INFO, "endpoint_pages", LB_INT ("pages", list->n_pages),
+            LB_INT ("before", list->told_pages), LB_INT ("known", list->n_listed));
+  list->told_pages = list->n_pages;
   list->handlers.on_listed (list->listed, list->n_listed, list->asked_at, list->user);
 }
 
@@ -144,6 +150,7 @@
       list->handlers.on_failed (list->user);
       return;
     }
+  list->n_pages++;
   for (size_t i = 0; i < n_rows; i++)
     take_row (list, &rows[i]);
   if (lc_subset_end_page (list->subset, last, is_last))
@@ -173,7 +180,8 @@
   list->n_listed = 0;
   ln_unreadable_rows_begin (list->unreadable);
   ln_row_cache_begin (list->rows);
-  lc_subset_begin (list->subset);
+  lc_subset_begin (list->subset, now);
+  list->n_pages = 0;
   ask_page (list, "");
 }
 
