--- a/packages/core/include/lc-catalog.h
+++ b/packages/core/include/lc-catalog.h
@@ -13,9 +13,9 @@
  * not heard of it for a second reads the lists itself. Nothing here is kept beyond what the rows
  * themselves say. No I/O. */
 
-/* Between two lists of the publisher. The longest time for which an instance relies on a belief that
- * nobody renews is 9 / 4 of it: with the list before it and its own list after it, it knows of an
- * endpoint that leaves within some four periods. */
+/* Between two lists of the publisher. The longest time for which an instance relies on a belief
+ * that nobody renews is 9 / 4 of it: with the list before it and its own list after it, it knows of
+ * an endpoint that leaves within some four periods. */
 #define LC_CATALOG_PERIOD (400 * LB_MSEC)
 #define LC_CATALOG_SILENCE (LC_CATALOG_PERIOD * 9 / 4)
 
--- a/packages/core/include/lc-crowding.h
+++ b/packages/core/include/lc-crowding.h
@@ -5,8 +5,8 @@
 
 #include <stdint.h>
 
-/* How busy the known endpoints of each service are, by what their replies state. Answers a load that
- * outgrows the subset of endpoints that is known. No I/O. */
+/* How busy the known endpoints of each service are, by what their replies state. Answers a load
+ * that outgrows the subset of endpoints that is known. No I/O. */
 
 typedef struct LcCrowding LcCrowding;
 
@@ -15,8 +15,7 @@
 
 /* commands */
 /* A reply stated requests that run or wait, and places. */
-void
-lc_crowding_note (LcCrowding *crowding, const char *service, int64_t requests, int64_t slots);
+void lc_crowding_note (LcCrowding *crowding, const char *service, int64_t requests, int64_t slots);
 
 /* queries */
 /* The service whose endpoints are the busiest, above the limit; "": none. */
--- a/packages/core/src/dispatch/lc-router-finish-time.c
+++ b/packages/core/src/dispatch/lc-router-finish-time.c
@@ -300,15 +300,14 @@
 has_connected (const LcPolicy *policy, double least, LbTime now)
 {
   for (size_t i = 0; i < policy->candidates.n_items; i++)
-    if (is_near (policy, i, least)
-        && is_connected (policy->candidates.summaries[i]->endpoint, now))
+    if (is_near (policy, i, least) && is_connected (policy->candidates.summaries[i]->endpoint, now))
       return true;
   return false;
 }
 
-/* Among the candidates nearest to the least score, each by what it lacks to the level. A step's texts
- * begin together: where many endpoints are as good, those with an idle connection spare the others
- * a new one. */
+/* Among the candidates nearest to the least score, each by what it lacks to the level. A step's
+ * texts begin together: where many endpoints are as good, those with an idle connection spare the
+ * others a new one. */
 static size_t
 draw (LcPolicy *policy, double level, double least, LbTime now)
 {
--- a/packages/core/src/endpoints/lc-subset.c
+++ b/packages/core/src/endpoints/lc-subset.c
@@ -11,8 +11,8 @@
 #define SPARE_ROWS 32
 /* A subset is extended when it holds less than this part of what is needed. */
 #define LOW_PERCENT 75
-/* It is cut when it holds more than this part: endpoints of a deployment that starts come one after the
- * other, and the bound of the first ones takes in all that come later. */
+/* It is cut when it holds more than this part: endpoints of a deployment that starts come one after
+ * the other, and the bound of the first ones takes in all that come later. */
 #define HIGH_PERCENT 200
 /* Places for each request that runs at once: a request takes one while the next step's begin. */
 #define SLOTS_PER_REQUEST 2
@@ -32,8 +32,8 @@
   double growth; /* of what is needed, by load; 0: none */
   LbTime grown_at;
   bool is_expected;
-  bool is_listed; /* a row of the list being read is of it */
-  bool is_absent; /* the last list of the whole table had no row of it */
+  bool is_listed;   /* a row of the list being read is of it */
+  bool is_absent;   /* the last list of the whole table had no row of it */
   bool is_extended; /* in the list being read */
   LbName enough_at; /* key in the list being read at which there were enough; "": not yet */
   UT_hash_handle hh;
--- a/packages/core/src/membership/lc-catalog.c
+++ b/packages/core/src/membership/lc-catalog.c
@@ -194,8 +194,7 @@
 static LbTime
 sane_period (struct json_object *object)
 {
-  LbTime period
-      = lb_json_int (object, "period_ms", LC_CATALOG_PERIOD / LB_MSEC) * LB_MSEC;
+  LbTime period = lb_json_int (object, "period_ms", LC_CATALOG_PERIOD / LB_MSEC) * LB_MSEC;
 
   return period < MIN_PERIOD || period > MAX_PERIOD ? LC_CATALOG_PERIOD : period;
 }
--- a/packages/core/tests/test-subset.c
+++ b/packages/core/tests/test-subset.c
@@ -244,8 +244,8 @@
   free (table.rows);
 }
 
-/* Guards against a subset that was chosen while endpoints still registered, and takes in all that come
- * later. */
+/* Guards against a subset that was chosen while endpoints still registered, and takes in all that
+ * come later. */
 Test (subset, is_cut_when_the_endpoints_between_its_bounds_multiply)
 {
   LcSubset *subset = subset_new ();
@@ -267,7 +267,8 @@
   free (all.rows);
 }
 
-/* Guards against lists of the whole table, one after the other, for a service that has no endpoint. */
+/* Guards against lists of the whole table, one after the other, for a service that has no endpoint.
+ */
 Test (subset, a_service_without_endpoints_is_looked_for_now_and_then)
 {
   LcSubset *subset = subset_new ();
--- a/packages/node/include/ln-ticker.h
+++ b/packages/node/include/ln-ticker.h
@@ -6,8 +6,8 @@
 
 struct event_base;
 
-/* One timer for all tasks that look at the time again and again: each wake-up of an idle process costs
- * as much as what it does then. */
+/* One timer for all tasks that look at the time again and again: each wake-up of an idle process
+ * costs as much as what it does then. */
 typedef struct LnTicker LnTicker;
 
 /* Embedded in the task that is called; the task fills period, call and user. */
--- a/packages/node/src/calls/ln-calls.c
+++ b/packages/node/src/calls/ln-calls.c
@@ -391,8 +391,7 @@
     calls->poller
         = ln_poller_new (context->base, context->http,
                          context->settings->calls.load_poll_ms * LB_MSEC, &handlers, calls);
-  calls->keep_alive
-      = (LnTick){ .period = KEEP_ALIVE / 2, .call = on_keep_alive, .user = calls };
+  calls->keep_alive = (LnTick){ .period = KEEP_ALIVE / 2, .call = on_keep_alive, .user = calls };
   ln_ticker_add (ln_context_ticker (context), &calls->keep_alive);
   return &calls->task;
 }
--- a/packages/node/src/config/ln-desired.c
+++ b/packages/node/src/config/ln-desired.c
@@ -23,8 +23,8 @@
  * silence is found after this wait and the store client's slack, and one more watch brings it. */
 #define WATCH_WAIT (700 * LB_MSEC)
 #define WATCH_RETRY (100 * LB_MSEC)
-/* Of an instance outside the directory, which orders no weights and runs no batches: the silence of a
- * connection is found later, within the time for a change all the same. */
+/* Of an instance outside the directory, which orders no weights and runs no batches: the silence of
+ * a connection is found later, within the time for a change all the same. */
 #define LEFT_OUT_WATCH_WAIT (1500 * LB_MSEC)
 /* After it an engine is taken to have loaded, or failed to, unless it is said to be loading still.
  */
--- a/packages/node/src/endpoints/ln-endpoint-list.c
+++ b/packages/node/src/endpoints/ln-endpoint-list.c
@@ -26,7 +26,7 @@
   int64_t page_size;
   size_t n_pages;
   size_t told_pages; /* in the log */
-  LcListed *listed; /* of the pages so far */
+  LcListed *listed;  /* of the pages so far */
   size_t n_listed;
   size_t capacity;
 };
--- a/packages/node/src/membership/ln-catalog.c
+++ b/packages/node/src/membership/ln-catalog.c
@@ -388,8 +388,8 @@
   lc_catalog_listed (catalog->catalog, INSTANCES, items, catalog->n_members, 0);
 }
 
-/* A list each fifth of the time allowed keeps within it also when the publisher ends; where the fleet
- * is small more often costs little. */
+/* A list each fifth of the time allowed keeps within it also when the publisher ends; where the
+ * fleet is small more often costs little. */
 static LbTime
 choose_period (const LnCatalog *catalog)
 {
