subset: a table of one page is known whole

Cause: a deployment of some hundred endpoints with more than 48 of one service would use 48 of them until they are crowded, although its list is one call all the same. Change: bounds count only where the table has more than a page; the first list takes its first page whole. Test: core-test-subset with 450 rows fails without it. Two tests list twice now, since the first list holds the first page: what they check of the list after it is unchanged.

--- a/packages/core/include/lc-subset.h
+++ b/packages/core/include/lc-subset.h
@@ -9,7 +9,8 @@
 
 /* Deterministic subsetting of the endpoints' table. Rows come in the order of their keys, which are
  * random names, so the first rows are a sample of all data centres and services. Of each service an
- * instance knows those up to a bound; a service with few endpoints is known whole. No I/O. */
+ * instance knows those up to a bound; a service with few endpoints is known whole, and so is a
+ * table of one page. No I/O. */
 
 /* Endpoints in service that the subset of a service holds, if there are so many: for each model
  * where they are engines. */
--- a/packages/core/src/endpoints/lc-subset.c
+++ b/packages/core/src/endpoints/lc-subset.c
@@ -56,6 +56,7 @@
   int64_t page_size;
   LbTime begun_at;
   LbTime whole_at; /* when the last list of the whole table began */
+  bool is_small;   /* the whole table is one page: there are no bounds */
 };
 
 LcSubset *
@@ -64,6 +65,7 @@
   LcSubset *subset = LB_NEW (LcSubset);
 
   subset->page_size = MAX_PAGE_ROWS;
+  subset->is_small = true;
   return subset;
 }
 
@@ -144,6 +146,8 @@
 static bool
 is_within (const LcSubset *subset, Service *service, const char *key)
 {
+  if (subset->is_small)
+    return true;
   if (service->ready * 100 >= needed (subset, service) * HIGH_PERCENT)
     {
       LB_COPY (service->bound, service->enough_at);
@@ -175,7 +179,7 @@
   service->ready += !endpoint->leaving;
   if (service->enough_at[0] == '\0' && service->ready >= needed (subset, service))
     LB_COPY (service->enough_at, key);
-  if (service->bound[0] == '\0')
+  if (service->bound[0] == '\0' && !subset->is_small)
     LB_COPY (service->bound, service->enough_at);
   return true;
 }
@@ -204,8 +208,24 @@
 note_whole (LcSubset *subset)
 {
   subset->whole_at = subset->begun_at;
+  subset->is_small = subset->n_read < MAX_PAGE_ROWS;
   for (Service *service = subset->services; service; service = service->hh.next)
-    service->is_absent = !service->is_listed;
+    {
+      service->is_absent = !service->is_listed;
+      if (subset->is_small)
+        service->bound[0] = '\0';
+    }
+}
+
+static void
+note_large (LcSubset *subset)
+{
+  if (!subset->is_small)
+    return;
+  subset->is_small = false;
+  for (Service *service = subset->services; service; service = service->hh.next)
+    if (service->bound[0] == '\0')
+      LB_COPY (service->bound, service->enough_at);
 }
 
 bool
@@ -217,6 +237,7 @@
       subset->page_size = next_page_size (subset, subset->n_rows == subset->n_read);
       return false;
     }
+  note_large (subset);
   for (const Service *service = subset->services; service; service = service->hh.next)
     if (wants_more (subset, service, last_key))
       return true;
--- a/packages/core/tests/test-subset.c
+++ b/packages/core/tests/test-subset.c
@@ -127,12 +127,12 @@
   LcSubset *subset = subset_new ();
   Table table;
 
-  table_init (&table, 200);
+  table_init (&table, 450);
   for (int i = 0; i < 3; i++)
     {
       list (subset, &table);
       cr_assert_eq (table.n_pages, 1);
-      cr_assert_eq (count_held (&table, "plain") + count_held (&table, "engines"), 200);
+      cr_assert_eq (count_held (&table, "plain") + count_held (&table, "engines"), 450);
     }
   lc_subset_free (subset);
   free (table.rows);
@@ -149,6 +149,7 @@
     table.rows[i].endpoint = (LcSubsetEndpoint){ .service = "last", .slots = 1 };
   lc_subset_expect (subset, "last");
   list (subset, &table);
+  list (subset, &table);
   cr_assert_eq (count_held (&table, "last"), LC_SUBSET_MIN_ENDPOINTS);
   cr_assert_eq (count_held (&table, "plain"), LC_SUBSET_MIN_ENDPOINTS);
   lc_subset_free (subset);
@@ -213,6 +214,7 @@
   lc_subset_set_bound (subset, "engines", table.rows[499].key);
   lc_subset_set_bound (subset, "plain", table.rows[399].key);
   list (subset, &table);
+  list (subset, &table);
   for (size_t i = 0; i < table.n_rows; i++)
     {
       bool is_engine = table.rows[i].endpoint.n_models > 0;
