subset: does not grow beyond the endpoints that there are

Cause, found by rereading: a service that stays crowded although all its endpoints are in the subset was asked to grow by half each 3 s without end; each list then read the whole table, and after some minutes the number needed overflowed. Change: the subset grows only when the last list held what was needed before. Test: core-test-subset, 200 requests to grow, fails without it. The test before it lists between two requests now, as the publisher does; its checks are unchanged.

--- a/packages/core/src/endpoints/lc-subset.c
+++ b/packages/core/src/endpoints/lc-subset.c
@@ -293,7 +293,8 @@
 {
   Service *service = ensure_service (subset, name);
 
-  if (service->bound[0] == '\0')
+  /* There are no more, or those that were asked for last have not been listed yet. */
+  if (service->bound[0] == '\0' || service->ready < needed (subset, service))
     return;
   if (service->grown_at > 0 && now - service->grown_at < GROW_PERIOD)
     return;
--- a/packages/core/tests/test-subset.c
+++ b/packages/core/tests/test-subset.c
@@ -239,8 +239,10 @@
   cr_assert_geq (held, LC_SUBSET_MIN_ENDPOINTS * 3 / 2 - 1);
   cr_assert_leq (held, LC_SUBSET_MIN_ENDPOINTS * 3 / 2 + 1, "once in a few seconds");
   for (int i = 1; i <= 10; i++)
-    lc_subset_grow (subset, "plain", now + i * 4 * LB_SEC);
-  list (subset, &table);
+    {
+      lc_subset_grow (subset, "plain", now + i * 4 * LB_SEC);
+      list (subset, &table);
+    }
   cr_assert_geq (count_held (&table, "plain"), 1900);
   lc_subset_free (subset);
   free (table.rows);
@@ -292,3 +294,24 @@
   lc_subset_free (subset);
   free (table.rows);
 }
+
+/* Guards against a need that overflows while a service stays crowded with all its endpoints known.
+ */
+Test (subset, does_not_grow_beyond_the_endpoints_that_there_are)
+{
+  LcSubset *subset = subset_new ();
+  Table table;
+
+  table_init (&table, 10000);
+  list (subset, &table);
+  list (subset, &table);
+  for (int i = 1; i <= 200; i++)
+    {
+      lc_subset_grow (subset, "plain", now + i * 4 * LB_SEC);
+      list (subset, &table);
+    }
+  cr_assert_eq (count_held (&table, "plain"), 2000);
+  cr_assert_eq (count_held (&table, "engines"), 6 * LC_SUBSET_MIN_ENDPOINTS);
+  lc_subset_free (subset);
+  free (table.rows);
+}
