--- a/packages/node/src/weights/ln-engine-plans.c
+++ b/packages/node/src/weights/ln-engine-plans.c
@@ -223,14 +223,17 @@
   LpPlatform *platform = plans->context->platform;
   Write write = { .n = 0 };
 
+  plans->writes_again = false;
   add_changed_parts (plans, &write);
+  /* The rows that failed have shown as wanted since then. */
+  if (write.n == 0)
+    return;
   const LpTransaction transaction = { .token = "",
                                       .conditions = write.conditions,
                                       .n_conditions = write.n,
                                       .puts = write.puts,
                                       .n_puts = write.n };
   plans->writing = true;
-  plans->writes_again = false;
   plans->next_write = now + WRITE_PERIOD;
   platform->klass->transact (platform, &transaction, LP_PRIORITY_STATUS, on_written, plans);
   for (size_t i = 0; i < write.n; i++)
