batches: a released batch has no owner at once

Cause: the row of a batch that an instance releases on shutdown has an empty owner. The empty name is in no list of members, so the owner counted as unknown, and the grace period for owners that have just started (2.5 s) ran before any instance took the batch over.

Change: the state of a batch's owner is a decision in core (lc-batch-takeover): no owner, alive, gone or unknown. A batch without an owner may be taken over at once, by rank as before; the grace period remains for owners that are named but not listed. The row names the instance that released the batch (`released_by`, absent otherwise; previous builds ignore it), and that instance is left out of the ranks until its member row is newer than the release, because its draining state may be seen later than the release. For rows released by a previous build the last owner that this instance saw is used.

Ruled out: the releasing instance does not claim its own batch back, since it claims nothing once it is draining.

--- a/packages/core/include/lc-batch-head.h
+++ b/packages/core/include/lc-batch-head.h
@@ -13,7 +13,9 @@
   LbName batch;
   LbName owner; /* instance that runs the batch; empty: released, any instance may take it over */
   LbName incarnation;
-  int64_t epoch; /* fencing token: incremented with each change of owner */
+  LbName
+      released_by; /* instance that released the batch when it shut down, while there is no owner */
+  int64_t epoch;   /* fencing token: incremented with each change of owner */
   bool ended;
   int64_t n_items;
   LbName model;
--- a/packages/core/src/batch/lc-batch-head.c
+++ b/packages/core/src/batch/lc-batch-head.c
@@ -14,6 +14,8 @@
   json_object_object_add (object, "batch", json_object_new_string (head->batch));
   json_object_object_add (object, "owner", json_object_new_string (head->owner));
   json_object_object_add (object, "incarnation", json_object_new_string (head->incarnation));
+  if (head->released_by[0])
+    json_object_object_add (object, "released_by", json_object_new_string (head->released_by));
   json_object_object_add (object, "epoch", json_object_new_int64 (head->epoch));
   json_object_object_add (object, "ended", json_object_new_boolean (head->ended));
   json_object_object_add (object, "total", json_object_new_int64 (head->n_items));
@@ -38,6 +40,7 @@
   LB_COPY (head->batch, lb_json_text (object, "batch", ""));
   LB_COPY (head->owner, lb_json_text (object, "owner", ""));
   LB_COPY (head->incarnation, lb_json_text (object, "incarnation", ""));
+  LB_COPY (head->released_by, lb_json_text (object, "released_by", ""));
   head->epoch = lb_json_int (object, "epoch", 0);
   head->ended = lb_json_bool (object, "ended", false);
   head->n_items = lb_json_int (object, "total", 0);
--- a/packages/node/src/batch/ln-batch-heads.c
+++ b/packages/node/src/batch/ln-batch-heads.c
@@ -25,9 +25,6 @@
 /* Time for the preferred instance to claim an offered batch; longer than several store round
  * trips. */
 #define BATCH_OFFER_TIMEOUT (300 * LB_MSEC)
-/* An owner that is missing from the list of instances is presumed alive for this time, because the
- * owner may just have started its first batch. Its row reaches all instances within this time. */
-#define UNKNOWN_OWNER_GRACE_PERIOD (2500 * LB_MSEC)
 /* The instances that can take over a batch are ranked for the batch's model. An instance waits this
  * long per rank before it takes the batch over, so that the instances do not all write at once. */
 #define BATCH_TAKEOVER_DELAY_PER_RANK (400 * LB_MSEC)
@@ -185,6 +182,9 @@
    * reassign engines because of random differences between those batches. */
   if (batch->version == 0)
     ln_batches_publish_token_demand (batches, &head);
+  /* An instance of the previous build does not write who released the batch. */
+  if (!head.owner[0] && !head.released_by[0])
+    LB_COPY (head.released_by, old_head.owner);
   batch->head = head;
   batch->version = row->version;
   batch->version_seen_at = lb_clock_monotonic ();
@@ -194,32 +194,33 @@
 
 /* --- taking over batches without a live owner --- */
 
-/* Looks up the batch's owner in the member list. If the owner is listed with another incarnation
- * and its member row is newer than the batch's row, the owner has restarted and lost the batch.
- * If its member row is older, the list is outdated, and the owner counts as alive. */
-static LnOwnerState
+static LcBatchMember
+get_batch_member (const LnMember *member)
+{
+  return (LcBatchMember){ .name = member->name,
+                          .incarnation = member->incarnation,
+                          .version = member->version,
+                          .alive = member->alive };
+}
+
+static LcBatchOwnerState
 compute_batch_owner_state (const LnBatch *batch)
 {
   const LnBatches *batches = batch->batches;
 
   for (size_t i = 0; i < batches->n_members; i++)
-    {
-      const LnMember *member = &batches->members[i];
-      if (strcmp (member->name, batch->head.owner) != 0)
-        continue;
-      return member->alive
-                     && (strcmp (member->incarnation, batch->head.incarnation) == 0
-                         || member->version < batch->version)
-                 ? LN_OWNER_ALIVE
-                 : LN_OWNER_GONE;
-    }
-  return LN_OWNER_UNKNOWN;
+    if (strcmp (batches->members[i].name, batch->head.owner) == 0)
+      {
+        const LcBatchMember member = get_batch_member (&batches->members[i]);
+        return lc_batch_get_owner_state (&batch->head, batch->version, &member);
+      }
+  return lc_batch_get_owner_state (&batch->head, batch->version, NULL);
 }
 
 /* Caches the owner's state: the function runs 20 times per second for each batch, and the list of
  * hundreds of members rarely changes. */
 static bool
-is_batch_owner_alive (LnBatch *batch, LbTime now)
+is_batch_owner_missing (LnBatch *batch, LbTime now)
 {
   const LnBatches *batches = batch->batches;
 
@@ -228,9 +229,7 @@
     batch->owner_state = compute_batch_owner_state (batch);
   batch->owner_members_change = batches->members_change_count;
   batch->owner_row_version = batch->version;
-  return batch->owner_state == LN_OWNER_ALIVE
-         || (batch->owner_state == LN_OWNER_UNKNOWN
-             && now - batch->version_seen_at < UNKNOWN_OWNER_GRACE_PERIOD);
+  return lc_batch_owner_is_missing (batch->owner_state, now - batch->version_seen_at);
 }
 
 static size_t
@@ -298,11 +297,35 @@
   return n;
 }
 
+/* Removes the instance that released the batch, which counts as a candidate as long as its draining
+ * state is not known here, and would then delay all others by its rank. */
+static size_t
+remove_releasing_instance (const LnBatch *batch, LcDutyCandidate *candidates, size_t n)
+{
+  const LnBatches *batches = batch->batches;
+
+  for (size_t i = 0; i < batches->n_members; i++)
+    {
+      const LcBatchMember member = get_batch_member (&batches->members[i]);
+      if (!lc_batch_was_released_by (&batch->head, batch->version, &member))
+        continue;
+      for (size_t j = 0; j < n; j++)
+        if (strcmp (candidates[j].name, member.name) == 0)
+          {
+            candidates[j] = candidates[n - 1];
+            return n - 1;
+          }
+    }
+  return n;
+}
+
 size_t
 ln_batch_get_rank_of_this_instance (const LnBatch *batch, const char *duty)
 {
   size_t n;
   LcDutyCandidate *candidates = ln_batches_list_duty_candidates (batch->batches, &n);
+
+  n = remove_releasing_instance (batch, candidates, n);
   size_t rank = lc_duty_rank (duty, batch->batches->context->instance, candidates, n);
 
   free (candidates);
@@ -391,6 +414,7 @@
   head.epoch++;
   LB_COPY (head.owner, batch->batches->context->instance);
   LB_COPY (head.incarnation, batch->batches->context->incarnation);
+  LB_COPY (head.released_by, "");
   batch->pending_head = head;
   write_batch_row (batch, &head, NULL, 0, on_batch_claim_written);
 }
@@ -417,7 +441,7 @@
     claim_batch_after_offer_expired (batch);
   if (batch->state != LN_BATCH_NOT_OWNED || batch->head.ended || batch->version == 0
       || batch->batches->members_change_count == 0 || batch->batches->draining
-      || is_batch_owner_alive (batch, now))
+      || !is_batch_owner_missing (batch, now))
     {
       batch->owner_gone_since = 0;
       return;
@@ -467,6 +491,7 @@
     }
   ln_batch_owner_stop_run (batch);
   batch->state = LN_BATCH_RELEASING;
+  LB_COPY (head.released_by, head.owner);
   LB_COPY (head.owner, "");
   LB_COPY (head.incarnation, "");
   batch->pending_head = head;
--- a/packages/node/src/batch/ln-batches-private.h
+++ b/packages/node/src/batch/ln-batches-private.h
@@ -4,6 +4,7 @@
 #include "ln-admission.h"
 
 #include "lc-batch-head.h"
+#include "lc-batch-takeover.h"
 #include "lc-batch.h"
 #include "lc-duty.h"
 #include "ln-context.h"
@@ -38,13 +39,6 @@
   LN_BATCH_RELEASING  /* this instance is writing the row without an owner */
 } LnBatchState;
 
-typedef enum
-{
-  LN_OWNER_UNKNOWN, /* the owner is not in the list of members */
-  LN_OWNER_ALIVE,
-  LN_OWNER_GONE
-} LnOwnerState;
-
 /* Steps of the cleanup of an ended batch, in order. Each enum value names the rows or the object
  * that the step removes. The batch's own row is removed after the last step. */
 typedef enum
@@ -68,7 +62,7 @@
   LbTime first_seen_at;
   /* Cached state of the batch's owner. It is valid for the member list and the row version that the
    * next two members identify. */
-  LnOwnerState owner_state;
+  LcBatchOwnerState owner_state;
   int64_t owner_members_change; /* members_change_count when owner_state was computed */
   int64_t owner_row_version;    /* version of the batch's row when owner_state was computed */
   LbTime version_seen_at;       /* when this instance first saw the current version of the row */
