cli: explain ends with a summary of waits, moves, hand-overs and failures

Cause: why an answer was late could be read only by adding up the lines of the timeline by hand, which for a batch are hundreds. Change: after the timeline, lines with the time waited for an endpoint, the moves by reason, the changes of the batch's owner, and the failures with the delay that the caller was told.

--- a/packages/cli/src/lt-timeline.c
+++ b/packages/cli/src/lt-timeline.c
@@ -1,5 +1,7 @@
 #include "lt-timeline.h"
 
+#include "lt-timeline-summary.h"
+
 #include "lb-alloc.h"
 #include "lb-json.h"
 
@@ -249,6 +251,17 @@
     }
 }
 
+static void
+print_summary (const LtTimeline *timeline, FILE *out)
+{
+  LtTimelineSummary summary = { 0 };
+
+  for (size_t i = 0; i < timeline->n_lines; i++)
+    if (timeline->lines[i].names_id)
+      lt_timeline_summary_add_line (&summary, timeline->lines[i].object);
+  lt_timeline_summary_print (&summary, out);
+}
+
 bool
 lt_timeline_print (LtTimeline *timeline, FILE *out)
 {
@@ -263,6 +276,7 @@
            "%s: %.3f s; lines that name the id, and marked ~ state changes of the same instances\n",
            timeline->id, (double)(last_ms - first_ms) / 1000);
   print_lines_with_context (timeline, first_ms, last_ms, out);
+  print_summary (timeline, out);
   if (timeline->n_unreadable > 0)
     fprintf (out, "%zu lines could not be read\n", timeline->n_unreadable);
   return true;
--- a/packages/cli/tests/test-story.c
+++ b/packages/cli/tests/test-story.c
@@ -119,3 +119,29 @@
   cr_assert_not (lt_timeline_print (timeline, stdout));
   lt_timeline_free (timeline);
 }
+
+/* A user asks why an answer was late or refused. The summary must count only lines that name the
+ * id, and must not count the first owner of an offered batch as a change of owner. */
+Test (timeline, summary_adds_up_waits_moves_hand_overs_and_failures)
+{
+  char *text = print_timeline_to_string (
+      "i1",
+      "{\"time\":1,\"event\":\"batch_taken_over\",\"batch\":\"i1\",\"epoch\":2,\"outcome\":\"ok\"}"
+      "\n"
+      "{\"time\":2,\"event\":\"route\",\"id\":\"i1\",\"waited_us\":250000}\n"
+      "{\"time\":3,\"event\":\"route\",\"id\":\"i2\",\"waited_us\":9000000}\n"
+      "{\"time\":4,\"event\":\"item_moved\",\"item\":\"i1\",\"reason\":\"stalled\"}\n",
+      "{\"time\":5,\"event\":\"batch_taken_over\",\"batch\":\"i1\",\"epoch\":3,\"outcome\":\"ok\"}"
+      "\n"
+      "{\"time\":6,\"event\":\"route\",\"id\":\"i1\",\"waited_us\":500000}\n"
+      "{\"time\":7,\"event\":\"request_given_up\",\"id\":\"i1\",\"error\":\"overloaded\","
+      "\"retry_after_us\":300000}\n");
+
+  cr_assert (strstr (text, "waited for an endpoint: 0.750 s over 2 attempts, 0.500 s at most\n"),
+             "%s", text);
+  cr_assert (strstr (text, "moved to another endpoint: 1: stalled 1\n"), "%s", text);
+  cr_assert (strstr (text, "changes of the batch's owner: 1\n"), "%s", text);
+  cr_assert (strstr (text, "failed: 1: overloaded 1; the caller was told to retry after 0.300 s\n"),
+             "%s", text);
+  free (text);
+}
