Membership: a pause of this process does not count against a peer

Cause: after SIGCONT a paused instance often reads the close of a connection before its tick detects the pause. A dial that was in progress was closed by the peer after HANDSHAKE_TIMEOUT, and suspect_member_after_failed_dial counted it.

Change: each event of a connection first discounts a pause, as the tick did. Connections that were open or being opened across a pause are marked; if one is lost, its member is dialled again and neither suspected nor made unavailable. Only a failure of the new dial counts. The mark ends with the first frame after the pause. Last arrivals were also shifted beyond the present time when a frame was read before the tick; this is fixed with it.

The same cause elsewhere: an accepted connection whose handshake waits unread was closed at its deadline on resume, which the peer takes for a failed dial. The deadline now excludes the pause. Looked at and left: fleet listings (gaps between listings are discounted already), leases, load reports, hedges (all detect a pause), the outbox (drops own frames only).

--- a/packages/core/src/membership/lc-membership-connect.c
+++ b/packages/core/src/membership/lc-membership-connect.c
@@ -43,6 +43,7 @@
                              LbTime now,
                              LbList *actions)
 {
+  lc_membership_discount_process_pause (membership, now);
   if (has_same_name_as_self (membership, peer))
     return 0;
   LcPeerLink *link = lc_membership_add_link (membership, false, now);
@@ -111,6 +112,7 @@
 lc_membership_link_dialled (
     LcMembership *membership, LcLinkId id, const LcInstance *peer, LbTime now, LbList *actions)
 {
+  lc_membership_discount_process_pause (membership, now);
   LcPeerLink *link = lc_membership_lookup_link (membership, id);
   LcMember *known = lc_membership_lookup_member (membership, peer->name);
   bool was_dead = known && known->instance.state == LC_INSTANCE_DEAD;
@@ -137,6 +139,17 @@
   lc_membership_emit_view_change (membership, actions);
 }
 
+/* Dials again after the loss of a connection that this process had, or was opening, when it was
+ * paused. The loss does not count against the member, since the member may have closed the
+ * connection because this process did not answer. If the member is gone, the new dial fails. */
+static void
+redial_after_pause (LcMembership *membership, LcMember *member, LbTime now, LbList *actions)
+{
+  member->next_dial_at = now;
+  if (member->instance.state != LC_INSTANCE_DEAD)
+    lc_membership_dial_member (membership, member, now, actions);
+}
+
 void
 lc_membership_remove_lost_link (LcMembership *membership,
                                 LcPeerLink *link,
@@ -146,11 +159,14 @@
   LcMember *member = lc_membership_lookup_member (membership, link->name);
   bool was_open = link->is_open;
   bool was_outgoing = link->is_outgoing;
+  bool spans_pause = link->spans_pause;
 
   lc_membership_remove_link (membership, link);
   if (!member)
     return;
-  if (!was_open)
+  if (spans_pause && was_outgoing)
+    redial_after_pause (membership, member, now, actions);
+  else if (!was_open)
     suspect_member_after_failed_dial (membership, member, now);
   else if (was_outgoing)
     mark_member_silent_and_redial (membership, member, now, actions);
@@ -161,6 +177,7 @@
 {
   LcPeerLink *link = lc_membership_lookup_link (membership, id);
 
+  lc_membership_discount_process_pause (membership, now);
   if (!link)
     return;
   lc_membership_remove_lost_link (membership, link, now, actions);
--- a/packages/core/src/membership/lc-membership-heartbeat.c
+++ b/packages/core/src/membership/lc-membership-heartbeat.c
@@ -11,6 +11,7 @@
 
   lc_detector_record_arrival (&link->detector, now);
   link->unanswered_since = 0;
+  link->spans_pause = false;
   if (!member)
     return;
   member->last_heard_at = now;
@@ -24,6 +25,7 @@
 {
   LcPeerLink *link = lc_membership_lookup_link (membership, id);
 
+  lc_membership_discount_process_pause (membership, now);
   if (link && link->unanswered_since == 0)
     link->unanswered_since = now;
 }
@@ -33,6 +35,7 @@
 {
   LcPeerLink *link = lc_membership_lookup_link (membership, id);
 
+  lc_membership_discount_process_pause (membership, now);
   if (link && link->is_open)
     lc_membership_record_frame_arrival (membership, link, now);
 }
@@ -42,6 +45,7 @@
 {
   LcPeerLink *link = lc_membership_lookup_link (membership, id);
 
+  lc_membership_discount_process_pause (membership, now);
   if (!link)
     return;
   link->peer_digest = digest;
--- a/packages/core/src/membership/lc-membership-links.c
+++ b/packages/core/src/membership/lc-membership-links.c
@@ -82,6 +82,7 @@
 {
   LcMember *member = lc_membership_lookup_member (membership, name);
 
+  lc_membership_discount_process_pause (membership, now);
   if (!member)
     return false;
   if (until > member->keep_connected_until)
--- a/packages/core/src/membership/lc-membership-private.h
+++ b/packages/core/src/membership/lc-membership-private.h
@@ -46,6 +46,9 @@
   bool is_outgoing;
   bool is_open;
   bool is_watched; /* heartbeats are sent on the connection, and answers are expected */
+  /* this process was paused since the dial started or the last frame arrived, so the peer may have
+   * closed the connection because of the pause */
+  bool spans_pause;
   LbTime started_at;
   LbTime next_ping_at;
   LbTime unneeded_since;   /* when the connection became unneeded; 0: it is needed */
@@ -91,6 +94,10 @@
   LcMembershipTotals totals;
 };
 
+/* Excludes a pause of this process, if there was one since the last tick, from the silence of its
+ * peers. Called first in each function that records an event of a connection, since after a pause
+ * such events are often handled before the next tick. */
+void lc_membership_discount_process_pause (LcMembership *membership, LbTime now);
 LcMember *lc_membership_lookup_member (const LcMembership *membership, const char *name);
 LcPeerLink *lc_membership_lookup_link (const LcMembership *membership, LcLinkId id);
 LcMembershipAction *lc_membership_add_action (LbList *actions, LcMembershipActionType type);
--- a/packages/core/src/membership/lc-membership.c
+++ b/packages/core/src/membership/lc-membership.c
@@ -102,19 +102,20 @@
   action->n_instances = 1;
 }
 
-/* Excludes a pause of this process from the silence of its peers. After a pause every peer looks
- * silent, although its frames wait unread, and all would be declared dead at once. */
-static void
-discount_process_pause (LcMembership *membership, LbTime now)
+/* After a pause every peer looks silent, although its frames wait unread, and all would be declared
+ * dead at once. */
+void
+lc_membership_discount_process_pause (LcMembership *membership, LbTime now)
 {
   LbTime pause = now - membership->last_tick_at;
 
-  membership->last_tick_at = now;
   if (pause <= PAUSE_THRESHOLD)
     return;
+  membership->last_tick_at = now;
   membership->totals.own_pauses++;
   for (LcPeerLink *link = membership->links; link; link = link->hh.next)
     {
+      link->spans_pause = true;
       link->started_at += pause;
       if (link->unanswered_since)
         link->unanswered_since += pause;
@@ -131,7 +132,8 @@
 void
 lc_membership_tick (LcMembership *membership, LbTime now, LbList *actions)
 {
-  discount_process_pause (membership, now);
+  lc_membership_discount_process_pause (membership, now);
+  membership->last_tick_at = now;
   lc_membership_tick_links (membership, now, actions);
   lc_membership_expire_members (membership, now);
   lc_membership_resolve_name_conflict (membership, now);
--- a/packages/core/tests/test-membership.c
+++ b/packages/core/tests/test-membership.c
@@ -194,6 +194,130 @@
   fake_peers_free (peers);
 }
 
+/* A membership that has a connection to one other instance. */
+typedef struct
+{
+  LcMembership *membership;
+  LcInstance peer;
+  LcLinkId link;
+  LbTime now;
+} PairedMembership;
+
+/* Executes nothing; returns the connection that the last DIAL action opens, 0: none. */
+static LcLinkId
+free_actions_and_get_dialled_link (LbList *actions)
+{
+  LcLinkId dialled = 0;
+  LbLink *link;
+
+  while ((link = lb_list_pop (actions)))
+    {
+      LcMembershipAction *action = LB_CONTAINER (link, LcMembershipAction, link_in_list);
+      if (action->type == LC_MEMBERSHIP_DIAL)
+        dialled = action->link;
+      lc_membership_action_free (action);
+    }
+  return dialled;
+}
+
+static void
+paired_membership_init (PairedMembership *pair)
+{
+  LcMembershipSettings settings = lc_membership_settings_default ();
+  LbList actions;
+
+  lb_list_init (&actions);
+  *pair = (PairedMembership){ .peer = { .epoch = 1, .version = 1 }, .now = LB_SEC };
+  LB_COPY (settings.self.name, "a");
+  settings.self.epoch = 1;
+  LB_COPY (pair->peer.name, "b");
+  LB_COPY (pair->peer.peer_address, "10.0.0.2:1");
+  pair->membership = lc_membership_new (&settings, pair->now);
+  lc_membership_add_seed (pair->membership, pair->peer.peer_address, pair->now);
+  lc_membership_tick (pair->membership, pair->now, &actions);
+  pair->link = free_actions_and_get_dialled_link (&actions);
+  cr_assert_neq (pair->link, 0);
+  lc_membership_link_dialled (pair->membership, pair->link, &pair->peer, pair->now, &actions);
+  free_actions_and_get_dialled_link (&actions);
+}
+
+/* The connection was closed by the peer. Returns the connection that is dialled instead. */
+static LcLinkId
+close_link_and_get_redial (PairedMembership *pair, LcLinkId link)
+{
+  LbList actions;
+
+  lb_list_init (&actions);
+  lc_membership_link_closed (pair->membership, link, pair->now, &actions);
+  return free_actions_and_get_dialled_link (&actions);
+}
+
+static bool
+is_peer_available (const PairedMembership *pair)
+{
+  LcMemberView view;
+
+  return lc_membership_find_instance (pair->membership, "b", &view) && view.alive;
+}
+
+static void
+run_dial_across_pause (bool is_tick_first)
+{
+  PairedMembership pair;
+  LbList actions;
+
+  lb_list_init (&actions);
+  paired_membership_init (&pair);
+  LcLinkId dial = close_link_and_get_redial (&pair, pair.link);
+  cr_assert_neq (dial, 0);
+  pair.now += 6 * LB_SEC;
+  if (is_tick_first)
+    lc_membership_tick (pair.membership, pair.now, &actions);
+  LcLinkId redial = close_link_and_get_redial (&pair, dial);
+  LcMembershipTotals totals = lc_membership_totals (pair.membership);
+  cr_assert_eq (totals.suspected, 0, "the peer is suspected, tick first: %d", is_tick_first);
+  cr_assert_eq (totals.own_pauses, 1);
+  cr_assert_neq (redial, 0, "the peer is not dialled again");
+  close_link_and_get_redial (&pair, redial);
+  cr_assert_eq (lc_membership_totals (pair.membership).suspected, 1,
+                "a dial that fails after the pause counts");
+  free_actions_and_get_dialled_link (&actions);
+  lc_membership_free (pair.membership);
+}
+
+/* An instance is paused while it opens a connection. The peer closes the connection, since the
+ * handshake is not done in time. The paused instance reads the close before or after its next tick.
+ * It must not suspect the peer, but dial again; only a failure of that dial counts. */
+Test (membership, a_dial_in_progress_across_a_pause_does_not_count)
+{
+  run_dial_across_pause (false);
+  run_dial_across_pause (true);
+}
+
+/* An instance is paused for so long that its peer closes the connection. On resume it reads the
+ * close first. Callers must be sent to the peer all the time, and a frame that arrives after the
+ * pause ends this protection. */
+Test (membership, a_connection_lost_in_a_pause_does_not_make_the_peer_unavailable)
+{
+  PairedMembership pair;
+  LbList actions;
+
+  lb_list_init (&actions);
+  paired_membership_init (&pair);
+  cr_assert (is_peer_available (&pair));
+  pair.now += 6 * LB_SEC;
+  LcLinkId dial = close_link_and_get_redial (&pair, pair.link);
+  cr_assert_neq (dial, 0);
+  cr_assert (is_peer_available (&pair));
+  lc_membership_link_dialled (pair.membership, dial, &pair.peer, pair.now, &actions);
+  free_actions_and_get_dialled_link (&actions);
+  pair.now += 6 * LB_SEC;
+  lc_membership_frame_received (pair.membership, dial, pair.now);
+  close_link_and_get_redial (&pair, dial);
+  cr_assert_not (is_peer_available (&pair));
+  lc_membership_free (pair.membership);
+}
+
 /* Two data centres are partitioned for an hour, and each side declares the other dead. Afterwards
  * nobody has a connection to the other side, and the cluster would stay split. Both sides must
  * rejoin within 10 s. */
--- a/packages/node/src/membership/ln-peers-listen.c
+++ b/packages/node/src/membership/ln-peers-listen.c
@@ -14,6 +14,9 @@
 
 /* An accepted connection has to finish the handshake within this time. */
 #define HANDSHAKE_TIMEOUT (2 * LB_SEC)
+/* The handshakes are checked every 100 ms; a longer gap than this counts as a pause of this
+ * process. */
+#define PAUSE_THRESHOLD (300 * LB_MSEC)
 /* Maximum number of accepted connections whose handshake is not done. */
 #define MAX_UNAUTHENTICATED_CONNECTIONS 256
 
@@ -57,12 +60,26 @@
   ln_peers_add_connection (peers, connection, 0);
 }
 
+/* After a pause, the frames of peers wait unread, and closing their connections would look to them
+ * like a failed dial. */
+static LbTime
+detect_process_pause (LnPeers *peers, LbTime now)
+{
+  LbTime gap = peers->last_handshake_check_at ? now - peers->last_handshake_check_at : 0;
+
+  peers->last_handshake_check_at = now;
+  return gap > PAUSE_THRESHOLD ? gap : 0;
+}
+
 /* Without the deadline, a client that connects and sends nothing would hold a socket forever. */
 void
 ln_peers_close_expired_handshakes (LnPeers *peers, LbTime now)
 {
+  LbTime pause = detect_process_pause (peers, now);
+
   LB_LIST_FOREACH (&peers->connections, LnPeerConnection, link, connection)
   {
+    connection->handshake_deadline += pause;
     if (connection->id != 0 || now < connection->handshake_deadline)
       continue;
     lb_metric_count_error (LB_ERROR_TIMEOUT);
--- a/packages/node/src/membership/ln-peers-private.h
+++ b/packages/node/src/membership/ln-peers-private.h
@@ -21,7 +21,8 @@
   struct evconnlistener *listener;
   LbName *leaving_endpoints; /* endpoints that the platform's last list marks as leaving */
   size_t n_leaving_endpoints;
-  struct event *timer;       /* timer of the next call of lc_membership_tick */
+  struct event *timer; /* timer of the next call of lc_membership_tick */
+  LbTime last_handshake_check_at;
   LcMembership *membership;  /* NULL until the event loop runs and all addresses are known */
   LbList connections;        /* list of LnPeerConnection */
   LbList closed_connections; /* closed inside a handler; freed at the next timer event */
@@ -81,7 +82,8 @@
 /* Binds the configured peer address and stores the bound address in the context. Logs the error and
  * returns false if it cannot be bound. */
 bool ln_peers_start_listening (LnPeers *peers);
-/* Closes accepted connections whose handshake is not done at its deadline. */
+/* Closes accepted connections whose handshake is not done at its deadline. Called at least every
+ * 100 ms; a pause of this process does not count towards the deadline. */
 void ln_peers_close_expired_handshakes (LnPeers *peers, LbTime now);
 
 /* ln-peers-list.c: requests the platform's list of instances when it is due. */
--- a/packages/node/tests/test-peers.c
+++ b/packages/node/tests/test-peers.c
@@ -315,6 +315,28 @@
   cluster_clear (&cluster);
 }
 
+/* An instance is paused while a peer connects to it. The peer's frames wait unread, so the instance
+ * must not count the pause as a slow handshake: the peer would take the close for a failed dial and
+ * suspect the instance. */
+Test (peers, a_pause_does_not_count_towards_the_handshake_timeout)
+{
+  Cluster cluster;
+
+  cluster_init (&cluster);
+  Instance *first = start_instance (&cluster, "key", NULL);
+  run_event_loop_once (&cluster);
+  int fd = connect_client_to_instance (first);
+  for (int i = 0; i < 20; i++)
+    run_event_loop_once (&cluster);
+  usleep (2200000);
+  for (int i = 0; i < 200; i++)
+    run_event_loop_once (&cluster);
+  cr_assert_not (is_socket_closed (fd));
+  WAIT_UNTIL (&cluster, is_socket_closed (fd));
+  close (fd);
+  cluster_clear (&cluster);
+}
+
 /* Proxy between two instances. While `drops_bytes` is set, the proxy discards the bytes that arrive
  * on its connections but keeps the connections open. */
 typedef struct
