Shutdown: an instance exits under steady calls

Cause: exit_when_idle waited for a moment without a call in progress, but callers that keep the address go on calling, so such a moment may never come.

Change: once the drain time is over, the task "front" stops accepting: listeners and idle connections are closed, a request that still arrives on an open connection gets 503 draining (not run, Retry-After 0.1 s) and the connection is closed; requests in progress finish, streams included. A request whose bytes have arrived unread is answered with the refusal, not reset. Store calls that other instances relay are refused as "store unavailable", which they retry elsewhere. During the drain time requests are served as before.

An incomplete request delayed the exit by request_read_ms (10 s); after the drain time the limit is 1 s.

--- a/packages/node/include/ln-messages.h
+++ b/packages/node/include/ln-messages.h
@@ -48,6 +48,7 @@
 {
   LnMessage base;
   LnExchange *exchange;
+  bool is_refused; /* to the front task: the request arrived after the drain time; refuse it */
 } LnExchangeMessage;
 
 typedef struct
--- a/packages/node/include/ln-task.h
+++ b/packages/node/include/ln-task.h
@@ -17,6 +17,8 @@
   void (*receive) (LnTask *task, const LnMessage *message);
   /* Stops accepting new work; work in progress continues. */
   void (*drain) (LnTask *task);
+  /* Called once the drain time is over: accepts no more requests; those in progress continue. */
+  void (*stop_accepting) (LnTask *task);
   /* True when the task has no work in progress. */
   bool (*is_idle) (const LnTask *task);
   void (*free) (LnTask *task);
@@ -53,6 +55,7 @@
  * to: the receiver; NULL: all tasks. */
 void ln_post (LnHub *hub, LnTask *to, const LnMessage *message, size_t size);
 void ln_hub_drain_tasks (LnHub *hub);
+void ln_hub_stop_accepting (LnHub *hub);
 bool ln_hub_is_idle (const LnHub *hub);
 
 /* Usage: LnFoo message = { .base = LN_MESSAGE (LN_FOO) }; LN_POST (hub, to, message); */
--- a/packages/node/main/lentilspindled.c
+++ b/packages/node/main/lentilspindled.c
@@ -44,6 +44,7 @@
   LnStallDetector *stall_detector;
   LbTime min_drain_end; /* earliest time to exit after a drain started */
   bool is_draining;
+  bool has_stopped_accepting; /* the drain time is over: no more requests are accepted */
 } Daemon;
 
 static void
@@ -156,6 +157,9 @@
   return ok || lb_error_set (error, LB_ERROR_IO, path, "cannot write the address file");
 }
 
+/* After the drain time, exits as soon as no request is in progress. Callers may keep this
+ * instance's address and call it without a pause, so new requests are refused from then on;
+ * otherwise such a moment might never come. */
 static void
 exit_when_idle (evutil_socket_t fd, short what, void *user)
 {
@@ -163,9 +167,16 @@
   (void)what;
   Daemon *daemon = user;
 
-  if (lb_clock_monotonic () < daemon->min_drain_end || !ln_hub_is_idle (daemon->context.hub))
+  if (lb_clock_monotonic () < daemon->min_drain_end)
     return;
-  event_base_loopbreak (daemon->context.base);
+  if (!daemon->has_stopped_accepting)
+    {
+      daemon->has_stopped_accepting = true;
+      lb_log (LB_LOG_INFO, "accepting_stopped");
+      ln_hub_stop_accepting (daemon->context.hub);
+    }
+  if (ln_hub_is_idle (daemon->context.hub))
+    event_base_loopbreak (daemon->context.base);
 }
 
 /* The first SIGTERM or SIGINT starts the drain. Later signals are ignored, since they must not
--- a/packages/node/src/front/ln-caller.c
+++ b/packages/node/src/front/ln-caller.c
@@ -14,10 +14,15 @@
 #include <event2/event.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 /* evhtp's parser rejects a line of a request that has this number of bytes or more. */
 #define MAX_PARSER_LINE_BYTES 8192
 
+/* Time limit for receiving a request that is incomplete when the drain time is over. It only serves
+ * to refuse the request with a reply, so it must not delay the exit for long. */
+#define MAX_READ_TIME_AFTER_DRAIN LB_SEC
+
 static LbMetric connections
     = LB_GAUGE_INIT ("lentilspindle_caller_connections", NULL, "Open connections of callers");
 static LbMetric refused_connections
@@ -54,6 +59,14 @@
   evtimer_add (caller->timer, &interval);
 }
 
+static LbTime
+get_read_timeout (const LnCallers *callers)
+{
+  if (callers->has_stopped_accepting && callers->read_timeout > MAX_READ_TIME_AFTER_DRAIN)
+    return MAX_READ_TIME_AFTER_DRAIN;
+  return callers->read_timeout;
+}
+
 static bool
 is_reading_request (const LnCaller *caller)
 {
@@ -78,7 +91,7 @@
   evhtp_request_t *held_request = caller->held_request;
 
   caller->held_request = NULL;
-  start_connection_timer (caller, caller->callers->read_timeout);
+  start_connection_timer (caller, get_read_timeout (caller->callers));
   evhtp_request_resume (held_request);
 }
 
@@ -107,7 +120,8 @@
   if (caller->scanner.is_malformed)
     caller->refusal = LB_ERROR_BAD_REQUEST;
   else if (is_reading_request (caller) || get_partial_request_line_length (caller) > 0)
-    caller->refusal = LB_ERROR_TOO_SLOW;
+    caller->refusal
+        = caller->callers->has_stopped_accepting ? LB_ERROR_DRAINING : LB_ERROR_TOO_SLOW;
   evhtp_connection_free (caller->connection);
 }
 
@@ -196,7 +210,7 @@
   if (caller->scanner.is_malformed)
     start_connection_timer (caller, 0);
   else if (!caller->is_read_timer_started)
-    start_connection_timer (caller, caller->callers->read_timeout);
+    start_connection_timer (caller, get_read_timeout (caller->callers));
   caller->is_read_timer_started = false;
   return EVHTP_RES_OK;
 }
@@ -303,7 +317,7 @@
                       partial > 0 && partial == evbuffer_get_length (input) ? partial + 1 : 0);
   if (partial == 0 || partial > n_added)
     return;
-  start_connection_timer (caller, caller->callers->read_timeout);
+  start_connection_timer (caller, get_read_timeout (caller->callers));
   caller->is_read_timer_started = true;
 }
 
@@ -386,7 +400,7 @@
   read_caller_ip (caller);
   lh_socket_enable_keepalive (connection->sock);
   set_connection_hooks (connection, caller);
-  start_connection_timer (caller, callers->read_timeout);
+  start_connection_timer (caller, get_read_timeout (callers));
   caller->input_callback
       = evbuffer_add_cb (bufferevent_get_input (connection->bev), on_input_received, caller);
   set_read_watermark (caller, 0);
@@ -408,6 +422,39 @@
          || get_partial_request_line_length (caller) > 0 || evbuffer_get_length (output) > 0;
 }
 
+/* Whether bytes of a request have arrived that this process has not read yet. */
+static bool
+has_unread_input (const LnCaller *caller)
+{
+  char byte;
+
+  return recv (caller->connection->sock, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+static void
+close_or_limit_connection (LnCaller *caller)
+{
+  if (caller->exchange)
+    return;
+  if (is_reading_request (caller) || get_partial_request_line_length (caller) > 0
+      || has_unread_input (caller))
+    start_connection_timer (caller, get_read_timeout (caller->callers));
+  else if (evbuffer_get_length (bufferevent_get_output (caller->connection->bev)) > 0)
+    ln_caller_close (caller);
+  else
+    evhtp_connection_free (caller->connection);
+}
+
+void
+ln_callers_stop_accepting (LnCallers *callers)
+{
+  callers->has_stopped_accepting = true;
+  LB_LIST_FOREACH (&callers->connections, LnCaller, link, caller)
+  {
+    close_or_limit_connection (caller);
+  }
+}
+
 /* evhtp stops reading from a paused connection, so it would not detect a disconnect. evhtp stops
  * reading again after its callback returns, so reading must be resumed in the next iteration of the
  * event loop. The timer does this, as it is otherwise unused while a request is processed. */
@@ -421,7 +468,8 @@
 ln_caller_finish_reply (LnCaller *caller, evhtp_request_t *request)
 {
   caller->exchange = NULL;
-  if (caller->is_closed_after_reply || !(request->flags & EVHTP_REQ_FLAG_KEEPALIVE))
+  if (caller->is_closed_after_reply || caller->callers->has_stopped_accepting
+      || !(request->flags & EVHTP_REQ_FLAG_KEEPALIVE))
     {
       ln_caller_close (caller);
       return;
@@ -429,7 +477,7 @@
   if (get_partial_request_line_length (caller) > 0)
     {
       caller->held_request = request;
-      start_connection_timer (caller, caller->callers->read_timeout);
+      start_connection_timer (caller, get_read_timeout (caller->callers));
       bufferevent_enable (caller->connection->bev, EV_READ);
       return;
     }
--- a/packages/node/src/front/ln-caller.h
+++ b/packages/node/src/front/ln-caller.h
@@ -29,6 +29,7 @@
   struct LnRecorder *recorder; /* records a trace of the requests; NULL: none is recorded */
   bool has_exact_retry_after;  /* Retry-After headers contain fractions of a second */
   bool is_draining;            /* each connection is closed after its next reply */
+  bool has_stopped_accepting;  /* the drain time is over: new requests are refused */
 } LnCallers;
 
 /* A caller's connection. Enforces the limits in LnCallers and closes the connection. */
@@ -56,6 +57,9 @@
 
 void ln_callers_init (LnCallers *callers, struct event_base *base);
 void ln_callers_clear (LnCallers *callers);
+/* Called once the drain time is over. Closes idle connections; each of the others is closed after
+ * the reply to its current request. */
+void ln_callers_stop_accepting (LnCallers *callers);
 /* Callback of evhtp for a new connection. callers: the LnCallers to add the connection to. Refuses
  * the connection when max_connections are open. */
 evhtp_res ln_caller_accept (evhtp_connection_t *connection, void *callers);
--- a/packages/node/src/front/ln-front.c
+++ b/packages/node/src/front/ln-front.c
@@ -22,6 +22,9 @@
 /* Maximum number of listeners: one each for callers, address lookups, readiness checks, metrics
  * and, on a shared platform, other instances. */
 #define MAX_LISTENERS 5
+/* Retry-After of a request that arrives after the drain time. Another instance serves it at once.
+ */
+#define STOPPED_RETRY_AFTER (100 * LB_MSEC)
 
 /* The HTTP front end: receives complete requests, within the configured limits, and posts each to
  * the task of its route. */
@@ -52,6 +55,10 @@
                                   { "GET", "/healthz", "front" },
                                   { "GET", "/readyz", "front" } };
 
+static LbMetric requests_after_drain
+    = LB_COUNTER_INIT ("lentilspindle_requests_after_drain_total",
+                       NULL,
+                       "Requests refused because they arrived after the drain time");
 static LbMetric requests = LB_COUNTER_INIT ("lentilspindle_requests_total",
                                             NULL,
                                             "Complete requests received from callers");
@@ -118,6 +125,9 @@
 
   if (!task)
     task = &front->task;
+  message.is_refused = front->callers.has_stopped_accepting && task != &front->task;
+  if (message.is_refused)
+    task = &front->task;
   lb_metric_add (&requests, 1);
   if (recorder)
     ln_recorder_add_request (recorder, exchange, lb_clock_monotonic ());
@@ -178,6 +188,32 @@
   ln_exchange_reply_error (exchange, &error, 0);
 }
 
+/* Refuses a request that arrived after the drain time. An instance whose store call is refused as
+ * "store unavailable" relays the call through another instance. */
+static void
+refuse_request_after_drain_time (const LnFront *front, LnExchange *exchange)
+{
+  bool is_store_call
+      = front->context->dialect && strcmp (ln_exchange_path (exchange), LP_PEER_PATH) == 0;
+  LbError error = { 0 };
+
+  lb_metric_add (&requests_after_drain, 1);
+  if (!front->context->dialect)
+    ln_exchange_set_reply_header (exchange, "x-entry-stale", "1");
+  lb_error_set (&error, is_store_call ? LB_ERROR_STORE_AWAY : LB_ERROR_DRAINING, "",
+                "this instance is shutting down");
+  ln_exchange_reply_error (exchange, &error, is_store_call ? 0 : STOPPED_RETRY_AFTER);
+}
+
+static void
+receive_exchange (LnFront *front, const LnExchangeMessage *message)
+{
+  if (message->is_refused)
+    refuse_request_after_drain_time (front, message->exchange);
+  else
+    reply_to_front_request (front, message->exchange);
+}
+
 static int64_t
 max_int64 (int64_t a, int64_t b)
 {
@@ -208,7 +244,7 @@
   switch ((LnMessageType)message->type)
     {
     case LN_EXCHANGE:
-      reply_to_front_request (front, ((const LnExchangeMessage *)message)->exchange);
+      receive_exchange (front, (const LnExchangeMessage *)message);
       break;
     case LN_READY:
       front->is_ready = ((const LnReadyMessage *)message)->ready;
@@ -246,14 +282,30 @@
 }
 
 static void
-free_servers (LnFront *front)
+close_listeners (LnFront *front)
 {
   for (size_t i = 0; i < front->n_servers; i++)
     {
       if (front->servers[i]->server)
         evhtp_unbind_socket (front->servers[i]);
-      evhtp_free (front->servers[i]);
     }
+}
+
+static void
+stop_accepting_requests (LnTask *task)
+{
+  LnFront *front = (LnFront *)task;
+
+  close_listeners (front);
+  ln_callers_stop_accepting (&front->callers);
+}
+
+static void
+free_servers (LnFront *front)
+{
+  close_listeners (front);
+  for (size_t i = 0; i < front->n_servers; i++)
+    evhtp_free (front->servers[i]);
   front->n_servers = 0;
 }
 
@@ -271,6 +323,7 @@
 static const LnTaskClass front_class = { .name = "front",
                                          .receive = receive_message_for_front_task,
                                          .drain = drain_front_task,
+                                         .stop_accepting = stop_accepting_requests,
                                          .is_idle = is_front_task_idle,
                                          .free = free_front_task };
 
--- a/packages/node/src/task/ln-task.c
+++ b/packages/node/src/task/ln-task.c
@@ -129,6 +129,16 @@
   }
 }
 
+void
+ln_hub_stop_accepting (LnHub *hub)
+{
+  LB_LIST_FOREACH (&hub->tasks, LnTask, link, task)
+  {
+    if (task->klass->stop_accepting)
+      task->klass->stop_accepting (task);
+  }
+}
+
 bool
 ln_hub_is_idle (const LnHub *hub)
 {
--- a/packages/node/tests/test-calls.c
+++ b/packages/node/tests/test-calls.c
@@ -462,7 +462,8 @@
 }
 
 /* The instance is drained while an answer streams. New calls are refused as "not run", the stream
- * runs to its end, and only then is the instance idle. */
+ * runs to its end also after the drain time, its connection is closed, and only then is the
+ * instance idle. */
 Test (calls, drain_refuses_new_calls_and_lets_streams_finish)
 {
   Setup s;
@@ -486,10 +487,12 @@
   cr_assert (strstr (late.text, "x-entry: 10.0.0.2:80\r\n"), "expected entry 10.0.0.2:80, got %s",
              late.text);
   FIXTURE_WAIT_UNTIL (&s.f, connection_is_closed_by_daemon (&late));
+  ln_hub_stop_accepting (s.f.context.hub);
   cr_assert_not (ln_hub_is_idle (s.f.context.hub));
   endpoint_send_token (&engine, id, 1, " two", true);
   endpoint_send_stream_end (&engine);
   FIXTURE_WAIT_UNTIL (&s.f, connection_has_received (&caller, "data: [DONE]"));
+  FIXTURE_WAIT_UNTIL (&s.f, connection_is_closed_by_daemon (&caller));
   FIXTURE_WAIT_UNTIL (&s.f, ln_hub_is_idle (s.f.context.hub));
   connection_close (&engine);
   connection_close (&caller);
--- a/packages/node/tests/test-front.c
+++ b/packages/node/tests/test-front.c
@@ -379,3 +379,113 @@
     }
   fixture_clear (&f);
 }
+
+static bool
+can_connect (const Fixture *f)
+{
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  struct sockaddr_in to = fixture_make_loopback_address (f->context.caller_address);
+  bool ok = connect (fd, (struct sockaddr *)&to, sizeof to) == 0;
+
+  close (fd);
+  return ok;
+}
+
+/* Callers that keep the address of an instance go on calling it after its drain time. The instance
+ * must then close its listener and idle connections, and must not pass on a request that still
+ * arrives, whether it was unread, incomplete or not begun when the drain time ended. */
+Test (front, requests_after_the_drain_time_are_refused_as_not_run)
+{
+  enum
+  {
+    UNREAD,
+    INCOMPLETE,
+    N_SENDERS
+  };
+  static const char head[]
+      = "POST /v1/completions HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n";
+  Fixture f;
+  TestConnection idle;
+  TestConnection senders[N_SENDERS];
+
+  fixture_init_settings_and_event_base (&f);
+  fixture_start_front_and_calls (&f);
+  fixture_apply_engines_and_services (&f, NULL, NULL);
+  caller_connect (&f, &idle);
+  for (int i = 0; i < N_SENDERS; i++)
+    caller_connect (&f, &senders[i]);
+  for (int i = 0; i < 20; i++)
+    fixture_run_event_loop_once (&f);
+  connection_send_text (&senders[INCOMPLETE], head);
+  for (int i = 0; i < 20; i++)
+    fixture_run_event_loop_once (&f);
+  ln_hub_drain_tasks (f.context.hub);
+  cr_assert (can_connect (&f), "connections are accepted during the drain time");
+  connection_send_text (&senders[UNREAD], head);
+  connection_send_text (&senders[UNREAD], "{}");
+  ln_hub_stop_accepting (f.context.hub);
+
+  cr_assert_not (can_connect (&f));
+  FIXTURE_WAIT_UNTIL (&f, connection_is_closed_by_daemon (&idle));
+  cr_assert_eq (idle.length, 0, "expected no reply, got %s", idle.text);
+  connection_send_text (&senders[INCOMPLETE], "{}");
+  for (int i = 0; i < N_SENDERS; i++)
+    {
+      FIXTURE_WAIT_UNTIL (&f, connection_is_closed_by_daemon (&senders[i]));
+      cr_assert (strstr (senders[i].text, "503") && strstr (senders[i].text, "\"draining\"")
+                     && strstr (senders[i].text, "x-not-run: 1")
+                     && strstr (senders[i].text, "Connection: close"),
+                 "sender %d: got %s", i, senders[i].text);
+      connection_close (&senders[i]);
+    }
+  FIXTURE_WAIT_UNTIL (&f, ln_hub_is_idle (f.context.hub));
+  connection_close (&idle);
+  fixture_clear (&f);
+}
+
+/* A caller has sent a part of a request when the drain time ends, and sends no more. The read
+ * timeout of 10 s would delay the exit beyond the grace period. */
+Test (front, incomplete_request_does_not_delay_the_exit)
+{
+  Fixture f;
+  TestConnection caller;
+
+  fixture_init_settings_and_event_base (&f);
+  fixture_start_front_and_calls (&f);
+  caller_connect (&f, &caller);
+  connection_send_text (&caller, "POST /v1/completions HTTP/1.1\r\nHost: h\r\n");
+  for (int i = 0; i < 20; i++)
+    fixture_run_event_loop_once (&f);
+  ln_hub_drain_tasks (f.context.hub);
+  LbTime stopped_at = lb_clock_monotonic ();
+  ln_hub_stop_accepting (f.context.hub);
+  FIXTURE_WAIT_UNTIL (&f, connection_is_closed_by_daemon (&caller));
+  cr_assert (strstr (caller.text, "\"draining\""), "got %s", caller.text);
+  connection_close (&caller);
+  FIXTURE_WAIT_UNTIL (&f, ln_hub_is_idle (f.context.hub));
+  cr_assert_lt (lb_clock_monotonic () - stopped_at, 4 * LB_SEC);
+  fixture_clear (&f);
+}
+
+/* A caller goes on sending after its request was refused. Each byte restarted the timeout of the
+ * lingering close, so the connection stayed open and the instance never became idle. */
+Test (front, steady_sender_does_not_delay_the_exit)
+{
+  Fixture f;
+  TestConnection caller;
+
+  fixture_init_settings_and_event_base (&f);
+  fixture_start_front_and_calls (&f);
+  caller_connect (&f, &caller);
+  connection_send_text (&caller, "nonsense\r\n\r\n");
+  FIXTURE_WAIT_UNTIL (&f, connection_has_received (&caller, "bad_request"));
+  LbTime end = lb_clock_monotonic () + 10 * LB_SEC;
+  while (!ln_hub_is_idle (f.context.hub) && lb_clock_monotonic () < end)
+    {
+      send (caller.fd, "a", 1, 0);
+      fixture_run_event_loop_once (&f);
+    }
+  cr_assert (ln_hub_is_idle (f.context.hub), "the connection is still open after 10 s");
+  connection_close (&caller);
+  fixture_clear (&f);
+}
