batches: name the next owner when an instance shuts down

Cause: a released batch was taken over by whichever instance came first by its own view of the ranks, which also offered batches to instances that a rolling restart stopped next; one batch had four owners within 6 s. A release that the store did not confirm was not repeated.

Change: - lc-succession (core) chooses the next owner: the owner of the model's other batches; in a rolling restart, instances restarted since it began, unless their machine has less than an eighth of the best candidate's strength; then by strength divided by the number of models. Choices made while several batches are released count the earlier ones, and one model goes to one instance. - New batches use the same choice. They leave a running owner only while instances are draining, if that owner has not been restarted, at least two instances and an eighth of the candidates have, and one of them has half of the owner's strength per model. Otherwise they stay, since a move costs a connection for each slot of each engine. - The released row names the next owner in `preferred` and gets `released_ms` (store's clock). The next owner claims it when it sees the row; the others wait 300 ms more, or not at all if the next owner died or is draining. The instance that releases and the next owner have no rank. - Member rows carry `started_ms`. It is absent until the store's clock is known; rows of previous builds have none and get no preference. - A release without an answer is retried for up to 7 s, with the checkpoints, as long as the row still names this process in the same epoch. A batch that a draining instance accepts or claims late is released at once; before, it was claimed back and then left without an owner until the process's death was detected. - Log: batch_released has next_owner, reason and duration, batch_taken_over has reason, released_by and since_release_ms. Metric: lentilspindle_batch_handover_seconds. Switch: `successors` in measure.off.

Previous builds ignore the new fields and read `preferred` as before; rows that they release are taken over by rank.

--- a/packages/base/include/lb-switch.h
+++ b/packages/base/include/lb-switch.h
@@ -18,7 +18,8 @@
   LB_SWITCH_CARRIED_TEXTS, /* resumes cached partial texts if a sample group is requested again */
   LB_SWITCH_DIVISION,      /* divides the engines among the models by each model's demand */
   LB_SWITCH_LOADS_IN_TURN, /* lets at most a fifth of the engines load weights concurrently */
-  LB_SWITCH_OFFERS, /* offers a new batch to the instance that runs the model's other batches */
+  LB_SWITCH_OFFERS,     /* offers a new batch to the instance that runs the model's other batches */
+  LB_SWITCH_SUCCESSORS, /* names the next owner of a batch that is released on shutdown */
   LB_SWITCH_WAY_THROUGH_PEERS, /* sends store calls through a peer instance if direct calls fail */
   LB_SWITCH_SENT_AGAIN,        /* resends calls that the store dropped while it was unresponsive */
   LB_SWITCH_BREAKERS,          /* stops requests to endpoints that often fail (circuit breakers) */
--- a/packages/core/include/lc-batch-head.h
+++ b/packages/core/include/lc-batch-head.h
@@ -13,15 +13,18 @@
   LbName batch;
   LbName owner; /* instance that runs the batch; empty: released, any instance may take it over */
   LbName incarnation;
-  LbName
-      released_by; /* instance that released the batch when it shut down, while there is no owner */
-  int64_t epoch;   /* fencing token: incremented with each change of owner */
+  /* While there is no owner: the instance that released the batch when it shut down, and the
+   * store's clock at that time (0: unknown). */
+  LbName released_by;
+  int64_t released_ms;
+  int64_t epoch; /* fencing token: incremented with each change of owner */
   bool ended;
   int64_t n_items;
   LbName model;
   int64_t expected_tokens; /* expected total length of the batch's texts */
-  /* Instance that should take over the batch from the instance that accepted it. One instance runs
-   * all batches of a model, so that its connections to the engines are reused. */
+  /* Instance that should take over the batch from the instance that accepted it or that released
+   * it. One instance runs all batches of a model, so that its connections to the engines are
+   * reused. */
   LbName preferred_instance;
   LbName organisation;           /* organisation that the batch belongs to; empty: none */
   int64_t organisation_priority; /* priority when the batch was accepted; larger values run first */
@@ -32,8 +35,8 @@
 struct json_object *lc_batch_head_to_json (const LcBatchHead *head);
 bool lc_batch_head_from_json (struct json_object *object, LcBatchHead *head);
 
-/* Returns the preferred instance, if any, while the batch has its first owner (epoch 1); otherwise
- * the current owner. */
+/* Returns the preferred instance, if any, while the batch has its first owner (epoch 1) or none;
+ * otherwise the current owner. */
 const char *lc_batch_head_assigned_instance (const LcBatchHead *head);
 /* Whether the next batch of a model is assigned to the instance of batch a rather than to that of
  * batch b. The versions are those of the batches' rows in the store. */
--- a/packages/core/include/lc-batch-takeover.h
+++ b/packages/core/include/lc-batch-takeover.h
@@ -37,4 +37,34 @@
                                int64_t row_version,
                                const LcBatchMember *member);
 
+typedef enum
+{
+  LC_TAKEOVER_OFFERED,       /* the row names this instance as the next owner */
+  LC_TAKEOVER_OFFER_EXPIRED, /* the instance to which this one offered the batch did not claim it */
+  LC_TAKEOVER_RELEASED,      /* the batch was released, and no next owner has claimed it */
+  LC_TAKEOVER_OWNER_GONE,    /* the owner died or restarted */
+  LC_TAKEOVER_OWNER_NOT_LISTED /* no instance with the owner's name is known */
+} LcTakeoverReason;
+
+const char *lc_takeover_reason_name (LcTakeoverReason reason);
+
+typedef struct
+{
+  LcTakeoverReason reason;
+  LbTime delay; /* from when the owner was found missing to the claim by this instance */
+} LcTakeover;
+
+/* Decides when this instance claims a batch whose owner is missing. is_next_owner_available: the
+ * next owner that the row names is alive and not draining. rank: position of this instance among
+ * those that may take the batch over, without the next owner. */
+LcTakeover lc_batch_plan_takeover (const LcBatchHead *head,
+                                   LcBatchOwnerState state,
+                                   const char *self,
+                                   bool is_next_owner_available,
+                                   size_t rank);
+
+/* Whether the row asks this instance to claim the batch at once: as the next owner of a released
+ * batch, or as the instance to which the batch's first owner, in epoch 1, offers it. */
+bool lc_batch_is_offered_to (const LcBatchHead *head, const char *self);
+
 #endif
--- a/packages/core/include/lc-fleet.h
+++ b/packages/core/include/lc-fleet.h
@@ -27,7 +27,8 @@
   /* time at which the row was renewed, by the store's clock as the instance estimated it; 0:
    * unknown */
   int64_t renewed_ms;
-  LbTime period; /* time between two renewals of the row */
+  int64_t started_ms; /* store's clock when the process started; 0: unknown */
+  LbTime period;      /* time between two renewals of the row */
   /* service of which the endpoints that the instance knows are nearly full; "": none */
   LbName overloaded_service;
 } LcFleetRow;
--- a/packages/core/src/batch/lc-batch-head.c
+++ b/packages/core/src/batch/lc-batch-head.c
@@ -15,7 +15,10 @@
   json_object_object_add (object, "owner", json_object_new_string (head->owner));
   json_object_object_add (object, "incarnation", json_object_new_string (head->incarnation));
   if (head->released_by[0])
-    json_object_object_add (object, "released_by", json_object_new_string (head->released_by));
+    {
+      json_object_object_add (object, "released_by", json_object_new_string (head->released_by));
+      json_object_object_add (object, "released_ms", json_object_new_int64 (head->released_ms));
+    }
   json_object_object_add (object, "epoch", json_object_new_int64 (head->epoch));
   json_object_object_add (object, "ended", json_object_new_boolean (head->ended));
   json_object_object_add (object, "total", json_object_new_int64 (head->n_items));
@@ -41,6 +44,7 @@
   LB_COPY (head->owner, lb_json_text (object, "owner", ""));
   LB_COPY (head->incarnation, lb_json_text (object, "incarnation", ""));
   LB_COPY (head->released_by, lb_json_text (object, "released_by", ""));
+  head->released_ms = lb_json_int (object, "released_ms", 0);
   head->epoch = lb_json_int (object, "epoch", 0);
   head->ended = lb_json_bool (object, "ended", false);
   head->n_items = lb_json_int (object, "total", 0);
@@ -57,7 +61,10 @@
 const char *
 lc_batch_head_assigned_instance (const LcBatchHead *head)
 {
-  return head->epoch == 1 && head->preferred_instance[0] ? head->preferred_instance : head->owner;
+  bool has_first_owner_or_none = head->epoch == 1 || !head->owner[0];
+
+  return has_first_owner_or_none && head->preferred_instance[0] ? head->preferred_instance
+                                                                : head->owner;
 }
 
 /* A running batch takes precedence over an ended one even with an older row version, since the end
--- a/packages/core/src/membership/lc-fleet.c
+++ b/packages/core/src/membership/lc-fleet.c
@@ -60,6 +60,8 @@
   json_object_object_add (object, "strength", json_object_new_int64 (row->strength));
   if (row->clock_lead_ms != 0)
     json_object_object_add (object, "clock_lead_ms", json_object_new_int64 (row->clock_lead_ms));
+  if (row->started_ms != 0)
+    json_object_object_add (object, "started_ms", json_object_new_int64 (row->started_ms));
   if (row->overloaded_service[0])
     json_object_object_add (object, "crowded", json_object_new_string (row->overloaded_service));
   json_object_object_add (object, "renewed_ms", json_object_new_int64 (row->renewed_ms));
@@ -81,6 +83,7 @@
   LB_COPY (row->overloaded_service, lb_json_text (object, "crowded", ""));
   row->cut = lb_json_bool (object, "cut", false);
   row->strength = lb_json_int (object, "strength", 0);
+  row->started_ms = lb_json_int (object, "started_ms", 0);
   row->clock_lead_ms = lb_json_int (object, "clock_lead_ms", 0);
   row->renewed_ms = lb_json_int (object, "renewed_ms", 0);
   row->period = lb_json_int (object, "period_ms", DEFAULT_RENEWAL_PERIOD / LB_MSEC) * LB_MSEC;
@@ -179,7 +182,7 @@
 {
   return strcmp (a->incarnation, b->incarnation) == 0 && a->ready == b->ready
          && a->draining == b->draining && a->cut == b->cut && a->clock_lead_ms == b->clock_lead_ms
-         && strcmp (a->caller_address, b->caller_address) == 0
+         && a->started_ms == b->started_ms && strcmp (a->caller_address, b->caller_address) == 0
          && strcmp (a->overloaded_service, b->overloaded_service) == 0;
 }
 
--- a/packages/core/tests/test-batch-head.c
+++ b/packages/core/tests/test-batch-head.c
@@ -14,6 +14,8 @@
   LB_COPY (head.batch, "b1");
   LB_COPY (head.owner, "a");
   LB_COPY (head.path, "/r/b1");
+  LB_COPY (head.released_by, "b");
+  head.released_ms = 5;
   struct json_object *object = lc_batch_head_to_json (&head);
   cr_assert (lc_batch_head_from_json (object, &read));
   struct json_object *again = lc_batch_head_to_json (&read);
@@ -48,6 +50,17 @@
   cr_assert_str_eq (lc_batch_head_assigned_instance (&head), "a");
 }
 
+/* Several batches that one instance releases must be spread over several next owners, so a released
+ * batch must count as assigned to the next owner that its row names. */
+Test (batch_head, released_batch_is_assigned_to_the_named_next_owner)
+{
+  LcBatchHead head = { .epoch = 4, .preferred_instance = "b", .released_by = "a" };
+
+  cr_assert_str_eq (lc_batch_head_assigned_instance (&head), "b");
+  head.preferred_instance[0] = '\0';
+  cr_assert_str_eq (lc_batch_head_assigned_instance (&head), "");
+}
+
 /* After an owner died, two steps of a model run on two instances. The end of the first step updates
  * its row. If the row with the highest version decided, the third step would join the first step's
  * instance and the fourth the second's, and both instances would keep connections to all engines.
--- a/packages/core/tests/test-batch-takeover.c
+++ b/packages/core/tests/test-batch-takeover.c
@@ -68,3 +68,50 @@
   cr_assert_not (lc_batch_was_released_by (&released, ROW_VERSION, &other));
   cr_assert_not (lc_batch_was_released_by (&owned, ROW_VERSION, &nameless));
 }
+
+static LbTime
+get_takeover_delay (const char *self, bool is_next_owner_available, size_t rank)
+{
+  const LcBatchHead head = { .released_by = "a", .preferred_instance = "b", .epoch = 2 };
+
+  return lc_batch_plan_takeover (&head, LC_BATCH_OWNER_NONE, self, is_next_owner_available, rank)
+      .delay;
+}
+
+/* If all instances claimed a released batch at once, the claims of a rank order that differs from
+ * instance to instance would collide, and each would cost a store write. */
+Test (batch_takeover, next_owner_claims_at_once_and_others_wait_for_it)
+{
+  cr_assert_eq (get_takeover_delay ("b", true, 3), 0);
+  cr_assert_eq (get_takeover_delay ("c", true, 0), 300 * LB_MSEC);
+  cr_assert_eq (get_takeover_delay ("d", true, 1), 700 * LB_MSEC);
+}
+
+/* If the next owner died or drains too, nobody may wait for it. */
+Test (batch_takeover, others_do_not_wait_for_a_next_owner_that_is_not_available)
+{
+  cr_assert_eq (get_takeover_delay ("c", false, 0), 0);
+  cr_assert_eq (get_takeover_delay ("d", false, 2), 800 * LB_MSEC);
+}
+
+Test (batch_takeover, owner_that_died_is_replaced_by_rank)
+{
+  LcTakeover takeover = lc_batch_plan_takeover (&owned, LC_BATCH_OWNER_GONE, "b", true, 1);
+
+  cr_assert_eq (takeover.delay, 400 * LB_MSEC);
+  cr_assert_eq (takeover.reason, LC_TAKEOVER_OWNER_GONE);
+}
+
+Test (batch_takeover, batch_is_offered_in_its_first_epoch_and_when_released)
+{
+  LcBatchHead head = { .owner = "a", .preferred_instance = "b", .epoch = 1 };
+
+  cr_assert (lc_batch_is_offered_to (&head, "b"));
+  cr_assert_not (lc_batch_is_offered_to (&head, "c"));
+  head.epoch = 2;
+  cr_assert_not (lc_batch_is_offered_to (&head, "b"));
+  head.owner[0] = '\0';
+  cr_assert (lc_batch_is_offered_to (&head, "b"));
+  head.ended = true;
+  cr_assert_not (lc_batch_is_offered_to (&head, "b"));
+}
--- a/packages/node/include/ln-messages.h
+++ b/packages/node/include/ln-messages.h
@@ -180,6 +180,7 @@
   bool draining;
   bool cut;              /* the instance can reach the store only through other instances */
   int64_t strength;      /* capacity of the instance's machine, see lc-duty.h */
+  int64_t started_ms;    /* store's clock when the instance's process started; 0: unknown */
   int64_t clock_lead_ms; /* the instance's wall clock minus the store's; 0: not reported */
   bool is_self;
 } LnMember;
--- a/packages/node/src/batch/ln-batch-heads.c
+++ b/packages/node/src/batch/ln-batch-heads.c
@@ -25,10 +25,6 @@
 /* Time for the preferred instance to claim an offered batch; longer than several store round
  * trips. */
 #define BATCH_OFFER_TIMEOUT (300 * LB_MSEC)
-/* The instances that can take over a batch are ranked for the batch's model. An instance waits this
- * long per rank before it takes the batch over, so that the instances do not all write at once. */
-#define BATCH_TAKEOVER_DELAY_PER_RANK (400 * LB_MSEC)
-
 static unsigned
 compute_batch_partition (const char *id)
 {
@@ -74,8 +70,8 @@
   snprintf (key, LN_BATCH_KEY_SIZE, "batch-%s", id);
 }
 
-static bool
-is_owned_by_this_process (const LnBatch *batch)
+bool
+ln_batch_is_owned (const LnBatch *batch)
 {
   const LnContext *context = batch->batches->context;
 
@@ -84,15 +80,17 @@
 }
 
 /* Loads a batch whose row names this process as the owner, after a claim that succeeded or that was
- * reported as failed but took effect. */
+ * reported as failed but took effect. If this instance shuts down meanwhile, it passes the batch
+ * on. */
 static void
 load_owned_batch (LnBatch *batch)
 {
-  if (batch->batches->draining)
-    return;
   lb_log (LB_LOG_INFO, "batch_adopted", LB_TEXT ("batch", batch->id),
           LB_INT ("epoch", batch->head.epoch));
-  ln_batch_load_and_run (batch);
+  if (batch->batches->draining)
+    ln_batch_release_ownership (batch);
+  else
+    ln_batch_load_and_run (batch);
 }
 
 static bool
@@ -105,20 +103,11 @@
 void
 ln_batch_load_and_run_if_owned (LnBatch *batch)
 {
-  if (batch->state == LN_BATCH_NOT_OWNED && is_owned_by_this_process (batch) && !batch->head.ended)
+  if (batch->state == LN_BATCH_NOT_OWNED && ln_batch_is_owned (batch) && !batch->head.ended)
     load_owned_batch (batch);
 }
 
-static void claim_batch (LnBatch *batch);
-
-/* Whether the instance that accepted the batch, its owner in epoch 1, offers it to this instance.
- * This instance accepts the offer by claiming the batch. */
-static bool
-is_offered_to_this_instance (const LnBatch *batch)
-{
-  return batch->head.epoch == 1 && !batch->head.ended && !batch->batches->draining
-         && strcmp (batch->head.preferred_instance, batch->batches->context->instance) == 0;
-}
+static void claim_batch (LnBatch *batch, LcTakeoverReason reason);
 
 static void
 start_or_stop_run_after_row_change (LnBatch *batch, const LcBatchHead *old_head)
@@ -128,18 +117,17 @@
       batch->ended_at = lb_clock_monotonic ();
       lb_log (LB_LOG_INFO, "batch_ended", LB_TEXT ("batch", batch->id));
     }
-  if (batch->head.epoch != old_head->epoch)
+  if (batch->head.epoch != old_head->epoch || strcmp (batch->head.owner, old_head->owner) != 0)
     batch->owner_gone_since = 0;
   /* If the row has a new epoch but still names this process, a claim that was reported as failed
    * took effect. The current run was started under the previous version of the row, so all its
    * writes of results would fail. */
   if (is_batch_loading_running_or_offered (batch)
-      && (batch->head.ended || !is_owned_by_this_process (batch)
-          || batch->head.epoch != old_head->epoch))
+      && (batch->head.ended || !ln_batch_is_owned (batch) || batch->head.epoch != old_head->epoch))
     ln_batch_owner_stop_run (batch);
-  if (batch->state == LN_BATCH_NOT_OWNED && !is_owned_by_this_process (batch)
-      && is_offered_to_this_instance (batch))
-    claim_batch (batch);
+  if (batch->state == LN_BATCH_NOT_OWNED && !ln_batch_is_owned (batch) && !batch->batches->draining
+      && lc_batch_is_offered_to (&batch->head, batch->batches->context->instance))
+    claim_batch (batch, LC_TAKEOVER_OFFERED);
   ln_batch_load_and_run_if_owned (batch);
 }
 
@@ -265,11 +253,18 @@
   return candidates;
 }
 
+const LcBatchHead *
+ln_batch_get_latest_head (const LnBatch *batch)
+{
+  return batch->state == LN_BATCH_RELEASING ? &batch->pending_head : &batch->head;
+}
+
 static bool
 is_open_batch_assigned_to_instance (const LnBatch *batch, const char *instance)
 {
   return batch->version > 0 && !batch->head.ended
-         && strcmp (lc_batch_head_assigned_instance (&batch->head), instance) == 0;
+         && strcmp (lc_batch_head_assigned_instance (ln_batch_get_latest_head (batch)), instance)
+                == 0;
 }
 
 /* Whether the hash table has no earlier batch of the same model that is assigned to the instance.
@@ -297,26 +292,57 @@
   return n;
 }
 
-/* Removes the instance that released the batch, which counts as a candidate as long as its draining
- * state is not known here, and would then delay all others by its rank. */
-static size_t
-remove_releasing_instance (const LnBatch *batch, LcDutyCandidate *candidates, size_t n)
+static bool
+has_released_batch (const LnBatch *batch, const LnMember *member)
+{
+  const LcBatchMember view = get_batch_member (member);
+
+  return lc_batch_was_released_by (&batch->head, batch->version, &view);
+}
+
+/* Whether the next owner that the row of a released batch names is expected to claim the batch. */
+static bool
+is_next_owner_available (const LnBatch *batch)
 {
   const LnBatches *batches = batch->batches;
 
   for (size_t i = 0; i < batches->n_members; i++)
     {
-      const LcBatchMember member = get_batch_member (&batches->members[i]);
-      if (!lc_batch_was_released_by (&batch->head, batch->version, &member))
-        continue;
-      for (size_t j = 0; j < n; j++)
-        if (strcmp (candidates[j].name, member.name) == 0)
-          {
-            candidates[j] = candidates[n - 1];
-            return n - 1;
-          }
+      const LnMember *member = &batches->members[i];
+      if (strcmp (member->name, batch->head.preferred_instance) == 0)
+        return member->alive && !member->draining && !has_released_batch (batch, member);
     }
-  return n;
+  return false;
+}
+
+static void
+remove_candidate (const char *name, LcDutyCandidate *candidates, size_t *n)
+{
+  for (size_t i = 0; i < *n; i++)
+    if (strcmp (candidates[i].name, name) == 0)
+      {
+        candidates[i] = candidates[--*n];
+        return;
+      }
+}
+
+/* Removes the instances that do not claim a released batch by rank, and would delay the others: the
+ * one that released it, whose draining state may not be known here yet, and the next owner that the
+ * row names, unless it is this instance. */
+static void
+remove_releasing_instance_and_next_owner (const LnBatch *batch,
+                                          LcDutyCandidate *candidates,
+                                          size_t *n)
+{
+  const LnBatches *batches = batch->batches;
+
+  if (batch->head.owner[0])
+    return;
+  for (size_t i = 0; i < batches->n_members; i++)
+    if (has_released_batch (batch, &batches->members[i]))
+      remove_candidate (batches->members[i].name, candidates, n);
+  if (strcmp (batch->head.preferred_instance, batches->context->instance) != 0)
+    remove_candidate (batch->head.preferred_instance, candidates, n);
 }
 
 size_t
@@ -325,17 +351,15 @@
   size_t n;
   LcDutyCandidate *candidates = ln_batches_list_duty_candidates (batch->batches, &n);
 
-  n = remove_releasing_instance (batch, candidates, n);
+  remove_releasing_instance_and_next_owner (batch, candidates, &n);
   size_t rank = lc_duty_rank (duty, batch->batches->context->instance, candidates, n);
 
   free (candidates);
   return rank;
 }
 
-/* Applies the batch's row that was written, unless the watch has already shown that version of the
- * row or a newer one. */
-static void
-apply_written_batch_row (LnBatch *batch, int64_t version)
+void
+ln_batch_apply_written_row (LnBatch *batch, int64_t version)
 {
   if (version <= batch->version)
     return;
@@ -353,9 +377,15 @@
   batch->state = LN_BATCH_NOT_OWNED;
   batch->owner_gone_since = 0;
   lb_log (LB_LOG_INFO, "batch_taken_over", LB_TEXT ("batch", batch->id),
-          LB_INT ("epoch", batch->pending_head.epoch), LB_TEXT ("outcome", lb_error_name (error)));
+          LB_INT ("epoch", batch->pending_head.epoch), LB_TEXT ("outcome", lb_error_name (error)),
+          LB_TEXT ("reason", lc_takeover_reason_name (batch->claim_reason)),
+          LB_TEXT ("released_by", batch->head.released_by),
+          LB_INT ("since_release_ms",
+                  ln_batch_get_time_since_release (batch, batch->head.released_ms,
+                                                   lb_clock_monotonic ())
+                      / LB_MSEC));
   if (error == LB_OK)
-    apply_written_batch_row (batch, row->version);
+    ln_batch_apply_written_row (batch, row->version);
   else if (error == LB_ERROR_CONDITION_FAILED && row->value)
     ln_batches_update_batch_from_row (batch->batches, row);
   /* If the claim after an expired offer got no answer, the row still names this process. The batch
@@ -382,14 +412,12 @@
   platform->klass->transact (platform, &transaction, priority, done, user);
 }
 
-/* Writes head as the batch's row, and more_puts, on the condition that the batch's row is
- * unchanged. */
-static void
-write_batch_row (LnBatch *batch,
-                 const LcBatchHead *head,
-                 const LpPut *more_puts,
-                 size_t n_more_puts,
-                 LpTransactDone done)
+void
+ln_batch_write_row (LnBatch *batch,
+                    const LcBatchHead *head,
+                    const LpPut *more_puts,
+                    size_t n_more_puts,
+                    LpTransactDone done)
 {
   struct json_object *object = lc_batch_head_to_json (head);
   char key[LN_BATCH_KEY_SIZE];
@@ -405,18 +433,21 @@
 }
 
 static void
-claim_batch (LnBatch *batch)
+claim_batch (LnBatch *batch, LcTakeoverReason reason)
 {
   LcBatchHead head = batch->head;
 
   batch->state = LN_BATCH_CLAIMING;
+  batch->claim_reason = reason;
+  batch->taken_over_release_ms = head.owner[0] ? 0 : head.released_ms;
   ln_batches_publish_ownership (batch->batches, true);
   head.epoch++;
   LB_COPY (head.owner, batch->batches->context->instance);
   LB_COPY (head.incarnation, batch->batches->context->incarnation);
   LB_COPY (head.released_by, "");
+  head.released_ms = 0;
   batch->pending_head = head;
-  write_batch_row (batch, &head, NULL, 0, on_batch_claim_written);
+  ln_batch_write_row (batch, &head, NULL, 0, on_batch_claim_written);
 }
 
 /* Claims a batch that the preferred instance did not accept in time, instead of running it in
@@ -427,7 +458,7 @@
 static void
 claim_batch_after_offer_expired (LnBatch *batch)
 {
-  claim_batch (batch);
+  claim_batch (batch, LC_TAKEOVER_OFFER_EXPIRED);
 }
 
 /* Claims a batch whose owner is not alive or whose offer expired. Candidates are ranked by the
@@ -448,55 +479,12 @@
     }
   if (batch->owner_gone_since == 0)
     batch->owner_gone_since = now;
-  if (now - batch->owner_gone_since
-      >= (LbTime)ln_batch_get_rank_of_this_instance (batch, batch->head.model)
-             * BATCH_TAKEOVER_DELAY_PER_RANK)
-    claim_batch (batch);
-}
-
-static void
-on_batch_release_written (LbErrorCode error, const LpRow *row, void *user)
-{
-  LnBatch *batch = user;
-
-  if (error == LB_OK)
-    apply_written_batch_row (batch, row->version);
-  lb_log (LB_LOG_INFO, "batch_released", LB_TEXT ("batch", batch->id),
-          LB_TEXT ("outcome", lb_error_name (error)));
-  batch->state = LN_BATCH_NOT_OWNED;
-}
-
-/* Called on shutdown. Clears the owner from the row, so that another instance can continue the
- * batch without first detecting that this instance is gone. */
-void
-ln_batch_release_ownership (LnBatch *batch)
-{
-  LcBatchHead head = batch->head;
-
-  LpPut puts[LN_BATCH_MAX_CHECKPOINT_PARTS];
-  size_t n = 0;
-  LbList actions;
-  LbLink *link;
-
-  if (!is_batch_loading_running_or_offered (batch))
-    return;
-  lb_list_init (&actions);
-  if (batch->run)
-    lc_batch_begin_checkpoint (batch->run, lb_clock_monotonic (), &actions);
-  while ((link = lb_list_pop (&actions)))
-    {
-      LcBatchAction *action = LB_CONTAINER (link, LcBatchAction, link);
-      n = ln_batch_owner_build_checkpoint_puts (batch, action, puts, LN_BATCH_MAX_CHECKPOINT_PARTS);
-      lc_batch_action_free (action);
-    }
-  ln_batch_owner_stop_run (batch);
-  batch->state = LN_BATCH_RELEASING;
-  LB_COPY (head.released_by, head.owner);
-  LB_COPY (head.owner, "");
-  LB_COPY (head.incarnation, "");
-  batch->pending_head = head;
-  write_batch_row (batch, &head, puts, n, on_batch_release_written);
-  ln_batch_owner_free_put_strings (puts, n);
+  const LcTakeover takeover
+      = lc_batch_plan_takeover (&batch->head, batch->owner_state, batch->batches->context->instance,
+                                is_next_owner_available (batch),
+                                ln_batch_get_rank_of_this_instance (batch, batch->head.model));
+  if (now - batch->owner_gone_since >= takeover.delay)
+    claim_batch (batch, takeover.reason);
 }
 
 /* Offers the batch to the preferred instance. If the offer times out, this instance claims the
@@ -564,6 +552,9 @@
 ln_batches_claim_unowned_and_tick_watch (LnBatches *batches, LbTime now)
 {
   for (LnBatch *batch = batches->by_id; batch; batch = batch->hh.next)
-    claim_batch_if_unowned_or_offer_expired (batch, now);
+    {
+      claim_batch_if_unowned_or_offer_expired (batch, now);
+      ln_batch_retry_release_if_due (batch, now);
+    }
   lp_follow_start_call_if_due (batches->row_watch, now);
 }
--- a/packages/node/src/batch/ln-batch-owner.c
+++ b/packages/node/src/batch/ln-batch-owner.c
@@ -522,6 +522,7 @@
           LB_INT ("epoch", batch->head.epoch));
   LB_COPY (spec->organisation, batch->head.organisation);
   batch->state = LN_BATCH_RUNNING;
+  ln_batch_record_handover (batch, lb_clock_monotonic ());
   ln_batches_publish_ownership (batch->batches, true);
   batch->run = lc_batch_new (spec, &settings);
   for (size_t i = 0; i < saved->n_finished_items; i++)
--- a/packages/node/src/batch/ln-batch-submit.c
+++ b/packages/node/src/batch/ln-batch-submit.c
@@ -38,12 +38,16 @@
       batch->head = call->head;
       batch->version = version;
     }
-  if (batch->state != LN_BATCH_NOT_OWNED || batch->version != version
-      || ln_batch_offer_to_preferred_instance (batch, lb_clock_monotonic ()))
+  if (batch->state != LN_BATCH_NOT_OWNED || batch->version != version)
     return;
-  ln_batch_owner_start_run (batch, &call->spec, &no_progress);
   if (batches->draining)
-    ln_batch_release_ownership (batch);
+    {
+      ln_batch_release_ownership (batch);
+      return;
+    }
+  if (ln_batch_offer_to_preferred_instance (batch, lb_clock_monotonic ()))
+    return;
+  ln_batch_owner_start_run (batch, &call->spec, &no_progress);
 }
 
 /* Reports OUTCOME_UNKNOWN if a write of the batch's row got no answer, because that write may still
@@ -166,49 +170,6 @@
   return tokens;
 }
 
-/* Returns the instance to which the latest batch of the model is assigned, or "" if no batch of the
- * model is known. */
-static const char *
-find_last_assigned_instance (const LnBatches *batches, const char *model)
-{
-  const LnBatch *last = NULL;
-
-  for (const LnBatch *batch = batches->by_id; batch; batch = batch->hh.next)
-    {
-      if (strcmp (batch->head.model, model) != 0)
-        continue;
-      if (!last
-          || lc_batch_head_has_next_batch_priority_over (&batch->head, batch->version, &last->head,
-                                                         last->version))
-        last = batch;
-    }
-  return last ? lc_batch_head_assigned_instance (&last->head) : "";
-}
-
-/* Divides the strength (machine capacity) of each instance that may own the batch by one plus the
- * number of models already assigned to the instance. Otherwise a strong machine among weak ones
- * would get the batches of all models. */
-static void
-divide_strengths_by_model_counts (const LnBatches *batches, LcDutyCandidate *candidates, size_t n)
-{
-  for (size_t i = 0; i < n; i++)
-    candidates[i].strength
-        /= 1 + (int64_t)ln_batches_count_assigned_models (batches, candidates[i].name);
-}
-
-static void
-choose_preferred_instance (LnBatchCall *call)
-{
-  size_t n;
-  LcDutyCandidate *candidates = ln_batches_list_duty_candidates (call->batches, &n);
-  const char *last = find_last_assigned_instance (call->batches, call->spec.model);
-
-  divide_strengths_by_model_counts (call->batches, candidates, n);
-  LB_COPY (call->head.preferred_instance,
-           lc_duty_choose_holder (call->spec.model, last, candidates, n));
-  free (candidates);
-}
-
 void
 ln_batch_submit_new_batch (LnBatchCall *call, const LnInbound *in)
 {
@@ -239,7 +200,7 @@
   LB_COPY (call->head.path, ln_exchange_path (call->exchange));
   LB_COPY (call->head.model, call->spec.model);
   call->head.expected_tokens = sum_expected_tokens (&call->spec);
-  choose_preferred_instance (call);
+  ln_batches_choose_next_owner (call->batches, call->spec.model, call->head.preferred_instance);
   call->head.epoch = 1;
   call->head.n_items = (int64_t)call->spec.n_items;
   store_batch_content (call);
--- a/packages/node/src/batch/ln-batches-private.h
+++ b/packages/node/src/batch/ln-batches-private.h
@@ -7,6 +7,7 @@
 #include "lc-batch-takeover.h"
 #include "lc-batch.h"
 #include "lc-duty.h"
+#include "lc-succession.h"
 #include "ln-context.h"
 #include "ln-dialect.h"
 #include "ln-messages.h"
@@ -55,8 +56,9 @@
   LbName id; /* key of LnBatches.by_id */
   LnBatches *batches;
   LcBatchHead head;
-  int64_t version;          /* version of the row; 0 if the row is not known */
-  LcBatchHead pending_head; /* the row that is being written while CLAIMING or RELEASING */
+  int64_t version;               /* version of the row; 0 if the row is not known */
+  LcBatchHead pending_head;      /* the row that is being written while CLAIMING or RELEASING */
+  LcTakeoverReason claim_reason; /* why the batch is claimed; used while CLAIMING */
   LnBatchState state;
   LcBatch *run; /* state machine of the batch while RUNNING; else NULL */
   LbTime first_seen_at;
@@ -72,6 +74,16 @@
   LbTime ended_at;              /* when this instance learned that the batch ended; 0: not ended */
   LbTime cleanup_retry_at;      /* when to retry a failed cleanup */
   LnCleanupStep cleanup_step;   /* current step of the cleanup */
+  /* Members used while RELEASING. */
+  LpPut *release_puts; /* checkpoints that the release writes; owned */
+  size_t n_release_puts;
+  LcSuccessionReason release_reason; /* why the next owner was chosen */
+  LbTime release_started_at;
+  LbTime release_retry_at;
+  bool is_release_in_progress; /* the store has not answered the release yet */
+  /* store's clock at the release of the batch that this instance took over, until it runs; 0: not
+   * taken over from an instance that released it */
+  int64_t taken_over_release_ms;
   UT_hash_handle hh;
 } LnBatch;
 
@@ -108,8 +120,9 @@
   LnBatchRequest *requests;               /* hash table of the requests in flight */
   LbList calls;                           /* list of the LnBatchCall in progress */
   LpFollow *row_watch;                    /* watch of the rows of all batches */
-  bool owns_any; /* last posted LN_DUTY_BATCHES: this instance owns a batch */
-  bool draining; /* set while this instance shuts down */
+  bool owns_any;            /* last posted LN_DUTY_BATCHES: this instance owns a batch */
+  bool draining;            /* set while this instance shuts down */
+  LcRollingRestart restart; /* what this instance has seen of a rolling restart */
 };
 
 /* Defined in ln-batches.c, which holds the batches that this instance knows. */
@@ -155,8 +168,20 @@
 void ln_batch_load_and_run_if_owned (LnBatch *batch);
 void ln_batches_start_row_watch (LnBatches *batches);
 void ln_batches_claim_unowned_and_tick_watch (LnBatches *batches, LbTime now);
-/* Saves the incomplete texts of a batch that this instance owns and clears the owner in its row. */
-void ln_batch_release_ownership (LnBatch *batch);
+/* Whether this instance owns the batch, according to the latest known row. */
+bool ln_batch_is_owned (const LnBatch *batch);
+/* Returns the batch's row, or the row that this instance is about to write instead. */
+const LcBatchHead *ln_batch_get_latest_head (const LnBatch *batch);
+/* Writes head as the batch's row, and more_puts, on the condition that the batch's row is
+ * unchanged. */
+void ln_batch_write_row (LnBatch *batch,
+                         const LcBatchHead *head,
+                         const LpPut *more_puts,
+                         size_t n_more_puts,
+                         LpTransactDone done);
+/* Applies the batch's row that was written, unless the watch has already shown that version of the
+ * row or a newer one. */
+void ln_batch_apply_written_row (LnBatch *batch, int64_t version);
 /* Offers a batch that this instance accepted to the preferred instance. Returns false if offers
  * are disabled or no other instance is preferred; this instance then runs the batch. */
 bool ln_batch_offer_to_preferred_instance (LnBatch *batch, LbTime now);
@@ -166,6 +191,22 @@
  * array. */
 LcDutyCandidate *ln_batches_list_duty_candidates (const LnBatches *batches, size_t *n);
 
+/* Defined in ln-batch-handover.c, which chooses owners and hands batches over on shutdown. */
+/* Saves the incomplete texts of a batch that this instance owns, and names the next owner in its
+ * row. */
+void ln_batch_release_ownership (LnBatch *batch);
+void ln_batch_retry_release_if_due (LnBatch *batch, LbTime now);
+/* Records whether an instance is draining, which shows that a rolling restart is in progress. */
+void ln_batches_observe_rolling_restart (LnBatches *batches, LbTime now);
+/* Copies the name of the instance that should own the model's next batch to next_owner, a buffer of
+ * LB_NAME_MAX bytes; "": there is none. */
+LcSuccessionReason
+ln_batches_choose_next_owner (LnBatches *batches, const char *model, char *next_owner);
+/* released_ms: store's clock at the release. Returns 0 if the time is unknown. */
+LbTime ln_batch_get_time_since_release (const LnBatch *batch, int64_t released_ms, LbTime now);
+/* Records the duration of a hand-over when the batch runs again. */
+void ln_batch_record_handover (LnBatch *batch, LbTime now);
+
 /* Defined in ln-batch-rows.c, which encodes the rows of a batch as JSON. The caller frees a
  * returned text. The *_from_row functions return false if the row cannot be parsed; the caller must
  * clear the output in either case. */
--- a/packages/node/src/batch/ln-batches.c
+++ b/packages/node/src/batch/ln-batches.c
@@ -98,6 +98,7 @@
   batches->members = lb_memdup (message->members, message->n_members * sizeof (LnMember));
   batches->n_members = message->n_members;
   batches->members_change_count++;
+  ln_batches_observe_rolling_restart (batches, lb_clock_monotonic ());
   /* An instance that is missing from the directory of instances gets no offers of batches, and
    * reads the store for a call about an unknown batch. So the instance may learn late of a batch,
    * and it watches the rows of batches less often. */
@@ -184,7 +185,9 @@
 
   batches->draining = true;
   for (LnBatch *batch = batches->by_id; batch; batch = batch->hh.next)
-    ln_batch_release_ownership (batch);
+    if (batch->state == LN_BATCH_RUNNING || batch->state == LN_BATCH_LOADING
+        || batch->state == LN_BATCH_OFFERED)
+      ln_batch_release_ownership (batch);
 }
 
 static bool
@@ -216,6 +219,8 @@
   {
     HASH_DEL (batches->by_id, batch);
     lc_batch_free (batch->run);
+    ln_batch_owner_free_put_strings (batch->release_puts, batch->n_release_puts);
+    free (batch->release_puts);
     free (batch);
   }
   HASH_ITER (hh, batches->model_histories, history, next_history)
--- a/packages/node/src/membership/ln-fleet.c
+++ b/packages/node/src/membership/ln-fleet.c
@@ -33,6 +33,7 @@
   LcFleetRow own_row;
   LnFleetRenewal *renewal; /* renews own_row */
   LnFleetLists *lists;
+  LbTime started_at;          /* when this process started */
   bool has_duty[LN_N_DUTIES]; /* duties that this instance has, indexed by LnDuty */
 } Fleet;
 
@@ -64,6 +65,7 @@
       member->draining = known->row.draining;
       member->cut = known->row.cut;
       member->strength = known->row.strength;
+      member->started_ms = known->row.started_ms;
       member->clock_lead_ms = known->row.clock_lead_ms;
       member->is_self = strcmp (known->row.name, task->context->instance) == 0;
       member->confirmed = known->confirmed || member->is_self;
@@ -167,6 +169,15 @@
     task->own_row.clock_lead_ms = lead;
 }
 
+/* Sets the start time of this process in its row as soon as the store's clock is known. */
+static void
+set_start_time_in_own_row (Fleet *task)
+{
+  if (task->own_row.started_ms == 0)
+    task->own_row.started_ms
+        = lp_platform_get_store_clock_ms_at (task->context->platform, task->started_at);
+}
+
 static void
 on_fleet_task_tick (void *user)
 {
@@ -175,6 +186,7 @@
 
   publish_changed_store_reachability (task, now);
   update_published_clock_lead (task, now);
+  set_start_time_in_own_row (task);
   const LnFleetListSummary summary
       = { .n_instances = ln_fleet_lists_count_members (task->lists),
           .is_omitted = ln_fleet_lists_omits_instance (task->lists, task->own_row.name),
@@ -413,6 +425,7 @@
   task->task.klass = &fleet_class;
   task->task.hub = context->hub;
   task->context = context;
+  task->started_at = lb_clock_monotonic ();
   LB_COPY (task->own_row.name, context->instance);
   LB_COPY (task->own_row.incarnation, context->incarnation);
   LB_COPY (task->own_row.data_centre, context->settings->instance.data_centre);
