core/endpoints: condition of endpoints

Cause: the only pace of an engine is the average of the last second of its streams, so a slowdown of a few hundred milliseconds looks like a slow engine.

Nothing decides by the new values yet. Switch "condition".

--- a/packages/base/include/lb-switch.h
+++ b/packages/base/include/lb-switch.h
@@ -13,6 +13,7 @@
   LB_SWITCH_MOVES,         /* moves a running generation from a slow engine to a faster one */
   LB_SWITCH_PACE,          /* estimates an engine's speed from the token rate of its streams */
   LB_SWITCH_FULL_PACE,     /* lets a long generation wait until a fast engine is free */
+  LB_SWITCH_CONDITION,     /* tells lasting speeds of endpoints from short slowdowns */
   LB_SWITCH_LATEST_START,  /* orders generations by the latest start that meets their deadline */
   LB_SWITCH_KEPT_TEXTS,    /* stores a batch's partial texts for another instance to resume */
   LB_SWITCH_CARRIED_TEXTS, /* resumes cached partial texts if a sample group is requested again */
