Read all figures of the load header and record them in time

Cause: only RUNNING and WAITING of Server-Load were read, an unreadable WAITING counted as 0, and the header of a stream was recorded at the stream's end, seconds after the endpoint had written it.

Change: LnReportedLoad has slots and work_time_percent; a figure that is missing, unreadable or out of range counts as not reported, is counted in lentilspindle_invalid_load_figures_total and logged once per process of the endpoint (endpoint_load_invalid). The load of a stream is recorded with its first piece; its end confirms the load that follows from it. Pace bookkeeping moves to lc-endpoints-pace.c.

--- a/packages/core/include/lc-endpoints.h
+++ b/packages/core/include/lc-endpoints.h
@@ -111,6 +111,11 @@
  * are reported with lc_endpoint_request_cancelled instead. */
 void lc_endpoint_request_ended (
     LcEndpoint *endpoint, LcRequestKind kind, bool ok, int64_t tokens, LbTime took, LbTime now);
+/* Records the present duration of work that the endpoint reports, in percent of the usual duration.
+ * For a reply without a valid number of requests; a load report states the percentage too. */
+void lc_endpoint_work_time_reported (LcEndpoint *endpoint, int64_t percent, LbTime measured_at);
+/* Returns true for the first invalid load header of the endpoint's process. */
+bool lc_endpoint_invalid_load_reported (LcEndpoint *endpoint);
 void lc_endpoint_set_idle_connections (LcEndpoint *endpoint, size_t n_idle, LbTime now);
 /* The endpoint rejected the request without starting it. */
 void lc_endpoint_request_refused (LcEndpoint *endpoint, LcRequestKind kind, LbTime now);
@@ -128,6 +133,9 @@
                                         const uint64_t *prefix_hashes,
                                         size_t n_hashes,
                                         LbTime now);
+/* Number of requests at the endpoint, of all instances: those of the last load report, corrected by
+ * the requests that this instance has sent and completed since. */
+int64_t lc_endpoint_estimate_requests (const LcEndpoint *endpoint);
 /* Lasting seconds per token at an engine, or per request at a plain service, without slowdowns of
  * less than a second; 0: not known. */
 double lc_endpoint_lasting_token_seconds (const LcEndpoint *endpoint);
--- a/packages/core/src/endpoints/lc-endpoint-entry.c
+++ b/packages/core/src/endpoints/lc-endpoint-entry.c
@@ -116,6 +116,8 @@
   entry->endpoint.swap_pending = false;
   memset (&entry->breaker, 0, sizeof entry->breaker);
   memset (&entry->condition, 0, sizeof entry->condition);
+  entry->endpoint.report.slots = 0;
+  entry->has_reported_invalid_load = false;
   lc_concurrency_init (&entry->concurrency, entry->endpoint.member.concurrency);
   lc_endpoint_entry_invalidate_cached_prefixes (entry);
 }
--- a/packages/core/src/endpoints/lc-endpoint-table.h
+++ b/packages/core/src/endpoints/lc-endpoint-table.h
@@ -62,6 +62,7 @@
   LcStreamPace stream_pace; /* pace of this instance's streams at the endpoint */
   LbTime stream_pace_at;    /* when a stream last updated stream_pace; 0: never */
   LcEndpointCondition condition;
+  bool has_reported_invalid_load; /* the endpoint's process has sent an invalid load header */
   LbTime swap_started_at;
   LcVersion version_before_swap;
   LcBreaker breaker;
@@ -134,6 +135,12 @@
 void lc_endpoint_entry_refresh_public_state (LcEndpointEntry *entry, LbTime now);
 void lc_endpoint_entry_reset_for_new_process (LcEndpointEntry *entry);
 void lc_endpoint_entry_invalidate_cached_prefixes (LcEndpointEntry *entry);
+LcEndpointGroup *lc_endpoint_entry_find_group (const LcEndpointEntry *entry);
+/* Records the present duration of work, in percent of the usual duration; 0: not reported. */
+void
+lc_endpoint_entry_record_work_time (LcEndpointEntry *entry, int64_t percent, LbTime measured_at);
+/* Records the duration of a complete request to a plain service. */
+void lc_endpoint_entry_record_service_duration (LcEndpointEntry *entry, LbTime took, LbTime now);
 
 /* reports_valid_since: result of lc_endpoints_reports_valid_since, read once per routing
  * decision. */
--- /dev/null
+++ b/packages/core/src/endpoints/lc-endpoints-pace.c
@@ -0,0 +1,179 @@
+/* Records how fast endpoints work: the pace of their streams and the duration of their requests. */
+
+#include "lc-endpoint-table.h"
+
+#include "lb-alloc.h"
+#include "lb-switch.h"
+
+#include <stdlib.h>
+
+/* The pace of an endpoint without streams is discarded after this time, so that a slow endpoint is
+ * tried again: engines are slow for five to ten seconds at a time. */
+#define MAX_PACE_AGE (4 * LB_SEC)
+#define PACE_REVIEW_INTERVAL (500 * LB_MSEC)
+
+LcEndpointGroup *
+lc_endpoint_entry_find_group (const LcEndpointEntry *entry)
+{
+  const LcEndpointMember *member = &entry->endpoint.member;
+
+  return lc_endpoints_find_group (entry->table, (LcEndpointKind)member->kind, member->pool);
+}
+
+/* Returns the seconds per token at the fastest endpoint of the group; 0: not known. */
+static double
+find_fastest_token_seconds (const LcEndpointEntry *entry, const LcEndpointGroup *group)
+{
+  double fastest = 0;
+
+  for (size_t i = 0; i < group->n_slots; i++)
+    {
+      const LcEndpointEntry *other
+          = lc_endpoint_to_entry (entry->table->summaries[group->slots[i]].endpoint);
+      double seconds
+          = other->stream_pace_at > 0 ? lc_stream_pace_token_seconds (&other->stream_pace) : 0;
+      if (seconds > 0 && (fastest == 0 || seconds < fastest))
+        fastest = seconds;
+    }
+  return fastest;
+}
+
+static void
+reset_stream_pace (LcEndpointEntry *entry, double token_seconds, LbTime now)
+{
+  entry->stream_pace = (LcStreamPace){ 0 };
+  entry->stream_pace_at = 0;
+  entry->single_stream_token_seconds = token_seconds;
+  lc_endpoint_entry_refresh_public_state (entry, now);
+}
+
+/* Discards outdated stream paces of the group. A slow engine gets no requests while other engines
+ * have capacity, so if its old pace were kept, its recovery would never be noticed. */
+static void
+discard_outdated_group_paces (LcEndpointEntry *entry, LcEndpointGroup *group, LbTime now)
+{
+  double fastest = 0;
+
+  if (now < group->next_pace_review_at)
+    return;
+  group->next_pace_review_at = now + PACE_REVIEW_INTERVAL;
+  fastest = find_fastest_token_seconds (entry, group);
+  group->fastest_token_seconds = fastest;
+  for (size_t i = 0; fastest > 0 && i < group->n_slots; i++)
+    {
+      LcEndpointEntry *other
+          = lc_endpoint_to_entry (entry->table->summaries[group->slots[i]].endpoint);
+      if (other->stream_pace_at > 0 && now - other->stream_pace_at > MAX_PACE_AGE)
+        reset_stream_pace (other, fastest, now);
+    }
+}
+
+static int
+compare_doubles (const void *a, const void *b)
+{
+  double x = *(const double *)a;
+  double y = *(const double *)b;
+
+  return (x > y) - (x < y);
+}
+
+/* Returns the median of the group's lasting values; 0: none is known. */
+static double
+compute_median_lasting_token_seconds (const LcEndpoints *endpoints, const LcEndpointGroup *group)
+{
+  double *values = LB_NEW_ARRAY (double, group->n_slots);
+  size_t n = 0;
+  double median = 0;
+
+  for (size_t i = 0; i < group->n_slots; i++)
+    {
+      const LcEndpointSummary *summary = &endpoints->summaries[group->slots[i]];
+
+      if (!summary->is_excluded && summary->lasting_token_seconds > 0)
+        values[n++] = (double)summary->lasting_token_seconds;
+    }
+  qsort (values, n, sizeof *values, compare_doubles);
+  if (n > 0)
+    median = (values[(n - 1) / 2] + values[n / 2]) / 2;
+  free (values);
+  return median;
+}
+
+static void
+update_group_median_if_due (LcEndpointEntry *entry, LcEndpointGroup *group, LbTime now)
+{
+  if (now < group->next_median_update_at)
+    return;
+  group->next_median_update_at = now + PACE_REVIEW_INTERVAL;
+  group->median_lasting_token_seconds = compute_median_lasting_token_seconds (entry->table, group);
+}
+
+static void
+update_engine_condition (LcEndpointEntry *entry, int64_t tokens, LbTime interval, LbTime now)
+{
+  LcEndpointCondition *condition = &entry->condition;
+
+  if (!lb_switch_is_on (LB_SWITCH_CONDITION))
+    return;
+  lc_endpoint_condition_add_tokens (condition, tokens, interval, now);
+  lc_endpoint_condition_set_present_token_seconds (
+      condition, lc_stream_pace_token_seconds (&entry->stream_pace), now);
+  update_group_median_if_due (entry, lc_endpoint_entry_find_group (entry), now);
+}
+
+/* Records the duration of a request to a plain service, which sends no tokens. */
+void
+lc_endpoint_entry_record_service_duration (LcEndpointEntry *entry, LbTime took, LbTime now)
+{
+  if (!lb_switch_is_on (LB_SWITCH_CONDITION) || entry->endpoint.member.kind != LC_ENDPOINT_SERVICE)
+    return;
+  lc_endpoint_condition_add_request (&entry->condition, took, now);
+  update_group_median_if_due (entry, lc_endpoint_entry_find_group (entry), now);
+}
+
+/* Detects an engine that becomes slow while its generations still run. The duration of completed
+ * requests shows a slowdown several seconds later, and until then the engine would get as many new
+ * requests as before. */
+void
+lc_endpoint_tokens_received (LcEndpoint *endpoint, int64_t tokens, LbTime interval, LbTime now)
+{
+  LcEndpointEntry *entry = lc_endpoint_to_entry (endpoint);
+  double seconds = 0;
+
+  if (tokens > 0)
+    endpoint->last_reply_at = now;
+  if (!lb_switch_is_on (LB_SWITCH_PACE))
+    return;
+  lc_stream_pace_add_tokens (&entry->stream_pace, tokens, interval);
+  entry->stream_pace_at = now;
+  seconds = lc_stream_pace_token_seconds (&entry->stream_pace);
+  update_engine_condition (entry, tokens, interval, now);
+  discard_outdated_group_paces (entry, lc_endpoint_entry_find_group (entry), now);
+  if (seconds == 0 || endpoint->report.tokens_per_second > 0)
+    return;
+  entry->single_stream_token_seconds = seconds;
+  lc_endpoint_entry_refresh_public_state (entry, now);
+}
+
+void
+lc_endpoint_entry_record_work_time (LcEndpointEntry *entry, int64_t percent, LbTime measured_at)
+{
+  if (lb_switch_is_on (LB_SWITCH_CONDITION))
+    lc_endpoint_condition_add_work_time (&entry->condition, percent, measured_at);
+}
+
+void
+lc_endpoint_work_time_reported (LcEndpoint *endpoint, int64_t percent, LbTime measured_at)
+{
+  lc_endpoint_entry_record_work_time (lc_endpoint_to_entry (endpoint), percent, measured_at);
+}
+
+bool
+lc_endpoint_invalid_load_reported (LcEndpoint *endpoint)
+{
+  LcEndpointEntry *entry = lc_endpoint_to_entry (endpoint);
+  bool is_first = !entry->has_reported_invalid_load;
+
+  entry->has_reported_invalid_load = true;
+  return is_first;
+}
--- a/packages/core/src/endpoints/lc-endpoints-query.c
+++ b/packages/core/src/endpoints/lc-endpoints-query.c
@@ -27,6 +27,14 @@
                                                 &entry->cache, now);
 }
 
+int64_t
+lc_endpoint_estimate_requests (const LcEndpoint *endpoint)
+{
+  const LcEndpoints *table = lc_endpoint_to_entry (endpoint)->table;
+
+  return (int64_t)table->summaries[endpoint->slot].requests;
+}
+
 double
 lc_endpoint_lasting_token_seconds (const LcEndpoint *endpoint)
 {
--- a/packages/core/src/endpoints/lc-endpoints.c
+++ b/packages/core/src/endpoints/lc-endpoints.c
@@ -12,11 +12,6 @@
  * soon after the end of a weight load, which takes about a second. */
 #define REFUSAL_BACKOFF (120 * LB_MSEC)
 #define MAX_TOKENS_PER_SECOND 1e6
-/* The pace of an endpoint without streams is discarded after this time, so that a slow endpoint is
- * tried again: engines are slow for five to ten seconds at a time. */
-#define MAX_PACE_AGE (4 * LB_SEC)
-#define PACE_REVIEW_INTERVAL (500 * LB_MSEC)
-
 static void
 end_weight_swap_if_confirmed (LcEndpointEntry *entry)
 {
@@ -28,19 +23,11 @@
     endpoint->swap_pending = false;
 }
 
-static LcEndpointGroup *
-find_group_of_entry (const LcEndpointEntry *entry)
-{
-  const LcEndpointMember *member = &entry->endpoint.member;
-
-  return lc_endpoints_find_group (entry->table, (LcEndpointKind)member->kind, member->pool);
-}
-
 static void
 update_single_stream_token_seconds (LcEndpointEntry *entry)
 {
   const LcLoadReport *report = &entry->endpoint.report;
-  LcEndpointGroup *group = find_group_of_entry (entry);
+  LcEndpointGroup *group = lc_endpoint_entry_find_group (entry);
   double fill = fmin (1, (double)report->running / entry->concurrency.max);
 
   if (report->tokens_per_second <= 0)
@@ -51,6 +38,17 @@
       = 1 / report->tokens_per_second / (1 + group->batch_slowdown * fill);
 }
 
+/* Replaces the known report. Reports from other sources than the endpoint's replies don't state the
+ * number of slots. */
+static void
+replace_report (LcLoadReport *known, const LcLoadReport *report)
+{
+  int64_t slots = report->slots > 0 ? report->slots : known->slots;
+
+  *known = *report;
+  known->slots = slots;
+}
+
 static void
 apply_load_report (LcEndpointEntry *entry, const LcLoadReport *report)
 {
@@ -63,7 +61,7 @@
     lc_endpoint_entry_reset_for_new_process (entry);
   if (report->incarnation[0])
     lc_leaving_set_current_incarnation (&entry->leaving, report->incarnation);
-  endpoint->report = *report;
+  replace_report (&endpoint->report, report);
   if (!report->incarnation[0])
     LB_COPY (endpoint->report.incarnation, known_incarnation);
   entry->table->n_repeated_reports += entry->is_reported;
@@ -77,9 +75,7 @@
   entry->in_flight_at_report
       = lc_in_flight_history_count_requests_at (&entry->in_flight_history, report->measured_at);
   update_single_stream_token_seconds (entry);
-  if (lb_switch_is_on (LB_SWITCH_CONDITION))
-    lc_endpoint_condition_add_work_time (&entry->condition, report->work_time_percent,
-                                         report->measured_at);
+  lc_endpoint_entry_record_work_time (entry, report->work_time_percent, report->measured_at);
   end_weight_swap_if_confirmed (entry);
 }
 
@@ -252,145 +248,10 @@
   lc_endpoint_entry_refresh_public_state (entry, now);
 }
 
-/* Returns the seconds per token at the fastest endpoint of the group; 0: not known. */
-static double
-find_fastest_token_seconds (const LcEndpointEntry *entry, const LcEndpointGroup *group)
-{
-  double fastest = 0;
-
-  for (size_t i = 0; i < group->n_slots; i++)
-    {
-      const LcEndpointEntry *other
-          = lc_endpoint_to_entry (entry->table->summaries[group->slots[i]].endpoint);
-      double seconds
-          = other->stream_pace_at > 0 ? lc_stream_pace_token_seconds (&other->stream_pace) : 0;
-      if (seconds > 0 && (fastest == 0 || seconds < fastest))
-        fastest = seconds;
-    }
-  return fastest;
-}
-
-static void
-reset_stream_pace (LcEndpointEntry *entry, double token_seconds, LbTime now)
-{
-  entry->stream_pace = (LcStreamPace){ 0 };
-  entry->stream_pace_at = 0;
-  entry->single_stream_token_seconds = token_seconds;
-  lc_endpoint_entry_refresh_public_state (entry, now);
-}
-
-/* Discards outdated stream paces of the group. A slow engine gets no requests while other engines
- * have capacity, so if its old pace were kept, its recovery would never be noticed. */
-static void
-discard_outdated_group_paces (LcEndpointEntry *entry, LcEndpointGroup *group, LbTime now)
-{
-  double fastest = 0;
-
-  if (now < group->next_pace_review_at)
-    return;
-  group->next_pace_review_at = now + PACE_REVIEW_INTERVAL;
-  fastest = find_fastest_token_seconds (entry, group);
-  group->fastest_token_seconds = fastest;
-  for (size_t i = 0; fastest > 0 && i < group->n_slots; i++)
-    {
-      LcEndpointEntry *other
-          = lc_endpoint_to_entry (entry->table->summaries[group->slots[i]].endpoint);
-      if (other->stream_pace_at > 0 && now - other->stream_pace_at > MAX_PACE_AGE)
-        reset_stream_pace (other, fastest, now);
-    }
-}
-
-static int
-compare_doubles (const void *a, const void *b)
-{
-  double x = *(const double *)a;
-  double y = *(const double *)b;
-
-  return (x > y) - (x < y);
-}
-
-/* Returns the median of the group's lasting values; 0: none is known. */
-static double
-compute_median_lasting_token_seconds (const LcEndpoints *endpoints, const LcEndpointGroup *group)
-{
-  double *values = LB_NEW_ARRAY (double, group->n_slots);
-  size_t n = 0;
-  double median = 0;
-
-  for (size_t i = 0; i < group->n_slots; i++)
-    {
-      const LcEndpointSummary *summary = &endpoints->summaries[group->slots[i]];
-
-      if (!summary->is_excluded && summary->lasting_token_seconds > 0)
-        values[n++] = (double)summary->lasting_token_seconds;
-    }
-  qsort (values, n, sizeof *values, compare_doubles);
-  if (n > 0)
-    median = (values[(n - 1) / 2] + values[n / 2]) / 2;
-  free (values);
-  return median;
-}
-
-static void
-update_group_median_if_due (LcEndpointEntry *entry, LcEndpointGroup *group, LbTime now)
-{
-  if (now < group->next_median_update_at)
-    return;
-  group->next_median_update_at = now + PACE_REVIEW_INTERVAL;
-  group->median_lasting_token_seconds = compute_median_lasting_token_seconds (entry->table, group);
-}
-
-static void
-update_engine_condition (LcEndpointEntry *entry, int64_t tokens, LbTime interval, LbTime now)
-{
-  LcEndpointCondition *condition = &entry->condition;
-
-  if (!lb_switch_is_on (LB_SWITCH_CONDITION))
-    return;
-  lc_endpoint_condition_add_tokens (condition, tokens, interval, now);
-  lc_endpoint_condition_set_present_token_seconds (
-      condition, lc_stream_pace_token_seconds (&entry->stream_pace), now);
-  update_group_median_if_due (entry, find_group_of_entry (entry), now);
-}
-
-/* Records the duration of a request to a plain service, which sends no tokens. */
-static void
-update_service_condition (LcEndpointEntry *entry, LbTime took, LbTime now)
-{
-  if (!lb_switch_is_on (LB_SWITCH_CONDITION) || entry->endpoint.member.kind != LC_ENDPOINT_SERVICE)
-    return;
-  lc_endpoint_condition_add_request (&entry->condition, took, now);
-  update_group_median_if_due (entry, find_group_of_entry (entry), now);
-}
-
-/* Detects an engine that becomes slow while its generations still run. The duration of completed
- * requests shows a slowdown several seconds later, and until then the engine would get as many new
- * requests as before. */
-void
-lc_endpoint_tokens_received (LcEndpoint *endpoint, int64_t tokens, LbTime interval, LbTime now)
-{
-  LcEndpointEntry *entry = lc_endpoint_to_entry (endpoint);
-  double seconds = 0;
-
-  if (tokens > 0)
-    endpoint->last_reply_at = now;
-  if (!lb_switch_is_on (LB_SWITCH_PACE))
-    return;
-  lc_stream_pace_add_tokens (&entry->stream_pace, tokens, interval);
-  entry->stream_pace_at = now;
-  seconds = lc_stream_pace_token_seconds (&entry->stream_pace);
-  update_engine_condition (entry, tokens, interval, now);
-  discard_outdated_group_paces (entry, find_group_of_entry (entry), now);
-  if (seconds == 0 || endpoint->report.tokens_per_second > 0)
-    return;
-  entry->single_stream_token_seconds = seconds;
-  lc_endpoint_entry_refresh_public_state (entry, now);
-}
-
 static void
 update_mean_service_time (LcEndpointEntry *entry, int64_t tokens, LbTime took)
 {
-  update_ewma (&find_group_of_entry (entry)->mean_service_seconds, (double)took / LB_SEC);
+  update_ewma (&lc_endpoint_entry_find_group (entry)->mean_service_seconds, (double)took / LB_SEC);
   if (tokens == 0)
     return;
   update_ewma (&entry->endpoint.ewma_token_seconds, (double)took / LB_SEC / (double)tokens);
@@ -435,7 +296,7 @@
       endpoint->last_reply_at = now;
       lc_breaker_request_succeeded (&entry->breaker, now - took);
       update_mean_service_time (entry, tokens, took);
-      update_service_condition (entry, took, now);
+      lc_endpoint_entry_record_service_duration (entry, took, now);
     }
   else
     {
--- a/packages/node/include/ln-dialect.h
+++ b/packages/node/include/ln-dialect.h
@@ -80,9 +80,13 @@
 /* Load of an endpoint, read from a header of its reply. */
 typedef struct
 {
-  bool is_reported; /* the reply has a valid load header */
+  bool is_reported; /* the reply states valid numbers of running and waiting requests */
   int64_t running;  /* number of requests that the endpoint processes */
   int64_t waiting;  /* number of requests in the endpoint's queue */
+  int64_t slots;    /* number of requests that the endpoint can process at once; 0: not reported */
+  /* present duration of work, in percent of the usual duration; 0: not reported */
+  int64_t work_time_percent;
+  int n_invalid_figures; /* number of figures that are missing, unreadable or out of range */
 } LnReportedLoad;
 
 /* Outcome of an order to an engine to load a weight version. */
--- a/packages/node/src/calls/ln-call.h
+++ b/packages/node/src/calls/ln-call.h
@@ -28,6 +28,7 @@
   size_t n_versions;
   int64_t tokens; /* number of tokens received */
   LbTime sent_at;
+  bool is_load_read; /* the load in the reply's headers was read */
   char finish_reason[16];
 } LnAttempt;
 
--- a/packages/node/src/calls/ln-calls-attempts.c
+++ b/packages/node/src/calls/ln-calls-attempts.c
@@ -21,6 +21,10 @@
 static LbHistogram attempt_duration
     = LB_HISTOGRAM_INIT ("lentilspindle_attempt_seconds",
                          "Duration of attempts at endpoints, complete or not");
+static LbMetric invalid_load_figures
+    = LB_COUNTER_INIT ("lentilspindle_invalid_load_figures_total",
+                       NULL,
+                       "Figures in load headers of endpoints that are missing or out of range");
 static LbMetric pieces_dropped = LB_COUNTER_INIT (
     "lentilspindle_pieces_dropped_total",
     NULL,
@@ -74,6 +78,76 @@
   lc_endpoints_record_load_report (endpoints, endpoint->member.name, &report, report.measured_at);
 }
 
+static void
+count_and_log_invalid_load (LcEndpoint *endpoint, const LnReportedLoad *load)
+{
+  lb_metric_add (&invalid_load_figures, load->n_invalid_figures);
+  if (lc_endpoint_invalid_load_reported (endpoint))
+    lb_log (LB_LOG_WARNING, "endpoint_load_invalid", LB_TEXT ("endpoint", endpoint->member.name),
+            LB_INT ("invalid_figures", load->n_invalid_figures),
+            LB_BOOL ("requests_known", load->is_reported), LB_INT ("slots", load->slots),
+            LB_INT ("work_time_percent", load->work_time_percent));
+}
+
+/* Records the load that the endpoint reports in its reply headers, which saves a load request. The
+ * headers of a stream precede its first event, so they are read with the first piece: at the end of
+ * the stream the load would be out of date by the duration of the stream. */
+static void
+record_reported_endpoint_load (LnCalls *calls, LnAttempt *attempt, const LnUpstream *upstream)
+{
+  LcEndpoint *endpoint = lc_endpoints_find (lc_dispatch_get_endpoints (calls->dispatch),
+                                            ln_upstream_get_endpoint_name (upstream));
+  LcLoadReport report = { 0 };
+  LnReportedLoad load;
+
+  ln_upstream_read_load (upstream, &load);
+  attempt->is_load_read = true;
+  if (!endpoint)
+    return;
+  if (load.n_invalid_figures > 0)
+    count_and_log_invalid_load (endpoint, &load);
+  report.measured_at = lb_clock_monotonic ();
+  if (!load.is_reported)
+    {
+      lc_endpoint_work_time_reported (endpoint, load.work_time_percent, report.measured_at);
+      return;
+    }
+  LB_COPY (report.incarnation, endpoint->member.name);
+  report.version = endpoint->report.version;
+  report.running = load.running;
+  report.waiting = load.waiting;
+  report.slots = load.slots;
+  report.work_time_percent = load.work_time_percent;
+  /* Samples of batches fill the engines on purpose, and their number is known in advance, so their
+   * load is no sign of overload. */
+  if (attempt->call->kind != LN_CALL_SAMPLE)
+    lc_utilisation_add_report (calls->utilisation, endpoint->member.service,
+                               load.running + load.waiting, endpoint->member.concurrency);
+  lc_endpoints_record_load_report (lc_dispatch_get_endpoints (calls->dispatch),
+                                   endpoint->member.name, &report, report.measured_at);
+}
+
+/* Records at the end of a stream that the endpoint still works, with the load that its last report
+ * and this instance's requests since then imply. Without this, an engine would have no current load
+ * report after a long stream while the store is unavailable. */
+static void
+confirm_endpoint_load (LnCalls *calls, const LnUpstream *upstream)
+{
+  LcEndpoints *endpoints = lc_dispatch_get_endpoints (calls->dispatch);
+  const LcEndpoint *endpoint
+      = lc_endpoints_find (endpoints, ln_upstream_get_endpoint_name (upstream));
+  LcLoadReport report = { 0 };
+
+  if (!endpoint || !calls->context->dialect)
+    return;
+  report = endpoint->report;
+  report.running = lc_endpoint_estimate_requests (endpoint);
+  report.waiting = 0;
+  report.work_time_percent = 0;
+  report.measured_at = lb_clock_monotonic ();
+  lc_endpoints_record_load_report (endpoints, endpoint->member.name, &report, report.measured_at);
+}
+
 static void
 on_piece_received (LnUpstream *upstream,
                    const LcPiece *piece,
@@ -88,7 +162,11 @@
 
   lb_list_init (&actions);
   if (calls->context->dialect)
-    record_reported_weight_version (calls, call, upstream, piece->version);
+    {
+      if (!attempt->is_load_read)
+        record_reported_endpoint_load (calls, attempt, upstream);
+      record_reported_weight_version (calls, call, upstream, piece->version);
+    }
   LcPieceVerdict verdict = lc_dispatch_receive_piece (calls->dispatch, call->spec.id,
                                                       ln_upstream_get_attempt_number (upstream),
                                                       piece, lb_clock_monotonic (), &actions);
@@ -148,32 +226,6 @@
                                       lb_clock_monotonic ());
 }
 
-/* Records the load that the endpoint reports in its reply headers, which saves a load request. */
-static void
-record_reported_endpoint_load (LnCalls *calls, const LnCall *call, const LnUpstream *upstream)
-{
-  const LcEndpoint *endpoint = lc_endpoints_find (lc_dispatch_get_endpoints (calls->dispatch),
-                                                  ln_upstream_get_endpoint_name (upstream));
-  LcLoadReport report = { 0 };
-  LnReportedLoad load;
-
-  ln_upstream_read_load (upstream, &load);
-  if (!load.is_reported || !endpoint)
-    return;
-  LB_COPY (report.incarnation, endpoint->member.name);
-  report.version = endpoint->report.version;
-  report.running = load.running;
-  report.waiting = load.waiting;
-  report.measured_at = lb_clock_monotonic ();
-  /* Samples of batches fill the engines on purpose, and their number is known in advance, so their
-   * load is no sign of overload. */
-  if (call->kind != LN_CALL_SAMPLE)
-    lc_utilisation_add_report (calls->utilisation, endpoint->member.service,
-                               load.running + load.waiting, endpoint->member.concurrency);
-  lc_endpoints_record_load_report (lc_dispatch_get_endpoints (calls->dispatch),
-                                   endpoint->member.name, &report, report.measured_at);
-}
-
 /* Counts the call once in its organisation's usage, at the start of its first attempt that was not
  * refused, since a plain service starts work on an accepted request at once. */
 void
@@ -241,7 +293,10 @@
   LbList actions;
 
   lb_list_init (&actions);
-  record_reported_endpoint_load (calls, call, upstream);
+  if (!attempt->is_load_read)
+    record_reported_endpoint_load (calls, attempt, upstream);
+  else if (end == LC_END_COMPLETE)
+    confirm_endpoint_load (calls, upstream);
   update_endpoint_idle_connections (calls, ln_upstream_get_endpoint_name (upstream));
   lb_list_remove (&call->attempts, &attempt->link);
   call->ended_attempt = attempt;
