core/dispatch: placement by lasting pace among uneven endpoints

Cause: the router and the wait for a fast engine compared the pace of the last second, so slowdowns of a few hundred milliseconds decided, and long texts started on engines that are lastingly slow. A text that waited for a fast engine also blocked the shorter texts behind it.

Change: the expected time of a request is its length at the engine's lasting pace, longer by the rest of the present slowdown; the rest is estimated from how long the slowdown has lasted. The effect of the fill on the pace is learned from the streams (LcBatchCost). Plain services are compared by the ratio of their median durations. Differences of less than 10% from the median are ignored.

--- a/packages/core/include/lc-router.h
+++ b/packages/core/include/lc-router.h
@@ -20,6 +20,11 @@
   LcVersion min_version; /* oldest acceptable weight version; 0: any */
   /* endpoints whose last load report is older than this time are excluded; 0: none is excluded */
   LbTime reported_since;
+  /* number of requests ahead in the queue that wait for a faster endpoint to become free */
+  size_t n_waiting_ahead;
+  /* when the request first waited for a faster endpoint; LB_TIME_NEVER: it has not; 0: not known,
+   * the time since it was submitted counts */
+  LbTime waiting_since;
   double live_reserve; /* share of each engine's concurrency kept for live calls, 0..0.9 */
   LbName avoid[LC_MAX_AVOIDED_ENDPOINTS]; /* endpoints to exclude */
   size_t n_avoid;
@@ -35,6 +40,9 @@
 
 #define LC_MAX_SHOWN_CANDIDATES 8
 
+/* LcRouteDecision.reason of a request that waits although a slower endpoint could take it. */
+#define LC_ROUTE_AWAITS_FASTER "awaits-faster"
+
 /* A routing decision, as it is logged: the endpoint, the candidates and the reason. */
 typedef struct
 {
--- a/packages/core/src/dispatch/lc-placement.c
+++ b/packages/core/src/dispatch/lc-placement.c
@@ -127,6 +127,7 @@
   LcRouteQuery query
       = lc_request_make_route_query (request, dispatch->settings.data_centre, avoid_tried);
 
+  query.n_waiting_ahead = request->pool->n_awaiting_faster;
   query.reported_since = compute_oldest_current_load_report_time (dispatch, now);
 
   LcRouteDecision decision
@@ -142,12 +143,18 @@
                            : decision;
 }
 
+static bool
+awaits_faster_endpoint (const LcRouteDecision *decision)
+{
+  return !decision->endpoint && strcmp (decision->reason, LC_ROUTE_AWAITS_FASTER) == 0;
+}
+
 static LcRouteDecision
 choose_endpoint (LcDispatch *dispatch, const LcRequest *request, LbTime now)
 {
   LcRouteDecision decision = route_request (dispatch, request, true, now);
 
-  if (decision.endpoint || request->n_tried == 0)
+  if (decision.endpoint || request->n_tried == 0 || awaits_faster_endpoint (&decision))
     return decision;
   return route_request (dispatch, request, false, now);
 }
@@ -179,6 +186,7 @@
   size_t n_hashes = request->n_prefix_hashes;
 
   request->state = LC_STATE_RUNNING;
+  request->awaits_faster_since = 0;
   action->attempt = attempt->number;
   action->resume_at = attempt->next_offset;
   action->decision = *decision;
@@ -203,8 +211,10 @@
 {
   const LcQueueEntry *first = lc_queue_peek (request->pool->queue);
 
-  return first == &request->queue_entry
-         || has_endpoint_constraints (LB_CONTAINER (first, LcRequest, queue_entry));
+  const LcRequest *first_request = LB_CONTAINER (first, LcRequest, queue_entry);
+
+  return first_request == request || has_endpoint_constraints (first_request)
+         || first_request->awaits_faster_since > 0;
 }
 
 /* Fails a waiting request whose content was quarantined after the request had been admitted. */
@@ -273,8 +283,26 @@
     }
 }
 
+static bool
+may_skip_request (const LcRequest *request, const LcRouteDecision *decision)
+{
+  return has_endpoint_constraints (request) || awaits_faster_endpoint (decision);
+}
+
+static void
+skip_request (LcPoolState *pool, LcRequest *request, const LcRouteDecision *decision, LbTime now)
+{
+  lc_queue_defer (pool->queue, &request->queue_entry);
+  if (!awaits_faster_endpoint (decision))
+    return;
+  pool->n_awaiting_faster++;
+  if (request->awaits_faster_since == 0)
+    request->awaits_faster_since = now;
+}
+
 /* Sends as many waiting requests of the pool as its endpoints can take. Skips requests without an
- * endpoint only if their constraints may be the reason; otherwise the pool is full. */
+ * endpoint only if their constraints may be the reason, or if they wait for a faster endpoint;
+ * otherwise the pool is full. */
 void
 lc_dispatch_send_waiting_requests (LcDispatch *dispatch,
                                    LcPoolState *pool,
@@ -284,6 +312,7 @@
   LcQueueEntry *entry = NULL;
   int n_skipped = 0;
 
+  pool->n_awaiting_faster = 0;
   while ((entry = lc_queue_peek (pool->queue)))
     {
       LcRequest *request = LB_CONTAINER (entry, LcRequest, queue_entry);
@@ -291,11 +320,13 @@
 
       if (decision.endpoint)
         place_request (dispatch, request, &decision, now, actions);
-      else if (has_endpoint_constraints (request) && n_skipped++ < MAX_SKIPPED_REQUESTS_PER_ROUND)
-        lc_queue_defer (pool->queue, entry);
+      else if (may_skip_request (request, &decision)
+               && n_skipped++ < MAX_SKIPPED_REQUESTS_PER_ROUND)
+        skip_request (pool, request, &decision, now);
       else
         break;
     }
+  pool->n_awaiting_faster = 0;
   lc_queue_restore_deferred (pool->queue);
   fail_blocked_requests (dispatch, pool, now, actions);
 }
--- a/packages/core/src/dispatch/lc-pool.h
+++ b/packages/core/src/dispatch/lc-pool.h
@@ -19,12 +19,14 @@
   LbName name;
   LcPoolKind kind;
   LcQueue *queue;
-  bool configured;     /* the current configuration contains the pool */
-  LbTime held_since;   /* when the pool began to hold its requests until a current load report
-                          arrives; 0: it holds none */
-  double live_reserve; /* share of each engine's concurrency kept for live calls, 0..0.9 */
-  int64_t queue_limit; /* maximum number of waiting requests */
-  size_t n_requests;   /* number of requests admitted and not finished */
+  bool configured;   /* the current configuration contains the pool */
+  LbTime held_since; /* when the pool began to hold its requests until a current load report
+                        arrives; 0: it holds none */
+  /* number of requests that wait for a faster endpoint, in the present round of sending */
+  size_t n_awaiting_faster;
+  double live_reserve;         /* share of each engine's concurrency kept for live calls, 0..0.9 */
+  int64_t queue_limit;         /* maximum number of waiting requests */
+  size_t n_requests;           /* number of requests admitted and not finished */
   int64_t running[LC_N_KINDS]; /* number of running attempts by request kind */
   /* Moving average of the duration of complete attempts; 0: none has completed. */
   double mean_attempt_seconds[LC_N_KINDS];
--- a/packages/core/src/dispatch/lc-request.c
+++ b/packages/core/src/dispatch/lc-request.c
@@ -151,6 +151,8 @@
     .soft_deadline = request->soft_deadline,
     .submitted = request->submitted,
     .min_version = request->min_version,
+    .waiting_since
+    = request->awaits_faster_since > 0 ? request->awaits_faster_since : LB_TIME_NEVER,
     .live_reserve = request->pool->live_reserve,
     .n_avoid = request->n_avoid + (avoid_tried ? request->n_tried : 0),
   };
--- a/packages/core/src/dispatch/lc-request.h
+++ b/packages/core/src/dispatch/lc-request.h
@@ -39,8 +39,11 @@
   LcHeapNode timer_node;
   LbTime timer_due; /* when the timer of the request expires; LB_TIME_NEVER: no timer */
   LbTime submitted;
-  LbTime deadline;       /* time by which the answer must be complete */
-  LbTime soft_deadline;  /* desired completion time of the whole answer; 0: none */
+  LbTime deadline;      /* time by which the answer must be complete */
+  LbTime soft_deadline; /* desired completion time of the whole answer; 0: none */
+  /* when the request first waited for a faster endpoint although a slower one could take it; 0: it
+   * has not */
+  LbTime awaits_faster_since;
   LbTime start_deadline; /* latest start of the first attempt; at most the deadline */
   LbTime retry_at;       /* when the request is queued again after a backoff (LC_STATE_BACKOFF) */
   LbName caller;
--- a/packages/core/src/dispatch/lc-router-finish-time.c
+++ b/packages/core/src/dispatch/lc-router-finish-time.c
@@ -45,6 +45,8 @@
   const LcRouteQuery *query;
   const double *cached_shares;
   double mean_service_seconds;
+  double
+      full_batch_slowdown; /* relative increase of a token's time from one stream to a full batch */
   double expected_tokens;
   double full_prefill_seconds; /* time to process the whole prompt, if no part is cached */
   /* estimated number of requests that other instances have sent since the load reports, except
@@ -89,6 +91,8 @@
     .query = query,
     .cached_shares = lc_policy_compute_cached_prompt_shares (policy, endpoints, query, now),
     .mean_service_seconds = seconds > 0 ? seconds : DEFAULT_SERVICE_SECONDS,
+    .full_batch_slowdown
+    = group->stream_slowdown > 0 ? group->stream_slowdown : group->batch_slowdown,
     .expected_tokens = (double)tokens,
     .data_centre = lc_endpoints_find_data_centre (endpoints, query->data_centre),
     .now = now,
@@ -139,6 +143,24 @@
   return (double)(endpoint->swap_until - inputs->now) / LB_SEC;
 }
 
+/* Returns the expected time to do this request's work at the endpoint, if the request runs alone.
+ * The duration of requests to plain services varies more between requests than between endpoints,
+ * so only the ratio of an endpoint's duration to the group's is used. */
+static double
+estimate_decode_seconds (const DecisionInputs *inputs, const LcEndpointSummary *summary)
+{
+  const LcEndpointGroup *group = inputs->group;
+  bool is_service = inputs->query->kind == LC_KIND_SERVICE;
+  double median = group->median_lasting_token_seconds;
+  double units = is_service ? 1 : inputs->expected_tokens;
+  double seconds
+      = median > 0 ? lc_endpoint_summary_expected_seconds (summary, group, units, inputs->now) : 0;
+
+  if (is_service)
+    return inputs->mean_service_seconds * (seconds > 0 ? seconds / median : 1);
+  return seconds > 0 ? seconds : units * (double)summary->single_stream_token_seconds;
+}
+
 /* Returns the cost of waiting and decoding at this load, and how many requests raise the cost by a
  * second. A larger batch slows down all of its requests, so an added request is counted twice: for
  * its own time and for the delay of the others. */
@@ -146,10 +168,8 @@
 estimate_load_cost (const DecisionInputs *inputs, const LcEndpointSummary *summary, double load)
 {
   double per_slot = (double)summary->inverse_capacity;
-  double decode = inputs->query->kind == LC_KIND_SERVICE
-                      ? inputs->mean_service_seconds
-                      : inputs->expected_tokens * (double)summary->single_stream_token_seconds;
-  double full = 2 * decode * inputs->group->batch_slowdown;
+  double decode = estimate_decode_seconds (inputs, summary);
+  double full = 2 * decode * inputs->full_batch_slowdown;
   double fill = (load + 1) * per_slot;
   double slope = fill <= 1 ? full : inputs->mean_service_seconds;
 
--- a/packages/core/src/endpoints/lc-endpoint-condition.c
+++ b/packages/core/src/endpoints/lc-endpoint-condition.c
@@ -21,8 +21,9 @@
  * RECOVERED_FACTOR. */
 #define SLOW_FACTOR 1.5
 #define RECOVERED_FACTOR 1.25
-/* Bounds of the expected rest of a slowdown. An endpoint that has been slow for a time is expected
- * to stay slow as long again. */
+/* An endpoint that has been slow for a time is expected to stay slow for this multiple of the time,
+ * within the bounds. */
+#define REMAINING_SLOWDOWN_FACTOR 2
 #define MIN_REMAINING_SLOWDOWN (300 * LB_MSEC)
 #define MAX_REMAINING_SLOWDOWN (4 * LB_SEC)
 
@@ -94,29 +95,39 @@
 {
   condition->window_started_at = 0;
   condition->window_seconds = 0;
+  condition->window_loaded_seconds = 0;
   condition->window_tokens = 0;
 }
 
-void
-lc_endpoint_condition_add_tokens (LcEndpointCondition *condition,
-                                  int64_t tokens,
-                                  LbTime interval,
-                                  LbTime now)
+static bool
+is_window_complete (const LcEndpointCondition *condition, LbTime now)
+{
+  return now - condition->window_started_at >= WINDOW_DURATION
+         && condition->window_loaded_seconds >= MIN_WINDOW_SECONDS
+         && condition->window_tokens >= MIN_WINDOW_TOKENS;
+}
+
+double
+lc_endpoint_condition_add_tokens (
+    LcEndpointCondition *condition, int64_t tokens, LbTime interval, double load_factor, LbTime now)
 {
+  double seconds = (double)interval / LB_SEC / get_correcting_slowdown (condition, now - interval);
+  double loaded_token_seconds = 0;
+
   if (condition->window_started_at > 0
       && now - condition->window_started_at > WINDOW_DURATION + MAX_WINDOW_GAP)
     clear_window (condition);
   if (condition->window_started_at == 0)
     condition->window_started_at = now - interval;
-  condition->window_seconds
-      += (double)interval / LB_SEC / get_correcting_slowdown (condition, now - interval);
+  condition->window_loaded_seconds += seconds;
+  condition->window_seconds += seconds / load_factor;
   condition->window_tokens += (double)tokens;
-  if (now - condition->window_started_at < WINDOW_DURATION
-      || condition->window_seconds < MIN_WINDOW_SECONDS
-      || condition->window_tokens < MIN_WINDOW_TOKENS)
-    return;
+  if (!is_window_complete (condition, now))
+    return 0;
+  loaded_token_seconds = condition->window_loaded_seconds / condition->window_tokens;
   add_observation (condition, condition->window_seconds / condition->window_tokens, now);
   clear_window (condition);
+  return loaded_token_seconds;
 }
 
 void
@@ -154,7 +165,7 @@
 
   if (condition->slow_since == 0)
     return 0;
-  remaining = condition->slowdown_observed_at - condition->slow_since;
+  remaining = REMAINING_SLOWDOWN_FACTOR * (condition->slowdown_observed_at - condition->slow_since);
   if (remaining < MIN_REMAINING_SLOWDOWN)
     remaining = MIN_REMAINING_SLOWDOWN;
   if (remaining > MAX_REMAINING_SLOWDOWN)
@@ -163,6 +174,12 @@
   return remaining > 0 ? remaining : 0;
 }
 
+bool
+lc_endpoint_condition_may_be_slowed (const LcEndpointCondition *condition)
+{
+  return condition->slow_since > 0 || condition->reported_slowdown > 1;
+}
+
 double
 lc_endpoint_condition_present_slowdown (const LcEndpointCondition *condition, LbTime now)
 {
--- a/packages/core/src/endpoints/lc-endpoint-condition.h
+++ b/packages/core/src/endpoints/lc-endpoint-condition.h
@@ -3,7 +3,7 @@
 
 #include "lb-types.h"
 
-#define LC_CONDITION_MAX_OBSERVATIONS 48
+#define LC_CONDITION_MAX_OBSERVATIONS 64
 
 /* How fast an endpoint works: a lasting value, which slowdowns of less than a second do not change,
  * and the present slowdown. The unit of work is a token of a stream at an engine, and a request at
@@ -16,7 +16,8 @@
   LbTime observed_at;      /* time of the last observation */
   /* the current time window, which becomes one observation */
   LbTime window_started_at; /* 0: no window is open */
-  double window_seconds;    /* streaming time, corrected by the reported slowdown */
+  double window_seconds;    /* streaming time, corrected by the reported slowdown and the load */
+  double window_loaded_seconds; /* streaming time, corrected by the reported slowdown only */
   double window_tokens;
   double reported_slowdown; /* 1: as usual; 0: not reported */
   LbTime reported_at;
@@ -33,11 +34,15 @@
 void lc_endpoint_condition_add_work_time (LcEndpointCondition *condition,
                                           int64_t percent,
                                           LbTime measured_at);
-/* Records the tokens that a stream delivered in the interval before now. */
-void lc_endpoint_condition_add_tokens (LcEndpointCondition *condition,
-                                       int64_t tokens,
-                                       LbTime interval,
-                                       LbTime now);
+/* Records the tokens that a stream delivered in the interval before now. load_factor: time per
+ * token at the engine's load in that interval, relative to the load for which the lasting value
+ * holds. Returns the seconds per token without correction for the load if the tokens complete a
+ * window; otherwise 0. */
+double lc_endpoint_condition_add_tokens (LcEndpointCondition *condition,
+                                         int64_t tokens,
+                                         LbTime interval,
+                                         double load_factor,
+                                         LbTime now);
 /* Records the time per token of the last second of streaming. */
 void lc_endpoint_condition_set_present_token_seconds (LcEndpointCondition *condition,
                                                       double token_seconds,
@@ -49,6 +54,9 @@
 
 /* Lasting seconds per unit of work; 0: not known or too old. */
 double lc_endpoint_condition_lasting_seconds (const LcEndpointCondition *condition, LbTime now);
+/* Whether the present slowdown may be more than 1; false: it is 1 at any time until the condition
+ * changes. */
+bool lc_endpoint_condition_may_be_slowed (const LcEndpointCondition *condition);
 /* Present time per unit of work as a multiple of the lasting value; 1: as usual or not known. */
 double lc_endpoint_condition_present_slowdown (const LcEndpointCondition *condition, LbTime now);
 /* How much longer the present slowdown is expected to last; 0: the endpoint is not slow. */
--- a/packages/core/src/endpoints/lc-endpoint-entry.c
+++ b/packages/core/src/endpoints/lc-endpoint-entry.c
@@ -67,6 +67,8 @@
     = (float)lc_endpoint_condition_lasting_seconds (&entry->condition, entry->table->last_event_at),
     .is_excluded = endpoint->leaving || entry->is_retired,
     .needs_full_check = needs_full_admission_check (entry),
+    .is_slowed = lc_endpoint_condition_may_be_slowed (&entry->condition),
+    .reports_pace = endpoint->report.tokens_per_second > 0,
   };
 }
 
--- a/packages/core/src/endpoints/lc-endpoint-table.h
+++ b/packages/core/src/endpoints/lc-endpoint-table.h
@@ -32,8 +32,10 @@
   int32_t live_sent_since_report;
   int32_t in_flight;                 /* number of this instance's requests at the endpoint */
   int16_t data_centre;               /* index into LcEndpoints.data_centres */
-  bool is_excluded;                  /* the endpoint is leaving or no longer in the configuration */
-  bool needs_full_check;             /* the entry's state must be checked, not only the summary */
+  bool is_excluded : 1;              /* the endpoint is leaving or no longer in the configuration */
+  bool needs_full_check : 1;         /* the entry's state must be checked, not only the summary */
+  bool is_slowed : 1;                /* the entry's condition may show a present slowdown */
+  bool reports_pace : 1;             /* the load report states the token rate of a stream */
   float single_stream_token_seconds; /* seconds per token of a stream that runs alone */
   float inverse_capacity;            /* 1 / capacity */
   /* lasting seconds per token, or per request at a plain service (see lc-endpoint-condition.h); 0:
@@ -90,7 +92,12 @@
   /* median of the endpoints' lasting seconds per token, or per request; 0: not known */
   double median_lasting_token_seconds;
   LbTime next_median_update_at;
-  double prefix_bound_share; /* share of this instance's requests routed to a cached prefix */
+  /* relation between the fill of an engine and the time per token of its streams, as a multiple of
+   * the engine's lasting time per token */
+  LcBatchCost stream_cost;
+  double stream_slowdown;     /* how much longer a token takes in a full batch; 0: not known */
+  double mean_request_tokens; /* mean length of this instance's streams; 0: none has ended */
+  double prefix_bound_share;  /* share of this instance's requests routed to a cached prefix */
   UT_hash_handle hh;
 } LcEndpointGroup;
 
@@ -136,6 +143,13 @@
 void lc_endpoint_entry_reset_for_new_process (LcEndpointEntry *entry);
 void lc_endpoint_entry_invalidate_cached_prefixes (LcEndpointEntry *entry);
 LcEndpointGroup *lc_endpoint_entry_find_group (const LcEndpointEntry *entry);
+/* Expected seconds for the units of work (tokens, or requests at a plain service) at the endpoint,
+ * with its lasting pace and the present slowdown; 0: no lasting pace is known in the group, or the
+ * endpoint reports its pace. */
+double lc_endpoint_summary_expected_seconds (const LcEndpointSummary *summary,
+                                             const LcEndpointGroup *group,
+                                             double units,
+                                             LbTime now);
 /* Records the present duration of work, in percent of the usual duration; 0: not reported. */
 void
 lc_endpoint_entry_record_work_time (LcEndpointEntry *entry, int64_t percent, LbTime measured_at);
--- a/packages/core/src/endpoints/lc-endpoints-pace.c
+++ b/packages/core/src/endpoints/lc-endpoints-pace.c
@@ -5,11 +5,16 @@
 #include "lb-alloc.h"
 #include "lb-switch.h"
 
+#include <math.h>
 #include <stdlib.h>
 
 /* The pace of an endpoint without streams is discarded after this time, so that a slow endpoint is
  * tried again: engines are slow for five to ten seconds at a time. */
 #define MAX_PACE_AGE (4 * LB_SEC)
+#define MIN_PACE_DIFFERENCE 0.1 /* relative to the group's median */
+#define REFERENCE_FILL 0.5
+#define MAX_FITTED_TOKEN_SECONDS 1.6 /* multiple of the lasting time per token */
+#define MIN_FITTED_WINDOWS 50
 #define PACE_REVIEW_INTERVAL (500 * LB_MSEC)
 
 LcEndpointGroup *
@@ -108,17 +113,51 @@
   group->median_lasting_token_seconds = compute_median_lasting_token_seconds (entry->table, group);
 }
 
+static double
+estimate_fill (const LcEndpointEntry *entry)
+{
+  const LcEndpointSummary *summary = &entry->table->summaries[entry->endpoint.slot];
+
+  return fmin (1, (double)(summary->requests * summary->inverse_capacity));
+}
+
+/* Returns the time per token at an engine with the fill, relative to the time at REFERENCE_FILL,
+ * for which lasting values hold. */
+static double
+get_load_factor (const LcEndpointGroup *group, double fill)
+{
+  return (1 + group->stream_slowdown * fill) / (1 + group->stream_slowdown * REFERENCE_FILL);
+}
+
+/* Values during a slowdown are left out, since they would hide the effect of the fill. */
+static void
+update_stream_cost (LcEndpointGroup *group, double fill, double relative_token_seconds)
+{
+  if (relative_token_seconds > MAX_FITTED_TOKEN_SECONDS)
+    return;
+  lc_batch_cost_add_report (&group->stream_cost, fill, relative_token_seconds);
+  if (group->stream_cost.n_reports >= MIN_FITTED_WINDOWS)
+    group->stream_slowdown = lc_batch_cost_full_batch_slowdown (&group->stream_cost);
+}
+
 static void
 update_engine_condition (LcEndpointEntry *entry, int64_t tokens, LbTime interval, LbTime now)
 {
   LcEndpointCondition *condition = &entry->condition;
+  LcEndpointGroup *group = lc_endpoint_entry_find_group (entry);
+  double fill = estimate_fill (entry);
+  double load_factor = get_load_factor (group, fill);
+  double loaded_token_seconds = 0;
 
   if (!lb_switch_is_on (LB_SWITCH_CONDITION))
     return;
-  lc_endpoint_condition_add_tokens (condition, tokens, interval, now);
+  loaded_token_seconds
+      = lc_endpoint_condition_add_tokens (condition, tokens, interval, load_factor, now);
+  if (loaded_token_seconds > 0 && condition->lasting_seconds > 0)
+    update_stream_cost (group, fill, loaded_token_seconds / condition->lasting_seconds);
   lc_endpoint_condition_set_present_token_seconds (
-      condition, lc_stream_pace_token_seconds (&entry->stream_pace), now);
-  update_group_median_if_due (entry, lc_endpoint_entry_find_group (entry), now);
+      condition, lc_stream_pace_token_seconds (&entry->stream_pace) / load_factor, now);
+  update_group_median_if_due (entry, group, now);
 }
 
 /* Records the duration of a request to a plain service, which sends no tokens. */
@@ -177,3 +216,31 @@
   entry->has_reported_invalid_load = true;
   return is_first;
 }
+
+/* Returns the endpoint's lasting seconds per unit of work. A difference of less than
+ * MIN_PACE_DIFFERENCE from the group's median may be noise; it would make all instances prefer the
+ * same endpoints among equal ones. */
+static double
+get_lasting_unit_seconds (const LcEndpointSummary *summary, const LcEndpointGroup *group)
+{
+  double lasting = (double)summary->lasting_token_seconds;
+  double median = group->median_lasting_token_seconds;
+
+  if (lasting <= 0 || fabs (lasting - median) < MIN_PACE_DIFFERENCE * median)
+    return median;
+  return lasting;
+}
+
+double
+lc_endpoint_summary_expected_seconds (const LcEndpointSummary *summary,
+                                      const LcEndpointGroup *group,
+                                      double units,
+                                      LbTime now)
+{
+  double seconds = units * get_lasting_unit_seconds (summary, group);
+
+  if (summary->reports_pace || !summary->is_slowed)
+    return summary->reports_pace ? 0 : seconds;
+  return lc_endpoint_condition_stretch_seconds (
+      &lc_endpoint_to_entry (summary->endpoint)->condition, seconds, now);
+}
--- a/packages/core/src/endpoints/lc-endpoints.c
+++ b/packages/core/src/endpoints/lc-endpoints.c
@@ -251,9 +251,12 @@
 static void
 update_mean_service_time (LcEndpointEntry *entry, int64_t tokens, LbTime took)
 {
-  update_ewma (&lc_endpoint_entry_find_group (entry)->mean_service_seconds, (double)took / LB_SEC);
+  LcEndpointGroup *group = lc_endpoint_entry_find_group (entry);
+
+  update_ewma (&group->mean_service_seconds, (double)took / LB_SEC);
   if (tokens == 0)
     return;
+  update_ewma (&group->mean_request_tokens, (double)tokens);
   update_ewma (&entry->endpoint.ewma_token_seconds, (double)took / LB_SEC / (double)tokens);
   if (entry->endpoint.report.tokens_per_second <= 0 && entry->stream_pace_at == 0)
     entry->single_stream_token_seconds = entry->endpoint.ewma_token_seconds;
--- a/packages/core/src/endpoints/lc-in-flight-history.c
+++ b/packages/core/src/endpoints/lc-in-flight-history.c
@@ -61,3 +61,9 @@
         += get_in_flight_change (history, i)->is_sent && get_in_flight_change (history, i)->is_live;
   return n_sent;
 }
+
+LbTime
+lc_in_flight_history_last_change_at (const LcInFlightHistory *history)
+{
+  return history->n_changes > 0 ? get_in_flight_change (history, history->n_changes - 1)->at : 0;
+}
--- a/packages/core/src/endpoints/lc-in-flight-history.h
+++ b/packages/core/src/endpoints/lc-in-flight-history.h
@@ -26,6 +26,8 @@
     LcInFlightHistory *history, int64_t in_flight, bool is_sent, bool is_live, LbTime now);
 
 /* Functions that only read an LcInFlightHistory. */
+/* Time of the last change; 0: there was none. */
+LbTime lc_in_flight_history_last_change_at (const LcInFlightHistory *history);
 int64_t lc_in_flight_history_count_requests_at (const LcInFlightHistory *history, LbTime at);
 int64_t lc_in_flight_history_count_requests_sent_after (const LcInFlightHistory *history,
                                                         LbTime at);
--- a/packages/core/tests/test-endpoint-condition.c
+++ b/packages/core/tests/test-endpoint-condition.c
@@ -13,7 +13,7 @@
 stream_tokens (LcEndpointCondition *condition, LbTime interval, LbTime from, LbTime to)
 {
   for (LbTime now = from + interval; now <= to; now += interval)
-    lc_endpoint_condition_add_tokens (condition, 1, interval, now);
+    lc_endpoint_condition_add_tokens (condition, 1, interval, 1, now);
 }
 
 /* Streams with slowdowns of NOISE_SLOWDOWN in a share NOISE_SHARE of the intervals. */
