--- a/packages/core/src/dispatch/lc-router-finish-time.c
+++ b/packages/core/src/dispatch/lc-router-finish-time.c
@@ -45,6 +45,8 @@
   const LcRouteQuery *query;
   const double *cached_shares;
   double mean_service_seconds;
+  double
+      full_batch_slowdown; /* relative increase of a token's time from one stream to a full batch */
   double expected_tokens;
   double full_prefill_seconds; /* time to process the whole prompt, if no part is cached */
   /* estimated number of requests that other instances have sent since the load reports, except
@@ -89,6 +91,8 @@
     .query = query,
     .cached_shares = lc_policy_compute_cached_prompt_shares (policy, endpoints, query, now),
     .mean_service_seconds = seconds > 0 ? seconds : DEFAULT_SERVICE_SECONDS,
+    .full_batch_slowdown
+    = group->stream_slowdown > 0 ? group->stream_slowdown : group->batch_slowdown,
     .expected_tokens = (double)tokens,
     .data_centre = lc_endpoints_find_data_centre (endpoints, query->data_centre),
     .now = now,
@@ -139,6 +143,24 @@
   return (double)(endpoint->swap_until - inputs->now) / LB_SEC;
 }
 
+/* Returns the expected time to do this request's work at the endpoint, if the request runs alone.
+ * The duration of requests to plain services varies more between requests than between endpoints,
+ * so only the ratio of an endpoint's duration to the group's is used. */
+static double
+estimate_decode_seconds (const DecisionInputs *inputs, const LcEndpointSummary *summary)
+{
+  const LcEndpointGroup *group = inputs->group;
+  bool is_service = inputs->query->kind == LC_KIND_SERVICE;
+  double median = group->median_lasting_token_seconds;
+  double units = is_service ? 1 : inputs->expected_tokens;
+  double seconds
+      = median > 0 ? lc_endpoint_summary_expected_seconds (summary, group, units, inputs->now) : 0;
+
+  if (is_service)
+    return inputs->mean_service_seconds * (seconds > 0 ? seconds / median : 1);
+  return seconds > 0 ? seconds : units * (double)summary->single_stream_token_seconds;
+}
+
 /* Returns the cost of waiting and decoding at this load, and how many requests raise the cost by a
  * second. A larger batch slows down all of its requests, so an added request is counted twice: for
  * its own time and for the delay of the others. */
@@ -146,10 +168,8 @@
 estimate_load_cost (const DecisionInputs *inputs, const LcEndpointSummary *summary, double load)
 {
   double per_slot = (double)summary->inverse_capacity;
-  double decode = inputs->query->kind == LC_KIND_SERVICE
-                      ? inputs->mean_service_seconds
-                      : inputs->expected_tokens * (double)summary->single_stream_token_seconds;
-  double full = 2 * decode * inputs->group->batch_slowdown;
+  double decode = estimate_decode_seconds (inputs, summary);
+  double full = 2 * decode * inputs->full_batch_slowdown;
   double fill = (load + 1) * per_slot;
   double slope = fill <= 1 ? full : inputs->mean_service_seconds;
 
@@ -157,6 +177,12 @@
                        .capacity_per_second = 1 / (slope * per_slot) };
 }
 
+static size_t
+get_slot (const DecisionInputs *inputs, const LcEndpointSummary *summary)
+{
+  return (size_t)(summary - inputs->endpoints->summaries);
+}
+
 /* Returns the cost of processing the part of the prompt that is not cached, including the delay of
  * concurrent requests. Their number is the average over all endpoints (see estimate_arrivals),
  * since the number at one endpoint is as old as the endpoint's report. */
@@ -165,7 +191,7 @@
 {
   if (!lb_switch_is_on (LB_SWITCH_PREFIX_AFFINITY))
     return inputs->full_prefill_seconds;
-  return inputs->full_prefill_seconds * (1 - inputs->cached_shares[summary->slot]);
+  return inputs->full_prefill_seconds * (1 - inputs->cached_shares[get_slot (inputs, summary)]);
 }
 
 /* Returns the cost of a new connection to a service endpoint; 0 if a connection was used recently.
@@ -387,7 +413,8 @@
   double level = find_fill_level (policy, inputs.n_arrived_since_reports + 1, all_filled);
   double lowest = score_candidates (policy, &inputs, level);
   size_t chosen = draw_candidate (policy, level, lowest, now);
-  bool is_prefix_bound = inputs.cached_shares[policy->candidates.summaries[chosen]->slot] > 0;
+  bool is_prefix_bound
+      = inputs.cached_shares[get_slot (&inputs, policy->candidates.summaries[chosen])] > 0;
 
   inputs.group->prefix_bound_share
       += PREFIX_BOUND_EWMA_WEIGHT * ((is_prefix_bound ? 1 : 0) - inputs.group->prefix_bound_share);
--- a/packages/core/src/endpoints/lc-endpoint-table.h
+++ b/packages/core/src/endpoints/lc-endpoint-table.h
@@ -4,6 +4,7 @@
 #include "lc-batch-cost.h"
 #include "lc-breaker.h"
 #include "lc-concurrency.h"
+#include "lc-endpoint-condition.h"
 #include "lc-endpoints.h"
 #include "lc-in-flight-history.h"
 #include "lc-leaving.h"
@@ -16,7 +17,7 @@
 
 /* The fields of an endpoint that a routing decision reads, in one cache line: a decision scans all
  * endpoints of a pool, and their entries are scattered in memory. Updated after each change of the
- * endpoint. */
+ * endpoint. The index of a summary in LcEndpoints.summaries is the endpoint's slot. */
 typedef struct
 {
   LcEndpoint *endpoint;
@@ -27,17 +28,25 @@
   /* number of requests at the endpoint: those of the last report, corrected by later changes */
   float requests;
   float other_requests; /* number of requests of other instances in the last report */
-  uint32_t slot;
   /* number of requests other than samples that this instance sent since the last report */
   int32_t live_sent_since_report;
   int32_t in_flight;                 /* number of this instance's requests at the endpoint */
   int16_t data_centre;               /* index into LcEndpoints.data_centres */
-  bool is_excluded;                  /* the endpoint is leaving or no longer in the configuration */
-  bool needs_full_check;             /* the entry's state must be checked, not only the summary */
+  bool is_excluded : 1;              /* the endpoint is leaving or no longer in the configuration */
+  bool needs_full_check : 1;         /* the entry's state must be checked, not only the summary */
+  bool is_slowed : 1;                /* the entry's condition may show a present slowdown */
+  bool reports_pace : 1;             /* the load report states the token rate of a stream */
   float single_stream_token_seconds; /* seconds per token of a stream that runs alone */
   float inverse_capacity;            /* 1 / capacity */
+  /* lasting seconds per token, or per request at a plain service (see lc-endpoint-condition.h); 0:
+   * not known */
+  float lasting_token_seconds;
 } LcEndpointSummary;
 
+#define LC_CACHE_LINE_BYTES 64
+_Static_assert(sizeof (LcEndpointSummary) <= LC_CACHE_LINE_BYTES,
+               "a summary must fit into a cache line");
+
 /* One endpoint in the table: the public part, which routing policies and other packages read, and
  * private state. */
 typedef struct LcEndpointEntry
@@ -54,6 +63,8 @@
   double single_stream_token_seconds;
   LcStreamPace stream_pace; /* pace of this instance's streams at the endpoint */
   LbTime stream_pace_at;    /* when a stream last updated stream_pace; 0: never */
+  LcEndpointCondition condition;
+  bool has_reported_invalid_load; /* the endpoint's process has sent an invalid load header */
   LbTime swap_started_at;
   LcVersion version_before_swap;
   LcBreaker breaker;
@@ -78,7 +89,15 @@
   double batch_slowdown;        /* result of lc_batch_cost_full_batch_slowdown for batch_cost */
   LbTime next_pace_review_at;   /* next time when outdated stream paces are discarded */
   double fastest_token_seconds; /* seconds per token at the fastest endpoint; 0: not known */
-  double prefix_bound_share;    /* share of this instance's requests routed to a cached prefix */
+  /* median of the endpoints' lasting seconds per token, or per request; 0: not known */
+  double median_lasting_token_seconds;
+  LbTime next_median_update_at;
+  /* relation between the fill of an engine and the time per token of its streams, as a multiple of
+   * the engine's lasting time per token */
+  LcBatchCost stream_cost;
+  double stream_slowdown;     /* how much longer a token takes in a full batch; 0: not known */
+  double mean_request_tokens; /* mean length of this instance's streams; 0: none has ended */
+  double prefix_bound_share;  /* share of this instance's requests routed to a cached prefix */
   UT_hash_handle hh;
 } LcEndpointGroup;
 
@@ -123,6 +142,19 @@
 void lc_endpoint_entry_refresh_public_state (LcEndpointEntry *entry, LbTime now);
 void lc_endpoint_entry_reset_for_new_process (LcEndpointEntry *entry);
 void lc_endpoint_entry_invalidate_cached_prefixes (LcEndpointEntry *entry);
+LcEndpointGroup *lc_endpoint_entry_find_group (const LcEndpointEntry *entry);
+/* Expected seconds for the units of work (tokens, or requests at a plain service) at the endpoint,
+ * with its lasting pace and the present slowdown; 0: no lasting pace is known in the group, or the
+ * endpoint reports its pace. */
+double lc_endpoint_summary_expected_seconds (const LcEndpointSummary *summary,
+                                             const LcEndpointGroup *group,
+                                             double units,
+                                             LbTime now);
+/* Records the present duration of work, in percent of the usual duration; 0: not reported. */
+void
+lc_endpoint_entry_record_work_time (LcEndpointEntry *entry, int64_t percent, LbTime measured_at);
+/* Records the duration of a complete request to a plain service. */
+void lc_endpoint_entry_record_service_duration (LcEndpointEntry *entry, LbTime took, LbTime now);
 
 /* reports_valid_since: result of lc_endpoints_reports_valid_since, read once per routing
  * decision. */
--- a/packages/core/src/endpoints/lc-endpoints.c
+++ b/packages/core/src/endpoints/lc-endpoints.c
@@ -12,11 +12,6 @@
  * soon after the end of a weight load, which takes about a second. */
 #define REFUSAL_BACKOFF (120 * LB_MSEC)
 #define MAX_TOKENS_PER_SECOND 1e6
-/* The pace of an endpoint without streams is discarded after this time, so that a slow endpoint is
- * tried again: engines are slow for five to ten seconds at a time. */
-#define MAX_PACE_AGE (4 * LB_SEC)
-#define PACE_REVIEW_INTERVAL (500 * LB_MSEC)
-
 static void
 end_weight_swap_if_confirmed (LcEndpointEntry *entry)
 {
@@ -28,19 +23,11 @@
     endpoint->swap_pending = false;
 }
 
-static LcEndpointGroup *
-find_group_of_entry (const LcEndpointEntry *entry)
-{
-  const LcEndpointMember *member = &entry->endpoint.member;
-
-  return lc_endpoints_find_group (entry->table, (LcEndpointKind)member->kind, member->pool);
-}
-
 static void
 update_single_stream_token_seconds (LcEndpointEntry *entry)
 {
   const LcLoadReport *report = &entry->endpoint.report;
-  LcEndpointGroup *group = find_group_of_entry (entry);
+  LcEndpointGroup *group = lc_endpoint_entry_find_group (entry);
   double fill = fmin (1, (double)report->running / entry->concurrency.max);
 
   if (report->tokens_per_second <= 0)
@@ -51,6 +38,17 @@
       = 1 / report->tokens_per_second / (1 + group->batch_slowdown * fill);
 }
 
+/* Replaces the known report. Reports from other sources than the endpoint's replies don't state the
+ * number of slots. */
+static void
+replace_report (LcLoadReport *known, const LcLoadReport *report)
+{
+  int64_t slots = report->slots > 0 ? report->slots : known->slots;
+
+  *known = *report;
+  known->slots = slots;
+}
+
 static void
 apply_load_report (LcEndpointEntry *entry, const LcLoadReport *report)
 {
@@ -63,7 +61,7 @@
     lc_endpoint_entry_reset_for_new_process (entry);
   if (report->incarnation[0])
     lc_leaving_set_current_incarnation (&entry->leaving, report->incarnation);
-  endpoint->report = *report;
+  replace_report (&endpoint->report, report);
   if (!report->incarnation[0])
     LB_COPY (endpoint->report.incarnation, known_incarnation);
   entry->table->n_repeated_reports += entry->is_reported;
@@ -77,6 +75,7 @@
   entry->in_flight_at_report
       = lc_in_flight_history_count_requests_at (&entry->in_flight_history, report->measured_at);
   update_single_stream_token_seconds (entry);
+  lc_endpoint_entry_record_work_time (entry, report->work_time_percent, report->measured_at);
   end_weight_swap_if_confirmed (entry);
 }
 
@@ -92,6 +91,8 @@
   sanitised.version = report->version > 0 ? report->version : 0;
   if (!(report->tokens_per_second > 0 && report->tokens_per_second < MAX_TOKENS_PER_SECOND))
     sanitised.tokens_per_second = 0;
+  sanitised.slots = report->slots > 0 ? report->slots : 0;
+  sanitised.work_time_percent = report->work_time_percent > 0 ? report->work_time_percent : 0;
   sanitised.measured_at = report->measured_at < now ? report->measured_at : now;
   return sanitised;
 }
@@ -247,83 +248,15 @@
   lc_endpoint_entry_refresh_public_state (entry, now);
 }
 
-/* Returns the seconds per token at the fastest endpoint of the group; 0: not known. */
-static double
-find_fastest_token_seconds (const LcEndpointEntry *entry, const LcEndpointGroup *group)
-{
-  double fastest = 0;
-
-  for (size_t i = 0; i < group->n_slots; i++)
-    {
-      const LcEndpointEntry *other
-          = lc_endpoint_to_entry (entry->table->summaries[group->slots[i]].endpoint);
-      double seconds
-          = other->stream_pace_at > 0 ? lc_stream_pace_token_seconds (&other->stream_pace) : 0;
-      if (seconds > 0 && (fastest == 0 || seconds < fastest))
-        fastest = seconds;
-    }
-  return fastest;
-}
-
-static void
-reset_stream_pace (LcEndpointEntry *entry, double token_seconds, LbTime now)
-{
-  entry->stream_pace = (LcStreamPace){ 0 };
-  entry->stream_pace_at = 0;
-  entry->single_stream_token_seconds = token_seconds;
-  lc_endpoint_entry_refresh_public_state (entry, now);
-}
-
-/* Discards outdated stream paces of the group. A slow engine gets no requests while other engines
- * have capacity, so if its old pace were kept, its recovery would never be noticed. */
-static void
-discard_outdated_group_paces (LcEndpointEntry *entry, LcEndpointGroup *group, LbTime now)
-{
-  double fastest = 0;
-
-  if (now < group->next_pace_review_at)
-    return;
-  group->next_pace_review_at = now + PACE_REVIEW_INTERVAL;
-  fastest = find_fastest_token_seconds (entry, group);
-  group->fastest_token_seconds = fastest;
-  for (size_t i = 0; fastest > 0 && i < group->n_slots; i++)
-    {
-      LcEndpointEntry *other
-          = lc_endpoint_to_entry (entry->table->summaries[group->slots[i]].endpoint);
-      if (other->stream_pace_at > 0 && now - other->stream_pace_at > MAX_PACE_AGE)
-        reset_stream_pace (other, fastest, now);
-    }
-}
-
-/* Detects an engine that becomes slow while its generations still run. The duration of completed
- * requests shows a slowdown several seconds later, and until then the engine would get as many new
- * requests as before. */
-void
-lc_endpoint_tokens_received (LcEndpoint *endpoint, int64_t tokens, LbTime interval, LbTime now)
-{
-  LcEndpointEntry *entry = lc_endpoint_to_entry (endpoint);
-  double seconds = 0;
-
-  if (tokens > 0)
-    endpoint->last_reply_at = now;
-  if (!lb_switch_is_on (LB_SWITCH_PACE))
-    return;
-  lc_stream_pace_add_tokens (&entry->stream_pace, tokens, interval);
-  entry->stream_pace_at = now;
-  seconds = lc_stream_pace_token_seconds (&entry->stream_pace);
-  discard_outdated_group_paces (entry, find_group_of_entry (entry), now);
-  if (seconds == 0 || endpoint->report.tokens_per_second > 0)
-    return;
-  entry->single_stream_token_seconds = seconds;
-  lc_endpoint_entry_refresh_public_state (entry, now);
-}
-
 static void
 update_mean_service_time (LcEndpointEntry *entry, int64_t tokens, LbTime took)
 {
-  update_ewma (&find_group_of_entry (entry)->mean_service_seconds, (double)took / LB_SEC);
+  LcEndpointGroup *group = lc_endpoint_entry_find_group (entry);
+
+  update_ewma (&group->mean_service_seconds, (double)took / LB_SEC);
   if (tokens == 0)
     return;
+  update_ewma (&group->mean_request_tokens, (double)tokens);
   update_ewma (&entry->endpoint.ewma_token_seconds, (double)took / LB_SEC / (double)tokens);
   if (entry->endpoint.report.tokens_per_second <= 0 && entry->stream_pace_at == 0)
     entry->single_stream_token_seconds = entry->endpoint.ewma_token_seconds;
@@ -366,6 +299,7 @@
       endpoint->last_reply_at = now;
       lc_breaker_request_succeeded (&entry->breaker, now - took);
       update_mean_service_time (entry, tokens, took);
+      lc_endpoint_entry_record_service_duration (entry, took, now);
     }
   else
     {
