leases: the instance that stops names the next holder

Cause: after a planned stop the lease of the weights and the duty leases had no holder for up to 1.02 s with a healthy store (core simulation, 100 releases): the release began at the next tick, the candidates read the row twice a second, and the stopped instance still had the first rank.

Change: - The released row names the best other candidate (`next`), which claims the lease when it reads the row; the others wait 400 ms more, then claim by rank. - The release starts at once instead of at the next tick, and directly after a renewal in progress. - Candidates read the row every 200 ms. The released row tells for how long no order was sent (`quiet_ms`; each order is recorded with lc_lease_begin_order), and the next holder waits only for the rest. The claimed row names the holder before it (`previous`): if that is the instance itself, also as an earlier process, it gives no unfenced order for 3.2 s, so that receivers do not get orders of two alternating holders within 3 s.

Fencing tokens and durations are unchanged. The leases of standalone pools (ln-pool-controller) do not record orders and name no holder.

--- a/packages/core/include/lc-lease.h
+++ b/packages/core/include/lc-lease.h
@@ -19,6 +19,11 @@
   int64_t fence;   /* fencing token; incremented by each claim */
   int64_t renewal; /* counter of the holder's writes; identifies a write whose reply was lost */
   bool released;
+  LbName next_holder; /* released: instance that should claim the lease; "": any candidate */
+  /* released: for how long no order was in transit, so that the next holder need not wait for
+   * orders of this one; 0: unknown */
+  int64_t quiet_ms;
+  LbName previous_holder; /* holder before this one, if it was another instance; "": unknown */
 } LcLeaseRow;
 
 struct json_object *lc_lease_row_to_json (const LcLeaseRow *row);
@@ -45,14 +50,17 @@
 {
   LbName instance;
   char incarnation[40];
-  LbTime duration;    /* how long the lease is valid after its last renewal */
-  LbTime poll_period; /* time between reads by holder and candidates; the holder renews after each
-                         read */
-  LbTime observer_poll_period; /* time between reads by an instance that is not a candidate */
-  LbTime order_lifetime;       /* longest time that an order may be in transit */
+  LbTime duration;              /* how long the lease is valid after its last renewal */
+  LbTime poll_period;           /* time between reads by the holder, which renews after each read */
+  LbTime candidate_poll_period; /* time between reads by a candidate; 0: poll_period */
+  LbTime observer_poll_period;  /* time between reads by an instance that is not a candidate */
+  LbTime order_lifetime;        /* longest time that an order may be in transit */
   /* A holder that loses the lease to another instance and regains it gives no orders for this long
    * after the loss; 0: no delay. */
   LbTime reacquire_delay;
+  /* Each order is recorded with lc_lease_begin_order, so that a released row can tell for how long
+   * no order has been sent. */
+  bool records_orders;
   double max_clock_drift; /* largest difference in rate between two clocks, as a fraction */
 } LcLeaseSettings;
 
@@ -80,6 +88,11 @@
                               LbTime now,
                               LbList *actions);
 void lc_lease_write_completed (LcLease *lease, LbErrorCode error, LbTime now, LbList *actions);
+/* Records that this instance sends an order, and returns the fencing token of the order. Required
+ * for each order if settings.records_orders is set. */
+int64_t lc_lease_begin_order (LcLease *lease, LbTime now);
+/* Names the candidate that should claim the lease when this instance releases it. */
+void lc_lease_set_next_holder (LcLease *lease, const char *name);
 /* Stops giving orders and releases the lease, so that another instance can claim it at once. */
 void lc_lease_release (LcLease *lease, LbTime now, LbList *actions);
 /* Notes that the process that wrote this version of the row has ended (see
--- a/packages/core/src/membership/lc-lease.c
+++ b/packages/core/src/membership/lc-lease.c
@@ -13,6 +13,9 @@
  * engine. */
 #define EXPIRY_SAFETY_MARGIN (100 * LB_MSEC)
 #define CLAIM_DELAY_PER_RANK (500 * LB_MSEC)
+/* Time for the named next holder to claim a released lease: a poll of the lease's row and several
+ * round trips to the store. */
+#define NEXT_HOLDER_CLAIM_TIMEOUT (400 * LB_MSEC)
 #define MAX_UNDETECTED_PAUSE LB_SEC
 #define N_REMEMBERED_WRITES 8
 #define STALE_READ_RETRY_DELAY (200 * LB_MSEC)
@@ -40,12 +43,19 @@
   LbTime lost_at;   /* when the lease was last lost; 0: never */
   LbTime gained_at; /* when the lease was gained with the fencing token gained_fence */
   int64_t gained_fence;
+  int64_t claimed_quiet_ms; /* quiet_ms of the released row that this instance claimed; else 0 */
+  bool has_alternated; /* the row that this instance claimed shows that this instance, possibly an
+                          earlier process of it, was the holder before the last one */
   bool gained_from_another; /* another instance held the lease between this instance's last two
                                claims, as a gap in the fencing tokens shows */
   bool needs_confirmation;  /* after a pause: no orders until a renewal started since paused_at has
                                succeeded */
   LbTime paused_at;
+  /* Since when no order of this or an earlier holder may be in transit, except those sent at that
+   * very time. */
+  LbTime quiet_since;
   bool is_releasing;
+  LbName next_holder; /* named when this instance releases the lease */
   LbTime last_tick_at;
   LbTime last_tick_wall;
 };
@@ -71,6 +81,12 @@
   json_object_object_add (object, "fence", json_object_new_int64 (row->fence));
   json_object_object_add (object, "renewal", json_object_new_int64 (row->renewal));
   json_object_object_add (object, "released", json_object_new_boolean (row->released));
+  if (row->next_holder[0])
+    json_object_object_add (object, "next", json_object_new_string (row->next_holder));
+  if (row->quiet_ms > 0)
+    json_object_object_add (object, "quiet_ms", json_object_new_int64 (row->quiet_ms));
+  if (row->previous_holder[0])
+    json_object_object_add (object, "previous", json_object_new_string (row->previous_holder));
   return object;
 }
 
@@ -91,6 +107,9 @@
   row->fence = json_object_get_int64 (fence);
   row->renewal = json_object_get_int64 (renewal);
   row->released = json_object_get_boolean (released);
+  LB_COPY (row->next_holder, lb_json_text (object, "next", ""));
+  row->quiet_ms = lb_json_int (object, "quiet_ms", 0);
+  LB_COPY (row->previous_holder, lb_json_text (object, "previous", ""));
   return true;
 }
 
@@ -207,6 +226,12 @@
 
   LB_COPY (row.holder, lease->settings.instance);
   LB_COPY (row.incarnation, lease->settings.incarnation);
+  LB_COPY (row.previous_holder, strcmp (lease->row.holder, row.holder) == 0
+                                    ? lease->row.previous_holder
+                                    : lease->row.holder);
+  lease->claimed_quiet_ms = lease->row_version > 0 && lease->row.released ? lease->row.quiet_ms : 0;
+  lease->has_alternated = strcmp (lease->row.holder, row.holder) != 0
+                          && strcmp (lease->row.previous_holder, row.holder) == 0;
   start_row_write (lease, &row, now, actions);
 }
 
@@ -231,6 +256,7 @@
   if (row->fence != lease->gained_fence)
     {
       lease->gained_at = now;
+      lease->quiet_since = now - lease->claimed_quiet_ms * LB_MSEC;
       lease->gained_from_another = row->fence != lease->gained_fence + 1;
     }
   lease->gained_fence = row->fence;
@@ -238,6 +264,17 @@
   append_lease_action (actions, LC_LEASE_GAINED)->row = *row;
 }
 
+/* Returns for how long no order has been sent, by any clock within the allowed drift. */
+static int64_t
+get_quiet_ms (const LcLease *lease, LbTime now)
+{
+  LbTime quiet = (LbTime)((now - lease->quiet_since) * (1 - 2 * lease->settings.max_clock_drift));
+
+  return lease->settings.records_orders && lease->gained_at > 0 && quiet > EXPIRY_SAFETY_MARGIN
+             ? (quiet - EXPIRY_SAFETY_MARGIN) / LB_MSEC
+             : 0;
+}
+
 static void
 renew_or_release_lease (LcLease *lease, LbTime now, LbList *actions)
 {
@@ -248,6 +285,11 @@
   else if (!row.released)
     {
       row.released = lease->is_releasing;
+      if (row.released)
+        {
+          LB_COPY (row.next_holder, lease->next_holder);
+          row.quiet_ms = get_quiet_ms (lease, now);
+        }
       start_row_write (lease, &row, now, actions);
     }
 }
@@ -257,11 +299,15 @@
 {
   if (lease->is_releasing || lease->rank < 0)
     return false;
+  if (lease->row.released && strcmp (lease->row.next_holder, lease->settings.instance) == 0)
+    return true;
+  LbTime delay = lease->rank * CLAIM_DELAY_PER_RANK;
+  if (lease->row.released && lease->row.next_holder[0])
+    delay += NEXT_HOLDER_CLAIM_TIMEOUT;
   if (lease->row_version == 0 || lease->row.released
       || lease->ended_holder_version == lease->row_version)
-    return now >= lease->version_seen_at + lease->rank * CLAIM_DELAY_PER_RANK;
-  return lease->read_started_at
-         >= compute_lease_expiry_for_others (lease) + lease->rank * CLAIM_DELAY_PER_RANK;
+    return now >= lease->version_seen_at + delay;
+  return lease->read_started_at >= compute_lease_expiry_for_others (lease) + delay;
 }
 
 void
@@ -293,6 +339,26 @@
   lease->next_read_at = now;
 }
 
+static LbTime
+get_read_period (const LcLease *lease)
+{
+  if (is_row_held_by_self (lease))
+    return lease->settings.poll_period;
+  if (lease->rank < 0)
+    return lease->settings.observer_poll_period;
+  return lease->settings.candidate_poll_period > 0 ? lease->settings.candidate_poll_period
+                                                   : lease->settings.poll_period;
+}
+
+static void
+start_row_read (LcLease *lease, LbTime now, LbList *actions)
+{
+  lease->is_reading = true;
+  lease->read_started_at = now;
+  lease->next_read_at = now + get_read_period (lease);
+  append_lease_action (actions, LC_LEASE_READ);
+}
+
 void
 lc_lease_tick (LcLease *lease, LbTime now, LbTime wall, LbList *actions)
 {
@@ -301,12 +367,7 @@
     lose_lease (lease, now, actions);
   if (now < lease->next_read_at || lease->is_reading || lease->is_writing)
     return;
-  lease->is_reading = true;
-  lease->read_started_at = now;
-  bool is_participant = lease->rank >= 0 || is_row_held_by_self (lease);
-  lease->next_read_at
-      = now + (is_participant ? lease->settings.poll_period : lease->settings.observer_poll_period);
-  append_lease_action (actions, LC_LEASE_READ);
+  start_row_read (lease, now, actions);
 }
 
 static void
@@ -371,6 +432,15 @@
     }
   else if (error == LB_ERROR_CONDITION_FAILED || error == LB_ERROR_STORE_UNKNOWN)
     lease->next_read_at = now;
+  /* The row's new version, which the release must name, is known only after another read. */
+  if (lease->is_releasing && error == LB_OK && !lease->last_written.released)
+    start_row_read (lease, now, actions);
+}
+
+void
+lc_lease_set_next_holder (LcLease *lease, const char *name)
+{
+  LB_COPY (lease->next_holder, name);
 }
 
 void
@@ -378,6 +448,8 @@
 {
   lease->is_releasing = true;
   lease->next_read_at = now;
+  if (lease->held && !lease->is_reading && !lease->is_writing)
+    start_row_read (lease, now, actions);
   lose_lease (lease, now, actions);
 }
 
@@ -427,7 +499,20 @@
 /* An endpoint that does not check fencing tokens could carry out an order of the previous holder
  * after one of this instance. So such an endpoint gets its first order from this instance only when
  * orders of the previous holder have expired; the weight version that the endpoint then reports is
- * read back. */
+ * read back. If this instance, or an earlier process of it, was the holder before the previous one,
+ * the endpoint could get orders of two alternating holders within a short time, since the previous
+ * holder need not have waited. */
+static LbTime
+get_first_unfenced_order_at (const LcLease *lease)
+{
+  const LcLeaseSettings *settings = &lease->settings;
+  LbTime at = lease->gained_at + settings->order_lifetime - lease->claimed_quiet_ms * LB_MSEC;
+
+  if (lease->has_alternated && at < lease->gained_at + settings->reacquire_delay)
+    at = lease->gained_at + settings->reacquire_delay;
+  return at;
+}
+
 bool
 lc_lease_allows_order (const LcLease *lease, bool can_order_unfenced, LbTime now)
 {
@@ -436,7 +521,14 @@
   if (now - lease->last_tick_at > MAX_UNDETECTED_PAUSE
       || are_orders_delayed_after_regain (lease, now))
     return false;
-  return !can_order_unfenced || now >= lease->gained_at + lease->settings.order_lifetime;
+  return !can_order_unfenced || now >= get_first_unfenced_order_at (lease);
+}
+
+int64_t
+lc_lease_begin_order (LcLease *lease, LbTime now)
+{
+  lease->quiet_since = now;
+  return lease->row.fence;
 }
 
 int64_t
--- a/packages/core/tests/test-lease.c
+++ b/packages/core/tests/test-lease.c
@@ -413,6 +413,166 @@
   cr_assert_eq (find_holder_that_can_order (), next);
 }
 
+/* Starts the holders again with the settings of the leases for duties (ln-duty-lease.c), at an
+ * arbitrary phase of their reads. */
+static void
+restart_holders_with_duty_settings (bool receivers_check_fence)
+{
+  static const char *const names[N_HOLDERS] = { "i1", "i2", "i3" };
+  LcLeaseSettings settings;
+
+  lc_lease_settings_init (&settings);
+  settings.duration = receivers_check_fence ? 2 * LB_SEC : 3200 * LB_MSEC;
+  settings.reacquire_delay = 3200 * LB_MSEC;
+  settings.poll_period = 500 * LB_MSEC;
+  settings.candidate_poll_period = 200 * LB_MSEC;
+  settings.observer_poll_period = 10 * LB_SEC;
+  settings.records_orders = true;
+  now += 60 * LB_SEC;
+  table_version = 0;
+  for (int i = 0; i < MAX_TABLE_OPERATIONS; i++)
+    operations[i].holder = -1;
+  for (int i = 0; i < N_HOLDERS; i++)
+    {
+      lc_lease_free (holders[i].lease);
+      LB_COPY (settings.instance, names[i]);
+      LB_COPY (settings.incarnation, "a");
+      holders[i].tick = 100 * LB_MSEC;
+      holders[i].next_tick = now + (LbTime)(gsl_rng_uniform (rng) * 100 * LB_MSEC);
+      holders[i].is_cut_off = false;
+      holders[i].lease = lc_lease_new (&settings, read_holder_clock (&holders[i]), now);
+      lc_lease_set_claim_rank (holders[i].lease, i);
+    }
+  run_simulation_for (3 * LB_SEC + (LbTime)(gsl_rng_uniform (rng) * LB_SEC));
+}
+
+static void
+release_lease_to (int holder, const char *next_holder)
+{
+  LbList actions;
+
+  lb_list_init (&actions);
+  lc_lease_set_claim_rank (holders[holder].lease, -1);
+  lc_lease_set_next_holder (holders[holder].lease, next_holder);
+  lc_lease_release (holders[holder].lease, read_holder_clock (&holders[holder]), &actions);
+  start_operations_of_lease_actions (holder, &actions);
+}
+
+/* Returns the longest of 100 times without a holder after the first holder released the lease. The
+ * others do not know yet that it is draining, so they keep their ranks 1 and 2. */
+static LbTime
+measure_longest_gap_after_release (const char *next_holder, int unreachable)
+{
+  LbTime longest = 0;
+
+  for (int i = 0; i < 100; i++)
+    {
+      restart_holders_with_duty_settings (true);
+      cr_assert_eq (find_holder_that_can_order (), 0);
+      if (unreachable > 0)
+        holders[unreachable].is_cut_off = true;
+      release_lease_to (0, next_holder);
+      LbTime gap = run_until_other_holder_can_order (0, 10 * LB_SEC);
+      longest = gap > longest ? gap : longest;
+    }
+  return longest;
+}
+
+/* An instance that is stopped holds the lease for the weights. Without a named next holder nobody
+ * ordered weights for more than a second, since the stopped instance still had the first rank and
+ * the others read the row twice a second. */
+Test (lease, named_next_holder_has_the_lease_within_half_a_second)
+{
+  max_delay = 5 * LB_MSEC;
+  cr_assert_leq (measure_longest_gap_after_release ("i3", 0), 500 * LB_MSEC);
+  cr_assert_gt (measure_longest_gap_after_release ("", 0), 500 * LB_MSEC);
+}
+
+/* The next holder is killed when the lease is released. The third candidate must take the lease by
+ * its rank. */
+Test (lease, lease_is_claimed_by_rank_if_the_next_holder_is_gone)
+{
+  cr_assert_leq (measure_longest_gap_after_release ("i2", 1), 2 * LB_SEC);
+}
+
+/* The store loses every second reply while the lease is released. It must still be released and
+ * claimed, by one holder (run_simulation_for checks this). */
+Test (lease, release_survives_lost_replies_and_an_unavailable_store)
+{
+  restart_holders_with_duty_settings (true);
+  lost_reply_ratio = 0.5;
+  release_lease_to (0, "i2");
+  is_store_down = true;
+  run_simulation_for (300 * LB_MSEC);
+  is_store_down = false;
+  cr_assert_leq (run_until_other_holder_can_order (0, 10 * LB_SEC), 1500 * LB_MSEC);
+  run_simulation_for (LB_SEC);
+  cr_assert (lc_lease_is_released (holders[0].lease, read_holder_clock (&holders[0])));
+}
+
+/* Runs until the holder may give orders to endpoints that do not check fencing tokens. */
+static LbTime
+run_until_unfenced_order_is_allowed (int holder)
+{
+  LbTime start = now;
+
+  while (
+      now - start < 10 * LB_SEC
+      && !lc_lease_allows_order (holders[holder].lease, true, read_holder_clock (&holders[holder])))
+    run_simulation_for (TIME_STEP);
+  return now - start;
+}
+
+/* Endpoints without fencing could carry out an order of the stopped holder after one of the next
+ * holder. The next holder waits for the life of the last order, which has passed if no order was
+ * sent for a while before the release. */
+Test (lease, unfenced_endpoints_wait_only_for_the_last_order)
+{
+  max_delay = 5 * LB_MSEC;
+  restart_holders_with_duty_settings (false);
+  run_simulation_for (3 * LB_SEC);
+  release_lease_to (0, "i2");
+  cr_assert_leq (run_until_unfenced_order_is_allowed (1), 500 * LB_MSEC);
+
+  restart_holders_with_duty_settings (false);
+  run_simulation_for (3 * LB_SEC);
+  lc_lease_begin_order (holders[0].lease, read_holder_clock (&holders[0]));
+  run_simulation_for (LB_SEC);
+  release_lease_to (0, "i2");
+  LbTime wait = run_until_unfenced_order_is_allowed (1);
+  cr_assert_geq (wait, LB_SEC, "an order of the stopped holder could still arrive");
+  cr_assert_leq (wait, 1500 * LB_MSEC);
+}
+
+/* The first holder is restarted, and the second one is stopped as soon as it has given an order.
+ * The restarted process, which remembers nothing, must not order endpoints without fencing within
+ * 3 s of the orders of its earlier process. */
+Test (lease, unfenced_endpoints_get_no_orders_of_alternating_holders_within_three_seconds)
+{
+  LcLeaseSettings settings;
+
+  max_delay = 5 * LB_MSEC;
+  restart_holders_with_duty_settings (false);
+  run_simulation_for (3 * LB_SEC);
+  LbTime stopped_at = now;
+  release_lease_to (0, "i2");
+  run_until_unfenced_order_is_allowed (1);
+  lc_lease_free (holders[0].lease);
+  lc_lease_settings_init (&settings);
+  settings.duration = 3200 * LB_MSEC;
+  settings.reacquire_delay = 3200 * LB_MSEC;
+  settings.poll_period = 200 * LB_MSEC;
+  settings.records_orders = true;
+  LB_COPY (settings.instance, "i1");
+  LB_COPY (settings.incarnation, "b");
+  holders[0].lease = lc_lease_new (&settings, read_holder_clock (&holders[0]), now);
+  lc_lease_set_claim_rank (holders[0].lease, 0);
+  release_lease_to (1, "i1");
+  run_until_unfenced_order_is_allowed (0);
+  cr_assert_geq (now - stopped_at, 3 * LB_SEC);
+  cr_assert_leq (now - stopped_at, 5 * LB_SEC);
+}
+
 /* The store is unreachable. The holder must stop giving orders by itself when its lease expires,
  * and orders must be given again after the store returns. */
 Test (lease, store_outage_stops_orders)
--- a/packages/node/src/duties/ln-duty-lease.c
+++ b/packages/node/src/duties/ln-duty-lease.c
@@ -5,6 +5,7 @@
 #include "lb-alloc.h"
 #include "lb-clock.h"
 #include "lb-log.h"
+#include "lb-switch.h"
 #include "lc-duty.h"
 #include "lc-lease.h"
 #include "lp-platform.h"
@@ -21,6 +22,9 @@
  * orders of two alternating holders within 3 s. */
 #define UNFENCED_LEASE_DURATION (3200 * LB_MSEC)
 #define RENEWAL_PERIOD (500 * LB_MSEC) /* allows three renewals within LEASE_DURATION */
+/* Time between two reads of the lease's row by a candidate. After a planned stop it is the largest
+ * part of the time without a holder, which should be less than half a second. */
+#define CANDIDATE_POLL_PERIOD (200 * LB_MSEC)
 /* Time between two reads of the lease's row by an instance that may not claim the lease. */
 #define OBSERVER_POLL_PERIOD (10 * LB_SEC)
 #define MAX_CANDIDATES 3
@@ -55,6 +59,8 @@
   settings.duration = receivers_check_fence ? LEASE_DURATION : UNFENCED_LEASE_DURATION;
   settings.reacquire_delay = REACQUIRE_DELAY;
   settings.poll_period = RENEWAL_PERIOD;
+  settings.candidate_poll_period = CANDIDATE_POLL_PERIOD;
+  settings.records_orders = true;
   settings.observer_poll_period = OBSERVER_POLL_PERIOD;
   LB_COPY (settings.instance, context->instance);
   LB_COPY (settings.incarnation, context->incarnation);
@@ -142,6 +148,13 @@
   return member->alive && member->confirmed && !member->draining && !member->cut;
 }
 
+static void
+add_lease_candidate (const LnMember *member, LcDutyCandidate *candidates, size_t *n)
+{
+  LB_COPY (candidates[*n].name, member->name);
+  candidates[(*n)++].strength = member->strength;
+}
+
 /* Returns the number of candidates added. Always includes this instance, so that a holder that
  * briefly cannot reach the store directly keeps the lease. */
 static size_t
@@ -154,8 +167,7 @@
       const LnMember *member = &members->members[i];
       if (!can_instance_hold_lease (member) && !member->is_self)
         continue;
-      LB_COPY (candidates[n].name, member->name);
-      candidates[n++].strength = member->strength;
+      add_lease_candidate (member, candidates, &n);
     }
   return n;
 }
@@ -216,6 +228,27 @@
   lc_lease_request_read (lease->lease, now);
 }
 
+int64_t
+ln_duty_lease_begin_call (LnDutyLease *lease, LbTime now)
+{
+  return lc_lease_begin_order (lease->lease, now);
+}
+
+/* Chooses the best other candidate, which reads the lease's row often and expects to be the next
+ * holder by its own rank as well. */
+static void
+name_next_lease_holder (LnDutyLease *lease)
+{
+  LcDutyCandidate *candidates = LB_NEW_ARRAY (LcDutyCandidate, lease->n_members + 1);
+  size_t n = 0;
+
+  for (size_t i = 0; i < lease->n_members; i++)
+    if (can_instance_hold_lease (&lease->members[i]) && !lease->members[i].is_self)
+      add_lease_candidate (&lease->members[i], candidates, &n);
+  lc_lease_set_next_holder (lease->lease, lc_duty_choose_holder (lease->duty, "", candidates, n));
+  free (candidates);
+}
+
 void
 ln_duty_lease_release (LnDutyLease *lease, LbTime now)
 {
@@ -223,6 +256,8 @@
 
   lb_list_init (&actions);
   lc_lease_set_claim_rank (lease->lease, -1);
+  if (lb_switch_is_on (LB_SWITCH_SUCCESSORS))
+    name_next_lease_holder (lease);
   lc_lease_release (lease->lease, now, &actions);
   execute_lease_actions (lease, &actions);
 }
@@ -250,9 +285,3 @@
 {
   return lc_lease_allows_order (lease->lease, fence_is_unchecked, now);
 }
-
-int64_t
-ln_duty_lease_fencing_token (const LnDutyLease *lease)
-{
-  return lc_lease_fencing_token (lease->lease);
-}
--- a/packages/node/src/duties/ln-duty-lease.h
+++ b/packages/node/src/duties/ln-duty-lease.h
@@ -29,6 +29,9 @@
 /* Reads the lease's row at the next tick. Call it when a receiver refused a call because of the
  * call's fencing token. */
 void ln_duty_lease_request_read (LnDutyLease *lease, LbTime now);
+/* Records that a call for the duty is sent now, and returns the call's fencing token. */
+int64_t ln_duty_lease_begin_call (LnDutyLease *lease, LbTime now);
+/* Releases the lease, with the best other candidate as the next holder. */
 void ln_duty_lease_release (LnDutyLease *lease, LbTime now);
 
 /* --- functions that only read the lease's state --- */
@@ -38,6 +41,5 @@
 /* Whether this instance holds the lease and may make a call for the duty now; to be checked before
  * each call. fence_is_unchecked: the receiver accepts calls with any fencing token. */
 bool ln_duty_lease_allows_call (const LnDutyLease *lease, bool fence_is_unchecked, LbTime now);
-int64_t ln_duty_lease_fencing_token (const LnDutyLease *lease);
 
 #endif
--- a/packages/node/src/duties/ln-scaler.c
+++ b/packages/node/src/duties/ln-scaler.c
@@ -119,7 +119,8 @@
 {
   const LnContext *context = scaler->context;
   const LnDutyHolder holder
-      = { .holder = context->instance, .fence = ln_duty_lease_fencing_token (scaler->lease) };
+      = { .holder = context->instance,
+          .fence = ln_duty_lease_begin_call (scaler->lease, lb_clock_monotonic ()) };
   const LnScaleOrder scale = { .service = order->service,
                                .data_centre = order->data_centre,
                                .endpoints = order->endpoints,
--- a/packages/node/src/duties/ln-usage-reporter.c
+++ b/packages/node/src/duties/ln-usage-reporter.c
@@ -406,7 +406,8 @@
 {
   const LnContext *context = reporter->context;
   const LnDutyHolder holder
-      = { .holder = context->instance, .fence = ln_duty_lease_fencing_token (reporter->lease) };
+      = { .holder = context->instance,
+          .fence = ln_duty_lease_begin_call (reporter->lease, lb_clock_monotonic ()) };
   LcOutgoingRequest outgoing;
 
   context->dialect->write_usage (&holder, action->window, action->text, &outgoing);
--- a/packages/node/src/weights/ln-weight-orders.c
+++ b/packages/node/src/weights/ln-weight-orders.c
@@ -427,7 +427,7 @@
   LnWeightsOrder order = { .endpoint = action->endpoint,
                            .version = action->version,
                            .holder = orders->context->instance,
-                           .fence = ln_duty_lease_fencing_token (orders->lease),
+                           .fence = ln_duty_lease_begin_call (orders->lease, now),
                            .mode = LN_SWAP_KEEP_STREAMS };
 
   if (!engine)
