Metrics, log fields and stand-ins for the condition of endpoints

Change: gauges of the lowest, median and highest lasting time per token of engines and the number of engines with a known pace, a counter of requests that waited for a faster endpoint; the route line has the expected length, the wait for a faster endpoint and for each shown candidate its lasting time and present slowdown. A stand-in endpoint reports up to four figures on streams and calls, can report an invalid header, and has a present work time that stretches its work.

--- a/packages/core/include/lc-endpoints.h
+++ b/packages/core/include/lc-endpoints.h
@@ -139,6 +139,17 @@
 /* Lasting seconds per token at an engine, or per request at a plain service, without slowdowns of
  * less than a second; 0: not known. */
 double lc_endpoint_lasting_token_seconds (const LcEndpoint *endpoint);
+/* Lasting values of the known endpoints of one kind, in all pools or services. */
+typedef struct
+{
+  size_t n_known; /* number of endpoints whose lasting value is known */
+  double lowest;
+  double median;
+  double highest;
+} LcLastingPaces;
+
+LcLastingPaces lc_endpoints_summarise_lasting_paces (const LcEndpoints *endpoints,
+                                                     LcEndpointKind kind);
 /* Median of the lasting values of the endpoint's pool or service; 0: not known. */
 double lc_endpoint_group_lasting_token_seconds (const LcEndpoint *endpoint);
 /* Present duration of work at the endpoint, as a multiple of the lasting duration; 1: as usual. */
--- a/packages/core/include/lc-router.h
+++ b/packages/core/include/lc-router.h
@@ -55,6 +55,8 @@
   LcCandidate shown[LC_MAX_SHOWN_CANDIDATES];
   size_t n_shown;
   size_t n_candidates; /* number of endpoints that can take the request */
+  /* how long the request waited for a faster endpoint although a slower one could take it */
+  LbTime awaited;
 } LcRouteDecision;
 
 /* A routing policy with the policy's state. */
--- a/packages/core/src/dispatch/lc-placement.c
+++ b/packages/core/src/dispatch/lc-placement.c
@@ -3,6 +3,7 @@
 #include "lc-endpoint-table.h"
 
 #include "lb-alloc.h"
+#include "lb-counter.h"
 
 #include <string.h>
 
@@ -19,6 +20,11 @@
  * interval at which loads are polled. */
 #define MAX_POOL_HOLD_TIME (1200 * LB_MSEC)
 
+static LbMetric requests_awaiting_faster
+    = LB_COUNTER_INIT ("lentilspindle_requests_awaiting_faster_total",
+                       NULL,
+                       "Requests that waited for a faster endpoint although a slower one was free");
+
 static const LcEndpointGroup *
 find_endpoint_group (const LcDispatch *dispatch, const LcPoolState *pool)
 {
@@ -186,10 +192,12 @@
   size_t n_hashes = request->n_prefix_hashes;
 
   request->state = LC_STATE_RUNNING;
-  request->awaits_faster_since = 0;
   action->attempt = attempt->number;
   action->resume_at = attempt->next_offset;
   action->decision = *decision;
+  if (request->awaits_faster_since > 0)
+    action->decision.awaited = now - request->awaits_faster_since;
+  request->awaits_faster_since = 0;
   LB_COPY (action->endpoint, endpoint->member.name);
   LB_COPY (action->address, endpoint->member.address);
   lc_pool_state_record_attempt_start (request->pool, request->kind);
@@ -296,8 +304,10 @@
   if (!awaits_faster_endpoint (decision))
     return;
   pool->n_awaiting_faster++;
-  if (request->awaits_faster_since == 0)
-    request->awaits_faster_since = now;
+  if (request->awaits_faster_since > 0)
+    return;
+  request->awaits_faster_since = now;
+  lb_metric_add (&requests_awaiting_faster, 1);
 }
 
 /* Sends as many waiting requests of the pool as its endpoints can take. Skips requests without an
--- a/packages/core/src/endpoints/lc-endpoints-pace.c
+++ b/packages/core/src/endpoints/lc-endpoints-pace.c
@@ -82,6 +82,18 @@
   return (x > y) - (x < y);
 }
 
+static LcLastingPaces
+summarise_paces (double *values, size_t n)
+{
+  if (n == 0)
+    return (LcLastingPaces){ 0 };
+  qsort (values, n, sizeof *values, compare_doubles);
+  return (LcLastingPaces){ .n_known = n,
+                           .lowest = values[0],
+                           .median = (values[(n - 1) / 2] + values[n / 2]) / 2,
+                           .highest = values[n - 1] };
+}
+
 /* Returns the median of the group's lasting values; 0: none is known. */
 static double
 compute_median_lasting_token_seconds (const LcEndpoints *endpoints, const LcEndpointGroup *group)
@@ -97,13 +109,32 @@
       if (!summary->is_excluded && summary->lasting_token_seconds > 0)
         values[n++] = (double)summary->lasting_token_seconds;
     }
-  qsort (values, n, sizeof *values, compare_doubles);
-  if (n > 0)
-    median = (values[(n - 1) / 2] + values[n / 2]) / 2;
+  median = summarise_paces (values, n).median;
   free (values);
   return median;
 }
 
+LcLastingPaces
+lc_endpoints_summarise_lasting_paces (const LcEndpoints *endpoints, LcEndpointKind kind)
+{
+  double *values = LB_NEW_ARRAY (double, endpoints->n_entries);
+  size_t n = 0;
+
+  for (size_t i = 0; i < endpoints->n_entries; i++)
+    {
+      const LcEndpoint *endpoint = &endpoints->entries[i]->endpoint;
+      double lasting = lc_endpoint_lasting_token_seconds (endpoint);
+
+      if ((LcEndpointKind)endpoint->member.kind == kind && !endpoint->leaving && lasting > 0)
+        values[n++] = lasting;
+    }
+
+  LcLastingPaces paces = summarise_paces (values, n);
+
+  free (values);
+  return paces;
+}
+
 static void
 update_group_median_if_due (LcEndpointEntry *entry, LcEndpointGroup *group, LbTime now)
 {
@@ -141,10 +172,10 @@
 }
 
 static void
-update_engine_condition (LcEndpointEntry *entry, int64_t tokens, LbTime interval, LbTime now)
+update_engine_condition (
+    LcEndpointEntry *entry, LcEndpointGroup *group, int64_t tokens, LbTime interval, LbTime now)
 {
   LcEndpointCondition *condition = &entry->condition;
-  LcEndpointGroup *group = lc_endpoint_entry_find_group (entry);
   double fill = estimate_fill (entry);
   double load_factor = get_load_factor (group, fill);
   double loaded_token_seconds = 0;
@@ -177,17 +208,19 @@
 lc_endpoint_tokens_received (LcEndpoint *endpoint, int64_t tokens, LbTime interval, LbTime now)
 {
   LcEndpointEntry *entry = lc_endpoint_to_entry (endpoint);
+  LcEndpointGroup *group = NULL;
   double seconds = 0;
 
   if (tokens > 0)
     endpoint->last_reply_at = now;
   if (!lb_switch_is_on (LB_SWITCH_PACE))
     return;
+  group = lc_endpoint_entry_find_group (entry);
   lc_stream_pace_add_tokens (&entry->stream_pace, tokens, interval);
   entry->stream_pace_at = now;
   seconds = lc_stream_pace_token_seconds (&entry->stream_pace);
-  update_engine_condition (entry, tokens, interval, now);
-  discard_outdated_group_paces (entry, lc_endpoint_entry_find_group (entry), now);
+  update_engine_condition (entry, group, tokens, interval, now);
+  discard_outdated_group_paces (entry, group, now);
   if (seconds == 0 || endpoint->report.tokens_per_second > 0)
     return;
   entry->single_stream_token_seconds = seconds;
--- a/packages/node/src/calls/ln-calls-run.c
+++ b/packages/node/src/calls/ln-calls-run.c
@@ -16,6 +16,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define MIN_LOGGED_SLOWDOWN 1.1
+
 static LbHistogram queue_time
     = LB_HISTOGRAM_INIT ("lentilspindle_queue_seconds",
                          "Time from a request's admission to its first attempt");
@@ -81,6 +83,20 @@
   evtimer_add (calls->dispatch_timer, &tv);
 }
 
+/* Adds the lasting time per token or request, and the present slowdown if there is one. */
+static void
+add_candidate_condition (struct json_object *candidate, const LcEndpoint *endpoint, LbTime now)
+{
+  double lasting = lc_endpoint_lasting_token_seconds (endpoint);
+  double slowdown = lc_endpoint_present_slowdown (endpoint, now);
+
+  if (lasting > 0)
+    json_object_object_add (candidate, "lasting_us",
+                            json_object_new_int64 ((int64_t)(lasting * LB_SEC)));
+  if (slowdown > MIN_LOGGED_SLOWDOWN)
+    json_object_object_add (candidate, "slowdown", json_object_new_double (slowdown));
+}
+
 static void
 log_route_decision (const LnCalls *calls, const LnCall *call, const LcAction *action)
 {
@@ -99,6 +115,7 @@
                               json_object_new_string (decision->shown[i].endpoint->member.name));
       json_object_object_add (candidate, "score",
                               json_object_new_double (decision->shown[i].score));
+      add_candidate_condition (candidate, decision->shown[i].endpoint, now);
       json_object_array_add (candidates, candidate);
     }
   lb_log (LB_LOG_INFO, "route", LB_INT ("request", action->request),
@@ -107,7 +124,8 @@
           LB_INT ("resume_at", action->resume_at), LB_INT ("waited_us", now - call->submitted_at),
           LB_TEXT ("lister", calls->list_requested_by), LB_INT ("list_age_ms", list_age / LB_MSEC),
           LB_TEXT ("endpoint", action->endpoint), LB_TEXT ("reason", decision->reason),
-          LB_INT ("of", decision->n_candidates),
+          LB_INT ("expected_tokens", call->spec.expected_tokens),
+          LB_INT ("awaited_faster_us", decision->awaited), LB_INT ("of", decision->n_candidates),
           LB_JSON ("candidates",
                    json_object_to_json_string_ext (candidates, JSON_C_TO_STRING_PLAIN)));
   json_object_put (candidates);
--- a/packages/node/src/calls/ln-calls.c
+++ b/packages/node/src/calls/ln-calls.c
@@ -27,6 +27,15 @@
 static LbMetric waiting_service = LB_GAUGE_INIT ("lentilspindle_requests_waiting",
                                                  "kind=\"service\"",
                                                  "Requests waiting for an endpoint");
+#define PACE_HELP "Lasting time per token of the engines whose pace is known, in microseconds"
+static LbMetric engine_paces[] = {
+  LB_GAUGE_INIT ("lentilspindle_engine_token_microseconds", "value=\"lowest\"", PACE_HELP),
+  LB_GAUGE_INIT ("lentilspindle_engine_token_microseconds", "value=\"median\"", PACE_HELP),
+  LB_GAUGE_INIT ("lentilspindle_engine_token_microseconds", "value=\"highest\"", PACE_HELP),
+};
+static LbMetric engines_with_pace = LB_GAUGE_INIT ("lentilspindle_engines_with_known_pace",
+                                                   NULL,
+                                                   "Engines whose lasting pace is known");
 static LbMetric invariant_failures
     = LB_GAUGE_INIT ("lentilspindle_broken_invariants",
                      NULL,
@@ -329,6 +338,19 @@
   return lc_dispatch_new (&dispatch);
 }
 
+static void
+update_pace_gauges (const LnCalls *calls)
+{
+  LcLastingPaces paces
+      = lc_endpoints_summarise_lasting_paces (lc_dispatch_get_endpoints (calls->dispatch),
+                                              LC_ENDPOINT_ENGINE);
+
+  lb_metric_set (&engines_with_pace, (int64_t)paces.n_known);
+  lb_metric_set (&engine_paces[0], (int64_t)(paces.lowest * LB_SEC));
+  lb_metric_set (&engine_paces[1], (int64_t)(paces.median * LB_SEC));
+  lb_metric_set (&engine_paces[2], (int64_t)(paces.highest * LB_SEC));
+}
+
 static void
 update_request_gauges (const LnCalls *calls)
 {
@@ -368,6 +390,7 @@
   LbTime now = lb_clock_monotonic ();
 
   update_request_gauges (calls);
+  update_pace_gauges (calls);
   post_overloaded_service_if_changed (calls);
   ln_crashes_tick (calls->crashes, now);
   LB_LIST_FOREACH (&calls->active_calls, LnCall, link, call)
--- a/standins/si-endpoint.c
+++ b/standins/si-endpoint.c
@@ -53,6 +53,27 @@
   evtimer_add (timer, &tv);
 }
 
+/* --- load --- */
+
+static void
+add_load_header (const SiEndpoint *endpoint, struct evhttp_request *request)
+{
+  size_t n_running = endpoint->streams.length + endpoint->running_calls.length;
+  char load[96];
+  int length = snprintf (load, sizeof load, "%zu,0,%lld", n_running, (long long)endpoint->slots);
+
+  if (endpoint->reports_work_time)
+    snprintf (load + length, sizeof load - (size_t)length, ",%lld",
+              (long long)endpoint->work_time_percent);
+  add_reply_header (request, "Server-Load", endpoint->load_header ? endpoint->load_header : load);
+}
+
+static LbTime
+get_present_duration (const SiEndpoint *endpoint, LbTime usual_duration)
+{
+  return usual_duration * endpoint->work_time_percent / 100;
+}
+
 /* --- event streams --- */
 
 static void
@@ -105,7 +126,8 @@
   if (stream->next_event <= stream->endpoint->n_events)
     {
       send_stream_event (stream);
-      start_timer (stream->timer, stream->endpoint->event_interval);
+      start_timer (stream->timer,
+                   get_present_duration (stream->endpoint, stream->endpoint->event_interval));
       return;
     }
   stream->record->is_complete = true;
@@ -134,11 +156,12 @@
                                  on_stream_caller_disconnected, stream);
   add_reply_header (request, "Attempt-Id", stream->record->attempt_id);
   add_reply_header (request, "Content-Type", "text/event-stream");
+  add_load_header (endpoint, request);
   add_reply_int_header (request, "Weight-Versions", endpoint->version);
   if (endpoint->listener && endpoint->listener->on_stream)
     endpoint->listener->on_stream (endpoint, stream->record->attempt_id, endpoint->user);
   evhttp_send_reply_start (request, 200, NULL);
-  start_timer (stream->timer, endpoint->event_interval);
+  start_timer (stream->timer, get_present_duration (endpoint, endpoint->event_interval));
 }
 
 /* --- weight orders and status reports --- */
@@ -268,7 +291,7 @@
 }
 
 static void
-send_service_reply (struct evhttp_request *request)
+send_service_reply (const SiEndpoint *endpoint, struct evhttp_request *request)
 {
   const char *id = si_request_get_header (request, "Attempt-Id");
   char stamp[LB_NAME_MAX + 8];
@@ -276,7 +299,7 @@
   snprintf (stamp, sizeof stamp, "stamp-%s", id ? id : "");
   add_reply_header (request, "Attempt-Id", id ? id : "");
   add_reply_header (request, "Server-Stamp", stamp);
-  add_reply_header (request, "Server-Load", "1,0,8");
+  add_load_header (endpoint, request);
   evbuffer_add_printf (evhttp_request_get_output_buffer (request), "answer to %s", id ? id : "");
   evhttp_send_reply (request, 200, NULL, NULL);
 }
@@ -289,7 +312,7 @@
   PendingCall *call = user;
 
   evhttp_connection_set_closecb (evhttp_request_get_connection (call->request), NULL, NULL);
-  send_service_reply (call->request);
+  send_service_reply (call->endpoint, call->request);
   pending_call_free (call);
 }
 
@@ -316,9 +339,10 @@
   if (endpoint->listener && endpoint->listener->on_call)
     endpoint->listener->on_call (endpoint, id ? id : "", endpoint->user);
   if (endpoint->call_duration == 0)
-    send_service_reply (request);
+    send_service_reply (endpoint, request);
   else
-    start_timer (pending_call_new (endpoint, request)->timer, endpoint->call_duration);
+    start_timer (pending_call_new (endpoint, request)->timer,
+                 get_present_duration (endpoint, endpoint->call_duration));
 }
 
 /* --- simulated crashes and restarts --- */
@@ -449,7 +473,7 @@
                                                     : endpoint->server.address);
   si_json_set_text (object, "zone", "hall-a");
   si_json_set_text (object, "version", "v1");
-  si_json_set_int (object, "slots", 8);
+  si_json_set_int (object, "slots", endpoint->slots);
   si_json_set_int (object, "coldLeftMs", 0);
   si_json_set_int (object, "seq", ++endpoint->entry_sequence);
   si_json_set_int (object, "born", endpoint->start_ms);
@@ -518,6 +542,8 @@
   endpoint->start_ms = INITIAL_START_TIME_MS;
   endpoint->n_events = 10;
   endpoint->event_interval = 10 * LB_MSEC;
+  endpoint->work_time_percent = 100;
+  endpoint->slots = 8;
   endpoint->load_time = 200 * LB_MSEC;
   lb_list_init (&endpoint->streams);
   lb_list_init (&endpoint->running_calls);
--- a/standins/si-endpoint.h
+++ b/standins/si-endpoint.h
@@ -50,8 +50,14 @@
   bool draining;
   int n_events;           /* number of events in each stream */
   int event_padding_size; /* number of spaces that pad each event */
-  LbTime event_interval;  /* time between two events of a stream */
-  LbTime load_time;       /* time from accepting a weight order to serving the new version */
+  LbTime event_interval;  /* usual time between two events of a stream */
+  /* present duration of work in percent of the usual duration; multiplies event_interval and
+   * call_duration */
+  int64_t work_time_percent;
+  bool reports_work_time;  /* set: Server-Load has work_time_percent as its fourth figure */
+  int64_t slots;           /* number of slots in Server-Load and in the registration */
+  const char *load_header; /* value of Server-Load; NULL: the endpoint's true figures */
+  LbTime load_time;        /* time from accepting a weight order to serving the new version */
   struct event *register_timer;
   struct event *load_timer;
   LbList streams;
--- a/tests/process/test-shared.c
+++ b/tests/process/test-shared.c
@@ -775,3 +775,53 @@
     }
   ps_cluster_clear (&cluster);
 }
+
+/* An endpoint that reports an invalid load must still serve, and must not fill the log. */
+Test (shared, invalid_load_is_counted_and_logged_once)
+{
+  PsCluster cluster;
+
+  ps_cluster_init (&cluster);
+  size_t instance = ps_start_instance (&cluster);
+  cluster.lookup.load_header = "many,0,8,0";
+  for (int i = 0; i < 3; i++)
+    {
+      ps_call_and_wait (&cluster, instance, "POST", "/lookup/1?q=2", "c1", "hello");
+      cr_assert_eq (cluster.response_status, 200);
+    }
+  cr_assert_eq (ps_read_metric (&cluster, instance, "lentilspindle_invalid_load_figures_total"), 6,
+                "expected two invalid figures in each of 3 replies");
+  PS_WAIT_UNTIL (&cluster, ps_count_text_in_log (&cluster, instance, "endpoint_load_invalid") > 0);
+  for (int i = 0; i < 100; i++)
+    ps_run_event_loop_once (&cluster);
+  cr_assert_eq (ps_count_text_in_log (&cluster, instance, "endpoint_load_invalid"), 1);
+  ps_cluster_clear (&cluster);
+}
+
+/* An engine sees only a few texts of a step, after which its lasting pace must be known: the next
+ * step's texts would otherwise be placed as if all engines were equally fast. */
+Test (shared, lasting_pace_is_known_after_a_few_texts)
+{
+  PsCluster cluster;
+  double lowest = 0;
+  double highest = 0;
+
+  ps_cluster_init (&cluster);
+  for (int i = 0; i < PS_N_ENGINES; i++)
+    {
+      cluster.engines[i].n_events = 100;
+      cluster.engines[i].event_interval = i == 0 ? 60 * LB_MSEC : 20 * LB_MSEC;
+      cluster.engines[i].reports_work_time = true;
+    }
+  size_t instance = ps_start_instance (&cluster);
+  ps_submit_batch (&cluster, instance, "b1", 12);
+  PS_WAIT_UNTIL (&cluster, ps_count_results_on_first_page (&cluster, instance, "b1") == 12);
+  cr_assert_eq (ps_read_metric (&cluster, instance, "lentilspindle_engines_with_known_pace"), 3);
+  lowest = ps_read_metric (&cluster, instance,
+                           "lentilspindle_engine_token_microseconds{value=\"lowest\"}");
+  highest = ps_read_metric (&cluster, instance,
+                            "lentilspindle_engine_token_microseconds{value=\"highest\"}");
+  cr_assert_gt (lowest, 15000);
+  cr_assert_gt (highest, 2 * lowest, "lowest %.0f, highest %.0f", lowest, highest);
+  ps_cluster_clear (&cluster);
+}
