core/endpoints: tests of the condition; none for engines that report it

Change: engines that report the token rate of their streams get no estimate from streams. Tests: a lasting value after a few texts, the correction for the load, the correction of durations by the reported work time, and the reset at a new process.

--- a/packages/core/src/endpoints/lc-endpoints-pace.c
+++ b/packages/core/src/endpoints/lc-endpoints-pace.c
@@ -180,7 +180,8 @@
   double load_factor = get_load_factor (group, fill);
   double loaded_token_seconds = 0;
 
-  if (!lb_switch_is_on (LB_SWITCH_CONDITION))
+  /* An engine that reports the token rate of its streams needs no estimate. */
+  if (!lb_switch_is_on (LB_SWITCH_CONDITION) || entry->endpoint.report.tokens_per_second > 0)
     return;
   loaded_token_seconds
       = lc_endpoint_condition_add_tokens (condition, tokens, interval, load_factor, now);
--- a/packages/core/tests/test-endpoint-condition.c
+++ b/packages/core/tests/test-endpoint-condition.c
@@ -81,3 +81,49 @@
   cr_assert_gt (lc_endpoint_condition_lasting_seconds (&condition, 69 * LB_SEC), 0);
   cr_assert_eq (lc_endpoint_condition_lasting_seconds (&condition, 71 * LB_SEC), 0);
 }
+
+/* A step of a trainer has only a few texts for each engine. Its next step needs the pace, although
+ * a tenth of the first texts may be slow. */
+Test (condition, lasting_value_is_useful_after_a_few_texts)
+{
+  int n_close = 0;
+
+  for (uint64_t seed = 1; seed <= 100; seed++)
+    {
+      LcEndpointCondition condition = { 0 };
+      double lasting = 0;
+
+      stream_with_noise (&condition, seed, LB_SEC, 5 * LB_SEC);
+      lasting = lc_endpoint_condition_lasting_seconds (&condition, 5 * LB_SEC);
+      n_close += lasting > 0.018 && lasting < 0.024;
+    }
+  cr_assert_geq (n_close, 97, "close to the true value in %d of 100 runs", n_close);
+}
+
+/* The load of an engine must not look like a lasting slowness. */
+Test (condition, lasting_value_is_corrected_for_the_load)
+{
+  LcEndpointCondition condition = { 0 };
+
+  for (LbTime now = LB_SEC; now < 10 * LB_SEC; now += 2 * TOKEN_INTERVAL)
+    lc_endpoint_condition_add_tokens (&condition, 1, 2 * TOKEN_INTERVAL, 2, now);
+  cr_assert_float_eq (lc_endpoint_condition_lasting_seconds (&condition, 10 * LB_SEC), 0.020,
+                      0.001);
+}
+
+/* Requests that take longer because the endpoint is slow at the moment must not count as lastingly
+ * slow if the endpoint reports it. */
+Test (condition, reported_work_time_corrects_the_duration_of_requests)
+{
+  LcEndpointCondition condition = { 0 };
+
+  for (int i = 1; i <= 20; i++)
+    {
+      LbTime now = i * LB_SEC;
+      bool is_slow = i % 2 == 0;
+
+      lc_endpoint_condition_add_work_time (&condition, is_slow ? 250 : 100, now);
+      lc_endpoint_condition_add_request (&condition, (is_slow ? 250 : 100) * LB_MSEC, now);
+    }
+  cr_assert_float_eq (lc_endpoint_condition_lasting_seconds (&condition, 20 * LB_SEC), 0.1, 0.001);
+}
--- a/packages/core/tests/test-stream-pace.c
+++ b/packages/core/tests/test-stream-pace.c
@@ -175,3 +175,28 @@
   cr_assert_str_eq (choose_endpoint_with_new_router (&f, &query, now), "e1");
   fixture_clear (&f);
 }
+
+/* A restarted engine may be faster or slower than before, for example on another machine. */
+Test (pace, new_process_starts_without_a_lasting_pace)
+{
+  LbTime now = 5 * LB_SEC;
+  LcLoadReport report = { .version = 1, .slots = 8, .work_time_percent = 250, .measured_at = now };
+  Fixture f;
+
+  fixture_init (&f, 2);
+  fixture_record_load_report (&f, "e0", "first", 1, 1);
+  record_streamed_tokens (&f, "e0", NORMAL_INTERVAL, 1, now);
+  strcpy (report.incarnation, "first");
+  lc_endpoints_record_load_report (f.endpoints, "e0", &report, now);
+  cr_assert_float_eq (lc_endpoint_lasting_token_seconds (fixture_find_endpoint (&f, "e0")), 0.048,
+                      0.003);
+  cr_assert_eq (fixture_find_endpoint (&f, "e0")->report.slots, 8);
+  cr_assert_gt (lc_endpoint_present_slowdown (fixture_find_endpoint (&f, "e0"), now), 2);
+  fixture_record_load_report (&f, "e0", "second", 1, now + 1);
+  cr_assert_eq (lc_endpoint_lasting_token_seconds (fixture_find_endpoint (&f, "e0")), 0);
+  cr_assert_eq (lc_endpoint_present_slowdown (fixture_find_endpoint (&f, "e0"), now + 1), 1);
+  cr_assert_eq (fixture_find_endpoint (&f, "e0")->report.slots, 0);
+  cr_assert_gt (lc_endpoint_group_lasting_token_seconds (fixture_find_endpoint (&f, "e0")), 0,
+                "the group's median must stand in for the unknown pace");
+  fixture_clear (&f);
+}
