core/dispatch: decision whether a running text moves

Cause: a text is moved as soon as its stream is slower than 1.5 times the average pace of all engines, without regard to a free slot, to the pace of the other engine, and to slowness of a moment.

Change: lc-move decides from plain numbers and names the reason. Nothing uses it yet. Switch "move_decisions".

Ruled out: a minimum gain alone, which leaves the critical text of a step on a slow engine.

--- a/packages/base/src/lb-switch.c
+++ b/packages/base/src/lb-switch.c
@@ -5,6 +5,7 @@
 static const char *const switch_names[LB_N_SWITCHES] = {
   [LB_SWITCH_HEDGING] = "hedging",
   [LB_SWITCH_MOVES] = "moves",
+  [LB_SWITCH_MOVE_DECISIONS] = "move_decisions",
   [LB_SWITCH_PACE] = "pace",
   [LB_SWITCH_FULL_PACE] = "full_pace",
   [LB_SWITCH_LATEST_START] = "latest_start",
--- /dev/null
+++ b/packages/core/src/dispatch/lc-move.c
@@ -0,0 +1,124 @@
+#include "lc-move.h"
+
+#include <math.h>
+
+/* A pace over about a second that is slower than the lasting pace by this factor is not momentary:
+ * a slowdown of 2.5 times for 600 ms changes the pace over a second by less than 1.4 times, one of
+ * 3.5 times reaches this factor within 0.7 s. */
+#define SLOWED_DOWN_FACTOR 1.5
+/* A stream without a piece for this time and for this multiple of the usual interval has stalled.
+ */
+#define MIN_STALL_SECONDS 0.4
+#define STALL_INTERVALS 8.0
+/* Tokens of the prompt and of the text so far that an engine processes per second. */
+#define PREFILL_TOKENS_PER_SECOND 8000.0
+#define CONNECT_SECONDS 0.05
+/* Smallest gain for which a text moves that decides the end of its step. */
+#define MIN_DECISIVE_GAIN_SECONDS 0.3
+/* Smallest gain for which any other text moves. Its end matters only if the predicted lengths are
+ * wrong, and each move costs a connection and the processing of the prompt. */
+#define MIN_OTHER_GAIN_SECONDS 1.5
+/* Smallest gain for which a text leaves an engine that slowed down: the engine may become slower
+ * still. */
+#define MIN_SLOWED_DOWN_GAIN_SECONDS 0.1
+
+static const char *const reason_names[LC_N_MOVE_REASONS] = {
+  [LC_MOVE_LASTING_PACE] = "lasting_pace",
+  [LC_MOVE_SLOWED_DOWN] = "slowed_down",
+  [LC_MOVE_STALLED] = "stalled",
+  [LC_MOVE_UNKNOWN_PACE] = "unknown_pace",
+  [LC_MOVE_NO_FREE_SLOT] = "no_free_slot",
+  [LC_MOVE_REQUESTS_WAIT] = "requests_wait",
+  [LC_MOVE_GAIN_TOO_SMALL] = "gain_too_small",
+  [LC_MOVE_MOMENTARY] = "momentary",
+  [LC_MOVE_NOT_RUNNING] = "not_running",
+};
+
+const char *
+lc_move_reason_name (LcMoveReason reason)
+{
+  return reason_names[reason];
+}
+
+bool
+lc_move_is_reason_to_move (LcMoveReason reason)
+{
+  return reason < LC_N_MOVE_REASONS_TO_MOVE;
+}
+
+double
+lc_move_expected_token_seconds (double lasting, double recent)
+{
+  return recent >= SLOWED_DOWN_FACTOR * lasting ? recent : lasting;
+}
+
+static bool
+has_stalled (const LcMoveInputs *inputs)
+{
+  double usual = inputs->here_lasting_token_seconds > 0 ? inputs->here_lasting_token_seconds
+                                                        : inputs->proposal.usual_token_seconds;
+
+  return (double)inputs->since_last_piece / LB_SEC
+         > fmax (MIN_STALL_SECONDS, STALL_INTERVALS * usual);
+}
+
+/* Time until the other endpoint sends the first piece. */
+static double
+get_move_cost_seconds (const LcMoveInputs *inputs)
+{
+  return CONNECT_SECONDS
+         + fmax (inputs->first_piece_seconds,
+                 (double)inputs->prompt_tokens / PREFILL_TOKENS_PER_SECOND);
+}
+
+static double
+estimate_gain_seconds (const LcMoveInputs *inputs, double here_token_seconds)
+{
+  double lasting = inputs->there_lasting_token_seconds > 0 ? inputs->there_lasting_token_seconds
+                                                           : inputs->proposal.usual_token_seconds;
+  double there = lc_move_expected_token_seconds (lasting, inputs->there_recent_token_seconds);
+
+  return inputs->proposal.remaining_tokens * (here_token_seconds - there)
+         - get_move_cost_seconds (inputs);
+}
+
+static LcMoveDecision
+compare_paces (const LcMoveInputs *inputs)
+{
+  double recent = inputs->proposal.recent_token_seconds;
+  double lasting = inputs->here_lasting_token_seconds;
+  double lasting_gain = estimate_gain_seconds (inputs, lasting);
+  double recent_gain = estimate_gain_seconds (inputs, recent);
+  double min_gain
+      = inputs->proposal.decides_step ? MIN_DECISIVE_GAIN_SECONDS : MIN_OTHER_GAIN_SECONDS;
+
+  if (lasting_gain >= min_gain)
+    return (LcMoveDecision){ .reason = LC_MOVE_LASTING_PACE, .gain_seconds = lasting_gain };
+  if (recent_gain < MIN_SLOWED_DOWN_GAIN_SECONDS)
+    return (LcMoveDecision){ .reason = LC_MOVE_GAIN_TOO_SMALL, .gain_seconds = lasting_gain };
+  if (recent >= SLOWED_DOWN_FACTOR * lasting)
+    return (LcMoveDecision){ .reason = LC_MOVE_SLOWED_DOWN, .gain_seconds = recent_gain };
+  return (LcMoveDecision){ .reason = recent > lasting ? LC_MOVE_MOMENTARY : LC_MOVE_GAIN_TOO_SMALL,
+                           .gain_seconds = lasting_gain };
+}
+
+/* A text that decides the end of its step leaves a stalled endpoint even if it must wait for a
+ * slot, since the stalled stream makes no progress. */
+LcMoveDecision
+lc_move_decide (const LcMoveInputs *inputs)
+{
+  LcMoveDecision decision = { .gain_seconds = inputs->proposal.gain_seconds };
+  bool is_decisive = inputs->proposal.decides_step;
+
+  if (inputs->here_lasting_token_seconds <= 0)
+    decision.reason = has_stalled (inputs) ? LC_MOVE_STALLED : LC_MOVE_UNKNOWN_PACE;
+  else if (has_stalled (inputs) && (inputs->n_free_slots > 0 || is_decisive))
+    decision.reason = LC_MOVE_STALLED;
+  else if (inputs->n_free_slots == 0)
+    decision.reason = LC_MOVE_NO_FREE_SLOT;
+  else if (inputs->n_waiting > 0 && !is_decisive)
+    decision.reason = LC_MOVE_REQUESTS_WAIT;
+  else
+    return compare_paces (inputs);
+  return decision;
+}
