core/endpoints: condition of endpoints

Cause: the only pace of an engine is the average of the last second of its streams, so a slowdown of a few hundred milliseconds looks like a slow engine.

LcEndpointSummary.lasting_token_seconds takes the place of the slot, which is the summary's index, so the summary stays at 64 bytes. Nothing decides by the new values yet. Switch "condition".

Ruled out: a mean, which a slowdown of 2.5 times for 15% of the time raises by a fifth.

--- a/packages/base/include/lb-switch.h
+++ b/packages/base/include/lb-switch.h
@@ -9,16 +9,16 @@
  * production. The state is process-wide and set at startup. */
 typedef enum
 {
-  LB_SWITCH_HEDGING,        /* sends a second attempt of a call that has no response yet */
-  LB_SWITCH_MOVES,          /* moves a running generation from a slow engine to a faster one */
-  LB_SWITCH_MOVE_DECISIONS, /* lets the dispatcher refuse moves that gain too little */
-  LB_SWITCH_PACE,           /* estimates an engine's speed from the token rate of its streams */
-  LB_SWITCH_FULL_PACE,      /* lets a long generation wait until a fast engine is free */
-  LB_SWITCH_LATEST_START,   /* orders generations by the latest start that meets their deadline */
-  LB_SWITCH_KEPT_TEXTS,     /* stores a batch's partial texts for another instance to resume */
-  LB_SWITCH_CARRIED_TEXTS,  /* resumes cached partial texts if a sample group is requested again */
-  LB_SWITCH_DIVISION,       /* divides the engines among the models by each model's demand */
-  LB_SWITCH_LOADS_IN_TURN,  /* lets at most a fifth of the engines load weights concurrently */
+  LB_SWITCH_HEDGING,       /* sends a second attempt of a call that has no response yet */
+  LB_SWITCH_MOVES,         /* moves a running generation from a slow engine to a faster one */
+  LB_SWITCH_PACE,          /* estimates an engine's speed from the token rate of its streams */
+  LB_SWITCH_FULL_PACE,     /* lets a long generation wait until a fast engine is free */
+  LB_SWITCH_CONDITION,     /* tells lasting speeds of endpoints from short slowdowns */
+  LB_SWITCH_LATEST_START,  /* orders generations by the latest start that meets their deadline */
+  LB_SWITCH_KEPT_TEXTS,    /* stores a batch's partial texts for another instance to resume */
+  LB_SWITCH_CARRIED_TEXTS, /* resumes cached partial texts if a sample group is requested again */
+  LB_SWITCH_DIVISION,      /* divides the engines among the models by each model's demand */
+  LB_SWITCH_LOADS_IN_TURN, /* lets at most a fifth of the engines load weights concurrently */
   LB_SWITCH_OFFERS, /* offers a new batch to the instance that runs the model's other batches */
   LB_SWITCH_WAY_THROUGH_PEERS, /* sends store calls through a peer instance if direct calls fail */
   LB_SWITCH_SENT_AGAIN,        /* resends calls that the store dropped while it was unresponsive */
@@ -26,6 +26,7 @@
   LB_SWITCH_PREFIX_AFFINITY,   /* prefers engines that have the prompt's prefix in their cache */
   LB_SWITCH_IDLE_CONNECTIONS,  /* reuses idle connections for later requests */
   LB_SWITCH_SCALING, /* requests spot endpoints from the platform to match the trainers' demand */
+  LB_SWITCH_MOVE_DECISIONS, /* lets the dispatcher refuse a move that gains too little */
   LB_N_SWITCHES
 } LbSwitch;
 
--- a/packages/base/src/lb-switch.c
+++ b/packages/base/src/lb-switch.c
@@ -8,6 +8,7 @@
   [LB_SWITCH_MOVE_DECISIONS] = "move_decisions",
   [LB_SWITCH_PACE] = "pace",
   [LB_SWITCH_FULL_PACE] = "full_pace",
+  [LB_SWITCH_CONDITION] = "condition",
   [LB_SWITCH_LATEST_START] = "latest_start",
   [LB_SWITCH_KEPT_TEXTS] = "kept_texts",
   [LB_SWITCH_CARRIED_TEXTS] = "carried_texts",
--- a/packages/core/include/lc-endpoints.h
+++ b/packages/core/include/lc-endpoints.h
@@ -14,8 +14,11 @@
   int64_t waiting;          /* number of queued requests */
   double tokens_per_second; /* token rate of one stream at the current load; 0: unknown */
   double kv_used;           /* share of the KV cache in use, 0..1 */
-  LbTime measured_at;       /* time of the measurement, converted to this instance's clock */
-  bool is_from_registry;    /* the report was read from the store, not sent by the endpoint */
+  int64_t slots;            /* number of requests that can run at once; 0: not reported */
+  /* present duration of work, in percent of the usual duration; 0: not reported */
+  int64_t work_time_percent;
+  LbTime measured_at;    /* time of the measurement, converted to this instance's clock */
+  bool is_from_registry; /* the report was read from the store, not sent by the endpoint */
 } LcLoadReport;
 
 typedef enum
@@ -125,6 +128,20 @@
                                         const uint64_t *prefix_hashes,
                                         size_t n_hashes,
                                         LbTime now);
+/* Lasting seconds per token at an engine, or per request at a plain service, without slowdowns of
+ * less than a second; 0: not known. */
+double lc_endpoint_lasting_token_seconds (const LcEndpoint *endpoint);
+/* Median of the lasting values of the endpoint's pool or service; 0: not known. */
+double lc_endpoint_group_lasting_token_seconds (const LcEndpoint *endpoint);
+/* Present duration of work at the endpoint, as a multiple of the lasting duration; 1: as usual. */
+double lc_endpoint_present_slowdown (const LcEndpoint *endpoint, LbTime now);
+/* How much longer the present slowdown is expected to last; 0: the endpoint is not slow. It grows
+ * with the time for which the endpoint has been slow. */
+LbTime lc_endpoint_remaining_slowdown (const LcEndpoint *endpoint, LbTime now);
+/* Expected seconds for the units of work (tokens of a stream, or requests at a plain service) at
+ * the endpoint's lasting pace, or at its group's if it is not known, with the present slowdown for
+ * as long as it is expected to last; 0: no pace is known. */
+double lc_endpoint_expected_work_seconds (const LcEndpoint *endpoint, double units, LbTime now);
 /* Whether a request of this kind may be sent to the endpoint now. live_reserve: share of the
  * concurrency kept for live calls, 0..0.9. */
 bool lc_endpoint_can_accept (const LcEndpoint *endpoint,
--- a/packages/core/src/dispatch/lc-router-finish-time.c
+++ b/packages/core/src/dispatch/lc-router-finish-time.c
@@ -157,6 +157,12 @@
                        .capacity_per_second = 1 / (slope * per_slot) };
 }
 
+static size_t
+get_slot (const DecisionInputs *inputs, const LcEndpointSummary *summary)
+{
+  return (size_t)(summary - inputs->endpoints->summaries);
+}
+
 /* Returns the cost of processing the part of the prompt that is not cached, including the delay of
  * concurrent requests. Their number is the average over all endpoints (see estimate_arrivals),
  * since the number at one endpoint is as old as the endpoint's report. */
@@ -165,7 +171,7 @@
 {
   if (!lb_switch_is_on (LB_SWITCH_PREFIX_AFFINITY))
     return inputs->full_prefill_seconds;
-  return inputs->full_prefill_seconds * (1 - inputs->cached_shares[summary->slot]);
+  return inputs->full_prefill_seconds * (1 - inputs->cached_shares[get_slot (inputs, summary)]);
 }
 
 /* Returns the cost of a new connection to a service endpoint; 0 if a connection was used recently.
@@ -387,7 +393,8 @@
   double level = find_fill_level (policy, inputs.n_arrived_since_reports + 1, all_filled);
   double lowest = score_candidates (policy, &inputs, level);
   size_t chosen = draw_candidate (policy, level, lowest, now);
-  bool is_prefix_bound = inputs.cached_shares[policy->candidates.summaries[chosen]->slot] > 0;
+  bool is_prefix_bound
+      = inputs.cached_shares[get_slot (&inputs, policy->candidates.summaries[chosen])] > 0;
 
   inputs.group->prefix_bound_share
       += PREFIX_BOUND_EWMA_WEIGHT * ((is_prefix_bound ? 1 : 0) - inputs.group->prefix_bound_share);
--- a/packages/core/src/endpoints/lc-endpoint-entry.c
+++ b/packages/core/src/endpoints/lc-endpoint-entry.c
@@ -59,11 +59,12 @@
     .concurrency_limit = (float)entry->concurrency.limit,
     .requests = (float)estimate_current_requests (entry),
     .other_requests = (float)count_requests_of_other_instances (entry),
-    .slot = endpoint->slot,
     .live_sent_since_report = (int32_t)entry->live_sent_since_report,
     .in_flight = (int32_t)endpoint->in_flight,
     .data_centre = (int16_t)entry->data_centre,
     .single_stream_token_seconds = (float)entry->single_stream_token_seconds,
+    .lasting_token_seconds
+    = (float)lc_endpoint_condition_lasting_seconds (&entry->condition, entry->table->last_event_at),
     .is_excluded = endpoint->leaving || entry->is_retired,
     .needs_full_check = needs_full_admission_check (entry),
   };
@@ -114,6 +115,7 @@
 {
   entry->endpoint.swap_pending = false;
   memset (&entry->breaker, 0, sizeof entry->breaker);
+  memset (&entry->condition, 0, sizeof entry->condition);
   lc_concurrency_init (&entry->concurrency, entry->endpoint.member.concurrency);
   lc_endpoint_entry_invalidate_cached_prefixes (entry);
 }
--- a/packages/core/src/endpoints/lc-endpoint-table.h
+++ b/packages/core/src/endpoints/lc-endpoint-table.h
@@ -4,6 +4,7 @@
 #include "lc-batch-cost.h"
 #include "lc-breaker.h"
 #include "lc-concurrency.h"
+#include "lc-endpoint-condition.h"
 #include "lc-endpoints.h"
 #include "lc-in-flight-history.h"
 #include "lc-leaving.h"
@@ -16,7 +17,7 @@
 
 /* The fields of an endpoint that a routing decision reads, in one cache line: a decision scans all
  * endpoints of a pool, and their entries are scattered in memory. Updated after each change of the
- * endpoint. */
+ * endpoint. The index of a summary in LcEndpoints.summaries is the endpoint's slot. */
 typedef struct
 {
   LcEndpoint *endpoint;
@@ -27,7 +28,6 @@
   /* number of requests at the endpoint: those of the last report, corrected by later changes */
   float requests;
   float other_requests; /* number of requests of other instances in the last report */
-  uint32_t slot;
   /* number of requests other than samples that this instance sent since the last report */
   int32_t live_sent_since_report;
   int32_t in_flight;                 /* number of this instance's requests at the endpoint */
@@ -36,8 +36,15 @@
   bool needs_full_check;             /* the entry's state must be checked, not only the summary */
   float single_stream_token_seconds; /* seconds per token of a stream that runs alone */
   float inverse_capacity;            /* 1 / capacity */
+  /* lasting seconds per token, or per request at a plain service (see lc-endpoint-condition.h); 0:
+   * not known */
+  float lasting_token_seconds;
 } LcEndpointSummary;
 
+#define LC_CACHE_LINE_BYTES 64
+_Static_assert(sizeof (LcEndpointSummary) <= LC_CACHE_LINE_BYTES,
+               "a summary must fit into a cache line");
+
 /* One endpoint in the table: the public part, which routing policies and other packages read, and
  * private state. */
 typedef struct LcEndpointEntry
@@ -54,6 +61,7 @@
   double single_stream_token_seconds;
   LcStreamPace stream_pace; /* pace of this instance's streams at the endpoint */
   LbTime stream_pace_at;    /* when a stream last updated stream_pace; 0: never */
+  LcEndpointCondition condition;
   LbTime swap_started_at;
   LcVersion version_before_swap;
   LcBreaker breaker;
@@ -78,7 +86,10 @@
   double batch_slowdown;        /* result of lc_batch_cost_full_batch_slowdown for batch_cost */
   LbTime next_pace_review_at;   /* next time when outdated stream paces are discarded */
   double fastest_token_seconds; /* seconds per token at the fastest endpoint; 0: not known */
-  double prefix_bound_share;    /* share of this instance's requests routed to a cached prefix */
+  /* median of the endpoints' lasting seconds per token, or per request; 0: not known */
+  double median_lasting_token_seconds;
+  LbTime next_median_update_at;
+  double prefix_bound_share; /* share of this instance's requests routed to a cached prefix */
   UT_hash_handle hh;
 } LcEndpointGroup;
 
--- a/packages/core/src/endpoints/lc-endpoints-query.c
+++ b/packages/core/src/endpoints/lc-endpoints-query.c
@@ -27,6 +27,49 @@
                                                 &entry->cache, now);
 }
 
+double
+lc_endpoint_lasting_token_seconds (const LcEndpoint *endpoint)
+{
+  const LcEndpoints *table = lc_endpoint_to_entry (endpoint)->table;
+
+  return (double)table->summaries[endpoint->slot].lasting_token_seconds;
+}
+
+double
+lc_endpoint_group_lasting_token_seconds (const LcEndpoint *endpoint)
+{
+  const LcEndpointMember *member = &endpoint->member;
+  const LcEndpointGroup *group
+      = lc_endpoints_find_group (lc_endpoint_to_entry (endpoint)->table,
+                                 (LcEndpointKind)member->kind, member->pool);
+
+  return group ? group->median_lasting_token_seconds : 0;
+}
+
+double
+lc_endpoint_present_slowdown (const LcEndpoint *endpoint, LbTime now)
+{
+  return lc_endpoint_condition_present_slowdown (&lc_endpoint_to_entry (endpoint)->condition, now);
+}
+
+LbTime
+lc_endpoint_remaining_slowdown (const LcEndpoint *endpoint, LbTime now)
+{
+  return lc_endpoint_condition_remaining_slowdown (&lc_endpoint_to_entry (endpoint)->condition,
+                                                   now);
+}
+
+double
+lc_endpoint_expected_work_seconds (const LcEndpoint *endpoint, double units, LbTime now)
+{
+  const LcEndpointCondition *condition = &lc_endpoint_to_entry (endpoint)->condition;
+  double lasting = lc_endpoint_lasting_token_seconds (endpoint);
+
+  if (lasting <= 0)
+    lasting = lc_endpoint_group_lasting_token_seconds (endpoint);
+  return lc_endpoint_condition_stretch_seconds (condition, units * lasting, now);
+}
+
 /* A weight swap that fails halfway leaves weights of unknown version: the tokens of samples could
  * not be attributed to a weight version, and live callers would get answers from a half-loaded
  * model. The endpoint gets no requests until a load report measured after the swap was due states a
--- a/packages/core/src/endpoints/lc-endpoints.c
+++ b/packages/core/src/endpoints/lc-endpoints.c
@@ -77,6 +77,9 @@
   entry->in_flight_at_report
       = lc_in_flight_history_count_requests_at (&entry->in_flight_history, report->measured_at);
   update_single_stream_token_seconds (entry);
+  if (lb_switch_is_on (LB_SWITCH_CONDITION))
+    lc_endpoint_condition_add_work_time (&entry->condition, report->work_time_percent,
+                                         report->measured_at);
   end_weight_swap_if_confirmed (entry);
 }
 
@@ -92,6 +95,8 @@
   sanitised.version = report->version > 0 ? report->version : 0;
   if (!(report->tokens_per_second > 0 && report->tokens_per_second < MAX_TOKENS_PER_SECOND))
     sanitised.tokens_per_second = 0;
+  sanitised.slots = report->slots > 0 ? report->slots : 0;
+  sanitised.work_time_percent = report->work_time_percent > 0 ? report->work_time_percent : 0;
   sanitised.measured_at = report->measured_at < now ? report->measured_at : now;
   return sanitised;
 }
@@ -295,6 +300,69 @@
     }
 }
 
+static int
+compare_doubles (const void *a, const void *b)
+{
+  double x = *(const double *)a;
+  double y = *(const double *)b;
+
+  return (x > y) - (x < y);
+}
+
+/* Returns the median of the group's lasting values; 0: none is known. */
+static double
+compute_median_lasting_token_seconds (const LcEndpoints *endpoints, const LcEndpointGroup *group)
+{
+  double *values = LB_NEW_ARRAY (double, group->n_slots);
+  size_t n = 0;
+  double median = 0;
+
+  for (size_t i = 0; i < group->n_slots; i++)
+    {
+      const LcEndpointSummary *summary = &endpoints->summaries[group->slots[i]];
+
+      if (!summary->is_excluded && summary->lasting_token_seconds > 0)
+        values[n++] = (double)summary->lasting_token_seconds;
+    }
+  qsort (values, n, sizeof *values, compare_doubles);
+  if (n > 0)
+    median = (values[(n - 1) / 2] + values[n / 2]) / 2;
+  free (values);
+  return median;
+}
+
+static void
+update_group_median_if_due (LcEndpointEntry *entry, LcEndpointGroup *group, LbTime now)
+{
+  if (now < group->next_median_update_at)
+    return;
+  group->next_median_update_at = now + PACE_REVIEW_INTERVAL;
+  group->median_lasting_token_seconds = compute_median_lasting_token_seconds (entry->table, group);
+}
+
+static void
+update_engine_condition (LcEndpointEntry *entry, int64_t tokens, LbTime interval, LbTime now)
+{
+  LcEndpointCondition *condition = &entry->condition;
+
+  if (!lb_switch_is_on (LB_SWITCH_CONDITION))
+    return;
+  lc_endpoint_condition_add_tokens (condition, tokens, interval, now);
+  lc_endpoint_condition_set_present_token_seconds (
+      condition, lc_stream_pace_token_seconds (&entry->stream_pace), now);
+  update_group_median_if_due (entry, find_group_of_entry (entry), now);
+}
+
+/* Records the duration of a request to a plain service, which sends no tokens. */
+static void
+update_service_condition (LcEndpointEntry *entry, LbTime took, LbTime now)
+{
+  if (!lb_switch_is_on (LB_SWITCH_CONDITION) || entry->endpoint.member.kind != LC_ENDPOINT_SERVICE)
+    return;
+  lc_endpoint_condition_add_request (&entry->condition, took, now);
+  update_group_median_if_due (entry, find_group_of_entry (entry), now);
+}
+
 /* Detects an engine that becomes slow while its generations still run. The duration of completed
  * requests shows a slowdown several seconds later, and until then the engine would get as many new
  * requests as before. */
@@ -311,6 +379,7 @@
   lc_stream_pace_add_tokens (&entry->stream_pace, tokens, interval);
   entry->stream_pace_at = now;
   seconds = lc_stream_pace_token_seconds (&entry->stream_pace);
+  update_engine_condition (entry, tokens, interval, now);
   discard_outdated_group_paces (entry, find_group_of_entry (entry), now);
   if (seconds == 0 || endpoint->report.tokens_per_second > 0)
     return;
@@ -366,6 +435,7 @@
       endpoint->last_reply_at = now;
       lc_breaker_request_succeeded (&entry->breaker, now - took);
       update_mean_service_time (entry, tokens, took);
+      update_service_condition (entry, took, now);
     }
   else
     {
