core, node: the dispatcher decides whether a running text moves

The batch compares a stream with one average pace over all engines, and knows neither free slots nor how fast the other engine usually is.

Change: LC_BATCH_PREEMPT becomes a proposal with the remaining length, the recent pace and whether the step waits for the text. The task "calls" asks lc_dispatch_decide_move; a refused move leaves the run as it is and is proposed again after 1 s (0.3 s if the step waits for the text). A moved text is sent to the chosen endpoint if that can take it, else placed as usual.

--- a/packages/core/include/lc-batch.h
+++ b/packages/core/include/lc-batch.h
@@ -71,7 +71,9 @@
   LC_BATCH_GENERATE, /* submit the item's generation request under the id `request` */
   LC_BATCH_SCORE,    /* submit the item's scoring request under the id `request` */
   LC_BATCH_CANCEL,   /* cancel the request with the id `request` */
-  /* Cancel the request with the id `request`, then call lc_batch_finish_generation with
+  /* If needs_move_decision is set, decide first whether the text moves to another endpoint, and
+   * call lc_batch_accept_move or lc_batch_refuse_move; the text of a refused move stays as it is.
+   * Otherwise cancel the request with the id `request`, then call lc_batch_finish_generation with
    * LB_ERROR_CLOSED. Add no piece of the request after that call, because another endpoint
    * continues the text after the last added piece. */
   LC_BATCH_PREEMPT,
@@ -92,9 +94,15 @@
   /* endpoint that was too slow for the item and should not get this request, or ""; valid until the
    * batch is next changed */
   const char *avoid_endpoint;
+  /* endpoint that the last move of the item has chosen, or "": any; valid until the batch is next
+   * changed */
+  const char *preferred_endpoint;
   int64_t remaining_events; /* estimated number of events still to be generated */
   LbTime due_at;            /* time by which the trainer needs the whole batch */
   LbTime latest_start;      /* latest start that completes the text by due_at */
+  /* Members set for LC_BATCH_PREEMPT. */
+  bool needs_move_decision;
+  LcMoveProposal move; /* the unit of its tokens is an event */
   /* Members set for LC_BATCH_CHECKPOINT; valid until the batch is next changed. */
   LcBatchTextPart *parts;
   size_t n_parts;
@@ -154,6 +162,12 @@
 /* Handles the end of a generation request; LB_OK: the text is complete. */
 void lc_batch_finish_generation (
     LcBatch *batch, LcRequestId request, LbErrorCode error, LbTime now, LbList *actions);
+/* Handles the decision that the text of the request moves. Call before lc_batch_finish_generation
+ * with LB_ERROR_CLOSED. */
+void lc_batch_accept_move (LcBatch *batch, LcRequestId request, const LcMoveDecision *move);
+/* Handles the decision that the text of the request stays. Its move is proposed again after a
+ * second, or sooner if the step waits for the text. */
+void lc_batch_refuse_move (LcBatch *batch, LcRequestId request, LcMoveReason reason, LbTime now);
 void lc_batch_finish_scoring (LcBatch *batch,
                               LcRequestId request,
                               LbErrorCode error,
--- a/packages/core/include/lc-dispatch.h
+++ b/packages/core/include/lc-dispatch.h
@@ -1,6 +1,7 @@
 #ifndef LC_DISPATCH_H
 #define LC_DISPATCH_H
 
+#include "lc-move.h"
 #include "lc-quarantine.h"
 #include "lc-router.h"
 
@@ -62,6 +63,9 @@
    * eligible */
   LbName avoid[LC_MAX_AVOIDED_ENDPOINTS];
   size_t n_avoid;
+  /* endpoint that gets the request if it can take it at once; otherwise the request is placed like
+   * any other; "": none */
+  LbName preferred_endpoint;
 } LcRequestSpec;
 
 /* Consecutive tokens of an answer, as the endpoint sent them. */
@@ -153,6 +157,13 @@
 /* Removes the request of a submitter that has disconnected and cancels its attempts. Appends no
  * LC_ACTION_FINISH. */
 void lc_dispatch_cancel (LcDispatch *dispatch, LcRequestId request, LbTime now, LbList *actions);
+/* Decides whether a running sample moves to another endpoint. Does not change the sample, but holds
+ * the free slot of the chosen endpoint for a moment against other moves: the caller must cancel the
+ * request and submit the rest with preferred_endpoint. */
+LcMoveDecision lc_dispatch_decide_move (LcDispatch *dispatch,
+                                        LcRequestId request,
+                                        const LcMoveProposal *proposal,
+                                        LbTime now);
 LcPieceVerdict lc_dispatch_receive_piece (LcDispatch *dispatch,
                                           LcRequestId request,
                                           uint32_t attempt,
--- a/packages/core/src/batch/lc-batch-item.h
+++ b/packages/core/src/batch/lc-batch-item.h
@@ -46,12 +46,18 @@
   LbTime first_piece_at;   /* time of the current request's first piece; 0: none yet */
   LbTime last_piece_at;    /* time of the current request's last piece */
   LbTime listed_at;
-  LcStreamPace pace;      /* recent token rate of the current request's stream */
-  int64_t request_events; /* number of events that the current request has generated */
-  LbName last_endpoint;   /* endpoint that sent the last piece */
-  LbName avoid_endpoint;  /* endpoint that the item was last moved away from; empty: none */
+  LcStreamPace pace;         /* recent token rate of the current request's stream */
+  int64_t request_events;    /* number of events that the current request has generated */
+  LbName last_endpoint;      /* endpoint that sent the last piece */
+  LbName avoid_endpoint;     /* endpoint that the item was last moved away from; empty: none */
+  LbName preferred_endpoint; /* endpoint that the last move has chosen; empty: none */
   int n_moves;
-  bool is_preempted; /* the current request is being cancelled to move the item */
+  /* the current request is being cancelled to move the item, or its move awaits a decision */
+  bool is_preempted;
+  bool decides_step;   /* whether the step waited for the text when its move was proposed */
+  LbTime next_move_at; /* no move is proposed before this time, because one was refused */
+  size_t group;        /* index of the item's group, less than LcBatch.n_groups */
+  bool is_abandoned;   /* the result is "not completed", so the group can't be complete */
   /* the text must restart: its weight versions are too many, or one is unknown or too old */
   bool is_unusable;
   LcBatchResult result;
--- a/packages/core/src/batch/lc-batch-private.h
+++ b/packages/core/src/batch/lc-batch-private.h
@@ -35,6 +35,10 @@
   /* number of results in results_in_write, which belong to the first items in ready_items */
   size_t n_results_in_write;
   bool is_writing;
+  size_t n_groups;
+  double *group_seconds;        /* expected time until each group is complete; scratch memory */
+  double *sorted_group_seconds; /* the same, in ascending order */
+  int64_t refused_moves[LC_N_MOVE_REASONS];
   LbTime next_review_at;
   LbTime last_tick_at;
   LbTime next_checkpoint_at;
@@ -63,9 +67,23 @@
 /* Starts a write of the queued results, unless one is in progress. */
 void lc_batch_start_result_write (LcBatch *batch, LbList *actions);
 
+/* Defined in lc-batch-critical.c, which finds the texts that decide when the step ends. */
+
+/* Assigns the items to groups. Call once. */
+void lc_batch_number_groups (LcBatch *batch);
+/* Expected number of further tokens of the item's text. */
+double lc_batch_estimate_remaining_tokens (const LcBatch *batch, const LcBatchItem *item);
+/* Estimates when each group is complete. Call before lc_batch_does_item_decide_step. */
+void lc_batch_estimate_group_ends (LcBatch *batch, LbTime now);
+bool lc_batch_does_item_decide_step (const LcBatch *batch, const LcBatchItem *item, LbTime now);
+
 /* Defined in lc-batch-review.c. */
 
 void lc_batch_restart_or_move_items (LcBatch *batch, LbTime now, LbList *actions);
+/* Records that the text moves and logs why. */
+void lc_batch_move_item (LcBatch *batch, LcBatchItem *item, const LcMoveDecision *move);
+/* Logs the number of refused moves by reason, unless none was refused. */
+void lc_batch_log_refused_moves (const LcBatch *batch);
 /* Postpones the next check for slow items if this instance was paused since the last tick. Call at
  * the start of each tick. */
 void lc_batch_postpone_item_review_after_pause (LcBatch *batch, LbTime now);
--- a/packages/core/src/batch/lc-batch-review.c
+++ b/packages/core/src/batch/lc-batch-review.c
@@ -50,27 +50,94 @@
     }
 }
 
-/* Moves items from slow engines to other endpoints, which continue the texts. A step is complete
- * only when its slowest text is, so an engine that becomes several times slower would delay the
- * trainer although other engines have free capacity. */
+void
+lc_batch_move_item (LcBatch *batch, LcBatchItem *item, const LcMoveDecision *move)
+{
+  item->n_moves++;
+  LB_COPY (item->avoid_endpoint, item->last_endpoint);
+  LB_COPY (item->preferred_endpoint, move->endpoint);
+  lb_log (LB_LOG_INFO, "item_moved", LB_TEXT ("batch", batch->spec.id),
+          LB_TEXT ("item", item->result.item), LB_TEXT ("from", item->last_endpoint),
+          LB_TEXT ("to", move->endpoint), LB_TEXT ("reason", lc_move_reason_name (move->reason)),
+          LB_INT ("events", item->n_events), LB_BOOL ("decides_step", item->decides_step),
+          LB_REAL ("gain_seconds", move->gain_seconds));
+}
+
+void
+lc_batch_log_refused_moves (const LcBatch *batch)
+{
+  const int64_t *refused = batch->refused_moves;
+  int64_t n = 0;
+
+  for (int i = 0; i < LC_N_MOVE_REASONS; i++)
+    n += refused[i];
+  if (n == 0)
+    return;
+  lb_log (LB_LOG_INFO, "moves_refused", LB_TEXT ("batch", batch->spec.id),
+          LB_INT ("no_free_slot", refused[LC_MOVE_NO_FREE_SLOT]),
+          LB_INT ("requests_wait", refused[LC_MOVE_REQUESTS_WAIT]),
+          LB_INT ("gain_too_small", refused[LC_MOVE_GAIN_TOO_SMALL]),
+          LB_INT ("momentary", refused[LC_MOVE_MOMENTARY]),
+          LB_INT ("not_running", refused[LC_MOVE_NOT_RUNNING]));
+}
+
+static void
+preempt_item_without_decision (LcBatch *batch, LcBatchItem *item, double gain, LbList *actions)
+{
+  const LcMoveDecision move = { .reason = LC_MOVE_UNKNOWN_PACE, .gain_seconds = gain };
+
+  lc_batch_add_action (actions, LC_BATCH_PREEMPT)->request = item->request;
+  lc_batch_move_item (batch, item, &move);
+}
+
+/* Asks the caller for a decision on the item's move. */
+static void
+propose_move (LcBatch *batch, LcBatchItem *item, double gain, LbTime now, LbList *actions)
+{
+  LcBatchAction *action = lc_batch_add_action (actions, LC_BATCH_PREEMPT);
+  double tokens_per_event = (double)lc_batch_events_to_tokens (batch, 1);
+  double pace = batch->settings.history->pace.tokens_per_second;
+
+  item->preferred_endpoint[0] = '\0';
+  item->decides_step = lc_batch_does_item_decide_step (batch, item, now);
+  action->request = item->request;
+  action->needs_move_decision = true;
+  action->move = (LcMoveProposal){
+    .remaining_tokens = lc_batch_estimate_remaining_tokens (batch, item) / tokens_per_event,
+    .recent_token_seconds = lc_batch_item_estimate_seconds_per_token (item, now) * tokens_per_event,
+    .usual_token_seconds = tokens_per_event / pace,
+    .gain_seconds = gain,
+    .decides_step = item->decides_step,
+  };
+}
+
+/* Proposes moves of items from slow engines to other endpoints, which continue the texts. A step is
+ * complete only when its slowest text is, so an engine that becomes several times slower would
+ * delay the trainer although other engines have free capacity. */
 static void
 move_slow_items (LcBatch *batch, LbTime now, LbList *actions)
 {
+  bool has_group_ends = false;
+
   if (!batch->settings.history || !batch->settings.resumable || !lb_switch_is_on (LB_SWITCH_MOVES))
     return;
   for (size_t i = 0; i < batch->spec.n_items; i++)
     {
       LcBatchItem *item = &batch->items[i];
-      double gain_seconds = estimate_move_gain_seconds (batch, item, now);
+      double gain_seconds
+          = now < item->next_move_at ? 0 : estimate_move_gain_seconds (batch, item, now);
       if (gain_seconds <= 0)
         continue;
       item->is_preempted = true;
-      item->n_moves++;
-      LB_COPY (item->avoid_endpoint, item->last_endpoint);
-      lc_batch_add_action (actions, LC_BATCH_PREEMPT)->request = item->request;
-      lb_log (LB_LOG_INFO, "item_moved", LB_TEXT ("batch", batch->spec.id),
-              LB_TEXT ("item", item->result.item), LB_TEXT ("from", item->last_endpoint),
-              LB_INT ("events", item->n_events), LB_REAL ("gain_seconds", gain_seconds));
+      if (!lb_switch_is_on (LB_SWITCH_MOVE_DECISIONS))
+        {
+          preempt_item_without_decision (batch, item, gain_seconds, actions);
+          continue;
+        }
+      if (!has_group_ends)
+        lc_batch_estimate_group_ends (batch, now);
+      has_group_ends = true;
+      propose_move (batch, item, gain_seconds, now, actions);
     }
 }
 
--- a/packages/core/src/batch/lc-batch-write.c
+++ b/packages/core/src/batch/lc-batch-write.c
@@ -82,6 +82,7 @@
   item->state = ITEM_READY;
   item->request = 0;
   item->result.completed = completed;
+  item->is_abandoned = !completed;
   if (!completed)
     {
       free (item->result.text);
--- a/packages/core/src/batch/lc-batch.c
+++ b/packages/core/src/batch/lc-batch.c
@@ -18,6 +18,9 @@
 /* Time between checkpoints. A takeover loses at most the events of one period and of a checkpoint
  * write in progress. Each running step costs four writes a second. */
 #define CHECKPOINT_PERIOD (250 * LB_MSEC)
+/* Delay after a refused move until a move of the same text is proposed again. */
+#define MOVE_RETRY_DELAY LB_SEC
+#define DECISIVE_MOVE_RETRY_DELAY (300 * LB_MSEC) /* if the step waits for the text */
 /* A store transaction takes at most 100 entries, of which two may be for the batch's row in the
  * store. */
 #define MAX_PARTS_PER_CHECKPOINT 90
@@ -74,6 +77,7 @@
   lb_list_init (&batch->ready_items);
   for (size_t i = 0; i < batch->spec.n_items; i++)
     LB_COPY (batch->items[i].result.item, batch->spec.items[i].request.id);
+  lc_batch_number_groups (batch);
   return batch;
 }
 
@@ -87,6 +91,8 @@
   lc_batch_spec_clear (&batch->spec);
   free (batch->items);
   free (batch->results_in_write);
+  free (batch->group_seconds);
+  free (batch->sorted_group_seconds);
   free (batch);
 }
 
@@ -155,6 +161,7 @@
 start_item_generation (LcBatch *batch, LcBatchItem *item, LbTime now, LbList *actions)
 {
   LcBatchAction *action = lc_batch_add_action (actions, LC_BATCH_GENERATE);
+  bool is_move = item->is_preempted;
 
   item->state = ITEM_GENERATING;
   item->started_at = now;
@@ -167,6 +174,7 @@
   action->item_index = lc_batch_find_item_index (batch, item);
   action->resume_at = item->n_events;
   action->avoid_endpoint = item->avoid_endpoint;
+  action->preferred_endpoint = is_move ? item->preferred_endpoint : "";
   action->remaining_events = lc_batch_item_estimate_remaining_events (
       item, &batch->spec.items[lc_batch_find_item_index (batch, item)],
       lc_batch_events_to_tokens (batch, 1));
@@ -371,6 +379,27 @@
   lc_batch_item_schedule_retry (item, ITEM_WAITING, now);
 }
 
+void
+lc_batch_accept_move (LcBatch *batch, LcRequestId request, const LcMoveDecision *move)
+{
+  LcBatchItem *item = find_item_by_request (batch, request);
+
+  if (item && item->state == ITEM_GENERATING && item->is_preempted)
+    lc_batch_move_item (batch, item, move);
+}
+
+void
+lc_batch_refuse_move (LcBatch *batch, LcRequestId request, LcMoveReason reason, LbTime now)
+{
+  LcBatchItem *item = find_item_by_request (batch, request);
+
+  if (!item || item->state != ITEM_GENERATING)
+    return;
+  batch->refused_moves[reason]++;
+  item->is_preempted = false;
+  item->next_move_at = now + (item->decides_step ? DECISIVE_MOVE_RETRY_DELAY : MOVE_RETRY_DELAY);
+}
+
 void
 lc_batch_finish_scoring (LcBatch *batch,
                          LcRequestId request,
@@ -459,6 +488,8 @@
 void
 lc_batch_stop (LcBatch *batch, LbTime now, LbList *actions)
 {
+  if (!batch->is_stopped)
+    lc_batch_log_refused_moves (batch);
   batch->is_stopped = true;
   if (batch->settings.text_cache)
     lc_batch_cache_texts_of_incomplete_groups (&batch->spec, batch->items,
--- a/packages/core/src/dispatch/lc-dispatch-private.h
+++ b/packages/core/src/dispatch/lc-dispatch-private.h
@@ -8,6 +8,15 @@
  * and concurrency limits can change without an event. */
 #define LC_DISPATCH_POLL_INTERVAL (20 * LB_MSEC)
 
+/* Free slots that moves have chosen and that their requests have not reached yet. */
+#define LC_MAX_MOVE_HOLDS 16
+
+typedef struct
+{
+  LbName endpoint;
+  LbTime until;
+} LcMoveHold;
+
 struct LcDispatch
 {
   LcDispatchSettings settings;
@@ -18,7 +27,8 @@
   gsl_rng *random;
   LcPoolState *pools[LC_N_POOL_KINDS];
   LcRequest *requests;
-  LcHeap timers;          /* requests with a timer (LcRequest), earliest timer_due first */
+  LcHeap timers; /* requests with a timer (LcRequest), earliest timer_due first */
+  LcMoveHold move_holds[LC_MAX_MOVE_HOLDS];
   LbTime polled_at;       /* when all pools were last polled for requests that can be placed */
   uint64_t last_sequence; /* LcQueueEntry.sequence of the last admitted request */
   uint64_t invariant_failures;
@@ -67,6 +77,13 @@
 lc_dispatch_send_waiting_requests_of_all_pools (LcDispatch *dispatch, LbTime now, LbList *actions);
 void lc_dispatch_try_hedge (LcDispatch *dispatch, LcRequest *request, LbTime now, LbList *actions);
 
+/* Sends a queued request to this endpoint if the endpoint can take it now. */
+bool lc_dispatch_send_to_preferred_endpoint (
+    LcDispatch *dispatch, LcRequest *request, const char *endpoint, LbTime now, LbList *actions);
+
+/* Implemented in lc-dispatch-move.c. */
+void lc_dispatch_release_move_hold (LcDispatch *dispatch, const char *endpoint);
+
 /* Implemented in lc-outcome.c, which ends attempts and requests. */
 void lc_dispatch_end_attempt (LcDispatch *dispatch,
                               LcRequest *request,
--- a/packages/core/src/dispatch/lc-placement.c
+++ b/packages/core/src/dispatch/lc-placement.c
@@ -251,6 +251,36 @@
   send_attempt (dispatch, request, decision, now, actions);
 }
 
+static bool
+can_take_request_now (LcDispatch *dispatch,
+                      const LcRequest *request,
+                      const LcEndpoint *endpoint,
+                      LbTime now)
+{
+  LbTime oldest_report = compute_oldest_current_load_report_time (dispatch, now);
+
+  return strcmp (endpoint->member.pool, request->pool->name) == 0
+         && endpoint->report.version >= request->min_version
+         && endpoint->report.measured_at >= oldest_report
+         && lc_endpoint_can_accept (endpoint, request->kind, request->pool->live_reserve, now);
+}
+
+/* A request that waits could not use the free slot when the endpoint's state last changed, so the
+ * request does not overtake others. */
+bool
+lc_dispatch_send_to_preferred_endpoint (
+    LcDispatch *dispatch, LcRequest *request, const char *name, LbTime now, LbList *actions)
+{
+  LcEndpoint *endpoint = name[0] ? lc_endpoints_find (dispatch->endpoints, name) : NULL;
+  LcRouteDecision decision
+      = { .endpoint = endpoint, .reason = "chosen-for-move", .n_candidates = 1 };
+
+  if (!endpoint || !can_take_request_now (dispatch, request, endpoint, now))
+    return false;
+  place_request (dispatch, request, &decision, now, actions);
+  return true;
+}
+
 /* Fails the waiting requests that may not wait until the pool is available again. */
 static void
 fail_blocked_requests (LcDispatch *dispatch, LcPoolState *pool, LbTime now, LbList *actions)
--- a/packages/node/include/ln-messages.h
+++ b/packages/node/include/ln-messages.h
@@ -22,6 +22,7 @@
   LN_SAMPLE_CANCEL,         /* rollouts -> calls: cancel the sample */
   LN_SAMPLE_PIECE,          /* calls -> rollouts: a piece of a sample was generated */
   LN_SAMPLE_DONE,           /* calls -> rollouts: a sample or a scorer's call has ended */
+  LN_SAMPLE_MOVE_REFUSED,   /* calls -> rollouts: a sample stays where it runs */
   LN_POOL_VERSION,          /* config -> rollouts: a pool's newest version and update interval */
   LN_ENDPOINT_REPORT,       /* calls -> config: load report of an endpoint */
   LN_ENDPOINT_LEAVING,      /* any -> calls: an endpoint is about to stop */
@@ -73,8 +74,19 @@
   LcRequestId request;
   bool return_partial; /* post LN_SAMPLE_DONE with LB_ERROR_CLOSED and the text of the pieces that
                           were posted */
+  /* first decide whether the sample moves to another endpoint; if not, post
+   * LN_SAMPLE_MOVE_REFUSED and leave the sample unchanged */
+  bool needs_move_decision;
+  LcMoveProposal move;
 } LnSampleCancelMessage;
 
+typedef struct
+{
+  LnMessage base;
+  LcRequestId request;
+  LcMoveReason reason;
+} LnSampleMoveRefusedMessage;
+
 typedef struct
 {
   LnMessage base;
@@ -90,6 +102,8 @@
   LcRequestId request;
   LbErrorCode error;
   char *text; /* generated text or scorer's reply, owned; NULL: none, after an error */
+  bool has_move;
+  LcMoveDecision move; /* if has_move: decision by which the sample was preempted */
 } LnSampleDoneMessage;
 
 typedef struct
--- a/packages/node/src/batch/ln-batch-owner.c
+++ b/packages/node/src/batch/ln-batch-owner.c
@@ -141,6 +141,7 @@
   LB_COPY (request.caller, batch->id);
   LB_COPY (request.flow, spec->model);
   LB_COPY (request.avoid[0], action->avoid_endpoint);
+  LB_COPY (request.preferred_endpoint, action->preferred_endpoint);
   memcpy (request.prefix_hashes, item->prefix_hashes, sizeof request.prefix_hashes);
   add_batch_request (batch, action->request, false);
   post_request_to_calls (batch, &request, &item->request, batch->head.organisation);
@@ -186,12 +187,16 @@
 }
 
 /* Cancels a request and asks for its partial text: the task "calls" first posts all received pieces
- * of the text, then the end of the request. */
+ * of the text, then the end of the request. If a decision is needed, the task "calls" may refuse.
+ */
 static void
-preempt_request (LnBatch *batch, LcRequestId id)
+preempt_request (LnBatch *batch, const LcBatchAction *action)
 {
-  LnSampleCancelMessage message
-      = { .base = LN_MESSAGE (LN_SAMPLE_CANCEL), .request = id, .return_partial = true };
+  LnSampleCancelMessage message = { .base = LN_MESSAGE (LN_SAMPLE_CANCEL),
+                                    .request = action->request,
+                                    .return_partial = true,
+                                    .needs_move_decision = action->needs_move_decision,
+                                    .move = action->move };
 
   LN_POST (batch->batches->task.hub, ln_hub_find_task (batch->batches->task.hub, "calls"), message);
 }
@@ -472,7 +477,7 @@
           cancel_request (batch, action->request);
           break;
         case LC_BATCH_PREEMPT:
-          preempt_request (batch, action->request);
+          preempt_request (batch, action);
           break;
         case LC_BATCH_CHECKPOINT:
           write_checkpoint (batch, action);
@@ -582,6 +587,16 @@
                                  lb_clock_monotonic ());
 }
 
+void
+ln_batch_owner_refuse_move (LnBatches *batches, const LnSampleMoveRefusedMessage *message)
+{
+  const LnBatchRequest *request = find_batch_request (batches, message->request);
+
+  if (request && request->batch->run)
+    lc_batch_refuse_move (request->batch->run, message->request, message->reason,
+                          lb_clock_monotonic ());
+}
+
 void
 ln_batch_owner_finish_request (LnBatches *batches, const LnSampleDoneMessage *message)
 {
@@ -597,6 +612,8 @@
   if (!batch->run)
     return;
   lb_list_init (&actions);
+  if (message->has_move)
+    lc_batch_accept_move (batch->run, message->request, &message->move);
   if (is_score)
     lc_batch_finish_scoring (batch->run, message->request, message->error,
                              message->text ? message->text : "", now, &actions);
--- a/packages/node/src/batch/ln-batches-private.h
+++ b/packages/node/src/batch/ln-batches-private.h
@@ -201,6 +201,7 @@
 void ln_batch_owner_stop_run (LnBatch *batch);
 void ln_batch_owner_run_due_actions (LnBatch *batch, LbTime now);
 void ln_batch_owner_receive_text_piece (LnBatches *batches, const LnSamplePieceMessage *message);
+void ln_batch_owner_refuse_move (LnBatches *batches, const LnSampleMoveRefusedMessage *message);
 void ln_batch_owner_finish_request (LnBatches *batches, const LnSampleDoneMessage *message);
 
 /* Defined in ln-batch-cleanup.c: removes ended batches from the store. */
--- a/packages/node/src/batch/ln-batches.c
+++ b/packages/node/src/batch/ln-batches.c
@@ -133,6 +133,9 @@
     case LN_SAMPLE_PIECE:
       ln_batch_owner_receive_text_piece (batches, (const LnSamplePieceMessage *)message);
       break;
+    case LN_SAMPLE_MOVE_REFUSED:
+      ln_batch_owner_refuse_move (batches, (const LnSampleMoveRefusedMessage *)message);
+      break;
     case LN_SAMPLE_DONE:
       ln_batch_owner_finish_request (batches, (const LnSampleDoneMessage *)message);
       break;
--- a/packages/node/src/calls/ln-calls-run.c
+++ b/packages/node/src/calls/ln-calls-run.c
@@ -119,16 +119,21 @@
   free (((LnSampleDoneMessage *)message)->text);
 }
 
+static void
+post_sample_done_message (LnCalls *calls, LnSampleDoneMessage *message)
+{
+  message->base.clear = clear_sample_done_message;
+  LN_POST (calls->task.hub, ln_hub_find_task (calls->task.hub, "rollouts"), *message);
+}
+
 /* Posts the end of a sample or score to the rollouts task. Takes ownership of text. */
 void
 ln_calls_post_sample_done (LnCalls *calls, LcRequestId request, LbErrorCode error, char *text)
 {
   LnSampleDoneMessage message
-      = { .base = LN_MESSAGE (LN_SAMPLE_DONE), .request = request, .error = error };
+      = { .base = LN_MESSAGE (LN_SAMPLE_DONE), .request = request, .error = error, .text = text };
 
-  message.text = text;
-  message.base.clear = clear_sample_done_message;
-  LN_POST (calls->task.hub, ln_hub_find_task (calls->task.hub, "rollouts"), message);
+  post_sample_done_message (calls, &message);
 }
 
 static void
@@ -337,9 +342,31 @@
 }
 
 void
-ln_calls_cancel_returning_text (LnCalls *calls, LnCall *call)
+ln_calls_cancel_returning_text (LnCalls *calls, LnCall *call, const LcMoveDecision *move)
 {
-  ln_calls_post_sample_done (calls, call->spec.id, LB_ERROR_CLOSED,
-                             copy_buffer_text (call->sent_text));
+  LnSampleDoneMessage message = { .base = LN_MESSAGE (LN_SAMPLE_DONE),
+                                  .request = call->spec.id,
+                                  .error = LB_ERROR_CLOSED,
+                                  .text = copy_buffer_text (call->sent_text),
+                                  .has_move = move != NULL };
+
+  if (move)
+    message.move = *move;
+  post_sample_done_message (calls, &message);
   ln_calls_cancel (calls, call);
 }
+
+void
+ln_calls_move_or_refuse (LnCalls *calls, LnCall *call, const LcMoveProposal *proposal)
+{
+  LcMoveDecision move
+      = lc_dispatch_decide_move (calls->dispatch, call->spec.id, proposal, lb_clock_monotonic ());
+  LnSampleMoveRefusedMessage refusal = { .base = LN_MESSAGE (LN_SAMPLE_MOVE_REFUSED),
+                                         .request = call->spec.id,
+                                         .reason = move.reason };
+
+  if (lc_move_is_reason_to_move (move.reason))
+    ln_calls_cancel_returning_text (calls, call, &move);
+  else
+    LN_POST (calls->task.hub, ln_hub_find_task (calls->task.hub, "rollouts"), refusal);
+}
--- a/packages/node/src/calls/ln-calls.c
+++ b/packages/node/src/calls/ln-calls.c
@@ -77,8 +77,10 @@
 {
   LnCall *call = ln_calls_find (calls, message->request);
 
-  if (call && message->return_partial)
-    ln_calls_cancel_returning_text (calls, call);
+  if (call && message->needs_move_decision)
+    ln_calls_move_or_refuse (calls, call, &message->move);
+  else if (call && message->return_partial)
+    ln_calls_cancel_returning_text (calls, call, NULL);
   else if (call)
     ln_calls_cancel (calls, call);
 }
