core/dispatch: keep the next free slot for a text that decides its step

Change: if such a text would move but no slot is free, the dispatcher keeps the next free slot of a fast engine for it for 0.4 s; the text is proposed again after 0.1 s. A text decides its step if it ends 0.8 s later than the step would at the usual pace; the others leave an engine only if it slowed down or stalled. Slow texts are proposed in the order of their expected ends.

--- a/packages/core/include/lc-move.h
+++ b/packages/core/include/lc-move.h
@@ -17,7 +17,8 @@
   LC_MOVE_REQUESTS_WAIT,  /* stays: the free slot is left to a waiting request */
   LC_MOVE_GAIN_TOO_SMALL, /* stays: the move would save too little time */
   LC_MOVE_MOMENTARY,      /* stays: the endpoint is slow only for a moment */
-  LC_MOVE_NOT_RUNNING,    /* stays: no endpoint is sending the text now */
+  LC_MOVE_STEP_DOES_NOT_WAIT, /* stays: the step ends later than the text anyway */
+  LC_MOVE_NOT_RUNNING,        /* stays: no endpoint is sending the text now */
   LC_N_MOVE_REASONS
 } LcMoveReason;
 
--- a/packages/core/src/batch/lc-batch-critical.c
+++ b/packages/core/src/batch/lc-batch-critical.c
@@ -7,9 +7,12 @@
 #include <string.h>
 #include <uthash.h>
 
-/* The expected ends of two texts that differ less than this are equal, since the lengths of texts
- * are predicted only roughly. */
-#define END_TOLERANCE_SECONDS 0.5
+/* A group that is expected to be complete at most this much after the target number of groups may
+ * be one of them, since the lengths of texts are predicted only roughly. */
+#define GROUP_TOLERANCE_SECONDS 0.5
+/* A text decides when the step ends if it is expected to end at least this much later than the step
+ * would if no text were slow. */
+#define MIN_EXCESS_SECONDS 0.8
 
 typedef struct
 {
@@ -64,8 +67,8 @@
 }
 
 /* Returns the expected time until the item's text is complete; 0: it is. */
-static double
-estimate_item_seconds (const LcBatch *batch, const LcBatchItem *item, LbTime now)
+double
+lc_batch_estimate_item_seconds (const LcBatch *batch, const LcBatchItem *item, LbTime now)
 {
   const LcPace *pace = &batch->settings.history->pace;
   double recent = lc_batch_item_estimate_seconds_per_token (item, now);
@@ -89,6 +92,18 @@
   return (x > y) - (x < y);
 }
 
+/* Returns the expected time until the item's text is complete if no engine is slow. */
+static double
+estimate_item_seconds_at_usual_pace (const LcBatch *batch, const LcBatchItem *item, LbTime now)
+{
+  double seconds = lc_batch_estimate_item_seconds (batch, item, now);
+  double rate = batch->settings.history->pace.tokens_per_second;
+
+  if (seconds <= 0 || isinf (seconds) || rate <= 0)
+    return seconds;
+  return fmin (seconds, lc_batch_estimate_remaining_tokens (batch, item) / rate);
+}
+
 void
 lc_batch_estimate_group_ends (LcBatch *batch, LbTime now)
 {
@@ -96,7 +111,7 @@
   for (size_t i = 0; i < batch->spec.n_items; i++)
     {
       double *group = &batch->group_seconds[batch->items[i].group];
-      *group = fmax (*group, estimate_item_seconds (batch, &batch->items[i], now));
+      *group = fmax (*group, estimate_item_seconds_at_usual_pace (batch, &batch->items[i], now));
     }
   memcpy (batch->sorted_group_seconds, batch->group_seconds,
           batch->n_groups * sizeof *batch->group_seconds);
@@ -119,13 +134,13 @@
   return batch->sorted_group_seconds[target - 1];
 }
 
-/* The step ends when the target number of groups is complete. A text decides this if it is expected
- * to end about as late as the last of these groups, and its group is one of them. */
+/* The step ends when the target number of groups is complete. A text decides this if its group can
+ * be one of them, and the text would end later than the others at their usual pace. */
 bool
 lc_batch_does_item_decide_step (const LcBatch *batch, const LcBatchItem *item, LbTime now)
 {
   double step_seconds = get_step_seconds (batch);
 
-  return batch->group_seconds[item->group] <= step_seconds + END_TOLERANCE_SECONDS
-         && estimate_item_seconds (batch, item, now) >= step_seconds - END_TOLERANCE_SECONDS;
+  return batch->group_seconds[item->group] <= step_seconds + GROUP_TOLERANCE_SECONDS
+         && lc_batch_estimate_item_seconds (batch, item, now) >= step_seconds + MIN_EXCESS_SECONDS;
 }
--- a/packages/core/src/batch/lc-batch-private.h
+++ b/packages/core/src/batch/lc-batch-private.h
@@ -73,7 +73,10 @@
 void lc_batch_number_groups (LcBatch *batch);
 /* Expected number of further tokens of the item's text. */
 double lc_batch_estimate_remaining_tokens (const LcBatch *batch, const LcBatchItem *item);
-/* Estimates when each group is complete. Call before lc_batch_does_item_decide_step. */
+/* Expected time until the text of the item is complete; 0: it is. */
+double lc_batch_estimate_item_seconds (const LcBatch *batch, const LcBatchItem *item, LbTime now);
+/* Estimates when each group is complete if no engine is slow. Call before
+ * lc_batch_does_item_decide_step. */
 void lc_batch_estimate_group_ends (LcBatch *batch, LbTime now);
 bool lc_batch_does_item_decide_step (const LcBatch *batch, const LcBatchItem *item, LbTime now);
 
--- a/packages/core/src/batch/lc-batch-review.c
+++ b/packages/core/src/batch/lc-batch-review.c
@@ -4,6 +4,8 @@
 #include "lb-log.h"
 #include "lb-switch.h"
 
+#include <stdlib.h>
+
 #define ITEM_REVIEW_PERIOD (100 * LB_MSEC)
 #define MAX_MOVES_PER_ITEM 3
 /* A tick that is late by more than this time means that this instance itself was paused. The next
@@ -77,6 +79,7 @@
           LB_INT ("no_free_slot", refused[LC_MOVE_NO_FREE_SLOT]),
           LB_INT ("requests_wait", refused[LC_MOVE_REQUESTS_WAIT]),
           LB_INT ("gain_too_small", refused[LC_MOVE_GAIN_TOO_SMALL]),
+          LB_INT ("step_does_not_wait", refused[LC_MOVE_STEP_DOES_NOT_WAIT]),
           LB_INT ("momentary", refused[LC_MOVE_MOMENTARY]),
           LB_INT ("not_running", refused[LC_MOVE_NOT_RUNNING]));
 }
@@ -114,13 +117,29 @@
 /* Proposes moves of items from slow engines to other endpoints, which continue the texts. A step is
  * complete only when its slowest text is, so an engine that becomes several times slower would
  * delay the trainer although other engines have free capacity. */
-static void
-move_slow_items (LcBatch *batch, LbTime now, LbList *actions)
+typedef struct
 {
-  bool has_group_ends = false;
+  LcBatchItem *item;
+  double gain_seconds;
+  double remaining_seconds; /* expected time until the text is complete if it stays */
+} SlowItem;
+
+static int
+compare_slow_items (const void *a, const void *b)
+{
+  double x = ((const SlowItem *)a)->remaining_seconds;
+  double y = ((const SlowItem *)b)->remaining_seconds;
+
+  return (x < y) - (x > y);
+}
+
+/* Sets `slow` to the items whose move would save time, the latest first, because free slots are
+ * scarce. Returns their number. */
+static size_t
+find_slow_items (LcBatch *batch, LbTime now, SlowItem *slow)
+{
+  size_t n = 0;
 
-  if (!batch->settings.history || !batch->settings.resumable || !lb_switch_is_on (LB_SWITCH_MOVES))
-    return;
   for (size_t i = 0; i < batch->spec.n_items; i++)
     {
       LcBatchItem *item = &batch->items[i];
@@ -128,17 +147,37 @@
           = now < item->next_move_at ? 0 : estimate_move_gain_seconds (batch, item, now);
       if (gain_seconds <= 0)
         continue;
-      item->is_preempted = true;
-      if (!lb_switch_is_on (LB_SWITCH_MOVE_DECISIONS))
-        {
-          preempt_item_without_decision (batch, item, gain_seconds, actions);
-          continue;
-        }
-      if (!has_group_ends)
-        lc_batch_estimate_group_ends (batch, now);
-      has_group_ends = true;
-      propose_move (batch, item, gain_seconds, now, actions);
+      slow[n++] = (SlowItem){
+        .item = item,
+        .gain_seconds = gain_seconds,
+        .remaining_seconds = lc_batch_estimate_item_seconds (batch, item, now),
+      };
+    }
+  qsort (slow, n, sizeof *slow, compare_slow_items);
+  return n;
+}
+
+static void
+move_slow_items (LcBatch *batch, LbTime now, LbList *actions)
+{
+  SlowItem *slow = NULL;
+  size_t n = 0;
+
+  if (!batch->settings.history || !batch->settings.resumable || !lb_switch_is_on (LB_SWITCH_MOVES))
+    return;
+  slow = LB_NEW_ARRAY (SlowItem, batch->spec.n_items);
+  n = find_slow_items (batch, now, slow);
+  if (n > 0 && lb_switch_is_on (LB_SWITCH_MOVE_DECISIONS))
+    lc_batch_estimate_group_ends (batch, now);
+  for (size_t i = 0; i < n; i++)
+    {
+      slow[i].item->is_preempted = true;
+      if (lb_switch_is_on (LB_SWITCH_MOVE_DECISIONS))
+        propose_move (batch, slow[i].item, slow[i].gain_seconds, now, actions);
+      else
+        preempt_item_without_decision (batch, slow[i].item, slow[i].gain_seconds, actions);
     }
+  free (slow);
 }
 
 /* After a pause of this instance, all streams look stalled until the events that arrived during the
--- a/packages/core/src/batch/lc-batch.c
+++ b/packages/core/src/batch/lc-batch.c
@@ -20,7 +20,7 @@
 #define CHECKPOINT_PERIOD (250 * LB_MSEC)
 /* Delay after a refused move until a move of the same text is proposed again. */
 #define MOVE_RETRY_DELAY LB_SEC
-#define DECISIVE_MOVE_RETRY_DELAY (300 * LB_MSEC) /* if the step waits for the text */
+#define DECISIVE_MOVE_RETRY_DELAY (100 * LB_MSEC) /* if the step waits for the text */
 /* A store transaction takes at most 100 entries, of which two may be for the batch's row in the
  * store. */
 #define MAX_PARTS_PER_CHECKPOINT 90
--- a/packages/core/src/dispatch/lc-dispatch-move.c
+++ b/packages/core/src/dispatch/lc-dispatch-move.c
@@ -10,6 +10,9 @@
 
 /* A free slot is held for the time that the cancelled text takes to come back as a new request. */
 #define MOVE_HOLD_TIME (200 * LB_MSEC)
+/* Longest time for which the next free slot is kept for a running text. Longer than the delay after
+ * which the text is proposed again, so that the slot is still kept then. */
+#define NEXT_SLOT_HOLD_TIME (400 * LB_MSEC)
 /* Endpoints whose expected pace differs less from the fastest are equal, and one is drawn.
  * Otherwise all instances would move texts to the same endpoint. */
 #define PACE_TOLERANCE 0.1
@@ -30,9 +33,19 @@
   [LC_MOVE_REQUESTS_WAIT] = REFUSED_INIT ("requests_wait"),
   [LC_MOVE_GAIN_TOO_SMALL] = REFUSED_INIT ("gain_too_small"),
   [LC_MOVE_MOMENTARY] = REFUSED_INIT ("momentary"),
+  [LC_MOVE_STEP_DOES_NOT_WAIT] = REFUSED_INIT ("step_does_not_wait"),
   [LC_MOVE_NOT_RUNNING] = REFUSED_INIT ("not_running"),
 };
 
+/* A proposed move. */
+typedef struct
+{
+  const LcRequest *request;
+  const LcAttempt *attempt;     /* attempt whose pieces are forwarded */
+  const LcEndpointGroup *group; /* NULL: the pool has no endpoint */
+  LcMoveProposal proposal;
+} MoveCase;
+
 /* The endpoint to which a text can move, with the fastest expected pace. */
 typedef struct
 {
@@ -42,35 +55,93 @@
 } MoveTarget;
 
 static void
-hold_slot (LcDispatch *dispatch, const char *endpoint, LbTime now)
+clear_hold (LcDispatch *dispatch, LcMoveHold *hold, LbTime now)
 {
-  LcMoveHold *hold = &dispatch->move_holds[0];
+  LcEndpoint *endpoint = lc_endpoints_find (dispatch->endpoints, hold->endpoint);
 
-  for (size_t i = 1; i < LC_MAX_MOVE_HOLDS; i++)
-    if (dispatch->move_holds[i].until < hold->until)
-      hold = &dispatch->move_holds[i];
-  LB_COPY (hold->endpoint, endpoint);
-  hold->until = now + MOVE_HOLD_TIME;
+  if (endpoint)
+    lc_endpoint_hold_slots (endpoint, -1, now);
+  *hold = (LcMoveHold){ 0 };
+  dispatch->n_move_holds--;
 }
 
+/* Keeps a slot of the endpoint for a text. owner: text that waits for the slot; 0: the text is on
+ * its way. If all entries are in use, no slot is kept. */
+static void
+hold_slot (
+    LcDispatch *dispatch, LcEndpoint *endpoint, LcRequestId owner, LbTime duration, LbTime now)
+{
+  for (size_t i = 0; i < LC_MAX_MOVE_HOLDS; i++)
+    {
+      LcMoveHold *hold = &dispatch->move_holds[i];
+      if (hold->endpoint[0])
+        continue;
+      *hold = (LcMoveHold){ .owner = owner, .until = now + duration };
+      LB_COPY (hold->endpoint, endpoint->member.name);
+      dispatch->n_move_holds++;
+      lc_endpoint_hold_slots (endpoint, 1, now);
+      return;
+    }
+}
+
+/* Returns the slot that is kept until the text can leave its endpoint; NULL: none is. */
+static LcMoveHold *
+find_hold_of_owner (LcDispatch *dispatch, LcRequestId owner)
+{
+  for (size_t i = 0; dispatch->n_move_holds > 0 && i < LC_MAX_MOVE_HOLDS; i++)
+    if (dispatch->move_holds[i].endpoint[0] && dispatch->move_holds[i].owner == owner)
+      return &dispatch->move_holds[i];
+  return NULL;
+}
+
+static void
+clear_hold_of_owner (LcDispatch *dispatch, LcRequestId owner, LbTime now)
+{
+  LcMoveHold *hold = find_hold_of_owner (dispatch, owner);
+
+  if (hold)
+    clear_hold (dispatch, hold, now);
+}
+
+static bool
+extend_hold_of_owner (LcDispatch *dispatch, LcRequestId owner, LbTime now)
+{
+  LcMoveHold *hold = find_hold_of_owner (dispatch, owner);
+
+  if (hold)
+    hold->until = now + NEXT_SLOT_HOLD_TIME;
+  return hold != NULL;
+}
+
+/* Clears the hold of a text that has arrived at the endpoint. */
 void
-lc_dispatch_release_move_hold (LcDispatch *dispatch, const char *endpoint)
+lc_dispatch_release_move_hold (LcDispatch *dispatch, const char *endpoint, LbTime now)
 {
   for (size_t i = 0; endpoint[0] && i < LC_MAX_MOVE_HOLDS; i++)
-    if (strcmp (dispatch->move_holds[i].endpoint, endpoint) == 0)
+    if (dispatch->move_holds[i].owner == 0
+        && strcmp (dispatch->move_holds[i].endpoint, endpoint) == 0)
       {
-        dispatch->move_holds[i] = (LcMoveHold){ 0 };
+        clear_hold (dispatch, &dispatch->move_holds[i], now);
         return;
       }
 }
 
+void
+lc_dispatch_expire_move_holds (LcDispatch *dispatch, LbTime now)
+{
+  for (size_t i = 0; dispatch->n_move_holds > 0 && i < LC_MAX_MOVE_HOLDS; i++)
+    if (dispatch->move_holds[i].endpoint[0] && now >= dispatch->move_holds[i].until)
+      clear_hold (dispatch, &dispatch->move_holds[i], now);
+}
+
+/* Returns the number of slots of the endpoint that are kept for texts other than this one. */
 static int
-count_held_slots (const LcDispatch *dispatch, const char *endpoint, LbTime now)
+count_slots_held_for_others (const LcDispatch *dispatch, const char *endpoint, LcRequestId text)
 {
   int n = 0;
 
-  for (size_t i = 0; i < LC_MAX_MOVE_HOLDS; i++)
-    n += dispatch->move_holds[i].until > now
+  for (size_t i = 0; dispatch->n_move_holds > 0 && i < LC_MAX_MOVE_HOLDS; i++)
+    n += dispatch->move_holds[i].owner != text
          && strcmp (dispatch->move_holds[i].endpoint, endpoint) == 0;
   return n;
 }
@@ -84,27 +155,39 @@
   return false;
 }
 
-/* Returns the number of slots that are known to be free for samples. */
+/* Whether the endpoint can run samples of the request and its load is known. Does not check whether
+ * a slot is free. */
+static bool
+can_be_target (const LcDispatch *dispatch,
+               const LcRequest *request,
+               const LcEndpointSummary *summary,
+               LbTime now)
+{
+  const LcEndpoint *endpoint = summary->endpoint;
+
+  return !summary->is_excluded && summary->reported_at != LC_NEVER_REPORTED
+         && summary->reported_at >= now - dispatch->settings.max_report_age
+         && summary->version >= request->min_version
+         && (!endpoint->swap_pending || now >= endpoint->swap_until)
+         && endpoint->breaker == LC_BREAKER_CLOSED && !is_avoided (request, endpoint->member.name);
+}
+
+/* Returns the number of slots that are known to be free for this sample. */
 static int
 count_free_slots (const LcDispatch *dispatch,
                   const LcRequest *request,
                   const LcEndpointSummary *summary,
                   LbTime now)
 {
-  const LcEndpoint *endpoint = summary->endpoint;
   float share = 1 - (float)request->pool->live_reserve;
   float free_slots = summary->capacity * share - summary->requests;
   float allowed = summary->concurrency_limit * share - (float)summary->in_flight;
-  LbTime oldest_report = now - dispatch->settings.max_report_age;
 
-  if (summary->is_excluded || summary->reported_at == LC_NEVER_REPORTED
-      || summary->reported_at < oldest_report || summary->version < request->min_version
-      || (endpoint->swap_pending && now < endpoint->swap_until)
-      || !lc_endpoint_can_accept (endpoint, request->kind, request->pool->live_reserve, now))
+  /* Held slots count only for samples, and are counted below without those of this sample. */
+  if (!lc_endpoint_can_accept (summary->endpoint, LC_KIND_LIVE, 0, now))
     return 0;
-  if (allowed < free_slots)
-    free_slots = allowed;
-  return (int)ceilf (free_slots) - count_held_slots (dispatch, endpoint->member.name, now);
+  return (int)ceilf (allowed < free_slots ? allowed : free_slots)
+         - count_slots_held_for_others (dispatch, summary->endpoint->member.name, request->id);
 }
 
 /* Recent pace of an endpoint that has been slow for longer than a moment; 0: it is not slow. */
@@ -145,40 +228,38 @@
   best->token_seconds = token_seconds;
 }
 
+/* Finds the fastest endpoint with a free slot; if free_only is false, the fastest endpoint without
+ * a slot that is kept for another text. */
 static MoveTarget
-find_target (LcDispatch *dispatch,
-             const LcRequest *request,
-             const LcEndpointGroup *group,
-             const char *here,
-             double usual_token_seconds,
-             LbTime now)
+find_target (LcDispatch *dispatch, const MoveCase *move, bool free_only, LbTime now)
 {
+  const LcRequest *request = move->request;
   MoveTarget best = { 0 };
 
-  for (size_t i = 0; i < group->n_slots; i++)
+  for (size_t i = 0; move->group && i < move->group->n_slots; i++)
     {
-      const LcEndpointSummary *summary = &dispatch->endpoints->summaries[group->slots[i]];
+      const LcEndpointSummary *summary = &dispatch->endpoints->summaries[move->group->slots[i]];
       const char *name = summary->endpoint->member.name;
 
-      if (count_free_slots (dispatch, request, summary, now) < 1 || strcmp (name, here) == 0
-          || is_avoided (request, name))
+      if (!can_be_target (dispatch, request, summary, now)
+          || strcmp (name, move->attempt->endpoint) == 0)
         continue;
-      consider_target (dispatch, &best, summary,
-                       estimate_token_seconds (summary, usual_token_seconds, now));
+      if (free_only ? count_free_slots (dispatch, request, summary, now) > 0
+                    : count_slots_held_for_others (dispatch, name, request->id) == 0)
+        consider_target (dispatch, &best, summary,
+                         estimate_token_seconds (summary, move->proposal.usual_token_seconds, now));
     }
   return best;
 }
 
 static LcMoveInputs
-make_move_inputs (LcDispatch *dispatch,
-                  const LcRequest *request,
-                  const LcAttempt *attempt,
-                  const MoveTarget *target,
-                  LbTime now)
+make_move_inputs (LcDispatch *dispatch, const MoveCase *move, const MoveTarget *target, LbTime now)
 {
-  const LcEndpoint *here = lc_endpoints_find (dispatch->endpoints, attempt->endpoint);
+  const LcRequest *request = move->request;
+  const LcEndpoint *here = lc_endpoints_find (dispatch->endpoints, move->attempt->endpoint);
   LcMoveInputs inputs
-      = { .since_last_piece = now - attempt->last_piece_at,
+      = { .proposal = move->proposal,
+          .since_last_piece = now - move->attempt->last_piece_at,
           .here_lasting_token_seconds = here ? lc_endpoint_lasting_token_seconds (here) : 0,
           .n_waiting = (int64_t)lc_queue_length (request->pool->queue),
           .prompt_tokens = request->prompt_tokens + request->next_token,
@@ -192,31 +273,38 @@
   return inputs;
 }
 
+/* While requests wait, each slot that becomes free is taken at once, so a text that decides when
+ * its step ends would stay on a slow engine. If such a text would move to a free slot of the
+ * fastest endpoint, the endpoint's next free slot is kept for the text, which is then proposed
+ * again. */
+static void
+hold_next_slot (LcDispatch *dispatch, const MoveCase *move, LbTime now)
+{
+  MoveTarget target = find_target (dispatch, move, false, now);
+  LcMoveInputs inputs = make_move_inputs (dispatch, move, &target, now);
+
+  if (target.summary && lc_move_is_reason_to_move (lc_move_decide (&inputs).reason))
+    hold_slot (dispatch, target.summary->endpoint, move->request->id, NEXT_SLOT_HOLD_TIME, now);
+}
+
 static LcMoveDecision
-decide_move_of_attempt (LcDispatch *dispatch,
-                        const LcRequest *request,
-                        const LcAttempt *attempt,
-                        const LcMoveProposal *proposal,
-                        LbTime now)
-{
-  const LcEndpointGroup *group
-      = lc_endpoints_find_group (dispatch->endpoints, LC_ENDPOINT_ENGINE, request->pool->name);
-  double median = group ? group->median_lasting_token_seconds : 0;
-  double usual = median > 0 ? median : proposal->usual_token_seconds;
-  MoveTarget target = { 0 };
-  LcMoveInputs inputs;
-  LcMoveDecision decision;
-
-  if (group)
-    target = find_target (dispatch, request, group, attempt->endpoint, usual, now);
-  inputs = make_move_inputs (dispatch, request, attempt, &target, now);
-  inputs.proposal = *proposal;
-  inputs.proposal.usual_token_seconds = usual;
-  decision = lc_move_decide (&inputs);
+decide_move (LcDispatch *dispatch, const MoveCase *move, LbTime now)
+{
+  MoveTarget target = find_target (dispatch, move, true, now);
+  LcMoveInputs inputs = make_move_inputs (dispatch, move, &target, now);
+  LcMoveDecision decision = lc_move_decide (&inputs);
+
+  if (decision.reason == LC_MOVE_NO_FREE_SLOT && move->proposal.decides_step)
+    {
+      if (!extend_hold_of_owner (dispatch, move->request->id, now))
+        hold_next_slot (dispatch, move, now);
+      return decision;
+    }
+  clear_hold_of_owner (dispatch, move->request->id, now);
   if (!target.summary || !lc_move_is_reason_to_move (decision.reason))
     return decision;
   LB_COPY (decision.endpoint, target.summary->endpoint->member.name);
-  hold_slot (dispatch, decision.endpoint, now);
+  hold_slot (dispatch, target.summary->endpoint, 0, MOVE_HOLD_TIME, now);
   return decision;
 }
 
@@ -226,13 +314,20 @@
                          const LcMoveProposal *proposal,
                          LbTime now)
 {
-  const LcRequest *request = lc_dispatch_find_request (dispatch, id);
-  const LcAttempt *attempt
-      = request ? lc_request_find_attempt (request, request->forwarded_attempt) : NULL;
+  MoveCase move = { .request = lc_dispatch_find_request (dispatch, id), .proposal = *proposal };
   LcMoveDecision decision = { .reason = LC_MOVE_NOT_RUNNING };
 
-  if (attempt && !attempt->is_complete)
-    decision = decide_move_of_attempt (dispatch, request, attempt, proposal, now);
+  if (move.request)
+    move.attempt = lc_request_find_attempt (move.request, move.request->forwarded_attempt);
+  if (move.attempt && !move.attempt->is_complete)
+    {
+      lc_dispatch_expire_move_holds (dispatch, now);
+      move.group = lc_endpoints_find_group (dispatch->endpoints, LC_ENDPOINT_ENGINE,
+                                            move.request->pool->name);
+      if (move.group && move.group->median_lasting_token_seconds > 0)
+        move.proposal.usual_token_seconds = move.group->median_lasting_token_seconds;
+      decision = decide_move (dispatch, &move, now);
+    }
   lb_metric_add (&decided_moves[decision.reason], 1);
   return decision;
 }
--- a/packages/core/src/dispatch/lc-dispatch-private.h
+++ b/packages/core/src/dispatch/lc-dispatch-private.h
@@ -8,12 +8,14 @@
  * and concurrency limits can change without an event. */
 #define LC_DISPATCH_POLL_INTERVAL (20 * LB_MSEC)
 
-/* Free slots that moves have chosen and that their requests have not reached yet. */
 #define LC_MAX_MOVE_HOLDS 16
 
+/* A slot that is kept for a moving text: a free one until the text arrives, or the next one that
+ * becomes free. */
 typedef struct
 {
-  LbName endpoint;
+  LbName endpoint;   /* "": the entry is not used */
+  LcRequestId owner; /* running text that waits for the slot; 0: the text is on its way */
   LbTime until;
 } LcMoveHold;
 
@@ -29,6 +31,7 @@
   LcRequest *requests;
   LcHeap timers; /* requests with a timer (LcRequest), earliest timer_due first */
   LcMoveHold move_holds[LC_MAX_MOVE_HOLDS];
+  size_t n_move_holds; /* number of used entries in move_holds */
   LbTime polled_at;       /* when all pools were last polled for requests that can be placed */
   uint64_t last_sequence; /* LcQueueEntry.sequence of the last admitted request */
   uint64_t invariant_failures;
@@ -82,7 +85,9 @@
     LcDispatch *dispatch, LcRequest *request, const char *endpoint, LbTime now, LbList *actions);
 
 /* Implemented in lc-dispatch-move.c. */
-void lc_dispatch_release_move_hold (LcDispatch *dispatch, const char *endpoint);
+void
+lc_dispatch_release_move_hold (LcDispatch *dispatch, const char *endpoint, LbTime now);
+void lc_dispatch_expire_move_holds (LcDispatch *dispatch, LbTime now);
 
 /* Implemented in lc-outcome.c, which ends attempts and requests. */
 void lc_dispatch_end_attempt (LcDispatch *dispatch,
--- a/packages/core/src/dispatch/lc-dispatch.c
+++ b/packages/core/src/dispatch/lc-dispatch.c
@@ -299,7 +299,7 @@
   LcRequest *request = add_request (dispatch, spec, pool, now);
 
   lc_dispatch_enqueue (dispatch, request);
-  lc_dispatch_release_move_hold (dispatch, spec->preferred_endpoint);
+  lc_dispatch_release_move_hold (dispatch, spec->preferred_endpoint, now);
   if (!lc_dispatch_send_to_preferred_endpoint (dispatch, request, spec->preferred_endpoint, now,
                                                actions)
       && lc_dispatch_should_try_placement (request))
--- a/packages/core/src/dispatch/lc-move.c
+++ b/packages/core/src/dispatch/lc-move.c
@@ -9,18 +9,15 @@
 /* A stream without a piece for this time and for this multiple of the usual interval has stalled.
  */
 #define MIN_STALL_SECONDS 0.4
-#define STALL_INTERVALS 8.0
+#define STALL_INTERVALS 5.0
 /* Tokens of the prompt and of the text so far that an engine processes per second. */
 #define PREFILL_TOKENS_PER_SECOND 8000.0
 #define CONNECT_SECONDS 0.05
-/* Smallest gain for which a text moves that decides the end of its step. */
-#define MIN_DECISIVE_GAIN_SECONDS 0.3
-/* Smallest gain for which any other text moves. Its end matters only if the predicted lengths are
- * wrong, and each move costs a connection and the processing of the prompt. */
-#define MIN_OTHER_GAIN_SECONDS 1.5
-/* Smallest gain for which a text leaves an engine that slowed down: the engine may become slower
- * still. */
-#define MIN_SLOWED_DOWN_GAIN_SECONDS 0.1
+/* Smallest gain for which a text moves that decides when its step ends. */
+#define MIN_DECISIVE_GAIN_SECONDS 0.8
+/* Smallest gain for which any text leaves an engine that slowed down. It is small because the pace
+ * over the last second is still better than the present pace. */
+#define MIN_SLOWED_DOWN_GAIN_SECONDS 0.3
 
 static const char *const reason_names[LC_N_MOVE_REASONS] = {
   [LC_MOVE_LASTING_PACE] = "lasting_pace",
@@ -32,6 +29,7 @@
   [LC_MOVE_GAIN_TOO_SMALL] = "gain_too_small",
   [LC_MOVE_MOMENTARY] = "momentary",
   [LC_MOVE_NOT_RUNNING] = "not_running",
+  [LC_MOVE_STEP_DOES_NOT_WAIT] = "step_does_not_wait",
 };
 
 const char *
@@ -87,19 +85,24 @@
 {
   double recent = inputs->proposal.recent_token_seconds;
   double lasting = inputs->here_lasting_token_seconds;
-  double lasting_gain = estimate_gain_seconds (inputs, lasting);
+  bool is_decisive = inputs->proposal.decides_step;
+  LcMoveDecision decision = { .gain_seconds = estimate_gain_seconds (inputs, lasting) };
   double recent_gain = estimate_gain_seconds (inputs, recent);
-  double min_gain
-      = inputs->proposal.decides_step ? MIN_DECISIVE_GAIN_SECONDS : MIN_OTHER_GAIN_SECONDS;
 
-  if (lasting_gain >= min_gain)
-    return (LcMoveDecision){ .reason = LC_MOVE_LASTING_PACE, .gain_seconds = lasting_gain };
-  if (recent_gain < MIN_SLOWED_DOWN_GAIN_SECONDS)
-    return (LcMoveDecision){ .reason = LC_MOVE_GAIN_TOO_SMALL, .gain_seconds = lasting_gain };
-  if (recent >= SLOWED_DOWN_FACTOR * lasting)
-    return (LcMoveDecision){ .reason = LC_MOVE_SLOWED_DOWN, .gain_seconds = recent_gain };
-  return (LcMoveDecision){ .reason = recent > lasting ? LC_MOVE_MOMENTARY : LC_MOVE_GAIN_TOO_SMALL,
-                           .gain_seconds = lasting_gain };
+  if (is_decisive && decision.gain_seconds >= MIN_DECISIVE_GAIN_SECONDS)
+    decision.reason = LC_MOVE_LASTING_PACE;
+  else if (recent >= SLOWED_DOWN_FACTOR * lasting && recent_gain >= MIN_SLOWED_DOWN_GAIN_SECONDS)
+    {
+      decision.reason = LC_MOVE_SLOWED_DOWN;
+      decision.gain_seconds = recent_gain;
+    }
+  else if (decision.gain_seconds >= MIN_DECISIVE_GAIN_SECONDS)
+    decision.reason = LC_MOVE_STEP_DOES_NOT_WAIT;
+  else if (recent > lasting && recent_gain >= MIN_SLOWED_DOWN_GAIN_SECONDS)
+    decision.reason = LC_MOVE_MOMENTARY;
+  else
+    decision.reason = LC_MOVE_GAIN_TOO_SMALL;
+  return decision;
 }
 
 /* A text that decides the end of its step leaves a stalled endpoint even if it must wait for a
--- a/packages/core/src/dispatch/lc-placement.c
+++ b/packages/core/src/dispatch/lc-placement.c
@@ -314,6 +314,7 @@
   LcQueueEntry *entry = NULL;
   int n_skipped = 0;
 
+  lc_dispatch_expire_move_holds (dispatch, now);
   while ((entry = lc_queue_peek (pool->queue)))
     {
       LcRequest *request = LB_CONTAINER (entry, LcRequest, queue_entry);
--- a/packages/core/src/endpoints/lc-endpoint-entry.c
+++ b/packages/core/src/endpoints/lc-endpoint-entry.c
@@ -41,7 +41,7 @@
   const LcEndpoint *endpoint = &entry->endpoint;
 
   return !entry->is_reported || endpoint->swap_pending || entry->refused_until > 0
-         || endpoint->breaker != LC_BREAKER_CLOSED
+         || endpoint->breaker != LC_BREAKER_CLOSED || entry->held_slots > 0
          || (endpoint->member.kind == LC_ENDPOINT_ENGINE && endpoint->report.version == 0);
 }
 
@@ -109,6 +109,15 @@
   update_endpoint_summary (entry);
 }
 
+void
+lc_endpoint_hold_slots (LcEndpoint *endpoint, int change, LbTime now)
+{
+  LcEndpointEntry *entry = lc_endpoint_to_entry (endpoint);
+
+  entry->held_slots += change;
+  lc_endpoint_entry_refresh_public_state (entry, now);
+}
+
 /* Discards state that belongs to the endpoint's previous process. */
 void
 lc_endpoint_entry_reset_for_new_process (LcEndpointEntry *entry)
--- a/packages/core/src/endpoints/lc-endpoint-table.h
+++ b/packages/core/src/endpoints/lc-endpoint-table.h
@@ -55,6 +55,7 @@
   LbTime refused_until; /* end of the backoff after a rejected request; 0: none was rejected */
   /* no longer in the configuration; kept until this instance's requests end */
   bool is_retired;
+  int held_slots;              /* slots that are kept free of samples for moving texts */
   bool is_reported;            /* the endpoint has sent a load report */
   int64_t in_flight_at_report; /* this instance's requests that the last report includes */
   int64_t live_sent_since_report;
@@ -135,6 +136,9 @@
 void lc_endpoint_entry_reset_for_new_process (LcEndpointEntry *entry);
 void lc_endpoint_entry_invalidate_cached_prefixes (LcEndpointEntry *entry);
 
+/* Changes the number of slots that are kept for moving texts. */
+void lc_endpoint_hold_slots (LcEndpoint *endpoint, int change, LbTime now);
+
 /* reports_valid_since: result of lc_endpoints_reports_valid_since, read once per routing
  * decision. */
 bool lc_endpoint_summary_can_accept (const LcEndpointSummary *summary,
--- a/packages/core/src/endpoints/lc-endpoints-query.c
+++ b/packages/core/src/endpoints/lc-endpoints-query.c
@@ -119,6 +119,7 @@
                                 LbTime now)
 {
   float share = kind == LC_KIND_SAMPLE ? 1 - (float)live_reserve : 1;
+  float held = 0;
 
   if (summary->is_excluded || (float)summary->in_flight >= summary->concurrency_limit * share)
     return false;
@@ -130,7 +131,9 @@
     return false;
   if (now - summary->reported_at > MAX_LIMITING_REPORT_AGE)
     return true;
-  return summary->requests < summary->capacity * share;
+  if (kind == LC_KIND_SAMPLE && summary->needs_full_check)
+    held = (float)lc_endpoint_to_entry (summary->endpoint)->held_slots;
+  return summary->requests + held < summary->capacity * share;
 }
 
 bool
--- /dev/null
+++ b/packages/core/tests/test-moves.c
@@ -0,0 +1,160 @@
+#include "moves-fixture.h"
+
+#define WARM_UP_STEPS 3
+#define FAULT_RUNS 10
+
+/* Runs steps after a warm-up, in which the paces of the engines become known. */
+static void
+run_steps_after_warm_up (Sim *sim, int n, LbTime period)
+{
+  sim_run_steps (sim, WARM_UP_STEPS, period);
+  sim->n_runs = sim->n_moves = sim->n_moves_to_chosen = 0;
+  sim_run_steps (sim, n, period);
+}
+
+static void
+init_uneven (Sim *sim, unsigned seed, bool decisions)
+{
+  static const double paces[] = { 0.7, 0.7, 1.7 };
+
+  lb_switch_enable_all_optimisations ();
+  if (!decisions)
+    lb_switch_disable_optimisation ("move_decisions");
+  sim_init (sim, paces, 3);
+  gsl_rng_set (sim->random, seed);
+  sim->noise_share = 0.15;
+  sim->mean_length = 60;
+}
+
+/* Texts left an engine as soon as it was slower than the average of all engines, so that almost
+ * half of the runs on uneven engines was preempted, most of them for a gain of a few hundred
+ * milliseconds. Requests wait for a slot in this load. */
+Test (moves, few_texts_move_on_uneven_engines_and_no_step_is_later)
+{
+  static Sim sim;
+  double seconds[2] = { 0 };
+  double shares[2] = { 0 };
+
+  for (unsigned seed = 1; seed <= 4; seed++)
+    for (int decisions = 0; decisions < 2; decisions++)
+      {
+        init_uneven (&sim, seed, decisions);
+        run_steps_after_warm_up (&sim, 40, 4 * LB_SEC);
+        shares[decisions] += (double)sim.n_moves / sim.n_runs / 4;
+        seconds[decisions] += sim_mean_step_seconds (&sim) / 4;
+        sim_clear (&sim);
+      }
+  cr_log_info ("moved %.3f and %.3f, step %.2f s and %.2f s", shares[0], shares[1], seconds[0],
+               seconds[1]);
+  cr_assert_leq (shares[1], 0.05, "%.3f of the runs moved, %.3f without decisions", shares[1],
+                 shares[0]);
+  cr_assert_leq (seconds[1], seconds[0], "a step took %.2f s, %.2f s without decisions", seconds[1],
+                 seconds[0]);
+}
+
+typedef struct
+{
+  int n_left;
+  double mean_seconds; /* mean time from the fault until a text left the engine */
+  double step_seconds;
+} FaultResult;
+
+/* Runs steps on equal engines, one of which becomes slower by the factor, or stalls (0), for 8 s.
+ * Adds the results of several runs. */
+static FaultResult
+run_fault (double factor, bool decisions, int n_warm_up)
+{
+  static const double paces[] = { 1 };
+  static Sim sim;
+  FaultResult result = { 0 };
+
+  lb_switch_enable_all_optimisations ();
+  if (!decisions)
+    lb_switch_disable_optimisation ("move_decisions");
+  for (unsigned seed = 1; seed <= FAULT_RUNS; seed++)
+    {
+      sim_init (&sim, paces, 1);
+      gsl_rng_set (sim.random, seed);
+      sim.mean_length = 32;
+      sim_run_steps (&sim, n_warm_up, 4 * LB_SEC);
+      sim.faulty_engine = (int)seed;
+      sim.fault = factor;
+      sim.fault_from = sim.now + 1200 * LB_MSEC;
+      sim.fault_to = sim.fault_from + 8 * LB_SEC;
+      sim.left_faulty_before = sim.fault_from + 2 * LB_SEC;
+      sim_run_steps (&sim, 4, 4 * LB_SEC);
+      result.n_left += sim.n_left_faulty;
+      result.mean_seconds += sim.left_faulty_seconds;
+      result.step_seconds += sim_mean_step_seconds (&sim) / FAULT_RUNS;
+      sim_clear (&sim);
+    }
+  cr_assert_gt (result.n_left, 0);
+  result.mean_seconds /= result.n_left;
+  return result;
+}
+
+/* Compares the moves with those without decisions, where texts move by the average pace alone. */
+static void
+expect_long_texts_leave_as_soon (double factor, int n_warm_up)
+{
+  FaultResult without = run_fault (factor, false, n_warm_up);
+  FaultResult with = run_fault (factor, true, n_warm_up);
+
+  cr_log_info ("factor %.1f: %d left after %.2f s, %d after %.2f s; step %.2f s and %.2f s", factor,
+               without.n_left, without.mean_seconds, with.n_left, with.mean_seconds,
+               without.step_seconds, with.step_seconds);
+  cr_assert_geq (with.n_left, without.n_left);
+  cr_assert_leq (with.mean_seconds, without.mean_seconds + 0.1);
+  cr_assert_leq (with.step_seconds, 1.02 * without.step_seconds);
+}
+
+/* The slowness of an engine that becomes 3.5 times slower must not count as momentary. */
+Test (moves, long_texts_leave_an_engine_that_becomes_slow)
+{
+  expect_long_texts_leave_as_soon (3.5, 3);
+}
+
+Test (moves, long_texts_leave_a_stalled_engine)
+{
+  expect_long_texts_leave_as_soon (0, 3);
+}
+
+/* An instance that has just started knows the average pace of its streams before the lasting pace
+ * of each engine. */
+Test (moves, long_texts_leave_a_slow_engine_soon_after_the_start)
+{
+  expect_long_texts_leave_as_soon (3.5, 1);
+}
+
+/* There are more long texts than slots, and none ends: a text that left its slow engine would only
+ * wait for a slot. */
+Test (moves, without_free_slot_no_text_moves)
+{
+  static Sim sim;
+
+  init_uneven (&sim, 1, true);
+  run_steps_after_warm_up (&sim, 1, 12 * LB_SEC);
+  sim.n_moves = 0;
+  sim.mean_length = 1000;
+  sim_run_steps (&sim, 1, 5 * LB_SEC);
+  cr_assert_eq (sim.n_moves, 0);
+  cr_assert_gt (sim.n_refused[LC_MOVE_NO_FREE_SLOT], 0);
+  sim_clear (&sim);
+}
+
+/* The chosen engine leaves between the decision and the arrival of the text, which must then be
+ * placed like any other text and continue after its last event. */
+Test (moves, text_is_placed_elsewhere_if_the_chosen_engine_leaves)
+{
+  static Sim sim;
+
+  init_uneven (&sim, 1, true);
+  run_steps_after_warm_up (&sim, 2, 4 * LB_SEC);
+  sim.target_dies = true;
+  sim.n_moves = sim.n_moves_to_chosen = 0;
+  sim_run_until (&sim, sim.now + 8 * LB_SEC);
+  cr_assert_gt (sim.n_moves, 0);
+  cr_assert_eq (sim.n_moves_to_chosen, 0);
+  cr_assert_gt (sim.steps[sim.n_steps - 1].seconds, 0, "expected that the last step ends");
+  sim_clear (&sim);
+}
