--- a/packages/core/src/endpoints/lc-endpoint-entry.c
+++ b/packages/core/src/endpoints/lc-endpoint-entry.c
@@ -114,7 +114,8 @@
 {
   LcEndpointEntry *entry = lc_endpoint_to_entry (endpoint);
 
-  entry->held_slots += change;
+  /* An endpoint that was removed and added again starts without held slots. */
+  entry->held_slots = entry->held_slots + change > 0 ? entry->held_slots + change : 0;
   lc_endpoint_entry_refresh_public_state (entry, now);
 }
 
--- a/packages/core/tests/test-batch.c
+++ b/packages/core/tests/test-batch.c
@@ -21,7 +21,9 @@
   LcRequestId scoring[MAX_ITEMS];
   int n_cancelled;
   int n_preempted;
-  int64_t first_position; /* position in the batch's results of the last write's first result */
+  LcBatchAction last_preempt;
+  LbName preferred_endpoint; /* of the last generation request */
+  int64_t first_position;    /* position in the batch's results of the last write's first result */
   char written_items[MAX_ITEMS][16];
   bool completed[MAX_ITEMS];
   size_t n_written; /* number of results in the last write */
@@ -80,6 +82,7 @@
         case LC_BATCH_GENERATE:
           f->generating[action->item_index] = action->request;
           f->resume_at[action->item_index] = action->resume_at;
+          LB_COPY (f->preferred_endpoint, action->preferred_endpoint);
           f->latest_start[action->item_index] = action->latest_start;
           break;
         case LC_BATCH_SCORE:
@@ -90,6 +93,7 @@
           break;
         case LC_BATCH_PREEMPT:
           f->n_preempted++;
+          f->last_preempt = *action;
           break;
         case LC_BATCH_WRITE_RESULTS:
           record_result_write (f, action);
@@ -472,6 +476,52 @@
   lc_batch_history_free (history);
 }
 
+/* A refused move must leave the stream unchanged. Without a delay, each of a hundred texts would be
+ * proposed again ten times per second. */
+Test (batch, refused_move_leaves_the_text_and_is_proposed_again_later)
+{
+  LcBatchHistory *history = lc_batch_history_new ();
+  Fixture f;
+
+  fill_batch_history (history);
+  start_batch_with_history (&f, history);
+  add_streamed_events_at_interval (&f, 6, 200 * LB_MSEC);
+  LcRequestId previous = f.generating[0];
+  cr_assert (f.last_preempt.needs_move_decision);
+  cr_assert_float_eq (f.last_preempt.move.recent_token_seconds, 0.2, 0.03);
+  cr_assert_float_eq (f.last_preempt.move.usual_token_seconds, 0.02, 0.005);
+  lc_batch_refuse_move (f.batch, f.generating[0], LC_MOVE_NO_FREE_SLOT, f.now);
+  cr_assert (f.last_preempt.move.decides_step, "the only running text decides when the step ends");
+  add_streamed_events_at_interval (&f, 1, 90 * LB_MSEC);
+  cr_assert_eq (f.n_preempted, 1);
+  add_streamed_events_at_interval (&f, 1, 200 * LB_MSEC);
+  cr_assert_eq (f.n_preempted, 2);
+  cr_assert_eq (f.generating[0], previous);
+  finish_generation (&f, 0, LB_OK);
+  cr_assert_eq (f.n_written, 1);
+  fixture_clear (&f);
+  lc_batch_history_free (history);
+}
+
+/* The text must continue at the endpoint whose free slot was the reason for the move. */
+Test (batch, accepted_move_names_the_chosen_endpoint)
+{
+  const LcMoveDecision move = { .reason = LC_MOVE_LASTING_PACE, .endpoint = "engine-2" };
+  LcBatchHistory *history = lc_batch_history_new ();
+  Fixture f;
+
+  fill_batch_history (history);
+  start_batch_with_history (&f, history);
+  cr_assert_str_eq (f.preferred_endpoint, "");
+  add_streamed_events_at_interval (&f, 6, 200 * LB_MSEC);
+  lc_batch_accept_move (f.batch, f.generating[0], &move);
+  finish_generation (&f, 0, LB_ERROR_CLOSED);
+  cr_assert_str_eq (f.preferred_endpoint, "engine-2");
+  cr_assert_eq (f.resume_at[0], 6);
+  fixture_clear (&f);
+  lc_batch_history_free (history);
+}
+
 /* An engine becomes four times slower after it has generated a text for two seconds. By the mean
  * over the whole stream, the text looked normal for more seconds and made the step late. The recent
  * pace must decide. */
