node: lint of the move messages

Cause: clang-tidy wanted a const text that the message owns; two lines were not formatted.

Tests: core-test-*, node-test-*, base-test-*, adapter-test-* (81 programs) pass.

--- a/packages/core/src/dispatch/lc-dispatch-private.h
+++ b/packages/core/src/dispatch/lc-dispatch-private.h
@@ -31,7 +31,7 @@
   LcRequest *requests;
   LcHeap timers; /* requests with a timer (LcRequest), earliest timer_due first */
   LcMoveHold move_holds[LC_MAX_MOVE_HOLDS];
-  size_t n_move_holds; /* number of used entries in move_holds */
+  size_t n_move_holds;    /* number of used entries in move_holds */
   LbTime polled_at;       /* when all pools were last polled for requests that can be placed */
   uint64_t last_sequence; /* LcQueueEntry.sequence of the last admitted request */
   uint64_t invariant_failures;
@@ -85,8 +85,7 @@
     LcDispatch *dispatch, LcRequest *request, const char *endpoint, LbTime now, LbList *actions);
 
 /* Implemented in lc-dispatch-move.c. */
-void
-lc_dispatch_release_move_hold (LcDispatch *dispatch, const char *endpoint, LbTime now);
+void lc_dispatch_release_move_hold (LcDispatch *dispatch, const char *endpoint, LbTime now);
 void lc_dispatch_expire_move_holds (LcDispatch *dispatch, LbTime now);
 
 /* Implemented in lc-outcome.c, which ends attempts and requests. */
--- a/packages/node/src/calls/ln-calls-run.c
+++ b/packages/node/src/calls/ln-calls-run.c
@@ -131,8 +131,9 @@
 ln_calls_post_sample_done (LnCalls *calls, LcRequestId request, LbErrorCode error, char *text)
 {
   LnSampleDoneMessage message
-      = { .base = LN_MESSAGE (LN_SAMPLE_DONE), .request = request, .error = error, .text = text };
+      = { .base = LN_MESSAGE (LN_SAMPLE_DONE), .request = request, .error = error };
 
+  message.text = text;
   post_sample_done_message (calls, &message);
 }
 
