--- a/packages/core/src/batch/lc-batch-review.c
+++ b/packages/core/src/batch/lc-batch-review.c
@@ -114,9 +114,7 @@
   };
 }
 
-/* Proposes moves of items from slow engines to other endpoints, which continue the texts. A step is
- * complete only when its slowest text is, so an engine that becomes several times slower would
- * delay the trainer although other engines have free capacity. */
+/* An item whose move would save time. */
 typedef struct
 {
   LcBatchItem *item;
@@ -133,8 +131,7 @@
   return (x < y) - (x > y);
 }
 
-/* Sets `slow` to the items whose move would save time, the latest first, because free slots are
- * scarce. Returns their number. */
+/* Sets `slow` to the items whose move would save time. Returns their number. */
 static size_t
 find_slow_items (LcBatch *batch, LbTime now, SlowItem *slow)
 {
@@ -153,10 +150,13 @@
         .remaining_seconds = lc_batch_estimate_item_seconds (batch, item, now),
       };
     }
-  qsort (slow, n, sizeof *slow, compare_slow_items);
   return n;
 }
 
+/* Proposes moves of items from slow engines to other endpoints, which continue the texts. A step is
+ * complete only when its slowest text is, so an engine that becomes several times slower would
+ * delay the trainer although other engines have free capacity. The item that is expected to end
+ * last is proposed first, because free slots are scarce. */
 static void
 move_slow_items (LcBatch *batch, LbTime now, LbList *actions)
 {
@@ -168,7 +168,10 @@
   slow = LB_NEW_ARRAY (SlowItem, batch->spec.n_items);
   n = find_slow_items (batch, now, slow);
   if (n > 0 && lb_switch_is_on (LB_SWITCH_MOVE_DECISIONS))
-    lc_batch_estimate_group_ends (batch, now);
+    {
+      qsort (slow, n, sizeof *slow, compare_slow_items);
+      lc_batch_estimate_group_ends (batch, now);
+    }
   for (size_t i = 0; i < n; i++)
     {
       slow[i].item->is_preempted = true;
