--- a/packages/base/include/lb-switch.h
+++ b/packages/base/include/lb-switch.h
@@ -27,6 +27,7 @@
   LB_SWITCH_PREFIX_AFFINITY,   /* prefers engines that have the prompt's prefix in their cache */
   LB_SWITCH_IDLE_CONNECTIONS,  /* reuses idle connections for later requests */
   LB_SWITCH_SCALING, /* requests spot endpoints from the platform to match the trainers' demand */
+  LB_SWITCH_MOVE_DECISIONS, /* lets the dispatcher refuse a move that gains too little */
   LB_N_SWITCHES
 } LbSwitch;
 
--- a/packages/core/src/endpoints/lc-endpoint-table.h
+++ b/packages/core/src/endpoints/lc-endpoint-table.h
@@ -57,6 +57,7 @@
   LbTime refused_until; /* end of the backoff after a rejected request; 0: none was rejected */
   /* no longer in the configuration; kept until this instance's requests end */
   bool is_retired;
+  int held_slots;              /* slots that are kept free of samples for moving texts */
   bool is_reported;            /* the endpoint has sent a load report */
   int64_t in_flight_at_report; /* this instance's requests that the last report includes */
   int64_t live_sent_since_report;
@@ -156,6 +157,9 @@
 /* Records the duration of a complete request to a plain service. */
 void lc_endpoint_entry_record_service_duration (LcEndpointEntry *entry, LbTime took, LbTime now);
 
+/* Changes the number of slots that are kept for moving texts. */
+void lc_endpoint_hold_slots (LcEndpoint *endpoint, int change, LbTime now);
+
 /* reports_valid_since: result of lc_endpoints_reports_valid_since, read once per routing
  * decision. */
 bool lc_endpoint_summary_can_accept (const LcEndpointSummary *summary,
