Dispatch: refuse calls whose wait and service time exceed their deadline

Cause: admission compared only the expected wait with the deadline, from an average that follows a change over 20 attempts. While endpoints were slow, calls were admitted, held, and cut at their deadline. The hint for refused callers was the whole wait, longer than a caller with a deadline of 1.5 s can use, and 1 to 1.5 s without an endpoint.

Change: new module lc-wait-estimate (switch wait_estimate): decaying averages over about a second of the attempts that ran, cancelled ones included; the rate at which slots become free is the number running over the mean, bounded by what has ended since the last end, so that endpoints that stop answering lower it. A call with others waiting before it is refused if wait plus mean service time exceeds its deadline. A waiting call whose turn comes too late for the mean service time is refused as not run if others wait behind it. The hint is the time by which the answer would be late; returns are reserved one slot apart at the rate, within a third of the caller's time, others after the deadline. Metric lentilspindle_admission_refusals_total by kind and reason (15 series), log line call_refused with the inputs.

All core, base, sim and node tests pass.

--- a/packages/base/include/lb-switch.h
+++ b/packages/base/include/lb-switch.h
@@ -25,6 +25,7 @@
   LB_SWITCH_PREFIX_AFFINITY,   /* prefers engines that have the prompt's prefix in their cache */
   LB_SWITCH_IDLE_CONNECTIONS,  /* reuses idle connections for later requests */
   LB_SWITCH_SCALING, /* requests spot endpoints from the platform to match the trainers' demand */
+  LB_SWITCH_WAIT_ESTIMATE, /* refuses calls whose wait and service time exceed their deadline */
   LB_N_SWITCHES
 } LbSwitch;
 
--- a/packages/base/src/lb-switch.c
+++ b/packages/base/src/lb-switch.c
@@ -19,6 +19,7 @@
   [LB_SWITCH_PREFIX_AFFINITY] = "prefix_affinity",
   [LB_SWITCH_IDLE_CONNECTIONS] = "idle_connections",
   [LB_SWITCH_SCALING] = "scaling",
+  [LB_SWITCH_WAIT_ESTIMATE] = "wait_estimate",
 };
 
 static bool is_off[LB_N_SWITCHES];
--- a/packages/core/src/dispatch/lc-dispatch-private.h
+++ b/packages/core/src/dispatch/lc-dispatch-private.h
@@ -85,8 +85,8 @@
                                LbTime now,
                                LbList *actions);
 LbTime lc_dispatch_compute_retry_after (LcDispatch *dispatch,
-                                        const LcPoolState *pool,
-                                        const LcQueueKey *key,
+                                        LcPoolState *pool,
+                                        const LcWaitDecision *decision,
                                         LbTime now);
 LcAction *lc_action_new (LcActionType type, LcRequestId request, LbList *actions);
 
--- a/packages/core/src/dispatch/lc-dispatch.c
+++ b/packages/core/src/dispatch/lc-dispatch.c
@@ -2,6 +2,7 @@
 
 #include "lb-alloc.h"
 #include "lb-counter.h"
+#include "lb-log.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -15,6 +16,48 @@
                                                     NULL,
                                                     "Requests that were not admitted");
 
+/* Why a request was not admitted. */
+typedef enum
+{
+  REFUSED_FOR_WAIT,        /* its answer would be late */
+  REFUSED_FOR_QUEUE_LIMIT, /* the queue is full */
+  REFUSED_FOR_ENDPOINTS,   /* no endpoint is available */
+  REFUSED_FOR_DEADLINE,    /* its deadline had passed */
+  REFUSED_FOR_OTHER,       /* draining, unknown pool, quarantined, or invalid */
+  N_REFUSAL_REASONS
+} RefusalReason;
+
+static const char *const refusal_reason_names[] = { [REFUSED_FOR_WAIT] = "wait",
+                                                    [REFUSED_FOR_QUEUE_LIMIT] = "queue_limit",
+                                                    [REFUSED_FOR_ENDPOINTS] = "no_endpoint",
+                                                    [REFUSED_FOR_DEADLINE] = "deadline",
+                                                    [REFUSED_FOR_OTHER] = "other" };
+
+static const char *const kind_names[]
+    = { [LC_KIND_LIVE] = "live", [LC_KIND_SERVICE] = "service", [LC_KIND_SAMPLE] = "sample" };
+
+#define REFUSALS(kind, reason)                                                                     \
+  LB_COUNTER_INIT ("lentilspindle_admission_refusals_total",                                       \
+                   "kind=\"" kind "\",reason=\"" reason "\"",                                      \
+                   "Requests that were not admitted, by kind and reason")
+#define REFUSALS_OF_KIND(kind)                                                                     \
+  {                                                                                                \
+    REFUSALS (kind, "wait"), REFUSALS (kind, "queue_limit"), REFUSALS (kind, "no_endpoint"),       \
+        REFUSALS (kind, "deadline"), REFUSALS (kind, "other")                                      \
+  }
+static LbMetric refusals[LC_N_KINDS][N_REFUSAL_REASONS]
+    = { [LC_KIND_LIVE] = REFUSALS_OF_KIND ("live"),
+        [LC_KIND_SERVICE] = REFUSALS_OF_KIND ("service"),
+        [LC_KIND_SAMPLE] = REFUSALS_OF_KIND ("sample") };
+
+/* The result of the check of a new request. */
+typedef struct
+{
+  LbErrorCode error; /* LB_OK: the request is admitted */
+  RefusalReason reason;
+  LcWaitDecision wait; /* expected wait and the inputs that determined it */
+} Admission;
+
 static bool
 is_timer_due_before (const LcHeapNode *a, const LcHeapNode *b)
 {
@@ -169,12 +212,32 @@
 }
 
 static bool
-refuse_request (
-    LbErrorCode code, LbTime hint, LbTime *retry_after, const char *pool, LbError *error)
+refuse_request (const LcRequestSpec *spec,
+                RefusalReason reason,
+                LbErrorCode code,
+                LbTime hint,
+                LbTime *retry_after,
+                LbError *error)
 {
   *retry_after = hint;
   lb_metric_add (&refused_requests, 1);
-  return lb_error_set (error, code, pool, "request refused before dispatch");
+  lb_metric_add (&refusals[spec->kind][reason], 1);
+  return lb_error_set (error, code, spec->pool, "request refused before dispatch");
+}
+
+static void
+log_refusal (const LcRequestSpec *spec, const Admission *admission, LbTime retry_after)
+{
+  const LcWaitDecision *wait = &admission->wait;
+
+  lb_log (LB_LOG_INFO, "call_refused", LB_INT ("request", spec->id),
+          LB_TEXT ("kind", kind_names[spec->kind]), LB_TEXT ("pool", spec->pool),
+          LB_TEXT ("caller", spec->flow[0] ? spec->flow : spec->caller),
+          LB_TEXT ("reason", refusal_reason_names[admission->reason]),
+          LB_INT ("wait_us", wait->wait), LB_INT ("service_us", wait->service),
+          LB_INT ("left_us", wait->time_left == LB_TIME_NEVER ? -1 : wait->time_left),
+          LB_REAL ("ahead", wait->n_ahead), LB_REAL ("rate", wait->rate),
+          LB_INT ("retry_after_us", retry_after));
 }
 
 /* Drops the waiting request of the lowest rank to admit a new one. Returns false if the new request
@@ -209,9 +272,33 @@
   return now + max_wait;
 }
 
-/* Returns LB_OK if a request may be queued, else the reason for its refusal: it can't start in time
- * or the queue is full. May drop a waiting request of lower rank to make room. */
-static LbErrorCode
+static LcWaitDecision
+decide_wait (const LcPoolState *pool,
+             const LcRequestSpec *spec,
+             const LcQueueKey *key,
+             LbTime latest_start,
+             LbTime now)
+{
+  bool has_deadline = spec->deadline != LB_TIME_NEVER && spec->kind != LC_KIND_SAMPLE;
+  const LcWaitQuery query
+      = { .expected_tokens = spec->expected_tokens,
+          .time_to_start = latest_start == LB_TIME_NEVER ? LB_TIME_NEVER : latest_start - now,
+          .time_to_end = has_deadline ? spec->deadline - now : LB_TIME_NEVER };
+
+  return lc_pool_state_decide_wait (pool, key, query, now);
+}
+
+static Admission
+refuse_admission (Admission admission, RefusalReason reason, LbErrorCode error)
+{
+  admission.reason = reason;
+  admission.error = error;
+  return admission;
+}
+
+/* Decides whether a request may be queued: not if its answer would be late or the queue is full.
+ * May drop a waiting request of lower rank to make room. */
+static Admission
 check_request_admission (LcDispatch *dispatch,
                          LcPoolState *pool,
                          const LcRequestSpec *spec,
@@ -220,19 +307,20 @@
                          LbList *actions)
 {
   LbTime latest = compute_start_deadline (dispatch, spec, now);
+  Admission admission = { .error = LB_OK, .wait = decide_wait (pool, spec, key, latest, now) };
 
   if (latest <= now)
-    return LB_ERROR_DEADLINE_BEFORE_START;
+    return refuse_admission (admission, REFUSED_FOR_DEADLINE, LB_ERROR_DEADLINE_BEFORE_START);
   if (!lc_dispatch_may_wait_for_pool (spec->kind,
                                       lc_dispatch_earliest_pool_availability (dispatch, pool),
                                       latest, now))
-    return LB_ERROR_NO_ENDPOINT;
-  if (latest != LB_TIME_NEVER && lc_pool_state_estimate_wait (pool, key) >= latest - now)
-    return LB_ERROR_OVERLOADED;
+    return refuse_admission (admission, REFUSED_FOR_ENDPOINTS, LB_ERROR_NO_ENDPOINT);
+  if (!admission.wait.is_in_time)
+    return refuse_admission (admission, REFUSED_FOR_WAIT, LB_ERROR_OVERLOADED);
   if (lc_pool_state_is_queue_full (pool)
       && !drop_lower_ranked_request (dispatch, pool, key, now, actions))
-    return LB_ERROR_OVERLOADED;
-  return LB_OK;
+    return refuse_admission (admission, REFUSED_FOR_QUEUE_LIMIT, LB_ERROR_OVERLOADED);
+  return admission;
 }
 
 bool
@@ -268,20 +356,22 @@
 
   *retry_after = 0;
   if (dispatch->draining)
-    return refuse_request (LB_ERROR_DRAINING, DRAIN_RETRY_AFTER, retry_after, spec->pool, error);
+    return refuse_request (spec, REFUSED_FOR_OTHER, LB_ERROR_DRAINING, DRAIN_RETRY_AFTER,
+                           retry_after, error);
   if (!pool || !pool->configured)
-    return refuse_request (spec->kind == LC_KIND_SERVICE ? LB_ERROR_UNKNOWN_SERVICE
+    return refuse_request (spec, REFUSED_FOR_OTHER,
+                           spec->kind == LC_KIND_SERVICE ? LB_ERROR_UNKNOWN_SERVICE
                                                          : LB_ERROR_UNKNOWN_POOL,
-                           0, retry_after, spec->pool, error);
+                           0, retry_after, error);
   /* Endpoints have crashed on requests with this content, sent by any instance; the next endpoint
    * would crash, too. */
   LbTime quarantined_until = lc_dispatch_find_quarantine_end (dispatch, spec->content, now);
   if (quarantined_until > 0)
-    return refuse_request (LB_ERROR_QUARANTINED, quarantined_until - now, retry_after, spec->pool,
-                           error);
+    return refuse_request (spec, REFUSED_FOR_OTHER, LB_ERROR_QUARANTINED, quarantined_until - now,
+                           retry_after, error);
   if (!lc_dispatch_check_invariant (dispatch, !lc_dispatch_find_request (dispatch, spec->id),
                                     "request-ids-are-unique", spec->id))
-    return refuse_request (LB_ERROR_INVARIANT, 0, retry_after, spec->pool, error);
+    return refuse_request (spec, REFUSED_FOR_OTHER, LB_ERROR_INVARIANT, 0, retry_after, error);
 
   LcQueueKey key = {
     .kind = spec->kind,
@@ -290,11 +380,14 @@
     .caller = spec->flow[0] ? spec->flow : spec->caller,
     .share = spec->share,
   };
-  LbErrorCode reason = check_request_admission (dispatch, pool, spec, &key, now, actions);
+  Admission admission = check_request_admission (dispatch, pool, spec, &key, now, actions);
 
-  if (reason != LB_OK)
-    return refuse_request (reason, lc_dispatch_compute_retry_after (dispatch, pool, &key, now),
-                           retry_after, spec->pool, error);
+  if (admission.error != LB_OK)
+    {
+      LbTime hint = lc_dispatch_compute_retry_after (dispatch, pool, &admission.wait, now);
+      log_refusal (spec, &admission, hint);
+      return refuse_request (spec, admission.reason, admission.error, hint, retry_after, error);
+    }
 
   LcRequest *request = add_request (dispatch, spec, pool, now);
 
--- a/packages/core/src/dispatch/lc-outcome.c
+++ b/packages/core/src/dispatch/lc-outcome.c
@@ -2,6 +2,7 @@
 
 #include "lb-alloc.h"
 #include "lb-counter.h"
+#include "lb-switch.h"
 
 #include <stdlib.h>
 
@@ -68,19 +69,25 @@
                                now - attempt->sent_at, now);
 }
 
-/* Records the attempt's result in the statistics of its endpoint and pool, and frees the
- * attempt. */
+/* Records the attempt's result in the statistics of its endpoint and pool, and frees the attempt.
+ * has_run: whether the endpoint may have run it. */
 static void
-record_result_and_free_attempt (
-    LcDispatch *dispatch, LcRequest *request, LcAttempt *attempt, AttemptResult result, LbTime now)
+record_result_and_free_attempt (LcDispatch *dispatch,
+                                LcRequest *request,
+                                LcAttempt *attempt,
+                                AttemptResult result,
+                                bool has_run,
+                                LbTime now)
 {
   LcEndpoint *endpoint = lc_endpoints_find (dispatch->endpoints, attempt->endpoint);
-  LbTime duration = now - attempt->sent_at;
+  const LcEndedAttempt ended = { .duration = now - attempt->sent_at,
+                                 .has_run = has_run,
+                                 .is_complete = attempt->is_complete,
+                                 .expected_tokens = request->expected_tokens };
 
   if (endpoint)
     record_attempt_result (endpoint, request->kind, attempt, result, now);
-  lc_pool_state_record_attempt_end (request->pool, request->kind,
-                                    attempt->is_complete ? duration : 0);
+  lc_pool_state_record_attempt_end (request->pool, request->kind, &ended, now);
   if (request->forwarded_attempt == attempt->number)
     request->forwarded_attempt = 0;
   lc_request_remove_attempt (request, attempt);
@@ -127,7 +134,7 @@
   LB_COPY (action->endpoint, attempt->endpoint);
   request->may_have_run = true;
   record_stream_stall (dispatch, attempt, now);
-  record_result_and_free_attempt (dispatch, request, attempt, result, now);
+  record_result_and_free_attempt (dispatch, request, attempt, result, true, now);
 }
 
 static void
@@ -158,25 +165,64 @@
   lc_request_free (request);
 }
 
-/* Returns the delay after which the caller of a failed request should retry: the estimated queueing
- * time, and at least the time until a circuit breaker of the pool admits a request. Random jitter
- * of up to 50 % keeps callers that were refused together from retrying together. */
+/* Adds up to 50 %, so that callers that were refused together do not return together. random:
+ * uniform in [0, 1). */
+static LbTime
+add_jitter (LbTime delay, double random)
+{
+  return delay + (LbTime)(random * (double)delay / 2);
+}
+
+static LbTime
+compute_retry_after_without_rate (const LcWaitDecision *decision, double random)
+{
+  return add_jitter (decision->wait > MIN_RETRY_AFTER ? decision->wait : MIN_RETRY_AFTER, random);
+}
+
+static LbTime
+compute_retry_after_without_endpoint (const LcWaitDecision *decision, double random)
+{
+  LbTime delay = add_jitter (RETRY_AFTER_WITHOUT_ENDPOINT, random);
+  LbTime limit = lc_wait_estimate_max_retry_after (decision->time_left);
+
+  return lb_switch_is_on (LB_SWITCH_WAIT_ESTIMATE) && delay > limit ? limit : delay;
+}
+
+/* Returns the delay after which the caller of a failed request should retry: derived from the
+ * expected wait, and at least the time until a circuit breaker of the pool admits a request. */
 LbTime
 lc_dispatch_compute_retry_after (LcDispatch *dispatch,
-                                 const LcPoolState *pool,
-                                 const LcQueueKey *key,
+                                 LcPoolState *pool,
+                                 const LcWaitDecision *decision,
                                  LbTime now)
 {
-  LbTime retry_after = lc_pool_state_estimate_wait (pool, key);
+  double random = gsl_rng_uniform (dispatch->random);
   LbTime available_at = lc_dispatch_earliest_pool_availability (dispatch, pool);
+  LbTime retry_after = 0;
 
   if (available_at == LB_TIME_NEVER)
-    retry_after = RETRY_AFTER_WITHOUT_ENDPOINT;
-  else if (available_at - now > retry_after)
-    retry_after = available_at - now;
-  if (retry_after < MIN_RETRY_AFTER)
-    retry_after = MIN_RETRY_AFTER;
-  return retry_after + (LbTime)(gsl_rng_uniform (dispatch->random) * (double)retry_after / 2);
+    return compute_retry_after_without_endpoint (decision, random);
+  if (lb_switch_is_on (LB_SWITCH_WAIT_ESTIMATE) && decision->rate > 0)
+    retry_after = lc_wait_estimate_reserve_return (&pool->wait_estimate, decision, random, now);
+  else
+    retry_after = compute_retry_after_without_rate (decision, random);
+  return available_at - now > retry_after ? add_jitter (available_at - now, random) : retry_after;
+}
+
+/* Decides again whether the request could be served in the time that its caller has left. A caller
+ * whose deadline has passed may send a new request. */
+static LcWaitDecision
+decide_wait_of_failed_request (const LcRequest *request, LbTime now)
+{
+  LcQueueKey key = lc_request_make_queue_key (request);
+  const LcWaitQuery query
+      = { .expected_tokens = request->expected_tokens,
+          .time_to_start = LB_TIME_NEVER,
+          .time_to_end = request->deadline > now && request->deadline != LB_TIME_NEVER
+                             ? request->deadline - now
+                             : LB_TIME_NEVER };
+
+  return lc_pool_state_decide_wait (request->pool, &key, query, now);
 }
 
 /* Ends the request with a failure. retry_after: hint for the caller; 0: the estimated delay. The
@@ -190,7 +236,7 @@
                           LbTime now,
                           LbList *actions)
 {
-  LcQueueKey key = lc_request_make_queue_key (request);
+  LcWaitDecision decision;
 
   if (!lc_dispatch_check_invariant (dispatch,
                                     !dispatch->forbid_cancel
@@ -198,7 +244,10 @@
                                     "shutdown-cuts-nothing", request->id))
     return;
   if (retry_after == 0)
-    retry_after = lc_dispatch_compute_retry_after (dispatch, request->pool, &key, now);
+    {
+      decision = decide_wait_of_failed_request (request, now);
+      retry_after = lc_dispatch_compute_retry_after (dispatch, request->pool, &decision, now);
+    }
   cancel_and_unlink_request (dispatch, request, now, actions);
   if (!lc_dispatch_check_invariant (dispatch,
                                     !lb_error_proves_request_not_run (error)
@@ -234,7 +283,7 @@
   lc_retry_budgets_credit_success (dispatch->budgets, request->caller);
   lc_retry_budgets_credit_success (dispatch->budgets, endpoint);
   attempt->is_complete = true;
-  record_result_and_free_attempt (dispatch, request, attempt, RESULT_SUCCEEDED, now);
+  record_result_and_free_attempt (dispatch, request, attempt, RESULT_SUCCEEDED, true, now);
   cancel_and_unlink_request (dispatch, request, now, actions);
 
   LcAction *action = lc_action_new (LC_ACTION_FINISH, request->id, actions);
@@ -388,7 +437,8 @@
   bool resumed = does_stream_resume (request, attempt, end);
 
   lc_request_add_tried_endpoint (request, attempt->endpoint);
-  record_result_and_free_attempt (dispatch, request, attempt, get_attempt_result (end), now);
+  record_result_and_free_attempt (dispatch, request, attempt, get_attempt_result (end),
+                                  !does_attempt_end_prove_request_not_run (end), now);
   request->last_error = choose_error_without_retry (request, end);
   if (lb_list_is_empty (&request->attempts))
     {
--- a/packages/core/src/dispatch/lc-placement.c
+++ b/packages/core/src/dispatch/lc-placement.c
@@ -3,6 +3,7 @@
 #include "lc-endpoint-table.h"
 
 #include "lb-alloc.h"
+#include "lb-switch.h"
 
 #include <string.h>
 
@@ -184,7 +185,7 @@
   action->decision = *decision;
   LB_COPY (action->endpoint, endpoint->member.name);
   LB_COPY (action->address, endpoint->member.address);
-  lc_pool_state_record_attempt_start (request->pool, request->kind);
+  lc_pool_state_record_attempt_start (request->pool, request->kind, now);
   lc_endpoint_request_sent (endpoint, request->kind,
                             n_hashes ? request->prefix_hashes[n_hashes - 1] : 0, now);
   lc_dispatch_reschedule_request_timer (dispatch, request);
@@ -273,6 +274,23 @@
     }
 }
 
+/* Whether a waiting call can't end by its deadline although a slot is free now. A slot that such a
+ * call takes is lost for the calls that wait behind it. While no call runs, as before the first
+ * attempt after an outage, the observed service time is outdated. */
+static bool
+is_too_late_to_start (const LcRequest *request, LbTime now)
+{
+  if (!lb_switch_is_on (LB_SWITCH_WAIT_ESTIMATE) || request->kind == LC_KIND_SAMPLE
+      || request->n_attempts > 0 || request->deadline == LB_TIME_NEVER
+      || request->pool->wait_estimate.running[request->kind] == 0
+      || lc_queue_length (request->pool->queue) < 2)
+    return false;
+  return now
+             + lc_wait_estimate_service_time (&request->pool->wait_estimate, request->kind,
+                                              request->expected_tokens)
+         >= request->deadline;
+}
+
 /* Sends as many waiting requests of the pool as its endpoints can take. Skips requests without an
  * endpoint only if their constraints may be the reason; otherwise the pool is full. */
 void
@@ -287,9 +305,12 @@
   while ((entry = lc_queue_peek (pool->queue)))
     {
       LcRequest *request = LB_CONTAINER (entry, LcRequest, queue_entry);
+
       LcRouteDecision decision = choose_endpoint (dispatch, request, now);
 
-      if (decision.endpoint)
+      if (decision.endpoint && is_too_late_to_start (request, now))
+        lc_dispatch_fail_request (dispatch, request, LB_ERROR_OVERLOADED, 0, now, actions);
+      else if (decision.endpoint)
         place_request (dispatch, request, &decision, now, actions);
       else if (has_endpoint_constraints (request) && n_skipped++ < MAX_SKIPPED_REQUESTS_PER_ROUND)
         lc_queue_defer (pool->queue, entry);
--- a/packages/core/src/dispatch/lc-pool.c
+++ b/packages/core/src/dispatch/lc-pool.c
@@ -1,6 +1,7 @@
 #include "lc-pool.h"
 
 #include "lb-alloc.h"
+#include "lb-switch.h"
 
 #include <stdlib.h>
 
@@ -27,9 +28,9 @@
 }
 
 void
-lc_pool_state_record_attempt_start (LcPoolState *pool, LcRequestKind kind)
+lc_pool_state_record_attempt_start (LcPoolState *pool, LcRequestKind kind, LbTime now)
 {
-  pool->running[kind]++;
+  lc_wait_estimate_record_start (&pool->wait_estimate, kind, now);
 }
 
 static void
@@ -46,13 +47,16 @@
   update_moving_average (&pool->first_piece_seconds[kind], waited);
 }
 
-/* duration: from sending the attempt to its complete answer; 0 if the attempt ended otherwise. */
 void
-lc_pool_state_record_attempt_end (LcPoolState *pool, LcRequestKind kind, LbTime duration)
+lc_pool_state_record_attempt_end (LcPoolState *pool,
+                                  LcRequestKind kind,
+                                  const LcEndedAttempt *ended,
+                                  LbTime now)
 {
-  pool->running[kind]--;
-  if (duration > 0)
-    update_moving_average (&pool->mean_attempt_seconds[kind], duration);
+  lc_wait_estimate_record_end (&pool->wait_estimate, kind, ended->has_run ? ended->duration : 0,
+                               ended->expected_tokens, now);
+  if (ended->is_complete && ended->duration > 0)
+    update_moving_average (&pool->mean_attempt_seconds[kind], ended->duration);
 }
 
 bool
@@ -61,18 +65,33 @@
   return (int64_t)lc_queue_length (pool->queue) >= pool->queue_limit;
 }
 
-/* Estimates how long a new request with this key would wait: the number of requests ahead divided
- * by the rate at which attempts end, which is the number running over their mean duration (Little's
- * law). Returns 0 if no attempt is running or none has completed. */
-LbTime
-lc_pool_state_estimate_wait (const LcPoolState *pool, const LcQueueKey *key)
+/* Decides by the average duration of all complete attempts, which follows a change only slowly, and
+ * without the service time. */
+static LcWaitDecision
+decide_by_long_average (const LcPoolState *pool, const LcWaitQuery *query)
 {
-  double rate = 0;
+  LcWaitDecision decision
+      = { .is_in_time = true, .n_ahead = query->n_ahead, .time_left = query->time_to_end };
 
   for (int kind = 0; kind < LC_N_KINDS; kind++)
     if (pool->mean_attempt_seconds[kind] > 0)
-      rate += (double)pool->running[kind] / pool->mean_attempt_seconds[kind];
-  if (rate <= 0)
-    return 0;
-  return (LbTime)(lc_queue_estimate_requests_ahead (pool->queue, key) / rate * (double)LB_SEC);
+      decision.rate += (double)pool->wait_estimate.running[kind] / pool->mean_attempt_seconds[kind];
+  if (decision.rate > 0)
+    decision.wait = (LbTime)(query->n_ahead / decision.rate * (double)LB_SEC);
+  decision.is_in_time
+      = query->time_to_start == LB_TIME_NEVER || decision.wait < query->time_to_start;
+  return decision;
+}
+
+LcWaitDecision
+lc_pool_state_decide_wait (const LcPoolState *pool,
+                           const LcQueueKey *key,
+                           LcWaitQuery query,
+                           LbTime now)
+{
+  query.kind = key->kind;
+  query.n_ahead = lc_queue_estimate_requests_ahead (pool->queue, key);
+  return lb_switch_is_on (LB_SWITCH_WAIT_ESTIMATE)
+             ? lc_wait_estimate_decide (&pool->wait_estimate, &query, now)
+             : decide_by_long_average (pool, &query);
 }
--- a/packages/core/src/dispatch/lc-pool.h
+++ b/packages/core/src/dispatch/lc-pool.h
@@ -2,6 +2,7 @@
 #define LC_POOL_H
 
 #include "lc-queue.h"
+#include "lc-wait-estimate.h"
 
 #include <uthash.h>
 
@@ -25,24 +26,42 @@
   double live_reserve; /* share of each engine's concurrency kept for live calls, 0..0.9 */
   int64_t queue_limit; /* maximum number of waiting requests */
   size_t n_requests;   /* number of requests admitted and not finished */
-  int64_t running[LC_N_KINDS]; /* number of running attempts by request kind */
-  /* Moving average of the duration of complete attempts; 0: none has completed. */
+  LcWaitEstimate wait_estimate;
+  /* Moving average of the duration of complete attempts; 0: none has completed. Used only while
+   * LB_SWITCH_WAIT_ESTIMATE is off. */
   double mean_attempt_seconds[LC_N_KINDS];
   /* Moving average of the time from sending an attempt to its first piece; 0: none has arrived. */
   double first_piece_seconds[LC_N_KINDS];
 } LcPoolState;
 
+/* An attempt that ended. */
+typedef struct
+{
+  LbTime duration;         /* from sending the attempt to its end */
+  bool has_run;            /* the endpoint may have run the attempt */
+  bool is_complete;        /* the attempt has returned the complete answer */
+  int64_t expected_tokens; /* expected length of the answer; 0: unknown */
+} LcEndedAttempt;
+
 LcPoolState *lc_pool_state_new (LcPoolKind kind, const char *name);
 void lc_pool_state_free (LcPoolState *pool);
 
 /* Functions that change the pool's state. */
-void lc_pool_state_record_attempt_start (LcPoolState *pool, LcRequestKind kind);
+void lc_pool_state_record_attempt_start (LcPoolState *pool, LcRequestKind kind, LbTime now);
 /* waited: time from sending an attempt to its first piece. */
 void lc_pool_state_record_first_piece (LcPoolState *pool, LcRequestKind kind, LbTime waited);
-void lc_pool_state_record_attempt_end (LcPoolState *pool, LcRequestKind kind, LbTime duration);
+void lc_pool_state_record_attempt_end (LcPoolState *pool,
+                                       LcRequestKind kind,
+                                       const LcEndedAttempt *ended,
+                                       LbTime now);
 
 /* Functions that only read the pool's state. */
 bool lc_pool_state_is_queue_full (const LcPoolState *pool);
-LbTime lc_pool_state_estimate_wait (const LcPoolState *pool, const LcQueueKey *key);
+/* Fills in what the query says about the queue, and decides whether the request can be served in
+ * time. */
+LcWaitDecision lc_pool_state_decide_wait (const LcPoolState *pool,
+                                          const LcQueueKey *key,
+                                          LcWaitQuery query,
+                                          LbTime now);
 
 #endif
--- /dev/null
+++ b/packages/core/src/dispatch/lc-wait-estimate.c
@@ -0,0 +1,162 @@
+#include "lc-wait-estimate.h"
+
+#include <math.h>
+
+/* Time in which the weight of an ended attempt falls to 37 %: short enough to follow endpoints that
+ * are slow for half a second. */
+#define DECAY_SECONDS 1.0
+/* Number of attempts, in addition to those running, that may fail to end before the rate is taken
+ * to be lower than the average suggests. */
+#define MAX_LATE_ATTEMPTS 4
+/* A retry costs an instance about as much as a refusal, so hints are never shorter than this. */
+#define MIN_RETRY_AFTER (50 * LB_MSEC)
+#define MAX_RETRY_AFTER (10 * LB_SEC)
+/* A caller whose hint is at most this part of its time can return twice before its deadline. */
+#define USEFUL_PART_OF_TIME_LEFT 3
+
+void
+lc_wait_estimate_record_start (LcWaitEstimate *estimate, LcRequestKind kind, LbTime now)
+{
+  int64_t n_running = 0;
+
+  for (int i = 0; i < LC_N_KINDS; i++)
+    n_running += estimate->running[i];
+  if (n_running == 0)
+    estimate->last_progress_at = now;
+  estimate->running[kind]++;
+}
+
+void
+lc_wait_estimate_record_end (
+    LcWaitEstimate *estimate, LcRequestKind kind, LbTime duration, int64_t tokens, LbTime now)
+{
+  LcEndedAttempts *ended = &estimate->ended[kind];
+  double age = (double)(now - ended->updated_at) / LB_SEC;
+  double kept = exp (-age / DECAY_SECONDS);
+
+  estimate->running[kind]--;
+  if (duration <= 0)
+    return;
+  estimate->last_progress_at = now;
+  ended->updated_at = now;
+  ended->weight = ended->weight * kept + 1;
+  ended->seconds = ended->seconds * kept + (double)duration / LB_SEC;
+  ended->tokens = ended->tokens * kept + (double)tokens;
+}
+
+/* Estimates how many attempts end per second: the number running over their mean duration (Little's
+ * law). If attempts end later than this, for example because the endpoints have stopped answering,
+ * the rate is bounded by what has been observed since the last end. */
+static double
+estimate_rate (const LcWaitEstimate *estimate, LbTime now)
+{
+  double silence = (double)(now - estimate->last_progress_at) / LB_SEC;
+  double rate = 0;
+  int64_t n_running = 0;
+
+  for (int kind = 0; kind < LC_N_KINDS; kind++)
+    {
+      const LcEndedAttempts *ended = &estimate->ended[kind];
+      n_running += estimate->running[kind];
+      if (ended->weight > 0 && ended->seconds > 0)
+        rate += (double)estimate->running[kind] * ended->weight / ended->seconds;
+    }
+  if (rate * silence > (double)(n_running + MAX_LATE_ATTEMPTS))
+    rate = (double)(n_running + MAX_LATE_ATTEMPTS) / silence;
+  return rate;
+}
+
+/* A request that is shorter than usual takes a part of the mean duration. A request of unknown
+ * length may be short, so its service time counts as unknown. */
+LbTime
+lc_wait_estimate_service_time (const LcWaitEstimate *estimate,
+                               LcRequestKind kind,
+                               int64_t expected_tokens)
+{
+  const LcEndedAttempts *ended = &estimate->ended[kind];
+  double relative_length = 1;
+
+  if (ended->weight <= 0 || expected_tokens <= 0)
+    return 0;
+  if (ended->tokens > 0)
+    relative_length = (double)expected_tokens * ended->weight / ended->tokens;
+  if (relative_length > 1)
+    relative_length = 1;
+  return (LbTime)(ended->seconds / ended->weight * relative_length * LB_SEC);
+}
+
+/* Only a request that others wait before is judged by its service time. If none waits, the request
+ * is sent as soon as a slot is free, and its result shows whether the endpoints have recovered. */
+LcWaitDecision
+lc_wait_estimate_decide (const LcWaitEstimate *estimate, const LcWaitQuery *query, LbTime now)
+{
+  LcWaitDecision decision = { .is_in_time = true,
+                              .n_ahead = query->n_ahead,
+                              .rate = estimate_rate (estimate, now),
+                              .time_left = query->time_to_end };
+
+  if (decision.rate <= 0 || query->n_ahead <= 0)
+    return decision;
+  double wait = query->n_ahead / decision.rate;
+  decision.wait = wait < (double)INT32_MAX ? (LbTime)(wait * LB_SEC) : INT32_MAX * LB_SEC;
+  if (query->time_to_end != LB_TIME_NEVER)
+    decision.service
+        = lc_wait_estimate_service_time (estimate, query->kind, query->expected_tokens);
+  decision.is_in_time
+      = (query->time_to_start == LB_TIME_NEVER || decision.wait < query->time_to_start)
+        && (query->time_to_end == LB_TIME_NEVER
+            || decision.wait + decision.service < query->time_to_end);
+  return decision;
+}
+
+LbTime
+lc_wait_estimate_max_retry_after (LbTime time_left)
+{
+  LbTime limit
+      = time_left == LB_TIME_NEVER ? MAX_RETRY_AFTER : time_left / USEFUL_PART_OF_TIME_LEFT;
+
+  if (limit > MAX_RETRY_AFTER)
+    limit = MAX_RETRY_AFTER;
+  return limit < MIN_RETRY_AFTER ? MIN_RETRY_AFTER : limit;
+}
+
+/* Returns the delay of a caller that can't be served by its deadline: it should return with a new
+ * deadline. If it returned before, the callers that return would be more than those that came
+ * first, and none of them would be served. */
+static LbTime
+choose_return_after_deadline (const LcWaitDecision *decision, LbTime limit, double random)
+{
+  LbTime delay = decision->time_left == LB_TIME_NEVER ? limit / 2 : decision->time_left;
+
+  if (delay < MIN_RETRY_AFTER)
+    delay = MIN_RETRY_AFTER;
+  if (delay > MAX_RETRY_AFTER)
+    delay = MAX_RETRY_AFTER;
+  return delay + (LbTime)(random * (double)delay / 2);
+}
+
+/* A caller can be served once the requests ahead have become fewer by as many as are too many for
+ * its deadline. Each refused caller is invited one slot later than the previous one, at most a
+ * third of its time later. */
+LbTime
+lc_wait_estimate_reserve_return (LcWaitEstimate *estimate,
+                                 const LcWaitDecision *decision,
+                                 double random,
+                                 LbTime now)
+{
+  LbTime limit = lc_wait_estimate_max_retry_after (decision->time_left);
+  LbTime earliest = decision->wait + decision->service;
+
+  if (decision->time_left != LB_TIME_NEVER)
+    earliest -= decision->time_left;
+  if (earliest < MIN_RETRY_AFTER)
+    earliest = MIN_RETRY_AFTER;
+  LbTime return_at
+      = now + earliest > estimate->next_return_at ? now + earliest : estimate->next_return_at;
+  bool is_too_late = decision->time_left != LB_TIME_NEVER
+                     && return_at - now + decision->service >= decision->time_left;
+  if (decision->rate <= 0 || return_at - now > limit || is_too_late)
+    return choose_return_after_deadline (decision, limit, random);
+  estimate->next_return_at = return_at + (LbTime)(LB_SEC / decision->rate);
+  return return_at - now;
+}
--- /dev/null
+++ b/packages/core/tests/test-wait-estimate.c
@@ -0,0 +1,402 @@
+#include "dispatch-fixture.h"
+
+#include "lb-switch.h"
+#include "lc-wait-estimate.h"
+
+#include <gsl/gsl_randist.h>
+#include <gsl/gsl_rng.h>
+#include <stdlib.h>
+
+#define N_ORGANISATIONS 8
+#define SLOTS_PER_ENDPOINT 6
+#define N_SLOTS (2 * SLOTS_PER_ENDPOINT)
+#define SERVICE_TIME (100 * LB_MSEC)
+#define CAPACITY ((double)N_SLOTS * LB_SEC / SERVICE_TIME) /* calls per second */
+#define CALL_DEADLINE (1500 * LB_MSEC)
+#define SLOWDOWN 2.5
+#define USUAL_LOAD 0.4 /* between the waves, as a part of the capacity */
+#define WAVE_DURATION (600 * LB_MSEC)
+#define BIN (100 * LB_MSEC)
+#define N_BINS 400
+#define MAX_CALLS 20000
+
+/* A call of a simulated caller. A refused caller returns when told, until its deadline. */
+typedef struct
+{
+  int organisation;
+  LbTime deadline;
+  LbTime next_at;      /* when the call is submitted; LB_TIME_NEVER: not again */
+  LcRequestId request; /* request of the last submission */
+  LbTime ends_at;      /* when the endpoint answers; LB_TIME_NEVER: the call is not running */
+  uint32_t attempt;
+  bool is_refused; /* the last submission was refused */
+  bool is_served;
+  bool is_cut; /* the call was admitted and ended without an answer */
+} Call;
+
+typedef struct
+{
+  Fixture f;
+  gsl_rng *random;
+  Call calls[MAX_CALLS];
+  size_t n_calls;
+  size_t first_open; /* all calls before this one have ended */
+  size_t n_refusals;
+  int submissions[N_BINS]; /* number of submissions, by time */
+} Storm;
+
+typedef struct
+{
+  LbTime at;
+  double load; /* arrivals as a multiple of the capacity */
+} Wave;
+
+static Storm *
+storm_new (void)
+{
+  const LcDispatchSettings settings
+      = { .max_report_age = LB_TIME_NEVER, .retry_budget = 0.1, .seed = 1 };
+  Storm *storm = LB_NEW (Storm);
+
+  storm->random = gsl_rng_alloc (gsl_rng_taus2);
+  fixture_init (&storm->f, &settings, 1, SLOTS_PER_ENDPOINT);
+  return storm;
+}
+
+static void
+storm_free (Storm *storm)
+{
+  fixture_clear (&storm->f);
+  gsl_rng_free (storm->random);
+  free (storm);
+}
+
+static Call *
+find_call (Storm *storm, LcRequestId request)
+{
+  for (size_t i = storm->n_calls; i-- > storm->first_open;)
+    if (storm->calls[i].request == request)
+      return &storm->calls[i];
+  return NULL;
+}
+
+static void
+execute_actions (Storm *storm, double slowdown)
+{
+  LbLink *link = NULL;
+
+  while ((link = lb_list_pop (&storm->f.actions)))
+    {
+      LcAction *action = LB_CONTAINER (link, LcAction, link);
+      Call *call = find_call (storm, action->request);
+
+      cr_assert_not_null (call);
+      if (action->type == LC_ACTION_SEND)
+        {
+          cr_assert_not (call->is_refused, "a refused call was run");
+          call->attempt = action->attempt;
+          call->ends_at
+              = storm->f.now
+                + (LbTime)(SERVICE_TIME * slowdown * gsl_ran_flat (storm->random, 0.6, 1.4));
+        }
+      else
+        call->ends_at = LB_TIME_NEVER;
+      if (action->type == LC_ACTION_FINISH)
+        {
+          call->is_served = action->error == LB_OK;
+          call->is_refused = action->error == LB_ERROR_OVERLOADED;
+          call->is_cut = !call->is_served && !call->is_refused;
+        }
+      if (action->type == LC_ACTION_FINISH && call->is_refused)
+        {
+          storm->n_refusals++;
+          call->next_at = storm->f.now + action->retry_after;
+        }
+      lc_action_free (action);
+    }
+}
+
+static void
+submit_call (Storm *storm, Call *call, double slowdown)
+{
+  LcRequestSpec spec = fixture_make_request_spec (&storm->f, LC_KIND_SERVICE);
+
+  spec.expected_tokens = 1;
+  spec.deadline = call->deadline;
+  snprintf (spec.flow, sizeof spec.flow, "org-%d", call->organisation);
+  call->request = spec.id;
+  call->next_at = LB_TIME_NEVER;
+  call->is_refused = false;
+  storm->submissions[storm->f.now / BIN]++;
+  call->is_refused = !fixture_submit_request (&storm->f, &spec);
+  if (call->is_refused)
+    {
+      storm->n_refusals++;
+      call->next_at = storm->f.now + storm->f.retry_after;
+    }
+  execute_actions (storm, slowdown);
+}
+
+static void
+end_and_submit_due_calls (Storm *storm, double slowdown)
+{
+  for (size_t i = storm->first_open; i < storm->n_calls; i++)
+    {
+      Call *call = &storm->calls[i];
+      if (call->ends_at <= storm->f.now)
+        {
+          call->ends_at = LB_TIME_NEVER;
+          fixture_deliver_piece (&storm->f, call->request, call->attempt, 0, 1, true);
+          fixture_end_attempt (&storm->f, call->request, call->attempt, LC_END_COMPLETE);
+          execute_actions (storm, slowdown);
+        }
+      if (call->next_at <= storm->f.now && storm->f.now < call->deadline)
+        submit_call (storm, call, slowdown);
+    }
+  while (storm->first_open < storm->n_calls
+         && storm->calls[storm->first_open].deadline + LB_SEC < storm->f.now)
+    storm->first_open++;
+}
+
+/* Organisation 0 sends half of all calls, the others send equal parts of the rest. */
+static void
+add_arrivals (Storm *storm, double load, LbTime step)
+{
+  unsigned n = gsl_ran_poisson (storm->random, load * CAPACITY * (double)step / LB_SEC);
+
+  for (unsigned i = 0; i < n; i++)
+    {
+      bool is_big = gsl_rng_uniform (storm->random) < 0.5;
+      int small = 1 + (int)gsl_rng_uniform_int (storm->random, N_ORGANISATIONS - 1);
+      cr_assert_lt (storm->n_calls, MAX_CALLS);
+      storm->calls[storm->n_calls++] = (Call){ .organisation = is_big ? 0 : small,
+                                               .deadline = storm->f.now + CALL_DEADLINE,
+                                               .next_at = storm->f.now,
+                                               .ends_at = LB_TIME_NEVER };
+    }
+}
+
+/* Runs until `end`. The endpoints are slow during the waves, and in intervals of a wave's duration
+ * for a seventh of the time if is_uneven. */
+static void
+run_storm (Storm *storm, double load, const Wave *waves, size_t n_waves, bool is_uneven, LbTime end)
+{
+  const LbTime step = 2 * LB_MSEC;
+
+  for (; storm->f.now < end; storm->f.now += step)
+    {
+      bool is_slow = is_uneven && storm->f.now / WAVE_DURATION % 7 == 3;
+      double now_load = load;
+      for (size_t i = 0; i < n_waves; i++)
+        if (storm->f.now >= waves[i].at && storm->f.now < waves[i].at + WAVE_DURATION)
+          {
+            is_slow = true;
+            now_load = waves[i].load;
+          }
+      double slowdown = is_slow ? SLOWDOWN : 1;
+      add_arrivals (storm, now_load, step);
+      end_and_submit_due_calls (storm, slowdown);
+      if (storm->f.now >= lc_dispatch_next_tick (storm->f.dispatch))
+        fixture_tick_dispatch_at (&storm->f, storm->f.now);
+      execute_actions (storm, slowdown);
+    }
+}
+
+typedef struct
+{
+  int calls;
+  int served;
+  int cut;
+} Count;
+
+/* Counts the calls that arrived from `from` on until `to`, of one organisation or of all (-1). */
+static Count
+count_calls (const Storm *storm, int organisation, LbTime from, LbTime to)
+{
+  Count count = { 0 };
+
+  for (size_t i = 0; i < storm->n_calls; i++)
+    {
+      const Call *call = &storm->calls[i];
+      LbTime arrived_at = call->deadline - CALL_DEADLINE;
+      if (arrived_at < from || arrived_at >= to
+          || (organisation >= 0 && call->organisation != organisation))
+        continue;
+      count.calls++;
+      count.served += call->is_served;
+      count.cut += call->is_cut;
+    }
+  return count;
+}
+
+static int
+find_most_submissions_per_bin (const Storm *storm, LbTime from, LbTime to)
+{
+  int most = 0;
+
+  for (LbTime bin = from / BIN; bin < to / BIN; bin++)
+    most = storm->submissions[bin] > most ? storm->submissions[bin] : most;
+  return most;
+}
+
+static void
+expect_wave_is_served_fairly (const Storm *storm, const Wave *wave)
+{
+  LbTime end = wave->at + WAVE_DURATION;
+  Count all = count_calls (storm, -1, wave->at, end);
+  /* What the endpoints can do during the wave, and then besides the usual load until the deadline
+   * of the wave's last call. */
+  double possible
+      = CAPACITY * (WAVE_DURATION / SLOWDOWN + (1 - USUAL_LOAD) * CALL_DEADLINE) / LB_SEC;
+
+  cr_log_info ("load %.0f: calls %d, served %d of possible %.0f, cut %d, most in a bin %d then %d",
+               wave->load, all.calls, all.served, possible, all.cut,
+               find_most_submissions_per_bin (storm, wave->at, end),
+               find_most_submissions_per_bin (storm, end, end + 2 * LB_SEC));
+  cr_expect_leq (all.cut, all.calls / 100, "%d of %d calls were held and not answered", all.cut,
+                 all.calls);
+  cr_expect_geq (all.served, 0.9 * possible, "%d served, %.0f possible", all.served, possible);
+  cr_expect_leq (find_most_submissions_per_bin (storm, end, end + 2 * LB_SEC),
+                 find_most_submissions_per_bin (storm, wave->at, end),
+                 "the callers that return are more than the first wave");
+  for (int i = 1; i < N_ORGANISATIONS; i++)
+    {
+      Count count = count_calls (storm, i, wave->at, end);
+      double fair = (double)all.served / N_ORGANISATIONS;
+      cr_expect_geq (count.served, 0.6 * (count.calls < fair ? count.calls : fair),
+                     "organisation %d: %d of %d served, fair share %.0f", i, count.served,
+                     count.calls, fair);
+    }
+}
+
+/* Calls arrive in waves of 6 and 10 times the capacity while the endpoints are slow, and half of
+ * them come from one organisation. Without the service time in the estimate, calls were admitted
+ * that ended at their deadline without an answer; with hints as long as the queue, refused callers
+ * returned too late. */
+Test (wait_estimate, storm_is_served_fairly_and_no_call_is_held)
+{
+  static const Wave waves[] = { { 8 * LB_SEC, 6 }, { 16 * LB_SEC, 10 } };
+  Storm *storm = storm_new ();
+
+  run_storm (storm, USUAL_LOAD, waves, 2, false, 24 * LB_SEC);
+  for (size_t i = 0; i < 2; i++)
+    expect_wave_is_served_fairly (storm, &waves[i]);
+  Count after = count_calls (storm, -1, 20 * LB_SEC, 22 * LB_SEC);
+  cr_expect_eq (after.served, after.calls, "%d of %d served after the storm", after.served,
+                after.calls);
+  storm_free (storm);
+}
+
+/* At a moderate load, with endpoints that are slow for a seventh of the time, nothing may be
+ * refused: the queue of a slow interval is served before the deadline. */
+Test (wait_estimate, moderate_load_is_not_refused)
+{
+  Storm *storm = storm_new ();
+
+  run_storm (storm, 0.6, NULL, 0, true, 39 * LB_SEC);
+  Count all = count_calls (storm, -1, 0, 37 * LB_SEC);
+  cr_expect_eq (storm->n_refusals, 0, "%zu refusals", storm->n_refusals);
+  cr_expect_eq (all.served, all.calls, "%d of %d served", all.served, all.calls);
+  storm_free (storm);
+}
+
+/* The storm without the estimate: calls are admitted that end at their deadline. Shows that the
+ * test above can fail. */
+Test (wait_estimate, without_the_estimate_calls_are_held)
+{
+  static const Wave wave = { 8 * LB_SEC, 10 };
+  Storm *storm = storm_new ();
+
+  lb_switch_disable_optimisation ("wait_estimate");
+  run_storm (storm, USUAL_LOAD, &wave, 1, false, 12 * LB_SEC);
+  Count all = count_calls (storm, -1, wave.at, wave.at + WAVE_DURATION);
+  cr_expect_gt (all.cut, all.calls / 20, "%d of %d calls were held", all.cut, all.calls);
+  storm_free (storm);
+}
+
+static LcWaitEstimate
+make_estimate (int n_running, LbTime duration, LbTime now)
+{
+  LcWaitEstimate estimate = { 0 };
+
+  for (int i = 0; i < 2 * n_running; i++)
+    lc_wait_estimate_record_start (&estimate, LC_KIND_SERVICE, now - duration);
+  for (int i = 0; i < n_running; i++)
+    lc_wait_estimate_record_end (&estimate, LC_KIND_SERVICE, duration, 1, now);
+  return estimate;
+}
+
+/* An instance that has just started, or whose endpoints have answered nothing, has no estimate and
+ * must not refuse. Endpoints that stop answering must lower the rate that was observed. */
+Test (wait_estimate, only_observed_rates_refuse)
+{
+  const LcWaitQuery query = { .kind = LC_KIND_SERVICE,
+                              .n_ahead = 100,
+                              .expected_tokens = 1,
+                              .time_to_start = CALL_DEADLINE,
+                              .time_to_end = CALL_DEADLINE };
+  LbTime now = 10 * LB_SEC;
+  LcWaitEstimate estimate = { 0 };
+
+  cr_assert (lc_wait_estimate_decide (&estimate, &query, now).is_in_time);
+  lc_wait_estimate_record_start (&estimate, LC_KIND_SERVICE, now);
+  cr_assert (lc_wait_estimate_decide (&estimate, &query, now + LB_SEC).is_in_time);
+
+  estimate = make_estimate (10, 100 * LB_MSEC, now);
+  LcWaitDecision decision = lc_wait_estimate_decide (&estimate, &query, now);
+  cr_assert_float_eq (decision.rate, 100, 0.01);
+  cr_assert_leq (llabs (decision.wait - LB_SEC), LB_MSEC);
+  cr_assert (decision.is_in_time);
+  decision = lc_wait_estimate_decide (&estimate, &query, now + 2 * LB_SEC);
+  cr_assert_not (decision.is_in_time);
+  cr_assert_leq (decision.rate, 8, "the rate is %.1f after 2 s without an answer", decision.rate);
+}
+
+/* The hint is the time by which the wait is too long, not the whole wait. Callers return one after
+ * the other, at the rate of free slots, and after their deadline if no slot is left before. */
+Test (wait_estimate, hints_are_short_and_spread)
+{
+  const LcWaitQuery query = { .kind = LC_KIND_SERVICE,
+                              .n_ahead = 160,
+                              .expected_tokens = 1,
+                              .time_to_start = CALL_DEADLINE,
+                              .time_to_end = CALL_DEADLINE };
+  LbTime now = 10 * LB_SEC;
+  LcWaitEstimate estimate = make_estimate (10, 100 * LB_MSEC, now);
+  LcWaitDecision decision = lc_wait_estimate_decide (&estimate, &query, now);
+  LbTime last = 0;
+
+  cr_assert_not (decision.is_in_time);
+  for (int i = 0; i < 30; i++)
+    {
+      LbTime hint = lc_wait_estimate_reserve_return (&estimate, &decision, 0.5, now);
+      cr_assert_leq (llabs (hint - 200 * LB_MSEC - i * 10 * LB_MSEC), LB_MSEC);
+      cr_assert_leq (hint, CALL_DEADLINE / 3);
+    }
+  lc_wait_estimate_reserve_return (&estimate, &decision, 0.5, now);
+  for (int i = 0; i < 4; i++)
+    {
+      LbTime hint = lc_wait_estimate_reserve_return (&estimate, &decision, i / 4.0, now);
+      cr_assert_geq (hint, CALL_DEADLINE);
+      cr_assert_gt (hint, last);
+      last = hint;
+    }
+}
+
+/* Without an endpoint, the hint must leave a caller with a deadline time to return. */
+Test (wait_estimate, call_without_endpoint_gets_a_useful_hint)
+{
+  const LcDispatchSettings settings = { .max_report_age = LB_TIME_NEVER, .seed = 1 };
+  Fixture f;
+
+  fixture_init (&f, &settings, 1, 1);
+  LcRequestSpec spec = fixture_make_request_spec (&f, LC_KIND_SERVICE);
+  spec.deadline = f.now + CALL_DEADLINE;
+  lc_dispatch_mark_endpoint_leaving (f.dispatch, "s1", "", LC_LEAVING_ENDPOINT, f.now, &f.actions);
+  lc_dispatch_mark_endpoint_leaving (f.dispatch, "s2", "", LC_LEAVING_ENDPOINT, f.now, &f.actions);
+  cr_assert_not (fixture_submit_request (&f, &spec));
+  cr_assert_eq (f.error.code, LB_ERROR_NO_ENDPOINT);
+  cr_assert (f.retry_after > 0 && f.retry_after <= CALL_DEADLINE / 3, "hint %ld us",
+             (long)f.retry_after);
+  fixture_clear (&f);
+}
