Batch: texts of groups that can't be completed run last

Cause: when an item was abandoned, the waiting texts of its group kept their place by due time, ahead of texts of groups that the trainer can still use.

Change: such texts get a lower priority within the model's flow, so they run after and never before texts of other groups. When an item is abandoned, the texts of its group without a piece are requested again with it (one cancelled request each; the state of a request in the dispatcher is not known here); texts that have begun continue. After a takeover, abandoned items are read from the result rows. Switch group_order; log line group_incomplete.

--- a/packages/base/src/lb-switch.c
+++ b/packages/base/src/lb-switch.c
@@ -20,6 +20,7 @@
   [LB_SWITCH_IDLE_CONNECTIONS] = "idle_connections",
   [LB_SWITCH_SCALING] = "scaling",
   [LB_SWITCH_WAIT_ESTIMATE] = "wait_estimate",
+  [LB_SWITCH_GROUP_ORDER] = "group_order",
 };
 
 static bool is_off[LB_N_SWITCHES];
--- a/packages/core/include/lc-batch.h
+++ b/packages/core/include/lc-batch.h
@@ -95,6 +95,8 @@
   int64_t remaining_events; /* estimated number of events still to be generated */
   LbTime due_at;            /* time by which the trainer needs the whole batch */
   LbTime latest_start;      /* latest start that completes the text by due_at */
+  /* an item of the same group was abandoned: the text must run after those of other groups */
+  bool is_group_incomplete;
   /* Members set for LC_BATCH_CHECKPOINT; valid until the batch is next changed. */
   LcBatchTextPart *parts;
   size_t n_parts;
@@ -138,8 +140,8 @@
 /* Functions that change an LcBatch. They append the actions that the caller must carry out. */
 
 /* Marks an item whose result is already in the store, written by an earlier owner of the batch.
- * Call before lc_batch_start. */
-void lc_batch_mark_item_result_stored (LcBatch *batch, const char *item_id);
+ * completed: false if that owner abandoned the item. Call before lc_batch_start. */
+void lc_batch_mark_item_result_stored (LcBatch *batch, const char *item_id, bool completed);
 void lc_batch_start (LcBatch *batch, LbTime now, LbList *actions);
 /* Restores part of an item's text from the checkpoint of an earlier owner of the batch. Call before
  * lc_batch_start, with the parts of an item ordered by `restarts`, then `first_event`. */
--- a/packages/core/src/batch/lc-batch-item.h
+++ b/packages/core/src/batch/lc-batch-item.h
@@ -52,6 +52,7 @@
   LbName avoid_endpoint;  /* endpoint that the item was last moved away from; empty: none */
   int n_moves;
   bool is_preempted; /* the current request is being cancelled to move the item */
+  bool is_abandoned;
   /* the text must restart: its weight versions are too many, or one is unknown or too old */
   bool is_unusable;
   LcBatchResult result;
--- a/packages/core/src/batch/lc-batch-private.h
+++ b/packages/core/src/batch/lc-batch-private.h
@@ -29,6 +29,7 @@
   LcBatchItem *items;
   LbList ready_items; /* items whose results wait to be written, linked by ready_link */
   int64_t n_listed;
+  size_t n_abandoned;    /* number of items that were abandoned */
   size_t retained_bytes; /* total size of the texts that stay in memory after their results were
                             stored */
   const LcBatchResult **results_in_write;
--- a/packages/core/src/batch/lc-batch.c
+++ b/packages/core/src/batch/lc-batch.c
@@ -116,12 +116,37 @@
 }
 
 void
-lc_batch_mark_item_result_stored (LcBatch *batch, const char *item_id)
+lc_batch_mark_item_result_stored (LcBatch *batch, const char *item_id, bool completed)
 {
   batch->n_listed++;
   for (size_t i = 0; i < batch->spec.n_items; i++)
     if (strcmp (batch->spec.items[i].request.id, item_id) == 0)
-      batch->items[i].state = ITEM_LISTED;
+      {
+        batch->items[i].state = ITEM_LISTED;
+        batch->items[i].is_abandoned = !completed;
+        batch->n_abandoned += !completed;
+      }
+}
+
+static bool
+are_items_in_same_group (const LcBatch *batch, const LcBatchItem *a, const LcBatchItem *b)
+{
+  const char *group = batch->spec.items[lc_batch_find_item_index (batch, a)].group;
+
+  return group[0]
+         && strcmp (group, batch->spec.items[lc_batch_find_item_index (batch, b)].group) == 0;
+}
+
+/* Whether the item's group can't be completed, because one of its items was abandoned. */
+static bool
+is_group_incomplete (const LcBatch *batch, const LcBatchItem *item)
+{
+  if (batch->n_abandoned == 0 || !lb_switch_is_on (LB_SWITCH_GROUP_ORDER))
+    return false;
+  for (size_t i = 0; i < batch->spec.n_items; i++)
+    if (batch->items[i].is_abandoned && are_items_in_same_group (batch, item, &batch->items[i]))
+      return true;
+  return false;
 }
 
 /* --- generation and scoring --- */
@@ -172,6 +197,43 @@
       lc_batch_events_to_tokens (batch, 1));
   action->due_at = batch->settings.due_at;
   action->latest_start = compute_latest_generation_start (batch, action->remaining_events);
+  action->is_group_incomplete = is_group_incomplete (batch, item);
+}
+
+/* Requests the texts of the item's group again, so that they run after those of other groups. Texts
+ * that have begun are left alone. */
+static void
+postpone_texts_of_incomplete_group (LcBatch *batch,
+                                    const LcBatchItem *abandoned,
+                                    LbTime now,
+                                    LbList *actions)
+{
+  int64_t n_postponed = 0;
+
+  if (!lb_switch_is_on (LB_SWITCH_GROUP_ORDER))
+    return;
+  for (size_t i = 0; i < batch->spec.n_items; i++)
+    {
+      LcBatchItem *item = &batch->items[i];
+      if (item->state != ITEM_GENERATING || item->first_piece_at != 0 || item->is_preempted
+          || !are_items_in_same_group (batch, abandoned, item))
+        continue;
+      lc_batch_cancel_item_request (item, actions);
+      start_item_generation (batch, item, now, actions);
+      n_postponed++;
+    }
+  lb_log (LB_LOG_INFO, "group_incomplete", LB_TEXT ("batch", batch->spec.id),
+          LB_TEXT ("group", batch->spec.items[lc_batch_find_item_index (batch, abandoned)].group),
+          LB_TEXT ("item", abandoned->result.item), LB_INT ("postponed", n_postponed));
+}
+
+static void
+abandon_item (LcBatch *batch, LcBatchItem *item, LbTime now, LbList *actions)
+{
+  item->is_abandoned = true;
+  batch->n_abandoned++;
+  lc_batch_queue_result_for_write (batch, item, false, actions);
+  postpone_texts_of_incomplete_group (batch, item, now, actions);
 }
 
 static void
@@ -363,7 +425,7 @@
       lb_log (LB_LOG_INFO, "item_given_up", LB_TEXT ("batch", batch->spec.id),
               LB_TEXT ("item", item->result.item), LB_TEXT ("error", lb_error_name (error)),
               LB_INT ("failures", item->failures));
-      lc_batch_queue_result_for_write (batch, item, false, actions);
+      abandon_item (batch, item, now, actions);
       return;
     }
   if (item->is_unusable || !batch->settings.resumable)
@@ -394,7 +456,7 @@
     {
       lb_log (LB_LOG_INFO, "item_not_scored", LB_TEXT ("batch", batch->spec.id),
               LB_TEXT ("item", item->result.item), LB_INT ("failures", item->score_failures));
-      lc_batch_queue_result_for_write (batch, item, false, actions);
+      abandon_item (batch, item, now, actions);
       return;
     }
   lc_batch_item_schedule_retry (item, ITEM_GENERATED, now);
--- a/packages/core/tests/test-batch.c
+++ b/packages/core/tests/test-batch.c
@@ -18,6 +18,7 @@
   LcRequestId generating[MAX_ITEMS]; /* latest generation request of each item; 0: none */
   int64_t resume_at[MAX_ITEMS];
   LbTime latest_start[MAX_ITEMS];
+  bool is_group_incomplete[MAX_ITEMS];
   LcRequestId scoring[MAX_ITEMS];
   int n_cancelled;
   int n_preempted;
@@ -81,6 +82,7 @@
           f->generating[action->item_index] = action->request;
           f->resume_at[action->item_index] = action->resume_at;
           f->latest_start[action->item_index] = action->latest_start;
+          f->is_group_incomplete[action->item_index] = action->is_group_incomplete;
           break;
         case LC_BATCH_SCORE:
           f->scoring[action->item_index] = action->request;
@@ -300,6 +302,58 @@
   fixture_clear (&f);
 }
 
+static void
+put_items_into_groups_of_three (Fixture *f)
+{
+  LcBatchSpec *spec = (LcBatchSpec *)lc_batch_get_spec (f->batch);
+
+  for (size_t i = 0; i < spec->n_items; i++)
+    snprintf (spec->items[i].group, LB_NAME_MAX, "group-%zu", i / 3);
+}
+
+/* An item is abandoned, so its group can't be completed, and the trainer waits for other groups.
+ * The waiting texts of the group must be requested again as the last ones; a text that has begun
+ * must continue, and other groups must not be disturbed. */
+Test (batch, texts_of_incomplete_groups_run_last)
+{
+  Fixture f;
+
+  fixture_init (&f, 6, false, (LcBatchSettings){ .resumable = true });
+  put_items_into_groups_of_three (&f);
+  start_batch (&f);
+  add_streamed_event (&f, 1, 5, "begun");
+  LcRequestId begun = f.generating[1];
+  LcRequestId waiting = f.generating[2];
+  LcRequestId other = f.generating[3];
+  finish_generation (&f, 0, LB_ERROR_REJECTED);
+  cr_assert_eq (f.generating[1], begun);
+  cr_assert_neq (f.generating[2], waiting);
+  cr_assert (f.is_group_incomplete[2]);
+  cr_assert_eq (f.n_cancelled, 1);
+  cr_assert_eq (f.generating[3], other);
+  cr_assert_not (f.is_group_incomplete[3]);
+
+  finish_generation (&f, 1, LB_ERROR_STREAM_BROKEN);
+  advance_time_and_tick_batch (&f, LB_SEC);
+  cr_assert (f.is_group_incomplete[1], "a text that is retried runs last too");
+  fixture_clear (&f);
+}
+
+/* The next owner of the batch finds the abandoned item in the store. */
+Test (batch, next_owner_runs_texts_of_incomplete_groups_last)
+{
+  Fixture f;
+
+  fixture_init (&f, 6, false, (LcBatchSettings){ .resumable = true });
+  put_items_into_groups_of_three (&f);
+  lc_batch_mark_item_result_stored (f.batch, "item-0", false);
+  lc_batch_mark_item_result_stored (f.batch, "item-3", true);
+  start_batch (&f);
+  cr_assert (f.is_group_incomplete[1] && f.is_group_incomplete[2]);
+  cr_assert_not (f.is_group_incomplete[4] || f.is_group_incomplete[5]);
+  fixture_clear (&f);
+}
+
 Test (batch, rejected_item_is_abandoned_at_once)
 {
   Fixture f;
@@ -342,8 +396,8 @@
   Fixture f;
 
   fixture_init (&f, 4, false, (LcBatchSettings){ .resumable = true });
-  lc_batch_mark_item_result_stored (f.batch, "item-0");
-  lc_batch_mark_item_result_stored (f.batch, "item-3");
+  lc_batch_mark_item_result_stored (f.batch, "item-0", true);
+  lc_batch_mark_item_result_stored (f.batch, "item-3", true);
   lc_batch_restore_checkpointed_text (f.batch, &part);
   start_batch (&f);
   cr_assert_eq (f.generating[0], 0);
--- a/packages/node/src/batch/ln-batch-load.c
+++ b/packages/node/src/batch/ln-batch-load.c
@@ -102,13 +102,15 @@
 
   if (!end_load_unless_read_succeeded (load, error))
     return;
-  saved->finished_items = LB_NEW_ARRAY (LbName, n_rows + 1);
+  saved->finished_items = LB_NEW_ARRAY (LnFinishedItem, n_rows + 1);
   for (size_t i = 0; i < n_rows; i++)
     {
+      LnFinishedItem *item = &saved->finished_items[saved->n_finished_items++];
       LcBatchResult result;
       size_t n_chunks;
       ln_batch_result_from_row (&rows[i], &result, &n_chunks);
-      lb_strlcpy (saved->finished_items[saved->n_finished_items++], result.item, LB_NAME_MAX);
+      LB_COPY (item->id, result.item);
+      item->completed = result.completed;
       lc_batch_result_clear (&result);
     }
   ln_batch_format_checkpoint_prefix (load->batch->id, prefix);
--- a/packages/node/src/batch/ln-batch-owner.c
+++ b/packages/node/src/batch/ln-batch-owner.c
@@ -12,6 +12,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Priority of texts of groups that can't be completed; other texts have 0. */
+#define INCOMPLETE_GROUP_PRIORITY (-1)
 #define DEFAULT_MAX_ITEM_ATTEMPTS 3
 /* A text that has no first event after this time is hedged on a second engine. The first event
  * usually takes 0.15 s. Without the hedge, an unresponsive engine delays the text until its stream
@@ -127,6 +129,7 @@
           .failure_is_final = true,
           .hedge_after = lb_switch_is_on (LB_SWITCH_HEDGING) ? TEXT_HEDGE_DELAY : 0,
           .organisation_priority = (int)batch->head.organisation_priority,
+          .priority = action->is_group_incomplete ? INCOMPLETE_GROUP_PRIORITY : 0,
           .latest_start = action->latest_start,
           .soft_deadline = action->due_at,
           .prompt_tokens = item->prompt_tokens,
@@ -525,7 +528,8 @@
   ln_batches_publish_ownership (batch->batches, true);
   batch->run = lc_batch_new (spec, &settings);
   for (size_t i = 0; i < saved->n_finished_items; i++)
-    lc_batch_mark_item_result_stored (batch->run, saved->finished_items[i]);
+    lc_batch_mark_item_result_stored (batch->run, saved->finished_items[i].id,
+                                      saved->finished_items[i].completed);
   for (size_t i = 0; i < saved->n_parts; i++)
     lc_batch_restore_checkpointed_text (batch->run, &saved->parts[i]);
   lb_list_init (&actions);
--- a/packages/node/src/batch/ln-batches-private.h
+++ b/packages/node/src/batch/ln-batches-private.h
@@ -81,10 +81,17 @@
   UT_hash_handle hh;
 } LnBatch;
 
+/* An item whose result is in the store. */
+typedef struct
+{
+  LbName id;
+  bool completed; /* false: the item was abandoned */
+} LnFinishedItem;
+
 /* Progress of a batch that its earlier owners saved in the store. */
 typedef struct
 {
-  LbName *finished_items; /* ids of the items that have a result, ordered by result position */
+  LnFinishedItem *finished_items; /* items that have a result, ordered by result position */
   size_t n_finished_items;
   LcBatchTextPart *parts; /* checkpointed parts of incomplete texts */
   size_t n_parts;
