--- a/packages/core/tests/test-admission.c
+++ b/packages/core/tests/test-admission.c
@@ -260,9 +260,10 @@
   fixture_clear (&f);
 }
 
-/* A call that can't be answered before its deadline is refused at once with a retry hint of about the
- * time by which its answer would be late, so that its caller can go elsewhere. A call with a later deadline is admitted, and
- * so is a call of a caller without queued calls, which has fewer requests ahead. */
+/* A call that can't be answered before its deadline is refused at once with a retry hint of about
+ * the time by which its answer would be late, so that its caller can go elsewhere. A call with a
+ * later deadline is admitted, and so is a call of a caller without queued calls, which has fewer
+ * requests ahead. */
 Test (admission, calls_that_would_miss_their_deadline_are_refused_early)
 {
   Fixture f;
