--- a/packages/core/include/lc-batch-head.h
+++ b/packages/core/include/lc-batch-head.h
@@ -21,6 +21,7 @@
   bool ended;
   int64_t n_items;
   LbName model;
+  int64_t due_ms;          /* store's clock by which the batch is needed; 0: unknown */
   int64_t expected_tokens; /* expected total length of the batch's texts */
   /* Instance that should take over the batch from the instance that accepted it or that released
    * it. One instance runs all batches of a model, so that its connections to the engines are
@@ -44,5 +45,9 @@
                                                  int64_t row_version_a,
                                                  const LcBatchHead *b,
                                                  int64_t row_version_b);
+/* Compares two rows by the order in which an instance claims their batches if several have no
+ * owner: the one that is due first comes first. Returns a negative number, 0 or a positive number.
+ */
+int lc_batch_head_compare_by_due_time (const LcBatchHead *a, const LcBatchHead *b);
 
 #endif
--- a/packages/core/include/lc-batch-takeover.h
+++ b/packages/core/include/lc-batch-takeover.h
@@ -67,4 +67,9 @@
  * batch, or as the instance to which the batch's first owner, in epoch 1, offers it. */
 bool lc_batch_is_offered_to (const LcBatchHead *head, const char *self);
 
+/* Whether a release whose outcome is unknown may be written again. row: the latest known row of the
+ * batch. The row may show that the release took effect, or that another instance has claimed the
+ * batch since; a second release would then take the batch from that instance. */
+bool lc_batch_can_repeat_release (const LcBatchHead *row, const LcBatchHead *release);
+
 #endif
--- a/packages/core/src/batch/lc-batch-head.c
+++ b/packages/core/src/batch/lc-batch-head.c
@@ -24,6 +24,8 @@
   json_object_object_add (object, "total", json_object_new_int64 (head->n_items));
   json_object_object_add (object, "model", json_object_new_string (head->model));
   json_object_object_add (object, "tokens", json_object_new_int64 (head->expected_tokens));
+  if (head->due_ms > 0)
+    json_object_object_add (object, "due_ms", json_object_new_int64 (head->due_ms));
   json_object_object_add (object, "preferred", json_object_new_string (head->preferred_instance));
   if (head->organisation[0])
     {
@@ -50,6 +52,7 @@
   head->n_items = lb_json_int (object, "total", 0);
   LB_COPY (head->model, lb_json_text (object, "model", ""));
   head->expected_tokens = lb_json_int (object, "tokens", 0);
+  head->due_ms = lb_json_int (object, "due_ms", 0);
   LB_COPY (head->preferred_instance, lb_json_text (object, "preferred", ""));
   LB_COPY (head->organisation, lb_json_text (object, "organisation", ""));
   head->organisation_priority = lb_json_int (object, "organisation_priority", 0);
@@ -79,3 +82,13 @@
 {
   return a->ended != b->ended ? b->ended : row_version_a > row_version_b;
 }
+
+/* Rows of previous builds tell no due time. They come first, since they are older than the others.
+ */
+int
+lc_batch_head_compare_by_due_time (const LcBatchHead *a, const LcBatchHead *b)
+{
+  if (a->due_ms != b->due_ms)
+    return a->due_ms < b->due_ms ? -1 : 1;
+  return strcmp (a->batch, b->batch);
+}
--- a/packages/core/src/batch/lc-batch-takeover.c
+++ b/packages/core/src/batch/lc-batch-takeover.c
@@ -85,3 +85,10 @@
   return (head->epoch == 1 || !head->owner[0]) && !head->ended
          && strcmp (head->preferred_instance, self) == 0;
 }
+
+bool
+lc_batch_can_repeat_release (const LcBatchHead *row, const LcBatchHead *release)
+{
+  return !row->ended && row->epoch == release->epoch
+         && strcmp (row->owner, release->released_by) == 0;
+}
--- a/packages/core/tests/test-batch-head.c
+++ b/packages/core/tests/test-batch-head.c
@@ -16,6 +16,7 @@
   LB_COPY (head.path, "/r/b1");
   LB_COPY (head.released_by, "b");
   head.released_ms = 5;
+  head.due_ms = 9000;
   struct json_object *object = lc_batch_head_to_json (&head);
   cr_assert (lc_batch_head_from_json (object, &read));
   struct json_object *again = lc_batch_head_to_json (&read);
@@ -75,3 +76,18 @@
   cr_assert (lc_batch_head_has_next_batch_priority_over (&running, 9, &running, 5));
   cr_assert (lc_batch_head_has_next_batch_priority_over (&ended, 9, &ended, 5));
 }
+
+/* After a loss of power of all instances, an instance claims several batches at once. A batch that
+ * is due later must not be loaded before one that its trainer already waits for. */
+Test (batch_head, batches_are_ordered_by_due_time)
+{
+  const LcBatchHead unknown = { .batch = "z" };
+  const LcBatchHead early = { .batch = "y", .due_ms = 5 };
+  const LcBatchHead late = { .batch = "a", .due_ms = 6 };
+  const LcBatchHead late_too = { .batch = "b", .due_ms = 6 };
+
+  cr_assert_lt (lc_batch_head_compare_by_due_time (&unknown, &early), 0);
+  cr_assert_lt (lc_batch_head_compare_by_due_time (&early, &late), 0);
+  cr_assert_gt (lc_batch_head_compare_by_due_time (&late, &early), 0);
+  cr_assert_lt (lc_batch_head_compare_by_due_time (&late, &late_too), 0);
+}
--- a/packages/core/tests/test-batch-takeover.c
+++ b/packages/core/tests/test-batch-takeover.c
@@ -115,3 +115,19 @@
   head.ended = true;
   cr_assert_not (lc_batch_is_offered_to (&head, "b"));
 }
+
+/* The answer to a release is lost. If the row shows meanwhile that the release took effect, and
+ * that the next owner claimed the batch, a second release would take the batch from its new owner.
+ */
+Test (batch_takeover, release_is_repeated_only_while_the_row_shows_the_old_owner)
+{
+  const LcBatchHead claimed = { .owner = "b", .incarnation = "b1", .epoch = 3 };
+  const LcBatchHead reclaimed = { .owner = "a", .incarnation = "a1", .epoch = 3 };
+  const LcBatchHead ended = { .owner = "a", .incarnation = "a1", .epoch = 2, .ended = true };
+
+  cr_assert (lc_batch_can_repeat_release (&owned, &released));
+  cr_assert_not (lc_batch_can_repeat_release (&released, &released));
+  cr_assert_not (lc_batch_can_repeat_release (&claimed, &released));
+  cr_assert_not (lc_batch_can_repeat_release (&reclaimed, &released));
+  cr_assert_not (lc_batch_can_repeat_release (&ended, &released));
+}
--- a/packages/node/src/batch/ln-batch-handover.c
+++ b/packages/node/src/batch/ln-batch-handover.c
@@ -194,16 +194,14 @@
                       on_batch_release_written);
 }
 
-/* Writes the release again if its outcome is unknown. The watch may have shown meanwhile that it
- * took effect; another instance may even own the batch, and must not lose it to a second release.
- */
+/* Writes the release again if its outcome is unknown. */
 void
 ln_batch_retry_release_if_due (LnBatch *batch, LbTime now)
 {
   if (batch->state != LN_BATCH_RELEASING || batch->is_release_in_progress
       || now < batch->release_retry_at)
     return;
-  if (ln_batch_is_owned (batch) && batch->head.epoch == batch->pending_head.epoch)
+  if (lc_batch_can_repeat_release (&batch->head, &batch->pending_head))
     write_release (batch);
   else
     end_release (batch, LB_ERROR_CONDITION_FAILED);
--- a/packages/node/src/batch/ln-batch-heads.c
+++ b/packages/node/src/batch/ln-batch-heads.c
@@ -25,6 +25,10 @@
 /* Time for the preferred instance to claim an offered batch; longer than several store round
  * trips. */
 #define BATCH_OFFER_TIMEOUT (300 * LB_MSEC)
+/* Bound on the claims in one tick. There are fewer open batches than this, except after a failure
+ * of many instances; the rest are claimed at the next ticks. */
+#define MAX_CLAIMS_PER_TICK 64
+
 static unsigned
 compute_batch_partition (const char *id)
 {
@@ -70,8 +74,8 @@
   snprintf (key, LN_BATCH_KEY_SIZE, "batch-%s", id);
 }
 
-bool
-ln_batch_is_owned (const LnBatch *batch)
+static bool
+is_owned_by_this_process (const LnBatch *batch)
 {
   const LnContext *context = batch->batches->context;
 
@@ -103,11 +107,18 @@
 void
 ln_batch_load_and_run_if_owned (LnBatch *batch)
 {
-  if (batch->state == LN_BATCH_NOT_OWNED && ln_batch_is_owned (batch) && !batch->head.ended)
+  if (batch->state == LN_BATCH_NOT_OWNED && is_owned_by_this_process (batch) && !batch->head.ended)
     load_owned_batch (batch);
 }
 
-static void claim_batch (LnBatch *batch, LcTakeoverReason reason);
+/* Whether the row offers the batch to this instance, which accepts the offer by claiming it. */
+static bool
+is_offered_to_this_instance (const LnBatch *batch)
+{
+  return batch->state == LN_BATCH_NOT_OWNED && !batch->batches->draining
+         && !is_owned_by_this_process (batch)
+         && lc_batch_is_offered_to (&batch->head, batch->batches->context->instance);
+}
 
 static void
 start_or_stop_run_after_row_change (LnBatch *batch, const LcBatchHead *old_head)
@@ -123,11 +134,11 @@
    * took effect. The current run was started under the previous version of the row, so all its
    * writes of results would fail. */
   if (is_batch_loading_running_or_offered (batch)
-      && (batch->head.ended || !ln_batch_is_owned (batch) || batch->head.epoch != old_head->epoch))
+      && (batch->head.ended || !is_owned_by_this_process (batch)
+          || batch->head.epoch != old_head->epoch))
     ln_batch_owner_stop_run (batch);
-  if (batch->state == LN_BATCH_NOT_OWNED && !ln_batch_is_owned (batch) && !batch->batches->draining
-      && lc_batch_is_offered_to (&batch->head, batch->batches->context->instance))
-    claim_batch (batch, LC_TAKEOVER_OFFERED);
+  batch->is_offer_new = is_offered_to_this_instance (batch);
+  batch->batches->has_new_offer |= batch->is_offer_new;
   ln_batch_load_and_run_if_owned (batch);
 }
 
@@ -461,30 +472,66 @@
   claim_batch (batch, LC_TAKEOVER_OFFER_EXPIRED);
 }
 
-/* Claims a batch whose owner is not alive or whose offer expired. Candidates are ranked by the
- * model, so that one instance runs all batches of a model over one set of connections to the
- * engines. If the old owner was only paused, its conditional writes fail, so it cannot record more
- * results. */
-static void
-claim_batch_if_unowned_or_offer_expired (LnBatch *batch, LbTime now)
+/* Whether this instance should claim a batch that is offered to it or whose owner is not alive.
+ * Candidates are ranked by the model, so that one instance runs all batches of a model over one set
+ * of connections to the engines. If the old owner was only paused, its conditional writes fail, so
+ * it cannot record more results. */
+static bool
+is_claim_due (LnBatch *batch, LbTime now, LcTakeoverReason *reason)
 {
-  if (batch->state == LN_BATCH_OFFERED && now >= batch->offer_expires_at)
-    claim_batch_after_offer_expired (batch);
+  const LnBatches *batches = batch->batches;
+
+  *reason = LC_TAKEOVER_OFFERED;
+  if (batch->is_offer_new && is_offered_to_this_instance (batch))
+    return true;
   if (batch->state != LN_BATCH_NOT_OWNED || batch->head.ended || batch->version == 0
-      || batch->batches->members_change_count == 0 || batch->batches->draining
+      || batches->members_change_count == 0 || batches->draining
       || !is_batch_owner_missing (batch, now))
     {
       batch->owner_gone_since = 0;
-      return;
+      return false;
     }
   if (batch->owner_gone_since == 0)
     batch->owner_gone_since = now;
   const LcTakeover takeover
-      = lc_batch_plan_takeover (&batch->head, batch->owner_state, batch->batches->context->instance,
+      = lc_batch_plan_takeover (&batch->head, batch->owner_state, batches->context->instance,
                                 is_next_owner_available (batch),
                                 ln_batch_get_rank_of_this_instance (batch, batch->head.model));
-  if (now - batch->owner_gone_since >= takeover.delay)
-    claim_batch (batch, takeover.reason);
+  *reason = takeover.reason;
+  return now - batch->owner_gone_since >= takeover.delay;
+}
+
+typedef struct
+{
+  LnBatch *batch;
+  LcTakeoverReason reason;
+} DueClaim;
+
+static int
+compare_claims_by_due_time (const void *a, const void *b)
+{
+  return lc_batch_head_compare_by_due_time (&((const DueClaim *)a)->batch->head,
+                                            &((const DueClaim *)b)->batch->head);
+}
+
+/* Claims the batches that lack an owner or are offered to this instance, those first that are due
+ * first, since they are loaded in the order of the claims. */
+static void
+claim_due_batches (LnBatches *batches, LbTime now)
+{
+  DueClaim claims[MAX_CLAIMS_PER_TICK];
+  size_t n = 0;
+
+  batches->has_new_offer = false;
+  for (LnBatch *batch = batches->by_id; batch && n < MAX_CLAIMS_PER_TICK; batch = batch->hh.next)
+    if (is_claim_due (batch, now, &claims[n].reason))
+      claims[n++].batch = batch;
+  qsort (claims, n, sizeof claims[0], compare_claims_by_due_time);
+  for (size_t i = 0; i < n; i++)
+    {
+      claims[i].batch->is_offer_new = false;
+      claim_batch (claims[i].batch, claims[i].reason);
+    }
 }
 
 /* Offers the batch to the preferred instance. If the offer times out, this instance claims the
@@ -523,8 +570,12 @@
 static void
 on_batch_rows_changed (const LpRow *rows, size_t n_rows, void *user)
 {
+  LnBatches *batches = user;
+
   for (size_t i = 0; i < n_rows; i++)
-    update_or_remove_batch_from_row (user, &rows[i]);
+    update_or_remove_batch_from_row (batches, &rows[i]);
+  if (batches->has_new_offer)
+    claim_due_batches (batches, lb_clock_monotonic ());
 }
 
 void
@@ -553,8 +604,10 @@
 {
   for (LnBatch *batch = batches->by_id; batch; batch = batch->hh.next)
     {
-      claim_batch_if_unowned_or_offer_expired (batch, now);
+      if (batch->state == LN_BATCH_OFFERED && now >= batch->offer_expires_at)
+        claim_batch_after_offer_expired (batch);
       ln_batch_retry_release_if_due (batch, now);
     }
+  claim_due_batches (batches, now);
   lp_follow_start_call_if_due (batches->row_watch, now);
 }
--- a/packages/node/src/batch/ln-batch-owner.c
+++ b/packages/node/src/batch/ln-batch-owner.c
@@ -60,12 +60,18 @@
   free (request);
 }
 
+const LcRoute *
+ln_batches_find_route (const LnBatches *batches, const LcBatchHead *head)
+{
+  const LcDesired *desired = batches->admission_state.desired;
+
+  return desired ? lc_desired_match_route (desired, head->host, head->path) : NULL;
+}
+
 static const LcRoute *
 find_batch_route (const LnBatch *batch)
 {
-  const LcDesired *desired = batch->batches->admission_state.desired;
-
-  return desired ? lc_desired_match_route (desired, batch->head.host, batch->head.path) : NULL;
+  return ln_batches_find_route (batch->batches, &batch->head);
 }
 
 static int64_t
--- a/packages/node/src/batch/ln-batch-submit.c
+++ b/packages/node/src/batch/ln-batch-submit.c
@@ -170,6 +170,17 @@
   return tokens;
 }
 
+/* Returns the store's clock by which the trainer needs the batch; 0 if the clock is not known. */
+static int64_t
+compute_due_ms (const LnBatchCall *call)
+{
+  const LcRoute *route = ln_batches_find_route (call->batches, &call->head);
+  LbTime due_after = route ? route->due_after : 0;
+
+  return lp_platform_get_store_clock_ms_at (call->batches->context->platform,
+                                            lb_clock_monotonic () + due_after);
+}
+
 void
 ln_batch_submit_new_batch (LnBatchCall *call, const LnInbound *in)
 {
@@ -200,6 +211,7 @@
   LB_COPY (call->head.path, ln_exchange_path (call->exchange));
   LB_COPY (call->head.model, call->spec.model);
   call->head.expected_tokens = sum_expected_tokens (&call->spec);
+  call->head.due_ms = compute_due_ms (call);
   ln_batches_choose_next_owner (call->batches, call->spec.model, call->head.preferred_instance);
   call->head.epoch = 1;
   call->head.n_items = (int64_t)call->spec.n_items;
--- a/packages/node/src/batch/ln-batches-private.h
+++ b/packages/node/src/batch/ln-batches-private.h
@@ -56,8 +56,9 @@
   LbName id; /* key of LnBatches.by_id */
   LnBatches *batches;
   LcBatchHead head;
-  int64_t version;               /* version of the row; 0 if the row is not known */
-  LcBatchHead pending_head;      /* the row that is being written while CLAIMING or RELEASING */
+  int64_t version;          /* version of the row; 0 if the row is not known */
+  LcBatchHead pending_head; /* the row that is being written while CLAIMING or RELEASING */
+  bool is_offer_new; /* the row offers the batch to this instance, which has not claimed it yet */
   LcTakeoverReason claim_reason; /* why the batch is claimed; used while CLAIMING */
   LnBatchState state;
   LcBatch *run; /* state machine of the batch while RUNNING; else NULL */
@@ -121,6 +122,7 @@
   LbList calls;                           /* list of the LnBatchCall in progress */
   LpFollow *row_watch;                    /* watch of the rows of all batches */
   bool owns_any;            /* last posted LN_DUTY_BATCHES: this instance owns a batch */
+  bool has_new_offer;       /* a row that the watch reported offers its batch to this instance */
   bool draining;            /* set while this instance shuts down */
   LcRollingRestart restart; /* what this instance has seen of a rolling restart */
 };
@@ -168,8 +170,6 @@
 void ln_batch_load_and_run_if_owned (LnBatch *batch);
 void ln_batches_start_row_watch (LnBatches *batches);
 void ln_batches_claim_unowned_and_tick_watch (LnBatches *batches, LbTime now);
-/* Whether this instance owns the batch, according to the latest known row. */
-bool ln_batch_is_owned (const LnBatch *batch);
 /* Returns the batch's row, or the row that this instance is about to write instead. */
 const LcBatchHead *ln_batch_get_latest_head (const LnBatch *batch);
 /* Writes head as the batch's row, and more_puts, on the condition that the batch's row is
@@ -234,6 +234,8 @@
 /* Frees the keys and values of n puts, but not the array. */
 void ln_batch_owner_free_put_strings (LpPut *puts, size_t n);
 void ln_batch_owner_stop_run (LnBatch *batch);
+/* Returns the route of the batch's host and path; NULL if there is none. */
+const LcRoute *ln_batches_find_route (const LnBatches *batches, const LcBatchHead *head);
 void ln_batch_owner_run_due_actions (LnBatch *batch, LbTime now);
 void ln_batch_owner_receive_text_piece (LnBatches *batches, const LnSamplePieceMessage *message);
 void ln_batch_owner_finish_request (LnBatches *batches, const LnSampleDoneMessage *message);
