--- a/packages/core/tests/test-batch-head.c
+++ b/packages/core/tests/test-batch-head.c
@@ -91,3 +91,21 @@
   cr_assert_gt (lc_batch_head_compare_by_due_time (&late, &early), 0);
   cr_assert_lt (lc_batch_head_compare_by_due_time (&late, &late_too), 0);
 }
+
+/* During an upgrade, instances of the previous build read and write the same rows. A row without
+ * the newer fields must be read as one that tells neither who released the batch nor when it is
+ * due. */
+Test (batch_head, row_of_the_previous_build_is_read)
+{
+  struct json_object *object = json_tokener_parse (
+      "{\"batch\": \"b1\", \"owner\": \"\", \"incarnation\": \"\", \"epoch\": 2, \"ended\": false,"
+      " \"total\": 8, \"model\": \"m\", \"tokens\": 9, \"preferred\": \"a\", \"host\": \"h\", "
+      "\"path\": \"/\"}");
+  LcBatchHead head;
+
+  cr_assert (lc_batch_head_from_json (object, &head));
+  cr_assert_str_eq (head.released_by, "");
+  cr_assert_eq (head.released_ms, 0);
+  cr_assert_eq (head.due_ms, 0);
+  json_object_put (object);
+}
--- a/packages/core/tests/test-fleet.c
+++ b/packages/core/tests/test-fleet.c
@@ -314,3 +314,31 @@
   cr_assert_not (lc_fleet_row_from_json (object, &second));
   json_object_put (object);
 }
+
+/* The start time shows which instances a rolling restart has already restarted. It may become known
+ * only after the first row was written, and other instances must be told then. A row of the
+ * previous build has none. */
+Test (fleet, start_time_of_an_instance_is_passed_on)
+{
+  LcFleet *fleet = lc_fleet_new ("a");
+  LcFleetRow row = make_fleet_row ("b", "1");
+  LcFleetRow read;
+  struct json_object *object = lc_fleet_row_to_json (&row);
+
+  cr_assert (lc_fleet_row_from_json (object, &read));
+  cr_assert_eq (read.started_ms, 0);
+  json_object_put (object);
+  for (int64_t version = 1; version <= 2; version++)
+    {
+      lc_fleet_begin_list (fleet, &(LcFleetList){ .received_at = version * LB_SEC });
+      row.started_ms = version == 2 ? 7000 : 0;
+      lc_fleet_add_row (fleet, &row, version, version * LB_SEC);
+      cr_assert (lc_fleet_finish_list (fleet, version * LB_SEC));
+    }
+  char *text = lc_fleet_member_to_text (lc_fleet_member_at (fleet, 0));
+  LcFleetMember member;
+  cr_assert (lc_fleet_member_from_text (text, &member));
+  cr_assert_eq (member.row.started_ms, 7000);
+  free (text);
+  lc_fleet_free (fleet);
+}
--- a/packages/core/tests/test-lease.c
+++ b/packages/core/tests/test-lease.c
@@ -829,3 +829,27 @@
              "expected orders after the end of reacquire_delay, but they are not allowed");
   lc_lease_free (lease);
 }
+
+/* During an upgrade, instances of the previous build release leases without naming the next holder,
+ * and drop the newer fields when they renew a row. */
+Test (lease, a_row_of_the_previous_build_names_no_next_holder)
+{
+  LcLeaseRow row;
+
+  cr_assert (lc_lease_row_from_text ("{\"holder\":\"h\",\"incarnation\":\"i\",\"fence\":1,"
+                                     "\"renewal\":1,\"released\":true}",
+                                     &row));
+  cr_assert_str_eq (row.next_holder, "");
+  cr_assert_str_eq (row.previous_holder, "");
+  cr_assert_eq (row.quiet_ms, 0);
+  LB_COPY (row.next_holder, "n");
+  LB_COPY (row.previous_holder, "p");
+  row.quiet_ms = 5;
+  struct json_object *object = lc_lease_row_to_json (&row);
+  LcLeaseRow again;
+  cr_assert (lc_lease_row_from_text (json_object_to_json_string (object), &again));
+  cr_assert_str_eq (again.next_holder, "n");
+  cr_assert_str_eq (again.previous_holder, "p");
+  cr_assert_eq (again.quiet_ms, 5);
+  json_object_put (object);
+}
