core/dispatch: hedges don't wait; the learned batch cost needs uneven paces

Cause: a hedge has no waiting time of its own, so it could be postponed for as long as a faster engine was full. The batch cost learned from streams also changed the balance of load and cached prefixes in pools of equally fast engines.

Change: LcRouteQuery.is_hedge; the learned batch cost counts only if the group's lasting values differ by more than 30%.

Tests: core-test-uneven 9 (hedge_does_not_wait_for_a_faster_engine fails without the check), core-test-stream-pace 9, core-test-endpoint-condition 6, all pass.

--- a/packages/core/include/lc-router.h
+++ b/packages/core/include/lc-router.h
@@ -20,6 +20,8 @@
   LcVersion min_version; /* oldest acceptable weight version; 0: any */
   /* endpoints whose last load report is older than this time are excluded; 0: none is excluded */
   LbTime reported_since;
+  bool is_hedge; /* the request already runs at another endpoint, and does not wait for a faster one
+                  */
   /* number of requests ahead in the queue that wait for a faster endpoint to become free */
   size_t n_waiting_ahead;
   /* when the request first waited for a faster endpoint; LB_TIME_NEVER: it has not; 0: not known,
--- a/packages/core/src/dispatch/lc-candidates.c
+++ b/packages/core/src/dispatch/lc-candidates.c
@@ -300,7 +300,7 @@
   gather_group_candidates (candidates, endpoints, group, &inputs, &counts);
   candidates->reason = candidates->n_items > 0 ? NULL : find_reason_without_candidates (&counts);
   if (candidates->n_items > 0 && inputs.has_lasting_paces && query->kind == LC_KIND_SAMPLE
-      && lb_switch_is_on (LB_SWITCH_FULL_PACE)
+      && !query->is_hedge && lb_switch_is_on (LB_SWITCH_FULL_PACE)
       && is_waiting_for_faster_engine_better (candidates, endpoints, group, &inputs))
     {
       candidates->n_items = 0;
--- a/packages/core/src/dispatch/lc-request.c
+++ b/packages/core/src/dispatch/lc-request.c
@@ -151,6 +151,7 @@
     .soft_deadline = request->soft_deadline,
     .submitted = request->submitted,
     .min_version = request->min_version,
+    .is_hedge = !lb_list_is_empty (&request->attempts),
     .waiting_since
     = request->awaits_faster_since > 0 ? request->awaits_faster_since : LB_TIME_NEVER,
     .live_reserve = request->pool->live_reserve,
--- a/packages/core/src/dispatch/lc-router-finish-time.c
+++ b/packages/core/src/dispatch/lc-router-finish-time.c
@@ -91,8 +91,8 @@
     .query = query,
     .cached_shares = lc_policy_compute_cached_prompt_shares (policy, endpoints, query, now),
     .mean_service_seconds = seconds > 0 ? seconds : DEFAULT_SERVICE_SECONDS,
-    .full_batch_slowdown
-    = group->stream_slowdown > 0 ? group->stream_slowdown : group->batch_slowdown,
+    .full_batch_slowdown = group->is_uneven && group->stream_slowdown > 0 ? group->stream_slowdown
+                                                                          : group->batch_slowdown,
     .expected_tokens = (double)tokens,
     .data_centre = lc_endpoints_find_data_centre (endpoints, query->data_centre),
     .now = now,
--- a/packages/core/src/endpoints/lc-endpoint-table.h
+++ b/packages/core/src/endpoints/lc-endpoint-table.h
@@ -92,6 +92,7 @@
   /* median of the endpoints' lasting seconds per token, or per request; 0: not known */
   double median_lasting_token_seconds;
   LbTime next_median_update_at;
+  bool is_uneven; /* the endpoints' lasting values differ clearly */
   /* relation between the fill of an engine and the time per token of its streams, as a multiple of
    * the engine's lasting time per token */
   LcBatchCost stream_cost;
--- a/packages/core/src/endpoints/lc-endpoints-pace.c
+++ b/packages/core/src/endpoints/lc-endpoints-pace.c
@@ -12,6 +12,9 @@
  * tried again: engines are slow for five to ten seconds at a time. */
 #define MAX_PACE_AGE (4 * LB_SEC)
 #define MIN_PACE_DIFFERENCE 0.1 /* relative to the group's median */
+/* The endpoints of a group are uneven if the slowest takes this many times as long as the fastest.
+ * Among equal endpoints, the paces of a few hundred milliseconds differ by less. */
+#define MIN_UNEVEN_RATIO 1.3
 #define REFERENCE_FILL 0.5
 #define MAX_FITTED_TOKEN_SECONDS 1.6 /* multiple of the lasting time per token */
 #define MIN_FITTED_WINDOWS 50
@@ -94,13 +97,12 @@
                            .highest = values[n - 1] };
 }
 
-/* Returns the median of the group's lasting values; 0: none is known. */
-static double
-compute_median_lasting_token_seconds (const LcEndpoints *endpoints, const LcEndpointGroup *group)
+static LcLastingPaces
+summarise_group_paces (const LcEndpoints *endpoints, const LcEndpointGroup *group)
 {
   double *values = LB_NEW_ARRAY (double, group->n_slots);
+  LcLastingPaces paces;
   size_t n = 0;
-  double median = 0;
 
   for (size_t i = 0; i < group->n_slots; i++)
     {
@@ -109,9 +111,9 @@
       if (!summary->is_excluded && summary->lasting_token_seconds > 0)
         values[n++] = (double)summary->lasting_token_seconds;
     }
-  median = summarise_paces (values, n).median;
+  paces = summarise_paces (values, n);
   free (values);
-  return median;
+  return paces;
 }
 
 LcLastingPaces
@@ -138,10 +140,14 @@
 static void
 update_group_median_if_due (LcEndpointEntry *entry, LcEndpointGroup *group, LbTime now)
 {
+  LcLastingPaces paces;
+
   if (now < group->next_median_update_at)
     return;
+  paces = summarise_group_paces (entry->table, group);
   group->next_median_update_at = now + PACE_REVIEW_INTERVAL;
-  group->median_lasting_token_seconds = compute_median_lasting_token_seconds (entry->table, group);
+  group->median_lasting_token_seconds = paces.median;
+  group->is_uneven = paces.highest > MIN_UNEVEN_RATIO * paces.lowest;
 }
 
 static double
--- a/packages/core/tests/test-stream-pace.c
+++ b/packages/core/tests/test-stream-pace.c
@@ -200,3 +200,18 @@
                 "the group's median must stand in for the unknown pace");
   fixture_clear (&f);
 }
+
+/* Small differences of the measured paces must not make all instances choose the same engine from
+ * the same report. */
+Test (pace, engines_of_nearly_equal_pace_share_the_requests)
+{
+  Fixture f;
+
+  fixture_init (&f, 4);
+  for (int i = 0; i < 4; i++)
+    record_streamed_tokens (&f, f.members[i].name, NORMAL_INTERVAL + i * LB_MSEC, 1, 3 * LB_SEC);
+  for (int i = 0; i < 4; i++)
+    cr_assert_gt (count_routing_decisions_for_endpoint (&f, f.members[i].name, 3 * LB_SEC), 0,
+                  "%s gets no requests", f.members[i].name);
+  fixture_clear (&f);
+}
--- a/packages/core/tests/test-uneven.c
+++ b/packages/core/tests/test-uneven.c
@@ -306,20 +306,22 @@
 
 /* --- failures --- */
 
-/* Creates the engines e1, fast and full, and e2, slow and free. */
+/* Creates the engines e1, fast, e2, slow, and if n_engines is 3, e3, fast. Each has one slot. */
 static void
-init_fast_and_slow_engine (Fixture *f)
+init_fast_and_slow_engines (Fixture *f, int n_engines)
 {
   static const LcDispatchSettings settings = { .queue_limit = 100 };
   LcEndpoints *endpoints = NULL;
 
-  fixture_init (f, &settings, 2, 1);
+  fixture_init (f, &settings, n_engines, 1);
   f->pool.live_reserve = 0;
   fixture_apply_endpoint_set (f);
   endpoints = lc_dispatch_get_endpoints (f->dispatch);
   for (LbTime at = f->now; at < f->now + 3 * LB_SEC; at += 20 * LB_MSEC)
     {
       lc_endpoint_tokens_received (lc_endpoints_find (endpoints, "e1"), 1, 20 * LB_MSEC, at);
+      if (n_engines == 3)
+        lc_endpoint_tokens_received (lc_endpoints_find (endpoints, "e3"), 1, 20 * LB_MSEC, at);
       if (at % (60 * LB_MSEC) == 40 * LB_MSEC)
         lc_endpoint_tokens_received (lc_endpoints_find (endpoints, "e2"), 1, 60 * LB_MSEC, at);
     }
@@ -329,6 +331,8 @@
 
   lc_dispatch_record_load_report (f->dispatch, "e1", &idle, f->now, &f->actions);
   lc_dispatch_record_load_report (f->dispatch, "e2", &idle, f->now, &f->actions);
+  if (n_engines == 3)
+    lc_dispatch_record_load_report (f->dispatch, "e3", &idle, f->now, &f->actions);
 }
 
 static LcRequestId
@@ -349,7 +353,7 @@
   Fixture f;
   LcAction action;
 
-  init_fast_and_slow_engine (&f);
+  init_fast_and_slow_engines (&f, 2);
 
   LcRequestId first = submit_text (&f, 100);
   LcRequestId waiting = submit_text (&f, 200);
@@ -373,7 +377,7 @@
     {
       Fixture f;
 
-      init_fast_and_slow_engine (&f);
+      init_fast_and_slow_engines (&f, 2);
 
       LcEndpoints *endpoints = lc_dispatch_get_endpoints (f.dispatch);
       LcRequestId first = submit_text (&f, 100);
@@ -395,3 +399,31 @@
       fixture_clear (&f);
     }
 }
+
+/* A text that is stuck must be hedged at once, not when a fast engine has a free slot. */
+Test (uneven, hedge_does_not_wait_for_a_faster_engine)
+{
+  LcEndpoints *endpoints = NULL;
+  Fixture f;
+  LcAction action;
+
+  init_fast_and_slow_engines (&f, 3);
+  endpoints = lc_dispatch_get_endpoints (f.dispatch);
+
+  LcRequestSpec spec = fixture_make_request_spec (&f, LC_KIND_SAMPLE);
+
+  spec.expected_tokens = 200;
+  spec.hedge_after = 500 * LB_MSEC;
+  cr_assert (fixture_submit_request (&f, &spec));
+  action = fixture_expect_action_of_request (&f, LC_ACTION_SEND, spec.id);
+  cr_assert_str_neq (action.endpoint, "e2");
+  action = fixture_expect_action_of_request (&f, LC_ACTION_SEND, submit_text (&f, 200));
+  cr_assert_str_neq (action.endpoint, "e2");
+  f.now += 500 * LB_MSEC;
+  lc_endpoint_tokens_received (lc_endpoints_find (endpoints, "e1"), 1, 20 * LB_MSEC, f.now);
+  lc_endpoint_tokens_received (lc_endpoints_find (endpoints, "e3"), 1, 20 * LB_MSEC, f.now);
+  fixture_tick_dispatch_at (&f, f.now + 20 * LB_MSEC);
+  action = fixture_expect_action_of_request (&f, LC_ACTION_SEND, spec.id);
+  cr_assert_str_eq (action.endpoint, "e2");
+  fixture_clear (&f);
+}
