--- a/packages/core/bench/bench-decision.c
+++ b/packages/core/bench/bench-decision.c
@@ -138,11 +138,13 @@
   printf ("%-18s %9d %9.3f\n", name, n_endpoints, duration / n_updates);
 }
 
-/* Prints the microseconds per load report, per cache event and per request sent and ended. */
+/* Prints the microseconds per load report, per cache event, per request sent and ended, and per
+ * token of a stream. */
 static void
 measure_endpoint_table_updates (int n_endpoints)
 {
   const int rounds = 200000;
+  LcLoadReport report = { .incarnation = "a", .version = 1, .measured_at = rounds };
   gsl_rng *rng = gsl_rng_alloc (gsl_rng_taus2);
   LcResourceSet set = bench_make_engine_resource_set (n_endpoints);
   LcEndpoints *endpoints = lc_endpoints_new ();
@@ -169,6 +171,13 @@
       lc_endpoint_request_ended (endpoint, LC_KIND_LIVE, true, 100, LB_SEC, i);
     }
   print_micros_per_update ("sent and ended", n_endpoints, started_at, rounds);
+  for (int i = 0; i < n_endpoints; i++)
+    lc_endpoints_record_load_report (endpoints, set.endpoints[i].name, &report, rounds);
+  started_at = lb_clock_monotonic ();
+  for (int i = 0; i < rounds; i++)
+    lc_endpoint_tokens_received (lc_endpoints_at (endpoints, (size_t)(i % n_endpoints)), 1,
+                                 20 * LB_MSEC, rounds + i / n_endpoints * 20 * LB_MSEC);
+  print_micros_per_update ("tokens", n_endpoints, started_at, rounds);
   lc_endpoints_free (endpoints);
   free (set.endpoints);
   gsl_rng_free (rng);
--- a/packages/node/src/calls/ln-calls-attempts.c
+++ b/packages/node/src/calls/ln-calls-attempts.c
@@ -142,6 +142,7 @@
     return;
   report = endpoint->report;
   report.running = lc_endpoint_estimate_requests (endpoint);
+  report.is_from_registry = false;
   report.waiting = 0;
   report.work_time_percent = 0;
   report.measured_at = lb_clock_monotonic ();
