batches: log each choice of an owner; wait for the log line in a test

Change: the choice of the next owner, also for new batches, writes one line batch_owner_chosen with the inputs: candidates, owner of the model's other batches, beginning of the rolling restart.

named_next_owner_continues_the_batch failed once in four parallel runs: it read the line batch_released before the stopped instance had flushed its log. The test now waits for the line.

--- a/packages/node/src/batch/ln-batch-handover.c
+++ b/packages/node/src/batch/ln-batch-handover.c
@@ -121,6 +121,12 @@
     }
   size_t chosen = lc_succession_choose (&query, successors, n, &reason);
   lb_strlcpy (next_owner, chosen < n ? successors[chosen].name : "", LB_NAME_MAX);
+  lb_log (LB_LOG_INFO, "batch_owner_chosen", LB_TEXT ("model", model),
+          LB_TEXT ("next_owner", next_owner),
+          LB_TEXT ("reason", lc_succession_reason_name (reason)),
+          LB_TEXT ("current", query.current), LB_INT ("candidates", n),
+          LB_INT ("restart_began_ms", query.restart_began_ms),
+          LB_BOOL ("restart_continues", query.is_restart_continuing));
   free (successors);
   return reason;
 }
--- a/tests/process/test-handover.c
+++ b/tests/process/test-handover.c
@@ -122,6 +122,7 @@
   LbTime time = wait_for_new_owner (&cluster, stopped);
   size_t owner = find_new_owner (&cluster, stopped);
   double seconds = ps_read_metric (&cluster, owner, "lentilspindle_batch_handover_seconds_sum");
+  PS_WAIT_UNTIL (&cluster, ps_count_text_in_log (&cluster, stopped, "\"batch_released\"") > 0);
   char *named = read_log_field (&cluster, stopped, "batch_released", "next_owner");
   char *reason = read_log_field (&cluster, owner, "batch_taken_over", "reason");
   cr_log_info ("hand-over in %.3f s", seconds);
