core/weights: divide engines by how far trainers are behind

Cause: the engines are divided by the tokens that trainers requested lately. A trainer that is late requests less per time, so it gets fewer engines and falls behind further; trainers ended 0 to 15 s behind.

Change: lc-trainer-lag estimates period and lag of each model's trainer from the times at which its steps were submitted and ended. lc-engine-shares computes the shares: demand of the schedules, corrected by the capacity that the last steps needed, then lag within one organisation priority; higher priorities first. A model keeps one engine and half of its share. lc_engine_plan_divide counts engines by capacity. Switch: lag_shares. The node does not use it yet.

--- a/packages/base/include/lb-switch.h
+++ b/packages/base/include/lb-switch.h
@@ -17,6 +17,7 @@
   LB_SWITCH_KEPT_TEXTS,    /* stores a batch's partial texts for another instance to resume */
   LB_SWITCH_CARRIED_TEXTS, /* resumes cached partial texts if a sample group is requested again */
   LB_SWITCH_DIVISION,      /* divides the engines among the models by each model's demand */
+  LB_SWITCH_LAG_SHARES,    /* divides the engines also by how far each trainer is behind */
   LB_SWITCH_LOADS_IN_TURN, /* lets at most a fifth of the engines load weights concurrently */
   LB_SWITCH_OFFERS, /* offers a new batch to the instance that runs the model's other batches */
   LB_SWITCH_WAY_THROUGH_PEERS, /* sends store calls through a peer instance if direct calls fail */
--- a/packages/base/src/lb-switch.c
+++ b/packages/base/src/lb-switch.c
@@ -11,6 +11,7 @@
   [LB_SWITCH_KEPT_TEXTS] = "kept_texts",
   [LB_SWITCH_CARRIED_TEXTS] = "carried_texts",
   [LB_SWITCH_DIVISION] = "division",
+  [LB_SWITCH_LAG_SHARES] = "lag_shares",
   [LB_SWITCH_LOADS_IN_TURN] = "loads_in_turn",
   [LB_SWITCH_OFFERS] = "offers",
   [LB_SWITCH_WAY_THROUGH_PEERS] = "way_through_peers",
--- a/packages/core/src/weights/lc-engine-plan.c
+++ b/packages/core/src/weights/lc-engine-plan.c
@@ -1,5 +1,7 @@
 #include "lc-engine-plan.h"
 
+#include "lc-engine-shares.h"
+
 #include "lb-alloc.h"
 #include "lb-json.h"
 #include "lb-switch.h"
@@ -28,6 +30,8 @@
  * excess of 0.2 took the same engine from each other in an endless loop, which blocked the
  * instance. */
 #define MIN_IMBALANCE_AFTER_FIRST_MOVE 1.01
+/* Tolerance in engines for rounding errors in sums of capacities. */
+#define CAPACITY_ROUNDING 1e-6
 
 void
 lc_engine_plan_clear (LcEnginePlan *plan)
@@ -305,78 +309,119 @@
 
 /* --- assignment of engines to models --- */
 
-typedef struct
-{
-  const char *name;
-  double share;     /* number of engines that the model should have by demand, at least 1 */
-  double n_engines; /* number of engines that are assigned to the model now */
-} ModelShare;
-
 static size_t
-find_model_share_index (const ModelShare *shares, size_t n, const char *model)
+find_model_share_index (const LcModelShare *shares, size_t n, const char *model)
 {
   for (size_t i = 0; i < n; i++)
-    if (strcmp (shares[i].name, model) == 0)
+    if (strcmp (shares[i].model, model) == 0)
       return i;
   return n;
 }
 
-/* Computes how many engines each model should have: one each, and the rest by demand, or evenly
- * without demand. Without the even division, engines that register one after the other may be
- * assigned 5, 3 and 1 to three models, and the first steps of the last model would wait. */
-static void
-compute_model_shares (ModelShare *shares,
-                      const LbName *models,
-                      size_t n_models,
-                      size_t n_engines,
-                      const LcDemand *demand,
-                      LbTime now)
-{
-  double total = 0;
-
-  for (size_t i = 0; i < n_models; i++)
-    total += lc_demand_tokens (demand, models[i], now);
-  for (size_t i = 0; i < n_models; i++)
-    {
-      double fraction
-          = total > 0 ? lc_demand_tokens (demand, models[i], now) / total : 1 / (double)n_models;
-      shares[i] = (ModelShare){ .name = models[i],
-                                .share = 1 + fraction * (double)(n_engines - n_models) };
-    }
+/* An assignment of engines to models that is being changed. */
+typedef struct
+{
+  LcPlanEntry *engines;
+  double *capacities;    /* of each engine; the average is 1 */
+  size_t *model_indexes; /* of each engine: index in shares, or n_models if there is none */
+  size_t n_engines;
+  LcModelShare *shares;
+  size_t n_models;
+} Assignment;
+
+/* Returns the engine of the model `from` whose move brings both models closest to their shares.
+ * imbalance: what the model has too much, plus what the other model lacks. Returns n_engines if no
+ * move is an improvement, or each would take the model below its min_share. */
+static size_t
+find_engine_to_move (const Assignment *assignment, size_t from, double imbalance)
+{
+  const LcModelShare *share = &assignment->shares[from];
+  const double *capacities = assignment->capacities;
+  double movable = share->capacity - share->min_share + CAPACITY_ROUNDING;
+  size_t best = assignment->n_engines;
+
+  for (size_t i = 0; i < assignment->n_engines && share->n_engines > 1; i++)
+    if (assignment->model_indexes[i] == from && capacities[i] <= movable
+        && imbalance >= capacities[i] * MIN_IMBALANCE_AFTER_FIRST_MOVE
+        && (best == assignment->n_engines
+            || fabs (2 * capacities[i] - imbalance) < fabs (2 * capacities[best] - imbalance)))
+      best = i;
+  return best;
 }
 
-/* Finds the model that lacks most engines and the model with the largest excess. Returns true if an
- * engine should move from the latter to the former. */
-static bool
-find_engine_move (
-    const ModelShare *shares, size_t n, double min_imbalance, size_t *to, size_t *from)
+typedef struct
 {
-  double lack;
-  double excess;
+  size_t engine;
+  size_t to;   /* index of the model that gets the engine */
+  size_t from; /* index of the model that loses the engine */
+} EngineMove;
 
-  *to = 0;
-  *from = 0;
-  for (size_t i = 1; i < n; i++)
+/* Finds the model that lacks most and, among the models that have an engine to move, the one with
+ * the largest excess. Returns true if an engine should move from the latter to the former. */
+static bool
+find_engine_move (const Assignment *assignment, double min_imbalance, EngineMove *move)
+{
+  const LcModelShare *shares = assignment->shares;
+  double largest = min_imbalance;
+  bool is_found = false;
+
+  move->to = 0;
+  for (size_t i = 1; i < assignment->n_models; i++)
+    if (shares[i].share - shares[i].capacity > shares[move->to].share - shares[move->to].capacity)
+      move->to = i;
+  double lack = shares[move->to].share - shares[move->to].capacity;
+  for (size_t i = 0; i < assignment->n_models; i++)
     {
-      if (shares[i].share - shares[i].n_engines > shares[*to].share - shares[*to].n_engines)
-        *to = i;
-      if (shares[i].n_engines - shares[i].share > shares[*from].n_engines - shares[*from].share)
-        *from = i;
+      double imbalance = lack + shares[i].capacity - shares[i].share;
+      if (i == move->to || imbalance < largest || (is_found && imbalance <= largest))
+        continue;
+      size_t engine = find_engine_to_move (assignment, i, imbalance);
+      if (engine == assignment->n_engines)
+        continue;
+      move->engine = engine;
+      move->from = i;
+      largest = imbalance;
+      is_found = true;
     }
-  lack = shares[*to].share - shares[*to].n_engines;
-  excess = shares[*from].n_engines - shares[*from].share;
-  return lack + excess >= min_imbalance && shares[*from].n_engines > 1;
+  return is_found;
 }
 
 static void
-reassign_one_engine (LcPlanEntry *engines, size_t n_engines, const char *from, const char *to)
+add_engine_to_share (Assignment *assignment, size_t engine, size_t model)
 {
-  for (size_t i = 0; i < n_engines; i++)
-    if (strcmp (engines[i].model, from) == 0)
-      {
-        LB_COPY (engines[i].model, to);
-        return;
-      }
+  assignment->model_indexes[engine] = model;
+  if (model == assignment->n_models)
+    return;
+  assignment->shares[model].capacity += assignment->capacities[engine];
+  assignment->shares[model].n_engines++;
+}
+
+static void
+remove_engine_from_share (Assignment *assignment, size_t engine, size_t model)
+{
+  assignment->shares[model].capacity -= assignment->capacities[engine];
+  assignment->shares[model].n_engines--;
+}
+
+/* Moves engines one by one from models with too many to models with too few. */
+static void
+balance_engines (Assignment *assignment)
+{
+  double even_share = (double)assignment->n_engines / (double)assignment->n_models;
+  double min_imbalance = MIN_IMBALANCE_ENGINES + MIN_IMBALANCE_SHARE_FACTOR * even_share;
+  EngineMove move = { 0 };
+
+  for (size_t i = 0; i < assignment->n_engines; i++)
+    add_engine_to_share (assignment, i,
+                         find_model_share_index (assignment->shares, assignment->n_models,
+                                                 assignment->engines[i].model));
+  for (; find_engine_move (assignment, min_imbalance, &move);
+       min_imbalance = MIN_IMBALANCE_AFTER_FIRST_MOVE)
+    {
+      LB_COPY (assignment->engines[move.engine].model, assignment->shares[move.to].model);
+      remove_engine_from_share (assignment, move.engine, move.from);
+      add_engine_to_share (assignment, move.engine, move.to);
+    }
 }
 
 /* Writes the assignment of engines to models to the plan. When the model of an entry changes, the
@@ -399,31 +444,54 @@
   return changed;
 }
 
-/* Moves engines one by one from models with too many to models with too few. */
-static void
-balance_engines_by_demand (LcPlanEntry *engines,
-                           size_t n_engines,
-                           ModelShare *shares,
-                           size_t n_models)
+/* Returns the capacity of each engine in units of the average of those that state one, so that the
+ * average is 1 and the bounds on the imbalance are numbers of engines. */
+static double *
+compute_relative_capacities (const double *capacities, size_t n_engines)
 {
-  double min_imbalance
-      = MIN_IMBALANCE_ENGINES + MIN_IMBALANCE_SHARE_FACTOR * (double)n_engines / (double)n_models;
-  size_t to = 0;
-  size_t from = 0;
+  double *relative = LB_NEW_ARRAY (double, n_engines + 1);
+  double sum = 0;
+  size_t n_stated = 0;
 
+  if (!lb_switch_is_on (LB_SWITCH_LAG_SHARES))
+    capacities = NULL;
+  for (size_t i = 0; capacities && i < n_engines; i++)
+    if (capacities[i] > 0)
+      {
+        sum += capacities[i];
+        n_stated++;
+      }
   for (size_t i = 0; i < n_engines; i++)
+    relative[i] = capacities && capacities[i] > 0 ? capacities[i] / (sum / (double)n_stated) : 1;
+  return relative;
+}
+
+bool
+lc_engine_plan_divide (LcEnginePlan *plan,
+                       const LcPlanEntry *engines,
+                       const double *capacities,
+                       size_t n_engines,
+                       LcModelShare *shares,
+                       size_t n_models)
+{
+  LcPlanEntry *assigned = lb_memdup (engines, n_engines * sizeof *engines);
+
+  if (n_models > 1 && n_engines > n_models && lb_switch_is_on (LB_SWITCH_DIVISION))
     {
-      size_t model = find_model_share_index (shares, n_models, engines[i].model);
-      if (model < n_models)
-        shares[model].n_engines++;
-    }
-  for (; find_engine_move (shares, n_models, min_imbalance, &to, &from);
-       min_imbalance = MIN_IMBALANCE_AFTER_FIRST_MOVE)
-    {
-      reassign_one_engine (engines, n_engines, shares[from].name, shares[to].name);
-      shares[from].n_engines--;
-      shares[to].n_engines++;
+      Assignment assignment = { .engines = assigned,
+                                .capacities = compute_relative_capacities (capacities, n_engines),
+                                .model_indexes = LB_NEW_ARRAY (size_t, n_engines),
+                                .n_engines = n_engines,
+                                .shares = shares,
+                                .n_models = n_models };
+      lc_engine_shares_compute (shares, n_models, (double)n_engines);
+      balance_engines (&assignment);
+      free (assignment.capacities);
+      free (assignment.model_indexes);
     }
+  bool changed = store_assignment_in_plan (plan, assigned, n_engines);
+  free (assigned);
+  return changed;
 }
 
 bool
@@ -435,16 +503,10 @@
                           const LcDemand *demand,
                           LbTime now)
 {
-  ModelShare *shares = LB_NEW_ARRAY (ModelShare, n_models + 1);
-  LcPlanEntry *assigned = lb_memdup (engines, n_engines * sizeof *engines);
+  LcModelShare *shares = LB_NEW_ARRAY (LcModelShare, n_models + 1);
 
-  if (n_models > 1 && n_engines > n_models && lb_switch_is_on (LB_SWITCH_DIVISION))
-    {
-      compute_model_shares (shares, models, n_models, n_engines, demand, now);
-      balance_engines_by_demand (assigned, n_engines, shares, n_models);
-    }
-  bool changed = store_assignment_in_plan (plan, assigned, n_engines);
-  free (assigned);
+  lc_engine_shares_init (shares, models, n_models, demand, NULL, now);
+  bool changed = lc_engine_plan_divide (plan, engines, NULL, n_engines, shares, n_models);
   free (shares);
   return changed;
 }
--- /dev/null
+++ b/packages/core/src/weights/lc-trainer-lag.c
@@ -0,0 +1,603 @@
+#include "lc-trainer-lag.h"
+
+#include "lb-alloc.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+/* Number of newest steps of a trainer that the estimate is made from. */
+#define MAX_STEPS 64
+/* Two intervals are the least from which a lag can be told. */
+#define MIN_STEPS_OF_ESTIMATE 3
+/* A trainer waited for its schedule if it submitted this much later after the end of the previous
+ * step than it did at least. Above the differences between the clocks that set the two times. */
+#define MIN_WAIT (200 * LB_MSEC)
+/* Largest difference, as a share of the period, between values that are taken for the same period.
+ */
+#define PERIOD_TOLERANCE 0.03
+/* Number of distances between steps on schedule that must agree for an observed period. */
+#define MIN_AGREEING_DISTANCES 2
+/* Distances that agree must be this share of all. Others come from steps that ended late, after
+ * which training also took longer than usual. */
+#define MIN_AGREEING_SHARE 0.25
+/* Number of intervals that must agree for a period if the trainer never seems to have waited. */
+#define MIN_STEADY_INTERVALS 4
+/* A trainer has stopped after this many periods without an open step. */
+#define STOPPED_AFTER_PERIODS 3
+/* Number of last submissions whose lag is held. With two, a lag that alternates is constant. */
+#define HELD_SUBMISSIONS 2
+/* Number of newest steps whose expected tokens are averaged. Random text lengths shift the average
+ * of five steps of 40 texts by a tenth. */
+#define AVERAGED_STEPS 8
+/* Number of newest ended steps by which the need for capacity is measured. */
+#define MEASURED_STEPS 4
+/* Number of changes of a model's capacity that are kept. */
+#define MAX_CAPACITY_CHANGES 32
+/* Smaller differences of capacity, in engines, are rounding errors. */
+#define MIN_CAPACITY_CHANGE 0.001
+/* A step submitted this long before the end of the previous one belongs to another trainer. */
+#define MIN_OVERLAP (500 * LB_MSEC)
+/* Number of newest steps, and of overlaps among them, by which a model has several trainers. */
+#define OVERLAP_STEPS 8
+#define MIN_OVERLAPS 2
+
+typedef struct
+{
+  uint64_t batch; /* hash of the batch's id */
+  double tokens;
+  int64_t priority;
+  LbTime submitted_at;
+  LbTime ended_at; /* 0: open */
+} Step;
+
+typedef struct
+{
+  LbTime at;
+  double capacity; /* from this time on */
+} CapacityChange;
+
+typedef struct
+{
+  LcTrainerLag estimate;
+  Step steps[MAX_STEPS]; /* sorted by time of submission */
+  size_t n_steps;
+  CapacityChange capacities[MAX_CAPACITY_CHANGES]; /* sorted by time */
+  size_t n_capacities;
+  LbTime min_turnaround;   /* shortest time from the end of a step to the next submission */
+  LbTime longest_duration; /* of a step that ended */
+  LbTime period_bound;     /* shortest mean interval since the first step; 0: not known */
+} Trainer;
+
+struct LcTrainerLags
+{
+  Trainer *trainers[LC_MAX_TRAINERS]; /* sorted by model */
+  size_t n_trainers;
+};
+
+LcTrainerLags *
+lc_trainer_lags_new (void)
+{
+  return LB_NEW (LcTrainerLags);
+}
+
+void
+lc_trainer_lags_free (LcTrainerLags *lags)
+{
+  if (!lags)
+    return;
+  for (size_t i = 0; i < lags->n_trainers; i++)
+    free (lags->trainers[i]);
+  free (lags);
+}
+
+/* --- record of steps --- */
+
+static size_t
+find_trainer_position (const LcTrainerLags *lags, const char *model)
+{
+  size_t position = 0;
+
+  while (position < lags->n_trainers
+         && strcmp (lags->trainers[position]->estimate.model, model) < 0)
+    position++;
+  return position;
+}
+
+static bool
+is_trainer_at (const LcTrainerLags *lags, size_t position, const char *model)
+{
+  return position < lags->n_trainers
+         && strcmp (lags->trainers[position]->estimate.model, model) == 0;
+}
+
+static void
+remove_trainer_at (LcTrainerLags *lags, size_t position)
+{
+  free (lags->trainers[position]);
+  lags->n_trainers--;
+  memmove (&lags->trainers[position], &lags->trainers[position + 1],
+           (lags->n_trainers - position) * sizeof lags->trainers[0]);
+}
+
+/* Makes room for one more trainer. Returns false if there is none. */
+static bool
+drop_stopped_trainer_if_full (LcTrainerLags *lags, LbTime now)
+{
+  if (lags->n_trainers < LC_MAX_TRAINERS)
+    return true;
+  lc_trainer_lags_estimate (lags, now);
+  for (size_t i = 0; i < lags->n_trainers; i++)
+    if (lags->trainers[i]->estimate.has_stopped)
+      {
+        remove_trainer_at (lags, i);
+        return true;
+      }
+  return false;
+}
+
+static Trainer *
+find_or_add_trainer (LcTrainerLags *lags, const char *model, LbTime now)
+{
+  size_t position = find_trainer_position (lags, model);
+
+  if (is_trainer_at (lags, position, model))
+    return lags->trainers[position];
+  if (!drop_stopped_trainer_if_full (lags, now))
+    return NULL;
+  position = find_trainer_position (lags, model);
+  memmove (&lags->trainers[position + 1], &lags->trainers[position],
+           (lags->n_trainers - position) * sizeof lags->trainers[0]);
+  lags->trainers[position] = LB_NEW (Trainer);
+  LB_COPY (lags->trainers[position]->estimate.model, model);
+  lags->n_trainers++;
+  return lags->trainers[position];
+}
+
+static void
+remove_step_at (Trainer *trainer, size_t position)
+{
+  trainer->n_steps--;
+  memmove (&trainer->steps[position], &trainer->steps[position + 1],
+           (trainer->n_steps - position) * sizeof trainer->steps[0]);
+}
+
+/* Steps of equal time are ordered by batch, so that the order does not depend on that of recording.
+ */
+static bool
+is_step_before (const Step *a, const Step *b)
+{
+  return a->submitted_at != b->submitted_at ? a->submitted_at < b->submitted_at
+                                            : a->batch < b->batch;
+}
+
+static void
+insert_step (Trainer *trainer, const Step *step)
+{
+  size_t position = trainer->n_steps;
+
+  if (trainer->n_steps == MAX_STEPS)
+    {
+      if (is_step_before (step, &trainer->steps[0]))
+        return;
+      remove_step_at (trainer, 0);
+      position--;
+    }
+  for (; position > 0 && is_step_before (step, &trainer->steps[position - 1]); position--)
+    trainer->steps[position] = trainer->steps[position - 1];
+  trainer->steps[position] = *step;
+  trainer->n_steps++;
+}
+
+bool
+lc_trainer_lags_record_step (LcTrainerLags *lags, const LcTrainerStep *step, LbTime now)
+{
+  Step added = { .batch = XXH3_64bits (step->batch, strlen (step->batch)),
+                 .tokens = step->tokens,
+                 .priority = step->priority,
+                 .submitted_at = step->submitted_at,
+                 .ended_at = step->ended_at };
+
+  if (step->submitted_at <= 0)
+    return true;
+  Trainer *trainer = find_or_add_trainer (lags, step->model, now);
+  if (!trainer)
+    return false;
+  for (size_t i = 0; i < trainer->n_steps; i++)
+    if (trainer->steps[i].batch == added.batch)
+      {
+        /* The first report of a time is the closest to the event. */
+        const Step *known = &trainer->steps[i];
+        if (known->submitted_at < added.submitted_at)
+          added.submitted_at = known->submitted_at;
+        if (known->ended_at > 0 && (added.ended_at == 0 || known->ended_at < added.ended_at))
+          added.ended_at = known->ended_at;
+        remove_step_at (trainer, i);
+        break;
+      }
+  insert_step (trainer, &added);
+  return true;
+}
+
+void
+lc_trainer_lags_record_capacity (LcTrainerLags *lags,
+                                 const char *model,
+                                 double capacity,
+                                 LbTime now)
+{
+  size_t position = find_trainer_position (lags, model);
+
+  if (!is_trainer_at (lags, position, model))
+    return;
+  Trainer *trainer = lags->trainers[position];
+  size_t n = trainer->n_capacities;
+  if (n > 0 && fabs (trainer->capacities[n - 1].capacity - capacity) < MIN_CAPACITY_CHANGE)
+    return;
+  if (n == MAX_CAPACITY_CHANGES)
+    memmove (&trainer->capacities[0], &trainer->capacities[1], --n * sizeof trainer->capacities[0]);
+  trainer->capacities[n] = (CapacityChange){ .at = now, .capacity = capacity };
+  trainer->n_capacities = n + 1;
+}
+
+/* --- period --- */
+
+/* Time at which a step counts as ended. A step that stayed open while the trainer submitted the
+ * next one lost its trainer or the report of its end. */
+static LbTime
+get_end_of_earlier_step (const Trainer *trainer, size_t i)
+{
+  const Step *step = &trainer->steps[i];
+  LbTime next = trainer->steps[i + 1].submitted_at;
+
+  return step->ended_at > 0 && step->ended_at < next ? step->ended_at : next;
+}
+
+static LbTime
+get_turnaround (const Trainer *trainer, size_t i)
+{
+  return trainer->steps[i].submitted_at - get_end_of_earlier_step (trainer, i - 1);
+}
+
+static void
+measure_steps (Trainer *trainer)
+{
+  trainer->min_turnaround = LB_TIME_NEVER;
+  trainer->longest_duration = 0;
+  trainer->period_bound = 0;
+  for (size_t i = 0; i < trainer->n_steps; i++)
+    {
+      const Step *step = &trainer->steps[i];
+      if (step->ended_at - step->submitted_at > trainer->longest_duration)
+        trainer->longest_duration = step->ended_at - step->submitted_at;
+      if (i == 0)
+        continue;
+      LbTime mean = (step->submitted_at - trainer->steps[0].submitted_at) / (LbTime)i;
+      if (trainer->period_bound == 0 || mean < trainer->period_bound)
+        trainer->period_bound = mean;
+      if (trainer->steps[i - 1].ended_at > 0
+          && get_turnaround (trainer, i) < trainer->min_turnaround)
+        trainer->min_turnaround = get_turnaround (trainer, i);
+    }
+  if (trainer->min_turnaround == LB_TIME_NEVER)
+    trainer->min_turnaround = 0;
+}
+
+typedef struct
+{
+  double value;  /* possible period, in microseconds */
+  size_t weight; /* number of periods that the value is the mean of */
+} PeriodSample;
+
+static int
+compare_period_samples (const void *a, const void *b)
+{
+  double difference = ((const PeriodSample *)a)->value - ((const PeriodSample *)b)->value;
+
+  return (difference > 0) - (difference < 0);
+}
+
+/* Collects the mean interval between each two successive submissions before which the trainer
+ * waited. */
+static size_t
+collect_distances_on_schedule (const Trainer *trainer, PeriodSample *samples)
+{
+  size_t last = 0;
+  size_t n = 0;
+
+  for (size_t i = 1; i < trainer->n_steps; i++)
+    {
+      if (trainer->steps[i - 1].ended_at == 0
+          || get_turnaround (trainer, i) < trainer->min_turnaround + MIN_WAIT)
+        continue;
+      if (last > 0)
+        samples[n++] = (PeriodSample){ .value = (double)(trainer->steps[i].submitted_at
+                                                         - trainer->steps[last].submitted_at)
+                                                / (double)(i - last),
+                                       .weight = i - last };
+      last = i;
+    }
+  return n;
+}
+
+static size_t
+collect_intervals (const Trainer *trainer, PeriodSample *samples)
+{
+  for (size_t i = 1; i < trainer->n_steps; i++)
+    samples[i - 1] = (PeriodSample){ .value = (double)(trainer->steps[i].submitted_at
+                                                       - trainer->steps[i - 1].submitted_at),
+                                     .weight = 1 };
+  return trainer->n_steps > 0 ? trainer->n_steps - 1 : 0;
+}
+
+/* Returns the weighted mean of the smallest values that agree with each other and are at least
+ * min_agreeing; 0: there are none. The mean of many is exact enough that its error does not add up
+ * to a lag over many steps. */
+static LbTime
+find_smallest_agreeing_period (PeriodSample *samples, size_t n, size_t min_agreeing)
+{
+  if (n < min_agreeing)
+    return 0;
+  qsort (samples, n, sizeof *samples, compare_period_samples);
+  for (size_t i = 0; i + min_agreeing <= n; i++)
+    {
+      double sum = 0;
+      size_t weight = 0;
+      size_t j = i;
+      for (; j < n && samples[j].value <= samples[i].value * (1 + 2 * PERIOD_TOLERANCE); j++)
+        {
+          sum += samples[j].value * (double)samples[j].weight;
+          weight += samples[j].weight;
+        }
+      if (j - i >= min_agreeing)
+        return (LbTime)(sum / (double)weight);
+    }
+  return 0;
+}
+
+static LbTime
+find_observed_period (const Trainer *trainer)
+{
+  PeriodSample samples[MAX_STEPS];
+  size_t n = collect_distances_on_schedule (trainer, samples);
+  size_t min_agreeing = (size_t)ceil ((double)n * MIN_AGREEING_SHARE);
+
+  LbTime period = find_smallest_agreeing_period (
+      samples, n, min_agreeing > MIN_AGREEING_DISTANCES ? min_agreeing : MIN_AGREEING_DISTANCES);
+  if (period > 0)
+    return period;
+  n = collect_intervals (trainer, samples);
+  return n >= MIN_STEADY_INTERVALS ? find_smallest_agreeing_period (samples, n, n) : 0;
+}
+
+/* --- lag --- */
+
+/* Whether the trainer paused before the step for so long that it counts as having stopped. */
+static bool
+is_start_after_stop (const Trainer *trainer, size_t i)
+{
+  LbTime limit = STOPPED_AFTER_PERIODS * trainer->estimate.period;
+
+  if (trainer->steps[i - 1].ended_at > 0)
+    return get_turnaround (trainer, i) > limit;
+  return trainer->steps[i].submitted_at - trainer->steps[i - 1].submitted_at
+         > limit + trainer->longest_duration;
+}
+
+/* Returns the lag at the submission of the step after one with this lag. */
+static LbTime
+add_interval_to_lag (const Trainer *trainer, LbTime lag, LbTime interval)
+{
+  lag += interval - trainer->estimate.period;
+  return lag > 0 ? lag : 0;
+}
+
+/* Time at which the trainer can submit its next step at the earliest, so far as is known now. */
+static LbTime
+get_earliest_next_submission (const Trainer *trainer, LbTime now)
+{
+  const Step *last = &trainer->steps[trainer->n_steps - 1];
+  LbTime earliest = (last->ended_at > 0 ? last->ended_at : now) + trainer->min_turnaround;
+
+  return earliest > now ? earliest : now;
+}
+
+static bool
+has_trainer_stopped (const Trainer *trainer, LbTime period, LbTime now)
+{
+  const Step *last = &trainer->steps[trainer->n_steps - 1];
+  LbTime limit = STOPPED_AFTER_PERIODS * period;
+
+  if (last->ended_at > 0)
+    return now - last->ended_at > limit;
+  /* The trainer of a step that stays open may have been lost. */
+  return now - last->submitted_at > limit + STOPPED_AFTER_PERIODS * trainer->longest_duration;
+}
+
+static void
+estimate_lag (Trainer *trainer, LbTime now)
+{
+  const Step *last = &trainer->steps[trainer->n_steps - 1];
+  LbTime lags[MAX_STEPS] = { 0 };
+  LbTime held = 0;
+
+  for (size_t i = 1; i < trainer->n_steps; i++)
+    if (!is_start_after_stop (trainer, i))
+      lags[i] = add_interval_to_lag (trainer, lags[i - 1],
+                                     trainer->steps[i].submitted_at
+                                         - trainer->steps[i - 1].submitted_at);
+  trainer->estimate.has_stopped = has_trainer_stopped (trainer, trainer->estimate.period, now);
+  LbTime lag = lags[trainer->n_steps - 1];
+  LbTime next
+      = add_interval_to_lag (trainer, lag,
+                             get_earliest_next_submission (trainer, now) - last->submitted_at);
+  if (last->ended_at > 0 || next > lag)
+    lag = next;
+  for (size_t i = 0; i < HELD_SUBMISSIONS && i < trainer->n_steps; i++)
+    if (lags[trainer->n_steps - 1 - i] > held)
+      held = lags[trainer->n_steps - 1 - i];
+  held = lag > held ? lag : held;
+  trainer->estimate.lag = trainer->estimate.has_stopped ? 0 : lag;
+  trainer->estimate.held_lag_steps
+      = trainer->estimate.has_stopped ? 0 : (double)held / (double)trainer->estimate.period;
+}
+
+static void
+average_tokens (Trainer *trainer)
+{
+  size_t n = trainer->n_steps < AVERAGED_STEPS ? trainer->n_steps : AVERAGED_STEPS;
+  double sum = 0;
+
+  for (size_t i = 0; i < n; i++)
+    sum += trainer->steps[trainer->n_steps - 1 - i].tokens;
+  trainer->estimate.n_steps = n;
+  trainer->estimate.tokens_per_step = sum / (double)n;
+}
+
+/* Returns the capacity times the duration, in seconds, of a time in the past. Capacity from before
+ * the first known value counts as unchanged. */
+static double
+integrate_capacity (const Trainer *trainer, LbTime from, LbTime to)
+{
+  double sum = 0;
+
+  for (size_t i = 0; i < trainer->n_capacities; i++)
+    {
+      LbTime begin = i > 0 && trainer->capacities[i].at > from ? trainer->capacities[i].at : from;
+      LbTime end = i + 1 < trainer->n_capacities && trainer->capacities[i + 1].at < to
+                       ? trainer->capacities[i + 1].at
+                       : to;
+      if (end > begin)
+        sum += trainer->capacities[i].capacity * (double)(end - begin) / (double)LB_SEC;
+    }
+  return sum;
+}
+
+/* Returns the capacity that the trainer needs to keep its schedule, judged by how long the newest
+ * steps took with the capacity that they had, training included; 0: not known. */
+static double
+measure_needed_capacity (const Trainer *trainer)
+{
+  double capacity_seconds = 0;
+  double tokens = 0;
+  size_t n = 0;
+
+  for (size_t i = trainer->n_steps; i > 0 && n < MEASURED_STEPS; i--)
+    {
+      const Step *step = &trainer->steps[i - 1];
+      if (step->ended_at == 0)
+        continue;
+      capacity_seconds += integrate_capacity (trainer, step->submitted_at,
+                                              step->ended_at + trainer->min_turnaround);
+      tokens += step->tokens;
+      n++;
+    }
+  if (tokens <= 0)
+    return 0;
+  return capacity_seconds / tokens * trainer->estimate.tokens_per_step * (double)LB_SEC
+         / (double)trainer->estimate.period;
+}
+
+static bool
+has_model_several_trainers (const Trainer *trainer)
+{
+  size_t first = trainer->n_steps > OVERLAP_STEPS ? trainer->n_steps - OVERLAP_STEPS : 0;
+  size_t n = 0;
+
+  for (size_t i = first + 1; i < trainer->n_steps; i++)
+    n += trainer->steps[i].submitted_at + MIN_OVERLAP < trainer->steps[i - 1].ended_at;
+  return n >= MIN_OVERLAPS;
+}
+
+/* Sets is_known, is_period_observed and period, the latter to 0 if only other trainers can tell. */
+static void
+estimate_own_period (Trainer *trainer)
+{
+  measure_steps (trainer);
+  trainer->estimate.priority = trainer->steps[trainer->n_steps - 1].priority;
+  trainer->estimate.has_several_trainers = has_model_several_trainers (trainer);
+  trainer->estimate.is_known = trainer->n_steps >= MIN_STEPS_OF_ESTIMATE
+                               && trainer->period_bound > 0
+                               && !trainer->estimate.has_several_trainers;
+  trainer->estimate.period = trainer->estimate.is_known ? find_observed_period (trainer) : 0;
+  trainer->estimate.is_period_observed = trainer->estimate.period > 0;
+  trainer->estimate.has_stopped = false;
+}
+
+/* Returns the shortest period among the trainers that have an estimate. A trainer that was never on
+ * schedule is assumed to have it too: if its own period is longer, it gets engines until it is on
+ * schedule, and its own period is observed from then on. */
+static LbTime
+find_shortest_period (const LcTrainerLags *lags, LbTime now)
+{
+  LbTime shortest = LB_TIME_NEVER;
+
+  for (size_t i = 0; i < lags->n_trainers; i++)
+    {
+      const Trainer *trainer = lags->trainers[i];
+      LbTime period
+          = trainer->estimate.is_period_observed ? trainer->estimate.period : trainer->period_bound;
+      if (trainer->estimate.is_known && period < shortest
+          && !has_trainer_stopped (trainer, period, now))
+        shortest = period;
+    }
+  return shortest;
+}
+
+void
+lc_trainer_lags_estimate (LcTrainerLags *lags, LbTime now)
+{
+  for (size_t i = 0; i < lags->n_trainers; i++)
+    estimate_own_period (lags->trainers[i]);
+  LbTime shortest = find_shortest_period (lags, now);
+  for (size_t i = 0; i < lags->n_trainers; i++)
+    {
+      Trainer *trainer = lags->trainers[i];
+      average_tokens (trainer);
+      if (!trainer->estimate.is_known)
+        {
+          trainer->estimate.period = shortest < LB_TIME_NEVER ? shortest : 0;
+          continue;
+        }
+      if (!trainer->estimate.is_period_observed)
+        trainer->estimate.period
+            = shortest < trainer->period_bound ? shortest : trainer->period_bound;
+      estimate_lag (trainer, now);
+      trainer->estimate.needed_capacity = measure_needed_capacity (trainer);
+    }
+}
+
+LbTime
+lc_trainer_lags_get_shortest_period (const LcTrainerLags *lags)
+{
+  LbTime shortest = 0;
+
+  for (size_t i = 0; i < lags->n_trainers; i++)
+    {
+      const LcTrainerLag *estimate = &lags->trainers[i]->estimate;
+      if (estimate->is_known && !estimate->has_stopped
+          && (shortest == 0 || estimate->period < shortest))
+        shortest = estimate->period;
+    }
+  return shortest;
+}
+
+size_t
+lc_trainer_lags_count (const LcTrainerLags *lags)
+{
+  return lags->n_trainers;
+}
+
+const LcTrainerLag *
+lc_trainer_lags_get (const LcTrainerLags *lags, size_t index)
+{
+  return &lags->trainers[index]->estimate;
+}
+
+const LcTrainerLag *
+lc_trainer_lags_find (const LcTrainerLags *lags, const char *model)
+{
+  size_t position = find_trainer_position (lags, model);
+
+  return is_trainer_at (lags, position, model) ? &lags->trainers[position]->estimate : NULL;
+}
--- /dev/null
+++ b/packages/core/tests/test-trainer-lag.c
@@ -0,0 +1,235 @@
+#include "lc-trainer-lag.h"
+
+#include "lb-alloc.h"
+
+#include <criterion/criterion.h>
+#include <gsl/gsl_randist.h>
+#include <gsl/gsl_rng.h>
+#include <stdio.h>
+#include <string.h>
+
+#define PERIOD (4 * LB_SEC)
+#define TRAINING_TIME (400 * LB_MSEC)
+#define START (100 * LB_SEC)
+
+static void
+record_step (
+    LcTrainerLags *lags, const char *model, int index, LbTime submitted_at, LbTime ended_at)
+{
+  LcTrainerStep step = { .tokens = 1000, .submitted_at = submitted_at, .ended_at = ended_at };
+
+  LB_COPY (step.model, model);
+  snprintf (step.batch, LB_NAME_MAX, "%s-%d", model, index);
+  lc_trainer_lags_record_step (lags, &step, submitted_at);
+}
+
+/* Records the steps of a trainer with PERIOD, by their durations. Returns the time at which the
+ * trainer submits the next step. lag: set to the trainer's lag at that time. */
+static LbTime
+record_steps (
+    LcTrainerLags *lags, const char *model, const LbTime *durations, int n_steps, LbTime *lag)
+{
+  LbTime now = START;
+
+  for (int i = 0; i < n_steps; i++)
+    {
+      LbTime ended_at = now + durations[i];
+      LbTime scheduled_at = START + (i + 1) * PERIOD;
+      record_step (lags, model, i, now, ended_at);
+      now = ended_at + TRAINING_TIME > scheduled_at ? ended_at + TRAINING_TIME : scheduled_at;
+      *lag = now - scheduled_at;
+    }
+  return now;
+}
+
+/* The period is not known, and late steps are longer or, while the trainer catches up, shorter. */
+Test (trainer_lag, lag_of_a_trainer_that_loses_time_in_one_step_is_found)
+{
+  static const LbTime durations[] = { 2000 * LB_MSEC, 2500 * LB_MSEC, 1900 * LB_MSEC,
+                                      2200 * LB_MSEC, 6400 * LB_MSEC, 3000 * LB_MSEC };
+  LcTrainerLags *lags = lc_trainer_lags_new ();
+  LbTime lag;
+  LbTime now = record_steps (lags, "m", durations, 6, &lag);
+
+  record_step (lags, "m", 6, now, 0);
+  lc_trainer_lags_estimate (lags, now);
+  const LcTrainerLag *estimate = lc_trainer_lags_find (lags, "m");
+  cr_assert (estimate->is_known && estimate->is_period_observed);
+  cr_assert_float_eq ((double)estimate->period, (double)PERIOD, (double)(20 * LB_MSEC));
+  cr_assert_float_eq ((double)estimate->lag, (double)lag, (double)(100 * LB_MSEC));
+  lc_trainer_lags_free (lags);
+}
+
+/* With random durations, the estimate must be close at light and at heavy load. If all steps are
+ * late, the period is not observed, and the bound from the intervals must do. */
+Test (trainer_lag, estimate_is_close_for_random_durations)
+{
+  gsl_rng *random = gsl_rng_alloc (gsl_rng_taus2);
+  enum
+  {
+    N = 20
+  };
+
+  for (unsigned long seed = 1; seed <= 200; seed++)
+    {
+      LcTrainerLags *lags = lc_trainer_lags_new ();
+      LbTime durations[N];
+      LbTime lag;
+      gsl_rng_set (random, seed);
+      double mean = gsl_ran_flat (random, 1, 8);
+      for (int i = 0; i < N; i++)
+        durations[i] = (LbTime)(gsl_ran_gamma (random, 25, mean / 25) * (double)LB_SEC);
+      LbTime now = record_steps (lags, "late", durations, N, &lag);
+      record_step (lags, "late", N, now, 0);
+      lc_trainer_lags_estimate (lags, now);
+      const LcTrainerLag *estimate = lc_trainer_lags_find (lags, "late");
+      if (estimate->is_period_observed)
+        cr_assert_float_eq ((double)estimate->lag, (double)lag, (double)(400 * LB_MSEC),
+                            "seed %lu: lag %lld, estimate %lld", seed, (long long)lag,
+                            (long long)estimate->lag);
+      else
+        cr_assert_leq (estimate->lag, lag, "seed %lu: the bound on the period is an upper one",
+                       seed);
+      lc_trainer_lags_free (lags);
+    }
+  gsl_rng_free (random);
+}
+
+/* If a late trainer's own period is not seen, the lag must not be taken for 0 while another trainer
+ * shows the period. */
+Test (trainer_lag, trainer_that_was_never_on_schedule_is_compared_with_others)
+{
+  static const LbTime late[] = { 6000 * LB_MSEC, 7000 * LB_MSEC, 6500 * LB_MSEC, 7600 * LB_MSEC };
+  static const LbTime early[] = { 2000 * LB_MSEC, 2500 * LB_MSEC, 1900 * LB_MSEC, 2200 * LB_MSEC,
+                                  3000 * LB_MSEC, 2000 * LB_MSEC, 2500 * LB_MSEC };
+  LcTrainerLags *lags = lc_trainer_lags_new ();
+  LbTime lag;
+
+  record_step (lags, "early", 7, record_steps (lags, "early", early, 7, &lag), 0);
+  LbTime now = record_steps (lags, "late", late, 4, &lag);
+  record_step (lags, "late", 4, now, 0);
+  lc_trainer_lags_estimate (lags, now);
+  cr_assert_not (lc_trainer_lags_find (lags, "late")->is_period_observed);
+  cr_assert_float_eq ((double)lc_trainer_lags_find (lags, "late")->lag, (double)lag,
+                      (double)(100 * LB_MSEC));
+  cr_assert_lt (lc_trainer_lags_find (lags, "early")->lag, 100 * LB_MSEC);
+  lc_trainer_lags_free (lags);
+}
+
+/* If an open step counted only at its end, engines would move a whole step too late. */
+Test (trainer_lag, open_step_that_is_longer_than_the_schedule_allows_counts_at_once)
+{
+  static const LbTime durations[] = { 2000 * LB_MSEC, 2500 * LB_MSEC, 1900 * LB_MSEC,
+                                      2200 * LB_MSEC, 3000 * LB_MSEC, 2000 * LB_MSEC };
+  LcTrainerLags *lags = lc_trainer_lags_new ();
+  LbTime lag;
+  LbTime now = record_steps (lags, "m", durations, 6, &lag);
+
+  record_step (lags, "m", 6, now, 0);
+  lc_trainer_lags_estimate (lags, now + 3 * LB_SEC);
+  cr_assert_lt (lc_trainer_lags_find (lags, "m")->lag, 50 * LB_MSEC);
+  lc_trainer_lags_estimate (lags, now + 6 * LB_SEC);
+  cr_assert_geq (lc_trainer_lags_find (lags, "m")->lag, 2 * LB_SEC);
+  lc_trainer_lags_free (lags);
+}
+
+/* A trainer that ended must not keep engines by its last lag; one that waits for a long step has
+ * not ended. */
+Test (trainer_lag, trainer_has_stopped_after_three_periods_without_a_step)
+{
+  static const LbTime durations[] = { 2000 * LB_MSEC, 2500 * LB_MSEC, 1900 * LB_MSEC,
+                                      2200 * LB_MSEC, 9000 * LB_MSEC, 2000 * LB_MSEC };
+  LcTrainerLags *lags = lc_trainer_lags_new ();
+  LbTime lag;
+  LbTime next = record_steps (lags, "m", durations, 6, &lag);
+
+  lc_trainer_lags_estimate (lags, next + 2 * PERIOD);
+  cr_assert_not (lc_trainer_lags_find (lags, "m")->has_stopped);
+  lc_trainer_lags_estimate (lags, next + 3 * PERIOD);
+  cr_assert (lc_trainer_lags_find (lags, "m")->has_stopped);
+  cr_assert_eq (lc_trainer_lags_find (lags, "m")->lag, 0);
+  cr_assert_eq (lc_trainer_lags_find (lags, "m")->held_lag_steps, 0);
+  record_step (lags, "m", 6, next + 10 * PERIOD, 0);
+  lc_trainer_lags_estimate (lags, next + 13 * PERIOD);
+  cr_assert_not (lc_trainer_lags_find (lags, "m")->has_stopped, "a long step is open");
+  lc_trainer_lags_estimate (lags, next + 30 * PERIOD);
+  cr_assert (lc_trainer_lags_find (lags, "m")->has_stopped, "the open step was abandoned");
+  lc_trainer_lags_free (lags);
+}
+
+/* Two trainers of one model would look like one with half the period. */
+Test (trainer_lag, lag_of_overlapping_steps_is_not_known)
+{
+  LcTrainerLags *lags = lc_trainer_lags_new ();
+
+  for (int i = 0; i < 10; i++)
+    record_step (lags, "m", i, START + i * LB_SEC, START + i * LB_SEC + 3 * LB_SEC);
+  lc_trainer_lags_estimate (lags, START + 13 * LB_SEC);
+  cr_assert (lc_trainer_lags_find (lags, "m")->has_several_trainers);
+  cr_assert_not (lc_trainer_lags_find (lags, "m")->is_known);
+  lc_trainer_lags_free (lags);
+}
+
+/* An instance that takes over the division reads the rows in any order, some of them twice. */
+Test (trainer_lag, estimate_does_not_depend_on_the_order_of_rows)
+{
+  gsl_rng *random = gsl_rng_alloc (gsl_rng_taus2);
+  enum
+  {
+    N = 100
+  };
+
+  for (unsigned long seed = 1; seed <= 100; seed++)
+    {
+      LcTrainerLags *first = lc_trainer_lags_new ();
+      LcTrainerLags *second = lc_trainer_lags_new ();
+      LbTime submitted_at[N];
+      LbTime ended_at[N];
+      int order[2 * N];
+      LbTime now = START;
+      gsl_rng_set (random, seed);
+      for (int i = 0; i < N; i++)
+        {
+          submitted_at[i] = now;
+          ended_at[i] = now + (LbTime)gsl_rng_uniform_int (random, 6 * LB_SEC);
+          now = ended_at[i] + (LbTime)gsl_rng_uniform_int (random, 2 * LB_SEC);
+          order[2 * i] = order[2 * i + 1] = i;
+          record_step (first, "m", i, submitted_at[i], 0);
+          record_step (first, "m", i, submitted_at[i], ended_at[i]);
+        }
+      gsl_ran_shuffle (random, order, 2 * N, sizeof order[0]);
+      for (int i = 0; i < 2 * N; i++)
+        record_step (second, "m", order[i], submitted_at[order[i]],
+                     i % 3 == 0 ? 0 : ended_at[order[i]]);
+      for (int i = 0; i < N; i++)
+        record_step (second, "m", i, submitted_at[i], ended_at[i]);
+      lc_trainer_lags_estimate (first, now);
+      lc_trainer_lags_estimate (second, now);
+      const LcTrainerLag *a = lc_trainer_lags_find (first, "m");
+      const LcTrainerLag *b = lc_trainer_lags_find (second, "m");
+      cr_assert (a->period == b->period && a->lag == b->lag && a->n_steps == b->n_steps
+                     && a->held_lag_steps == b->held_lag_steps
+                     && a->tokens_per_step == b->tokens_per_step,
+                 "seed %lu", seed);
+      lc_trainer_lags_free (first);
+      lc_trainer_lags_free (second);
+    }
+  gsl_rng_free (random);
+}
+
+/* Models are named by trainers; their number must not grow the state without bound. */
+Test (trainer_lag, number_of_trainers_is_bounded)
+{
+  LcTrainerLags *lags = lc_trainer_lags_new ();
+  LcTrainerStep step = { .batch = "b", .tokens = 1, .submitted_at = START };
+
+  for (int i = 0; i < LC_MAX_TRAINERS; i++)
+    {
+      snprintf (step.model, LB_NAME_MAX, "m-%d", i);
+      cr_assert (lc_trainer_lags_record_step (lags, &step, START));
+    }
+  LB_COPY (step.model, "one-more");
+  cr_assert_not (lc_trainer_lags_record_step (lags, &step, START));
+  cr_assert_eq (lc_trainer_lags_count (lags), LC_MAX_TRAINERS);
+  lc_trainer_lags_free (lags);
+}
