node: estimate the lag of trainers from batch rows and divide engines by it

Change: a batch row states when the batch was submitted and ended (store's clock), so an instance that takes over the division computes the same lags from the same rows; without the store's clock, the times at which rows were seen changing are used. The task "config" passes steps to lc-trainer-lag, divides engines by lc_engine_shares with the engines' slots as capacity, logs engine_shares with the inputs of each model, and sets the gauge lentilspindle_trainer_lag_ms (at most 64 models, 0 where this instance does not divide). Divisions are one period of the trainers apart, 2 to 10 s. With lag_shares in measure.off all is divided as before.

--- a/packages/core/include/lc-batch-head.h
+++ b/packages/core/include/lc-batch-head.h
@@ -15,6 +15,10 @@
   LbName incarnation;
   int64_t epoch; /* fencing token: incremented with each change of owner */
   bool ended;
+  /* When the batch was submitted and ended, by the store's clock in Unix ms; 0: not known. Every
+   * instance estimates the trainers' lag from them. */
+  int64_t accepted_ms;
+  int64_t ended_ms;
   int64_t n_items;
   LbName model;
   int64_t expected_tokens; /* expected total length of the batch's texts */
--- a/packages/core/src/batch/lc-batch-head.c
+++ b/packages/core/src/batch/lc-batch-head.c
@@ -16,6 +16,10 @@
   json_object_object_add (object, "incarnation", json_object_new_string (head->incarnation));
   json_object_object_add (object, "epoch", json_object_new_int64 (head->epoch));
   json_object_object_add (object, "ended", json_object_new_boolean (head->ended));
+  if (head->accepted_ms > 0)
+    json_object_object_add (object, "accepted_ms", json_object_new_int64 (head->accepted_ms));
+  if (head->ended_ms > 0)
+    json_object_object_add (object, "ended_ms", json_object_new_int64 (head->ended_ms));
   json_object_object_add (object, "total", json_object_new_int64 (head->n_items));
   json_object_object_add (object, "model", json_object_new_string (head->model));
   json_object_object_add (object, "tokens", json_object_new_int64 (head->expected_tokens));
@@ -40,6 +44,8 @@
   LB_COPY (head->incarnation, lb_json_text (object, "incarnation", ""));
   head->epoch = lb_json_int (object, "epoch", 0);
   head->ended = lb_json_bool (object, "ended", false);
+  head->accepted_ms = lb_json_int (object, "accepted_ms", 0);
+  head->ended_ms = lb_json_int (object, "ended_ms", 0);
   head->n_items = lb_json_int (object, "total", 0);
   LB_COPY (head->model, lb_json_text (object, "model", ""));
   head->expected_tokens = lb_json_int (object, "tokens", 0);
--- a/packages/core/tests/test-batch-head.c
+++ b/packages/core/tests/test-batch-head.c
@@ -8,7 +8,12 @@
 
 Test (batch_head, json_round_trip_keeps_all_fields)
 {
-  LcBatchHead head = { .epoch = 2, .n_items = 64, .expected_tokens = 900, .ended = true };
+  LcBatchHead head = { .epoch = 2,
+                       .n_items = 64,
+                       .expected_tokens = 900,
+                       .ended = true,
+                       .accepted_ms = 1700000000123,
+                       .ended_ms = 1700000004567 };
   LcBatchHead read;
 
   LB_COPY (head.batch, "b1");
@@ -16,6 +21,8 @@
   LB_COPY (head.path, "/r/b1");
   struct json_object *object = lc_batch_head_to_json (&head);
   cr_assert (lc_batch_head_from_json (object, &read));
+  cr_assert_eq (read.accepted_ms, head.accepted_ms);
+  cr_assert_eq (read.ended_ms, head.ended_ms);
   struct json_object *again = lc_batch_head_to_json (&read);
   cr_assert_str_eq (json_object_to_json_string (again), json_object_to_json_string (object));
   json_object_put (again);
--- a/packages/node/include/ln-messages.h
+++ b/packages/node/include/ln-messages.h
@@ -6,6 +6,7 @@
 #include "lc-dispatch.h"
 #include "lc-fleet.h"
 #include "lc-resources.h"
+#include "lc-trainer-lag.h"
 #include "ln-exchange.h"
 #include "ln-task.h"
 
@@ -38,6 +39,7 @@
   LN_ENDPOINT_LIST_APPLIED, /* config -> calls: when and by whom the endpoint list was requested */
   LN_ENDPOINT_LISTED,       /* config -> calls: a listed endpoint and its weight version */
   LN_DEMAND,                /* rollouts -> config, duties: expected tokens of a new batch */
+  LN_TRAINER_STEP,          /* rollouts -> config: a trainer submitted a batch, or it has ended */
   LN_DUTY,                  /* rollouts, config, duties -> all: took or lost an LnDuty */
   LN_REQUEST_STARTED,       /* calls -> duties: an organisation's request started running */
   LN_SERVICE_OVERLOADED,    /* calls -> peers: which service is overloaded has changed */
@@ -160,6 +162,12 @@
   int64_t n_items; /* number of items in the batch */
 } LnDemandMessage;
 
+typedef struct
+{
+  LnMessage base;
+  LcTrainerStep step;
+} LnTrainerStepMessage;
+
 typedef struct
 {
   LnMessage base;
--- a/packages/node/src/batch/ln-batch-calls.c
+++ b/packages/node/src/batch/ln-batch-calls.c
@@ -216,15 +216,12 @@
 on_ended_row_written (LbErrorCode error, const LpRow *row, void *user)
 {
   LnBatchCall *call = user;
-  LnBatch *batch = ln_batches_find (call->batches, call->id);
   LpRow ended = { 0 };
 
   call->waits_for_store = false;
   if (error == LB_OK)
     {
-      LcBatchHead head = batch->head;
-      head.ended = true;
-      struct json_object *object = lc_batch_head_to_json (&head);
+      struct json_object *object = lc_batch_head_to_json (&call->head);
       ended = (LpRow){ .key = row->key,
                        .value = json_object_to_json_string (object),
                        .version = row->version };
@@ -253,6 +250,9 @@
       return;
     }
   head.ended = true;
+  head.ended_ms
+      = lp_platform_get_store_clock_ms_at (call->batches->context->platform, lb_clock_monotonic ());
+  call->head = head;
   struct json_object *object = lc_batch_head_to_json (&head);
   const LpPut put = { .key = key, .value = json_object_to_json_string (object) };
   ln_batch_format_row_key (call->id, key);
--- a/packages/node/src/batch/ln-batch-heads.c
+++ b/packages/node/src/batch/ln-batch-heads.c
@@ -163,6 +163,42 @@
     }
 }
 
+/* Converts a time of the store's clock to this instance's. Returns 0 if it is not known. */
+static LbTime
+convert_store_ms (const LnBatches *batches, int64_t ms, LbTime now)
+{
+  int64_t store_now_ms = lp_platform_get_store_clock_ms_at (batches->context->platform, now);
+  LbTime at = now - (store_now_ms - ms) * LB_MSEC;
+
+  if (ms <= 0 || store_now_ms <= 0)
+    return 0;
+  return at < now ? at : now;
+}
+
+/* If the row has no times, uses those at which this instance saw the changes of the row. Rows that
+ * it read when it started show nothing of when they were written. */
+void
+ln_batches_publish_trainer_step (LnBatches *batches, const LnBatch *batch)
+{
+  LbTime now = lb_clock_monotonic ();
+  LnTask *task = ln_hub_find_task (batches->task.hub, "config");
+  LnTrainerStepMessage message
+      = { .base = LN_MESSAGE (LN_TRAINER_STEP),
+          .step = { .tokens = (double)batch->head.expected_tokens,
+                    .priority = batch->head.organisation_priority,
+                    .submitted_at = convert_store_ms (batches, batch->head.accepted_ms, now),
+                    .ended_at = convert_store_ms (batches, batch->head.ended_ms, now) } };
+
+  LB_COPY (message.step.batch, batch->id);
+  LB_COPY (message.step.model, batch->head.model);
+  if (message.step.submitted_at == 0 && lp_follow_has_delivered_all_rows (batches->row_watch))
+    message.step.submitted_at = batch->first_seen_at;
+  if (message.step.ended_at == 0 && batch->head.ended)
+    message.step.ended_at = batch->ended_at;
+  if (task && message.step.submitted_at > 0)
+    LN_POST (batches->task.hub, task, message);
+}
+
 bool
 ln_batches_update_batch_from_row (LnBatches *batches, const LpRow *row)
 {
@@ -183,12 +219,15 @@
   /* Publishes the demand of ended batches too. Otherwise an instance that has just started and
    * assigns engines to models would know only the demand of the few open batches, and would
    * reassign engines because of random differences between those batches. */
-  if (batch->version == 0)
+  bool is_new = batch->version == 0;
+  if (is_new)
     ln_batches_publish_token_demand (batches, &head);
   batch->head = head;
   batch->version = row->version;
   batch->version_seen_at = lb_clock_monotonic ();
   start_or_stop_run_after_row_change (batch, &old_head);
+  if (is_new || head.ended != old_head.ended)
+    ln_batches_publish_trainer_step (batches, batch);
   return true;
 }
 
--- a/packages/node/src/batch/ln-batch-submit.c
+++ b/packages/node/src/batch/ln-batch-submit.c
@@ -31,13 +31,16 @@
   lb_metric_add (&batches_accepted, 1);
   lb_log (LB_LOG_INFO, "batch_accepted", LB_TEXT ("batch", call->id),
           LB_INT ("items", call->spec.n_items), LB_INT ("tries", call->failed_attempts));
-  if (batch->version == 0)
+  bool is_new = batch->version == 0;
+  if (is_new)
     ln_batches_publish_token_demand (batches, &call->head);
   if (version > batch->version)
     {
       batch->head = call->head;
       batch->version = version;
     }
+  if (is_new)
+    ln_batches_publish_trainer_step (batches, batch);
   if (batch->state != LN_BATCH_NOT_OWNED || batch->version != version
       || ln_batch_offer_to_preferred_instance (batch, lb_clock_monotonic ()))
     return;
@@ -241,6 +244,8 @@
   call->head.expected_tokens = sum_expected_tokens (&call->spec);
   choose_preferred_instance (call);
   call->head.epoch = 1;
+  call->head.accepted_ms
+      = lp_platform_get_store_clock_ms_at (context->platform, lb_clock_monotonic ());
   call->head.n_items = (int64_t)call->spec.n_items;
   store_batch_content (call);
 }
--- a/packages/node/src/batch/ln-batches-private.h
+++ b/packages/node/src/batch/ln-batches-private.h
@@ -153,6 +153,8 @@
 /* Posts the expected tokens of a new batch to the task "config", which assigns engines to models,
  * and to the task "duties", which scales services. */
 void ln_batches_publish_token_demand (LnBatches *batches, const LcBatchHead *head);
+/* Posts to the task "config" that a trainer submitted the batch or that the batch ended. */
+void ln_batches_publish_trainer_step (LnBatches *batches, const LnBatch *batch);
 /* Updates a batch from its row in the store, unless a newer version of the row is known. Returns
  * false if the row cannot be parsed. */
 bool ln_batches_update_batch_from_row (LnBatches *batches, const LpRow *row);
--- a/packages/node/src/config/ln-desired.c
+++ b/packages/node/src/config/ln-desired.c
@@ -488,6 +488,10 @@
     update_runs_batches_from_duty_message (task, (const LnDutyMessage *)message);
   else if (message->type == LN_DEMAND)
     add_model_demand (task, demand, lb_clock_monotonic ());
+  else if (message->type == LN_TRAINER_STEP)
+    ln_engine_plans_record_trainer_step (task->engine_plans,
+                                         &((const LnTrainerStepMessage *)message)->step,
+                                         lb_clock_monotonic ());
 }
 
 static void
--- a/packages/node/src/weights/ln-engine-plans.c
+++ b/packages/node/src/weights/ln-engine-plans.c
@@ -1,10 +1,13 @@
 #include "ln-engine-plans.h"
 
+#include "ln-lag-metrics.h"
 #include "ln-stall.h"
 
 #include "lb-alloc.h"
 #include "lb-clock.h"
 #include "lb-log.h"
+#include "lb-switch.h"
+#include "lc-engine-shares.h"
 #include "lp-follow.h"
 
 #include <json-c/json.h>
@@ -29,6 +32,9 @@
 /* Time between two divisions of the engines among the models; batches arrive every few seconds, and
  * each updates the demand. */
 #define ENGINE_DIVISION_PERIOD (2 * LB_SEC)
+/* Longest time between two divisions. Below it, engines are divided once in the shortest period of
+ * a trainer, since a division only shows its effect in the trainers' next steps. */
+#define MAX_ENGINE_DIVISION_PERIOD (10 * LB_SEC)
 /* An instance that becomes the writer of the plan and knows no demand for models does not divide
  * the engines for this time, since it may not have read the rows of batches yet. */
 #define DEMAND_WARM_UP_TIME (3 * LB_SEC)
@@ -45,7 +51,10 @@
   bool is_writer; /* this instance orders weights and so writes the plan */
   LbTime writer_since;
   LpFollow *row_watch;
+  bool is_watched; /* this instance receives changes of the plan at once */
   LcDemand *demand;
+  LcTrainerLags *lags;
+  LbTime next_capacity_record_at;
   bool is_write_pending;
   bool must_retry_write;
   bool is_in_write[LC_ENGINE_PLAN_PARTS]; /* the write in progress, or the last write, includes this
@@ -135,6 +144,7 @@
   plans->on_plan = on_plan;
   plans->user = user;
   plans->demand = lc_demand_new ();
+  plans->lags = lc_trainer_lags_new ();
   plans->row_watch = lp_follow_new (context->platform, &settings, on_plan_rows_changed, plans);
   return plans;
 }
@@ -142,6 +152,7 @@
 void
 ln_engine_plans_set_watched (LnEnginePlans *plans, bool is_watched, LbTime now)
 {
+  plans->is_watched = is_watched;
   lp_follow_set_list_interval (plans->row_watch, is_watched ? 0 : UNWATCHED_READ_INTERVAL, now);
 }
 
@@ -153,6 +164,7 @@
   lc_engine_plan_clear (&plans->plan);
   lc_engine_plan_clear (&plans->desired);
   lc_demand_free (plans->demand);
+  lc_trainer_lags_free (plans->lags);
   lp_follow_free (plans->row_watch);
   free (plans);
 }
@@ -163,6 +175,14 @@
   lc_demand_add (plans->demand, model, (double)tokens, now);
 }
 
+void
+ln_engine_plans_record_trainer_step (LnEnginePlans *plans, const LcTrainerStep *step, LbTime now)
+{
+  if (!lc_trainer_lags_record_step (plans->lags, step, now))
+    lb_log (LB_LOG_WARNING, "trainer_step_ignored", LB_TEXT ("model", step->model),
+            LB_INT ("max_trainers", LC_MAX_TRAINERS));
+}
+
 /* Clears this instance's copy of a part of the plan whose write failed, so that the part is written
  * again. Otherwise the row would be outdated until the next change of the part. */
 static void
@@ -283,29 +303,152 @@
   return !lc_demand_is_empty (plans->demand) || now - plans->writer_since >= DEMAND_WARM_UP_TIME;
 }
 
-static void
-divide_engines_among_models (LnEnginePlans *plans, const LcRoster *roster, LbTime now)
+/* The engines that are not leaving, and their models. */
+typedef struct
 {
-  LcPlanEntry *engines = LB_NEW_ARRAY (LcPlanEntry, lc_roster_count_endpoints (roster) + 1);
+  LcPlanEntry *engines;
+  double *capacities; /* in slots; 0: not known */
+  size_t n_engines;
   LbName models[LC_MAX_MODELS];
-  size_t n_engines = 0;
-  size_t n_models = 0;
+  size_t n_models;
+} EngineList;
 
-  for (size_t i = 0; i < lc_roster_count_endpoints (roster); i++)
+static void
+engine_list_init (EngineList *list, const LcRoster *roster)
+{
+  size_t n_endpoints = lc_roster_count_endpoints (roster);
+
+  memset (list, 0, sizeof *list);
+  list->engines = LB_NEW_ARRAY (LcPlanEntry, n_endpoints + 1);
+  list->capacities = LB_NEW_ARRAY (double, n_endpoints + 1);
+  for (size_t i = 0; i < n_endpoints; i++)
     {
       const LcRegistration *registration = lc_roster_registration (roster, i);
       if (registration->n_models == 0 || registration->leaving)
         continue;
-      LB_COPY (engines[n_engines].engine, registration->name);
-      LB_COPY (engines[n_engines].model, lc_roster_assigned_model (roster, i));
-      n_engines++;
+      LB_COPY (list->engines[list->n_engines].engine, registration->name);
+      LB_COPY (list->engines[list->n_engines].model, lc_roster_assigned_model (roster, i));
+      list->capacities[list->n_engines++] = (double)registration->slots;
       for (size_t model = 0; model < registration->n_models; model++)
-        n_models = append_model_if_new (models, n_models, registration->models[model].name);
+        list->n_models
+            = append_model_if_new (list->models, list->n_models, registration->models[model].name);
+    }
+}
+
+static void
+engine_list_clear (EngineList *list)
+{
+  free (list->engines);
+  free (list->capacities);
+}
+
+/* Records which capacity each model has. Each instance that may become the writer of the plan does
+ * so, to know how long the trainers' steps took with which capacity. */
+static void
+record_capacity_of_models (LnEnginePlans *plans, const EngineList *list, LbTime now)
+{
+  for (size_t i = 0; i < list->n_models; i++)
+    {
+      double capacity = 0;
+      for (size_t engine = 0; engine < list->n_engines; engine++)
+        if (strcmp (list->engines[engine].model, list->models[i]) == 0)
+          capacity += list->capacities[engine] > 0 ? list->capacities[engine] : 1;
+      lc_trainer_lags_record_capacity (plans->lags, list->models[i], capacity, now);
     }
+}
+
+static struct json_object *
+new_rounded_number (double value)
+{
+  char text[32];
+
+  snprintf (text, sizeof text, "%.2f", value);
+  return json_object_new_double_s (value, text);
+}
+
+static struct json_object *
+model_share_to_json (const LcModelShare *share, const LcTrainerLag *lag)
+{
+  struct json_object *object = json_object_new_object ();
+
+  json_object_object_add (object, "model", json_object_new_string (share->model));
+  json_object_object_add (object, "engines", json_object_new_int64 ((int64_t)share->n_engines));
+  json_object_object_add (object, "share", new_rounded_number (share->share));
+  json_object_object_add (object, "demand", new_rounded_number (share->demand));
+  json_object_object_add (object, "correction", new_rounded_number (share->correction));
+  json_object_object_add (object, "priority", json_object_new_int64 (share->priority));
+  json_object_object_add (object, "lag_steps", new_rounded_number (share->lag_steps));
+  if (lag && lag->is_known)
+    {
+      json_object_object_add (object, "lag_ms", json_object_new_int64 (lag->lag / LB_MSEC));
+      json_object_object_add (object, "period_ms", json_object_new_int64 (lag->period / LB_MSEC));
+      json_object_object_add (object, "period_observed",
+                              json_object_new_boolean (lag->is_period_observed));
+      json_object_object_add (object, "stopped", json_object_new_boolean (lag->has_stopped));
+    }
+  return object;
+}
+
+/* Logs the inputs of a division that changed the plan; there are at most LC_MAX_MODELS models. */
+static void
+log_engine_shares (const LnEnginePlans *plans, const LcModelShare *shares, const EngineList *list)
+{
+  struct json_object *models = json_object_new_array ();
+
+  for (size_t i = 0; i < list->n_models; i++)
+    json_object_array_add (models, model_share_to_json (&shares[i],
+                                                        lc_trainer_lags_find (plans->lags,
+                                                                              shares[i].model)));
+  lb_log (LB_LOG_INFO, "engine_shares", LB_INT ("engines", list->n_engines),
+          LB_JSON ("models", json_object_to_json_string_ext (models, JSON_C_TO_STRING_PLAIN)));
+  json_object_put (models);
+}
+
+static void
+divide_engines_among_models (LnEnginePlans *plans, const EngineList *list, LbTime now)
+{
+  LcModelShare shares[LC_MAX_MODELS];
+
   ln_stall_set_activity ("division of engines");
-  lc_engine_plan_rebalance (&plans->desired, engines, n_engines, models, n_models, plans->demand,
-                            now);
-  free (engines);
+  lc_trainer_lags_estimate (plans->lags, now);
+  ln_lag_metrics_update (plans->lags);
+  lc_engine_shares_init (shares, list->models, list->n_models, plans->demand, plans->lags, now);
+  if (lc_engine_plan_divide (&plans->desired, list->engines, list->capacities, list->n_engines,
+                             shares, list->n_models))
+    log_engine_shares (plans, shares, list);
+}
+
+/* Returns the time until the next division, after the lags were estimated. */
+static LbTime
+get_division_period (const LnEnginePlans *plans)
+{
+  LbTime period = lc_trainer_lags_get_shortest_period (plans->lags);
+
+  if (!lb_switch_is_on (LB_SWITCH_LAG_SHARES) || period < ENGINE_DIVISION_PERIOD)
+    return ENGINE_DIVISION_PERIOD;
+  return period < MAX_ENGINE_DIVISION_PERIOD ? period : MAX_ENGINE_DIVISION_PERIOD;
+}
+
+static void
+divide_engines_if_due (LnEnginePlans *plans, const LcRoster *roster, LbTime now)
+{
+  bool is_division_due
+      = plans->is_writer && now >= plans->next_division_at && is_model_demand_known (plans, now);
+  bool is_record_due = plans->is_watched && now >= plans->next_capacity_record_at
+                       && lc_trainer_lags_count (plans->lags) > 0;
+  EngineList list;
+
+  if (!is_division_due && !is_record_due)
+    return;
+  engine_list_init (&list, roster);
+  plans->next_capacity_record_at = now + ENGINE_DIVISION_PERIOD;
+  record_capacity_of_models (plans, &list, now);
+  if (is_division_due)
+    {
+      divide_engines_among_models (plans, &list, now);
+      plans->next_division_at = now + get_division_period (plans);
+    }
+  engine_list_clear (&list);
 }
 
 /* Sets whether this instance writes the plan. A new writer starts from the plan of the previous
@@ -319,6 +462,8 @@
       lc_engine_plan_copy (&plans->desired, &plans->plan);
       plans->writer_since = now;
     }
+  else if (!is_writer && plans->is_writer)
+    ln_lag_metrics_reset ();
   plans->is_writer = is_writer;
 }
 
@@ -327,13 +472,9 @@
 {
   lp_follow_start_call_if_due (plans->row_watch, now);
   set_is_plan_writer (plans, may_write && lp_follow_has_delivered_all_rows (plans->row_watch), now);
+  divide_engines_if_due (plans, roster, now);
   if (!plans->is_writer)
     return;
-  if (now >= plans->next_division_at && is_model_demand_known (plans, now))
-    {
-      plans->next_division_at = now + ENGINE_DIVISION_PERIOD;
-      divide_engines_among_models (plans, roster, now);
-    }
   if (!plans->is_write_pending && now >= plans->next_write_at
       && (plans->must_retry_write || !lc_engine_plan_is_same (&plans->desired, &plans->plan)))
     write_changed_plan_parts (plans, now);
--- a/packages/node/src/weights/ln-engine-plans.h
+++ b/packages/node/src/weights/ln-engine-plans.h
@@ -2,6 +2,7 @@
 #define LN_ENGINE_PLANS_H
 
 #include "lc-roster.h"
+#include "lc-trainer-lag.h"
 #include "ln-context.h"
 
 /* Plan of the engines: which model each engine serves, which version of the model it has and
@@ -19,6 +20,9 @@
 void ln_engine_plans_free (LnEnginePlans *plans);
 void
 ln_engine_plans_add_demand (LnEnginePlans *plans, const char *model, int64_t tokens, LbTime now);
+/* Records that a trainer submitted a step or that the step ended. */
+void
+ln_engine_plans_record_trainer_step (LnEnginePlans *plans, const LcTrainerStep *step, LbTime now);
 /* Records the state of an engine; ignored unless this instance writes the plan. */
 void ln_engine_plans_record_engine_state (LnEnginePlans *plans, const LcPlanEntry *entry);
 void
