--- a/tests/process/pt-shared.h
+++ b/tests/process/pt-shared.h
@@ -38,6 +38,7 @@
   SiEndpoint lookup;                /* endpoint of service "lookups" */
   SiControlPlane control_plane;
   bool has_duties; /* enables usage reports and autoscaling; to be set before the instances start */
+  int keep_ended_s; /* retention of ended batches, to be set before the instances start; 0: 5 s */
   PsInstance instances[PS_MAX_INSTANCES];
   size_t n_instances;
   /* organisations in the desired state, as text ", NAME: VALUE"; NULL: none */
--- a/tests/process/test-shared.c
+++ b/tests/process/test-shared.c
@@ -775,3 +775,48 @@
     }
   ps_cluster_clear (&cluster);
 }
+
+#define TRAINER_PERIOD (2 * LB_SEC)
+
+static void
+wait_until_time (PsCluster *cluster, LbTime at)
+{
+  while (lb_clock_monotonic () < at)
+    ps_run_event_loop_once (cluster);
+}
+
+static double
+read_trainer_lag_ms (PsCluster *cluster, size_t instance)
+{
+  return ps_read_metric (cluster, instance, "lentilspindle_trainer_lag_ms{model=\"m\"}");
+}
+
+/* A trainer submits four batches on schedule, then one that stays open. The instance restarts and
+ * must find the trainer's lag from the rows; if it counted the batches as submitted when it read
+ * them, the trainer would seem to be on schedule, and engines would move to other models. */
+Test (shared, restarted_instance_finds_a_trainers_lag)
+{
+  PsCluster cluster;
+  char id[8];
+  char path[24];
+
+  ps_cluster_init (&cluster);
+  cluster.keep_ended_s = 60;
+  size_t instance = ps_start_instance (&cluster);
+  LbTime start = lb_clock_monotonic ();
+  for (int i = 0; i < 5; i++)
+    {
+      wait_until_time (&cluster, start + i * TRAINER_PERIOD);
+      snprintf (id, sizeof id, "b%d", i);
+      ps_submit_batch (&cluster, instance, id, 2);
+      wait_until_time (&cluster, start + i * TRAINER_PERIOD + LB_SEC);
+      snprintf (path, sizeof path, "/-/lots/%s", id);
+      if (i < 4)
+        ps_call_and_wait (&cluster, instance, "DELETE", path, "", "");
+    }
+  cr_assert_leq (read_trainer_lag_ms (&cluster, instance), 300);
+  PS_WAIT_UNTIL (&cluster, read_trainer_lag_ms (&cluster, instance) >= 1000);
+  ps_restart_instance (&cluster, instance);
+  PS_WAIT_UNTIL (&cluster, read_trainer_lag_ms (&cluster, instance) >= 1000);
+  ps_cluster_clear (&cluster);
+}
