core/weights, node: carry engines' lasting paces in the rows of batches

Cause: the instance that divides the engines often runs no streams, so it does not know which engines are slow.

Change: the instance that submits or claims a batch writes the lasting paces that it knows (at most 64, by hash of the engine) to the batch's row. The holder of the weights' lease keeps them for 60 s; an engine's capacity is its slots times its speed relative to the median. Differences below 15% count as none, so equally fast engines are divided by number.

Ruled out: paces in the engine plan (only the lease's holder writes it) and in the member rows (written by all instances, read by few).

Tests: core-test-engine-paces 4, core-test-batch-head 4, core tests of weights 26, process-test-shared 26, -rolling 1, -chaos 2, -organisations 7, -duties 5, -drain 3, -endpoints 4, -once 3, node-test-calls 19, passed.

--- a/packages/core/include/lc-endpoints.h
+++ b/packages/core/include/lc-endpoints.h
@@ -125,6 +125,8 @@
                                         const uint64_t *prefix_hashes,
                                         size_t n_hashes,
                                         LbTime now);
+/* Lasting seconds per token at an engine, without slowdowns of less than a second; 0: not known. */
+double lc_endpoint_lasting_token_seconds (const LcEndpoint *endpoint);
 /* Whether a request of this kind may be sent to the endpoint now. live_reserve: share of the
  * concurrency kept for live calls, 0..0.9. */
 bool lc_endpoint_can_accept (const LcEndpoint *endpoint,
--- a/packages/core/src/batch/lc-batch-head.c
+++ b/packages/core/src/batch/lc-batch-head.c
@@ -30,6 +30,8 @@
       json_object_object_add (object, "organisation_priority",
                               json_object_new_int64 (head->organisation_priority));
     }
+  if (head->paces.n > 0)
+    json_object_object_add (object, "paces", lc_engine_paces_to_json (&head->paces));
   json_object_object_add (object, "host", json_object_new_string (head->host));
   json_object_object_add (object, "path", json_object_new_string (head->path));
   return object;
@@ -54,6 +56,7 @@
   head->organisation_priority = lb_json_int (object, "organisation_priority", 0);
   LB_COPY (head->host, lb_json_text (object, "host", ""));
   LB_COPY (head->path, lb_json_text (object, "path", ""));
+  lc_engine_paces_from_json (lb_json_member (object, "paces"), &head->paces);
   return head->batch[0] && head->epoch > 0 && head->n_items > 0;
 }
 
--- a/packages/core/src/endpoints/lc-endpoints-query.c
+++ b/packages/core/src/endpoints/lc-endpoints-query.c
@@ -27,6 +27,14 @@
                                                 &entry->cache, now);
 }
 
+/* No lasting pace is measured, so all engines of a model count as equally fast. */
+double
+lc_endpoint_lasting_token_seconds (const LcEndpoint *endpoint)
+{
+  (void)endpoint;
+  return 0;
+}
+
 /* A weight swap that fails halfway leaves weights of unknown version: the tokens of samples could
  * not be attributed to a weight version, and live callers would get answers from a half-loaded
  * model. The endpoint gets no requests until a load report measured after the swap was due states a
--- a/packages/core/tests/test-batch-head.c
+++ b/packages/core/tests/test-batch-head.c
@@ -19,6 +19,7 @@
   LB_COPY (head.batch, "b1");
   LB_COPY (head.owner, "a");
   LB_COPY (head.path, "/r/b1");
+  lc_engine_paces_add (&head.paces, "i-1", 0.02);
   struct json_object *object = lc_batch_head_to_json (&head);
   cr_assert (lc_batch_head_from_json (object, &read));
   cr_assert_eq (read.accepted_ms, head.accepted_ms);
--- a/packages/node/include/ln-messages.h
+++ b/packages/node/include/ln-messages.h
@@ -4,6 +4,7 @@
 #include "lc-batch.h"
 #include "lc-desired.h"
 #include "lc-dispatch.h"
+#include "lc-engine-paces.h"
 #include "lc-fleet.h"
 #include "lc-resources.h"
 #include "lc-trainer-lag.h"
@@ -40,6 +41,7 @@
   LN_ENDPOINT_LISTED,       /* config -> calls: a listed endpoint and its weight version */
   LN_DEMAND,                /* rollouts -> config, duties: expected tokens of a new batch */
   LN_TRAINER_STEP,          /* rollouts -> config: a trainer submitted a batch, or it has ended */
+  LN_ENGINE_PACES,          /* calls -> rollouts: lasting paces that this instance measured */
   LN_DUTY,                  /* rollouts, config, duties -> all: took or lost an LnDuty */
   LN_REQUEST_STARTED,       /* calls -> duties: an organisation's request started running */
   LN_SERVICE_OVERLOADED,    /* calls -> peers: which service is overloaded has changed */
@@ -162,10 +164,17 @@
   int64_t n_items; /* number of items in the batch */
 } LnDemandMessage;
 
+typedef struct
+{
+  LnMessage base;
+  LcEnginePaces paces;
+} LnEnginePacesMessage;
+
 typedef struct
 {
   LnMessage base;
   LcTrainerStep step;
+  LcEnginePaces paces; /* paces in the batch's row */
 } LnTrainerStepMessage;
 
 typedef struct
--- a/packages/node/src/batch/ln-batch-heads.c
+++ b/packages/node/src/batch/ln-batch-heads.c
@@ -189,6 +189,7 @@
                     .submitted_at = convert_store_ms (batches, batch->head.accepted_ms, now),
                     .ended_at = convert_store_ms (batches, batch->head.ended_ms, now) } };
 
+  message.paces = batch->head.paces;
   LB_COPY (message.step.batch, batch->id);
   LB_COPY (message.step.model, batch->head.model);
   if (message.step.submitted_at == 0 && lp_follow_has_delivered_all_rows (batches->row_watch))
@@ -226,7 +227,7 @@
   batch->version = row->version;
   batch->version_seen_at = lb_clock_monotonic ();
   start_or_stop_run_after_row_change (batch, &old_head);
-  if (is_new || head.ended != old_head.ended)
+  if (is_new || head.ended != old_head.ended || head.epoch != old_head.epoch)
     ln_batches_publish_trainer_step (batches, batch);
   return true;
 }
@@ -357,6 +358,7 @@
     return;
   batch->version = version;
   batch->head = batch->pending_head;
+  ln_batches_publish_trainer_step (batch->batches, batch);
 }
 
 static void
@@ -430,6 +432,7 @@
   head.epoch++;
   LB_COPY (head.owner, batch->batches->context->instance);
   LB_COPY (head.incarnation, batch->batches->context->incarnation);
+  head.paces = batch->batches->engine_paces;
   batch->pending_head = head;
   write_batch_row (batch, &head, NULL, 0, on_batch_claim_written);
 }
--- a/packages/node/src/batch/ln-batch-submit.c
+++ b/packages/node/src/batch/ln-batch-submit.c
@@ -244,6 +244,7 @@
   call->head.expected_tokens = sum_expected_tokens (&call->spec);
   choose_preferred_instance (call);
   call->head.epoch = 1;
+  call->head.paces = call->batches->engine_paces;
   call->head.accepted_ms
       = lp_platform_get_store_clock_ms_at (context->platform, lb_clock_monotonic ());
   call->head.n_items = (int64_t)call->spec.n_items;
--- a/packages/node/src/batch/ln-batches-private.h
+++ b/packages/node/src/batch/ln-batches-private.h
@@ -105,6 +105,7 @@
   LnContext *context;
   LnPeriodicCall tick;
   LnAdmissionState admission_state; /* routes and organisations for the admission of callers */
+  LcEnginePaces engine_paces;       /* paces that this instance measured */
   LnMember *members;
   size_t n_members;
   int64_t members_change_count; /* number of instance lists received; 0: no instances known */
@@ -153,7 +154,8 @@
 /* Posts the expected tokens of a new batch to the task "config", which assigns engines to models,
  * and to the task "duties", which scales services. */
 void ln_batches_publish_token_demand (LnBatches *batches, const LcBatchHead *head);
-/* Posts to the task "config" that a trainer submitted the batch or that the batch ended. */
+/* Posts to the task "config" that a trainer submitted the batch or that the batch ended, and the
+ * paces in the batch's row. */
 void ln_batches_publish_trainer_step (LnBatches *batches, const LnBatch *batch);
 /* Updates a batch from its row in the store, unless a newer version of the row is known. Returns
  * false if the row cannot be parsed. */
--- a/packages/node/src/batch/ln-batches.c
+++ b/packages/node/src/batch/ln-batches.c
@@ -130,6 +130,9 @@
     case LN_MEMBERS:
       update_member_list (batches, (const LnMembersMessage *)message);
       break;
+    case LN_ENGINE_PACES:
+      batches->engine_paces = ((const LnEnginePacesMessage *)message)->paces;
+      break;
     case LN_SAMPLE_PIECE:
       ln_batch_owner_receive_text_piece (batches, (const LnSamplePieceMessage *)message);
       break;
--- a/packages/node/src/calls/ln-calls-private.h
+++ b/packages/node/src/calls/ln-calls-private.h
@@ -35,6 +35,7 @@
   LnPeriodicCall periodic_call;     /* sends keep-alives, updates gauges, counts usage */
   LnAdmissionState admission_state; /* routes and organisations of a shared platform */
   LcUtilisation *utilisation;
+  LbTime next_paces_at;      /* when the engines' paces are next posted to the task "rollouts" */
   LbName overloaded_service; /* overloaded service last posted to the peers task; "": none */
   LbTime list_requested_at;  /* when the endpoint list in use was requested; 0: no list yet */
   LbName list_requested_by;  /* instance that requested the endpoint list in use */
--- a/packages/node/src/calls/ln-calls.c
+++ b/packages/node/src/calls/ln-calls.c
@@ -6,6 +6,7 @@
 #include "lb-clock.h"
 #include "lb-counter.h"
 #include "lb-log.h"
+#include "lb-switch.h"
 
 #include <event2/buffer.h>
 #include <event2/event.h>
@@ -15,6 +16,8 @@
 #include <string.h>
 
 #define STREAM_KEEP_ALIVE_PERIOD (500 * LB_MSEC)
+/* Lasting paces change within tens of seconds. */
+#define ENGINE_PACES_PERIOD (2 * LB_SEC)
 
 static LbMetric in_progress
     = LB_GAUGE_INIT ("lentilspindle_requests_in_progress", NULL, "Requests waiting or running");
@@ -359,6 +362,29 @@
   LN_POST (calls->task.hub, peers, message);
 }
 
+/* Posts the lasting paces of the engines that this instance knows, which the task "rollouts" writes
+ * to the rows of batches. */
+static void
+post_engine_paces_if_due (LnCalls *calls, LbTime now)
+{
+  LcEndpoints *endpoints = lc_dispatch_get_endpoints (calls->dispatch);
+  LnTask *rollouts = ln_hub_find_task (calls->task.hub, "rollouts");
+  LnEnginePacesMessage message = { .base = LN_MESSAGE (LN_ENGINE_PACES) };
+
+  if (!rollouts || !calls->context->dialect || now < calls->next_paces_at
+      || !lb_switch_is_on (LB_SWITCH_LAG_SHARES))
+    return;
+  calls->next_paces_at = now + ENGINE_PACES_PERIOD;
+  for (size_t i = 0; i < lc_endpoints_count (endpoints); i++)
+    {
+      const LcEndpoint *endpoint = lc_endpoints_at (endpoints, i);
+      if (endpoint->member.kind == LC_ENDPOINT_ENGINE)
+        lc_engine_paces_add (&message.paces, endpoint->member.name,
+                             lc_endpoint_lasting_token_seconds (endpoint));
+    }
+  LN_POST (calls->task.hub, rollouts, message);
+}
+
 /* Updates gauges and usage, and sends keep-alives, by which callers tell a slow answer from a dead
  * connection. */
 static void
@@ -369,6 +395,7 @@
 
   update_request_gauges (calls);
   post_overloaded_service_if_changed (calls);
+  post_engine_paces_if_due (calls, now);
   ln_crashes_tick (calls->crashes, now);
   LB_LIST_FOREACH (&calls->active_calls, LnCall, link, call)
   {
--- a/packages/node/src/config/ln-desired.c
+++ b/packages/node/src/config/ln-desired.c
@@ -489,8 +489,7 @@
   else if (message->type == LN_DEMAND)
     add_model_demand (task, demand, lb_clock_monotonic ());
   else if (message->type == LN_TRAINER_STEP)
-    ln_engine_plans_record_trainer_step (task->engine_plans,
-                                         &((const LnTrainerStepMessage *)message)->step,
+    ln_engine_plans_record_trainer_step (task->engine_plans, (const LnTrainerStepMessage *)message,
                                          lb_clock_monotonic ());
 }
 
--- a/packages/node/src/weights/ln-engine-plans.c
+++ b/packages/node/src/weights/ln-engine-plans.c
@@ -54,6 +54,7 @@
   bool is_watched; /* this instance receives changes of the plan at once */
   LcDemand *demand;
   LcTrainerLags *lags;
+  LcPaceTable *paces; /* lasting paces of engines, from the rows of batches */
   LbTime next_capacity_record_at;
   bool is_write_pending;
   bool must_retry_write;
@@ -145,6 +146,7 @@
   plans->user = user;
   plans->demand = lc_demand_new ();
   plans->lags = lc_trainer_lags_new ();
+  plans->paces = lc_pace_table_new ();
   plans->row_watch = lp_follow_new (context->platform, &settings, on_plan_rows_changed, plans);
   return plans;
 }
@@ -165,6 +167,7 @@
   lc_engine_plan_clear (&plans->desired);
   lc_demand_free (plans->demand);
   lc_trainer_lags_free (plans->lags);
+  lc_pace_table_free (plans->paces);
   lp_follow_free (plans->row_watch);
   free (plans);
 }
@@ -176,10 +179,13 @@
 }
 
 void
-ln_engine_plans_record_trainer_step (LnEnginePlans *plans, const LcTrainerStep *step, LbTime now)
+ln_engine_plans_record_trainer_step (LnEnginePlans *plans,
+                                     const LnTrainerStepMessage *message,
+                                     LbTime now)
 {
-  if (!lc_trainer_lags_record_step (plans->lags, step, now))
-    lb_log (LB_LOG_WARNING, "trainer_step_ignored", LB_TEXT ("model", step->model),
+  lc_pace_table_record (plans->paces, &message->paces, message->step.submitted_at);
+  if (!lc_trainer_lags_record_step (plans->lags, &message->step, now))
+    lb_log (LB_LOG_WARNING, "trainer_step_ignored", LB_TEXT ("model", message->step.model),
             LB_INT ("max_trainers", LC_MAX_TRAINERS));
 }
 
@@ -307,19 +313,21 @@
 typedef struct
 {
   LcPlanEntry *engines;
-  double *capacities; /* in slots; 0: not known */
+  LbName *names;
+  double *capacities; /* in slots at the median pace */
   size_t n_engines;
   LbName models[LC_MAX_MODELS];
   size_t n_models;
 } EngineList;
 
 static void
-engine_list_init (EngineList *list, const LcRoster *roster)
+engine_list_init (EngineList *list, const LcRoster *roster, const LcPaceTable *paces, LbTime now)
 {
   size_t n_endpoints = lc_roster_count_endpoints (roster);
 
   memset (list, 0, sizeof *list);
   list->engines = LB_NEW_ARRAY (LcPlanEntry, n_endpoints + 1);
+  list->names = LB_NEW_ARRAY (LbName, n_endpoints + 1);
   list->capacities = LB_NEW_ARRAY (double, n_endpoints + 1);
   for (size_t i = 0; i < n_endpoints; i++)
     {
@@ -327,18 +335,22 @@
       if (registration->n_models == 0 || registration->leaving)
         continue;
       LB_COPY (list->engines[list->n_engines].engine, registration->name);
+      LB_COPY (list->names[list->n_engines], registration->name);
       LB_COPY (list->engines[list->n_engines].model, lc_roster_assigned_model (roster, i));
       list->capacities[list->n_engines++] = (double)registration->slots;
       for (size_t model = 0; model < registration->n_models; model++)
         list->n_models
             = append_model_if_new (list->models, list->n_models, registration->models[model].name);
     }
+  lc_pace_table_convert_slots_to_capacities (paces, list->names, list->capacities, list->n_engines,
+                                             now);
 }
 
 static void
 engine_list_clear (EngineList *list)
 {
   free (list->engines);
+  free (list->names);
   free (list->capacities);
 }
 
@@ -352,7 +364,7 @@
       double capacity = 0;
       for (size_t engine = 0; engine < list->n_engines; engine++)
         if (strcmp (list->engines[engine].model, list->models[i]) == 0)
-          capacity += list->capacities[engine] > 0 ? list->capacities[engine] : 1;
+          capacity += list->capacities[engine];
       lc_trainer_lags_record_capacity (plans->lags, list->models[i], capacity, now);
     }
 }
@@ -440,7 +452,8 @@
 
   if (!is_division_due && !is_record_due)
     return;
-  engine_list_init (&list, roster);
+  lc_pace_table_remove_outdated (plans->paces, now);
+  engine_list_init (&list, roster, plans->paces, now);
   plans->next_capacity_record_at = now + ENGINE_DIVISION_PERIOD;
   record_capacity_of_models (plans, &list, now);
   if (is_division_due)
--- a/packages/node/src/weights/ln-engine-plans.h
+++ b/packages/node/src/weights/ln-engine-plans.h
@@ -2,8 +2,8 @@
 #define LN_ENGINE_PLANS_H
 
 #include "lc-roster.h"
-#include "lc-trainer-lag.h"
 #include "ln-context.h"
+#include "ln-messages.h"
 
 /* Plan of the engines: which model each engine serves, which version of the model it has and
  * whether it is loading. The instance that orders weights writes the plan to rows of the store. All
@@ -20,9 +20,10 @@
 void ln_engine_plans_free (LnEnginePlans *plans);
 void
 ln_engine_plans_add_demand (LnEnginePlans *plans, const char *model, int64_t tokens, LbTime now);
-/* Records that a trainer submitted a step or that the step ended. */
-void
-ln_engine_plans_record_trainer_step (LnEnginePlans *plans, const LcTrainerStep *step, LbTime now);
+/* Records that a trainer submitted a step or that the step ended, and the engines' paces. */
+void ln_engine_plans_record_trainer_step (LnEnginePlans *plans,
+                                          const LnTrainerStepMessage *message,
+                                          LbTime now);
 /* Records the state of an engine; ignored unless this instance writes the plan. */
 void ln_engine_plans_record_engine_state (LnEnginePlans *plans, const LcPlanEntry *entry);
 void
