node: keep the last division while the store does not answer

Cause: without rows, trainers seem late or stopped. Change: no division while the plan's watch had no answer for 3 s. Tests: process-test-shared 26 and core-test-engine-shares 7 passed.

--- a/packages/core/src/weights/lc-engine-shares.c
+++ b/packages/core/src/weights/lc-engine-shares.c
@@ -146,7 +146,8 @@
       shares[i].priority = lag->priority;
       shares[i].lag_steps = lag->is_known ? lag->held_lag_steps : 0;
     }
-  /* After all trainers have stopped, the engines stay where they are. */
+  /* After all trainers have stopped, what they requested last counts, as without lags. Otherwise
+   * all models would be equal, and engines would move for nothing. */
   if (lags && !are_all_trainers_stopped (shares, n_models, lags)
       && is_demand_of_schedules_known (shares, n_models, lags))
     {
--- a/packages/node/src/weights/ln-engine-plans.c
+++ b/packages/node/src/weights/ln-engine-plans.c
@@ -35,6 +35,9 @@
 /* Longest time between two divisions. Below it, engines are divided once in the shortest period of
  * a trainer, since a division only shows its effect in the trainers' next steps. */
 #define MAX_ENGINE_DIVISION_PERIOD (10 * LB_SEC)
+/* Without an answer of the store for this time, which is longer than two watches, the last division
+ * stays in force. Trainers would seem to be late or to have stopped, since no rows arrive. */
+#define MAX_STORE_SILENCE (3 * LB_SEC)
 /* An instance that becomes the writer of the plan and knows no demand for models does not divide
  * the engines for this time, since it may not have read the rows of batches yet. */
 #define DEMAND_WARM_UP_TIME (3 * LB_SEC)
@@ -441,11 +444,17 @@
   return period < MAX_ENGINE_DIVISION_PERIOD ? period : MAX_ENGINE_DIVISION_PERIOD;
 }
 
+static bool
+may_divide_engines (const LnEnginePlans *plans, LbTime now)
+{
+  return plans->is_writer && now >= plans->next_division_at && is_model_demand_known (plans, now)
+         && now - lp_follow_get_last_answer_time (plans->row_watch) < MAX_STORE_SILENCE;
+}
+
 static void
 divide_engines_if_due (LnEnginePlans *plans, const LcRoster *roster, LbTime now)
 {
-  bool is_division_due
-      = plans->is_writer && now >= plans->next_division_at && is_model_demand_known (plans, now);
+  bool is_division_due = may_divide_engines (plans, now);
   bool is_record_due = plans->is_watched && now >= plans->next_capacity_record_at
                        && lc_trainer_lags_count (plans->lags) > 0;
   EngineList list;
