core/weights: observe a trainer's period only on a common schedule

Cause: with more seeds of the replay and training times of 300 to 900 ms, the mean interval of trainers that were always late was taken for their period; their lag seemed 0, and differences of up to 17 steps remained.

Change: a period is observed only if three quarters, and at least four, of the submissions after a wait lie on one schedule within 100 ms; a wait also exceeds an eighth of the mean interval; steady intervals must agree within 1.5%. The horizon of the lag is 0.7 periods (1 period: 1.2 steps at 1.9). The replay has random training times, each trainer loses time in turn, and 40 seeds in place of 10.

Tests: core-test-engine-shares 7, core-test-trainer-lag 8, core-test-engine-plan 11, core-test-engine-paces 4 passed.

--- a/packages/core/include/lc-trainer-lag.h
+++ b/packages/core/include/lc-trainer-lag.h
@@ -47,7 +47,7 @@
   /* Lag for the division of engines, in periods: the largest of the last submissions and now, so
    * that a lag that differs from step to step moves no engine back and forth. */
   double held_lag_steps;
-  size_t n_steps; /* number of steps that tokens_per_step is the mean of */
+  size_t n_steps;         /* number of steps that tokens_per_step is the mean of */
   double tokens_per_step; /* mean of the expected tokens of the newest steps */
   /* Capacity with which the trainer would keep its schedule, by the duration of its newest steps;
    * 0: not known. */
--- a/packages/core/src/weights/lc-engine-shares.c
+++ b/packages/core/src/weights/lc-engine-shares.c
@@ -8,9 +8,9 @@
 
 /* Number of periods within which a difference of lag is to be removed. A trainer that is d periods
  * further behind than others needs a share that is larger by d / LAG_HORIZON_PERIODS. In a replay
- * of four trainers at 1.9 times the capacity, 2 periods left a difference of 1.2 steps in the mean.
- */
-#define LAG_HORIZON_PERIODS 1.0
+ * of four trainers at 1.9 times the capacity, 1 period left a difference of 1.2 steps in the mean,
+ * and 0.7 periods 1.0. */
+#define LAG_HORIZON_PERIODS 0.7
 /* Largest factor on the share of a trainer that is behind. */
 #define MAX_LAG_FACTOR 2.0
 /* Lag of the trainer that is furthest behind, in its periods, from which shares are fully corrected
--- a/packages/core/src/weights/lc-trainer-lag.c
+++ b/packages/core/src/weights/lc-trainer-lag.c
@@ -14,16 +14,22 @@
 /* A trainer waited for its schedule if it submitted this much later after the end of the previous
  * step than it did at least. Above the differences between the clocks that set the two times. */
 #define MIN_WAIT (200 * LB_MSEC)
-/* Largest difference, as a share of the period, between values that are taken for the same period.
- */
-#define PERIOD_TOLERANCE 0.03
-/* Number of distances between steps on schedule that must agree for an observed period. */
-#define MIN_AGREEING_DISTANCES 2
-/* Distances that agree must be this share of all. Others come from steps that ended late, after
- * which training also took longer than usual. */
-#define MIN_AGREEING_SHARE 0.25
-/* Number of intervals that must agree for a period if the trainer never seems to have waited. */
-#define MIN_STEADY_INTERVALS 4
+/* The wait must also exceed this part of the mean interval, since the time of training varies. With
+ * waits of 200 ms, the interval of trainers that are always late was taken for their period. */
+#define MIN_WAIT_DIVISOR 8
+/* Number of newest steps after a wait among which a common schedule is sought. */
+#define MAX_STEPS_AFTER_WAIT 32
+/* Longest distance of a step on schedule from its scheduled time, because of the times of rows. */
+#define SCHEDULE_TOLERANCE ((double)(100 * LB_MSEC))
+/* Number and share of the steps after a wait that must lie on one schedule. Steps of
+ * a trainer that is always late lie on one by chance, but not most of them; taking their interval
+ * for the period would hide the lag. */
+#define MIN_STEPS_ON_SCHEDULE 4
+#define MIN_SHARE_ON_SCHEDULE 0.75
+/* Number of intervals that must agree for a period if the trainer never seems to have waited, and
+ * their largest difference as a share. Four late steps agreed within 3% by chance. */
+#define MIN_STEADY_INTERVALS 5
+#define STEADY_TOLERANCE 0.015
 /* A trainer has stopped after this many periods without an open step. */
 #define STOPPED_AFTER_PERIODS 3
 /* Number of last submissions whose lag is held. With two, a lag that alternates is constant. */
@@ -283,91 +289,103 @@
     trainer->min_turnaround = 0;
 }
 
-typedef struct
-{
-  double value;  /* possible period, in microseconds */
-  size_t weight; /* number of periods that the value is the mean of */
-} PeriodSample;
-
-static int
-compare_period_samples (const void *a, const void *b)
+/* Collects the indexes of the newest steps that the trainer waited to submit. Returns their number.
+ */
+static size_t
+collect_steps_after_wait (const Trainer *trainer, size_t *indexes)
 {
-  double difference = ((const PeriodSample *)a)->value - ((const PeriodSample *)b)->value;
+  LbTime min_wait = MIN_WAIT + trainer->period_bound / MIN_WAIT_DIVISOR;
+  size_t n = 0;
 
-  return (difference > 0) - (difference < 0);
+  for (size_t i = trainer->n_steps; i > 1 && n < MAX_STEPS_AFTER_WAIT; i--)
+    if (trainer->steps[i - 2].ended_at > 0
+        && get_turnaround (trainer, i - 1) >= trainer->min_turnaround + min_wait)
+      indexes[n++] = i - 1;
+  return n;
 }
 
-/* Collects the mean interval between each two successive submissions before which the trainer
- * waited. */
+/* Returns how many of the steps lie on a schedule with this period that contains the step `first`,
+ * and refines the period by the two of them that are furthest apart. */
 static size_t
-collect_distances_on_schedule (const Trainer *trainer, PeriodSample *samples)
+count_steps_on_schedule (
+    const Trainer *trainer, const size_t *indexes, size_t n, size_t first, double *period)
 {
-  size_t last = 0;
-  size_t n = 0;
+  const Step *steps = trainer->steps;
+  size_t oldest = first;
+  size_t newest = first;
+  size_t n_on_schedule = 0;
 
-  for (size_t i = 1; i < trainer->n_steps; i++)
+  for (size_t i = 0; i < n; i++)
     {
-      if (trainer->steps[i - 1].ended_at == 0
-          || get_turnaround (trainer, i) < trainer->min_turnaround + MIN_WAIT)
+      double distance = (double)(steps[indexes[i]].submitted_at - steps[first].submitted_at);
+      double n_periods = (double)indexes[i] - (double)first;
+      if (fabs (distance - n_periods * *period) > SCHEDULE_TOLERANCE)
         continue;
-      if (last > 0)
-        samples[n++] = (PeriodSample){ .value = (double)(trainer->steps[i].submitted_at
-                                                         - trainer->steps[last].submitted_at)
-                                                / (double)(i - last),
-                                       .weight = i - last };
-      last = i;
+      n_on_schedule++;
+      oldest = indexes[i] < oldest ? indexes[i] : oldest;
+      newest = indexes[i] > newest ? indexes[i] : newest;
     }
-  return n;
+  if (newest > oldest)
+    *period = (double)(steps[newest].submitted_at - steps[oldest].submitted_at)
+              / (double)(newest - oldest);
+  return n_on_schedule;
 }
 
-static size_t
-collect_intervals (const Trainer *trainer, PeriodSample *samples)
+/* Finds the period by which most of the steps after a wait lie on one schedule; 0: there is none.
+ * If the steps did not wait for the schedule, for example because the time of training varies, they
+ * lie on no common schedule. */
+static LbTime
+find_period_of_schedule (const Trainer *trainer)
 {
-  for (size_t i = 1; i < trainer->n_steps; i++)
-    samples[i - 1] = (PeriodSample){ .value = (double)(trainer->steps[i].submitted_at
-                                                       - trainer->steps[i - 1].submitted_at),
-                                     .weight = 1 };
-  return trainer->n_steps > 0 ? trainer->n_steps - 1 : 0;
+  size_t indexes[MAX_STEPS_AFTER_WAIT];
+  size_t n = collect_steps_after_wait (trainer, indexes);
+  size_t most = 0;
+  double best = 0;
+
+  for (size_t i = 0; i < n; i++)
+    for (size_t j = i + 1; j < n; j++)
+      {
+        double period = (double)(trainer->steps[indexes[i]].submitted_at
+                                 - trainer->steps[indexes[j]].submitted_at)
+                        / (double)(indexes[i] - indexes[j]);
+        size_t n_on_schedule = count_steps_on_schedule (trainer, indexes, n, indexes[j], &period);
+        if (n_on_schedule <= most)
+          continue;
+        most = n_on_schedule;
+        best = period;
+      }
+  if (most < MIN_STEPS_ON_SCHEDULE || (double)most < MIN_SHARE_ON_SCHEDULE * (double)n)
+    return 0;
+  return (LbTime)best;
 }
 
-/* Returns the weighted mean of the smallest values that agree with each other and are at least
- * min_agreeing; 0: there are none. The mean of many is exact enough that its error does not add up
- * to a lag over many steps. */
+/* Returns the mean interval if all are nearly equal; else 0. */
 static LbTime
-find_smallest_agreeing_period (PeriodSample *samples, size_t n, size_t min_agreeing)
+find_steady_interval (const Trainer *trainer)
 {
-  if (n < min_agreeing)
+  LbTime least = LB_TIME_NEVER;
+  LbTime most = 0;
+
+  if (trainer->n_steps < MIN_STEADY_INTERVALS + 1)
     return 0;
-  qsort (samples, n, sizeof *samples, compare_period_samples);
-  for (size_t i = 0; i + min_agreeing <= n; i++)
+  for (size_t i = 1; i < trainer->n_steps; i++)
     {
-      double sum = 0;
-      size_t weight = 0;
-      size_t j = i;
-      for (; j < n && samples[j].value <= samples[i].value * (1 + 2 * PERIOD_TOLERANCE); j++)
-        {
-          sum += samples[j].value * (double)samples[j].weight;
-          weight += samples[j].weight;
-        }
-      if (j - i >= min_agreeing)
-        return (LbTime)(sum / (double)weight);
+      LbTime interval = trainer->steps[i].submitted_at - trainer->steps[i - 1].submitted_at;
+      least = interval < least ? interval : least;
+      most = interval > most ? interval : most;
     }
-  return 0;
+  if ((double)(most - least) > STEADY_TOLERANCE * (double)least)
+    return 0;
+  return (trainer->steps[trainer->n_steps - 1].submitted_at - trainer->steps[0].submitted_at)
+         / (LbTime)(trainer->n_steps - 1);
 }
 
 static LbTime
 find_observed_period (const Trainer *trainer)
 {
-  PeriodSample samples[MAX_STEPS];
-  size_t n = collect_distances_on_schedule (trainer, samples);
-  size_t min_agreeing = (size_t)ceil ((double)n * MIN_AGREEING_SHARE);
+  LbTime period = find_period_of_schedule (trainer);
 
-  LbTime period = find_smallest_agreeing_period (
-      samples, n, min_agreeing > MIN_AGREEING_DISTANCES ? min_agreeing : MIN_AGREEING_DISTANCES);
-  if (period > 0)
-    return period;
-  n = collect_intervals (trainer, samples);
-  return n >= MIN_STEADY_INTERVALS ? find_smallest_agreeing_period (samples, n, n) : 0;
+  return period > 0 ? period : find_steady_interval (trainer);
 }
 
 /* --- lag --- */
--- a/packages/core/tests/test-engine-shares.c
+++ b/packages/core/tests/test-engine-shares.c
@@ -17,13 +17,14 @@
 #define N_ENGINES 44
 #define N_SLOTS 6
 #define N_STEPS 15
-#define N_SEEDS 10
+#define N_SEEDS 40
 /* Work of the trainers, as a part of what all slots can do, with which a fair division just keeps
  * the period. Slots are idle while the last texts of a step end and while its trainer trains. */
 #define SUSTAINED_LOAD 0.57
 #define MAX_TEXTS 112
 #define PERIOD (4 * LB_SEC)
-#define TRAINING_TIME (400 * LB_MSEC)
+#define MIN_TRAINING_TIME (300 * LB_MSEC)
+#define MAX_TRAINING_TIME (900 * LB_MSEC)
 #define LOAD_TIME (900 * LB_MSEC)
 /* Least time between two divisions, as in ln-engine-plans.c. */
 #define MIN_DIVISION_PERIOD (2 * LB_SEC)
@@ -55,7 +56,8 @@
   const double *speeds; /* of the engines, in turn; NULL: all are equal */
   size_t n_speeds;
   bool is_capacity_known;
-  bool has_loss;
+  int losing_trainer; /* index of the trainer that loses time in a step; -1: none. Replays with
+                         several seeds use each trainer in turn. */
 } ReplayCase;
 
 typedef struct
@@ -124,7 +126,7 @@
       trainer->left[i] = gsl_ran_gamma (replay->random, 4, trainer->mean_seconds / 4);
       trainer->is_running[i] = false;
     }
-  if (replay->settings.has_loss && index == 0 && trainer->step == LOSS_STEP)
+  if (index == replay->settings.losing_trainer && trainer->step == LOSS_STEP)
     trainer->stands_still_until = now + LOSS_TIME;
   record_step (replay, index, 0);
 }
@@ -134,12 +136,15 @@
 {
   ReplayTrainer *trainer = &replay->trainers[index];
   LbTime scheduled_at = trainer->submitted_at - trainer->lag + PERIOD;
+  LbTime trained_at
+      = now + MIN_TRAINING_TIME
+        + (LbTime)gsl_rng_uniform_int (replay->random, MAX_TRAINING_TIME - MIN_TRAINING_TIME);
 
   for (int i = 0; i < N_ENGINES; i++)
     if (get_trainer_of_engine (replay, i) == index)
       free_slots_of_engine (replay, i);
   trainer->is_open = false;
-  trainer->next_at = now + TRAINING_TIME > scheduled_at ? now + TRAINING_TIME : scheduled_at;
+  trainer->next_at = trained_at > scheduled_at ? trained_at : scheduled_at;
   record_step (replay, index, now);
 }
 
@@ -307,7 +312,10 @@
   for (unsigned long seed = 1; seed <= N_SEEDS; seed++)
     {
       Replay replay;
-      replay_init (&replay, settings, seed);
+      ReplayCase replay_case = *settings;
+      if (settings->losing_trainer >= 0)
+        replay_case.losing_trainer = (int)(seed % N_TRAINERS);
+      replay_init (&replay, &replay_case, seed);
       double spread = run_replay (&replay);
       result.mean_spread += spread / N_SEEDS;
       result.worst_spread = fmax (result.worst_spread, spread);
@@ -322,14 +330,14 @@
 }
 
 /* One trainer loses 3 s in a step. By demand alone a trainer that is behind submits less, so it
- * gets fewer engines and falls behind further; trainers ended up to 14 steps apart. */
+ * gets fewer engines and falls behind further; trainers ended up to 18 steps apart. */
 Test (engine_shares, trainers_end_within_a_step_of_each_other)
 {
   static const double loads[] = { 1.0, 1.3, 1.9 };
 
   for (size_t i = 0; i < sizeof loads / sizeof loads[0]; i++)
     {
-      const ReplayCase settings = { .load = loads[i], .has_loss = true };
+      const ReplayCase settings = { .load = loads[i] };
       ReplayResult off = run_replays (&settings, false);
       ReplayResult on = run_replays (&settings, true);
       cr_expect_leq (on.mean_spread, 1, "load %.1f: %.2f steps", loads[i], on.mean_spread);
@@ -342,7 +350,7 @@
  */
 Test (engine_shares, even_load_moves_no_engine)
 {
-  const ReplayCase settings = { .load = 0.8, .has_equal_texts = true };
+  const ReplayCase settings = { .load = 0.8, .has_equal_texts = true, .losing_trainer = -1 };
 
   cr_expect_eq (run_replays (&settings, true).mean_moves, 0);
 }
@@ -352,7 +360,7 @@
 Test (engine_shares, known_capacities_reduce_the_lag_on_uneven_engines)
 {
   static const double uneven[] = { 0.7, 0.7, 1.7 };
-  ReplayCase settings = { .load = 1.3, .has_loss = true, .speeds = uneven, .n_speeds = 3 };
+  ReplayCase settings = { .load = 1.3, .speeds = uneven, .n_speeds = 3 };
   ReplayResult off = run_replays (&settings, false);
   ReplayResult by_lag = run_replays (&settings, true);
 
