--- a/packages/core/include/lc-batch-head.h
+++ b/packages/core/include/lc-batch-head.h
@@ -1,7 +1,7 @@
 #ifndef LC_BATCH_HEAD_H
 #define LC_BATCH_HEAD_H
 
-#include "lc-types.h"
+#include "lc-engine-paces.h"
 
 struct json_object;
 
@@ -19,6 +19,10 @@
   int64_t released_ms;
   int64_t epoch; /* fencing token: incremented with each change of owner */
   bool ended;
+  /* When the batch was submitted and ended, by the store's clock in Unix ms; 0: not known. Every
+   * instance estimates the trainers' lag from them. */
+  int64_t accepted_ms;
+  int64_t ended_ms;
   int64_t n_items;
   LbName model;
   int64_t due_ms;          /* store's clock by which the batch is needed; 0: unknown */
@@ -31,6 +35,7 @@
   int64_t organisation_priority; /* priority when the batch was accepted; larger values run first */
   LbName host;                   /* host name of the batch's route */
   char path[128];
+  LcEnginePaces paces; /* measured by the instance that submitted or claimed the batch */
 } LcBatchHead;
 
 struct json_object *lc_batch_head_to_json (const LcBatchHead *head);
--- a/packages/core/src/batch/lc-batch-head.c
+++ b/packages/core/src/batch/lc-batch-head.c
@@ -21,6 +21,10 @@
     }
   json_object_object_add (object, "epoch", json_object_new_int64 (head->epoch));
   json_object_object_add (object, "ended", json_object_new_boolean (head->ended));
+  if (head->accepted_ms > 0)
+    json_object_object_add (object, "accepted_ms", json_object_new_int64 (head->accepted_ms));
+  if (head->ended_ms > 0)
+    json_object_object_add (object, "ended_ms", json_object_new_int64 (head->ended_ms));
   json_object_object_add (object, "total", json_object_new_int64 (head->n_items));
   json_object_object_add (object, "model", json_object_new_string (head->model));
   json_object_object_add (object, "tokens", json_object_new_int64 (head->expected_tokens));
@@ -33,6 +37,8 @@
       json_object_object_add (object, "organisation_priority",
                               json_object_new_int64 (head->organisation_priority));
     }
+  if (head->paces.n > 0)
+    json_object_object_add (object, "paces", lc_engine_paces_to_json (&head->paces));
   json_object_object_add (object, "host", json_object_new_string (head->host));
   json_object_object_add (object, "path", json_object_new_string (head->path));
   return object;
@@ -49,6 +55,8 @@
   head->released_ms = lb_json_int (object, "released_ms", 0);
   head->epoch = lb_json_int (object, "epoch", 0);
   head->ended = lb_json_bool (object, "ended", false);
+  head->accepted_ms = lb_json_int (object, "accepted_ms", 0);
+  head->ended_ms = lb_json_int (object, "ended_ms", 0);
   head->n_items = lb_json_int (object, "total", 0);
   LB_COPY (head->model, lb_json_text (object, "model", ""));
   head->expected_tokens = lb_json_int (object, "tokens", 0);
@@ -58,6 +66,7 @@
   head->organisation_priority = lb_json_int (object, "organisation_priority", 0);
   LB_COPY (head->host, lb_json_text (object, "host", ""));
   LB_COPY (head->path, lb_json_text (object, "path", ""));
+  lc_engine_paces_from_json (lb_json_member (object, "paces"), &head->paces);
   return head->batch[0] && head->epoch > 0 && head->n_items > 0;
 }
 
