--- a/packages/base/include/lb-switch.h
+++ b/packages/base/include/lb-switch.h
@@ -29,8 +29,8 @@
   LB_SWITCH_IDLE_CONNECTIONS,  /* reuses idle connections for later requests */
   LB_SWITCH_SCALING, /* requests spot endpoints from the platform to match the trainers' demand */
   LB_SWITCH_MOVE_DECISIONS, /* lets the dispatcher refuse a move that gains too little */
-  LB_SWITCH_WAIT_ESTIMATE, /* refuses calls whose wait and service time exceed their deadline */
-  LB_SWITCH_GROUP_ORDER,   /* runs texts of groups that can't be completed after all others */
+  LB_SWITCH_WAIT_ESTIMATE,  /* refuses calls whose wait and service time exceed their deadline */
+  LB_SWITCH_GROUP_ORDER,    /* runs texts of groups that can't be completed after all others */
   LB_N_SWITCHES
 } LbSwitch;
 
