Dispatch: count all requests that a round skips towards its limit

Change: the pool counts all requests that the round has skipped.

core-test-saturation 5, uneven 9, moves 6, move 7, dispatch 2, dispatch-move 3, dispatch-random 1, dispatch-invariants 5, router 9: all pass.

--- a/packages/core/src/dispatch/lc-placement.c
+++ b/packages/core/src/dispatch/lc-placement.c
@@ -138,7 +138,7 @@
 static size_t
 count_requests_ahead_for_faster (const LcPoolState *pool, LbTime now)
 {
-  bool is_limit_reached = pool->n_awaiting_faster >= MAX_SKIPPED_REQUESTS_PER_ROUND;
+  bool is_limit_reached = pool->n_skipped >= MAX_SKIPPED_REQUESTS_PER_ROUND;
   bool is_saturated = pool->backlog_since > 0 && now - pool->backlog_since >= MIN_BACKLOG_TIME;
 
   return is_limit_reached && is_saturated ? lc_queue_length (pool->queue) : pool->n_awaiting_faster;
@@ -350,6 +350,7 @@
 skip_request (LcPoolState *pool, LcRequest *request, const LcRouteDecision *decision, LbTime now)
 {
   lc_queue_defer (pool->queue, &request->queue_entry);
+  pool->n_skipped++;
   if (!awaits_faster_endpoint (decision))
     return;
   pool->n_awaiting_faster++;
@@ -395,9 +396,8 @@
                                    LbList *actions)
 {
   LcQueueEntry *entry = NULL;
-  int n_skipped = 0;
 
-  pool->n_awaiting_faster = 0;
+  pool->n_skipped = pool->n_awaiting_faster = 0;
   lc_dispatch_expire_move_holds (dispatch, now);
   while ((entry = lc_queue_peek (pool->queue)))
     {
@@ -410,12 +410,12 @@
       else if (decision.endpoint)
         place_request (dispatch, request, &decision, now, actions);
       else if (may_skip_request (request, &decision)
-               && n_skipped++ < MAX_SKIPPED_REQUESTS_PER_ROUND)
+               && pool->n_skipped < MAX_SKIPPED_REQUESTS_PER_ROUND)
         skip_request (pool, request, &decision, now);
       else
         break;
     }
-  pool->n_awaiting_faster = 0;
+  pool->n_skipped = pool->n_awaiting_faster = 0;
   lc_queue_restore_deferred (pool->queue);
   update_backlog_start (pool, now);
   fail_blocked_requests (dispatch, pool, now, actions);
--- a/packages/core/src/dispatch/lc-pool.h
+++ b/packages/core/src/dispatch/lc-pool.h
@@ -23,7 +23,8 @@
   bool configured;   /* the current configuration contains the pool */
   LbTime held_since; /* when the pool began to hold its requests until a current load report
                         arrives; 0: it holds none */
-  /* number of requests that wait for a faster endpoint, in the present round of sending */
+  size_t n_skipped;  /* number of requests that the present round of sending has skipped */
+  /* number of these that wait for a faster endpoint */
   size_t n_awaiting_faster;
   LbTime backlog_since; /* since when the queue has not been empty; 0: it is empty */
   double live_reserve;  /* share of each engine's concurrency kept for live calls, 0..0.9 */
