Dispatch: waiting calls that would be late are refused early

Cause: calls were checked at their admission and when their turn came with a slot free. With frozen endpoints nothing checked waiting calls again.

Change: new lc-review.c. A waiting call is refused as "not run" when its latest useful start has passed (timer, not only when a slot is free). It is also checked by its position each time half of its remaining time has passed (about six times), and every 20 ms the longest wait of each band is checked. Only 0.6 of the estimated wait counts, and the rate is at least the number of attempts that ended in the last second, so that momentary slowness refuses nobody. Silent endpoints are expected to stay silent for as long again and then to answer at their usual rate. The first call of the queue stays, as it shows a recovery. The requests before a call are counted only in flows of up to 256.

--- a/packages/core/src/dispatch/lc-dispatch-private.h
+++ b/packages/core/src/dispatch/lc-dispatch-private.h
@@ -84,6 +84,25 @@
 bool lc_dispatch_send_to_preferred_endpoint (
     LcDispatch *dispatch, LcRequest *request, const char *endpoint, LbTime now, LbList *actions);
 
+/* Implemented in lc-review.c, which refuses waiting calls that would be late. */
+/* Whether the call can't end by its deadline even if a slot is free now. */
+bool lc_dispatch_is_too_late_to_start (const LcRequest *request, LbTime now);
+/* Returns when lc_dispatch_check_late_call is due; LB_TIME_NEVER: never. */
+LbTime lc_dispatch_next_late_check (const LcRequest *request);
+/* Refuses a call whose latest useful start has passed, or sets the time of the next check. */
+void
+lc_dispatch_check_late_call (LcDispatch *dispatch, LcRequest *request, LbTime now, LbList *actions);
+void lc_dispatch_refuse_late_call (LcDispatch *dispatch,
+                                   LcRequest *request,
+                                   LbTime now,
+                                   LbList *actions);
+/* Refuses the calls that are no longer expected to be served in time, for example because an
+ * endpoint has left or stopped answering since they were admitted. */
+void lc_dispatch_review_waiting_calls (LcDispatch *dispatch,
+                                       const LcPoolState *pool,
+                                       LbTime now,
+                                       LbList *actions);
+
 /* Implemented in lc-dispatch-move.c. */
 void lc_dispatch_release_move_hold (LcDispatch *dispatch, const char *endpoint, LbTime now);
 void lc_dispatch_expire_move_holds (LcDispatch *dispatch, LbTime now);
--- a/packages/core/src/dispatch/lc-dispatch.c
+++ b/packages/core/src/dispatch/lc-dispatch.c
@@ -506,6 +506,8 @@
     }
   else if (request->state == LC_STATE_BACKOFF)
     lc_dispatch_enqueue (dispatch, request);
+  else if (is_waiting)
+    lc_dispatch_check_late_call (dispatch, request, now, actions);
   else
     lc_dispatch_try_hedge (dispatch, request, now, actions);
 }
--- a/packages/core/src/dispatch/lc-placement.c
+++ b/packages/core/src/dispatch/lc-placement.c
@@ -341,23 +341,6 @@
   lb_metric_add (&requests_awaiting_faster, 1);
 }
 
-/* Whether a waiting call can't end by its deadline although a slot is free now. A slot that such a
- * call takes is lost for the calls that wait behind it. While no call runs, as before the first
- * attempt after an outage, the observed service time is outdated. */
-static bool
-is_too_late_to_start (const LcRequest *request, LbTime now)
-{
-  if (!lb_switch_is_on (LB_SWITCH_WAIT_ESTIMATE) || request->kind == LC_KIND_SAMPLE
-      || request->n_attempts > 0 || request->deadline == LB_TIME_NEVER
-      || request->pool->wait_estimate.running[request->kind] == 0
-      || lc_queue_length (request->pool->queue) < 2)
-    return false;
-  return now
-             + lc_wait_estimate_service_time (&request->pool->wait_estimate, request->kind,
-                                              request->expected_tokens)
-         >= request->deadline;
-}
-
 /* Sends as many waiting requests of the pool as its endpoints can take. Skips requests without an
  * endpoint only if their constraints may be the reason, or if they wait for a faster endpoint;
  * otherwise the pool is full. */
@@ -378,8 +361,9 @@
 
       LcRouteDecision decision = choose_endpoint (dispatch, request, now);
 
-      if (decision.endpoint && is_too_late_to_start (request, now))
-        lc_dispatch_fail_request (dispatch, request, LB_ERROR_OVERLOADED, 0, now, actions);
+      if (decision.endpoint && lc_queue_length (pool->queue) >= 2
+          && lc_dispatch_is_too_late_to_start (request, now))
+        lc_dispatch_refuse_late_call (dispatch, request, now, actions);
       else if (decision.endpoint)
         place_request (dispatch, request, &decision, now, actions);
       else if (may_skip_request (request, &decision)
@@ -404,6 +388,7 @@
       {
         next = pool->hh.next;
         lc_dispatch_send_waiting_requests (dispatch, pool, now, actions);
+        lc_dispatch_review_waiting_calls (dispatch, pool, now, actions);
       }
 }
 
--- a/packages/core/src/dispatch/lc-queue.c
+++ b/packages/core/src/dispatch/lc-queue.c
@@ -11,6 +11,12 @@
 /* Number of requests of a band after which the share that a flow got is measured anew, so that the
  * share follows the arrivals of other flows. */
 #define MAX_SENDS_OF_SHARE_WINDOW 128
+/* Maximum length of a flow in which the requests before another one are counted; bounds the cost.
+ */
+#define MAX_COUNTED_REQUESTS 256
+/* Number of requests of a flow that must have been sent before its share counts more than the
+ * requests that wait. */
+#define MIN_SENDS_OF_FLOW 8
 
 /* Position of a band in the order in which bands are served. Compared member by member, smaller
  * values first. */
@@ -496,54 +502,169 @@
   return queue->kind_length[kind];
 }
 
-/* Estimates how many waiting requests are sent before a new one with this key: all of the earlier
- * bands, and those of its own band that fair queueing sends before the flow's last request. A flow
- * gets the fraction share / active of the band's sends, so the band sends active / share requests
- * for each one of the flow. */
-double
-lc_queue_estimate_requests_ahead (const LcQueue *queue, const LcQueueKey *key)
+/* A place in the queue: behind n_of_flow requests of a flow. */
+typedef struct
+{
+  size_t band_index;  /* index of the place's band, or at which it would be inserted */
+  const Band *band;   /* NULL: there is no such band yet */
+  const LcFlow *flow; /* NULL: there is no such flow yet */
+  double share;       /* share of the flow */
+  double n_of_flow;   /* number of the flow's requests before the place */
+  double n_of_band;   /* number of the band's other requests */
+} Place;
+
+/* Returns the place of a new request. */
+static Place
+find_place_of_new_request (const LcQueue *queue, const LcQueueKey *key)
 {
   BandRank rank = compute_band_rank (key);
-  size_t own_index = find_band_index (queue, &rank);
-  const Band *band = get_band_if_rank_equals (queue, own_index, &rank);
-  double share = key->share > 0 ? key->share : 1;
-  double ahead = 0;
+  Place place
+      = { .band_index = find_band_index (queue, &rank), .share = key->share > 0 ? key->share : 1 };
+
+  place.band = get_band_if_rank_equals (queue, place.band_index, &rank);
+  place.flow = find_flow (place.band, key->caller);
+  if (place.flow)
+    place.n_of_flow = (double)place.flow->drop_order.length;
+  if (place.band)
+    place.n_of_band = (double)place.band->length;
+  return place;
+}
+
+static double
+count_requests_of_earlier_bands (const LcQueue *queue, const Place *place)
+{
+  double n = 0;
 
-  for (size_t i = 0; i < own_index; i++)
-    ahead += (double)queue->bands[i]->length;
-  if (!band)
+  for (size_t i = 0; i < place->band_index; i++)
+    n += (double)queue->bands[i]->length;
+  return n;
+}
+
+/* Estimates how many waiting requests are sent before a place: all of the earlier bands, and those
+ * of its own band that fair queueing sends before. A flow gets the fraction share / active of the
+ * band's sends, so the band sends active / share requests for each one of the flow. */
+static double
+estimate_requests_before_place (const LcQueue *queue, const Place *place)
+{
+  const LcFlow *flow = place->flow;
+  double ahead = count_requests_of_earlier_bands (queue, place);
+
+  if (!place->band)
     return ahead;
 
-  const LcFlow *flow = find_flow (band, key->caller);
-  double active = band->backlogged_share + (flow && flow->drop_order.length ? 0 : share);
-  double ahead_in_band = (flow ? (double)flow->drop_order.length : 0) * active / share;
+  double active
+      = place->band->backlogged_share + (flow && flow->drop_order.length ? 0 : place->share);
+  double ahead_in_band
+      = place->n_of_flow * active / place->share + (active - place->share) / place->share;
 
-  ahead_in_band += (active - share) / share;
-  return ahead + (ahead_in_band < (double)band->length ? ahead_in_band : (double)band->length);
+  return ahead + (ahead_in_band < place->n_of_band ? ahead_in_band : place->n_of_band);
 }
 
-/* Like lc_queue_estimate_requests_ahead, but includes requests that have yet to arrive and overtake
+/* Like estimate_requests_before_place, but includes requests that have yet to arrive and overtake
  * the flow: the flow's requests take the part of the band's sends that they got lately. A flow that
  * sends far more than others is overtaken by all others, which rarely wait and so are not counted
  * among the waiting requests. */
+static double
+estimate_sends_before_place (const LcQueue *queue, const Place *place)
+{
+  const LcFlow *flow = place->flow;
+  double ahead = estimate_requests_before_place (queue, place);
+
+  if (!flow || flow->drop_order.length == 0)
+    return ahead;
+
+  double n_sent_of_band
+      = flow->n_sent_of_band + (double)(place->band->n_sent - flow->counted_until);
+  double ahead_of_flow = count_requests_of_earlier_bands (queue, place)
+                         + place->n_of_flow * (n_sent_of_band + 1) / (flow->n_sent_of_flow + 1);
+
+  return ahead_of_flow > ahead ? ahead_of_flow : ahead;
+}
+
+double
+lc_queue_estimate_requests_ahead (const LcQueue *queue, const LcQueueKey *key)
+{
+  Place place = find_place_of_new_request (queue, key);
+
+  return estimate_requests_before_place (queue, &place);
+}
+
 double
 lc_queue_estimate_sends_ahead (const LcQueue *queue, const LcQueueKey *key)
 {
-  BandRank rank = compute_band_rank (key);
-  size_t own_index = find_band_index (queue, &rank);
-  const Band *band = get_band_if_rank_equals (queue, own_index, &rank);
-  const LcFlow *flow = find_flow (band, key->caller);
-  double ahead = lc_queue_estimate_requests_ahead (queue, key);
-  double ahead_of_flow = 0;
+  Place place = find_place_of_new_request (queue, key);
 
-  if (!flow || flow->drop_order.length == 0)
+  return estimate_sends_before_place (queue, &place);
+}
+
+size_t
+lc_queue_count_bands (const LcQueue *queue)
+{
+  return queue->n_bands;
+}
+
+/* Like estimate_sends_before_place, but assumes that only the requests that wait already are sent
+ * before, as far as the flow has too few sends to show how many overtake. A flow that has just
+ * begun to wait is overtaken by the backlog of the others, and then no more. */
+static double
+estimate_sends_before_place_cautiously (const LcQueue *queue, const Place *place)
+{
+  const LcFlow *flow = place->flow;
+  double ahead = estimate_requests_before_place (queue, place);
+
+  if (place->n_of_flow <= 0)
     return ahead;
-  for (size_t i = 0; i < own_index; i++)
-    ahead_of_flow += (double)queue->bands[i]->length;
 
-  double n_sent_of_band = flow->n_sent_of_band + (double)(band->n_sent - flow->counted_until);
+  double earlier_bands = count_requests_of_earlier_bands (queue, place);
+  double n_sent_of_band = flow->n_sent_of_band + (double)(place->band->n_sent - flow->counted_until)
+                          + MIN_SENDS_OF_FLOW * (ahead - earlier_bands) / place->n_of_flow;
+  double ahead_of_flow
+      = earlier_bands
+        + place->n_of_flow * n_sent_of_band / (flow->n_sent_of_flow + MIN_SENDS_OF_FLOW);
 
-  ahead_of_flow
-      += (double)flow->drop_order.length * (n_sent_of_band + 1) / (flow->n_sent_of_flow + 1);
   return ahead_of_flow > ahead ? ahead_of_flow : ahead;
 }
+
+static double
+estimate_sends_before_waiting_request (const LcQueue *queue, const LcFlow *flow, size_t n_of_flow)
+{
+  const Band *band = flow->band;
+  const Place place = { .band_index = find_band_index (queue, &band->rank),
+                        .band = band,
+                        .flow = flow,
+                        .share = flow->share,
+                        .n_of_flow = (double)n_of_flow,
+                        .n_of_band = (double)band->length - 1 };
+
+  return estimate_sends_before_place_cautiously (queue, &place);
+}
+
+/* The last request of the flow with the largest backlog relative to its share waits longest. */
+LcQueueEntry *
+lc_queue_find_longest_wait (const LcQueue *queue, size_t band_index, double *n_ahead)
+{
+  LcHeapNode *node = lc_heap_top (&queue->bands[band_index]->backlog);
+
+  if (!node)
+    return NULL;
+
+  const LcFlow *flow = LC_HEAP_ENTRY (node, LcFlow, backlog_node);
+
+  *n_ahead = estimate_sends_before_waiting_request (queue, flow, flow->drop_order.length - 1);
+  return LC_HEAP_ENTRY (lc_heap_top (&flow->drop_order), LcQueueEntry, drop_node);
+}
+
+double
+lc_queue_estimate_sends_before (const LcQueue *queue, const LcQueueEntry *entry)
+{
+  const LcFlow *flow = entry->flow;
+  size_t n_of_flow = 0;
+
+  if (flow->drop_order.length > MAX_COUNTED_REQUESTS)
+    return 0;
+  for (size_t i = 0; i < flow->drop_order.length; i++)
+    n_of_flow += is_request_sent_before (LC_HEAP_ENTRY (flow->drop_order.nodes[i], LcQueueEntry,
+                                                        drop_node),
+                                         entry);
+  return estimate_sends_before_waiting_request (queue, flow, n_of_flow);
+}
--- a/packages/core/src/dispatch/lc-queue.h
+++ b/packages/core/src/dispatch/lc-queue.h
@@ -52,7 +52,15 @@
 LcQueueEntry *lc_queue_find_request_to_drop (const LcQueue *queue, const LcQueueKey *key);
 size_t lc_queue_length (const LcQueue *queue);
 size_t lc_queue_length_of_kind (const LcQueue *queue, LcRequestKind kind);
+size_t lc_queue_count_bands (const LcQueue *queue);
+/* Returns the request of the band that is expected to wait longest; NULL if none waits. n_ahead:
+ * set to the number of requests that are expected to be sent before it. */
+LcQueueEntry *lc_queue_find_longest_wait (const LcQueue *queue, size_t band_index, double *n_ahead);
+/* Estimates how many requests are sent before a waiting one; 0: its flow is too long to count. */
+double lc_queue_estimate_sends_before (const LcQueue *queue, const LcQueueEntry *entry);
+/* Estimates how many waiting requests are sent before a new one with this key. */
 double lc_queue_estimate_requests_ahead (const LcQueue *queue, const LcQueueKey *key);
+/* Includes requests that have yet to arrive and will overtake. */
 double lc_queue_estimate_sends_ahead (const LcQueue *queue, const LcQueueKey *key);
 
 #endif
--- a/packages/core/src/dispatch/lc-request.h
+++ b/packages/core/src/dispatch/lc-request.h
@@ -44,6 +44,8 @@
   /* when the request first waited for a faster endpoint although a slower one could take it; 0: it
    * has not */
   LbTime awaits_faster_since;
+  /* when the waiting request was last checked by lc_dispatch_check_late_call; 0: never */
+  LbTime late_checked_at;
   LbTime start_deadline; /* latest start of the first attempt; at most the deadline */
   LbTime retry_at;       /* when the request is queued again after a backoff (LC_STATE_BACKOFF) */
   LbName caller;
--- a/packages/core/src/dispatch/lc-timers.c
+++ b/packages/core/src/dispatch/lc-timers.c
@@ -38,7 +38,7 @@
   switch (request->state)
     {
     case LC_STATE_WAITING:
-      return request->start_deadline;
+      return lb_time_earlier (request->start_deadline, lc_dispatch_next_late_check (request));
     case LC_STATE_BACKOFF:
       return lb_time_earlier (request->retry_at, request->deadline);
     default:
--- a/packages/core/src/dispatch/lc-wait-estimate.c
+++ b/packages/core/src/dispatch/lc-wait-estimate.c
@@ -44,10 +44,18 @@
   ended->tokens = ended->tokens * kept + (double)tokens;
 }
 
+typedef struct
+{
+  double attempts_per_second; /* 0: not known */
+  double usual;               /* attempts per second without the bound by the silence */
+  /* time without an ended attempt, if the bound applies; otherwise 0 */
+  LbTime silence;
+} Rate;
+
 /* Estimates how many attempts end per second: the number running over their mean duration (Little's
  * law). If attempts end later than this, for example because the endpoints have stopped answering,
  * the rate is bounded by what has been observed since the last end. */
-static double
+static Rate
 estimate_rate (const LcWaitEstimate *estimate, LbTime now)
 {
   double silence = (double)(now - estimate->last_progress_at) / LB_SEC;
@@ -61,9 +69,11 @@
       if (ended->weight > 0 && ended->seconds > 0)
         rate += (double)estimate->running[kind] * ended->weight / ended->seconds;
     }
-  if (rate * silence > (double)(n_running + MAX_LATE_ATTEMPTS))
-    rate = (double)(n_running + MAX_LATE_ATTEMPTS) / silence;
-  return rate;
+  if (rate * silence <= (double)(n_running + MAX_LATE_ATTEMPTS))
+    return (Rate){ .attempts_per_second = rate, .usual = rate };
+  return (Rate){ .attempts_per_second = (double)(n_running + MAX_LATE_ATTEMPTS) / silence,
+                 .usual = rate,
+                 .silence = now - estimate->last_progress_at };
 }
 
 /* A request that is shorter than usual takes a part of the mean duration. A request of unknown
@@ -85,20 +95,66 @@
   return (LbTime)(ended->seconds / ended->weight * relative_length * LB_SEC);
 }
 
+/* Returns the number of attempts that ended in the last second. After a pause of the endpoints,
+ * their mean duration includes the pause, so that the estimated rate is too low for some time. */
+static double
+count_recent_ends (const LcWaitEstimate *estimate, LbTime now)
+{
+  double n = 0;
+
+  for (int kind = 0; kind < LC_N_KINDS; kind++)
+    {
+      const LcEndedAttempts *ended = &estimate->ended[kind];
+      n += ended->weight * exp (-(double)(now - ended->updated_at) / LB_SEC / DECAY_SECONDS);
+    }
+  return n / DECAY_SECONDS;
+}
+
+static Rate
+raise_rate (Rate rate, double minimum)
+{
+  if (rate.attempts_per_second > 0 && rate.attempts_per_second < minimum)
+    rate.attempts_per_second = minimum;
+  if (rate.usual > 0 && rate.usual < minimum)
+    rate.usual = minimum;
+  return rate;
+}
+
+/* Silent endpoints are expected to stay silent for as long again, since nothing shows that they
+ * will answer earlier, and then to answer at their usual rate: a short pause must not refuse calls.
+ */
+static LbTime
+estimate_wait (const Rate *rate, double n_ahead)
+{
+  double silence = (double)rate->silence / LB_SEC;
+  double seconds = n_ahead / rate->attempts_per_second;
+  double seconds_after_pause = silence + n_ahead / rate->usual;
+
+  if (rate->silence > 0 && seconds > seconds_after_pause)
+    seconds = seconds_after_pause;
+  if (seconds < silence)
+    seconds = silence;
+  return seconds < (double)INT32_MAX ? (LbTime)(seconds * LB_SEC) : INT32_MAX * LB_SEC;
+}
+
 /* Only a request that others wait before is judged by its service time. If none waits, the request
  * is sent as soon as a slot is free, and its result shows whether the endpoints have recovered. */
 LcWaitDecision
 lc_wait_estimate_decide (const LcWaitEstimate *estimate, const LcWaitQuery *query, LbTime now)
 {
+  Rate rate = estimate_rate (estimate, now);
+
+  if (query->is_admitted)
+    rate = raise_rate (rate, count_recent_ends (estimate, now));
+
   LcWaitDecision decision = { .is_in_time = true,
                               .n_ahead = query->n_ahead,
-                              .rate = estimate_rate (estimate, now),
+                              .rate = rate.attempts_per_second,
                               .time_left = query->time_to_end };
 
   if (decision.rate <= 0 || query->n_ahead <= 0)
     return decision;
-  double wait = query->n_ahead / decision.rate;
-  decision.wait = wait < (double)INT32_MAX ? (LbTime)(wait * LB_SEC) : INT32_MAX * LB_SEC;
+  decision.wait = estimate_wait (&rate, query->n_ahead);
   if (query->time_to_end != LB_TIME_NEVER)
     decision.service
         = lc_wait_estimate_service_time (estimate, query->kind, query->expected_tokens);
--- a/packages/core/src/dispatch/lc-wait-estimate.h
+++ b/packages/core/src/dispatch/lc-wait-estimate.h
@@ -30,6 +30,7 @@
   LcRequestKind kind;
   double n_ahead;          /* number of waiting requests that are sent before this one */
   int64_t expected_tokens; /* expected length of the answer; 0: unknown */
+  bool is_admitted;        /* the request was admitted before, and is checked again */
   LbTime time_to_start;    /* time until the latest start; LB_TIME_NEVER: no limit */
   LbTime time_to_end;      /* time until the answer is due; LB_TIME_NEVER: no limit */
 } LcWaitQuery;
--- a/packages/core/tests/test-wait-estimate.c
+++ b/packages/core/tests/test-wait-estimate.c
@@ -29,9 +29,11 @@
   LcRequestId request; /* request of the last submission */
   LbTime ends_at;      /* when the endpoint answers; LB_TIME_NEVER: the call is not running */
   uint32_t attempt;
+  bool is_sent;    /* the last submission was sent to an endpoint */
   bool is_refused; /* the last submission was refused */
   bool is_served;
-  bool is_cut; /* the call was admitted and ended without an answer */
+  bool is_held; /* the call waited until its deadline and was not sent */
+  bool is_cut;  /* the call was admitted and ended without an answer */
 } Call;
 
 typedef struct
@@ -42,7 +44,10 @@
   size_t n_calls;
   size_t first_open; /* all calls before this one have ended */
   size_t n_refusals;
-  int submissions[N_BINS]; /* number of submissions, by time */
+  size_t n_waiting_refusals;  /* refusals of calls that had been admitted */
+  LbTime frozen_until;        /* until then, no endpoint answers */
+  LbTime min_left_at_refusal; /* least time left when a waiting call was refused */
+  int submissions[N_BINS];    /* number of submissions, by time */
 } Storm;
 
 typedef struct
@@ -58,6 +63,7 @@
       = { .max_report_age = LB_TIME_NEVER, .retry_budget = 0.1, .seed = 1 };
   Storm *storm = LB_NEW (Storm);
 
+  storm->min_left_at_refusal = LB_TIME_NEVER;
   storm->random = gsl_rng_alloc (gsl_rng_taus2);
   fixture_init (&storm->f, &settings, 1, SLOTS_PER_ENDPOINT);
   return storm;
@@ -95,8 +101,9 @@
         {
           cr_assert_not (call->is_refused, "a refused call was run");
           call->attempt = action->attempt;
+          call->is_sent = true;
           call->ends_at
-              = storm->f.now
+              = (storm->f.now > storm->frozen_until ? storm->f.now : storm->frozen_until)
                 + (LbTime)(SERVICE_TIME * slowdown * gsl_ran_flat (storm->random, 0.6, 1.4));
         }
       else
@@ -106,11 +113,15 @@
           call->is_served = action->error == LB_OK;
           call->is_refused = action->error == LB_ERROR_OVERLOADED;
           call->is_cut = !call->is_served && !call->is_refused;
+          call->is_held = !call->is_sent && storm->f.now >= call->deadline;
         }
       if (action->type == LC_ACTION_FINISH && call->is_refused)
         {
           storm->n_refusals++;
+          storm->n_waiting_refusals++;
           call->next_at = storm->f.now + action->retry_after;
+          if (call->deadline - storm->f.now < storm->min_left_at_refusal)
+            storm->min_left_at_refusal = call->deadline - storm->f.now;
         }
       lc_action_free (action);
     }
@@ -127,6 +138,7 @@
   call->request = spec.id;
   call->next_at = LB_TIME_NEVER;
   call->is_refused = false;
+  call->is_sent = false;
   storm->submissions[storm->f.now / BIN]++;
   call->is_refused = !fixture_submit_request (&storm->f, &spec);
   if (call->is_refused)
@@ -308,6 +320,53 @@
   storm_free (storm);
 }
 
+/* All endpoints stop answering from now on, for the given time. */
+static void
+freeze_endpoints (Storm *storm, LbTime duration)
+{
+  storm->frozen_until = storm->f.now + duration;
+  for (size_t i = storm->first_open; i < storm->n_calls; i++)
+    if (storm->calls[i].ends_at != LB_TIME_NEVER)
+      storm->calls[i].ends_at += duration;
+}
+
+/* All endpoints stop answering while calls wait. Waiting calls were held until their deadline,
+ * since nothing checked them again after their admission. They must be refused while their callers
+ * can still return to another instance. */
+Test (wait_estimate, waiting_calls_are_refused_when_the_endpoints_freeze)
+{
+  const LbTime frozen_at = 6 * LB_SEC;
+  Storm *storm = storm_new ();
+  int n_held = 0;
+
+  run_storm (storm, 0.8, NULL, 0, false, frozen_at);
+  freeze_endpoints (storm, 100 * LB_SEC);
+  run_storm (storm, 0.8, NULL, 0, false, frozen_at + LB_SEC);
+  cr_expect_gt (storm->n_refusals, 0);
+  cr_expect_geq (storm->min_left_at_refusal, CALL_DEADLINE / 4, "refused with %ld us left",
+                 (long)storm->min_left_at_refusal);
+  run_storm (storm, 0.8, NULL, 0, false, frozen_at + 6 * LB_SEC);
+  for (size_t i = 0; i < storm->n_calls; i++)
+    n_held += storm->calls[i].is_held;
+  cr_expect_eq (n_held, 0, "%d calls waited until their deadline", n_held);
+  storm_free (storm);
+}
+
+/* Endpoints that pause for a third of the deadline serve all waiting calls after it, so the check
+ * of waiting calls must not refuse any. */
+Test (wait_estimate, short_pause_refuses_nothing)
+{
+  Storm *storm = storm_new ();
+
+  run_storm (storm, 0.6, NULL, 0, false, 6 * LB_SEC);
+  freeze_endpoints (storm, CALL_DEADLINE / 3);
+  run_storm (storm, 0.6, NULL, 0, false, 12 * LB_SEC);
+  Count all = count_calls (storm, -1, 0, 10 * LB_SEC);
+  cr_expect_eq (storm->n_waiting_refusals, 0, "%zu refusals", storm->n_waiting_refusals);
+  cr_expect_eq (all.served, all.calls, "%d of %d served", all.served, all.calls);
+  storm_free (storm);
+}
+
 /* At a moderate load, with endpoints that are slow for a seventh of the time, nothing may be
  * refused: the queue of a slow interval is served before the deadline. */
 Test (wait_estimate, moderate_load_is_not_refused)
