Endpoints: requests sent before the breaker opened are not trials

Cause: a half-open breaker compared all requests in flight with its limit. Requests that hung during a silent outage filled the limit of 1, so the first trial waited until all of them had reached their deadlines.

Change: the breaker counts its running trials, the requests sent since it became half open; the end of an older request changes nothing. For this, the time at which a cancelled or refused request was sent is passed on. A refusal of a request that was sent before the breaker opened no longer counts as a failure of a trial. The concurrency limit of the endpoint still counts hanging requests, since the endpoint may still run them.

Test: new breaker/hanging_requests_do_not_count_as_trials, which failed with the old limit; core-test-breaker 6 of 6, core-test-endpoints 23 of 23.

--- a/packages/core/include/lc-endpoints.h
+++ b/packages/core/include/lc-endpoints.h
@@ -118,10 +118,14 @@
 bool lc_endpoint_invalid_load_reported (LcEndpoint *endpoint);
 void lc_endpoint_set_idle_connections (LcEndpoint *endpoint, size_t n_idle, LbTime now);
 /* The endpoint rejected the request without starting it. */
-void lc_endpoint_request_refused (LcEndpoint *endpoint, LcRequestKind kind, LbTime now);
+void
+lc_endpoint_request_refused (LcEndpoint *endpoint, LcRequestKind kind, LbTime sent_at, LbTime now);
 /* This instance cancelled the request. The cancellation counts neither as a success nor as a
  * failure of the endpoint. */
-void lc_endpoint_request_cancelled (LcEndpoint *endpoint, LcRequestKind kind, LbTime now);
+void lc_endpoint_request_cancelled (LcEndpoint *endpoint,
+                                    LcRequestKind kind,
+                                    LbTime sent_at,
+                                    LbTime now);
 
 /* Functions that only read an LcEndpoints table. */
 
--- a/packages/core/src/dispatch/lc-outcome.c
+++ b/packages/core/src/dispatch/lc-outcome.c
@@ -61,9 +61,9 @@
                        LbTime now)
 {
   if (result == RESULT_CANCELLED)
-    lc_endpoint_request_cancelled (endpoint, kind, now);
+    lc_endpoint_request_cancelled (endpoint, kind, attempt->sent_at, now);
   else if (result == RESULT_REFUSED)
-    lc_endpoint_request_refused (endpoint, kind, now);
+    lc_endpoint_request_refused (endpoint, kind, attempt->sent_at, now);
   else
     lc_endpoint_request_ended (endpoint, kind, result == RESULT_SUCCEEDED, attempt->received_tokens,
                                now - attempt->sent_at, now);
--- a/packages/core/src/endpoints/lc-breaker.c
+++ b/packages/core/src/endpoints/lc-breaker.c
@@ -21,12 +21,14 @@
   breaker->open_until = now + (open_time < MAX_OPEN_TIME ? open_time : MAX_OPEN_TIME);
   breaker->consecutive_openings++;
   breaker->max_trials = 0;
+  breaker->n_trials = 0;
 }
 
 static void
 close_breaker (LcBreaker *breaker)
 {
   breaker->state = LC_BREAKER_CLOSED;
+  breaker->n_trials = 0;
   breaker->consecutive_openings = 0;
   breaker->failure_ratio = 0;
   breaker->n_results = 0;
@@ -53,10 +55,12 @@
 void
 lc_breaker_request_sent (LcBreaker *breaker, LbTime now)
 {
-  if (breaker->state != LC_BREAKER_OPEN || now < breaker->open_until)
-    return;
-  breaker->state = LC_BREAKER_HALF_OPEN;
-  breaker->max_trials = 1;
+  if (breaker->state == LC_BREAKER_OPEN && now >= breaker->open_until)
+    {
+      breaker->state = LC_BREAKER_HALF_OPEN;
+      breaker->max_trials = 1;
+    }
+  breaker->n_trials += breaker->state == LC_BREAKER_HALF_OPEN;
 }
 
 /* Results of requests sent before the first trial are ignored: requests that hung during an outage
@@ -67,6 +71,13 @@
   return breaker->state != LC_BREAKER_CLOSED && sent_at < breaker->open_until;
 }
 
+void
+lc_breaker_request_ended (LcBreaker *breaker, LbTime sent_at)
+{
+  if (breaker->n_trials > 0 && !was_sent_before_first_trial (breaker, sent_at))
+    breaker->n_trials--;
+}
+
 void
 lc_breaker_request_failed (LcBreaker *breaker, LbTime sent_at, LbTime now)
 {
@@ -102,3 +113,9 @@
     return now < breaker->open_until ? 0 : 1;
   return breaker->max_trials;
 }
+
+bool
+lc_breaker_allows_request (const LcBreaker *breaker, LbTime now)
+{
+  return breaker->n_trials < lc_breaker_max_in_flight (breaker, now);
+}
--- a/packages/core/src/endpoints/lc-endpoints-query.c
+++ b/packages/core/src/endpoints/lc-endpoints-query.c
@@ -113,7 +113,7 @@
                          && now < endpoint->swap_until);
 
   return !is_refusing && has_reported_or_replied (entry) && has_known_weight_version (entry, now)
-         && endpoint->in_flight < lc_breaker_max_in_flight (&entry->breaker, now);
+         && lc_breaker_allows_request (&entry->breaker, now);
 }
 
 /* Rejects endpoints that are leaving, have an open breaker, serve unknown weights or are full.
--- a/packages/core/src/endpoints/lc-endpoints.c
+++ b/packages/core/src/endpoints/lc-endpoints.c
@@ -263,8 +263,9 @@
 }
 
 static void
-record_request_end (LcEndpointEntry *entry, LcRequestKind kind, LbTime now)
+record_request_end (LcEndpointEntry *entry, LcRequestKind kind, LbTime sent_at, LbTime now)
 {
+  lc_breaker_request_ended (&entry->breaker, sent_at);
   entry->endpoint.in_flight--;
   entry->endpoint.in_flight_samples -= kind == LC_KIND_SAMPLE;
   lc_in_flight_history_add_change (&entry->in_flight_history, entry->endpoint.in_flight, false,
@@ -279,11 +280,11 @@
 }
 
 void
-lc_endpoint_request_cancelled (LcEndpoint *endpoint, LcRequestKind kind, LbTime now)
+lc_endpoint_request_cancelled (LcEndpoint *endpoint, LcRequestKind kind, LbTime sent_at, LbTime now)
 {
   LcEndpointEntry *entry = lc_endpoint_to_entry (endpoint);
 
-  record_request_end (entry, kind, now);
+  record_request_end (entry, kind, sent_at, now);
   lc_endpoint_entry_refresh_public_state (entry, now);
 }
 
@@ -293,7 +294,7 @@
 {
   LcEndpointEntry *entry = lc_endpoint_to_entry (endpoint);
 
-  record_request_end (entry, kind, now);
+  record_request_end (entry, kind, now - took, now);
   if (ok)
     {
       endpoint->last_reply_at = now;
@@ -314,16 +315,16 @@
  * with frequent weight updates half of the engines would be idle. An endpoint that reports its
  * concurrency is therefore retried after REFUSAL_BACKOFF. */
 void
-lc_endpoint_request_refused (LcEndpoint *endpoint, LcRequestKind kind, LbTime now)
+lc_endpoint_request_refused (LcEndpoint *endpoint, LcRequestKind kind, LbTime sent_at, LbTime now)
 {
   LcEndpointEntry *entry = lc_endpoint_to_entry (endpoint);
 
   if (!endpoint->member.reports_concurrency)
     {
-      lc_endpoint_request_ended (endpoint, kind, false, 0, 0, now);
+      lc_endpoint_request_ended (endpoint, kind, false, 0, now - sent_at, now);
       return;
     }
-  record_request_end (entry, kind, now);
+  record_request_end (entry, kind, sent_at, now);
   entry->refused_until = now + REFUSAL_BACKOFF;
   lc_endpoint_entry_refresh_public_state (entry, now);
 }
--- a/packages/core/tests/test-breaker.c
+++ b/packages/core/tests/test-breaker.c
@@ -103,3 +103,39 @@
   cr_assert (fixture_can_endpoint_accept_live_call (&f, "e0", 11));
   fixture_clear (&f);
 }
+
+static void
+send_requests (LcEndpoint *endpoint, int n, LbTime now)
+{
+  for (int i = 0; i < n; i++)
+    lc_endpoint_request_sent (endpoint, LC_KIND_LIVE, 0, now);
+}
+
+/* An endpoint was silent, and requests that were sent before its breaker opened still hang. They
+ * must not count as trials: the first trial after the outage waited until all of them had reached
+ * their deadlines. The end of a hanging request must not allow a further trial either. */
+Test (breaker, hanging_requests_do_not_count_as_trials)
+{
+  Fixture f;
+
+  fixture_init (&f, 1);
+  LcEndpoint *endpoint = fixture_find_endpoint (&f, "e0");
+  send_requests (endpoint, 7, LB_SEC);
+  for (int i = 0; i < 5; i++)
+    lc_endpoint_request_ended (endpoint, LC_KIND_LIVE, false, 0, LB_SEC, 2 * LB_SEC);
+  cr_assert_eq (endpoint->breaker, LC_BREAKER_OPEN);
+  LbTime trial_at = endpoint->breaker_open_until;
+  cr_assert_not (fixture_can_endpoint_accept_live_call (&f, "e0", trial_at - 1));
+  cr_assert (fixture_can_endpoint_accept_live_call (&f, "e0", trial_at));
+
+  send_requests (endpoint, 1, trial_at);
+  cr_assert_not (fixture_can_endpoint_accept_live_call (&f, "e0", trial_at + 1));
+  lc_endpoint_request_cancelled (endpoint, LC_KIND_LIVE, trial_at + 1 - LB_SEC, trial_at + 1);
+  cr_assert_not (fixture_can_endpoint_accept_live_call (&f, "e0", trial_at + 2));
+  lc_endpoint_request_ended (endpoint, LC_KIND_LIVE, true, 1, 2, trial_at + 2);
+  send_requests (endpoint, 2, trial_at + 3);
+  cr_assert_not (fixture_can_endpoint_accept_live_call (&f, "e0", trial_at + 3));
+  lc_endpoint_request_cancelled (endpoint, LC_KIND_LIVE, trial_at + 3, trial_at + 4);
+  cr_assert (fixture_can_endpoint_accept_live_call (&f, "e0", trial_at + 4));
+  fixture_clear (&f);
+}
--- a/packages/core/tests/test-endpoints.c
+++ b/packages/core/tests/test-endpoints.c
@@ -400,7 +400,7 @@
   for (int i = 0; i < 8; i++)
     {
       lc_endpoint_request_sent (engine, LC_KIND_SAMPLE, 0, now);
-      lc_endpoint_request_refused (engine, LC_KIND_SAMPLE, now);
+      lc_endpoint_request_refused (engine, LC_KIND_SAMPLE, now, now);
       cr_assert_not (lc_endpoint_can_accept (engine, LC_KIND_SAMPLE, 0, now));
       now += 150 * LB_MSEC;
       cr_assert (lc_endpoint_can_accept (engine, LC_KIND_SAMPLE, 0, now),
