Shutdown: requests that have arrived are refused before the exit

Cause: two kinds of requests were reset, so that their callers could not tell whether they had run. (1) When the listeners close after the drain time, the kernel resets the connections that wait to be accepted, whose requests may have been sent already. (2) The front task did not count a connection with unread input as busy. If nothing else was in progress, the daemon exited in the same callback that stopped accepting, before the request was read.

Change: pending connections are accepted and refused as "not run" before a listener closes, except those of other instances, which relay a call through another instance when a connection fails.

Test: new front/requests_that_have_arrived_are_refused_before_the_exit, which failed on the untouched code for both requests ("has no reply yet", no text). node-test-front 16 of 16.

--- a/packages/node/src/front/ln-caller.c
+++ b/packages/node/src/front/ln-caller.c
@@ -6,15 +6,18 @@
 
 #include "lb-alloc.h"
 #include "lb-counter.h"
+#include "lb-log.h"
 #include "lb-time.h"
 #include "lh-socket.h"
 
 #include <arpa/inet.h>
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 /* evhtp's parser rejects a line of a request that has this number of bytes or more. */
 #define MAX_PARSER_LINE_BYTES 8192
@@ -413,15 +416,6 @@
   return connection->hooks->on_connection_fini_arg;
 }
 
-bool
-ln_caller_is_busy (const LnCaller *caller)
-{
-  struct evbuffer *output = bufferevent_get_output (caller->connection->bev);
-
-  return caller->exchange || is_reading_request (caller)
-         || get_partial_request_line_length (caller) > 0 || evbuffer_get_length (output) > 0;
-}
-
 /* Whether bytes of a request have arrived that this process has not read yet. */
 static bool
 has_unread_input (const LnCaller *caller)
@@ -431,6 +425,19 @@
   return recv (caller->connection->sock, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+/* After the drain time, a request that has arrived unread counts as well: otherwise the process
+ * would exit before it reads the request, and the caller could not tell whether the request has
+ * run. */
+bool
+ln_caller_is_busy (const LnCaller *caller)
+{
+  struct evbuffer *output = bufferevent_get_output (caller->connection->bev);
+
+  return caller->exchange || is_reading_request (caller)
+         || get_partial_request_line_length (caller) > 0 || evbuffer_get_length (output) > 0
+         || (caller->callers->has_stopped_accepting && has_unread_input (caller));
+}
+
 static void
 close_or_limit_connection (LnCaller *caller)
 {
@@ -445,6 +452,21 @@
     evhtp_connection_free (caller->connection);
 }
 
+void
+ln_callers_refuse_connection (LnCallers *callers, int fd)
+{
+  struct bufferevent *bev = bufferevent_socket_new (callers->base, fd, BEV_OPT_CLOSE_ON_FREE);
+
+  if (!bev)
+    {
+      lb_log (LB_LOG_WARNING, "connection_not_refused", LB_INT ("fd", fd));
+      close (fd);
+      return;
+    }
+  write_error_reply (bev, LB_ERROR_DRAINING);
+  ln_linger_start (&callers->lingers, bev);
+}
+
 void
 ln_callers_stop_accepting (LnCallers *callers)
 {
--- a/packages/node/src/front/ln-front.c
+++ b/packages/node/src/front/ln-front.c
@@ -17,6 +17,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #define LISTEN_BACKLOG 1024
 /* Maximum number of listeners: one each for callers, address lookups, readiness checks, metrics
@@ -291,11 +292,28 @@
     }
 }
 
+/* Refuses the connections that wait to be accepted. Closing the listener would reset them, and a
+ * caller that has already sent its request could not tell whether it has run. Other instances are
+ * not refused: they relay a call through another instance if the connection fails. */
+static void
+refuse_pending_connections (LnFront *front, const evhtp_t *server)
+{
+  int listener = server->server ? evconnlistener_get_fd (server->server) : -1;
+  int fd = -1;
+
+  if (listener < 0 || server == front->peer_server)
+    return;
+  while ((fd = accept4 (listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0)
+    ln_callers_refuse_connection (&front->callers, fd);
+}
+
 static void
 stop_accepting_requests (LnTask *task)
 {
   LnFront *front = (LnFront *)task;
 
+  for (size_t i = 0; i < front->n_servers; i++)
+    refuse_pending_connections (front, front->servers[i]);
   close_listeners (front);
   ln_callers_stop_accepting (&front->callers);
 }
--- a/packages/node/tests/test-front.c
+++ b/packages/node/tests/test-front.c
@@ -443,6 +443,45 @@
   fixture_clear (&f);
 }
 
+/* Two requests have arrived when the drain time ends, one on a connection that waits to be
+ * accepted, and one unread on an open connection. If the instance closed its listener or exited
+ * before it read them, their callers would see a reset and could not tell whether the requests have
+ * run. */
+Test (front, requests_that_have_arrived_are_refused_before_the_exit)
+{
+  enum
+  {
+    NOT_ACCEPTED,
+    UNREAD,
+    N_SENDERS
+  };
+  Fixture f;
+  TestConnection senders[N_SENDERS];
+
+  fixture_init_settings_and_event_base (&f);
+  fixture_start_front_and_calls (&f);
+  caller_connect (&f, &senders[UNREAD]);
+  for (int i = 0; i < 20; i++)
+    fixture_run_event_loop_once (&f);
+  ln_hub_drain_tasks (f.context.hub);
+  caller_connect (&f, &senders[NOT_ACCEPTED]);
+  for (int i = 0; i < N_SENDERS; i++)
+    caller_send_post (&senders[i], "/v1/completions", "", "{}");
+  ln_hub_stop_accepting (f.context.hub);
+  for (int i = 0; i < N_SENDERS; i++)
+    {
+      cr_expect_not (ln_hub_is_idle (f.context.hub), "sender %d has no reply yet", i);
+      FIXTURE_WAIT_UNTIL (&f, connection_is_closed_by_daemon (&senders[i]));
+      cr_expect (strstr (senders[i].text, "\"draining\"")
+                     && strstr (senders[i].text, "x-not-run: 1"),
+                 "sender %d: got %s", i, senders[i].text);
+    }
+  for (int i = 0; i < N_SENDERS; i++)
+    connection_close (&senders[i]);
+  FIXTURE_WAIT_UNTIL (&f, ln_hub_is_idle (f.context.hub));
+  fixture_clear (&f);
+}
+
 /* A caller has sent a part of a request when the drain time ends, and sends no more. The read
  * timeout of 10 s would delay the exit beyond the grace period. */
 Test (front, incomplete_request_does_not_delay_the_exit)
