Dispatch: refused callers are told to try another instance in time

Cause: a caller without a reserved slot was told to return after 1 to 1.5 times its time left, or once a breaker of this instance admits a trial. A caller honours a Retry-After only up to a third of its time left, so it did not return by its deadline, although it connects to another instance, whose queue and breakers this instance does not see and which may be idle.

Decision: as many such callers as calls are answered, and 16 more, are told to return within 1/6 to 0.3 of their time left, spread at random, if the expected service time then still fits; the others return after their deadline as before. If only this instance is slow, its few callers are served elsewhere. If all are overloaded, refused callers add at most one submission for each answer, so a storm does not grow. Telling all to return was ruled out: each would return about six times by its deadline, which costs instances with 0.1 of a core more than the calls that they serve.

Test: hints_are_short_and_spread expected hints after the deadline as soon as no slot is left; it now expects exactly 16 callers to be sent elsewhere first, then the same as before, and one more after an answer. New tests: caller of a frozen pool, caller while all breakers are open; both fail with 0 callers sent elsewhere.

--- a/packages/core/src/dispatch/lc-dispatch-private.h
+++ b/packages/core/src/dispatch/lc-dispatch-private.h
@@ -84,7 +84,7 @@
 bool lc_dispatch_send_to_preferred_endpoint (
     LcDispatch *dispatch, LcRequest *request, const char *endpoint, LbTime now, LbList *actions);
 
-/* Implemented in lc-review.c, which refuses waiting calls that would be late. */
+/* Implemented in lc-late-calls.c, which refuses waiting calls that would be late. */
 /* Whether the call can't end by its deadline even if a slot is free now. */
 bool lc_dispatch_is_too_late_to_start (const LcRequest *request, LbTime now);
 /* Returns when lc_dispatch_check_late_call is due; LB_TIME_NEVER: never. */
--- a/packages/core/src/dispatch/lc-outcome.c
+++ b/packages/core/src/dispatch/lc-outcome.c
@@ -185,7 +185,9 @@
   LbTime delay = add_jitter (RETRY_AFTER_WITHOUT_ENDPOINT, random);
   LbTime limit = lc_wait_estimate_max_retry_after (decision->time_left);
 
-  return lb_switch_is_on (LB_SWITCH_WAIT_ESTIMATE) && delay > limit ? limit : delay;
+  if (!lb_switch_is_on (LB_SWITCH_WAIT_ESTIMATE) || delay <= limit)
+    return delay;
+  return limit - (LbTime)(random * (double)limit / 2);
 }
 
 /* Returns the delay after which the caller of a failed request should retry: derived from the
@@ -202,6 +204,12 @@
 
   if (available_at == LB_TIME_NEVER)
     return compute_retry_after_without_endpoint (decision, random);
+  /* The circuit breakers of other instances may be closed. */
+  if (lb_switch_is_on (LB_SWITCH_WAIT_ESTIMATE)
+      && available_at - now > lc_wait_estimate_max_retry_after (decision->time_left))
+    retry_after = lc_wait_estimate_send_elsewhere (&pool->wait_estimate, decision, random);
+  if (retry_after > 0)
+    return retry_after;
   if (lb_switch_is_on (LB_SWITCH_WAIT_ESTIMATE) && decision->rate > 0)
     retry_after = lc_wait_estimate_reserve_return (&pool->wait_estimate, decision, random, now);
   else
--- a/packages/core/src/dispatch/lc-pool.c
+++ b/packages/core/src/dispatch/lc-pool.c
@@ -55,6 +55,8 @@
 {
   lc_wait_estimate_record_end (&pool->wait_estimate, kind, ended->has_run ? ended->duration : 0,
                                ended->expected_tokens, now);
+  if (ended->is_complete && kind != LC_KIND_SAMPLE)
+    lc_wait_estimate_record_answer (&pool->wait_estimate);
   if (ended->is_complete && ended->duration > 0)
     update_moving_average (&pool->mean_attempt_seconds[kind], ended->duration);
 }
--- a/packages/core/src/dispatch/lc-wait-estimate.c
+++ b/packages/core/src/dispatch/lc-wait-estimate.c
@@ -13,6 +13,14 @@
 #define MAX_RETRY_AFTER (10 * LB_SEC)
 /* A caller whose hint is at most this part of its time can return twice before its deadline. */
 #define USEFUL_PART_OF_TIME_LEFT 3
+/* Delays of callers that are sent elsewhere, as parts of the longest useful delay. They are spread,
+ * and leave time for the reply to arrive before the caller compares the hint with its time left. */
+#define MIN_PART_OF_USEFUL_DELAY 0.5
+#define MAX_PART_OF_USEFUL_DELAY 0.9
+/* Number of refused callers that may be sent to other instances beyond the number of calls
+ * answered. Covers the calls of a few seconds at an instance of a large fleet whose own endpoints
+ * don't answer. Bounds the load of a storm that reaches all instances. */
+#define MAX_SENT_ELSEWHERE 16
 
 void
 lc_wait_estimate_record_start (LcWaitEstimate *estimate, LcRequestKind kind, LbTime now)
@@ -176,6 +184,35 @@
   return limit < MIN_RETRY_AFTER ? MIN_RETRY_AFTER : limit;
 }
 
+void
+lc_wait_estimate_record_answer (LcWaitEstimate *estimate)
+{
+  if (estimate->n_sent_elsewhere > 0)
+    estimate->n_sent_elsewhere--;
+}
+
+/* An instance sees only its own queue and its own endpoint states, and a caller that returns
+ * connects to another instance. If only this instance is slow, the caller is served there by its
+ * deadline. If all are overloaded, it is refused again; so the number sent is bounded by the number
+ * answered, and refused callers add at most as many submissions as there are answers. */
+LbTime
+lc_wait_estimate_send_elsewhere (LcWaitEstimate *estimate,
+                                 const LcWaitDecision *decision,
+                                 double random)
+{
+  LbTime limit = lc_wait_estimate_max_retry_after (decision->time_left);
+  double part
+      = MIN_PART_OF_USEFUL_DELAY + random * (MAX_PART_OF_USEFUL_DELAY - MIN_PART_OF_USEFUL_DELAY);
+  LbTime delay = (LbTime)(part * (double)limit);
+
+  if (decision->time_left == LB_TIME_NEVER || limit * USEFUL_PART_OF_TIME_LEFT > decision->time_left
+      || delay + decision->service >= decision->time_left
+      || estimate->n_sent_elsewhere >= MAX_SENT_ELSEWHERE)
+    return 0;
+  estimate->n_sent_elsewhere++;
+  return delay > MIN_RETRY_AFTER ? delay : MIN_RETRY_AFTER;
+}
+
 /* Returns the delay of a caller that can't be served by its deadline: it should return with a new
  * deadline. If it returned before, the callers that return would be more than those that came
  * first, and none of them would be served. */
@@ -212,7 +249,10 @@
   bool is_too_late = decision->time_left != LB_TIME_NEVER
                      && return_at - now + decision->service >= decision->time_left;
   if (decision->rate <= 0 || return_at - now > limit || is_too_late)
-    return choose_return_after_deadline (decision, limit, random);
+    {
+      LbTime delay = lc_wait_estimate_send_elsewhere (estimate, decision, random);
+      return delay > 0 ? delay : choose_return_after_deadline (decision, limit, random);
+    }
   estimate->next_return_at = return_at + (LbTime)(LB_SEC / decision->rate);
   return return_at - now;
 }
--- a/packages/core/src/dispatch/lc-wait-estimate.h
+++ b/packages/core/src/dispatch/lc-wait-estimate.h
@@ -23,6 +23,7 @@
   /* when an attempt last ended, or when one started while none was running */
   LbTime last_progress_at;
   LbTime next_return_at; /* earliest time for which the next refused caller is invited */
+  int n_sent_elsewhere; /* refused callers sent to other instances, less the calls answered since */
 } LcWaitEstimate;
 
 typedef struct
@@ -53,6 +54,9 @@
 void lc_wait_estimate_record_end (
     LcWaitEstimate *estimate, LcRequestKind kind, LbTime duration, int64_t tokens, LbTime now);
 
+/* Records that a call was answered, which allows to send one more caller elsewhere. */
+void lc_wait_estimate_record_answer (LcWaitEstimate *estimate);
+
 LcWaitDecision
 lc_wait_estimate_decide (const LcWaitEstimate *estimate, const LcWaitQuery *query, LbTime now);
 /* Returns the expected time from the start of a request to its end; 0: not known. */
@@ -65,6 +69,12 @@
                                         const LcWaitDecision *decision,
                                         double random,
                                         LbTime now);
+/* Returns the delay after which the refused caller should try another instance, which may have free
+ * slots; 0 if it has too little time or too many callers have been sent already. random: uniform in
+ * [0, 1). */
+LbTime lc_wait_estimate_send_elsewhere (LcWaitEstimate *estimate,
+                                        const LcWaitDecision *decision,
+                                        double random);
 /* Returns the longest delay after which a caller with this time can return more than once. */
 LbTime lc_wait_estimate_max_retry_after (LbTime time_left);
 
--- a/packages/core/tests/test-wait-estimate.c
+++ b/packages/core/tests/test-wait-estimate.c
@@ -433,7 +433,8 @@
 }
 
 /* The hint is the time by which the wait is too long, not the whole wait. Callers return one after
- * the other, at the rate of free slots, and after their deadline if no slot is left before. */
+ * the other, at the rate of free slots. If no slot is left before their deadline, a few are sent to
+ * other instances, which may be idle, and the others return after their deadline. */
 Test (wait_estimate, hints_are_short_and_spread)
 {
   const LcWaitQuery query = { .kind = LC_KIND_SERVICE,
@@ -454,6 +455,13 @@
       cr_assert_leq (hint, CALL_DEADLINE / 3);
     }
   lc_wait_estimate_reserve_return (&estimate, &decision, 0.5, now);
+  for (int i = 0; i < 16; i++)
+    {
+      LbTime hint = lc_wait_estimate_reserve_return (&estimate, &decision, i / 16.0, now);
+      cr_assert (hint >= CALL_DEADLINE / 6 && hint < CALL_DEADLINE / 3, "hint %ld us", (long)hint);
+      cr_assert_gt (hint, last);
+      last = hint;
+    }
   for (int i = 0; i < 4; i++)
     {
       LbTime hint = lc_wait_estimate_reserve_return (&estimate, &decision, i / 4.0, now);
@@ -461,6 +469,31 @@
       cr_assert_gt (hint, last);
       last = hint;
     }
+  lc_wait_estimate_record_answer (&estimate);
+  cr_assert_lt (lc_wait_estimate_reserve_return (&estimate, &decision, 0.5, now),
+                CALL_DEADLINE / 3);
+  cr_assert_geq (lc_wait_estimate_reserve_return (&estimate, &decision, 0.5, now), CALL_DEADLINE);
+}
+
+/* The endpoints of this instance don't answer, but those of others may. A caller that is refused
+ * meanwhile must be told to return early enough to be served elsewhere by its deadline. */
+Test (wait_estimate, caller_of_a_frozen_pool_is_sent_elsewhere)
+{
+  const LcWaitQuery query = { .kind = LC_KIND_SERVICE,
+                              .n_ahead = 100,
+                              .expected_tokens = 1,
+                              .time_to_start = CALL_DEADLINE,
+                              .time_to_end = CALL_DEADLINE };
+  LbTime now = 10 * LB_SEC;
+  LcWaitEstimate estimate = make_estimate (10, 100 * LB_MSEC, now);
+  LcWaitDecision decision = lc_wait_estimate_decide (&estimate, &query, now + 2 * LB_SEC);
+
+  cr_assert_not (decision.is_in_time);
+  LbTime hint = lc_wait_estimate_reserve_return (&estimate, &decision, 0.5, now + 2 * LB_SEC);
+  cr_assert_lt (hint, CALL_DEADLINE / 3);
+  decision.time_left = 120 * LB_MSEC;
+  hint = lc_wait_estimate_reserve_return (&estimate, &decision, 0.5, now + 2 * LB_SEC);
+  cr_assert_geq (hint, decision.time_left, "too little time is left to be served elsewhere");
 }
 
 /* Without an endpoint, the hint must leave a caller with a deadline time to return. */
@@ -480,3 +513,27 @@
              (long)f.retry_after);
   fixture_clear (&f);
 }
+
+/* All circuit breakers of this instance are open for longer than its callers can wait, but those of
+ * other instances may be closed. The hint was the time until a breaker admits a trial, after which
+ * the caller's deadline had passed. */
+Test (wait_estimate, caller_is_sent_elsewhere_while_all_breakers_are_open)
+{
+  const LcDispatchSettings settings = { .max_report_age = LB_TIME_NEVER, .seed = 1 };
+  Fixture f;
+
+  fixture_init (&f, &settings, 1, 1);
+  LcRequestSpec spec = fixture_make_request_spec (&f, LC_KIND_SERVICE);
+  spec.deadline = f.now + CALL_DEADLINE;
+  while (fixture_submit_request (&f, &spec))
+    {
+      LcAction send = fixture_expect_action_of_request (&f, LC_ACTION_SEND, spec.id);
+      fixture_end_attempt (&f, spec.id, send.attempt, LC_END_FAILED);
+      spec = fixture_make_request_spec (&f, LC_KIND_SERVICE);
+      spec.deadline = f.now + CALL_DEADLINE;
+    }
+  cr_assert_eq (f.error.code, LB_ERROR_NO_ENDPOINT);
+  cr_assert (f.retry_after > 0 && f.retry_after < CALL_DEADLINE / 3, "hint %ld us",
+             (long)f.retry_after);
+  fixture_clear (&f);
+}
