--- a/packages/core/src/dispatch/lc-wait-estimate.c
+++ b/packages/core/src/dispatch/lc-wait-estimate.c
@@ -13,6 +13,14 @@
 #define MAX_RETRY_AFTER (10 * LB_SEC)
 /* A caller whose hint is at most this part of its time can return twice before its deadline. */
 #define USEFUL_PART_OF_TIME_LEFT 3
+/* Delays of callers that are sent elsewhere, as parts of the longest useful delay. They are spread,
+ * and leave time for the reply to arrive before the caller compares the hint with its time left. */
+#define MIN_PART_OF_USEFUL_DELAY 0.5
+#define MAX_PART_OF_USEFUL_DELAY 0.9
+/* Number of refused callers that may be sent to other instances beyond the number of calls
+ * answered. Covers the calls of a few seconds at an instance of a large fleet whose own endpoints
+ * don't answer. Bounds the load of a storm that reaches all instances. */
+#define MAX_SENT_ELSEWHERE 16
 
 void
 lc_wait_estimate_record_start (LcWaitEstimate *estimate, LcRequestKind kind, LbTime now)
@@ -44,10 +52,18 @@
   ended->tokens = ended->tokens * kept + (double)tokens;
 }
 
+typedef struct
+{
+  double attempts_per_second; /* 0: not known */
+  double usual;               /* attempts per second without the bound by the silence */
+  /* time without an ended attempt, if the bound applies; otherwise 0 */
+  LbTime silence;
+} Rate;
+
 /* Estimates how many attempts end per second: the number running over their mean duration (Little's
  * law). If attempts end later than this, for example because the endpoints have stopped answering,
  * the rate is bounded by what has been observed since the last end. */
-static double
+static Rate
 estimate_rate (const LcWaitEstimate *estimate, LbTime now)
 {
   double silence = (double)(now - estimate->last_progress_at) / LB_SEC;
@@ -61,9 +77,11 @@
       if (ended->weight > 0 && ended->seconds > 0)
         rate += (double)estimate->running[kind] * ended->weight / ended->seconds;
     }
-  if (rate * silence > (double)(n_running + MAX_LATE_ATTEMPTS))
-    rate = (double)(n_running + MAX_LATE_ATTEMPTS) / silence;
-  return rate;
+  if (rate * silence <= (double)(n_running + MAX_LATE_ATTEMPTS))
+    return (Rate){ .attempts_per_second = rate, .usual = rate };
+  return (Rate){ .attempts_per_second = (double)(n_running + MAX_LATE_ATTEMPTS) / silence,
+                 .usual = rate,
+                 .silence = now - estimate->last_progress_at };
 }
 
 /* A request that is shorter than usual takes a part of the mean duration. A request of unknown
@@ -85,20 +103,66 @@
   return (LbTime)(ended->seconds / ended->weight * relative_length * LB_SEC);
 }
 
+/* Returns the number of attempts that ended in the last second. After a pause of the endpoints,
+ * their mean duration includes the pause, so that the estimated rate is too low for some time. */
+static double
+count_recent_ends (const LcWaitEstimate *estimate, LbTime now)
+{
+  double n = 0;
+
+  for (int kind = 0; kind < LC_N_KINDS; kind++)
+    {
+      const LcEndedAttempts *ended = &estimate->ended[kind];
+      n += ended->weight * exp (-(double)(now - ended->updated_at) / LB_SEC / DECAY_SECONDS);
+    }
+  return n / DECAY_SECONDS;
+}
+
+static Rate
+raise_rate (Rate rate, double minimum)
+{
+  if (rate.attempts_per_second > 0 && rate.attempts_per_second < minimum)
+    rate.attempts_per_second = minimum;
+  if (rate.usual > 0 && rate.usual < minimum)
+    rate.usual = minimum;
+  return rate;
+}
+
+/* Silent endpoints are expected to stay silent for as long again, since nothing shows that they
+ * will answer earlier, and then to answer at their usual rate: a short pause must not refuse calls.
+ */
+static LbTime
+estimate_wait (const Rate *rate, double n_ahead)
+{
+  double silence = (double)rate->silence / LB_SEC;
+  double seconds = n_ahead / rate->attempts_per_second;
+  double seconds_after_pause = silence + n_ahead / rate->usual;
+
+  if (rate->silence > 0 && seconds > seconds_after_pause)
+    seconds = seconds_after_pause;
+  if (seconds < silence)
+    seconds = silence;
+  return seconds < (double)INT32_MAX ? (LbTime)(seconds * LB_SEC) : INT32_MAX * LB_SEC;
+}
+
 /* Only a request that others wait before is judged by its service time. If none waits, the request
  * is sent as soon as a slot is free, and its result shows whether the endpoints have recovered. */
 LcWaitDecision
 lc_wait_estimate_decide (const LcWaitEstimate *estimate, const LcWaitQuery *query, LbTime now)
 {
+  Rate rate = estimate_rate (estimate, now);
+
+  if (query->is_admitted)
+    rate = raise_rate (rate, count_recent_ends (estimate, now));
+
   LcWaitDecision decision = { .is_in_time = true,
                               .n_ahead = query->n_ahead,
-                              .rate = estimate_rate (estimate, now),
+                              .rate = rate.attempts_per_second,
                               .time_left = query->time_to_end };
 
   if (decision.rate <= 0 || query->n_ahead <= 0)
     return decision;
-  double wait = query->n_ahead / decision.rate;
-  decision.wait = wait < (double)INT32_MAX ? (LbTime)(wait * LB_SEC) : INT32_MAX * LB_SEC;
+  decision.wait = estimate_wait (&rate, query->n_ahead);
   if (query->time_to_end != LB_TIME_NEVER)
     decision.service
         = lc_wait_estimate_service_time (estimate, query->kind, query->expected_tokens);
@@ -120,6 +184,35 @@
   return limit < MIN_RETRY_AFTER ? MIN_RETRY_AFTER : limit;
 }
 
+void
+lc_wait_estimate_record_answer (LcWaitEstimate *estimate)
+{
+  if (estimate->n_sent_elsewhere > 0)
+    estimate->n_sent_elsewhere--;
+}
+
+/* An instance sees only its own queue and its own endpoint states, and a caller that returns
+ * connects to another instance. If only this instance is slow, the caller is served there by its
+ * deadline. If all are overloaded, it is refused again; so the number sent is bounded by the number
+ * answered, and refused callers add at most as many submissions as there are answers. */
+LbTime
+lc_wait_estimate_send_elsewhere (LcWaitEstimate *estimate,
+                                 const LcWaitDecision *decision,
+                                 double random)
+{
+  LbTime limit = lc_wait_estimate_max_retry_after (decision->time_left);
+  double part
+      = MIN_PART_OF_USEFUL_DELAY + random * (MAX_PART_OF_USEFUL_DELAY - MIN_PART_OF_USEFUL_DELAY);
+  LbTime delay = (LbTime)(part * (double)limit);
+
+  if (decision->time_left == LB_TIME_NEVER || limit * USEFUL_PART_OF_TIME_LEFT > decision->time_left
+      || delay + decision->service >= decision->time_left
+      || estimate->n_sent_elsewhere >= MAX_SENT_ELSEWHERE)
+    return 0;
+  estimate->n_sent_elsewhere++;
+  return delay > MIN_RETRY_AFTER ? delay : MIN_RETRY_AFTER;
+}
+
 /* Returns the delay of a caller that can't be served by its deadline: it should return with a new
  * deadline. If it returned before, the callers that return would be more than those that came
  * first, and none of them would be served. */
@@ -156,7 +249,10 @@
   bool is_too_late = decision->time_left != LB_TIME_NEVER
                      && return_at - now + decision->service >= decision->time_left;
   if (decision->rate <= 0 || return_at - now > limit || is_too_late)
-    return choose_return_after_deadline (decision, limit, random);
+    {
+      LbTime delay = lc_wait_estimate_send_elsewhere (estimate, decision, random);
+      return delay > 0 ? delay : choose_return_after_deadline (decision, limit, random);
+    }
   estimate->next_return_at = return_at + (LbTime)(LB_SEC / decision->rate);
   return return_at - now;
 }
