Queue: estimates read the band from the flow

Cause: clang-tidy reports a null dereference, since it can't derive that a place with a flow has a band. No change of behaviour. clang-tidy reports nothing for the file now; core-test-* and sim-test-queue, -replay, -ledger, -engine pass.

--- a/packages/core/src/dispatch/lc-queue.c
+++ b/packages/core/src/dispatch/lc-queue.c
@@ -573,8 +573,7 @@
   if (!flow || flow->drop_order.length == 0)
     return ahead;
 
-  double n_sent_of_band
-      = flow->n_sent_of_band + (double)(place->band->n_sent - flow->counted_until);
+  double n_sent_of_band = flow->n_sent_of_band + (double)(flow->band->n_sent - flow->counted_until);
   double ahead_of_flow = count_requests_of_earlier_bands (queue, place)
                          + place->n_of_flow * (n_sent_of_band + 1) / (flow->n_sent_of_flow + 1);
 
@@ -616,7 +615,7 @@
     return ahead;
 
   double earlier_bands = count_requests_of_earlier_bands (queue, place);
-  double n_sent_of_band = flow->n_sent_of_band + (double)(place->band->n_sent - flow->counted_until)
+  double n_sent_of_band = flow->n_sent_of_band + (double)(flow->band->n_sent - flow->counted_until)
                           + MIN_SENDS_OF_FLOW * (ahead - earlier_bands) / place->n_of_flow;
   double ahead_of_flow
       = earlier_bands
