core/weights: estimate the lag of trainers that request steps ahead

Cause: a trainer that requests one step ahead has two open steps by design. Its overlapping steps were taken for those of several trainers, so its lag was unknown and engines were divided by requested tokens alone.

Change: the number of a step travels in the batch row (optional field "step"). Steps with increasing numbers belong to one trainer, and those before a start at step 0 are dropped; numbers that repeat or go back are those of several trainers. The schedule is the line below all submissions by number on which several lie. Steps without numbers, or with one number for all, are handled as before. The period search of unnumbered steps compares n/2 pairs in place of all.

--- a/packages/core/include/lc-batch-head.h
+++ b/packages/core/include/lc-batch-head.h
@@ -25,6 +25,8 @@
   int64_t ended_ms;
   int64_t n_items;
   LbName model;
+  bool has_step; /* the trainer numbers its steps; `step` is then the number, from 0 */
+  int64_t step;
   int64_t due_ms;          /* store's clock by which the batch is needed; 0: unknown */
   int64_t expected_tokens; /* expected total length of the batch's texts */
   /* Instance that should take over the batch from the instance that accepted it or that released
--- a/packages/core/include/lc-trainer-lag.h
+++ b/packages/core/include/lc-trainer-lag.h
@@ -13,6 +13,10 @@
  * step than it takes at least to train. Two submissions on schedule are a whole number of periods
  * apart.
  *
+ * A trainer may number its steps. It may then submit steps ahead, so that they overlap, and its
+ * schedule is that of the steps that it submitted earliest by their number. Numbers that repeat or
+ * go back are those of several trainers, but for a start at step 0, before which steps are dropped.
+ *
  * The estimate cannot see: the period of a trainer that was never on schedule, which is assumed to
  * be the shortest period or mean interval among the trainers; a trainer that is late by the same
  * time in each step, whose steady intervals are taken for its period; a lag from before the first
@@ -29,13 +33,15 @@
   int64_t priority;    /* organisation priority; larger values come first */
   LbTime submitted_at; /* 0: not known; the step is ignored */
   LbTime ended_at;     /* 0: the step is open */
+  bool has_step;       /* the trainer numbers its steps */
+  int64_t step;        /* number, from 0, one higher with each step of the trainer */
 } LcTrainerStep;
 
 typedef struct
 {
   LbName model;
   int64_t priority; /* of the newest step */
-  /* The steps of the model overlap, so its lag is not known. */
+  /* Steps without numbers overlap, or numbers repeat or go back, so the lag is not known. */
   bool has_several_trainers;
   bool is_known;           /* there are enough steps for an estimate of the lag */
   bool has_stopped;        /* the trainer has had no open step for three of its periods */
--- a/packages/core/src/batch/lc-batch-head.c
+++ b/packages/core/src/batch/lc-batch-head.c
@@ -27,6 +27,8 @@
     json_object_object_add (object, "ended_ms", json_object_new_int64 (head->ended_ms));
   json_object_object_add (object, "total", json_object_new_int64 (head->n_items));
   json_object_object_add (object, "model", json_object_new_string (head->model));
+  if (head->has_step)
+    json_object_object_add (object, "step", json_object_new_int64 (head->step));
   json_object_object_add (object, "tokens", json_object_new_int64 (head->expected_tokens));
   if (head->due_ms > 0)
     json_object_object_add (object, "due_ms", json_object_new_int64 (head->due_ms));
@@ -59,6 +61,9 @@
   head->ended_ms = lb_json_int (object, "ended_ms", 0);
   head->n_items = lb_json_int (object, "total", 0);
   LB_COPY (head->model, lb_json_text (object, "model", ""));
+  int64_t step = lb_json_int (object, "step", -1);
+  head->has_step = step >= 0;
+  head->step = head->has_step ? step : 0;
   head->expected_tokens = lb_json_int (object, "tokens", 0);
   head->due_ms = lb_json_int (object, "due_ms", 0);
   LB_COPY (head->preferred_instance, lb_json_text (object, "preferred", ""));
--- a/packages/core/src/weights/lc-trainer-lag.c
+++ b/packages/core/src/weights/lc-trainer-lag.c
@@ -48,6 +48,16 @@
 /* Number of newest steps, and of overlaps among them, by which a model has several trainers. */
 #define OVERLAP_STEPS 8
 #define MIN_OVERLAPS 2
+/* Largest number of steps that a trainer is taken to submit ahead. */
+#define MAX_STEPS_AHEAD 3
+/* Largest increase of the number from one recorded step of a trainer to the next. Rows arrive in
+ * any order, so some may be missing for a moment; the numbers of two trainers may be far apart. */
+#define MAX_NUMBER_INCREASE 4
+/* Number of numbered steps on the earliest possible schedule that show the period, and how many of
+ * them must have been submitted after a wait. Five of 11 steps of a trainer that was always late
+ * were within SCHEDULE_TOLERANCE of one by chance, but it had waited before none of them. */
+#define MIN_NUMBERED_STEPS_ON_SCHEDULE 5
+#define MIN_WAITS_ON_SCHEDULE 2
 
 typedef struct
 {
@@ -56,6 +66,8 @@
   int64_t priority;
   LbTime submitted_at;
   LbTime ended_at; /* 0: open */
+  bool has_number;
+  int64_t number; /* number that the trainer gave to the step */
 } Step;
 
 typedef struct
@@ -67,8 +79,14 @@
 typedef struct
 {
   LcTrainerLag estimate;
-  Step steps[MAX_STEPS]; /* sorted by time of submission */
+  Step recorded[MAX_STEPS]; /* sorted by time of submission */
+  size_t n_recorded;
+  /* The recorded steps by which the lag is estimated. A trainer that numbers its steps has only
+   * those since its start; numbers are then used in place of indexes. */
+  const Step *steps;
   size_t n_steps;
+  bool is_numbered;
+  size_t n_ahead; /* number of steps that the trainer submits before an earlier one has ended */
   CapacityChange capacities[MAX_CAPACITY_CHANGES]; /* sorted by time */
   size_t n_capacities;
   LbTime min_turnaround;   /* shortest time from the end of a step to the next submission */
@@ -164,9 +182,9 @@
 static void
 remove_step_at (Trainer *trainer, size_t position)
 {
-  trainer->n_steps--;
-  memmove (&trainer->steps[position], &trainer->steps[position + 1],
-           (trainer->n_steps - position) * sizeof trainer->steps[0]);
+  trainer->n_recorded--;
+  memmove (&trainer->recorded[position], &trainer->recorded[position + 1],
+           (trainer->n_recorded - position) * sizeof trainer->recorded[0]);
 }
 
 /* Steps of equal time are ordered by batch, so that the order does not depend on that of recording.
@@ -181,19 +199,19 @@
 static void
 insert_step (Trainer *trainer, const Step *step)
 {
-  size_t position = trainer->n_steps;
+  size_t position = trainer->n_recorded;
 
-  if (trainer->n_steps == MAX_STEPS)
+  if (trainer->n_recorded == MAX_STEPS)
     {
-      if (is_step_before (step, &trainer->steps[0]))
+      if (is_step_before (step, &trainer->recorded[0]))
         return;
       remove_step_at (trainer, 0);
       position--;
     }
-  for (; position > 0 && is_step_before (step, &trainer->steps[position - 1]); position--)
-    trainer->steps[position] = trainer->steps[position - 1];
-  trainer->steps[position] = *step;
-  trainer->n_steps++;
+  for (; position > 0 && is_step_before (step, &trainer->recorded[position - 1]); position--)
+    trainer->recorded[position] = trainer->recorded[position - 1];
+  trainer->recorded[position] = *step;
+  trainer->n_recorded++;
 }
 
 bool
@@ -202,6 +220,8 @@
   Step added = { .batch = XXH3_64bits (step->batch, strlen (step->batch)),
                  .tokens = step->tokens,
                  .priority = step->priority,
+                 .has_number = step->has_step,
+                 .number = step->step,
                  .submitted_at = step->submitted_at,
                  .ended_at = step->ended_at };
 
@@ -210,15 +230,21 @@
   Trainer *trainer = find_or_add_trainer (lags, step->model, now);
   if (!trainer)
     return false;
-  for (size_t i = 0; i < trainer->n_steps; i++)
-    if (trainer->steps[i].batch == added.batch)
+  for (size_t i = 0; i < trainer->n_recorded; i++)
+    if (trainer->recorded[i].batch == added.batch)
       {
         /* The first report of a time is the closest to the event. */
-        const Step *known = &trainer->steps[i];
+        const Step *known = &trainer->recorded[i];
         if (known->submitted_at < added.submitted_at)
           added.submitted_at = known->submitted_at;
         if (known->ended_at > 0 && (added.ended_at == 0 || known->ended_at < added.ended_at))
           added.ended_at = known->ended_at;
+        /* An instance of a previous build that claims a batch writes its row without the number. */
+        if (!added.has_number)
+          {
+            added.has_number = known->has_number;
+            added.number = known->number;
+          }
         remove_step_at (trainer, i);
         break;
       }
@@ -246,23 +272,121 @@
   trainer->n_capacities = n + 1;
 }
 
+/* --- steps of one trainer --- */
+
+/* Whether the step continues the numbers of the step before it. */
+static bool
+continues_numbers (const Step *steps, size_t i)
+{
+  int64_t increase = steps[i].number - steps[i - 1].number;
+
+  return increase > 0 && increase <= MAX_NUMBER_INCREASE;
+}
+
+/* Returns the index after the newest step without a number. Sets whether a number differs from
+ * others: a trainer that gives the same number to each step does not number them. */
+static size_t
+find_first_numbered_step (const Trainer *trainer, bool *has_different)
+{
+  size_t first = trainer->n_recorded;
+
+  *has_different = false;
+  for (; first > 0 && trainer->recorded[first - 1].has_number; first--)
+    *has_different
+        |= trainer->recorded[first - 1].number != trainer->recorded[trainer->n_recorded - 1].number;
+  return first;
+}
+
+/* Selects the steps by which the lag is estimated, and sets whether several trainers seem to number
+ * them. Steps that overlap but have increasing numbers are those of one trainer; one that starts
+ * again at step 0 is a new trainer. */
+static void
+select_numbered_steps (Trainer *trainer, size_t first)
+{
+  const Step *steps = trainer->recorded;
+  size_t newest = trainer->n_recorded;
+  size_t n_breaks = 0;
+  size_t begin = first;
+
+  for (size_t i = newest - 1; i > first; i--)
+    {
+      if (continues_numbers (steps, i))
+        continue;
+      if (begin == first)
+        begin = i;
+      if (steps[i].number == 0 && steps[i - 1].number > 0)
+        break;
+      if (newest - i >= OVERLAP_STEPS)
+        break;
+      n_breaks++;
+    }
+  trainer->is_numbered = true;
+  trainer->estimate.has_several_trainers = n_breaks >= MIN_OVERLAPS;
+  trainer->steps = &steps[begin];
+  trainer->n_steps = newest - begin;
+}
+
+/* Returns the number of steps, among the newest, that were submitted before the step `distance`
+ * steps earlier had ended. */
+static size_t
+count_overlaps (const Trainer *trainer, size_t distance)
+{
+  size_t first = trainer->n_steps > OVERLAP_STEPS ? trainer->n_steps - OVERLAP_STEPS : 0;
+  size_t n = 0;
+
+  for (size_t i = first + distance; i < trainer->n_steps; i++)
+    n += trainer->steps[i].submitted_at + MIN_OVERLAP < trainer->steps[i - distance].ended_at;
+  return n;
+}
+
+static void
+select_steps (Trainer *trainer)
+{
+  bool has_different;
+  size_t first = find_first_numbered_step (trainer, &has_different);
+  size_t n_numbered = trainer->n_recorded - first;
+
+  trainer->steps = trainer->recorded;
+  trainer->n_steps = trainer->n_recorded;
+  trainer->is_numbered = false;
+  trainer->n_ahead = 0;
+  if (has_different && (first == 0 || n_numbered >= MIN_STEPS_OF_ESTIMATE))
+    {
+      select_numbered_steps (trainer, first);
+      while (trainer->n_ahead < MAX_STEPS_AHEAD
+             && count_overlaps (trainer, trainer->n_ahead + 1) >= MIN_OVERLAPS)
+        trainer->n_ahead++;
+    }
+  else
+    trainer->estimate.has_several_trainers = count_overlaps (trainer, 1) >= MIN_OVERLAPS;
+}
+
+/* Number of steps from one to another, which may not all be recorded. */
+static LbTime
+get_distance (const Trainer *trainer, size_t from, size_t to)
+{
+  if (trainer->is_numbered)
+    return trainer->steps[to].number - trainer->steps[from].number;
+  return (LbTime)to - (LbTime)from;
+}
+
 /* --- period --- */
 
 /* Time at which a step counts as ended. A step that stayed open while the trainer submitted the
  * next one lost its trainer or the report of its end. */
 static LbTime
-get_end_of_earlier_step (const Trainer *trainer, size_t i)
+get_end_of_earlier_step (const Trainer *trainer, size_t i, size_t later)
 {
   const Step *step = &trainer->steps[i];
-  LbTime next = trainer->steps[i + 1].submitted_at;
+  LbTime next = trainer->steps[later].submitted_at;
 
   return step->ended_at > 0 && step->ended_at < next ? step->ended_at : next;
 }
 
 static LbTime
-get_turnaround (const Trainer *trainer, size_t i)
+get_turnaround (const Trainer *trainer, size_t i, size_t earlier)
 {
-  return trainer->steps[i].submitted_at - get_end_of_earlier_step (trainer, i - 1);
+  return trainer->steps[i].submitted_at - get_end_of_earlier_step (trainer, earlier, i);
 }
 
 static void
@@ -278,12 +402,16 @@
         trainer->longest_duration = step->ended_at - step->submitted_at;
       if (i == 0)
         continue;
-      LbTime mean = (step->submitted_at - trainer->steps[0].submitted_at) / (LbTime)i;
+      LbTime mean
+          = (step->submitted_at - trainer->steps[0].submitted_at) / get_distance (trainer, 0, i);
       if (trainer->period_bound == 0 || mean < trainer->period_bound)
         trainer->period_bound = mean;
-      if (trainer->steps[i - 1].ended_at > 0
-          && get_turnaround (trainer, i) < trainer->min_turnaround)
-        trainer->min_turnaround = get_turnaround (trainer, i);
+      if (i <= trainer->n_ahead)
+        continue;
+      size_t awaited = i - 1 - trainer->n_ahead;
+      if (trainer->steps[awaited].ended_at > 0
+          && get_turnaround (trainer, i, awaited) < trainer->min_turnaround)
+        trainer->min_turnaround = get_turnaround (trainer, i, awaited);
     }
   if (trainer->min_turnaround == LB_TIME_NEVER)
     trainer->min_turnaround = 0;
@@ -299,7 +427,7 @@
 
   for (size_t i = trainer->n_steps; i > 1 && n < MAX_STEPS_AFTER_WAIT; i--)
     if (trainer->steps[i - 2].ended_at > 0
-        && get_turnaround (trainer, i - 1) >= trainer->min_turnaround + min_wait)
+        && get_turnaround (trainer, i - 1, i - 2) >= trainer->min_turnaround + min_wait)
       indexes[n++] = i - 1;
   return n;
 }
@@ -342,23 +470,114 @@
   size_t most = 0;
   double best = 0;
 
-  for (size_t i = 0; i < n; i++)
-    for (size_t j = i + 1; j < n; j++)
-      {
-        double period = (double)(trainer->steps[indexes[i]].submitted_at
-                                 - trainer->steps[indexes[j]].submitted_at)
-                        / (double)(indexes[i] - indexes[j]);
-        size_t n_on_schedule = count_steps_on_schedule (trainer, indexes, n, indexes[j], &period);
-        if (n_on_schedule <= most)
-          continue;
-        most = n_on_schedule;
-        best = period;
-      }
+  /* If enough steps are on a schedule, some of these pairs consist of two of them. All pairs would
+   * cost some hundreds of microseconds per division. */
+  for (size_t i = 0, j = n / 2; j > 0 && j < n; i++, j++)
+    {
+      double period = (double)(trainer->steps[indexes[i]].submitted_at
+                               - trainer->steps[indexes[j]].submitted_at)
+                      / (double)(indexes[i] - indexes[j]);
+      size_t n_on_schedule = count_steps_on_schedule (trainer, indexes, n, indexes[j], &period);
+      if (n_on_schedule <= most)
+        continue;
+      most = n_on_schedule;
+      best = period;
+    }
   if (most < MIN_STEPS_ON_SCHEDULE || (double)most < MIN_SHARE_ON_SCHEDULE * (double)n)
     return 0;
   return (LbTime)best;
 }
 
+static double
+compute_slope (const Trainer *trainer, size_t from, size_t to)
+{
+  return (double)(trainer->steps[to].submitted_at - trainer->steps[from].submitted_at)
+         / (double)get_distance (trainer, from, to);
+}
+
+/* Collects the indexes of the steps that form the lower convex hull of the times of submission by
+ * number. Returns how many they are. */
+static size_t
+collect_earliest_steps (const Trainer *trainer, size_t *hull)
+{
+  size_t n = 0;
+
+  for (size_t i = 0; i < trainer->n_steps; i++)
+    {
+      while (n >= 2
+             && compute_slope (trainer, hull[n - 2], hull[n - 1])
+                    >= compute_slope (trainer, hull[n - 1], i))
+        n--;
+      hull[n++] = i;
+    }
+  return n;
+}
+
+/* Whether the trainer could have submitted the step earlier, but waited. */
+static bool
+is_step_after_wait (const Trainer *trainer, size_t i)
+{
+  LbTime min_wait = MIN_WAIT + trainer->period_bound / MIN_WAIT_DIVISOR;
+
+  if (i <= trainer->n_ahead)
+    return false;
+  size_t awaited = i - 1 - trainer->n_ahead;
+  return trainer->steps[awaited].ended_at > 0
+         && get_turnaround (trainer, i, awaited) >= trainer->min_turnaround + min_wait;
+}
+
+/* Returns how many steps were submitted at their time on the schedule that contains the two steps,
+ * and the period of these; 0 if the trainer does not seem to have waited for them. */
+static size_t
+count_numbered_steps_on_schedule (const Trainer *trainer, size_t from, size_t to, double *period)
+{
+  double slope = compute_slope (trainer, from, to);
+  size_t oldest = from;
+  size_t newest = to;
+  size_t n = 0;
+  size_t n_waits = 0;
+
+  for (size_t i = 0; i < trainer->n_steps; i++)
+    {
+      double distance
+          = (double)(trainer->steps[i].submitted_at - trainer->steps[from].submitted_at);
+      if (fabs (distance - (double)get_distance (trainer, from, i) * slope) > SCHEDULE_TOLERANCE)
+        continue;
+      n++;
+      n_waits += is_step_after_wait (trainer, i);
+      oldest = i < oldest ? i : oldest;
+      newest = i > newest ? i : newest;
+    }
+  *period = compute_slope (trainer, oldest, newest);
+  return n_waits >= MIN_WAITS_ON_SCHEDULE ? n : 0;
+}
+
+/* Finds the period of a trainer that numbers its steps; 0: not seen. No step is submitted before
+ * its scheduled time, so the schedule is a line below all submissions on which several lie. Late
+ * steps are submitted as soon as the trainer can, which is not periodic. */
+static LbTime
+find_period_of_numbered_steps (const Trainer *trainer)
+{
+  size_t hull[MAX_STEPS];
+  size_t n = collect_earliest_steps (trainer, hull);
+  size_t most = 0;
+  double best = 0;
+
+  for (size_t i = 1; i < n; i++)
+    {
+      double period;
+      if (get_distance (trainer, hull[i - 1], hull[i]) < MIN_STEPS_ON_SCHEDULE - 1)
+        continue;
+      size_t n_on_schedule
+          = count_numbered_steps_on_schedule (trainer, hull[i - 1], hull[i], &period);
+      if (n_on_schedule <= most)
+        continue;
+      most = n_on_schedule;
+      best = period;
+    }
+  return most >= MIN_NUMBERED_STEPS_ON_SCHEDULE ? (LbTime)best : 0;
+}
+
 /* Returns the mean interval if all are nearly equal; else 0. */
 static LbTime
 find_steady_interval (const Trainer *trainer)
@@ -383,6 +602,8 @@
 static LbTime
 find_observed_period (const Trainer *trainer)
 {
+  if (trainer->is_numbered)
+    return find_period_of_numbered_steps (trainer);
   LbTime period = find_period_of_schedule (trainer);
 
   return period > 0 ? period : find_steady_interval (trainer);
@@ -397,16 +618,16 @@
   LbTime limit = STOPPED_AFTER_PERIODS * trainer->estimate.period;
 
   if (trainer->steps[i - 1].ended_at > 0)
-    return get_turnaround (trainer, i) > limit;
+    return get_turnaround (trainer, i, i - 1) > limit;
   return trainer->steps[i].submitted_at - trainer->steps[i - 1].submitted_at
          > limit + trainer->longest_duration;
 }
 
-/* Returns the lag at the submission of the step after one with this lag. */
+/* Returns the lag at the submission of a step that is `distance` steps after one with this lag. */
 static LbTime
-add_interval_to_lag (const Trainer *trainer, LbTime lag, LbTime interval)
+add_interval_to_lag (const Trainer *trainer, LbTime lag, LbTime interval, LbTime distance)
 {
-  lag += interval - trainer->estimate.period;
+  lag += interval - distance * trainer->estimate.period;
   return lag > 0 ? lag : 0;
 }
 
@@ -414,8 +635,10 @@
 static LbTime
 get_earliest_next_submission (const Trainer *trainer, LbTime now)
 {
-  const Step *last = &trainer->steps[trainer->n_steps - 1];
-  LbTime earliest = (last->ended_at > 0 ? last->ended_at : now) + trainer->min_turnaround;
+  if (trainer->n_steps <= trainer->n_ahead)
+    return now;
+  const Step *awaited = &trainer->steps[trainer->n_steps - 1 - trainer->n_ahead];
+  LbTime earliest = (awaited->ended_at > 0 ? awaited->ended_at : now) + trainer->min_turnaround;
 
   return earliest > now ? earliest : now;
 }
@@ -443,12 +666,13 @@
     if (!is_start_after_stop (trainer, i))
       lags[i] = add_interval_to_lag (trainer, lags[i - 1],
                                      trainer->steps[i].submitted_at
-                                         - trainer->steps[i - 1].submitted_at);
+                                         - trainer->steps[i - 1].submitted_at,
+                                     get_distance (trainer, i - 1, i));
   trainer->estimate.has_stopped = has_trainer_stopped (trainer, trainer->estimate.period, now);
   LbTime lag = lags[trainer->n_steps - 1];
   LbTime next
       = add_interval_to_lag (trainer, lag,
-                             get_earliest_next_submission (trainer, now) - last->submitted_at);
+                             get_earliest_next_submission (trainer, now) - last->submitted_at, 1);
   if (last->ended_at > 0 || next > lag)
     lag = next;
   for (size_t i = 0; i < HELD_SUBMISSIONS && i < trainer->n_steps; i++)
@@ -500,6 +724,9 @@
   double tokens = 0;
   size_t n = 0;
 
+  /* Overlapping steps share the capacity, and their durations do not tell how. */
+  if (trainer->n_ahead > 0)
+    return 0;
   for (size_t i = trainer->n_steps; i > 0 && n < MEASURED_STEPS; i--)
     {
       const Step *step = &trainer->steps[i - 1];
@@ -516,24 +743,13 @@
          / (double)trainer->estimate.period;
 }
 
-static bool
-has_model_several_trainers (const Trainer *trainer)
-{
-  size_t first = trainer->n_steps > OVERLAP_STEPS ? trainer->n_steps - OVERLAP_STEPS : 0;
-  size_t n = 0;
-
-  for (size_t i = first + 1; i < trainer->n_steps; i++)
-    n += trainer->steps[i].submitted_at + MIN_OVERLAP < trainer->steps[i - 1].ended_at;
-  return n >= MIN_OVERLAPS;
-}
-
 /* Sets is_known, is_period_observed and period, the latter to 0 if only other trainers can tell. */
 static void
 estimate_own_period (Trainer *trainer)
 {
+  select_steps (trainer);
   measure_steps (trainer);
   trainer->estimate.priority = trainer->steps[trainer->n_steps - 1].priority;
-  trainer->estimate.has_several_trainers = has_model_several_trainers (trainer);
   trainer->estimate.is_known = trainer->n_steps >= MIN_STEPS_OF_ESTIMATE
                                && trainer->period_bound > 0
                                && !trainer->estimate.has_several_trainers;
--- a/packages/core/tests/test-batch-head.c
+++ b/packages/core/tests/test-batch-head.c
@@ -12,6 +12,8 @@
                        .n_items = 64,
                        .expected_tokens = 900,
                        .ended = true,
+                       .has_step = true,
+                       .step = 7,
                        .accepted_ms = 1700000000123,
                        .ended_ms = 1700000004567 };
   LcBatchHead read;
@@ -27,6 +29,8 @@
   cr_assert (lc_batch_head_from_json (object, &read));
   cr_assert_eq (read.accepted_ms, head.accepted_ms);
   cr_assert_eq (read.ended_ms, head.ended_ms);
+  cr_assert (read.has_step);
+  cr_assert_eq (read.step, 7);
   struct json_object *again = lc_batch_head_to_json (&read);
   cr_assert_str_eq (json_object_to_json_string (again), json_object_to_json_string (object));
   json_object_put (again);
@@ -100,6 +104,24 @@
   cr_assert_lt (lc_batch_head_compare_by_due_time (&late, &late_too), 0);
 }
 
+/* Step 0 must not be stored as a step without a number, nor a negative number as a step. */
+Test (batch_head, step_zero_differs_from_no_step)
+{
+  LcBatchHead head = { .batch = "b", .epoch = 1, .n_items = 1, .has_step = true };
+  LcBatchHead read;
+
+  for (int i = 0; i < 3; i++)
+    {
+      struct json_object *object = lc_batch_head_to_json (&head);
+      if (i == 2)
+        json_object_object_add (object, "step", json_object_new_int64 (-3));
+      cr_assert (lc_batch_head_from_json (object, &read));
+      cr_assert_eq (read.has_step, i == 0);
+      json_object_put (object);
+      head.has_step = false;
+    }
+}
+
 /* During an upgrade, instances of the previous build read and write the same rows. A row without
  * the newer fields must be read as one that tells neither who released the batch nor when it is
  * due. */
@@ -115,5 +137,6 @@
   cr_assert_str_eq (head.released_by, "");
   cr_assert_eq (head.released_ms, 0);
   cr_assert_eq (head.due_ms, 0);
+  cr_assert_not (head.has_step, "a missing step must not be read as step 0");
   json_object_put (object);
 }
--- a/packages/core/tests/test-trainer-lag.c
+++ b/packages/core/tests/test-trainer-lag.c
@@ -170,6 +170,154 @@
   lc_trainer_lags_free (lags);
 }
 
+/* Records a step that its trainer numbered. */
+static void
+record_numbered_step (
+    LcTrainerLags *lags, int64_t number, const char *batch, LbTime submitted_at, LbTime ended_at)
+{
+  LcTrainerStep step = { .model = "m",
+                         .tokens = 1000,
+                         .has_step = true,
+                         .step = number,
+                         .submitted_at = submitted_at,
+                         .ended_at = ended_at };
+
+  LB_COPY (step.batch, batch);
+  lc_trainer_lags_record_step (lags, &step, submitted_at);
+}
+
+#define N_NUMBERED 60
+
+/* Computes the steps of a trainer that requests one step ahead, from when it requests them. */
+static void
+compute_overlapping_steps (gsl_rng *random, double mean, LbTime *submitted_at, LbTime *ended_at)
+{
+  LbTime trained_at[N_NUMBERED] = { 0 };
+
+  for (int i = 0; i < N_NUMBERED; i++)
+    {
+      LbTime scheduled_at = START + i * PERIOD;
+      LbTime named_at = i > 1 ? trained_at[i - 2] : 0;
+      submitted_at[i] = scheduled_at > named_at ? scheduled_at : named_at;
+      ended_at[i]
+          = submitted_at[i] + (LbTime)(gsl_ran_flat (random, mean - 1, mean + 1) * (double)LB_SEC);
+      LbTime idle_at = i > 0 && trained_at[i - 1] > ended_at[i] ? trained_at[i - 1] : ended_at[i];
+      trained_at[i] = idle_at + (LbTime)(gsl_ran_flat (random, 0.5, 1) * (double)LB_SEC);
+    }
+}
+
+/* The steps overlap by design and were taken for those of several trainers, whose lag is unknown.
+ * The rows are read in any order. */
+Test (trainer_lag, lag_of_overlapping_numbered_steps_is_found)
+{
+  gsl_rng *random = gsl_rng_alloc (gsl_rng_taus2);
+  int n_observed = 0;
+
+  for (unsigned long seed = 1; seed <= 200; seed++)
+    {
+      LcTrainerLags *lags = lc_trainer_lags_new ();
+      LbTime submitted_at[N_NUMBERED];
+      LbTime ended_at[N_NUMBERED];
+      int order[N_NUMBERED];
+      char batch[16];
+      gsl_rng_set (random, seed);
+      compute_overlapping_steps (random, gsl_ran_flat (random, 5, 9), submitted_at, ended_at);
+      int n = 4 + (int)gsl_rng_uniform_int (random, N_NUMBERED - 4);
+      LbTime now = submitted_at[n - 1];
+      for (int i = 0; i < n; i++)
+        order[i] = i;
+      gsl_ran_shuffle (random, order, (size_t)n, sizeof order[0]);
+      for (int i = 0; i < n; i++)
+        {
+          snprintf (batch, sizeof batch, "%d", order[i]);
+          record_numbered_step (lags, order[i], batch, submitted_at[order[i]],
+                                ended_at[order[i]] <= now ? ended_at[order[i]] : 0);
+        }
+      lc_trainer_lags_estimate (lags, now);
+      const LcTrainerLag *estimate = lc_trainer_lags_find (lags, "m");
+      LbTime lag = now - START - (n - 1) * PERIOD;
+      n_observed += estimate->is_period_observed;
+      cr_assert (estimate->is_known && !estimate->has_several_trainers, "seed %lu", seed);
+      cr_assert_float_eq ((double)estimate->lag, (double)lag, (double)(200 * LB_MSEC),
+                          "seed %lu, %d steps: lag %lld, estimate %lld", seed, n, (long long)lag,
+                          (long long)estimate->lag);
+      lc_trainer_lags_free (lags);
+    }
+  cr_assert_gt (n_observed, 50);
+  gsl_rng_free (random);
+}
+
+/* The history of a trainer that restarts at step 0 would show a lag of all its steps. */
+Test (trainer_lag, trainer_that_restarts_at_step_0_is_a_new_trainer)
+{
+  LcTrainerLags *lags = lc_trainer_lags_new ();
+  LbTime restart = START + 10 * PERIOD + LB_SEC;
+  char batch[16];
+
+  for (int i = 0; i < 14; i++)
+    {
+      LbTime at = i < 10 ? START + i * PERIOD : restart + (i - 10) * PERIOD;
+      snprintf (batch, sizeof batch, "%d", i);
+      record_numbered_step (lags, i < 10 ? i : i - 10, batch, at, at + 7 * LB_SEC);
+      lc_trainer_lags_estimate (lags, at);
+      const LcTrainerLag *estimate = lc_trainer_lags_find (lags, "m");
+      cr_assert_not (estimate->has_several_trainers);
+      cr_assert_eq (estimate->is_known, i < 10 ? i >= 2 : i >= 12, "step %d", i);
+      cr_assert_eq (estimate->lag, 0, "step %d", i);
+      cr_assert_eq (estimate->n_steps, i < 10 ? (i < 8 ? (size_t)i + 1 : 8) : (size_t)i - 9);
+    }
+  lc_trainer_lags_free (lags);
+}
+
+/* The numbers of two trainers repeat if both are as old, or go back and forth. */
+Test (trainer_lag, repeated_numbers_are_those_of_several_trainers)
+{
+  static const int firsts[] = { 0, 3, 30 };
+
+  for (size_t i = 0; i < sizeof firsts / sizeof firsts[0]; i++)
+    {
+      LcTrainerLags *lags = lc_trainer_lags_new ();
+      char batch[16];
+      for (int step = 0; step < 6; step++)
+        for (int trainer = 0; trainer < 2; trainer++)
+          {
+            LbTime at = START + step * PERIOD + trainer * LB_SEC;
+            snprintf (batch, sizeof batch, "%d-%d", trainer, step);
+            record_numbered_step (lags, trainer ? step : firsts[i] + step, batch, at,
+                                  at + 2 * LB_SEC);
+          }
+      lc_trainer_lags_estimate (lags, START + 6 * PERIOD);
+      cr_assert (lc_trainer_lags_find (lags, "m")->has_several_trainers, "first %d", firsts[i]);
+      cr_assert_not (lc_trainer_lags_find (lags, "m")->is_known, "first %d", firsts[i]);
+      lc_trainer_lags_free (lags);
+    }
+}
+
+/* A client that sends the same number with each step does not number its steps; its lag is that of
+ * steps without numbers. */
+Test (trainer_lag, equal_numbers_of_all_steps_are_ignored)
+{
+  LcTrainerLags *lags = lc_trainer_lags_new ();
+  LcTrainerLags *unnumbered = lc_trainer_lags_new ();
+  char batch[16];
+
+  for (int i = 0; i < 8; i++)
+    {
+      LbTime at = START + i * PERIOD + (i == 7 ? LB_SEC : 0);
+      snprintf (batch, sizeof batch, "%d", i);
+      record_numbered_step (lags, 1, batch, at, at + (i == 6 ? 4600 : 2000) * LB_MSEC);
+      record_step (unnumbered, "m", i, at, at + (i == 6 ? 4600 : 2000) * LB_MSEC);
+    }
+  lc_trainer_lags_estimate (lags, START + 7 * PERIOD + LB_SEC);
+  lc_trainer_lags_estimate (unnumbered, START + 7 * PERIOD + LB_SEC);
+  const LcTrainerLag *estimate = lc_trainer_lags_find (lags, "m");
+  cr_assert (estimate->is_known);
+  cr_assert_gt (estimate->held_lag_steps, 0.2);
+  cr_assert_eq (estimate->held_lag_steps, lc_trainer_lags_find (unnumbered, "m")->held_lag_steps);
+  lc_trainer_lags_free (lags);
+  lc_trainer_lags_free (unnumbered);
+}
+
 /* An instance that takes over the division reads the rows in any order, some of them twice. */
 Test (trainer_lag, estimate_does_not_depend_on_the_order_of_rows)
 {
--- a/packages/node/src/batch/ln-batch-heads.c
+++ b/packages/node/src/batch/ln-batch-heads.c
@@ -181,6 +181,8 @@
   LnTrainerStepMessage message
       = { .base = LN_MESSAGE (LN_TRAINER_STEP),
           .step = { .tokens = (double)batch->head.expected_tokens,
+                    .has_step = batch->head.has_step,
+                    .step = batch->head.step,
                     .priority = batch->head.organisation_priority,
                     .submitted_at = convert_store_ms (batches, batch->head.accepted_ms, now),
                     .ended_at = convert_store_ms (batches, batch->head.ended_ms, now) } };
--- a/packages/node/src/batch/ln-batch-submit.c
+++ b/packages/node/src/batch/ln-batch-submit.c
@@ -213,6 +213,8 @@
   LB_COPY (call->head.host, in->host);
   LB_COPY (call->head.path, ln_exchange_path (call->exchange));
   LB_COPY (call->head.model, call->spec.model);
+  call->head.has_step = call->spec.has_step;
+  call->head.step = call->spec.step;
   call->head.expected_tokens = sum_expected_tokens (&call->spec);
   call->head.due_ms = compute_due_ms (call);
   ln_batches_choose_next_owner (call->batches, call->spec.model, call->head.preferred_instance);
