--- a/packages/node/src/weights/ln-engine-plans.c
+++ b/packages/node/src/weights/ln-engine-plans.c
@@ -410,6 +410,7 @@
       json_object_object_add (object, "period_ms", json_object_new_int64 (lag->period / LB_MSEC));
       json_object_object_add (object, "period_observed",
                               json_object_new_boolean (lag->is_period_observed));
+      json_object_object_add (object, "steps_ahead", json_object_new_int64 ((int64_t)lag->n_ahead));
       json_object_object_add (object, "stopped", json_object_new_boolean (lag->has_stopped));
     }
   return object;
--- a/tests/process/test-shared.c
+++ b/tests/process/test-shared.c
@@ -869,3 +869,58 @@
   PS_WAIT_UNTIL (&cluster, read_trainer_lag_ms (&cluster, instance) >= 1000);
   ps_cluster_clear (&cluster);
 }
+
+static void
+submit_numbered_step (PsCluster *cluster, size_t instance, int step)
+{
+  struct json_object *object;
+  char *body = ps_make_batch_json (2);
+  char id[8];
+
+  object = json_tokener_parse (body);
+  json_object_object_add (object, "step", json_object_new_int (step));
+  snprintf (id, sizeof id, "b%d", step);
+  ps_call_and_wait (cluster, instance, "POST", "/steps/1", id, json_object_to_json_string (object));
+  json_object_put (object);
+  free (body);
+}
+
+static void
+end_step (PsCluster *cluster, size_t instance, int step)
+{
+  char path[24];
+
+  snprintf (path, sizeof path, "/-/lots/b%d", step);
+  ps_call_and_wait (cluster, instance, "DELETE", path, "", "");
+}
+
+/* A trainer submits each step before the previous one has ended, and the last one a second late.
+ * Its overlapping steps were taken for those of several trainers, so its lag was unknown. After a
+ * restart, the numbers of the steps must be in the rows. */
+Test (shared, lag_of_a_trainer_with_overlapping_steps_is_known)
+{
+  PsCluster cluster;
+
+  ps_cluster_init (&cluster);
+  cluster.keep_ended_s = 60;
+  size_t instance = ps_start_instance (&cluster);
+  LbTime start = lb_clock_monotonic ();
+  for (int i = 0; i < 4; i++)
+    {
+      wait_until_time (&cluster, start + i * TRAINER_PERIOD);
+      submit_numbered_step (&cluster, instance, i);
+      if (i == 0)
+        continue;
+      wait_until_time (&cluster, start + i * TRAINER_PERIOD + LB_SEC);
+      end_step (&cluster, instance, i - 1);
+    }
+  wait_until_time (&cluster, start + 4 * TRAINER_PERIOD - LB_SEC / 2);
+  cr_assert_leq (read_trainer_lag_ms (&cluster, instance), 300);
+  wait_until_time (&cluster, start + 4 * TRAINER_PERIOD + LB_SEC);
+  end_step (&cluster, instance, 3);
+  submit_numbered_step (&cluster, instance, 4);
+  PS_WAIT_UNTIL (&cluster, read_trainer_lag_ms (&cluster, instance) >= 800);
+  ps_restart_instance (&cluster, instance);
+  PS_WAIT_UNTIL (&cluster, read_trainer_lag_ms (&cluster, instance) >= 800);
+  ps_cluster_clear (&cluster);
+}
