--- a/packages/core/src/weights/lc-engine-shares.c
+++ b/packages/core/src/weights/lc-engine-shares.c
@@ -14,7 +14,8 @@
 /* The same for a trainer that submits steps ahead, and the difference of lag that moves no engine.
  * Its lag is determined by steps that began up to two periods ago, and often by their longest text.
  * In a replay of four such trainers at 0.9 of the capacity, 0.7 periods without a tolerance moved
- * 178 engines in 40 steps, more than the division by requested tokens (133), and all were later. */
+ * 178 engines in 40 steps, more than the division by requested tokens (133), and made three later.
+ */
 #define LAG_HORIZON_PERIODS_AHEAD 2.0
 #define LAG_TOLERANCE_AHEAD 0.5
 /* Largest factor on the share of a trainer that is behind. */
