core/dispatch: texts leave a much slower engine without a free slot

Moves needed a free slot. Change: a text that its step waits for, or any text while nothing waits, leaves an engine that has become 2.3 times slower than its lasting pace if the gain compared with the usual pace is at least 1.5 s.

--- a/packages/core/src/dispatch/lc-move.c
+++ b/packages/core/src/dispatch/lc-move.c
@@ -19,6 +19,14 @@
  * over the last second is still better than the present pace. */
 #define MIN_SLOWED_DOWN_GAIN_SECONDS 0.3
 
+/* Smallest gain for which a text leaves an engine that slowed down although no slot is free or
+ * others wait. It then waits in the queue, where it is among the first, since its step is late. A
+ * text that stayed at an engine 3.5 times slower took 10.3 s instead of 7 s. */
+#define MIN_GAIN_WITHOUT_SLOT_SECONDS 1.5
+/* The pace over a second reaches this multiple of the lasting pace 1.1 s after an engine has become
+ * 3.5 times slower. Two slowdowns of 2.5 times for 600 ms in a row stay below. */
+#define MUCH_SLOWED_DOWN_FACTOR 2.3
+
 static const char *const reason_names[LC_N_MOVE_REASONS] = {
   [LC_MOVE_LASTING_PACE] = "lasting_pace",
   [LC_MOVE_SLOWED_DOWN] = "slowed_down",
@@ -105,6 +113,15 @@
   return decision;
 }
 
+static bool
+is_much_slowed_down (const LcMoveInputs *inputs)
+{
+  return (inputs->n_waiting == 0 || inputs->proposal.decides_step)
+         && inputs->proposal.gain_seconds >= MIN_GAIN_WITHOUT_SLOT_SECONDS
+         && inputs->proposal.recent_token_seconds
+                >= MUCH_SLOWED_DOWN_FACTOR * inputs->here_lasting_token_seconds;
+}
+
 /* A text that decides the end of its step leaves a stalled endpoint even if it must wait for a
  * slot, since the stalled stream makes no progress. */
 LcMoveDecision
@@ -117,6 +134,8 @@
     decision.reason = has_stalled (inputs) ? LC_MOVE_STALLED : LC_MOVE_UNKNOWN_PACE;
   else if (has_stalled (inputs) && (inputs->n_free_slots > 0 || is_decisive))
     decision.reason = LC_MOVE_STALLED;
+  else if (is_much_slowed_down (inputs))
+    decision.reason = LC_MOVE_SLOWED_DOWN;
   else if (inputs->n_free_slots == 0)
     decision.reason = LC_MOVE_NO_FREE_SLOT;
   else if (inputs->n_waiting > 0 && !is_decisive)
--- a/packages/core/tests/test-move.c
+++ b/packages/core/tests/test-move.c
@@ -70,6 +70,23 @@
   expect_reason (&inputs, LC_MOVE_NO_FREE_SLOT);
 }
 
+/* While all engines are full, a text stayed at an engine 3.5 times slower for several seconds, and
+ * its step ended 3 s late. */
+Test (move, text_leaves_a_much_slower_engine_without_a_free_slot)
+{
+  LcMoveInputs inputs = make_inputs (1, 3.5, 1);
+
+  inputs.n_free_slots = 0;
+  inputs.proposal.gain_seconds = 2;
+  expect_reason (&inputs, LC_MOVE_SLOWED_DOWN);
+  inputs.n_waiting = 3;
+  expect_reason (&inputs, LC_MOVE_NO_FREE_SLOT);
+  inputs.proposal.decides_step = true;
+  expect_reason (&inputs, LC_MOVE_SLOWED_DOWN);
+  inputs.proposal.recent_token_seconds = 0.05 * 2;
+  expect_reason (&inputs, LC_MOVE_NO_FREE_SLOT);
+}
+
 Test (move, while_requests_wait_only_texts_that_decide_their_step_move)
 {
   LcMoveInputs inputs = make_inputs (1.7, 1.7, 0.7);
