core/membership: a restarted owner keeps its batches through a rolling restart

Cause: each instance infers when a rolling restart began, those that were restarted themselves from the starts of others. Change: new batches leave a running owner only if it is among the members that started first, at most 5 s after the earliest.

--- a/packages/core/src/membership/lc-succession.c
+++ b/packages/core/src/membership/lc-succession.c
@@ -106,6 +106,16 @@
   return n;
 }
 
+/* Whether the owner is among the members whose processes started first. In a rolling restart these
+ * have not been restarted yet. */
+static bool
+is_among_oldest (const LcSuccessor *owner, const LcSuccessor *members, size_t n_members)
+{
+  int64_t earliest_ms = find_earliest_start_since (1, owner->started_ms, members, n_members);
+
+  return owner->started_ms - earliest_ms <= MAX_RESTART_GAP / LB_MSEC;
+}
+
 /* Whether the owner of the model's other batches is likely to be stopped soon, and a restarted
  * instance can replace it. The model's connections move once in either case: now, between two
  * batches, or when the owner is stopped, in the middle of one. Without sufficient evidence for a
@@ -119,8 +129,12 @@
   size_t n_restarted = count_restarted (query, members, n_members);
   int64_t owner_share = owner->strength / (owner->n_models > 0 ? owner->n_models : 1);
 
+  /* Instances that were restarted themselves find different beginnings of the rolling restart. By
+   * the beginning alone, each took owners that had been restarted early for the next to be stopped,
+   * and the batches of a model moved several times. */
   if (!query->is_restart_continuing || owner->started_ms == 0 || was_restarted (query, owner)
-      || n_restarted < MIN_RESTARTED || n_restarted < n_members / MIN_RESTARTED_DIVISOR)
+      || !is_among_oldest (owner, members, n_members) || n_restarted < MIN_RESTARTED
+      || n_restarted < n_members / MIN_RESTARTED_DIVISOR)
     return false;
   for (size_t i = 0; i < n_members; i++)
     if (was_restarted (query, &members[i])
--- a/packages/core/tests/test-succession.c
+++ b/packages/core/tests/test-succession.c
@@ -133,6 +133,19 @@
   cr_assert_eq (reason, LC_SUCCESSION_RESTARTED);
 }
 
+/* An instance that was restarted late finds a beginning of the rolling restart that is later than
+ * the restart of the model's owner. The owner was restarted all the same, as older members show; if
+ * its batches moved again, each move would cost a connection for each slot of each engine. */
+Test (succession, restarted_owner_keeps_new_batches_if_the_beginning_seems_later)
+{
+  LcSuccessionReason reason;
+
+  restart_members (3, 2);
+  members[9].started_ms = RESTART_BEGAN_MS - 8000;
+  cr_assert_eq (choose ("model", "m9", true, &reason), 9);
+  cr_assert_eq (reason, LC_SUCCESSION_SAME_MODEL);
+}
+
 Test (succession, no_candidate_gives_no_next_owner)
 {
   const LcSuccessionQuery query = { .model = "model", .current = "a" };
