--- a/packages/core/src/dispatch/lc-wait-estimate.c
+++ b/packages/core/src/dispatch/lc-wait-estimate.c
@@ -229,8 +229,8 @@
 }
 
 /* A caller can be served once the requests ahead have become fewer by as many as are too many for
- * its deadline. Each refused caller is invited one slot later than the previous one, at most a
- * third of its time later. */
+ * its deadline. Each refused caller is told to return one slot later than the previous one, at most
+ * a third of its time later. */
 LbTime
 lc_wait_estimate_reserve_return (LcWaitEstimate *estimate,
                                  const LcWaitDecision *decision,
--- a/packages/core/src/dispatch/lc-wait-estimate.h
+++ b/packages/core/src/dispatch/lc-wait-estimate.h
@@ -22,7 +22,7 @@
   int64_t running[LC_N_KINDS]; /* number of running attempts */
   /* when an attempt last ended, or when one started while none was running */
   LbTime last_progress_at;
-  LbTime next_return_at; /* earliest time for which the next refused caller is invited */
+  LbTime next_return_at; /* earliest time at which the next refused caller should return */
   int n_sent_elsewhere; /* refused callers sent to other instances, less the calls answered since */
 } LcWaitEstimate;
 
--- a/packages/core/src/weights/lc-trainer-private.h
+++ b/packages/core/src/weights/lc-trainer-private.h
@@ -8,7 +8,7 @@
 
 /* Number of newest steps of a trainer that the estimate is made from. */
 #define LC_TRAINER_MAX_STEPS 64
-/* Two intervals are the least from which a lag can be told. */
+/* A lag can be estimated from two intervals at least. */
 #define LC_TRAINER_MIN_STEPS 3
 /* Number of changes of a model's capacity that are kept. */
 #define LC_TRAINER_MAX_CAPACITY_CHANGES 32
--- a/packages/core/tests/test-batch-takeover.c
+++ b/packages/core/tests/test-batch-takeover.c
@@ -87,7 +87,7 @@
   cr_assert_eq (get_takeover_delay ("d", true, 1), 700 * LB_MSEC);
 }
 
-/* If the next owner died or drains too, nobody may wait for it. */
+/* If the next owner died or drains too, no instance may wait for it. */
 Test (batch_takeover, others_do_not_wait_for_a_next_owner_that_is_not_available)
 {
   cr_assert_eq (get_takeover_delay ("c", false, 0), 0);
--- a/packages/core/tests/test-lease.c
+++ b/packages/core/tests/test-lease.c
@@ -478,9 +478,9 @@
   return longest;
 }
 
-/* An instance that is stopped holds the lease for the weights. Without a named next holder nobody
- * ordered weights for more than a second, since the stopped instance still had the first rank and
- * the others read the row twice a second. */
+/* An instance that is stopped holds the lease for the weights. Without a named next holder no
+ * instance ordered weights for more than a second, since the stopped instance still had the first
+ * rank and the others read the row twice a second. */
 Test (lease, named_next_holder_has_the_lease_within_half_a_second)
 {
   max_delay = 5 * LB_MSEC;
