--- a/packages/base/include/lb-switch.h
+++ b/packages/base/include/lb-switch.h
@@ -30,7 +30,7 @@
   LB_SWITCH_SCALING, /* requests spot endpoints from the platform to match the trainers' demand */
   LB_SWITCH_MOVE_DECISIONS, /* lets the dispatcher refuse a move that gains too little */
   LB_SWITCH_WAIT_ESTIMATE,  /* refuses calls whose wait and service time exceed their deadline */
-  LB_SWITCH_GROUP_ORDER,    /* runs texts of groups that can't be completed after all others */
+  LB_SWITCH_GROUP_ORDER,    /* runs the texts of groups that can no longer be complete last */
   LB_N_SWITCHES
 } LbSwitch;
 
--- a/packages/cli/src/lt-timeline-summary.c
+++ b/packages/cli/src/lt-timeline-summary.c
@@ -31,7 +31,7 @@
 {
   int64_t waited_us = lb_json_int (line, "waited_us", 0);
 
-  summary->n_routes++;
+  summary->n_attempts++;
   summary->waited_us += waited_us;
   if (waited_us > summary->max_waited_us)
     summary->max_waited_us = waited_us;
@@ -80,9 +80,9 @@
 {
   double waited = (double)summary->waited_us / MICROSECONDS_PER_SECOND;
 
-  if (summary->n_routes > 0)
+  if (summary->n_attempts > 0)
     fprintf (out, "waited for an endpoint: %.3f s over %zu attempts, %.3f s at most\n", waited,
-             summary->n_routes, (double)summary->max_waited_us / MICROSECONDS_PER_SECOND);
+             summary->n_attempts, (double)summary->max_waited_us / MICROSECONDS_PER_SECOND);
   if (summary->moves.n_lines > 0)
     {
       fprintf (out, "moved to another endpoint: %zu", summary->moves.n_lines);
--- a/packages/cli/src/lt-timeline-summary.h
+++ b/packages/cli/src/lt-timeline-summary.h
@@ -25,16 +25,16 @@
  * running texts, failures and changes of the batch's owner. */
 typedef struct
 {
-  size_t n_routes; /* number of attempts that were sent to an endpoint */
+  size_t n_attempts; /* number of attempts that were sent to an endpoint */
   int64_t waited_us;
   int64_t max_waited_us;
   LtReasonCounts moves;
   LtReasonCounts failures;
-  int64_t retry_after_us; /* delay that the last failure told the caller; 0: none */
+  int64_t retry_after_us; /* retry delay in the reply to the last failed request; 0: none */
   size_t n_handovers;     /* number of times that the batch changed its owner */
 } LtTimelineSummary;
 
-/* Adds a log line that names the id. */
+/* Adds a log line of the request, text or batch that the summary describes. */
 void lt_timeline_summary_add_line (LtTimelineSummary *summary, struct json_object *line);
 /* Prints one line for each kind of event; nothing if no such event was added. */
 void lt_timeline_summary_print (const LtTimelineSummary *summary, FILE *out);
