--- a/packages/core/bench/bench-decision.c
+++ b/packages/core/bench/bench-decision.c
@@ -79,9 +79,10 @@
   gsl_rng_free (rng);
 }
 
-/* Makes the lasting paces of all engines known, fast and slow in turn, and fills the fast ones. */
+/* Records a lasting pace for each engine, fast and slow in turn, and fills the slots of the fast
+ * engines. */
 static void
-make_fast_engines_full (LcEndpoints *endpoints, LbTime now)
+record_paces_and_fill_fast_engines (LcEndpoints *endpoints, LbTime now)
 {
   for (size_t i = 0; i < lc_endpoints_count (endpoints); i++)
     {
@@ -97,8 +98,9 @@
     }
 }
 
-/* Prints the microseconds per decision that a sample waits for a faster engine, which examines the
- * full engines too, and per decision that it does not wait. */
+/* Prints the microseconds per routing decision while all fast engines are full. A sample with few
+ * expected tokens uses a slow engine; for one with many, the decision examines the full engines
+ * too, and the sample waits for one of them. */
 static void
 measure_decision_to_wait (int n_endpoints, int64_t expected_tokens)
 {
@@ -110,7 +112,7 @@
   LcRouteDecision decision = { 0 };
 
   lc_endpoints_configure (endpoints, &set, 0);
-  make_fast_engines_full (endpoints, LB_SEC);
+  record_paces_and_fill_fast_engines (endpoints, LB_SEC);
 
   const LcRouteQuery query = { .kind = LC_KIND_SAMPLE,
                                .pool = "reader",
