--- a/packages/core/include/lc-batch-head.h
+++ b/packages/core/include/lc-batch-head.h
@@ -37,7 +37,7 @@
   int64_t organisation_priority; /* priority when the batch was accepted; larger values run first */
   LbName host;                   /* host name of the batch's route */
   char path[128];
-  LcEnginePaces paces; /* measured by the instance that submitted or claimed the batch */
+  LcEnginePaces paces; /* as seen by the instance that submitted or claimed the batch */
 } LcBatchHead;
 
 struct json_object *lc_batch_head_to_json (const LcBatchHead *head);
--- a/packages/core/include/lc-batch.h
+++ b/packages/core/include/lc-batch.h
@@ -95,8 +95,7 @@
   /* endpoint that was too slow for the item and should not get this request, or ""; valid until the
    * batch is next changed */
   const char *avoid_endpoint;
-  /* endpoint that the last move of the item has chosen, or "": any; valid until the batch is next
-   * changed */
+  /* endpoint to which the item moves, or "": any; valid until the batch is next changed */
   const char *preferred_endpoint;
   int64_t remaining_events; /* estimated number of events still to be generated */
   LbTime due_at;            /* time by which the trainer needs the whole batch */
--- a/packages/core/src/batch/lc-batch-critical.c
+++ b/packages/core/src/batch/lc-batch-critical.c
@@ -50,7 +50,8 @@
   batch->sorted_group_seconds = LB_NEW_ARRAY (double, batch->n_groups);
 }
 
-/* Uses the trainer's estimate of the length if there is one, else the lengths of ended texts. */
+/* Uses the expected length that the trainer sent with the item, if any; otherwise the lengths of
+ * complete texts. */
 double
 lc_batch_estimate_remaining_tokens (const LcBatch *batch, const LcBatchItem *item)
 {
--- a/packages/core/src/batch/lc-batch-head.c
+++ b/packages/core/src/batch/lc-batch-head.c
@@ -97,8 +97,8 @@
   return a->ended != b->ended ? b->ended : row_version_a > row_version_b;
 }
 
-/* Rows of previous builds tell no due time. They come first, since they are older than the others.
- */
+/* Instances of earlier versions of the program write rows without a due time. These rows come
+ * first, since they are older than the others. */
 int
 lc_batch_head_compare_by_due_time (const LcBatchHead *a, const LcBatchHead *b)
 {
--- a/packages/core/src/batch/lc-batch-item.h
+++ b/packages/core/src/batch/lc-batch-item.h
@@ -50,7 +50,7 @@
   int64_t request_events;    /* number of events that the current request has generated */
   LbName last_endpoint;      /* endpoint that sent the last piece */
   LbName avoid_endpoint;     /* endpoint that the item was last moved away from; empty: none */
-  LbName preferred_endpoint; /* endpoint that the last move has chosen; empty: none */
+  LbName preferred_endpoint; /* endpoint to which the item was last moved; empty: any */
   int n_moves;
   /* the current request is being cancelled to move the item, or its move awaits a decision */
   bool is_preempted;
--- a/packages/core/src/batch/lc-batch-private.h
+++ b/packages/core/src/batch/lc-batch-private.h
@@ -84,8 +84,8 @@
 /* Defined in lc-batch-review.c. */
 
 void lc_batch_restart_or_move_items (LcBatch *batch, LbTime now, LbList *actions);
-/* Records that the text moves and logs why. */
-void lc_batch_move_item (LcBatch *batch, LcBatchItem *item, const LcMoveDecision *move);
+/* Records the endpoints and the reason of a move that was decided, and logs it. */
+void lc_batch_record_item_move (LcBatch *batch, LcBatchItem *item, const LcMoveDecision *move);
 /* Logs the number of refused moves by reason, unless none was refused. */
 void lc_batch_log_refused_moves (const LcBatch *batch);
 /* Postpones the next check for slow items if this instance was paused since the last tick. Call at
--- a/packages/core/src/batch/lc-batch-review.c
+++ b/packages/core/src/batch/lc-batch-review.c
@@ -53,7 +53,7 @@
 }
 
 void
-lc_batch_move_item (LcBatch *batch, LcBatchItem *item, const LcMoveDecision *move)
+lc_batch_record_item_move (LcBatch *batch, LcBatchItem *item, const LcMoveDecision *move)
 {
   item->n_moves++;
   LB_COPY (item->avoid_endpoint, item->last_endpoint);
@@ -84,13 +84,14 @@
           LB_INT ("not_running", refused[LC_MOVE_NOT_RUNNING]));
 }
 
+/* Moves the item to any endpoint but its own. */
 static void
 preempt_item_without_decision (LcBatch *batch, LcBatchItem *item, double gain, LbList *actions)
 {
   const LcMoveDecision move = { .reason = LC_MOVE_UNKNOWN_PACE, .gain_seconds = gain };
 
   lc_batch_add_action (actions, LC_BATCH_PREEMPT)->request = item->request;
-  lc_batch_move_item (batch, item, &move);
+  lc_batch_record_item_move (batch, item, &move);
 }
 
 /* Asks the caller for a decision on the item's move. */
--- a/packages/core/src/batch/lc-batch-takeover.c
+++ b/packages/core/src/batch/lc-batch-takeover.c
@@ -14,8 +14,8 @@
 
 /* If the owner is listed with another incarnation and its member row is newer than the batch's row,
  * the owner has restarted and lost the batch. If its member row is older, the list is outdated, and
- * the owner counts as alive. An empty owner is in no list, but it is not an unknown instance: with
- * the grace period, each released batch was idle for 2.5 s. */
+ * the owner counts as alive. An empty owner is in no list either, but it is no unknown instance: a
+ * released batch must not be idle for the grace period. */
 LcBatchOwnerState
 lc_batch_get_owner_state (const LcBatchHead *head, int64_t row_version, const LcBatchMember *member)
 {
--- a/packages/core/src/batch/lc-batch.c
+++ b/packages/core/src/batch/lc-batch.c
@@ -446,7 +446,7 @@
   LcBatchItem *item = find_item_by_request (batch, request);
 
   if (item && item->state == ITEM_GENERATING && item->is_preempted)
-    lc_batch_move_item (batch, item, move);
+    lc_batch_record_item_move (batch, item, move);
 }
 
 void
