--- a/packages/core/src/endpoints/lc-endpoint-condition.c
+++ b/packages/core/src/endpoints/lc-endpoint-condition.c
@@ -7,11 +7,11 @@
 /* Duration of a window of streaming that becomes one observation: shorter than the slowdowns that
  * the median has to exclude, long enough for several tokens. */
 #define WINDOW_DURATION (300 * LB_MSEC)
-#define MIN_WINDOW_SECONDS 0.2 /* streaming time */
+#define MIN_WINDOW_SECONDS 0.2 /* of streaming */
 #define MIN_WINDOW_TOKENS 3
 /* A window without tokens for longer than this is discarded. */
 #define MAX_WINDOW_GAP (1500 * LB_MSEC)
-#define MIN_OBSERVATIONS 4
+#define MIN_OBSERVATIONS 4 /* for a lasting value */
 #define MAX_LASTING_AGE (60 * LB_SEC)
 /* Time constant of the decay of the reported slowdown, which changes many times per second. */
 #define REPORT_DECAY_SECONDS 0.3
@@ -45,7 +45,7 @@
 }
 
 /* The median is not changed by slowdowns that affect less than half of the observations. A mean
- * would rise by a fifth if an endpoint is 2.5 times slower for 15% of the time. */
+ * would rise with each of them. */
 static double
 compute_median_observation (const LcEndpointCondition *condition)
 {
@@ -70,7 +70,8 @@
   condition->lasting_seconds = compute_median_observation (condition);
 }
 
-/* Returns the reported slowdown if it was measured shortly before now; otherwise 1. */
+/* Returns the factor by which a duration that ended about now is divided to exclude the reported
+ * slowdown; 1 if there is no report of about that time. */
 static double
 get_correcting_slowdown (const LcEndpointCondition *condition, LbTime now)
 {
--- a/packages/core/src/endpoints/lc-endpoints-pace.c
+++ b/packages/core/src/endpoints/lc-endpoints-pace.c
@@ -15,9 +15,12 @@
 /* The endpoints of a group are uneven if the slowest takes this many times as long as the fastest.
  * Among equal endpoints, the paces of a few hundred milliseconds differ by less. */
 #define MIN_UNEVEN_RATIO 1.3
+/* Used share of an engine's slots for which its lasting time per token holds. */
 #define REFERENCE_FILL 0.5
-#define MAX_FITTED_TOKEN_SECONDS 1.6 /* multiple of the lasting time per token */
-#define MIN_FITTED_WINDOWS 50
+/* Largest time per token, as a multiple of the lasting one, from which the effect of the fill is
+ * estimated. */
+#define MAX_FITTED_SLOWDOWN 1.6
+#define MIN_FITTED_WINDOWS 50 /* for an estimate of the effect of the fill */
 #define PACE_REVIEW_INTERVAL (500 * LB_MSEC)
 
 LcEndpointGroup *
@@ -158,19 +161,20 @@
   return fmin (1, (double)(summary->requests * summary->inverse_capacity));
 }
 
-/* Returns the time per token at an engine with the fill, relative to the time at REFERENCE_FILL,
- * for which lasting values hold. */
+/* Returns the time per token at an engine with this fill, relative to the time at REFERENCE_FILL.
+ */
 static double
 get_load_factor (const LcEndpointGroup *group, double fill)
 {
   return (1 + group->stream_slowdown * fill) / (1 + group->stream_slowdown * REFERENCE_FILL);
 }
 
-/* Values during a slowdown are left out, since they would hide the effect of the fill. */
+/* Records the time per token of a window, as a multiple of the lasting one. Values during a
+ * slowdown are left out, since they would hide the effect of the fill. */
 static void
 update_stream_cost (LcEndpointGroup *group, double fill, double relative_token_seconds)
 {
-  if (relative_token_seconds > MAX_FITTED_TOKEN_SECONDS)
+  if (relative_token_seconds > MAX_FITTED_SLOWDOWN)
     return;
   lc_batch_cost_add_report (&group->stream_cost, fill, relative_token_seconds);
   if (group->stream_cost.n_reports >= MIN_FITTED_WINDOWS)
@@ -247,16 +251,6 @@
   lc_endpoint_entry_record_work_time (lc_endpoint_to_entry (endpoint), percent, measured_at);
 }
 
-bool
-lc_endpoint_invalid_load_reported (LcEndpoint *endpoint)
-{
-  LcEndpointEntry *entry = lc_endpoint_to_entry (endpoint);
-  bool is_first = !entry->has_reported_invalid_load;
-
-  entry->has_reported_invalid_load = true;
-  return is_first;
-}
-
 /* Returns the endpoint's lasting seconds per unit of work. A difference of less than
  * MIN_PACE_DIFFERENCE from the group's median may be noise; it would make all instances prefer the
  * same endpoints among equal ones. */
--- a/packages/core/src/endpoints/lc-endpoints.c
+++ b/packages/core/src/endpoints/lc-endpoints.c
@@ -12,6 +12,7 @@
  * soon after the end of a weight load, which takes about a second. */
 #define REFUSAL_BACKOFF (120 * LB_MSEC)
 #define MAX_TOKENS_PER_SECOND 1e6
+
 static void
 end_weight_swap_if_confirmed (LcEndpointEntry *entry)
 {
@@ -272,6 +273,16 @@
                                    false, now);
 }
 
+bool
+lc_endpoint_invalid_load_reported (LcEndpoint *endpoint)
+{
+  LcEndpointEntry *entry = lc_endpoint_to_entry (endpoint);
+  bool is_first = !entry->has_reported_invalid_load;
+
+  entry->has_reported_invalid_load = true;
+  return is_first;
+}
+
 void
 lc_endpoint_set_idle_connections (LcEndpoint *endpoint, size_t n_idle, LbTime now)
 {
