--- a/packages/core/src/membership/lc-succession.c
+++ b/packages/core/src/membership/lc-succession.c
@@ -129,9 +129,9 @@
   size_t n_restarted = count_restarted (query, members, n_members);
   int64_t owner_share = owner->strength / (owner->n_models > 0 ? owner->n_models : 1);
 
-  /* Instances that were restarted themselves find different beginnings of the rolling restart. By
-   * the beginning alone, each took owners that had been restarted early for the next to be stopped,
-   * and the batches of a model moved several times. */
+  /* Instances that were restarted themselves find different beginnings of the rolling restart.
+   * Judged by the beginning alone, an owner that was restarted early would look like one that is
+   * stopped next, and the batches of a model would move several times. */
   if (!query->is_restart_continuing || owner->started_ms == 0 || was_restarted (query, owner)
       || !is_among_oldest (owner, members, n_members) || n_restarted < MIN_RESTARTED
       || n_restarted < n_members / MIN_RESTARTED_DIVISOR)
