core/weights: join the search for steps on a schedule; no history in comments

Steps with and without numbers use the same functions for the mean interval, for steps after a wait and for steps on a schedule. The distance of unnumbered steps is that of their indexes, so the estimates are unchanged.

--- a/packages/core/include/lc-engine-paces.h
+++ b/packages/core/include/lc-engine-paces.h
@@ -17,7 +17,7 @@
   uint32_t token_us; /* lasting time per token in microseconds */
 } LcEnginePace;
 
-/* Paces of some engines; without those that were added after LC_MAX_ENGINE_PACES others. */
+/* Paces of at most LC_MAX_ENGINE_PACES engines; those added later are ignored. */
 typedef struct
 {
   LcEnginePace paces[LC_MAX_ENGINE_PACES];
@@ -27,8 +27,8 @@
 /* Adds the pace of an engine that is not in the list yet. A pace that is not positive is ignored.
  */
 void lc_engine_paces_add (LcEnginePaces *paces, const char *engine, double token_seconds);
-/* Removes all paces if none differs from the median by more than errors of measurement. Batch rows
- * of deployments with equal engines then stay as small as they are without paces. */
+/* Removes all paces if none differs from the median by more than errors of measurement, so that
+ * deployments with equal engines write no paces to the rows of batches. */
 void lc_engine_paces_clear_if_even (LcEnginePaces *paces);
 /* Returns a JSON object that the caller releases. */
 struct json_object *lc_engine_paces_to_json (const LcEnginePaces *paces);
--- a/packages/core/include/lc-trainer-lag.h
+++ b/packages/core/include/lc-trainer-lag.h
@@ -15,14 +15,16 @@
  *
  * A trainer may number its steps. It may then submit steps ahead, so that they overlap, and its
  * schedule is that of the steps that it submitted earliest by their number. Numbers that repeat or
- * go back are those of several trainers, but for a start at step 0, before which steps are dropped.
+ * go back are those of several trainers. A start at step 0 is a new trainer: earlier steps are
+ * dropped.
  *
- * The estimate cannot see: the period of a trainer that was never on schedule, which is assumed to
- * be the shortest period or mean interval among the trainers; a trainer that is late by the same
- * time in each step, whose steady intervals are taken for its period; a lag from before the first
- * recorded step; and the schedules of several trainers of one model, whose lag is not known. */
+ * The estimate does not detect: the period of a trainer that was never on schedule, which is
+ * assumed to be the shortest period or mean interval among the trainers; a trainer that is late by
+ * the same time in each step, whose steady intervals are taken for its period; a lag from before
+ * the first recorded step; and the schedules of several trainers of one model, whose lag is not
+ * known. */
 
-/* Models with the steps of a trainer that are recorded at the same time. */
+/* Largest number of models whose trainers are recorded at the same time. */
 #define LC_MAX_TRAINERS 64
 
 typedef struct
--- a/packages/core/src/weights/lc-engine-paces.c
+++ b/packages/core/src/weights/lc-engine-paces.c
@@ -10,16 +10,18 @@
 #include <uthash.h>
 #include <xxhash.h>
 
-/* Engines are replaced by others, and measurements end with the streams. */
+/* Older paces are discarded: engines may have been replaced, and an engine without streams gets no
+ * new pace. */
 #define MAX_PACE_AGE (60 * LB_SEC)
 /* Paces that differ less from the median are taken for equal, so that errors of measurement move no
  * engine between models. */
 #define MIN_PACE_DIFFERENCE 0.15
-/* Bounds on the speed of an engine relative to the median, against wrong measurements. */
+/* Bounds on the speed of an engine relative to the median, which limit the effect of wrong paces.
+ */
 #define MIN_SPEED 0.25
 #define MAX_SPEED 4.0
 #define MAX_TOKEN_SECONDS 60
-#define ENGINE_KEY_BYTES 9
+#define ENGINE_KEY_BYTES 9 /* hash in hexadecimal and the terminating null */
 
 static uint32_t
 hash_engine (const char *engine)
--- a/packages/core/src/weights/lc-engine-shares.c
+++ b/packages/core/src/weights/lc-engine-shares.c
@@ -7,15 +7,13 @@
 #include <string.h>
 
 /* Number of periods within which a difference of lag is to be removed. A trainer that is d periods
- * further behind than others needs a share that is larger by d / LAG_HORIZON_PERIODS. In a replay
- * of four trainers at 1.9 times the capacity, 1 period left a difference of 1.2 steps in the mean,
- * and 0.7 periods 1.0. */
+ * further behind than others needs a share that is larger by d / LAG_HORIZON_PERIODS. With a longer
+ * horizon, trainers that need more than the capacity end up more than a step apart. */
 #define LAG_HORIZON_PERIODS 0.7
 /* The same for a trainer that submits steps ahead, and the difference of lag that moves no engine.
- * Its lag is determined by steps that began up to two periods ago, and often by their longest text.
- * In a replay of four such trainers at 0.9 of the capacity, 0.7 periods without a tolerance moved
- * 178 engines in 40 steps, more than the division by requested tokens (133), and made three later.
- */
+ * Its lag is determined by steps that began up to two periods ago, and often by their longest text,
+ * so with the shorter horizon and without a tolerance, engines would move often and lose the
+ * time of each load of weights. */
 #define LAG_HORIZON_PERIODS_AHEAD 2.0
 #define LAG_TOLERANCE_AHEAD 0.5
 /* Largest factor on the share of a trainer that is behind. */
@@ -244,7 +242,8 @@
       }
 }
 
-/* Returns the largest priority below `below` that a model has, or false if there is none. */
+/* Sets `priority` to the largest priority of a model: of all models if is_first, otherwise of those
+ * below the present value. Returns false if there is none. */
 static bool
 find_next_priority (const LcModelShare *shares, size_t n, int64_t *priority, bool is_first)
 {
--- a/packages/core/src/weights/lc-trainer-lag.c
+++ b/packages/core/src/weights/lc-trainer-lag.c
@@ -146,6 +146,24 @@
   trainer->n_recorded++;
 }
 
+/* Adds what an earlier report of the same step states. */
+static void
+merge_known_step (LcRecordedStep *added, const LcRecordedStep *known)
+{
+  /* The first report of a time is the closest to the event. */
+  if (known->submitted_at < added->submitted_at)
+    added->submitted_at = known->submitted_at;
+  if (known->ended_at > 0 && (added->ended_at == 0 || known->ended_at < added->ended_at))
+    added->ended_at = known->ended_at;
+  /* An instance of an earlier version of the program that claims a batch writes its row without the
+   * number. */
+  if (!added->has_number)
+    {
+      added->has_number = known->has_number;
+      added->number = known->number;
+    }
+}
+
 bool
 lc_trainer_lags_record_step (LcTrainerLags *lags, const LcTrainerStep *step, LbTime now)
 {
@@ -165,18 +183,7 @@
   for (size_t i = 0; i < trainer->n_recorded; i++)
     if (trainer->recorded[i].batch == added.batch)
       {
-        /* The first report of a time is the closest to the event. */
-        const LcRecordedStep *known = &trainer->recorded[i];
-        if (known->submitted_at < added.submitted_at)
-          added.submitted_at = known->submitted_at;
-        if (known->ended_at > 0 && (added.ended_at == 0 || known->ended_at < added.ended_at))
-          added.ended_at = known->ended_at;
-        /* An instance of a previous build that claims a batch writes its row without the number. */
-        if (!added.has_number)
-          {
-            added.has_number = known->has_number;
-            added.number = known->number;
-          }
+        merge_known_step (&added, &trainer->recorded[i]);
         remove_step_at (trainer, i);
         break;
       }
@@ -291,8 +298,8 @@
   trainer->estimate.tokens_per_step = sum / (double)n;
 }
 
-/* Returns the capacity times the duration, in seconds, of a time in the past. Capacity from before
- * the first known value counts as unchanged. */
+/* Returns the integral of the capacity over a time in the past, in capacity times seconds. Before
+ * the first recorded value, the capacity is taken to be that value. */
 static double
 integrate_capacity (const LcTrainer *trainer, LbTime from, LbTime to)
 {
--- a/packages/core/src/weights/lc-trainer-period.c
+++ b/packages/core/src/weights/lc-trainer-period.c
@@ -7,20 +7,21 @@
 /* A trainer waited for its schedule if it submitted this much later after the end of the previous
  * step than it did at least. Above the differences between the clocks that set the two times. */
 #define MIN_WAIT (200 * LB_MSEC)
-/* The wait must also exceed this part of the mean interval, since the time of training varies. With
- * waits of 200 ms, the interval of trainers that are always late was taken for their period. */
+/* The wait must also exceed this part of the mean interval, since the time of training varies.
+ * With a fixed limit alone, the interval of trainers that are always late would be taken for their
+ * period. */
 #define MIN_WAIT_DIVISOR 8
 /* Number of newest steps after a wait among which a common schedule is sought. */
 #define MAX_STEPS_AFTER_WAIT 32
 /* Longest distance of a step on schedule from its scheduled time, because of the times of rows. */
 #define SCHEDULE_TOLERANCE ((double)(100 * LB_MSEC))
-/* Number and share of the steps after a wait that must lie on one schedule. Steps of
- * a trainer that is always late lie on one by chance, but not most of them; taking their interval
- * for the period would hide the lag. */
+/* Number and share of the steps after a wait that must lie on one schedule. Some steps of a trainer
+ * that is always late lie on one by chance, but not most of them; taking their interval for the
+ * period would hide the lag. */
 #define MIN_STEPS_ON_SCHEDULE 4
 #define MIN_SHARE_ON_SCHEDULE 0.75
 /* Number of intervals that must agree for a period if the trainer never seems to have waited, and
- * their largest difference as a share. Four late steps agreed within 3% by chance. */
+ * their largest difference as a share. Intervals of few late steps can agree roughly by chance. */
 #define MIN_STEADY_INTERVALS 5
 #define STEADY_TOLERANCE 0.015
 /* A step submitted this long before the end of the previous one belongs to another trainer. */
@@ -34,8 +35,8 @@
  * any order, so some may be missing for a moment; the numbers of two trainers may be far apart. */
 #define MAX_NUMBER_INCREASE 4
 /* Number of numbered steps on the earliest possible schedule that show the period, and how many of
- * them must have been submitted after a wait. Five of 11 steps of a trainer that was always late
- * were within SCHEDULE_TOLERANCE of one by chance, but it had waited before none of them. */
+ * them must have been submitted after a wait. Several steps of a trainer that is always late can be
+ * within SCHEDULE_TOLERANCE of one by chance, but it waits before none of them. */
 #define MIN_NUMBERED_STEPS_ON_SCHEDULE 5
 #define MIN_WAITS_ON_SCHEDULE 2
 
@@ -183,17 +184,62 @@
     trainer->min_turnaround = 0;
 }
 
+/* Whether the trainer could have submitted the step earlier, but waited. */
+static bool
+is_step_after_wait (const LcTrainer *trainer, size_t i)
+{
+  LbTime min_wait = MIN_WAIT + trainer->period_bound / MIN_WAIT_DIVISOR;
+
+  if (i <= trainer->estimate.n_ahead)
+    return false;
+  size_t awaited = i - 1 - trainer->estimate.n_ahead;
+  return trainer->steps[awaited].ended_at > 0
+         && lc_trainer_get_turnaround (trainer, i, awaited) >= trainer->min_turnaround + min_wait;
+}
+
+/* Returns the mean time from one step to the next between two steps. */
+static double
+compute_mean_interval (const LcTrainer *trainer, size_t from, size_t to)
+{
+  return (double)(trainer->steps[to].submitted_at - trainer->steps[from].submitted_at)
+         / (double)lc_trainer_get_distance (trainer, from, to);
+}
+
+/* A schedule, and the steps that were found to be on it. */
+typedef struct
+{
+  size_t step; /* index of a step on the schedule */
+  double period;
+  size_t n_steps;
+  size_t oldest; /* indexes of the oldest and the newest step on the schedule */
+  size_t newest;
+} Schedule;
+
+/* Adds the step to the schedule if it was submitted at its time. Returns whether it was. */
+static bool
+add_step_if_on_schedule (const LcTrainer *trainer, Schedule *schedule, size_t i)
+{
+  const LcRecordedStep *steps = trainer->steps;
+  double elapsed = (double)(steps[i].submitted_at - steps[schedule->step].submitted_at);
+  double n_periods = (double)lc_trainer_get_distance (trainer, schedule->step, i);
+
+  if (fabs (elapsed - n_periods * schedule->period) > SCHEDULE_TOLERANCE)
+    return false;
+  schedule->n_steps++;
+  schedule->oldest = i < schedule->oldest ? i : schedule->oldest;
+  schedule->newest = i > schedule->newest ? i : schedule->newest;
+  return true;
+}
+
 /* Collects the indexes of the newest steps that the trainer waited to submit. Returns their number.
  */
 static size_t
 collect_steps_after_wait (const LcTrainer *trainer, size_t *indexes)
 {
-  LbTime min_wait = MIN_WAIT + trainer->period_bound / MIN_WAIT_DIVISOR;
   size_t n = 0;
 
   for (size_t i = trainer->n_steps; i > 1 && n < MAX_STEPS_AFTER_WAIT; i--)
-    if (trainer->steps[i - 2].ended_at > 0
-        && lc_trainer_get_turnaround (trainer, i - 1, i - 2) >= trainer->min_turnaround + min_wait)
+    if (is_step_after_wait (trainer, i - 1))
       indexes[n++] = i - 1;
   return n;
 }
@@ -204,25 +250,13 @@
 count_steps_on_schedule (
     const LcTrainer *trainer, const size_t *indexes, size_t n, size_t first, double *period)
 {
-  const LcRecordedStep *steps = trainer->steps;
-  size_t oldest = first;
-  size_t newest = first;
-  size_t n_on_schedule = 0;
+  Schedule schedule = { .step = first, .period = *period, .oldest = first, .newest = first };
 
   for (size_t i = 0; i < n; i++)
-    {
-      double distance = (double)(steps[indexes[i]].submitted_at - steps[first].submitted_at);
-      double n_periods = (double)indexes[i] - (double)first;
-      if (fabs (distance - n_periods * *period) > SCHEDULE_TOLERANCE)
-        continue;
-      n_on_schedule++;
-      oldest = indexes[i] < oldest ? indexes[i] : oldest;
-      newest = indexes[i] > newest ? indexes[i] : newest;
-    }
-  if (newest > oldest)
-    *period = (double)(steps[newest].submitted_at - steps[oldest].submitted_at)
-              / (double)(newest - oldest);
-  return n_on_schedule;
+    add_step_if_on_schedule (trainer, &schedule, indexes[i]);
+  if (schedule.newest > schedule.oldest)
+    *period = compute_mean_interval (trainer, schedule.oldest, schedule.newest);
+  return schedule.n_steps;
 }
 
 /* Finds the period by which most of the steps after a wait lie on one schedule; 0: there is none.
@@ -237,12 +271,10 @@
   double best = 0;
 
   /* If enough steps are on a schedule, some of these pairs consist of two of them. All pairs would
-   * cost some hundreds of microseconds per division. */
+   * take n - 1 times as long. */
   for (size_t i = 0, j = n / 2; j > 0 && j < n; i++, j++)
     {
-      double period = (double)(trainer->steps[indexes[i]].submitted_at
-                               - trainer->steps[indexes[j]].submitted_at)
-                      / (double)(indexes[i] - indexes[j]);
+      double period = compute_mean_interval (trainer, indexes[j], indexes[i]);
       size_t n_on_schedule = count_steps_on_schedule (trainer, indexes, n, indexes[j], &period);
       if (n_on_schedule <= most)
         continue;
@@ -254,13 +286,6 @@
   return (LbTime)best;
 }
 
-static double
-compute_slope (const LcTrainer *trainer, size_t from, size_t to)
-{
-  return (double)(trainer->steps[to].submitted_at - trainer->steps[from].submitted_at)
-         / (double)lc_trainer_get_distance (trainer, from, to);
-}
-
 /* Collects the indexes of the steps that form the lower convex hull of the times of submission by
  * number. Returns how many they are. */
 static size_t
@@ -271,54 +296,30 @@
   for (size_t i = 0; i < trainer->n_steps; i++)
     {
       while (n >= 2
-             && compute_slope (trainer, hull[n - 2], hull[n - 1])
-                    >= compute_slope (trainer, hull[n - 1], i))
+             && compute_mean_interval (trainer, hull[n - 2], hull[n - 1])
+                    >= compute_mean_interval (trainer, hull[n - 1], i))
         n--;
       hull[n++] = i;
     }
   return n;
 }
 
-/* Whether the trainer could have submitted the step earlier, but waited. */
-static bool
-is_step_after_wait (const LcTrainer *trainer, size_t i)
-{
-  LbTime min_wait = MIN_WAIT + trainer->period_bound / MIN_WAIT_DIVISOR;
-
-  if (i <= trainer->estimate.n_ahead)
-    return false;
-  size_t awaited = i - 1 - trainer->estimate.n_ahead;
-  return trainer->steps[awaited].ended_at > 0
-         && lc_trainer_get_turnaround (trainer, i, awaited) >= trainer->min_turnaround + min_wait;
-}
-
 /* Returns how many steps were submitted at their time on the schedule that contains the two steps,
  * and the period of these; 0 if these are few and the trainer does not seem to have waited. */
 static size_t
 count_numbered_steps_on_schedule (const LcTrainer *trainer, size_t from, size_t to, double *period)
 {
-  double slope = compute_slope (trainer, from, to);
-  size_t oldest = from;
-  size_t newest = to;
-  size_t n = 0;
+  Schedule schedule = {
+    .step = from, .period = compute_mean_interval (trainer, from, to), .oldest = from, .newest = to
+  };
   size_t n_waits = 0;
 
   for (size_t i = 0; i < trainer->n_steps; i++)
-    {
-      double distance
-          = (double)(trainer->steps[i].submitted_at - trainer->steps[from].submitted_at);
-      if (fabs (distance - (double)lc_trainer_get_distance (trainer, from, i) * slope)
-          > SCHEDULE_TOLERANCE)
-        continue;
-      n++;
-      n_waits += is_step_after_wait (trainer, i);
-      oldest = i < oldest ? i : oldest;
-      newest = i > newest ? i : newest;
-    }
-  *period = compute_slope (trainer, oldest, newest);
+    n_waits += add_step_if_on_schedule (trainer, &schedule, i) && is_step_after_wait (trainer, i);
+  *period = compute_mean_interval (trainer, schedule.oldest, schedule.newest);
   /* If all steps take the same time, none shows how soon the trainer could have submitted it. */
-  bool is_steady = (double)n >= MIN_SHARE_ON_SCHEDULE * (double)trainer->n_steps;
-  return n_waits >= MIN_WAITS_ON_SCHEDULE || is_steady ? n : 0;
+  bool is_steady = (double)schedule.n_steps >= MIN_SHARE_ON_SCHEDULE * (double)trainer->n_steps;
+  return n_waits >= MIN_WAITS_ON_SCHEDULE || is_steady ? schedule.n_steps : 0;
 }
 
 /* Finds the period of a trainer that numbers its steps; 0: not seen. No step is submitted before
--- a/packages/core/src/weights/lc-trainer-private.h
+++ b/packages/core/src/weights/lc-trainer-private.h
@@ -54,7 +54,7 @@
 void lc_trainer_select_steps (LcTrainer *trainer);
 /* Number of steps from one to another, which may not all be recorded. */
 LbTime lc_trainer_get_distance (const LcTrainer *trainer, size_t from, size_t to);
-/* Sets the times that are measured over all selected steps. */
+/* Computes min_turnaround, longest_duration and period_bound from the selected steps. */
 void lc_trainer_measure_steps (LcTrainer *trainer);
 /* Returns the period that the trainer's own steps show; 0: none. */
 LbTime lc_trainer_find_observed_period (const LcTrainer *trainer);
