--- a/packages/core/include/lc-move.h
+++ b/packages/core/include/lc-move.h
@@ -22,9 +22,10 @@
   LC_N_MOVE_REASONS
 } LcMoveReason;
 
-#define LC_N_MOVE_REASONS_TO_MOVE LC_MOVE_NO_FREE_SLOT
+#define LC_N_REASONS_TO_MOVE LC_MOVE_NO_FREE_SLOT
 
-/* What the owner of a text knows about it. A token is a unit of LcPiece.tokens. */
+/* A move that the owner of a text proposes, with what the owner knows about the text. A token is a
+ * unit of LcPiece.tokens. */
 typedef struct
 {
   double remaining_tokens;     /* expected number of tokens still to be generated */
@@ -34,18 +35,19 @@
   bool decides_step;           /* the step ends when this text ends */
 } LcMoveProposal;
 
-/* What the dispatcher knows, and the proposal. */
+/* The inputs of a decision: the proposal, and what the dispatcher knows about the text's present
+ * endpoint (source) and the endpoint to which it would move (target). */
 typedef struct
 {
   LcMoveProposal proposal;
   LbTime since_last_piece;
-  double here_lasting_token_seconds;  /* usual pace at the text's endpoint; 0: unknown */
-  double there_lasting_token_seconds; /* usual pace at the other endpoint; 0: unknown */
-  double there_recent_token_seconds;  /* recent pace at the other endpoint; 0: unknown */
-  int64_t n_free_slots;               /* free slots at the other endpoint; 0: there is none */
-  int64_t n_waiting;                  /* requests that wait for an endpoint of the pool */
-  int64_t prompt_tokens;              /* tokens that the other endpoint processes first */
-  double first_piece_seconds;         /* usual time from a request to its first piece */
+  double source_lasting_token_seconds; /* lasting pace of the source endpoint; 0: unknown */
+  double target_lasting_token_seconds; /* lasting pace of the target endpoint; 0: unknown */
+  double target_recent_token_seconds;  /* recent pace of the target endpoint; 0: unknown */
+  int64_t n_free_slots;                /* free slots at the target endpoint; 0: there is none */
+  int64_t n_waiting;                   /* requests that wait for an endpoint of the pool */
+  int64_t prompt_tokens;               /* tokens that the target endpoint processes first */
+  double first_piece_seconds;          /* usual time from a request to its first piece */
 } LcMoveInputs;
 
 typedef struct
--- a/packages/core/include/lc-router.h
+++ b/packages/core/include/lc-router.h
@@ -20,13 +20,13 @@
   LcVersion min_version; /* oldest acceptable weight version; 0: any */
   /* endpoints whose last load report is older than this time are excluded; 0: none is excluded */
   LbTime reported_since;
-  bool is_hedge; /* the request already runs at another endpoint, and does not wait for a faster one
-                  */
+  /* the request already runs at another endpoint, and does not wait for a faster one */
+  bool is_hedge;
   /* number of requests ahead in the queue that wait for a faster endpoint to become free */
   size_t n_waiting_ahead;
   /* when the request first waited for a faster endpoint; LB_TIME_NEVER: it has not; 0: not known,
    * the time since it was submitted counts */
-  LbTime waiting_since;
+  LbTime awaits_faster_since;
   double live_reserve; /* share of each engine's concurrency kept for live calls, 0..0.9 */
   LbName avoid[LC_MAX_AVOIDED_ENDPOINTS]; /* endpoints to exclude */
   size_t n_avoid;
@@ -58,7 +58,7 @@
   size_t n_shown;
   size_t n_candidates; /* number of endpoints that can take the request */
   /* how long the request waited for a faster endpoint although a slower one could take it */
-  LbTime awaited;
+  LbTime waited_for_faster;
 } LcRouteDecision;
 
 /* A routing policy with the policy's state. */
--- a/packages/core/src/dispatch/lc-candidates.c
+++ b/packages/core/src/dispatch/lc-candidates.c
@@ -23,9 +23,10 @@
 /* A request uses any engine if it meets its soft deadline there with this multiple of its expected
  * duration. */
 #define SHORT_REQUEST_SAFETY_FACTOR 4
-/* An engine that has sent nothing for this time may have stopped. */
-#define MAX_SILENCE_OF_AWAITED_ENGINE LB_SEC
-/* Length of streams before the first one has ended. */
+/* An engine that has sent nothing for this time may have stopped, so its slots are not expected to
+ * become free. */
+#define MAX_STALL_OF_AWAITED_ENGINE LB_SEC
+/* Mean length of streams that is assumed until one has ended. */
 #define DEFAULT_REQUEST_TOKENS 64
 
 /* Counts the endpoints of a pool by the filter that excluded them. */
@@ -139,13 +140,13 @@
 /* Whether the engine has sent nothing for a time although no request was sent to it or ended
  * meanwhile. */
 static bool
-is_engine_silent (const LcEndpoint *endpoint, LbTime now)
+is_engine_stalled (const LcEndpoint *endpoint, LbTime now)
 {
   LbTime changed_at
       = lc_in_flight_history_last_change_at (&lc_endpoint_to_entry (endpoint)->in_flight_history);
 
-  return now - endpoint->last_reply_at > MAX_SILENCE_OF_AWAITED_ENGINE
-         && now - changed_at > MAX_SILENCE_OF_AWAITED_ENGINE;
+  return now - endpoint->last_reply_at > MAX_STALL_OF_AWAITED_ENGINE
+         && now - changed_at > MAX_STALL_OF_AWAITED_ENGINE;
 }
 
 /* Whether a slot of the full endpoint could be used by the request once it is free. */
@@ -156,7 +157,7 @@
 
   return !summary->is_excluded && !summary->needs_full_check && summary->in_flight > 0
          && summary->version >= query->min_version && summary->reported_at >= query->reported_since
-         && !is_engine_silent (summary->endpoint, inputs->now)
+         && !is_engine_stalled (summary->endpoint, inputs->now)
          && !(query->n_avoid > 0 && is_endpoint_avoided (query, summary->endpoint));
 }
 
@@ -233,8 +234,9 @@
                                      const DecisionInputs *inputs)
 {
   const LcRouteQuery *query = inputs->query;
-  LbTime waiting_since = query->waiting_since > 0 ? query->waiting_since : query->submitted;
-  double waited = (double)(inputs->now - waiting_since) / LB_SEC;
+  LbTime awaits_faster_since
+      = query->awaits_faster_since > 0 ? query->awaits_faster_since : query->submitted;
+  double waited = (double)(inputs->now - awaits_faster_since) / LB_SEC;
   double run_seconds = find_shortest_run_seconds (candidates, group, inputs);
   double limit_seconds = run_seconds * (1 - MIN_WAIT_GAIN_SHARE) - MIN_WAIT_GAIN_SECONDS;
   FasterEngines faster;
--- a/packages/core/src/dispatch/lc-dispatch-move.c
+++ b/packages/core/src/dispatch/lc-dispatch-move.c
@@ -44,7 +44,7 @@
   const LcAttempt *attempt;     /* attempt whose pieces are forwarded */
   const LcEndpointGroup *group; /* NULL: the pool has no endpoint */
   LcMoveProposal proposal;
-} MoveCase;
+} ProposedMove;
 
 /* The endpoint to which a text can move, with the fastest expected pace. */
 typedef struct
@@ -231,7 +231,7 @@
 /* Finds the fastest endpoint with a free slot; if free_only is false, the fastest endpoint without
  * a slot that is kept for another text. */
 static MoveTarget
-find_target (LcDispatch *dispatch, const MoveCase *move, bool free_only, LbTime now)
+find_target (LcDispatch *dispatch, const ProposedMove *move, bool free_only, LbTime now)
 {
   const LcRequest *request = move->request;
   MoveTarget best = { 0 };
@@ -253,14 +253,17 @@
 }
 
 static LcMoveInputs
-make_move_inputs (LcDispatch *dispatch, const MoveCase *move, const MoveTarget *target, LbTime now)
+make_move_inputs (LcDispatch *dispatch,
+                  const ProposedMove *move,
+                  const MoveTarget *target,
+                  LbTime now)
 {
   const LcRequest *request = move->request;
-  const LcEndpoint *here = lc_endpoints_find (dispatch->endpoints, move->attempt->endpoint);
+  const LcEndpoint *source = lc_endpoints_find (dispatch->endpoints, move->attempt->endpoint);
   LcMoveInputs inputs
       = { .proposal = move->proposal,
           .since_last_piece = now - move->attempt->last_piece_at,
-          .here_lasting_token_seconds = here ? lc_endpoint_lasting_token_seconds (here) : 0,
+          .source_lasting_token_seconds = source ? lc_endpoint_lasting_token_seconds (source) : 0,
           .n_waiting = (int64_t)lc_queue_length (request->pool->queue),
           .prompt_tokens = request->prompt_tokens + request->next_token,
           .first_piece_seconds = request->pool->first_piece_seconds[request->kind] };
@@ -268,8 +271,8 @@
   if (!target->summary)
     return inputs;
   inputs.n_free_slots = 1;
-  inputs.there_lasting_token_seconds = (double)target->summary->lasting_token_seconds;
-  inputs.there_recent_token_seconds = get_recent_token_seconds (target->summary, now);
+  inputs.target_lasting_token_seconds = (double)target->summary->lasting_token_seconds;
+  inputs.target_recent_token_seconds = get_recent_token_seconds (target->summary, now);
   return inputs;
 }
 
@@ -278,7 +281,7 @@
  * fastest endpoint, the endpoint's next free slot is kept for the text, which is then proposed
  * again. */
 static void
-hold_next_slot (LcDispatch *dispatch, const MoveCase *move, LbTime now)
+hold_next_slot (LcDispatch *dispatch, const ProposedMove *move, LbTime now)
 {
   MoveTarget target = find_target (dispatch, move, false, now);
   LcMoveInputs inputs = make_move_inputs (dispatch, move, &target, now);
@@ -288,7 +291,7 @@
 }
 
 static LcMoveDecision
-decide_move (LcDispatch *dispatch, const MoveCase *move, LbTime now)
+decide_move (LcDispatch *dispatch, const ProposedMove *move, LbTime now)
 {
   MoveTarget target = find_target (dispatch, move, true, now);
   LcMoveInputs inputs = make_move_inputs (dispatch, move, &target, now);
@@ -316,7 +319,7 @@
                          const LcMoveProposal *proposal,
                          LbTime now)
 {
-  MoveCase move = { .request = lc_dispatch_find_request (dispatch, id), .proposal = *proposal };
+  ProposedMove move = { .request = lc_dispatch_find_request (dispatch, id), .proposal = *proposal };
   LcMoveDecision decision = { .reason = LC_MOVE_NOT_RUNNING };
 
   if (move.request)
--- a/packages/core/src/dispatch/lc-dispatch.c
+++ b/packages/core/src/dispatch/lc-dispatch.c
@@ -23,7 +23,7 @@
   REFUSED_FOR_QUEUE_LIMIT, /* the queue is full */
   REFUSED_FOR_ENDPOINTS,   /* no endpoint is available */
   REFUSED_FOR_DEADLINE,    /* its deadline had passed */
-  REFUSED_FOR_OTHER,       /* draining, unknown pool, quarantined, or invalid */
+  REFUSED_FOR_OTHER,       /* draining, unknown pool, quarantined content, or a repeated id */
   N_REFUSAL_REASONS
 } RefusalReason;
 
@@ -50,7 +50,7 @@
         [LC_KIND_SERVICE] = REFUSALS_OF_KIND ("service"),
         [LC_KIND_SAMPLE] = REFUSALS_OF_KIND ("sample") };
 
-/* The result of the check of a new request. */
+/* Whether a new request is admitted, and why. */
 typedef struct
 {
   LbErrorCode error; /* LB_OK: the request is admitted */
@@ -344,6 +344,37 @@
   return request;
 }
 
+/* Returns why the request is refused regardless of the load; LB_OK: it is not. retry_after: set to
+ * the hint for the caller. */
+static LbErrorCode
+check_request_is_acceptable (LcDispatch *dispatch,
+                             const LcPoolState *pool,
+                             const LcRequestSpec *spec,
+                             LbTime now,
+                             LbTime *retry_after)
+{
+  *retry_after = 0;
+  if (dispatch->draining)
+    {
+      *retry_after = DRAIN_RETRY_AFTER;
+      return LB_ERROR_DRAINING;
+    }
+  if (!pool || !pool->configured)
+    return spec->kind == LC_KIND_SERVICE ? LB_ERROR_UNKNOWN_SERVICE : LB_ERROR_UNKNOWN_POOL;
+  /* Endpoints have crashed on requests with this content, sent by any instance; the next endpoint
+   * would crash, too. */
+  LbTime quarantined_until = lc_dispatch_find_quarantine_end (dispatch, spec->content, now);
+  if (quarantined_until > 0)
+    {
+      *retry_after = quarantined_until - now;
+      return LB_ERROR_QUARANTINED;
+    }
+  if (!lc_dispatch_check_invariant (dispatch, !lc_dispatch_find_request (dispatch, spec->id),
+                                    "request-ids-are-unique", spec->id))
+    return LB_ERROR_INVARIANT;
+  return LB_OK;
+}
+
 bool
 lc_dispatch_submit (LcDispatch *dispatch,
                     const LcRequestSpec *spec,
@@ -353,25 +384,12 @@
                     LbError *error)
 {
   LcPoolState *pool = find_pool (dispatch, lc_pool_kind_of_request (spec->kind), spec->pool);
+  LbTime hint = 0;
+  LbErrorCode code = check_request_is_acceptable (dispatch, pool, spec, now, &hint);
 
   *retry_after = 0;
-  if (dispatch->draining)
-    return refuse_request (spec, REFUSED_FOR_OTHER, LB_ERROR_DRAINING, DRAIN_RETRY_AFTER,
-                           retry_after, error);
-  if (!pool || !pool->configured)
-    return refuse_request (spec, REFUSED_FOR_OTHER,
-                           spec->kind == LC_KIND_SERVICE ? LB_ERROR_UNKNOWN_SERVICE
-                                                         : LB_ERROR_UNKNOWN_POOL,
-                           0, retry_after, error);
-  /* Endpoints have crashed on requests with this content, sent by any instance; the next endpoint
-   * would crash, too. */
-  LbTime quarantined_until = lc_dispatch_find_quarantine_end (dispatch, spec->content, now);
-  if (quarantined_until > 0)
-    return refuse_request (spec, REFUSED_FOR_OTHER, LB_ERROR_QUARANTINED, quarantined_until - now,
-                           retry_after, error);
-  if (!lc_dispatch_check_invariant (dispatch, !lc_dispatch_find_request (dispatch, spec->id),
-                                    "request-ids-are-unique", spec->id))
-    return refuse_request (spec, REFUSED_FOR_OTHER, LB_ERROR_INVARIANT, 0, retry_after, error);
+  if (code != LB_OK)
+    return refuse_request (spec, REFUSED_FOR_OTHER, code, hint, retry_after, error);
 
   LcQueueKey key = {
     .kind = spec->kind,
@@ -384,7 +402,7 @@
 
   if (admission.error != LB_OK)
     {
-      LbTime hint = lc_dispatch_compute_retry_after (dispatch, pool, &admission.wait, now);
+      hint = lc_dispatch_compute_retry_after (dispatch, pool, &admission.wait, now);
       log_refusal (spec, &admission, hint);
       return refuse_request (spec, admission.reason, admission.error, hint, retry_after, error);
     }
--- a/packages/core/src/dispatch/lc-late-calls.c
+++ b/packages/core/src/dispatch/lc-late-calls.c
@@ -3,11 +3,11 @@
 #include "lb-counter.h"
 #include "lb-log.h"
 #include "lb-switch.h"
+#include "lb-time.h"
 
 /* A waiting call is refused only if it would be late even if its wait were this part of the
- * estimate. The estimate scatters, and endpoints that are slow for a moment recover. With 0.8, a
- * storm during which the endpoints were 2.5 times slower had 5 % fewer calls served than with 0.6.
- */
+ * estimate. The estimate scatters, and endpoints that are slow for a moment recover, so a larger
+ * part would refuse calls that can still be served. */
 #define MIN_PART_OF_WAIT 0.6
 /* Shortest time between two checks of the same call. */
 #define MIN_LATE_CHECK_INTERVAL (20 * LB_MSEC)
@@ -47,25 +47,20 @@
          && now >= compute_latest_useful_start (request);
 }
 
-static LbTime
-later (LbTime a, LbTime b)
-{
-  return a > b ? a : b;
-}
-
-/* Silent endpoints are expected to stay silent for as long again, so a call is late from half of
- * the time between the last answer and its latest useful start on. Each check halves the time that
- * is left, so a call is checked only a few times. */
+/* Endpoints that have stopped answering are expected to need as long again until they answer, so a
+ * call is late from half of the time between the last answer and its latest useful start on. Each
+ * check halves the time that is left, so a call is checked only a few times. */
 LbTime
 lc_dispatch_next_late_check (const LcRequest *request)
 {
   LbTime last_progress = request->pool->wait_estimate.last_progress_at;
-  LbTime from = later (later (request->submitted, request->late_checked_at), last_progress);
+  LbTime from
+      = lb_time_later (lb_time_later (request->submitted, request->late_checked_at), last_progress);
 
   if (!may_refuse_waiting_request (request) || request->deadline == LB_TIME_NEVER)
     return LB_TIME_NEVER;
-  return later (from + (compute_latest_useful_start (request) - from) / 2,
-                request->late_checked_at + MIN_LATE_CHECK_INTERVAL);
+  return lb_time_later (from + (compute_latest_useful_start (request) - from) / 2,
+                        request->late_checked_at + MIN_LATE_CHECK_INTERVAL);
 }
 
 static void
@@ -120,8 +115,8 @@
 }
 
 /* Decides whether a waiting call is expected to be served in time. The first call of the queue
- * stays until its latest useful start: once a slot is free, it shows whether silent endpoints have
- * recovered. */
+ * stays until its latest useful start: once a slot is free, it shows whether unresponsive endpoints
+ * have recovered. */
 static LcWaitDecision
 decide_wait_by_position (const LcRequest *request, LbTime now)
 {
--- a/packages/core/src/dispatch/lc-move.c
+++ b/packages/core/src/dispatch/lc-move.c
@@ -12,8 +12,8 @@
 #define STALL_INTERVALS 5.0
 /* Tokens of the prompt and of the text so far that an engine processes per second. */
 #define PREFILL_TOKENS_PER_SECOND 8000.0
-#define CONNECT_SECONDS 0.05
-/* Smallest gain for which a text moves that decides when its step ends. */
+#define CONNECT_SECONDS 0.05 /* time to open a connection */
+/* Smallest gain, at the lasting paces, for which a text that decides when its step ends moves. */
 #define MIN_DECISIVE_GAIN_SECONDS 0.8
 /* Smallest gain for which any text leaves an engine that slowed down. It is small because the pace
  * over the last second is still better than the present pace. */
@@ -21,11 +21,11 @@
 
 /* Smallest gain for which a text leaves an engine that slowed down although no slot is free or
  * others wait. It then waits in the queue, where it is among the first, since its step is late. A
- * text that stayed at an engine 3.5 times slower took 10.3 s instead of 7 s. */
+ * text that stays at an engine 3.5 times slower delays its step by several seconds. */
 #define MIN_GAIN_WITHOUT_SLOT_SECONDS 1.5
 /* The pace over a second reaches this multiple of the lasting pace 1.1 s after an engine has become
  * 3.5 times slower. Two slowdowns of 2.5 times for 600 ms in a row stay below. */
-#define MUCH_SLOWED_DOWN_FACTOR 2.3
+#define SEVERE_SLOWDOWN_FACTOR 2.3
 
 static const char *const reason_names[LC_N_MOVE_REASONS] = {
   [LC_MOVE_LASTING_PACE] = "lasting_pace",
@@ -49,7 +49,7 @@
 bool
 lc_move_is_reason_to_move (LcMoveReason reason)
 {
-  return reason < LC_N_MOVE_REASONS_TO_MOVE;
+  return reason < LC_N_REASONS_TO_MOVE;
 }
 
 double
@@ -61,8 +61,8 @@
 static bool
 has_stalled (const LcMoveInputs *inputs)
 {
-  double usual = inputs->here_lasting_token_seconds > 0 ? inputs->here_lasting_token_seconds
-                                                        : inputs->proposal.usual_token_seconds;
+  double usual = inputs->source_lasting_token_seconds > 0 ? inputs->source_lasting_token_seconds
+                                                          : inputs->proposal.usual_token_seconds;
 
   return (double)inputs->since_last_piece / LB_SEC
          > fmax (MIN_STALL_SECONDS, STALL_INTERVALS * usual);
@@ -78,13 +78,14 @@
 }
 
 static double
-estimate_gain_seconds (const LcMoveInputs *inputs, double here_token_seconds)
+estimate_gain_seconds (const LcMoveInputs *inputs, double source_token_seconds)
 {
-  double lasting = inputs->there_lasting_token_seconds > 0 ? inputs->there_lasting_token_seconds
-                                                           : inputs->proposal.usual_token_seconds;
-  double there = lc_move_expected_token_seconds (lasting, inputs->there_recent_token_seconds);
+  double lasting = inputs->target_lasting_token_seconds > 0 ? inputs->target_lasting_token_seconds
+                                                            : inputs->proposal.usual_token_seconds;
+  double target_token_seconds
+      = lc_move_expected_token_seconds (lasting, inputs->target_recent_token_seconds);
 
-  return inputs->proposal.remaining_tokens * (here_token_seconds - there)
+  return inputs->proposal.remaining_tokens * (source_token_seconds - target_token_seconds)
          - get_move_cost_seconds (inputs);
 }
 
@@ -92,7 +93,7 @@
 compare_paces (const LcMoveInputs *inputs)
 {
   double recent = inputs->proposal.recent_token_seconds;
-  double lasting = inputs->here_lasting_token_seconds;
+  double lasting = inputs->source_lasting_token_seconds;
   bool is_decisive = inputs->proposal.decides_step;
   LcMoveDecision decision = { .gain_seconds = estimate_gain_seconds (inputs, lasting) };
   double recent_gain = estimate_gain_seconds (inputs, recent);
@@ -113,13 +114,15 @@
   return decision;
 }
 
+/* Whether the text leaves an engine that has become much slower, even if it must wait for a slot.
+ */
 static bool
-is_much_slowed_down (const LcMoveInputs *inputs)
+should_leave_without_free_slot (const LcMoveInputs *inputs)
 {
   return (inputs->n_waiting == 0 || inputs->proposal.decides_step)
          && inputs->proposal.gain_seconds >= MIN_GAIN_WITHOUT_SLOT_SECONDS
          && inputs->proposal.recent_token_seconds
-                >= MUCH_SLOWED_DOWN_FACTOR * inputs->here_lasting_token_seconds;
+                >= SEVERE_SLOWDOWN_FACTOR * inputs->source_lasting_token_seconds;
 }
 
 /* A text that decides the end of its step leaves a stalled endpoint even if it must wait for a
@@ -130,11 +133,11 @@
   LcMoveDecision decision = { .gain_seconds = inputs->proposal.gain_seconds };
   bool is_decisive = inputs->proposal.decides_step;
 
-  if (inputs->here_lasting_token_seconds <= 0)
+  if (inputs->source_lasting_token_seconds <= 0)
     decision.reason = has_stalled (inputs) ? LC_MOVE_STALLED : LC_MOVE_UNKNOWN_PACE;
   else if (has_stalled (inputs) && (inputs->n_free_slots > 0 || is_decisive))
     decision.reason = LC_MOVE_STALLED;
-  else if (is_much_slowed_down (inputs))
+  else if (should_leave_without_free_slot (inputs))
     decision.reason = LC_MOVE_SLOWED_DOWN;
   else if (inputs->n_free_slots == 0)
     decision.reason = LC_MOVE_NO_FREE_SLOT;
--- a/packages/core/src/dispatch/lc-outcome.c
+++ b/packages/core/src/dispatch/lc-outcome.c
@@ -8,7 +8,7 @@
 
 /* Limits how many engines one request can crash. */
 #define MAX_CONSECUTIVE_LOST_ATTEMPTS 3
-#define MIN_RETRY_AFTER (100 * LB_MSEC)
+#define MIN_RETRY_AFTER_WITHOUT_RATE (100 * LB_MSEC)
 #define RETRY_AFTER_WITHOUT_ENDPOINT LB_SEC
 /* An attempt without a piece for this long may count as a failure (see is_attempt_black_holed). */
 #define BLACK_HOLE_TIMEOUT LB_SEC
@@ -165,7 +165,7 @@
   lc_request_free (request);
 }
 
-/* Adds up to 50 %, so that callers that were refused together do not return together. random:
+/* Adds up to 50 %, so that callers that were refused together do not retry together. random:
  * uniform in [0, 1). */
 static LbTime
 add_jitter (LbTime delay, double random)
@@ -176,7 +176,9 @@
 static LbTime
 compute_retry_after_without_rate (const LcWaitDecision *decision, double random)
 {
-  return add_jitter (decision->wait > MIN_RETRY_AFTER ? decision->wait : MIN_RETRY_AFTER, random);
+  return add_jitter (decision->wait > MIN_RETRY_AFTER_WITHOUT_RATE ? decision->wait
+                                                                   : MIN_RETRY_AFTER_WITHOUT_RATE,
+                     random);
 }
 
 static LbTime
@@ -211,7 +213,7 @@
   if (retry_after > 0)
     return retry_after;
   if (lb_switch_is_on (LB_SWITCH_WAIT_ESTIMATE) && decision->rate > 0)
-    retry_after = lc_wait_estimate_reserve_return (&pool->wait_estimate, decision, random, now);
+    retry_after = lc_wait_estimate_reserve_retry (&pool->wait_estimate, decision, random, now);
   else
     retry_after = compute_retry_after_without_rate (decision, random);
   return available_at - now > retry_after ? add_jitter (available_at - now, random) : retry_after;
--- a/packages/core/src/dispatch/lc-placement.c
+++ b/packages/core/src/dispatch/lc-placement.c
@@ -11,9 +11,10 @@
 /* Maximum number of waiting requests that one round of sending may skip because no endpoint can
  * take them; bounds the cost of a round while the pool is full. */
 #define MAX_SKIPPED_REQUESTS_PER_ROUND 16
-/* A pool whose queue has not been empty for this time is saturated. Steps that the pool can serve
- * in time leave the queue empty earlier: if it counts as saturated at once, steps at 0.7 to 0.9 of
- * the capacity take 4% longer; after 2.5 s, steps at the capacity take 4% longer. */
+/* A pool whose queue has not been empty for this time is saturated. The texts of a step arrive
+ * together and fill the queue for a shorter time if the pool can serve the step in time; with a
+ * shorter limit, such texts would use slow engines needlessly. With a longer one, slots of slow
+ * engines would stay unused for that time in a saturated pool. */
 #define MIN_BACKLOG_TIME LB_SEC
 /* Longest wait of a call for a pool whose circuit breakers are all open. */
 #define MAX_BLOCKED_WAIT (200 * LB_MSEC)
@@ -215,7 +216,7 @@
   action->resume_at = attempt->next_offset;
   action->decision = *decision;
   if (request->awaits_faster_since > 0)
-    action->decision.awaited = now - request->awaits_faster_since;
+    action->decision.waited_for_faster = now - request->awaits_faster_since;
   request->awaits_faster_since = 0;
   LB_COPY (action->endpoint, endpoint->member.name);
   LB_COPY (action->address, endpoint->member.address);
@@ -302,8 +303,8 @@
          && lc_endpoint_can_accept (endpoint, request->kind, request->pool->live_reserve, now);
 }
 
-/* A request that waits could not use the free slot when the endpoint's state last changed, so the
- * request does not overtake others. */
+/* The requests that wait could not use the free slot when the endpoint's state last changed, so
+ * this request does not overtake them. */
 bool
 lc_dispatch_send_to_preferred_endpoint (
     LcDispatch *dispatch, LcRequest *request, const char *name, LbTime now, LbList *actions)
@@ -385,7 +386,6 @@
   while ((entry = lc_queue_peek (pool->queue)))
     {
       LcRequest *request = LB_CONTAINER (entry, LcRequest, queue_entry);
-
       LcRouteDecision decision = choose_endpoint (dispatch, request, now);
 
       if (decision.endpoint && lc_queue_length (pool->queue) >= 2
--- a/packages/core/src/dispatch/lc-pool.h
+++ b/packages/core/src/dispatch/lc-pool.h
@@ -20,16 +20,15 @@
   LbName name;
   LcPoolKind kind;
   LcQueue *queue;
-  bool configured;   /* the current configuration contains the pool */
-  LbTime held_since; /* when the pool began to hold its requests until a current load report
-                        arrives; 0: it holds none */
-  size_t n_skipped;  /* number of requests that the present round of sending has skipped */
-  /* number of these that wait for a faster endpoint */
-  size_t n_awaiting_faster;
-  LbTime backlog_since; /* since when the queue has not been empty; 0: it is empty */
-  double live_reserve;  /* share of each engine's concurrency kept for live calls, 0..0.9 */
-  int64_t queue_limit;  /* maximum number of waiting requests */
-  size_t n_requests;    /* number of requests admitted and not finished */
+  bool configured;          /* the current configuration contains the pool */
+  LbTime held_since;        /* when the pool began to hold its requests until a current load report
+                               arrives; 0: it holds none */
+  size_t n_skipped;         /* number of requests that the present round of sending has skipped */
+  size_t n_awaiting_faster; /* number of skipped requests that wait for a faster endpoint */
+  LbTime backlog_since;     /* since when the queue has not been empty; 0: it is empty */
+  double live_reserve;      /* share of each engine's concurrency kept for live calls, 0..0.9 */
+  int64_t queue_limit;      /* maximum number of waiting requests */
+  size_t n_requests;        /* number of requests admitted and not finished */
   LcWaitEstimate wait_estimate;
   /* Moving average of the duration of complete attempts; 0: none has completed. Used only while
    * LB_SWITCH_WAIT_ESTIMATE is off. */
@@ -61,8 +60,8 @@
 
 /* Functions that only read the pool's state. */
 bool lc_pool_state_is_queue_full (const LcPoolState *pool);
-/* Fills in what the query says about the queue, and decides whether the request can be served in
- * time. */
+/* Decides whether a new request with this key can be served in time. Replaces the query's kind and
+ * number of requests ahead. */
 LcWaitDecision lc_pool_state_decide_wait (const LcPoolState *pool,
                                           const LcQueueKey *key,
                                           LcWaitQuery query,
--- a/packages/core/src/dispatch/lc-queue.c
+++ b/packages/core/src/dispatch/lc-queue.c
@@ -8,7 +8,7 @@
 
 #define MAX_PRIORITY 10
 
-/* Number of requests of a band after which the share that a flow got is measured anew, so that the
+/* Number of requests of a band after which the counts of a flow's share are halved, so that the
  * share follows the arrivals of other flows. */
 #define MAX_SENDS_OF_SHARE_WINDOW 128
 /* Maximum length of a flow in which the requests before another one are counted; bounds the cost.
@@ -502,80 +502,80 @@
   return queue->kind_length[kind];
 }
 
-/* A place in the queue: behind n_of_flow requests of a flow. */
+/* A position in the queue: behind n_of_flow requests of a flow. */
 typedef struct
 {
-  size_t band_index;  /* index of the place's band, or at which it would be inserted */
+  size_t band_index;  /* index of the position's band, or at which it would be inserted */
   const Band *band;   /* NULL: there is no such band yet */
   const LcFlow *flow; /* NULL: there is no such flow yet */
   double share;       /* share of the flow */
-  double n_of_flow;   /* number of the flow's requests before the place */
+  double n_of_flow;   /* number of the flow's requests before the position */
   double n_of_band;   /* number of the band's other requests */
-} Place;
+} Position;
 
-/* Returns the place of a new request. */
-static Place
-find_place_of_new_request (const LcQueue *queue, const LcQueueKey *key)
+/* Returns the position of a new request. */
+static Position
+find_position_of_new_request (const LcQueue *queue, const LcQueueKey *key)
 {
   BandRank rank = compute_band_rank (key);
-  Place place
+  Position position
       = { .band_index = find_band_index (queue, &rank), .share = key->share > 0 ? key->share : 1 };
 
-  place.band = get_band_if_rank_equals (queue, place.band_index, &rank);
-  place.flow = find_flow (place.band, key->caller);
-  if (place.flow)
-    place.n_of_flow = (double)place.flow->drop_order.length;
-  if (place.band)
-    place.n_of_band = (double)place.band->length;
-  return place;
+  position.band = get_band_if_rank_equals (queue, position.band_index, &rank);
+  position.flow = find_flow (position.band, key->caller);
+  if (position.flow)
+    position.n_of_flow = (double)position.flow->drop_order.length;
+  if (position.band)
+    position.n_of_band = (double)position.band->length;
+  return position;
 }
 
 static double
-count_requests_of_earlier_bands (const LcQueue *queue, const Place *place)
+count_requests_of_earlier_bands (const LcQueue *queue, const Position *position)
 {
   double n = 0;
 
-  for (size_t i = 0; i < place->band_index; i++)
+  for (size_t i = 0; i < position->band_index; i++)
     n += (double)queue->bands[i]->length;
   return n;
 }
 
-/* Estimates how many waiting requests are sent before a place: all of the earlier bands, and those
- * of its own band that fair queueing sends before. A flow gets the fraction share / active of the
- * band's sends, so the band sends active / share requests for each one of the flow. */
+/* Estimates how many waiting requests are sent before a position: all of the earlier bands, and
+ * those of its own band that fair queueing sends before. A flow gets the fraction share / active of
+ * the band's sends, so the band sends active / share requests for each one of the flow. */
 static double
-estimate_requests_before_place (const LcQueue *queue, const Place *place)
+estimate_requests_before_position (const LcQueue *queue, const Position *position)
 {
-  const LcFlow *flow = place->flow;
-  double ahead = count_requests_of_earlier_bands (queue, place);
+  const LcFlow *flow = position->flow;
+  double ahead = count_requests_of_earlier_bands (queue, position);
 
-  if (!place->band)
+  if (!position->band)
     return ahead;
 
   double active
-      = place->band->backlogged_share + (flow && flow->drop_order.length ? 0 : place->share);
-  double ahead_in_band
-      = place->n_of_flow * active / place->share + (active - place->share) / place->share;
+      = position->band->backlogged_share + (flow && flow->drop_order.length ? 0 : position->share);
+  double ahead_in_band = position->n_of_flow * active / position->share
+                         + (active - position->share) / position->share;
 
-  return ahead + (ahead_in_band < place->n_of_band ? ahead_in_band : place->n_of_band);
+  return ahead + (ahead_in_band < position->n_of_band ? ahead_in_band : position->n_of_band);
 }
 
-/* Like estimate_requests_before_place, but includes requests that have yet to arrive and overtake
- * the flow: the flow's requests take the part of the band's sends that they got lately. A flow that
- * sends far more than others is overtaken by all others, which rarely wait and so are not counted
- * among the waiting requests. */
+/* Like estimate_requests_before_position, but includes requests that have yet to arrive and
+ * overtake the flow: the flow's requests take the part of the band's sends that they got lately. A
+ * flow that sends far more than others is overtaken by all others, which rarely wait and so are not
+ * counted among the waiting requests. */
 static double
-estimate_sends_before_place (const LcQueue *queue, const Place *place)
+estimate_sends_before_position (const LcQueue *queue, const Position *position)
 {
-  const LcFlow *flow = place->flow;
-  double ahead = estimate_requests_before_place (queue, place);
+  const LcFlow *flow = position->flow;
+  double ahead = estimate_requests_before_position (queue, position);
 
   if (!flow || flow->drop_order.length == 0)
     return ahead;
 
   double n_sent_of_band = flow->n_sent_of_band + (double)(flow->band->n_sent - flow->counted_until);
-  double ahead_of_flow = count_requests_of_earlier_bands (queue, place)
-                         + place->n_of_flow * (n_sent_of_band + 1) / (flow->n_sent_of_flow + 1);
+  double ahead_of_flow = count_requests_of_earlier_bands (queue, position)
+                         + position->n_of_flow * (n_sent_of_band + 1) / (flow->n_sent_of_flow + 1);
 
   return ahead_of_flow > ahead ? ahead_of_flow : ahead;
 }
@@ -583,17 +583,17 @@
 double
 lc_queue_estimate_requests_ahead (const LcQueue *queue, const LcQueueKey *key)
 {
-  Place place = find_place_of_new_request (queue, key);
+  Position position = find_position_of_new_request (queue, key);
 
-  return estimate_requests_before_place (queue, &place);
+  return estimate_requests_before_position (queue, &position);
 }
 
 double
 lc_queue_estimate_sends_ahead (const LcQueue *queue, const LcQueueKey *key)
 {
-  Place place = find_place_of_new_request (queue, key);
+  Position position = find_position_of_new_request (queue, key);
 
-  return estimate_sends_before_place (queue, &place);
+  return estimate_sends_before_position (queue, &position);
 }
 
 size_t
@@ -602,24 +602,25 @@
   return queue->n_bands;
 }
 
-/* Like estimate_sends_before_place, but assumes that only the requests that wait already are sent
- * before, as far as the flow has too few sends to show how many overtake. A flow that has just
- * begun to wait is overtaken by the backlog of the others, and then no more. */
+/* Like estimate_sends_before_position, but weights the sends of the flow with MIN_SENDS_OF_FLOW
+ * sends before which only requests that wait already are sent, since few sends do not show how many
+ * requests overtake. A flow that has just begun to wait is overtaken by the backlog of the
+ * others, and then no more. */
 static double
-estimate_sends_before_place_cautiously (const LcQueue *queue, const Place *place)
+estimate_sends_before_position_cautiously (const LcQueue *queue, const Position *position)
 {
-  const LcFlow *flow = place->flow;
-  double ahead = estimate_requests_before_place (queue, place);
+  const LcFlow *flow = position->flow;
+  double ahead = estimate_requests_before_position (queue, position);
 
-  if (place->n_of_flow <= 0)
+  if (position->n_of_flow <= 0)
     return ahead;
 
-  double earlier_bands = count_requests_of_earlier_bands (queue, place);
+  double earlier_bands = count_requests_of_earlier_bands (queue, position);
   double n_sent_of_band = flow->n_sent_of_band + (double)(flow->band->n_sent - flow->counted_until)
-                          + MIN_SENDS_OF_FLOW * (ahead - earlier_bands) / place->n_of_flow;
+                          + MIN_SENDS_OF_FLOW * (ahead - earlier_bands) / position->n_of_flow;
   double ahead_of_flow
       = earlier_bands
-        + place->n_of_flow * n_sent_of_band / (flow->n_sent_of_flow + MIN_SENDS_OF_FLOW);
+        + position->n_of_flow * n_sent_of_band / (flow->n_sent_of_flow + MIN_SENDS_OF_FLOW);
 
   return ahead_of_flow > ahead ? ahead_of_flow : ahead;
 }
@@ -628,14 +629,14 @@
 estimate_sends_before_waiting_request (const LcQueue *queue, const LcFlow *flow, size_t n_of_flow)
 {
   const Band *band = flow->band;
-  const Place place = { .band_index = find_band_index (queue, &band->rank),
-                        .band = band,
-                        .flow = flow,
-                        .share = flow->share,
-                        .n_of_flow = (double)n_of_flow,
-                        .n_of_band = (double)band->length - 1 };
-
-  return estimate_sends_before_place_cautiously (queue, &place);
+  const Position position = { .band_index = find_band_index (queue, &band->rank),
+                              .band = band,
+                              .flow = flow,
+                              .share = flow->share,
+                              .n_of_flow = (double)n_of_flow,
+                              .n_of_band = (double)band->length - 1 };
+
+  return estimate_sends_before_position_cautiously (queue, &position);
 }
 
 /* The last request of the flow with the largest backlog relative to its share waits longest. */
--- a/packages/core/src/dispatch/lc-queue.h
+++ b/packages/core/src/dispatch/lc-queue.h
@@ -60,7 +60,8 @@
 double lc_queue_estimate_sends_before (const LcQueue *queue, const LcQueueEntry *entry);
 /* Estimates how many waiting requests are sent before a new one with this key. */
 double lc_queue_estimate_requests_ahead (const LcQueue *queue, const LcQueueKey *key);
-/* Includes requests that have yet to arrive and will overtake. */
+/* Like lc_queue_estimate_requests_ahead, but includes requests that are expected to arrive later
+ * and to be sent before. */
 double lc_queue_estimate_sends_ahead (const LcQueue *queue, const LcQueueKey *key);
 
 #endif
--- a/packages/core/src/dispatch/lc-request.c
+++ b/packages/core/src/dispatch/lc-request.c
@@ -152,7 +152,7 @@
     .submitted = request->submitted,
     .min_version = request->min_version,
     .is_hedge = !lb_list_is_empty (&request->attempts),
-    .waiting_since
+    .awaits_faster_since
     = request->awaits_faster_since > 0 ? request->awaits_faster_since : LB_TIME_NEVER,
     .live_reserve = request->pool->live_reserve,
     .n_avoid = request->n_avoid + (avoid_tried ? request->n_tried : 0),
--- a/packages/core/src/dispatch/lc-router-finish-time.c
+++ b/packages/core/src/dispatch/lc-router-finish-time.c
@@ -45,8 +45,8 @@
   const LcRouteQuery *query;
   const double *cached_shares;
   double mean_service_seconds;
-  double
-      full_batch_slowdown; /* relative increase of a token's time from one stream to a full batch */
+  /* relative increase of the time per token from one stream to a full batch */
+  double full_batch_slowdown;
   double expected_tokens;
   double full_prefill_seconds; /* time to process the whole prompt, if no part is cached */
   /* estimated number of requests that other instances have sent since the load reports, except
--- a/packages/core/src/dispatch/lc-wait-estimate.c
+++ b/packages/core/src/dispatch/lc-wait-estimate.c
@@ -8,13 +8,16 @@
 /* Number of attempts, in addition to those running, that may fail to end before the rate is taken
  * to be lower than the average suggests. */
 #define MAX_LATE_ATTEMPTS 4
-/* A retry costs an instance about as much as a refusal, so hints are never shorter than this. */
+/* Shortest delay for a caller. A retry that is refused costs an instance about as much as the first
+ * refusal. */
 #define MIN_RETRY_AFTER (50 * LB_MSEC)
 #define MAX_RETRY_AFTER (10 * LB_SEC)
-/* A caller whose hint is at most this part of its time can return twice before its deadline. */
-#define USEFUL_PART_OF_TIME_LEFT 3
+/* A caller whose delay is at most its remaining time divided by this can retry twice before its
+ * deadline. */
+#define TIME_LEFT_DIVISOR 3
 /* Delays of callers that are sent elsewhere, as parts of the longest useful delay. They are spread,
- * and leave time for the reply to arrive before the caller compares the hint with its time left. */
+ * and leave time for the reply to arrive before the caller compares the delay with its time left.
+ */
 #define MIN_PART_OF_USEFUL_DELAY 0.5
 #define MAX_PART_OF_USEFUL_DELAY 0.9
 /* Number of refused callers that may be sent to other instances beyond the number of calls
@@ -55,9 +58,9 @@
 typedef struct
 {
   double attempts_per_second; /* 0: not known */
-  double usual;               /* attempts per second without the bound by the silence */
-  /* time without an ended attempt, if the bound applies; otherwise 0 */
-  LbTime silence;
+  double usual;               /* attempts per second without the bound by stall_time */
+  /* time since an attempt last ended, if it bounds attempts_per_second; otherwise 0 */
+  LbTime stall_time;
 } Rate;
 
 /* Estimates how many attempts end per second: the number running over their mean duration (Little's
@@ -66,7 +69,7 @@
 static Rate
 estimate_rate (const LcWaitEstimate *estimate, LbTime now)
 {
-  double silence = (double)(now - estimate->last_progress_at) / LB_SEC;
+  double stall_seconds = (double)(now - estimate->last_progress_at) / LB_SEC;
   double rate = 0;
   int64_t n_running = 0;
 
@@ -77,11 +80,11 @@
       if (ended->weight > 0 && ended->seconds > 0)
         rate += (double)estimate->running[kind] * ended->weight / ended->seconds;
     }
-  if (rate * silence <= (double)(n_running + MAX_LATE_ATTEMPTS))
+  if (rate * stall_seconds <= (double)(n_running + MAX_LATE_ATTEMPTS))
     return (Rate){ .attempts_per_second = rate, .usual = rate };
-  return (Rate){ .attempts_per_second = (double)(n_running + MAX_LATE_ATTEMPTS) / silence,
+  return (Rate){ .attempts_per_second = (double)(n_running + MAX_LATE_ATTEMPTS) / stall_seconds,
                  .usual = rate,
-                 .silence = now - estimate->last_progress_at };
+                 .stall_time = now - estimate->last_progress_at };
 }
 
 /* A request that is shorter than usual takes a part of the mean duration. A request of unknown
@@ -128,20 +131,20 @@
   return rate;
 }
 
-/* Silent endpoints are expected to stay silent for as long again, since nothing shows that they
- * will answer earlier, and then to answer at their usual rate: a short pause must not refuse calls.
- */
+/* Endpoints that have stopped answering are expected to need as long again until they answer, since
+ * nothing shows that they will answer earlier, and then to answer at their usual rate: calls must
+ * not be refused because of a short pause. */
 static LbTime
 estimate_wait (const Rate *rate, double n_ahead)
 {
-  double silence = (double)rate->silence / LB_SEC;
+  double stall_seconds = (double)rate->stall_time / LB_SEC;
   double seconds = n_ahead / rate->attempts_per_second;
-  double seconds_after_pause = silence + n_ahead / rate->usual;
+  double seconds_after_pause = stall_seconds + n_ahead / rate->usual;
 
-  if (rate->silence > 0 && seconds > seconds_after_pause)
+  if (rate->stall_time > 0 && seconds > seconds_after_pause)
     seconds = seconds_after_pause;
-  if (seconds < silence)
-    seconds = silence;
+  if (seconds < stall_seconds)
+    seconds = stall_seconds;
   return seconds < (double)INT32_MAX ? (LbTime)(seconds * LB_SEC) : INT32_MAX * LB_SEC;
 }
 
@@ -176,8 +179,7 @@
 LbTime
 lc_wait_estimate_max_retry_after (LbTime time_left)
 {
-  LbTime limit
-      = time_left == LB_TIME_NEVER ? MAX_RETRY_AFTER : time_left / USEFUL_PART_OF_TIME_LEFT;
+  LbTime limit = time_left == LB_TIME_NEVER ? MAX_RETRY_AFTER : time_left / TIME_LEFT_DIVISOR;
 
   if (limit > MAX_RETRY_AFTER)
     limit = MAX_RETRY_AFTER;
@@ -191,7 +193,7 @@
     estimate->n_sent_elsewhere--;
 }
 
-/* An instance sees only its own queue and its own endpoint states, and a caller that returns
+/* An instance sees only its own queue and its own endpoint states, and a caller that retries
  * connects to another instance. If only this instance is slow, the caller is served there by its
  * deadline. If all are overloaded, it is refused again; so the number sent is bounded by the number
  * answered, and refused callers add at most as many submissions as there are answers. */
@@ -205,7 +207,7 @@
       = MIN_PART_OF_USEFUL_DELAY + random * (MAX_PART_OF_USEFUL_DELAY - MIN_PART_OF_USEFUL_DELAY);
   LbTime delay = (LbTime)(part * (double)limit);
 
-  if (decision->time_left == LB_TIME_NEVER || limit * USEFUL_PART_OF_TIME_LEFT > decision->time_left
+  if (decision->time_left == LB_TIME_NEVER || limit * TIME_LEFT_DIVISOR > decision->time_left
       || delay + decision->service >= decision->time_left
       || estimate->n_sent_elsewhere >= MAX_SENT_ELSEWHERE)
     return 0;
@@ -213,11 +215,11 @@
   return delay > MIN_RETRY_AFTER ? delay : MIN_RETRY_AFTER;
 }
 
-/* Returns the delay of a caller that can't be served by its deadline: it should return with a new
- * deadline. If it returned before, the callers that return would be more than those that came
- * first, and none of them would be served. */
+/* Returns the delay of a caller that can't be served by its deadline: it should retry with a new
+ * deadline. If it retried before, retries would outnumber first requests, and none of them would be
+ * served. */
 static LbTime
-choose_return_after_deadline (const LcWaitDecision *decision, LbTime limit, double random)
+choose_retry_after_deadline (const LcWaitDecision *decision, LbTime limit, double random)
 {
   LbTime delay = decision->time_left == LB_TIME_NEVER ? limit / 2 : decision->time_left;
 
@@ -229,13 +231,13 @@
 }
 
 /* A caller can be served once the requests ahead have become fewer by as many as are too many for
- * its deadline. Each refused caller is told to return one slot later than the previous one, at most
+ * its deadline. Each refused caller is told to retry one slot later than the previous one, at most
  * a third of its time later. */
 LbTime
-lc_wait_estimate_reserve_return (LcWaitEstimate *estimate,
-                                 const LcWaitDecision *decision,
-                                 double random,
-                                 LbTime now)
+lc_wait_estimate_reserve_retry (LcWaitEstimate *estimate,
+                                const LcWaitDecision *decision,
+                                double random,
+                                LbTime now)
 {
   LbTime limit = lc_wait_estimate_max_retry_after (decision->time_left);
   LbTime earliest = decision->wait + decision->service;
@@ -244,15 +246,15 @@
     earliest -= decision->time_left;
   if (earliest < MIN_RETRY_AFTER)
     earliest = MIN_RETRY_AFTER;
-  LbTime return_at
-      = now + earliest > estimate->next_return_at ? now + earliest : estimate->next_return_at;
+  LbTime retry_at
+      = now + earliest > estimate->next_retry_at ? now + earliest : estimate->next_retry_at;
   bool is_too_late = decision->time_left != LB_TIME_NEVER
-                     && return_at - now + decision->service >= decision->time_left;
-  if (decision->rate <= 0 || return_at - now > limit || is_too_late)
+                     && retry_at - now + decision->service >= decision->time_left;
+  if (decision->rate <= 0 || retry_at - now > limit || is_too_late)
     {
       LbTime delay = lc_wait_estimate_send_elsewhere (estimate, decision, random);
-      return delay > 0 ? delay : choose_return_after_deadline (decision, limit, random);
+      return delay > 0 ? delay : choose_retry_after_deadline (decision, limit, random);
     }
-  estimate->next_return_at = return_at + (LbTime)(LB_SEC / decision->rate);
-  return return_at - now;
+  estimate->next_retry_at = retry_at + (LbTime)(LB_SEC / decision->rate);
+  return retry_at - now;
 }
--- a/packages/core/src/dispatch/lc-wait-estimate.h
+++ b/packages/core/src/dispatch/lc-wait-estimate.h
@@ -4,7 +4,7 @@
 #include "lc-types.h"
 
 /* Estimates, for one pool of endpoints, how long a new request would wait and run, decides whether
- * it can be served by its deadline, and computes when a refused caller should return. All estimates
+ * it can be served by its deadline, and computes when a refused caller should retry. All estimates
  * come from observed attempts; while nothing has been observed, nothing is refused. */
 
 /* Decaying averages of the attempts of one kind that ended. */
@@ -22,8 +22,9 @@
   int64_t running[LC_N_KINDS]; /* number of running attempts */
   /* when an attempt last ended, or when one started while none was running */
   LbTime last_progress_at;
-  LbTime next_return_at; /* earliest time at which the next refused caller should return */
-  int n_sent_elsewhere; /* refused callers sent to other instances, less the calls answered since */
+  LbTime next_retry_at; /* earliest time at which the next refused caller should retry */
+  /* number of refused callers that were sent to other instances, less the calls answered since */
+  int n_sent_elsewhere;
 } LcWaitEstimate;
 
 typedef struct
@@ -54,7 +55,7 @@
 void lc_wait_estimate_record_end (
     LcWaitEstimate *estimate, LcRequestKind kind, LbTime duration, int64_t tokens, LbTime now);
 
-/* Records that a call was answered, which allows to send one more caller elsewhere. */
+/* Records that a call was answered, after which one more caller may be sent to another instance. */
 void lc_wait_estimate_record_answer (LcWaitEstimate *estimate);
 
 LcWaitDecision
@@ -63,19 +64,19 @@
 LbTime lc_wait_estimate_service_time (const LcWaitEstimate *estimate,
                                       LcRequestKind kind,
                                       int64_t expected_tokens);
-/* Returns the delay after which the refused caller should return, and reserves that time, so that
- * callers return no faster than slots become free. random: uniform in [0, 1). */
-LbTime lc_wait_estimate_reserve_return (LcWaitEstimate *estimate,
-                                        const LcWaitDecision *decision,
-                                        double random,
-                                        LbTime now);
+/* Returns the delay after which the refused caller should retry, and reserves that time, so that
+ * callers retry no faster than slots become free. random: uniform in [0, 1). */
+LbTime lc_wait_estimate_reserve_retry (LcWaitEstimate *estimate,
+                                       const LcWaitDecision *decision,
+                                       double random,
+                                       LbTime now);
 /* Returns the delay after which the refused caller should try another instance, which may have free
  * slots; 0 if it has too little time or too many callers have been sent already. random: uniform in
  * [0, 1). */
 LbTime lc_wait_estimate_send_elsewhere (LcWaitEstimate *estimate,
                                         const LcWaitDecision *decision,
                                         double random);
-/* Returns the longest delay after which a caller with this time can return more than once. */
+/* Returns the longest delay for a caller that has this time left: it can retry more than once. */
 LbTime lc_wait_estimate_max_retry_after (LbTime time_left);
 
 #endif
--- a/packages/core/tests/test-move.c
+++ b/packages/core/tests/test-move.c
@@ -12,8 +12,8 @@
                                        .usual_token_seconds = 0.05,
                                        .gain_seconds = 1 },
                          .since_last_piece = 50 * LB_MSEC,
-                         .here_lasting_token_seconds = 0.05 * here_pace,
-                         .there_lasting_token_seconds = 0.05 * there_pace,
+                         .source_lasting_token_seconds = 0.05 * here_pace,
+                         .target_lasting_token_seconds = 0.05 * there_pace,
                          .n_free_slots = 1,
                          .prompt_tokens = 400,
                          .first_piece_seconds = 0.15 };
@@ -55,7 +55,7 @@
   expect_reason (&inputs, LC_MOVE_SLOWED_DOWN);
   inputs.proposal.decides_step = false;
   expect_reason (&inputs, LC_MOVE_SLOWED_DOWN);
-  inputs.there_recent_token_seconds = 3.0 * 0.05;
+  inputs.target_recent_token_seconds = 3.0 * 0.05;
   expect_reason (&inputs, LC_MOVE_GAIN_TOO_SMALL);
 }
 
@@ -107,7 +107,7 @@
   expect_reason (&inputs, LC_MOVE_NO_FREE_SLOT);
   inputs.proposal.decides_step = true;
   expect_reason (&inputs, LC_MOVE_STALLED);
-  inputs.here_lasting_token_seconds = 0.1;
+  inputs.source_lasting_token_seconds = 0.1;
   expect_reason (&inputs, LC_MOVE_NO_FREE_SLOT);
 }
 
@@ -130,7 +130,7 @@
 
   inputs.proposal.decides_step = true;
   expect_reason (&inputs, LC_MOVE_LASTING_PACE);
-  inputs.here_lasting_token_seconds = 0.05;
+  inputs.source_lasting_token_seconds = 0.05;
   inputs.proposal.recent_token_seconds = 0.05;
   expect_reason (&inputs, LC_MOVE_GAIN_TOO_SMALL);
 }
--- a/packages/core/tests/test-wait-estimate.c
+++ b/packages/core/tests/test-wait-estimate.c
@@ -450,29 +450,28 @@
   cr_assert_not (decision.is_in_time);
   for (int i = 0; i < 30; i++)
     {
-      LbTime hint = lc_wait_estimate_reserve_return (&estimate, &decision, 0.5, now);
+      LbTime hint = lc_wait_estimate_reserve_retry (&estimate, &decision, 0.5, now);
       cr_assert_leq (llabs (hint - 200 * LB_MSEC - i * 10 * LB_MSEC), LB_MSEC);
       cr_assert_leq (hint, CALL_DEADLINE / 3);
     }
-  lc_wait_estimate_reserve_return (&estimate, &decision, 0.5, now);
+  lc_wait_estimate_reserve_retry (&estimate, &decision, 0.5, now);
   for (int i = 0; i < 16; i++)
     {
-      LbTime hint = lc_wait_estimate_reserve_return (&estimate, &decision, i / 16.0, now);
+      LbTime hint = lc_wait_estimate_reserve_retry (&estimate, &decision, i / 16.0, now);
       cr_assert (hint >= CALL_DEADLINE / 6 && hint < CALL_DEADLINE / 3, "hint %ld us", (long)hint);
       cr_assert_gt (hint, last);
       last = hint;
     }
   for (int i = 0; i < 4; i++)
     {
-      LbTime hint = lc_wait_estimate_reserve_return (&estimate, &decision, i / 4.0, now);
+      LbTime hint = lc_wait_estimate_reserve_retry (&estimate, &decision, i / 4.0, now);
       cr_assert_geq (hint, CALL_DEADLINE);
       cr_assert_gt (hint, last);
       last = hint;
     }
   lc_wait_estimate_record_answer (&estimate);
-  cr_assert_lt (lc_wait_estimate_reserve_return (&estimate, &decision, 0.5, now),
-                CALL_DEADLINE / 3);
-  cr_assert_geq (lc_wait_estimate_reserve_return (&estimate, &decision, 0.5, now), CALL_DEADLINE);
+  cr_assert_lt (lc_wait_estimate_reserve_retry (&estimate, &decision, 0.5, now), CALL_DEADLINE / 3);
+  cr_assert_geq (lc_wait_estimate_reserve_retry (&estimate, &decision, 0.5, now), CALL_DEADLINE);
 }
 
 /* The endpoints of this instance don't answer, but those of others may. A caller that is refused
@@ -489,10 +488,10 @@
   LcWaitDecision decision = lc_wait_estimate_decide (&estimate, &query, now + 2 * LB_SEC);
 
   cr_assert_not (decision.is_in_time);
-  LbTime hint = lc_wait_estimate_reserve_return (&estimate, &decision, 0.5, now + 2 * LB_SEC);
+  LbTime hint = lc_wait_estimate_reserve_retry (&estimate, &decision, 0.5, now + 2 * LB_SEC);
   cr_assert_lt (hint, CALL_DEADLINE / 3);
   decision.time_left = 120 * LB_MSEC;
-  hint = lc_wait_estimate_reserve_return (&estimate, &decision, 0.5, now + 2 * LB_SEC);
+  hint = lc_wait_estimate_reserve_retry (&estimate, &decision, 0.5, now + 2 * LB_SEC);
   cr_assert_geq (hint, decision.time_left, "too little time is left to be served elsewhere");
 }
 
--- a/packages/node/src/calls/ln-calls-run.c
+++ b/packages/node/src/calls/ln-calls-run.c
@@ -125,7 +125,8 @@
           LB_TEXT ("lister", calls->list_requested_by), LB_INT ("list_age_ms", list_age / LB_MSEC),
           LB_TEXT ("endpoint", action->endpoint), LB_TEXT ("reason", decision->reason),
           LB_INT ("expected_tokens", call->spec.expected_tokens),
-          LB_INT ("awaited_faster_us", decision->awaited), LB_INT ("of", decision->n_candidates),
+          LB_INT ("awaited_faster_us", decision->waited_for_faster),
+          LB_INT ("of", decision->n_candidates),
           LB_JSON ("candidates",
                    json_object_to_json_string_ext (candidates, JSON_C_TO_STRING_PLAIN)));
   json_object_put (candidates);
