--- a/packages/node/src/batch/ln-batches-private.h
+++ b/packages/node/src/batch/ln-batches-private.h
@@ -78,7 +78,7 @@
   /* Members used while RELEASING. */
   LpPut *release_puts; /* checkpoints that the release writes; owned */
   size_t n_release_puts;
-  LcSuccessionReason release_reason; /* why the next owner was chosen */
+  LcSuccessionReason release_reason; /* rule that selected the next owner */
   LbTime release_started_at;
   LbTime release_retry_at;
   bool is_release_in_progress; /* the store has not answered the release yet */
