--- a/packages/node/include/ln-messages.h
+++ b/packages/node/include/ln-messages.h
@@ -24,7 +24,7 @@
   LN_SAMPLE_CANCEL,         /* rollouts -> calls: cancel the sample */
   LN_SAMPLE_PIECE,          /* calls -> rollouts: a piece of a sample was generated */
   LN_SAMPLE_DONE,           /* calls -> rollouts: a sample or a scorer's call has ended */
-  LN_SAMPLE_MOVE_REFUSED,   /* calls -> rollouts: a sample stays where it runs */
+  LN_SAMPLE_MOVE_REFUSED,   /* calls -> rollouts: a proposed move of a sample was refused */
   LN_POOL_VERSION,          /* config -> rollouts: a pool's newest version and update interval */
   LN_ENDPOINT_REPORT,       /* calls -> config: load report of an endpoint */
   LN_ENDPOINT_LEAVING,      /* any -> calls: an endpoint is about to stop */
@@ -42,7 +42,7 @@
   LN_ENDPOINT_LISTED,       /* config -> calls: a listed endpoint and its weight version */
   LN_DEMAND,                /* rollouts -> config, duties: expected tokens of a new batch */
   LN_TRAINER_STEP,          /* rollouts -> config: a trainer submitted a batch, or it has ended */
-  LN_ENGINE_PACES,          /* calls -> rollouts: lasting paces that this instance measured */
+  LN_ENGINE_PACES,          /* calls -> rollouts: lasting paces of the engines */
   LN_DUTY,                  /* rollouts, config, duties -> all: took or lost an LnDuty */
   LN_REQUEST_STARTED,       /* calls -> duties: an organisation's request started running */
   LN_SERVICE_OVERLOADED,    /* calls -> peers: which service is overloaded has changed */
@@ -53,7 +53,7 @@
 {
   LnMessage base;
   LnExchange *exchange;
-  bool is_refused; /* to the front task: the request arrived after the drain time; refuse it */
+  bool is_refused; /* the request arrived after the drain time; the front task refuses it */
 } LnExchangeMessage;
 
 typedef struct
@@ -108,7 +108,7 @@
   LbErrorCode error;
   char *text; /* generated text or scorer's reply, owned; NULL: none, after an error */
   bool has_move;
-  LcMoveDecision move; /* if has_move: decision by which the sample was preempted */
+  LcMoveDecision move; /* if has_move: decision because of which the sample was preempted */
 } LnSampleDoneMessage;
 
 typedef struct
@@ -189,7 +189,7 @@
 {
   LnMessage base;
   LcTrainerStep step;
-  LcEnginePaces paces; /* paces in the batch's row */
+  LcEnginePaces paces; /* lasting paces of engines in the batch's row */
 } LnTrainerStepMessage;
 
 typedef struct
