node/batch: names and comments of the hand-over

Renames functions after what they return or write (make_batch_member, build_release_puts, check_claim_due), and logs the choice of an owner in a function of its own. No change of behaviour.

--- a/packages/node/src/batch/ln-batch-handover.c
+++ b/packages/node/src/batch/ln-batch-handover.c
@@ -40,8 +40,9 @@
                               now);
 }
 
-/* Returns the instances that may become owners of batches. An instance that shuts down is not one
- * of them, even if the list of members does not show yet that it is draining. */
+/* Returns the instances that may become owners of batches; the caller frees the array. This
+ * instance is left out once it shuts down, even if the list of members does not show yet that it
+ * drains. */
 static LcSuccessor *
 list_successors (const LnBatches *batches, size_t *n_successors)
 {
@@ -101,6 +102,20 @@
   return last ? lc_batch_head_assigned_instance (ln_batch_get_latest_head (last)) : "";
 }
 
+static void
+log_owner_choice (const LcSuccessionQuery *query,
+                  const char *next_owner,
+                  LcSuccessionReason reason,
+                  size_t n_candidates)
+{
+  lb_log (LB_LOG_INFO, "batch_owner_chosen", LB_TEXT ("model", query->model),
+          LB_TEXT ("next_owner", next_owner),
+          LB_TEXT ("reason", lc_succession_reason_name (reason)),
+          LB_TEXT ("current", query->current), LB_INT ("candidates", n_candidates),
+          LB_INT ("restart_began_ms", query->restart_began_ms),
+          LB_BOOL ("restart_continues", query->is_restart_continuing));
+}
+
 LcSuccessionReason
 ln_batches_choose_next_owner (LnBatches *batches, const char *model, char *next_owner)
 {
@@ -121,12 +136,7 @@
     }
   size_t chosen = lc_succession_choose (&query, successors, n, &reason);
   lb_strlcpy (next_owner, chosen < n ? successors[chosen].name : "", LB_NAME_MAX);
-  lb_log (LB_LOG_INFO, "batch_owner_chosen", LB_TEXT ("model", model),
-          LB_TEXT ("next_owner", next_owner),
-          LB_TEXT ("reason", lc_succession_reason_name (reason)),
-          LB_TEXT ("current", query.current), LB_INT ("candidates", n),
-          LB_INT ("restart_began_ms", query.restart_began_ms),
-          LB_BOOL ("restart_continues", query.is_restart_continuing));
+  log_owner_choice (&query, next_owner, reason, n);
   free (successors);
   return reason;
 }
@@ -145,7 +155,7 @@
 }
 
 static void
-free_release (LnBatch *batch)
+free_release_puts (LnBatch *batch)
 {
   ln_batch_owner_free_put_strings (batch->release_puts, batch->n_release_puts);
   free (batch->release_puts);
@@ -153,7 +163,8 @@
   batch->n_release_puts = 0;
 }
 
-/* Whether the row shows the release, which was written although the answer was lost. */
+/* Whether the row shows this instance's release. If so, the release took effect although its answer
+ * was lost. */
 static bool
 is_own_release (const LnBatch *batch)
 {
@@ -161,12 +172,12 @@
          && strcmp (batch->head.released_by, batch->batches->context->instance) == 0;
 }
 
-/* If the row names this process again, an earlier claim took effect late; then the batch is
- * released once more. */
+/* Ends the release, successful or not. If the row names this process again, an earlier claim took
+ * effect late; then the batch is released once more. */
 static void
 end_release (LnBatch *batch, LbErrorCode error)
 {
-  free_release (batch);
+  free_release_puts (batch);
   batch->state = LN_BATCH_NOT_OWNED;
   log_release (batch, is_own_release (batch) ? LB_OK : error);
   if (error == LB_ERROR_CONDITION_FAILED)
@@ -213,8 +224,9 @@
     end_release (batch, LB_ERROR_CONDITION_FAILED);
 }
 
+/* Builds the writes that checkpoint the running texts together with the release. */
 static void
-checkpoint_texts_for_release (LnBatch *batch)
+build_release_puts (LnBatch *batch)
 {
   LbList actions;
   LbLink *link;
@@ -242,7 +254,7 @@
   LbTime now = lb_clock_monotonic ();
   LcBatchHead head = batch->head;
 
-  checkpoint_texts_for_release (batch);
+  build_release_puts (batch);
   ln_batch_owner_stop_run (batch);
   LB_COPY (head.released_by, head.owner);
   head.released_ms = get_store_clock_ms (batches, now);
@@ -270,7 +282,7 @@
 }
 
 void
-ln_batch_record_handover (LnBatch *batch, LbTime now)
+ln_batch_record_handover_duration (LnBatch *batch, LbTime now)
 {
   if (batch->taken_over_release_ms > 0)
     lb_histogram_add (&handover_seconds,
--- a/packages/node/src/batch/ln-batch-heads.c
+++ b/packages/node/src/batch/ln-batch-heads.c
@@ -159,9 +159,10 @@
     }
 }
 
-/* Converts a time of the store's clock to this instance's. Returns 0 if it is not known. */
+/* Converts a time of the store's clock to this instance's monotonic clock; times in the future
+ * become now. Returns 0 if one of the times is unknown. */
 static LbTime
-convert_store_ms (const LnBatches *batches, int64_t ms, LbTime now)
+convert_store_time (const LnBatches *batches, int64_t ms, LbTime now)
 {
   int64_t store_now_ms = lp_platform_get_store_clock_ms_at (batches->context->platform, now);
   LbTime at = now - (store_now_ms - ms) * LB_MSEC;
@@ -171,8 +172,8 @@
   return at < now ? at : now;
 }
 
-/* If the row has no times, uses those at which this instance saw the changes of the row. Rows that
- * it read when it started show nothing of when they were written. */
+/* If the row has no times, uses those at which this instance saw the row change. Posts nothing for
+ * such a row that was read at the start of this instance, since its age is unknown. */
 void
 ln_batches_publish_trainer_step (LnBatches *batches, const LnBatch *batch)
 {
@@ -184,8 +185,8 @@
                     .has_step = batch->head.has_step,
                     .step = batch->head.step,
                     .priority = batch->head.organisation_priority,
-                    .submitted_at = convert_store_ms (batches, batch->head.accepted_ms, now),
-                    .ended_at = convert_store_ms (batches, batch->head.ended_ms, now) } };
+                    .submitted_at = convert_store_time (batches, batch->head.accepted_ms, now),
+                    .ended_at = convert_store_time (batches, batch->head.ended_ms, now) } };
 
   message.paces = batch->head.paces;
   LB_COPY (message.step.batch, batch->id);
@@ -221,7 +222,7 @@
   bool is_new = batch->version == 0;
   if (is_new)
     ln_batches_publish_token_demand (batches, &head);
-  /* An instance of the previous build does not write who released the batch. */
+  /* The row of a batch that an instance of an earlier build released has no released_by. */
   if (!head.owner[0] && !head.released_by[0])
     LB_COPY (head.released_by, old_head.owner);
   batch->head = head;
@@ -236,7 +237,7 @@
 /* --- taking over batches without a live owner --- */
 
 static LcBatchMember
-get_batch_member (const LnMember *member)
+make_batch_member (const LnMember *member)
 {
   return (LcBatchMember){ .name = member->name,
                           .incarnation = member->incarnation,
@@ -252,7 +253,7 @@
   for (size_t i = 0; i < batches->n_members; i++)
     if (strcmp (batches->members[i].name, batch->head.owner) == 0)
       {
-        const LcBatchMember member = get_batch_member (&batches->members[i]);
+        const LcBatchMember member = make_batch_member (&batches->members[i]);
         return lc_batch_get_owner_state (&batch->head, batch->version, &member);
       }
   return lc_batch_get_owner_state (&batch->head, batch->version, NULL);
@@ -346,11 +347,11 @@
 }
 
 static bool
-has_released_batch (const LnBatch *batch, const LnMember *member)
+was_batch_released_by (const LnBatch *batch, const LnMember *member)
 {
-  const LcBatchMember view = get_batch_member (member);
+  const LcBatchMember batch_member = make_batch_member (member);
 
-  return lc_batch_was_released_by (&batch->head, batch->version, &view);
+  return lc_batch_was_released_by (&batch->head, batch->version, &batch_member);
 }
 
 /* Whether the next owner that the row of a released batch names is expected to claim the batch. */
@@ -363,7 +364,7 @@
     {
       const LnMember *member = &batches->members[i];
       if (strcmp (member->name, batch->head.preferred_instance) == 0)
-        return member->alive && !member->draining && !has_released_batch (batch, member);
+        return member->alive && !member->draining && !was_batch_released_by (batch, member);
     }
   return false;
 }
@@ -392,7 +393,7 @@
   if (batch->head.owner[0])
     return;
   for (size_t i = 0; i < batches->n_members; i++)
-    if (has_released_batch (batch, &batches->members[i]))
+    if (was_batch_released_by (batch, &batches->members[i]))
       remove_candidate (batches->members[i].name, candidates, n);
   if (strcmp (batch->head.preferred_instance, batches->context->instance) != 0)
     remove_candidate (batch->head.preferred_instance, candidates, n);
@@ -516,12 +517,13 @@
   claim_batch (batch, LC_TAKEOVER_OFFER_EXPIRED);
 }
 
-/* Whether this instance should claim a batch that is offered to it or whose owner is not alive.
- * Candidates are ranked by the model, so that one instance runs all batches of a model over one set
- * of connections to the engines. If the old owner was only paused, its conditional writes fail, so
- * it cannot record more results. */
+/* Returns whether this instance should now claim the batch, which is offered to it or has no live
+ * owner, and the reason. Updates the time since which the owner is missing. Candidates are ranked
+ * by the model, so that one instance runs all batches of a model over one set of connections to the
+ * engines. If the old owner was only paused, its conditional writes fail, so it cannot record more
+ * results. */
 static bool
-is_claim_due (LnBatch *batch, LbTime now, LcTakeoverReason *reason)
+check_claim_due (LnBatch *batch, LbTime now, LcTakeoverReason *reason)
 {
   const LnBatches *batches = batch->batches;
 
@@ -568,7 +570,7 @@
 
   batches->has_new_offer = false;
   for (LnBatch *batch = batches->by_id; batch && n < MAX_CLAIMS_PER_TICK; batch = batch->hh.next)
-    if (is_claim_due (batch, now, &claims[n].reason))
+    if (check_claim_due (batch, now, &claims[n].reason))
       claims[n++].batch = batch;
   qsort (claims, n, sizeof claims[0], compare_claims_by_due_time);
   for (size_t i = 0; i < n; i++)
--- a/packages/node/src/batch/ln-batch-owner.c
+++ b/packages/node/src/batch/ln-batch-owner.c
@@ -196,8 +196,8 @@
 }
 
 /* Cancels a request and asks for its partial text: the task "calls" first posts all received pieces
- * of the text, then the end of the request. If a decision is needed, the task "calls" may refuse.
- */
+ * of the text, then the end of the request. If a move decision is needed, the task "calls"
+ * may refuse the move and let the request run on. */
 static void
 preempt_request (LnBatch *batch, const LcBatchAction *action)
 {
@@ -536,7 +536,7 @@
           LB_INT ("epoch", batch->head.epoch));
   LB_COPY (spec->organisation, batch->head.organisation);
   batch->state = LN_BATCH_RUNNING;
-  ln_batch_record_handover (batch, lb_clock_monotonic ());
+  ln_batch_record_handover_duration (batch, lb_clock_monotonic ());
   ln_batches_publish_ownership (batch->batches, true);
   batch->run = lc_batch_new (spec, &settings);
   for (size_t i = 0; i < saved->n_finished_items; i++)
--- a/packages/node/src/batch/ln-batches-private.h
+++ b/packages/node/src/batch/ln-batches-private.h
@@ -59,7 +59,7 @@
   int64_t version;          /* version of the row; 0 if the row is not known */
   LcBatchHead pending_head; /* the row that is being written while CLAIMING or RELEASING */
   bool is_offer_new; /* the row offers the batch to this instance, which has not claimed it yet */
-  LcTakeoverReason claim_reason; /* why the batch is claimed; used while CLAIMING */
+  LcTakeoverReason claim_reason; /* reason of the claim, for the log; used while CLAIMING */
   LnBatchState state;
   LcBatch *run; /* state machine of the batch while RUNNING; else NULL */
   LbTime first_seen_at;
@@ -78,7 +78,7 @@
   /* Members used while RELEASING. */
   LpPut *release_puts; /* checkpoints that the release writes; owned */
   size_t n_release_puts;
-  LcSuccessionReason release_reason; /* why the next owner was chosen */
+  LcSuccessionReason release_reason; /* reason for the named next owner, for the log */
   LbTime release_started_at;
   LbTime release_retry_at;
   bool is_release_in_progress; /* the store has not answered the release yet */
@@ -119,7 +119,7 @@
   LnContext *context;
   LnPeriodicCall tick;
   LnAdmissionState admission_state; /* routes and organisations for the admission of callers */
-  LcEnginePaces engine_paces;       /* paces that this instance measured */
+  LcEnginePaces engine_paces;       /* lasting paces of engines, from the task "calls" */
   LnMember *members;
   size_t n_members;
   int64_t members_change_count; /* number of instance lists received; 0: no instances known */
@@ -130,9 +130,9 @@
   LbList calls;                           /* list of the LnBatchCall in progress */
   LpFollow *row_watch;                    /* watch of the rows of all batches */
   bool owns_any;            /* last posted LN_DUTY_BATCHES: this instance owns a batch */
-  bool has_new_offer;       /* a row that the watch reported offers its batch to this instance */
+  bool has_new_offer;       /* a batch has is_offer_new set; claim it without waiting for a tick */
   bool draining;            /* set while this instance shuts down */
-  LcRollingRestart restart; /* what this instance has seen of a rolling restart */
+  LcRollingRestart restart; /* when instances were seen draining */
 };
 
 /* Defined in ln-batches.c, which holds the batches that this instance knows. */
@@ -213,10 +213,12 @@
  * LB_NAME_MAX bytes; "": there is none. */
 LcSuccessionReason
 ln_batches_choose_next_owner (LnBatches *batches, const char *model, char *next_owner);
-/* released_ms: store's clock at the release. Returns 0 if the time is unknown. */
+/* Returns the time since the release. released_ms: store's clock at the release. Returns 0 if one
+ * of the times is unknown. */
 LbTime ln_batch_get_time_since_release (const LnBatch *batch, int64_t released_ms, LbTime now);
-/* Records the duration of a hand-over when the batch runs again. */
-void ln_batch_record_handover (LnBatch *batch, LbTime now);
+/* Adds the time since the release to the metric of hand-overs. Called when the batch runs again;
+ * does nothing if the batch was not released. */
+void ln_batch_record_handover_duration (LnBatch *batch, LbTime now);
 
 /* Defined in ln-batch-rows.c, which encodes the rows of a batch as JSON. The caller frees a
  * returned text. The *_from_row functions return false if the row cannot be parsed; the caller must
