--- a/packages/node/src/calls/ln-calls-attempts.c
+++ b/packages/node/src/calls/ln-calls-attempts.c
@@ -21,10 +21,10 @@
 static LbHistogram attempt_duration
     = LB_HISTOGRAM_INIT ("lentilspindle_attempt_seconds",
                          "Duration of attempts at endpoints, complete or not");
-static LbMetric invalid_load_figures
-    = LB_COUNTER_INIT ("lentilspindle_invalid_load_figures_total",
-                       NULL,
-                       "Figures in load headers of endpoints that are missing or out of range");
+static LbMetric invalid_load_figures = LB_COUNTER_INIT (
+    "lentilspindle_invalid_load_figures_total",
+    NULL,
+    "Figures in endpoints' load headers that are missing, unreadable or out of range");
 static LbMetric pieces_dropped = LB_COUNTER_INIT (
     "lentilspindle_pieces_dropped_total",
     NULL,
@@ -89,6 +89,17 @@
             LB_INT ("work_time_percent", load->work_time_percent));
 }
 
+static void
+fill_load_report (LcLoadReport *report, const LcEndpoint *endpoint, const LnReportedLoad *load)
+{
+  LB_COPY (report->incarnation, endpoint->member.name);
+  report->version = endpoint->report.version;
+  report->running = load->running;
+  report->waiting = load->waiting;
+  report->slots = load->slots;
+  report->work_time_percent = load->work_time_percent;
+}
+
 /* Records the load that the endpoint reports in its reply headers, which saves a load request. The
  * headers of a stream precede its first event, so they are read with the first piece: at the end of
  * the stream the load would be out of date by the duration of the stream. */
@@ -112,12 +123,7 @@
       lc_endpoint_work_time_reported (endpoint, load.work_time_percent, report.measured_at);
       return;
     }
-  LB_COPY (report.incarnation, endpoint->member.name);
-  report.version = endpoint->report.version;
-  report.running = load.running;
-  report.waiting = load.waiting;
-  report.slots = load.slots;
-  report.work_time_percent = load.work_time_percent;
+  fill_load_report (&report, endpoint, &load);
   /* Samples of batches fill the engines on purpose, and their number is known in advance, so their
    * load is no sign of overload. */
   if (attempt->call->kind != LN_CALL_SAMPLE)
@@ -127,9 +133,9 @@
                                    endpoint->member.name, &report, report.measured_at);
 }
 
-/* Records at the end of a stream that the endpoint still works, with the load that its last report
- * and this instance's requests since then imply. Without this, an engine would have no current load
- * report after a long stream while the store is unavailable. */
+/* Records a load report at the end of a stream, which shows that the endpoint works. The load is
+ * estimated from the last report and this instance's requests since then. Otherwise an engine would
+ * have no current load report after a long stream while the store is unavailable. */
 static void
 confirm_endpoint_load (LnCalls *calls, const LnUpstream *upstream)
 {
--- a/packages/node/src/calls/ln-calls-private.h
+++ b/packages/node/src/calls/ln-calls-private.h
@@ -50,10 +50,10 @@
 void ln_calls_submit (LnCalls *calls, LnCall *call);
 void ln_calls_cancel (LnCalls *calls, LnCall *call);
 /* Cancels a sample and posts the text that it has already generated to the rollouts task. move:
- * decision by which the sample moves to another endpoint; NULL: none. */
+ * decision because of which the sample moves to another endpoint; NULL: none. */
 void ln_calls_cancel_returning_text (LnCalls *calls, LnCall *call, const LcMoveDecision *move);
-/* Preempts the sample if it is to move to another endpoint; otherwise posts the refusal to the
- * rollouts task. */
+/* Decides whether the sample moves to another endpoint. If so, cancels it and posts its text;
+ * otherwise posts the refusal to the rollouts task. */
 void ln_calls_move_or_refuse (LnCalls *calls, LnCall *call, const LcMoveProposal *proposal);
 LnCall *ln_calls_find (LnCalls *calls, LcRequestId id);
 void ln_calls_on_dispatch_timer (evutil_socket_t fd, short what, void *calls);
--- a/packages/node/src/calls/ln-calls.c
+++ b/packages/node/src/calls/ln-calls.c
@@ -16,7 +16,7 @@
 #include <string.h>
 
 #define STREAM_KEEP_ALIVE_PERIOD (500 * LB_MSEC)
-/* Lasting paces change within tens of seconds. */
+/* Period of posting the engines' lasting paces, which change within tens of seconds. */
 #define ENGINE_PACES_PERIOD (2 * LB_SEC)
 
 static LbMetric in_progress
@@ -386,8 +386,7 @@
   LN_POST (calls->task.hub, peers, message);
 }
 
-/* Posts the lasting paces of the engines that this instance knows, which the task "rollouts" writes
- * to the rows of batches. */
+/* Posts the engines' lasting paces, which the task "rollouts" writes to the rows of batches. */
 static void
 post_engine_paces_if_due (LnCalls *calls, LbTime now)
 {
