--- a/packages/node/src/front/ln-caller.c
+++ b/packages/node/src/front/ln-caller.c
@@ -438,8 +438,10 @@
          || (caller->callers->has_stopped_accepting && has_unread_input (caller));
 }
 
+/* Closes the connection if it is idle. Limits the time for receiving an incomplete request. Does
+ * nothing while a request is processed, since its reply closes the connection. */
 static void
-close_or_limit_connection (LnCaller *caller)
+close_idle_or_limit_read_time (LnCaller *caller)
 {
   if (caller->exchange)
     return;
@@ -473,7 +475,7 @@
   callers->has_stopped_accepting = true;
   LB_LIST_FOREACH (&callers->connections, LnCaller, link, caller)
   {
-    close_or_limit_connection (caller);
+    close_idle_or_limit_read_time (caller);
   }
 }
 
--- a/packages/node/src/front/ln-caller.h
+++ b/packages/node/src/front/ln-caller.h
@@ -60,8 +60,8 @@
 /* Called once the drain time is over. Closes idle connections; each of the others is closed after
  * the reply to its current request. */
 void ln_callers_stop_accepting (LnCallers *callers);
-/* Refuses a connection that evhtp has not accepted as "not run", and closes it once the caller has
- * the reply. Takes ownership of fd, a non-blocking socket. */
+/* Replies "draining", which means "not run", on a connection that evhtp has not accepted, and
+ * closes it once the caller has the reply. Takes ownership of fd, a non-blocking socket. */
 void ln_callers_refuse_connection (LnCallers *callers, int fd);
 /* Callback of evhtp for a new connection. callers: the LnCallers to add the connection to. Refuses
  * the connection when max_connections are open. */
--- a/packages/node/src/front/ln-front.c
+++ b/packages/node/src/front/ln-front.c
@@ -23,9 +23,9 @@
 /* Maximum number of listeners: one each for callers, address lookups, readiness checks, metrics
  * and, on a shared platform, other instances. */
 #define MAX_LISTENERS 5
-/* Retry-After of a request that arrives after the drain time. Another instance serves it at once.
- */
-#define STOPPED_RETRY_AFTER (100 * LB_MSEC)
+/* Retry-After of a request that arrives after the drain time. Short, since another instance can
+ * serve the request at once. */
+#define AFTER_DRAIN_RETRY_DELAY (100 * LB_MSEC)
 
 /* The HTTP front end: receives complete requests, within the configured limits, and posts each to
  * the task of its route. */
@@ -203,11 +203,11 @@
     ln_exchange_set_reply_header (exchange, "x-entry-stale", "1");
   lb_error_set (&error, is_store_call ? LB_ERROR_STORE_AWAY : LB_ERROR_DRAINING, "",
                 "this instance is shutting down");
-  ln_exchange_reply_error (exchange, &error, is_store_call ? 0 : STOPPED_RETRY_AFTER);
+  ln_exchange_reply_error (exchange, &error, is_store_call ? 0 : AFTER_DRAIN_RETRY_DELAY);
 }
 
 static void
-receive_exchange (LnFront *front, const LnExchangeMessage *message)
+reply_or_refuse_request (LnFront *front, const LnExchangeMessage *message)
 {
   if (message->is_refused)
     refuse_request_after_drain_time (front, message->exchange);
@@ -245,7 +245,7 @@
   switch ((LnMessageType)message->type)
     {
     case LN_EXCHANGE:
-      receive_exchange (front, (const LnExchangeMessage *)message);
+      reply_or_refuse_request (front, (const LnExchangeMessage *)message);
       break;
     case LN_READY:
       front->is_ready = ((const LnReadyMessage *)message)->ready;
