--- a/packages/node/src/membership/ln-peers-listen.c
+++ b/packages/node/src/membership/ln-peers-listen.c
@@ -14,8 +14,7 @@
 
 /* An accepted connection has to finish the handshake within this time. */
 #define HANDSHAKE_TIMEOUT (2 * LB_SEC)
-/* The handshakes are checked every 100 ms; a longer gap than this counts as a pause of this
- * process. */
+/* Handshakes are checked every 100 ms; a gap longer than this counts as a pause of this process. */
 #define PAUSE_THRESHOLD (300 * LB_MSEC)
 /* Maximum number of accepted connections whose handshake is not done. */
 #define MAX_UNAUTHENTICATED_CONNECTIONS 256
@@ -60,8 +59,9 @@
   ln_peers_add_connection (peers, connection, 0);
 }
 
-/* After a pause, the frames of peers wait unread, and closing their connections would look to them
- * like a failed dial. */
+/* Returns the length of a pause of this process since the last check; 0: none. After a pause,
+ * peers' frames wait unread, and closing their connections would look to the peers like failed
+ * dials. */
 static LbTime
 detect_process_pause (LnPeers *peers, LbTime now)
 {
