--- a/packages/node/src/weights/ln-engine-plans.c
+++ b/packages/node/src/weights/ln-engine-plans.c
@@ -32,21 +32,21 @@
 /* Time between two divisions of the engines among the models; batches arrive every few seconds, and
  * each updates the demand. */
 #define ENGINE_DIVISION_PERIOD (2 * LB_SEC)
-/* Longest time between two divisions. Below it, engines are divided once in the shortest period of
- * a trainer, since a division only shows its effect in the trainers' next steps. */
+/* Longest time between two divisions. Engines are divided once in the shortest period of a trainer,
+ * since a division only shows its effect in the trainers' next steps; this bounds that time. */
 #define MAX_ENGINE_DIVISION_PERIOD (10 * LB_SEC)
-/* Without an answer of the store for this time, which is longer than two watches, the last division
- * stays in force. Trainers would seem to be late or to have stopped, since no rows arrive. */
-#define MAX_STORE_SILENCE (3 * LB_SEC)
+/* If the store has not answered for this time, which is longer than two watches, the last division
+ * stays in force: without new rows, trainers would seem to be late or to have stopped. */
+#define MAX_STORE_ANSWER_AGE (3 * LB_SEC)
 /* An instance that becomes the writer of the plan and knows no demand for models does not divide
  * the engines for this time, since it may not have read the rows of batches yet. */
 #define DEMAND_WARM_UP_TIME (3 * LB_SEC)
 
-/* Time from the first step of a trainer that this instance learns of until it divides engines that
- * are assigned already. After a start, rows arrive in several parts, and the lags that the first
- * of them show would move engines. */
+/* An instance does not divide engines that are already assigned for this time after it has learned
+ * of a trainer's first step. After a start, rows arrive in several parts, and the lags computed
+ * from the first part alone would move engines. */
 #define STEPS_WARM_UP_TIME (500 * LB_MSEC)
-/* Time between two removals of outdated paces, which all instances record. */
+/* Time between two removals of outdated paces from the table, which every instance has. */
 #define PACE_REMOVAL_PERIOD (10 * LB_SEC)
 
 struct LnEnginePlans
@@ -323,12 +323,12 @@
   return !lc_demand_is_empty (plans->demand) || now - plans->writer_since >= DEMAND_WARM_UP_TIME;
 }
 
-/* The engines that are not leaving, and their models. */
+/* The engines that are not leaving, and the models that they can serve. */
 typedef struct
 {
   LcPlanEntry *engines;
   LbName *names;
-  double *capacities; /* in slots at the median pace */
+  double *capacities; /* slots of each engine, scaled by its pace in relation to the median pace */
   size_t n_engines;
   LbName models[LC_MAX_MODELS];
   size_t n_models;
@@ -368,8 +368,8 @@
   free (list->capacities);
 }
 
-/* Records which capacity each model has. Each instance that may become the writer of the plan does
- * so, to know how long the trainers' steps took with which capacity. */
+/* Records the capacity of each model's engines, by which the durations of the trainers' steps are
+ * interpreted. Each instance that may become the writer of the plan does so. */
 static void
 record_capacity_of_models (LnEnginePlans *plans, const EngineList *list, LbTime now)
 {
@@ -468,7 +468,7 @@
 {
   return plans->is_writer && now >= plans->next_division_at && is_model_demand_known (plans, now)
          && !is_reading_trainer_steps (plans, now)
-         && now - lp_follow_get_last_answer_time (plans->row_watch) < MAX_STORE_SILENCE;
+         && now - lp_follow_get_last_answer_time (plans->row_watch) < MAX_STORE_ANSWER_AGE;
 }
 
 static void
--- a/packages/node/src/weights/ln-lag-metrics.c
+++ b/packages/node/src/weights/ln-lag-metrics.c
@@ -18,15 +18,16 @@
 static LagMetric lag_metrics[LC_MAX_TRAINERS];
 static size_t n_lag_metrics;
 
+/* Replaces the characters that are not allowed in a label's value. */
 static void
-replace_characters_of_label (char *text)
+sanitise_label_value (char *text)
 {
   for (; *text; text++)
     if (*text == '"' || *text == '\\' || (unsigned char)*text < ' ')
       *text = '_';
 }
 
-/* Returns the metric of a model; NULL if there are as many as allowed. */
+/* Returns the metric of a model; NULL if LC_MAX_TRAINERS other models have one. */
 static LagMetric *
 find_or_add_metric (const char *model)
 {
@@ -40,7 +41,7 @@
   LagMetric *added = &lag_metrics[n_lag_metrics++];
   LB_COPY (added->model, model);
   LB_COPY (label_value, model);
-  replace_characters_of_label (label_value);
+  sanitise_label_value (label_value);
   snprintf (added->label, sizeof added->label, "model=\"%s\"", label_value);
   added->metric = (LbMetric)LB_GAUGE_INIT ("lentilspindle_trainer_lag_ms", added->label,
                                            "How far the model's trainer is behind its schedule");
