Refusals name the id of the call, and explain counts them

The lines call_refused and waiting_call_refused have the field id, so that `lentilspindle explain ID` finds them. Its summary counts refusals by reason, with the delay that the caller was told.

--- a/packages/cli/src/lt-timeline-summary.c
+++ b/packages/cli/src/lt-timeline-summary.c
@@ -7,6 +7,8 @@
 
 #define MICROSECONDS_PER_SECOND 1e6
 #define FIRST_OWNER_EPOCH 1
+/* Reason printed for calls that were refused after they had waited. */
+#define REFUSED_WHILE_WAITING "while waiting"
 
 static void
 count_reason (LtReasonCounts *counts, const char *reason)
@@ -44,6 +46,14 @@
   summary->retry_after_us = lb_json_int (line, "retry_after_us", 0);
 }
 
+/* reason: why the call was refused; a call that waited has no reason in its line. */
+static void
+add_refusal (LtTimelineSummary *summary, struct json_object *line, const char *reason)
+{
+  count_reason (&summary->refusals, reason);
+  summary->refusal_retry_after_us = lb_json_int (line, "retry_after_us", 0);
+}
+
 /* The first owner of an offered batch takes it over from the instance that accepted it, which is
  * not a hand-over. */
 static void
@@ -62,6 +72,10 @@
     add_route (summary, line);
   else if (strcmp (event, "item_moved") == 0)
     count_reason (&summary->moves, lb_json_text (line, "reason", "not stated"));
+  else if (strcmp (event, "call_refused") == 0)
+    add_refusal (summary, line, lb_json_text (line, "reason", "not stated"));
+  else if (strcmp (event, "waiting_call_refused") == 0)
+    add_refusal (summary, line, REFUSED_WHILE_WAITING);
   else if (strcmp (event, "request_given_up") == 0)
     add_failure (summary, line);
   else if (strcmp (event, "batch_taken_over") == 0)
@@ -75,6 +89,20 @@
     fprintf (out, "%s %s %zu", i > 0 ? "," : ":", counts->items[i].name, counts->items[i].count);
 }
 
+/* Prints nothing if there are no failures. retry_after_us: 0: the caller was told no delay. */
+static void
+print_failures (const char *title, const LtReasonCounts *counts, int64_t retry_after_us, FILE *out)
+{
+  if (counts->n_lines == 0)
+    return;
+  fprintf (out, "%s: %zu", title, counts->n_lines);
+  print_reasons (counts, out);
+  if (retry_after_us > 0)
+    fprintf (out, "; the caller was told to retry after %.3f s",
+             (double)retry_after_us / MICROSECONDS_PER_SECOND);
+  fputc ('\n', out);
+}
+
 void
 lt_timeline_summary_print (const LtTimelineSummary *summary, FILE *out)
 {
@@ -91,12 +119,7 @@
     }
   if (summary->n_handovers > 0)
     fprintf (out, "changes of the batch's owner: %zu\n", summary->n_handovers);
-  if (summary->failures.n_lines == 0)
-    return;
-  fprintf (out, "failed: %zu", summary->failures.n_lines);
-  print_reasons (&summary->failures, out);
-  if (summary->retry_after_us > 0)
-    fprintf (out, "; the caller was told to retry after %.3f s",
-             (double)summary->retry_after_us / MICROSECONDS_PER_SECOND);
-  fputc ('\n', out);
+  print_failures ("refused before it ran", &summary->refusals, summary->refusal_retry_after_us,
+                  out);
+  print_failures ("failed", &summary->failures, summary->retry_after_us, out);
 }
--- a/packages/cli/src/lt-timeline-summary.h
+++ b/packages/cli/src/lt-timeline-summary.h
@@ -22,13 +22,15 @@
 } LtReasonCounts;
 
 /* What happened to a request, a text or the texts of a batch: waits for an endpoint, moves of
- * running texts, failures and changes of the batch's owner. */
+ * running texts, changes of the batch's owner, refusals and failures. */
 typedef struct
 {
   size_t n_routes; /* number of attempts that were sent to an endpoint */
   int64_t waited_us;
   int64_t max_waited_us;
   LtReasonCounts moves;
+  LtReasonCounts refusals;        /* calls refused before they ran; each one is also a failure */
+  int64_t refusal_retry_after_us; /* delay that the last refusal told the caller; 0: none */
   LtReasonCounts failures;
   int64_t retry_after_us; /* delay that the last failure told the caller; 0: none */
   size_t n_handovers;     /* number of times that the batch changed its owner */
--- a/packages/cli/src/lt-timeline.h
+++ b/packages/cli/src/lt-timeline.h
@@ -15,8 +15,8 @@
 bool lt_timeline_read_log (LtTimeline *timeline, const char *path, LbError *error);
 /* Prints in time order the log lines that name the id, including the lines of requests that belong
  * to a batch with this id. Adds the state changes that the same instances logged from shortly
- * before the first to the last of these lines, and a summary of waits, moves, hand-overs and
- * failures. Returns false if no line names the id. */
+ * before the first to the last of these lines, and a summary of waits, moves, hand-overs,
+ * refusals and failures. Returns false if no line names the id. */
 bool lt_timeline_print (LtTimeline *timeline, FILE *out);
 
 #endif
--- a/packages/cli/tests/test-story.c
+++ b/packages/cli/tests/test-story.c
@@ -145,3 +145,25 @@
              "%s", text);
   free (text);
 }
+
+/* Calls are refused at admission, or after they have waited. Without the ids in these lines, a user
+ * saw that the call was overloaded, but not why or what the caller was told. */
+Test (timeline, summary_counts_refusals_by_reason)
+{
+  char *text = print_timeline_to_string (
+      "c1",
+      "{\"time\":1,\"event\":\"call_refused\",\"id\":\"c1\",\"reason\":\"wait\","
+      "\"retry_after_us\":200000}\n"
+      "{\"time\":2,\"event\":\"call_refused\",\"id\":\"c2\",\"reason\":\"wait\","
+      "\"retry_after_us\":900000}\n",
+      "{\"time\":3,\"event\":\"waiting_call_refused\",\"id\":\"c1\",\"retry_after_us\":450000}\n"
+      "{\"time\":3,\"event\":\"request_given_up\",\"id\":\"c1\",\"error\":\"overloaded\","
+      "\"retry_after_us\":450000}\n");
+
+  cr_assert (strstr (text, "refused before it ran: 2: wait 1, while waiting 1; the caller was told "
+                           "to retry after 0.450 s\n"),
+             "%s", text);
+  cr_assert (strstr (text, "failed: 1: overloaded 1; the caller was told to retry after 0.450 s\n"),
+             "%s", text);
+  free (text);
+}
--- a/packages/core/include/lc-dispatch.h
+++ b/packages/core/include/lc-dispatch.h
@@ -21,7 +21,9 @@
 
 typedef struct
 {
-  LcRequestId id;        /* chosen by the submitter; never reused in this process */
+  LcRequestId id; /* chosen by the submitter; never reused in this process */
+  /* id of the request in logs; NULL: none. Only used while lc_dispatch_submit runs. */
+  const char *external_id;
   LcFingerprint content; /* hash of the request's content, by which a quarantine can refuse it */
   LcRequestKind kind;
   LcDelivery delivery;
--- a/packages/core/src/dispatch/lc-dispatch.c
+++ b/packages/core/src/dispatch/lc-dispatch.c
@@ -231,7 +231,8 @@
   const LcWaitDecision *wait = &admission->wait;
 
   lb_log (LB_LOG_INFO, "call_refused", LB_INT ("request", spec->id),
-          LB_TEXT ("kind", kind_names[spec->kind]), LB_TEXT ("pool", spec->pool),
+          LB_TEXT ("id", spec->external_id), LB_TEXT ("kind", kind_names[spec->kind]),
+          LB_TEXT ("pool", spec->pool),
           LB_TEXT ("caller", spec->flow[0] ? spec->flow : spec->caller),
           LB_TEXT ("reason", refusal_reason_names[admission->reason]),
           LB_INT ("wait_us", wait->wait), LB_INT ("service_us", wait->service),
--- a/packages/core/src/dispatch/lc-late-calls.c
+++ b/packages/core/src/dispatch/lc-late-calls.c
@@ -79,9 +79,9 @@
 
   lb_metric_add (&refused_waiting_calls, 1);
   lb_log (LB_LOG_INFO, "waiting_call_refused", LB_INT ("request", request->id),
-          LB_TEXT ("pool", request->pool->name), LB_TEXT ("caller", request->flow),
-          LB_INT ("waited_us", now - request->submitted), LB_INT ("wait_us", decision->wait),
-          LB_INT ("service_us", decision->service),
+          LB_TEXT ("id", request->external_id), LB_TEXT ("pool", request->pool->name),
+          LB_TEXT ("caller", request->flow), LB_INT ("waited_us", now - request->submitted),
+          LB_INT ("wait_us", decision->wait), LB_INT ("service_us", decision->service),
           LB_INT ("left_us", decision->time_left == LB_TIME_NEVER ? -1 : decision->time_left),
           LB_REAL ("ahead", decision->n_ahead), LB_REAL ("rate", decision->rate),
           LB_INT ("retry_after_us", retry_after));
--- a/packages/core/src/dispatch/lc-request.c
+++ b/packages/core/src/dispatch/lc-request.c
@@ -29,6 +29,7 @@
   LcRequest *request = LB_NEW (LcRequest);
 
   request->id = spec->id;
+  request->external_id = spec->external_id ? lb_strdup (spec->external_id) : NULL;
   request->pool = pool;
   request->timer_due = LB_TIME_NEVER;
   request->submitted = now;
@@ -75,6 +76,7 @@
   {
     free (attempt);
   }
+  free (request->external_id);
   free (request->prefix_hashes);
   free (request->avoid);
   free (request);
--- a/packages/core/src/dispatch/lc-request.h
+++ b/packages/core/src/dispatch/lc-request.h
@@ -34,6 +34,7 @@
 {
   UT_hash_handle hh;
   LcRequestId id;
+  char *external_id; /* id of the request in logs; NULL: none */
   LcPoolState *pool;
   LcQueueEntry queue_entry;
   LcHeapNode timer_node;
--- a/packages/node/src/calls/ln-calls-run.c
+++ b/packages/node/src/calls/ln-calls-run.c
@@ -16,6 +16,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Smaller present slowdowns of endpoints are left out of the log. */
 #define MIN_LOGGED_SLOWDOWN 1.1
 
 static LbHistogram queue_time
@@ -83,7 +84,7 @@
   evtimer_add (calls->dispatch_timer, &tv);
 }
 
-/* Adds the lasting time per token or request, and the present slowdown if there is one. */
+/* Adds the endpoint's lasting time per token or request and its present slowdown, if known. */
 static void
 add_candidate_condition (struct json_object *candidate, const LcEndpoint *endpoint, LbTime now)
 {
@@ -328,6 +329,7 @@
   call->is_submitted = true;
   call->submitted_at = lb_clock_monotonic ();
   call->spec.content = ln_call_compute_fingerprint (call);
+  call->spec.external_id = call->outgoing.id;
   add_active_call (calls, call);
   if (lc_dispatch_submit (calls->dispatch, &call->spec, lb_clock_monotonic (), &actions,
                           &retry_after, &error))
