tests: one replay of trainers for engine shares and overlapping steps

Both files simulated the same texts, slots, engines and divisions. The fixture holds these; the tests keep their submissions and ends of steps.

--- a/packages/core/tests/test-engine-shares.c
+++ b/packages/core/tests/test-engine-shares.c
@@ -1,296 +1,136 @@
-#include "lc-engine-shares.h"
+#include "trainers-fixture.h"
 
-#include "lb-alloc.h"
-#include "lb-switch.h"
-
-#include <criterion/criterion.h>
-#include <gsl/gsl_randist.h>
-#include <gsl/gsl_rng.h>
-#include <math.h>
-#include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
 
 /* --- replay of trainers that share engines, in virtual time --- */
 
-#define N_TRAINERS 4
-#define N_ENGINES 44
-#define N_SLOTS 6
 #define N_STEPS 15
 #define N_SEEDS 40
 /* Work of the trainers, as a part of what all slots can do, with which a fair division just keeps
  * the period. Slots are idle while the last texts of a step end and while its trainer trains. */
 #define SUSTAINED_LOAD 0.57
-#define MAX_TEXTS 112
-#define PERIOD (4 * LB_SEC)
 #define MIN_TRAINING_TIME (300 * LB_MSEC)
 #define MAX_TRAINING_TIME (900 * LB_MSEC)
-#define LOAD_TIME (900 * LB_MSEC)
-/* Least time between two divisions, as in ln-engine-plans.c. */
-#define MIN_DIVISION_PERIOD (2 * LB_SEC)
-#define TICK (20 * LB_MSEC)
 #define LOSS_STEP 4
 #define LOSS_TIME (3 * LB_SEC)
 
-static const LbName models[N_TRAINERS] = { "m-0", "m-1", "m-2", "m-3" };
-
-typedef struct
-{
-  double left[MAX_TEXTS]; /* seconds of a slot of usual speed that each text still needs */
-  bool is_running[MAX_TEXTS];
-  int n_texts;
-  int n_done;
-  int step; /* index of the open or last step */
-  bool is_open;
-  LbTime next_at; /* earliest next submission, while no step is open */
-  LbTime stands_still_until;
-  double mean_seconds; /* mean slot time of a text */
-  LbTime submitted_at;
-  LbTime lag; /* of the last submission */
-} ReplayTrainer;
-
 typedef struct
 {
   double load;          /* work of all trainers; 1: as much as engines of equal speed sustain */
   bool has_equal_texts; /* all trainers have texts of the same mean length */
-  const double *speeds; /* of the engines, in turn; NULL: all are equal */
+  const double *speeds; /* each engine has a random one of them; NULL: all are equal */
   size_t n_speeds;
   bool is_capacity_known;
-  int losing_trainer; /* index of the trainer that loses time in a step; -1: none. Replays with
-                         several seeds use each trainer in turn. */
+  bool has_time_loss; /* a trainer loses LOSS_TIME in a step; each trainer in turn, by seed */
 } ReplayCase;
 
+/* Submissions of a trainer that has one open step at a time. */
 typedef struct
 {
-  ReplayCase settings;
-  ReplayTrainer trainers[N_TRAINERS];
-  LcPlanEntry engines[N_ENGINES];
-  double speeds[N_ENGINES];
-  LbTime loads_until[N_ENGINES];
-  int slots[N_ENGINES][N_SLOTS]; /* text of the engine's trainer; -1: free */
-  int n_moves;
-  LbTime next_division_at;
-  LcEnginePlan plan;
-  LcDemand *demand;
-  LcTrainerLags *lags;
-  gsl_rng *random;
-} Replay;
+  LbTime next_at; /* earliest next submission, while no step is open */
+  LbTime lag;     /* of the last submission */
+} Schedule;
 
-static int
-get_trainer_of_engine (const Replay *replay, int engine)
+static LbTime
+get_first_submission_time (int trainer)
 {
-  return replay->engines[engine].model[2] - '0';
+  return LB_SEC + trainer * 700 * LB_MSEC;
 }
 
-static void
-free_slots_of_engine (Replay *replay, int engine)
+static ReplayStep *
+get_last_step (ReplayTrainer *trainer)
 {
-  ReplayTrainer *trainer = &replay->trainers[get_trainer_of_engine (replay, engine)];
-
-  for (int i = 0; i < N_SLOTS; i++)
-    {
-      if (replay->slots[engine][i] >= 0)
-        trainer->is_running[replay->slots[engine][i]] = false;
-      replay->slots[engine][i] = -1;
-    }
+  return &trainer->steps[(trainer->next + N_OPEN - 1) % N_OPEN];
 }
 
 static void
-record_step (Replay *replay, int index, LbTime ended_at)
+submit_step (Replay *replay, int index, Schedule *schedule, int losing_trainer, LbTime now)
 {
-  const ReplayTrainer *trainer = &replay->trainers[index];
-  LcTrainerStep step = { .submitted_at = trainer->submitted_at,
-                         .ended_at = ended_at,
-                         .tokens = trainer->n_texts * trainer->mean_seconds * 100 };
-
-  LB_COPY (step.model, models[index]);
-  snprintf (step.batch, LB_NAME_MAX, "%d-%d", index, trainer->step);
-  lc_trainer_lags_record_step (replay->lags, &step, trainer->submitted_at);
-  if (ended_at == 0)
-    lc_demand_add (replay->demand, models[index], step.tokens, trainer->submitted_at);
-}
+  const ReplayStep *step = replay_submit_step (replay, index, 0, now);
 
-static void
-submit_step (Replay *replay, int index, LbTime now)
-{
-  ReplayTrainer *trainer = &replay->trainers[index];
-
-  trainer->step++;
-  trainer->is_open = true;
-  trainer->submitted_at = now;
-  trainer->lag = now - LB_SEC - index * 700 * LB_MSEC - trainer->step * PERIOD;
-  trainer->n_texts = 80 + (int)gsl_rng_uniform_int (replay->random, 33);
-  trainer->n_done = 0;
-  for (int i = 0; i < trainer->n_texts; i++)
-    {
-      trainer->left[i] = gsl_ran_gamma (replay->random, 4, trainer->mean_seconds / 4);
-      trainer->is_running[i] = false;
-    }
-  if (index == replay->settings.losing_trainer && trainer->step == LOSS_STEP)
-    trainer->stands_still_until = now + LOSS_TIME;
-  record_step (replay, index, 0);
+  schedule->lag = now - get_first_submission_time (index) - step->number * PERIOD;
+  if (index == losing_trainer && step->number == LOSS_STEP)
+    replay->trainers[index].paused_until = now + LOSS_TIME;
 }
 
 static void
-end_step (Replay *replay, int index, LbTime now)
+end_step (Replay *replay, int index, Schedule *schedule, LbTime now)
 {
-  ReplayTrainer *trainer = &replay->trainers[index];
-  LbTime scheduled_at = trainer->submitted_at - trainer->lag + PERIOD;
+  ReplayStep *step = get_last_step (&replay->trainers[index]);
+  LbTime scheduled_at = step->submitted_at - schedule->lag + PERIOD;
   LbTime trained_at
-      = now + MIN_TRAINING_TIME
-        + (LbTime)gsl_rng_uniform_int (replay->random, MAX_TRAINING_TIME - MIN_TRAINING_TIME);
-
-  for (int i = 0; i < N_ENGINES; i++)
-    if (get_trainer_of_engine (replay, i) == index)
-      free_slots_of_engine (replay, i);
-  trainer->is_open = false;
-  trainer->next_at = trained_at > scheduled_at ? trained_at : scheduled_at;
-  record_step (replay, index, now);
-}
-
-static void
-divide_engines (Replay *replay, LbTime now)
-{
-  LcModelShare shares[N_TRAINERS];
-  double capacity[N_TRAINERS] = { 0 };
+      = now + replay_draw_training_time (replay, MIN_TRAINING_TIME, MAX_TRAINING_TIME);
 
   for (int i = 0; i < N_ENGINES; i++)
-    capacity[get_trainer_of_engine (replay, i)]
-        += replay->settings.is_capacity_known ? replay->speeds[i] : 1;
-  for (int i = 0; i < N_TRAINERS; i++)
-    lc_trainer_lags_record_capacity (replay->lags, models[i], capacity[i], now);
-  lc_trainer_lags_estimate (replay->lags, now);
-  LbTime period = lc_trainer_lags_get_shortest_period (replay->lags);
-  replay->next_division_at
-      = now
-        + (lb_switch_is_on (LB_SWITCH_LAG_SHARES) && period > MIN_DIVISION_PERIOD
-               ? period
-               : MIN_DIVISION_PERIOD);
-  lc_engine_shares_init (shares, models, N_TRAINERS, replay->demand, replay->lags, now);
-  lc_engine_plan_divide (&replay->plan, replay->engines,
-                         replay->settings.is_capacity_known ? replay->speeds : NULL, N_ENGINES,
-                         shares, N_TRAINERS);
-  for (int i = 0; i < N_ENGINES; i++)
-    {
-      const LcPlanEntry *entry = lc_engine_plan_find (&replay->plan, replay->engines[i].engine);
-      if (strcmp (entry->model, replay->engines[i].model) == 0)
-        continue;
-      free_slots_of_engine (replay, i);
-      replay->n_moves++;
-      LB_COPY (replay->engines[i].model, entry->model);
-      replay->loads_until[i] = now + LOAD_TIME;
-    }
-}
-
-static int
-find_waiting_text (const ReplayTrainer *trainer)
-{
-  for (int i = 0; i < trainer->n_texts; i++)
-    if (trainer->left[i] > 0 && !trainer->is_running[i])
-      return i;
-  return -1;
-}
-
-static void
-run_engine (Replay *replay, int engine, LbTime now)
-{
-  ReplayTrainer *trainer = &replay->trainers[get_trainer_of_engine (replay, engine)];
-
-  if (!trainer->is_open || now < trainer->stands_still_until || now < replay->loads_until[engine])
-    return;
-  for (int i = 0; i < N_SLOTS; i++)
-    {
-      int *text = &replay->slots[engine][i];
-      if (*text < 0 && (*text = find_waiting_text (trainer)) >= 0)
-        trainer->is_running[*text] = true;
-      if (*text < 0)
-        continue;
-      trainer->left[*text] -= replay->speeds[engine] * (double)TICK / (double)LB_SEC;
-      if (trainer->left[*text] > 0)
-        continue;
-      trainer->n_done++;
-      *text = -1;
-    }
+    if (replay_get_trainer_of_engine (replay, i) == index)
+      replay_free_slots_of_engine (replay, i);
+  step->is_open = false;
+  schedule->next_at = trained_at > scheduled_at ? trained_at : scheduled_at;
+  replay_record_step (replay, index, step, now);
 }
 
 static void
-replay_init (Replay *replay, const ReplayCase *settings, unsigned long seed)
+init_replay (Replay *replay, const ReplayCase *settings, unsigned long seed)
 {
-  static const double length_factors[N_TRAINERS] = { 0.6, 0.9, 1.1, 1.4 };
   double speed_sum = 0;
 
-  memset (replay, 0, sizeof *replay);
-  replay->settings = *settings;
-  replay->demand = lc_demand_new ();
-  replay->lags = lc_trainer_lags_new ();
-  replay->random = gsl_rng_alloc (gsl_rng_taus2);
-  gsl_rng_set (replay->random, seed);
+  replay_init (replay, seed);
+  replay->are_speeds_known = settings->is_capacity_known;
   for (int i = 0; i < N_ENGINES; i++)
     {
-      snprintf (replay->engines[i].engine, LB_NAME_MAX, "i-%02d", i);
-      LB_COPY (replay->engines[i].model, models[i % N_TRAINERS]);
-      replay->speeds[i]
-          = settings->speeds
-                ? settings->speeds[gsl_rng_uniform_int (replay->random, settings->n_speeds)]
-                : 1;
+      if (settings->speeds)
+        replay->speeds[i]
+            = settings->speeds[gsl_rng_uniform_int (replay->random, settings->n_speeds)];
       speed_sum += replay->speeds[i];
-      for (int slot = 0; slot < N_SLOTS; slot++)
-        replay->slots[i][slot] = -1;
     }
   for (int i = 0; i < N_TRAINERS; i++)
     {
-      /* A step has 96 texts in the mean. */
       double seconds
           = settings->load * SUSTAINED_LOAD * speed_sum * N_SLOTS * (double)PERIOD / (double)LB_SEC;
       double factor = settings->has_equal_texts ? 1 : length_factors[i];
-      replay->trainers[i] = (ReplayTrainer){ .step = -1,
-                                             .mean_seconds = factor * seconds / (96 * N_TRAINERS),
-                                             .next_at = LB_SEC + i * 700 * LB_MSEC };
+      replay->trainers[i].mean_seconds = factor * seconds / (MEAN_TEXTS * N_TRAINERS);
     }
 }
 
-static void
-replay_clear (Replay *replay)
-{
-  lc_engine_plan_clear (&replay->plan);
-  lc_demand_free (replay->demand);
-  lc_trainer_lags_free (replay->lags);
-  gsl_rng_free (replay->random);
-}
-
 /* Runs the trainers until each has submitted its last step. Returns the largest difference of their
- * lags at that submission, in periods. */
+ * lags at that submission, in periods. losing_trainer: loses LOSS_TIME in LOSS_STEP; -1: none
+ * does. */
 static double
-run_replay (Replay *replay)
+run_replay (Replay *replay, int losing_trainer)
 {
+  Schedule schedules[N_TRAINERS];
   LbTime least = LB_TIME_NEVER;
   LbTime most = 0;
   int n_running = N_TRAINERS;
 
+  for (int i = 0; i < N_TRAINERS; i++)
+    schedules[i] = (Schedule){ .next_at = get_first_submission_time (i) };
   for (LbTime now = LB_SEC; n_running > 0; now += TICK)
     {
       n_running = 0;
       for (int i = 0; i < N_TRAINERS; i++)
         {
           ReplayTrainer *trainer = &replay->trainers[i];
-          n_running += trainer->step < N_STEPS - 1;
+          n_running += trainer->next < N_STEPS;
           /* A trainer that is done goes on, so that the load on the others stays the same. */
-          if (!trainer->is_open && now >= trainer->next_at)
-            submit_step (replay, i, now);
-          if (trainer->step == N_STEPS - 1 && trainer->submitted_at == now)
+          if (get_last_step (trainer)->is_open || now < schedules[i].next_at)
+            continue;
+          submit_step (replay, i, &schedules[i], losing_trainer, now);
+          if (trainer->next == N_STEPS)
             {
-              least = trainer->lag < least ? trainer->lag : least;
-              most = trainer->lag > most ? trainer->lag : most;
+              least = schedules[i].lag < least ? schedules[i].lag : least;
+              most = schedules[i].lag > most ? schedules[i].lag : most;
             }
         }
-      if (now >= replay->next_division_at)
-        divide_engines (replay, now);
+      replay_divide_engines_if_due (replay, now);
       for (int i = 0; i < N_ENGINES; i++)
-        run_engine (replay, i, now);
+        replay_run_engine (replay, i, now);
       for (int i = 0; i < N_TRAINERS; i++)
-        if (replay->trainers[i].is_open
-            && replay->trainers[i].n_done * 10 >= replay->trainers[i].n_texts * 9)
-          end_step (replay, i, now);
+        {
+          const ReplayStep *step = get_last_step (&replay->trainers[i]);
+          if (step->is_open && step->n_done * 10 >= step->n_texts * 9)
+            end_step (replay, i, &schedules[i], now);
+        }
     }
   return (double)(most - least) / (double)PERIOD;
 }
@@ -312,11 +152,8 @@
   for (unsigned long seed = 1; seed <= N_SEEDS; seed++)
     {
       Replay replay;
-      ReplayCase replay_case = *settings;
-      if (settings->losing_trainer >= 0)
-        replay_case.losing_trainer = (int)(seed % N_TRAINERS);
-      replay_init (&replay, &replay_case, seed);
-      double spread = run_replay (&replay);
+      init_replay (&replay, settings, seed);
+      double spread = run_replay (&replay, settings->has_time_loss ? (int)(seed % N_TRAINERS) : -1);
       result.mean_spread += spread / N_SEEDS;
       result.worst_spread = fmax (result.worst_spread, spread);
       result.mean_moves += (double)replay.n_moves / N_SEEDS;
@@ -337,7 +174,7 @@
 
   for (size_t i = 0; i < sizeof loads / sizeof loads[0]; i++)
     {
-      const ReplayCase settings = { .load = loads[i] };
+      const ReplayCase settings = { .load = loads[i], .has_time_loss = true };
       ReplayResult off = run_replays (&settings, false);
       ReplayResult on = run_replays (&settings, true);
       cr_expect_leq (on.mean_spread, 1, "load %.1f: %.2f steps", loads[i], on.mean_spread);
@@ -350,7 +187,7 @@
  */
 Test (engine_shares, even_load_moves_no_engine)
 {
-  const ReplayCase settings = { .load = 0.8, .has_equal_texts = true, .losing_trainer = -1 };
+  const ReplayCase settings = { .load = 0.8, .has_equal_texts = true };
 
   cr_expect_eq (run_replays (&settings, true).mean_moves, 0);
 }
@@ -360,7 +197,7 @@
 Test (engine_shares, known_capacities_reduce_the_lag_on_uneven_engines)
 {
   static const double uneven[] = { 0.7, 0.7, 1.7 };
-  ReplayCase settings = { .load = 1.3, .speeds = uneven, .n_speeds = 3 };
+  ReplayCase settings = { .load = 1.3, .speeds = uneven, .n_speeds = 3, .has_time_loss = true };
   ReplayResult off = run_replays (&settings, false);
   ReplayResult by_lag = run_replays (&settings, true);
 
--- a/packages/core/tests/test-overlapping-steps.c
+++ b/packages/core/tests/test-overlapping-steps.c
@@ -1,55 +1,12 @@
-#include "lc-engine-shares.h"
-
-#include "lb-alloc.h"
-#include "lb-switch.h"
-
-#include <criterion/criterion.h>
-#include <gsl/gsl_randist.h>
-#include <gsl/gsl_rng.h>
-#include <math.h>
-#include <stdio.h>
-#include <string.h>
+#include "trainers-fixture.h"
 
 /* Replay, in virtual time, of trainers that request one step ahead: step k is submitted at its
  * scheduled time, or when step k - 2 has ended and was trained. */
 
-#define N_TRAINERS 4
-#define N_ENGINES 44
-#define N_SLOTS 6
 #define N_STEPS 40
 #define N_SEEDS 12 /* a multiple of N_TRAINERS: each trainer starts first as often */
-#define N_OPEN 2
-#define MAX_TEXTS 112
-#define MEAN_TEXTS 96
-#define PERIOD (4 * LB_SEC)
 #define MIN_TRAINING_TIME (500 * LB_MSEC)
 #define MAX_TRAINING_TIME (1000 * LB_MSEC)
-#define LOAD_TIME (900 * LB_MSEC)
-#define MIN_DIVISION_PERIOD (2 * LB_SEC)
-#define TICK (20 * LB_MSEC)
-
-static const LbName models[N_TRAINERS] = { "m-0", "m-1", "m-2", "m-3" };
-
-typedef struct
-{
-  double left[MAX_TEXTS]; /* seconds that each text still needs; the longest text is first */
-  bool is_running[MAX_TEXTS];
-  int n_texts;
-  int n_done;
-  int number;
-  bool is_open;
-  LbTime submitted_at;
-} ReplayStep;
-
-typedef struct
-{
-  ReplayStep steps[N_OPEN]; /* step k is at index k % N_OPEN */
-  int next;                 /* number of the next step */
-  LbTime trained_at[N_OPEN];
-  LbTime first_at;
-  double mean_seconds; /* mean time of a text, without the longest */
-  double late_steps;   /* sum over the steps, in periods */
-} ReplayTrainer;
 
 typedef struct
 {
@@ -61,193 +18,58 @@
 
 typedef struct
 {
-  const ReplayCase *settings;
-  ReplayTrainer trainers[N_TRAINERS];
-  LcPlanEntry engines[N_ENGINES];
-  LbTime loads_until[N_ENGINES];
-  struct
-  {
-    ReplayStep *step; /* NULL: the slot is free */
-    int text;
-  } slots[N_ENGINES][N_SLOTS];
-  int n_moves;
-  LbTime next_division_at;
-  LcEnginePlan plan;
-  LcDemand *demand;
-  LcTrainerLags *lags;
-  gsl_rng *random;
-} Replay;
-
-static int
-get_trainer_of_engine (const Replay *replay, int engine)
-{
-  return replay->engines[engine].model[2] - '0';
-}
-
-static void
-record_step (Replay *replay, int index, const ReplayStep *step, LbTime ended_at)
-{
-  LcTrainerStep recorded = { .submitted_at = step->submitted_at,
-                             .ended_at = ended_at,
-                             .has_step = true,
-                             .step = step->number,
-                             .tokens = step->n_texts * replay->trainers[index].mean_seconds * 100 };
-
-  LB_COPY (recorded.model, models[index]);
-  snprintf (recorded.batch, LB_NAME_MAX, "%d-%d", index, step->number);
-  lc_trainer_lags_record_step (replay->lags, &recorded, step->submitted_at);
-  if (ended_at == 0)
-    lc_demand_add (replay->demand, models[index], recorded.tokens, step->submitted_at);
-}
+  LbTime trained_at[N_OPEN]; /* when step k was trained, at index k % N_OPEN */
+  LbTime first_at;
+  double late_steps; /* sum over the steps, in periods */
+} Schedule;
 
 static void
-submit_step_if_due (Replay *replay, int index, LbTime now)
+submit_step_if_due (
+    Replay *replay, int index, Schedule *schedule, const ReplayCase *settings, LbTime now)
 {
-  ReplayTrainer *trainer = &replay->trainers[index];
-  ReplayStep *step = &trainer->steps[trainer->next % N_OPEN];
-  LbTime scheduled_at = trainer->first_at + trainer->next * PERIOD;
+  int number = replay->trainers[index].next;
+  LbTime scheduled_at = schedule->first_at + number * PERIOD;
 
-  if (step->is_open || now < scheduled_at || now < trainer->trained_at[trainer->next % N_OPEN])
+  if (replay->trainers[index].steps[number % N_OPEN].is_open || now < scheduled_at
+      || now < schedule->trained_at[number % N_OPEN])
     return;
-  *step = (ReplayStep){ .number = trainer->next++, .is_open = true, .submitted_at = now };
-  if (step->number < N_STEPS)
-    trainer->late_steps += (double)(now - scheduled_at) / (double)PERIOD;
-  step->n_texts = 80 + (int)gsl_rng_uniform_int (replay->random, 33);
-  for (int i = 0; i < step->n_texts; i++)
-    step->left[i] = gsl_ran_gamma (replay->random, 4, trainer->mean_seconds / 4);
-  step->left[0] = index == N_TRAINERS - 1 ? replay->settings->last_longest_seconds
-                                          : replay->settings->longest_seconds;
-  record_step (replay, index, step, 0);
+  if (number < N_STEPS)
+    schedule->late_steps += (double)(now - scheduled_at) / (double)PERIOD;
+  replay_submit_step (replay, index,
+                      index == N_TRAINERS - 1 ? settings->last_longest_seconds
+                                              : settings->longest_seconds,
+                      now);
 }
 
 static void
-end_step_if_done (Replay *replay, int index, ReplayStep *step, LbTime now)
+end_step_if_done (Replay *replay, int index, Schedule *schedule, ReplayStep *step, LbTime now)
 {
-  ReplayTrainer *trainer = &replay->trainers[index];
-  LbTime earlier = trainer->trained_at[(step->number + 1) % N_OPEN];
+  LbTime earlier = schedule->trained_at[(step->number + 1) % N_OPEN];
 
   if (!step->is_open || step->n_done < step->n_texts)
     return;
   step->is_open = false;
-  trainer->trained_at[step->number % N_OPEN]
-      = (now > earlier ? now : earlier) + MIN_TRAINING_TIME
-        + (LbTime)gsl_rng_uniform_int (replay->random, MAX_TRAINING_TIME - MIN_TRAINING_TIME);
-  record_step (replay, index, step, now);
+  schedule->trained_at[step->number % N_OPEN]
+      = (now > earlier ? now : earlier)
+        + replay_draw_training_time (replay, MIN_TRAINING_TIME, MAX_TRAINING_TIME);
+  replay_record_step (replay, index, step, now);
 }
 
-/* Assigns a waiting text of the oldest open step to a free slot. */
 static void
-fill_slot (Replay *replay, int engine, int slot)
+init_replay (Replay *replay, Schedule *schedules, const ReplayCase *settings, unsigned long seed)
 {
-  ReplayTrainer *trainer = &replay->trainers[get_trainer_of_engine (replay, engine)];
-
-  for (int number = trainer->next >= N_OPEN ? trainer->next - N_OPEN : 0; number < trainer->next;
-       number++)
-    {
-      ReplayStep *step = &trainer->steps[number % N_OPEN];
-      for (int i = 0; step->is_open && i < step->n_texts; i++)
-        if (step->left[i] > 0 && !step->is_running[i])
-          {
-            step->is_running[i] = true;
-            replay->slots[engine][slot].step = step;
-            replay->slots[engine][slot].text = i;
-            return;
-          }
-    }
-}
-
-static void
-run_engine (Replay *replay, int engine, LbTime now)
-{
-  if (now < replay->loads_until[engine])
-    return;
-  for (int i = 0; i < N_SLOTS; i++)
-    {
-      if (!replay->slots[engine][i].step)
-        fill_slot (replay, engine, i);
-      ReplayStep *step = replay->slots[engine][i].step;
-      if (!step)
-        continue;
-      int text = replay->slots[engine][i].text;
-      step->left[text] -= (double)TICK / (double)LB_SEC;
-      if (step->left[text] > 0)
-        continue;
-      step->n_done++;
-      replay->slots[engine][i].step = NULL;
-    }
-}
-
-static void
-move_engine (Replay *replay, int engine, const char *model, LbTime now)
-{
-  for (int i = 0; i < N_SLOTS; i++)
-    {
-      if (replay->slots[engine][i].step)
-        replay->slots[engine][i].step->is_running[replay->slots[engine][i].text] = false;
-      replay->slots[engine][i].step = NULL;
-    }
-  LB_COPY (replay->engines[engine].model, model);
-  replay->loads_until[engine] = now + LOAD_TIME;
-  replay->n_moves++;
-}
-
-static void
-divide_engines (Replay *replay, LbTime now)
-{
-  LcModelShare shares[N_TRAINERS];
-  double capacity[N_TRAINERS] = { 0 };
-
-  for (int i = 0; i < N_ENGINES; i++)
-    capacity[get_trainer_of_engine (replay, i)]++;
-  for (int i = 0; i < N_TRAINERS; i++)
-    lc_trainer_lags_record_capacity (replay->lags, models[i], capacity[i], now);
-  lc_trainer_lags_estimate (replay->lags, now);
-  LbTime period = lc_trainer_lags_get_shortest_period (replay->lags);
-  bool is_on = lb_switch_is_on (LB_SWITCH_LAG_SHARES);
-  replay->next_division_at
-      = now + (is_on && period > MIN_DIVISION_PERIOD ? period : MIN_DIVISION_PERIOD);
-  lc_engine_shares_init (shares, models, N_TRAINERS, replay->demand, replay->lags, now);
-  lc_engine_plan_divide (&replay->plan, replay->engines, NULL, N_ENGINES, shares, N_TRAINERS);
-  for (int i = 0; i < N_ENGINES; i++)
-    {
-      const LcPlanEntry *entry = lc_engine_plan_find (&replay->plan, replay->engines[i].engine);
-      if (strcmp (entry->model, replay->engines[i].model) != 0)
-        move_engine (replay, i, entry->model, now);
-    }
-}
-
-static void
-replay_init (Replay *replay, const ReplayCase *settings, unsigned long seed)
-{
-  static const double factors[N_TRAINERS] = { 0.6, 0.9, 1.1, 1.4 };
   double seconds
       = settings->load * N_ENGINES * N_SLOTS * (double)PERIOD / (double)LB_SEC / N_TRAINERS;
 
-  memset (replay, 0, sizeof *replay);
-  replay->settings = settings;
-  replay->demand = lc_demand_new ();
-  replay->lags = lc_trainer_lags_new ();
-  replay->random = gsl_rng_alloc (gsl_rng_taus2);
-  gsl_rng_set (replay->random, seed);
-  for (int i = 0; i < N_ENGINES; i++)
+  replay_init (replay, seed);
+  replay->has_step_numbers = true;
+  for (int i = 0; i < N_TRAINERS; i++)
     {
-      snprintf (replay->engines[i].engine, LB_NAME_MAX, "i-%02d", i);
-      LB_COPY (replay->engines[i].model, models[i % N_TRAINERS]);
+      schedules[i]
+          = (Schedule){ .first_at = LB_SEC + (LbTime)((i + seed) % N_TRAINERS) * 700 * LB_MSEC };
+      replay->trainers[i].mean_seconds = (settings->has_uneven_texts ? length_factors[i] : 1)
+                                         * (seconds - settings->longest_seconds) / MEAN_TEXTS;
     }
-  for (int i = 0; i < N_TRAINERS; i++)
-    replay->trainers[i]
-        = (ReplayTrainer){ .first_at = LB_SEC + (LbTime)((i + seed) % N_TRAINERS) * 700 * LB_MSEC,
-                           .mean_seconds = (settings->has_uneven_texts ? factors[i] : 1)
-                                           * (seconds - settings->longest_seconds) / MEAN_TEXTS };
-}
-
-static void
-replay_clear (Replay *replay)
-{
-  lc_engine_plan_clear (&replay->plan);
-  lc_demand_free (replay->demand);
-  lc_trainer_lags_free (replay->lags);
-  gsl_rng_free (replay->random);
 }
 
 static bool
@@ -260,19 +82,18 @@
 }
 
 static void
-run_replay (Replay *replay)
+run_replay (Replay *replay, Schedule *schedules, const ReplayCase *settings)
 {
   for (LbTime now = LB_SEC; !is_replay_done (replay); now += TICK)
     {
       for (int i = 0; i < N_TRAINERS; i++)
-        submit_step_if_due (replay, i, now);
-      if (now >= replay->next_division_at)
-        divide_engines (replay, now);
+        submit_step_if_due (replay, i, &schedules[i], settings, now);
+      replay_divide_engines_if_due (replay, now);
       for (int i = 0; i < N_ENGINES; i++)
-        run_engine (replay, i, now);
+        replay_run_engine (replay, i, now);
       for (int i = 0; i < N_TRAINERS; i++)
         for (int j = 0; j < N_OPEN; j++)
-          end_step_if_done (replay, i, &replay->trainers[i].steps[j], now);
+          end_step_if_done (replay, i, &schedules[i], &replay->trainers[i].steps[j], now);
     }
 }
 
@@ -292,11 +113,12 @@
   for (unsigned long seed = 1; seed <= N_SEEDS; seed++)
     {
       Replay replay;
-      replay_init (&replay, settings, seed);
-      run_replay (&replay);
+      Schedule schedules[N_TRAINERS];
+      init_replay (&replay, schedules, settings, seed);
+      run_replay (&replay, schedules, settings);
       result.moves += (double)replay.n_moves / N_SEEDS;
       for (int i = 0; i < N_TRAINERS; i++)
-        result.late_steps[i] += replay.trainers[i].late_steps / N_STEPS / N_SEEDS;
+        result.late_steps[i] += schedules[i].late_steps / N_STEPS / N_SEEDS;
       replay_clear (&replay);
     }
   lb_switch_enable_all_optimisations ();
