--- a/packages/core/tests/test-wait-estimate.c
+++ b/packages/core/tests/test-wait-estimate.c
@@ -241,6 +241,23 @@
   return count;
 }
 
+static void
+expect_all_are_served (Count count)
+{
+  cr_expect_eq (count.served, count.calls, "%d of %d served", count.served, count.calls);
+}
+
+/* Expects that at most 1% of the calls were admitted and not answered, and that at least min_part
+ * of the calls that the endpoints can serve were served. */
+static void
+expect_few_are_cut (Count count, double possible, double min_part)
+{
+  cr_expect_leq (count.cut, count.calls / 100, "%d of %d calls were held and not answered",
+                 count.cut, count.calls);
+  cr_expect_geq (count.served, min_part * possible, "%d served, %.0f possible", count.served,
+                 possible);
+}
+
 static int
 find_most_submissions_per_bin (const Storm *storm, LbTime from, LbTime to)
 {
@@ -265,9 +282,7 @@
                wave->load, all.calls, all.served, possible, all.cut,
                find_most_submissions_per_bin (storm, wave->at, end),
                find_most_submissions_per_bin (storm, end, end + 2 * LB_SEC));
-  cr_expect_leq (all.cut, all.calls / 100, "%d of %d calls were held and not answered", all.cut,
-                 all.calls);
-  cr_expect_geq (all.served, 0.9 * possible, "%d served, %.0f possible", all.served, possible);
+  expect_few_are_cut (all, possible, 0.9);
   cr_expect_leq (find_most_submissions_per_bin (storm, end, end + 2 * LB_SEC),
                  find_most_submissions_per_bin (storm, wave->at, end),
                  "the callers that return are more than the first wave");
@@ -293,9 +308,7 @@
   run_storm (storm, USUAL_LOAD, waves, 2, false, 24 * LB_SEC);
   for (size_t i = 0; i < 2; i++)
     expect_wave_is_served_fairly (storm, &waves[i]);
-  Count after = count_calls (storm, -1, 20 * LB_SEC, 22 * LB_SEC);
-  cr_expect_eq (after.served, after.calls, "%d of %d served after the storm", after.served,
-                after.calls);
+  expect_all_are_served (count_calls (storm, -1, 20 * LB_SEC, 22 * LB_SEC));
   storm_free (storm);
 }
 
@@ -314,9 +327,7 @@
   run_storm (storm, 0.8, NULL, 0, false, end + 2 * LB_SEC);
   Count all = count_calls (storm, -1, left_at, end);
   double possible = CAPACITY / 2 * (double)(end - left_at) / LB_SEC;
-  cr_expect_leq (all.cut, all.calls / 100, "%d of %d calls were held and not answered", all.cut,
-                 all.calls);
-  cr_expect_geq (all.served, 0.95 * possible, "%d served, %.0f possible", all.served, possible);
+  expect_few_are_cut (all, possible, 0.95);
   storm_free (storm);
 }
 
@@ -361,9 +372,8 @@
   run_storm (storm, 0.6, NULL, 0, false, 6 * LB_SEC);
   freeze_endpoints (storm, CALL_DEADLINE / 3);
   run_storm (storm, 0.6, NULL, 0, false, 12 * LB_SEC);
-  Count all = count_calls (storm, -1, 0, 10 * LB_SEC);
   cr_expect_eq (storm->n_waiting_refusals, 0, "%zu refusals", storm->n_waiting_refusals);
-  cr_expect_eq (all.served, all.calls, "%d of %d served", all.served, all.calls);
+  expect_all_are_served (count_calls (storm, -1, 0, 10 * LB_SEC));
   storm_free (storm);
 }
 
@@ -374,9 +384,8 @@
   Storm *storm = storm_new ();
 
   run_storm (storm, 0.6, NULL, 0, true, 39 * LB_SEC);
-  Count all = count_calls (storm, -1, 0, 37 * LB_SEC);
   cr_expect_eq (storm->n_refusals, 0, "%zu refusals", storm->n_refusals);
-  cr_expect_eq (all.served, all.calls, "%d of %d served", all.served, all.calls);
+  expect_all_are_served (count_calls (storm, -1, 0, 37 * LB_SEC));
   storm_free (storm);
 }
 
@@ -394,6 +403,16 @@
   storm_free (storm);
 }
 
+static LcWaitQuery
+make_query (double n_ahead)
+{
+  return (LcWaitQuery){ .kind = LC_KIND_SERVICE,
+                        .n_ahead = n_ahead,
+                        .expected_tokens = 1,
+                        .time_to_start = CALL_DEADLINE,
+                        .time_to_end = CALL_DEADLINE };
+}
+
 static LcWaitEstimate
 make_estimate (int n_running, LbTime duration, LbTime now)
 {
@@ -410,11 +429,7 @@
  * must not refuse. Endpoints that stop answering must lower the rate that was observed. */
 Test (wait_estimate, only_observed_rates_refuse)
 {
-  const LcWaitQuery query = { .kind = LC_KIND_SERVICE,
-                              .n_ahead = 100,
-                              .expected_tokens = 1,
-                              .time_to_start = CALL_DEADLINE,
-                              .time_to_end = CALL_DEADLINE };
+  const LcWaitQuery query = make_query (100);
   LbTime now = 10 * LB_SEC;
   LcWaitEstimate estimate = { 0 };
 
@@ -437,11 +452,7 @@
  * other instances, which may be idle, and the others return after their deadline. */
 Test (wait_estimate, hints_are_short_and_spread)
 {
-  const LcWaitQuery query = { .kind = LC_KIND_SERVICE,
-                              .n_ahead = 160,
-                              .expected_tokens = 1,
-                              .time_to_start = CALL_DEADLINE,
-                              .time_to_end = CALL_DEADLINE };
+  const LcWaitQuery query = make_query (160);
   LbTime now = 10 * LB_SEC;
   LcWaitEstimate estimate = make_estimate (10, 100 * LB_MSEC, now);
   LcWaitDecision decision = lc_wait_estimate_decide (&estimate, &query, now);
@@ -479,11 +490,7 @@
  * meanwhile must be told to return early enough to be served elsewhere by its deadline. */
 Test (wait_estimate, caller_of_a_frozen_pool_is_sent_elsewhere)
 {
-  const LcWaitQuery query = { .kind = LC_KIND_SERVICE,
-                              .n_ahead = 100,
-                              .expected_tokens = 1,
-                              .time_to_start = CALL_DEADLINE,
-                              .time_to_end = CALL_DEADLINE };
+  const LcWaitQuery query = make_query (100);
   LbTime now = 10 * LB_SEC;
   LcWaitEstimate estimate = make_estimate (10, 100 * LB_MSEC, now);
   LcWaitDecision decision = lc_wait_estimate_decide (&estimate, &query, now + 2 * LB_SEC);
@@ -496,15 +503,30 @@
   cr_assert_geq (hint, decision.time_left, "too little time is left to be served elsewhere");
 }
 
+static void
+init_services (Fixture *f)
+{
+  const LcDispatchSettings settings = { .max_report_age = LB_TIME_NEVER, .seed = 1 };
+
+  fixture_init (f, &settings, 1, 1);
+}
+
+static LcRequestSpec
+make_call_spec (Fixture *f)
+{
+  LcRequestSpec spec = fixture_make_request_spec (f, LC_KIND_SERVICE);
+
+  spec.deadline = f->now + CALL_DEADLINE;
+  return spec;
+}
+
 /* Without an endpoint, the hint must leave a caller with a deadline time to return. */
 Test (wait_estimate, call_without_endpoint_gets_a_useful_hint)
 {
-  const LcDispatchSettings settings = { .max_report_age = LB_TIME_NEVER, .seed = 1 };
   Fixture f;
 
-  fixture_init (&f, &settings, 1, 1);
-  LcRequestSpec spec = fixture_make_request_spec (&f, LC_KIND_SERVICE);
-  spec.deadline = f.now + CALL_DEADLINE;
+  init_services (&f);
+  LcRequestSpec spec = make_call_spec (&f);
   lc_dispatch_mark_endpoint_leaving (f.dispatch, "s1", "", LC_LEAVING_ENDPOINT, f.now, &f.actions);
   lc_dispatch_mark_endpoint_leaving (f.dispatch, "s2", "", LC_LEAVING_ENDPOINT, f.now, &f.actions);
   cr_assert_not (fixture_submit_request (&f, &spec));
@@ -519,18 +541,15 @@
  * the caller's deadline had passed. */
 Test (wait_estimate, caller_is_sent_elsewhere_while_all_breakers_are_open)
 {
-  const LcDispatchSettings settings = { .max_report_age = LB_TIME_NEVER, .seed = 1 };
   Fixture f;
 
-  fixture_init (&f, &settings, 1, 1);
-  LcRequestSpec spec = fixture_make_request_spec (&f, LC_KIND_SERVICE);
-  spec.deadline = f.now + CALL_DEADLINE;
+  init_services (&f);
+  LcRequestSpec spec = make_call_spec (&f);
   while (fixture_submit_request (&f, &spec))
     {
       LcAction send = fixture_expect_action_of_request (&f, LC_ACTION_SEND, spec.id);
       fixture_end_attempt (&f, spec.id, send.attempt, LC_END_FAILED);
-      spec = fixture_make_request_spec (&f, LC_KIND_SERVICE);
-      spec.deadline = f.now + CALL_DEADLINE;
+      spec = make_call_spec (&f);
     }
   cr_assert_eq (f.error.code, LB_ERROR_NO_ENDPOINT);
   cr_assert (f.retry_after > 0 && f.retry_after < CALL_DEADLINE / 3, "hint %ld us",
