--- a/packages/core/tests/test-dispatch-move.c
+++ b/packages/core/tests/test-dispatch-move.c
@@ -86,6 +86,17 @@
   fixture_end_attempt (&m->f, m->fast, 1, LC_END_COMPLETE);
 }
 
+/* The slot of the fast sample must be kept for the slow one, which found no free slot. */
+static void
+finish_fast_sample_and_expect_kept_slot (MoveFixture *m)
+{
+  LcAction action;
+
+  cr_assert_eq (decide_move_of_slow_sample (m).reason, LC_MOVE_NO_FREE_SLOT);
+  finish_fast_sample (m);
+  cr_assert_not (fixture_take_action_of_request (&m->f, LC_ACTION_SEND, m->waiting, &action));
+}
+
 /* Each slot that becomes free was given to a waiting request at once, so a text for which a whole
  * step waited stayed on its slow engine. */
 Test (dispatch_move, next_free_slot_is_kept_for_a_text_that_decides_its_step)
@@ -95,9 +106,7 @@
   LcAction action;
 
   move_fixture_init (&m);
-  cr_assert_eq (decide_move_of_slow_sample (&m).reason, LC_MOVE_NO_FREE_SLOT);
-  finish_fast_sample (&m);
-  cr_assert_not (fixture_take_action_of_request (&m.f, LC_ACTION_SEND, m.waiting, &action));
+  finish_fast_sample_and_expect_kept_slot (&m);
   decision = decide_move_of_slow_sample (&m);
   cr_assert_eq (decision.reason, LC_MOVE_LASTING_PACE, "%s", lc_move_reason_name (decision.reason));
   cr_assert_str_eq (decision.endpoint, m.fast_engine);
@@ -117,9 +126,7 @@
   LcAction action;
 
   move_fixture_init (&m);
-  cr_assert_eq (decide_move_of_slow_sample (&m).reason, LC_MOVE_NO_FREE_SLOT);
-  finish_fast_sample (&m);
-  cr_assert_not (fixture_take_action_of_request (&m.f, LC_ACTION_SEND, m.waiting, &action));
+  finish_fast_sample_and_expect_kept_slot (&m);
   fixture_tick_dispatch_at (&m.f, m.f.now + 500 * LB_MSEC);
   action = fixture_expect_action_of_request (&m.f, LC_ACTION_SEND, m.waiting);
   cr_assert_str_eq (action.endpoint, m.fast_engine);
