--- a/packages/core/tests/test-moves.c
+++ b/packages/core/tests/test-moves.c
@@ -13,15 +13,21 @@
 }
 
 static void
-init_uneven (Sim *sim, unsigned seed, bool decisions)
+init_sim (Sim *sim, const double *paces, size_t n_paces, unsigned seed, bool decisions)
 {
-  static const double paces[] = { 0.7, 0.7, 1.7 };
-
   lb_switch_enable_all_optimisations ();
   if (!decisions)
     lb_switch_disable_optimisation ("move_decisions");
-  sim_init (sim, paces, 3);
+  sim_init (sim, paces, n_paces);
   gsl_rng_set (sim->random, seed);
+}
+
+static void
+init_uneven (Sim *sim, unsigned seed, bool decisions)
+{
+  static const double paces[] = { 0.7, 0.7, 1.7 };
+
+  init_sim (sim, paces, 3, seed, decisions);
   sim->noise_share = 0.15;
   sim->mean_length = 60;
 }
@@ -64,11 +70,7 @@
 {
   static const double paces[] = { 1 };
 
-  lb_switch_enable_all_optimisations ();
-  if (!decisions)
-    lb_switch_disable_optimisation ("move_decisions");
-  sim_init (sim, paces, 1);
-  gsl_rng_set (sim->random, seed);
+  init_sim (sim, paces, 1, seed, decisions);
   sim->mean_length = 32;
 }
 
