--- a/packages/core/tests/test-engine-shares.c
+++ b/packages/core/tests/test-engine-shares.c
@@ -1,7 +1,5 @@
 #include "trainers-fixture.h"
 
-#include <stdlib.h>
-
 /* --- replay of trainers that share engines, in virtual time --- */
 
 #define N_STEPS 15
@@ -53,6 +51,7 @@
     replay->trainers[index].paused_until = now + LOSS_TIME;
 }
 
+/* Ends the last step. Its texts that are not complete are cancelled. */
 static void
 end_step (Replay *replay, int index, Schedule *schedule, LbTime now)
 {
@@ -122,9 +121,7 @@
               most = schedules[i].lag > most ? schedules[i].lag : most;
             }
         }
-      replay_divide_engines_if_due (replay, now);
-      for (int i = 0; i < N_ENGINES; i++)
-        replay_run_engine (replay, i, now);
+      replay_run_tick (replay, now);
       for (int i = 0; i < N_TRAINERS; i++)
         {
           const ReplayStep *step = get_last_step (&replay->trainers[i]);
@@ -147,8 +144,7 @@
 {
   ReplayResult result = { 0 };
 
-  if (!is_on)
-    lb_switch_disable_optimisation ("lag_shares");
+  set_lag_shares_switch (is_on);
   for (unsigned long seed = 1; seed <= N_SEEDS; seed++)
     {
       Replay replay;
@@ -159,7 +155,7 @@
       result.mean_moves += (double)replay.n_moves / N_SEEDS;
       replay_clear (&replay);
     }
-  lb_switch_enable_all_optimisations ();
+  set_lag_shares_switch (true);
   printf ("load %.1f uneven %d known %d on %d: spread %.2f, worst %.2f; %.1f moves\n",
           settings->load, settings->speeds != NULL, settings->is_capacity_known, is_on,
           result.mean_spread, result.worst_spread, result.mean_moves);
--- a/packages/core/tests/test-overlapping-steps.c
+++ b/packages/core/tests/test-overlapping-steps.c
@@ -88,9 +88,7 @@
     {
       for (int i = 0; i < N_TRAINERS; i++)
         submit_step_if_due (replay, i, &schedules[i], settings, now);
-      replay_divide_engines_if_due (replay, now);
-      for (int i = 0; i < N_ENGINES; i++)
-        replay_run_engine (replay, i, now);
+      replay_run_tick (replay, now);
       for (int i = 0; i < N_TRAINERS; i++)
         for (int j = 0; j < N_OPEN; j++)
           end_step_if_done (replay, i, &schedules[i], &replay->trainers[i].steps[j], now);
@@ -108,8 +106,7 @@
 {
   ReplayResult result = { 0 };
 
-  if (!is_on)
-    lb_switch_disable_optimisation ("lag_shares");
+  set_lag_shares_switch (is_on);
   for (unsigned long seed = 1; seed <= N_SEEDS; seed++)
     {
       Replay replay;
@@ -121,7 +118,7 @@
         result.late_steps[i] += schedules[i].late_steps / N_STEPS / N_SEEDS;
       replay_clear (&replay);
     }
-  lb_switch_enable_all_optimisations ();
+  set_lag_shares_switch (true);
   printf ("load %.1f longest %.1f, %.1f uneven %d on %d: moves %.1f; late %.2f %.2f %.2f %.2f\n",
           settings->load, settings->longest_seconds, settings->last_longest_seconds,
           settings->has_uneven_texts, is_on, result.moves, result.late_steps[0],
--- a/packages/core/tests/trainers-fixture.h
+++ b/packages/core/tests/trainers-fixture.h
@@ -47,7 +47,7 @@
 {
   ReplayStep steps[N_OPEN]; /* step k is at index k % N_OPEN */
   int next;                 /* number of the next step */
-  double mean_seconds;      /* mean slot time of a text */
+  double mean_seconds;      /* mean slot time of a text with a random one */
   LbTime paused_until;      /* until then, no engine works on the trainer's texts */
 } ReplayTrainer;
 
@@ -161,13 +161,11 @@
 }
 
 static inline void
-replay_divide_engines_if_due (Replay *replay, LbTime now)
+replay_divide_engines (Replay *replay, LbTime now)
 {
   LcModelShare shares[N_TRAINERS];
   double capacity[N_TRAINERS] = { 0 };
 
-  if (now < replay->next_division_at)
-    return;
   for (int i = 0; i < N_ENGINES; i++)
     capacity[replay_get_trainer_of_engine (replay, i)]
         += replay->are_speeds_known ? replay->speeds[i] : 1;
@@ -235,4 +233,22 @@
     }
 }
 
+/* Divides the engines if that is due, then runs them for one tick. */
+static inline void
+replay_run_tick (Replay *replay, LbTime now)
+{
+  if (now >= replay->next_division_at)
+    replay_divide_engines (replay, now);
+  for (int i = 0; i < N_ENGINES; i++)
+    replay_run_engine (replay, i, now);
+}
+
+static inline void
+set_lag_shares_switch (bool is_on)
+{
+  lb_switch_enable_all_optimisations ();
+  if (!is_on)
+    lb_switch_disable_optimisation ("lag_shares");
+}
+
 #endif
