--- a/packages/core/tests/test-trainer-lag.c
+++ b/packages/core/tests/test-trainer-lag.c
@@ -43,6 +43,17 @@
   return now;
 }
 
+/* Records ended steps like record_steps, and the next one as open from the returned time on. */
+static LbTime
+record_steps_and_open_next (
+    LcTrainerLags *lags, const char *model, const LbTime *durations, int n_steps, LbTime *lag)
+{
+  LbTime now = record_steps (lags, model, durations, n_steps, lag);
+
+  record_step (lags, model, n_steps, now, 0);
+  return now;
+}
+
 /* The period is not known, and late steps are longer or, while the trainer catches up, shorter. */
 Test (trainer_lag, lag_of_a_trainer_that_loses_time_in_one_step_is_found)
 {
@@ -50,9 +61,8 @@
                                       2200 * LB_MSEC, 6400 * LB_MSEC, 3000 * LB_MSEC };
   LcTrainerLags *lags = lc_trainer_lags_new ();
   LbTime lag;
-  LbTime now = record_steps (lags, "m", durations, 6, &lag);
+  LbTime now = record_steps_and_open_next (lags, "m", durations, 6, &lag);
 
-  record_step (lags, "m", 6, now, 0);
   lc_trainer_lags_estimate (lags, now);
   const LcTrainerLag *estimate = lc_trainer_lags_find (lags, "m");
   cr_assert (estimate->is_known && estimate->is_period_observed);
@@ -80,8 +90,7 @@
       double mean = gsl_ran_flat (random, 1, 8);
       for (int i = 0; i < N; i++)
         durations[i] = (LbTime)(gsl_ran_gamma (random, 25, mean / 25) * (double)LB_SEC);
-      LbTime now = record_steps (lags, "late", durations, N, &lag);
-      record_step (lags, "late", N, now, 0);
+      LbTime now = record_steps_and_open_next (lags, "late", durations, N, &lag);
       lc_trainer_lags_estimate (lags, now);
       const LcTrainerLag *estimate = lc_trainer_lags_find (lags, "late");
       if (estimate->is_period_observed)
@@ -106,9 +115,8 @@
   LcTrainerLags *lags = lc_trainer_lags_new ();
   LbTime lag;
 
-  record_step (lags, "early", 7, record_steps (lags, "early", early, 7, &lag), 0);
-  LbTime now = record_steps (lags, "late", late, 4, &lag);
-  record_step (lags, "late", 4, now, 0);
+  record_steps_and_open_next (lags, "early", early, 7, &lag);
+  LbTime now = record_steps_and_open_next (lags, "late", late, 4, &lag);
   lc_trainer_lags_estimate (lags, now);
   cr_assert_not (lc_trainer_lags_find (lags, "late")->is_period_observed);
   cr_assert_float_eq ((double)lc_trainer_lags_find (lags, "late")->lag, (double)lag,
@@ -124,9 +132,8 @@
                                       2200 * LB_MSEC, 3000 * LB_MSEC, 2000 * LB_MSEC };
   LcTrainerLags *lags = lc_trainer_lags_new ();
   LbTime lag;
-  LbTime now = record_steps (lags, "m", durations, 6, &lag);
+  LbTime now = record_steps_and_open_next (lags, "m", durations, 6, &lag);
 
-  record_step (lags, "m", 6, now, 0);
   lc_trainer_lags_estimate (lags, now + 3 * LB_SEC);
   cr_assert_lt (lc_trainer_lags_find (lags, "m")->lag, 50 * LB_MSEC);
   lc_trainer_lags_estimate (lags, now + 6 * LB_SEC);
