--- a/packages/core/tests/test-batch.c
+++ b/packages/core/tests/test-batch.c
@@ -492,13 +492,18 @@
   fixture_clear (&f);
 }
 
-/* Starts a batch of two items that uses the history; ticks review its streams every 100 ms. */
-static void
-start_batch_with_history (Fixture *f, LcBatchHistory *history)
+/* Starts a batch of two items with a filled history, which the caller frees. Ticks review the
+ * batch's streams every 100 ms. */
+static LcBatchHistory *
+start_batch_with_history (Fixture *f)
 {
+  LcBatchHistory *history = lc_batch_history_new ();
+
+  fill_batch_history (history);
   fixture_init (f, 2, false,
                 (LcBatchSettings){ .resumable = true, .history = history, .tokens_per_event = 50 });
   start_batch (f);
+  return history;
 }
 
 static void
@@ -515,11 +520,9 @@
  * after their last events, so that the step does not wait for the slow engine. */
 Test (batch, text_at_a_slow_engine_is_moved)
 {
-  LcBatchHistory *history = lc_batch_history_new ();
   Fixture f;
+  LcBatchHistory *history = start_batch_with_history (&f);
 
-  fill_batch_history (history);
-  start_batch_with_history (&f, history);
   add_streamed_events_at_interval (&f, 6, 200 * LB_MSEC);
   cr_assert_eq (f.n_preempted, 1);
   LcRequestId previous = f.generating[0];
@@ -534,11 +537,9 @@
  * proposed again ten times per second. */
 Test (batch, refused_move_leaves_the_text_and_is_proposed_again_later)
 {
-  LcBatchHistory *history = lc_batch_history_new ();
   Fixture f;
+  LcBatchHistory *history = start_batch_with_history (&f);
 
-  fill_batch_history (history);
-  start_batch_with_history (&f, history);
   add_streamed_events_at_interval (&f, 6, 200 * LB_MSEC);
   LcRequestId previous = f.generating[0];
   cr_assert (f.last_preempt.needs_move_decision);
@@ -561,11 +562,9 @@
 Test (batch, accepted_move_names_the_chosen_endpoint)
 {
   const LcMoveDecision move = { .reason = LC_MOVE_LASTING_PACE, .endpoint = "engine-2" };
-  LcBatchHistory *history = lc_batch_history_new ();
   Fixture f;
+  LcBatchHistory *history = start_batch_with_history (&f);
 
-  fill_batch_history (history);
-  start_batch_with_history (&f, history);
   cr_assert_str_eq (f.preferred_endpoint, "");
   add_streamed_events_at_interval (&f, 6, 200 * LB_MSEC);
   lc_batch_accept_move (f.batch, f.generating[0], &move);
@@ -581,11 +580,9 @@
  * pace must decide. */
 Test (batch, text_is_moved_soon_after_its_engine_slows_down)
 {
-  LcBatchHistory *history = lc_batch_history_new ();
   Fixture f;
+  LcBatchHistory *history = start_batch_with_history (&f);
 
-  fill_batch_history (history);
-  start_batch_with_history (&f, history);
   add_streamed_events_at_interval (&f, 100, 20 * LB_MSEC);
   cr_assert_eq (f.n_preempted, 0);
   add_streamed_events_at_interval (&f, 12, 80 * LB_MSEC);
@@ -598,11 +595,9 @@
  * seconds until the stream counts as broken. */
 Test (batch, stalled_text_is_moved_before_its_stream_counts_as_broken)
 {
-  LcBatchHistory *history = lc_batch_history_new ();
   Fixture f;
+  LcBatchHistory *history = start_batch_with_history (&f);
 
-  fill_batch_history (history);
-  start_batch_with_history (&f, history);
   add_streamed_events_at_interval (&f, 20, 20 * LB_MSEC);
   for (int i = 0; i < 3; i++)
     advance_time_and_tick_batch (&f, 100 * LB_MSEC);
@@ -618,11 +613,9 @@
  * events that arrived during the pause, so all streams look silent and all texts would be moved. */
 Test (batch, pause_of_the_instance_moves_no_text)
 {
-  LcBatchHistory *history = lc_batch_history_new ();
   Fixture f;
+  LcBatchHistory *history = start_batch_with_history (&f);
 
-  fill_batch_history (history);
-  start_batch_with_history (&f, history);
   add_streamed_events_at_interval (&f, 20, 20 * LB_MSEC);
   advance_time_and_tick_batch (&f, 2 * LB_SEC);
   for (int event = 0; event < 100; event++)
