--- a/packages/node/tests/test-front.c
+++ b/packages/node/tests/test-front.c
@@ -391,6 +391,15 @@
   return ok;
 }
 
+/* Runs the event loop often enough that the front accepts open connections and reads what was sent
+ * on them. */
+static void
+receive_sent_bytes (Fixture *f)
+{
+  for (int i = 0; i < 20; i++)
+    fixture_run_event_loop_once (f);
+}
+
 /* Callers that keep the address of an instance go on calling it after its drain time. The instance
  * must then close its listener and idle connections, and must not pass on a request that still
  * arrives, whether it was unread, incomplete or not begun when the drain time ended. */
@@ -414,11 +423,9 @@
   caller_connect (&f, &idle);
   for (int i = 0; i < N_SENDERS; i++)
     caller_connect (&f, &senders[i]);
-  for (int i = 0; i < 20; i++)
-    fixture_run_event_loop_once (&f);
+  receive_sent_bytes (&f);
   connection_send_text (&senders[INCOMPLETE], head);
-  for (int i = 0; i < 20; i++)
-    fixture_run_event_loop_once (&f);
+  receive_sent_bytes (&f);
   ln_hub_drain_tasks (f.context.hub);
   cr_assert (can_connect (&f), "connections are accepted during the drain time");
   connection_send_text (&senders[UNREAD], head);
@@ -443,6 +450,14 @@
   fixture_clear (&f);
 }
 
+static void
+start_front_with_caller (Fixture *f, TestConnection *caller)
+{
+  fixture_init_settings_and_event_base (f);
+  fixture_start_front_and_calls (f);
+  caller_connect (f, caller);
+}
+
 /* Two requests have arrived when the drain time ends, one on a connection that waits to be
  * accepted, and one unread on an open connection. If the instance closed its listener or exited
  * before it read them, their callers would see a reset and could not tell whether the requests have
@@ -458,11 +473,8 @@
   Fixture f;
   TestConnection senders[N_SENDERS];
 
-  fixture_init_settings_and_event_base (&f);
-  fixture_start_front_and_calls (&f);
-  caller_connect (&f, &senders[UNREAD]);
-  for (int i = 0; i < 20; i++)
-    fixture_run_event_loop_once (&f);
+  start_front_with_caller (&f, &senders[UNREAD]);
+  receive_sent_bytes (&f);
   ln_hub_drain_tasks (f.context.hub);
   caller_connect (&f, &senders[NOT_ACCEPTED]);
   for (int i = 0; i < N_SENDERS; i++)
@@ -489,12 +501,9 @@
   Fixture f;
   TestConnection caller;
 
-  fixture_init_settings_and_event_base (&f);
-  fixture_start_front_and_calls (&f);
-  caller_connect (&f, &caller);
+  start_front_with_caller (&f, &caller);
   connection_send_text (&caller, "POST /v1/completions HTTP/1.1\r\nHost: h\r\n");
-  for (int i = 0; i < 20; i++)
-    fixture_run_event_loop_once (&f);
+  receive_sent_bytes (&f);
   ln_hub_drain_tasks (f.context.hub);
   LbTime stopped_at = lb_clock_monotonic ();
   ln_hub_stop_accepting (f.context.hub);
@@ -513,9 +522,7 @@
   Fixture f;
   TestConnection caller;
 
-  fixture_init_settings_and_event_base (&f);
-  fixture_start_front_and_calls (&f);
-  caller_connect (&f, &caller);
+  start_front_with_caller (&f, &caller);
   connection_send_text (&caller, "nonsense\r\n\r\n");
   FIXTURE_WAIT_UNTIL (&f, connection_has_received (&caller, "bad_request"));
   LbTime end = lb_clock_monotonic () + 10 * LB_SEC;
