--- a/tests/process/pt-shared.c
+++ b/tests/process/pt-shared.c
@@ -335,6 +335,17 @@
   free (body);
 }
 
+void
+ps_start_two_instances_with_batch (PsCluster *cluster)
+{
+  for (int i = 0; i < PS_N_ENGINES; i++)
+    cluster->engines[i].event_interval = 40 * LB_MSEC;
+  ps_start_instance (cluster);
+  ps_start_instance (cluster);
+  ps_submit_batch (cluster, 0, "b1", 30);
+  PS_WAIT_UNTIL (cluster, ps_count_results_on_first_page (cluster, 0, "b1") >= 3);
+}
+
 struct json_object *
 ps_read_first_results_page (PsCluster *cluster, size_t instance, const char *id)
 {
--- a/tests/process/pt-shared.h
+++ b/tests/process/pt-shared.h
@@ -108,6 +108,9 @@
 char *ps_make_batch_json (int n_items);
 /* Submits a batch of n_items samples with this id and waits for the response. */
 void ps_submit_batch (PsCluster *cluster, size_t instance, const char *id, int n_items);
+/* Starts two instances and submits batch "b1" of 30 slow samples to instance 0; returns when 3
+ * samples have results. */
+void ps_start_two_instances_with_batch (PsCluster *cluster);
 /* Returns the first page of the batch's results; NULL if the request was rejected. The caller
  * releases it. */
 struct json_object *
--- a/tests/process/test-stop.c
+++ b/tests/process/test-stop.c
@@ -191,12 +191,7 @@
 
   ps_cluster_init (&cluster);
   *callers = (SteadyCallers){ .cluster = &cluster, .method = "GET", .path = "/-/lots/b1?after=30" };
-  for (int i = 0; i < PS_N_ENGINES; i++)
-    cluster.engines[i].event_interval = 40 * LB_MSEC;
-  ps_start_instance (&cluster);
-  ps_start_instance (&cluster);
-  ps_submit_batch (&cluster, 0, "b1", 30);
-  PS_WAIT_UNTIL (&cluster, ps_count_results_on_first_page (&cluster, 0, "b1") >= 3);
+  ps_start_two_instances_with_batch (&cluster);
   run_steady_callers_for (callers, 300 * LB_MSEC);
 
   stop_instance_under_steady_calls (callers, 0);
