--- a/tests/process/test-shared.c
+++ b/tests/process/test-shared.c
@@ -661,12 +661,7 @@
   PsCluster cluster;
 
   ps_cluster_init (&cluster);
-  for (int i = 0; i < PS_N_ENGINES; i++)
-    cluster.engines[i].event_interval = 40 * LB_MSEC;
-  ps_start_instance (&cluster);
-  ps_start_instance (&cluster);
-  ps_submit_batch (&cluster, 0, "b1", 30);
-  PS_WAIT_UNTIL (&cluster, ps_count_results_on_first_page (&cluster, 0, "b1") >= 3);
+  ps_start_two_instances_with_batch (&cluster);
   pt_process_signal (&cluster.instances[0].process, SIGTERM);
   PS_WAIT_UNTIL (&cluster, !ps_is_instance_ready (&cluster, 0));
   ps_call_and_wait (&cluster, 0, "POST", "/lookup/1", "c1", "hello");
@@ -840,6 +835,34 @@
   return ps_read_metric (cluster, instance, "lentilspindle_trainer_lag_ms{model=\"m\"}");
 }
 
+/* Ends the step by deleting its batch, "b" followed by the number. */
+static void
+end_step (PsCluster *cluster, size_t instance, int step)
+{
+  char path[24];
+
+  snprintf (path, sizeof path, "/-/lots/b%d", step);
+  ps_call_and_wait (cluster, instance, "DELETE", path, "", "");
+}
+
+static size_t
+start_instance_that_keeps_ended_batches (PsCluster *cluster)
+{
+  ps_cluster_init (cluster);
+  cluster->keep_ended_s = 60;
+  return ps_start_instance (cluster);
+}
+
+/* Waits until the trainer's lag is min_ms or more, restarts the instance, and waits until it has
+ * found such a lag again from the rows. */
+static void
+wait_for_lag_before_and_after_restart (PsCluster *cluster, size_t instance, double min_ms)
+{
+  PS_WAIT_UNTIL (cluster, read_trainer_lag_ms (cluster, instance) >= min_ms);
+  ps_restart_instance (cluster, instance);
+  PS_WAIT_UNTIL (cluster, read_trainer_lag_ms (cluster, instance) >= min_ms);
+}
+
 /* A trainer submits four batches on schedule, then one that stays open. The instance restarts and
  * must find the trainer's lag from the rows; if it counted the batches as submitted when it read
  * them, the trainer would seem to be on schedule, and engines would move to other models. */
@@ -847,26 +870,20 @@
 {
   PsCluster cluster;
   char id[8];
-  char path[24];
-
-  ps_cluster_init (&cluster);
-  cluster.keep_ended_s = 60;
-  size_t instance = ps_start_instance (&cluster);
+  size_t instance = start_instance_that_keeps_ended_batches (&cluster);
   LbTime start = lb_clock_monotonic ();
+
   for (int i = 0; i < 5; i++)
     {
       wait_until_time (&cluster, start + i * TRAINER_PERIOD);
       snprintf (id, sizeof id, "b%d", i);
       ps_submit_batch (&cluster, instance, id, 2);
       wait_until_time (&cluster, start + i * TRAINER_PERIOD + LB_SEC);
-      snprintf (path, sizeof path, "/-/lots/%s", id);
       if (i < 4)
-        ps_call_and_wait (&cluster, instance, "DELETE", path, "", "");
+        end_step (&cluster, instance, i);
     }
   cr_assert_leq (read_trainer_lag_ms (&cluster, instance), 300);
-  PS_WAIT_UNTIL (&cluster, read_trainer_lag_ms (&cluster, instance) >= 1000);
-  ps_restart_instance (&cluster, instance);
-  PS_WAIT_UNTIL (&cluster, read_trainer_lag_ms (&cluster, instance) >= 1000);
+  wait_for_lag_before_and_after_restart (&cluster, instance, 1000);
   ps_cluster_clear (&cluster);
 }
 
@@ -885,26 +902,15 @@
   free (body);
 }
 
-static void
-end_step (PsCluster *cluster, size_t instance, int step)
-{
-  char path[24];
-
-  snprintf (path, sizeof path, "/-/lots/b%d", step);
-  ps_call_and_wait (cluster, instance, "DELETE", path, "", "");
-}
-
 /* A trainer submits each step before the previous one has ended, and the last one a second late.
  * Its overlapping steps were taken for those of several trainers, so its lag was unknown. After a
  * restart, the numbers of the steps must be in the rows. */
 Test (shared, lag_of_a_trainer_with_overlapping_steps_is_known)
 {
   PsCluster cluster;
-
-  ps_cluster_init (&cluster);
-  cluster.keep_ended_s = 60;
-  size_t instance = ps_start_instance (&cluster);
+  size_t instance = start_instance_that_keeps_ended_batches (&cluster);
   LbTime start = lb_clock_monotonic ();
+
   for (int i = 0; i < 4; i++)
     {
       wait_until_time (&cluster, start + i * TRAINER_PERIOD);
@@ -919,8 +925,6 @@
   wait_until_time (&cluster, start + 4 * TRAINER_PERIOD + LB_SEC);
   end_step (&cluster, instance, 3);
   submit_numbered_step (&cluster, instance, 4);
-  PS_WAIT_UNTIL (&cluster, read_trainer_lag_ms (&cluster, instance) >= 800);
-  ps_restart_instance (&cluster, instance);
-  PS_WAIT_UNTIL (&cluster, read_trainer_lag_ms (&cluster, instance) >= 800);
+  wait_for_lag_before_and_after_restart (&cluster, instance, 800);
   ps_cluster_clear (&cluster);
 }
