--- a/tests/process/test-handover.c
+++ b/tests/process/test-handover.c
@@ -111,6 +111,13 @@
   ps_cluster_clear (cluster);
 }
 
+static void
+check_exit_results_and_clear_cluster (PsCluster *cluster, size_t stopped)
+{
+  PS_WAIT_UNTIL (cluster, pt_process_has_exited (&cluster->instances[stopped].process, 0));
+  check_results_and_clear_cluster (cluster, stopped);
+}
+
 /* With a healthy store the next owner that the row names must continue the batch. Before, each
  * released batch was idle for 2.5 s. */
 Test (handover, named_next_owner_continues_the_batch)
@@ -132,8 +139,18 @@
   cr_assert (seconds > 0 && seconds < 1, "the hand-over took %.3f s", seconds);
   free (named);
   free (reason);
-  PS_WAIT_UNTIL (&cluster, pt_process_has_exited (&cluster.instances[stopped].process, 0));
-  check_results_and_clear_cluster (&cluster, stopped);
+  check_exit_results_and_clear_cluster (&cluster, stopped);
+}
+
+/* Stops the instance in an outage of the store, which ends after the duration, and waits until
+ * another instance runs the batch. */
+static void
+stop_instance_in_store_outage (PsCluster *cluster, size_t instance, LbTime duration)
+{
+  pt_process_signal (&cluster->instances[instance].process, SIGTERM);
+  run_event_loop_for (cluster, duration);
+  cluster->store.mode = SI_ROW_STORE_NORMAL;
+  cr_assert_lt (wait_for_new_owner (cluster, instance), MAX_HANDOVER_TIME);
 }
 
 /* The store applies the release, but its answer is lost, and the store is unavailable for a second.
@@ -146,12 +163,8 @@
 
   cluster.store.lost_replies = 1;
   cluster.store.unavailable_after_lost_replies = true;
-  pt_process_signal (&cluster.instances[stopped].process, SIGTERM);
-  run_event_loop_for (&cluster, LB_SEC);
-  cluster.store.mode = SI_ROW_STORE_NORMAL;
-  cr_assert_lt (wait_for_new_owner (&cluster, stopped), MAX_HANDOVER_TIME);
-  PS_WAIT_UNTIL (&cluster, pt_process_has_exited (&cluster.instances[stopped].process, 0));
-  check_results_and_clear_cluster (&cluster, stopped);
+  stop_instance_in_store_outage (&cluster, stopped, LB_SEC);
+  check_exit_results_and_clear_cluster (&cluster, stopped);
 }
 
 /* The store is unavailable when the instance is stopped. If the release were not retried, the other
@@ -162,16 +175,12 @@
   size_t stopped = start_cluster_with_running_batch (&cluster);
 
   cluster.store.mode = SI_ROW_STORE_UNAVAILABLE;
-  pt_process_signal (&cluster.instances[stopped].process, SIGTERM);
-  run_event_loop_for (&cluster, 2 * LB_SEC);
-  cluster.store.mode = SI_ROW_STORE_NORMAL;
-  cr_assert_lt (wait_for_new_owner (&cluster, stopped), MAX_HANDOVER_TIME);
+  stop_instance_in_store_outage (&cluster, stopped, 2 * LB_SEC);
   char *reason
       = read_log_field (&cluster, find_new_owner (&cluster, stopped), "batch_taken_over", "reason");
   cr_assert_str_eq (reason, "offered");
   free (reason);
-  PS_WAIT_UNTIL (&cluster, pt_process_has_exited (&cluster.instances[stopped].process, 0));
-  check_results_and_clear_cluster (&cluster, stopped);
+  check_exit_results_and_clear_cluster (&cluster, stopped);
 }
 
 /* Each round trip to the store takes 0.24 s, so the others may claim the batch before they see the
