--- a/packages/core/tests/test-dispatch-move.c
+++ b/packages/core/tests/test-dispatch-move.c
@@ -119,7 +119,7 @@
   fixture_clear (&m.f);
 }
 
-/* A text that ends or breaks off never comes for its slot. */
+/* A text that ends or breaks off never uses the slot that is kept for it, which would stay idle. */
 Test (dispatch_move, kept_slot_is_given_to_a_waiting_request_after_a_while)
 {
   MoveFixture m;
--- a/packages/core/tests/test-move.c
+++ b/packages/core/tests/test-move.c
@@ -29,6 +29,8 @@
                 decision.gain_seconds);
 }
 
+/* A step would wait for its last text at a slow engine. Other texts must not move: each move loads
+ * the prompt again and saves the step no time. */
 Test (move, text_leaves_an_engine_that_is_usually_slow)
 {
   LcMoveInputs inputs = make_inputs (1.7, 1.7, 0.7);
@@ -87,6 +89,7 @@
   expect_reason (&inputs, LC_MOVE_NO_FREE_SLOT);
 }
 
+/* A text that moves takes the free slot from a waiting request, which delays the request's step. */
 Test (move, while_requests_wait_only_texts_that_decide_their_step_move)
 {
   LcMoveInputs inputs = make_inputs (1.7, 1.7, 0.7);
@@ -97,6 +100,7 @@
   expect_reason (&inputs, LC_MOVE_LASTING_PACE);
 }
 
+/* A text at an engine that has stopped sending would wait until its stream counts as broken. */
 Test (move, stalled_text_moves)
 {
   LcMoveInputs inputs = make_inputs (1, 1, 1);
--- a/packages/core/tests/test-moves.c
+++ b/packages/core/tests/test-moves.c
@@ -131,6 +131,7 @@
   expect_long_texts_leave_as_soon (3.5, true);
 }
 
+/* Texts at an engine that sends nothing must leave it before their streams count as broken. */
 Test (moves, long_texts_leave_a_stalled_engine)
 {
   expect_long_texts_leave_as_soon (0, true);
--- a/packages/core/tests/test-wait-estimate.c
+++ b/packages/core/tests/test-wait-estimate.c
@@ -20,7 +20,8 @@
 #define N_BINS 400
 #define MAX_CALLS 20000
 
-/* A call of a simulated caller. A refused caller returns when told, until its deadline. */
+/* A call of a simulated caller. A refused caller submits the call again after the time that the
+ * refusal names, until its deadline. */
 typedef struct
 {
   int organisation;
@@ -218,7 +219,7 @@
 {
   int calls;
   int served;
-  int cut;
+  int cut; /* admitted, but ended without an answer */
 } Count;
 
 /* Counts the calls that arrived from `from` on until `to`, of one organisation or of all (-1). */
@@ -389,8 +390,8 @@
   storm_free (storm);
 }
 
-/* The storm without the estimate: calls are admitted that end at their deadline. Shows that the
- * test above can fail. */
+/* The storm without the estimate: calls are admitted that end at their deadline. Shows that
+ * storm_is_served_fairly_and_no_call_is_held can fail. */
 Test (wait_estimate, without_the_estimate_calls_are_held)
 {
   static const Wave wave = { 8 * LB_SEC, 10 };
