--- a/packages/core/tests/test-moves.c
+++ b/packages/core/tests/test-moves.c
@@ -60,7 +60,7 @@
 
 typedef struct
 {
-  int n_left;
+  int n_left;          /* long texts that left the faulty engine in time */
   double mean_seconds; /* mean time from the fault until a text left the engine */
   double step_seconds;
 } FaultResult;
--- a/packages/core/tests/test-trainer-lag.c
+++ b/packages/core/tests/test-trainer-lag.c
@@ -205,12 +205,13 @@
   for (int i = 0; i < N_NUMBERED; i++)
     {
       LbTime scheduled_at = START + i * PERIOD;
-      LbTime named_at = i > 1 ? trained_at[i - 2] : 0;
-      submitted_at[i] = scheduled_at > named_at ? scheduled_at : named_at;
+      LbTime allowed_at = i > 1 ? trained_at[i - 2] : 0;
+      submitted_at[i] = scheduled_at > allowed_at ? scheduled_at : allowed_at;
       ended_at[i]
           = submitted_at[i] + (LbTime)(gsl_ran_flat (random, mean - 1, mean + 1) * (double)LB_SEC);
-      LbTime idle_at = i > 0 && trained_at[i - 1] > ended_at[i] ? trained_at[i - 1] : ended_at[i];
-      trained_at[i] = idle_at + (LbTime)(gsl_ran_flat (random, 0.5, 1) * (double)LB_SEC);
+      LbTime training_at
+          = i > 0 && trained_at[i - 1] > ended_at[i] ? trained_at[i - 1] : ended_at[i];
+      trained_at[i] = training_at + (LbTime)(gsl_ran_flat (random, 0.5, 1) * (double)LB_SEC);
     }
 }
 
--- a/packages/core/tests/test-uneven.c
+++ b/packages/core/tests/test-uneven.c
@@ -86,8 +86,8 @@
 
 #define N_SERVICES 12
 #define SERVICE_CALLS 3000
-#define SERVICE_SECONDS 0.1 /* median duration of a call */
-#define SERVICE_SPREAD 0.8
+#define SERVICE_SECONDS 0.1        /* median duration of a call */
+#define SERVICE_SPREAD 0.8         /* standard deviation of the logarithm of durations */
 #define MEAN_SERVICE_SECONDS 0.169 /* with SERVICE_SPREAD and the mean slowdown */
 #define SERVICE_TICK LB_MSEC
 #define N_SERVICE_SEEDS 3
@@ -267,8 +267,10 @@
   return sum;
 }
 
+/* Compares the durations of calls with those if the switch is off. max_mean: bound on the mean, as
+ * a part of the mean if off. */
 static void
-expect_better_services (const double speeds[3], bool reports_work_time, double max_mean)
+expect_service_times (const double speeds[3], bool reports_work_time, double max_mean)
 {
   static const double loads[] = { 0.25, 0.5, 0.75 };
 
@@ -288,19 +290,19 @@
  * look fast because of a few short calls. */
 Test (uneven, plain_services_of_different_speed)
 {
-  expect_better_services (uneven_speeds, false, 0.98);
+  expect_service_times (uneven_speeds, false, 0.98);
 }
 
 /* Endpoints that report that their work takes longer at the moment must get fewer calls. */
 Test (uneven, plain_services_that_report_their_work_time)
 {
-  expect_better_services (equal_speeds, true, 1);
+  expect_service_times (equal_speeds, true, 1);
 }
 
 /* Durations of calls vary widely, which must not make equally fast endpoints look different. */
 Test (uneven, plain_services_of_equal_speed)
 {
-  expect_better_services (equal_speeds, false, 1.02);
+  expect_service_times (equal_speeds, false, 1.02);
 }
 
 /* --- failures --- */
--- a/packages/core/tests/trainers-fixture.h
+++ b/packages/core/tests/trainers-fixture.h
@@ -47,7 +47,7 @@
 {
   ReplayStep steps[N_OPEN]; /* step k is at index k % N_OPEN */
   int next;                 /* number of the next step */
-  double mean_seconds;      /* mean slot time of a text with a random one */
+  double mean_seconds;      /* mean of the random slot times of texts */
   LbTime paused_until;      /* until then, no engine works on the trainer's texts */
 } ReplayTrainer;
 
--- a/packages/core/tests/uneven-fixture.h
+++ b/packages/core/tests/uneven-fixture.h
@@ -33,9 +33,8 @@
 #define MEDIAN_TEXT_TOKENS 40.0
 #define MAX_TEXT_TOKENS 180.0
 #define TEXT_SPREAD 0.6 /* standard deviation of the logarithm of expected lengths */
-#define ESTIMATE_SPREAD                                                                            \
-  0.5 /* standard deviation of the logarithm of true over expected lengths                         \
-       */
+/* Standard deviation of the logarithm of true over expected lengths. */
+#define ESTIMATE_SPREAD 0.5
 
 typedef struct
 {
