--- a/tests/soak/soak-processes.c
+++ b/tests/soak/soak-processes.c
@@ -3,6 +3,7 @@
 #include "sk-faults.h"
 #include "sk-one-shot.h"
 #include "sk-trainer.h"
+#include "sk-watchdog.h"
 
 #include "lb-clock.h"
 #include "si-arguments.h"
@@ -12,15 +13,20 @@
 
 #define INSTANCE_START_TIMEOUT (20 * LB_SEC)
 #define LAST_STEP_TIMEOUT (60 * LB_SEC)
+#define REREAD_TIMEOUT (60 * LB_SEC)
 #define ALL_INSTANCES_STOP_TIMEOUT (25 * LB_SEC)
+/* time for setup and cleanup, added to the timeouts of all phases to get the time limit of a run */
+#define TIME_LIMIT_MARGIN (15 * LB_SEC)
 
 #define MAX_FAULT_SECONDS 3600
+#define MAX_TIME_LIMIT_SECONDS 7200
 
 typedef struct
 {
   int seconds;
   int instances;
   int engines;
+  int time_limit_seconds;      /* limit of the run of one seed; 0: the timeouts of all phases */
   const char *only_fault_kind; /* name of the only kind of fault to inject; NULL: all kinds */
   bool verbose;
   bool keep_logs;
@@ -61,6 +67,7 @@
 {
   LbTime end = lb_clock_monotonic () + INSTANCE_START_TIMEOUT;
 
+  sk_watchdog_set_phase ("the start of all instances");
   while (!are_all_instances_running (&run->world) && lb_clock_monotonic () < end)
     sk_world_run_event_loop_once (&run->world);
   if (!are_all_instances_running (&run->world))
@@ -89,6 +96,7 @@
   LbTime end = lb_clock_monotonic () + options->seconds * LB_SEC;
   LbTime next = lb_clock_monotonic () + LB_SEC;
 
+  sk_watchdog_set_phase ("the end of the faults");
   for (LbTime now = 0; (now = lb_clock_monotonic ()) < end;)
     {
       sk_faults_inject_next_if_due (&run->world, only_fault_kind, &next, now);
@@ -96,6 +104,28 @@
     }
 }
 
+/* Checks that every instance returns the same results of the trainer's last step. */
+static void
+reread_results_at_all_instances (SoakRun *run)
+{
+  SkWorld *world = &run->world;
+  LbTime end = lb_clock_monotonic () + REREAD_TIMEOUT;
+
+  sk_watchdog_set_phase ("the results of the last step from every instance");
+  for (size_t i = 0; i < world->n_instances; i++)
+    {
+      sk_trainer_reread_results (run->trainer, &world->instances[i]);
+      while (sk_trainer_has_call_in_progress (run->trainer) && lb_clock_monotonic () < end)
+        send_due_calls_and_run_event_loop_once (run);
+      if (lb_clock_monotonic () < end)
+        continue;
+      sk_report_violation (world, "every instance returns the results",
+                           "%zu of %zu instances were read within %.0f s", i, world->n_instances,
+                           (double)REREAD_TIMEOUT / LB_SEC);
+      return;
+    }
+}
+
 /* Ends all faults. Then checks that the trainer gets all results of its last step, and that every
  * instance returns the same results. */
 static void
@@ -104,25 +134,21 @@
   SkWorld *world = &run->world;
   LbTime end = lb_clock_monotonic () + LAST_STEP_TIMEOUT;
 
+  sk_watchdog_set_phase ("the results of the last step");
   sk_faults_end_all (world);
   sk_trainer_stop_after_step (run->trainer);
   while ((!sk_trainer_has_completed_last_step (run->trainer) || !are_all_instances_running (world))
          && lb_clock_monotonic () < end)
     send_due_calls_and_run_event_loop_once (run);
-  if (!sk_trainer_has_completed_last_step (run->trainer))
-    sk_report_violation (world, "every sample is delivered",
-                         "the last step is incomplete after %.0f s",
-                         (double)LAST_STEP_TIMEOUT / LB_SEC);
   sk_callers_stop_new_calls (run->callers);
   sk_one_shot_trainers_stop_new_batches (run->one_shot_trainers);
   sk_crasher_stop_new_requests (run->crasher);
-  for (size_t i = 0; i < world->n_instances && sk_trainer_has_completed_last_step (run->trainer);
-       i++)
-    {
-      sk_trainer_reread_results (run->trainer, &world->instances[i]);
-      while (sk_trainer_has_call_in_progress (run->trainer))
-        send_due_calls_and_run_event_loop_once (run);
-    }
+  if (sk_trainer_has_completed_last_step (run->trainer))
+    reread_results_at_all_instances (run);
+  else
+    sk_report_violation (world, "every sample is delivered",
+                         "the last step is incomplete after %.0f s",
+                         (double)LAST_STEP_TIMEOUT / LB_SEC);
 }
 
 /* Stops all instances and checks that each completes a graceful shutdown. */
@@ -133,6 +159,7 @@
   LbTime end = lb_clock_monotonic () + ALL_INSTANCES_STOP_TIMEOUT;
   size_t n_running = world->n_instances;
 
+  sk_watchdog_set_phase ("the exit of all instances");
   for (size_t i = 0; i < world->n_instances; i++)
     sk_instance_stop (&world->instances[i]);
   while (n_running > 0 && lb_clock_monotonic () < end)
@@ -149,6 +176,15 @@
     sk_report_violation (world, "shutdown completes in time", "%zu instances still run", n_running);
 }
 
+static LbTime
+get_time_limit (const Options *options)
+{
+  if (options->time_limit_seconds > 0)
+    return options->time_limit_seconds * LB_SEC;
+  return INSTANCE_START_TIMEOUT + options->seconds * LB_SEC + LAST_STEP_TIMEOUT + REREAD_TIMEOUT
+         + ALL_INSTANCES_STOP_TIMEOUT + TIME_LIMIT_MARGIN;
+}
+
 static int
 run_soak_with_seed (const Options *options, uint64_t seed)
 {
@@ -156,6 +192,7 @@
   SkWorld *world = &run.world;
   int n_violations = 0;
 
+  sk_watchdog_start (world, seed, get_time_limit (options));
   sk_world_init (world, seed, (size_t)options->instances, (size_t)options->engines);
   world->verbose = options->verbose;
   run.callers = sk_callers_new (world);
@@ -181,6 +218,7 @@
   sk_one_shot_trainers_free (run.one_shot_trainers);
   sk_crasher_free (run.crasher);
   sk_world_clear (world, n_violations > 0 || options->keep_logs);
+  sk_watchdog_stop ();
   return n_violations;
 }
 
@@ -208,7 +246,9 @@
 {
   return is_option_in_range ("instances", options->instances, 1, SK_MAX_INSTANCES)
          && is_option_in_range ("engines", options->engines, 2, SK_MAX_ENGINES)
-         && is_option_in_range ("seconds", options->seconds, 1, MAX_FAULT_SECONDS);
+         && is_option_in_range ("seconds", options->seconds, 1, MAX_FAULT_SECONDS)
+         && is_option_in_range ("time-limit", options->time_limit_seconds, 0,
+                                MAX_TIME_LIMIT_SECONDS);
 }
 
 int
@@ -223,6 +263,10 @@
       = arg_int0 (NULL, "instances", "N", "number of instances, 1 to 200; 4 by default");
   struct arg_int *engines
       = arg_int0 (NULL, "engines", "N", "number of engines, 2 to 64; 5 by default");
+  struct arg_int *time_limit
+      = arg_int0 (NULL, "time-limit", "N",
+                  "seconds after which the run of a seed ends as failed, 1 to 7200;"
+                  " by default the timeouts of all its phases");
   struct arg_str *only_fault_kind
       = arg_str0 (NULL, "only", "FAULT", "inject only this kind of fault");
   struct arg_lit *verbose = arg_lit0 (NULL, "verbose", "log faults and events to standard error");
@@ -230,8 +274,8 @@
       = arg_lit0 (NULL, "keep-logs", "keep the logs also of seeds without violations");
   struct arg_lit *help = arg_lit0 (NULL, "help", "print this help");
   struct arg_end *end = arg_end (4);
-  void *table[]
-      = { seed, seeds, seconds, instances, engines, only_fault_kind, verbose, keep, help, end };
+  void *table[] = { seed,    seeds, seconds, instances, engines, time_limit, only_fault_kind,
+                    verbose, keep,  help,    end };
   Options options = { 0 };
   int status = 0;
 
@@ -240,6 +284,7 @@
   seconds->ival[0] = 12;
   instances->ival[0] = 4;
   engines->ival[0] = 5;
+  time_limit->ival[0] = 0;
   if (!si_arguments_parse (argc, argv, table, sizeof table / sizeof table[0], "soak-processes",
                            &status))
     goto out;
@@ -247,6 +292,7 @@
       = (Options){ .seconds = seconds->ival[0],
                    .instances = instances->ival[0],
                    .engines = engines->ival[0],
+                   .time_limit_seconds = time_limit->ival[0],
                    .only_fault_kind = only_fault_kind->count > 0 ? only_fault_kind->sval[0] : NULL,
                    .verbose = verbose->count > 0,
                    .keep_logs = keep->count > 0 };
