--- a/packages/base/include/lb-switch.h
+++ b/packages/base/include/lb-switch.h
@@ -23,6 +23,7 @@
   LB_SWITCH_OFFERS,     /* offers a new batch to the instance that runs the model's other batches */
   LB_SWITCH_SUCCESSORS, /* names the next owner of a batch that is released on shutdown */
   LB_SWITCH_WAY_THROUGH_PEERS, /* sends store calls through a peer instance if direct calls fail */
+  LB_SWITCH_STORE_BUDGET,      /* limits the attempts that are sent to a store that fails */
   LB_SWITCH_SENT_AGAIN,        /* resends calls that the store dropped while it was unresponsive */
   LB_SWITCH_BREAKERS,          /* stops requests to endpoints that often fail (circuit breakers) */
   LB_SWITCH_PREFIX_AFFINITY,   /* prefers engines that have the prompt's prefix in their cache */
--- a/packages/base/src/lb-switch.c
+++ b/packages/base/src/lb-switch.c
@@ -18,6 +18,7 @@
   [LB_SWITCH_OFFERS] = "offers",
   [LB_SWITCH_SUCCESSORS] = "successors",
   [LB_SWITCH_WAY_THROUGH_PEERS] = "way_through_peers",
+  [LB_SWITCH_STORE_BUDGET] = "store_budget",
   [LB_SWITCH_SENT_AGAIN] = "sent_again",
   [LB_SWITCH_BREAKERS] = "breakers",
   [LB_SWITCH_PREFIX_AFFINITY] = "prefix_affinity",
--- a/packages/node/src/membership/ln-fleet-renewal.c
+++ b/packages/node/src/membership/ln-fleet-renewal.c
@@ -75,7 +75,7 @@
       = { .token = "", .puts = &put, .n_puts = 1, .timeout = RENEWAL_TIMEOUT };
 
   ln_fleet_row_format_key (renewal->row, on_duty, key);
-  renewal->platform->klass->transact (renewal->platform, &transaction, LP_PRIORITY_STATUS, done,
+  renewal->platform->klass->transact (renewal->platform, &transaction, LP_PRIORITY_LEASE, done,
                                       renewal);
 }
 
--- a/packages/node/src/membership/ln-fleet.c
+++ b/packages/node/src/membership/ln-fleet.c
@@ -22,6 +22,7 @@
 #define MAX_ENTRY_ADDRESSES 64
 #define CLOCK_LEAD_TOLERANCE_MS 25
 #define NOT_READY_RETRY_AFTER (300 * LB_MSEC)
+#define MAX_PEER_TIMEOUT (30 * LB_SEC) /* longest watch that the store accepts */
 
 /* The task "peers" on a shared platform. It derives the membership from rows in the store, gives
  * callers the addresses of instances, and makes store calls on behalf of other instances. */
@@ -314,12 +315,26 @@
   return true;
 }
 
+/* Returns 0, the default, for a header that is absent or not a number of milliseconds within the
+ * limit. */
+static LbTime
+parse_peer_timeout (const char *text)
+{
+  char *end = NULL;
+  long long ms = text ? strtoll (text, &end, 10) : 0;
+
+  return text && end != text && *end == '\0' && ms > 0 && ms <= MAX_PEER_TIMEOUT / LB_MSEC
+             ? ms * LB_MSEC
+             : 0;
+}
+
 static void
 relay_store_call (Fleet *task, LnExchange *exchange)
 {
   LpPlatform *platform = task->context->platform;
   const char *method = ln_exchange_header (exchange, LP_PEER_METHOD_HEADER);
   const char *path = ln_exchange_header (exchange, LP_PEER_PATH_HEADER);
+  const char *timeout_ms = ln_exchange_header (exchange, LP_PEER_TIMEOUT_HEADER);
   RelayedCall *call = NULL;
   LbError error = { 0 };
   size_t length;
@@ -337,7 +352,8 @@
   call = LB_NEW (RelayedCall);
   call->exchange = exchange;
   platform->klass->execute_peer_call (platform, method, path, body, length,
-                                      on_relayed_call_answered, call);
+                                      parse_peer_timeout (timeout_ms), on_relayed_call_answered,
+                                      call);
 }
 
 static void
--- a/packages/store/include/lp-path.h
+++ b/packages/store/include/lp-path.h
@@ -7,6 +7,7 @@
 #define LP_PEER_PATH "/v1/store"
 #define LP_PEER_METHOD_HEADER "x-store-method"
 #define LP_PEER_PATH_HEADER "x-store-path"
+#define LP_PEER_TIMEOUT_HEADER "x-store-timeout-ms" /* how long the sender waits for the answer */
 
 /* largest number of peers that an LpPath keeps */
 #define LP_MAX_PEERS 64
--- a/packages/store/include/lp-platform.h
+++ b/packages/store/include/lp-platform.h
@@ -76,13 +76,15 @@
 /* version: the newest weight version of the pool that was asked for; 0 on an error. */
 typedef void (*LpWeightsDone) (LbErrorCode error, int64_t version, void *user);
 
-/* Priority of calls that wait for the client's rate limit, the most urgent first. */
+/* Priority of calls that wait for the client's rate limit or for its budget of attempts, the most
+ * urgent first. */
 typedef enum
 {
   LP_PRIORITY_LEASE,
   LP_PRIORITY_CONFIG,
   LP_PRIORITY_LEDGER,
-  LP_PRIORITY_STATUS
+  LP_PRIORITY_STATUS,
+  LP_N_PRIORITIES
 } LpPriority;
 
 /* error: LB_OK, STORE_AWAY, STORE_BUSY. rows is in key order. version: the table's version when it
@@ -146,14 +148,15 @@
   int64_t (*store_clock_ms) (const LpPlatform *platform);
   /* The store's clock in ms at time `now` of this process, estimated from answers; 0: unknown. */
   int64_t (*store_clock_ms_at) (const LpPlatform *platform, LbTime now);
-  /* Executes a peer's store call over the direct path, never through another peer. If the
-   * callback's status is 0, the store did not answer, and the callback's error says whether the
-   * call may have been applied. */
+  /* Executes a peer's store call over the direct path, never through another peer. timeout: how
+   * long the peer waits; 0: the default. If the callback's status is 0, the store did not answer,
+   * and the callback's error says whether the call may have been applied. */
   void (*execute_peer_call) (LpPlatform *platform,
                              const char *method,
                              const char *path,
                              const char *body,
                              size_t length,
+                             LbTime timeout,
                              LpPeerCallDone done,
                              void *user);
   void (*list_instances) (LpPlatform *platform, LpInstancesDone done, void *user);
--- a/packages/store/src/lp-client.c
+++ b/packages/store/src/lp-client.c
@@ -15,7 +15,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define N_PRIORITIES (LP_PRIORITY_STATUS + 1)
 /* The timeout of one attempt is the call's deadline divided by this. */
 #define ATTEMPTS_PER_DEADLINE 3
 #define BASE_RETRY_BACKOFF (20 * LB_MSEC)
@@ -31,7 +30,7 @@
   LpBreaker breaker;
   gsl_rng *rng;
   struct event *send_event;
-  LbList waiting[N_PRIORITIES];
+  LbList waiting[LP_N_PRIORITIES];
   LbList in_flight;
   LbList backing_off; /* calls that wait for the backoff before their next attempt */
 };
@@ -306,7 +305,7 @@
 static Call *
 find_most_urgent_waiting_call (const LpClient *client)
 {
-  for (size_t i = 0; i < N_PRIORITIES; i++)
+  for (size_t i = 0; i < LP_N_PRIORITIES; i++)
     if (!lb_list_is_empty (&client->waiting[i]))
       return LB_CONTAINER (client->waiting[i].head.next, Call, link);
   return NULL;
@@ -317,7 +316,7 @@
 {
   size_t n = 0;
 
-  for (size_t i = 0; i < N_PRIORITIES; i++)
+  for (size_t i = 0; i < LP_N_PRIORITIES; i++)
     n += client->waiting[i].length;
   return (int64_t)n;
 }
@@ -364,7 +363,7 @@
   lp_pacer_init (&client->pacer, settings->rate, lb_clock_monotonic ());
   lp_breaker_init (&client->breaker);
   client->send_event = evtimer_new (base, send_waiting_calls, client);
-  for (size_t i = 0; i < N_PRIORITIES; i++)
+  for (size_t i = 0; i < LP_N_PRIORITIES; i++)
     lb_list_init (&client->waiting[i]);
   lb_list_init (&client->in_flight);
   lb_list_init (&client->backing_off);
@@ -387,7 +386,7 @@
 void
 lp_client_free (LpClient *client)
 {
-  for (size_t i = 0; i < N_PRIORITIES; i++)
+  for (size_t i = 0; i < LP_N_PRIORITIES; i++)
     cancel_calls_in_list (&client->waiting[i]);
   cancel_calls_in_list (&client->in_flight);
   cancel_calls_in_list (&client->backing_off);
--- a/standins/si-row-store.c
+++ b/standins/si-row-store.c
@@ -15,6 +15,7 @@
 #define DEFAULT_LIST_LIMIT 500
 #define MAX_ENCODED_VALUE_LENGTH ((size_t)(64 << 10) / 3 * 4) /* 64 KiB before Base64 encoding */
 #define WATCH_CHECK_INTERVAL (20 * LB_MSEC)
+#define RATE_PERIOD (50 * LB_MSEC) /* period over which the rate of requests is limited */
 
 typedef struct
 {
@@ -432,12 +433,32 @@
   return strncmp (path, prefix, length) == 0;
 }
 
+/* Counts a request; false: it exceeds the rate that the store serves. */
+static bool
+is_within_rate (SiRowStore *store, LbTime now)
+{
+  if (now - store->rate_period_start >= RATE_PERIOD)
+    {
+      store->rate_period_start = now;
+      store->n_served_in_period = 0;
+    }
+  return store->max_requests_per_second == 0
+         || store->n_served_in_period++
+                < (int)(store->max_requests_per_second * RATE_PERIOD / LB_SEC);
+}
+
 static void
 route_request (SiRowStore *store, struct evhttp_request *request, bool is_delayed)
 {
   const char *path = si_request_get_path (request);
   const char *name = NULL;
 
+  store->requests++;
+  if (!is_within_rate (store, lb_clock_monotonic ()))
+    {
+      si_reply_error (request, 429, "rate");
+      return;
+    }
   if (store->mode == SI_ROW_STORE_SILENT || is_request_for_silent_table (store, request))
     return;
   if (store->mode == SI_ROW_STORE_UNAVAILABLE)
--- a/standins/si-row-store.h
+++ b/standins/si-row-store.h
@@ -37,7 +37,12 @@
   int lost_replies;
   /* Set: mode becomes SI_ROW_STORE_UNAVAILABLE when lost_replies reaches 0. */
   bool unavailable_after_lost_replies;
-  int64_t writes; /* number of committed transactions */
+  int64_t writes;   /* number of committed transactions */
+  int64_t requests; /* number of requests, refused ones included */
+  /* Requests that the store serves in a second; further ones get 429. 0: no limit. */
+  int max_requests_per_second;
+  LbTime rate_period_start; /* start of the period that n_served_in_period counts */
+  int n_served_in_period;
 } SiRowStore;
 
 bool si_row_store_init (SiRowStore *store, struct event_base *base, int port);
