soak: a store that serves a fifth of its usual requests

Fault kind overload-store: the stand-in answers 429 beyond a fifth of the mean rate since the start, for 1 to 5 s, in series.

--- a/tests/soak/sk-faults.c
+++ b/tests/soak/sk-faults.c
@@ -180,6 +180,18 @@
   sk_log (world, "store: fault mode %d", world->store.mode);
 }
 
+/* The store serves a fifth of the requests that it has got in the mean, and refuses the others. */
+static void
+overload_store (SkWorld *world)
+{
+  LbTime now = lb_clock_monotonic ();
+  int64_t usual = world->store.requests * LB_SEC / (now - world->started_at);
+
+  world->store.max_requests_per_second = (int)(usual / 5) + 1;
+  world->store_heal_at = now + draw_random_duration (world, 1000, 5000);
+  sk_log (world, "store: serves %d requests a second", world->store.max_requests_per_second);
+}
+
 static void
 discard_store_watch_history (SkWorld *world)
 {
@@ -277,16 +289,20 @@
                               { "slow-engine", slow_down_spare_engine },
                               { "replace-engine", replace_spare_engine },
                               { "config", write_config_with_new_route },
+                              { "overload-store", overload_store },
                               { NULL, NULL } };
 
+size_t
+sk_faults_count_kinds (void)
+{
+  return sizeof sk_faults / sizeof sk_faults[0] - 1;
+}
+
 static const SkFault *
 choose_fault_kind (SkWorld *world, const char *only_fault_kind)
 {
-  unsigned long n = 0;
+  const SkFault *chosen = &sk_faults[gsl_rng_uniform_int (world->fault_rng, world->n_fault_kinds)];
 
-  while (sk_faults[n].name)
-    n++;
-  const SkFault *chosen = &sk_faults[gsl_rng_uniform_int (world->fault_rng, n)];
   for (const SkFault *fault = sk_faults; only_fault_kind && fault->name; fault++)
     if (strcmp (fault->name, only_fault_kind) == 0)
       return fault;
--- a/tests/soak/sk-faults.h
+++ b/tests/soak/sk-faults.h
@@ -14,6 +14,8 @@
 /* All kinds of faults. The last entry has the name NULL. */
 extern const SkFault sk_faults[];
 
+/* Returns the number of kinds in sk_faults. */
+size_t sk_faults_count_kinds (void);
 /* If *next_at has passed, injects a fault and advances *next_at. only_fault_kind: name of the kind
  * of fault; NULL: a random kind. */
 void sk_faults_inject_next_if_due (SkWorld *world,
--- a/tests/soak/sk-world.c
+++ b/tests/soak/sk-world.c
@@ -767,6 +767,7 @@
       sk_log (world, "store: healed");
       world->store_heal_at = LB_TIME_NEVER;
       world->store.mode = SI_ROW_STORE_NORMAL;
+      world->store.max_requests_per_second = 0;
     }
   usleep (LOOP_PAUSE_US);
 }
--- a/tests/soak/sk-world.h
+++ b/tests/soak/sk-world.h
@@ -105,6 +105,7 @@
   LbTime store_last_disturbed_at; /* time when the store last had a fault */
   LbTime last_disturbed_at; /* time of the last fault of an instance, a connection or an endpoint */
   LbTime started_at;
+  size_t n_fault_kinds; /* faults are drawn from the first kinds of sk_faults */
   bool verbose;
   int n_violations;
   uint64_t seed;
--- a/tests/soak/soak-processes.c
+++ b/tests/soak/soak-processes.c
@@ -26,6 +26,7 @@
   int seconds;
   int instances;
   int engines;
+  int fault_kinds;             /* faults are drawn from the first kinds of sk_faults */
   int time_limit_seconds;      /* limit of the run of one seed; 0: the timeouts of all phases */
   const char *only_fault_kind; /* name of the only kind of fault to inject; NULL: all kinds */
   bool verbose;
@@ -78,21 +79,18 @@
 /* Returns the only kind of fault for every fourth seed, and NULL (all kinds) for the others. Some
  * invariants have a time limit that is checked only while no other kind of fault is active. */
 static const char *
-choose_only_fault_kind_for_seed (uint64_t seed)
+choose_only_fault_kind_for_seed (uint64_t seed, size_t n_fault_kinds)
 {
-  size_t n = 1; /* sk_faults has at least one kind */
-
-  while (sk_faults[n].name)
-    n++;
-  return seed % 4 == 3 ? sk_faults[seed / 4 % n].name : NULL;
+  return seed % 4 == 3 ? sk_faults[seed / 4 % n_fault_kinds].name : NULL;
 }
 
 static void
 run_traffic_with_faults (SoakRun *run, const Options *options)
 {
-  const char *only_fault_kind = options->only_fault_kind
-                                    ? options->only_fault_kind
-                                    : choose_only_fault_kind_for_seed (run->world.seed);
+  const char *only_fault_kind
+      = options->only_fault_kind
+            ? options->only_fault_kind
+            : choose_only_fault_kind_for_seed (run->world.seed, run->world.n_fault_kinds);
   LbTime end = lb_clock_monotonic () + options->seconds * LB_SEC;
   LbTime next = lb_clock_monotonic () + LB_SEC;
 
@@ -195,6 +193,7 @@
   sk_watchdog_start (world, seed, get_time_limit (options));
   sk_world_init (world, seed, (size_t)options->instances, (size_t)options->engines);
   world->verbose = options->verbose;
+  world->n_fault_kinds = (size_t)options->fault_kinds;
   run.callers = sk_callers_new (world);
   run.trainer = sk_trainer_new (world);
   run.one_shot_trainers = sk_one_shot_trainers_new (world);
@@ -247,6 +246,8 @@
   return is_option_in_range ("instances", options->instances, 1, SK_MAX_INSTANCES)
          && is_option_in_range ("engines", options->engines, 2, SK_MAX_ENGINES)
          && is_option_in_range ("seconds", options->seconds, 1, MAX_FAULT_SECONDS)
+         && is_option_in_range ("fault-kinds", options->fault_kinds, 1,
+                                (int)sk_faults_count_kinds ())
          && is_option_in_range ("time-limit", options->time_limit_seconds, 0,
                                 MAX_TIME_LIMIT_SECONDS);
 }
@@ -263,6 +264,10 @@
       = arg_int0 (NULL, "instances", "N", "number of instances, 1 to 200; 4 by default");
   struct arg_int *engines
       = arg_int0 (NULL, "engines", "N", "number of engines, 2 to 64; 5 by default");
+  struct arg_int *fault_kinds
+      = arg_int0 (NULL, "fault-kinds", "N",
+                  "draw the faults from the first N kinds only, as a seed did before kinds were"
+                  " added; all kinds by default");
   struct arg_int *time_limit
       = arg_int0 (NULL, "time-limit", "N",
                   "seconds after which the run of a seed ends as failed, 1 to 7200;"
@@ -274,8 +279,8 @@
       = arg_lit0 (NULL, "keep-logs", "keep the logs also of seeds without violations");
   struct arg_lit *help = arg_lit0 (NULL, "help", "print this help");
   struct arg_end *end = arg_end (4);
-  void *table[] = { seed,    seeds, seconds, instances, engines, time_limit, only_fault_kind,
-                    verbose, keep,  help,    end };
+  void *table[] = { seed,       seeds,           seconds, instances, engines, fault_kinds,
+                    time_limit, only_fault_kind, verbose, keep,      help,    end };
   Options options = { 0 };
   int status = 0;
 
@@ -284,6 +289,7 @@
   seconds->ival[0] = 12;
   instances->ival[0] = 4;
   engines->ival[0] = 5;
+  fault_kinds->ival[0] = (int)sk_faults_count_kinds ();
   time_limit->ival[0] = 0;
   if (!si_arguments_parse (argc, argv, table, sizeof table / sizeof table[0], "soak-processes",
                            &status))
@@ -292,6 +298,7 @@
       = (Options){ .seconds = seconds->ival[0],
                    .instances = instances->ival[0],
                    .engines = engines->ival[0],
+                   .fault_kinds = fault_kinds->ival[0],
                    .time_limit_seconds = time_limit->ival[0],
                    .only_fault_kind = only_fault_kind->count > 0 ? only_fault_kind->sval[0] : NULL,
                    .verbose = verbose->count > 0,
