membership: a renewal with an old time confirms no instance

Looked for the same cause elsewhere, with rows of dead instances in the store and all starting at once: two ways were left. The store may apply a renewal of a dead instance seconds late; its new version counted as a sign of life. A row with a time in the future, as after a store whose clock began anew, counted as recent for ever. Change: a new version confirms only if its time is recent, or if no time is known; a time more than 1 s ahead is not recent.

--- a/packages/core/src/membership/lc-fleet.c
+++ b/packages/core/src/membership/lc-fleet.c
@@ -24,6 +24,8 @@
  * recently. A row that is renewed less often does not show that its instance is alive now; callers
  * are not sent to that instance before its next renewal. */
 #define MAX_RENEWAL_PERIOD_FOR_RECENCY (2500 * LB_MSEC)
+/* Largest error of an instance's estimate of the store's clock. */
+#define MAX_CLOCK_ESTIMATE_ERROR LB_SEC
 /* A listing that is overdue by more than this shows that the store was unreachable. */
 #define OUTAGE_THRESHOLD (300 * LB_MSEC)
 /* Time until renewals succeed again after a store outage: a few were lost, and an instance waits
@@ -186,7 +188,8 @@
          && strcmp (a->overloaded_service, b->overloaded_service) == 0;
 }
 
-/* Whether a row that is seen for the first time was renewed recently, by the store's clock. */
+/* Whether the row was renewed recently, by the store's clock. A row from the future was written
+ * before the store's clock began anew. */
 static bool
 was_row_renewed_recently (const LcFleet *fleet, const LcFleetRow *row)
 {
@@ -194,10 +197,18 @@
   LbTime period
       = row->period < MAX_RENEWAL_PERIOD_FOR_RECENCY ? row->period : MAX_RENEWAL_PERIOD_FOR_RECENCY;
 
-  return fleet->store_ms > 0 && row->renewed_ms > 0
+  return fleet->store_ms > 0 && row->renewed_ms > 0 && age > -MAX_CLOCK_ESTIMATE_ERROR
          && age < period * MAX_MISSED_RENEWALS + fleet->delay_allowance;
 }
 
+/* Whether a renewal shows that the instance lives: the store may apply a write of a dead instance
+ * seconds late. Without times, any renewal counts. */
+static bool
+does_renewal_confirm_instance (const LcFleet *fleet, const LcFleetRow *row)
+{
+  return fleet->store_ms == 0 || row->renewed_ms == 0 || was_row_renewed_recently (fleet, row);
+}
+
 /* A row stays in the store after its instance is gone. So a member whose row is seen for the first
  * time gets no callers until the age of the row or the next renewal confirms that the member is
  * alive. An unconfirmed member still counts as alive, because after a store outage all rows are
@@ -221,8 +232,10 @@
   member->is_in_list = true;
   if (version <= member->version)
     return;
-  fleet->changed |= !do_rows_have_same_state (&member->row, row) || !member->confirmed;
-  member->confirmed = true;
+  bool was_confirmed = member->confirmed;
+  member->confirmed |= does_renewal_confirm_instance (fleet, row);
+  fleet->changed
+      |= !do_rows_have_same_state (&member->row, row) || member->confirmed != was_confirmed;
   member->row = *row;
   member->version = version;
   member->version_seen_at = now;
--- a/packages/core/tests/test-fleet.c
+++ b/packages/core/tests/test-fleet.c
@@ -296,6 +296,33 @@
   lc_fleet_free (fleet);
 }
 
+/* Guards against callers that get the address of a dead instance after a restart of all: the store
+ * applies one of its renewals seconds late, which looks like a sign of life. */
+Test (fleet, a_renewal_that_the_store_applies_late_does_not_confirm_an_instance)
+{
+  LcFleet *fleet = make_fleet_after_first_list_with_b (100000 - 47000);
+  LcFleetRow b = make_fleet_row ("b", "1");
+
+  b.renewed_ms = 100000 - 46500;
+  lc_fleet_begin_list (fleet, &(LcFleetList){ .received_at = 2 * LB_SEC,
+                                              .store_ms = 101000,
+                                              .period = RENEWAL_PERIOD });
+  lc_fleet_add_row (fleet, &b, 6, 2 * LB_SEC);
+  lc_fleet_finish_list (fleet, 2 * LB_SEC);
+  cr_assert_not (is_member_confirmed (fleet, "b"));
+  lc_fleet_free (fleet);
+}
+
+/* Guards against a store whose clock began anew: the rows of dead instances are then from the
+ * future, which must not count as recent. */
+Test (fleet, a_row_from_the_future_is_not_confirmed)
+{
+  LcFleet *fleet = make_fleet_after_first_list_with_b (900000);
+
+  cr_assert_not (is_member_confirmed (fleet, "b"));
+  lc_fleet_free (fleet);
+}
+
 Test (fleet, a_row_is_unchanged_after_a_round_trip)
 {
   LcFleetRow first = make_fleet_row ("a", "17");
