rollout: strict trainers name the last chunk that they have

Cause: the ledger row cannot tell a chunk that was sent from one that arrived, and an empty cursor says nothing. Change: optional "received" in a pull and "chunk" in its reply; the ledger row holds the cursor with the unconfirmed chunk and the one before. A chunk that a dead owner left is generated again under a new number if the next pull does not name it; a repeated chunk waits for a ledger write, which fails for a replaced owner. Tests: five in core-test-rollouts-once; all of core-test-rollouts-* pass.

--- a/packages/core/include/lc-resources.h
+++ b/packages/core/include/lc-resources.h
@@ -50,7 +50,7 @@
   double hedge_budget; /* maximum share of a step's tokens that hedged requests may waste, 0..0.5 */
   /* If set, the samples of a chunk are recorded as delivered in the step's row of the store (the
    * ledger) before the chunk is sent. The trainer then sends no cursor of the samples that it
-   * has. */
+   * has, but may name its last chunk. */
   bool strict;
   LbName scorer; /* service that scores samples before delivery; empty: none */
 } LcSubscription;
--- a/packages/core/include/lc-rollouts.h
+++ b/packages/core/include/lc-rollouts.h
@@ -62,6 +62,10 @@
   int64_t step;
   /* cursor of the last reply that the trainer received; "" at the start of a step */
   const char *cursor;
+  /* Strict subscriptions: whether the trainer names the last chunk that it has. If not, a chunk
+   * counts as received when it is sent. */
+  bool names_chunk;
+  int64_t received_chunk_id; /* the last chunk that the trainer has; 0: none of this step */
   /* the trainer's current weight version; staleness is measured against it */
   LcVersion trainer_version;
   int64_t max_samples;
@@ -113,6 +117,9 @@
   /* cursor to send with the chunk, which acknowledges the chunk when the trainer sends it back;
    * owned by the action */
   char *cursor;
+  /* id of the chunk, or of the last one before a reply without samples, which the next pull of a
+   * strict subscription sends back as received_chunk_id */
+  int64_t chunk_id;
   int64_t remaining; /* number of slots still to be delivered after this chunk */
 } LcRolloutAction;
 
--- a/packages/core/src/rollout/lc-cursor.c
+++ b/packages/core/src/rollout/lc-cursor.c
@@ -75,6 +75,23 @@
   return true;
 }
 
+#define CHUNK_NUMBER_BITS 20
+
+int64_t
+lc_cursor_get_chunk_id (const LcCursor *cursor)
+{
+  return cursor->chunk_number > 0
+             ? (int64_t)(cursor->session << CHUNK_NUMBER_BITS) + cursor->chunk_number
+             : 0;
+}
+
+void
+lc_cursor_set_chunk_id (LcCursor *cursor, int64_t chunk_id)
+{
+  cursor->session = (uint64_t)chunk_id >> CHUNK_NUMBER_BITS;
+  cursor->chunk_number = chunk_id & ((1 << CHUNK_NUMBER_BITS) - 1);
+}
+
 /* Writes value as a big-endian number of this many bytes and advances position. */
 static void
 write_big_endian (uint8_t **position, uint64_t value, int bytes)
--- a/packages/core/src/rollout/lc-cursor.h
+++ b/packages/core/src/rollout/lc-cursor.h
@@ -25,6 +25,11 @@
 /* Whether every slot of subset is in cursor. */
 bool lc_cursor_contains (const LcCursor *cursor, const LcCursor *subset);
 
+/* Number of the cursor's chunk that is unique among all owners of the step and grows with each
+ * chunk; 0: no chunk. */
+int64_t lc_cursor_get_chunk_id (const LcCursor *cursor);
+void lc_cursor_set_chunk_id (LcCursor *cursor, int64_t chunk_id);
+
 char *lc_cursor_encode (const LcCursor *cursor, uint64_t step_hash);
 /* Initialises the cursor, also on failure; an empty text gives an empty cursor. Fails with
  * LB_ERROR_BAD_CURSOR if the text is damaged or was encoded with another step_hash. */
--- a/packages/core/src/rollout/lc-deliver.c
+++ b/packages/core/src/rollout/lc-deliver.c
@@ -6,6 +6,7 @@
 #include "lc-job.h"
 #include "lc-label.h"
 #include "lc-result.h"
+#include "lc-strict.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -95,6 +96,7 @@
   action->cursor = has_strict_subscription (rollouts, step)
                        ? lb_strdup ("")
                        : lc_cursor_encode (&chunk->cursor, step->spec_hash);
+  action->chunk_id = lc_cursor_get_chunk_id (&chunk->cursor);
   action->remaining = (int64_t)lc_step_count_unsent_slots (step);
 }
 
@@ -112,6 +114,7 @@
   action->cursor = has_strict_subscription (rollouts, step)
                        ? lb_strdup ("")
                        : lc_cursor_encode (cursor, step->spec_hash);
+  action->chunk_id = step->acked_chunk_id;
   action->remaining = (int64_t)lc_step_count_unsent_slots (step);
 }
 
@@ -195,7 +198,10 @@
   chunk->slots = LB_NEW_ARRAY (size_t, (size_t)max_samples);
   lc_cursor_copy (&chunk->cursor, &step->acked);
   chunk->cursor.session = step->session;
-  chunk->cursor.chunk_number++;
+  /* The id of a revoked chunk is not used again. */
+  if (chunk->cursor.chunk_number < step->last_chunk_number)
+    chunk->cursor.chunk_number = step->last_chunk_number;
+  step->last_chunk_number = ++chunk->cursor.chunk_number;
   chunk->trainer_version = trainer_version;
 }
 
@@ -239,7 +245,10 @@
   if (lc_step_count_unsent_slots (step) == 0 && step->status.completed_at == 0)
     step->status.completed_at = now;
   if (has_strict_subscription (rollouts, step))
-    step->chunk.ledger_change = lc_ledger_add_change (&step->ledger, true);
+    {
+      step->chunk.is_numbered = pull->is_numbered;
+      step->chunk.ledger_change = lc_ledger_add_change (&step->ledger, true);
+    }
   log_new_chunk (step, now);
   return true;
 }
@@ -270,12 +279,12 @@
   lc_step_set_slot_state (step, slot, LC_SLOT_ACKED);
 }
 
-/* Acknowledges the chunk of a strict subscription as soon as the chunk is sent, because the ledger
- * already records the chunk as delivered, and the trainer sends no cursor. */
-static void
-acknowledge_strict_chunk (LcRollouts *rollouts, LcStep *step, LbTime now, LbList *actions)
+void
+lc_deliver_acknowledge_chunk (LcRollouts *rollouts, LcStep *step, LbTime now, LbList *actions)
 {
   lc_cursor_copy (&step->acked, &step->chunk.cursor);
+  step->acked_chunk_id = lc_cursor_get_chunk_id (&step->acked);
+  step->is_last_chunk_unconfirmed = false;
   for (size_t i = 0; i < step->chunk.n_slots; i++)
     acknowledge_slot (rollouts, step, step->chunk.slots[i], actions);
   lc_chunk_clear (&step->chunk);
@@ -341,8 +350,10 @@
   if (step->chunk.slots)
     {
       reply_to_pull_with_chunk (rollouts, step, pull, actions);
-      if (has_strict_subscription (rollouts, step))
-        acknowledge_strict_chunk (rollouts, step, now, actions);
+      /* Without a chunk id in its pulls, the trainer never tells what it has. The ledger already
+       * records the chunk as delivered. */
+      if (has_strict_subscription (rollouts, step) && !pull->is_numbered)
+        lc_deliver_acknowledge_chunk (rollouts, step, now, actions);
       return true;
     }
   if (!all_delivered && pull->wait_until > now)
@@ -426,6 +437,7 @@
   waiting->max_samples = pull->max_samples > 0 ? pull->max_samples : 1;
   waiting->trainer_version = pull->trainer_version;
   waiting->wait_until = pull->wait_until;
+  waiting->is_numbered = pull->names_chunk;
   lb_list_append (&step->waiting_pulls, &waiting->link);
 }
 
@@ -442,6 +454,11 @@
   if (ok && strict && pull->cursor[0])
     ok = lb_error_set (&error, LB_ERROR_BAD_CURSOR, "cursor",
                        "expected an empty cursor: the subscription is strict");
+  if (ok && !strict && pull->names_chunk)
+    ok = lb_error_set (&error, LB_ERROR_BAD_CURSOR, "received",
+                       "expected a cursor in its place: the subscription is not strict");
+  if (ok && strict && pull->names_chunk)
+    ok = lc_strict_accept_chunk_id (rollouts, step, pull->received_chunk_id, now, actions, &error);
   if (ok && !strict && !has_later_owner)
     ok = can_acknowledge_cursor (step, &cursor, &error);
   if (!ok || has_later_owner)
@@ -477,13 +494,14 @@
     return;
 
   LcRolloutAction *action = lc_rollouts_add_action (actions, LC_ROLLOUT_WRITE_LEDGER);
-  const LcCursor *cursor = step->chunk.ledger_change ? &step->chunk.cursor : &step->acked;
 
   action->write_id = ++rollouts->last_write_id;
   action->session = step->session;
   action->row_key
       = lb_asprintf ("ledger/%s/%lld", step->spec.subscription, (long long)step->spec.step);
-  action->row_value = lc_cursor_encode (cursor, step->spec_hash);
+  action->row_value = has_strict_subscription (rollouts, step)
+                          ? lc_strict_encode_ledger (step)
+                          : lc_cursor_encode (&step->acked, step->spec_hash);
   lc_ledger_begin_write (&step->ledger, action->write_id, now);
 }
 
--- a/packages/core/src/rollout/lc-deliver.h
+++ b/packages/core/src/rollout/lc-deliver.h
@@ -24,6 +24,8 @@
 /* Stops deliveries of the step until a new ledger write has confirmed that this instance still owns
  * the step. */
 void lc_deliver_require_session_check (LcStep *step);
+/* Acknowledges the samples of the current chunk. */
+void lc_deliver_acknowledge_chunk (LcRollouts *rollouts, LcStep *step, LbTime now, LbList *actions);
 /* Marks the slots in the cursor of the step's ledger row as acknowledged. */
 void lc_deliver_restore_acknowledged_slots (LcStep *step, const LcCursor *ledger_cursor);
 void lc_deliver_fail_waiting_pulls (LcStep *step,
--- a/packages/core/src/rollout/lc-rollouts-state.h
+++ b/packages/core/src/rollout/lc-rollouts-state.h
@@ -36,6 +36,7 @@
   int64_t max_samples;
   LcVersion trainer_version;
   LbTime wait_until;
+  bool is_numbered; /* the trainer acknowledges chunks of a strict subscription by their ids */
 } LcWaitingPull;
 
 struct LcRollouts
--- a/packages/core/src/rollout/lc-rollouts.c
+++ b/packages/core/src/rollout/lc-rollouts.c
@@ -5,6 +5,7 @@
 #include "lb-log.h"
 #include "lb-time.h"
 #include "lc-deliver.h"
+#include "lc-strict.h"
 #include "lc-generate.h"
 #include "lc-result.h"
 #include "lc-review.h"
@@ -359,7 +360,6 @@
                             LbError *error)
 {
   LcStep *step = find_step (rollouts, spec->subscription, spec->step);
-  LcCursor cursor = { 0 };
 
   free_deferred_memory_and_detect_pause (rollouts, now);
   if (step)
@@ -367,11 +367,9 @@
   if (!lc_rollouts_can_open_step (rollouts, spec, error))
     return false;
   step = lc_step_new (spec, handover->session, &rollouts->deferred_free, now);
-  bool ok
-      = lc_cursor_decode (&cursor, handover->ledger_cursor, step->n_slots, step->spec_hash, error);
+  bool ok = lc_strict_restore_ledger (step, handover->ledger_cursor, error);
   if (ok)
     {
-      lc_deliver_restore_acknowledged_slots (step, &cursor);
       for (size_t i = 0; i < handover->n_samples; i++)
         lc_result_restore_sample (rollouts, step, &handover->samples[i]);
       lb_list_append (&rollouts->steps, &step->link);
@@ -383,7 +381,6 @@
     }
   else
     lc_step_free (step);
-  lc_cursor_clear (&cursor);
   return ok;
 }
 
--- a/packages/core/src/rollout/lc-step.c
+++ b/packages/core/src/rollout/lc-step.c
@@ -140,6 +140,7 @@
   free (step->groups);
   lc_chunk_clear (&step->chunk);
   lc_cursor_clear (&step->acked);
+  lc_cursor_clear (&step->acked_before_unconfirmed);
   for (size_t i = 0; i < step->spec.n_groups; i++)
     lc_deferred_free_add (step->deferred_free, step->spec.groups[i].prompt);
   lc_deferred_free_add (step->deferred_free, step->spec.groups);
--- a/packages/core/src/rollout/lc-step.h
+++ b/packages/core/src/rollout/lc-step.h
@@ -77,6 +77,8 @@
   LcVersion trainer_version; /* trainer version that the staleness check used */
   /* ledger change that records the chunk; 0 unless the subscription is strict */
   uint64_t ledger_change;
+  /* The trainer of a strict subscription acknowledges the chunk by its id. */
+  bool is_numbered;
 } LcChunk;
 
 /* Unused memory blocks that actions of the current LcRollouts call may still point to. The next
@@ -104,7 +106,13 @@
   size_t n_in_state[LC_N_SLOT_STATES];
   LcVersion trainer_version; /* latest version that the trainer reported */
 
-  LcCursor acked; /* slots whose samples the trainer has acknowledged */
+  LcCursor acked;         /* slots whose samples the trainer has acknowledged */
+  int64_t acked_chunk_id; /* id of the last chunk that acked includes */
+  /* What a new owner of a strict step finds in the ledger: the previous owner may have sent the
+   * chunk acked_chunk_id or not. If not, acked goes back to this cursor. */
+  LcCursor acked_before_unconfirmed;
+  bool is_last_chunk_unconfirmed;
+  int64_t last_chunk_number; /* number of the last chunk made, even if it was revoked */
   LcChunk chunk;
   LbList waiting_pulls;            /* list of LcWaitingPull */
   LcLedger ledger;                 /* schedules writes of acked and chunk to the store */
--- a/packages/core/tests/rollouts-fixture.h
+++ b/packages/core/tests/rollouts-fixture.h
@@ -38,6 +38,7 @@
   /* contents of the last reply */
   LbErrorCode reply_error;
   char *cursor;
+  int64_t chunk_id;
   int64_t remaining;
   size_t n_samples;
   char samples[OWNER_MAX_REQUESTS][64]; /* each sample as "group/index text" */
@@ -56,6 +57,7 @@
   owner->remaining = action->remaining;
   free (owner->cursor);
   owner->cursor = lb_strdup (action->cursor ? action->cursor : "");
+  owner->chunk_id = action->chunk_id;
   for (size_t i = 0; i < action->n_samples; i++)
     {
       const LcReadySample *sample = &action->samples[i];
@@ -285,6 +287,24 @@
   owner_start_pull (owner, 1, cursor, version, 0);
 }
 
+/* Pulls from a strict subscription, naming the last chunk that the trainer has. */
+static inline void
+owner_pull_after_chunk (Owner *owner, int64_t received_chunk_id, LbTime wait_time)
+{
+  LcPull pull = { .id = 1,
+                  .step = 1,
+                  .cursor = "",
+                  .names_chunk = true,
+                  .received_chunk_id = received_chunk_id,
+                  .trainer_version = 40,
+                  .max_samples = 64,
+                  .wait_until = owner->now + wait_time };
+
+  LB_COPY (pull.subscription, "t");
+  OWNER_EXECUTE_ACTIONS_OF (owner,
+                            lc_rollouts_accept_pull (owner->rollouts, &pull, owner->now, &actions));
+}
+
 /* Advances the time in steps of 100 ms and ticks the owner after each, as in a process that is
  * never paused. */
 static inline void
--- a/packages/core/tests/test-rollouts-once.c
+++ b/packages/core/tests/test-rollouts-once.c
@@ -6,9 +6,9 @@
 /* Creates the next owner of the first owner's step. The next owner gets the first owner's ledger
  * row, which records the samples that were delivered. */
 static Owner *
-new_owner_from_ledger_of_first (const Owner *first, uint64_t session)
+new_owner_from_ledger (const Owner *first, const LcSubscription *subscription, uint64_t session)
 {
-  Owner *owner = owner_new (&plain, 5);
+  Owner *owner = owner_new (subscription, 5);
 
   free (owner->ledger_row);
   owner->ledger_row = lb_strdup (first->ledger_row);
@@ -16,6 +16,12 @@
   return owner;
 }
 
+static Owner *
+new_owner_from_ledger_of_first (const Owner *first, uint64_t session)
+{
+  return new_owner_from_ledger (first, &plain, session);
+}
+
 /* A trainer's pull times out, and the trainer repeats the pull twice in parallel. All three replies
  * must contain the same chunk of samples, not three different chunks. */
 Test (rollouts_once, parallel_identical_pulls_get_the_same_chunk)
@@ -375,3 +381,119 @@
   cr_assert_eq (owner->n_samples, 8);
   owner_free (owner);
 }
+
+#define WAIT (5 * LB_SEC) /* longer than a ledger write takes */
+
+/* Guards against a strict trainer that misses a chunk whose reply was lost on its way. */
+Test (rollouts_once, numbered_strict_chunk_is_sent_again_until_it_is_named)
+{
+  Owner *owner = owner_new (&strict, 5);
+  int64_t chunk_id;
+
+  owner_open_step (owner, 4, 2, 1);
+  owner_finish_all_generations (owner, 40);
+  owner_pull_after_chunk (owner, 0, WAIT);
+  cr_assert_eq (owner->n_samples, 8);
+  chunk_id = owner->chunk_id;
+  cr_assert_gt (chunk_id, 0);
+  owner_pull_after_chunk (owner, 0, WAIT);
+  cr_assert_eq (owner->n_samples, 8);
+  cr_assert_eq (owner->chunk_id, chunk_id);
+  owner_pull_after_chunk (owner, chunk_id, WAIT);
+  cr_assert_eq (owner->reply_error, LB_OK);
+  cr_assert_eq (owner->n_samples, 0);
+  cr_assert_eq (owner->remaining, 0);
+  cr_assert_eq (owner->chunk_id, chunk_id);
+  owner_free (owner);
+}
+
+/* Guards against a strict trainer that misses a chunk whose owner was killed after it had written
+ * the ledger and before the reply left. */
+Test (rollouts_once, lost_numbered_chunk_of_a_killed_owner_is_generated_again)
+{
+  Owner *first = owner_new (&strict, 5);
+
+  owner_open_step (first, 4, 2, 1);
+  owner_finish_all_generations (first, 40);
+  owner_pull_after_chunk (first, 0, WAIT);
+  cr_assert_eq (first->n_samples, 8);
+  Owner *second = new_owner_from_ledger (first, &strict, 2);
+  cr_assert_eq (
+      owner_count_running_requests (second), 0,
+      "the samples must not be generated again before the trainer tells that it lacks them");
+  owner_pull_after_chunk (second, 0, 0);
+  cr_assert_eq (second->n_samples, 0);
+  cr_assert_eq (second->remaining, 8);
+  owner_finish_all_generations (second, 40);
+  owner_pull_after_chunk (second, 0, WAIT);
+  cr_assert_eq (second->n_samples, 8);
+  cr_assert_neq (second->chunk_id, first->chunk_id);
+  owner_pull_after_chunk (second, second->chunk_id, WAIT);
+  cr_assert_eq (second->remaining, 0);
+  cr_assert_eq (lc_rollouts_count_invariant_failures (second->rollouts), 0);
+  owner_free (first);
+  owner_free (second);
+}
+
+/* Guards against a strict trainer that gets a chunk twice from the next owner. */
+Test (rollouts_once, received_numbered_chunk_of_a_killed_owner_is_not_sent_again)
+{
+  Owner *first = owner_new (&strict, 5);
+
+  owner_open_step (first, 4, 2, 1);
+  owner_finish_all_generations (first, 40);
+  owner_pull_after_chunk (first, 0, WAIT);
+  Owner *second = new_owner_from_ledger (first, &strict, 2);
+  Owner *third = NULL;
+  owner_pull_after_chunk (second, first->chunk_id, WAIT);
+  cr_assert_eq (second->reply_error, LB_OK);
+  cr_assert_eq (second->n_samples, 0);
+  cr_assert_eq (second->remaining, 0);
+  cr_assert_eq (owner_count_running_requests (second), 0);
+  third = new_owner_from_ledger (first, &strict, 3);
+  owner_pull_after_chunk (third, first->chunk_id, WAIT);
+  cr_assert_eq (third->reply_error, LB_OK);
+  cr_assert_eq (third->remaining, 0);
+  owner_free (first);
+  owner_free (second);
+  owner_free (third);
+}
+
+/* Guards against two contents under one number: an owner that was replaced while it was paused must
+ * not send its last chunk again. */
+Test (rollouts_once, repeated_numbered_chunk_waits_for_a_ledger_write)
+{
+  Owner *owner = owner_new (&strict, 5);
+  int n_replies;
+
+  owner_open_step (owner, 4, 2, 1);
+  owner_finish_all_generations (owner, 40);
+  owner_pull_after_chunk (owner, 0, WAIT);
+  n_replies = owner->n_replies;
+  owner->ledger_is_unresponsive = true;
+  owner_pull_after_chunk (owner, 0, WAIT);
+  cr_assert_eq (owner->n_replies, n_replies);
+  OWNER_EXECUTE_ACTIONS_OF (owner,
+                            lc_rollouts_finish_ledger_write (owner->rollouts, owner->last_write_id,
+                                                             LB_OK, owner->now, &actions));
+  cr_assert_eq (owner->n_replies, n_replies + 1);
+  cr_assert_eq (owner->n_samples, 8);
+  owner_free (owner);
+}
+
+/* A number that is neither that of the last chunk nor of the one before is an error, as is one of a
+ * subscription that is not strict. */
+Test (rollouts_once, unknown_chunk_number_is_rejected)
+{
+  Owner *owner = owner_new (&strict, 5);
+  Owner *other = owner_new (&plain, 5);
+
+  owner_open_step (owner, 4, 2, 1);
+  owner_pull_after_chunk (owner, 7, WAIT);
+  cr_assert_eq (owner->reply_error, LB_ERROR_BAD_CURSOR);
+  owner_open_step (other, 4, 2, 1);
+  owner_pull_after_chunk (other, 0, 0);
+  cr_assert_eq (other->reply_error, LB_ERROR_BAD_CURSOR);
+  owner_free (owner);
+  owner_free (other);
+}
--- a/packages/node/src/rollout/ln-step-call.c
+++ b/packages/node/src/rollout/ln-step-call.c
@@ -123,6 +123,8 @@
   int64_t wait_ms = 0;
   bool ok = object && read_json_integer (object, "step", 0, INT64_MAX, true, &call->key.step, error)
             && read_json_string (object, "cursor", &cursor, error)
+            && read_json_integer (object, "received", 0, INT64_MAX, false,
+                                  &call->pull.received_chunk_id, error)
             && read_json_integer (object, "weight_version", 0, INT64_MAX, true,
                                   &call->pull.trainer_version, error)
             && read_json_integer (object, "max_samples", 1, MAX_SAMPLES_PER_PULL, false,
@@ -133,6 +135,7 @@
     {
       call->cursor = lb_strdup (cursor);
       call->pull.cursor = call->cursor;
+      call->pull.names_chunk = json_object_object_get_ex (object, "received", NULL);
       call->pull.id = call->id;
       call->pull.step = call->key.step;
       call->pull.wait_until = now + wait_ms * LB_MSEC;
@@ -291,6 +294,8 @@
 
   add_json_integer (object, "step", call->key.step);
   json_object_object_add (object, "cursor", json_object_new_string (action->cursor));
+  if (call->pull.names_chunk)
+    add_json_integer (object, "chunk", action->chunk_id);
   add_json_integer (object, "remaining", action->remaining);
   json_object_object_add (object, "done", json_object_new_boolean (action->remaining == 0));
   json_object_object_add (object, "samples",
--- a/standins/standin-trainer.c
+++ b/standins/standin-trainer.c
@@ -70,6 +70,7 @@
   bool *received; /* samples received in this step, by group and index in the group */
   int64_t n_received;
   char *cursor;
+  int64_t received_chunk; /* chunk of the last reply; sent if the trainer sends no cursor */
   bool is_step_lost;
   LbTime step_deadline;
 } Trainer;
@@ -113,6 +114,8 @@
 
   si_json_set_int (body, "step", trainer->step);
   si_json_set_text (body, "cursor", trainer->settings->sends_no_cursor ? "" : trainer->cursor);
+  if (trainer->settings->sends_no_cursor)
+    si_json_set_int (body, "received", trainer->received_chunk);
   si_json_set_int (body, "weight_version", trainer->version);
   si_json_set_int (body, "max_samples", trainer->settings->max_pull_samples);
   si_json_set_int (body, "wait_ms", PULL_WAIT_MS);
@@ -308,20 +311,18 @@
     check_and_count_sample (trainer, json_object_array_get_idx (samples, i));
   free (trainer->cursor);
   trainer->cursor = lb_strdup (si_json_get_text (reply, "cursor", ""));
+  trainer->received_chunk = si_json_get_int (reply, "chunk", 0);
   if (n > 0 && trainer->settings->train_time > 0)
     si_client_pause (&trainer->client, (LbTime)n * trainer->settings->train_time);
 }
 
-/* Sends one more pull request after a reply with `done`, because the cursor in this request
- * acknowledges the last samples. */
+/* Sends one more pull request after a reply with `done`, because the cursor or the chunk in this
+ * request acknowledges the last samples. */
 static void
 acknowledge_last_samples (Trainer *trainer, const char *path)
 {
-  char *body;
+  char *body = new_pull_request_body (trainer);
 
-  if (trainer->settings->sends_no_cursor)
-    return;
-  body = new_pull_request_body (trainer);
   json_object_put (repeat_call_until_success (trainer, "acknowledge", path, body));
   free (body);
 }
@@ -364,6 +365,7 @@
   trainer->received = LB_NEW_ARRAY (bool, (size_t)slots);
   trainer->n_received = 0;
   trainer->cursor = lb_strdup ("");
+  trainer->received_chunk = 0;
   if (post_training_step (trainer))
     pull_step_samples (trainer);
   trainer->tally.missing_samples += slots - trainer->n_received;
@@ -538,7 +540,7 @@
     = arg_int0 (NULL, "train-us", "N", "simulated training time per sample in microseconds"),
     .timeout_s = arg_int0 (NULL, "timeout-s", "N", "timeout of a step in seconds"),
     .silence_ms = arg_int0 (NULL, "silence-ms", "N", "idle timeout of a call in milliseconds"),
-    .strict = arg_lit0 (NULL, "strict", "send an empty cursor with each pull"),
+    .strict = arg_lit0 (NULL, "strict", "send the number of the last chunk in place of a cursor"),
     .vary = arg_lit0 (NULL, "vary-length", "set if the engines run with --vary-length"),
     .help = arg_lit0 (NULL, "help", "show this help"),
     .end = arg_end (4),
