--- a/packages/store/include/lp-budget.h
+++ b/packages/store/include/lp-budget.h
@@ -9,14 +9,12 @@
  *
  * A token bucket: each failed attempt takes a token, each answer returns one. While most tokens are
  * gone, attempts are limited: each takes its token when it is sent, and gets it back if it is
- * answered. An instance thus sends at most 20 attempts, 4 a second and 2 for each answer, besides
- * those that were on their way when the store began to fail; while none is answered, it sends one a
- * second. No I/O. */
+ * answered. An instance thus sends at most 20 attempts, 5 a second and 2 for each answer, besides
+ * those that were on their way when the store began to fail. No I/O. */
 typedef struct
 {
   double tokens; /* at updated_at */
   LbTime updated_at;
-  LbTime refill_interval; /* time for one token */
 } LpBudget;
 
 void lp_budget_init (LpBudget *budget, LbTime now);
--- a/packages/store/src/lp-budget.c
+++ b/packages/store/src/lp-budget.c
@@ -4,12 +4,10 @@
  * single failures, as of one connection, limit nothing. */
 #define CAPACITY 20.0
 #define LIMITED_BELOW (CAPACITY / 2)
-/* Time for one token. An idle instance sends some five calls a second to a store that works, so a
- * store that fails gets fewer calls than one that works. The time doubles with each failed attempt:
- * a store that is slow because of its load answers no call in time until the load falls. It stays
- * short enough that an instance notices within two seconds that the store answers again. */
-#define MIN_REFILL_INTERVAL (250 * LB_MSEC)
-#define MAX_REFILL_INTERVAL LB_SEC
+/* Time for one token. With the jitter, an instance sends a failing store some four calls a second,
+ * which is not more than an idle instance sends a working one. Longer times would delay the work
+ * that waits for the store's return. */
+#define REFILL_INTERVAL (200 * LB_MSEC)
 /* longest random addition to the time until the next attempt, as a fraction of it */
 #define JITTER 0.5
 /* Each answer while attempts are limited allows one attempt more, so that the rate doubles with
@@ -20,15 +18,13 @@
 lp_budget_init (LpBudget *budget, LbTime now)
 {
   budget->tokens = CAPACITY;
-  budget->refill_interval = MIN_REFILL_INTERVAL;
   budget->updated_at = now;
 }
 
 static double
 get_tokens_at (const LpBudget *budget, LbTime now)
 {
-  double tokens
-      = budget->tokens + (double)(now - budget->updated_at) / (double)budget->refill_interval;
+  double tokens = budget->tokens + (double)(now - budget->updated_at) / (double)REFILL_INTERVAL;
 
   return tokens < CAPACITY ? tokens : CAPACITY;
 }
@@ -64,9 +60,7 @@
   double missing = 1 - get_tokens_at (budget, now);
 
   /* The added microsecond makes up for rounding down. */
-  return missing > 0
-             ? (LbTime)(missing * (1 + JITTER * jitter) * (double)budget->refill_interval) + 1
-             : 0;
+  return missing > 0 ? (LbTime)(missing * (1 + JITTER * jitter) * (double)REFILL_INTERVAL) + 1 : 0;
 }
 
 bool
@@ -81,15 +75,10 @@
 void
 lp_budget_end_attempt (LpBudget *budget, bool is_charged, bool is_answered, LbTime now)
 {
-  LbTime interval = MIN_REFILL_INTERVAL;
-
   if (is_answered)
     add_tokens (budget, (is_charged ? 1 : 0) + TOKENS_PER_ANSWER, now);
-  else
-    add_tokens (budget, is_charged ? 0 : -1, now);
-  if (!is_answered && is_charged)
-    interval = 2 * budget->refill_interval;
-  budget->refill_interval = interval < MAX_REFILL_INTERVAL ? interval : MAX_REFILL_INTERVAL;
+  else if (!is_charged)
+    add_tokens (budget, -1, now);
 }
 
 void
