soak: rolling stops of owners and uneven engines; faults of owners take place again

The faults pause-owner and kill-owner had not taken place either since batches carry a hash of their organisation in logs ("step1~c74b..."): the owner was looked for by the id alone and never found. Change: the owner is found by the id and the hash; faults stop-owner, rolling-stop and uneven-engine; check "a released batch runs again in time": 0.3 s, with the soak's allowance of 0.5 s for a slow machine, while the store is well and an instance that could take it is calm.

--- a/tests/soak/sk-faults.c
+++ b/tests/soak/sk-faults.c
@@ -1,5 +1,7 @@
 #include "sk-faults.h"
 
+#include "sk-handover.h"
+
 #include "lb-clock.h"
 
 #include <signal.h>
@@ -102,7 +104,7 @@
 static void
 pause_batch_owner (SkWorld *world)
 {
-  SkInstance *owner = sk_find_owner_of_trainer_batch (world);
+  SkInstance *owner = sk_handovers_find_owner (world);
 
   if (owner)
     sk_instance_pause (owner, draw_random_duration (world, 1500, 4500));
@@ -111,7 +113,7 @@
 static void
 kill_batch_owner (SkWorld *world)
 {
-  SkInstance *owner = sk_find_owner_of_trainer_batch (world);
+  SkInstance *owner = sk_handovers_find_owner (world);
 
   if (owner)
     sk_instance_kill (owner, draw_random_duration (world, 100, 2500));
@@ -123,6 +125,25 @@
   sk_instance_stop (choose_random_instance (world));
 }
 
+static void
+stop_batch_owner (SkWorld *world)
+{
+  SkInstance *owner = sk_handovers_find_owner (world);
+
+  if (owner)
+    sk_instance_stop (owner);
+}
+
+/* Begins to stop all instances in turn, as an operator does who replaces the program. */
+static void
+begin_rolling_stop (SkWorld *world)
+{
+  if (world->next_rolling_stop < world->n_instances)
+    return;
+  sk_log (world, "rolling stop begins");
+  world->next_rolling_stop = 0;
+}
+
 static void
 reload_settings_of_random_instance (SkWorld *world)
 {
@@ -251,6 +272,19 @@
   endpoint->heal_at = lb_clock_monotonic () + draw_random_duration (world, 500, 4000);
 }
 
+/* Makes an engine lastingly slower than the others. */
+static void
+make_engine_uneven (SkWorld *world)
+{
+  SkEndpoint *endpoint = choose_random_spare_engine (world);
+
+  if (!endpoint)
+    return;
+  endpoint->usual_event_interval = draw_random_duration (world, 35, 75);
+  endpoint->standin.event_interval = endpoint->usual_event_interval;
+  sk_log (world, "%s is lastingly slow", endpoint->standin.name);
+}
+
 static void
 replace_spare_engine (SkWorld *world)
 {
@@ -290,6 +324,9 @@
                               { "replace-engine", replace_spare_engine },
                               { "config", write_config_with_new_route },
                               { "overload-store", overload_store },
+                              { "stop-owner", stop_batch_owner },
+                              { "rolling-stop", begin_rolling_stop },
+                              { "uneven-engine", make_engine_uneven },
                               { NULL, NULL } };
 
 size_t
@@ -357,4 +394,5 @@
     }
   if (world->store_heal_at != LB_TIME_NEVER)
     world->store_heal_at = now;
+  world->next_rolling_stop = world->n_instances;
 }
--- a/tests/soak/sk-world.c
+++ b/tests/soak/sk-world.c
@@ -166,24 +166,6 @@
          && instance->last_disturbed_at < since && instance->world->store_last_disturbed_at < since;
 }
 
-/* Finds the instance that runs the trainer's batch by the logs of all instances, as an operator
- * would. */
-SkInstance *
-sk_find_owner_of_trainer_batch (SkWorld *world)
-{
-  char line[LB_NAME_MAX + 48];
-
-  snprintf (line, sizeof line, "\"event\":\"batch_running\",\"batch\":\"%s\"",
-            world->trainer_batch);
-  for (size_t i = 0; i < world->n_instances; i++)
-    {
-      SkInstance *instance = &world->instances[i];
-      if (sk_instance_is_running (instance) && strstr (instance->process.output, line))
-        return instance;
-    }
-  return NULL;
-}
-
 static void
 write_config_file (const SkInstance *instance)
 {
@@ -541,7 +523,8 @@
   endpoint->standin.user = endpoint;
   /* long enough that many calls are running when a connection breaks */
   endpoint->standin.call_duration = 80 * LB_MSEC;
-  endpoint->standin.event_interval = 25 * LB_MSEC;
+  endpoint->usual_event_interval = 25 * LB_MSEC;
+  endpoint->standin.event_interval = endpoint->usual_event_interval;
   endpoint->standin.n_events = 24;
   si_endpoint_register (&endpoint->standin);
   return endpoint;
@@ -613,7 +596,7 @@
     {
       endpoint->heal_at = LB_TIME_NEVER;
       endpoint->relay.fault = (PtRelayFault){ 0 };
-      endpoint->standin.event_interval = 25 * LB_MSEC;
+      endpoint->standin.event_interval = endpoint->usual_event_interval;
     }
   if (now >= endpoint->exit_at)
     sk_endpoint_exit (endpoint, sk_random_int (endpoint->world, 400, 1200) * LB_MSEC);
@@ -662,6 +645,7 @@
   for (int i = 0; i < N_SERVICES; i++)
     add_endpoint (world, i == 0 ? "i-lookup-0" : "i-lookup-1", "lookups", "");
   world->n_instances = n_instances;
+  world->next_rolling_stop = n_instances;
   for (size_t i = 0; i < n_instances; i++)
     {
       SkInstance *instance = &world->instances[i];
@@ -746,6 +730,24 @@
   world->control_plane.conflicting_reports = 0;
 }
 
+/* Stops the next instance of the rolling stop once the one before runs again. */
+static void
+continue_rolling_stop (SkWorld *world)
+{
+  size_t next = world->next_rolling_stop;
+
+  if (next >= world->n_instances)
+    return;
+  if (next > 0
+      && (!sk_instance_is_running (&world->instances[next - 1])
+          || world->instances[next - 1].stopping))
+    return;
+  if (!sk_instance_is_running (&world->instances[next]) || world->instances[next].stopping)
+    return;
+  sk_instance_stop (&world->instances[next]);
+  world->next_rolling_stop++;
+}
+
 void
 sk_world_run_event_loop_once (SkWorld *world)
 {
@@ -760,6 +762,7 @@
   for (size_t i = 0; i < world->n_endpoints; i++)
     heal_exit_or_restart_endpoint_if_due (&world->endpoints[i], now);
   check_usage_reports_of_same_window_are_equal (world);
+  continue_rolling_stop (world);
   if (world->store_heal_at != LB_TIME_NEVER)
     world->store_last_disturbed_at = now;
   if (now >= world->store_heal_at)
--- a/tests/soak/sk-world.h
+++ b/tests/soak/sk-world.h
@@ -59,6 +59,7 @@
   LbTime exit_at;        /* time of the exit caused by a fatal request; LB_TIME_NEVER: none */
   LbTime return_at;      /* time of the restart after a crash or exit; LB_TIME_NEVER: none */
   LbTime draining_since; /* time when the endpoint began to drain; 0: not draining */
+  LbTime usual_event_interval; /* time between two events of a stream that is not slowed down */
 } SkEndpoint;
 
 /* A request of a simulated caller, as observed by the service and by the caller. */
@@ -101,7 +102,9 @@
   int64_t n_added_routes; /* number of routes r1, r2, ... that configuration changes added */
   LbTime config_put_at;   /* time when the newest configuration was written to the store */
   int64_t weight_version; /* newest weight version that the trainer announced */
-  LbTime store_heal_at;   /* end of the store's fault; LB_TIME_NEVER: the store works */
+  /* index of the instance that the rolling stop stops next; n_instances: no rolling stop */
+  size_t next_rolling_stop;
+  LbTime store_heal_at;           /* end of the store's fault; LB_TIME_NEVER: the store works */
   LbTime store_last_disturbed_at; /* time when the store last had a fault */
   LbTime last_disturbed_at; /* time of the last fault of an instance, a connection or an endpoint */
   LbTime started_at;
@@ -156,9 +159,6 @@
 
 /* Queries of instances, requests of simulated callers and random numbers. */
 bool sk_instance_is_running (const SkInstance *instance);
-/* Returns the first running instance whose log says that it runs the trainer's batch; NULL if there
- * is none. */
-SkInstance *sk_find_owner_of_trainer_batch (SkWorld *world);
 /* Returns true if the instance runs, is not shutting down, and neither the instance nor the
  * store was disturbed (start, signal, exit or fault) after `since`. */
 bool sk_instance_was_undisturbed_since (const SkInstance *instance, LbTime since);
--- a/tests/soak/soak-processes.c
+++ b/tests/soak/soak-processes.c
@@ -1,6 +1,7 @@
 #include "sk-callers.h"
 #include "sk-crasher.h"
 #include "sk-faults.h"
+#include "sk-handover.h"
 #include "sk-one-shot.h"
 #include "sk-trainer.h"
 #include "sk-watchdog.h"
@@ -40,6 +41,7 @@
   SkTrainer *trainer;
   SkOneShotTrainers *one_shot_trainers;
   SkCrasher *crasher;
+  SkHandovers *handovers;
 } SoakRun;
 
 static bool
@@ -61,6 +63,7 @@
   sk_one_shot_trainers_submit_batch_if_due (run->one_shot_trainers, now);
   sk_crasher_send_fatal_request_if_due (run->crasher, now);
   sk_world_run_event_loop_once (&run->world);
+  sk_handovers_check (run->handovers, lb_clock_monotonic ());
 }
 
 static void
@@ -200,6 +203,7 @@
   world->one_shot_trainers = run.one_shot_trainers;
   run.crasher = sk_crasher_new (world);
   world->crasher = run.crasher;
+  run.handovers = sk_handovers_new (world);
   wait_until_instances_run (&run);
   run_traffic_with_faults (&run, options);
   end_faults_and_check_results (&run);
@@ -216,6 +220,7 @@
   sk_trainer_free (run.trainer);
   sk_one_shot_trainers_free (run.one_shot_trainers);
   sk_crasher_free (run.crasher);
+  sk_handovers_free (run.handovers);
   sk_world_clear (world, n_violations > 0 || options->keep_logs);
   sk_watchdog_stop ();
   return n_violations;
