soak: rows are renewed within two seconds after a fault of the store

Check with the soak's allowance of 0.5 s for a slow machine: each instance that nothing has disturbed since the end of the store's last fault has renewed its row.

--- a/tests/soak/soak-processes.c
+++ b/tests/soak/soak-processes.c
@@ -3,6 +3,7 @@
 #include "sk-faults.h"
 #include "sk-handover.h"
 #include "sk-one-shot.h"
+#include "sk-renewals.h"
 #include "sk-trainer.h"
 #include "sk-watchdog.h"
 
@@ -42,6 +43,7 @@
   SkOneShotTrainers *one_shot_trainers;
   SkCrasher *crasher;
   SkHandovers *handovers;
+  SkRenewals *renewals;
 } SoakRun;
 
 static bool
@@ -63,7 +65,9 @@
   sk_one_shot_trainers_submit_batch_if_due (run->one_shot_trainers, now);
   sk_crasher_send_fatal_request_if_due (run->crasher, now);
   sk_world_run_event_loop_once (&run->world);
-  sk_handovers_check (run->handovers, lb_clock_monotonic ());
+  now = lb_clock_monotonic ();
+  sk_handovers_check (run->handovers, now);
+  sk_renewals_check (run->renewals, now);
 }
 
 static void
@@ -204,6 +208,7 @@
   run.crasher = sk_crasher_new (world);
   world->crasher = run.crasher;
   run.handovers = sk_handovers_new (world);
+  run.renewals = sk_renewals_new (world);
   wait_until_instances_run (&run);
   run_traffic_with_faults (&run, options);
   end_faults_and_check_results (&run);
@@ -221,6 +226,7 @@
   sk_one_shot_trainers_free (run.one_shot_trainers);
   sk_crasher_free (run.crasher);
   sk_handovers_free (run.handovers);
+  sk_renewals_free (run.renewals);
   sk_world_clear (world, n_violations > 0 || options->keep_logs);
   sk_watchdog_stop ();
   return n_violations;
