--- a/packages/core/src/rollout/lc-strict.c
+++ b/packages/core/src/rollout/lc-strict.c
@@ -69,28 +69,31 @@
   return text;
 }
 
+/* Joins the cursor with an unconfirmed chunk and the one before; takes ownership of both. */
+static char *
+join_cursors (char *with_chunk, char *before)
+{
+  char *text = lb_asprintf ("%s%c%s", with_chunk, CURSOR_SEPARATOR, before);
+
+  free (with_chunk);
+  free (before);
+  return text;
+}
+
 char *
 lc_strict_encode_ledger (const LcStep *step)
 {
+  const LcChunk *chunk = &step->chunk;
+
+  if (chunk->ledger_change && !chunk->is_numbered)
+    return lc_cursor_encode (&chunk->cursor, step->spec_hash);
   char *acked = encode_cursor_with_chunk_id (step, &step->acked, step->acked_chunk_id);
-  char *other = NULL;
-  char *text = acked;
-
-  if (step->chunk.ledger_change)
-    other = lc_cursor_encode (&step->chunk.cursor, step->spec_hash);
-  else if (step->is_last_chunk_unconfirmed)
-    other = lc_cursor_encode (&step->acked_before_unconfirmed, step->spec_hash);
-  if (!other)
-    return acked;
-  if (!step->chunk.ledger_change)
-    text = lb_asprintf ("%s%c%s", acked, CURSOR_SEPARATOR, other);
-  else if (step->chunk.is_numbered)
-    text = lb_asprintf ("%s%c%s", other, CURSOR_SEPARATOR, acked);
-  else
-    text = lb_strdup (other);
-  free (acked);
-  free (other);
-  return text;
+  if (chunk->ledger_change)
+    return join_cursors (lc_cursor_encode (&chunk->cursor, step->spec_hash), acked);
+  if (step->is_last_chunk_unconfirmed)
+    return join_cursors (acked,
+                         lc_cursor_encode (&step->acked_before_unconfirmed, step->spec_hash));
+  return acked;
 }
 
 bool
--- a/packages/store/include/lp-path.h
+++ b/packages/store/include/lp-path.h
@@ -21,6 +21,7 @@
   size_t current;           /* index in peers of the peer that calls go through */
   uint64_t seed;            /* selects the first peer to use: seed modulo n_peers */
   int direct_failures;      /* number of consecutive direct calls that did not reach the store */
+  int n_probes_since_call;  /* number of probes since a call was last sent */
   LbTime next_probe_at;     /* time of the next probe of a direct path that is down */
   LbTime direct_success_at; /* time of the last answer over the direct path; 0: none yet */
 } LpPath;
@@ -37,8 +38,10 @@
 /* Records that a call through this peer got no answer from the store. */
 void lp_path_record_peer_failure (LpPath *path, const char *peer);
 /* Returns whether a probe of the direct path is due, and if so schedules the probe after it. The
- * caller sends the probe. */
-bool lp_path_schedule_next_probe_if_due (LpPath *path, LbTime now);
+ * caller sends the probe. is_limited: the budget of attempts is limited (LpBudget). */
+bool lp_path_schedule_next_probe_if_due (LpPath *path, bool is_limited, LbTime now);
+/* Records that a call is sent, directly or through a peer. */
+void lp_path_record_call (LpPath *path);
 /* Whether the store has answered a direct call at or after `since`. */
 bool lp_path_has_direct_answer_since (const LpPath *path, LbTime since);
 bool lp_path_is_direct_path_down (const LpPath *path);
--- a/packages/store/src/lp-path.c
+++ b/packages/store/src/lp-path.c
@@ -16,6 +16,9 @@
  * the store, their probes then stay at about 1,400 reads per second. */
 #define MIN_DIRECT_PROBE_PERIOD_PER_PEER (4 * LB_MSEC)
 
+/* While attempts are limited, a call is sent after this many probes. */
+#define MAX_PROBES_PER_CALL 2
+
 static size_t
 find_peer_index (const LpPath *path, const char *peer)
 {
@@ -96,11 +99,22 @@
     path->current = (path->current + 1) % path->n_peers;
 }
 
+/* While attempts are limited, most are probes, which find out first that the store is back. The
+ * others are calls, which find out that the path through peers works. */
 bool
-lp_path_schedule_next_probe_if_due (LpPath *path, LbTime now)
+lp_path_schedule_next_probe_if_due (LpPath *path, bool is_limited, LbTime now)
 {
-  if (!lp_path_is_direct_path_down (path) || path->n_peers == 0 || now < path->next_probe_at)
+  if (!lp_path_choose_peer (path) || now < path->next_probe_at)
+    return false;
+  if (is_limited && path->n_probes_since_call >= MAX_PROBES_PER_CALL)
     return false;
+  path->n_probes_since_call++;
   path->next_probe_at = now + get_direct_path_probe_period (path);
   return true;
 }
+
+void
+lp_path_record_call (LpPath *path)
+{
+  path->n_probes_since_call = 0;
+}
--- a/packages/store/tests/test-path.c
+++ b/packages/store/tests/test-path.c
@@ -78,13 +78,13 @@
   LbTime now = LB_SEC;
 
   lp_path_set_peers (&path, peers, 3);
-  cr_assert_not (lp_path_schedule_next_probe_if_due (&path, now),
+  cr_assert_not (lp_path_schedule_next_probe_if_due (&path, false, now),
                  "expected no probe while the direct path is up");
   mark_direct_path_down (&path, now);
-  cr_assert_not (lp_path_schedule_next_probe_if_due (&path, now));
+  cr_assert_not (lp_path_schedule_next_probe_if_due (&path, false, now));
   now += LB_SEC;
-  cr_assert (lp_path_schedule_next_probe_if_due (&path, now));
-  cr_assert_not (lp_path_schedule_next_probe_if_due (&path, now),
+  cr_assert (lp_path_schedule_next_probe_if_due (&path, false, now));
+  cr_assert_not (lp_path_schedule_next_probe_if_due (&path, false, now),
                  "expected no second probe within the probe period");
   lp_path_record_direct_call_result (&path, false, now);
   cr_assert_not_null (lp_path_choose_peer (&path));
@@ -100,6 +100,23 @@
   mark_direct_path_down (&path, LB_SEC);
   cr_assert_null (lp_path_choose_peer (&path));
   cr_assert_null (lp_path_get_current_peer (&path));
-  cr_assert_not (lp_path_schedule_next_probe_if_due (&path, 9 * LB_SEC),
+  cr_assert_not (lp_path_schedule_next_probe_if_due (&path, false, 9 * LB_SEC),
                  "expected no probe, since calls use the direct path");
 }
+
+/* Guards against probes that take all attempts that a failing store leaves an instance, while the
+ * path through a peer works. */
+Test (path, limited_probes_leave_attempts_to_calls)
+{
+  LpPath path = { 0 };
+  LbTime now = LB_SEC;
+  int n_probes = 0;
+
+  lp_path_set_peers (&path, peers, 3);
+  mark_direct_path_down (&path, now);
+  for (int i = 0; i < 10; i++)
+    n_probes += lp_path_schedule_next_probe_if_due (&path, true, now += LB_SEC);
+  cr_assert_eq (n_probes, 2);
+  lp_path_record_call (&path);
+  cr_assert (lp_path_schedule_next_probe_if_due (&path, true, now + LB_SEC));
+}
