store: writes that an outage left are sent a few at a time

The same key of a crash row ("answered:") waited 15 times in one queue. Cause: the counts of up to 24 windows and up to 64 crash rows are written at once and again as soon as they fail; since calls wait for the budget, all of them stand in its queue. Change: at most 4 writes of usage and 8 of crash rows in flight an instance, usage again 0.5 s after a failure, a newer text of a row replaces one that waits.

--- a/packages/node/src/duties/ln-usage-rows.c
+++ b/packages/node/src/duties/ln-usage-rows.c
@@ -18,6 +18,9 @@
  * total write rate of all instances. */
 #define MIN_USAGE_WRITE_PERIOD (200 * LB_MSEC)
 #define USAGE_WRITE_PERIOD_PER_INSTANCE (4 * LB_MSEC)
+/* After an outage of the store, many windows are to be written. */
+#define MAX_USAGE_WRITES_IN_FLIGHT 4
+#define USAGE_RETRY_DELAY (500 * LB_MSEC)
 /* Number of windows whose counts are kept in memory; older windows are no longer written. */
 #define N_KEPT_WINDOWS 24
 
@@ -26,6 +29,8 @@
   LnContext *context;
   LcUsage *usage;
   int64_t window_ms;
+  size_t n_in_flight;     /* number of writes without an answer */
+  LbTime next_write_at;   /* later than now after a failed write */
   int64_t key_generation; /* last part of the rows' keys; incremented after a write with unknown
                              outcome */
 };
@@ -98,6 +103,9 @@
   (void)row;
   RowWrite *write = user;
 
+  write->rows->n_in_flight--;
+  if (error != LB_OK)
+    write->rows->next_write_at = lb_clock_monotonic () + USAGE_RETRY_DELAY;
   /* Later writes use a new key, because this write may still take effect and would then replace a
    * newer row. */
   if (error == LB_ERROR_STORE_UNKNOWN)
@@ -122,6 +130,7 @@
   char prefix[LN_USAGE_KEY_SIZE];
   RowWrite *write = LB_NEW (RowWrite);
 
+  rows->n_in_flight++;
   *write = (RowWrite){ .rows = rows, .window = row->window };
   ln_usage_format_window_prefix (partition, row->window, prefix);
   char *key = lb_asprintf ("%s%s:%s:%lld", prefix, context->instance, context->incarnation,
@@ -140,7 +149,8 @@
                                  (LbTime)n_instances * USAGE_WRITE_PERIOD_PER_INSTANCE);
   LcUsageRow row;
 
-  while (lc_usage_next_row (rows->usage, period, now, &row))
+  while (rows->n_in_flight < MAX_USAGE_WRITES_IN_FLIGHT && now >= rows->next_write_at
+         && lc_usage_next_row (rows->usage, period, now, &row))
     {
       write_usage_row (rows, &row);
       free (row.text);
--- a/packages/node/src/store/ln-unwritten-rows.c
+++ b/packages/node/src/store/ln-unwritten-rows.c
@@ -6,10 +6,12 @@
 #include "lp-platform.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 /* Maximum number of rows kept until they are written. While the store is unreachable, each endpoint
  * that fails adds a row; a site with 300 endpoints loses about 10 at once. */
 #define MAX_UNWRITTEN_ROWS 64
+#define MAX_WRITES_IN_FLIGHT 8
 
 typedef struct
 {
@@ -29,6 +31,7 @@
   const char *incarnation;
   uint64_t n_writes;
   LbList rows;
+  size_t n_in_flight;
 };
 
 LnUnwrittenRows *
@@ -68,6 +71,7 @@
   (void)reply;
   Row *row = user;
 
+  row->owner->n_in_flight--;
   if (error == LB_OK)
     {
       free_unwritten_row (row);
@@ -86,10 +90,21 @@
   const LpTransaction transaction = { .token = row->token, .puts = &put, .n_puts = 1 };
 
   row->is_in_flight = true;
+  row->owner->n_in_flight++;
   platform->klass->transact (platform, &transaction, LP_PRIORITY_LEDGER, on_unwritten_row_answered,
                              row);
 }
 
+static void
+remove_waiting_row (LnUnwrittenRows *rows, const char *key)
+{
+  LB_LIST_FOREACH (&rows->rows, Row, link, row)
+  {
+    if (!row->is_in_flight && strcmp (row->key, key) == 0)
+      free_unwritten_row (row);
+  }
+}
+
 /* Drops the oldest row whose write is not in flight, as newer rows are more relevant. */
 static void
 drop_oldest_row_not_in_flight (LnUnwrittenRows *rows)
@@ -109,6 +124,7 @@
 {
   Row *row = LB_NEW (Row);
 
+  remove_waiting_row (rows, key);
   if (rows->rows.length >= MAX_UNWRITTEN_ROWS)
     drop_oldest_row_not_in_flight (rows);
   row->owner = rows;
@@ -117,7 +133,8 @@
   row->token
       = lb_asprintf ("%s#%s-%llu", key, rows->incarnation, (unsigned long long)++rows->n_writes);
   lb_list_append (&rows->rows, &row->link);
-  send_unwritten_row (row);
+  if (rows->n_in_flight < MAX_WRITES_IN_FLIGHT)
+    send_unwritten_row (row);
 }
 
 void
@@ -125,7 +142,7 @@
 {
   LB_LIST_FOREACH (&rows->rows, Row, link, row)
   {
-    if (!row->is_in_flight)
+    if (!row->is_in_flight && rows->n_in_flight < MAX_WRITES_IN_FLIGHT)
       send_unwritten_row (row);
   }
 }
--- a/packages/node/src/store/ln-unwritten-rows.h
+++ b/packages/node/src/store/ln-unwritten-rows.h
@@ -12,9 +12,10 @@
 /* The platform must not call back for a pending write after this call. */
 void ln_unwritten_rows_free (LnUnwrittenRows *rows);
 
-/* Sends a write of the row at once and takes ownership of text; NULL deletes the row. */
+/* Writes the row, at once unless many writes are in flight, and takes ownership of text; NULL
+ * deletes the row. Replaces an earlier text of the row that is not in flight. */
 void ln_unwritten_rows_write (LnUnwrittenRows *rows, const char *key, char *text);
-/* Resends the writes that the store did not accept. */
+/* Resends writes that the store did not accept, and sends those that were not sent yet. */
 void ln_unwritten_rows_retry_writes (LnUnwrittenRows *rows);
 
 #endif
