--- a/tests/process/pt-shared.c
+++ b/tests/process/pt-shared.c
@@ -29,7 +29,8 @@
 void
 ps_run_event_loop_once (PsCluster *cluster)
 {
-  event_base_loop (cluster->base, EVLOOP_NONBLOCK);
+  /* With EVLOOP_NONBLOCK alone, the loop returns only when no event is active. */
+  event_base_loop (cluster->base, EVLOOP_ONCE | EVLOOP_NONBLOCK);
   for (size_t i = 0; i < cluster->n_instances; i++)
     pt_process_poll (&cluster->instances[i].process);
   usleep (500);
