--- a/standins/si-rows.c
+++ b/standins/si-rows.c
@@ -6,43 +6,42 @@
 #include <string.h>
 
 static void
-row_free (SiTable *table, SiPartition *partition, SiRow *row)
+partition_free (SiPartition *partition)
 {
-  lb_list_remove (&partition->rows, &row->partition_link);
-  lb_list_remove (&table->changes, &row->change_link);
-  HASH_DEL (partition->rows_by_key, row);
-  free (row->key);
-  free (row->value);
-  free (row);
+  HASH_CLEAR (hh, partition->rows_by_key);
+  LB_LIST_FOREACH (&partition->rows, SiRow, partition_link, row)
+  {
+    free (row->key);
+    free (row->value);
+    free (row);
+  }
+  free (partition->name);
+  free (partition);
 }
 
 static void
-partition_free (SiTable *table, SiPartition *partition)
+table_free (SiTable *table)
 {
-  LB_LIST_FOREACH (&partition->rows, SiRow, partition_link, row)
+  SiPartition *partition, *next;
+
+  HASH_ITER (hh, table->partitions, partition, next)
   {
-    row_free (table, partition, row);
+    HASH_DEL (table->partitions, partition);
+    partition_free (partition);
   }
-  HASH_DEL (table->partitions, partition);
-  free (partition->name);
-  free (partition);
+  free (table->name);
+  free (table);
 }
 
 void
 si_rows_clear (SiRows *rows)
 {
-  SiTable *table, *next_table;
+  SiTable *table, *next;
 
-  HASH_ITER (hh, rows->tables, table, next_table)
+  HASH_ITER (hh, rows->tables, table, next)
   {
-    SiPartition *partition, *next_partition;
-    HASH_ITER (hh, table->partitions, partition, next_partition)
-    {
-      partition_free (table, partition);
-    }
     HASH_DEL (rows->tables, table);
-    free (table->name);
-    free (table);
+    table_free (table);
   }
 }
 
