--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -316,6 +316,10 @@
         identity = request.header("Attempt-Id") or ""
         if expected and expected != self.name:
             writer.write(format_response(421, b"", [("Instance-Id", self.name)]))
+        elif self.model and request.header("Expect-Version", str(self.version)) != str(self.version):
+            self.record.write("%s has version %d and refuses %s (421)" % (self.name, self.version, identity))
+            writer.write(format_response(421, b"", [("Instance-Id", self.name), ("Attempt-Id", identity),
+                                                    ("Weight-Versions", str(self.version))]))
         elif request.path == "/health":
             writer.write(format_response(200, b"", self.load() + [("Instance-Id", self.name)]))
         elif request.path == "/-/report":
