--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -281,7 +281,10 @@
     """A sampler: with a model an engine, which streams events, else a plain service. It registers
     itself and writes there each heartbeat."""
 
-    def __init__(self, store, record, name, service, model=None, events=6, interval=0.03, work=0.02):
+    def __init__(self, store, record, name, service, model=None, events=6, interval=0.03, work=0.02,
+                 framed=True):
+        self.framed = framed  # False: an answer has no length and ends with its channel
+        self.crashed = False
         self.store, self.record = store, record
         self.name, self.service, self.model = name, service, model
         self.events, self.interval, self.work = events, interval, work
@@ -374,15 +377,33 @@
         after = int(request.header("Last-Event-Id") or 0)
         headers = self.load() + [("Attempt-Id", identity), ("Server-Stamp", "stamp-" + identity),
                                  ("Content-Type", "text/event-stream"),
-                                 ("Weight-Versions", str(self.version)), ("Transfer-Encoding", "chunked")]
+                                 ("Weight-Versions", str(self.version))]
+        if self.framed:
+            headers.append(("Transfer-Encoding", "chunked"))
         writer.write(("HTTP/1.1 200 OK\r\n" + "".join("%s: %s\r\n" % h for h in headers) + "\r\n").encode())
         for number in range(after + 1, self.events + 1):
             await asyncio.sleep(self.interval)
             event = ("id: %d\ndata: %s.%d\n\n" % (number, identity, number)).encode()
-            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            if self.crashed:
+                event = event[:len(event) // 2]
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event) if self.framed else event)
             await writer.drain()
+            if self.crashed:
+                self.record.write("%s ends in the middle of event %d of %s" % (self.name, number, identity))
+                raise ConnectionError
+        if not self.framed:
+            raise ConnectionError  # the end of the channel is the end of the answer
         writer.write(b"0\r\n\r\n")
 
+    async def crash(self):
+        """The process ends: it listens no more, its streams end in the middle of an event, and it says nothing more."""
+        self.record.write("%s crashes" % self.name)
+        self.beat.cancel()
+        self.server.server.close()
+        self.crashed = True
+        await asyncio.sleep(3 * 1.2)
+        await self.store.put("servers", self.name, None)
+
     def close(self):
         if self.beat:
             self.beat.cancel()
