--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -476,20 +476,26 @@
     """A machine with one process of the project, started by the commands of the deploy file."""
 
     def __init__(self, folder, name, store, zone="hall-a"):
+        self.name, self.zone, self.store, self.folder = name, zone, store, folder
+        self.log = os.path.join(folder, name + ".log")
+        self.process = None
+        self.write_settings()
+
+    def write_settings(self):
+        """Fills the settings in, with ports that are free at this moment."""
         role = read_role()
         front, ready, directory, peer, metrics = free_ports(5)
         # BOUNDS and limits are those of the site dll-lanka; all addresses are loopback addresses.
         fields = {
-            "node": name, "zone": zone, "ip": "127.0.0.1", "portRange": [peer, metrics],
+            "node": self.name, "zone": self.zone, "ip": "127.0.0.1", "portRange": [peer, metrics],
             "listen": {"front": "127.0.0.1:%d" % front, "ready": "127.0.0.1:%d" % ready,
                        "directory": "127.0.0.1:%d" % directory},
             "limits": {"cpuShare": 0.5, "linkMbps": 1000.0},
-            "platform": {"address": store.server.address},
+            "platform": {"address": self.store.server.address},
             "bounds": {"drainMs": 2000, "statusS": 120, "checksFence": True},
         }
-        self.name, self.front, self.ready = name, fields["listen"]["front"], fields["listen"]["ready"]
-        self.settings = os.path.join(folder, name + ".json")
-        self.log = os.path.join(folder, name + ".log")
+        self.front, self.ready = fields["listen"]["front"], fields["listen"]["ready"]
+        self.settings = os.path.join(self.folder, self.name + ".json")
         with open(os.path.join(REPOSITORY, role["template"]), encoding="utf-8") as file:
             text = fill_template(file.read(), fields)
         with open(self.settings, "w", encoding="utf-8") as file:
@@ -497,7 +503,6 @@
         words = role["run"].split(" ")
         self.command = [os.path.join(REPOSITORY, words[0])]
         self.command += [self.settings if w == "/etc/lentilspindle/boot.yaml" else w for w in words[1:]]
-        self.process = None
 
     async def start(self):
         if not os.access(self.command[0], os.X_OK):
@@ -510,6 +515,9 @@
     async def wait_until_ready(self, seconds=10):
         deadline = time.monotonic() + seconds
         while time.monotonic() < deadline:
+            if self.process.returncode is not None:  # another process took one of the ports meanwhile
+                self.write_settings()
+                await self.start()
             status, _, _ = await call(self.ready, "GET", "/-/readiness", [("Host", "ready")], timeout=1)
             if status == 200:
                 return
