--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -605,6 +605,9 @@
 
     async def main():
         world = World(folder)
+        # A script that is told to stop ends its processes, too.
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, asyncio.current_task().cancel)
         try:
             await world.store.server.start()
             breaks = await asyncio.wait_for(play(world, trouble), seconds)
@@ -619,6 +622,8 @@
             world.record.write("the case could not run: %r" % error)
             print("the case could not run: %r" % error)
             return 2
+        except asyncio.CancelledError:
+            return 2
         finally:
             await world.close()
 
