http: refuse requests that hide another one, whoever composed them

Cause: requests of callers are checked where they are parsed (ln-framing); items and reward calls come as JSON text and were checked nowhere. Their path, host, id and headers were written to the connection as they are, and the HTTP library writes a path unchecked. An item's own Transfer-Encoding or Content-Length went out beside the length of its body.

Evidence: the stand-in engine's record of what ran. Ruled out: the parser of callers' requests (the hidden requests never passed it) and the engines (a path with a line break is read as two requests by any server).

Change: lh_request_check decides whether a request would be read as exactly one; lh_fetch_start, the only writer of requests, refuses any other, so calls, items, reward calls, orders, relays and store calls are covered alike. A submission with such an item gets 400 bad_value. Headers of items that concern one connection or are set by the system are dropped, as for callers.

--- a/packages/core/src/batch/lc-batch.c
+++ b/packages/core/src/batch/lc-batch.c
@@ -408,6 +408,13 @@
   score_text_or_queue_result (batch, item, actions);
 }
 
+/* Whether the request of the item can never succeed. */
+static bool
+is_permanent_error (LbErrorCode error)
+{
+  return error == LB_ERROR_REJECTED || error == LB_ERROR_BAD_VALUE;
+}
+
 void
 lc_batch_finish_generation (
     LcBatch *batch, LcRequestId request, LbErrorCode error, LbTime now, LbList *actions)
@@ -427,7 +434,7 @@
       return;
     }
   item->failures += error == LB_ERROR_ENDPOINT_FAILED;
-  if (error == LB_ERROR_REJECTED || item->failures >= batch->settings.max_failures)
+  if (is_permanent_error (error) || item->failures >= batch->settings.max_failures)
     {
       lb_log (LB_LOG_INFO, "item_given_up", LB_TEXT ("batch", batch->spec.id),
               LB_TEXT ("item", item->result.item), LB_TEXT ("error", lb_error_name (error)),
@@ -480,7 +487,7 @@
       return;
     }
   item->score_failures += error == LB_ERROR_ENDPOINT_FAILED;
-  if (item->score_failures >= batch->settings.max_score_failures)
+  if (is_permanent_error (error) || item->score_failures >= batch->settings.max_score_failures)
     {
       lb_log (LB_LOG_INFO, "item_not_scored", LB_TEXT ("batch", batch->spec.id),
               LB_TEXT ("item", item->result.item), LB_INT ("failures", item->score_failures));
--- a/packages/http/src/lh-fetch.c
+++ b/packages/http/src/lh-fetch.c
@@ -4,6 +4,7 @@
 
 #include "lb-alloc.h"
 #include "lb-time.h"
+#include "lh-request-check.h"
 #include "lh-socket.h"
 
 #include <event2/buffer.h>
@@ -274,9 +275,9 @@
   evbuffer_add (evhttp_request_get_output_buffer (request), spec->body, spec->body_length);
 }
 
-/* Starts an HTTP request. Returns NULL and sets *error only if the method or address is malformed.
- * Any other failure, such as a refused connection, is reported by on_done from the event loop,
- * never from inside this function. */
+/* Starts an HTTP request. Returns NULL and sets *error only if the address is malformed or
+ * lh_request_check refuses the request. Any other failure, such as a refused connection, is
+ * reported by on_done from the event loop, never from inside this function. */
 LhFetch *
 lh_fetch_start (
     LhPool *pool, const LhRequest *spec, const LhHandlers *handlers, void *user, LbError *error)
@@ -284,11 +285,8 @@
   enum evhttp_cmd_type method;
   LhFetch *fetch = NULL;
 
-  if (!find_http_method_by_name (spec->method, &method))
-    {
-      lb_error_set (error, LB_ERROR_BAD_VALUE, spec->method, "expected a known HTTP method");
-      return NULL;
-    }
+  if (!lh_request_check (spec, error) || !find_http_method_by_name (spec->method, &method))
+    return NULL;
   LhConnection *connection
       = lh_pool_acquire_connection (pool, spec->address, spec->fresh_connection, error);
   if (!connection)
--- a/packages/node/src/batch/ln-batch-submit.c
+++ b/packages/node/src/batch/ln-batch-submit.c
@@ -1,6 +1,7 @@
 #include "lp-platform.h"
 
 #include "ln-batch-call.h"
+#include "ln-fetch-outgoing.h"
 
 #include "lb-alloc.h"
 #include "lb-clock.h"
@@ -184,6 +185,21 @@
                                             lb_clock_monotonic () + due_after);
 }
 
+/* Checks that each request of the batch can be sent as exactly one request. */
+static bool
+check_batch_requests (const LcBatchSpec *spec, LbError *error)
+{
+  for (size_t i = 0; i < spec->n_items; i++)
+    {
+      const LcBatchItemSpec *item = &spec->items[i];
+
+      if (!ln_outgoing_request_check (&item->request, error)
+          || (item->has_scorer && !ln_outgoing_request_check (&item->scorer, error)))
+        return false;
+    }
+  return true;
+}
+
 void
 ln_batch_submit_new_batch (LnBatchCall *call, const LnInbound *in)
 {
@@ -198,7 +214,8 @@
       reply_batch_accepted (call);
       return;
     }
-  if (!ln_batch_call_get_dialect (call)->read_batch (body, length, call->id, &call->spec, &error))
+  if (!ln_batch_call_get_dialect (call)->read_batch (body, length, call->id, &call->spec, &error)
+      || !check_batch_requests (&call->spec, &error))
     {
       ln_batch_call_fail (call, error.code, error.detail, 0);
       return;
--- a/packages/node/src/calls/ln-call-reader.c
+++ b/packages/node/src/calls/ln-call-reader.c
@@ -5,6 +5,7 @@
 #include "lb-alloc.h"
 #include "lb-json.h"
 #include "lb-settings.h"
+#include "lh-request-check.h"
 
 #include <json-c/json.h>
 #include <stdio.h>
@@ -203,7 +204,7 @@
 {
   LnCall *call = user;
 
-  if (ln_is_hop_by_hop_header (name))
+  if (lh_is_hop_by_hop_header (name))
     return;
   call->headers = lb_realloc (call->headers, (call->n_headers + 1) * sizeof (LhHeader));
   call->headers[call->n_headers++]
--- a/packages/node/src/calls/ln-call.c
+++ b/packages/node/src/calls/ln-call.c
@@ -1,8 +1,11 @@
 #include "ln-call.h"
 
+#include "ln-fetch-outgoing.h"
+
 #include "lb-alloc.h"
 #include "lb-clock.h"
 #include "lb-json.h"
+#include "lh-request-check.h"
 
 #include <event2/buffer.h>
 #include <json-c/json.h>
@@ -62,6 +65,19 @@
   return call->kind == LN_CALL_CHAT ? "/v1/chat/completions" : "/v1/completions";
 }
 
+bool
+ln_call_check_request (const LnCall *call, LbError *error)
+{
+  const LhRequest request = { .method = call->method,
+                              .path = call->path,
+                              .headers = call->headers,
+                              .n_headers = call->n_headers };
+
+  if (call->outgoing.path)
+    return ln_outgoing_request_check (&call->outgoing, error);
+  return !call->path || lh_request_check (&request, error);
+}
+
 LcFingerprint
 ln_call_compute_fingerprint (const LnCall *call)
 {
@@ -290,24 +306,10 @@
   ln_exchange_reply_json (call->exchange, 200, make_completion_object (call, winner));
 }
 
-bool
-ln_is_hop_by_hop_header (const char *name)
-{
-  static const char *const names[]
-      = { "Connection",        "Keep-Alive", "Transfer-Encoding", "TE",     "Trailer",
-          "Upgrade",           "Host",       "Content-Length",    "Expect", "Proxy-Connection",
-          "Proxy-Authenticate" };
-
-  for (size_t i = 0; i < sizeof names / sizeof names[0]; i++)
-    if (strcasecmp (name, names[i]) == 0)
-      return true;
-  return false;
-}
-
 static void
 forward_header_to_caller (const char *name, const char *value, void *user)
 {
-  if (!ln_is_hop_by_hop_header (name))
+  if (!lh_is_hop_by_hop_header (name))
     ln_exchange_set_reply_header (user, name, value);
 }
 
--- a/packages/node/src/calls/ln-call.h
+++ b/packages/node/src/calls/ln-call.h
@@ -91,8 +91,8 @@
 /* Formats the JSON body of an attempt that starts at token resume_at; the caller frees it. */
 char *ln_call_format_engine_body (LnCall *call, const char *stream_id, int64_t resume_at);
 
-/* Whether the HTTP header applies to one connection only and must not be forwarded. */
-bool ln_is_hop_by_hop_header (const char *name);
+/* Returns false and sets *error if the call can't be sent to an endpoint as exactly one request. */
+bool ln_call_check_request (const LnCall *call, LbError *error);
 
 LnAttempt *ln_attempt_new (LnCall *call);
 void ln_attempt_free (LnAttempt *attempt);
--- a/packages/node/src/calls/ln-calls-run.c
+++ b/packages/node/src/calls/ln-calls-run.c
@@ -178,8 +178,11 @@
     return;
   ln_attempt_free (attempt);
   lb_log_error (LB_LOG_WARNING, "attempt_not_started", &error);
+  /* No endpoint can be sent a request that is refused as malformed. */
   lc_dispatch_record_attempt_end (calls->dispatch, action->request, action->attempt,
-                                  LC_END_NOT_SENT, lb_clock_monotonic (), actions);
+                                  error.code == LB_ERROR_BAD_VALUE ? LC_END_REJECTED
+                                                                   : LC_END_NOT_SENT,
+                                  lb_clock_monotonic (), actions);
 }
 
 static void
@@ -332,8 +335,9 @@
   call->spec.content = ln_call_compute_fingerprint (call);
   call->spec.external_id = call->outgoing.id;
   add_active_call (calls, call);
-  if (lc_dispatch_submit (calls->dispatch, &call->spec, lb_clock_monotonic (), &actions,
-                          &retry_after, &error))
+  if (ln_call_check_request (call, &error)
+      && lc_dispatch_submit (calls->dispatch, &call->spec, lb_clock_monotonic (), &actions,
+                             &retry_after, &error))
     {
       ln_calls_perform_actions (calls, &actions);
       return;
--- a/packages/node/src/calls/ln-relay.c
+++ b/packages/node/src/calls/ln-relay.c
@@ -9,6 +9,7 @@
 #include "lb-counter.h"
 #include "lb-log.h"
 #include "lh-fetch.h"
+#include "lh-request-check.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -143,7 +144,7 @@
 static void
 forward_header_to_caller (const char *name, const char *value, void *user)
 {
-  if (!ln_is_hop_by_hop_header (name))
+  if (!lh_is_hop_by_hop_header (name))
     ln_exchange_set_reply_header (user, name, value);
 }
 
@@ -189,7 +190,7 @@
   for (size_t i = 0; i < sizeof replaced_headers / sizeof replaced_headers[0]; i++)
     if (strcasecmp (name, replaced_headers[i]) == 0)
       return;
-  if (!ln_is_hop_by_hop_header (name))
+  if (!lh_is_hop_by_hop_header (name))
     append_header (user, name, value);
 }
 
--- a/packages/node/src/calls/ln-routed.c
+++ b/packages/node/src/calls/ln-routed.c
@@ -6,6 +6,7 @@
 #include "lb-alloc.h"
 #include "lb-clock.h"
 #include "lb-log.h"
+#include "lh-request-check.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -44,7 +45,7 @@
 {
   HeaderCopy *copy = user;
 
-  if (!ln_is_hop_by_hop_header (name) && !copy->dialect->is_own_header (name))
+  if (!lh_is_hop_by_hop_header (name) && !copy->dialect->is_own_header (name))
     lc_outgoing_request_add_header (copy->outgoing, name, value);
 }
 
--- a/packages/node/src/front/ln-framing.c
+++ b/packages/node/src/front/ln-framing.c
@@ -1,5 +1,7 @@
 #include "ln-framing.h"
 
+#include "lh-request-check.h"
+
 #include <ctype.h>
 #include <string.h>
 #include <strings.h>
@@ -10,27 +12,6 @@
   return length == strlen (expected) && strncasecmp (name, expected, length) == 0;
 }
 
-/* Whether a header's name is a valid token. A name that ends in a space is not: some servers ignore
- * a space before the colon, others do not. */
-static bool
-is_header_name_token (const char *name, size_t length)
-{
-  static const char symbols[] = "!#$%&'*+-.^_`|~";
-
-  for (size_t i = 0; i < length; i++)
-    if (!isalnum ((unsigned char)name[i]) && (name[i] == '\0' || !strchr (symbols, name[i])))
-      return false;
-  return length > 0;
-}
-
-/* Whether a header's value has no CR, LF or NUL. Some servers end the header at a bare CR or LF. */
-static bool
-is_single_line_header_value (const char *value, size_t length)
-{
-  return !memchr (value, '\r', length) && !memchr (value, '\n', length)
-         && !memchr (value, '\0', length);
-}
-
 static bool
 is_decimal_number (const char *value, size_t length)
 {
@@ -61,7 +42,7 @@
     LnFraming *framing, const char *name, size_t name_length, const char *value, size_t length)
 {
   framing->is_ambiguous
-      |= !is_header_name_token (name, name_length) || !is_single_line_header_value (value, length);
+      |= !lh_is_header_name (name, name_length) || !lh_is_header_value (value, length);
   if (equals_ignoring_case (name, name_length, "Content-Length"))
     require_unique_valid_header (&framing->has_content_length, is_decimal_number (value, length),
                                  framing);
--- a/packages/node/src/membership/ln-fleet.c
+++ b/packages/node/src/membership/ln-fleet.c
@@ -11,7 +11,7 @@
 #include "lb-clock.h"
 #include "lc-duty.h"
 #include "lc-fleet.h"
-#include "lh-fetch.h"
+#include "lh-request-check.h"
 #include "lp-path.h"
 #include "lp-platform.h"
 
@@ -339,8 +339,9 @@
   LbError error = { 0 };
   size_t length;
   const char *body = ln_exchange_body (exchange, &length);
+  const LhRequest request = { .method = method ? method : "", .path = path ? path : "" };
 
-  if (!method || !path || !lh_method_is_supported (method) || !platform->klass->execute_peer_call)
+  if (!lh_request_check (&request, &error) || !platform->klass->execute_peer_call)
     {
       lb_error_set (&error, LB_ERROR_BAD_REQUEST, LP_PEER_PATH_HEADER,
                     "expected the method and path of a store call");
