--- a/packages/http/tests/test-request-check.c
+++ b/packages/http/tests/test-request-check.c
@@ -17,9 +17,8 @@
 
 Test (request_check, proper_requests_are_accepted)
 {
-  static const LhHeader headers[] = { { "X-Prefix", "9c:300, 5d:240" },
-                                      { "x!#$%&'*+-.^_`|~9", "" },
-                                      { "X", "\tb\xc3\xa4" } };
+  static const LhHeader headers[]
+      = { { "X-Prefix", "9c:300, 5d:240" }, { "x!#$%&'*+-.^_`|~9", "" }, { "X", "\tb\xc3\xa4" } };
   LbError error = { 0 };
 
   for (size_t i = 0; i < sizeof headers / sizeof headers[0]; i++)
