calls: a stream that ends inside an event is not complete

On a streaming route a caller got half of an event stream with status 200.

Cause: an attempt counted as complete if its connection ended without an error. The end of the connection also ends a complete answer without a length, and the stream's reader, which still held half an event, was not asked.

Ruled out: the resume after Last-Event-Id (no second attempt was made), the HTTP client (answers in chunks without their last chunk fail).

Change: the dialect tells whether the reader is inside an event; an attempt that ends there is broken off and goes on at another engine. A plain service's reply of events without a length is held to the same. Elsewhere: orders and reports of engines are judged by status or parsed whole, the own protocol asks for [DONE] and a delimited body, relays between instances always have a length. A crash exactly between two events can't be told (PROMISES).

--- a/packages/node/include/ln-dialect.h
+++ b/packages/node/include/ln-dialect.h
@@ -208,6 +208,8 @@
   LcVersion (*read_first_version) (LnHeaderLookup find_header, const void *source);
   LnStreamReader *(*stream_new) (LnStreamHandler handler, void *user);
   bool (*stream_feed) (LnStreamReader *reader, const char *bytes, size_t length);
+  /* Whether the bytes so far end inside an event, so that the stream broke off if no more come. */
+  bool (*stream_is_inside_event) (const LnStreamReader *reader);
   void (*stream_free) (LnStreamReader *reader);
   void (*write_order) (const LnWeightsOrder *order, LcOutgoingRequest *outgoing);
   LnOrderOutcome (*classify_order_reply) (int status);
--- a/packages/node/src/calls/ln-upstream.c
+++ b/packages/node/src/calls/ln-upstream.c
@@ -11,6 +11,7 @@
 #include <json-c/json.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 #define MAX_STREAM_EVENT_BYTES (1 << 20)
 /* A hundred round trips between data centres. An endpoint that has not accepted a connection within
@@ -252,10 +253,44 @@
          || lh_fetch_get_response_header (upstream->fetch, "Transfer-Encoding");
 }
 
+/* Whether the reply is a stream of events of which a caller has to receive each one. */
+static bool
+is_event_stream_reply (const LnUpstream *upstream)
+{
+  static const char event_stream[] = "text/event-stream";
+  const char *type = lh_fetch_get_response_header (upstream->fetch, "Content-Type");
+
+  return type && strncasecmp (type, event_stream, sizeof event_stream - 1) == 0;
+}
+
+/* Whether the text is empty or ends with a blank line, the end of an event. */
+static bool
+ends_with_whole_event (const char *text, size_t length)
+{
+  return length == 0 || (length >= 2 && memcmp (text + length - 2, "\n\n", 2) == 0)
+         || (length >= 4 && memcmp (text + length - 4, "\r\n\r\n", 4) == 0);
+}
+
+/* Whether a stream of events ended inside an event, as when its endpoint crashed: the connection of
+ * a process that ends is closed like one whose reply is complete. */
+static bool
+is_stream_cut_inside_event (LnUpstream *upstream)
+{
+  size_t length;
+  const char *body = NULL;
+
+  if (upstream->reader)
+    return upstream->dialect->stream_is_inside_event (upstream->reader);
+  if (has_delimited_body (upstream) || !is_event_stream_reply (upstream))
+    return false;
+  body = ln_upstream_get_reply_body (upstream, &length);
+  return !ends_with_whole_event (body, length);
+}
+
 /* A plain service's failure reply is an answer and is forwarded unchanged. An engine's failure
  * reply is no answer, since a sample is either complete or not delivered. */
 static LcAttemptEnd
-classify_attempt_end_on_shared_platform (const LnUpstream *upstream, const LhResult *result)
+classify_attempt_end_on_shared_platform (LnUpstream *upstream, const LhResult *result)
 {
   if (result->failure != LB_OK)
     return result->bytes_handed ? LC_END_BROKEN : LC_END_NOT_SENT;
@@ -276,7 +311,7 @@
     }
   if (upstream->reader && upstream->status != 200)
     return LC_END_FAILED;
-  return LC_END_COMPLETE;
+  return is_stream_cut_inside_event (upstream) ? LC_END_BROKEN : LC_END_COMPLETE;
 }
 
 static LcAttemptEnd
