front: read chunk extensions and trailer fields

Cause: evhtp's parser does not know trailers. It appends the name of the first field to the headers, without a value and after they were checked; whoever copies headers reads NULL. It ends the request there and takes a second field for the next request line, and it waits for ever after a chunk extension. ln-request-scanner accepts all of these, so both disagreed about the end.

Evidence: backtraces of the test, lb_strdup (NULL) below add_header_to_call; with trailing headers removed instead, requests with two fields still timed out. Ruled out: the size of the trailer, the scanner (it accepted rightly). Tried and dropped: removing headers without a value when the exchange is created, which leaves the second field and the extension.

Change: the scanner has such lines rewritten in the input to a size padded with zeros, which evhtp reads rightly; the parser gets no input while it ends inside one of them. A request whose end the scanner has not seen is refused whatever evhtp believes. Trailers and extensions count towards the header limit. All readers of the header list (calls, routed calls, relay, recorder) are covered, since no trailer reaches it.

--- a/packages/node/include/ln-messages.h
+++ b/packages/node/include/ln-messages.h
@@ -53,7 +53,7 @@
 {
   LnMessage base;
   LnExchange *exchange;
-  bool is_refused; /* the request arrived after the drain time; the front task refuses it */
+  LbErrorCode refusal; /* error with which the front task refuses the request; LB_OK: none */
 } LnExchangeMessage;
 
 typedef struct
--- a/packages/node/src/front/ln-caller.c
+++ b/packages/node/src/front/ln-caller.c
@@ -87,7 +87,19 @@
   return caller->scanner.is_malformed || length >= MAX_PARSER_LINE_BYTES ? 0 : length;
 }
 
-/* Accepts the next request of the connection, whose request line is now complete. */
+/* Returns the size in bytes of the input's incomplete last line or lines that the parser must not
+ * get yet; 0: none. */
+static size_t
+get_withheld_length (const LnCaller *caller)
+{
+  size_t line = get_partial_request_line_length (caller);
+
+  if (line > 0 || caller->scanner.is_malformed)
+    return line;
+  return ln_request_scanner_get_partial_chunk_length (&caller->scanner);
+}
+
+/* Accepts the next request of the connection, of which the parser may read all that has arrived. */
 static void
 resume_held_request (LnCaller *caller)
 {
@@ -114,15 +126,16 @@
       bufferevent_enable (caller->connection->bev, EV_READ);
       return;
     }
-  if (caller->held_request && get_partial_request_line_length (caller) == 0
-      && !caller->scanner.is_malformed)
+  if (caller->held_request && get_withheld_length (caller) == 0 && !caller->scanner.is_malformed)
     {
       resume_held_request (caller);
       return;
     }
-  if (caller->scanner.is_malformed)
+  if (caller->refusal != LB_OK)
+    ; /* decided when the bytes arrived */
+  else if (caller->scanner.is_malformed)
     caller->refusal = LB_ERROR_BAD_REQUEST;
-  else if (is_reading_request (caller) || get_partial_request_line_length (caller) > 0)
+  else if (is_reading_request (caller) || get_withheld_length (caller) > 0)
     caller->refusal
         = caller->callers->has_stopped_accepting ? LB_ERROR_DRAINING : LB_ERROR_TOO_SLOW;
   evhtp_connection_free (caller->connection);
@@ -302,28 +315,82 @@
 
 /* Withholds a request line from the parser until the line is complete. If a request line continues
  * in a second segment, evhtp's parser skips one byte of its buffer and keeps a byte of the previous
- * request instead: "/services/" became "/serv3ices/", and a service ran the changed request. */
+ * request instead: "/services/" became "/serv3ices/", and a service ran the changed request.
+ *
+ * Withholds all input while it ends inside a chunk size line or trailer fields, which are rewritten
+ * once they are complete. */
 static void
-withhold_partial_request_line (LnCaller *caller, struct evbuffer *input, size_t n_added)
+withhold_incomplete_lines (LnCaller *caller, struct evbuffer *input, size_t n_added)
 {
-  size_t partial = get_partial_request_line_length (caller);
+  size_t withheld = get_withheld_length (caller);
+  size_t length = evbuffer_get_length (input);
 
   if (caller->held_request)
     {
-      if (partial == 0)
+      if (withheld == 0)
         start_connection_timer (caller, 0);
       return;
     }
   if (caller->exchange)
     return;
-  set_read_watermark (caller,
-                      partial > 0 && partial == evbuffer_get_length (input) ? partial + 1 : 0);
-  if (partial == 0 || partial > n_added)
+  bool is_all_withheld
+      = withheld > 0 && (withheld == length || get_partial_request_line_length (caller) == 0);
+  set_read_watermark (caller, is_all_withheld ? length + 1 : 0);
+  if (withheld == 0 || withheld > n_added || is_reading_request (caller))
     return;
   start_connection_timer (caller, get_read_timeout (caller->callers));
   caller->is_read_timer_started = true;
 }
 
+/* Refuses a chunk size line or trailer fields that are longer than headers may be. */
+static void
+refuse_oversized_chunk_lines (LnCaller *caller)
+{
+  if (ln_request_scanner_get_partial_chunk_length (&caller->scanner)
+      <= caller->callers->max_header_bytes)
+    return;
+  caller->refusal = LB_ERROR_HEADER_TOO_LARGE;
+  caller->scanner.is_malformed = true;
+}
+
+static void
+overwrite_input (struct evbuffer *input, size_t offset, const char *bytes, size_t length)
+{
+  struct evbuffer_ptr position;
+  struct evbuffer_iovec segment;
+
+  while (length > 0 && evbuffer_ptr_set (input, &position, offset, EVBUFFER_PTR_SET) == 0
+         && evbuffer_peek (input, (ev_ssize_t)length, &position, &segment, 1) > 0)
+    {
+      size_t n_bytes = segment.iov_len < length ? segment.iov_len : length;
+      memcpy (segment.iov_base, bytes, n_bytes);
+      bytes += n_bytes;
+      offset += n_bytes;
+      length -= n_bytes;
+    }
+}
+
+/* Rewrites input that the parser has not read yet, since it was withheld or has just arrived. */
+static void
+rewrite_input (const LnRequestRewrite *rewrite, void *user)
+{
+  LnCaller *caller = user;
+  struct evbuffer *input = bufferevent_get_input (caller->connection->bev);
+  uint64_t input_start = caller->n_received - evbuffer_get_length (input);
+  const char *end = rewrite->chunk_size > 0 ? "\r\n" : "\r\n\r\n";
+  char *text = NULL;
+
+  if (rewrite->start < input_start || rewrite->length <= strlen (end))
+    {
+      caller->scanner.is_malformed = true;
+      return;
+    }
+  text = lb_asprintf ("%0*llx%s", (int)(rewrite->length - strlen (end)),
+                      (unsigned long long)rewrite->chunk_size, end);
+  overwrite_input (input, (size_t)(rewrite->start - input_start), text, rewrite->length);
+  free (text);
+}
+
 /* Scans received bytes before evhtp's parser gets them. A malformed request is refused after the
  * replies to all earlier requests. The parser can't refuse the request, as it may wait for more
  * bytes. */
@@ -335,6 +402,7 @@
   struct evbuffer_iovec segment;
   size_t remaining = info->n_added;
 
+  caller->n_received += remaining;
   if (remaining == 0
       || evbuffer_ptr_set (input, &position, evbuffer_get_length (input) - remaining,
                            EVBUFFER_PTR_SET)
@@ -348,7 +416,8 @@
       if (remaining > 0 && evbuffer_ptr_set (input, &position, length, EVBUFFER_PTR_ADD) != 0)
         break;
     }
-  withhold_partial_request_line (caller, input, info->n_added);
+  refuse_oversized_chunk_lines (caller);
+  withhold_incomplete_lines (caller, input, info->n_added);
   if (caller->scanner.is_malformed && !caller->exchange)
     start_connection_timer (caller, 0);
 }
@@ -398,6 +467,8 @@
   caller->callers = callers;
   caller->connection = connection;
   caller->timer = evtimer_new (callers->base, on_connection_timer, caller);
+  caller->scanner.on_rewrite = rewrite_input;
+  caller->scanner.user = caller;
   lb_list_append (&callers->connections, &caller->link);
   lb_metric_add (&connections, 1);
   read_caller_ip (caller);
@@ -410,6 +481,15 @@
   return EVHTP_RES_OK;
 }
 
+LbErrorCode
+ln_caller_get_request_refusal (LnCaller *caller)
+{
+  if (caller->n_parsed++ < caller->scanner.n_complete)
+    return LB_OK;
+  caller->is_closed_after_reply = true;
+  return caller->refusal != LB_OK ? caller->refusal : LB_ERROR_BAD_REQUEST;
+}
+
 LnCaller *
 ln_caller_from_connection (const evhtp_connection_t *connection)
 {
@@ -433,8 +513,8 @@
 {
   struct evbuffer *output = bufferevent_get_output (caller->connection->bev);
 
-  return caller->exchange || is_reading_request (caller)
-         || get_partial_request_line_length (caller) > 0 || evbuffer_get_length (output) > 0
+  return caller->exchange || is_reading_request (caller) || get_withheld_length (caller) > 0
+         || evbuffer_get_length (output) > 0
          || (caller->callers->has_stopped_accepting && has_unread_input (caller));
 }
 
@@ -445,8 +525,7 @@
 {
   if (caller->exchange)
     return;
-  if (is_reading_request (caller) || get_partial_request_line_length (caller) > 0
-      || has_unread_input (caller))
+  if (is_reading_request (caller) || get_withheld_length (caller) > 0 || has_unread_input (caller))
     start_connection_timer (caller, get_read_timeout (caller->callers));
   else if (evbuffer_get_length (bufferevent_get_output (caller->connection->bev)) > 0)
     ln_caller_close (caller);
@@ -498,7 +577,7 @@
       ln_caller_close (caller);
       return;
     }
-  if (get_partial_request_line_length (caller) > 0)
+  if (get_withheld_length (caller) > 0)
     {
       caller->held_request = request;
       start_connection_timer (caller, get_read_timeout (caller->callers));
--- a/packages/node/src/front/ln-caller.h
+++ b/packages/node/src/front/ln-caller.h
@@ -48,7 +48,9 @@
   char ip[64];
   char *raw_query;           /* query string of the request being read; NULL: none */
   LnRequestScanner scanner;  /* scanner that has seen all bytes received */
+  uint64_t n_received;       /* number of bytes received */
   uint64_t n_headers_parsed; /* number of requests whose headers evhtp has parsed */
+  uint64_t n_parsed;         /* number of requests that evhtp has parsed */
   struct evbuffer_cb_entry *input_callback;
   bool is_read_timer_started; /* a partial request line has already started the read timeout */
   /* Request already replied to, resumed when the next request line is complete; NULL: none. */
@@ -70,6 +72,9 @@
 LnCaller *ln_caller_from_connection (const evhtp_connection_t *connection);
 /* True while a request is being received or processed, or output is pending. */
 bool ln_caller_is_busy (const LnCaller *caller);
+/* Returns the error with which a request that evhtp has read must be refused, as its end differs
+ * from the end that the scanner found; LB_OK: none. Call once for each request. */
+LbErrorCode ln_caller_get_request_refusal (LnCaller *caller);
 /* Starts detecting a disconnect of the caller while the caller's request is processed. */
 void ln_caller_watch_disconnect (LnCaller *caller);
 /* Call after passing the complete reply to evhtp. Closes the connection, or accepts the next
--- a/packages/node/src/front/ln-front.c
+++ b/packages/node/src/front/ln-front.c
@@ -126,11 +126,13 @@
 
   if (!task)
     task = &front->task;
-  message.is_refused = front->callers.has_stopped_accepting && task != &front->task;
-  if (message.is_refused)
+  message.refusal = ln_caller_get_request_refusal (ln_caller_from_connection (request->conn));
+  if (message.refusal == LB_OK && front->callers.has_stopped_accepting && task != &front->task)
+    message.refusal = LB_ERROR_DRAINING;
+  if (message.refusal != LB_OK)
     task = &front->task;
   lb_metric_add (&requests, 1);
-  if (recorder)
+  if (recorder && message.refusal == LB_OK)
     ln_recorder_add_request (recorder, exchange, lb_clock_monotonic ());
   ln_exchange_set_owner (exchange, task);
   LN_POST (front->task.hub, task, message);
@@ -209,10 +211,18 @@
 static void
 reply_or_refuse_request (LnFront *front, const LnExchangeMessage *message)
 {
-  if (message->is_refused)
+  LbError error = { 0 };
+
+  if (message->refusal == LB_OK)
+    reply_to_front_request (front, message->exchange);
+  else if (message->refusal == LB_ERROR_DRAINING)
     refuse_request_after_drain_time (front, message->exchange);
   else
-    reply_to_front_request (front, message->exchange);
+    {
+      lb_error_set (&error, message->refusal, "",
+                    "the request was refused before it was processed");
+      ln_exchange_reply_error (message->exchange, &error, 0);
+    }
 }
 
 static int64_t
--- a/packages/node/src/front/ln-request-scanner.c
+++ b/packages/node/src/front/ln-request-scanner.c
@@ -52,6 +52,13 @@
   scanner->remaining = 0;
 }
 
+static void
+finish_request (LnRequestScanner *scanner)
+{
+  scanner->n_complete++;
+  begin_scanning_request (scanner);
+}
+
 /* Returns the value of the current header line, or NULL if the header has another name. */
 static const char *
 find_header_value (const LnRequestScanner *scanner, const char *name)
@@ -101,10 +108,22 @@
   else if (scanner->remaining > 0)
     scanner->state = BODY;
   else
-    begin_scanning_request (scanner);
+    finish_request (scanner);
   return true;
 }
 
+static void
+rewrite_chunk_line (LnRequestScanner *scanner, uint64_t chunk_size)
+{
+  const LnRequestRewrite rewrite
+      = { .start = scanner->chunk_line_at,
+          .length = (size_t)(scanner->n_scanned - scanner->chunk_line_at),
+          .chunk_size = chunk_size };
+
+  if (scanner->on_rewrite)
+    scanner->on_rewrite (&rewrite, scanner->user);
+}
+
 /* Reads a chunk's size. Accepts spaces between the size and a chunk extension, since some older
  * senders write them. Returns false when the size is invalid. */
 static bool
@@ -118,10 +137,15 @@
   if (digits == 0 || digits > MAX_CHUNK_SIZE_DIGITS || (*rest != '\0' && *rest != ';'))
     return false;
   scanner->remaining = strtoull (scanner->line, NULL, 16);
-  if (scanner->remaining > 0)
-    scanner->state = CHUNK;
-  else
-    begin_scanning_line (scanner, TRAILER_LINE);
+  if (scanner->remaining == 0)
+    {
+      scanner->needs_rewrite = scanner->length > digits;
+      begin_scanning_line (scanner, TRAILER_LINE);
+      return true;
+    }
+  scanner->state = CHUNK;
+  if (scanner->length > digits)
+    rewrite_chunk_line (scanner, scanner->remaining);
   return true;
 }
 
@@ -133,6 +157,20 @@
   return true;
 }
 
+static void
+finish_trailer_line (LnRequestScanner *scanner)
+{
+  if (scanner->length > 0)
+    {
+      scanner->needs_rewrite = true;
+      begin_scanning_line (scanner, TRAILER_LINE);
+      return;
+    }
+  if (scanner->needs_rewrite)
+    rewrite_chunk_line (scanner, 0);
+  finish_request (scanner);
+}
+
 static bool
 finish_scanned_line (LnRequestScanner *scanner)
 {
@@ -154,10 +192,7 @@
       begin_scanning_line (scanner, CHUNK_SIZE);
       return is_empty;
     default:
-      if (is_empty)
-        begin_scanning_request (scanner);
-      else
-        begin_scanning_line (scanner, TRAILER_LINE);
+      finish_trailer_line (scanner);
       return true;
     }
 }
@@ -182,7 +217,10 @@
 {
   bool is_header = scanner->state == HEADER_LINE || scanner->state == TRAILER_LINE;
 
+  if (scanner->state == CHUNK_SIZE && scanner->line_bytes == 0)
+    scanner->chunk_line_at = scanner->n_scanned;
   scanner->line_bytes++;
+  scanner->n_scanned++;
   if (c == '\n')
     {
       if (scanner->state == REQUEST_LINE)
@@ -207,12 +245,13 @@
   size_t n_body = scanner->remaining < length ? (size_t)scanner->remaining : length;
 
   scanner->remaining -= n_body;
+  scanner->n_scanned += n_body;
   if (scanner->remaining > 0)
     return n_body;
   if (scanner->state == CHUNK)
     begin_scanning_line (scanner, CHUNK_END);
   else
-    begin_scanning_request (scanner);
+    finish_request (scanner);
   return n_body;
 }
 
@@ -222,6 +261,15 @@
   return scanner->state == REQUEST_LINE ? scanner->line_bytes : 0;
 }
 
+size_t
+ln_request_scanner_get_partial_chunk_length (const LnRequestScanner *scanner)
+{
+  bool is_partial
+      = scanner->state == TRAILER_LINE || (scanner->state == CHUNK_SIZE && scanner->line_bytes > 0);
+
+  return is_partial ? (size_t)(scanner->n_scanned - scanner->chunk_line_at) : 0;
+}
+
 bool
 ln_request_scanner_feed (LnRequestScanner *scanner, const char *data, size_t length)
 {
