calls: run the items of a batch only at the service of their route

Cause: items were queued and placed by model alone. The batch's route was read for limits, never for its service.

Evidence: the stand-in engines' records of service and item, and the candidates in the log of routing decisions, engines of both services. Ruled out: a late desired state (in force 5 s before; plain routes moved at once).

Change: queue, endpoint group and paces are kept for each model and service, so first attempts, retries, hedges, moves and preferred engines are all chosen among the engines of one service. The owner of a batch chooses the service from the route in force at each request for a text; when the route moves, texts that wait are taken back and requested at the new service. An invariant compares the services before each send. A filter among the engines of the model was weighed and dropped: 16 waiting requests of a full service would have held up another service of the model, as a round of sending skips no more.

Without the reroute of waiting texts, waiting_items_follow_a_route_that_moves fails.

--- a/packages/core/include/lc-dispatch.h
+++ b/packages/core/include/lc-dispatch.h
@@ -27,7 +27,8 @@
   LcFingerprint content; /* hash of the request's content, by which a quarantine can refuse it */
   LcRequestKind kind;
   LcDelivery delivery;
-  LbName pool; /* pool or service name */
+  LbName pool;    /* pool or service name */
+  LbName service; /* service whose engines run the request; "": those that belong to none */
   /* client or trainer's subscription that the request runs for; each caller has its own retry
    * budget */
   LbName caller;
@@ -198,6 +199,8 @@
 
 /* Whether the current configuration contains a plain service, not a pool, of this name. */
 bool lc_dispatch_has_service (const LcDispatch *dispatch, const char *service);
+/* Whether the request is known and no attempt of it runs. */
+bool lc_dispatch_is_request_waiting (const LcDispatch *dispatch, LcRequestId request);
 LbTime lc_dispatch_next_tick (const LcDispatch *dispatch);
 size_t lc_dispatch_count_requests_in_progress (const LcDispatch *dispatch);
 size_t lc_dispatch_count_waiting_requests (const LcDispatch *dispatch, LcRequestKind kind);
--- a/packages/core/include/lc-router.h
+++ b/packages/core/include/lc-router.h
@@ -10,6 +10,7 @@
 {
   LcRequestKind kind;
   const char *pool;              /* pool or service name */
+  const char *service;           /* service of the engine; NULL or "": it belongs to none */
   const char *data_centre;       /* data centre of this instance */
   const uint64_t *prefix_hashes; /* hashes of the prompt's prefixes, longest last */
   size_t n_prefix_hashes;
--- a/packages/core/src/dispatch/lc-candidates.c
+++ b/packages/core/src/dispatch/lc-candidates.c
@@ -288,7 +288,8 @@
                       LbTime now)
 {
   LcEndpointKind kind = query->kind == LC_KIND_SERVICE ? LC_ENDPOINT_SERVICE : LC_ENDPOINT_ENGINE;
-  const LcEndpointGroup *group = lc_endpoints_find_group (endpoints, kind, query->pool);
+  const LcEndpointGroup *group
+      = lc_endpoints_find_group (endpoints, kind, query->pool, query->service);
   DecisionInputs inputs
       = { .query = query,
           .fastest_token_seconds = group ? group->fastest_token_seconds : 0,
--- a/packages/core/src/dispatch/lc-dispatch-move.c
+++ b/packages/core/src/dispatch/lc-dispatch-move.c
@@ -328,7 +328,7 @@
     {
       lc_dispatch_expire_move_holds (dispatch, now);
       move.group = lc_endpoints_find_group (dispatch->endpoints, LC_ENDPOINT_ENGINE,
-                                            move.request->pool->name);
+                                            move.request->pool->name, move.request->pool->service);
       if (move.group && move.group->median_lasting_token_seconds > 0)
         move.proposal.usual_token_seconds = move.group->median_lasting_token_seconds;
       decision = decide_move (dispatch, &move, now);
--- a/packages/core/src/dispatch/lc-dispatch-query.c
+++ b/packages/core/src/dispatch/lc-dispatch-query.c
@@ -10,6 +10,14 @@
   return request;
 }
 
+bool
+lc_dispatch_is_request_waiting (const LcDispatch *dispatch, LcRequestId id)
+{
+  const LcRequest *request = lc_dispatch_find_request (dispatch, id);
+
+  return request && request->state != LC_STATE_RUNNING;
+}
+
 static bool
 has_waiting_requests (const LcDispatch *dispatch)
 {
--- a/packages/core/src/dispatch/lc-dispatch.c
+++ b/packages/core/src/dispatch/lc-dispatch.c
@@ -137,24 +137,30 @@
   free (dispatch);
 }
 
+/* service: service of the pool's engines; "": none, or a plain service. */
 static LcPoolState *
-find_pool (const LcDispatch *dispatch, LcPoolKind kind, const char *name)
+find_pool (const LcDispatch *dispatch, LcPoolKind kind, const char *name, const char *service)
 {
   LcPoolState *pool = NULL;
+  char key[LC_POOL_KEY_SIZE];
 
-  HASH_FIND_STR (dispatch->pools[kind], name, pool);
+  lc_pool_format_key (name, service, key);
+  HASH_FIND_STR (dispatch->pools[kind], key, pool);
   return pool;
 }
 
 static LcPoolState *
-find_or_add_configured_pool (LcDispatch *dispatch, LcPoolKind kind, const char *name)
+find_or_add_configured_pool (LcDispatch *dispatch,
+                             LcPoolKind kind,
+                             const char *name,
+                             const char *service)
 {
-  LcPoolState *pool = find_pool (dispatch, kind, name);
+  LcPoolState *pool = find_pool (dispatch, kind, name, service);
 
   if (!pool)
     {
-      pool = lc_pool_state_new (kind, name);
-      HASH_ADD_STR (dispatch->pools[kind], name, pool);
+      pool = lc_pool_state_new (kind, name, service);
+      HASH_ADD_STR (dispatch->pools[kind], key, pool);
     }
   pool->configured = true;
   pool->queue_limit
@@ -162,6 +168,32 @@
   return pool;
 }
 
+/* Returns the service by which the endpoint's pool is split; "": it is not. */
+static const char *
+get_pool_service (const LcEndpointMember *member)
+{
+  return lc_pool_kind_of_endpoint (member) == LC_POOL_ENGINES ? member->service : "";
+}
+
+/* Adds the pool of the endpoint's service. The engines of a service have a queue of their own, as
+ * no request of another service may use them. */
+static void
+configure_pool_of_endpoint (LcDispatch *dispatch, const LcEndpointMember *member)
+{
+  LcPoolKind kind = lc_pool_kind_of_endpoint (member);
+  const LcPoolState *parent
+      = kind == LC_POOL_ENGINES ? find_pool (dispatch, kind, member->pool, "") : NULL;
+  LcPoolState *pool = NULL;
+
+  if (kind == LC_POOL_ENGINES && (member->service[0] == '\0' || !parent))
+    return;
+  pool = find_or_add_configured_pool (dispatch, kind, member->pool, get_pool_service (member));
+  if (!parent)
+    return;
+  pool->live_reserve = parent->live_reserve;
+  pool->queue_limit = parent->queue_limit;
+}
+
 static void
 configure_pools (LcDispatch *dispatch, const LcResourceSet *set)
 {
@@ -171,15 +203,14 @@
   for (size_t i = 0; i < set->n_pools; i++)
     {
       LcPoolState *pool
-          = find_or_add_configured_pool (dispatch, LC_POOL_ENGINES, set->pools[i].name);
+          = find_or_add_configured_pool (dispatch, LC_POOL_ENGINES, set->pools[i].name, "");
 
       pool->live_reserve = set->pools[i].live_reserve;
       if (set->pools[i].queue_limit > 0)
         pool->queue_limit = set->pools[i].queue_limit;
     }
   for (size_t i = 0; i < set->n_endpoints; i++)
-    if (lc_pool_kind_of_endpoint (&set->endpoints[i]) == LC_POOL_SERVICE)
-      find_or_add_configured_pool (dispatch, LC_POOL_SERVICE, set->endpoints[i].pool);
+    configure_pool_of_endpoint (dispatch, &set->endpoints[i]);
 }
 
 /* Frees the pools that are no longer configured and have no unfinished request. */
@@ -328,7 +359,7 @@
 lc_dispatch_has_service (const LcDispatch *dispatch, const char *service)
 {
   const LcPoolState *pool
-      = find_pool (dispatch, lc_pool_kind_of_request (LC_KIND_SERVICE), service);
+      = find_pool (dispatch, lc_pool_kind_of_request (LC_KIND_SERVICE), service, "");
 
   return pool && pool->configured;
 }
@@ -384,7 +415,8 @@
                     LbTime *retry_after,
                     LbError *error)
 {
-  LcPoolState *pool = find_pool (dispatch, lc_pool_kind_of_request (spec->kind), spec->pool);
+  LcPoolState *pool = find_pool (dispatch, lc_pool_kind_of_request (spec->kind), spec->pool,
+                                 spec->kind == LC_KIND_SERVICE ? "" : spec->service);
   LbTime hint = 0;
   LbErrorCode code = check_request_is_acceptable (dispatch, pool, spec, now, &hint);
 
@@ -463,7 +495,8 @@
 
   if (!endpoint)
     return NULL;
-  return find_pool (dispatch, lc_pool_kind_of_endpoint (&endpoint->member), endpoint->member.pool);
+  return find_pool (dispatch, lc_pool_kind_of_endpoint (&endpoint->member), endpoint->member.pool,
+                    get_pool_service (&endpoint->member));
 }
 
 void
--- a/packages/core/src/dispatch/lc-placement.c
+++ b/packages/core/src/dispatch/lc-placement.c
@@ -36,7 +36,7 @@
 {
   LcEndpointKind kind = pool->kind == LC_POOL_SERVICE ? LC_ENDPOINT_SERVICE : LC_ENDPOINT_ENGINE;
 
-  return lc_endpoints_find_group (dispatch->endpoints, kind, pool->name);
+  return lc_endpoints_find_group (dispatch->endpoints, kind, pool->name, pool->service);
 }
 
 /* Returns the earliest time at which the circuit breaker of any endpoint of the pool admits a
@@ -195,6 +195,10 @@
 
   return lc_dispatch_check_invariant (dispatch, !endpoint->leaving, "no-new-work-to-leaving",
                                       request->id)
+         && lc_dispatch_check_invariant (dispatch,
+                                         lc_pool_state_has_endpoint (request->pool,
+                                                                     &endpoint->member),
+                                         "only-endpoints-of-the-service", request->id)
          && lc_dispatch_check_invariant (dispatch, request->repeatable || is_first, "at-most-once",
                                          request->id);
 }
@@ -297,7 +301,7 @@
 {
   LbTime oldest_report = compute_oldest_current_load_report_time (dispatch, now);
 
-  return strcmp (endpoint->member.pool, request->pool->name) == 0
+  return lc_pool_state_has_endpoint (request->pool, &endpoint->member)
          && endpoint->report.version >= request->min_version
          && endpoint->report.measured_at >= oldest_report
          && lc_endpoint_can_accept (endpoint, request->kind, request->pool->live_reserve, now);
--- a/packages/core/src/dispatch/lc-pool.c
+++ b/packages/core/src/dispatch/lc-pool.c
@@ -3,16 +3,20 @@
 #include "lb-alloc.h"
 #include "lb-switch.h"
 
+#include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #define ATTEMPT_TIME_EWMA_WEIGHT 0.05
 
 LcPoolState *
-lc_pool_state_new (LcPoolKind kind, const char *name)
+lc_pool_state_new (LcPoolKind kind, const char *name, const char *service)
 {
   LcPoolState *pool = LB_NEW (LcPoolState);
 
+  lc_pool_format_key (name, service, pool->key);
   LB_COPY (pool->name, name);
+  LB_COPY (pool->service, service);
   pool->kind = kind;
   pool->queue = lc_queue_new ();
   return pool;
@@ -61,6 +65,24 @@
     update_moving_average (&pool->mean_attempt_seconds[kind], ended->duration);
 }
 
+void
+lc_pool_format_key (const char *name, const char *service, char key[LC_POOL_KEY_SIZE])
+{
+  snprintf (key, LC_POOL_KEY_SIZE, "%s%s%s", name, service[0] ? "\n" : "", service);
+}
+
+/* Whether the endpoint serves the pool's requests. Engines of several services may hold the same
+ * model; a request runs only at those of its own service. */
+bool
+lc_pool_state_has_endpoint (const LcPoolState *pool, const LcEndpointMember *member)
+{
+  bool is_plain_service = member->kind == LC_ENDPOINT_SERVICE;
+
+  return is_plain_service == (pool->kind == LC_POOL_SERVICE)
+         && strcmp (member->pool, pool->name) == 0
+         && (is_plain_service || strcmp (member->service, pool->service) == 0);
+}
+
 bool
 lc_pool_state_is_queue_full (const LcPoolState *pool)
 {
--- a/packages/core/src/dispatch/lc-pool.h
+++ b/packages/core/src/dispatch/lc-pool.h
@@ -2,6 +2,7 @@
 #define LC_POOL_H
 
 #include "lc-queue.h"
+#include "lc-resources.h"
 #include "lc-wait-estimate.h"
 
 #include <uthash.h>
@@ -13,11 +14,16 @@
   LC_N_POOL_KINDS
 } LcPoolKind;
 
+#define LC_POOL_KEY_SIZE (2 * LB_NAME_MAX)
+
 /* State of one pool or plain service at this instance: queue, running attempts, measured times. */
 typedef struct
 {
   UT_hash_handle hh;
+  char key[LC_POOL_KEY_SIZE]; /* key in the hash table: the pool's name, with engines of a service
+                                 also the name of the service */
   LbName name;
+  LbName service; /* service that the pool's engines belong to; "": none, or a plain service */
   LcPoolKind kind;
   LcQueue *queue;
   bool configured;          /* the current configuration contains the pool */
@@ -46,7 +52,7 @@
   int64_t expected_tokens; /* expected length of the answer; 0: unknown */
 } LcEndedAttempt;
 
-LcPoolState *lc_pool_state_new (LcPoolKind kind, const char *name);
+LcPoolState *lc_pool_state_new (LcPoolKind kind, const char *name, const char *service);
 void lc_pool_state_free (LcPoolState *pool);
 
 /* Functions that change the pool's state. */
@@ -59,6 +65,8 @@
                                        LbTime now);
 
 /* Functions that only read the pool's state. */
+void lc_pool_format_key (const char *name, const char *service, char key[LC_POOL_KEY_SIZE]);
+bool lc_pool_state_has_endpoint (const LcPoolState *pool, const LcEndpointMember *member);
 bool lc_pool_state_is_queue_full (const LcPoolState *pool);
 /* Decides whether a new request with this key can be served in time. Replaces the query's kind and
  * number of requests ahead. */
--- a/packages/core/src/dispatch/lc-request.c
+++ b/packages/core/src/dispatch/lc-request.c
@@ -145,6 +145,7 @@
   LcRouteQuery query = {
     .kind = request->kind,
     .pool = request->pool->name,
+    .service = request->pool->service,
     .data_centre = data_centre,
     .prefix_hashes = request->prefix_hashes,
     .n_prefix_hashes = request->n_prefix_hashes,
--- a/packages/core/src/dispatch/lc-router-finish-time.c
+++ b/packages/core/src/dispatch/lc-router-finish-time.c
@@ -81,7 +81,7 @@
                       LbTime now)
 {
   LcEndpointKind kind = query->kind == LC_KIND_SERVICE ? LC_ENDPOINT_SERVICE : LC_ENDPOINT_ENGINE;
-  LcEndpointGroup *group = lc_endpoints_find_group (endpoints, kind, query->pool);
+  LcEndpointGroup *group = lc_endpoints_find_group (endpoints, kind, query->pool, query->service);
   double seconds = group->mean_service_seconds;
   int64_t tokens = query->expected_tokens > 0 ? query->expected_tokens : DEFAULT_EXPECTED_TOKENS;
 
--- a/packages/core/src/endpoints/lc-endpoint-table.h
+++ b/packages/core/src/endpoints/lc-endpoint-table.h
@@ -14,6 +14,7 @@
 #include <uthash.h>
 
 #define LC_NEVER_REPORTED ((LbTime)-1)
+#define LC_GROUP_KEY_SIZE (2 * LB_NAME_MAX + 2)
 
 /* The fields of an endpoint that a routing decision reads, in one cache line: a decision scans all
  * endpoints of a pool, and their entries are scattered in memory. Updated after each change of the
@@ -81,8 +82,10 @@
 /* The endpoints of one pool or plain service. */
 typedef struct
 {
-  char key[LB_NAME_MAX + 2]; /* kind of endpoint, 'e' or 's', and name of the pool or service */
-  uint32_t *slots;           /* LcEndpoint.slot of each endpoint in the group */
+  /* kind of endpoint, 'e' or 's', and name of the pool or plain service; for the engines of a
+   * service also the name of the service */
+  char key[LC_GROUP_KEY_SIZE];
+  uint32_t *slots; /* LcEndpoint.slot of each endpoint in the group */
   size_t n_slots;
   size_t capacity;
   double mean_service_seconds; /* mean duration of this instance's requests; 0: none has ended */
@@ -128,8 +131,12 @@
   return (LcEndpointEntry *)endpoint;
 }
 
-LcEndpointGroup *
-lc_endpoints_find_group (const LcEndpoints *endpoints, LcEndpointKind kind, const char *pool);
+/* service: service of the engines, which may share the pool with engines of other services; NULL or
+ * "": they belong to none. Ignored for plain services. */
+LcEndpointGroup *lc_endpoints_find_group (const LcEndpoints *endpoints,
+                                          LcEndpointKind kind,
+                                          const char *pool,
+                                          const char *service);
 /* Index into LcEndpoints.data_centres; -1: no endpoint is known in the data centre. */
 int lc_endpoints_find_data_centre (const LcEndpoints *endpoints, const char *name);
 
--- a/packages/core/src/endpoints/lc-endpoints-config.c
+++ b/packages/core/src/endpoints/lc-endpoints-config.c
@@ -166,19 +166,29 @@
 }
 
 static void
-make_endpoint_group_key (char *key, size_t size, LcEndpointKind kind, const char *pool)
+make_endpoint_group_key (char *key, LcEndpointKind kind, const char *pool, const char *service)
 {
+  size_t length = 0;
+
   key[0] = kind == LC_ENDPOINT_ENGINE ? 'e' : 's';
-  lb_strlcpy (key + 1, pool, size - 1);
+  lb_strlcpy (key + 1, pool, LB_NAME_MAX);
+  if (kind != LC_ENDPOINT_ENGINE || !service || service[0] == '\0')
+    return;
+  length = strlen (key);
+  key[length] = '\n';
+  lb_strlcpy (key + length + 1, service, LB_NAME_MAX);
 }
 
 LcEndpointGroup *
-lc_endpoints_find_group (const LcEndpoints *endpoints, LcEndpointKind kind, const char *pool)
+lc_endpoints_find_group (const LcEndpoints *endpoints,
+                         LcEndpointKind kind,
+                         const char *pool,
+                         const char *service)
 {
   LcEndpointGroup *group = NULL;
-  char key[LB_NAME_MAX + 2];
+  char key[LC_GROUP_KEY_SIZE];
 
-  make_endpoint_group_key (key, sizeof key, kind, pool);
+  make_endpoint_group_key (key, kind, pool, service);
   HASH_FIND_STR (endpoints->groups, key, group);
   return group;
 }
@@ -186,13 +196,14 @@
 static void
 add_entry_to_group (LcEndpoints *endpoints, LcEndpointEntry *entry)
 {
-  LcEndpointKind kind = (LcEndpointKind)entry->endpoint.member.kind;
-  LcEndpointGroup *group = lc_endpoints_find_group (endpoints, kind, entry->endpoint.member.pool);
+  const LcEndpointMember *member = &entry->endpoint.member;
+  LcEndpointKind kind = (LcEndpointKind)member->kind;
+  LcEndpointGroup *group = lc_endpoints_find_group (endpoints, kind, member->pool, member->service);
 
   if (!group)
     {
       group = LB_NEW (LcEndpointGroup);
-      make_endpoint_group_key (group->key, sizeof group->key, kind, entry->endpoint.member.pool);
+      make_endpoint_group_key (group->key, kind, member->pool, member->service);
       group->batch_slowdown = lc_batch_cost_full_batch_slowdown (&group->batch_cost);
       HASH_ADD_STR (endpoints->groups, key, group);
     }
--- a/packages/core/src/endpoints/lc-endpoints-pace.c
+++ b/packages/core/src/endpoints/lc-endpoints-pace.c
@@ -28,7 +28,8 @@
 {
   const LcEndpointMember *member = &entry->endpoint.member;
 
-  return lc_endpoints_find_group (entry->table, (LcEndpointKind)member->kind, member->pool);
+  return lc_endpoints_find_group (entry->table, (LcEndpointKind)member->kind, member->pool,
+                                  member->service);
 }
 
 /* Returns the seconds per token at the fastest endpoint of the group; 0: not known. */
--- a/packages/core/src/endpoints/lc-endpoints-query.c
+++ b/packages/core/src/endpoints/lc-endpoints-query.c
@@ -49,7 +49,7 @@
   const LcEndpointMember *member = &endpoint->member;
   const LcEndpointGroup *group
       = lc_endpoints_find_group (lc_endpoint_to_entry (endpoint)->table,
-                                 (LcEndpointKind)member->kind, member->pool);
+                                 (LcEndpointKind)member->kind, member->pool, member->service);
 
   return group ? group->median_lasting_token_seconds : 0;
 }
--- a/packages/node/include/ln-messages.h
+++ b/packages/node/include/ln-messages.h
@@ -83,6 +83,7 @@
    * LN_SAMPLE_MOVE_REFUSED and leave the sample unchanged */
   bool needs_move_decision;
   LcMoveProposal move;
+  bool only_if_waiting; /* do nothing if an endpoint runs the request */
 } LnSampleCancelMessage;
 
 typedef struct
@@ -175,6 +176,8 @@
 {
   LnMessage base;
   LbName model;
+  LbName host; /* host and path that select the batch's route */
+  char path[128];
   int64_t tokens;  /* expected number of generated tokens of the batch */
   int64_t n_items; /* number of items in the batch */
 } LnDemandMessage;
--- a/packages/node/src/batch/ln-batch-owner.c
+++ b/packages/node/src/batch/ln-batch-owner.c
@@ -11,6 +11,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 /* Priority of texts of groups that can't be completed; other texts have 0. */
 #define INCOMPLETE_GROUP_PRIORITY (-1)
@@ -35,10 +36,14 @@
 
 /* --- generation and scoring requests --- */
 
+/* service: service whose engines generate the text; NULL: the request scores a text. */
 static void
-add_batch_request (LnBatch *batch, LcRequestId id, bool is_score)
+add_batch_request (LnBatch *batch, LcRequestId id, const char *service)
 {
   LnBatchRequest *request = LB_NEW (LnBatchRequest);
+  bool is_score = service == NULL;
+
+  LB_COPY (request->service, is_score ? "" : service);
 
   request->request = id;
   request->batch = batch;
@@ -76,6 +81,22 @@
   return ln_batches_find_route (batch->batches, &batch->head);
 }
 
+/* Returns the service whose engines generate the item's text. Engines of other services may hold
+ * the same model, but the route does not lead to them. The choice among the services of a split
+ * route depends only on the item, so that a text is continued at the service where it began. A
+ * batch whose route was removed goes on at the last service of the route. Returns "" if no route
+ * was known yet: no engine belongs to that service, so the request fails and is retried. */
+static const char *
+choose_generation_service (LnBatch *batch, const LcBatchItemSpec *item)
+{
+  const LcRoute *route = find_batch_route (batch);
+  uint64_t hash = XXH3_64bits (item->request.id, strlen (item->request.id));
+
+  if (route)
+    LB_COPY (batch->service, lc_route_choose_service (route, (double)hash / (double)UINT64_MAX));
+  return batch->service;
+}
+
 static int64_t
 get_service_tokens_per_event (const LnBatch *batch)
 {
@@ -147,12 +168,13 @@
           .n_prefix_hashes = item->n_prefix_hashes };
 
   LB_COPY (request.pool, spec->model);
+  LB_COPY (request.service, choose_generation_service (batch, item));
   LB_COPY (request.caller, batch->id);
   LB_COPY (request.flow, spec->model);
   LB_COPY (request.avoid[0], action->avoid_endpoint);
   LB_COPY (request.preferred_endpoint, action->preferred_endpoint);
   memcpy (request.prefix_hashes, item->prefix_hashes, sizeof request.prefix_hashes);
-  add_batch_request (batch, action->request, false);
+  add_batch_request (batch, action->request, request.service);
   post_request_to_calls (batch, &request, &item->request, batch->head.organisation);
 }
 
@@ -178,7 +200,7 @@
                             .repeatable = true,
                             .expected_tokens = 1 };
 
-  add_batch_request (batch, action->request, true);
+  add_batch_request (batch, action->request, NULL);
   if (!route)
     {
       post_request_failure (batch, action->request, LB_ERROR_UNKNOWN_PATH);
@@ -210,6 +232,35 @@
   LN_POST (batch->batches->task.hub, ln_hub_find_task (batch->batches->task.hub, "calls"), message);
 }
 
+static bool
+route_leads_to_service (const LcRoute *route, const char *service)
+{
+  for (size_t i = 0; i < route->n_targets; i++)
+    if (route->targets[i].weight > 0 && strcmp (route->targets[i].service, service) == 0)
+      return true;
+  return false;
+}
+
+/* Takes back the texts that wait for a service to which their route no longer leads, so that they
+ * are requested again at a service of the route. Texts that an engine has begun run on there. */
+void
+ln_batch_owner_reroute_waiting_texts (LnBatches *batches)
+{
+  LnTask *calls = ln_hub_find_task (batches->task.hub, "calls");
+
+  for (const LnBatchRequest *request = batches->requests; request; request = request->hh.next)
+    {
+      const LcRoute *route = find_batch_route (request->batch);
+      LnSampleCancelMessage message = { .base = LN_MESSAGE (LN_SAMPLE_CANCEL),
+                                        .request = request->request,
+                                        .return_partial = true,
+                                        .only_if_waiting = true };
+
+      if (!request->is_score && route && !route_leads_to_service (route, request->service))
+        LN_POST (batches->task.hub, calls, message);
+    }
+}
+
 static void
 cancel_request (LnBatch *batch, LcRequestId id)
 {
--- a/packages/node/src/batch/ln-batches-private.h
+++ b/packages/node/src/batch/ln-batches-private.h
@@ -61,7 +61,8 @@
   bool is_offer_new; /* the row offers the batch to this instance, which has not claimed it yet */
   LcTakeoverReason claim_reason; /* reason of the claim, for the log; used while CLAIMING */
   LnBatchState state;
-  LcBatch *run; /* state machine of the batch while RUNNING; else NULL */
+  LcBatch *run;   /* state machine of the batch while RUNNING; else NULL */
+  LbName service; /* service that was last chosen for a text of the batch; "": none yet */
   LbTime first_seen_at;
   /* Cached state of the batch's owner. It is valid for the member list and the row version that the
    * next two members identify. */
@@ -109,7 +110,8 @@
 {
   LcRequestId request; /* key of LnBatches.requests */
   LnBatch *batch;
-  bool is_score; /* true if the request scores the item, false if it generates the item's text */
+  bool is_score;  /* true if the request scores the item, false if it generates the item's text */
+  LbName service; /* service whose engines generate the text; not used if is_score is set */
   UT_hash_handle hh;
 } LnBatchRequest;
 
@@ -250,6 +252,7 @@
 /* Returns the route of the batch's host and path; NULL if there is none. */
 const LcRoute *ln_batches_find_route (const LnBatches *batches, const LcBatchHead *head);
 void ln_batch_owner_run_due_actions (LnBatch *batch, LbTime now);
+void ln_batch_owner_reroute_waiting_texts (LnBatches *batches);
 void ln_batch_owner_receive_text_piece (LnBatches *batches, const LnSamplePieceMessage *message);
 void ln_batch_owner_refuse_move (LnBatches *batches, const LnSampleMoveRefusedMessage *message);
 void ln_batch_owner_finish_request (LnBatches *batches, const LnSampleDoneMessage *message);
--- a/packages/node/src/batch/ln-batches.c
+++ b/packages/node/src/batch/ln-batches.c
@@ -124,6 +124,7 @@
       break;
     case LN_DESIRED:
       ln_admission_state_update (&batches->admission_state, (const LnDesiredMessage *)message);
+      ln_batch_owner_reroute_waiting_texts (batches);
       break;
     case LN_DESIRED_CONFIRMED:
       batches->admission_state.confirmed_at = ((const LnDesiredConfirmedMessage *)message)->at;
--- a/packages/node/src/calls/ln-calls.c
+++ b/packages/node/src/calls/ln-calls.c
@@ -89,6 +89,9 @@
 {
   LnCall *call = ln_calls_find (calls, message->request);
 
+  if (message->only_if_waiting
+      && !lc_dispatch_is_request_waiting (calls->dispatch, message->request))
+    return;
   if (call && message->needs_move_decision)
     ln_calls_move_or_refuse (calls, call, &message->move);
   else if (call && message->return_partial)
