scaling: count the demand of a batch for the services of its route

What operators saw: where two services hold one model, engines were ordered for the service of the first engine in the list, not for the one to which the batch route leads.

Cause: demand was kept by model, and find_service_of_model took the first engine that holds it.

Change: demand is kept by service and model; the scaler reads the services and their weights from the route of the batch. Where no route is known the first engine's service counts, as before.

--- a/packages/core/include/lc-scaling.h
+++ b/packages/core/include/lc-scaling.h
@@ -15,9 +15,10 @@
 
 /* Functions that change an LcScaling. */
 
-/* Records that a trainer submitted a batch of n_generations for the model. */
-void
-lc_scaling_add_demand (LcScaling *scaling, const char *model, int64_t n_generations, LbTime now);
+/* Records that a trainer submitted a batch of n_generations for the model, to run at the engines of
+ * the service. service "": not known; the service of the model's first engine counts. */
+void lc_scaling_add_demand (
+    LcScaling *scaling, const char *service, const char *model, int64_t n_generations, LbTime now);
 /* Discards the record of the orders sent to the platform, so that all orders are sent again. Called
  * when this instance becomes the lease holder, since it does not know the orders of earlier
  * holders. */
--- a/packages/core/src/endpoints/lc-scaling.c
+++ b/packages/core/src/endpoints/lc-scaling.c
@@ -22,6 +22,7 @@
 typedef struct
 {
   LbLink link;
+  LbName service; /* service whose engines generate; "": not known */
   LbName model;
   int64_t n_generations; /* number of generations in the largest batch within DEMAND_LIFETIME */
   LbTime updated_at;
@@ -74,25 +75,27 @@
 }
 
 static Demand *
-find_or_add_demand (LcScaling *scaling, const char *model)
+find_or_add_demand (LcScaling *scaling, const char *service, const char *model)
 {
   Demand *found = NULL;
 
   LB_LIST_FOREACH (&scaling->demands, Demand, link, demand)
   {
-    if (strcmp (demand->model, model) == 0)
+    if (strcmp (demand->model, model) == 0 && strcmp (demand->service, service) == 0)
       return demand;
   }
   found = LB_NEW (Demand);
+  LB_COPY (found->service, service);
   LB_COPY (found->model, model);
   lb_list_append (&scaling->demands, &found->link);
   return found;
 }
 
 void
-lc_scaling_add_demand (LcScaling *scaling, const char *model, int64_t n_generations, LbTime now)
+lc_scaling_add_demand (
+    LcScaling *scaling, const char *service, const char *model, int64_t n_generations, LbTime now)
 {
-  Demand *demand = find_or_add_demand (scaling, model);
+  Demand *demand = find_or_add_demand (scaling, service, model);
 
   if (n_generations >= demand->n_generations || now - demand->updated_at >= DEMAND_LIFETIME)
     demand->n_generations = n_generations;
@@ -140,6 +143,15 @@
   return "";
 }
 
+static bool
+is_demand_of_service (const Demand *demand, const LcResourceSet *set, const char *service)
+{
+  const char *own
+      = demand->service[0] ? demand->service : find_service_of_model (set, demand->model);
+
+  return strcmp (own, service) == 0;
+}
+
 /* Returns the number of generations in one training step, added up over the models that the
  * service's engines serve. Only one step of each model counts, because a step starts when most
  * generations of the previous step have ended. */
@@ -153,8 +165,7 @@
 
   LB_LIST_FOREACH (&scaling->demands, Demand, link, demand)
   {
-    if (now - demand->updated_at < DEMAND_LIFETIME
-        && strcmp (find_service_of_model (set, demand->model), service) == 0)
+    if (now - demand->updated_at < DEMAND_LIFETIME && is_demand_of_service (demand, set, service))
       n_generations += demand->n_generations;
   }
   return n_generations;
--- a/packages/core/tests/test-scaling.c
+++ b/packages/core/tests/test-scaling.c
@@ -96,23 +96,45 @@
 
   fixture_init (&fixture);
   assert_no_scaling_order_is_due (&fixture);
-  lc_scaling_add_demand (fixture.scaling, "m", 100, fixture.now);
+  lc_scaling_add_demand (fixture.scaling, "engines", "m", 100, fixture.now);
   cr_assert_eq (finish_due_scaling_orders (&fixture, "a", LC_SCALING_ACCEPTED), 5);
   fixture.now += 4 * LB_SEC;
   for (int i = 0; i < 5; i++)
     add_engine_member (&fixture, "a", true);
-  lc_scaling_add_demand (fixture.scaling, "m", 100, fixture.now);
+  lc_scaling_add_demand (fixture.scaling, "engines", "m", 100, fixture.now);
   fixture.now += LB_SEC;
   assert_no_scaling_order_is_due (&fixture);
   fixture_clear (&fixture);
 }
 
+/* The engines of two services hold one model, and the batch route leads to the second. The demand
+ * must order engines of that service, not of the first that the list names. */
+Test (scaling, demand_counts_for_the_service_of_its_route)
+{
+  Fixture fixture;
+  LcService other
+      = { .scaling
+          = { .min = 1, .max = 10, .spot_price = 0.25, .prices = { { "a", 1 } }, .n_prices = 1 } };
+  LcScalingOrder order;
+
+  fixture_init (&fixture);
+  LB_COPY (other.name, "others");
+  lc_desired_add_service (fixture.desired, &other);
+  add_engine_member (&fixture, "a", false);
+  LB_COPY (fixture.endpoints[fixture.set.n_endpoints - 1].service, "others");
+  lc_scaling_add_demand (fixture.scaling, "others", "m", 100, fixture.now);
+  cr_assert (
+      lc_scaling_next_order (fixture.scaling, fixture.desired, &fixture.set, fixture.now, &order));
+  cr_assert_str_eq (order.service, "others");
+  fixture_clear (&fixture);
+}
+
 Test (scaling, orders_stay_within_the_limit_of_each_data_centre)
 {
   Fixture fixture;
 
   fixture_init (&fixture);
-  lc_scaling_add_demand (fixture.scaling, "m", 1000, fixture.now);
+  lc_scaling_add_demand (fixture.scaling, "engines", "m", 1000, fixture.now);
   cr_assert_eq (finish_due_scaling_orders (&fixture, "a", LC_SCALING_ACCEPTED), 6);
   lc_scaling_forget_orders (fixture.scaling);
   cr_assert_eq (finish_due_scaling_orders (&fixture, "b", LC_SCALING_ACCEPTED), 6);
@@ -128,7 +150,7 @@
   fixture_init (&fixture);
   LcScalingOrder order;
 
-  lc_scaling_add_demand (fixture.scaling, "m", 100, fixture.now);
+  lc_scaling_add_demand (fixture.scaling, "engines", "m", 100, fixture.now);
   cr_assert (
       lc_scaling_next_order (fixture.scaling, fixture.desired, &fixture.set, fixture.now, &order));
   cr_assert_str_eq (order.data_centre, "a");
@@ -148,7 +170,7 @@
   Fixture fixture;
 
   fixture_init (&fixture);
-  lc_scaling_add_demand (fixture.scaling, "m", 100, fixture.now);
+  lc_scaling_add_demand (fixture.scaling, "engines", "m", 100, fixture.now);
   cr_assert_eq (finish_due_scaling_orders (&fixture, "a", LC_SCALING_UNKNOWN), 5);
   fixture.now += LB_SEC;
   assert_no_scaling_order_is_due (&fixture);
@@ -165,7 +187,7 @@
   Fixture fixture;
 
   fixture_init (&fixture);
-  lc_scaling_add_demand (fixture.scaling, "m", 100, fixture.now);
+  lc_scaling_add_demand (fixture.scaling, "engines", "m", 100, fixture.now);
   cr_assert_eq (finish_due_scaling_orders (&fixture, "a", LC_SCALING_ACCEPTED), 5);
   for (int i = 0; i < 5; i++)
     add_engine_member (&fixture, "a", true);
@@ -175,7 +197,7 @@
   fixture.now += 5 * LB_SEC;
   assert_no_scaling_order_is_due (&fixture);
   fixture.now += 5 * LB_SEC;
-  lc_scaling_add_demand (fixture.scaling, "m", 100, fixture.now);
+  lc_scaling_add_demand (fixture.scaling, "engines", "m", 100, fixture.now);
   cr_assert_eq (finish_due_scaling_orders (&fixture, "a", LC_SCALING_ACCEPTED), 4);
   fixture_clear (&fixture);
 }
@@ -185,7 +207,7 @@
   Fixture fixture;
 
   fixture_init (&fixture);
-  lc_scaling_add_demand (fixture.scaling, "m", 100, fixture.now);
+  lc_scaling_add_demand (fixture.scaling, "engines", "m", 100, fixture.now);
   cr_assert_eq (finish_due_scaling_orders (&fixture, "a", LC_SCALING_ACCEPTED), 5);
   for (int i = 0; i < 5; i++)
     add_engine_member (&fixture, "a", true);
--- a/packages/node/src/batch/ln-batch-heads.c
+++ b/packages/node/src/batch/ln-batch-heads.c
@@ -151,6 +151,8 @@
                               .n_items = head->n_items };
 
   LB_COPY (message.model, head->model);
+  LB_COPY (message.host, head->host);
+  LB_COPY (message.path, head->path);
   for (size_t i = 0; i < sizeof tasks / sizeof tasks[0]; i++)
     {
       LnTask *task = ln_hub_find_task (batches->task.hub, tasks[i]);
--- a/packages/node/src/duties/ln-scaler.c
+++ b/packages/node/src/duties/ln-scaler.c
@@ -63,7 +63,18 @@
 void
 ln_scaler_add_demand (LnScaler *scaler, const LnDemandMessage *demand, LbTime now)
 {
-  lc_scaling_add_demand (scaler->scaling, demand->model, demand->n_items, now);
+  const LcRoute *route = scaler->desired
+                             ? lc_desired_match_route (scaler->desired, demand->host, demand->path)
+                             : NULL;
+  int64_t total_weight = 0;
+
+  for (size_t i = 0; route && i < route->n_targets; i++)
+    total_weight += route->targets[i].weight;
+  if (total_weight == 0)
+    lc_scaling_add_demand (scaler->scaling, "", demand->model, demand->n_items, now);
+  for (size_t i = 0; total_weight > 0 && i < route->n_targets; i++)
+    lc_scaling_add_demand (scaler->scaling, route->targets[i].service, demand->model,
+                           demand->n_items * route->targets[i].weight / total_weight, now);
 }
 
 void
