quarantine: postpone the requests of batches instead of refusing them

What callers saw (reported from a similar system, and shown here): endpoints died while they ran the same sound item of a batch or step; afterwards all was calm, and the item was never placed again.

Cause: the quarantine of requests that crash endpoints held for items and their reward calls as for calls: three crashes keep a content from endpoints for an hour, and only an answer clears it, which an item that reaches no endpoint never gets.

Evidence: the new test lets endpoints crash three times under one item, then makes them sound; the log has request_quarantined with for_s 3599 and a refusal for each later try. Ruled out: the circuit breakers (closed again within seconds) and the count of failures of the item (crashes don't count there).

Change: requests that were handed in to run later (items, texts of steps, their reward calls, on both protocols) are postponed by 1 s after the third crash, 2 s after the fourth and 4 s from the fifth on. Calls are quarantined as before. An item that does crash endpoints still ends one in 4 s at most; the tests of fatal items hold unchanged. Weighed: no quarantine of items at all, which would let a fatal item end an endpoint several times a second.

Before: crashing/sound_item_is_placed_again_after_crashes failed (60 s without the item).

--- a/packages/core/include/lc-dispatch.h
+++ b/packages/core/include/lc-dispatch.h
@@ -38,6 +38,9 @@
   double share;    /* weight of the flow in fair queueing among flows of the same kind; 0 means 1 */
   bool repeatable; /* the request may be executed more than once */
   bool resumable;  /* another endpoint may continue a broken stream at its last offset */
+  /* the request was handed in to run later and is still owed: after crashes of endpoints it is only
+   * postponed, not quarantined */
+  bool is_owed;
   /* an attempt that ends with LC_END_FAILED is not retried, because the submitter counts such
    * failures itself */
   bool failure_is_final;
--- a/packages/core/include/lc-quarantine.h
+++ b/packages/core/include/lc-quarantine.h
@@ -51,6 +51,10 @@
 
 /* Time at which the fingerprint's quarantine ends; 0: it is not in quarantine. */
 LbTime lc_quarantine_ends_at (const LcQuarantine *quarantine, LcFingerprint fingerprint);
+/* Time until which a request that is still owed to its trainer, such as an item of a batch, is kept
+ * from endpoints; 0: it is not. Such a request is never lost to a quarantine, as it may have been
+ * in flight in crashes that it did not cause. */
+LbTime lc_quarantine_postponed_until (const LcQuarantine *quarantine, LcFingerprint fingerprint);
 /* Number of fingerprints in quarantine. */
 size_t lc_quarantine_count_fingerprints (const LcQuarantine *quarantine);
 LbTime lc_quarantine_report_lifetime (void);
--- a/packages/core/src/dispatch/lc-dispatch-private.h
+++ b/packages/core/src/dispatch/lc-dispatch-private.h
@@ -55,10 +55,12 @@
 /* Implemented in lc-dispatch-query.c. */
 LcRequest *lc_dispatch_find_request (const LcDispatch *dispatch, LcRequestId id);
 
-/* Returns the end of the quarantine of requests with this content, on which endpoints have crashed;
- * 0 if the content is not in quarantine. */
-LbTime
-lc_dispatch_find_quarantine_end (const LcDispatch *dispatch, LcFingerprint content, LbTime now);
+/* Returns until when requests with this content, on which endpoints have crashed, must not be sent;
+ * 0 if they may be. is_owed: they are postponed, not quarantined. */
+LbTime lc_dispatch_find_quarantine_end (const LcDispatch *dispatch,
+                                        LcFingerprint content,
+                                        bool is_owed,
+                                        LbTime now);
 
 /* Implemented in lc-timers.c. */
 void lc_dispatch_reschedule_request_timer (LcDispatch *dispatch, LcRequest *request);
--- a/packages/core/src/dispatch/lc-dispatch-query.c
+++ b/packages/core/src/dispatch/lc-dispatch-query.c
@@ -60,9 +60,13 @@
 }
 
 LbTime
-lc_dispatch_find_quarantine_end (const LcDispatch *dispatch, LcFingerprint content, LbTime now)
+lc_dispatch_find_quarantine_end (const LcDispatch *dispatch,
+                                 LcFingerprint content,
+                                 bool is_owed,
+                                 LbTime now)
 {
-  LbTime until = lc_quarantine_ends_at (dispatch->quarantine, content);
+  LbTime until = is_owed ? lc_quarantine_postponed_until (dispatch->quarantine, content)
+                         : lc_quarantine_ends_at (dispatch->quarantine, content);
 
   return until > now ? until : 0;
 }
--- a/packages/core/src/dispatch/lc-dispatch.c
+++ b/packages/core/src/dispatch/lc-dispatch.c
@@ -395,7 +395,8 @@
     return spec->kind == LC_KIND_SERVICE ? LB_ERROR_UNKNOWN_SERVICE : LB_ERROR_UNKNOWN_POOL;
   /* Endpoints have crashed on requests with this content, sent by any instance; the next endpoint
    * would crash, too. */
-  LbTime quarantined_until = lc_dispatch_find_quarantine_end (dispatch, spec->content, now);
+  LbTime quarantined_until
+      = lc_dispatch_find_quarantine_end (dispatch, spec->content, spec->is_owed, now);
   if (quarantined_until > 0)
     {
       *retry_after = quarantined_until - now;
--- a/packages/core/src/dispatch/lc-placement.c
+++ b/packages/core/src/dispatch/lc-placement.c
@@ -269,7 +269,8 @@
                LbList *actions)
 {
   const char *endpoint = decision->endpoint->member.name;
-  LbTime quarantined_until = lc_dispatch_find_quarantine_end (dispatch, request->content, now);
+  LbTime quarantined_until
+      = lc_dispatch_find_quarantine_end (dispatch, request->content, request->is_owed, now);
 
   lc_queue_dequeue (request->pool->queue, &request->queue_entry);
   if (quarantined_until > 0)
@@ -471,7 +472,7 @@
   lc_dispatch_reschedule_request_timer (dispatch, request);
   if (!attempt || request->timer_due > now)
     return;
-  if (lc_dispatch_find_quarantine_end (dispatch, request->content, now) > 0)
+  if (lc_dispatch_find_quarantine_end (dispatch, request->content, request->is_owed, now) > 0)
     {
       postpone_hedge (dispatch, request, attempt, now);
       return;
--- a/packages/core/src/dispatch/lc-request.c
+++ b/packages/core/src/dispatch/lc-request.c
@@ -46,6 +46,7 @@
   request->repeatable = spec->repeatable;
   request->resumable = spec->resumable;
   request->failure_is_final = spec->failure_is_final;
+  request->is_owed = spec->is_owed;
   request->hedge_after = spec->hedge_after;
   request->max_attempts = (uint32_t)spec->max_attempts;
   request->prompt_tokens = spec->prompt_tokens;
--- a/packages/core/src/dispatch/lc-request.h
+++ b/packages/core/src/dispatch/lc-request.h
@@ -61,6 +61,7 @@
   bool repeatable;
   bool resumable;
   bool failure_is_final;
+  bool is_owed;       /* postponed, not quarantined, after crashes of endpoints */
   bool may_have_run;  /* an endpoint may have executed the request; never reset */
   bool hedged;        /* a hedge was sent or denied; no further hedge is tried */
   bool retry_charged; /* the next attempt is a retry charged to the caller's budget */
--- a/packages/core/src/quarantine/lc-quarantine.c
+++ b/packages/core/src/quarantine/lc-quarantine.c
@@ -16,6 +16,11 @@
  * endpoint restarts an hour. A request that was quarantined wrongly, or whose fault was repaired,
  * is allowed again within an hour. */
 #define REPORT_LIFETIME (3600 * LB_SEC)
+/* A batch's request under which endpoints crashed is postponed after the crash that quarantines it
+ * by the first delay, which doubles with each further crash. The longest delay is below the 5 s
+ * within which a trainer may expect an item of a step to run once the endpoints are back. */
+#define FIRST_POSTPONEMENT LB_SEC
+#define MAX_POSTPONEMENT (4 * LB_SEC)
 /* An answer proves the request harmless. The answer also clears the request of crashes up to this
  * long after the answer, because many callers may send the same request and all endpoints may crash
  * at once for another reason. */
@@ -32,6 +37,8 @@
   const LcCrash *last_counted; /* the last crash that was counted for this suspect */
   LbTime threshold_at;         /* when the MIN_CRASHES-th counted crash happened */
   LbTime quarantined_until;    /* end of the quarantine; 0: not in quarantine */
+  int n_attributed;            /* number of crashes that are attributed to this suspect */
+  LbTime last_attributed_at;   /* time of the last of these crashes */
 } Suspect;
 
 typedef struct
@@ -233,6 +240,9 @@
         || is_cleared_of_crash (quarantine, suspect->fingerprint, crash->crashed_at))
       continue;
     crash->is_attributed = true;
+    suspect->n_attributed++;
+    if (crash->crashed_at > suspect->last_attributed_at)
+      suspect->last_attributed_at = crash->crashed_at;
     suspect->quarantined_until = crash->crashed_at + REPORT_LIFETIME;
   }
 }
@@ -415,6 +425,19 @@
   return suspect ? suspect->quarantined_until : 0;
 }
 
+LbTime
+lc_quarantine_postponed_until (const LcQuarantine *quarantine, LcFingerprint fingerprint)
+{
+  const Suspect *suspect = find_suspect (quarantine, fingerprint);
+  LbTime delay = FIRST_POSTPONEMENT;
+
+  if (!suspect || suspect->quarantined_until == 0)
+    return 0;
+  for (int i = MIN_CRASHES; i < suspect->n_attributed && delay < MAX_POSTPONEMENT; i++)
+    delay *= 2;
+  return suspect->last_attributed_at + (delay < MAX_POSTPONEMENT ? delay : MAX_POSTPONEMENT);
+}
+
 size_t
 lc_quarantine_count_fingerprints (const LcQuarantine *quarantine)
 {
--- a/packages/core/tests/test-dispatch-quarantine.c
+++ b/packages/core/tests/test-dispatch-quarantine.c
@@ -54,6 +54,31 @@
   fixture_clear (&f);
 }
 
+/* Endpoints crashed under a request that was handed in to run later. It must be refused for a few
+ * seconds and then be sent, as an item of a batch is owed to its trainer. */
+Test (dispatch_quarantine, an_owed_request_is_sent_again_within_seconds)
+{
+  static const LcRequestKind kinds[] = { LC_KIND_SAMPLE, LC_KIND_SERVICE };
+  Fixture f;
+
+  fixture_init (&f, &(LcDispatchSettings){ .retry_budget = 0.1, .max_report_age = LB_TIME_NEVER },
+                2, 8);
+  add_crash_reports_of_content (&f, CRASHING_FINGERPRINT, 8);
+  for (size_t i = 0; i < 2; i++)
+    {
+      LcRequestSpec owed = make_request_spec_with_content (&f, kinds[i], CRASHING_FINGERPRINT);
+      owed.is_owed = true;
+      f.now = LB_SEC;
+      cr_assert_not (fixture_submit_request (&f, &owed));
+      cr_assert_eq (f.error.code, LB_ERROR_QUARANTINED);
+      cr_assert_leq (f.retry_after, 5 * LB_SEC);
+      f.now += f.retry_after;
+      cr_assert (fixture_submit_request (&f, &owed));
+      fixture_expect_action_of_request (&f, LC_ACTION_SEND, owed.id);
+    }
+  fixture_clear (&f);
+}
+
 /* A third crash is reported for a content while a request with this content is queued. The request
  * must fail as "not run". */
 Test (dispatch_quarantine, waiting_request_is_not_sent_once_quarantined)
--- a/packages/core/tests/test-quarantine.c
+++ b/packages/core/tests/test-quarantine.c
@@ -47,6 +47,24 @@
   return lc_quarantine_ends_at (quarantine, fingerprint) > 0;
 }
 
+/* A sound item of a batch was in flight in crashes that it did not cause. It must be postponed for
+ * seconds at most, however many crashes there were, or its trainer would never get it. */
+Test (quarantine, an_owed_request_is_postponed_for_seconds_only)
+{
+  static const int expected_s[] = { 0, 0, 1, 2, 4, 4, 4 };
+  LcQuarantine *quarantine = lc_quarantine_new ();
+
+  for (int n = 1; n <= 7; n++)
+    {
+      add_crash_report (quarantine, n, HARMLESS_FINGERPRINT, 0);
+      LbTime until = lc_quarantine_postponed_until (quarantine, HARMLESS_FINGERPRINT);
+      LbTime last_crash_at = START_TIME + n * LB_SEC;
+      cr_assert_eq (until, n < 3 ? 0 : last_crash_at + expected_s[n - 1] * LB_SEC,
+                    "after %d crashes until %ld", n, (long)until);
+    }
+  lc_quarantine_free (quarantine);
+}
+
 /* Two crashes with the same request in flight may be chance. The third must quarantine the request
  * for the lifetime of its crash report. */
 Test (quarantine, third_crash_quarantines_a_request)
--- a/packages/node/src/calls/ln-calls.c
+++ b/packages/node/src/calls/ln-calls.c
@@ -60,6 +60,7 @@
   LnCall *call = ln_call_new (is_score ? LN_CALL_SCORE : LN_CALL_SAMPLE);
 
   call->spec = message->spec;
+  call->spec.is_owed = true;
   LB_COPY (call->organisation, message->organisation);
   if (message->outgoing)
     lc_outgoing_request_copy (&call->outgoing, message->outgoing);
--- a/tests/process/test-crashing.c
+++ b/tests/process/test-crashing.c
@@ -288,6 +288,35 @@
   fixture_clear (&fixture);
 }
 
+/* Lets endpoints crash under one request of a batch until n_crashes, then makes them sound. */
+static void
+let_endpoints_crash_and_recover (Fixture *fixture, bool is_scorer_hit, int n_crashes)
+{
+  submit_fatal_batch (fixture, is_scorer_hit);
+  PS_WAIT_UNTIL (&fixture->cluster,
+                 count_engine_crashes (fixture) + count_lookup_crashes (fixture) >= n_crashes);
+  for (int i = 0; i < PS_N_ENGINES; i++)
+    fixture->cluster.engines[i].fatal_body = NULL;
+  for (int i = 0; i < N_LOOKUPS; i++)
+    fixture->lookups[i]->fatal_body = NULL;
+}
+
+/* Endpoints crash three times while they run the same sound item, or its scorer call, and all is
+ * calm afterwards. The item must be placed again and listed, like all others. */
+Test (crashing, sound_item_is_placed_again_after_crashes)
+{
+  for (int is_scorer_hit = 0; is_scorer_hit < 2; is_scorer_hit++)
+    {
+      Fixture fixture;
+      fixture_start_cluster_with_crashing_endpoints (&fixture);
+      let_endpoints_crash_and_recover (&fixture, is_scorer_hit, 3);
+      PS_WAIT_UNTIL (&fixture.cluster,
+                     ps_count_results_on_first_page (&fixture.cluster, 1, "b1") == N_BATCH_ITEMS);
+      ps_assert_each_item_has_one_result (&fixture.cluster, 1, "b1", N_BATCH_ITEMS);
+      fixture_clear (&fixture);
+    }
+}
+
 /* A batch has one item whose scorer call, sent by the instance, crashes lookup endpoints. That call
  * must be quarantined, and the other items must complete. */
 Test (crashing, fatal_scorer_call_is_quarantined)
