http: accept only responses whose status line is one

What callers saw (reported from a similar system, checked here): an answer whose status was none. Statuses 000 and 0 do not pass here, the HTTP library refuses them; 16 of 20 other lines reached the caller with the endpoint's signature: 12 as 12, 0200 as 200, -12 as 65524, 101 as 101. Items took texts and scores from such answers.

Cause: the library reads the status with atoi and refuses 0 only; nothing else asked whether it is one. After a 101 or 103 the real answer would be read as that of the next request on the connection.

Evidence: process-test-answers with a stand-in that sends the lines.

Change: the first line of each response is checked before the library reads it (HTTP/1.x, three digits of class 2 to 5; interim responses 100 are skipped). Anything else fails the fetch at once and closes its connection. All callers of lh_fetch_start are covered: calls, items, reward calls, orders, reports, store.

Before: a_status_that_is_none_is_no_answer failed for 16 statuses, items_use_no_answer_whose_status_is_none timed out. After: both pass.

--- a/packages/http/src/lh-fetch.c
+++ b/packages/http/src/lh-fetch.c
@@ -1,6 +1,7 @@
 #include "lh-fetch.h"
 
 #include "lh-pool.h"
+#include "lh-status-line.h"
 
 #include "lb-alloc.h"
 #include "lb-time.h"
@@ -32,6 +33,8 @@
   void *user;
   struct event *connect_timer; /* NULL: connected, or no connect timeout */
   bool bytes_handed;           /* at least one byte of the request may have been sent */
+  LhStatusLine status_line;
+  struct event *abort_event; /* ends the fetch with `failure` in the event loop's next iteration */
   bool is_starting; /* set while evhttp_make_request runs: on_done must not be called yet */
   LbErrorCode failure;
 };
@@ -96,16 +99,56 @@
   free_connect_timer (fetch);
 }
 
+/* Fails the fetch. The event loop ends it, since the caller is inside evhttp, which still uses the
+ * connection. */
 static void
-set_output_callback_enabled (LhFetch *fetch, bool enable)
+schedule_abort (LhFetch *fetch, LbErrorCode failure)
+{
+  if (fetch->failure != LB_OK)
+    return;
+  fetch->failure = failure;
+  event_active (fetch->abort_event, EV_TIMEOUT, 0);
+}
+
+/* Scans the bytes that were added to the input before evhttp reads them. */
+static void
+on_input_buffer_changed (struct evbuffer *input, const struct evbuffer_cb_info *info, void *user)
+{
+  LhFetch *fetch = user;
+  struct evbuffer_ptr position;
+  struct evbuffer_iovec segment;
+  size_t remaining = info->n_added;
+
+  while (remaining > 0 && !fetch->status_line.is_complete && !fetch->status_line.is_invalid
+         && evbuffer_ptr_set (input, &position, evbuffer_get_length (input) - remaining,
+                              EVBUFFER_PTR_SET)
+                == 0
+         && evbuffer_peek (input, (ev_ssize_t)remaining, &position, &segment, 1) > 0)
+    {
+      size_t length = segment.iov_len < remaining ? segment.iov_len : remaining;
+      if (!lh_status_line_feed (&fetch->status_line, segment.iov_base, length))
+        schedule_abort (fetch, LB_ERROR_IO);
+      remaining -= length;
+    }
+}
+
+static void
+set_buffer_callbacks_enabled (LhFetch *fetch, bool enable)
 {
   struct bufferevent *bev = evhttp_connection_get_bufferevent (fetch->connection->evcon);
   struct evbuffer *output = bufferevent_get_output (bev);
+  struct evbuffer *input = bufferevent_get_input (bev);
 
   if (enable)
-    evbuffer_add_cb (output, on_output_buffer_changed, fetch);
+    {
+      evbuffer_add_cb (output, on_output_buffer_changed, fetch);
+      evbuffer_add_cb (input, on_input_buffer_changed, fetch);
+    }
   else
-    evbuffer_remove_cb (output, on_output_buffer_changed, fetch);
+    {
+      evbuffer_remove_cb (output, on_output_buffer_changed, fetch);
+      evbuffer_remove_cb (input, on_input_buffer_changed, fetch);
+    }
 }
 
 /* Returns the time that the connection may be idle before its next request; 0: the connection must
@@ -137,7 +180,7 @@
 static void
 defer_start_failure_report (LhFetch *fetch)
 {
-  set_output_callback_enabled (fetch, false);
+  set_buffer_callbacks_enabled (fetch, false);
   lh_pool_schedule_connection_close (fetch->connection);
   fetch->connection = NULL;
   fetch->request = NULL;
@@ -146,28 +189,49 @@
   lh_pool_schedule_cleanup (fetch->pool);
 }
 
-/* Without a connect timeout, a host that lost power and doesn't answer SYN packets would use up the
- * caller's whole deadline. No byte was sent yet, so the request can go to another endpoint. */
 static void
-on_connect_timeout (evutil_socket_t fd, short what, void *user)
+fetch_free (LhFetch *fetch)
 {
-  (void)fd;
-  (void)what;
-  LhFetch *fetch = user;
-  const LhResult result = { .failure = LB_ERROR_TIMEOUT };
-  LhHandlers handlers = fetch->handlers;
-  void *fetch_user = fetch->user;
+  event_free (fetch->abort_event);
+  free (fetch);
+}
+
+/* Closes the connection of an unfinished fetch and reports the failure. */
+static void
+fail_and_free_fetch (LhFetch *fetch, LbErrorCode failure)
+{
+  const LhResult result = { .failure = failure, .bytes_handed = fetch->bytes_handed };
 
   free_connect_timer (fetch);
-  set_output_callback_enabled (fetch, false);
+  set_buffer_callbacks_enabled (fetch, false);
   lb_list_remove (&fetch->pool->running_fetches, &fetch->link);
   evhttp_request_set_error_cb (fetch->request, NULL);
   evhttp_cancel_request (fetch->request);
   lh_pool_schedule_connection_close (fetch->connection);
   fetch->connection = NULL;
   fetch->request = NULL;
-  handlers.on_done (fetch, &result, fetch_user);
-  free (fetch);
+  fetch->handlers.on_done (fetch, &result, fetch->user);
+  fetch_free (fetch);
+}
+
+/* Without a connect timeout, a host that lost power and doesn't answer SYN packets would use up the
+ * caller's whole deadline. No byte was sent yet, so the request can go to another endpoint. */
+static void
+on_connect_timeout (evutil_socket_t fd, short what, void *user)
+{
+  (void)fd;
+  (void)what;
+  fail_and_free_fetch (user, LB_ERROR_TIMEOUT);
+}
+
+static void
+on_abort (evutil_socket_t fd, short what, void *user)
+{
+  (void)fd;
+  (void)what;
+  LhFetch *fetch = user;
+
+  fail_and_free_fetch (fetch, fetch->failure);
 }
 
 static void
@@ -187,7 +251,7 @@
   LhResult result = { .bytes_handed = fetch->bytes_handed };
   LhConnection *connection = fetch->connection;
 
-  set_output_callback_enabled (fetch, false);
+  set_buffer_callbacks_enabled (fetch, false);
   free_connect_timer (fetch);
   lb_list_remove (&fetch->pool->running_fetches, &fetch->link);
   if (request && evhttp_request_get_response_code (request) != 0 && fetch->failure == LB_OK)
@@ -204,7 +268,7 @@
                                               : 0);
   fetch->request = request;
   fetch->handlers.on_done (fetch, &result, fetch->user);
-  free (fetch);
+  fetch_free (fetch);
 }
 
 static void
@@ -225,7 +289,7 @@
   struct evbuffer *input = evhttp_request_get_input_buffer (request);
   size_t length = evbuffer_get_length (input);
 
-  if (length == 0)
+  if (length == 0 || fetch->failure != LB_OK)
     return;
   /* Copies the chunk, since the handler may cancel the fetch, which frees the input buffer. */
   char *bytes = lb_malloc (length);
@@ -297,6 +361,7 @@
   fetch->connection = connection;
   fetch->handlers = *handlers;
   fetch->user = user;
+  fetch->abort_event = event_new (pool->base, -1, 0, on_abort, fetch);
   lb_list_append (&pool->running_fetches, &fetch->link);
   set_idle_timeout (connection, spec->idle_timeout > 0 ? spec->idle_timeout : DEFAULT_IDLE_TIMEOUT);
   fetch->request = evhttp_request_new (on_request_done, fetch);
@@ -304,7 +369,7 @@
   if (handlers->on_body_chunk)
     evhttp_request_set_chunked_cb (fetch->request, on_chunk_received);
   add_headers_and_body (fetch->request, spec);
-  set_output_callback_enabled (fetch, true);
+  set_buffer_callbacks_enabled (fetch, true);
   evhttp_connection_set_max_body_size (connection->evcon,
                                        handlers->on_body_chunk ? -1 : MAX_BUFFERED_BODY_BYTES);
   fetch->is_starting = true;
@@ -328,10 +393,10 @@
   if (!fetch->connection)
     {
       lb_list_remove (&fetch->pool->failed_starts, &fetch->link);
-      free (fetch);
+      fetch_free (fetch);
       return;
     }
-  set_output_callback_enabled (fetch, false);
+  set_buffer_callbacks_enabled (fetch, false);
   free_connect_timer (fetch);
   lb_list_remove (&fetch->pool->running_fetches, &fetch->link);
   /* evhttp_cancel_request also frees the request. The connection is closed, not reused, since its
@@ -339,7 +404,7 @@
   evhttp_request_set_error_cb (fetch->request, NULL);
   evhttp_cancel_request (fetch->request);
   lh_pool_schedule_connection_close (fetch->connection);
-  free (fetch);
+  fetch_free (fetch);
 }
 
 void
@@ -352,7 +417,7 @@
       LhFetch *fetch = LB_CONTAINER (link, LhFetch, link);
       const LhResult result = { .failure = LB_ERROR_IO };
       fetch->handlers.on_done (fetch, &result, fetch->user);
-      free (fetch);
+      fetch_free (fetch);
     }
 }
 
--- a/tests/process/test-answers.c
+++ b/tests/process/test-answers.c
@@ -3,6 +3,7 @@
 #include "si-raw-endpoint.h"
 
 #include <criterion/criterion.h>
+#include <stdio.h>
 
 #define N_ITEMS 24
 
@@ -87,3 +88,66 @@
   cr_assert_str_eq (cluster.response_body, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
   clear_cluster_with_raw_endpoint (&cluster, &raw);
 }
+
+#define LIVE_ROUTE                                                                                 \
+  ", {\"name\": \"live\", \"host\": \"h.example\", \"prefix\": \"/live/\", \"kind\": \"safe\","    \
+  " \"timeoutMs\": 5000, \"service\": \"others\", \"attempts\": 1}"
+
+/* An endpoint in trouble answers with a status line that is none. The caller must not get it as an
+ * answer, nor anything that bears the endpoint's signature. */
+Test (answers, a_status_that_is_none_is_no_answer)
+{
+  static const char *const statuses[]
+      = { "000", "0",   "00200", "12",  "99",  "-12", "+200", "20",    "2000",  "1000",
+          "600", "999", "200x",  "2 0", "101", "103", "199",  "\t200", "0x0c8", "" };
+  PsCluster cluster;
+  SiRawEndpoint raw;
+  char reply[256];
+  char id[16];
+
+  start_cluster_with_raw_endpoint (&cluster, &raw, "");
+  ps_put_desired_state (&cluster, 1, LIVE_ROUTE);
+  si_raw_endpoint_register (&raw, "others", "", 8);
+  ps_start_instance (&cluster);
+  for (size_t i = 0; i < sizeof statuses / sizeof statuses[0]; i++)
+    {
+      snprintf (id, sizeof id, "c%zu", i);
+      snprintf (reply, sizeof reply,
+                "HTTP/1.1 %s OK\r\nAttempt-Id: %%ID%%\r\nServer-Stamp: s\r\n"
+                "Content-Length: 2\r\n\r\nok",
+                statuses[i]);
+      raw.reply = reply;
+      int n_before = raw.n_requests;
+      ps_call_and_wait (&cluster, 0, "POST", "/live/1", id, "hello");
+      cr_expect (cluster.response_status == 502 || cluster.response_status == 503,
+                 "status \"%s\" reached the caller as %d", statuses[i], cluster.response_status);
+      cr_expect_str_eq (cluster.server_stamp, "", "status \"%s\" has the endpoint's signature",
+                        statuses[i]);
+      cr_expect (raw.n_requests > n_before || cluster.response_status == 503,
+                 "expected 503 only if the endpoint was not asked");
+    }
+  clear_cluster_with_raw_endpoint (&cluster, &raw);
+}
+
+/* Engines and scorers answer with a status that is none. Their events and scores must not be used:
+ * every item is listed with the text and score of sound endpoints. */
+Test (answers, items_use_no_answer_whose_status_is_none)
+{
+  static const char *const services[][2] = { { "engines", "m" }, { "lookups", "" } };
+
+  for (size_t i = 0; i < 2; i++)
+    {
+      PsCluster cluster;
+      SiRawEndpoint raw;
+      start_cluster_with_raw_endpoint (&cluster, &raw,
+                                       "HTTP/1.1 0200 OK\r\nAttempt-Id: %ID%\r\nServer-Stamp: false"
+                                       "\r\nContent-Length: 19\r\n\r\nid: 1\ndata: false\n\n");
+      si_raw_endpoint_register (&raw, services[i][0], services[i][1], 8);
+      ps_start_instance (&cluster);
+      ps_submit_batch (&cluster, 0, "b1", N_ITEMS);
+      PS_WAIT_UNTIL (&cluster, ps_count_results_on_first_page (&cluster, 0, "b1") == N_ITEMS);
+      cr_assert_gt (raw.n_requests, 0);
+      ps_assert_each_item_has_one_result (&cluster, 0, "b1", N_ITEMS);
+      clear_cluster_with_raw_endpoint (&cluster, &raw);
+    }
+}
