http, calls: end responses that go on without end

What callers saw (a stand-in that does what the users' pages now say of endpoints in trouble): ten bodies without end at a plain service took the instance to 1,289 MiB, where a machine has 256 MB; items hung at an engine that sends bytes slowly (the same event again, an event without end), and connections with endless header or comment lines were read on for ever.

Cause: each limit was one of silence or of a single body. Timeouts restart with each byte, a body may have 64 MiB, all bodies together had no limit, and the body of an engine's failure was dropped beyond 64 KiB and read on.

Evidence: process-test-answers on the code before, by case; VmHWM of the instance. Ruled out: the library's limit of headers (64 KiB, holds, but is reached after hours at one byte in 50 ms).

Change: time counts against what a response brings. A head that is not complete, or a stream without a new event, within the time allowed for silence ends the attempt; so do 1 MiB without an event, 64 MiB in all, 64 KiB of a failure's body. Buffered responses of all fetches together have 64 MiB, beyond that the largest is aborted. Load reports, engine states, orders and platform calls have a limit for the whole response. On the daemon's own protocol keep-alive comments count as progress, as its page says.

--- a/packages/http/include/lh-fetch.h
+++ b/packages/http/include/lh-fetch.h
@@ -49,6 +49,7 @@
   size_t body_length;
   LbTime connect_timeout; /* time limit for the TCP connect; 0: only idle_timeout applies */
   LbTime idle_timeout;    /* longest time without a byte sent or received; 0: 30 s */
+  LbTime max_duration;    /* longest time until the response is complete; 0: no limit */
   bool fresh_connection;  /* true: no idle connection is reused, since it may be dead */
 } LhRequest;
 
--- a/packages/http/src/lh-fetch.c
+++ b/packages/http/src/lh-fetch.c
@@ -4,6 +4,7 @@
 #include "lh-status-line.h"
 
 #include "lb-alloc.h"
+#include "lb-clock.h"
 #include "lb-time.h"
 #include "lh-request-check.h"
 #include "lh-socket.h"
@@ -22,6 +23,12 @@
 
 #define DEFAULT_IDLE_TIMEOUT (30 * LB_SEC)
 #define MAX_BUFFERED_BODY_BYTES (64 << 20)
+/* Maximum size of all responses that a pool's fetches buffer. Servers in trouble may send bytes
+ * without end to many fetches at once. */
+#define MAX_BUFFERED_BYTES_OF_POOL ((size_t)64 << 20)
+/* Maximum number of bytes of a streamed body that evhttp can't parse, such as a line with a chunk
+ * size that does not end. */
+#define MAX_UNPARSED_STREAM_BYTES ((size_t)256 << 10)
 
 struct LhFetch
 {
@@ -35,7 +42,14 @@
   bool bytes_handed;           /* at least one byte of the request may have been sent */
   LhStatusLine status_line;
   struct event *abort_event; /* ends the fetch with `failure` in the event loop's next iteration */
-  bool is_starting; /* set while evhttp_make_request runs: on_done must not be called yet */
+  struct event *duration_timer; /* NULL: the response may take any time */
+  /* Bytes that arrive without end in the head, or in the framing of a streamed body, restart
+   * evhttp's timeout, but bring nothing. */
+  LbTime max_stall;     /* longest time in which bytes may arrive without progress */
+  LbTime stalled_since; /* when the first byte after the last progress arrived; 0: none has */
+  bool has_headers;     /* the head of the response is complete */
+  size_t n_buffered;    /* bytes of the response that count for the pool's limit */
+  bool is_starting;     /* set while evhttp_make_request runs: on_done must not be called yet */
   LbErrorCode failure;
 };
 
@@ -99,6 +113,13 @@
   free_connect_timer (fetch);
 }
 
+static void
+release_buffered_bytes (LhFetch *fetch)
+{
+  fetch->pool->n_buffered -= fetch->n_buffered;
+  fetch->n_buffered = 0;
+}
+
 /* Fails the fetch. The event loop ends it, since the caller is inside evhttp, which still uses the
  * connection. */
 static void
@@ -110,6 +131,64 @@
   event_active (fetch->abort_event, EV_TIMEOUT, 0);
 }
 
+/* Aborts the fetches with the largest responses while all of the pool's together are too large. */
+static void
+enforce_buffer_limit (LhPool *pool)
+{
+  while (pool->n_buffered > MAX_BUFFERED_BYTES_OF_POOL)
+    {
+      LhFetch *largest = NULL;
+
+      LB_LIST_FOREACH (&pool->running_fetches, LhFetch, link, fetch)
+      {
+        if (!largest || fetch->n_buffered > largest->n_buffered)
+          largest = fetch;
+      }
+      if (!largest)
+        return;
+      release_buffered_bytes (largest);
+      schedule_abort (largest, LB_ERROR_BODY_TOO_LARGE);
+    }
+}
+
+static void
+count_received_bytes (LhFetch *fetch, size_t n_added, size_t n_unparsed)
+{
+  if (fetch->failure != LB_OK)
+    return;
+  if (fetch->handlers.on_body_chunk)
+    {
+      if (n_unparsed > MAX_UNPARSED_STREAM_BYTES)
+        schedule_abort (fetch, LB_ERROR_BODY_TOO_LARGE);
+      return;
+    }
+  fetch->n_buffered += n_added;
+  fetch->pool->n_buffered += n_added;
+  enforce_buffer_limit (fetch->pool);
+}
+
+static void
+abort_if_stalled (LhFetch *fetch, LbTime now)
+{
+  if (fetch->has_headers && !fetch->handlers.on_body_chunk)
+    return;
+  if (fetch->stalled_since == 0)
+    fetch->stalled_since = now;
+  if (now - fetch->stalled_since > fetch->max_stall)
+    schedule_abort (fetch, LB_ERROR_TIMEOUT);
+}
+
+static int
+on_headers_complete (struct evhttp_request *request, void *user)
+{
+  (void)request;
+  LhFetch *fetch = user;
+
+  fetch->has_headers = true;
+  fetch->stalled_since = 0;
+  return 0;
+}
+
 /* Scans the bytes that were added to the input before evhttp reads them. */
 static void
 on_input_buffer_changed (struct evbuffer *input, const struct evbuffer_cb_info *info, void *user)
@@ -130,6 +209,10 @@
         schedule_abort (fetch, LB_ERROR_IO);
       remaining -= length;
     }
+  if (info->n_added == 0)
+    return;
+  count_received_bytes (fetch, info->n_added, evbuffer_get_length (input));
+  abort_if_stalled (fetch, lb_clock_monotonic ());
 }
 
 static void
@@ -192,7 +275,10 @@
 static void
 fetch_free (LhFetch *fetch)
 {
+  release_buffered_bytes (fetch);
   event_free (fetch->abort_event);
+  if (fetch->duration_timer)
+    event_free (fetch->duration_timer);
   free (fetch);
 }
 
@@ -224,6 +310,26 @@
   fail_and_free_fetch (user, LB_ERROR_TIMEOUT);
 }
 
+/* The timeout of evhttp restarts with each byte, so it does not end a response without end. */
+static void
+on_duration_limit (evutil_socket_t fd, short what, void *user)
+{
+  (void)fd;
+  (void)what;
+  fail_and_free_fetch (user, LB_ERROR_TIMEOUT);
+}
+
+static void
+start_duration_timer (LhFetch *fetch, LbTime limit)
+{
+  const struct timeval tv = lb_time_to_timeval (limit);
+
+  if (limit <= 0)
+    return;
+  fetch->duration_timer = evtimer_new (fetch->pool->base, on_duration_limit, fetch);
+  evtimer_add (fetch->duration_timer, &tv);
+}
+
 static void
 on_abort (evutil_socket_t fd, short what, void *user)
 {
@@ -291,6 +397,7 @@
 
   if (length == 0 || fetch->failure != LB_OK)
     return;
+  fetch->stalled_since = 0;
   /* Copies the chunk, since the handler may cancel the fetch, which frees the input buffer. */
   char *bytes = lb_malloc (length);
   evbuffer_remove (input, bytes, length);
@@ -363,9 +470,11 @@
   fetch->user = user;
   fetch->abort_event = event_new (pool->base, -1, 0, on_abort, fetch);
   lb_list_append (&pool->running_fetches, &fetch->link);
-  set_idle_timeout (connection, spec->idle_timeout > 0 ? spec->idle_timeout : DEFAULT_IDLE_TIMEOUT);
+  fetch->max_stall = spec->idle_timeout > 0 ? spec->idle_timeout : DEFAULT_IDLE_TIMEOUT;
+  set_idle_timeout (connection, fetch->max_stall);
   fetch->request = evhttp_request_new (on_request_done, fetch);
   evhttp_request_set_error_cb (fetch->request, on_request_error);
+  evhttp_request_set_header_cb (fetch->request, on_headers_complete);
   if (handlers->on_body_chunk)
     evhttp_request_set_chunked_cb (fetch->request, on_chunk_received);
   add_headers_and_body (fetch->request, spec);
@@ -383,6 +492,7 @@
       lh_socket_enable_keepalive (
           bufferevent_getfd (evhttp_connection_get_bufferevent (connection->evcon)));
       start_connect_timer (fetch, spec->connect_timeout);
+      start_duration_timer (fetch, spec->max_duration);
     }
   return fetch;
 }
--- a/packages/http/src/lh-pool.h
+++ b/packages/http/src/lh-pool.h
@@ -25,6 +25,7 @@
   /* Connections to free from the event loop, because evhttp's callbacks must not free them. */
   LbList closing_connections;
   LbList running_fetches;
+  size_t n_buffered;    /* bytes of responses that running fetches buffer */
   LbList failed_starts; /* fetches that failed inside lh_fetch_start; on_done not called yet */
 };
 
--- a/packages/http/tests/test-fetch.c
+++ b/packages/http/tests/test-fetch.c
@@ -307,6 +307,33 @@
   fetch_fixture_clear (&f);
 }
 
+/* A server sends its response one byte at a time without end. Each byte restarts the idle timeout,
+ * so only the limits of the head and of the whole response end the fetch. */
+Test (fetch, response_without_end_is_aborted)
+{
+  static const char *const heads[] = { "HTTP/1.1 200 OK\r\nX: ", "HTTP/1.1 200 OK\r\n\r\n" };
+
+  for (size_t i = 0; i < 2; i++)
+    {
+      FetchFixture f;
+      fetch_fixture_init (&f);
+      const LhRequest request = { .method = "GET",
+                                  .address = f.address,
+                                  .path = "/",
+                                  .idle_timeout = i == 0 ? 100 * LB_MSEC : 60 * LB_SEC,
+                                  .max_duration = i == 0 ? 0 : 100 * LB_MSEC };
+      const LhHandlers handlers = { .on_done = copy_fetch_result_to_fixture };
+      cr_assert (lh_fetch_start (f.pool, &request, &handlers, &f, NULL));
+      int fd = accept_connection_and_receive_text (&f, "\r\n\r\n");
+      send_text_to_client (fd, heads[i]);
+      RUN_LOOP_UNTIL (&f, (send (fd, "a", 1, MSG_NOSIGNAL), f.n_done > 0));
+      cr_assert_eq (f.failure, LB_ERROR_TIMEOUT);
+      RUN_LOOP_UNTIL (&f, (receive_bytes_and_search_request (&f, fd, NULL), f.is_closed));
+      close (fd);
+      fetch_fixture_clear (&f);
+    }
+}
+
 Test (fetch, cancel_before_connecting_calls_no_handler)
 {
   FetchFixture f;
--- a/packages/node/src/calls/ln-poller.c
+++ b/packages/node/src/calls/ln-poller.c
@@ -143,7 +143,8 @@
   const LhRequest request = { .method = "GET",
                               .address = endpoint->address,
                               .path = path,
-                              .idle_timeout = idle_timeout < LB_SEC ? LB_SEC : idle_timeout };
+                              .idle_timeout = idle_timeout < LB_SEC ? LB_SEC : idle_timeout,
+                              .max_duration = idle_timeout < LB_SEC ? LB_SEC : idle_timeout };
 
   return lh_fetch_start (endpoint->poller->pool, &request, &handlers, endpoint, NULL);
 }
--- a/packages/node/src/calls/ln-upstream.c
+++ b/packages/node/src/calls/ln-upstream.c
@@ -1,6 +1,7 @@
 #include "ln-upstream.h"
 
 #include "lb-alloc.h"
+#include "lb-clock.h"
 #include "lb-counter.h"
 #include "lb-json.h"
 #include "lb-log.h"
@@ -18,6 +19,8 @@
  * this time is down or overloaded. */
 #define ENDPOINT_CONNECT_TIMEOUT (250 * LB_MSEC)
 #define MAX_ERROR_BODY_BYTES (64 << 10)
+/* Maximum size of a whole stream: many times the longest text that a batch stores. */
+#define MAX_STREAM_BYTES ((size_t)64 << 20)
 
 struct LnUpstream
 {
@@ -33,6 +36,13 @@
   LhSse sse;
   struct evbuffer
       *body; /* body of a service's reply, or of an engine's reply that is not a stream */
+  /* Progress of a streamed reply. An endpoint in trouble may send bytes without end that bring
+   * nothing. */
+  LbTime max_silence;    /* longest time in which bytes may arrive without an event */
+  LbTime unused_since;   /* when the first byte after the last event arrived; 0: none has */
+  size_t n_unused_bytes; /* bytes since the last event */
+  size_t n_stream_bytes;
+  int64_t last_event; /* highest number of an event on a shared platform; 0: none yet */
   int status;
   bool connection_lost;     /* the connection was lost before the reply was complete */
   const LnDialect *dialect; /* codec for a shared platform; NULL: the daemon's own protocol */
@@ -88,6 +98,13 @@
   return json_object_array_get_idx (choices, 0);
 }
 
+static void
+record_stream_progress (LnUpstream *upstream)
+{
+  upstream->unused_since = 0;
+  upstream->n_unused_bytes = 0;
+}
+
 /* Each attempt has a unique stream id that all its events must contain. Otherwise an endpoint or
  * proxy that mixes up streams would send an answer to the wrong caller. */
 static bool
@@ -127,6 +144,7 @@
 
   if (upstream->is_cancelled || upstream->is_invalid || upstream->has_end_marker)
     return;
+  record_stream_progress (upstream);
   if (length == 6 && memcmp (data, "[DONE]", 6) == 0)
     {
       upstream->has_end_marker = true;
@@ -169,6 +187,11 @@
 
   if (upstream->is_cancelled || upstream->is_invalid)
     return;
+  if (event->number > upstream->last_event)
+    {
+      upstream->last_event = event->number;
+      record_stream_progress (upstream);
+    }
   if (event->version > 0)
     upstream->version = event->version;
   const LcPiece piece = { .offset = event->number - 1, .tokens = 1, .version = upstream->version };
@@ -195,31 +218,66 @@
   return upstream->dialect->stream_feed (upstream->reader, bytes, length);
 }
 
+/* Counts bytes of a stream that are about to be parsed. */
+static void
+count_stream_bytes (LnUpstream *upstream, size_t length, LbTime now)
+{
+  upstream->n_stream_bytes += length;
+  upstream->n_unused_bytes += length;
+  if (upstream->unused_since == 0)
+    upstream->unused_since = now;
+}
+
+/* Whether the stream has no end: more bytes have arrived than a reply can have, in all or since its
+ * last event, or bytes have arrived for too long without an event. */
+static bool
+is_stream_endless (const LnUpstream *upstream, size_t max_unused_bytes, LbTime now)
+{
+  return upstream->n_stream_bytes > MAX_STREAM_BYTES || upstream->n_unused_bytes > max_unused_bytes
+         || (upstream->unused_since > 0 && now - upstream->unused_since > upstream->max_silence);
+}
+
+static void
+abort_stream (LnUpstream *upstream, LcAttemptEnd end)
+{
+  lh_fetch_cancel (upstream->fetch);
+  upstream->fetch = NULL;
+  report_attempt_end_and_free (upstream, end);
+}
+
+static void
+add_error_body_bytes (LnUpstream *upstream, const char *bytes, size_t length, LbTime now)
+{
+  count_stream_bytes (upstream, length, now);
+  if (is_stream_endless (upstream, MAX_ERROR_BODY_BYTES, now))
+    abort_stream (upstream, LC_END_BROKEN);
+  else
+    evbuffer_add (upstream->body, bytes, length);
+}
+
 static void
 on_reply_body_bytes (LhFetch *fetch, const char *bytes, size_t length, void *user)
 {
   LnUpstream *upstream = user;
+  LbTime now = lb_clock_monotonic ();
 
+  upstream->fetch = fetch;
   if (lh_fetch_get_response_status (fetch) != 200)
     {
-      if (evbuffer_get_length (upstream->body) + length <= MAX_ERROR_BODY_BYTES)
-        evbuffer_add (upstream->body, bytes, length);
+      add_error_body_bytes (upstream, bytes, length, now);
       return;
     }
+  count_stream_bytes (upstream, length, now);
   upstream->is_parsing = true;
-  upstream->fetch = fetch;
   if (!parse_stream_bytes (upstream, fetch, bytes, length))
     upstream->is_invalid = true;
   upstream->is_parsing = false;
   if (upstream->is_cancelled)
-    {
-      upstream_free (upstream);
-      return;
-    }
-  if (!upstream->is_invalid)
-    return;
-  lh_fetch_cancel (fetch);
-  report_attempt_end_and_free (upstream, LC_END_BROKEN);
+    upstream_free (upstream);
+  else if (upstream->is_invalid)
+    abort_stream (upstream, LC_END_BROKEN);
+  else if (is_stream_endless (upstream, MAX_STREAM_EVENT_BYTES, now))
+    abort_stream (upstream, upstream->has_end_marker ? LC_END_COMPLETE : LC_END_BROKEN);
 }
 
 /* Only a 503 or 429 reply with the error type "leaving" or "not_started" proves that the endpoint
@@ -391,6 +449,8 @@
   if (spec->dialect && spec->is_stream)
     upstream->reader = spec->dialect->stream_new (on_shared_platform_stream_event, upstream);
   upstream->is_head = strcmp (spec->method, "HEAD") == 0;
+  /* The daemon's own protocol has keep-alive comments between events. */
+  upstream->max_silence = spec->dialect ? spec->idle_timeout : LB_TIME_NEVER;
   upstream->handlers = *handlers;
   upstream->user = user;
   upstream->body = evbuffer_new ();
--- a/packages/node/src/rollout/ln-pool-controller.c
+++ b/packages/node/src/rollout/ln-pool-controller.c
@@ -314,7 +314,8 @@
   const LhRequest request = { .method = "GET",
                               .address = engine->address,
                               .path = "/load",
-                              .idle_timeout = ENGINE_REQUEST_IDLE_TIMEOUT };
+                              .idle_timeout = ENGINE_REQUEST_IDLE_TIMEOUT,
+                              .max_duration = ENGINE_REQUEST_IDLE_TIMEOUT };
   LbTime period = (LbTime)HASH_COUNT (engine->controller->engines) * LB_SEC
                   / MAX_LOAD_REPORT_REQUESTS_PER_SECOND;
 
@@ -375,6 +376,7 @@
                         .address = action->address,
                         .path = "/orders",
                         .idle_timeout = ENGINE_REQUEST_IDLE_TIMEOUT,
+                        .max_duration = ENGINE_REQUEST_IDLE_TIMEOUT,
                         .fresh_connection = true };
   char *body = lb_asprintf ("{\"order\": \"load_weights\", \"pool\": \"%s\", \"version\": %lld, "
                             "\"fence\": %lld}",
--- a/packages/node/src/store/ln-platform-call.c
+++ b/packages/node/src/store/ln-platform-call.c
@@ -68,6 +68,7 @@
   const LhRequest request = { .address = context->settings->duties.address,
                               .connect_timeout = CONNECT_TIMEOUT,
                               .idle_timeout = RESPONSE_TIMEOUT,
+                              .max_duration = CONNECT_TIMEOUT + RESPONSE_TIMEOUT,
                               .fresh_connection = true };
   Call *call = LB_NEW (Call);
   LbError error = { 0 };
--- a/packages/node/src/weights/ln-weight-orders.c
+++ b/packages/node/src/weights/ln-weight-orders.c
@@ -358,7 +358,8 @@
   const LhRequest request = { .method = "GET",
                               .address = engine->address,
                               .path = engine->orders->context->dialect->engine_state_path,
-                              .idle_timeout = RESPONSE_TIMEOUT };
+                              .idle_timeout = RESPONSE_TIMEOUT,
+                              .max_duration = RESPONSE_TIMEOUT };
 
   engine->query_sent_at = now;
   engine->query_fetch
@@ -422,7 +423,7 @@
 {
   Engine *engine = find_engine (orders, action->endpoint);
   const LhHandlers handlers = { .on_done = on_weights_order_answered };
-  LhRequest request = { .idle_timeout = RESPONSE_TIMEOUT };
+  LhRequest request = { .idle_timeout = RESPONSE_TIMEOUT, .max_duration = RESPONSE_TIMEOUT };
   LcOutgoingRequest outgoing;
   LnWeightsOrder order = { .endpoint = action->endpoint,
                            .version = action->version,
--- a/standins/si-raw-endpoint.c
+++ b/standins/si-raw-endpoint.c
@@ -1,6 +1,7 @@
 #include "si-raw-endpoint.h"
 
 #include "lb-alloc.h"
+#include "lb-time.h"
 
 #include <arpa/inet.h>
 #include <event2/buffer.h>
@@ -15,12 +16,14 @@
 #define ID_PLACEHOLDER "%ID%"
 /* Bytes of filler that wait in the output buffer of a connection. */
 #define FILLER_BYTES ((size_t)64 << 10)
+#define TRICKLE_INTERVAL (50 * LB_MSEC)
 
 typedef struct
 {
   LbLink link;
   SiRawEndpoint *endpoint;
   struct bufferevent *bev;
+  struct event *trickle_timer;
   bool is_replying; /* a reply is being sent that closes or never ends */
 } Connection;
 
@@ -29,6 +32,7 @@
 {
   lb_list_remove (&connection->endpoint->connections, &connection->link);
   bufferevent_free (connection->bev);
+  event_free (connection->trickle_timer);
   free (connection);
 }
 
@@ -73,6 +77,7 @@
 {
   SiRawEndpoint *endpoint = connection->endpoint;
   struct evbuffer *output = bufferevent_get_output (connection->bev);
+  const struct timeval interval = lb_time_to_timeval (TRICKLE_INTERVAL);
   const char *rest = endpoint->reply;
   const char *at;
 
@@ -87,6 +92,19 @@
   connection->is_replying = endpoint->end != SI_RAW_KEEP_OPEN;
   if (endpoint->end == SI_RAW_REPEAT)
     write_filler (connection);
+  else if (endpoint->end == SI_RAW_TRICKLE)
+    event_add (connection->trickle_timer, &interval);
+}
+
+static void
+on_trickle_due (evutil_socket_t fd, short what, void *user)
+{
+  (void)fd;
+  (void)what;
+  Connection *connection = user;
+  const char *filler = connection->endpoint->filler;
+
+  evbuffer_add (bufferevent_get_output (connection->bev), filler, strlen (filler));
 }
 
 static void
@@ -120,7 +138,7 @@
     return;
   if (connection->endpoint->end == SI_RAW_REPEAT)
     write_filler (connection);
-  else
+  else if (connection->endpoint->end == SI_RAW_CLOSE)
     connection_free (connection);
 }
 
@@ -154,6 +172,8 @@
 
   connection->endpoint = endpoint;
   connection->bev = bufferevent_socket_new (endpoint->base, fd, BEV_OPT_CLOSE_ON_FREE);
+  connection->trickle_timer
+      = event_new (endpoint->base, -1, EV_PERSIST, on_trickle_due, connection);
   lb_list_append (&endpoint->connections, &connection->link);
   evbuffer_add_cb (bufferevent_get_output (connection->bev), on_output_changed, endpoint);
   bufferevent_setcb (connection->bev, on_request_bytes, on_output_written, on_connection_event,
--- a/standins/si-raw-endpoint.h
+++ b/standins/si-raw-endpoint.h
@@ -10,7 +10,8 @@
 {
   SI_RAW_CLOSE,     /* closes the connection, as a process that exits does */
   SI_RAW_KEEP_OPEN, /* waits for the next request */
-  SI_RAW_REPEAT     /* sends `filler` until the caller closes the connection */
+  SI_RAW_REPEAT,    /* sends `filler` as fast as it can until the caller closes the connection */
+  SI_RAW_TRICKLE    /* sends `filler` every 50 ms until the caller closes the connection */
 } SiRawEnd;
 
 /* An endpoint that answers each request with given bytes, which need not be HTTP. */
--- a/tests/process/test-answers.c
+++ b/tests/process/test-answers.c
@@ -2,10 +2,15 @@
 
 #include "si-raw-endpoint.h"
 
+#include "lb-clock.h"
+
 #include <criterion/criterion.h>
 #include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
 
 #define N_ITEMS 24
+#define MACHINE_MEMORY_MB 256
 
 static void
 start_cluster_with_raw_endpoint (PsCluster *cluster, SiRawEndpoint *raw, const char *reply)
@@ -151,3 +156,99 @@
       clear_cluster_with_raw_endpoint (&cluster, &raw);
     }
 }
+
+#define CHUNKED "Transfer-Encoding: chunked\r\n\r\n"
+
+/* An engine in trouble sends bytes without end, fast or slowly, in the head or the body of its
+ * answer. The instance must close the connection, and each item must be listed with the text of a
+ * sound engine. */
+Test (answers, bytes_without_end_from_an_engine_do_not_hold_items)
+{
+  static const struct
+  {
+    const char *reply;
+    const char *filler;
+    SiRawEnd end;
+  } cases[] = {
+    { "HTTP/1.1 200 OK\r\nX: ", "a", SI_RAW_REPEAT },
+    { "HTTP/1.1 200 OK\r\n", "X: 1\r\n", SI_RAW_TRICKLE },
+    { STREAM_HEAD "\r\n", "a", SI_RAW_REPEAT },
+    { STREAM_HEAD "\r\n", "\n", SI_RAW_REPEAT },
+    { STREAM_HEAD "\r\n", ": comment\n", SI_RAW_TRICKLE },
+    { STREAM_HEAD "\r\nid: 1\ndata: %ID%.1\n\n", "a", SI_RAW_TRICKLE },
+    { STREAM_HEAD "\r\n", "id: 1\ndata: x\n\n", SI_RAW_TRICKLE },
+    { STREAM_HEAD CHUNKED, "0", SI_RAW_REPEAT },
+    { STREAM_HEAD CHUNKED "5", ";x", SI_RAW_TRICKLE },
+    { "HTTP/1.1 500 E\r\nAttempt-Id: %ID%\r\n\r\n", "a", SI_RAW_REPEAT },
+    { "HTTP/1.1 503 E\r\nNot-Run: 1\r\n" CHUNKED, "1\r\na\r\n", SI_RAW_TRICKLE },
+  };
+
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      PsCluster cluster;
+      SiRawEndpoint raw;
+      start_cluster_with_raw_endpoint (&cluster, &raw, cases[i].reply);
+      raw.filler = cases[i].filler;
+      raw.end = cases[i].end;
+      si_raw_endpoint_register (&raw, "engines", "m", 8);
+      ps_start_instance (&cluster);
+      ps_submit_batch (&cluster, 0, "b1", N_ITEMS);
+      PS_WAIT_UNTIL (&cluster, raw.n_requests > 0);
+      LbTime end = lb_clock_monotonic () + 20 * LB_SEC;
+      while (ps_count_results_on_first_page (&cluster, 0, "b1") < N_ITEMS
+             && lb_clock_monotonic () < end)
+        ps_run_event_loop_once (&cluster);
+      cr_expect_eq (ps_count_results_on_first_page (&cluster, 0, "b1"), N_ITEMS,
+                    "items wait at the engine of case %zu", i);
+      PS_WAIT_UNTIL (&cluster, lb_list_is_empty (&raw.connections)
+                                   || lb_clock_monotonic () > end + 10 * LB_SEC);
+      cr_expect (lb_list_is_empty (&raw.connections), "case %zu is still read", i);
+      clear_cluster_with_raw_endpoint (&cluster, &raw);
+    }
+}
+
+/* Returns the peak of the instance's resident memory in MiB. */
+static long
+read_peak_memory_mb (const PsCluster *cluster)
+{
+  char path[64];
+  char line[128];
+  long kb = 0;
+
+  snprintf (path, sizeof path, "/proc/%d/status", (int)cluster->instances[0].process.pid);
+  FILE *file = fopen (path, "r");
+  cr_assert (file);
+  while (fgets (line, sizeof line, file))
+    if (strncmp (line, "VmHWM:", 6) == 0)
+      kb = strtol (line + 6, NULL, 10);
+  fclose (file);
+  return kb / 1024;
+}
+
+/* Endpoints of a plain service answer ten calls at once with bodies without end. The calls must
+ * fail, and their bytes must not fill the memory of the instance. */
+Test (answers, bodies_without_end_do_not_fill_the_memory)
+{
+  PsCluster cluster;
+  SiRawEndpoint raw;
+  char id[16];
+
+  start_cluster_with_raw_endpoint (&cluster, &raw, "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\n\r\n");
+  raw.filler = "0123456789abcdef";
+  raw.end = SI_RAW_REPEAT;
+  ps_put_desired_state (&cluster, 1, LIVE_ROUTE);
+  si_raw_endpoint_register (&raw, "others", "", 16);
+  ps_start_instance (&cluster);
+  for (int i = 0; i < 10; i++)
+    {
+      snprintf (id, sizeof id, "c%d", i);
+      ps_start_call (&cluster, 0, "POST", "/live/1", id, "hello");
+    }
+  int n_before = cluster.n_responses;
+  PS_WAIT_UNTIL (&cluster, cluster.n_responses >= n_before + 10);
+  cr_assert_gt (raw.n_requests, 1);
+  cr_assert_geq (cluster.response_status, 500);
+  cr_assert_leq (read_peak_memory_mb (&cluster), MACHINE_MEMORY_MB, "peak of %ld MiB",
+                 read_peak_memory_mb (&cluster));
+  clear_cluster_with_raw_endpoint (&cluster, &raw);
+}
