drain: answer every request before the end of the grace

What callers saw (reported from similar systems, and shown here): in a planned stop, requests that came late in the grace were passed on and cut without an answer when the process was killed, among them requests that may not be repeated.

Cause: the instance did not know when it will be killed. It accepted requests for drain_ms after SIGTERM, each with its whole time limit, and then waited until all had ended. With drain 5.5 s, grace 8 s and limits of 2 s that is in time; with longer limits or a shorter grace it is not.

Ruled out: requests that cross the close of a connection (refused as not run).

Change: drain.grace_s (from bounds.graceS of the platform). The drain time is shortened to leave 2.5 s. A request that may not be repeated and could run past the last moment for replies is refused at once as draining, not run. One that may be repeated is accepted: most end long before their limit, and refusing them all would send callers elsewhere for nothing. 0.5 s before the end every request that still runs gets its final answer, and the process exits.

--- a/packages/core/include/lc-dispatch.h
+++ b/packages/core/include/lc-dispatch.h
@@ -163,6 +163,8 @@
 /* Removes the request of a submitter that has disconnected and cancels its attempts. Appends no
  * LC_ACTION_FINISH. */
 void lc_dispatch_cancel (LcDispatch *dispatch, LcRequestId request, LbTime now, LbList *actions);
+/* Brings the request's deadline forward to `deadline` if it is later. */
+void lc_dispatch_limit_deadline (LcDispatch *dispatch, LcRequestId request, LbTime deadline);
 /* Decides whether a running sample moves to another endpoint. Does not change the sample, but holds
  * the free slot of the chosen endpoint for a moment against other moves: the caller must cancel the
  * request and submit the rest with preferred_endpoint. */
--- a/packages/core/src/dispatch/lc-dispatch.c
+++ b/packages/core/src/dispatch/lc-dispatch.c
@@ -452,6 +452,19 @@
   return true;
 }
 
+void
+lc_dispatch_limit_deadline (LcDispatch *dispatch, LcRequestId id, LbTime deadline)
+{
+  LcRequest *request = lc_dispatch_find_request (dispatch, id);
+
+  if (!request || request->deadline <= deadline)
+    return;
+  request->deadline = deadline;
+  if (request->start_deadline > deadline)
+    request->start_deadline = deadline;
+  lc_dispatch_reschedule_request_timer (dispatch, request);
+}
+
 void
 lc_dispatch_cancel (LcDispatch *dispatch, LcRequestId id, LbTime now, LbList *actions)
 {
--- a/packages/node/include/ln-context.h
+++ b/packages/node/include/ln-context.h
@@ -26,9 +26,11 @@
   LbName caller_address;           /* listening address for callers, with the port that was bound */
   LbName metrics_address;          /* listening address for metrics; empty: no separate one */
   LbName peer_address;             /* listening address for other instances */
-  LcRequestId last_request_id;     /* highest id that was assigned to a request */
-  gsl_rng *rng;                    /* random number generator; NULL until its first use */
-  struct LnTicker *ticker; /* timer for all tasks' periodic work; NULL until its first use */
+  LbTime stop_at; /* while draining: time by which each request must have its reply, as the process
+                     is killed soon after; 0: no limit */
+  LcRequestId last_request_id; /* highest id that was assigned to a request */
+  gsl_rng *rng;                /* random number generator; NULL until its first use */
+  struct LnTicker *ticker;     /* timer for all tasks' periodic work; NULL until its first use */
 } LnContext;
 
 /* Returns a new request id, unique within the process. */
--- a/packages/node/include/ln-settings.h
+++ b/packages/node/include/ln-settings.h
@@ -72,6 +72,7 @@
   {
     int64_t drain_ms;     /* minimum time to serve callers with cached addresses after SIGTERM */
     int64_t entry_ttl_ms; /* how long callers may cache addresses of instances */
+    double grace_s;       /* time from SIGTERM until the process is killed; 0: it is not killed */
     int64_t endpoint_ms;  /* maximum time until an endpoint about to stop gets no work */
   } drain;
   struct
--- a/packages/node/main/lentilspindled.c
+++ b/packages/node/main/lentilspindled.c
@@ -179,6 +179,30 @@
     event_base_loopbreak (daemon->context.base);
 }
 
+/* Time before the end of the grace by which all replies are given: the last ones must reach their
+ * callers, and the process must exit. */
+#define STOP_MARGIN (500 * LB_MSEC)
+/* Time between the end of the drain time and the end of the grace, for the requests that came last.
+ */
+#define MAX_TIME_AFTER_DRAIN (2500 * LB_MSEC)
+
+/* Sets when the instance stops serving and when its last reply is due. A drain time that is longer
+ * than the grace would have requests accepted until the process is killed. */
+static void
+set_drain_times (Daemon *daemon, LbTime now)
+{
+  LbTime grace = (LbTime)(daemon->settings.drain.grace_s * LB_SEC);
+  LbTime drain = daemon->settings.drain.drain_ms * LB_MSEC;
+  LbTime max_drain = grace > 2 * MAX_TIME_AFTER_DRAIN ? grace - MAX_TIME_AFTER_DRAIN : grace / 2;
+
+  if (grace > 0)
+    {
+      drain = drain < max_drain ? drain : max_drain;
+      daemon->context.stop_at = now + grace - (STOP_MARGIN < grace / 4 ? STOP_MARGIN : grace / 4);
+    }
+  daemon->min_drain_end = now + drain;
+}
+
 /* The first SIGTERM or SIGINT starts the drain. Later signals are ignored, since they must not
  * interrupt requests in progress. For drain_ms the instance still serves callers that use cached
  * addresses. */
@@ -195,7 +219,7 @@
   if (daemon->is_draining)
     return;
   daemon->is_draining = true;
-  daemon->min_drain_end = lb_clock_monotonic () + daemon->settings.drain.drain_ms * LB_MSEC;
+  set_drain_times (daemon, lb_clock_monotonic ());
   ln_hub_drain_tasks (daemon->context.hub);
   LN_POST (daemon->context.hub, NULL, message);
   event_add (daemon->drain_timer, &period);
--- a/packages/node/src/calls/ln-calls.c
+++ b/packages/node/src/calls/ln-calls.c
@@ -276,6 +276,18 @@
     }
 }
 
+/* Calls that would run until the process is killed get an answer shortly before. Items of batches
+ * go on at other instances. */
+static void
+limit_deadlines_of_calls (LnCalls *calls)
+{
+  LB_LIST_FOREACH (&calls->active_calls, LnCall, link, call)
+  {
+    if (call->kind != LN_CALL_SAMPLE)
+      lc_dispatch_limit_deadline (calls->dispatch, call->spec.id, calls->context->stop_at);
+  }
+}
+
 static void
 drain_calls_task (LnTask *task)
 {
@@ -283,6 +295,8 @@
   LbList actions;
 
   calls->is_draining = true;
+  if (calls->context->stop_at > 0)
+    limit_deadlines_of_calls (calls);
   /* On a shared platform, callers connect for some seconds after the instance reported that it is
    * not ready, so the instance serves calls until it exits. */
   if (calls->context->dialect)
--- a/packages/node/src/calls/ln-routed.c
+++ b/packages/node/src/calls/ln-routed.c
@@ -14,6 +14,8 @@
 /* The first read of the routes from the store takes some tens of milliseconds, so a retry after
  * this time finds the routes on this or another instance. */
 #define NOT_READY_RETRY_AFTER (300 * LB_MSEC)
+/* Another instance can serve the request at once. */
+#define DRAINING_RETRY_AFTER (100 * LB_MSEC)
 
 static void
 refuse_request (LnExchange *exchange, LbErrorCode code, const char *detail, LbTime retry_after)
@@ -124,6 +126,8 @@
   call->spec.hedge_after = lc_route_hedge_delay (route);
   call->spec.expected_tokens = 1;
   call->spec.deadline = compute_call_deadline (calls, route, inbound, lb_clock_monotonic ());
+  if (calls->context->stop_at > 0 && call->spec.deadline > calls->context->stop_at)
+    call->spec.deadline = calls->context->stop_at;
   LB_COPY (call->spec.caller, route->name);
   LB_COPY (call->spec.pool, service);
   set_call_organisation (call, admission);
@@ -132,6 +136,20 @@
   return call;
 }
 
+/* Whether the process may be killed while it runs the call. A call that may be repeated is accepted
+ * all the same: most calls end long before their deadline, and its caller may try again. */
+static bool
+may_be_cut_at_stop (const LnCalls *calls,
+                    const LcRoute *route,
+                    const LnInbound *inbound,
+                    LbTime now)
+{
+  LbTime stop_at = calls->context->stop_at;
+
+  return stop_at > 0 && compute_call_deadline (calls, route, inbound, now) > stop_at
+         && (route->kind != LC_ROUTE_IDEMPOTENT || now >= stop_at);
+}
+
 /* An instance that has just started, or has just received a new service, knows the routes before
  * the endpoints. It then replies "not ready", since callers do not retry after "not found". */
 static void
@@ -143,7 +161,11 @@
 {
   const char *service = lc_route_choose_service (route, ln_context_random_uniform (calls->context));
 
-  if (lc_dispatch_has_service (calls->dispatch, service))
+  if (may_be_cut_at_stop (calls, route, inbound, lb_clock_monotonic ()))
+    refuse_request (exchange, LB_ERROR_DRAINING,
+                    "this instance is shutting down and may stop before the request ends",
+                    DRAINING_RETRY_AFTER);
+  else if (lc_dispatch_has_service (calls->dispatch, service))
     ln_calls_submit (calls, new_service_call (calls, exchange, route, admission, service, inbound));
   else
     refuse_request (exchange, LB_ERROR_NOT_READY,
--- a/packages/node/src/task/ln-settings.c
+++ b/packages/node/src/task/ln-settings.c
@@ -107,6 +107,7 @@
 static const LbSettingSpec drain_specs[]
     = { INTEGER_SETTING ("drain_ms", drain.drain_ms, 0, MAX_DURATION_MS),
         INTEGER_SETTING ("entry_ttl_ms", drain.entry_ttl_ms, 100, MAX_DURATION_MS),
+        REAL_SETTING ("grace_s", drain.grace_s, 0, 86400),
         INTEGER_SETTING ("endpoint_ms", drain.endpoint_ms, 100, MAX_DURATION_MS), END_OF_SETTINGS };
 
 static const LbSettingSpec batches_specs[]
