calls: a refused condition of the caller says nothing about the endpoint

Cause: status 421 means that another endpoint uses the address, or that the version expected by the caller is not there. Both counted as the first, and the endpoint was marked as leaving.

Evidence: log lines attempt_ended with outcome "gone" and status 421 for this item at each engine. Ruled out: breakers and the engines' registrations (ready all the while, used by the other instances).

Change: a 421 to a request with a condition of its caller ends the attempt as refused by condition: not run, tried at another engine at once, no effect on the endpoint. Calls, streams and items share the path; reward calls carry no headers, orders mark no endpoint.

--- a/packages/core/include/lc-dispatch.h
+++ b/packages/core/include/lc-dispatch.h
@@ -101,7 +101,10 @@
   LC_END_COMPLETE,        /* the end marker was received */
   LC_END_REFUSED,         /* the endpoint replied that it did not start the request */
   LC_END_REFUSED_LEAVING, /* the endpoint did not start the request because it is leaving */
-  LC_END_NOT_SENT,        /* no byte was written to a socket */
+  /* the endpoint did not start the request because a condition that the caller set is not met,
+   * which says nothing about the endpoint */
+  LC_END_REFUSED_CONDITION,
+  LC_END_NOT_SENT, /* no byte was written to a socket */
   LC_END_BROKEN,   /* after bytes were written, the connection was lost or silent for too long */
   LC_END_REJECTED, /* the endpoint replied that the request can never succeed */
   LC_END_FAILED    /* the endpoint replied with a failure; the request may have run */
--- a/packages/core/src/dispatch/lc-outcome.c
+++ b/packages/core/src/dispatch/lc-outcome.c
@@ -308,7 +308,8 @@
 static bool
 does_attempt_end_prove_request_not_run (LcAttemptEnd end)
 {
-  return end == LC_END_REFUSED || end == LC_END_REFUSED_LEAVING || end == LC_END_NOT_SENT;
+  return end == LC_END_REFUSED || end == LC_END_REFUSED_LEAVING || end == LC_END_REFUSED_CONDITION
+         || end == LC_END_NOT_SENT;
 }
 
 /* Returns the error to report if the request is not retried after an attempt with this end. */
@@ -362,7 +363,7 @@
 static bool
 is_request_retried_immediately (const LcRequest *request, LcAttemptEnd end)
 {
-  return end == LC_END_REFUSED_LEAVING
+  return end == LC_END_REFUSED_LEAVING || end == LC_END_REFUSED_CONDITION
          || (end == LC_END_REFUSED && request->kind == LC_KIND_SAMPLE);
 }
 
@@ -407,7 +408,7 @@
 static AttemptResult
 get_attempt_result (LcAttemptEnd end)
 {
-  if (end == LC_END_REFUSED_LEAVING)
+  if (end == LC_END_REFUSED_LEAVING || end == LC_END_REFUSED_CONDITION)
     return RESULT_CANCELLED;
   return end == LC_END_REFUSED ? RESULT_REFUSED : RESULT_FAILED;
 }
--- a/packages/core/tests/test-dispatch-leaving.c
+++ b/packages/core/tests/test-dispatch-leaving.c
@@ -87,6 +87,36 @@
   fixture_clear (&f);
 }
 
+/* Engines refuse a request because a condition that its caller set is not met. They must get other
+ * requests at once: the refusal says nothing about them. */
+Test (leaving, refusal_for_a_condition_of_the_caller_changes_no_endpoint)
+{
+  Fixture f;
+
+  fixture_init (&f, &settings, 2, 2);
+  for (size_t i = 0; i < f.set.n_endpoints; i++)
+    f.members[i].reports_concurrency = true;
+  fixture_apply_endpoint_set (&f);
+
+  LcRequestSpec conditional = fixture_make_request_spec (&f, LC_KIND_SAMPLE);
+  LcAction action;
+  uint32_t n_attempts = 0;
+
+  cr_assert (fixture_submit_request (&f, &conditional));
+  while (fixture_take_action_of_request (&f, LC_ACTION_SEND, conditional.id, &action))
+    fixture_end_attempt (&f, conditional.id, n_attempts = action.attempt, LC_END_REFUSED_CONDITION);
+  cr_assert_geq (n_attempts, 2, "expected the request to be tried at both engines");
+  fixture_free_pending_actions (&f);
+  cr_assert_eq (lc_dispatch_count_requests_in_progress (f.dispatch), 0);
+  for (int i = 0; i < 4; i++)
+    {
+      LcRequestSpec next = fixture_make_request_spec (&f, LC_KIND_SAMPLE);
+      cr_assert (fixture_submit_request (&f, &next));
+      fixture_expect_action_of_request (&f, LC_ACTION_SEND, next.id);
+    }
+  fixture_clear (&f);
+}
+
 /* The last engine of a pool leaves while a call is queued. The call must fail as "not run" at once
  * instead of waiting until its deadline. */
 Test (leaving, calls_of_a_pool_without_endpoints_fail_at_once)
--- a/packages/node/include/ln-dialect.h
+++ b/packages/node/include/ln-dialect.h
@@ -59,7 +59,8 @@
   LN_REPLY_FAILURE,       /* the request failed and may have run */
   LN_REPLY_UNPROCESSABLE, /* the request is invalid for every endpoint */
   LN_REPLY_NOT_RUN,       /* not run: the endpoint is busy, or the deadline has passed */
-  LN_REPLY_WRONG_ENDPOINT /* not run: another endpoint uses the address now */
+  /* not run: another endpoint uses the address now, or a condition of the caller is not met */
+  LN_REPLY_WRONG_ENDPOINT
 } LnReplyClass;
 
 /* Returns the value of the named header of a reply, or NULL if the reply does not have it. */
@@ -198,6 +199,9 @@
   /* Functions for requests to endpoints and their replies. */
   /* Whether the node sets or removes the header itself instead of forwarding the caller's value. */
   bool (*is_own_header) (const char *name);
+  /* Whether the caller set a condition, such as a weight version, under which an endpoint refuses
+   * the request like one that is meant for another endpoint. */
+  bool (*is_conditional_request) (const LcOutgoingRequest *outgoing);
   void (*write_attempt_headers) (const LnAttemptHeaders *headers, LcOutgoingRequest *outgoing);
   LnReplyClass (*classify_reply) (int status, LnHeaderLookup find_header, const void *source);
   /* Whether a reply may answer the request `id`: false when the reply contains the id of another
--- a/packages/node/src/calls/ln-calls-attempts.c
+++ b/packages/node/src/calls/ln-calls-attempts.c
@@ -197,9 +197,13 @@
 log_attempt_end (const LnAttempt *attempt, LcAttemptEnd end)
 {
   static const char *const names[] = {
-    [LC_END_COMPLETE] = "whole",       [LC_END_REFUSED] = "refused",
-    [LC_END_REFUSED_LEAVING] = "gone", [LC_END_NOT_SENT] = "not_handed",
-    [LC_END_BROKEN] = "broken",        [LC_END_REJECTED] = "rejected",
+    [LC_END_COMPLETE] = "whole",
+    [LC_END_REFUSED] = "refused",
+    [LC_END_REFUSED_LEAVING] = "gone",
+    [LC_END_NOT_SENT] = "not_handed",
+    [LC_END_REFUSED_CONDITION] = "condition",
+    [LC_END_BROKEN] = "broken",
+    [LC_END_REJECTED] = "rejected",
     [LC_END_FAILED] = "failed",
   };
   const LnCall *call = attempt->call;
@@ -268,7 +272,8 @@
 static bool
 attempt_may_have_run (LcAttemptEnd end)
 {
-  return end != LC_END_REFUSED && end != LC_END_REFUSED_LEAVING && end != LC_END_NOT_SENT;
+  return end != LC_END_REFUSED && end != LC_END_REFUSED_LEAVING && end != LC_END_REFUSED_CONDITION
+         && end != LC_END_NOT_SENT;
 }
 
 /* Requests a check of the endpoint after a lost connection, since only a check tells a crash of the
@@ -442,6 +447,7 @@
           .dialect = dialect,
           .external_id = call->outgoing.id,
           .is_stream = is_stream,
+          .is_conditional = dialect->is_conditional_request (&call->outgoing),
           .idle_timeout = is_stream ? stream_idle_timeout : get_plain_service_idle_timeout (call) };
 
   LB_COPY (attempt_headers.id, call->outgoing.id);
--- a/packages/node/src/calls/ln-upstream.c
+++ b/packages/node/src/calls/ln-upstream.c
@@ -49,8 +49,9 @@
   char *external_id;        /* id of the request in logs; NULL: none */
   LnStreamReader *reader;   /* parses an engine's stream on a shared platform; else NULL */
   LcVersion version;        /* weight version of the stream's last event; 0: unknown */
-  bool is_head;             /* the method is HEAD, whose reply has no body */
-  bool has_end_marker;      /* the event [DONE], the end of an engine's stream, was received */
+  bool is_conditional; /* the endpoint may refuse the request for a condition that the caller set */
+  bool is_head;        /* the method is HEAD, whose reply has no body */
+  bool has_end_marker; /* the event [DONE], the end of an engine's stream, was received */
   bool is_invalid; /* invalid data or another request's answer was received; the rest is ignored */
   bool is_parsing; /* the parser is running, so a cancel only sets is_cancelled and frees nothing */
   bool is_cancelled;
@@ -359,7 +360,7 @@
     case LN_REPLY_NOT_RUN:
       return LC_END_REFUSED;
     case LN_REPLY_WRONG_ENDPOINT:
-      return LC_END_REFUSED_LEAVING;
+      return upstream->is_conditional ? LC_END_REFUSED_CONDITION : LC_END_REFUSED_LEAVING;
     case LN_REPLY_UNPROCESSABLE:
       return upstream->reader ? LC_END_REJECTED : LC_END_COMPLETE;
     case LN_REPLY_FAILURE:
@@ -448,6 +449,7 @@
   upstream->external_id = spec->external_id ? lb_strdup (spec->external_id) : NULL;
   if (spec->dialect && spec->is_stream)
     upstream->reader = spec->dialect->stream_new (on_shared_platform_stream_event, upstream);
+  upstream->is_conditional = spec->is_conditional;
   upstream->is_head = strcmp (spec->method, "HEAD") == 0;
   /* The daemon's own protocol has keep-alive comments between events. */
   upstream->max_silence = spec->dialect ? spec->idle_timeout : LB_TIME_NEVER;
--- a/packages/node/src/calls/ln-upstream.h
+++ b/packages/node/src/calls/ln-upstream.h
@@ -28,8 +28,9 @@
   const char *external_id; /* request id in logs; on a shared platform, replies must match it */
   /* The members below are used only on a shared platform. */
   const LnDialect *dialect;
-  const char *host; /* value of the Host header */
-  bool is_stream;   /* the reply is an engine's stream of events */
+  const char *host;    /* value of the Host header */
+  bool is_stream;      /* the reply is an engine's stream of events */
+  bool is_conditional; /* the endpoint may refuse the request for a condition that the caller set */
 } LnUpstreamSpec;
 
 typedef struct
--- a/standins/si-endpoint.c
+++ b/standins/si-endpoint.c
@@ -263,6 +263,14 @@
   return expected && strcmp (expected, endpoint->name) != 0;
 }
 
+static bool
+is_version_refused (const SiEndpoint *endpoint, struct evhttp_request *request)
+{
+  const char *expected = si_request_get_header (request, "Expect-Version");
+
+  return endpoint->model[0] && expected && atoll (expected) != endpoint->version;
+}
+
 /* A call to an endpoint without a model whose reply is delayed. */
 typedef struct
 {
@@ -453,6 +461,8 @@
       endpoint->misdirected_requests++;
       evhttp_send_reply (request, 421, NULL, NULL);
     }
+  else if (is_version_refused (endpoint, request))
+    evhttp_send_reply (request, 421, NULL, NULL);
   else if (si_request_has_method_and_path (request, EVHTTP_REQ_POST, "/-/order"))
     handle_weight_load_order (endpoint, request);
   else if (si_request_has_method_and_path (request, EVHTTP_REQ_GET, "/-/report"))
--- a/tests/process/test-shared.c
+++ b/tests/process/test-shared.c
@@ -928,3 +928,27 @@
   wait_for_lag_before_and_after_restart (&cluster, instance, 800);
   ps_cluster_clear (&cluster);
 }
+
+/* One item of a batch expects a weight version that no engine has, so each engine refuses it with
+ * the status of a request that is meant for another endpoint. All other items must run, and those
+ * of the next batch. */
+Test (shared, an_item_with_a_refused_version_takes_no_engine_out_of_service)
+{
+  PsCluster cluster;
+  char *batch = ps_make_batch_json (24);
+  struct json_object *object = json_tokener_parse (batch);
+  struct json_object *item = json_object_array_get_idx (lb_json_member (object, "requests"), 0);
+
+  json_object_object_add (lb_json_member (item, "headers"), "Expect-Version",
+                          json_object_new_string ("2"));
+  ps_cluster_init (&cluster);
+  ps_start_instance (&cluster);
+  ps_call_and_wait (&cluster, 0, "POST", "/steps/1", "b1", json_object_to_json_string (object));
+  cr_assert_eq (cluster.response_status, 202);
+  PS_WAIT_UNTIL (&cluster, ps_count_results_on_first_page (&cluster, 0, "b1") == 23);
+  ps_submit_batch (&cluster, 0, "b2", 24);
+  PS_WAIT_UNTIL (&cluster, ps_count_results_on_first_page (&cluster, 0, "b2") == 24);
+  json_object_put (object);
+  free (batch);
+  ps_cluster_clear (&cluster);
+}
