batches: scorers may fail as often as their route allows

Cause: max_score_failures was a constant.

Change: the largest number of attempts of the routes of the batch's scoring requests counts, at least 4 as before. Texts went by their route already.

Before: answers/a_scorer_may_fail_as_often_as_its_route_allows failed (errored after 4 of 6). After: it passes.

--- a/packages/node/src/batch/ln-batch-owner.c
+++ b/packages/node/src/batch/ln-batch-owner.c
@@ -558,6 +558,26 @@
   return ln_context_next_request_id (user);
 }
 
+/* Returns the number of failed scorings after which an item is abandoned: the largest number of
+ * attempts that the routes of the batch's scoring requests allow. */
+static int64_t
+find_max_score_failures (const LnBatch *batch, const LcBatchSpec *spec)
+{
+  const LcDesired *desired = batch->batches->admission_state.desired;
+  int64_t max = DEFAULT_MAX_ITEM_ATTEMPTS + 1;
+
+  for (size_t i = 0; desired && i < spec->n_items; i++)
+    {
+      const LcBatchItemSpec *item = &spec->items[i];
+      const LcRoute *route = item->has_scorer ? lc_desired_match_route (desired, item->scorer.host,
+                                                                        item->scorer.path)
+                                              : NULL;
+      if (route && route->max_attempts > max)
+        max = route->max_attempts;
+    }
+  return max;
+}
+
 void
 ln_batch_owner_start_run (LnBatch *batch, LcBatchSpec *spec, const LnBatchSavedProgress *saved)
 {
@@ -569,7 +589,7 @@
                             : NULL,
           .tokens_per_event = get_service_tokens_per_event (batch),
           .max_failures = route ? route->max_attempts : DEFAULT_MAX_ITEM_ATTEMPTS,
-          .max_score_failures = DEFAULT_MAX_ITEM_ATTEMPTS + 1,
+          .max_score_failures = find_max_score_failures (batch, spec),
           .resumable = !route || route->resumable,
           .single_version = route && route->single_version,
           .due_at = batch->first_seen_at + (route ? route->due_after : 0),
--- a/tests/process/test-answers.c
+++ b/tests/process/test-answers.c
@@ -257,3 +257,30 @@
                  read_peak_memory_mb (&cluster));
   clear_cluster_with_raw_endpoint (&cluster, &raw);
 }
+
+/* A scorer fails five times, where its route allows six attempts. The item must be scored and
+ * listed as completed, not be abandoned after fewer failures than the route allows. */
+Test (answers, a_scorer_may_fail_as_often_as_its_route_allows)
+{
+  static const char failure[] = "HTTP/1.1 500 E\r\nAttempt-Id: %ID%\r\nContent-Length: 0\r\n\r\n";
+  static const char answer[] = "HTTP/1.1 200 OK\r\nAttempt-Id: %ID%\r\nServer-Stamp: stamp-%ID%"
+                               "\r\nContent-Length: 0\r\n\r\n";
+  PsCluster cluster;
+  SiRawEndpoint raw;
+
+  start_cluster_with_raw_endpoint (&cluster, &raw, failure);
+  raw.end = SI_RAW_KEEP_OPEN;
+  ps_put_desired_state (
+      &cluster, 1,
+      ", {\"name\": \"scores\", \"host\": \"h.example\", \"prefix\": \"/lookup/s\","
+      " \"kind\": \"safe\", \"timeoutMs\": 5000, \"service\": \"others\","
+      " \"attempts\": 6}");
+  si_raw_endpoint_register (&raw, "others", "", 8);
+  ps_start_instance (&cluster);
+  ps_submit_batch (&cluster, 0, "b1", 1);
+  PS_WAIT_UNTIL (&cluster, raw.n_requests >= 5);
+  raw.reply = answer;
+  PS_WAIT_UNTIL (&cluster, ps_count_results_on_first_page (&cluster, 0, "b1") == 1);
+  ps_assert_each_item_has_one_result (&cluster, 0, "b1", 1);
+  clear_cluster_with_raw_endpoint (&cluster, &raw);
+}
