front: one function chooses the refusal of an unfinished request

No behaviour changes. The time after the drain time is the least that remains, so its constant is no maximum.

--- a/packages/node/main/lentilspindled.c
+++ b/packages/node/main/lentilspindled.c
@@ -184,7 +184,7 @@
 #define STOP_MARGIN (500 * LB_MSEC)
 /* Time between the end of the drain time and the end of the grace, for the requests that came last.
  */
-#define MAX_TIME_AFTER_DRAIN (2500 * LB_MSEC)
+#define TIME_AFTER_DRAIN (2500 * LB_MSEC)
 
 /* Sets when the instance stops serving and when its last reply is due. A drain time that is longer
  * than the grace would have requests accepted until the process is killed. */
@@ -193,7 +193,7 @@
 {
   LbTime grace = (LbTime)(daemon->settings.drain.grace_s * LB_SEC);
   LbTime drain = daemon->settings.drain.drain_ms * LB_MSEC;
-  LbTime max_drain = grace > 2 * MAX_TIME_AFTER_DRAIN ? grace - MAX_TIME_AFTER_DRAIN : grace / 2;
+  LbTime max_drain = grace > 2 * TIME_AFTER_DRAIN ? grace - TIME_AFTER_DRAIN : grace / 2;
 
   if (grace > 0)
     {
--- a/packages/node/src/front/ln-caller.c
+++ b/packages/node/src/front/ln-caller.c
@@ -110,6 +110,17 @@
   evhtp_request_resume (held_request);
 }
 
+/* Returns the error to reply with before the connection is closed; LB_OK: no request has begun. */
+static LbErrorCode
+choose_refusal_of_unfinished_request (const LnCaller *caller)
+{
+  if (caller->scanner.is_malformed)
+    return LB_ERROR_BAD_REQUEST;
+  if (!is_reading_request (caller) && get_withheld_length (caller) == 0)
+    return LB_OK;
+  return caller->callers->has_stopped_accepting ? LB_ERROR_DRAINING : LB_ERROR_TOO_SLOW;
+}
+
 /* Limits the time from the first to the last byte of a request. evhtp's own timeouts restart with
  * each byte, so a caller that sends one byte a second would hold its connection for ever. An idle
  * connection is closed without a reply. While a request is processed, the timer instead resumes
@@ -131,13 +142,8 @@
       resume_held_request (caller);
       return;
     }
-  if (caller->refusal != LB_OK)
-    ; /* decided when the bytes arrived */
-  else if (caller->scanner.is_malformed)
-    caller->refusal = LB_ERROR_BAD_REQUEST;
-  else if (is_reading_request (caller) || get_withheld_length (caller) > 0)
-    caller->refusal
-        = caller->callers->has_stopped_accepting ? LB_ERROR_DRAINING : LB_ERROR_TOO_SLOW;
+  if (caller->refusal == LB_OK)
+    caller->refusal = choose_refusal_of_unfinished_request (caller);
   evhtp_connection_free (caller->connection);
 }
 
