--- a/standins/si-raw-endpoint.h
+++ b/standins/si-raw-endpoint.h
@@ -22,7 +22,7 @@
   SiRowStore *store;
   LbName name;
   LbName address;
-  const char *reply; /* "%ID%" in it stands for the request's header Attempt-Id */
+  const char *reply; /* "%ID%" is replaced by the value of the header Attempt-Id */
   SiRawEnd end;
   const char *filler;
   LbList connections;
