http, node: a request outlives the handler that cancels it

Cause: lh_fetch_cancel freed the fetch at once, even while one of its own handlers was running, and ln_upstream_cancel deferred only its own free, and only while the parser ran. Read now for the class, all callbacks of lh-fetch and ln-upstream: reading after a cancel in the same handler, a second cancel, and a cancel in on_done or on_end, which freed the object twice.

Ruled out: on_piece and on_end of ln-calls-attempts.c as they are do none of these today; the guarantee was in the order of their lines only.

Change: an object is not freed while one of its handlers runs. A cancel inside closes the connection; the headers are gone, the object is freed when the handler returns. In the last handler a cancel has no effect. ln-upstream no longer passes the fetch beside itself and needs no NULL fetch after an abort.

--- a/packages/http/include/lh-fetch.h
+++ b/packages/http/include/lh-fetch.h
@@ -10,7 +10,8 @@
  * one event loop. */
 typedef struct LhPool LhPool;
 
-/* One HTTP request and its response. Freed after on_done returns, or by lh_fetch_cancel. */
+/* One HTTP request and its response. Freed after on_done returns, or by lh_fetch_cancel, but never
+ * while one of its handlers runs: then it is freed when the handler returns. */
 typedef struct LhFetch LhFetch;
 
 typedef struct
@@ -64,7 +65,9 @@
 
 LhFetch *lh_fetch_start (
     LhPool *pool, const LhRequest *request, const LhHandlers *handlers, void *user, LbError *error);
-/* Closes the connection and frees the fetch without calling a handler. */
+/* Closes the connection and frees the fetch; no handler is called after this. A handler may cancel
+ * its own fetch: until it returns, the fetch stays valid, without response headers. In on_done,
+ * which runs after the fetch has ended, this has no effect. */
 void lh_fetch_cancel (LhFetch *fetch);
 /* Returns the value of a response header; NULL if absent. May be called from on_body_chunk and
  * on_done; the text is valid until the handler returns. */
--- a/packages/http/src/lh-fetch.c
+++ b/packages/http/src/lh-fetch.c
@@ -50,6 +50,8 @@
   bool has_headers;     /* the head of the response is complete */
   size_t n_buffered;    /* bytes of the response that count for the pool's limit */
   bool is_starting;     /* set while evhttp_make_request runs: on_done must not be called yet */
+  bool is_in_handler;   /* a handler runs: the fetch is freed only after it returns */
+  bool is_cancelled;    /* cancelled by a handler that runs */
   LbErrorCode failure;
 };
 
@@ -282,22 +284,38 @@
   free (fetch);
 }
 
-/* Closes the connection of an unfinished fetch and reports the failure. */
 static void
-fail_and_free_fetch (LhFetch *fetch, LbErrorCode failure)
+call_done_handler_and_free (LhFetch *fetch, const LhResult *result)
 {
-  const LhResult result = { .failure = failure, .bytes_handed = fetch->bytes_handed };
+  fetch->is_in_handler = true;
+  fetch->handlers.on_done (fetch, result, fetch->user);
+  fetch_free (fetch);
+}
 
+/* Ends the request and its connection, which may have read a part of the response. Calls no
+ * handler. */
+static void
+abandon_request (LhFetch *fetch)
+{
   free_connect_timer (fetch);
   set_buffer_callbacks_enabled (fetch, false);
   lb_list_remove (&fetch->pool->running_fetches, &fetch->link);
   evhttp_request_set_error_cb (fetch->request, NULL);
+  /* Also frees the request. */
   evhttp_cancel_request (fetch->request);
   lh_pool_schedule_connection_close (fetch->connection);
   fetch->connection = NULL;
   fetch->request = NULL;
-  fetch->handlers.on_done (fetch, &result, fetch->user);
-  fetch_free (fetch);
+}
+
+/* Closes the connection of an unfinished fetch and reports the failure. */
+static void
+fail_and_free_fetch (LhFetch *fetch, LbErrorCode failure)
+{
+  const LhResult result = { .failure = failure, .bytes_handed = fetch->bytes_handed };
+
+  abandon_request (fetch);
+  call_done_handler_and_free (fetch, &result);
 }
 
 /* Without a connect timeout, a host that lost power and doesn't answer SYN packets would use up the
@@ -372,9 +390,9 @@
   lh_pool_release_connection (connection, result.failure == LB_OK
                                               ? get_connection_max_idle_time (fetch, request)
                                               : 0);
+  fetch->connection = NULL;
   fetch->request = request;
-  fetch->handlers.on_done (fetch, &result, fetch->user);
-  fetch_free (fetch);
+  call_done_handler_and_free (fetch, &result);
 }
 
 static void
@@ -401,8 +419,12 @@
   /* Copies the chunk, since the handler may cancel the fetch, which frees the input buffer. */
   char *bytes = lb_malloc (length);
   evbuffer_remove (input, bytes, length);
+  fetch->is_in_handler = true;
   fetch->handlers.on_body_chunk (fetch, bytes, length, fetch->user);
+  fetch->is_in_handler = false;
   free (bytes);
+  if (fetch->is_cancelled)
+    fetch_free (fetch);
 }
 
 static void
@@ -500,21 +522,13 @@
 void
 lh_fetch_cancel (LhFetch *fetch)
 {
-  if (!fetch->connection)
-    {
-      lb_list_remove (&fetch->pool->failed_starts, &fetch->link);
-      fetch_free (fetch);
-      return;
-    }
-  set_buffer_callbacks_enabled (fetch, false);
-  free_connect_timer (fetch);
-  lb_list_remove (&fetch->pool->running_fetches, &fetch->link);
-  /* evhttp_cancel_request also frees the request. The connection is closed, not reused, since its
-   * response may be partly read. */
-  evhttp_request_set_error_cb (fetch->request, NULL);
-  evhttp_cancel_request (fetch->request);
-  lh_pool_schedule_connection_close (fetch->connection);
-  fetch_free (fetch);
+  if (fetch->connection)
+    abandon_request (fetch);
+  else if (!fetch->is_in_handler)
+    lb_list_remove (&fetch->pool->failed_starts, &fetch->link);
+  fetch->is_cancelled = true;
+  if (!fetch->is_in_handler)
+    fetch_free (fetch);
 }
 
 void
@@ -526,8 +540,7 @@
     {
       LhFetch *fetch = LB_CONTAINER (link, LhFetch, link);
       const LhResult result = { .failure = LB_ERROR_IO };
-      fetch->handlers.on_done (fetch, &result, fetch->user);
-      fetch_free (fetch);
+      call_done_handler_and_free (fetch, &result);
     }
 }
 
--- a/packages/http/tests/test-fetch.c
+++ b/packages/http/tests/test-fetch.c
@@ -36,6 +36,7 @@
   char header[64];
   LhFetch *cancel_at_chunk; /* fetch to cancel from the body chunk handler; NULL: none */
   int n_chunks;
+  int n_cancels; /* fetches that a handler has cancelled */
 } FetchFixture;
 
 static void
@@ -346,6 +347,86 @@
   fetch_fixture_clear (&f);
 }
 
+static void
+cancel_fetch_and_read_response (LhFetch *fetch, FetchFixture *f)
+{
+  lh_fetch_cancel (fetch);
+  cr_assert_null (lh_fetch_get_response_header (fetch, "x-kind"));
+  cr_assert_eq (lh_fetch_get_response_status (fetch), 0);
+  lh_fetch_cancel (fetch);
+  f->n_cancels++;
+}
+
+static void
+cancel_in_chunk_handler (LhFetch *fetch, const char *bytes, size_t length, void *user)
+{
+  (void)bytes;
+  (void)length;
+  cancel_fetch_and_read_response (fetch, user);
+}
+
+static void
+cancel_in_done_handler (LhFetch *fetch, const LhResult *result, void *user)
+{
+  FetchFixture *f = user;
+
+  f->n_done++;
+  f->failure = result->failure;
+  lh_fetch_cancel (fetch);
+  lh_fetch_cancel (fetch);
+}
+
+static void
+start_fetch_that_cancels_itself (FetchFixture *f, bool streams, LbTime max_duration)
+{
+  const LhRequest request
+      = { .method = "GET", .address = f->address, .path = "/", .max_duration = max_duration };
+  const LhHandlers handlers = { .on_body_chunk = streams ? cancel_in_chunk_handler : NULL,
+                                .on_done = cancel_in_done_handler };
+
+  cr_assert (lh_fetch_start (f->pool, &request, &handlers, f, NULL));
+}
+
+/* A handler that cancels its fetch still uses it: freed at once, it was read and freed again. */
+Test (fetch, chunk_handler_may_use_and_cancel_its_cancelled_fetch)
+{
+  FetchFixture f;
+
+  fetch_fixture_init (&f);
+  start_fetch_that_cancels_itself (&f, true, 0);
+  int fd = accept_connection_and_receive_text (&f, "\r\n\r\n");
+  send_text_to_client (fd, "HTTP/1.1 200 OK\r\nx-kind: long\r\nTransfer-Encoding: chunked\r\n\r\n"
+                           "3\r\nabc\r\n3\r\nabc\r\n0\r\n\r\n");
+  RUN_LOOP_UNTIL (&f, (receive_bytes_and_search_request (&f, fd, NULL), f.is_closed));
+  cr_assert_eq (f.n_cancels, 1);
+  cr_assert_eq (f.n_done, 0);
+  close (fd);
+  fetch_fixture_clear (&f);
+}
+
+/* The owner of a fetch cancels all it has when one ends: the fetch that ended was freed twice. */
+Test (fetch, cancel_in_done_handler_has_no_effect)
+{
+  static const char *const replies[]
+      = { "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "", "no status line\r\n\r\n" };
+  static const LbErrorCode failures[] = { LB_OK, LB_ERROR_TIMEOUT, LB_ERROR_IO };
+
+  for (size_t i = 0; i < 3; i++)
+    {
+      FetchFixture f;
+      fetch_fixture_init (&f);
+      start_fetch_that_cancels_itself (&f, false, 500 * LB_MSEC);
+      int fd = accept_connection_and_receive_text (&f, "\r\n\r\n");
+      send_text_to_client (fd, replies[i]);
+      RUN_LOOP_UNTIL (&f, f.n_done);
+      cr_assert_eq (f.failure, failures[i]);
+      run_event_loop_once (&f);
+      cr_assert_eq (f.n_done, 1);
+      close (fd);
+      fetch_fixture_clear (&f);
+    }
+}
+
 /* All file descriptors are in use, so no socket can be opened. The failure must be reported from
  * the event loop: the caller has the fetch only after lh_fetch_start has returned. */
 Test (fetch, exhausted_descriptors_are_reported_from_the_event_loop)
--- a/packages/node/src/calls/ln-upstream.c
+++ b/packages/node/src/calls/ln-upstream.c
@@ -55,6 +55,7 @@
   bool is_invalid; /* invalid data or another request's answer was received; the rest is ignored */
   bool is_parsing; /* the parser is running, so a cancel only sets is_cancelled and frees nothing */
   bool is_cancelled;
+  bool is_ended; /* on_end runs, after which the upstream is freed */
 };
 
 static LbMetric streams_aborted = LB_COUNTER_INIT (
@@ -163,6 +164,7 @@
 static void
 report_attempt_end_and_free (LnUpstream *upstream, LcAttemptEnd end)
 {
+  upstream->is_ended = true;
   upstream->handlers.on_end (upstream, end, upstream->user);
   upstream_free (upstream);
 }
@@ -175,9 +177,9 @@
 
 /* An engine may first send a late answer to another request, which must not reach the caller. */
 static bool
-is_reply_to_request (const LnUpstream *upstream, const LhFetch *fetch)
+is_reply_to_request (const LnUpstream *upstream)
 {
-  return upstream->dialect->is_reply_to (upstream->external_id, get_reply_header, fetch);
+  return upstream->dialect->is_reply_to (upstream->external_id, get_reply_header, upstream->fetch);
 }
 
 static void
@@ -202,20 +204,20 @@
 }
 
 static bool
-parse_stream_bytes (LnUpstream *upstream, const LhFetch *fetch, const char *bytes, size_t length)
+parse_stream_bytes (LnUpstream *upstream, const char *bytes, size_t length)
 {
   LbError error;
 
   if (!upstream->dialect)
     return lh_sse_parse_data_lines (&upstream->sse, bytes, length, on_upstream_sse_event, upstream,
                                     &error);
-  if (!is_reply_to_request (upstream, fetch))
+  if (!is_reply_to_request (upstream))
     {
       lb_metric_add (&streams_aborted, 1);
       return false;
     }
   if (upstream->version == 0)
-    upstream->version = upstream->dialect->read_first_version (get_reply_header, fetch);
+    upstream->version = upstream->dialect->read_first_version (get_reply_header, upstream->fetch);
   return upstream->dialect->stream_feed (upstream->reader, bytes, length);
 }
 
@@ -242,7 +244,6 @@
 abort_stream (LnUpstream *upstream, LcAttemptEnd end)
 {
   lh_fetch_cancel (upstream->fetch);
-  upstream->fetch = NULL;
   report_attempt_end_and_free (upstream, end);
 }
 
@@ -262,7 +263,6 @@
   LnUpstream *upstream = user;
   LbTime now = lb_clock_monotonic ();
 
-  upstream->fetch = fetch;
   if (lh_fetch_get_response_status (fetch) != 200)
     {
       add_error_body_bytes (upstream, bytes, length, now);
@@ -270,7 +270,7 @@
     }
   count_stream_bytes (upstream, length, now);
   upstream->is_parsing = true;
-  if (!parse_stream_bytes (upstream, fetch, bytes, length))
+  if (!parse_stream_bytes (upstream, bytes, length))
     upstream->is_invalid = true;
   upstream->is_parsing = false;
   if (upstream->is_cancelled)
@@ -353,7 +353,7 @@
 {
   if (result->failure != LB_OK)
     return result->bytes_handed ? LC_END_BROKEN : LC_END_NOT_SENT;
-  if (!is_reply_to_request (upstream, upstream->fetch))
+  if (!is_reply_to_request (upstream))
     return LC_END_BROKEN;
   switch (upstream->dialect->classify_reply (upstream->status, get_reply_header, upstream->fetch))
     {
@@ -395,9 +395,9 @@
 static void
 on_attempt_fetch_done (LhFetch *fetch, const LhResult *result, void *user)
 {
+  (void)fetch;
   LnUpstream *upstream = user;
 
-  upstream->fetch = fetch;
   upstream->status = result->status;
   upstream->connection_lost = result->failure == LB_ERROR_CLOSED || result->failure == LB_ERROR_IO;
   if (result->body_length > 0)
@@ -467,6 +467,8 @@
 void
 ln_upstream_cancel (LnUpstream *upstream)
 {
+  if (upstream->is_ended || upstream->is_cancelled)
+    return;
   lh_fetch_cancel (upstream->fetch);
   upstream->is_cancelled = true;
   if (!upstream->is_parsing)
@@ -477,7 +479,7 @@
 ln_upstream_read_load (const LnUpstream *upstream, LnReportedLoad *load)
 {
   memset (load, 0, sizeof *load);
-  if (upstream->dialect && upstream->fetch)
+  if (upstream->dialect)
     upstream->dialect->read_load (get_reply_header, upstream->fetch, load);
 }
 
--- a/packages/node/src/calls/ln-upstream.h
+++ b/packages/node/src/calls/ln-upstream.h
@@ -51,8 +51,9 @@
                                const LnUpstreamHandlers *handlers,
                                void *user,
                                LbError *error);
-/* Closes the connection, which makes the engine cancel the request. Calls no handler; the upstream
- * must not be used afterwards. */
+/* Closes the connection, which makes the engine cancel the request; no handler is called after
+ * this. A handler may cancel its own upstream, which then stays valid, without reply headers, until
+ * the handler returns; elsewhere the upstream must not be used afterwards. No effect in on_end. */
 void ln_upstream_cancel (LnUpstream *upstream);
 
 /* Reads the endpoint's load from the reply headers. Sets load->is_reported to false if they do not
