front: refuse requests that the HTTP library reads in another way

Cause: the scanner in front of evhtp skipped each CR, took each LF for the end of a line and compared "chunked" without regard to case. evhtp does otherwise at some places, and a service runs what evhtp reads. By reading: a CR inside a chunk size, "1<CR>0", is 16 for the scanner.

Ruled out: the dispatch and lh_fetch_start, which write what they are given; the bytes at the endpoint were whole requests in each case.

Change: the scanner accepts only what RFC 9112 lets a sender write: three words with one space between them and HTTP/1.x, lines ended by CRLF (a bare LF need not be accepted, 2.2), trailers that are fields. The rest is refused with 400. Capital letters of the coding's name are rewritten in the input, like chunk extensions; the report of a rewrite is its text now.

--- a/packages/node/src/front/ln-caller.c
+++ b/packages/node/src/front/ln-caller.c
@@ -383,18 +383,19 @@
   LnCaller *caller = user;
   struct evbuffer *input = bufferevent_get_input (caller->connection->bev);
   uint64_t input_start = caller->n_received - evbuffer_get_length (input);
-  const char *end = rewrite->chunk_size > 0 ? "\r\n" : "\r\n\r\n";
-  char *text = NULL;
+  size_t text_length = strlen (rewrite->text);
+  char *bytes = NULL;
 
-  if (rewrite->start < input_start || rewrite->length <= strlen (end))
+  if (rewrite->start < input_start || rewrite->length < text_length)
     {
       caller->scanner.is_malformed = true;
       return;
     }
-  text = lb_asprintf ("%0*llx%s", (int)(rewrite->length - strlen (end)),
-                      (unsigned long long)rewrite->chunk_size, end);
-  overwrite_input (input, (size_t)(rewrite->start - input_start), text, rewrite->length);
-  free (text);
+  bytes = lb_malloc (rewrite->length);
+  memset (bytes, '0', rewrite->length - text_length);
+  memcpy (bytes + rewrite->length - text_length, rewrite->text, text_length);
+  overwrite_input (input, (size_t)(rewrite->start - input_start), bytes, rewrite->length);
+  free (bytes);
 }
 
 /* Scans received bytes before evhtp's parser gets them. A malformed request is refused after the
--- a/packages/node/src/front/ln-request-scanner.c
+++ b/packages/node/src/front/ln-request-scanner.c
@@ -1,6 +1,9 @@
 #include "ln-request-scanner.h"
 
+#include "lh-request-check.h"
+
 #include <ctype.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -9,6 +12,10 @@
  * 64 bits, and no allowed body needs more digits. */
 #define MAX_CHUNK_SIZE_DIGITS 15
 
+/* A version that this daemon reads is this text and a digit. */
+static const char version_prefix[] = "HTTP/1.";
+#define VERSION_LENGTH sizeof version_prefix
+
 enum
 {
   REQUEST_LINE,
@@ -48,6 +55,7 @@
   begin_scanning_line (scanner, REQUEST_LINE);
   scanner->has_host = false;
   scanner->is_http_1_0 = false;
+  scanner->n_spaces = 0;
   scanner->is_chunked = false;
   scanner->remaining = 0;
 }
@@ -113,17 +121,37 @@
 }
 
 static void
-rewrite_chunk_line (LnRequestScanner *scanner, uint64_t chunk_size)
+report_rewrite (LnRequestScanner *scanner, uint64_t start, const char *text)
 {
   const LnRequestRewrite rewrite
-      = { .start = scanner->chunk_line_at,
-          .length = (size_t)(scanner->n_scanned - scanner->chunk_line_at),
-          .chunk_size = chunk_size };
+      = { .start = start, .length = (size_t)(scanner->n_scanned - start), .text = text };
 
   if (scanner->on_rewrite)
     scanner->on_rewrite (&rewrite, scanner->user);
 }
 
+/* Replaces a chunk size line by the size alone, and after size 0 also the trailer fields by the
+ * empty line that ends the request. */
+static void
+rewrite_chunk_line (LnRequestScanner *scanner, uint64_t chunk_size)
+{
+  char text[24];
+
+  snprintf (text, sizeof text, "%llx%s", (unsigned long long)chunk_size,
+            chunk_size > 0 ? "\r\n" : "\r\n\r\n");
+  report_rewrite (scanner, scanner->chunk_line_at, text);
+}
+
+/* Replaces a capital letter that was just scanned in the name of a transfer coding. */
+static void
+rewrite_letter_of_coding (LnRequestScanner *scanner, char c)
+{
+  const char text[] = { (char)tolower ((unsigned char)c), '\0' };
+
+  if (isupper ((unsigned char)c) && find_header_value (scanner, "Transfer-Encoding"))
+    report_rewrite (scanner, scanner->n_scanned - 1, text);
+}
+
 /* Reads a chunk's size. Accepts spaces between the size and a chunk extension, since some older
  * senders write them. Returns false when the size is invalid. */
 static bool
@@ -152,23 +180,41 @@
 static bool
 finish_request_line (LnRequestScanner *scanner)
 {
+  if (scanner->length > 0 && scanner->remaining != VERSION_LENGTH)
+    return false;
+  scanner->remaining = 0;
   /* RFC 9112, 2.2: empty lines before a request line are ignored. */
   begin_scanning_line (scanner, scanner->length == 0 ? REQUEST_LINE : HEADER_LINE);
   return true;
 }
 
-static void
+/* Whether the current line begins with a header's name and a colon. A name that is longer than the
+ * text stored counts. */
+static bool
+has_header_name (const LnRequestScanner *scanner)
+{
+  size_t length = strcspn (scanner->line, ":");
+  bool is_cut = scanner->line[length] == '\0' && scanner->length > length;
+
+  return (scanner->line[length] == ':' || is_cut) && lh_is_header_name (scanner->line, length);
+}
+
+/* Returns false when the line is no header field. */
+static bool
 finish_trailer_line (LnRequestScanner *scanner)
 {
   if (scanner->length > 0)
     {
       scanner->needs_rewrite = true;
+      if (!has_header_name (scanner))
+        return false;
       begin_scanning_line (scanner, TRAILER_LINE);
-      return;
+      return true;
     }
   if (scanner->needs_rewrite)
     rewrite_chunk_line (scanner, 0);
   finish_request (scanner);
+  return true;
 }
 
 static bool
@@ -192,48 +238,61 @@
       begin_scanning_line (scanner, CHUNK_SIZE);
       return is_empty;
     default:
-      finish_trailer_line (scanner);
-      return true;
+      return finish_trailer_line (scanner);
     }
 }
 
-/* Detects "HTTP/1.0" at the end of a request line of any length, one character at a time. */
-static void
-match_http_1_0_version (LnRequestScanner *scanner, char c)
+/* Whether the next character of the third word continues "HTTP/1." and a digit. */
+static bool
+scan_version_char (LnRequestScanner *scanner, char c)
 {
-  static const char version[] = "HTTP/1.0";
-  size_t n_matched = scanner->remaining;
+  size_t n_matched = scanner->remaining++;
 
-  scanner->remaining = c == version[n_matched] ? n_matched + 1 : (size_t)(c == version[0]);
-  if (scanner->remaining == sizeof version - 1)
-    {
-      scanner->is_http_1_0 = true;
-      scanner->remaining = 0;
-    }
+  scanner->is_http_1_0 = n_matched == VERSION_LENGTH - 1 && c == '0';
+  if (n_matched < VERSION_LENGTH - 1)
+    return c == version_prefix[n_matched];
+  return n_matched == VERSION_LENGTH - 1 && isdigit ((unsigned char)c);
+}
+
+/* Returns false unless the line may still become three words with one space between them and a
+ * known version, as RFC 9112, 3, has it. evhtp reads more as a request, of which other servers find
+ * another path. */
+static bool
+scan_request_line_char (LnRequestScanner *scanner, char last, char c)
+{
+  if (c == ' ')
+    return scanner->length > 0 && last != ' ' && ++scanner->n_spaces <= 2;
+  if ((unsigned char)c < ' ' || c == '\x7f')
+    return false;
+  return scanner->n_spaces < 2 || scan_version_char (scanner, c);
 }
 
 static bool
 scan_line_char (LnRequestScanner *scanner, char c)
 {
   bool is_header = scanner->state == HEADER_LINE || scanner->state == TRAILER_LINE;
+  char last = scanner->last;
 
   if (scanner->state == CHUNK_SIZE && scanner->line_bytes == 0)
     scanner->chunk_line_at = scanner->n_scanned;
   scanner->line_bytes++;
   scanner->n_scanned++;
+  /* RFC 9112, 2.2: a CR without LF is invalid, and a recipient need not accept an LF without CR. At
+   * some of the latter evhtp reads on where other servers find the end of the headers. */
+  if ((last == '\r') != (c == '\n'))
+    return false;
+  scanner->last = c;
   if (c == '\n')
-    {
-      if (scanner->state == REQUEST_LINE)
-        scanner->remaining = 0;
-      return finish_scanned_line (scanner);
-    }
+    return finish_scanned_line (scanner);
   if (c == '\r')
     return true;
   if (c == '\0' || (is_header && scanner->length == 0 && (c == ' ' || c == '\t')))
     return false;
-  if (scanner->state == REQUEST_LINE)
-    match_http_1_0_version (scanner, c);
+  if (scanner->state == REQUEST_LINE && !scan_request_line_char (scanner, last, c))
+    return false;
   append_char_to_line (scanner, c);
+  if (scanner->state == HEADER_LINE)
+    rewrite_letter_of_coding (scanner, c);
   return true;
 }
 
--- a/packages/node/src/front/ln-request-scanner.h
+++ b/packages/node/src/front/ln-request-scanner.h
@@ -11,9 +11,7 @@
 {
   uint64_t start; /* offset in all bytes scanned of the first byte to replace */
   size_t length;
-  /* What the bytes are replaced by: a chunk size, padded with zeros on its left, and its line end;
-   * after size 0 also the empty line that ends the request. */
-  uint64_t chunk_size;
+  const char *text; /* replaces the last bytes; those before are replaced by zeros ('0') */
 } LnRequestRewrite;
 
 typedef void (*LnRequestRewriter) (const LnRequestRewrite *rewrite, void *user);
@@ -25,7 +23,8 @@
  *
  * evhtp also misreads chunk extensions, for whose end it waits for ever, and trailer fields, of
  * which it takes the second one for the next request. Recipients may ignore both (RFC 9112, 7.1),
- * so the scanner has them rewritten. */
+ * so the scanner has them rewritten. It reads no body at all if "chunked" has a capital letter,
+ * which is allowed (RFC 9110, 10.1.4) and rewritten too. */
 typedef struct
 {
   LnRequestRewriter on_rewrite; /* NULL: nothing is rewritten */
@@ -37,11 +36,13 @@
   char line[96];     /* first bytes of the current line; longer than any text searched for */
   size_t length;     /* length of the whole current line, without the line end */
   size_t line_bytes; /* bytes received of the current line, including the line end */
+  char last;         /* last character of the current line; LF: none yet */
+  int n_spaces;      /* spaces of the current request line */
   bool has_host;
   bool is_http_1_0; /* an HTTP/1.0 request, which needs no Host header */
   bool is_chunked;
   /* Number of bytes of the body or chunk not yet received. Within a request line, the number of
-   * characters of "HTTP/1.0" that match the end of the line received so far. */
+   * characters of the version received. */
   uint64_t remaining;
   uint64_t n_headers_complete; /* number of valid requests with complete headers */
   uint64_t n_complete;         /* number of valid requests that are complete */
--- a/packages/node/tests/test-request-bytes.c
+++ b/packages/node/tests/test-request-bytes.c
@@ -69,7 +69,26 @@
           { POST_HEAD "Transfer-Encoding: chunked\r\n\r\n-1\r\n", 0 },
           { POST_HEAD "Transfer-Encoding: chunked\r\n\r\n\r\n", 0 },
           { POST_HEAD "Transfer-Encoding: chunked\r\n\r\n1\r\nab\r\n0\r\n\r\n", 0 },
-          { POST_HEAD "Transfer-Encoding: chunked\r\n\r\n0\r\nT: 1\r\n folded\r\n\r\n", 0 } };
+          { POST_HEAD "Transfer-Encoding: chunked\r\n\r\n0\r\nT: 1\r\n folded\r\n\r\n", 0 },
+          { "GET /a  HTTP/1.1\r\nHost: h\r\n\r\n", 0 },
+          { "GET /a b HTTP/1.1\r\nHost: h\r\n\r\n", 0 },
+          { "GET /a\tb HTTP/1.1\r\nHost: h\r\n\r\n", 0 },
+          { " GET /a HTTP/1.1\r\nHost: h\r\n\r\n", 0 },
+          { "GET /a\r\nHost: h\r\n\r\n", 0 },
+          { "GET /a HTTP/1.0\r\n\nX: b\r\n\r\n", 0 },
+          { "GET /a HTTP/1.1\nHost: h\n\n", 0 },
+          { "GET /a HTTP/7.1\r\nHost: h\r\n\r\n", 0 },
+          { "GET /a HTTP/1.10\r\nHost: h\r\n\r\n", 0 },
+          { "GET /a HTTP/1.\r\nHost: h\r\n\r\n", 0 },
+          { "GET /a http/1.1\r\nHost: h\r\n\r\n", 0 },
+          { "GET /a\r HTTP/1.1\r\nHost: h\r\n\r\n", 0 },
+          { POST_HEAD "X: a\rb\r\n\r\n", 0 },
+          { POST_HEAD "X: a\r\r\n\r\n", 0 },
+          { POST_HEAD "Transfer-Encoding: chunked\r\n\r\n1\r0\r\n0123456789abcdef\r\n0\r\n\r\n",
+            0 },
+          { POST_HEAD "Transfer-Encoding: chunked\r\n\r\n0\r\nT: 1\r2\r\n\r\n", 0 },
+          { POST_HEAD "Transfer-Encoding: chunked\r\n\r\n0\r\nno field\r\n\r\n", 0 },
+          { POST_HEAD "Transfer-Encoding: chunked\r\n\r\n0\r\nT : 1\r\n\r\n", 0 } };
 
   for (size_t i = 0; i < sizeof samples / sizeof samples[0]; i++)
     for (size_t segment_length = 1; segment_length < 40; segment_length++)
--- a/packages/node/tests/test-trailers.c
+++ b/packages/node/tests/test-trailers.c
@@ -134,6 +134,25 @@
   setup_clear (&s);
 }
 
+/* The HTTP library reads "Chunked" as a request without a body, and the service ran it so. */
+Test (trailers, name_of_the_coding_may_have_capitals)
+{
+  Setup s;
+  TestConnection caller;
+
+  setup_init (&s);
+  caller_connect (&s.f, &caller);
+  for (int n = 0; n < 2; n++)
+    {
+      connection_send_text (&caller, "POST /services/s/a HTTP/1.1\r\nHost: h\r\nX-First: 1\r\n"
+                                     "TRANSFER-ENCODING: ChunkeD\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
+      answer_call_without_trailer (&s, &caller, "ChunkeD");
+      connection_clear_received_text (&caller);
+    }
+  connection_close (&caller);
+  setup_clear (&s);
+}
+
 /* The trailer of a request hides another request, or is malformed. Neither the request nor what its
  * trailer holds may reach an endpoint. */
 Test (trailers, malformed_trailers_are_refused)
