wire: an empty name has no bytes to search

Cause: msgpack gives a text of length 0 without a pointer, and read_name passed it to memchr and memcpy, which is undefined. Found by UndefinedBehaviorSanitizer in fuzz-frame within 1 s (`make fuzz` ended there). Ruled out: read_bytes and the payload check their lengths first.

Change: an empty text is the empty name.

--- a/packages/wire/src/lw-message.c
+++ b/packages/wire/src/lw-message.c
@@ -205,7 +205,8 @@
   const msgpack_object *object = read_typed_field (reader, MSGPACK_OBJECT_STR);
 
   name[0] = '\0';
-  if (!object)
+  /* An empty text may have no bytes to point at. */
+  if (!object || object->via.str.size == 0)
     return;
   size_t length = object->via.str.size;
   if (length >= LB_NAME_MAX || memchr (object->via.str.ptr, '\0', length))
