http: one scanner reads requests and responses before the library

Cause: what evhttp read counted as the endpoint's answer. It takes the first of two lengths, chunks in spite of a length, any coding but "chunked" for none and 0x3 for a chunk size. In the other direction evhttp ends a response with a chunk extension as broken, so a service that writes them never answers.

Change: the scanner of callers' requests and the check of their framing move to packages/http and read responses too. What RFC 9112 forbids ends the fetch as one without an answer, chunk extensions are rewritten in the input, and a response is complete only if the scanner has seen its end. A bare LF stays allowed in responses, where evhttp reads it everywhere.

--- a/packages/http/src/lh-fetch.c
+++ b/packages/http/src/lh-fetch.c
@@ -7,6 +7,7 @@
 #include "lb-clock.h"
 #include "lb-time.h"
 #include "lh-request-check.h"
+#include "lh-rewrite.h"
 #include "lh-socket.h"
 
 #include <event2/buffer.h>
@@ -41,6 +42,8 @@
   struct event *connect_timer; /* NULL: connected, or no connect timeout */
   bool bytes_handed;           /* at least one byte of the request may have been sent */
   LhStatusLine status_line;
+  LhMessageScanner scanner; /* scanner that has seen all bytes received */
+  uint64_t n_received;
   struct event *abort_event; /* ends the fetch with `failure` in the event loop's next iteration */
   struct event *duration_timer; /* NULL: the response may take any time */
   /* Bytes that arrive without end in the head, or in the framing of a streamed body, restart
@@ -191,6 +194,25 @@
   return 0;
 }
 
+/* Rewrites a line that evhttp has not read yet, since it reads whole lines. */
+static void
+rewrite_input (const LhRewrite *rewrite, void *user)
+{
+  LhFetch *fetch = user;
+  struct bufferevent *bev = evhttp_connection_get_bufferevent (fetch->connection->evcon);
+
+  if (!lh_rewrite_apply (rewrite, bufferevent_get_input (bev), fetch->n_received))
+    schedule_abort (fetch, LB_ERROR_IO);
+}
+
+static void
+scan_response_bytes (LhFetch *fetch, const char *bytes, size_t length)
+{
+  if (!lh_status_line_feed (&fetch->status_line, bytes, length)
+      || !lh_message_scanner_feed (&fetch->scanner, bytes, length))
+    schedule_abort (fetch, LB_ERROR_IO);
+}
+
 /* Scans the bytes that were added to the input before evhttp reads them. */
 static void
 on_input_buffer_changed (struct evbuffer *input, const struct evbuffer_cb_info *info, void *user)
@@ -200,15 +222,15 @@
   struct evbuffer_iovec segment;
   size_t remaining = info->n_added;
 
-  while (remaining > 0 && !fetch->status_line.is_complete && !fetch->status_line.is_invalid
+  fetch->n_received += remaining;
+  while (remaining > 0 && fetch->failure == LB_OK
          && evbuffer_ptr_set (input, &position, evbuffer_get_length (input) - remaining,
                               EVBUFFER_PTR_SET)
                 == 0
          && evbuffer_peek (input, (ev_ssize_t)remaining, &position, &segment, 1) > 0)
     {
       size_t length = segment.iov_len < remaining ? segment.iov_len : remaining;
-      if (!lh_status_line_feed (&fetch->status_line, segment.iov_base, length))
-        schedule_abort (fetch, LB_ERROR_IO);
+      scan_response_bytes (fetch, segment.iov_base, length);
       remaining -= length;
     }
   if (info->n_added == 0)
@@ -369,6 +391,12 @@
   evtimer_add (fetch->connect_timer, &tv);
 }
 
+static bool
+is_response_complete (const LhFetch *fetch)
+{
+  return fetch->scanner.n_complete > 0 || lh_message_scanner_ends_with_connection (&fetch->scanner);
+}
+
 static void
 report_result_and_free_fetch (LhFetch *fetch, struct evhttp_request *request)
 {
@@ -378,7 +406,8 @@
   set_buffer_callbacks_enabled (fetch, false);
   free_connect_timer (fetch);
   lb_list_remove (&fetch->pool->running_fetches, &fetch->link);
-  if (request && evhttp_request_get_response_code (request) != 0 && fetch->failure == LB_OK)
+  if (request && evhttp_request_get_response_code (request) != 0 && fetch->failure == LB_OK
+      && is_response_complete (fetch))
     {
       struct evbuffer *input = evhttp_request_get_input_buffer (request);
       result.status = evhttp_request_get_response_code (request);
@@ -490,6 +519,10 @@
   fetch->connection = connection;
   fetch->handlers = *handlers;
   fetch->user = user;
+  fetch->scanner.is_response = true;
+  fetch->scanner.is_bodiless = method == EVHTTP_REQ_HEAD;
+  fetch->scanner.on_rewrite = rewrite_input;
+  fetch->scanner.user = fetch;
   fetch->abort_event = event_new (pool->base, -1, 0, on_abort, fetch);
   lb_list_append (&pool->running_fetches, &fetch->link);
   fetch->max_stall = spec->idle_timeout > 0 ? spec->idle_timeout : DEFAULT_IDLE_TIMEOUT;
--- a/packages/http/src/lh-framing.c
+++ b/packages/http/src/lh-framing.c
@@ -1,4 +1,4 @@
-#include "ln-framing.h"
+#include "lh-framing.h"
 
 #include "lh-request-check.h"
 
@@ -31,15 +31,15 @@
 
 /* Marks the request as ambiguous when the header was already present or is invalid. */
 static void
-require_unique_valid_header (bool *is_present, bool is_valid, LnFraming *framing)
+require_unique_valid_header (bool *is_present, bool is_valid, LhFraming *framing)
 {
   framing->is_ambiguous |= *is_present || !is_valid;
   *is_present = true;
 }
 
 void
-ln_framing_add_header (
-    LnFraming *framing, const char *name, size_t name_length, const char *value, size_t length)
+lh_framing_add_header (
+    LhFraming *framing, const char *name, size_t name_length, const char *value, size_t length)
 {
   framing->is_ambiguous
       |= !lh_is_header_name (name, name_length) || !lh_is_header_value (value, length);
@@ -54,7 +54,7 @@
 }
 
 bool
-ln_framing_is_ambiguous (const LnFraming *framing)
+lh_framing_is_ambiguous (const LhFraming *framing)
 {
   return framing->is_ambiguous || (framing->has_content_length && framing->has_transfer_encoding);
 }
--- a/packages/http/src/lh-message-scanner.c
+++ b/packages/http/src/lh-message-scanner.c
@@ -1,4 +1,4 @@
-#include "ln-request-scanner.h"
+#include "lh-message-scanner.h"
 
 #include "lh-request-check.h"
 
@@ -24,13 +24,16 @@
   CHUNK_SIZE,
   CHUNK,
   CHUNK_END,
-  TRAILER_LINE
+  TRAILER_LINE,
+  STATUS_LINE,
+  UNTIL_CLOSE, /* body of a response without a length */
+  RESPONSE_END
 };
 
 /* Counts a character of the current line and stores the character if line has room. The stored text
  * stays NUL-terminated. */
 static void
-append_char_to_line (LnRequestScanner *scanner, char c)
+append_char_to_line (LhMessageScanner *scanner, char c)
 {
   if (scanner->length + 1 < sizeof scanner->line)
     {
@@ -41,7 +44,7 @@
 }
 
 static void
-begin_scanning_line (LnRequestScanner *scanner, int state)
+begin_scanning_line (LhMessageScanner *scanner, int state)
 {
   scanner->state = state;
   scanner->length = 0;
@@ -50,7 +53,7 @@
 }
 
 static void
-begin_scanning_request (LnRequestScanner *scanner)
+begin_scanning_request (LhMessageScanner *scanner)
 {
   begin_scanning_line (scanner, REQUEST_LINE);
   scanner->has_host = false;
@@ -61,15 +64,18 @@
 }
 
 static void
-finish_request (LnRequestScanner *scanner)
+finish_message (LhMessageScanner *scanner)
 {
   scanner->n_complete++;
-  begin_scanning_request (scanner);
+  if (scanner->is_response)
+    scanner->state = RESPONSE_END;
+  else
+    begin_scanning_request (scanner);
 }
 
 /* Returns the value of the current header line, or NULL if the header has another name. */
 static const char *
-find_header_value (const LnRequestScanner *scanner, const char *name)
+find_header_value (const LhMessageScanner *scanner, const char *name)
 {
   size_t length = strlen (name);
   const char *value = scanner->line + length + 1;
@@ -87,10 +93,10 @@
   return text[strspn (text, " \t")] == '\0';
 }
 
-/* Reads from the current header line whether Host is present and how long the body is. ln-framing.c
+/* Reads from the current header line whether Host is present and how long the body is. lh-framing.c
  * refuses contradictory lengths and codings. */
 static void
-parse_header_line (LnRequestScanner *scanner)
+parse_header_line (LhMessageScanner *scanner)
 {
   static const char chunked[] = "chunked";
   const char *content_length = find_header_value (scanner, "Content-Length");
@@ -104,10 +110,73 @@
                           && is_blank_text (transfer_coding + sizeof chunked - 1);
 }
 
+/* Whether the current line begins with a header's name and a colon. A name that is longer than the
+ * text stored counts. */
+static bool
+has_header_name (const LhMessageScanner *scanner)
+{
+  size_t length = strcspn (scanner->line, ":");
+  bool is_cut = scanner->line[length] == '\0' && scanner->length > length;
+
+  return (scanner->line[length] == ':' || is_cut) && lh_is_header_name (scanner->line, length);
+}
+
+/* Returns false when the current line is no header field, or one with which the end of the message
+ * is not known. */
+static bool
+add_response_header (LhMessageScanner *scanner)
+{
+  const char *value = strchr (scanner->line, ':');
+  size_t length = 0;
+  bool is_cut = scanner->length >= sizeof scanner->line;
+
+  if (!has_header_name (scanner)
+      || (is_cut
+          && (find_header_value (scanner, "Content-Length")
+              || find_header_value (scanner, "Transfer-Encoding"))))
+    return false;
+  if (!value)
+    return true;
+  value += 1 + strspn (value + 1, " \t");
+  for (length = strlen (value); length > 0 && is_blank_text (value + length - 1);)
+    length--;
+  lh_framing_add_header (&scanner->framing, scanner->line, strcspn (scanner->line, ":"), value,
+                         length);
+  return true;
+}
+
+/* Returns false when the headers of a response do not say where it ends, or say it twice. */
+static bool
+finish_response_headers (LhMessageScanner *scanner)
+{
+  if (scanner->status / 100 == 1)
+    {
+      begin_scanning_line (scanner, STATUS_LINE);
+      scanner->framing = (LhFraming){ 0 };
+      return true;
+    }
+  if (lh_framing_is_ambiguous (&scanner->framing))
+    return false;
+  scanner->n_headers_complete++;
+  if (scanner->is_bodiless || scanner->status == 204 || scanner->status == 304)
+    finish_message (scanner);
+  else if (scanner->framing.has_transfer_encoding)
+    begin_scanning_line (scanner, CHUNK_SIZE);
+  else if (!scanner->framing.has_content_length)
+    scanner->state = UNTIL_CLOSE;
+  else if (scanner->remaining > 0)
+    scanner->state = BODY;
+  else
+    finish_message (scanner);
+  return true;
+}
+
 /* Returns false when a required Host header is missing. */
 static bool
-finish_headers (LnRequestScanner *scanner)
+finish_headers (LhMessageScanner *scanner)
 {
+  if (scanner->is_response)
+    return finish_response_headers (scanner);
   if (!scanner->has_host && !scanner->is_http_1_0)
     return false;
   scanner->n_headers_complete++;
@@ -116,35 +185,36 @@
   else if (scanner->remaining > 0)
     scanner->state = BODY;
   else
-    finish_request (scanner);
+    finish_message (scanner);
   return true;
 }
 
 static void
-report_rewrite (LnRequestScanner *scanner, uint64_t start, const char *text)
+report_rewrite (LhMessageScanner *scanner, uint64_t start, const char *text)
 {
-  const LnRequestRewrite rewrite
+  const LhRewrite rewrite
       = { .start = start, .length = (size_t)(scanner->n_scanned - start), .text = text };
 
   if (scanner->on_rewrite)
     scanner->on_rewrite (&rewrite, scanner->user);
 }
 
-/* Replaces a chunk size line by the size alone, and after size 0 also the trailer fields by the
- * empty line that ends the request. */
+/* Replaces a chunk size line by the size alone, and after size 0 of a request also the trailer
+ * fields by the empty line that ends the request. */
 static void
-rewrite_chunk_line (LnRequestScanner *scanner, uint64_t chunk_size)
+rewrite_chunk_line (LhMessageScanner *scanner, uint64_t chunk_size)
 {
+  bool has_empty_line = chunk_size == 0 && !scanner->is_response;
   char text[24];
 
-  snprintf (text, sizeof text, "%llx%s", (unsigned long long)chunk_size,
-            chunk_size > 0 ? "\r\n" : "\r\n\r\n");
+  snprintf (text, sizeof text, "%llx\r\n%s", (unsigned long long)chunk_size,
+            has_empty_line ? "\r\n" : "");
   report_rewrite (scanner, scanner->chunk_line_at, text);
 }
 
 /* Replaces a capital letter that was just scanned in the name of a transfer coding. */
 static void
-rewrite_letter_of_coding (LnRequestScanner *scanner, char c)
+rewrite_letter_of_coding (LhMessageScanner *scanner, char c)
 {
   const char text[] = { (char)tolower ((unsigned char)c), '\0' };
 
@@ -155,7 +225,7 @@
 /* Reads a chunk's size. Accepts spaces between the size and a chunk extension, since some older
  * senders write them. Returns false when the size is invalid. */
 static bool
-parse_chunk_size (LnRequestScanner *scanner)
+parse_chunk_size (LhMessageScanner *scanner)
 {
   size_t digits = strspn (scanner->line, "0123456789abcdefABCDEF");
   const char *rest = scanner->line + digits;
@@ -165,6 +235,8 @@
   if (digits == 0 || digits > MAX_CHUNK_SIZE_DIGITS || (*rest != '\0' && *rest != ';'))
     return false;
   scanner->remaining = strtoull (scanner->line, NULL, 16);
+  if (scanner->is_response && scanner->length > digits)
+    rewrite_chunk_line (scanner, scanner->remaining);
   if (scanner->remaining == 0)
     {
       scanner->needs_rewrite = scanner->length > digits;
@@ -172,13 +244,13 @@
       return true;
     }
   scanner->state = CHUNK;
-  if (scanner->length > digits)
+  if (scanner->length > digits && !scanner->is_response)
     rewrite_chunk_line (scanner, scanner->remaining);
   return true;
 }
 
 static bool
-finish_request_line (LnRequestScanner *scanner)
+finish_request_line (LhMessageScanner *scanner)
 {
   if (scanner->length > 0 && scanner->remaining != VERSION_LENGTH)
     return false;
@@ -188,20 +260,9 @@
   return true;
 }
 
-/* Whether the current line begins with a header's name and a colon. A name that is longer than the
- * text stored counts. */
-static bool
-has_header_name (const LnRequestScanner *scanner)
-{
-  size_t length = strcspn (scanner->line, ":");
-  bool is_cut = scanner->line[length] == '\0' && scanner->length > length;
-
-  return (scanner->line[length] == ':' || is_cut) && lh_is_header_name (scanner->line, length);
-}
-
 /* Returns false when the line is no header field. */
 static bool
-finish_trailer_line (LnRequestScanner *scanner)
+finish_trailer_line (LhMessageScanner *scanner)
 {
   if (scanner->length > 0)
     {
@@ -211,14 +272,14 @@
       begin_scanning_line (scanner, TRAILER_LINE);
       return true;
     }
-  if (scanner->needs_rewrite)
+  if (scanner->needs_rewrite && !scanner->is_response)
     rewrite_chunk_line (scanner, 0);
-  finish_request (scanner);
+  finish_message (scanner);
   return true;
 }
 
 static bool
-finish_scanned_line (LnRequestScanner *scanner)
+finish_scanned_line (LhMessageScanner *scanner)
 {
   bool is_empty = scanner->length == 0;
 
@@ -229,9 +290,15 @@
     case HEADER_LINE:
       if (is_empty)
         return finish_headers (scanner);
+      if (scanner->is_response && !add_response_header (scanner))
+        return false;
       parse_header_line (scanner);
       begin_scanning_line (scanner, HEADER_LINE);
       return true;
+    case STATUS_LINE:
+      scanner->status = atoi (scanner->line + strcspn (scanner->line, " "));
+      begin_scanning_line (scanner, HEADER_LINE);
+      return true;
     case CHUNK_SIZE:
       return parse_chunk_size (scanner);
     case CHUNK_END:
@@ -244,7 +311,7 @@
 
 /* Whether the next character of the third word continues "HTTP/1." and a digit. */
 static bool
-scan_version_char (LnRequestScanner *scanner, char c)
+scan_version_char (LhMessageScanner *scanner, char c)
 {
   size_t n_matched = scanner->remaining++;
 
@@ -258,7 +325,7 @@
  * known version, as RFC 9112, 3, has it. evhtp reads more as a request, of which other servers find
  * another path. */
 static bool
-scan_request_line_char (LnRequestScanner *scanner, char last, char c)
+scan_request_line_char (LhMessageScanner *scanner, char last, char c)
 {
   if (c == ' ')
     return scanner->length > 0 && last != ' ' && ++scanner->n_spaces <= 2;
@@ -268,7 +335,7 @@
 }
 
 static bool
-scan_line_char (LnRequestScanner *scanner, char c)
+scan_line_char (LhMessageScanner *scanner, char c)
 {
   bool is_header = scanner->state == HEADER_LINE || scanner->state == TRAILER_LINE;
   char last = scanner->last;
@@ -279,7 +346,7 @@
   scanner->n_scanned++;
   /* RFC 9112, 2.2: a CR without LF is invalid, and a recipient need not accept an LF without CR. At
    * some of the latter evhtp reads on where other servers find the end of the headers. */
-  if ((last == '\r') != (c == '\n'))
+  if ((last == '\r' && c != '\n') || (c == '\n' && last != '\r' && !scanner->is_response))
     return false;
   scanner->last = c;
   if (c == '\n')
@@ -299,7 +366,7 @@
 /* Skips the bytes of the current body or chunk. Returns the number of bytes skipped, at most
  * length. */
 static size_t
-skip_body_or_chunk_bytes (LnRequestScanner *scanner, size_t length)
+skip_body_or_chunk_bytes (LhMessageScanner *scanner, size_t length)
 {
   size_t n_body = scanner->remaining < length ? (size_t)scanner->remaining : length;
 
@@ -310,18 +377,18 @@
   if (scanner->state == CHUNK)
     begin_scanning_line (scanner, CHUNK_END);
   else
-    finish_request (scanner);
+    finish_message (scanner);
   return n_body;
 }
 
 size_t
-ln_request_scanner_get_partial_line_length (const LnRequestScanner *scanner)
+lh_message_scanner_get_partial_line_length (const LhMessageScanner *scanner)
 {
   return scanner->state == REQUEST_LINE ? scanner->line_bytes : 0;
 }
 
 size_t
-ln_request_scanner_get_partial_chunk_length (const LnRequestScanner *scanner)
+lh_message_scanner_get_partial_chunk_length (const LhMessageScanner *scanner)
 {
   bool is_partial
       = scanner->state == TRAILER_LINE || (scanner->state == CHUNK_SIZE && scanner->line_bytes > 0);
@@ -330,10 +397,20 @@
 }
 
 bool
-ln_request_scanner_feed (LnRequestScanner *scanner, const char *data, size_t length)
+lh_message_scanner_ends_with_connection (const LhMessageScanner *scanner)
+{
+  return scanner->state == UNTIL_CLOSE;
+}
+
+bool
+lh_message_scanner_feed (LhMessageScanner *scanner, const char *data, size_t length)
 {
+  if (scanner->is_response && scanner->n_scanned == 0 && scanner->state == REQUEST_LINE)
+    scanner->state = STATUS_LINE;
   for (size_t i = 0; i < length && !scanner->is_malformed;)
     {
+      if (scanner->state == UNTIL_CLOSE || scanner->state == RESPONSE_END)
+        break;
       if (scanner->state == BODY || scanner->state == CHUNK)
         i += skip_body_or_chunk_bytes (scanner, length - i);
       else
--- a/packages/http/tests/test-fetch.c
+++ b/packages/http/tests/test-fetch.c
@@ -347,6 +347,57 @@
   fetch_fixture_clear (&f);
 }
 
+/* Chunk extensions are allowed (RFC 9112, 7.1.1); the HTTP library ended such responses as broken.
+ */
+Test (fetch, chunk_extensions_of_a_response_are_ignored)
+{
+  static const char head[] = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  static const char chunks[] = "3;x=\"y\"\r\nabc\r\n2\t;z\r\nde\r\n0;end\r\nt: 1\r\n\r\n";
+
+  for (size_t cut = 0; cut < sizeof chunks - 1; cut++)
+    {
+      FetchFixture f;
+      char first[sizeof chunks] = "";
+      fetch_fixture_init (&f);
+      start_fetch (&f, "GET", "", false, 0);
+      int fd = accept_connection_and_receive_text (&f, "\r\n\r\n");
+      memcpy (first, chunks, cut);
+      send_text_to_client (fd, head);
+      send_text_to_client (fd, first);
+      run_event_loop_once (&f);
+      send_text_to_client (fd, chunks + cut);
+      RUN_LOOP_UNTIL (&f, f.n_done);
+      cr_assert_eq (f.failure, LB_OK, "cut at %zu", cut);
+      cr_assert_str_eq (f.body, "abcde", "cut at %zu", cut);
+      close (fd);
+      fetch_fixture_clear (&f);
+    }
+}
+
+/* Two servers may end such a response at different bytes; one passes half of it on as whole. */
+Test (fetch, response_of_contradictory_length_is_no_response)
+{
+  static const char *const replies[]
+      = { "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+          "HTTP/1.1 200 OK\r\nContent-Length: 9\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nabc",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0x0\r\n\r\n" };
+
+  for (size_t i = 0; i < sizeof replies / sizeof replies[0]; i++)
+    {
+      FetchFixture f;
+      fetch_fixture_init (&f);
+      start_fetch (&f, "GET", "", false, 0);
+      int fd = accept_connection_and_receive_text (&f, "\r\n\r\n");
+      send_text_to_client (fd, replies[i]);
+      shutdown (fd, SHUT_WR);
+      RUN_LOOP_UNTIL (&f, f.n_done);
+      cr_assert_neq (f.failure, LB_OK, "reply %zu counts as a response", i);
+      close (fd);
+      fetch_fixture_clear (&f);
+    }
+}
+
 static void
 cancel_fetch_and_read_response (LhFetch *fetch, FetchFixture *f)
 {
--- a/packages/http/tests/test-request-bytes.c
+++ b/packages/http/tests/test-request-bytes.c
@@ -1,4 +1,4 @@
-#include "ln-request-scanner.h"
+#include "lh-message-scanner.h"
 
 #include <criterion/criterion.h>
 #include <string.h>
@@ -19,13 +19,13 @@
 static bool
 is_accepted_in_segments (const RequestSample *sample, size_t segment_length)
 {
-  LnRequestScanner scanner = { 0 };
+  LhMessageScanner scanner = { 0 };
   bool is_valid = true;
 
   for (size_t offset = 0; offset < get_request_sample_length (sample); offset += segment_length)
     {
       size_t n_left = get_request_sample_length (sample) - offset;
-      is_valid = ln_request_scanner_feed (&scanner, sample->text + offset,
+      is_valid = lh_message_scanner_feed (&scanner, sample->text + offset,
                                           n_left < segment_length ? n_left : segment_length);
     }
   return is_valid;
--- a/packages/node/src/front/ln-caller.c
+++ b/packages/node/src/front/ln-caller.c
@@ -1,13 +1,14 @@
 #include "ln-caller.h"
 
 #include "ln-exchange-private.h"
-#include "ln-framing.h"
 #include "ln-linger.h"
 
 #include "lb-alloc.h"
 #include "lb-counter.h"
 #include "lb-log.h"
 #include "lb-time.h"
+#include "lh-framing.h"
+#include "lh-rewrite.h"
 #include "lh-socket.h"
 
 #include <arpa/inet.h>
@@ -82,7 +83,7 @@
 static size_t
 get_partial_request_line_length (const LnCaller *caller)
 {
-  size_t length = ln_request_scanner_get_partial_line_length (&caller->scanner);
+  size_t length = lh_message_scanner_get_partial_line_length (&caller->scanner);
 
   return caller->scanner.is_malformed || length >= MAX_PARSER_LINE_BYTES ? 0 : length;
 }
@@ -96,7 +97,7 @@
 
   if (line > 0 || caller->scanner.is_malformed)
     return line;
-  return ln_request_scanner_get_partial_chunk_length (&caller->scanner);
+  return lh_message_scanner_get_partial_chunk_length (&caller->scanner);
 }
 
 /* Accepts the next request of the connection, of which the parser may read all that has arrived. */
@@ -259,7 +260,7 @@
 static int
 add_header_to_framing (evhtp_header_t *header, void *user)
 {
-  ln_framing_add_header (user, header->key, header->klen, header->val, header->vlen);
+  lh_framing_add_header (user, header->key, header->klen, header->val, header->vlen);
   return 0;
 }
 
@@ -267,7 +268,7 @@
 on_headers_complete (evhtp_request_t *request, evhtp_headers_t *headers, void *user)
 {
   LnCaller *caller = user;
-  LnFraming framing = { 0 };
+  LhFraming framing = { 0 };
   const unsigned char *query = request->uri ? request->uri->query_raw : NULL;
 
   /* The query is copied, since evhtp later replaces the query by the body of a submitted form. */
@@ -276,7 +277,7 @@
   evhtp_kvs_for_each (headers, add_header_to_framing, &framing);
   /* The scanner may be ahead of the parser, so is_malformed may concern a later request. This
    * request is malformed only if the scanner has not counted its headers as complete. */
-  if (ln_framing_is_ambiguous (&framing)
+  if (lh_framing_is_ambiguous (&framing)
       || caller->n_headers_parsed >= caller->scanner.n_headers_complete)
     return refuse_request (caller, LB_ERROR_BAD_REQUEST);
   caller->n_headers_parsed++;
@@ -352,50 +353,22 @@
 static void
 refuse_oversized_chunk_lines (LnCaller *caller)
 {
-  if (ln_request_scanner_get_partial_chunk_length (&caller->scanner)
+  if (lh_message_scanner_get_partial_chunk_length (&caller->scanner)
       <= caller->callers->max_header_bytes)
     return;
   caller->refusal = LB_ERROR_HEADER_TOO_LARGE;
   caller->scanner.is_malformed = true;
 }
 
-static void
-overwrite_input (struct evbuffer *input, size_t offset, const char *bytes, size_t length)
-{
-  struct evbuffer_ptr position;
-  struct evbuffer_iovec segment;
-
-  while (length > 0 && evbuffer_ptr_set (input, &position, offset, EVBUFFER_PTR_SET) == 0
-         && evbuffer_peek (input, (ev_ssize_t)length, &position, &segment, 1) > 0)
-    {
-      size_t n_bytes = segment.iov_len < length ? segment.iov_len : length;
-      memcpy (segment.iov_base, bytes, n_bytes);
-      bytes += n_bytes;
-      offset += n_bytes;
-      length -= n_bytes;
-    }
-}
-
 /* Rewrites input that the parser has not read yet, since it was withheld or has just arrived. */
 static void
-rewrite_input (const LnRequestRewrite *rewrite, void *user)
+rewrite_input (const LhRewrite *rewrite, void *user)
 {
   LnCaller *caller = user;
-  struct evbuffer *input = bufferevent_get_input (caller->connection->bev);
-  uint64_t input_start = caller->n_received - evbuffer_get_length (input);
-  size_t text_length = strlen (rewrite->text);
-  char *bytes = NULL;
 
-  if (rewrite->start < input_start || rewrite->length < text_length)
-    {
-      caller->scanner.is_malformed = true;
-      return;
-    }
-  bytes = lb_malloc (rewrite->length);
-  memset (bytes, '0', rewrite->length - text_length);
-  memcpy (bytes + rewrite->length - text_length, rewrite->text, text_length);
-  overwrite_input (input, (size_t)(rewrite->start - input_start), bytes, rewrite->length);
-  free (bytes);
+  if (!lh_rewrite_apply (rewrite, bufferevent_get_input (caller->connection->bev),
+                         caller->n_received))
+    caller->scanner.is_malformed = true;
 }
 
 /* Scans received bytes before evhtp's parser gets them. A malformed request is refused after the
@@ -418,7 +391,7 @@
   while (remaining > 0 && evbuffer_peek (input, (ev_ssize_t)remaining, &position, &segment, 1) > 0)
     {
       size_t length = segment.iov_len < remaining ? segment.iov_len : remaining;
-      ln_request_scanner_feed (&caller->scanner, segment.iov_base, length);
+      lh_message_scanner_feed (&caller->scanner, segment.iov_base, length);
       remaining -= length;
       if (remaining > 0 && evbuffer_ptr_set (input, &position, length, EVBUFFER_PTR_ADD) != 0)
         break;
--- a/packages/node/src/front/ln-caller.h
+++ b/packages/node/src/front/ln-caller.h
@@ -1,10 +1,9 @@
 #ifndef LN_CALLER_H
 #define LN_CALLER_H
 
-#include "ln-request-scanner.h"
-
 #include "lb-error.h"
 #include "lb-list.h"
+#include "lh-message-scanner.h"
 
 #include <evhtp/evhtp.h>
 
@@ -47,7 +46,7 @@
   bool is_flushed_at_close;   /* the connection is closed only after sending pending output */
   char ip[64];
   char *raw_query;           /* query string of the request being read; NULL: none */
-  LnRequestScanner scanner;  /* scanner that has seen all bytes received */
+  LhMessageScanner scanner;  /* scanner that has seen all bytes received */
   uint64_t n_received;       /* number of bytes received */
   uint64_t n_headers_parsed; /* number of requests whose headers evhtp has parsed */
   uint64_t n_parsed;         /* number of requests that evhtp has parsed */
