http: check whole header names; a target has no fragment

Cause: the scanner checked a header's name in the first 95 bytes of its line, which it stores; a response with a longer name was passed on with whatever followed ("Transfer-|||...Enc\xff"). evhtp cuts a request's target at "#", so a service got another target than was sent.

Ruled out: ln_framing, which checks the whole names of a request.

Change: each character of a name is checked as it comes, up to the colon, and a line without one is refused. "#" in a target is refused with 400 (RFC 9112, 3.2: it is no part of a request target).

The new samples of http-test-request-bytes and http-test-response-bytes fail before and pass after.

--- a/packages/http/include/lh-message-scanner.h
+++ b/packages/http/include/lh-message-scanner.h
@@ -41,6 +41,7 @@
   size_t length;     /* length of the whole current line, without the line end */
   size_t line_bytes; /* bytes received of the current line, including the line end */
   char last;         /* last character of the current line; LF: none yet */
+  bool has_name;     /* the current header line has a name and a colon */
   int n_spaces;      /* spaces of the current request line */
   int status;        /* of the response */
   LhFraming framing; /* headers of the response */
--- a/packages/http/src/lh-message-scanner.c
+++ b/packages/http/src/lh-message-scanner.c
@@ -50,6 +50,7 @@
   scanner->length = 0;
   scanner->line_bytes = 0;
   scanner->line[0] = '\0';
+  scanner->has_name = false;
 }
 
 static void
@@ -110,19 +111,7 @@
                           && is_blank_text (transfer_coding + sizeof chunked - 1);
 }
 
-/* Whether the current line begins with a header's name and a colon. A name that is longer than the
- * text stored counts. */
-static bool
-has_header_name (const LhMessageScanner *scanner)
-{
-  size_t length = strcspn (scanner->line, ":");
-  bool is_cut = scanner->line[length] == '\0' && scanner->length > length;
-
-  return (scanner->line[length] == ':' || is_cut) && lh_is_header_name (scanner->line, length);
-}
-
-/* Returns false when the current line is no header field, or one with which the end of the message
- * is not known. */
+/* Returns false when the end of the message is not known with the current header line. */
 static bool
 add_response_header (LhMessageScanner *scanner)
 {
@@ -130,10 +119,9 @@
   size_t length = 0;
   bool is_cut = scanner->length >= sizeof scanner->line;
 
-  if (!has_header_name (scanner)
-      || (is_cut
-          && (find_header_value (scanner, "Content-Length")
-              || find_header_value (scanner, "Transfer-Encoding"))))
+  if (is_cut
+      && (find_header_value (scanner, "Content-Length")
+          || find_header_value (scanner, "Transfer-Encoding")))
     return false;
   if (!value)
     return true;
@@ -260,22 +248,24 @@
   return true;
 }
 
-/* Returns false when the line is no header field. */
-static bool
+static void
 finish_trailer_line (LhMessageScanner *scanner)
 {
   if (scanner->length > 0)
     {
       scanner->needs_rewrite = true;
-      if (!has_header_name (scanner))
-        return false;
       begin_scanning_line (scanner, TRAILER_LINE);
-      return true;
+      return;
     }
   if (scanner->needs_rewrite && !scanner->is_response)
     rewrite_chunk_line (scanner, 0);
   finish_message (scanner);
-  return true;
+}
+
+static bool
+is_header_line (const LhMessageScanner *scanner)
+{
+  return scanner->state == HEADER_LINE || scanner->state == TRAILER_LINE;
 }
 
 static bool
@@ -283,6 +273,8 @@
 {
   bool is_empty = scanner->length == 0;
 
+  if (is_header_line (scanner) && !is_empty && !scanner->has_name)
+    return false;
   switch (scanner->state)
     {
     case REQUEST_LINE:
@@ -305,7 +297,8 @@
       begin_scanning_line (scanner, CHUNK_SIZE);
       return is_empty;
     default:
-      return finish_trailer_line (scanner);
+      finish_trailer_line (scanner);
+      return true;
     }
 }
 
@@ -329,15 +322,24 @@
 {
   if (c == ' ')
     return scanner->length > 0 && last != ' ' && ++scanner->n_spaces <= 2;
-  if ((unsigned char)c < ' ' || c == '\x7f')
+  if ((unsigned char)c < ' ' || c == '\x7f' || c == '#')
     return false;
   return scanner->n_spaces < 2 || scan_version_char (scanner, c);
 }
 
+/* Returns false unless the line may still become a header field, whose name ends at a colon. */
+static bool
+scan_header_name_char (LhMessageScanner *scanner, char c)
+{
+  if (scanner->has_name)
+    return true;
+  scanner->has_name = c == ':' && scanner->length > 0;
+  return scanner->has_name || lh_is_header_name (&c, 1);
+}
+
 static bool
 scan_line_char (LhMessageScanner *scanner, char c)
 {
-  bool is_header = scanner->state == HEADER_LINE || scanner->state == TRAILER_LINE;
   char last = scanner->last;
 
   if (scanner->state == CHUNK_SIZE && scanner->line_bytes == 0)
@@ -353,9 +355,8 @@
     return finish_scanned_line (scanner);
   if (c == '\r')
     return true;
-  if (c == '\0' || (is_header && scanner->length == 0 && (c == ' ' || c == '\t')))
-    return false;
-  if (scanner->state == REQUEST_LINE && !scan_request_line_char (scanner, last, c))
+  if (c == '\0' || (scanner->state == REQUEST_LINE && !scan_request_line_char (scanner, last, c))
+      || (is_header_line (scanner) && !scan_header_name_char (scanner, c)))
     return false;
   append_char_to_line (scanner, c);
   if (scanner->state == HEADER_LINE)
--- a/packages/http/tests/test-request-bytes.c
+++ b/packages/http/tests/test-request-bytes.c
@@ -77,6 +77,8 @@
           { "GET /a\r\nHost: h\r\n\r\n", 0 },
           { "GET /a HTTP/1.0\r\n\nX: b\r\n\r\n", 0 },
           { "GET /a HTTP/1.1\nHost: h\n\n", 0 },
+          { "GET /a#b HTTP/1.1\r\nHost: h\r\n\r\n", 0 },
+          { POST_HEAD "X\r\n\r\n", 0 },
           { "GET /a HTTP/7.1\r\nHost: h\r\n\r\n", 0 },
           { "GET /a HTTP/1.10\r\nHost: h\r\n\r\n", 0 },
           { "GET /a HTTP/1.\r\nHost: h\r\n\r\n", 0 },
--- a/packages/http/tests/test-response-bytes.c
+++ b/packages/http/tests/test-response-bytes.c
@@ -48,6 +48,9 @@
 }
 
 #define OK_LINE "HTTP/1.1 200 OK\r\n"
+#define LONG_NAME                                                                                  \
+  "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa" \
+  "aaaa"
 #define CHUNKED OK_LINE "Transfer-Encoding: Chunked\r\n\r\n"
 
 /* Where a response ends must be known, or half of one is passed on as whole. */
@@ -83,6 +86,7 @@
           { OK_LINE "X: 1\r\n 2\r\n\r\n", REFUSED, false },
           { OK_LINE "X 1\r\n\r\n", REFUSED, false },
           { OK_LINE "X : 1\r\n\r\n", REFUSED, false },
+          { OK_LINE LONG_NAME " x: 1\r\n\r\n", REFUSED, false },
           { CHUNKED "0x3\r\nabc\r\n", REFUSED, false },
           { CHUNKED "+3\r\nabc\r\n", REFUSED, false },
           { CHUNKED "3\r\nabcd\r\n", REFUSED, false } };
