--- a/fuzz/fz-message.c
+++ b/fuzz/fz-message.c
@@ -76,8 +76,10 @@
   const char *colon = memchr (line, ':', length);
   const char *end = line + length;
 
-  if (!colon || !is_token (line, (size_t)(colon - line)) || message->n_headers == FZ_MAX_HEADERS)
+  if (!colon || !is_token (line, (size_t)(colon - line)))
     return false;
+  message->names = lb_realloc (message->names, (message->n_headers + 1) * sizeof (char *));
+  message->values = lb_realloc (message->values, (message->n_headers + 1) * sizeof (char *));
   message->names[message->n_headers] = lb_strndup (line, (size_t)(colon - line));
   for (colon++; colon < end && (*colon == ' ' || *colon == '\t');)
     colon++;
@@ -274,6 +276,8 @@
       free (message->names[i]);
       free (message->values[i]);
     }
+  free (message->names);
+  free (message->values);
   free (message->body);
   memset (message, 0, sizeof *message);
 }
--- a/fuzz/fz-message.h
+++ b/fuzz/fz-message.h
@@ -4,8 +4,6 @@
 #include <stdbool.h>
 #include <stddef.h>
 
-#define FZ_MAX_HEADERS 128
-
 typedef enum
 {
   FZ_COMPLETE,
@@ -17,8 +15,8 @@
 typedef struct
 {
   char *words[3]; /* start line: method, target, version; or version, status, reason */
-  char *names[FZ_MAX_HEADERS];
-  char *values[FZ_MAX_HEADERS];
+  char **names; /* of the headers */
+  char **values;
   size_t n_headers;
   char *body;
   size_t body_length;
