front: a limit for the bodies of all requests in progress

Cause: only the size of one body was limited. Copies, by reading: as read, in the call, in the attempt's buffer, in the kernel. Beside that, a connection buffered input up to a whole body behind its request.

A request beyond it gets 503 "overloaded", which is true as nothing of it ran, before its body is read; a chunked one when it reaches the limit. A larger body counts for seven eighths of the limit, so it passes alone and small requests pass beside it. Input behind a request is limited to 256 KiB beside the headers. One gauge, one counter.

--- a/fuzz/fz-message.h
+++ b/fuzz/fz-message.h
@@ -15,7 +15,7 @@
 typedef struct
 {
   char *words[3]; /* start line: method, target, version; or version, status, reason */
-  char **names; /* of the headers */
+  char **names;   /* of the headers */
   char **values;
   size_t n_headers;
   char *body;
--- a/packages/node/include/ln-settings.h
+++ b/packages/node/include/ln-settings.h
@@ -27,6 +27,7 @@
     LbName metrics_address;
     double processor_share; /* processor cores of the machine that this instance may use */
     double link_mbps;       /* network capacity of the machine, in Mbit/s */
+    int64_t memory_mb;      /* memory of the machine that this instance may use, in MiB */
   } instance;
   struct
   {
--- a/packages/node/src/front/ln-caller.c
+++ b/packages/node/src/front/ln-caller.c
@@ -23,6 +23,9 @@
 /* evhtp's parser rejects a line of a request that has this number of bytes or more. */
 #define MAX_PARSER_LINE_BYTES 8192
 
+/* Input of a caller that is read while its request is processed, beside the headers of the next. */
+#define MAX_PIPELINED_BYTES ((size_t)256 << 10)
+
 /* Time limit for receiving a request that is incomplete when the drain time is over. It only serves
  * to refuse the request with a reply, so it must not delay the exit for long. */
 #define MAX_READ_TIME_AFTER_DRAIN LB_SEC
@@ -34,6 +37,15 @@
                        NULL,
                        "Connections closed at once because too many were open");
 
+static LbMetric bytes_in_progress
+    = LB_GAUGE_INIT ("lentilspindle_request_body_bytes",
+                     NULL,
+                     "Bytes that the bodies of callers' requests in progress count for");
+static LbMetric requests_without_memory = LB_COUNTER_INIT (
+    "lentilspindle_requests_refused_for_memory_total",
+    NULL,
+    "Requests refused because the bodies in progress need the memory for bodies");
+
 void
 ln_callers_init (LnCallers *callers, struct event_base *base)
 {
@@ -207,6 +219,7 @@
     }
   if (caller->exchange)
     ln_exchange_detach_connection (caller->exchange);
+  ln_callers_release_bytes (caller->callers, caller->n_bytes_in_progress);
   lb_list_remove (&caller->callers->connections, &caller->link);
   lb_metric_add (&connections, -1);
   event_free (caller->timer);
@@ -219,7 +232,46 @@
 static size_t
 compute_max_input_bytes (const LnCallers *callers)
 {
-  return callers->max_body_bytes + callers->max_header_bytes + 4096;
+  return callers->max_header_bytes + MAX_PIPELINED_BYTES;
+}
+
+void
+ln_callers_release_bytes (LnCallers *callers, size_t n_bytes)
+{
+  callers->n_bytes_in_progress -= n_bytes;
+  lb_metric_add (&bytes_in_progress, -(int64_t)n_bytes);
+}
+
+/* Returns the number of bytes that a body counts for. One that is larger than the bound passes
+ * alone, beside small ones. */
+static size_t
+compute_counted_bytes (const LnCallers *callers, size_t body_bytes)
+{
+  size_t max = callers->max_bytes_in_progress - callers->max_bytes_in_progress / 8;
+
+  return body_bytes < max ? body_bytes : max;
+}
+
+/* Counts the body that is being read, of which body_bytes are known. Returns false if there is no
+ * memory for it beside the other requests. */
+static bool
+reserve_body_bytes (LnCaller *caller, size_t body_bytes)
+{
+  LnCallers *callers = caller->callers;
+  size_t n_bytes = compute_counted_bytes (callers, body_bytes);
+
+  if (n_bytes <= caller->n_bytes_in_progress)
+    return true;
+  n_bytes -= caller->n_bytes_in_progress;
+  if (callers->n_bytes_in_progress + n_bytes > callers->max_bytes_in_progress)
+    {
+      lb_metric_add (&requests_without_memory, 1);
+      return false;
+    }
+  caller->n_bytes_in_progress += n_bytes;
+  callers->n_bytes_in_progress += n_bytes;
+  lb_metric_add (&bytes_in_progress, (int64_t)n_bytes);
+  return true;
 }
 
 static evhtp_res
@@ -283,6 +335,8 @@
   caller->n_headers_parsed++;
   if (evhtp_request_content_len (request) > caller->callers->max_body_bytes)
     return refuse_request (caller, LB_ERROR_BODY_TOO_LARGE);
+  if (!reserve_body_bytes (caller, (size_t)evhtp_request_content_len (request)))
+    return refuse_request (caller, LB_ERROR_OVERLOADED);
   return EVHTP_RES_OK;
 }
 
@@ -295,6 +349,8 @@
   caller->body_bytes += evbuffer_get_length (buffer);
   if (caller->body_bytes > caller->callers->max_body_bytes)
     return refuse_request (caller, LB_ERROR_BODY_TOO_LARGE);
+  if (!reserve_body_bytes (caller, caller->body_bytes))
+    return refuse_request (caller, LB_ERROR_OVERLOADED);
   return EVHTP_RES_OK;
 }
 
--- a/packages/node/src/front/ln-caller.h
+++ b/packages/node/src/front/ln-caller.h
@@ -23,6 +23,8 @@
   size_t max_connections;
   size_t max_body_bytes;
   size_t max_header_bytes;
+  size_t max_bytes_in_progress; /* limit for the bodies of all requests read or processed */
+  size_t n_bytes_in_progress;
   LbTime read_timeout;         /* time limit for receiving a complete request */
   LbTime idle_timeout;         /* time limit between two requests of a connection */
   struct LnRecorder *recorder; /* records a trace of the requests; NULL: none is recorded */
@@ -41,6 +43,7 @@
   struct event *timer;
   size_t header_bytes;
   size_t body_bytes;
+  size_t n_bytes_in_progress; /* of the request being read, counted in LnCallers */
   LbErrorCode refusal;        /* error to reply with before closing the connection; LB_OK: none */
   bool is_closed_after_reply; /* the connection is closed after the reply to the current request */
   bool is_flushed_at_close;   /* the connection is closed only after sending pending output */
@@ -74,6 +77,8 @@
 /* Returns the error with which a request that evhtp has read must be refused, as its end differs
  * from the end that the scanner found; LB_OK: none. Call once for each request. */
 LbErrorCode ln_caller_get_request_refusal (LnCaller *caller);
+/* Ends the counting of the bytes of a request's body, which ended or is freed. */
+void ln_callers_release_bytes (LnCallers *callers, size_t n_bytes);
 /* Starts detecting a disconnect of the caller while the caller's request is processed. */
 void ln_caller_watch_disconnect (LnCaller *caller);
 /* Call after passing the complete reply to evhtp. Closes the connection, or accepts the next
--- a/packages/node/src/front/ln-exchange.c
+++ b/packages/node/src/front/ln-exchange.c
@@ -23,9 +23,10 @@
 
 struct LnExchange
 {
-  LbLink link;       /* link in the list exchanges */
-  LbList *exchanges; /* list that contains this exchange: LnCallers.exchanges */
-  int references;    /* 1 until the reply is complete, +1 for a queued LN_CALLER_DISCONNECTED */
+  LbLink link; /* link in the list exchanges */
+  LnCallers *callers;
+  size_t n_bytes_in_progress; /* of the body, counted in callers */
+  int references; /* 1 until the reply is complete, +1 for a queued LN_CALLER_DISCONNECTED */
   uint64_t id;
   LnHub *hub;
   LnTask *owner;
@@ -54,8 +55,8 @@
 
   exchange->id = id;
   exchange->references = 1;
-  exchange->exchanges = &caller->callers->exchanges;
-  lb_list_append (exchange->exchanges, &exchange->link);
+  exchange->callers = caller->callers;
+  lb_list_append (&exchange->callers->exchanges, &exchange->link);
   exchange->hub = hub;
   exchange->caller = caller;
   exchange->request = request;
@@ -68,6 +69,8 @@
   caller->raw_query = NULL;
   if (exchange->raw_query)
     evhttp_parse_query_str (exchange->raw_query, &exchange->query);
+  exchange->n_bytes_in_progress = caller->n_bytes_in_progress;
+  caller->n_bytes_in_progress = 0;
   exchange->body_length = evbuffer_get_length (request->buffer_in);
   exchange->body = lb_malloc (exchange->body_length + 1);
   evbuffer_remove (request->buffer_in, exchange->body, exchange->body_length);
@@ -100,7 +103,8 @@
   exchange->request = NULL;
   exchange->caller = NULL;
   exchange->is_disconnected = true;
-  lb_list_remove (exchange->exchanges, &exchange->link);
+  ln_callers_release_bytes (exchange->callers, exchange->n_bytes_in_progress);
+  lb_list_remove (&exchange->callers->exchanges, &exchange->link);
   exchange_unref (exchange);
 }
 
--- a/packages/node/src/front/ln-front.c
+++ b/packages/node/src/front/ln-front.c
@@ -23,6 +23,9 @@
 /* Maximum number of listeners: one each for callers, address lookups, readiness checks, metrics
  * and, on a shared platform, other instances. */
 #define MAX_LISTENERS 5
+/* A request's body is held up to four times: as read, by its call, by its attempt and by the
+ * kernel. The bodies of all requests may need half of the memory. */
+#define MEMORY_PER_BODY_BYTE 8
 /* Retry-After of a request that arrives after the drain time. Short, since another instance can
  * serve the request at once. */
 #define AFTER_DRAIN_RETRY_DELAY (100 * LB_MSEC)
@@ -465,6 +468,8 @@
   front->callers.max_connections = (size_t)settings->http.max_connections;
   front->callers.max_body_bytes = (size_t)settings->http.max_body_bytes;
   front->callers.max_header_bytes = (size_t)settings->http.max_header_bytes;
+  front->callers.max_bytes_in_progress
+      = ((size_t)settings->instance.memory_mb << 20) / MEMORY_PER_BODY_BYTE;
   front->callers.idle_timeout = LN_CALLER_IDLE_TIMEOUT;
   front->callers.read_timeout = settings->http.request_read_ms * LB_MSEC;
   front->callers.has_exact_retry_after = context->dialect != NULL;
--- a/packages/node/src/task/ln-settings.c
+++ b/packages/node/src/task/ln-settings.c
@@ -60,6 +60,7 @@
         TEXT_SETTING ("metrics_address", instance.metrics_address),
         REAL_SETTING ("processor_share", instance.processor_share, 0.001, 1024),
         REAL_SETTING ("link_mbps", instance.link_mbps, 0.001, 1e6),
+        INTEGER_SETTING ("memory_mb", instance.memory_mb, 16, 1 << 24),
         END_OF_SETTINGS };
 
 static const LbSettingSpec platform_specs[]
@@ -159,6 +160,7 @@
   LB_COPY (settings->instance.peer_address, "127.0.0.1:0");
   settings->instance.processor_share = 1;
   settings->instance.link_mbps = 1000;
+  settings->instance.memory_mb = 1024;
   settings->platform.kind = LN_PLATFORM_MEMORY;
   settings->platform.deadline_ms = 1000;
   settings->platform.rate = 100;
