front: a header that the library can't hold is too large, not bad

Seen: a single header of 9 KB gets 400 "bad_request" though 16 KB are allowed.

Cause: evhtp holds at most 8 KiB of a header. Its error, which is also that of an invalid Content-Length, was told apart by the bytes that its parser had read, fewer than 8 KiB when the request arrives in one or two segments. Ruled out: the limit of max_header_bytes (it has its own refusal).

Change: the scanner knows the longest line; beyond 8 KiB the refusal is 431 "header_too_large". The limit itself stays: it is a constant of the library.

Before: the new test of node-test-front gets 400; after: 431.

--- a/packages/http/include/lh-message-scanner.h
+++ b/packages/http/include/lh-message-scanner.h
@@ -36,15 +36,16 @@
   uint64_t n_scanned;     /* number of bytes scanned */
   uint64_t chunk_line_at; /* offset of the current or last line with a chunk size */
   bool needs_rewrite;     /* the last chunk has an extension or trailer fields */
-  int state;         /* part of the message being scanned: enum value of lh-message-scanner.c */
-  char line[96];     /* first bytes of the current line; longer than any text searched for */
-  size_t length;     /* length of the whole current line, without the line end */
-  size_t line_bytes; /* bytes received of the current line, including the line end */
-  char last;         /* last character of the current line; LF: none yet */
-  bool has_name;     /* the current header line has a name and a colon */
-  int n_spaces;      /* spaces of the current request line */
-  int status;        /* of the response */
-  LhFraming framing; /* headers of the response */
+  int state;           /* part of the message being scanned: enum value of lh-message-scanner.c */
+  char line[96];       /* first bytes of the current line; longer than any text searched for */
+  size_t length;       /* length of the whole current line, without the line end */
+  size_t longest_line; /* length of the longest line so far */
+  size_t line_bytes;   /* bytes received of the current line, including the line end */
+  char last;           /* last character of the current line; LF: none yet */
+  bool has_name;       /* the current header line has a name and a colon */
+  int n_spaces;        /* spaces of the current request line */
+  int status;          /* of the response */
+  LhFraming framing;   /* headers of the response */
   bool has_host;
   bool is_http_1_0; /* an HTTP/1.0 request, which needs no Host header */
   bool is_chunked;
--- a/packages/http/src/lh-message-scanner.c
+++ b/packages/http/src/lh-message-scanner.c
@@ -41,6 +41,8 @@
       scanner->line[scanner->length + 1] = '\0';
     }
   scanner->length++;
+  if (scanner->length > scanner->longest_line)
+    scanner->longest_line = scanner->length;
 }
 
 static void
--- a/packages/node/src/front/ln-caller.c
+++ b/packages/node/src/front/ln-caller.c
@@ -161,18 +161,17 @@
 }
 
 static LbErrorCode
-get_parser_error (const evhtp_connection_t *connection)
+get_parser_error (const LnCaller *caller)
 {
-  switch (htparser_get_error (connection->parser))
+  switch (htparser_get_error (caller->connection->parser))
     {
     case htparse_error_none:
     case htparse_error_user: /* stopped by a hook of this file, or paused until the reply */
       return LB_OK;
     case htparse_error_too_big:
       /* The parser also reports "too big" for an invalid Content-Length. */
-      return htparser_get_total_bytes_read (connection->parser) < MAX_PARSER_LINE_BYTES
-                 ? LB_ERROR_BAD_REQUEST
-                 : LB_ERROR_HEADER_TOO_LARGE;
+      return caller->scanner.longest_line < MAX_PARSER_LINE_BYTES ? LB_ERROR_BAD_REQUEST
+                                                                  : LB_ERROR_HEADER_TOO_LARGE;
     default:
       return LB_ERROR_BAD_REQUEST;
     }
@@ -207,7 +206,7 @@
 
   if (caller->refusal == LB_OK && !caller->exchange)
     caller->refusal
-        = caller->scanner.is_malformed ? LB_ERROR_BAD_REQUEST : get_parser_error (connection);
+        = caller->scanner.is_malformed ? LB_ERROR_BAD_REQUEST : get_parser_error (caller);
   if (bev)
     evbuffer_remove_cb_entry (bufferevent_get_input (bev), caller->input_callback);
   if (bev && (caller->refusal != LB_OK || caller->is_flushed_at_close))
--- a/packages/node/tests/test-front.c
+++ b/packages/node/tests/test-front.c
@@ -214,6 +214,22 @@
   fixture_clear (&f);
 }
 
+/* The HTTP library holds headers of 8 KiB, whatever max_header_bytes allows. A longer one is no bad
+ * request, which a caller can't tell from a fault of its own. */
+Test (front, header_of_more_than_the_library_holds_is_too_large)
+{
+  Fixture f;
+  char value[9001] = "";
+
+  fixture_init_settings_and_event_base (&f);
+  fixture_start_front_and_calls (&f);
+  memset (value, 'a', sizeof value - 1);
+  char *header = lb_asprintf ("GET /healthz HTTP/1.1\r\nHost: h\r\nx-a: %s\r\n\r\n", value);
+  expect_error_reply (&f, header, " 431 ", "header_too_large");
+  free (header);
+  fixture_clear (&f);
+}
+
 /* Request smuggling: with two lengths, or a length and a transfer coding, this daemon could use one
  * and the service behind it the other. The service would then run a hidden request unchecked. The
  * daemon must refuse the request and close the connection. */
