front: the time limit of its route holds for a request's body

Cause: one limit held for headers and body, since the front task did not know the routes, and the call's own deadline began when the body was whole, so a caller could wait for nearly both. Ruled out: evhtp's timeouts (not used), the linger after a refusal (the reply is sent first).

Change: the front task keeps the desired state. When the headers are complete, the rest has the limit of the route, from the request's first byte; the call's deadline begins there too. The limit for headers is raised to what the operators allow. The refusal is 408, which promises that nothing ran.

--- a/packages/node/include/ln-exchange.h
+++ b/packages/node/include/ln-exchange.h
@@ -20,6 +20,8 @@
 } LnRoute;
 
 uint64_t ln_exchange_id (const LnExchange *exchange);
+/* Returns when the first bytes of the request arrived. */
+LbTime ln_exchange_get_start_time (const LnExchange *exchange);
 const char *ln_exchange_method (const LnExchange *exchange);
 const char *ln_exchange_path (const LnExchange *exchange); /* path without the query */
 const char *ln_exchange_get_query_parameter (const LnExchange *exchange,
--- a/packages/node/src/calls/ln-routed.c
+++ b/packages/node/src/calls/ln-routed.c
@@ -77,7 +77,7 @@
 compute_call_deadline (const LnCalls *calls,
                        const LcRoute *route,
                        const LnInbound *inbound,
-                       LbTime now)
+                       LbTime start)
 {
   LbTime timeout = calls->context->settings->calls.default_deadline_ms * LB_MSEC;
 
@@ -85,7 +85,7 @@
     timeout = inbound->deadline;
   if (route->timeout > 0 && route->timeout < timeout)
     timeout = route->timeout;
-  return now + timeout;
+  return start + timeout;
 }
 
 /* Makes all callers of an organisation one flow of fair queueing, so that organisations share a
@@ -125,7 +125,9 @@
   call->spec.max_attempts = route->max_attempts;
   call->spec.hedge_after = lc_route_hedge_delay (route);
   call->spec.expected_tokens = 1;
-  call->spec.deadline = compute_call_deadline (calls, route, inbound, lb_clock_monotonic ());
+  /* The caller waits since it sent the request; a large body may have taken long to arrive. */
+  call->spec.deadline
+      = compute_call_deadline (calls, route, inbound, ln_exchange_get_start_time (exchange));
   if (calls->context->stop_at > 0 && call->spec.deadline > calls->context->stop_at)
     call->spec.deadline = calls->context->stop_at;
   LB_COPY (call->spec.caller, route->name);
--- a/packages/node/src/front/ln-caller.c
+++ b/packages/node/src/front/ln-caller.c
@@ -4,6 +4,7 @@
 #include "ln-linger.h"
 
 #include "lb-alloc.h"
+#include "lb-clock.h"
 #include "lb-counter.h"
 #include "lb-log.h"
 #include "lb-time.h"
@@ -83,6 +84,13 @@
   return callers->read_timeout;
 }
 
+static void
+start_read_timer (LnCaller *caller)
+{
+  caller->request_started_at = lb_clock_monotonic ();
+  start_connection_timer (caller, get_read_timeout (caller->callers));
+}
+
 static bool
 is_reading_request (const LnCaller *caller)
 {
@@ -284,7 +292,7 @@
   if (caller->scanner.is_malformed)
     start_connection_timer (caller, 0);
   else if (!caller->is_read_timer_started)
-    start_connection_timer (caller, get_read_timeout (caller->callers));
+    start_read_timer (caller);
   caller->is_read_timer_started = false;
   return EVHTP_RES_OK;
 }
@@ -315,6 +323,24 @@
   return 0;
 }
 
+/* Limits the time for the body by the request's route, which is known now. A caller may need longer
+ * for a large body than for its headers, and must not wait longer than its route allows. */
+static void
+limit_read_time_by_route (LnCaller *caller, const evhtp_request_t *request)
+{
+  const LnCallers *callers = caller->callers;
+  const char *host = evhtp_header_find (request->headers_in, "Host");
+  const char *path = request->uri && request->uri->path ? request->uri->path->full : NULL;
+  LbTime timeout = 0;
+
+  if (!callers->get_route_timeout || callers->has_stopped_accepting || !host || !path)
+    return;
+  timeout = callers->get_route_timeout (callers->user, host, path);
+  if (timeout > 0)
+    start_connection_timer (caller, lb_time_later (0, caller->request_started_at + timeout
+                                                          - lb_clock_monotonic ()));
+}
+
 static evhtp_res
 on_headers_complete (evhtp_request_t *request, evhtp_headers_t *headers, void *user)
 {
@@ -336,6 +362,7 @@
     return refuse_request (caller, LB_ERROR_BODY_TOO_LARGE);
   if (!reserve_body_bytes (caller, (size_t)evhtp_request_content_len (request)))
     return refuse_request (caller, LB_ERROR_OVERLOADED);
+  limit_read_time_by_route (caller, request);
   return EVHTP_RES_OK;
 }
 
@@ -400,7 +427,7 @@
   set_read_watermark (caller, is_all_withheld ? length + 1 : 0);
   if (withheld == 0 || withheld > n_added || is_reading_request (caller))
     return;
-  start_connection_timer (caller, get_read_timeout (caller->callers));
+  start_read_timer (caller);
   caller->is_read_timer_started = true;
 }
 
--- a/packages/node/src/front/ln-caller.h
+++ b/packages/node/src/front/ln-caller.h
@@ -25,7 +25,11 @@
   size_t max_header_bytes;
   size_t max_bytes_in_progress; /* limit for the bodies of all requests read or processed */
   size_t n_bytes_in_progress;
-  LbTime read_timeout;         /* time limit for receiving a complete request */
+  LbTime read_timeout; /* time limit for receiving a complete request */
+  /* Returns the time limit for receiving the request, with its body, that its route has; 0: the
+   * route is not known or has none. NULL: no route has one. */
+  LbTime (*get_route_timeout) (void *user, const char *host, const char *path);
+  void *user;
   LbTime idle_timeout;         /* time limit between two requests of a connection */
   struct LnRecorder *recorder; /* records a trace of the requests; NULL: none is recorded */
   bool has_exact_retry_after;  /* Retry-After headers contain fractions of a second */
@@ -54,6 +58,7 @@
   uint64_t n_headers_parsed; /* number of requests whose headers evhtp has parsed */
   uint64_t n_parsed;         /* number of requests that evhtp has parsed */
   struct evbuffer_cb_entry *input_callback;
+  LbTime request_started_at;  /* when the first bytes of the current request arrived */
   bool is_read_timer_started; /* a partial request line has already started the read timeout */
   /* Request already replied to, resumed when the next request line is complete; NULL: none. */
   evhtp_request_t *held_request;
--- a/packages/node/src/front/ln-exchange.c
+++ b/packages/node/src/front/ln-exchange.c
@@ -26,6 +26,7 @@
   LbLink link; /* link in the list exchanges */
   LnCallers *callers;
   size_t n_bytes_in_progress; /* of the body, counted in callers */
+  LbTime started_at;          /* when the first bytes of the request arrived */
   int references; /* 1 until the reply is complete, +1 for a queued LN_CALLER_DISCONNECTED */
   uint64_t id;
   LnHub *hub;
@@ -69,6 +70,7 @@
   caller->raw_query = NULL;
   if (exchange->raw_query)
     evhttp_parse_query_str (exchange->raw_query, &exchange->query);
+  exchange->started_at = caller->request_started_at;
   exchange->n_bytes_in_progress = caller->n_bytes_in_progress;
   caller->n_bytes_in_progress = 0;
   exchange->body_length = evbuffer_get_length (request->buffer_in);
@@ -154,6 +156,12 @@
   return exchange->id;
 }
 
+LbTime
+ln_exchange_get_start_time (const LnExchange *exchange)
+{
+  return exchange->started_at;
+}
+
 const char *
 ln_exchange_method (const LnExchange *exchange)
 {
--- a/packages/node/src/front/ln-front.c
+++ b/packages/node/src/front/ln-front.c
@@ -41,6 +41,7 @@
   evhtp_t *peer_server; /* server for other instances, in servers; NULL: the peers task listens */
   evhtp_t *metrics_server; /* server for metrics only, in servers; NULL: none */
   LnCallers callers;
+  LcDesired *desired; /* desired state in force; NULL: none yet */
   uint64_t last_exchange_id;
   bool is_ready; /* the store or other instances have confirmed the resources */
   bool is_draining;
@@ -234,7 +235,7 @@
   return a > b ? a : b;
 }
 
-/* Applies the size limits and the idle timeout for callers that the operators of a shared platform
+/* Applies the size limits and the timeouts for callers that the operators of a shared platform
  * publish, where they exceed this instance's settings. Otherwise the instance would refuse
  * permitted requests, or close a connection to which a caller is writing a request. */
 static void
@@ -247,9 +248,31 @@
       = (size_t)max_int64 (settings->http.max_body_bytes, limits->max_body_bytes);
   callers->max_header_bytes
       = (size_t)max_int64 (settings->http.max_header_bytes, limits->max_header_bytes);
+  callers->read_timeout
+      = max_int64 (settings->http.request_read_ms * LB_MSEC, limits->header_timeout);
   callers->idle_timeout = max_int64 (LN_CALLER_IDLE_TIMEOUT, limits->idle_timeout);
 }
 
+static LbTime
+get_route_timeout (void *user, const char *host, const char *path)
+{
+  const LnFront *front = user;
+  const LcRoute *route
+      = front->desired ? lc_desired_match_route (front->desired, host, path) : NULL;
+
+  return route ? route->timeout : 0;
+}
+
+static void
+apply_desired_state (LnFront *front, LcDesired *desired)
+{
+  LcDesired *previous = front->desired;
+
+  front->desired = lc_desired_ref (desired);
+  lc_desired_unref (previous);
+  raise_caller_limits (front, &desired->limits);
+}
+
 static void
 receive_message_for_front_task (LnTask *task, const LnMessage *message)
 {
@@ -264,7 +287,7 @@
       front->is_ready = ((const LnReadyMessage *)message)->ready;
       break;
     case LN_DESIRED:
-      raise_caller_limits (front, &((const LnDesiredMessage *)message)->desired->limits);
+      apply_desired_state (front, ((const LnDesiredMessage *)message)->desired);
       break;
     default:
       break;
@@ -348,6 +371,7 @@
   ln_callers_clear (&front->callers);
   ln_recorder_free (front->callers.recorder);
   free_servers (front);
+  lc_desired_unref (front->desired);
   free (front);
 }
 
@@ -472,6 +496,8 @@
       = ((size_t)settings->instance.memory_mb << 20) / MEMORY_PER_BODY_BYTE;
   front->callers.idle_timeout = LN_CALLER_IDLE_TIMEOUT;
   front->callers.read_timeout = settings->http.request_read_ms * LB_MSEC;
+  front->callers.get_route_timeout = get_route_timeout;
+  front->callers.user = front;
   front->callers.has_exact_retry_after = context->dialect != NULL;
   if (!listen_at_all_addresses (front, &error))
     {
--- a/tests/process/pt-shared.c
+++ b/tests/process/pt-shared.c
@@ -206,10 +206,12 @@
            " \"caller_address\": \"127.0.0.1:0\", \"peer_address\": \"127.0.0.1:0\","
            " \"metrics_address\": \"127.0.0.1:0\"},"
            " \"platform\": {\"kind\": \"shared\", \"address\": \"%s\", \"deadline_ms\": 1000},"
+           " \"http\": {\"request_read_ms\": %d},"
            " \"batches\": {\"keep_ended_s\": %d},%s"
            " \"drain\": {\"drain_ms\": %d, \"grace_s\": %g, \"entry_ttl_ms\": 2000},"
            " \"address_file\": \"%s/%s.addr\"}",
            instance->name, instance->store_relay.address,
+           cluster->request_read_ms > 0 ? cluster->request_read_ms : 10000,
            cluster->keep_ended_s > 0 ? cluster->keep_ended_s : 5, duties ? duties : "",
            cluster->drain_ms > 0 ? cluster->drain_ms : 300, cluster->grace_s, cluster->folder,
            instance->name);
--- a/tests/process/pt-shared.h
+++ b/tests/process/pt-shared.h
@@ -40,6 +40,7 @@
   bool has_duties; /* enables usage reports and autoscaling; to be set before the instances start */
   int drain_ms;    /* drain time, to be set before the instances start; 0: 300 ms */
   double grace_s;  /* time from SIGTERM to the kill that the instances are told; 0: none */
+  int request_read_ms; /* limit for reading a request, before the instances start; 0: default */
   int keep_ended_s; /* retention of ended batches, to be set before the instances start; 0: 5 s */
   PsInstance instances[PS_MAX_INSTANCES];
   size_t n_instances;
