soak: endpoints with odd replies, callers with extensions and trailers

A kind of fault starts, for up to 3 s, one more engine or lookup service whose answers are no HTTP, have two lengths or an unknown coding, refuse the request with 421, or do not end; as an engine also streams that end inside an event, whose events have numbers of more than 64 bits, or that bring comments only. A caller sends two chunked lookups on each connection, with chunk extensions, trailer fields and a capital in the coding, in two segments. Runs with the kinds of faults of older seeds are unchanged.

Not yet there: a route that moves between two services of one model. fuzz-caller waits if the kernel has no port for a moment.

--- a/tests/soak/sk-faults.c
+++ b/tests/soak/sk-faults.c
@@ -1,5 +1,7 @@
 #include "sk-faults.h"
 
+#include "sk-odd-endpoint.h"
+
 #include "sk-handover.h"
 
 #include "lb-clock.h"
@@ -294,6 +296,12 @@
     sk_endpoint_drain (endpoint);
 }
 
+static void
+start_odd_endpoint (SkWorld *world)
+{
+  sk_odd_endpoint_start (world->odd_endpoint);
+}
+
 /* --- configuration changes --- */
 
 static void
@@ -327,6 +335,7 @@
                               { "stop-owner", stop_batch_owner },
                               { "rolling-stop", begin_rolling_stop },
                               { "uneven-engine", make_engine_uneven },
+                              { "odd-endpoint", start_odd_endpoint },
                               { NULL, NULL } };
 
 size_t
--- a/tests/soak/sk-world.h
+++ b/tests/soak/sk-world.h
@@ -24,6 +24,7 @@
 typedef struct SkWorld SkWorld;
 struct SkOneShotTrainers;
 struct SkCrasher;
+struct SkOddEndpoint;
 
 /* An instance, with its process and the relay through which it reaches the store. */
 typedef struct
@@ -96,8 +97,9 @@
   int64_t highest_fencing_token;   /* highest fencing token of the orders that engines received */
   LbTime highest_fencing_token_at; /* time when highest_fencing_token was first used */
   struct SkOneShotTrainers *one_shot_trainers; /* notified when engines start an item; NULL: none */
-  struct SkCrasher *crasher; /* notified when services start a fatal request; NULL: none */
-  LbName trainer_batch;      /* id of the trainer's current batch */
+  struct SkCrasher *crasher;          /* notified when services start a fatal request; NULL: none */
+  struct SkOddEndpoint *odd_endpoint; /* started by a fault */
+  LbName trainer_batch;               /* id of the trainer's current batch */
   int64_t config_version;
   int64_t n_added_routes; /* number of routes r1, r2, ... that configuration changes added */
   LbTime config_put_at;   /* time when the newest configuration was written to the store */
--- a/tests/soak/soak-processes.c
+++ b/tests/soak/soak-processes.c
@@ -1,7 +1,9 @@
 #include "sk-callers.h"
+#include "sk-chunked-caller.h"
 #include "sk-crasher.h"
 #include "sk-faults.h"
 #include "sk-handover.h"
+#include "sk-odd-endpoint.h"
 #include "sk-one-shot.h"
 #include "sk-renewals.h"
 #include "sk-trainer.h"
@@ -42,6 +44,9 @@
   SkTrainer *trainer;
   SkOneShotTrainers *one_shot_trainers;
   SkCrasher *crasher;
+  SkOddEndpoint *odd_endpoint;
+  SkChunkedCaller *chunked_caller; /* NULL: the run has only the kinds of faults of older seeds */
+  bool is_ending;                  /* faults are over */
   SkHandovers *handovers;
   SkRenewals *renewals;
 } SoakRun;
@@ -64,6 +69,9 @@
   sk_trainer_start_due_call (run->trainer, now);
   sk_one_shot_trainers_submit_batch_if_due (run->one_shot_trainers, now);
   sk_crasher_send_fatal_request_if_due (run->crasher, now);
+  sk_odd_endpoint_tick (run->odd_endpoint, run->is_ending, now);
+  if (run->chunked_caller && !run->is_ending)
+    sk_chunked_caller_tick (run->chunked_caller, now);
   sk_world_run_event_loop_once (&run->world);
   now = lb_clock_monotonic ();
   sk_handovers_check (run->handovers, now);
@@ -141,6 +149,7 @@
 
   sk_watchdog_set_phase ("the results of the last step");
   sk_faults_end_all (world);
+  run->is_ending = true;
   sk_trainer_stop_after_step (run->trainer);
   while ((!sk_trainer_has_completed_last_step (run->trainer) || !are_all_instances_running (world))
          && lb_clock_monotonic () < end)
@@ -207,6 +216,10 @@
   world->one_shot_trainers = run.one_shot_trainers;
   run.crasher = sk_crasher_new (world);
   world->crasher = run.crasher;
+  run.odd_endpoint = sk_odd_endpoint_new (world);
+  world->odd_endpoint = run.odd_endpoint;
+  if (world->n_fault_kinds == sk_faults_count_kinds ())
+    run.chunked_caller = sk_chunked_caller_new (world);
   run.handovers = sk_handovers_new (world);
   run.renewals = sk_renewals_new (world);
   wait_until_instances_run (&run);
@@ -225,6 +238,8 @@
   sk_trainer_free (run.trainer);
   sk_one_shot_trainers_free (run.one_shot_trainers);
   sk_crasher_free (run.crasher);
+  sk_odd_endpoint_free (run.odd_endpoint);
+  sk_chunked_caller_free (run.chunked_caller);
   sk_handovers_free (run.handovers);
   sk_renewals_free (run.renewals);
   sk_world_clear (world, n_violations > 0 || options->keep_logs);
