tools: only lh-fetch.c may write requests

The check of requests that leave and the scanner of responses hold for each of them only while there is one writer; lint fails now if a second file in packages/ or platform/ calls the library's. Tried with a file that does: it fails. The comment on the scanner's last character says what it is at the start of a line.

--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,7 @@
 	tools/check-wire-names
 	tools/check-folders
 	tools/check-capacity
+	tools/check-one-writer
 	clang-format-14 --dry-run --Werror $(SOURCES)
 	printf '%s\n' $(C_FILES) | xargs -P $(JOBS) -n 4 clang-tidy-14 -quiet --extra-arg=-Wno-unknown-warning-option -p $(BUILD)
 
--- a/packages/http/include/lh-message-scanner.h
+++ b/packages/http/include/lh-message-scanner.h
@@ -41,7 +41,7 @@
   size_t length;       /* length of the whole current line, without the line end */
   size_t longest_line; /* length of the longest line so far */
   size_t line_bytes;   /* bytes received of the current line, including the line end */
-  char last;           /* last character of the current line; LF: none yet */
+  char last;           /* last character scanned of the lines; LF at the start of a line */
   bool has_name;       /* the current header line has a name and a colon */
   int n_spaces;        /* spaces of the current request line */
   int status;          /* of the response */
