front: a request's start and its refusal when later bytes are malformed

Change: the start is taken for each request; the route's limit is not set for a request known to be malformed.

--- a/packages/node/src/front/ln-caller.c
+++ b/packages/node/src/front/ln-caller.c
@@ -289,11 +289,11 @@
 
   caller->header_bytes = 0;
   caller->body_bytes = 0;
-  if (caller->scanner.is_malformed)
-    start_connection_timer (caller, 0);
-  else if (!caller->is_read_timer_started)
+  if (!caller->is_read_timer_started)
     start_read_timer (caller);
   caller->is_read_timer_started = false;
+  if (caller->scanner.is_malformed)
+    start_connection_timer (caller, 0);
   return EVHTP_RES_OK;
 }
 
@@ -333,7 +333,8 @@
   const char *path = request->uri && request->uri->path ? request->uri->path->full : NULL;
   LbTime timeout = 0;
 
-  if (!callers->get_route_timeout || callers->has_stopped_accepting || !host || !path)
+  if (!callers->get_route_timeout || callers->has_stopped_accepting || caller->scanner.is_malformed
+      || !host || !path)
     return;
   timeout = callers->get_route_timeout (callers->user, host, path);
   if (timeout > 0)
--- a/tests/process/test-slow-bodies.c
+++ b/tests/process/test-slow-bodies.c
@@ -13,6 +13,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#define HALF_OF_BODY "Content-Length: 6\r\n\r\nabc"
 #define SHORT_ROUTE_JSON                                                                           \
   ", {\"name\": \"short\", \"host\": \"h.example\", \"prefix\": \"/short/\", \"kind\": \"safe\","  \
   " \"timeoutMs\": 1000, \"service\": \"lookups\", \"attempts\": 3}"
@@ -41,15 +42,14 @@
   cr_assert_eq (send (caller->fd, text, strlen (text), MSG_NOSIGNAL), (ssize_t)strlen (text));
 }
 
-/* Starts an instance that allows 500 ms for reading the headers, and sends a request to it without
- * the second half of its body. */
+/* Starts an instance that allows 500 ms for reading the headers, and sends a request to it. */
 static void
-start_request (SlowCaller *caller, const char *path)
+start_request (SlowCaller *caller, const char *path, const char *framing_and_body)
 {
   struct sockaddr_in to = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
   char *text = lb_asprintf ("POST %s HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: slow\r\n"
-                            "Deadline-Ms: 20000\r\nContent-Length: 6\r\n\r\nabc",
-                            path);
+                            "Deadline-Ms: 20000\r\n%s",
+                            path, framing_and_body);
 
   memset (caller, 0, sizeof *caller);
   ps_cluster_init (&caller->cluster);
@@ -88,7 +88,7 @@
 {
   SlowCaller caller;
 
-  start_request (&caller, "/lookup/a");
+  start_request (&caller, "/lookup/a", HALF_OF_BODY);
   run_for (&caller, 1500 * LB_MSEC);
   send_text (&caller, "def");
   PS_WAIT_UNTIL (&caller.cluster, has_reply (&caller));
@@ -102,10 +102,35 @@
 {
   SlowCaller caller;
 
-  start_request (&caller, "/short/a");
+  start_request (&caller, "/short/a", HALF_OF_BODY);
   PS_WAIT_UNTIL (&caller.cluster, has_reply (&caller));
   cr_assert (strstr (caller.reply, "HTTP/1.1 408"), "got %s", caller.reply);
   cr_assert_geq (lb_clock_monotonic () - caller.started_at, 900 * LB_MSEC);
   cr_assert_lt (lb_clock_monotonic () - caller.started_at, 1500 * LB_MSEC);
   end_request (&caller);
 }
+
+/* A malformed body is refused at once, and not when the time of its route is over: the HTTP library
+ * waits for more bytes of some of them. */
+Test (slow_bodies, malformed_body_is_refused_at_once)
+{
+  static const char *const bodies[] = { "FFFFFFFFFFFFFFFFF\r\n",
+                                        "0\r\nT: 1\r\n folded\r\n",
+                                        "0\r\nT: 1\r\nno field\r\n",
+                                        "1\r0\r\nabc",
+                                        "1 x\r\na",
+                                        "0\r\n\r",
+                                        "3\nabc\n" };
+
+  for (size_t i = 0; i < sizeof bodies / sizeof bodies[0]; i++)
+    {
+      SlowCaller caller;
+      char *text = lb_asprintf ("Transfer-Encoding: chunked\r\n\r\n%s%s", bodies[i], "x");
+      start_request (&caller, "/lookup/a", text);
+      PS_WAIT_UNTIL (&caller.cluster, has_reply (&caller));
+      cr_assert (strstr (caller.reply, "HTTP/1.1 400"), "body %zu got %s", i, caller.reply);
+      cr_assert_lt (lb_clock_monotonic () - caller.started_at, 500 * LB_MSEC, "body %zu", i);
+      end_request (&caller);
+      free (text);
+    }
+}
