front, batches: a command's name, a named size

ln_caller_get_request_refusal also counted the request: it is ln_caller_count_parsed_request now. The size of a batch's path in its row and in the message about demand was written as a number in both: LC_BATCH_PATH_SIZE. No change of behaviour.

--- a/packages/core/include/lc-batch-head.h
+++ b/packages/core/include/lc-batch-head.h
@@ -3,6 +3,9 @@
 
 #include "lc-engine-paces.h"
 
+/* Buffer size in bytes for the start of a batch's path, which selects its route. */
+#define LC_BATCH_PATH_SIZE 128
+
 struct json_object;
 
 /* Row of a batch in the store; the row exists if and only if the batch was accepted. A transaction
@@ -36,7 +39,7 @@
   LbName organisation;           /* organisation that the batch belongs to; empty: none */
   int64_t organisation_priority; /* priority when the batch was accepted; larger values run first */
   LbName host;                   /* host name of the batch's route */
-  char path[128];
+  char path[LC_BATCH_PATH_SIZE];
   LcEnginePaces paces; /* as seen by the instance that submitted or claimed the batch */
 } LcBatchHead;
 
--- a/packages/node/include/ln-messages.h
+++ b/packages/node/include/ln-messages.h
@@ -1,6 +1,7 @@
 #ifndef LN_MESSAGES_H
 #define LN_MESSAGES_H
 
+#include "lc-batch-head.h"
 #include "lc-batch.h"
 #include "lc-desired.h"
 #include "lc-dispatch.h"
@@ -177,7 +178,7 @@
   LnMessage base;
   LbName model;
   LbName host; /* host and path that select the batch's route */
-  char path[128];
+  char path[LC_BATCH_PATH_SIZE];
   int64_t tokens;  /* expected number of generated tokens of the batch */
   int64_t n_items; /* number of items in the batch */
 } LnDemandMessage;
--- a/packages/node/src/front/ln-caller.c
+++ b/packages/node/src/front/ln-caller.c
@@ -545,7 +545,7 @@
 }
 
 LbErrorCode
-ln_caller_get_request_refusal (LnCaller *caller)
+ln_caller_count_parsed_request (LnCaller *caller)
 {
   if (caller->n_parsed++ < caller->scanner.n_complete)
     return LB_OK;
--- a/packages/node/src/front/ln-caller.h
+++ b/packages/node/src/front/ln-caller.h
@@ -79,9 +79,9 @@
 LnCaller *ln_caller_from_connection (const evhtp_connection_t *connection);
 /* True while a request is being received or processed, or output is pending. */
 bool ln_caller_is_busy (const LnCaller *caller);
-/* Returns the error with which a request that evhtp has read must be refused, as its end differs
- * from the end that the scanner found; LB_OK: none. Call once for each request. */
-LbErrorCode ln_caller_get_request_refusal (LnCaller *caller);
+/* Counts a request that evhtp has read. Returns the error with which the request must be refused,
+ * as its end differs from the end that the scanner found; LB_OK: none. */
+LbErrorCode ln_caller_count_parsed_request (LnCaller *caller);
 /* Ends the counting of the bytes of a request's body, which ended or is freed. */
 void ln_callers_release_bytes (LnCallers *callers, size_t n_bytes);
 /* Starts detecting a disconnect of the caller while the caller's request is processed. */
--- a/packages/node/src/front/ln-front.c
+++ b/packages/node/src/front/ln-front.c
@@ -130,7 +130,7 @@
 
   if (!task)
     task = &front->task;
-  message.refusal = ln_caller_get_request_refusal (ln_caller_from_connection (request->conn));
+  message.refusal = ln_caller_count_parsed_request (ln_caller_from_connection (request->conn));
   if (message.refusal == LB_OK && front->callers.has_stopped_accepting && task != &front->task)
     message.refusal = LB_ERROR_DRAINING;
   if (message.refusal != LB_OK)
