fuzz: bytes of a batch submission

fuzz-batch reads its input as the body of a submission and sends the items and reward calls that the submission accepts; the endpoint may get exactly these requests. It shares the endpoint of fuzz-item, which moves to fz-sender.

--- a/fuzz/fuzz-item.c
+++ b/fuzz/fuzz-item.c
@@ -1,48 +1,17 @@
-#include "fz-message.h"
-#include "fz-peer.h"
+#include "fz-sender.h"
 
 #include "lb-alloc.h"
-#include "lh-fetch.h"
-#include "lh-request-check.h"
 
-#include <event2/event.h>
-#include <signal.h>
 #include <stdint.h>
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 
-#define MAX_ROUNDS 200
 #define MAX_FIELDS 24
 /* Separates the fields of an input: method, path, host, body, then names and values of headers. */
 #define FIELD_SEPARATOR 0xff
 
 int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
 
-static struct event_base *base;
-static LhPool *pool;
-static FzPeer endpoint;
-static bool is_done;
-
-static void
-on_done (LhFetch *fetch, const LhResult *result, void *user)
-{
-  (void)fetch;
-  (void)user;
-  is_done = true;
-  if (result->failure != LB_OK || result->status != 200)
-    abort ();
-}
-
-static void
-start_endpoint (void)
-{
-  signal (SIGPIPE, SIG_IGN);
-  base = event_base_new ();
-  pool = lh_pool_new (base);
-  fz_peer_init (&endpoint);
-}
-
 /* Splits the input into C strings; a NUL ends a field, as it ends a string of JSON that is read. */
 static size_t
 split_fields (const uint8_t *data, size_t size, char *fields[MAX_FIELDS])
@@ -64,94 +33,24 @@
   return n;
 }
 
-/* Whether both texts are equal apart from spaces around them, which are no part of a value. */
-static bool
-is_same_value (const char *sent, const char *received)
-{
-  size_t length = 0;
-
-  sent += strspn (sent, " \t");
-  for (length = strlen (sent); length > 0 && strchr (" \t", sent[length - 1]);)
-    length--;
-  return strlen (received) == length && strncmp (sent, received, length) == 0;
-}
-
-/* Aborts unless the bytes at the endpoint are exactly the request. */
-static void
-check_received_request (const FzConnection *connection, const LhRequest *request)
-{
-  FzMessage message;
-  size_t n_found = 0;
-
-  if (fz_message_read_request (&message, connection->bytes, connection->length) != FZ_COMPLETE
-      || message.length != connection->length || strcmp (message.words[0], request->method) != 0
-      || strcmp (message.words[1], request->path) != 0
-      || message.body_length != request->body_length
-      || (request->body_length > 0
-          && memcmp (message.body, request->body, request->body_length) != 0)
-      || !is_same_value (request->host, fz_message_find_header (&message, "Host")))
-    abort ();
-  for (size_t i = 0; i < message.n_headers && n_found < request->n_headers; i++)
-    n_found += strcmp (message.names[i], request->headers[n_found].name) == 0
-               && is_same_value (request->headers[n_found].value, message.values[i]);
-  if (n_found < request->n_headers)
-    abort ();
-  fz_message_clear (&message);
-}
-
-/* Aborts unless the endpoint gets the request whole within some rounds of the event loop. */
-static void
-expect_request (const LhRequest *request)
-{
-  static const char reply[] = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
-  FzConnection *connection = &endpoint.connections[0];
-  FzMessage message;
-
-  for (int round = 0; round < MAX_ROUNDS && !is_done; round++)
-    {
-      event_base_loop (base, EVLOOP_NONBLOCK);
-      fz_peer_accept (&endpoint);
-      if (connection->fd < 0 || !fz_connection_receive (connection))
-        continue;
-      FzResult result = fz_message_read_request (&message, connection->bytes, connection->length);
-      fz_message_clear (&message);
-      if (result == FZ_INCOMPLETE)
-        continue;
-      check_received_request (connection, request);
-      fz_connection_send (connection, reply, sizeof reply - 1);
-    }
-  if (!is_done)
-    abort ();
-  fz_connection_close (connection);
-}
-
-/* Sends the request that the input's fields describe, as an item of a batch does. Aborts unless the
+/* Sends the request that the input's fields describe, as a live call does. Aborts unless the
  * endpoint receives exactly this one request, or nothing because it is refused. */
 int
 LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
 {
-  const LhHandlers handlers = { .on_done = on_done };
   LhHeader headers[MAX_FIELDS / 2];
   char *fields[MAX_FIELDS];
-  LbError error;
-
-  if (!base)
-    start_endpoint ();
   size_t n_fields = split_fields (data, size, fields);
   LhRequest request = { .method = fields[0],
-                        .address = endpoint.address,
                         .path = fields[1],
                         .host = fields[2],
                         .headers = headers,
                         .body = fields[3],
                         .body_length = strlen (fields[3]) };
+
   for (size_t i = 4; i + 1 < n_fields; i += 2)
     headers[request.n_headers++] = (LhHeader){ fields[i], fields[i + 1] };
-  is_done = false;
-  if (lh_fetch_start (pool, &request, &handlers, NULL, &error))
-    expect_request (&request);
-  else if (lh_request_check (&request, &error))
-    abort ();
+  fz_send_request (&request);
   for (size_t i = 0; i < MAX_FIELDS; i++)
     free (fields[i]);
   return 0;
